workspace: crates, schema and borders between parts

Cause: nothing existed; the parts can go on side by side only once the messages, the domain types and the traits between them are settled. Conclusion: the borders stand; every part fills its own module.

--- /dev/null
+++ b/lib/src/metrics.rs
@@ -0,0 +1,234 @@
+//! Counters and histograms, one registry a node.
+//!
+//! Label sets are bounded: codes, classes, reasons and fates are enumerations;
+//! no account, adapter, template or request id is ever a label.
+
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKETS: [f64; 16] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0, 60.0,
+];
+
+/// All of a node's metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended: `code` is 0 for a whole answer.
+    pub requests: IntCounterVec,
+    /// Refused or failed requests, by the code that the caller saw.
+    pub refusals: IntCounterVec,
+    /// Attempts after the first, by the code of the attempt before.
+    pub retries: IntCounterVec,
+    /// Retries that weren't made, by what forbade them.
+    pub retries_withheld: IntCounterVec,
+    /// Answers dropped because they matched no request, by reason.
+    pub dropped_answers: IntCounterVec,
+    /// Time in an upstream's queue, by class.
+    pub queue_wait: HistogramVec,
+    /// Time that a request waited for its adapter's load, by class.
+    pub load_wait: HistogramVec,
+    /// Time to the first piece of an answer, by class.
+    pub first_token: HistogramVec,
+    /// Time between pieces of an answer.
+    pub between_tokens: Histogram,
+    /// Requests that waited for a load.
+    pub stalls: IntCounter,
+    /// Adapter loads by how they ended: `done`, `failed`, `wasted`.
+    pub loads: IntCounterVec,
+    /// Adapters evicted.
+    pub evictions: IntCounter,
+    /// Pieces of answers passed on.
+    pub tokens: IntCounter,
+    /// Bytes of control traffic, by `sent` or `received`.
+    pub control_bytes: IntCounterVec,
+    /// Calls to the key-value service, by call and outcome.
+    pub store_calls: IntCounterVec,
+    /// Requests in progress at this node.
+    pub in_flight: IntGauge,
+    /// Callers' connections.
+    pub connections: IntGauge,
+    /// Revision of the configuration in force.
+    pub revision: IntGauge,
+    /// Milliseconds since the revision was last confirmed to be the newest.
+    pub revision_age_ms: IntGauge,
+    /// Upstreams by state, as this node sees them.
+    pub upstreams: IntGaugeVec,
+    /// Upstreams that this node owns.
+    pub owned: IntGauge,
+    /// Rare events of membership and ownership, by kind.
+    pub events: IntCounterVec,
+}
+
+impl Metrics {
+    /// Makes the metrics of one node, all at zero.
+    ///
+    /// # Panics
+    ///
+    /// When two metrics share a name, which a test would show.
+    #[must_use]
+    #[allow(clippy::too_many_lines, reason = "a plain list, one metric a line")]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let maker = Maker {
+            registry: &registry,
+        };
+        Self {
+            requests: maker.counters(
+                "requests_total",
+                "Requests ended, by code (0 is a whole answer) and class.",
+                &["code", "class"],
+            ),
+            refusals: maker.counters(
+                "refusals_total",
+                "Requests that ended without a whole answer, by code and fate.",
+                &["code", "fate"],
+            ),
+            retries: maker.counters(
+                "retries_total",
+                "Attempts after the first, by the failure before.",
+                &["reason"],
+            ),
+            retries_withheld: maker.counters(
+                "retries_withheld_total",
+                "Retries that were not made, by what forbade them.",
+                &["reason"],
+            ),
+            dropped_answers: maker.counters(
+                "dropped_answers_total",
+                "Answers that matched no request.",
+                &["reason"],
+            ),
+            queue_wait: maker.histograms(
+                "queue_wait_seconds",
+                "Time in an upstream's queue.",
+                &["class"],
+            ),
+            load_wait: maker.histograms(
+                "load_wait_seconds",
+                "Time that a request waited for its adapter.",
+                &["class"],
+            ),
+            first_token: maker.histograms(
+                "first_token_seconds",
+                "Time to the first piece of an answer.",
+                &["class"],
+            ),
+            between_tokens: maker.histogram(
+                "between_tokens_seconds",
+                "Time between pieces of an answer.",
+            ),
+            stalls: maker.counter("load_stalls_total", "Requests that waited for a load."),
+            loads: maker.counters(
+                "adapter_loads_total",
+                "Adapter loads, by how they ended.",
+                &["outcome"],
+            ),
+            evictions: maker.counter("adapter_evictions_total", "Adapters evicted."),
+            tokens: maker.counter("answer_pieces_total", "Pieces of answers passed on."),
+            control_bytes: maker.counters(
+                "control_bytes_total",
+                "Bytes of control traffic between nodes.",
+                &["direction"],
+            ),
+            store_calls: maker.counters(
+                "store_calls_total",
+                "Calls to the key-value service.",
+                &["call", "outcome"],
+            ),
+            in_flight: maker.gauge("requests_in_flight", "Requests in progress at this node."),
+            connections: maker.gauge("connections", "Callers' connections."),
+            revision: maker.gauge("config_revision", "Revision of the configuration in force."),
+            revision_age_ms: maker.gauge(
+                "config_confirmed_age_ms",
+                "Milliseconds since the revision was confirmed.",
+            ),
+            upstreams: maker.gauges("upstreams", "Upstreams by state.", &["state"]),
+            owned: maker.gauge("upstreams_owned", "Upstreams that this node owns."),
+            events: maker.counters(
+                "membership_events_total",
+                "Rare events of membership and ownership.",
+                &["kind"],
+            ),
+            registry,
+        }
+    }
+
+    /// Returns the registry, so that a part can add metrics of its own.
+    #[must_use]
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Writes all metrics in Prometheus's text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail; a bad family would show as an empty page.
+        if TextEncoder::new()
+            .encode_utf8(&self.registry.gather(), &mut text)
+            .is_err()
+        {
+            text.clear();
+        }
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Makes and registers metrics under the product's prefix.
+#[derive(Debug)]
+struct Maker<'a> {
+    registry: &'a Registry,
+}
+
+impl Maker<'_> {
+    fn opts(name: &str, help: &str) -> Opts {
+        Opts::new(format!("chivevalve_{name}"), help)
+    }
+
+    fn register<C: prometheus::core::Collector + Clone + 'static>(
+        &self,
+        made: prometheus::Result<C>,
+    ) -> C {
+        let collector = made.expect("metric names and labels are constants");
+        self.registry
+            .register(Box::new(collector.clone()))
+            .expect("each metric has its own name");
+        collector
+    }
+
+    fn counter(&self, name: &str, help: &str) -> IntCounter {
+        self.register(IntCounter::with_opts(Self::opts(name, help)))
+    }
+
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        self.register(IntCounterVec::new(Self::opts(name, help), labels))
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        self.register(IntGauge::with_opts(Self::opts(name, help)))
+    }
+
+    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+        self.register(IntGaugeVec::new(Self::opts(name, help), labels))
+    }
+
+    fn histogram(&self, name: &str, help: &str) -> Histogram {
+        let opts = HistogramOpts::from(Self::opts(name, help)).buckets(BUCKETS.to_vec());
+        self.register(Histogram::with_opts(opts))
+    }
+
+    fn histograms(&self, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+        let opts = HistogramOpts::from(Self::opts(name, help)).buckets(BUCKETS.to_vec());
+        self.register(HistogramVec::new(opts, labels))
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
