--- a/lib/src/loads.rs
+++ b/lib/src/loads.rs
@@ -32,6 +32,10 @@
     pub weight: u32,
     /// How long the oldest waiter has waited.
     pub waited: Millis,
+    /// Time that the waiters have left before their deadlines, summed, each times its class's factor.
+    ///
+    /// It is the stall that the load can still save; see docs/design/0002-decisions.md.
+    pub gain: Millis,
 }
 
 /// Leave for one load; the queue goes on when it is dropped or told of the outcome.
--- a/lib/src/policy/mod.rs
+++ b/lib/src/policy/mod.rs
@@ -3,3 +3,13 @@
 //! Pure functions and small state machines on [`crate::clock::Millis`], with no
 //! I/O, so that a node, the tests and the bench run the same code. See
 //! docs/design/0002-decisions.md.
+//!
+//! - An entry node asks [`placement`] which upstreams to try, in which order.
+//! - The owner of an upstream drives one [`upstream::Machine`], which decides
+//!   what starts, what is loaded and evicted, and what is refused.
+//! - The owner of the weight store drives one [`loads::Queue`], which decides
+//!   whose load goes next.
+
+pub mod loads;
+pub mod placement;
+pub mod upstream;
--- a/lib/src/protos/chivevalve.peer.rs
+++ b/lib/src/protos/chivevalve.peer.rs
@@ -69,6 +69,9 @@
     pub stream: bool,
     #[prost(string, tag = "23")]
     pub base_model: ::prost::alloc::string::String,
+    /// No other upstream will be tried after this one.
+    #[prost(bool, tag = "24")]
+    pub last: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Header {
@@ -250,6 +253,9 @@
     pub waited_ms: u64,
     #[prost(string, tag = "9")]
     pub base_model: ::prost::alloc::string::String,
+    /// Time that the waiters have left, summed, each times its class's factor.
+    #[prost(uint64, tag = "10")]
+    pub gain_ms: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PermitDone {
--- a/lib/src/runner.rs
+++ b/lib/src/runner.rs
@@ -76,6 +76,11 @@
     pub share: Share,
     /// Which try of the request this is, from 1.
     pub number: u32,
+    /// Whether no other upstream will be tried after this one.
+    ///
+    /// An owner passes a request on (a refusal that says not run) while another
+    /// upstream would serve it cheaper; on the last try it takes it if it can.
+    pub last: bool,
     /// The upstream to run on.
     pub upstream: Name,
     /// The bytes.
