platform: clients of the published protocols

Cause: nothing spoke to the platform yet. Change: etcd v3's JSON interface, the list of VMs, the weight store's listing, engines (completions with dynamic adapters) and plain services over one pooled hyper client. A failure says whether anything was sent; the pool repeats nothing. Dependency percent-encoding: names in the weight store's paths; it was in the tree already through tonic.

--- a/lib/src/platform/mod.rs
+++ b/lib/src/platform/mod.rs
@@ -2,7 +2,14 @@
 //!
 //! Each trait has a client for a published protocol beside it and a stand-in in
 //! the `chivevalve-standins` crate. A deployment whose platform speaks
-//! otherwise adds one file with another client.
+//! otherwise adds one file with another client; docs/design/0006-platform.md
+//! says what each protocol has to promise.
+
+pub mod directory;
+pub mod etcd;
+mod http;
+pub mod upstream;
+pub mod weights;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -215,7 +222,7 @@
 /// The body is whole only if its stream ends without an error.
 pub struct Answer {
     /// Status and headers, hop-by-hop headers removed.
-    pub head: http::response::Parts,
+    pub head: ::http::response::Parts,
     /// Pieces of the body as they come.
     pub body: BoxStream<'static, Result<Bytes, Failure>>,
 }
@@ -261,7 +268,7 @@
     ///
     /// The body is bounded and held whole by the caller's node, so that a call
     /// that was not run can be tried elsewhere.
-    async fn call(&self, head: http::request::Parts, body: Bytes) -> Result<Answer, Failure>;
+    async fn call(&self, head: ::http::request::Parts, body: Bytes) -> Result<Answer, Failure>;
 }
 
 /// Makes clients for upstreams as the list of VMs names them.
--- /dev/null
+++ b/lib/src/platform/upstream/service.rs
@@ -0,0 +1,49 @@
+//! A client of a plain service: a call passes through whole.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::header;
+use http::uri::PathAndQuery;
+use http::{Request, request};
+use http_body_util::Full;
+
+use crate::error::Failure;
+use crate::platform::http::{Client as Http, remove_hop_by_hop, uri};
+use crate::platform::upstream::answer;
+use crate::platform::{Answer, Service};
+
+/// A client of one service.
+#[derive(Debug)]
+pub(super) struct Client {
+    http: Http,
+    address: SocketAddr,
+}
+
+impl Client {
+    pub(super) fn new(http: Http, address: SocketAddr) -> Self {
+        Self { http, address }
+    }
+}
+
+#[async_trait]
+impl Service for Client {
+    async fn call(&self, mut head: request::Parts, body: Bytes) -> Result<Answer, Failure> {
+        let path = head
+            .uri
+            .path_and_query()
+            .cloned()
+            .unwrap_or_else(|| PathAndQuery::from_static("/"));
+        head.uri = uri(self.address, path);
+        head.version = http::Version::HTTP_11;
+        remove_hop_by_hop(&mut head.headers);
+        // The body is whole here, so its length is known anew; the caller may
+        // have sent it in chunks, or have asked to be told before sending it.
+        head.headers.remove(header::CONTENT_LENGTH);
+        head.headers.remove(header::EXPECT);
+        let request = Request::from_parts(head, Full::new(body));
+        let response = self.http.send(request).await?;
+        Ok(answer(response))
+    }
+}
