membership: witnesses keep an owner while the service is down

Cause: an owner that can't renew must stop at its bound, yet an outage of the key-value service must not stop traffic. Change: the Renew call asks a peer to renew or to support the asker; a successor asks the same peers to withdraw. The promises bind by the local clock alone, so no bound on message delay is assumed. Node records carry revision, end, lease and witnesses so that gossip can spread them.

--- a/lib/src/membership/mod.rs
+++ b/lib/src/membership/mod.rs
@@ -2,18 +2,19 @@
 
 pub mod fleet;
 pub mod hold;
+pub mod witness;
 
 pub use fleet::Fleet;
 pub use hold::Hold;
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_trait::async_trait;
 
 use crate::clock::Millis;
 use crate::declaration::Pool;
-use crate::platform::LeaseId;
 
 /// Takes charge of upstreams as this node gains and loses them.
 #[async_trait]
@@ -27,9 +28,25 @@
     async fn release(&self, upstream: &str, limit: Millis);
 }
 
-/// Renews the lease of a node that can't reach the key-value service itself.
+/// Answers peers that ask this node as their witness.
 #[async_trait]
 pub trait Renewal: fmt::Debug + Send + Sync {
-    /// Returns the age of the service's word when it was renewed, or none.
-    async fn renew(&self, node: &str, lease: LeaseId) -> Option<Millis>;
+    /// Renews the asking node's lease if this node can, and supports it or withdraws.
+    async fn renew(&self, ask: witness::Ask) -> witness::Word;
+}
+
+/// Asks a peer as a witness, over the peer's connection.
+#[async_trait]
+pub trait Relay: fmt::Debug + Send + Sync {
+    /// Returns the peer's word, or none when no answer came in time.
+    async fn renew(&self, peer: SocketAddr, ask: witness::Ask) -> Option<witness::Word>;
+}
+
+/// Tells membership how upstreams are, as their owners see them.
+pub trait Sight: fmt::Debug + Send + Sync {
+    /// An upstream couldn't be reached, or broke a connection.
+    fn failed(&self, upstream: &str);
+
+    /// An upstream answered.
+    fn answered(&self, upstream: &str);
 }
--- /dev/null
+++ b/lib/src/membership/witness.rs
@@ -0,0 +1,140 @@
+//! Support of owners by their peers while the key-value service can't be reached.
+//!
+//! An owner whose lease can't be renewed would have to stop, although nobody
+//! may take its upstreams over while the service is down. Each node therefore
+//! names a few peers as its witnesses, in its record at the service. While a
+//! majority of them supports it, it goes on; a successor must have a majority
+//! of the same witnesses withdraw first. A witness that has supported an owner
+//! within the support span refuses to withdraw, and one that has withdrawn never
+//! supports that registration again, so the two majorities can't both exist.
+//! Witnesses agree on nothing and keep nothing: the claim itself is made only at
+//! the service. See docs/design/0004-ownership.md.
+
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::name::Name;
+use crate::platform::LeaseId;
+
+/// What is asked of a witness.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// The node whose ownership is asked about.
+    pub node: Name,
+    /// Which start of it.
+    pub incarnation: u64,
+    /// Its lease at the service, which the witness renews if it can.
+    pub lease: LeaseId,
+    /// The service's revision of its record's write.
+    pub registration: u64,
+    /// None when the node asks for support. Else a successor read, at this
+    /// revision of the service, that the record is gone, and asks to withdraw.
+    pub withdraw_before: Option<u64>,
+}
+
+/// What a witness says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Word {
+    /// It reached the service and renewed the lease.
+    pub renewed: bool,
+    /// It supports the node for one support span from when it was asked.
+    pub supported: bool,
+    /// It supports no such registration now and never will again.
+    pub withdrawn: bool,
+}
+
+/// How many other nodes a witness keeps in mind; the quietest are forgotten first.
+const REMEMBERED: usize = 4096;
+
+/// What a witness remembers of one start of a node.
+#[derive(Debug, Clone, Copy, Default)]
+struct Memory {
+    supported_at: Option<Millis>,
+    withdrawn_before: u64,
+    touched: Millis,
+}
+
+/// The memory of one node as a witness of others.
+#[derive(Debug)]
+pub struct Witness {
+    speaks_from: Millis,
+    quiet: Millis,
+    span: Millis,
+    memories: HashMap<(Name, u64), Memory>,
+}
+
+impl Witness {
+    /// Makes a witness that just started.
+    ///
+    /// A restart forgets what was promised, so a fresh witness says nothing for
+    /// `quiet`, longer than any round of asking plus a support span. Without it
+    /// a witness could withdraw, restart, and support the same owner again.
+    #[must_use]
+    pub fn new(now: Millis, span: Millis, quiet: Millis) -> Self {
+        Self {
+            speaks_from: now + quiet,
+            quiet,
+            span,
+            memories: HashMap::new(),
+        }
+    }
+
+    /// Answers an owner that asks for support, or a successor that asks to withdraw it.
+    pub fn hear(&mut self, now: Millis, ask: &Ask) -> Word {
+        if now < self.speaks_from {
+            return Word::default();
+        }
+        self.forget(now);
+        let memory = self
+            .memories
+            .entry((ask.node.clone(), ask.incarnation))
+            .or_default();
+        memory.touched = now;
+        match ask.withdraw_before {
+            None => memory.support(now, ask.registration),
+            Some(revision) => memory.withdraw(now, revision, self.span),
+        }
+    }
+
+    // Bounded, so that names made up by a broken peer can't fill the memory.
+    // Forgetting a promise is like a restart, and is followed by the same silence.
+    fn forget(&mut self, now: Millis) {
+        if self.memories.len() < REMEMBERED {
+            return;
+        }
+        let mut touched: Vec<Millis> = self.memories.values().map(|m| m.touched).collect();
+        touched.sort_unstable();
+        let oldest = touched[touched.len() / 4];
+        self.memories.retain(|_, memory| memory.touched > oldest);
+        self.speaks_from = now + self.quiet;
+    }
+}
+
+impl Memory {
+    fn support(&mut self, now: Millis, registration: u64) -> Word {
+        // A withdrawn registration may have a successor already.
+        let supported = registration >= self.withdrawn_before;
+        if supported {
+            self.supported_at = Some(now);
+        }
+        Word {
+            supported,
+            ..Word::default()
+        }
+    }
+
+    fn withdraw(&mut self, now: Millis, revision: u64, span: Millis) -> Word {
+        // The owner may count on support for a span from when it asked, which was
+        // before the witness heard it; the eighth allows for clocks that run at different rates.
+        let counted_on = self
+            .supported_at
+            .is_some_and(|at| now < at + span + Millis(span.0 / 8));
+        if !counted_on {
+            self.withdrawn_before = self.withdrawn_before.max(revision);
+        }
+        Word {
+            withdrawn: !counted_on,
+            ..Word::default()
+        }
+    }
+}
--- a/lib/src/protos/chivevalve.peer.rs
+++ b/lib/src/protos/chivevalve.peer.rs
@@ -175,6 +175,21 @@
     pub failure_domain: ::prost::alloc::string::String,
     #[prost(string, tag = "6")]
     pub operators_address: ::prost::alloc::string::String,
+    /// The service's revision of the record's write, or of its end; the larger one wins.
+    #[prost(uint64, tag = "7")]
+    pub revision: u64,
+    /// The record has ended: the node stopped or its lease lapsed.
+    #[prost(bool, tag = "8")]
+    pub gone: bool,
+    /// The node hands its upstreams over and takes none.
+    #[prost(bool, tag = "9")]
+    pub draining: bool,
+    /// The lease that the record lives with.
+    #[prost(int64, tag = "10")]
+    pub lease: i64,
+    /// Nodes that may keep this one an owner while the service can't be reached.
+    #[prost(string, repeated, tag = "11")]
+    pub witnesses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// How long ago a node was last heard of, by anyone on the way.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -275,18 +290,32 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RenewRequest {
+    /// The node whose ownership is asked about.
     #[prost(string, tag = "1")]
     pub node: ::prost::alloc::string::String,
     #[prost(int64, tag = "2")]
     pub lease: i64,
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// The service's revision of the node record's write.
+    #[prost(uint64, tag = "4")]
+    pub registration: u64,
+    /// 0: the node itself asks for support. Else a successor asks to support no registration
+    /// of the node that is older than this revision, at which the record was gone.
+    #[prost(uint64, tag = "5")]
+    pub withdraw_before: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RenewReply {
+    /// The callee reached the service and renewed the lease.
     #[prost(bool, tag = "1")]
     pub renewed: bool,
-    /// Age of the service's word when this reply left, in milliseconds.
-    #[prost(uint64, tag = "2")]
-    pub age_ms: u64,
+    /// The callee supports the node for one support span from when the request was sent.
+    #[prost(bool, tag = "2")]
+    pub supported: bool,
+    /// The callee supports no such registration now and never will again.
+    #[prost(bool, tag = "3")]
+    pub withdrawn: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SnapshotRequest {
