--- /dev/null
+++ b/cli/src/daemon/mod.rs
@@ -0,0 +1,59 @@
+//! From the command line to a running node and its exit code.
+
+mod args;
+mod exit;
+mod logs;
+
+use std::ffi::OsString;
+use std::path::Path;
+use std::process::ExitCode;
+
+use chivevalve::settings::{self, Settings};
+
+use args::Action;
+
+/// Runs the program and returns its exit code; docs/operators/cli.md lists them.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let action = match args::parse(arguments) {
+        Ok(action) => action,
+        Err(error) => {
+            eprintln!("chivevalved: {error}; see chivevalved --help");
+            return ExitCode::from(exit::USAGE);
+        }
+    };
+    match action {
+        Action::Help => print!("{}", args::HELP),
+        Action::Version => println!("chivevalved {}", env!("CARGO_PKG_VERSION")),
+        Action::PrintSettings => print!("{}", settings::print()),
+        Action::Check(file) => return check(&file),
+        Action::Serve(file) => return serve(&file),
+    }
+    ExitCode::SUCCESS
+}
+
+/// Reads settings, showing every mistake on standard error.
+fn load(file: &Path) -> Option<Settings> {
+    settings::load(file)
+        .map_err(|mistakes| eprintln!("{mistakes}"))
+        .ok()
+}
+
+fn check(file: &Path) -> ExitCode {
+    if load(file).is_none() {
+        return ExitCode::from(exit::BAD_SETTINGS);
+    }
+    println!("{}: no mistakes", file.display());
+    ExitCode::SUCCESS
+}
+
+fn serve(file: &Path) -> ExitCode {
+    let Some(settings) = load(file) else {
+        return ExitCode::from(exit::BAD_SETTINGS);
+    };
+    logs::start();
+    log::error!(
+        "node: {} can't start, this build has no node yet",
+        settings.node.name
+    );
+    ExitCode::from(exit::FAILED)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,3 +23,6 @@
 pub mod request;
 pub mod runner;
 pub mod schema;
+pub mod secret;
+pub mod settings;
+pub mod yaml;
