--- /dev/null
+++ b/bench/src/policy/measure.rs
@@ -0,0 +1,174 @@
+//! From the courses of requests to one row of figures.
+
+use std::collections::BTreeMap;
+
+use chivevalve::clock::Millis;
+use chivevalve::request::Class;
+use serde::Serialize;
+
+use super::traffic::{Workload, count};
+use super::world::{Ending, World};
+
+/// Stall time of one class, in milliseconds.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Stalls {
+    /// Median over all requests of the class.
+    pub p50: u64,
+    /// 95th percentile.
+    pub p95: u64,
+    /// 99th percentile.
+    pub p99: u64,
+    /// Sum.
+    pub total: u64,
+}
+
+/// The figures of one policy on one workload.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Row {
+    /// The workload.
+    pub workload: String,
+    /// The policy.
+    pub policy: &'static str,
+    /// Requests that arrived.
+    pub requests: u64,
+    /// Requests with a whole answer in time.
+    pub answered: u64,
+    /// Requests refused, truly not run.
+    pub refused: u64,
+    /// Requests whose whole answer came after the deadline.
+    pub late: u64,
+    /// Requests that may not be repeated and ran on an engine that crashed.
+    pub lost: u64,
+    /// Requests that waited for a load, in a thousand; a refusal counts.
+    pub stalls_per_1000: f64,
+    /// Sum of the time waited for loads; a refused, late or lost request counts its whole deadline.
+    pub stall_ms_total: u64,
+    /// 95th percentile of the same, over all requests.
+    pub stall_p95_ms: u64,
+    /// Stall time by class.
+    pub stalls: BTreeMap<&'static str, Stalls>,
+    /// Mean share of the batch that an engine step fills.
+    pub batch_fill: f64,
+    /// 95th percentile of the time to the first token, of answered requests.
+    pub first_token_p95_ms: u64,
+    /// The same of the most urgent class.
+    pub urgent_first_token_p95_ms: u64,
+    /// Loads started.
+    pub loads: u64,
+    /// Loads that broke off.
+    pub failed_loads: u64,
+    /// Loads that no request used.
+    pub wasted_loads: u64,
+    /// Loads a second, against the weight store's rate.
+    pub store_use: f64,
+    /// Share of time in which the weight store was busy.
+    pub store_busy: f64,
+    /// Refusals by reason.
+    pub refusals: BTreeMap<&'static str, u64>,
+    /// Promises that the policy broke.
+    pub broken: u64,
+}
+
+/// Counts a policy's run.
+pub fn row(world: &World, policy: &'static str) -> Row {
+    let workload = world.workload;
+    let mut row = Row {
+        workload: workload.name.clone(),
+        policy,
+        requests: workload.requests.len() as u64,
+        loads: world.loads.started,
+        failed_loads: world.loads.failed,
+        wasted_loads: world.loads.wasted,
+        broken: world.broken,
+        batch_fill: batch_fill(world),
+        store_busy: world.store_busy(),
+        store_use: store_use(workload, world.loads.started),
+        ..Row::default()
+    };
+    let mut stalls: [Vec<u64>; 3] = Default::default();
+    let mut first: [Vec<u64>; 3] = Default::default();
+    for (request, course) in workload.requests.iter().zip(&world.courses) {
+        let class = request.class as usize;
+        let late = course.end > request.deadline();
+        let stall = match course.ending {
+            Ending::Answered if !late => {
+                row.answered += 1;
+                first[class].push(course.first_token.since(request.arrival).0);
+                course.stall
+            }
+            Ending::Answered => {
+                row.late += 1;
+                request.patience()
+            }
+            Ending::Refused(code) => {
+                row.refused += 1;
+                *row.refusals.entry(code.name()).or_default() += 1;
+                request.patience()
+            }
+            _ => {
+                row.lost += 1;
+                request.patience()
+            }
+        };
+        stalls[class].push(stall.0);
+    }
+    row.set_stalls(stalls);
+    row.set_first_tokens(first);
+    row
+}
+
+impl Row {
+    /// Sets all figures that come from each request's stall time, by class.
+    pub fn set_stalls(&mut self, mut stalls: [Vec<u64>; 3]) {
+        for (class, stalls) in Class::ALL.iter().zip(&mut stalls) {
+            stalls.sort_unstable();
+            let figures = Stalls {
+                p50: percentile(stalls, 50),
+                p95: percentile(stalls, 95),
+                p99: percentile(stalls, 99),
+                total: stalls.iter().sum(),
+            };
+            self.stalls.insert(class.name(), figures);
+        }
+        let mut all = stalls.concat();
+        all.sort_unstable();
+        let stalled = all.iter().filter(|stall| **stall > 0).count();
+        self.stalls_per_1000 = 1000.0 * count(stalled) / count(all.len().max(1));
+        self.stall_ms_total = all.iter().sum();
+        self.stall_p95_ms = percentile(&all, 95);
+    }
+
+    /// Sets the figures that come from the time to each first token, by class.
+    pub fn set_first_tokens(&mut self, mut first: [Vec<u64>; 3]) {
+        first[Class::Urgent as usize].sort_unstable();
+        self.urgent_first_token_p95_ms = percentile(&first[Class::Urgent as usize], 95);
+        let mut all = first.concat();
+        all.sort_unstable();
+        self.first_token_p95_ms = percentile(&all, 95);
+    }
+}
+
+/// Returns loads against what the weight store gives while requests arrive.
+pub fn store_use(workload: &Workload, loads: u64) -> f64 {
+    let last = workload.requests.last().map_or(Millis::ZERO, |r| r.arrival);
+    let gives = workload.deployment.loads_per_second * super::traffic::micros(last) / 1e6;
+    #[allow(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+    let loads = loads as f64;
+    loads / gives.max(1.0)
+}
+
+fn batch_fill(world: &World) -> f64 {
+    let (mut steps, mut filled) = (0.0, 0.0);
+    for engine in &world.engines {
+        let (engine_steps, engine_filled) = engine.steps();
+        steps += engine_steps;
+        filled += engine_filled;
+    }
+    filled / (steps * count(world.deployment().batch)).max(1.0)
+}
+
+/// Returns the value below which `percent` of the sorted values lie, by nearest rank.
+pub fn percentile(sorted: &[u64], percent: usize) -> u64 {
+    let rank = (sorted.len() * percent).div_ceil(100);
+    sorted.get(rank.saturating_sub(1)).copied().unwrap_or(0)
+}
