owner: one actor for each owned upstream, driving the decisions

Requests for one upstream meet in its actor, which drives policy::upstream; bytes never pass through it. A place is given up when it is dropped, wherever that happens. Answers are checked piece by piece against the request's identity and the adapter's name, and renamed to the template.

--- a/lib/src/loads.rs
+++ b/lib/src/loads/mod.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 
 use async_trait::async_trait;
+use tokio::sync::watch;
 
 use crate::adapter::Adapter;
 use crate::clock::Millis;
@@ -48,6 +49,9 @@
 /// The queue of the weight store, in this process or behind a peer connection.
 #[async_trait]
 pub trait Permits: fmt::Debug + Send + Sync {
-    /// Waits for leave to load.
-    async fn acquire(&self, ask: Ask) -> Result<Box<dyn Permit>, Failure>;
+    /// Waits for leave to load; dropping the future takes the ask back.
+    ///
+    /// The ask may change while it waits: more requests come, or the most
+    /// urgent one goes away.
+    async fn acquire(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure>;
 }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -8,6 +8,9 @@
     Registry, TextEncoder,
 };
 
+use crate::clock::Millis;
+use crate::request::Class;
+
 /// Upper bounds of the histograms' buckets, in seconds.
 const BUCKETS: [f64; 16] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0, 60.0,
@@ -157,6 +160,18 @@
         }
     }
 
+    /// Notes how long a request waited at an upstream's owner, and its stall if it had one.
+    pub fn waited(&self, class: Class, queued: Millis, load: Millis) {
+        let class = [class.name()];
+        let queue_wait = self.queue_wait.with_label_values(&class);
+        queue_wait.observe(queued.duration().as_secs_f64());
+        if load > Millis::ZERO {
+            let load_wait = self.load_wait.with_label_values(&class);
+            load_wait.observe(load.duration().as_secs_f64());
+            self.stalls.inc();
+        }
+    }
+
     /// Returns the registry, so that a part can add metrics of its own.
     #[must_use]
     pub fn registry(&self) -> &Registry {
--- /dev/null
+++ b/lib/src/owner/driver.rs
@@ -0,0 +1,558 @@
+//! Feeds what happens at one upstream to its decisions, and carries out the orders.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::task::AbortOnDropHandle;
+
+use super::actor::{Args, Submit, base_model};
+use super::event::Event;
+use super::foreign::Foreign;
+use super::health::Health;
+use super::load::{Asking, Load};
+use super::place::{End, Outcome};
+use super::registry::Parts;
+use super::report;
+use super::run::{Grant, Target, Waits};
+use super::status::{Slot, Status};
+use crate::adapter::Adapter;
+use crate::clock::Millis;
+use crate::declaration::Kind;
+use crate::error::{Code, Failure};
+use crate::loads::{Ask, Permit};
+use crate::membership::fleet::State;
+use crate::name::Name;
+use crate::platform::Report;
+use crate::policy::upstream::{Action, Demand, Limits, Machine};
+use crate::request::{Class, Id, Ticket};
+use crate::runner::Share;
+
+/// A request that has a place, waiting or running.
+#[derive(Debug)]
+struct Entry {
+    request: Id,
+    class: Class,
+    /// Where the grant goes; none once it has gone.
+    reply: Option<oneshot::Sender<Result<Grant, Failure>>>,
+}
+
+/// A request that came before the engine first said what it holds.
+#[derive(Debug)]
+struct Early {
+    ticket: Ticket,
+    share: Share,
+    last: bool,
+}
+
+/// The state of one owned upstream.
+#[derive(Debug)]
+pub(super) struct Driver {
+    parts: Parts,
+    args: Args,
+    target: Target,
+    machine: Machine,
+    entries: HashMap<Id, Entry>,
+    early: Vec<Early>,
+    asking: HashMap<Adapter, Asking>,
+    asks: u64,
+    permits: HashMap<Adapter, Box<dyn Permit>>,
+    foreign: Foreign,
+    health: Health,
+    boot: Option<Name>,
+    reported: Option<Millis>,
+    releasing: bool,
+    drained: Vec<oneshot::Sender<()>>,
+    events: mpsc::UnboundedSender<Event>,
+    status: watch::Sender<Status>,
+    _reports: AbortOnDropHandle<()>,
+}
+
+impl Driver {
+    /// Starts with what the engine will report.
+    pub(super) fn new(
+        parts: Parts,
+        args: Args,
+        events: mpsc::UnboundedSender<Event>,
+        status: watch::Sender<Status>,
+    ) -> Self {
+        let vm = &args.upstream.vm;
+        let target = match &args.pool.kind {
+            Kind::Engine { .. } => Target::Engine(parts.connector.engine(vm)),
+            Kind::Service => Target::Service(parts.connector.service(vm)),
+        };
+        let machine = Machine::new(limits(&parts, &args));
+        let reports = report::start(&target, &parts, events.clone());
+        let mut driver = Self {
+            health: Health::new(parts.limits.failures),
+            parts,
+            args,
+            target,
+            machine,
+            entries: HashMap::new(),
+            early: Vec::new(),
+            asking: HashMap::new(),
+            asks: 0,
+            permits: HashMap::new(),
+            foreign: Foreign::default(),
+            boot: None,
+            reported: None,
+            releasing: false,
+            drained: Vec::new(),
+            events,
+            status,
+            _reports: reports,
+        };
+        driver.publish();
+        driver
+    }
+
+    /// Returns how long nothing is to be done, if that is known.
+    pub(super) fn wakeup(&self) -> Option<Duration> {
+        let early = self.early.iter().map(|early| early.ticket.deadline).min();
+        let next = [self.machine.next_wakeup(), early]
+            .into_iter()
+            .flatten()
+            .min()?;
+        Some(next.since(self.now()).duration())
+    }
+
+    /// Takes a request in, or refuses it.
+    pub(super) fn submit(&mut self, submit: Submit) {
+        if let Err(failure) = self.takes_work() {
+            let _ = submit.reply.send(Err(failure));
+            return;
+        }
+        let entry = Entry {
+            request: submit.request,
+            class: submit.ticket.class,
+            reply: Some(submit.reply),
+        };
+        self.entries.insert(submit.ticket.id.clone(), entry);
+        let early = Early {
+            ticket: submit.ticket,
+            share: submit.share,
+            last: submit.last,
+        };
+        if self.is_known() {
+            self.arrive(early);
+        } else if self.early.len() < self.parts.limits.machine.queue as usize {
+            self.early.push(early);
+        } else {
+            self.refuse(
+                &early.ticket.id,
+                failure(Code::QueueFull, "the queue is full"),
+            );
+        }
+    }
+
+    /// Takes over a changed pool, hold or state of the same upstream.
+    pub(super) fn adopt(&mut self, args: Args) {
+        self.args = args;
+        let limits = limits(&self.parts, &self.args);
+        let actions = self.machine.limit(limits, self.now());
+        self.carry(actions);
+        if let Err(failure) = self.takes_work() {
+            self.refuse_waiting(&failure);
+        }
+        self.publish();
+    }
+
+    /// Ends the ownership: what waits is refused, what runs goes on.
+    pub(super) fn release(&mut self, done: Option<oneshot::Sender<()>>) {
+        self.releasing = true;
+        self.refuse_waiting(&failure(Code::NotOwner, "the upstream is handed over"));
+        self.asking.clear();
+        self.drained.extend(done);
+        self.tell_drained();
+        self.publish();
+    }
+
+    /// Lets time pass.
+    pub(super) fn tick(&mut self) {
+        let now = self.now();
+        if let Err(failure) = self.takes_work() {
+            self.refuse_waiting(&failure);
+        }
+        let expired: Vec<Id> = self
+            .early
+            .extract_if(.., |early| early.ticket.deadline <= now)
+            .map(|early| early.ticket.id)
+            .collect();
+        for id in expired {
+            let failure = failure(Code::ExpiredWaiting, "the deadline passed in the queue");
+            self.refuse(&id, failure);
+        }
+        let actions = self.machine.tick(now);
+        self.carry(actions);
+    }
+
+    /// Takes news from a task.
+    pub(super) fn heard(&mut self, event: Event) {
+        match event {
+            Event::Ended(end) => self.ended(&end),
+            Event::Granted {
+                ask,
+                adapter,
+                permit,
+            } => self.granted(ask, &adapter, permit),
+            Event::Loaded { adapter, result } => self.loaded(&adapter, &result),
+            Event::Reported { as_of, result } => self.reported(as_of, result),
+            Event::Tick => {
+                self.tick();
+                self.publish();
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.parts.clock.now()
+    }
+
+    fn name(&self) -> &Name {
+        &self.args.upstream.vm.name
+    }
+
+    /// Whether it is known what the slots hold; a plain service has none.
+    fn is_known(&self) -> bool {
+        self.reported.is_some() || matches!(self.target, Target::Service(_))
+    }
+
+    /// Says why the upstream takes no work, if it takes none.
+    fn takes_work(&self) -> Result<(), Failure> {
+        if self.releasing {
+            return Err(failure(Code::NotOwner, "the upstream is handed over"));
+        }
+        if self.args.upstream.state != State::Usable {
+            let detail = "the upstream leaves or is held out";
+            return Err(failure(Code::UpstreamLeaving, detail));
+        }
+        if let Some(left) = self.health.held(self.now()) {
+            let detail = "the upstream can't be reached";
+            return Err(failure(Code::ConnectFailed, detail).retry_after(left));
+        }
+        self.args.hold.check().map(|_| ())
+    }
+
+    fn arrive(&mut self, early: Early) {
+        let now = self.now();
+        let actions = self
+            .machine
+            .arrive(early.ticket, early.share, early.last, now);
+        self.carry(actions);
+    }
+
+    fn ended(&mut self, end: &End) {
+        let Some(entry) = self.entries.remove(&end.key) else {
+            return;
+        };
+        let now = self.now();
+        self.early.retain(|early| early.ticket.id != end.key);
+        let actions = if entry.reply.is_some() {
+            self.machine.cancelled(&end.key, now)
+        } else {
+            self.noted(entry.request, end.outcome, now);
+            self.machine.finished(&end.key, now)
+        };
+        self.carry(actions);
+        self.tell_drained();
+    }
+
+    fn noted(&mut self, request: Id, outcome: Outcome, now: Millis) {
+        match outcome {
+            Outcome::Answered(_) => {
+                self.foreign.answered(request, now);
+                self.answered();
+            }
+            Outcome::ConnectFailed => self.failed(now),
+            Outcome::Dropped | Outcome::Refused | Outcome::UnknownAdapter | Outcome::Failed => {}
+        }
+    }
+
+    fn answered(&mut self) {
+        if !self.health.answered() {
+            return;
+        }
+        log::info!("owner: {} answers again", self.name());
+        if let Some(sign) = &self.parts.sign {
+            sign.failing(self.name(), false);
+        }
+    }
+
+    fn failed(&mut self, now: Millis) {
+        if self.health.failed(now) {
+            log::warn!("owner: {} can't be reached; it gets no work", self.name());
+            if let Some(sign) = &self.parts.sign {
+                sign.failing(self.name(), true);
+            }
+        }
+        if let Err(failure) = self.takes_work() {
+            self.refuse_waiting(&failure);
+        }
+    }
+
+    fn granted(&mut self, ask: u64, adapter: &Adapter, permit: Box<dyn Permit>) {
+        // Leave for an ask that was taken back goes to the next load at once.
+        if self
+            .asking
+            .get(adapter)
+            .is_none_or(|asking| asking.number != ask)
+        {
+            return;
+        }
+        self.asking.remove(adapter);
+        self.permits.insert(adapter.clone(), permit);
+        let actions = self.machine.granted(adapter, self.now());
+        self.carry(actions);
+        self.permits.remove(adapter);
+    }
+
+    fn loaded(&mut self, adapter: &Adapter, result: &Result<Millis, Failure>) {
+        if let Err(failure) = result {
+            log::warn!("owner: {} didn't load {adapter}: {failure}", self.name());
+        }
+        let actions = self.machine.loaded(adapter, result.is_ok(), self.now());
+        self.carry(actions);
+    }
+
+    fn reported(&mut self, as_of: Millis, result: Result<Report, Failure>) {
+        let now = self.now();
+        match result {
+            Ok(report) => {
+                self.answered();
+                self.corrected(&report, as_of, now);
+            }
+            Err(failure) => {
+                log::debug!("owner: {} doesn't report: {failure}", self.name());
+                self.failed(now);
+            }
+        }
+        self.tick();
+        self.publish();
+    }
+
+    fn corrected(&mut self, report: &Report, as_of: Millis, now: Millis) {
+        let restarted = self.boot.as_ref().is_some_and(|boot| *boot != report.boot);
+        self.boot = Some(report.boot.clone());
+        let mut actions = Vec::new();
+        if restarted {
+            log::warn!("owner: {} has started anew with empty slots", self.name());
+            for id in self.foreign.clear() {
+                actions.extend(self.machine.finished(&id, now));
+            }
+            actions.extend(self.machine.restarted(now));
+        }
+        let resident: Vec<Adapter> = report
+            .resident
+            .iter()
+            .filter_map(|name| self.adapter(name))
+            .collect();
+        actions.extend(self.machine.reported(&resident, as_of, now));
+        actions.extend(self.pin_foreign(report, now));
+        self.reported = Some(now);
+        self.carry(actions);
+        for early in std::mem::take(&mut self.early) {
+            self.arrive(early);
+        }
+    }
+
+    fn pin_foreign(&mut self, report: &Report, now: Millis) -> Vec<Action> {
+        let own = |name: &str| {
+            self.entries
+                .values()
+                .any(|entry| name.contains(&*entry.request.0))
+        };
+        let base = base_model(&self.args.pool).cloned();
+        let adapter = |name: &str| parsed(base.as_ref(), name);
+        let change = self.foreign.reported(&report.running, own, adapter, now);
+        let mut actions = Vec::new();
+        for id in change.ended {
+            actions.extend(self.machine.finished(&id, now));
+        }
+        for ticket in change.begun {
+            let share = Share {
+                weight: 1,
+                max_in_flight: 0,
+                max_queued: 0,
+            };
+            actions.extend(self.machine.arrive(ticket, share, true, now));
+        }
+        actions
+    }
+
+    fn adapter(&self, engine_name: &str) -> Option<Adapter> {
+        parsed(base_model(&self.args.pool), engine_name)
+    }
+
+    fn carry(&mut self, actions: Vec<Action>) {
+        let mut left = VecDeque::from(actions);
+        while let Some(action) = left.pop_front() {
+            match action {
+                Action::Start {
+                    id,
+                    queued,
+                    load_wait,
+                } => left.extend(self.begin(&id, queued, load_wait)),
+                Action::Refuse { id, failure } => self.refuse(&id, failure),
+                Action::Ask { adapter, demand } => self.ask(adapter, demand),
+                Action::Withdraw { adapter } => {
+                    self.asking.remove(&adapter);
+                    self.permits.remove(&adapter);
+                }
+                Action::Load { adapter, evict } => left.extend(self.load(adapter, evict)),
+            }
+        }
+    }
+
+    /// Grants a place. An unknown one is a foreign request, which runs already.
+    fn begin(&mut self, id: &Id, queued: Millis, load: Millis) -> Vec<Action> {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return Vec::new();
+        };
+        let Some(reply) = entry.reply.take() else {
+            return Vec::new();
+        };
+        if let Err(failure) = self.args.hold.check() {
+            let _ = reply.send(Err(failure));
+            self.entries.remove(id);
+            return self.machine.finished(id, self.parts.clock.now());
+        }
+        self.parts.metrics.waited(entry.class, queued, load);
+        let grant = Grant {
+            target: self.target.clone(),
+            hold: self.args.hold.clone(),
+            waits: Waits { queued, load },
+        };
+        // If the caller has gone, its place tells so by itself.
+        let _ = reply.send(Ok(grant));
+        Vec::new()
+    }
+
+    fn refuse(&mut self, id: &Id, failure: Failure) {
+        let Some(entry) = self.entries.remove(id) else {
+            return;
+        };
+        if let Some(reply) = entry.reply {
+            let _ = reply.send(Err(failure));
+        }
+    }
+
+    /// Refuses all that wait; none of them has run.
+    fn refuse_waiting(&mut self, failure: &Failure) {
+        let now = self.now();
+        self.early.clear();
+        let waiting: Vec<Id> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.reply.is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in waiting {
+            self.refuse(&id, failure.clone());
+            let actions = self.machine.cancelled(&id, now);
+            self.carry(actions);
+        }
+    }
+
+    fn ask(&mut self, adapter: Adapter, demand: Demand) {
+        if self.releasing {
+            return;
+        }
+        let ask = Ask {
+            upstream: self.name().clone(),
+            adapter: adapter.clone(),
+            class: demand.class,
+            waiters: demand.waiters,
+            weight: demand.weight,
+            waited: demand.waited,
+            gain: demand.gain,
+        };
+        if let Some(asking) = self.asking.get(&adapter) {
+            asking.update(ask);
+            return;
+        }
+        self.asks += 1;
+        let permits = self.parts.permits.clone();
+        let asking = Asking::start(self.asks, ask, permits, self.events.clone());
+        self.asking.insert(adapter, asking);
+    }
+
+    fn load(&mut self, adapter: Adapter, evict: Option<Adapter>) -> Vec<Action> {
+        let (Some(permit), Target::Engine(engine)) =
+            (self.permits.remove(&adapter), self.target.clone())
+        else {
+            return self.machine.loaded(&adapter, false, self.now());
+        };
+        let load = Load {
+            adapter,
+            evict,
+            engine,
+            hold: self.args.hold.clone(),
+            timeout: self.parts.limits.load_timeout,
+            clock: self.parts.clock.clone(),
+            metrics: self.parts.metrics.clone(),
+        };
+        load.start(permit, self.events.clone());
+        Vec::new()
+    }
+
+    fn tell_drained(&mut self) {
+        if self.releasing && self.entries.is_empty() {
+            for done in self.drained.drain(..) {
+                let _ = done.send(());
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        let seen = self.machine.status();
+        let now = self.now();
+        let slot = |(adapter, pins): &(Adapter, u32)| Slot {
+            adapter: adapter.engine_name(),
+            pins: *pins,
+        };
+        let names = |adapters: &[Adapter]| adapters.iter().map(Adapter::engine_name).collect();
+        self.status.send_replace(Status {
+            upstream: self.name().clone(),
+            pool: self.args.pool.name.clone(),
+            token: self.args.hold.token(),
+            held: self.args.hold.check().is_ok(),
+            failing: self.health.held(now).is_some(),
+            leaving: self.releasing || self.args.upstream.state == State::Leaving,
+            running: seen.running,
+            foreign: u32::try_from(self.foreign.len()).unwrap_or(u32::MAX),
+            waiting: seen.waiting,
+            batch: self.args.pool.batch,
+            resident: seen.resident.iter().map(slot).collect(),
+            loading: names(&seen.loading),
+            asked: names(&seen.asked),
+            report_age_ms: self.reported.map(|at| now.since(at).0),
+        });
+    }
+}
+
+fn limits(parts: &Parts, args: &Args) -> Limits {
+    let slots = match args.pool.kind {
+        Kind::Engine { slots, .. } => Some(slots),
+        Kind::Service => None,
+    };
+    Limits {
+        slots,
+        batch: args.pool.batch,
+        ..parts.limits.machine.clone()
+    }
+}
+
+/// Reads an adapter from the name that an engine knows it by.
+fn parsed(base_model: Option<&Name>, engine_name: &str) -> Option<Adapter> {
+    let (name, version) = engine_name.rsplit_once('@')?;
+    Some(Adapter {
+        base_model: base_model?.clone(),
+        name: name.into(),
+        version: version.into(),
+    })
+}
+
+fn failure(code: Code, detail: &str) -> Failure {
+    Failure::new(code, detail)
+}
--- /dev/null
+++ b/lib/src/owner/mod.rs
@@ -0,0 +1,62 @@
+//! The upstreams that this node owns: one actor for each, so that slots, pins
+//! and eviction rest on exact knowledge.
+//!
+//! A request's bytes never pass through the actor. It decides and gives a
+//! place; the request's own task speaks to the upstream and gives the place up
+//! when it ends, however it ends. See docs/design/0001-one-owner-per-upstream.md.
+
+mod actor;
+mod check;
+mod driver;
+mod event;
+mod events;
+mod foreign;
+mod health;
+mod load;
+mod place;
+mod pump;
+mod registry;
+mod report;
+mod run;
+mod status;
+
+pub use health::Sign;
+pub use registry::{Parts, Registry};
+pub use run::Waits;
+pub use status::{Slot, Status};
+
+use crate::clock::Millis;
+use crate::policy;
+
+/// Bounds of owning upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// Bounds of the decisions; slots and batch come from each pool's declaration.
+    pub machine: policy::upstream::Limits,
+    /// Messages that wait for one upstream's actor before more are refused.
+    pub mailbox: usize,
+    /// Time between two questions to an engine about what it holds.
+    pub report_period: Millis,
+    /// Longest time to such an answer.
+    pub report_timeout: Millis,
+    /// Longest time of one load or unload.
+    pub load_timeout: Millis,
+    /// Failed connections in a row after which the upstream gets no work until it answers again.
+    pub failures: u32,
+    /// Largest whole answer of a completion, in bytes.
+    pub answer_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            machine: policy::upstream::Limits::default(),
+            mailbox: 1024,
+            report_period: Millis::from_secs(1),
+            report_timeout: Millis::from_secs(1),
+            load_timeout: Millis::from_secs(30),
+            failures: 3,
+            answer_bytes: 16 << 20,
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/owner_fakes/mod.rs
@@ -0,0 +1,385 @@
+//! An engine in memory with knobs for its faults, and a registry that owns it.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use chivevalve::adapter::Adapter;
+use chivevalve::clock::{Clock, Millis, Monotonic};
+use chivevalve::declaration::{Kind, Pool};
+use chivevalve::error::{Code, Failure};
+use chivevalve::loads::{Ask, Permit, Permits};
+use chivevalve::membership::fleet::{State, Upstream};
+use chivevalve::membership::{Adopter, Hold};
+use chivevalve::metrics::Metrics;
+use chivevalve::owner::{Limits, Parts, Registry};
+use chivevalve::platform::{Answer, Call, Connector, Engine, Fence, Report, Service, Vm};
+use chivevalve::request::{Class, Id, Ticket};
+use chivevalve::runner::{Attempt, Share, Work};
+use futures::{StreamExt, stream};
+use http::response;
+use tokio::sync::watch;
+
+/// Span between two pieces of an answer.
+const PIECE: Millis = Millis(10);
+/// How long a load takes.
+const LOAD: Millis = Millis(300);
+/// Longer than any test.
+const FAR: Millis = Millis::from_secs(3600);
+
+/// What goes wrong at the engine.
+#[derive(Debug, Clone)]
+pub struct Knobs {
+    /// Pieces of each answer.
+    pub pieces: usize,
+    /// Identity in the answers instead of the request's.
+    pub answer_as: Option<String>,
+    /// Adapter in the answers instead of the request's.
+    pub answer_from: Option<String>,
+    /// Answers end early, without an error.
+    pub cut: bool,
+    /// Nothing can be reached.
+    pub down: bool,
+    /// Loads fail.
+    pub load_fails: bool,
+    /// Identity of the process.
+    pub boot: String,
+    /// What it says is running besides what it was asked to run.
+    pub running: Vec<(String, String)>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    runs: Vec<String>,
+    loads: Vec<String>,
+    unloads: Vec<String>,
+    resident: BTreeSet<String>,
+}
+
+/// A model engine in memory.
+#[derive(Debug)]
+pub struct FakeEngine {
+    knobs: Mutex<Knobs>,
+    seen: Mutex<Seen>,
+}
+
+impl FakeEngine {
+    fn new() -> Self {
+        Self {
+            knobs: Mutex::new(Knobs {
+                pieces: 3,
+                answer_as: None,
+                answer_from: None,
+                cut: false,
+                down: false,
+                load_fails: false,
+                boot: "boot-1".to_owned(),
+                running: Vec::new(),
+            }),
+            seen: Mutex::default(),
+        }
+    }
+
+    /// Turns knobs.
+    pub fn set(&self, change: impl FnOnce(&mut Knobs)) {
+        change(&mut self.knobs.lock().unwrap());
+    }
+
+    /// Puts adapters into slots, as an earlier owner did.
+    pub fn preload(&self, names: &[&str]) {
+        let mut seen = self.seen.lock().unwrap();
+        let names = names.iter().map(|name| adapter(name).engine_name());
+        seen.resident.extend(names);
+    }
+
+    /// Starts the process anew, with empty slots.
+    pub fn restart(&self) {
+        self.seen.lock().unwrap().resident.clear();
+        self.set(|knobs| knobs.boot.push('+'));
+    }
+
+    /// Identities of the requests that it ran.
+    pub fn runs(&self) -> Vec<String> {
+        self.seen.lock().unwrap().runs.clone()
+    }
+
+    /// What it was ordered to load.
+    pub fn loads(&self) -> Vec<String> {
+        self.seen.lock().unwrap().loads.clone()
+    }
+
+    /// What it was ordered to unload.
+    pub fn unloads(&self) -> Vec<String> {
+        self.seen.lock().unwrap().unloads.clone()
+    }
+
+    fn reach(&self) -> Result<Knobs, Failure> {
+        let knobs = self.knobs.lock().unwrap().clone();
+        if knobs.down {
+            return Err(Failure::new(Code::ConnectFailed, "down"));
+        }
+        Ok(knobs)
+    }
+}
+
+fn head(status: u16) -> response::Parts {
+    let response = http::Response::builder().status(status).body(()).unwrap();
+    response.into_parts().0
+}
+
+#[async_trait]
+impl Engine for FakeEngine {
+    async fn run(&self, call: Call, _: Fence) -> Result<Answer, Failure> {
+        let knobs = self.reach()?;
+        {
+            let mut seen = self.seen.lock().unwrap();
+            seen.runs.push(call.id.to_string());
+            assert!(
+                seen.resident.contains(&call.adapter.engine_name()),
+                "{} isn't resident",
+                call.adapter
+            );
+        }
+        let body: serde_json::Value = serde_json::from_slice(&call.body).unwrap();
+        assert_eq!(body["model"], call.adapter.engine_name());
+        let id = knobs.answer_as.unwrap_or_else(|| call.id.to_string());
+        let model = knobs
+            .answer_from
+            .unwrap_or_else(|| call.adapter.engine_name());
+        let json = format!("{{\"id\":\"cmpl-{id}\",\"model\":\"{model}\",\"text\":\"x\"}}");
+        if body["stream"] != true {
+            let end = if knobs.cut {
+                json.len() / 2
+            } else {
+                json.len()
+            };
+            let bytes = Bytes::from(json[..end].to_owned());
+            return Ok(Answer {
+                head: head(200),
+                body: stream::once(async { Ok(bytes) }).boxed(),
+            });
+        }
+        let event = Bytes::from(format!("data: {json}\n\n"));
+        let last = (!knobs.cut).then(|| Ok(Bytes::from("data: [DONE]\n\n")));
+        let pieces = stream::repeat(event)
+            .take(knobs.pieces)
+            .then(|event| async {
+                tokio::time::sleep(PIECE.duration()).await;
+                Ok(event)
+            });
+        Ok(Answer {
+            head: head(200),
+            body: pieces.chain(stream::iter(last)).boxed(),
+        })
+    }
+
+    async fn load(&self, adapter: &Adapter, _: Fence) -> Result<(), Failure> {
+        let knobs = self.reach()?;
+        let name = adapter.engine_name();
+        self.seen.lock().unwrap().loads.push(name.clone());
+        tokio::time::sleep(LOAD.duration()).await;
+        if knobs.load_fails {
+            return Err(Failure::new(Code::LoadFailed, "partial"));
+        }
+        self.seen.lock().unwrap().resident.insert(name);
+        Ok(())
+    }
+
+    async fn unload(&self, adapter: &Adapter, _: Fence) -> Result<(), Failure> {
+        self.reach()?;
+        let name = adapter.engine_name();
+        let mut seen = self.seen.lock().unwrap();
+        seen.resident.remove(&name);
+        seen.unloads.push(name);
+        Ok(())
+    }
+
+    async fn report(&self) -> Result<Report, Failure> {
+        let knobs = self.reach()?;
+        let seen = self.seen.lock().unwrap();
+        let names =
+            |(id, adapter): &(String, String)| (id.as_str().into(), adapter.as_str().into());
+        Ok(Report {
+            boot: knobs.boot.into(),
+            resident: seen
+                .resident
+                .iter()
+                .map(|name| name.as_str().into())
+                .collect(),
+            running: knobs.running.iter().map(names).collect(),
+            waiting: 0,
+        })
+    }
+}
+
+/// Hands out one engine.
+#[derive(Debug)]
+struct One(Arc<FakeEngine>);
+
+impl Connector for One {
+    fn engine(&self, _: &Vm) -> Arc<dyn Engine> {
+        Arc::clone(&self.0) as Arc<dyn Engine>
+    }
+
+    fn service(&self, _: &Vm) -> Arc<dyn Service> {
+        unimplemented!("no service in these tests")
+    }
+}
+
+/// Leave at once.
+#[derive(Debug)]
+struct Free;
+
+#[async_trait]
+impl Permit for Free {
+    async fn done(self: Box<Self>, _: bool, _: Millis) {}
+}
+
+#[async_trait]
+impl Permits for Free {
+    async fn acquire(&self, _: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
+        Ok(Box::new(Self))
+    }
+}
+
+/// A registry that owns one engine.
+#[derive(Debug)]
+pub struct Bench {
+    pub engine: Arc<FakeEngine>,
+    pub registry: Arc<Registry>,
+    pub metrics: Arc<Metrics>,
+    pub clock: Arc<dyn Clock>,
+    pub until: Arc<AtomicU64>,
+}
+
+impl Bench {
+    /// A large batch and two slots.
+    pub async fn start() -> Self {
+        Self::with_batch(8).await
+    }
+
+    /// Two slots.
+    pub async fn with_batch(batch: u32) -> Self {
+        let bench = Self::unowned();
+        bench.adopt(batch, 1).await;
+        bench
+    }
+
+    /// Owns nothing yet.
+    pub fn unowned() -> Self {
+        let engine = Arc::new(FakeEngine::new());
+        let metrics = Arc::new(Metrics::new());
+        let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+        let registry = Registry::start(Parts {
+            connector: Arc::new(One(Arc::clone(&engine))),
+            permits: Arc::new(Free),
+            sign: None,
+            clock: Arc::clone(&clock),
+            metrics: Arc::clone(&metrics),
+            limits: Limits::default(),
+        });
+        Self {
+            engine,
+            registry,
+            metrics,
+            clock,
+            until: Arc::new(AtomicU64::new(FAR.0)),
+        }
+    }
+
+    /// Takes the engine over with a token.
+    pub async fn adopt(&self, batch: u32, token: u64) {
+        let pool = Pool {
+            name: "engines".into(),
+            kind: Kind::Engine {
+                base_model: "base".into(),
+                slots: 2,
+            },
+            batch,
+            checks_fencing: false,
+        };
+        let hold = Hold::new(token, Arc::clone(&self.until), Arc::clone(&self.clock));
+        let upstream = Upstream {
+            vm: Vm {
+                name: "engine-1".into(),
+                address: ([127, 0, 0, 1], 1).into(),
+                pool: "engines".into(),
+                region: "here".into(),
+                failure_domain: "a".into(),
+                leaving: false,
+            },
+            state: State::Usable,
+        };
+        self.registry.adopt(upstream, Arc::new(pool), hold).await;
+    }
+
+    /// Lets the hold lapse now.
+    pub fn lapse(&self) {
+        self.until.store(0, Ordering::Release);
+    }
+
+    /// Answers dropped for a reason.
+    pub fn dropped(&self, reason: &str) -> u64 {
+        self.metrics
+            .dropped_answers
+            .with_label_values(&[reason])
+            .get()
+    }
+}
+
+/// Version 3 of an adapter.
+pub fn adapter(name: &str) -> Adapter {
+    Adapter {
+        base_model: "base".into(),
+        name: name.into(),
+        version: "3".into(),
+    }
+}
+
+/// An attempt at the fake engine.
+pub fn attempt(id: &str, name: &str, stream: bool) -> Attempt {
+    let template = format!("template-{name}");
+    let body = format!("{{\"prompt\":\"p\",\"model\":\"{template}\",\"stream\":{stream}}}");
+    Attempt {
+        ticket: Ticket {
+            id: Id(id.into()),
+            account: "cell".into(),
+            template: template.into(),
+            pool: "engines".into(),
+            adapter: Some(adapter(name)),
+            class: Class::Normal,
+            weight: 1,
+            idempotent: true,
+            deadline: FAR,
+            prompt_tokens: 1,
+            max_output_tokens: 8,
+            revision: 1,
+        },
+        share: Share {
+            weight: 1,
+            max_in_flight: 0,
+            max_queued: 0,
+        },
+        number: 1,
+        last: true,
+        upstream: "engine-1".into(),
+        work: Work::Completion {
+            path: "/v1/completions".into(),
+            body: body.into(),
+            stream,
+        },
+    }
+}
+
+/// Reads an answer to its end.
+pub async fn text(mut answer: Answer) -> Result<String, Failure> {
+    let mut all = String::new();
+    while let Some(piece) = answer.body.next().await {
+        all.push_str(std::str::from_utf8(&piece?).unwrap());
+    }
+    Ok(all)
+}
--- /dev/null
+++ b/lib/tests/test_owner.rs
@@ -0,0 +1,116 @@
+//! Requests for one upstream meet in its owner's registry.
+
+mod owner_fakes;
+
+use std::sync::Arc;
+
+use chivevalve::clock::Millis;
+use chivevalve::error::{Code, Fate};
+use chivevalve::runner::Runner;
+use owner_fakes::{Bench, adapter, attempt, text};
+
+#[tokio::test(start_paused = true)]
+async fn run_stream_names_the_template() {
+    let bench = Bench::start().await;
+    let answer = bench.registry.run(attempt("r1", "plans", true)).await;
+    let seen = text(answer.unwrap()).await.unwrap();
+    assert!(seen.contains("\"model\":\"template-plans\""), "{seen}");
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+    assert_eq!(bench.engine.loads(), [adapter("plans").engine_name()]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_whole_names_the_template() {
+    let bench = Bench::start().await;
+    let answer = bench.registry.run(attempt("r1", "plans", false)).await;
+    let answer = answer.unwrap();
+    let length = answer.head.headers["content-length"].clone();
+    let seen = text(answer).await.unwrap();
+    assert!(seen.contains("\"model\":\"template-plans\""), "{seen}");
+    assert_eq!(length.to_str().unwrap(), seen.len().to_string());
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_unknown_upstream() {
+    let bench = Bench::start().await;
+    let mut lost = attempt("r1", "plans", true);
+    lost.upstream = "elsewhere".into();
+    let failure = bench.registry.run(lost).await.unwrap_err();
+    assert_eq!(failure.code, Code::NotOwner);
+    assert_eq!(failure.fate(), Fate::NotRun);
+}
+
+/// Symptom: an upstream loses a place for good each time that a caller goes away.
+/// Sequence: a caller drops the answer half read, others wait for the place.
+/// Cause: the place was given back only at the answer's end.
+#[tokio::test(start_paused = true)]
+async fn run_caller_gone_while_reading() {
+    let bench = Bench::with_batch(1).await;
+    bench.engine.set(|knobs| knobs.pieces = 1_000_000);
+    let endless = bench.registry.run(attempt("r1", "plans", true)).await;
+    drop(endless.unwrap());
+    bench.engine.set(|knobs| knobs.pieces = 2);
+    let next = bench.registry.run(attempt("r2", "plans", true)).await;
+    text(next.unwrap()).await.unwrap();
+}
+
+/// Symptom: a request runs that nobody waits for.
+/// Sequence: a caller goes away while its request waits in the queue.
+/// Cause: the queue didn't hear of it.
+#[tokio::test(start_paused = true)]
+async fn run_caller_gone_while_waiting() {
+    let bench = Bench::with_batch(1).await;
+    let first = bench.registry.run(attempt("r1", "plans", true)).await;
+    let registry = Arc::clone(&bench.registry);
+    let waiting = tokio::spawn(async move { registry.run(attempt("r2", "plans", true)).await });
+    tokio::time::sleep(Millis(5).duration()).await;
+    waiting.abort();
+    tokio::time::sleep(Millis(5).duration()).await;
+    text(first.unwrap()).await.unwrap();
+    let third = bench.registry.run(attempt("r3", "plans", true)).await;
+    text(third.unwrap()).await.unwrap();
+    assert_eq!(bench.engine.runs(), ["r1", "r3"]);
+}
+
+/// Symptom: a caller reads another caller's answer.
+/// Sequence: the engine hands over the answer to an ended request.
+/// Cause: the answer's identity wasn't compared.
+#[tokio::test(start_paused = true)]
+async fn run_wrong_identity() {
+    let bench = Bench::start().await;
+    bench
+        .engine
+        .set(|knobs| knobs.answer_as = Some("r0".to_owned()));
+    let answer = bench.registry.run(attempt("r1", "plans", true)).await;
+    let failure = text(answer.unwrap()).await.unwrap_err();
+    assert_eq!(failure.code, Code::WrongAnswer);
+    assert_eq!(bench.dropped("request"), 1);
+}
+
+/// Symptom: an answer of a version that the template doesn't name.
+/// Sequence: the engine resolves the name to the version before.
+/// Cause: the answer's adapter wasn't compared.
+#[tokio::test(start_paused = true)]
+async fn run_wrong_adapter() {
+    let bench = Bench::start().await;
+    bench
+        .engine
+        .set(|knobs| knobs.answer_from = Some("plans@2".to_owned()));
+    let failure = bench.registry.run(attempt("r1", "plans", false)).await;
+    assert_eq!(failure.unwrap_err().code, Code::WrongAnswer);
+    assert_eq!(bench.dropped("adapter"), 1);
+}
+
+/// Symptom: a short answer that looks whole.
+/// Sequence: the engine's stream ends without an error before its last event.
+/// Cause: the end of the bytes was taken for the end of the answer.
+#[tokio::test(start_paused = true)]
+async fn run_stream_without_end() {
+    let bench = Bench::start().await;
+    bench.engine.set(|knobs| knobs.cut = true);
+    let answer = bench.registry.run(attempt("r1", "plans", true)).await;
+    let failure = text(answer.unwrap()).await.unwrap_err();
+    assert_eq!(failure.code, Code::AnswerCut);
+    let whole = bench.registry.run(attempt("r2", "plans", false)).await;
+    assert_eq!(whole.unwrap_err().code, Code::AnswerCut);
+}
