--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod name;
+pub mod operators;
 pub mod owner;
 pub mod peer;
 pub mod platform;
