policy: slots by demand, fair queue, passing on, load order

Cause: the first interface ran requests in order of arrival and evicted any free slot. Change: demand in two windows cut off by silence decides eviction; owners pass on what would cost a worthy slot; ready requests go by class, then start-time fair queueing between accounts; loads go by the stall that they still save; pins name the filling of the slot.

--- a/lib/src/policy/loads.rs
+++ b/lib/src/policy/loads.rs
@@ -3,10 +3,13 @@
 //! The store gives few loads a second, and two at once slow each other down,
 //! so loads run one at a time. See docs/design/0002-decisions.md.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::clock::Millis;
 use crate::loads::Ask;
+use crate::policy::demand::factor;
+use crate::request::Class;
 
 /// Names an ask; the driver chooses it, such as a connection's number and the load's.
 pub type Key = (u64, u64);
@@ -35,7 +38,34 @@
 #[derive(Debug)]
 struct Waiting {
     ask: Ask,
-    asked: Millis,
+    /// When it first came; a replaced ask keeps its age.
+    first: Millis,
+    /// When the demand was last told.
+    told: Millis,
+}
+
+impl Waiting {
+    /// Returns the stall that the load still saves if it begins now.
+    ///
+    /// Each waiter's time runs out while it waits, so an ask that was told long
+    /// ago is worth less: of two alike, the fresh one saves more.
+    fn gain(&self, now: Millis) -> u64 {
+        let factor = self.ask.class.map_or(0, factor);
+        let spent = now.since(self.told).0;
+        let lost = spent
+            .saturating_mul(u64::from(self.ask.waiters))
+            .saturating_mul(u64::from(factor));
+        self.ask.gain.0.saturating_sub(lost)
+    }
+
+    /// Live asks go before prefetches, urgent ones first.
+    fn rank(&self) -> u8 {
+        match self.ask.class {
+            Some(Class::Urgent) => 0,
+            Some(_) => 1,
+            None => 2,
+        }
+    }
 }
 
 /// Asks for loads, one granted at a time.
@@ -44,6 +74,8 @@
     limits: Limits,
     waiting: BTreeMap<Key, Waiting>,
     current: Option<(Key, Millis)>,
+    grants: u32,
+    lost: u64,
 }
 
 impl Queue {
@@ -54,6 +86,8 @@
             limits,
             waiting: BTreeMap::new(),
             current: None,
+            grants: 0,
+            lost: 0,
         }
     }
 
@@ -61,11 +95,16 @@
     ///
     /// Returns whether there was room.
     pub fn ask(&mut self, key: Key, ask: Ask, now: Millis) -> bool {
-        let asked = self.waiting.get(&key).map_or(now, |waiting| waiting.asked);
-        if self.waiting.len() >= self.limits.waiting && !self.waiting.contains_key(&key) {
+        let earlier = self.waiting.get(&key).map(|waiting| waiting.first);
+        if earlier.is_none() && self.waiting.len() >= self.limits.waiting {
             return false;
         }
-        self.waiting.insert(key, Waiting { ask, asked });
+        let waiting = Waiting {
+            ask,
+            first: earlier.unwrap_or(now),
+            told: now,
+        };
+        self.waiting.insert(key, waiting);
         true
     }
 
@@ -79,25 +118,24 @@
 
     /// Grants the next load, if none is under way.
     pub fn next(&mut self, now: Millis) -> Option<(Key, Ask)> {
-        if let Some((_, until)) = self.current
-            && now < until
-        {
-            return None;
+        if let Some((_, until)) = self.current {
+            if now < until {
+                return None;
+            }
+            // The node that was granted this load has died or hangs. Without
+            // this bound no adapter would be loaded anywhere any more.
+            self.lost += 1;
+            self.current = None;
         }
-        self.current = None;
-        let key = *self
-            .waiting
-            .iter()
-            .min_by_key(|(key, waiting)| (waiting.ask.class.is_none(), waiting.asked, **key))?
-            .0;
+        let key = self.pick(now)?;
         let granted = self.waiting.remove(&key)?;
+        self.grants = self.grants.wrapping_add(1);
         self.current = Some((key, now + self.limits.patience));
         Some((key, granted.ask))
     }
 
     /// Tells that a granted load has ended, or that its leave came back unused.
-    pub fn done(&mut self, key: Key, now: Millis) {
-        let _ = now;
+    pub fn done(&mut self, key: Key) {
         self.withdraw(key);
     }
 
@@ -121,4 +159,29 @@
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
+
+    /// Returns how many granted loads never told their end.
+    #[must_use]
+    pub fn lost(&self) -> u64 {
+        self.lost
+    }
+
+    /// Picks the load that saves most; now and then the oldest one.
+    fn pick(&self, now: Millis) -> Option<Key> {
+        let aged = self.limits.aged_every > 0
+            && self.grants % self.limits.aged_every == self.limits.aged_every - 1;
+        if aged {
+            let live = self
+                .waiting
+                .iter()
+                .filter(|(_, waiting)| waiting.ask.class.is_some());
+            if let Some((key, _)) = live.min_by_key(|(key, waiting)| (waiting.first, **key)) {
+                return Some(*key);
+            }
+        }
+        self.waiting
+            .iter()
+            .min_by_key(|(key, waiting)| (waiting.rank(), Reverse(waiting.gain(now)), **key))
+            .map(|(key, _)| *key)
+    }
 }
--- a/lib/src/policy/mod.rs
+++ b/lib/src/policy/mod.rs
@@ -10,6 +10,10 @@
 //! - The owner of the weight store drives one [`loads::Queue`], which decides
 //!   whose load goes next.
 
+pub mod demand;
 pub mod loads;
+pub mod pace;
 pub mod placement;
+pub mod queue;
+pub mod slots;
 pub mod upstream;
--- a/lib/src/policy/placement.rs
+++ b/lib/src/policy/placement.rs
@@ -18,6 +18,8 @@
 
 /// Most upstreams that are worth trying for one request.
 pub const CANDIDATES: usize = 8;
+/// Best upstreams among which replicas are spread over failure domains.
+const SHORTLIST: usize = 16;
 
 /// Indices into the pool's upstreams, the first to try first.
 pub type Order = SmallVec<[usize; CANDIDATES]>;
@@ -26,8 +28,7 @@
 #[derive(Debug, Clone)]
 struct Member {
     hash: u64,
-    #[expect(dead_code, reason = "the spread over failure domains follows")]
-    domain: u16,
+    domain: usize,
     usable: bool,
 }
 
@@ -61,7 +62,7 @@
             });
             members.push(Member {
                 hash: xxh3_64(name.as_bytes()),
-                domain: u16::try_from(index).unwrap_or(u16::MAX),
+                domain: index,
                 usable,
             });
         }
@@ -79,6 +80,51 @@
     pub fn is_empty(&self) -> bool {
         self.members.is_empty()
     }
+
+    /// Returns the first `count` usable upstreams of a key's rendezvous order.
+    ///
+    /// The first one is the plain rendezvous choice, so that an upstream that
+    /// comes or goes moves only its fair share of keys. After it, failure
+    /// domains that have no replica yet go first, so that the loss of one
+    /// doesn't take all replicas.
+    #[must_use]
+    pub fn rendezvous(&self, key: u64, count: usize) -> Order {
+        let mut best: SmallVec<[(u64, usize); SHORTLIST]> = SmallVec::new();
+        for (index, member) in self.members.iter().enumerate() {
+            if !member.usable {
+                continue;
+            }
+            let score = mix(key ^ member.hash);
+            if best.len() == SHORTLIST {
+                if score <= best[SHORTLIST - 1].0 {
+                    continue;
+                }
+                best.pop();
+            }
+            let place = best.partition_point(|(other, _)| *other > score);
+            best.insert(place, (score, index));
+        }
+        self.spread(best.iter().map(|(_, index)| *index).collect(), count)
+    }
+
+    /// Takes `count` of a shortlist, at each step from the failure domain used least so far.
+    fn spread(&self, mut shortlist: SmallVec<[usize; SHORTLIST]>, count: usize) -> Order {
+        let mut order = Order::new();
+        while order.len() < count && !shortlist.is_empty() {
+            let used = |index: usize| {
+                let domain = self.members[index].domain;
+                order
+                    .iter()
+                    .filter(|taken| self.members[**taken].domain == domain)
+                    .count()
+            };
+            let next = (0..shortlist.len())
+                .min_by_key(|place| (used(shortlist[*place]), *place))
+                .unwrap_or(0);
+            order.push(shortlist.remove(next));
+        }
+        order
+    }
 }
 
 /// How an entry node routes: bounds, and times for which answers are remembered.
@@ -86,9 +132,15 @@
 pub struct Limits {
     /// Most upstreams that share one adapter's requests.
     pub max_replicas: u32,
-    /// How long "not run, try the next" is remembered.
-    pub hint_for: Millis,
-    /// Most adapters and upstreams remembered at a time.
+    /// How long an upstream that takes no work at all is tried last.
+    pub unusable_for: Millis,
+    /// How long an upstream whose slots hold worthier adapters is tried last for this one.
+    pub passed_for: Millis,
+    /// How long a busy upstream is tried last.
+    ///
+    /// It is short, so that a replica takes only what the home can't.
+    pub busy_for: Millis,
+    /// Most hints remembered at a time.
     pub remembered: usize,
 }
 
@@ -96,68 +148,52 @@
     fn default() -> Self {
         Self {
             max_replicas: 8,
-            hint_for: Millis::from_secs(2),
+            unusable_for: Millis::from_secs(2),
+            passed_for: Millis::from_secs(10),
+            busy_for: Millis(200),
             remembered: 8_192,
         }
     }
 }
 
+/// Stands for all adapters in a hint on an upstream as a whole.
+const ANY: u64 = 0;
+
 /// An entry node's memory of what owners answered.
 #[derive(Debug)]
 pub struct Router {
     limits: Limits,
     hints: HashMap<(u64, u64), Millis>,
+    draws: u64,
 }
 
 impl Router {
-    /// Starts with no memory. The seed decides between equals, so that nodes differ.
+    /// Starts with no memory. The seed spreads calls to plain services, so that nodes differ.
     #[must_use]
     pub fn new(limits: Limits, seed: u64) -> Self {
-        let _ = seed;
         Self {
             limits,
             hints: HashMap::new(),
+            draws: mix(seed),
         }
     }
 
     /// Orders a pool's upstreams for one request.
     ///
     /// The list is short ([`CANDIDATES`]) and empty only when no upstream is
-    /// usable. The try at its last entry is [`crate::runner::Attempt::last`].
+    /// usable. The try at its last entry, or at the last that the entry node
+    /// allows itself, is [`crate::runner::Attempt::last`].
     pub fn order(&mut self, pool: &Pool, adapter: Option<&Adapter>, now: Millis) -> Order {
-        let adapter = adapter.map_or(0, Adapter::hash);
-        let mut scored: SmallVec<[(bool, u64, usize); 64]> = pool
-            .members
-            .iter()
-            .enumerate()
-            .filter(|(_, member)| member.usable)
-            .map(|(index, member)| {
-                let hinted = self
-                    .hints
-                    .get(&(adapter, member.hash))
-                    .is_some_and(|until| now < *until);
-                (hinted, !mix(adapter ^ member.hash), index)
-            })
-            .collect();
-        scored.sort_unstable();
-        scored
-            .into_iter()
-            .take(CANDIDATES)
-            .map(|(_, _, index)| index)
-            .collect()
-    }
-
-    /// A try at the pool's upstream `index` has begun to run there, after waiting `queued`.
-    pub fn started(
-        &mut self,
-        pool: &Pool,
-        index: usize,
-        adapter: Option<&Adapter>,
-        queued: Millis,
-        load_wait: Millis,
-        now: Millis,
-    ) {
-        let _ = (pool, index, adapter, queued, load_wait, now);
+        let (key, replicas) = match adapter {
+            Some(adapter) => (adapter.hash(), self.limits.max_replicas as usize),
+            // A plain service needs no home: each call draws an order of its own.
+            None => (self.draw(), CANDIDATES),
+        };
+        let hinted = adapter.map_or(ANY, Adapter::hash);
+        let mut order = pool.rendezvous(key, replicas.clamp(1, CANDIDATES));
+        // A stable sort keeps the rendezvous order among the hinted and the others.
+        order.sort_by_key(|index| self.is_hinted(hinted, pool.members[*index].hash, now));
+        order
     }
 
     /// A try at the pool's upstream `index` was refused with a code whose fate is not run.
@@ -169,19 +205,56 @@
         code: Code,
         now: Millis,
     ) {
-        let _ = code;
         let Some(member) = pool.members.get(index) else {
             return;
         };
+        let own = adapter.map_or(ANY, Adapter::hash);
+        let (key, span) = match code {
+            Code::PassedOn | Code::LoadFailed | Code::UnknownAdapter => {
+                (own, self.limits.passed_for)
+            }
+            Code::QueueFull | Code::Brownout | Code::DeadlineTooShort => {
+                (own, self.limits.busy_for)
+            }
+            Code::AccountLimit | Code::ExpiredWaiting | Code::CallerGoneWaiting => return,
+            _ => (ANY, self.limits.unusable_for),
+        };
+        self.remember((key, member.hash), now + span, now);
+    }
+
+    /// Returns how many hints are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.hints.len()
+    }
+
+    /// Returns whether no hint is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.hints.is_empty()
+    }
+
+    fn is_hinted(&self, adapter: u64, upstream: u64, now: Millis) -> bool {
+        [adapter, ANY].into_iter().any(|key| {
+            self.hints
+                .get(&(key, upstream))
+                .is_some_and(|until| now < *until)
+        })
+    }
+
+    fn remember(&mut self, key: (u64, u64), until: Millis, now: Millis) {
         if self.hints.len() >= self.limits.remembered {
             self.hints.retain(|_, until| now < *until);
         }
         if self.hints.len() < self.limits.remembered {
-            let adapter = adapter.map_or(0, Adapter::hash);
-            self.hints
-                .insert((adapter, member.hash), now + self.limits.hint_for);
+            self.hints.insert(key, until);
         }
     }
+
+    fn draw(&mut self) -> u64 {
+        self.draws = self.draws.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.draws)
+    }
 }
 
 /// Mixes 64 bits so that each input bit changes each output bit with even odds.
--- /dev/null
+++ b/lib/src/policy/upstream/admit.rs
@@ -0,0 +1,196 @@
+//! Who is let in to wait: admission, passing on, giving way.
+
+use super::{Action, Machine};
+use crate::adapter::Adapter;
+use crate::clock::Millis;
+use crate::error::{Code, Failure};
+use crate::policy::queue::{self, Entry};
+use crate::request::{Class, Ticket};
+use crate::runner::Share;
+
+/// How long an adapter that was passed on stays passed on, so that all its
+/// requests meet at one upstream and share its load there.
+const PASS_FOR: Millis = Millis::from_secs(60);
+/// A slot's adapter must be worth this many times the newcomer for it to be passed on.
+const PASS_RATIO: f64 = 2.0;
+/// A batch filled this far (in percent) takes no adapter that it would have to load.
+const BUSY_PERCENT: u64 = 90;
+
+impl Machine {
+    /// Takes a request in, passes it on, or refuses it.
+    pub(super) fn admit(
+        &mut self,
+        ticket: Ticket,
+        share: Share,
+        last: bool,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(adapter) = &ticket.adapter {
+            self.forecast.record(adapter, ticket.class, now);
+        }
+        if ticket.class == Class::Urgent {
+            self.urgent_at = Some(now);
+        }
+        if let Err(failure) = self.check(&ticket, share, last, now) {
+            let id = ticket.id;
+            actions.push(Action::Refuse { id, failure });
+            return;
+        }
+        if let Err(failure) = self.make_room(&ticket, now, actions) {
+            let id = ticket.id;
+            actions.push(Action::Refuse { id, failure });
+            return;
+        }
+        let adapter = ticket.adapter.clone();
+        let ready = adapter
+            .as_ref()
+            .is_none_or(|adapter| self.slots.is_resident(adapter));
+        self.queue.push(Entry::new(ticket, share, now), ready);
+        if let Some(adapter) = adapter.filter(|_| !ready) {
+            self.want(&adapter);
+            self.refresh(&adapter, now, actions);
+        }
+    }
+
+    /// Says whether a request may wait here.
+    fn check(
+        &mut self,
+        ticket: &Ticket,
+        share: Share,
+        last: bool,
+        now: Millis,
+    ) -> Result<(), Failure> {
+        if self.leaving {
+            return Err(Failure::new(
+                Code::UpstreamLeaving,
+                "the upstream takes no new work",
+            ));
+        }
+        let queued = self.queue.of_account(&ticket.account);
+        if share.max_queued > 0 && queued >= share.max_queued {
+            return Err(self.refusal(Code::AccountLimit, "the account's waiting requests", ticket));
+        }
+        self.check_deadline(ticket, now)?;
+        if last {
+            return Ok(());
+        }
+        self.check_passing(ticket, now)
+    }
+
+    /// Refuses what can't be answered in time: it would take a place, and
+    /// perhaps a load, from a request that can.
+    fn check_deadline(&self, ticket: &Ticket, now: Millis) -> Result<(), Failure> {
+        let left = ticket.deadline.since(now);
+        let service = self.pace.service(queue::cost(ticket));
+        let load = match &ticket.adapter {
+            Some(adapter) if !self.slots.is_resident(adapter) => self.limits.load_time,
+            _ => Millis::ZERO,
+        };
+        let wait = self.wait(ticket.class).max(load);
+        // The estimate of the service is a mean; half of it is what a lucky
+        // request may need. A request refused here has no chance worth a place.
+        if wait + Millis(service.0 / 2) < left {
+            return Ok(());
+        }
+        Err(self.refusal(
+            Code::DeadlineTooShort,
+            "the wait exceeds the deadline",
+            ticket,
+        ))
+    }
+
+    /// Passes on what another upstream serves cheaper.
+    fn check_passing(&mut self, ticket: &Ticket, now: Millis) -> Result<(), Failure> {
+        let wait = self.wait(ticket.class);
+        let Some(adapter) = &ticket.adapter else {
+            return if wait > self.spill_wait(ticket.class) {
+                Err(self.refusal(Code::QueueFull, "the upstream is busy", ticket))
+            } else {
+                Ok(())
+            };
+        };
+        if self.slots.state(adapter).is_some() {
+            if wait > self.spill_wait(ticket.class) {
+                return Err(self.refusal(Code::QueueFull, "the upstream is busy", ticket));
+            }
+            return Ok(());
+        }
+        if self.queue.is_blocked(adapter) {
+            return Ok(());
+        }
+        if !self.forecast.is_passed(adapter, now) && self.has_cheap_slot(adapter, now) {
+            return Ok(());
+        }
+        self.forecast.pass(adapter, now + PASS_FOR);
+        Err(self.refusal(Code::PassedOn, "the slots hold worthier adapters", ticket))
+    }
+
+    /// Returns whether loading the adapter here costs little: an empty slot, or
+    /// one whose adapter isn't worth much more, in a batch with room.
+    fn has_cheap_slot(&self, adapter: &Adapter, now: Millis) -> bool {
+        let busy = self.running.len() as u64 * 100 >= u64::from(self.limits.batch) * BUSY_PERCENT;
+        if busy {
+            return false;
+        }
+        // Asks under way will take slots of their own.
+        let promised = self.asked.len();
+        if self.slots.len() + promised < self.limits.slots.unwrap_or(0) as usize {
+            return true;
+        }
+        let own = self.forecast.rate(adapter, now);
+        let price = self.victim(now).map(|(_, worth)| worth);
+        price.is_some_and(|price| price <= own * PASS_RATIO)
+    }
+
+    /// Returns the expected wait of a ready request of this class.
+    pub(super) fn wait(&self, class: Class) -> Millis {
+        let room = self.places(class);
+        if self.running.len() < room as usize && self.queue.ready(class) == 0 {
+            return Millis::ZERO;
+        }
+        self.pace
+            .backlog(self.queue.ready_cost(class), self.limits.batch)
+    }
+
+    /// Returns the wait above which a request had better go to a replica.
+    ///
+    /// A replica may have to load the adapter first, so waiting as long as a
+    /// load takes is no worse. Weight on batches keeps bulk work together longer.
+    fn spill_wait(&self, class: Class) -> Millis {
+        let load = self.pace.load_wait(self.limits.load_time);
+        let patience = match class {
+            Class::Urgent => self.limits.load_time,
+            Class::Normal => load,
+            Class::Bulk => Millis(load.0 * (100 + 4 * u64::from(self.limits.batch_weight)) / 100),
+        };
+        patience.max(self.limits.load_time)
+    }
+
+    /// Makes room in a full queue, by brownout order, or says why there is none.
+    fn make_room(
+        &mut self,
+        ticket: &Ticket,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Failure> {
+        if self.queue.len() < self.limits.queue as usize {
+            return Ok(());
+        }
+        let Some(id) = self.queue.gives_way(ticket.class, &ticket.account) else {
+            return Err(self.refusal(Code::QueueFull, "the queue is full", ticket));
+        };
+        if let Some(entry) = self.queue.remove(&id) {
+            let failure = self.refusal(Code::Brownout, "the queue is full", &entry.ticket);
+            self.left(&entry, now, actions);
+            actions.push(Action::Refuse { id, failure });
+        }
+        Ok(())
+    }
+
+    /// Makes a refusal that says when a later try may succeed.
+    pub(super) fn refusal(&self, code: Code, detail: &str, ticket: &Ticket) -> Failure {
+        let wait = self.wait(ticket.class).max(self.limits.load_time);
+        Failure::new(code, detail).retry_after(wait)
+    }
+}
--- /dev/null
+++ b/lib/src/policy/upstream/load.rs
@@ -0,0 +1,367 @@
+//! What is loaded and what is evicted for it.
+
+use super::{Action, Asked, Demand, Machine};
+use crate::adapter::Adapter;
+use crate::clock::Millis;
+use crate::error::Code;
+use crate::policy::demand::{factor, float, millis};
+use crate::policy::queue;
+use crate::policy::slots::State;
+use crate::request::Class;
+
+/// How far ahead a load's future use counts for its place in the store's queue.
+const HORIZON: Millis = Millis::from_secs(60);
+/// A load's future requests are taken to be worth this stall each.
+const FUTURE_STALL: Millis = Millis::from_secs(1);
+/// After this many failures in a row the waiting requests are refused.
+const FAILURES: u32 = 2;
+/// An adapter with a lower demand (requests a millisecond) isn't loaded unless somebody waits.
+const WORTH_PREFETCH: f64 = 1.0 / 300_000.0;
+/// A pinned slot is drained for a request that has waited this share of its time for one.
+const DRAIN_AFTER_PERCENT: u64 = 25;
+
+impl Machine {
+    /// Notes that an adapter with waiting requests isn't resident.
+    pub(super) fn want(&mut self, adapter: &Adapter) {
+        if self.queue.is_blocked(adapter)
+            && !self.asked.contains_key(adapter)
+            && self.slots.state(adapter) != Some(State::Loading)
+        {
+            self.unasked.insert(adapter.clone());
+        }
+    }
+
+    /// Returns what would be evicted next, and what it is worth.
+    pub(super) fn victim(&self, now: Millis) -> Option<(Adapter, f64)> {
+        let worth = |adapter: &Adapter| {
+            let kept = self.queue.has_ready(adapter);
+            (!kept).then(|| self.forecast.rate(adapter, now))
+        };
+        self.slots
+            .victim(worth)
+            .map(|(adapter, worth)| (adapter.clone(), worth))
+    }
+
+    /// Asks for loads that can be had and that somebody waits for.
+    pub(super) fn ask(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.ask_for_waiting(now, actions);
+        self.ask_for_refill(now, actions);
+    }
+
+    fn ask_for_waiting(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.unasked.is_empty() {
+            return;
+        }
+        if !self.slots.has_empty() && self.victim(now).is_none() {
+            self.drain_one(now);
+            return;
+        }
+        let free: Vec<Adapter> = self
+            .unasked
+            .iter()
+            .filter(|adapter| self.slots.state(adapter).is_none())
+            .filter(|adapter| self.slots.backoff(adapter).is_none_or(|until| until <= now))
+            .cloned()
+            .collect();
+        for adapter in free {
+            self.unasked.remove(&adapter);
+            // A waiting request turns a prefetch into a live ask.
+            self.refill.remove(&adapter);
+            if let Some(demand) = self.demand(&adapter, now) {
+                self.asked
+                    .insert(adapter.clone(), Asked { at: now, demand });
+                actions.push(Action::Ask { adapter, demand });
+            }
+        }
+    }
+
+    /// After a cold start, asks for what was resident, the worthiest first, one at a time.
+    fn ask_for_refill(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.refill.is_empty() || !self.asked.is_empty() || !self.slots.has_empty() {
+            return;
+        }
+        let ready = self
+            .refill
+            .iter()
+            .filter(|adapter| self.slots.backoff(adapter).is_none_or(|until| until <= now))
+            .map(|adapter| (self.forecast.rate(adapter, now), adapter))
+            .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
+        let Some((rate, adapter)) = ready.map(|(rate, adapter)| (rate, adapter.clone())) else {
+            return;
+        };
+        self.refill.remove(&adapter);
+        if rate < WORTH_PREFETCH {
+            self.refill.clear();
+            return;
+        }
+        let demand = Demand {
+            class: None,
+            waiters: 0,
+            weight: 0,
+            waited: Millis::ZERO,
+            gain: future(rate),
+        };
+        self.asked
+            .insert(adapter.clone(), Asked { at: now, demand });
+        actions.push(Action::Ask { adapter, demand });
+    }
+
+    /// Tells the store's queue when an ask has become clearly more or less urgent.
+    pub(super) fn refresh(&mut self, adapter: &Adapter, now: Millis, actions: &mut Vec<Action>) {
+        let Some(asked) = self.asked.get(adapter).copied() else {
+            return;
+        };
+        let Some(demand) = self.demand(adapter, now) else {
+            return;
+        };
+        let grown = demand.gain.0 > asked.demand.gain.0.saturating_mul(5) / 4;
+        let fewer = demand.waiters < asked.demand.waiters;
+        if grown || fewer || demand.class != asked.demand.class {
+            let at = asked.at;
+            self.asked.insert(adapter.clone(), Asked { at, demand });
+            actions.push(Action::Ask {
+                adapter: adapter.clone(),
+                demand,
+            });
+        }
+    }
+
+    /// Sums up who waits for an adapter, or returns none when nobody does.
+    fn demand(&self, adapter: &Adapter, now: Millis) -> Option<Demand> {
+        let mut demand = Demand {
+            class: None,
+            waiters: 0,
+            weight: 0,
+            waited: Millis::ZERO,
+            gain: Millis::ZERO,
+        };
+        for entry in self.queue.blocked_on(adapter) {
+            let ticket = &entry.ticket;
+            let class = demand.class.unwrap_or(ticket.class).min(ticket.class);
+            demand.class = Some(class);
+            demand.waiters += 1;
+            demand.weight = demand.weight.saturating_add(ticket.weight);
+            demand.waited = demand.waited.max(now.since(entry.arrived));
+            let left = ticket.deadline.since(now + self.limits.load_time);
+            demand.gain += Millis(left.0.saturating_mul(u64::from(factor(ticket.class))));
+        }
+        demand.class?;
+        demand.gain += future(self.forecast.rate(adapter, now));
+        Some(demand)
+    }
+
+    /// Uses leave to load, or gives it back.
+    pub(super) fn grant(&mut self, adapter: &Adapter, now: Millis, actions: &mut Vec<Action>) {
+        let asked = self.asked.remove(adapter);
+        self.give_up_hopeless(adapter, now, actions);
+        let prefetch = asked.is_some_and(|asked| asked.demand.class.is_none());
+        let wanted = self.queue.is_blocked(adapter) || prefetch;
+        if !wanted || self.leaving || !self.begin(adapter, prefetch, now, actions) {
+            actions.push(Action::Withdraw {
+                adapter: adapter.clone(),
+            });
+            self.want(adapter);
+        }
+    }
+
+    /// Begins a load if a slot can be had. A prefetch evicts nothing.
+    fn begin(
+        &mut self,
+        adapter: &Adapter,
+        prefetch: bool,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let evict = if self.slots.has_empty() {
+            None
+        } else if prefetch && !self.queue.is_blocked(adapter) {
+            return false;
+        } else {
+            match self.victim(now) {
+                Some((victim, _)) => Some(victim),
+                None => return false,
+            }
+        };
+        if !self.slots.begin(adapter, evict.as_ref(), now) {
+            return false;
+        }
+        self.unasked.remove(adapter);
+        self.refill.remove(adapter);
+        actions.push(Action::Load {
+            adapter: adapter.clone(),
+            evict,
+        });
+        true
+    }
+
+    /// Refuses waiting requests that a load begun now could no longer serve in time.
+    ///
+    /// A load for them would be wasted, and each load is one that others wait for.
+    fn give_up_hopeless(&mut self, adapter: &Adapter, now: Millis, actions: &mut Vec<Action>) {
+        let loaded = now + self.limits.load_time;
+        let hopeless: Vec<_> = self
+            .queue
+            .blocked_on(adapter)
+            .filter(|entry| {
+                let service = self.pace.service(queue::cost(&entry.ticket));
+                entry.ticket.deadline <= loaded + Millis(service.0 / 2)
+            })
+            .map(|entry| entry.ticket.id.clone())
+            .collect();
+        for id in hopeless {
+            if let Some(entry) = self.queue.remove(&id) {
+                let failure = self.refusal(
+                    Code::ExpiredWaiting,
+                    "the load would end too late",
+                    &entry.ticket,
+                );
+                actions.push(Action::Refuse { id, failure });
+            }
+        }
+        if !self.queue.is_blocked(adapter) {
+            self.unasked.remove(adapter);
+        }
+    }
+
+    /// Follows the end of a load.
+    pub(super) fn settle(
+        &mut self,
+        adapter: &Adapter,
+        ok: bool,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        if ok {
+            self.made_resident(adapter, now, actions);
+            return;
+        }
+        if self.slots.failures(adapter) < FAILURES {
+            self.want(adapter);
+            return;
+        }
+        let waiting: Vec<_> = self
+            .queue
+            .blocked_on(adapter)
+            .map(|entry| entry.ticket.id.clone())
+            .collect();
+        let backoff = self.slots.backoff(adapter).map(|until| until.since(now));
+        for id in waiting {
+            if let Some(entry) = self.queue.remove(&id) {
+                let mut failure = self.refusal(
+                    Code::LoadFailed,
+                    "the adapter failed to load",
+                    &entry.ticket,
+                );
+                failure.retry_after = failure.retry_after.max(backoff);
+                actions.push(Action::Refuse { id, failure });
+            }
+        }
+        self.unasked.remove(adapter);
+    }
+
+    /// Follows an adapter's becoming resident.
+    pub(super) fn made_resident(
+        &mut self,
+        adapter: &Adapter,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        self.queue.unblock(adapter, now);
+        self.unasked.remove(adapter);
+        self.refill.remove(adapter);
+        if self.asked.remove(adapter).is_some() {
+            actions.push(Action::Withdraw {
+                adapter: adapter.clone(),
+            });
+        }
+    }
+
+    /// Follows the loss of all slots: what was resident is to be refilled.
+    pub(super) fn lose_slots(&mut self) {
+        let loading: Vec<Adapter> = self
+            .slots
+            .iter()
+            .filter(|(_, state, _)| *state == State::Loading)
+            .map(|(adapter, _, _)| adapter.clone())
+            .collect();
+        for adapter in self.slots.clear() {
+            self.queue.block(&adapter);
+            self.want(&adapter);
+            self.refill.insert(adapter);
+        }
+        for adapter in loading {
+            self.want(&adapter);
+        }
+    }
+
+    /// Takes a draining slot back into use when nobody else needs it any more.
+    pub(super) fn undrain(&mut self, now: Millis) {
+        let draining = self
+            .slots
+            .iter()
+            .find(|(_, state, _)| *state == State::Draining)
+            .map(|(adapter, _, _)| adapter.clone());
+        let Some(draining) = draining else {
+            return;
+        };
+        let others = self
+            .unasked
+            .iter()
+            .chain(self.asked.keys())
+            .any(|adapter| *adapter != draining);
+        if !others {
+            self.slots.undrain(&draining);
+            self.queue.unblock(&draining, now);
+            self.unasked.remove(&draining);
+        }
+    }
+
+    /// Returns when somebody will have waited long enough for a slot to be drained for it.
+    pub(super) fn drain_at(&self) -> Option<Millis> {
+        self.unasked
+            .iter()
+            .flat_map(|adapter| self.queue.blocked_on(adapter))
+            .map(|entry| {
+                let whole = entry.ticket.deadline.since(entry.arrived);
+                match entry.ticket.class {
+                    Class::Urgent => entry.arrived,
+                    _ => entry.arrived + Millis(whole.0.saturating_mul(DRAIN_AFTER_PERCENT) / 100),
+                }
+            })
+            .min()
+    }
+
+    /// Lets the pins of one slot run out when all are in use and somebody has waited long.
+    ///
+    /// Without it an adapter that is never idle would keep its slot for ever,
+    /// however long others wait.
+    fn drain_one(&mut self, now: Millis) {
+        // One at a time: a load that ends, or a slot that drains, may be all that is needed.
+        let settled = self
+            .slots
+            .iter()
+            .all(|(_, state, _)| state == State::Resident);
+        if !settled {
+            return;
+        }
+        if self.drain_at().is_none_or(|at| at > now) {
+            return;
+        }
+        let least = self
+            .slots
+            .iter()
+            .map(|(adapter, _, _)| (self.forecast.rate(adapter, now), adapter))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, adapter)| adapter.clone());
+        if let Some(adapter) = least {
+            self.slots.drain(&adapter);
+            self.queue.block(&adapter);
+            self.want(&adapter);
+        }
+    }
+}
+
+/// Returns the stall that keeping an adapter of this demand saves for a while.
+fn future(rate: f64) -> Millis {
+    millis(rate * float(HORIZON) * float(FUTURE_STALL))
+}
--- /dev/null
+++ b/lib/src/policy/upstream/start.rs
@@ -0,0 +1,125 @@
+//! Which waiting requests start next.
+
+use super::{Action, Machine, Running};
+use crate::clock::Millis;
+use crate::policy::pace;
+use crate::policy::queue::Entry;
+use crate::request::Class;
+
+/// Places for urgent requests stay free this long after the last one came.
+const URGENT_COMES: Millis = Millis::from_secs(60);
+/// After so many starts of more urgent classes a waiting class gets one, by class.
+const PASSED_OVER: [u32; 3] = [u32::MAX, 8, 16];
+
+impl Machine {
+    /// Starts what can be started.
+    pub(super) fn start(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        while let Some(entry) = self.next(now) {
+            self.run(entry, now, actions);
+        }
+    }
+
+    /// Returns how many requests may run before this class must wait.
+    pub(super) fn places(&self, class: Class) -> u32 {
+        pace::places(self.limits.batch, class, self.urgent_at.is_some())
+    }
+
+    /// Takes the next request to start from the queue.
+    fn next(&mut self, now: Millis) -> Option<Entry> {
+        if self
+            .urgent_at
+            .is_some_and(|at| now.since(at) >= URGENT_COMES)
+        {
+            self.urgent_at = None;
+        }
+        let running = self.running.len();
+        if running >= self.limits.batch as usize {
+            return None;
+        }
+        // A class that was passed over often enough goes first, past the places
+        // kept free: strict precedence would starve it while urgent work lasts.
+        for class in Class::ALL {
+            let aged = self.passed_over[class as usize] >= PASSED_OVER[class as usize];
+            if aged && let Some(entry) = self.pop(class) {
+                return Some(entry);
+            }
+        }
+        for class in Class::ALL {
+            if running >= self.places(class) as usize || self.is_held(class, now) {
+                continue;
+            }
+            if let Some(entry) = self.pop(class) {
+                return Some(entry);
+            }
+        }
+        None
+    }
+
+    fn pop(&mut self, class: Class) -> Option<Entry> {
+        let in_flight = &self.in_flight;
+        let entry = self.queue.pop(class, |account, share| {
+            share.max_in_flight == 0
+                || in_flight.get(account).copied().unwrap_or(0) < share.max_in_flight
+        })?;
+        self.passed_over[class as usize] = 0;
+        for lower in Class::ALL {
+            if lower > class && self.queue.ready(lower) > 0 {
+                self.passed_over[lower as usize] += 1;
+            }
+        }
+        Some(entry)
+    }
+
+    fn run(&mut self, entry: Entry, now: Millis, actions: &mut Vec<Action>) {
+        let cost = entry.cost();
+        let ticket = entry.ticket;
+        let pin = match ticket.adapter {
+            None => None,
+            Some(adapter) => {
+                let Some(pin) = self.slots.pin(&adapter) else {
+                    debug_assert!(false, "a ready request's adapter is resident");
+                    return;
+                };
+                Some((adapter, pin))
+            }
+        };
+        if entry.load_wait > Millis::ZERO {
+            self.pace.waited_for_load(entry.load_wait);
+        }
+        *self.in_flight.entry(ticket.account.clone()).or_default() += 1;
+        let running = Running {
+            account: ticket.account,
+            cost,
+            started: now,
+            pin,
+        };
+        self.running.insert(ticket.id.clone(), running);
+        actions.push(Action::Start {
+            id: ticket.id,
+            queued: now.since(entry.arrived),
+            load_wait: entry.load_wait,
+        });
+    }
+
+    /// Returns whether a class is held back so that more of it starts together.
+    fn is_held(&self, class: Class, now: Millis) -> bool {
+        class == Class::Bulk && self.held_until().is_some_and(|until| now < until)
+    }
+
+    /// Returns until when bulk work is held, if it is.
+    ///
+    /// A step costs an engine nearly the same for one request as for many, so
+    /// an idle engine is better left idle until there is a batch to run.
+    pub(super) fn held_until(&self) -> Option<Millis> {
+        if self.limits.batch_weight == 0 || !self.running.is_empty() {
+            return None;
+        }
+        let ready = self.queue.ready(Class::Bulk);
+        let full = u64::from(self.limits.batch) * u64::from(self.limits.batch_weight) / 100;
+        if ready == 0 || ready as u64 >= full {
+            return None;
+        }
+        let (arrived, deadline) = self.queue.oldest_ready(Class::Bulk)?;
+        Some(arrived + pace::hold(self.limits.batch_weight, deadline.since(arrived)))
+    }
+}
