--- /dev/null
+++ b/lib/tests/test_platform_upstream.rs
@@ -0,0 +1,399 @@
+//! Clients of upstreams against their stand-ins, over sockets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chivevalve::adapter::Adapter;
+use chivevalve::clock::Millis;
+use chivevalve::error::{Code, Failure};
+use chivevalve::platform::upstream::{Connector, Limits};
+use chivevalve::platform::{
+    Answer, Call, Connector as _, Directory as _, Engine, Fence, Service, Vm, Weights as _,
+    directory, weights,
+};
+use chivevalve::request::Id;
+use chivevalve_standins::directory::Directory;
+use chivevalve_standins::engine::{Engine as EngineStandin, Knobs, Outcome, Shape, Violation};
+use chivevalve_standins::serve::Server;
+use chivevalve_standins::service::{self, CALL_KEY, Receipt, Service as ServiceStandin};
+use chivevalve_standins::weights::{Knobs as WeightsKnobs, Weights};
+use futures::StreamExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const FENCE: Fence = Fence { token: 7 };
+
+struct Setup {
+    weights: Arc<Weights>,
+    standin: Arc<EngineStandin>,
+    server: Server,
+    engine: Arc<dyn Engine>,
+}
+
+async fn setup() -> Setup {
+    let weights = Arc::new(Weights::new(Duration::from_millis(1)));
+    let shape = Shape {
+        slots: 2,
+        ..Shape::default()
+    };
+    let standin = EngineStandin::start(shape, Arc::clone(&weights));
+    let server = Server::start(Arc::clone(&standin) as _).await.unwrap();
+    let engine = Connector::new(Limits::default()).engine(&vm(server.addr()));
+    Setup {
+        weights,
+        standin,
+        server,
+        engine,
+    }
+}
+
+fn vm(address: SocketAddr) -> Vm {
+    Vm {
+        name: "u".into(),
+        address,
+        pool: "p".into(),
+        region: "r".into(),
+        failure_domain: "d".into(),
+        leaving: false,
+    }
+}
+
+fn adapter(name: &str) -> Adapter {
+    Adapter {
+        base_model: "base".into(),
+        name: name.into(),
+        version: "2".into(),
+    }
+}
+
+fn call(id: &str, adapter: &Adapter, tokens: u32, stream: bool) -> Call {
+    let body = serde_json::json!({
+        "model": adapter.engine_name(),
+        "prompt": "a prompt of mark-9",
+        "max_tokens": tokens,
+        "stream": stream,
+    });
+    Call {
+        id: Id(id.into()),
+        adapter: adapter.clone(),
+        path: "/v1/completions".into(),
+        body: body.to_string().into(),
+        priority: 0,
+    }
+}
+
+async fn read(answer: Answer) -> Result<String, Failure> {
+    let mut text = Vec::new();
+    let mut body = answer.body;
+    while let Some(piece) = body.next().await {
+        text.extend_from_slice(&piece?);
+    }
+    Ok(String::from_utf8(text).unwrap())
+}
+
+#[tokio::test]
+async fn engine_whole_answer() {
+    let setup = setup().await;
+    let Setup { engine, .. } = &setup;
+    let adapter = adapter("sales");
+    engine.load(&adapter, FENCE).await.unwrap();
+    let answer = engine.run(call("id-1", &adapter, 4, false), FENCE).await;
+    let text = read(answer.unwrap()).await.unwrap();
+    assert!(text.contains("sales@2 id-1 mark-9 t3\""), "{text}");
+}
+
+#[tokio::test]
+async fn engine_streamed_answer() {
+    let setup = setup().await;
+    let Setup { engine, .. } = &setup;
+    let adapter = adapter("sales");
+    engine.load(&adapter, FENCE).await.unwrap();
+    let answer = engine.run(call("id-1", &adapter, 4, true), FENCE).await;
+    let text = read(answer.unwrap()).await.unwrap();
+    assert_eq!(text.matches("data: {").count(), 4);
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+}
+
+#[tokio::test]
+async fn engine_adapter_not_resident() {
+    let setup = setup().await;
+    let Setup {
+        engine, standin, ..
+    } = &setup;
+    let refused = engine
+        .run(call("id-1", &adapter("a"), 4, true), FENCE)
+        .await;
+    assert_eq!(refused.unwrap_err().code, Code::UpstreamRefused);
+    assert!(standin.runs().is_empty());
+}
+
+#[tokio::test]
+async fn engine_loads_and_report() {
+    let setup = setup().await;
+    let Setup {
+        engine, weights, ..
+    } = &setup;
+    engine.load(&adapter("a"), FENCE).await.unwrap();
+    engine.load(&adapter("a"), FENCE).await.unwrap();
+    engine.load(&adapter("b"), FENCE).await.unwrap();
+    let full = engine.load(&adapter("c"), FENCE).await.unwrap_err();
+    assert_eq!(full.code, Code::LoadFailed);
+    engine.unload(&adapter("a"), FENCE).await.unwrap();
+    engine.unload(&adapter("a"), FENCE).await.unwrap();
+    weights.set(WeightsKnobs {
+        fail_loads: 1,
+        missing: ["base/d/2".to_owned()].into(),
+        ..WeightsKnobs::default()
+    });
+    let missing = engine.load(&adapter("d"), FENCE).await.unwrap_err();
+    assert_eq!(missing.code, Code::UnknownAdapter);
+    let broken = engine.load(&adapter("c"), FENCE).await.unwrap_err();
+    assert_eq!(broken.code, Code::LoadFailed);
+    let report = engine.report().await.unwrap();
+    assert_eq!(report.resident, ["b@2".into()]);
+}
+
+/// Symptom: two nodes give orders to one engine.
+/// Sequence: an owner pauses, another node takes over with a larger token, the
+/// first wakes up and goes on.
+/// Cause: an engine that checks tokens refuses the old one, and the refusal was
+/// not told from other errors.
+#[tokio::test]
+async fn engine_stale_token() {
+    let setup = setup().await;
+    let Setup {
+        engine, standin, ..
+    } = &setup;
+    let adapter = adapter("a");
+    engine.load(&adapter, Fence { token: 9 }).await.unwrap();
+    engine.unload(&adapter, FENCE).await.unwrap();
+    let stale = Violation::StaleOrder {
+        token: 7,
+        newest: 9,
+    };
+    assert_eq!(standin.violations(), [stale]);
+    standin.set(Knobs {
+        checks_fencing: true,
+        ..Knobs::default()
+    });
+    let refused = engine.run(call("id", &adapter, 4, true), FENCE).await;
+    assert_eq!(refused.unwrap_err().code, Code::NotOwner);
+    let refused = engine.load(&adapter, FENCE).await;
+    assert_eq!(refused.unwrap_err().code, Code::NotOwner);
+    assert_eq!(standin.counts().refused_stale, 2);
+}
+
+/// Symptom: a caller takes half an answer for the whole.
+/// Sequence: the engine stops in the middle of a stream.
+/// Cause: the end of the connection was taken for the end of the answer.
+#[tokio::test]
+async fn engine_answer_cut() {
+    let setup = setup().await;
+    let Setup {
+        engine, standin, ..
+    } = &setup;
+    let adapter = adapter("a");
+    engine.load(&adapter, FENCE).await.unwrap();
+    for stream in [true, false] {
+        standin.set(Knobs {
+            cut_answers: 1,
+            ..Knobs::default()
+        });
+        let answer = engine.run(call("id", &adapter, 8, stream), FENCE).await;
+        let cut = read(answer.unwrap()).await.unwrap_err();
+        assert_eq!(cut.code, Code::AnswerCut);
+    }
+}
+
+#[tokio::test]
+async fn engine_caller_gone() {
+    let setup = setup().await;
+    let Setup {
+        engine, standin, ..
+    } = &setup;
+    let adapter = adapter("a");
+    engine.load(&adapter, FENCE).await.unwrap();
+    let answer = engine.run(call("id", &adapter, 100_000, true), FENCE).await;
+    let mut body = answer.unwrap().body;
+    body.next().await.unwrap().unwrap();
+    drop(body);
+    while standin.runs()[0].outcome == Outcome::Running {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(standin.runs()[0].outcome, Outcome::Cancelled);
+}
+
+#[tokio::test]
+async fn engine_evicted_in_use() {
+    let setup = setup().await;
+    let Setup {
+        engine, standin, ..
+    } = &setup;
+    let adapter = adapter("a");
+    engine.load(&adapter, FENCE).await.unwrap();
+    let answer = engine.run(call("id", &adapter, 100_000, true), FENCE).await;
+    engine.unload(&adapter, FENCE).await.unwrap();
+    let evicted = Violation::EvictedInUse {
+        adapter: "a@2".into(),
+        users: 1,
+    };
+    assert_eq!(standin.violations(), [evicted]);
+    drop(answer);
+}
+
+#[tokio::test]
+async fn engine_restart_is_cold() {
+    let setup = setup().await;
+    let Setup {
+        engine, standin, ..
+    } = &setup;
+    engine.load(&adapter("a"), FENCE).await.unwrap();
+    let before = engine.report().await.unwrap();
+    standin.restart();
+    let after = engine.report().await.unwrap();
+    assert!(after.resident.is_empty());
+    assert_ne!(before.boot, after.boot);
+}
+
+#[tokio::test]
+async fn engine_down() {
+    let setup = setup().await;
+    let Setup { engine, server, .. } = &setup;
+    server.stop().await;
+    let failure = engine.run(call("id", &adapter("a"), 4, true), FENCE).await;
+    assert_eq!(failure.unwrap_err().code, Code::ConnectFailed);
+}
+
+fn push(key: &str) -> http::request::Parts {
+    http::Request::post("/receipts?till=4")
+        .header(CALL_KEY, key)
+        .header("connection", "keep-alive, x-hop")
+        .header("x-hop", "1")
+        .body(())
+        .unwrap()
+        .into_parts()
+        .0
+}
+
+async fn service_setup() -> (Arc<ServiceStandin>, Server, Arc<dyn Service>) {
+    let standin = Arc::new(ServiceStandin::new("s1"));
+    let server = Server::start(Arc::clone(&standin) as _).await.unwrap();
+    let service = Connector::new(Limits::default()).service(&vm(server.addr()));
+    (standin, server, service)
+}
+
+#[tokio::test]
+async fn service_passes_whole() {
+    let (_, _server, service) = service_setup().await;
+    let answer = service
+        .call(push("k"), Bytes::from_static(b"total 3"))
+        .await;
+    let receipt: Receipt = serde_json::from_str(&read(answer.unwrap()).await.unwrap()).unwrap();
+    assert_eq!(receipt.path, "/receipts?till=4");
+    assert_eq!((receipt.runs, receipt.body.as_str()), (1, "total 3"));
+}
+
+/// Symptom: a receipt is booked twice.
+/// Sequence: the service runs the call on a kept connection, and the connection
+/// breaks before the answer.
+/// Cause: the client's pool repeated the request, or the reset was called "not run".
+#[tokio::test]
+async fn upstream_reset_after_head() {
+    let (standin, _server, service) = service_setup().await;
+    read(service.call(push("first"), Bytes::new()).await.unwrap())
+        .await
+        .unwrap();
+    standin.set(service::Knobs {
+        reset_after: 1,
+        ..service::Knobs::default()
+    });
+    let lost = service
+        .call(push("second"), Bytes::new())
+        .await
+        .unwrap_err();
+    assert_eq!(lost.code, Code::UpstreamLost);
+    assert_eq!(standin.runs()["second"], 1);
+}
+
+/// Symptom: a call that ran is reported as not run.
+/// Sequence: the service reads the whole call on a new connection and closes it.
+/// Cause: an end without an answer was taken for a failed connect.
+#[tokio::test]
+async fn upstream_closed_after_read() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 16];
+        stream.read_exact(&mut head).await.unwrap();
+    });
+    let service = Connector::new(Limits::default()).service(&vm(address));
+    let lost = service.call(push("k"), Bytes::new()).await.unwrap_err();
+    assert_eq!(lost.code, Code::UpstreamLost);
+    server.await.unwrap();
+}
+
+/// Symptom: calls end as unknown whenever a service restarts, though they never left.
+/// Sequence: a kept connection is closed by the service and the client has seen it;
+/// the service listens again.
+/// Cause: the pool handed out the ended connection and its refusal was taken for a loss.
+#[tokio::test]
+async fn upstream_closed_while_idle() {
+    let (standin, server, service) = service_setup().await;
+    read(service.call(push("first"), Bytes::new()).await.unwrap())
+        .await
+        .unwrap();
+    server.stop().await;
+    server.resume().await.unwrap();
+    // The client's connection task sees the end before the next call.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let answer = service.call(push("second"), Bytes::new()).await;
+    read(answer.unwrap()).await.unwrap();
+    assert_eq!(standin.runs()["second"], 1);
+}
+
+/// Symptom: a caller takes the beginning of an answer for the whole.
+/// Sequence: a service declares a length and closes early.
+/// Cause: the end of the body was not held against its length.
+#[tokio::test]
+async fn upstream_short_body() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 1024];
+        let _ = stream.read(&mut head).await.unwrap();
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf";
+        stream.write_all(answer).await.unwrap();
+    });
+    let service = Connector::new(Limits::default()).service(&vm(address));
+    let answer = service.call(push("k"), Bytes::new()).await.unwrap();
+    assert_eq!(read(answer).await.unwrap_err().code, Code::AnswerCut);
+}
+
+#[tokio::test]
+async fn directory_list() {
+    let standin = Arc::new(Directory::new(vec![vm("127.0.0.1:9".parse().unwrap())]));
+    let server = Server::start(Arc::clone(&standin) as _).await.unwrap();
+    let client = directory::Client::new(server.addr(), Millis(500));
+    assert_eq!(client.vms().await.unwrap().len(), 1);
+    standin.set_leaving("u", true);
+    assert!(client.vms().await.unwrap()[0].leaving);
+    server.stop().await;
+    assert!(client.vms().await.is_err());
+}
+
+#[tokio::test]
+async fn weights_has() {
+    let standin = Arc::new(Weights::new(Duration::ZERO));
+    standin.set(WeightsKnobs {
+        missing: ["base/gone/2".to_owned()].into(),
+        ..WeightsKnobs::default()
+    });
+    let server = Server::start(standin as _).await.unwrap();
+    let client = weights::Client::new(server.addr(), Millis(500));
+    assert!(client.has(&adapter("here")).await.unwrap());
+    assert!(!client.has(&adapter("gone")).await.unwrap());
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! truly happened. See docs/standins.md.
 
 pub mod directory;
+pub mod engine;
 pub mod serve;
 pub mod service;
 pub mod store;
