bench: drive the product's decisions beside the baselines

Change: a policy of the bench that enters requests at 8 nodes with routers of their own, drives one machine an engine and the one load queue, and carries a refused try on along its order.

--- a/bench/src/policy/baseline.rs
+++ b/bench/src/policy/baseline.rs
@@ -287,6 +287,8 @@
 
     fn on_up(&mut self, _world: &World, _engine: usize, _actions: &mut Vec<Action>) {}
 
+    fn on_wake(&mut self, _world: &World, _engine: usize, _actions: &mut Vec<Action>) {}
+
     fn on_tick(&mut self, world: &World, actions: &mut Vec<Action>) {
         for engine in 0..self.queues.len() {
             self.pump(world, engine, actions);
--- /dev/null
+++ b/bench/src/policy/contender.rs
@@ -0,0 +1,349 @@
+//! The product's own decisions, driven as entry nodes and owners drive them.
+//!
+//! Each request enters at one of several nodes, each with a router and hints
+//! of its own; one machine decides for each engine; one queue orders all loads.
+
+use std::collections::{HashMap, VecDeque};
+
+use chivevalve::adapter::Adapter;
+use chivevalve::clock::Millis;
+use chivevalve::error::{Code, Fate};
+use chivevalve::loads::Ask;
+use chivevalve::name::Name;
+use chivevalve::policy::loads;
+use chivevalve::policy::placement::{self, Order, Pool, Router};
+use chivevalve::policy::upstream::{self, Demand, Machine};
+use chivevalve::request::{Id, Ticket};
+use chivevalve::runner::Share;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::traffic::{Deployment, Workload, millis};
+use super::world::{Action, LoadDone, Policy, World};
+
+/// Share of a client account at an upstream, without limits of its own.
+const SHARE: Share = Share {
+    weight: 1,
+    max_in_flight: 0,
+    max_queued: 0,
+};
+
+/// A request on its way along its entry node's order.
+#[derive(Debug)]
+struct Route {
+    node: usize,
+    order: Order,
+    /// Place in the order of the try under way.
+    at: usize,
+}
+
+/// The product's policy.
+#[derive(Debug)]
+pub struct Contender {
+    limits: upstream::Limits,
+    routers: Vec<Router>,
+    /// Usable upstreams by base model.
+    pools: Vec<Pool>,
+    machines: Vec<Machine>,
+    loads: loads::Queue,
+    routes: HashMap<u32, Route>,
+    adapters: Vec<Adapter>,
+    numbers: HashMap<Adapter, u32>,
+    accounts: HashMap<u32, Name>,
+    names: Vec<Name>,
+    domains: Vec<Name>,
+    empty: Name,
+    /// Wake-ups under way, by engine.
+    planned: Vec<Millis>,
+    inbox: VecDeque<(usize, upstream::Action)>,
+    rng: Pcg64Mcg,
+}
+
+fn limits(deployment: &Deployment) -> upstream::Limits {
+    let small = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
+    upstream::Limits {
+        slots: Some(small(deployment.slots)),
+        batch: small(deployment.batch),
+        batch_weight: deployment.batch_weight,
+        load_time: millis(1e6 / deployment.loads_per_second),
+        ..upstream::Limits::default()
+    }
+}
+
+impl Contender {
+    /// Makes the policy for a workload's deployment.
+    pub fn new(workload: &Workload, seed: u64) -> Self {
+        let deployment = &workload.deployment;
+        let limits = limits(deployment);
+        let adapters: Vec<Adapter> = (0..deployment.adapters)
+            .map(|number| adapter(deployment, number))
+            .collect();
+        let numbers = adapters.iter().cloned().zip(0..).collect();
+        let names = (0..deployment.engines).map(|engine| format!("engine-{engine}").into());
+        let domains = (0..deployment.engines)
+            .map(|engine| format!("domain-{}", deployment.domain_of(engine)).into());
+        let router = |node: u64| Router::new(placement::Limits::default(), seed ^ node);
+        let mut contender = Self {
+            routers: (0..deployment.nodes).map(router).collect(),
+            pools: Vec::new(),
+            machines: (0..deployment.engines)
+                .map(|_| Machine::new(limits.clone()))
+                .collect(),
+            limits,
+            loads: loads::Queue::new(loads::Limits::default()),
+            routes: HashMap::new(),
+            adapters,
+            numbers,
+            accounts: HashMap::new(),
+            names: names.collect(),
+            domains: domains.collect(),
+            empty: "".into(),
+            planned: vec![Millis::MAX; deployment.engines],
+            inbox: VecDeque::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        };
+        contender.prepare_pools(deployment, |_| true);
+        contender
+    }
+
+    fn prepare_pools(&mut self, deployment: &Deployment, up: impl Fn(usize) -> bool) {
+        let pool = |base: usize| {
+            let engines = (base..deployment.engines).step_by(deployment.base_models);
+            Pool::of(engines.map(|e| (self.names[e].as_ref(), self.domains[e].as_ref(), up(e))))
+        };
+        self.pools = (0..deployment.base_models).map(pool).collect();
+    }
+
+    fn ticket(&mut self, world: &World, id: u32) -> Ticket {
+        let request = world.request(id);
+        let account = self.accounts.entry(request.account);
+        let account = account.or_insert_with(|| format!("account-{}", request.account).into());
+        Ticket {
+            id: Id(id.to_string().into()),
+            account: Name::clone(account),
+            template: Name::clone(&self.empty),
+            pool: Name::clone(&self.empty),
+            adapter: Some(self.adapters[request.adapter as usize].clone()),
+            class: request.class,
+            weight: request.weight,
+            idempotent: request.idempotent,
+            deadline: request.deadline(),
+            prompt_tokens: request.prompt_tokens,
+            max_output_tokens: request.output_tokens,
+            revision: 1,
+        }
+    }
+
+    /// Makes the try that the request's route names.
+    fn attempt(&mut self, world: &World, id: u32, actions: &mut Vec<Action>) {
+        let ticket = self.ticket(world, id);
+        let Some(route) = self.routes.get(&id) else {
+            return;
+        };
+        let base_models = world.deployment().base_models;
+        let base = world.deployment().base_of(world.request(id).adapter);
+        let engine = route.order[route.at] * base_models + base;
+        let last = route.at + 1 == route.order.len();
+        actions.push(Action::Queue { id, engine });
+        let orders = self.machines[engine].arrive(ticket, SHARE, last, world.now());
+        self.post(engine, orders);
+    }
+
+    fn post(&mut self, engine: usize, orders: Vec<upstream::Action>) {
+        self.inbox
+            .extend(orders.into_iter().map(|order| (engine, order)));
+    }
+
+    /// Carries out orders until none is left and the weight store is busy or idle for good.
+    fn settle(&mut self, world: &World, actions: &mut Vec<Action>) {
+        loop {
+            while let Some((engine, order)) = self.inbox.pop_front() {
+                self.obey(world, engine, order, actions);
+            }
+            let Some((key, ask)) = self.loads.next(world.now()) else {
+                break;
+            };
+            let engine = usize::try_from(key.0).unwrap_or(usize::MAX);
+            let orders = self.machines[engine].granted(&ask.adapter, world.now());
+            let loads = orders
+                .iter()
+                .any(|order| matches!(order, upstream::Action::Load { .. }));
+            if !loads {
+                self.loads.done(key);
+            }
+            self.post(engine, orders);
+        }
+    }
+
+    fn obey(
+        &mut self,
+        world: &World,
+        engine: usize,
+        order: upstream::Action,
+        actions: &mut Vec<Action>,
+    ) {
+        match order {
+            upstream::Action::Start { id, .. } => {
+                let id = number(&id);
+                self.routes.remove(&id);
+                actions.push(Action::Start { id });
+            }
+            upstream::Action::Refuse { id, failure } => {
+                self.refused(world, engine, number(&id), failure.code, actions);
+            }
+            upstream::Action::Ask { adapter, demand } => {
+                let key = self.key(engine, &adapter);
+                let ask = ask(&self.names[engine], adapter, demand);
+                self.loads.ask(key, ask, world.now());
+            }
+            upstream::Action::Withdraw { adapter } => {
+                let key = self.key(engine, &adapter);
+                self.loads.withdraw(key);
+            }
+            upstream::Action::Load { adapter, evict } => {
+                if let Some(evict) = evict {
+                    let adapter = self.numbers[&evict];
+                    actions.push(Action::Evict { engine, adapter });
+                }
+                let adapter = self.numbers[&adapter];
+                actions.push(Action::Load { engine, adapter });
+            }
+        }
+    }
+
+    fn key(&self, engine: usize, adapter: &Adapter) -> loads::Key {
+        (engine as u64, u64::from(self.numbers[adapter]))
+    }
+
+    /// An owner has refused a try: the entry node takes the next one, or answers the caller.
+    fn refused(
+        &mut self,
+        world: &World,
+        engine: usize,
+        id: u32,
+        code: Code,
+        actions: &mut Vec<Action>,
+    ) {
+        let adapter = world.request(id).adapter;
+        let deployment = world.deployment();
+        let Some(route) = self.routes.get_mut(&id) else {
+            return;
+        };
+        let pool = &self.pools[deployment.base_of(adapter)];
+        let index = engine / deployment.base_models;
+        let adapter = Some(&self.adapters[adapter as usize]);
+        self.routers[route.node].refused(pool, index, adapter, code, world.now());
+        route.at += 1;
+        let more = route.at < route.order.len() && world.now() < world.request(id).deadline();
+        if more && code.fate() == Fate::NotRun && tries_next(code) {
+            self.attempt(world, id, actions);
+        } else {
+            self.routes.remove(&id);
+            actions.push(Action::Refuse { id, code });
+        }
+    }
+
+    /// Asks to be woken when a machine has something to do before the next call.
+    fn plan(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>) {
+        let Some(at) = self.machines[engine].next_wakeup() else {
+            return;
+        };
+        let at = at.max(world.now() + Millis(1));
+        if at < self.planned[engine] {
+            self.planned[engine] = at;
+            actions.push(Action::Wake { engine, at });
+        }
+    }
+}
+
+/// Whether another upstream could do what this one refused.
+fn tries_next(code: Code) -> bool {
+    !matches!(code, Code::AccountLimit | Code::ExpiredWaiting)
+}
+
+fn number(id: &Id) -> u32 {
+    id.0.parse().expect("ids are numbers here")
+}
+
+fn adapter(deployment: &Deployment, number: u32) -> Adapter {
+    Adapter {
+        base_model: format!("base-{}", deployment.base_of(number)).into(),
+        name: format!("adapter-{number}").into(),
+        version: "1".into(),
+    }
+}
+
+fn ask(upstream: &Name, adapter: Adapter, demand: Demand) -> Ask {
+    Ask {
+        upstream: Name::clone(upstream),
+        adapter,
+        class: demand.class,
+        waiters: demand.waiters,
+        weight: demand.weight,
+        waited: demand.waited,
+        gain: demand.gain,
+    }
+}
+
+impl Policy for Contender {
+    fn on_arrival(&mut self, world: &World, id: u32, actions: &mut Vec<Action>) {
+        let number = world.request(id).adapter;
+        let pool = &self.pools[world.deployment().base_of(number)];
+        let node = self.rng.random_range(0..self.routers.len());
+        let adapter = &self.adapters[number as usize];
+        let order = self.routers[node].order(pool, Some(adapter), world.now());
+        if order.is_empty() {
+            let code = Code::NoUpstream;
+            return actions.push(Action::Refuse { id, code });
+        }
+        let route = Route { node, order, at: 0 };
+        self.routes.insert(id, route);
+        self.attempt(world, id, actions);
+        self.settle(world, actions);
+    }
+
+    fn on_load_done(&mut self, world: &World, done: LoadDone, actions: &mut Vec<Action>) {
+        let adapter = self.adapters[done.adapter as usize].clone();
+        let key = self.key(done.engine, &adapter);
+        self.loads.done(key);
+        let orders = self.machines[done.engine].loaded(&adapter, done.loaded, world.now());
+        self.post(done.engine, orders);
+        self.settle(world, actions);
+    }
+
+    fn on_finish(&mut self, world: &World, id: u32, engine: usize, actions: &mut Vec<Action>) {
+        let id = Id(id.to_string().into());
+        let orders = self.machines[engine].finished(&id, world.now());
+        self.post(engine, orders);
+        self.settle(world, actions);
+    }
+
+    fn on_down(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>) {
+        let numbers = self.numbers.values();
+        for number in numbers {
+            self.loads.withdraw((engine as u64, u64::from(*number)));
+        }
+        self.machines[engine] = Machine::new(self.limits.clone());
+        self.prepare_pools(world.deployment(), |e| world.engines[e].up);
+        self.settle(world, actions);
+    }
+
+    fn on_up(&mut self, world: &World, _engine: usize, _actions: &mut Vec<Action>) {
+        self.prepare_pools(world.deployment(), |e| world.engines[e].up);
+    }
+
+    fn on_wake(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>) {
+        self.planned[engine] = Millis::MAX;
+        let orders = self.machines[engine].tick(world.now());
+        self.post(engine, orders);
+        self.settle(world, actions);
+        self.plan(world, engine, actions);
+    }
+
+    fn on_tick(&mut self, world: &World, actions: &mut Vec<Action>) {
+        for engine in 0..self.machines.len() {
+            self.plan(world, engine, actions);
+        }
+        self.settle(world, actions);
+    }
+}
--- a/bench/src/policy/mod.rs
+++ b/bench/src/policy/mod.rs
@@ -18,6 +18,7 @@
 use crate::report::{self, Format, Table};
 
 mod baseline;
+mod contender;
 mod engine;
 mod measure;
 mod store;
@@ -26,6 +27,7 @@
 mod world;
 
 use baseline::{Baseline, Placement};
+use contender::Contender;
 use measure::Row;
 use traffic::Workload;
 use workload::RECIPES;
@@ -112,25 +114,29 @@
 }
 
 /// A policy under its name, made anew for each run.
-struct Contender {
+struct Entrant {
     name: &'static str,
     make: fn(&Workload, u64) -> Box<dyn Policy>,
 }
 
-const CONTENDERS: &[Contender] = &[
-    Contender {
+const ENTRANTS: &[Entrant] = &[
+    Entrant {
+        name: "chivevalve",
+        make: |workload, seed| Box::new(Contender::new(workload, seed)),
+    },
+    Entrant {
         name: "random",
         make: |workload, seed| baseline(Placement::Random, workload, seed),
     },
-    Contender {
+    Entrant {
         name: "round_robin",
         make: |workload, seed| baseline(Placement::RoundRobin, workload, seed),
     },
-    Contender {
+    Entrant {
         name: "least_loaded",
         make: |workload, seed| baseline(Placement::LeastLoaded, workload, seed),
     },
-    Contender {
+    Entrant {
         name: "rendezvous_lru",
         make: |workload, seed| baseline(Placement::Rendezvous, workload, seed),
     },
@@ -143,9 +149,9 @@
 /// Plays one workload under every policy, side by side.
 fn play_all(workload: &Workload, seed: u64) -> Vec<Row> {
     std::thread::scope(|scope| {
-        let runs: Vec<_> = CONTENDERS
+        let runs: Vec<_> = ENTRANTS
             .iter()
-            .map(|contender| scope.spawn(move || play(workload, contender, seed)))
+            .map(|entrant| scope.spawn(move || play(workload, entrant, seed)))
             .collect();
         runs.into_iter()
             .map(|run| run.join().expect("a run doesn't panic"))
@@ -153,14 +159,14 @@
     })
 }
 
-fn play(workload: &Workload, contender: &Contender, seed: u64) -> Row {
+fn play(workload: &Workload, entrant: &Entrant, seed: u64) -> Row {
     let mut world = World::new(workload, seed);
-    let mut policy = (contender.make)(workload, seed);
+    let mut policy = (entrant.make)(workload, seed);
     world.play(policy.as_mut());
     for text in &world.described {
-        eprintln!("{} {}: {text}", workload.name, contender.name);
+        eprintln!("{} {}: {text}", workload.name, entrant.name);
     }
-    measure::row(&world, contender.name)
+    measure::row(&world, entrant.name)
 }
 
 fn print_rows(options: &Options, rows: &[Row]) -> Result<()> {
--- a/bench/src/policy/traffic.rs
+++ b/bench/src/policy/traffic.rs
@@ -47,6 +47,8 @@
 pub struct Deployment {
     /// Engine servers.
     pub engines: usize,
+    /// Entry nodes; each knows only what upstreams' owners told it.
+    pub nodes: u64,
     /// Failure domains that the engines are spread over.
     pub domains: usize,
     /// Base models; each has its own engines and adapters.
--- a/bench/src/policy/workload.rs
+++ b/bench/src/policy/workload.rs
@@ -21,6 +21,7 @@
 pub fn trgovski() -> Deployment {
     Deployment {
         engines: 12,
+        nodes: 8,
         domains: 3,
         base_models: 1,
         adapters: 3_000,
--- a/bench/src/policy/world.rs
+++ b/bench/src/policy/world.rs
@@ -52,6 +52,13 @@
         /// What it drops.
         adapter: u32,
     },
+    /// The policy is to be woken for this engine.
+    Wake {
+        /// The engine.
+        engine: usize,
+        /// When.
+        at: Millis,
+    },
     /// The engine loads an adapter, at once and along with other loads.
     Load {
         /// The engine.
@@ -75,6 +82,8 @@
     fn on_down(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>);
     /// An engine serves again, with nothing loaded.
     fn on_up(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>);
+    /// A wake-up that the policy asked for.
+    fn on_wake(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>);
     /// Time has passed.
     fn on_tick(&mut self, world: &World, actions: &mut Vec<Action>);
 }
@@ -143,6 +152,7 @@
     Up { engine: usize },
     Down { outage: usize },
     Engine { engine: usize, epoch: u64 },
+    Wake { engine: usize },
     Store { epoch: u64 },
     Tick,
 }
@@ -300,6 +310,7 @@
                 };
                 policy.on_load_done(self, done, actions);
             }
+            Event::Wake { engine } => policy.on_wake(self, engine, actions),
             Event::Down { outage } => self.crash(policy, outage, actions),
             Event::Up { engine } => {
                 self.engines[engine].up = true;
@@ -389,6 +400,7 @@
                 Action::Refuse { id, code } => self.refuse(id, code),
                 Action::Evict { engine, adapter } => self.evict(engine, adapter),
                 Action::Load { engine, adapter } => self.load(engine, adapter),
+                Action::Wake { engine, at } => self.push(micros(at), Event::Wake { engine }),
             }
         }
     }
