--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -1,25 +1,24 @@
 //! Tries of one request at upstreams, as its state machine decides them.
 
 use std::collections::HashMap;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::BoxStream;
 use http::response;
-use smallvec::SmallVec;
 
 use super::body::Joined;
 use super::gate::Reserve;
-use super::gateway::Gateway;
+use super::gateway::{Gateway, lock};
 use super::session::Session;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::fate::{Moment, Verdict};
-use crate::membership::Fleet;
-use crate::membership::fleet::{Owner, State};
+use crate::membership::fleet::Owner;
 use crate::name::Name;
 use crate::platform::Answer;
+use crate::policy::placement::Pool;
 use crate::request::Ticket;
 use crate::runner::{Attempt, Share, Work};
 
@@ -78,15 +77,21 @@
     pub form: Form,
 }
 
-/// An upstream that a try may go to.
-struct Candidate {
+/// Upstreams that this request was tried on, and how often.
+type Tried = HashMap<Name, u32>;
+
+/// Where the next try goes.
+struct Target {
+    /// The pool's upstreams as they were when the target was chosen.
+    pool: Arc<Pool>,
+    /// The upstream's place among them.
+    index: usize,
     upstream: Name,
     owner: Arc<Owner>,
+    /// Whether there are others that the request wasn't tried on.
+    others: bool,
 }
 
-/// Upstreams that this request was tried on, and how often.
-type Tried = HashMap<Name, u32>;
-
 /// Runs a request until an answer begins or its state machine says that it is over.
 ///
 /// # Errors
@@ -101,15 +106,15 @@
     lock(&gateway.budget).earn(now);
     let mut tried = Tried::new();
     loop {
-        let candidate = match choose(gateway, order, &tried).await {
-            Ok(candidate) => candidate,
+        let target = match choose(gateway, order, &tried).await {
+            Ok(target) => target,
             Err(failure) => return Err(session.machine().end(failure)),
         };
-        *tried.entry(Name::clone(&candidate.upstream)).or_default() += 1;
-        match attempt(gateway, session, order, &candidate).await {
+        *tried.entry(Name::clone(&target.upstream)).or_default() += 1;
+        match attempt(gateway, session, order, &target).await {
             Ok(outcome) => return Ok(outcome),
             Err(failure) => {
-                let pause = settle(gateway, session, order, &candidate, &tried, failure)?;
+                let pause = settle(gateway, session, order, &target, failure)?;
                 tokio::time::sleep(pause.duration()).await;
             }
         }
@@ -121,25 +126,22 @@
     gateway: &Gateway,
     session: &mut Session,
     order: &Order,
-    candidate: &Candidate,
-    tried: &Tried,
+    target: &Target,
     failure: Failure,
 ) -> Result<Millis, Failure> {
     let now = gateway.parts.clock.now();
-    let class = order.ticket.class;
-    lock(&gateway.hints).note(&candidate.upstream, class, &failure, now);
+    let adapter = order.ticket.adapter.as_ref();
+    gateway.refused(&target.pool, target.index, adapter, failure.code, now);
     let moment = Moment {
         now,
-        untried: candidates(gateway, order, tried)
-            .iter()
-            .any(|candidate| !tried.contains_key(&candidate.upstream)),
+        untried: target.others,
         random: gateway.random(),
     };
     let metrics = &gateway.parts.metrics;
     let reason = failure.code.name();
     log::debug!(
         "entry: {session} try at {} failed as {}: {}",
-        candidate.upstream,
+        target.upstream,
         failure.code,
         failure.detail
     );
@@ -166,7 +168,7 @@
 /// # Errors
 ///
 /// [`Code::NoUpstream`] or [`Code::ExpiredWaiting`]; this try has not begun.
-async fn choose(gateway: &Gateway, order: &Order, tried: &Tried) -> Result<Candidate, Failure> {
+async fn choose(gateway: &Gateway, order: &Order, tried: &Tried) -> Result<Target, Failure> {
     let mut fleet = gateway.parts.fleet.clone();
     let clock = &gateway.parts.clock;
     let patience = clock.now() + gateway.parts.limits.patience;
@@ -179,8 +181,8 @@
                 "the deadline has passed",
             ));
         }
-        if let Some(candidate) = candidates(gateway, order, tried).into_iter().next() {
-            return Ok(candidate);
+        if let Some(target) = target(gateway, order, tried, now) {
+            return Ok(target);
         }
         let left = patience.min(order.deadline).since(now);
         let changed = tokio::time::timeout(left.duration(), fleet.changed()).await;
@@ -191,37 +193,28 @@
     }
 }
 
-/// Lists the upstreams that a try may go to, the best first.
+/// Returns the best upstream for the next try.
 ///
-/// Upstreams that this request was tried on, and those that refused or broke a
-/// short while ago, come last but stay in the list: a broken picture must not
-/// leave a request without any.
-fn candidates(gateway: &Gateway, order: &Order, tried: &Tried) -> SmallVec<[Candidate; 8]> {
-    let now = gateway.parts.clock.now();
+/// Upstreams that this request was tried on come last but stay in the list: a
+/// broken picture must not leave a request without any.
+fn target(gateway: &Gateway, order: &Order, tried: &Tried, now: Millis) -> Option<Target> {
     let fleet = Arc::clone(&gateway.parts.fleet.borrow());
-    let mut found = usable(&fleet, &order.ticket);
-    let hints = lock(&gateway.hints);
-    found.sort_by_key(|candidate| {
-        let upstream = &candidate.upstream;
-        let times = tried.get(upstream).copied().unwrap_or(0);
-        (times, hints.refused(upstream, order.ticket.class, now))
-    });
-    found
-}
-
-fn usable(fleet: &Fleet, ticket: &Ticket) -> SmallVec<[Candidate; 8]> {
-    fleet
-        .pool(&ticket.pool)
+    let pool = gateway.pool(&fleet, &order.ticket.pool);
+    let upstreams = fleet.pool(&order.ticket.pool);
+    let ranked = gateway.order(&pool, order.ticket.adapter.as_ref(), now);
+    let times = |index: usize| tried.get(&upstreams[index].vm.name).copied().unwrap_or(0);
+    let index = ranked.iter().copied().min_by_key(|index| times(*index))?;
+    let upstream = &upstreams[index].vm.name;
+    let others = ranked
         .iter()
-        .filter(|upstream| upstream.state == State::Usable)
-        .filter_map(|upstream| {
-            let owner = fleet.owner(&upstream.vm.name)?;
-            Some(Candidate {
-                upstream: Name::clone(&upstream.vm.name),
-                owner: Arc::clone(owner),
-            })
-        })
-        .collect()
+        .any(|other| *other != index && times(*other) == 0);
+    Some(Target {
+        index,
+        upstream: Name::clone(upstream),
+        owner: Arc::clone(fleet.owner(upstream)?),
+        others,
+        pool,
+    })
 }
 
 /// Makes one try.
@@ -229,18 +222,20 @@
     gateway: &Gateway,
     session: &mut Session,
     order: &Order,
-    candidate: &Candidate,
+    target: &Target,
 ) -> Result<Outcome, Failure> {
     let left = (order.deadline + GRACE).since(gateway.parts.clock.now());
+    let last = !target.others || session.machine().at_last_try();
     session.machine().send();
     let attempt = Attempt {
         ticket: order.ticket.clone(),
         share: order.share,
         number: session.machine().tries(),
-        upstream: Name::clone(&candidate.upstream),
+        last,
+        upstream: Name::clone(&target.upstream),
         work: order.work.clone(),
     };
-    let runner = gateway.parts.reach.runner(&candidate.owner);
+    let runner = gateway.parts.reach.runner(&target.owner);
     let begin = async {
         let answer = runner.run(attempt).await?;
         session.machine().begin();
@@ -307,10 +302,3 @@
     }
     Ok(whole.freeze())
 }
-
-/// Locks a table that is never held over an await.
-///
-/// A panic elsewhere leaves these tables usable: each change is a single step.
-fn lock<T>(mutex: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/lib/src/entry/gateway.rs
+++ b/lib/src/entry/gateway.rs
@@ -1,6 +1,7 @@
 //! A request's way through the entry: key, template, body, tries, answer.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request};
@@ -12,16 +13,20 @@
 use super::completion::Asked;
 use super::dispatch::{self, Form, Order};
 use super::gate::{Buffer, Gate};
-use super::hints::Hints;
 use super::relay;
 use super::route::{self, Completion, Route};
 use super::session::Session;
 use super::{Parts, body, key, models, service};
+use crate::adapter::Adapter;
 use crate::clock::Millis;
 use crate::config::View;
 use crate::declaration::{Account, Template};
 use crate::error::{Code, Failure};
 use crate::fate::Budget;
+use crate::membership::Fleet;
+use crate::membership::fleet::State;
+use crate::name::Name;
+use crate::policy::placement::{self, Pool, Router};
 use crate::request::Ticket;
 use crate::runner::Work;
 
@@ -37,11 +42,18 @@
     pub gate: Arc<Gate>,
     /// Bytes of bodies.
     pub buffer: Buffer,
-    /// Refusals of late.
-    pub hints: Mutex<Hints>,
     /// Retries left.
     pub budget: Mutex<Budget>,
     jitter: Mutex<Pcg64Mcg>,
+    router: Mutex<Router>,
+    pools: Mutex<Pools>,
+}
+
+/// Pools prepared for placement, of one picture of the fleet.
+#[derive(Debug, Default)]
+struct Pools {
+    fleet: Arc<Fleet>,
+    prepared: HashMap<Name, Arc<Pool>>,
 }
 
 /// What is known of a request once its key was accepted.
@@ -58,9 +70,10 @@
         Arc::new(Self {
             gate: Gate::new(limits.in_flight),
             buffer: Buffer::new(limits.buffered_bytes),
-            hints: Mutex::default(),
             budget: Mutex::new(Budget::new(limits.retry_percent, parts.clock.now())),
             jitter: Mutex::new(Pcg64Mcg::seed_from_u64(parts.seed)),
+            router: Mutex::new(Router::new(limits.placement.clone(), parts.seed)),
+            pools: Mutex::default(),
             parts,
         })
     }
@@ -68,10 +81,40 @@
     /// Returns a random number for a pause.
     #[must_use]
     pub fn random(&self) -> u64 {
-        self.jitter
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .random()
+        lock(&self.jitter).random()
+    }
+
+    /// Returns a pool prepared for placement; upstreams that nobody owns count as unusable.
+    #[must_use]
+    pub fn pool(&self, fleet: &Arc<Fleet>, name: &Name) -> Arc<Pool> {
+        let mut pools = lock(&self.pools);
+        if !Arc::ptr_eq(&pools.fleet, fleet) {
+            pools.fleet = Arc::clone(fleet);
+            pools.prepared.clear();
+        }
+        let pool = pools
+            .prepared
+            .entry(Name::clone(name))
+            .or_insert_with(|| Arc::new(prepare(fleet, name)));
+        Arc::clone(pool)
+    }
+
+    /// Orders a pool's upstreams for one try.
+    #[must_use]
+    pub fn order(&self, pool: &Pool, adapter: Option<&Adapter>, now: Millis) -> placement::Order {
+        lock(&self.router).order(pool, adapter, now)
+    }
+
+    /// Remembers for a short while that an upstream refused or broke.
+    pub fn refused(
+        &self,
+        pool: &Pool,
+        index: usize,
+        adapter: Option<&Adapter>,
+        code: Code,
+        now: Millis,
+    ) {
+        lock(&self.router).refused(pool, index, adapter, code, now);
     }
 
     /// Answers a request.
@@ -283,6 +326,21 @@
     }
 }
 
+fn prepare(fleet: &Fleet, name: &str) -> Pool {
+    Pool::of(fleet.pool(name).iter().map(|upstream| {
+        let vm = &upstream.vm;
+        let usable = upstream.state == State::Usable && fleet.owner(&vm.name).is_some();
+        (vm.name.as_ref(), vm.failure_domain.as_ref(), usable)
+    }))
+}
+
+/// Locks a table that is never held over an await.
+///
+/// A panic elsewhere leaves these tables usable: each change is a single step.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn wrong_kind(detail: &str) -> Problem {
     Problem {
         failure: Failure::new(
--- a/lib/src/entry/limits.rs
+++ b/lib/src/entry/limits.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Millis;
 use crate::fate;
+use crate::policy::placement;
 
 /// Bounds of one node's entry.
 #[derive(Debug, Clone)]
@@ -42,6 +43,8 @@
     pub default_output_tokens: u32,
     /// Longest wait for an upstream to become usable.
     pub patience: Millis,
+    /// How upstreams are ordered.
+    pub placement: placement::Limits,
     /// Retries for each hundred first tries.
     pub retry_percent: u32,
     /// Tries of one request.
@@ -73,6 +76,7 @@
             max_deadline: Millis::from_secs(600),
             default_output_tokens: 1_024,
             patience: Millis::from_secs(6),
+            placement: placement::Limits::default(),
             retry_percent: 20,
             rules: fate::Rules::default(),
             claim_timeout: Millis::from_secs(3),
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -10,7 +10,6 @@
 mod dispatch;
 mod gate;
 mod gateway;
-mod hints;
 mod json;
 mod key;
 mod limits;
--- a/lib/src/fate/mod.rs
+++ b/lib/src/fate/mod.rs
@@ -18,8 +18,7 @@
 pub struct Rules {
     /// Most tries of one request at upstreams, the first included.
     pub attempts: u32,
-    /// Most tries that end before an upstream or its queue was asked, such as at a node that no
-    /// longer owns it.
+    /// Most tries that cost no upstream anything, such as at a node that no longer owns it.
     pub redirects: u32,
     /// Most tries of one request whose fate is unknown.
     ///
@@ -109,10 +108,19 @@
     Elsewhere,
     /// No upstream was asked; the picture of who owns what was old.
     Redirect,
+    /// The owner says that another upstream serves it better: a step of routing, not a fault.
+    PassOn,
     /// No try of the same request can do better.
     Never,
 }
 
+impl Reaction {
+    /// Whether the failed try cost no upstream anything.
+    const fn is_free(self) -> bool {
+        matches!(self, Self::Redirect | Self::PassOn)
+    }
+}
+
 /// The circumstances of a failed try.
 #[derive(Debug, Clone, Copy)]
 pub struct Moment {
@@ -175,6 +183,12 @@
         self.state == State::NotSent && self.unsettled.is_none()
     }
 
+    /// Returns whether the try that comes next is the last one allowed.
+    #[must_use]
+    pub fn at_last_try(&self) -> bool {
+        self.attempts + 1 >= self.rules.attempts || self.redirects + 1 >= self.rules.redirects
+    }
+
     /// Notes that a runner gets the request now.
     pub fn send(&mut self) {
         self.state = State::MaybeRun;
@@ -221,7 +235,7 @@
         let failure = self.believe(failure);
         self.note(&failure);
         let reaction = reaction(failure.code);
-        if reaction == Reaction::Redirect {
+        if reaction.is_free() {
             self.attempts -= 1;
             self.redirects += 1;
         }
@@ -274,7 +288,7 @@
         let first = self.tries() <= 1;
         // A refusal costs its upstream nothing, so the first one is followed at
         // once by a try elsewhere; from then on callers must not move in step.
-        if settled && first && moment.untried && reaction == Reaction::Elsewhere {
+        if settled && moment.untried && (first || reaction == Reaction::PassOn) {
             return Millis::ZERO;
         }
         self.rules.backoff.pause(self.tries(), moment.random)
@@ -305,9 +319,9 @@
         if resume >= self.deadline {
             return Some(Withheld::Deadline);
         }
-        // A redirect costs no upstream anything, and all requests of a dead
-        // owner need one at once, so it isn't charged.
-        if reaction == Reaction::Elsewhere && !budget.spend() {
+        // All requests of a dead owner need a redirect at once; charging them
+        // would refuse most of them for nothing.
+        if !reaction.is_free() && !budget.spend() {
             return Some(Withheld::Budget);
         }
         None
@@ -319,6 +333,7 @@
         Code::NotOwner | Code::PeerUnreachable | Code::Draining | Code::UpstreamLeaving => {
             Reaction::Redirect
         }
+        Code::PassedOn => Reaction::PassOn,
         Code::QueueFull
         | Code::DeadlineTooShort
         | Code::LoadFailed
