membership: ownership machine, upstreams, gossip share and keeper

Cause: upstreams need one owner each, through outages, pauses and lost answers. Change: a machine without I/O (lease, witnesses, claims, takeover, handover), the picture of upstreams (list, failures, signs), and the keeper that drives them.

--- /dev/null
+++ b/lib/src/membership/keeper.rs
@@ -0,0 +1,531 @@
+//! Drives membership in a node: carries out what the machine wants and tells it
+//! what came of it.
+//!
+//! The state stands behind one lock that is held for a step of the machine and
+//! never over an await; the calls run as tasks of their own.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use futures::StreamExt;
+use log::{info, warn};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::{Clock, Millis};
+use crate::config::view::View;
+use crate::declaration::{Kind, Pool};
+use crate::loads::WEIGHTS;
+use crate::membership::fleet::{self, Fleet, State};
+use crate::membership::guard::Guards;
+use crate::membership::hearing::Hearing;
+use crate::membership::limits::Limits;
+use crate::membership::machine::{Action, Answer, Call, Machine};
+use crate::membership::node::{Identity, Keys};
+use crate::membership::upstreams::{Upstreams, Verdict};
+use crate::membership::witness::{Ask, Word};
+use crate::membership::{Adopter, Hold, Relay, Renewal, Sight};
+use crate::metrics::Metrics;
+use crate::name::Name;
+use crate::platform::{Directory, Error, Lease, Store, Vm, Watch};
+
+/// Time between two steps of the machine when nothing happens.
+const TICK: Millis = Millis(100);
+/// A peer renews for others only if the service answered it this lately.
+const REACHED: Millis = Millis(2000);
+/// Wait before a broken watch is begun again.
+const REWATCH: Millis = Millis(1000);
+
+/// What a keeper works with.
+#[derive(Debug)]
+pub struct Parts {
+    /// This start of this node.
+    pub identity: Identity,
+    /// The key-value service.
+    pub store: Arc<dyn Store>,
+    /// Its leases.
+    pub lease: Arc<dyn Lease>,
+    /// Its watches.
+    pub watch: Arc<dyn Watch>,
+    /// The list of VMs.
+    pub directory: Arc<dyn Directory>,
+    /// Takes charge of upstreams.
+    pub adopter: Arc<dyn Adopter>,
+    /// The configuration in force, for the pools.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Reaches peers as witnesses.
+    pub relay: Arc<dyn Relay>,
+    /// The node's monotonic clock.
+    pub clock: Arc<dyn Clock>,
+    /// Where rare events are counted.
+    pub metrics: Arc<Metrics>,
+    /// Times and budgets.
+    pub limits: Limits,
+    /// Prefix of all keys of this deployment.
+    pub prefix: Name,
+    /// Seed of the jitter.
+    pub seed: u64,
+    /// Peers to hear from while nothing else is known.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Membership of one node.
+#[derive(Debug)]
+pub struct Keeper {
+    pub(super) core: Mutex<Core>,
+    pub(super) parts: Parts,
+    keys: Keys,
+    fleet: watch::Sender<Arc<Fleet>>,
+    adoptions: mpsc::UnboundedSender<Adoption>,
+    drained: watch::Sender<bool>,
+    stop: CancellationToken,
+}
+
+/// What the lock guards.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub machine: Machine,
+    pub upstreams: Upstreams,
+    pub hearing: Hearing,
+    pub gossip: super::share::Progress,
+    published: (u64, u64),
+    next_release: Option<Millis>,
+    adopted: BTreeMap<Name, (State, u64)>,
+}
+
+/// What the adopter is told, in order.
+#[derive(Debug)]
+enum Adoption {
+    Adopt(fleet::Upstream, Arc<Pool>, Hold),
+    Release(u64, Name, Millis),
+}
+
+impl Keeper {
+    /// Starts membership; its tasks end with `stop`.
+    #[must_use]
+    pub fn start(parts: Parts, stop: CancellationToken) -> Arc<Self> {
+        let now = parts.clock.now();
+        let core = Core {
+            machine: Machine::new(
+                parts.identity.clone(),
+                parts.limits.clone(),
+                &parts.prefix,
+                parts.seed,
+                now,
+            ),
+            upstreams: Upstreams::new(Guards::all()),
+            hearing: Hearing::default(),
+            gossip: super::share::Progress::default(),
+            published: (0, 0),
+            next_release: None,
+            adopted: BTreeMap::new(),
+        };
+        let (adoptions, queue) = mpsc::unbounded_channel();
+        let keeper = Arc::new(Self {
+            core: Mutex::new(core),
+            keys: Keys::new(&parts.prefix),
+            fleet: watch::Sender::new(Arc::new(Fleet::default())),
+            adoptions,
+            drained: watch::Sender::new(false),
+            stop,
+            parts,
+        });
+        keeper.spawn(Arc::clone(&keeper).tick_all());
+        keeper.spawn(Arc::clone(&keeper).read_directory());
+        keeper.spawn(Arc::clone(&keeper).watch_keys());
+        keeper.spawn(Arc::clone(&keeper).follow_view());
+        keeper.spawn(Arc::clone(&keeper).tell_adopter(queue));
+        keeper
+    }
+
+    /// Returns where the picture of upstreams and owners is found.
+    #[must_use]
+    pub fn fleet(&self) -> watch::Receiver<Arc<Fleet>> {
+        self.fleet.subscribe()
+    }
+
+    /// Hands all upstreams over and ends the lease; returns when done, or after `limit`.
+    pub async fn drain(self: &Arc<Self>, limit: Millis) {
+        let mut drained = self.drained.subscribe();
+        self.step(|core, now| core.machine.drain(now, limit));
+        let patience = limit + self.parts.limits.call_timeout;
+        let done = drained.wait_for(|done| *done);
+        if timeout(patience.duration(), done).await.is_err() {
+            warn!("membership: the planned stop took longer than {limit}");
+        }
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let stop = self.stop.clone();
+        tokio::spawn(async move {
+            stop.run_until_cancelled(task).await;
+        });
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Core> {
+        // A panic inside a step leaves the state as the step before left it in the
+        // worst case; going on beats taking the node's requests down.
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets `step` change the state, then carries out what follows from it.
+    pub(super) fn step<T>(self: &Arc<Self>, step: impl FnOnce(&mut Core, Millis) -> T) -> T {
+        let now = self.parts.clock.now();
+        let mut core = self.lock();
+        let result = step(&mut core, now);
+        // The adopter must be told in the order of the machine's steps, so this
+        // happens under the lock; nothing here waits.
+        for action in core.machine.actions() {
+            self.carry_out(&mut core, now, action);
+        }
+        self.publish(&mut core, now);
+        if core.machine.drained() {
+            self.drained.send_replace(true);
+        }
+        result
+    }
+
+    fn carry_out(self: &Arc<Self>, core: &mut Core, now: Millis, action: Action) {
+        match action {
+            Action::Note(event) => self.note(event),
+            Action::Adopt {
+                upstream,
+                token,
+                until,
+            } => {
+                let hold = Hold::new(token, until, Arc::clone(&self.parts.clock));
+                self.adopt(core, now, &upstream, hold);
+            }
+            Action::Call(number, Call::Release(upstream, limit)) => {
+                self.send(Adoption::Release(number, upstream, limit));
+            }
+            Action::Call(number, call) => {
+                let keeper = Arc::clone(self);
+                self.spawn(async move {
+                    let answer = keeper.make(call).await;
+                    keeper.step(|core, now| core.machine.answer(now, number, answer));
+                });
+            }
+        }
+    }
+
+    fn send(&self, adoption: Adoption) {
+        // Bounded by the number of upstreams; the receiver ends only with the keeper.
+        if self.adoptions.send(adoption).is_err() {
+            warn!("membership: the adopter is told nothing any more");
+        }
+    }
+
+    fn note(&self, event: &'static str) {
+        self.parts.metrics.events.with_label_values(&[event]).inc();
+        info!("membership: {event}");
+    }
+
+    fn adopt(&self, core: &mut Core, now: Millis, upstream: &Name, hold: Hold) {
+        let Some((found, pool)) = self.describe(core, now, upstream) else {
+            core.adopted.remove(upstream);
+            return;
+        };
+        let mark = (found.state, hold.token());
+        core.adopted.insert(upstream.clone(), mark);
+        self.send(Adoption::Adopt(found, pool, hold));
+    }
+
+    fn describe(
+        &self,
+        core: &Core,
+        now: Millis,
+        upstream: &Name,
+    ) -> Option<(fleet::Upstream, Arc<Pool>)> {
+        if **upstream == *WEIGHTS {
+            return Some(weights());
+        }
+        let found = core.upstreams.get(now, upstream)?;
+        let pool = self.parts.view.borrow().pool(&found.vm.pool).cloned()?;
+        Some((found, pool))
+    }
+
+    async fn make(&self, call: Call) -> Answer {
+        let limit = self.parts.limits.call_timeout.duration();
+        let lost = || Error::NoAnswer("no answer in time".to_owned());
+        let Parts {
+            store,
+            lease,
+            relay,
+            ..
+        } = &self.parts;
+        match call {
+            Call::Grant(span) => Answer::Granted(
+                timeout(limit, lease.grant(span))
+                    .await
+                    .unwrap_or_else(|_| Err(lost())),
+            ),
+            Call::Renew(id) => Answer::Renewed(
+                timeout(limit, lease.renew(id))
+                    .await
+                    .unwrap_or_else(|_| Err(lost())),
+            ),
+            Call::Revoke(id) => {
+                if !matches!(timeout(limit, lease.revoke(id)).await, Ok(Ok(()))) {
+                    warn!("membership: the lease ends by its time, as revoking it failed");
+                }
+                Answer::Revoked
+            }
+            Call::Commit(transaction) => Answer::Committed(
+                timeout(limit, store.commit(transaction))
+                    .await
+                    .unwrap_or_else(|_| Err(lost())),
+            ),
+            Call::Read(key) => Answer::Read(
+                timeout(limit, store.get(&key))
+                    .await
+                    .unwrap_or_else(|_| Err(lost())),
+            ),
+            Call::List => Answer::Listed(
+                timeout(limit, store.list(self.keys.prefix()))
+                    .await
+                    .unwrap_or_else(|_| Err(lost())),
+            ),
+            Call::Ask(peer, ask) => {
+                let word = timeout(limit, relay.renew(peer, ask)).await;
+                Answer::Said(word.ok().flatten())
+            }
+            Call::Release(..) => Answer::Released,
+        }
+    }
+
+    async fn tick_all(self: Arc<Self>) {
+        loop {
+            self.step(|core, now| core.machine.tick(now));
+            tokio::time::sleep(TICK.duration()).await;
+        }
+    }
+
+    async fn tell_adopter(self: Arc<Self>, mut queue: mpsc::UnboundedReceiver<Adoption>) {
+        while let Some(adoption) = queue.recv().await {
+            match adoption {
+                Adoption::Adopt(upstream, pool, hold) => {
+                    self.parts.adopter.adopt(upstream, pool, hold).await;
+                }
+                Adoption::Release(number, upstream, limit) if limit == Millis::ZERO => {
+                    self.parts.adopter.release(&upstream, limit).await;
+                    self.released(number);
+                }
+                // The machine adopts an upstream again only after its release ended.
+                Adoption::Release(number, upstream, limit) => {
+                    let keeper = Arc::clone(&self);
+                    self.spawn(async move {
+                        keeper.parts.adopter.release(&upstream, limit).await;
+                        keeper.released(number);
+                    });
+                }
+            }
+        }
+    }
+
+    fn released(self: &Arc<Self>, number: u64) {
+        self.step(|core, now| core.machine.answer(now, number, Answer::Released));
+    }
+
+    async fn read_directory(self: Arc<Self>) {
+        let poll = self.parts.limits.directory_poll;
+        let limit = self.parts.limits.call_timeout.duration();
+        loop {
+            match timeout(limit, self.parts.directory.vms()).await {
+                Ok(Ok(vms)) => self.list_read(vms),
+                Ok(Err(error)) => self.list_failed(&error.to_string()),
+                Err(_) => self.list_failed("no answer in time"),
+            }
+            tokio::time::sleep(poll.duration()).await;
+        }
+    }
+
+    fn list_failed(&self, reason: &str) {
+        // The last good list stays in force; its age shows in `status`.
+        log::debug!("membership: the list of VMs can't be read: {reason}");
+        let events = &self.parts.metrics.events;
+        events.with_label_values(&["list_failed"]).inc();
+    }
+
+    fn list_read(self: &Arc<Self>, vms: Vec<Vm>) {
+        let listed = vms.len();
+        let verdict = self.step(|core, now| core.upstreams.list(now, vms));
+        if let Verdict::Doubted { missing } = verdict {
+            let events = &self.parts.metrics.events;
+            events.with_label_values(&["list_doubted"]).inc();
+            warn!(
+                "membership: the list of VMs ({listed}) lacks {missing} at once and isn't believed"
+            );
+        }
+    }
+
+    async fn watch_keys(self: Arc<Self>) {
+        loop {
+            let (watcher, from) = {
+                let core = self.lock();
+                (core.machine.watcher(), core.machine.table().read_up_to())
+            };
+            if watcher && from > 0 {
+                self.watch_from(from).await;
+                self.step(|core, _| core.machine.read_again());
+            }
+            tokio::time::sleep(REWATCH.duration()).await;
+        }
+    }
+
+    async fn watch_from(self: &Arc<Self>, from: u64) {
+        let watch = self.parts.watch.watch(self.keys.prefix(), from).await;
+        let Ok(mut events) = watch else {
+            return;
+        };
+        while let Some(Ok(event)) = events.next().await {
+            self.step(|core, now| core.machine.watched(now, &event));
+        }
+    }
+
+    async fn follow_view(self: Arc<Self>) {
+        let mut view = self.parts.view.clone();
+        while view.changed().await.is_ok() {
+            view.mark_unchanged();
+            self.step(|core, _| {
+                core.published = (u64::MAX, u64::MAX);
+                core.adopted.clear();
+            });
+        }
+    }
+
+    // Publishes the picture when it changed, tells the machine what there is to own,
+    // and tells the adopter of upstreams whose state or pool changed.
+    pub(super) fn publish(&self, core: &mut Core, now: Millis) {
+        let version = (core.upstreams.version(), core.machine.table().version());
+        let released = core.next_release.is_some_and(|at| now >= at);
+        if core.published == version && !released {
+            return;
+        }
+        let renewed = core.published.0 != version.0 || released;
+        core.published = version;
+        core.next_release = core.upstreams.next_release(now);
+        if renewed {
+            let regions = self.regions(core, now);
+            core.machine.upstreams(now, regions);
+        }
+        let owners = core
+            .machine
+            .table()
+            .claims()
+            .map(|claim| (claim.upstream.clone(), Arc::new(claim.owner())))
+            .collect();
+        let all = core.upstreams.all(now);
+        self.count(core, &all);
+        self.readopt(core, now);
+        self.fleet.send_replace(Arc::new(Fleet::new(all, owners)));
+    }
+
+    fn regions(&self, core: &Core, now: Millis) -> BTreeMap<Name, Name> {
+        let view = self.parts.view.borrow();
+        let mut regions: BTreeMap<Name, Name> = core
+            .upstreams
+            .all(now)
+            .into_iter()
+            .filter(|upstream| view.pool(&upstream.vm.pool).is_some())
+            .map(|upstream| (upstream.vm.name, upstream.vm.region))
+            .collect();
+        if !regions.is_empty() {
+            regions.insert(Name::from(WEIGHTS), Name::from(""));
+        }
+        regions
+    }
+
+    fn count(&self, core: &Core, all: &[fleet::Upstream]) {
+        let metrics = &self.parts.metrics;
+        for (state, name) in [
+            (State::Usable, "usable"),
+            (State::Held, "held"),
+            (State::Leaving, "leaving"),
+        ] {
+            let count = all
+                .iter()
+                .filter(|upstream| upstream.state == state)
+                .count();
+            let gauge = metrics.upstreams.with_label_values(&[name]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+        let owned = core.machine.held().count();
+        metrics.owned.set(i64::try_from(owned).unwrap_or(i64::MAX));
+    }
+
+    fn readopt(&self, core: &mut Core, now: Millis) {
+        let held: Vec<(Name, Hold)> = core
+            .machine
+            .holds(&self.parts.clock)
+            .map(|(name, hold)| (name.clone(), hold))
+            .collect();
+        for (upstream, hold) in held {
+            let state = core.upstreams.get(now, &upstream).map(|found| found.state);
+            let told = core.adopted.get(&upstream).copied();
+            let changed = match told {
+                Some((told, token)) => token != hold.token() || state.is_some_and(|s| s != told),
+                None => true,
+            };
+            if changed {
+                self.adopt(core, now, &upstream, hold);
+            }
+        }
+    }
+}
+
+/// The weight store's queue is owned like an upstream, though it has no address.
+fn weights() -> (fleet::Upstream, Arc<Pool>) {
+    let name = Name::from(WEIGHTS);
+    let vm = Vm {
+        name: name.clone(),
+        address: SocketAddr::from(([0, 0, 0, 0], 0)),
+        pool: name.clone(),
+        region: Name::from(""),
+        failure_domain: Name::from(""),
+        leaving: false,
+    };
+    let pool = Pool {
+        name,
+        kind: Kind::Service,
+        batch: 1,
+        checks_fencing: false,
+    };
+    let state = State::Usable;
+    (fleet::Upstream { vm, state }, Arc::new(pool))
+}
+
+#[async_trait::async_trait]
+impl Renewal for Keeper {
+    async fn renew(&self, ask: Ask) -> Word {
+        let now = self.parts.clock.now();
+        let (mut word, reached) = {
+            let mut core = self.lock();
+            let age = core.machine.service_age(now);
+            let reached = age.is_some_and(|age| age < REACHED);
+            (core.machine.hear(now, &ask), reached)
+        };
+        if ask.withdraw_before.is_none() && reached {
+            let half = Millis(self.parts.limits.call_timeout.0 / 2);
+            let renewed = timeout(half.duration(), self.parts.lease.renew(ask.lease)).await;
+            word.renewed = matches!(renewed, Ok(Ok(span)) if span > Millis::ZERO);
+        }
+        word
+    }
+}
+
+impl Sight for Keeper {
+    fn failed(&self, upstream: &str) {
+        let now = self.parts.clock.now();
+        let mut core = self.lock();
+        core.upstreams.failed(now, upstream);
+        self.publish(&mut core, now);
+    }
+
+    fn answered(&self, upstream: &str) {
+        let now = self.parts.clock.now();
+        self.lock().upstreams.answered(now, upstream);
+    }
+}
--- /dev/null
+++ b/lib/src/membership/machine/claims.rs
@@ -0,0 +1,590 @@
+//! Claiming, adopting and handing over upstreams.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use super::{Action, Call, Held, Machine, Purpose, Stopping};
+use crate::clock::Millis;
+use crate::membership::guard::Guard;
+use crate::membership::node::{Claim, Record};
+use crate::membership::placement::{self, Load};
+use crate::name::Name;
+use crate::platform::{Commit, Condition, Entry, Error, Transaction, Write};
+
+/// Time between two looks at who should own what, unless news comes.
+const PLAN: Millis = Millis(1000);
+/// Wait before upstreams without an owner are claimed, so that nodes which start
+/// together share them.
+const GATHER: Millis = Millis(1500);
+/// Claims that may be under way at once.
+const AT_ONCE: usize = 16;
+/// Wait after a handover that couldn't be written.
+const AGAIN: Millis = Millis(400);
+/// Time between looks for what ended nodes left behind.
+const TIDY: Millis = Millis::from_secs(60);
+
+/// What is under way for an upstream; meanwhile nothing else is begun for it.
+#[derive(Debug)]
+pub(super) enum Busy {
+    /// A claim for a node is being written over the one with this token.
+    Claiming { claim: Claim, over: u64 },
+    /// The answer was lost and the claim is being read.
+    Settling {
+        claim: Claim,
+        over: u64,
+        retry: Millis,
+    },
+    /// The upstream is being released before it goes to another node.
+    Releasing,
+}
+
+impl Machine {
+    pub(super) fn tend_claims(&mut self, now: Millis) {
+        self.retry_settling(now);
+        if now < self.next_plan {
+            return;
+        }
+        self.next_plan = now + PLAN;
+        self.watch_nodes(now);
+        if !self.may_claim(now) {
+            return;
+        }
+        self.claim_orphans(now);
+        self.balance(now);
+        self.tidy(now);
+    }
+
+    fn may_claim(&self, now: Millis) -> bool {
+        let Some(tenure) = &self.tenure else {
+            return false;
+        };
+        self.standing
+            && self.stopping.is_none()
+            && tenure.checked
+            && !tenure.dead
+            && now < tenure.service_until
+    }
+
+    fn watch_nodes(&mut self, now: Millis) {
+        let names = self.table.live().map(|record| {
+            let identity = &record.identity;
+            xxhash_rust::xxh3::xxh3_64_with_seed(identity.name.as_bytes(), identity.incarnation)
+        });
+        let digest = names.fold(0, |sum: u64, hash| sum.wrapping_add(hash));
+        if digest != self.nodes_digest {
+            self.nodes_digest = digest;
+            self.nodes_since = now;
+        }
+    }
+
+    fn load(&self) -> Load {
+        let owners = self
+            .table
+            .claims()
+            .filter(|claim| self.regions.contains_key(&claim.upstream))
+            .filter(|claim| self.table.owner_stands(claim))
+            .map(|claim| &claim.node);
+        Load::count(owners)
+    }
+
+    // Upstreams that have no owner, or whose owner's record is gone.
+    fn orphans(&self, now: Millis) -> Vec<(Name, Name, Option<Claim>)> {
+        let gathered = now.since(self.stood_since) >= GATHER;
+        self.regions
+            .iter()
+            .filter_map(|(upstream, region)| {
+                let claim = self.table.claim(upstream).cloned();
+                let orphan = match &claim {
+                    None => gathered,
+                    Some(claim) => !self.table.owner_stands(claim),
+                };
+                orphan.then(|| (upstream.clone(), region.clone(), claim))
+            })
+            .collect()
+    }
+
+    fn claim_orphans(&mut self, now: Millis) {
+        let orphans = self.orphans(now);
+        if orphans.is_empty() {
+            self.forget_withdrawals();
+            return;
+        }
+        let mut load = self.load();
+        let mut mine = Vec::new();
+        let live: Vec<&Record> = self.table.live().collect();
+        for (upstream, region, claim) in orphans {
+            let candidates = placement::candidates(&live, &region);
+            let Some(successor) = placement::successor(&upstream, &candidates, &load) else {
+                continue;
+            };
+            let name = successor.identity.name.clone();
+            load.add(&name);
+            if name == self.identity.name {
+                mine.push((upstream, claim));
+            }
+        }
+        for (upstream, claim) in mine {
+            if self.busy.len() >= AT_ONCE {
+                break;
+            }
+            if self.busy.contains_key(&upstream) {
+                continue;
+            }
+            match claim {
+                None => self.claim_free(now, &upstream),
+                Some(claim) => self.take_over(now, &claim),
+            }
+        }
+    }
+
+    fn own_claim(&self, upstream: &Name) -> Claim {
+        Claim {
+            upstream: upstream.clone(),
+            node: self.identity.name.clone(),
+            incarnation: self.identity.incarnation,
+            token: 0,
+            peer: self.identity.peer,
+        }
+    }
+
+    fn claim_free(&mut self, now: Millis, upstream: &Name) {
+        let mut conditions = self.claimant_conditions();
+        if self.guards.on(Guard::ClaimUnchanged) {
+            conditions.push(Condition::Absent(self.keys.claim(upstream)));
+        }
+        let claim = self.own_claim(upstream);
+        self.write_claim(now, claim, 0, conditions);
+    }
+
+    // The owner's record is gone, so its lease has lapsed later than its own bound.
+    // That its record is still gone, and that it hasn't registered and lapsed again
+    // since its witnesses withdrew, is checked in the write itself.
+    fn take_over(&mut self, now: Millis, claim: &Claim) {
+        if !self.witnesses_withdrew(now, claim) {
+            return;
+        }
+        let mut conditions = self.claimant_conditions();
+        let key = self.keys.claim(&claim.upstream);
+        if self.guards.on(Guard::ClaimUnchanged) {
+            conditions.push(Condition::Unchanged(key, claim.token));
+        }
+        if self.guards.on(Guard::OwnerGone) {
+            let key = self.keys.node(&claim.node);
+            conditions.push(match self.table.live_record(&claim.node) {
+                Some(other_start) => Condition::Unchanged(key, other_start.revision),
+                None => Condition::Absent(key),
+            });
+        }
+        if self.guards.on(Guard::OwnerUnregistered) {
+            let key = self.keys.registration(&claim.node, claim.incarnation);
+            let known = self.table.registration(&claim.node, claim.incarnation);
+            conditions.push(match known {
+                Some(record) => Condition::Unchanged(key, record.revision),
+                None => Condition::Absent(key),
+            });
+        }
+        self.note("takeover");
+        let own = self.own_claim(&claim.upstream);
+        self.write_claim(now, own, claim.token, conditions);
+    }
+
+    // A claim written late, after this node's lease lapsed, would name an owner that
+    // knows nothing of it.
+    fn claimant_conditions(&self) -> Vec<Condition> {
+        match &self.tenure {
+            Some(tenure) if self.guards.on(Guard::ClaimantRegistered) => {
+                let key = self.keys.node(&self.identity.name);
+                vec![Condition::Unchanged(key, tenure.record.revision)]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn write_claim(&mut self, now: Millis, claim: Claim, over: u64, conditions: Vec<Condition>) {
+        let upstream = claim.upstream.clone();
+        let put = Write::Put(self.keys.claim(&upstream), claim.to_value(), None);
+        let transaction = Transaction {
+            conditions,
+            writes: vec![put],
+        };
+        self.busy
+            .insert(upstream.clone(), Busy::Claiming { claim, over });
+        self.call(now, Purpose::Claim(upstream), Call::Commit(transaction));
+    }
+
+    pub(super) fn claimed(&mut self, now: Millis, upstream: &Name, result: &Result<Commit, Error>) {
+        let Some(Busy::Claiming { claim, over }) = self.busy.remove(upstream) else {
+            return;
+        };
+        match result {
+            Ok(commit) if commit.done => self.claim_stands(now, claim, commit.revision),
+            Ok(_) => {
+                self.next_handover = now + AGAIN;
+                self.list_wanted = true;
+            }
+            Err(Error::Unreachable(_) | Error::Refused(_)) => {
+                self.next_handover = now + AGAIN;
+                self.list_wanted = true;
+                self.reconcile(now);
+            }
+            Err(Error::NoAnswer(_) | Error::Malformed(_)) => {
+                if self.guards.on(Guard::SettleClaim) {
+                    self.settle_claim(now, claim, over);
+                } else {
+                    let assumed = self.table.newest() + 1;
+                    self.claim_stands(now, claim, assumed);
+                }
+            }
+        }
+    }
+
+    fn claim_stands(&mut self, now: Millis, claim: Claim, token: u64) {
+        self.table.learn_claim(Claim { token, ..claim });
+        self.reconcile(now);
+    }
+
+    fn settle_claim(&mut self, now: Millis, claim: Claim, over: u64) {
+        let upstream = claim.upstream.clone();
+        let retry = now + self.limits.lease;
+        let busy = Busy::Settling { claim, over, retry };
+        self.busy.insert(upstream.clone(), busy);
+        let key = self.keys.claim(&upstream);
+        self.call(now, Purpose::SettleClaim(upstream), Call::Read(key));
+    }
+
+    fn retry_settling(&mut self, now: Millis) {
+        let due: Vec<(Claim, u64)> = self
+            .busy
+            .values()
+            .filter_map(|busy| match busy {
+                Busy::Settling { claim, over, retry } if now >= *retry => {
+                    Some((claim.clone(), *over))
+                }
+                _ => None,
+            })
+            .collect();
+        for (claim, over) in due {
+            self.settle_claim(now, claim, over);
+        }
+    }
+
+    pub(super) fn claim_read(
+        &mut self,
+        now: Millis,
+        upstream: &Name,
+        result: Result<Option<Entry>, Error>,
+    ) {
+        let Ok(entry) = result else {
+            // Asked again after a while; until then the upstream stays busy.
+            return;
+        };
+        let Some(Busy::Settling { over, .. }) = self.busy.remove(upstream) else {
+            return;
+        };
+        let found = entry.and_then(|entry| Claim::from_value(&entry.value, entry.revision));
+        match found {
+            Some(found) if found.token != over => {
+                self.table.learn_claim(found);
+                self.reconcile(now);
+            }
+            _ => self.unsettled(now, upstream, over),
+        }
+    }
+
+    // The write hasn't taken effect so far, yet it may still do so. If the claim
+    // over which it was made is this node's own, going on under it would leave two
+    // owners when the write arrives. Writing the claim anew makes the late write fail.
+    fn unsettled(&mut self, now: Millis, upstream: &Name, over: u64) {
+        self.list_wanted = true;
+        let own = self
+            .table
+            .claim(upstream)
+            .filter(|claim| claim.token == over && claim.names(&self.identity))
+            .cloned();
+        let Some(own) = own else {
+            return;
+        };
+        let conditions = vec![Condition::Unchanged(self.keys.claim(upstream), over)];
+        self.write_claim(now, own, over, conditions);
+    }
+
+    /// Brings what is served in line with the claims that are known.
+    pub(super) fn reconcile(&mut self, now: Millis) {
+        let lost: Vec<Name> = self
+            .holds
+            .iter()
+            .filter(|(upstream, held)| {
+                let claim = self.table.claim(upstream);
+                claim.is_none_or(|c| c.token != held.token || !c.names(&self.identity))
+            })
+            .map(|(upstream, _)| upstream.clone())
+            .collect();
+        for upstream in lost {
+            self.note("claim_lost");
+            self.give_up(now, &upstream);
+        }
+        self.retire(now);
+        if !self.may_adopt() {
+            return;
+        }
+        let gained: Vec<(Name, u64)> = self
+            .table
+            .claims()
+            .filter(|claim| claim.names(&self.identity))
+            .filter(|claim| self.regions.contains_key(&claim.upstream))
+            .filter(|claim| !self.holds.contains_key(&claim.upstream))
+            .filter(|claim| !self.busy.contains_key(&claim.upstream))
+            .map(|claim| (claim.upstream.clone(), claim.token))
+            .collect();
+        for (upstream, token) in gained {
+            self.adopt(upstream, token);
+        }
+    }
+
+    // Upstreams that are on the list no more: what runs finishes, the claim goes.
+    fn retire(&mut self, now: Millis) {
+        let retired: Vec<Name> = self
+            .holds
+            .keys()
+            .filter(|upstream| !self.regions.contains_key(*upstream))
+            .filter(|upstream| !self.busy.contains_key(*upstream))
+            .cloned()
+            .collect();
+        for upstream in retired {
+            self.busy.insert(upstream.clone(), Busy::Releasing);
+            let call = Call::Release(upstream.clone(), self.limits.release);
+            self.call(now, Purpose::Release(upstream), call);
+        }
+    }
+
+    fn remove_claim(&mut self, now: Millis, upstream: &Name) {
+        let Some(token) = self.table.claim(upstream).map(|claim| claim.token) else {
+            return;
+        };
+        let key = self.keys.claim(upstream);
+        let transaction = Transaction {
+            conditions: vec![Condition::Unchanged(key.clone(), token)],
+            writes: vec![Write::Delete(key)],
+        };
+        self.call(now, Purpose::Tidy, Call::Commit(transaction));
+    }
+
+    fn may_adopt(&self) -> bool {
+        let checked = self.tenure.as_ref().is_some_and(|tenure| tenure.checked);
+        self.standing && checked && self.stopping.is_none()
+    }
+
+    fn adopt(&mut self, upstream: Name, token: u64) {
+        let until = Arc::new(AtomicU64::new(self.until.0));
+        let held = Held {
+            token,
+            until: Arc::clone(&until),
+        };
+        self.holds.insert(upstream.clone(), held);
+        self.actions.push(Action::Adopt {
+            upstream,
+            token,
+            until,
+        });
+    }
+
+    /// Stops serving an upstream at once; running requests go on to their end.
+    pub(super) fn give_up(&mut self, now: Millis, upstream: &Name) {
+        if let Some(held) = self.holds.remove(upstream) {
+            held.until.store(0, Ordering::Release);
+            let call = Call::Release(upstream.clone(), Millis::ZERO);
+            self.call(now, Purpose::Release(upstream.clone()), call);
+        }
+    }
+
+    // One upstream at a time goes from a node that holds two more than another, once
+    // the set of nodes has been still: a moved upstream takes no requests meanwhile.
+    fn balance(&mut self, now: Millis) {
+        let still = now.since(self.nodes_since) >= self.limits.settle;
+        if !still || now < self.next_rebalance || !self.busy.is_empty() {
+            return;
+        }
+        let span = self.limits.rebalance;
+        self.next_rebalance = now + self.jitter(span);
+        let load = self.load();
+        let own = load.of(&self.identity.name);
+        let live: Vec<&Record> = self.table.live().collect();
+        let moved = self.holds.keys().find(|upstream| {
+            let Some(region) = self.regions.get(*upstream) else {
+                return false;
+            };
+            let candidates = placement::candidates(&live, region);
+            placement::successor(upstream, &candidates, &load)
+                .is_some_and(|to| load.of(&to.identity.name) + 2 <= own)
+        });
+        if let Some(upstream) = moved.cloned() {
+            self.note("rebalanced");
+            self.hand_over(now, &upstream);
+        }
+    }
+
+    pub(super) fn hand_over(&mut self, now: Millis, upstream: &Name) {
+        self.busy.insert(upstream.clone(), Busy::Releasing);
+        let limit = self.limits.release;
+        let call = Call::Release(upstream.clone(), limit);
+        self.call(now, Purpose::Release(upstream.clone()), call);
+        if !self.guards.on(Guard::ReleaseFirst) {
+            self.write_handover(now, upstream);
+        }
+    }
+
+    pub(super) fn released(&mut self, now: Millis, upstream: &Name) {
+        if !matches!(self.busy.get(upstream), Some(Busy::Releasing)) {
+            return;
+        }
+        self.busy.remove(upstream);
+        if let Some(held) = self.holds.remove(upstream) {
+            held.until.store(0, Ordering::Release);
+        }
+        if !self.regions.contains_key(upstream) {
+            self.remove_claim(now, upstream);
+            return;
+        }
+        self.write_handover(now, upstream);
+    }
+
+    pub(super) fn write_handover(&mut self, now: Millis, upstream: &Name) {
+        let own = self.table.claim(upstream).cloned();
+        let Some(own) = own.filter(|claim| claim.names(&self.identity)) else {
+            return;
+        };
+        let mut load = self.load();
+        for busy in self.busy.values() {
+            if let Busy::Claiming { claim, .. } = busy {
+                load.add(&claim.node);
+            }
+        }
+        let region = self.regions.get(upstream).cloned().unwrap_or_default();
+        let live: Vec<&Record> = self
+            .table
+            .live()
+            .filter(|record| record.identity.name != self.identity.name)
+            .collect();
+        let candidates = placement::candidates(&live, &region);
+        let Some(successor) = placement::successor(upstream, &candidates, &load) else {
+            self.reconcile(now);
+            return;
+        };
+        let claim = Claim {
+            upstream: upstream.clone(),
+            node: successor.identity.name.clone(),
+            incarnation: successor.identity.incarnation,
+            token: 0,
+            peer: successor.identity.peer,
+        };
+        let conditions = vec![
+            Condition::Unchanged(self.keys.claim(upstream), own.token),
+            Condition::Unchanged(self.keys.node(&successor.identity.name), successor.revision),
+        ];
+        self.write_claim(now, claim, own.token, conditions);
+    }
+
+    // Registrations of nodes that are gone and own nothing would pile up.
+    fn tidy(&mut self, now: Millis) {
+        if now < self.next_tidy || !self.watcher() {
+            return;
+        }
+        self.next_tidy = now + self.jitter(TIDY);
+        let left = self.table.registrations().find(|record| {
+            let start = &record.identity;
+            let stands = self.table.live_record(&start.name);
+            stands.is_none() && !self.table.claims().any(|claim| claim.names(start))
+        });
+        let Some(left) = left.cloned() else {
+            return;
+        };
+        let start = &left.identity;
+        let key = self.keys.registration(&start.name, start.incarnation);
+        let transaction = Transaction {
+            conditions: vec![
+                Condition::Unchanged(key.clone(), left.revision),
+                Condition::Absent(self.keys.node(&start.name)),
+            ],
+            writes: vec![Write::Delete(key)],
+        };
+        self.call(now, Purpose::Tidy, Call::Commit(transaction));
+    }
+
+    /// Goes on with the node's planned stop.
+    pub(super) fn tend_stop(&mut self, now: Millis) {
+        let Some(stopping) = self.stopping else {
+            return;
+        };
+        if stopping.ending {
+            return;
+        }
+        let announced = self
+            .tenure
+            .as_ref()
+            .is_none_or(|tenure| tenure.record.draining || !tenure.checked);
+        if announced {
+            self.hand_all_over(now);
+        }
+        let rest = self
+            .table
+            .claims()
+            .any(|claim| claim.names(&self.identity) && self.table.live().count() > 1);
+        let clear = announced && self.holds.is_empty() && self.busy.is_empty() && !rest;
+        if clear || now >= stopping.until {
+            self.finish_stop(now, stopping);
+        }
+    }
+
+    fn hand_all_over(&mut self, now: Millis) {
+        if now < self.next_handover {
+            return;
+        }
+        let held: Vec<Name> = self
+            .holds
+            .keys()
+            .filter(|upstream| !self.busy.contains_key(*upstream))
+            .cloned()
+            .collect();
+        for upstream in held {
+            self.hand_over(now, &upstream);
+        }
+        let idle: Vec<Name> = self
+            .table
+            .claims()
+            .filter(|claim| claim.names(&self.identity))
+            .filter(|claim| !self.holds.contains_key(&claim.upstream))
+            .filter(|claim| !self.busy.contains_key(&claim.upstream))
+            .map(|claim| claim.upstream.clone())
+            .collect();
+        for upstream in idle {
+            self.write_handover(now, &upstream);
+        }
+    }
+
+    // Whatever could not be handed over goes to successors when the record is gone.
+    fn finish_stop(&mut self, now: Millis, stopping: Stopping) {
+        let left: Vec<Name> = self.holds.keys().cloned().collect();
+        for upstream in left {
+            self.give_up(now, &upstream);
+        }
+        self.standing = false;
+        self.until = now;
+        self.round = None;
+        match self.tenure.take() {
+            Some(tenure) => self.call(now, Purpose::Revoke, Call::Revoke(tenure.lease)),
+            None => self.revoked(),
+        }
+        // A second call would only wait for the first one's answer.
+        self.stopping = Some(Stopping {
+            ending: true,
+            done: self.drained(),
+            ..stopping
+        });
+    }
+
+    pub(super) fn revoked(&mut self) {
+        if let Some(stopping) = &mut self.stopping {
+            stopping.done = true;
+        }
+    }
+}
--- a/lib/src/membership/mod.rs
+++ b/lib/src/membership/mod.rs
@@ -1,11 +1,25 @@
 //! Who is there: nodes, upstreams, and which node owns which upstream.
 
 pub mod fleet;
+pub mod guard;
+pub mod hearing;
 pub mod hold;
+pub mod keeper;
+pub mod limits;
+pub mod machine;
+pub mod node;
+pub mod placement;
+pub mod share;
+pub mod table;
+pub mod upstreams;
 pub mod witness;
 
 pub use fleet::Fleet;
 pub use hold::Hold;
+pub use keeper::{Keeper, Parts};
+pub use limits::Limits;
+pub use node::Identity;
+pub use share::Node;
 
 use std::fmt;
 use std::net::SocketAddr;
--- /dev/null
+++ b/lib/src/membership/share.rs
@@ -0,0 +1,205 @@
+//! Spreading claims, node records and signs of leaving from peer to peer.
+//!
+//! A node that can't reach the key-value service learns owners this way, and
+//! nodes that don't watch it hear of changes within a few exchanges.
+
+use bytes::Bytes;
+
+use crate::clock::Millis;
+use crate::gossip::{Peer, Peers, Share};
+use crate::membership::hearing;
+use crate::membership::keeper::{Core, Keeper};
+use crate::membership::node::{Claim, Record};
+use crate::name::Name;
+use crate::schema::peer::{self, Delta, Digest};
+
+/// Exchanges that find the tables unequal before the whole table is asked for.
+const UNEQUAL: u32 = 3;
+/// A node whose record ended stays a peer if it was heard of this lately.
+const HEARD: Millis = Millis::from_secs(30);
+
+/// How the tables compared with peers' of late.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    unequal: u32,
+}
+
+/// A node as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Node {
+    /// Its record.
+    pub record: Record,
+    /// How long ago it was last heard of, if ever.
+    pub age: Option<Millis>,
+}
+
+impl Keeper {
+    /// Lists the nodes that are known, this one included.
+    #[must_use]
+    pub fn nodes(&self) -> Vec<Node> {
+        let now = self.parts.clock.now();
+        let core = self.lock();
+        core.machine
+            .table()
+            .live()
+            .map(|record| Node {
+                record: record.clone(),
+                age: core
+                    .hearing
+                    .of(&record.identity.name)
+                    .map(|word| now.since(word.at)),
+            })
+            .collect()
+    }
+}
+
+impl Peers for Keeper {
+    fn peers(&self) -> Vec<Peer> {
+        let now = self.parts.clock.now();
+        let own = &self.parts.identity;
+        let core = self.lock();
+        let heard = |record: &Record| {
+            let word = core.hearing.of(&record.identity.name);
+            word.is_some_and(|word| now.since(word.at) < HEARD)
+        };
+        let peers: Vec<Peer> = core
+            .machine
+            .table()
+            .records()
+            .filter(|record| record.identity.name != own.name)
+            .filter(|record| !record.gone || heard(record))
+            .map(|record| Peer {
+                name: record.identity.name.clone(),
+                address: record.identity.peer,
+                region: record.identity.region.clone(),
+            })
+            .collect();
+        if !peers.is_empty() {
+            return peers;
+        }
+        let seeds = self.parts.seeds.iter();
+        seeds
+            .filter(|address| **address != own.peer)
+            .map(|address| Peer {
+                name: Name::from(""),
+                address: *address,
+                region: own.region.clone(),
+            })
+            .collect()
+    }
+}
+
+impl Share for Keeper {
+    fn digest(&self, digest: &mut Digest) {
+        let now = self.parts.clock.now();
+        let own = &self.parts.identity;
+        let mut core = self.lock();
+        digest.node = own.name.to_string();
+        digest.incarnation = own.incarnation;
+        let table = core.machine.table();
+        digest.claims_digest = Bytes::copy_from_slice(&table.digest().to_le_bytes());
+        digest.claims_token = table.newest();
+        let age = core.machine.service_age(now);
+        digest.service_age_ms = age.map_or(u64::MAX, |age| age.0);
+        digest.full_claims = core.gossip.unequal >= UNEQUAL;
+        digest.heard = core.hearing.tell(now);
+        digest.leaving = core
+            .upstreams
+            .signs(now)
+            .map(|(upstream, age)| peer::Leaving {
+                upstream: upstream.to_string(),
+                age_ms: u32::try_from(age.0).unwrap_or(u32::MAX),
+            })
+            .collect();
+        // Told by the node itself until its record can be read at the service, so that
+        // a node which starts while the service is down is known to its peers.
+        if core.machine.table().live_record(&own.name).is_none() {
+            digest.nodes = vec![unregistered(self)];
+        }
+    }
+
+    fn answer(&self, theirs: &Digest, delta: &mut Delta) {
+        let core = self.lock();
+        let table = core.machine.table();
+        if *theirs.claims_digest == table.digest().to_le_bytes() {
+            return;
+        }
+        let after = if theirs.full_claims {
+            0
+        } else {
+            theirs.claims_token
+        };
+        delta.claims = table
+            .claims()
+            .filter(|claim| claim.token > after)
+            .map(Claim::to_message)
+            .collect();
+        delta.nodes = table
+            .records()
+            .filter(|record| record.revision > after)
+            .map(Record::to_message)
+            .collect();
+    }
+
+    fn learn(&self, delta: &Delta) -> bool {
+        let now = self.parts.clock.now();
+        let mut guard = self.lock();
+        let core = &mut *guard;
+        let mut news = false;
+        for claim in delta.claims.iter().filter_map(Claim::from_message) {
+            news |= core.machine.learn(now, |table| table.learn_claim(claim));
+        }
+        let records = delta.nodes.iter().filter(|node| node.revision > 0);
+        for record in records.filter_map(Record::from_message) {
+            news |= core.machine.learn(now, |table| table.learn_record(record));
+        }
+        if let Some(digest) = &delta.digest {
+            learn_digest(core, now, digest);
+        }
+        self.publish(core, now);
+        news
+    }
+}
+
+fn learn_digest(core: &mut Core, now: Millis, digest: &Digest) {
+    let equal = *digest.claims_digest == core.machine.table().digest().to_le_bytes();
+    core.gossip.unequal = if equal { 0 } else { core.gossip.unequal + 1 };
+    if core.gossip.unequal > UNEQUAL {
+        core.gossip.unequal = 0;
+    }
+    core.hearing.heard(
+        &digest.node,
+        hearing::Word {
+            incarnation: digest.incarnation,
+            at: now,
+            draining: false,
+        },
+    );
+    for heard in &digest.heard {
+        core.hearing.heard(
+            &heard.node,
+            hearing::Word {
+                incarnation: heard.incarnation,
+                at: now.since(Millis(u64::from(heard.age_ms))),
+                draining: heard.draining,
+            },
+        );
+    }
+    for leaving in &digest.leaving {
+        let at = now.since(Millis(u64::from(leaving.age_ms)));
+        core.upstreams.sign(at, &leaving.upstream);
+    }
+}
+
+fn unregistered(keeper: &Keeper) -> peer::NodeRecord {
+    let own = &keeper.parts.identity;
+    peer::NodeRecord {
+        node: own.name.to_string(),
+        incarnation: own.incarnation,
+        peer_address: own.peer.to_string(),
+        region: own.region.to_string(),
+        failure_domain: own.failure_domain.to_string(),
+        operators_address: own.operators.to_string(),
+        ..peer::NodeRecord::default()
+    }
+}
--- a/lib/src/membership/witness.rs
+++ b/lib/src/membership/witness.rs
@@ -13,6 +13,8 @@
 use std::collections::HashMap;
 
 use crate::clock::Millis;
+use crate::membership::guard::{Guard, Guards};
+use crate::membership::limits::{SUPPORT_SPAN, drift};
 use crate::name::Name;
 use crate::platform::LeaseId;
 
@@ -59,8 +61,8 @@
 pub struct Witness {
     speaks_from: Millis,
     quiet: Millis,
-    span: Millis,
     memories: HashMap<(Name, u64), Memory>,
+    guards: Guards,
 }
 
 impl Witness {
@@ -70,12 +72,23 @@
     /// `quiet`, longer than any round of asking plus a support span. Without it
     /// a witness could withdraw, restart, and support the same owner again.
     #[must_use]
-    pub fn new(now: Millis, span: Millis, quiet: Millis) -> Self {
+    pub fn new(now: Millis, quiet: Millis) -> Self {
+        Self::with_guards(now, quiet, Guards::all())
+    }
+
+    /// Makes a witness that may lack a guard, for the fuzz harness.
+    #[must_use]
+    pub fn with_guards(now: Millis, quiet: Millis, guards: Guards) -> Self {
+        let quiet = if guards.on(Guard::WitnessQuiet) {
+            quiet
+        } else {
+            Millis::ZERO
+        };
         Self {
             speaks_from: now + quiet,
             quiet,
-            span,
             memories: HashMap::new(),
+            guards,
         }
     }
 
@@ -90,9 +103,10 @@
             .entry((ask.node.clone(), ask.incarnation))
             .or_default();
         memory.touched = now;
+        let guards = self.guards;
         match ask.withdraw_before {
-            None => memory.support(now, ask.registration),
-            Some(revision) => memory.withdraw(now, revision, self.span),
+            None => memory.support(now, ask.registration, guards),
+            Some(revision) => memory.withdraw(now, revision, guards),
         }
     }
 
@@ -111,9 +125,10 @@
 }
 
 impl Memory {
-    fn support(&mut self, now: Millis, registration: u64) -> Word {
+    fn support(&mut self, now: Millis, registration: u64, guards: Guards) -> Word {
         // A withdrawn registration may have a successor already.
-        let supported = registration >= self.withdrawn_before;
+        let withdrawn = registration < self.withdrawn_before;
+        let supported = !withdrawn || !guards.on(Guard::WitnessRemembers);
         if supported {
             self.supported_at = Some(now);
         }
@@ -123,17 +138,18 @@
         }
     }
 
-    fn withdraw(&mut self, now: Millis, revision: u64, span: Millis) -> Word {
-        // The owner may count on support for a span from when it asked, which was
-        // before the witness heard it; the eighth allows for clocks that run at different rates.
+    fn withdraw(&mut self, now: Millis, revision: u64, guards: Guards) -> Word {
+        // The owner counts on support for a span from when it asked, which was before
+        // this witness heard it. The drift allows for clocks of different rates.
         let counted_on = self
             .supported_at
-            .is_some_and(|at| now < at + span + Millis(span.0 / 8));
-        if !counted_on {
+            .is_some_and(|at| now <= at + SUPPORT_SPAN + drift(SUPPORT_SPAN));
+        let withdrawn = !counted_on || !guards.on(Guard::WitnessWaits);
+        if withdrawn {
             self.withdrawn_before = self.withdrawn_before.max(revision);
         }
         Word {
-            withdrawn: !counted_on,
+            withdrawn,
             ..Word::default()
         }
     }
--- a/lib/src/protos/chivevalve.peer.rs
+++ b/lib/src/protos/chivevalve.peer.rs
@@ -159,6 +159,17 @@
     pub nodes_digest: ::prost::bytes::Bytes,
     #[prost(message, repeated, tag = "13")]
     pub nodes: ::prost::alloc::vec::Vec<NodeRecord>,
+    /// Upstreams that the sender knows to leave, so that those who read the list later hear of it.
+    #[prost(message, repeated, tag = "14")]
+    pub leaving: ::prost::alloc::vec::Vec<Leaving>,
+}
+/// A sign that an upstream leaves.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Leaving {
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 /// Where a node is; it changes only with the incarnation.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
