standins: all in one process, with knobs and oracles over HTTP

Cause: daemons that run as processes of their own need the platform in another. Measured: started, store stopped and resumed, engine restarted through the control interface with curl; SIGTERM ends it.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,8 +5,10 @@
 //! virtual time without a socket. Knobs make them fail; oracles record what
 //! truly happened. See docs/standins.md.
 
+pub mod control;
 pub mod directory;
 pub mod engine;
+pub mod platform;
 pub mod serve;
 pub mod service;
 pub mod store;
