--- /dev/null
+++ b/lib/src/config/error.rs
@@ -0,0 +1,79 @@
+//! Why an operators' call on the configuration failed, and what to do.
+
+use std::sync::Arc;
+
+use thiserror::Error as ThisError;
+
+use crate::platform;
+use crate::schema::declaration::Operation;
+
+/// A call that wasn't carried out, or of which that isn't known.
+#[derive(Debug, Clone, ThisError)]
+pub enum Error {
+    /// Another change was accepted first. Nothing was written.
+    #[error("revision {} by {} was accepted first: {}", .0.revision, .0.author, .0.reason)]
+    LostRace(Arc<Operation>),
+    /// The configuration moved on since the caller looked. Nothing was written.
+    #[error("the configuration is at revision {now}, not at {expected}")]
+    Moved {
+        /// What the caller looked at.
+        expected: u64,
+        /// What is newest.
+        now: u64,
+        /// The newest change, where it is known.
+        newest: Option<Arc<Operation>>,
+    },
+    /// The service didn't answer in time; the change may or may not be accepted.
+    #[error("it isn't known whether change {id} was accepted: {cause}")]
+    Unsettled {
+        /// The change's identity.
+        id: String,
+        /// The last error of the service.
+        cause: platform::Error,
+    },
+    /// The service can't be reached. Nothing was written.
+    #[error("the key-value service can't be used: {0}")]
+    Unavailable(platform::Error),
+    /// Others kept changing the configuration at the same time. Nothing was written.
+    #[error("too many changes at the same time")]
+    Contended,
+    /// The declarations can't be put in force. Nothing was written.
+    #[error("the declarations can't be put in force: {0}")]
+    Invalid(String),
+    /// A part of the configuration is too large for one value of the service. Nothing was written.
+    #[error("{0} bytes don't fit a value of the service")]
+    TooLarge(usize),
+    /// The revision isn't kept any more, or never was.
+    #[error("revision {0} isn't kept")]
+    UnknownRevision(u64),
+    /// The newest revision can't be read by this node. Nothing was written.
+    #[error("this node can't read the newest revision: {0}")]
+    Unreadable(String),
+}
+
+impl Error {
+    /// Returns what the operator can do.
+    #[must_use]
+    pub fn hint(&self) -> &'static str {
+        match self {
+            Self::LostRace(_) | Self::Moved { .. } => {
+                "look at the other change, merge it into your declarations, and plan again"
+            }
+            Self::Unsettled { .. } => {
+                "apply the same change with the same identity again; it is never applied twice"
+            }
+            Self::Unavailable(_) => "try again when the service is back; what is in force stays",
+            Self::Contended => "try again",
+            Self::Invalid(_) => "correct the declarations",
+            Self::TooLarge(_) => "shorten the largest declarations",
+            Self::UnknownRevision(_) => "apply the older declarations from version control",
+            Self::Unreadable(_) => "apply through a node of the newest version",
+        }
+    }
+
+    /// Whether the change is certainly not accepted.
+    #[must_use]
+    pub fn is_certain(&self) -> bool {
+        !matches!(self, Self::Unsettled { .. })
+    }
+}
--- /dev/null
+++ b/lib/src/config/follower.rs
@@ -0,0 +1,201 @@
+//! Follows the key-value service without a call for each node and change.
+//!
+//! A few nodes of each region watch the service; the others hear from them. A
+//! node that heard nothing fresh for a while asks the service itself, so that
+//! wrong pictures of who is there cost calls and not changes.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use futures::StreamExt;
+use log::{debug, info, warn};
+use prost::Message;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::keeper::Keeper;
+use super::source::{Failure, HeadAt};
+use crate::clock::Millis;
+use crate::gossip::rank;
+use crate::platform::{self, Event};
+use crate::schema::declaration::{Head, Operation};
+
+/// First wait after a failed call, in milliseconds.
+const FIRST_WAIT: Millis = Millis(500);
+/// Longest wait after failed calls, in milliseconds.
+const MAX_WAIT: Millis = Millis(15_000);
+/// How often a node looks whether it is to watch, in milliseconds.
+const ROLE_CHECK: Millis = Millis(2_000);
+/// How long peers may take to bring a revision that was heard of, in milliseconds.
+const PATIENCE: Millis = Millis(3_000);
+
+/// Follows the service until the keeper stops.
+pub(super) async fn run(keeper: Arc<Keeper>) {
+    let stop = keeper.parts.stop.clone();
+    let rng = Pcg32::seed_from_u64(keeper.parts.seed);
+    let mut follower = Follower {
+        keeper,
+        rng,
+        wait: FIRST_WAIT,
+        failing: false,
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = follower.run() => {}
+    }
+}
+
+struct Follower {
+    keeper: Arc<Keeper>,
+    rng: Pcg32,
+    wait: Millis,
+    failing: bool,
+}
+
+impl Follower {
+    async fn run(&mut self) {
+        loop {
+            let watcher = self.watcher();
+            self.keeper.watching.store(watcher, Ordering::Relaxed);
+            let ended = if watcher {
+                self.watch().await
+            } else {
+                self.listen().await
+            };
+            match ended {
+                Ok(()) => self.succeeded(),
+                Err(failure) => self.back_off(&failure).await,
+            }
+        }
+    }
+
+    fn watcher(&self) -> bool {
+        let parts = &self.keeper.parts;
+        rank::is_among(
+            &parts.node,
+            &parts.region,
+            &parts.peers.peers(),
+            parts.limits.watchers,
+        )
+    }
+
+    /// Watches the service until the watch breaks or others watch.
+    async fn watch(&mut self) -> Result<(), Failure> {
+        let keeper = Arc::clone(&self.keeper);
+        let head = keeper.catch_up().await?;
+        self.succeeded();
+        let mut changes = keeper
+            .parts
+            .watch
+            .watch(&keeper.source.layout().watched(), head.read)
+            .await?;
+        let mut confirm = Box::pin(tokio::time::sleep(
+            self.jitter(keeper.parts.limits.confirm).duration(),
+        ));
+        let mut role = tokio::time::interval(ROLE_CHECK.duration());
+        loop {
+            tokio::select! {
+                change = changes.next() => match change {
+                    Some(event) => self.changed(&event?).await?,
+                    None => return Err(broken().into()),
+                },
+                () = &mut confirm => {
+                    keeper.catch_up().await?;
+                    let next = self.jitter(keeper.parts.limits.confirm);
+                    confirm.set(tokio::time::sleep(next.duration()));
+                }
+                () = keeper.behind.notified() => {
+                    keeper.catch_up().await?;
+                }
+                _ = role.tick() => if !self.watcher() {
+                    return Ok(());
+                },
+            }
+        }
+    }
+
+    /// Takes over what a watch saw.
+    async fn changed(&self, event: &Event) -> Result<(), Failure> {
+        let Some(entry) = &event.entry else {
+            // Nobody removes the head; operations go when they are old.
+            return Ok(());
+        };
+        let asked = self.keeper.now();
+        let malformed = |error| {
+            Failure::from(platform::Error::Malformed(format!(
+                "{}: {error}",
+                entry.key
+            )))
+        };
+        if entry.key != self.keeper.source.layout().head() {
+            let operation = Operation::decode(entry.value.clone()).map_err(malformed)?;
+            self.keeper.offer(&[Arc::new(operation)]);
+            return Ok(());
+        }
+        let head = HeadAt {
+            head: Head::decode(entry.value.clone()).map_err(malformed)?,
+            written: Some(entry.revision),
+            read: event.revision,
+        };
+        self.keeper.take_head(&head, asked).await
+    }
+
+    /// Leaves the service alone while peers keep this node fresh.
+    async fn listen(&mut self) -> Result<(), Failure> {
+        let keeper = Arc::clone(&self.keeper);
+        let nap = self.jitter(ROLE_CHECK);
+        tokio::select! {
+            () = tokio::time::sleep(nap.duration()) => {}
+            () = keeper.behind.notified() => {
+                let patience = self.jitter(PATIENCE);
+                tokio::time::sleep(patience.duration()).await;
+            }
+        }
+        let (behind, age, known) = {
+            let state = keeper.state();
+            let known = state.learned().revision() > 0;
+            let behind = state.heard() > state.learned().revision();
+            (behind, state.age(keeper.now()), known)
+        };
+        let poll = self.jitter(keeper.parts.limits.poll);
+        let fresh = known && age.is_some_and(|age| age < poll);
+        if behind || !fresh {
+            keeper.catch_up().await?;
+        }
+        Ok(())
+    }
+
+    /// Spreads a wait over 75 to 125 of 100, so that nodes don't call in step.
+    fn jitter(&mut self, span: Millis) -> Millis {
+        let percent = self.rng.random_range(75..=125);
+        Millis(span.0.saturating_mul(percent) / 100)
+    }
+
+    fn succeeded(&mut self) {
+        if self.failing {
+            info!("config: the service answers again");
+        }
+        self.failing = false;
+        self.wait = FIRST_WAIT;
+    }
+
+    /// Waits before the next call, anywhere up to a bound that doubles.
+    ///
+    /// When the service comes back after an outage, all nodes want it at once;
+    /// waits that are spread over their whole range keep them from calling in step.
+    async fn back_off(&mut self, failure: &Failure) {
+        if self.failing {
+            debug!("config: {failure}");
+        } else {
+            warn!("config: {failure}");
+        }
+        self.failing = true;
+        let wait = Millis(self.rng.random_range(self.wait.0 / 4..=self.wait.0));
+        tokio::time::sleep(wait.duration()).await;
+        self.wait = (self.wait + self.wait).min(MAX_WAIT);
+    }
+}
+
+fn broken() -> platform::Error {
+    platform::Error::NoAnswer("the watch ended".to_owned())
+}
--- /dev/null
+++ b/lib/src/config/history.rs
@@ -0,0 +1,106 @@
+//! Earlier revisions: who changed what, and what was declared then.
+
+use std::sync::Arc;
+
+use super::error::Error;
+use super::layout::BLOCK;
+use super::source::Source;
+use super::state::is_omitted;
+use super::view::View;
+use crate::declaration::{Set, diff};
+use crate::platform;
+use crate::schema::declaration::Operation;
+
+/// Reads up to `limit` operations up to a revision, the newest first.
+///
+/// # Errors
+///
+/// When the service doesn't answer.
+pub async fn operations(
+    source: &Source,
+    last: u64,
+    limit: usize,
+) -> Result<Vec<Arc<Operation>>, platform::Error> {
+    let mut found: Vec<Arc<Operation>> = Vec::new();
+    let mut block = last / BLOCK;
+    loop {
+        let listed = source.block(block * BLOCK).await?;
+        // Older blocks are cleared away first, so an empty one ends the history.
+        let ended = block == 0 || listed.is_empty();
+        let older = listed.into_iter().rev();
+        found.extend(older.filter(|operation| operation.revision <= last));
+        if ended || found.len() >= limit {
+            found.truncate(limit);
+            return Ok(found);
+        }
+        block -= 1;
+    }
+}
+
+/// Returns what was declared at a revision.
+///
+/// Differences are taken back one by one from the newest revision; where an
+/// operation doesn't carry its own, the snapshot before it is read.
+///
+/// # Errors
+///
+/// [`Error::UnknownRevision`] when what is needed isn't kept any more.
+pub async fn at(source: &Source, newest: &View, revision: u64) -> Result<Set, Error> {
+    if revision > newest.revision() {
+        return Err(Error::UnknownRevision(revision));
+    }
+    let mut set = newest.set();
+    let mut at = newest.revision();
+    while at > revision {
+        let operations = source.block(at).await.map_err(Error::Unavailable)?;
+        let before = at;
+        for operation in operations.iter().rev() {
+            if operation.revision != at || at == revision {
+                continue;
+            }
+            if is_omitted(operation) {
+                return forward(source, operation.previous_snapshot, revision).await;
+            }
+            diff::patch(&mut set, &diff::reverse(&operation.differences));
+            at -= 1;
+        }
+        if at == before {
+            return Err(Error::UnknownRevision(revision));
+        }
+    }
+    Ok(set)
+}
+
+/// Starts from the newest snapshot that isn't newer than the revision.
+async fn forward(source: &Source, snapshot: u64, revision: u64) -> Result<Set, Error> {
+    let mut snapshot = snapshot;
+    let unknown = |_| Error::UnknownRevision(revision);
+    while snapshot > revision {
+        let operation = source
+            .operation(snapshot)
+            .await
+            .map_err(Error::Unavailable)?;
+        let operation = operation.ok_or(Error::UnknownRevision(revision))?;
+        snapshot = operation.previous_snapshot;
+    }
+    let mut set = Set::default();
+    if snapshot > 0 {
+        let operation = source
+            .operation(snapshot)
+            .await
+            .map_err(Error::Unavailable)?;
+        let operation = operation.ok_or(Error::UnknownRevision(revision))?;
+        set = source
+            .set(&operation.bucket_digests)
+            .await
+            .map_err(unknown)?;
+    }
+    let later = source
+        .operations(snapshot, revision)
+        .await
+        .map_err(unknown)?;
+    for operation in later {
+        diff::patch(&mut set, &operation.differences);
+    }
+    Ok(set)
+}
--- /dev/null
+++ b/lib/src/config/keeper.rs
@@ -0,0 +1,401 @@
+//! Keeps a node's configuration: learns it, puts it in force, hands it on.
+//!
+//! What a node has learned stands behind a lock that is held for a moment and
+//! never over an await, because the exchange between nodes reads and fills it
+//! in passing. Requests don't touch it: they read the view's watch channel.
+//! What must be exact between nodes is decided by the service's compare-and-swap.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use log::{error, info, warn};
+use prometheus::{IntCounterVec, Opts};
+use serde::Serialize;
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+use super::layout::Layout;
+use super::prefetch::{self, GRACE, Prefetch, Upcoming};
+use super::source::{HeadAt, Missing, Source};
+use super::state::{State, Taken};
+use super::view::{self, View};
+use crate::clock::{Clock, Millis};
+use crate::declaration::convert;
+use crate::gossip::Peers;
+use crate::metrics::Metrics;
+use crate::name::Name;
+use crate::platform::{Store, Watch, Weights};
+use crate::schema::declaration::{Difference, Operation};
+
+/// Longest time between two looks at what is due and at the age, in milliseconds.
+const TICK: Millis = Millis(1_000);
+
+/// How the keeper spends calls and time.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// How long a call to the service may take.
+    pub call_timeout: Millis,
+    /// Nodes that watch the service, in each region.
+    pub watchers: usize,
+    /// Time between a watcher's reads of the head, by which all nodes know that they are fresh.
+    pub confirm: Millis,
+    /// A node that heard nothing fresh for so long asks the service itself.
+    pub poll: Millis,
+    /// How long a revision waits for the adapters that its templates move to.
+    pub grace: Millis,
+    /// Most bytes of operations handed to a peer in one answer.
+    pub answer_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            call_timeout: Millis(2_000),
+            watchers: 3,
+            confirm: Millis(5_000),
+            poll: Millis(20_000),
+            grace: GRACE,
+            answer_bytes: 256 * 1024,
+        }
+    }
+}
+
+/// What the keeper is made of.
+#[derive(Debug)]
+pub struct Parts {
+    /// This node's name.
+    pub node: Name,
+    /// This node's region.
+    pub region: Name,
+    /// The key-value service.
+    pub store: Arc<dyn Store>,
+    /// Its watches.
+    pub watch: Arc<dyn Watch>,
+    /// The weight store's listing, for plans.
+    pub weights: Arc<dyn Weights>,
+    /// The other nodes, by which it is known who watches.
+    pub peers: Arc<dyn Peers>,
+    /// Hears of adapters ahead of time.
+    pub prefetch: Arc<dyn Prefetch>,
+    /// Prefix of this deployment's keys; ends in a slash or is empty.
+    pub prefix: String,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Calls and times.
+    pub limits: Limits,
+    /// Seed of jitter.
+    pub seed: u64,
+    /// Ends the keeper's tasks.
+    pub stop: CancellationToken,
+}
+
+/// What operators see of a node's configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Status {
+    /// Revision on which requests are decided.
+    pub revision: u64,
+    /// Newest revision learned; it is in force as soon as its adapters are fetched.
+    pub learned: u64,
+    /// Newest revision that anyone spoke of.
+    pub heard: u64,
+    /// Time since the service confirmed that nothing newer exists; none is never.
+    pub confirmed_age_ms: Option<u64>,
+    /// Whether this node watches the service for the others.
+    pub watcher: bool,
+    /// The revision that this node can't read, and why.
+    pub refused: Option<String>,
+    /// How often something older than what is known was offered.
+    pub stale: u64,
+    /// Digest of the learned revision, in hexadecimal.
+    pub digest: String,
+    /// Declared client accounts.
+    pub accounts: usize,
+    /// Declared pools.
+    pub pools: usize,
+    /// Declared templates.
+    pub templates: usize,
+}
+
+/// Keeps a node's configuration.
+#[derive(Debug)]
+pub struct Keeper {
+    pub(super) parts: Parts,
+    pub(super) source: Source,
+    state: Mutex<State>,
+    in_force: watch::Sender<Arc<View>>,
+    /// Wakes the task that puts due revisions in force.
+    due: Notify,
+    /// Wakes the task that asks the service.
+    pub(super) behind: Notify,
+    pub(super) watching: std::sync::atomic::AtomicBool,
+    events: IntCounterVec,
+}
+
+impl Keeper {
+    /// Starts the tasks that follow the service and put revisions in force.
+    #[must_use]
+    pub fn start(parts: Parts) -> Arc<Self> {
+        let keeper = Arc::new(Self::new(parts));
+        tokio::spawn(Arc::clone(&keeper).put_in_force());
+        tokio::spawn(super::follower::run(Arc::clone(&keeper)));
+        keeper
+    }
+
+    fn new(parts: Parts) -> Self {
+        let layout = Layout::new(&parts.prefix);
+        let source = Source::new(Arc::clone(&parts.store), layout, parts.limits.call_timeout);
+        let events = counters(&parts.metrics);
+        let (in_force, _) = watch::channel(Arc::default());
+        Self {
+            source,
+            events,
+            in_force,
+            state: Mutex::default(),
+            due: Notify::new(),
+            behind: Notify::new(),
+            watching: std::sync::atomic::AtomicBool::new(false),
+            parts,
+        }
+    }
+
+    /// Returns the channel of the view in force; revision 0 means that none is known yet.
+    #[must_use]
+    pub fn view(&self) -> watch::Receiver<Arc<View>> {
+        self.in_force.subscribe()
+    }
+
+    /// Returns what operators see.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let now = self.now();
+        let state = self.state();
+        let learned = state.learned();
+        Status {
+            revision: state.in_force().revision(),
+            learned: learned.revision(),
+            heard: state.heard(),
+            confirmed_age_ms: state.age(now).map(|age| age.0),
+            watcher: self.watching.load(std::sync::atomic::Ordering::Relaxed),
+            refused: state
+                .refusal()
+                .map(|refusal| format!("revision {}: {}", refusal.revision, refusal.why)),
+            stale: state.stale(),
+            digest: convert::hex(&learned.digest().bytes()),
+            accounts: learned.accounts().count(),
+            pools: learned.pools().count(),
+            templates: learned.templates().count(),
+        }
+    }
+
+    /// Returns the newest revision that this node holds whole.
+    #[must_use]
+    pub fn learned(&self) -> Arc<View> {
+        Arc::clone(self.state().learned())
+    }
+
+    pub(super) fn now(&self) -> Millis {
+        self.parts.clock.now()
+    }
+
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        // Every change of the state is one assignment after its checks, so a
+        // panic elsewhere leaves it whole.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn count(&self, kind: &str) {
+        self.events.with_label_values(&[kind]).inc();
+    }
+
+    /// Offers operations in order. Returns whether any was new, and whether some are missing.
+    pub(super) fn offer(&self, operations: &[Arc<Operation>]) -> (bool, bool) {
+        let mut upcoming = Vec::new();
+        let (mut news, mut gap) = (false, false);
+        {
+            let mut state = self.state();
+            for operation in operations {
+                let taken = state.offer(operation, |old, new| {
+                    self.due_of(old, new, &operation.differences, &mut upcoming)
+                });
+                news |= taken == Taken::New;
+                gap |= taken == Taken::Gap;
+                self.note(operation.revision, &taken);
+            }
+            self.publish(&mut state);
+        }
+        self.announce(&upcoming);
+        (news, gap)
+    }
+
+    /// Offers a whole revision. Returns whether it was new.
+    pub(super) fn install(&self, view: View, digest: &[u8]) -> bool {
+        let mut upcoming = Vec::new();
+        let revision = view.revision();
+        let taken = {
+            let mut state = self.state();
+            let taken = state.install(view, digest, |old, new| {
+                self.due_of(old, new, &[], &mut upcoming)
+            });
+            self.publish(&mut state);
+            taken
+        };
+        self.note(revision, &taken);
+        self.announce(&upcoming);
+        taken == Taken::New
+    }
+
+    /// Notes that a revision can't be read.
+    pub(super) fn refuse(&self, revision: u64, why: view::Error) {
+        let taken = self.state().refuse(revision, why);
+        self.note(revision, &taken);
+    }
+
+    /// Notes what the service holds as the newest.
+    pub(super) fn confirm(&self, revision: u64, at: Millis) {
+        let mut state = self.state();
+        let learned = state.learned().revision();
+        let first = state.stale() == 0;
+        if !state.confirm(revision, at) {
+            return;
+        }
+        drop(state);
+        self.count("stale");
+        if first {
+            warn!("config: the service offers revision {revision}; revision {learned} stays");
+        }
+    }
+
+    /// Reads the service's head and takes over what is newer.
+    pub(super) async fn catch_up(&self) -> Result<HeadAt, super::source::Failure> {
+        let asked = self.now();
+        let head = self.source.head().await?;
+        self.take_head(&head, asked).await?;
+        Ok(head)
+    }
+
+    /// Takes over what a head that was read at `asked` speaks of.
+    pub(super) async fn take_head(
+        &self,
+        head: &HeadAt,
+        asked: Millis,
+    ) -> Result<(), super::source::Failure> {
+        let revision = head.head.revision;
+        let have = self.state().learned().revision();
+        if revision > have
+            && let Err(failure) = self.fetch(have, head).await
+        {
+            if let super::source::Failure::Unreadable(why) = &failure {
+                self.refuse(revision, why.clone());
+            }
+            return Err(failure);
+        }
+        self.confirm(revision, asked);
+        Ok(())
+    }
+
+    async fn fetch(&self, have: u64, head: &HeadAt) -> Result<(), super::source::Failure> {
+        let missing = match self.source.missing(have, &head.head).await? {
+            Missing::Operations(operations) => {
+                let (_, gap) = self.offer(&operations);
+                if !gap {
+                    return Ok(());
+                }
+                self.source.whole(&head.head).await?
+            }
+            whole @ Missing::Whole(..) => whole,
+        };
+        if let Missing::Whole(view, digest) = missing {
+            self.count("snapshot_service");
+            self.install(*view, &digest);
+        }
+        Ok(())
+    }
+
+    /// Decides when a revision is in force, and collects what to fetch first.
+    fn due_of(
+        &self,
+        old: &View,
+        new: &View,
+        differences: &[Difference],
+        upcoming: &mut Vec<Upcoming>,
+    ) -> Millis {
+        let now = self.now();
+        if old.revision() == 0 {
+            return now;
+        }
+        let moved = prefetch::moved(old, new, differences);
+        if moved.is_empty() {
+            return now;
+        }
+        upcoming.extend(moved);
+        now + self.parts.limits.grace
+    }
+
+    fn announce(&self, upcoming: &[Upcoming]) {
+        if !upcoming.is_empty() {
+            self.parts.prefetch.upcoming(upcoming);
+        }
+        self.due.notify_one();
+    }
+
+    fn note(&self, revision: u64, taken: &Taken) {
+        match taken {
+            Taken::New => info!("config: learned revision {revision}"),
+            Taken::Known => {}
+            Taken::Gap => self.count("gap"),
+            Taken::Refused(why) => {
+                self.count("refused");
+                error!("config: revision {revision} can't be read and the old one stays: {why}");
+            }
+        }
+    }
+
+    /// Puts in force what is due.
+    ///
+    /// The channel is written under the state's lock: two threads that wrote it
+    /// one after the other could otherwise leave the older view in it.
+    fn publish(&self, state: &mut State) {
+        if let Some(view) = state.release(self.now()) {
+            let metrics = &self.parts.metrics;
+            metrics
+                .revision
+                .set(i64::try_from(view.revision()).unwrap_or(i64::MAX));
+            self.in_force.send_replace(view);
+        }
+    }
+
+    async fn put_in_force(self: Arc<Self>) {
+        loop {
+            let next = {
+                let mut state = self.state();
+                self.publish(&mut state);
+                let now = self.now();
+                let age = state
+                    .age(now)
+                    .map_or(-1, |age| i64::try_from(age.0).unwrap_or(i64::MAX));
+                self.parts.metrics.revision_age_ms.set(age);
+                state
+                    .next_due()
+                    .map_or(TICK, |due| due.since(now).min(TICK))
+            };
+            tokio::select! {
+                () = self.parts.stop.cancelled() => return,
+                () = self.due.notified() => {}
+                () = tokio::time::sleep(next.duration()) => {}
+            }
+        }
+    }
+}
+
+fn counters(metrics: &Metrics) -> IntCounterVec {
+    let opts = Opts::new(
+        "chivevalve_config_events_total",
+        "Rare events of the configuration, by kind.",
+    );
+    let events = IntCounterVec::new(opts, &["kind"]).expect("name and label are constants");
+    // Registering fails only when a process keeps two configurations on one
+    // registry, as a test may; the counters then work unseen.
+    let _ = metrics.registry().register(Box::new(events.clone()));
+    events
+}
--- a/lib/src/config/mod.rs
+++ b/lib/src/config/mod.rs
@@ -1,5 +1,27 @@
 //! The configuration in force: read by every request, replaced as a whole.
+//!
+//! Operators' changes go through the key-value service as immutable operations
+//! under a rising revision ([`layout`], [`writer`]); nodes learn them from the
+//! service or from one another (`follower`, `share`) and never go back
+//! ([`state`]). docs/design/0005-configuration.md has the ways weighed.
 
+pub mod digest;
+pub mod error;
+mod follower;
+pub mod history;
+pub mod keeper;
+pub mod layout;
+pub mod operator;
+pub mod plan;
+pub mod prefetch;
+mod share;
+pub mod source;
+pub mod state;
 pub mod view;
+pub mod writer;
 
+pub use error::Error;
+pub use keeper::{Keeper, Limits, Parts, Status};
+pub use operator::{Accepted, Order, new_id};
+pub use plan::Plan;
 pub use view::View;
--- /dev/null
+++ b/lib/src/config/operator.rs
@@ -0,0 +1,263 @@
+//! What operators do with the configuration.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+
+use super::error::Error;
+use super::history;
+use super::keeper::Keeper;
+use super::plan::{self, Plan};
+use super::source::{Failure, HeadAt};
+use super::view::View;
+use super::writer::{self, Ending, Proposal};
+use crate::declaration::{Set, Source as File, diff, export};
+use crate::name::Name;
+use crate::schema::declaration::Operation;
+
+/// How often a change is begun anew because what it rests on moved.
+const ROUNDS: usize = 4;
+
+/// Who changes the configuration, and why.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Identity of the change, chosen by the caller and used again when the
+    /// caller asks again after an answer was lost; [`new_id`] makes one.
+    pub id: Name,
+    /// Who.
+    pub author: Name,
+    /// Why.
+    pub reason: String,
+    /// The revision that the caller's plan rests on, or none to follow whatever is newest.
+    pub expected: Option<u64>,
+    /// Milliseconds since 1970, for people only.
+    pub time_ms: u64,
+}
+
+/// An accepted change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The revision that it became, or the newest one when nothing differed.
+    pub revision: u64,
+    /// How many declarations differ.
+    pub differences: u32,
+    /// Whether it had been accepted before this call.
+    pub already: bool,
+}
+
+/// Makes the identity of a change.
+#[must_use]
+pub fn new_id() -> Name {
+    let bits: u128 = rand::random();
+    Arc::from(format!("{bits:032x}"))
+}
+
+impl Keeper {
+    /// Says what a set of declarations would change and break.
+    ///
+    /// The service is asked for the newest revision; without its answer the plan
+    /// rests on what this node has.
+    pub async fn plan(&self, set: &Set) -> Plan {
+        let known = self.catch_up().await;
+        let view = self.learned();
+        let mut plan = plan::plan(&view, set, &*self.parts.weights).await;
+        if let Err(failure) = known {
+            plan.warnings.push(format!(
+                "the newest revision can't be confirmed, and this plan rests on revision {}: {failure}",
+                view.revision()
+            ));
+        }
+        plan
+    }
+
+    /// Applies a set of declarations as one change.
+    ///
+    /// Returns only when the change is durable. A caller that got no answer may
+    /// call again with the same identity, at any node.
+    ///
+    /// # Errors
+    ///
+    /// Each says whether the change is certainly not accepted.
+    pub async fn apply(&self, order: &Order, set: &Set) -> Result<Accepted, Error> {
+        let ended = self.settle(order, set).await;
+        match &ended {
+            Ok(accepted) => {
+                self.count("accepted");
+                info!(
+                    "config: {} changed the configuration to revision {}",
+                    order.author, accepted.revision
+                );
+            }
+            Err(error) => {
+                self.count(if error.is_certain() {
+                    "rejected"
+                } else {
+                    "unsettled"
+                });
+                warn!(
+                    "config: a change by {} wasn't accepted: {error}",
+                    order.author
+                );
+            }
+        }
+        ended
+    }
+
+    /// Lists up to `limit` operations up to a revision, the newest first.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't answer.
+    pub async fn history(
+        &self,
+        last: Option<u64>,
+        limit: usize,
+    ) -> Result<Vec<Arc<Operation>>, Error> {
+        let head = self.catch_up().await.map_err(unavailable)?;
+        let last = last.unwrap_or(head.head.revision).min(head.head.revision);
+        history::operations(&self.source, last, limit)
+            .await
+            .map_err(Error::Unavailable)
+    }
+
+    /// Declares again what was declared at a revision, as a new one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Keeper::apply`], and when the revision isn't kept any more.
+    pub async fn rollback(&self, order: &Order, to: u64) -> Result<Accepted, Error> {
+        self.catch_up().await.map_err(unavailable)?;
+        let set = self.declared_at(to).await?;
+        let mut order = order.clone();
+        order.reason = format!("rollback to revision {to}: {}", order.reason);
+        self.apply(&order, &set).await
+    }
+
+    /// Returns what was declared at a revision.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't answer or the revision isn't kept any more.
+    pub async fn declared_at(&self, revision: u64) -> Result<Set, Error> {
+        let newest = self.learned();
+        history::at(&self.source, &newest, revision).await
+    }
+
+    /// Writes the newest revision as files that can be applied elsewhere.
+    #[must_use]
+    pub fn export(&self) -> Vec<File> {
+        export::export(&self.learned().set())
+    }
+
+    async fn settle(&self, order: &Order, set: &Set) -> Result<Accepted, Error> {
+        for _ in 0..ROUNDS {
+            let base = self.catch_up().await.map_err(unavailable)?;
+            if let Some(accepted) = self.earlier(order).await? {
+                return Ok(accepted);
+            }
+            let before = self.learned();
+            self.expected(order, &before).await?;
+            let Some(proposal) = propose(order, set, base, &before)? else {
+                return Ok(Accepted {
+                    revision: before.revision(),
+                    differences: 0,
+                    already: false,
+                });
+            };
+            match writer::write(&self.source, &proposal).await? {
+                Ending::Accepted => return Ok(self.accepted(proposal)),
+                Ending::Already(revision) => return Ok(already(revision)),
+                Ending::Lost(theirs) => return Err(Error::LostRace(theirs)),
+                Ending::Again => {}
+            }
+        }
+        Err(Error::Contended)
+    }
+
+    /// Looks whether an earlier call with this identity was accepted.
+    async fn earlier(&self, order: &Order) -> Result<Option<Accepted>, Error> {
+        let revision = self.source.change(&order.id).await;
+        Ok(revision.map_err(Error::Unavailable)?.map(already))
+    }
+
+    async fn expected(&self, order: &Order, before: &View) -> Result<(), Error> {
+        let now = before.revision();
+        match order.expected {
+            Some(expected) if expected != now => {
+                let newest = self.source.operation(now).await.ok().flatten();
+                Err(Error::Moved {
+                    expected,
+                    now,
+                    newest,
+                })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Takes over a change that was just accepted, so that this node spreads it at once.
+    fn accepted(&self, proposal: Proposal) -> Accepted {
+        let operation = proposal.operation;
+        let accepted = Accepted {
+            revision: operation.revision,
+            differences: operation.difference_count,
+            already: false,
+        };
+        let digest = operation.view_digest.clone();
+        let (_, gap) = self.offer(&[Arc::new(operation)]);
+        if gap {
+            self.install(proposal.after, &digest);
+        }
+        accepted
+    }
+}
+
+fn propose(
+    order: &Order,
+    set: &Set,
+    base: HeadAt,
+    before: &View,
+) -> Result<Option<Proposal>, Error> {
+    let differences = diff::diff(&before.set(), set);
+    if differences.is_empty() {
+        return Ok(None);
+    }
+    // A service that lost data is behind the nodes: the new revision must be
+    // above what they have, or none of them would take it.
+    let revision = before.revision().max(base.head.revision) + 1;
+    let after = before
+        .change(revision, &differences)
+        .map_err(|error| Error::Invalid(error.to_string()))?;
+    let operation = Operation {
+        revision,
+        change_id: order.id.to_string(),
+        author: order.author.to_string(),
+        reason: order.reason.clone(),
+        time_ms: order.time_ms,
+        view_digest: after.digest().bytes(),
+        difference_count: u32::try_from(differences.len()).unwrap_or(u32::MAX),
+        differences,
+        ..Operation::default()
+    };
+    Ok(Some(Proposal {
+        base,
+        after,
+        operation,
+    }))
+}
+
+fn already(revision: u64) -> Accepted {
+    Accepted {
+        revision,
+        differences: 0,
+        already: true,
+    }
+}
+
+fn unavailable(failure: Failure) -> Error {
+    match failure {
+        Failure::Service(error) => Error::Unavailable(error),
+        Failure::Unreadable(error) => Error::Unreadable(error.to_string()),
+    }
+}
--- /dev/null
+++ b/lib/src/config/plan.rs
@@ -0,0 +1,138 @@
+//! What a change would do, and what it would break.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use futures::{StreamExt, stream};
+
+use super::view::View;
+use crate::adapter::Adapter;
+use crate::declaration::{Kind, Pool, Set, convert, diff};
+use crate::platform::Weights;
+use crate::schema::declaration::Difference;
+use crate::schema::declaration::difference::{After, Before};
+
+/// Adapter versions looked up in the weight store at a time.
+const PARALLEL: usize = 8;
+/// Most adapter versions looked up for one plan.
+const MAX_LOOKUPS: usize = 2_000;
+
+/// What a change would do.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The revision that the change would follow; apply takes it as the expected one.
+    pub revision: u64,
+    /// What would differ.
+    pub differences: Vec<Difference>,
+    /// What would break, in sentences.
+    pub warnings: Vec<String>,
+}
+
+impl Plan {
+    /// Writes the differences for people.
+    #[must_use]
+    pub fn render(&self) -> String {
+        diff::render(&self.differences)
+    }
+}
+
+/// Compares a set of declarations with a view.
+pub async fn plan(view: &View, set: &Set, weights: &dyn Weights) -> Plan {
+    let differences = diff::diff(&view.set(), set);
+    let mut warnings = missing(set, &differences, weights).await;
+    warnings.extend(vanished(&differences));
+    warnings.extend(limits(set));
+    Plan {
+        revision: view.revision(),
+        differences,
+        warnings,
+    }
+}
+
+/// Names the adapter versions that the weight store doesn't have.
+async fn missing(set: &Set, differences: &[Difference], weights: &dyn Weights) -> Vec<String> {
+    let wanted: BTreeSet<Adapter> = differences
+        .iter()
+        .filter_map(|difference| match &difference.after {
+            Some(After::TemplateAfter(template)) => {
+                let pool: Arc<Pool> = convert::pool(set.pools.get(&template.pool)?).ok()?.into();
+                convert::template(template, Some(&pool)).ok()?.adapter
+            }
+            _ => None,
+        })
+        .collect();
+    let skipped = wanted.len().saturating_sub(MAX_LOOKUPS);
+    let mut warnings: Vec<String> = stream::iter(wanted.into_iter().take(MAX_LOOKUPS))
+        .map(|adapter| async move {
+            match weights.has(&adapter).await {
+                Ok(true) => None,
+                Ok(false) => Some(format!(
+                    "adapter {adapter} for {} isn't in the weight store; its requests would be \
+                     refused with 2016",
+                    adapter.base_model
+                )),
+                Err(error) => Some(format!("adapter {adapter} can't be looked up: {error}")),
+            }
+        })
+        .buffered(PARALLEL)
+        .filter_map(|warning| async { warning })
+        .collect()
+        .await;
+    if skipped > 0 {
+        warnings.push(format!(
+            "{skipped} adapter versions weren't looked up; a plan looks up {MAX_LOOKUPS}"
+        ));
+    }
+    warnings
+}
+
+/// Names the templates and accounts whose callers would be refused.
+fn vanished(differences: &[Difference]) -> Vec<String> {
+    differences
+        .iter()
+        .filter(|difference| difference.after.is_none())
+        .filter_map(|difference| match difference.before.as_ref()? {
+            Before::TemplateBefore(template) => Some(format!(
+                "template {}/{} goes: running requests end as usual, new ones are refused with 1003",
+                template.account, template.name
+            )),
+            Before::AccountBefore(account) => Some(format!(
+                "account {} goes: its callers are refused with 1002",
+                account.name
+            )),
+            Before::PoolBefore(pool) => Some(format!(
+                "pool {} goes: its upstreams get no new work",
+                pool.name
+            )),
+        })
+        .collect()
+}
+
+/// Names limits that can't be reached or that waste slots.
+fn limits(set: &Set) -> Vec<String> {
+    let pools: Vec<Pool> = set
+        .pools
+        .values()
+        .filter_map(|pool| convert::pool(pool).ok())
+        .collect();
+    let wasted = pools.iter().filter_map(|pool| match pool.kind {
+        Kind::Engine { slots, .. } if slots > pool.batch => Some(format!(
+            "pool {}: {slots} slots exceed the batch of {}; at most {} adapters can run at a time",
+            pool.name, pool.batch, pool.batch
+        )),
+        _ => None,
+    });
+    let largest = pools.iter().map(|pool| pool.batch).max().unwrap_or(0);
+    let beyond = set
+        .accounts
+        .values()
+        .filter(|account| largest > 0 && account.max_in_flight > largest)
+        .map(|account| {
+            format!(
+                "account {}: max_in_flight {} exceeds every pool's batch (at most {largest}), so \
+                 it limits nothing",
+                account.name, account.max_in_flight
+            )
+        });
+    wasted.chain(beyond).collect()
+}
--- /dev/null
+++ b/lib/src/config/share.rs
@@ -0,0 +1,122 @@
+//! The configuration's part in the exchange between nodes.
+
+use std::sync::Arc;
+
+use prost::Message;
+
+use super::keeper::Keeper;
+use super::layout;
+use super::view::View;
+use crate::clock::Millis;
+use crate::declaration::Set;
+use crate::gossip::{Install, Share, Snapshot};
+use crate::schema::declaration::{Bucket, Head};
+use crate::schema::peer::{Delta, Digest, SnapshotPart};
+
+impl Share for Keeper {
+    fn digest(&self, digest: &mut Digest) {
+        let now = self.now();
+        let state = self.state();
+        digest.revision = state.learned().revision();
+        digest.view_digest = state.learned().digest().bytes().into();
+        digest.confirmed_age_ms = state.age(now).map_or(0, |age| age.0.saturating_add(1));
+    }
+
+    fn answer(&self, theirs: &Digest, delta: &mut Delta) {
+        let state = self.state();
+        if theirs.revision >= state.learned().revision() {
+            return;
+        }
+        match state.since(theirs.revision, self.parts.limits.answer_bytes) {
+            Some(operations) => delta
+                .operations
+                .extend(operations.iter().map(|operation| (**operation).clone())),
+            None => delta.snapshot_needed = true,
+        }
+    }
+
+    fn learn(&self, delta: &Delta) -> bool {
+        let operations: Vec<_> = delta.operations.iter().cloned().map(Arc::new).collect();
+        let (news, _) = self.offer(&operations);
+        let Some(theirs) = &delta.digest else {
+            return news;
+        };
+        let now = self.now();
+        let behind = {
+            let mut state = self.state();
+            state.hear(theirs.revision);
+            let learned = state.learned();
+            let equal = theirs.revision == learned.revision();
+            let like = theirs.view_digest == learned.digest().bytes();
+            if equal && !like {
+                drop(state);
+                self.count("conflict");
+                return news;
+            }
+            if equal && theirs.confirmed_age_ms > 0 {
+                let age = Millis(theirs.confirmed_age_ms - 1);
+                state.confirm(theirs.revision, now - age);
+            }
+            state.heard() > state.learned().revision()
+        };
+        if behind {
+            self.behind.notify_one();
+        }
+        news
+    }
+}
+
+impl Snapshot for Keeper {
+    fn parts(&self) -> Box<dyn Iterator<Item = SnapshotPart> + Send> {
+        let view = self.learned();
+        let head = Head {
+            revision: view.revision(),
+            view_digest: view.digest().bytes(),
+            ..Head::default()
+        };
+        let first = SnapshotPart {
+            head: Some(head),
+            ..SnapshotPart::default()
+        };
+        let buckets = layout::buckets(&view.set()).into_iter().map(|stored| {
+            let bucket = Bucket::decode(stored.value.as_slice()).unwrap_or_default();
+            SnapshotPart {
+                bucket: Some(bucket),
+                ..SnapshotPart::default()
+            }
+        });
+        Box::new(std::iter::once(first).chain(buckets))
+    }
+}
+
+impl Install for Keeper {
+    fn is_wanted(&self, revision: u64) -> bool {
+        self.state().learned().revision() < revision
+    }
+
+    fn install(&self, parts: Vec<SnapshotPart>) -> bool {
+        let mut head = Head::default();
+        let mut set = Set::default();
+        for part in parts {
+            if let Some(theirs) = part.head {
+                head = theirs;
+            }
+            if let Some(file) = part.bucket.and_then(|bucket| bucket.file) {
+                set.extend(file);
+            }
+        }
+        if !self.is_wanted(head.revision) {
+            return false;
+        }
+        match View::from_set(head.revision, &set) {
+            Ok(view) => {
+                self.count("snapshot_peer");
+                Self::install(self, view, &head.view_digest)
+            }
+            Err(why) => {
+                self.refuse(head.revision, why);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/config/source.rs
@@ -0,0 +1,272 @@
+//! Reads the configuration from the key-value service.
+
+use std::sync::Arc;
+
+use futures::{StreamExt, TryStreamExt, stream};
+use prost::Message;
+use thiserror::Error;
+
+use super::layout::{self, BLOCK, Layout};
+use super::state::is_omitted;
+use super::view::{self, View};
+use crate::clock::Millis;
+use crate::declaration::Set;
+use crate::platform::{self, Entry, Store};
+use crate::schema::declaration::{Bucket, Head, Operation};
+
+/// Calls in progress at a time while reading many values.
+const PARALLEL: usize = 8;
+/// Up to this many missing operations are read one by one; more come as whole blocks.
+const SINGLES: u64 = 8;
+
+/// The head with the service's revision of its last write.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct HeadAt {
+    /// The head; revision 0 before any change.
+    pub head: Head,
+    /// The service's revision of the head's last write, or none when there is no head.
+    pub written: Option<u64>,
+    /// The service's revision as of the read.
+    pub read: u64,
+}
+
+/// What a node lacks.
+#[derive(Debug, Clone)]
+pub enum Missing {
+    /// Operations that follow what it has.
+    Operations(Vec<Arc<Operation>>),
+    /// The head's revision as a whole, with its writer's digest.
+    Whole(Box<View>, Vec<u8>),
+}
+
+/// Why what a node lacks couldn't be had.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Failure {
+    /// The service failed.
+    #[error(transparent)]
+    Service(#[from] platform::Error),
+    /// This version can't read it.
+    #[error(transparent)]
+    Unreadable(#[from] view::Error),
+}
+
+/// The configuration as the service holds it.
+#[derive(Debug, Clone)]
+pub struct Source {
+    store: Arc<dyn Store>,
+    layout: Layout,
+    timeout: Millis,
+}
+
+impl Source {
+    /// Reads through a store; a call without an answer fails after `timeout`.
+    #[must_use]
+    pub fn new(store: Arc<dyn Store>, layout: Layout, timeout: Millis) -> Self {
+        Self {
+            store,
+            layout,
+            timeout,
+        }
+    }
+
+    /// Returns the store.
+    #[must_use]
+    pub fn store(&self) -> &Arc<dyn Store> {
+        &self.store
+    }
+
+    /// Returns the keys.
+    #[must_use]
+    pub fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
+    /// Reads the head.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't answer, or with something that isn't a head.
+    pub async fn head(&self) -> Result<HeadAt, platform::Error> {
+        let key = self.layout.head();
+        let listing = self.timed(self.store.list(&key)).await?;
+        let entry = listing.entries.into_iter().find(|entry| entry.key == key);
+        let Some(entry) = entry else {
+            return Ok(HeadAt {
+                read: listing.revision,
+                ..HeadAt::default()
+            });
+        };
+        Ok(HeadAt {
+            head: decode(&entry)?,
+            written: Some(entry.revision),
+            read: listing.revision,
+        })
+    }
+
+    /// Reads one operation.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't answer, or with something that isn't an operation.
+    pub async fn operation(
+        &self,
+        revision: u64,
+    ) -> Result<Option<Arc<Operation>>, platform::Error> {
+        let key = self.layout.operation(revision);
+        let entry = self.timed(self.store.get(&key)).await?;
+        entry.map(|entry| decode(&entry).map(Arc::new)).transpose()
+    }
+
+    /// Reads which revision a change became.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't answer.
+    pub async fn change(&self, id: &str) -> Result<Option<u64>, platform::Error> {
+        let key = self.layout.change(id);
+        let entry = self.timed(self.store.get(&key)).await?;
+        Ok(entry.and_then(|entry| String::from_utf8_lossy(&entry.value).parse().ok()))
+    }
+
+    /// Reads the operations of a revision's block, in order.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't answer, or with something that isn't an operation.
+    pub async fn block(&self, revision: u64) -> Result<Vec<Arc<Operation>>, platform::Error> {
+        let prefix = self.layout.block(revision);
+        let listing = self.timed(self.store.list(&prefix)).await?;
+        listing
+            .entries
+            .iter()
+            .map(|entry| decode(entry).map(Arc::new))
+            .collect()
+    }
+
+    /// Reads what lies between a revision and the head.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't answer, or lacks what the head speaks of: the
+    /// head came from a newer replica than the rest, or a snapshot was just
+    /// replaced. Reading the head again settles both.
+    pub async fn missing(&self, have: u64, head: &Head) -> Result<Missing, Failure> {
+        if head.revision.saturating_sub(have) <= BLOCK {
+            match self.operations(have, head.revision).await {
+                Ok(operations) if !operations.iter().any(|o| is_omitted(o)) => {
+                    return Ok(Missing::Operations(operations));
+                }
+                Ok(_) | Err(platform::Error::Malformed(_)) => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+        self.whole(head).await
+    }
+
+    /// Reads the head's revision as a whole: its snapshot and what followed.
+    ///
+    /// # Errors
+    ///
+    /// As [`Source::missing`].
+    pub async fn whole(&self, head: &Head) -> Result<Missing, Failure> {
+        let set = self.set(&head.bucket_digests).await?;
+        let mut view = View::from_set(head.snapshot_revision, &set)?;
+        let later = self
+            .operations(head.snapshot_revision, head.revision)
+            .await?;
+        for operation in later {
+            view = view.change(operation.revision, &operation.differences)?;
+        }
+        Ok(Missing::Whole(Box::new(view), head.view_digest.clone()))
+    }
+
+    /// Reads the declarations of a snapshot's buckets.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't answer, or a bucket is missing or damaged.
+    pub async fn set(&self, digests: &[Vec<u8>]) -> Result<Set, platform::Error> {
+        let mut buckets = stream::iter(digests.to_vec())
+            .map(|digest| async move { self.bucket(&digest).await })
+            .buffer_unordered(PARALLEL);
+        let mut set = Set::default();
+        while let Some(bucket) = buckets.try_next().await? {
+            set.extend(bucket.file.unwrap_or_default());
+        }
+        Ok(set)
+    }
+
+    async fn bucket(&self, digest: &[u8]) -> Result<Bucket, platform::Error> {
+        let entry = self
+            .timed(self.store.get(&self.layout.bucket(digest)))
+            .await?;
+        let entry = entry.ok_or_else(|| lacks("a bucket"))?;
+        if layout::digest(&entry.value) != digest {
+            return Err(platform::Error::Malformed(format!(
+                "{} isn't what its digest says",
+                entry.key
+            )));
+        }
+        decode(&entry)
+    }
+
+    /// Reads the operations after `have` up to `last`, all of them.
+    pub(super) async fn operations(
+        &self,
+        have: u64,
+        last: u64,
+    ) -> Result<Vec<Arc<Operation>>, platform::Error> {
+        let operations = if last.saturating_sub(have) <= SINGLES {
+            self.singles(have, last).await?
+        } else {
+            self.blocks(have, last).await?
+        };
+        let expected = usize::try_from(last.saturating_sub(have)).unwrap_or(usize::MAX);
+        if operations.len() != expected {
+            return Err(lacks("an operation"));
+        }
+        Ok(operations)
+    }
+
+    async fn singles(&self, have: u64, last: u64) -> Result<Vec<Arc<Operation>>, platform::Error> {
+        let found: Vec<Option<Arc<Operation>>> = stream::iter(have + 1..=last)
+            .map(|revision| self.operation(revision))
+            .buffered(PARALLEL)
+            .try_collect()
+            .await?;
+        Ok(found.into_iter().flatten().collect())
+    }
+
+    async fn blocks(&self, have: u64, last: u64) -> Result<Vec<Arc<Operation>>, platform::Error> {
+        let mut operations = Vec::new();
+        for block in (have + 1) / BLOCK..=last / BLOCK {
+            let listed = self.block(block * BLOCK).await?;
+            operations.extend(
+                listed
+                    .into_iter()
+                    .filter(|operation| (have + 1..=last).contains(&operation.revision)),
+            );
+        }
+        Ok(operations)
+    }
+
+    /// Bounds a call: a service that takes connections but doesn't answer would
+    /// otherwise hold up this part for ever.
+    pub(super) async fn timed<T>(
+        &self,
+        call: impl Future<Output = Result<T, platform::Error>>,
+    ) -> Result<T, platform::Error> {
+        tokio::time::timeout(self.timeout.duration(), call)
+            .await
+            .unwrap_or_else(|_| Err(platform::Error::NoAnswer("the call took too long".into())))
+    }
+}
+
+fn decode<M: Message + Default>(entry: &Entry) -> Result<M, platform::Error> {
+    M::decode(entry.value.clone())
+        .map_err(|error| platform::Error::Malformed(format!("{}: {error}", entry.key)))
+}
+
+fn lacks(what: &str) -> platform::Error {
+    platform::Error::Malformed(format!("{what} that the head speaks of is missing"))
+}
--- a/lib/src/config/view.rs
+++ b/lib/src/config/view.rs
@@ -7,18 +7,44 @@
 use std::sync::Arc;
 
 use subtle::ConstantTimeEq;
+use thiserror::Error;
 
-use crate::declaration::{Account, Pool, Template};
+use super::digest::Digest;
+use crate::declaration::convert::{self, Unreadable};
+use crate::declaration::{Account, Pool, Set, Template};
 use crate::name::Name;
+use crate::schema::declaration as schema;
+use crate::schema::declaration::difference::{After, Before};
+
+/// A client account's templates by name.
+type Templates = HashMap<Name, Arc<Template>>;
 
 /// All declarations of one revision.
+///
+/// A later revision shares what it has in common with the earlier one, so that
+/// a change costs what it changes, not what there is.
 #[derive(Debug, Clone, Default)]
 pub struct View {
     revision: u64,
+    digest: Digest,
     accounts: HashMap<Name, Arc<Account>>,
     by_digest: HashMap<[u8; 32], Arc<Account>>,
     pools: HashMap<Name, Arc<Pool>>,
-    templates: HashMap<Name, HashMap<Name, Arc<Template>>>,
+    templates: HashMap<Name, Arc<Templates>>,
+}
+
+/// Why a change can't be made on a view.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Error {
+    /// A declaration can't be read by this version.
+    #[error(transparent)]
+    Unreadable(#[from] Unreadable),
+    /// The change doesn't start from what this view holds.
+    #[error("{0} isn't what the change starts from")]
+    Unlike(String),
+    /// The result isn't what its writer had: a field that this version doesn't know, or damage.
+    #[error("the result differs from its writer's; a newer version may have written it")]
+    Digest,
 }
 
 impl View {
@@ -35,30 +61,125 @@
             ..Self::default()
         };
         for account in accounts {
-            let account = Arc::new(account);
-            for digest in &account.key_digests {
-                view.by_digest.insert(*digest, Arc::clone(&account));
-            }
-            view.accounts.insert(Arc::clone(&account.name), account);
+            view.digest.add_account(&convert::account_message(&account));
+            view.put_account(account);
         }
         for pool in pools {
-            view.pools.insert(Arc::clone(&pool.name), Arc::new(pool));
+            view.digest.add_pool(&convert::pool_message(&pool));
+            view.put_pool(pool);
         }
         for template in templates {
-            view.templates
-                .entry(Arc::clone(&template.account))
-                .or_default()
-                .insert(Arc::clone(&template.name), Arc::new(template));
+            view.digest
+                .add_template(&convert::template_message(&template));
+            view.put_template(template);
         }
         view
     }
 
+    /// Makes the view of a revision from declarations in canonical form.
+    ///
+    /// # Errors
+    ///
+    /// When a declaration can't be read.
+    pub fn from_set(revision: u64, set: &Set) -> Result<Self, Error> {
+        let mut view = Self {
+            revision,
+            ..Self::default()
+        };
+        for message in set.accounts.values() {
+            view.digest.add_account(message);
+            view.put_account(convert::account(message)?);
+        }
+        for message in set.pools.values() {
+            view.digest.add_pool(message);
+            view.put_pool(convert::pool(message)?);
+        }
+        for message in set.templates.values() {
+            view.digest.add_template(message);
+            let template = convert::template(message, view.pools.get(message.pool.as_str()))?;
+            view.put_template(template);
+        }
+        Ok(view)
+    }
+
+    /// Returns all declarations in canonical form.
+    #[must_use]
+    pub fn set(&self) -> Set {
+        let mut set = Set::default();
+        set.extend(schema::File {
+            accounts: self
+                .accounts()
+                .map(|account| convert::account_message(account))
+                .collect(),
+            pools: self
+                .pools()
+                .map(|pool| convert::pool_message(pool))
+                .collect(),
+            templates: self
+                .templates()
+                .map(|template| convert::template_message(template))
+                .collect(),
+        });
+        set
+    }
+
+    /// Makes the view of the revision that follows from differences to this one.
+    ///
+    /// # Errors
+    ///
+    /// When the differences don't start from this view, or can't be read.
+    pub fn change(&self, revision: u64, differences: &[schema::Difference]) -> Result<Self, Error> {
+        let mut next = self.clone();
+        next.revision = revision;
+        for difference in differences {
+            self.starts(difference)?;
+            next.digest.change(difference);
+        }
+        // All that goes leaves first: a key that moves between accounts belongs
+        // to the new one only then.
+        for old in differences.iter().filter_map(|d| d.before.as_ref()) {
+            next.remove(old);
+        }
+        // Pools come before the templates that are read by them.
+        let after = || differences.iter().filter_map(|d| d.after.as_ref());
+        for new in after() {
+            if let After::PoolAfter(pool) = new {
+                next.put_pool(convert::pool(pool)?);
+            }
+        }
+        for new in after() {
+            match new {
+                After::AccountAfter(account) => next.put_account(convert::account(account)?),
+                After::TemplateAfter(template) => {
+                    let pool = next.pools.get(template.pool.as_str());
+                    next.put_template(convert::template(template, pool)?);
+                }
+                After::PoolAfter(_) => {}
+            }
+        }
+        for difference in differences {
+            if let (Some(Before::PoolBefore(old)), Some(After::PoolAfter(new))) =
+                (&difference.before, &difference.after)
+                && (&old.kind, &old.base_model) != (&new.kind, &new.base_model)
+            {
+                next.reread(&new.name)?;
+            }
+        }
+        Ok(next)
+    }
+
     /// Returns the revision; it only rises at a node.
     #[must_use]
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// Returns the digest over all declarations.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
     /// Finds the client account of a key's digest.
     #[must_use]
     pub fn account_of_digest(&self, digest: &[u8; 32]) -> Option<&Arc<Account>> {
@@ -83,12 +204,14 @@
         self.templates
             .get(account)
             .into_iter()
-            .flat_map(HashMap::values)
+            .flat_map(|templates| templates.values())
     }
 
     /// Lists all templates, in no order.
     pub fn templates(&self) -> impl Iterator<Item = &Arc<Template>> {
-        self.templates.values().flat_map(HashMap::values)
+        self.templates
+            .values()
+            .flat_map(|templates| templates.values())
     }
 
     /// Finds a pool.
@@ -112,4 +235,116 @@
     pub fn accounts(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.accounts.values()
     }
+
+    fn put_account(&mut self, account: Account) {
+        let account = Arc::new(account);
+        for digest in &account.key_digests {
+            self.by_digest.insert(*digest, Arc::clone(&account));
+        }
+        self.accounts.insert(Arc::clone(&account.name), account);
+    }
+
+    /// Checks that a difference starts from what this view holds.
+    fn starts(&self, difference: &schema::Difference) -> Result<(), Error> {
+        let held = match (&difference.before, &difference.after) {
+            (Some(Before::AccountBefore(old)), _) => {
+                self.account(&old.name)
+                    .map(|a| convert::account_message(a))
+                    .as_ref()
+                    == Some(old)
+            }
+            (Some(Before::PoolBefore(old)), _) => {
+                self.pool(&old.name)
+                    .map(|p| convert::pool_message(p))
+                    .as_ref()
+                    == Some(old)
+            }
+            (Some(Before::TemplateBefore(old)), _) => {
+                let held = self.template(&old.account, &old.name);
+                held.map(|t| convert::template_message(t)).as_ref() == Some(old)
+            }
+            (None, Some(After::AccountAfter(new))) => self.account(&new.name).is_none(),
+            (None, Some(After::PoolAfter(new))) => self.pool(&new.name).is_none(),
+            (None, Some(After::TemplateAfter(new))) => {
+                self.template(&new.account, &new.name).is_none()
+            }
+            (None, None) => false,
+        };
+        if held {
+            return Ok(());
+        }
+        Err(Error::Unlike(title(difference)))
+    }
+
+    fn remove(&mut self, old: &Before) {
+        match old {
+            Before::AccountBefore(account) => self.remove_account(&account.name),
+            Before::PoolBefore(pool) => drop(self.pools.remove(pool.name.as_str())),
+            Before::TemplateBefore(template) => {
+                self.remove_template(&template.account, &template.name);
+            }
+        }
+    }
+
+    /// Reads the templates of a pool again, whose base model is part of their adapters.
+    fn reread(&mut self, pool: &str) -> Result<(), Error> {
+        let pool = self.pools.get(pool).cloned();
+        let of_pool: Vec<schema::Template> = self
+            .templates()
+            .filter(|template| Some(&template.pool) == pool.as_ref().map(|pool| &pool.name))
+            .map(|template| convert::template_message(template))
+            .collect();
+        for message in of_pool {
+            self.put_template(convert::template(&message, pool.as_ref())?);
+        }
+        Ok(())
+    }
+
+    fn remove_account(&mut self, name: &str) {
+        let Some(account) = self.accounts.remove(name) else {
+            return;
+        };
+        for digest in &account.key_digests {
+            self.by_digest.remove(digest);
+        }
+    }
+
+    fn put_pool(&mut self, pool: Pool) {
+        self.pools.insert(Arc::clone(&pool.name), Arc::new(pool));
+    }
+
+    fn put_template(&mut self, template: Template) {
+        let templates = self
+            .templates
+            .entry(Arc::clone(&template.account))
+            .or_default();
+        Arc::make_mut(templates).insert(Arc::clone(&template.name), Arc::new(template));
+    }
+
+    fn remove_template(&mut self, account: &str, name: &str) {
+        let Some(templates) = self.templates.get_mut(account) else {
+            return;
+        };
+        let templates = Arc::make_mut(templates);
+        templates.remove(name);
+        if templates.is_empty() {
+            self.templates.remove(account);
+        }
+    }
+}
+
+/// Names what a difference is about.
+fn title(difference: &schema::Difference) -> String {
+    match (&difference.before, &difference.after) {
+        (Some(Before::AccountBefore(a)), _) | (None, Some(After::AccountAfter(a))) => {
+            format!("account {}", a.name)
+        }
+        (Some(Before::PoolBefore(p)), _) | (None, Some(After::PoolAfter(p))) => {
+            format!("pool {}", p.name)
+        }
+        (Some(Before::TemplateBefore(t)), _) | (None, Some(After::TemplateAfter(t))) => {
+            format!("template {}/{}", t.account, t.name)
+        }
+        (None, None) => "an empty difference".to_owned(),
+    }
 }
--- a/lib/src/declaration/mod.rs
+++ b/lib/src/declaration/mod.rs
@@ -1,4 +1,24 @@
 //! What operators declare: client accounts, pools of upstreams, and templates.
+//!
+//! A directory of YAML files is read as one whole ([`load`]), checked as one
+//! whole ([`check()`]), and compared with what is in force ([`mod@diff`]).
+//! docs/operators/declarations.md is the operators' page.
+
+pub mod convert;
+pub mod diff;
+pub mod export;
+pub mod load;
+pub mod mistake;
+mod nearest;
+mod read;
+mod rules;
+pub mod set;
+mod tree;
+
+pub use load::{Source, check, check_sources, load_dir};
+pub use mistake::{Mistake, Place};
+pub use rules::{MAX_NAME, MAX_TEMPLATES};
+pub use set::Set;
 
 use crate::adapter::Adapter;
 use crate::clock::Millis;
--- /dev/null
+++ b/lib/src/declaration/set.rs
@@ -0,0 +1,59 @@
+//! All declarations of one revision in their canonical form.
+//!
+//! Two sets that mean the same are equal byte by byte: defaults are written
+//! out, lists are sorted and texts have one spelling. Differences and digests
+//! rest on this.
+
+use std::collections::BTreeMap;
+
+use crate::schema::declaration::{Account, File, Pool, Template};
+
+/// Key of a template: client account and name.
+pub type TemplateKey = (String, String);
+
+/// All declarations, by name.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Set {
+    /// Client accounts by name.
+    pub accounts: BTreeMap<String, Account>,
+    /// Pools by name.
+    pub pools: BTreeMap<String, Pool>,
+    /// Templates by client account and name.
+    pub templates: BTreeMap<TemplateKey, Template>,
+}
+
+impl Set {
+    /// Takes declarations that are in canonical form; of two with one name the later stays.
+    pub fn extend(&mut self, file: File) {
+        for account in file.accounts {
+            self.accounts.insert(account.name.clone(), account);
+        }
+        for pool in file.pools {
+            self.pools.insert(pool.name.clone(), pool);
+        }
+        for template in file.templates {
+            let key = (template.account.clone(), template.name.clone());
+            self.templates.insert(key, template);
+        }
+    }
+
+    /// Returns how many declarations there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.accounts.len() + self.pools.len() + self.templates.len()
+    }
+
+    /// Whether nothing is declared.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl From<File> for Set {
+    fn from(file: File) -> Self {
+        let mut set = Self::default();
+        set.extend(file);
+        set
+    }
+}
--- /dev/null
+++ b/lib/src/declaration/tree.rs
@@ -0,0 +1,215 @@
+//! A YAML file as a tree whose every node knows its place.
+//!
+//! Reading straight into messages stops at the first mistake and forgets the
+//! lines; operators want all mistakes of a change at once. The tree keeps the
+//! text of plain scalars, so that a version `1.10` isn't read as the number 1.1.
+
+use std::fmt;
+
+use serde::de::{self, Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde_saphyr::{DuplicateKeyPolicy, Location, NonFiniteFloatPolicy, Spanned};
+
+use super::mistake::{Mistake, Place};
+use crate::name::Name;
+
+/// Most nodes of one file: about 100,000 templates with every field set.
+const MAX_NODES: usize = 3_000_000;
+
+/// A node with its place.
+#[derive(Debug)]
+pub(super) struct Node {
+    pub(super) place: Place,
+    pub(super) content: Content,
+}
+
+/// What a node holds.
+#[derive(Debug)]
+pub(super) enum Content {
+    Empty,
+    Text(String),
+    List(Vec<Node>),
+    Map(Vec<(Node, Node)>),
+}
+
+impl Content {
+    /// Says what the node is, for messages.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            Self::Empty => "nothing",
+            Self::Text(_) => "a single value",
+            Self::List(_) => "a list",
+            Self::Map(_) => "a mapping",
+        }
+    }
+}
+
+/// Parses a file.
+pub(super) fn parse(file: &Name, source: &str) -> Result<Node, Mistake> {
+    let options = serde_saphyr::options! {
+        duplicate_keys: DuplicateKeyPolicy::PassThrough,
+        non_finite_float_policy: NonFiniteFloatPolicy::AsString,
+        budget: serde_saphyr::budget! {
+            max_events: 2 * MAX_NODES,
+            max_nodes: MAX_NODES,
+        },
+    };
+    let raw: Spanned<Raw> = serde_saphyr::from_str_with_options(source, options)
+        .map_err(|error| syntax(file, &error))?;
+    Ok(Builder { file, source }.node(raw))
+}
+
+fn syntax(file: &Name, error: &serde_saphyr::Error) -> Mistake {
+    let mut place = Place::file(file);
+    if let Some(location) = error.location() {
+        place.line = location.line();
+        place.column = location.column();
+    }
+    let text = error.without_snippet().to_string();
+    let first = text.lines().next().unwrap_or_default().to_owned();
+    Mistake::new(
+        &place,
+        format!("this isn't YAML that can be read: {first}"),
+        "correct the syntax; the rest of this file wasn't checked",
+    )
+}
+
+/// A value as the parser hands it over, with the parser's locations.
+#[derive(Debug)]
+enum Raw {
+    Empty,
+    /// A plain scalar that looks like a number or a truth value; its text is in the source.
+    Plain(String),
+    Text(String),
+    List(Vec<Spanned<Raw>>),
+    Map(Vec<(Spanned<Raw>, Spanned<Raw>)>),
+}
+
+impl<'de> Deserialize<'de> for Raw {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(RawVisitor)
+    }
+}
+
+struct RawVisitor;
+
+impl<'de> Visitor<'de> for RawVisitor {
+    type Value = Raw;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("declarations")
+    }
+
+    fn visit_unit<E: de::Error>(self) -> Result<Raw, E> {
+        Ok(Raw::Empty)
+    }
+
+    fn visit_bool<E: de::Error>(self, value: bool) -> Result<Raw, E> {
+        Ok(Raw::Plain(value.to_string()))
+    }
+
+    fn visit_i64<E: de::Error>(self, value: i64) -> Result<Raw, E> {
+        Ok(Raw::Plain(value.to_string()))
+    }
+
+    fn visit_u64<E: de::Error>(self, value: u64) -> Result<Raw, E> {
+        Ok(Raw::Plain(value.to_string()))
+    }
+
+    fn visit_f64<E: de::Error>(self, value: f64) -> Result<Raw, E> {
+        Ok(Raw::Plain(value.to_string()))
+    }
+
+    fn visit_str<E: de::Error>(self, value: &str) -> Result<Raw, E> {
+        Ok(Raw::Text(value.to_owned()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Raw, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = access.next_element()? {
+            items.push(item);
+        }
+        Ok(Raw::List(items))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Raw, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(entry) = access.next_entry()? {
+            entries.push(entry);
+        }
+        Ok(Raw::Map(entries))
+    }
+}
+
+/// Turns the parser's values into nodes.
+struct Builder<'a> {
+    file: &'a Name,
+    source: &'a str,
+}
+
+impl Builder<'_> {
+    fn node(&self, raw: Spanned<Raw>) -> Node {
+        let place = Place {
+            file: self.file.clone(),
+            line: raw.referenced.line(),
+            column: raw.referenced.column(),
+        };
+        let content = match raw.value {
+            Raw::Empty => Content::Empty,
+            Raw::Plain(value) => Content::Text(self.text(raw.defined).unwrap_or(value)),
+            Raw::Text(value) => Content::Text(value),
+            Raw::List(items) => {
+                Content::List(items.into_iter().map(|item| self.node(item)).collect())
+            }
+            Raw::Map(entries) => Content::Map(
+                entries
+                    .into_iter()
+                    .map(|(key, value)| (self.node(key), self.node(value)))
+                    .collect(),
+            ),
+        };
+        Node { place, content }
+    }
+
+    /// Returns a plain scalar as it stands in the file.
+    fn text(&self, location: Location) -> Option<String> {
+        let span = location.span();
+        let start = usize::try_from(span.byte_offset()?).ok()?;
+        let end = start.checked_add(usize::try_from(span.byte_len()?).ok()?)?;
+        self.source
+            .get(start..end)
+            .map(|text| text.trim().to_owned())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::sync::Arc;
+
+    use super::*;
+
+    fn text_of(source: &str) -> String {
+        let node = parse(&Arc::from("a.yaml"), source).unwrap();
+        let Content::Map(mut entries) = node.content else {
+            panic!("{node:?}");
+        };
+        match entries.remove(0).1.content {
+            Content::Text(text) => text,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Symptom: requests ran on version 1.1 of an adapter whose template named 1.10.
+    /// Sequence: the file said `version: 1.10`, without quotes.
+    /// Cause: a plain scalar that looks like a number was read as one.
+    #[test]
+    fn tree_plain_scalar_keeps_its_text() {
+        assert_eq!(text_of("version: 1.10\n"), "1.10");
+        assert_eq!(text_of("version: 007 # comment\n"), "007");
+        assert_eq!(text_of("version: 1e999\n"), "1e999");
+        assert_eq!(text_of("version: 0x10\n"), "0x10");
+        assert_eq!(text_of("version: yes\n"), "yes");
+        assert_eq!(text_of("version: '1.10'\n"), "1.10");
+        assert_eq!(text_of("a: é\nversion: 1.10\n"), "é");
+        assert_eq!(text_of("{version: 1.10}\n"), "1.10");
+    }
+}
--- a/lib/src/gossip/mod.rs
+++ b/lib/src/gossip/mod.rs
@@ -5,6 +5,8 @@
 //! few. Parts whose state is spread stand behind [`Share`].
 //! docs/design/0005-configuration.md weighs this against the other ways.
 
+pub mod rank;
+
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -78,3 +80,12 @@
     /// and not a copy of everything.
     fn parts(&self) -> Box<dyn Iterator<Item = SnapshotPart> + Send>;
 }
+
+/// Takes over the whole configuration that a peer gives.
+pub trait Install: fmt::Debug + Send + Sync {
+    /// Whether this node lacks the revision.
+    fn is_wanted(&self, revision: u64) -> bool;
+
+    /// Takes over all parts of a snapshot. Returns whether it was news.
+    fn install(&self, parts: Vec<SnapshotPart>) -> bool;
+}
--- a/lib/src/protos/chivevalve.declaration.rs
+++ b/lib/src/protos/chivevalve.declaration.rs
@@ -111,6 +111,16 @@
     /// Digest of the whole view after this change.
     #[prost(bytes = "vec", tag = "7")]
     pub view_digest: ::prost::alloc::vec::Vec<u8>,
+    /// How many declarations differ. The differences are left out when they don't
+    /// fit a value; the operation then carries a snapshot.
+    #[prost(uint32, tag = "8")]
+    pub difference_count: u32,
+    /// The snapshot's buckets, when this operation made one.
+    #[prost(bytes = "vec", repeated, tag = "9")]
+    pub bucket_digests: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+    /// Revision of the snapshot before this operation.
+    #[prost(uint64, tag = "10")]
+    pub previous_snapshot: u64,
 }
 /// One declaration before and after a change.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -162,7 +172,7 @@
     #[prost(bytes = "vec", tag = "5")]
     pub view_digest: ::prost::alloc::vec::Vec<u8>,
 }
-/// A part of a snapshot: the declarations whose account hashes into it.
+/// A part of a snapshot: the declarations whose names hash into it, in order.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/src/protos/chivevalve.peer.rs
+++ b/lib/src/protos/chivevalve.peer.rs
@@ -162,6 +162,10 @@
     /// Upstreams that the sender knows to leave, so that those who read the list later hear of it.
     #[prost(message, repeated, tag = "14")]
     pub leaving: ::prost::alloc::vec::Vec<Leaving>,
+    /// Time since the revision was last confirmed as the newest by the service,
+    /// in milliseconds plus one; 0 is never.
+    #[prost(uint64, tag = "15")]
+    pub confirmed_age_ms: u64,
 }
 /// A sign that an upstream leaves.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
