--- a/lib/src/declaration/tree.rs
+++ b/lib/src/declaration/tree.rs
@@ -156,6 +156,9 @@
         let content = match raw.value {
             Raw::Empty => Content::Empty,
             Raw::Plain(value) => Content::Text(self.text(raw.defined).unwrap_or(value)),
+            Raw::Text(value) if is_not_finite(&value) => {
+                Content::Text(self.text(raw.defined).unwrap_or(value))
+            }
             Raw::Text(value) => Content::Text(value),
             Raw::List(items) => {
                 Content::List(items.into_iter().map(|item| self.node(item)).collect())
@@ -181,6 +184,11 @@
     }
 }
 
+/// Whether the parser may have put this text in the place of a number such as `1e999`.
+fn is_not_finite(text: &str) -> bool {
+    matches!(text, ".inf" | "-.inf" | ".nan")
+}
+
 #[cfg(test)]
 mod tests {
     use std::sync::Arc;
--- a/lib/tests/test_declaration.rs
+++ b/lib/tests/test_declaration.rs
@@ -13,10 +13,8 @@
 }
 
 fn shown(mistakes: &[Mistake]) -> String {
-    mistakes
-        .iter()
-        .map(|mistake| format!("{mistake}\n"))
-        .collect()
+    let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+    lines.join("\n")
 }
 
 fn mistakes(files: &[(&str, &str)]) -> String {
@@ -138,10 +136,11 @@
     let set = declaration::check_sources(&[source("all.yaml", WHOLE)]).unwrap();
     let files = export::export(&set);
     assert_eq!(declaration::check_sources(&files).unwrap(), set);
-    let text: String = files
+    let texts: Vec<String> = files
         .iter()
         .map(|file| format!("# {}\n{}", file.name, file.text))
         .collect();
+    let text = texts.concat();
     assert_snapshot!(text, @r#"
     # accounts.yaml
     accounts:
