claim: idempotency keys run at most once, through the key-value service

A claim is written absent-only before the first send, with the request's own identity as its mark, many in one transaction, and given back when it is certain that nothing ran. The hint of idempotency_key_taken told callers not to send again; with claims sending again is safe, and needed when the first was not run.

--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -12,8 +12,9 @@
 use super::gate::Reserve;
 use super::gateway::{Gateway, lock};
 use super::session::Session;
+use crate::claim::Claim;
 use crate::clock::Millis;
-use crate::error::{Code, Failure};
+use crate::error::{Code, Failure, Fate};
 use crate::fate::{Moment, Verdict};
 use crate::membership::fleet::Owner;
 use crate::name::Name;
@@ -101,6 +102,7 @@
     gateway: &Gateway,
     session: &mut Session,
     order: &Order,
+    claim: &mut Option<Claim>,
 ) -> Result<Outcome, Failure> {
     let now = gateway.parts.clock.now();
     lock(&gateway.budget).earn(now);
@@ -111,16 +113,32 @@
             Err(failure) => return Err(session.machine().end(failure)),
         };
         *tried.entry(Name::clone(&target.upstream)).or_default() += 1;
+        spend(claim, true);
         match attempt(gateway, session, order, &target).await {
             Ok(outcome) => return Ok(outcome),
             Err(failure) => {
-                let pause = settle(gateway, session, order, &target, failure)?;
+                let settled = settle(gateway, session, order, &target, failure);
+                spend(claim, maybe_run(session, &settled));
+                let pause = settled?;
                 tokio::time::sleep(pause.duration()).await;
             }
         }
     }
 }
 
+fn spend(claim: &mut Option<Claim>, spent: bool) {
+    if let Some(claim) = claim {
+        claim.set_spent(spent);
+    }
+}
+
+fn maybe_run(session: &mut Session, settled: &Result<Millis, Failure>) -> bool {
+    match settled {
+        Ok(_) => !session.machine().certainly_not_run(),
+        Err(failure) => failure.fate() != Fate::NotRun,
+    }
+}
+
 /// Notes a failed try; returns the pause before the next one.
 fn settle(
     gateway: &Gateway,
--- a/lib/src/entry/gateway.rs
+++ b/lib/src/entry/gateway.rs
@@ -16,8 +16,9 @@
 use super::relay;
 use super::route::{self, Completion, Route};
 use super::session::Session;
-use super::{Parts, body, key, models, service};
+use super::{Parts, body, idempotency, key, models, service};
 use crate::adapter::Adapter;
+use crate::claim::{self, Claim, Keeper};
 use crate::clock::Millis;
 use crate::config::View;
 use crate::declaration::{Account, Template};
@@ -44,6 +45,7 @@
     pub buffer: Buffer,
     /// Retries left.
     pub budget: Mutex<Budget>,
+    claims: Keeper,
     jitter: Mutex<Pcg64Mcg>,
     router: Mutex<Router>,
     pools: Mutex<Pools>,
@@ -71,6 +73,7 @@
             gate: Gate::new(limits.in_flight),
             buffer: Buffer::new(limits.buffered_bytes),
             budget: Mutex::new(Budget::new(limits.retry_percent, parts.clock.now())),
+            claims: Keeper::start(claims(&parts)),
             jitter: Mutex::new(Pcg64Mcg::seed_from_u64(parts.seed)),
             router: Mutex::new(Router::new(limits.placement.clone(), parts.seed)),
             pools: Mutex::default(),
@@ -194,6 +197,7 @@
         }
         let allowed = asked.allowed_tokens(completion, &template, limits)?;
         let span = self.deadline(&template, &head.headers)?;
+        let key = idempotency::key(&head.headers)?;
         let mut ticket = caller.ticket(session, &template, span);
         ticket.prompt_tokens = asked.prompt_tokens;
         ticket.max_output_tokens = allowed;
@@ -207,7 +211,7 @@
         } else {
             Form::Whole
         };
-        self.run(session, caller, ticket, work, form).await
+        self.run(session, caller, ticket, work, form, key).await
     }
 
     async fn call<B>(
@@ -226,6 +230,7 @@
             return Err(wrong_kind("name it as model of a completion"));
         }
         let span = self.deadline(template, &head.headers)?;
+        let key = idempotency::key(&head.headers)?.map(<[u8]>::to_vec);
         let head = service::outward(head, path, session.id())?;
         let timeout = self.parts.limits.body_timeout;
         let limit = self.body_limit(template);
@@ -235,7 +240,8 @@
             head: Box::new(head),
             body,
         };
-        self.run(session, caller, ticket, work, Form::Bytes).await
+        self.run(session, caller, ticket, work, Form::Bytes, key.as_deref())
+            .await
     }
 
     async fn run(
@@ -245,8 +251,10 @@
         ticket: Ticket,
         work: Work,
         form: Form,
+        key: Option<&[u8]>,
     ) -> Result<Reply, Problem> {
         session.decide(&ticket);
+        let mut claim = self.claim(session, &ticket, &work, key).await?;
         let order = Order {
             deadline: ticket.deadline,
             share: caller.account.share,
@@ -254,8 +262,37 @@
             work,
             form,
         };
-        let outcome = dispatch::run(self, session, &order).await?;
-        Ok(Reply::Outcome(outcome, order.deadline))
+        let failure = match dispatch::run(self, session, &order, &mut claim).await {
+            Ok(outcome) => return Ok(Reply::Outcome(outcome, order.deadline)),
+            Err(failure) => failure,
+        };
+        // The caller may send it again as soon as it reads that it wasn't run,
+        // so the key is free before it reads that.
+        if let Some(claim) = claim {
+            claim.settle().await;
+        }
+        Err(failure.into())
+    }
+
+    /// Takes the claim on the request's idempotency key, if it needs one.
+    async fn claim(
+        &self,
+        session: &mut Session,
+        ticket: &Ticket,
+        work: &Work,
+        key: Option<&[u8]>,
+    ) -> Result<Option<Claim>, Failure> {
+        let Some(key) = key.filter(|_| !ticket.idempotent) else {
+            return Ok(None);
+        };
+        let digest = idempotency::digest(ticket, work);
+        let taken = self
+            .claims
+            .take(&ticket.account, key, digest, &ticket.id)
+            .await;
+        taken
+            .map(Some)
+            .map_err(|failure| session.machine().end(failure))
     }
 
     fn body_limit(&self, template: &Template) -> usize {
@@ -326,6 +363,18 @@
     }
 }
 
+fn claims(parts: &Parts) -> claim::Parts {
+    claim::Parts {
+        store: Arc::clone(&parts.store),
+        lease: Arc::clone(&parts.lease),
+        fleet: parts.fleet.clone(),
+        prefix: Name::clone(&parts.prefix),
+        node: Name::clone(&parts.node),
+        clock: Arc::clone(&parts.clock),
+        limits: parts.limits.claims,
+    }
+}
+
 fn prepare(fleet: &Fleet, name: &str) -> Pool {
     Pool::of(fleet.pool(name).iter().map(|upstream| {
         let vm = &upstream.vm;
--- a/lib/src/entry/limits.rs
+++ b/lib/src/entry/limits.rs
@@ -1,5 +1,6 @@
 //! Bounds on what callers may use up, with the defaults that docs/callers.md gives.
 
+use crate::claim;
 use crate::clock::Millis;
 use crate::fate;
 use crate::policy::placement;
@@ -49,10 +50,8 @@
     pub retry_percent: u32,
     /// Tries of one request.
     pub rules: fate::Rules,
-    /// Longest wait for the key-value service to take or give back an idempotency key.
-    pub claim_timeout: Millis,
-    /// Shortest time that an idempotency key is remembered.
-    pub claim_retention: Millis,
+    /// How claims on idempotency keys are written and kept.
+    pub claims: claim::Limits,
 }
 
 impl Default for Limits {
@@ -79,8 +78,7 @@
             placement: placement::Limits::default(),
             retry_percent: 20,
             rules: fate::Rules::default(),
-            claim_timeout: Millis::from_secs(3),
-            claim_retention: Millis::from_secs(12 * 60 * 60),
+            claims: claim::Limits::default(),
         }
     }
 }
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod gate;
 mod gateway;
+mod idempotency;
 mod json;
 mod key;
 mod limits;
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -121,8 +121,8 @@
     TooManyTokens = 1009, "too_many_tokens", 400, NotRun, "Ask for fewer tokens.";
     /// The idempotency key was used for another request.
     KeyReused = 1010, "idempotency_key_reused", 422, NotRun, "Use a new key for a new request.";
-    /// The idempotency key's first request has been taken; this one was not run.
-    KeyTaken = 1011, "idempotency_key_taken", 409, NotRun, "Don't send it again; ask the service what became of the first.";
+    /// The idempotency key's first request runs, ran or may have run; this one was not run.
+    KeyTaken = 1011, "idempotency_key_taken", 409, NotRun, "Ask the service what became of the first; sending it again with the same key runs it only if the first was not run.";
 
     /// The upstream's queue for this class is full.
     QueueFull = 2001, "queue_full", 503, NotRun, "Try again after Retry-After.";
--- a/lib/tests/entry_support/mod.rs
+++ b/lib/tests/entry_support/mod.rs
@@ -1,6 +1,6 @@
 //! A node's entry on loopback, before upstreams that follow a script.
 
-#![allow(dead_code, reason = "each test uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test uses a part of it")]
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -29,7 +29,7 @@
 
 mod store;
 
-pub use store::Memory;
+pub use store::{Fault, Memory};
 
 /// How a scripted answer ends.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/lib/tests/test_entry_claims.rs
@@ -0,0 +1,229 @@
+//! Requests that aren't idempotent run at most once for each key.
+
+mod entry_support;
+
+use std::sync::Arc;
+
+use chivevalve::error::Code;
+use entry_support::{Fault, Memory, Script, Step, World, fail, json, limits, world, world_with};
+
+const PUSH: &str = "POST /services/push/receipts";
+
+async fn push(world: &World, key: &str, body: &str) -> String {
+    let header = format!("idempotency-key: {key}");
+    world.send(PUSH, &[&header], body).await
+}
+
+/// Two nodes before the same upstreams and the same key-value service.
+async fn pair() -> (World, World) {
+    let script = Arc::<Script>::default();
+    let store = Arc::<Memory>::default();
+    let one = world_with(limits(), Arc::clone(&script), Arc::clone(&store)).await;
+    let two = world_with(limits(), script, store).await;
+    (one, two)
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("closed")
+}
+
+fn code(answer: &str) -> &str {
+    let (_, rest) = answer.split_once("\"code\":\"").unwrap_or(("", "none\""));
+    rest.split('"').next().unwrap_or("none")
+}
+
+/// Symptom: a receipt is booked twice.
+/// Sequence: the balancer gets no answer in time and sends the call to a second
+/// node, while the first one runs it.
+/// Cause: each node knew only its own calls.
+#[tokio::test]
+async fn claim_two_nodes_at_once() {
+    for _ in 0..20 {
+        let (one, two) = pair().await;
+        let (first, second) = tokio::join!(push(&one, "k", "1.50"), push(&two, "k", "1.50"));
+        let mut statuses = [status(&first), status(&second)];
+        statuses.sort_unstable();
+        assert_eq!(statuses, ["200", "409"]);
+        assert_eq!(one.script.count(), 1);
+    }
+}
+
+#[tokio::test]
+async fn claim_same_node_twice() {
+    let world = world().await;
+    assert_eq!(status(&push(&world, "k", "1.50").await), "200");
+    let again = push(&world, "k", "1.50").await;
+    assert_eq!(
+        (status(&again), code(&again)),
+        ("409", "idempotency_key_taken")
+    );
+    let other = push(&world, "k", "9.90").await;
+    assert_eq!(
+        (status(&other), code(&other)),
+        ("422", "idempotency_key_reused")
+    );
+    assert_eq!(world.script.count(), 1);
+    // The repetitions cost the service nothing.
+    assert_eq!(world.store.calls(), (1, 0));
+}
+
+/// Symptom: a receipt is booked twice.
+/// Sequence: the node that runs the call dies before it answers; the caller
+/// sends the call again and meets another node.
+/// Cause: the claim died with its node.
+#[tokio::test]
+async fn claim_outlives_its_node() {
+    let (one, two) = pair().await;
+    assert_eq!(status(&push(&one, "k", "1.50").await), "200");
+    one.stop().await.unwrap();
+    assert_eq!(status(&push(&two, "k", "1.50").await), "409");
+    assert_eq!(two.script.count(), 1);
+}
+
+/// Symptom: a receipt is lost: the node says that it was not run, and then
+/// refuses to run it.
+/// Sequence: the claim is taken, every upstream refuses, the caller follows the
+/// hint and sends the call again with the same key, to another node.
+/// Cause: the claim was kept although nothing had run.
+#[tokio::test]
+async fn claim_released_after_not_run() {
+    let (one, two) = pair().await;
+    one.script.then(fail(Code::Brownout));
+    let refused = push(&one, "k", "1.50").await;
+    assert_eq!((status(&refused), code(&refused)), ("503", "brownout"));
+    assert_eq!(status(&push(&two, "k", "1.50").await), "200");
+    assert_eq!(two.script.count(), 2);
+    // And the node that gave it back doesn't remember it as its own.
+    assert_eq!(status(&push(&one, "k", "1.50").await), "409");
+}
+
+/// Symptom: a receipt is booked twice.
+/// Sequence: the connection to the service breaks after the call was sent; the
+/// caller sends the call again with the same key.
+/// Cause: the claim was given back after a failure whose fate is unknown.
+#[tokio::test]
+async fn claim_kept_after_unknown() {
+    let world = world().await;
+    world.script.then(fail(Code::UpstreamLost));
+    let lost = push(&world, "k", "1.50").await;
+    assert_eq!((status(&lost), code(&lost)), ("502", "upstream_lost"));
+    assert!(lost.contains("x-should-retry: false"));
+    assert_eq!(status(&push(&world, "k", "1.50").await), "409");
+    assert_eq!(world.script.count(), 1);
+}
+
+/// Symptom: a call is refused as a repetition of itself.
+/// Sequence: the claim is written, the answer to the write is lost, the node
+/// writes it again and finds the key taken.
+/// Cause: the node didn't know its own mark.
+#[tokio::test]
+async fn claim_answer_lost() {
+    let world = world().await;
+    world.store.then(&[Some(Fault::AnswerLost)]);
+    assert_eq!(status(&push(&world, "k", "1.50").await), "200");
+    assert_eq!(world.script.count(), 1);
+}
+
+#[tokio::test]
+async fn claim_call_lost() {
+    let world = world().await;
+    world.store.then(&[Some(Fault::CallLost)]);
+    assert_eq!(status(&push(&world, "k", "1.50").await), "200");
+    assert_eq!(world.script.count(), 1);
+}
+
+/// Symptom: a receipt is booked twice during an outage.
+/// Sequence: the key-value service is down, the node can't take the claim and
+/// runs the call all the same.
+/// Cause: availability went before the promise.
+#[tokio::test]
+async fn claim_service_down() {
+    let world = world().await;
+    world.store.set_down(true);
+    let refused = push(&world, "k", "1.50").await;
+    assert_eq!(
+        (status(&refused), code(&refused)),
+        ("503", "claim_unavailable")
+    );
+    assert!(refused.contains("\"fate\":\"not_run\""));
+    assert_eq!(world.script.count(), 0);
+    // Calls without a key, and idempotent ones, go on.
+    assert_eq!(status(&world.send(PUSH, &[], "1.50").await), "200");
+    world.store.set_down(false);
+    assert_eq!(status(&push(&world, "k", "1.50").await), "200");
+}
+
+/// Symptom: a caller that went away before its call ran can't send it again.
+/// Sequence: the call waits between two tries, the caller's connection breaks.
+/// Cause: the claim was only given back where an answer was made.
+#[tokio::test]
+async fn claim_released_when_caller_leaves_unsent() {
+    let mut limits = limits();
+    limits.rules.backoff.base = chivevalve::clock::Millis::from_secs(600);
+    limits.rules.backoff.cap = chivevalve::clock::Millis::from_secs(600);
+    limits.default_deadline = chivevalve::clock::Millis::from_secs(600);
+    limits.max_deadline = chivevalve::clock::Millis::from_secs(10_000);
+    let world = world_with(limits, Arc::default(), Arc::default()).await;
+    for _ in 0..2 {
+        world.script.then(fail(Code::NotOwner));
+    }
+    let headers = ["idempotency-key: k", "x-deadline-ms: 600000"];
+    let mut call = Box::pin(world.send(PUSH, &headers, "1"));
+    while world.script.count() < 2 || world.store.keys().is_empty() {
+        tokio::select! {
+            _ = &mut call => panic!("answered"),
+            () = tokio::task::yield_now() => {}
+        }
+    }
+    drop(call);
+    while !world.store.keys().is_empty() {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Symptom: a work order is issued twice.
+/// Sequence: the call runs, the caller's connection breaks, the caller sends it again.
+/// Cause: the claim was given back with the connection.
+#[tokio::test]
+async fn claim_kept_when_caller_leaves_sent() {
+    let world = world().await;
+    world.script.then(Step::Hang);
+    let headers = ["idempotency-key: k"];
+    let mut call = Box::pin(world.send(PUSH, &headers, "1"));
+    while world.script.count() < 1 {
+        tokio::select! {
+            _ = &mut call => panic!("answered"),
+            () = tokio::task::yield_now() => {}
+        }
+    }
+    drop(call);
+    assert_eq!(status(&push(&world, "k", "1").await), "409");
+    assert_eq!(world.script.count(), 1);
+}
+
+/// Symptom: a burst of pushes takes the whole rate of the key-value service.
+/// Sequence: a hundred pushes arrive together.
+/// Cause: each claim was a call of its own.
+#[tokio::test]
+async fn claim_burst_in_few_calls() {
+    let world = world().await;
+    let keys: Vec<String> = (0..100).map(|number| format!("k{number}")).collect();
+    let pushes = keys.iter().map(|key| push(&world, key, "1"));
+    let answers = futures::future::join_all(pushes).await;
+    assert!(answers.iter().all(|answer| status(answer) == "200"));
+    assert_eq!(world.store.keys().len(), 100);
+    let (commits, reads) = world.store.calls();
+    assert!(commits <= 25, "{commits} transactions");
+    assert_eq!(reads, 0);
+}
+
+#[tokio::test]
+async fn claim_not_needed_when_idempotent() {
+    let world = world().await;
+    world.script.then(json("{}"));
+    let header = ["idempotency-key: k"];
+    let line = "POST /services/lookup/part";
+    assert_eq!(status(&world.send(line, &header, "").await), "200");
+    assert_eq!(status(&world.send(line, &header, "").await), "200");
+    assert_eq!(world.store.calls(), (0, 0));
+}
