--- a/lib/src/gossip/mod.rs
+++ b/lib/src/gossip/mod.rs
@@ -5,8 +5,12 @@
 //! few. Parts whose state is spread stand behind [`Share`].
 //! docs/design/0005-configuration.md weighs this against the other ways.
 
+mod choice;
+pub mod keeper;
 pub mod rank;
 
+pub use keeper::{Keeper, Limits, Parts};
+
 use std::fmt;
 use std::net::SocketAddr;
 
--- a/lib/src/protos/chivevalve.peer.rs
+++ b/lib/src/protos/chivevalve.peer.rs
@@ -231,6 +231,9 @@
     pub snapshot_needed: bool,
     #[prost(message, repeated, tag = "5")]
     pub nodes: ::prost::alloc::vec::Vec<NodeRecord>,
+    /// Whether the digest and what came with it was news.
+    #[prost(bool, tag = "6")]
+    pub was_news: bool,
 }
 /// Who owns an upstream. The larger token wins.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
