--- /dev/null
+++ b/lib/src/operators/configuration.rs
@@ -0,0 +1,178 @@
+//! The configuration's keeper as operators use it.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use async_trait::async_trait;
+
+use super::port::Configuration;
+use super::refusal::{Cause, Refusal};
+use super::wire;
+use crate::config::{self, Error, Keeper, Order};
+use crate::declaration::{Mistake, Set, Source, check_sources, diff};
+use crate::name::Name;
+
+#[async_trait]
+impl Configuration for Keeper {
+    fn standing(&self) -> wire::Standing {
+        let status = self.status();
+        wire::Standing {
+            revision: status.revision,
+            confirmed_age_ms: status.confirmed_age_ms,
+            fault: status.refused,
+        }
+    }
+
+    fn export(&self) -> wire::Export {
+        wire::Export {
+            revision: self.learned().revision(),
+            files: Keeper::export(self).into_iter().map(Into::into).collect(),
+        }
+    }
+
+    async fn plan(&self, files: Vec<wire::File>) -> Result<wire::Plan, Refusal> {
+        let set = read(files).await?;
+        Ok(Keeper::plan(self, &set).await.into())
+    }
+
+    async fn apply(&self, change: wire::Apply, author: Name) -> Result<wire::Accepted, Refusal> {
+        let set = read(change.files).await?;
+        let order = order(
+            &change.change_id,
+            author,
+            change.reason,
+            change.expected_revision,
+        );
+        let accepted = Keeper::apply(self, &order, &set).await;
+        accepted
+            .map(|accepted| answer(accepted, change.change_id))
+            .map_err(Into::into)
+    }
+
+    async fn rollback(
+        &self,
+        change: wire::Rollback,
+        author: Name,
+    ) -> Result<wire::Accepted, Refusal> {
+        let order = order(
+            &change.change_id,
+            author,
+            change.reason,
+            change.expected_revision,
+        );
+        let accepted = Keeper::rollback(self, &order, change.to_revision).await;
+        accepted
+            .map(|accepted| answer(accepted, change.change_id))
+            .map_err(Into::into)
+    }
+
+    async fn history(&self, limit: usize) -> Result<wire::History, Refusal> {
+        let operations = Keeper::history(self, None, limit).await?;
+        Ok(wire::History {
+            operations: operations
+                .iter()
+                .map(|operation| operation.as_ref().clone().into())
+                .collect(),
+        })
+    }
+}
+
+fn order(id: &str, author: Name, reason: String, expected: u64) -> Order {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Order {
+        id: Name::from(id),
+        author,
+        reason,
+        expected: Some(expected),
+        time_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn answer(accepted: config::Accepted, change_id: String) -> wire::Accepted {
+    wire::Accepted {
+        revision: accepted.revision,
+        change_id,
+        differences: accepted.differences,
+        already: accepted.already,
+    }
+}
+
+/// Checks files by this node's rules, off the threads that carry requests.
+///
+/// Tens of thousands of declarations take a second; on a request's thread every
+/// stream of that thread would stall as long.
+async fn read(files: Vec<wire::File>) -> Result<Set, Refusal> {
+    let checked = tokio::task::spawn_blocking(move || {
+        let sources: Vec<Source> = files.into_iter().map(Into::into).collect();
+        check_sources(&sources)
+    });
+    match checked.await {
+        Ok(Ok(set)) => Ok(set),
+        Ok(Err(mistakes)) => Err(invalid(&mistakes)),
+        Err(_) => Err(Refusal::new(
+            Cause::Busy,
+            "the node is about to stop",
+            "ask another node",
+        )),
+    }
+}
+
+fn invalid(mistakes: &[Mistake]) -> Refusal {
+    Refusal::new(
+        Cause::Invalid,
+        "the declarations have mistakes",
+        "correct them; nothing was changed",
+    )
+    .mistakes(mistakes.iter().map(ToString::to_string).collect())
+}
+
+impl From<Source> for wire::File {
+    fn from(source: Source) -> Self {
+        Self {
+            name: source.name.to_string(),
+            text: source.text,
+        }
+    }
+}
+
+impl From<wire::File> for Source {
+    fn from(file: wire::File) -> Self {
+        Self {
+            name: Name::from(file.name),
+            text: file.text,
+        }
+    }
+}
+
+impl From<config::Plan> for wire::Plan {
+    fn from(plan: config::Plan) -> Self {
+        Self {
+            revision: plan.revision,
+            text: diff::render(&plan.differences),
+            differences: plan.differences.into_iter().map(Into::into).collect(),
+            warnings: plan.warnings,
+        }
+    }
+}
+
+impl From<Error> for Refusal {
+    fn from(error: Error) -> Self {
+        let cause = match &error {
+            Error::LostRace(_) | Error::Moved { .. } => Cause::LostRace,
+            Error::Unsettled { .. } => Cause::Unknown,
+            Error::Unavailable(_) => Cause::Unavailable,
+            Error::Contended => Cause::Busy,
+            Error::Invalid(_) | Error::Unreadable(_) => Cause::Invalid,
+            Error::TooLarge(_) => Cause::TooLarge,
+            Error::UnknownRevision(_) => Cause::NotFound,
+        };
+        let winner = match &error {
+            Error::LostRace(winner) => Some(winner),
+            Error::Moved { newest, .. } => newest.as_ref(),
+            _ => None,
+        };
+        let winners = winner.map(|winner| winner.as_ref().clone().into());
+        Self::new(cause, error.to_string(), error.hint()).winners(winners.into_iter().collect())
+    }
+}
--- a/lib/src/operators/convert.rs
+++ b/lib/src/operators/convert.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 
 use super::wire;
+use crate::declaration::diff;
 use crate::schema::declaration as schema;
 use crate::schema::declaration::difference::{After, Before};
 
@@ -15,6 +16,7 @@
             author: operation.author,
             reason: operation.reason,
             time_ms: operation.time_ms,
+            text: diff::render(&operation.differences),
             differences: operation.differences.into_iter().map(Into::into).collect(),
         }
     }
--- a/lib/src/operators/mod.rs
+++ b/lib/src/operators/mod.rs
@@ -4,9 +4,11 @@
 //! parts behind it stand behind the traits of [`port`], so that the interface
 //! is tested without a fleet. docs/operators/cli.md describes it for people.
 
+mod configuration;
 mod convert;
 mod explain;
 mod gate;
+mod ownership;
 pub mod port;
 mod refusal;
 mod route;
--- a/lib/src/operators/port.rs
+++ b/lib/src/operators/port.rs
@@ -7,7 +7,6 @@
 use super::refusal::Refusal;
 use super::wire;
 use crate::name::Name;
-use crate::schema::declaration::File;
 
 /// The deployment's configuration.
 #[async_trait]
@@ -19,7 +18,7 @@
     fn export(&self) -> wire::Export;
 
     /// Compares declarations with those in force.
-    async fn plan(&self, declarations: File) -> Result<wire::Plan, Refusal>;
+    async fn plan(&self, files: Vec<wire::File>) -> Result<wire::Plan, Refusal>;
 
     /// Puts declarations in force; accepted means durable.
     async fn apply(&self, change: wire::Apply, author: Name) -> Result<wire::Accepted, Refusal>;
--- a/lib/src/operators/route.rs
+++ b/lib/src/operators/route.rs
@@ -136,7 +136,7 @@
         let server = self.server;
         let _place = server.draft()?;
         let draft: wire::Draft = read(self.body, server.parts.limits.draft_bytes).await?;
-        let plan = server.parts.configuration.plan(draft.declarations).await?;
+        let plan = server.parts.configuration.plan(draft.files).await?;
         Ok(json(&plan))
     }
 
--- a/lib/src/operators/wire.rs
+++ b/lib/src/operators/wire.rs
@@ -8,14 +8,25 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::schema::declaration as schema;
+/// A file of declarations, as it stands in version control.
+///
+/// Files travel as they are, so that a node checks them by its own rules and
+/// names the line of a mistake that an older tool didn't know.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct File {
+    /// Relative to the directory of declarations.
+    pub name: String,
+    /// YAML.
+    pub text: String,
+}
 
 /// Asks what an apply of these declarations would change.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Draft {
     /// All declarations; what is in force and not among them would be removed.
-    pub declarations: schema::File,
+    pub files: Vec<File>,
 }
 
 /// What an apply would change.
@@ -25,6 +36,8 @@
     pub revision: u64,
     /// What would become different; empty when nothing would.
     pub differences: Vec<Difference>,
+    /// The differences, written for people.
+    pub text: String,
     /// What would break, for people to weigh.
     pub warnings: Vec<String>,
 }
@@ -40,7 +53,7 @@
     /// The revision that the change was planned on; the change is refused on any other.
     pub expected_revision: u64,
     /// All declarations.
-    pub declarations: schema::File,
+    pub files: Vec<File>,
 }
 
 /// Asks to put an earlier revision's declarations in force again, as a new revision.
@@ -64,8 +77,10 @@
     pub revision: u64,
     /// The change's id.
     pub change_id: String,
-    /// Whether anything became different.
-    pub changed: bool,
+    /// How many declarations became different; 0 when nothing differed.
+    pub differences: u32,
+    /// Whether an earlier call with the same id had been accepted.
+    pub already: bool,
 }
 
 /// One declaration before and after a change.
@@ -96,6 +111,8 @@
     pub time_ms: u64,
     /// What became different; left out of a very large change.
     pub differences: Vec<Difference>,
+    /// The differences, written for people.
+    pub text: String,
 }
 
 /// The newest changes, newest first.
@@ -111,7 +128,7 @@
     /// Its revision.
     pub revision: u64,
     /// All declarations.
-    pub declarations: schema::File,
+    pub files: Vec<File>,
 }
 
 /// The configuration that a node decides on.
--- a/lib/src/owner/events.rs
+++ b/lib/src/owner/events.rs
@@ -17,6 +17,7 @@
 pub(super) struct Events {
     check: Check,
     partial: BytesMut,
+    pieces: u32,
     done: bool,
 }
 
@@ -26,6 +27,7 @@
         Self {
             check,
             partial: BytesMut::new(),
+            pieces: 0,
             done: false,
         }
     }
@@ -35,6 +37,11 @@
         self.done
     }
 
+    /// Returns how many pieces of the answer have passed.
+    pub(super) const fn pieces(&self) -> u32 {
+        self.pieces
+    }
+
     /// Takes bytes as they came and returns what the caller may see of them; it may be empty.
     pub(super) fn take(&mut self, chunk: Bytes) -> Result<Bytes, Error> {
         let data = self.joined(chunk);
@@ -85,7 +92,9 @@
         if self.done {
             return Err(Error::Request);
         }
-        self.check.inspect(payload).map(Some)
+        let model = self.check.inspect(payload)?;
+        self.pieces = self.pieces.saturating_add(1);
+        Ok(Some(model))
     }
 }
 
@@ -161,6 +170,7 @@
         let seen = events.take(two.into()).unwrap();
         let renamed = event("one", "fault \\\"now\\\"").repeat(2);
         assert_eq!(seen, renamed.as_bytes());
+        assert_eq!(events.pieces(), 2);
         assert!(!events.done());
     }
 
@@ -178,6 +188,7 @@
             let second = events.take(Bytes::copy_from_slice(&text.as_bytes()[cut..]));
             assert_eq!([first.unwrap(), second.unwrap()].concat(), whole);
             assert!(events.done());
+            assert_eq!(events.pieces(), 2);
         }
     }
 
--- a/lib/src/owner/run.rs
+++ b/lib/src/owner/run.rs
@@ -9,18 +9,17 @@
 use http::{StatusCode, response};
 use tokio::time::Instant;
 
-use super::body::{self, Body, Form};
 use super::check::{self, Check};
 use super::events::Events;
 use super::place::{Outcome, Place};
-
+use super::pump::{Form, Pump};
 use super::registry::Parts;
 use crate::adapter::Adapter;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::membership::Hold;
 use crate::platform::{Answer, Call, Engine, Service};
-use crate::request::{Id, Ticket};
+use crate::request::{Class, Id, Ticket};
 use crate::runner::{Attempt, Work};
 
 /// Largest error message of an engine that is read.
@@ -58,6 +57,7 @@
 #[derive(Debug)]
 pub(super) struct Order {
     id: Id,
+    class: Class,
     deadline: Millis,
     content: Content,
 }
@@ -85,6 +85,7 @@
         let ticket = &attempt.ticket;
         Ok(Self {
             id: ticket.id.clone(),
+            class: ticket.class,
             deadline: ticket.deadline,
             content: Content::new(ticket, &attempt.work)?,
         })
@@ -97,10 +98,13 @@
         grant: Grant,
         parts: &Parts,
     ) -> Result<Answer, Failure> {
+        let started = Instant::now();
         let left = self.deadline.since(parts.clock.now());
         let running = Running {
             place,
-            deadline: Instant::now() + left.duration(),
+            started,
+            deadline: started + left.duration(),
+            class: self.class,
             parts,
         };
         let mut answer = match (self.content, grant.target) {
@@ -187,7 +191,9 @@
 #[derive(Debug)]
 struct Running<'a> {
     place: Place,
+    started: Instant,
     deadline: Instant,
+    class: Class,
     parts: &'a Parts,
 }
 
@@ -209,7 +215,7 @@
         // The pieces change their length on the way.
         head.headers.remove(CONTENT_LENGTH);
         let form = Form::Events(Box::new(Events::new(check)));
-        Ok(running.flowing(head, body, form))
+        Ok(running.pumped(head, body, form))
     }
 
     async fn called(
@@ -218,7 +224,7 @@
     ) -> Result<Answer, Failure> {
         let (running, answer) = self.begun(call).await?;
         let form = Form::Plain(length(&answer.head));
-        Ok(running.flowing(answer.head, answer.body, form))
+        Ok(running.pumped(answer.head, answer.body, form))
     }
 
     /// Waits for the answer's head.
@@ -238,17 +244,23 @@
         }
     }
 
-    fn flowing(
+    fn pumped(
         self,
         head: response::Parts,
         body: BoxStream<'static, Result<Bytes, Failure>>,
         form: Form,
     ) -> Answer {
-        let expired = tokio::time::sleep_until(self.deadline);
-        let metrics = Arc::clone(&self.parts.metrics);
+        let pump = Pump {
+            form,
+            place: self.place,
+            started: self.started,
+            deadline: self.deadline,
+            class: self.class,
+            metrics: Arc::clone(&self.parts.metrics),
+        };
         Answer {
             head,
-            body: Body::new(body, self.place, form, expired, metrics).boxed(),
+            body: pump.start(body).boxed(),
         }
     }
 
@@ -267,7 +279,8 @@
         let checked = read.and_then(|read| self.checked(&read, check));
         match checked {
             Ok(bytes) => {
-                self.place.end(Outcome::Answered);
+                let took = self.started.elapsed();
+                self.place.end(Outcome::Answered(took.into()));
                 head.headers
                     .insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
                 Ok(Answer {
@@ -283,9 +296,13 @@
     }
 
     fn checked(&self, read: &[u8], check: &Check) -> Result<Bytes, Failure> {
-        check
-            .whole(read)
-            .map_err(|error| body::dropped(error, &self.parts.metrics))
+        let metrics = &self.parts.metrics;
+        check.whole(read).map_err(|error| {
+            if let Some(reason) = error.dropped() {
+                metrics.dropped_answers.with_label_values(&[reason]).inc();
+            }
+            error.into()
+        })
     }
 
     /// Reads what an engine that refused or failed says, and returns it as a numbered failure.
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -33,7 +33,7 @@
 }
 
 /// What the service answers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Receipt {
     /// The service's name.
     pub service: String,
