--- a/lib/src/loads/mod.rs
+++ b/lib/src/loads/mod.rs
@@ -4,6 +4,12 @@
 //! at once slow each other down. One node, the owner of the pseudo-upstream
 //! [`WEIGHTS`], orders all loads by who waits and how urgently.
 
+mod queue;
+mod shared;
+
+pub use queue::{Limits, Queue};
+pub use shared::{Parts, Shared};
+
 use std::fmt;
 
 use async_trait::async_trait;
--- /dev/null
+++ b/lib/src/loads/queue.rs
@@ -0,0 +1,246 @@
+//! The actor that orders loads: one at a time, as [`crate::policy::loads`] decides.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use async_trait::async_trait;
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn, WeakActorRef};
+use kameo::mailbox::{self, MailboxReceiver, Signal};
+use kameo::message::{Context, Message};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::{Ask, Permit, Permits};
+use crate::clock::{Clock, Millis};
+use crate::error::{Code, Failure};
+use crate::policy;
+use crate::policy::loads::Key;
+
+/// Messages that wait for the actor.
+const MAILBOX: usize = 1024;
+
+/// How the queue behaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// Bounds of the decisions.
+    pub order: policy::loads::Limits,
+    /// Shortest time between the starts of two loads; zero is one load right after another.
+    pub spacing: Millis,
+}
+
+/// The queue, as those see it that want to load.
+#[derive(Clone)]
+pub struct Queue {
+    actor: ActorRef<Turns>,
+    ends: mpsc::UnboundedSender<Key>,
+    serial: Arc<AtomicU64>,
+}
+
+impl fmt::Debug for Queue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Queue").finish_non_exhaustive()
+    }
+}
+
+impl Queue {
+    /// Starts with nobody waiting.
+    #[must_use]
+    pub fn start(limits: Limits, clock: Arc<dyn Clock>) -> Self {
+        let (ends, ended) = mpsc::unbounded_channel();
+        let actor = Turns::spawn_with_mailbox((limits, clock, ended), mailbox::bounded(MAILBOX));
+        Self {
+            actor,
+            ends,
+            serial: Arc::new(AtomicU64::new(0)),
+        }
+    }
+
+    /// Changes the shortest time between the starts of two loads.
+    pub(super) async fn space(&self, spacing: Millis) {
+        let _ = self.actor.tell(Space(spacing)).send().await;
+    }
+
+    async fn ask(
+        &self,
+        key: Key,
+        ask: Ask,
+        reply: Option<oneshot::Sender<()>>,
+    ) -> Result<(), Failure> {
+        let asked = self.actor.tell(Asked { key, ask, reply }).send().await;
+        asked.map_err(|_| Failure::new(Code::LoadFailed, "the load queue has stopped"))
+    }
+}
+
+#[async_trait]
+impl Permits for Queue {
+    async fn acquire(&self, mut ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
+        let key = (0, self.serial.fetch_add(1, Ordering::Relaxed));
+        let leave = Leave {
+            key,
+            ends: self.ends.clone(),
+        };
+        let (reply, mut granted) = oneshot::channel();
+        let first = ask.borrow_and_update().clone();
+        self.ask(key, first, Some(reply)).await?;
+        loop {
+            tokio::select! {
+                biased;
+                granted = &mut granted => {
+                    let full = |_| Failure::new(Code::LoadFailed, "too many loads wait");
+                    return granted.map(|()| Box::new(leave) as _).map_err(full);
+                }
+                Ok(()) = ask.changed() => {
+                    let changed = ask.borrow_and_update().clone();
+                    self.ask(key, changed, None).await?;
+                }
+            }
+        }
+    }
+}
+
+/// An ask, waiting or granted; dropping it takes the ask or the leave back.
+///
+/// A holder that dies with its leave would block every load of the deployment.
+#[derive(Debug)]
+struct Leave {
+    key: Key,
+    ends: mpsc::UnboundedSender<Key>,
+}
+
+impl Drop for Leave {
+    fn drop(&mut self) {
+        let _ = self.ends.send(self.key);
+    }
+}
+
+#[async_trait]
+impl Permit for Leave {
+    async fn done(self: Box<Self>, _: bool, _: Millis) {}
+}
+
+/// An ask comes or changes.
+#[derive(Debug)]
+struct Asked {
+    key: Key,
+    ask: Ask,
+    reply: Option<oneshot::Sender<()>>,
+}
+
+/// The shortest time between two loads changes.
+#[derive(Debug)]
+struct Space(Millis);
+
+/// The actor: it grants one leave at a time.
+#[derive(Debug)]
+struct Turns {
+    order: policy::loads::Queue,
+    spacing: Millis,
+    next_start: Millis,
+    waiting: HashMap<Key, oneshot::Sender<()>>,
+    clock: Arc<dyn Clock>,
+    ended: mpsc::UnboundedReceiver<Key>,
+}
+
+impl Turns {
+    fn grant(&mut self) {
+        let now = self.clock.now();
+        while now >= self.next_start {
+            let Some((key, _)) = self.order.next(now) else {
+                return;
+            };
+            let told = self
+                .waiting
+                .remove(&key)
+                .is_some_and(|reply| reply.send(()).is_ok());
+            if told {
+                self.next_start = now + self.spacing;
+            } else {
+                self.order.withdraw(key);
+            }
+        }
+    }
+
+    fn wakeup(&self) -> Option<Millis> {
+        if self.order.is_empty() {
+            return None;
+        }
+        let now = self.clock.now();
+        let spaced = (now < self.next_start).then_some(self.next_start);
+        let next = self.order.next_wakeup();
+        // Neither can grant before the later of the two.
+        spaced.max(next).map(|at| at.since(now))
+    }
+
+    fn end(&mut self, key: Key) {
+        self.waiting.remove(&key);
+        self.order.withdraw(key);
+        self.grant();
+    }
+}
+
+impl Actor for Turns {
+    type Args = (Limits, Arc<dyn Clock>, mpsc::UnboundedReceiver<Key>);
+    type Error = Infallible;
+
+    async fn on_start(args: Self::Args, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        let (limits, clock, ended) = args;
+        Ok(Self {
+            order: policy::loads::Queue::new(limits.order),
+            spacing: limits.spacing,
+            next_start: Millis::ZERO,
+            waiting: HashMap::new(),
+            clock,
+            ended,
+        })
+    }
+
+    async fn next(
+        &mut self,
+        _: WeakActorRef<Self>,
+        mailbox: &mut MailboxReceiver<Self>,
+    ) -> Result<Option<Signal<Self>>, Infallible> {
+        loop {
+            let wakeup = self.wakeup();
+            tokio::select! {
+                biased;
+                Some(key) = self.ended.recv() => self.end(key),
+                signal = mailbox.recv() => return Ok(signal),
+                () = sleep(wakeup) => self.grant(),
+            }
+        }
+    }
+}
+
+async fn sleep(wakeup: Option<Millis>) {
+    match wakeup {
+        Some(span) => tokio::time::sleep(span.duration()).await,
+        None => std::future::pending().await,
+    }
+}
+
+impl Message<Asked> for Turns {
+    type Reply = ();
+
+    async fn handle(&mut self, asked: Asked, _: &mut Context<Self, ()>) {
+        // An ask that changes after it was granted or taken back stays so.
+        let known = asked.reply.is_some() || self.waiting.contains_key(&asked.key);
+        if !known || !self.order.ask(asked.key, asked.ask, self.clock.now()) {
+            return;
+        }
+        if let Some(reply) = asked.reply {
+            self.waiting.insert(asked.key, reply);
+        }
+        self.grant();
+    }
+}
+
+impl Message<Space> for Turns {
+    type Reply = ();
+
+    async fn handle(&mut self, space: Space, _: &mut Context<Self, ()>) {
+        self.spacing = space.0;
+    }
+}
--- /dev/null
+++ b/lib/src/loads/shared.rs
@@ -0,0 +1,187 @@
+//! Leave to load from wherever it can be had: the queue's owner, this node or a
+//! peer, and while it can't be reached a small share of the rate.
+//!
+//! The queue's owner can be dead or cut off for seconds. All loads would stop
+//! then, and every cold adapter with them. A node that can't reach it goes on at
+//! the store's rate divided by the number of nodes, so that all of them together
+//! don't ask the store for more than it gives. See docs/design/0001-one-owner-per-upstream.md.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use tokio::sync::watch;
+
+use super::queue::{Limits, Queue};
+use super::{Ask, Permit, Permits, WEIGHTS};
+use crate::clock::{Clock, Millis};
+use crate::error::{Code, Failure};
+use crate::membership::Fleet;
+use crate::membership::fleet::Owner;
+use crate::name::Name;
+use crate::peer::{Clients, Remote};
+use crate::policy;
+
+/// Loads that a lost holder of leave may hold up, in loads at the store's rate.
+const PATIENCE_LOADS: u64 = 10;
+
+/// Time between two tries of an owner that gives no leave.
+const OWNER_AGAIN: Millis = Millis::from_secs(2);
+
+/// What the shared queue works with.
+#[derive(Debug, Clone)]
+pub struct Parts {
+    /// This node's name.
+    pub node: Name,
+    /// Who owns what.
+    pub fleet: watch::Receiver<Arc<Fleet>>,
+    /// The ways to peers.
+    pub clients: Arc<Clients>,
+    /// The node's clock.
+    pub clock: Arc<dyn Clock>,
+    /// The store's rate: loads a second, in thousandths.
+    pub loads_per_kilosecond: u32,
+}
+
+/// Leave to load, wherever the queue is.
+#[derive(Debug)]
+pub struct Shared {
+    parts: Parts,
+    queue: Queue,
+    share: Queue,
+}
+
+impl Shared {
+    /// Starts this node's part.
+    #[must_use]
+    pub fn start(parts: Parts) -> Arc<Self> {
+        let load = load_time(parts.loads_per_kilosecond);
+        let limits = |spacing| Limits {
+            order: policy::loads::Limits {
+                patience: Millis(load.0.saturating_mul(PATIENCE_LOADS)),
+                ..policy::loads::Limits::default()
+            },
+            spacing,
+        };
+        Arc::new(Self {
+            queue: Queue::start(limits(Millis::ZERO), Arc::clone(&parts.clock)),
+            share: Queue::start(limits(load), Arc::clone(&parts.clock)),
+            parts,
+        })
+    }
+
+    /// Returns the queue that this node's service gives its peers.
+    #[must_use]
+    pub fn served(self: &Arc<Self>) -> Arc<dyn Permits> {
+        Arc::new(Served(Arc::clone(self)))
+    }
+
+    fn owner(&self) -> Option<Arc<Owner>> {
+        self.parts.fleet.borrow().owner(WEIGHTS).cloned()
+    }
+
+    fn is_here(&self) -> bool {
+        self.owner()
+            .is_some_and(|owner| owner.node == self.parts.node)
+    }
+
+    /// Waits for leave at the queue's owner.
+    async fn owner_leave(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
+        match self.owner() {
+            Some(owner) if owner.node == self.parts.node => self.queue.acquire(ask).await,
+            Some(owner) => {
+                let remote = Remote {
+                    clients: Arc::clone(&self.parts.clients),
+                    address: owner.peer,
+                };
+                remote.acquire(ask).await
+            }
+            None => Err(no_owner()),
+        }
+    }
+
+    /// Waits for leave from this node's share.
+    async fn share_leave(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
+        let nodes = nodes(&self.parts.fleet.borrow());
+        let load = load_time(self.parts.loads_per_kilosecond);
+        self.share.space(Millis(load.0.saturating_mul(nodes))).await;
+        self.share.acquire(ask).await
+    }
+
+    /// Tries the queue's owner again and again.
+    async fn owner_again(&self, ask: &watch::Receiver<Ask>) -> Box<dyn Permit> {
+        loop {
+            tokio::time::sleep(OWNER_AGAIN.duration()).await;
+            if let Ok(permit) = self.owner_leave(ask.clone()).await {
+                return permit;
+            }
+        }
+    }
+
+    /// Returns when the queue has another owner.
+    async fn moved(&self) {
+        let before = self.owner();
+        let mut fleet = self.parts.fleet.clone();
+        let changed = fleet.wait_for(|fleet| fleet.owner(WEIGHTS) != before.as_ref());
+        if changed.await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+#[async_trait]
+impl Permits for Shared {
+    async fn acquire(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
+        loop {
+            let failure = tokio::select! {
+                leave = self.owner_leave(ask.clone()) => match leave {
+                    Ok(permit) => return Ok(permit),
+                    Err(failure) => failure,
+                },
+                () = self.moved() => continue,
+            };
+            log::debug!("loads: the queue's owner gives no leave: {failure}");
+            tokio::select! {
+                leave = self.share_leave(ask.clone()) => return leave,
+                permit = self.owner_again(&ask) => return Ok(permit),
+                () = self.moved() => {}
+            }
+        }
+    }
+}
+
+/// The queue as peers see it: only while this node owns it.
+#[derive(Debug)]
+struct Served(Arc<Shared>);
+
+#[async_trait]
+impl Permits for Served {
+    async fn acquire(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
+        if !self.0.is_here() {
+            return Err(no_owner());
+        }
+        tokio::select! {
+            leave = self.0.queue.acquire(ask) => leave,
+            () = self.0.moved() => Err(no_owner()),
+        }
+    }
+}
+
+fn no_owner() -> Failure {
+    Failure::new(Code::NotOwner, "this node doesn't own the load queue")
+}
+
+/// Returns how long one load takes at the store's rate.
+fn load_time(loads_per_kilosecond: u32) -> Millis {
+    Millis(1_000_000 / u64::from(loads_per_kilosecond.max(1)))
+}
+
+/// Returns how many nodes own upstreams, and so may load; at least this one.
+fn nodes(fleet: &Fleet) -> u64 {
+    let owners: HashSet<&str> = fleet
+        .upstreams()
+        .filter_map(|upstream| fleet.owner(&upstream.vm.name))
+        .map(|owner| &*owner.node)
+        .collect();
+    owners.len().max(1) as u64
+}
--- a/lib/src/owner/driver.rs
+++ b/lib/src/owner/driver.rs
@@ -260,7 +260,7 @@
 
     fn noted(&mut self, request: Id, outcome: Outcome, now: Millis) {
         match outcome {
-            Outcome::Answered(_) => {
+            Outcome::Answered => {
                 self.foreign.answered(request, now);
                 self.answered();
             }
@@ -274,17 +274,17 @@
             return;
         }
         log::info!("owner: {} answers again", self.name());
-        if let Some(sign) = &self.parts.sign {
-            sign.failing(self.name(), false);
+        if let Some(sight) = &self.parts.sight {
+            sight.answered(self.name());
         }
     }
 
     fn failed(&mut self, now: Millis) {
         if self.health.failed(now) {
             log::warn!("owner: {} can't be reached; it gets no work", self.name());
-            if let Some(sign) = &self.parts.sign {
-                sign.failing(self.name(), true);
-            }
+        }
+        if let Some(sight) = &self.parts.sight {
+            sight.failed(self.name());
         }
         if let Err(failure) = self.takes_work() {
             self.refuse_waiting(&failure);
@@ -423,9 +423,13 @@
             hold: self.args.hold.clone(),
             waits: Waits { queued, load },
         };
-        // If the caller has gone, its place tells so by itself.
-        let _ = reply.send(Ok(grant));
-        Vec::new()
+        if reply.send(Ok(grant)).is_ok() {
+            return Vec::new();
+        }
+        // The caller has gone. Its place may have said so before this request
+        // was known, and nobody will say it again: the pin would leak.
+        self.entries.remove(id);
+        self.machine.finished(id, self.parts.clock.now())
     }
 
     fn refuse(&mut self, id: &Id, failure: Failure) {
--- a/lib/src/owner/events.rs
+++ b/lib/src/owner/events.rs
@@ -17,7 +17,6 @@
 pub(super) struct Events {
     check: Check,
     partial: BytesMut,
-    pieces: u32,
     done: bool,
 }
 
@@ -27,7 +26,6 @@
         Self {
             check,
             partial: BytesMut::new(),
-            pieces: 0,
             done: false,
         }
     }
@@ -37,11 +35,6 @@
         self.done
     }
 
-    /// Returns how many pieces of the answer have passed.
-    pub(super) const fn pieces(&self) -> u32 {
-        self.pieces
-    }
-
     /// Takes bytes as they came and returns what the caller may see of them; it may be empty.
     pub(super) fn take(&mut self, chunk: Bytes) -> Result<Bytes, Error> {
         let data = self.joined(chunk);
@@ -92,9 +85,7 @@
         if self.done {
             return Err(Error::Request);
         }
-        let model = self.check.inspect(payload)?;
-        self.pieces = self.pieces.saturating_add(1);
-        Ok(Some(model))
+        self.check.inspect(payload).map(Some)
     }
 }
 
@@ -170,7 +161,6 @@
         let seen = events.take(two.into()).unwrap();
         let renamed = event("one", "fault \\\"now\\\"").repeat(2);
         assert_eq!(seen, renamed.as_bytes());
-        assert_eq!(events.pieces(), 2);
         assert!(!events.done());
     }
 
@@ -188,7 +178,6 @@
             let second = events.take(Bytes::copy_from_slice(&text.as_bytes()[cut..]));
             assert_eq!([first.unwrap(), second.unwrap()].concat(), whole);
             assert!(events.done());
-            assert_eq!(events.pieces(), 2);
         }
     }
 
--- a/lib/src/owner/health.rs
+++ b/lib/src/owner/health.rs
@@ -1,7 +1,5 @@
 //! Whether an owned upstream can be reached.
 
-use std::fmt;
-
 use crate::clock::Millis;
 
 /// Shortest time that a failing upstream gets no work.
@@ -9,15 +7,6 @@
 /// Longest such time; it doubles up to here.
 const HOLD_TO: Millis = Millis::from_secs(30);
 
-/// Hears when an owned upstream stops or begins again to answer.
-///
-/// Membership holds a failing upstream out, so that entry nodes stop asking
-/// for it instead of each finding out with a request.
-pub trait Sign: fmt::Debug + Send + Sync {
-    /// Tells of a change; called once for each.
-    fn failing(&self, upstream: &str, failing: bool);
-}
-
 /// Counts failures in a row.
 #[derive(Debug)]
 pub(super) struct Health {
@@ -51,9 +40,9 @@
         self.failures == self.limit
     }
 
-    /// Notes an answer and returns whether the upstream has just recovered.
+    /// Notes an answer and returns whether it is the first after a failure.
     pub(super) const fn answered(&mut self) -> bool {
-        let recovered = self.failures >= self.limit;
+        let recovered = self.failures > 0;
         self.failures = 0;
         recovered
     }
--- a/lib/src/owner/mod.rs
+++ b/lib/src/owner/mod.rs
@@ -6,6 +6,7 @@
 //! when it ends, however it ends. See docs/design/0001-one-owner-per-upstream.md.
 
 mod actor;
+mod body;
 mod check;
 mod driver;
 mod event;
@@ -14,13 +15,11 @@
 mod health;
 mod load;
 mod place;
-mod pump;
 mod registry;
 mod report;
 mod run;
 mod status;
 
-pub use health::Sign;
 pub use registry::{Parts, Registry};
 pub use run::Waits;
 pub use status::{Slot, Status};
--- a/lib/src/owner/place.rs
+++ b/lib/src/owner/place.rs
@@ -3,7 +3,6 @@
 use tokio::sync::mpsc;
 
 use super::event::Event;
-use crate::clock::Millis;
 use crate::request::Id;
 
 /// How a place was given up.
@@ -11,8 +10,8 @@
 pub(super) enum Outcome {
     /// The caller went away, or the task panicked.
     Dropped,
-    /// The upstream answered; it took this long from the start.
-    Answered(Millis),
+    /// The answer was whole.
+    Answered,
     /// The upstream couldn't be reached; nothing ran.
     ConnectFailed,
     /// The upstream refused the request before running it.
--- a/lib/src/owner/registry.rs
+++ b/lib/src/owner/registry.rs
@@ -15,12 +15,12 @@
 use super::event::Event;
 use super::place::Place;
 use super::run::{self, Grant};
-use super::{Limits, Sign, Status};
+use super::{Limits, Status};
 use crate::clock::{Clock, Millis};
 use crate::declaration::Pool;
 use crate::error::{Code, Failure};
 use crate::loads::Permits;
-use crate::membership::{Adopter, Hold, fleet};
+use crate::membership::{Adopter, Hold, Sight, fleet};
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::platform::{Answer, Connector};
@@ -37,8 +37,8 @@
     pub connector: Arc<dyn Connector>,
     /// Gives leave to load.
     pub permits: Arc<dyn Permits>,
-    /// Hears of failing upstreams, if anyone does.
-    pub sign: Option<Arc<dyn Sign>>,
+    /// Hears how owned upstreams are, so that membership can hold one out.
+    pub sight: Option<Arc<dyn Sight>>,
     /// The node's clock.
     pub clock: Arc<dyn Clock>,
     /// The node's metrics.
--- a/lib/src/owner/run.rs
+++ b/lib/src/owner/run.rs
@@ -9,17 +9,18 @@
 use http::{StatusCode, response};
 use tokio::time::Instant;
 
+use super::body::{self, Body, Form};
 use super::check::{self, Check};
 use super::events::Events;
 use super::place::{Outcome, Place};
-use super::pump::{Form, Pump};
+
 use super::registry::Parts;
 use crate::adapter::Adapter;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::membership::Hold;
 use crate::platform::{Answer, Call, Engine, Service};
-use crate::request::{Class, Id, Ticket};
+use crate::request::{Id, Ticket};
 use crate::runner::{Attempt, Work};
 
 /// Largest error message of an engine that is read.
@@ -57,7 +58,6 @@
 #[derive(Debug)]
 pub(super) struct Order {
     id: Id,
-    class: Class,
     deadline: Millis,
     content: Content,
 }
@@ -85,7 +85,6 @@
         let ticket = &attempt.ticket;
         Ok(Self {
             id: ticket.id.clone(),
-            class: ticket.class,
             deadline: ticket.deadline,
             content: Content::new(ticket, &attempt.work)?,
         })
@@ -98,13 +97,10 @@
         grant: Grant,
         parts: &Parts,
     ) -> Result<Answer, Failure> {
-        let started = Instant::now();
         let left = self.deadline.since(parts.clock.now());
         let running = Running {
             place,
-            started,
-            deadline: started + left.duration(),
-            class: self.class,
+            deadline: Instant::now() + left.duration(),
             parts,
         };
         let mut answer = match (self.content, grant.target) {
@@ -191,9 +187,7 @@
 #[derive(Debug)]
 struct Running<'a> {
     place: Place,
-    started: Instant,
     deadline: Instant,
-    class: Class,
     parts: &'a Parts,
 }
 
@@ -215,7 +209,7 @@
         // The pieces change their length on the way.
         head.headers.remove(CONTENT_LENGTH);
         let form = Form::Events(Box::new(Events::new(check)));
-        Ok(running.pumped(head, body, form))
+        Ok(running.flowing(head, body, form))
     }
 
     async fn called(
@@ -224,7 +218,7 @@
     ) -> Result<Answer, Failure> {
         let (running, answer) = self.begun(call).await?;
         let form = Form::Plain(length(&answer.head));
-        Ok(running.pumped(answer.head, answer.body, form))
+        Ok(running.flowing(answer.head, answer.body, form))
     }
 
     /// Waits for the answer's head.
@@ -244,23 +238,17 @@
         }
     }
 
-    fn pumped(
+    fn flowing(
         self,
         head: response::Parts,
         body: BoxStream<'static, Result<Bytes, Failure>>,
         form: Form,
     ) -> Answer {
-        let pump = Pump {
-            form,
-            place: self.place,
-            started: self.started,
-            deadline: self.deadline,
-            class: self.class,
-            metrics: Arc::clone(&self.parts.metrics),
-        };
+        let expired = tokio::time::sleep_until(self.deadline);
+        let metrics = Arc::clone(&self.parts.metrics);
         Answer {
             head,
-            body: pump.start(body).boxed(),
+            body: Body::new(body, self.place, form, expired, metrics).boxed(),
         }
     }
 
@@ -279,8 +267,7 @@
         let checked = read.and_then(|read| self.checked(&read, check));
         match checked {
             Ok(bytes) => {
-                let took = self.started.elapsed();
-                self.place.end(Outcome::Answered(took.into()));
+                self.place.end(Outcome::Answered);
                 head.headers
                     .insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
                 Ok(Answer {
@@ -296,13 +283,9 @@
     }
 
     fn checked(&self, read: &[u8], check: &Check) -> Result<Bytes, Failure> {
-        let metrics = &self.parts.metrics;
-        check.whole(read).map_err(|error| {
-            if let Some(reason) = error.dropped() {
-                metrics.dropped_answers.with_label_values(&[reason]).inc();
-            }
-            error.into()
-        })
+        check
+            .whole(read)
+            .map_err(|error| body::dropped(error, &self.parts.metrics))
     }
 
     /// Reads what an engine that refused or failed says, and returns it as a numbered failure.
--- /dev/null
+++ b/lib/src/peer/link.rs
@@ -0,0 +1,146 @@
+//! The connection to one peer: opened when needed, with backoff after a failure.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use tonic::transport::{Channel, Endpoint};
+use tonic::{ConnectError, Status};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Limits;
+use super::connector::Connector;
+use super::tls::Security;
+use crate::clock::{Clock, Millis};
+use crate::error::{Code, Failure};
+use crate::name::Name;
+use crate::schema::peer::peer_client::PeerClient;
+
+/// The way to one peer.
+#[derive(Debug)]
+pub(super) struct Link {
+    node: Name,
+    address: SocketAddr,
+    client: PeerClient<Channel>,
+    clock: Arc<dyn Clock>,
+    backoff: (Millis, Millis),
+    failures: AtomicU32,
+    closed_until: AtomicU64,
+    used: AtomicU64,
+}
+
+impl Link {
+    /// Makes the way to a peer; the connection is opened by the first call.
+    pub(super) fn new(
+        node: &Name,
+        address: SocketAddr,
+        security: &Security,
+        limits: &Limits,
+        clock: &Arc<dyn Clock>,
+    ) -> Self {
+        let connector = Connector {
+            address,
+            security: security.clone(),
+            timeout: limits.connect_timeout,
+        };
+        let channel = endpoint(address, limits).connect_with_connector_lazy(connector);
+        Self {
+            node: Arc::clone(node),
+            address,
+            client: PeerClient::new(channel)
+                .max_decoding_message_size(limits.message_bytes)
+                .max_encoding_message_size(limits.message_bytes),
+            clock: Arc::clone(clock),
+            backoff: (limits.backoff_from, limits.backoff_to),
+            failures: AtomicU32::new(0),
+            closed_until: AtomicU64::new(0),
+            used: AtomicU64::new(clock.now().0),
+        }
+    }
+
+    /// Returns a client, unless a connection failed a moment ago.
+    pub(super) fn client(&self) -> Result<PeerClient<Channel>, Failure> {
+        let now = self.clock.now();
+        self.used.store(now.0, Ordering::Relaxed);
+        let until = Millis(self.closed_until.load(Ordering::Relaxed));
+        if now < until {
+            let failure = Failure::new(Code::PeerUnreachable, "the peer couldn't be reached");
+            return Err(failure.retry_after(until.since(now)));
+        }
+        Ok(self.client.clone())
+    }
+
+    /// Returns when a call was last made.
+    pub(super) fn used(&self) -> Millis {
+        Millis(self.used.load(Ordering::Relaxed))
+    }
+
+    /// Notes that the peer has answered.
+    pub(super) fn answered(&self) {
+        if self.failures.load(Ordering::Relaxed) > 0 {
+            self.failures.store(0, Ordering::Relaxed);
+        }
+    }
+
+    /// Says what a failed call means for what was sent.
+    ///
+    /// Only a connection that was never opened proves that nothing left this
+    /// node. After that the peer may have read the request and acted on it,
+    /// whatever the connection reports.
+    pub(super) fn failed(&self, status: &Status) -> Failure {
+        if is_connect(status) {
+            self.back_off();
+            let failure = Failure::new(Code::PeerUnreachable, "the peer can't be reached");
+            return failure.retry_after(self.backoff.0);
+        }
+        Failure::new(
+            Code::PeerLost,
+            format!("the connection to the peer broke: {:?}", status.code()),
+        )
+    }
+
+    fn back_off(&self) {
+        let now = self.clock.now();
+        // All calls that waited for one connection fail together; that is one failure.
+        if now.0 < self.closed_until.load(Ordering::Relaxed) {
+            return;
+        }
+        let failures = self.failures.fetch_add(1, Ordering::Relaxed);
+        let (from, to) = self.backoff;
+        let span = Millis(from.0 << failures.min(16)).min(to);
+        let until = now + jittered(span, &self.node, self.address, failures);
+        self.closed_until.store(until.0, Ordering::Relaxed);
+        log::debug!("peer: {} can't be reached", self.address);
+    }
+}
+
+/// Returns between half and the whole of a span, different for each pair of nodes.
+///
+/// Without it, nodes that lost a peer together would all come back together.
+fn jittered(span: Millis, node: &str, address: SocketAddr, failures: u32) -> Millis {
+    let seed = xxh3_64_with_seed(node.as_bytes(), u64::from(failures));
+    let hash = xxh3_64_with_seed(address.to_string().as_bytes(), seed);
+    Millis(span.0 / 2 + hash % (span.0 / 2 + 1))
+}
+
+fn endpoint(address: SocketAddr, limits: &Limits) -> Endpoint {
+    Endpoint::from_shared(format!("http://{address}"))
+        .expect("an address by IP number and port is an authority")
+        .connect_timeout(limits.connect_timeout.duration())
+        .initial_stream_window_size(limits.window_bytes)
+        .initial_connection_window_size(limits.connection_window())
+        .http2_keep_alive_interval(limits.ping_after.duration())
+        .keep_alive_timeout(limits.ping_timeout.duration())
+}
+
+fn is_connect(status: &Status) -> bool {
+    let mut source = status.source();
+    while let Some(error) = source {
+        if error.is::<ConnectError>() {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
--- a/lib/src/peer/mod.rs
+++ b/lib/src/peer/mod.rs
@@ -1,2 +1,74 @@
 //! Connections between nodes: the service that a node gives its peers, and its
 //! clients of theirs. See docs/architecture.md.
+
+mod call;
+pub mod client;
+mod connector;
+mod forward;
+mod link;
+mod permit;
+pub mod server;
+pub mod tls;
+mod wire;
+mod witness;
+
+pub use client::Clients;
+pub(crate) use permit::Remote;
+
+use crate::clock::Millis;
+
+/// Bounds of the connections between nodes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections that peers may have open to this node.
+    pub connections: usize,
+    /// Requests in progress on one connection.
+    pub streams: u32,
+    /// Bytes of an answer that wait for a slow reader before the sender is held back.
+    ///
+    /// A connection's window is this times [`Limits::streams`], so that readers
+    /// which take nothing can't use up what the others need.
+    pub window_bytes: u32,
+    /// Largest message.
+    pub message_bytes: usize,
+    /// Largest body of a request.
+    pub body_bytes: usize,
+    /// Longest time to a connection, TLS included.
+    pub connect_timeout: Millis,
+    /// Longest time of an exchange, a renewal or the first part of a snapshot.
+    pub call_timeout: Millis,
+    /// Time without a sign of life after which a peer with requests in progress is asked for one.
+    pub ping_after: Millis,
+    /// Time to that sign before the connection is given up.
+    pub ping_timeout: Millis,
+    /// First and shortest time without a new try after a failed connection; it doubles.
+    pub backoff_from: Millis,
+    /// Longest such time.
+    pub backoff_to: Millis,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 1024,
+            streams: 4096,
+            window_bytes: 64 << 10,
+            message_bytes: 4 << 20,
+            body_bytes: 64 << 20,
+            connect_timeout: Millis::from_secs(1),
+            call_timeout: Millis::from_secs(2),
+            ping_after: Millis::from_secs(2),
+            ping_timeout: Millis::from_secs(2),
+            backoff_from: Millis(100),
+            backoff_to: Millis::from_secs(5),
+        }
+    }
+}
+
+impl Limits {
+    /// Returns the window of a whole connection, within what HTTP/2 allows.
+    fn connection_window(&self) -> u32 {
+        const MOST: u32 = (1 << 31) - 1;
+        self.window_bytes.saturating_mul(self.streams).min(MOST)
+    }
+}
--- /dev/null
+++ b/lib/src/peer/server.rs
@@ -0,0 +1,186 @@
+//! The service that a node gives its peers.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::BytesMut;
+use futures::stream::{self, BoxStream};
+use futures::{FutureExt, StreamExt};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::connector::Acceptor;
+use super::tls::Security;
+use super::{Limits, call, permit, wire};
+use crate::clock::Clock;
+use crate::error::{Code, Failure};
+use crate::gossip::{Exchange, Snapshot};
+use crate::loads::Permits;
+use crate::membership::Renewal;
+use crate::metrics::Metrics;
+use crate::platform::Answer;
+use crate::runner::{Attempt, Runner};
+use crate::schema::peer::peer_server::{Peer, PeerServer};
+use crate::schema::peer::{
+    Delta, Digest, Down, PermitDown, PermitUp, RenewReply, RenewRequest, SnapshotPart,
+    SnapshotRequest, Up, up,
+};
+
+/// What answers peers.
+#[derive(Debug, Clone)]
+pub struct Handlers {
+    /// Runs attempts at the upstreams that this node owns.
+    pub runner: Arc<dyn Runner>,
+    /// Answers exchanges.
+    pub exchange: Arc<dyn Exchange>,
+    /// Answers as a witness.
+    pub renewal: Arc<dyn Renewal>,
+    /// Gives the whole configuration.
+    pub snapshot: Arc<dyn Snapshot>,
+    /// Gives leave to load, if this node owns the weight store's queue.
+    pub permits: Arc<dyn Permits>,
+    /// The node's clock.
+    pub clock: Arc<dyn Clock>,
+    /// The node's metrics.
+    pub metrics: Arc<Metrics>,
+    /// Bounds.
+    pub limits: Limits,
+}
+
+/// Serves peers until `stop`, then until what is in progress has ended.
+///
+/// # Errors
+///
+/// When the listener can't be served.
+pub async fn serve(
+    listener: TcpListener,
+    handlers: Handlers,
+    security: Security,
+    stop: CancellationToken,
+) -> Result<(), tonic::transport::Error> {
+    let limits = handlers.limits.clone();
+    let acceptor = Acceptor {
+        listener,
+        security,
+        timeout: limits.connect_timeout,
+        connections: limits.connections,
+    };
+    let incoming = acceptor.start(stop.clone());
+    let service = PeerServer::new(handlers)
+        .max_decoding_message_size(limits.message_bytes)
+        .max_encoding_message_size(limits.message_bytes);
+    Server::builder()
+        .initial_stream_window_size(limits.window_bytes)
+        .initial_connection_window_size(limits.connection_window())
+        .max_concurrent_streams(limits.streams)
+        .http2_keepalive_interval(Some(limits.ping_after.duration()))
+        .http2_keepalive_timeout(Some(limits.ping_timeout.duration()))
+        .add_service(service)
+        .serve_with_incoming_shutdown(incoming, stop.cancelled_owned())
+        .await
+}
+
+#[async_trait]
+impl Peer for Handlers {
+    type ForwardStream = BoxStream<'static, Result<Down, Status>>;
+    type PermitStream = BoxStream<'static, Result<PermitDown, Status>>;
+    type SnapshotStream = BoxStream<'static, Result<SnapshotPart, Status>>;
+
+    async fn forward(
+        &self,
+        request: Request<Streaming<Up>>,
+    ) -> Result<Response<Self::ForwardStream>, Status> {
+        // When the peer resets the stream, this future or the stream is dropped,
+        // which cancels the attempt wherever it is.
+        let ran = match self.received(request.into_inner()).await {
+            Ok(attempt) => self.runner.run(attempt).await,
+            Err(failure) => Err(failure),
+        };
+        let down = match ran {
+            Ok(answer) => answered(answer),
+            Err(failure) => stream::once(async move { Ok(wire::end(&Err(failure))) }).boxed(),
+        };
+        Ok(Response::new(down))
+    }
+
+    async fn exchange(&self, request: Request<Digest>) -> Result<Response<Delta>, Status> {
+        let digest = request.into_inner();
+        call::count(&self.metrics, "received", &digest);
+        let delta = self.exchange.exchange(digest).await;
+        call::count(&self.metrics, "sent", &delta);
+        Ok(Response::new(delta))
+    }
+
+    async fn permit(
+        &self,
+        request: Request<Streaming<PermitUp>>,
+    ) -> Result<Response<Self::PermitStream>, Status> {
+        let permits = Arc::clone(&self.permits);
+        let metrics = Arc::clone(&self.metrics);
+        let down = permit::serve(request.into_inner(), permits, metrics).await?;
+        Ok(Response::new(down))
+    }
+
+    async fn renew(&self, request: Request<RenewRequest>) -> Result<Response<RenewReply>, Status> {
+        let request = request.into_inner();
+        call::count(&self.metrics, "received", &request);
+        let reply = RenewReply::from(self.renewal.renew(request.into()).await);
+        call::count(&self.metrics, "sent", &reply);
+        Ok(Response::new(reply))
+    }
+
+    async fn snapshot(
+        &self,
+        _: Request<SnapshotRequest>,
+    ) -> Result<Response<Self::SnapshotStream>, Status> {
+        let parts = stream::iter(self.snapshot.parts().map(Ok));
+        Ok(Response::new(parts.boxed()))
+    }
+}
+
+impl Handlers {
+    /// Reads an attempt whole. Until it is whole, nothing of it has run.
+    async fn received(&self, mut up: Streaming<Up>) -> Result<Attempt, Failure> {
+        let bad = |detail: &str| Failure::new(Code::BadRequest, detail);
+        let mut head = None;
+        let mut body = BytesMut::new();
+        while let Some(message) = up
+            .message()
+            .await
+            .map_err(|_| bad("the request broke off"))?
+        {
+            match message.part {
+                Some(up::Part::Head(part)) => head = Some((part, self.clock.now())),
+                Some(up::Part::Body(piece)) => {
+                    if body.len() + piece.len() > self.limits.body_bytes {
+                        return Err(Failure::new(Code::BodyTooLarge, "the body is too large"));
+                    }
+                    body.extend_from_slice(&piece);
+                }
+                Some(up::Part::End(_)) => {
+                    let (head, came) = head.ok_or_else(|| bad("the request has no head"))?;
+                    return wire::attempt(head, body.freeze(), came);
+                }
+                None => {}
+            }
+        }
+        Err(bad("the request broke off"))
+    }
+}
+
+/// Returns the messages of an answer; the last says how it ended.
+fn answered(answer: Answer) -> BoxStream<'static, Result<Down, Status>> {
+    let head = wire::answer_head(&answer.head);
+    let pieces = stream::unfold(Some(answer.body), |body| async move {
+        let mut body = body?;
+        Some(match body.next().await {
+            Some(Ok(piece)) => (wire::data(piece), Some(body)),
+            Some(Err(failure)) => (wire::end(&Err(failure)), None),
+            None => (wire::end(&Ok(())), None),
+        })
+    });
+    let head = std::future::ready(head).into_stream();
+    head.chain(pieces).map(Ok).boxed()
+}
--- a/lib/tests/owner_fakes/mod.rs
+++ b/lib/tests/owner_fakes/mod.rs
@@ -24,8 +24,6 @@
 use http::response;
 use tokio::sync::watch;
 
-/// Span between two pieces of an answer.
-const PIECE: Millis = Millis(10);
 /// How long a load takes.
 const LOAD: Millis = Millis(300);
 /// Longer than any test.
@@ -36,6 +34,10 @@
 pub struct Knobs {
     /// Pieces of each answer.
     pub pieces: usize,
+    /// Span between two pieces.
+    pub piece_ms: Millis,
+    /// Length of a piece's text.
+    pub piece_bytes: usize,
     /// Identity in the answers instead of the request's.
     pub answer_as: Option<String>,
     /// Adapter in the answers instead of the request's.
@@ -72,6 +74,8 @@
         Self {
             knobs: Mutex::new(Knobs {
                 pieces: 3,
+                piece_ms: Millis(10),
+                piece_bytes: 1,
                 answer_as: None,
                 answer_from: None,
                 cut: false,
@@ -150,7 +154,8 @@
         let model = knobs
             .answer_from
             .unwrap_or_else(|| call.adapter.engine_name());
-        let json = format!("{{\"id\":\"cmpl-{id}\",\"model\":\"{model}\",\"text\":\"x\"}}");
+        let piece = "x".repeat(knobs.piece_bytes);
+        let json = format!("{{\"id\":\"cmpl-{id}\",\"model\":\"{model}\",\"text\":\"{piece}\"}}");
         if body["stream"] != true {
             let end = if knobs.cut {
                 json.len() / 2
@@ -165,12 +170,14 @@
         }
         let event = Bytes::from(format!("data: {json}\n\n"));
         let last = (!knobs.cut).then(|| Ok(Bytes::from("data: [DONE]\n\n")));
-        let pieces = stream::repeat(event)
-            .take(knobs.pieces)
-            .then(|event| async {
-                tokio::time::sleep(PIECE.duration()).await;
-                Ok(event)
-            });
+        let pause = knobs.piece_ms.duration();
+        let events = stream::repeat(event).take(knobs.pieces);
+        let pieces = events.then(move |event| async move {
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+            Ok(event)
+        });
         Ok(Answer {
             head: head(200),
             body: pieces.chain(stream::iter(last)).boxed(),
@@ -277,7 +284,7 @@
         let registry = Registry::start(Parts {
             connector: Arc::new(One(Arc::clone(&engine))),
             permits: Arc::new(Free),
-            sign: None,
+            sight: None,
             clock: Arc::clone(&clock),
             metrics: Arc::clone(&metrics),
             limits: Limits::default(),
--- /dev/null
+++ b/lib/tests/test_peer.rs
@@ -0,0 +1,405 @@
+//! Two nodes over real loopback connections: one forwards, the other owns.
+
+mod owner_fakes;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use chivevalve::clock::{Clock, Millis, Monotonic};
+use chivevalve::error::{Code, Failure, Fate};
+use chivevalve::gossip::{Exchange, Peer, Snapshot, Transport};
+use chivevalve::loads;
+use chivevalve::membership::fleet::{Fleet, Owner};
+use chivevalve::membership::witness::{Ask, Word};
+use chivevalve::membership::{Relay, Renewal};
+use chivevalve::metrics::Metrics;
+use chivevalve::peer::client::Clients;
+use chivevalve::peer::server::{self, Handlers};
+use chivevalve::peer::tls::Security;
+use chivevalve::peer::{Limits, client};
+use chivevalve::platform::{Answer, LeaseId};
+use chivevalve::runner::{Attempt, Reach, Runner};
+use chivevalve::schema::peer::{Delta, Digest, SnapshotPart};
+use futures::StreamExt;
+use owner_fakes::{Bench, attempt, text};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Answers exchanges, renewals and snapshots with something recognisable.
+#[derive(Debug)]
+struct Words;
+
+#[async_trait]
+impl Exchange for Words {
+    async fn exchange(&self, digest: Digest) -> Delta {
+        Delta {
+            digest: Some(digest),
+            ..Delta::default()
+        }
+    }
+}
+
+#[async_trait]
+impl Renewal for Words {
+    async fn renew(&self, ask: Ask) -> Word {
+        Word {
+            renewed: false,
+            supported: &*ask.node == "b",
+            withdrawn: ask.withdraw_before == Some(9),
+        }
+    }
+}
+
+impl Snapshot for Words {
+    fn parts(&self) -> Box<dyn Iterator<Item = SnapshotPart> + Send> {
+        Box::new(std::iter::repeat_n(SnapshotPart::default(), 3))
+    }
+}
+
+/// Fails, as the runner of a node that owns nothing.
+#[derive(Debug)]
+struct Nobody;
+
+#[async_trait]
+impl Runner for Nobody {
+    async fn run(&self, _: Attempt) -> Result<Answer, Failure> {
+        Err(Failure::new(Code::NotOwner, "nothing is owned here"))
+    }
+}
+
+/// A node that serves peers.
+struct Node {
+    owner: Owner,
+    metrics: Arc<Metrics>,
+    stop: CancellationToken,
+    served: tokio::task::JoinHandle<()>,
+}
+
+impl Node {
+    async fn start(runner: Arc<dyn Runner>, limits: Limits) -> Self {
+        let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+        let metrics = Arc::new(Metrics::new());
+        let queue = loads::Queue::start(
+            loads::Limits {
+                order: chivevalve::policy::loads::Limits::default(),
+                spacing: Millis::ZERO,
+            },
+            Arc::clone(&clock),
+        );
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = listener.local_addr().unwrap();
+        let handlers = Handlers {
+            runner,
+            exchange: Arc::new(Words),
+            renewal: Arc::new(Words),
+            snapshot: Arc::new(Words),
+            permits: Arc::new(queue),
+            clock,
+            metrics: Arc::clone(&metrics),
+            limits,
+        };
+        let stop = CancellationToken::new();
+        let serving = server::serve(listener, handlers, Security::Plaintext, stop.clone());
+        Self {
+            owner: Owner {
+                node: "b".into(),
+                incarnation: 1,
+                token: 1,
+                peer,
+            },
+            metrics,
+            stop,
+            served: tokio::spawn(async { serving.await.unwrap() }),
+        }
+    }
+}
+
+fn clients() -> Arc<Clients> {
+    Clients::new(client::Parts {
+        node: "a".into(),
+        local: Arc::new(Nobody),
+        security: Security::Plaintext,
+        clock: Arc::new(Monotonic::start()),
+        metrics: Arc::new(Metrics::new()),
+        limits: Limits::default(),
+    })
+}
+
+async fn owning() -> (Bench, Node) {
+    let bench = Bench::start().await;
+    let node = Node::start(bench.registry.clone(), Limits::default()).await;
+    (bench, node)
+}
+
+#[tokio::test]
+async fn run_at_peer() {
+    let (bench, node) = owning().await;
+    let runner = clients().runner(&node.owner);
+    let answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    let seen = text(answer).await.unwrap();
+    assert!(seen.contains("\"model\":\"template-plans\""), "{seen}");
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+    assert_eq!(bench.engine.runs(), ["r1"]);
+}
+
+#[tokio::test]
+async fn run_refused_at_peer() {
+    let node = Node::start(Arc::new(Nobody), Limits::default()).await;
+    let runner = clients().runner(&node.owner);
+    let failure = runner.run(attempt("r1", "plans", true)).await.unwrap_err();
+    assert_eq!(failure.code, Code::NotOwner);
+    assert_eq!(failure.fate(), Fate::NotRun);
+}
+
+#[tokio::test]
+async fn run_here() {
+    let mut owner = Node::start(Arc::new(Nobody), Limits::default()).await.owner;
+    owner.node = "a".into();
+    let runner = clients().runner(&owner);
+    let failure = runner.run(attempt("r1", "plans", true));
+    assert_eq!(failure.await.unwrap_err().detail, "nothing is owned here");
+}
+
+/// Symptom: a request that never left is called unknown, and isn't tried elsewhere.
+/// Sequence: the owner's process is gone, its port refuses connections.
+/// Cause: every error of a call was taken for a broken connection.
+#[tokio::test]
+async fn run_peer_refuses_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let owner = Owner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        peer: listener.local_addr().unwrap(),
+    };
+    drop(listener);
+    let runner = clients().runner(&owner);
+    for _ in 0..2 {
+        let failure = runner.run(attempt("r1", "plans", true)).await.unwrap_err();
+        assert_eq!(failure.code, Code::PeerUnreachable);
+        assert_eq!(failure.fate(), Fate::NotRun);
+        assert!(failure.retry_after.is_some());
+    }
+}
+
+/// Symptom: a request runs twice.
+/// Sequence: the owner reads the request, the connection is reset before the
+/// answer's head, the entry node tries the next upstream.
+/// Cause: a reset was taken for "never sent".
+#[tokio::test]
+async fn run_reset_before_head() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut read = [0; 1024];
+        stream.readable().await.unwrap();
+        let _ = stream.try_read(&mut read);
+    });
+    let owner = Owner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        peer,
+    };
+    let runner = clients().runner(&owner);
+    let failure = runner.run(attempt("r1", "plans", true));
+    let failure = failure.await.unwrap_err();
+    assert_eq!(failure.code, Code::PeerLost);
+    assert_eq!(failure.fate(), Fate::Unknown);
+}
+
+/// Passes bytes between a client and a node until it is cut.
+async fn relay(to: SocketAddr) -> (SocketAddr, CancellationToken) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let cut = CancellationToken::new();
+    let until = cut.clone();
+    tokio::spawn(async move {
+        while let Ok((mut down, _)) = listener.accept().await {
+            let mut up = tokio::net::TcpStream::connect(to).await.unwrap();
+            let until = until.clone();
+            tokio::spawn(async move {
+                let copied = tokio::io::copy_bidirectional(&mut down, &mut up);
+                let _ = until.run_until_cancelled(copied).await;
+            });
+        }
+    });
+    (address, cut)
+}
+
+/// Symptom: a short answer that looks whole.
+/// Sequence: the connection to the owner breaks in the middle of an answer.
+/// Cause: the stream's end was taken for the answer's end.
+#[tokio::test]
+async fn run_reset_after_head() {
+    let (bench, node) = owning().await;
+    bench.engine.set(|knobs| knobs.pieces = 1_000_000);
+    let (address, cut) = relay(node.owner.peer).await;
+    let owner = Owner {
+        peer: address,
+        ..node.owner.clone()
+    };
+    let runner = clients().runner(&owner);
+    let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    answer.body.next().await.unwrap().unwrap();
+    cut.cancel();
+    let failure = text(answer).await.unwrap_err();
+    assert_eq!(failure.code, Code::PeerLost);
+    assert_eq!(failure.fate(), Fate::Unknown);
+}
+
+/// Symptom: a place stays taken after the caller went away at another node.
+/// Sequence: the caller's node drops the answer half read.
+/// Cause: the reset of the stream didn't reach the attempt.
+#[tokio::test]
+async fn run_dropped_at_other_node() {
+    let bench = Bench::with_batch(1).await;
+    let node = Node::start(bench.registry.clone(), Limits::default()).await;
+    bench.engine.set(|knobs| knobs.pieces = 1_000_000);
+    let runner = clients().runner(&node.owner);
+    let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    answer.body.next().await.unwrap().unwrap();
+    drop(answer);
+    bench.engine.set(|knobs| knobs.pieces = 1);
+    let next = runner.run(attempt("r2", "plans", true)).await.unwrap();
+    text(next).await.unwrap();
+}
+
+/// Symptom: one caller that reads nothing stops the answers of all others.
+/// Sequence: many answers at one peer aren't read, another one is.
+/// Cause: unread bytes use up the window of the connection that all share.
+#[tokio::test]
+async fn run_slow_readers_hold_up_nobody() {
+    let bench = Bench::with_batch(64).await;
+    let node = Node::start(bench.registry.clone(), Limits::default()).await;
+    bench.engine.set(|knobs| {
+        knobs.pieces = 1_000_000;
+        knobs.piece_bytes = 16 << 10;
+        knobs.piece_ms = Millis::ZERO;
+    });
+    let clients = clients();
+    let runner = clients.runner(&node.owner);
+    let mut unread = Vec::new();
+    for number in 0..40 {
+        let id = format!("slow-{number}");
+        unread.push(runner.run(attempt(&id, "plans", true)).await.unwrap());
+    }
+    bench.engine.set(|knobs| knobs.pieces = 600);
+    let answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    let seen = text(answer).await.unwrap();
+    assert!(seen.len() > 600 * (16 << 10), "{}", seen.len());
+}
+
+#[tokio::test]
+async fn serve_stop_finishes_answers() {
+    let (bench, node) = owning().await;
+    bench.engine.set(|knobs| knobs.pieces = 20);
+    let runner = clients().runner(&node.owner);
+    let answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    node.stop.cancel();
+    text(answer).await.unwrap();
+    node.served.await.unwrap();
+}
+
+#[tokio::test]
+async fn exchange_renew_and_snapshot() {
+    let node = Node::start(Arc::new(Nobody), Limits::default()).await;
+    let clients = clients();
+    let peer = Peer {
+        name: "b".into(),
+        address: node.owner.peer,
+        region: "here".into(),
+    };
+    let digest = Digest {
+        node: "a".to_owned(),
+        ..Digest::default()
+    };
+    let delta = clients.exchange(&peer, digest.clone()).await.unwrap();
+    assert_eq!(delta.digest, Some(digest));
+    let ask = Ask {
+        node: "b".into(),
+        incarnation: 1,
+        lease: LeaseId(5),
+        registration: 7,
+        withdraw_before: Some(9),
+    };
+    let word = clients.renew(peer.address, ask).await.unwrap();
+    assert!(word.supported && word.withdrawn && !word.renewed);
+    let parts = clients.snapshot(&peer).await.unwrap();
+    assert_eq!(parts.count().await, 3);
+    let bytes = &node.metrics.control_bytes;
+    assert!(bytes.with_label_values(&["received"]).get() > 0);
+    assert!(bytes.with_label_values(&["sent"]).get() > 0);
+}
+
+fn wanted(name: &str) -> watch::Receiver<loads::Ask> {
+    watch::Sender::new(loads::Ask {
+        upstream: "engine-1".into(),
+        adapter: owner_fakes::adapter(name),
+        class: None,
+        waiters: 1,
+        weight: 1,
+        waited: Millis::ZERO,
+        gain: Millis::ZERO,
+    })
+    .subscribe()
+}
+
+fn shared(clients: &Arc<Clients>, owner: &Owner) -> Arc<loads::Shared> {
+    let owners = [(loads::WEIGHTS.into(), Arc::new(owner.clone()))];
+    let fleet = Fleet::new(Vec::new(), owners.into_iter().collect());
+    loads::Shared::start(loads::Parts {
+        node: "a".into(),
+        fleet: watch::Sender::new(Arc::new(fleet)).subscribe(),
+        clients: Arc::clone(clients),
+        clock: Arc::new(Monotonic::start()),
+        loads_per_kilosecond: 3000,
+    })
+}
+
+/// Symptom: no adapter is loaded any more, anywhere.
+/// Sequence: a node gets leave to load and dies.
+/// Cause: the queue waits for the outcome of a load that nobody makes.
+#[tokio::test]
+async fn permit_holder_dies() {
+    let node = Node::start(Arc::new(Nobody), Limits::default()).await;
+    let (address, cut) = relay(node.owner.peer).await;
+    let through = Owner {
+        peer: address,
+        ..node.owner.clone()
+    };
+    let dying = shared(&clients(), &through);
+    let leave = loads::Permits::acquire(&*dying, wanted("plans"))
+        .await
+        .unwrap();
+    cut.cancel();
+    let living = shared(&clients(), &node.owner);
+    let next = loads::Permits::acquire(&*living, wanted("faults"))
+        .await
+        .unwrap();
+    next.done(true, Millis(300)).await;
+    drop(leave);
+}
+
+/// Symptom: no adapter is loaded while the queue's owner is away.
+/// Sequence: the owner's port refuses connections.
+/// Cause: leave can only come from the owner.
+#[tokio::test]
+async fn permit_owner_away() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let owner = Owner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        peer: listener.local_addr().unwrap(),
+    };
+    drop(listener);
+    let shared = shared(&clients(), &owner);
+    let leave = loads::Permits::acquire(&*shared, wanted("plans"))
+        .await
+        .unwrap();
+    leave.done(true, Millis(300)).await;
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,9 +5,12 @@
 //! virtual time without a socket. Knobs make them fail; oracles record what
 //! truly happened. See docs/standins.md.
 
+pub mod caller;
 pub mod control;
 pub mod directory;
 pub mod engine;
+pub mod judge;
+pub mod mix;
 pub mod platform;
 pub mod serve;
 pub mod service;
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -33,7 +33,7 @@
 }
 
 /// What the service answers.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Receipt {
     /// The service's name.
     pub service: String,
