owner: failure stories as tests; foreign requests pinned by the decisions

policy::upstream::Machine::runs_already enters what another owner started: it takes a place and pins its adapter without touching demand or pace. A 404 for an adapter makes the owner ask the engine at once what it holds. A release also withdraws the asks for loads.

--- a/lib/src/owner/driver.rs
+++ b/lib/src/owner/driver.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio_util::task::AbortOnDropHandle;
 
 use super::actor::{Args, Submit, base_model};
 use super::event::Event;
@@ -13,7 +12,7 @@
 use super::load::{Asking, Load};
 use super::place::{End, Outcome};
 use super::registry::Parts;
-use super::report;
+use super::report::Reports;
 use super::run::{Grant, Target, Waits};
 use super::status::{Slot, Status};
 use crate::adapter::Adapter;
@@ -65,7 +64,7 @@
     drained: Vec<oneshot::Sender<()>>,
     events: mpsc::UnboundedSender<Event>,
     status: watch::Sender<Status>,
-    _reports: AbortOnDropHandle<()>,
+    reports: Reports,
 }
 
 impl Driver {
@@ -82,7 +81,7 @@
             Kind::Service => Target::Service(parts.connector.service(vm)),
         };
         let machine = Machine::new(limits(&parts, &args));
-        let reports = report::start(&target, &parts, events.clone());
+        let reports = Reports::start(&target, &parts, events.clone());
         let mut driver = Self {
             health: Health::new(parts.limits.failures),
             parts,
@@ -101,7 +100,7 @@
             drained: Vec::new(),
             events,
             status,
-            _reports: reports,
+            reports,
         };
         driver.publish();
         driver
@@ -162,7 +161,8 @@
     pub(super) fn release(&mut self, done: Option<oneshot::Sender<()>>) {
         self.releasing = true;
         self.refuse_waiting(&failure(Code::NotOwner, "the upstream is handed over"));
-        self.asking.clear();
+        let actions = self.machine.leave(Code::NotOwner);
+        self.carry(actions);
         self.drained.extend(done);
         self.tell_drained();
         self.publish();
@@ -265,7 +265,9 @@
                 self.answered();
             }
             Outcome::ConnectFailed => self.failed(now),
-            Outcome::Dropped | Outcome::Refused | Outcome::UnknownAdapter | Outcome::Failed => {}
+            // What the slots hold isn't what this node believes: ask at once.
+            Outcome::UnknownAdapter => self.reports.hurry(),
+            Outcome::Dropped | Outcome::Refused | Outcome::Failed => {}
         }
     }
 
@@ -347,6 +349,7 @@
             .iter()
             .filter_map(|name| self.adapter(name))
             .collect();
+        // Pins come between what the slots hold and what is started or evicted next.
         actions.extend(self.machine.reported(&resident, as_of, now));
         actions.extend(self.pin_foreign(report, now));
         self.reported = Some(now);
@@ -369,13 +372,8 @@
         for id in change.ended {
             actions.extend(self.machine.finished(&id, now));
         }
-        for ticket in change.begun {
-            let share = Share {
-                weight: 1,
-                max_in_flight: 0,
-                max_queued: 0,
-            };
-            actions.extend(self.machine.arrive(ticket, share, true, now));
+        for (id, adapter) in change.begun {
+            self.machine.runs_already(id, &adapter, now);
         }
         actions
     }
@@ -404,7 +402,7 @@
         }
     }
 
-    /// Grants a place. An unknown one is a foreign request, which runs already.
+    /// Grants a place.
     fn begin(&mut self, id: &Id, queued: Millis, load: Millis) -> Vec<Action> {
         let Some(entry) = self.entries.get_mut(id) else {
             return Vec::new();
--- a/lib/src/owner/foreign.rs
+++ b/lib/src/owner/foreign.rs
@@ -10,7 +10,7 @@
 use crate::adapter::Adapter;
 use crate::clock::Millis;
 use crate::name::Name;
-use crate::request::{Class, Id, Ticket};
+use crate::request::Id;
 
 /// How long a report may still list a request that has been answered.
 const REPORT_LAG: Millis = Millis::from_secs(5);
@@ -25,8 +25,8 @@
 /// How a report changed the foreign requests.
 #[derive(Debug, Default)]
 pub(super) struct Change {
-    /// Requests that appeared.
-    pub(super) begun: Vec<Ticket>,
+    /// Requests that appeared, and the adapter that each runs on.
+    pub(super) begun: Vec<(Id, Adapter)>,
     /// Requests that are gone.
     pub(super) ended: Vec<Id>,
 }
@@ -69,7 +69,7 @@
             };
             let id = Id(format!("foreign/{name}").into());
             self.running.insert(name.clone(), id.clone());
-            change.begun.push(ticket(id, adapter));
+            change.begun.push((id, adapter));
         }
         change
     }
@@ -91,21 +91,3 @@
         }
     }
 }
-
-/// Makes the ticket of a request that already runs: it goes before everything and never expires.
-fn ticket(id: Id, adapter: Adapter) -> Ticket {
-    Ticket {
-        id,
-        account: "".into(),
-        template: "".into(),
-        pool: "".into(),
-        adapter: Some(adapter),
-        class: Class::Urgent,
-        weight: 1,
-        idempotent: false,
-        deadline: Millis::MAX,
-        prompt_tokens: 0,
-        max_output_tokens: 0,
-        revision: 0,
-    }
-}
--- a/lib/src/policy/slots.rs
+++ b/lib/src/policy/slots.rs
@@ -129,6 +129,17 @@
         Some(Pin(slot.filling))
     }
 
+    /// Pins an adapter for a request that runs on it already; nothing may start, but it may finish.
+    #[must_use]
+    pub fn pin_running(&mut self, adapter: &Adapter) -> Option<Pin> {
+        let slot = self.slots.get_mut(adapter)?;
+        if slot.state == State::Loading {
+            return None;
+        }
+        slot.pins += 1;
+        Some(Pin(slot.filling))
+    }
+
     /// Gives a pin back. Returns whether the adapter is now free of pins.
     pub fn unpin(&mut self, adapter: &Adapter, pin: Pin) -> bool {
         let Some(slot) = self.slots.get_mut(adapter) else {
--- a/lib/src/policy/upstream/mod.rs
+++ b/lib/src/policy/upstream/mod.rs
@@ -258,7 +258,10 @@
                 self.in_flight.remove(&running.account);
             }
         }
-        self.pace.ran(running.cost, now.since(running.started));
+        // When a request of another owner began isn't known, so it tells nothing of the pace.
+        if running.cost > 0 {
+            self.pace.ran(running.cost, now.since(running.started));
+        }
         if let Some((adapter, pin)) = running.pin {
             self.slots.unpin(&adapter, pin);
         }
--- a/lib/src/policy/upstream/start.rs
+++ b/lib/src/policy/upstream/start.rs
@@ -1,17 +1,44 @@
 //! Which waiting requests start next.
 
 use super::{Action, Machine, Running};
+use crate::adapter::Adapter;
 use crate::clock::Millis;
+use crate::name::Name;
 use crate::policy::pace;
 use crate::policy::queue::Entry;
-use crate::request::Class;
+use crate::request::{Class, Id};
 
+/// Account of requests that another owner started; no declared name is empty.
+const FOREIGN: &str = "";
 /// Places for urgent requests stay free this long after the last one came.
 const URGENT_COMES: Millis = Millis::from_secs(60);
 /// After so many starts of more urgent classes a waiting class gets one, by class.
 const PASSED_OVER: [u32; 3] = [u32::MAX, 8, 16];
 
 impl Machine {
+    /// Enters a request that runs here already, started by another owner.
+    ///
+    /// It takes a place in the batch and pins its adapter until
+    /// [`Machine::finished`], as this owner's own do. Without it a new owner
+    /// would evict what the former one's requests still use.
+    pub fn runs_already(&mut self, id: Id, adapter: &Adapter, now: Millis) {
+        if self.running.contains_key(&id) {
+            return;
+        }
+        let account: Name = FOREIGN.into();
+        *self.in_flight.entry(account.clone()).or_default() += 1;
+        let running = Running {
+            account,
+            cost: 0,
+            started: now,
+            pin: self
+                .slots
+                .pin_running(adapter)
+                .map(|pin| (adapter.clone(), pin)),
+        };
+        self.running.insert(id, running);
+    }
+
     /// Starts what can be started.
     pub(super) fn start(&mut self, now: Millis, actions: &mut Vec<Action>) {
         while let Some(entry) = self.next(now) {
--- a/lib/tests/owner_fakes/mod.rs
+++ b/lib/tests/owner_fakes/mod.rs
@@ -14,7 +14,7 @@
 use chivevalve::error::{Code, Failure};
 use chivevalve::loads::{Ask, Permit, Permits};
 use chivevalve::membership::fleet::{State, Upstream};
-use chivevalve::membership::{Adopter, Hold};
+use chivevalve::membership::{Adopter, Hold, Sight};
 use chivevalve::metrics::Metrics;
 use chivevalve::owner::{Limits, Parts, Registry};
 use chivevalve::platform::{Answer, Call, Connector, Engine, Fence, Report, Service, Vm};
@@ -30,8 +30,25 @@
 const FAR: Millis = Millis::from_secs(3600);
 
 /// What goes wrong at the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// Answers end early, without an error.
+    Cut,
+    /// Nothing can be reached.
+    Down,
+    /// Its client panics.
+    Panic,
+    /// Loads fail.
+    Load,
+}
+
+/// How the engine behaves.
 #[derive(Debug, Clone)]
 pub struct Knobs {
+    /// What goes wrong.
+    pub fault: Fault,
     /// Pieces of each answer.
     pub pieces: usize,
     /// Span between two pieces.
@@ -42,12 +59,10 @@
     pub answer_as: Option<String>,
     /// Adapter in the answers instead of the request's.
     pub answer_from: Option<String>,
-    /// Answers end early, without an error.
-    pub cut: bool,
-    /// Nothing can be reached.
-    pub down: bool,
-    /// Loads fail.
-    pub load_fails: bool,
+    /// Status of its answers.
+    pub status: u16,
+    /// How long it takes to say what it holds.
+    pub report_ms: Millis,
     /// Identity of the process.
     pub boot: String,
     /// What it says is running besides what it was asked to run.
@@ -73,14 +88,14 @@
     fn new() -> Self {
         Self {
             knobs: Mutex::new(Knobs {
+                fault: Fault::None,
                 pieces: 3,
                 piece_ms: Millis(10),
                 piece_bytes: 1,
                 answer_as: None,
                 answer_from: None,
-                cut: false,
-                down: false,
-                load_fails: false,
+                status: 200,
+                report_ms: Millis::ZERO,
                 boot: "boot-1".to_owned(),
                 running: Vec::new(),
             }),
@@ -123,7 +138,7 @@
 
     fn reach(&self) -> Result<Knobs, Failure> {
         let knobs = self.knobs.lock().unwrap().clone();
-        if knobs.down {
+        if knobs.fault == Fault::Down {
             return Err(Failure::new(Code::ConnectFailed, "down"));
         }
         Ok(knobs)
@@ -139,6 +154,7 @@
 impl Engine for FakeEngine {
     async fn run(&self, call: Call, _: Fence) -> Result<Answer, Failure> {
         let knobs = self.reach()?;
+        assert!(knobs.fault != Fault::Panic, "the client panics");
         {
             let mut seen = self.seen.lock().unwrap();
             seen.runs.push(call.id.to_string());
@@ -148,6 +164,14 @@
                 call.adapter
             );
         }
+        if knobs.status != 200 {
+            let said =
+                "{\"error\":{\"message\":\"the prompt\",\"code\":\"context_length_exceeded\"}}";
+            return Ok(Answer {
+                head: head(knobs.status),
+                body: stream::once(async move { Ok(Bytes::from(said)) }).boxed(),
+            });
+        }
         let body: serde_json::Value = serde_json::from_slice(&call.body).unwrap();
         assert_eq!(body["model"], call.adapter.engine_name());
         let id = knobs.answer_as.unwrap_or_else(|| call.id.to_string());
@@ -157,7 +181,7 @@
         let piece = "x".repeat(knobs.piece_bytes);
         let json = format!("{{\"id\":\"cmpl-{id}\",\"model\":\"{model}\",\"text\":\"{piece}\"}}");
         if body["stream"] != true {
-            let end = if knobs.cut {
+            let end = if knobs.fault == Fault::Cut {
                 json.len() / 2
             } else {
                 json.len()
@@ -169,7 +193,7 @@
             });
         }
         let event = Bytes::from(format!("data: {json}\n\n"));
-        let last = (!knobs.cut).then(|| Ok(Bytes::from("data: [DONE]\n\n")));
+        let last = (knobs.fault != Fault::Cut).then(|| Ok(Bytes::from("data: [DONE]\n\n")));
         let pause = knobs.piece_ms.duration();
         let events = stream::repeat(event).take(knobs.pieces);
         let pieces = events.then(move |event| async move {
@@ -189,7 +213,7 @@
         let name = adapter.engine_name();
         self.seen.lock().unwrap().loads.push(name.clone());
         tokio::time::sleep(LOAD.duration()).await;
-        if knobs.load_fails {
+        if knobs.fault == Fault::Load {
             return Err(Failure::new(Code::LoadFailed, "partial"));
         }
         self.seen.lock().unwrap().resident.insert(name);
@@ -207,6 +231,7 @@
 
     async fn report(&self) -> Result<Report, Failure> {
         let knobs = self.reach()?;
+        tokio::time::sleep(knobs.report_ms.duration()).await;
         let seen = self.seen.lock().unwrap();
         let names =
             |(id, adapter): &(String, String)| (id.as_str().into(), adapter.as_str().into());
@@ -237,19 +262,65 @@
     }
 }
 
-/// Leave at once.
+/// Leave at once, while it is open.
 #[derive(Debug)]
-struct Free;
+pub struct Gate(watch::Sender<bool>);
+
+impl Gate {
+    /// Lets nobody load.
+    pub fn close(&self) {
+        self.0.send_replace(false);
+    }
+
+    /// Lets everybody load.
+    pub fn open(&self) {
+        self.0.send_replace(true);
+    }
+}
+
+#[derive(Debug)]
+struct Leave;
 
 #[async_trait]
-impl Permit for Free {
+impl Permit for Leave {
     async fn done(self: Box<Self>, _: bool, _: Millis) {}
 }
 
 #[async_trait]
-impl Permits for Free {
+impl Permits for Gate {
     async fn acquire(&self, _: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
-        Ok(Box::new(Self))
+        let mut open = self.0.subscribe();
+        open.wait_for(|open| *open).await.unwrap();
+        Ok(Box::new(Leave))
+    }
+}
+
+/// Counts what is told of the upstream.
+#[derive(Debug, Default)]
+pub struct Counts {
+    failed: AtomicU64,
+    answered: AtomicU64,
+}
+
+impl Counts {
+    /// How often it couldn't be reached.
+    pub fn failures(&self) -> u64 {
+        self.failed.load(Ordering::Relaxed)
+    }
+
+    /// How often it came back.
+    pub fn answers(&self) -> u64 {
+        self.answered.load(Ordering::Relaxed)
+    }
+}
+
+impl Sight for Counts {
+    fn failed(&self, _: &str) {
+        self.failed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn answered(&self, _: &str) {
+        self.answered.fetch_add(1, Ordering::Relaxed);
     }
 }
 
@@ -258,6 +329,8 @@
 pub struct Bench {
     pub engine: Arc<FakeEngine>,
     pub registry: Arc<Registry>,
+    pub permits: Arc<Gate>,
+    pub sight: Arc<Counts>,
     pub metrics: Arc<Metrics>,
     pub clock: Arc<dyn Clock>,
     pub until: Arc<AtomicU64>,
@@ -279,12 +352,14 @@
     /// Owns nothing yet.
     pub fn unowned() -> Self {
         let engine = Arc::new(FakeEngine::new());
+        let permits = Arc::new(Gate(watch::Sender::new(true)));
+        let sight = Arc::new(Counts::default());
         let metrics = Arc::new(Metrics::new());
         let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
         let registry = Registry::start(Parts {
             connector: Arc::new(One(Arc::clone(&engine))),
-            permits: Arc::new(Free),
-            sight: None,
+            permits: permits.clone(),
+            sight: Some(sight.clone()),
             clock: Arc::clone(&clock),
             metrics: Arc::clone(&metrics),
             limits: Limits::default(),
@@ -292,6 +367,8 @@
         Self {
             engine,
             registry,
+            permits,
+            sight,
             metrics,
             clock,
             until: Arc::new(AtomicU64::new(FAR.0)),
--- a/lib/tests/test_owner.rs
+++ b/lib/tests/test_owner.rs
@@ -7,7 +7,7 @@
 use chivevalve::clock::Millis;
 use chivevalve::error::{Code, Fate};
 use chivevalve::runner::Runner;
-use owner_fakes::{Bench, adapter, attempt, text};
+use owner_fakes::{Bench, Fault, adapter, attempt, text};
 
 #[tokio::test(start_paused = true)]
 async fn run_stream_names_the_template() {
@@ -107,7 +107,7 @@
 #[tokio::test(start_paused = true)]
 async fn run_stream_without_end() {
     let bench = Bench::start().await;
-    bench.engine.set(|knobs| knobs.cut = true);
+    bench.engine.set(|knobs| knobs.fault = Fault::Cut);
     let answer = bench.registry.run(attempt("r1", "plans", true)).await;
     let failure = text(answer.unwrap()).await.unwrap_err();
     assert_eq!(failure.code, Code::AnswerCut);
