entry: outcomes and limits under test; an engine's own error under our code

An engine's error passed through without number and fate; its words now go to the caller, and only there, inside the interface's error with our code.

--- a/lib/src/entry/answer.rs
+++ b/lib/src/entry/answer.rs
@@ -6,6 +6,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::clock::Millis;
 use crate::error::{Code, Failure, Fate};
@@ -53,7 +54,7 @@
 struct Details<'a> {
     message: String,
     r#type: &'static str,
-    param: Option<&'static str>,
+    param: Option<&'a str>,
     code: &'static str,
     number: u32,
     fate: Fate,
@@ -71,7 +72,7 @@
         let envelope = Envelope {
             error: Details {
                 message: format!("{detail}{separator}{}", code.hint()),
-                r#type: kind(*code),
+                r#type: kind(code.status()),
                 param: self.param,
                 code: code.name(),
                 number: code.number(),
@@ -117,12 +118,46 @@
     }
 }
 
+/// Makes the answer of an engine's own error: its words under our code.
+///
+/// What an engine says may quote the prompt, so it goes to the caller and
+/// nowhere else.
+#[must_use]
+pub fn upstream_error(status: StatusCode, error: &[u8], id: &Id) -> Response<Body> {
+    let code = Code::UpstreamError;
+    let said = serde_json::from_slice::<Value>(error).unwrap_or_default();
+    let said = said.get("error").unwrap_or(&said);
+    let text = |name: &str| said.get(name).and_then(Value::as_str);
+    let envelope = Envelope {
+        error: Details {
+            message: text("message").unwrap_or(code.hint()).to_owned(),
+            r#type: kind(if status.is_client_error() { 400 } else { 502 }),
+            param: text("param"),
+            code: code.name(),
+            number: code.number(),
+            fate: code.fate(),
+            request_id: &id.0,
+            retry_after_ms: None,
+        },
+    };
+    let mut response = json(serde_json::to_string(&envelope).unwrap_or_default());
+    *response.status_mut() = if status.is_client_error() {
+        status
+    } else {
+        StatusCode::BAD_GATEWAY
+    };
+    let headers = response.headers_mut();
+    headers.insert(SHOULD_RETRY, HeaderValue::from_static("false"));
+    response
+}
+
 fn may_repeat(code: Code) -> bool {
     code.fate() == Fate::NotRun && code != Code::KeyTaken
 }
 
-fn kind(code: Code) -> &'static str {
-    match code.status() {
+/// Returns the interface's type of error for a status.
+fn kind(status: u16) -> &'static str {
+    match status {
         401 => "authentication_error",
         429 => "rate_limit_error",
         400..=498 => "invalid_request_error",
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::BoxStream;
-use http::response;
+use http::{StatusCode, response};
 
 use super::body::Joined;
 use super::gate::Reserve;
@@ -62,6 +62,8 @@
 pub enum Outcome {
     /// It is all here.
     Whole(response::Parts, Bytes),
+    /// It is an engine's own error.
+    Error(StatusCode, Bytes),
     /// Its first piece is here.
     Flow(Flow),
 }
@@ -278,13 +280,14 @@
     answer: Answer,
 ) -> Result<Outcome, Failure> {
     let Answer { head, mut body } = answer;
-    if form != Form::Bytes && head.status.is_server_error() {
-        let detail = format!("the engine answered with status {}", head.status.as_u16());
-        return Err(Failure::new(Code::UpstreamError, detail));
+    let limit = gateway.parts.limits.answer_bytes;
+    // An engine answers a streamed request that it won't run with one JSON error.
+    if form != Form::Bytes && !head.status.is_success() {
+        let error = collect(body, limit, reserve).await?;
+        return Ok(Outcome::Error(head.status, error));
     }
-    // An engine that refuses a streamed request answers with one JSON error.
-    if form == Form::Whole || (form == Form::Events && !head.status.is_success()) {
-        let whole = collect(body, gateway.parts.limits.answer_bytes, reserve).await?;
+    if form == Form::Whole {
+        let whole = collect(body, limit, reserve).await?;
         return Ok(Outcome::Whole(head, whole));
     }
     let first = body.next().await.transpose()?;
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -34,6 +34,11 @@
             session.finish();
             completion(&head, answer::whole(bytes))
         }
+        Outcome::Error(status, error) => {
+            let detail = format!("the engine answered with status {}", status.as_u16());
+            session.fail(&Failure::new(Code::UpstreamError, detail));
+            answer::upstream_error(status, &error, &id)
+        }
         Outcome::Flow(flow) if flow.form == Form::Events => {
             let head = flow.head.clone();
             let mut response = completion(&head, stream(session, flow, deadline));
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -180,8 +180,8 @@
     /// The caller took the answer too slowly.
     ReaderTooSlow = 3008, "reader_too_slow", 499, Unknown, "Read faster.";
 
-    /// The upstream ran the request and answered with an error of its own.
-    UpstreamError = 4001, "upstream_error", 502, Ran, "See the upstream's message.";
+    /// The upstream took the request and answered with an error of its own.
+    UpstreamError = 4001, "upstream_error", 502, Ran, "See the upstream's message; tell the operators if it lasts.";
 }
 
 impl Code {
--- a/lib/tests/entry_support/mod.rs
+++ b/lib/tests/entry_support/mod.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use async_trait::async_trait;
@@ -67,6 +68,17 @@
 pub struct Script {
     steps: Mutex<VecDeque<Step>>,
     pub runs: Mutex<Vec<Attempt>>,
+    /// Tries and answers that nobody has ended or dropped.
+    open: Arc<AtomicUsize>,
+}
+
+/// Counts as open until it is dropped.
+struct Open(Arc<AtomicUsize>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl Script {
@@ -80,6 +92,13 @@
         runs.iter().map(told).collect()
     }
 
+    /// Waits until all tries and answers have ended or were dropped.
+    pub async fn closed(&self) {
+        while self.open.load(Ordering::SeqCst) > 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+
     pub fn count(&self) -> usize {
         self.runs.lock().unwrap().len()
     }
@@ -102,6 +121,8 @@
 impl Runner for Script {
     async fn run(&self, attempt: Attempt) -> Result<Answer, Failure> {
         self.runs.lock().unwrap().push(attempt);
+        self.open.fetch_add(1, Ordering::SeqCst);
+        let open = Open(Arc::clone(&self.open));
         let step = self.steps.lock().unwrap().pop_front();
         match step.unwrap_or_else(|| json("{}")) {
             Step::Fail(failure) => Err(failure),
@@ -112,7 +133,10 @@
                     response = response.header(name, value);
                 }
                 let (head, ()) = response.body(()).unwrap().into_parts();
-                let pieces = pieces.into_iter().map(|piece| Ok(Bytes::from(piece)));
+                let pieces = pieces.into_iter().map(move |piece| {
+                    let _ = &open;
+                    Ok(Bytes::from(piece))
+                });
                 let pieces = futures::stream::iter(pieces);
                 let body = match ending {
                     Ending::Whole => pieces.boxed(),
@@ -317,6 +341,22 @@
         self.send("POST /v1/chat/completions", &[], &body).await
     }
 
+    /// Returns the value of a metric's line, such as `refusals_total{...}`, or 0.
+    pub fn metric(&self, line: &str) -> u64 {
+        let text = self.metrics.render();
+        let value = text
+            .lines()
+            .find_map(|found| found.strip_prefix(&format!("chivevalve_{line} ")));
+        value.map_or(0, |value| value.parse().unwrap())
+    }
+
+    /// Waits until a metric has a value.
+    pub async fn until(&self, line: &str, value: u64) {
+        while self.metric(line) != value {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    }
+
     pub fn stop(self) -> tokio::task::JoinHandle<()> {
         self.stop.cancel();
         self.served
--- /dev/null
+++ b/lib/tests/test_entry_outcomes.rs
@@ -0,0 +1,323 @@
+//! What callers see when upstreams fail, and what is tried again.
+
+mod entry_support;
+
+use std::sync::Arc;
+
+use chivevalve::clock::Millis;
+use chivevalve::config::View;
+use chivevalve::error::{Code, Failure};
+use entry_support::{Ending, Step, declared, events, fail, json, limits, three, world, world_with};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const PUSH: &str = "POST /services/push/orders";
+
+/// Symptom: two work orders for one call.
+/// Sequence: the service runs the call, the connection breaks before the
+/// answer, the node sends the call to the next upstream.
+/// Cause: a reset after the head was sent was taken for "not run".
+#[tokio::test]
+async fn outcome_reset_after_head() {
+    let world = world().await;
+    world.script.then(fail(Code::UpstreamLost));
+    let answer = world.send(PUSH, &[], "1").await;
+    assert!(answer.starts_with("HTTP/1.1 502"));
+    assert!(answer.contains("\"fate\":\"unknown\""));
+    assert_eq!(world.script.count(), 1);
+    assert_eq!(
+        world.metric("retries_withheld_total{reason=\"not_idempotent\"}"),
+        1
+    );
+}
+
+#[tokio::test]
+async fn outcome_reset_idempotent() {
+    let world = world().await;
+    world.script.then(fail(Code::UpstreamLost));
+    world.script.then(json("{\"id\":\"second\"}"));
+    let answer = world.chat("summary", "").await;
+    assert!(answer.ends_with("{\"id\":\"second\"}"));
+    assert_eq!(world.metric("retries_total{reason=\"upstream_lost\"}"), 1);
+    let runs = world.script.runs.lock().unwrap();
+    assert_ne!(runs[0].upstream, runs[1].upstream);
+    assert_eq!(runs[0].ticket.id, runs[1].ticket.id);
+}
+
+#[tokio::test]
+async fn outcome_refused_elsewhere() {
+    let world = world().await;
+    world.script.then(fail(Code::QueueFull));
+    assert!(world.send(PUSH, &[], "1").await.starts_with("HTTP/1.1 200"));
+    assert_eq!(world.script.count(), 2);
+}
+
+/// Symptom: engines crash one after another, each a moment after the last.
+/// Sequence: one request crashes whatever runs it.
+/// Cause: the request was tried on every upstream.
+#[tokio::test]
+async fn outcome_poisoned_request() {
+    let world = world().await;
+    for _ in 0..3 {
+        world.script.then(fail(Code::UpstreamLost));
+    }
+    let answer = world.chat("summary", "").await;
+    assert!(answer.contains("\"code\":\"upstream_lost\""));
+    assert_eq!(world.script.count(), 2);
+    assert_eq!(
+        world.metric("retries_withheld_total{reason=\"unknowns\"}"),
+        1
+    );
+}
+
+/// Symptom: a caller is told "not run" and sends again what has run.
+/// Sequence: the first try is lost after it was sent, the second is refused.
+/// Cause: the last failure spoke for all tries.
+#[tokio::test]
+async fn outcome_lost_then_refused() {
+    let world = world().await;
+    world.script.then(fail(Code::UpstreamLost));
+    world.script.then(fail(Code::Brownout));
+    let answer = world.chat("summary", "").await;
+    assert!(answer.contains("\"code\":\"upstream_lost\""));
+    assert!(answer.contains("\"fate\":\"unknown\""));
+}
+
+/// Symptom: half an answer with status 200.
+/// Sequence: the engine dies while it sends an answer that isn't streamed.
+/// Cause: the head was passed on before the body was whole.
+#[tokio::test]
+async fn outcome_whole_cut() {
+    let world = world().await;
+    let head = vec![("content-type", "application/json")];
+    let cut = Ending::Broken(Code::AnswerCut);
+    let step = Step::Answer(200, head, vec!["{\"id\"".into()], cut);
+    world.script.then(step);
+    let answer = world.chat("once", "").await;
+    assert!(answer.starts_with("HTTP/1.1 502"));
+    assert!(!answer.contains("{\"id\""));
+}
+
+/// Symptom: a short answer that looks whole.
+/// Sequence: the engine is stopped in the middle and closes its answer in order.
+/// Cause: the end of the body was taken for the end of the answer.
+#[tokio::test]
+async fn outcome_stream_without_done() {
+    let world = world().await;
+    world.script.then(events(&["{\"n\":1}"], Ending::Whole));
+    let answer = world.chat("summary", ",\"stream\":true").await;
+    assert!(answer.contains("\"code\":\"answer_cut\""));
+    assert!(!answer.contains("[DONE]"));
+}
+
+/// Symptom: a stream says `[DONE]` and was another request's answer.
+/// Sequence: the owner finds the mismatch only after the engine's last event.
+/// Cause: the last event was passed on before the answer was known to be whole.
+#[tokio::test]
+async fn outcome_stream_wrong_at_the_end() {
+    let world = world().await;
+    let cut = Ending::Broken(Code::WrongAnswer);
+    world.script.then(events(&["{\"n\":1}", "[DONE]"], cut));
+    let answer = world.chat("summary", ",\"stream\":true").await;
+    assert!(answer.contains("\"code\":\"wrong_answer\""));
+    assert!(!answer.contains("[DONE]"));
+}
+
+/// Symptom: a saved file is short and nobody noticed.
+/// Sequence: a service dies while it sends a long answer.
+/// Cause: the layer ended the body in order.
+#[tokio::test]
+async fn outcome_service_cut() {
+    let world = world().await;
+    // Without a length the last chunk is missing, with one the body is short;
+    // the library may drop pieces that it hadn't written yet.
+    let cut = Ending::Broken(Code::AnswerCut);
+    let parts = vec!["part".into()];
+    let step = Step::Answer(200, vec![], parts.clone(), cut.clone());
+    world.script.then(step);
+    let chunked = world.send("GET /services/lookup/file", &[], "").await;
+    assert!(!chunked.ends_with("0\r\n\r\n"), "{chunked}");
+    let length = vec![("content-length", "9")];
+    world.script.then(Step::Answer(200, length, parts, cut));
+    let sized = world.send("GET /services/lookup/file", &[], "").await;
+    assert!(sized.is_empty() || sized.contains("content-length: 9"));
+    let lost = "refusals_total{code=\"3004\",fate=\"unknown\"}";
+    world.until(lost, 2).await;
+}
+
+#[tokio::test]
+async fn outcome_engine_says_no() {
+    let world = world().await;
+    let said = "{\"error\":{\"message\":\"too hot\",\"param\":\"temperature\",\"code\":400}}";
+    let head = vec![("content-type", "application/json")];
+    world
+        .script
+        .then(Step::Answer(400, head, vec![said.into()], Ending::Whole));
+    golden!(
+        "engine_says_no",
+        world.chat("summary", ",\"stream\":true").await
+    );
+    assert_eq!(world.script.count(), 1);
+}
+
+/// Sends a request with ever longer deadlines until one is long enough to reach
+/// the upstream; each end must say truly whether it did.
+async fn expire(step: Step, line: &str, body: &str) {
+    let world = world().await;
+    world.script.then(step);
+    for doubling in 0..16 {
+        let header = format!("x-deadline-ms: {}", 1 << doubling);
+        let answer = world.send(line, &[&header], body).await;
+        if world.script.count() > 0 {
+            assert!(answer.contains("\"code\":\"expired_running\""), "{answer}");
+            world.script.closed().await;
+            return;
+        }
+        assert!(answer.contains("\"code\":\"expired_waiting\""), "{answer}");
+    }
+    panic!("no deadline was long enough");
+}
+
+/// Symptom: a caller waits for ever.
+/// Sequence: the upstream takes the request and says nothing.
+/// Cause: nothing but the upstream could end the wait.
+#[tokio::test]
+async fn outcome_deadline_running() {
+    expire(Step::Hang, PUSH, "1").await;
+}
+
+#[tokio::test]
+async fn outcome_deadline_while_streaming() {
+    let body = r#"{"model":"summary","messages":[],"stream":true}"#;
+    let step = events(&["{\"n\":1}"], Ending::Silent);
+    expire(step, "POST /v1/chat/completions", body).await;
+}
+
+#[tokio::test]
+async fn outcome_deadline_header_bad() {
+    let world = world().await;
+    for value in ["0", "-1", "soon", "1.5"] {
+        let header = format!("x-deadline-ms: {value}");
+        let answer = world.send(PUSH, &[&header], "1").await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{value}");
+    }
+    assert_eq!(world.script.count(), 0);
+}
+
+/// Symptom: an engine goes on for a caller that is gone.
+/// Sequence: the caller's connection breaks in the middle of a stream.
+/// Cause: the break wasn't passed on.
+#[tokio::test]
+async fn outcome_caller_gone_streaming() {
+    let world = world().await;
+    world.script.then(events(&["{\"n\":1}"], Ending::Silent));
+    let body = r#"{"model":"summary","messages":[],"stream":true}"#;
+    let headers = ["authorization: Bearer shop-key"];
+    let text = entry_support::request("POST /v1/chat/completions", &headers, body);
+    let mut stream = TcpStream::connect(world.address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut some = [0; 16];
+    stream.read_exact(&mut some).await.unwrap();
+    drop(stream);
+    world.script.closed().await;
+    let gone = "refusals_total{code=\"3006\",fate=\"unknown\"}";
+    world.until(gone, 1).await;
+}
+
+#[tokio::test]
+async fn outcome_no_upstream() {
+    let world = world().await;
+    world.fleet.send(Arc::default()).unwrap();
+    let answer = world.chat("summary", "").await;
+    assert!(answer.contains("\"code\":\"no_upstream\""));
+    assert!(answer.contains("retry-after: 1"));
+}
+
+/// Symptom: requests are refused while an upstream moves to its next owner.
+/// Sequence: the owner dies; for a moment nobody owns the upstream.
+/// Cause: the picture of that moment was taken as final.
+#[tokio::test]
+async fn outcome_upstream_comes_back() {
+    let mut limits = limits();
+    limits.patience = Millis::from_secs(600);
+    let world = world_with(limits, Arc::default(), Arc::default()).await;
+    world.fleet.send(Arc::default()).unwrap();
+    let call = world.chat("summary", "");
+    let back = async {
+        world.until("requests_in_flight", 1).await;
+        world.fleet.send(Arc::new(three())).unwrap();
+    };
+    let (answer, ()) = tokio::join!(call, back);
+    assert!(answer.starts_with("HTTP/1.1 200"));
+}
+
+/// Symptom: a request runs partly on one revision and partly on the next.
+/// Sequence: a template's version changes between two tries of a request.
+/// Cause: each try read the configuration anew.
+#[tokio::test]
+async fn outcome_one_revision() {
+    let world = world().await;
+    for _ in 0..2 {
+        world.script.then(fail(Code::NotOwner));
+    }
+    let call = world.chat("summary", "");
+    let change = async {
+        while world.script.count() == 0 {
+            tokio::task::yield_now().await;
+        }
+        let empty = View::new(4, vec![], vec![], vec![]);
+        world.view.send(Arc::new(empty)).unwrap();
+    };
+    let (answer, ()) = tokio::join!(call, change);
+    assert!(answer.starts_with("HTTP/1.1 200"));
+    let runs = world.script.runs.lock().unwrap();
+    assert!(
+        runs.iter()
+            .all(|run| run.ticket.revision == declared().revision())
+    );
+}
+
+#[tokio::test]
+async fn outcome_last_try_is_marked() {
+    let world = world().await;
+    for _ in 0..2 {
+        world.script.then(fail(Code::PassedOn));
+    }
+    assert!(world.chat("summary", "").await.starts_with("HTTP/1.1 200"));
+    let runs = world.script.runs.lock().unwrap();
+    let last: Vec<bool> = runs.iter().map(|run| run.last).collect();
+    assert_eq!(last, [false, false, true]);
+}
+
+/// Symptom: a planned stop cuts off a stream.
+/// Sequence: the node is stopped while an answer is under way.
+/// Cause: the listener's end took its connections with it.
+#[tokio::test]
+async fn outcome_stop_lets_streams_finish() {
+    let world = world().await;
+    let mut pieces: Vec<String> = (0..50).map(|n| format!("{{\"n\":{n}}}")).collect();
+    pieces.push("[DONE]".into());
+    let pieces: Vec<&str> = pieces.iter().map(String::as_str).collect();
+    world.script.then(events(&pieces, Ending::Whole));
+    let body = r#"{"model":"summary","messages":[],"stream":true}"#;
+    let headers = ["authorization: Bearer shop-key"];
+    let text = entry_support::request("POST /v1/chat/completions", &headers, body);
+    let mut stream = TcpStream::connect(world.address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 16];
+    stream.read_exact(&mut answer).await.unwrap();
+    let served = world.stop();
+    stream.read_to_end(&mut answer).await.unwrap();
+    assert!(String::from_utf8_lossy(&answer).contains("[DONE]"));
+    served.await.unwrap();
+}
+
+#[tokio::test]
+async fn outcome_retry_after_is_passed_on() {
+    let world = world().await;
+    let failure = Failure::new(Code::Brownout, "").retry_after(Millis(2_500));
+    world.script.then(Step::Fail(failure));
+    let answer = world.chat("summary", "").await;
+    assert!(answer.contains("retry-after: 3\r\n"));
+    assert!(answer.contains("\"retry_after_ms\":2500"));
+}
