--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod name;
+pub mod node;
 pub mod operators;
 pub mod owner;
 pub mod peer;
--- a/lib/src/membership/keeper.rs
+++ b/lib/src/membership/keeper.rs
@@ -146,6 +146,25 @@
         self.fleet.subscribe()
     }
 
+    /// Returns who this node is.
+    #[must_use]
+    pub fn identity(&self) -> &Identity {
+        &self.parts.identity
+    }
+
+    /// Tells all nodes that an upstream leaves, ahead of the platform's list.
+    ///
+    /// The sign stands for a minute, within which the list has to say so too;
+    /// what is to last is kept by the platform. Returns whether the upstream is
+    /// known and the sign was taken.
+    pub fn drain_upstream(&self, upstream: &str) -> bool {
+        let now = self.parts.clock.now();
+        let mut core = self.lock();
+        let taken = core.upstreams.sign(now, upstream);
+        self.publish(&mut core, now);
+        taken
+    }
+
     /// Hands all upstreams over and ends the lease; returns when done, or after `limit`.
     pub async fn drain(self: &Arc<Self>, limit: Millis) {
         let mut drained = self.drained.subscribe();
--- /dev/null
+++ b/lib/src/node/assembly.rs
@@ -0,0 +1,270 @@
+//! Wires all parts of a node, before it listens.
+
+use std::sync::Arc;
+
+use rand::RngExt;
+use tokio_util::sync::CancellationToken;
+
+use super::late::Late;
+use super::limits;
+use super::port::Port;
+use crate::clock::{Clock, Monotonic};
+use crate::membership::Identity;
+use crate::metrics::Metrics;
+use crate::owner::Registry;
+use crate::peer::tls::Security;
+use crate::peer::{Clients, client, server};
+use crate::platform::{directory, etcd, upstream, weights};
+use crate::settings::Settings;
+use crate::{config, entry, gossip, loads, membership, operators, owner};
+
+/// The platform's clients.
+struct Platform {
+    store: Arc<etcd::Client>,
+    directory: Arc<directory::Client>,
+    weights: Arc<weights::Client>,
+}
+
+impl Platform {
+    fn new(settings: &Settings, metrics: &Arc<Metrics>) -> Self {
+        let platform = &settings.platform;
+        let timeout = platform.call_timeout;
+        let addresses = platform.store.clone();
+        Self {
+            store: Arc::new(etcd::Client::new(addresses, timeout, Arc::clone(metrics))),
+            directory: Arc::new(directory::Client::new(platform.directory, timeout)),
+            weights: Arc::new(weights::Client::new(platform.weights, timeout)),
+        }
+    }
+}
+
+/// What every part needs.
+struct Base {
+    settings: Settings,
+    identity: Identity,
+    platform: Platform,
+    clock: Arc<dyn Clock>,
+    metrics: Arc<Metrics>,
+    stop: CancellationToken,
+}
+
+/// The slots that close the circles between parts.
+struct Circles {
+    permits: Arc<Late<dyn loads::Permits>>,
+    sight: Arc<Late<dyn membership::Sight>>,
+    peers: Arc<Late<dyn gossip::Peers>>,
+}
+
+/// All parts of a node.
+pub(super) struct Assembly {
+    base: Base,
+    registry: Arc<Registry>,
+    clients: Arc<Clients>,
+    loads: Arc<loads::Shared>,
+    gossip: Arc<gossip::Keeper>,
+    pub(super) config: Arc<config::Keeper>,
+    pub(super) membership: Arc<membership::Keeper>,
+}
+
+impl Assembly {
+    /// Makes all parts and starts the tasks that keep them.
+    pub(super) fn new(
+        settings: Settings,
+        identity: Identity,
+        security: &Security,
+        stop: CancellationToken,
+    ) -> Self {
+        let metrics = Arc::new(Metrics::new());
+        let base = Base {
+            platform: Platform::new(&settings, &metrics),
+            clock: Arc::new(Monotonic::start()),
+            settings,
+            identity,
+            metrics,
+            stop,
+        };
+        let circles = Circles {
+            permits: Late::new(),
+            sight: Late::new(),
+            peers: Late::new(),
+        };
+        let registry = Registry::start(base.owner(&circles));
+        let clients = Clients::new(base.clients(&registry, security));
+        let config = config::Keeper::start(base.config(&circles));
+        let membership = base.membership(&config, &registry, &clients);
+        let loads = loads::Shared::start(base.loads(&membership, &clients));
+        circles.permits.fill(Arc::clone(&loads) as _);
+        circles.sight.fill(Arc::clone(&membership) as _);
+        circles.peers.fill(Arc::clone(&membership) as _);
+        let gossip = gossip::Keeper::start(base.gossip(&config, &membership, &clients));
+        Self {
+            base,
+            registry,
+            clients,
+            loads,
+            gossip,
+            config,
+            membership,
+        }
+    }
+
+    pub(super) fn metrics(&self) -> &Arc<Metrics> {
+        &self.base.metrics
+    }
+
+    /// Returns what the listener for callers works with.
+    pub(super) fn entry(&self) -> entry::Parts {
+        let base = &self.base;
+        entry::Parts {
+            view: self.config.view(),
+            fleet: self.membership.fleet(),
+            reach: Arc::clone(&self.clients) as _,
+            store: Arc::clone(&base.platform.store) as _,
+            lease: Arc::clone(&base.platform.store) as _,
+            prefix: Arc::clone(&base.settings.platform.prefix),
+            node: Arc::clone(&base.identity.name),
+            clock: Arc::clone(&base.clock),
+            metrics: Arc::clone(&base.metrics),
+            limits: limits::entry(&base.settings),
+            seed: seed(),
+        }
+    }
+
+    /// Returns what answers peers.
+    pub(super) fn handlers(&self) -> server::Handlers {
+        let base = &self.base;
+        server::Handlers {
+            runner: Arc::clone(&self.registry) as _,
+            exchange: Arc::clone(&self.gossip) as _,
+            renewal: Arc::clone(&self.membership) as _,
+            snapshot: Arc::clone(&self.config) as _,
+            permits: self.loads.served(),
+            clock: Arc::clone(&base.clock),
+            metrics: Arc::clone(&base.metrics),
+            limits: limits::peer(&base.settings),
+        }
+    }
+
+    /// Returns what answers operators; `leaving` is cancelled when they drain the node.
+    pub(super) fn operators(&self, leaving: &CancellationToken) -> operators::Parts {
+        let base = &self.base;
+        operators::Parts {
+            node: base.settings.node.clone(),
+            access: base.settings.access.clone(),
+            view: self.config.view(),
+            fleet: self.membership.fleet(),
+            configuration: Arc::clone(&self.config) as _,
+            membership: Arc::new(Port {
+                membership: Arc::clone(&self.membership),
+                leaving: leaving.clone(),
+            }),
+            ownership: Arc::clone(&self.registry) as _,
+            placement: limits::entry(&base.settings).placement,
+            metrics: Arc::clone(&base.metrics),
+            limits: operators::Limits::default(),
+        }
+    }
+}
+
+impl Base {
+    fn owner(&self, circles: &Circles) -> owner::Parts {
+        owner::Parts {
+            connector: Arc::new(upstream::Connector::new(upstream::Limits::default())),
+            permits: Arc::clone(&circles.permits) as _,
+            sight: Some(Arc::clone(&circles.sight) as _),
+            clock: Arc::clone(&self.clock),
+            metrics: Arc::clone(&self.metrics),
+            limits: limits::owner(&self.settings),
+        }
+    }
+
+    fn clients(&self, registry: &Arc<Registry>, security: &Security) -> client::Parts {
+        client::Parts {
+            node: Arc::clone(&self.identity.name),
+            local: Arc::clone(registry) as _,
+            security: security.clone(),
+            clock: Arc::clone(&self.clock),
+            metrics: Arc::clone(&self.metrics),
+            limits: limits::peer(&self.settings),
+        }
+    }
+
+    fn config(&self, circles: &Circles) -> config::Parts {
+        config::Parts {
+            node: Arc::clone(&self.identity.name),
+            region: Arc::clone(&self.identity.region),
+            store: Arc::clone(&self.platform.store) as _,
+            watch: Arc::clone(&self.platform.store) as _,
+            weights: Arc::clone(&self.platform.weights) as _,
+            peers: Arc::clone(&circles.peers) as _,
+            prefetch: Arc::new(config::prefetch::Idle),
+            prefix: self.settings.platform.prefix.to_string(),
+            clock: Arc::clone(&self.clock),
+            metrics: Arc::clone(&self.metrics),
+            limits: limits::config(&self.settings),
+            seed: seed(),
+            stop: self.stop.clone(),
+        }
+    }
+
+    fn membership(
+        &self,
+        config: &Arc<config::Keeper>,
+        registry: &Arc<Registry>,
+        clients: &Arc<Clients>,
+    ) -> Arc<membership::Keeper> {
+        let parts = membership::Parts {
+            identity: self.identity.clone(),
+            store: Arc::clone(&self.platform.store) as _,
+            lease: Arc::clone(&self.platform.store) as _,
+            watch: Arc::clone(&self.platform.store) as _,
+            directory: Arc::clone(&self.platform.directory) as _,
+            adopter: Arc::clone(registry) as _,
+            view: config.view(),
+            relay: Arc::clone(clients) as _,
+            clock: Arc::clone(&self.clock),
+            metrics: Arc::clone(&self.metrics),
+            limits: limits::membership(&self.settings),
+            prefix: Arc::clone(&self.settings.platform.prefix),
+            seed: seed(),
+            seeds: self.settings.platform.seeds.clone(),
+        };
+        membership::Keeper::start(parts, self.stop.clone())
+    }
+
+    fn loads(&self, membership: &membership::Keeper, clients: &Arc<Clients>) -> loads::Parts {
+        loads::Parts {
+            node: Arc::clone(&self.identity.name),
+            fleet: membership.fleet(),
+            clients: Arc::clone(clients),
+            clock: Arc::clone(&self.clock),
+            loads_per_kilosecond: self.settings.policy.loads_per_kilosecond,
+        }
+    }
+
+    fn gossip(
+        &self,
+        config: &Arc<config::Keeper>,
+        membership: &Arc<membership::Keeper>,
+        clients: &Arc<Clients>,
+    ) -> gossip::Parts {
+        gossip::Parts {
+            node: Arc::clone(&self.identity.name),
+            incarnation: self.identity.incarnation,
+            region: Arc::clone(&self.identity.region),
+            shares: vec![Arc::clone(config) as _, Arc::clone(membership) as _],
+            install: Arc::clone(config) as _,
+            peers: Arc::clone(membership) as _,
+            transport: Arc::clone(clients) as _,
+            clock: Arc::clone(&self.clock),
+            limits: limits::gossip(&self.settings),
+            seed: seed(),
+            stop: self.stop.clone(),
+        }
+    }
+}
+
+/// Draws a seed of jitter, so that nodes that start together don't act together.
+fn seed() -> u64 {
+    rand::rng().random()
+}
