--- /dev/null
+++ b/standins/src/process.rs
@@ -0,0 +1,132 @@
+//! Daemons as processes of their own, started and signalled by a test or the bench.
+
+use std::fs::{self, File};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Time between two looks at a process that is to end.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A directory for settings and logs that vanishes with its value.
+#[derive(Debug)]
+pub struct Scratch {
+    path: PathBuf,
+}
+
+impl Scratch {
+    /// Makes an empty directory.
+    ///
+    /// # Errors
+    ///
+    /// When the system's directory for temporary files can't be written.
+    pub fn new() -> io::Result<Self> {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("chivevalve-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(&path)?;
+        Ok(Self { path })
+    }
+
+    /// Returns the directory's path.
+    #[must_use]
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        // What is left behind is the system's to clear away.
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
+
+/// A daemon that runs. Dropping it kills it.
+#[derive(Debug)]
+pub struct Daemon {
+    child: Child,
+}
+
+impl Daemon {
+    /// Starts a daemon of these settings; its log goes beside them.
+    ///
+    /// # Errors
+    ///
+    /// When the program can't be started.
+    pub fn start(program: &Path, directory: &Path, name: &str, settings: &str) -> io::Result<Self> {
+        let file = directory.join(format!("{name}.yaml"));
+        fs::write(&file, settings)?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(directory.join(format!("{name}.log")))?;
+        let child = Command::new(program)
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    /// Returns the process's number.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// When the process has ended.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or_else(|| io::Error::other("no such process"))?;
+        Ok(kill_process(pid, signal)?)
+    }
+
+    /// Kills the process and takes its end.
+    ///
+    /// # Errors
+    ///
+    /// When the system can't.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Waits until the process has ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// When it doesn't within `limit`.
+    pub async fn ended(&mut self, limit: Duration) -> io::Result<ExitStatus> {
+        let look = async {
+            loop {
+                if let Some(status) = self.child.try_wait()? {
+                    return Ok(status);
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        tokio::time::timeout(limit, look)
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.kill();
+    }
+}
