--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -4,8 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use chivevalve::declaration::load;
-use chivevalve::schema::declaration::File;
+use chivevalve::declaration::{Mistake, Set, Source, load};
 use http::Method;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -102,21 +101,20 @@
     )
 }
 
-/// Reads a directory of declarations in the form that operators' interfaces take.
+/// Reads a directory of declarations, as files for the operators' interface and as their meaning.
 ///
 /// # Errors
 ///
 /// All mistakes, one a line.
-pub fn declarations(directory: &Path) -> Result<File, String> {
-    let set = load::check(directory).map_err(|mistakes| {
-        let lines: Vec<_> = mistakes.iter().map(ToString::to_string).collect();
-        lines.join("\n")
-    })?;
-    Ok(File {
-        accounts: set.accounts.into_values().collect(),
-        pools: set.pools.into_values().collect(),
-        templates: set.templates.into_values().collect(),
-    })
+pub fn declarations(directory: &Path) -> Result<(Vec<Source>, Set), String> {
+    let sources = load::load_dir(directory).map_err(|mistakes| lines(&mistakes))?;
+    let set = load::check_sources(&sources).map_err(|mistakes| lines(&mistakes))?;
+    Ok((sources, set))
+}
+
+fn lines(mistakes: &[Mistake]) -> String {
+    let lines: Vec<_> = mistakes.iter().map(ToString::to_string).collect();
+    lines.join("\n")
 }
 
 /// Puts declarations in force as the operators' tool does, whatever was in force before.
@@ -124,14 +122,18 @@
 /// # Errors
 ///
 /// When the node refuses.
-pub async fn apply(node: &Node, declarations: &File, reason: &str) -> Result<u64, String> {
-    let plan = json!({ "declarations": declarations });
+pub async fn apply(node: &Node, sources: &[Source], reason: &str) -> Result<u64, String> {
+    let files: Vec<_> = sources
+        .iter()
+        .map(|source| json!({"name": &*source.name, "text": source.text}))
+        .collect();
+    let plan = json!({ "files": files });
     let planned = operate(node.operators, TOKEN, Method::POST, "/v1/plan", &plan).await?;
     let order = json!({
         "change_id": format!("{:016x}", rand::random::<u64>()),
         "reason": reason,
         "expected_revision": planned["revision"],
-        "declarations": declarations,
+        "files": files,
     });
     let accepted = operate(node.operators, TOKEN, Method::POST, "/v1/apply", &order).await?;
     accepted["revision"]
@@ -215,8 +217,8 @@
     #[test]
     fn declarations_of_demo() {
         let directory = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("demo/declarations");
-        let file = declarations(&directory).unwrap();
-        assert_eq!((file.accounts.len(), file.templates.len()), (2, 28));
+        let (_, set) = declarations(&directory).unwrap();
+        assert_eq!((set.accounts.len(), set.templates.len()), (2, 28));
     }
 
     #[test]
--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -1,9 +1,12 @@
 //! Holds what callers were told against what the stand-ins truly ran.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use chivevalve::error::Fate;
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::caller::{Ending, Text, Told};
 use crate::engine::Violation;
@@ -27,6 +30,12 @@
     pub request: Request,
     /// How it ended.
     pub answer: Answer,
+    /// The node that it was sent to, if any could be connected to.
+    pub node: Option<SocketAddr>,
+    /// When it began.
+    pub began: Instant,
+    /// How long it took.
+    pub took: Duration,
 }
 
 /// The counts. The first seven are broken promises and must be 0.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod serve;
 pub mod service;
 pub mod store;
+pub mod traffic;
 pub mod weights;
--- a/standins/src/mix.rs
+++ b/standins/src/mix.rs
@@ -1,6 +1,7 @@
 //! A mix of requests over the templates of a set of declarations.
 
-use chivevalve::schema::declaration::{File, Template};
+use chivevalve::declaration::Set;
+use chivevalve::schema::declaration::Template;
 use http::Method;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -56,9 +57,9 @@
     ///
     /// When there is no template.
     #[must_use]
-    pub fn new(declarations: &File, seed: u64) -> Self {
+    pub fn new(declarations: &Set, seed: u64) -> Self {
         let mut random = Pcg64::seed_from_u64(seed);
-        let mut templates = declarations.templates.clone();
+        let mut templates = declarations.templates.values().cloned().collect::<Vec<_>>();
         assert!(!templates.is_empty(), "a mix needs templates");
         for last in (1..templates.len()).rev() {
             templates.swap(last, random.random_range(0..=last));
