peer: certificates under test; only nodes' certificates may call

The authority may sign for other things than nodes, so a caller's certificate has to carry the nodes' name as well. rcgen (a development dependency) makes the certificates of the tests.

--- a/lib/src/peer/connector.rs
+++ b/lib/src/peer/connector.rs
@@ -252,6 +252,7 @@
         Security::Mutual(keys) => {
             let acceptor = TlsAcceptor::from(keys.server());
             let stream = acceptor.accept(stream).await?;
+            tls::check_node(stream.get_ref().1.peer_certificates()).map_err(io::Error::other)?;
             Ok(Io::Tls(Box::new(stream.into())))
         }
     }
--- a/lib/src/peer/tls.rs
+++ b/lib/src/peer/tls.rs
@@ -8,9 +8,10 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
+use rustls::client::verify_server_name;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
-use rustls::server::WebPkiClientVerifier;
+use rustls::server::{ParsedCertificate, WebPkiClientVerifier};
 use rustls::{ClientConfig, RootCertStore, ServerConfig};
 use thiserror::Error;
 use tokio::sync::watch;
@@ -134,6 +135,18 @@
     ServerName::try_from(NODE_NAME).expect("the constant is a DNS name")
 }
 
+/// Checks that a certificate, whose authority has been checked, is a node's.
+///
+/// The authority may sign for other things too. Without this check any of them
+/// could give orders to engines through a node.
+pub(super) fn check_node(
+    certificates: Option<&[CertificateDer<'static>]>,
+) -> Result<(), rustls::Error> {
+    let own = certificates.and_then(<[_]>::first);
+    let own = own.ok_or(rustls::Error::NoCertificatesPresented)?;
+    verify_server_name(&ParsedCertificate::try_from(own)?, &node_name())
+}
+
 impl Configs {
     fn read(paths: &Paths) -> Result<Self, Error> {
         let chain = certificates(&paths.certificate)?;
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -1,135 +1,32 @@
 //! Two nodes over real loopback connections: one forwards, the other owns.
 
 mod owner_fakes;
+mod peer_fakes;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use async_trait::async_trait;
-use chivevalve::clock::{Clock, Millis, Monotonic};
-use chivevalve::error::{Code, Failure, Fate};
-use chivevalve::gossip::{Exchange, Peer, Snapshot, Transport};
+use chivevalve::clock::{Millis, Monotonic};
+use chivevalve::error::{Code, Fate};
+use chivevalve::gossip::{Peer, Transport};
 use chivevalve::loads;
+use chivevalve::membership::Relay;
 use chivevalve::membership::fleet::{Fleet, Owner};
-use chivevalve::membership::witness::{Ask, Word};
-use chivevalve::membership::{Relay, Renewal};
-use chivevalve::metrics::Metrics;
-use chivevalve::peer::client::Clients;
-use chivevalve::peer::server::{self, Handlers};
-use chivevalve::peer::tls::Security;
-use chivevalve::peer::{Limits, client};
-use chivevalve::platform::{Answer, LeaseId};
-use chivevalve::runner::{Attempt, Reach, Runner};
-use chivevalve::schema::peer::{Delta, Digest, SnapshotPart};
+use chivevalve::membership::witness::Ask;
+use chivevalve::peer::Clients;
+use chivevalve::platform::LeaseId;
+use chivevalve::runner::Reach;
+use chivevalve::schema::peer::Digest;
 use futures::StreamExt;
 use owner_fakes::{Bench, attempt, text};
+use peer_fakes::{Nobody, Node, clients};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-/// Answers exchanges, renewals and snapshots with something recognisable.
-#[derive(Debug)]
-struct Words;
-
-#[async_trait]
-impl Exchange for Words {
-    async fn exchange(&self, digest: Digest) -> Delta {
-        Delta {
-            digest: Some(digest),
-            ..Delta::default()
-        }
-    }
-}
-
-#[async_trait]
-impl Renewal for Words {
-    async fn renew(&self, ask: Ask) -> Word {
-        Word {
-            renewed: false,
-            supported: &*ask.node == "b",
-            withdrawn: ask.withdraw_before == Some(9),
-        }
-    }
-}
-
-impl Snapshot for Words {
-    fn parts(&self) -> Box<dyn Iterator<Item = SnapshotPart> + Send> {
-        Box::new(std::iter::repeat_n(SnapshotPart::default(), 3))
-    }
-}
-
-/// Fails, as the runner of a node that owns nothing.
-#[derive(Debug)]
-struct Nobody;
-
-#[async_trait]
-impl Runner for Nobody {
-    async fn run(&self, _: Attempt) -> Result<Answer, Failure> {
-        Err(Failure::new(Code::NotOwner, "nothing is owned here"))
-    }
-}
-
-/// A node that serves peers.
-struct Node {
-    owner: Owner,
-    metrics: Arc<Metrics>,
-    stop: CancellationToken,
-    served: tokio::task::JoinHandle<()>,
-}
-
-impl Node {
-    async fn start(runner: Arc<dyn Runner>, limits: Limits) -> Self {
-        let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
-        let metrics = Arc::new(Metrics::new());
-        let queue = loads::Queue::start(
-            loads::Limits {
-                order: chivevalve::policy::loads::Limits::default(),
-                spacing: Millis::ZERO,
-            },
-            Arc::clone(&clock),
-        );
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let peer = listener.local_addr().unwrap();
-        let handlers = Handlers {
-            runner,
-            exchange: Arc::new(Words),
-            renewal: Arc::new(Words),
-            snapshot: Arc::new(Words),
-            permits: Arc::new(queue),
-            clock,
-            metrics: Arc::clone(&metrics),
-            limits,
-        };
-        let stop = CancellationToken::new();
-        let serving = server::serve(listener, handlers, Security::Plaintext, stop.clone());
-        Self {
-            owner: Owner {
-                node: "b".into(),
-                incarnation: 1,
-                token: 1,
-                peer,
-            },
-            metrics,
-            stop,
-            served: tokio::spawn(async { serving.await.unwrap() }),
-        }
-    }
-}
-
-fn clients() -> Arc<Clients> {
-    Clients::new(client::Parts {
-        node: "a".into(),
-        local: Arc::new(Nobody),
-        security: Security::Plaintext,
-        clock: Arc::new(Monotonic::start()),
-        metrics: Arc::new(Metrics::new()),
-        limits: Limits::default(),
-    })
-}
-
 async fn owning() -> (Bench, Node) {
     let bench = Bench::start().await;
-    let node = Node::start(bench.registry.clone(), Limits::default()).await;
+    let node = Node::start(bench.registry.clone()).await;
     (bench, node)
 }
 
@@ -146,7 +43,7 @@
 
 #[tokio::test]
 async fn run_refused_at_peer() {
-    let node = Node::start(Arc::new(Nobody), Limits::default()).await;
+    let node = Node::start(Arc::new(Nobody)).await;
     let runner = clients().runner(&node.owner);
     let failure = runner.run(attempt("r1", "plans", true)).await.unwrap_err();
     assert_eq!(failure.code, Code::NotOwner);
@@ -155,7 +52,7 @@
 
 #[tokio::test]
 async fn run_here() {
-    let mut owner = Node::start(Arc::new(Nobody), Limits::default()).await.owner;
+    let mut owner = Node::start(Arc::new(Nobody)).await.owner;
     owner.node = "a".into();
     let runner = clients().runner(&owner);
     let failure = runner.run(attempt("r1", "plans", true));
@@ -257,7 +154,7 @@
 #[tokio::test]
 async fn run_dropped_at_other_node() {
     let bench = Bench::with_batch(1).await;
-    let node = Node::start(bench.registry.clone(), Limits::default()).await;
+    let node = Node::start(bench.registry.clone()).await;
     bench.engine.set(|knobs| knobs.pieces = 1_000_000);
     let runner = clients().runner(&node.owner);
     let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
@@ -274,7 +171,7 @@
 #[tokio::test]
 async fn run_slow_readers_hold_up_nobody() {
     let bench = Bench::with_batch(64).await;
-    let node = Node::start(bench.registry.clone(), Limits::default()).await;
+    let node = Node::start(bench.registry.clone()).await;
     bench.engine.set(|knobs| {
         knobs.pieces = 1_000_000;
         knobs.piece_bytes = 16 << 10;
@@ -306,7 +203,7 @@
 
 #[tokio::test]
 async fn exchange_renew_and_snapshot() {
-    let node = Node::start(Arc::new(Nobody), Limits::default()).await;
+    let node = Node::start(Arc::new(Nobody)).await;
     let clients = clients();
     let peer = Peer {
         name: "b".into(),
@@ -365,7 +262,7 @@
 /// Cause: the queue waits for the outcome of a load that nobody makes.
 #[tokio::test]
 async fn permit_holder_dies() {
-    let node = Node::start(Arc::new(Nobody), Limits::default()).await;
+    let node = Node::start(Arc::new(Nobody)).await;
     let (address, cut) = relay(node.owner.peer).await;
     let through = Owner {
         peer: address,
