config: tests of one node through races, lost answers and lost data

Found by them: empty buckets are alike and were written twice in one change, so that the guards of the first never held; and a change that follows whatever is newest takes back what others changed since, so the revision that it was planned on isn't optional any more.

--- a/lib/src/config/operator.rs
+++ b/lib/src/config/operator.rs
@@ -29,8 +29,9 @@
     pub author: Name,
     /// Why.
     pub reason: String,
-    /// The revision that the caller's plan rests on, or none to follow whatever is newest.
-    pub expected: Option<u64>,
+    /// The revision that the caller's plan rests on. A change declares everything,
+    /// so following whatever is newest would take back what others changed since.
+    pub expected: u64,
     /// Milliseconds since 1970, for people only.
     pub time_ms: u64,
 }
@@ -183,17 +184,15 @@
 
     async fn expected(&self, order: &Order, before: &View) -> Result<(), Error> {
         let now = before.revision();
-        match order.expected {
-            Some(expected) if expected != now => {
-                let newest = self.source.operation(now).await.ok().flatten();
-                Err(Error::Moved {
-                    expected,
-                    now,
-                    newest,
-                })
-            }
-            _ => Ok(()),
+        if order.expected == now {
+            return Ok(());
         }
+        let newest = self.source.operation(now).await.ok().flatten();
+        Err(Error::Moved {
+            expected: order.expected,
+            now,
+            newest,
+        })
     }
 
     /// Takes over a change that was just accepted, so that this node spreads it at once.
--- a/lib/src/config/writer.rs
+++ b/lib/src/config/writer.rs
@@ -7,6 +7,7 @@
 //! at most once and may be sent again. Conditions that failed once fail for
 //! ever; whether the identity is used then says whose change won.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -140,8 +141,11 @@
     let mut guards = Vec::new();
     let mut batch = Vec::new();
     let mut bytes = 0;
+    // Buckets that are alike, such as empty ones, share a key, which a
+    // transaction may write only once.
+    let mut written: HashSet<&[u8]> = head.bucket_digests.iter().map(Vec::as_slice).collect();
     for bucket in buckets {
-        if head.bucket_digests.contains(&bucket.digest) {
+        if !written.insert(&bucket.digest) {
             continue;
         }
         let key = keys.bucket(&bucket.digest);
--- /dev/null
+++ b/lib/tests/test_config.rs
@@ -0,0 +1,323 @@
+//! One node's configuration through changes, races, lost answers and lost data.
+
+mod config_setup;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chivevalve::config::Error;
+use chivevalve::config::layout::Layout;
+use chivevalve::declaration::{Set, export};
+use chivevalve::platform::{Store as Border, Transaction, Write};
+use chivevalve::schema::declaration::{Head, Template};
+use chivevalve_standins::store::{Knobs, Store};
+use config_setup::{Node, order, set, store};
+use prost::Message;
+
+fn version(node: &Node, template: &str) -> String {
+    let view = node.keeper.view().borrow().clone();
+    let template = view.template("depot", template).unwrap();
+    template.adapter.as_ref().unwrap().version.to_string()
+}
+
+async fn put(store: &Store, key: String, value: Vec<u8>) {
+    let transaction = Transaction {
+        conditions: Vec::new(),
+        writes: vec![Write::Put(key, Bytes::from(value), None)],
+    };
+    assert!(store.commit(transaction).await.unwrap().done);
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_is_in_force_everywhere() {
+    let store = store();
+    let a = Node::start("a", &store);
+    let b = Node::start("b", &store);
+    let accepted = a.apply(&set(&[("faults", "1")])).await;
+    assert_eq!((accepted.revision, accepted.differences), (1, 3));
+    b.in_force(1).await;
+    assert_eq!(version(&b, "faults"), "1");
+    let again = b.apply(&set(&[("faults", "1")])).await;
+    assert_eq!(
+        (again.revision, again.differences),
+        (1, 0),
+        "nothing differs"
+    );
+    assert_eq!(a.keeper.status().digest, b.keeper.status().digest);
+}
+
+/// Symptom: an operator is told that a change failed, applies it again, and finds it twice.
+/// Sequence: the service makes the write and its answer is lost.
+/// Cause: no answer was taken for no effect.
+#[tokio::test(start_paused = true)]
+async fn apply_answer_lost() {
+    let store = store();
+    let node = Node::start("a", &store);
+    node.apply(&set(&[])).await;
+    for lost in 1..4 {
+        store.set(Knobs {
+            lose_answers: lost,
+            ..Knobs::default()
+        });
+        let version = lost.to_string();
+        let declared = set(&[("faults", &version)]);
+        let accepted = node.apply(&declared).await;
+        assert_eq!(accepted.revision, u64::from(lost) + 1);
+    }
+    let history = node.keeper.history(None, 10).await.unwrap();
+    assert_eq!(history.len(), 4);
+}
+
+/// Symptom: a pipeline that ran its step again applied an old change over a newer one.
+/// Sequence: a change is accepted, its caller loses the answer, another change follows,
+/// the caller asks again with the same identity at another node.
+/// Cause: the identity wasn't remembered.
+#[tokio::test(start_paused = true)]
+async fn apply_same_identity_again() {
+    let store = store();
+    let a = Node::start("a", &store);
+    let b = Node::start("b", &store);
+    let first = order("ana", 0);
+    let declared = set(&[("faults", "1")]);
+    a.keeper.apply(&first, &declared).await.unwrap();
+    a.apply(&set(&[("faults", "2")])).await;
+    let again = b.keeper.apply(&first, &declared).await.unwrap();
+    assert_eq!((again.revision, again.already), (1, true));
+    b.in_force(2).await;
+    assert_eq!(version(&b, "faults"), "2");
+}
+
+/// Symptom: the change of one of two operators is gone, and nobody was told.
+/// Sequence: both plan on one revision, both apply.
+/// Cause: the later write replaced the earlier one.
+#[tokio::test(start_paused = true)]
+async fn apply_two_operators_at_once() {
+    let store = store();
+    let a = Node::start("a", &store);
+    let b = Node::start("b", &store);
+    a.apply(&set(&[])).await;
+    let (one, two) = (set(&[("faults", "1")]), set(&[("plans", "1")]));
+    let (ana, ben) = (order("ana", 1), order("ben", 1));
+    store.set(Knobs {
+        slow_ms: 5,
+        ..Knobs::default()
+    });
+    let (first, second) = tokio::join!(a.keeper.apply(&ana, &one), b.keeper.apply(&ben, &two));
+    let lost = match (first, second) {
+        (Ok(_), Err(error)) | (Err(error), Ok(_)) => error,
+        other => panic!("{other:?}"),
+    };
+    let Error::LostRace(theirs) = lost else {
+        panic!("{lost:?}");
+    };
+    assert_eq!(theirs.revision, 2);
+    assert_eq!(theirs.differences.len(), 1);
+    assert_eq!(a.keeper.history(None, 10).await.unwrap().len(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_plan_is_stale() {
+    let store = store();
+    let node = Node::start("a", &store);
+    let plan = node.keeper.plan(&set(&[("faults", "9")])).await;
+    assert_eq!(plan.revision, 0);
+    assert_eq!(plan.warnings.len(), 1, "{:?}", plan.warnings);
+    assert!(plan.warnings[0].contains("faults@9"));
+    node.apply(&set(&[])).await;
+    let planned = order("ana", plan.revision);
+    let error = node
+        .keeper
+        .apply(&planned, &set(&[("faults", "9")]))
+        .await
+        .unwrap_err();
+    let Error::Moved { now, newest, .. } = error else {
+        panic!("{error:?}");
+    };
+    assert_eq!((now, &*newest.unwrap().author), (1, "ana"));
+}
+
+/// Symptom: after an outage operators don't know whether their change is in force.
+/// Sequence: the service goes down while a change is written.
+/// Cause: the answer of a call that nobody can know was given as a yes or a no.
+#[tokio::test(start_paused = true)]
+async fn apply_service_down() {
+    let store = store();
+    let node = Node::start("a", &store);
+    node.apply(&set(&[])).await;
+    store.set(Knobs {
+        down: true,
+        ..Knobs::default()
+    });
+    let ana = order("ana", 1);
+    let declared = set(&[("faults", "1")]);
+    let error = node.keeper.apply(&ana, &declared).await.unwrap_err();
+    assert!(matches!(error, Error::Unavailable(_)), "{error:?}");
+    assert!(error.is_certain());
+    assert_eq!(node.revision(), 1, "what is in force stays");
+    store.set(Knobs::default());
+    let accepted = node.keeper.apply(&ana, &declared).await.unwrap();
+    assert_eq!(accepted.revision, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn rollback_is_a_new_revision() {
+    let store = store();
+    let node = Node::start("a", &store);
+    for number in 1..=150 {
+        let version = number.to_string();
+        let declared = set(&[("faults", &version)]);
+        node.apply(&declared).await;
+    }
+    for back in [149, 130, 64, 63, 1] {
+        let declared = node.keeper.declared_at(back).await.unwrap();
+        assert_eq!(declared, set(&[("faults", &back.to_string())]), "{back}");
+    }
+    let accepted = node.keeper.rollback(&order("ben", 150), 100).await.unwrap();
+    assert_eq!(accepted.revision, 151);
+    node.in_force(151).await;
+    assert_eq!(version(&node, "faults"), "100");
+    let newest = &node.keeper.history(None, 1).await.unwrap()[0];
+    assert_eq!(newest.reason, "rollback to revision 100: test");
+    assert!(matches!(
+        node.keeper.declared_at(900).await,
+        Err(Error::UnknownRevision(900))
+    ));
+}
+
+#[tokio::test(start_paused = true)]
+async fn fresh_node_reads_little() {
+    let store = store();
+    let node = Node::start("a", &store);
+    for number in 1..=100 {
+        let version = number.to_string();
+        let declared = set(&[("faults", &version)]);
+        node.apply(&declared).await;
+    }
+    let before = store.counts().reads;
+    let fresh = Node::start("b", &store);
+    fresh.in_force(100).await;
+    let reads = store.counts().reads - before;
+    assert!(reads < 80, "{reads} reads: head, 64 buckets, one block");
+    assert_eq!(version(&fresh, "faults"), "100");
+}
+
+/// Symptom: templates that operators had replaced are back after an outage.
+/// Sequence: the service restarts with data from before the last changes.
+/// Cause: whatever the service holds was taken for the newest.
+#[tokio::test(start_paused = true)]
+async fn node_never_goes_back() {
+    let store = store();
+    let node = Node::start("a", &store);
+    node.apply(&set(&[("faults", "1")])).await;
+    let old = store.get(&Layout::new("t/").head()).await.unwrap().unwrap();
+    node.apply(&set(&[("faults", "2")])).await;
+    node.in_force(2).await;
+    put(&store, old.key, old.value.to_vec()).await;
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!((node.revision(), &*version(&node, "faults")), (2, "2"));
+    assert!(node.keeper.status().stale > 0);
+    // The next change is above what the nodes have, and whole for fresh ones.
+    let accepted = node.apply(&set(&[("faults", "3")])).await;
+    assert_eq!(accepted.revision, 3);
+    let fresh = Node::start("b", &store);
+    fresh.in_force(3).await;
+    assert_eq!(version(&fresh, "faults"), "3");
+}
+
+/// Symptom: during an upgrade the older nodes serve half of a change.
+/// Sequence: a newer version writes a template with a field that this one doesn't know.
+/// Cause: the field was dropped in silence and the rest put in force.
+#[tokio::test(start_paused = true)]
+async fn unreadable_revision_leaves_the_old() {
+    let store = store();
+    let node = Node::start("a", &store);
+    node.apply(&set(&[("faults", "1")])).await;
+    let keys = Layout::new("t/");
+    let head = store.get(&keys.head()).await.unwrap().unwrap();
+    let mut newer = Head::decode(head.value).unwrap();
+    newer.revision = 2;
+    newer.snapshot_revision = 2;
+    newer.view_digest = vec![7; 32];
+    put(&store, keys.head(), newer.encode_to_vec()).await;
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!((node.revision(), &*version(&node, "faults")), (1, "1"));
+    let status = node.keeper.status();
+    assert_eq!(status.heard, 2);
+    assert!(status.refused.unwrap().starts_with("revision 2:"));
+}
+
+/// Symptom: the first requests after a version change stall while it loads.
+/// Sequence: a template names another version, and the revision is in force at once.
+/// Cause: nobody fetched the version before requests named it.
+#[tokio::test(start_paused = true)]
+async fn version_change_is_fetched_ahead() {
+    let store = store();
+    let a = Node::start("a", &store);
+    a.apply(&set(&[("faults", "1"), ("plans", "1")])).await;
+    a.in_force(1).await;
+    assert!(a.fetched.0.lock().unwrap().is_empty());
+    a.apply(&set(&[("faults", "2"), ("plans", "1")])).await;
+    assert_eq!(*a.fetched.0.lock().unwrap(), ["faults@2"]);
+    assert_eq!(version(&a, "faults"), "1", "not yet in force");
+    assert_eq!(a.keeper.status().learned, 2);
+    // A change behind it waits for it, so that revisions come in order.
+    a.apply(&set(&[("faults", "2")])).await;
+    assert_eq!(a.revision(), 1);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!((a.revision(), &*version(&a, "faults")), (3, "2"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn large_first_change() {
+    let store = store();
+    let node = Node::start("a", &store);
+    let mut declared = set(&[]);
+    for number in 0..10_000 {
+        let name = format!("t{number}");
+        let template = Template {
+            account: "depot".to_owned(),
+            name: name.clone(),
+            pool: "llama".to_owned(),
+            adapter: name.clone(),
+            version: "1".to_owned(),
+            class: "normal".to_owned(),
+            weight: 1,
+            ..Template::default()
+        };
+        declared
+            .templates
+            .insert(("depot".to_owned(), name), template);
+    }
+    let accepted = node.apply(&declared).await;
+    assert_eq!(accepted.differences, 10_002);
+    let fresh = Node::start("b", &store);
+    fresh.in_force(1).await;
+    assert_eq!(fresh.keeper.status().templates, 10_000);
+    assert_eq!(fresh.keeper.status().digest, node.keeper.status().digest);
+    node.apply(&set(&[])).await;
+    assert_eq!(node.keeper.declared_at(1).await.unwrap(), declared);
+    assert_eq!(node.keeper.declared_at(0).await.unwrap(), Set::default());
+    assert_eq!(export::export(&declared).len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn outage_leaves_what_is_in_force() {
+    let store = store();
+    let node = Node::start("a", &store);
+    node.apply(&set(&[])).await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    assert!(node.keeper.status().confirmed_age_ms.unwrap() < 8_000);
+    store.set(Knobs {
+        down: true,
+        ..Knobs::default()
+    });
+    tokio::time::sleep(Duration::from_secs(3_600)).await;
+    let status = node.keeper.status();
+    assert_eq!(status.revision, 1);
+    assert!(status.confirmed_age_ms.unwrap() > 3_590_000);
+    assert!(Arc::strong_count(&node.keeper) > 0);
+    store.set(Knobs::default());
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert!(node.keeper.status().confirmed_age_ms.unwrap() < 10_000);
+}
