--- a/lib/src/declaration/load.rs
+++ b/lib/src/declaration/load.rs
@@ -10,7 +10,6 @@
 use super::set::Set;
 use super::tree;
 use crate::name::Name;
-use crate::schema::declaration::File;
 
 /// Largest file, in bytes.
 pub const MAX_FILE: u64 = 32 * 1024 * 1024;
@@ -84,24 +83,6 @@
     Err(mistakes)
 }
 
-/// Checks declarations that came as a message, such as over the operators' interface.
-///
-/// # Errors
-///
-/// Every mistake; all are placed at `request`, since a message has no lines.
-pub fn check_file(file: File) -> Result<Set, Vec<Mistake>> {
-    let place = Place::file(&Arc::from("request"));
-    let mut mistakes = Vec::new();
-    let raw = read::sent(file, &place);
-    let set = rules::apply(&raw, &place, &mut mistakes);
-    if mistakes.is_empty() {
-        return Ok(set);
-    }
-    mistakes.sort();
-    mistakes.dedup();
-    Err(mistakes)
-}
-
 fn visit(
     root: &Path,
     dir: &Path,
--- a/lib/src/declaration/read.rs
+++ b/lib/src/declaration/read.rs
@@ -5,7 +5,7 @@
 use super::mistake::{Mistake, Place};
 use super::nearest::nearest;
 use super::tree::{Content, Node};
-use crate::schema::declaration::{Account, File, Pool, Template};
+use crate::schema::declaration::{Account, Pool, Template};
 
 /// A message with the places of its fields.
 #[derive(Debug)]
@@ -38,41 +38,6 @@
     pub(super) templates: Vec<Placed<Template>>,
 }
 
-impl<T> Placed<T> {
-    /// Places a message that came without a file.
-    fn sent(value: T, place: &Place) -> Self
-    where
-        T: Form,
-    {
-        let fields = T::FIELDS
-            .iter()
-            .filter(|field| !field.is_default(&value))
-            .map(|field| (field.name, place.clone()))
-            .collect();
-        Self {
-            place: place.clone(),
-            value,
-            fields,
-        }
-    }
-}
-
-/// Places declarations that came as a message; `place` tells where from.
-pub(super) fn sent(file: File, place: &Place) -> Raw {
-    Raw {
-        accounts: all(file.accounts, place),
-        pools: all(file.pools, place),
-        templates: all(file.templates, place),
-    }
-}
-
-fn all<T: Form>(messages: Vec<T>, place: &Place) -> Vec<Placed<T>> {
-    messages
-        .into_iter()
-        .map(|message| Placed::sent(message, place))
-        .collect()
-}
-
 /// A field of a message and where its value goes.
 struct Field<T> {
     name: &'static str,
@@ -87,23 +52,8 @@
     Flag(fn(&mut T) -> &mut bool),
 }
 
-impl<T: Clone> Field<T> {
-    /// Whether the field holds what leaving it out means.
-    fn is_default(&self, message: &T) -> bool {
-        // Slots lead to places that can be written, so a copy is looked at.
-        let mut copy = message.clone();
-        match self.slot {
-            Slot::Text(slot) => slot(&mut copy).is_empty(),
-            Slot::Texts(slot) => slot(&mut copy).is_empty(),
-            Slot::Small(slot) => *slot(&mut copy) == 0,
-            Slot::Large(slot) => *slot(&mut copy) == 0,
-            Slot::Flag(slot) => !*slot(&mut copy),
-        }
-    }
-}
-
 /// A message that can be read from a mapping.
-trait Form: Default + Clone + 'static {
+trait Form: Default + 'static {
     /// The word for it in messages.
     const WORD: &'static str;
     const FIELDS: &'static [Field<Self>];
--- a/lib/src/operators/configuration.rs
+++ b/lib/src/operators/configuration.rs
@@ -84,7 +84,7 @@
         id: Name::from(id),
         author,
         reason,
-        expected: Some(expected),
+        expected,
         time_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
     }
 }
--- a/lib/tests/test_declaration.rs
+++ b/lib/tests/test_declaration.rs
@@ -203,21 +203,3 @@
     diff::patch(&mut patched, &diff::reverse(&differences));
     assert_eq!(patched, before);
 }
-
-#[test]
-fn check_message_as_files() {
-    let set = declaration::check_sources(&[source("all.yaml", WHOLE)]).unwrap();
-    let mut file = File {
-        accounts: set.accounts.values().cloned().collect(),
-        pools: set.pools.values().cloned().collect(),
-        templates: set.templates.values().cloned().collect(),
-    };
-    assert_eq!(declaration::check_file(file.clone()).unwrap(), set);
-    file.templates[0].version.clear();
-    file.templates[1].adapter = "parts".to_owned();
-    let mistakes = declaration::check_file(file).unwrap_err();
-    assert_snapshot!(shown(&mistakes), @r"
-    request: adapter faults is named without a version; add version:; each template names the exact version that it runs on
-    request: adapter is set, but pool records holds plain services; leave it out, or name a pool of engines
-    ");
-}
