--- a/lib/tests/config_setup/mod.rs
+++ b/lib/tests/config_setup/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::HashSet;
+use std::fmt::Write as _;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -108,7 +109,7 @@
     pub async fn in_force(&self, revision: u64) {
         let mut view = self.keeper.view();
         let reached = view.wait_for(|view| view.revision() >= revision);
-        tokio::time::timeout(Duration::from_secs(120), reached)
+        tokio::time::timeout(Duration::from_mins(2), reached)
             .await
             .expect("the revision isn't in force in two minutes")
             .unwrap();
@@ -139,9 +140,11 @@
          templates:\n",
     );
     for (name, version) in templates {
-        text += &format!(
-            "- {{account: depot, name: {name}, pool: llama, adapter: {name}, version: '{version}'}}\n"
-        );
+        writeln!(
+            text,
+            "- {{account: depot, name: {name}, pool: llama, adapter: {name}, version: '{version}'}}"
+        )
+        .unwrap();
     }
     declaration::check_sources(&[Source {
         name: Arc::from("all.yaml"),
--- a/lib/tests/test_config.rs
+++ b/lib/tests/test_config.rs
@@ -312,7 +312,7 @@
         down: true,
         ..Knobs::default()
     });
-    tokio::time::sleep(Duration::from_secs(3_600)).await;
+    tokio::time::sleep(Duration::from_hours(1)).await;
     let status = node.keeper.status();
     assert_eq!(status.revision, 1);
     assert!(status.confirmed_age_ms.unwrap() > 3_590_000);
