--- a/lib/src/config/keeper.rs
+++ b/lib/src/config/keeper.rs
@@ -124,6 +124,8 @@
     pub(super) source: Source,
     state: Mutex<State>,
     in_force: watch::Sender<Arc<View>>,
+    /// The newest revision learned, for the exchange with peers.
+    news: watch::Sender<u64>,
     /// Wakes the task that puts due revisions in force.
     due: Notify,
     /// Wakes the task that asks the service.
@@ -147,10 +149,12 @@
         let source = Source::new(Arc::clone(&parts.store), layout, parts.limits.call_timeout);
         let events = counters(&parts.metrics);
         let (in_force, _) = watch::channel(Arc::default());
+        let (news, _) = watch::channel(0);
         Self {
             source,
             events,
             in_force,
+            news,
             state: Mutex::default(),
             due: Notify::new(),
             behind: Notify::new(),
@@ -165,6 +169,12 @@
         self.in_force.subscribe()
     }
 
+    /// Returns the channel of the newest revision learned, which peers should hear of at once.
+    #[must_use]
+    pub fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
     /// Returns what operators see.
     #[must_use]
     pub fn status(&self) -> Status {
@@ -356,6 +366,12 @@
     /// The channel is written under the state's lock: two threads that wrote it
     /// one after the other could otherwise leave the older view in it.
     fn publish(&self, state: &mut State) {
+        let learned = state.learned().revision();
+        self.news.send_if_modified(|known| {
+            let newer = *known < learned;
+            *known = learned;
+            newer
+        });
         if let Some(view) = state.release(self.now()) {
             let metrics = &self.parts.metrics;
             metrics
--- a/lib/src/gossip/keeper.rs
+++ b/lib/src/gossip/keeper.rs
@@ -13,7 +13,7 @@
 use futures::future::join_all;
 use log::debug;
 use prost::Message;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::choice::Choice;
@@ -79,6 +79,9 @@
     pub region: Name,
     /// What is spread.
     pub shares: Vec<Arc<dyn Share>>,
+    /// Change when a part learned something elsewhere than from peers, such as
+    /// from the service or from an operator.
+    pub news: Vec<watch::Receiver<u64>>,
     /// Takes over snapshots.
     pub install: Arc<dyn Install>,
     /// Whom there is to speak to.
@@ -132,6 +135,9 @@
             parts,
         });
         *lock(&keeper.told) = keeper.digest();
+        for news in &keeper.parts.news {
+            tokio::spawn(Arc::clone(&keeper).hear(news.clone()));
+        }
         tokio::spawn(Arc::clone(&keeper).until_stop(Self::rounds));
         tokio::spawn(Arc::clone(&keeper).until_stop(Self::waves));
         tokio::spawn(Arc::clone(&keeper).until_stop(Self::pulls));
@@ -143,6 +149,19 @@
         self.news.notify_one();
     }
 
+    /// Passes on what a part learned elsewhere.
+    async fn hear(self: Arc<Self>, mut news: watch::Receiver<u64>) {
+        loop {
+            tokio::select! {
+                () = self.parts.stop.cancelled() => return,
+                changed = news.changed() => match changed {
+                    Ok(()) => self.tell(),
+                    Err(_) => return,
+                },
+            }
+        }
+    }
+
     async fn until_stop<F: Future<Output = ()>>(self: Arc<Self>, task: fn(Arc<Self>) -> F) {
         let stop = self.parts.stop.clone();
         tokio::select! {
@@ -189,7 +208,9 @@
     async fn waves(self: Arc<Self>) {
         loop {
             self.news.notified().await;
-            let news = self.gather();
+            let Some(news) = self.gather() else {
+                continue;
+            };
             for wave in 0..self.parts.limits.waves {
                 if wave > 0 {
                     let nap = lock(&self.choice).jitter(self.parts.limits.wave_pause);
@@ -211,24 +232,27 @@
         }
     }
 
-    /// Collects what a peer lacks that knows what was last told.
-    fn gather(&self) -> Digest {
+    /// Collects what a peer lacks that knows what was last told, if there is any.
+    fn gather(&self) -> Option<Digest> {
         let now = self.digest();
-        let before = std::mem::replace(&mut *lock(&self.told), now);
+        let before = std::mem::replace(&mut *lock(&self.told), now.clone());
+        if is_alike(&before, &now) {
+            return None;
+        }
         let mut lacking = Delta::default();
         for share in &self.parts.shares {
             share.answer(&before, &mut lacking);
         }
         if lacking.encoded_len() > self.parts.limits.news_bytes {
             // Peers see from the digest that they are behind, and ask.
-            return Digest::default();
+            return Some(Digest::default());
         }
-        Digest {
+        Some(Digest {
             operations: lacking.operations,
             claims: lacking.claims,
             nodes: lacking.nodes,
             ..Digest::default()
-        }
+        })
     }
 
     /// Asks the peers that are ahead, as they show themselves.
@@ -415,6 +439,20 @@
     }
 }
 
+/// Whether two digests of this node tell of the same state, ages aside.
+fn is_alike(before: &Digest, now: &Digest) -> bool {
+    let names = |digest: &Digest| -> Vec<String> {
+        let leaving = digest.leaving.iter();
+        leaving.map(|leaving| leaving.upstream.clone()).collect()
+    };
+    before.revision == now.revision
+        && before.view_digest == now.view_digest
+        && before.claims_digest == now.claims_digest
+        && before.claims_token == now.claims_token
+        && before.nodes_digest == now.nodes_digest
+        && names(before) == names(now)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // What stands behind these locks is replaced whole, so a panic leaves it sound.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/lib/src/node/assembly.rs
+++ b/lib/src/node/assembly.rs
@@ -253,6 +253,7 @@
             incarnation: self.identity.incarnation,
             region: Arc::clone(&self.identity.region),
             shares: vec![Arc::clone(config) as _, Arc::clone(membership) as _],
+            news: vec![config.news()],
             install: Arc::clone(config) as _,
             peers: Arc::clone(membership) as _,
             transport: Arc::clone(clients) as _,
