--- a/bench/src/policy/mod.rs
+++ b/bench/src/policy/mod.rs
@@ -21,7 +21,6 @@
 mod contender;
 mod engine;
 mod measure;
-mod source;
 mod store;
 mod traffic;
 mod workload;
--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -14,6 +14,7 @@
     name: "apply",
     about: "put a directory of declarations in force",
     values: 1..=1,
+    online: true,
     options: &["reason", "expect", "change-id"],
     help: "\
 Usage: chivevalve apply DIR --reason TEXT [--expect REVISION] [OPTIONS]
--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -15,6 +15,7 @@
     name: "check",
     about: "find every mistake in a directory of declarations",
     values: 1..=1,
+    online: false,
     options: &[],
     help: "\
 Usage: chivevalve check DIR [--format text|json]
--- a/cli/src/commands/digest.rs
+++ b/cli/src/commands/digest.rs
@@ -20,6 +20,7 @@
     name: "digest",
     about: "print the digest of a key or token from standard input",
     values: 0..=0,
+    online: false,
     options: &[],
     help: "\
 Usage: chivevalve digest < FILE
--- a/cli/src/commands/drain.rs
+++ b/cli/src/commands/drain.rs
@@ -13,6 +13,7 @@
     name: "drain",
     about: "give a node or an upstream no new work",
     values: 2..=2,
+    online: true,
     options: &[],
     help: "\
 Usage: chivevalve drain node NAME [OPTIONS]
--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -17,6 +17,7 @@
     name: "explain",
     about: "say what would happen to a request of a template now",
     values: 2..=2,
+    online: true,
     options: &[],
     help: "\
 Usage: chivevalve explain ACCOUNT TEMPLATE [OPTIONS]
--- a/cli/src/commands/export.rs
+++ b/cli/src/commands/export.rs
@@ -15,6 +15,7 @@
     name: "export",
     about: "write what is in force as declarations",
     values: 0..=0,
+    online: true,
     options: &["out"],
     help: "\
 Usage: chivevalve export [--out DIR] [OPTIONS]
--- a/cli/src/commands/get.rs
+++ b/cli/src/commands/get.rs
@@ -15,6 +15,7 @@
     name: "get",
     about: "list what is in force, or show one declaration",
     values: 0..=2,
+    online: true,
     options: &[],
     help: "\
 Usage: chivevalve get [accounts|pools|templates [NAME]] [OPTIONS]
--- a/cli/src/commands/history.rs
+++ b/cli/src/commands/history.rs
@@ -15,6 +15,7 @@
     name: "history",
     about: "show who changed what, when and why",
     values: 0..=0,
+    online: true,
     options: &["limit"],
     help: "\
 Usage: chivevalve history [--limit N] [OPTIONS]
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -29,6 +29,8 @@
     pub about: &'static str,
     /// How many values it takes.
     pub values: RangeInclusive<usize>,
+    /// Whether it speaks with nodes.
+    pub online: bool,
     /// Options that it takes besides those of all commands.
     pub options: &'static [&'static str],
     /// What `--help` prints.
@@ -52,13 +54,16 @@
     digest::COMMAND,
 ];
 
-/// Options of all commands, for the help pages.
-const SHARED: &str = "
+/// Options of the commands that speak with nodes, for the help pages.
+const NODES: &str = "
   --node ADDRESS     operators' address of a node, by IP number and port; may be
                      repeated, the next is asked when one can't answer
                      (CHIVEVALVE_NODE, separated by commas)
   --token-file FILE  file with the operator's token (or CHIVEVALVE_TOKEN)
-  --format FORMAT    text (default) or json
+";
+
+/// Options of all commands, for the help pages.
+const SHARED: &str = "  --format FORMAT    text (default) or json
   --help             print this
   --version          print the version
 ";
@@ -91,7 +96,8 @@
         .find(|command| command.name == *name)
         .ok_or_else(|| Failure::Usage(format!("there is no command {name}")))?;
     if args.help {
-        return output::print(&format!("{}{SHARED}", command.help));
+        let nodes = if command.online { NODES } else { "\n" };
+        return output::print(&format!("{}{nodes}{SHARED}", command.help));
     }
     fits(command, &args)?;
     (command.run)(&args)
@@ -108,7 +114,7 @@
     }
     if !command.values.contains(&args.values.len()) {
         return Err(Failure::Usage(format!(
-            "{name} takes {} values, not {}; see chivevalve {name} --help",
+            "{name} takes {}, not {}",
             count(&command.values),
             args.values.len()
         )));
@@ -117,10 +123,12 @@
 }
 
 fn count(range: &RangeInclusive<usize>) -> String {
-    if range.start() == range.end() {
-        return range.start().to_string();
+    match (range.start(), range.end()) {
+        (0, 0) => "no value".to_owned(),
+        (1, 1) => "1 value".to_owned(),
+        (least, most) if least == most => format!("{most} values"),
+        (least, most) => format!("{least} to {most} values"),
     }
-    format!("{} to {}", range.start(), range.end())
 }
 
 fn help() -> String {
@@ -130,7 +138,7 @@
         .collect();
     format!(
         "chivevalve: operates chivevalve by declarations kept in version control\n\n\
-         Usage: chivevalve COMMAND [VALUES] [OPTIONS]\n\n{}{SHARED}{EXIT_CODES}",
+         Usage: chivevalve COMMAND [VALUES] [OPTIONS]\n\n{}{NODES}{SHARED}{EXIT_CODES}",
         output::table(&rows)
     )
 }
--- a/cli/src/commands/plan.rs
+++ b/cli/src/commands/plan.rs
@@ -13,6 +13,7 @@
     name: "plan",
     about: "show what applying a directory would change",
     values: 1..=1,
+    online: true,
     options: &["exit-code"],
     help: "\
 Usage: chivevalve plan DIR [--exit-code] [OPTIONS]
--- a/cli/src/commands/rollback.rs
+++ b/cli/src/commands/rollback.rs
@@ -13,6 +13,7 @@
     name: "rollback",
     about: "put an earlier revision in force again, as a new one",
     values: 1..=1,
+    online: true,
     options: &["reason", "expect", "change-id"],
     help: "\
 Usage: chivevalve rollback REVISION --reason TEXT [OPTIONS]
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -17,6 +17,7 @@
     name: "status",
     about: "show nodes, upstreams, queues and the revision in force",
     values: 0..=0,
+    online: true,
     options: &["all"],
     help: "\
 Usage: chivevalve status [--all] [OPTIONS]
--- a/cli/src/daemon/exit.rs
+++ b/cli/src/daemon/exit.rs
@@ -6,3 +6,5 @@
 pub const USAGE: u8 = 2;
 /// The settings are wrong.
 pub const BAD_SETTINGS: u8 = 2;
+/// The node stopped before every request was answered.
+pub const CUT_OFF: u8 = 3;
--- a/cli/src/daemon/mod.rs
+++ b/cli/src/daemon/mod.rs
@@ -3,12 +3,14 @@
 mod args;
 mod exit;
 mod logs;
+mod serve;
 
 use std::ffi::OsString;
 use std::path::Path;
 use std::process::ExitCode;
 
-use chivevalve::settings::{self, Settings};
+use chivevalve::peer::tls::{Keys, Paths};
+use chivevalve::settings::{self, Settings, Tls};
 
 use args::Action;
 
@@ -39,7 +41,21 @@
 }
 
 fn check(file: &Path) -> ExitCode {
-    if load(file).is_none() {
+    let Some(settings) = load(file) else {
+        return ExitCode::from(exit::BAD_SETTINGS);
+    };
+    if let Tls::Mutual {
+        certificate,
+        key,
+        authority,
+    } = settings.tls
+        && let Err(error) = Keys::load(Paths {
+            certificate,
+            key,
+            authority,
+        })
+    {
+        eprintln!("{}: tls: {error}", file.display());
         return ExitCode::from(exit::BAD_SETTINGS);
     }
     println!("{}: no mistakes", file.display());
@@ -51,9 +67,8 @@
         return ExitCode::from(exit::BAD_SETTINGS);
     };
     logs::start();
-    log::error!(
-        "node: {} can't start, this build has no node yet",
-        settings.node.name
-    );
-    ExitCode::from(exit::FAILED)
+    serve::serve(settings).unwrap_or_else(|error| {
+        log::error!("node: {error:#}");
+        ExitCode::from(exit::FAILED)
+    })
 }
