--- a/lib/tests/test_platform_store.rs
+++ b/lib/tests/test_platform_store.rs
@@ -210,3 +210,21 @@
     assert!(refused >= 1);
     assert_eq!(setup.standin.counts().limited, refused);
 }
+
+/// Symptom: a write that works in tests is refused in service.
+/// Sequence: one transaction sets a key twice, or has more writes than the service takes.
+/// Cause: the stand-in took what the service doesn't.
+#[tokio::test]
+async fn commit_refused_as_in_service() {
+    let setup = setup().await;
+    let put = |key: &str| Write::Put(key.to_owned(), Bytes::new(), None);
+    let many = (0..129).map(|number| put(&number.to_string())).collect();
+    for writes in [vec![put("a"), put("a")], many] {
+        let transaction = Transaction {
+            conditions: Vec::new(),
+            writes,
+        };
+        let refused = setup.client.commit(transaction).await;
+        assert!(matches!(refused, Err(Error::Refused(_))), "{refused:?}");
+    }
+}
--- a/standins/src/demo.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-//! Placeholder.
-fn main() {}
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -1,6 +1,6 @@
 //! What the service holds.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 use chivevalve::clock::Millis;
 use chivevalve::platform::{
@@ -12,6 +12,8 @@
 const HISTORY: usize = 100_000;
 /// Longest value, as the platform has it.
 const VALUE_BYTES: usize = 1 << 20;
+/// Most conditions, and most writes, of one transaction; etcd's default.
+const OPERATIONS: usize = 128;
 
 #[derive(Debug, Default)]
 pub(super) struct State {
@@ -60,6 +62,9 @@
     }
 
     pub(super) fn commit(&mut self, transaction: Transaction) -> Result<Commit, Error> {
+        if transaction.writes.len().max(transaction.conditions.len()) > OPERATIONS {
+            return Err(Error::Refused("too many operations".to_owned()));
+        }
         let done = transaction
             .conditions
             .iter()
@@ -85,10 +90,14 @@
     }
 
     fn check(&self, writes: &[Write]) -> Result<(), Error> {
+        let mut keys = HashSet::new();
         for write in writes {
-            let Write::Put(_, value, lease) = write else {
+            let Write::Put(key, value, lease) = write else {
                 continue;
             };
+            if !keys.insert(key) {
+                return Err(Error::Refused("a key is given twice".to_owned()));
+            }
             if value.len() > VALUE_BYTES {
                 return Err(Error::Refused("the value is too long".to_owned()));
             }
