--- a/bench/src/policy/baseline.rs
+++ b/bench/src/policy/baseline.rs
@@ -6,7 +6,8 @@
 //! one load for all who wait at an engine, loads one at a time in the order
 //! asked, bounded queues, and no start that would miss its deadline.
 
-use std::collections::{HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 
 use chivevalve::clock::Millis;
 use chivevalve::error::Code;
@@ -14,7 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::traffic::count;
+use super::traffic::{Request, count};
 use super::world::{Action, LoadDone, Policy, World};
 
 /// Waiting requests that an engine takes in a class, in batches.
@@ -40,7 +41,13 @@
 /// An engine as the baseline runs it.
 #[derive(Debug, Default)]
 struct Queue {
-    waiting: [VecDeque<u32>; 3],
+    /// Waiting requests whose adapter is resident, by class.
+    ready: [VecDeque<u32>; 3],
+    /// Waiting requests whose adapter isn't, by adapter.
+    stalled: HashMap<u32, Vec<u32>>,
+    /// Waiting requests by the latest start that makes sense; some have started since.
+    expiry: BinaryHeap<Reverse<(Millis, u32)>>,
+    waiting: [usize; 3],
     running: usize,
     /// Running and waiting requests by adapter; these are not evicted.
     users: HashMap<u32, u32>,
@@ -50,7 +57,38 @@
 
 impl Queue {
     fn len(&self) -> usize {
-        self.running + self.waiting.iter().map(VecDeque::len).sum::<usize>()
+        self.running + self.waiting.iter().sum::<usize>()
+    }
+
+    /// Lets a request wait. Numbers follow arrivals, so they keep the order of a class.
+    fn make_ready(&mut self, id: u32, class: usize) {
+        let place = self.ready[class].partition_point(|other| *other < id);
+        self.ready[class].insert(place, id);
+    }
+
+    /// Takes out a waiting request that expired; returns whether it still waited.
+    fn take(&mut self, id: u32, request: &Request) -> bool {
+        let ready = &mut self.ready[request.class as usize];
+        if let Ok(place) = ready.binary_search(&id) {
+            ready.remove(place);
+            return true;
+        }
+        let Some(stalled) = self.stalled.get_mut(&request.adapter) else {
+            return false;
+        };
+        let before = stalled.len();
+        stalled.retain(|other| *other != id);
+        before > stalled.len()
+    }
+
+    /// Ends a request's hold on its adapter.
+    fn release(&mut self, adapter: u32) {
+        if let Some(users) = self.users.get_mut(&adapter) {
+            *users -= 1;
+            if *users == 0 {
+                self.users.remove(&adapter);
+            }
+        }
     }
 }
 
@@ -68,6 +106,7 @@
     placement: Placement,
     queues: Vec<Queue>,
     wishes: VecDeque<Wish>,
+    wished: HashSet<(usize, u32)>,
     loading: bool,
     turn: usize,
     uses: u64,
@@ -81,6 +120,7 @@
             placement,
             queues: (0..engines).map(|_| Queue::default()).collect(),
             wishes: VecDeque::new(),
+            wished: HashSet::new(),
             loading: false,
             turn: 0,
             uses: 0,
@@ -133,42 +173,47 @@
             .unwrap_or(usable[0])
     }
 
-    /// Starts what can start at an engine, and asks for the loads that the rest needs.
+    /// Refuses what can't end in time any more, and starts what can start.
     fn pump(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>) {
-        let state = &world.engines[engine];
-        if !state.up {
+        if !world.engines[engine].up {
             return;
         }
-        let now = world.now();
+        self.expire(world, engine, actions);
         let queue = &mut self.queues[engine];
-        for class in 0..queue.waiting.len() {
-            let mut kept = VecDeque::new();
-            while let Some(id) = queue.waiting[class].pop_front() {
-                let request = world.request(id);
-                if now > world.deployment().latest_start(request) {
-                    actions.push(Action::Refuse {
-                        id,
-                        code: Code::ExpiredWaiting,
-                    });
-                    release(queue, request.adapter);
-                } else if queue.running < world.deployment().batch
-                    && state.resident(request.adapter)
-                {
-                    actions.push(Action::Start { id });
-                    queue.running += 1;
-                    self.uses += 1;
-                    queue.recent.insert(request.adapter, self.uses);
-                } else {
-                    kept.push_back(id);
-                }
+        for class in 0..queue.ready.len() {
+            while queue.running < world.deployment().batch {
+                let Some(id) = queue.ready[class].pop_front() else {
+                    break;
+                };
+                actions.push(Action::Start { id });
+                queue.running += 1;
+                queue.waiting[class] -= 1;
+                self.uses += 1;
+                queue.recent.insert(world.request(id).adapter, self.uses);
+            }
+        }
+    }
+
+    fn expire(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>) {
+        let queue = &mut self.queues[engine];
+        while let Some(Reverse((latest, id))) = queue.expiry.peek().copied() {
+            if world.now() <= latest {
+                break;
+            }
+            queue.expiry.pop();
+            let request = world.request(id);
+            if queue.take(id, request) {
+                queue.waiting[request.class as usize] -= 1;
+                queue.release(request.adapter);
+                let code = Code::ExpiredWaiting;
+                actions.push(Action::Refuse { id, code });
             }
-            queue.waiting[class] = kept;
         }
     }
 
     fn wish(&mut self, world: &World, engine: usize, adapter: u32, after: Millis) {
-        let wished = |wish: &Wish| wish.engine == engine && wish.adapter == adapter;
-        if world.engines[engine].slot(adapter).is_none() && !self.wishes.iter().any(wished) {
+        let resident = world.engines[engine].slot(adapter).is_some();
+        if !resident && self.wished.insert((engine, adapter)) {
             self.wishes.push_back(Wish {
                 engine,
                 adapter,
@@ -186,6 +231,7 @@
             let wanted = queue.users.contains_key(&wish.adapter);
             if !wanted || !world.engines[wish.engine].up {
                 self.wishes.remove(index);
+                self.wished.remove(&(wish.engine, wish.adapter));
                 continue;
             }
             if wish.after <= world.now() && self.make_room(world, wish.engine, actions) {
@@ -195,6 +241,7 @@
                 actions.push(Action::Load { engine, adapter });
                 self.loading = true;
                 self.wishes.remove(index);
+                self.wished.remove(&(engine, adapter));
             }
             index += 1;
         }
@@ -222,16 +269,6 @@
     }
 }
 
-/// Ends a request's hold on its adapter.
-fn release(queue: &mut Queue, adapter: u32) {
-    if let Some(users) = queue.users.get_mut(&adapter) {
-        *users -= 1;
-        if *users == 0 {
-            queue.users.remove(&adapter);
-        }
-    }
-}
-
 impl Policy for Baseline {
     fn on_arrival(&mut self, world: &World, id: u32, actions: &mut Vec<Action>) {
         let request = world.request(id);
@@ -243,13 +280,20 @@
         };
         let queue = &mut self.queues[engine];
         let class = request.class as usize;
-        if queue.waiting[class].len() >= QUEUE_BATCHES * world.deployment().batch {
+        if queue.waiting[class] >= QUEUE_BATCHES * world.deployment().batch {
             return actions.push(Action::Refuse {
                 id,
                 code: Code::QueueFull,
             });
         }
-        queue.waiting[class].push_back(id);
+        queue.waiting[class] += 1;
+        let latest = world.deployment().latest_start(request);
+        queue.expiry.push(Reverse((latest, id)));
+        if world.engines[engine].resident(request.adapter) {
+            queue.make_ready(id, class);
+        } else {
+            queue.stalled.entry(request.adapter).or_default().push(id);
+        }
         *queue.users.entry(request.adapter).or_default() += 1;
         actions.push(Action::Queue { id, engine });
         self.pump(world, engine, actions);
@@ -260,6 +304,10 @@
     fn on_load_done(&mut self, world: &World, done: LoadDone, actions: &mut Vec<Action>) {
         self.loading = false;
         if done.loaded {
+            let queue = &mut self.queues[done.engine];
+            for id in queue.stalled.remove(&done.adapter).unwrap_or_default() {
+                queue.make_ready(id, world.request(id).class as usize);
+            }
             self.pump(world, done.engine, actions);
         } else {
             let after = world.now() + LOAD_BACKOFF;
@@ -274,7 +322,7 @@
         queue.running -= 1;
         self.uses += 1;
         queue.recent.insert(adapter, self.uses);
-        release(queue, adapter);
+        queue.release(adapter);
         self.pump(world, engine, actions);
         self.feed_store(world, actions);
     }
--- a/bench/src/policy/contender.rs
+++ b/bench/src/policy/contender.rs
@@ -56,6 +56,8 @@
     /// Wake-ups under way, by engine.
     planned: Vec<Millis>,
     inbox: VecDeque<(usize, upstream::Action)>,
+    /// Engines whose machine had an input since wake-ups were planned.
+    touched: Vec<usize>,
     rng: Pcg64Mcg,
 }
 
@@ -100,6 +102,7 @@
             empty: "".into(),
             planned: vec![Millis::MAX; deployment.engines],
             inbox: VecDeque::new(),
+            touched: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
         };
         contender.prepare_pools(deployment, |_| true);
@@ -150,6 +153,7 @@
     }
 
     fn post(&mut self, engine: usize, orders: Vec<upstream::Action>) {
+        self.touched.push(engine);
         self.inbox
             .extend(orders.into_iter().map(|order| (engine, order)));
     }
@@ -173,6 +177,9 @@
             }
             self.post(engine, orders);
         }
+        for engine in std::mem::take(&mut self.touched) {
+            self.plan(world, engine, actions);
+        }
     }
 
     fn obey(
@@ -337,13 +344,9 @@
         let orders = self.machines[engine].tick(world.now());
         self.post(engine, orders);
         self.settle(world, actions);
-        self.plan(world, engine, actions);
     }
 
     fn on_tick(&mut self, world: &World, actions: &mut Vec<Action>) {
-        for engine in 0..self.machines.len() {
-            self.plan(world, engine, actions);
-        }
         self.settle(world, actions);
     }
 }
