slopes: cost of control measured on real nodes

Cause: docs/CAPACITY.md needs slopes of what runs, not of a model of it. Change: fleets of real nodes idle in front of the stand-ins, each in a process of its own; bytes, calls, cores and memory are fitted over nodes and templates.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -11,6 +11,7 @@
 
 mod policy;
 mod report;
+mod slopes;
 
 /// How a campaign ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,11 +30,18 @@
 }
 
 /// All campaigns, by name.
-const CAMPAIGNS: &[Campaign] = &[Campaign {
-    name: "policy",
-    about: "decisions under load, in virtual time, against baselines and a lower bound",
-    run: policy::run,
-}];
+const CAMPAIGNS: &[Campaign] = &[
+    Campaign {
+        name: "policy",
+        about: "decisions under load, in virtual time, against baselines and a lower bound",
+        run: policy::run,
+    },
+    Campaign {
+        name: "slopes",
+        about: "how the cost of control grows with nodes and templates, on real nodes",
+        run: slopes::run,
+    },
+];
 
 const BROKEN: u8 = 1;
 const MISUSED: u8 = 2;
