--- a/lib/src/membership/machine/claims.rs
+++ b/lib/src/membership/machine/claims.rs
@@ -525,10 +525,13 @@
         if announced {
             self.hand_all_over(now);
         }
-        let rest = self
+        // A node that stops too takes nothing over: when all stop at once, each
+        // would wait for the others until its limit.
+        let successor = self
             .table
-            .claims()
-            .any(|claim| claim.names(&self.identity) && self.table.live().count() > 1);
+            .live()
+            .any(|record| record.identity.name != self.identity.name && !record.draining);
+        let rest = successor && self.table.claims().any(|claim| claim.names(&self.identity));
         let clear = announced && self.holds.is_empty() && self.busy.is_empty() && !rest;
         if clear || now >= stopping.until {
             self.finish_stop(now, stopping);
