--- a/bench/src/policy/engine.rs
+++ b/bench/src/policy/engine.rs
@@ -36,6 +36,7 @@
     steps: f64,
     /// Steps of the batch, each weighted with its size.
     filled: f64,
+    counted_from: (f64, f64),
     /// When `steps` was brought up to date, in microseconds.
     at: f64,
     /// Until when the engine processes prompts, in microseconds.
@@ -73,7 +74,13 @@
 
     /// Returns steps made, and steps weighted with their batch.
     pub fn steps(&self) -> (f64, f64) {
-        (self.steps, self.filled)
+        let (steps, filled) = self.counted_from;
+        (self.steps - steps, self.filled - filled)
+    }
+
+    /// Starts to count steps at this moment.
+    pub fn reset_steps(&mut self) {
+        self.counted_from = (self.steps, self.filled);
     }
 
     /// Lets the batch run until `now`, in microseconds.
--- a/bench/src/policy/mod.rs
+++ b/bench/src/policy/mod.rs
@@ -18,6 +18,7 @@
 use crate::report::{self, Format, Table};
 
 mod baseline;
+mod clairvoyant;
 mod contender;
 mod engine;
 mod measure;
@@ -150,11 +151,13 @@
 /// Plays one workload under every policy, side by side.
 fn play_all(workload: &Workload, seed: u64) -> Vec<Row> {
     std::thread::scope(|scope| {
+        let bound = scope.spawn(|| measure::bound_row(workload));
         let runs: Vec<_> = ENTRANTS
             .iter()
             .map(|entrant| scope.spawn(move || play(workload, entrant, seed)))
             .collect();
         runs.into_iter()
+            .chain([bound])
             .map(|run| run.join().expect("a run doesn't panic"))
             .collect()
     })
--- a/bench/src/policy/store.rs
+++ b/bench/src/policy/store.rs
@@ -40,6 +40,18 @@
         }
     }
 
+    /// Goes on at another rate, in loads a second.
+    pub fn set_rate(&mut self, now: f64, loads_per_second: f64) {
+        self.advance(now);
+        self.epoch += 1;
+        self.rate = loads_per_second / 1e6;
+    }
+
+    /// Forgets for how long it was busy.
+    pub fn reset_busy(&mut self) {
+        self.busy = 0.0;
+    }
+
     /// Returns for how long at least one load has been in progress, in microseconds.
     pub fn busy(&self) -> f64 {
         self.busy
--- a/bench/src/policy/traffic.rs
+++ b/bench/src/policy/traffic.rs
@@ -134,6 +134,19 @@
     Millis((micros / 1000.0).round() as u64)
 }
 
+impl Workload {
+    /// Whether a request counts in the figures.
+    pub fn counts(&self, request: &Request) -> bool {
+        request.arrival >= self.warm_up
+    }
+
+    /// Returns how long counted requests arrive.
+    pub fn span(&self) -> Millis {
+        let last = self.requests.last().map_or(Millis::ZERO, |r| r.arrival);
+        last.since(self.warm_up)
+    }
+}
+
 /// An engine that crashes, and comes back cold.
 #[derive(Debug, Clone, Copy)]
 pub struct Outage {
@@ -156,4 +169,6 @@
     pub requests: Vec<Request>,
     /// Crashes of engines.
     pub outages: Vec<Outage>,
+    /// Requests before this time are played, with an idle weight store, but not counted.
+    pub warm_up: Millis,
 }
--- a/bench/src/policy/world.rs
+++ b/bench/src/policy/world.rs
@@ -20,6 +20,8 @@
 pub const TICK: Millis = Millis(100);
 /// How far past its deadline a request may be told that it expired.
 const SLACK: Millis = Millis(2 * TICK.0);
+/// How much faster the weight store is during a warm-up.
+const WARM_UP_RATE: f64 = 20.0;
 /// Most broken promises that are described; all are counted.
 const DESCRIBED: usize = 10;
 
@@ -155,6 +157,7 @@
     Wake { engine: usize },
     Store { epoch: u64 },
     Tick,
+    Warm,
 }
 
 /// Loads by how they ended.
@@ -181,6 +184,8 @@
     pub courses: Vec<Course>,
     /// Loads so far.
     pub loads: Loads,
+    /// Share of time in which the weight store was busy, while requests arrived.
+    pub store_use: f64,
     /// Broken promises so far.
     pub broken: u64,
     /// The first broken promises in words.
@@ -199,9 +204,10 @@
         let mut world = Self {
             workload,
             engines: (0..deployment.engines).map(|_| Engine::new()).collect(),
-            store: Store::new(deployment.loads_per_second),
+            store: Store::new(first_rate(workload)),
             courses: vec![Course::COMING; workload.requests.len()],
             loads: Loads::default(),
+            store_use: 0.0,
             broken: 0,
             described: Vec::new(),
             now_us: 0.0,
@@ -211,6 +217,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
         };
         world.push(micros(TICK), Event::Tick);
+        world.push(micros(workload.warm_up), Event::Warm);
         for (index, outage) in workload.outages.iter().enumerate() {
             world.push(micros(outage.from), Event::Down { outage: index });
         }
@@ -232,9 +239,11 @@
         floor(self.now_us)
     }
 
-    /// Returns the share of time in which the weight store was busy.
-    pub fn store_busy(&self) -> f64 {
-        self.store.busy() / self.now_us.max(1.0)
+    /// Notes how busy the weight store was while requests arrived.
+    fn all_arrived(&mut self) {
+        self.store.advance(self.now_us);
+        let span = micros(self.workload.span());
+        self.store_use = self.store.busy() / span.max(1.0);
     }
 
     /// Plays the whole workload, until every request has ended.
@@ -251,6 +260,9 @@
                     next += 1;
                     self.open += 1;
                     self.arrive(policy, id, &mut actions);
+                    if next == self.workload.requests.len() {
+                        self.all_arrived();
+                    }
                 }
                 (None, _) if self.open == 0 => break,
                 (_, Some(_)) => {
@@ -276,6 +288,19 @@
         last.is_none_or(|last| self.now() > last.arrival + longest)
     }
 
+    /// Ends the warm-up: the weight store gets its real rate, and counting begins.
+    fn begin_to_count(&mut self) {
+        let rate = self.workload.deployment.loads_per_second;
+        self.store.set_rate(self.now_us, rate);
+        self.store.reset_busy();
+        self.plan_store();
+        self.loads = Loads::default();
+        for engine in &mut self.engines {
+            engine.advance(self.now_us, &self.workload.deployment);
+            engine.reset_steps();
+        }
+    }
+
     fn arrive(&mut self, policy: &mut dyn Policy, id: u32, actions: &mut Vec<Action>) {
         let course = &mut self.courses[id as usize];
         course.ending = Ending::Unplaced;
@@ -310,6 +335,7 @@
                 };
                 policy.on_load_done(self, done, actions);
             }
+            Event::Warm => self.begin_to_count(),
             Event::Wake { engine } => policy.on_wake(self, engine, actions),
             Event::Down { outage } => self.crash(policy, outage, actions),
             Event::Up { engine } => {
@@ -559,6 +585,15 @@
     }
 }
 
+fn first_rate(workload: &Workload) -> f64 {
+    let rate = workload.deployment.loads_per_second;
+    if workload.warm_up == Millis::ZERO {
+        rate
+    } else {
+        rate * WARM_UP_RATE
+    }
+}
+
 fn from_key(key: u64) -> f64 {
     f64::from_bits(key)
 }
