--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -9,9 +9,11 @@
 use eyre::Result;
 use lexopt::prelude::*;
 
+mod fuzz_config;
 mod policy;
 mod report;
 mod slopes;
+mod spread;
 
 /// How a campaign ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +33,11 @@
 
 /// All campaigns, by name.
 const CAMPAIGNS: &[Campaign] = &[
+    Campaign {
+        name: "fuzz-config",
+        about: "stories of faults against a log of accepted revisions",
+        run: fuzz_config::run,
+    },
     Campaign {
         name: "policy",
         about: "decisions under load, in virtual time, against baselines and a lower bound",
@@ -41,6 +48,11 @@
         about: "how the cost of control grows with nodes and templates, on real nodes",
         run: slopes::run,
     },
+    Campaign {
+        name: "spread",
+        about: "how a change of configuration reaches all nodes, and what that costs",
+        run: spread::run,
+    },
 ];
 
 const BROKEN: u8 = 1;
--- a/lib/src/config/error.rs
+++ b/lib/src/config/error.rs
@@ -31,11 +31,13 @@
         /// The last error of the service.
         cause: platform::Error,
     },
-    /// The service can't be reached. Nothing was written.
+    /// The service can't be reached. This call wrote nothing; an earlier one with
+    /// the same identity may have.
     #[error("the key-value service can't be used: {0}")]
     Unavailable(platform::Error),
-    /// Others kept changing the configuration at the same time. Nothing was written.
-    #[error("too many changes at the same time")]
+    /// Others kept changing the configuration at the same time, or the service
+    /// kept answering with what is older. This call wrote nothing.
+    #[error("the service's answers changed too often")]
     Contended,
     /// The declarations can't be put in force. Nothing was written.
     #[error("the declarations can't be put in force: {0}")]
@@ -71,9 +73,20 @@
         }
     }
 
-    /// Whether the change is certainly not accepted.
+    /// Whether this call certainly wrote nothing.
+    ///
+    /// An earlier call with the same identity may have; see [`Error::is_final`].
     #[must_use]
     pub fn is_certain(&self) -> bool {
         !matches!(self, Self::Unsettled { .. })
     }
+
+    /// Whether no call with this identity was or ever will be accepted.
+    ///
+    /// A caller whose first call stayed unsettled has its answer only then, or
+    /// when a later call is accepted.
+    #[must_use]
+    pub fn is_final(&self) -> bool {
+        matches!(self, Self::LostRace(_) | Self::Moved { .. })
+    }
 }
--- a/lib/src/config/operator.rs
+++ b/lib/src/config/operator.rs
@@ -12,12 +12,15 @@
 use super::source::{Failure, HeadAt};
 use super::view::View;
 use super::writer::{self, Ending, Proposal};
+use crate::clock::Millis;
 use crate::declaration::{Set, Source as File, diff, export};
 use crate::name::Name;
 use crate::schema::declaration::Operation;
 
 /// How often a change is begun anew because what it rests on moved.
 const ROUNDS: usize = 4;
+/// Wait for a replica of the service that is behind, in milliseconds.
+const BEHIND_WAIT: Millis = Millis(250);
 
 /// Who changes the configuration, and why.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -158,7 +161,14 @@
                 return Ok(accepted);
             }
             let before = self.learned();
-            self.expected(order, &before).await?;
+            if before.revision() < order.expected {
+                // The service's answer is older than what the caller has seen.
+                tokio::time::sleep(BEHIND_WAIT.duration()).await;
+                continue;
+            }
+            if let Some(accepted) = self.expected(order, &before).await? {
+                return Ok(accepted);
+            }
             let Some(proposal) = propose(order, set, base, &before)? else {
                 return Ok(Accepted {
                     revision: before.revision(),
@@ -182,10 +192,18 @@
         Ok(revision.map_err(Error::Unavailable)?.map(already))
     }
 
-    async fn expected(&self, order: &Order, before: &View) -> Result<(), Error> {
+    /// Checks that the configuration is still what the order was planned on.
+    ///
+    /// If it moved on, it may have been by this very order, in a call whose
+    /// answer was lost and whose trace a stale replica doesn't show yet.
+    async fn expected(&self, order: &Order, before: &View) -> Result<Option<Accepted>, Error> {
         let now = before.revision();
         if order.expected == now {
-            return Ok(());
+            return Ok(None);
+        }
+        let used = writer::used(&self.source, &order.id).await;
+        if let Some(revision) = used.map_err(Error::Unavailable)? {
+            return Ok(Some(already(revision)));
         }
         let newest = self.source.operation(now).await.ok().flatten();
         Err(Error::Moved {
--- a/lib/src/config/writer.rs
+++ b/lib/src/config/writer.rs
@@ -240,25 +240,30 @@
 }
 
 /// Finds out why the conditions failed.
+async fn verdict(source: &Source, operation: &Operation) -> Result<Ending, platform::Error> {
+    match used(source, &operation.change_id).await? {
+        Some(revision) if revision == operation.revision => Ok(Ending::Accepted),
+        Some(revision) => Ok(Ending::Already(revision)),
+        None => {
+            let written = source.operation(operation.revision).await?;
+            Ok(written.map_or(Ending::Again, Ending::Lost))
+        }
+    }
+}
+
+/// Returns which revision a change became, if it was accepted.
 ///
 /// Reads may come from a stale replica, so the first word has a commit that
 /// writes nothing: the service checks its condition against the newest data.
-async fn verdict(source: &Source, operation: &Operation) -> Result<Ending, platform::Error> {
+pub(super) async fn used(source: &Source, id: &str) -> Result<Option<u64>, platform::Error> {
     let probe = Transaction {
-        conditions: vec![Condition::Absent(
-            source.layout().change(&operation.change_id),
-        )],
+        conditions: vec![Condition::Absent(source.layout().change(id))],
         writes: Vec::new(),
     };
     if attempt(source, &probe).await?.done {
-        let written = source.operation(operation.revision).await?;
-        return Ok(written.map_or(Ending::Again, Ending::Lost));
-    }
-    match source.change(&operation.change_id).await? {
-        Some(revision) if revision == operation.revision => Ok(Ending::Accepted),
-        Some(revision) => Ok(Ending::Already(revision)),
-        None => Err(platform::Error::NoAnswer(
-            "a stale replica answered".to_owned(),
-        )),
+        return Ok(None);
     }
+    let revision = source.change(id).await?;
+    let stale = || platform::Error::NoAnswer("a stale replica answered".to_owned());
+    revision.map(Some).ok_or_else(stale)
 }
