policy: requests that no replica takes wait at home; places for urgent by their share

Change: an order ends with the home, where a request waits if no replica takes it; upstreams that passed it on are left out for 300 ms; passing on is one code, free of charge for the retry budget; an adapter that was passed on comes back only for a clear gain; free places for urgent requests follow their share of starts; held bulk work starts together.

--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -215,19 +215,20 @@
 
 /// Returns the best upstream for the next try.
 ///
-/// Upstreams that this request was tried on come last but stay in the list: a
-/// broken picture must not leave a request without any.
+/// The last one of the order is where the request waits when no other takes it,
+/// whether it was tried there before or not: a broken picture must not leave a
+/// request without any.
 fn target(gateway: &Gateway, order: &Order, tried: &Tried, now: Millis) -> Option<Target> {
     let fleet = Arc::clone(&gateway.parts.fleet.borrow());
     let pool = gateway.pool(&fleet, &order.ticket.pool);
     let upstreams = fleet.pool(&order.ticket.pool);
     let ranked = gateway.order(&pool, order.ticket.adapter.as_ref(), now);
     let times = |index: usize| tried.get(&upstreams[index].vm.name).copied().unwrap_or(0);
-    let index = ranked.iter().copied().min_by_key(|index| times(*index))?;
+    let (home, replicas) = ranked.split_last()?;
+    let untried = replicas.iter().find(|index| times(**index) == 0);
+    let index = *untried.unwrap_or(home);
     let upstream = &upstreams[index].vm.name;
-    let others = ranked
-        .iter()
-        .any(|other| *other != index && times(*other) == 0);
+    let others = untried.is_some();
     Some(Target {
         index,
         upstream: Name::clone(upstream),
--- a/lib/src/policy/pace.rs
+++ b/lib/src/policy/pace.rs
@@ -9,10 +9,14 @@
 
 /// Weight of the newest sample in a running mean.
 const NEWEST: f64 = 0.05;
-/// A sixteenth of the batch is kept for each more urgent class.
-const RESERVE_SHARE: u32 = 16;
+/// Share of urgent requests that may find no free place under overload.
+const MISSED: f64 = 0.01;
+/// Below this share of urgent requests no place is kept for them.
+const RARE: f64 = 0.001;
+/// At most one in so many places is kept for urgent requests.
+const LARGEST_RESERVE: u32 = 4;
 /// Longest time that bulk work is held to start together, at full batch weight.
-const MAX_HOLD: Millis = Millis::from_secs(8);
+const MAX_HOLD: Millis = Millis::from_secs(15);
 
 /// A mean that follows its newest samples.
 #[derive(Debug, Clone, Copy, Default)]
@@ -40,6 +44,8 @@
     per_cost: Mean,
     cost: Mean,
     load_wait: Mean,
+    /// Share of urgent requests among those that started.
+    urgent: Mean,
 }
 
 impl Pace {
@@ -50,6 +56,29 @@
         self.cost.add(cost as f64);
     }
 
+    /// Takes in that a request of this class has started.
+    pub fn started(&mut self, class: Class) {
+        let urgent = class == Class::Urgent;
+        self.urgent.add(f64::from(u8::from(urgent)));
+    }
+
+    /// Returns how many requests may run before this class must wait.
+    ///
+    /// Places stay free for urgent requests, so that one doesn't wait for
+    /// another's answer to end. Under overload a place comes free at the rate
+    /// of starts, and urgent requests take the share `s` of them, so all of `k`
+    /// free places are taken a share `s^k` of the time.
+    #[must_use]
+    pub fn places(&self, batch: u32, class: Class) -> u32 {
+        let share = self.urgent.or(0.0);
+        if class == Class::Urgent || share < RARE {
+            return batch;
+        }
+        let most = batch / LARGEST_RESERVE;
+        let wanted = (1..most).find(|k| share.powf(f64::from(*k)) < MISSED);
+        batch - wanted.unwrap_or(most)
+    }
+
     /// Takes in how long a request waited for its adapter.
     pub fn waited_for_load(&mut self, wait: Millis) {
         self.load_wait.add(float(wait));
@@ -77,24 +106,17 @@
     }
 }
 
-/// Returns how many requests may run before this class must wait.
-///
-/// Some places stay free for more urgent classes while such requests come, so
-/// that an urgent request doesn't wait for a long bulk answer to end.
-#[must_use]
-pub fn places(batch: u32, class: Class, urgent_comes: bool) -> u32 {
-    if !urgent_comes || batch < 4 {
-        return batch;
-    }
-    let step = batch.div_ceil(RESERVE_SHARE);
-    batch.saturating_sub(step * class as u32).max(1)
-}
-
 /// Returns how long bulk work may be held so that more of it starts together.
 ///
-/// Nothing is held at batch weight 0, nor while the engine runs anyway.
+/// Nothing is held at batch weight 0.
 #[must_use]
 pub fn hold(batch_weight: u32, left: Millis) -> Millis {
     let weight = u64::from(batch_weight.min(100));
-    Millis(left.0 / 4).min(Millis(MAX_HOLD.0 * weight / 100))
+    Millis(left.0 / 8).min(Millis(MAX_HOLD.0 * weight / 100))
+}
+
+/// Returns how many requests make a batch that isn't held any longer.
+#[must_use]
+pub fn full(batch: u32, batch_weight: u32) -> u32 {
+    (batch * batch_weight.min(100)).div_ceil(100).max(1)
 }
--- a/lib/src/policy/placement.rs
+++ b/lib/src/policy/placement.rs
@@ -132,14 +132,14 @@
 pub struct Limits {
     /// Most upstreams that share one adapter's requests.
     pub max_replicas: u32,
-    /// How long an upstream that takes no work at all is tried last.
+    /// How long an upstream that takes no work at all is left out.
     pub unusable_for: Millis,
-    /// How long an upstream whose slots hold worthier adapters is tried last for this one.
-    pub passed_for: Millis,
-    /// How long a busy upstream is tried last.
+    /// How long an upstream that failed to load an adapter is left out for it.
+    pub failed_for: Millis,
+    /// How long an upstream that passed an adapter's request on is left out for it.
     ///
     /// It is short, so that a replica takes only what the home can't.
-    pub busy_for: Millis,
+    pub passed_for: Millis,
     /// Most hints remembered at a time.
     pub remembered: usize,
 }
@@ -149,8 +149,8 @@
         Self {
             max_replicas: 8,
             unusable_for: Millis::from_secs(2),
-            passed_for: Millis::from_secs(10),
-            busy_for: Millis(200),
+            failed_for: Millis::from_secs(10),
+            passed_for: Millis(300),
             remembered: 8_192,
         }
     }
@@ -180,9 +180,13 @@
 
     /// Orders a pool's upstreams for one request.
     ///
-    /// The list is short ([`CANDIDATES`]) and empty only when no upstream is
-    /// usable. The try at its last entry, or at the last that the entry node
-    /// allows itself, is [`crate::runner::Attempt::last`].
+    /// The last entry is where the request waits if no other takes it: the try
+    /// there is [`crate::runner::Attempt::last`]. It is the home, which may come
+    /// first as well, because the home's slots and queue are made for the
+    /// adapter: under overload every replica is busy, and a request that came to
+    /// rest at any of them would cost a load and a slot there. Upstreams that
+    /// refused lately are left out. The list is empty only when no upstream is
+    /// usable.
     pub fn order(&mut self, pool: &Pool, adapter: Option<&Adapter>, now: Millis) -> Order {
         let (key, replicas) = match adapter {
             Some(adapter) => (adapter.hash(), self.limits.max_replicas as usize),
@@ -190,9 +194,20 @@
             None => (self.draw(), CANDIDATES),
         };
         let hinted = adapter.map_or(ANY, Adapter::hash);
-        let mut order = pool.rendezvous(key, replicas.clamp(1, CANDIDATES));
-        // A stable sort keeps the rendezvous order among the hinted and the others.
-        order.sort_by_key(|index| self.is_hinted(hinted, pool.members[*index].hash, now));
+        let mut order = pool.rendezvous(key, replicas.clamp(1, CANDIDATES - 1));
+        let usable = |index: &usize| !self.is_hinted(ANY, pool.members[*index].hash, now);
+        let Some(home) = order
+            .iter()
+            .copied()
+            .find(usable)
+            .or(order.first().copied())
+        else {
+            return order;
+        };
+        order.retain(|index| !self.is_hinted(hinted, pool.members[*index].hash, now));
+        if order.as_slice() != [home] {
+            order.push(home);
+        }
         order
     }
 
@@ -210,12 +225,10 @@
         };
         let own = adapter.map_or(ANY, Adapter::hash);
         let (key, span) = match code {
-            Code::PassedOn | Code::LoadFailed | Code::UnknownAdapter => {
+            Code::LoadFailed | Code::UnknownAdapter => (own, self.limits.failed_for),
+            Code::PassedOn | Code::QueueFull | Code::Brownout | Code::DeadlineTooShort => {
                 (own, self.limits.passed_for)
             }
-            Code::QueueFull | Code::Brownout | Code::DeadlineTooShort => {
-                (own, self.limits.busy_for)
-            }
             Code::AccountLimit | Code::ExpiredWaiting | Code::CallerGoneWaiting => return,
             _ => (ANY, self.limits.unusable_for),
         };
--- a/lib/src/policy/upstream/admit.rs
+++ b/lib/src/policy/upstream/admit.rs
@@ -11,9 +11,13 @@
 
 /// How long an adapter that was passed on stays passed on, so that all its
 /// requests meet at one upstream and share its load there.
-const PASS_FOR: Millis = Millis::from_secs(60);
+const PASS_FOR: Millis = Millis::from_secs(300);
 /// A slot's adapter must be worth this many times the newcomer for it to be passed on.
 const PASS_RATIO: f64 = 2.0;
+/// An adapter that was passed on is taken back when a slot's is worth less than this share of it.
+///
+/// Between the two ratios it stays where it is, or it would go to and fro, at a load each time.
+const BACK_RATIO: f64 = 0.25;
 
 impl Machine {
     /// Takes a request in, passes it on, or refuses it.
@@ -28,9 +32,6 @@
         if let Some(adapter) = &ticket.adapter {
             self.forecast.record(adapter, ticket.class, now);
         }
-        if ticket.class == Class::Urgent {
-            self.urgent_at = Some(now);
-        }
         if let Err(failure) = self.check(&ticket, share, last, now) {
             let id = ticket.id;
             actions.push(Action::Refuse { id, failure });
@@ -70,7 +71,7 @@
         if share.max_queued > 0 && queued >= share.max_queued {
             return Err(self.refusal(Code::AccountLimit, "the account's waiting requests", ticket));
         }
-        self.check_deadline(ticket, now)?;
+        self.check_deadline(ticket, last, now)?;
         if last {
             return Ok(());
         }
@@ -79,7 +80,7 @@
 
     /// Refuses what can't be answered in time: it would take a place, and
     /// perhaps a load, from a request that can.
-    fn check_deadline(&self, ticket: &Ticket, now: Millis) -> Result<(), Failure> {
+    fn check_deadline(&self, ticket: &Ticket, last: bool, now: Millis) -> Result<(), Failure> {
         let left = ticket.deadline.since(now);
         let service = self.pace.service(queue::cost(ticket));
         let load = match &ticket.adapter {
@@ -92,11 +93,12 @@
         if wait + Millis(service.0 / 2) < left {
             return Ok(());
         }
-        Err(self.refusal(
-            Code::DeadlineTooShort,
-            "the wait exceeds the deadline",
-            ticket,
-        ))
+        let code = if last {
+            Code::DeadlineTooShort
+        } else {
+            Code::PassedOn
+        };
+        Err(self.refusal(code, "the wait exceeds the deadline", ticket))
     }
 
     /// Passes on what another upstream serves cheaper.
@@ -104,24 +106,26 @@
         let wait = self.wait(ticket.class);
         let Some(adapter) = &ticket.adapter else {
             return if wait > self.limits.first_token {
-                Err(self.refusal(Code::QueueFull, "the upstream is busy", ticket))
+                Err(self.refusal(Code::PassedOn, "the upstream is busy", ticket))
             } else {
                 Ok(())
             };
         };
         if self.slots.state(adapter).is_some() {
             if wait > self.spill_wait(ticket.class, self.forecast.rate(adapter, now)) {
-                return Err(self.refusal(Code::QueueFull, "the upstream is busy", ticket));
+                return Err(self.refusal(Code::PassedOn, "the upstream is busy", ticket));
             }
             return Ok(());
         }
         if self.queue.is_blocked(adapter) {
             return Ok(());
         }
-        if !self.forecast.is_passed(adapter, now) {
-            if self.has_cheap_slot(adapter, now) {
-                return Ok(());
-            }
+        let passed = self.forecast.is_passed(adapter, now);
+        let ratio = if passed { BACK_RATIO } else { PASS_RATIO };
+        if self.has_cheap_slot(adapter, ratio, now) {
+            return Ok(());
+        }
+        if !passed {
             self.forecast.pass(adapter, now + PASS_FOR);
         }
         Err(self.refusal(Code::PassedOn, "the slots hold worthier adapters", ticket))
@@ -129,18 +133,20 @@
 
     /// Returns whether loading the adapter here costs little: an empty slot, or
     /// one whose adapter isn't worth much more, in a batch with room.
-    fn has_cheap_slot(&self, adapter: &Adapter, now: Millis) -> bool {
+    fn has_cheap_slot(&self, adapter: &Adapter, ratio: f64, now: Millis) -> bool {
         if self.running.len() >= self.places(Class::Bulk) as usize {
             return false;
         }
         // Asks under way will take slots of their own.
         let promised = self.asked.len();
-        if self.slots.len() + promised < self.limits.slots.unwrap_or(0) as usize {
+        if self.slots.len() + promised < self.limits.slots.unwrap_or(0) as usize
+            && ratio >= PASS_RATIO
+        {
             return true;
         }
         let own = self.forecast.rate(adapter, now);
         let price = self.victim(now).map(|(_, worth)| worth);
-        price.is_some_and(|price| price <= own * PASS_RATIO)
+        price.is_some_and(|price| price <= own * ratio)
     }
 
     /// Returns the expected wait of a ready request of this class.
--- a/lib/src/policy/upstream/mod.rs
+++ b/lib/src/policy/upstream/mod.rs
@@ -167,7 +167,8 @@
     /// What was resident before a cold start and isn't again.
     refill: BTreeSet<Adapter>,
     passed_over: [u32; 3],
-    urgent_at: Option<Millis>,
+    /// Whether the bulk work that was held may start.
+    released: bool,
     /// When the last event came.
     seen: Millis,
     leaving: bool,
@@ -188,7 +189,7 @@
             unasked: BTreeSet::new(),
             refill: BTreeSet::new(),
             passed_over: [0; 3],
-            urgent_at: None,
+            released: false,
             seen: Millis::ZERO,
             leaving: false,
             limits,
--- a/lib/src/policy/upstream/start.rs
+++ b/lib/src/policy/upstream/start.rs
@@ -11,8 +11,6 @@
 
 /// Account of requests that another owner started; no declared name is empty.
 const FOREIGN: &str = "";
-/// Places for urgent requests stay free this long after the last one came.
-const URGENT_COMES: Millis = Millis::from_secs(60);
 /// After so many starts of more urgent classes a waiting class gets one, by class.
 const PASSED_OVER: [u32; 3] = [u32::MAX, 8, 16];
 
@@ -62,18 +60,15 @@
 
     /// Returns how many requests may run before this class must wait.
     pub(super) fn places(&self, class: Class) -> u32 {
-        pace::places(self.limits.batch, class, self.urgent_at.is_some())
+        self.pace.places(self.limits.batch, class)
     }
 
     /// Takes the next request to start from the queue.
     fn next(&mut self, now: Millis) -> Option<Entry> {
-        if self
-            .urgent_at
-            .is_some_and(|at| now.since(at) >= URGENT_COMES)
-        {
-            self.urgent_at = None;
-        }
         let running = self.running.len();
+        if self.queue.ready(Class::Bulk) == 0 {
+            self.released = false;
+        }
         if running >= self.limits.batch as usize {
             return None;
         }
@@ -127,6 +122,7 @@
         if entry.load_wait > Millis::ZERO {
             self.pace.waited_for_load(entry.load_wait);
         }
+        self.pace.started(ticket.class);
         *self.in_flight.entry(ticket.account.clone()).or_default() += 1;
         let running = Running {
             account: ticket.account,
@@ -143,21 +139,34 @@
     }
 
     /// Returns whether a class is held back so that more of it starts together.
-    fn is_held(&self, class: Class, now: Millis) -> bool {
-        class == Class::Bulk && self.held_until().is_some_and(|until| now < until)
+    fn is_held(&mut self, class: Class, now: Millis) -> bool {
+        if class != Class::Bulk {
+            return false;
+        }
+        match self.held_until() {
+            Some(until) if now < until => true,
+            Some(_) => {
+                // What gathered behind the oldest one starts with it.
+                self.released = true;
+                false
+            }
+            None => false,
+        }
     }
 
     /// Returns until when bulk work is held, if it is.
     ///
-    /// A step costs an engine nearly the same for one request as for many, so
-    /// an idle engine is better left idle until there is a batch to run.
+    /// A step costs an engine nearly the same for one request as for many, so an
+    /// idle engine is better left idle until there is a batch to run. Once
+    /// anything runs, bulk work joins it at once.
     pub(super) fn held_until(&self) -> Option<Millis> {
-        if self.limits.batch_weight == 0 || !self.running.is_empty() {
+        let ready = self.queue.ready(Class::Bulk);
+        if self.limits.batch_weight == 0 || self.released || ready == 0 || !self.running.is_empty()
+        {
             return None;
         }
-        let ready = self.queue.ready(Class::Bulk);
-        let full = u64::from(self.limits.batch) * u64::from(self.limits.batch_weight) / 100;
-        if ready == 0 || ready as u64 >= full {
+        let full = pace::full(self.limits.batch, self.limits.batch_weight) as usize;
+        if ready >= full {
             return None;
         }
         let (arrived, deadline) = self.queue.oldest_ready(Class::Bulk)?;
