--- a/lib/tests/test_fate.rs
+++ b/lib/tests/test_fate.rs
@@ -12,6 +12,9 @@
 
 const DEADLINE: u64 = 5_000;
 
+/// More tries than any rules allow.
+const ENDLESS: u32 = 1_000;
+
 /// One try as the world has it; what the machine gets told may lag behind it.
 #[derive(Debug, Clone)]
 struct Try {
@@ -224,7 +227,7 @@
     ];
     let mut machine = Machine::new(Rules::default(), true, Millis::MAX);
     let mut retries = 0;
-    loop {
+    for _ in 0..ENDLESS {
         machine.send();
         let moment = Moment {
             now: Millis::ZERO,
@@ -236,4 +239,5 @@
             Verdict::End { .. } => return retries,
         }
     }
+    panic!("tried without end after {code}")
 }
