--- a/lib/tests/test_fate.rs
+++ b/lib/tests/test_fate.rs
@@ -1,5 +1,10 @@
 //! The request's fate against a simple oracle that knows what really ran.
 
+#![allow(
+    clippy::needless_pass_by_value,
+    reason = "properties take their arguments by value"
+)]
+
 use chivevalve::clock::Millis;
 use chivevalve::error::{Code, Failure, Fate};
 use chivevalve::fate::{Budget, Machine, Moment, Rules, Verdict};
@@ -15,15 +20,23 @@
 /// More tries than any rules allow.
 const ENDLESS: u32 = 1_000;
 
+/// How far the answer came before the failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Progress {
+    None,
+    /// It began.
+    Begun,
+    /// The caller has a part of it.
+    Passed,
+}
+
 /// One try as the world has it; what the machine gets told may lag behind it.
 #[derive(Debug, Clone)]
 struct Try {
     code: Code,
     /// Whether the upstream ran it, where the code leaves that open.
     ran: bool,
-    /// Whether the answer began before the failure, and whether the caller has a part of it.
-    begun: bool,
-    passed: bool,
+    answer: Progress,
     untried: bool,
     took: u64,
     random: u64,
@@ -31,12 +44,16 @@
 
 impl Arbitrary for Try {
     fn arbitrary(g: &mut Gen) -> Self {
-        let begun = bool::arbitrary(g) && bool::arbitrary(g);
+        let answers = [
+            Progress::None,
+            Progress::None,
+            Progress::Begun,
+            Progress::Passed,
+        ];
         Self {
             code: *g.choose(Code::ALL).unwrap(),
             ran: bool::arbitrary(g),
-            begun,
-            passed: begun && bool::arbitrary(g),
+            answer: *g.choose(&answers).unwrap(),
             untried: bool::arbitrary(g),
             took: u64::arbitrary(g) % 800,
             random: u64::arbitrary(g),
@@ -48,7 +65,7 @@
     /// Whether the upstream ran it: an answer that began proves it, whatever the code says.
     fn really_ran(&self) -> bool {
         match self.code.fate() {
-            _ if self.begun => true,
+            _ if self.answer >= Progress::Begun => true,
             Fate::NotRun => false,
             Fate::Unknown => self.ran,
             Fate::Ran => true,
@@ -101,8 +118,8 @@
     fn see(&mut self, attempt: &Try) {
         self.tries += 1;
         self.runs += u32::from(attempt.really_ran());
-        self.passed |= attempt.passed;
-        let lied = attempt.begun && attempt.code.fate() == Fate::NotRun;
+        self.passed |= attempt.answer == Progress::Passed;
+        let lied = attempt.answer >= Progress::Begun && attempt.code.fate() == Fate::NotRun;
         self.unknowns += u32::from(lied || attempt.code.fate() == Fate::Unknown);
     }
 }
@@ -124,10 +141,10 @@
             return Err("tried after the deadline".into());
         }
         machine.send();
-        if attempt.begun {
+        if attempt.answer >= Progress::Begun {
             machine.begin();
         }
-        if attempt.passed {
+        if attempt.answer == Progress::Passed {
             machine.pass();
         }
         truth.see(attempt);
