--- a/lib/tests/test_declaration.rs
+++ b/lib/tests/test_declaration.rs
@@ -203,3 +203,26 @@
     diff::patch(&mut patched, &diff::reverse(&differences));
     assert_eq!(patched, before);
 }
+
+/// Symptom: an operator copies the page's example and it is refused.
+/// Sequence: a field's name changes, the page stays.
+/// Cause: nothing held the page against the code.
+#[test]
+fn page_examples_pass_the_check() {
+    let page = include_str!("../../docs/operators/declarations.md");
+    let sources: Vec<Source> = page
+        .split("```yaml\n")
+        .skip(1)
+        .enumerate()
+        .map(|(number, rest)| {
+            let text = rest.split("```").next().unwrap();
+            source(&format!("{number}.yaml"), text)
+        })
+        .collect();
+    assert_eq!(sources.len(), 3);
+    let set = declaration::check_sources(&sources).unwrap();
+    assert_eq!(
+        (set.accounts.len(), set.pools.len(), set.templates.len()),
+        (1, 2, 2)
+    );
+}
