owner, policy: the next version of an adapter is loaded before its templates move

Cause: each change of a template's version stalled its first requests, and the new version's home was another upstream, whose owner knew nothing of the demand. Change: placement hashes an adapter without its version, so versions share their upstreams; an owner that has the old one resident and in demand asks for the new one as a prefetch, which may evict only what is worth less. The registry is the configuration's Prefetch. The weights' queue gets no actor any more.

--- a/lib/src/adapter.rs
+++ b/lib/src/adapter.rs
@@ -25,11 +25,14 @@
 
 impl Adapter {
     /// Returns a hash that is the same in every process and every release.
+    ///
+    /// Versions of one adapter share it: a template that moves to another
+    /// version stays at its upstreams, whose owners know its demand and can
+    /// load the new version before requests name it.
     #[must_use]
     pub fn hash(&self) -> u64 {
         let base = xxh3_64_with_seed(self.base_model.as_bytes(), PLACEMENT_SEED);
-        let name = xxh3_64_with_seed(self.name.as_bytes(), base);
-        xxh3_64_with_seed(self.version.as_bytes(), name)
+        xxh3_64_with_seed(self.name.as_bytes(), base)
     }
 
     /// Returns the name under which engines know the adapter, `name@version`.
--- a/lib/src/node/assembly.rs
+++ b/lib/src/node/assembly.rs
@@ -90,7 +90,7 @@
         };
         let registry = Registry::start(base.owner(&circles));
         let clients = Clients::new(base.clients(&registry, security));
-        let config = config::Keeper::start(base.config(&circles));
+        let config = config::Keeper::start(base.config(&registry, &circles));
         let membership = base.membership(&config, &registry, &clients);
         let loads = loads::Shared::start(base.loads(&membership, &clients));
         circles.permits.fill(Arc::clone(&loads) as _);
@@ -189,7 +189,7 @@
         }
     }
 
-    fn config(&self, circles: &Circles) -> config::Parts {
+    fn config(&self, registry: &Arc<Registry>, circles: &Circles) -> config::Parts {
         config::Parts {
             node: Arc::clone(&self.identity.name),
             region: Arc::clone(&self.identity.region),
@@ -197,7 +197,7 @@
             watch: Arc::clone(&self.platform.store) as _,
             weights: Arc::clone(&self.platform.weights) as _,
             peers: Arc::clone(&circles.peers) as _,
-            prefetch: Arc::new(config::prefetch::Idle),
+            prefetch: Arc::clone(registry) as _,
             prefix: self.settings.platform.prefix.to_string(),
             clock: Arc::clone(&self.clock),
             metrics: Arc::clone(&self.metrics),
--- a/lib/src/owner/actor.rs
+++ b/lib/src/owner/actor.rs
@@ -17,6 +17,7 @@
 use super::registry::Parts;
 use super::run::Grant;
 use super::status::Status;
+use crate::adapter::Adapter;
 use crate::declaration::{Kind, Pool};
 use crate::error::Failure;
 use crate::membership::{Hold, fleet};
@@ -65,6 +66,13 @@
 #[derive(Debug)]
 pub(super) struct Adopt(pub(super) Args);
 
+/// Tells that templates will move from one adapter to another.
+#[derive(Debug)]
+pub(super) struct Replaced {
+    pub(super) old: Adapter,
+    pub(super) new: Adapter,
+}
+
 /// Ends the ownership.
 #[derive(Debug)]
 pub(super) struct Release {
@@ -141,6 +149,14 @@
     }
 }
 
+impl Message<Replaced> for Upstream {
+    type Reply = ();
+
+    async fn handle(&mut self, replaced: Replaced, _: &mut Context<Self, ()>) {
+        self.driver.replaced(&replaced.old, &replaced.new);
+    }
+}
+
 impl Message<Release> for Upstream {
     type Reply = ();
 
--- a/lib/src/owner/driver.rs
+++ b/lib/src/owner/driver.rs
@@ -157,6 +157,14 @@
         self.publish();
     }
 
+    /// Prepares for templates that will move from one adapter to another.
+    pub(super) fn replaced(&mut self, old: &Adapter, new: &Adapter) {
+        if self.is_known() && self.takes_work().is_ok() {
+            let actions = self.machine.replaced(old, new, self.now());
+            self.carry(actions);
+        }
+    }
+
     /// Ends the ownership: what waits is refused, what runs goes on.
     pub(super) fn release(&mut self, done: Option<oneshot::Sender<()>>) {
         self.releasing = true;
--- a/lib/src/owner/registry.rs
+++ b/lib/src/owner/registry.rs
@@ -11,15 +11,16 @@
 use kameo::mailbox;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use super::actor::{Adopt, Args, Release, Submit, Upstream};
+use super::actor::{Adopt, Args, Release, Replaced, Submit, Upstream};
 use super::event::Event;
 use super::place::Place;
 use super::run::{self, Grant};
 use super::{Limits, Status};
 use crate::clock::{Clock, Millis};
+use crate::config::prefetch::{Prefetch, Upcoming};
 use crate::declaration::Pool;
 use crate::error::{Code, Failure};
-use crate::loads::Permits;
+use crate::loads::{Permits, WEIGHTS};
 use crate::membership::{Adopter, Hold, Sight, fleet};
 use crate::metrics::Metrics;
 use crate::name::Name;
@@ -218,6 +219,10 @@
 impl Adopter for Registry {
     async fn adopt(&self, upstream: fleet::Upstream, pool: Arc<Pool>, hold: Hold) {
         let name = Arc::clone(&upstream.vm.name);
+        // The weight store's queue is owned like an upstream, but nothing runs there.
+        if &*name == WEIGHTS {
+            return;
+        }
         let args = Args {
             upstream,
             pool,
@@ -256,6 +261,25 @@
     }
 }
 
+impl Prefetch for Registry {
+    fn upcoming(&self, adapters: &[Upcoming]) {
+        let owned = self.owned.read().unwrap_or_else(PoisonError::into_inner);
+        for upcoming in adapters {
+            let pool = owned
+                .values()
+                .filter(|handle| handle.args.pool.name == upcoming.pool);
+            for handle in pool {
+                let replaced = Replaced {
+                    old: upcoming.replaces.clone(),
+                    new: upcoming.adapter.clone(),
+                };
+                // An owner with a full mailbox has no load to spare either.
+                let _ = handle.actor.tell(replaced).try_send();
+            }
+        }
+    }
+}
+
 fn not_owner(detail: &str) -> Failure {
     Failure::new(Code::NotOwner, detail)
 }
--- a/lib/src/policy/demand.rs
+++ b/lib/src/policy/demand.rs
@@ -118,6 +118,17 @@
         }
     }
 
+    /// Takes the demand for one adapter to be the demand for another, which takes its place.
+    pub fn inherit(&mut self, old: &Adapter, new: &Adapter, now: Millis) {
+        if self.records.contains_key(new) {
+            return;
+        }
+        if let Some(record) = self.records.get(old).copied() {
+            self.make_room(now);
+            self.records.insert(new.clone(), record);
+        }
+    }
+
     /// Returns the demand: requests a millisecond, each times its class's factor.
     #[must_use]
     pub fn rate(&self, adapter: &Adapter, now: Millis) -> f64 {
--- a/lib/src/policy/upstream/load.rs
+++ b/lib/src/policy/upstream/load.rs
@@ -16,7 +16,7 @@
 /// After this many failures in a row the waiting requests are refused.
 const FAILURES: u32 = 2;
 /// An adapter with a lower demand (requests a millisecond) isn't loaded unless somebody waits.
-const WORTH_PREFETCH: f64 = 1.0 / 300_000.0;
+pub(super) const WORTH_PREFETCH: f64 = 1.0 / 300_000.0;
 /// A pinned slot is drained for a request that has waited this long for one.
 const DRAIN_AFTER: Millis = Millis::from_secs(2);
 
@@ -45,6 +45,7 @@
     /// Asks for loads that can be had and that somebody waits for.
     pub(super) fn ask(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.ask_for_waiting(now, actions);
+        self.ask_for_upcoming(now, actions);
         self.ask_for_refill(now, actions);
     }
 
@@ -156,7 +157,10 @@
         self.give_up_hopeless(adapter, now, actions);
         let prefetch = asked.is_some_and(|asked| asked.demand.class.is_none());
         let wanted = self.queue.is_blocked(adapter) || prefetch;
-        if !wanted || self.leaving || !self.begin(adapter, prefetch, now, actions) {
+        let begun = wanted && !self.leaving && self.begin(adapter, prefetch, now, actions);
+        // One try: whatever became of it, requests will ask for themselves.
+        self.upcoming.remove(adapter);
+        if !begun {
             actions.push(Action::Withdraw {
                 adapter: adapter.clone(),
             });
@@ -164,7 +168,7 @@
         }
     }
 
-    /// Begins a load if a slot can be had. A prefetch evicts nothing.
+    /// Begins a load if a slot can be had. A prefetch evicts next to nothing.
     fn begin(
         &mut self,
         adapter: &Adapter,
@@ -175,7 +179,10 @@
         let evict = if self.slots.has_empty() {
             None
         } else if prefetch && !self.queue.is_blocked(adapter) {
-            return false;
+            match self.spared_for(adapter, now) {
+                Some(victim) => Some(victim),
+                None => return false,
+            }
         } else {
             match self.victim(now) {
                 Some((victim, _)) => Some(victim),
@@ -268,6 +275,7 @@
     ) {
         self.queue.unblock(adapter, now);
         self.unasked.remove(adapter);
+        self.upcoming.remove(adapter);
         self.refill.remove(adapter);
         if self.asked.remove(adapter).is_some() {
             actions.push(Action::Withdraw {
@@ -362,6 +370,6 @@
 }
 
 /// Returns the stall that keeping an adapter of this demand saves for a while.
-fn future(rate: f64) -> Millis {
+pub(super) fn future(rate: f64) -> Millis {
     millis(rate * float(HORIZON) * float(FUTURE_STALL))
 }
--- a/lib/src/policy/upstream/mod.rs
+++ b/lib/src/policy/upstream/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod load;
+mod replace;
 mod start;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -164,6 +165,8 @@
     /// Adapters with waiting requests that aren't asked for yet: no slot can be
     /// had for them, or they back off after a failure.
     unasked: BTreeSet<Adapter>,
+    /// What templates will name soon, in the place of something resident.
+    upcoming: BTreeSet<Adapter>,
     /// What was resident before a cold start and isn't again.
     refill: BTreeSet<Adapter>,
     passed_over: [u32; 3],
@@ -187,6 +190,7 @@
             in_flight: HashMap::new(),
             asked: BTreeMap::new(),
             unasked: BTreeSet::new(),
+            upcoming: BTreeSet::new(),
             refill: BTreeSet::new(),
             passed_over: [0; 3],
             released: false,
@@ -318,6 +322,7 @@
     pub fn leave(&mut self, code: Code) -> Vec<Action> {
         self.leaving = true;
         self.unasked.clear();
+        self.upcoming.clear();
         self.refill.clear();
         let refused = self.queue.drain().into_iter().map(|entry| Action::Refuse {
             id: entry.ticket.id,
@@ -348,6 +353,7 @@
         let backoffs = self
             .unasked
             .iter()
+            .chain(&self.upcoming)
             .chain(&self.refill)
             .filter_map(|adapter| self.slots.backoff(adapter))
             .filter(later)
--- /dev/null
+++ b/lib/src/policy/upstream/replace.rs
@@ -0,0 +1,58 @@
+//! Loads ahead of a change of templates, so that the switch brings no stall.
+
+use super::load::{WORTH_PREFETCH, future};
+use super::{Action, Asked, Demand, Machine};
+use crate::adapter::Adapter;
+use crate::clock::Millis;
+
+impl Machine {
+    /// Templates are about to move from one adapter to another.
+    ///
+    /// If the old one is resident and in demand here, the new one is asked for
+    /// with what the weight store has to spare. Its leave may evict only what is
+    /// worth less than the old one, which itself stays until the switch.
+    #[must_use]
+    pub fn replaced(&mut self, old: &Adapter, new: &Adapter, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let wanted = self.slots.is_resident(old) && self.slots.state(new).is_none();
+        if wanted && self.forecast.rate(old, now) >= WORTH_PREFETCH {
+            self.forecast.inherit(old, new, now);
+            self.upcoming.insert(new.clone());
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Asks for what templates will name soon.
+    pub(super) fn ask_for_upcoming(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let free: Vec<Adapter> = self
+            .upcoming
+            .iter()
+            .filter(|adapter| self.slots.state(adapter).is_none())
+            .filter(|adapter| !self.asked.contains_key(adapter))
+            .filter(|adapter| self.slots.backoff(adapter).is_none_or(|until| until <= now))
+            .cloned()
+            .collect();
+        for adapter in free {
+            let demand = Demand {
+                class: None,
+                waiters: 0,
+                weight: 0,
+                waited: Millis::ZERO,
+                gain: future(self.forecast.rate(&adapter, now)),
+            };
+            self.asked
+                .insert(adapter.clone(), Asked { at: now, demand });
+            actions.push(Action::Ask { adapter, demand });
+        }
+    }
+
+    /// Returns what may be evicted for a prefetch: only for what comes soon, and only what is worth less.
+    pub(super) fn spared_for(&self, adapter: &Adapter, now: Millis) -> Option<Adapter> {
+        let worth = self.forecast.rate(adapter, now);
+        let victim = self.victim(now).filter(|(_, price)| *price < worth);
+        victim
+            .filter(|_| self.upcoming.contains(adapter))
+            .map(|(victim, _)| victim)
+    }
+}
--- a/lib/tests/test_owner.rs
+++ b/lib/tests/test_owner.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
+use chivevalve::adapter::Adapter;
 use chivevalve::clock::Millis;
+use chivevalve::config::prefetch::{Prefetch, Upcoming};
 use chivevalve::error::{Code, Fate};
 use chivevalve::runner::Runner;
 use owner_fakes::{Bench, Fault, adapter, attempt, text};
@@ -114,3 +116,34 @@
     let whole = bench.registry.run(attempt("r2", "plans", false)).await;
     assert_eq!(whole.unwrap_err().code, Code::AnswerCut);
 }
+
+/// Symptom: each change of a template's version stalls its first requests.
+/// Sequence: a popular adapter's template moves to the next version.
+/// Cause: the new version is loaded only when the first request names it.
+#[tokio::test(start_paused = true)]
+async fn upcoming_version_is_loaded_before() {
+    let bench = Bench::start().await;
+    for (id, name) in [("r1", "plans"), ("r2", "plans"), ("r3", "rare")] {
+        let answer = bench.registry.run(attempt(id, name, true)).await;
+        text(answer.unwrap()).await.unwrap();
+    }
+    let next = Adapter {
+        version: "4".into(),
+        ..adapter("plans")
+    };
+    bench.registry.upcoming(&[Upcoming {
+        pool: "engines".into(),
+        adapter: next.clone(),
+        replaces: adapter("plans"),
+    }]);
+    tokio::time::sleep(Millis::from_secs(1).duration()).await;
+    assert_eq!(bench.engine.loads(), ["plans@3", "rare@3", "plans@4"]);
+    assert_eq!(bench.engine.unloads(), ["rare@3"]);
+    let stalls = bench.metrics.stalls.get();
+    let mut switched = attempt("r4", "plans", true);
+    switched.ticket.adapter = Some(next);
+    text(bench.registry.run(switched).await.unwrap())
+        .await
+        .unwrap();
+    assert_eq!(bench.metrics.stalls.get(), stalls);
+}
