--- a/lib/src/peer/tls.rs
+++ b/lib/src/peer/tls.rs
@@ -3,7 +3,7 @@
 //! The files are read again when they change, and each new connection uses what
 //! was read last, so that certificates are renewed without a restart. A change
 //! that can't be read leaves the old ones in force, loudly. See
-//! docs/operators/certificates.md.
+//! docs/operators/access.md.
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
