--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -107,6 +107,7 @@
             }
             "all" => "all",
             "exit-code" => "exit-code",
+            "allow-removals" => "allow-removals",
             _ => return Err(Failure::Usage(format!("there is no option --{name}"))),
         };
         self.given.push(known);
--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -1,7 +1,7 @@
 //! `apply`: put a directory of declarations in force.
 
 use chivevalve::config;
-use chivevalve::operators::wire::{Accepted, Apply, Draft};
+use chivevalve::operators::wire::{Accepted, Apply, Draft, File, Plan};
 
 use super::{Command, check, online, plan};
 use crate::args::Args;
@@ -15,7 +15,7 @@
     about: "put a directory of declarations in force",
     values: 1..=1,
     online: true,
-    options: &["reason", "expect", "change-id"],
+    options: &["reason", "expect", "change-id", "allow-removals"],
     help: "\
 Usage: chivevalve apply DIR --reason TEXT [--expect REVISION] [OPTIONS]
 
@@ -28,13 +28,15 @@
                      plan had it (default: the revision that is planned on)
   --change-id ID     settle a change whose outcome was unknown (exit code 6);
                      a change with one id is never made twice
+  --allow-removals   also apply when more declarations would be removed than
+                     DIR has, which is refused as a likely wrong directory
 ",
     run,
 };
 
 fn run(args: &Args) -> Result<(), Failure> {
     let reason = reason(args)?;
-    let files = check::files(args)?;
+    let (files, set) = check::files(args)?;
     online(args, async |client| {
         let settles = args.expect.filter(|_| args.change_id.is_some());
         let expected = if let Some(expected) = settles {
@@ -42,7 +44,10 @@
             expected
         } else {
             let planned = planned(&client, files.clone()).await?;
-            args.expect.unwrap_or(planned)
+            if !args.has("allow-removals") {
+                guard(&planned, set.len())?;
+            }
+            args.expect.unwrap_or(planned.revision)
         };
         let change = Apply {
             change_id: change_id(args),
@@ -56,14 +61,26 @@
     })
 }
 
-/// Shows what is about to change; returns the revision that it was compared with.
-async fn planned(
-    client: &Client,
-    files: Vec<chivevalve::operators::wire::File>,
-) -> Result<u64, Failure> {
+/// Shows what is about to change.
+async fn planned(client: &Client, files: Vec<File>) -> Result<Plan, Failure> {
     let planned = plan::plan(client, Draft { files }).await?;
     eprint!("{}", plan::text(&planned));
-    Ok(planned.revision)
+    Ok(planned)
+}
+
+// A pipeline that names a wrong or half-written directory would remove most
+// templates at night, and every caller of theirs would be refused. The sign is
+// a plan that removes more than the directory has; people then look first.
+fn guard(plan: &Plan, declared: usize) -> Result<(), Failure> {
+    let removed = plan.differences.iter().filter(|one| one.after.is_none());
+    let removed = removed.count();
+    if removed <= declared {
+        return Ok(());
+    }
+    Err(Failure::Other(format!(
+        "{removed} declarations would be removed and {declared} kept; \
+         if that is meant, add --allow-removals"
+    )))
 }
 
 /// Returns why a change is made.
--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use chivevalve::declaration::{self, Mistake, Source};
+use chivevalve::declaration::{self, Mistake, Set, Source};
 use chivevalve::operators::wire::File;
 
 use super::Command;
@@ -53,10 +53,10 @@
 /// # Errors
 ///
 /// All its mistakes.
-pub(super) fn files(args: &Args) -> Result<Vec<File>, Failure> {
+pub(super) fn files(args: &Args) -> Result<(Vec<File>, Set), Failure> {
     let sources = declaration::load_dir(Path::new(&args.values[0])).map_err(|all| listed(&all))?;
-    declaration::check_sources(&sources).map_err(|all| listed(&all))?;
-    Ok(sources.iter().map(file).collect())
+    let set = declaration::check_sources(&sources).map_err(|all| listed(&all))?;
+    Ok((sources.iter().map(file).collect(), set))
 }
 
 fn file(source: &Source) -> File {
--- a/cli/src/commands/plan.rs
+++ b/cli/src/commands/plan.rs
@@ -27,7 +27,7 @@
 };
 
 fn run(args: &Args) -> Result<(), Failure> {
-    let files = check::files(args)?;
+    let (files, _) = check::files(args)?;
     online(args, async |client| {
         let plan = plan(&client, Draft { files }).await?;
         output::answer(args.format, &plan, text)?;
--- a/cli/src/commands/rollback.rs
+++ b/cli/src/commands/rollback.rs
@@ -1,6 +1,6 @@
 //! `rollback`: put an earlier revision's declarations in force again.
 
-use chivevalve::operators::wire::{Accepted, Rollback, Status};
+use chivevalve::operators::wire::{Accepted, History, Rollback};
 
 use super::{Command, apply, online};
 use crate::args::Args;
@@ -38,8 +38,9 @@
         let expected_revision = if let Some(expected) = args.expect {
             expected
         } else {
-            let status: Status = client.get("/v1/status").await?;
-            status.configuration.revision
+            let history: History = client.get("/v1/history?limit=1").await?;
+            let newest = history.operations.first();
+            newest.map_or(0, |operation| operation.revision)
         };
         let change = Rollback {
             change_id: apply::change_id(args),
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -190,6 +190,12 @@
         status.configuration.revision,
         confirmed(&status.configuration)
     ));
+    let Standing {
+        revision, learned, ..
+    } = status.configuration;
+    if learned > revision {
+        page.line(format_args!("revision {learned} waits for its adapters"));
+    }
     if let Some(fault) = &status.configuration.fault {
         page.line(format_args!(
             "a newer revision can't be taken over: {fault}"
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -315,7 +315,7 @@
                 (r"\d{4}-\d\d-\d\dT[0-9:.]+Z", "[time]"),
                 (r#""time_ms": \d+"#, r#""time_ms": [time]"#),
                 (r"\b[0-9a-f]{32}\b", "[change id]"),
-                (r"confirmed \d+ (ms|s|min) ago", "confirmed [age] ago"),
+                (r"confirmed \d+ (?:ms|s|min) ago", "confirmed [age] ago"),
                 (r#""confirmed_age_ms": \d+"#, r#""confirmed_age_ms": [age]"#),
                 (r"version \d+\.\d+\.\d+", "version [version]"),
                 (r"chivevalve \d+\.\d+\.\d+", "chivevalve [version]"),
--- a/cli/tests/test_sessions.rs
+++ b/cli/tests/test_sessions.rs
@@ -135,6 +135,12 @@
     );
     in_force(&scene.sites[0], 3).await;
     assert_eq!(session.run("history --limit 1 --format json").await, 0);
+    session.note("a pipeline names a directory that holds next to nothing");
+    session.write(
+        "half/pools.yaml",
+        "pools:\n- {name: tills, kind: service, batch: 8}\n",
+    );
+    assert_eq!(session.run("apply half --reason 'by mistake'").await, 7);
     assert_eq!(
         session.run("rollback 77 --reason 'no such revision'").await,
         4
--- a/lib/src/operators/configuration.rs
+++ b/lib/src/operators/configuration.rs
@@ -8,7 +8,7 @@
 use super::refusal::{Cause, Refusal};
 use super::wire;
 use crate::config::{self, Error, Keeper, Order};
-use crate::declaration::{Mistake, Set, Source, check_sources, diff};
+use crate::declaration::{Mistake, Set, Source, check_sources, diff, export};
 use crate::name::Name;
 
 #[async_trait]
@@ -17,16 +17,22 @@
         let status = self.status();
         wire::Standing {
             revision: status.revision,
+            learned: status.learned,
             confirmed_age_ms: status.confirmed_age_ms,
             fault: status.refused,
         }
     }
 
-    fn export(&self) -> wire::Export {
-        wire::Export {
-            revision: self.learned().revision(),
-            files: Keeper::export(self).into_iter().map(Into::into).collect(),
-        }
+    async fn export(&self) -> Result<wire::Export, Refusal> {
+        let view = self.learned();
+        apart(move || wire::Export {
+            revision: view.revision(),
+            files: export::export(&view.set())
+                .into_iter()
+                .map(Into::into)
+                .collect(),
+        })
+        .await
     }
 
     async fn plan(&self, files: Vec<wire::File>) -> Result<wire::Plan, Refusal> {
@@ -98,24 +104,23 @@
     }
 }
 
-/// Checks files by this node's rules, off the threads that carry requests.
-///
-/// Tens of thousands of declarations take a second; on a request's thread every
-/// stream of that thread would stall as long.
+/// Checks files by this node's rules.
 async fn read(files: Vec<wire::File>) -> Result<Set, Refusal> {
-    let checked = tokio::task::spawn_blocking(move || {
+    let checked = apart(move || {
         let sources: Vec<Source> = files.into_iter().map(Into::into).collect();
         check_sources(&sources)
     });
-    match checked.await {
-        Ok(Ok(set)) => Ok(set),
-        Ok(Err(mistakes)) => Err(invalid(&mistakes)),
-        Err(_) => Err(Refusal::new(
-            Cause::Busy,
-            "the node is about to stop",
-            "ask another node",
-        )),
-    }
+    checked.await?.map_err(|mistakes| invalid(&mistakes))
+}
+
+/// Works off the threads that carry requests.
+///
+/// Tens of thousands of declarations take long enough that every stream of a
+/// request's thread would stall meanwhile.
+async fn apart<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> Result<T, Refusal> {
+    tokio::task::spawn_blocking(work)
+        .await
+        .map_err(|_| Refusal::new(Cause::Busy, "the node is about to stop", "ask another node"))
 }
 
 fn invalid(mistakes: &[Mistake]) -> Refusal {
--- a/lib/src/operators/port.rs
+++ b/lib/src/operators/port.rs
@@ -15,7 +15,7 @@
     fn standing(&self) -> wire::Standing;
 
     /// Returns all declarations in force.
-    fn export(&self) -> wire::Export;
+    async fn export(&self) -> Result<wire::Export, Refusal>;
 
     /// Compares declarations with those in force.
     async fn plan(&self, files: Vec<wire::File>) -> Result<wire::Plan, Refusal>;
--- a/lib/src/operators/route.rs
+++ b/lib/src/operators/route.rs
@@ -39,7 +39,7 @@
         (&Method::GET, "/readyz") => Ok(call.ready()),
         (&Method::GET, "/metrics") => Ok(text(StatusCode::OK, &server.parts.metrics.render())),
         (&Method::GET, "/v1/status") => call.status(),
-        (&Method::GET, "/v1/config") => call.export(),
+        (&Method::GET, "/v1/config") => call.export().await,
         (&Method::GET, "/v1/history") => call.history().await,
         (&Method::GET, "/v1/explain") => call.explain(),
         (&Method::POST, "/v1/plan") => call.plan().await,
@@ -82,9 +82,9 @@
         Ok(json(&status::status(&self.server.parts)))
     }
 
-    fn export(&self) -> Result<Answer, Refusal> {
+    async fn export(&self) -> Result<Answer, Refusal> {
         self.enter(Role::Read)?;
-        Ok(json(&self.server.parts.configuration.export()))
+        Ok(json(&self.server.parts.configuration.export().await?))
     }
 
     async fn history(&self) -> Result<Answer, Refusal> {
--- a/lib/src/operators/wire.rs
+++ b/lib/src/operators/wire.rs
@@ -136,6 +136,8 @@
 pub struct Standing {
     /// The revision in force; 0 is none yet.
     pub revision: u64,
+    /// The newest revision that the node holds; it comes in force once its adapters are fetched.
+    pub learned: u64,
     /// Milliseconds since the revision was last confirmed to be the newest; none is never.
     pub confirmed_age_ms: Option<u64>,
     /// Why a newer revision couldn't be taken over.
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -346,7 +346,7 @@
         s.yaml:2: node.name: this is no name; write 1 to 63 letters, digits, dots, dashes or underscores
         s.yaml:2: node.failure_domain: it is missing; write 1 to 63 letters, digits, dots, dashes or underscores
         s.yaml:4: listen.callers: this is no address by IP number and port; write an IP number and a port, such as 10.0.0.7:8080
-        s.yaml:5: listen.peers: other nodes can't dial this address; write the VM's own IP number
+        s.yaml:5: listen.peers: this address can't be dialled from elsewhere; write the VM's own IP number
         s.yaml:8: platform.store: it is missing; list at least one address of the key-value service
         s.yaml:11: platform.prefix: it doesn't end in a slash, so other keys could fall under it; write it as /name/
         s.yaml:13: limits.attempts: 99 is out of range; write a number from 1 to 16
--- a/lib/src/settings/resolve.rs
+++ b/lib/src/settings/resolve.rs
@@ -146,13 +146,15 @@
             "take another port",
         );
     }
-    // Other nodes dial the address as it stands here.
-    if listen.peers.ip().is_unspecified() && !read.peers.is_empty() {
-        site.add(
-            "listen.peers",
-            "other nodes can't dial this address",
-            "write the VM's own IP number",
-        );
+    // Other nodes dial these, and tell them to operators, as they stand here.
+    for (path, address, text) in [
+        ("listen.peers", listen.peers, &read.peers),
+        ("listen.operators", listen.operators, &read.operators),
+    ] {
+        if address.ip().is_unspecified() && text.parse::<SocketAddr>().is_ok() {
+            let what = "this address can't be dialled from elsewhere";
+            site.add(path, what, "write the VM's own IP number");
+        }
     }
     listen
 }
--- a/lib/tests/test_operators.rs
+++ b/lib/tests/test_operators.rs
@@ -42,11 +42,11 @@
         wire::Standing::default()
     }
 
-    fn export(&self) -> wire::Export {
-        wire::Export {
+    async fn export(&self) -> Result<wire::Export, Refusal> {
+        Ok(wire::Export {
             revision: 3,
             files: Vec::new(),
-        }
+        })
     }
 
     async fn plan(&self, _: Vec<wire::File>) -> Result<wire::Plan, Refusal> {
