--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -2,6 +2,7 @@
 
 mod entry_support;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use chivevalve::clock::Millis;
@@ -280,13 +281,16 @@
 #[tokio::test]
 async fn outcome_last_try_is_marked() {
     let world = world().await;
-    for _ in 0..2 {
+    for _ in 0..3 {
         world.script.then(fail(Code::PassedOn));
     }
     assert!(world.chat("summary", "").await.starts_with("HTTP/1.1 200"));
     let runs = world.script.runs.lock().unwrap();
     let last: Vec<bool> = runs.iter().map(|run| run.last).collect();
-    assert_eq!(last, [false, false, true]);
+    assert_eq!(last, [false, false, false, true]);
+    let tried: BTreeSet<&str> = runs.iter().map(|run| &*run.upstream).collect();
+    assert_eq!(tried.len(), 3, "each upstream is tried before the wait");
+    assert_eq!(runs[0].upstream, runs[3].upstream, "it waits at home");
 }
 
 /// Symptom: a planned stop cuts off a stream.
