--- a/bench/src/policy/measure.rs
+++ b/bench/src/policy/measure.rs
@@ -9,17 +9,25 @@
 use super::traffic::{Workload, count, micros, millis};
 use super::world::{Ending, World};
 
-/// Stall time of one class, in milliseconds.
+/// The figures of one class.
 #[derive(Debug, Clone, Default, Serialize)]
-pub struct Stalls {
-    /// Median over all requests of the class.
-    pub p50: u64,
-    /// 95th percentile.
-    pub p95: u64,
-    /// 99th percentile.
-    pub p99: u64,
-    /// Sum.
-    pub total: u64,
+pub struct ClassFigures {
+    /// Requests that arrived.
+    pub requests: u64,
+    /// Median stall time of all its requests.
+    pub stall_p50_ms: u64,
+    /// 95th percentile of the same.
+    pub stall_p95_ms: u64,
+    /// 99th percentile of the same.
+    pub stall_p99_ms: u64,
+    /// Sum of the same.
+    pub stall_ms_total: u64,
+    /// Median time to the first token, of answered requests.
+    pub first_token_p50_ms: u64,
+    /// 95th percentile of the same.
+    pub first_token_p95_ms: u64,
+    /// Refusals by reason.
+    pub refusals: BTreeMap<&'static str, u64>,
 }
 
 /// The figures of one policy on one workload.
@@ -45,8 +53,8 @@
     pub stall_ms_total: u64,
     /// 95th percentile of the same, over all requests.
     pub stall_p95_ms: u64,
-    /// Stall time by class.
-    pub stalls: BTreeMap<&'static str, Stalls>,
+    /// Figures by class.
+    pub classes: BTreeMap<&'static str, ClassFigures>,
     /// Mean share of the batch that an engine step fills.
     pub batch_fill: f64,
     /// 95th percentile of the time to the first token, of answered requests.
@@ -104,6 +112,8 @@
             Ending::Refused(code) => {
                 row.refused += 1;
                 *row.refusals.entry(code.name()).or_default() += 1;
+                let figures = row.classes.entry(request.class.name()).or_default();
+                *figures.refusals.entry(code.name()).or_default() += 1;
                 request.patience()
             }
             _ => {
@@ -123,13 +133,12 @@
     pub fn set_stalls(&mut self, mut stalls: [Vec<u64>; 3]) {
         for (class, stalls) in Class::ALL.iter().zip(&mut stalls) {
             stalls.sort_unstable();
-            let figures = Stalls {
-                p50: percentile(stalls, 50),
-                p95: percentile(stalls, 95),
-                p99: percentile(stalls, 99),
-                total: stalls.iter().sum(),
-            };
-            self.stalls.insert(class.name(), figures);
+            let figures = self.classes.entry(class.name()).or_default();
+            figures.requests = stalls.len() as u64;
+            figures.stall_p50_ms = percentile(stalls, 50);
+            figures.stall_p95_ms = percentile(stalls, 95);
+            figures.stall_p99_ms = percentile(stalls, 99);
+            figures.stall_ms_total = stalls.iter().sum();
         }
         let mut all = stalls.concat();
         all.sort_unstable();
@@ -141,7 +150,12 @@
 
     /// Sets the figures that come from the time to each first token, by class.
     pub fn set_first_tokens(&mut self, mut first: [Vec<u64>; 3]) {
-        first[Class::Urgent as usize].sort_unstable();
+        for (class, first) in Class::ALL.iter().zip(&mut first) {
+            first.sort_unstable();
+            let figures = self.classes.entry(class.name()).or_default();
+            figures.first_token_p50_ms = percentile(first, 50);
+            figures.first_token_p95_ms = percentile(first, 95);
+        }
         self.urgent_first_token_p95_ms = percentile(&first[Class::Urgent as usize], 95);
         let mut all = first.concat();
         all.sort_unstable();
--- a/bench/src/policy/mod.rs
+++ b/bench/src/policy/mod.rs
@@ -9,21 +9,26 @@
     reason = "the remaining workloads and policies use the rest"
 )]
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
-use eyre::{Result, eyre};
+use chivevalve::clock::Millis;
+
+use eyre::{Result, ensure, eyre};
 use lexopt::prelude::*;
 
 use crate::Verdict;
 use crate::report::{self, Format, Table};
 
+mod aim;
 mod baseline;
 mod clairvoyant;
 mod contender;
 mod engine;
 mod measure;
+mod plot;
 mod source;
 mod store;
+mod trace;
 mod traffic;
 mod workload;
 mod world;
@@ -31,8 +36,8 @@
 use baseline::{Baseline, Placement};
 use contender::Contender;
 use measure::Row;
-use traffic::Workload;
-use workload::RECIPES;
+use traffic::{Deployment, Workload};
+use workload::{RECIPES, Recipe};
 use world::{Policy, World};
 
 const DEFAULT_SEED: u64 = 7;
@@ -44,17 +49,33 @@
     format: Format,
     out: Option<PathBuf>,
     workloads: Vec<String>,
+    trace: Option<PathBuf>,
+    /// Sizes of the deployment that a trace is played at.
+    deployment: Deployment,
 }
 
 fn usage() -> String {
+    let defaults = workload::trgovski();
     let names: Vec<&str> = RECIPES.iter().map(|recipe| recipe.name).collect();
     format!(
         "Usage: chivevalve-bench policy [OPTIONS]\n\n\
          --seed N             seed of all draws ({DEFAULT_SEED})\n\
          --format table|json  how results are printed\n\
          --out DIR            also write policy.json and policy.svg there\n\
-         --workload NAME      only this workload; may be repeated\n\n\
+         --workload NAME      only this workload; may be repeated\n\
+         --trace FILE.csv     play recorded requests instead, with the columns\n\
+         {:21}{}\n\
+         --engines N          engines that the trace is played at ({})\n\
+         --slots K            adapter slots of each ({})\n\
+         --batch B            most requests in a step ({})\n\
+         --loads-per-second R the weight store's rate ({})\n\n\
          Workloads: {}\n",
+        "",
+        trace::COLUMNS.join(","),
+        defaults.engines,
+        defaults.slots,
+        defaults.batch,
+        defaults.loads_per_second,
         names.join(", ")
     )
 }
@@ -65,6 +86,8 @@
         format: Format::default(),
         out: None,
         workloads: Vec::new(),
+        trace: None,
+        deployment: workload::trgovski(),
     };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -72,6 +95,11 @@
             Long("format") => options.format = parser.value()?.string()?.parse()?,
             Long("out") => options.out = Some(parser.value()?.into()),
             Long("workload") => options.workloads.push(parser.value()?.string()?),
+            Long("trace") => options.trace = Some(parser.value()?.into()),
+            Long("engines") => options.deployment.engines = positive(parser)?,
+            Long("slots") => options.deployment.slots = positive(parser)?,
+            Long("batch") => options.deployment.batch = positive(parser)?,
+            Long("loads-per-second") => options.deployment.loads_per_second = rate(parser)?,
             Long("help") | Short('h') => {
                 print!("{}", usage());
                 return Ok(None);
@@ -82,6 +110,21 @@
     Ok(Some(options))
 }
 
+fn positive(parser: &mut lexopt::Parser) -> Result<usize> {
+    let value: usize = parser.value()?.parse()?;
+    ensure!(value > 0, "sizes of a deployment are at least 1");
+    Ok(value)
+}
+
+fn rate(parser: &mut lexopt::Parser) -> Result<f64> {
+    let value: f64 = parser.value()?.parse()?;
+    ensure!(
+        value.is_finite() && value > 0.0,
+        "the weight store's rate is above 0"
+    );
+    Ok(value)
+}
+
 /// Runs the campaign.
 ///
 /// # Errors
@@ -92,8 +135,13 @@
         return Ok(Verdict::Kept);
     };
     let mut rows = Vec::new();
-    for workload in workloads(&options)? {
+    if let Some(path) = &options.trace {
+        let workload = recorded(path, options.deployment.clone())?;
         rows.extend(play_all(&workload, options.seed));
+    } else {
+        for recipe in recipes(&options)? {
+            rows.extend(play_all(&recipe.make(options.seed), options.seed));
+        }
     }
     print_rows(&options, &rows)?;
     let broken = rows.iter().any(|row| row.broken > 0);
@@ -104,15 +152,28 @@
     })
 }
 
-fn workloads(options: &Options) -> Result<Vec<Workload>> {
+fn recipes(options: &Options) -> Result<Vec<&'static Recipe>> {
     let known = |name: &String| RECIPES.iter().any(|recipe| recipe.name == name);
     if let Some(unknown) = options.workloads.iter().find(|name| !known(name)) {
         return Err(eyre!("unknown workload {unknown:?}\n\n{}", usage()));
     }
-    let wanted =
-        |name: &str| options.workloads.is_empty() || options.workloads.iter().any(|w| w == name);
-    let recipes = RECIPES.iter().filter(|recipe| wanted(recipe.name));
-    Ok(recipes.map(|recipe| recipe.make(options.seed)).collect())
+    let wanted = |recipe: &&Recipe| {
+        options.workloads.is_empty() || options.workloads.iter().any(|name| name == recipe.name)
+    };
+    Ok(RECIPES.iter().filter(wanted).collect())
+}
+
+fn recorded(path: &Path, mut deployment: Deployment) -> Result<Workload> {
+    let trace = trace::read(path)?;
+    deployment.adapters = trace.adapters;
+    deployment.load_failures = 0.0;
+    Ok(Workload {
+        name: "trace".to_owned(),
+        deployment,
+        requests: trace.requests,
+        outages: Vec::new(),
+        warm_up: Millis::ZERO,
+    })
 }
 
 /// A policy under its name, made anew for each run.
@@ -174,16 +235,63 @@
 }
 
 fn print_rows(options: &Options, rows: &[Row]) -> Result<()> {
+    let findings = aim::findings(rows);
     match options.format {
         Format::Json => print!("{}", report::json(&rows)?),
-        Format::Table => print!("{}", table(rows).render()),
+        Format::Table => {
+            print!("{}\n{}", table(rows).render(), class_table(rows).render());
+            println!();
+        }
+    }
+    for finding in &findings {
+        let verdict = if finding.met { "met" } else { "short of aim" };
+        match options.format {
+            Format::Json => eprintln!("{}: {verdict}", finding.text),
+            Format::Table => println!("{}: {verdict}", finding.text),
+        }
     }
     if let Some(directory) = &options.out {
         report::write(directory, "policy.json", &report::json(&rows)?)?;
+        plot::write(&directory.join("policy.svg"), rows)?;
     }
     Ok(())
 }
 
+/// What the first table has no room for.
+fn class_table(rows: &[Row]) -> Table {
+    let mut table = Table::new(&[
+        "workload",
+        "policy",
+        "class",
+        "stall p50",
+        "p95",
+        "p99",
+        "stall s",
+        "first p50",
+        "p95",
+        "refusals by reason",
+    ]);
+    for row in rows {
+        for (class, figures) in &row.classes {
+            let reasons = figures.refusals.iter();
+            let reasons: Vec<String> = reasons.map(|(why, n)| format!("{why} {n}")).collect();
+            table.row(vec![
+                row.workload.clone(),
+                row.policy.to_owned(),
+                (*class).to_owned(),
+                figures.stall_p50_ms.to_string(),
+                figures.stall_p95_ms.to_string(),
+                figures.stall_p99_ms.to_string(),
+                (figures.stall_ms_total / 1000).to_string(),
+                figures.first_token_p50_ms.to_string(),
+                figures.first_token_p95_ms.to_string(),
+                reasons.join(", "),
+            ]);
+        }
+    }
+    table
+}
+
 fn table(rows: &[Row]) -> Table {
     let mut table = Table::new(&[
         "workload",
@@ -223,3 +331,78 @@
     }
     table
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::policy::source::{Shape, Source};
+    use crate::policy::traffic::Outage;
+
+    /// A minute at a small deployment, with a crash and failing loads.
+    fn small() -> Workload {
+        let deployment = Deployment {
+            engines: 4,
+            slots: 4,
+            adapters: 60,
+            load_failures: 0.05,
+            ..workload::trgovski()
+        };
+        let shape = Shape {
+            seconds: 60.0,
+            ..Shape::steady(8.0, 1.2)
+        };
+        let requests = Source::new(&deployment, &shape, 3).requests(&shape);
+        let outage = Outage {
+            engine: 1,
+            from: Millis::from_secs(20),
+            away: Millis::ZERO,
+        };
+        Workload {
+            name: "small".to_owned(),
+            deployment,
+            requests,
+            outages: vec![outage],
+            warm_up: Millis::ZERO,
+        }
+    }
+
+    #[test]
+    fn play_keeps_promises() {
+        for row in play_all(&small(), 3) {
+            assert_eq!(row.broken, 0, "{}", row.policy);
+            let ended = row.answered + row.refused + row.late + row.lost;
+            assert_eq!(ended, row.requests, "{}", row.policy);
+        }
+    }
+
+    #[test]
+    fn play_same_seed_same_rows() {
+        let rows = || report::json(&play_all(&small(), 3)).expect("rows as JSON");
+        assert_eq!(rows(), rows());
+    }
+
+    #[test]
+    fn play_bound_below_all() {
+        let mut workload = small();
+        workload.outages.clear();
+        workload.deployment.load_failures = 0.0;
+        let mut rows = play_all(&workload, 3);
+        let bound = rows.pop().expect("the bound comes last");
+        assert_eq!(bound.policy, "clairvoyant");
+        assert!(bound.stall_ms_total > 0);
+        assert!(bound.prefetch_bound_ms <= Some(bound.stall_ms_total));
+        for row in rows {
+            assert!(row.stall_ms_total >= bound.stall_ms_total, "{}", row.policy);
+        }
+    }
+
+    #[test]
+    fn recipes_distinct_and_sorted() {
+        for recipe in RECIPES.iter().take(4) {
+            let named = RECIPES.iter().filter(|other| other.name == recipe.name);
+            assert_eq!(named.count(), 1, "{}", recipe.name);
+            let requests = recipe.make(1).requests;
+            assert!(requests.is_sorted_by_key(|request| request.arrival));
+        }
+    }
+}
