--- a/lib/tests/owner_fakes/mod.rs
+++ b/lib/tests/owner_fakes/mod.rs
@@ -21,7 +21,8 @@
 use chivevalve::request::{Class, Id, Ticket};
 use chivevalve::runner::{Attempt, Share, Work};
 use futures::{StreamExt, stream};
-use http::response;
+use http::header::CONTENT_LENGTH;
+use http::{request, response};
 use tokio::sync::watch;
 
 /// How long a load takes.
@@ -258,7 +259,28 @@
     }
 
     fn service(&self, _: &Vm) -> Arc<dyn Service> {
-        unimplemented!("no service in these tests")
+        Arc::clone(&self.0) as Arc<dyn Service>
+    }
+}
+
+/// As a plain service it sends back what it is called with.
+#[async_trait]
+impl Service for FakeEngine {
+    async fn call(&self, called: request::Parts, body: Bytes) -> Result<Answer, Failure> {
+        let knobs = self.reach()?;
+        let line = format!("{} {}", called.method, called.uri);
+        self.seen.lock().unwrap().runs.push(line);
+        let mut head = head(201);
+        head.headers = called.headers;
+        head.headers.insert(CONTENT_LENGTH, body.len().into());
+        let end = match knobs.fault {
+            Fault::Cut => body.len() / 2,
+            _ => body.len(),
+        };
+        Ok(Answer {
+            head,
+            body: stream::once(async move { Ok(body.slice(..end)) }).boxed(),
+        })
     }
 }
 
@@ -377,12 +399,18 @@
 
     /// Takes the engine over with a token.
     pub async fn adopt(&self, batch: u32, token: u64) {
+        let kind = Kind::Engine {
+            base_model: "base".into(),
+            slots: 2,
+        };
+        self.adopt_as(kind, batch, token).await;
+    }
+
+    /// Takes it over as something else.
+    pub async fn adopt_as(&self, kind: Kind, batch: u32, token: u64) {
         let pool = Pool {
             name: "engines".into(),
-            kind: Kind::Engine {
-                base_model: "base".into(),
-                slots: 2,
-            },
+            kind,
             batch,
             checks_fencing: false,
         };
@@ -459,6 +487,21 @@
     }
 }
 
+/// An attempt at the fake service.
+pub fn push(id: &str, body: &'static str) -> Attempt {
+    let call = http::Request::post("/receipts?till=4")
+        .header("x-till", "4")
+        .body(());
+    let mut attempt = attempt(id, "receipts", false);
+    attempt.ticket.adapter = None;
+    attempt.ticket.idempotent = false;
+    attempt.work = Work::Call {
+        head: Box::new(call.unwrap().into_parts().0),
+        body: body.into(),
+    };
+    attempt
+}
+
 /// Reads an answer to its end.
 pub async fn text(mut answer: Answer) -> Result<String, Failure> {
     let mut all = String::new();
--- a/lib/tests/peer_fakes/mod.rs
+++ b/lib/tests/peer_fakes/mod.rs
@@ -123,14 +123,31 @@
     secured(Security::Plaintext)
 }
 
+/// The clients of a node that soon doubts a silent peer.
+pub fn impatient() -> Arc<Clients> {
+    made(
+        Security::Plaintext,
+        Limits {
+            ping_after: Millis(100),
+            ping_timeout: Millis(100),
+            call_timeout: Millis(200),
+            ..Limits::default()
+        },
+    )
+}
+
 /// The clients of a node under these certificates.
 pub fn secured(security: Security) -> Arc<Clients> {
+    made(security, Limits::default())
+}
+
+fn made(security: Security, limits: Limits) -> Arc<Clients> {
     Clients::new(client::Parts {
         node: "a".into(),
         local: Arc::new(Nobody),
         security,
         clock: Arc::new(Monotonic::start()),
         metrics: Arc::new(Metrics::new()),
-        limits: Limits::default(),
+        limits,
     })
 }
--- a/lib/tests/test_owner.rs
+++ b/lib/tests/test_owner.rs
@@ -7,9 +7,10 @@
 use chivevalve::adapter::Adapter;
 use chivevalve::clock::Millis;
 use chivevalve::config::prefetch::{Prefetch, Upcoming};
+use chivevalve::declaration::Kind;
 use chivevalve::error::{Code, Fate};
 use chivevalve::runner::Runner;
-use owner_fakes::{Bench, Fault, adapter, attempt, text};
+use owner_fakes::{Bench, Fault, adapter, attempt, push, text};
 
 #[tokio::test(start_paused = true)]
 async fn run_stream_names_the_template() {
@@ -147,3 +148,71 @@
         .unwrap();
     assert_eq!(bench.metrics.stalls.get(), stalls);
 }
+
+#[tokio::test(start_paused = true)]
+async fn call_passes_whole() {
+    let bench = Bench::unowned();
+    bench.adopt_as(Kind::Service, 4, 1).await;
+    let answer = bench
+        .registry
+        .run(push("r1", "{\"sum\":12}"))
+        .await
+        .unwrap();
+    assert_eq!(answer.head.status, 201);
+    assert_eq!(answer.head.headers["x-till"], "4");
+    assert_eq!(text(answer).await.unwrap(), "{\"sum\":12}");
+    assert_eq!(bench.engine.runs(), ["POST /receipts?till=4"]);
+}
+
+/// Symptom: a short answer of a service that looks whole.
+/// Sequence: its body ends before the length that its head gave.
+/// Cause: the end of the bytes was taken for the end of the answer.
+#[tokio::test(start_paused = true)]
+async fn call_cut() {
+    let bench = Bench::unowned();
+    bench.adopt_as(Kind::Service, 4, 1).await;
+    bench.engine.set(|knobs| knobs.fault = Fault::Cut);
+    let answer = bench
+        .registry
+        .run(push("r1", "{\"sum\":12}"))
+        .await
+        .unwrap();
+    let failure = text(answer).await.unwrap_err();
+    assert_eq!(failure.code, Code::AnswerCut);
+    assert_eq!(failure.fate(), Fate::Unknown);
+}
+
+/// Symptom: a receipt is called unknown although it was never sent.
+/// Sequence: the service can't be reached; after three failures it gets no work.
+/// Cause: a failed connection was taken for a broken one.
+#[tokio::test(start_paused = true)]
+async fn call_service_down() {
+    let bench = Bench::unowned();
+    bench.adopt_as(Kind::Service, 4, 1).await;
+    bench.engine.set(|knobs| knobs.fault = Fault::Down);
+    for number in 0..5 {
+        let id = format!("r{number}");
+        let failure = bench.registry.run(push(&id, "{}")).await.unwrap_err();
+        assert_eq!(failure.code, Code::ConnectFailed);
+        assert_eq!(failure.fate(), Fate::NotRun);
+    }
+    assert_eq!(bench.sight.failures(), 3);
+    bench.engine.set(|knobs| knobs.fault = Fault::None);
+    tokio::time::sleep(Millis::from_secs(2).duration()).await;
+    let answer = bench.registry.run(push("r9", "{}")).await.unwrap();
+    text(answer).await.unwrap();
+    // The actor hears of the end after the caller has read it.
+    tokio::time::sleep(Millis(1).duration()).await;
+    assert_eq!(bench.sight.answers(), 1);
+}
+
+/// Symptom: a completion is sent to a plain service.
+/// Sequence: a pool was declared anew as another kind.
+/// Cause: nobody compares what the request is with what the upstream is.
+#[tokio::test(start_paused = true)]
+async fn run_upstream_of_another_kind() {
+    let bench = Bench::start().await;
+    let failure = bench.registry.run(push("r1", "{}")).await.unwrap_err();
+    assert_eq!(failure.fate(), Fate::NotRun);
+    assert!(bench.engine.runs().is_empty());
+}
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use chivevalve::clock::{Millis, Monotonic};
+use chivevalve::declaration::Kind;
 use chivevalve::error::{Code, Fate};
 use chivevalve::gossip::{Peer, Transport};
 use chivevalve::loads;
@@ -18,8 +19,8 @@
 use chivevalve::runner::Reach;
 use chivevalve::schema::peer::Digest;
 use futures::StreamExt;
-use owner_fakes::{Bench, attempt, text};
-use peer_fakes::{Nobody, Node, clients};
+use owner_fakes::{Bench, attempt, push, text};
+use peer_fakes::{Nobody, Node, clients, impatient};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -41,6 +42,19 @@
     assert_eq!(bench.engine.runs(), ["r1"]);
 }
 
+#[tokio::test]
+async fn call_at_peer() {
+    let bench = Bench::unowned();
+    bench.adopt_as(Kind::Service, 4, 1).await;
+    let node = Node::start(bench.registry.clone()).await;
+    let runner = clients().runner(&node.owner);
+    let answer = runner.run(push("r1", "{\"sum\":12}")).await.unwrap();
+    assert_eq!(answer.head.status, 201);
+    assert_eq!(answer.head.headers["x-till"], "4");
+    assert_eq!(text(answer).await.unwrap(), "{\"sum\":12}");
+    assert_eq!(bench.engine.runs(), ["POST /receipts?till=4"]);
+}
+
 #[tokio::test]
 async fn run_refused_at_peer() {
     let node = Node::start(Arc::new(Nobody)).await;
@@ -108,6 +122,33 @@
     assert_eq!(failure.fate(), Fate::Unknown);
 }
 
+/// Symptom: requests hang until their deadlines while a node is paused.
+/// Sequence: the owner's process stops; its kernel still accepts connections.
+/// Cause: a connection that is open was taken for a peer that lives.
+#[tokio::test]
+async fn run_at_paused_peer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let owner = Owner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        peer: listener.local_addr().unwrap(),
+    };
+    let clients = impatient();
+    let runner = clients.runner(&owner);
+    let failure = runner.run(attempt("r1", "plans", true)).await.unwrap_err();
+    // It may read the request when it wakes, so nobody can say that it wasn't run.
+    assert_eq!(failure.code, Code::PeerLost);
+    assert_eq!(failure.fate(), Fate::Unknown);
+    let peer = Peer {
+        name: "b".into(),
+        address: owner.peer,
+        region: "here".into(),
+    };
+    assert!(clients.exchange(&peer, Digest::default()).await.is_err());
+    drop(listener);
+}
+
 /// Passes bytes between a client and a node until it is cut.
 async fn relay(to: SocketAddr) -> (SocketAddr, CancellationToken) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
