--- a/lib/src/fate/mod.rs
+++ b/lib/src/fate/mod.rs
@@ -32,7 +32,7 @@
 impl Default for Rules {
     fn default() -> Self {
         Self {
-            attempts: 3,
+            attempts: 4,
             redirects: 10,
             unknowns: 2,
             backoff: Backoff::default(),
