--- a/lib/src/membership/keeper.rs
+++ b/lib/src/membership/keeper.rs
@@ -384,9 +384,11 @@
         loop {
             let (watcher, from) = {
                 let core = self.lock();
-                (core.machine.watcher(), core.machine.table().read_up_to())
+                let table = core.machine.table();
+                let watcher = core.machine.watcher() && table.has_read();
+                (watcher, table.read_up_to())
             };
-            if watcher && from > 0 {
+            if watcher {
                 self.watch_from(from).await;
                 self.step(|core, _| core.machine.read_again());
             }
@@ -434,6 +436,7 @@
             .machine
             .table()
             .claims()
+            .filter(|claim| !claim.is_free())
             .map(|claim| (claim.upstream.clone(), Arc::new(claim.owner())))
             .collect();
         let all = core.upstreams.all(now);
--- a/lib/src/membership/machine/claims.rs
+++ b/lib/src/membership/machine/claims.rs
@@ -357,16 +357,17 @@
         }
     }
 
-    fn remove_claim(&mut self, now: Millis, upstream: &Name) {
-        let Some(token) = self.table.claim(upstream).map(|claim| claim.token) else {
+    // The claim is written over instead of removed: a removed one could come back
+    // from a peer that still has it, and a late removal could take a newer one.
+    fn free_claim(&mut self, now: Millis, upstream: &Name) {
+        let own = self.table.claim(upstream).cloned();
+        let Some(own) = own.filter(|claim| claim.names(&self.identity)) else {
             return;
         };
+        let over = own.token;
         let key = self.keys.claim(upstream);
-        let transaction = Transaction {
-            conditions: vec![Condition::Unchanged(key.clone(), token)],
-            writes: vec![Write::Delete(key)],
-        };
-        self.call(now, Purpose::Tidy, Call::Commit(transaction));
+        let conditions = vec![Condition::Unchanged(key, over)];
+        self.write_claim(now, own.freed(), over, conditions);
     }
 
     fn may_adopt(&self) -> bool {
@@ -442,7 +443,7 @@
             held.until.store(0, Ordering::Release);
         }
         if !self.regions.contains_key(upstream) {
-            self.remove_claim(now, upstream);
+            self.free_claim(now, upstream);
             return;
         }
         self.write_handover(now, upstream);
@@ -490,24 +491,41 @@
             return;
         }
         self.next_tidy = now + self.jitter(TIDY);
+        let leftover = self
+            .leftover_registration()
+            .or_else(|| self.leftover_claim());
+        if let Some(transaction) = leftover {
+            self.call(now, Purpose::Tidy, Call::Commit(transaction));
+        }
+    }
+
+    fn leftover_registration(&self) -> Option<Transaction> {
         let left = self.table.registrations().find(|record| {
             let start = &record.identity;
             let stands = self.table.live_record(&start.name);
             stands.is_none() && !self.table.claims().any(|claim| claim.names(start))
-        });
-        let Some(left) = left.cloned() else {
-            return;
-        };
+        })?;
         let start = &left.identity;
         let key = self.keys.registration(&start.name, start.incarnation);
-        let transaction = Transaction {
+        Some(Transaction {
             conditions: vec![
                 Condition::Unchanged(key.clone(), left.revision),
                 Condition::Absent(self.keys.node(&start.name)),
             ],
             writes: vec![Write::Delete(key)],
-        };
-        self.call(now, Purpose::Tidy, Call::Commit(transaction));
+        })
+    }
+
+    fn leftover_claim(&self) -> Option<Transaction> {
+        let left = self
+            .table
+            .claims()
+            .find(|claim| claim.is_free() && !self.regions.contains_key(&claim.upstream))?;
+        let key = self.keys.claim(&left.upstream);
+        Some(Transaction {
+            conditions: vec![Condition::Unchanged(key.clone(), left.token)],
+            writes: vec![Write::Delete(key)],
+        })
     }
 
     /// Goes on with the node's planned stop.
--- a/lib/src/membership/machine/lease.rs
+++ b/lib/src/membership/machine/lease.rs
@@ -72,7 +72,7 @@
     // A registration is written anew when there is none, when the fleet has
     // outgrown the lease's span, when witnesses have gone, or when draining begins.
     fn enter(&mut self, now: Millis) {
-        if self.last_service.is_none() || self.table.read_up_to() == 0 {
+        if !self.table.has_read() {
             return;
         }
         let span = self.limits.lease_span(self.fleet_size());
--- a/lib/src/membership/node.rs
+++ b/lib/src/membership/node.rs
@@ -161,6 +161,22 @@
         self.to_message().encode_to_vec().into()
     }
 
+    /// Returns the claim that its owner leaves behind: nobody's.
+    #[must_use]
+    pub fn freed(self) -> Self {
+        Self {
+            node: Name::from(""),
+            incarnation: 0,
+            ..self
+        }
+    }
+
+    /// Whether nobody owns the upstream.
+    #[must_use]
+    pub fn is_free(&self) -> bool {
+        self.node.is_empty()
+    }
+
     /// Whether it names this start of a node.
     #[must_use]
     pub fn names(&self, identity: &Identity) -> bool {
--- a/lib/src/membership/table.rs
+++ b/lib/src/membership/table.rs
@@ -22,6 +22,7 @@
     registrations: BTreeMap<(Name, u64), Record>,
     read_up_to: u64,
     version: u64,
+    read: bool,
 }
 
 impl Table {
@@ -36,6 +37,7 @@
             registrations: BTreeMap::new(),
             read_up_to: 0,
             version: 0,
+            read: false,
         }
     }
 
@@ -51,6 +53,12 @@
         self.version
     }
 
+    /// Whether this node has read the service's keys for itself.
+    #[must_use]
+    pub fn has_read(&self) -> bool {
+        self.read
+    }
+
     /// Lists the claims by upstream.
     pub fn claims(&self) -> impl Iterator<Item = &Claim> {
         self.claims.values()
@@ -111,6 +119,7 @@
             return false;
         }
         self.read_up_to = listing.revision;
+        self.read = true;
         self.version += 1;
         let before = std::mem::take(&mut self.nodes);
         self.claims
