membership: what was learned since a read outlasts the read's late answer

Cause: the answer of a read that was sent before the write put the older claim back. A read now changes only what isn't newer than it.

--- a/bench/src/fuzz_outcomes/harness/campaign.rs
+++ b/bench/src/fuzz_outcomes/harness/campaign.rs
@@ -9,6 +9,8 @@
 use super::story::Story;
 use super::world::World;
 
+/// Lines of what happened that are shown.
+const TRACED: usize = 120;
 /// Tries to shrink one failing story.
 const SHRINKS: usize = 3000;
 
@@ -21,6 +23,8 @@
     pub story: Story,
     /// What it breaks.
     pub violation: Violation,
+    /// What happened last before it broke.
+    pub trace: Vec<String>,
 }
 
 /// What a campaign found.
@@ -90,9 +94,22 @@
         }
         break;
     }
+    let trace = trace(&story, guards);
     Failure {
         seed,
         story,
         violation,
+        trace,
     }
 }
+
+/// Plays a story once more and returns what happened last.
+fn trace(story: &Story, guards: Guards) -> Vec<String> {
+    let mut world = World::new(story, guards);
+    world.trace = Some(Vec::new());
+    // The violation is known; the trace is what is wanted.
+    let _ = world.play(story);
+    let mut trace = world.trace.unwrap_or_default();
+    let early = trace.len().saturating_sub(TRACED);
+    trace.split_off(early)
+}
--- a/bench/src/fuzz_outcomes/harness/world.rs
+++ b/bench/src/fuzz_outcomes/harness/world.rs
@@ -93,6 +93,8 @@
     backlog: VecDeque<Arrival>,
     served: BTreeMap<Name, Served>,
     cut: u32,
+    // A watch tells in order.
+    watched_until: u64,
 }
 
 impl Node {
@@ -126,6 +128,8 @@
     faults: Faults,
     regions: BTreeMap<Name, Name>,
     violation: Option<Violation>,
+    /// What happened, if it is wanted.
+    pub trace: Option<Vec<String>>,
     /// Rare events that machines noted, so that campaigns can show what they reached.
     pub notes: BTreeMap<&'static str, u64>,
 }
@@ -146,6 +150,7 @@
             faults: Faults::default(),
             regions: BTreeMap::new(),
             violation: None,
+            trace: None,
             notes: BTreeMap::new(),
         };
         for index in 0..story.upstreams {
@@ -181,6 +186,7 @@
             backlog: VecDeque::new(),
             served: BTreeMap::new(),
             cut: 0,
+            watched_until: 0,
         });
         let wait = self.rng.random_range(0..1000);
         self.later(wait, Due::Start(index));
@@ -236,6 +242,13 @@
         }
     }
 
+    fn tell(&mut self, line: impl FnOnce() -> String) {
+        let now = self.now;
+        if let Some(trace) = &mut self.trace {
+            trace.push(format!("{now:>7} {}", line()));
+        }
+    }
+
     fn later(&mut self, span: u64, due: Due) {
         self.order += 1;
         self.due.insert((self.now + span, self.order), due);
@@ -273,6 +286,7 @@
     }
 
     fn take(&mut self, step: Step) {
+        self.tell(|| format!("-- {step:?}"));
         match step {
             Step::Wait(span) => self.later(u64::from(span), Due::End(Fault::Late)),
             Step::Pause(node, span) => {
@@ -446,6 +460,9 @@
     }
 
     fn arrive(&mut self, index: usize, arrival: Arrival) {
+        if self.trace.is_some() {
+            self.tell_arrival(index, &arrival);
+        }
         match arrival {
             Arrival::Tick => {
                 self.on_machine(index, Machine::tick);
@@ -489,6 +506,28 @@
         }
     }
 
+    fn tell_arrival(&mut self, index: usize, arrival: &Arrival) {
+        match arrival {
+            Arrival::Answer(
+                number,
+                answer @ (Answer::Said(_) | Answer::Committed(_) | Answer::Renewed(_)),
+            ) => {
+                self.tell(|| format!("n{index} call {number}: {answer:?}"));
+            }
+            Arrival::Asked { from, ask, .. } => {
+                self.tell(|| {
+                    let node = &ask.node;
+                    let what = ask.withdraw_before;
+                    format!(
+                        "n{index} asked by n{from} about {node}/{} registered {}: {what:?}",
+                        ask.incarnation, ask.registration
+                    )
+                });
+            }
+            _ => {}
+        }
+    }
+
     fn asked(&mut self, index: usize, from: usize, start: u64, number: u64, ask: &witness::Ask) {
         let now = self.nodes[index].clock(self.now);
         let reached = self.service_reachable(index);
@@ -525,12 +564,16 @@
 
     fn carry_out(&mut self, index: usize, action: Action) {
         match action {
-            Action::Note(note) => *self.notes.entry(note).or_default() += 1,
+            Action::Note(note) => {
+                *self.notes.entry(note).or_default() += 1;
+                self.tell(|| format!("n{index} notes {note}"));
+            }
             Action::Adopt {
                 upstream,
                 token,
                 until,
             } => {
+                self.tell(|| format!("n{index} adopts {upstream} under {token}"));
                 let served = Served {
                     token,
                     until,
@@ -747,6 +790,9 @@
         if changes.is_empty() {
             return;
         }
+        for event in &changes {
+            self.tell(|| describe(event));
+        }
         for index in 0..self.nodes.len() {
             let watches = self.nodes[index]
                 .machine
@@ -757,6 +803,9 @@
             }
             let start = self.nodes[index].identity.incarnation;
             let delay = self.delay();
+            let until = &mut self.nodes[index].watched_until;
+            *until = (*until).max(self.now + delay);
+            let delay = *until - self.now;
             for event in &changes {
                 let seen = Arrival::Seen(event.clone());
                 self.later(delay, Due::Node(index, start, seen));
@@ -794,6 +843,19 @@
     }
 }
 
+fn describe(event: &Event) -> String {
+    let what = match &event.entry {
+        None => "ends".to_owned(),
+        Some(entry) => Claim::from_value(&entry.value, 0)
+            .filter(|_| event.key.contains("claims/"))
+            .map_or_else(
+                || "written".to_owned(),
+                |claim| format!("goes to {}", claim.node),
+            ),
+    };
+    format!("service {}: {} {what}", event.revision, event.key)
+}
+
 fn failed(call: &Call, error: Error) -> Answer {
     match call {
         Call::Grant(_) => Answer::Granted(Err(error)),
--- a/bench/src/fuzz_outcomes/mod.rs
+++ b/bench/src/fuzz_outcomes/mod.rs
@@ -11,6 +11,7 @@
 
 use self::harness::campaign::{self, Report};
 use crate::Verdict;
+use crate::report::Format;
 
 const USAGE: &str = "\
 Usage: chivevalve-bench fuzz-outcomes [OPTIONS]
@@ -75,7 +76,10 @@
             Long("seed") => options.seed = parser.value()?.parse()?,
             Long("without") => options.without = Some(guard(&parser.value()?.string()?)?),
             Long("guards") => options.each = true,
-            Long("format") => options.json = format(&parser.value()?.string()?)?,
+            Long("format") => {
+                let format: Format = parser.value()?.parse()?;
+                options.json = format == Format::Json;
+            }
             Long("help") | Short('h') => return Ok(None),
             other => return Err(other.unexpected().into()),
         }
@@ -83,14 +87,6 @@
     Ok(Some(options))
 }
 
-fn format(name: &str) -> Result<bool> {
-    match name {
-        "json" => Ok(true),
-        "table" => Ok(false),
-        _ => Err(eyre::eyre!("unknown format {name:?}: table or json")),
-    }
-}
-
 fn guard(name: &str) -> Result<Guard> {
     Guard::ALL
         .into_iter()
@@ -112,6 +108,7 @@
                 "seed": failure.seed,
                 "violation": failure.violation.to_string(),
                 "story": failure.story.to_string(),
+                "trace": failure.trace,
             })),
         });
         println!("{value:#}");
@@ -127,8 +124,11 @@
     match failure {
         None => println!("violations: 0"),
         Some(failure) => println!(
-            "violations: 1\nseed {}: {}\n{}",
-            failure.seed, failure.violation, failure.story
+            "violations: 1\nseed {}: {}\n{}\n{}",
+            failure.seed,
+            failure.violation,
+            failure.story,
+            failure.trace.join("\n")
         ),
     }
 }
@@ -145,9 +145,19 @@
         if !options.json {
             let what = caught.map_or_else(
                 || "NOT CAUGHT".to_owned(),
-                |failure| format!("{:?} in {} steps", failure.violation.promise, failure.story.steps.len()),
+                |failure| {
+                    format!(
+                        "{:?} in {} steps",
+                        failure.violation.promise,
+                        failure.story.steps.len()
+                    )
+                },
+            );
+            println!(
+                "{:<20} {:>8} events: {what}",
+                format!("{guard:?}"),
+                report.events
             );
-            println!("{:<20} {:>8} events: {what}", format!("{guard:?}"), report.events);
         }
         rows.push(json!({
             "guard": format!("{guard:?}"),
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -10,6 +10,7 @@
 use lexopt::prelude::*;
 
 mod fuzz_config;
+mod fuzz_outcomes;
 mod policy;
 mod report;
 mod slopes;
@@ -38,6 +39,11 @@
         about: "stories of faults against a log of accepted revisions",
         run: fuzz_config::run,
     },
+    Campaign {
+        name: "fuzz-outcomes",
+        about: "random faults on several nodes' state machines, in virtual time",
+        run: fuzz_outcomes::run,
+    },
     Campaign {
         name: "policy",
         about: "decisions under load, in virtual time, against baselines and a lower bound",
--- a/lib/src/membership/table.rs
+++ b/lib/src/membership/table.rs
@@ -121,22 +121,25 @@
         self.read_up_to = listing.revision;
         self.read = true;
         self.version += 1;
+        // This node may have written since the read was made; its answer must not
+        // undo what came after.
+        let as_of = listing.revision;
+        self.claims.retain(|_, claim| claim.token > as_of);
+        self.registrations
+            .retain(|_, record| record.revision > as_of);
         let before = std::mem::take(&mut self.nodes);
-        self.claims
-            .retain(|_, claim| claim.token > listing.revision);
-        self.registrations.clear();
         for entry in &listing.entries {
             self.put(&entry.key, &entry.value, entry.revision);
         }
         for (name, mut record) in before {
-            if self.nodes.contains_key(&name) {
-                continue;
-            }
-            if !record.gone && record.revision <= listing.revision {
-                record.gone = true;
-                record.revision = listing.revision;
+            let newer = record.revision > as_of;
+            if newer || !self.nodes.contains_key(&name) {
+                if !newer && !record.gone {
+                    record.gone = true;
+                    record.revision = as_of;
+                }
+                self.nodes.insert(name, record);
             }
-            self.nodes.insert(name, record);
         }
         self.forget_ended();
         true
@@ -162,8 +165,8 @@
     /// Returns whether it was news. What this node read for itself is complete
     /// up to [`Table::read_up_to`], so an older claim can only be one that ended.
     pub fn learn_claim(&mut self, claim: Claim) -> bool {
-        let known = self.claims.get(&claim.upstream).map_or(0, |c| c.token);
-        if claim.token <= known.max(self.read_up_to) {
+        let known = self.claims.get(&claim.upstream).map(|known| known.token);
+        if claim.token <= known.unwrap_or(self.read_up_to) {
             return false;
         }
         self.claims.insert(claim.upstream.clone(), claim);
@@ -186,10 +189,13 @@
         true
     }
 
-    /// Takes over a registration that this node wrote itself.
+    /// Takes over a registration, unless a newer one is known.
     pub fn learn_registration(&mut self, record: Record) {
         let start = (record.identity.name.clone(), record.identity.incarnation);
-        self.registrations.insert(start, record);
+        let known = self.registrations.get(&start).map_or(0, |r| r.revision);
+        if record.revision > known {
+            self.registrations.insert(start, record);
+        }
     }
 
     /// Returns the largest revision of any entry.
@@ -218,18 +224,23 @@
     fn put(&mut self, key: &str, value: &[u8], revision: u64) {
         match self.keys.parse(key) {
             Some(Key::Node(name)) => {
-                if let Some(record) = Record::from_value(value, revision) {
+                let known = self.nodes.get(name).map_or(0, |record| record.revision);
+                if let Some(record) = Record::from_value(value, revision)
+                    && revision > known
+                {
                     self.nodes.insert(Name::from(name), record);
                 }
             }
-            Some(Key::Registration(name, incarnation)) => {
+            Some(Key::Registration(..)) => {
                 if let Some(record) = Record::from_value(value, revision) {
-                    self.registrations
-                        .insert((Name::from(name), incarnation), record);
+                    self.learn_registration(record);
                 }
             }
             Some(Key::Claim(upstream)) => {
-                if let Some(claim) = Claim::from_value(value, revision) {
+                let known = self.claims.get(upstream).map_or(0, |claim| claim.token);
+                if let Some(claim) = Claim::from_value(value, revision)
+                    && revision > known
+                {
                     self.claims.insert(Name::from(upstream), claim);
                 }
             }
@@ -240,21 +251,37 @@
     fn remove(&mut self, key: &str, revision: u64) {
         match self.keys.parse(key) {
             Some(Key::Node(name)) => {
-                if let Some(record) = self.nodes.get_mut(name) {
+                if let Some(record) = self.nodes.get_mut(name)
+                    && record.revision < revision
+                {
                     record.gone = true;
                     record.revision = revision;
                 }
             }
             Some(Key::Registration(name, incarnation)) => {
-                self.registrations.remove(&(Name::from(name), incarnation));
+                let start = (Name::from(name), incarnation);
+                if self
+                    .registrations
+                    .get(&start)
+                    .is_some_and(|r| r.revision < revision)
+                {
+                    self.registrations.remove(&start);
+                }
             }
             Some(Key::Claim(upstream)) => {
-                self.claims.remove(upstream);
+                self.remove_claim(upstream, revision);
             }
             None => {}
         }
     }
 
+    fn remove_claim(&mut self, upstream: &str, revision: u64) {
+        let token = self.claims.get(upstream).map(|claim| claim.token);
+        if token.is_some_and(|token| token < revision) {
+            self.claims.remove(upstream);
+        }
+    }
+
     fn forget_ended(&mut self) {
         let mut ended: Vec<u64> = self
             .nodes
--- a/lib/tests/test_ownership_fuzz.rs
+++ b/lib/tests/test_ownership_fuzz.rs
@@ -14,8 +14,11 @@
     let report = campaign::run(EVENTS, 1, Guards::all());
     if let Some(failure) = report.failure {
         panic!(
-            "seed {}: {}\n{}",
-            failure.seed, failure.violation, failure.story
+            "seed {}: {}\n{}\n{}",
+            failure.seed,
+            failure.violation,
+            failure.story,
+            failure.trace.join("\n")
         );
     }
     println!("{:?}", report.notes);
