cli: an unknown outcome names the revision too

Cause: given again with the change id alone, a change that wasn't made would be planned anew and overwrite what others changed since.

--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -33,7 +33,7 @@
 pub enum Effect {
     /// It only looks.
     None,
-    /// It changes something; the id, if it has one, settles whether it did.
+    /// It changes something; the options, if there are any, make the same command settle whether it did.
     Change(Option<String>),
 }
 
@@ -249,12 +249,12 @@
 
     fn failure(self) -> Failure {
         if self.maybe {
-            let change_id = match self.effect {
-                Effect::Change(id) => id,
+            let settle = match self.effect {
+                Effect::Change(options) => options,
                 Effect::None => None,
             };
             return Failure::Unknown {
-                change_id,
+                settle,
                 reasons: self.reasons,
             };
         }
--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -55,7 +55,7 @@
             expected_revision: expected,
             files,
         };
-        let effect = Effect::Change(Some(change.change_id.clone()));
+        let effect = effect(&change.change_id, change.expected_revision);
         let accepted: Accepted = client.post("/v1/apply", &change, effect).await?;
         output::answer(args.format, &accepted, text)
     })
@@ -102,6 +102,14 @@
         .unwrap_or_else(|| config::new_id().to_string())
 }
 
+/// Returns the effect of a change, with the options that settle it.
+///
+/// Without the revision, the command would plan anew and overwrite what others
+/// changed since.
+pub(super) fn effect(change_id: &str, expected: u64) -> Effect {
+    Effect::Change(Some(format!("--change-id {change_id} --expect {expected}")))
+}
+
 /// Says what was accepted.
 pub(super) fn text(accepted: &Accepted) -> String {
     let revision = accepted.revision;
--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -94,11 +94,15 @@
         "UPSTREAM", "DOMAIN", "STATE", "OWNER", "ADAPTER", "RUNNING", "AHEAD",
     ];
     let mut rows = vec![head.map(str::to_owned).to_vec()];
-    rows.extend(candidates.iter().map(row));
+    for (number, candidate) in candidates.iter().enumerate() {
+        let before = &candidates[..number];
+        let again = before.iter().any(|one| one.upstream == candidate.upstream);
+        rows.push(row(candidate, again));
+    }
     format!("{title}{}", output::table(&rows))
 }
 
-fn row(candidate: &Candidate) -> Vec<String> {
+fn row(candidate: &Candidate, again: bool) -> Vec<String> {
     let number = |number: Option<u32>| number.map_or_else(|| "?".to_owned(), |n| n.to_string());
     let adapter = match candidate.resident {
         Some(true) => "in a slot",
@@ -108,7 +112,11 @@
     vec![
         candidate.upstream.clone(),
         candidate.failure_domain.clone(),
-        candidate.state.clone(),
+        if again {
+            format!("{}, again", candidate.state)
+        } else {
+            candidate.state.clone()
+        },
         candidate
             .owner
             .clone()
--- a/cli/src/commands/rollback.rs
+++ b/cli/src/commands/rollback.rs
@@ -4,7 +4,6 @@
 
 use super::{Command, apply, online};
 use crate::args::Args;
-use crate::client::Effect;
 use crate::failure::Failure;
 use crate::output;
 
@@ -48,7 +47,7 @@
             expected_revision,
             to_revision,
         };
-        let effect = Effect::Change(Some(change.change_id.clone()));
+        let effect = apply::effect(&change.change_id, expected_revision);
         let accepted: Accepted = client.post("/v1/rollback", &change, effect).await?;
         output::answer(args.format, &accepted, apply::text)
     })
--- a/cli/src/failure.rs
+++ b/cli/src/failure.rs
@@ -19,8 +19,8 @@
     Refused(Refusal),
     /// A change was sent and no node could say what became of it.
     Unknown {
-        /// The change's id, with which it can be settled.
-        change_id: Option<String>,
+        /// Options with which the same command settles it.
+        settle: Option<String>,
         /// What went wrong at each node.
         reasons: Vec<String>,
     },
@@ -63,13 +63,13 @@
                 lines(f, reasons)
             }
             Self::Refused(refusal) => refused(f, refusal),
-            Self::Unknown { change_id, reasons } => {
+            Self::Unknown { settle, reasons } => {
                 writeln!(f, "chivevalve: it isn't known whether the change was made")?;
                 lines(f, reasons)?;
-                match change_id {
-                    Some(id) => writeln!(
+                match settle {
+                    Some(options) => writeln!(
                         f,
-                        "give the same command again with --change-id {id}; the change is never made twice"
+                        "give the same command again with {options}; the change is never made twice"
                     ),
                     None => writeln!(f, "look at chivevalve status, then give the command again"),
                 }
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -31,6 +31,7 @@
 use chivevalve::settings::{Access, Node, Role, Token};
 use chivevalve_standins::store::Store;
 use chivevalve_standins::weights::Weights;
+use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -198,6 +199,19 @@
     Fleet::new(upstreams, HashMap::from([("engine-1".into(), owner)]))
 }
 
+/// Starts what takes every call and breaks off without an answer.
+pub async fn silent() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = [0; 4096];
+            let _ = stream.read(&mut head).await;
+        }
+    });
+    address
+}
+
 /// Waits until a node has a revision in force.
 pub async fn in_force(site: &Site, revision: u64) {
     let mut view = site.keeper.view();
--- a/cli/tests/test_sessions.rs
+++ b/cli/tests/test_sessions.rs
@@ -10,7 +10,7 @@
 use chivevalve::platform::weights::path;
 use chivevalve_standins::store::{Knobs, Store};
 use chivevalve_standins::weights::{self, Weights};
-use common::{READ, Session, Site, WRITE, golden, in_force, start};
+use common::{READ, Session, Site, WRITE, golden, in_force, silent, start};
 
 const ACCOUNTS: &str = "accounts:
 - name: bakery
@@ -280,3 +280,24 @@
     assert_eq!(alone.run("status").await, 3);
     golden!("nodes_next_one_answers", session.done() + &alone.done());
 }
+
+/// Symptom: a change that a node made is reported as failed, and made again by hand.
+/// Sequence: the node takes the call and dies before it answers.
+/// Cause: a broken connection was taken for a refusal.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn apply_node_dies() {
+    let scene = scene(1).await;
+    let dies = silent().await;
+    let mut session = Session::new("node_dies").at(&[dies], WRITE);
+    declare(&session, TEMPLATES);
+    session.note("a call that only looks can be sent again");
+    assert_eq!(session.run("status").await, 3);
+    session.note("a change may have been made");
+    let apply = "apply declarations --reason 'first templates' --change-id 0a --expect 0";
+    assert_eq!(session.run(apply).await, 6);
+    session.note("with a second node it is settled at once, under the same id");
+    let mut session = session.at(&[dies, scene.sites[0].address], WRITE);
+    assert_eq!(session.run(apply).await, 0);
+    assert_eq!(session.run(apply).await, 0);
+    golden!("apply_node_dies", session.done());
+}
