--- a/bench/src/spread/mod.rs
+++ b/bench/src/spread/mod.rs
@@ -19,6 +19,7 @@
 pub mod links;
 mod run;
 pub mod site;
+mod sizes;
 mod ways;
 
 pub use run::base;
@@ -38,6 +39,7 @@
     format: Format,
     ways: Vec<Kind>,
     troubles: Vec<Trouble>,
+    sizes: bool,
 }
 
 fn usage() -> String {
@@ -49,7 +51,8 @@
          --seed N             seed of all draws ({DEFAULT_SEED})\n\
          --format table|json  how results are printed\n\
          --way NAME           only this way ({}); may be repeated\n\
-         --calm               only without troubles\n",
+         --calm               only without troubles\n\
+         --sizes              instead, what the layout costs as templates grow\n",
         names.join(", ")
     )
 }
@@ -62,6 +65,7 @@
         format: Format::default(),
         ways: Vec::new(),
         troubles: Trouble::ALL.to_vec(),
+        sizes: false,
     };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -70,6 +74,7 @@
             Long("seed") => options.seed = parser.value()?.parse()?,
             Long("format") => options.format = parser.value()?.parse()?,
             Long("way") => options.ways.push(way(&parser.value()?.string()?)?),
+            Long("sizes") => options.sizes = true,
             Long("calm") => options.troubles = vec![Trouble::None],
             Long("help") | Short('h') => {
                 print!("{}", usage());
@@ -106,6 +111,9 @@
     let Some(options) = options(parser)? else {
         return Ok(Verdict::Kept);
     };
+    if options.sizes {
+        return grow(&options);
+    }
     let mut rows = Vec::new();
     for nodes in &options.nodes {
         for kind in &options.ways {
@@ -126,6 +134,18 @@
     Ok(Verdict::Kept)
 }
 
+fn grow(options: &Options) -> Result<Verdict> {
+    let rows: Result<Vec<sizes::Row>> = sizes::SIZES
+        .into_iter()
+        .map(|templates| sizes::measure(templates, options.seed))
+        .collect();
+    match options.format {
+        Format::Table => print!("{}", sizes::table(&rows?)),
+        Format::Json => print!("{}", report::json(&rows?)?),
+    }
+    Ok(Verdict::Kept)
+}
+
 fn measure(options: &Options, kind: Kind, nodes: usize, trouble: Trouble) -> Result<Row> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
