--- a/bench/src/spread/cpu.rs
+++ b/bench/src/spread/cpu.rs
@@ -8,7 +8,6 @@
 }
 
 /// Returns the processor time of this process in nanoseconds, or 0 where it can't be read.
-#[allow(dead_code, reason = "the loopback measurement follows")]
 pub fn process_ns() -> u64 {
     let Ok(tasks) = fs::read_dir("/proc/self/task") else {
         return 0;
--- a/bench/src/spread/mod.rs
+++ b/bench/src/spread/mod.rs
@@ -17,6 +17,7 @@
 
 pub mod cpu;
 pub mod links;
+mod loopback;
 mod run;
 pub mod site;
 mod sizes;
@@ -40,6 +41,7 @@
     ways: Vec<Kind>,
     troubles: Vec<Trouble>,
     sizes: bool,
+    loopback: bool,
 }
 
 fn usage() -> String {
@@ -52,7 +54,8 @@
          --format table|json  how results are printed\n\
          --way NAME           only this way ({}); may be repeated\n\
          --calm               only without troubles\n\
-         --sizes              instead, what the layout costs as templates grow\n",
+         --sizes              instead, what the layout costs as templates grow\n\
+         --loopback           instead, real connections in real time\n",
         names.join(", ")
     )
 }
@@ -66,6 +69,7 @@
         ways: Vec::new(),
         troubles: Trouble::ALL.to_vec(),
         sizes: false,
+        loopback: false,
     };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -75,6 +79,7 @@
             Long("format") => options.format = parser.value()?.parse()?,
             Long("way") => options.ways.push(way(&parser.value()?.string()?)?),
             Long("sizes") => options.sizes = true,
+            Long("loopback") => options.loopback = true,
             Long("calm") => options.troubles = vec![Trouble::None],
             Long("help") | Short('h') => {
                 print!("{}", usage());
@@ -114,6 +119,9 @@
     if options.sizes {
         return grow(&options);
     }
+    if options.loopback {
+        return connect(&options);
+    }
     let mut rows = Vec::new();
     for nodes in &options.nodes {
         for kind in &options.ways {
@@ -146,6 +154,19 @@
     Ok(Verdict::Kept)
 }
 
+fn connect(options: &Options) -> Result<Verdict> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let mut rows = Vec::new();
+    for nodes in &options.nodes {
+        rows.push(runtime.block_on(loopback::run(*nodes, options.changes, options.seed))?);
+    }
+    match options.format {
+        Format::Table => print!("{}", loopback::table(&rows)),
+        Format::Json => print!("{}", report::json(&rows)?),
+    }
+    Ok(Verdict::Kept)
+}
+
 fn measure(options: &Options, kind: Kind, nodes: usize, trouble: Trouble) -> Result<Row> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
--- a/bench/src/spread/site.rs
+++ b/bench/src/spread/site.rs
@@ -146,6 +146,7 @@
 pub struct Site {
     pub peer: Peer,
     pub config: Arc<config::Keeper>,
+    pub gossip: Option<Arc<gossip::Keeper>>,
     pub transport: Arc<dyn Transport>,
     pub stop: CancellationToken,
 }
@@ -248,6 +249,7 @@
         Self {
             peer,
             config,
+            gossip,
             transport,
             stop,
         }
