cli: three nodes through an outage of the key-value service

Cause: no test of real processes took the service away. Change: with the service down for two leases every node answers each kind of request, an apply is refused as not made, and works again afterwards.

--- a/cli/tests/test_daemons.rs
+++ b/cli/tests/test_daemons.rs
@@ -7,10 +7,12 @@
 
 use chivevalve::error::Fate;
 use chivevalve::secret;
+use chivevalve::settings::defaults;
 use chivevalve_standins::caller::{Caller, Ending, Errand, Question, Told};
 use chivevalve_standins::fleet::{self, TOKEN};
 use chivevalve_standins::platform::{Plan, Platform};
 use chivevalve_standins::process::Scratch;
+use chivevalve_standins::store;
 use common::Session;
 use common::daemons::{PATIENCE, Process, until};
 use http::Method;
@@ -226,6 +228,37 @@
     scene.truth(&logs.join("\n"));
 }
 
+/// Symptom: callers are refused while the key-value service is down.
+/// Sequence: the service goes down for longer than a lease lasts.
+/// Cause: owners gave their upstreams up although every node still heard them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemons_store_outage() {
+    let mut scene = scene("outage_daemons").await;
+    let down = store::Knobs {
+        down: true,
+        ..store::Knobs::default()
+    };
+    scene.platform.set_store(down).await.unwrap();
+    tokio::time::sleep(defaults::LEASE.duration() * 2).await;
+    for process in &scene.nodes {
+        scene.every_kind(process, "outage").await;
+    }
+    let apply = "apply declarations --reason 'during the outage'";
+    assert_eq!(scene.session.run(apply).await, 4);
+    assert_eq!(scene.session.run("status --all").await, 0);
+    scene
+        .platform
+        .set_store(store::Knobs::default())
+        .await
+        .unwrap();
+    until("the service is used again", async || {
+        scene.session.run(apply).await == 0
+    })
+    .await;
+    let logs: Vec<String> = scene.nodes.iter().map(Process::log).collect();
+    scene.truth(&logs.join("\n"));
+}
+
 /// Symptom: a node can't be stopped while a caller reads slowly.
 /// Sequence: SIGTERM, then SIGTERM again before everything is answered.
 /// Cause: the second signal was ignored.
