claim: a lost answer outlasts a later failure to send

Found by the new stories of several nodes on one faulty service: after a lost answer, a second write that couldn't be sent made the claim count as failed, and the first write, arriving late, blocked the key until its lease ended.

--- a/lib/src/claim/writer.rs
+++ b/lib/src/claim/writer.rs
@@ -70,12 +70,14 @@
     /// Does all jobs, which are on different keys; returns how each ended, in order.
     pub async fn write(&self, jobs: &[Job], held: &mut Option<Held>) -> Vec<Settled> {
         let mut settled = vec![None; jobs.len()];
+        let mut doubt = false;
         for _ in 0..ROUNDS {
             let open: Vec<usize> = (0..jobs.len()).filter(|i| settled[*i].is_none()).collect();
             if open.is_empty() {
                 break;
             }
-            self.round(jobs, &open, held, &mut settled).await;
+            self.round(jobs, &open, held, &mut settled, &mut doubt)
+                .await;
         }
         // A job that is still open met a doubtful answer last, or lost a race each time.
         settled
@@ -90,9 +92,10 @@
         open: &[usize],
         held: &mut Option<Held>,
         settled: &mut [Option<Settled>],
+        doubt: &mut bool,
     ) {
         let Some(lease) = self.current(held).await else {
-            fail(open, settled);
+            fail(open, settled, *doubt);
             return;
         };
         let transaction = transaction(open.iter().map(|index| &jobs[*index]), lease);
@@ -102,14 +105,16 @@
                     settled[*index] = Some(jobs[*index].done(commit.revision));
                 }
             }
-            Err(Error::Unreachable(_)) => fail(open, settled),
+            Err(Error::Unreachable(_)) => fail(open, settled, *doubt),
             Err(Error::Refused(reason)) => {
                 // The usual reason is a lease that is gone; the next round takes a new one.
                 log::warn!("claim: the service refused a transaction: {reason}");
                 *held = None;
             }
-            // A condition failed, or nobody can tell: each key itself says which.
-            Ok(_) | Err(Error::NoAnswer(_) | Error::Malformed(_)) => {
+            // A condition failed: each key itself says which.
+            Ok(_) => self.read_back(jobs, open, settled).await,
+            Err(Error::NoAnswer(_) | Error::Malformed(_)) => {
+                *doubt = true;
                 self.read_back(jobs, open, settled).await;
             }
         }
@@ -172,9 +177,18 @@
     }
 }
 
-fn fail(open: &[usize], settled: &mut [Option<Settled>]) {
+/// Gives jobs up whose last transaction wasn't sent.
+///
+/// A transaction before it whose answer was lost may still take effect; calling
+/// the job failed then would leave a claim behind that nobody clears away.
+fn fail(open: &[usize], settled: &mut [Option<Settled>], doubt: bool) {
+    let end = if doubt {
+        Settled::Doubtful
+    } else {
+        Settled::Failed
+    };
     for index in open {
-        settled[*index] = Some(Settled::Failed);
+        settled[*index] = Some(end.clone());
     }
 }
 
--- a/lib/tests/entry_support/store.rs
+++ b/lib/tests/entry_support/store.rs
@@ -18,6 +18,8 @@
     AnswerLost,
     /// It is lost on the way, and nobody can tell.
     CallLost,
+    /// Its answer is lost, and it takes effect only after another call.
+    Late,
 }
 
 #[derive(Debug, Default)]
@@ -32,6 +34,7 @@
     entries: BTreeMap<String, Entry>,
     faults: VecDeque<Option<Fault>>,
     down: bool,
+    late: Vec<Transaction>,
     commits: usize,
     reads: usize,
 }
@@ -46,6 +49,13 @@
         self.inner.lock().unwrap().down = down;
     }
 
+    /// Nothing goes wrong from now on.
+    pub fn mend(&self) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.down = false;
+        inner.faults.clear();
+    }
+
     pub fn keys(&self) -> Vec<String> {
         self.inner.lock().unwrap().entries.keys().cloned().collect()
     }
@@ -115,7 +125,11 @@
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         let mut inner = self.up()?;
         inner.reads += 1;
-        Ok(inner.entries.get(key).cloned())
+        let found = inner.entries.get(key).cloned();
+        for late in std::mem::take(&mut inner.late) {
+            inner.apply(late);
+        }
+        Ok(found)
     }
 
     async fn list(&self, _: &str) -> Result<Listing, Error> {
@@ -129,6 +143,10 @@
         match inner.faults.pop_front().flatten() {
             None => Ok(inner.apply(transaction)),
             Some(Fault::Unreachable) => Err(Error::Unreachable("scripted".into())),
+            Some(Fault::Late) => {
+                inner.late.push(transaction);
+                Err(Error::NoAnswer("scripted".into()))
+            }
             Some(Fault::CallLost) => Err(Error::NoAnswer("scripted".into())),
             Some(Fault::AnswerLost) => {
                 inner.apply(transaction);
