--- a/lib/tests/entry_support/mod.rs
+++ b/lib/tests/entry_support/mod.rs
@@ -94,9 +94,7 @@
 
     /// Waits until all tries and answers have ended or were dropped.
     pub async fn closed(&self) {
-        while self.open.load(Ordering::SeqCst) > 0 {
-            tokio::task::yield_now().await;
-        }
+        eventually(|| self.open.load(Ordering::SeqCst) == 0).await;
     }
 
     pub fn count(&self) -> usize {
@@ -160,6 +158,17 @@
     }
 }
 
+/// Waits until something holds; fails when it doesn't come to hold at all.
+pub async fn eventually(holds: impl Fn() -> bool) {
+    for _ in 0..20_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Millis(1).duration()).await;
+    }
+    panic!("it never came to hold");
+}
+
 /// A node's entry, and what stands around it.
 pub struct World {
     pub address: SocketAddr,
@@ -352,9 +361,7 @@
 
     /// Waits until a metric has a value.
     pub async fn until(&self, line: &str, value: u64) {
-        while self.metric(line) != value {
-            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
-        }
+        eventually(|| self.metric(line) == value).await;
     }
 
     pub fn stop(self) -> tokio::task::JoinHandle<()> {
--- a/lib/tests/test_entry_claims.rs
+++ b/lib/tests/test_entry_claims.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 use chivevalve::error::Code;
-use entry_support::{Fault, Memory, Script, Step, World, fail, json, limits, world, world_with};
+use entry_support::{
+    Fault, Memory, Script, Step, World, eventually, fail, json, limits, world, world_with,
+};
 
 const PUSH: &str = "POST /services/push/receipts";
 
@@ -176,9 +178,7 @@
         }
     }
     drop(call);
-    while !world.store.keys().is_empty() {
-        tokio::task::yield_now().await;
-    }
+    eventually(|| world.store.keys().is_empty()).await;
 }
 
 /// Symptom: a work order is issued twice.
