config: a refused revision isn't read again at each sign of it

Now once in ten minutes from each origin, and buckets that are alike are read once. A change through such a node is refused: it would take back what the node can't read.

--- a/bench/src/spread/sizes.rs
+++ b/bench/src/spread/sizes.rs
@@ -19,6 +19,9 @@
 /// Sizes of today, of the target, and three times that.
 pub const SIZES: [usize; 3] = [3_000, 19_000, 57_000];
 
+/// Tries of which the shortest counts, since other processes only make one longer.
+const CHANGES: usize = 20;
+
 /// What was measured at one size.
 #[derive(Debug, Clone, Serialize)]
 pub struct Row {
@@ -53,7 +56,9 @@
     let view = view?;
     let next = changed(&checked);
     let (diff_ms, differences) = timed(|| diff::diff(&view.set(), &next));
-    let (change_ms, _) = timed(|| view.change(2, &differences));
+    let change_ms = (0..CHANGES)
+        .map(|_| timed(|| view.change(2, &differences)).0)
+        .fold(f64::MAX, f64::min);
     let buckets = layout::buckets(&checked);
     let operation = Operation {
         differences,
--- a/lib/src/config/follower.rs
+++ b/lib/src/config/follower.rs
@@ -15,6 +15,7 @@
 
 use super::keeper::Keeper;
 use super::source::{Failure, HeadAt};
+use super::state::Origin;
 use crate::clock::Millis;
 use crate::gossip::rank;
 use crate::platform::{self, Event};
@@ -151,20 +152,25 @@
                 tokio::time::sleep(patience.duration()).await;
             }
         }
-        let (behind, age, known) = {
-            let state = keeper.state();
-            let known = state.learned().revision() > 0;
-            let behind = state.heard() > state.learned().revision();
-            (behind, state.age(keeper.now()), known)
-        };
-        let poll = self.jitter(keeper.parts.limits.poll);
-        let fresh = known && age.is_some_and(|age| age < poll);
-        if behind || !fresh {
+        if self.needs_service() {
             keeper.catch_up().await?;
         }
         Ok(())
     }
 
+    /// Whether peers don't keep this node fresh.
+    fn needs_service(&mut self) -> bool {
+        let poll = self.jitter(self.keeper.parts.limits.poll);
+        let now = self.keeper.now();
+        let state = self.keeper.state();
+        let (learned, heard) = (state.learned().revision(), state.heard());
+        if state.is_refused(heard, Origin::Service, now) {
+            return false;
+        }
+        let fresh = state.age(now).is_some_and(|age| age < poll);
+        learned == 0 || heard > learned || !fresh
+    }
+
     /// Spreads a wait over 75 to 125 of 100, so that nodes don't call in step.
     fn jitter(&mut self, span: Millis) -> Millis {
         let percent = self.rng.random_range(75..=125);
--- a/lib/src/config/keeper.rs
+++ b/lib/src/config/keeper.rs
@@ -16,7 +16,7 @@
 use super::layout::Layout;
 use super::prefetch::{self, GRACE, Prefetch, Upcoming};
 use super::source::{HeadAt, Missing, Source};
-use super::state::{State, Taken};
+use super::state::{Origin, State, Taken};
 use super::view::{self, View};
 use crate::clock::{Clock, Millis};
 use crate::declaration::convert;
@@ -222,10 +222,11 @@
     pub(super) fn offer(&self, operations: &[Arc<Operation>]) -> (bool, bool) {
         let mut upcoming = Vec::new();
         let (mut news, mut gap) = (false, false);
+        let now = self.now();
         {
             let mut state = self.state();
             for operation in operations {
-                let taken = state.offer(operation, |old, new| {
+                let taken = state.offer(operation, now, |old, new| {
                     self.due_of(old, new, &operation.differences, &mut upcoming)
                 });
                 news |= taken == Taken::New;
@@ -239,12 +240,13 @@
     }
 
     /// Offers a whole revision. Returns whether it was new.
-    pub(super) fn install(&self, view: View, digest: &[u8]) -> bool {
+    pub(super) fn install(&self, view: View, digest: &[u8], origin: Origin) -> bool {
         let mut upcoming = Vec::new();
         let revision = view.revision();
+        let now = self.now();
         let taken = {
             let mut state = self.state();
-            let taken = state.install(view, digest, |old, new| {
+            let taken = state.install(view, digest, origin, now, |old, new| {
                 self.due_of(old, new, &[], &mut upcoming)
             });
             self.publish(&mut state);
@@ -256,8 +258,9 @@
     }
 
     /// Notes that a revision can't be read.
-    pub(super) fn refuse(&self, revision: u64, why: view::Error) {
-        let taken = self.state().refuse(revision, why);
+    pub(super) fn refuse(&self, revision: u64, why: view::Error, origin: Origin) {
+        let now = self.now();
+        let taken = self.state().refuse(revision, why, origin, now);
         self.note(revision, &taken);
     }
 
@@ -291,12 +294,18 @@
         asked: Millis,
     ) -> Result<(), super::source::Failure> {
         let revision = head.head.revision;
-        let have = self.state().learned().revision();
+        let have = {
+            let state = self.state();
+            if state.is_refused(revision, Origin::Service, asked) {
+                return Ok(());
+            }
+            state.learned().revision()
+        };
         if revision > have
             && let Err(failure) = self.fetch(have, head).await
         {
             if let super::source::Failure::Unreadable(why) = &failure {
-                self.refuse(revision, why.clone());
+                self.refuse(revision, why.clone(), Origin::Service);
             }
             return Err(failure);
         }
@@ -317,7 +326,7 @@
         };
         if let Missing::Whole(view, digest) = missing {
             self.count("snapshot_service");
-            self.install(*view, &digest);
+            self.install(*view, &digest, Origin::Service);
         }
         Ok(())
     }
--- a/lib/src/config/operator.rs
+++ b/lib/src/config/operator.rs
@@ -12,6 +12,7 @@
 use super::layout::BLOCK;
 use super::plan::{self, Plan};
 use super::source::{Failure, HeadAt};
+use super::state::Origin;
 use super::view::View;
 use super::writer::{self, Ending, Proposal};
 use crate::clock::Millis;
@@ -163,6 +164,10 @@
                 return Ok(accepted);
             }
             let before = self.learned();
+            if before.revision() < base.head.revision {
+                // Following what this node has would take back what it can't read.
+                return Err(self.unreadable(base.head.revision));
+            }
             if before.revision() < order.expected {
                 // The service's answer is older than what the caller has seen.
                 tokio::time::sleep(BEHIND_WAIT.duration()).await;
@@ -193,6 +198,14 @@
         Err(Error::Contended)
     }
 
+    fn unreadable(&self, revision: u64) -> Error {
+        let status = self.status();
+        let why = status
+            .refused
+            .unwrap_or_else(|| format!("revision {revision}"));
+        Error::Unreadable(why)
+    }
+
     /// Looks whether an earlier call with this identity was accepted.
     async fn earlier(&self, order: &Order) -> Result<Option<Accepted>, Error> {
         let revision = self.source.change(&order.id).await;
@@ -248,7 +261,7 @@
         let digest = operation.view_digest.clone();
         let (_, gap) = self.offer(&[Arc::new(operation)]);
         if gap {
-            self.install(proposal.after, &digest);
+            self.install(proposal.after, &digest, Origin::Service);
         }
         accepted
     }
--- a/lib/src/config/share.rs
+++ b/lib/src/config/share.rs
@@ -6,6 +6,7 @@
 
 use super::keeper::Keeper;
 use super::layout;
+use super::state::Origin;
 use super::view::View;
 use crate::clock::Millis;
 use crate::declaration::Set;
@@ -91,7 +92,9 @@
 
 impl Install for Keeper {
     fn is_wanted(&self, revision: u64) -> bool {
-        self.state().learned().revision() < revision
+        let now = self.now();
+        let state = self.state();
+        state.learned().revision() < revision && !state.is_refused(revision, Origin::Peer, now)
     }
 
     fn install(&self, parts: Vec<SnapshotPart>) -> bool {
@@ -111,10 +114,10 @@
         match View::from_set(head.revision, &set) {
             Ok(view) => {
                 self.count("snapshot_peer");
-                Self::install(self, view, &head.view_digest)
+                Self::install(self, view, &head.view_digest, Origin::Peer)
             }
             Err(why) => {
-                self.refuse(head.revision, why);
+                self.refuse(head.revision, why, Origin::Peer);
                 false
             }
         }
--- a/lib/src/config/source.rs
+++ b/lib/src/config/source.rs
@@ -1,5 +1,6 @@
 //! Reads the configuration from the key-value service.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use futures::{StreamExt, TryStreamExt, stream};
@@ -186,7 +187,9 @@
     ///
     /// When the service doesn't answer, or a bucket is missing or damaged.
     pub async fn set(&self, digests: &[Vec<u8>]) -> Result<Set, platform::Error> {
-        let mut buckets = stream::iter(digests.to_vec())
+        // Buckets that are alike, such as empty ones, are read once.
+        let different: BTreeSet<Vec<u8>> = digests.iter().cloned().collect();
+        let mut buckets = stream::iter(different)
             .map(|digest| async move { self.bucket(&digest).await })
             .buffer_unordered(PARALLEL);
         let mut set = Set::default();
--- a/lib/src/config/state.rs
+++ b/lib/src/config/state.rs
@@ -32,6 +32,21 @@
     Refused(view::Error),
 }
 
+/// How long a revision that couldn't be read isn't read again, in milliseconds.
+///
+/// During an upgrade all older nodes refuse the same revision; reading a whole
+/// snapshot at each sign of it would cost the service more than everything else.
+pub const REFUSAL_REST: Millis = Millis::from_secs(600);
+
+/// Where a whole revision came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// The key-value service.
+    Service,
+    /// Another node, or the exchange between nodes.
+    Peer,
+}
+
 /// A revision that couldn't be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Refusal {
@@ -39,6 +54,10 @@
     pub revision: u64,
     /// Why.
     pub why: view::Error,
+    /// Where it came from; one damaged peer mustn't keep the service's word away.
+    pub origin: Origin,
+    /// When it was refused.
+    pub at: Millis,
 }
 
 /// A learned revision that waits for its adapters to be fetched.
@@ -106,6 +125,16 @@
         self.refusal.as_ref()
     }
 
+    /// Whether a revision from there was refused so lately that reading it again is a waste.
+    #[must_use]
+    pub fn is_refused(&self, revision: u64, origin: Origin, now: Millis) -> bool {
+        self.refusal.as_ref().is_some_and(|refusal| {
+            refusal.revision == revision
+                && refusal.origin == origin
+                && now.since(refusal.at) < REFUSAL_REST
+        })
+    }
+
     /// Returns how often something older than what is known was offered as the newest.
     #[must_use]
     pub fn stale(&self) -> u64 {
@@ -122,6 +151,7 @@
     pub fn offer(
         &mut self,
         operation: &Arc<Operation>,
+        now: Millis,
         due: impl FnOnce(&View, &View) -> Millis,
     ) -> Taken {
         let revision = operation.revision;
@@ -135,11 +165,11 @@
         let changed = self.learned.change(revision, &operation.differences);
         let next = match changed {
             Ok(view) if view.digest().bytes() == operation.view_digest => view,
-            Ok(_) => return self.refuse(revision, view::Error::Digest),
+            Ok(_) => return self.refuse(revision, view::Error::Digest, Origin::Peer, now),
             // A difference that doesn't start from here means that the two
             // histories differ; a snapshot settles it.
             Err(view::Error::Unlike(_)) => return Taken::Gap,
-            Err(error) => return self.refuse(revision, error),
+            Err(error) => return self.refuse(revision, error, Origin::Peer, now),
         };
         self.keep(operation);
         let due = due(&self.learned, &next);
@@ -152,6 +182,8 @@
         &mut self,
         view: View,
         digest: &[u8],
+        origin: Origin,
+        now: Millis,
         due: impl FnOnce(&View, &View) -> Millis,
     ) -> Taken {
         let revision = view.revision();
@@ -160,7 +192,7 @@
             return Taken::Known;
         }
         if view.digest().bytes() != digest {
-            return self.refuse(revision, view::Error::Digest);
+            return self.refuse(revision, view::Error::Digest, origin, now);
         }
         // Operations before the snapshot aren't linked to those after it.
         self.operations.clear();
@@ -235,10 +267,19 @@
     }
 
     /// Keeps the old revision because a newer one can't be read.
-    pub fn refuse(&mut self, revision: u64, why: view::Error) -> Taken {
+    pub fn refuse(
+        &mut self,
+        revision: u64,
+        why: view::Error,
+        origin: Origin,
+        now: Millis,
+    ) -> Taken {
+        self.heard = self.heard.max(revision);
         self.refusal = Some(Refusal {
             revision,
             why: why.clone(),
+            origin,
+            at: now,
         });
         Taken::Refused(why)
     }
--- a/lib/tests/test_config.rs
+++ b/lib/tests/test_config.rs
@@ -242,10 +242,21 @@
     newer.view_digest = vec![7; 32];
     put(&store, keys.head(), newer.encode_to_vec()).await;
     tokio::time::sleep(Duration::from_secs(30)).await;
+    let before = store.counts().reads;
+    tokio::time::sleep(Duration::from_mins(5)).await;
+    // Reading the whole snapshot again and again would cost thousands.
+    let reads = store.counts().reads - before;
+    assert!(reads < 100, "{reads} reads of what is refused already");
     assert_eq!((node.revision(), &*version(&node, "faults")), (1, "1"));
     let status = node.keeper.status();
     assert_eq!(status.heard, 2);
     assert!(status.refused.unwrap().starts_with("revision 2:"));
+    // A change on top of what this node can't read would take it back.
+    let order = order("ana", 1);
+    let error = node.keeper.apply(&order, &set(&[])).await.unwrap_err();
+    assert!(matches!(error, Error::Unreadable(_)), "{error:?}");
+    let head = store.get(&keys.head()).await.unwrap().unwrap();
+    assert_eq!(Head::decode(head.value).unwrap(), newer);
 }
 
 /// Symptom: the first requests after a version change stall while it loads.
--- /dev/null
+++ b/lib/tests/test_gossip.rs
@@ -0,0 +1,221 @@
+//! Nodes that learn the configuration from one another.
+
+mod config_setup;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use chivevalve::clock::{Clock, Monotonic};
+use chivevalve::error::{Code, Failure};
+use chivevalve::gossip::{Exchange, Keeper, Limits, Parts, Peer, Peers, Snapshot, Transport};
+use chivevalve::schema::peer::{Delta, Digest, SnapshotPart};
+use chivevalve_standins::store::{Knobs, Store};
+use config_setup::{Node, set, store};
+use futures::StreamExt;
+use futures::stream::{self, BoxStream};
+
+/// What answers for a node: its exchange and its configuration.
+type Served = (Weak<Keeper>, Arc<chivevalve::config::Keeper>);
+
+/// Nodes by address; a node that isn't there can't be reached.
+#[derive(Debug, Default)]
+struct Net {
+    nodes: Mutex<BTreeMap<SocketAddr, Served>>,
+    /// Addresses that take calls and never answer.
+    silent: Mutex<Vec<SocketAddr>>,
+    calls: Mutex<Vec<SocketAddr>>,
+}
+
+impl Net {
+    async fn reach(
+        &self,
+        peer: &Peer,
+    ) -> Result<(Arc<Keeper>, Arc<chivevalve::config::Keeper>), Failure> {
+        self.calls.lock().unwrap().push(peer.address);
+        if self.silent.lock().unwrap().contains(&peer.address) {
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        let nodes = self.nodes.lock().unwrap();
+        nodes
+            .get(&peer.address)
+            .and_then(|(gossip, config)| Some((gossip.upgrade()?, Arc::clone(config))))
+            .ok_or_else(|| Failure::new(Code::PeerUnreachable, "nobody is there"))
+    }
+}
+
+#[async_trait]
+impl Transport for Net {
+    async fn exchange(&self, peer: &Peer, digest: Digest) -> Result<Delta, Failure> {
+        let (gossip, _) = self.reach(peer).await?;
+        Ok(gossip.exchange(digest).await)
+    }
+
+    async fn snapshot(
+        &self,
+        peer: &Peer,
+    ) -> Result<BoxStream<'static, Result<SnapshotPart, Failure>>, Failure> {
+        let (_, config) = self.reach(peer).await?;
+        Ok(stream::iter(config.parts()).map(Ok).boxed())
+    }
+}
+
+fn peer(number: u16) -> Peer {
+    Peer {
+        name: Arc::from(format!("n{number}")),
+        address: SocketAddr::from(([127, 0, 0, 1], number)),
+        region: Arc::from("north"),
+    }
+}
+
+/// A node that exchanges with all others of the net.
+struct Joined {
+    node: Node,
+    gossip: Arc<Keeper>,
+}
+
+fn join(net: &Arc<Net>, store: &Arc<Store>, number: u16, peers: &[u16]) -> Joined {
+    let own = peer(number);
+    let node = Node::start(&own.name, store);
+    let others = peers.iter().filter(|other| **other != number);
+    *node.peers.0.lock().unwrap() = others.map(|other| peer(*other)).collect();
+    let gossip = Keeper::start(Parts {
+        node: own.name,
+        incarnation: 1,
+        region: own.region,
+        shares: vec![Arc::clone(&node.keeper) as _],
+        news: vec![node.keeper.news()],
+        install: Arc::clone(&node.keeper) as _,
+        peers: Arc::clone(&node.peers) as Arc<dyn Peers>,
+        transport: Arc::clone(net) as _,
+        clock: Arc::new(Monotonic::start()),
+        limits: Limits::default(),
+        seed: u64::from(number),
+        stop: node.stop.clone(),
+    });
+    let served = (Arc::downgrade(&gossip), Arc::clone(&node.keeper));
+    net.nodes.lock().unwrap().insert(own.address, served);
+    Joined { node, gossip }
+}
+
+fn down(store: &Store) {
+    store.set(Knobs {
+        down: true,
+        ..Knobs::default()
+    });
+}
+
+/// Symptom: a VM that is replaced during an outage refuses every request.
+/// Sequence: the service is down, a node starts, peers have the configuration.
+/// Cause: only the service was asked.
+#[tokio::test(start_paused = true)]
+async fn fresh_node_while_the_service_is_down() {
+    let (net, store) = (Arc::new(Net::default()), store());
+    let a = join(&net, &store, 1, &[1, 2]);
+    a.node.apply(&set(&[("faults", "1")])).await;
+    down(&store);
+    let clock = Monotonic::start();
+    let b = join(&net, &store, 2, &[1, 2]);
+    b.node.in_force(1).await;
+    assert!(clock.now().0 < 5_000, "{}", clock.now());
+    let (theirs, ours) = (a.node.keeper.status(), b.node.keeper.status());
+    assert_eq!(theirs.digest, ours.digest);
+}
+
+/// Symptom: a node that started while service and peers were down never serves.
+/// Sequence: nothing answers for minutes, then one peer comes back.
+/// Cause: the start tried once.
+#[tokio::test(start_paused = true)]
+async fn fresh_node_alone_keeps_trying() {
+    let (net, store) = (Arc::new(Net::default()), store());
+    let a = join(&net, &store, 1, &[1]);
+    a.node.apply(&set(&[])).await;
+    down(&store);
+    let served = net.nodes.lock().unwrap().remove(&peer(1).address);
+    let b = join(&net, &store, 2, &[1, 2]);
+    tokio::time::sleep(Duration::from_mins(5)).await;
+    assert_eq!(b.node.revision(), 0, "not ready");
+    let address = peer(1).address;
+    net.nodes.lock().unwrap().insert(address, served.unwrap());
+    b.node.in_force(1).await;
+}
+
+/// Symptom: a change takes seconds to nodes that don't watch the service.
+/// Sequence: a watcher sees the change and waits for its next regular exchange.
+/// Cause: only what came from a peer was passed on at once.
+#[tokio::test(start_paused = true)]
+async fn news_goes_on_at_once() {
+    let (net, store) = (Arc::new(Net::default()), store());
+    let numbers: Vec<u16> = (1..=12).collect();
+    let nodes: Vec<Joined> = numbers
+        .iter()
+        .map(|number| join(&net, &store, *number, &numbers))
+        .collect();
+    nodes[0].node.apply(&set(&[])).await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let watchers = nodes.iter().filter(|n| n.node.keeper.status().watcher);
+    assert_eq!(watchers.count(), 3);
+    let clock = Monotonic::start();
+    nodes[5].node.apply(&set(&[("faults", "1")])).await;
+    for node in &nodes {
+        node.node.in_force(2).await;
+    }
+    assert!(clock.now().0 < 2_000, "{}", clock.now());
+}
+
+/// Symptom: one stopped process slows down every change.
+/// Sequence: a peer takes connections and never answers; it is drawn again and again.
+/// Cause: exchanges had no bound in time, and nobody remembered the failure.
+#[tokio::test(start_paused = true)]
+async fn silent_peer_costs_little() {
+    let (net, store) = (Arc::new(Net::default()), store());
+    let a = join(&net, &store, 1, &[1, 2, 3]);
+    let b = join(&net, &store, 2, &[1, 2, 3]);
+    net.silent.lock().unwrap().push(peer(3).address);
+    a.node.apply(&set(&[])).await;
+    b.node.in_force(1).await;
+    tokio::time::sleep(Duration::from_mins(10)).await;
+    let calls = net.calls.lock().unwrap();
+    let silent = calls.iter().filter(|to| **to == peer(3).address).count();
+    assert!(silent < 100, "{silent} of {} calls", calls.len());
+}
+
+/// Symptom: `status` calls a revision fresh that was confirmed half a minute ago.
+/// Sequence: a node is paused with a peer's digest in its buffers, wakes and reads it.
+/// Cause: the age in a request was taken as of now; only an answer proves how old it can be.
+#[tokio::test(start_paused = true)]
+async fn ages_of_requests_arent_believed() {
+    let (net, store) = (Arc::new(Net::default()), store());
+    let a = join(&net, &store, 1, &[1]);
+    a.node.apply(&set(&[])).await;
+    let mut digest = Digest::default();
+    chivevalve::gossip::Share::digest(&*a.node.keeper, &mut digest);
+    down(&store);
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    let before = a.node.keeper.status().confirmed_age_ms.unwrap();
+    digest.confirmed_age_ms = 1;
+    a.gossip.exchange(digest).await;
+    assert!(a.node.keeper.status().confirmed_age_ms.unwrap() >= before);
+}
+
+/// Symptom: a template comes back that operators had replaced.
+/// Sequence: a node that was cut off for a day is back and tells of its old revision.
+/// Cause: the last to speak was believed.
+#[tokio::test(start_paused = true)]
+async fn old_peer_changes_nothing() {
+    let (net, store) = (Arc::new(Net::default()), store());
+    let a = join(&net, &store, 1, &[1, 2]);
+    let b = join(&net, &store, 2, &[1, 2]);
+    a.node.apply(&set(&[("faults", "1")])).await;
+    b.node.in_force(1).await;
+    let mut old = Digest::default();
+    chivevalve::gossip::Share::digest(&*b.node.keeper, &mut old);
+    a.node.apply(&set(&[("plans", "1")])).await;
+    b.node.in_force(2).await;
+    let answer = b.gossip.exchange(old).await;
+    assert_eq!(answer.operations.len(), 1, "the old peer is told");
+    assert_eq!((a.node.revision(), b.node.revision()), (2, 2));
+}
