--- a/lib/src/config/layout.rs
+++ b/lib/src/config/layout.rs
@@ -100,9 +100,15 @@
     pub value: Vec<u8>,
 }
 
-/// Cuts a set into its buckets. Equal sets give equal bytes.
+/// Cuts a set into its buckets as they are stored. Equal sets give equal bytes.
 #[must_use]
 pub fn buckets(set: &Set) -> Vec<Stored> {
+    cut(set).into_iter().map(stored).collect()
+}
+
+/// Cuts a set into its buckets.
+#[must_use]
+pub fn cut(set: &Set) -> Vec<File> {
     let mut files = vec![File::default(); BUCKETS];
     for account in set.accounts.values() {
         files[of_account(account)].accounts.push(account.clone());
@@ -115,7 +121,7 @@
             .templates
             .push(template.clone());
     }
-    files.into_iter().map(stored).collect()
+    files
 }
 
 /// Returns a bucket's digest.
--- a/lib/src/config/mod.rs
+++ b/lib/src/config/mod.rs
@@ -9,6 +9,7 @@
 pub mod digest;
 pub mod error;
 mod follower;
+mod heavy;
 pub mod history;
 pub mod keeper;
 pub mod layout;
--- a/lib/src/config/operator.rs
+++ b/lib/src/config/operator.rs
@@ -7,6 +7,7 @@
 
 use super::collect;
 use super::error::Error;
+use super::heavy;
 use super::history;
 use super::keeper::Keeper;
 use super::layout::BLOCK;
@@ -176,7 +177,7 @@
             if let Some(accepted) = self.expected(order, &before).await? {
                 return Ok(accepted);
             }
-            let Some(proposal) = propose(order, set, base, &before)? else {
+            let Some(proposal) = heavy::run(|| propose(order, set, base, &before))? else {
                 return Ok(Accepted {
                     revision: before.revision(),
                     differences: 0,
--- a/lib/src/config/plan.rs
+++ b/lib/src/config/plan.rs
@@ -5,6 +5,7 @@
 
 use futures::{StreamExt, stream};
 
+use super::heavy;
 use super::view::View;
 use crate::adapter::Adapter;
 use crate::declaration::{Kind, Pool, Set, convert, diff};
@@ -38,7 +39,7 @@
 
 /// Compares a set of declarations with a view.
 pub async fn plan(view: &View, set: &Set, weights: &dyn Weights) -> Plan {
-    let differences = diff::diff(&view.set(), set);
+    let differences = heavy::run(|| diff::diff(&view.set(), set));
     let mut warnings = missing(set, &differences, weights).await;
     warnings.extend(vanished(&differences));
     warnings.extend(limits(set));
--- a/lib/src/config/share.rs
+++ b/lib/src/config/share.rs
@@ -2,8 +2,7 @@
 
 use std::sync::Arc;
 
-use prost::Message;
-
+use super::heavy;
 use super::keeper::Keeper;
 use super::layout;
 use super::state::Origin;
@@ -79,12 +78,10 @@
             head: Some(head),
             ..SnapshotPart::default()
         };
-        let buckets = layout::buckets(&view.set()).into_iter().map(|stored| {
-            let bucket = Bucket::decode(stored.value.as_slice()).unwrap_or_default();
-            SnapshotPart {
-                bucket: Some(bucket),
-                ..SnapshotPart::default()
-            }
+        let files = heavy::run(|| layout::cut(&view.set()));
+        let buckets = files.into_iter().map(|file| SnapshotPart {
+            bucket: Some(Bucket { file: Some(file) }),
+            ..SnapshotPart::default()
         });
         Box::new(std::iter::once(first).chain(buckets))
     }
--- a/lib/src/config/source.rs
+++ b/lib/src/config/source.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 use thiserror::Error;
 
+use super::heavy;
 use super::layout::{self, BLOCK, Layout};
 use super::state::is_omitted;
 use super::view::{self, View};
@@ -171,7 +172,7 @@
     /// As [`Source::missing`].
     pub async fn whole(&self, head: &Head) -> Result<Missing, Failure> {
         let set = self.set(&head.bucket_digests).await?;
-        let mut view = View::from_set(head.snapshot_revision, &set)?;
+        let mut view = heavy::run(|| View::from_set(head.snapshot_revision, &set))?;
         let later = self
             .operations(head.snapshot_revision, head.revision)
             .await?;
--- a/lib/src/config/writer.rs
+++ b/lib/src/config/writer.rs
@@ -14,6 +14,7 @@
 use prost::Message;
 
 use super::error::Error;
+use super::heavy;
 use super::layout::{self, BLOCK, MAX_INLINE, MAX_VALUE, Stored};
 use super::source::{HeadAt, Source};
 use super::view::View;
@@ -84,7 +85,7 @@
         if encoded > MAX_INLINE {
             operation.differences.clear();
         }
-        let buckets = layout::buckets(&proposal.after.set());
+        let buckets = heavy::run(|| layout::buckets(&proposal.after.set()));
         guards = put_buckets(source, &proposal.base.head, &buckets).await?;
         head.snapshot_revision = revision;
         head.bucket_digests = buckets.into_iter().map(|bucket| bucket.digest).collect();
