--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -9,6 +9,7 @@
 use eyre::Result;
 use lexopt::prelude::*;
 
+mod faults;
 mod fuzz_config;
 mod fuzz_outcomes;
 mod policy;
@@ -44,6 +45,11 @@
         about: "random faults on several nodes' state machines, in virtual time",
         run: fuzz_outcomes::run,
     },
+    Campaign {
+        name: "faults",
+        about: "real daemons under load while nodes, engines and the key-value service fail",
+        run: faults::run,
+    },
     Campaign {
         name: "policy",
         about: "decisions under load, in virtual time, against baselines and a lower bound",
--- a/standins/src/traffic.rs
+++ b/standins/src/traffic.rs
@@ -132,10 +132,10 @@
         }
     }
 
-    /// Makes requests of a mix, `workers` at a time, until `end`.
-    pub async fn run_until(&self, mix: Mix, workers: usize, end: Instant) -> Vec<Deal> {
+    /// Makes requests of a mix, `workers` at a time, while `more` says so.
+    pub async fn run_while(&self, mix: Mix, workers: usize, more: impl Fn() -> bool) -> Vec<Deal> {
         let mix = Mutex::new(mix);
-        let next = || Some(lock(&mix).next_request()).filter(|_| Instant::now() < end);
+        let next = || more().then(|| lock(&mix).next_request());
         self.run(workers, next).await
     }
 
