--- a/bench/src/faults/mod.rs
+++ b/bench/src/faults/mod.rs
@@ -4,7 +4,6 @@
 //! load goes through a balancer that checks `/readyz` as the platform's does.
 //! See docs/measurements.md for recorded runs.
 
-mod site;
 mod tally;
 
 use std::path::PathBuf;
@@ -26,7 +25,7 @@
 
 use crate::Verdict;
 use crate::report::{self, Format, Table};
-use site::{Kind, Site};
+use crate::site::{Kind, Site};
 use tally::Phase;
 
 const HELP: &str = "\
@@ -48,6 +47,8 @@
 Ends with 1 when a promise was broken.
 ";
 
+/// The balancer checks five times in the grace, so that a stopping node gets no new work after it.
+const SETTINGS: &str = "limits:\n  drain_grace_ms: 1000\npolicy:\n  loads_per_kilosecond: 20000\n";
 /// Time between two kills of a node.
 const KILL_EACH: Duration = Duration::from_secs(10);
 /// How long a killed node is gone.
@@ -193,7 +194,7 @@
 async fn campaign(options: &Options) -> Result<Outcome> {
     let directory = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/faults"));
     let (sources, set) = fleet::declarations(&directory).map_err(|told| eyre!(told))?;
-    let site = Site::start(platform().await?, options.nodes).await?;
+    let site = Site::start(platform().await?, options.nodes, SETTINGS).await?;
     let first = &site.slots[0];
     fleet::wait_alive(&first.node, START)
         .await
--- a/bench/src/faults/tally.rs
+++ b/bench/src/faults/tally.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
-use super::site::{Event, Kind, Site};
+use crate::site::{Event, Kind, Site};
 
 /// Requests of one part of the campaign.
 #[derive(Debug, Default, Serialize)]
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -12,8 +12,10 @@
 mod faults;
 mod fuzz_config;
 mod fuzz_outcomes;
+mod latency;
 mod policy;
 mod report;
+mod site;
 mod slopes;
 mod spread;
 
@@ -50,6 +52,11 @@
         about: "real daemons under load while nodes, engines and the key-value service fail",
         run: faults::run,
     },
+    Campaign {
+        name: "latency",
+        about: "what the layer adds to an answer, carries on a core and costs in memory",
+        run: latency::run,
+    },
     Campaign {
         name: "policy",
         about: "decisions under load, in virtual time, against baselines and a lower bound",
--- a/bench/src/faults/site.rs
+++ b/bench/src/site.rs
@@ -20,8 +20,6 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// How long a node may take to be ready or to stop.
 const PATIENCE: Duration = Duration::from_mins(1);
-/// The balancer checks five times in this time, so a stopping node may wait as long.
-const SETTINGS: &str = "limits:\n  drain_grace_ms: 1000\npolicy:\n  loads_per_kilosecond: 20000\n";
 
 /// A node's place and its process, if it runs.
 #[derive(Debug)]
@@ -58,12 +56,17 @@
     pub balancer: Balancer,
     events: Mutex<Vec<Event>>,
     program: PathBuf,
+    settings: &'static str,
     scratch: Scratch,
 }
 
 impl Site {
-    /// Starts the daemons; none is ready yet.
-    pub async fn start(platform: Platform, nodes: usize) -> Result<Arc<Self>> {
+    /// Starts the daemons, `settings` appended to each one's; none is ready yet.
+    pub async fn start(
+        platform: Platform,
+        nodes: usize,
+        settings: &'static str,
+    ) -> Result<Arc<Self>> {
         let program = program()?;
         let site = Self {
             platform,
@@ -78,6 +81,7 @@
             balancer: Balancer::default(),
             events: Mutex::default(),
             program,
+            settings,
             scratch: Scratch::new()?,
         };
         for slot in &site.slots {
@@ -92,7 +96,7 @@
 
     /// Starts a node's process.
     pub fn launch(&self, slot: &Slot) -> Result<()> {
-        let settings = fleet::settings(&slot.node, &self.platform.addresses(), SETTINGS);
+        let settings = fleet::settings(&slot.node, &self.platform.addresses(), self.settings);
         let name = &slot.node.name;
         let daemon = Daemon::start(&self.program, self.scratch.path(), name, &settings)?;
         *lock(&slot.daemon) = Some(daemon);
@@ -192,6 +196,11 @@
         None
     }
 
+    /// Returns the number of a node's process.
+    pub fn id(slot: &Slot) -> Option<u32> {
+        lock(&slot.daemon).as_ref().map(Daemon::id)
+    }
+
     /// Returns a node's log.
     pub fn log(&self, slot: &Slot) -> String {
         let path = self.scratch.path().join(format!("{}.log", slot.node.name));
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -9,8 +9,8 @@
 mod text;
 
 use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
-use std::time::Duration;
+use std::sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chivevalve::clock::{Clock, Millis, Monotonic};
@@ -44,6 +44,8 @@
     pub step_per_request_us: u64,
     /// What each token of a new prompt adds to a step, in microseconds.
     pub prefill_us: u64,
+    /// Whether tokens say when they were made, as `u` and [`micros`].
+    pub stamps: bool,
 }
 
 impl Default for Shape {
@@ -54,6 +56,7 @@
             step_us: 8_000,
             step_per_request_us: 100,
             prefill_us: 20,
+            stamps: false,
         }
     }
 }
@@ -72,6 +75,13 @@
     pub refuse: u32,
 }
 
+/// Returns the microseconds since this process first asked.
+#[must_use]
+pub fn micros() -> u64 {
+    static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+    u64::try_from(START.elapsed().as_micros()).unwrap_or(u64::MAX)
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -287,7 +297,7 @@
         inner.batch.add(run, Active::new(&prompt, cut, sender));
         drop(inner);
         self.work.notify_one();
-        let writer = Writer::new(id, prompt);
+        let writer = Writer::new(id, prompt, self.shape.stamps);
         Ok(Completion {
             stream: writer.stream(),
             body: writer.body(receiver),
