--- a/bench/src/latency/stream.rs
+++ b/bench/src/latency/stream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,11 +10,14 @@
 use chivevalve_standins::engine::micros;
 use hdrhistogram::Histogram;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 /// Longest latency that is told apart, in microseconds.
 const LONGEST: u64 = 60_000_000;
+/// Places that streams write to.
+const SHARDS: usize = 16;
 /// Begins a token's time in the engine's text.
 const STAMP: &[u8] = b" u";
 /// Time over which streams start, so that they don't all start in one step.
@@ -70,7 +73,29 @@
 struct Shared {
     measuring: AtomicBool,
     tokens: AtomicU64,
-    seen: Mutex<Seen>,
+    /// Streams write to one of several, so that they seldom wait for one another.
+    seen: [Mutex<Seen>; SHARDS],
+}
+
+impl Shared {
+    /// Writes down what a stream saw, while it is measured.
+    fn note(&self, stream: usize, write: impl FnOnce(&mut Seen)) {
+        if self.measuring.load(Ordering::Relaxed) {
+            write(&mut lock(&self.seen[stream % SHARDS]));
+        }
+    }
+
+    fn take(&self) -> Seen {
+        let mut all = Seen::default();
+        for shard in &self.seen {
+            all.add(&std::mem::take(&mut *lock(shard)));
+        }
+        all
+    }
+}
+
+fn lock(seen: &Mutex<Seen>) -> MutexGuard<'_, Seen> {
+    seen.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Streams {
@@ -79,12 +104,12 @@
         let shared = Arc::new(Shared::default());
         let mut tasks = JoinSet::new();
         let step = RAMP / u32::try_from(count.max(1)).unwrap_or(u32::MAX);
-        for target in targets.iter().cycle().take(count) {
+        for (stream, target) in targets.iter().cycle().take(count).enumerate() {
             let (caller, target) = (caller.clone(), target.clone());
             let shared = Arc::clone(&shared);
             tasks.spawn(async move {
                 loop {
-                    follow(&caller, &target, tokens, &shared).await;
+                    follow(&caller, &target, tokens, stream, &shared).await;
                 }
             });
             sleep(step).await;
@@ -114,7 +139,7 @@
 }
 
 /// Follows one answer to its end.
-async fn follow(caller: &Caller, target: &Target, tokens: u32, shared: &Shared) {
+async fn follow(caller: &Caller, target: &Target, tokens: u32, stream: usize, shared: &Shared) {
     let question = Question {
         template: target.model.clone(),
         chat: false,
@@ -122,30 +147,22 @@
         tokens,
         mark: "m".to_owned(),
     };
-    let mut seen = Seen::default();
     let began = micros();
     let request = caller.completion(target.address, &question);
     let whole = match caller.open(request).await {
         Ok(response) if response.status().is_success() => {
-            read(response.into_body(), began, &mut seen, shared).await
+            read(response.into_body(), began, stream, shared).await
         }
         _ => false,
     };
     if !whole {
-        seen.failed += 1;
+        shared.note(stream, |seen| seen.failed += 1);
         // A refusal at once must not become a storm.
         sleep(Duration::from_millis(50)).await;
     }
-    let mut all = shared.seen.lock().unwrap_or_else(PoisonError::into_inner);
-    all.add(&seen);
 }
 
-async fn read(
-    mut body: hyper::body::Incoming,
-    began: u64,
-    seen: &mut Seen,
-    shared: &Shared,
-) -> bool {
+async fn read(mut body: Incoming, began: u64, stream: usize, shared: &Shared) -> bool {
     let mut first = true;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return false };
@@ -153,15 +170,13 @@
             continue;
         };
         let now = micros();
-        let measuring = shared.measuring.load(Ordering::Relaxed);
-        if std::mem::take(&mut first) && measuring {
-            seen.first.saturating_record(now - began);
+        if std::mem::take(&mut first) {
+            shared.note(stream, |seen| seen.first.saturating_record(now - began));
         }
         for made in stamps(&piece) {
             shared.tokens.fetch_add(1, Ordering::Relaxed);
-            if measuring {
-                seen.token.saturating_record(now.saturating_sub(made));
-            }
+            let age = now.saturating_sub(made);
+            shared.note(stream, |seen| seen.token.saturating_record(age));
         }
         if piece.ends_with(b"[DONE]\n\n") {
             return true;
