--- a/bench/src/latency/stream.rs
+++ b/bench/src/latency/stream.rs
@@ -124,12 +124,7 @@
         sleep(span).await;
         let after = self.shared.tokens.load(Ordering::Relaxed);
         self.shared.measuring.store(false, Ordering::Relaxed);
-        let mut seen = self
-            .shared
-            .seen
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        (std::mem::take(&mut *seen), after - before)
+        (self.shared.take(), after - before)
     }
 
     /// Closes all streams.
