config: a refused operation is tried once, not at each exchange

Each exchange with a newer peer tried and logged it again; refusals of the service's and of peers' word are now kept apart, so that neither makes the other forgotten.

--- a/lib/src/config/state.rs
+++ b/lib/src/config/state.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use prost::Message;
+use smallvec::SmallVec;
 
 use super::view::{self, View};
 use crate::clock::Millis;
@@ -79,7 +80,8 @@
     heard: u64,
     /// When the service last had nothing newer than what was learned by then.
     confirmed: Option<Millis>,
-    refusal: Option<Refusal>,
+    /// One for each origin, so that neither makes the other forgotten.
+    refusals: SmallVec<[Refusal; 2]>,
     stale: u64,
 }
 
@@ -94,7 +96,7 @@
             operation_bytes: 0,
             heard: 0,
             confirmed: None,
-            refusal: None,
+            refusals: SmallVec::new(),
             stale: 0,
         }
     }
@@ -122,13 +124,13 @@
     /// Returns the newest revision that couldn't be read, unless a later one could.
     #[must_use]
     pub fn refusal(&self) -> Option<&Refusal> {
-        self.refusal.as_ref()
+        self.refusals.iter().max_by_key(|refusal| refusal.revision)
     }
 
     /// Whether a revision from there was refused so lately that reading it again is a waste.
     #[must_use]
     pub fn is_refused(&self, revision: u64, origin: Origin, now: Millis) -> bool {
-        self.refusal.as_ref().is_some_and(|refusal| {
+        self.refusals.iter().any(|refusal| {
             refusal.revision == revision
                 && refusal.origin == origin
                 && now.since(refusal.at) < REFUSAL_REST
@@ -156,7 +158,7 @@
     ) -> Taken {
         let revision = operation.revision;
         self.heard = self.heard.max(revision);
-        if revision <= self.learned.revision() {
+        if revision <= self.learned.revision() || self.is_refused(revision, Origin::Peer, now) {
             return Taken::Known;
         }
         if revision != self.learned.revision() + 1 || is_omitted(operation) {
@@ -275,7 +277,8 @@
         now: Millis,
     ) -> Taken {
         self.heard = self.heard.max(revision);
-        self.refusal = Some(Refusal {
+        self.refusals.retain(|refusal| refusal.origin != origin);
+        self.refusals.push(Refusal {
             revision,
             why: why.clone(),
             origin,
@@ -303,13 +306,8 @@
             view: Arc::clone(&next),
         });
         self.learned = next;
-        if self
-            .refusal
-            .as_ref()
-            .is_some_and(|refusal| refusal.revision <= self.learned.revision())
-        {
-            self.refusal = None;
-        }
+        let learned = self.learned.revision();
+        self.refusals.retain(|refusal| refusal.revision > learned);
     }
 }
 
--- a/lib/tests/test_gossip.rs
+++ b/lib/tests/test_gossip.rs
@@ -11,6 +11,7 @@
 use chivevalve::clock::{Clock, Monotonic};
 use chivevalve::error::{Code, Failure};
 use chivevalve::gossip::{Exchange, Keeper, Limits, Parts, Peer, Peers, Snapshot, Transport};
+use chivevalve::schema::declaration::Operation;
 use chivevalve::schema::peer::{Delta, Digest, SnapshotPart};
 use chivevalve_standins::store::{Knobs, Store};
 use config_setup::{Node, set, store};
@@ -219,3 +220,32 @@
     assert_eq!(answer.operations.len(), 1, "the old peer is told");
     assert_eq!((a.node.revision(), b.node.revision()), (2, 2));
 }
+
+/// Symptom: during an upgrade the logs of all older nodes are full of one line.
+/// Sequence: newer peers tell of a revision that this node can't read, at each exchange.
+/// Cause: it was tried again each time.
+#[tokio::test(start_paused = true)]
+async fn refused_operation_is_tried_once() {
+    let (net, store) = (Arc::new(Net::default()), store());
+    let a = join(&net, &store, 1, &[1]);
+    a.node.apply(&set(&[])).await;
+    let newer = Operation {
+        revision: 2,
+        view_digest: vec![7; 32],
+        ..Operation::default()
+    };
+    for _ in 0..50 {
+        let digest = Digest {
+            revision: 2,
+            operations: vec![newer.clone()],
+            ..Digest::default()
+        };
+        a.gossip.exchange(digest).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let page = a.node.metrics.render();
+    let line = "chivevalve_config_events_total{kind=\"refused\"} 1\n";
+    assert!(page.contains(line), "{page}");
+    assert_eq!(a.node.revision(), 1);
+    assert!(a.node.keeper.status().refused.is_some());
+}
