--- a/lib/src/claim/desk.rs
+++ b/lib/src/claim/desk.rs
@@ -10,26 +10,22 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use kameo::Actor;
-use kameo::actor::{ActorRef, Spawn};
-use kameo::mailbox;
+use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use tokio::sync::oneshot;
 
-use super::record::{self, Record};
+use super::keeper::{Claim, unavailable};
+use super::record::Record;
 use super::writer::{Change, Held, Job, Settled, Writer};
 use super::{Limits, Parts};
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::membership::Fleet;
 use crate::name::Name;
-use crate::request::Id;
 
 /// Most claims in one transaction; services bound the operations of one.
 const BATCH: usize = 64;
 
-/// Messages that wait at the actor.
-const MAILBOX: usize = 1_024;
-
 /// Claims of late that are remembered.
 const REMEMBERED: usize = 4_096;
 
@@ -42,136 +38,28 @@
 /// Times that a doubtful claim is looked for: for about two hours.
 const DOUBT_TRIES: u32 = 13;
 
-/// When to try again after the service couldn't take a claim.
-const RETRY_AFTER: Millis = Millis::from_secs(5);
-
-/// Takes claims.
-#[derive(Debug, Clone)]
-pub struct Keeper {
-    desk: ActorRef<Desk>,
-    parts: Arc<Parts>,
-}
-
-impl Keeper {
-    /// Starts the actor; it ends when the last keeper and the last claim are gone.
-    #[must_use]
-    pub fn start(parts: Parts) -> Self {
-        let parts = Arc::new(parts);
-        let desk = Desk::new(Arc::clone(&parts));
-        Self {
-            desk: Desk::spawn_with_mailbox(desk, mailbox::bounded(MAILBOX)),
-            parts,
-        }
-    }
-
-    /// Takes the claim on an account's idempotency key for a request.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::KeyTaken`] or [`Code::KeyReused`] when another request has it,
-    /// [`Code::ClaimUnavailable`] when the service didn't say that it is this one's.
-    pub async fn take(
-        &self,
-        account: &str,
-        key: &[u8],
-        digest: String,
-        id: &Id,
-    ) -> Result<Claim, Failure> {
-        let (reply, answer) = oneshot::channel();
-        let take = Take {
-            key: record::path(&self.parts.prefix, account, key),
-            record: Record::new(digest, id, &self.parts.node),
-            reply,
-        };
-        if self.desk.tell(take).try_send().is_err() {
-            return Err(unavailable("too many claims wait at this node"));
-        }
-        // When the time is up, the answer that comes later is dropped, and
-        // dropping a claim that nothing was sent on gives it back.
-        let timeout = self.parts.limits.timeout.duration();
-        match tokio::time::timeout(timeout, answer).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(_)) => Err(unavailable("the claims' actor has stopped")),
-            Err(_) => Err(unavailable("the key-value service didn't answer in time")),
-        }
-    }
-}
-
-fn unavailable(detail: &str) -> Failure {
-    Failure::new(Code::ClaimUnavailable, detail).retry_after(RETRY_AFTER)
-}
-
-/// A request's own claim on an idempotency key.
-///
-/// While it is spent, the request may have run, and the claim outlives it.
-/// Dropped unspent, it is given back, so that the caller may try again.
-#[derive(Debug)]
-pub struct Claim {
-    key: String,
-    mark: Name,
-    revision: u64,
-    spent: bool,
-    desk: ActorRef<Desk>,
-    timeout: Millis,
-}
-
-impl Claim {
-    /// Notes whether the request may have run; said before each try and after each failure.
-    pub fn set_spent(&mut self, spent: bool) {
-        self.spent = spent;
-    }
-
-    /// Gives the claim back if nothing was sent on it, and waits until others can see that.
-    pub async fn settle(mut self) {
-        if self.spent {
-            return;
-        }
-        self.spent = true;
-        let (reply, done) = oneshot::channel();
-        let release = self.release(Some(reply));
-        if self.desk.tell(release).try_send().is_ok() {
-            // The caller is told "not run" in any case; waiting only makes sure
-            // that its next try finds the key free.
-            let _ = tokio::time::timeout(self.timeout.duration(), done).await;
-        }
-    }
-
-    fn release(&mut self, reply: Option<oneshot::Sender<()>>) -> Release {
-        Release {
-            key: std::mem::take(&mut self.key),
-            mark: Name::clone(&self.mark),
-            revision: self.revision,
-            reply,
-        }
-    }
-}
-
-impl Drop for Claim {
-    fn drop(&mut self) {
-        if !self.spent {
-            let release = self.release(None);
-            // If the actor is full the claim stays until its lease ends; the
-            // caller's next try is then refused, which is safe.
-            let _ = self.desk.tell(release).try_send();
-        }
-    }
-}
-
 /// Asks for a claim.
 #[derive(Debug)]
-struct Take {
-    key: String,
-    record: Record,
-    reply: oneshot::Sender<Result<Claim, Failure>>,
+pub struct Take {
+    /// The service's key.
+    pub key: String,
+    /// What the claim would hold.
+    pub record: Record,
+    /// Gets the claim, or why there is none.
+    pub reply: oneshot::Sender<Result<Claim, Failure>>,
 }
 
 /// Gives a claim back.
 #[derive(Debug)]
-struct Release {
-    key: String,
-    mark: Name,
-    revision: u64,
-    reply: Option<oneshot::Sender<()>>,
+pub struct Release {
+    /// The service's key.
+    pub key: String,
+    /// Identity of the request whose claim it is.
+    pub mark: Name,
+    /// The service's revision of the claim's write.
+    pub revision: u64,
+    /// Told when it is done.
+    pub reply: Option<oneshot::Sender<()>>,
 }
 
 /// A batch has ended.
@@ -242,7 +130,8 @@
 }
 
 impl Desk {
-    fn new(parts: Arc<Parts>) -> Self {
+    /// Makes the actor's state at a node's start.
+    pub fn new(parts: Arc<Parts>) -> Self {
         let writer = Writer {
             store: Arc::clone(&parts.store),
             lease: Arc::clone(&parts.lease),
@@ -373,16 +262,9 @@
     fn settle_take(&mut self, take: Take, settled: Settled, actor: &ActorRef<Self>) {
         match settled {
             Settled::Taken(revision) => {
-                let mark = Name::clone(&take.record.request);
+                let timeout = self.parts.limits.timeout;
+                let claim = Claim::new(&take, revision, actor.clone(), timeout);
                 self.remember(&take.key, take.record);
-                let claim = Claim {
-                    key: take.key,
-                    mark,
-                    revision,
-                    spent: false,
-                    desk: actor.clone(),
-                    timeout: self.parts.limits.timeout,
-                };
                 // A request that has given up drops the claim, which gives it back.
                 let _ = take.reply.send(Ok(claim));
             }
--- a/lib/src/claim/mod.rs
+++ b/lib/src/claim/mod.rs
@@ -6,10 +6,11 @@
 //! could live and says what is promised without a key.
 
 mod desk;
+mod keeper;
 mod record;
 mod writer;
 
-pub use desk::{Claim, Keeper};
+pub use keeper::{Claim, Keeper};
 pub use record::{Record, digest};
 
 use std::sync::Arc;
