entry: a caller's own failures are no hint about upstreams

An expired deadline marked its upstream as unusable for 2 s, for all adapters and callers of the node. Only refusals and breaks of the upstream or the way to it are remembered now; without the guard outcome_expiry_blames_no_upstream fails.

--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -151,7 +151,9 @@
 ) -> Result<Millis, Failure> {
     let now = gateway.parts.clock.now();
     let adapter = order.ticket.adapter.as_ref();
-    gateway.refused(&target.pool, target.index, adapter, failure.code, now);
+    if blames_upstream(failure.code) {
+        gateway.refused(&target.pool, target.index, adapter, failure.code, now);
+    }
     let moment = Moment {
         now,
         untried: target.others,
@@ -183,6 +185,15 @@
     }
 }
 
+/// Whether a failure says anything about the upstream or the way to it.
+///
+/// A caller's short deadline or bad request says nothing; taking it as a hint
+/// would let one caller turn everybody's requests away from healthy upstreams.
+fn blames_upstream(code: Code) -> bool {
+    let requests_own = code.status() < 500;
+    !requests_own && !matches!(code, Code::ExpiredRunning | Code::UpstreamError)
+}
+
 /// Chooses the upstream of the next try, waiting a while for one to become usable.
 ///
 /// # Errors
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -325,3 +325,20 @@
     assert!(answer.contains("retry-after: 3\r\n"));
     assert!(answer.contains("\"retry_after_ms\":2500"));
 }
+
+/// Symptom: one caller's short deadlines drive everybody off their home upstreams.
+/// Sequence: its requests expire while they run; the next request of the same
+/// adapter goes elsewhere and waits for a load.
+/// Cause: an expired deadline was remembered as a fault of the upstream.
+#[tokio::test]
+async fn outcome_expiry_blames_no_upstream() {
+    let world = world().await;
+    for code in [Code::ExpiredRunning, Code::UpstreamError, Code::BadRequest] {
+        world.script.then(fail(code));
+        world.chat("summary", "").await;
+    }
+    world.chat("summary", "").await;
+    let runs = world.script.runs.lock().unwrap();
+    let upstreams: BTreeSet<&str> = runs.iter().map(|run| &*run.upstream).collect();
+    assert_eq!((runs.len(), upstreams.len()), (4, 1));
+}
