--- a/lib/src/owner/driver.rs
+++ b/lib/src/owner/driver/mod.rs
@@ -1,15 +1,18 @@
 //! Feeds what happens at one upstream to its decisions, and carries out the orders.
 
+mod correct;
+mod load;
+
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot, watch};
 
-use super::actor::{Args, Submit, base_model};
+use super::actor::{Args, Submit};
 use super::event::Event;
 use super::foreign::Foreign;
 use super::health::Health;
-use super::load::{Asking, Load};
+use super::load::Asking;
 use super::place::{End, Outcome};
 use super::registry::Parts;
 use super::report::Reports;
@@ -19,11 +22,10 @@
 use crate::clock::Millis;
 use crate::declaration::Kind;
 use crate::error::{Code, Failure};
-use crate::loads::{Ask, Permit};
+use crate::loads::Permit;
 use crate::membership::fleet::State;
 use crate::name::Name;
-use crate::platform::Report;
-use crate::policy::upstream::{Action, Demand, Limits, Machine};
+use crate::policy::upstream::{Action, Limits, Machine};
 use crate::request::{Class, Id, Ticket};
 use crate::runner::Share;
 
@@ -301,95 +303,6 @@
         }
     }
 
-    fn granted(&mut self, ask: u64, adapter: &Adapter, permit: Box<dyn Permit>) {
-        // Leave for an ask that was taken back goes to the next load at once.
-        if self
-            .asking
-            .get(adapter)
-            .is_none_or(|asking| asking.number != ask)
-        {
-            return;
-        }
-        self.asking.remove(adapter);
-        self.permits.insert(adapter.clone(), permit);
-        let actions = self.machine.granted(adapter, self.now());
-        self.carry(actions);
-        self.permits.remove(adapter);
-    }
-
-    fn loaded(&mut self, adapter: &Adapter, result: &Result<Millis, Failure>) {
-        if let Err(failure) = result {
-            log::warn!("owner: {} didn't load {adapter}: {failure}", self.name());
-        }
-        let actions = self.machine.loaded(adapter, result.is_ok(), self.now());
-        self.carry(actions);
-    }
-
-    fn reported(&mut self, as_of: Millis, result: Result<Report, Failure>) {
-        let now = self.now();
-        match result {
-            Ok(report) => {
-                self.answered();
-                self.corrected(&report, as_of, now);
-            }
-            Err(failure) => {
-                log::debug!("owner: {} doesn't report: {failure}", self.name());
-                self.failed(now);
-            }
-        }
-        self.tick();
-        self.publish();
-    }
-
-    fn corrected(&mut self, report: &Report, as_of: Millis, now: Millis) {
-        let restarted = self.boot.as_ref().is_some_and(|boot| *boot != report.boot);
-        self.boot = Some(report.boot.clone());
-        let mut actions = Vec::new();
-        if restarted {
-            log::warn!("owner: {} has started anew with empty slots", self.name());
-            for id in self.foreign.clear() {
-                actions.extend(self.machine.finished(&id, now));
-            }
-            actions.extend(self.machine.restarted(now));
-        }
-        let resident: Vec<Adapter> = report
-            .resident
-            .iter()
-            .filter_map(|name| self.adapter(name))
-            .collect();
-        // Pins come between what the slots hold and what is started or evicted next.
-        actions.extend(self.machine.reported(&resident, as_of, now));
-        actions.extend(self.pin_foreign(report, now));
-        self.reported = Some(now);
-        self.carry(actions);
-        for early in std::mem::take(&mut self.early) {
-            self.arrive(early);
-        }
-    }
-
-    fn pin_foreign(&mut self, report: &Report, now: Millis) -> Vec<Action> {
-        let own = |name: &str| {
-            self.entries
-                .values()
-                .any(|entry| name.contains(&*entry.request.0))
-        };
-        let base = base_model(&self.args.pool).cloned();
-        let adapter = |name: &str| parsed(base.as_ref(), name);
-        let change = self.foreign.reported(&report.running, own, adapter, now);
-        let mut actions = Vec::new();
-        for id in change.ended {
-            actions.extend(self.machine.finished(&id, now));
-        }
-        for (id, adapter) in change.begun {
-            self.machine.runs_already(id, &adapter, now);
-        }
-        actions
-    }
-
-    fn adapter(&self, engine_name: &str) -> Option<Adapter> {
-        parsed(base_model(&self.args.pool), engine_name)
-    }
-
     fn carry(&mut self, actions: Vec<Action>) {
         let mut left = VecDeque::from(actions);
         while let Some(action) = left.pop_front() {
@@ -464,48 +377,6 @@
         }
     }
 
-    fn ask(&mut self, adapter: Adapter, demand: Demand) {
-        if self.releasing {
-            return;
-        }
-        let ask = Ask {
-            upstream: self.name().clone(),
-            adapter: adapter.clone(),
-            class: demand.class,
-            waiters: demand.waiters,
-            weight: demand.weight,
-            waited: demand.waited,
-            gain: demand.gain,
-        };
-        if let Some(asking) = self.asking.get(&adapter) {
-            asking.update(ask);
-            return;
-        }
-        self.asks += 1;
-        let permits = self.parts.permits.clone();
-        let asking = Asking::start(self.asks, ask, permits, self.events.clone());
-        self.asking.insert(adapter, asking);
-    }
-
-    fn load(&mut self, adapter: Adapter, evict: Option<Adapter>) -> Vec<Action> {
-        let (Some(permit), Target::Engine(engine)) =
-            (self.permits.remove(&adapter), self.target.clone())
-        else {
-            return self.machine.loaded(&adapter, false, self.now());
-        };
-        let load = Load {
-            adapter,
-            evict,
-            engine,
-            hold: self.args.hold.clone(),
-            timeout: self.parts.limits.load_timeout,
-            clock: self.parts.clock.clone(),
-            metrics: self.parts.metrics.clone(),
-        };
-        load.start(permit, self.events.clone());
-        Vec::new()
-    }
-
     fn tell_drained(&mut self) {
         if self.releasing && self.entries.is_empty() {
             for done in self.drained.drain(..) {
@@ -553,16 +424,6 @@
     }
 }
 
-/// Reads an adapter from the name that an engine knows it by.
-fn parsed(base_model: Option<&Name>, engine_name: &str) -> Option<Adapter> {
-    let (name, version) = engine_name.rsplit_once('@')?;
-    Some(Adapter {
-        base_model: base_model?.clone(),
-        name: name.into(),
-        version: version.into(),
-    })
-}
-
 fn failure(code: Code, detail: &str) -> Failure {
     Failure::new(code, detail)
 }
