owner: a cold start under a pin and a release before the first report, under test

Cause: with the guard against a cold start taken out no test failed, since a report corrects slots that nobody uses; a pinned one it doesn't.

--- a/lib/tests/test_owner_failures.rs
+++ b/lib/tests/test_owner_failures.rs
@@ -277,3 +277,38 @@
     assert_eq!(failure.code, Code::BadRequest);
     assert!(bench.engine.runs().is_empty());
 }
+
+/// Symptom: requests run on an engine that no longer holds their adapter.
+/// Sequence: the engine starts anew while a request runs; its stream hasn't broken yet.
+/// Cause: a pinned slot isn't corrected by reports.
+#[tokio::test(start_paused = true)]
+async fn engine_cold_start_under_pin() {
+    let bench = Bench::start().await;
+    bench.engine.set(|knobs| knobs.pieces = 1_000_000);
+    let running = begin(&bench, "r1", "plans").await.await.unwrap().unwrap();
+    bench.engine.set(|knobs| knobs.pieces = 1);
+    bench.engine.restart();
+    pass(Millis::from_secs(3)).await;
+    let next = begin(&bench, "r2", "plans").await;
+    text(next.await.unwrap().unwrap()).await.unwrap();
+    let plans = adapter("plans").engine_name();
+    assert_eq!(bench.engine.loads(), [plans.clone(), plans]);
+    drop(running);
+}
+
+/// Symptom: a caller waits at an owner that has handed its upstream over.
+/// Sequence: a release before the engine has first said what it holds.
+/// Cause: requests that wait for that aren't in the queue yet.
+#[tokio::test(start_paused = true)]
+async fn release_before_first_report() {
+    let bench = Bench::unowned();
+    bench.engine.set(|knobs| knobs.report_ms = Millis(900));
+    bench.adopt(8, 1).await;
+    let waiting = begin(&bench, "r1", "plans").await;
+    bench
+        .registry
+        .release("engine-1", Millis::from_secs(60))
+        .await;
+    assert_eq!(refused(waiting).await.code, Code::NotOwner);
+    assert!(bench.engine.runs().is_empty());
+}
