policy, owner: pin again what runs after a cold start that wasn't heard of

Symptom (fuzz-outcomes, Pinned): an engine unloads an adapter that a request uses. Sequence: an engine starts anew, the owner loads and starts on it before the next report tells of the start, and then forgets all pins with the slots. Cause: pins were taken back for what runs in the new slots as well. Change: what a report lists as running is pinned, own requests too.

--- a/lib/src/owner/driver/correct.rs
+++ b/lib/src/owner/driver/correct.rs
@@ -68,9 +68,26 @@
         for (id, adapter) in change.begun {
             self.machine.runs_already(id, &adapter, now);
         }
+        self.pin_own(report, now);
         actions
     }
 
+    // A request that was started after a cold start, before this owner heard of it,
+    // lost its pin with the slots; its adapter would be evicted under it.
+    fn pin_own(&mut self, report: &Report, now: Millis) {
+        let base = base_model(&self.args.pool).cloned();
+        for (name, model) in &report.running {
+            let started = self
+                .entries
+                .iter()
+                .find(|(_, entry)| entry.reply.is_none() && name.contains(&*entry.request.0))
+                .map(|(key, _)| key.clone());
+            if let (Some(key), Some(adapter)) = (started, parsed(base.as_ref(), model)) {
+                self.machine.runs_already(key, &adapter, now);
+            }
+        }
+    }
+
     fn adapter(&self, engine_name: &str) -> Option<Adapter> {
         parsed(base_model(&self.args.pool), engine_name)
     }
--- a/lib/src/policy/slots.rs
+++ b/lib/src/policy/slots.rs
@@ -140,6 +140,13 @@
         Some(Pin(slot.filling))
     }
 
+    /// Whether a pin still holds its adapter in the slot that it was given for.
+    #[must_use]
+    pub fn holds(&self, adapter: &Adapter, pin: &Pin) -> bool {
+        let slot = self.slots.get(adapter);
+        slot.is_some_and(|slot| slot.filling == pin.0)
+    }
+
     /// Gives a pin back. Returns whether the adapter is now free of pins.
     pub fn unpin(&mut self, adapter: &Adapter, pin: Pin) -> bool {
         let Some(slot) = self.slots.get_mut(adapter) else {
--- a/lib/src/policy/upstream/start.rs
+++ b/lib/src/policy/upstream/start.rs
@@ -21,7 +21,17 @@
     /// [`Machine::finished`], as this owner's own do. Without it a new owner
     /// would evict what the former one's requests still use.
     pub fn runs_already(&mut self, id: Id, adapter: &Adapter, now: Millis) {
-        if self.running.contains_key(&id) {
+        if let Some(running) = self.running.get_mut(&id) {
+            // A cold start takes all pins. What was started after it, before this
+            // owner heard of it, runs in the new slots and must be pinned there.
+            let pinned = running
+                .pin
+                .as_ref()
+                .is_some_and(|(adapter, pin)| self.slots.holds(adapter, pin));
+            if !pinned {
+                let pin = self.slots.pin_running(adapter);
+                running.pin = pin.map(|pin| (adapter.clone(), pin));
+            }
             return;
         }
         let account: Name = FOREIGN.into();
