fuzz-outcomes: requests, engines, lists; notes and tests of membership

Cause: the promises are about requests; ownership alone doesn't show them. Change: entry nodes (fate machine), owners (upstream machine), engines with slots, lists of VMs that are empty or short.

--- a/bench/src/fuzz_outcomes/harness/mod.rs
+++ b/bench/src/fuzz_outcomes/harness/mod.rs
@@ -9,4 +9,5 @@
 pub mod oracle;
 pub mod service;
 pub mod story;
+pub mod traffic;
 pub mod world;
--- a/bench/src/fuzz_outcomes/harness/oracle.rs
+++ b/bench/src/fuzz_outcomes/harness/oracle.rs
@@ -26,6 +26,22 @@
     OneOwner,
     /// When all faults are over, each upstream has an owner again.
     Recovery,
+    /// A request runs on the adapter and version that it names.
+    RightAdapter,
+    /// An adapter that a running request uses isn't unloaded.
+    Pinned,
+    /// A caller gets the answer to its own request.
+    OwnAnswer,
+    /// What was refused as not run never ran.
+    NotRun,
+    /// A request that isn't idempotent runs at most once.
+    AtMostOnce,
+    /// A leaving upstream gets no new work after three seconds.
+    Leaving,
+    /// A list that lacks many at once isn't believed.
+    Panic,
+    /// A planned stop cuts off no request.
+    Graceful,
     /// A planned handover begins no sooner than the upstream was released.
     Handover,
 }
--- a/bench/src/fuzz_outcomes/harness/story.rs
+++ b/bench/src/fuzz_outcomes/harness/story.rs
@@ -31,6 +31,14 @@
     Stale(u16),
     /// An upstream comes or goes on the list of VMs.
     Upstream(u8),
+    /// An upstream is marked leaving, and goes later.
+    Leave(u8),
+    /// The list of VMs comes back empty or cut short.
+    BadList(u8, u16),
+    /// An engine starts anew.
+    Engine(u8),
+    /// Callers send requests to a node: adapter and kind by the second number.
+    Request(u8, u8),
 }
 
 /// A world and what happens in it.
@@ -63,7 +71,7 @@
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let node = small(g, 8);
-        match below(g, 24) {
+        match below(g, 40) {
             0..=3 => Self::Wait(span(g, 4000)),
             4..=6 => Self::Pause(node, span(g, 9000)),
             7..=8 => Self::Kill(node, span(g, 9000)),
@@ -75,7 +83,11 @@
             19 => Self::Loss(small(g, 60), span(g, 6000)),
             20 => Self::Late(small(g, 60), span(g, 6000)),
             21 => Self::Stale(span(g, 6000)),
-            _ => Self::Upstream(small(g, 8)),
+            22 => Self::Upstream(small(g, 8)),
+            23 => Self::Leave(small(g, 8)),
+            24 => Self::BadList(small(g, 4), span(g, 6000)),
+            25..=26 => Self::Engine(small(g, 8)),
+            _ => Self::Request(node, u8::arbitrary(g)),
         }
     }
 
--- a/bench/src/fuzz_outcomes/harness/world.rs
+++ b/bench/src/fuzz_outcomes/harness/world.rs
@@ -6,24 +6,31 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use chivevalve::clock::Millis;
+use chivevalve::error::{Code, Failure};
+use chivevalve::fate::Budget;
 use chivevalve::membership::guard::Guards;
 use chivevalve::membership::machine::{Action, Answer, Call, Machine};
 use chivevalve::membership::node::{Claim, Identity};
+use chivevalve::membership::upstreams::Upstreams;
 use chivevalve::membership::{Limits, witness};
 use chivevalve::name::Name;
-use chivevalve::platform::{Error, Event};
+use chivevalve::platform::{Error, Event, Vm};
+use chivevalve::request::Id;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use super::oracle::{Promise, Violation};
 use super::service::Service;
 use super::story::{Step, Story};
+use super::traffic::{Engine, Order, Outcome, Owned, Report, Request, Route};
 
 const PREFIX: &str = "/fuzz/";
 /// Time between two ticks of a machine.
 const TICK: u64 = 100;
 /// Parts of a node's clock rate; a node may be one part faster or slower.
 const RATE: u64 = 48;
+/// Steps that a stopping node may take to finish what it runs.
+const GRACE_TICKS: u32 = 400;
 /// How long a world may take to recover after the last fault.
 const RECOVERY: u64 = 60_000;
 /// Where nodes' clocks start, far from the world's.
@@ -31,7 +38,7 @@
 
 /// Something that arrives at a time.
 #[derive(Debug, Clone)]
-enum Arrival {
+pub(super) enum Arrival {
     Tick,
     Answer(u64, Answer),
     Seen(Event),
@@ -43,11 +50,19 @@
     },
     News(Vec<Claim>, Vec<chivevalve::membership::node::Record>),
     Released(u64, Name, u64),
+    Attempt(Route, Name),
+    Result(usize, u32, Result<usize, Failure>),
+    Retry(usize),
+    Deadline(usize),
+    Ran(Name, Id, Outcome),
+    Granted(Name, usize),
+    Loaded(Name, usize, bool),
+    Reported(Name, Report),
 }
 
 /// What is due in the world.
 #[derive(Debug, Clone)]
-enum Due {
+pub(super) enum Due {
     /// For one start of a node.
     Node(usize, u64, Arrival),
     /// For the service, from a node.
@@ -59,6 +74,15 @@
         answered: bool,
     },
     Gossip,
+    Engine {
+        node: usize,
+        start: u64,
+        token: u64,
+        upstream: Name,
+        order: Order,
+    },
+    Done(Name, Id, u64),
+    Gone(Name),
     Resume(usize),
     Start(usize),
     End(Fault),
@@ -66,7 +90,7 @@
 
 /// A fault that lasts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fault {
+pub(super) enum Fault {
     ServiceDown,
     ServiceCut(usize),
     Split,
@@ -74,31 +98,47 @@
     Loss,
     Late,
     Stale,
+    BadList,
 }
 
 /// What a node's owner would serve.
 #[derive(Debug)]
-struct Served {
-    token: u64,
+pub(super) struct Served {
+    pub token: u64,
     until: Arc<AtomicU64>,
-    releasing: bool,
+    pub releasing: bool,
+    release: Option<(u64, Millis)>,
+    pub owned: Owned,
+}
+
+impl Served {
+    /// Whether an order may leave now.
+    pub fn may_order(&self, now: Millis) -> bool {
+        now.0 < self.until.load(Ordering::Acquire)
+    }
 }
 
 #[derive(Debug)]
-struct Node {
-    identity: Identity,
-    machine: Option<Machine>,
+pub(super) struct Node {
+    pub identity: Identity,
+    pub machine: Option<Machine>,
     rate: u64,
-    paused: bool,
+    pub paused: bool,
     backlog: VecDeque<Arrival>,
-    served: BTreeMap<Name, Served>,
+    pub served: BTreeMap<Name, Served>,
+    pub upstreams: Upstreams,
+    pub routes: BTreeMap<Id, Route>,
+    pub budget: Budget,
+    listed: u64,
+    stalled: bool,
+    left_over: u32,
     cut: u32,
     // A watch tells in order.
     watched_until: u64,
 }
 
 impl Node {
-    fn clock(&self, now: u64) -> Millis {
+    pub fn clock(&self, now: u64) -> Millis {
         Millis(EPOCH + now * self.rate / RATE)
     }
 }
@@ -112,21 +152,28 @@
     loss: u8,
     late: u8,
     stale: u32,
+    bad_list: Option<u8>,
 }
 
 /// The world of one story.
 #[derive(Debug)]
 pub struct World {
-    now: u64,
+    pub(super) now: u64,
     order: u64,
     due: BTreeMap<(u64, u64), Due>,
-    rng: Pcg64Mcg,
+    pub(super) rng: Pcg64Mcg,
     guards: Guards,
     service: Service,
-    nodes: Vec<Node>,
+    pub(super) nodes: Vec<Node>,
     starts: u64,
     faults: Faults,
-    regions: BTreeMap<Name, Name>,
+    pub(super) regions: BTreeMap<Name, Name>,
+    pub(super) leaving: BTreeMap<Name, u64>,
+    // When upstreams left the list, and when the list was last bad.
+    pub(super) unlisted: Vec<u64>,
+    pub(super) list_bad: u64,
+    pub(super) requests: Vec<Request>,
+    pub(super) engines: BTreeMap<Name, Engine>,
     violation: Option<Violation>,
     /// What happened, if it is wanted.
     pub trace: Option<Vec<String>>,
@@ -149,6 +196,11 @@
             starts: 0,
             faults: Faults::default(),
             regions: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            unlisted: Vec::new(),
+            list_bad: 0,
+            requests: Vec::new(),
+            engines: BTreeMap::new(),
             violation: None,
             trace: None,
             notes: BTreeMap::new(),
@@ -185,6 +237,12 @@
             paused: false,
             backlog: VecDeque::new(),
             served: BTreeMap::new(),
+            upstreams: Upstreams::new(self.guards),
+            routes: BTreeMap::new(),
+            budget: Budget::new(20, Millis::ZERO),
+            listed: 0,
+            stalled: false,
+            left_over: 0,
             cut: 0,
             watched_until: 0,
         });
@@ -208,6 +266,7 @@
     }
 
     fn recover(&mut self) -> Result<(), Violation> {
+        self.count_requests();
         let latest = self.now + 16_000;
         self.run(latest - self.now)?;
         self.faults = Faults::default();
@@ -249,7 +308,7 @@
         }
     }
 
-    fn later(&mut self, span: u64, due: Due) {
+    pub(super) fn later(&mut self, span: u64, due: Due) {
         self.order += 1;
         self.due.insert((self.now + span, self.order), due);
     }
@@ -293,6 +352,7 @@
                 let node = self.node_of(node);
                 if !self.nodes[node].paused && self.nodes[node].machine.is_some() {
                     self.nodes[node].paused = true;
+                    self.nodes[node].stalled = true;
                     self.later(u64::from(span), Due::Resume(node));
                 }
             }
@@ -307,6 +367,17 @@
                 self.later(20_000 + u64::from(span), Due::Start(node));
             }
             Step::Upstream(index) => self.change_upstream(index),
+            Step::Leave(index) => self.leave(index),
+            Step::Engine(index) => {
+                let upstream = Name::from(format!("u{index}"));
+                self.restart_engine(&upstream);
+            }
+            Step::Request(node, what) => {
+                let node = self.node_of(node);
+                for _ in 0..=(what >> 5) {
+                    self.request(node, what);
+                }
+            }
             _ => self.break_something(step),
         }
     }
@@ -342,6 +413,10 @@
                 self.faults.stale += 1;
                 (Fault::Stale, span)
             }
+            Step::BadList(part, span) => {
+                self.faults.bad_list = Some(part);
+                (Fault::BadList, span)
+            }
             _ => return,
         };
         self.later(u64::from(span), Due::End(fault));
@@ -359,6 +434,7 @@
             Fault::ServiceSplit => faults.service_split = None,
             Fault::Loss => faults.loss = 0,
             Fault::Late => faults.late = 0,
+            Fault::BadList => faults.bad_list = None,
             Fault::Stale => faults.stale = faults.stale.saturating_sub(1),
         }
     }
@@ -366,26 +442,95 @@
     fn change_upstream(&mut self, index: u8) {
         let name = Name::from(format!("u{index}"));
         if self.regions.len() > 1 && self.regions.remove(&name).is_some() {
-            // Gone from the list.
-        } else {
-            let region = self.nodes[usize::from(index) % self.nodes.len()]
-                .identity
-                .region
-                .clone();
-            self.regions.insert(name, region);
+            self.leaving.remove(&name);
+            self.unlisted.push(self.now);
+            return;
+        }
+        let at = usize::from(index) % self.nodes.len();
+        let region = self.nodes[at].identity.region.clone();
+        self.regions.insert(name, region);
+    }
+
+    fn leave(&mut self, index: u8) {
+        let name = Name::from(format!("u{index}"));
+        if self.regions.len() > 1 && self.regions.contains_key(&name) {
+            let now = self.now;
+            self.leaving.entry(name.clone()).or_insert(now);
+            self.unlisted.push(now);
+            self.later(9000, Due::Gone(name));
+        }
+    }
+
+    fn gone(&mut self, name: &Name) {
+        if self.regions.len() > 1 && self.leaving.remove(name).is_some() {
+            self.regions.remove(name);
+        }
+    }
+
+    // A node reads the list of VMs once a second and tells its machine.
+    fn read_list(&mut self, index: usize) {
+        if self.now < self.nodes[index].listed + 1000 {
+            return;
+        }
+        self.nodes[index].listed = self.now;
+        let bad = self.faults.bad_list;
+        if bad.is_some() {
+            self.list_bad = self.now;
+        }
+        let vms: Vec<Vm> = self
+            .regions
+            .iter()
+            .enumerate()
+            .filter(|(at, _)| bad.is_none_or(|part| part > 0 && at % 4 == usize::from(part)))
+            .map(|(_, (name, region))| self.vm(name, region))
+            .collect();
+        let cut_short = vms.len() + 1 < self.regions.len() && vms.len() * 3 < self.regions.len();
+        let now = self.nodes[index].clock(self.now);
+        let node = &mut self.nodes[index];
+        let before = node.upstreams.all(now).len();
+        node.upstreams.list(now, vms);
+        let after = node.upstreams.all(now);
+        let believed = bad.is_some() && cut_short && before > 2 && after.len() * 3 < before;
+        let regions: BTreeMap<Name, Name> = after
+            .into_iter()
+            .map(|upstream| (upstream.vm.name, upstream.vm.region))
+            .collect();
+        self.on_machine(index, |machine, now| machine.upstreams(now, regions));
+        if believed {
+            self.broken(
+                Promise::Panic,
+                format!("n{index} believes a list cut short"),
+            );
         }
-        for node in 0..self.nodes.len() {
-            let regions = self.regions.clone();
-            self.on_machine(node, |machine, now| machine.upstreams(now, regions));
+    }
+
+    fn vm(&self, name: &Name, region: &Name) -> Vm {
+        Vm {
+            name: name.clone(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            pool: Name::from("p"),
+            region: region.clone(),
+            failure_domain: Name::from("d"),
+            leaving: self.leaving.contains_key(name),
         }
     }
 
-    fn kill(&mut self, node: usize) {
-        let node = &mut self.nodes[node];
+    pub(super) fn broken(&mut self, promise: Promise, detail: String) {
+        let at = self.now;
+        self.violation.get_or_insert(Violation {
+            promise,
+            at,
+            detail,
+        });
+    }
+
+    fn kill(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
         node.machine = None;
         node.paused = false;
         node.backlog.clear();
         node.served.clear();
+        self.break_connections(index);
     }
 
     fn start(&mut self, index: usize) {
@@ -399,7 +544,13 @@
         node.paused = false;
         node.backlog.clear();
         node.served.clear();
+        node.routes.clear();
+        node.stalled = false;
+        node.left_over = 0;
+        node.upstreams = Upstreams::new(self.guards);
+        node.listed = 0;
         let now = node.clock(self.now);
+        node.budget = Budget::new(20, now);
         let limits = Limits {
             watchers: 2,
             settle: Millis(4000),
@@ -410,8 +561,6 @@
         let identity = node.identity.clone();
         let machine = Machine::with_guards(identity, limits, PREFIX, seed, now, self.guards);
         node.machine = Some(machine);
-        let regions = self.regions.clone();
-        self.on_machine(index, |machine, now| machine.upstreams(now, regions));
         let start = self.starts;
         self.later(0, Due::Node(index, start, Arrival::Tick));
     }
@@ -443,6 +592,15 @@
                 answered,
             } => self.serve(node, start, number, &call, answered),
             Due::Gossip => self.gossip(),
+            Due::Engine {
+                node,
+                start,
+                token,
+                upstream,
+                order,
+            } => self.engine(node, start, token, upstream, order),
+            Due::Done(upstream, id, boot) => self.done(upstream, id, boot),
+            Due::Gone(upstream) => self.gone(&upstream),
             Due::Resume(index) => self.resume(index),
             Due::Start(index) => self.start(index),
             Due::End(fault) => self.mend(fault),
@@ -465,7 +623,9 @@
         }
         match arrival {
             Arrival::Tick => {
+                self.read_list(index);
                 self.on_machine(index, Machine::tick);
+                self.tick_owned(index);
                 let start = self.nodes[index].identity.incarnation;
                 self.later(TICK, Due::Node(index, start, Arrival::Tick));
             }
@@ -491,6 +651,14 @@
                     }
                 });
             }
+            Arrival::Attempt(route, upstream) => self.attempt(index, route, &upstream),
+            Arrival::Result(number, attempt, result) => self.result(number, attempt, result),
+            Arrival::Retry(number) => self.try_at(number),
+            Arrival::Deadline(number) => self.deadline(number),
+            Arrival::Ran(upstream, id, outcome) => self.ran(index, &upstream, &id, outcome),
+            Arrival::Granted(upstream, adapter) => self.granted(index, &upstream, adapter),
+            Arrival::Loaded(upstream, adapter, ok) => self.loaded(index, &upstream, adapter, ok),
+            Arrival::Reported(upstream, report) => self.reported(index, &upstream, &report),
             Arrival::Released(number, upstream, token) => {
                 let served = &mut self.nodes[index].served;
                 if served
@@ -540,7 +708,7 @@
             word.renewed = span > Millis::ZERO;
         }
         if self.connected(index, from) && !self.lost() {
-            let delay = self.delay();
+            let delay = self.slow_delay();
             let answer = Arrival::Answer(number, Answer::Said(Some(word)));
             self.later(delay, Due::Node(from, start, answer));
         }
@@ -558,8 +726,57 @@
             self.carry_out(index, action);
         }
         if drained {
-            self.kill(index);
+            self.stopped(index);
+        }
+    }
+
+    // A node that handed everything over ends when its callers are served and what it
+    // runs for others has finished.
+    fn stopped(&mut self, index: usize) {
+        if self.serves_callers(index) || !self.nodes[index].routes.is_empty() {
+            self.nodes[index].left_over += 1;
+            let long = self.nodes[index].left_over > GRACE_TICKS;
+            if long && !self.nodes[index].stalled {
+                self.broken(Promise::Graceful, format!("n{index} never finishes"));
+            }
+            return;
+        }
+        self.kill(index);
+    }
+
+    // What the owner of each upstream does now and then.
+    fn tick_owned(&mut self, index: usize) {
+        let upstreams: Vec<Name> = self.nodes[index].served.keys().cloned().collect();
+        let report = (self.now / TICK).is_multiple_of(5);
+        for upstream in upstreams {
+            self.decide(
+                index,
+                &upstream,
+                chivevalve::policy::upstream::Machine::tick,
+            );
+            if report {
+                self.order(index, &upstream, Order::Report);
+            }
+            self.finish_release(index, &upstream);
+        }
+    }
+
+    fn finish_release(&mut self, index: usize, upstream: &Name) {
+        let now = self.nodes[index].clock(self.now);
+        let Some(served) = self.nodes[index].served.get_mut(upstream) else {
+            return;
+        };
+        let Some((number, limit)) = served.release else {
+            return;
+        };
+        if !served.owned.is_idle() && now < limit {
+            return;
         }
+        served.release = None;
+        let token = served.token;
+        let start = self.nodes[index].identity.incarnation;
+        let released = Arrival::Released(number, upstream.clone(), token);
+        self.later(0, Due::Node(index, start, released));
     }
 
     fn carry_out(&mut self, index: usize, action: Action) {
@@ -578,8 +795,11 @@
                     token,
                     until,
                     releasing: false,
+                    release: None,
+                    owned: Owned::new(),
                 };
-                self.nodes[index].served.insert(upstream, served);
+                self.nodes[index].served.insert(upstream.clone(), served);
+                self.order(index, &upstream, Order::Report);
             }
             Action::Call(number, Call::Release(upstream, limit)) => {
                 self.release(index, number, upstream, limit);
@@ -593,18 +813,19 @@
 
     fn release(&mut self, index: usize, number: u64, upstream: Name, limit: Millis) {
         let start = self.nodes[index].identity.incarnation;
-        let wait = if limit == Millis::ZERO {
-            0
-        } else {
-            self.rng.random_range(0..3000)
-        };
+        let until = self.nodes[index].clock(self.now) + limit;
+        self.decide(index, &upstream, |machine, _| machine.leave(Code::NotOwner));
         let mut token = 0;
         if let Some(served) = self.nodes[index].served.get_mut(&upstream) {
             served.releasing = true;
             token = served.token;
+            if limit > Millis::ZERO {
+                served.release = Some((number, until));
+                return;
+            }
         }
         let released = Arrival::Released(number, upstream, token);
-        self.later(wait, Due::Node(index, start, released));
+        self.later(0, Due::Node(index, start, released));
     }
 
     fn ask(&mut self, from: usize, number: u64, address: SocketAddr, ask: witness::Ask) {
@@ -697,7 +918,7 @@
             Call::Ask(..) | Call::Release(..) => return,
         };
         if answered && self.service_reachable(node) {
-            let delay = self.delay();
+            let delay = self.slow_delay();
             self.later(
                 delay,
                 Due::Node(node, start, Arrival::Answer(number, answer)),
@@ -741,11 +962,19 @@
         }
     }
 
-    fn delay(&mut self) -> u64 {
+    // Answers that come late make a bound that counts from them too long.
+    fn slow_delay(&mut self) -> u64 {
+        if self.rng.random_range(0..100) < u32::from(self.faults.late) {
+            return self.rng.random_range(100..790);
+        }
+        self.delay()
+    }
+
+    pub(super) fn delay(&mut self) -> u64 {
         self.rng.random_range(1..8)
     }
 
-    fn lost(&mut self) -> bool {
+    pub(super) fn lost(&mut self) -> bool {
         self.rng.random_range(0..100) < u32::from(self.faults.loss)
     }
 
@@ -755,7 +984,7 @@
         self.faults.down == 0 && self.nodes[node].cut == 0 && heard
     }
 
-    fn connected(&self, a: usize, b: usize) -> bool {
+    pub(super) fn connected(&self, a: usize, b: usize) -> bool {
         let Some(mask) = self.faults.split else {
             return true;
         };
--- a/bench/src/fuzz_outcomes/mod.rs
+++ b/bench/src/fuzz_outcomes/mod.rs
@@ -146,11 +146,9 @@
             let what = caught.map_or_else(
                 || "NOT CAUGHT".to_owned(),
                 |failure| {
-                    format!(
-                        "{:?} in {} steps",
-                        failure.violation.promise,
-                        failure.story.steps.len()
-                    )
+                    let steps = failure.story.steps.len();
+                    let promise = failure.violation.promise;
+                    format!("{promise:?} in {steps} steps, seed {}", failure.seed)
                 },
             );
             println!(
--- a/lib/src/membership/machine/claims.rs
+++ b/lib/src/membership/machine/claims.rs
@@ -389,13 +389,24 @@
         });
     }
 
-    /// Stops serving an upstream at once; running requests go on to their end.
+    /// Gives the right to an upstream up at once; running requests go on to their end.
     pub(super) fn give_up(&mut self, now: Millis, upstream: &Name) {
-        if let Some(held) = self.holds.remove(upstream) {
-            held.until.store(0, Ordering::Release);
-            let call = Call::Release(upstream.clone(), Millis::ZERO);
-            self.call(now, Purpose::Release(upstream.clone()), call);
+        let Some(held) = self.holds.remove(upstream) else {
+            return;
+        };
+        held.until.store(0, Ordering::Release);
+        if matches!(self.busy.get(upstream), Some(Busy::Releasing)) {
+            return;
         }
+        // A node that stops must not end before what it runs has finished.
+        let limit = if self.stopping.is_some() {
+            self.busy.insert(upstream.clone(), Busy::Releasing);
+            self.limits.release
+        } else {
+            Millis::ZERO
+        };
+        let call = Call::Release(upstream.clone(), limit);
+        self.call(now, Purpose::Release(upstream.clone()), call);
     }
 
     // One upstream at a time goes from a node that holds two more than another, once
--- /dev/null
+++ b/lib/tests/test_membership.rs
@@ -0,0 +1,287 @@
+//! Membership's parts: what is learned, who supports whom, which lists are believed.
+
+use std::net::SocketAddr;
+
+use chivevalve::clock::Millis;
+use chivevalve::membership::Limits;
+use chivevalve::membership::fleet::State;
+use chivevalve::membership::guard::Guards;
+use chivevalve::membership::node::{Claim, Identity, Keys, Record, Witnesses};
+use chivevalve::membership::placement::{self, Load};
+use chivevalve::membership::table::Table;
+use chivevalve::membership::upstreams::{Upstreams, Verdict};
+use chivevalve::membership::witness::{Ask, Witness};
+use chivevalve::name::Name;
+use chivevalve::platform::{Entry, LeaseId, Listing, Vm};
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn claim(token: u64) -> Claim {
+    Claim {
+        upstream: Name::from("u"),
+        node: Name::from("n"),
+        incarnation: 1,
+        token,
+        peer: address(),
+    }
+}
+
+fn record(name: &str, region: &str, domain: &str) -> Record {
+    Record {
+        identity: Identity {
+            name: Name::from(name),
+            incarnation: 1,
+            region: Name::from(region),
+            failure_domain: Name::from(domain),
+            peer: address(),
+            operators: address(),
+        },
+        lease: LeaseId(1),
+        witnesses: Witnesses::new(),
+        draining: false,
+        revision: 1,
+        gone: false,
+    }
+}
+
+fn listing(keys: &Keys, token: u64, revision: u64) -> Listing {
+    let entry = Entry {
+        key: keys.claim("u"),
+        value: claim(token).to_value(),
+        revision: token,
+        lease: None,
+    };
+    Listing {
+        entries: vec![entry],
+        revision,
+    }
+}
+
+/// Symptom: a node serves an upstream under a token that it has replaced itself.
+/// Sequence: it asks for all keys, writes its claim anew, and gets the answer of
+/// the read after that of the write.
+/// Cause: the read's older claim was put over the newer one.
+#[test]
+fn read_late_answer() {
+    let keys = Keys::new("/p/");
+    let mut table = Table::new(keys.clone(), Guards::all());
+    assert!(table.read(&listing(&keys, 3, 5)));
+    assert!(table.learn_claim(claim(7)));
+    assert!(table.read(&listing(&keys, 3, 6)));
+    assert_eq!(table.claim("u").map(|claim| claim.token), Some(7));
+}
+
+/// Symptom: an owner that has lost its claim comes back for a moment.
+/// Sequence: one replica of the service answers newly, the next one from before.
+/// Cause: an answer was believed though its revision was older.
+#[test]
+fn read_stale_replica() {
+    let keys = Keys::new("/p/");
+    let mut table = Table::new(keys.clone(), Guards::all());
+    assert!(table.read(&listing(&keys, 6, 9)));
+    assert!(!table.read(&listing(&keys, 3, 5)));
+    assert_eq!(table.claim("u").map(|claim| claim.token), Some(6));
+}
+
+/// Symptom: an upstream that operators freed has its old owner again.
+/// Sequence: the claim is removed, this node reads that, a peer still tells of it.
+/// Cause: what a peer knows was taken for news although the read was complete.
+#[test]
+fn learn_claim_removed() {
+    let keys = Keys::new("/p/");
+    let mut table = Table::new(keys.clone(), Guards::all());
+    let empty = Listing {
+        entries: Vec::new(),
+        revision: 9,
+    };
+    assert!(table.read(&empty));
+    assert!(!table.learn_claim(claim(8)));
+    assert!(table.learn_claim(claim(10)));
+}
+
+fn ask(registration: u64, withdraw_before: Option<u64>) -> Ask {
+    Ask {
+        node: Name::from("n"),
+        incarnation: 1,
+        lease: LeaseId(1),
+        registration,
+        withdraw_before,
+    }
+}
+
+fn witness() -> (Witness, Millis) {
+    let quiet = Limits::default().quiet();
+    (Witness::new(Millis::ZERO, quiet), quiet)
+}
+
+/// Symptom: two owners while the service is down for some and up for others.
+/// Sequence: an owner is supported, and a successor asks a second later.
+/// Cause: a witness gave its word to both.
+#[test]
+fn hear_supported_of_late() {
+    let (mut witness, now) = witness();
+    assert!(witness.hear(now, &ask(4, None)).supported);
+    let second = now + Millis(1000);
+    assert!(!witness.hear(second, &ask(4, Some(5))).withdrawn);
+    let later = now + Millis(3500);
+    assert!(witness.hear(later, &ask(4, Some(5))).withdrawn);
+}
+
+/// Symptom: as above, the other way round.
+/// Sequence: a witness withdraws, then the owner, paused until now, asks.
+/// Cause: the witness forgot that it had withdrawn.
+#[test]
+fn hear_withdrawn() {
+    let (mut witness, now) = witness();
+    assert!(witness.hear(now, &ask(4, Some(5))).withdrawn);
+    assert!(!witness.hear(now, &ask(4, None)).supported);
+    assert!(witness.hear(now, &ask(6, None)).supported);
+}
+
+/// Symptom: as above.
+/// Sequence: a witness withdraws, is restarted, and is asked by the owner.
+/// Cause: a restart forgets, and the witness spoke at once.
+#[test]
+fn hear_restarted() {
+    let (mut witness, quiet) = witness();
+    let before = Millis(quiet.0 - 1);
+    assert!(!witness.hear(before, &ask(4, None)).supported);
+    assert!(!witness.hear(before, &ask(4, Some(5))).withdrawn);
+    assert!(witness.hear(quiet, &ask(4, None)).supported);
+}
+
+#[test]
+fn lease_span_budget() {
+    let limits = Limits::default();
+    assert_eq!(limits.lease_span(9), Millis(3000));
+    assert_eq!(limits.lease_span(320), Millis(9600));
+}
+
+#[test]
+fn witnesses_two_nodes() {
+    let (a, b) = (record("a", "r", "x"), record("b", "r", "y"));
+    let chosen = placement::witnesses(&a, &[&a, &b]);
+    assert_eq!(&chosen[..], &[Name::from("b")]);
+}
+
+/// Symptom: a failure domain is lost while the service is down, and owners in the
+/// other one stop.
+/// Sequence: a region of two failure domains, nine witnesses, five in the lost one.
+/// Cause: all witnesses were of the region.
+#[test]
+fn witnesses_two_domains() {
+    let mut nodes: Vec<Record> = (0..20)
+        .map(|at| record(&format!("n{at}"), "r", if at % 2 == 0 { "x" } else { "y" }))
+        .collect();
+    nodes.push(record("far", "s", "z"));
+    let live: Vec<&Record> = nodes.iter().collect();
+    let chosen = placement::witnesses(&nodes[0], &live);
+    assert_eq!(chosen.len(), 9);
+    let within = |domain: &str| {
+        let of = |name: &&Name| {
+            let node = nodes.iter().find(|node| node.identity.name == **name);
+            node.is_some_and(|node| *node.identity.failure_domain == *domain)
+        };
+        chosen.iter().filter(of).count()
+    };
+    assert_eq!((within("x"), within("y"), within("z")), (4, 4, 1));
+}
+
+#[test]
+fn successor_shares_evenly() {
+    let nodes: Vec<Record> = (0..9)
+        .map(|at| record(&format!("n{at}"), "r", "x"))
+        .collect();
+    let live: Vec<&Record> = nodes.iter().collect();
+    let mut load = Load::default();
+    for upstream in 0..18 {
+        let name = format!("u{upstream}");
+        let to = placement::successor(&name, &live, &load).expect("there are nodes");
+        load.add(&to.identity.name.clone());
+    }
+    assert!(nodes.iter().all(|node| load.of(&node.identity.name) == 2));
+}
+
+fn vms(count: usize) -> Vec<Vm> {
+    (0..count)
+        .map(|at| Vm {
+            name: Name::from(format!("u{at}")),
+            address: address(),
+            pool: Name::from("p"),
+            region: Name::from("r"),
+            failure_domain: Name::from("x"),
+            leaving: false,
+        })
+        .collect()
+}
+
+/// Symptom: all upstreams lose their work at once though none has failed.
+/// Sequence: the directory restarts and answers with an empty, then a short list.
+/// Cause: a list was believed whatever it lacked.
+#[test]
+fn list_lacks_many() {
+    let mut upstreams = Upstreams::new(Guards::all());
+    assert_eq!(upstreams.list(Millis(0), vms(9)), Verdict::Believed);
+    let empty = upstreams.list(Millis(1000), Vec::new());
+    assert_eq!(empty, Verdict::Doubted { missing: 9 });
+    let short = upstreams.list(Millis(2000), vms(4));
+    assert_eq!(short, Verdict::Doubted { missing: 5 });
+    assert_eq!(upstreams.all(Millis(2000)).len(), 9);
+    assert_eq!(upstreams.list(Millis(62_000), vms(4)), Verdict::Believed);
+    assert_eq!(upstreams.all(Millis(62_000)).len(), 4);
+}
+
+#[test]
+fn list_lacks_few() {
+    let mut upstreams = Upstreams::new(Guards::all());
+    upstreams.list(Millis(0), vms(9));
+    assert_eq!(upstreams.list(Millis(1000), vms(6)), Verdict::Believed);
+}
+
+/// Symptom: requests fail again and again at an upstream that answers in between.
+/// Sequence: it fails, is let in, answers, fails again.
+/// Cause: one answer forgave all failures.
+#[test]
+fn failed_flapping() {
+    let mut upstreams = Upstreams::new(Guards::all());
+    upstreams.list(Millis(0), vms(9));
+    let state = |upstreams: &Upstreams, at| {
+        let found = upstreams.get(Millis(at), "u0");
+        found.map(|found| found.state)
+    };
+    upstreams.failed(Millis(1000), "u0");
+    assert_eq!(state(&upstreams, 1249), Some(State::Held));
+    assert_eq!(state(&upstreams, 1250), Some(State::Usable));
+    upstreams.answered(Millis(1300), "u0");
+    upstreams.failed(Millis(1400), "u0");
+    assert_eq!(state(&upstreams, 1899), Some(State::Held));
+    assert_eq!(state(&upstreams, 1900), Some(State::Usable));
+}
+
+/// Symptom: a whole pool refuses work though its upstreams are well.
+/// Sequence: a node loses its network for a moment; all its connections fail.
+/// Cause: each upstream was held out by itself, however many were.
+#[test]
+fn failed_most_of_pool() {
+    let mut upstreams = Upstreams::new(Guards::all());
+    upstreams.list(Millis(0), vms(3));
+    upstreams.failed(Millis(1000), "u0");
+    upstreams.failed(Millis(1000), "u1");
+    let states: Vec<State> = upstreams
+        .all(Millis(1001))
+        .into_iter()
+        .map(|upstream| upstream.state)
+        .collect();
+    assert_eq!(states, [State::Usable; 3]);
+}
+
+#[test]
+fn sign_stops_new_work() {
+    let mut upstreams = Upstreams::new(Guards::all());
+    upstreams.list(Millis(0), vms(9));
+    assert!(upstreams.sign(Millis(10), "u3"));
+    let state = upstreams.get(Millis(20), "u3").map(|found| found.state);
+    assert_eq!(state, Some(State::Leaving));
+}
