--- /dev/null
+++ b/lib/tests/test_policy_parts.rs
@@ -0,0 +1,526 @@
+//! Placement, the fair queue, slots and the order of loads, each against its promise.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use chivevalve::adapter::Adapter;
+use chivevalve::clock::Millis;
+use chivevalve::error::Code;
+use chivevalve::loads::Ask;
+use chivevalve::policy::demand::Forecast;
+use chivevalve::policy::loads;
+use chivevalve::policy::placement::{self, CANDIDATES, Pool, Router};
+use chivevalve::policy::queue::{Entry, Queue};
+use chivevalve::policy::slots::Table;
+use chivevalve::policy::upstream::{Action, Limits, Machine};
+use chivevalve::request::{Class, Id, Ticket};
+use chivevalve::runner::Share;
+use quickcheck::{Arbitrary, Gen};
+
+const ADAPTERS: u32 = 19_000;
+
+fn adapter(number: u32) -> Adapter {
+    Adapter {
+        base_model: Arc::from("base"),
+        name: Arc::from(format!("a{number}")),
+        version: Arc::from("1"),
+    }
+}
+
+fn ticket(id: u32, account: &str, class: Class, adapter: Option<Adapter>) -> Ticket {
+    Ticket {
+        id: Id(Arc::from(format!("r{id}"))),
+        account: Arc::from(account),
+        template: Arc::from("t"),
+        pool: Arc::from("p"),
+        adapter,
+        class,
+        weight: 1,
+        idempotent: true,
+        deadline: Millis(600_000),
+        prompt_tokens: 0,
+        max_output_tokens: 100,
+        revision: 1,
+    }
+}
+
+fn share(weight: u32) -> Share {
+    Share {
+        weight,
+        max_in_flight: 0,
+        max_queued: 0,
+    }
+}
+
+fn pool(upstreams: usize, without: Option<usize>) -> Pool {
+    let names: Vec<String> = (0..upstreams).map(|n| format!("engine-{n}")).collect();
+    let domains: Vec<String> = (0..upstreams)
+        .map(|n| format!("domain-{}", n % 5))
+        .collect();
+    Pool::of((0..upstreams).map(|n| (names[n].as_str(), domains[n].as_str(), Some(n) != without)))
+}
+
+fn router() -> Router {
+    Router::new(placement::Limits::default(), 7)
+}
+
+fn homes(pool: &Pool) -> Vec<usize> {
+    let mut router = router();
+    (0..ADAPTERS)
+        .map(|number| router.order(pool, Some(&adapter(number)), Millis::ZERO)[0])
+        .collect()
+}
+
+fn starts(actions: &[Action]) -> Vec<&str> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Start { id, .. } => Some(&*id.0),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn rendezvous_leaving_upstream_moves_only_its_share() {
+    let before = homes(&pool(600, None));
+    let after = homes(&pool(600, Some(17)));
+    let moved = before.iter().zip(&after).filter(|(a, b)| a != b).count();
+    let held = before.iter().filter(|home| **home == 17).count();
+    assert_eq!(moved, held, "only what it held moves");
+    let fair = ADAPTERS as usize / 600;
+    assert!(held < fair * 2, "{held} of a fair share of {fair}");
+}
+
+#[test]
+fn rendezvous_is_stable_over_order_of_list() {
+    let names = ["a", "b", "c", "d", "e"];
+    let forward = Pool::of(names.iter().map(|name| (*name, "x", true)));
+    let backward = Pool::of(names.iter().rev().map(|name| (*name, "x", true)));
+    for key in 0..100 {
+        let there = forward.rendezvous(key, 3);
+        let back = backward.rendezvous(key, 3);
+        let named = |order: &placement::Order, reverse: bool| -> Vec<&str> {
+            let place = |index: &usize| if reverse { 4 - index } else { *index };
+            order.iter().map(|index| names[place(index)]).collect()
+        };
+        assert_eq!(named(&there, false), named(&back, true));
+    }
+}
+
+/// Symptom: the loss of a failure domain takes a hot adapter off line.
+/// Sequence: home and first replica lie in one domain, the domain goes.
+/// Cause: replicas were taken by hash alone.
+#[test]
+fn rendezvous_replicas_spread_over_domains() {
+    let pool = pool(60, None);
+    for key in 0..1_000 {
+        let order = pool.rendezvous(key, 3);
+        let domains: BTreeSet<usize> = order.iter().map(|index| index % 5).collect();
+        assert_eq!(domains.len(), 3);
+    }
+}
+
+/// Symptom: requests meet a busy or broken upstream again and again.
+/// Sequence: the home passes on, the next request of the adapter arrives.
+/// Cause: the refusal wasn't remembered, or was remembered for good.
+#[test]
+fn order_hint_expires() {
+    let (pool, mut router, wanted) = (pool(12, None), router(), adapter(1));
+    let order = router.order(&pool, Some(&wanted), Millis::ZERO);
+    let home = order[0];
+    assert_eq!(order.last(), Some(&home), "it waits at home");
+    router.refused(&pool, home, Some(&wanted), Code::PassedOn, Millis::ZERO);
+    let hinted = router.order(&pool, Some(&wanted), Millis(1));
+    assert_ne!(hinted[0], home);
+    assert_eq!(hinted.last(), Some(&home));
+    let other = router.order(&pool, Some(&adapter(1)), Millis(60_000));
+    assert_eq!(other[0], home);
+    router.refused(&pool, home, None, Code::ConnectFailed, Millis(60_000));
+    let broken = router.order(&pool, Some(&wanted), Millis(60_001));
+    assert!(!broken.contains(&home));
+}
+
+#[test]
+fn order_never_empty_while_one_is_usable() {
+    let (pool, mut router, wanted) = (pool(3, Some(1)), router(), adapter(5));
+    for index in 0..3 {
+        router.refused(
+            &pool,
+            index,
+            Some(&wanted),
+            Code::ConnectFailed,
+            Millis::ZERO,
+        );
+        router.refused(&pool, index, Some(&wanted), Code::PassedOn, Millis::ZERO);
+    }
+    let order = router.order(&pool, Some(&wanted), Millis(1));
+    assert!(!order.is_empty() && order.len() <= CANDIDATES);
+    assert!(!order.contains(&1), "an unusable upstream is never tried");
+}
+
+#[test]
+fn router_memory_is_bounded() {
+    let (pool, mut router) = (pool(12, None), router());
+    for number in 0..ADAPTERS {
+        router.refused(
+            &pool,
+            0,
+            Some(&adapter(number)),
+            Code::PassedOn,
+            Millis::ZERO,
+        );
+    }
+    assert!(router.len() <= placement::Limits::default().remembered);
+}
+
+#[test]
+fn forecast_memory_is_bounded_and_keeps_the_hot() {
+    let mut forecast = Forecast::new(100);
+    for number in 0..ADAPTERS {
+        let now = Millis(u64::from(number) * 10);
+        forecast.record(&adapter(number), Class::Normal, now);
+        forecast.record(&adapter(0), Class::Normal, now);
+    }
+    assert!(forecast.len() <= 100);
+    let now = Millis(u64::from(ADAPTERS) * 10);
+    assert!(forecast.rate(&adapter(0), now) > forecast.rate(&adapter(ADAPTERS - 1), now));
+}
+
+/// Symptom: hot adapters stall after a scan of cold ones.
+/// Sequence: one adapter is asked for ten times, then a hundred others once each.
+/// Cause: eviction by recency alone.
+#[test]
+fn forecast_scan_is_worth_less_than_the_hot() {
+    let mut forecast = Forecast::new(1_000);
+    for second in 0..10 {
+        forecast.record(&adapter(0), Class::Normal, Millis(second * 1_000));
+    }
+    for number in 1..100 {
+        let now = Millis(10_000 + u64::from(number) * 10);
+        forecast.record(&adapter(number), Class::Normal, now);
+        assert!(forecast.rate(&adapter(0), now) > forecast.rate(&adapter(number), now));
+    }
+}
+
+/// Symptom: after a shift of popularity yesterday's favourite keeps its slot.
+/// Sequence: an hour of steady requests, then none; another adapter becomes hot.
+/// Cause: a long memory without an end by silence.
+#[test]
+fn forecast_silence_ends_a_favourite() {
+    let mut forecast = Forecast::new(1_000);
+    for second in 0..3_600 {
+        forecast.record(&adapter(0), Class::Normal, Millis(second * 1_000));
+    }
+    for second in 3_600..3_660 {
+        forecast.record(&adapter(1), Class::Normal, Millis(second * 1_000));
+    }
+    let now = Millis(3_660_000);
+    assert!(forecast.rate(&adapter(1), now) > forecast.rate(&adapter(0), now));
+}
+
+/// Symptom: one account's burst delays another's single request.
+/// Sequence: a hundred requests of one account wait, one of another arrives.
+/// Cause: one queue for all accounts.
+#[test]
+fn queue_burst_delays_only_its_own_account() {
+    let mut queue = Queue::new();
+    for id in 0..100 {
+        let ticket = ticket(id, "burst", Class::Normal, None);
+        queue.push(Entry::new(ticket, share(1), Millis::ZERO), true);
+    }
+    for _ in 0..10 {
+        queue.pop(Class::Normal, |_, _| true);
+    }
+    let late = ticket(999, "other", Class::Normal, None);
+    queue.push(Entry::new(late, share(1), Millis(5)), true);
+    let next = queue.pop(Class::Normal, |_, _| true).unwrap();
+    assert_eq!(&*next.ticket.account, "other");
+}
+
+#[test]
+fn queue_accounts_share_by_weight() {
+    for seed in 0..50 {
+        let mut g = Gen::from_size_and_seed(100, seed);
+        let weights: Vec<u32> = (0..3)
+            .map(|_| 1 + u32::from(u8::arbitrary(&mut g) % 4))
+            .collect();
+        let mut queue = Queue::new();
+        for id in 0..900 {
+            let place = id as usize % 3;
+            let ticket = ticket(id, &format!("account{place}"), Class::Bulk, None);
+            queue.push(
+                Entry::new(ticket, share(weights[place]), Millis::ZERO),
+                true,
+            );
+        }
+        let mut served: BTreeMap<String, u32> = BTreeMap::new();
+        for _ in 0..200 {
+            let entry = queue.pop(Class::Bulk, |_, _| true).unwrap();
+            *served.entry(entry.ticket.account.to_string()).or_default() += 1;
+        }
+        let total: u32 = weights.iter().sum();
+        for (place, weight) in weights.iter().enumerate() {
+            let fair = 200 * weight / total;
+            let got = served[&format!("account{place}")];
+            assert!(got.abs_diff(fair) <= 2, "seed {seed}: {got} for {fair}");
+        }
+    }
+}
+
+/// Symptom: an urgent request is refused while bulk waits.
+/// Sequence: bulk fills the queue, an urgent request arrives.
+/// Cause: a bound without an order of who gives way.
+#[test]
+fn machine_bulk_gives_way_first() {
+    let limits = Limits {
+        slots: None,
+        batch: 1,
+        queue: 4,
+        ..Limits::default()
+    };
+    let mut machine = Machine::new(limits);
+    for id in 0..5 {
+        let class = if id == 3 { Class::Normal } else { Class::Bulk };
+        let _ = machine.arrive(ticket(id, "a", class, None), share(1), true, Millis(1));
+    }
+    let urgent = ticket(9, "b", Class::Urgent, None);
+    let actions = machine.arrive(urgent, share(1), true, Millis(2));
+    let Some(Action::Refuse { id, failure }) = actions.first() else {
+        panic!("somebody gives way: {actions:?}");
+    };
+    assert_eq!(failure.code, Code::Brownout);
+    assert_eq!(&*id.0, "r4", "the newest of bulk");
+    assert_eq!(machine.status().waiting, [1, 1, 2]);
+}
+
+/// Symptom: bulk never runs while urgent work lasts.
+/// Sequence: one bulk request waits, urgent ones keep coming.
+/// Cause: strict precedence.
+#[test]
+fn machine_bulk_is_not_starved() {
+    let limits = Limits {
+        slots: None,
+        batch: 1,
+        ..Limits::default()
+    };
+    let mut machine = Machine::new(limits);
+    let mut running = Id(Arc::from("r0"));
+    let _ = machine.arrive(
+        ticket(0, "a", Class::Urgent, None),
+        share(1),
+        true,
+        Millis(0),
+    );
+    let _ = machine.arrive(ticket(1, "a", Class::Bulk, None), share(1), true, Millis(0));
+    for id in 2..40 {
+        let now = Millis(u64::from(id));
+        let _ = machine.arrive(ticket(id, "a", Class::Urgent, None), share(1), true, now);
+        let actions = machine.finished(&running, now);
+        let started = starts(&actions);
+        if started == ["r1"] {
+            return;
+        }
+        running = Id(Arc::from(started[0]));
+    }
+    panic!("bulk didn't run among 38 urgent requests");
+}
+
+/// Symptom: a request that can't be answered in time takes a load from one that can.
+/// Sequence: its time is shorter than a load.
+/// Cause: admission without a look at the deadline.
+#[test]
+fn machine_hopeless_deadline_refused_at_once() {
+    let mut machine = Machine::new(Limits::default());
+    let mut short = ticket(1, "a", Class::Normal, Some(adapter(1)));
+    short.deadline = Millis(1_100);
+    let actions = machine.arrive(short, share(1), true, Millis(1_000));
+    let [Action::Refuse { failure, .. }] = actions.as_slice() else {
+        panic!("refused at once: {actions:?}");
+    };
+    assert_eq!(failure.code, Code::DeadlineTooShort);
+    assert!(failure.retry_after.is_some());
+}
+
+/// Symptom: a load that nobody waits for any more delays all others.
+/// Sequence: a request waits, its caller goes, leave is granted.
+/// Cause: leave used without a look at who waits.
+#[test]
+fn machine_unwanted_leave_is_given_back() {
+    let mut machine = Machine::new(Limits::default());
+    let wanted = adapter(1);
+    let waiting = ticket(1, "a", Class::Normal, Some(wanted.clone()));
+    let id = waiting.id.clone();
+    let _ = machine.arrive(waiting, share(1), true, Millis::ZERO);
+    let actions = machine.cancelled(&id, Millis(1));
+    let back = Action::Withdraw {
+        adapter: wanted.clone(),
+    };
+    assert_eq!(actions, std::slice::from_ref(&back));
+    assert_eq!(machine.granted(&wanted, Millis(2)), [back]);
+}
+
+#[test]
+fn machine_waiters_share_one_load() {
+    let mut machine = Machine::new(Limits::default());
+    let wanted = adapter(1);
+    let mut asks = 0;
+    for id in 0..3 {
+        let ticket = ticket(id, "a", Class::Normal, Some(wanted.clone()));
+        let actions = machine.arrive(ticket, share(1), true, Millis(u64::from(id)));
+        asks += actions.len();
+    }
+    assert!(asks <= 3, "replaced asks, not more loads");
+    assert_eq!(machine.granted(&wanted, Millis(5)).len(), 1);
+    let actions = machine.loaded(&wanted, true, Millis(300));
+    assert_eq!(starts(&actions).len(), 3);
+}
+
+/// Symptom: a failing adapter holds the queue of the weight store.
+/// Sequence: its load fails, it is asked for again at once, and fails again.
+/// Cause: no backoff.
+#[test]
+fn machine_failed_load_backs_off() {
+    let mut machine = Machine::new(Limits::default());
+    let wanted = adapter(1);
+    let waiting = ticket(1, "a", Class::Normal, Some(wanted.clone()));
+    let _ = machine.arrive(waiting, share(1), true, Millis::ZERO);
+    let _ = machine.granted(&wanted, Millis(1));
+    assert!(machine.loaded(&wanted, false, Millis(100)).is_empty());
+    let again = machine.next_wakeup().unwrap();
+    assert!(again > Millis(100) && again < Millis(60_000));
+    assert!(matches!(
+        machine.tick(again).as_slice(),
+        [Action::Ask { .. }]
+    ));
+    let _ = machine.granted(&wanted, again);
+    let actions = machine.loaded(&wanted, false, again + Millis(100));
+    let [Action::Refuse { failure, .. }] = actions.as_slice() else {
+        panic!("after two failures the waiters try elsewhere: {actions:?}");
+    };
+    assert_eq!(failure.code, Code::LoadFailed);
+}
+
+/// Symptom: an adapter in use is evicted after an engine's restart.
+/// Sequence: a request runs, the engine restarts, the adapter is loaded anew
+/// and used; only now the first request's end is told.
+/// Cause: its pin was taken off the new filling of the slot.
+#[test]
+fn slots_old_pin_frees_no_new_filling() {
+    let mut table = Table::new(1);
+    let (used, other) = (adapter(1), adapter(2));
+    assert!(table.begin(&used, None, Millis::ZERO) && table.end(&used, true, Millis(1)));
+    let old = table.pin(&used).unwrap();
+    table.clear();
+    assert!(table.begin(&used, None, Millis(2)) && table.end(&used, true, Millis(3)));
+    let _new = table.pin(&used).unwrap();
+    table.unpin(&used, old);
+    assert!(!table.begin(&other, Some(&used), Millis(4)), "it is in use");
+}
+
+/// Symptom: an adapter counts as resident that was evicted, and a request runs on another.
+/// Sequence: a report is taken, an eviction follows, the report arrives.
+/// Cause: a lagging report taken for the truth.
+#[test]
+fn slots_stale_report_brings_nothing_back() {
+    let mut table = Table::new(2);
+    let (first, second) = (adapter(1), adapter(2));
+    table.begin(&first, None, Millis(1));
+    table.end(&first, true, Millis(2));
+    assert!(table.begin(&second, Some(&first), Millis(10)));
+    let (gone, found) = table.correct(std::slice::from_ref(&first), Millis(5), Millis(11));
+    assert!(gone.is_empty() && found.is_empty());
+    table.end(&second, true, Millis(12));
+    table.correct(&[], Millis(11), Millis(13));
+    assert!(table.is_resident(&second), "loaded after the report");
+}
+
+fn ask(class: Option<Class>, waiters: u32, gain: u64) -> Ask {
+    Ask {
+        upstream: Arc::from("e"),
+        adapter: adapter(1),
+        class,
+        waiters,
+        weight: waiters,
+        waited: Millis::ZERO,
+        gain: Millis(gain),
+    }
+}
+
+#[test]
+fn loads_order_by_urgency_then_waiters_then_prefetch() {
+    let mut queue = loads::Queue::new(loads::Limits::default());
+    let now = Millis::ZERO;
+    queue.ask((0, 1), ask(None, 0, 1_000_000), now);
+    queue.ask((0, 2), ask(Some(Class::Normal), 1, 60_000), now);
+    queue.ask((0, 3), ask(Some(Class::Normal), 5, 300_000), now);
+    queue.ask((0, 4), ask(Some(Class::Urgent), 1, 20_000), now);
+    let mut order = Vec::new();
+    while let Some((key, _)) = queue.next(now) {
+        assert!(queue.next(now).is_none(), "one at a time");
+        queue.done(key);
+        order.push(key.1);
+    }
+    // The first grant is a class's turn; all turns are equal at the start.
+    assert_eq!(order, [4, 3, 2, 1]);
+}
+
+/// Symptom: bulk's loads never come while urgent ones do.
+/// Sequence: one bulk ask waits, an urgent one is put in before each grant.
+/// Cause: strict precedence in the store's queue.
+#[test]
+fn loads_each_class_has_its_turn() {
+    let mut queue = loads::Queue::new(loads::Limits::default());
+    queue.ask((0, 0), ask(Some(Class::Bulk), 1, 600_000), Millis::ZERO);
+    for number in 1..40 {
+        let now = Millis(number * 300);
+        queue.ask((1, number), ask(Some(Class::Urgent), 1, 20_000), now);
+        let (key, _) = queue.next(now).unwrap();
+        queue.done(key);
+        if key == (0, 0) {
+            return;
+        }
+    }
+    panic!("bulk wasn't served in 39 grants");
+}
+
+/// Symptom: no adapter is loaded anywhere any more.
+/// Sequence: leave is granted to a node, the node dies.
+/// Cause: the queue waits for the load's end without a bound.
+#[test]
+fn loads_lost_leave_ends() {
+    let mut queue = loads::Queue::new(loads::Limits::default());
+    queue.ask((0, 1), ask(Some(Class::Normal), 1, 1), Millis::ZERO);
+    queue.ask((0, 2), ask(Some(Class::Normal), 1, 1), Millis::ZERO);
+    assert!(queue.next(Millis::ZERO).is_some());
+    let until = queue.next_wakeup().unwrap();
+    assert!(queue.next(until).is_some());
+    assert_eq!(queue.lost(), 1);
+}
+
+/// Symptom: once some asks can't be met, all wait to their end and few gain.
+/// Sequence: many wait; old ones have little time left, a new one has all.
+/// Cause: first come, first served under overload.
+#[test]
+fn loads_congested_serves_what_still_gains() {
+    let limits = loads::Limits {
+        congested: Millis::ZERO,
+        turn_every: 0,
+        ..loads::Limits::default()
+    };
+    let mut queue = loads::Queue::new(limits);
+    for number in 0..10 {
+        queue.ask(
+            (0, number),
+            ask(Some(Class::Normal), 1, 120_000),
+            Millis::ZERO,
+        );
+    }
+    for number in 0..2 {
+        let (key, _) = queue.next(Millis(number * 300)).unwrap();
+        queue.done(key);
+    }
+    let now = Millis(50_000);
+    queue.ask((1, 0), ask(Some(Class::Normal), 1, 120_000), now);
+    assert_eq!(queue.next(now).unwrap().0, (1, 0));
+}
