--- a/lib/tests/test_policy_parts.rs
+++ b/lib/tests/test_policy_parts.rs
@@ -100,11 +100,11 @@
     for key in 0..100 {
         let there = forward.rendezvous(key, 3);
         let back = backward.rendezvous(key, 3);
-        let named = |order: &placement::Order, reverse: bool| -> Vec<&str> {
+        let in_words = |order: &placement::Order, reverse: bool| -> Vec<&str> {
             let place = |index: &usize| if reverse { 4 - index } else { *index };
             order.iter().map(|index| names[place(index)]).collect()
         };
-        assert_eq!(named(&there, false), named(&back, true));
+        assert_eq!(in_words(&there, false), in_words(&back, true));
     }
 }
 
@@ -360,6 +360,26 @@
     assert_eq!(machine.granted(&wanted, Millis(2)), [back]);
 }
 
+/// Symptom: a request runs twice.
+/// Sequence: the same attempt reaches the owner twice, the second time while the first waits or runs.
+/// Cause: an id taken for new.
+#[test]
+fn machine_same_id_is_taken_once() {
+    let limits = Limits {
+        slots: None,
+        batch: 1,
+        ..Limits::default()
+    };
+    let mut machine = Machine::new(limits);
+    for (id, started) in [(1, 1), (1, 0), (2, 0), (2, 0)] {
+        let ticket = ticket(id, "a", Class::Normal, None);
+        let actions = machine.arrive(ticket, share(1), true, Millis(1));
+        assert_eq!(actions.len(), started);
+    }
+    let status = machine.status();
+    assert_eq!((status.running, status.waiting), (1, [0, 1, 0]));
+}
+
 #[test]
 fn machine_waiters_share_one_load() {
     let mut machine = Machine::new(Limits::default());
