--- a/bench/src/policy/contender.rs
+++ b/bench/src/policy/contender.rs
@@ -8,6 +8,7 @@
 use chivevalve::adapter::Adapter;
 use chivevalve::clock::Millis;
 use chivevalve::error::{Code, Fate};
+use chivevalve::fate;
 use chivevalve::loads::Ask;
 use chivevalve::name::Name;
 use chivevalve::policy::loads;
@@ -146,7 +147,7 @@
         let base_models = world.deployment().base_models;
         let base = world.deployment().base_of(world.request(id).adapter);
         let engine = route.order[route.at] * base_models + base;
-        let last = route.at + 1 == route.order.len();
+        let last = is_last(route);
         actions.push(Action::Queue { id, engine });
         let orders = self.machines[engine].arrive(ticket, SHARE, last, world.now());
         self.post(engine, orders);
@@ -240,8 +241,8 @@
         let index = engine / deployment.base_models;
         let adapter = Some(&self.adapters[adapter as usize]);
         self.routers[route.node].refused(pool, index, adapter, code, world.now());
+        let more = !is_last(route) && world.now() < world.request(id).deadline();
         route.at += 1;
-        let more = route.at < route.order.len() && world.now() < world.request(id).deadline();
         if more && code.fate() == Fate::NotRun && tries_next(code) {
             self.attempt(world, id, actions);
         } else {
@@ -263,6 +264,12 @@
     }
 }
 
+/// Whether the try under way is the last, by its order or by the rules of an entry node.
+fn is_last(route: &Route) -> bool {
+    let tries = route.at + 1;
+    tries >= route.order.len() || tries >= fate::Rules::default().redirects as usize
+}
+
 /// Whether another upstream could do what this one refused.
 fn tries_next(code: Code) -> bool {
     !matches!(code, Code::AccountLimit | Code::ExpiredWaiting)
