--- a/bench/src/fuzz_config/event.rs
+++ b/bench/src/fuzz_config/event.rs
@@ -31,6 +31,8 @@
     Race(usize, usize, Edit, Edit),
     /// Whoever got no certain answer asks again, with the same identity, at a node.
     Retry(usize),
+    /// An operator uses an accepted change's identity again, for another change.
+    Reuse(usize, Edit),
     /// An operator goes back by this many revisions.
     Rollback(usize, u64),
     /// The next writes take effect, but their answers are lost.
@@ -64,7 +66,7 @@
 impl Arbitrary for Event {
     fn arbitrary(g: &mut Gen) -> Self {
         let node = below(g, NODES);
-        match below(g, 34) {
+        match below(g, 35) {
             0..=7 => Self::Wait([20, 200, 1_000, 4_000, 15_000][below(g, 5)]),
             8..=13 => Self::Apply(node, edit(g)),
             14..=15 => Self::Race(node, below(g, NODES), edit(g), edit(g)),
@@ -82,6 +84,7 @@
             30 => Self::Restart(node),
             31 => Self::Partition(u8::arbitrary(g)),
             32 => Self::Loss([0, 20, 60][below(g, 3)]),
+            33 => Self::Reuse(node, edit(g)),
             _ => Self::Heal,
         }
     }
--- a/bench/src/fuzz_config/world.rs
+++ b/bench/src/fuzz_config/world.rs
@@ -134,6 +134,7 @@
                 self.apply(*other, *second);
             }
             Event::Retry(node) => self.retry(*node),
+            Event::Reuse(node, edit) => self.reuse(*node, *edit),
             Event::Rollback(node, back) => self.rollback(*node, *back).await,
             Event::LoseAnswers(writes) => self.faults.lose(*writes),
             Event::DelayWrites(writes, span) => self.faults.delay(*writes, *span),
@@ -229,6 +230,27 @@
         }
     }
 
+    /// Asks for another change by the identity of one that is accepted.
+    fn reuse(&mut self, number: usize, edit: Edit) {
+        let accepted = |asked: &Asked| matches!(asked.told, Told::Accepted(_));
+        let mut known = self.oracle.asked.iter().rev();
+        let Some((id, _)) = known.find(|(_, asked)| accepted(asked)) else {
+            return;
+        };
+        let id = id.clone();
+        let learned = self.nodes[number].site.config.learned();
+        let mut set = learned.set();
+        self.asked += 1;
+        change(&mut set, edit, self.asked);
+        let asked = Asked {
+            expected: learned.revision(),
+            set,
+            told: Told::Open,
+            calls: 0,
+        };
+        self.ask(number, id, asked);
+    }
+
     async fn rollback(&mut self, number: usize, back: u64) {
         let config = Arc::clone(&self.nodes[number].site.config);
         let learned = config.learned();
--- a/lib/tests/test_config.rs
+++ b/lib/tests/test_config.rs
@@ -3,17 +3,23 @@
 mod config_setup;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
-use chivevalve::config::Error;
 use chivevalve::config::collect;
 use chivevalve::config::layout::{BLOCK, Layout};
+use chivevalve::config::{Error, Order};
 use chivevalve::declaration::{Set, export};
-use chivevalve::platform::{Store as Border, Transaction, Write};
+use chivevalve::platform::{
+    self, Commit, Entry, Event, Listing, Store as Border, Transaction, Watch, Write,
+};
 use chivevalve::schema::declaration::{Head, Template};
 use chivevalve_standins::store::{Knobs, Store};
 use config_setup::{Node, order, set, store};
+use futures::stream::BoxStream;
 use prost::Message;
 
 fn version(node: &Node, template: &str) -> String {
@@ -386,3 +392,67 @@
         }
     }
 }
+
+/// The service behind a replica that doesn't show the identities of changes for some reads.
+#[derive(Debug)]
+struct Lagging {
+    store: Arc<Store>,
+    hidden: AtomicU32,
+}
+
+#[async_trait]
+impl Border for Lagging {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, platform::Error> {
+        let less = |hidden: u32| hidden.checked_sub(1);
+        if key.contains("changes/") && self.hidden.fetch_update(Relaxed, Relaxed, less).is_ok() {
+            return Ok(None);
+        }
+        self.store.get(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, platform::Error> {
+        self.store.list(prefix).await
+    }
+
+    async fn commit(&self, transaction: Transaction) -> Result<Commit, platform::Error> {
+        self.store.commit(transaction).await
+    }
+}
+
+#[async_trait]
+impl Watch for Lagging {
+    async fn watch(
+        &self,
+        prefix: &str,
+        revision: u64,
+    ) -> Result<BoxStream<'static, Result<Event, platform::Error>>, platform::Error> {
+        self.store.watch(prefix, revision).await
+    }
+}
+
+/// Symptom: a change is in the history twice.
+/// Sequence: a change is accepted, another follows, the first one's identity is used again
+/// on top of both, and the replica that is asked for the identity is behind.
+/// Cause: the service itself wasn't asked, by a condition, whether the identity is used.
+#[tokio::test(start_paused = true)]
+async fn apply_same_identity_behind_a_replica() {
+    let lagging = Arc::new(Lagging {
+        store: store(),
+        hidden: AtomicU32::new(0),
+    });
+    let node = Node::start("a", &lagging);
+    let first = order("ana", 0);
+    let declared = set(&[("faults", "1")]);
+    node.keeper.apply(&first, &declared).await.unwrap();
+    node.apply(&set(&[("faults", "2")])).await;
+    for hidden in 1..4 {
+        lagging.hidden.store(hidden, Relaxed);
+        let again = Order {
+            expected: 2,
+            ..first.clone()
+        };
+        let answer = node.keeper.apply(&again, &declared).await.unwrap();
+        assert_eq!((answer.revision, answer.already), (1, true));
+    }
+    assert_eq!(node.keeper.history(None, 9).await.unwrap().len(), 2);
+}
