--- a/lib/tests/test_policy_parts.rs
+++ b/lib/tests/test_policy_parts.rs
@@ -396,6 +396,40 @@
     assert_eq!(starts(&actions).len(), 3);
 }
 
+/// Symptom: a request waits to its deadline though its engine works.
+/// Sequence: the one slot's adapter always has a request running, another adapter is asked for.
+/// Cause: an adapter in use isn't evicted, and this one is never out of use.
+#[test]
+fn machine_busy_slot_drains_for_who_waits() {
+    let limits = Limits {
+        slots: Some(1),
+        ..Limits::default()
+    };
+    let mut machine = Machine::new(limits);
+    let (busy, other) = (adapter(1), adapter(2));
+    let first = ticket(0, "a", Class::Normal, Some(busy.clone()));
+    let _ = machine.arrive(first, share(1), true, Millis::ZERO);
+    let _ = machine.granted(&busy, Millis::ZERO);
+    let _ = machine.loaded(&busy, true, Millis::ZERO);
+    let waiting = ticket(1, "a", Class::Normal, Some(other.clone()));
+    let _ = machine.arrive(waiting, share(1), true, Millis(1));
+    // Each request of the busy adapter overlaps the next one.
+    for id in 2..20 {
+        let now = Millis(u64::from(id) * 500);
+        let next = ticket(id, "a", Class::Normal, Some(busy.clone()));
+        let mut actions = machine.arrive(next, share(1), true, now);
+        let ended = if id == 2 { 0 } else { id - 1 };
+        let ended = Id(Arc::from(format!("r{ended}")));
+        actions.extend(machine.finished(&ended, now + Millis(100)));
+        let asks =
+            |action: &Action| matches!(action, Action::Ask { adapter, .. } if *adapter == other);
+        if actions.iter().any(asks) {
+            return;
+        }
+    }
+    panic!("the slot was never given up");
+}
+
 /// Symptom: a failing adapter holds the queue of the weight store.
 /// Sequence: its load fails, it is asked for again at once, and fails again.
 /// Cause: no backoff.
