--- a/bench/src/policy/mod.rs
+++ b/bench/src/policy/mod.rs
@@ -23,6 +23,7 @@
 mod baseline;
 mod clairvoyant;
 mod contender;
+mod cost;
 mod engine;
 mod measure;
 mod plot;
@@ -50,6 +51,7 @@
     out: Option<PathBuf>,
     workloads: Vec<String>,
     trace: Option<PathBuf>,
+    cost: bool,
     /// Sizes of the deployment that a trace is played at.
     deployment: Deployment,
 }
@@ -65,6 +67,7 @@
          --workload NAME      only this workload; may be repeated\n\
          --trace FILE.csv     play recorded requests instead, with the columns\n\
          {:21}{}\n\
+         --cost               time and memory of decisions instead, by the wall clock\n\
          --engines N          engines that the trace is played at ({})\n\
          --slots K            adapter slots of each ({})\n\
          --batch B            most requests in a step ({})\n\
@@ -87,6 +90,7 @@
         out: None,
         workloads: Vec::new(),
         trace: None,
+        cost: false,
         deployment: workload::trgovski(),
     };
     while let Some(argument) = parser.next()? {
@@ -96,6 +100,7 @@
             Long("out") => options.out = Some(parser.value()?.into()),
             Long("workload") => options.workloads.push(parser.value()?.string()?),
             Long("trace") => options.trace = Some(parser.value()?.into()),
+            Long("cost") => options.cost = true,
             Long("engines") => options.deployment.engines = positive(parser)?,
             Long("slots") => options.deployment.slots = positive(parser)?,
             Long("batch") => options.deployment.batch = positive(parser)?,
@@ -134,6 +139,9 @@
     let Some(options) = options(parser)? else {
         return Ok(Verdict::Kept);
     };
+    if options.cost {
+        return print_cost(options.format);
+    }
     let mut rows = Vec::new();
     if let Some(path) = &options.trace {
         let workload = recorded(path, options.deployment.clone())?;
@@ -152,6 +160,15 @@
     })
 }
 
+fn print_cost(format: Format) -> Result<Verdict> {
+    let costs = cost::measure()?;
+    match format {
+        Format::Json => print!("{}", report::json(&costs)?),
+        Format::Table => print!("{}", cost::table(&costs)),
+    }
+    Ok(Verdict::Kept)
+}
+
 fn recipes(options: &Options) -> Result<Vec<&'static Recipe>> {
     let known = |name: &String| RECIPES.iter().any(|recipe| recipe.name == name);
     if let Some(unknown) = options.workloads.iter().find(|name| !known(name)) {
