placement: up to 15 upstreams for one adapter

Cause: at the target's size the hottest adapters need more than seven engines; their home refused what its replicas could not take.

--- a/lib/src/policy/placement.rs
+++ b/lib/src/policy/placement.rs
@@ -17,9 +17,9 @@
 use crate::membership::fleet::{State, Upstream};
 
 /// Most upstreams that are worth trying for one request.
-pub const CANDIDATES: usize = 8;
+pub const CANDIDATES: usize = 16;
 /// Best upstreams among which replicas are spread over failure domains.
-const SHORTLIST: usize = 16;
+const SHORTLIST: usize = 32;
 
 /// Indices into the pool's upstreams, the first to try first.
 pub type Order = SmallVec<[usize; CANDIDATES]>;
@@ -147,7 +147,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            max_replicas: 8,
+            max_replicas: 15,
             unusable_for: Millis::from_secs(2),
             failed_for: Millis::from_secs(10),
             passed_for: Millis(300),
