bench: daemons of the faults campaign know one another's addresses

Cause: with the service away and every node killed in turn, restarted nodes knew no peer: 16,507 of 21,142 requests found no node to connect to. The daemon has platform.seeds for this and the campaign set none. Change: each daemon's settings name the others.

--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -96,7 +96,10 @@
 
     /// Starts a node's process.
     pub fn launch(&self, slot: &Slot) -> Result<()> {
-        let settings = fleet::settings(&slot.node, &self.platform.addresses(), self.settings);
+        let peers = self.slots.iter().map(|slot| slot.node.peers);
+        let seeds: Vec<_> = peers.filter(|peer| *peer != slot.node.peers).collect();
+        let addresses = self.platform.addresses();
+        let settings = fleet::settings_with_seeds(&slot.node, &addresses, &seeds, self.settings);
         let name = &slot.node.name;
         let daemon = Daemon::start(&self.program, self.scratch.path(), name, &settings)?;
         *lock(&slot.daemon) = Some(daemon);
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -84,10 +84,23 @@
 /// Writes a node's settings; `more` is appended, such as a `limits:` section.
 #[must_use]
 pub fn settings(node: &Node, platform: &Addresses, more: &str) -> String {
+    settings_with_seeds(node, platform, &[], more)
+}
+
+/// Writes a node's settings with peers to ask when the key-value service is away at the start.
+#[must_use]
+pub fn settings_with_seeds(
+    node: &Node,
+    platform: &Addresses,
+    seeds: &[SocketAddr],
+    more: &str,
+) -> String {
+    let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let seeds = seeds.join(", ");
     format!(
         "node:\n  name: {}\n  region: r1\n  failure_domain: {}\n\
          listen:\n  callers: {}\n  peers: {}\n  operators: {}\n\
-         platform:\n  store: [\"{}\"]\n  directory: {}\n  weights: {}\n\
+         platform:\n  store: [\"{}\"]\n  directory: {}\n  weights: {}\n  seeds: [{seeds}]\n\
          access:\n  tokens:\n  - name: demo\n    digest: {TOKEN_DIGEST}\n    role: write\n\
          tls:\n  plaintext: true\n{more}",
         node.name,
