placement: busy adapters spread over as many upstreams as they need

Change: an owner that holds the adapter and is busy answers `busy` (2020) instead of `passed_on`. An entry node doubles the adapter's width at each such answer and halves it after each 10 s without one; from 32 on a request begins at an even draw from that many upstreams and waits at one that holds the adapter. The cold walk stays as it was. The last try goes where the request waits. A width is cut to the pool and to policy.max_replicas, now 64.

Tests: the oracle of test_fate gains the new code among the free steps of routing, where passed_on is. New ones hold the width's bounds and expiry, the wide search, even draws, the way back, and the cold walk.

--- a/bench/src/policy/contender.rs
+++ b/bench/src/policy/contender.rs
@@ -12,12 +12,13 @@
 use chivevalve::loads::Ask;
 use chivevalve::name::Name;
 use chivevalve::policy::loads;
-use chivevalve::policy::placement::{self, Order, Pool, Router};
+use chivevalve::policy::placement::{self, CANDIDATES, Pool, Router};
 use chivevalve::policy::upstream::{self, Demand, Machine};
 use chivevalve::request::{Id, Ticket};
 use chivevalve::runner::Share;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use smallvec::SmallVec;
 
 use super::traffic::{Deployment, Workload, millis};
 use super::world::{Action, LoadDone, Policy, World};
@@ -29,13 +30,14 @@
     max_queued: 0,
 };
 
-/// A request on its way along its entry node's order.
+/// A request on its way, as its entry node sees it.
 #[derive(Debug)]
 struct Route {
     node: usize,
-    order: Order,
-    /// Place in the order of the try under way.
-    at: usize,
+    /// Upstreams it was tried on, by their places in the pool; the last is under way.
+    tried: SmallVec<[usize; CANDIDATES]>,
+    /// Whether no other is tried after it.
+    last: bool,
 }
 
 /// The product's policy.
@@ -138,16 +140,28 @@
         }
     }
 
-    /// Makes the try that the request's route names.
+    /// Makes the request's next try where an entry node would make it.
     fn attempt(&mut self, world: &World, id: u32, actions: &mut Vec<Action>) {
         let ticket = self.ticket(world, id);
-        let Some(route) = self.routes.get(&id) else {
+        let Some(route) = self.routes.get_mut(&id) else {
             return;
         };
         let base_models = world.deployment().base_models;
         let base = world.deployment().base_of(world.request(id).adapter);
-        let engine = route.order[route.at] * base_models + base;
-        let last = is_last(route);
+        let router = &mut self.routers[route.node];
+        let order = router.order(&self.pools[base], ticket.adapter.as_ref(), world.now());
+        let Some((wait, replicas)) = order.split_last() else {
+            self.routes.remove(&id);
+            let code = Code::NoUpstream;
+            return actions.push(Action::Refuse { id, code });
+        };
+        let mut untried = replicas.iter().filter(|index| !route.tried.contains(index));
+        let next = untried.next().filter(|_| !ends_walk(route));
+        let index = *next.unwrap_or(wait);
+        route.tried.push(index);
+        route.last = next.is_none();
+        let last = route.last;
+        let engine = index * base_models + base;
         actions.push(Action::Queue { id, engine });
         let orders = self.machines[engine].arrive(ticket, SHARE, last, world.now());
         self.post(engine, orders);
@@ -241,8 +255,7 @@
         let index = engine / deployment.base_models;
         let adapter = Some(&self.adapters[adapter as usize]);
         self.routers[route.node].refused(pool, index, adapter, code, world.now());
-        let more = !is_last(route) && world.now() < world.request(id).deadline();
-        route.at += 1;
+        let more = !route.last && world.now() < world.request(id).deadline();
         if more && code.fate() == Fate::NotRun && tries_next(code) {
             self.attempt(world, id, actions);
         } else {
@@ -264,10 +277,9 @@
     }
 }
 
-/// Whether the try under way is the last, by its order or by the rules of an entry node.
-fn is_last(route: &Route) -> bool {
-    let tries = route.at + 1;
-    tries >= route.order.len() || tries >= fate::Rules::default().redirects as usize
+/// Whether an entry node makes only one more try, which goes where the request waits.
+fn ends_walk(route: &Route) -> bool {
+    route.tried.len() + 1 >= fate::Rules::default().redirects as usize
 }
 
 /// Whether another upstream could do what this one refused.
@@ -301,16 +313,12 @@
 
 impl Policy for Contender {
     fn on_arrival(&mut self, world: &World, id: u32, actions: &mut Vec<Action>) {
-        let number = world.request(id).adapter;
-        let pool = &self.pools[world.deployment().base_of(number)];
         let node = self.rng.random_range(0..self.routers.len());
-        let adapter = &self.adapters[number as usize];
-        let order = self.routers[node].order(pool, Some(adapter), world.now());
-        if order.is_empty() {
-            let code = Code::NoUpstream;
-            return actions.push(Action::Refuse { id, code });
-        }
-        let route = Route { node, order, at: 0 };
+        let route = Route {
+            node,
+            tried: SmallVec::new(),
+            last: false,
+        };
         self.routes.insert(id, route);
         self.attempt(world, id, actions);
         self.settle(world, actions);
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -235,9 +235,14 @@
     let upstreams = fleet.pool(&order.ticket.pool);
     let ranked = gateway.order(&pool, order.ticket.adapter.as_ref(), now);
     let times = |index: usize| tried.get(&upstreams[index].vm.name).copied().unwrap_or(0);
-    let (home, replicas) = ranked.split_last()?;
-    let untried = replicas.iter().find(|index| times(**index) == 0);
-    let index = *untried.unwrap_or(home);
+    let (wait, replicas) = ranked.split_last()?;
+    let made: u32 = tried.values().sum();
+    // A request that came to rest wherever the walk happens to end would cost a
+    // load there, at each upstream in turn under overload.
+    let walks_on = made + 1 < gateway.parts.limits.rules.redirects;
+    let mut untried = replicas.iter().filter(|index| times(**index) == 0);
+    let untried = untried.next().filter(|_| walks_on);
+    let index = *untried.unwrap_or(wait);
     let upstream = &upstreams[index].vm.name;
     let others = untried.is_some();
     Some(Target {
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -168,6 +168,8 @@
     CallerGoneWaiting = 2018, "caller_gone_waiting", 499, NotRun, "Nothing.";
     /// Another upstream would serve the request sooner or cheaper; the next in order is tried.
     PassedOn = 2019, "passed_on", 503, NotRun, "Try again after Retry-After.";
+    /// The upstream holds the adapter but is busy; its requests spread over more upstreams.
+    Busy = 2020, "busy", 503, NotRun, "Try again after Retry-After.";
 
     /// The connection to the upstream broke after the request was sent.
     UpstreamLost = 3001, "upstream_lost", 502, Unknown, "Repeat it only if it is idempotent.";
--- a/lib/src/fate/reaction.rs
+++ b/lib/src/fate/reaction.rs
@@ -28,7 +28,7 @@
         Code::NotOwner | Code::PeerUnreachable | Code::Draining | Code::UpstreamLeaving => {
             Reaction::Redirect
         }
-        Code::PassedOn => Reaction::PassOn,
+        Code::PassedOn | Code::Busy => Reaction::PassOn,
         Code::QueueFull
         | Code::DeadlineTooShort
         | Code::LoadFailed
--- a/lib/src/policy/mod.rs
+++ b/lib/src/policy/mod.rs
@@ -16,4 +16,5 @@
 pub mod placement;
 pub mod queue;
 pub mod slots;
+pub mod spread;
 pub mod upstream;
--- a/lib/src/policy/placement.rs
+++ b/lib/src/policy/placement.rs
@@ -15,6 +15,7 @@
 use crate::clock::Millis;
 use crate::error::Code;
 use crate::membership::fleet::{State, Upstream};
+use crate::policy::spread;
 
 /// Most upstreams that are worth trying for one request.
 pub const CANDIDATES: usize = 16;
@@ -107,6 +108,35 @@
         self.spread(best.iter().map(|(_, index)| *index).collect(), count)
     }
 
+    /// Returns the first `count` usable upstreams of a key; there may be many.
+    ///
+    /// It begins with [`Pool::rendezvous`], so that a wider list holds the
+    /// narrower one, and goes on by score alone: among many, failure domains mix anyway.
+    #[must_use]
+    fn nearest(&self, key: u64, count: usize) -> Vec<usize> {
+        let mut first = self.rendezvous(key, (CANDIDATES - 1).min(count)).to_vec();
+        if count < CANDIDATES {
+            return first;
+        }
+        let usable = self.members.iter().enumerate();
+        let mut scores: Vec<(u64, usize)> = usable
+            .filter(|(_, member)| member.usable)
+            .map(|(index, member)| (mix(key ^ member.hash), index))
+            .collect();
+        if count < scores.len() {
+            scores.select_nth_unstable_by(count, |a, b| b.cmp(a));
+            scores.truncate(count);
+        }
+        scores.sort_unstable_by(|a, b| b.cmp(a));
+        let begun = first.len();
+        for (_, index) in scores {
+            if !first[..begun].contains(&index) {
+                first.push(index);
+            }
+        }
+        first
+    }
+
     /// Takes `count` of a shortlist, at each step from the failure domain used least so far.
     fn spread(&self, mut shortlist: SmallVec<[usize; SHORTLIST]>, count: usize) -> Order {
         let mut order = Order::new();
@@ -140,17 +170,20 @@
     ///
     /// It is short, so that a replica takes only what the home can't.
     pub passed_for: Millis,
-    /// Most hints remembered at a time.
+    /// After how long without a busy answer an adapter's requests go to half as many upstreams.
+    pub halve_after: Millis,
+    /// Most hints remembered at a time, and most busy adapters.
     pub remembered: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            max_replicas: 15,
+            max_replicas: 64,
             unusable_for: Millis::from_secs(2),
             failed_for: Millis::from_secs(10),
             passed_for: Millis(300),
+            halve_after: Millis::from_secs(10),
             remembered: 8_192,
         }
     }
@@ -158,12 +191,24 @@
 
 /// Stands for all adapters in a hint on an upstream as a whole.
 const ANY: u64 = 0;
+/// From this width on requests are spread evenly. Below it the home goes first
+/// and a replica takes only what the home can't, which costs fewer loads.
+const EVEN: u32 = 32;
+
+/// What an upstream answered of late.
+#[derive(Debug, Clone, Copy)]
+struct Hint {
+    until: Millis,
+    /// Whether it holds the adapter and was only busy.
+    holds: bool,
+}
 
 /// An entry node's memory of what owners answered.
 #[derive(Debug)]
 pub struct Router {
     limits: Limits,
-    hints: HashMap<(u64, u64), Millis>,
+    hints: HashMap<(u64, u64), Hint>,
+    spread: spread::Table,
     draws: u64,
 }
 
@@ -171,9 +216,11 @@
     /// Starts with no memory. The seed spreads calls to plain services, so that nodes differ.
     #[must_use]
     pub fn new(limits: Limits, seed: u64) -> Self {
+        let spread = spread::Table::new(limits.max_replicas, limits.halve_after, limits.remembered);
         Self {
             limits,
             hints: HashMap::new(),
+            spread,
             draws: mix(seed),
         }
     }
@@ -188,29 +235,81 @@
     /// refused lately are left out. The list is empty only when no upstream is
     /// usable.
     pub fn order(&mut self, pool: &Pool, adapter: Option<&Adapter>, now: Millis) -> Order {
-        let (key, replicas) = match adapter {
-            Some(adapter) => (adapter.hash(), self.limits.max_replicas as usize),
+        let Some(key) = adapter.map(Adapter::hash) else {
             // A plain service needs no home: each call draws an order of its own.
-            None => (self.draw(), CANDIDATES),
+            let order = pool.rendezvous(self.draw(), CANDIDATES - 1);
+            return self.ending_at_home(pool, ANY, order, now);
         };
-        let hinted = adapter.map_or(ANY, Adapter::hash);
-        let mut order = pool.rendezvous(key, replicas.clamp(1, CANDIDATES - 1));
-        let usable = |index: &usize| !self.is_hinted(ANY, pool.members[*index].hash, now);
-        let Some(home) = order
-            .iter()
-            .copied()
-            .find(usable)
-            .or(order.first().copied())
-        else {
+        let width = self.spread.width(key, now);
+        if width >= EVEN {
+            return self.evenly(pool, key, width as usize, now);
+        }
+        let replicas = self.limits.max_replicas as usize;
+        let order = pool.rendezvous(key, replicas.clamp(1, CANDIDATES - 1));
+        self.ending_at_home(pool, key, order, now)
+    }
+
+    /// Leaves out what refused lately, and adds the home as the place to wait.
+    fn ending_at_home(&self, pool: &Pool, key: u64, mut order: Order, now: Millis) -> Order {
+        let Some(home) = self.home(pool, &order, now) else {
             return order;
         };
-        order.retain(|index| !self.is_hinted(hinted, pool.members[*index].hash, now));
+        order.retain(|index| !self.is_hinted(key, pool.members[*index].hash, now));
         if order.as_slice() != [home] {
             order.push(home);
         }
         order
     }
 
+    /// Draws an order of a busy adapter's first `width` upstreams, and then of as many more.
+    ///
+    /// A fixed order would fill its first upstreams, whose other adapters then
+    /// suffer, and pass them all by before it finds a free one.
+    fn evenly(&mut self, pool: &Pool, key: u64, width: usize, now: Millis) -> Order {
+        let count = (2 * width).min(self.limits.max_replicas as usize);
+        let mut near = pool.nearest(key, count);
+        let Some(home) = self.home(pool, &near, now) else {
+            return Order::new();
+        };
+        let wait = self.holder(pool, key, &near, now).unwrap_or(home);
+        let mut far = near.split_off(width.min(near.len()));
+        self.shuffle(&mut near);
+        self.shuffle(&mut far);
+        let both = near.into_iter().chain(far);
+        let open = both.filter(|index| !self.is_hinted(key, pool.members[*index].hash, now));
+        let mut order: Order = open.take(CANDIDATES - 1).collect();
+        order.push(wait);
+        order
+    }
+
+    /// Returns the first that isn't left out for all adapters, or the first of all.
+    fn home(&self, pool: &Pool, order: &[usize], now: Millis) -> Option<usize> {
+        let usable = |index: &&usize| !self.is_hinted(ANY, pool.members[**index].hash, now);
+        order.iter().find(usable).or(order.first()).copied()
+    }
+
+    /// Draws one of those that were only busy: they hold the adapter, so waiting there costs no load.
+    fn holder(&mut self, pool: &Pool, key: u64, order: &[usize], now: Millis) -> Option<usize> {
+        let holds = |index: &usize| {
+            let hash = pool.members[*index].hash;
+            let hint = self.hints.get(&(key, hash));
+            hint.is_some_and(|hint| hint.holds && now < hint.until)
+                && !self.is_hinted(ANY, hash, now)
+        };
+        let holders: SmallVec<[usize; CANDIDATES]> = order.iter().copied().filter(holds).collect();
+        let place = below(self.draw(), holders.len())?;
+        Some(holders[place])
+    }
+
+    fn shuffle(&mut self, list: &mut [usize]) {
+        // Only the first ones are ever used.
+        for place in 0..list.len().min(CANDIDATES) {
+            if let Some(other) = below(self.draw(), list.len() - place) {
+                list.swap(place, place + other);
+            }
+        }
+    }
+
     /// A try at the pool's upstream `index` was refused with a code whose fate is not run.
     pub fn refused(
         &mut self,
@@ -226,41 +325,48 @@
         let own = adapter.map_or(ANY, Adapter::hash);
         let (key, span) = match code {
             Code::LoadFailed | Code::UnknownAdapter => (own, self.limits.failed_for),
-            Code::PassedOn | Code::QueueFull | Code::Brownout | Code::DeadlineTooShort => {
-                (own, self.limits.passed_for)
-            }
+            Code::PassedOn
+            | Code::Busy
+            | Code::QueueFull
+            | Code::Brownout
+            | Code::DeadlineTooShort => (own, self.limits.passed_for),
             Code::AccountLimit | Code::ExpiredWaiting | Code::CallerGoneWaiting => return,
             _ => (ANY, self.limits.unusable_for),
         };
-        self.remember((key, member.hash), now + span, now);
+        let holds = code == Code::Busy;
+        if holds && own != ANY {
+            self.spread.widen(own, pool.len(), now);
+        }
+        let until = now + span;
+        self.remember((key, member.hash), Hint { until, holds }, now);
     }
 
-    /// Returns how many hints are remembered.
+    /// Returns how many hints and widths are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.hints.len()
+        self.hints.len() + self.spread.len()
     }
 
-    /// Returns whether no hint is remembered.
+    /// Returns whether nothing is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.hints.is_empty()
+        self.hints.is_empty() && self.spread.is_empty()
     }
 
     fn is_hinted(&self, adapter: u64, upstream: u64, now: Millis) -> bool {
         [adapter, ANY].into_iter().any(|key| {
             self.hints
                 .get(&(key, upstream))
-                .is_some_and(|until| now < *until)
+                .is_some_and(|hint| now < hint.until)
         })
     }
 
-    fn remember(&mut self, key: (u64, u64), until: Millis, now: Millis) {
+    fn remember(&mut self, key: (u64, u64), hint: Hint, now: Millis) {
         if self.hints.len() >= self.limits.remembered {
-            self.hints.retain(|_, until| now < *until);
+            self.hints.retain(|_, hint| now < hint.until);
         }
         if self.hints.len() < self.limits.remembered {
-            self.hints.insert(key, until);
+            self.hints.insert(key, hint);
         }
     }
 
@@ -276,3 +382,9 @@
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
 }
+
+/// Maps a random number evenly to `0..count`; none when that is empty.
+fn below(random: u64, count: usize) -> Option<usize> {
+    let scaled = (u128::from(random) * count as u128) >> 64;
+    usize::try_from(scaled).ok().filter(|place| *place < count)
+}
--- a/lib/src/policy/upstream/admit.rs
+++ b/lib/src/policy/upstream/admit.rs
@@ -113,7 +113,7 @@
         };
         if self.slots.state(adapter).is_some() {
             if wait > self.spill_wait(ticket.class, self.forecast.rate(adapter, now)) {
-                return Err(self.refusal(Code::PassedOn, "the upstream is busy", ticket));
+                return Err(self.refusal(Code::Busy, "the upstream is busy", ticket));
             }
             return Ok(());
         }
--- a/lib/src/settings/defaults.rs
+++ b/lib/src/settings/defaults.rs
@@ -60,4 +60,4 @@
 /// Aim for the time between tokens.
 pub const BETWEEN_TOKENS: Millis = Millis(54);
 /// Most upstreams that hold one adapter version at a time.
-pub const MAX_REPLICAS: u32 = 16;
+pub const MAX_REPLICAS: u32 = 64;
--- a/lib/tests/test_fate.rs
+++ b/lib/tests/test_fate.rs
@@ -241,6 +241,7 @@
         Code::Draining,
         Code::UpstreamLeaving,
         Code::PassedOn,
+        Code::Busy,
     ];
     let mut machine = Machine::new(Rules::default(), true, Millis::MAX);
     let mut retries = 0;
--- a/lib/tests/test_policy_parts.rs
+++ b/lib/tests/test_policy_parts.rs
@@ -12,6 +12,7 @@
 use chivevalve::policy::placement::{self, CANDIDATES, Pool, Router};
 use chivevalve::policy::queue::{Entry, Queue};
 use chivevalve::policy::slots::Table;
+use chivevalve::policy::spread;
 use chivevalve::policy::upstream::{Action, Limits, Machine};
 use chivevalve::request::{Class, Id, Ticket};
 use chivevalve::runner::Share;
@@ -163,15 +164,125 @@
 fn router_memory_is_bounded() {
     let (pool, mut router) = (pool(12, None), router());
     for number in 0..ADAPTERS {
-        router.refused(
-            &pool,
-            0,
-            Some(&adapter(number)),
-            Code::PassedOn,
-            Millis::ZERO,
+        for code in [Code::PassedOn, Code::Busy] {
+            router.refused(&pool, 0, Some(&adapter(number)), code, Millis::ZERO);
+        }
+    }
+    // Hints and widths are bounded alike.
+    assert!(router.len() <= 2 * placement::Limits::default().remembered);
+}
+
+/// Tries one request until none of its first `busy` upstreams answers that it is busy.
+fn walk(router: &mut Router, pool: &Pool, wanted: &Adapter, busy: &BTreeSet<usize>) -> Vec<usize> {
+    let mut tried = Vec::new();
+    for _ in 0..10 {
+        let order = router.order(pool, Some(wanted), Millis(1));
+        let next = order.iter().find(|index| !tried.contains(*index));
+        let Some(index) = next.copied() else { break };
+        tried.push(index);
+        if !busy.contains(&index) {
+            break;
+        }
+        router.refused(pool, index, Some(wanted), Code::Busy, Millis(1));
+    }
+    tried
+}
+
+/// Symptom: a very hot adapter's requests are refused at its full home while most engines are idle.
+/// Sequence: the adapter needs more upstreams than a request makes tries.
+/// Cause: each request walked the same upstreams from the home on.
+#[test]
+fn order_busy_adapter_finds_wide_spread_within_its_tries() {
+    let pool = pool(200, None);
+    for number in 0..50 {
+        let wanted = adapter(number);
+        let busy = pool.rendezvous(wanted.hash(), 15).into_iter().collect();
+        let mut router = router();
+        let tried = walk(&mut router, &pool, &wanted, &busy);
+        assert!(!busy.contains(tried.last().unwrap()), "{tried:?}");
+    }
+}
+
+/// Symptom: one upstream of a spread adapter is full, the others are idle.
+/// Sequence: an adapter is spread; its requests follow one another.
+/// Cause: a fixed order sends all of them to the first upstream.
+#[test]
+fn order_spread_adapter_begins_evenly() {
+    let (pool, mut router, wanted) = (pool(200, None), router(), adapter(1));
+    let home = pool.rendezvous(wanted.hash(), 1)[0];
+    for _ in 0..5 {
+        router.refused(&pool, home, Some(&wanted), Code::Busy, Millis::ZERO);
+    }
+    let mut begun: BTreeMap<usize, u32> = BTreeMap::new();
+    for _ in 0..3_200 {
+        let order = router.order(&pool, Some(&wanted), Millis(1_000));
+        *begun.entry(order[0]).or_default() += 1;
+        assert_eq!(
+            order.last(),
+            Some(&home),
+            "no holder is known, so it waits at home"
         );
     }
-    assert!(router.len() <= placement::Limits::default().remembered);
+    assert_eq!(begun.len(), 32);
+    assert!(
+        begun.values().all(|count| (50..200).contains(count)),
+        "{begun:?}"
+    );
+}
+
+/// Symptom: replicas of a favourite that has died keep their slots.
+/// Sequence: an adapter is spread wide, then nobody is busy any more.
+/// Cause: a width was remembered for good.
+#[test]
+fn order_spread_falls_back_to_the_home() {
+    let (pool, mut router, wanted) = (pool(200, None), router(), adapter(1));
+    let before = router.order(&pool, Some(&wanted), Millis::ZERO);
+    for _ in 0..20 {
+        router.refused(&pool, 3, Some(&wanted), Code::Busy, Millis::ZERO);
+    }
+    let after = router.order(&pool, Some(&wanted), Millis::from_secs(60));
+    assert_eq!(before, after);
+}
+
+/// Symptom: a cold adapter is loaded again at another upstream for each request.
+/// Sequence: owners pass its requests on because their slots hold worthier adapters.
+/// Cause: that answer spread the adapter like a busy upstream's.
+#[test]
+fn order_cold_walk_is_the_same_at_every_node() {
+    let (pool, wanted) = (pool(200, None), adapter(1));
+    let walked = |seed| {
+        let mut router = Router::new(placement::Limits::default(), seed);
+        let mut tried = Vec::new();
+        for _ in 0..9 {
+            let index = router.order(&pool, Some(&wanted), Millis(1))[0];
+            tried.push(index);
+            router.refused(&pool, index, Some(&wanted), Code::PassedOn, Millis(1));
+        }
+        tried
+    };
+    assert_eq!(walked(1), walked(2));
+}
+
+#[test]
+fn width_doubles_and_halves_within_bounds() {
+    let mut table = spread::Table::new(20, Millis(1_000), 2);
+    let widths: Vec<u32> = (0..6)
+        .map(|_| {
+            table.widen(1, 600, Millis::ZERO);
+            table.width(1, Millis::ZERO)
+        })
+        .collect();
+    assert_eq!(widths, [2, 4, 8, 16, 20, 20]);
+    let faded = [999, 1_000, 2_000, 5_000, u64::MAX];
+    let faded = faded.map(|now| table.width(1, Millis(now)));
+    assert_eq!(faded, [20, 10, 5, 1, 1]);
+    table.widen(2, 3, Millis::ZERO);
+    table.widen(2, 3, Millis::ZERO);
+    assert_eq!(table.width(2, Millis::ZERO), 3, "no wider than the pool");
+    table.widen(3, 600, Millis::ZERO);
+    assert_eq!((table.width(3, Millis::ZERO), table.len()), (1, 2));
+    table.widen(3, 600, Millis(9_000));
+    assert_eq!((table.width(3, Millis(9_000)), table.len()), (2, 1));
 }
 
 #[test]
