--- a/lib/src/policy/placement.rs
+++ b/lib/src/policy/placement.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 
-use smallvec::SmallVec;
+use smallvec::{SmallVec, smallvec};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapter::Adapter;
@@ -139,19 +139,18 @@
 
     /// Takes `count` of a shortlist, at each step from the failure domain used least so far.
     fn spread(&self, mut shortlist: SmallVec<[usize; SHORTLIST]>, count: usize) -> Order {
+        let domains = shortlist
+            .iter()
+            .map(|index| self.members[*index].domain + 1);
+        let mut used: SmallVec<[usize; SHORTLIST]> = smallvec![0; domains.max().unwrap_or(0)];
         let mut order = Order::new();
         while order.len() < count && !shortlist.is_empty() {
-            let used = |index: usize| {
-                let domain = self.members[index].domain;
-                order
-                    .iter()
-                    .filter(|taken| self.members[**taken].domain == domain)
-                    .count()
-            };
             let next = (0..shortlist.len())
-                .min_by_key(|place| (used(shortlist[*place]), *place))
+                .min_by_key(|place| (used[self.members[shortlist[*place]].domain], *place))
                 .unwrap_or(0);
-            order.push(shortlist.remove(next));
+            let index = shortlist.remove(next);
+            used[self.members[index].domain] += 1;
+            order.push(index);
         }
         order
     }
--- a/lib/src/policy/upstream/admit.rs
+++ b/lib/src/policy/upstream/admit.rs
@@ -19,6 +19,9 @@
 /// Between the two ratios it stays where it is, or it would go to and fro, at a load each time.
 const BACK_RATIO: f64 = 0.25;
 
+/// From this part of a full batch on another upstream may be clearly faster.
+const SLOWING: usize = 4;
+
 impl Machine {
     /// Takes a request in, passes it on, or refuses it.
     pub(super) fn admit(
@@ -112,7 +115,8 @@
             };
         };
         if self.slots.state(adapter).is_some() {
-            if wait > self.spill_wait(ticket.class, self.forecast.rate(adapter, now)) {
+            let spill = self.spill_wait(ticket.class, self.forecast.rate(adapter, now));
+            if wait > spill || self.is_too_slow(ticket, now) {
                 return Err(self.refusal(Code::Busy, "the upstream is busy", ticket));
             }
             return Ok(());
@@ -159,6 +163,16 @@
             .backlog(self.queue.ready_cost(class), self.limits.batch)
     }
 
+    /// Returns whether a fuller batch than needed makes the answer end after its deadline.
+    ///
+    /// Each request in the batch slows its steps, so an upstream that serves
+    /// fewer may still answer in time.
+    fn is_too_slow(&self, ticket: &Ticket, now: Millis) -> bool {
+        let batch = self.limits.batch as usize;
+        let service = self.pace.service(queue::cost(ticket));
+        self.running.len() * SLOWING > batch && now + service > ticket.deadline
+    }
+
     /// Returns the wait above which a request had better go to a replica.
     ///
     /// A replica may have to load the adapter first. Demand that comes often
--- a/lib/tests/test_policy_parts.rs
+++ b/lib/tests/test_policy_parts.rs
@@ -689,3 +689,42 @@
     queue.ask((1, 0), ask(Some(Class::Normal), 1, 120_000), now);
     assert_eq!(queue.next(now).unwrap().0, (1, 0));
 }
+
+/// Symptom: urgent requests for long answers end late while other engines are nearly idle.
+/// Sequence: a hot adapter's engine runs a large batch, in which each step is slow.
+/// Cause: only a queue counted as busy, not a batch too slow for the deadline.
+#[test]
+fn arrive_passes_on_what_a_large_batch_would_answer_late() {
+    let wanted = adapter(1);
+    let mut machine = Machine::new(Limits {
+        batch: 8,
+        ..Limits::default()
+    });
+    let arrive = |machine: &mut Machine, id, deadline, last, now| {
+        let mut ticket = ticket(id, "a", Class::Urgent, Some(wanted.clone()));
+        ticket.deadline = deadline;
+        machine.arrive(ticket, share(1), last, now)
+    };
+    let _ = arrive(&mut machine, 0, Millis(600_000), true, Millis::ZERO);
+    let _ = machine.granted(&wanted, Millis::ZERO);
+    let _ = machine.loaded(&wanted, true, Millis::ZERO);
+    // Its answer of 100 tokens took 10 s.
+    let _ = machine.finished(&Id(Arc::from("r0")), Millis(10_000));
+    let (now, soon) = (Millis(10_000), Millis(19_000));
+    for id in 1..=2 {
+        let actions = arrive(&mut machine, id, soon, false, now);
+        assert_eq!(starts(&actions).len(), 1, "a small batch is as fast as any");
+    }
+    let _ = arrive(&mut machine, 3, Millis(600_000), false, now);
+    let refused = arrive(&mut machine, 4, soon, false, now);
+    let codes: Vec<Code> = refused
+        .iter()
+        .filter_map(|action| match action {
+            Action::Refuse { failure, .. } => Some(failure.code),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(codes, [Code::Busy]);
+    let last = arrive(&mut machine, 5, soon, true, now);
+    assert_eq!(starts(&last).len(), 1, "nobody else will take it");
+}
