--- a/lib/src/peer/mod.rs
+++ b/lib/src/peer/mod.rs
@@ -39,6 +39,13 @@
     pub call_timeout: Millis,
     /// Time without a sign of life after which a peer with requests in progress is asked for one.
     pub ping_after: Millis,
+    /// Time between signs of life that a node asks of all who have a connection to it.
+    ///
+    /// It is long, since nearly every node is connected to every other: at a ping
+    /// each 2 s, 320 nodes would spend more on pings than on all else together.
+    /// A caller's node that dies without a word is noticed that much later; its
+    /// requests end by their deadlines at the latest.
+    pub idle_ping: Millis,
     /// Time to that sign before the connection is given up.
     pub ping_timeout: Millis,
     /// First and shortest time without a new try after a failed connection; it doubles.
@@ -58,6 +65,7 @@
             connect_timeout: Millis::from_secs(1),
             call_timeout: Millis::from_secs(2),
             ping_after: Millis::from_secs(2),
+            idle_ping: Millis::from_secs(30),
             ping_timeout: Millis::from_secs(2),
             backoff_from: Millis(100),
             backoff_to: Millis::from_secs(5),
--- a/lib/src/peer/server.rs
+++ b/lib/src/peer/server.rs
@@ -75,7 +75,7 @@
         .initial_stream_window_size(limits.window_bytes)
         .initial_connection_window_size(limits.connection_window())
         .max_concurrent_streams(limits.streams)
-        .http2_keepalive_interval(Some(limits.ping_after.duration()))
+        .http2_keepalive_interval(Some(limits.idle_ping.duration()))
         .http2_keepalive_timeout(Some(limits.ping_timeout.duration()))
         .add_service(service)
         .serve_with_incoming_shutdown(incoming, stop.cancelled_owned())
