--- a/lib/tests/test_docs.rs
+++ b/lib/tests/test_docs.rs
@@ -30,7 +30,8 @@
         let rest = &text[at..];
         let end = rest.find(|c: char| !(c.is_ascii_alphanumeric() || "/_-.".contains(c)));
         let page = rest[..end.unwrap_or(rest.len())].trim_end_matches('.');
-        page.ends_with(".md").then(|| page.to_owned())
+        let ending = Path::new(page).extension()?;
+        (ending == "md").then(|| page.to_owned())
     })
 }
 
