fuzz-outcomes: the world's files don't name their crate

Cause: the harness is also compiled into the library's own test, where the bench's path doesn't exist.

--- a/bench/src/fuzz_outcomes/harness/world/calls.rs
+++ b/bench/src/fuzz_outcomes/harness/world/calls.rs
@@ -214,11 +214,11 @@
         self.delay()
     }
 
-    pub(in crate::fuzz_outcomes::harness) fn delay(&mut self) -> u64 {
+    pub fn delay(&mut self) -> u64 {
         self.rng.random_range(1..8)
     }
 
-    pub(in crate::fuzz_outcomes::harness) fn lost(&mut self) -> bool {
+    pub fn lost(&mut self) -> bool {
         self.rng.random_range(0..100) < u32::from(self.faults.loss)
     }
 
@@ -228,7 +228,7 @@
         self.faults.down == 0 && self.nodes[node].cut == 0 && heard
     }
 
-    pub(in crate::fuzz_outcomes::harness) fn connected(&self, a: usize, b: usize) -> bool {
+    pub fn connected(&self, a: usize, b: usize) -> bool {
         let Some(mask) = self.faults.split else {
             return true;
         };
--- a/bench/src/fuzz_outcomes/harness/world/faults.rs
+++ b/bench/src/fuzz_outcomes/harness/world/faults.rs
@@ -197,7 +197,7 @@
         }
     }
 
-    pub(in crate::fuzz_outcomes::harness) fn broken(&mut self, promise: Promise, detail: String) {
+    pub fn broken(&mut self, promise: Promise, detail: String) {
         let at = self.now;
         self.violation.get_or_insert(Violation {
             promise,
