cli: golden file of a session that drains

Cause: sessions were recorded for all but draining. Change: the tests' node remembers being drained, so that status shows it.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -66,17 +67,23 @@
     }
 }
 
+/// A node without peers that remembers being drained.
+#[derive(Debug, Default)]
+struct Only(AtomicBool);
+
 #[async_trait]
-impl port::Membership for Alone {
+impl port::Membership for Only {
     fn nodes(&self) -> Vec<wire::Peer> {
         Vec::new()
     }
 
     fn draining(&self) -> bool {
-        false
+        self.0.load(Ordering::Relaxed)
     }
 
-    fn drain_node(&self) {}
+    fn drain_node(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
 
     async fn drain_upstream(&self, _: &str) -> Result<(), Refusal> {
         Ok(())
@@ -148,7 +155,7 @@
         view: keeper.view(),
         fleet: receiver,
         configuration: Arc::clone(&keeper) as _,
-        membership: Arc::new(Alone),
+        membership: Arc::new(Only::default()),
         ownership: Arc::new(Alone),
         placement: placement::Limits::default(),
         metrics,
--- a/cli/tests/test_sessions.rs
+++ b/cli/tests/test_sessions.rs
@@ -301,3 +301,25 @@
     assert_eq!(session.run(apply).await, 0);
     golden!("apply_node_dies", session.done());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_upstream_then_node() {
+    let scene = scene(1).await;
+    let mut session = scene.session("drain", WRITE);
+    declare(&session, TEMPLATES);
+    assert_eq!(
+        session
+            .run("apply declarations --reason 'first templates'")
+            .await,
+        0
+    );
+    in_force(&scene.sites[0], 1).await;
+    assert_eq!(session.run("drain upstream engine-1").await, 0);
+    let unknown = session.run("drain upstream engine-9").await;
+    assert_ne!(unknown, 0, "an upstream that nobody has can't be drained");
+    assert_ne!(session.run("drain rack r1").await, 0);
+    assert_eq!(session.run("drain node entry-1").await, 0);
+    session.note("the balancer and the operators see it");
+    assert_eq!(session.run("status").await, 0);
+    golden!("drain_upstream_then_node", session.done());
+}
