--- a/bench/src/fuzz_config/oracle.rs
+++ b/bench/src/fuzz_config/oracle.rs
@@ -8,7 +8,7 @@
 use chivevalve::config::layout::Layout;
 use chivevalve::config::{Accepted, Error};
 use chivevalve::declaration::Set;
-use chivevalve::platform::Store as _;
+use chivevalve::ports::Store as _;
 use chivevalve::schema::declaration::Operation;
 use chivevalve_standins::store::Store;
 use prost::Message;
--- a/bench/src/fuzz_config/service.rs
+++ b/bench/src/fuzz_config/service.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use chivevalve::platform::{
+use chivevalve::ports::{
     Commit, Entry, Error, Event, Listing, Store as Border, Transaction, Watch, Write,
 };
 use chivevalve_standins::store::Store;
--- a/bench/src/fuzz_outcomes/harness/service.rs
+++ b/bench/src/fuzz_outcomes/harness/service.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chivevalve::clock::Millis;
-use chivevalve::platform::{
+use chivevalve::ports::{
     Commit, Condition, Entry, Error, Event, LeaseId, Listing, Transaction, Write,
 };
 
--- a/bench/src/fuzz_outcomes/harness/world.rs
+++ b/bench/src/fuzz_outcomes/harness/world.rs
@@ -19,7 +19,7 @@
 use chivevalve::membership::upstreams::Upstreams;
 use chivevalve::membership::witness;
 use chivevalve::name::Name;
-use chivevalve::platform::{Error, Event};
+use chivevalve::ports::{Error, Event};
 use chivevalve::request::Id;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
--- a/bench/src/fuzz_outcomes/harness/world/calls.rs
+++ b/bench/src/fuzz_outcomes/harness/world/calls.rs
@@ -8,7 +8,7 @@
 use chivevalve::membership::node::Claim;
 use chivevalve::membership::{Limits, witness};
 use chivevalve::name::Name;
-use chivevalve::platform::Error;
+use chivevalve::ports::Error;
 use rand::RngExt;
 
 use super::super::oracle::{Promise, Violation};
@@ -170,7 +170,7 @@
         }
     }
 
-    pub(super) fn list(&mut self) -> chivevalve::platform::Listing {
+    pub(super) fn list(&mut self) -> chivevalve::ports::Listing {
         if self.faults.stale > 0 && self.rng.random_bool(0.5) {
             let back = self.rng.random_range(1..12);
             return self.service.list_stale(PREFIX, back);
@@ -182,9 +182,9 @@
     pub(super) fn handed_over(
         &self,
         node: usize,
-        transaction: &chivevalve::platform::Transaction,
+        transaction: &chivevalve::ports::Transaction,
     ) -> Option<Name> {
-        let [chivevalve::platform::Write::Put(key, value, None)] = &transaction.writes[..] else {
+        let [chivevalve::ports::Write::Put(key, value, None)] = &transaction.writes[..] else {
             return None;
         };
         let to = Claim::from_value(value, 0)?;
--- a/bench/src/fuzz_outcomes/harness/world/faults.rs
+++ b/bench/src/fuzz_outcomes/harness/world/faults.rs
@@ -9,7 +9,7 @@
 use chivevalve::membership::machine::Machine;
 use chivevalve::membership::upstreams::Upstreams;
 use chivevalve::name::Name;
-use chivevalve::platform::Vm;
+use chivevalve::ports::Vm;
 use rand::RngExt;
 
 use super::super::oracle::{Promise, Violation};
--- a/bench/src/latency/mod.rs
+++ b/bench/src/latency/mod.rs
@@ -13,7 +13,7 @@
 
 use chivevalve::adapter::Adapter;
 use chivevalve::declaration::Source;
-use chivevalve::platform::{Engine, Fence};
+use chivevalve::ports::{Engine, Fence};
 use chivevalve_standins::caller::Caller;
 use chivevalve_standins::engine;
 use chivevalve_standins::fleet;
--- a/bench/src/spread/loopback.rs
+++ b/bench/src/spread/loopback.rs
@@ -16,7 +16,7 @@
 use chivevalve::name::Name;
 use chivevalve::peer::tls::Security;
 use chivevalve::peer::{self, Clients, client, server};
-use chivevalve::platform::Answer;
+use chivevalve::ports::Answer;
 use chivevalve::runner::{Attempt, Runner};
 use eyre::Result;
 use futures::future::join_all;
--- a/bench/src/spread/site.rs
+++ b/bench/src/spread/site.rs
@@ -13,7 +13,7 @@
 use chivevalve::declaration::Set;
 use chivevalve::gossip::{self, Peer, Peers, Share, Snapshot, Transport};
 use chivevalve::metrics::Metrics;
-use chivevalve::platform::{
+use chivevalve::ports::{
     Commit, Entry, Error, Event, Listing, Store as Border, Transaction, Watch, Weights,
 };
 use chivevalve_standins::store::Store;
--- a/cli/src/daemon/args.rs
+++ b/cli/src/daemon/args.rs
@@ -10,10 +10,12 @@
 chivevalved: one node of chivevalve, a serving layer for very many LoRA adapters
 
 Usage: chivevalved --settings FILE [--check]
+       chivevalved --platform
        chivevalved --print-settings | --help | --version
 
   --settings FILE    read the settings from FILE
   --check            say what is wrong in the settings and stop
+  --platform         run on the platform, with the settings that it left here
   --print-settings   print a settings file with every default
   --help             print this
   --version          print the version
@@ -38,6 +40,8 @@
     Check(PathBuf),
     /// Run a node.
     Serve(PathBuf),
+    /// Run a node with the platform's settings.
+    ServePlatform,
 }
 
 /// Reads the command line, program name first.
@@ -54,6 +58,7 @@
             Short('h') | Long("help") => return Ok(Action::Help),
             Short('V') | Long("version") => return Ok(Action::Version),
             Long("print-settings") => return Ok(Action::PrintSettings),
+            Long("platform") => return Ok(Action::ServePlatform),
             Long("settings") => file = Some(PathBuf::from(parser.value()?)),
             Long("check") => check = true,
             _ => return Err(argument.unexpected()),
--- a/cli/src/daemon/mod.rs
+++ b/cli/src/daemon/mod.rs
@@ -3,7 +3,9 @@
 mod args;
 mod exit;
 mod logs;
+mod platform;
 mod serve;
+mod signals;
 
 use std::ffi::OsString;
 use std::path::Path;
@@ -29,6 +31,7 @@
         Action::PrintSettings => print!("{}", settings::print()),
         Action::Check(file) => return check(&file),
         Action::Serve(file) => return serve(&file),
+        Action::ServePlatform => return serve_platform(),
     }
     ExitCode::SUCCESS
 }
@@ -72,3 +75,18 @@
         ExitCode::from(exit::FAILED)
     })
 }
+
+fn serve_platform() -> ExitCode {
+    let settings = match platform::load() {
+        Ok(settings) => settings,
+        Err(mistake) => {
+            eprintln!("chivevalved: {mistake}");
+            return ExitCode::from(exit::BAD_SETTINGS);
+        }
+    };
+    logs::start();
+    platform::serve(settings).unwrap_or_else(|error| {
+        log::error!("node: {error:#}");
+        ExitCode::from(exit::FAILED)
+    })
+}
--- a/cli/src/daemon/serve.rs
+++ b/cli/src/daemon/serve.rs
@@ -5,9 +5,9 @@
 use chivevalve::node::{Listeners, Node};
 use chivevalve::settings::Settings;
 use eyre::{Result, WrapErr};
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::exit;
+use super::signals::Signals;
 
 /// Runs a node; returns when it has stopped.
 ///
@@ -33,7 +33,7 @@
     );
     tokio::select! {
         () = node.asked_to_stop() => log::info!("node: an operator asks for the stop"),
-        name = signals.next() => log::info!("node: got {name}"),
+        name = signals.stop(no_reload) => log::info!("node: got {name}"),
     }
     tokio::select! {
         whole = node.drain() => Ok(if whole {
@@ -41,31 +41,14 @@
         } else {
             ExitCode::from(exit::CUT_OFF)
         }),
-        name = signals.next() => {
+        name = signals.stop(no_reload) => {
             log::warn!("node: got {name} again and stops at once");
             Ok(ExitCode::from(exit::CUT_OFF))
         }
     }
 }
 
-/// Signals that ask for a stop.
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl Signals {
-    fn new() -> Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate()).wrap_err("can't listen for SIGTERM")?,
-            interrupt: signal(SignalKind::interrupt()).wrap_err("can't listen for SIGINT")?,
-        })
-    }
-
-    async fn next(&mut self) -> &'static str {
-        tokio::select! {
-            _ = self.terminate.recv() => "SIGTERM",
-            _ = self.interrupt.recv() => "SIGINT",
-        }
-    }
+/// Settings of this way to run are read once; a hangup must not end the process.
+fn no_reload() {
+    log::warn!("node: got SIGHUP; settings are read again only at the next start");
 }
--- a/cli/tests/test_daemons.rs
+++ b/cli/tests/test_daemons.rs
@@ -7,7 +7,7 @@
 
 use chivevalve::error::Fate;
 use chivevalve::membership::node::Record;
-use chivevalve::platform::Store as _;
+use chivevalve::ports::Store as _;
 use chivevalve::secret;
 use chivevalve::settings::defaults;
 use chivevalve_standins::caller::{Caller, Ending, Errand, Question, Told};
--- a/cli/tests/test_sessions.rs
+++ b/cli/tests/test_sessions.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use chivevalve::adapter::Adapter;
-use chivevalve::platform::weights::path;
+use chivevalve::ports::weights::path;
 use chivevalve_standins::store::{Knobs, Store};
 use chivevalve_standins::weights::{self, Weights};
 use common::{READ, Session, Site, WRITE, golden, in_force, silent, start};
--- a/lib/gen-protos/src/lib.rs
+++ b/lib/gen-protos/src/lib.rs
@@ -8,7 +8,12 @@
 use eyre::Result;
 
 /// Schema files, relative to `lib/protos`.
-const FILES: [&str; 3] = ["declaration.proto", "peer.proto", "settings.proto"];
+const FILES: [&str; 4] = [
+    "declaration.proto",
+    "direct.proto",
+    "peer.proto",
+    "settings.proto",
+];
 
 /// Packages whose messages are also read from YAML or written as JSON.
 const WITH_SERDE: [&str; 2] = [".chivevalve.declaration", ".chivevalve.settings"];
--- a/lib/src/claim/mod.rs
+++ b/lib/src/claim/mod.rs
@@ -20,7 +20,7 @@
 use crate::clock::{Clock, Millis};
 use crate::membership::Fleet;
 use crate::name::Name;
-use crate::platform::{Lease, Store};
+use crate::ports::{Lease, Store};
 
 /// How claims are written and kept.
 #[derive(Debug, Clone, Copy)]
--- a/lib/src/claim/writer.rs
+++ b/lib/src/claim/writer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::clock::{Clock, Millis};
-use crate::platform::{Condition, Entry, Error, Lease, LeaseId, Store, Transaction, Write};
+use crate::ports::{Condition, Entry, Error, Lease, LeaseId, Store, Transaction, Write};
 
 use super::record::Record;
 
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -8,11 +8,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// A point in time since the clock's start, or a span, in milliseconds.
 ///
 /// Arithmetic saturates: a deadline computed from absurd input must end in
 /// "far away", not in a panic that takes the node down.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct Millis(pub u64);
 
 impl Millis {
@@ -102,6 +106,23 @@
     }
 }
 
+/// The system's clock that also runs while the VM is suspended.
+///
+/// A process that was suspended wakes up with its monotonic clock where it
+/// stood. Whatever it held by time, such as a lease, has long ended elsewhere;
+/// only this clock shows it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Boot;
+
+impl Clock for Boot {
+    fn now(&self) -> Millis {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or_default();
+        Millis(seconds * 1000 + nanoseconds / 1_000_000)
+    }
+}
+
 /// A clock that a test sets.
 #[derive(Debug, Default)]
 pub struct Manual {
--- a/lib/src/config/collect.rs
+++ b/lib/src/config/collect.rs
@@ -10,7 +10,7 @@
 
 use super::layout::BLOCK;
 use super::source::{HeadAt, Source};
-use crate::platform::{self, Condition, Transaction, Write};
+use crate::ports::{self, Condition, Transaction, Write};
 use crate::schema::declaration::Operation;
 
 /// Snapshots that are kept, so that rollbacks over very large changes stay possible for a while.
@@ -27,7 +27,7 @@
 ///
 /// When the service doesn't answer; what is left is cleared away later or
 /// stays, and does no harm.
-pub async fn run(source: &Source) -> Result<(), platform::Error> {
+pub async fn run(source: &Source) -> Result<(), ports::Error> {
     for _ in 0..ROUNDS {
         let head = source.head().await?;
         let buckets = unused_buckets(source, &head).await?;
@@ -41,7 +41,7 @@
 
 /// Walks from the newest snapshot back to the first that isn't kept, and lists
 /// its buckets that no kept one has.
-async fn unused_buckets(source: &Source, head: &HeadAt) -> Result<Vec<String>, platform::Error> {
+async fn unused_buckets(source: &Source, head: &HeadAt) -> Result<Vec<String>, ports::Error> {
     let mut kept: HashSet<Vec<u8>> = HashSet::new();
     let mut revision = head.head.snapshot_revision;
     for _ in 0..SNAPSHOTS {
@@ -66,7 +66,7 @@
         .collect())
 }
 
-async fn snapshot(source: &Source, revision: u64) -> Result<Option<Operation>, platform::Error> {
+async fn snapshot(source: &Source, revision: u64) -> Result<Option<Operation>, ports::Error> {
     if revision == 0 {
         return Ok(None);
     }
@@ -75,7 +75,7 @@
 }
 
 /// Lists the block of operations that just became too old.
-async fn old_operations(source: &Source, head: &HeadAt) -> Result<Vec<String>, platform::Error> {
+async fn old_operations(source: &Source, head: &HeadAt) -> Result<Vec<String>, ports::Error> {
     let Some(old) = head.head.revision.checked_sub(OPERATIONS + BLOCK) else {
         return Ok(Vec::new());
     };
@@ -93,7 +93,7 @@
     source: &Source,
     head: &HeadAt,
     removed: Vec<String>,
-) -> Result<bool, platform::Error> {
+) -> Result<bool, ports::Error> {
     let Some(written) = head.written else {
         return Ok(true);
     };
--- a/lib/src/config/error.rs
+++ b/lib/src/config/error.rs
@@ -4,7 +4,7 @@
 
 use thiserror::Error as ThisError;
 
-use crate::platform;
+use crate::ports;
 use crate::schema::declaration::Operation;
 
 /// A call that wasn't carried out, or of which that isn't known.
@@ -29,12 +29,12 @@
         /// The change's identity.
         id: String,
         /// The last error of the service.
-        cause: platform::Error,
+        cause: ports::Error,
     },
     /// The service can't be reached. This call wrote nothing; an earlier one with
     /// the same identity may have.
     #[error("the key-value service can't be used: {0}")]
-    Unavailable(platform::Error),
+    Unavailable(ports::Error),
     /// Others kept changing the configuration at the same time, or the service
     /// kept answering with what is older. This call wrote nothing.
     #[error("the service's answers changed too often")]
--- a/lib/src/config/follower.rs
+++ b/lib/src/config/follower.rs
@@ -18,7 +18,7 @@
 use super::state::Origin;
 use crate::clock::Millis;
 use crate::gossip::rank;
-use crate::platform::{self, Event};
+use crate::ports::{self, Event};
 use crate::schema::declaration::{Head, Operation};
 
 /// First wait after a failed call, in milliseconds.
@@ -122,12 +122,8 @@
             return Ok(());
         };
         let asked = self.keeper.now();
-        let malformed = |error| {
-            Failure::from(platform::Error::Malformed(format!(
-                "{}: {error}",
-                entry.key
-            )))
-        };
+        let malformed =
+            |error| Failure::from(ports::Error::Malformed(format!("{}: {error}", entry.key)));
         if entry.key != self.keeper.source.layout().head() {
             let operation = Operation::decode(entry.value.clone()).map_err(malformed)?;
             self.keeper.offer(&[Arc::new(operation)]);
@@ -202,6 +198,6 @@
     }
 }
 
-fn broken() -> platform::Error {
-    platform::Error::NoAnswer("the watch ended".to_owned())
+fn broken() -> ports::Error {
+    ports::Error::NoAnswer("the watch ended".to_owned())
 }
--- a/lib/src/config/history.rs
+++ b/lib/src/config/history.rs
@@ -8,7 +8,7 @@
 use super::state::is_omitted;
 use super::view::View;
 use crate::declaration::{Set, diff};
-use crate::platform;
+use crate::ports;
 use crate::schema::declaration::Operation;
 
 /// Reads up to `limit` operations up to a revision, the newest first.
@@ -20,7 +20,7 @@
     source: &Source,
     last: u64,
     limit: usize,
-) -> Result<Vec<Arc<Operation>>, platform::Error> {
+) -> Result<Vec<Arc<Operation>>, ports::Error> {
     let mut found: Vec<Arc<Operation>> = Vec::new();
     let mut block = last / BLOCK;
     loop {
--- a/lib/src/config/keeper.rs
+++ b/lib/src/config/keeper.rs
@@ -23,7 +23,7 @@
 use crate::gossip::Peers;
 use crate::metrics::Metrics;
 use crate::name::Name;
-use crate::platform::{Store, Watch, Weights};
+use crate::ports::{Store, Watch, Weights};
 use crate::schema::declaration::{Difference, Operation};
 
 /// Longest time between two looks at what is due and at the age, in milliseconds.
--- a/lib/src/config/plan.rs
+++ b/lib/src/config/plan.rs
@@ -9,7 +9,7 @@
 use super::view::View;
 use crate::adapter::Adapter;
 use crate::declaration::{Kind, Pool, Set, convert, diff};
-use crate::platform::Weights;
+use crate::ports::Weights;
 use crate::schema::declaration::Difference;
 use crate::schema::declaration::difference::{After, Before};
 
--- a/lib/src/config/source.rs
+++ b/lib/src/config/source.rs
@@ -13,7 +13,7 @@
 use super::view::{self, View};
 use crate::clock::Millis;
 use crate::declaration::Set;
-use crate::platform::{self, Entry, Store};
+use crate::ports::{self, Entry, Store};
 use crate::schema::declaration::{Bucket, Head, Operation};
 
 /// Calls in progress at a time while reading many values.
@@ -46,7 +46,7 @@
 pub enum Failure {
     /// The service failed.
     #[error(transparent)]
-    Service(#[from] platform::Error),
+    Service(#[from] ports::Error),
     /// This version can't read it.
     #[error(transparent)]
     Unreadable(#[from] view::Error),
@@ -88,7 +88,7 @@
     /// # Errors
     ///
     /// When the service doesn't answer, or with something that isn't a head.
-    pub async fn head(&self) -> Result<HeadAt, platform::Error> {
+    pub async fn head(&self) -> Result<HeadAt, ports::Error> {
         let key = self.layout.head();
         let listing = self.timed(self.store.list(&key)).await?;
         let entry = listing.entries.into_iter().find(|entry| entry.key == key);
@@ -110,10 +110,7 @@
     /// # Errors
     ///
     /// When the service doesn't answer, or with something that isn't an operation.
-    pub async fn operation(
-        &self,
-        revision: u64,
-    ) -> Result<Option<Arc<Operation>>, platform::Error> {
+    pub async fn operation(&self, revision: u64) -> Result<Option<Arc<Operation>>, ports::Error> {
         let key = self.layout.operation(revision);
         let entry = self.timed(self.store.get(&key)).await?;
         entry.map(|entry| decode(&entry).map(Arc::new)).transpose()
@@ -124,7 +121,7 @@
     /// # Errors
     ///
     /// When the service doesn't answer.
-    pub async fn change(&self, id: &str) -> Result<Option<u64>, platform::Error> {
+    pub async fn change(&self, id: &str) -> Result<Option<u64>, ports::Error> {
         let key = self.layout.change(id);
         let entry = self.timed(self.store.get(&key)).await?;
         Ok(entry.and_then(|entry| String::from_utf8_lossy(&entry.value).parse().ok()))
@@ -135,7 +132,7 @@
     /// # Errors
     ///
     /// When the service doesn't answer, or with something that isn't an operation.
-    pub async fn block(&self, revision: u64) -> Result<Vec<Arc<Operation>>, platform::Error> {
+    pub async fn block(&self, revision: u64) -> Result<Vec<Arc<Operation>>, ports::Error> {
         let prefix = self.layout.block(revision);
         let listing = self.timed(self.store.list(&prefix)).await?;
         listing
@@ -158,7 +155,7 @@
                 Ok(operations) if !operations.iter().any(|o| is_omitted(o)) => {
                     return Ok(Missing::Operations(operations));
                 }
-                Ok(_) | Err(platform::Error::Malformed(_)) => {}
+                Ok(_) | Err(ports::Error::Malformed(_)) => {}
                 Err(error) => return Err(error.into()),
             }
         }
@@ -187,7 +184,7 @@
     /// # Errors
     ///
     /// When the service doesn't answer, or a bucket is missing or damaged.
-    pub async fn set(&self, digests: &[Vec<u8>]) -> Result<Set, platform::Error> {
+    pub async fn set(&self, digests: &[Vec<u8>]) -> Result<Set, ports::Error> {
         // Buckets that are alike, such as empty ones, are read once.
         let different: BTreeSet<Vec<u8>> = digests.iter().cloned().collect();
         let mut buckets = stream::iter(different)
@@ -200,13 +197,13 @@
         Ok(set)
     }
 
-    async fn bucket(&self, digest: &[u8]) -> Result<Bucket, platform::Error> {
+    async fn bucket(&self, digest: &[u8]) -> Result<Bucket, ports::Error> {
         let entry = self
             .timed(self.store.get(&self.layout.bucket(digest)))
             .await?;
         let entry = entry.ok_or_else(|| lacks("a bucket"))?;
         if layout::digest(&entry.value) != digest {
-            return Err(platform::Error::Malformed(format!(
+            return Err(ports::Error::Malformed(format!(
                 "{} isn't what its digest says",
                 entry.key
             )));
@@ -219,7 +216,7 @@
         &self,
         have: u64,
         last: u64,
-    ) -> Result<Vec<Arc<Operation>>, platform::Error> {
+    ) -> Result<Vec<Arc<Operation>>, ports::Error> {
         let operations = if last.saturating_sub(have) <= SINGLES {
             self.singles(have, last).await?
         } else {
@@ -232,7 +229,7 @@
         Ok(operations)
     }
 
-    async fn singles(&self, have: u64, last: u64) -> Result<Vec<Arc<Operation>>, platform::Error> {
+    async fn singles(&self, have: u64, last: u64) -> Result<Vec<Arc<Operation>>, ports::Error> {
         let found: Vec<Option<Arc<Operation>>> = stream::iter(have + 1..=last)
             .map(|revision| self.operation(revision))
             .buffered(PARALLEL)
@@ -241,7 +238,7 @@
         Ok(found.into_iter().flatten().collect())
     }
 
-    async fn blocks(&self, have: u64, last: u64) -> Result<Vec<Arc<Operation>>, platform::Error> {
+    async fn blocks(&self, have: u64, last: u64) -> Result<Vec<Arc<Operation>>, ports::Error> {
         let mut operations = Vec::new();
         for block in (have + 1) / BLOCK..=last / BLOCK {
             let listed = self.block(block * BLOCK).await?;
@@ -258,19 +255,19 @@
     /// otherwise hold up this part for ever.
     pub(super) async fn timed<T>(
         &self,
-        call: impl Future<Output = Result<T, platform::Error>>,
-    ) -> Result<T, platform::Error> {
+        call: impl Future<Output = Result<T, ports::Error>>,
+    ) -> Result<T, ports::Error> {
         tokio::time::timeout(self.timeout.duration(), call)
             .await
-            .unwrap_or_else(|_| Err(platform::Error::NoAnswer("the call took too long".into())))
+            .unwrap_or_else(|_| Err(ports::Error::NoAnswer("the call took too long".into())))
     }
 }
 
-fn decode<M: Message + Default>(entry: &Entry) -> Result<M, platform::Error> {
+fn decode<M: Message + Default>(entry: &Entry) -> Result<M, ports::Error> {
     M::decode(entry.value.clone())
-        .map_err(|error| platform::Error::Malformed(format!("{}: {error}", entry.key)))
+        .map_err(|error| ports::Error::Malformed(format!("{}: {error}", entry.key)))
 }
 
-fn lacks(what: &str) -> platform::Error {
-    platform::Error::Malformed(format!("{what} that the head speaks of is missing"))
+fn lacks(what: &str) -> ports::Error {
+    ports::Error::Malformed(format!("{what} that the head speaks of is missing"))
 }
--- a/lib/src/config/writer.rs
+++ b/lib/src/config/writer.rs
@@ -19,7 +19,7 @@
 use super::source::{HeadAt, Source};
 use super::view::View;
 use crate::clock::Millis;
-use crate::platform::{self, Commit, Condition, Transaction, Write};
+use crate::ports::{self, Commit, Condition, Transaction, Write};
 use crate::schema::declaration::{Head, Operation};
 
 /// Most bytes of buckets written in one call.
@@ -184,7 +184,7 @@
         match attempt(source, &transaction).await {
             Ok(commit) => break commit,
             Err(error) if tries + 1 == TRIES => return Err(Error::Unavailable(error)),
-            Err(platform::Error::NoAnswer(_) | platform::Error::Malformed(_)) => {}
+            Err(ports::Error::NoAnswer(_) | ports::Error::Malformed(_)) => {}
             Err(error) => return Err(Error::Unavailable(error)),
         }
         tries += 1;
@@ -199,7 +199,7 @@
     Ok(())
 }
 
-async fn attempt(source: &Source, transaction: &Transaction) -> Result<Commit, platform::Error> {
+async fn attempt(source: &Source, transaction: &Transaction) -> Result<Commit, ports::Error> {
     source
         .timed(source.store().commit(transaction.clone()))
         .await
@@ -214,7 +214,7 @@
     let mut wait = FIRST_WAIT;
     // Whether an earlier try may have taken effect.
     let mut open = false;
-    let mut last = platform::Error::NoAnswer("the service stayed silent".into());
+    let mut last = ports::Error::NoAnswer("the service stayed silent".into());
     for _ in 0..TRIES {
         match attempt(source, transaction).await {
             Ok(commit) if commit.done => return Ok(Ending::Accepted),
@@ -224,7 +224,7 @@
                 Ok(ending) => return Ok(ending),
                 Err(error) => last = error,
             },
-            Err(error @ (platform::Error::NoAnswer(_) | platform::Error::Malformed(_))) => {
+            Err(error @ (ports::Error::NoAnswer(_) | ports::Error::Malformed(_))) => {
                 open = true;
                 last = error;
             }
@@ -241,7 +241,7 @@
 }
 
 /// Finds out why the conditions failed.
-async fn verdict(source: &Source, operation: &Operation) -> Result<Ending, platform::Error> {
+async fn verdict(source: &Source, operation: &Operation) -> Result<Ending, ports::Error> {
     match used(source, &operation.change_id).await? {
         Some(revision) if revision == operation.revision => Ok(Ending::Accepted),
         Some(revision) => Ok(Ending::Already(revision)),
@@ -258,7 +258,7 @@
 ///
 /// Reads may come from a stale replica, so the first word has a commit that
 /// writes nothing: the service checks its condition against the newest data.
-pub(super) async fn used(source: &Source, id: &str) -> Result<Option<u64>, platform::Error> {
+pub(super) async fn used(source: &Source, id: &str) -> Result<Option<u64>, ports::Error> {
     let probe = Transaction {
         conditions: vec![Condition::Absent(source.layout().change(id))],
         writes: Vec::new(),
@@ -267,6 +267,6 @@
         return Ok(None);
     }
     let revision = source.change(id).await?;
-    let stale = || platform::Error::NoAnswer("a stale replica answered".to_owned());
+    let stale = || ports::Error::NoAnswer("a stale replica answered".to_owned());
     revision.map(Some).ok_or_else(stale)
 }
--- /dev/null
+++ b/lib/src/direct/ask.rs
@@ -0,0 +1,431 @@
+//! Asking the node that gives an engine its orders, and answering as that node.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use async_trait::async_trait;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Request, Response, Status};
+
+use super::claim::Right;
+use super::dialect::{Dialect, Held};
+use super::orders::{Desk, Load, Loaded, Parts, Tick, Used};
+use super::upstream::Upstream;
+use super::view::View;
+use crate::clock::{Clock, Millis};
+use crate::name::Name;
+use crate::schema::direct::orders_client::OrdersClient;
+use crate::schema::direct::orders_server::{Orders, OrdersServer};
+use crate::schema::direct::{
+    ExchangeReply, ExchangeRequest, LoadReply, LoadRequest, Outcome, Resident, Standing, Use,
+};
+
+/// How long connecting to another node may take.
+const CONNECT: Millis = Millis(400);
+
+/// The longest that an exchange may take.
+const EXCHANGE: Millis = Millis(800);
+
+/// Pause between exchanges with each node.
+const EXCHANGE_PAUSE: Millis = Millis(1_000);
+
+/// The longest that another node may take to make an adapter present.
+const LOAD: Millis = Millis(4_500);
+
+/// Pause between looks at engines that need something without being asked.
+const TICK: Millis = Millis(500);
+
+/// Messages that may wait at a desk.
+const MAILBOX: usize = 256;
+
+/// The desks of the engines that this node gives orders to.
+#[derive(Debug)]
+pub struct Desks {
+    /// What this node believes.
+    pub view: Arc<View>,
+    /// What it may do.
+    pub right: Arc<Right>,
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// The node's clock.
+    pub clock: Arc<dyn Clock>,
+    /// Its name.
+    pub node: Name,
+    /// Its place in the network, for other nodes.
+    pub address: SocketAddr,
+    open: Mutex<HashMap<Name, ActorRef<Desk>>>,
+    channels: Mutex<HashMap<SocketAddr, OrdersClient<Channel>>>,
+    uses: Mutex<HashMap<Name, Vec<Name>>>,
+    loads: Mutex<HashMap<Name, HashMap<Name, u32>>>,
+}
+
+impl Desks {
+    /// Makes a registry without desks.
+    #[must_use]
+    pub fn new(
+        view: Arc<View>,
+        right: Arc<Right>,
+        dialect: Arc<dyn Dialect>,
+        clock: Arc<dyn Clock>,
+        node: Name,
+        address: SocketAddr,
+    ) -> Self {
+        Self {
+            view,
+            right,
+            dialect,
+            clock,
+            node,
+            address,
+            open: Mutex::default(),
+            channels: Mutex::default(),
+            uses: Mutex::default(),
+            loads: Mutex::default(),
+        }
+    }
+
+    /// Notes that a request of this node uses an adapter.
+    pub fn note_use(&self, upstream: &Upstream, adapter: &Name) {
+        let mut uses = self.uses.lock().unwrap_or_else(PoisonError::into_inner);
+        let adapters = uses.entry(Name::clone(&upstream.incarnation)).or_default();
+        if !adapters.contains(adapter) {
+            adapters.push(Name::clone(adapter));
+        }
+    }
+
+    /// Has an adapter made present at an engine, by whichever node may.
+    pub async fn load(&self, upstream: &Arc<Upstream>, adapter: &Name, version: u64) -> Loaded {
+        let loaded = if self.right.owns(upstream.address) {
+            self.load_here(upstream, adapter, version).await
+        } else {
+            self.load_there(upstream, adapter, version).await
+        };
+        if let Loaded::Ready(version) = loaded {
+            upstream.gained(adapter, version);
+        }
+        loaded
+    }
+
+    async fn load_here(&self, upstream: &Arc<Upstream>, adapter: &Name, version: u64) -> Loaded {
+        let Some(desk) = self.desk(upstream) else {
+            return Loaded::Failed;
+        };
+        let (reply, loaded) = oneshot::channel();
+        let load = Load {
+            adapter: Name::clone(adapter),
+            version,
+            reply,
+        };
+        if desk.tell(load).try_send().is_err() {
+            return Loaded::Full;
+        }
+        loaded.await.unwrap_or(Loaded::Failed)
+    }
+
+    async fn load_there(&self, upstream: &Arc<Upstream>, adapter: &Name, version: u64) -> Loaded {
+        let Some((node, peer)) = self.view.owner(upstream.address) else {
+            return Loaded::NotOwner;
+        };
+        let request = LoadRequest {
+            incarnation: upstream.incarnation.to_string(),
+            adapter: adapter.to_string(),
+            version,
+        };
+        let mut client = self.client(peer.address);
+        let asked = tokio::time::timeout(LOAD.duration(), client.load(request)).await;
+        match asked {
+            Ok(Ok(reply)) => read(reply.get_ref()),
+            Ok(Err(status)) => {
+                log::info!("ask: {node} does not answer: {}", status.message());
+                Loaded::Failed
+            }
+            Err(_) => {
+                self.forget(peer.address);
+                Loaded::Failed
+            }
+        }
+    }
+
+    /// Returns the desk of an engine, opened if this is the first call for it.
+    fn desk(&self, upstream: &Arc<Upstream>) -> Option<ActorRef<Desk>> {
+        let config = self.view.config()?;
+        let engine = config.pools.get(&upstream.pool)?.engine.clone()?;
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(desk) = open.get(&upstream.incarnation)
+            && desk.is_alive()
+        {
+            return Some(desk.clone());
+        }
+        let parts = Parts {
+            upstream: Arc::clone(upstream),
+            engine,
+            right: Arc::clone(&self.right),
+            dialect: Arc::clone(&self.dialect),
+            clock: Arc::clone(&self.clock),
+            holder: Name::clone(&self.node),
+        };
+        let desk = Desk::spawn_with_mailbox(parts, mailbox::bounded(MAILBOX));
+        open.insert(Name::clone(&upstream.incarnation), desk.clone());
+        Some(desk)
+    }
+
+    fn client(&self, address: SocketAddr) -> OrdersClient<Channel> {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        channels
+            .entry(address)
+            .or_insert_with(|| {
+                let endpoint = Endpoint::from_shared(format!("http://{address}"))
+                    .expect("an address makes a URI")
+                    .connect_timeout(CONNECT.duration())
+                    .tcp_nodelay(true)
+                    .http2_keep_alive_interval(Millis::from_secs(2).duration())
+                    .keep_alive_timeout(Millis::from_secs(1).duration());
+                OrdersClient::new(endpoint.connect_lazy())
+            })
+            .clone()
+    }
+
+    /// Drops a connection that has gone silent.
+    fn forget(&self, address: SocketAddr) {
+        self.channels
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&address);
+    }
+
+    /// Looks after engines and exchanges news until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        let mut exchanged = Millis::ZERO;
+        loop {
+            tokio::time::sleep(TICK.duration()).await;
+            self.tick();
+            let now = self.clock.now();
+            if now.since(exchanged) >= EXCHANGE_PAUSE {
+                exchanged = now;
+                self.exchange_all();
+            }
+        }
+    }
+
+    fn tick(&self) {
+        let upstreams: Vec<Arc<Upstream>> = {
+            let state = self.view.state();
+            self.close_gone(&state.upstreams);
+            state.upstreams.values().cloned().collect()
+        };
+        for upstream in upstreams {
+            upstream.link.sweep();
+            if self.right.check(upstream.address).is_some()
+                && let Some(desk) = self.desk(&upstream)
+                && desk.tell(Tick).try_send().is_err()
+            {
+                log::warn!("ask: the desk of {} is full", upstream.incarnation);
+            }
+        }
+    }
+
+    fn close_gone(&self, upstreams: &HashMap<Name, Arc<Upstream>>) {
+        self.open
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .retain(|incarnation, desk| {
+                let kept = upstreams.contains_key(incarnation);
+                if !kept {
+                    desk.kill();
+                }
+                kept
+            });
+    }
+
+    /// Tells each owner what this node did at its engines.
+    fn exchange_all(self: &Arc<Self>) {
+        let mut requests: HashMap<SocketAddr, ExchangeRequest> = HashMap::new();
+        let uses = std::mem::take(&mut *self.uses.lock().unwrap_or_else(PoisonError::into_inner));
+        let upstreams: Vec<Arc<Upstream>> = self.view.state().upstreams.values().cloned().collect();
+        for upstream in upstreams {
+            let adapters = uses.get(&upstream.incarnation).cloned().unwrap_or_default();
+            if self.right.owns(upstream.address) {
+                self.note_uses(&upstream.incarnation, adapters);
+                continue;
+            }
+            let Some((_, peer)) = self.view.owner(upstream.address) else {
+                continue;
+            };
+            let request = requests
+                .entry(peer.address)
+                .or_insert_with(|| ExchangeRequest {
+                    node: self.node.to_string(),
+                    uses: Vec::new(),
+                });
+            request.uses.push(Use {
+                incarnation: upstream.incarnation.to_string(),
+                running: upstream.running(),
+                adapters: adapters.iter().map(ToString::to_string).collect(),
+            });
+        }
+        for (address, request) in requests {
+            let desks = Arc::clone(self);
+            tokio::spawn(async move { desks.exchange(address, request).await });
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, request: ExchangeRequest) {
+        let mut client = self.client(address);
+        match tokio::time::timeout(EXCHANGE.duration(), client.exchange(request)).await {
+            Ok(Ok(reply)) => self.hear(reply.into_inner()),
+            Ok(Err(status)) => {
+                log::info!("ask: no exchange with {address}: {}", status.message());
+            }
+            Err(_) => {
+                log::info!("ask: no exchange with {address} within {EXCHANGE}");
+                self.forget(address);
+            }
+        }
+    }
+
+    fn hear(&self, reply: ExchangeReply) {
+        let state = self.view.state();
+        for standing in reply.standings {
+            let Some(upstream) = state.upstreams.get(standing.incarnation.as_str()) else {
+                continue;
+            };
+            upstream.heard_load(standing.running);
+            upstream.hold(&Held {
+                sequence: standing.sequence,
+                models: standing.models.into_iter().map(Name::from).collect(),
+                adapters: standing
+                    .adapters
+                    .into_iter()
+                    .map(|resident| (Name::from(resident.adapter), resident.version))
+                    .collect(),
+                incoming: Vec::new(),
+            });
+        }
+    }
+
+    fn note_uses(&self, incarnation: &str, adapters: Vec<Name>) {
+        if adapters.is_empty() {
+            return;
+        }
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(desk) = open.get(incarnation)
+            && desk.tell(Used(adapters)).try_send().is_err()
+        {
+            log::debug!("ask: a desk is full and hears of no use");
+        }
+    }
+
+    /// Answers an exchange: what all others have running, and what is held.
+    fn standing(&self, node: &Name, one: &Use) -> Option<Standing> {
+        let upstream = {
+            let state = self.view.state();
+            Arc::clone(state.upstreams.get(one.incarnation.as_str())?)
+        };
+        let others = {
+            let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+            let at = loads.entry(Name::clone(&upstream.incarnation)).or_default();
+            at.insert(Name::clone(node), one.running);
+            let total: u32 = at.values().sum();
+            upstream.heard_load(total);
+            total - one.running + upstream.running()
+        };
+        let held = upstream.held();
+        Some(Standing {
+            incarnation: one.incarnation.clone(),
+            running: others,
+            sequence: held.sequence,
+            models: held.models.iter().map(ToString::to_string).collect(),
+            adapters: held
+                .adapters
+                .iter()
+                .map(|(adapter, version)| Resident {
+                    adapter: adapter.to_string(),
+                    version: *version,
+                })
+                .collect(),
+        })
+    }
+}
+
+fn read(reply: &LoadReply) -> Loaded {
+    match reply.outcome() {
+        Outcome::Ready => Loaded::Ready(reply.version),
+        Outcome::Full => Loaded::Full,
+        Outcome::NotOwner => Loaded::NotOwner,
+        Outcome::Failed | Outcome::Unspecified => Loaded::Failed,
+    }
+}
+
+/// Answers other nodes.
+#[derive(Debug)]
+struct Service(Arc<Desks>);
+
+#[async_trait]
+impl Orders for Service {
+    async fn load(&self, request: Request<LoadRequest>) -> Result<Response<LoadReply>, Status> {
+        let request = request.into_inner();
+        let desks = &self.0;
+        let upstream = desks
+            .view
+            .state()
+            .upstreams
+            .get(request.incarnation.as_str())
+            .cloned();
+        let loaded = match upstream {
+            Some(upstream) if desks.right.owns(upstream.address) => {
+                let adapter = Name::from(request.adapter);
+                desks.load_here(&upstream, &adapter, request.version).await
+            }
+            _ => Loaded::NotOwner,
+        };
+        let (outcome, version) = match loaded {
+            Loaded::Ready(version) => (Outcome::Ready, version),
+            Loaded::Full => (Outcome::Full, 0),
+            Loaded::NotOwner => (Outcome::NotOwner, 0),
+            Loaded::Failed => (Outcome::Failed, 0),
+        };
+        Ok(Response::new(LoadReply {
+            outcome: outcome.into(),
+            version,
+        }))
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeReply>, Status> {
+        let request = request.into_inner();
+        let node = Name::from(request.node);
+        let mut standings = Vec::with_capacity(request.uses.len());
+        for one in &request.uses {
+            if let Some(standing) = self.0.standing(&node, one) {
+                let adapters = one.adapters.iter().map(|name| name.as_str().into());
+                self.0.note_uses(&one.incarnation, adapters.collect());
+                standings.push(standing);
+            }
+        }
+        Ok(Response::new(ExchangeReply { standings }))
+    }
+}
+
+/// Answers other nodes until the task is dropped.
+///
+/// # Errors
+///
+/// When the listener can't be served.
+pub async fn serve(
+    listener: TcpListener,
+    desks: Arc<Desks>,
+) -> Result<(), tonic::transport::Error> {
+    Server::builder()
+        .tcp_nodelay(true)
+        .add_service(OrdersServer::new(Service(desks)))
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await
+}
--- /dev/null
+++ b/lib/src/direct/attempt.rs
@@ -0,0 +1,175 @@
+//! One send of a request to one upstream, and what became of it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use super::call::{Call, Kind};
+use super::dialect::{Dialect, Dispatch, Reply};
+use super::upstream::{Running, Upstream};
+use crate::clock::Millis;
+use crate::error::Code;
+use crate::ports::link::{Connection, Lost};
+
+/// The longest whole answer that is held, in bytes.
+const WHOLE_BYTES: usize = 16 << 20;
+
+/// How fresh a kept connection has to be for a request that may not be repeated.
+///
+/// An upstream or a device between may have dropped an unused connection
+/// without a word. What is then sent on it may have run, for all one can know.
+const FRESH: Millis = Millis(1_000);
+
+/// How fresh a kept connection has to be otherwise.
+const USABLE: Millis = Millis(4_000);
+
+/// A request as it is sent, the same for each attempt.
+#[derive(Debug)]
+pub struct Message {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers without those of one connection.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// What the request says about itself.
+    pub call: Call,
+    /// What may be repeated.
+    pub kind: Kind,
+}
+
+/// Why an attempt gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Miss {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The upstream says that it did not run the request.
+    Rejected {
+        /// The answer's status.
+        status: u16,
+    },
+    /// It may have run.
+    Lost(Code, String),
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its head.
+    pub head: response::Parts,
+    /// What the head says.
+    pub reply: Reply,
+    /// The rest.
+    pub body: Incoming,
+    /// Where it comes from.
+    pub upstream: Arc<Upstream>,
+    /// The connection that it comes over.
+    pub connection: Connection,
+    /// Holds the place in the upstream's count.
+    pub running: Running,
+}
+
+impl Message {
+    /// Sends the request and returns the answer's head once it has come.
+    ///
+    /// # Errors
+    ///
+    /// A [`Miss`], which says truly whether the request may have run.
+    pub async fn send(
+        &self,
+        upstream: &Arc<Upstream>,
+        dialect: &dyn Dialect,
+        dispatch: &Dispatch,
+    ) -> Result<Answer, Miss> {
+        let running = upstream.enter();
+        let freshness = if self.kind.repeatable() {
+            USABLE
+        } else {
+            FRESH
+        };
+        let mut connection = upstream
+            .link
+            .take(freshness)
+            .await
+            .map_err(|lost| miss(&lost))?;
+        let request = self.request(dialect, dispatch);
+        let response = connection.send(request).await.map_err(|lost| miss(&lost))?;
+        let (head, body) = response.into_parts();
+        let reply = dialect.reply(&head);
+        if reply.id != self.call.id {
+            // Another request's answer came late over this connection. Whether
+            // the upstream runs ours, nobody can tell.
+            return Err(Miss::Lost(
+                Code::WrongAnswer,
+                "the answer names another request".to_owned(),
+            ));
+        }
+        if reply.not_run {
+            let status = head.status.as_u16();
+            finish(body, connection, upstream, &reply).await;
+            return Err(Miss::Rejected { status });
+        }
+        if head.status.is_success() && !reply.signed {
+            return Err(Miss::Lost(
+                Code::WrongAnswer,
+                "the answer bears no signature".to_owned(),
+            ));
+        }
+        Ok(Answer {
+            head,
+            reply,
+            body,
+            upstream: Arc::clone(upstream),
+            connection,
+            running,
+        })
+    }
+
+    fn request(&self, dialect: &dyn Dialect, dispatch: &Dispatch) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        dialect.dispatch(request.headers_mut(), dispatch);
+        request
+    }
+}
+
+impl Answer {
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// [`Miss::Lost`] when it breaks off or is too long.
+    pub async fn whole(self) -> Result<(response::Parts, Bytes), Miss> {
+        let body = Limited::new(self.body, WHOLE_BYTES)
+            .collect()
+            .await
+            .map_err(|error| Miss::Lost(Code::AnswerCut, error.to_string()))?
+            .to_bytes();
+        if !self.reply.closes {
+            self.upstream.link.keep(self.connection, self.reply.keep);
+        }
+        Ok((self.head, body))
+    }
+}
+
+/// Reads the rest of an answer that is not passed on, so that its connection can be kept.
+async fn finish(body: Incoming, connection: Connection, upstream: &Upstream, reply: &Reply) {
+    let rest = Limited::new(body, 64 * 1024).collect();
+    if rest.await.is_ok() && !reply.closes {
+        upstream.link.keep(connection, reply.keep);
+    }
+}
+
+fn miss(lost: &Lost) -> Miss {
+    match lost {
+        Lost::Unsent(told) => Miss::Unsent(told.clone()),
+        Lost::Sent(told) => Miss::Lost(Code::UpstreamLost, told.clone()),
+    }
+}
--- /dev/null
+++ b/lib/src/direct/claim.rs
@@ -0,0 +1,363 @@
+//! Claims: which node gives orders to an engine.
+//!
+//! Engines here don't check fencing tokens, so the time alone keeps two nodes
+//! from giving orders by turns. A claim lives with its node's lease. The node's
+//! right ends by its own clock, counted from when it sent the renewal; a
+//! successor waits until that right has surely ended and the length of a turn
+//! more. docs/design/0007-direct-serving.md has the figures.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::dialect::Dialect;
+use super::follow::{CLAIMS, NODES};
+use super::limits::{CLAIM_RANK, GATHER, LEASE, Limits, RENEWAL, RIGHT, TURN_MARGIN};
+use super::view::{Claim, Peer, Standing, State, View};
+use crate::clock::{Clock, Millis};
+use crate::name::Name;
+use crate::ports::{Condition, Error, Lease, LeaseId, Store, Transaction, Write};
+
+/// Seed of the order of nodes for an engine. Changing it moves every claim, so it stays.
+const CLAIM_SEED: u64 = 0x636c_6169_6d73;
+
+/// Claims that one transaction makes; the service takes 32 rows.
+const CLAIMS_AT_ONCE: usize = 16;
+
+/// Leave to give an engine orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Owned {
+    token: u64,
+    from: Millis,
+}
+
+/// This node's right to give orders, looked at in the line before each order.
+#[derive(Debug)]
+pub struct Right {
+    clock: Arc<dyn Clock>,
+    until: AtomicU64,
+    owned: Mutex<HashMap<SocketAddr, Owned>>,
+    last_order: Mutex<HashMap<SocketAddr, Millis>>,
+}
+
+impl Right {
+    /// Makes a right that allows nothing.
+    ///
+    /// `clock` has to run while the VM is suspended: a node that wakes up must
+    /// see that its right has ended.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            clock,
+            until: AtomicU64::new(0),
+            owned: Mutex::default(),
+            last_order: Mutex::default(),
+        }
+    }
+
+    /// Returns the fencing token if an order may leave at this moment.
+    #[must_use]
+    pub fn check(&self, address: SocketAddr) -> Option<u64> {
+        let now = self.clock.now();
+        if now.0 >= self.until.load(Ordering::Relaxed) {
+            return None;
+        }
+        let owned = *self.owned().get(&address)?;
+        (owned.from <= now).then_some(owned.token)
+    }
+
+    /// Notes that an order leaves.
+    pub fn ordered(&self, address: SocketAddr) {
+        let now = self.clock.now();
+        self.last_order
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(address, now);
+    }
+
+    /// Returns how long ago the last order left, or none if there was none.
+    #[must_use]
+    pub fn since_order(&self, address: SocketAddr) -> Option<Millis> {
+        let now = self.clock.now();
+        self.last_order
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&address)
+            .map(|&at| now.since(at))
+    }
+
+    /// Whether this node owns an engine, allowed to order yet or not.
+    #[must_use]
+    pub fn owns(&self, address: SocketAddr) -> bool {
+        self.owned().contains_key(&address)
+    }
+
+    fn owned(&self) -> MutexGuard<'_, HashMap<SocketAddr, Owned>> {
+        self.owned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Keeps this node's lease, record and claims.
+#[derive(Debug)]
+pub struct Claimer {
+    /// The key-value service.
+    pub store: Arc<dyn Store>,
+    /// Its leases.
+    pub lease: Arc<dyn Lease>,
+    /// Keys.
+    pub dialect: Arc<dyn Dialect>,
+    /// Runs while the VM is suspended.
+    pub clock: Arc<dyn Clock>,
+    /// What the follower sees.
+    pub view: Arc<View>,
+    /// What this node may do.
+    pub right: Arc<Right>,
+    /// Bounds.
+    pub limits: Limits,
+    /// This node's name.
+    pub node: Name,
+    /// This node's record.
+    pub peer: Peer,
+    /// Whether no node has run before.
+    pub first_start: bool,
+}
+
+impl Claimer {
+    /// Keeps the lease and claims until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        let began = self.clock.now();
+        let mut lease = None;
+        loop {
+            if let Err(error) = self.round(&mut lease, began).await {
+                log::warn!("claim: {error}");
+            }
+            tokio::time::sleep(RENEWAL.duration()).await;
+        }
+    }
+
+    /// Gives claims up, with the time since the last order, so that successors wait less.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't take it; then the lease's end does the same later.
+    pub async fn leave(&self) -> Result<(), Error> {
+        self.right.until.store(0, Ordering::Relaxed);
+        let owned: Vec<SocketAddr> = self.right.owned().drain().map(|(at, _)| at).collect();
+        for addresses in owned.chunks(CLAIMS_AT_ONCE) {
+            let mut transaction = Transaction::default();
+            for &address in addresses {
+                let claim = Claim {
+                    node: Name::clone(&self.node),
+                    start: self.peer.start,
+                    left: Some(self.right.since_order(address).unwrap_or(self.limits.turns)),
+                };
+                let key = self.key(address);
+                transaction
+                    .writes
+                    .push(Write::Put(key, encoded(&claim), None));
+            }
+            self.store.commit(transaction).await?;
+        }
+        Ok(())
+    }
+
+    async fn round(&self, lease: &mut Option<LeaseId>, began: Millis) -> Result<(), Error> {
+        let sent = self.clock.now();
+        match *lease {
+            None => {
+                let granted = self.lease.grant(LEASE).await?;
+                self.register(granted).await?;
+                *lease = Some(granted);
+            }
+            Some(held) => {
+                if self.lease.renew(held).await? == Millis::ZERO {
+                    log::warn!("claim: the lease has lapsed");
+                    *lease = None;
+                    self.right.until.store(0, Ordering::Relaxed);
+                    self.right.owned().clear();
+                    return Ok(());
+                }
+            }
+        }
+        self.right.until.store((sent + RIGHT).0, Ordering::Relaxed);
+        if let Some(held) = *lease {
+            self.claim(held, began).await?;
+        }
+        Ok(())
+    }
+
+    async fn register(&self, lease: LeaseId) -> Result<(), Error> {
+        let key = self.dialect.own(&format!("{NODES}{}", self.node));
+        let transaction = Transaction {
+            conditions: Vec::new(),
+            writes: vec![Write::Put(key, encoded(&self.peer), Some(lease))],
+        };
+        self.store.commit(transaction).await?;
+        Ok(())
+    }
+
+    /// Takes over engines that nobody gives orders to, those first that fall to this node.
+    async fn claim(&self, lease: LeaseId, began: Millis) -> Result<(), Error> {
+        let now = self.clock.now();
+        if now.since(began) < GATHER {
+            return Ok(());
+        }
+        self.adopt(began, now);
+        let wanted = self.wanted(now);
+        if wanted.is_empty() {
+            return Ok(());
+        }
+        let mut transaction = Transaction::default();
+        for (address, standing) in wanted.iter().take(CLAIMS_AT_ONCE) {
+            let key = self.key(*address);
+            transaction.conditions.push(match standing {
+                Some(left) => Condition::Unchanged(key.clone(), left.revision),
+                None => Condition::Absent(key.clone()),
+            });
+            let claim = Claim {
+                node: Name::clone(&self.node),
+                start: self.peer.start,
+                left: None,
+            };
+            transaction
+                .writes
+                .push(Write::Put(key, encoded(&claim), Some(lease)));
+        }
+        let commit = self.store.commit(transaction).await?;
+        if commit.done {
+            let now = self.clock.now();
+            for (address, standing) in wanted.into_iter().take(CLAIMS_AT_ONCE) {
+                self.won(address, standing, commit.revision, began, now);
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes up claims of this start whose write had no answer.
+    ///
+    /// Without this nobody would give those engines orders: to all others they
+    /// are taken.
+    fn adopt(&self, began: Millis, now: Millis) {
+        let unanswered: Vec<(SocketAddr, u64)> = {
+            let state = self.view.state();
+            state
+                .claims
+                .iter()
+                .filter(|(address, standing)| {
+                    standing.claim.node == self.node
+                        && standing.claim.start == self.peer.start
+                        && standing.claim.left.is_none()
+                        && !self.right.owns(**address)
+                })
+                .map(|(address, standing)| (*address, standing.revision))
+                .collect()
+        };
+        for (address, token) in unanswered {
+            self.won(address, None, token, began, now);
+        }
+    }
+
+    fn won(
+        &self,
+        address: SocketAddr,
+        left: Option<Standing>,
+        token: u64,
+        began: Millis,
+        now: Millis,
+    ) {
+        let from = {
+            let state = self.view.state();
+            self.may_order_from(&state, address, left.as_ref(), began, now)
+        };
+        log::info!("claim: orders to {address} are this node's, token {token}, from {from}");
+        self.right.owned().insert(address, Owned { token, from });
+    }
+
+    /// When the former owner's right has surely ended and a turn has passed.
+    fn may_order_from(
+        &self,
+        state: &State,
+        address: SocketAddr,
+        left: Option<&Standing>,
+        began: Millis,
+        now: Millis,
+    ) -> Millis {
+        let turn = self.limits.turns + TURN_MARGIN;
+        if let Some(left) = left {
+            if left.claim.node == self.node {
+                return now;
+            }
+            let age = left.claim.left.unwrap_or_default();
+            return left.seen + (turn - age.min(turn));
+        }
+        match state.vanished.get(&address) {
+            Some((node, _)) if *node == self.node => now,
+            Some((_, at)) => *at + RIGHT + turn,
+            None if self.first_start => now,
+            // Whoever had it before this node began to look may believe in it still.
+            None => began + RIGHT + turn,
+        }
+    }
+
+    /// Returns engines without an owner, with the mark that a former one left.
+    fn wanted(&self, now: Millis) -> Vec<(SocketAddr, Option<Standing>)> {
+        let state = self.view.state();
+        let Some(config) = state.config.clone() else {
+            return Vec::new();
+        };
+        let mut wanted = Vec::new();
+        for upstream in state.upstreams.values() {
+            let engine = config
+                .pools
+                .get(&upstream.pool)
+                .is_some_and(|pool| pool.engine.is_some());
+            if !engine || !upstream.is_ready() || self.right.owns(upstream.address) {
+                continue;
+            }
+            let address = upstream.address;
+            let standing = state.claims.get(&address);
+            if standing.is_some_and(|standing| standing.claim.left.is_none()) {
+                continue;
+            }
+            let since = standing
+                .map(|standing| standing.seen)
+                .or_else(|| state.vanished.get(&address).map(|(_, at)| *at))
+                .unwrap_or_default();
+            let rank = self.rank(&state, address);
+            let patience = Millis(CLAIM_RANK.0 * rank);
+            if now.since(since) >= patience {
+                wanted.push((address, standing.cloned()));
+            }
+        }
+        wanted
+    }
+
+    /// Returns how many living nodes come before this one for an engine.
+    fn rank(&self, state: &State, address: SocketAddr) -> u64 {
+        let mine = weight(address, &self.node);
+        state
+            .nodes
+            .keys()
+            .filter(|node| **node != self.node && weight(address, node) > mine)
+            .count() as u64
+    }
+
+    fn key(&self, address: SocketAddr) -> String {
+        self.dialect.own(&format!("{CLAIMS}{address}"))
+    }
+}
+
+fn weight(address: SocketAddr, node: &str) -> u64 {
+    let seed = xxh3_64_with_seed(address.to_string().as_bytes(), CLAIM_SEED);
+    xxh3_64_with_seed(node.as_bytes(), seed)
+}
+
+fn encoded<T: serde::Serialize>(value: &T) -> Bytes {
+    serde_json::to_vec(value)
+        .expect("names and numbers make JSON")
+        .into()
+}
--- /dev/null
+++ b/lib/src/direct/entry.rs
@@ -0,0 +1,371 @@
+//! The entry: callers' requests, from the first byte to the answer.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::Incoming;
+use rand::RngExt;
+
+use super::ask::Desks;
+use super::attempt::{Answer, Message};
+use super::budget::Budget;
+use super::config::{Config, Route};
+use super::dialect::Dialect;
+use super::limits::Limits;
+use super::relay::{self, Cut};
+use super::trip::Trip;
+use super::upstream::Upstream;
+use super::view::View;
+use crate::clock::{Clock, Millis};
+use crate::error::{Code, Failure};
+use crate::metrics::Metrics;
+use crate::name::Name;
+use crate::ports::http::remove_hop_by_hop;
+
+/// Body of an answer to a caller.
+pub type Body = UnsyncBoxBody<Bytes, Cut>;
+
+/// How long a caller's wait is assumed to be if nothing bounds it.
+const USUAL_WAIT: Millis = Millis::from_secs(30);
+
+/// Pause after which an adapter may be asked for at a further engine.
+const SPREAD_PAUSE: Millis = Millis(700);
+
+/// Label of the class in metrics: here routes and not classes rank requests.
+const CLASS: &str = "direct";
+
+/// What all requests of a node share.
+#[derive(Debug)]
+pub struct Gate {
+    /// What this node believes.
+    pub view: Arc<View>,
+    /// Orders to engines.
+    pub desks: Arc<Desks>,
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// The node's clock.
+    pub clock: Arc<dyn Clock>,
+    /// The node's metrics.
+    pub metrics: Arc<Metrics>,
+    /// Where the node is.
+    pub failure_domain: Name,
+    /// Bounds.
+    pub limits: Limits,
+    budget: Mutex<Budget>,
+    spreading: Mutex<HashMap<Name, Millis>>,
+    stopping: AtomicBool,
+    active: AtomicUsize,
+}
+
+/// Counts a request in progress until it is dropped.
+#[derive(Debug)]
+struct Active(Arc<Gate>);
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Gate {
+    /// Makes a gate.
+    #[must_use]
+    pub fn new(
+        view: Arc<View>,
+        desks: Arc<Desks>,
+        dialect: Arc<dyn Dialect>,
+        clock: Arc<dyn Clock>,
+        failure_domain: Name,
+        limits: Limits,
+    ) -> Self {
+        Self {
+            view,
+            desks,
+            dialect,
+            clock,
+            metrics: Arc::new(Metrics::new()),
+            failure_domain,
+            budget: Mutex::new(Budget::new(limits.retries)),
+            limits,
+            spreading: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            active: AtomicUsize::new(0),
+        }
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        if self.is_stopping() {
+            return false;
+        }
+        let state = self.view.state();
+        state.config.is_some() && !state.upstreams.is_empty()
+    }
+
+    /// Stops taking callers; what is in progress goes on.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the node stops.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Requests in progress.
+    #[must_use]
+    pub fn active(&self) -> usize {
+        self.active.load(Ordering::Relaxed)
+    }
+
+    /// Counts a further send by its reason.
+    pub fn count_retry(&self, reason: &str) {
+        self.metrics.retries.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts an answer that was cut off midway.
+    pub fn count_cut(&self) {
+        self.count_end(Code::AnswerCut);
+    }
+
+    fn count_end(&self, code: Code) {
+        let number = code.number().to_string();
+        let metrics = &self.metrics;
+        metrics
+            .requests
+            .with_label_values(&[number.as_str(), CLASS])
+            .inc();
+        metrics
+            .refusals
+            .with_label_values(&[number.as_str(), code.fate().name()])
+            .inc();
+    }
+
+    /// Takes leave to send a request to a pool a further time.
+    pub fn take_repeat(&self, pool: &Name) -> bool {
+        let nodes = self.view.state().most_nodes;
+        self.budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .repeat(pool, self.clock.now(), nodes)
+    }
+
+    /// Has an adapter made present at the first of some engines, without waiting.
+    pub fn load_soon(self: &Arc<Self>, homes: Vec<Arc<Upstream>>, adapter: &Name, version: u64) {
+        let now = self.clock.now();
+        let Some(upstream) = homes.into_iter().next() else {
+            return;
+        };
+        {
+            let mut spreading = self
+                .spreading
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            spreading.retain(|_, since| now.since(*since) < SPREAD_PAUSE);
+            if spreading.contains_key(adapter) {
+                return;
+            }
+            spreading.insert(Name::clone(adapter), now);
+        }
+        let gate = Arc::clone(self);
+        let adapter = Name::clone(adapter);
+        tokio::spawn(async move {
+            let loaded = gate.desks.load(&upstream, &adapter, version).await;
+            log::debug!(
+                "entry: {adapter} at {} too: {loaded:?}",
+                upstream.incarnation
+            );
+        });
+    }
+
+    /// Answers a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Never before the head; the body can end in a [`Cut`].
+    pub async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Cut> {
+        self.active.fetch_add(1, Ordering::Relaxed);
+        let active = Active(Arc::clone(&self));
+        let mut response = match self.serve(request).await {
+            Ok(response) => response,
+            Err(failure) => self.refuse(&failure),
+        };
+        if self.is_stopping() {
+            response
+                .headers_mut()
+                .insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        // The request counts until its body has left or the caller has gone.
+        Ok(response.map(|body| {
+            body.map_frame(move |frame| {
+                let _ = &active;
+                frame
+            })
+            .boxed_unsync()
+        }))
+    }
+
+    async fn serve(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Failure> {
+        let began = self.clock.now();
+        let (head, body) = request.into_parts();
+        let config = self.view.config().ok_or_else(|| {
+            Failure::new(Code::NotReady, "no configuration is known yet").retry_after(Millis(300))
+        })?;
+        let route = find(&config, &head)?;
+        let call = self.dialect.call(&head);
+        let body = read(body, &config).await?;
+        let wait = call.deadline.unwrap_or(USUAL_WAIT);
+        let until = began + wait.min(route.timeout.unwrap_or(Millis::MAX));
+        let pool = choose(route).ok_or_else(|| {
+            Failure::new(Code::NoUpstream, "the route leads nowhere").retry_after(Millis(1_000))
+        })?;
+        self.budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .request(&pool, began);
+        let mut headers = head.headers;
+        remove_hop_by_hop(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        let message = Message {
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+            call,
+            kind: route.kind,
+        };
+        let trip = Trip::new(Arc::clone(self), message, route.clone(), pool, began, until);
+        self.deliver(trip).await
+    }
+
+    async fn deliver(&self, mut trip: Trip) -> Result<Response<Body>, Failure> {
+        let answer = trip.answer(None).await?;
+        if trip.message.kind.streamed() && answer.head.status.is_success() {
+            let head = response_head(&answer);
+            let body = StreamBody::new(relay::body(trip, answer));
+            return Ok(assemble(head, body.boxed_unsync()));
+        }
+        self.deliver_whole(trip, answer).await
+    }
+
+    /// Reads an answer whole before it is passed on, so that one that breaks off can be repeated.
+    async fn deliver_whole(
+        &self,
+        mut trip: Trip,
+        answer: Answer,
+    ) -> Result<Response<Body>, Failure> {
+        let mut answer = answer;
+        loop {
+            let head = response_head(&answer);
+            let upstream = Arc::clone(&answer.upstream);
+            let left = trip.until.since(trip.now());
+            let told = match tokio::time::timeout(left.duration(), answer.whole()).await {
+                Ok(Ok((_, body))) => {
+                    return Ok(assemble(
+                        head,
+                        Full::new(body).map_err(never).boxed_unsync(),
+                    ));
+                }
+                Ok(Err(miss)) => format!("{miss:?}"),
+                Err(_) => return Err(Failure::new(Code::ExpiredRunning, "the time is up")),
+            };
+            trip.broke(&upstream);
+            if !trip.may_go_on() {
+                return Err(Failure::new(Code::AnswerCut, told));
+            }
+            self.count_retry("cut");
+            answer = trip.answer(None).await?;
+        }
+    }
+
+    fn refuse(&self, failure: &Failure) -> Response<Body> {
+        log::info!("entry: refused: {failure}");
+        self.count_end(failure.code);
+        let text = format!("{} {}\n", failure.code.number(), failure.code.name());
+        let mut response = Response::new(Full::from(text).map_err(never).boxed_unsync());
+        *response.status_mut() = StatusCode::from_u16(failure.code.status())
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        if let Some(span) = failure.retry_after {
+            let seconds = format!("{}.{:03}", span.0 / 1000, span.0 % 1000);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
+
+fn find<'a>(config: &'a Config, head: &http::request::Parts) -> Result<&'a Route, Failure> {
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    config
+        .route(host, head.uri.path())
+        .ok_or_else(|| Failure::new(Code::UnknownPath, "no route matches"))
+}
+
+async fn read(body: Incoming, config: &Config) -> Result<Bytes, Failure> {
+    let whole = Limited::new(body, config.limits.body).collect();
+    let within = config.limits.idle;
+    match tokio::time::timeout(within.duration(), whole).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(Failure::new(Code::BodyTooLarge, "the body is too large"))
+        }
+        Ok(Err(error)) => Err(Failure::new(Code::BadRequest, error.to_string())),
+        Err(_) => Err(Failure::new(
+            Code::SenderTooSlow,
+            "the body came too slowly",
+        )),
+    }
+}
+
+/// Chooses a pool by weight.
+fn choose(route: &Route) -> Option<Name> {
+    let total: u32 = route.split.iter().map(|(_, weight)| weight).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut at = rand::rng().random_range(0..total);
+    for (pool, weight) in &route.split {
+        if at < *weight {
+            return Some(Name::clone(pool));
+        }
+        at -= weight;
+    }
+    None
+}
+
+/// Returns the head that a caller gets: the upstream's own, without what concerns its connection.
+fn response_head(answer: &Answer) -> http::response::Parts {
+    let mut head = answer.head.clone();
+    remove_hop_by_hop(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    head.version = http::Version::HTTP_11;
+    head
+}
+
+fn assemble(head: http::response::Parts, body: Body) -> Response<Body> {
+    Response::from_parts(head, body)
+}
+
+fn never(error: std::convert::Infallible) -> Cut {
+    match error {}
+}
--- /dev/null
+++ b/lib/src/direct/follow.rs
@@ -0,0 +1,299 @@
+//! Keeps the view up to date from the key-value service.
+//!
+//! One call at a time waits for changes; between calls a pause lets changes
+//! gather, since each call is priced. A history that was dropped is answered by
+//! reading everything anew.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::dialect::{Dialect, Key};
+use super::limits::{POLL_PAUSE, POLL_WAIT, STORE_PAUSE};
+use super::view::{Claim, Newest, Peer, Standing, State, View};
+use crate::clock::{Clock, Millis};
+use crate::name::Name;
+use crate::ports::poll::{Gap, Poll};
+use crate::ports::{Entry, Error, Event, Store};
+
+/// Name of a node's record, with the node's name behind it.
+pub const NODES: &str = "node/";
+/// Name of a claim, with the engine's address behind it.
+pub const CLAIMS: &str = "claim/";
+
+/// A silence of the service from which on vanished entries are doubted.
+///
+/// While the service is away, entries of living upstreams can lapse; they are
+/// back within two seconds of its return.
+const OUTAGE: Millis = Millis(1_000);
+
+/// How long a vanished entry is doubted after an outage.
+const DOUBT: Millis = Millis(2_200);
+
+/// Keeps the view up to date.
+#[derive(Debug)]
+pub struct Follower {
+    store: Arc<dyn Store>,
+    poll: Arc<dyn Poll>,
+    dialect: Arc<dyn Dialect>,
+    clock: Arc<dyn Clock>,
+    view: Arc<View>,
+    heard: Millis,
+    returned: Option<Millis>,
+}
+
+impl Follower {
+    /// Makes a follower that has heard nothing yet.
+    #[must_use]
+    pub fn new(
+        store: Arc<dyn Store>,
+        poll: Arc<dyn Poll>,
+        dialect: Arc<dyn Dialect>,
+        clock: Arc<dyn Clock>,
+        view: Arc<View>,
+    ) -> Self {
+        let heard = clock.now();
+        Self {
+            store,
+            poll,
+            dialect,
+            clock,
+            view,
+            heard,
+            returned: None,
+        }
+    }
+
+    /// Follows until the task is dropped.
+    pub async fn run(mut self) {
+        loop {
+            match self.read_all().await {
+                Ok(revision) => self.follow(revision).await,
+                Err(error) => {
+                    log::warn!("follow: can't read everything: {error}");
+                    tokio::time::sleep(STORE_PAUSE.duration()).await;
+                }
+            }
+        }
+    }
+
+    async fn follow(&mut self, mut revision: u64) {
+        loop {
+            match self.poll.changes("", revision, POLL_WAIT).await {
+                Ok(changes) => {
+                    self.alive();
+                    revision = revision.max(changes.revision);
+                    self.take(changes.events);
+                }
+                Err(Gap::Dropped) => {
+                    log::info!("follow: the history after revision {revision} is gone");
+                    return;
+                }
+                Err(Gap::Failed(error)) => {
+                    log::warn!("follow: no changes after revision {revision}: {error}");
+                    tokio::time::sleep(STORE_PAUSE.duration()).await;
+                }
+            }
+            self.settle();
+            tokio::time::sleep(POLL_PAUSE.duration()).await;
+        }
+    }
+
+    /// Notes that the service answers, and whether it was away.
+    fn alive(&mut self) {
+        let now = self.clock.now();
+        if now.since(self.heard) > POLL_WAIT + OUTAGE {
+            log::info!("follow: the key-value service is back");
+            self.returned = Some(now);
+        }
+        self.heard = now;
+    }
+
+    async fn read_all(&mut self) -> Result<u64, Error> {
+        let mut entries = Vec::new();
+        let mut revision = u64::MAX;
+        for prefix in self.dialect.prefixes() {
+            let listing = self.store.list(prefix).await?;
+            revision = revision.min(listing.revision);
+            entries.extend(listing.entries);
+        }
+        self.alive();
+        self.replace(entries);
+        Ok(revision)
+    }
+
+    fn replace(&mut self, entries: Vec<Entry>) {
+        let now = self.clock.now();
+        let present: HashSet<String> = entries.iter().map(|entry| entry.key.clone()).collect();
+        let view = Arc::clone(&self.view);
+        let mut state = view.state();
+        self.drop_absent(&mut state, &present, now);
+        for entry in &entries {
+            self.put(&mut state, entry, now);
+        }
+        drop(state);
+        self.view.changed.notify_waiters();
+    }
+
+    fn drop_absent(&self, state: &mut State, present: &HashSet<String>, now: Millis) {
+        let listed: HashSet<Name> = present
+            .iter()
+            .filter_map(|key| match self.dialect.key(key) {
+                Key::Upstream(incarnation) => Some(incarnation),
+                _ => None,
+            })
+            .collect();
+        let missing: Vec<Name> = state
+            .upstreams
+            .keys()
+            .filter(|incarnation| !listed.contains(*incarnation))
+            .cloned()
+            .collect();
+        for incarnation in missing {
+            self.vanish(state, &incarnation, now);
+        }
+        state
+            .nodes
+            .retain(|name, _| present.contains(&self.dialect.own(&format!("{NODES}{name}"))));
+        let unclaimed: Vec<SocketAddr> = state
+            .claims
+            .keys()
+            .filter(|address| !present.contains(&self.dialect.own(&format!("{CLAIMS}{address}"))))
+            .copied()
+            .collect();
+        for address in unclaimed {
+            state.unclaim(address, now);
+        }
+    }
+
+    fn take(&mut self, events: Vec<Event>) {
+        if events.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let view = Arc::clone(&self.view);
+        let mut state = view.state();
+        for event in events {
+            match event.entry {
+                Some(entry) => self.put(&mut state, &entry, now),
+                None => self.remove(&mut state, &event.key, now),
+            }
+        }
+        drop(state);
+        self.view.changed.notify_waiters();
+    }
+
+    fn put(&self, state: &mut State, entry: &Entry, now: Millis) {
+        let told = match self.dialect.key(&entry.key) {
+            Key::Config => self.dialect.config(&entry.value).map(|config| {
+                let version = config.version;
+                if state.configure(config) {
+                    log::info!("follow: configuration {version} is in force");
+                }
+            }),
+            Key::Upstream(incarnation) => self
+                .dialect
+                .upstream(&incarnation, &entry.value)
+                .map(|listed| state.list(&listed)),
+            Key::Version => self.dialect.version(&entry.value).map(|(name, version)| {
+                note_version(state, name, version, now);
+            }),
+            Key::Own(name) => {
+                put_own(state, &name, entry, now);
+                Ok(())
+            }
+            Key::Other => Ok(()),
+        };
+        if let Err(error) = told {
+            log::error!("follow: {} is left as it was: {error}", entry.key);
+        }
+    }
+
+    fn remove(&self, state: &mut State, key: &str, now: Millis) {
+        match self.dialect.key(key) {
+            Key::Upstream(incarnation) => self.vanish(state, &incarnation, now),
+            Key::Own(name) => {
+                if let Some(node) = name.strip_prefix(NODES) {
+                    state.nodes.remove(node);
+                } else if let Some(address) = address_of(&name) {
+                    state.unclaim(address, now);
+                }
+            }
+            Key::Config | Key::Version | Key::Other => {}
+        }
+    }
+
+    /// An entry that vanished while the service was away isn't proof that its
+    /// upstream is gone; one that vanished before everybody's eyes is.
+    fn vanish(&self, state: &mut State, incarnation: &str, now: Millis) {
+        if self.doubting(now)
+            && let Some(upstream) = state.upstreams.get(incarnation)
+        {
+            upstream.missing(now);
+            return;
+        }
+        log::info!("follow: upstream {incarnation} is gone");
+        state.unlist(incarnation);
+    }
+
+    fn doubting(&self, now: Millis) -> bool {
+        self.returned
+            .is_some_and(|returned| now.since(returned) < DOUBT)
+    }
+
+    /// Removes what is still missing when doubt has ended.
+    fn settle(&mut self) {
+        let now = self.clock.now();
+        if self.returned.is_none() || self.doubting(now) {
+            return;
+        }
+        self.returned = None;
+        let mut state = self.view.state();
+        let missing: Vec<Name> = state
+            .upstreams
+            .values()
+            .filter(|upstream| upstream.missing_since().is_some())
+            .map(|upstream| Name::clone(&upstream.incarnation))
+            .collect();
+        for incarnation in missing {
+            log::info!("follow: upstream {incarnation} did not come back");
+            state.unlist(&incarnation);
+        }
+    }
+}
+
+fn note_version(state: &mut State, name: Name, version: u64, now: Millis) {
+    let newer = state
+        .versions
+        .get(&name)
+        .is_none_or(|newest| newest.version < version);
+    if newer {
+        log::info!("follow: version {version} of {name} is the newest");
+        state.versions.insert(name, Newest { version, seen: now });
+    }
+}
+
+fn put_own(state: &mut State, name: &str, entry: &Entry, now: Millis) {
+    if let Some(node) = name.strip_prefix(NODES) {
+        match serde_json::from_slice::<Peer>(&entry.value) {
+            Ok(peer) => state.join(node.into(), peer),
+            Err(error) => log::error!("follow: {} can't be read: {error}", entry.key),
+        }
+    } else if let Some(address) = address_of(name) {
+        match serde_json::from_slice::<Claim>(&entry.value) {
+            Ok(claim) => state.claim(
+                address,
+                Standing {
+                    claim,
+                    revision: entry.revision,
+                    seen: now,
+                },
+            ),
+            Err(error) => log::error!("follow: {} can't be read: {error}", entry.key),
+        }
+    }
+}
+
+fn address_of(name: &str) -> Option<SocketAddr> {
+    name.strip_prefix(CLAIMS)?.parse().ok()
+}
--- /dev/null
+++ b/lib/src/direct/limits.rs
@@ -0,0 +1,92 @@
+//! Bounds and thresholds of direct serving, each with its source.
+
+use crate::clock::Millis;
+
+/// Bounds that a deployment sets; the defaults suit a deployment of a dozen engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    /// Time from the request to stop until the process is killed.
+    pub stop: Millis,
+    /// Least time between orders of two nodes to one engine.
+    pub turns: Millis,
+    /// Time within which a new version of an adapter has to be the only one begun on.
+    pub version: Millis,
+    /// Time after a disturbance until bounds hold again.
+    pub stable: Millis,
+    /// Time within which a leaving upstream must get no new work.
+    pub leaving: Millis,
+    /// Time within which a configuration has to be in force.
+    pub apply: Millis,
+    /// Descriptors that the process may have.
+    pub descriptors: usize,
+    /// The budget for sending requests again, of all nodes together.
+    pub retries: Retries,
+}
+
+/// How many requests may be sent a further time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Retries {
+    /// Further sends for each request in a window.
+    pub ratio: f64,
+    /// The window's length.
+    pub window: Millis,
+    /// Further sends in a window beside the ratio.
+    pub extra: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            stop: Millis::from_secs(8),
+            turns: Millis(3_000),
+            version: Millis(5_000),
+            stable: Millis(3_000),
+            leaving: Millis(2_000),
+            apply: Millis(2_000),
+            descriptors: 4_096,
+            retries: Retries {
+                ratio: 0.2,
+                window: Millis::from_secs(10),
+                extra: 50,
+            },
+        }
+    }
+}
+
+/// Lifetime of a node's lease at the key-value service.
+///
+/// A dead node's engines get no orders for this long and [`RIGHT`] and the
+/// turn's length more, so it is short; renewals are priced, so it isn't shorter.
+pub const LEASE: Millis = Millis(3_000);
+
+/// How long after sending a renewal a node may give orders.
+///
+/// Less than [`LEASE`], so that a node whose keys lapse has stopped before.
+pub const RIGHT: Millis = Millis(2_000);
+
+/// Pause between renewals: two may fail before the right ends.
+pub const RENEWAL: Millis = Millis(650);
+
+/// The longest that a call for changes waits.
+///
+/// A connection can go silent for good, and only this bound shows it; a leaving
+/// upstream has to be known within [`Limits::leaving`].
+pub const POLL_WAIT: Millis = Millis(2_000);
+
+/// Pause between two calls for changes.
+///
+/// Each call is priced and a burst of changes then costs one; of the two
+/// seconds within which a change has to be in force, a tenth.
+pub const POLL_PAUSE: Millis = Millis(250);
+
+/// Pause after a failed call to the key-value service.
+pub const STORE_PAUSE: Millis = Millis(200);
+
+/// Time for other nodes to appear before a first start's claims are shared out.
+pub const GATHER: Millis = Millis(1_200);
+
+/// How long a request for a claim waits for each node that comes before this one.
+pub const CLAIM_RANK: Millis = Millis(500);
+
+/// Margin for clocks' rates and for orders on their way, when waiting out another node's right.
+pub const TURN_MARGIN: Millis = Millis(300);
--- /dev/null
+++ b/lib/src/direct/mod.rs
@@ -0,0 +1,28 @@
+//! Serving with one hop: an entry node sends each request to its upstream itself.
+//!
+//! It fits platforms whose engines protect an adapter in use by themselves, so
+//! that any number of nodes may send. What stays with one node for each
+//! upstream are the orders that load and unload adapters; a claim in the
+//! key-value service names that node. docs/design/0007-direct-serving.md weighs
+//! this against forwarding through an owner.
+//!
+//! The platform's names and formats stand behind [`dialect::Dialect`].
+
+pub mod ask;
+pub mod attempt;
+pub mod budget;
+pub mod call;
+pub mod claim;
+pub mod config;
+pub mod dialect;
+pub mod entry;
+pub mod follow;
+pub mod limits;
+pub mod node;
+pub mod orders;
+pub mod pick;
+pub mod relay;
+pub mod sse;
+pub mod trip;
+pub mod upstream;
+pub mod view;
--- /dev/null
+++ b/lib/src/direct/node.rs
@@ -0,0 +1,302 @@
+//! A node that serves directly: everything wired, started and stopped.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::ask::{self, Desks};
+use super::claim::{Claimer, Right};
+use super::dialect::Dialect;
+use super::entry::Gate;
+use super::follow::Follower;
+use super::limits::Limits;
+use super::view::{Peer, View};
+use crate::clock::{Boot, Clock, Millis};
+use crate::name::Name;
+use crate::ports::link::guard;
+use crate::ports::poll::Poll;
+use crate::ports::{Lease, Store};
+
+/// Time for the balancer to notice that the node takes no more callers.
+///
+/// It asks each second and goes by two misses.
+const NOTICE: Millis = Millis(2_400);
+
+/// Time before the node would be killed, at which it ends by itself.
+const END_MARGIN: Millis = Millis(400);
+
+/// Pause between looks whether all requests have ended.
+const LOOK: Millis = Millis(50);
+
+/// Pause after a connection couldn't be accepted, so that a lack of descriptors doesn't spin.
+const ACCEPT_PAUSE: Millis = Millis(20);
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// A node's settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// The node's name.
+    pub node: Name,
+    /// Its failure domain.
+    pub failure_domain: Name,
+    /// Where callers come in.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the node is ready.
+    pub readiness: SocketAddr,
+    /// Where other nodes ask.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The key-value service.
+    pub store: SocketAddr,
+    /// Whether the deployment starts for the first time.
+    pub first_start: bool,
+    /// Bounds.
+    pub limits: Limits,
+}
+
+/// What reaches the platform.
+#[derive(Debug, Clone)]
+pub struct Reach {
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// The key-value service.
+    pub store: Arc<dyn Store>,
+    /// Its leases.
+    pub lease: Arc<dyn Lease>,
+    /// Its changes.
+    pub poll: Arc<dyn Poll>,
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    gate: Arc<Gate>,
+    claimer: Arc<Claimer>,
+    limits: Limits,
+    closing: CancellationToken,
+    tasks: JoinSet<()>,
+}
+
+impl Node {
+    /// Starts a node.
+    ///
+    /// # Errors
+    ///
+    /// When one of its addresses can't be listened at.
+    pub async fn start(settings: Settings, reach: Reach) -> Result<Self> {
+        let clock: Arc<dyn Clock> = Arc::new(Boot);
+        let view = Arc::new(View::default());
+        let right = Arc::new(Right::new(Arc::clone(&clock)));
+        let desks = Arc::new(Desks::new(
+            Arc::clone(&view),
+            Arc::clone(&right),
+            Arc::clone(&reach.dialect),
+            Arc::clone(&clock),
+            Name::clone(&settings.node),
+            settings.peers,
+        ));
+        let gate = Arc::new(Gate::new(
+            Arc::clone(&view),
+            Arc::clone(&desks),
+            Arc::clone(&reach.dialect),
+            Arc::clone(&clock),
+            Name::clone(&settings.failure_domain),
+            settings.limits,
+        ));
+        let claimer = Arc::new(Claimer {
+            store: Arc::clone(&reach.store),
+            lease: Arc::clone(&reach.lease),
+            dialect: Arc::clone(&reach.dialect),
+            clock: Arc::clone(&clock),
+            view: Arc::clone(&view),
+            right,
+            limits: settings.limits,
+            node: Name::clone(&settings.node),
+            peer: Peer {
+                address: settings.peers,
+                start: rand::random(),
+            },
+            first_start: settings.first_start,
+        });
+        let follower = Follower::new(reach.store, reach.poll, reach.dialect, clock, view);
+        let mut node = Self {
+            gate,
+            claimer,
+            limits: settings.limits,
+            closing: CancellationToken::new(),
+            tasks: JoinSet::new(),
+        };
+        node.listen(&settings, &desks).await?;
+        node.tasks.spawn(follower.run());
+        node.tasks.spawn(Arc::clone(&node.claimer).run());
+        node.tasks.spawn(desks.run());
+        Ok(node)
+    }
+
+    async fn listen(&mut self, settings: &Settings, desks: &Arc<Desks>) -> Result<()> {
+        let peers = bind(settings.peers).await?;
+        let desks = Arc::clone(desks);
+        self.tasks.spawn(async move {
+            if let Err(error) = ask::serve(peers, desks).await {
+                log::error!("node: other nodes aren't served: {error}");
+            }
+        });
+        let metrics = bind(settings.metrics).await?;
+        self.tasks
+            .spawn(serve_plain(metrics, Arc::clone(&self.gate), render));
+        let readiness = bind(settings.readiness).await?;
+        self.tasks
+            .spawn(serve_plain(readiness, Arc::clone(&self.gate), readiness_of));
+        let callers = bind(settings.callers).await?;
+        self.tasks.spawn(serve_callers(
+            callers,
+            Arc::clone(&self.gate),
+            self.closing.clone(),
+        ));
+        Ok(())
+    }
+
+    /// Stops: no more callers, orders handed over, what is in progress ended.
+    ///
+    /// Returns whether every request was answered.
+    pub async fn drain(mut self) -> bool {
+        let clock = Arc::clone(&self.gate.clock);
+        let end = clock.now() + self.limits.stop - END_MARGIN;
+        self.gate.stop();
+        if let Err(error) = self.claimer.leave().await {
+            log::warn!("node: claims end with the lease: {error}");
+        }
+        tokio::time::sleep(NOTICE.duration()).await;
+        self.closing.cancel();
+        while self.gate.active() > 0 && clock.now() < end {
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+        // The last bytes of an answer may still lie in the system's buffers.
+        tokio::time::sleep(LOOK.duration()).await;
+        let whole = self.gate.active() == 0;
+        self.tasks.abort_all();
+        whole
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        tokio::net::TcpSocket::new_v4()
+    } else {
+        tokio::net::TcpSocket::new_v6()
+    }
+    .wrap_err("can't make a socket")?;
+    socket.set_reuseaddr(true)?;
+    socket
+        .bind(address)
+        .wrap_err_with(|| format!("can't listen at {address}"))?;
+    tokio::task::yield_now().await;
+    socket
+        .listen(BACKLOG)
+        .wrap_err_with(|| format!("can't listen at {address}"))
+}
+
+type Plain = fn(&Gate, &Request<Incoming>) -> Response<Full<Bytes>>;
+
+/// Serves short answers that need no waiting.
+async fn serve_plain(listener: TcpListener, gate: Arc<Gate>, answer: Plain) {
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let gate = Arc::clone(&gate);
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let response = answer(&gate, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("node: a connection ended: {error}");
+            }
+        });
+    }
+}
+
+fn readiness_of(gate: &Gate, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    if !gate.dialect.asks_readiness(request.uri().path()) {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    } else if !gate.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+fn render(gate: &Gate, _: &Request<Incoming>) -> Response<Full<Bytes>> {
+    Response::new(Full::from(gate.metrics.render()))
+}
+
+async fn serve_callers(listener: TcpListener, gate: Arc<Gate>, closing: CancellationToken) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            () = closing.cancelled() => break,
+        };
+        let Some(stream) = stream else {
+            continue;
+        };
+        serve_caller(stream, &gate, &graceful);
+    }
+    // What came in before the listener closes is still served.
+    graceful.shutdown().await;
+}
+
+fn serve_caller(stream: TcpStream, gate: &Arc<Gate>, graceful: &GracefulShutdown) {
+    let limits = gate
+        .view
+        .config()
+        .map(|config| config.limits)
+        .unwrap_or_default();
+    let gate = Arc::clone(gate);
+    let service = service_fn(move |request| Arc::clone(&gate).answer(request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle.duration())
+        .max_buf_size(limits.head.max(8 * 1024))
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("node: a caller's connection ended: {error}");
+        }
+    });
+}
+
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    let accepted = listener.accept().await;
+    let told = match accepted {
+        Ok((stream, _)) => match guard(&stream) {
+            Ok(()) => return Some(stream),
+            Err(error) => error,
+        },
+        Err(error) => error,
+    };
+    log::warn!("node: can't accept a connection: {told}");
+    tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
+    None
+}
--- /dev/null
+++ b/lib/src/direct/orders.rs
@@ -0,0 +1,671 @@
+//! Orders to one engine: which adapters it holds.
+//!
+//! One actor an engine keeps the book of its places. Every order carries the
+//! number of orders that the engine has accepted, so that one that was lost and
+//! is carried out late does nothing once another was accepted.
+
+use std::collections::{HashMap, VecDeque};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use tokio::sync::oneshot;
+
+use super::claim::Right;
+use super::config::Engine;
+use super::dialect::{Action, Dialect, Held, Order, Ordered, Report};
+use super::upstream::Upstream;
+use crate::clock::{Clock, Millis};
+use crate::name::Name;
+use crate::ports::link::Lost;
+
+/// Adapters that may be on their way to one engine.
+const MOST_INCOMING: usize = 4;
+
+/// Loads that may wait for a place on their way.
+const MOST_WAITING: usize = 64;
+
+/// The longest that an order or report may take to answer.
+const ANSWER: Millis = Millis(400);
+
+/// First look whether a load is complete; one from the engine's own memory takes a tenth.
+const FIRST_LOOK: Millis = Millis(40);
+
+/// Pause between looks.
+const LOOK: Millis = Millis(60);
+
+/// The longest that a load may take before whoever waits is told that it failed.
+const LONGEST_LOAD: Millis = Millis(4_000);
+
+/// How long an order without an answer may still be carried out.
+const LATE: Millis = Millis(12_500);
+
+/// How long an adapter that was used isn't evicted.
+///
+/// Reports of use come each second; an engine protects what runs by itself,
+/// but an eviction that has to wait for runs keeps a place for seconds.
+const IN_USE: Millis = Millis(1_500);
+
+/// Longest report that is read, in bytes.
+const REPORT_BYTES: usize = 256 * 1024;
+
+/// How an order to make an adapter present ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loaded {
+    /// It is held in this version.
+    Ready(u64),
+    /// All places are in use or on their way.
+    Full,
+    /// This node gives the engine no orders now.
+    NotOwner,
+    /// The engine took no order, or didn't carry it out in time.
+    Failed,
+}
+
+/// Asks for an adapter.
+#[derive(Debug)]
+pub struct Load {
+    /// `BASE/NAME`.
+    pub adapter: Name,
+    /// The least version that will do; 0 is any.
+    pub version: u64,
+    /// Told when the adapter is held, or can't be.
+    pub reply: oneshot::Sender<Loaded>,
+}
+
+/// Tells that adapters were used.
+#[derive(Debug)]
+pub struct Used(pub Vec<Name>);
+
+/// Lets time pass.
+#[derive(Debug)]
+pub struct Tick;
+
+/// Looks whether a load is complete.
+#[derive(Debug)]
+struct Look(Name);
+
+#[derive(Debug)]
+enum Seat {
+    Present {
+        version: u64,
+    },
+    Coming {
+        version: u64,
+        since: Millis,
+        waiting: Vec<oneshot::Sender<Loaded>>,
+    },
+}
+
+/// What is known of an engine.
+#[derive(Debug, Default)]
+struct Book {
+    sequence: u64,
+    models: Vec<Name>,
+    seats: HashMap<Name, Seat>,
+    used: HashMap<Name, Millis>,
+}
+
+/// What a desk is made of.
+#[derive(Debug, Clone)]
+pub struct Parts {
+    /// The engine.
+    pub upstream: Arc<Upstream>,
+    /// What it can hold.
+    pub engine: Engine,
+    /// This node's right to give orders.
+    pub right: Arc<Right>,
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// The node's clock.
+    pub clock: Arc<dyn Clock>,
+    /// This node's name.
+    pub holder: Name,
+}
+
+/// Gives one engine its orders.
+#[derive(Debug)]
+pub struct Desk {
+    parts: Parts,
+    book: Option<Book>,
+    queue: VecDeque<Load>,
+    /// Until when orders without an answer may be carried out, with the count that they expect.
+    doubtful: Vec<(u64, Millis)>,
+    base_ordered: Option<Millis>,
+}
+
+impl Actor for Desk {
+    type Args = Parts;
+    type Error = Infallible;
+
+    async fn on_start(parts: Parts, _: ActorRef<Self>) -> Result<Self, Infallible> {
+        Ok(Self {
+            parts,
+            book: None,
+            queue: VecDeque::new(),
+            doubtful: Vec::new(),
+            base_ordered: None,
+        })
+    }
+}
+
+impl Message<Load> for Desk {
+    type Reply = ();
+
+    async fn handle(&mut self, load: Load, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.load(load, &actor).await;
+    }
+}
+
+impl Message<Used> for Desk {
+    type Reply = ();
+
+    async fn handle(&mut self, used: Used, _: &mut Context<Self, ()>) {
+        let now = self.parts.clock.now();
+        if let Some(book) = &mut self.book {
+            for adapter in used.0 {
+                book.used.insert(adapter, now);
+            }
+        }
+    }
+}
+
+impl Message<Look> for Desk {
+    type Reply = ();
+
+    async fn handle(&mut self, look: Look, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.look(look.0, &actor).await;
+    }
+}
+
+impl Message<Tick> for Desk {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.tick(&actor).await;
+    }
+}
+
+impl Desk {
+    async fn load(&mut self, load: Load, actor: &ActorRef<Self>) {
+        if self
+            .parts
+            .right
+            .check(self.parts.upstream.address)
+            .is_none()
+        {
+            answer(load.reply, Loaded::NotOwner);
+            return;
+        }
+        if self.book.is_none() && !self.refresh().await {
+            answer(load.reply, Loaded::Failed);
+            return;
+        }
+        let now = self.parts.clock.now();
+        let Some(book) = &mut self.book else {
+            return;
+        };
+        book.used.insert(Name::clone(&load.adapter), now);
+        match book.seats.get_mut(&load.adapter) {
+            Some(Seat::Present { version }) if *version >= load.version => {
+                answer(load.reply, Loaded::Ready(*version));
+            }
+            Some(Seat::Coming {
+                version, waiting, ..
+            }) if *version >= load.version => waiting.push(load.reply),
+            _ => self.start(load, actor).await,
+        }
+    }
+
+    async fn start(&mut self, load: Load, actor: &ActorRef<Self>) {
+        if self.incoming() >= MOST_INCOMING {
+            if self.queue.len() < MOST_WAITING {
+                self.queue.push_back(load);
+            } else {
+                answer(load.reply, Loaded::Full);
+            }
+            return;
+        }
+        if !self.make_room(&load.adapter).await {
+            answer(load.reply, Loaded::Full);
+            return;
+        }
+        let version = (load.version > 0).then_some(load.version);
+        let outcome = self.order(Action::Load, &load.adapter, version).await;
+        self.started(load, outcome, actor);
+    }
+
+    fn started(&mut self, load: Load, outcome: Option<Ordered>, actor: &ActorRef<Self>) {
+        let now = self.parts.clock.now();
+        let Some(book) = &mut self.book else {
+            answer(load.reply, Loaded::Failed);
+            return;
+        };
+        match outcome {
+            Some(Ordered::Holds) => {
+                let seat = Seat::Present {
+                    version: load.version,
+                };
+                book.seats.insert(Name::clone(&load.adapter), seat);
+                self.publish();
+                answer(load.reply, Loaded::Ready(load.version));
+            }
+            Some(Ordered::Started) => {
+                let seat = Seat::Coming {
+                    version: load.version,
+                    since: now,
+                    waiting: vec![load.reply],
+                };
+                book.seats.insert(Name::clone(&load.adapter), seat);
+                self.publish();
+                look_later(actor, load.adapter, FIRST_LOOK);
+            }
+            Some(Ordered::Fenced) => answer(load.reply, Loaded::NotOwner),
+            Some(Ordered::Conflict | Ordered::Elsewhere | Ordered::Refused) => {
+                self.book = None;
+                answer(load.reply, Loaded::Failed);
+            }
+            None => answer(load.reply, Loaded::Failed),
+        }
+    }
+
+    /// Frees a place if there is none.
+    async fn make_room(&mut self, adapter: &Name) -> bool {
+        let now = self.parts.clock.now();
+        let doubtful = self.doubtful(now);
+        let places = self.parts.engine.adapter_slots;
+        let Some(book) = &self.book else {
+            return false;
+        };
+        if book.seats.contains_key(adapter) || book.seats.len() + doubtful < places {
+            return true;
+        }
+        let victim = book
+            .seats
+            .iter()
+            .filter(|(_, seat)| matches!(seat, Seat::Present { .. }))
+            .map(|(name, _)| (book.used.get(name).copied().unwrap_or_default(), name))
+            .min();
+        let Some((used, victim)) = victim else {
+            return false;
+        };
+        if now.since(used) < IN_USE && used > Millis::ZERO {
+            return false;
+        }
+        let victim = Name::clone(victim);
+        match self.order(Action::Unload, &victim, None).await {
+            Some(Ordered::Holds | Ordered::Started) => {
+                if let Some(book) = &mut self.book {
+                    book.seats.remove(&victim);
+                }
+                self.publish();
+                // An engine that answers that it has started waits for runs
+                // that hold the adapter: its place isn't free yet.
+                self.fits(now)
+            }
+            Some(_) => {
+                self.book = None;
+                false
+            }
+            None => false,
+        }
+    }
+
+    fn fits(&mut self, now: Millis) -> bool {
+        let doubtful = self.doubtful(now);
+        let places = self.parts.engine.adapter_slots;
+        self.book
+            .as_ref()
+            .is_some_and(|book| book.seats.len() + doubtful < places)
+    }
+
+    async fn look(&mut self, adapter: Name, actor: &ActorRef<Self>) {
+        let now = self.parts.clock.now();
+        let Some(book) = &self.book else {
+            return;
+        };
+        let Some(Seat::Coming { version, since, .. }) = book.seats.get(&adapter) else {
+            return;
+        };
+        let (version, since) = (*version, *since);
+        if now.since(since) > LONGEST_LOAD {
+            self.landed(&adapter, Loaded::Failed);
+            self.book = None;
+            return;
+        }
+        let named = (version > 0).then_some(version);
+        match self.order(Action::Load, &adapter, named).await {
+            Some(Ordered::Holds) => {
+                self.landed(&adapter, Loaded::Ready(version));
+                self.next(actor).await;
+            }
+            Some(Ordered::Fenced | Ordered::Elsewhere) => {
+                self.landed(&adapter, Loaded::Failed);
+                self.book = None;
+            }
+            Some(Ordered::Started | Ordered::Conflict | Ordered::Refused) | None => {
+                look_later(actor, adapter, LOOK);
+            }
+        }
+    }
+
+    fn landed(&mut self, adapter: &Name, loaded: Loaded) {
+        let Some(book) = &mut self.book else {
+            return;
+        };
+        let Some(Seat::Coming {
+            version,
+            waiting,
+            since,
+        }) = book.seats.remove(adapter)
+        else {
+            return;
+        };
+        let took = self.parts.clock.now().since(since);
+        log::debug!("orders: {adapter} is {loaded:?} after {took}");
+        if matches!(loaded, Loaded::Ready(_)) {
+            book.seats
+                .insert(Name::clone(adapter), Seat::Present { version });
+            self.publish();
+        }
+        for reply in waiting {
+            answer(reply, loaded);
+        }
+    }
+
+    async fn next(&mut self, actor: &ActorRef<Self>) {
+        while self.incoming() < MOST_INCOMING {
+            let Some(load) = self.queue.pop_front() else {
+                return;
+            };
+            if !load.reply.is_closed() {
+                Box::pin(self.load(load, actor)).await;
+            }
+        }
+    }
+
+    async fn tick(&mut self, actor: &ActorRef<Self>) {
+        if self
+            .parts
+            .right
+            .check(self.parts.upstream.address)
+            .is_none()
+        {
+            self.give_up(Loaded::NotOwner);
+            return;
+        }
+        if self.book.is_none() {
+            self.refresh().await;
+        }
+        self.load_base().await;
+        self.next(actor).await;
+    }
+
+    /// An engine that restarted is empty: its base model comes first.
+    async fn load_base(&mut self) {
+        let now = self.parts.clock.now();
+        let Some(book) = &self.book else {
+            return;
+        };
+        if !book.models.is_empty() {
+            return;
+        }
+        let Some((model, span)) = self.parts.engine.models.first().cloned() else {
+            return;
+        };
+        if self
+            .base_ordered
+            .is_some_and(|at| now.since(at) < span + LONGEST_LOAD)
+        {
+            self.refresh().await;
+            return;
+        }
+        let outcome = self.order(Action::Load, &model, None).await;
+        log::info!(
+            "orders: {} is to load {model}: {outcome:?}",
+            self.parts.upstream.incarnation
+        );
+        if matches!(outcome, Some(Ordered::Started)) {
+            self.base_ordered = Some(now);
+        }
+    }
+
+    fn give_up(&mut self, loaded: Loaded) {
+        if let Some(book) = self.book.take() {
+            for (_, seat) in book.seats {
+                if let Seat::Coming { waiting, .. } = seat {
+                    for reply in waiting {
+                        answer(reply, loaded);
+                    }
+                }
+            }
+        }
+        for load in self.queue.drain(..) {
+            answer(load.reply, loaded);
+        }
+    }
+
+    fn incoming(&self) -> usize {
+        self.book.as_ref().map_or(0, |book| {
+            book.seats
+                .values()
+                .filter(|seat| matches!(seat, Seat::Coming { .. }))
+                .count()
+        })
+    }
+
+    /// Counts places that orders without an answer may still take.
+    fn doubtful(&mut self, now: Millis) -> usize {
+        let sequence = self.book.as_ref().map_or(0, |book| book.sequence);
+        self.doubtful
+            .retain(|(expected, until)| *until > now && *expected >= sequence);
+        self.doubtful.len()
+    }
+
+    /// Gives an order; none means that there was no answer or no right.
+    async fn order(
+        &mut self,
+        action: Action,
+        model: &Name,
+        version: Option<u64>,
+    ) -> Option<Ordered> {
+        let sequence = self.book.as_ref()?.sequence;
+        let order = Order {
+            action,
+            model: Name::clone(model),
+            version,
+            sequence,
+            holder: Name::clone(&self.parts.holder),
+            fence: 0,
+        };
+        let sent = self.parts.clock.now();
+        let result = self.give(order).await;
+        match result {
+            Ok(outcome) => {
+                if outcome == Ordered::Started
+                    || (outcome == Ordered::Holds && action == Action::Unload)
+                {
+                    if let Some(book) = &mut self.book {
+                        book.sequence += 1;
+                    }
+                }
+                Some(outcome)
+            }
+            Err(Lost::Unsent(told)) => {
+                log::debug!("orders: not sent: {told}");
+                None
+            }
+            Err(Lost::Sent(told)) => {
+                log::info!(
+                    "orders: no answer from {}: {told}",
+                    self.parts.upstream.incarnation
+                );
+                if action == Action::Load {
+                    self.doubtful.push((sequence, sent + LATE));
+                }
+                None
+            }
+        }
+    }
+
+    async fn give(&self, mut order: Order) -> Result<Ordered, Lost> {
+        let upstream = &self.parts.upstream;
+        let mut connection = upstream.link.take(Millis(1_000)).await?;
+        // A VM can be suspended between any two lines; the right is looked at
+        // last, on a clock that ran meanwhile.
+        let Some(token) = self.parts.right.check(upstream.address) else {
+            upstream.link.keep(connection, None);
+            return Err(Lost::Unsent("no right to give orders".to_owned()));
+        };
+        order.fence = token;
+        let request = self.parts.dialect.order(&upstream.incarnation, &order);
+        self.parts.right.ordered(upstream.address);
+        let sent = tokio::time::timeout(ANSWER.duration(), connection.send(request)).await;
+        let (head, body) = sent
+            .map_err(|_| Lost::Sent(format!("nothing within {ANSWER}")))??
+            .into_parts();
+        let rest = Limited::new(body, REPORT_BYTES).collect();
+        if let Ok(Ok(_)) = tokio::time::timeout(ANSWER.duration(), rest).await {
+            let reply = self.parts.dialect.reply(&head);
+            if !reply.closes {
+                upstream.link.keep(connection, reply.keep);
+            }
+        }
+        Ok(self.parts.dialect.ordered(&head))
+    }
+
+    /// Asks the engine what it holds.
+    async fn refresh(&mut self) -> bool {
+        let request = self
+            .parts
+            .dialect
+            .ask_report(&self.parts.upstream.incarnation);
+        let asked = tokio::time::timeout(ANSWER.duration(), self.report(request)).await;
+        let report = match asked {
+            Ok(Ok(report)) => report,
+            Ok(Err(told)) => {
+                log::info!(
+                    "orders: no report from {}: {told}",
+                    self.parts.upstream.incarnation
+                );
+                return false;
+            }
+            Err(_) => return false,
+        };
+        self.take_report(&report);
+        true
+    }
+
+    async fn report(&self, request: Request<Full<bytes::Bytes>>) -> Result<Report, String> {
+        let upstream = &self.parts.upstream;
+        let mut connection = upstream
+            .link
+            .take(Millis(1_000))
+            .await
+            .map_err(|lost| format!("{lost:?}"))?;
+        let (head, body) = connection
+            .send(request)
+            .await
+            .map_err(|lost| format!("{lost:?}"))?
+            .into_parts();
+        let body = Limited::new(body, REPORT_BYTES)
+            .collect()
+            .await
+            .map_err(|error| error.to_string())?
+            .to_bytes();
+        let reply = self.parts.dialect.reply(&head);
+        if !reply.closes {
+            upstream.link.keep(connection, reply.keep);
+        }
+        if !head.status.is_success() {
+            return Err(format!("status {}", head.status));
+        }
+        self.parts
+            .dialect
+            .report(&body)
+            .map_err(|error| error.to_string())
+    }
+
+    fn take_report(&mut self, report: &Report) {
+        let former = self.book.take().unwrap_or_default();
+        let now = self.parts.clock.now();
+        let mut waiting: HashMap<Name, Vec<oneshot::Sender<Loaded>>> = former
+            .seats
+            .into_iter()
+            .filter_map(|(name, seat)| match seat {
+                Seat::Coming { waiting, .. } => Some((name, waiting)),
+                Seat::Present { .. } => None,
+            })
+            .collect();
+        let mut book = Book {
+            sequence: report.held.sequence,
+            models: report.held.models.clone(),
+            seats: HashMap::new(),
+            used: former.used,
+        };
+        for (name, version) in &report.held.incoming {
+            let seat = Seat::Coming {
+                version: *version,
+                since: now,
+                waiting: waiting.remove(name).unwrap_or_default(),
+            };
+            book.seats.insert(Name::clone(name), seat);
+        }
+        for (name, version) in &report.held.adapters {
+            for reply in waiting.remove(name).unwrap_or_default() {
+                answer(reply, Loaded::Ready(*version));
+            }
+            book.seats
+                .insert(Name::clone(name), Seat::Present { version: *version });
+        }
+        for reply in waiting.into_values().flatten() {
+            answer(reply, Loaded::Failed);
+        }
+        self.book = Some(book);
+        self.publish();
+    }
+
+    /// Lets this node's requests and exchanges see what the engine holds.
+    fn publish(&self) {
+        let Some(book) = &self.book else {
+            return;
+        };
+        let adapters = book
+            .seats
+            .iter()
+            .filter_map(|(name, seat)| match seat {
+                Seat::Present { version } => Some((Name::clone(name), *version)),
+                Seat::Coming { .. } => None,
+            })
+            .collect();
+        self.parts.upstream.hold(&Held {
+            sequence: book.sequence,
+            models: book.models.clone(),
+            adapters,
+            incoming: Vec::new(),
+        });
+    }
+}
+
+fn answer(reply: oneshot::Sender<Loaded>, loaded: Loaded) {
+    // Whoever asked may have gone; the adapter stays for the next.
+    let _ = reply.send(loaded);
+}
+
+fn look_later(actor: &ActorRef<Desk>, adapter: Name, span: Millis) {
+    let actor = actor.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(span.0)).await;
+        if actor.tell(Look(adapter)).await.is_err() {
+            log::debug!("orders: the desk closed before a load was complete");
+        }
+    });
+}
--- /dev/null
+++ b/lib/src/direct/pick.rs
@@ -0,0 +1,87 @@
+//! Which upstream takes a request.
+
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::upstream::Upstream;
+use crate::clock::Millis;
+use crate::name::Name;
+
+/// Seed of the placement of adapters. Changing it moves every adapter, so it stays.
+const PLACEMENT_SEED: u64 = 0x6469_7265_6374;
+
+/// What an upstream in another failure domain costs, in requests at the upstream.
+///
+/// Bytes between failure domains are dear; a request or two more in a batch of
+/// dozens cost less than carrying an answer across.
+const REMOTE: f64 = 0.08;
+
+/// Where a request may go.
+#[derive(Debug)]
+pub struct Field<'a> {
+    /// All upstreams of the pool.
+    pub upstreams: &'a [Arc<Upstream>],
+    /// Upstreams that this request was sent to before.
+    pub tried: &'a [Name],
+    /// This node's failure domain.
+    pub home: &'a str,
+    /// The time.
+    pub now: Millis,
+}
+
+impl Field<'_> {
+    /// Returns the least loaded of the upstreams that fit and take new work.
+    ///
+    /// One that failed lately, or was tried before, is taken only if no other fits.
+    pub fn least(&self, fits: impl Fn(&Upstream) -> bool) -> Option<Arc<Upstream>> {
+        self.upstreams
+            .iter()
+            .filter(|upstream| upstream.is_ready() && fits(upstream))
+            .min_by(|one, other| self.cost(one).total_cmp(&self.cost(other)))
+            .cloned()
+    }
+
+    /// Returns upstreams that take new work in an adapter's order of placement.
+    pub fn homes(&self, adapter: &str) -> Vec<Arc<Upstream>> {
+        let mut homes: Vec<(u64, &Arc<Upstream>)> = self
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.is_ready() && !self.avoided(upstream))
+            .map(|upstream| (rank(adapter, upstream), upstream))
+            .collect();
+        homes.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+        homes
+            .into_iter()
+            .map(|(_, upstream)| Arc::clone(upstream))
+            .collect()
+    }
+
+    fn avoided(&self, upstream: &Upstream) -> bool {
+        upstream.suspended(self.now) || self.tried.contains(&upstream.incarnation)
+    }
+
+    /// Part of the upstream's places in use, with handicaps.
+    fn cost(&self, upstream: &Upstream) -> f64 {
+        let mut cost = f64::from(upstream.load()) / f64::from(upstream.slots);
+        if &*upstream.failure_domain != self.home {
+            cost += REMOTE;
+        }
+        if upstream.suspended(self.now) {
+            cost += 100.0;
+        }
+        if self.tried.contains(&upstream.incarnation) {
+            cost += 1_000.0;
+        }
+        cost
+    }
+}
+
+/// Returns how high an upstream stands in an adapter's order of placement.
+///
+/// The hash is of the address: a restart of the upstream keeps its place.
+fn rank(adapter: &str, upstream: &Upstream) -> u64 {
+    let address = upstream.address.to_string();
+    let seed = xxh3_64_with_seed(adapter.as_bytes(), PLACEMENT_SEED);
+    xxh3_64_with_seed(address.as_bytes(), seed)
+}
--- /dev/null
+++ b/lib/src/direct/trip.rs
@@ -0,0 +1,365 @@
+//! The way of one request: which upstreams it is sent to, and when it is given up.
+
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use super::attempt::{Answer, Message, Miss};
+use super::config::Route;
+use super::dialect::Dispatch;
+use super::entry::Gate;
+use super::orders::Loaded;
+use super::pick::Field;
+use super::upstream::Upstream;
+use crate::clock::Millis;
+use crate::error::{Code, Failure};
+use crate::name::Name;
+
+/// Sends that reached no upstream, after which a request is given up.
+const MOST_UNSENT: u32 = 4;
+
+/// Sends that upstreams rejected, after which a request is given up.
+const MOST_REJECTED: u32 = 3;
+
+/// Part of the objective that a request may wait for an upstream before it is refused.
+///
+/// A refusal this early leaves the caller time to come back.
+const REFUSE_AFTER: u64 = 8;
+
+/// Pause before an upstream is looked for again.
+const LOOK: Millis = Millis(20);
+
+/// When a refused caller should come back at the earliest.
+const COME_BACK: Millis = Millis(250);
+
+/// Engines that are asked to load an adapter for one request, one after the other.
+const MOST_ASKED: usize = 3;
+
+/// Time before a new version has to be the only one, at which the old one is given up.
+const VERSION_MARGIN: Millis = Millis(1_500);
+
+/// Load of an adapter's least loaded engine, as part of its places, from which on another engine is
+/// asked to hold the adapter too.
+///
+/// Beyond it, a place in the batch costs everyone there speed while other
+/// engines stand by.
+const SPREAD_AT: f64 = 0.35;
+
+/// The patience with an upstream that is silent, in objectives.
+const PATIENCE: u64 = 3;
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Trip {
+    /// The node's parts.
+    pub gate: Arc<Gate>,
+    /// What is sent.
+    pub message: Message,
+    /// The route that it came by.
+    pub route: Route,
+    /// The pool that takes it.
+    pub pool: Name,
+    /// When it arrived.
+    pub began: Millis,
+    /// When it is given up.
+    pub until: Millis,
+    tried: SmallVec<[Name; 4]>,
+    sent: u32,
+    unsent: u32,
+    rejected: u32,
+}
+
+/// Where to send, and the version of the adapter that is expected there.
+#[derive(Debug)]
+struct Target {
+    upstream: Arc<Upstream>,
+    version: Option<u64>,
+}
+
+impl Trip {
+    /// Begins a trip.
+    #[must_use]
+    pub fn new(
+        gate: Arc<Gate>,
+        message: Message,
+        route: Route,
+        pool: Name,
+        began: Millis,
+        until: Millis,
+    ) -> Self {
+        Self {
+            gate,
+            message,
+            route,
+            pool,
+            began,
+            until,
+            tried: SmallVec::new(),
+            sent: 0,
+            unsent: 0,
+            rejected: 0,
+        }
+    }
+
+    /// Returns the next answer, sending as often as is allowed.
+    ///
+    /// # Errors
+    ///
+    /// The failure that the caller gets; its code's fate is true.
+    pub async fn answer(&mut self, resume_after: Option<u64>) -> Result<Answer, Failure> {
+        loop {
+            let target = self.target().await?;
+            if self.sent + self.rejected > 0 && !self.may_repeat() {
+                return Err(
+                    self.refusal(Code::UpstreamRefused, "the budget for repeats is used up")
+                );
+            }
+            let result = self.attempt(&target, resume_after).await;
+            match result {
+                Ok(answer) => match self.judge(answer, &target) {
+                    Some(answer) => return Ok(answer),
+                    None => continue,
+                },
+                Err(miss) => self.missed(&target, miss)?,
+            }
+        }
+    }
+
+    /// Whether a broken answer may be continued, or a failed one repeated, elsewhere.
+    #[must_use]
+    pub fn may_go_on(&self) -> bool {
+        self.message.kind.repeatable()
+            && self.sent < self.route.attempts
+            && self.now() + LOOK < self.until
+    }
+
+    /// Notes that an upstream's answer broke off.
+    pub fn broke(&mut self, upstream: &Upstream) {
+        upstream.failed(self.now());
+        self.tried.push(Name::clone(&upstream.incarnation));
+    }
+
+    /// The time.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        self.gate.clock.now()
+    }
+
+    async fn attempt(
+        &mut self,
+        target: &Target,
+        resume_after: Option<u64>,
+    ) -> Result<Answer, Miss> {
+        let now = self.now();
+        let dispatch = Dispatch {
+            incarnation: Name::clone(&target.upstream.incarnation),
+            deadline: self.until.since(now),
+            urgency: self.message.kind.streamed().then_some(self.route.urgency),
+            version: target.version,
+            resume_after: resume_after.or(self.message.call.resume_after),
+        };
+        let span = self.patience(now);
+        let send = self
+            .message
+            .send(&target.upstream, &*self.gate.dialect, &dispatch);
+        match tokio::time::timeout(span.duration(), send).await {
+            Ok(result) => result,
+            Err(_) => Err(Miss::Lost(
+                Code::ExpiredRunning,
+                format!("no answer within {span}"),
+            )),
+        }
+    }
+
+    /// How long to wait for an answer's head.
+    fn patience(&self, now: Millis) -> Millis {
+        let left = self.until.since(now);
+        if self.message.kind.repeatable() && self.sent + 1 < self.route.attempts {
+            left.min(Millis(self.route.objective.0 * PATIENCE))
+        } else {
+            left
+        }
+    }
+
+    /// Takes an answer, or sets a failed one aside if the request may be repeated.
+    fn judge(&mut self, answer: Answer, target: &Target) -> Option<Answer> {
+        self.sent += 1;
+        if answer.head.status.is_server_error() {
+            target.upstream.failed(self.now());
+            self.tried.push(Name::clone(&target.upstream.incarnation));
+            if self.may_go_on() && self.others() && self.budget_allows() {
+                self.gate.count_retry("upstream_error");
+                return None;
+            }
+        } else {
+            target.upstream.succeeded();
+        }
+        Some(answer)
+    }
+
+    fn missed(&mut self, target: &Target, miss: Miss) -> Result<(), Failure> {
+        let now = self.now();
+        let upstream = &target.upstream;
+        log::debug!(
+            "trip: {:?} at {}: {miss:?}",
+            self.message.call.id,
+            upstream.incarnation
+        );
+        self.tried.push(Name::clone(&upstream.incarnation));
+        match miss {
+            Miss::Unsent(told) => {
+                upstream.failed(now);
+                self.unsent += 1;
+                self.gate.count_retry("unsent");
+                if self.unsent >= MOST_UNSENT {
+                    return Err(self.refusal(Code::ConnectFailed, &told));
+                }
+                Ok(())
+            }
+            Miss::Rejected { status } => {
+                self.rejected += 1;
+                self.gate.count_retry("rejected");
+                if let Some(adapter) = self.message.call.adapter()
+                    && status == 421
+                {
+                    upstream.lost(adapter);
+                }
+                if self.rejected >= MOST_REJECTED {
+                    return Err(self.refusal(Code::UpstreamRefused, "upstreams are full"));
+                }
+                Ok(())
+            }
+            Miss::Lost(code, told) => {
+                upstream.failed(now);
+                self.sent += 1;
+                if self.may_go_on() {
+                    self.gate.count_retry("lost");
+                    return Ok(());
+                }
+                Err(Failure::new(code, told))
+            }
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.budget_allows()
+    }
+
+    fn budget_allows(&self) -> bool {
+        self.gate.take_repeat(&self.pool)
+    }
+
+    fn others(&self) -> bool {
+        self.gate
+            .view
+            .pool(&self.pool)
+            .iter()
+            .any(|upstream| upstream.is_ready() && !self.tried.contains(&upstream.incarnation))
+    }
+
+    /// Finds where to send, waiting a little if nothing fits.
+    async fn target(&self) -> Result<Target, Failure> {
+        let patience = self.began + Millis(self.route.objective.0 / REFUSE_AFTER);
+        loop {
+            let upstreams = self.gate.view.pool(&self.pool);
+            let field = Field {
+                upstreams: &upstreams,
+                tried: &self.tried,
+                home: &self.gate.failure_domain,
+                now: self.now(),
+            };
+            let found = match &self.message.call.model {
+                None => field.least(|_| true).map(|upstream| Target {
+                    upstream,
+                    version: None,
+                }),
+                Some(model) => match self.message.call.adapter() {
+                    None => field
+                        .least(|upstream| upstream.has_base(model))
+                        .map(|upstream| Target {
+                            upstream,
+                            version: None,
+                        }),
+                    Some(adapter) => self.holder(&field, adapter).await,
+                },
+            };
+            if let Some(target) = found {
+                return Ok(target);
+            }
+            let now = self.now();
+            if now >= patience || now >= self.until {
+                return Err(self.refusal(Code::NoUpstream, "no upstream can take it now"));
+            }
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+    }
+
+    /// Finds an engine that holds the adapter, or has one load it.
+    async fn holder(&self, field: &Field<'_>, adapter: &Name) -> Option<Target> {
+        let newest = self.gate.view.newest(adapter);
+        let wanted = newest.map_or(0, |newest| newest.version);
+        let holds = |least: u64| {
+            move |upstream: &Upstream| upstream.version(adapter).is_some_and(|held| held >= least)
+        };
+        if let Some(upstream) = field.least(holds(wanted)) {
+            self.spread(field, adapter, wanted, &upstream);
+            return Some(self.at(upstream, adapter));
+        }
+        let old_until = newest.map_or(Millis::ZERO, |newest| {
+            newest.seen + (self.gate.limits.version - VERSION_MARGIN)
+        });
+        if field.now < old_until
+            && let Some(upstream) = field.least(holds(0))
+        {
+            self.gate
+                .load_soon(self.homes(field, adapter), adapter, wanted);
+            return Some(self.at(upstream, adapter));
+        }
+        for upstream in self.homes(field, adapter).into_iter().take(MOST_ASKED) {
+            let left = self.until.since(self.now());
+            let load = self.gate.desks.load(&upstream, adapter, wanted);
+            match tokio::time::timeout(left.duration(), load).await {
+                Ok(Loaded::Ready(_)) => return Some(self.at(upstream, adapter)),
+                Ok(other) => log::debug!("trip: {adapter} at {}: {other:?}", upstream.incarnation),
+                Err(_) => return None,
+            }
+        }
+        None
+    }
+
+    /// Engines that could load the adapter, those with no older version of it first.
+    fn homes(&self, field: &Field<'_>, adapter: &Name) -> Vec<Arc<Upstream>> {
+        let mut homes = field.homes(adapter);
+        homes.retain(|upstream| upstream.has_base(adapter));
+        homes.sort_by_key(|upstream| upstream.version(adapter).is_some());
+        homes
+    }
+
+    fn spread(&self, field: &Field<'_>, adapter: &Name, wanted: u64, least: &Upstream) {
+        let crowded = f64::from(least.load()) > SPREAD_AT * f64::from(least.slots);
+        if !crowded {
+            return;
+        }
+        let mut homes = field.homes(adapter);
+        homes.retain(|upstream| {
+            upstream.has_base(adapter)
+                && upstream.version(adapter).is_none()
+                && upstream.load() < least.load()
+        });
+        self.gate.load_soon(homes, adapter, wanted);
+    }
+
+    fn at(&self, upstream: Arc<Upstream>, adapter: &Name) -> Target {
+        self.gate.desks.note_use(&upstream, adapter);
+        let version = upstream.version(adapter);
+        Target { upstream, version }
+    }
+
+    /// A refusal that is true: nothing runs, or what ran is said to be unknown.
+    fn refusal(&self, code: Code, told: &str) -> Failure {
+        if self.sent > 0 && !self.message.kind.repeatable() {
+            return Failure::new(Code::UpstreamLost, told);
+        }
+        Failure::new(code, told).retry_after(COME_BACK)
+    }
+}
--- /dev/null
+++ b/lib/src/direct/upstream.rs
@@ -0,0 +1,253 @@
+//! One start of an upstream, as this node sees it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use super::call::base_of;
+use super::dialect::{Held, Listed};
+use crate::clock::Millis;
+use crate::name::Name;
+use crate::ports::link::{Bounds, Link};
+
+/// How long connecting to an upstream may take.
+///
+/// Within a deployment a connection takes a few milliseconds; the system sends
+/// a lost opening packet again only after a second.
+const CONNECT: Millis = Millis(400);
+
+/// How long an unused connection is kept when the upstream names no span.
+const IDLE: Millis = Millis(4_000);
+
+/// First pause in use after a failure.
+const SUSPENSION: Millis = Millis(300);
+
+/// The longest pause in use.
+const LONGEST_SUSPENSION: Millis = Millis(4_000);
+
+/// Failures, less successes, from which on an upstream is paused.
+const TOLERATED: u32 = 2;
+
+/// What is known of adapters, with the order count that it holds for.
+#[derive(Debug, Default)]
+struct Holdings {
+    sequence: u64,
+    models: Vec<Name>,
+    adapters: HashMap<Name, u64>,
+}
+
+#[derive(Debug, Default)]
+struct Health {
+    failures: u32,
+    until: Millis,
+}
+
+/// One start of an upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Identity of this start.
+    pub incarnation: Name,
+    /// The pool that it serves.
+    pub pool: Name,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: Name,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// Connections to it.
+    pub link: Link,
+    ready: AtomicBool,
+    running: AtomicU32,
+    elsewhere: AtomicU32,
+    gone_at: AtomicU64,
+    holdings: Mutex<Holdings>,
+    health: Mutex<Health>,
+}
+
+/// Counts a request at an upstream until it is dropped.
+#[derive(Debug)]
+pub struct Running(Arc<Upstream>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Upstream {
+    /// Makes an upstream from its entry in the list.
+    #[must_use]
+    pub fn new(listed: &Listed, connections: usize) -> Self {
+        let bounds = Bounds {
+            connect: CONNECT,
+            idle: IDLE,
+            open: connections,
+        };
+        let upstream = Self {
+            incarnation: Name::clone(&listed.incarnation),
+            pool: Name::clone(&listed.pool),
+            address: listed.address,
+            failure_domain: Name::clone(&listed.failure_domain),
+            slots: listed.slots.max(1),
+            link: Link::new(listed.address, bounds),
+            ready: AtomicBool::new(listed.ready),
+            running: AtomicU32::new(0),
+            elsewhere: AtomicU32::new(0),
+            gone_at: AtomicU64::new(u64::MAX),
+            holdings: Mutex::default(),
+            health: Mutex::default(),
+        };
+        upstream.hold(&listed.held);
+        upstream
+    }
+
+    /// Takes in a newer entry of the list.
+    pub fn update(&self, listed: &Listed) {
+        self.ready.store(listed.ready, Ordering::Relaxed);
+        self.gone_at.store(u64::MAX, Ordering::Relaxed);
+        self.hold(&listed.held);
+    }
+
+    /// Takes in what the upstream holds after its `sequence`th order.
+    ///
+    /// Older news than is known is left aside.
+    pub fn hold(&self, held: &Held) {
+        let mut holdings = self.holdings();
+        if held.sequence < holdings.sequence {
+            return;
+        }
+        holdings.sequence = held.sequence;
+        holdings.models.clone_from(&held.models);
+        holdings.adapters = held.adapters.iter().cloned().collect();
+    }
+
+    /// Returns what the upstream is known to hold.
+    #[must_use]
+    pub fn held(&self) -> Held {
+        let holdings = self.holdings();
+        Held {
+            sequence: holdings.sequence,
+            models: holdings.models.clone(),
+            adapters: holdings
+                .adapters
+                .iter()
+                .map(|(name, version)| (Name::clone(name), *version))
+                .collect(),
+            incoming: Vec::new(),
+        }
+    }
+
+    /// Takes in that an adapter is present.
+    pub fn gained(&self, adapter: &Name, version: u64) {
+        self.holdings()
+            .adapters
+            .insert(Name::clone(adapter), version);
+    }
+
+    /// Takes in that an adapter is absent, or there in another version.
+    pub fn lost(&self, adapter: &str) {
+        self.holdings().adapters.remove(adapter);
+    }
+
+    /// Returns the version in which the upstream holds an adapter.
+    #[must_use]
+    pub fn version(&self, adapter: &str) -> Option<u64> {
+        self.holdings().adapters.get(adapter).copied()
+    }
+
+    /// Whether the upstream holds the base model of `model`.
+    #[must_use]
+    pub fn has_base(&self, model: &str) -> bool {
+        let base = base_of(model);
+        self.holdings().models.iter().any(|held| &**held == base)
+    }
+
+    /// Whether the upstream holds any base model.
+    #[must_use]
+    pub fn has_any_base(&self) -> bool {
+        !self.holdings().models.is_empty()
+    }
+
+    /// Whether the upstream takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    /// Stops new work.
+    pub fn retire(&self) {
+        self.ready.store(false, Ordering::Relaxed);
+        self.link.clear();
+    }
+
+    /// Marks the upstream as missing from the list since `now`, unless it already is.
+    pub fn missing(&self, now: Millis) {
+        let _ =
+            self.gone_at
+                .compare_exchange(u64::MAX, now.0, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Returns since when the upstream has been missing from the list.
+    #[must_use]
+    pub fn missing_since(&self) -> Option<Millis> {
+        let at = self.gone_at.load(Ordering::Relaxed);
+        (at != u64::MAX).then_some(Millis(at))
+    }
+
+    /// Counts a request that this node sends.
+    #[must_use]
+    pub fn enter(self: &Arc<Self>) -> Running {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Running(Arc::clone(self))
+    }
+
+    /// Requests of this node.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Requests of all nodes, as last heard.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        self.running() + self.elsewhere.load(Ordering::Relaxed)
+    }
+
+    /// Takes in how many requests other nodes have there.
+    pub fn heard_load(&self, elsewhere: u32) {
+        self.elsewhere.store(elsewhere, Ordering::Relaxed);
+    }
+
+    /// Takes in that a request failed at the upstream's fault.
+    pub fn failed(&self, now: Millis) {
+        let mut health = self.health();
+        health.failures += 1;
+        if health.failures >= TOLERATED {
+            let doublings = (health.failures - TOLERATED).min(8);
+            let span = Millis(SUSPENSION.0 << doublings).min(LONGEST_SUSPENSION);
+            health.until = now + span;
+        }
+    }
+
+    /// Takes in that a request went well.
+    pub fn succeeded(&self) {
+        let mut health = self.health();
+        health.failures = health.failures.saturating_sub(1);
+    }
+
+    /// Whether the upstream is left alone for a while.
+    #[must_use]
+    pub fn suspended(&self, now: Millis) -> bool {
+        self.health().until > now
+    }
+
+    fn holdings(&self) -> std::sync::MutexGuard<'_, Holdings> {
+        self.holdings.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn health(&self) -> std::sync::MutexGuard<'_, Health> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/lib/src/direct/view.rs
@@ -0,0 +1,234 @@
+//! What this node believes about the deployment.
+//!
+//! The follower writes it, requests read it. Nothing here is agreed between
+//! nodes: the key-value service is the arbiter.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use super::config::Config;
+use super::dialect::Listed;
+use super::upstream::Upstream;
+use crate::clock::Millis;
+use crate::name::Name;
+
+/// Another node, as its record in the key-value service has it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Where it answers other nodes.
+    pub address: SocketAddr,
+    /// Distinguishes one start of the process from the next.
+    pub start: u64,
+}
+
+/// Who gives orders to the engine at an address.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The node.
+    pub node: Name,
+    /// The start of its process.
+    pub start: u64,
+    /// Set when the node has given the claim up: time from its last order to the write.
+    pub left: Option<Millis>,
+}
+
+/// A claim with where it stands in the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standing {
+    /// Who.
+    pub claim: Claim,
+    /// Revision of the write: the fencing token.
+    pub revision: u64,
+    /// When this node saw it.
+    pub seen: Millis,
+}
+
+/// The newest version of an adapter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Newest {
+    /// The version.
+    pub version: u64,
+    /// When this node saw that it is the newest.
+    pub seen: Millis,
+}
+
+/// State behind the view's lock.
+#[derive(Debug, Default)]
+pub struct State {
+    /// The configuration in force.
+    pub config: Option<Arc<Config>>,
+    /// Upstreams by incarnation.
+    pub upstreams: HashMap<Name, Arc<Upstream>>,
+    pools: HashMap<Name, Arc<[Arc<Upstream>]>>,
+    /// Newest versions by adapter.
+    pub versions: HashMap<Name, Newest>,
+    /// Nodes by name.
+    pub nodes: HashMap<Name, Peer>,
+    /// Claims by the engine's address.
+    pub claims: HashMap<SocketAddr, Standing>,
+    /// Who held a claim last, and when it vanished.
+    pub vanished: HashMap<SocketAddr, (Name, Millis)>,
+    /// Most nodes ever seen at once.
+    pub most_nodes: usize,
+}
+
+/// What this node believes about the deployment.
+#[derive(Debug, Default)]
+pub struct View {
+    state: Mutex<State>,
+    /// Wakes whoever waits for a change.
+    pub changed: Notify,
+}
+
+/// Part of an upstream's connections that all nodes together use.
+///
+/// The rest is left for connections that one side still thinks open.
+const CONNECTION_SHARE: f64 = 0.9;
+
+impl View {
+    /// Locks the state; never hold it over an await.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.state().config.clone()
+    }
+
+    /// Returns the upstreams of a pool, retired ones excluded.
+    #[must_use]
+    pub fn pool(&self, pool: &str) -> Arc<[Arc<Upstream>]> {
+        self.state().pools.get(pool).cloned().unwrap_or_default()
+    }
+
+    /// Returns the newest version of an adapter.
+    #[must_use]
+    pub fn newest(&self, adapter: &str) -> Option<Newest> {
+        self.state().versions.get(adapter).copied()
+    }
+
+    /// Returns the node that gives orders to the engine at an address.
+    #[must_use]
+    pub fn owner(&self, address: SocketAddr) -> Option<(Name, Peer)> {
+        let state = self.state();
+        let claim = &state.claims.get(&address)?.claim;
+        if claim.left.is_some() {
+            return None;
+        }
+        let peer = state.nodes.get(&claim.node)?;
+        Some((Name::clone(&claim.node), peer.clone()))
+    }
+}
+
+impl State {
+    /// Takes in a configuration; an older one than is in force is left aside.
+    ///
+    /// Returns whether it is in force now.
+    pub fn configure(&mut self, config: Config) -> bool {
+        let newer = self
+            .config
+            .as_ref()
+            .is_none_or(|current| current.version < config.version);
+        if newer {
+            self.config = Some(Arc::new(config));
+            self.share_connections();
+        }
+        newer
+    }
+
+    /// Takes in an upstream's entry.
+    pub fn list(&mut self, listed: &Listed) {
+        if let Some(upstream) = self.upstreams.get(&listed.incarnation) {
+            upstream.update(listed);
+        } else {
+            let upstream = Arc::new(Upstream::new(listed, self.connections(&listed.pool)));
+            self.upstreams
+                .insert(Name::clone(&listed.incarnation), upstream);
+        }
+        self.regroup();
+    }
+
+    /// Removes an upstream that has left.
+    pub fn unlist(&mut self, incarnation: &str) {
+        if let Some(upstream) = self.upstreams.remove(incarnation) {
+            upstream.retire();
+            self.regroup();
+        }
+    }
+
+    /// Takes in a node's record.
+    pub fn join(&mut self, name: Name, peer: Peer) {
+        self.nodes.insert(name, peer);
+        if self.nodes.len() > self.most_nodes {
+            self.most_nodes = self.nodes.len();
+            self.share_connections();
+        }
+    }
+
+    /// Takes in a claim.
+    pub fn claim(&mut self, address: SocketAddr, standing: Standing) {
+        if let Some(former) = self.claims.get(&address)
+            && former.claim.node != standing.claim.node
+        {
+            let former = Name::clone(&former.claim.node);
+            self.vanished.insert(address, (former, standing.seen));
+        }
+        self.claims.insert(address, standing);
+    }
+
+    /// Takes in that a claim is gone.
+    pub fn unclaim(&mut self, address: SocketAddr, now: Millis) {
+        if let Some(former) = self.claims.remove(&address) {
+            self.vanished.insert(address, (former.claim.node, now));
+        }
+    }
+
+    fn regroup(&mut self) {
+        let mut pools: HashMap<Name, Vec<Arc<Upstream>>> = HashMap::new();
+        for upstream in self.upstreams.values() {
+            pools
+                .entry(Name::clone(&upstream.pool))
+                .or_default()
+                .push(Arc::clone(upstream));
+        }
+        self.pools = pools
+            .into_iter()
+            .map(|(pool, mut upstreams)| {
+                upstreams.sort_by(|one, other| one.incarnation.cmp(&other.incarnation));
+                (pool, upstreams.into())
+            })
+            .collect();
+    }
+
+    /// Returns this node's share of an upstream's connections.
+    ///
+    /// An upstream resets what exceeds its limit over all callers, requests in
+    /// progress included.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "a share of a few hundred"
+    )]
+    fn connections(&self, pool: &str) -> usize {
+        let whole = self
+            .config
+            .as_ref()
+            .and_then(|config| config.pools.get(pool))
+            .map_or(64, |pool| pool.connections);
+        let share = whole as f64 * CONNECTION_SHARE / self.most_nodes.max(1) as f64;
+        (share as usize).max(2)
+    }
+
+    fn share_connections(&self) {
+        for upstream in self.upstreams.values() {
+            upstream.link.limit(self.connections(&upstream.pool));
+        }
+    }
+}
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -18,8 +18,8 @@
 use crate::fate::{Moment, Verdict};
 use crate::membership::fleet::Owner;
 use crate::name::Name;
-use crate::platform::Answer;
 use crate::policy::placement::Pool;
+use crate::ports::Answer;
 use crate::request::Ticket;
 use crate::runner::{Attempt, Share, Work};
 
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -34,7 +34,7 @@
 use crate::membership::Fleet;
 use crate::metrics::Metrics;
 use crate::name::Name;
-use crate::platform::{Lease, Store};
+use crate::ports::{Lease, Store};
 use crate::runner::Reach;
 
 /// What the entry needs of the node's other parts.
--- a/lib/src/membership/fleet.rs
+++ b/lib/src/membership/fleet.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use crate::name::Name;
-use crate::platform::Vm;
+use crate::ports::Vm;
 
 /// Whether an upstream may get new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/lib/src/membership/hold.rs
+++ b/lib/src/membership/hold.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::{Clock, Millis};
 use crate::error::{Code, Failure};
-use crate::platform::Fence;
+use crate::ports::Fence;
 
 /// A claim on an upstream, checked just before each order.
 ///
--- a/lib/src/membership/keeper.rs
+++ b/lib/src/membership/keeper.rs
@@ -29,7 +29,7 @@
 use crate::membership::{Adopter, Hold, Relay, Renewal, Sight};
 use crate::metrics::Metrics;
 use crate::name::Name;
-use crate::platform::{Directory, Error, Lease, Store, Vm, Watch};
+use crate::ports::{Directory, Error, Lease, Store, Vm, Watch};
 
 /// Time between two steps of the machine when nothing happens.
 const TICK: Millis = Millis(100);
--- a/lib/src/membership/machine/claims.rs
+++ b/lib/src/membership/machine/claims.rs
@@ -9,7 +9,7 @@
 use crate::membership::node::{Claim, Record};
 use crate::membership::placement::{self, Load};
 use crate::name::Name;
-use crate::platform::{Commit, Condition, Entry, Error, Transaction, Write};
+use crate::ports::{Commit, Condition, Entry, Error, Transaction, Write};
 
 /// Time between two looks at who should own what, unless news comes.
 const PLAN: Millis = Millis(1000);
--- a/lib/src/membership/machine/lease.rs
+++ b/lib/src/membership/machine/lease.rs
@@ -8,7 +8,7 @@
 use crate::membership::limits::{OUTAGE_LIMIT, RENEWALS, drift};
 use crate::membership::node::{Record, Witnesses};
 use crate::membership::placement;
-use crate::platform::{Commit, Condition, Entry, Error, LeaseId, Listing, Transaction, Write};
+use crate::ports::{Commit, Condition, Entry, Error, LeaseId, Listing, Transaction, Write};
 
 /// Shortest wait before the service is tried again after a failure.
 const RETRY: Millis = Millis(400);
--- a/lib/src/membership/machine/mod.rs
+++ b/lib/src/membership/machine/mod.rs
@@ -26,7 +26,7 @@
 use crate::membership::table::Table;
 use crate::membership::witness::{Ask, Witness, Word};
 use crate::name::Name;
-use crate::platform::{Commit, Entry, Error, LeaseId, Listing, Transaction};
+use crate::ports::{Commit, Entry, Error, LeaseId, Listing, Transaction};
 
 use claims::Busy;
 use lease::{Entering, Tenure};
@@ -318,7 +318,7 @@
     }
 
     /// Takes a change of a key that a watch saw.
-    pub fn watched(&mut self, now: Millis, event: &crate::platform::Event) {
+    pub fn watched(&mut self, now: Millis, event: &crate::ports::Event) {
         self.last_service = Some(now);
         if !self.table.see(event) {
             self.note("stale_read");
--- a/lib/src/membership/machine/support.rs
+++ b/lib/src/membership/machine/support.rs
@@ -9,7 +9,7 @@
 use crate::membership::placement::majority;
 use crate::membership::witness::{Ask, Word};
 use crate::name::Name;
-use crate::platform::LeaseId;
+use crate::ports::LeaseId;
 
 /// Rounds of asking in one support span; two may fail.
 const ROUNDS: u64 = 3;
--- a/lib/src/membership/node.rs
+++ b/lib/src/membership/node.rs
@@ -7,7 +7,7 @@
 
 use crate::membership::fleet::Owner;
 use crate::name::Name;
-use crate::platform::LeaseId;
+use crate::ports::LeaseId;
 use crate::schema::peer;
 
 /// Names of a node's witnesses.
--- a/lib/src/membership/table.rs
+++ b/lib/src/membership/table.rs
@@ -7,7 +7,7 @@
 use crate::membership::guard::{Guard, Guards};
 use crate::membership::node::{Claim, Key, Keys, Record};
 use crate::name::Name;
-use crate::platform::{Event, Listing};
+use crate::ports::{Event, Listing};
 
 /// Ended records that are kept so that peers learn of the end.
 const ENDED_KEPT: usize = 256;
--- a/lib/src/membership/upstreams.rs
+++ b/lib/src/membership/upstreams.rs
@@ -10,7 +10,7 @@
 use crate::membership::fleet::{State, Upstream};
 use crate::membership::guard::{Guard, Guards};
 use crate::name::Name;
-use crate::platform::Vm;
+use crate::ports::Vm;
 
 /// A list that lacks more than one in this many at once isn't believed.
 const PANIC_PART: usize = 3;
--- a/lib/src/membership/witness.rs
+++ b/lib/src/membership/witness.rs
@@ -16,7 +16,7 @@
 use crate::membership::guard::{Guard, Guards};
 use crate::membership::limits::{SUPPORT_SPAN, drift};
 use crate::name::Name;
-use crate::platform::LeaseId;
+use crate::ports::LeaseId;
 
 /// What is asked of a witness.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/lib/src/node/assembly.rs
+++ b/lib/src/node/assembly.rs
@@ -14,7 +14,7 @@
 use crate::owner::Registry;
 use crate::peer::tls::Security;
 use crate::peer::{Clients, client, server};
-use crate::platform::{directory, etcd, upstream, weights};
+use crate::ports::{directory, etcd, upstream, weights};
 use crate::settings::Settings;
 use crate::{config, entry, gossip, loads, membership, operators, owner};
 
--- a/lib/src/owner/driver/correct.rs
+++ b/lib/src/owner/driver/correct.rs
@@ -6,8 +6,8 @@
 use crate::error::Failure;
 use crate::name::Name;
 use crate::owner::actor::base_model;
-use crate::platform::Report;
 use crate::policy::upstream::Action;
+use crate::ports::Report;
 
 impl Driver {
     pub(super) fn reported(&mut self, as_of: Millis, result: Result<Report, Failure>) {
--- a/lib/src/owner/event.rs
+++ b/lib/src/owner/event.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 use crate::error::Failure;
 use crate::loads::Permit;
-use crate::platform::Report;
+use crate::ports::Report;
 
 /// News from a task.
 ///
--- a/lib/src/owner/load.rs
+++ b/lib/src/owner/load.rs
@@ -12,7 +12,7 @@
 use crate::loads::{Ask, Permit, Permits};
 use crate::membership::Hold;
 use crate::metrics::Metrics;
-use crate::platform::Engine;
+use crate::ports::Engine;
 
 /// Time before leave is asked for again after the queue couldn't be asked.
 const ASK_AGAIN: Millis = Millis(500);
--- a/lib/src/owner/registry.rs
+++ b/lib/src/owner/registry.rs
@@ -24,7 +24,7 @@
 use crate::membership::{Adopter, Hold, Sight, fleet};
 use crate::metrics::Metrics;
 use crate::name::Name;
-use crate::platform::{Answer, Connector};
+use crate::ports::{Answer, Connector};
 use crate::request::Id;
 use crate::runner::{Attempt, Runner};
 
--- a/lib/src/owner/report.rs
+++ b/lib/src/owner/report.rs
@@ -10,7 +10,7 @@
 use super::run::Target;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
-use crate::platform::{Engine, Report};
+use crate::ports::{Engine, Report};
 
 /// The asking, which ends when it is dropped.
 #[derive(Debug)]
--- a/lib/src/owner/run.rs
+++ b/lib/src/owner/run.rs
@@ -19,7 +19,7 @@
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::membership::Hold;
-use crate::platform::{Answer, Call, Engine, Service};
+use crate::ports::{Answer, Call, Engine, Service};
 use crate::request::{Id, Ticket};
 use crate::runner::{Attempt, Work};
 
--- a/lib/src/peer/forward.rs
+++ b/lib/src/peer/forward.rs
@@ -12,7 +12,7 @@
 use super::wire;
 use crate::clock::Clock;
 use crate::error::{Code, Failure};
-use crate::platform::Answer;
+use crate::ports::Answer;
 use crate::runner::{Attempt, Runner};
 use crate::schema::peer::{Down, Up, down, up};
 
--- a/lib/src/peer/server.rs
+++ b/lib/src/peer/server.rs
@@ -20,7 +20,7 @@
 use crate::loads::Permits;
 use crate::membership::Renewal;
 use crate::metrics::Metrics;
-use crate::platform::Answer;
+use crate::ports::Answer;
 use crate::runner::{Attempt, Runner};
 use crate::schema::peer::peer_server::{Peer, PeerServer};
 use crate::schema::peer::{
--- a/lib/src/peer/witness.rs
+++ b/lib/src/peer/witness.rs
@@ -1,7 +1,7 @@
 //! The words of witnesses as the messages that carry them.
 
 use crate::membership::witness::{Ask, Word};
-use crate::platform::LeaseId;
+use crate::ports::LeaseId;
 use crate::schema::peer::{RenewReply, RenewRequest};
 
 impl From<Ask> for RenewRequest {
--- a/lib/src/platform/directory.rs
+++ b/lib/src/ports/directory.rs
@@ -11,8 +11,8 @@
 
 use crate::clock::Millis;
 use crate::name::Name;
-use crate::platform::http::{Bounds, Client as Http, uri, whole};
-use crate::platform::{Directory, Error, Vm};
+use crate::ports::http::{Bounds, Client as Http, uri, whole};
+use crate::ports::{Directory, Error, Vm};
 
 /// Path of the list.
 pub const PATH: &str = "/v1/vms";
--- a/lib/src/platform/etcd/mod.rs
+++ b/lib/src/ports/etcd/mod.rs
@@ -22,8 +22,8 @@
 
 use crate::clock::Millis;
 use crate::metrics::Metrics;
-use crate::platform::http::{Bounds, Client as Http, uri, whole};
-use crate::platform::{
+use crate::ports::http::{Bounds, Client as Http, uri, whole};
+use crate::ports::{
     Commit, Condition, Entry, Error, Event, Lease, LeaseId, Listing, Store, Transaction, Watch,
     Write,
 };
--- a/lib/src/platform/etcd/watch.rs
+++ b/lib/src/ports/etcd/watch.rs
@@ -7,10 +7,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::platform::etcd::entry;
-use crate::platform::etcd::message::{self, Kind, Streamed, WatchResponse};
-use crate::platform::http::describe;
-use crate::platform::{Error, Event};
+use crate::ports::etcd::entry;
+use crate::ports::etcd::message::{self, Kind, Streamed, WatchResponse};
+use crate::ports::http::describe;
+use crate::ports::{Error, Event};
 
 /// Longest message: one transaction's changes, each value at most a megabyte.
 const MESSAGE_BYTES: usize = 256 << 20;
--- a/lib/src/platform/http.rs
+++ b/lib/src/ports/http.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use crate::clock::Millis;
-use crate::platform::Error;
+use crate::ports::Error;
 
 /// How long a connection may be silent before the system probes it.
 ///
@@ -139,7 +139,7 @@
 }
 
 /// Removes the headers that concern one connection only, those that `Connection` names included.
-pub(super) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
--- /dev/null
+++ b/lib/src/ports/link.rs
@@ -0,0 +1,272 @@
+//! Kept HTTP/1.1 connections to one address.
+//!
+//! A general pooled client hides which connection a request took. Here that is
+//! what decides: an answer that names another request spoils its connection
+//! only, a server's limit on connections is shared by all nodes, and a request
+//! that may not be repeated wants a connection that is surely alive.
+//! See docs/design/0007-direct-serving.md.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::http::describe;
+use crate::clock::Millis;
+
+/// How long sent bytes may stay unacknowledged before the system gives a connection up.
+///
+/// A peer that lost power sends no reset; without this a write to it would wait
+/// for minutes. Three heartbeats of a lossy link fit.
+const UNACKNOWLEDGED: Millis = Millis(2_000);
+
+/// How long a connection may be silent before the system probes it.
+const PROBE_AFTER: Millis = Millis(1_000);
+
+/// Longest head of an answer that is read, in bytes.
+const READ_BUFFER: usize = 32 * 1024;
+
+/// Why a request has no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Lost {
+    /// No byte of the request left, so the other side can't have seen it.
+    Unsent(String),
+    /// The request, or part of it, may have arrived.
+    Sent(String),
+}
+
+/// Bounds of the connections to one address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Longest time to connect.
+    pub connect: Millis,
+    /// How long an unused connection is kept.
+    pub idle: Millis,
+    /// Most connections open at once.
+    pub open: usize,
+}
+
+/// Counts an open connection until it is dropped.
+#[derive(Debug)]
+struct Open(Arc<AtomicUsize>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// One connection, in use by one request.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    open: Open,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+    until: Instant,
+}
+
+/// Connections to one address.
+#[derive(Debug)]
+pub struct Link {
+    address: SocketAddr,
+    bounds: Mutex<Bounds>,
+    idle: Mutex<Vec<Idle>>,
+    open: Arc<AtomicUsize>,
+    connects: AtomicUsize,
+}
+
+impl Link {
+    /// Makes a link without connections.
+    #[must_use]
+    pub fn new(address: SocketAddr, bounds: Bounds) -> Self {
+        Self {
+            address,
+            bounds: Mutex::new(bounds),
+            idle: Mutex::default(),
+            open: Arc::default(),
+            connects: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns where the link leads.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how many connections were opened so far.
+    #[must_use]
+    pub fn connects(&self) -> usize {
+        self.connects.load(Ordering::Relaxed)
+    }
+
+    /// Changes how many connections may be open at once.
+    pub fn limit(&self, open: usize) {
+        self.bounds
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .open = open;
+    }
+
+    /// Closes all connections that nobody uses.
+    pub fn clear(&self) {
+        self.kept().clear();
+    }
+
+    /// Closes the connections that were unused too long or have ended.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.kept()
+            .retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+    }
+
+    /// Takes a connection that was last used no longer than `freshness` ago, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// [`Lost::Unsent`] when the limit is reached or connecting fails.
+    pub async fn take(&self, freshness: Millis) -> Result<Connection, Lost> {
+        match self.reuse(freshness) {
+            Some(connection) => Ok(connection),
+            None => self.connect().await,
+        }
+    }
+
+    fn reuse(&self, freshness: Millis) -> Option<Connection> {
+        let now = Instant::now();
+        let mut kept = self.kept();
+        while let Some(idle) = kept.pop() {
+            let fresh = now.duration_since(idle.since) <= freshness.duration();
+            if !fresh {
+                // The newest is on top: what lies below is staler still.
+                kept.push(idle);
+                return None;
+            }
+            if idle.until > now && !idle.connection.sender.is_closed() {
+                return Some(idle.connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> Result<Connection, Lost> {
+        let bounds = *self.bounds.lock().unwrap_or_else(PoisonError::into_inner);
+        let open = Open(Arc::clone(&self.open));
+        let before = self.open.fetch_add(1, Ordering::Relaxed);
+        if before >= bounds.open {
+            if self.kept().pop().is_none() {
+                return Err(Lost::Unsent(format!(
+                    "{before} connections are open, the limit is {}",
+                    bounds.open
+                )));
+            }
+        }
+        self.connects.fetch_add(1, Ordering::Relaxed);
+        let stream =
+            tokio::time::timeout(bounds.connect.duration(), TcpStream::connect(self.address))
+                .await
+                .map_err(|_| Lost::Unsent(format!("no connection within {}", bounds.connect)))?
+                .map_err(|error| Lost::Unsent(error.to_string()))?;
+        guard(&stream).map_err(|error| Lost::Unsent(error.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| Lost::Unsent(describe(&error)))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("link: a connection ended: {}", describe(&error));
+            }
+        });
+        Ok(Connection { sender, open })
+    }
+
+    /// Keeps a connection whose answer was read whole and belonged to its request.
+    ///
+    /// `span` is how long the server keeps it, if it said so. The connection is
+    /// closed a second earlier, so that no request crosses the server's close.
+    pub fn keep(&self, connection: Connection, span: Option<Millis>) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let bounds = *self.bounds.lock().unwrap_or_else(PoisonError::into_inner);
+        let span = span.map_or(bounds.idle, |span| {
+            bounds.idle.min(span - Millis::from_secs(1))
+        });
+        if span == Millis::ZERO {
+            return;
+        }
+        let now = Instant::now();
+        self.kept().push(Idle {
+            connection,
+            since: now,
+            until: now + span.duration(),
+        });
+    }
+
+    fn kept(&self) -> std::sync::MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Connection {
+    /// Sends a request and returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Lost::Unsent`] only when the request was handed back unwritten.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Lost> {
+        debug_assert!(self.open.0.load(Ordering::Relaxed) > 0);
+        if let Err(error) = self.sender.ready().await {
+            return Err(Lost::Unsent(describe(&error)));
+        }
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| {
+                let unsent = error.take_message().is_some();
+                let told = describe(error.error());
+                if unsent {
+                    Lost::Unsent(told)
+                } else {
+                    Lost::Sent(told)
+                }
+            })
+    }
+}
+
+/// Makes the system notice a peer that has vanished without a word.
+///
+/// # Errors
+///
+/// When the system refuses the socket's options.
+pub fn guard(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probe = Duration::from_millis(PROBE_AFTER.0);
+    socket.set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(probe)
+            .with_interval(probe)
+            .with_retries(2),
+    )?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED.duration()))
+}
--- a/lib/src/platform/mod.rs
+++ b/lib/src/ports/mod.rs
@@ -7,7 +7,9 @@
 
 pub mod directory;
 pub mod etcd;
-mod http;
+pub(crate) mod http;
+pub mod link;
+pub mod poll;
 pub mod upstream;
 pub mod weights;
 
--- /dev/null
+++ b/lib/src/ports/poll.rs
@@ -0,0 +1,41 @@
+//! Changes of the key-value service, asked for call by call.
+//!
+//! A service that counts a waiting watch as a call makes its rate a matter of
+//! the caller, who also has to notice a watch that has gone silent. A stream of
+//! events would hide both.
+
+use async_trait::async_trait;
+
+use super::{Error, Event};
+use crate::clock::Millis;
+
+/// Why a call for changes has no result.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Gap {
+    /// The service has dropped the history after the revision that was asked for.
+    #[error("the history after the revision is gone")]
+    Dropped,
+    /// The call failed.
+    #[error(transparent)]
+    Failed(#[from] Error),
+}
+
+/// Changes after a revision.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Changes {
+    /// In the order in which they were made.
+    pub events: Vec<Event>,
+    /// The service's revision; the next call asks from here.
+    pub revision: u64,
+}
+
+/// Asks the key-value service what has changed.
+#[async_trait]
+pub trait Poll: std::fmt::Debug + Send + Sync {
+    /// Waits up to `wait` for changes under `prefix` after `revision`.
+    ///
+    /// # Errors
+    ///
+    /// [`Gap::Dropped`] when only reading everything anew helps.
+    async fn changes(&self, prefix: &str, revision: u64, wait: Millis) -> Result<Changes, Gap>;
+}
--- a/lib/src/platform/upstream/engine.rs
+++ b/lib/src/ports/upstream/engine.rs
@@ -16,10 +16,10 @@
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::name::Name;
-use crate::platform::http::{Client as Http, uri, whole};
-use crate::platform::upstream::answer;
-use crate::platform::weights;
-use crate::platform::{Answer, Call, Engine, Fence, Report};
+use crate::ports::http::{Client as Http, uri, whole};
+use crate::ports::upstream::answer;
+use crate::ports::weights;
+use crate::ports::{Answer, Call, Engine, Fence, Report};
 
 /// Header that names the request, in both directions.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
--- a/lib/src/platform/upstream/mod.rs
+++ b/lib/src/ports/upstream/mod.rs
@@ -14,8 +14,8 @@
 
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
-use crate::platform::http::{Bounds, Client as Http, Lost, describe, remove_hop_by_hop};
-use crate::platform::{Answer, Connector as Border, Engine, Service, Vm};
+use crate::ports::http::{Bounds, Client as Http, Lost, describe, remove_hop_by_hop};
+use crate::ports::{Answer, Connector as Border, Engine, Service, Vm};
 
 /// Bounds of calls to upstreams.
 ///
--- a/lib/src/platform/upstream/service.rs
+++ b/lib/src/ports/upstream/service.rs
@@ -10,9 +10,9 @@
 use http_body_util::Full;
 
 use crate::error::Failure;
-use crate::platform::http::{Client as Http, remove_hop_by_hop, uri};
-use crate::platform::upstream::answer;
-use crate::platform::{Answer, Service};
+use crate::ports::http::{Client as Http, remove_hop_by_hop, uri};
+use crate::ports::upstream::answer;
+use crate::ports::{Answer, Service};
 
 /// A client of one service.
 #[derive(Debug)]
--- a/lib/src/platform/weights.rs
+++ b/lib/src/ports/weights.rs
@@ -11,8 +11,8 @@
 
 use crate::adapter::Adapter;
 use crate::clock::Millis;
-use crate::platform::http::{Bounds, Client as Http, uri};
-use crate::platform::{Error, Weights};
+use crate::ports::http::{Bounds, Client as Http, uri};
+use crate::ports::{Error, Weights};
 
 /// What the paths of versions begin with.
 pub const ROOT: &str = "/v1/weights/";
--- a/lib/src/runner.rs
+++ b/lib/src/runner.rs
@@ -13,7 +13,7 @@
 use crate::error::Failure;
 use crate::membership::fleet::Owner;
 use crate::name::Name;
-use crate::platform::Answer;
+use crate::ports::Answer;
 use crate::request::Ticket;
 
 /// The bytes of a request.
--- a/lib/src/schema.rs
+++ b/lib/src/schema.rs
@@ -18,3 +18,9 @@
 #[rustfmt::skip]
 #[path = "protos/chivevalve.settings.rs"]
 pub mod settings;
+
+/// What nodes ask of the one that gives an engine its orders; see
+/// docs/design/0007-direct-serving.md.
+#[rustfmt::skip]
+#[path = "protos/chivevalve.direct.rs"]
+pub mod direct;
--- a/lib/tests/config_setup/mod.rs
+++ b/lib/tests/config_setup/mod.rs
@@ -15,7 +15,7 @@
 use chivevalve::declaration::{self, Set, Source};
 use chivevalve::gossip::{Peer, Peers};
 use chivevalve::metrics::Metrics;
-use chivevalve::platform::{Error, Store as Border, Watch, Weights};
+use chivevalve::ports::{Error, Store as Border, Watch, Weights};
 use chivevalve_standins::store::Store;
 use tokio_util::sync::CancellationToken;
 
--- a/lib/tests/entry_support/mod.rs
+++ b/lib/tests/entry_support/mod.rs
@@ -18,7 +18,7 @@
 use chivevalve::membership::Fleet;
 use chivevalve::membership::fleet::{Owner, State, Upstream};
 use chivevalve::metrics::Metrics;
-use chivevalve::platform::{Answer, Vm};
+use chivevalve::ports::{Answer, Vm};
 use chivevalve::request::Class;
 use chivevalve::runner::{Attempt, Reach, Runner, Share, Work};
 use futures::StreamExt;
--- a/lib/tests/entry_support/store.rs
+++ b/lib/tests/entry_support/store.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use chivevalve::clock::Millis;
-use chivevalve::platform::{
+use chivevalve::ports::{
     Commit, Condition, Entry, Error, Lease, LeaseId, Listing, Store, Transaction, Write,
 };
 
--- a/lib/tests/owner_fakes/mod.rs
+++ b/lib/tests/owner_fakes/mod.rs
@@ -17,7 +17,7 @@
 use chivevalve::membership::{Adopter, Hold, Sight};
 use chivevalve::metrics::Metrics;
 use chivevalve::owner::{Limits, Parts, Registry};
-use chivevalve::platform::{Answer, Call, Connector, Engine, Fence, Report, Service, Vm};
+use chivevalve::ports::{Answer, Call, Connector, Engine, Fence, Report, Service, Vm};
 use chivevalve::request::{Class, Id, Ticket};
 use chivevalve::runner::{Attempt, Share, Work};
 use futures::{StreamExt, stream};
--- a/lib/tests/peer_fakes/mod.rs
+++ b/lib/tests/peer_fakes/mod.rs
@@ -17,7 +17,7 @@
 use chivevalve::peer::client::{self, Clients};
 use chivevalve::peer::server::{self, Handlers};
 use chivevalve::peer::tls::Security;
-use chivevalve::platform::Answer;
+use chivevalve::ports::Answer;
 use chivevalve::runner::{Attempt, Runner};
 use chivevalve::schema::peer::{Delta, Digest, SnapshotPart};
 use tokio::net::TcpListener;
--- a/lib/tests/test_config.rs
+++ b/lib/tests/test_config.rs
@@ -13,7 +13,7 @@
 use chivevalve::config::layout::{BLOCK, Layout};
 use chivevalve::config::{Error, Order};
 use chivevalve::declaration::{Set, export};
-use chivevalve::platform::{
+use chivevalve::ports::{
     self, Commit, Entry, Event, Listing, Store as Border, Transaction, Watch, Write,
 };
 use chivevalve::schema::declaration::{Head, Template};
@@ -402,7 +402,7 @@
 
 #[async_trait]
 impl Border for Lagging {
-    async fn get(&self, key: &str) -> Result<Option<Entry>, platform::Error> {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, ports::Error> {
         let less = |hidden: u32| hidden.checked_sub(1);
         if key.contains("changes/") && self.hidden.fetch_update(Relaxed, Relaxed, less).is_ok() {
             return Ok(None);
@@ -410,11 +410,11 @@
         self.store.get(key).await
     }
 
-    async fn list(&self, prefix: &str) -> Result<Listing, platform::Error> {
+    async fn list(&self, prefix: &str) -> Result<Listing, ports::Error> {
         self.store.list(prefix).await
     }
 
-    async fn commit(&self, transaction: Transaction) -> Result<Commit, platform::Error> {
+    async fn commit(&self, transaction: Transaction) -> Result<Commit, ports::Error> {
         self.store.commit(transaction).await
     }
 }
@@ -425,7 +425,7 @@
         &self,
         prefix: &str,
         revision: u64,
-    ) -> Result<BoxStream<'static, Result<Event, platform::Error>>, platform::Error> {
+    ) -> Result<BoxStream<'static, Result<Event, ports::Error>>, ports::Error> {
         self.store.watch(prefix, revision).await
     }
 }
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -12,7 +12,7 @@
 use chivevalve::membership::upstreams::{Upstreams, Verdict};
 use chivevalve::membership::witness::{Ask, Witness};
 use chivevalve::name::Name;
-use chivevalve::platform::{Entry, LeaseId, Listing, Vm};
+use chivevalve::ports::{Entry, LeaseId, Listing, Vm};
 
 fn address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1))
--- a/lib/tests/test_owner_failures.rs
+++ b/lib/tests/test_owner_failures.rs
@@ -7,7 +7,7 @@
 use chivevalve::clock::Millis;
 use chivevalve::error::{Code, Failure, Fate};
 use chivevalve::membership::Adopter;
-use chivevalve::platform::Answer;
+use chivevalve::ports::Answer;
 use chivevalve::runner::Runner;
 use owner_fakes::{Bench, Fault, adapter, attempt, text};
 use tokio::task::JoinHandle;
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -15,7 +15,7 @@
 use chivevalve::membership::fleet::{Fleet, Owner};
 use chivevalve::membership::witness::Ask;
 use chivevalve::peer::Clients;
-use chivevalve::platform::LeaseId;
+use chivevalve::ports::LeaseId;
 use chivevalve::runner::Reach;
 use chivevalve::schema::peer::Digest;
 use futures::StreamExt;
--- a/lib/tests/test_platform_upstream.rs
+++ b/lib/tests/test_ports_upstream.rs
@@ -8,8 +8,8 @@
 use chivevalve::adapter::Adapter;
 use chivevalve::clock::Millis;
 use chivevalve::error::{Code, Failure};
-use chivevalve::platform::upstream::{Connector, Limits};
-use chivevalve::platform::{
+use chivevalve::ports::upstream::{Connector, Limits};
+use chivevalve::ports::{
     Answer, Call, Connector as _, Directory as _, Engine, Fence, Service, Vm, Weights as _,
     directory, weights,
 };
--- a/lib/tests/test_schema.rs
+++ b/lib/tests/test_schema.rs
@@ -9,7 +9,7 @@
     let out = Path::new(env!("CARGO_TARGET_TMPDIR")).join("protos");
     fs::create_dir_all(&out).unwrap();
     chivevalve_gen_protos::generate(&lib.join("protos"), &out).unwrap();
-    for name in ["declaration", "peer", "settings"] {
+    for name in ["declaration", "direct", "peer", "settings"] {
         let file = format!("chivevalve.{name}.rs");
         let committed = fs::read_to_string(lib.join("src/protos").join(&file)).unwrap();
         let generated = fs::read_to_string(out.join(&file)).unwrap();
--- a/standins/src/directory.rs
+++ b/standins/src/directory.rs
@@ -4,8 +4,8 @@
 
 use async_trait::async_trait;
 use chivevalve::clock::{Clock, Millis, Monotonic};
-use chivevalve::platform::directory::{Item, List, PATH};
-use chivevalve::platform::{Directory as Border, Error, Vm};
+use chivevalve::ports::directory::{Item, List, PATH};
+use chivevalve::ports::{Directory as Border, Error, Vm};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
--- a/standins/src/engine/direct.rs
+++ b/standins/src/engine/direct.rs
@@ -3,9 +3,9 @@
 use async_trait::async_trait;
 use chivevalve::adapter::Adapter;
 use chivevalve::error::{Code, Failure};
-use chivevalve::platform::upstream::Status;
-use chivevalve::platform::weights::path;
-use chivevalve::platform::{Answer, Call, Engine as Border, Fence, Report};
+use chivevalve::ports::upstream::Status;
+use chivevalve::ports::weights::path;
+use chivevalve::ports::{Answer, Call, Engine as Border, Fence, Report};
 use futures::StreamExt;
 use http::{Response, StatusCode};
 
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use chivevalve::clock::{Clock, Millis, Monotonic};
 use chivevalve::name::Name;
-use chivevalve::platform::upstream::{Status, StatusRun};
+use chivevalve::ports::upstream::{Status, StatusRun};
 use futures::stream::BoxStream;
 use http::StatusCode;
 use rand::RngExt;
--- a/standins/src/engine/serve.rs
+++ b/standins/src/engine/serve.rs
@@ -1,7 +1,7 @@
 //! The engine's HTTP interface: the completions API with dynamic adapters.
 
 use async_trait::async_trait;
-use chivevalve::platform::upstream::{FENCING_TOKEN, REQUEST_ID};
+use chivevalve::ports::upstream::{FENCING_TOKEN, REQUEST_ID};
 use futures::StreamExt;
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, Response, StatusCode};
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use chivevalve::name::Name;
-use chivevalve::platform::Vm;
+use chivevalve::ports::Vm;
 use serde::{Deserialize, Serialize};
 
 use crate::directory::Directory;
--- a/standins/src/store/mod.rs
+++ b/standins/src/store/mod.rs
@@ -10,7 +10,7 @@
 
 use async_trait::async_trait;
 use chivevalve::clock::{Clock, Millis, Monotonic};
-use chivevalve::platform::{
+use chivevalve::ports::{
     Commit, Entry, Error, Event, Lease, LeaseId, Listing, Store as Border, Transaction, Watch,
 };
 use futures::StreamExt;
--- a/standins/src/store/serve.rs
+++ b/standins/src/store/serve.rs
@@ -5,12 +5,12 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use chivevalve::clock::Millis;
-use chivevalve::platform::etcd::message::{
+use chivevalve::ports::etcd::message::{
     Blob, Compare, Event as WireEvent, Header, KeyValue, Kind as WireKind, LeaseMessage, Number,
     RangeRequest, RangeResponse, RequestOp, Streamed, Target, TxnRequest, TxnResponse,
     WatchRequest, WatchResponse,
 };
-use chivevalve::platform::{
+use chivevalve::ports::{
     Condition, Entry, Error, Event, Lease, LeaseId, Store as Border, Transaction, Watch, Write,
 };
 use futures::StreamExt;
@@ -87,7 +87,7 @@
         let key = question.key.text().unwrap_or_default();
         let one = question.range_end.0.is_empty();
         let mut listing = if one {
-            chivevalve::platform::Listing {
+            chivevalve::ports::Listing {
                 entries: self.get(&key).await?.into_iter().collect(),
                 revision: 0,
             }
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
 use chivevalve::clock::Millis;
-use chivevalve::platform::{
+use chivevalve::ports::{
     Commit, Condition, Entry, Error, Event, LeaseId, Listing, Transaction, Write,
 };
 use tokio::sync::mpsc;
--- a/standins/src/weights.rs
+++ b/standins/src/weights.rs
@@ -7,8 +7,8 @@
 
 use async_trait::async_trait;
 use chivevalve::adapter::Adapter;
-use chivevalve::platform::weights::{ROOT, path};
-use chivevalve::platform::{Error, Weights as Border};
+use chivevalve::ports::weights::{ROOT, path};
+use chivevalve::ports::{Error, Weights as Border};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
