direct: a claim must stand in the view; places of leaving adapters count

Ruled out: clock rates, the lease's length. Change: the right looks at the claim in the view and reads claims anew after it had lapsed; places of leaving adapters count; adapters in use are told in each exchange; calls for changes are short after a failure; old versions are given up 3.3 s before the bound.

--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -249,7 +249,13 @@
         let uses = std::mem::take(&mut *self.uses.lock().unwrap_or_else(PoisonError::into_inner));
         let upstreams: Vec<Arc<Upstream>> = self.view.state().upstreams.values().cloned().collect();
         for upstream in upstreams {
-            let adapters = uses.get(&upstream.incarnation).cloned().unwrap_or_default();
+            let mut adapters = uses.get(&upstream.incarnation).cloned().unwrap_or_default();
+            // A long stream uses its adapter though it was asked for long ago.
+            for adapter in upstream.in_use() {
+                if !adapters.contains(&adapter) {
+                    adapters.push(adapter);
+                }
+            }
             if self.right.owns(upstream.address) {
                 self.note_uses(&upstream.incarnation, adapters);
                 continue;
--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -86,7 +86,7 @@
         dialect: &dyn Dialect,
         dispatch: &Dispatch,
     ) -> Result<Answer, Miss> {
-        let running = upstream.enter();
+        let running = upstream.enter(self.call.adapter());
         let freshness = if self.kind.repeatable() {
             USABLE
         } else {
--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -15,9 +15,11 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::dialect::Dialect;
-use super::follow::{CLAIMS, NODES};
-use super::limits::{CLAIM_RANK, GATHER, LEASE, Limits, RENEWAL, RIGHT, TURN_MARGIN};
-use super::view::{Claim, Peer, Standing, State, View};
+use super::follow::NODES;
+use super::limits::{
+    CLAIM_RANK, GATHER, LEASE, Limits, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN,
+};
+use super::view::{CLAIMS, Claim, Peer, Standing, State, View};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
 use crate::ports::{Condition, Error, Lease, LeaseId, Store, Transaction, Write};
@@ -36,9 +38,13 @@
 }
 
 /// This node's right to give orders, looked at in the line before each order.
+///
+/// The claim must also still stand in the view: the platform can take a node's
+/// keys away at once while its lease goes on, and no renewal shows it.
 #[derive(Debug)]
 pub struct Right {
     clock: Arc<dyn Clock>,
+    view: Arc<View>,
     until: AtomicU64,
     owned: Mutex<HashMap<SocketAddr, Owned>>,
     last_order: Mutex<HashMap<SocketAddr, Millis>>,
@@ -50,9 +56,10 @@
     /// `clock` has to run while the VM is suspended: a node that wakes up must
     /// see that its right has ended.
     #[must_use]
-    pub fn new(clock: Arc<dyn Clock>) -> Self {
+    pub fn new(clock: Arc<dyn Clock>, view: Arc<View>) -> Self {
         Self {
             clock,
+            view,
             until: AtomicU64::new(0),
             owned: Mutex::default(),
             last_order: Mutex::default(),
@@ -67,7 +74,30 @@
             return None;
         }
         let owned = *self.owned().get(&address)?;
-        (owned.from <= now).then_some(owned.token)
+        let stands = self
+            .view
+            .state()
+            .claims
+            .get(&address)
+            .is_some_and(|standing| standing.revision == owned.token);
+        (stands && owned.from <= now).then_some(owned.token)
+    }
+
+    /// Whether orders may leave as far as the lease goes.
+    #[must_use]
+    fn lasts(&self) -> bool {
+        self.clock.now().0 < self.until.load(Ordering::Relaxed)
+    }
+
+    /// Drops what the view says is another's or nobody's.
+    fn forget_lost(&self) {
+        let state = self.view.state();
+        self.owned().retain(|address, owned| {
+            state
+                .claims
+                .get(address)
+                .is_some_and(|standing| standing.revision == owned.token)
+        });
     }
 
     /// Notes that an order leaves.
@@ -174,15 +204,20 @@
                 *lease = Some(granted);
             }
             Some(held) => {
-                if self.lease.renew(held).await? == Millis::ZERO {
+                let lasted = self.right.lasts();
+                if self.renew(held).await? == Millis::ZERO {
                     log::warn!("claim: the lease has lapsed");
                     *lease = None;
                     self.right.until.store(0, Ordering::Relaxed);
                     self.right.owned().clear();
                     return Ok(());
                 }
+                if !lasted {
+                    self.read_claims().await?;
+                }
             }
         }
+        self.right.forget_lost();
         self.right.until.store((sent + RIGHT).0, Ordering::Relaxed);
         if let Some(held) = *lease {
             self.claim(held, began).await?;
@@ -190,6 +225,26 @@
         Ok(())
     }
 
+    /// Renews the lease, without waiting so long that no second try fits into the right.
+    async fn renew(&self, lease: LeaseId) -> Result<Millis, Error> {
+        tokio::time::timeout(RENEWAL_ANSWER.duration(), self.lease.renew(lease))
+            .await
+            .map_err(|_| Error::NoAnswer(format!("no renewal within {RENEWAL_ANSWER}")))?
+    }
+
+    /// Reads all claims anew after the right had lapsed.
+    ///
+    /// Meanwhile the claims may have been taken away and others may have made
+    /// theirs; what the view last saw is older than that.
+    async fn read_claims(&self) -> Result<(), Error> {
+        let listing = self.store.list(&self.dialect.own(CLAIMS)).await?;
+        let now = self.clock.now();
+        self.view
+            .state()
+            .replace_claims(&*self.dialect, &listing.entries, now);
+        Ok(())
+    }
+
     async fn register(&self, lease: LeaseId) -> Result<(), Error> {
         let key = self.dialect.own(&format!("{NODES}{}", self.node));
         let transaction = Transaction {
@@ -274,6 +329,19 @@
             self.may_order_from(&state, address, left.as_ref(), began, now)
         };
         log::info!("claim: orders to {address} are this node's, token {token}, from {from}");
+        let claim = Claim {
+            node: Name::clone(&self.node),
+            start: self.peer.start,
+            left: None,
+        };
+        self.view.state().claim(
+            address,
+            Standing {
+                claim,
+                revision: token,
+                seen: now,
+            },
+        );
         self.right.owned().insert(address, Owned { token, from });
     }
 
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -10,7 +10,7 @@
 
 use super::dialect::{Dialect, Key};
 use super::limits::{POLL_PAUSE, POLL_WAIT, STORE_PAUSE};
-use super::view::{Claim, Newest, Peer, Standing, State, View};
+use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
 use crate::ports::poll::{Gap, Poll};
@@ -18,8 +18,6 @@
 
 /// Name of a node's record, with the node's name behind it.
 pub const NODES: &str = "node/";
-/// Name of a claim, with the engine's address behind it.
-pub const CLAIMS: &str = "claim/";
 
 /// A silence of the service from which on vanished entries are doubted.
 ///
@@ -27,6 +25,9 @@
 /// back within two seconds of its return.
 const OUTAGE: Millis = Millis(1_000);
 
+/// How long a call for changes waits after one that failed.
+const RETURN_WAIT: Millis = Millis(1);
+
 /// How long a vanished entry is doubted after an outage.
 const DOUBT: Millis = Millis(2_200);
 
@@ -78,12 +79,15 @@
     }
 
     async fn follow(&mut self, mut revision: u64) {
+        let mut wait = POLL_WAIT;
         loop {
-            match self.poll.changes("", revision, POLL_WAIT).await {
+            let pause = match self.poll.changes("", revision, wait).await {
                 Ok(changes) => {
                     self.alive();
                     revision = revision.max(changes.revision);
                     self.take(changes.events);
+                    wait = POLL_WAIT;
+                    POLL_PAUSE
                 }
                 Err(Gap::Dropped) => {
                     log::info!("follow: the history after revision {revision} is gone");
@@ -91,11 +95,14 @@
                 }
                 Err(Gap::Failed(error)) => {
                     log::warn!("follow: no changes after revision {revision}: {error}");
-                    tokio::time::sleep(STORE_PAUSE.duration()).await;
+                    // While the service is away a call that may wait long only
+                    // delays the moment at which its return is noticed.
+                    wait = RETURN_WAIT;
+                    STORE_PAUSE
                 }
-            }
+            };
             self.settle();
-            tokio::time::sleep(POLL_PAUSE.duration()).await;
+            tokio::time::sleep(pause.duration()).await;
         }
     }
 
@@ -215,7 +222,7 @@
             Key::Own(name) => {
                 if let Some(node) = name.strip_prefix(NODES) {
                     state.nodes.remove(node);
-                } else if let Some(address) = address_of(&name) {
+                } else if let Some(address) = claimed(&name) {
                     state.unclaim(address, now);
                 }
             }
@@ -279,21 +286,7 @@
             Ok(peer) => state.join(node.into(), peer),
             Err(error) => log::error!("follow: {} can't be read: {error}", entry.key),
         }
-    } else if let Some(address) = address_of(name) {
-        match serde_json::from_slice::<Claim>(&entry.value) {
-            Ok(claim) => state.claim(
-                address,
-                Standing {
-                    claim,
-                    revision: entry.revision,
-                    seen: now,
-                },
-            ),
-            Err(error) => log::error!("follow: {} can't be read: {error}", entry.key),
-        }
+    } else if let Some(address) = claimed(name) {
+        state.put_claim(address, entry, now);
     }
 }
-
-fn address_of(name: &str) -> Option<SocketAddr> {
-    name.strip_prefix(CLAIMS)?.parse().ok()
-}
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -67,6 +67,9 @@
 /// Pause between renewals: two may fail before the right ends.
 pub const RENEWAL: Millis = Millis(650);
 
+/// The longest that a renewal may take to answer: twice the slowest service's 240 ms.
+pub const RENEWAL_ANSWER: Millis = Millis(500);
+
 /// The longest that a call for changes waits.
 ///
 /// A connection can go silent for good, and only this bound shows it; a leaving
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -102,7 +102,7 @@
     pub async fn start(settings: Settings, reach: Reach) -> Result<Self> {
         let clock: Arc<dyn Clock> = Arc::new(Boot);
         let view = Arc::new(View::default());
-        let right = Arc::new(Right::new(Arc::clone(&clock)));
+        let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
         let desks = Arc::new(Desks::new(
             Arc::clone(&view),
             Arc::clone(&right),
--- a/lib/src/direct/orders.rs
+++ b/lib/src/direct/orders.rs
@@ -51,6 +51,9 @@
 /// but an eviction that has to wait for runs keeps a place for seconds.
 const IN_USE: Millis = Millis(1_500);
 
+/// Time after which an adapter that was ordered away is looked for in a report.
+const LEAVING: Millis = Millis(1_000);
+
 /// Longest report that is read, in bytes.
 const REPORT_BYTES: usize = 256 * 1024;
 
@@ -100,6 +103,10 @@
         since: Millis,
         waiting: Vec<oneshot::Sender<Loaded>>,
     },
+    /// Ordered away, but a run still holds it: the place isn't free.
+    Leaving {
+        since: Millis,
+    },
 }
 
 /// What is known of an engine.
@@ -301,16 +308,21 @@
             return false;
         }
         let victim = Name::clone(victim);
-        match self.change(Action::Unload, &victim, None).await {
-            Some(Ordered::Holds | Ordered::Started) => {
-                if let Some(book) = &mut self.book {
-                    book.seats.remove(&victim);
-                }
+        let outcome = self.change(Action::Unload, &victim, None).await;
+        let Some(book) = &mut self.book else {
+            return false;
+        };
+        match outcome {
+            Some(Ordered::Holds) => {
+                book.seats.remove(&victim);
                 self.publish();
-                // An engine that answers that it has started waits for runs
-                // that hold the adapter: its place isn't free yet.
                 self.fits(now)
             }
+            Some(Ordered::Started) => {
+                book.seats.insert(victim, Seat::Leaving { since: now });
+                self.publish();
+                false
+            }
             Some(_) => {
                 self.book = None;
                 false
@@ -351,7 +363,12 @@
                 self.landed(&adapter, Loaded::Failed);
                 self.book = None;
             }
-            Some(Ordered::Started | Ordered::Conflict | Ordered::Refused) | None => {
+            // The book is wrong: what was taken for this load was another.
+            Some(Ordered::Conflict) => {
+                self.refresh().await;
+                look_later(actor, adapter, LOOK);
+            }
+            Some(Ordered::Started | Ordered::Refused) | None => {
                 look_later(actor, adapter, LOOK);
             }
         }
@@ -402,13 +419,23 @@
             self.give_up(Loaded::NotOwner);
             return;
         }
-        if self.book.is_none() {
+        if self.book.is_none() || self.waits_for_leaving() {
             self.refresh().await;
         }
         self.load_base().await;
         self.next(actor).await;
     }
 
+    /// Whether an adapter that was ordered away should be gone by now.
+    fn waits_for_leaving(&self) -> bool {
+        let now = self.parts.clock.now();
+        self.book.as_ref().is_some_and(|book| {
+            book.seats
+                .values()
+                .any(|seat| matches!(seat, Seat::Leaving { since } if now.since(*since) > LEAVING))
+        })
+    }
+
     /// An engine that restarted is empty: its base model comes first.
     async fn load_base(&mut self) {
         let now = self.parts.clock.now();
@@ -463,11 +490,13 @@
     }
 
     /// Counts places that orders without an answer may still take.
+    ///
+    /// All that wait under one count can only be carried out once.
     fn doubtful(&mut self, now: Millis) -> usize {
         let sequence = self.book.as_ref().map_or(0, |book| book.sequence);
         self.doubtful
             .retain(|(expected, until)| *until > now && *expected >= sequence);
-        self.doubtful.len()
+        usize::from(!self.doubtful.is_empty())
     }
 
     /// Gives an order that changes something, and keeps count of what was accepted.
@@ -481,10 +510,12 @@
         model: &Name,
         version: Option<u64>,
     ) -> Option<Ordered> {
+        let now = self.parts.clock.now();
+        let alone = self.doubtful(now) == 0;
         let mut outcome = self.order(action, model, version).await;
-        if outcome.is_none() {
+        if outcome.is_none() && self.doubtful(now) > 0 {
             outcome = match self.order(action, model, version).await {
-                Some(Ordered::Conflict) => Some(Ordered::Started),
+                Some(Ordered::Conflict) if alone => Some(Ordered::Started),
                 other => other,
             };
         }
@@ -621,7 +652,7 @@
             .into_iter()
             .filter_map(|(name, seat)| match seat {
                 Seat::Coming { waiting, .. } => Some((name, waiting)),
-                Seat::Present { .. } => None,
+                Seat::Present { .. } | Seat::Leaving { .. } => None,
             })
             .collect();
         let mut book = Book {
@@ -662,7 +693,7 @@
             .iter()
             .filter_map(|(name, seat)| match seat {
                 Seat::Present { version } => Some((Name::clone(name), *version)),
-                Seat::Coming { .. } => None,
+                Seat::Coming { .. } | Seat::Leaving { .. } => None,
             })
             .collect();
         self.parts.upstream.hold(&Held {
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -36,7 +36,10 @@
 const MOST_ASKED: usize = 3;
 
 /// Time before a new version has to be the only one, at which the old one is given up.
-const VERSION_MARGIN: Millis = Millis(1_500);
+///
+/// A request counts from when its engine begins it: up to two seconds in the
+/// engine's queue, and the pause until this node sees the change, are taken off.
+const VERSION_MARGIN: Millis = Millis(3_300);
 
 /// Load of an adapter's least loaded engine, as part of its places, from which on another engine is
 /// asked to hold the adapter too.
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -64,17 +64,24 @@
     running: AtomicU32,
     elsewhere: AtomicU32,
     gone_at: AtomicU64,
+    using: Mutex<HashMap<Name, u32>>,
     holdings: Mutex<Holdings>,
     health: Mutex<Health>,
 }
 
 /// Counts a request at an upstream until it is dropped.
 #[derive(Debug)]
-pub struct Running(Arc<Upstream>);
+pub struct Running {
+    upstream: Arc<Upstream>,
+    adapter: Option<Name>,
+}
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        self.upstream.running.fetch_sub(1, Ordering::Relaxed);
+        if let Some(adapter) = &self.adapter {
+            self.upstream.leave(adapter);
+        }
     }
 }
 
@@ -99,6 +106,7 @@
             running: AtomicU32::new(0),
             elsewhere: AtomicU32::new(0),
             gone_at: AtomicU64::new(u64::MAX),
+            using: Mutex::default(),
             holdings: Mutex::default(),
             health: Mutex::default(),
         };
@@ -201,9 +209,35 @@
 
     /// Counts a request that this node sends.
     #[must_use]
-    pub fn enter(self: &Arc<Self>) -> Running {
+    pub fn enter(self: &Arc<Self>, adapter: Option<&Name>) -> Running {
         self.running.fetch_add(1, Ordering::Relaxed);
-        Running(Arc::clone(self))
+        if let Some(adapter) = adapter {
+            *self.using().entry(Name::clone(adapter)).or_default() += 1;
+        }
+        Running {
+            upstream: Arc::clone(self),
+            adapter: adapter.cloned(),
+        }
+    }
+
+    /// Returns the adapters that requests of this node use at this moment.
+    #[must_use]
+    pub fn in_use(&self) -> Vec<Name> {
+        self.using().keys().cloned().collect()
+    }
+
+    fn leave(&self, adapter: &Name) {
+        let mut using = self.using();
+        if let Some(count) = using.get_mut(adapter) {
+            *count -= 1;
+            if *count == 0 {
+                using.remove(adapter);
+            }
+        }
+    }
+
+    fn using(&self) -> std::sync::MutexGuard<'_, HashMap<Name, u32>> {
+        self.using.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Requests of this node.
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -11,10 +11,11 @@
 use tokio::sync::Notify;
 
 use super::config::Config;
-use super::dialect::Listed;
+use super::dialect::{Dialect, Key, Listed};
 use super::upstream::Upstream;
 use crate::clock::Millis;
 use crate::name::Name;
+use crate::ports::Entry;
 
 /// Another node, as its record in the key-value service has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,6 +85,15 @@
     pub changed: Notify,
 }
 
+/// Name of a claim, with the engine's address behind it.
+pub const CLAIMS: &str = "claim/";
+
+/// Returns the address that a claim is for.
+#[must_use]
+pub fn claimed(name: &str) -> Option<SocketAddr> {
+    name.strip_prefix(CLAIMS)?.parse().ok()
+}
+
 /// Part of an upstream's connections that all nodes together use.
 ///
 /// The rest is left for connections that one side still thinks open.
@@ -171,8 +181,53 @@
         }
     }
 
-    /// Takes in a claim.
+    /// Takes in all claims, and that those not among them are gone.
+    pub fn replace_claims(&mut self, dialect: &dyn Dialect, entries: &[Entry], now: Millis) {
+        let mut present = Vec::new();
+        for entry in entries {
+            let Key::Own(name) = dialect.key(&entry.key) else {
+                continue;
+            };
+            if let Some(address) = claimed(&name) {
+                present.push(address);
+                self.put_claim(address, entry, now);
+            }
+        }
+        let gone: Vec<SocketAddr> = self
+            .claims
+            .keys()
+            .filter(|address| !present.contains(address))
+            .copied()
+            .collect();
+        for address in gone {
+            self.unclaim(address, now);
+        }
+    }
+
+    /// Takes in a claim as the key-value service holds it.
+    pub fn put_claim(&mut self, address: SocketAddr, entry: &Entry, now: Millis) {
+        match serde_json::from_slice::<Claim>(&entry.value) {
+            Ok(claim) => {
+                let standing = Standing {
+                    claim,
+                    revision: entry.revision,
+                    seen: now,
+                };
+                self.claim(address, standing);
+            }
+            Err(error) => log::error!("view: {} can't be read: {error}", entry.key),
+        }
+    }
+
+    /// Takes in a claim; one that is older than what is known is left aside.
     pub fn claim(&mut self, address: SocketAddr, standing: Standing) {
+        if self
+            .claims
+            .get(&address)
+            .is_some_and(|known| known.revision >= standing.revision)
+        {
+            return;
+        }
         if let Some(former) = self.claims.get(&address)
             && former.claim.node != standing.claim.node
         {
