--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -163,7 +163,7 @@
         let mut lease = None;
         loop {
             if let Err(error) = self.round(&mut lease, began).await {
-                log::warn!("claim: {error}");
+                log::warn!("right: {error}");
             }
             tokio::time::sleep(RENEWAL.duration()).await;
         }
@@ -206,7 +206,7 @@
             Some(held) => {
                 let lasted = self.right.lasts();
                 if self.renew(held).await? == Millis::ZERO {
-                    log::warn!("claim: the lease has lapsed");
+                    log::warn!("right: the lease has lapsed");
                     *lease = None;
                     self.right.until.store(0, Ordering::Relaxed);
                     self.right.owned().clear();
@@ -286,7 +286,7 @@
         if commit.done {
             let now = self.clock.now();
             for (address, standing) in wanted.into_iter().take(CLAIMS_AT_ONCE) {
-                self.won(address, standing, commit.revision, began, now);
+                self.won(address, standing.as_ref(), commit.revision, began, now);
             }
         }
         Ok(())
@@ -319,16 +319,16 @@
     fn won(
         &self,
         address: SocketAddr,
-        left: Option<Standing>,
+        left: Option<&Standing>,
         token: u64,
         began: Millis,
         now: Millis,
     ) {
         let from = {
             let state = self.view.state();
-            self.may_order_from(&state, address, left.as_ref(), began, now)
+            self.may_order_from(&state, address, left, began, now)
         };
-        log::info!("claim: orders to {address} are this node's, token {token}, from {from}");
+        log::info!("right: orders to {address} are this node's, token {token}, from {from}");
         let claim = Claim {
             node: Name::clone(&self.node),
             start: self.peer.start,
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -125,17 +125,17 @@
             entries.extend(listing.entries);
         }
         self.alive();
-        self.replace(entries);
+        self.replace(&entries);
         Ok(revision)
     }
 
-    fn replace(&mut self, entries: Vec<Entry>) {
+    fn replace(&mut self, entries: &[Entry]) {
         let now = self.clock.now();
         let present: HashSet<String> = entries.iter().map(|entry| entry.key.clone()).collect();
         let view = Arc::clone(&self.view);
         let mut state = view.state();
         self.drop_absent(&mut state, &present, now);
-        for entry in &entries {
+        for entry in entries {
             self.put(&mut state, entry, now);
         }
         drop(state);
--- a/lib/src/direct/pick.rs
+++ b/lib/src/direct/pick.rs
@@ -17,6 +17,9 @@
 /// dozens cost less than carrying an answer across.
 const REMOTE: f64 = 0.08;
 
+/// What the decision between upstreams that are alike weighs, in places' shares.
+const TIE: f64 = 0.03;
+
 /// Where a request may go.
 #[derive(Debug)]
 pub struct Field<'a> {
@@ -28,6 +31,8 @@
     pub home: &'a str,
     /// The time.
     pub now: Millis,
+    /// Decides between upstreams that are alike, the same for requests that share a prompt.
+    pub salt: u64,
 }
 
 impl Field<'_> {
@@ -43,6 +48,7 @@
     }
 
     /// Returns upstreams that take new work in an adapter's order of placement.
+    #[must_use]
     pub fn homes(&self, adapter: &str) -> Vec<Arc<Upstream>> {
         let mut homes: Vec<(u64, &Arc<Upstream>)> = self
             .upstreams
@@ -61,12 +67,23 @@
         upstream.suspended(self.now) || self.tried.contains(&upstream.incarnation)
     }
 
+    /// A number from 0 to 1 for this request at this upstream.
+    ///
+    /// Without it all requests of a quiet time would go to the first of the
+    /// list; with it those that share a prompt meet what is kept of it.
+    #[allow(clippy::cast_precision_loss, reason = "a share needs few bits")]
+    fn share(&self, upstream: &Upstream) -> f64 {
+        let hash = xxh3_64_with_seed(upstream.incarnation.as_bytes(), self.salt);
+        hash as f64 / u64::MAX as f64
+    }
+
     /// Part of the upstream's places in use, with handicaps.
     fn cost(&self, upstream: &Upstream) -> f64 {
         let mut cost = f64::from(upstream.load()) / f64::from(upstream.slots);
         if &*upstream.failure_domain != self.home {
             cost += REMOTE;
         }
+        cost += TIE * self.share(upstream);
         if upstream.suspended(self.now) {
             cost += 100.0;
         }
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -126,7 +126,7 @@
     fn take(&mut self, data: &[u8]) -> Step {
         self.splitter.push(data);
         let mut whole = BytesMut::new();
-        while let Some(event) = self.splitter.next() {
+        while let Some(event) = self.splitter.event() {
             if let (Some(id), Some(last)) = (event.id, self.last)
                 && id != last + 1
             {
--- a/lib/src/direct/sse.rs
+++ b/lib/src/direct/sse.rs
@@ -31,7 +31,7 @@
     }
 
     /// Returns the next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn event(&mut self) -> Option<Event> {
         let end = self.find_end()?;
         self.scanned = 0;
         let bytes = self.buffer.split_to(end).freeze();
@@ -66,14 +66,13 @@
             match bytes.get(next) {
                 Some(b'\n') => return Some(next + 1),
                 Some(b'\r') if bytes.get(next + 1) == Some(&b'\n') => return Some(next + 2),
+                Some(b'\r') if next + 1 == bytes.len() => break,
                 Some(_) => at = next,
-                None => {
-                    self.scanned = at + offset;
-                    return None;
-                }
+                None => break,
             }
         }
-        self.scanned = bytes.len();
+        // The next bytes may make the line that ends here the last of an event.
+        self.scanned = at;
         None
     }
 }
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::{Answer, Message, Miss};
 use super::config::Route;
@@ -11,6 +12,7 @@
 use super::orders::Loaded;
 use super::pick::Field;
 use super::upstream::Upstream;
+use super::view::Newest;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::name::Name;
@@ -119,10 +121,11 @@
             }
             let result = self.attempt(&target, resume_after).await;
             match result {
-                Ok(answer) => match self.judge(answer, &target) {
-                    Some(answer) => return Ok(answer),
-                    None => continue,
-                },
+                Ok(answer) => {
+                    if let Some(answer) = self.judge(answer, &target) {
+                        return Ok(answer);
+                    }
+                }
                 Err(miss) => self.missed(&target, miss)?,
             }
         }
@@ -270,6 +273,7 @@
                 tried: &self.tried,
                 home: &self.gate.failure_domain,
                 now: self.now(),
+                salt: self.salt(),
             };
             let found = match &self.message.call.model {
                 None => field.least(|_| true).map(|upstream| Target {
@@ -308,17 +312,15 @@
             self.spread(field, adapter, wanted, &upstream);
             return Some(self.at(upstream, adapter));
         }
-        let old_until = newest.map_or(Millis::ZERO, |newest| {
-            newest.seen + (self.gate.limits.version - VERSION_MARGIN)
-        });
+        let limit = self.gate.limits.version;
+        let old_until = newest.map_or(Millis::ZERO, |newest| old_until(newest, limit));
         if field.now < old_until
             && let Some(upstream) = field.least(holds(0))
         {
-            self.gate
-                .load_soon(self.homes(field, adapter), adapter, wanted);
+            self.gate.load_soon(homes(field, adapter), adapter, wanted);
             return Some(self.at(upstream, adapter));
         }
-        for upstream in self.homes(field, adapter).into_iter().take(MOST_ASKED) {
+        for upstream in homes(field, adapter).into_iter().take(MOST_ASKED) {
             let left = self.until.since(self.now());
             let load = self.gate.desks.load(&upstream, adapter, wanted);
             match tokio::time::timeout(left.duration(), load).await {
@@ -330,14 +332,6 @@
         None
     }
 
-    /// Engines that could load the adapter, those with no older version of it first.
-    fn homes(&self, field: &Field<'_>, adapter: &Name) -> Vec<Arc<Upstream>> {
-        let mut homes = field.homes(adapter);
-        homes.retain(|upstream| upstream.has_base(adapter));
-        homes.sort_by_key(|upstream| upstream.version(adapter).is_some());
-        homes
-    }
-
     fn spread(&self, field: &Field<'_>, adapter: &Name, wanted: u64, least: &Upstream) {
         let crowded = f64::from(least.load()) > SPREAD_AT * f64::from(least.slots);
         if !crowded {
@@ -360,6 +354,17 @@
         Target { upstream, version }
     }
 
+    /// The last part of the prompt that others share, or the request itself.
+    fn salt(&self) -> u64 {
+        let call = &self.message.call;
+        let shared = call.parts.len().checked_sub(2);
+        match (shared.and_then(|at| call.parts.get(at)), &call.id) {
+            (Some(part), _) => part.id,
+            (None, Some(id)) => xxh3_64(id.as_bytes()),
+            (None, None) => 0,
+        }
+    }
+
     /// A refusal that is true: nothing runs, or what ran is said to be unknown.
     fn refusal(&self, code: Code, told: &str) -> Failure {
         if self.sent > 0 && !self.message.kind.repeatable() {
@@ -368,3 +373,17 @@
         Failure::new(code, told).retry_after(COME_BACK)
     }
 }
+
+/// Engines that could load the adapter, those with no older version of it first.
+fn homes(field: &Field<'_>, adapter: &Name) -> Vec<Arc<Upstream>> {
+    let mut homes = field.homes(adapter);
+    homes.retain(|upstream| upstream.has_base(adapter));
+    homes.sort_by_key(|upstream| upstream.version(adapter).is_some());
+    homes
+}
+
+/// Until when an older version than the newest may still be begun on.
+#[must_use]
+pub fn old_until(newest: Newest, limit: Millis) -> Millis {
+    newest.seen + (limit - VERSION_MARGIN)
+}
--- a/lib/src/ports/link.rs
+++ b/lib/src/ports/link.rs
@@ -168,13 +168,12 @@
         let bounds = *self.bounds.lock().unwrap_or_else(PoisonError::into_inner);
         let open = Open(Arc::clone(&self.open));
         let before = self.open.fetch_add(1, Ordering::Relaxed);
-        if before >= bounds.open {
-            if self.kept().pop().is_none() {
-                return Err(Lost::Unsent(format!(
-                    "{before} connections are open, the limit is {}",
-                    bounds.open
-                )));
-            }
+        // An unused connection that is too old for this request makes room.
+        if before >= bounds.open && self.kept().pop().is_none() {
+            return Err(Lost::Unsent(format!(
+                "{before} connections are open, the limit is {}",
+                bounds.open
+            )));
         }
         self.connects.fetch_add(1, Ordering::Relaxed);
         let stream =
--- /dev/null
+++ b/lib/tests/direct_support/memory.rs
@@ -0,0 +1,245 @@
+//! The key-value service in memory, with the faults that tests need.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use chivevalve::clock::Millis;
+use chivevalve::ports::poll::{Changes, Gap, Poll};
+use chivevalve::ports::{
+    Commit, Condition, Entry, Error, Event, Lease, LeaseId, Listing, Store, Transaction, Write,
+};
+use tokio::sync::Notify;
+
+/// What the service holds.
+#[derive(Debug, Default)]
+pub struct State {
+    pub revision: u64,
+    pub entries: BTreeMap<String, Entry>,
+    pub events: Vec<Event>,
+    pub leases: Vec<LeaseId>,
+    /// Calls fail while this is set.
+    pub away: bool,
+    /// History up to here is gone.
+    pub compacted: u64,
+    /// Spans for which calls for changes offered to wait.
+    pub waits: Vec<Millis>,
+}
+
+/// The service.
+#[derive(Debug, Default)]
+pub struct Memory {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl State {
+    /// Writes a key.
+    pub fn put(&mut self, key: &str, value: impl Into<Bytes>, lease: Option<LeaseId>) -> u64 {
+        self.revision += 1;
+        let entry = Entry {
+            key: key.to_owned(),
+            value: value.into(),
+            revision: self.revision,
+            lease,
+        };
+        self.entries.insert(key.to_owned(), entry.clone());
+        self.events.push(Event {
+            key: key.to_owned(),
+            entry: Some(entry),
+            revision: self.revision,
+        });
+        self.revision
+    }
+
+    /// Removes a key.
+    pub fn remove(&mut self, key: &str) {
+        if self.entries.remove(key).is_none() {
+            return;
+        }
+        self.revision += 1;
+        self.events.push(Event {
+            key: key.to_owned(),
+            entry: None,
+            revision: self.revision,
+        });
+    }
+
+    /// Ends a lease with its keys.
+    pub fn end(&mut self, lease: LeaseId) {
+        self.leases.retain(|held| *held != lease);
+        let keys: Vec<String> = self
+            .entries
+            .values()
+            .filter(|entry| entry.lease == Some(lease))
+            .map(|entry| entry.key.clone())
+            .collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn holds(&self, condition: &Condition) -> bool {
+        match condition {
+            Condition::Absent(key) => !self.entries.contains_key(key),
+            Condition::Unchanged(key, revision) => self
+                .entries
+                .get(key)
+                .is_some_and(|entry| entry.revision == *revision),
+        }
+    }
+
+    /// Makes a transaction; none means that a condition did not hold.
+    pub fn commit(&mut self, transaction: &Transaction) -> Option<u64> {
+        if !transaction.conditions.iter().all(|one| self.holds(one)) {
+            return None;
+        }
+        for write in &transaction.writes {
+            match write {
+                Write::Put(key, value, lease) => {
+                    self.put(key, value.clone(), *lease);
+                }
+                Write::Delete(key) => self.remove(key),
+            }
+        }
+        // One transaction has one revision.
+        for write in &transaction.writes {
+            if let Write::Put(key, ..) = write
+                && let Some(entry) = self.entries.get_mut(key)
+            {
+                entry.revision = self.revision;
+            }
+        }
+        Some(self.revision)
+    }
+
+    /// Returns changes under a prefix after a revision.
+    pub fn since(&self, prefix: &str, revision: u64) -> Vec<Event> {
+        self.events
+            .iter()
+            .filter(|event| event.revision > revision && event.key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+}
+
+impl Memory {
+    /// Locks what the service holds.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    /// Changes what the service holds and wakes whoever waits for changes.
+    pub fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let result = change(&mut self.state());
+        self.changed.notify_waiters();
+        result
+    }
+
+    /// Waits until there are changes after a revision, or the time is over.
+    pub async fn wait(&self, prefix: &str, revision: u64, span: Millis) -> Vec<Event> {
+        let end = tokio::time::Instant::now() + span.duration();
+        loop {
+            let changed = self.changed.notified();
+            let events = self.state().since(prefix, revision);
+            if !events.is_empty() {
+                return events;
+            }
+            if tokio::time::timeout_at(end, changed).await.is_err() {
+                return Vec::new();
+            }
+        }
+    }
+
+    fn reach(&self) -> Result<MutexGuard<'_, State>, Error> {
+        let state = self.state();
+        if state.away {
+            return Err(Error::NoAnswer("the test took it away".to_owned()));
+        }
+        Ok(state)
+    }
+}
+
+#[async_trait]
+impl Store for Memory {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
+        Ok(self.reach()?.entries.get(key).cloned())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        let state = self.reach()?;
+        Ok(Listing {
+            entries: state
+                .entries
+                .values()
+                .filter(|entry| entry.key.starts_with(prefix))
+                .cloned()
+                .collect(),
+            revision: state.revision,
+        })
+    }
+
+    async fn commit(&self, transaction: Transaction) -> Result<Commit, Error> {
+        let revision = {
+            let mut state = self.reach()?;
+            state.commit(&transaction)
+        };
+        self.changed.notify_waiters();
+        Ok(Commit {
+            done: revision.is_some(),
+            revision: revision.unwrap_or_default(),
+        })
+    }
+}
+
+#[async_trait]
+impl Lease for Memory {
+    async fn grant(&self, _: Millis) -> Result<LeaseId, Error> {
+        let mut state = self.reach()?;
+        state.revision += 1;
+        let lease = LeaseId(i64::try_from(state.revision).unwrap());
+        state.leases.push(lease);
+        Ok(lease)
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<Millis, Error> {
+        let state = self.reach()?;
+        let held = state.leases.contains(&lease);
+        Ok(if held { Millis(3_000) } else { Millis::ZERO })
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
+        self.reach()?.end(lease);
+        self.changed.notify_waiters();
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Poll for Memory {
+    async fn changes(&self, prefix: &str, revision: u64, wait: Millis) -> Result<Changes, Gap> {
+        let (away, compacted) = {
+            let mut state = self.state();
+            state.waits.push(wait);
+            (state.away, state.compacted)
+        };
+        if away {
+            // A service that is away takes the caller's whole patience.
+            tokio::time::sleep(wait.duration()).await;
+            return Err(Error::NoAnswer("the test took it away".to_owned()).into());
+        }
+        if revision < compacted {
+            return Err(Gap::Dropped);
+        }
+        let events = self.wait(prefix, revision, wait).await;
+        let state = self.state();
+        if revision < state.compacted {
+            return Err(Gap::Dropped);
+        }
+        Ok(Changes {
+            events,
+            revision: state.revision,
+        })
+    }
+}
--- /dev/null
+++ b/lib/tests/test_direct_claims.rs
@@ -0,0 +1,253 @@
+//! Who gives orders to an engine, through losses of nodes, leases and keys.
+
+mod direct_support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chivevalve::clock::{Clock, Manual, Millis};
+use chivevalve::direct::claim::{Claimer, Right};
+use chivevalve::direct::config::{Config, Engine, Limits as Sent, Pool};
+use chivevalve::direct::dialect::{Dialect, Held, Listed};
+use chivevalve::direct::follow::Follower;
+use chivevalve::direct::limits::{LEASE, Limits, RIGHT};
+use chivevalve::direct::view::{Peer, View};
+use chivevalve::ports::{Lease, Store};
+use chivevalve_platform::Speech;
+use direct_support::memory::Memory;
+use tokio::task::JoinHandle;
+
+/// A node's claims without the rest of it.
+struct Node {
+    clock: Arc<Manual>,
+    right: Arc<Right>,
+    claimer: Arc<Claimer>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn address() -> SocketAddr {
+    "127.0.0.1:9".parse().unwrap()
+}
+
+fn node(name: &str, memory: &Arc<Memory>, first_start: bool) -> Node {
+    let clock = Arc::new(Manual::default());
+    clock.advance(Millis(100_000));
+    let view = Arc::new(View::default());
+    know_engine(&view);
+    let shared: Arc<dyn Clock> = Arc::<Manual>::clone(&clock);
+    let right = Arc::new(Right::new(Arc::clone(&shared), Arc::clone(&view)));
+    let dialect: Arc<dyn Dialect> = Arc::new(Speech);
+    let follower = Follower::new(
+        Arc::<Memory>::clone(memory),
+        Arc::<Memory>::clone(memory),
+        Arc::clone(&dialect),
+        Arc::clone(&shared),
+        Arc::clone(&view),
+    );
+    let claimer = Arc::new(Claimer {
+        store: Arc::<Memory>::clone(memory) as Arc<dyn Store>,
+        lease: Arc::<Memory>::clone(memory) as Arc<dyn Lease>,
+        dialect,
+        clock: shared,
+        view,
+        right: Arc::clone(&right),
+        limits: Limits::default(),
+        node: name.into(),
+        peer: Peer {
+            address: address(),
+            start: 1,
+        },
+        first_start,
+    });
+    let tasks = vec![
+        tokio::spawn(follower.run()),
+        tokio::spawn(Arc::clone(&claimer).run()),
+    ];
+    Node {
+        clock,
+        right,
+        claimer,
+        tasks,
+    }
+}
+
+fn know_engine(view: &View) {
+    let engine = Engine {
+        batch: 8,
+        adapter_slots: 4,
+        tokens: 100,
+        models: Vec::new(),
+    };
+    let pool = Pool {
+        connections: 10,
+        engine: Some(engine),
+    };
+    let pools = [("engines".into(), pool)].into_iter().collect();
+    let mut state = view.state();
+    state.configure(Config::new(1, Vec::new(), pools, Sent::default()));
+    state.list(&listed(), Millis(100_000));
+}
+
+fn listed() -> Listed {
+    Listed {
+        incarnation: "i-1".into(),
+        pool: "engines".into(),
+        address: address(),
+        failure_domain: "hall-a".into(),
+        slots: 8,
+        ready: true,
+        cold: Millis::ZERO,
+        remaining: None,
+        held: Held::default(),
+    }
+}
+
+/// The engine's entry, so that reading everything does not drop it.
+fn list_engine(memory: &Memory) {
+    let entry = r#"{"service":"engines","address":"127.0.0.1:9","zone":"hall-a","slots":8,
+        "state":"ready","sequence":0}"#;
+    memory.change(|state| state.put("servers/i-1", entry, None));
+}
+
+/// Lets time pass at all nodes alike.
+async fn pass(nodes: &[&Node], span: Millis) {
+    let step = Millis(50);
+    for _ in 0..span.0 / step.0 {
+        for node in nodes {
+            node.clock.advance(step);
+        }
+        tokio::time::sleep(step.duration()).await;
+    }
+}
+
+fn claim_key(memory: &Memory) -> Option<String> {
+    memory
+        .state()
+        .entries
+        .keys()
+        .find(|key| key.starts_with("chivevalve/claim/"))
+        .cloned()
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_first_start_orders_at_once() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    assert!(one.right.check(address()).is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_one_of_two() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let (one, two) = (node("one", &memory, true), node("two", &memory, true));
+    pass(&[&one, &two], Millis(5_000)).await;
+    let rights = [&one, &two].map(|node| node.right.check(address()).is_some());
+    assert!(rights[0] != rights[1], "{rights:?}");
+}
+
+/// Symptom: two nodes give an engine orders by turns.
+/// Sequence: a node starts while another's right may still run, and claims the engine.
+/// Cause: a missing claim taken for an engine that nobody gave orders to.
+#[tokio::test(start_paused = true)]
+async fn claim_later_start_waits_first() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, false);
+    pass(&[&one], Millis(4_900)).await;
+    assert!(one.right.owns(address()));
+    assert_eq!(one.right.check(address()), None);
+    pass(&[&one], Millis(1_000)).await;
+    assert!(one.right.check(address()).is_some());
+}
+
+/// Symptom: a call with a lower fencing token after one with a higher.
+/// Sequence: the platform takes a node's keys away while its lease lives on, and the node is cut
+/// off; another claims the engine; the first is back and renews with success.
+/// Cause: the renewal taken as proof that the claim stands.
+#[tokio::test(start_paused = true)]
+async fn right_ends_with_a_claim_taken_away() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    let former = one.right.check(address()).unwrap();
+    let key = claim_key(&memory).unwrap();
+    memory.change(|state| state.away = true);
+    pass(&[&one], Millis(4_000)).await;
+    assert_eq!(one.right.check(address()), None);
+    let other = r#"{"node":"two","start":1,"left":null}"#;
+    memory.change(|state| {
+        state.away = false;
+        state.remove(&key);
+        state.put(&key, other, None);
+    });
+    for _ in 0..100 {
+        pass(&[&one], Millis(50)).await;
+        assert_ne!(one.right.check(address()), Some(former));
+    }
+}
+
+/// Symptom: a node that was suspended gives orders under a right that ended meanwhile.
+/// Sequence: it is suspended between two renewals for longer than its right lasts.
+/// Cause: the right counted on a clock that stood still.
+#[tokio::test(start_paused = true)]
+async fn right_ends_while_suspended() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    assert!(one.right.check(address()).is_some());
+    one.clock.advance(RIGHT);
+    assert_eq!(one.right.check(address()), None);
+}
+
+/// Symptom: an engine gets no orders for good.
+/// Sequence: its owner dies; its keys end with its lease.
+/// Cause: nobody takes the claim over, or somebody before the old right and a turn have passed.
+#[tokio::test(start_paused = true)]
+async fn claim_taken_over_after_a_death() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    let former = one.right.check(address()).unwrap();
+    let two = node("two", &memory, true);
+    pass(&[&two], Millis(1_500)).await;
+    drop(one);
+    let leases = memory.state().leases.clone();
+    memory.change(|state| state.end(leases[0]));
+    let waited = RIGHT + Limits::default().turns;
+    pass(&[&two], waited).await;
+    assert_eq!(two.right.check(address()), None);
+    pass(&[&two], LEASE).await;
+    assert!(two.right.check(address()).unwrap() > former);
+}
+
+/// Symptom: after a planned stop an engine gets no orders for seconds.
+/// Sequence: the owner leaves in order, long after its last order.
+/// Cause: the successor waits as after a death.
+#[tokio::test(start_paused = true)]
+async fn claim_handed_over_in_order() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    let two = node("two", &memory, true);
+    pass(&[&one, &two], Millis(1_500)).await;
+    one.claimer.leave().await.unwrap();
+    assert_eq!(one.right.check(address()), None);
+    drop(one);
+    pass(&[&two], Millis(3_000)).await;
+    assert!(two.right.check(address()).is_some());
+}
--- /dev/null
+++ b/lib/tests/test_direct_follow.rs
@@ -0,0 +1,145 @@
+//! What a node believes, through outages and lost history of the key-value service.
+
+mod direct_support;
+
+use std::sync::Arc;
+
+use chivevalve::clock::{Clock, Millis, Monotonic};
+use chivevalve::direct::follow::Follower;
+use chivevalve::direct::view::View;
+use chivevalve_platform::Speech;
+use direct_support::memory::Memory;
+
+struct Followed {
+    memory: Arc<Memory>,
+    view: Arc<View>,
+}
+
+fn start() -> Followed {
+    let memory = Arc::new(Memory::default());
+    let view = Arc::new(View::default());
+    let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+    let follower = Follower::new(
+        Arc::<Memory>::clone(&memory),
+        Arc::<Memory>::clone(&memory),
+        Arc::new(Speech),
+        clock,
+        Arc::clone(&view),
+    );
+    tokio::spawn(follower.run());
+    Followed { memory, view }
+}
+
+impl Followed {
+    fn list(&self, incarnation: &str) {
+        let entry = r#"{"service":"s","address":"127.0.0.1:9","zone":"hall-a","slots":8,
+            "state":"ready","sequence":0}"#;
+        let key = format!("servers/{incarnation}");
+        self.memory.change(|state| state.put(&key, entry, None));
+    }
+
+    fn configure(&self, version: u64) {
+        let config = format!(r#"{{"version":{version},"routes":[],"services":[]}}"#);
+        self.memory
+            .change(|state| state.put("op/config", config, None));
+    }
+
+    fn knows(&self, incarnation: &str) -> bool {
+        self.view.state().upstreams.contains_key(incarnation)
+    }
+
+    fn version(&self) -> u64 {
+        self.view.config().map_or(0, |config| config.version)
+    }
+}
+
+async fn pass(span: Millis) {
+    tokio::time::sleep(span.duration()).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn config_never_goes_back() {
+    let followed = start();
+    followed.configure(5);
+    pass(Millis(1_500)).await;
+    assert_eq!(followed.version(), 5);
+    followed.configure(4);
+    pass(Millis(1_500)).await;
+    assert_eq!(followed.version(), 5);
+    followed.configure(9);
+    pass(Millis(1_500)).await;
+    assert_eq!(followed.version(), 9);
+}
+
+/// Symptom: a configuration isn't in force though the service has been back for seconds.
+/// Sequence: the service is away; the call that waits for changes outlasts its return.
+/// Cause: after a failure the next call offers to wait as long as ever.
+#[tokio::test(start_paused = true)]
+async fn config_in_force_soon_after_an_outage() {
+    let followed = start();
+    followed.configure(1);
+    pass(Millis(3_000)).await;
+    followed.memory.change(|state| state.away = true);
+    pass(Millis(6_000)).await;
+    let waits = followed.memory.state().waits.clone();
+    assert!(*waits.last().unwrap() < Millis(100), "{waits:?}");
+    followed.memory.change(|state| state.away = false);
+    followed.configure(2);
+    pass(Millis(1_300)).await;
+    assert_eq!(followed.version(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn upstream_removed_is_gone() {
+    let followed = start();
+    followed.list("i-1");
+    pass(Millis(2_000)).await;
+    assert!(followed.knows("i-1"));
+    followed.memory.change(|state| state.remove("servers/i-1"));
+    pass(Millis(1_500)).await;
+    assert!(!followed.knows("i-1"));
+}
+
+/// Symptom: all upstreams are gone at once though all live.
+/// Sequence: the service is away, entries lapse meanwhile; it returns, they are written anew.
+/// Cause: a lapse during an outage taken for a death.
+#[tokio::test(start_paused = true)]
+async fn upstream_lapsed_in_an_outage_is_doubted() {
+    let followed = start();
+    followed.list("i-1");
+    followed.list("i-2");
+    pass(Millis(2_000)).await;
+    followed.memory.change(|state| state.away = true);
+    pass(Millis(6_000)).await;
+    followed.memory.change(|state| {
+        state.away = false;
+        state.remove("servers/i-1");
+        state.remove("servers/i-2");
+    });
+    pass(Millis(1_000)).await;
+    assert!(followed.knows("i-1"));
+    followed.list("i-1");
+    pass(Millis(4_500)).await;
+    assert!(followed.knows("i-1"));
+    assert!(!followed.knows("i-2"));
+}
+
+/// Symptom: a node goes on with an upstream that left long ago.
+/// Sequence: the service drops its history while an upstream leaves.
+/// Cause: what is missing from the list that is read anew is kept.
+#[tokio::test(start_paused = true)]
+async fn history_dropped_missing_is_gone() {
+    let followed = start();
+    followed.list("i-1");
+    followed.list("i-2");
+    pass(Millis(2_000)).await;
+    followed.memory.change(|state| {
+        state.remove("servers/i-1");
+        let revision = state.revision;
+        state.events.clear();
+        state.compacted = revision;
+    });
+    pass(Millis(5_000)).await;
+    assert!(!followed.knows("i-1"));
+    assert!(followed.knows("i-2"));
+}
--- /dev/null
+++ b/lib/tests/test_direct_parts.rs
@@ -0,0 +1,212 @@
+//! The decisions of direct serving that need no I/O.
+
+use std::sync::Arc;
+
+use chivevalve::clock::Millis;
+use chivevalve::direct::budget::Budget;
+use chivevalve::direct::dialect::{Held, Listed};
+use chivevalve::direct::limits::Retries;
+use chivevalve::direct::pick::Field;
+use chivevalve::direct::sse::Splitter;
+use chivevalve::direct::trip::old_until;
+use chivevalve::direct::upstream::Upstream;
+use chivevalve::direct::view::Newest;
+use chivevalve::name::Name;
+use quickcheck::{Gen, QuickCheck};
+
+const RETRIES: Retries = Retries {
+    ratio: 0.2,
+    window: Millis(10_000),
+    extra: 54,
+};
+
+fn listed(incarnation: &str, failure_domain: &str, adapters: &[(&str, u64)]) -> Listed {
+    Listed {
+        incarnation: incarnation.into(),
+        pool: "engines".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: failure_domain.into(),
+        slots: 10,
+        ready: true,
+        cold: Millis::ZERO,
+        remaining: None,
+        held: Held {
+            sequence: 3,
+            models: vec!["base".into()],
+            adapters: adapters
+                .iter()
+                .map(|(name, version)| (Name::from(*name), *version))
+                .collect(),
+            incoming: Vec::new(),
+        },
+    }
+}
+
+fn upstream(incarnation: &str, failure_domain: &str) -> Arc<Upstream> {
+    let listed = listed(incarnation, failure_domain, &[("base/a1", 1)]);
+    Arc::new(Upstream::new(&listed, 8, Millis::ZERO))
+}
+
+fn field<'a>(upstreams: &'a [Arc<Upstream>], tried: &'a [Name], salt: u64) -> Field<'a> {
+    Field {
+        upstreams,
+        tried,
+        home: "hall-a",
+        now: Millis(1_000),
+        salt,
+    }
+}
+
+#[test]
+fn splitter_any_cuts_give_the_same_events() {
+    fn holds(cuts: Vec<u8>) -> bool {
+        let text = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no number\n\nid: 4\ndata: d";
+        let mut splitter = Splitter::default();
+        let mut ids = Vec::new();
+        let mut at = 0;
+        let mut cuts = cuts.into_iter();
+        while at < text.len() {
+            let step = usize::from(cuts.next().unwrap_or(7)).clamp(1, 9);
+            let end = (at + step).min(text.len());
+            splitter.push(&text[at..end]);
+            at = end;
+            while let Some(event) = splitter.event() {
+                ids.push(event.id);
+            }
+        }
+        ids == [Some(1), Some(2), None] && splitter.has_rest()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 7))
+        .quickcheck(holds as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn splitter_too_long_event() {
+    let mut splitter = Splitter::default();
+    splitter.push(&vec![b'x'; 300_000]);
+    assert!(splitter.event().is_none());
+    assert!(splitter.overflows());
+}
+
+/// Symptom: servers get more further sends than the deployment allows.
+/// Sequence: all nodes send requests again at the same time.
+/// Cause: each node takes the whole fixed part of the budget for itself.
+#[test]
+fn budget_all_nodes_together() {
+    let pool = Name::from("engines");
+    let mut total = 0;
+    for _ in 0..7 {
+        let mut budget = Budget::new(RETRIES);
+        for step in 0..200 {
+            let now = Millis(step * 50);
+            budget.request(&pool, now);
+            for _ in 0..5 {
+                total += u32::from(budget.repeat(&pool, now, 7));
+            }
+        }
+    }
+    let allowed = 0.2 * 7.0 * 200.0 + 54.0;
+    assert!(f64::from(total) <= allowed, "{total} of {allowed}");
+    assert!(f64::from(total) >= 0.6 * allowed, "{total} of {allowed}");
+}
+
+#[test]
+fn budget_window_slides() {
+    let pool = Name::from("engines");
+    let mut budget = Budget::new(RETRIES);
+    while budget.repeat(&pool, Millis(100), 1) {}
+    assert!(!budget.repeat(&pool, Millis(9_000), 1));
+    assert!(budget.repeat(&pool, Millis(11_000), 1));
+}
+
+#[test]
+fn least_prefers_free_then_near() {
+    let upstreams = [upstream("i-1", "hall-b"), upstream("i-2", "hall-a")];
+    let chosen = field(&upstreams, &[], 1).least(|_| true).unwrap();
+    assert_eq!(&*chosen.incarnation, "i-2");
+    let _busy: Vec<_> = (0..5).map(|_| upstreams[1].enter(None)).collect();
+    let chosen = field(&upstreams, &[], 1).least(|_| true).unwrap();
+    assert_eq!(&*chosen.incarnation, "i-1");
+}
+
+#[test]
+fn least_tried_only_if_none_else() {
+    let upstreams = [upstream("i-1", "hall-a"), upstream("i-2", "hall-b")];
+    let tried = [Name::from("i-1")];
+    let chosen = field(&upstreams, &tried, 1).least(|_| true).unwrap();
+    assert_eq!(&*chosen.incarnation, "i-2");
+    upstreams[1].retire();
+    let chosen = field(&upstreams, &tried, 1).least(|_| true).unwrap();
+    assert_eq!(&*chosen.incarnation, "i-1");
+    upstreams[0].retire();
+    assert!(field(&upstreams, &tried, 1).least(|_| true).is_none());
+}
+
+/// Symptom: one of several idle servers gets all requests.
+/// Sequence: requests come one at a time, so that all are equally free.
+/// Cause: the first of the list wins each tie.
+#[test]
+fn least_ties_are_spread() {
+    let upstreams = [upstream("i-1", "hall-a"), upstream("i-2", "hall-a")];
+    let first = (0..100)
+        .filter(|salt| {
+            let chosen = field(&upstreams, &[], *salt).least(|_| true).unwrap();
+            &*chosen.incarnation == "i-1"
+        })
+        .count();
+    assert!((25..75).contains(&first), "{first} of 100");
+}
+
+#[test]
+fn suspended_after_failures_until_it_ends() {
+    let one = upstream("i-1", "hall-a");
+    one.failed(Millis(1_000));
+    assert!(!one.suspended(Millis(1_000)));
+    one.failed(Millis(1_000));
+    assert!(one.suspended(Millis(1_100)));
+    assert!(!one.suspended(Millis(1_400)));
+}
+
+/// Symptom: a request begins on an old version though the new one was named long before.
+/// Sequence: the node sends it in time, it waits in the engine's queue, then it begins.
+/// Cause: the bound was held for the send and not for the beginning.
+#[test]
+fn old_until_leaves_time_for_the_queue() {
+    let newest = Newest {
+        version: 2,
+        seen: Millis(10_000),
+    };
+    let until = old_until(newest, Millis(5_000));
+    let seen_late = Millis(800);
+    let queue = Millis(2_000);
+    assert!(until + seen_late + queue <= Millis(10_000 + 5_000));
+    assert!(until > newest.seen);
+}
+
+/// Symptom: requests go to an engine that dropped their adapter.
+/// Sequence: news of an engine's holdings arrive out of order.
+/// Cause: the last to arrive taken for the newest.
+#[test]
+fn hold_older_news_left_aside() {
+    let one = upstream("i-1", "hall-a");
+    one.hold(&listed("i-1", "hall-a", &[("base/a2", 5)]).held);
+    assert_eq!(one.version("base/a2"), Some(5));
+    let mut older = listed("i-1", "hall-a", &[]).held;
+    older.sequence = 2;
+    one.hold(&older);
+    assert_eq!(one.version("base/a2"), Some(5));
+}
+
+#[test]
+fn in_use_until_the_last_request_ends() {
+    let one = upstream("i-1", "hall-a");
+    let adapter = Name::from("base/a1");
+    let first = one.enter(Some(&adapter));
+    let second = one.enter(Some(&adapter));
+    drop(first);
+    assert_eq!(one.in_use(), [Name::clone(&adapter)]);
+    drop(second);
+    assert!(one.in_use().is_empty());
+    assert_eq!(one.running(), 0);
+}
