logs: a JSON object a line for each decision; explain tells a request's story from them

Cause: a failed request could not be traced: its lines bore no id and no inputs. Found by the first of these lines: a request whose adapter's only holder was dead was sent there four times and given up (code 2014), instead of being loaded elsewhere. A dead holder is passed over.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -106,6 +106,7 @@
                 "out"
             }
             "all" => "all",
+            "logs" => "logs",
             "exit-code" => "exit-code",
             "allow-removals" => "allow-removals",
             _ => return Err(Failure::Usage(format!("there is no option --{name}"))),
--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -1,4 +1,4 @@
-//! `explain`: what would happen to a request of a template now, and why?
+//! `explain`: what would happen to a request of a template now, or what became of one, and why?
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -6,6 +6,7 @@
 use chivevalve::operators::wire::{Candidate, Explanation, Status};
 use chivevalve::request::Class;
 
+use super::story::Story;
 use super::{Command, online};
 use crate::args::Args;
 use crate::client::{Client, query};
@@ -16,20 +17,32 @@
 pub const COMMAND: Command = Command {
     name: "explain",
     about: "say what would happen to a request of a template now",
-    values: 2..=2,
+    values: 2..=usize::MAX,
     online: true,
-    options: &[],
+    options: &["logs"],
     help: "\
 Usage: chivevalve explain ACCOUNT TEMPLATE [OPTIONS]
+       chivevalve explain --logs REQUEST FILE...
 
 Shows the upstreams in the order in which they would be tried, who owns each,
 whether the adapter is in a slot there, and how much runs and waits. What only
 an owner knows is asked of the owner.
+
+With --logs: tells one request's story by time, from log files of any number of
+nodes, and says where lines are missing. Asks no node.
 ",
     run,
 };
 
 fn run(args: &Args) -> Result<(), Failure> {
+    if args.has("logs") {
+        return story(args);
+    }
+    if args.values.len() > 2 {
+        return Err(Failure::Usage(
+            "explain takes ACCOUNT and TEMPLATE".to_owned(),
+        ));
+    }
     online(args, async |client| {
         let asked = query(&[("account", &args.values[0]), ("template", &args.values[1])]);
         let mut told: Explanation = client.get(&format!("/v1/explain?{asked}")).await?;
@@ -38,6 +51,16 @@
     })
 }
 
+/// Tells what became of a request.
+fn story(args: &Args) -> Result<(), Failure> {
+    let (request, files) = args
+        .values
+        .split_first()
+        .ok_or_else(|| Failure::Usage("name a request and files".to_owned()))?;
+    let story = Story::read(request, files)?;
+    output::print(&story.page(request))
+}
+
 /// Asks the owners for what only they know; one that doesn't answer leaves a gap.
 async fn complete(client: &Client, told: &mut Explanation) {
     let class: Class = told.class.parse().unwrap_or_default();
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod rollback;
 mod status;
+mod story;
 
 use std::ffi::OsString;
 use std::future::Future;
--- a/cli/src/daemon/args.rs
+++ b/cli/src/daemon/args.rs
@@ -20,7 +20,7 @@
   --help             print this
   --version          print the version
 
-Logs go to standard error; RUST_LOG sets their level (default: info).
+Logs go to standard output, a JSON object a line; RUST_LOG sets their level (default: info).
 SIGTERM or SIGINT stops the node once its requests are answered; a second one
 stops it at once. Exit codes: 0 stopped as asked, 1 failed, 2 wrong command
 line or settings, 3 stopped before its requests were answered.
--- a/cli/src/daemon/mod.rs
+++ b/cli/src/daemon/mod.rs
@@ -70,10 +70,12 @@
         return ExitCode::from(exit::BAD_SETTINGS);
     };
     logs::start();
-    serve::serve(settings).unwrap_or_else(|error| {
+    let code = serve::serve(settings).unwrap_or_else(|error| {
         log::error!("node: {error:#}");
         ExitCode::from(exit::FAILED)
-    })
+    });
+    logs::finish();
+    code
 }
 
 fn serve_platform() -> ExitCode {
@@ -85,8 +87,10 @@
         }
     };
     logs::start();
-    platform::serve(settings).unwrap_or_else(|error| {
+    let code = platform::serve(settings).unwrap_or_else(|error| {
         log::error!("node: {error:#}");
         ExitCode::from(exit::FAILED)
-    })
+    });
+    logs::finish();
+    code
 }
--- a/cli/tests/common/daemons.rs
+++ b/cli/tests/common/daemons.rs
@@ -16,7 +16,7 @@
 /// Settings that keep a test short: bulk work isn't held for fuller batches.
 const SHORT: &str = "limits: {drain_grace_ms: 300}\npolicy: {batch_weight: 0}\n";
 /// What a node logs once it listens.
-const LISTENS: &str = "node: serves callers at ";
+const LISTENS: &str = "serves callers at ";
 
 /// A node as a process of its own; it is killed when the test ends.
 pub struct Process {
@@ -46,7 +46,7 @@
         until("the node listens", async || process.log().contains(LISTENS)).await;
         let log = process.log();
         let (_, rest) = log.split_once(LISTENS).unwrap();
-        let line = rest.lines().next().unwrap();
+        let line = rest.split('"').next().unwrap();
         let (callers, operators) = line.split_once(" and operators at ").unwrap();
         process.node.callers = callers.parse().unwrap();
         process.node.operators = operators.parse().unwrap();
--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -301,7 +301,7 @@
             let Some(upstream) = state.upstreams.get(standing.incarnation.as_str()) else {
                 continue;
             };
-            upstream.heard_load(standing.running);
+            upstream.heard_load(standing.running, self.clock.now());
             upstream.hold(&Held {
                 sequence: standing.sequence,
                 models: standing.models.into_iter().map(Name::from).collect(),
@@ -338,7 +338,7 @@
             let at = loads.entry(Name::clone(&upstream.incarnation)).or_default();
             at.insert(Name::clone(node), one.running);
             let total: u32 = at.values().sum();
-            upstream.heard_load(total);
+            upstream.heard_load(total, self.clock.now());
             total - one.running + upstream.running()
         };
         let held = upstream.held();
--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -17,6 +17,7 @@
 use super::config::{Config, Route};
 use super::dialect::Dialect;
 use super::limits::Limits;
+use super::record::{self, End};
 use super::relay::{self, Cut};
 use super::trip::Trip;
 use super::upstream::Upstream;
@@ -36,8 +37,11 @@
 /// Pause after which an adapter may be asked for at a further engine.
 const SPREAD_PAUSE: Millis = Millis(700);
 
+/// When a caller should come back to a node that knows no configuration yet.
+const UNREADY_PAUSE: Millis = Millis(300);
+
 /// Label of the class in metrics: here routes and not classes rank requests.
-const CLASS: &str = "direct";
+pub const CLASS: &str = "direct";
 
 /// What all requests of a node share.
 #[derive(Debug)]
@@ -130,22 +134,19 @@
         self.metrics.retries.with_label_values(&[reason]).inc();
     }
 
-    /// Counts an answer that was cut off midway.
-    pub fn count_cut(&self) {
-        self.count_end(Code::AnswerCut);
-    }
-
-    fn count_end(&self, code: Code) {
-        let number = code.number().to_string();
-        let metrics = &self.metrics;
-        metrics
+    /// Counts how a request ended; 0 is a whole answer.
+    pub fn count_end(&self, code: u32) {
+        let number = code.to_string();
+        self.metrics
             .requests
             .with_label_values(&[number.as_str(), CLASS])
             .inc();
-        metrics
-            .refusals
-            .with_label_values(&[number.as_str(), code.fate().name()])
-            .inc();
+        if let Some(code) = Code::from_number(code) {
+            self.metrics
+                .refusals
+                .with_label_values(&[number.as_str(), code.fate().name()])
+                .inc();
+        }
     }
 
     /// Takes leave to send a request to a pool a further time.
@@ -198,7 +199,7 @@
         let active = Active(Arc::clone(&self));
         let mut response = match self.serve(request).await {
             Ok(response) => response,
-            Err(failure) => self.refuse(&failure),
+            Err(failure) => Self::refuse(&failure),
         };
         if self.is_stopping() {
             response
@@ -222,11 +223,21 @@
         let began = self.clock.now();
         let (head, body) = request.into_parts();
         let config = self.view.config().ok_or_else(|| {
-            Failure::new(Code::NotReady, "no configuration is known yet").retry_after(Millis(300))
+            let failure = Failure::new(Code::NotReady, "no configuration is known yet")
+                .retry_after(UNREADY_PAUSE);
+            record::turned_away("", &failure);
+            self.count_end(failure.code.number());
+            failure
         })?;
-        let route = find(&config, &head)?;
         let call = self.dialect.call(&head);
-        let body = read(body, &config).await?;
+        let (route, body) = match accept(&config, &head, body).await {
+            Ok(accepted) => accepted,
+            Err(failure) => {
+                record::turned_away(call.id.as_deref().unwrap_or_default(), &failure);
+                self.count_end(failure.code.number());
+                return Err(failure);
+            }
+        };
         let wait = call.deadline.unwrap_or(USUAL_WAIT);
         let until = began + wait.min(route.timeout.unwrap_or(Millis::MAX));
         let pool = choose(route).ok_or_else(|| {
@@ -248,37 +259,49 @@
             call,
             kind: route.kind,
         };
-        let trip = Trip::new(Arc::clone(self), message, route.clone(), pool, began, until);
+        let trip = Trip::new(
+            Arc::clone(self),
+            message,
+            route.clone(),
+            pool,
+            began,
+            until,
+            config.version,
+        );
         self.deliver(trip).await
     }
 
     async fn deliver(&self, mut trip: Trip) -> Result<Response<Body>, Failure> {
-        let answer = trip.answer(None).await?;
+        let answer = match trip.answer(None).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                trip.end(&End::Failed(&failure));
+                return Err(failure);
+            }
+        };
         if trip.message.kind.streamed() && answer.head.status.is_success() {
             let head = response_head(&answer);
             let body = StreamBody::new(relay::body(trip, answer));
-            return Ok(assemble(head, body.boxed_unsync()));
+            return Ok(Response::from_parts(head, body.boxed_unsync()));
+        }
+        let whole = self.whole(&mut trip, answer).await;
+        match &whole {
+            Ok(response) => trip.end(&End::Answered(response.status().as_u16())),
+            Err(failure) => trip.end(&End::Failed(failure)),
         }
-        self.deliver_whole(trip, answer).await
+        whole
     }
 
     /// Reads an answer whole before it is passed on, so that one that breaks off can be repeated.
-    async fn deliver_whole(
-        &self,
-        mut trip: Trip,
-        answer: Answer,
-    ) -> Result<Response<Body>, Failure> {
-        let mut answer = answer;
+    async fn whole(&self, trip: &mut Trip, mut answer: Answer) -> Result<Response<Body>, Failure> {
         loop {
             let head = response_head(&answer);
             let upstream = Arc::clone(&answer.upstream);
             let left = trip.until.since(trip.now());
             let told = match tokio::time::timeout(left.duration(), answer.whole()).await {
                 Ok(Ok((_, body))) => {
-                    return Ok(assemble(
-                        head,
-                        Full::new(body).map_err(never).boxed_unsync(),
-                    ));
+                    let body = Full::new(body).map_err(never).boxed_unsync();
+                    return Ok(Response::from_parts(head, body));
                 }
                 Ok(Err(miss)) => format!("{miss:?}"),
                 Err(_) => return Err(Failure::new(Code::ExpiredRunning, "the time is up")),
@@ -292,9 +315,7 @@
         }
     }
 
-    fn refuse(&self, failure: &Failure) -> Response<Body> {
-        log::info!("entry: refused: {failure}");
-        self.count_end(failure.code);
+    fn refuse(failure: &Failure) -> Response<Body> {
         let text = format!("{} {}\n", failure.code.number(), failure.code.name());
         let mut response = Response::new(Full::from(text).map_err(never).boxed_unsync());
         *response.status_mut() = StatusCode::from_u16(failure.code.status())
@@ -321,6 +342,15 @@
         .ok_or_else(|| Failure::new(Code::UnknownPath, "no route matches"))
 }
 
+async fn accept<'a>(
+    config: &'a Config,
+    head: &http::request::Parts,
+    body: Incoming,
+) -> Result<(&'a Route, Bytes), Failure> {
+    let route = find(config, head)?;
+    Ok((route, read(body, config).await?))
+}
+
 async fn read(body: Incoming, config: &Config) -> Result<Bytes, Failure> {
     let whole = Limited::new(body, config.limits.body).collect();
     let within = config.limits.idle;
@@ -362,8 +392,10 @@
     head
 }
 
-fn assemble(head: http::response::Parts, body: Body) -> Response<Body> {
-    Response::from_parts(head, body)
+/// Returns a span in the unit of histograms.
+#[must_use]
+pub fn seconds(span: Millis) -> f64 {
+    span.duration().as_secs_f64()
 }
 
 fn never(error: std::convert::Infallible) -> Cut {
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -21,6 +21,7 @@
 pub mod node;
 pub mod orders;
 pub mod pick;
+pub mod record;
 pub mod relay;
 pub mod sse;
 pub mod trip;
--- a/lib/src/direct/orders.rs
+++ b/lib/src/direct/orders.rs
@@ -80,6 +80,19 @@
     Failed,
 }
 
+impl Loaded {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Ready(_) => "ready",
+            Self::Full => "full",
+            Self::NotOwner => "not_owner",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// Asks for an adapter.
 #[derive(Debug)]
 pub struct Load {
--- a/lib/src/direct/pick.rs
+++ b/lib/src/direct/pick.rs
@@ -63,7 +63,9 @@
             .collect()
     }
 
-    fn avoided(&self, upstream: &Upstream) -> bool {
+    /// Whether an upstream failed lately or was tried before.
+    #[must_use]
+    pub fn avoided(&self, upstream: &Upstream) -> bool {
         upstream.suspended(self.now) || self.tried.contains(&upstream.incarnation)
     }
 
--- /dev/null
+++ b/lib/src/direct/record.rs
@@ -0,0 +1,133 @@
+//! One line for each decision that touches a request.
+//!
+//! Engineers on call have nothing but a request's id. Each line carries it, what
+//! decided, how old that was, and the outcome with its numbered code. No line
+//! holds a prompt, a body or a header of the caller.
+
+use super::attempt::Miss;
+use super::orders::Loaded;
+use super::trip::Trip;
+use super::upstream::Upstream;
+use crate::clock::Millis;
+use crate::error::{Code, Failure};
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum End<'a> {
+    /// The upstream's answer was passed on whole.
+    Answered(u16),
+    /// It was refused or failed before a byte of an answer left.
+    Failed(&'a Failure),
+    /// The answer broke off on its way.
+    Cut(&'a str),
+    /// The caller went away.
+    Left,
+}
+
+impl End<'_> {
+    /// Returns the numbered code; 0 is a whole answer.
+    #[must_use]
+    pub fn code(&self) -> u32 {
+        match self {
+            Self::Answered(_) => 0,
+            Self::Failed(failure) => failure.code.number(),
+            Self::Cut(_) => Code::AnswerCut.number(),
+            Self::Left => Code::CallerGoneRunning.number(),
+        }
+    }
+
+    fn told(&self) -> String {
+        match self {
+            Self::Answered(status) => format!("status {status}"),
+            Self::Failed(failure) => failure.detail.clone(),
+            Self::Cut(told) => (*told).to_owned(),
+            Self::Left => "the caller went away".to_owned(),
+        }
+    }
+}
+
+/// Records that a request is sent.
+pub fn sent(trip: &Trip, upstream: &Upstream, version: Option<u64>, left: Millis) {
+    log::info!(
+        request = trip.id(),
+        upstream = &*upstream.incarnation,
+        adapter = trip.message.call.adapter().map_or("", |adapter| adapter),
+        version = version.unwrap_or_default(),
+        load = upstream.load(),
+        load_age_ms = trip.now().since(upstream.heard_at()).0,
+        passed_ms = trip.now().since(trip.began).0,
+        left_ms = left.0;
+        "trip: sent"
+    );
+}
+
+/// Records that an attempt gave no answer.
+pub fn missed(trip: &Trip, upstream: &Upstream, miss: &Miss) {
+    let (outcome, code, told) = match miss {
+        Miss::Unsent(told) => ("unsent", Code::ConnectFailed, told.clone()),
+        Miss::Rejected { status } => (
+            "rejected",
+            Code::UpstreamRefused,
+            format!("status {status}"),
+        ),
+        Miss::Lost(code, told) => ("lost", *code, told.clone()),
+    };
+    log::info!(
+        request = trip.id(),
+        upstream = &*upstream.incarnation,
+        outcome = outcome,
+        code = code.number(),
+        cause = told.as_str(),
+        passed_ms = trip.now().since(trip.began).0;
+        "trip: missed"
+    );
+}
+
+/// Records that an adapter was asked for at an engine.
+pub fn asked(trip: &Trip, upstream: &Upstream, adapter: &str, loaded: Loaded, began: Millis) {
+    log::info!(
+        request = trip.id(),
+        upstream = &*upstream.incarnation,
+        adapter = adapter,
+        outcome = loaded.name(),
+        took_ms = trip.now().since(began).0;
+        "trip: asked for the adapter"
+    );
+}
+
+/// Records that a stream goes on at another upstream.
+pub fn resumed(trip: &Trip, after: Option<u64>, cause: &str) {
+    log::info!(
+        request = trip.id(),
+        after_event = after.unwrap_or_default(),
+        cause = cause;
+        "relay: goes on elsewhere"
+    );
+}
+
+/// Records how a request ended.
+pub fn ended(trip: &Trip, end: &End<'_>) {
+    let cause = end.told();
+    log::info!(
+        request = trip.id(),
+        route = &*trip.route.name,
+        pool = &*trip.pool,
+        config = trip.config,
+        code = end.code(),
+        cause = cause.as_str(),
+        sent = trip.sends(),
+        passed_ms = trip.now().since(trip.began).0,
+        allowed_ms = trip.until.since(trip.began).0;
+        "trip: ended"
+    );
+}
+
+/// Records a request that was refused before it had a way.
+pub fn turned_away(id: &str, failure: &Failure) {
+    log::info!(
+        request = id,
+        code = failure.code.number(),
+        cause = failure.detail.as_str();
+        "entry: turned away"
+    );
+}
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -7,10 +7,11 @@
 use thiserror::Error;
 
 use super::attempt::Answer;
+use super::entry::{CLASS, seconds};
+use super::record::{self, End};
 use super::sse::Splitter;
 use super::trip::Trip;
 use crate::clock::Millis;
-use crate::name::Name;
 
 /// A pause in the stream, in the longest pauses of the route, at which it is continued elsewhere.
 ///
@@ -36,6 +37,7 @@
     answer: Option<Answer>,
     splitter: Splitter,
     last: Option<u64>,
+    passed_on: Option<Millis>,
 }
 
 /// What reading on led to.
@@ -54,15 +56,18 @@
         answer: Some(answer),
         splitter: Splitter::default(),
         last,
+        passed_on: None,
     };
     stream::unfold(Some(relay), |relay| async {
         let mut relay = relay?;
         match relay.next().await {
             Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
-            Ok(None) => None,
+            Ok(None) => {
+                relay.trip.end(&End::Answered(200));
+                None
+            }
             Err(cut) => {
-                log::info!("relay: {:?}: {cut}", relay.trip.message.call.id);
-                relay.trip.gate.count_cut();
+                relay.trip.end(&End::Cut(&cut.0));
                 Some((Err(cut), None))
             }
         }
@@ -73,7 +78,10 @@
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
         loop {
             match self.step().await {
-                Step::Events(bytes) => return Ok(Some(bytes)),
+                Step::Events(bytes) => {
+                    self.observe();
+                    return Ok(Some(bytes));
+                }
                 Step::More => {}
                 Step::End => return Ok(None),
                 Step::Broken(told) => self.go_on(&told).await?,
@@ -81,6 +89,20 @@
         }
     }
 
+    /// Counts the time to the first event, and the pauses behind it.
+    fn observe(&mut self) {
+        let now = self.trip.now();
+        let metrics = &self.trip.gate.metrics;
+        metrics.tokens.inc();
+        match self.passed_on.replace(now) {
+            Some(last) => metrics.between_tokens.observe(seconds(now.since(last))),
+            None => metrics
+                .first_token
+                .with_label_values(&[CLASS])
+                .observe(seconds(now.since(self.trip.began))),
+        }
+    }
+
     async fn step(&mut self) -> Step {
         let now = self.trip.now();
         if now >= self.trip.until {
@@ -177,6 +199,7 @@
             return Err(Cut(told.to_owned()));
         }
         self.trip.gate.count_retry("resumed");
+        record::resumed(&self.trip, self.last, told);
         let answer = self
             .trip
             .answer(self.last)
@@ -189,9 +212,3 @@
         Ok(())
     }
 }
-
-/// Names the upstream that an answer comes from, for logs.
-#[must_use]
-pub fn source(answer: &Answer) -> Name {
-    Name::clone(&answer.upstream.incarnation)
-}
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -8,9 +8,10 @@
 use super::attempt::{Answer, Message, Miss};
 use super::config::Route;
 use super::dialect::Dispatch;
-use super::entry::Gate;
+use super::entry::{CLASS, Gate, seconds};
 use super::orders::Loaded;
 use super::pick::Field;
+use super::record::{self, End};
 use super::upstream::Upstream;
 use super::view::Newest;
 use crate::clock::Millis;
@@ -73,7 +74,10 @@
     pub began: Millis,
     /// When it is given up.
     pub until: Millis,
+    /// Version of the configuration that it goes by.
+    pub config: u64,
     tried: SmallVec<[Name; 4]>,
+    ended: bool,
     sent: u32,
     unsent: u32,
     rejected: u32,
@@ -96,6 +100,7 @@
         pool: Name,
         began: Millis,
         until: Millis,
+        config: u64,
     ) -> Self {
         Self {
             gate,
@@ -104,7 +109,9 @@
             pool,
             began,
             until,
+            config,
             tried: SmallVec::new(),
+            ended: false,
             sent: 0,
             unsent: 0,
             rejected: 0,
@@ -136,6 +143,26 @@
         }
     }
 
+    /// Returns the request's id, for logs.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        self.message.call.id.as_deref().unwrap_or_default()
+    }
+
+    /// Returns how many sends may have run.
+    #[must_use]
+    pub fn sends(&self) -> u32 {
+        self.sent
+    }
+
+    /// Records how the request ended; the first end counts.
+    pub fn end(&mut self, end: &End<'_>) {
+        if !std::mem::replace(&mut self.ended, true) {
+            record::ended(self, end);
+            self.gate.count_end(end.code());
+        }
+    }
+
     /// Whether a broken answer may be continued, or a failed one repeated, elsewhere.
     #[must_use]
     pub fn may_go_on(&self) -> bool {
@@ -170,6 +197,7 @@
             resume_after: resume_after.or(self.message.call.resume_after),
         };
         let span = self.patience(now);
+        record::sent(self, &target.upstream, target.version, dispatch.deadline);
         let send = self
             .message
             .send(&target.upstream, &*self.gate.dialect, &dispatch);
@@ -211,11 +239,7 @@
     fn missed(&mut self, target: &Target, miss: Miss) -> Result<(), Failure> {
         let now = self.now();
         let upstream = &target.upstream;
-        log::debug!(
-            "trip: {:?} at {}: {miss:?}",
-            self.message.call.id,
-            upstream.incarnation
-        );
+        record::missed(self, upstream, &miss);
         self.tried.push(Name::clone(&upstream.incarnation));
         match miss {
             Miss::Unsent(told) => {
@@ -313,7 +337,11 @@
         let holds = |least: u64| {
             move |upstream: &Upstream| upstream.version(adapter).is_some_and(|held| held >= least)
         };
-        if let Some(upstream) = field.least(holds(wanted)) {
+        let holder = field.least(holds(wanted));
+        // An engine that can't be reached holds the adapter for nobody: another
+        // loads it, instead of the request ending at the dead one's door.
+        let usable = |upstream: &Arc<Upstream>| !field.avoided(upstream);
+        if let Some(upstream) = holder.clone().filter(usable) {
             self.spread(field, adapter, wanted, &upstream);
             return Some(self.at(upstream, adapter));
         }
@@ -326,15 +354,23 @@
             return Some(self.at(upstream, adapter));
         }
         for upstream in homes(field, adapter).into_iter().take(MOST_ASKED) {
-            let left = self.until.since(self.now());
+            let began = self.now();
+            let left = self.until.since(began);
             let load = self.gate.desks.load(&upstream, adapter, wanted);
-            match tokio::time::timeout(left.duration(), load).await {
-                Ok(Loaded::Ready(_)) => return Some(self.at(upstream, adapter)),
-                Ok(other) => log::debug!("trip: {adapter} at {}: {other:?}", upstream.incarnation),
-                Err(_) => return None,
+            let Ok(loaded) = tokio::time::timeout(left.duration(), load).await else {
+                break;
+            };
+            record::asked(self, &upstream, adapter, loaded, began);
+            self.gate
+                .metrics
+                .load_wait
+                .with_label_values(&[CLASS])
+                .observe(seconds(self.now().since(began)));
+            if let Loaded::Ready(_) = loaded {
+                return Some(self.at(upstream, adapter));
             }
         }
-        None
+        holder.map(|upstream| self.at(upstream, adapter))
     }
 
     /// Has a further engine hold an adapter whose requests crowd those that hold it.
@@ -400,3 +436,10 @@
 pub fn old_until(newest: Newest, limit: Millis) -> Millis {
     newest.seen + (limit - VERSION_MARGIN)
 }
+
+impl Drop for Trip {
+    /// A request whose caller goes away is dropped wherever it stands.
+    fn drop(&mut self) {
+        self.end(&End::Left);
+    }
+}
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -63,6 +63,7 @@
     ready: AtomicBool,
     running: AtomicU32,
     elsewhere: AtomicU32,
+    heard: AtomicU64,
     gone_at: AtomicU64,
     using: Mutex<HashMap<Name, u32>>,
     holdings: Mutex<Holdings>,
@@ -105,6 +106,7 @@
             ready: AtomicBool::new(listed.ready),
             running: AtomicU32::new(0),
             elsewhere: AtomicU32::new(0),
+            heard: AtomicU64::new(now.0),
             gone_at: AtomicU64::new(u64::MAX),
             using: Mutex::default(),
             holdings: Mutex::default(),
@@ -264,8 +266,15 @@
         self.running() + self.elsewhere.load(Ordering::Relaxed)
     }
 
+    /// Returns when the load of other nodes was last heard of.
+    #[must_use]
+    pub fn heard_at(&self) -> Millis {
+        Millis(self.heard.load(Ordering::Relaxed))
+    }
+
     /// Takes in how many requests other nodes have there.
-    pub fn heard_load(&self, elsewhere: u32) {
+    pub fn heard_load(&self, elsewhere: u32, now: Millis) {
+        self.heard.store(now.0, Ordering::Relaxed);
         self.elsewhere.store(elsewhere, Ordering::Relaxed);
     }
 
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -70,7 +70,7 @@
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         Ok(Self { child })
