--- a/lib/src/direct/pick.rs
+++ b/lib/src/direct/pick.rs
@@ -63,9 +63,7 @@
             .collect()
     }
 
-    /// Whether an upstream failed lately or was tried before.
-    #[must_use]
-    pub fn avoided(&self, upstream: &Upstream) -> bool {
+    fn avoided(&self, upstream: &Upstream) -> bool {
         upstream.suspended(self.now) || self.tried.contains(&upstream.incarnation)
     }
 
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -339,8 +339,14 @@
         };
         let holder = field.least(holds(wanted));
         // An engine that can't be reached holds the adapter for nobody: another
-        // loads it, instead of the request ending at the dead one's door.
-        let usable = |upstream: &Arc<Upstream>| !field.avoided(upstream);
+        // loads it, instead of the request ending at the dead one's door. One
+        // that only fails some requests keeps them: copies of all its adapters
+        // would cost more than the failures.
+        let turned_away = self.rejected > 0;
+        let usable = |upstream: &Arc<Upstream>| {
+            let full = turned_away && self.tried.contains(&upstream.incarnation);
+            !full && !upstream.is_unreachable(field.now)
+        };
         if let Some(upstream) = holder.clone().filter(usable) {
             self.spread(field, adapter, wanted, &upstream);
             return Some(self.at(upstream, adapter));
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -41,6 +41,8 @@
 struct Health {
     failures: u32,
     until: Millis,
+    /// Whether no connection could be made the last time.
+    unreachable: bool,
 }
 
 /// One start of an upstream.
@@ -291,7 +293,11 @@
 
     /// Takes in that no connection could be made: one such failure says enough.
     pub fn unreachable(&self, now: Millis) {
-        self.health().failures += 1;
+        {
+            let mut health = self.health();
+            health.failures += 1;
+            health.unreachable = true;
+        }
         self.failed(now);
     }
 
@@ -299,6 +305,14 @@
     pub fn succeeded(&self) {
         let mut health = self.health();
         health.failures = health.failures.saturating_sub(1);
+        health.unreachable = false;
+    }
+
+    /// Whether nothing listened there a moment ago.
+    #[must_use]
+    pub fn is_unreachable(&self, now: Millis) -> bool {
+        let health = self.health();
+        health.unreachable && health.until > now
     }
 
     /// Whether the upstream is left alone for a while.
