direct: pauses between polls and exchanges follow the deployment

Change: the pause between calls for changes is 0.4 of the shortest bound; exchanges pause 12 ms a node, 0.5 s at least; in use follows.

--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -15,6 +15,7 @@
 
 use super::claim::{Right, Support};
 use super::dialect::{Dialect, Held};
+use super::limits::exchange_pause;
 use super::orders::{Desk, Load, Loaded, Parts, Tick, Used};
 use super::upstream::Upstream;
 use super::view::View;
@@ -33,9 +34,6 @@
 /// The longest that an exchange may take.
 const EXCHANGE: Millis = Millis(800);
 
-/// Pause between exchanges with each node.
-const EXCHANGE_PAUSE: Millis = Millis(500);
-
 /// The longest that other nodes may take to give support.
 const SUPPORT: Millis = Millis(300);
 
@@ -173,6 +171,7 @@
             dialect: Arc::clone(&self.dialect),
             clock: Arc::clone(&self.clock),
             holder: Name::clone(&self.node),
+            view: Arc::clone(&self.view),
         };
         let desk = Desk::spawn_with_mailbox(parts, mailbox::bounded(MAILBOX));
         open.insert(Name::clone(&upstream.incarnation), desk.clone());
@@ -210,7 +209,8 @@
             tokio::time::sleep(TICK.duration()).await;
             self.tick();
             let now = self.clock.now();
-            if now.since(exchanged) >= EXCHANGE_PAUSE {
+            let nodes = self.view.state().most_nodes;
+            if now.since(exchanged) >= exchange_pause(nodes) {
                 exchanged = now;
                 self.exchange_all();
             }
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use super::dialect::{Dialect, Key};
-use super::limits::{POLL_PAUSE, POLL_WAIT, STORE_PAUSE};
+use super::limits::{POLL_WAIT, STORE_PAUSE};
 use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
@@ -39,12 +39,13 @@
     dialect: Arc<dyn Dialect>,
     clock: Arc<dyn Clock>,
     view: Arc<View>,
+    pause: Millis,
     heard: Millis,
     returned: Option<Millis>,
 }
 
 impl Follower {
-    /// Makes a follower that has heard nothing yet.
+    /// Makes a follower that has heard nothing yet and pauses between calls.
     #[must_use]
     pub fn new(
         store: Arc<dyn Store>,
@@ -52,6 +53,7 @@
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         view: Arc<View>,
+        pause: Millis,
     ) -> Self {
         let heard = clock.now();
         Self {
@@ -60,6 +62,7 @@
             dialect,
             clock,
             view,
+            pause,
             heard,
             returned: None,
         }
@@ -87,7 +90,7 @@
                     revision = revision.max(changes.revision);
                     self.take(changes.events);
                     wait = POLL_WAIT;
-                    POLL_PAUSE
+                    self.pause
                 }
                 Err(Gap::Dropped) => {
                     log::info!("follow: the history after revision {revision} is gone");
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -76,12 +76,52 @@
 /// upstream has to be known within [`Limits::leaving`].
 pub const POLL_WAIT: Millis = Millis(2_000);
 
-/// Pause between two calls for changes.
+/// Part of the time within which changes have to be known that passes between calls for changes.
 ///
 /// Each call is priced, and heartbeats of upstreams make changes all the time,
-/// so this pause sets the number of calls; of the two seconds within which a
-/// change has to be in force, less than half.
-pub const POLL_PAUSE: Millis = Millis(800);
+/// so the pause sets the number of calls: 0.8 s where two seconds are allowed.
+/// The rest is for the call itself and a slow service.
+const POLL_SHARE: f64 = 0.4;
+
+/// How long after a node's last word its adapters count as in use, in exchanges.
+///
+/// One may be lost or late; an engine protects what runs by itself, but an
+/// eviction that waits for runs keeps all other orders of its engine waiting.
+const WORDS: u64 = 2;
+
+/// Shortest pause between exchanges with another node.
+const EXCHANGE: Millis = Millis(500);
+
+/// Pause between exchanges for each node: 80 exchanges a second leave or reach a node at most.
+const EXCHANGE_PER_NODE: Millis = Millis(12);
+
+/// Returns the pause between exchanges in a deployment of this many nodes.
+#[must_use]
+pub fn exchange_pause(nodes: usize) -> Millis {
+    let nodes = u64::try_from(nodes).unwrap_or(u64::MAX);
+    EXCHANGE.max(Millis(EXCHANGE_PER_NODE.0.saturating_mul(nodes)))
+}
+
+/// Returns how long an adapter that was used isn't evicted.
+#[must_use]
+pub fn in_use(nodes: usize) -> Millis {
+    Millis(exchange_pause(nodes).0 * WORDS + 200)
+}
+
+impl Limits {
+    /// Returns the pause between two calls for changes.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "some seconds"
+    )]
+    pub fn poll_pause(&self) -> Millis {
+        let shortest = self.apply.min(self.leaving);
+        Millis((shortest.0 as f64 * POLL_SHARE) as u64)
+    }
+}
 
 /// Pause after a failed call to the key-value service.
 pub const STORE_PAUSE: Millis = Millis(200);
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -135,7 +135,8 @@
             },
             first_start: settings.first_start,
         });
-        let follower = Follower::new(reach.store, reach.poll, reach.dialect, clock, view);
+        let pause = settings.limits.poll_pause();
+        let follower = Follower::new(reach.store, reach.poll, reach.dialect, clock, view, pause);
         let mut node = Self {
             gate,
             claimer,
--- a/lib/src/direct/orders.rs
+++ b/lib/src/direct/orders.rs
@@ -19,7 +19,9 @@
 use super::claim::Right;
 use super::config::Engine;
 use super::dialect::{Action, Dialect, Held, Order, Ordered, Report};
+use super::limits::in_use;
 use super::upstream::Upstream;
+use super::view::View;
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
 use crate::ports::link::Lost;
@@ -54,13 +56,6 @@
 /// How long an order without an answer may still be carried out.
 const LATE: Millis = Millis(12_500);
 
-/// How long an adapter that was used isn't evicted.
-///
-/// Nodes tell what they use each half second. An engine protects what runs by
-/// itself, but an eviction that has to wait for runs keeps all other orders
-/// waiting for seconds, so that as much again is added for news on their way.
-const IN_USE: Millis = Millis(1_200);
-
 /// How long an engine is left alone that refused an order for another that is under way.
 const PAUSE: Millis = Millis(250);
 
@@ -159,6 +154,8 @@
     pub clock: Arc<dyn Clock>,
     /// This node's name.
     pub holder: Name,
+    /// What this node believes.
+    pub view: Arc<View>,
 }
 
 /// Gives one engine its orders.
@@ -399,7 +396,8 @@
         let Some((used, victim)) = victim else {
             return false;
         };
-        if now.since(used) < IN_USE && used > Millis::ZERO {
+        let nodes = self.parts.view.state().most_nodes;
+        if now.since(used) < in_use(nodes) && used > Millis::ZERO {
             return false;
         }
         let victim = Name::clone(victim);
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -69,6 +69,7 @@
         Arc::clone(&dialect),
         Arc::clone(&shared),
         Arc::clone(&view),
+        Limits::default().poll_pause(),
     );
     let others = Arc::new(Others::default());
     let claimer = Arc::new(Claimer {
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -6,6 +6,7 @@
 
 use chivevalve::clock::{Clock, Millis, Monotonic};
 use chivevalve::direct::follow::Follower;
+use chivevalve::direct::limits::Limits;
 use chivevalve::direct::view::View;
 use chivevalve_platform::Speech;
 use direct_support::memory::Memory;
@@ -25,6 +26,7 @@
         Arc::new(Speech),
         clock,
         Arc::clone(&view),
+        Limits::default().poll_pause(),
     );
     tokio::spawn(follower.run());
     Followed { memory, view }
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -5,7 +5,7 @@
 use chivevalve::clock::Millis;
 use chivevalve::direct::budget::Budget;
 use chivevalve::direct::dialect::{Held, Listed};
-use chivevalve::direct::limits::Retries;
+use chivevalve::direct::limits::{Limits, Retries, exchange_pause, in_use};
 use chivevalve::direct::pick::Field;
 use chivevalve::direct::sse::Splitter;
 use chivevalve::direct::trip::old_until;
@@ -210,3 +210,22 @@
     assert!(one.in_use().is_empty());
     assert_eq!(one.running(), 0);
 }
+
+/// Symptom: at many nodes exchanges alone take more of a node than control may.
+/// Sequence: each node exchanges with every other, at a fixed pause.
+/// Cause: a node's exchanges grow with the nodes.
+#[test]
+fn exchange_pause_bounds_a_node() {
+    assert_eq!(exchange_pause(7), Millis(500));
+    for nodes in [79, 320] {
+        let a_second = nodes as u64 * 1000 / exchange_pause(nodes).0;
+        assert!(a_second <= 84, "{a_second} at {nodes}");
+        assert!(in_use(nodes) > exchange_pause(nodes));
+    }
+}
+
+#[test]
+fn poll_pause_leaves_time_for_the_call() {
+    let limits = Limits::default();
+    assert_eq!(limits.poll_pause(), Millis(800));
+}
