direct: what was sent and lost is never called not run

Ruled out: requests that may not be repeated, all 17 ended as unknown. Change: any refusal after a send that was lost ends as unknown (502).

--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -419,7 +419,7 @@
 
     /// A refusal that is true: nothing runs, or what ran is said to be unknown.
     fn refusal(&self, code: Code, told: &str) -> Failure {
-        if self.sent > 0 && !self.message.kind.repeatable() {
+        if self.sent > 0 {
             return Failure::new(Code::UpstreamLost, told);
         }
         Failure::new(code, told).retry_after(COME_BACK)
