direct: nothing is sent to an upstream that began to leave while the request waited

Change: whether the upstream takes work is looked at after the wait and in the line before the send. orders.rs is three files by job, nothing else changed there.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -97,6 +97,12 @@
             .take(freshness)
             .await
             .map_err(|lost| miss(&lost))?;
+        // A request can have waited for seconds since this upstream was chosen,
+        // for its adapter or for a connection; one that leaves gets no new work.
+        if !upstream.is_ready() {
+            upstream.link.keep(connection, None);
+            return Err(Miss::Unsent("the upstream leaves".to_owned()));
+        }
         let request = self.request(dialect, dispatch);
         let response = connection.send(request).await.map_err(|lost| miss(&lost))?;
         let (head, body) = response.into_parts();
--- /dev/null
+++ b/lib/src/direct/orders/engine.rs
@@ -0,0 +1,111 @@
+//! Calls to one engine: orders, and asking what it holds.
+
+use std::sync::Arc;
+
+use http_body_util::{BodyExt, Limited};
+
+use crate::clock::{Clock, Millis};
+use crate::direct::claim::Right;
+use crate::direct::config::Engine;
+use crate::direct::dialect::{Dialect, Order, Ordered, Report};
+use crate::direct::upstream::Upstream;
+use crate::direct::view::View;
+use crate::name::Name;
+use crate::ports::link::Lost;
+
+/// The longest that an order or report may take to answer.
+///
+/// Engines answer within milliseconds; a desk that waits keeps all other loads
+/// of its engine waiting.
+const ANSWER: Millis = Millis(100);
+
+/// How fresh a kept connection has to be for an order.
+const FRESH: Millis = Millis(1_000);
+
+/// Longest report that is read, in bytes.
+const REPORT_BYTES: usize = 256 * 1024;
+
+/// What a desk is made of.
+#[derive(Debug, Clone)]
+pub struct Parts {
+    /// The engine.
+    pub upstream: Arc<Upstream>,
+    /// What it can hold.
+    pub engine: Engine,
+    /// This node's right to give orders.
+    pub right: Arc<Right>,
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// The node's clock.
+    pub clock: Arc<dyn Clock>,
+    /// This node's name.
+    pub holder: Name,
+    /// What this node believes.
+    pub view: Arc<View>,
+}
+
+impl Parts {
+    /// Sends an order if this node may give it at this moment.
+    pub(super) async fn give(&self, mut order: Order) -> Result<Ordered, Lost> {
+        let upstream = &self.upstream;
+        let mut connection = upstream.link.take(FRESH).await?;
+        // A VM can be suspended between any two lines; the right is looked at
+        // last, on a clock that ran meanwhile.
+        let Some(token) = self.right.check(upstream.address) else {
+            upstream.link.keep(connection, None);
+            return Err(Lost::Unsent("no right to give orders".to_owned()));
+        };
+        order.fence = token;
+        let request = self.dialect.order(&upstream.incarnation, &order);
+        self.right.ordered(upstream.address);
+        let sent = tokio::time::timeout(ANSWER.duration(), connection.send(request)).await;
+        let (head, body) = sent
+            .map_err(|_| Lost::Sent(format!("nothing within {ANSWER}")))??
+            .into_parts();
+        let rest = Limited::new(body, REPORT_BYTES).collect();
+        if let Ok(Ok(_)) = tokio::time::timeout(ANSWER.duration(), rest).await {
+            let reply = self.dialect.reply(&head);
+            if !reply.closes {
+                upstream.link.keep(connection, reply.keep);
+            }
+        }
+        Ok(self.dialect.ordered(&head))
+    }
+
+    /// Asks the engine what it holds; the error is for people.
+    pub(super) async fn report(&self) -> Result<Report, String> {
+        tokio::time::timeout(ANSWER.duration(), self.ask_report())
+            .await
+            .unwrap_or_else(|_| Err(format!("nothing within {ANSWER}")))
+    }
+
+    async fn ask_report(&self) -> Result<Report, String> {
+        let request = self.dialect.ask_report(&self.upstream.incarnation);
+        let upstream = &self.upstream;
+        let mut connection = upstream
+            .link
+            .take(FRESH)
+            .await
+            .map_err(|lost| format!("{lost:?}"))?;
+        let (head, body) = connection
+            .send(request)
+            .await
+            .map_err(|lost| format!("{lost:?}"))?
+            .into_parts();
+        let body = Limited::new(body, REPORT_BYTES)
+            .collect()
+            .await
+            .map_err(|error| error.to_string())?
+            .to_bytes();
+        let reply = self.dialect.reply(&head);
+        if !reply.closes {
+            upstream.link.keep(connection, reply.keep);
+        }
+        if !head.status.is_success() {
+            return Err(format!("status {}", head.status));
+        }
+        self.dialect
+            .report(&body)
+            .map_err(|error| error.to_string())
+    }
+}
--- a/lib/src/direct/orders.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -4,27 +4,26 @@
 //! number of orders that the engine has accepted, so that one that was lost and
 //! is carried out late does nothing once another was accepted.
 
-use std::collections::{HashMap, VecDeque};
+mod book;
+mod engine;
+
+use std::collections::VecDeque;
 use std::convert::Infallible;
-use std::sync::Arc;
 use std::time::Duration;
 
-use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use tokio::sync::oneshot;
 
-use super::claim::Right;
-use super::config::Engine;
-use super::dialect::{Action, Dialect, Held, Order, Ordered, Report};
+use super::dialect::{Action, Order, Ordered};
 use super::limits::in_use;
-use super::upstream::Upstream;
-use super::view::View;
-use crate::clock::{Clock, Millis};
+use crate::clock::Millis;
 use crate::name::Name;
 use crate::ports::link::Lost;
+use book::{Book, Seat, answer};
+
+pub use engine::Parts;
 
 /// Adapters that may be on their way to one engine.
 ///
@@ -36,12 +35,6 @@
 /// Loads that may wait for a place on their way.
 const MOST_WAITING: usize = 64;
 
-/// The longest that an order or report may take to answer.
-///
-/// Engines answer within milliseconds; a desk that waits keeps all other loads
-/// of its engine waiting.
-const ANSWER: Millis = Millis(100);
-
 /// How often an order is given while it has no answer.
 const TRIES: u32 = 3;
 
@@ -63,9 +56,6 @@
 /// How long an engine is left alone that refused an order for another that is under way.
 const PAUSE: Millis = Millis(250);
 
-/// Longest report that is read, in bytes.
-const REPORT_BYTES: usize = 256 * 1024;
-
 /// How an order to make an adapter present ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Loaded {
@@ -122,46 +112,6 @@
     outcome: Option<Ordered>,
 }
 
-#[derive(Debug)]
-enum Seat {
-    Present {
-        version: u64,
-    },
-    Coming {
-        version: u64,
-        since: Millis,
-        waiting: Vec<oneshot::Sender<Loaded>>,
-    },
-}
-
-/// What is known of an engine.
-#[derive(Debug, Default)]
-struct Book {
-    sequence: u64,
-    models: Vec<Name>,
-    seats: HashMap<Name, Seat>,
-    used: HashMap<Name, Millis>,
-}
-
-/// What a desk is made of.
-#[derive(Debug, Clone)]
-pub struct Parts {
-    /// The engine.
-    pub upstream: Arc<Upstream>,
-    /// What it can hold.
-    pub engine: Engine,
-    /// This node's right to give orders.
-    pub right: Arc<Right>,
-    /// Formats.
-    pub dialect: Arc<dyn Dialect>,
-    /// The node's clock.
-    pub clock: Arc<dyn Clock>,
-    /// This node's name.
-    pub holder: Name,
-    /// What this node believes.
-    pub view: Arc<View>,
-}
-
 /// Gives one engine its orders.
 #[derive(Debug)]
 pub struct Desk {
@@ -179,35 +129,6 @@
     unanswered: bool,
 }
 
-impl Parts {
-    /// Sends an order if this node may give it at this moment.
-    async fn give(&self, mut order: Order) -> Result<Ordered, Lost> {
-        let upstream = &self.upstream;
-        let mut connection = upstream.link.take(Millis(1_000)).await?;
-        // A VM can be suspended between any two lines; the right is looked at
-        // last, on a clock that ran meanwhile.
-        let Some(token) = self.right.check(upstream.address) else {
-            upstream.link.keep(connection, None);
-            return Err(Lost::Unsent("no right to give orders".to_owned()));
-        };
-        order.fence = token;
-        let request = self.dialect.order(&upstream.incarnation, &order);
-        self.right.ordered(upstream.address);
-        let sent = tokio::time::timeout(ANSWER.duration(), connection.send(request)).await;
-        let (head, body) = sent
-            .map_err(|_| Lost::Sent(format!("nothing within {ANSWER}")))??
-            .into_parts();
-        let rest = Limited::new(body, REPORT_BYTES).collect();
-        if let Ok(Ok(_)) = tokio::time::timeout(ANSWER.duration(), rest).await {
-            let reply = self.dialect.reply(&head);
-            if !reply.closes {
-                upstream.link.keep(connection, reply.keep);
-            }
-        }
-        Ok(self.dialect.ordered(&head))
-    }
-}
-
 impl Actor for Desk {
     type Args = Parts;
     type Error = Infallible;
@@ -588,12 +509,7 @@
     }
 
     fn incoming(&self) -> usize {
-        self.book.as_ref().map_or(0, |book| {
-            book.seats
-                .values()
-                .filter(|seat| matches!(seat, Seat::Coming { .. }))
-                .count()
-        })
+        self.book.as_ref().map_or(0, Book::incoming)
     }
 
     /// Counts places that orders without an answer may still take.
@@ -680,123 +596,32 @@
 
     /// Asks the engine what it holds.
     async fn refresh(&mut self) -> bool {
-        let request = self
-            .parts
-            .dialect
-            .ask_report(&self.parts.upstream.incarnation);
-        let asked = tokio::time::timeout(ANSWER.duration(), self.report(request)).await;
-        let report = match asked {
-            Ok(Ok(report)) => report,
-            Ok(Err(told)) => {
+        let report = match self.parts.report().await {
+            Ok(report) => report,
+            Err(told) => {
                 log::info!(
                     "orders: no report from {}: {told}",
                     self.parts.upstream.incarnation
                 );
                 return false;
             }
-            Err(_) => return false,
         };
-        self.take_report(&report);
-        true
-    }
-
-    async fn report(&self, request: Request<Full<bytes::Bytes>>) -> Result<Report, String> {
-        let upstream = &self.parts.upstream;
-        let mut connection = upstream
-            .link
-            .take(Millis(1_000))
-            .await
-            .map_err(|lost| format!("{lost:?}"))?;
-        let (head, body) = connection
-            .send(request)
-            .await
-            .map_err(|lost| format!("{lost:?}"))?
-            .into_parts();
-        let body = Limited::new(body, REPORT_BYTES)
-            .collect()
-            .await
-            .map_err(|error| error.to_string())?
-            .to_bytes();
-        let reply = self.parts.dialect.reply(&head);
-        if !reply.closes {
-            upstream.link.keep(connection, reply.keep);
-        }
-        if !head.status.is_success() {
-            return Err(format!("status {}", head.status));
-        }
-        self.parts
-            .dialect
-            .report(&body)
-            .map_err(|error| error.to_string())
-    }
-
-    fn take_report(&mut self, report: &Report) {
         let former = self.book.take().unwrap_or_default();
         let now = self.parts.clock.now();
-        let mut waiting: HashMap<Name, Vec<oneshot::Sender<Loaded>>> = former
-            .seats
-            .into_iter()
-            .filter_map(|(name, seat)| match seat {
-                Seat::Coming { waiting, .. } => Some((name, waiting)),
-                Seat::Present { .. } => None,
-            })
-            .collect();
-        let mut book = Book {
-            sequence: report.held.sequence,
-            models: report.held.models.clone(),
-            seats: HashMap::new(),
-            used: former.used,
-        };
-        for (name, version) in &report.held.incoming {
-            let seat = Seat::Coming {
-                version: *version,
-                since: now,
-                waiting: waiting.remove(name).unwrap_or_default(),
-            };
-            book.seats.insert(Name::clone(name), seat);
-        }
-        for (name, version) in &report.held.adapters {
-            for reply in waiting.remove(name).unwrap_or_default() {
-                answer(reply, Loaded::Ready(*version));
-            }
-            book.seats
-                .insert(Name::clone(name), Seat::Present { version: *version });
-        }
-        for reply in waiting.into_values().flatten() {
-            answer(reply, Loaded::Failed);
-        }
-        self.book = Some(book);
+        self.book = Some(Book::renewed(former, &report, now));
         self.stale = false;
         self.publish();
+        true
     }
 
     /// Lets this node's requests and exchanges see what the engine holds.
     fn publish(&self) {
-        let Some(book) = &self.book else {
-            return;
-        };
-        let adapters = book
-            .seats
-            .iter()
-            .filter_map(|(name, seat)| match seat {
-                Seat::Present { version } => Some((Name::clone(name), *version)),
-                Seat::Coming { .. } => None,
-            })
-            .collect();
-        self.parts.upstream.hold(&Held {
-            sequence: book.sequence,
-            models: book.models.clone(),
-            adapters,
-            incoming: Vec::new(),
-        });
+        if let Some(book) = &self.book {
+            self.parts.upstream.hold(&book.held());
+        }
     }
 }
 
-fn answer(reply: oneshot::Sender<Loaded>, loaded: Loaded) {
-    // Whoever asked may have gone; the adapter stays for the next.
-    let _ = reply.send(loaded);
-}
-
 fn look_later(actor: &ActorRef<Desk>, adapter: Name, span: Millis) {
     let actor = actor.clone();
     tokio::spawn(async move {
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -372,7 +372,7 @@
                 .load_wait
                 .with_label_values(&[CLASS])
                 .observe(seconds(self.now().since(began)));
-            if let Loaded::Ready(_) = loaded {
+            if matches!(loaded, Loaded::Ready(_)) && upstream.is_ready() {
                 return Some(self.at(upstream, adapter));
             }
         }
--- a/lib/tests/direct_support/mod.rs
+++ b/lib/tests/direct_support/mod.rs
@@ -3,3 +3,6 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod memory;
+
+/// An engine's entry in the platform's list, in the platform's format.
+pub const SERVER: &str = include_str!("../../../platform/tests/samples/server.json");
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -16,6 +16,7 @@
 use chivevalve::direct::view::{Peer, View};
 use chivevalve::ports::{Lease, Store};
 use chivevalve_platform::Speech;
+use direct_support::SERVER;
 use direct_support::memory::Memory;
 use tokio::task::JoinHandle;
 
@@ -134,8 +135,7 @@
 
 /// The engine's entry, so that reading everything does not drop it.
 fn list_engine(memory: &Memory) {
-    let entry = r#"{"service":"engines","address":"127.0.0.1:9","zone":"hall-a","slots":8,
-        "state":"ready","sequence":0}"#;
+    let entry = SERVER;
     memory.change(|state| state.put("servers/i-1", entry, None));
 }
 
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -9,6 +9,7 @@
 use chivevalve::direct::limits::Limits;
 use chivevalve::direct::view::View;
 use chivevalve_platform::Speech;
+use direct_support::SERVER;
 use direct_support::memory::Memory;
 
 struct Followed {
@@ -34,8 +35,7 @@
 
 impl Followed {
     fn list(&self, incarnation: &str) {
-        let entry = r#"{"service":"s","address":"127.0.0.1:9","zone":"hall-a","slots":8,
-            "state":"ready","sequence":0}"#;
+        let entry = SERVER;
         let key = format!("servers/{incarnation}");
         self.memory.change(|state| state.put(&key, entry, None));
     }
