direct: nothing unused, and no support from nobody

Cause: reading the diff as a newcomer: settings, fields and calls that nothing uses; a log line that promised a reload which does not happen; an owner whose peers' records had all lapsed would have supported itself. Change: removed; the line and the page say when settings take effect; support needs somebody to ask where there were others.

--- a/cli/src/daemon/platform.rs
+++ b/cli/src/daemon/platform.rs
@@ -62,10 +62,13 @@
     }
 }
 
-/// Reads the settings again; what listens and who the node is stays until a restart.
+/// Reads the settings again and tells of mistakes; they take effect at the next start.
 fn reload() {
     match load() {
-        Ok(settings) => log::info!("node: settings of {} were read again", settings.node),
+        Ok(settings) => log::info!(
+            "node: settings of {} are right and take effect at the next start",
+            settings.node
+        ),
         Err(mistake) => log::error!("node: settings stay as they were: {mistake}"),
     }
 }
--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -59,8 +59,6 @@
     pub clock: Arc<dyn Clock>,
     /// Its name.
     pub node: Name,
-    /// Its place in the network, for other nodes.
-    pub address: SocketAddr,
     open: Mutex<HashMap<Name, ActorRef<Desk>>>,
     channels: Mutex<HashMap<SocketAddr, OrdersClient<Channel>>>,
     uses: Mutex<HashMap<Name, Vec<Name>>>,
@@ -76,7 +74,6 @@
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         node: Name,
-        address: SocketAddr,
     ) -> Self {
         Self {
             view,
@@ -84,7 +81,6 @@
             dialect,
             clock,
             node,
-            address,
             open: Mutex::default(),
             channels: Mutex::default(),
             uses: Mutex::default(),
@@ -369,7 +365,13 @@
         let peers: Vec<SocketAddr> = {
             let state = self.view.state();
             let others = state.nodes.iter().filter(|(name, _)| **name != self.node);
-            others.map(|(_, peer)| peer.address).collect()
+            let peers: Vec<SocketAddr> = others.map(|(_, peer)| peer.address).collect();
+            // Nobody to ask is no support where there were others: their records
+            // may have lapsed while they live.
+            if peers.is_empty() && state.most_nodes > 1 {
+                return false;
+            }
+            peers
         };
         let request = SupportRequest {
             node: self.node.to_string(),
--- a/lib/src/direct/call.rs
+++ b/lib/src/direct/call.rs
@@ -65,12 +65,6 @@
     pub fn adapter(&self) -> Option<&Name> {
         self.model.as_ref().filter(|model| model.contains('/'))
     }
-
-    /// Returns the name of the base model.
-    #[must_use]
-    pub fn base_model(&self) -> Option<&str> {
-        self.model.as_deref().map(base_of)
-    }
 }
 
 /// Returns the base model of `BASE` or `BASE/ADAPTER`.
--- a/lib/src/direct/dialect.rs
+++ b/lib/src/direct/dialect.rs
@@ -175,9 +175,6 @@
     /// Reads the head of an upstream's answer.
     fn reply(&self, head: &response::Parts) -> Reply;
 
-    /// Reads the number of the version with which an event was made, from one of its lines.
-    fn event_version(&self, line: &[u8]) -> Option<u64>;
-
     /// Tells what a key of the key-value service holds.
     fn key(&self, key: &str) -> Key;
 
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -11,14 +11,10 @@
     pub turns: Millis,
     /// Time within which a new version of an adapter has to be the only one begun on.
     pub version: Millis,
-    /// Time after a disturbance until bounds hold again.
-    pub stable: Millis,
     /// Time within which a leaving upstream must get no new work.
     pub leaving: Millis,
     /// Time within which a configuration has to be in force.
     pub apply: Millis,
-    /// Descriptors that the process may have.
-    pub descriptors: usize,
     /// The budget for sending requests again, of all nodes together.
     pub retries: Retries,
 }
@@ -40,10 +36,8 @@
             stop: Millis::from_secs(8),
             turns: Millis(3_000),
             version: Millis(5_000),
-            stable: Millis(3_000),
             leaving: Millis(2_000),
             apply: Millis(2_000),
-            descriptors: 4_096,
             retries: Retries {
                 ratio: 0.2,
                 window: Millis::from_secs(10),
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -109,7 +109,6 @@
             Arc::clone(&reach.dialect),
             Arc::clone(&clock),
             Name::clone(&settings.node),
-            settings.peers,
         ));
         let gate = Arc::new(Gate::new(
             Arc::clone(&view),
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -185,12 +185,6 @@
         self.holdings().models.iter().any(|held| &**held == base)
     }
 
-    /// Whether the upstream holds any base model.
-    #[must_use]
-    pub fn has_any_base(&self) -> bool {
-        !self.holdings().models.is_empty()
-    }
-
     /// Whether the upstream takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/lib/src/ports/link.rs
+++ b/lib/src/ports/link.rs
@@ -87,7 +87,6 @@
     bounds: Mutex<Bounds>,
     idle: Mutex<Vec<Idle>>,
     open: Arc<AtomicUsize>,
-    connects: AtomicUsize,
 }
 
 impl Link {
@@ -99,22 +98,9 @@
             bounds: Mutex::new(bounds),
             idle: Mutex::default(),
             open: Arc::default(),
-            connects: AtomicUsize::new(0),
         }
     }
 
-    /// Returns where the link leads.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Returns how many connections were opened so far.
-    #[must_use]
-    pub fn connects(&self) -> usize {
-        self.connects.load(Ordering::Relaxed)
-    }
-
     /// Changes how many connections may be open at once.
     pub fn limit(&self, open: usize) {
         self.bounds
@@ -175,7 +161,6 @@
                 bounds.open
             )));
         }
-        self.connects.fetch_add(1, Ordering::Relaxed);
         let stream =
             tokio::time::timeout(bounds.connect.duration(), TcpStream::connect(self.address))
                 .await
