--- a/cli/src/daemon/platform.rs
+++ b/cli/src/daemon/platform.rs
@@ -46,7 +46,7 @@
         settings.node,
         settings.callers
     );
-    let node = Node::start(settings, reach).await?;
+    let node = Node::start(&settings, reach)?;
     let name = signals.stop(reload).await;
     log::info!("node: got {name}");
     tokio::select! {
--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -300,8 +300,7 @@
             let left = trip.until.since(trip.now());
             let told = match tokio::time::timeout(left.duration(), answer.whole()).await {
                 Ok(Ok((_, body))) => {
-                    let body = Full::new(body).map_err(never).boxed_unsync();
-                    return Ok(Response::from_parts(head, body));
+                    return Ok(whole_response(head, body));
                 }
                 Ok(Err(miss)) => format!("{miss:?}"),
                 Err(_) => return Err(Failure::new(Code::ExpiredRunning, "the time is up")),
@@ -317,7 +316,8 @@
 
     fn refuse(failure: &Failure) -> Response<Body> {
         let text = format!("{} {}\n", failure.code.number(), failure.code.name());
-        let mut response = Response::new(Full::from(text).map_err(never).boxed_unsync());
+        let (head, ()) = Response::new(()).into_parts();
+        let mut response = whole_response(head, text.into());
         *response.status_mut() = StatusCode::from_u16(failure.code.status())
             .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         if let Some(span) = failure.retry_after {
@@ -392,6 +392,16 @@
     head
 }
 
+/// Makes an answer whose body is known, with its length.
+///
+/// The body is wrapped later and doesn't tell its length any more; without the
+/// header it would go out in chunks.
+fn whole_response(mut head: http::response::Parts, body: Bytes) -> Response<Body> {
+    head.headers
+        .insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+    Response::from_parts(head, Full::new(body).map_err(never).boxed_unsync())
+}
+
 /// Returns a span in the unit of histograms.
 #[must_use]
 pub fn seconds(span: Millis) -> f64 {
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -83,9 +83,31 @@
     pub poll: Arc<dyn Poll>,
 }
 
+/// A node's sockets; port 0 in the settings has the system choose.
+#[derive(Debug)]
+struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    peers: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Self> {
+        Ok(Self {
+            callers: bind(settings.callers)?,
+            readiness: bind(settings.readiness)?,
+            peers: bind(settings.peers)?,
+            metrics: bind(settings.metrics)?,
+        })
+    }
+}
+
 /// A running node.
 #[derive(Debug)]
 pub struct Node {
+    callers: SocketAddr,
+    readiness: SocketAddr,
     gate: Arc<Gate>,
     claimer: Arc<Claimer>,
     limits: Limits,
@@ -99,7 +121,8 @@
     /// # Errors
     ///
     /// When one of its addresses can't be listened at.
-    pub async fn start(settings: Settings, reach: Reach) -> Result<Self> {
+    pub fn start(settings: &Settings, reach: Reach) -> Result<Self> {
+        let listeners = Listeners::bind(settings)?;
         let clock: Arc<dyn Clock> = Arc::new(Boot);
         let view = Arc::new(View::default());
         let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
@@ -129,7 +152,7 @@
             limits: settings.limits,
             node: Name::clone(&settings.node),
             peer: Peer {
-                address: settings.peers,
+                address: listeners.peers.local_addr()?,
                 start: rand::random(),
             },
             first_start: settings.first_start,
@@ -137,40 +160,48 @@
         let pause = settings.limits.poll_pause();
         let follower = Follower::new(reach.store, reach.poll, reach.dialect, clock, view, pause);
         let mut node = Self {
+            callers: listeners.callers.local_addr()?,
+            readiness: listeners.readiness.local_addr()?,
             gate,
             claimer,
             limits: settings.limits,
             closing: CancellationToken::new(),
             tasks: JoinSet::new(),
         };
-        node.listen(&settings, &desks).await?;
+        node.listen(listeners, Arc::clone(&desks));
         node.tasks.spawn(follower.run());
         node.tasks.spawn(Arc::clone(&node.claimer).run());
         node.tasks.spawn(desks.run());
         Ok(node)
     }
 
-    async fn listen(&mut self, settings: &Settings, desks: &Arc<Desks>) -> Result<()> {
-        let peers = bind(settings.peers).await?;
-        let desks = Arc::clone(desks);
+    /// Returns where callers come in.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns where the balancer asks whether the node is ready.
+    #[must_use]
+    pub fn readiness(&self) -> SocketAddr {
+        self.readiness
+    }
+
+    fn listen(&mut self, listeners: Listeners, desks: Arc<Desks>) {
         self.tasks.spawn(async move {
-            if let Err(error) = ask::serve(peers, desks).await {
+            if let Err(error) = ask::serve(listeners.peers, desks).await {
                 log::error!("node: other nodes aren't served: {error}");
             }
         });
-        let metrics = bind(settings.metrics).await?;
+        let gate = Arc::clone(&self.gate);
         self.tasks
-            .spawn(serve_plain(metrics, Arc::clone(&self.gate), render));
-        let readiness = bind(settings.readiness).await?;
+            .spawn(serve_plain(listeners.metrics, gate, render));
+        let gate = Arc::clone(&self.gate);
         self.tasks
-            .spawn(serve_plain(readiness, Arc::clone(&self.gate), readiness_of));
-        let callers = bind(settings.callers).await?;
-        self.tasks.spawn(serve_callers(
-            callers,
-            Arc::clone(&self.gate),
-            self.closing.clone(),
-        ));
-        Ok(())
+            .spawn(serve_plain(listeners.readiness, gate, readiness_of));
+        let gate = Arc::clone(&self.gate);
+        self.tasks
+            .spawn(serve_callers(listeners.callers, gate, self.closing.clone()));
     }
 
     /// Stops: no more callers, orders handed over, what is in progress ended.
@@ -198,18 +229,19 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener> {
+fn bind(address: SocketAddr) -> Result<TcpListener> {
     let socket = if address.is_ipv4() {
-        tokio::net::TcpSocket::new_v4()
+        TcpSocket::new_v4()
     } else {
-        tokio::net::TcpSocket::new_v6()
+        TcpSocket::new_v6()
     }
     .wrap_err("can't make a socket")?;
-    socket.set_reuseaddr(true)?;
+    socket
+        .set_reuseaddr(true)
+        .wrap_err("can't set a socket's option")?;
     socket
         .bind(address)
         .wrap_err_with(|| format!("can't listen at {address}"))?;
-    tokio::task::yield_now().await;
     socket
         .listen(BACKLOG)
         .wrap_err_with(|| format!("can't listen at {address}"))
