membership: a fresh witness supports registrations younger than itself

Cause: a witness that has just started keeps silent for 5 s, since a former start of it may have promised otherwise. Nodes that start together register again 3.3 s later, with all witnesses. When the key-value service goes down right then, their leases lapse between 5.0 and 5.9 s after the start, with one round of asking a second: some lapse before the first witness speaks.

Change: a registration with a higher revision than the witness's own first one is younger than the witness, so no former start can have withdrawn it; it is supported at once. Withdrawing still waits, and a witness whose memory was cut never speaks early again.

--- a/lib/src/membership/machine/lease.rs
+++ b/lib/src/membership/machine/lease.rs
@@ -334,6 +334,7 @@
             mut record,
         } = entrance;
         record.revision = revision;
+        self.witness.registered(revision);
         self.doubtful = false;
         let kept = self.tenure.take().filter(|tenure| tenure.lease == lease);
         let service_until = match &kept {
--- a/lib/src/membership/witness.rs
+++ b/lib/src/membership/witness.rs
@@ -61,6 +61,9 @@
 pub struct Witness {
     speaks_from: Millis,
     quiet: Millis,
+    /// Revision of the service after which nothing can have been promised and forgotten.
+    forgot_nothing_after: Option<u64>,
+    overflowed: bool,
     memories: HashMap<(Name, u64), Memory>,
     guards: Guards,
 }
@@ -87,14 +90,30 @@
         Self {
             speaks_from: now + quiet,
             quiet,
+            forgot_nothing_after: None,
+            overflowed: false,
             memories: HashMap::new(),
             guards,
         }
     }
 
+    /// Notes the revision of this node's own registration, which is a write of this start.
+    ///
+    /// A registration with a higher revision is younger than this witness, so no former
+    /// start of it can have withdrawn it. Without this, nodes that started together kept
+    /// nobody an owner through an outage that began within [`Limits::quiet`] (5 s) of the
+    /// start: their leases lapsed 0.1 s before the first of them spoke.
+    ///
+    /// [`Limits::quiet`]: crate::membership::limits::Limits::quiet
+    pub fn registered(&mut self, revision: u64) {
+        if !self.overflowed {
+            self.forgot_nothing_after.get_or_insert(revision);
+        }
+    }
+
     /// Answers an owner that asks for support, or a successor that asks to withdraw it.
     pub fn hear(&mut self, now: Millis, ask: &Ask) -> Word {
-        if now < self.speaks_from {
+        if now < self.speaks_from && !self.surely_new(ask) {
             return Word::default();
         }
         self.forget(now);
@@ -110,6 +129,15 @@
         }
     }
 
+    // To withdraw, the witness must also know that no older registration of the node was
+    // supported, which only time tells.
+    fn surely_new(&self, ask: &Ask) -> bool {
+        let younger = self
+            .forgot_nothing_after
+            .is_some_and(|revision| ask.registration > revision);
+        ask.withdraw_before.is_none() && younger
+    }
+
     // Bounded, so that names made up by a broken peer can't fill the memory.
     // Forgetting a promise is like a restart, and is followed by the same silence.
     fn forget(&mut self, now: Millis) {
@@ -121,6 +149,9 @@
         let oldest = touched[touched.len() / 4];
         self.memories.retain(|_, memory| memory.touched > oldest);
         self.speaks_from = now + self.quiet;
+        // What was forgotten may be younger than this node's registration.
+        self.forgot_nothing_after = None;
+        self.overflowed = true;
     }
 }
 
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -152,6 +152,48 @@
     assert!(witness.hear(quiet, &ask(4, None)).supported);
 }
 
+/// Symptom: nodes that started together give up their upstreams in an outage, 0.1 s
+/// before the first of them supports another.
+/// Sequence: a witness starts and registers; an owner registers after it; the service
+/// goes down, and the owner asks.
+/// Cause: the witness kept silent about a registration that is younger than itself, of
+/// which a former start of it can have promised nothing.
+#[test]
+fn hear_restarted_younger_registration() {
+    let (mut witness, _) = witness();
+    let soon = Millis(100);
+    assert!(!witness.hear(soon, &ask(8, None)).supported);
+    witness.registered(7);
+    witness.registered(9);
+    assert!(!witness.hear(soon, &ask(7, None)).supported);
+    assert!(!witness.hear(soon, &ask(8, Some(10))).withdrawn);
+    assert!(witness.hear(soon, &ask(8, None)).supported);
+}
+
+/// Symptom: as of [`hear_restarted`].
+/// Sequence: a witness withdraws, is asked by thousands of other nodes, and is asked by
+/// the owner.
+/// Cause: what the bounded memory forgets may be younger than the witness, which then
+/// speaks as if it had forgotten nothing.
+#[test]
+fn hear_forgot_younger_registration() {
+    let (mut witness, quiet) = witness();
+    witness.registered(7);
+    assert!(witness.hear(quiet, &ask(8, Some(10))).withdrawn);
+    for other in 0..4096 {
+        let other = Ask {
+            node: Name::from(format!("other-{other}")),
+            ..ask(8, None)
+        };
+        witness.hear(quiet + Millis(1), &other);
+    }
+    let later = quiet + Millis(2);
+    witness.hear(later, &ask(8, None));
+    assert!(!witness.hear(later, &ask(8, None)).supported);
+    witness.registered(20);
+    assert!(!witness.hear(later, &ask(21, None)).supported);
+}
+
 #[test]
 fn lease_span_budget() {
     let limits = Limits::default();
