direct: support through an outage from every node that can't succeed

A node supported an owner only while it was out of touch itself; nodes notice an outage up to 0.65 s apart, a renewal takes 0.5 s to fail, and a second round of questions came after the right of 2 s. Nodes that stopped, had ended or had just started refused as well.

Ruled out: connections between nodes (none failed then); engines without room.

Change: a node supports claims that it has seen stand, in touch or not, since a successor waits from when it sees them vanish; a node that left, has not begun or doesn't run supports too; who refused is asked again while the right lasts, and its reason is logged. A node begins with its first lease and no longer with its process: started in an outage, it would have ordered at once on the service's return while a supported owner did as well.

Left: a node that joins in the outage and alone reaches the service is unknown to the owner.

--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -13,7 +13,7 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 
-use super::claim::{Right, Support};
+use super::claim::{Doubter, Right, Support};
 use super::dialect::{Dialect, Held};
 use super::limits::exchange_pause;
 use super::orders::{Desk, Load, Loaded, Parts, Tick, Used};
@@ -361,18 +361,16 @@
 
 #[async_trait]
 impl Support for Desks {
-    async fn supported(&self, owned: &[(SocketAddr, u64)]) -> bool {
-        let peers: Vec<SocketAddr> = {
-            let state = self.view.state();
-            let others = state.nodes.iter().filter(|(name, _)| **name != self.node);
-            let peers: Vec<SocketAddr> = others.map(|(_, peer)| peer.address).collect();
-            // Nobody to ask is no support where there were others: their records
-            // may have lapsed while they live.
-            if peers.is_empty() && state.most_nodes > 1 {
-                return false;
-            }
-            peers
-        };
+    fn others(&self) -> Option<Vec<SocketAddr>> {
+        let state = self.view.state();
+        let others = state.nodes.iter().filter(|(name, _)| **name != self.node);
+        let peers: Vec<SocketAddr> = others.map(|(_, peer)| peer.address).collect();
+        // Nobody to ask is no support where there were others: their records
+        // may have lapsed while they live.
+        (!peers.is_empty() || state.most_nodes <= 1).then_some(peers)
+    }
+
+    async fn doubters(&self, asked: &[SocketAddr], owned: &[(SocketAddr, u64)]) -> Vec<Doubter> {
         let request = SupportRequest {
             node: self.node.to_string(),
             owned: owned
@@ -383,19 +381,48 @@
                 })
                 .collect(),
         };
-        let asked = peers.into_iter().map(|peer| {
+        let answers = asked.iter().map(|&peer| {
             let request = request.clone();
             async move {
-                let mut client = self.client(peer);
-                let reply = tokio::time::timeout(SUPPORT.duration(), client.support(request));
-                matches!(reply.await, Ok(Ok(reply)) if reply.get_ref().supported)
+                let why = self.refusal(peer, request).await.err()?;
+                Some(Doubter { peer, why })
             }
         });
-        let replies = futures::future::join_all(asked).await;
-        replies.into_iter().all(|supported| supported)
+        let answers = futures::future::join_all(answers).await;
+        answers.into_iter().flatten().collect()
+    }
+}
+
+impl Desks {
+    /// Asks one node for support; the error says why it gave none.
+    async fn refusal(&self, peer: SocketAddr, request: SupportRequest) -> Result<(), String> {
+        let mut client = self.client(peer);
+        let reply = tokio::time::timeout(SUPPORT.duration(), client.support(request)).await;
+        match reply {
+            Ok(Ok(reply)) if reply.get_ref().supported => Ok(()),
+            Ok(Ok(_)) => Err("it sees other claims".to_owned()),
+            Ok(Err(status)) if nobody_listens(&status) => Ok(()),
+            Ok(Err(status)) => Err(status.message().to_owned()),
+            Err(_) => Err(format!("no answer within {SUPPORT}")),
+        }
     }
 }
 
+/// Whether the VM answered that no process listens there: the node has ended.
+fn nobody_listens(status: &Status) -> bool {
+    let mut cause = std::error::Error::source(status);
+    while let Some(error) = cause {
+        let refused = error
+            .downcast_ref::<std::io::Error>()
+            .is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused);
+        if refused {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 fn read(reply: &LoadReply) -> Loaded {
     match reply.outcome() {
         Outcome::Ready => Loaded::Ready(reply.version),
@@ -444,19 +471,15 @@
         request: Request<SupportRequest>,
     ) -> Result<Response<SupportReply>, Status> {
         let request = request.into_inner();
-        let view = &self.0.view;
-        let stands = request.owned.iter().all(|owned| {
-            let state = view.state();
-            let claim = owned
+        let mut owned = Vec::with_capacity(request.owned.len());
+        for one in &request.owned {
+            let address = one
                 .address
                 .parse()
-                .ok()
-                .and_then(|address: SocketAddr| state.claims.get(&address));
-            claim.is_some_and(|standing| {
-                standing.revision == owned.token && *standing.claim.node == *request.node
-            })
-        });
-        let supported = stands && view.is_out_of_touch();
+                .map_err(|_| Status::invalid_argument("an owned engine has no address"))?;
+            owned.push((address, one.token));
+        }
+        let supported = self.0.right.supports(&request.node, &owned);
         Ok(Response::new(SupportReply { supported }))
     }
 
--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -34,6 +34,9 @@
 /// Pause between looks whether everything has been read after a start.
 const FIRST_LOOK: Millis = Millis(20);
 
+/// Pause before nodes that gave no support are asked again; twice what connecting takes.
+const SUPPORT_PAUSE: Millis = Millis(100);
+
 /// Claims that one transaction makes; the service takes 32 rows.
 const CLAIMS_AT_ONCE: usize = 16;
 
@@ -53,6 +56,7 @@
     clock: Arc<dyn Clock>,
     view: Arc<View>,
     until: AtomicU64,
+    begun: AtomicBool,
     left: AtomicBool,
     owned: Mutex<HashMap<SocketAddr, Owned>>,
     last_order: Mutex<HashMap<SocketAddr, Millis>>,
@@ -69,6 +73,7 @@
             clock,
             view,
             until: AtomicU64::new(0),
+            begun: AtomicBool::new(false),
             left: AtomicBool::new(false),
             owned: Mutex::default(),
             last_order: Mutex::default(),
@@ -135,16 +140,49 @@
         self.owned().contains_key(&address)
     }
 
+    /// Whether another node may go on giving orders under its claims for [`RIGHT`] from now.
+    ///
+    /// A node that has seen the claims stand sees them vanish later than now, and then waits
+    /// for that long and a turn. So does one that has yet to begin, from when it begins. One
+    /// that has left claims nothing any more.
+    #[must_use]
+    pub fn supports(&self, node: &str, owned: &[(SocketAddr, u64)]) -> bool {
+        if self.left.load(Ordering::SeqCst) || !self.begun.load(Ordering::SeqCst) {
+            return true;
+        }
+        let state = self.view.state();
+        owned.iter().all(|(address, token)| {
+            state.claims.get(address).is_some_and(|standing| {
+                standing.revision == *token && *standing.claim.node == *node
+            })
+        })
+    }
+
     fn owned(&self) -> MutexGuard<'_, HashMap<SocketAddr, Owned>> {
         self.owned.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// A node that gave no support.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Doubter {
+    /// Where it was asked.
+    pub peer: SocketAddr,
+    /// What it said, or why it said nothing.
+    pub why: String,
+}
+
 /// Asks all other nodes for support while the key-value service is away.
 #[async_trait]
 pub trait Support: std::fmt::Debug + Send + Sync {
-    /// Whether every other node is out of touch with the service too, and saw the claims stand.
-    async fn supported(&self, owned: &[(SocketAddr, u64)]) -> bool;
+    /// Returns the nodes that have to agree, or none if they aren't known.
+    fn others(&self) -> Option<Vec<SocketAddr>>;
+
+    /// Asks nodes whether they agree, and returns those that didn't.
+    ///
+    /// A node agrees as [`Right::supports`] says, or by not running: its next start begins
+    /// later than the question.
+    async fn doubters(&self, asked: &[SocketAddr], owned: &[(SocketAddr, u64)]) -> Vec<Doubter>;
 }
 
 /// Keeps this node's lease, record and claims.
@@ -177,12 +215,12 @@
 impl Claimer {
     /// Keeps the lease and claims until the task is dropped.
     pub async fn run(self: Arc<Self>) {
-        let began = self.clock.now();
         let mut lease = None;
         self.wait_for_view().await;
+        let mut began = None;
         // A node that has left must not claim anew what it gave up.
         while !self.right.left.load(Ordering::Relaxed) {
-            if let Err(error) = self.round(&mut lease, began).await {
+            if let Err(error) = self.round(&mut lease, &mut began).await {
                 self.view.touched(false);
                 self.go_on_without(&error).await;
             }
@@ -198,6 +236,16 @@
         }
     }
 
+    /// Returns when this node began to look at claims, which is when it got its first lease.
+    ///
+    /// What happened before that moment is unknown to it. Counted from the start of the
+    /// process, a node that starts in an outage would have waited long enough when the
+    /// service returns, while an owner that the others supported still gives orders.
+    fn begin(&self) -> Millis {
+        self.right.begun.store(true, Ordering::SeqCst);
+        self.clock.now()
+    }
+
     /// Gives claims up, with the time since the last order, so that successors wait less.
     ///
     /// # Errors
@@ -225,11 +273,16 @@
         Ok(())
     }
 
-    async fn round(&self, lease: &mut Option<LeaseId>, began: Millis) -> Result<(), Error> {
+    async fn round(
+        &self,
+        lease: &mut Option<LeaseId>,
+        began: &mut Option<Millis>,
+    ) -> Result<(), Error> {
         let sent = self.clock.now();
         match *lease {
             None => {
                 let granted = self.lease.grant(LEASE).await?;
+                began.get_or_insert_with(|| self.begin());
                 self.read_claims().await?;
                 self.register(granted).await?;
                 *lease = Some(granted);
@@ -254,7 +307,7 @@
         }
         self.right.forget_lost();
         self.right.until.store((sent + RIGHT).0, Ordering::Relaxed);
-        if let Some(held) = *lease {
+        if let (Some(held), Some(began)) = (*lease, *began) {
             self.claim(held, began).await?;
         }
         Ok(())
@@ -263,10 +316,11 @@
     /// Goes on giving orders through an outage of the service that all nodes have.
     ///
     /// Without this no adapter is loaded for as long as an outage lasts and eight
-    /// seconds more. A successor needs the service: one that supported this node
-    /// at a moment sees the claim vanish later than that, and then waits for
-    /// longer than the support lasts and a turn. So it takes every other node,
-    /// and a right that has not ended meanwhile.
+    /// seconds more. It takes every other node, and a right that has not ended
+    /// meanwhile. A node that a kept connection fails to reach is asked again: a
+    /// renewal takes so long to fail that one right has time for one round only,
+    /// and a node restarted in that second ended the orders of all others for the
+    /// rest of an outage.
     async fn go_on_without(&self, error: &Error) {
         let sent = self.clock.now();
         let owned: Vec<(SocketAddr, u64)> = self
@@ -275,12 +329,38 @@
             .iter()
             .map(|(address, owned)| (*address, owned.token))
             .collect();
-        let lasts = !owned.is_empty() && self.right.lasts();
-        let supported = lasts && self.support.supported(&owned).await;
-        if supported && self.right.lasts() {
+        let doubters = self.doubters(&owned).await;
+        if doubters.is_empty() && self.right.lasts() {
             self.right.until.store((sent + RIGHT).0, Ordering::Relaxed);
+            log::info!("right: supported by all others without a renewal: {error}");
+            return;
+        }
+        let owned = owned.len();
+        log::warn!("right: no renewal and no support for {owned} engines: {error}");
+        for Doubter { peer, why } in doubters {
+            log::info!("right: {peer} gives no support: {why}");
+        }
+    }
+
+    /// Asks others until all agree or the right has ended, and returns who didn't agree.
+    async fn doubters(&self, owned: &[(SocketAddr, u64)]) -> Vec<Doubter> {
+        if owned.is_empty() || !self.right.lasts() {
+            return Vec::new();
+        }
+        let Some(mut asked) = self.support.others() else {
+            return vec![Doubter {
+                peer: self.peer.address,
+                why: "no other node is known, and there were some".to_owned(),
+            }];
+        };
+        loop {
+            let doubters = self.support.doubters(&asked, owned).await;
+            if doubters.is_empty() || !self.right.lasts() {
+                return doubters;
+            }
+            tokio::time::sleep(SUPPORT_PAUSE.duration()).await;
+            asked = doubters.iter().map(|doubter| doubter.peer).collect();
         }
-        log::warn!("right: no renewal, supported by all others: {supported}: {error}");
     }
 
     /// Renews the lease, without waiting so long that no second try fits into the right.
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -120,12 +120,6 @@
         }
     }
 
-    /// Whether the key-value service didn't answer the last call.
-    #[must_use]
-    pub fn is_out_of_touch(&self) -> bool {
-        self.out_of_touch.load(Ordering::Relaxed)
-    }
-
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> Option<Arc<Config>> {
--- a/lib/src/protos/chivevalve.direct.rs
+++ b/lib/src/protos/chivevalve.direct.rs
@@ -54,7 +54,7 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SupportReply {
-    /// The callee doesn't reach the service, and as far as it has seen all these claims stand.
+    /// As far as the callee has seen all these claims stand, or it makes no claims yet or any more.
     #[prost(bool, tag = "1")]
     pub supported: bool,
 }
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -12,6 +12,9 @@
 };
 use tokio::sync::Notify;
 
+/// Longer than any caller waits.
+const PATIENCE: Millis = Millis::from_secs(10);
+
 /// What the service holds.
 #[derive(Debug, Default)]
 pub struct State {
@@ -204,6 +207,10 @@
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<Millis, Error> {
+        if self.state().away {
+            // A service that is away takes the caller's whole patience.
+            tokio::time::sleep(PATIENCE.duration()).await;
+        }
         let state = self.reach()?;
         let held = state.leases.contains(&lease);
         Ok(if held { Millis(3_000) } else { Millis::ZERO })
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -4,11 +4,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use async_trait::async_trait;
 use chivevalve::clock::{Clock, Manual, Millis};
-use chivevalve::direct::claim::{Claimer, Right, Support};
+use chivevalve::direct::ask::Desks;
+use chivevalve::direct::claim::{Claimer, Doubter, Right, Support};
 use chivevalve::direct::config::{Config, Engine, Limits as Sent, Pool};
 use chivevalve::direct::dialect::{Dialect, Held, Listed};
 use chivevalve::direct::follow::Follower;
@@ -22,12 +23,30 @@
 
 /// All other nodes, which say yes or no as the test wants.
 #[derive(Debug, Default)]
-struct Others(AtomicBool);
+struct Others {
+    support: AtomicBool,
+    /// Rounds that still go wrong before that.
+    unheard: AtomicU32,
+}
 
 #[async_trait]
 impl Support for Others {
-    async fn supported(&self, owned: &[(SocketAddr, u64)]) -> bool {
-        !owned.is_empty() && self.0.load(Ordering::SeqCst)
+    fn others(&self) -> Option<Vec<SocketAddr>> {
+        Some(vec![address()])
+    }
+
+    async fn doubters(&self, asked: &[SocketAddr], _: &[(SocketAddr, u64)]) -> Vec<Doubter> {
+        let unheard = self.unheard.load(Ordering::SeqCst);
+        self.unheard
+            .store(unheard.saturating_sub(1), Ordering::SeqCst);
+        if unheard == 0 && self.support.load(Ordering::SeqCst) {
+            return Vec::new();
+        }
+        let doubter = |&peer| Doubter {
+            peer,
+            why: "as the test wants".to_owned(),
+        };
+        asked.iter().map(doubter).collect()
     }
 }
 
@@ -168,6 +187,20 @@
     assert!(one.right.check(address()).is_some());
 }
 
+/// Symptom: no node asks another for an adapter, and requests are refused.
+/// Sequence: a node starts, gets a lease and claims engines.
+/// Cause: it claims without its record, so that nobody knows where to ask it.
+#[tokio::test(start_paused = true)]
+async fn claim_only_with_a_record() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    assert!(one.right.check(address()).is_some());
+    let key = Speech.own("node/one");
+    assert!(memory.state().entries.contains_key(&key));
+}
+
 #[tokio::test(start_paused = true)]
 async fn claim_one_of_two() {
     let memory = Arc::new(Memory::default());
@@ -314,18 +347,18 @@
     list_engine(&memory);
     let one = node("one", &memory, true);
     pass(&[&one], Millis(3_000)).await;
-    one.others.0.store(true, Ordering::SeqCst);
+    one.others.support.store(true, Ordering::SeqCst);
     memory.change(|state| state.away = true);
     for _ in 0..20 {
         pass(&[&one], Millis(500)).await;
         assert!(one.right.check(address()).is_some());
     }
     // One that is not out of touch may see the claim vanish, and succeed.
-    one.others.0.store(false, Ordering::SeqCst);
+    one.others.support.store(false, Ordering::SeqCst);
     pass(&[&one], RIGHT).await;
     assert_eq!(one.right.check(address()), None);
     // Support comes too late for a right that has ended.
-    one.others.0.store(true, Ordering::SeqCst);
+    one.others.support.store(true, Ordering::SeqCst);
     pass(&[&one], RIGHT).await;
     assert_eq!(one.right.check(address()), None);
 }
@@ -357,3 +390,95 @@
     pass(&all, Millis(2_500)).await;
     assert_eq!(owner(&all), before);
 }
+
+/// Symptom: no adapter is loaded for the rest of an outage.
+/// Sequence: the service goes away while another node is restarted; the first question to
+/// it meets a kept connection that is dead.
+/// Cause: a renewal fails so late that the next round of questions comes after the right.
+#[tokio::test(start_paused = true)]
+async fn right_lasts_when_a_first_question_is_lost() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    one.others.support.store(true, Ordering::SeqCst);
+    one.others.unheard.store(2, Ordering::SeqCst);
+    memory.change(|state| state.away = true);
+    for _ in 0..20 {
+        pass(&[&one], Millis(500)).await;
+        assert!(one.right.check(address()).is_some());
+    }
+}
+
+/// Symptom: two nodes give an engine orders at a time.
+/// Sequence: the service goes away; an owner goes on with the support of all others; a node
+/// that nobody knows starts; the service returns without the owner's claim.
+/// Cause: the new node counts its wait from its start, and claims and orders at once.
+#[tokio::test(start_paused = true)]
+async fn claim_after_a_start_in_an_outage_waits_from_its_end() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    memory.change(|state| state.away = true);
+    let one = node("one", &memory, false);
+    pass(&[&one], Millis(10_000)).await;
+    memory.change(|state| state.away = false);
+    pass(&[&one], Millis(3_000)).await;
+    assert!(one.right.owns(address()));
+    assert_eq!(one.right.check(address()), None);
+    pass(&[&one], RIGHT + Limits::default().turns).await;
+    assert!(one.right.check(address()).is_some());
+}
+
+/// Symptom: no adapter is loaded for the rest of an outage in which a node is restarted.
+/// Sequence: the owner asks a node that has started in the outage, and one that stops.
+/// Cause: neither has seen the claims, so neither supports them, though neither can succeed.
+#[tokio::test(start_paused = true)]
+async fn supports_before_it_begins_and_after_it_left() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    memory.change(|state| state.away = true);
+    let one = node("one", &memory, false);
+    let owned = [(address(), 7)];
+    pass(&[&one], Millis(3_000)).await;
+    assert!(one.right.supports("two", &owned));
+    memory.change(|state| state.away = false);
+    pass(&[&one], Millis(1_500)).await;
+    assert!(!one.right.supports("two", &owned));
+    one.claimer.leave().await.unwrap();
+    assert!(one.right.supports("two", &owned));
+}
+
+/// Symptom: an owner stops giving orders when it alone can't reach the service for a moment.
+/// Sequence: another node that does reach it is asked, and has seen the claims stand.
+/// Cause: reaching the service taken for a reason to refuse, though the successor waits from
+/// when the claims vanish.
+#[tokio::test(start_paused = true)]
+async fn supports_claims_that_stand() {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    let token = one.right.check(address()).unwrap();
+    assert!(one.right.supports("one", &[(address(), token)]));
+    assert!(!one.right.supports("one", &[(address(), token + 1)]));
+    assert!(!one.right.supports("two", &[(address(), token)]));
+}
+
+/// Symptom: no adapter is loaded for the rest of an outage in which a node is killed.
+/// Sequence: the owner asks a node whose process has ended.
+/// Cause: an address where nobody listens taken for a node that may succeed.
+#[tokio::test]
+async fn doubters_nobody_listens() {
+    let clock: Arc<dyn Clock> = Arc::new(Manual::default());
+    let view = Arc::new(View::default());
+    let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
+    let desks = Desks::new(view, right, Arc::new(Speech), clock, "one".into());
+    let open = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let silent = open.local_addr().unwrap();
+    let ended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let dead = ended.local_addr().unwrap();
+    drop(ended);
+    let doubters = desks.doubters(&[dead, silent], &[(address(), 7)]).await;
+    let peers: Vec<SocketAddr> = doubters.iter().map(|doubter| doubter.peer).collect();
+    assert_eq!(peers, [silent]);
+}
