direct: new settings are in force while a node runs

Cause: SIGHUP only checked the settings, and a change without a signal was not noticed, as each part kept the bounds that it was made with.

Ruled out: applying other addresses or names too; sockets and records of a running node hold them, so a line says that they wait for the next start.

Change: one copy of the bounds, which all parts read (limits::Current); a look at the file at SIGHUP and every 2 s; a mistake is logged once and changes nothing.

Before: bounds of the start for good.

--- a/cli/src/daemon/platform.rs
+++ b/cli/src/daemon/platform.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use chivevalve::clock::Millis;
 use chivevalve::direct::node::{Node, Reach, Settings};
+use chivevalve::direct::reload::Reload;
 use chivevalve_platform::settings::{self, Mistake};
 use chivevalve_platform::{Speech, store};
 use eyre::{Result, WrapErr};
@@ -11,6 +13,9 @@
 use super::exit;
 use super::signals::Signals;
 
+/// Pause between looks at the settings; the file is a page long and read in microseconds.
+const LOOK: Millis = Millis::from_secs(2);
+
 /// Reads the settings that the platform left for this VM.
 pub fn load() -> Result<Settings, Mistake> {
     settings::load(&settings::path()?)
@@ -47,7 +52,11 @@
         settings.callers
     );
     let node = Node::start(&settings, reach)?;
-    let name = signals.stop(reload).await;
+    let reload = Reload::new(settings, node.limits());
+    let name = tokio::select! {
+        name = signals.stop(|| look(&reload)) => name,
+        () = look_again(&reload) => unreachable!("looking never ends"),
+    };
     log::info!("node: got {name}");
     tokio::select! {
         whole = node.drain() => Ok(if whole {
@@ -55,20 +64,22 @@
         } else {
             ExitCode::from(exit::CUT_OFF)
         }),
-        name = signals.stop(reload) => {
+        name = signals.stop(|| look(&reload)) => {
             log::warn!("node: got {name} again and stops at once");
             Ok(ExitCode::from(exit::CUT_OFF))
         }
     }
 }
 
-/// Reads the settings again and tells of mistakes; they take effect at the next start.
-fn reload() {
-    match load() {
-        Ok(settings) => log::info!(
-            "node: settings of {} are right and take effect at the next start",
-            settings.node
-        ),
-        Err(mistake) => log::error!("node: settings stay as they were: {mistake}"),
+/// Reads the settings and puts in force what can be.
+fn look(reload: &Reload) {
+    reload.take(load().map_err(|mistake| mistake.to_string()));
+}
+
+/// Looks from time to time: the file may change without a signal.
+async fn look_again(reload: &Reload) {
+    loop {
+        tokio::time::sleep(LOOK.duration()).await;
+        look(reload);
     }
 }
--- a/lib/src/direct/budget.rs
+++ b/lib/src/direct/budget.rs
@@ -4,8 +4,9 @@
 //! requests adds up by itself; the fixed part is divided by the nodes.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 
-use super::limits::Retries;
+use super::limits::{Current, Retries};
 use crate::clock::Millis;
 use crate::name::Name;
 
@@ -28,16 +29,16 @@
 /// Counts requests and repeats for each pool.
 #[derive(Debug)]
 pub struct Budget {
-    retries: Retries,
+    limits: Arc<Current>,
     steps: HashMap<Name, VecDeque<Step>>,
 }
 
 impl Budget {
     /// Makes a budget with nothing counted.
     #[must_use]
-    pub fn new(retries: Retries) -> Self {
+    pub fn new(limits: Arc<Current>) -> Self {
         Self {
-            retries,
+            limits,
             steps: HashMap::new(),
         }
     }
@@ -58,19 +59,20 @@
     }
 
     fn allowed(&mut self, pool: &Name, now: Millis, nodes: usize) -> bool {
+        let Retries { ratio, extra, .. } = self.limits.get().retries;
         self.step(pool, now);
         let steps = &self.steps[pool];
         let requests: u32 = steps.iter().map(|step| step.requests).sum();
         let repeats: u32 = steps.iter().map(|step| step.repeats).sum();
         #[allow(clippy::cast_precision_loss, reason = "a few hundred nodes")]
-        let share = f64::from(self.retries.extra) / nodes.max(1) as f64;
-        let bound = USED * (self.retries.ratio * f64::from(requests) + share);
+        let share = f64::from(extra) / nodes.max(1) as f64;
+        let bound = USED * (ratio * f64::from(requests) + share);
         f64::from(repeats) + 1.0 <= bound.max(1.0)
     }
 
     fn step(&mut self, pool: &Name, now: Millis) -> &mut Step {
         let number = now.0 / STEP.0;
-        let kept = self.retries.window.0 / STEP.0;
+        let kept = self.limits.get().retries.window.0 / STEP.0;
         let steps = self.steps.entry(Name::clone(pool)).or_default();
         while steps
             .front()
--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -18,7 +18,7 @@
 use super::dialect::Dialect;
 use super::follow::NODES;
 use super::limits::{
-    CLAIM_RANK, GATHER, LEASE, Limits, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN,
+    CLAIM_RANK, Current, GATHER, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN,
 };
 use super::view::{CLAIMS, Claim, Peer, Standing, State, View};
 use crate::clock::{Clock, Millis};
@@ -202,8 +202,8 @@
     pub view: Arc<View>,
     /// What this node may do.
     pub right: Arc<Right>,
-    /// Bounds.
-    pub limits: Limits,
+    /// Bounds in force.
+    pub limits: Arc<Current>,
     /// This node's name.
     pub node: Name,
     /// This node's record.
@@ -261,7 +261,11 @@
                 let claim = Claim {
                     node: Name::clone(&self.node),
                     start: self.peer.start,
-                    left: Some(self.right.since_order(address).unwrap_or(self.limits.turns)),
+                    left: Some(
+                        self.right
+                            .since_order(address)
+                            .unwrap_or(self.limits.get().turns),
+                    ),
                 };
                 let key = self.key(address);
                 transaction
@@ -489,7 +493,7 @@
         began: Millis,
         now: Millis,
     ) -> Millis {
-        let turn = self.limits.turns + TURN_MARGIN;
+        let turn = self.limits.get().turns + TURN_MARGIN;
         if let Some(left) = left {
             if left.claim.node == self.node {
                 return now;
--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -16,7 +16,7 @@
 use super::budget::Budget;
 use super::config::{Config, Route};
 use super::dialect::Dialect;
-use super::limits::Limits;
+use super::limits::Current;
 use super::record::{self, End};
 use super::relay::{self, Cut};
 use super::trip::Trip;
@@ -58,8 +58,8 @@
     pub metrics: Arc<Metrics>,
     /// Where the node is.
     pub failure_domain: Name,
-    /// Bounds.
-    pub limits: Limits,
+    /// Bounds in force.
+    pub limits: Arc<Current>,
     budget: Mutex<Budget>,
     spreading: Mutex<HashMap<Name, Millis>>,
     stopping: AtomicBool,
@@ -85,7 +85,7 @@
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         failure_domain: Name,
-        limits: Limits,
+        limits: Arc<Current>,
     ) -> Self {
         Self {
             view,
@@ -94,7 +94,7 @@
             clock,
             metrics: Arc::new(Metrics::new()),
             failure_domain,
-            budget: Mutex::new(Budget::new(limits.retries)),
+            budget: Mutex::new(Budget::new(Arc::clone(&limits))),
             limits,
             spreading: Mutex::default(),
             stopping: AtomicBool::new(false),
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use super::dialect::{Dialect, Key};
-use super::limits::{POLL_WAIT, STORE_PAUSE};
+use super::limits::{Current, POLL_WAIT, STORE_PAUSE};
 use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
@@ -39,13 +39,13 @@
     dialect: Arc<dyn Dialect>,
     clock: Arc<dyn Clock>,
     view: Arc<View>,
-    pause: Millis,
+    limits: Arc<Current>,
     heard: Millis,
     returned: Option<Millis>,
 }
 
 impl Follower {
-    /// Makes a follower that has heard nothing yet and pauses between calls.
+    /// Makes a follower that has heard nothing yet.
     #[must_use]
     pub fn new(
         store: Arc<dyn Store>,
@@ -53,7 +53,7 @@
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         view: Arc<View>,
-        pause: Millis,
+        limits: Arc<Current>,
     ) -> Self {
         let heard = clock.now();
         Self {
@@ -62,7 +62,7 @@
             dialect,
             clock,
             view,
-            pause,
+            limits,
             heard,
             returned: None,
         }
@@ -90,7 +90,7 @@
                     revision = revision.max(changes.revision);
                     self.take(changes.events);
                     wait = POLL_WAIT;
-                    self.pause
+                    self.limits.get().poll_pause()
                 }
                 Err(Gap::Dropped) => {
                     log::info!("follow: the history after revision {revision} is gone");
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -1,5 +1,7 @@
 //! Bounds and thresholds of direct serving, each with its source.
 
+use std::sync::{Mutex, PoisonError};
+
 use crate::clock::Millis;
 
 /// Bounds that a deployment sets; the defaults suit a deployment of a dozen engines.
@@ -47,6 +49,32 @@
     }
 }
 
+/// The bounds in force, one copy for all parts of a node.
+///
+/// A deployment may change them while its nodes run; a part that kept its own copy
+/// would go by the old ones until the next start.
+#[derive(Debug, Default)]
+pub struct Current(Mutex<Limits>);
+
+impl Current {
+    /// Puts bounds in force.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self(Mutex::new(limits))
+    }
+
+    /// Returns the bounds in force.
+    #[must_use]
+    pub fn get(&self) -> Limits {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts other bounds in force.
+    pub fn set(&self, limits: Limits) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = limits;
+    }
+}
+
 /// Lifetime of a node's lease at the key-value service.
 ///
 /// A dead node's engines get no orders for this long and [`RIGHT`] and the
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -23,6 +23,7 @@
 pub mod pick;
 pub mod record;
 pub mod relay;
+pub mod reload;
 pub mod sse;
 pub mod trip;
 pub mod upstream;
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -22,7 +22,7 @@
 use super::dialect::Dialect;
 use super::entry::Gate;
 use super::follow::Follower;
-use super::limits::Limits;
+use super::limits::{Current, Limits};
 use super::view::{Peer, View};
 use crate::clock::{Boot, Clock, Millis};
 use crate::name::Name;
@@ -110,7 +110,7 @@
     readiness: SocketAddr,
     gate: Arc<Gate>,
     claimer: Arc<Claimer>,
-    limits: Limits,
+    limits: Arc<Current>,
     closing: CancellationToken,
     tasks: JoinSet<()>,
 }
@@ -125,6 +125,7 @@
         let listeners = Listeners::bind(settings)?;
         let clock: Arc<dyn Clock> = Arc::new(Boot);
         let view = Arc::new(View::default());
+        let limits = Arc::new(Current::new(settings.limits));
         let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
         let desks = Arc::new(Desks::new(
             Arc::clone(&view),
@@ -139,7 +140,7 @@
             Arc::clone(&reach.dialect),
             Arc::clone(&clock),
             Name::clone(&settings.failure_domain),
-            settings.limits,
+            Arc::clone(&limits),
         ));
         let claimer = Arc::new(Claimer {
             store: Arc::clone(&reach.store),
@@ -149,7 +150,7 @@
             clock: Arc::clone(&clock),
             view: Arc::clone(&view),
             right,
-            limits: settings.limits,
+            limits: Arc::clone(&limits),
             node: Name::clone(&settings.node),
             peer: Peer {
                 address: listeners.peers.local_addr()?,
@@ -157,14 +158,20 @@
             },
             first_start: settings.first_start,
         });
-        let pause = settings.limits.poll_pause();
-        let follower = Follower::new(reach.store, reach.poll, reach.dialect, clock, view, pause);
+        let Reach {
+            dialect,
+            store,
+            poll,
+            ..
+        } = reach;
+        let shared = Arc::clone(&limits);
+        let follower = Follower::new(store, poll, dialect, clock, view, shared);
         let mut node = Self {
             callers: listeners.callers.local_addr()?,
             readiness: listeners.readiness.local_addr()?,
             gate,
             claimer,
-            limits: settings.limits,
+            limits,
             closing: CancellationToken::new(),
             tasks: JoinSet::new(),
         };
@@ -187,6 +194,12 @@
         self.readiness
     }
 
+    /// Returns the bounds in force, to put others in force while the node runs.
+    #[must_use]
+    pub fn limits(&self) -> Arc<Current> {
+        Arc::clone(&self.limits)
+    }
+
     fn listen(&mut self, listeners: Listeners, desks: Arc<Desks>) {
         self.tasks.spawn(async move {
             if let Err(error) = ask::serve(listeners.peers, desks).await {
@@ -209,7 +222,7 @@
     /// Returns whether every request was answered.
     pub async fn drain(mut self) -> bool {
         let clock = Arc::clone(&self.gate.clock);
-        let end = clock.now() + self.limits.stop - END_MARGIN;
+        let end = clock.now() + self.limits.get().stop - END_MARGIN;
         self.gate.stop();
         if let Err(error) = self.claimer.leave().await {
             log::warn!("node: claims end with the lease: {error}");
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -351,7 +351,7 @@
             self.spread(field, adapter, wanted, &upstream);
             return Some(self.at(upstream, adapter));
         }
-        let limit = self.gate.limits.version;
+        let limit = self.gate.limits.get().version;
         let old_until = newest.map_or(Millis::ZERO, |newest| old_until(newest, limit));
         if field.now < old_until
             && let Some(upstream) = field.least(holds(0))
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -13,7 +13,7 @@
 use chivevalve::direct::config::{Config, Engine, Limits as Sent, Pool};
 use chivevalve::direct::dialect::{Dialect, Held, Listed};
 use chivevalve::direct::follow::Follower;
-use chivevalve::direct::limits::{LEASE, Limits, RIGHT};
+use chivevalve::direct::limits::{Current, LEASE, Limits, RIGHT};
 use chivevalve::direct::view::{Peer, View};
 use chivevalve::ports::{Lease, Store};
 use chivevalve_platform::Speech;
@@ -89,7 +89,7 @@
         Arc::clone(&dialect),
         Arc::clone(&shared),
         Arc::clone(&view),
-        Limits::default().poll_pause(),
+        Arc::new(Current::default()),
     );
     let others = Arc::new(Others::default());
     let claimer = Arc::new(Claimer {
@@ -100,7 +100,7 @@
         clock: shared,
         view,
         right: Arc::clone(&right),
-        limits: Limits::default(),
+        limits: Arc::new(Current::default()),
         node: name.into(),
         peer: Peer {
             address: address(),
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -6,7 +6,7 @@
 
 use chivevalve::clock::{Clock, Millis, Monotonic};
 use chivevalve::direct::follow::Follower;
-use chivevalve::direct::limits::Limits;
+use chivevalve::direct::limits::Current;
 use chivevalve::direct::view::View;
 use chivevalve_platform::Speech;
 use direct_support::SERVER;
@@ -27,7 +27,7 @@
         Arc::new(Speech),
         clock,
         Arc::clone(&view),
-        Limits::default().poll_pause(),
+        Arc::new(Current::default()),
     );
     tokio::spawn(follower.run());
     Followed { memory, view }
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -5,7 +5,7 @@
 use chivevalve::clock::Millis;
 use chivevalve::direct::budget::Budget;
 use chivevalve::direct::dialect::{Held, Listed};
-use chivevalve::direct::limits::{Limits, Retries, exchange_pause, in_use};
+use chivevalve::direct::limits::{Current, Limits, Retries, exchange_pause, in_use};
 use chivevalve::direct::pick::Field;
 use chivevalve::direct::sse::Splitter;
 use chivevalve::direct::trip::old_until;
@@ -20,6 +20,13 @@
     extra: 54,
 };
 
+fn retries() -> Arc<Current> {
+    Arc::new(Current::new(Limits {
+        retries: RETRIES,
+        ..Limits::default()
+    }))
+}
+
 fn listed(incarnation: &str, failure_domain: &str, adapters: &[(&str, u64)]) -> Listed {
     Listed {
         incarnation: incarnation.into(),
@@ -97,7 +104,7 @@
     let pool = Name::from("engines");
     let mut total = 0;
     for _ in 0..7 {
-        let mut budget = Budget::new(RETRIES);
+        let mut budget = Budget::new(retries());
         for step in 0..200 {
             let now = Millis(step * 50);
             budget.request(&pool, now);
@@ -114,7 +121,7 @@
 #[test]
 fn budget_window_slides() {
     let pool = Name::from("engines");
-    let mut budget = Budget::new(RETRIES);
+    let mut budget = Budget::new(retries());
     while budget.repeat(&pool, Millis(100), 1) {}
     assert!(!budget.repeat(&pool, Millis(9_000), 1));
     assert!(budget.repeat(&pool, Millis(11_000), 1));
--- /dev/null
+++ b/lib/tests/test_direct_reload.rs
@@ -0,0 +1,77 @@
+//! Settings that change while a node runs.
+
+use std::sync::Arc;
+
+use chivevalve::clock::Millis;
+use chivevalve::direct::budget::Budget;
+use chivevalve::direct::limits::{Current, Limits, Retries};
+use chivevalve::direct::node::Settings;
+use chivevalve::direct::reload::{Reload, Taken};
+
+fn settings() -> Settings {
+    let address = "127.0.0.1:1".parse().unwrap();
+    Settings {
+        node: "one".into(),
+        failure_domain: "a".into(),
+        callers: address,
+        readiness: address,
+        peers: address,
+        metrics: address,
+        store: address,
+        first_start: true,
+        limits: Limits::default(),
+    }
+}
+
+fn reload() -> (Reload, Arc<Current>) {
+    let limits = Arc::new(Current::default());
+    (Reload::new(settings(), Arc::clone(&limits)), limits)
+}
+
+/// Symptom: a bound that operators changed has no effect until nodes are restarted.
+/// Sequence: the settings change while the node runs.
+/// Cause: each part kept the bounds that it was made with.
+#[test]
+fn take_bounds_at_once() {
+    let (reload, limits) = reload();
+    let mut budget = Budget::new(Arc::clone(&limits));
+    let pool = "engines".into();
+    assert!(budget.repeat(&pool, Millis(0), 1));
+    let mut changed = settings();
+    changed.limits.turns = Millis(5_000);
+    changed.limits.retries = Retries {
+        extra: 0,
+        ratio: 0.0,
+        ..changed.limits.retries
+    };
+    assert_eq!(reload.take(Ok(changed.clone())), Taken::InForce);
+    assert_eq!(limits.get().turns, Millis(5_000));
+    assert!(!budget.repeat(&pool, Millis(0), 1));
+    assert_eq!(reload.take(Ok(changed)), Taken::Same);
+}
+
+/// Symptom: a node dies or serves by half of its settings after a mistake in the file.
+/// Sequence: the file is read while it is being written, and again when it is whole.
+/// Cause: what can't be read taken for what is wanted.
+#[test]
+fn take_mistake_keeps_the_last_good_ones() {
+    let (reload, limits) = reload();
+    let mut changed = settings();
+    changed.limits.stop = Millis(4_000);
+    let mistake = || Err("zone is missing".to_owned());
+    assert_eq!(reload.take(mistake()), Taken::Refused);
+    assert_eq!(reload.take(mistake()), Taken::Same);
+    assert_eq!(limits.get(), Limits::default());
+    assert_eq!(reload.take(Ok(changed)), Taken::InForce);
+    assert_eq!(limits.get().stop, Millis(4_000));
+}
+
+#[test]
+fn take_address_waits_for_the_next_start() {
+    let (reload, limits) = reload();
+    let mut changed = settings();
+    changed.store = "127.0.0.1:2".parse().unwrap();
+    changed.limits.apply = Millis(1_000);
+    assert_eq!(reload.take(Ok(changed)), Taken::NextStart);
+    assert_eq!(limits.get().apply, Millis(1_000));
+}
