direct: metrics of orders, takeovers, support and store calls

Cause: an engineer on call saw from metrics that requests wait, but not for which orders, whose claims, or how old the node's knowledge is; orders were logged below the level that is kept.

Ruled out: counting inside the platform's client; a wrapper of the traits counts any service, also calls that their caller gave up (ports::metered).

Change: counters of orders by action and outcome, of takeovers by what became of the former owner, of rounds of support; times of calls to the service; gauges for configuration, its age, upstreams and owned engines, set when asked. Each order is one line. The former owner is a type that says how long it is waited out, and the claim is built in one place.

--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -20,6 +20,7 @@
 use super::upstream::Upstream;
 use super::view::View;
 use crate::clock::{Clock, Millis};
+use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::schema::direct::orders_client::OrdersClient;
 use crate::schema::direct::orders_server::{Orders, OrdersServer};
@@ -59,6 +60,8 @@
     pub clock: Arc<dyn Clock>,
     /// Its name.
     pub node: Name,
+    /// Its metrics.
+    pub metrics: Arc<Metrics>,
     open: Mutex<HashMap<Name, ActorRef<Desk>>>,
     channels: Mutex<HashMap<SocketAddr, OrdersClient<Channel>>>,
     uses: Mutex<HashMap<Name, Vec<Name>>>,
@@ -74,6 +77,7 @@
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         node: Name,
+        metrics: Arc<Metrics>,
     ) -> Self {
         Self {
             view,
@@ -81,6 +85,7 @@
             dialect,
             clock,
             node,
+            metrics,
             open: Mutex::default(),
             channels: Mutex::default(),
             uses: Mutex::default(),
@@ -168,6 +173,7 @@
             clock: Arc::clone(&self.clock),
             holder: Name::clone(&self.node),
             view: Arc::clone(&self.view),
+            metrics: Arc::clone(&self.metrics),
         };
         let desk = Desk::spawn_with_mailbox(parts, mailbox::bounded(MAILBOX));
         open.insert(Name::clone(&upstream.incarnation), desk.clone());
--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -22,6 +22,7 @@
 };
 use super::view::{CLAIMS, Claim, Peer, Standing, State, View};
 use crate::clock::{Clock, Millis};
+use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::ports::{Condition, Error, Lease, LeaseId, Store, Transaction, Write};
 
@@ -47,6 +48,44 @@
     from: Millis,
 }
 
+/// What became of the node that gave an engine its orders before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Former {
+    /// There was none.
+    Nobody,
+    /// It is this node, or an earlier start of it.
+    Itself,
+    /// It gave the claim up, this long after its last order.
+    Left { at: Millis, idle: Millis },
+    /// Its claim vanished with its lease.
+    Vanished { at: Millis },
+    /// Whoever it was before this node began to look may believe in its claim still.
+    Unknown,
+}
+
+impl Former {
+    /// Returns the name used in logs and metrics.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Nobody => "nobody",
+            Self::Itself => "itself",
+            Self::Left { .. } => "left",
+            Self::Vanished { .. } => "vanished",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Returns when its right has surely ended and a turn has passed.
+    fn waited_out(self, turn: Millis, began: Millis) -> Millis {
+        match self {
+            Self::Nobody | Self::Itself => Millis::ZERO,
+            Self::Left { at, idle } => at + (turn - idle.min(turn)),
+            Self::Vanished { at } => at + RIGHT + turn,
+            Self::Unknown => began + RIGHT + turn,
+        }
+    }
+}
+
 /// This node's right to give orders, looked at in the line before each order.
 ///
 /// The claim must also still stand in the view: the platform can take a node's
@@ -158,6 +197,12 @@
         })
     }
 
+    /// Returns how many engines this node owns.
+    #[must_use]
+    pub fn owned_engines(&self) -> usize {
+        self.owned().len()
+    }
+
     fn owned(&self) -> MutexGuard<'_, HashMap<SocketAddr, Owned>> {
         self.owned.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -202,6 +247,8 @@
     pub view: Arc<View>,
     /// What this node may do.
     pub right: Arc<Right>,
+    /// The node's metrics.
+    pub metrics: Arc<Metrics>,
     /// Bounds in force.
     pub limits: Arc<Current>,
     /// This node's name.
@@ -334,7 +381,10 @@
             .map(|(address, owned)| (*address, owned.token))
             .collect();
         let doubters = self.doubters(&owned).await;
-        if doubters.is_empty() && self.right.lasts() {
+        let supported = doubters.is_empty() && self.right.lasts();
+        let outcome = if supported { "supported" } else { "refused" };
+        self.metrics.support.with_label_values(&[outcome]).inc();
+        if supported {
             self.right.until.store((sent + RIGHT).0, Ordering::Relaxed);
             log::info!("right: supported by all others without a renewal: {error}");
             return;
@@ -412,14 +462,8 @@
                 Some(left) => Condition::Unchanged(key.clone(), left.revision),
                 None => Condition::Absent(key.clone()),
             });
-            let claim = Claim {
-                node: Name::clone(&self.node),
-                start: self.peer.start,
-                left: None,
-            };
-            transaction
-                .writes
-                .push(Write::Put(key, encoded(&claim), Some(lease)));
+            let claim = encoded(&self.own_claim(None));
+            transaction.writes.push(Write::Put(key, claim, Some(lease)));
         }
         let commit = self.store.commit(transaction).await?;
         if commit.done {
@@ -463,20 +507,18 @@
         began: Millis,
         now: Millis,
     ) {
-        let from = {
-            let state = self.view.state();
-            self.may_order_from(&state, address, left, began, now)
-        };
-        log::info!("right: orders to {address} are this node's, token {token}, from {from}");
-        let claim = Claim {
-            node: Name::clone(&self.node),
-            start: self.peer.start,
-            left: None,
-        };
+        let turn = self.limits.get().turns + TURN_MARGIN;
+        let former = self.former(&self.view.state(), address, left);
+        let from = former.waited_out(turn, began).max(now);
+        let name = former.name();
+        self.metrics.takeovers.with_label_values(&[name]).inc();
+        log::info!(
+            "right: orders to {address} are this node's, token {token}, from {from}, former owner: {name}"
+        );
         self.view.state().claim(
             address,
             Standing {
-                claim,
+                claim: self.own_claim(None),
                 revision: token,
                 seen: now,
             },
@@ -484,29 +526,30 @@
         self.right.owned().insert(address, Owned { token, from });
     }
 
-    /// When the former owner's right has surely ended and a turn has passed.
-    fn may_order_from(
-        &self,
-        state: &State,
-        address: SocketAddr,
-        left: Option<&Standing>,
-        began: Millis,
-        now: Millis,
-    ) -> Millis {
-        let turn = self.limits.get().turns + TURN_MARGIN;
+    fn own_claim(&self, left: Option<Millis>) -> Claim {
+        Claim {
+            node: Name::clone(&self.node),
+            start: self.peer.start,
+            left,
+        }
+    }
+
+    /// Returns what is known of an engine's former owner.
+    fn former(&self, state: &State, address: SocketAddr, left: Option<&Standing>) -> Former {
         if let Some(left) = left {
             if left.claim.node == self.node {
-                return now;
+                return Former::Itself;
             }
-            let age = left.claim.left.unwrap_or_default();
-            return left.seen + (turn - age.min(turn));
+            return Former::Left {
+                at: left.seen,
+                idle: left.claim.left.unwrap_or_default(),
+            };
         }
         match state.vanished.get(&address) {
-            Some((node, _)) if *node == self.node => now,
-            Some((_, at)) => *at + RIGHT + turn,
-            None if self.first_start => now,
-            // Whoever had it before this node began to look may believe in it still.
-            None => began + RIGHT + turn,
+            Some((node, _)) if *node == self.node => Former::Itself,
+            Some((_, at)) => Former::Vanished { at: *at },
+            None if self.first_start => Former::Nobody,
+            None => Former::Unknown,
         }
     }
 
--- a/lib/src/direct/dialect.rs
+++ b/lib/src/direct/dialect.rs
@@ -100,6 +100,17 @@
     Unload,
 }
 
+impl Action {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Load => "load",
+            Self::Unload => "unload",
+        }
+    }
+}
+
 /// How an engine answered an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ordered {
@@ -117,6 +128,21 @@
     Refused,
 }
 
+impl Ordered {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Started => "started",
+            Self::Holds => "holds",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::Elsewhere => "elsewhere",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// What an entry node adds to a request on its way to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Dispatch {
--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -27,6 +27,7 @@
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::ports::http::remove_hop_by_hop;
+use crate::ports::metered::Metered;
 
 /// Body of an answer to a caller.
 pub type Body = UnsyncBoxBody<Bytes, Cut>;
@@ -60,6 +61,8 @@
     pub failure_domain: Name,
     /// Bounds in force.
     pub limits: Arc<Current>,
+    /// The key-value service.
+    service: Arc<Metered>,
     budget: Mutex<Budget>,
     spreading: Mutex<HashMap<Name, Millis>>,
     stopping: AtomicBool,
@@ -76,6 +79,11 @@
     }
 }
 
+/// A number as gauges take it.
+fn count<T: TryInto<i64>>(number: T) -> i64 {
+    number.try_into().unwrap_or(i64::MAX)
+}
+
 impl Gate {
     /// Makes a gate.
     #[must_use]
@@ -86,16 +94,18 @@
         clock: Arc<dyn Clock>,
         failure_domain: Name,
         limits: Arc<Current>,
+        service: Arc<Metered>,
     ) -> Self {
         Self {
             view,
+            metrics: Arc::clone(&desks.metrics),
             desks,
             dialect,
             clock,
-            metrics: Arc::new(Metrics::new()),
             failure_domain,
             budget: Mutex::new(Budget::new(Arc::clone(&limits))),
             limits,
+            service,
             spreading: Mutex::default(),
             stopping: AtomicBool::new(false),
             active: AtomicUsize::new(0),
@@ -112,6 +122,30 @@
         state.config.is_some() && !state.upstreams.is_empty()
     }
 
+    /// Writes the node's metrics, with what it believes at this moment.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let metrics = &self.metrics;
+        let age = self.service.age().map_or(-1, |age| count(age.0));
+        metrics.revision_age_ms.set(age);
+        metrics.in_flight.set(count(self.active()));
+        metrics.owned.set(count(self.desks.right.owned_engines()));
+        let state = self.view.state();
+        let version = state.config.as_ref().map_or(0, |config| config.version);
+        metrics.revision.set(count(version));
+        let ready = state.upstreams.values().filter(|one| one.is_ready());
+        let ready = ready.count();
+        let leaving = state.upstreams.len() - ready;
+        for (name, number) in [("usable", ready), ("leaving", leaving)] {
+            metrics
+                .upstreams
+                .with_label_values(&[name])
+                .set(count(number));
+        }
+        drop(state);
+        metrics.render()
+    }
+
     /// Stops taking callers; what is in progress goes on.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -25,8 +25,10 @@
 use super::limits::{Current, Limits};
 use super::view::{Peer, View};
 use crate::clock::{Boot, Clock, Millis};
+use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::ports::link::guard;
+use crate::ports::metered::Metered;
 use crate::ports::poll::Poll;
 use crate::ports::{Lease, Store};
 
@@ -108,6 +110,7 @@
 pub struct Node {
     callers: SocketAddr,
     readiness: SocketAddr,
+    metrics: SocketAddr,
     gate: Arc<Gate>,
     claimer: Arc<Claimer>,
     limits: Arc<Current>,
@@ -126,6 +129,14 @@
         let clock: Arc<dyn Clock> = Arc::new(Boot);
         let view = Arc::new(View::default());
         let limits = Arc::new(Current::new(settings.limits));
+        let metrics = Arc::new(Metrics::new());
+        let service = Arc::new(Metered::new(
+            reach.store,
+            reach.lease,
+            reach.poll,
+            Arc::clone(&metrics),
+            Arc::clone(&clock),
+        ));
         let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
         let desks = Arc::new(Desks::new(
             Arc::clone(&view),
@@ -133,6 +144,7 @@
             Arc::clone(&reach.dialect),
             Arc::clone(&clock),
             Name::clone(&settings.node),
+            Arc::clone(&metrics),
         ));
         let gate = Arc::new(Gate::new(
             Arc::clone(&view),
@@ -141,15 +153,17 @@
             Arc::clone(&clock),
             Name::clone(&settings.failure_domain),
             Arc::clone(&limits),
+            Arc::clone(&service),
         ));
         let claimer = Arc::new(Claimer {
-            store: Arc::clone(&reach.store),
-            lease: Arc::clone(&reach.lease),
+            store: Arc::<Metered>::clone(&service),
+            lease: Arc::<Metered>::clone(&service),
             support: Arc::<Desks>::clone(&desks),
             dialect: Arc::clone(&reach.dialect),
             clock: Arc::clone(&clock),
             view: Arc::clone(&view),
             right,
+            metrics,
             limits: Arc::clone(&limits),
             node: Name::clone(&settings.node),
             peer: Peer {
@@ -158,17 +172,18 @@
             },
             first_start: settings.first_start,
         });
-        let Reach {
-            dialect,
-            store,
-            poll,
-            ..
-        } = reach;
-        let shared = Arc::clone(&limits);
-        let follower = Follower::new(store, poll, dialect, clock, view, shared);
+        let follower = Follower::new(
+            Arc::<Metered>::clone(&service),
+            service,
+            reach.dialect,
+            clock,
+            view,
+            Arc::clone(&limits),
+        );
         let mut node = Self {
             callers: listeners.callers.local_addr()?,
             readiness: listeners.readiness.local_addr()?,
+            metrics: listeners.metrics.local_addr()?,
             gate,
             claimer,
             limits,
@@ -194,6 +209,12 @@
         self.readiness
     }
 
+    /// Returns where metrics are served.
+    #[must_use]
+    pub fn metrics(&self) -> SocketAddr {
+        self.metrics
+    }
+
     /// Returns the bounds in force, to put others in force while the node runs.
     #[must_use]
     pub fn limits(&self) -> Arc<Current> {
@@ -295,7 +316,7 @@
 }
 
 fn render(gate: &Gate, _: &Request<Incoming>) -> Response<Full<Bytes>> {
-    Response::new(Full::from(gate.metrics.render()))
+    Response::new(Full::from(gate.render()))
 }
 
 async fn serve_callers(listener: TcpListener, gate: Arc<Gate>, closing: CancellationToken) {
--- a/lib/src/direct/orders/engine.rs
+++ b/lib/src/direct/orders/engine.rs
@@ -10,6 +10,7 @@
 use crate::direct::dialect::{Dialect, Order, Ordered, Report};
 use crate::direct::upstream::Upstream;
 use crate::direct::view::View;
+use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::ports::link::Lost;
 
@@ -42,6 +43,8 @@
     pub holder: Name,
     /// What this node believes.
     pub view: Arc<View>,
+    /// The node's metrics.
+    pub metrics: Arc<Metrics>,
 }
 
 impl Parts {
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -547,11 +547,7 @@
                 other => other,
             };
         }
-        log::debug!(
-            "orders: {} {action:?} {model} {version:?} {:?}: {outcome:?}",
-            self.parts.upstream.incarnation,
-            self.book.as_ref().map(|book| book.sequence)
-        );
+        self.record(action, model, version, outcome);
         let accepted = outcome == Some(Ordered::Started)
             || (outcome == Some(Ordered::Holds) && action == Action::Unload);
         if accepted && let Some(book) = &mut self.book {
@@ -560,6 +556,20 @@
         outcome
     }
 
+    fn record(&self, action: Action, model: &Name, version: Option<u64>, outcome: Option<Ordered>) {
+        let outcome = outcome.map_or("none", Ordered::name);
+        let orders = &self.parts.metrics.orders;
+        orders.with_label_values(&[action.name(), outcome]).inc();
+        log::info!(
+            upstream = &*self.parts.upstream.incarnation,
+            adapter = &**model,
+            version = version.unwrap_or_default(),
+            outcome = outcome,
+            sequence = self.book.as_ref().map_or(0, |book| book.sequence);
+            "orders: {}", action.name()
+        );
+    }
+
     /// Gives an order; none means that there was no answer or no right.
     async fn order(
         &mut self,
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -50,6 +50,14 @@
     pub control_bytes: IntCounterVec,
     /// Calls to the key-value service, by call and outcome.
     pub store_calls: IntCounterVec,
+    /// Time that calls to the key-value service take, by call.
+    pub store_seconds: HistogramVec,
+    /// Orders to engines, by action and outcome.
+    pub orders: IntCounterVec,
+    /// Engines whose orders this node took over, by what became of the former owner.
+    pub takeovers: IntCounterVec,
+    /// Rounds of asking other nodes for support, by outcome.
+    pub support: IntCounterVec,
     /// Requests in progress at this node.
     pub in_flight: IntGauge,
     /// Callers' connections.
@@ -142,6 +150,26 @@
                 "Calls to the key-value service.",
                 &["call", "outcome"],
             ),
+            store_seconds: maker.histograms(
+                "store_call_seconds",
+                "Time that calls to the key-value service take.",
+                &["call"],
+            ),
+            orders: maker.counters(
+                "orders_total",
+                "Orders to engines, by action and outcome.",
+                &["action", "outcome"],
+            ),
+            takeovers: maker.counters(
+                "takeovers_total",
+                "Engines taken over, by what became of the former owner.",
+                &["former"],
+            ),
+            support: maker.counters(
+                "support_rounds_total",
+                "Rounds of asking other nodes for support, by outcome.",
+                &["outcome"],
+            ),
             in_flight: maker.gauge("requests_in_flight", "Requests in progress at this node."),
             connections: maker.gauge("connections", "Callers' connections."),
             revision: maker.gauge("config_revision", "Revision of the configuration in force."),
--- a/lib/src/ports/etcd/mod.rs
+++ b/lib/src/ports/etcd/mod.rs
@@ -197,13 +197,7 @@
     }
 
     fn count(&self, method: Route, error: Option<&Error>) {
-        let outcome = match error {
-            None => "answered",
-            Some(Error::Unreachable(_)) => "unreachable",
-            Some(Error::NoAnswer(_)) => "no_answer",
-            Some(Error::Refused(_)) => "refused",
-            Some(Error::Malformed(_)) => "malformed",
-        };
+        let outcome = error.map_or("answered", Error::name);
         self.metrics
             .store_calls
             .with_label_values(&[method.name, outcome])
--- a/lib/src/ports/mod.rs
+++ b/lib/src/ports/mod.rs
@@ -9,6 +9,7 @@
 pub mod etcd;
 pub(crate) mod http;
 pub mod link;
+pub mod metered;
 pub mod poll;
 pub mod upstream;
 pub mod weights;
@@ -46,6 +47,19 @@
     Malformed(String),
 }
 
+impl Error {
+    /// Returns the name used in metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Unreachable(_) => "unreachable",
+            Self::NoAnswer(_) => "no_answer",
+            Self::Refused(_) => "refused",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+}
+
 /// A key with its value, as the service holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -100,6 +100,7 @@
         clock: shared,
         view,
         right: Arc::clone(&right),
+        metrics: Arc::default(),
         limits: Arc::new(Current::default()),
         node: name.into(),
         peer: Peer {
@@ -472,7 +473,14 @@
     let clock: Arc<dyn Clock> = Arc::new(Manual::default());
     let view = Arc::new(View::default());
     let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
-    let desks = Desks::new(view, right, Arc::new(Speech), clock, "one".into());
+    let desks = Desks::new(
+        view,
+        right,
+        Arc::new(Speech),
+        clock,
+        "one".into(),
+        Arc::default(),
+    );
     let open = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let silent = open.local_addr().unwrap();
     let ended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
