direct: a stopping node closes its port and tells those who wait for loads

The callers' port stayed open with nobody accepting until the last answer had ended, so that a late caller waited until its deadline. And a desk was told of time only while its node had the right to order; once the claims were given up, loads waited four seconds for nothing.

Ruled out: a node cut off (its other answers went out meanwhile); the weight store's rate (the owner gave its last order 0.15 s before its stop).

Change: the port is closed after what the system has accepted is taken; open desks hear of time without a right and give those who wait their answer.

--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -227,8 +227,7 @@
         };
         for upstream in upstreams {
             upstream.link.sweep();
-            if self.right.check(upstream.address).is_some()
-                && let Some(desk) = self.desk(&upstream)
+            if let Some(desk) = self.desk_to_tick(&upstream)
                 && desk.tell(Tick).try_send().is_err()
             {
                 log::warn!("ask: the desk of {} is full", upstream.incarnation);
@@ -236,6 +235,18 @@
         }
     }
 
+    /// Returns the desk of an engine that this node orders, or ordered.
+    ///
+    /// One whose right has gone must hear of time too, or those who wait at it would wait
+    /// for as long as a load may take: four seconds on each planned stop.
+    fn desk_to_tick(&self, upstream: &Arc<Upstream>) -> Option<ActorRef<Desk>> {
+        if self.right.check(upstream.address).is_some() {
+            return self.desk(upstream);
+        }
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.get(&upstream.incarnation).cloned()
+    }
+
     fn close_gone(&self, upstreams: &HashMap<Name, Arc<Upstream>>) {
         self.open
             .lock()
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
+use futures::FutureExt;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -331,7 +332,13 @@
         };
         serve_caller(stream, &gate, &graceful);
     }
-    // What came in before the listener closes is still served.
+    // Connections that the system has accepted already are still served. Later ones must
+    // meet a closed port: with the listener open but nobody accepting, a caller would wait
+    // for as long as answers in progress keep the process alive, instead of going elsewhere.
+    while let Some(Some(stream)) = accept(&listener).now_or_never() {
+        serve_caller(stream, &gate, &graceful);
+    }
+    drop(listener);
     graceful.shutdown().await;
 }
 
--- a/lib/src/direct/record.rs
+++ b/lib/src/direct/record.rs
@@ -83,16 +83,52 @@
     );
 }
 
-/// Records that an adapter was asked for at an engine.
-pub fn asked(trip: &Trip, upstream: &Upstream, adapter: &str, loaded: Loaded, began: Millis) {
-    log::info!(
-        request = trip.id(),
-        upstream = &*upstream.incarnation,
-        adapter = adapter,
-        outcome = loaded.name(),
-        took_ms = trip.now().since(began).0;
-        "trip: asked for the adapter"
-    );
+/// A question for an adapter at an engine, recorded when it ends.
+///
+/// A caller may leave while it waits; without a line then, nothing tells where it waited.
+#[derive(Debug)]
+pub struct Asking<'a> {
+    trip: &'a Trip,
+    upstream: &'a Upstream,
+    adapter: &'a str,
+    began: Millis,
+    outcome: &'static str,
+}
+
+impl<'a> Asking<'a> {
+    /// Begins to ask.
+    #[must_use]
+    pub fn new(trip: &'a Trip, upstream: &'a Upstream, adapter: &'a str) -> Self {
+        Self {
+            trip,
+            upstream,
+            adapter,
+            began: trip.now(),
+            outcome: "given_up",
+        }
+    }
+
+    /// Notes the answer, and returns how long it took.
+    #[must_use]
+    pub fn answered(mut self, loaded: Loaded) -> Millis {
+        self.outcome = loaded.name();
+        self.trip.now().since(self.began)
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        let loads = &self.trip.gate.metrics.loads;
+        loads.with_label_values(&[self.outcome]).inc();
+        log::info!(
+            request = self.trip.id(),
+            upstream = &*self.upstream.incarnation,
+            adapter = self.adapter,
+            outcome = self.outcome,
+            took_ms = self.trip.now().since(self.began).0;
+            "trip: asked for the adapter"
+        );
+    }
 }
 
 /// Records that a stream goes on at another upstream.
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -11,7 +11,7 @@
 use super::entry::{CLASS, Gate, seconds};
 use super::orders::Loaded;
 use super::pick::Field;
-use super::record::{self, End};
+use super::record::{self, Asking, End};
 use super::upstream::Upstream;
 use super::view::Newest;
 use crate::clock::Millis;
@@ -360,18 +360,18 @@
             return Some(self.at(upstream, adapter));
         }
         for upstream in homes(field, adapter).into_iter().take(MOST_ASKED) {
-            let began = self.now();
-            let left = self.until.since(began);
+            let left = self.until.since(self.now());
+            let asking = Asking::new(self, &upstream, adapter);
             let load = self.gate.desks.load(&upstream, adapter, wanted);
             let Ok(loaded) = tokio::time::timeout(left.duration(), load).await else {
                 break;
             };
-            record::asked(self, &upstream, adapter, loaded, began);
+            let took = asking.answered(loaded);
             self.gate
                 .metrics
                 .load_wait
                 .with_label_values(&[CLASS])
-                .observe(seconds(self.now().since(began)));
+                .observe(seconds(took));
             if matches!(loaded, Loaded::Ready(_)) && upstream.is_ready() {
                 return Some(self.at(upstream, adapter));
             }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -40,7 +40,7 @@
     pub between_tokens: Histogram,
     /// Requests that waited for a load.
     pub stalls: IntCounter,
-    /// Adapter loads by how they ended: `done`, `failed`, `wasted`.
+    /// Adapter loads by how they ended, as whoever asked for them saw it.
     pub loads: IntCounterVec,
     /// Adapters evicted.
     pub evictions: IntCounter,
