trip: ask for adapters only where orders are given

Cause: while nodes are gone and the key-value service is away, most engines may have no owner who answers. A request asked six of them in the adapter's order and was refused, though an engine further down could have loaded the adapter.

Change: engines without an owner who answers are left out; an owner that has just lost its right answers within milliseconds and doesn't count as one of the six.

--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -108,6 +108,16 @@
         }
     }
 
+    /// Whether somebody who answers gives an engine its orders.
+    #[must_use]
+    pub fn is_ordered(&self, upstream: &Upstream) -> bool {
+        if self.right.owns(upstream.address) {
+            return self.right.check(upstream.address).is_some();
+        }
+        let owner = self.view.owner(upstream.address);
+        owner.is_some_and(|(_, peer)| !self.silent().contains(&peer.address))
+    }
+
     /// Has an adapter made present at an engine, by whichever node may.
     pub async fn load(&self, upstream: &Arc<Upstream>, adapter: &Name, version: u64) -> Loaded {
         let loaded = if self.right.owns(upstream.address) {
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -38,6 +38,11 @@
 /// Engines that are asked to load an adapter for one request, one after the other.
 const MOST_ASKED: usize = 6;
 
+/// Engines whose owner has just lost its right that are asked for one request at most.
+///
+/// They answer within milliseconds, unlike those that try a load.
+const MOST_UNOWNED: usize = 16;
+
 /// Engines of an adapter's order that come first however loaded they are.
 ///
 /// They may have kept a copy of it, which loads ten times as fast.
@@ -356,10 +361,15 @@
         if field.now < old_until
             && let Some(upstream) = field.least(holds(0))
         {
-            self.gate.load_soon(homes(field, adapter), adapter, wanted);
+            self.gate
+                .load_soon(self.homes(field, adapter), adapter, wanted);
             return Some(self.at(upstream, adapter));
         }
-        for upstream in homes(field, adapter).into_iter().take(MOST_ASKED) {
+        let (mut asked, mut unowned) = (0, 0);
+        for upstream in self.homes(field, adapter) {
+            if asked == MOST_ASKED || unowned == MOST_UNOWNED {
+                break;
+            }
             let left = self.until.since(self.now());
             let asking = Asking::new(self, &upstream, adapter);
             let load = self.gate.desks.load(&upstream, adapter, wanted);
@@ -372,13 +382,32 @@
                 .load_wait
                 .with_label_values(&[CLASS])
                 .observe(seconds(took));
-            if matches!(loaded, Loaded::Ready(_)) && upstream.is_ready() {
-                return Some(self.at(upstream, adapter));
+            match loaded {
+                Loaded::Ready(_) if upstream.is_ready() => {
+                    return Some(self.at(upstream, adapter));
+                }
+                Loaded::NotOwner => unowned += 1,
+                _ => asked += 1,
             }
         }
         holder.map(|upstream| self.at(upstream, adapter))
     }
 
+    /// Engines that could load the adapter, those with no older version of it first.
+    ///
+    /// An engine without an owner who answers can load nothing. While nodes are gone and the
+    /// service is away there are many of them; asked one after the other, they used up the
+    /// questions of a request that an engine further down could have served.
+    fn homes(&self, field: &Field<'_>, adapter: &Name) -> Vec<Arc<Upstream>> {
+        let mut homes = field.homes(adapter);
+        homes.retain(|upstream| upstream.has_base(adapter) && self.gate.desks.is_ordered(upstream));
+        if let Some(rest) = homes.get_mut(FIRST_HOMES..) {
+            rest.sort_by_key(|upstream| upstream.held_count());
+        }
+        homes.sort_by_key(|upstream| upstream.version(adapter).is_some());
+        homes
+    }
+
     /// Has a further engine hold an adapter whose requests crowd those that hold it.
     fn spread(&self, field: &Field<'_>, adapter: &Name, wanted: u64, least: &Upstream) {
         let nodes = self.gate.view.state().most_nodes;
@@ -394,6 +423,7 @@
             upstream.has_base(adapter)
                 && upstream.version(adapter).is_none()
                 && upstream.load() < least.load()
+                && self.gate.desks.is_ordered(upstream)
         });
         self.gate.load_soon(homes, adapter, wanted);
     }
@@ -426,17 +456,6 @@
     }
 }
 
-/// Engines that could load the adapter, those with no older version of it first.
-fn homes(field: &Field<'_>, adapter: &Name) -> Vec<Arc<Upstream>> {
-    let mut homes = field.homes(adapter);
-    homes.retain(|upstream| upstream.has_base(adapter));
-    if let Some(rest) = homes.get_mut(FIRST_HOMES..) {
-        rest.sort_by_key(|upstream| upstream.held_count());
-    }
-    homes.sort_by_key(|upstream| upstream.version(adapter).is_some());
-    homes
-}
-
 /// Until when an older version than the newest may still be begun on.
 #[must_use]
 pub fn old_until(newest: Newest, limit: Millis) -> Millis {
