claim: a handed-over claim isn't taken up again from an older view

Cause (found by reading): after a handover the node's own view showed its claim as it was for up to a second. The next round took it for a claim whose write had no answer, took it up with the old token, and gave orders beside its successor.

Change: the view is marked before the write leaves and keeps its revision, so that older news is left aside. No engines, no question for support. One function takes leave to send again (Trip::take_repeat).

Before: claims_beyond_a_share_are_handed_over, with a view four seconds old and orders looked at each 50 ms, failed with two givers of orders. After: it passes.

--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -360,6 +360,10 @@
             conditions: vec![Condition::Unchanged(self.key(address), token)],
             writes: vec![self.mark_left(address)],
         };
+        // The view hears of the write up to a second later. Until then it would show a claim
+        // of this start that this node doesn't hold, and the next round would take it up
+        // again while its successor gives orders.
+        self.view.state().give_up(address, now);
         self.store.commit(transaction).await?;
         Ok(())
     }
@@ -436,6 +440,10 @@
             .iter()
             .map(|(address, owned)| (*address, owned.token))
             .collect();
+        if owned.is_empty() {
+            log::warn!("right: no renewal: {error}");
+            return;
+        }
         let doubters = self.doubters(&owned).await;
         let supported = doubters.is_empty() && self.right.lasts();
         let outcome = if supported { "supported" } else { "refused" };
@@ -454,7 +462,7 @@
 
     /// Asks others until all agree or the right has ended, and returns who didn't agree.
     async fn doubters(&self, owned: &[(SocketAddr, u64)]) -> Vec<Doubter> {
-        if owned.is_empty() || !self.right.lasts() {
+        if !self.right.lasts() {
             return Vec::new();
         }
         let Some(mut asked) = self.support.others() else {
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -131,7 +131,7 @@
     pub async fn answer(&mut self, resume_after: Option<u64>) -> Result<Answer, Failure> {
         loop {
             let target = self.target().await?;
-            if self.sent + self.rejected > 0 && !self.may_repeat() {
+            if self.sent + self.rejected > 0 && !self.take_repeat() {
                 return Err(
                     self.refusal(Code::UpstreamRefused, "the budget for repeats is used up")
                 );
@@ -231,7 +231,7 @@
         if answer.head.status.is_server_error() {
             target.upstream.failed(self.now());
             self.tried.push(Name::clone(&target.upstream.incarnation));
-            if self.may_go_on() && self.others() && self.budget_allows() {
+            if self.may_go_on() && self.others() && self.take_repeat() {
                 self.gate.count_retry("upstream_error");
                 return None;
             }
@@ -281,11 +281,8 @@
         }
     }
 
-    fn may_repeat(&self) -> bool {
-        self.budget_allows()
-    }
-
-    fn budget_allows(&self) -> bool {
+    /// Takes leave to send once more from the budget of all nodes.
+    fn take_repeat(&self) -> bool {
         self.gate.take_repeat(&self.pool)
     }
 
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -234,6 +234,16 @@
         }
     }
 
+    /// Marks a claim of this node as given up, before the key-value service shows it.
+    ///
+    /// It keeps its revision, so that what the service said of it before is left aside.
+    pub fn give_up(&mut self, address: SocketAddr, now: Millis) {
+        if let Some(standing) = self.claims.get_mut(&address) {
+            standing.claim.left = Some(Millis::ZERO);
+            standing.seen = now;
+        }
+    }
+
     /// Takes in a claim; one that is older than what is known is left aside.
     pub fn claim(&mut self, address: SocketAddr, standing: Standing) {
         if self
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -58,6 +58,7 @@
     right: Arc<Right>,
     claimer: Arc<Claimer>,
     others: Arc<Others>,
+    limits: Arc<Current>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -85,13 +86,14 @@
     let shared: Arc<dyn Clock> = Arc::<Manual>::clone(&clock);
     let right = Arc::new(Right::new(Arc::clone(&shared), Arc::clone(&view)));
     let dialect: Arc<dyn Dialect> = Arc::new(Speech);
+    let limits = Arc::new(Current::default());
     let follower = Follower::new(
         Arc::<Memory>::clone(memory),
         Arc::<Memory>::clone(memory),
         Arc::clone(&dialect),
         Arc::clone(&shared),
         Arc::clone(&view),
-        Arc::new(Current::default()),
+        Arc::clone(&limits),
     );
     let others = Arc::new(Others::default());
     let claimer = Arc::new(Claimer {
@@ -103,7 +105,7 @@
         view,
         right: Arc::clone(&right),
         metrics: Arc::default(),
-        limits: Arc::new(Current::default()),
+        limits: Arc::clone(&limits),
         node: name.into(),
         peer: Peer {
             address: address(),
@@ -120,6 +122,7 @@
         right,
         claimer,
         others,
+        limits,
         tasks,
     }
 }
@@ -543,7 +546,8 @@
 /// Symptom: no adapter can be loaded anywhere for eight seconds after one node fell silent.
 /// Sequence: nodes are stopped and started again one after the other; the first to be back
 /// takes every engine; the others come back and own none; then the owner is suspended.
-/// Cause: claims stay where they are for as long as their owner lives.
+/// Cause: claims stay where they are for as long as their owner lives. Handed over, they
+/// must not be taken up again by an owner whose view is older than its own write.
 #[tokio::test(start_paused = true)]
 async fn claims_beyond_a_share_are_handed_over() {
     let memory = Arc::new(Memory::default());
@@ -555,11 +559,27 @@
     let one = node("one", &memory, true);
     pass(&[&one], Millis(4_000)).await;
     assert_eq!(one.right.owned_engines(), engines);
+    // Its view is up to four seconds old.
+    one.limits.set(Limits {
+        apply: Millis::from_secs(10),
+        leaving: Millis::from_secs(10),
+        ..Limits::default()
+    });
     let two = node("two", &memory, false);
     let three = node("three", &memory, false);
     let four = node("four", &memory, false);
     let all = [&one, &two, &three, &four];
-    pass(&all, Millis(20_000)).await;
+    for _ in 0..400 {
+        // Heartbeats of engines keep followers in the pause between two calls.
+        memory.change(|state| state.put("servers/i-1", SERVER, None));
+        pass(&all, Millis(50)).await;
+        for port in 9..17 {
+            let engine = SocketAddr::from(([127, 0, 0, 1], port));
+            let orders = all.map(|node| node.right.check(engine).is_some());
+            let givers = orders.iter().filter(|gives| **gives).count();
+            assert!(givers <= 1, "{engine}: {orders:?}");
+        }
+    }
     let owned = all.map(|node| node.right.owned_engines());
     assert_eq!(owned.iter().sum::<usize>(), engines, "{owned:?}");
     assert!(owned[0] <= 4, "{owned:?}");
