direct: files split by job, and logic that stood twice made one

Cause: read as a newcomer, claim.rs and orders/mod.rs held two jobs each, and some logic stood twice.

Change: the right has a file of its own (direct::right), as have a desk's messages; State::keep_claims serves both readers of all claims; judge calls broke; can_load serves homes and spread; a handover looks at the time before it looks for an engine; what Metered wraps is private. Pools are grouped only when an upstream joins or leaves, no longer at each heartbeat of one that is known.

--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -13,10 +13,11 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 
-use super::claim::{Doubter, Right, Support};
+use super::claim::{Doubter, Support};
 use super::dialect::{Dialect, Held};
 use super::limits::exchange_pause;
 use super::orders::{Desk, Load, Loaded, Parts, Tick, Used};
+use super::right::Right;
 use super::upstream::Upstream;
 use super::view::View;
 use crate::clock::{Clock, Millis};
--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -6,10 +6,9 @@
 //! successor waits until that right has surely ended and the length of a turn
 //! more. docs/design/0007-direct-serving.md has the figures.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -20,6 +19,7 @@
 use super::limits::{
     CLAIM_RANK, Current, GATHER, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN,
 };
+use super::right::{Owned, Right};
 use super::view::{CLAIMS, Claim, Peer, Standing, State, View};
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
@@ -50,13 +50,6 @@
 /// Claims that one transaction makes; the service takes 32 rows.
 const CLAIMS_AT_ONCE: usize = 16;
 
-/// Leave to give an engine orders.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Owned {
-    token: u64,
-    from: Millis,
-}
-
 /// What became of the node that gave an engine its orders before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Former {
@@ -95,141 +88,6 @@
     }
 }
 
-/// This node's right to give orders, looked at in the line before each order.
-///
-/// The claim must also still stand in the view: the platform can take a node's
-/// keys away at once while its lease goes on, and no renewal shows it.
-#[derive(Debug)]
-pub struct Right {
-    clock: Arc<dyn Clock>,
-    view: Arc<View>,
-    until: AtomicU64,
-    begun: AtomicBool,
-    handed_over: AtomicU64,
-    left: AtomicBool,
-    owned: Mutex<HashMap<SocketAddr, Owned>>,
-    last_order: Mutex<HashMap<SocketAddr, Millis>>,
-}
-
-impl Right {
-    /// Makes a right that allows nothing.
-    ///
-    /// `clock` has to run while the VM is suspended: a node that wakes up must
-    /// see that its right has ended.
-    #[must_use]
-    pub fn new(clock: Arc<dyn Clock>, view: Arc<View>) -> Self {
-        Self {
-            clock,
-            view,
-            until: AtomicU64::new(0),
-            begun: AtomicBool::new(false),
-            handed_over: AtomicU64::new(0),
-            left: AtomicBool::new(false),
-            owned: Mutex::default(),
-            last_order: Mutex::default(),
-        }
-    }
-
-    /// Returns the fencing token if an order may leave at this moment.
-    #[must_use]
-    pub fn check(&self, address: SocketAddr) -> Option<u64> {
-        let now = self.clock.now();
-        if now.0 >= self.until.load(Ordering::Relaxed) {
-            return None;
-        }
-        let owned = *self.owned().get(&address)?;
-        let stands = self
-            .view
-            .state()
-            .claims
-            .get(&address)
-            .is_some_and(|standing| standing.revision == owned.token);
-        (stands && owned.from <= now).then_some(owned.token)
-    }
-
-    /// Whether orders may leave as far as the lease goes.
-    #[must_use]
-    fn lasts(&self) -> bool {
-        self.clock.now().0 < self.until.load(Ordering::Relaxed)
-    }
-
-    /// Drops what the view says is another's or nobody's.
-    fn forget_lost(&self) {
-        let state = self.view.state();
-        self.owned().retain(|address, owned| {
-            state
-                .claims
-                .get(address)
-                .is_some_and(|standing| standing.revision == owned.token)
-        });
-    }
-
-    /// Notes that an order leaves.
-    pub fn ordered(&self, address: SocketAddr) {
-        let now = self.clock.now();
-        self.last_order
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(address, now);
-    }
-
-    /// Returns how long ago the last order left, or none if there was none.
-    #[must_use]
-    pub fn since_order(&self, address: SocketAddr) -> Option<Millis> {
-        let now = self.clock.now();
-        self.last_order
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(&address)
-            .map(|&at| now.since(at))
-    }
-
-    /// Whether this node owns an engine, allowed to order yet or not.
-    #[must_use]
-    pub fn owns(&self, address: SocketAddr) -> bool {
-        self.owned().contains_key(&address)
-    }
-
-    /// Whether another node may go on giving orders under its claims for [`RIGHT`] from now.
-    ///
-    /// A node that has seen the claims stand sees them vanish later than now, and then waits
-    /// for that long and a turn. So does one that has yet to begin, from when it begins. One
-    /// that has left claims nothing any more.
-    #[must_use]
-    pub fn supports(&self, node: &str, owned: &[(SocketAddr, u64)]) -> bool {
-        if self.left.load(Ordering::SeqCst) || !self.begun.load(Ordering::SeqCst) {
-            return true;
-        }
-        let state = self.view.state();
-        owned.iter().all(|(address, token)| {
-            state.claims.get(address).is_some_and(|standing| {
-                standing.revision == *token && *standing.claim.node == *node
-            })
-        })
-    }
-
-    /// Gives no more orders to an engine, for another node to take it over.
-    fn hand_over(&self, address: SocketAddr, now: Millis) {
-        self.owned().remove(&address);
-        self.handed_over.store(now.0, Ordering::Relaxed);
-    }
-
-    /// Returns when this node last handed an engine over.
-    fn handed_over(&self) -> Millis {
-        Millis(self.handed_over.load(Ordering::Relaxed))
-    }
-
-    /// Returns how many engines this node owns.
-    #[must_use]
-    pub fn owned_engines(&self) -> usize {
-        self.owned().len()
-    }
-
-    fn owned(&self) -> MutexGuard<'_, HashMap<SocketAddr, Owned>> {
-        self.owned.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// A node that gave no support.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Doubter {
@@ -350,8 +208,10 @@
     /// keeps its successor waiting least.
     async fn hand_over(&self, began: Millis) -> Result<(), Error> {
         let now = self.clock.now();
-        let rested = now.since(began.max(self.right.handed_over())) >= HANDOVER;
-        let Some((address, token)) = self.surplus().filter(|_| rested) else {
+        if now.since(began.max(self.right.handed_over())) < HANDOVER {
+            return Ok(());
+        }
+        let Some((address, token)) = self.surplus() else {
             return Ok(());
         };
         self.right.hand_over(address, now);
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -5,7 +5,6 @@
 //! reading everything anew.
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::dialect::{Dialect, Key};
@@ -167,15 +166,9 @@
         state
             .nodes
             .retain(|name, _| present.contains(&self.dialect.own(&format!("{NODES}{name}"))));
-        let unclaimed: Vec<SocketAddr> = state
-            .claims
-            .keys()
-            .filter(|address| !present.contains(&self.dialect.own(&format!("{CLAIMS}{address}"))))
-            .copied()
-            .collect();
-        for address in unclaimed {
-            state.unclaim(address, now);
-        }
+        state.keep_claims(now, |address| {
+            present.contains(&self.dialect.own(&format!("{CLAIMS}{address}")))
+        });
     }
 
     fn take(&mut self, events: Vec<Event>) {
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -24,6 +24,7 @@
 pub mod record;
 pub mod relay;
 pub mod reload;
+pub mod right;
 pub mod sse;
 pub mod trip;
 pub mod upstream;
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -19,11 +19,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::ask::{self, Desks};
-use super::claim::{Claimer, Right};
+use super::claim::Claimer;
 use super::dialect::Dialect;
 use super::entry::Gate;
 use super::follow::Follower;
 use super::limits::{Current, Limits};
+use super::right::Right;
 use super::view::{Peer, View};
 use crate::clock::{Boot, Clock, Millis};
 use crate::metrics::Metrics;
--- /dev/null
+++ b/lib/src/direct/orders/message.rs
@@ -0,0 +1,113 @@
+//! What a desk is told, and what it answers.
+
+use kameo::message::{Context, Message};
+use tokio::sync::oneshot;
+
+use super::Desk;
+use crate::direct::dialect::Ordered;
+use crate::name::Name;
+
+/// How an order to make an adapter present ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loaded {
+    /// It is held in this version.
+    Ready(u64),
+    /// All places are in use or on their way.
+    Full,
+    /// This node gives the engine no orders now.
+    NotOwner,
+    /// The engine took no order, or didn't carry it out in time.
+    Failed,
+}
+
+impl Loaded {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Ready(_) => "ready",
+            Self::Full => "full",
+            Self::NotOwner => "not_owner",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// Asks for an adapter.
+#[derive(Debug)]
+pub struct Load {
+    /// `BASE/NAME`.
+    pub adapter: Name,
+    /// The least version that will do; 0 is any.
+    pub version: u64,
+    /// Told when the adapter is held, or can't be.
+    pub reply: oneshot::Sender<Loaded>,
+}
+
+/// Tells that adapters were used.
+#[derive(Debug)]
+pub struct Used(pub Vec<Name>);
+
+/// Lets time pass.
+#[derive(Debug)]
+pub struct Tick;
+
+/// Looks whether a load is complete.
+#[derive(Debug)]
+pub(super) struct Look(pub(super) Name);
+
+/// Tells what a look found.
+#[derive(Debug)]
+pub(super) struct Looked {
+    pub(super) adapter: Name,
+    pub(super) outcome: Option<Ordered>,
+}
+
+impl Message<Load> for Desk {
+    type Reply = ();
+
+    async fn handle(&mut self, load: Load, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.load(load, &actor).await;
+    }
+}
+
+impl Message<Used> for Desk {
+    type Reply = ();
+
+    async fn handle(&mut self, used: Used, _: &mut Context<Self, ()>) {
+        let now = self.parts.clock.now();
+        if let Some(book) = &mut self.book {
+            for adapter in used.0 {
+                book.used.insert(adapter, now);
+            }
+        }
+    }
+}
+
+impl Message<Look> for Desk {
+    type Reply = ();
+
+    async fn handle(&mut self, look: Look, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.look(look.0, &actor);
+    }
+}
+
+impl Message<Looked> for Desk {
+    type Reply = ();
+
+    async fn handle(&mut self, looked: Looked, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.looked(looked, &actor).await;
+    }
+}
+
+impl Message<Tick> for Desk {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.tick(&actor).await;
+    }
+}
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -6,6 +6,7 @@
 
 mod book;
 mod engine;
+mod message;
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -13,8 +14,6 @@
 
 use kameo::Actor;
 use kameo::actor::ActorRef;
-use kameo::message::{Context, Message};
-use tokio::sync::oneshot;
 
 use super::dialect::{Action, Order, Ordered};
 use super::limits::in_use;
@@ -23,7 +22,10 @@
 use crate::ports::link::Lost;
 use book::{Book, Seat, answer};
 
+use message::{Look, Looked};
+
 pub use engine::Parts;
+pub use message::{Load, Loaded, Tick, Used};
 
 /// Adapters that may be on their way to one engine.
 ///
@@ -56,62 +58,6 @@
 /// How long an engine is left alone that refused an order for another that is under way.
 const PAUSE: Millis = Millis(250);
 
-/// How an order to make an adapter present ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Loaded {
-    /// It is held in this version.
-    Ready(u64),
-    /// All places are in use or on their way.
-    Full,
-    /// This node gives the engine no orders now.
-    NotOwner,
-    /// The engine took no order, or didn't carry it out in time.
-    Failed,
-}
-
-impl Loaded {
-    /// Returns the name used in logs and metrics.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Ready(_) => "ready",
-            Self::Full => "full",
-            Self::NotOwner => "not_owner",
-            Self::Failed => "failed",
-        }
-    }
-}
-
-/// Asks for an adapter.
-#[derive(Debug)]
-pub struct Load {
-    /// `BASE/NAME`.
-    pub adapter: Name,
-    /// The least version that will do; 0 is any.
-    pub version: u64,
-    /// Told when the adapter is held, or can't be.
-    pub reply: oneshot::Sender<Loaded>,
-}
-
-/// Tells that adapters were used.
-#[derive(Debug)]
-pub struct Used(pub Vec<Name>);
-
-/// Lets time pass.
-#[derive(Debug)]
-pub struct Tick;
-
-/// Looks whether a load is complete.
-#[derive(Debug)]
-struct Look(Name);
-
-/// Tells what a look found.
-#[derive(Debug)]
-struct Looked {
-    adapter: Name,
-    outcome: Option<Ordered>,
-}
-
 /// Gives one engine its orders.
 #[derive(Debug)]
 pub struct Desk {
@@ -147,55 +93,6 @@
     }
 }
 
-impl Message<Load> for Desk {
-    type Reply = ();
-
-    async fn handle(&mut self, load: Load, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        self.load(load, &actor).await;
-    }
-}
-
-impl Message<Used> for Desk {
-    type Reply = ();
-
-    async fn handle(&mut self, used: Used, _: &mut Context<Self, ()>) {
-        let now = self.parts.clock.now();
-        if let Some(book) = &mut self.book {
-            for adapter in used.0 {
-                book.used.insert(adapter, now);
-            }
-        }
-    }
-}
-
-impl Message<Look> for Desk {
-    type Reply = ();
-
-    async fn handle(&mut self, look: Look, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        self.look(look.0, &actor);
-    }
-}
-
-impl Message<Looked> for Desk {
-    type Reply = ();
-
-    async fn handle(&mut self, looked: Looked, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        self.looked(looked, &actor).await;
-    }
-}
-
-impl Message<Tick> for Desk {
-    type Reply = ();
-
-    async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        self.tick(&actor).await;
-    }
-}
-
 impl Desk {
     async fn load(&mut self, load: Load, actor: &ActorRef<Self>) {
         if self
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -176,7 +176,7 @@
             && self.now() + LOOK < self.until
     }
 
-    /// Notes that an upstream's answer broke off.
+    /// Notes that an upstream's answer broke off, or says that the upstream failed.
     pub fn broke(&mut self, upstream: &Upstream) {
         upstream.failed(self.now());
         self.tried.push(Name::clone(&upstream.incarnation));
@@ -229,8 +229,7 @@
     fn judge(&mut self, answer: Answer, target: &Target) -> Option<Answer> {
         self.sent += 1;
         if answer.head.status.is_server_error() {
-            target.upstream.failed(self.now());
-            self.tried.push(Name::clone(&target.upstream.incarnation));
+            self.broke(&target.upstream);
             if self.may_go_on() && self.others() && self.take_repeat() {
                 self.gate.count_retry("upstream_error");
                 return None;
@@ -390,14 +389,19 @@
         holder.map(|upstream| self.at(upstream, adapter))
     }
 
-    /// Engines that could load the adapter, those with no older version of it first.
+    /// Whether an engine holds the adapter's base and somebody who answers gives it orders.
     ///
     /// An engine without an owner who answers can load nothing. While nodes are gone and the
     /// service is away there are many of them; asked one after the other, they used up the
     /// questions of a request that an engine further down could have served.
+    fn can_load(&self, upstream: &Upstream, adapter: &Name) -> bool {
+        upstream.has_base(adapter) && self.gate.desks.is_ordered(upstream)
+    }
+
+    /// Engines that could load the adapter, those with no older version of it first.
     fn homes(&self, field: &Field<'_>, adapter: &Name) -> Vec<Arc<Upstream>> {
         let mut homes = field.homes(adapter);
-        homes.retain(|upstream| upstream.has_base(adapter) && self.gate.desks.is_ordered(upstream));
+        homes.retain(|upstream| self.can_load(upstream, adapter));
         if let Some(rest) = homes.get_mut(FIRST_HOMES..) {
             rest.sort_by_key(|upstream| upstream.held_count());
         }
@@ -417,10 +421,9 @@
         }
         let mut homes = field.homes(adapter);
         homes.retain(|upstream| {
-            upstream.has_base(adapter)
-                && upstream.version(adapter).is_none()
+            upstream.version(adapter).is_none()
                 && upstream.load() < least.load()
-                && self.gate.desks.is_ordered(upstream)
+                && self.can_load(upstream, adapter)
         });
         self.gate.load_soon(homes, adapter, wanted);
     }
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -175,8 +175,10 @@
             let upstream = Arc::new(Upstream::new(listed, self.connections(&listed.pool), now));
             self.upstreams
                 .insert(Name::clone(&listed.incarnation), upstream);
+            // Only now: a heartbeat of an upstream that is known moves it to no other pool,
+            // and sorting all upstreams at each would grow with their square.
+            self.regroup();
         }
-        self.regroup();
     }
 
     /// Removes an upstream that has left.
@@ -208,10 +210,15 @@
                 self.put_claim(address, entry, now);
             }
         }
+        self.keep_claims(now, |address| present.contains(&address));
+    }
+
+    /// Takes in that all claims but some are gone.
+    pub fn keep_claims(&mut self, now: Millis, kept: impl Fn(SocketAddr) -> bool) {
         let gone: Vec<SocketAddr> = self
             .claims
             .keys()
-            .filter(|address| !present.contains(address))
+            .filter(|address| !kept(**address))
             .copied()
             .collect();
         for address in gone {
--- a/lib/src/ports/metered.rs
+++ b/lib/src/ports/metered.rs
@@ -20,12 +20,9 @@
 /// Counts and times the calls to a service.
 #[derive(Debug)]
 pub struct Metered {
-    /// Keys.
-    pub store: Arc<dyn Store>,
-    /// Leases.
-    pub lease: Arc<dyn Lease>,
-    /// Changes.
-    pub poll: Arc<dyn Poll>,
+    store: Arc<dyn Store>,
+    lease: Arc<dyn Lease>,
+    poll: Arc<dyn Poll>,
     metrics: Arc<Metrics>,
     clock: Arc<dyn Clock>,
     told: AtomicU64,
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -9,12 +9,13 @@
 use async_trait::async_trait;
 use chivevalve::clock::{Clock, Manual, Millis, Monotonic};
 use chivevalve::direct::ask::Desks;
-use chivevalve::direct::claim::{Claimer, Doubter, Right, Support};
+use chivevalve::direct::claim::{Claimer, Doubter, Support};
 use chivevalve::direct::config::{Config, Engine, Limits as Sent, Pool};
 use chivevalve::direct::dialect::{Dialect, Held, Listed};
 use chivevalve::direct::follow::Follower;
 use chivevalve::direct::limits::{Current, LEASE, Limits, RIGHT};
 use chivevalve::direct::orders::Loaded;
+use chivevalve::direct::right::Right;
 use chivevalve::direct::upstream::Upstream;
 use chivevalve::direct::view::{Claim, Peer, Standing, View};
 use chivevalve::ports::{Lease, Store};
@@ -175,6 +176,15 @@
     }
 }
 
+/// A service that lists the engine, and the node that owns it.
+async fn owner() -> (Arc<Memory>, Node) {
+    let memory = Arc::new(Memory::default());
+    list_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    (memory, one)
+}
+
 fn claim_key(memory: &Memory) -> Option<String> {
     memory
         .state()
@@ -186,10 +196,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn claim_first_start_orders_at_once() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (_memory, one) = owner().await;
     assert!(one.right.check(address()).is_some());
 }
 
@@ -198,10 +205,7 @@
 /// Cause: it claims without its record, so that nobody knows where to ask it.
 #[tokio::test(start_paused = true)]
 async fn claim_only_with_a_record() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (memory, one) = owner().await;
     assert!(one.right.check(address()).is_some());
     let key = Speech.own("node/one");
     assert!(memory.state().entries.contains_key(&key));
@@ -238,10 +242,7 @@
 /// Cause: the renewal taken as proof that the claim stands.
 #[tokio::test(start_paused = true)]
 async fn right_ends_with_a_claim_taken_away() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (memory, one) = owner().await;
     let former = one.right.check(address()).unwrap();
     let key = claim_key(&memory).unwrap();
     memory.change(|state| state.away = true);
@@ -264,10 +265,7 @@
 /// Cause: the right counted on a clock that stood still.
 #[tokio::test(start_paused = true)]
 async fn right_ends_while_suspended() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (_memory, one) = owner().await;
     assert!(one.right.check(address()).is_some());
     one.clock.advance(RIGHT);
     assert_eq!(one.right.check(address()), None);
@@ -278,10 +276,7 @@
 /// Cause: nobody takes the claim over, or somebody before the old right and a turn have passed.
 #[tokio::test(start_paused = true)]
 async fn claim_taken_over_after_a_death() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (memory, one) = owner().await;
     let former = one.right.check(address()).unwrap();
     let two = node("two", &memory, true);
     pass(&[&two], Millis(1_500)).await;
@@ -300,10 +295,7 @@
 /// Cause: the successor waits as after a death.
 #[tokio::test(start_paused = true)]
 async fn claim_handed_over_in_order() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (memory, one) = owner().await;
     let two = node("two", &memory, true);
     pass(&[&one, &two], Millis(1_500)).await;
     one.claimer.leave().await.unwrap();
@@ -318,10 +310,7 @@
 /// Cause: its former claims are waited out as if another VM held them.
 #[tokio::test(start_paused = true)]
 async fn claim_of_former_start_is_taken_back() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (memory, one) = owner().await;
     let former = one.right.check(address()).unwrap();
     drop(one);
     let again = start("one", 2, &memory, false);
@@ -334,10 +323,7 @@
 /// Cause: the round after a renewal claims what has no owner.
 #[tokio::test(start_paused = true)]
 async fn claim_not_made_after_leaving() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (_memory, one) = owner().await;
     one.claimer.leave().await.unwrap();
     pass(&[&one], Millis(3_000)).await;
     assert!(!one.right.owns(address()));
@@ -349,10 +335,7 @@
 /// Cause: an owner gives up though nobody can succeed it.
 #[tokio::test(start_paused = true)]
 async fn right_lasts_through_an_outage_that_all_have() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (memory, one) = owner().await;
     one.others.support.store(true, Ordering::SeqCst);
     memory.change(|state| state.away = true);
     for _ in 0..20 {
@@ -403,10 +386,7 @@
 /// Cause: a renewal fails so late that the next round of questions comes after the right.
 #[tokio::test(start_paused = true)]
 async fn right_lasts_when_a_first_question_is_lost() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (memory, one) = owner().await;
     one.others.support.store(true, Ordering::SeqCst);
     one.others.unheard.store(2, Ordering::SeqCst);
     memory.change(|state| state.away = true);
@@ -460,10 +440,7 @@
 /// when the claims vanish.
 #[tokio::test(start_paused = true)]
 async fn supports_claims_that_stand() {
-    let memory = Arc::new(Memory::default());
-    list_engine(&memory);
-    let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    let (_memory, one) = owner().await;
     let token = one.right.check(address()).unwrap();
     assert!(one.right.supports("one", &[(address(), token)]));
     assert!(!one.right.supports("one", &[(address(), token + 1)]));
--- a/lib/tests/test_direct_reload.rs
+++ b/lib/tests/test_direct_reload.rs
@@ -58,7 +58,7 @@
     let (reload, limits) = reload();
     let mut changed = settings();
     changed.limits.stop = Millis(4_000);
-    let mistake = || Err("zone is missing".to_owned());
+    let mistake = || Err("node is missing".to_owned());
     assert_eq!(reload.take(mistake()), Taken::Refused);
     assert_eq!(reload.take(mistake()), Taken::Same);
     assert_eq!(limits.get(), Limits::default());
