direct: starts of one name told apart, and entries of other writers left aside

Cause: a server may start again under its id; its count of orders begins anew. News with a lower count was left aside as old, so such a start would be believed to hold what it lost, and a desk's book of the former start would give orders with its count. An entry with an unknown state retired a known upstream, and one value that can't be decoded failed a whole answer of the key-value service.

--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -66,7 +66,8 @@
     pub node: Name,
     /// Its metrics.
     pub metrics: Arc<Metrics>,
-    open: Mutex<HashMap<Name, ActorRef<Desk>>>,
+    /// By the engine's name, with the start that each is for.
+    open: Mutex<HashMap<Name, (u64, ActorRef<Desk>)>>,
     channels: Mutex<HashMap<SocketAddr, OrdersClient<Channel>>>,
     uses: Mutex<HashMap<Name, Vec<Name>>>,
     /// Nodes whose last exchange had no answer.
@@ -199,10 +200,14 @@
         let config = self.view.config()?;
         let engine = config.pools.get(&upstream.pool)?.engine.clone()?;
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(desk) = open.get(&upstream.incarnation)
+        if let Some((born, desk)) = open.get(&upstream.incarnation)
             && desk.is_alive()
         {
-            return Some(desk.clone());
+            if *born == upstream.born {
+                return Some(desk.clone());
+            }
+            // Its book is of a start that has ended: the count in its orders would be wrong.
+            desk.kill();
         }
         let parts = Parts {
             upstream: Arc::clone(upstream),
@@ -215,7 +220,10 @@
             metrics: Arc::clone(&self.metrics),
         };
         let desk = Desk::spawn_with_mailbox(parts, mailbox::bounded(MAILBOX));
-        open.insert(Name::clone(&upstream.incarnation), desk.clone());
+        open.insert(
+            Name::clone(&upstream.incarnation),
+            (upstream.born, desk.clone()),
+        );
         Some(desk)
     }
 
@@ -283,14 +291,15 @@
             return self.desk(upstream);
         }
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.get(&upstream.incarnation).cloned()
+        let (_, desk) = open.get(&upstream.incarnation)?;
+        Some(desk.clone())
     }
 
     fn close_gone(&self, upstreams: &HashMap<Name, Arc<Upstream>>) {
         self.open
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .retain(|incarnation, desk| {
+            .retain(|incarnation, (_, desk)| {
                 let kept = upstreams.contains_key(incarnation);
                 if !kept {
                     desk.kill();
@@ -366,6 +375,7 @@
             };
             upstream.heard_load(standing.running, self.clock.now());
             upstream.hold(&Held {
+                born: standing.born,
                 sequence: standing.sequence,
                 models: standing.models.into_iter().map(Name::from).collect(),
                 adapters: standing
@@ -383,7 +393,7 @@
             return;
         }
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(desk) = open.get(incarnation)
+        if let Some((_, desk)) = open.get(incarnation)
             && desk.tell(Used(adapters)).try_send().is_err()
         {
             log::debug!("ask: a desk is full and hears of no use");
@@ -408,6 +418,7 @@
         Some(Standing {
             incarnation: one.incarnation.clone(),
             running: others,
+            born: held.born,
             sequence: held.sequence,
             models: held.models.iter().map(ToString::to_string).collect(),
             adapters: held
--- a/lib/src/direct/dialect.rs
+++ b/lib/src/direct/dialect.rs
@@ -51,7 +51,9 @@
 /// Base models and adapters that an engine holds.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Held {
-    /// Number of orders that the engine has accepted.
+    /// When this start of the engine began, in milliseconds since 1970; 0 where none tells.
+    pub born: u64,
+    /// Number of orders that this start of the engine has accepted.
     pub sequence: u64,
     /// Names of base models.
     pub models: Vec<Name>,
--- a/lib/src/direct/orders/book.rs
+++ b/lib/src/direct/orders/book.rs
@@ -25,6 +25,7 @@
 /// What is known of an engine.
 #[derive(Debug, Default)]
 pub(super) struct Book {
+    pub(super) born: u64,
     pub(super) sequence: u64,
     pub(super) models: Vec<Name>,
     pub(super) seats: HashMap<Name, Seat>,
@@ -43,6 +44,7 @@
             })
             .collect();
         let mut book = Self {
+            born: report.held.born,
             sequence: report.held.sequence,
             models: report.held.models.clone(),
             seats: HashMap::new(),
@@ -88,6 +90,7 @@
             })
             .collect();
         Held {
+            born: self.born,
             sequence: self.sequence,
             models: self.models.clone(),
             adapters,
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -32,6 +32,7 @@
 /// What is known of adapters, with the order count that it holds for.
 #[derive(Debug, Default)]
 struct Holdings {
+    born: u64,
     sequence: u64,
     models: Vec<Name>,
     adapters: HashMap<Name, u64>,
@@ -58,6 +59,8 @@
     pub failure_domain: Name,
     /// Requests that it processes at once.
     pub slots: u32,
+    /// When this start began, as it says of itself; 0 where it doesn't tell.
+    pub born: u64,
     /// When this node first saw it in the list.
     pub seen: Millis,
     /// Connections to it.
@@ -103,6 +106,7 @@
             address: listed.address,
             failure_domain: Name::clone(&listed.failure_domain),
             slots: listed.slots.max(1),
+            born: listed.held.born,
             seen: now,
             link: Link::new(listed.address, bounds),
             ready: AtomicBool::new(listed.ready),
@@ -127,12 +131,16 @@
 
     /// Takes in what the upstream holds after its `sequence`th order.
     ///
-    /// Older news than is known is left aside.
+    /// Older news than is known is left aside. An engine may start again under its name: its
+    /// count begins anew then, so that news of the former start would look newer for as many
+    /// orders as that one took, and requests would go to adapters that are gone. The time of
+    /// the start goes first therefore.
     pub fn hold(&self, held: &Held) {
         let mut holdings = self.holdings();
-        if held.sequence < holdings.sequence {
+        if (held.born, held.sequence) < (holdings.born, holdings.sequence) {
             return;
         }
+        holdings.born = held.born;
         holdings.sequence = held.sequence;
         holdings.models.clone_from(&held.models);
         holdings.adapters = held.adapters.iter().cloned().collect();
@@ -143,6 +151,7 @@
     pub fn held(&self) -> Held {
         let holdings = self.holdings();
         Held {
+            born: holdings.born,
             sequence: holdings.sequence,
             models: holdings.models.clone(),
             adapters: holdings
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -168,9 +168,19 @@
     }
 
     /// Takes in an upstream's entry.
+    ///
+    /// An entry of an earlier start than is known is left aside: it was written late, or by
+    /// somebody else. One of a later start is another upstream, which knows nothing of before.
     pub fn list(&mut self, listed: &Listed, now: Millis) {
+        let known = self.upstreams.get(&listed.incarnation);
+        if known.is_some_and(|upstream| listed.held.born > upstream.born) {
+            log::info!("view: {} has started again", listed.incarnation);
+            self.unlist(&listed.incarnation);
+        }
         if let Some(upstream) = self.upstreams.get(&listed.incarnation) {
-            upstream.update(listed);
+            if listed.held.born == upstream.born {
+                upstream.update(listed);
+            }
         } else {
             let upstream = Arc::new(Upstream::new(listed, self.connections(&listed.pool), now));
             self.upstreams
--- a/lib/src/protos/chivevalve.direct.rs
+++ b/lib/src/protos/chivevalve.direct.rs
@@ -78,6 +78,9 @@
     pub models: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(message, repeated, tag = "5")]
     pub adapters: ::prost::alloc::vec::Vec<Resident>,
+    /// When this start of the engine began, in milliseconds since 1970; 0 where it doesn't tell.
+    #[prost(uint64, tag = "6")]
+    pub born: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Resident {
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -10,7 +10,7 @@
 use chivevalve::direct::view::View;
 use chivevalve_platform::Speech;
 use direct_support::SERVER;
-use direct_support::memory::Memory;
+use direct_support::memory::{Memory, State};
 
 struct Followed {
     memory: Arc<Memory>,
@@ -145,3 +145,59 @@
     assert!(!followed.knows("i-1"));
     assert!(followed.knows("i-2"));
 }
+
+/// Symptom: work is sent to what an engine held before it ended.
+/// Sequence: an engine starts again under its name; a late entry of its former start follows.
+/// Cause: a start known by its name alone.
+#[tokio::test(start_paused = true)]
+async fn upstream_started_again_is_another() {
+    let followed = start();
+    let put = |born: u64| {
+        let entry = SERVER.replacen('{', &format!("{{\"born\":{born},"), 1);
+        let change = |state: &mut State| state.put("servers/i-1", entry, None);
+        followed.memory.change(change);
+    };
+    let known = || followed.view.state().upstreams["i-1"].clone();
+    put(1_000);
+    pass(Millis(2_000)).await;
+    let first = known();
+    put(2_000);
+    pass(Millis(2_000)).await;
+    let second = known();
+    assert!(!first.is_ready());
+    assert!(second.is_ready());
+    assert_eq!((first.born, second.born), (1_000, 2_000));
+    put(1_000);
+    pass(Millis(2_000)).await;
+    assert_eq!(known().born, 2_000);
+}
+
+/// Symptom: a node hears nothing of any upstream, or sends work to one that is none.
+/// Sequence: somebody else writes entries beside those of the upstreams, or over one of them.
+/// Cause: one entry that can't be read taken for all, or taken for an upstream.
+#[tokio::test(start_paused = true)]
+async fn upstream_entries_of_other_writers() {
+    let followed = start();
+    followed.list("i-1");
+    pass(Millis(2_000)).await;
+    let spoilt = [
+        "no JSON".to_owned(),
+        "{}".to_owned(),
+        SERVER.replace("ready", "resting"),
+        SERVER.replacen('{', "{\"born\":\"yesterday\",", 1),
+        SERVER.replacen('{', "{\"born\":17.5,", 1),
+    ];
+    for (number, entry) in spoilt.into_iter().enumerate() {
+        let other = format!("servers/other-{number}");
+        followed.memory.change(|state| {
+            state.put(&other, entry.clone(), None);
+            state.put("servers/i-1", entry, None);
+        });
+    }
+    followed.list("i-2");
+    pass(Millis(2_000)).await;
+    assert!(followed.knows("i-1") && followed.knows("i-2"));
+    let state = followed.view.state();
+    assert_eq!(state.upstreams.len(), 2);
+    assert!(state.upstreams["i-1"].is_ready());
+}
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -39,6 +39,7 @@
         cold: Millis::ZERO,
         remaining: None,
         held: Held {
+            born: 0,
             sequence: 3,
             models: vec!["base".into()],
             adapters: adapters
@@ -241,3 +242,24 @@
     let limits = Limits::default();
     assert_eq!(limits.poll_pause(), Millis(800));
 }
+
+/// Symptom: requests are turned away for adapters that an engine no longer holds.
+/// Sequence: an engine takes five orders, ends, and starts again under its name with one.
+/// Cause: its count begins anew, so that news of the former start looked newer.
+#[test]
+fn hold_of_a_former_start_left_aside() {
+    let engine = upstream("i-1", "hall-a");
+    let held = |born: u64, sequence: u64, adapter: &str| Held {
+        born,
+        sequence,
+        models: vec!["base".into()],
+        adapters: vec![(adapter.into(), 1)],
+        incoming: Vec::new(),
+    };
+    engine.hold(&held(1_000, 5, "base/a5"));
+    engine.hold(&held(2_000, 1, "base/a7"));
+    assert_eq!(engine.version("base/a5"), None);
+    assert_eq!(engine.version("base/a7"), Some(1));
+    engine.hold(&held(1_000, 6, "base/a5"));
+    assert_eq!(engine.version("base/a7"), Some(1));
+}
