--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -1,4 +1,4 @@
-//! Asking the node that gives an engine its orders, and answering as that node.
+//! Asking the node that gives an engine its orders.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -7,11 +7,9 @@
 use async_trait::async_trait;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
-use tokio::net::TcpListener;
 use tokio::sync::oneshot;
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::transport::{Channel, Endpoint, Server};
-use tonic::{Request, Response, Status};
+use tonic::Status;
+use tonic::transport::{Channel, Endpoint};
 
 use super::claim::{Doubter, Support};
 use super::dialect::{Dialect, Held};
@@ -24,10 +22,9 @@
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::schema::direct::orders_client::OrdersClient;
-use crate::schema::direct::orders_server::{Orders, OrdersServer};
 use crate::schema::direct::{
     ExchangeReply, ExchangeRequest, LoadReply, LoadRequest, Outcome, Owned, Resident, Standing,
-    SupportReply, SupportRequest, Use,
+    SupportRequest, Use,
 };
 
 /// How long connecting to another node may take.
@@ -133,7 +130,12 @@
         loaded
     }
 
-    async fn load_here(&self, upstream: &Arc<Upstream>, adapter: &Name, version: u64) -> Loaded {
+    pub(super) async fn load_here(
+        &self,
+        upstream: &Arc<Upstream>,
+        adapter: &Name,
+        version: u64,
+    ) -> Loaded {
         let Some(desk) = self.desk(upstream) else {
             return Loaded::Failed;
         };
@@ -388,7 +390,7 @@
         }
     }
 
-    fn note_uses(&self, incarnation: &str, adapters: Vec<Name>) {
+    pub(super) fn note_uses(&self, incarnation: &str, adapters: Vec<Name>) {
         if adapters.is_empty() {
             return;
         }
@@ -401,7 +403,7 @@
     }
 
     /// Answers an exchange: what all others have running, and what is held.
-    fn standing(&self, node: &Name, one: &Use) -> Option<Standing> {
+    pub(super) fn standing(&self, node: &Name, one: &Use) -> Option<Standing> {
         let upstream = {
             let state = self.view.state();
             Arc::clone(state.upstreams.get(one.incarnation.as_str())?)
@@ -505,88 +507,3 @@
         Outcome::Failed | Outcome::Unspecified => Loaded::Failed,
     }
 }
-
-/// Answers other nodes.
-#[derive(Debug)]
-struct Service(Arc<Desks>);
-
-#[async_trait]
-impl Orders for Service {
-    async fn load(&self, request: Request<LoadRequest>) -> Result<Response<LoadReply>, Status> {
-        let request = request.into_inner();
-        let desks = &self.0;
-        let upstream = desks
-            .view
-            .state()
-            .upstreams
-            .get(request.incarnation.as_str())
-            .cloned();
-        let loaded = match upstream {
-            Some(upstream) if desks.right.owns(upstream.address) => {
-                let adapter = Name::from(request.adapter);
-                desks.load_here(&upstream, &adapter, request.version).await
-            }
-            _ => Loaded::NotOwner,
-        };
-        let (outcome, version) = match loaded {
-            Loaded::Ready(version) => (Outcome::Ready, version),
-            Loaded::Full => (Outcome::Full, 0),
-            Loaded::NotOwner => (Outcome::NotOwner, 0),
-            Loaded::Failed => (Outcome::Failed, 0),
-        };
-        Ok(Response::new(LoadReply {
-            outcome: outcome.into(),
-            version,
-        }))
-    }
-
-    async fn support(
-        &self,
-        request: Request<SupportRequest>,
-    ) -> Result<Response<SupportReply>, Status> {
-        let request = request.into_inner();
-        let mut owned = Vec::with_capacity(request.owned.len());
-        for one in &request.owned {
-            let address = one
-                .address
-                .parse()
-                .map_err(|_| Status::invalid_argument("an owned engine has no address"))?;
-            owned.push((address, one.token));
-        }
-        let supported = self.0.right.supports(&request.node, &owned);
-        Ok(Response::new(SupportReply { supported }))
-    }
-
-    async fn exchange(
-        &self,
-        request: Request<ExchangeRequest>,
-    ) -> Result<Response<ExchangeReply>, Status> {
-        let request = request.into_inner();
-        let node = Name::from(request.node);
-        let mut standings = Vec::with_capacity(request.uses.len());
-        for one in &request.uses {
-            if let Some(standing) = self.0.standing(&node, one) {
-                let adapters = one.adapters.iter().map(|name| name.as_str().into());
-                self.0.note_uses(&one.incarnation, adapters.collect());
-                standings.push(standing);
-            }
-        }
-        Ok(Response::new(ExchangeReply { standings }))
-    }
-}
-
-/// Answers other nodes until the task is dropped.
-///
-/// # Errors
-///
-/// When the listener can't be served.
-pub async fn serve(
-    listener: TcpListener,
-    desks: Arc<Desks>,
-) -> Result<(), tonic::transport::Error> {
-    Server::builder()
-        .tcp_nodelay(true)
-        .add_service(OrdersServer::new(Service(desks)))
-        .serve_with_incoming(TcpListenerStream::new(listener))
-        .await
-}
--- a/lib/src/direct/handover.rs
+++ b/lib/src/direct/handover.rs
@@ -7,13 +7,11 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http::response;
-use http_body_util::{BodyExt, Limited};
 use tokio::task::JoinHandle;
 
 use super::dialect::{Memory, Transferred};
 use super::entry::Gate;
+use super::question;
 use super::target::Target;
 use super::upstream::Upstream;
 use crate::clock::Millis;
@@ -23,12 +21,6 @@
 /// It takes 20 ms at the median and 119 ms at 99 in 100, most of it the end of a step.
 const TRANSFER: Millis = Millis(500);
 
-/// How fresh a kept connection has to be for the question.
-const FRESH: Millis = Millis(1_000);
-
-/// Longest answer to the question that is read, in bytes.
-const ANSWER_BYTES: usize = 16 * 1024;
-
 /// A run that is being moved.
 #[derive(Debug)]
 pub struct Handover {
@@ -92,8 +84,11 @@
     source: Arc<Upstream>,
     target: Arc<Upstream>,
 ) -> Transferred {
-    let question = exchange(&gate, &id, &source, &target);
-    let transferred = match tokio::time::timeout(TRANSFER.duration(), question).await {
+    let request = gate
+        .dialect
+        .ask_transfer(&source.incarnation, &id, target.address);
+    let asked = question::ask(&*gate.dialect, &source, request);
+    let transferred = match tokio::time::timeout(TRANSFER.duration(), asked).await {
         Ok(Ok((head, body))) => gate.dialect.transferred(&head, &body),
         Ok(Err(told)) => {
             log::info!(request = id.as_str(), cause = told.as_str(); "handover: no answer");
@@ -110,35 +105,3 @@
         .inc();
     transferred
 }
-
-/// Sends the question; the error is for people.
-async fn exchange(
-    gate: &Gate,
-    id: &str,
-    source: &Upstream,
-    target: &Upstream,
-) -> Result<(response::Parts, Bytes), String> {
-    let question = gate
-        .dialect
-        .ask_transfer(&source.incarnation, id, target.address);
-    let mut connection = source
-        .link
-        .take(FRESH)
-        .await
-        .map_err(|lost| format!("{lost:?}"))?;
-    let response = connection
-        .send(question)
-        .await
-        .map_err(|lost| format!("{lost:?}"))?;
-    let (head, body) = response.into_parts();
-    let body = Limited::new(body, ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|error| error.to_string())?
-        .to_bytes();
-    let reply = gate.dialect.reply(&head);
-    if !reply.closes {
-        source.link.keep(connection, reply.keep);
-    }
-    Ok((head, body))
-}
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -18,13 +18,14 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use super::ask::{self, Desks};
+use super::ask::Desks;
 use super::claim::Claimer;
 use super::dialect::Dialect;
 use super::entry::Gate;
 use super::follow::Follower;
 use super::limits::{Current, Limits};
 use super::right::Right;
+use super::serve;
 use super::view::{Peer, View};
 use crate::clock::{Boot, Clock, Millis};
 use crate::metrics::Metrics;
@@ -225,7 +226,7 @@
 
     fn listen(&mut self, listeners: Listeners, desks: Arc<Desks>) {
         self.tasks.spawn(async move {
-            if let Err(error) = ask::serve(listeners.peers, desks).await {
+            if let Err(error) = serve::serve(listeners.peers, desks).await {
                 log::error!("node: other nodes aren't served: {error}");
             }
         });
--- a/lib/src/direct/orders/engine.rs
+++ b/lib/src/direct/orders/engine.rs
@@ -7,6 +7,7 @@
 use crate::clock::{Clock, Millis};
 use crate::direct::config::Engine;
 use crate::direct::dialect::{Dialect, Order, Ordered, Report};
+use crate::direct::question;
 use crate::direct::right::Right;
 use crate::direct::upstream::Upstream;
 use crate::direct::view::View;
@@ -23,8 +24,8 @@
 /// How fresh a kept connection has to be for an order.
 const FRESH: Millis = Millis(1_000);
 
-/// Longest report that is read, in bytes.
-const REPORT_BYTES: usize = 256 * 1024;
+/// Longest answer to an order that is read, in bytes.
+const ORDER_BYTES: usize = 16 * 1024;
 
 /// What a desk is made of.
 #[derive(Debug, Clone)]
@@ -65,7 +66,7 @@
         let (head, body) = sent
             .map_err(|_| Lost::Sent(format!("nothing within {ANSWER}")))??
             .into_parts();
-        let rest = Limited::new(body, REPORT_BYTES).collect();
+        let rest = Limited::new(body, ORDER_BYTES).collect();
         if let Ok(Ok(_)) = tokio::time::timeout(ANSWER.duration(), rest).await {
             let reply = self.dialect.reply(&head);
             if !reply.closes {
@@ -84,26 +85,7 @@
 
     async fn ask_report(&self) -> Result<Report, String> {
         let request = self.dialect.ask_report(&self.upstream.incarnation);
-        let upstream = &self.upstream;
-        let mut connection = upstream
-            .link
-            .take(FRESH)
-            .await
-            .map_err(|lost| format!("{lost:?}"))?;
-        let (head, body) = connection
-            .send(request)
-            .await
-            .map_err(|lost| format!("{lost:?}"))?
-            .into_parts();
-        let body = Limited::new(body, REPORT_BYTES)
-            .collect()
-            .await
-            .map_err(|error| error.to_string())?
-            .to_bytes();
-        let reply = self.dialect.reply(&head);
-        if !reply.closes {
-            upstream.link.keep(connection, reply.keep);
-        }
+        let (head, body) = question::ask(&*self.dialect, &self.upstream, request).await?;
         if !head.status.is_success() {
             return Err(format!("status {}", head.status));
         }
