direct: a run moves on the newest version of its adapter only

An engine was told at 13.29 s to load version 1, by a stream that had begun on it elsewhere while that was allowed and looked for a writer; a later stream, whose engine was believed to hold version 1 though it was sent for 2, moved there. Ruled out: the time for which old versions are begun on (old_until is as before). Change: a run moves only where its engine is believed to hold the version that it was sent for and that version is the newest; no engine is asked for an older one (roles::may_move).

--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -214,7 +214,7 @@
         }
         let source = &answer.upstream;
         let first = self.trip.pace.pieces == 1;
-        if let Some(target) = self.trip.writer(source, first) {
+        if let Some(target) = self.trip.writer(answer, first) {
             let handover = Handover::begin(&self.trip.gate, self.trip.id(), source, target);
             self.handover = Some(handover);
         }
--- a/lib/src/direct/roles.rs
+++ b/lib/src/direct/roles.rs
@@ -49,6 +49,20 @@
     }
 }
 
+/// Whether a run may go on at another engine, by the versions of its adapter.
+///
+/// `sent` is the version that its engine was expected to have, `held` what that engine is
+/// believed to hold, `newest` the newest that was named; none where there is no number.
+///
+/// Going on elsewhere counts as beginning there. A run on an older version that was begun in
+/// time would be begun again on it long after, 9.5 s in one play, where five are allowed; and
+/// another engine would be told to load the old version for it. Such a run stays where it is,
+/// as does one whose engine is believed to hold another version than the run was sent for.
+#[must_use]
+pub fn may_move(sent: Option<u64>, held: u64, newest: Option<u64>) -> bool {
+    sent.is_none_or(|sent| sent == held) && newest.is_none_or(|newest| held >= newest)
+}
+
 /// The engines of a pool that read prompts for the others.
 ///
 /// All nodes derive them from the list of engines alone, so that they agree without a word;
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -4,12 +4,13 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::attempt::Answer;
 use super::call::Call;
 use super::entry::{CLASS, seconds};
 use super::orders::Loaded;
 use super::pick::Field;
 use super::record::Asking;
-use super::roles::{Manner, Roles};
+use super::roles::{Manner, Roles, may_move};
 use super::trip::{LOOK, Trip, old_until};
 use super::upstream::Upstream;
 use super::view::Newest;
@@ -89,11 +90,12 @@
         }
     }
 
-    /// Returns the writer to which a run that begins at `source` moves, if there is one now.
+    /// Returns the writer to which a run moves whose answer began, if there is one now.
     ///
     /// With `ask`, a writer is asked to hold the adapter where none does, so that a later
     /// event of this stream can move it.
-    pub(super) fn writer(&self, source: &Upstream, ask: bool) -> Option<Target> {
+    pub(super) fn writer(&self, answer: &Answer, ask: bool) -> Option<Target> {
+        let source = &answer.upstream;
         let roles = self.gate.roles(&self.pool);
         if !roles.reads(source.address) {
             return None;
@@ -112,6 +114,10 @@
                 .map(anywhere);
         };
         let version = source.version(adapter)?;
+        let newest = self.gate.view.newest(adapter).map(|newest| newest.version);
+        if !may_move(answer.version, version, newest) {
+            return None;
+        }
         let found =
             field.least(|upstream| takes(upstream) && upstream.version(adapter) == Some(version));
         if found.is_none() && ask {
--- a/lib/tests/test_direct_roles.rs
+++ b/lib/tests/test_direct_roles.rs
@@ -6,7 +6,7 @@
 use chivevalve::clock::Millis;
 use chivevalve::direct::dialect::{Held, Listed};
 use chivevalve::direct::pick::Field;
-use chivevalve::direct::roles::{Manner, Mix, Roles};
+use chivevalve::direct::roles::{Manner, Mix, Roles, may_move};
 use chivevalve::direct::upstream::Upstream;
 
 fn address(number: u16) -> SocketAddr {
@@ -194,3 +194,18 @@
     assert_eq!(begins(Manner::Reads, &both), Some(writer.address));
     assert_eq!(begins(Manner::Writes, &both), Some(writer.address));
 }
+
+/// Symptom: a request begins on a version of its adapter that was replaced 9.5 s before.
+/// Sequence: a stream begins on the old version while that is allowed; behind its first event
+/// it is to move, another engine is asked to load the same version, and a later one moves there.
+/// Cause: the version of the run taken as the one that is wanted.
+#[test]
+fn may_move_only_on_the_newest_version() {
+    assert!(may_move(Some(2), 2, Some(2)));
+    assert!(may_move(Some(2), 2, None));
+    assert!(may_move(None, 0, None));
+    assert!(!may_move(Some(1), 1, Some(2)));
+    assert!(!may_move(None, 0, Some(2)));
+    // The engine is believed to hold another version than the run was sent for.
+    assert!(!may_move(Some(2), 1, None));
+}
