direct: a run moves by what the other engine holds, not by equal numbers

Change: where no version was named any holder will do; else the run was sent for the newest and the other engine holds it. Nobody is asked to load an older one.

--- a/lib/src/direct/roles.rs
+++ b/lib/src/direct/roles.rs
@@ -51,16 +51,19 @@
 
 /// Whether a run may go on at another engine, by the versions of its adapter.
 ///
-/// `sent` is the version that its engine was expected to have, `held` what that engine is
-/// believed to hold, `newest` the newest that was named; none where there is no number.
+/// `sent` is the version that its engine was expected to have, `held` what the other engine is
+/// believed to hold, `newest` the newest that was named. An adapter that was loaded as whatever
+/// is the newest has the number 0; where none was named there is one version only.
 ///
 /// Going on elsewhere counts as beginning there. A run on an older version that was begun in
-/// time would be begun again on it long after, 9.5 s in one play, where five are allowed; and
-/// another engine would be told to load the old version for it. Such a run stays where it is,
-/// as does one whose engine is believed to hold another version than the run was sent for.
+/// time would be begun again on it long after, 9.5 s in one play, where five are allowed. Such a
+/// run stays where it is, and no run moves to an engine that may hold an older version.
 #[must_use]
 pub fn may_move(sent: Option<u64>, held: u64, newest: Option<u64>) -> bool {
-    sent.is_none_or(|sent| sent == held) && newest.is_none_or(|newest| held >= newest)
+    let Some(newest) = newest else {
+        return true;
+    };
+    held >= newest && sent.is_some_and(|sent| sent >= newest)
 }
 
 /// The engines of a pool that read prompts for the others.
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -116,17 +116,17 @@
                 .least(|upstream| takes(upstream) && upstream.has_base(model))
                 .map(anywhere);
         };
-        let version = source.version(adapter)?;
         let newest = self.gate.view.newest(adapter).map(|newest| newest.version);
-        if !may_move(answer.version, version, newest) {
-            return None;
-        }
-        let found =
-            field.least(|upstream| takes(upstream) && upstream.version(adapter) == Some(version));
+        let fits = |upstream: &Upstream| {
+            let held = upstream.version(adapter);
+            held.is_some_and(|held| may_move(answer.version, held, newest))
+        };
+        let found = field.least(|upstream| takes(upstream) && fits(upstream));
         if found.is_none() && ask {
             let mut homes = self.homes(&field, adapter);
             homes.retain(|upstream| !field.reads(upstream));
-            self.gate.load_soon(homes, adapter, version);
+            self.gate
+                .load_soon(homes, adapter, newest.unwrap_or_default());
         }
         found.map(|upstream| self.at(upstream, adapter))
     }
