direct: reading metrics can't stop a node, and a stopped run never looks whole

Cause: the page of metrics held the view's lock while roles were made anew from the view; where no request had come for 250 ms the node stood still for good. Second: where a stopped run could go on nowhere and its stream had ended in order, the answer to the caller ended as complete. Ruled out: other callers of roles hold no lock (read through). Change: the lock is let go first; an answer that was given up is resumed, or cut. No test for the second: the stand-in always breaks such a stream off.

--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -153,11 +153,11 @@
         let ready = state.upstreams.values().filter(|one| one.is_ready());
         let ready = ready.count();
         let leaving = state.upstreams.len() - ready;
-        let reading = state
-            .upstreams
-            .values()
-            .filter(|one| self.roles(&one.pool).reads(one.address))
-            .count();
+        let upstreams: Vec<Arc<Upstream>> = state.upstreams.values().cloned().collect();
+        // Roles are made from the view: with its lock held here the node would stand still.
+        drop(state);
+        let reads = |one: &&Arc<Upstream>| self.roles(&one.pool).reads(one.address);
+        let reading = upstreams.iter().filter(reads).count();
         let counts = [
             ("usable", ready),
             ("leaving", leaving),
@@ -169,7 +169,6 @@
                 .with_label_values(&[name])
                 .set(count(number));
         }
-        drop(state);
         metrics.render()
     }
 
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -94,12 +94,19 @@
                 }
                 Step::More => {}
                 Step::End => {
-                    if !self.taken_over().await {
-                        self.judge_stay(false);
-                        self.observe_pauses();
-                        self.keep();
-                        return Ok(None);
+                    if self.taken_over().await {
+                        continue;
+                    }
+                    // A run that was stopped to be moved ends its stream early. Where it
+                    // can't go on, what was passed on must not look whole.
+                    if self.answer.is_none() {
+                        self.go_on("the run was stopped and can't go on").await?;
+                        continue;
                     }
+                    self.judge_stay(false);
+                    self.observe_pauses();
+                    self.keep();
+                    return Ok(None);
                 }
                 Step::Broken(told) => {
                     if !self.taken_over().await {
