--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -156,8 +156,8 @@
         let upstreams: Vec<Arc<Upstream>> = state.upstreams.values().cloned().collect();
         // Roles are made from the view: with its lock held here the node would stand still.
         drop(state);
-        let reads = |one: &&Arc<Upstream>| self.roles(&one.pool).reads(one.address);
-        let reading = upstreams.iter().filter(reads).count();
+        let is_reader = |one: &&Arc<Upstream>| self.roles(&one.pool).reads(one.address);
+        let reading = upstreams.iter().filter(is_reader).count();
         let counts = [
             ("usable", ready),
             ("leaving", leaving),
