--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -11,9 +11,10 @@
 use tonic::Status;
 use tonic::transport::{Channel, Endpoint};
 
+use super::admission::Table;
 use super::claim::{Doubter, Support};
 use super::dialect::{Dialect, Held};
-use super::limits::exchange_pause;
+use super::limits::{exchange_pause, in_use};
 use super::orders::{Desk, Load, Loaded, Parts, Tick, Used};
 use super::right::Right;
 use super::upstream::Upstream;
@@ -69,7 +70,36 @@
     uses: Mutex<HashMap<Name, Vec<Name>>>,
     /// Nodes whose last exchange had no answer.
     silent: Mutex<HashSet<SocketAddr>>,
-    loads: Mutex<HashMap<Name, HashMap<Name, u32>>>,
+    /// Requests of all nodes at the engines that this node orders.
+    pub(super) table: Arc<Table>,
+    /// Loads that this node waits for, by the owner that was asked.
+    awaited: Mutex<HashMap<SocketAddr, u32>>,
+}
+
+/// Counts a load that is waited for until it is dropped.
+#[derive(Debug)]
+struct Awaited<'a> {
+    desks: &'a Desks,
+    owner: SocketAddr,
+}
+
+impl<'a> Awaited<'a> {
+    fn new(desks: &'a Desks, owner: SocketAddr) -> Self {
+        *desks.awaited().entry(owner).or_default() += 1;
+        Self { desks, owner }
+    }
+}
+
+impl Drop for Awaited<'_> {
+    fn drop(&mut self) {
+        let mut awaited = self.desks.awaited();
+        if let Some(count) = awaited.get_mut(&self.owner) {
+            *count -= 1;
+            if *count == 0 {
+                awaited.remove(&self.owner);
+            }
+        }
+    }
 }
 
 impl Desks {
@@ -87,6 +117,7 @@
             view,
             right,
             dialect,
+            table: Arc::new(Table::new(Arc::clone(&clock))),
             clock,
             node,
             metrics,
@@ -94,11 +125,11 @@
             channels: Mutex::default(),
             uses: Mutex::default(),
             silent: Mutex::default(),
-            loads: Mutex::default(),
+            awaited: Mutex::default(),
         }
     }
 
-    /// Notes that a request of this node uses an adapter.
+    /// Notes that a request of this node uses an adapter without being counted.
     pub fn note_use(&self, upstream: &Upstream, adapter: &Name) {
         let mut uses = self.uses.lock().unwrap_or_else(PoisonError::into_inner);
         let adapters = uses.entry(Name::clone(&upstream.incarnation)).or_default();
@@ -119,11 +150,10 @@
 
     /// Has an adapter made present at an engine, by whichever node may.
     pub async fn load(&self, upstream: &Arc<Upstream>, adapter: &Name, version: u64) -> Loaded {
-        let loaded = if self.right.owns(upstream.address) {
-            self.load_here(upstream, adapter, version).await
-        } else {
-            self.load_there(upstream, adapter, version).await
-        };
+        if self.right.owns(upstream.address) {
+            return self.load_here(upstream, adapter, version).await;
+        }
+        let loaded = self.load_there(upstream, adapter, version).await;
         if let Loaded::Ready(version) = loaded {
             upstream.gained(adapter, version);
         }
@@ -148,7 +178,11 @@
         if desk.tell(load).try_send().is_err() {
             return Loaded::Full;
         }
-        loaded.await.unwrap_or(Loaded::Failed)
+        let loaded = loaded.await.unwrap_or(Loaded::Failed);
+        if let Loaded::Ready(version) = loaded {
+            upstream.gained(adapter, version);
+        }
+        loaded
     }
 
     async fn load_there(&self, upstream: &Arc<Upstream>, adapter: &Name, version: u64) -> Loaded {
@@ -161,6 +195,7 @@
             version,
         };
         let mut client = self.client(peer.address);
+        let _awaited = Awaited::new(self, peer.address);
         let asked = tokio::time::timeout(LOAD.duration(), client.load(request));
         let asked = tokio::select! {
             asked = asked => asked,
@@ -193,6 +228,20 @@
         }
     }
 
+    fn awaited(&self) -> MutexGuard<'_, HashMap<SocketAddr, u32>> {
+        self.awaited.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a node gave no answer the last time, and has not answered an exchange since.
+    pub(super) fn is_silent(&self, address: SocketAddr) -> bool {
+        self.silent().contains(&address)
+    }
+
+    /// Notes that a node gives no answer, until an exchange has one.
+    pub(super) fn fell_silent(&self, address: SocketAddr) {
+        self.silent().insert(address);
+    }
+
     fn silent(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
         self.silent.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -220,6 +269,7 @@
             holder: Name::clone(&self.node),
             view: Arc::clone(&self.view),
             metrics: Arc::clone(&self.metrics),
+            table: Arc::clone(&self.table),
         };
         let desk = Desk::spawn_with_mailbox(parts, mailbox::bounded(MAILBOX));
         open.insert(
@@ -229,7 +279,7 @@
         Some(desk)
     }
 
-    fn client(&self, address: SocketAddr) -> OrdersClient<Channel> {
+    pub(super) fn client(&self, address: SocketAddr) -> OrdersClient<Channel> {
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
         channels
             .entry(address)
@@ -274,8 +324,13 @@
             self.close_gone(&state.upstreams);
             state.upstreams.values().cloned().collect()
         };
+        let now = self.clock.now();
         for upstream in upstreams {
             upstream.link.sweep();
+            if self.right.owns(upstream.address) {
+                let running = self.table.running(&upstream.incarnation);
+                upstream.heard_load(running.saturating_sub(upstream.running()), now);
+            }
             if let Some(desk) = self.desk_to_tick(&upstream)
                 && desk.tell(Tick).try_send().is_err()
             {
@@ -298,6 +353,7 @@
     }
 
     fn close_gone(&self, upstreams: &HashMap<Name, Arc<Upstream>>) {
+        self.table.retain(|engine| upstreams.contains_key(engine));
         self.open
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -314,7 +370,13 @@
     fn exchange_all(self: &Arc<Self>) {
         let mut requests: HashMap<SocketAddr, ExchangeRequest> = HashMap::new();
         let uses = std::mem::take(&mut *self.uses.lock().unwrap_or_else(PoisonError::into_inner));
-        let upstreams: Vec<Arc<Upstream>> = self.view.state().upstreams.values().cloned().collect();
+        let (upstreams, nodes) = {
+            let state = self.view.state();
+            let upstreams: Vec<Arc<Upstream>> = state.upstreams.values().cloned().collect();
+            (upstreams, state.most_nodes)
+        };
+        let mut concerned: HashSet<SocketAddr> = self.awaited().keys().copied().collect();
+        concerned.extend(self.silent().iter());
         for upstream in upstreams {
             let mut adapters = uses.get(&upstream.incarnation).cloned().unwrap_or_default();
             // A long stream uses its adapter though it was asked for long ago.
@@ -324,12 +386,18 @@
                 }
             }
             if self.right.owns(upstream.address) {
-                self.note_uses(&upstream.incarnation, adapters);
+                self.note_uses(&upstream.incarnation, adapters, in_use(nodes));
                 continue;
             }
             let Some((_, peer)) = self.view.owner(upstream.address) else {
                 continue;
             };
+            // Nodes times owners would grow with the square of the fleet, and their news were
+            // nine tenths of the bytes between failure domains at 195 nodes.
+            if adapters.is_empty() && upstream.running() == 0 && !concerned.contains(&peer.address)
+            {
+                continue;
+            }
             let request = requests
                 .entry(peer.address)
                 .or_insert_with(|| ExchangeRequest {
@@ -390,32 +458,28 @@
         }
     }
 
-    pub(super) fn note_uses(&self, incarnation: &str, adapters: Vec<Name>) {
+    /// Has an owner's order queue hear of adapters that are in use here, or at another node.
+    pub(super) fn note_uses(&self, incarnation: &str, adapters: Vec<Name>, span: Millis) {
         if adapters.is_empty() {
             return;
         }
+        let until = self.clock.now() + span;
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some((_, desk)) = open.get(incarnation)
-            && desk.tell(Used(adapters)).try_send().is_err()
+            && desk.tell(Used { adapters, until }).try_send().is_err()
         {
             log::debug!("ask: a desk is full and hears of no use");
         }
     }
 
     /// Answers an exchange: what all others have running, and what is held.
-    pub(super) fn standing(&self, node: &Name, one: &Use) -> Option<Standing> {
+    pub(super) fn standing(&self, one: &Use) -> Option<Standing> {
         let upstream = {
             let state = self.view.state();
             Arc::clone(state.upstreams.get(one.incarnation.as_str())?)
         };
-        let others = {
-            let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-            let at = loads.entry(Name::clone(&upstream.incarnation)).or_default();
-            at.insert(Name::clone(node), one.running);
-            let total: u32 = at.values().sum();
-            upstream.heard_load(total, self.clock.now());
-            total - one.running + upstream.running()
-        };
+        let running = self.table.running(&one.incarnation);
+        let others = running.saturating_sub(one.running);
         let held = upstream.held();
         Some(Standing {
             incarnation: one.incarnation.clone(),
--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
+use super::admit::Permit;
 use super::call::{Call, Kind};
 use super::dialect::{Dialect, Dispatch, Reply};
 use super::upstream::{Running, Upstream};
@@ -99,8 +100,9 @@
         upstream: &Arc<Upstream>,
         dialect: &dyn Dialect,
         dispatch: &Dispatch,
+        permit: Option<Permit>,
     ) -> Result<Answer, Miss> {
-        let running = upstream.enter(self.call.adapter());
+        let running = upstream.enter(self.call.adapter(), permit);
         let freshness = if self.kind.repeatable() {
             USABLE
         } else {
--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -19,7 +19,7 @@
 use super::limits::{
     CLAIM_RANK, Current, GATHER, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN,
 };
-use super::right::{Owned, Right};
+use super::right::Right;
 use super::view::{CLAIMS, Claim, Peer, Standing, State, View};
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
@@ -447,7 +447,7 @@
                 seen: now,
             },
         );
-        self.right.owned().insert(address, Owned { token, from });
+        self.right.take(address, token, from);
     }
 
     fn own_claim(&self, left: Option<Millis>) -> Claim {
--- a/lib/src/direct/handover.rs
+++ b/lib/src/direct/handover.rs
@@ -61,6 +61,7 @@
         let source = Target {
             upstream: Arc::clone(&self.source),
             version,
+            permit: None,
         };
         let (handle, places) = match self.asked.await {
             Ok(Transferred::Copied(handle)) => (handle, smallvec![self.target, source]),
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -105,11 +105,12 @@
 /// The rest is for the call itself and a slow service.
 const POLL_SHARE: f64 = 0.4;
 
-/// How long after a node's last word its adapters count as in use, in exchanges.
+/// How long an adapter that was asked for isn't evicted though no request is counted with it.
 ///
-/// One may be lost or late; an engine protects what runs by itself, but an
-/// eviction that waits for runs keeps all other orders of its engine waiting.
-const WORDS: u64 = 2;
+/// Between a load and the request's arrival lie some milliseconds, or a second where its node
+/// is slow. An engine protects what runs by itself, but an eviction that waits for runs keeps
+/// all other orders of its engine waiting.
+pub const IN_USE: Millis = Millis(1_200);
 
 /// Shortest pause between exchanges with another node.
 const EXCHANGE: Millis = Millis(500);
@@ -124,10 +125,12 @@
     EXCHANGE.max(Millis(EXCHANGE_PER_NODE.0.saturating_mul(nodes)))
 }
 
-/// Returns how long an adapter that was used isn't evicted.
+/// Returns how long an adapter isn't evicted that a node used without being counted.
+///
+/// Such a node tells of its requests with each exchange, and one may be lost.
 #[must_use]
 pub fn in_use(nodes: usize) -> Millis {
-    Millis(exchange_pause(nodes).0 * WORDS + 200)
+    IN_USE.max(Millis(exchange_pause(nodes).0 * 2 + 200))
 }
 
 impl Limits {
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -8,10 +8,13 @@
 //!
 //! The platform's names and formats stand behind [`dialect::Dialect`].
 
+pub mod admission;
+pub mod admit;
 pub mod ask;
 pub mod attempt;
 pub mod budget;
 pub mod call;
+pub mod choice;
 pub mod claim;
 pub mod config;
 pub mod dialect;
--- a/lib/src/direct/orders/book.rs
+++ b/lib/src/direct/orders/book.rs
@@ -29,6 +29,7 @@
     pub(super) sequence: u64,
     pub(super) models: Vec<Name>,
     pub(super) seats: HashMap<Name, Seat>,
+    /// Until when adapters count as in use though no request is counted.
     pub(super) used: HashMap<Name, Millis>,
 }
 
--- a/lib/src/direct/orders/engine.rs
+++ b/lib/src/direct/orders/engine.rs
@@ -5,6 +5,7 @@
 use http_body_util::{BodyExt, Limited};
 
 use crate::clock::{Clock, Millis};
+use crate::direct::admission::Table;
 use crate::direct::config::Engine;
 use crate::direct::dialect::{Dialect, Order, Ordered, Report};
 use crate::direct::question;
@@ -46,6 +47,8 @@
     pub view: Arc<View>,
     /// The node's metrics.
     pub metrics: Arc<Metrics>,
+    /// Requests of all nodes at this node's engines.
+    pub table: Arc<Table>,
 }
 
 impl Parts {
--- a/lib/src/direct/orders/message.rs
+++ b/lib/src/direct/orders/message.rs
@@ -4,6 +4,7 @@
 use tokio::sync::oneshot;
 
 use super::Desk;
+use crate::clock::Millis;
 use crate::direct::dialect::Ordered;
 use crate::name::Name;
 
@@ -44,9 +45,14 @@
     pub reply: oneshot::Sender<Loaded>,
 }
 
-/// Tells that adapters were used.
+/// Tells that adapters are in use.
 #[derive(Debug)]
-pub struct Used(pub Vec<Name>);
+pub struct Used {
+    /// `BASE/NAME` of each.
+    pub adapters: Vec<Name>,
+    /// Until when nothing else may be heard of them though they are.
+    pub until: Millis,
+}
 
 /// Lets time pass.
 #[derive(Debug)]
@@ -76,10 +82,10 @@
     type Reply = ();
 
     async fn handle(&mut self, used: Used, _: &mut Context<Self, ()>) {
-        let now = self.parts.clock.now();
         if let Some(book) = &mut self.book {
-            for adapter in used.0 {
-                book.used.insert(adapter, now);
+            for adapter in used.adapters {
+                let until = book.used.entry(adapter).or_default();
+                *until = used.until.max(*until);
             }
         }
     }
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -16,7 +16,7 @@
 use kameo::actor::ActorRef;
 
 use super::dialect::{Action, Order, Ordered};
-use super::limits::in_use;
+use super::limits::IN_USE;
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::ports::link::Lost;
@@ -120,7 +120,7 @@
         let Some(book) = &mut self.book else {
             return;
         };
-        book.used.insert(Name::clone(&load.adapter), now);
+        book.used.insert(Name::clone(&load.adapter), now + IN_USE);
         match book.seats.get_mut(&load.adapter) {
             Some(Seat::Present { version }) if *version >= load.version => {
                 answer(load.reply, Loaded::Ready(*version));
@@ -213,17 +213,19 @@
         if book.seats.contains_key(adapter) || book.seats.len() + doubtful < places {
             return true;
         }
+        let engine = &self.parts.upstream.incarnation;
         let victim = book
             .seats
             .iter()
-            .filter(|(_, seat)| matches!(seat, Seat::Present { .. }))
+            .filter(|(name, seat)| {
+                matches!(seat, Seat::Present { .. }) && !self.parts.table.uses(engine, name)
+            })
             .map(|(name, _)| (book.used.get(name).copied().unwrap_or_default(), name))
             .min();
-        let Some((used, victim)) = victim else {
+        let Some((used_until, victim)) = victim else {
             return false;
         };
-        let nodes = self.parts.view.state().most_nodes;
-        if now.since(used) < in_use(nodes) && used > Millis::ZERO {
+        if now < used_until {
             return false;
         }
         let victim = Name::clone(victim);
--- a/lib/src/direct/pick.rs
+++ b/lib/src/direct/pick.rs
@@ -21,6 +21,12 @@
 /// What the decision between upstreams that are alike weighs, in places' shares.
 const TIE: f64 = 0.03;
 
+/// How far choices scatter between upstreams of which nothing is known, in places' shares.
+///
+/// More than what separates an upstream nearby from a distant one, so that requests of many
+/// nodes spread; less than the difference between an idle and a full one.
+const SCATTER: f64 = 0.5;
+
 /// What a mean pause as long as callers bear costs, in parts of an upstream's places.
 ///
 /// Counts of requests are up to a second old and say nothing of an upstream that has turned
@@ -46,6 +52,22 @@
     pub pause: Option<Millis>,
     /// Which of the upstreams read prompts for the others.
     pub roles: &'a Roles,
+    /// A number of this request's own, which decides between upstreams of which nothing is known.
+    pub id: u64,
+    /// What part of an upstream's places other nodes use, where nothing newer is known of it;
+    /// none where nobody counts their requests.
+    pub usual: Option<f64>,
+}
+
+/// Returns what part of their places other nodes use at the mean of some upstreams.
+#[must_use]
+#[allow(clippy::cast_precision_loss, reason = "some hundred upstreams")]
+pub fn usual_share(upstreams: &[Arc<Upstream>]) -> f64 {
+    let sum: f64 = upstreams
+        .iter()
+        .map(|upstream| upstream.elsewhere_share())
+        .sum();
+    sum / upstreams.len().max(1) as f64
 }
 
 impl Field<'_> {
@@ -116,22 +138,36 @@
     /// Without it all requests of a quiet time would go to the first of the
     /// list; with it those that share a prompt meet what is kept of it.
     #[allow(clippy::cast_precision_loss, reason = "a share needs few bits")]
-    fn share(&self, upstream: &Upstream) -> f64 {
-        let hash = xxh3_64_with_seed(upstream.incarnation.as_bytes(), self.salt);
+    fn share(upstream: &Upstream, seed: u64) -> f64 {
+        let hash = xxh3_64_with_seed(upstream.incarnation.as_bytes(), seed);
         hash as f64 / u64::MAX as f64
     }
 
+    /// What part of its places is believed to be in use.
+    ///
+    /// News counts less the older it is. Without that, all nodes that had heard of no request
+    /// sent to the same idle engine until they heard of the queue there.
+    fn occupied(&self, upstream: &Upstream) -> f64 {
+        let own = f64::from(upstream.running()) / f64::from(upstream.slots);
+        let Some(usual) = self.usual else {
+            return own + upstream.elsewhere_share();
+        };
+        let known = upstream.certainty(self.now);
+        let unknown = usual + SCATTER * (Self::share(upstream, self.id) - 0.5);
+        own + known * upstream.elsewhere_share() + (1.0 - known) * unknown
+    }
+
     /// Part of the upstream's places in use, with handicaps.
     #[allow(clippy::cast_precision_loss, reason = "some seconds")]
     fn cost(&self, upstream: &Upstream) -> f64 {
-        let mut cost = f64::from(upstream.load()) / f64::from(upstream.slots);
+        let mut cost = self.occupied(upstream);
         if &*upstream.failure_domain != self.home {
             cost += REMOTE;
         }
         if let Some(most) = self.pause {
             cost += PAUSES * upstream.mean_pause(self.now) / (most.0.max(1) as f64);
         }
-        cost += TIE * self.share(upstream);
+        cost += TIE * Self::share(upstream, self.salt);
         if upstream.suspended(self.now) {
             cost += 100.0;
         }
--- a/lib/src/direct/right.rs
+++ b/lib/src/direct/right.rs
@@ -106,6 +106,11 @@
             .map(|&at| now.since(at))
     }
 
+    /// Takes in that this node owns an engine, and from when on it may give it orders.
+    pub fn take(&self, address: SocketAddr, token: u64, from: Millis) {
+        self.owned().insert(address, Owned { token, from });
+    }
+
     /// Whether this node owns an engine, allowed to order yet or not.
     #[must_use]
     pub fn owns(&self, address: SocketAddr) -> bool {
--- a/lib/src/direct/serve.rs
+++ b/lib/src/direct/serve.rs
@@ -8,30 +8,65 @@
 use tonic::transport::Server;
 use tonic::{Request, Response, Status};
 
+use super::admit::{Answer, Question, Replies};
 use super::ask::Desks;
+use super::limits::in_use;
 use super::orders::Loaded;
+use super::upstream::Upstream;
+use crate::clock::Millis;
 use crate::name::Name;
 use crate::schema::direct::orders_server::{Orders, OrdersServer};
 use crate::schema::direct::{
-    ExchangeReply, ExchangeRequest, LoadReply, LoadRequest, Outcome, SupportReply, SupportRequest,
+    AdmitRequest, ExchangeReply, ExchangeRequest, LoadReply, LoadRequest, Outcome, SupportReply,
+    SupportRequest,
 };
 
 /// Answers other nodes.
 #[derive(Debug)]
 struct Service(Arc<Desks>);
 
+impl Service {
+    fn upstream(&self, incarnation: &str) -> Option<Arc<Upstream>> {
+        let state = self.0.view.state();
+        state.upstreams.get(incarnation).cloned()
+    }
+}
+
+/// Calls that one connection may have open: a request of the other node keeps one while it runs.
+const MOST_CALLS: u32 = 8_192;
+
+/// Pause after which a silent connection is asked for a sign of life.
+///
+/// The places that a lost node had taken would else count for ever.
+const ALIVE: Millis = Millis(2_000);
+
+/// The longest that such a sign may take.
+const ALIVE_ANSWER: Millis = Millis(1_000);
+
 #[async_trait]
 impl Orders for Service {
+    type AdmitStream = Replies;
+
+    async fn admit(&self, request: Request<AdmitRequest>) -> Result<Response<Replies>, Status> {
+        let request = request.into_inner();
+        let adapter = (!request.adapter.is_empty()).then(|| Name::from(request.adapter));
+        let question = Question {
+            adapter: adapter.as_ref(),
+            version: request.version,
+            limit: request.limit,
+            loaded: request.loaded,
+        };
+        let answer = match self.upstream(&request.incarnation) {
+            Some(upstream) => self.0.admit_here(&upstream, question),
+            None => Answer::Unknown,
+        };
+        Ok(Response::new(Replies::new(answer)))
+    }
+
     async fn load(&self, request: Request<LoadRequest>) -> Result<Response<LoadReply>, Status> {
         let request = request.into_inner();
         let desks = &self.0;
-        let upstream = desks
-            .view
-            .state()
-            .upstreams
-            .get(request.incarnation.as_str())
-            .cloned();
-        let loaded = match upstream {
+        let loaded = match self.upstream(&request.incarnation) {
             Some(upstream) if desks.right.owns(upstream.address) => {
                 let adapter = Name::from(request.adapter);
                 desks.load_here(&upstream, &adapter, request.version).await
@@ -72,12 +107,13 @@
         request: Request<ExchangeRequest>,
     ) -> Result<Response<ExchangeReply>, Status> {
         let request = request.into_inner();
-        let node = Name::from(request.node);
         let mut standings = Vec::with_capacity(request.uses.len());
         for one in &request.uses {
-            if let Some(standing) = self.0.standing(&node, one) {
+            if let Some(standing) = self.0.standing(one) {
                 let adapters = one.adapters.iter().map(|name| name.as_str().into());
-                self.0.note_uses(&one.incarnation, adapters.collect());
+                let nodes = self.0.view.state().most_nodes;
+                self.0
+                    .note_uses(&one.incarnation, adapters.collect(), in_use(nodes));
                 standings.push(standing);
             }
         }
@@ -96,6 +132,9 @@
 ) -> Result<(), tonic::transport::Error> {
     Server::builder()
         .tcp_nodelay(true)
+        .max_concurrent_streams(Some(MOST_CALLS))
+        .http2_keepalive_interval(Some(ALIVE.duration()))
+        .http2_keepalive_timeout(Some(ALIVE_ANSWER.duration()))
         .add_service(OrdersServer::new(Service(desks)))
         .serve_with_incoming(TcpListenerStream::new(listener))
         .await
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -2,13 +2,17 @@
 
 use std::sync::Arc;
 
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::admission::Load;
+use super::admit::{self, Permit, Question};
 use super::attempt::Answer;
 use super::call::Call;
+use super::choice::{self, MOST_QUESTIONS};
 use super::entry::{CLASS, seconds};
 use super::orders::Loaded;
-use super::pick::Field;
+use super::pick::{Field, usual_share};
 use super::record::Asking;
 use super::roles::{Manner, Roles, may_move};
 use super::trip::{LOOK, Trip, old_until};
@@ -39,16 +43,6 @@
 /// They may have kept a copy of it, which loads ten times as fast.
 const FIRST_HOMES: usize = 2;
 
-/// Part of an engine's places that one adapter's requests may take, beyond which another engine is
-/// asked to hold the adapter too.
-///
-/// A second copy costs a load from the weight store and a place; it pays only
-/// for adapters that fill a good part of a batch by themselves.
-const SPREAD_AT: f64 = 0.15;
-
-/// The same at a reader, where a request stays for a tenth of the time only.
-const READER_SPREAD_AT: f64 = 0.05;
-
 /// Requests at a writer, one of which asks that a reader hold the adapter too.
 ///
 /// Nodes see a ninth or less of an adapter's requests each. Chance asks after as many requests
@@ -63,6 +57,19 @@
     pub upstream: Arc<Upstream>,
     /// The version of the adapter there; none where any will do.
     pub version: Option<u64>,
+    /// The request's place in the count of the upstream's owner.
+    pub permit: Option<Permit>,
+}
+
+/// What asking engines that are believed to hold an adapter led to.
+#[derive(Debug)]
+enum Asked {
+    /// Send there.
+    Place(Target),
+    /// None holds it, or all have a queue that lasts longer than a load elsewhere.
+    Load(Option<Target>),
+    /// It would begin too late wherever it is sent.
+    TooLate(Millis),
 }
 
 impl Trip {
@@ -76,10 +83,8 @@
             let found = match &self.message.call.model {
                 None => field.least(|_| true).map(anywhere),
                 Some(model) => match self.message.call.adapter() {
-                    None => field
-                        .first(self.manner(), |upstream| upstream.has_base(model))
-                        .map(anywhere),
-                    Some(adapter) => self.holder(&field, adapter).await,
+                    None => self.with_base(&field, model).await,
+                    Some(adapter) => self.holder(&field, adapter).await?,
                 },
             };
             if let Some(target) = found {
@@ -128,7 +133,7 @@
             self.gate
                 .load_soon(homes, adapter, newest.unwrap_or_default());
         }
-        found.map(|upstream| self.at(upstream, adapter))
+        found.map(|upstream| Self::at(upstream, adapter))
     }
 
     fn manner(&self) -> Manner {
@@ -144,39 +149,179 @@
             salt: salt(&self.message.call),
             pause: self.route.pause,
             roles,
+            id: xxh3_64(self.id().as_bytes()),
+            usual: self
+                .message
+                .call
+                .model
+                .is_some()
+                .then(|| usual_share(upstreams)),
         }
     }
 
+    /// Finds an engine for a request that uses no adapter.
+    async fn with_base(&self, field: &Field<'_>, model: &Name) -> Option<Target> {
+        let upstream = field.first(self.manner(), |upstream| upstream.has_base(model))?;
+        let question = Question {
+            adapter: None,
+            version: 0,
+            limit: 0,
+            loaded: false,
+        };
+        let permit = match self.gate.desks.admit(&upstream, question).await {
+            admit::Answer::Admitted(permit, _) => Some(permit),
+            _ => None,
+        };
+        Some(Target {
+            upstream,
+            version: None,
+            permit,
+        })
+    }
+
     /// Finds an engine that holds the adapter, or has one load it.
-    async fn holder(&self, field: &Field<'_>, adapter: &Name) -> Option<Target> {
+    ///
+    /// # Errors
+    ///
+    /// A refusal when the request would begin too late wherever it is sent.
+    async fn holder(&self, field: &Field<'_>, adapter: &Name) -> Result<Option<Target>, Failure> {
         let newest = self.gate.view.newest(adapter);
         let wanted = newest.map_or(0, |newest| newest.version);
-        let holds = |least: u64| {
-            move |upstream: &Upstream| upstream.version(adapter).is_some_and(|held| held >= least)
+        let waiting = match self.ask_holders(field, adapter, wanted).await {
+            Asked::Place(target) => return Ok(Some(target)),
+            Asked::TooLate(back) => {
+                let failure = self.refusal(Code::NoUpstream, "it would begin too late");
+                return Err(match failure.retry_after {
+                    Some(_) => failure.retry_after(back),
+                    None => failure,
+                });
+            }
+            Asked::Load(waiting) => waiting,
         };
-        let holder = field.first(self.manner(), holds(wanted));
-        // An engine that can't be reached holds the adapter for nobody: another
-        // loads it, instead of the request ending at the dead one's door. One
-        // that only fails some requests keeps them: copies of all its adapters
-        // would cost more than the failures.
+        if waiting.is_none()
+            && let Some(upstream) = self.older(field, adapter, newest)
+        {
+            self.gate
+                .load_soon(self.homes(field, adapter), adapter, wanted);
+            return Ok(Some(Self::at(upstream, adapter)));
+        }
+        if let Some(upstream) = self.loaded(field, adapter, wanted).await {
+            let question = Question {
+                adapter: Some(adapter),
+                version: wanted,
+                limit: 0,
+                loaded: true,
+            };
+            let mut target = Self::at(upstream, adapter);
+            if let admit::Answer::Admitted(permit, _) =
+                self.gate.desks.admit(&target.upstream, question).await
+            {
+                target.permit = Some(permit);
+            }
+            return Ok(Some(target));
+        }
+        // An engine that can't be reached holds the adapter for nobody: it was passed over
+        // above, and is better than none now.
+        Ok(waiting.or_else(|| {
+            let holds =
+                |upstream: &Upstream| upstream.version(adapter).is_some_and(|held| held >= wanted);
+            let found = field.first(self.manner(), holds);
+            found.map(|upstream| Self::at(upstream, adapter))
+        }))
+    }
+
+    /// Asks engines that are believed to hold the adapter for a place, the better ones first.
+    async fn ask_holders(&self, field: &Field<'_>, adapter: &Name, wanted: u64) -> Asked {
         let turned_away = self.rejected > 0;
-        let usable = |upstream: &Arc<Upstream>| {
+        let mut busy: SmallVec<[(Arc<Upstream>, Load); MOST_QUESTIONS]> = SmallVec::new();
+        while busy.len() < MOST_QUESTIONS {
+            let holds = |upstream: &Upstream| {
+                let asked =
+                    |(one, _): &(Arc<Upstream>, Load)| one.incarnation == upstream.incarnation;
+                upstream.version(adapter).is_some_and(|held| held >= wanted)
+                    && !busy.iter().any(asked)
+            };
+            let Some(upstream) = field.first(self.manner(), holds) else {
+                break;
+            };
+            // One that only fails some requests keeps them: copies of all its adapters
+            // would cost more than the failures.
             let full = turned_away && self.tried.contains(&upstream.incarnation);
-            !full && !upstream.is_unreachable(field.now)
-        };
-        if let Some(upstream) = holder.clone().filter(usable) {
-            self.spread(field, adapter, wanted, &upstream);
+            if full || upstream.is_unreachable(field.now) {
+                break;
+            }
             self.copy(field, adapter, wanted, &upstream);
-            return Some(self.at(upstream, adapter));
+            let question = Question {
+                adapter: Some(adapter),
+                version: wanted,
+                limit: choice::calm_limit(upstream.slots),
+                loaded: false,
+            };
+            match self.gate.desks.admit(&upstream, question).await {
+                admit::Answer::Admitted(permit, _) => {
+                    return Asked::Place(Self::admitted(upstream, adapter, Some(permit)));
+                }
+                admit::Answer::Busy(load) => busy.push((upstream, load)),
+                admit::Answer::Absent(_) => upstream.lost(adapter),
+                admit::Answer::Unknown => {
+                    return Asked::Place(Self::admitted(upstream, adapter, None));
+                }
+            }
         }
-        if let Some(upstream) = self.older(field, adapter, newest) {
-            self.gate
-                .load_soon(self.homes(field, adapter), adapter, wanted);
-            return Some(self.at(upstream, adapter));
+        self.settle(field, adapter, wanted, &busy).await
+    }
+
+    /// Decides between engines that are all no longer calm.
+    async fn settle(
+        &self,
+        field: &Field<'_>,
+        adapter: &Name,
+        wanted: u64,
+        busy: &[(Arc<Upstream>, Load)],
+    ) -> Asked {
+        let least = busy
+            .iter()
+            .min_by_key(|(upstream, load)| (load.wait, load.running * 100 / upstream.slots));
+        let Some((upstream, load)) = least else {
+            return Asked::Load(None);
+        };
+        let reads = field.reads(upstream);
+        if choice::is_crowded(*load, upstream.slots, reads) {
+            self.spread(field, adapter, wanted, reads);
+        }
+        let now = self.now();
+        let (passed, left) = (now.since(self.began), self.until.since(now));
+        let late = choice::come_back(load.wait, self.route.objective, passed, left);
+        if let (Some(back), true) = (late, self.sent == 0) {
+            return Asked::TooLate(back);
         }
-        match self.loaded(field, adapter, wanted).await {
-            Some(upstream) => Some(self.at(upstream, adapter)),
-            None => holder.map(|upstream| self.at(upstream, adapter)),
+        if choice::is_worth_load(load.wait) {
+            return Asked::Load(Some(Self::at(Arc::clone(upstream), adapter)));
+        }
+        let question = Question {
+            adapter: Some(adapter),
+            version: wanted,
+            limit: 0,
+            loaded: false,
+        };
+        match self.gate.desks.admit(upstream, question).await {
+            admit::Answer::Admitted(permit, _) => {
+                Asked::Place(Self::admitted(Arc::clone(upstream), adapter, Some(permit)))
+            }
+            admit::Answer::Absent(_) => {
+                upstream.lost(adapter);
+                Asked::Load(None)
+            }
+            admit::Answer::Busy(_) | admit::Answer::Unknown => {
+                Asked::Place(Self::admitted(Arc::clone(upstream), adapter, None))
+            }
+        }
+    }
+
+    fn admitted(upstream: Arc<Upstream>, adapter: &Name, permit: Option<Permit>) -> Target {
+        Target {
+            permit,
+            ..Self::at(upstream, adapter)
         }
     }
 
@@ -253,24 +398,24 @@
     }
 
     /// Has a further engine hold an adapter whose requests crowd those that hold it.
-    fn spread(&self, field: &Field<'_>, adapter: &Name, wanted: u64, least: &Upstream) {
-        let nodes = self.gate.view.state().most_nodes;
-        // Callers come to all nodes alike, so that this node's requests tell
-        // of all without asking.
-        #[allow(clippy::cast_precision_loss, reason = "a few hundred nodes")]
-        let running = f64::from(least.running_of(adapter)) * nodes as f64;
-        let reads = field.reads(least);
-        let part = if reads { READER_SPREAD_AT } else { SPREAD_AT };
-        if running <= part * f64::from(least.slots) {
-            return;
-        }
+    ///
+    /// All nodes know the same order of engines; chance keeps those that notice the crowd
+    /// together from asking the same one, so that replicas double with each load.
+    fn spread(&self, field: &Field<'_>, adapter: &Name, wanted: u64, reads: bool) {
         let mut homes = field.homes(adapter);
+        let before = homes.len();
+        homes.retain(|upstream| upstream.version(adapter).is_none());
+        let replicas = before - homes.len();
         homes.retain(|upstream| {
-            upstream.version(adapter).is_none()
-                && field.reads(upstream) == reads
-                && upstream.load() < least.load()
+            field.reads(upstream) == reads
+                && upstream.load() < upstream.slots
                 && self.can_load(upstream, adapter)
         });
+        let among = u64::try_from(replicas.clamp(1, homes.len().max(1))).unwrap_or(1);
+        let chosen = usize::try_from(field.id % among).unwrap_or_default();
+        if chosen < homes.len() {
+            homes.swap(0, chosen);
+        }
         self.gate.load_soon(homes, adapter, wanted);
     }
 
@@ -285,12 +430,15 @@
         self.gate.load_soon(homes, adapter, wanted);
     }
 
-    fn at(&self, upstream: Arc<Upstream>, adapter: &Name) -> Target {
-        self.gate.desks.note_use(&upstream, adapter);
+    fn at(upstream: Arc<Upstream>, adapter: &Name) -> Target {
         // An adapter that was loaded as whatever is the newest has no number
         // here; expecting one would have the engine turn the request away.
         let version = upstream.version(adapter).filter(|version| *version > 0);
-        Target { upstream, version }
+        Target {
+            upstream,
+            version,
+            permit: None,
+        }
     }
 }
 
@@ -298,6 +446,7 @@
     Target {
         upstream,
         version: None,
+        permit: None,
     }
 }
 
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 
+use super::admit::{self, Permit, Question};
 use super::attempt::{Answer, Message, Miss};
 use super::config::Route;
 use super::dialect::{Dispatch, Memory};
@@ -60,7 +61,7 @@
     pub(super) sent_at: Millis,
     pub(super) tried: SmallVec<[Name; 4]>,
     ended: bool,
-    sent: u32,
+    pub(super) sent: u32,
     unsent: u32,
     pub(super) rejected: u32,
 }
@@ -121,13 +122,13 @@
     /// The failure that the caller gets; its code's fate is true.
     pub async fn answer(&mut self, resume_after: Option<u64>) -> Result<Answer, Failure> {
         loop {
-            let target = self.target().await?;
+            let mut target = self.target().await?;
             if self.sent + self.rejected > 0 && !self.take_repeat() {
                 return Err(
                     self.refusal(Code::UpstreamRefused, "the budget for repeats is used up")
                 );
             }
-            let result = self.attempt(&target, resume_after).await;
+            let result = self.attempt(&mut target, resume_after).await;
             match result {
                 Ok(answer) => {
                     if let Some(answer) = self.judge(answer, &target) {
@@ -181,7 +182,7 @@
 
     async fn attempt(
         &mut self,
-        target: &Target,
+        target: &mut Target,
         resume_after: Option<u64>,
     ) -> Result<Answer, Miss> {
         let now = self.now();
@@ -192,9 +193,11 @@
         let span = self.patience(now);
         self.sent_at = now;
         record::sent(self, &target.upstream, target.version, dispatch.deadline);
+        let permit = target.permit.take();
+        self.note_uncounted(target, permit.as_ref());
         let send = self
             .message
-            .send(&target.upstream, &*self.gate.dialect, &dispatch);
+            .send(&target.upstream, &*self.gate.dialect, &dispatch, permit);
         match tokio::time::timeout(span.duration(), send).await {
             Ok(result) => result,
             Err(_) => Err(Miss::Lost(
@@ -219,9 +222,10 @@
             ..self.dispatch(place)
         };
         record::sent(self, &place.upstream, place.version, dispatch.deadline);
+        let permit = self.permit(place).await;
         let send = self
             .message
-            .send(&place.upstream, &*self.gate.dialect, &dispatch);
+            .send(&place.upstream, &*self.gate.dialect, &dispatch, permit);
         let span = dispatch.deadline.min(self.route.objective);
         let answer = tokio::time::timeout(span.duration(), send)
             .await
@@ -236,6 +240,29 @@
         Err(Miss::Lost(Code::UpstreamLost, told))
     }
 
+    /// Has a run that was moved counted in where it goes on.
+    async fn permit(&self, place: &Target) -> Option<Permit> {
+        let question = Question {
+            adapter: self.message.call.adapter(),
+            version: place.version.unwrap_or_default(),
+            limit: 0,
+            loaded: true,
+        };
+        let permit = match self.gate.desks.admit(&place.upstream, question).await {
+            admit::Answer::Admitted(permit, _) => Some(permit),
+            _ => None,
+        };
+        self.note_uncounted(place, permit.as_ref());
+        permit
+    }
+
+    /// Lets the owner hear of a request that it doesn't count, by the next exchange.
+    fn note_uncounted(&self, target: &Target, permit: Option<&Permit>) {
+        if let (Some(adapter), None) = (self.message.call.adapter(), permit) {
+            self.gate.desks.note_use(&target.upstream, adapter);
+        }
+    }
+
     fn dispatch(&self, target: &Target) -> Dispatch {
         Dispatch {
             incarnation: Name::clone(&target.upstream.incarnation),
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use super::admit::Permit;
 use super::call::base_of;
 use super::dialect::{Held, Listed};
 use crate::clock::Millis;
@@ -37,6 +38,12 @@
 /// An upstream that is passed over shows no pauses; what was seen there must not keep it away.
 const PACE_HALVES: f64 = 2_000.0;
 
+/// Age at which news of other nodes' requests counts half, in milliseconds.
+///
+/// Short answers take a second or two: after as long, none of the requests that the news
+/// counted is left, and how many came since nobody told.
+const NEWS_HALVES: f64 = 700.0;
+
 /// The mean pause between events, as this node's streams see it.
 #[derive(Debug, Default)]
 struct Pace {
@@ -95,13 +102,16 @@
 #[derive(Debug)]
 pub struct Running {
     upstream: Arc<Upstream>,
-    adapter: Option<Name>,
+    /// The adapter of a request that the owner doesn't count.
+    uncounted: Option<Name>,
+    /// The owner counts the request as long as this is kept.
+    _permit: Option<Permit>,
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         self.upstream.running.fetch_sub(1, Ordering::Relaxed);
-        if let Some(adapter) = &self.adapter {
+        if let Some(adapter) = &self.uncounted {
             self.upstream.leave(adapter);
         }
     }
@@ -239,29 +249,25 @@
 
     /// Counts a request that this node sends.
     #[must_use]
-    pub fn enter(self: &Arc<Self>, adapter: Option<&Name>) -> Running {
+    pub fn enter(self: &Arc<Self>, adapter: Option<&Name>, permit: Option<Permit>) -> Running {
         self.running.fetch_add(1, Ordering::Relaxed);
-        if let Some(adapter) = adapter {
+        let uncounted = adapter.filter(|_| permit.is_none());
+        if let Some(adapter) = uncounted {
             *self.using().entry(Name::clone(adapter)).or_default() += 1;
         }
         Running {
             upstream: Arc::clone(self),
-            adapter: adapter.cloned(),
+            uncounted: uncounted.cloned(),
+            _permit: permit,
         }
     }
 
-    /// Returns the adapters that requests of this node use at this moment.
+    /// Returns the adapters that requests of this node use which the owner doesn't count.
     #[must_use]
     pub fn in_use(&self) -> Vec<Name> {
         self.using().keys().cloned().collect()
     }
 
-    /// Requests of this node that use an adapter.
-    #[must_use]
-    pub fn running_of(&self, adapter: &str) -> u32 {
-        self.using().get(adapter).copied().unwrap_or_default()
-    }
-
     fn leave(&self, adapter: &Name) {
         let mut using = self.using();
         if let Some(count) = using.get_mut(adapter) {
@@ -288,6 +294,19 @@
         self.running() + self.elsewhere.load(Ordering::Relaxed)
     }
 
+    /// Returns what part of its places other nodes were last heard to use.
+    #[must_use]
+    pub fn elsewhere_share(&self) -> f64 {
+        f64::from(self.elsewhere.load(Ordering::Relaxed)) / f64::from(self.slots)
+    }
+
+    /// Returns how far what was heard of other nodes' requests still tells of now, from 0 to 1.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss, reason = "some seconds")]
+    pub fn certainty(&self, now: Millis) -> f64 {
+        (-(now.since(self.heard_at()).0 as f64) / NEWS_HALVES).exp2()
+    }
+
     /// Returns when the load of other nodes was last heard of.
     #[must_use]
     pub fn heard_at(&self) -> Millis {
--- a/lib/src/protos/chivevalve.direct.rs
+++ b/lib/src/protos/chivevalve.direct.rs
@@ -18,6 +18,37 @@
     #[prost(uint64, tag = "2")]
     pub version: u64,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AdmitRequest {
+    #[prost(string, tag = "1")]
+    pub incarnation: ::prost::alloc::string::String,
+    /// BASE/NAME; empty for a request without an adapter.
+    #[prost(string, tag = "2")]
+    pub adapter: ::prost::alloc::string::String,
+    /// The least version that will do; 0 is any.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Requests at the engine from which on this one isn't counted in; 0 counts it in always.
+    #[prost(uint32, tag = "4")]
+    pub limit: u32,
+    /// Whether the adapter was loaded there for this request a moment ago.
+    #[prost(bool, tag = "5")]
+    pub loaded: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AdmitReply {
+    #[prost(enumeration = "Admission", tag = "1")]
+    pub admission: i32,
+    /// Requests of all nodes at the engine, without this one.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Those among them that use the adapter.
+    #[prost(uint32, tag = "3")]
+    pub alike: u32,
+    /// Time until the engine is expected to begin this request, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExchangeRequest {
     #[prost(string, tag = "1")]
@@ -128,6 +159,45 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Admission {
+    Unspecified = 0,
+    /// The request counts until the call is dropped.
+    Admitted = 1,
+    /// As many requests as the limit says are there.
+    Busy = 2,
+    /// The engine doesn't hold the adapter, or only an older version.
+    Absent = 3,
+    /// This node gives the engine no orders and counts nothing there.
+    Unknown = 4,
+}
+impl Admission {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "ADMISSION_UNSPECIFIED",
+            Self::Admitted => "ADMITTED",
+            Self::Busy => "BUSY",
+            Self::Absent => "ABSENT",
+            Self::Unknown => "UNKNOWN",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ADMISSION_UNSPECIFIED" => Some(Self::Unspecified),
+            "ADMITTED" => Some(Self::Admitted),
+            "BUSY" => Some(Self::Busy),
+            "ABSENT" => Some(Self::Absent),
+            "UNKNOWN" => Some(Self::Unknown),
+            _ => None,
+        }
+    }
+}
 /// Generated client implementations.
 pub mod orders_client {
     #![allow(
@@ -242,6 +312,33 @@
                 .insert(GrpcMethod::new("chivevalve.direct.Orders", "Load"));
             self.inner.unary(req, path, codec).await
         }
+        /// Counts a request in at an engine until the caller of this call drops it.
+        ///
+        /// One message comes at once; the call then stays open while the request runs.
+        pub async fn admit(
+            &mut self,
+            request: impl tonic::IntoRequest<super::AdmitRequest>,
+        ) -> std::result::Result<
+            tonic::Response<tonic::codec::Streaming<super::AdmitReply>>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/chivevalve.direct.Orders/Admit",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("chivevalve.direct.Orders", "Admit"));
+            self.inner.server_streaming(req, path, codec).await
+        }
         /// Tells what was used and hears what is held.
         pub async fn exchange(
             &mut self,
@@ -306,6 +403,19 @@
             &self,
             request: tonic::Request<super::LoadRequest>,
         ) -> std::result::Result<tonic::Response<super::LoadReply>, tonic::Status>;
+        /// Server streaming response type for the Admit method.
+        type AdmitStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::AdmitReply, tonic::Status>,
+            >
+            + std::marker::Send
+            + 'static;
+        /// Counts a request in at an engine until the caller of this call drops it.
+        ///
+        /// One message comes at once; the call then stays open while the request runs.
+        async fn admit(
+            &self,
+            request: tonic::Request<super::AdmitRequest>,
+        ) -> std::result::Result<tonic::Response<Self::AdmitStream>, tonic::Status>;
         /// Tells what was used and hears what is held.
         async fn exchange(
             &self,
@@ -437,6 +547,52 @@
                     };
                     Box::pin(fut)
                 }
+                "/chivevalve.direct.Orders/Admit" => {
+                    #[allow(non_camel_case_types)]
+                    struct AdmitSvc<T: Orders>(pub Arc<T>);
+                    impl<
+                        T: Orders,
+                    > tonic::server::ServerStreamingService<super::AdmitRequest>
+                    for AdmitSvc<T> {
+                        type Response = super::AdmitReply;
+                        type ResponseStream = T::AdmitStream;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::ResponseStream>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::AdmitRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Orders>::admit(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = AdmitSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.server_streaming(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/chivevalve.direct.Orders/Exchange" => {
                     #[allow(non_camel_case_types)]
                     struct ExchangeSvc<T: Orders>(pub Arc<T>);
--- /dev/null
+++ b/lib/tests/test_direct_admission.rs
@@ -0,0 +1,453 @@
+//! Requests counted by the owners of engines, and what callers get by it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, LazyLock};
+
+use chivevalve::clock::{Clock, Manual, Millis, Monotonic};
+use chivevalve::direct::admission::{Load, Occupancy, Place, Table};
+use chivevalve::direct::admit::{Answer, Question};
+use chivevalve::direct::ask::Desks;
+use chivevalve::direct::choice::{self, MOST_QUESTIONS};
+use chivevalve::direct::dialect::{Held, Listed};
+use chivevalve::direct::limits::exchange_pause;
+use chivevalve::direct::pick::{Field, usual_share};
+use chivevalve::direct::right::Right;
+use chivevalve::direct::roles::Roles;
+use chivevalve::direct::serve::serve;
+use chivevalve::direct::upstream::{Running, Upstream};
+use chivevalve::direct::view::{Claim, Peer, Standing, View};
+use chivevalve::name::Name;
+use chivevalve_platform::Speech;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::net::TcpListener;
+
+const ADAPTER: &str = "base/a1";
+
+/// Each engine reads and writes.
+static WHOLE: LazyLock<Roles> = LazyLock::new(Roles::default);
+
+fn listed(number: u16, slots: u32, adapters: &[(&str, u64)]) -> Listed {
+    Listed {
+        incarnation: format!("i-{number}").into(),
+        pool: "engines".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9 + number)),
+        failure_domain: "hall-a".into(),
+        slots,
+        ready: true,
+        cold: Millis::ZERO,
+        remaining: None,
+        held: Held {
+            born: 0,
+            sequence: 3,
+            models: vec!["base".into()],
+            adapters: adapters
+                .iter()
+                .map(|(name, version)| (Name::from(*name), *version))
+                .collect(),
+            incoming: Vec::new(),
+        },
+    }
+}
+
+#[test]
+fn occupancy_counts_by_adapter() {
+    let mut occupancy = Occupancy::default();
+    let (one, two) = (Name::from("base/a1"), Name::from("base/a2"));
+    occupancy.enter(&one);
+    occupancy.enter(&one);
+    occupancy.enter(&two);
+    assert_eq!(occupancy.running(), 3);
+    assert_eq!(occupancy.running_of(&one), 2);
+    occupancy.leave(&one, Millis(1_500));
+    occupancy.leave(&two, Millis(1_500));
+    assert_eq!(occupancy.running(), 1);
+    assert_eq!(occupancy.running_of(&two), 0);
+}
+
+#[test]
+fn occupancy_wait_grows_with_the_queue() {
+    let mut occupancy = Occupancy::default();
+    let adapter = Name::from(ADAPTER);
+    for _ in 0..4 {
+        assert_eq!(occupancy.wait(4), Millis::ZERO);
+        occupancy.enter(&adapter);
+    }
+    // One of four places is free after a quarter of the time that requests stay.
+    assert_eq!(occupancy.wait(4), Millis(375));
+    occupancy.enter(&adapter);
+    assert_eq!(occupancy.wait(4), Millis(750));
+    assert_eq!(occupancy.wait(0), Millis(7_500));
+}
+
+#[test]
+fn place_dropped_is_free() {
+    let clock: Arc<dyn Clock> = Arc::new(Manual::default());
+    let table = Arc::new(Table::new(clock));
+    let (engine, adapter) = (Name::from("i-1"), Name::from(ADAPTER));
+    let place = table.enter(&engine, &adapter);
+    assert!(table.uses("i-1", ADAPTER));
+    assert_eq!(table.load(&engine, ADAPTER, 4).running, 1);
+    drop(place);
+    assert!(!table.uses("i-1", ADAPTER));
+    assert_eq!(table.running("i-1"), 0);
+}
+
+/// Symptom: a node keeps counting requests at engines that are gone.
+/// Sequence: an engine leaves while requests are counted there; then they end.
+/// Cause: counts kept by the engine's name for ever.
+#[test]
+fn place_outlives_its_engine() {
+    let clock: Arc<dyn Clock> = Arc::new(Manual::default());
+    let table = Arc::new(Table::new(clock));
+    let place = table.enter(&"i-1".into(), &ADAPTER.into());
+    table.retain(|_| false);
+    assert_eq!(table.running("i-1"), 0);
+    drop(place);
+    assert_eq!(table.running("i-1"), 0);
+}
+
+#[test]
+fn is_crowded_by_one_adapter_only() {
+    let load = |alike| Load {
+        running: 8,
+        alike,
+        wait: Millis::ZERO,
+    };
+    assert!(!choice::is_crowded(load(1), 12, false));
+    assert!(choice::is_crowded(load(2), 12, false));
+    assert!(choice::is_crowded(load(1), 12, true));
+}
+
+#[test]
+fn come_back_only_where_the_caller_would_have_gone() {
+    let (objective, left) = (Millis(600), Millis(12_000));
+    let back = |wait, passed, left| choice::come_back(Millis(wait), objective, passed, left);
+    assert_eq!(back(2_000, Millis::ZERO, left), None);
+    assert_eq!(back(2_500, Millis::ZERO, left), Some(Millis(1_250)));
+    assert_eq!(back(2_000, Millis(500), left), Some(Millis(1_000)));
+    assert_eq!(back(900, Millis::ZERO, Millis(800)), Some(Millis(450)));
+}
+
+/// A node's part that talks to other nodes, with what it believes.
+struct Node {
+    desks: Arc<Desks>,
+    upstream: Arc<Upstream>,
+}
+
+/// A node that believes that `owner` gives the engine its orders.
+fn node(name: &str, owner: &str, at: SocketAddr, adapters: &[(&str, u64)]) -> Node {
+    let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+    let view = Arc::new(View::default());
+    let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
+    let upstream = {
+        let mut state = view.state();
+        state.list(&listed(0, 4, adapters), Millis::ZERO);
+        let claim = Claim {
+            node: owner.into(),
+            start: 1,
+            left: None,
+        };
+        let upstream = Arc::clone(&state.upstreams["i-0"]);
+        let standing = Standing {
+            claim,
+            revision: 7,
+            seen: Millis::ZERO,
+        };
+        state.claim(upstream.address, standing);
+        let peer = Peer {
+            address: at,
+            start: 1,
+        };
+        state.nodes.insert(owner.into(), peer);
+        upstream
+    };
+    if name == owner {
+        right.take(upstream.address, 7, Millis::ZERO);
+    }
+    let desks = Arc::new(Desks::new(
+        view,
+        right,
+        Arc::new(Speech),
+        clock,
+        name.into(),
+        Arc::default(),
+    ));
+    Node { desks, upstream }
+}
+
+fn question(adapter: &Name, limit: u32) -> Question<'_> {
+    Question {
+        adapter: Some(adapter),
+        version: 0,
+        limit,
+        loaded: false,
+    }
+}
+
+/// An owner that answers over a socket, and another node that asks it.
+async fn two_nodes() -> (Node, Node) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    let owner = node("one", "one", at, &[(ADAPTER, 1)]);
+    tokio::spawn(serve(listener, Arc::clone(&owner.desks)));
+    (owner, node("two", "one", at, &[(ADAPTER, 1)]))
+}
+
+/// Waits until the owner counts so many requests; the test ends by itself if it never does.
+async fn until_counted(owner: &Node, number: u32) {
+    let adapter = Name::from(ADAPTER);
+    let counted = async {
+        loop {
+            let answer = owner
+                .desks
+                .admit(&owner.upstream, question(&adapter, 1))
+                .await;
+            let running = match answer {
+                Answer::Admitted(_, load) | Answer::Busy(load) => load.running,
+                other => panic!("{other:?}"),
+            };
+            if running == number {
+                return;
+            }
+            tokio::time::sleep(Millis(5).duration()).await;
+        }
+    };
+    tokio::time::timeout(Millis::from_secs(20).duration(), counted)
+        .await
+        .expect("the count is never reached");
+}
+
+#[tokio::test]
+async fn admit_counts_until_the_permit_is_dropped() {
+    let (owner, other) = two_nodes().await;
+    let adapter = Name::from(ADAPTER);
+    let first = other
+        .desks
+        .admit(&other.upstream, question(&adapter, 2))
+        .await;
+    let second = owner
+        .desks
+        .admit(&owner.upstream, question(&adapter, 2))
+        .await;
+    assert!(matches!(&first, Answer::Admitted(_, load) if load.running == 0));
+    assert!(matches!(&second, Answer::Admitted(_, load) if load.alike == 1));
+    let third = other
+        .desks
+        .admit(&other.upstream, question(&adapter, 2))
+        .await;
+    assert!(matches!(third, Answer::Busy(load) if load.running == 2));
+    assert_eq!(other.upstream.load(), 2);
+    drop(first);
+    until_counted(&owner, 1).await;
+}
+
+/// Symptom: an engine looks full for good and gets no requests.
+/// Sequence: a node has requests counted at the engine's owner and is lost.
+/// Cause: a place that only its node can give back.
+#[tokio::test]
+async fn admit_lost_node_gives_its_places_back() {
+    let (owner, other) = two_nodes().await;
+    let adapter = Name::from(ADAPTER);
+    let mut permits = Vec::new();
+    for _ in 0..3 {
+        permits.push(
+            other
+                .desks
+                .admit(&other.upstream, question(&adapter, 0))
+                .await,
+        );
+    }
+    until_counted(&owner, 3).await;
+    // Whatever the node held goes with its process.
+    drop(permits);
+    drop(other);
+    until_counted(&owner, 0).await;
+}
+
+#[tokio::test]
+async fn admit_absent_adapter() {
+    let (_owner, other) = two_nodes().await;
+    let adapter = Name::from("base/a2");
+    let answer = other
+        .desks
+        .admit(&other.upstream, question(&adapter, 0))
+        .await;
+    assert!(matches!(answer, Answer::Absent(_)), "{answer:?}");
+    let loaded = Question {
+        loaded: true,
+        ..question(&adapter, 0)
+    };
+    let answer = other.desks.admit(&other.upstream, loaded).await;
+    assert!(matches!(answer, Answer::Admitted(..)), "{answer:?}");
+}
+
+/// Symptom: each request loses a tenth of a second while an owner is suspended.
+/// Sequence: the owner's port takes connections, but nobody answers.
+/// Cause: a node that was silent asked again by each request.
+#[tokio::test(start_paused = true)]
+async fn admit_silent_owner_asked_once() {
+    let suspended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let asking = node(
+        "two",
+        "one",
+        suspended.local_addr().unwrap(),
+        &[(ADAPTER, 1)],
+    );
+    let adapter = Name::from(ADAPTER);
+    for _ in 0..5 {
+        let began = tokio::time::Instant::now();
+        let answer = asking
+            .desks
+            .admit(&asking.upstream, question(&adapter, 0))
+            .await;
+        assert!(matches!(answer, Answer::Unknown), "{answer:?}");
+        assert!(began.elapsed() <= Millis(130).duration());
+    }
+    let began = tokio::time::Instant::now();
+    let _ = asking
+        .desks
+        .admit(&asking.upstream, question(&adapter, 0))
+        .await;
+    assert_eq!(began.elapsed(), std::time::Duration::ZERO);
+}
+
+/// The load of a fleet: a popular adapter on a part of the engines, many nodes before them.
+const NODES: usize = 195;
+const ENGINES: u16 = 24;
+const SLOTS: u32 = 12;
+/// Time that a request has a place.
+const STAY: Millis = Millis(1_500);
+/// Requests each ten milliseconds: two thirds of what the engines can do.
+const EACH_STEP: f64 = 1.28;
+const STEP: Millis = Millis(10);
+const PLAYED: Millis = Millis(30_000);
+/// Within it a request has to begin.
+const OBJECTIVE: Millis = Millis(600);
+
+/// An engine: requests begin in order as places get free.
+#[derive(Default)]
+struct Engine {
+    running: Vec<Request>,
+    queue: Vec<Request>,
+}
+
+struct Request {
+    came: Millis,
+    ends: Millis,
+    /// Counts it at its node and at the engine's owner until it ends.
+    _counted: (Running, Place),
+}
+
+/// Plays the load and returns the share of requests that began later than the objective.
+#[allow(clippy::cast_precision_loss, reason = "some thousand requests")]
+fn late_share(asks: bool) -> f64 {
+    let clock = Arc::new(Manual::default());
+    let shared: Arc<dyn Clock> = Arc::<Manual>::clone(&clock);
+    let table = Arc::new(Table::new(shared));
+    let adapter = Name::from(ADAPTER);
+    let nodes: Vec<Vec<Arc<Upstream>>> = (0..NODES)
+        .map(|_| {
+            let entries = (0..ENGINES).map(|number| listed(number, SLOTS, &[(ADAPTER, 1)]));
+            entries
+                .map(|entry| Arc::new(Upstream::new(&entry, 8, Millis::ZERO)))
+                .collect()
+        })
+        .collect();
+    let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::default()).collect();
+    let mut rng = Pcg64::seed_from_u64(7);
+    let mut due = 0.0;
+    let (mut begun, mut late) = (0_u32, 0_u32);
+    while clock.now() < PLAYED {
+        clock.advance(STEP);
+        let now = clock.now();
+        for engine in &mut engines {
+            engine.running.retain(|request| request.ends > now);
+            while engine.running.len() < SLOTS as usize && !engine.queue.is_empty() {
+                let mut request = engine.queue.remove(0);
+                begun += 1;
+                late += u32::from(now.since(request.came) > OBJECTIVE);
+                request.ends = now + STAY;
+                engine.running.push(request);
+            }
+        }
+        for (number, upstreams) in nodes.iter().enumerate() {
+            let exchanges = exchange_pause(NODES).0 / STEP.0;
+            if (now.0 / STEP.0) % exchanges == number as u64 % exchanges {
+                for upstream in upstreams {
+                    let all = table.running(&upstream.incarnation);
+                    upstream.heard_load(all - upstream.running(), now);
+                }
+            }
+        }
+        due += EACH_STEP;
+        while due >= 1.0 {
+            due -= 1.0;
+            let upstreams = &nodes[rng.random_range(0..NODES)];
+            let field = Field {
+                upstreams,
+                tried: &[],
+                home: "hall-a",
+                now,
+                salt: 7,
+                pause: None,
+                roles: &WHOLE,
+                id: rng.random(),
+                usual: asks.then(|| usual_share(upstreams)),
+            };
+            let chosen = if asks {
+                ask(&field, &table)
+            } else {
+                field.least(|_| true).unwrap()
+            };
+            let request = Request {
+                came: now,
+                ends: Millis::MAX,
+                _counted: (
+                    chosen.enter(Some(&adapter), None),
+                    table.enter(&chosen.incarnation, &adapter),
+                ),
+            };
+            let at = usize::from(chosen.address.port() - 9);
+            engines[at].queue.push(request);
+        }
+    }
+    drop(engines);
+    f64::from(late) / f64::from(begun)
+}
+
+/// Asks owners as a request does: the better ones first, then the least busy of them.
+fn ask(field: &Field<'_>, table: &Table) -> Arc<Upstream> {
+    let mut asked: Vec<(Millis, u32, Arc<Upstream>)> = Vec::new();
+    while asked.len() < MOST_QUESTIONS {
+        let fresh = |upstream: &Upstream| {
+            let same = |(_, _, one): &(Millis, u32, Arc<Upstream>)| {
+                one.incarnation == upstream.incarnation
+            };
+            !asked.iter().any(same)
+        };
+        let upstream = field.least(fresh).unwrap();
+        let load = table.load(&upstream.incarnation, ADAPTER, upstream.slots);
+        upstream.heard_load(load.running - upstream.running(), field.now);
+        if load.running < choice::calm_limit(upstream.slots) {
+            return upstream;
+        }
+        asked.push((load.wait, load.running, upstream));
+    }
+    asked.sort_by_key(|(wait, running, _)| (*wait, *running));
+    asked.remove(0).2
+}
+
+/// Symptom: a fifth of a popular adapter's first events come late while places are free.
+/// Sequence: 195 nodes choose among 24 engines by news that is up to 2.3 s old; streams take 1.5 s.
+/// Cause: nodes that heard the same news choose the same engine until they hear of its queue.
+///
+/// Share of requests that begin later than 600 ms at two thirds of the places in use: by news
+/// alone 0.31, with up to three questions to owners none.
+#[test]
+fn ask_popular_adapter_begins_in_time() {
+    let before = late_share(false);
+    let after = late_share(true);
+    assert!(before > 0.25, "{before}");
+    assert!(after < 0.01, "{after}");
+}
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -68,6 +68,8 @@
         salt,
         pause: None,
         roles: &WHOLE,
+        id: 0,
+        usual: None,
     }
 }
 
@@ -139,7 +141,7 @@
     let upstreams = [upstream("i-1", "hall-b"), upstream("i-2", "hall-a")];
     let chosen = field(&upstreams, &[], 1).least(|_| true).unwrap();
     assert_eq!(&*chosen.incarnation, "i-2");
-    let _busy: Vec<_> = (0..5).map(|_| upstreams[1].enter(None)).collect();
+    let _busy: Vec<_> = (0..5).map(|_| upstreams[1].enter(None, None)).collect();
     let chosen = field(&upstreams, &[], 1).least(|_| true).unwrap();
     assert_eq!(&*chosen.incarnation, "i-1");
 }
@@ -216,8 +218,8 @@
 fn in_use_until_the_last_request_ends() {
     let one = upstream("i-1", "hall-a");
     let adapter = Name::from("base/a1");
-    let first = one.enter(Some(&adapter));
-    let second = one.enter(Some(&adapter));
+    let first = one.enter(Some(&adapter), None);
+    let second = one.enter(Some(&adapter), None);
     drop(first);
     assert_eq!(one.in_use(), [Name::clone(&adapter)]);
     drop(second);
--- a/lib/tests/test_direct_roles.rs
+++ b/lib/tests/test_direct_roles.rs
@@ -172,6 +172,8 @@
         salt: 1,
         pause: None,
         roles: &roles,
+        id: 0,
+        usual: None,
     };
     let reader = engines.iter().find(|engine| field.reads(engine)).unwrap();
     let writer = engines.iter().find(|engine| !field.reads(engine)).unwrap();
