direct: changes of the key-value service are passed on within a failure domain

Ruled out: longer pauses (changes later than their bound), watching rare keys apart (the list of engines is what changes). Change: the first two nodes of a domain ask, the others listen to one above them in a tree of three each; what is older than three quarters of the bound sends a node to the service itself. In eight nodes or fewer a domain nothing changes.

--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask.rs
@@ -14,6 +14,7 @@
 use super::admission::Table;
 use super::claim::{Doubter, Support};
 use super::dialect::{Dialect, Held};
+use super::fanout::Hub;
 use super::limits::{exchange_pause, in_use};
 use super::orders::{Desk, Load, Loaded, Parts, Tick, Used};
 use super::right::Right;
@@ -72,6 +73,8 @@
     silent: Mutex<HashSet<SocketAddr>>,
     /// Requests of all nodes at the engines that this node orders.
     pub(super) table: Arc<Table>,
+    /// Changes of the key-value service, for nodes of this failure domain.
+    pub hub: Arc<Hub>,
     /// Loads that this node waits for, by the owner that was asked.
     awaited: Mutex<HashMap<SocketAddr, u32>>,
 }
@@ -118,6 +121,7 @@
             right,
             dialect,
             table: Arc::new(Table::new(Arc::clone(&clock))),
+            hub: Arc::new(Hub::new(Arc::clone(&clock))),
             clock,
             node,
             metrics,
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use super::dialect::{Dialect, Key};
+use super::fanout::{Heard, Hub, Source, Update};
 use super::limits::{Current, POLL_WAIT, STORE_PAUSE};
 use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
@@ -27,6 +28,9 @@
 /// How long a call for changes waits after one that failed.
 const RETURN_WAIT: Millis = Millis(1);
 
+/// The longest that this node listens to others before it looks after what time does.
+const LISTEN: Millis = Millis(500);
+
 /// How long a vanished entry is doubted after an outage.
 const DOUBT: Millis = Millis(2_200);
 
@@ -41,6 +45,10 @@
     limits: Arc<Current>,
     heard: Millis,
     returned: Option<Millis>,
+    hub: Option<Arc<Hub>>,
+    source: Option<Box<dyn Source>>,
+    /// When all that this node knows was known to be the newest.
+    fresh: Millis,
 }
 
 impl Follower {
@@ -64,9 +72,20 @@
             limits,
             heard,
             returned: None,
+            hub: None,
+            source: None,
+            fresh: Millis::ZERO,
         }
     }
 
+    /// Hears changes from nodes of the same failure domain too, and passes on what it learns.
+    #[must_use]
+    pub fn within_domain(mut self, hub: Arc<Hub>, source: Box<dyn Source>) -> Self {
+        self.hub = Some(hub);
+        self.source = Some(source);
+        self
+    }
+
     /// Follows until the task is dropped.
     pub async fn run(mut self) {
         loop {
@@ -83,11 +102,25 @@
     async fn follow(&mut self, mut revision: u64) {
         let mut wait = POLL_WAIT;
         loop {
-            let pause = match self.poll.changes("", revision, wait).await {
+            revision = self.listen(revision).await;
+            let sent = self.clock.now();
+            let wait_now = self.wait(wait);
+            let pause = match self.poll.changes("", revision, wait_now).await {
                 Ok(changes) => {
-                    self.alive();
-                    revision = revision.max(changes.revision);
-                    self.take(changes.events);
+                    // A call that waited in vain knows of its whole wait.
+                    let waited = if changes.events.is_empty() {
+                        wait_now
+                    } else {
+                        Millis::ZERO
+                    };
+                    let update = Update {
+                        after: revision,
+                        revision: revision.max(changes.revision),
+                        as_of: self.clock.now().min(sent + waited),
+                        events: changes.events,
+                    };
+                    revision = update.revision;
+                    self.hear(update);
                     wait = POLL_WAIT;
                     self.limits.get().poll_pause()
                 }
@@ -109,6 +142,59 @@
         }
     }
 
+    /// Returns how long a call for changes waits.
+    fn wait(&self, wait: Millis) -> Millis {
+        let shared = self
+            .source
+            .as_ref()
+            .is_some_and(|source| source.is_shared());
+        if shared {
+            wait.min(self.limits.get().leader_wait())
+        } else {
+            wait
+        }
+    }
+
+    /// Takes in what other nodes pass on, as long as it is new enough; returns the revision.
+    ///
+    /// Whoever passes changes on may be silent, suspended, cut off from the service or from
+    /// here. All of these show as age, and this node then asks the service itself in time.
+    async fn listen(&mut self, mut revision: u64) -> u64 {
+        let Some(mut source) = self.source.take() else {
+            return revision;
+        };
+        loop {
+            let oldest = self.fresh + self.limits.get().oldest_update();
+            let left = oldest.since(self.clock.now());
+            if left == Millis::ZERO {
+                source.avoid();
+                break;
+            }
+            match source.next(revision, left.min(LISTEN)).await {
+                Heard::Update(update) => {
+                    revision = revision.max(update.revision);
+                    self.hear(update);
+                }
+                Heard::Nothing => {}
+                Heard::Nobody => break,
+            }
+            self.settle();
+        }
+        self.source = Some(source);
+        revision
+    }
+
+    /// Takes in changes, wherever they come from, and passes them on.
+    fn hear(&mut self, update: Update) {
+        self.alive();
+        // What changed did so behind what was known before.
+        self.take(&update.events);
+        self.fresh = self.fresh.max(update.as_of);
+        if let Some(hub) = &self.hub {
+            hub.publish(update);
+        }
+    }
+
     /// Notes that the service answers, and whether it was away.
     fn alive(&mut self) {
         self.view.touched(true);
@@ -121,6 +207,7 @@
     }
 
     async fn read_all(&mut self) -> Result<u64, Error> {
+        let began = self.clock.now();
         let mut entries = Vec::new();
         let mut revision = u64::MAX;
         for prefix in self.dialect.prefixes() {
@@ -130,6 +217,7 @@
         }
         self.alive();
         self.replace(&entries);
+        self.fresh = began;
         Ok(revision)
     }
 
@@ -171,7 +259,7 @@
         });
     }
 
-    fn take(&mut self, events: Vec<Event>) {
+    fn take(&mut self, events: &[Event]) {
         if events.is_empty() {
             return;
         }
@@ -179,8 +267,8 @@
         let view = Arc::clone(&self.view);
         let mut state = view.state();
         for event in events {
-            match event.entry {
-                Some(entry) => self.put(&mut state, &entry, now),
+            match &event.entry {
+                Some(entry) => self.put(&mut state, entry, now),
                 None => self.remove(&mut state, &event.key, now),
             }
         }
@@ -201,7 +289,7 @@
                 .upstream(&incarnation, &entry.value)
                 .map(|listed| state.list(&listed, now)),
             Key::Version => self.dialect.version(&entry.value).map(|(name, version)| {
-                note_version(state, name, version, now);
+                note_version(state, name, version, self.fresh);
             }),
             Key::Own(name) => {
                 put_own(state, &name, entry, now);
@@ -267,14 +355,18 @@
     }
 }
 
-fn note_version(state: &mut State, name: Name, version: u64, now: Millis) {
+/// Takes in a version that was named at `named` or later.
+///
+/// Counted from when this node sees it, an old version would be begun on for as much longer as
+/// changes take to arrive: requests began 5.1 s after a newer one was named where five are allowed.
+fn note_version(state: &mut State, name: Name, version: u64, named: Millis) {
     let newer = state
         .versions
         .get(&name)
         .is_none_or(|newest| newest.version < version);
     if newer {
         log::info!("follow: version {version} of {name} is the newest");
-        state.versions.insert(name, Newest { version, seen: now });
+        state.versions.insert(name, Newest { version, named });
     }
 }
 
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -105,6 +105,18 @@
 /// The rest is for the call itself and a slow service.
 const POLL_SHARE: f64 = 0.4;
 
+/// Part of the same time that a call waits at a node to which others listen.
+///
+/// They have to hear from it often enough though nothing changes: each half of the time, with
+/// the pause.
+const LEADER_WAIT_SHARE: f64 = 0.1;
+
+/// Part of the same time after which changes that were passed on are too old to rely on.
+///
+/// A node that passes changes on does so each 0.6 of the time at the latest; a quarter is left
+/// for the call that a node makes itself then, also to a slow service.
+const OLDEST_SHARE: f64 = 0.75;
+
 /// How long an adapter that was asked for isn't evicted though no request is counted with it.
 ///
 /// Between a load and the request's arrival lie some milliseconds, or a second where its node
@@ -136,15 +148,32 @@
 impl Limits {
     /// Returns the pause between two calls for changes.
     #[must_use]
+    pub fn poll_pause(&self) -> Millis {
+        self.change_part(POLL_SHARE)
+    }
+
+    /// Returns how long a call for changes waits at a node that others listen to.
+    #[must_use]
+    pub fn leader_wait(&self) -> Millis {
+        self.change_part(LEADER_WAIT_SHARE)
+    }
+
+    /// Returns the age of the newest change that was passed on, from which on a node asks itself.
+    #[must_use]
+    pub fn oldest_update(&self) -> Millis {
+        self.change_part(OLDEST_SHARE)
+    }
+
+    /// Returns a part of the time within which changes have to be known.
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss,
         reason = "some seconds"
     )]
-    pub fn poll_pause(&self) -> Millis {
+    fn change_part(&self, part: f64) -> Millis {
         let shortest = self.apply.min(self.leaving);
-        Millis((shortest.0 as f64 * POLL_SHARE) as u64)
+        Millis((shortest.0 as f64 * part) as u64)
     }
 }
 
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -19,6 +19,7 @@
 pub mod config;
 pub mod dialect;
 pub mod entry;
+pub mod fanout;
 pub mod follow;
 pub mod handover;
 pub mod limits;
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -22,6 +22,7 @@
 use super::claim::Claimer;
 use super::dialect::Dialect;
 use super::entry::Gate;
+use super::fanout::Subscription;
 use super::follow::Follower;
 use super::limits::{Current, Limits};
 use super::right::Right;
@@ -172,9 +173,12 @@
             peer: Peer {
                 address: listeners.peers.local_addr()?,
                 start: rand::random(),
+                failure_domain: Name::clone(&settings.failure_domain),
             },
             first_start: settings.first_start,
         });
+        let subscription =
+            Subscription::new(Arc::clone(&desks), Name::clone(&settings.failure_domain));
         let follower = Follower::new(
             Arc::<Metered>::clone(&service),
             service,
@@ -182,7 +186,8 @@
             clock,
             view,
             Arc::clone(&limits),
-        );
+        )
+        .within_domain(Arc::clone(&desks.hub), Box::new(subscription));
         let mut node = Self {
             callers: listeners.callers.local_addr()?,
             readiness: listeners.readiness.local_addr()?,
--- a/lib/src/direct/serve.rs
+++ b/lib/src/direct/serve.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use futures::StreamExt;
+use futures::stream::BoxStream;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
@@ -17,8 +19,8 @@
 use crate::name::Name;
 use crate::schema::direct::orders_server::{Orders, OrdersServer};
 use crate::schema::direct::{
-    AdmitRequest, ExchangeReply, ExchangeRequest, LoadReply, LoadRequest, Outcome, SupportReply,
-    SupportRequest,
+    AdmitRequest, ExchangeReply, ExchangeRequest, FollowRequest, LoadReply, LoadRequest, Outcome,
+    SupportReply, SupportRequest, Update,
 };
 
 /// Answers other nodes.
@@ -46,6 +48,15 @@
 #[async_trait]
 impl Orders for Service {
     type AdmitStream = Replies;
+    type FollowStream = BoxStream<'static, Result<Update, Status>>;
+
+    async fn follow(
+        &self,
+        request: Request<FollowRequest>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let after = request.into_inner().after;
+        Ok(Response::new(self.0.hub.listen(after).boxed()))
+    }
 
     async fn admit(&self, request: Request<AdmitRequest>) -> Result<Response<Replies>, Status> {
         let request = request.into_inner();
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -31,9 +31,9 @@
 
 /// Time before a new version has to be the only one, at which the old one is given up.
 ///
-/// A request counts from when its engine begins it: up to two seconds in the
-/// engine's queue, and the pause until this node sees the change, are taken off.
-const VERSION_MARGIN: Millis = Millis(3_300);
+/// A request counts from when its engine begins it: up to two seconds in the engine's queue,
+/// and the way there, are taken off.
+const VERSION_MARGIN: Millis = Millis(2_300);
 
 /// The patience with an upstream that is silent, in objectives.
 const PATIENCE: u64 = 3;
@@ -364,7 +364,7 @@
 /// Until when an older version than the newest may still be begun on.
 #[must_use]
 pub fn old_until(newest: Newest, limit: Millis) -> Millis {
-    newest.seen + (limit - VERSION_MARGIN)
+    newest.named + limit.since(VERSION_MARGIN)
 }
 
 impl Drop for Trip {
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -25,6 +25,13 @@
     pub address: SocketAddr,
     /// Distinguishes one start of the process from the next.
     pub start: u64,
+    /// Its failure domain; empty in the record of an older release.
+    #[serde(default = "nowhere")]
+    pub failure_domain: Name,
+}
+
+fn nowhere() -> Name {
+    Name::from("")
 }
 
 /// Who gives orders to the engine at an address.
@@ -54,8 +61,8 @@
 pub struct Newest {
     /// The version.
     pub version: u64,
-    /// When this node saw that it is the newest.
-    pub seen: Millis,
+    /// When it may have been named at the earliest: until then this node knew of no newer one.
+    pub named: Millis,
 }
 
 /// State behind the view's lock.
--- a/lib/src/protos/chivevalve.direct.rs
+++ b/lib/src/protos/chivevalve.direct.rs
@@ -18,6 +18,36 @@
     #[prost(uint64, tag = "2")]
     pub version: u64,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FollowRequest {
+    /// The revision up to which the caller knows all changes.
+    #[prost(uint64, tag = "1")]
+    pub after: u64,
+}
+/// All changes between two revisions of the key-value service.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Update {
+    #[prost(uint64, tag = "1")]
+    pub after: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// How long ago the key-value service was known to be at `revision`, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub changes: ::prost::alloc::vec::Vec<Change>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Change {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub removed: bool,
+    #[prost(bytes = "vec", tag = "3")]
+    pub value: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AdmitRequest {
     #[prost(string, tag = "1")]
@@ -339,6 +369,31 @@
                 .insert(GrpcMethod::new("chivevalve.direct.Orders", "Admit"));
             self.inner.server_streaming(req, path, codec).await
         }
+        /// Passes on changes of the key-value service as the callee learns of them.
+        pub async fn follow(
+            &mut self,
+            request: impl tonic::IntoRequest<super::FollowRequest>,
+        ) -> std::result::Result<
+            tonic::Response<tonic::codec::Streaming<super::Update>>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/chivevalve.direct.Orders/Follow",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("chivevalve.direct.Orders", "Follow"));
+            self.inner.server_streaming(req, path, codec).await
+        }
         /// Tells what was used and hears what is held.
         pub async fn exchange(
             &mut self,
@@ -416,6 +471,17 @@
             &self,
             request: tonic::Request<super::AdmitRequest>,
         ) -> std::result::Result<tonic::Response<Self::AdmitStream>, tonic::Status>;
+        /// Server streaming response type for the Follow method.
+        type FollowStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::Update, tonic::Status>,
+            >
+            + std::marker::Send
+            + 'static;
+        /// Passes on changes of the key-value service as the callee learns of them.
+        async fn follow(
+            &self,
+            request: tonic::Request<super::FollowRequest>,
+        ) -> std::result::Result<tonic::Response<Self::FollowStream>, tonic::Status>;
         /// Tells what was used and hears what is held.
         async fn exchange(
             &self,
@@ -593,6 +659,52 @@
                     };
                     Box::pin(fut)
                 }
+                "/chivevalve.direct.Orders/Follow" => {
+                    #[allow(non_camel_case_types)]
+                    struct FollowSvc<T: Orders>(pub Arc<T>);
+                    impl<
+                        T: Orders,
+                    > tonic::server::ServerStreamingService<super::FollowRequest>
+                    for FollowSvc<T> {
+                        type Response = super::Update;
+                        type ResponseStream = T::FollowStream;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::ResponseStream>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::FollowRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Orders>::follow(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FollowSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.server_streaming(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/chivevalve.direct.Orders/Exchange" => {
                     #[allow(non_camel_case_types)]
                     struct ExchangeSvc<T: Orders>(pub Arc<T>);
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -158,6 +158,7 @@
         let peer = Peer {
             address: at,
             start: 1,
+            failure_domain: "hall-a".into(),
         };
         state.nodes.insert(owner.into(), peer);
         upstream
--- /dev/null
+++ b/lib/tests/test_direct_fanout.rs
@@ -0,0 +1,473 @@
+//! Changes of the key-value service that nodes pass on within a failure domain.
+
+mod direct_support;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use async_trait::async_trait;
+use chivevalve::clock::{Clock, Millis, Monotonic};
+use chivevalve::direct::ask::Desks;
+use chivevalve::direct::fanout::{Heard, Hub, Source, Subscription, Update};
+use chivevalve::direct::follow::Follower;
+use chivevalve::direct::limits::Current;
+use chivevalve::direct::right::Right;
+use chivevalve::direct::serve::serve;
+use chivevalve::direct::view::{Peer, View};
+use chivevalve::name::Name;
+use chivevalve::ports::poll::{Changes, Gap, Poll};
+use chivevalve::ports::{Entry, Error, Event};
+use chivevalve::schema::direct::Update as Sent;
+use chivevalve_platform::Speech;
+use direct_support::SERVER;
+use direct_support::memory::Memory;
+use futures::StreamExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tonic::Status;
+
+fn put(revision: u64) -> Event {
+    let key = format!("servers/i-{revision}");
+    Event {
+        key: key.clone(),
+        entry: Some(Entry {
+            key,
+            value: "{}".into(),
+            revision,
+            lease: None,
+        }),
+        revision,
+    }
+}
+
+fn update(after: u64, revision: u64) -> Update {
+    Update {
+        after,
+        revision,
+        as_of: Millis::ZERO,
+        events: (after + 1..=revision).map(put).collect(),
+    }
+}
+
+fn hub() -> Hub {
+    Hub::new(Arc::new(Monotonic::start()))
+}
+
+#[tokio::test]
+async fn listen_gets_what_is_newer_only() {
+    let hub = hub();
+    hub.publish(update(3, 6));
+    let mut stream = Box::pin(hub.listen(5));
+    hub.publish(update(6, 7));
+    let first = stream.next().await.unwrap().unwrap();
+    let second = stream.next().await.unwrap().unwrap();
+    let revisions =
+        |sent: &Sent| -> Vec<u64> { sent.changes.iter().map(|change| change.revision).collect() };
+    assert_eq!(revisions(&first), [6]);
+    assert_eq!(revisions(&second), [7]);
+    assert_eq!((first.after, second.revision), (5, 7));
+}
+
+/// Symptom: a server that drains gets new work again, and nothing corrects it.
+/// Sequence: a node listens from a revision that the other's kept updates don't reach back to.
+/// Cause: the changes between left out without a word.
+#[tokio::test]
+async fn listen_gap_ends_the_stream() {
+    let hub = hub();
+    hub.publish(update(7, 9));
+    let mut stream = Box::pin(hub.listen(5));
+    assert!(stream.next().await.unwrap().is_err());
+    assert!(stream.next().await.is_none());
+}
+
+/// Symptom: a node's memory grows while another one reads slowly.
+/// Sequence: a listener takes nothing while updates come.
+/// Cause: updates kept for each listener without bound.
+#[tokio::test]
+async fn listen_slow_listener_is_cut_off() {
+    let hub = hub();
+    hub.publish(update(0, 1));
+    let mut stream = Box::pin(hub.listen(0));
+    for revision in 1..100 {
+        hub.publish(update(revision, revision + 1));
+    }
+    let mut heard = 0;
+    while let Some(Ok(_)) = stream.next().await {
+        heard += 1;
+    }
+    assert!(heard < 20, "{heard}");
+}
+
+/// The service as one node asks it.
+#[derive(Debug)]
+struct Asked {
+    memory: Arc<Memory>,
+    calls: AtomicUsize,
+    /// Whether the service turns this node away.
+    cut: AtomicBool,
+}
+
+#[async_trait]
+impl Poll for Asked {
+    async fn changes(&self, prefix: &str, revision: u64, wait: Millis) -> Result<Changes, Gap> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        if self.cut.load(Ordering::Relaxed) {
+            return Err(Error::NoAnswer("the test cut it off".to_owned()).into());
+        }
+        self.memory.changes(prefix, revision, wait).await
+    }
+}
+
+type Stream = Pin<Box<dyn futures::Stream<Item = Result<Sent, Status>> + Send>>;
+
+/// Listens to another node without a socket, so that time can be virtual.
+struct Direct {
+    /// Whom to listen to; a node without is listened to.
+    hub: Option<Arc<Hub>>,
+    stream: Option<Stream>,
+    clock: Arc<dyn Clock>,
+    /// How much longer updates are on their way than they say.
+    older: Millis,
+}
+
+impl std::fmt::Debug for Direct {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Direct").finish_non_exhaustive()
+    }
+}
+
+#[async_trait]
+impl Source for Direct {
+    fn is_shared(&self) -> bool {
+        true
+    }
+
+    async fn next(&mut self, after: u64, within: Millis) -> Heard {
+        let Some(hub) = &self.hub else {
+            return Heard::Nobody;
+        };
+        let stream = self
+            .stream
+            .get_or_insert_with(|| Box::pin(hub.listen(after)));
+        let Ok(sent) = tokio::time::timeout(within.duration(), stream.next()).await else {
+            return Heard::Nothing;
+        };
+        let Some(Ok(sent)) = sent else {
+            self.stream = None;
+            return Heard::Nobody;
+        };
+        Heard::Update(Update {
+            after: sent.after,
+            revision: sent.revision,
+            as_of: Millis(
+                self.clock
+                    .now()
+                    .0
+                    .saturating_sub(sent.age_ms + self.older.0),
+            ),
+            events: sent
+                .changes
+                .into_iter()
+                .map(|change| Event {
+                    key: change.key.clone(),
+                    entry: (!change.removed).then(|| Entry {
+                        key: change.key,
+                        value: change.value.into(),
+                        revision: change.revision,
+                        lease: None,
+                    }),
+                    revision: change.revision,
+                })
+                .collect(),
+        })
+    }
+
+    fn avoid(&mut self) {
+        self.stream = None;
+    }
+}
+
+/// A node's follower.
+struct Node {
+    view: Arc<View>,
+    asked: Arc<Asked>,
+    hub: Arc<Hub>,
+    task: JoinHandle<()>,
+}
+
+impl Node {
+    fn version(&self) -> u64 {
+        self.view.config().map_or(0, |config| config.version)
+    }
+
+    fn calls(&self) -> usize {
+        self.asked.calls.load(Ordering::Relaxed)
+    }
+}
+
+/// Starts a node that listens to another one, or is listened to.
+fn start(memory: &Arc<Memory>, listens_to: Option<&Node>, older: Millis) -> Node {
+    let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+    let view = Arc::new(View::default());
+    let hub = Arc::new(Hub::new(Arc::clone(&clock)));
+    let asked = Arc::new(Asked {
+        memory: Arc::clone(memory),
+        calls: AtomicUsize::new(0),
+        cut: AtomicBool::new(false),
+    });
+    let source = Direct {
+        hub: listens_to.map(|node| Arc::clone(&node.hub)),
+        stream: None,
+        clock: Arc::clone(&clock),
+        older,
+    };
+    let follower = Follower::new(
+        Arc::<Memory>::clone(memory),
+        Arc::<Asked>::clone(&asked),
+        Arc::new(Speech),
+        clock,
+        Arc::clone(&view),
+        Arc::new(Current::default()),
+    )
+    .within_domain(Arc::clone(&hub), Box::new(source));
+    Node {
+        view,
+        asked,
+        hub,
+        task: tokio::spawn(follower.run()),
+    }
+}
+
+fn configure(memory: &Memory, version: u64) {
+    let config = format!(r#"{{"version":{version},"routes":[],"services":[]}}"#);
+    memory.change(|state| state.put("op/config", config, None));
+}
+
+async fn pass(span: Millis) {
+    tokio::time::sleep(span.duration()).await;
+}
+
+/// The time within which the default bounds want a change in force.
+const IN_FORCE: Millis = Millis(2_000);
+
+/// A leader and a node that listens to it, which know version 1.
+async fn two_nodes(older: Millis) -> (Arc<Memory>, Node, Node) {
+    let memory = Arc::new(Memory::default());
+    configure(&memory, 1);
+    let leader = start(&memory, None, Millis::ZERO);
+    let node = start(&memory, Some(&leader), older);
+    pass(Millis::from_secs(5)).await;
+    assert_eq!((leader.version(), node.version()), (1, 1));
+    (memory, leader, node)
+}
+
+/// Symptom: calls to the key-value service grow with the fleet.
+/// Sequence: each node asks for itself, about once a second.
+/// Cause: one call a node for what all of a failure domain want to know.
+///
+/// In a minute with a change a second: 60 calls by a node that asks for itself, one at most by
+/// one that listens.
+#[tokio::test(start_paused = true)]
+async fn follow_listens_instead_of_asking() {
+    let (memory, leader, node) = two_nodes(Millis::ZERO).await;
+    let (led, listened) = (leader.calls(), node.calls());
+    for version in 2..62 {
+        configure(&memory, version);
+        pass(Millis(1_000)).await;
+        assert!(node.version() + 1 >= version);
+    }
+    assert!(leader.calls() - led >= 50);
+    assert!(node.calls() - listened <= 1);
+}
+
+/// Symptom: a node goes by an old configuration for longer than is allowed.
+/// Sequence: the node that passes changes on falls silent at a moment at which it was up to date.
+/// Cause: silence taken for nothing new.
+#[tokio::test(start_paused = true)]
+async fn follow_leader_falls_silent() {
+    let (memory, leader, node) = two_nodes(Millis::ZERO).await;
+    for version in 2..8 {
+        leader.task.abort();
+        configure(&memory, version);
+        pass(IN_FORCE).await;
+        assert_eq!(node.version(), version);
+    }
+}
+
+/// Symptom: as above, at nodes whose leader goes on answering.
+/// Sequence: the service turns the leader away and serves the others.
+/// Cause: a living leader taken for one that knows what is new.
+#[tokio::test(start_paused = true)]
+async fn follow_leader_cut_off_from_the_service() {
+    let (memory, leader, node) = two_nodes(Millis::ZERO).await;
+    leader.asked.cut.store(true, Ordering::Relaxed);
+    for version in 2..8 {
+        configure(&memory, version);
+        pass(IN_FORCE).await;
+        assert_eq!(node.version(), version);
+    }
+    leader.asked.cut.store(false, Ordering::Relaxed);
+    pass(IN_FORCE).await;
+    assert_eq!(leader.version(), 7);
+}
+
+/// Symptom: as above, where the leader passes changes on late.
+/// Sequence: the leader is suspended between a call's answer and passing it on.
+/// Cause: freshness counted from when an update arrives.
+#[tokio::test(start_paused = true)]
+async fn follow_old_updates_are_not_relied_on() {
+    let (memory, _leader, node) = two_nodes(Millis(5_000)).await;
+    let before = node.calls();
+    for version in 2..8 {
+        configure(&memory, version);
+        pass(IN_FORCE).await;
+        assert_eq!(node.version(), version);
+    }
+    assert!(node.calls() - before >= 6);
+}
+
+/// Symptom: a server that drains is sent new work by one node, and nothing corrects it.
+/// Sequence: a node asks the service itself and then hears older changes from another.
+/// Cause: changes taken in the order in which they arrive.
+#[tokio::test(start_paused = true)]
+async fn follow_older_updates_change_nothing() {
+    let memory = Arc::new(Memory::default());
+    let leader = start(&memory, None, Millis::ZERO);
+    memory.change(|state| state.put("servers/i-1", SERVER, None));
+    pass(Millis(1_500)).await;
+    let draining = SERVER.replace("\"ready\"", "\"draining\"");
+    assert_ne!(draining, SERVER);
+    memory.change(|state| state.put("servers/i-1", draining, None));
+    // It knows of the draining before it begins to listen.
+    let node = start(&memory, Some(&leader), Millis::ZERO);
+    for _ in 0..40 {
+        pass(Millis(100)).await;
+        let upstream = node.view.state().upstreams.get("i-1").cloned();
+        assert!(upstream.is_none_or(|upstream| !upstream.is_ready()));
+    }
+}
+
+/// A node's view in which so many nodes of one failure domain are at an address.
+fn view(nodes: usize, address: SocketAddr) -> Arc<View> {
+    let view = Arc::new(View::default());
+    for number in 0..nodes {
+        let peer = Peer {
+            address,
+            start: 1,
+            failure_domain: "hall-a".into(),
+        };
+        view.state().join(format!("node-{number}").into(), peer);
+    }
+    view
+}
+
+fn subscription(node: &str, view: Arc<View>) -> (Arc<Desks>, Subscription) {
+    let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+    let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
+    let desks = Arc::new(Desks::new(
+        view,
+        right,
+        Arc::new(Speech),
+        clock,
+        node.into(),
+        Arc::default(),
+    ));
+    let subscription = Subscription::new(Arc::clone(&desks), "hall-a".into());
+    (desks, subscription)
+}
+
+#[tokio::test]
+async fn subscription_hears_over_a_socket() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (above, _) = subscription("node-0", view(12, address));
+    tokio::spawn(serve(listener, Arc::clone(&above)));
+    above.hub.publish(update(4, 6));
+    let mut asking = 0;
+    for number in 0..12 {
+        let name = format!("node-{number}");
+        let (_desks, mut one) = subscription(&name, view(12, address));
+        assert!(one.is_shared());
+        match one.next(5, Millis::from_secs(20)).await {
+            Heard::Update(update) => {
+                assert_eq!((update.after, update.revision), (5, 6));
+                assert_eq!(update.events, [put(6)]);
+            }
+            Heard::Nobody => asking += 1,
+            Heard::Nothing => panic!("nothing within twenty seconds"),
+        }
+    }
+    // Two ask the service for all.
+    assert_eq!(asking, 2);
+}
+
+/// Symptom: streams at one node come late, those at its neighbours don't.
+/// Sequence: all nodes of a failure domain listen to the same one, which has a slow link.
+/// Cause: updates that leave one node as often as there are nodes.
+#[tokio::test]
+async fn subscription_few_listen_to_one_node() {
+    let mut listeners: HashMap<u16, usize> = HashMap::new();
+    let mut sockets = Vec::new();
+    let shared = Arc::new(View::default());
+    for number in 0..40 {
+        let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = Peer {
+            address: socket.local_addr().unwrap(),
+            start: 1,
+            failure_domain: "hall-a".into(),
+        };
+        let name: Name = format!("node-{number}").into();
+        shared.state().join(name, peer);
+        sockets.push(socket);
+    }
+    let mut kept = Vec::new();
+    for (number, socket) in sockets.into_iter().enumerate() {
+        let (desks, mut one) = subscription(&format!("node-{number}"), Arc::clone(&shared));
+        tokio::spawn(serve(socket, Arc::clone(&desks)));
+        kept.push(tokio::spawn(async move {
+            let heard = one.next(0, Millis(1)).await;
+            (one, heard)
+        }));
+    }
+    for task in kept {
+        let (one, heard) = task.await.unwrap();
+        if heard != Heard::Nobody {
+            let above = one.listens_to().unwrap();
+            let port = shared.state().nodes[&above].address.port();
+            *listeners.entry(port).or_default() += 1;
+        }
+    }
+    assert_eq!(listeners.values().sum::<usize>(), 38);
+    assert!(
+        listeners.values().all(|number| *number <= 3),
+        "{listeners:?}"
+    );
+}
+
+#[tokio::test]
+async fn subscription_few_nodes_ask_for_themselves() {
+    let address = "127.0.0.1:9".parse().unwrap();
+    let (_, mut one) = subscription("node-0", view(7, address));
+    assert!(!one.is_shared());
+    assert_eq!(one.next(0, Millis::from_secs(20)).await, Heard::Nobody);
+}
+
+/// Symptom: a node asks a dead leader again and again, and the service late.
+/// Sequence: all leaders of the failure domain end at once.
+/// Cause: a leader that refuses connections chosen again at once.
+#[tokio::test]
+async fn subscription_dead_leaders_are_left_alone() {
+    let ended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = ended.local_addr().unwrap();
+    drop(ended);
+    let view = view(12, address);
+    for number in 0..12 {
+        let (_desks, mut node) = subscription(&format!("node-{number}"), Arc::clone(&view));
+        for _ in 0..4 {
+            assert_eq!(node.next(0, Millis::from_secs(20)).await, Heard::Nobody);
+        }
+    }
+}
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -201,3 +201,24 @@
     assert_eq!(state.upstreams.len(), 2);
     assert!(state.upstreams["i-1"].is_ready());
 }
+
+/// Symptom: requests begin on an old version of an adapter later than is allowed.
+/// Sequence: a version is named in the pause between two calls for changes.
+/// Cause: the time counted from when the node saw the version, not from when it was named.
+#[tokio::test(start_paused = true)]
+async fn version_counts_from_before_it_was_named() {
+    let followed = start();
+    let clock = Monotonic::start();
+    for version in 1..9 {
+        pass(Millis(730)).await;
+        let named = clock.now();
+        let entry = format!(r#"{{"model":"base","adapter":"a1","version":{version}}}"#);
+        followed
+            .memory
+            .change(|state| state.put("op/version/base.a1", entry, None));
+        pass(Millis(2_000)).await;
+        let newest = followed.view.newest("base/a1").unwrap();
+        assert_eq!(newest.version, version);
+        assert!(newest.named <= named, "{newest:?}, named at {named}");
+    }
+}
