--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -26,6 +26,7 @@
 pub mod node;
 pub mod orders;
 pub mod pick;
+mod place;
 pub mod question;
 pub mod record;
 pub mod relay;
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -29,9 +29,8 @@
 
 /// Adapters that may be on their way to one engine.
 ///
-/// Engines take four, but share a store that serves eight at full speed: with two
-/// each, a load that has begun ends sooner and later ones wait here in order. Over
-/// the standard days that is worth 0.015 and 0.043 of the two sites' scores.
+/// Engines take four, but share a store that serves eight at full speed: with two each, a load
+/// that has begun ends sooner, and later ones wait here in order.
 const MOST_INCOMING: usize = 2;
 
 /// Loads that may wait for a place on their way.
--- a/lib/src/direct/roles.rs
+++ b/lib/src/direct/roles.rs
@@ -56,7 +56,7 @@
 /// is the newest has the number 0; where none was named there is one version only.
 ///
 /// Going on elsewhere counts as beginning there. A run on an older version that was begun in
-/// time would be begun again on it long after, 9.5 s in one play, where five are allowed. Such a
+/// time would be begun again on it long after, 9.5 s late where five are allowed. Such a
 /// run stays where it is, and no run moves to an engine that may hold an older version.
 #[must_use]
 pub fn may_move(sent: Option<u64>, held: u64, newest: Option<u64>) -> bool {
@@ -115,7 +115,7 @@
 /// Streams before which the share says nothing.
 ///
 /// A node that starts beside engines that are busy sees as many within a second or two; waiting
-/// for thirty cost 0.012 of worth, mostly in the seconds after all nodes had ended at once.
+/// for thirty made streams late in the seconds after all nodes had ended at once.
 const FEWEST: f64 = 8.0;
 
 /// The most that one engine counts for, in parts of an even share of all streams.
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -2,17 +2,15 @@
 
 use std::sync::Arc;
 
-use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::admission::Load;
 use super::admit::{self, Permit, Question};
 use super::attempt::Answer;
 use super::call::Call;
-use super::choice::{self, MOST_QUESTIONS};
 use super::entry::{CLASS, seconds};
 use super::orders::Loaded;
 use super::pick::{Field, usual_share};
+use super::place::Asked;
 use super::record::Asking;
 use super::roles::{Manner, Roles, may_move};
 use super::trip::{LOOK, Trip, old_until};
@@ -41,7 +39,7 @@
 /// Engines of an adapter's order that come first however loaded they are.
 ///
 /// They may have kept a copy of it, which loads ten times as fast.
-const FIRST_HOMES: usize = 2;
+pub(super) const FIRST_HOMES: usize = 2;
 
 /// Requests at a writer, one of which asks that a reader hold the adapter too.
 ///
@@ -61,17 +59,6 @@
     pub permit: Option<Permit>,
 }
 
-/// What asking engines that are believed to hold an adapter led to.
-#[derive(Debug)]
-enum Asked {
-    /// Send there.
-    Place(Target),
-    /// None holds it, or all have a queue that lasts longer than a load elsewhere.
-    Load(Option<Target>),
-    /// It would begin too late wherever it is sent.
-    TooLate(Millis),
-}
-
 impl Trip {
     /// Finds where to send, waiting a little if nothing fits.
     pub(super) async fn target(&self) -> Result<Target, Failure> {
@@ -136,11 +123,15 @@
         found.map(|upstream| Self::at(upstream, adapter))
     }
 
-    fn manner(&self) -> Manner {
+    pub(super) fn manner(&self) -> Manner {
         Manner::of(self.message.call.tokens)
     }
 
-    fn field<'a>(&'a self, upstreams: &'a [Arc<Upstream>], roles: &'a Roles) -> Field<'a> {
+    pub(super) fn field<'a>(
+        &'a self,
+        upstreams: &'a [Arc<Upstream>],
+        roles: &'a Roles,
+    ) -> Field<'a> {
         Field {
             upstreams,
             tried: &self.tried,
@@ -159,33 +150,6 @@
         }
     }
 
-    /// Asks for a place at any load.
-    pub(super) fn question<'a>(&self, adapter: Option<&'a Name>, version: u64) -> Question<'a> {
-        Question {
-            adapter,
-            version,
-            limit: 0,
-            loaded: false,
-            tokens: self.message.call.tokens.map_or(0, |(prompt, _)| prompt),
-            patience: choice::calm_wait(self.route.objective),
-        }
-    }
-
-    /// Finds an engine for a request that uses no adapter.
-    async fn with_base(&self, field: &Field<'_>, model: &Name) -> Option<Target> {
-        let upstream = field.first(self.manner(), |upstream| upstream.has_base(model))?;
-        let question = self.question(None, 0);
-        let permit = match self.gate.desks.admit(&upstream, question).await {
-            admit::Answer::Admitted(permit, _) => Some(permit),
-            _ => None,
-        };
-        Some(Target {
-            upstream,
-            version: None,
-            permit,
-        })
-    }
-
     /// Finds an engine that holds the adapter, or has one load it.
     ///
     /// # Errors
@@ -239,94 +203,6 @@
         }))
     }
 
-    /// Asks engines that are believed to hold the adapter for a place, the better ones first.
-    async fn ask_holders(&self, field: &Field<'_>, adapter: &Name, wanted: u64) -> Asked {
-        let turned_away = self.rejected > 0;
-        let mut busy: SmallVec<[(Arc<Upstream>, Load); MOST_QUESTIONS]> = SmallVec::new();
-        while busy.len() < MOST_QUESTIONS {
-            let holds = |upstream: &Upstream| {
-                let asked =
-                    |(one, _): &(Arc<Upstream>, Load)| one.incarnation == upstream.incarnation;
-                upstream.version(adapter).is_some_and(|held| held >= wanted)
-                    && !busy.iter().any(asked)
-            };
-            let Some(upstream) = field.first(self.manner(), holds) else {
-                break;
-            };
-            // One that only fails some requests keeps them: copies of all its adapters
-            // would cost more than the failures.
-            let full = turned_away && self.tried.contains(&upstream.incarnation);
-            if full || upstream.is_unreachable(field.now) {
-                break;
-            }
-            self.copy(field, adapter, wanted, &upstream);
-            let question = Question {
-                limit: choice::calm_limit(upstream.slots),
-                ..self.question(Some(adapter), wanted)
-            };
-            match self.gate.desks.admit(&upstream, question).await {
-                admit::Answer::Admitted(permit, _) => {
-                    return Asked::Place(Self::admitted(upstream, adapter, Some(permit)));
-                }
-                admit::Answer::Busy(load) => busy.push((upstream, load)),
-                admit::Answer::Absent(_) => upstream.lost(adapter),
-                admit::Answer::Unknown => {
-                    return Asked::Place(Self::admitted(upstream, adapter, None));
-                }
-            }
-        }
-        self.settle(field, adapter, wanted, &busy).await
-    }
-
-    /// Decides between engines that are all no longer calm.
-    async fn settle(
-        &self,
-        field: &Field<'_>,
-        adapter: &Name,
-        wanted: u64,
-        busy: &[(Arc<Upstream>, Load)],
-    ) -> Asked {
-        let least = busy
-            .iter()
-            .min_by_key(|(upstream, load)| (load.wait, load.running * 100 / upstream.slots));
-        let Some((upstream, load)) = least else {
-            return Asked::Load(None);
-        };
-        let reads = field.reads(upstream);
-        if choice::is_crowded(*load, upstream.slots, reads) {
-            self.spread(field, adapter, wanted, reads);
-        }
-        let now = self.now();
-        let (passed, left) = (now.since(self.began), self.until.since(now));
-        let late = choice::come_back(load.wait, self.route.objective, passed, left);
-        if let (Some(back), true) = (late, self.sent == 0) {
-            return Asked::TooLate(back);
-        }
-        if choice::is_worth_load(load.wait) {
-            return Asked::Load(Some(Self::at(Arc::clone(upstream), adapter)));
-        }
-        let question = self.question(Some(adapter), wanted);
-        match self.gate.desks.admit(upstream, question).await {
-            admit::Answer::Admitted(permit, _) => {
-                Asked::Place(Self::admitted(Arc::clone(upstream), adapter, Some(permit)))
-            }
-            admit::Answer::Absent(_) => {
-                upstream.lost(adapter);
-                Asked::Load(None)
-            }
-            admit::Answer::Busy(_) | admit::Answer::Unknown => {
-                Asked::Place(Self::admitted(Arc::clone(upstream), adapter, None))
-            }
-        }
-    }
-
-    fn admitted(upstream: Arc<Upstream>, adapter: &Name, permit: Option<Permit>) -> Target {
-        Target {
-            permit,
-            ..Self::at(upstream, adapter)
-        }
-    }
-
     /// Returns an engine that holds an older version, while that may still be begun on.
     fn older(
         &self,
@@ -377,69 +253,6 @@
         None
     }
 
-    /// Whether another engine that holds what the request needs is believed to have free places.
-    pub(super) fn has_free_holder(&self, but: &Upstream) -> bool {
-        let Some(model) = &self.message.call.model else {
-            return false;
-        };
-        let adapter = self.message.call.adapter();
-        let now = self.now();
-        let pool = self.gate.view.pool(&self.pool);
-        pool.iter().any(|upstream| {
-            let holds = match adapter {
-                Some(adapter) => upstream.version(adapter).is_some(),
-                None => upstream.has_base(model),
-            };
-            holds
-                && upstream.incarnation != but.incarnation
-                && upstream.is_ready()
-                && !upstream.suspended(now)
-                && !self.tried.contains(&upstream.incarnation)
-                && upstream.load() < choice::calm_limit(upstream.slots)
-        })
-    }
-
-    /// Orders the engines that come first for an adapter by how soon they would begin.
-    ///
-    /// Half of all adapters are asked for once a day. Loaded at their first engine whatever runs
-    /// there, they crowd the engines of popular adapters; the second one is as good a home.
-    ///
-    /// With `only_calm` the request could wait where its adapter is: a load then pays only at an
-    /// engine that has little to do. Where all are busy, loads for each request would crowd the
-    /// weight store and gain nothing.
-    async fn by_load(
-        &self,
-        adapter: &Name,
-        wanted: u64,
-        mut homes: Vec<Arc<Upstream>>,
-        only_calm: bool,
-    ) -> Vec<Arc<Upstream>> {
-        let first = &homes[..FIRST_HOMES.min(homes.len())];
-        let asking = first.iter().map(|upstream| {
-            let question = Question {
-                limit: 1,
-                patience: Millis::ZERO,
-                ..self.question(Some(adapter), wanted)
-            };
-            self.gate.desks.admit(upstream, question)
-        });
-        let answers = futures::future::join_all(asking).await;
-        let loads: Vec<Option<Load>> = answers.iter().map(admit::Answer::load).collect();
-        let objective = self.route.objective;
-        if only_calm {
-            let calm = homes.iter().zip(&loads).filter(|(upstream, load)| {
-                load.is_some_and(|load| choice::is_calm(load, upstream.slots, objective))
-            });
-            return calm.map(|(upstream, _)| Arc::clone(upstream)).collect();
-        }
-        if let [Some(one), Some(other)] = loads[..]
-            && choice::is_better_home(one, other, objective)
-        {
-            homes.swap(0, 1);
-        }
-        homes
-    }
-
     /// Whether an engine holds the adapter's base and somebody who answers gives it orders.
     ///
     /// An engine without an owner who answers can load nothing. While nodes are gone and the
@@ -466,7 +279,7 @@
     ///
     /// All nodes know the same order of engines; chance keeps those that notice the crowd
     /// together from asking the same one, so that replicas double with each load.
-    fn spread(&self, field: &Field<'_>, adapter: &Name, wanted: u64, reads: bool) {
+    pub(super) fn spread(&self, field: &Field<'_>, adapter: &Name, wanted: u64, reads: bool) {
         let mut homes = field.homes(adapter);
         let before = homes.len();
         homes.retain(|upstream| upstream.version(adapter).is_none());
@@ -485,7 +298,7 @@
     }
 
     /// Has a reader hold an adapter whose prompts are read at a writer, sooner the more there are.
-    fn copy(&self, field: &Field<'_>, adapter: &Name, wanted: u64, found: &Upstream) {
+    pub(super) fn copy(&self, field: &Field<'_>, adapter: &Name, wanted: u64, found: &Upstream) {
         let chosen = xxh3_64(self.id().as_bytes()).is_multiple_of(COPY_ONE_IN);
         if !field.roles.is_split() || field.reads(found) || !chosen {
             return;
@@ -495,7 +308,7 @@
         self.gate.load_soon(homes, adapter, wanted);
     }
 
-    fn at(upstream: Arc<Upstream>, adapter: &Name) -> Target {
+    pub(super) fn at(upstream: Arc<Upstream>, adapter: &Name) -> Target {
         // An adapter that was loaded as whatever is the newest has no number
         // here; expecting one would have the engine turn the request away.
         let version = upstream.version(adapter).filter(|version| *version > 0);
