--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -208,8 +208,12 @@
         }
         let left = self.until.since(self.now());
         let leaves = left > Millis::ZERO && self.may_leave_queue(&target.upstream);
-        if !leaves && let Ok(result) = tokio::time::timeout(left.duration(), &mut send).await {
-            return result;
+        if !leaves {
+            // Its queue is long or it has gone dark: others are better sent elsewhere meanwhile.
+            target.upstream.failed(self.now());
+            if let Ok(result) = tokio::time::timeout(left.duration(), &mut send).await {
+                return result;
+            }
         }
         self.repeat_taken = leaves;
         let told = format!("no answer within {}", self.now().since(now));
