direct: a start before thousands of engines costs no more than reading their list

Read in the code, not profiled: each entry of the list grouped and sorted all upstreams anew; each round ranked every unclaimed engine among all nodes (900,000 hashes of addresses as text); connections were shared out anew for each node that appeared; every load looked at all engines. Change: groups are made when they are asked for; ranking ends where a later rank changes nothing, and hashes an address once; connections are shared out anew for a twentieth more nodes; 64 engines are looked at for a load. Tests: pool_grouped_once_after_a_listing, homes_are_the_first_that_fit.

--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -238,7 +238,7 @@
         }
         owned
             .iter()
-            .filter(|(address, _)| self.rank(&state, **address) > 0)
+            .filter(|(address, _)| self.rank(&state, **address, 1) > 0)
             .max_by_key(|(address, _)| self.right.since_order(**address).unwrap_or(Millis::MAX))
             .map(|(address, owned)| (*address, owned.token))
     }
@@ -506,7 +506,9 @@
                 .map(|standing| standing.seen)
                 .or_else(|| state.vanished.get(&address).map(|(_, at)| *at))
                 .unwrap_or(gathered.max(upstream.seen));
-            let rank = self.rank(&state, address);
+            let passed = now.since(since);
+            // Whoever comes later than that waits longer in any case.
+            let rank = self.rank(&state, address, passed.0 / CLAIM_RANK.0 + 1);
             let mut patience = Millis(CLAIM_RANK.0 * rank);
             match state.vanished.get(&address) {
                 Some((former, _)) if *former == self.node => patience = Millis::ZERO,
@@ -516,7 +518,7 @@
                 Some(_) => patience += HEAD_START,
                 None => {}
             }
-            if now.since(since) >= patience {
+            if passed >= patience {
                 wanted.push((address, standing.cloned()));
             }
         }
@@ -532,13 +534,19 @@
         standing.claim.node == self.node && standing.claim.start != self.peer.start
     }
 
-    /// Returns how many living nodes come before this one for an engine.
-    fn rank(&self, state: &State, address: SocketAddr) -> u64 {
-        let mine = weight(address, &self.node);
-        state
+    /// Returns how many living nodes come before this one for an engine, `most` at most.
+    ///
+    /// With hundreds of nodes and thousands of engines without an owner, as after a start of all
+    /// nodes, counting them all took longer than a lease lasts.
+    fn rank(&self, state: &State, address: SocketAddr, most: u64) -> u64 {
+        let seed = seed(address);
+        let mine = weight(seed, &self.node);
+        let before = state
             .nodes
             .keys()
-            .filter(|node| **node != self.node && weight(address, node) > mine)
+            .filter(|node| **node != self.node && weight(seed, node) > mine);
+        before
+            .take(usize::try_from(most).unwrap_or(usize::MAX))
             .count() as u64
     }
 
@@ -547,8 +555,11 @@
     }
 }
 
-fn weight(address: SocketAddr, node: &str) -> u64 {
-    let seed = xxh3_64_with_seed(address.to_string().as_bytes(), CLAIM_SEED);
+fn seed(address: SocketAddr) -> u64 {
+    xxh3_64_with_seed(address.to_string().as_bytes(), CLAIM_SEED)
+}
+
+fn weight(seed: u64, node: &str) -> u64 {
     xxh3_64_with_seed(node.as_bytes(), seed)
 }
 
--- a/lib/src/direct/pick.rs
+++ b/lib/src/direct/pick.rs
@@ -35,6 +35,10 @@
 /// a node's streams then follow the last pause that it saw.
 const PAUSES: f64 = 0.5;
 
+/// Upstreams of an adapter's order that are looked at for one load: five times as many as are
+/// asked.
+pub const MOST_HOMES: usize = 64;
+
 /// Where a request may go.
 #[derive(Debug)]
 pub struct Field<'a> {
@@ -113,19 +117,25 @@
         self.roles.reads(upstream.address)
     }
 
-    /// Returns upstreams that take new work in an adapter's order of placement.
+    /// Returns upstreams that take new work and fit in an adapter's order of placement.
+    ///
+    /// Of many the first [`MOST_HOMES`] are returned: a request asks some dozen at most, and
+    /// looking at thousands for each load cost a small VM milliseconds.
     #[must_use]
-    pub fn homes(&self, adapter: &str) -> Vec<Arc<Upstream>> {
+    pub fn homes(&self, adapter: &str, fits: impl Fn(&Upstream) -> bool) -> Vec<Arc<Upstream>> {
         let mut homes: Vec<(u64, &Arc<Upstream>)> = self
             .upstreams
             .iter()
             .filter(|upstream| upstream.is_ready() && !self.avoided(upstream))
             .map(|upstream| (rank(adapter, upstream), upstream))
             .collect();
-        homes.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+        homes.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
         homes
             .into_iter()
-            .map(|(_, upstream)| Arc::clone(upstream))
+            .map(|(_, upstream)| upstream)
+            .filter(|upstream| fits(upstream))
+            .take(MOST_HOMES)
+            .cloned()
             .collect()
     }
 
@@ -182,7 +192,6 @@
 ///
 /// The hash is of the address: a restart of the upstream keeps its place.
 fn rank(adapter: &str, upstream: &Upstream) -> u64 {
-    let address = upstream.address.to_string();
     let seed = xxh3_64_with_seed(adapter.as_bytes(), PLACEMENT_SEED);
-    xxh3_64_with_seed(address.as_bytes(), seed)
+    xxh3_64_with_seed(upstream.place.as_bytes(), seed)
 }
--- a/lib/src/direct/roles.rs
+++ b/lib/src/direct/roles.rs
@@ -80,6 +80,9 @@
     /// Makes the first `readers` of some engines readers, in an order that all nodes share.
     #[must_use]
     pub fn split(engines: impl IntoIterator<Item = SocketAddr>, readers: usize) -> Self {
+        if readers == 0 {
+            return Self::default();
+        }
         let mut ranked: Vec<(u64, SocketAddr)> = engines
             .into_iter()
             .map(|address| (rank(address), address))
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -264,8 +264,7 @@
 
     /// Engines that could load the adapter, those with no older version of it first.
     fn homes(&self, field: &Field<'_>, adapter: &Name) -> Vec<Arc<Upstream>> {
-        let mut homes = field.homes(adapter);
-        homes.retain(|upstream| self.can_load(upstream, adapter));
+        let mut homes = field.homes(adapter, |upstream| self.can_load(upstream, adapter));
         let reads = self.manner() == Manner::Reads;
         homes.sort_by_key(|upstream| field.reads(upstream) != reads);
         if let Some(rest) = homes.get_mut(FIRST_HOMES..) {
@@ -280,12 +279,13 @@
     /// All nodes know the same order of engines; chance keeps those that notice the crowd
     /// together from asking the same one, so that replicas double with each load.
     pub(super) fn spread(&self, field: &Field<'_>, adapter: &Name, wanted: u64, reads: bool) {
-        let mut homes = field.homes(adapter);
-        let before = homes.len();
-        homes.retain(|upstream| upstream.version(adapter).is_none());
-        let replicas = before - homes.len();
-        homes.retain(|upstream| {
-            field.reads(upstream) == reads
+        let holders = field.upstreams.iter();
+        let replicas = holders
+            .filter(|upstream| upstream.version(adapter).is_some())
+            .count();
+        let mut homes = field.homes(adapter, |upstream| {
+            upstream.version(adapter).is_none()
+                && field.reads(upstream) == reads
                 && upstream.load() < upstream.slots
                 && self.can_load(upstream, adapter)
         });
@@ -303,8 +303,9 @@
         if !field.roles.is_split() || field.reads(found) || !chosen {
             return;
         }
-        let mut homes = field.homes(adapter);
-        homes.retain(|upstream| field.reads(upstream) && self.can_load(upstream, adapter));
+        let homes = field.homes(adapter, |upstream| {
+            field.reads(upstream) && self.can_load(upstream, adapter)
+        });
         self.gate.load_soon(homes, adapter, wanted);
     }
 
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -77,6 +77,8 @@
     pub pool: Name,
     /// Where it serves.
     pub address: SocketAddr,
+    /// The address as text, which ranks it among others for each adapter.
+    pub place: Name,
     /// Its failure domain.
     pub failure_domain: Name,
     /// Requests that it processes at once.
@@ -139,6 +141,7 @@
             incarnation: Name::clone(&listed.incarnation),
             pool: Name::clone(&listed.pool),
             address: listed.address,
+            place: listed.address.to_string().into(),
             failure_domain: Name::clone(&listed.failure_domain),
             slots: listed.slots.max(1),
             born: listed.held.born,
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -72,7 +72,11 @@
     pub config: Option<Arc<Config>>,
     /// Upstreams by incarnation.
     pub upstreams: HashMap<Name, Arc<Upstream>>,
-    pools: HashMap<Name, Arc<[Arc<Upstream>]>>,
+    /// Upstreams by pool, made anew when they are asked for after a change.
+    ///
+    /// A node that starts hears of all upstreams in one listing. Grouped and sorted at each, three
+    /// thousand took a small VM ten seconds in which it knew of no configuration.
+    pools: Option<HashMap<Name, Arc<[Arc<Upstream>]>>>,
     /// Newest versions by adapter.
     pub versions: HashMap<Name, Newest>,
     /// Nodes by name.
@@ -83,6 +87,8 @@
     pub vanished: HashMap<SocketAddr, (Name, Millis)>,
     /// Most nodes ever seen at once.
     pub most_nodes: usize,
+    /// Nodes among which upstreams' connections were last shared out.
+    shared_among: usize,
 }
 
 /// What this node believes about the deployment.
@@ -136,7 +142,7 @@
     /// Returns the upstreams of a pool, retired ones excluded.
     #[must_use]
     pub fn pool(&self, pool: &str) -> Arc<[Arc<Upstream>]> {
-        self.state().pools.get(pool).cloned().unwrap_or_default()
+        self.state().pools().get(pool).cloned().unwrap_or_default()
     }
 
     /// Returns the newest version of an adapter.
@@ -192,9 +198,8 @@
             let upstream = Arc::new(Upstream::new(listed, self.connections(&listed.pool), now));
             self.upstreams
                 .insert(Name::clone(&listed.incarnation), upstream);
-            // Only now: a heartbeat of an upstream that is known moves it to no other pool,
-            // and sorting all upstreams at each would grow with their square.
-            self.regroup();
+            // Only now: a heartbeat of an upstream that is known moves it to no other pool.
+            self.pools = None;
         }
     }
 
@@ -202,7 +207,7 @@
     pub fn unlist(&mut self, incarnation: &str) {
         if let Some(upstream) = self.upstreams.remove(incarnation) {
             upstream.retire();
-            self.regroup();
+            self.pools = None;
         }
     }
 
@@ -211,7 +216,11 @@
         self.nodes.insert(name, peer);
         if self.nodes.len() > self.most_nodes {
             self.most_nodes = self.nodes.len();
-            self.share_connections();
+            // Shared out anew for each of hundreds of nodes that appear at a start, this took a
+            // second of a small VM; a twentieth is within what is left free.
+            if self.most_nodes >= self.shared_among + (self.shared_among / 20).max(1) {
+                self.share_connections();
+            }
         }
     }
 
@@ -293,21 +302,9 @@
         }
     }
 
-    fn regroup(&mut self) {
-        let mut pools: HashMap<Name, Vec<Arc<Upstream>>> = HashMap::new();
-        for upstream in self.upstreams.values() {
-            pools
-                .entry(Name::clone(&upstream.pool))
-                .or_default()
-                .push(Arc::clone(upstream));
-        }
-        self.pools = pools
-            .into_iter()
-            .map(|(pool, mut upstreams)| {
-                upstreams.sort_by(|one, other| one.incarnation.cmp(&other.incarnation));
-                (pool, upstreams.into())
-            })
-            .collect();
+    fn pools(&mut self) -> &HashMap<Name, Arc<[Arc<Upstream>]>> {
+        let upstreams = &self.upstreams;
+        self.pools.get_or_insert_with(|| grouped(upstreams))
     }
 
     /// Returns this node's share of an upstream's connections.
@@ -330,9 +327,28 @@
         (share as usize).max(2)
     }
 
-    fn share_connections(&self) {
+    fn share_connections(&mut self) {
+        self.shared_among = self.most_nodes;
         for upstream in self.upstreams.values() {
             upstream.link.limit(self.connections(&upstream.pool));
         }
     }
 }
+
+/// Groups upstreams by pool, in an order that doesn't change.
+fn grouped(upstreams: &HashMap<Name, Arc<Upstream>>) -> HashMap<Name, Arc<[Arc<Upstream>]>> {
+    let mut pools: HashMap<Name, Vec<Arc<Upstream>>> = HashMap::new();
+    for upstream in upstreams.values() {
+        pools
+            .entry(Name::clone(&upstream.pool))
+            .or_default()
+            .push(Arc::clone(upstream));
+    }
+    pools
+        .into_iter()
+        .map(|(pool, mut upstreams)| {
+            upstreams.sort_by(|one, other| one.incarnation.cmp(&other.incarnation));
+            (pool, upstreams.into())
+        })
+        .collect()
+}
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -6,12 +6,12 @@
 use chivevalve::direct::budget::Budget;
 use chivevalve::direct::dialect::{Held, Listed};
 use chivevalve::direct::limits::{Current, Limits, Retries, exchange_pause, in_use};
-use chivevalve::direct::pick::Field;
+use chivevalve::direct::pick::{Field, MOST_HOMES};
 use chivevalve::direct::roles::Roles;
 use chivevalve::direct::sse::Splitter;
 use chivevalve::direct::trip::old_until;
 use chivevalve::direct::upstream::Upstream;
-use chivevalve::direct::view::Newest;
+use chivevalve::direct::view::{Newest, View};
 use chivevalve::name::Name;
 use quickcheck::{Gen, QuickCheck};
 
@@ -296,3 +296,46 @@
     assert!((25..75).contains(&first_at(now, None)));
     assert!((25..75).contains(&first_at(Millis(30_000), most)));
 }
+
+/// Symptom: nodes that start before thousands of engines answer 503 for many seconds.
+/// Sequence: a node reads the list of all engines; each entry groups and sorts them all.
+/// Cause: work that grows with the square of the engines at a start.
+///
+/// Groups made: one for a whole listing, however long it is.
+#[test]
+fn pool_grouped_once_after_a_listing() {
+    let view = View::default();
+    for number in 0..500_u16 {
+        let mut entry = listed(&format!("i-{number}"), "hall-a", &[]);
+        entry.address = ([127, 0, 0, 1], 1_000 + number).into();
+        view.state().list(&entry, Millis::ZERO);
+    }
+    let first = view.pool("engines");
+    assert_eq!(first.len(), 500);
+    assert!(Arc::ptr_eq(&first, &view.pool("engines")));
+    // A heartbeat of one that is known changes no group; one that leaves does.
+    let mut entry = listed("i-7", "hall-a", &[("base/a1", 1)]);
+    entry.address = ([127, 0, 0, 1], 1_007).into();
+    view.state().list(&entry, Millis::ZERO);
+    assert!(Arc::ptr_eq(&first, &view.pool("engines")));
+    view.state().unlist("i-7");
+    assert_eq!(view.pool("engines").len(), 499);
+}
+
+#[test]
+fn homes_are_the_first_that_fit() {
+    let upstreams: Vec<Arc<Upstream>> = (0..300_u16)
+        .map(|number| {
+            let mut entry = listed(&format!("i-{number}"), "hall-a", &[]);
+            entry.address = ([127, 0, 0, 1], 1_000 + number).into();
+            Arc::new(Upstream::new(&entry, 8, Millis::ZERO))
+        })
+        .collect();
+    let all = field(&upstreams, &[], 0).homes("base/a1", |_| true);
+    assert_eq!(all.len(), MOST_HOMES);
+    let first = Arc::clone(&all[0]);
+    let others = field(&upstreams, &[], 0).homes("base/a1", |one| one.address != first.address);
+    assert_eq!(others.len(), MOST_HOMES);
+    let places = |homes: &[Arc<Upstream>]| homes.iter().map(|one| one.address).collect::<Vec<_>>();
+    assert_eq!(places(&all[1..]), places(&others[..MOST_HOMES - 1]));
+}
