direct: a request whose time is up counts as one failure

Cause: read in the diff: a request that expired at its upstream was counted as failed when waiting ended and once more when it was recorded, so that one expiry suspended the upstream. Change: counted early only where the request goes on waiting. Not measured by itself.

--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -208,7 +208,7 @@
         }
         let left = self.until.since(self.now());
         let leaves = left > Millis::ZERO && self.may_leave_queue(&target.upstream);
-        if !leaves {
+        if left > Millis::ZERO && !leaves {
             // Its queue is long or it has gone dark: others are better sent elsewhere meanwhile.
             target.upstream.failed(self.now());
             if let Ok(result) = tokio::time::timeout(left.duration(), &mut send).await {
