direct: a silent engine is left once another one has begun, not before

Callers saw: their connection closed in the middle of a 200 beside a change of the configuration; 502 for work that an engine was about to begin. Cause: a stream was dropped after five longest pauses (1,500 ms on the route seen), a request in a queue after three objectives, and sent again elsewhere; where that one rejected it, or the budget for repeats was used up, nothing was left to go on with. Ruled out: the change of the timeout (it only decides what the check counts; 11.3 s were allowed), the engine, moved runs, connections closed by a new configuration. Change: direct::sends holds the sends of a request that wait for a head, the first head counts; direct::relay reads on at the silent engine while another one is asked. A request that may run once waits where it is.

--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -33,6 +33,7 @@
 pub mod reload;
 pub mod right;
 pub mod roles;
+pub mod sends;
 pub mod serve;
 pub mod sse;
 pub mod target;
--- a/lib/src/direct/record.rs
+++ b/lib/src/direct/record.rs
@@ -150,6 +150,16 @@
     );
 }
 
+/// Records that nothing better than an upstream that is silent was found.
+pub fn stays(trip: &Trip, upstream: &Upstream) {
+    log::info!(
+        request = trip.id(),
+        upstream = &*upstream.incarnation,
+        passed_ms = trip.now().since(trip.began).0;
+        "trip: stays"
+    );
+}
+
 /// Records how a request ended.
 pub fn ended(trip: &Trip, end: &End<'_>) {
     let cause = end.told();
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -47,6 +47,9 @@
     judged: bool,
 }
 
+/// What a body gives when it is read on; none at its end.
+type Received = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// What reading on led to.
 enum Step {
     Events(Bytes),
@@ -277,34 +280,73 @@
             return Step::Broken("there is no answer".to_owned());
         };
         match tokio::time::timeout(span.duration(), answer.body.frame()).await {
-            Err(_) => self.stalled(span),
-            Ok(Some(Err(error))) => Step::Broken(error.to_string()),
-            Ok(Some(Ok(frame))) => match frame.into_data() {
+            Err(_) => self.stalled(span).await,
+            Ok(received) => self.received(received),
+        }
+    }
+
+    /// Takes in what came from the upstream.
+    fn received(&mut self, received: Received) -> Step {
+        match received {
+            Some(Err(error)) => Step::Broken(error.to_string()),
+            Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => self.take(&data),
                 Err(_) => Step::More,
             },
-            Ok(None) if self.splitter.has_rest() => {
-                Step::Broken("it ended within an event".to_owned())
-            }
-            Ok(None) => Step::End,
+            None if self.splitter.has_rest() => Step::Broken("it ended within an event".to_owned()),
+            None => Step::End,
         }
     }
 
     /// Decides what becomes of a stream whose engine is silent.
     ///
-    /// An engine can pause for longer than callers bear and go on, and a stream that is dropped
-    /// with nowhere to go on ends in the middle: callers lost answers that their engine was still
-    /// writing. It is left only for an engine with free places, with leave to send it again.
-    fn stalled(&mut self, span: Millis) -> Step {
+    /// An engine can pause for longer than callers bear and go on. It is left only for another
+    /// one that has begun to go on with the stream.
+    async fn stalled(&mut self, span: Millis) -> Step {
         let told = format!("nothing for {span}");
-        let Some(answer) = &self.answer else {
+        if self.trip.now() >= self.trip.until {
+            return Step::Broken(told);
+        }
+        // A run that was stopped to be moved is silent until it goes on elsewhere.
+        if self.handover.is_some() && self.taken_over().await {
+            return Step::More;
+        }
+        let Some(former) = self.answer.take() else {
             return Step::Broken(told);
         };
-        let upstream = std::sync::Arc::clone(&answer.upstream);
-        if self.trip.now() < self.trip.until && !self.trip.leaves_queue(&upstream) {
+        if !self.trip.leaves_queue(&former.upstream) {
+            self.answer = Some(former);
             return Step::More;
         }
-        Step::Broken(told)
+        self.look_elsewhere(former, &told).await
+    }
+
+    /// Has another engine go on with a stream, unless the silent one does so first.
+    ///
+    /// A free place elsewhere is only believed, and the engine there can reject the request. A
+    /// stream that was dropped before then ended in the middle for its caller, though its engine
+    /// was still writing. Once another engine's head has come, dropping the former answer closes
+    /// its connection, so that both work on the request for no longer than that takes.
+    async fn look_elsewhere(&mut self, mut former: Answer, told: &str) -> Step {
+        self.trip.broke(&former.upstream);
+        let found = tokio::select! {
+            biased;
+            answer = self.trip.answer(self.last) => answer.ok(),
+            received = former.body.frame() => {
+                self.answer = Some(former);
+                return self.received(received);
+            }
+        };
+        let began = found.filter(|answer| answer.head.status.is_success());
+        if began.is_some() {
+            self.trip.gate.count_retry("resumed");
+            record::resumed(&self.trip, self.last, told);
+            self.splitter.clear();
+        } else {
+            record::stays(&self.trip, &former.upstream);
+        }
+        self.answer = Some(began.unwrap_or(former));
+        Step::More
     }
 
     fn patience(&self, now: Millis) -> Millis {
--- /dev/null
+++ b/lib/src/direct/sends.rs
@@ -0,0 +1,112 @@
+//! Sends of one request whose answers are still to come.
+//!
+//! An engine can be silent for seconds and go on: its queue is long, or it reads the prompts of
+//! others. Whoever drops a send there to try another engine has lost the place in the queue if
+//! the other one rejects the request, and the caller gets a failure for work that was about to
+//! begin. So the former send is kept until another engine has begun to answer; the first head
+//! that comes counts, and the connections of the others are closed then, which ends their runs.
+//! See docs/design/0010-leaving-a-silent-engine.md.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
+use smallvec::SmallVec;
+
+use super::admit::Permit;
+use super::attempt::{Answer, Message, Miss};
+use super::dialect::{Dialect, Dispatch};
+use super::upstream::Upstream;
+use crate::clock::Millis;
+
+/// A send that has ended.
+#[derive(Debug)]
+pub struct Sent {
+    /// Where it went.
+    pub upstream: Arc<Upstream>,
+    /// When it was sent.
+    pub at: Millis,
+    /// The answer's head, or why there is none.
+    pub result: Result<Answer, Miss>,
+}
+
+/// A send in progress, as it is known without waiting for it.
+#[derive(Debug)]
+struct Place {
+    upstream: Arc<Upstream>,
+    /// Whether the upstream was found silent already.
+    silent: bool,
+}
+
+/// Sends in progress; dropping them closes their connections.
+#[derive(Debug, Default)]
+pub struct Sends {
+    waiting: FuturesUnordered<BoxFuture<'static, Sent>>,
+    places: SmallVec<[Place; 2]>,
+}
+
+impl Sends {
+    /// Sends a request at `now`.
+    pub fn begin(
+        &mut self,
+        message: &Arc<Message>,
+        dialect: &Arc<dyn Dialect>,
+        upstream: Arc<Upstream>,
+        dispatch: Dispatch,
+        permit: Option<Permit>,
+        now: Millis,
+    ) {
+        self.places.push(Place {
+            upstream: Arc::clone(&upstream),
+            silent: false,
+        });
+        let (message, dialect) = (Arc::clone(message), Arc::clone(dialect));
+        self.waiting.push(Box::pin(async move {
+            let result = message.send(&upstream, &*dialect, &dispatch, permit).await;
+            Sent {
+                upstream,
+                at: now,
+                result,
+            }
+        }));
+    }
+
+    /// Whether nothing is on its way.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Whether a send to an upstream is on its way.
+    #[must_use]
+    pub fn reaches(&self, upstream: &Upstream) -> bool {
+        let same = |place: &Place| place.upstream.incarnation == upstream.incarnation;
+        self.places.iter().any(same)
+    }
+
+    /// Returns the upstream that was tried last.
+    #[must_use]
+    pub fn newest(&self) -> Option<&Arc<Upstream>> {
+        self.places.last().map(|place| &place.upstream)
+    }
+
+    /// Marks the upstream that was tried last as silent; returns it the first time.
+    ///
+    /// A request that waits for long speaks against its upstream once, however often it looks
+    /// elsewhere: two such marks suspend an upstream.
+    pub fn found_silent(&mut self) -> Option<Arc<Upstream>> {
+        let place = self.places.last_mut()?;
+        let first = !std::mem::replace(&mut place.silent, true);
+        first.then(|| Arc::clone(&place.upstream))
+    }
+
+    /// Waits for the next send to end; none if nothing is on its way.
+    ///
+    /// Nothing is lost when this is dropped before it returns.
+    pub async fn next(&mut self) -> Option<Sent> {
+        let sent = self.waiting.next().await?;
+        self.places
+            .retain(|place| place.upstream.incarnation != sent.upstream.incarnation);
+        Some(sent)
+    }
+}
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -10,6 +10,7 @@
 use super::dialect::{Dispatch, Memory};
 use super::entry::Gate;
 use super::record::{self, End};
+use super::sends::{Sends, Sent};
 use super::target::Target;
 use super::upstream::Upstream;
 use super::view::Newest;
@@ -35,7 +36,7 @@
 /// and the way there, are taken off.
 const VERSION_MARGIN: Millis = Millis(2_300);
 
-/// The patience with an upstream that is silent, in objectives.
+/// Objectives after which another upstream is looked for beside one that is silent.
 const PATIENCE: u64 = 3;
 
 /// A request on its way.
@@ -44,7 +45,7 @@
     /// The node's parts.
     pub gate: Arc<Gate>,
     /// What is sent.
-    pub message: Message,
+    pub message: Arc<Message>,
     /// The route that it came by.
     pub route: Route,
     /// The pool that takes it.
@@ -61,6 +62,7 @@
     pub(super) sent_at: Millis,
     pub(super) tried: SmallVec<[Name; 4]>,
     ended: bool,
+    /// Sends that may have run, those on their way among them.
     pub(super) sent: u32,
     unsent: u32,
     pub(super) rejected: u32,
@@ -101,7 +103,7 @@
     ) -> Self {
         Self {
             gate,
-            message,
+            message: Arc::new(message),
             route,
             pool,
             began,
@@ -120,27 +122,96 @@
 
     /// Returns the next answer, sending as often as is allowed.
     ///
+    /// What was sent and not answered counts as sent when this is dropped before it returns.
+    ///
     /// # Errors
     ///
     /// The failure that the caller gets; its code's fate is true.
     pub async fn answer(&mut self, resume_after: Option<u64>) -> Result<Answer, Failure> {
+        let mut sends = Sends::default();
+        (self.unsent, self.rejected) = (0, 0);
         loop {
-            let mut target = self.target().await?;
-            let taken = std::mem::take(&mut self.repeat_taken);
-            if self.sent + self.rejected > 0 && !taken && !self.take_repeat() {
-                return Err(
-                    self.refusal(Code::UpstreamRefused, "the budget for repeats is used up")
-                );
+            if sends.is_empty() {
+                let target = self.next_target().await?;
+                self.send(&mut sends, target, resume_after);
             }
-            let result = self.attempt(&mut target, resume_after).await;
-            match result {
-                Ok(answer) => {
-                    if let Some(answer) = self.judge(answer, &target) {
-                        return Ok(answer);
-                    }
-                }
-                Err(miss) => self.missed(&target, miss)?,
+            let span = self.patience();
+            let answer = match tokio::time::timeout(span.duration(), sends.next()).await {
+                Ok(Some(sent)) => self.conclude(&sends, sent)?,
+                Ok(None) => None,
+                Err(_) => self.waited(&mut sends, resume_after).await?,
+            };
+            if let Some(answer) = answer {
+                return Ok(answer);
+            }
+        }
+    }
+
+    /// Finds where to send while nothing is on its way, with leave taken for a repeat.
+    async fn next_target(&mut self) -> Result<Target, Failure> {
+        let target = self.target().await?;
+        let is_repeat = self.sent + self.rejected > 0;
+        if is_repeat && !self.take_leave() {
+            return Err(self.refusal(Code::UpstreamRefused, "the budget for repeats is used up"));
+        }
+        Ok(target)
+    }
+
+    /// Decides what becomes of a request whose upstreams have been silent for long.
+    ///
+    /// # Errors
+    ///
+    /// When its time is up.
+    async fn waited(
+        &mut self,
+        sends: &mut Sends,
+        resume_after: Option<u64>,
+    ) -> Result<Option<Answer>, Failure> {
+        let Some(newest) = sends.newest().map(Arc::clone) else {
+            return Ok(None);
+        };
+        let now = self.now();
+        if now >= self.until {
+            let told = format!("no answer within {}", now.since(self.sent_at));
+            let miss = Miss::Lost(Code::ExpiredRunning, told);
+            return self.missed(&newest, miss).map(|()| None);
+        }
+        if let Some(silent) = sends.found_silent() {
+            // Its queue is long or it has gone dark: others are better sent elsewhere meanwhile.
+            self.broke(&silent);
+        }
+        // A request that may run once waits where it is, however long.
+        if !self.may_go_on() || !self.leaves_queue(&newest) {
+            return Ok(None);
+        }
+        let target = tokio::select! {
+            biased;
+            Some(sent) = sends.next() => return self.conclude(sends, sent),
+            target = self.target() => target,
+        };
+        match target {
+            Ok(target) if !sends.reaches(&target.upstream) => {
+                self.gate.count_retry("silent");
+                self.send(sends, target, resume_after);
             }
+            _ => record::stays(self, &newest),
+        }
+        Ok(None)
+    }
+
+    /// Takes in how a send ended; none if the request goes on.
+    fn conclude(&mut self, sends: &Sends, sent: Sent) -> Result<Option<Answer>, Failure> {
+        let is_last = sends.is_empty();
+        match sent.result {
+            Ok(answer) => {
+                self.sent_at = sent.at;
+                Ok(self.judge(answer, is_last))
+            }
+            Err(miss) => match self.missed(&sent.upstream, miss) {
+                Err(failure) if is_last => Err(failure),
+                // It still waits at another upstream.
+                _ => Ok(None),
+            },
         }
     }
 
@@ -184,57 +255,41 @@
         self.gate.clock.now()
     }
 
-    async fn attempt(
-        &mut self,
-        target: &mut Target,
-        resume_after: Option<u64>,
-    ) -> Result<Answer, Miss> {
-        let now = self.now();
+    fn send(&mut self, sends: &mut Sends, mut target: Target, resume_after: Option<u64>) {
         let dispatch = Dispatch {
             resume_after: resume_after.or(self.message.call.resume_after),
-            ..self.dispatch(target)
+            ..self.dispatch(&target)
         };
-        let span = self.patience(now);
-        self.sent_at = now;
+        self.repeat_taken = false;
+        self.sent += 1;
+        self.sent_at = self.now();
         record::sent(self, &target.upstream, target.version, dispatch.deadline);
         let permit = target.permit.take();
-        self.note_uncounted(target, permit.as_ref());
-        let send = self
-            .message
-            .send(&target.upstream, &*self.gate.dialect, &dispatch, permit);
-        let mut send = std::pin::pin!(send);
-        if let Ok(result) = tokio::time::timeout(span.duration(), &mut send).await {
-            return result;
-        }
-        let left = self.until.since(self.now());
-        let leaves = left > Millis::ZERO && self.may_leave_queue(&target.upstream);
-        if left > Millis::ZERO && !leaves {
-            // Its queue is long or it has gone dark: others are better sent elsewhere meanwhile.
-            target.upstream.failed(self.now());
-            if let Ok(result) = tokio::time::timeout(left.duration(), &mut send).await {
-                return result;
-            }
-        }
-        self.repeat_taken = leaves;
-        let told = format!("no answer within {}", self.now().since(now));
-        Err(Miss::Lost(Code::ExpiredRunning, told))
-    }
-
-    /// Takes leave to send a request again elsewhere that has waited long at an upstream.
-    pub(super) fn leaves_queue(&mut self, waits_at: &Upstream) -> bool {
-        self.repeat_taken |= self.may_leave_queue(waits_at);
-        self.repeat_taken
+        self.note_uncounted(&target, permit.as_ref());
+        let (message, dialect) = (&self.message, &self.gate.dialect);
+        sends.begin(
+            message,
+            dialect,
+            target.upstream,
+            dispatch,
+            permit,
+            self.sent_at,
+        );
     }
 
-    /// Whether a request that has waited long at an upstream is sent again elsewhere, with leave
-    /// taken to do so.
+    /// Takes leave to send a request elsewhere too that has waited long at an upstream.
     ///
     /// An engine that lives has the request in its queue, and begins it sooner than another one
-    /// at which it would be the last again. Sent anew without a free place there, or without
-    /// leave, it ended as a failure, though it was about to begin.
-    fn may_leave_queue(&self, waits_at: &Upstream) -> bool {
+    /// at which it would be the last again: it is sent only where a free place is believed.
+    pub(super) fn leaves_queue(&mut self, waits_at: &Upstream) -> bool {
         let is_plain = self.message.call.model.is_none();
-        (is_plain || self.has_free_holder(waits_at)) && self.take_repeat()
+        (is_plain || self.has_free_holder(waits_at)) && self.take_leave()
+    }
+
+    /// Takes leave for the next send, unless it was taken already.
+    fn take_leave(&mut self) -> bool {
+        self.repeat_taken = self.repeat_taken || self.take_repeat();
+        self.repeat_taken
     }
 
     /// Sends the request to where the memory of its stopped run lies, to go on behind `last`.
@@ -307,39 +362,44 @@
         }
     }
 
-    /// How long to wait for an answer's head.
-    fn patience(&self, now: Millis) -> Millis {
-        let left = self.until.since(now);
-        if self.message.kind.repeatable() && self.sent + 1 < self.route.attempts {
+    /// How long to wait for an answer's head before another upstream is looked for.
+    fn patience(&self) -> Millis {
+        let left = self.until.since(self.now());
+        if self.message.kind.repeatable() && self.sent < self.route.attempts {
             left.min(Millis(self.route.objective.0 * PATIENCE))
         } else {
             left
         }
     }
 
-    /// Takes an answer, or sets a failed one aside if the request may be repeated.
-    fn judge(&mut self, answer: Answer, target: &Target) -> Option<Answer> {
-        self.sent += 1;
-        if answer.head.status.is_server_error() {
-            self.broke(&target.upstream);
-            if self.may_go_on() && self.others() && self.take_repeat() {
-                self.repeat_taken = true;
-                self.gate.count_retry("upstream_error");
-                return None;
-            }
-        } else {
-            target.upstream.succeeded();
+    /// Takes an answer, or sets a failed one aside if the request may be repeated or still waits
+    /// at another upstream.
+    fn judge(&mut self, answer: Answer, is_last: bool) -> Option<Answer> {
+        if !answer.head.status.is_server_error() {
+            answer.upstream.succeeded();
+            return Some(answer);
+        }
+        self.broke(&answer.upstream);
+        let goes_on = !is_last || self.may_go_on() && self.others() && self.take_leave();
+        if goes_on {
+            self.gate.count_retry("upstream_error");
+            return None;
         }
         Some(answer)
     }
 
-    fn missed(&mut self, target: &Target, miss: Miss) -> Result<(), Failure> {
+    /// Takes in that a send gave no answer.
+    ///
+    /// # Errors
+    ///
+    /// The failure that the caller gets where nothing else is on its way.
+    fn missed(&mut self, upstream: &Upstream, miss: Miss) -> Result<(), Failure> {
         let now = self.now();
-        let upstream = &target.upstream;
         record::missed(self, upstream, &miss);
         self.tried.push(Name::clone(&upstream.incarnation));
         match miss {
             Miss::Unsent(told) => {
+                self.sent -= 1;
                 upstream.unreachable(now);
                 self.unsent += 1;
                 self.gate.count_retry("unsent");
@@ -349,6 +409,7 @@
                 Ok(())
             }
             Miss::Rejected { status } => {
+                self.sent -= 1;
                 self.rejected += 1;
                 self.gate.count_retry("rejected");
                 if let Some(adapter) = self.message.call.adapter()
@@ -363,7 +424,6 @@
             }
             Miss::Lost(code, told) => {
                 upstream.failed(now);
-                self.sent += 1;
                 if self.may_go_on() {
                     self.gate.count_retry("lost");
                     return Ok(());
