direct: the answer that names a stopped run's memory is waited for

Callers would see: a stream that may not be repeated closed in the middle of its 200. Cause: a run that is to move stops when its engine is asked; the answer with the memory's name was given up 500 ms after the question, also where the copy queued behind others, and without the name nothing can go on. Change: it is waited for from the stream's end on: as long as callers bear for a stream that can go on elsewhere, to the end of its time for one that can't. A stream that seems whole waits for 500 ms as before. Failed first: stream_waits_for_the_copy_of_its_memory.

--- a/lib/src/direct/handover.rs
+++ b/lib/src/direct/handover.rs
@@ -17,10 +17,10 @@
 use super::upstream::Upstream;
 use crate::clock::Millis;
 
-/// The longest that an engine may take to stop a run and copy its memory.
+/// How long a stream that seems whole waits for an engine that doesn't say whether it moved it.
 ///
-/// It takes 20 ms at the median and 119 ms at 99 in 100, most of it the end of a step.
-const TRANSFER: Millis = Millis(500);
+/// An answer takes 20 ms at the median and 119 ms at 99 in 100, most of it the end of a step.
+pub const TRANSFER: Millis = Millis(500);
 
 /// A run that is being moved.
 #[derive(Debug)]
@@ -41,13 +41,22 @@
 
 impl Handover {
     /// Asks an engine to stop a request's run and to copy its memory to `target`.
+    ///
+    /// `left` is the time that the request has.
     #[must_use]
-    pub fn begin(gate: &Arc<Gate>, id: &str, source: &Arc<Upstream>, target: Target) -> Self {
+    pub fn begin(
+        gate: &Arc<Gate>,
+        id: &str,
+        source: &Arc<Upstream>,
+        target: Target,
+        left: Millis,
+    ) -> Self {
         let asking = ask(
             Arc::clone(gate),
             id.to_owned(),
             Arc::clone(source),
             Arc::clone(&target.upstream),
+            left,
         );
         Self {
             target,
@@ -57,17 +66,26 @@
     }
 
     /// Returns where the run can go on; none if it wasn't stopped.
-    pub async fn end(self, version: Option<u64>) -> Option<Moved> {
+    ///
+    /// A run stops when the engine is asked, and the copy of its memory can queue behind others
+    /// on the engine's link. The answer alone names the memory: without it, a stream that may
+    /// not be repeated ends in the middle. So it is waited for, up to `span` from the stream's
+    /// end, and not for a time from the question.
+    pub async fn end(self, version: Option<u64>, span: Millis) -> Option<Moved> {
         let source = Target {
             upstream: Arc::clone(&self.source),
             version,
             permit: None,
         };
-        let (handle, places) = match self.asked.await {
-            Ok(Transferred::Copied(handle)) => (handle, smallvec![self.target, source]),
-            Ok(Transferred::Kept(handle)) => (handle, smallvec![source]),
-            Ok(Transferred::Unchanged) => return None,
-            Err(error) => {
+        let (handle, places) = match tokio::time::timeout(span.duration(), self.asked).await {
+            Ok(Ok(Transferred::Copied(handle))) => (handle, smallvec![self.target, source]),
+            Ok(Ok(Transferred::Kept(handle))) => (handle, smallvec![source]),
+            Ok(Ok(Transferred::Unchanged)) => return None,
+            Err(_) => {
+                log::info!("handover: no answer within {span} of the stream's end");
+                return None;
+            }
+            Ok(Err(error)) => {
                 log::error!("handover: the question ended early: {error}");
                 return None;
             }
@@ -85,19 +103,20 @@
     id: String,
     source: Arc<Upstream>,
     target: Arc<Upstream>,
+    left: Millis,
 ) -> Transferred {
     let request = gate
         .dialect
         .ask_transfer(&source.incarnation, &id, target.address);
     let asked = question::ask(&*gate.dialect, &source, request);
-    let transferred = match tokio::time::timeout(TRANSFER.duration(), asked).await {
+    let transferred = match tokio::time::timeout(left.duration(), asked).await {
         Ok(Ok((head, body))) => gate.dialect.transferred(&head, &body),
         Ok(Err(told)) => {
             log::info!(request = id.as_str(), cause = told.as_str(); "handover: no answer");
             Transferred::Unchanged
         }
         Err(_) => {
-            log::info!(request = id.as_str(); "handover: nothing within {TRANSFER}");
+            log::info!(request = id.as_str(); "handover: nothing within {left}");
             Transferred::Unchanged
         }
     };
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -8,7 +8,7 @@
 
 use super::attempt::{Answer, Miss};
 use super::entry::{CLASS, seconds};
-use super::handover::Handover;
+use super::handover::{Handover, TRANSFER};
 use super::record::{self, End};
 use super::sse::Splitter;
 use super::trip::Trip;
@@ -97,7 +97,7 @@
                 }
                 Step::More => {}
                 Step::End => {
-                    if self.taken_over().await {
+                    if self.taken_over(TRANSFER).await {
                         continue;
                     }
                     // A run that was stopped to be moved ends its stream early. Where it
@@ -112,7 +112,8 @@
                     return Ok(None);
                 }
                 Step::Broken(told) => {
-                    if !self.taken_over().await {
+                    let span = self.patience(self.trip.now());
+                    if !self.taken_over(span).await {
                         self.go_on(&told).await?;
                     }
                 }
@@ -228,20 +229,23 @@
         let source = &answer.upstream;
         let first = self.trip.pace.pieces == 1;
         if let Some(target) = self.trip.writer(answer, first) {
-            let handover = Handover::begin(&self.trip.gate, self.trip.id(), source, target);
+            let left = self.trip.until.since(self.trip.now());
+            let handover = Handover::begin(&self.trip.gate, self.trip.id(), source, target, left);
             self.handover = Some(handover);
         }
     }
 
     /// Goes on where the memory of a run that was moved lies; false if it wasn't moved.
-    async fn taken_over(&mut self) -> bool {
+    ///
+    /// `span` is how long the engine may take to say so.
+    async fn taken_over(&mut self, span: Millis) -> bool {
         let Some(handover) = self.handover.take() else {
             return false;
         };
         let Some(former) = &self.answer else {
             return false;
         };
-        let Some(moved) = handover.end(former.version).await else {
+        let Some(moved) = handover.end(former.version, span).await else {
             return false;
         };
         former.upstream.succeeded();
@@ -308,7 +312,7 @@
             return Step::Broken(told);
         }
         // A run that was stopped to be moved is silent until it goes on elsewhere.
-        if self.handover.is_some() && self.taken_over().await {
+        if self.handover.is_some() && self.taken_over(span).await {
             return Step::More;
         }
         let Some(former) = self.answer.take() else {
