direct: a moved run waits for a place where its memory lies

Callers would see: a stream that may not be repeated closed in the middle of its 200. Cause: the engine that a run moves to and the one that it comes from were each asked for a place once; both can be full at that moment, and the memory stays for seconds. Change: they are asked again after each longest pause, with leave from the budget for repeats, as long as callers bear a pause (eight longest ones). A stream that may be repeated goes on by reading anew, as before.

--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -8,10 +8,10 @@
 
 use super::attempt::{Answer, Miss};
 use super::entry::{CLASS, seconds};
-use super::handover::{Handover, TRANSFER};
+use super::handover::{Handover, Moved, TRANSFER};
 use super::record::{self, End};
 use super::sse::Splitter;
-use super::trip::Trip;
+use super::trip::{LOOK, Trip};
 use crate::clock::Millis;
 
 /// A pause in the stream, in the longest pauses of the route, at which it is continued elsewhere.
@@ -20,6 +20,9 @@
 /// hundred milliseconds to go on.
 const STALL_PAUSES: u64 = 5;
 
+/// Longest pauses after which callers give a stream up.
+const BORNE_PAUSES: u64 = 8;
+
 /// The longest pause, in those that the route allows, that reading can cause.
 const READING_PAUSES: u64 = 2;
 
@@ -251,27 +254,43 @@
         former.upstream.succeeded();
         self.answer = None;
         self.splitter.clear();
-        for place in &moved.places {
-            let sent = self
-                .trip
-                .continue_run(place, moved.memory.clone(), self.last);
-            match sent.await {
-                Ok(answer) => {
-                    record::moved(&self.trip, &place.upstream, self.last, "goes on");
-                    self.trip.pace.moved += 1;
-                    self.answer = Some(answer);
-                    return true;
-                }
-                Err(miss) => {
-                    record::moved(&self.trip, &place.upstream, self.last, miss.name());
-                    // It may run there: nobody else may go on with it.
-                    if matches!(miss, Miss::Lost(..)) {
-                        break;
+        self.continue_moved(&moved).await
+    }
+
+    /// Has an engine go on with a run whose memory lies there or is to be had from there.
+    ///
+    /// Both engines can be full at that moment, and the memory stays where it is for seconds. A
+    /// stream that may not be repeated has nowhere else to go: asked once only, it was cut. One
+    /// that may be repeated goes on by reading its prompt anew.
+    async fn continue_moved(&mut self, moved: &Moved) -> bool {
+        let pause = self.trip.route.pause.unwrap_or(USUAL_PAUSE).max(LOOK);
+        let given_up = self.trip.now() + Millis(pause.0 * BORNE_PAUSES);
+        let until = given_up.min(self.trip.until);
+        loop {
+            for place in &moved.places {
+                let sent = self
+                    .trip
+                    .continue_run(place, moved.memory.clone(), self.last);
+                match sent.await {
+                    Ok(answer) => {
+                        record::moved(&self.trip, &place.upstream, self.last, "goes on");
+                        self.trip.pace.moved += 1;
+                        self.answer = Some(answer);
+                        return true;
+                    }
+                    Err(miss) => {
+                        record::moved(&self.trip, &place.upstream, self.last, miss.name());
+                        // It may run there: nobody else may go on with it.
+                        if matches!(miss, Miss::Lost(..)) {
+                            return false;
+                        }
                     }
                 }
             }
+            if self.trip.may_go_on() || !self.trip.waits_for_leave(pause, until).await {
+                return false;
+            }
         }
-        false
     }
 
     async fn step(&mut self) -> Step {
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -286,6 +286,18 @@
         (is_plain || self.has_free_holder(waits_at)) && self.take_leave()
     }
 
+    /// Waits for `pause`, and on until there is leave for a further send; false if there is none
+    /// before `until`.
+    pub(super) async fn waits_for_leave(&self, pause: Millis, until: Millis) -> bool {
+        while self.now() + pause < until {
+            tokio::time::sleep(pause.duration()).await;
+            if self.take_repeat() {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Takes leave for the next send, unless it was taken already.
     fn take_leave(&mut self) -> bool {
         self.repeat_taken = self.repeat_taken || self.take_repeat();
