direct: a moved run with nowhere else to go waits for a slow engine

Callers would see: a stream that may not be repeated closed in the middle of its 200. Cause: the engine to which a run was moved was given up after one objective without a head, also where the request may be sent nowhere else. Change: it is waited for until the request's time is up; where it can be read anew elsewhere, one objective as before.

--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -323,7 +323,13 @@
         let send = self
             .message
             .send(&place.upstream, &*self.gate.dialect, &dispatch, permit);
-        let span = dispatch.deadline.min(self.route.objective);
+        // With nowhere else to go, an engine that is slow to begin is better than none: given up
+        // after an objective, the caller's stream was cut.
+        let span = if self.may_go_on() {
+            dispatch.deadline.min(self.route.objective)
+        } else {
+            dispatch.deadline
+        };
         let answer = tokio::time::timeout(span.duration(), send)
             .await
             .unwrap_or_else(|_| {
