direct: a stop waits for connections that are in use, not for requests alone

Callers would see: at a planned stop a request that was read, and sent on, ends without an answer; the last bytes of an answer are missing for a caller on a slow link. Cause: the process ended 50 ms after nothing was in progress. A request whose head has come in half isn't in progress yet, and an answer that the HTTP library still writes isn't any more. Ruled out: connections that have sent nothing; the library closes them at once (a first form of the test showed that). Change: a stop waits until the last caller's connection has ended, at most as long as before (the stop's time less 400 ms). Failed first: stop_serves_a_request_that_has_begun_to_come ('the stop did not wait').

--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
 
 use super::ask::Desks;
@@ -44,8 +44,8 @@
 /// Time before the node would be killed, at which it ends by itself.
 const END_MARGIN: Millis = Millis(400);
 
-/// Pause between looks whether all requests have ended.
-const LOOK: Millis = Millis(50);
+/// Time for the system to send what it has taken in.
+const FLUSH: Millis = Millis(50);
 
 /// Pause after a connection couldn't be accepted, so that a lack of descriptors doesn't spin.
 const ACCEPT_PAUSE: Millis = Millis(20);
@@ -119,6 +119,8 @@
     claimer: Arc<Claimer>,
     limits: Arc<Current>,
     closing: CancellationToken,
+    /// Ends once the port is closed and no caller's connection is left.
+    serving: JoinHandle<()>,
     tasks: JoinSet<()>,
 }
 
@@ -188,17 +190,26 @@
             Arc::clone(&limits),
         )
         .within_domain(Arc::clone(&desks.hub), Box::new(subscription));
+        let closing = CancellationToken::new();
+        let callers = listeners.callers.local_addr()?;
+        let serving = serve_callers(listeners.callers, Arc::clone(&gate), closing.clone());
         let mut node = Self {
-            callers: listeners.callers.local_addr()?,
+            callers,
             readiness: listeners.readiness.local_addr()?,
             metrics: listeners.metrics.local_addr()?,
             gate,
             claimer,
             limits,
-            closing: CancellationToken::new(),
+            closing,
+            serving: tokio::spawn(serving),
             tasks: JoinSet::new(),
         };
-        node.listen(listeners, Arc::clone(&desks));
+        node.listen(
+            listeners.peers,
+            listeners.readiness,
+            listeners.metrics,
+            Arc::clone(&desks),
+        );
         node.tasks.spawn(follower.run());
         node.tasks.spawn(Arc::clone(&node.claimer).run());
         node.tasks.spawn(desks.run());
@@ -229,21 +240,22 @@
         Arc::clone(&self.limits)
     }
 
-    fn listen(&mut self, listeners: Listeners, desks: Arc<Desks>) {
+    fn listen(
+        &mut self,
+        peers: TcpListener,
+        readiness: TcpListener,
+        metrics: TcpListener,
+        desks: Arc<Desks>,
+    ) {
         self.tasks.spawn(async move {
-            if let Err(error) = serve::serve(listeners.peers, desks).await {
+            if let Err(error) = serve::serve(peers, desks).await {
                 log::error!("node: other nodes aren't served: {error}");
             }
         });
         let gate = Arc::clone(&self.gate);
-        self.tasks
-            .spawn(serve_plain(listeners.metrics, gate, render));
-        let gate = Arc::clone(&self.gate);
-        self.tasks
-            .spawn(serve_plain(listeners.readiness, gate, readiness_of));
+        self.tasks.spawn(serve_plain(metrics, gate, render));
         let gate = Arc::clone(&self.gate);
-        self.tasks
-            .spawn(serve_callers(listeners.callers, gate, self.closing.clone()));
+        self.tasks.spawn(serve_plain(readiness, gate, readiness_of));
     }
 
     /// Stops: no more callers, orders handed over, what is in progress ended.
@@ -258,14 +270,22 @@
         }
         tokio::time::sleep(NOTICE.duration()).await;
         self.closing.cancel();
-        while self.gate.active() > 0 && clock.now() < end {
-            tokio::time::sleep(LOOK.duration()).await;
+        // Nothing in progress is not enough: the head of a request can have come in half, and the
+        // last bytes of an answer can wait for a slow caller. Ended then, the process would cut
+        // both off. Connections without either are closed at once.
+        let left = end.since(clock.now());
+        if tokio::time::timeout(left.duration(), &mut self.serving)
+            .await
+            .is_err()
+        {
+            log::info!("node: callers' connections are left at the end of its time");
         }
         // The last bytes of an answer may still lie in the system's buffers.
-        tokio::time::sleep(LOOK.duration()).await;
+        tokio::time::sleep(FLUSH.duration()).await;
         let left = self.gate.active();
         log::info!("node: stops with {left} requests in progress");
         let whole = left == 0;
+        self.serving.abort();
         self.tasks.abort_all();
         whole
     }
