direct: an upstream's error isn't counted as a repeat while another send waits

Cause: read in the diff: chivevalve_retries_total{reason="upstream_error"} rose though nothing was sent again. Change: the request goes on waiting there without being counted.

--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -398,8 +398,10 @@
             return Some(answer);
         }
         self.broke(&answer.upstream);
-        let goes_on = !is_last || self.may_go_on() && self.others() && self.take_leave();
-        if goes_on {
+        if !is_last {
+            return None;
+        }
+        if self.may_go_on() && self.others() && self.take_leave() {
             self.gate.count_retry("upstream_error");
             return None;
         }
