direct: a node that starts while the key-value service is silent asks again soon

Callers saw: after all nodes were replaced within an outage of the service they were refused (2011, no configuration is known yet) for 0.95 s beyond its return. Cause: the first reading was waited for until it failed after 1.5 s, and only then begun anew. Ruled out: reading everything anew beside a silent reading (on a slow link a long reading looks silent; twice is slower). Change: a small question is asked again each 400 ms beside those without an answer; everything is read once one is answered. Failed first: config_known_soon_after_a_silent_start.

--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -10,6 +10,7 @@
 use super::dialect::{Dialect, Key};
 use super::fanout::{Heard, Hub, Source, Update};
 use super::limits::{Current, POLL_WAIT, STORE_PAUSE};
+use super::reachable;
 use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
@@ -215,6 +216,7 @@
     }
 
     async fn read_all(&mut self) -> Result<u64, Error> {
+        reachable::wait(&*self.store, &self.dialect.own(NODES)).await?;
         let began = self.clock.now();
         let mut entries = Vec::new();
         let mut revision = u64::MAX;
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -28,6 +28,7 @@
 pub mod pick;
 mod place;
 pub mod question;
+mod reachable;
 pub mod record;
 pub mod relay;
 pub mod reload;
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -24,6 +24,8 @@
     pub leases: Vec<LeaseId>,
     /// Calls fail while this is set.
     pub away: bool,
+    /// Reads that begin while this is set never end.
+    pub silent: bool,
     /// History up to here is gone.
     pub compacted: u64,
     /// Spans for which calls for changes offered to wait.
@@ -133,6 +135,12 @@
         self.state.lock().unwrap()
     }
 
+    async fn silence(&self) {
+        if self.state().silent {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Changes what the service holds and wakes whoever waits for changes.
     pub fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
         let result = change(&mut self.state());
@@ -167,10 +175,12 @@
 #[async_trait]
 impl Store for Memory {
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
+        self.silence().await;
         Ok(self.reach()?.entries.get(key).cloned())
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        self.silence().await;
         let state = self.reach()?;
         Ok(Listing {
             entries: state
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -91,6 +91,23 @@
     assert_eq!(followed.version(), 2);
 }
 
+/// Symptom: after all nodes were replaced in an outage, callers are refused for more than a second
+/// after the service's return, as no node knows a configuration.
+/// Sequence: a node starts while the service is silent, its first reading has no answer, the
+/// service returns.
+/// Cause: the reading was waited for until it failed, and only then begun anew.
+#[tokio::test(start_paused = true)]
+async fn config_known_soon_after_a_silent_start() {
+    let followed = start();
+    followed.memory.change(|state| state.silent = true);
+    followed.configure(1);
+    pass(Millis(600)).await;
+    assert_eq!(followed.version(), 0);
+    followed.memory.change(|state| state.silent = false);
+    pass(Millis(450)).await;
+    assert_eq!(followed.version(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn upstream_removed_is_gone() {
     let followed = start();
