entry: a connection that is closed for its rest finishes what it has taken

Cause: found on reading. A connection that has rested too long was closed gracefully, but from that decision on it had a fixed time (the head's, 10 s). HTTP/2 requires that requests on their way are still taken until the caller has acknowledged the close; a stream taken then was cut after 10 s though its engine still wrote. A caller with a period near the idle time (75 s, 10 s when most places are taken) meets this again and again. Change: the close waits until the connection rests again, for as long as for a head. After: it passes, with the rest of that file.

--- a/lib/src/entry/connection.rs
+++ b/lib/src/entry/connection.rs
@@ -42,6 +42,17 @@
     pub idle: Duration,
 }
 
+impl Rest {
+    /// Returns the times of a connection that is being closed: its caller has as
+    /// long to agree as for a head.
+    fn closing(self) -> Self {
+        Self {
+            idle: self.first,
+            ..self
+        }
+    }
+}
+
 /// Serves a connection until it ends, rests too long, or the node stops.
 pub async fn serve(gateway: Arc<Gateway>, stream: TcpStream, rest: Rest, stop: CancellationToken) {
     let limits = &gateway.parts.limits;
@@ -69,8 +80,14 @@
     connection.as_mut().graceful_shutdown();
     if stopped {
         let _ = connection.await;
-    } else {
-        let _ = tokio::time::timeout(rest.first, connection).await;
+        return;
+    }
+    // A request that was on its way when the connection had rested long enough is
+    // still taken. A fixed time would cut its answer off in the middle though its
+    // engine still writes, so the close waits until the connection rests again.
+    tokio::select! {
+        _ = connection => {}
+        () = busy.rested(rest.closing()) => {}
     }
 }
 
--- a/lib/tests/entry_support/mod.rs
+++ b/lib/tests/entry_support/mod.rs
@@ -25,7 +25,7 @@
 use sha2::{Digest, Sha256};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 mod store;
@@ -40,6 +40,8 @@
     Silent,
     /// Reading it panics.
     Panic,
+    /// More pieces once the test says so, and then whole.
+    Later(Arc<Notify>, Vec<String>),
 }
 
 /// What a scripted try does.
@@ -144,6 +146,16 @@
                         .chain(futures::stream::iter([Err(Failure::new(code, "broke"))]))
                         .boxed(),
                     Ending::Silent => pieces.chain(futures::stream::pending()).boxed(),
+                    Ending::Later(said, more) => pieces
+                        .chain(
+                            futures::stream::once(async move { said.notified().await }).flat_map(
+                                move |()| {
+                                    futures::stream::iter(more.clone())
+                                        .map(|piece| Ok(piece.into()))
+                                },
+                            ),
+                        )
+                        .boxed(),
                     Ending::Panic => pieces
                         .chain(futures::stream::poll_fn(|_| panic!("as scripted")))
                         .boxed(),
--- a/lib/tests/test_entry_http2.rs
+++ b/lib/tests/test_entry_http2.rs
@@ -13,7 +13,19 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{SendRequest, handshake};
 use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+// Kinds and flags of frames, from RFC 9113, section 6.
+const DATA: u8 = 0;
+const HEADERS: u8 = 1;
+const SETTINGS: u8 = 4;
+const GOAWAY: u8 = 7;
+const END_STREAM: u8 = 1;
+const END_HEADERS: u8 = 4;
 
 type Caller = SendRequest<Full<Bytes>>;
 
@@ -147,3 +159,75 @@
     let (_, last) = seen.trim_end().rsplit_once("\n\n").unwrap();
     assert!(last.contains("\"code\":\"expired_running\""));
 }
+
+/// Makes a frame of HTTP/2.
+fn frame(kind: u8, flags: u8, stream: u8, payload: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
+    let head = [
+        length[1], length[2], length[3], kind, flags, 0, 0, 0, stream,
+    ];
+    [&head, payload].concat()
+}
+
+/// Reads frames up to one of a kind and returns its payload, or none when the connection closes.
+async fn read_until(stream: &mut TcpStream, wanted: u8) -> Option<Vec<u8>> {
+    loop {
+        let mut head = [0; 9];
+        stream.read_exact(&mut head).await.ok()?;
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]);
+        let mut payload = vec![0; length as usize];
+        stream.read_exact(&mut payload).await.ok()?;
+        if head[3] == wanted {
+            return Some(payload);
+        }
+    }
+}
+
+/// Makes the block of a chat's headers: indexed fields, then literal ones without Huffman coding.
+fn chat_headers() -> Vec<u8> {
+    const METHOD_POST: u8 = 0x83;
+    const SCHEME_HTTP: u8 = 0x86;
+    let mut block = vec![METHOD_POST, SCHEME_HTTP];
+    let literal: [(&[u8], &str); 3] = [
+        (&[4], "/v1/chat/completions"),
+        (&[1], "node"),
+        (&[0x0f, 8], "Bearer shop-key"),
+    ];
+    for (name, value) in literal {
+        block.extend_from_slice(name);
+        block.push(u8::try_from(value.len()).unwrap());
+        block.extend_from_slice(value.as_bytes());
+    }
+    block
+}
+
+/// Symptom: a stream breaks off after ten seconds though its engine still writes.
+/// Sequence: a connection has rested long enough and is closed; a request that was already on
+/// its way is taken, as the protocol wants it.
+/// Cause: from the decision on the connection had a fixed time, whatever ran on it.
+#[tokio::test]
+async fn http2_request_meets_close() {
+    let mut limits = limits();
+    limits.head_timeout = Millis(30);
+    let world = world_with(limits, Arc::default(), Arc::default()).await;
+    let said = Arc::new(Notify::new());
+    let rest = vec!["data: 2\n\n".into(), "data: [DONE]\n\n".into()];
+    let slow = Ending::Later(Arc::clone(&said), rest);
+    world.script.then(events(&["1"], slow));
+    let mut stream = TcpStream::connect(world.address).await.unwrap();
+    let hello = [PREFACE, &frame(SETTINGS, 0, 0, &[])].concat();
+    stream.write_all(&hello).await.unwrap();
+    read_until(&mut stream, GOAWAY).await.unwrap();
+    let body = br#"{"model":"summary","messages":[],"stream":true}"#;
+    let asked = [
+        frame(HEADERS, END_HEADERS, 1, &chat_headers()),
+        frame(DATA, END_STREAM, 1, body),
+    ];
+    stream.write_all(&asked.concat()).await.unwrap();
+    assert_eq!(read_until(&mut stream, DATA).await.unwrap(), b"data: 1\n\n");
+    tokio::time::sleep(Millis(200).duration()).await;
+    said.notify_one();
+    assert_eq!(read_until(&mut stream, DATA).await.unwrap(), b"data: 2\n\n");
+    let end = read_until(&mut stream, DATA).await.unwrap();
+    assert_eq!(end, b"data: [DONE]\n\n");
+}
