entry: a long answer that is still being taken is no rest

Cause: found on reading. An answer that isn't streamed was handed to the HTTP library in one piece, with which its body ended; the connection counted as resting while up to 8 MiB waited for the caller. After the time for rest and the close's bound (75 s + 10 s, 20 s when most places are taken) the connection was dropped in the middle of the answer, though the caller was reading all the while. Ruled out: counting any written byte as a sign of life; answers to an idle caller's pings would then hold its connection for ever. Change: such an answer is handed over in frames of 16 KiB as the caller takes them, with its exact length as before. Left: at HTTP/1.1 the last frames stand in the library's buffer; a caller that takes less than some 48 KiB within the time for rest can still be cut there.

--- a/lib/src/entry/answer.rs
+++ b/lib/src/entry/answer.rs
@@ -1,10 +1,14 @@
 //! Answers to callers: errors in the shape of the completions interface, and bodies.
 
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
 use bytes::Bytes;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
 use serde::Serialize;
 use serde_json::Value;
 
@@ -15,6 +19,10 @@
 /// The body of an answer; an error in it cuts the connection or the stream.
 pub type Body = UnsyncBoxBody<Bytes, Failure>;
 
+/// Bytes of a body that are handed over at a time: what the slowest caller has to
+/// take within one timeout to show that it reads.
+pub const FRAME: usize = 16 << 10;
+
 /// Names the request in every answer.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
@@ -178,9 +186,39 @@
 /// Makes a body of bytes that are all there.
 #[must_use]
 pub fn whole(bytes: Bytes) -> Body {
-    Full::new(bytes)
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    Whole(bytes).boxed_unsync()
+}
+
+/// Bytes that are all there, handed over as the caller takes them.
+///
+/// A body that hands over all its bytes at once has ended before its caller has
+/// taken any, and its connection counts as resting from then on; a caller on a
+/// slow line would find a long answer cut once the time for rest had passed.
+#[derive(Debug)]
+struct Whole(Bytes);
+
+impl http_body::Body for Whole {
+    type Data = Bytes;
+    type Error = Failure;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
+        if self.0.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.0.len().min(FRAME);
+        Poll::Ready(Some(Ok(Frame::data(self.0.split_to(length)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.len() as u64)
+    }
 }
 
 /// Names the request in the answer's head.
--- a/lib/tests/test_entry_http2.rs
+++ b/lib/tests/test_entry_http2.rs
@@ -160,6 +160,28 @@
     assert!(last.contains("\"code\":\"expired_running\""));
 }
 
+/// Symptom: a caller on a slow line never gets a long answer whole.
+/// Sequence: the answer is long; the caller makes room for it bit by bit, for longer than a
+/// connection may rest.
+/// Cause: the answer's bytes were handed over at once, and from then on the connection counted
+/// as resting.
+#[tokio::test]
+async fn http2_idle_while_answer_is_taken() {
+    const BYTES: usize = 32 << 20;
+    let mut limits = limits();
+    limits.idle_timeout = Millis(30);
+    limits.head_timeout = Millis(30);
+    limits.answer_bytes = 2 * BYTES;
+    limits.buffered_bytes = 4 * BYTES;
+    let world = world_with(limits, Arc::default(), Arc::default()).await;
+    let caller = connect(&world).await;
+    world.script.then(json(&"a".repeat(BYTES)));
+    let answer = chat(&caller, false).await;
+    tokio::time::sleep(Millis(300).duration()).await;
+    let taken = answer.into_body().collect().await;
+    assert_eq!(taken.unwrap().to_bytes().len(), BYTES);
+}
+
 /// Makes a frame of HTTP/2.
 fn frame(kind: u8, flags: u8, stream: u8, payload: &[u8]) -> Vec<u8> {
     let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
--- a/lib/tests/test_entry_limits.rs
+++ b/lib/tests/test_entry_limits.rs
@@ -6,9 +6,9 @@
 
 use chivevalve::clock::Millis;
 use chivevalve::entry::Limits;
-use entry_support::{Ending, Step, World, events, limits, request, world, world_with};
+use entry_support::{Ending, Step, World, events, json, limits, request, world, world_with};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 const KEY: &str = "authorization: Bearer shop-key";
 const PUSH: &str = "POST /services/push/orders";
@@ -275,3 +275,32 @@
     drop(stream);
     unharmed(&world).await;
 }
+
+/// Symptom: a caller on a slow line never gets a long answer whole.
+/// Sequence: the answer is long; the caller takes it bit by bit, for longer than a connection
+/// may rest.
+/// Cause: the answer's bytes were handed over at once, and from then on the connection counted
+/// as resting.
+#[tokio::test]
+async fn limit_idle_while_answer_is_taken() {
+    const BYTES: usize = 32 << 20;
+    let world = small(|limits| {
+        limits.idle_timeout = Millis(30);
+        limits.head_timeout = Millis(30);
+        limits.answer_bytes = 2 * BYTES;
+        limits.buffered_bytes = 4 * BYTES;
+    })
+    .await;
+    world.script.then(json(&"a".repeat(BYTES)));
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(64 << 10).unwrap();
+    let mut stream = socket.connect(world.address).await.unwrap();
+    let body = r#"{"model":"summary","messages":[]}"#;
+    let text = request("POST /v1/chat/completions", &[KEY], body);
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 16];
+    stream.read_exact(&mut answer).await.unwrap();
+    tokio::time::sleep(Millis(300).duration()).await;
+    let _ = stream.read_to_end(&mut answer).await;
+    assert!(answer.len() > BYTES, "{} of {BYTES} bytes", answer.len());
+}
