entry: a slow caller that reads is not given up

Cause: found on reading. docs/callers.md gives up a caller that takes nothing for 30 s, but the relay counted whole pieces: at up to 4 MiB a piece (from a peer; some 400 KiB from a service here) a caller that reads 10 KB/s was cut off and told that it took nothing, while its answer would have been whole by the deadline. Change: pieces are handed over in frames of 16 KiB, each with the whole time. A stream of events that ends within an event longer than a frame ends with a cut instead of an error event, which would be read as that event's rest.

--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -17,7 +17,7 @@
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 
-/// Pieces that wait for a caller before its upstream is slowed down.
+/// Frames that wait for a caller before its upstream is slowed down.
 const PIECES: usize = 4;
 
 /// How long after the deadline the owner's own end of the answer is awaited.
@@ -131,6 +131,9 @@
     splitter: Option<Splitter>,
     sender: mpsc::Sender<Bytes>,
     last: Option<Millis>,
+    /// Whether the caller has got a part of a piece; an event after it would be
+    /// read as that piece's rest.
+    within: bool,
 }
 
 impl Relay {
@@ -143,6 +146,7 @@
             deadline,
             sender,
             last: None,
+            within: false,
         }
     }
 
@@ -206,10 +210,22 @@
         }
     }
 
-    async fn send(&mut self, piece: Bytes) -> Result<(), Stop> {
+    /// Hands a piece over, frame by frame: a slow caller that takes some of a long
+    /// piece reads, and only one that takes nothing is given up.
+    async fn send(&mut self, mut piece: Bytes) -> Result<(), Stop> {
         self.session.machine().pass();
-        let timeout = self.session.gateway().parts.limits.write_timeout;
-        let sent = self.sender.send_timeout(piece, timeout.duration()).await;
+        while !piece.is_empty() {
+            let frame = piece.split_to(piece.len().min(answer::FRAME));
+            self.hand(frame).await?;
+            self.within = !piece.is_empty();
+        }
+        Ok(())
+    }
+
+    async fn hand(&mut self, frame: Bytes) -> Result<(), Stop> {
+        let limits = &self.session.gateway().parts.limits;
+        let timeout = limits.write_timeout;
+        let sent = self.sender.send_timeout(frame, timeout.duration()).await;
         match sent {
             Ok(()) => Ok(()),
             Err(mpsc::error::SendTimeoutError::Closed(_)) => {
@@ -243,12 +259,13 @@
     /// Ends an answer that can't become whole.
     ///
     /// A short answer that ends in order looks whole. Events therefore end with
-    /// an error instead of `[DONE]`; any other body ends with a cut connection,
-    /// which every HTTP client reports.
+    /// an error instead of `[DONE]`; any other body, and a stream that ends within
+    /// an event, ends with a cut connection, which every HTTP client reports.
     fn cut(&mut self, failure: Failure) -> End {
         let failure = self.session.machine().end(failure);
         self.session.fail(&failure);
-        if self.splitter.is_none() || failure.code == Code::ReaderTooSlow {
+        let silent = self.within || failure.code == Code::ReaderTooSlow;
+        if self.splitter.is_none() || silent {
             return End::Cut(failure);
         }
         let json = Problem::from(failure).json(self.session.id());
