owner: a whole answer waits a moment for its close, not until the deadline

Cause: found on reading. An answer's end was the end of its bytes. An engine that writes `[DONE]` and then pauses before it closes the answer kept its caller waiting until the deadline, which then cut a stream that was whole. Change: from the last event on (or the last byte that the head announced) the close is awaited for 250 ms; at the deadline a whole answer is whole. What follows within that time is still refused as another answer's. Ruled out: ending at once; each streamed answer would then cost the connection to its engine.

--- a/lib/src/owner/body.rs
+++ b/lib/src/owner/body.rs
@@ -11,14 +11,21 @@
 use bytes::Bytes;
 use futures::stream::BoxStream;
 use futures::{Stream, StreamExt};
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use super::check;
 use super::events::Events;
 use super::place::{Outcome, Place};
+use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::metrics::Metrics;
 
+/// How long an upstream may take to close an answer that is whole.
+///
+/// Its caller waits meanwhile. A close in time keeps the connection for the next
+/// request, and shows that nothing follows which belongs to another answer.
+const CLOSE: Millis = Millis(250);
+
 /// How bytes of a body are checked on their way.
 #[derive(Debug)]
 pub(super) enum Form {
@@ -116,13 +123,36 @@
 
     /// Waits for the next piece; none means that the answer is whole.
     fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, Failure>> {
-        let Some(open) = &mut self.open else {
+        if self.open.is_none() {
             return Poll::Ready(Ok(None));
-        };
+        }
         if self.expired.as_mut().poll(cx).is_ready() {
+            if self.form.is_whole() {
+                return Poll::Ready(Ok(None));
+            }
             let detail = "the deadline passed while the answer came";
             return Poll::Ready(Err(Failure::new(Code::ExpiredRunning, detail)));
         }
+        let passed = ready!(self.poll_checked(cx))?;
+        self.hasten();
+        Poll::Ready(Ok(passed))
+    }
+
+    /// Stops to wait for the deadline once the answer is whole.
+    ///
+    /// An engine that pauses between its last event and the close would otherwise
+    /// turn an answer that its caller has whole into one that the deadline cut.
+    fn hasten(&mut self) {
+        let close = Instant::now() + CLOSE.duration();
+        if self.form.is_whole() && close < self.expired.deadline() {
+            self.expired.as_mut().reset(close);
+        }
+    }
+
+    fn poll_checked(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, Failure>> {
+        let Some(open) = &mut self.open else {
+            return Poll::Ready(Ok(None));
+        };
         loop {
             let chunk = match ready!(open.source.poll_next_unpin(cx)) {
                 Some(Ok(chunk)) => chunk,
--- a/lib/tests/owner_fakes/mod.rs
+++ b/lib/tests/owner_fakes/mod.rs
@@ -43,6 +43,8 @@
     Panic,
     /// Loads fail.
     Load,
+    /// Answers stay open after their last piece.
+    Open,
 }
 
 /// How the engine behaves.
@@ -203,10 +205,13 @@
             }
             Ok(event)
         });
-        Ok(Answer {
-            head: head(200),
-            body: pieces.chain(stream::iter(last)).boxed(),
-        })
+        let body = pieces.chain(stream::iter(last));
+        let body = match knobs.fault {
+            Fault::Open => body.chain(stream::pending()).boxed(),
+            _ => body.boxed(),
+        };
+        let head = head(200);
+        Ok(Answer { head, body })
     }
 
     async fn load(&self, adapter: &Adapter, _: Fence) -> Result<(), Failure> {
@@ -275,6 +280,7 @@
         head.headers.insert(CONTENT_LENGTH, body.len().into());
         let end = match knobs.fault {
             Fault::Cut => body.len() / 2,
+            _ if called.method == http::Method::HEAD => 0,
             _ => body.len(),
         };
         Ok(Answer {
--- a/lib/tests/test_owner.rs
+++ b/lib/tests/test_owner.rs
@@ -118,6 +118,22 @@
     assert_eq!(whole.unwrap_err().code, Code::AnswerCut);
 }
 
+/// Symptom: a caller with every event of its answer is told that the deadline cut it.
+/// Sequence: the engine writes its last event and pauses before it closes the answer.
+/// Cause: only the end of the bytes was taken for the end of the answer.
+#[tokio::test(start_paused = true)]
+async fn run_engine_pauses_after_done() {
+    let bench = Bench::start().await;
+    bench.engine.set(|knobs| knobs.fault = Fault::Open);
+    let mut bounded = attempt("r1", "plans", true);
+    let deadline = bench.clock.now() + Millis::from_secs(60);
+    bounded.ticket.deadline = deadline;
+    let answer = bench.registry.run(bounded).await.unwrap();
+    let seen = text(answer).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+    assert!(bench.clock.now() < deadline);
+}
+
 /// Symptom: each change of a template's version stalls its first requests.
 /// Sequence: a popular adapter's template moves to the next version.
 /// Cause: the new version is loaded only when the first request names it.
