owner: the length in a head without a body isn't awaited

Cause: found on reading. A plain service's answer to HEAD, or with status 304, gives the length that a GET would have and no body follows. The owner awaited that length, so each such answer was 502 answer_cut although the service had answered; an idempotent template's was sent to further upstreams for it. Change: no length is awaited for HEAD and 304.

--- a/lib/src/owner/run.rs
+++ b/lib/src/owner/run.rs
@@ -6,7 +6,7 @@
 use futures::StreamExt;
 use futures::stream::{self, BoxStream};
 use http::header::{CONTENT_LENGTH, HeaderValue};
-use http::{StatusCode, response};
+use http::{Method, StatusCode, response};
 use tokio::time::Instant;
 
 use super::body::{self, Body, Form};
@@ -116,8 +116,9 @@
                 running.completed(call, check, stream).await?
             }
             (Content::Call { head, body }, Target::Service(service)) => {
+                let bodiless = head.method == Method::HEAD;
                 let call = passed(&*service, *head, body, &grant.hold);
-                running.called(call).await?
+                running.called(call, bodiless).await?
             }
             (_, _) => {
                 running.place.end(Outcome::Refused);
@@ -215,9 +216,14 @@
     async fn called(
         self,
         call: impl Future<Output = Result<Answer, Failure>>,
+        bodiless: bool,
     ) -> Result<Answer, Failure> {
         let (running, answer) = self.begun(call).await?;
-        let form = Form::Plain(length(&answer.head));
+        // The length in such a head is that of a body which doesn't come; awaiting
+        // it would make each of these answers look cut.
+        let bodiless = bodiless || answer.head.status == StatusCode::NOT_MODIFIED;
+        let length = length(&answer.head).filter(|_| !bodiless);
+        let form = Form::Plain(length);
         Ok(running.flowing(answer.head, answer.body, form))
     }
 
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -160,6 +160,21 @@
     assert!(!chunked.ends_with("0\r\n\r\n"), "{chunked}");
 }
 
+#[tokio::test]
+async fn outcome_service_head() {
+    let world = world().await;
+    let length = vec![("content-length", "9")];
+    world
+        .script
+        .then(Step::Answer(200, length, vec![], Ending::Whole));
+    let answer = world.send("HEAD /services/lookup/file", &[], "").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("content-length: 9\r\n"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\n"), "{answer}");
+    let whole = "requests_total{class=\"normal\",code=\"0\"}";
+    world.until(whole, 1).await;
+}
+
 #[tokio::test]
 async fn outcome_engine_says_no() {
     let world = world().await;
--- a/lib/tests/test_owner.rs
+++ b/lib/tests/test_owner.rs
@@ -9,7 +9,8 @@
 use chivevalve::config::prefetch::{Prefetch, Upcoming};
 use chivevalve::declaration::Kind;
 use chivevalve::error::{Code, Fate};
-use chivevalve::runner::Runner;
+use chivevalve::runner::{Runner, Work};
+use http::Method;
 use owner_fakes::{Bench, Fault, adapter, attempt, push, text};
 
 #[tokio::test(start_paused = true)]
@@ -198,6 +199,22 @@
     assert_eq!(failure.fate(), Fate::Unknown);
 }
 
+/// Symptom: asking a service for a file's length always fails as a cut answer.
+/// Sequence: the answer to a HEAD request gives the length that a GET would have.
+/// Cause: that length was awaited, though no body follows.
+#[tokio::test(start_paused = true)]
+async fn call_head() {
+    let bench = Bench::unowned();
+    bench.adopt_as(Kind::Service, 4, 1).await;
+    let mut head = push("r1", "{\"sum\":12}");
+    if let Work::Call { head, .. } = &mut head.work {
+        head.method = Method::HEAD;
+    }
+    let answer = bench.registry.run(head).await.unwrap();
+    assert_eq!(answer.head.headers["content-length"], "10");
+    assert_eq!(text(answer).await.unwrap(), "");
+}
+
 /// Symptom: a receipt is called unknown although it was never sent.
 /// Sequence: the service can't be reached; after three failures it gets no work.
 /// Cause: a failed connection was taken for a broken one.
