entry: the event that ends a stream is known in each of its forms

Cause: found on reading. The entry looked for `data: [DONE]` with one space, while the owner (and the format) also takes `data:[DONE]`. Such an engine's streams all ended with answer_cut after their last event, which had by then been passed on before the answer was known to be whole. Of a last event with further fields only its data were held back, so that the error after them was read under that event's type. Change: the line is read as the owner reads it, and the whole event is held back.

--- a/lib/src/entry/sse.rs
+++ b/lib/src/entry/sse.rs
@@ -9,7 +9,7 @@
 use crate::error::{Code, Failure};
 
 /// The data of the event that ends a stream.
-const DONE: &[u8] = b"data: [DONE]";
+const DONE: &[u8] = b"[DONE]";
 
 /// Cuts pieces of an answer into whole events.
 #[derive(Debug)]
@@ -99,15 +99,29 @@
         .find(|end| ends_event(&bytes[..*end]))
 }
 
+/// Returns where the event that ends the stream begins, with all its fields.
+///
+/// Engines differ in the spaces around the data, and a text may hold the same
+/// letters; only a line that is this data and nothing else ends the stream.
 fn find_done(events: &[u8]) -> Option<usize> {
-    if events.starts_with(DONE) {
-        return Some(0);
+    // The usual piece doesn't hold the letters at all.
+    if !events.windows(DONE.len()).any(|window| window == DONE) {
+        return None;
     }
-    // It is the last event, so the search starts at the end.
-    events
-        .windows(DONE.len() + 1)
-        .rposition(|window| window[0] == b'\n' && &window[1..] == DONE)
-        .map(|position| position + 1)
+    let mut event = 0;
+    let mut read = 0;
+    for line in events.split_inclusive(|byte| *byte == b'\n') {
+        read += line.len();
+        let line = line.trim_ascii_end();
+        if line.is_empty() {
+            event = read;
+        }
+        let data = line.strip_prefix(b"data:").map(<[u8]>::trim_ascii);
+        if data == Some(DONE) {
+            return Some(event);
+        }
+    }
+    None
 }
 
 #[cfg(test)]
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -111,6 +111,39 @@
     assert!(!answer.contains("[DONE]"));
 }
 
+/// Symptom: every stream of an engine ends as cut, after all its events.
+/// Sequence: the engine writes its events without the space after the colon, as it may.
+/// Cause: the last event was looked for in one of its forms.
+#[tokio::test]
+async fn outcome_stream_done_without_space() {
+    let world = world().await;
+    let head = vec![("content-type", "text/event-stream")];
+    for done in ["data:[DONE]\n\n", "data:  [DONE] \r\n\r\n"] {
+        let pieces = vec!["data:1\n\n".into(), done.into()];
+        let step = Step::Answer(200, head.clone(), pieces, Ending::Whole);
+        world.script.then(step);
+        let answer = world.chat("summary", ",\"stream\":true").await;
+        assert_eq!(answer.matches("[DONE]").count(), 1, "{answer}");
+        assert!(!answer.contains("\"error\""), "{answer}");
+    }
+}
+
+/// Symptom: a client reads an error as the event that ends a stream.
+/// Sequence: the engine names the type of its last event; the owner then finds the answer wrong.
+/// Cause: only the data of the last event were held back, its other fields went out before.
+#[tokio::test]
+async fn outcome_stream_done_named() {
+    let world = world().await;
+    let head = vec![("content-type", "text/event-stream")];
+    let last = "data: 1\n\nevent: done\ndata: [DONE]\n\n";
+    let cut = Ending::Broken(Code::WrongAnswer);
+    let step = Step::Answer(200, head, vec![last.into()], cut);
+    world.script.then(step);
+    let answer = world.chat("summary", ",\"stream\":true").await;
+    assert!(!answer.contains("event: done"), "{answer}");
+    assert!(answer.contains("\"code\":\"wrong_answer\""), "{answer}");
+}
+
 /// Symptom: a stream says `[DONE]` and was another request's answer.
 /// Sequence: the owner finds the mismatch only after the engine's last event.
 /// Cause: the last event was passed on before the answer was known to be whole.
