peer: a long answer crosses in several messages

Cause: found on reading. Each piece of an answer became one message to the entry node. An answer that isn't streamed is one piece of up to 16 MiB at its owner, while messages end at 4 MiB: between 4 and 8 MiB (docs/ callers.md promises 8) it came whole only where the entry node happened to own the engine, and was peer_lost, fate unknown, elsewhere, after the engine had done all its work; an idempotent request was then run again for nothing. Change: pieces are cut into messages of 256 KiB, as bodies of requests already were. After: it passes with test_peer and test_peer_tls.

--- a/lib/src/peer/forward.rs
+++ b/lib/src/peer/forward.rs
@@ -16,9 +16,6 @@
 use crate::runner::{Attempt, Runner};
 use crate::schema::peer::{Down, Up, down, up};
 
-/// Largest piece of a request's body in one message.
-const PIECE_BYTES: usize = 256 << 10;
-
 /// Runs attempts at one peer.
 #[derive(Debug)]
 pub(super) struct Forwarder {
@@ -62,12 +59,9 @@
 
 fn messages(attempt: &Attempt, clock: &dyn Clock) -> Vec<Up> {
     let head = up::Part::Head(wire::head(attempt, clock.now()));
-    let mut body = wire::body(&attempt.work).clone();
+    let body = wire::body(&attempt.work).clone();
     let mut parts = vec![head];
-    while !body.is_empty() {
-        let piece = body.split_to(body.len().min(PIECE_BYTES));
-        parts.push(up::Part::Body(piece));
-    }
+    parts.extend(wire::cut(body).map(up::Part::Body));
     parts.push(up::Part::End(true));
     let whole = |part| Up { part: Some(part) };
     parts.into_iter().map(whole).collect()
--- a/lib/src/peer/server.rs
+++ b/lib/src/peer/server.rs
@@ -177,10 +177,11 @@
         let mut body = body?;
         Some(match body.next().await {
             Some(Ok(piece)) => (wire::data(piece), Some(body)),
-            Some(Err(failure)) => (wire::end(&Err(failure)), None),
-            None => (wire::end(&Ok(())), None),
+            Some(Err(failure)) => (vec![wire::end(&Err(failure))], None),
+            None => (vec![wire::end(&Ok(()))], None),
         })
     });
+    let pieces = pieces.flat_map(stream::iter);
     let head = std::future::ready(head).into_stream();
     head.chain(pieces).map(Ok).boxed()
 }
--- a/lib/src/peer/wire.rs
+++ b/lib/src/peer/wire.rs
@@ -11,6 +11,10 @@
 use crate::runner::{Attempt, Share, Work};
 use crate::schema::peer::{AnswerHead, Down, End, Head, Header, down};
 
+/// Largest piece of a body in one message, so that messages of other requests on
+/// the connection wait for no more than this, and none exceeds the largest message.
+const PIECE_BYTES: usize = 256 << 10;
+
 /// Makes the head of an attempt; its deadline crosses as what is left of it.
 pub(super) fn head(attempt: &Attempt, now: Millis) -> Head {
     let ticket = &attempt.ticket;
@@ -145,9 +149,22 @@
     Ok(parts)
 }
 
-/// Makes the message of a piece of an answer.
-pub(super) fn data(piece: Bytes) -> Down {
-    down(down::Part::Data(piece))
+/// Makes the messages of a piece of an answer.
+///
+/// A piece may be an answer that isn't streamed, and longer than the largest
+/// message; sent as one it would be lost with all that its engine did.
+pub(super) fn data(piece: Bytes) -> Vec<Down> {
+    cut(piece)
+        .map(|part| down(down::Part::Data(part)))
+        .collect()
+}
+
+/// Cuts bytes into what goes into one message each.
+pub(super) fn cut(mut bytes: Bytes) -> impl Iterator<Item = Bytes> {
+    std::iter::from_fn(move || {
+        let length = bytes.len().min(PIECE_BYTES);
+        (length > 0).then(|| bytes.split_to(length))
+    })
 }
 
 /// Makes the message that ends a stream.
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -21,7 +21,7 @@
 use futures::StreamExt;
 use owner_fakes::{Bench, attempt, push, text};
 use peer_fakes::{Nobody, Node, clients, impatient};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -42,6 +42,20 @@
     assert_eq!(bench.engine.runs(), ["r1"]);
 }
 
+/// Symptom: a long answer is lost at every node but its engine's owner.
+/// Sequence: an answer that isn't streamed is longer than the largest message between nodes.
+/// Cause: each piece of an answer became one message, however long.
+#[tokio::test]
+async fn run_long_at_peer() {
+    const BYTES: usize = 7 << 20;
+    let (bench, node) = owning().await;
+    bench.engine.set(|knobs| knobs.piece_bytes = BYTES);
+    let runner = clients().runner(&node.owner);
+    let answer = runner.run(attempt("r1", "plans", false)).await.unwrap();
+    let seen = text(answer).await.map(|seen| seen.len());
+    assert!(seen.clone().unwrap() > BYTES, "{seen:?}");
+}
+
 #[tokio::test]
 async fn call_at_peer() {
     let bench = Bench::unowned();
@@ -157,7 +171,7 @@
     let until = cut.clone();
     tokio::spawn(async move {
         while let Ok((mut down, _)) = listener.accept().await {
-            let mut up = tokio::net::TcpStream::connect(to).await.unwrap();
+            let mut up = TcpStream::connect(to).await.unwrap();
             let until = until.clone();
             tokio::spawn(async move {
                 let copied = tokio::io::copy_bidirectional(&mut down, &mut up);
