peer: callers that go away in numbers don't take the others' answers along

Cause: found on reading. An HTTP/2 server ends a connection with more than 20 requests that were reset before it saw them (the defence against rapid resets). All callers of one node share a connection to each owner: when an owner paused for a moment while some tens of callers' requests came and were cancelled (a proxy that died, a client with short timeouts), every other stream of that node at that owner broke off though the engines still wrote. Ruled out: the same bound towards callers, where it stands: there it is a defence, and the connection one caller's. After: it passes with the rest of test_peer.

--- a/lib/src/peer/server.rs
+++ b/lib/src/peer/server.rs
@@ -75,6 +75,11 @@
         .initial_stream_window_size(limits.window_bytes)
         .initial_connection_window_size(limits.connection_window())
         .max_concurrent_streams(limits.streams)
+        // The library takes some tens of requests that are reset before it has seen
+        // them for an attack, and ends the connection. Between nodes they are the
+        // callers that went away while this node paused for a moment, and with the
+        // connection all other callers of that node would lose their answers.
+        .http2_max_pending_accept_reset_streams(Some(limits.streams as usize))
         .http2_keepalive_interval(Some(limits.idle_ping.duration()))
         .http2_keepalive_timeout(Some(limits.ping_timeout.duration()))
         .add_service(service)
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -21,6 +21,7 @@
 use futures::StreamExt;
 use owner_fakes::{Bench, attempt, push, text};
 use peer_fakes::{Nobody, Node, clients, impatient};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -56,6 +57,41 @@
     assert!(seen.clone().unwrap() > BYTES, "{seen:?}");
 }
 
+/// Symptom: streams of many callers break off together while their engines still write.
+/// Sequence: an owner pauses for a moment; meanwhile another node's callers send requests and
+/// go away again, and all of it reaches the owner at once.
+/// Cause: many resets of requests that weren't taken yet count as an attack, and end the
+/// connection that all callers of that node share.
+#[tokio::test]
+async fn run_many_gone_while_peer_pauses() {
+    let (bench, node) = owning().await;
+    bench.engine.set(|knobs| knobs.pieces = 100);
+    let (address, hold) = held(node.owner.peer).await;
+    let owner = Owner {
+        peer: address,
+        ..node.owner.clone()
+    };
+    let runner = clients().runner(&owner);
+    let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    answer.body.next().await.unwrap().unwrap();
+    hold.send_replace(true);
+    let gone: Vec<_> = (0..200)
+        .map(|number| {
+            let runner = Arc::clone(&runner);
+            let attempt = attempt(&format!("gone-{number}"), "plans", true);
+            tokio::spawn(async move { runner.run(attempt).await.map(drop) })
+        })
+        .collect();
+    tokio::time::sleep(Millis(100).duration()).await;
+    for call in &gone {
+        call.abort();
+    }
+    tokio::time::sleep(Millis(100).duration()).await;
+    hold.send_replace(false);
+    let seen = text(answer).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+}
+
 #[tokio::test]
 async fn call_at_peer() {
     let bench = Bench::unowned();
@@ -182,6 +218,46 @@
     (address, cut)
 }
 
+/// Passes bytes between a client and a node; what the client sends waits while it is held.
+async fn held(to: SocketAddr) -> (SocketAddr, watch::Sender<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let hold = watch::Sender::new(false);
+    let holds = hold.subscribe();
+    tokio::spawn(async move {
+        while let Ok((down, _)) = listener.accept().await {
+            let up = TcpStream::connect(to).await.unwrap();
+            let (mut from_node, mut to_node) = up.into_split();
+            let (mut from_client, mut to_client) = down.into_split();
+            tokio::spawn(async move { tokio::io::copy(&mut from_node, &mut to_client).await });
+            let mut holds = holds.clone();
+            tokio::spawn(async move {
+                let mut waiting = Vec::new();
+                loop {
+                    let kept = *holds.borrow_and_update();
+                    if !kept && !waiting.is_empty() {
+                        to_node.write_all(&waiting).await.unwrap();
+                        waiting.clear();
+                    }
+                    tokio::select! {
+                        read = from_client.read_buf(&mut waiting) => {
+                            if read.unwrap_or(0) == 0 {
+                                return;
+                            }
+                        }
+                        changed = holds.changed() => {
+                            if changed.is_err() {
+                                return;
+                            }
+                        }
+                    }
+                }
+            });
+        }
+    });
+    (address, hold)
+}
+
 /// Symptom: a short answer that looks whole.
 /// Sequence: the connection to the owner breaks in the middle of an answer.
 /// Cause: the stream's end was taken for the answer's end.
