peer: a begun answer outlasts its owner's pause

Cause: found on reading. An entry node gave a silent owner's connection up after 4 s (a ping after 2 s, 2 s for its answer), and with it every stream that owner passes on. A VM that is moved or saved is away for seconds; its engine goes on writing, the owner goes on passing on when it wakes (what runs outlasts the lease), and nobody can give a begun answer again: its caller lost an answer that would have been whole in its time. The short time is right for requests whose answers haven't begun, as they can be tried elsewhere. Ruled out: only a longer ping time: requests that wait would hang as long, and new ones would vanish on a dead connection and be called unknown instead of not run (run_next_after_silence); a timeout for the first message: a request may wait long in a queue. Change: the connection is given up after 15 s of silence beyond the ping's 2 s. While requests wait for an answer's head, a sign of life is asked for (`Alive`, new; an older node's "unimplemented" is one too) with the times as before; a peer that gives none loses its waiting requests, and new calls get a new connection. Calls that time out leave a connection on which nothing was heard for as long. A caller of a stream whose owner is gone without a word hears of it after 17 s instead of 4. Tests: `impatient` clients never give a connection up now, so that run_at_paused_peer shows the short time.

--- a/lib/src/peer/client.rs
+++ b/lib/src/peer/client.rs
@@ -12,7 +12,7 @@
 use super::Limits;
 use super::call;
 use super::forward::Forwarder;
-use super::link::Link;
+use super::link::{Link, Way};
 use super::tls::Security;
 use crate::clock::{Clock, Millis};
 use crate::error::Failure;
@@ -109,11 +109,15 @@
     async fn timed<T>(
         &self,
         link: &Link,
+        way: &Arc<Way>,
         call: impl Future<Output = Result<tonic::Response<T>, tonic::Status>>,
     ) -> Result<T, Failure> {
         let answer = tokio::time::timeout(self.parts.limits.call_timeout.duration(), call)
             .await
-            .unwrap_or_else(|_| Err(tonic::Status::deadline_exceeded("no answer in time")));
+            .unwrap_or_else(|_| {
+                link.unanswered(way);
+                Err(tonic::Status::deadline_exceeded("no answer in time"))
+            });
         let answer = answer.map_err(|status| link.failed(&status))?;
         link.answered();
         Ok(answer.into_inner())
@@ -136,9 +140,10 @@
 impl Transport for Clients {
     async fn exchange(&self, peer: &Peer, digest: Digest) -> Result<Delta, Failure> {
         let link = self.link(peer.address);
-        let mut client = link.client()?;
+        let way = link.way()?;
+        let mut client = way.client();
         self.sent(&digest);
-        let delta = self.timed(&link, client.exchange(digest)).await?;
+        let delta = self.timed(&link, &way, client.exchange(digest)).await?;
         self.received(&delta);
         Ok(delta)
     }
@@ -148,11 +153,12 @@
         peer: &Peer,
     ) -> Result<BoxStream<'static, Result<SnapshotPart, Failure>>, Failure> {
         let link = self.link(peer.address);
-        let mut client = link.client()?;
+        let way = link.way()?;
+        let mut client = way.client();
         let request = SnapshotRequest {
             node: self.parts.node.to_string(),
         };
-        let parts = self.timed(&link, client.snapshot(request)).await?;
+        let parts = self.timed(&link, &way, client.snapshot(request)).await?;
         let read = parts.map(move |part| part.map_err(|status| link.failed(&status)));
         Ok(read.boxed())
     }
@@ -162,10 +168,11 @@
 impl Relay for Clients {
     async fn renew(&self, peer: SocketAddr, ask: Ask) -> Option<Word> {
         let link = self.link(peer);
-        let mut client = link.client().ok()?;
+        let way = link.way().ok()?;
+        let mut client = way.client();
         let request = RenewRequest::from(ask);
         self.sent(&request);
-        let reply = self.timed(&link, client.renew(request)).await.ok()?;
+        let reply = self.timed(&link, &way, client.renew(request)).await.ok()?;
         self.received(&reply);
         Some(reply.into())
     }
--- a/lib/src/peer/forward.rs
+++ b/lib/src/peer/forward.rs
@@ -26,16 +26,18 @@
 #[async_trait]
 impl Runner for Forwarder {
     async fn run(&self, attempt: Attempt) -> Result<Answer, Failure> {
-        let mut client = self.link.client()?;
+        let way = self.link.way()?;
+        let mut client = way.client();
         let up = stream::iter(messages(&attempt, &*self.clock));
         // Dropping this future or the answer resets the stream, and the peer cancels.
-        let answer = client.forward(up).await;
-        let mut down = match answer {
-            Ok(answer) => answer.into_inner(),
-            Err(status) => return Err(self.link.failed(&status)),
+        let begun = async {
+            let failed = |status| self.link.failed(&status);
+            let mut down = client.forward(up).await.map_err(failed)?.into_inner();
+            let first = down.message().await.map_err(failed)?;
+            Ok((first, down))
         };
-        let first = down.message().await;
-        match first.map_err(|status| self.link.failed(&status))? {
+        let (first, mut down) = self.link.unless_silent(&way, begun).await?;
+        match first {
             Some(Down {
                 part: Some(down::Part::Head(head)),
             }) => {
--- a/lib/src/peer/link.rs
+++ b/lib/src/peer/link.rs
@@ -2,8 +2,8 @@
 
 use std::error::Error;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use tonic::transport::{Channel, Endpoint};
 use tonic::{ConnectError, Status};
@@ -11,20 +11,50 @@
 
 use super::Limits;
 use super::connector::Connector;
+use super::probe::Probe;
 use super::tls::Security;
 use crate::clock::{Clock, Millis};
 use crate::error::{Code, Failure};
 use crate::name::Name;
 use crate::schema::peer::peer_client::PeerClient;
 
+/// One connection to a peer.
+#[derive(Debug)]
+pub(super) struct Way {
+    client: PeerClient<Channel>,
+    probe: Probe,
+}
+
+impl Way {
+    /// Makes a way whose connection is opened by the first call.
+    fn new(connector: &Connector, limits: &Limits) -> Arc<Self> {
+        let endpoint = endpoint(connector.address, limits);
+        let channel = endpoint.connect_with_connector_lazy(connector.clone());
+        let client = PeerClient::new(channel)
+            .max_decoding_message_size(limits.message_bytes)
+            .max_encoding_message_size(limits.message_bytes);
+        Arc::new(Self {
+            probe: Probe::new(client.clone(), limits),
+            client,
+        })
+    }
+
+    /// Returns a client.
+    pub(super) fn client(&self) -> PeerClient<Channel> {
+        self.client.clone()
+    }
+}
+
 /// The way to one peer.
 #[derive(Debug)]
 pub(super) struct Link {
     node: Name,
     address: SocketAddr,
-    client: PeerClient<Channel>,
+    connector: Connector,
+    limits: Limits,
+    way: Mutex<Arc<Way>>,
     clock: Arc<dyn Clock>,
-    backoff: (Millis, Millis),
+    heard: AtomicU64,
     failures: AtomicU32,
     closed_until: AtomicU64,
     used: AtomicU64,
@@ -44,23 +74,22 @@
             security: security.clone(),
             timeout: limits.connect_timeout,
         };
-        let channel = endpoint(address, limits).connect_with_connector_lazy(connector);
         Self {
             node: Arc::clone(node),
             address,
-            client: PeerClient::new(channel)
-                .max_decoding_message_size(limits.message_bytes)
-                .max_encoding_message_size(limits.message_bytes),
+            way: Mutex::new(Way::new(&connector, limits)),
+            connector,
+            limits: limits.clone(),
             clock: Arc::clone(clock),
-            backoff: (limits.backoff_from, limits.backoff_to),
+            heard: AtomicU64::new(clock.now().0),
             failures: AtomicU32::new(0),
             closed_until: AtomicU64::new(0),
             used: AtomicU64::new(clock.now().0),
         }
     }
 
-    /// Returns a client, unless a connection failed a moment ago.
-    pub(super) fn client(&self) -> Result<PeerClient<Channel>, Failure> {
+    /// Returns the way for a call, unless a connection failed a moment ago.
+    pub(super) fn way(&self) -> Result<Arc<Way>, Failure> {
         let now = self.clock.now();
         self.used.store(now.0, Ordering::Relaxed);
         let until = Millis(self.closed_until.load(Ordering::Relaxed));
@@ -68,7 +97,50 @@
             let failure = Failure::new(Code::PeerUnreachable, "the peer couldn't be reached");
             return Err(failure.retry_after(until.since(now)));
         }
-        Ok(self.client.clone())
+        let way = self.way.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(Arc::clone(&way))
+    }
+
+    /// Leaves a silent connection to the answers that have begun on it.
+    ///
+    /// What comes next would vanish on it, and nobody could say that it wasn't run;
+    /// a new connection shows at once when the peer's VM is gone, and works at once
+    /// when it was the network that failed.
+    fn leave(&self, silent: &Arc<Way>) {
+        let mut way = self.way.lock().unwrap_or_else(PoisonError::into_inner);
+        // All requests that waited on one connection find out together.
+        if Arc::ptr_eq(&way, silent) {
+            log::debug!("peer: {} is silent", self.address);
+            *way = Way::new(&self.connector, &self.limits);
+        }
+    }
+
+    /// Notes that a call had no answer in its time.
+    pub(super) fn unanswered(&self, way: &Arc<Way>) {
+        let heard = Millis(self.heard.load(Ordering::Relaxed));
+        let trusted = self.limits.ping_after + self.limits.ping_timeout;
+        if self.clock.now().since(heard) >= trusted {
+            self.leave(way);
+        }
+    }
+
+    /// Returns what a request's call brings, unless the peer falls silent before.
+    ///
+    /// The request may be tried elsewhere then; what the peer makes of it when it
+    /// is only paused can't be known.
+    pub(super) async fn unless_silent<T>(
+        &self,
+        way: &Arc<Way>,
+        call: impl Future<Output = Result<T, Failure>>,
+    ) -> Result<T, Failure> {
+        tokio::select! {
+            biased;
+            brought = call => brought,
+            () = way.probe.silent() => {
+                self.leave(way);
+                Err(Failure::new(Code::PeerLost, "the peer is silent"))
+            }
+        }
     }
 
     /// Returns when a call was last made.
@@ -78,6 +150,7 @@
 
     /// Notes that the peer has answered.
     pub(super) fn answered(&self) {
+        self.heard.store(self.clock.now().0, Ordering::Relaxed);
         if self.failures.load(Ordering::Relaxed) > 0 {
             self.failures.store(0, Ordering::Relaxed);
         }
@@ -92,7 +165,7 @@
         if is_connect(status) {
             self.back_off();
             let failure = Failure::new(Code::PeerUnreachable, "the peer can't be reached");
-            return failure.retry_after(self.backoff.0);
+            return failure.retry_after(self.limits.backoff_from);
         }
         Failure::new(
             Code::PeerLost,
@@ -107,7 +180,11 @@
             return;
         }
         let failures = self.failures.fetch_add(1, Ordering::Relaxed);
-        let (from, to) = self.backoff;
+        let Limits {
+            backoff_from: from,
+            backoff_to: to,
+            ..
+        } = self.limits;
         let span = Millis(from.0 << failures.min(16)).min(to);
         let until = now + jittered(span, &self.node, self.address, failures);
         self.closed_until.store(until.0, Ordering::Relaxed);
@@ -131,7 +208,7 @@
         .initial_stream_window_size(limits.window_bytes)
         .initial_connection_window_size(limits.connection_window())
         .http2_keep_alive_interval(limits.ping_after.duration())
-        .keep_alive_timeout(limits.ping_timeout.duration())
+        .keep_alive_timeout(limits.patience.duration())
 }
 
 fn is_connect(status: &Status) -> bool {
--- a/lib/src/peer/mod.rs
+++ b/lib/src/peer/mod.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod link;
 mod permit;
+mod probe;
 pub mod server;
 pub mod tls;
 mod wire;
@@ -46,8 +47,15 @@
     /// A caller's node that dies without a word is noticed that much later; its
     /// requests end by their deadlines at the latest.
     pub idle_ping: Millis,
-    /// Time to that sign before the connection is given up.
+    /// Time to that sign before requests whose answers haven't begun are given up.
+    ///
+    /// They can be tried elsewhere, and so are soon.
     pub ping_timeout: Millis,
+    /// Time to that sign before the connection is given up, and with it the answers that have begun.
+    ///
+    /// Nobody can give those again. A VM that is moved or saved is away for seconds, and its
+    /// streams go on afterwards; the caller of one that is gone hears of it this much later.
+    pub patience: Millis,
     /// First and shortest time without a new try after a failed connection; it doubles.
     pub backoff_from: Millis,
     /// Longest such time.
@@ -67,6 +75,7 @@
             ping_after: Millis::from_secs(2),
             idle_ping: Millis::from_secs(30),
             ping_timeout: Millis::from_secs(2),
+            patience: Millis::from_secs(15),
             backoff_from: Millis(100),
             backoff_to: Millis::from_secs(5),
         }
--- a/lib/src/peer/permit.rs
+++ b/lib/src/peer/permit.rs
@@ -123,7 +123,7 @@
 impl Permits for Remote {
     async fn acquire(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
         let link = self.clients.link(self.address);
-        let mut client = link.client()?;
+        let mut client = link.way()?.client();
         let (ended, last) = mpsc::channel(1);
         let metrics = self.clients.metrics();
         let asks = WatchStream::new(ask).map(|ask| permit_up::Part::Ask(ask.into()));
--- a/lib/src/peer/server.rs
+++ b/lib/src/peer/server.rs
@@ -24,8 +24,8 @@
 use crate::runner::{Attempt, Runner};
 use crate::schema::peer::peer_server::{Peer, PeerServer};
 use crate::schema::peer::{
-    Delta, Digest, Down, PermitDown, PermitUp, RenewReply, RenewRequest, SnapshotPart,
-    SnapshotRequest, Up, up,
+    AliveReply, AliveRequest, Delta, Digest, Down, PermitDown, PermitUp, RenewReply, RenewRequest,
+    SnapshotPart, SnapshotRequest, Up, up,
 };
 
 /// What answers peers.
@@ -81,7 +81,7 @@
         // connection all other callers of that node would lose their answers.
         .http2_max_pending_accept_reset_streams(Some(limits.streams as usize))
         .http2_keepalive_interval(Some(limits.idle_ping.duration()))
-        .http2_keepalive_timeout(Some(limits.ping_timeout.duration()))
+        .http2_keepalive_timeout(Some(limits.patience.duration()))
         .add_service(service)
         .serve_with_incoming_shutdown(incoming, stop.cancelled_owned())
         .await
@@ -143,6 +143,13 @@
         let parts = stream::iter(self.snapshot.parts().map(Ok));
         Ok(Response::new(parts.boxed()))
     }
+
+    async fn alive(&self, request: Request<AliveRequest>) -> Result<Response<AliveReply>, Status> {
+        call::count(&self.metrics, "received", &request.into_inner());
+        let reply = AliveReply::default();
+        call::count(&self.metrics, "sent", &reply);
+        Ok(Response::new(reply))
+    }
 }
 
 impl Handlers {
--- a/lib/tests/peer_fakes/mod.rs
+++ b/lib/tests/peer_fakes/mod.rs
@@ -123,13 +123,19 @@
     secured(Security::Plaintext)
 }
 
-/// The clients of a node that soon doubts a silent peer.
+/// The clients of a node that soon doubts a silent peer, and never gives it up.
 pub fn impatient() -> Arc<Clients> {
+    patient_for(Millis::from_secs(3_600))
+}
+
+/// The same, but it gives the peer up after a span.
+pub fn patient_for(span: Millis) -> Arc<Clients> {
     made(
         Security::Plaintext,
         Limits {
             ping_after: Millis(100),
             ping_timeout: Millis(100),
+            patience: span,
             call_timeout: Millis(200),
             ..Limits::default()
         },
