node: a planned stop waits for all that runs here and is still on its way

Cause: found on reading. The stop took the end of the releases for the end of all that peers' callers read from this node. A release knows only what runs under the ownership it ends: what ran when an earlier one lapsed, was handed over or left the list and outlasted its release (60 s, answers may take 600) still ran here and was cut off. And what had ended could still wait for an entry node with a slow caller, as a place is free once the bytes are handed to the connection: 400 ms later the connections broke. Change: the owners' registry counts every request that has a place, and the stop waits for them; then it parts from its peers in order, which ends once they have everything. All of it within the stop's limit. With a peer that is gone without a word the stop takes until that peer's connection is given up (45 s) or its limit. Measured: ended_after_former_ownership (new) shows that a second release returns while the first ownership's request runs, and that the new wait doesn't; it can't be run on the code before, which had nothing to wait on. serve_stop_delivers_what_has_ended (new) shows that a node's listener for peers is still busy 500 ms after all that ran had ended, and that the answer arrives whole; the stop before waited for it for 400 ms. Not shown with a whole node: a process with such a tail is hard to set up without a wait for luck.

--- a/lib/src/node/assembly.rs
+++ b/lib/src/node/assembly.rs
@@ -58,7 +58,7 @@
 /// All parts of a node.
 pub(super) struct Assembly {
     base: Base,
-    registry: Arc<Registry>,
+    pub(super) registry: Arc<Registry>,
     clients: Arc<Clients>,
     loads: Arc<loads::Shared>,
     gossip: Arc<gossip::Keeper>,
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -20,6 +20,7 @@
 use crate::membership::Identity;
 use crate::metrics::Metrics;
 use crate::name::Name;
+use crate::owner::Registry;
 use crate::peer::server;
 use crate::peer::tls::{Keys, Paths, Security};
 use crate::settings::{self, Settings, Tls};
@@ -30,7 +31,7 @@
 /// Time between two looks at the certificates' files.
 const CERTIFICATES: Millis = Millis::from_secs(30);
 
-/// Time that peers get to hear the end of streams after everything has ended.
+/// Time that what listens gets to end at a stop at once.
 const LAST_WORDS: Millis = Millis(200);
 
 /// Listening sockets of a node, bound before anything starts.
@@ -72,6 +73,7 @@
     limits: settings::Limits,
     membership: Arc<membership::Keeper>,
     config: Arc<config::Keeper>,
+    registry: Arc<Registry>,
     metrics: Arc<Metrics>,
     callers: SocketAddr,
     operators: SocketAddr,
@@ -79,10 +81,14 @@
     leaving: CancellationToken,
     /// Cancelled when no new connection of a caller is taken.
     closing: CancellationToken,
+    /// Cancelled when peers get no new connection, and at the latest when everything ends.
+    parting: CancellationToken,
     /// Cancelled when everything ends.
     stop: CancellationToken,
     /// The listener for callers, which ends with the last request in progress.
     serving: TaskTracker,
+    /// The listener for peers, which ends when all that they were sent has arrived.
+    passing: TaskTracker,
     /// All else that listens.
     tasks: TaskTracker,
 }
@@ -112,13 +118,16 @@
             limits,
             membership: Arc::clone(&assembly.membership),
             config: Arc::clone(&assembly.config),
+            registry: Arc::clone(&assembly.registry),
             metrics: Arc::clone(assembly.metrics()),
             callers,
             operators,
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
+            parting: stop.child_token(),
             stop,
             serving: TaskTracker::new(),
+            passing: TaskTracker::new(),
             tasks: TaskTracker::new(),
         };
         node.listen(&assembly, listeners, security);
@@ -133,9 +142,9 @@
             listeners.peers,
             assembly.handlers(),
             security,
-            self.stop.clone(),
+            self.parting.clone(),
         );
-        self.tasks.spawn(async move {
+        self.passing.spawn(async move {
             if let Err(error) = peers.await {
                 log::error!("node: the listener for peers has failed: {error}");
             }
@@ -191,25 +200,40 @@
         self.closing.cancel();
         self.serving.close();
         let limit = self.limits.drain_limit;
-        let ended = async { tokio::join!(self.serving.wait(), self.membership.drain(limit)) };
-        let ended = tokio::time::timeout(limit.duration(), ended).await.is_ok();
+        let ended = tokio::time::timeout(limit.duration(), self.end(limit)).await;
+        let ended = ended.is_ok();
         if !ended {
             log::warn!("node: requests are still in progress after {limit}");
         }
-        tokio::time::sleep(LAST_WORDS.duration()).await;
         self.halt().await;
         log::info!("node: stopped");
         ended
     }
 
+    /// Returns when nothing is in progress any more, for callers or for peers.
+    async fn end(&self, limit: Millis) {
+        tokio::join!(
+            self.serving.wait(),
+            self.membership.drain(limit),
+            self.registry.ended()
+        );
+        // What has ended here may still wait for an entry node whose caller reads
+        // slowly; it would look cut there if this node's connections broke now.
+        self.parting.cancel();
+        self.passing.close();
+        self.passing.wait().await;
+    }
+
     /// Stops at once, as a failure would; for tests.
     pub async fn halt(&self) {
         self.leaving.cancel();
         self.closing.cancel();
         self.stop.cancel();
         self.tasks.close();
+        self.passing.close();
+        let ended = async { tokio::join!(self.tasks.wait(), self.passing.wait()) };
         // What doesn't end by then is cut off by the process's end.
-        let _ = tokio::time::timeout(LAST_WORDS.duration(), self.tasks.wait()).await;
+        let _ = tokio::time::timeout(LAST_WORDS.duration(), ended).await;
     }
 }
 
--- a/lib/src/owner/place.rs
+++ b/lib/src/owner/place.rs
@@ -1,6 +1,7 @@
 //! A request's place at an upstream, from its arrival to its end.
 
 use tokio::sync::mpsc;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::event::Event;
 use crate::request::Id;
@@ -43,15 +44,21 @@
     key: Id,
     outcome: Outcome,
     ends: mpsc::UnboundedSender<Event>,
+    _counted: TaskTrackerToken,
 }
 
 impl Place {
-    /// Makes a place whose end is told on `ends`.
-    pub(super) fn new(key: Id, ends: mpsc::UnboundedSender<Event>) -> Self {
+    /// Makes a place whose end is told on `ends`, and that is counted until then.
+    pub(super) fn new(
+        key: Id,
+        ends: mpsc::UnboundedSender<Event>,
+        counted: TaskTrackerToken,
+    ) -> Self {
         Self {
             key,
             outcome: Outcome::Dropped,
             ends,
+            _counted: counted,
         }
     }
 
--- a/lib/src/owner/registry.rs
+++ b/lib/src/owner/registry.rs
@@ -10,6 +10,7 @@
 use kameo::error::SendError;
 use kameo::mailbox;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::task::TaskTracker;
 
 use super::actor::{Adopt, Args, Release, Replaced, Submit, Upstream};
 use super::event::Event;
@@ -68,6 +69,8 @@
     parts: Parts,
     owned: RwLock<HashMap<Name, Arc<Handle>>>,
     serial: AtomicU64,
+    /// Every request that has a place, whatever has become of the ownership.
+    places: TaskTracker,
 }
 
 impl Registry {
@@ -78,9 +81,22 @@
             parts,
             owned: RwLock::default(),
             serial: AtomicU64::new(1),
+            places: TaskTracker::new(),
         })
     }
 
+    /// Returns when no request runs here any more.
+    ///
+    /// A release knows only what runs under the ownership that it ends. What ran
+    /// when an earlier one lapsed, or outlasted its release, still runs here and
+    /// its caller reads it; a node that stopped without a look at those would cut
+    /// them off.
+    pub async fn ended(&self) {
+        // Closing lets the wait end; places are still made and counted.
+        self.places.close();
+        self.places.wait().await;
+    }
+
     /// Returns what operators see of each owned upstream, ordered by name.
     #[must_use]
     pub fn status(&self) -> Vec<Status> {
@@ -176,7 +192,7 @@
         let serial = self.serial.fetch_add(1, Ordering::Relaxed);
         let key = Id(format!("{}/{serial}", attempt.ticket.id).into());
         // The place is made first: from here on, dropping this future anywhere ends it.
-        let place = Place::new(key.clone(), handle.events.clone());
+        let place = Place::new(key.clone(), handle.events.clone(), self.places.token());
         let (reply, granted) = oneshot::channel();
         let mut ticket = attempt.ticket.clone();
         let request = std::mem::replace(&mut ticket.id, key);
--- a/lib/tests/test_owner_failures.rs
+++ b/lib/tests/test_owner_failures.rs
@@ -94,6 +94,28 @@
     drop(running);
 }
 
+/// Symptom: a planned stop cuts answers off that would have ended in the stop's time.
+/// Sequence: an owner's lease lapses while a request runs; the upstream comes back to it, and
+/// then the node is stopped.
+/// Cause: the stop waits for the releases, and a release knows only what runs under the
+/// ownership that it ends.
+#[tokio::test(start_paused = true)]
+async fn ended_after_former_ownership() {
+    let bench = Bench::start().await;
+    bench.engine.set(|knobs| knobs.pieces = 1_000);
+    let running = begin(&bench, "r1", "plans").await.await.unwrap().unwrap();
+    bench.registry.release("engine-1", Millis::ZERO).await;
+    bench.adopt(8, 2).await;
+    let limit = Millis::from_secs(60);
+    bench.registry.release("engine-1", limit).await;
+    let registry = Arc::clone(&bench.registry);
+    let ended = tokio::spawn(async move { registry.ended().await });
+    pass(Millis::from_secs(1)).await;
+    assert!(!ended.is_finished());
+    text(running).await.unwrap();
+    ended.await.unwrap();
+}
+
 /// Symptom: an answer breaks off just after a node died.
 /// Sequence: the former owner's requests still run; the new owner needs a slot.
 /// Cause: the new owner pins only what it has started itself.
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -401,6 +401,29 @@
     node.served.await.unwrap();
 }
 
+/// Symptom: a planned stop of an owner cuts the last pieces of an answer off.
+/// Sequence: the engine has written everything and the owner has let it go, while the last
+/// pieces wait for an entry node whose caller reads slowly; the owner stops.
+/// Cause: the end of what runs was taken for the end of what has arrived.
+#[tokio::test]
+async fn serve_stop_delivers_what_has_ended() {
+    let (bench, node) = owning().await;
+    // The answer is a little longer than what may wait for a slow reader.
+    bench.engine.set(|knobs| {
+        knobs.piece_bytes = 30 << 10;
+        knobs.piece_ms = Millis::ZERO;
+    });
+    let runner = clients().runner(&node.owner);
+    let answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    bench.registry.ended().await;
+    node.stop.cancel();
+    tokio::time::sleep(Millis(500).duration()).await;
+    assert!(!node.served.is_finished());
+    let seen = text(answer).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"));
+    node.served.await.unwrap();
+}
+
 #[tokio::test]
 async fn exchange_renew_and_snapshot() {
     let node = Node::start(Arc::new(Nobody)).await;
