entry: a service's answer to HTTP/1.0 has a length

Cause: found on reading. To a caller of HTTP/1.0 (many proxies call so) an answer without a length ends when the connection closes. A plain service's answer that was cut closed it as well, so that a short answer looked whole. Ruled out: a reset instead of a close; what the caller hasn't read by then would be thrown away too. Streams of events tell their end by themselves and stay as they are.

--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
-use futures::stream::BoxStream;
+use futures::stream::{self, BoxStream};
+use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::{StatusCode, response};
 
 use super::body::Joined;
@@ -41,6 +42,18 @@
     Events,
     /// Passed on as it comes.
     Bytes,
+    /// Passed on as it comes if its length is known, else held back until it is whole.
+    ///
+    /// To a caller of HTTP/1.0 an answer without a length ends when the connection
+    /// closes, and so does one that is cut; it would take the one for the other.
+    Sized,
+}
+
+impl Form {
+    /// Whether it is the form of a plain service's answer.
+    fn is_service(self) -> bool {
+        matches!(self, Self::Bytes | Self::Sized)
+    }
 }
 
 /// A request to be run.
@@ -296,10 +309,10 @@
     form: Form,
     answer: Answer,
 ) -> Result<Outcome, Failure> {
-    let Answer { head, mut body } = answer;
+    let Answer { mut head, mut body } = answer;
     let limit = gateway.parts.limits.answer_bytes;
     // An engine answers a streamed request that it won't run with one JSON error.
-    if form != Form::Bytes && !head.status.is_success() {
+    if !form.is_service() && !head.status.is_success() {
         let error = collect(body, limit, reserve).await?;
         return Ok(Outcome::Error(head.status, error));
     }
@@ -307,6 +320,15 @@
         let whole = collect(body, limit, reserve).await?;
         return Ok(Outcome::Whole(head, whole));
     }
+    if form == Form::Sized && !head.headers.contains_key(CONTENT_LENGTH) {
+        let whole = collect(body, limit, reserve).await?;
+        // The answer to HEAD has no body, and a length of its own.
+        if !whole.is_empty() {
+            let length = HeaderValue::from(whole.len());
+            head.headers.insert(CONTENT_LENGTH, length);
+        }
+        body = stream::once(std::future::ready(Ok(whole))).boxed();
+    }
     let first = body.next().await.transpose()?;
     if first.is_none() && form == Form::Events {
         return Err(Failure::new(Code::AnswerCut, "the answer has no events"));
--- a/lib/src/entry/gateway.rs
+++ b/lib/src/entry/gateway.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, request};
+use http::{HeaderMap, Request, Response, Version, request};
 use http_body::Body as HttpBody;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -231,6 +231,11 @@
         }
         let span = self.deadline(template, &head.headers)?;
         let key = idempotency::key(&head.headers)?.map(<[u8]>::to_vec);
+        let form = if head.version < Version::HTTP_11 {
+            Form::Sized
+        } else {
+            Form::Bytes
+        };
         let head = service::outward(head, path, session.id())?;
         let timeout = self.parts.limits.body_timeout;
         let limit = self.body_limit(template);
@@ -240,7 +245,7 @@
             head: Box::new(head),
             body,
         };
-        self.run(session, caller, ticket, work, Form::Bytes, key.as_deref())
+        self.run(session, caller, ticket, work, form, key.as_deref())
             .await
     }
 
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -193,6 +193,31 @@
     assert!(!chunked.ends_with("0\r\n\r\n"), "{chunked}");
 }
 
+/// Symptom: a saved file is short and nobody noticed.
+/// Sequence: a proxy calls by HTTP/1.0; a service dies while it sends an answer without a length.
+/// Cause: without chunks the closed connection ends an answer, and so does a cut one.
+#[tokio::test]
+async fn outcome_service_cut_old_http() {
+    let world = world().await;
+    let line = "GET /services/lookup/file";
+    let old = entry_support::request(line, &["authorization: Bearer shop-key"], "")
+        .replace("HTTP/1.1", "HTTP/1.0");
+    let parts = || vec!["part".into(), "rest".into()];
+    let cut = Ending::Broken(Code::AnswerCut);
+    world
+        .script
+        .then(Step::Answer(200, vec![], parts(), cut.clone()));
+    world.script.then(Step::Answer(200, vec![], parts(), cut));
+    let answer = world.raw(&old).await;
+    assert!(!answer.starts_with("HTTP/1.0 200"), "{answer}");
+    world
+        .script
+        .then(Step::Answer(200, vec![], parts(), Ending::Whole));
+    let answer = world.raw(&old).await;
+    assert!(answer.contains("content-length: 8\r\n"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\npartrest"), "{answer}");
+}
+
 #[tokio::test]
 async fn outcome_service_head() {
     let world = world().await;
