--- a/lib/src/entry/connection.rs
+++ b/lib/src/entry/connection.rs
@@ -105,6 +105,12 @@
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_concurrent_streams(limits.streams)
+        // The library takes some tens of requests that are cancelled before it has
+        // seen them for an attack, and ends the connection. On a proxy's connection
+        // they are the callers that went away while this node paused for a moment,
+        // and all its other callers would lose their answers. What one may have in
+        // progress, one may cancel.
+        .max_pending_accept_reset_streams(Some(limits.streams as usize))
         .max_send_buf_size(SEND_BUFFER)
         .max_header_list_size(u32::try_from(limits.head_bytes).unwrap_or(u32::MAX))
         .keep_alive_interval(limits.idle_timeout.duration())
--- a/lib/tests/test_entry_http2.rs
+++ b/lib/tests/test_entry_http2.rs
@@ -22,6 +22,7 @@
 // Kinds and flags of frames, from RFC 9113, section 6.
 const DATA: u8 = 0;
 const HEADERS: u8 = 1;
+const RST_STREAM: u8 = 3;
 const SETTINGS: u8 = 4;
 const GOAWAY: u8 = 7;
 const END_STREAM: u8 = 1;
@@ -252,6 +253,43 @@
     block
 }
 
+/// Makes what opens a connection.
+fn hello() -> Vec<u8> {
+    [PREFACE, &frame(SETTINGS, 0, 0, &[])].concat()
+}
+
+/// Makes the frames that ask for a streamed chat.
+fn asked(stream: u8) -> Vec<u8> {
+    let body = br#"{"model":"summary","messages":[],"stream":true}"#;
+    let head = frame(HEADERS, END_HEADERS, stream, &chat_headers());
+    [head, frame(DATA, END_STREAM, stream, body)].concat()
+}
+
+/// Symptom: a proxy's streams break off together while their engines still write.
+/// Sequence: the node pauses for a moment; some tens of the requests that come meanwhile on
+/// one connection are cancelled before it has seen them.
+/// Cause: so many resets at once count as an attack, and end the connection.
+#[tokio::test]
+async fn http2_many_gone_unseen() {
+    const CANCEL: [u8; 4] = [0, 0, 0, 8];
+    let world = world().await;
+    let said = Arc::new(Notify::new());
+    let rest = vec!["data: [DONE]\n\n".into()];
+    let slow = Ending::Later(Arc::clone(&said), rest);
+    world.script.then(events(&["1"], slow));
+    let mut stream = TcpStream::connect(world.address).await.unwrap();
+    let open = [hello(), asked(1)].concat();
+    stream.write_all(&open).await.unwrap();
+    assert_eq!(read_until(&mut stream, DATA).await.unwrap(), b"data: 1\n\n");
+    let cancelled = |stream| [asked(stream), frame(RST_STREAM, 0, stream, &CANCEL)].concat();
+    let burst: Vec<u8> = (3..=203).step_by(2).flat_map(cancelled).collect();
+    stream.write_all(&burst).await.unwrap();
+    tokio::time::sleep(Millis(100).duration()).await;
+    said.notify_one();
+    let end = read_until(&mut stream, DATA).await.unwrap();
+    assert_eq!(end, b"data: [DONE]\n\n");
+}
+
 /// Symptom: a stream breaks off after ten seconds though its engine still writes.
 /// Sequence: a connection has rested long enough and is closed; a request that was already on
 /// its way is taken, as the protocol wants it.
@@ -266,15 +304,9 @@
     let slow = Ending::Later(Arc::clone(&said), rest);
     world.script.then(events(&["1"], slow));
     let mut stream = TcpStream::connect(world.address).await.unwrap();
-    let hello = [PREFACE, &frame(SETTINGS, 0, 0, &[])].concat();
-    stream.write_all(&hello).await.unwrap();
+    stream.write_all(&hello()).await.unwrap();
     read_until(&mut stream, GOAWAY).await.unwrap();
-    let body = br#"{"model":"summary","messages":[],"stream":true}"#;
-    let asked = [
-        frame(HEADERS, END_HEADERS, 1, &chat_headers()),
-        frame(DATA, END_STREAM, 1, body),
-    ];
-    stream.write_all(&asked.concat()).await.unwrap();
+    stream.write_all(&asked(1)).await.unwrap();
     assert_eq!(read_until(&mut stream, DATA).await.unwrap(), b"data: 1\n\n");
     tokio::time::sleep(Millis(200).duration()).await;
     said.notify_one();
