peer: the owner's last word ends an answer, not the close after it

After the owner's word that an answer is whole the entry node read on for the stream's close, without a bound. An owner that paused in between (or was lost) kept the caller waiting until the connection was given up or the deadline came, and at the deadline a whole stream ended as expired. Change: the close is awaited for 250 ms. After: it passes, with test_peer and test_peer_tls.

--- a/lib/src/peer/forward.rs
+++ b/lib/src/peer/forward.rs
@@ -10,12 +10,15 @@
 
 use super::link::Link;
 use super::wire;
-use crate::clock::Clock;
+use crate::clock::{Clock, Millis};
 use crate::error::{Code, Failure};
 use crate::ports::Answer;
 use crate::runner::{Attempt, Runner};
 use crate::schema::peer::{Down, Up, down, up};
 
+/// How long a stream may take to close after the peer's last word; its caller waits meanwhile.
+const CLOSE: Millis = Millis(250);
+
 /// Runs attempts at one peer.
 #[derive(Debug)]
 pub(super) struct Forwarder {
@@ -91,8 +94,9 @@
 
 /// Reads past the last message, so that the stream closes instead of being reset.
 async fn finish(down: &mut Streaming<Down>) {
-    // What the end said stands, even if the connection breaks right after it.
-    let _ = down.message().await;
+    // What the end said stands, even if the connection breaks right after it, or the
+    // peer pauses; the caller waits meanwhile.
+    let _ = tokio::time::timeout(CLOSE.duration(), down.message()).await;
 }
 
 fn lost(detail: &str) -> Failure {
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_trait::async_trait;
 use chivevalve::clock::{Millis, Monotonic};
 use chivevalve::declaration::Kind;
 use chivevalve::error::{Code, Fate};
@@ -17,8 +18,12 @@
 use chivevalve::peer::Clients;
 use chivevalve::ports::LeaseId;
 use chivevalve::runner::Reach;
-use chivevalve::schema::peer::Digest;
+use chivevalve::schema::peer::{
+    AliveReply, AliveRequest, AnswerHead, Delta, Digest, Down, End, PermitDown, PermitUp,
+    RenewReply, RenewRequest, SnapshotPart, SnapshotRequest, Up, down, peer_server,
+};
 use futures::StreamExt;
+use futures::stream::{self, BoxStream};
 use owner_fakes::{Bench, attempt, push, text};
 use peer_fakes::{Nobody, Node, clients, impatient, patient_for};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -306,6 +311,79 @@
     drop(accepted);
 }
 
+/// A peer that says how its answer ended, and pauses before it closes the stream.
+struct Pausing;
+
+type Told<T> = Result<tonic::Response<T>, tonic::Status>;
+type Stream<T> = BoxStream<'static, Result<T, tonic::Status>>;
+
+#[async_trait]
+impl peer_server::Peer for Pausing {
+    type ForwardStream = Stream<Down>;
+    type PermitStream = Stream<PermitDown>;
+    type SnapshotStream = Stream<SnapshotPart>;
+
+    async fn forward(&self, _: tonic::Request<tonic::Streaming<Up>>) -> Told<Stream<Down>> {
+        let head = AnswerHead {
+            status: 200,
+            ..AnswerHead::default()
+        };
+        let parts = [
+            down::Part::Head(head),
+            down::Part::Data("whole".into()),
+            down::Part::End(End::default()),
+        ];
+        let said = parts.map(|part| Ok(Down { part: Some(part) }));
+        let pausing = stream::iter(said).chain(stream::pending());
+        Ok(tonic::Response::new(pausing.boxed()))
+    }
+
+    async fn exchange(&self, _: tonic::Request<Digest>) -> Told<Delta> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+
+    async fn permit(
+        &self,
+        _: tonic::Request<tonic::Streaming<PermitUp>>,
+    ) -> Told<Stream<PermitDown>> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+
+    async fn renew(&self, _: tonic::Request<RenewRequest>) -> Told<RenewReply> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+
+    async fn snapshot(&self, _: tonic::Request<SnapshotRequest>) -> Told<Stream<SnapshotPart>> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+
+    async fn alive(&self, _: tonic::Request<AliveRequest>) -> Told<AliveReply> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+}
+
+/// Symptom: a caller with every piece of its answer is told that the deadline cut it.
+/// Sequence: the owner says that the answer is whole and pauses before it closes the stream.
+/// Cause: the close was awaited, though the owner's word is what makes an answer whole.
+#[tokio::test]
+async fn run_peer_pauses_after_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let owner = Owner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        peer: listener.local_addr().unwrap(),
+    };
+    let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
+    let service = peer_server::PeerServer::new(Pausing);
+    let server = tonic::transport::Server::builder().add_service(service);
+    tokio::spawn(server.serve_with_incoming(incoming));
+    let runner = clients().runner(&owner);
+    let answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    let read = tokio::time::timeout(Millis::from_secs(60).duration(), text(answer));
+    assert_eq!(read.await.unwrap().unwrap(), "whole");
+}
+
 /// Passes bytes between a client and a node until it is cut.
 async fn relay(to: SocketAddr) -> (SocketAddr, CancellationToken) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
