tests: answers outlast lapses, new claims, changes of the configuration, silence and stops

Cause: right endings on the own path that no test showed. Change: hold_lapses_while_running, adopt_changed_while_running, outcome_changes_while_streaming, outcome_engine_silent, http2_stop_lets_streams_finish. All passed on the code as it was.

--- a/lib/tests/test_entry_http2.rs
+++ b/lib/tests/test_entry_http2.rs
@@ -212,6 +212,27 @@
     assert_eq!(taken, PIECE * PIECES);
 }
 
+/// Symptom: a planned stop cuts off a stream.
+/// Sequence: the node is stopped while an answer is under way on an HTTP/2 connection; the
+/// engine goes on some time later.
+/// Cause: the close of the connection didn't wait for its streams.
+#[tokio::test]
+async fn http2_stop_lets_streams_finish() {
+    let world = world().await;
+    let caller = connect(&world).await;
+    let said = Arc::new(Notify::new());
+    let rest = vec!["data: [DONE]\n\n".into()];
+    let slow = Ending::Later(Arc::clone(&said), rest);
+    world.script.then(events(&["1"], slow));
+    let streamed = chat(&caller, true).await;
+    let served = world.stop();
+    tokio::time::sleep(Millis(100).duration()).await;
+    said.notify_one();
+    assert_eq!(text(streamed).await, "data: 1\n\ndata: [DONE]\n\n");
+    drop(caller);
+    served.await.unwrap();
+}
+
 /// Makes a frame of HTTP/2.
 fn frame(kind: u8, flags: u8, stream: u8, payload: &[u8]) -> Vec<u8> {
     let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -11,6 +11,7 @@
 use entry_support::{Ending, Step, declared, events, fail, json, limits, three, world, world_with};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 const PUSH: &str = "POST /services/push/orders";
 
@@ -403,6 +404,59 @@
     served.await.unwrap();
 }
 
+/// Symptom: streams break off when a configuration takes effect, or when upstreams change.
+/// Sequence: the template, its pool and its upstreams go while an answer is under way.
+/// Cause: a later picture was used for a request that was decided on an earlier one.
+#[tokio::test]
+async fn outcome_changes_while_streaming() {
+    let world = world().await;
+    let said = Arc::new(Notify::new());
+    let rest = vec!["data: [DONE]\n\n".into()];
+    let slow = Ending::Later(Arc::clone(&said), rest);
+    world.script.then(events(&["1"], slow));
+    let call = world.chat("summary", ",\"stream\":true");
+    let change = async {
+        while world.script.count() == 0 {
+            tokio::task::yield_now().await;
+        }
+        let empty = View::new(4, vec![], vec![], vec![]);
+        world.view.send(Arc::new(empty)).unwrap();
+        world.fleet.send(Arc::default()).unwrap();
+        said.notify_one();
+    };
+    let (answer, ()) = tokio::join!(call, change);
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+    let refused = world.chat("summary", ",\"stream\":true").await;
+    assert!(refused.starts_with("HTTP/1.1 401"), "{refused}");
+}
+
+/// Symptom: a stream breaks off while its engine reads a long prompt or pauses.
+/// Sequence: nothing is sent for longer than every bound on a caller's own times.
+/// Cause: the engine's silence was counted against the caller, or as rest of its connection.
+#[tokio::test]
+async fn outcome_engine_silent() {
+    let mut limits = limits();
+    limits.head_timeout = Millis(30);
+    limits.body_timeout = Millis(30);
+    limits.idle_timeout = Millis(30);
+    limits.write_timeout = Millis(30);
+    let world = world_with(limits, Arc::default(), Arc::default()).await;
+    let said = Arc::new(Notify::new());
+    let rest = vec!["data: [DONE]\n\n".into()];
+    let slow = Ending::Later(Arc::clone(&said), rest);
+    world.script.then(events(&["1"], slow));
+    let call = world.chat("summary", ",\"stream\":true");
+    let pause = async {
+        while world.script.count() == 0 {
+            tokio::task::yield_now().await;
+        }
+        tokio::time::sleep(Millis(300).duration()).await;
+        said.notify_one();
+    };
+    let (answer, ()) = tokio::join!(call, pause);
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+}
+
 #[tokio::test]
 async fn outcome_retry_after_is_passed_on() {
     let world = world().await;
--- a/lib/tests/test_owner_failures.rs
+++ b/lib/tests/test_owner_failures.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use chivevalve::clock::Millis;
+use chivevalve::declaration::Kind;
 use chivevalve::error::{Code, Failure, Fate};
 use chivevalve::membership::Adopter;
 use chivevalve::ports::Answer;
@@ -94,6 +95,38 @@
     drop(running);
 }
 
+/// Symptom: answers break off when an owner's lease lapses, or when an upstream is claimed anew.
+/// Sequence: the hold lapses while an answer comes; the same node then owns the upstream under
+/// another claim.
+/// Cause: the end of the right to start requests was taken for the end of those that run.
+#[tokio::test(start_paused = true)]
+async fn hold_lapses_while_running() {
+    let bench = Bench::start().await;
+    bench.engine.set(|knobs| knobs.pieces = 100);
+    let running = begin(&bench, "r1", "plans").await.await.unwrap().unwrap();
+    bench.lapse();
+    bench.registry.release("engine-1", Millis::ZERO).await;
+    bench.adopt(8, 2).await;
+    let seen = text(running).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+}
+
+/// Symptom: answers break off when a configuration changes a pool.
+/// Sequence: a pool gets smaller, then another kind, and then its upstream goes, all while an
+/// answer comes.
+/// Cause: a change of what is served was applied to what runs.
+#[tokio::test(start_paused = true)]
+async fn adopt_changed_while_running() {
+    let bench = Bench::start().await;
+    bench.engine.set(|knobs| knobs.pieces = 100);
+    let running = begin(&bench, "r1", "plans").await.await.unwrap().unwrap();
+    bench.adopt(1, 1).await;
+    bench.adopt_as(Kind::Service, 1, 1).await;
+    bench.registry.release("engine-1", Millis::ZERO).await;
+    let seen = text(running).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+}
+
 /// Symptom: a planned stop cuts answers off that would have ended in the stop's time.
 /// Sequence: an owner's lease lapses while a request runs; the upstream comes back to it, and
 /// then the node is stopped.
