--- a/lib/src/entry/connection.rs
+++ b/lib/src/entry/connection.rs
@@ -42,6 +42,17 @@
     pub idle: Duration,
 }
 
+impl Rest {
+    /// Returns the times of a connection that is being closed: its caller has as
+    /// long to agree as for a head.
+    fn closing(self) -> Self {
+        Self {
+            idle: self.first,
+            ..self
+        }
+    }
+}
+
 /// Serves a connection until it ends, rests too long, or the node stops.
 pub async fn serve(gateway: Arc<Gateway>, stream: TcpStream, rest: Rest, stop: CancellationToken) {
     let limits = &gateway.parts.limits;
@@ -69,8 +80,14 @@
     connection.as_mut().graceful_shutdown();
     if stopped {
         let _ = connection.await;
-    } else {
-        let _ = tokio::time::timeout(rest.first, connection).await;
+        return;
+    }
+    // A request that was on its way when the connection had rested long enough is
+    // still taken. A fixed time would cut its answer off in the middle though its
+    // engine still writes, so the close waits until the connection rests again.
+    tokio::select! {
+        _ = connection => {}
+        () = busy.rested(rest.closing()) => {}
     }
 }
 
@@ -88,6 +105,12 @@
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_concurrent_streams(limits.streams)
+        // The library takes some tens of requests that are cancelled before it has
+        // seen them for an attack, and ends the connection. On a proxy's connection
+        // they are the callers that went away while this node paused for a moment,
+        // and all its other callers would lose their answers. What one may have in
+        // progress, one may cancel.
+        .max_pending_accept_reset_streams(Some(limits.streams as usize))
         .max_send_buf_size(SEND_BUFFER)
         .max_header_list_size(u32::try_from(limits.head_bytes).unwrap_or(u32::MAX))
         .keep_alive_interval(limits.idle_timeout.duration())
--- a/lib/src/peer/forward.rs
+++ b/lib/src/peer/forward.rs
@@ -10,14 +10,14 @@
 
 use super::link::Link;
 use super::wire;
-use crate::clock::Clock;
+use crate::clock::{Clock, Millis};
 use crate::error::{Code, Failure};
 use crate::ports::Answer;
 use crate::runner::{Attempt, Runner};
 use crate::schema::peer::{Down, Up, down, up};
 
-/// Largest piece of a request's body in one message.
-const PIECE_BYTES: usize = 256 << 10;
+/// How long a stream may take to close after the peer's last word; its caller waits meanwhile.
+const CLOSE: Millis = Millis(250);
 
 /// Runs attempts at one peer.
 #[derive(Debug)]
@@ -29,16 +29,18 @@
 #[async_trait]
 impl Runner for Forwarder {
     async fn run(&self, attempt: Attempt) -> Result<Answer, Failure> {
-        let mut client = self.link.client()?;
+        let way = self.link.way()?;
+        let mut client = way.client();
         let up = stream::iter(messages(&attempt, &*self.clock));
         // Dropping this future or the answer resets the stream, and the peer cancels.
-        let answer = client.forward(up).await;
-        let mut down = match answer {
-            Ok(answer) => answer.into_inner(),
-            Err(status) => return Err(self.link.failed(&status)),
+        let begun = async {
+            let failed = |status| self.link.failed(&status);
+            let mut down = client.forward(up).await.map_err(failed)?.into_inner();
+            let first = down.message().await.map_err(failed)?;
+            Ok((first, down))
         };
-        let first = down.message().await;
-        match first.map_err(|status| self.link.failed(&status))? {
+        let (first, mut down) = self.link.unless_silent(&way, begun).await?;
+        match first {
             Some(Down {
                 part: Some(down::Part::Head(head)),
             }) => {
@@ -62,12 +64,9 @@
 
 fn messages(attempt: &Attempt, clock: &dyn Clock) -> Vec<Up> {
     let head = up::Part::Head(wire::head(attempt, clock.now()));
-    let mut body = wire::body(&attempt.work).clone();
+    let body = wire::body(&attempt.work).clone();
     let mut parts = vec![head];
-    while !body.is_empty() {
-        let piece = body.split_to(body.len().min(PIECE_BYTES));
-        parts.push(up::Part::Body(piece));
-    }
+    parts.extend(wire::cut(body).map(up::Part::Body));
     parts.push(up::Part::End(true));
     let whole = |part| Up { part: Some(part) };
     parts.into_iter().map(whole).collect()
@@ -95,8 +94,9 @@
 
 /// Reads past the last message, so that the stream closes instead of being reset.
 async fn finish(down: &mut Streaming<Down>) {
-    // What the end said stands, even if the connection breaks right after it.
-    let _ = down.message().await;
+    // What the end said stands, even if the connection breaks right after it, or the
+    // peer pauses; the caller waits meanwhile.
+    let _ = tokio::time::timeout(CLOSE.duration(), down.message()).await;
 }
 
 fn lost(detail: &str) -> Failure {
--- a/lib/src/peer/server.rs
+++ b/lib/src/peer/server.rs
@@ -24,8 +24,8 @@
 use crate::runner::{Attempt, Runner};
 use crate::schema::peer::peer_server::{Peer, PeerServer};
 use crate::schema::peer::{
-    Delta, Digest, Down, PermitDown, PermitUp, RenewReply, RenewRequest, SnapshotPart,
-    SnapshotRequest, Up, up,
+    AliveReply, AliveRequest, Delta, Digest, Down, PermitDown, PermitUp, RenewReply, RenewRequest,
+    SnapshotPart, SnapshotRequest, Up, up,
 };
 
 /// What answers peers.
@@ -75,8 +75,13 @@
         .initial_stream_window_size(limits.window_bytes)
         .initial_connection_window_size(limits.connection_window())
         .max_concurrent_streams(limits.streams)
+        // The library takes some tens of requests that are reset before it has seen
+        // them for an attack, and ends the connection. Between nodes they are the
+        // callers that went away while this node paused for a moment, and with the
+        // connection all other callers of that node would lose their answers.
+        .http2_max_pending_accept_reset_streams(Some(limits.streams as usize))
         .http2_keepalive_interval(Some(limits.idle_ping.duration()))
-        .http2_keepalive_timeout(Some(limits.ping_timeout.duration()))
+        .http2_keepalive_timeout(Some(limits.patience.duration()))
         .add_service(service)
         .serve_with_incoming_shutdown(incoming, stop.cancelled_owned())
         .await
@@ -138,6 +143,13 @@
         let parts = stream::iter(self.snapshot.parts().map(Ok));
         Ok(Response::new(parts.boxed()))
     }
+
+    async fn alive(&self, request: Request<AliveRequest>) -> Result<Response<AliveReply>, Status> {
+        call::count(&self.metrics, "received", &request.into_inner());
+        let reply = AliveReply::default();
+        call::count(&self.metrics, "sent", &reply);
+        Ok(Response::new(reply))
+    }
 }
 
 impl Handlers {
@@ -177,10 +189,11 @@
         let mut body = body?;
         Some(match body.next().await {
             Some(Ok(piece)) => (wire::data(piece), Some(body)),
-            Some(Err(failure)) => (wire::end(&Err(failure)), None),
-            None => (wire::end(&Ok(())), None),
+            Some(Err(failure)) => (vec![wire::end(&Err(failure))], None),
+            None => (vec![wire::end(&Ok(()))], None),
         })
     });
+    let pieces = pieces.flat_map(stream::iter);
     let head = std::future::ready(head).into_stream();
     head.chain(pieces).map(Ok).boxed()
 }
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -11,6 +11,7 @@
 use entry_support::{Ending, Step, declared, events, fail, json, limits, three, world, world_with};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 const PUSH: &str = "POST /services/push/orders";
 
@@ -111,6 +112,39 @@
     assert!(!answer.contains("[DONE]"));
 }
 
+/// Symptom: every stream of an engine ends as cut, after all its events.
+/// Sequence: the engine writes its events without the space after the colon, as it may.
+/// Cause: the last event was looked for in one of its forms.
+#[tokio::test]
+async fn outcome_stream_done_without_space() {
+    let world = world().await;
+    let head = vec![("content-type", "text/event-stream")];
+    for done in ["data:[DONE]\n\n", "data:  [DONE] \r\n\r\n"] {
+        let pieces = vec!["data:1\n\n".into(), done.into()];
+        let step = Step::Answer(200, head.clone(), pieces, Ending::Whole);
+        world.script.then(step);
+        let answer = world.chat("summary", ",\"stream\":true").await;
+        assert_eq!(answer.matches("[DONE]").count(), 1, "{answer}");
+        assert!(!answer.contains("\"error\""), "{answer}");
+    }
+}
+
+/// Symptom: a client reads an error as the event that ends a stream.
+/// Sequence: the engine names the type of its last event; the owner then finds the answer wrong.
+/// Cause: only the data of the last event were held back, its other fields went out before.
+#[tokio::test]
+async fn outcome_stream_done_named() {
+    let world = world().await;
+    let head = vec![("content-type", "text/event-stream")];
+    let last = "data: 1\n\nevent: done\ndata: [DONE]\n\n";
+    let cut = Ending::Broken(Code::WrongAnswer);
+    let step = Step::Answer(200, head, vec![last.into()], cut);
+    world.script.then(step);
+    let answer = world.chat("summary", ",\"stream\":true").await;
+    assert!(!answer.contains("event: done"), "{answer}");
+    assert!(answer.contains("\"code\":\"wrong_answer\""), "{answer}");
+}
+
 /// Symptom: a stream says `[DONE]` and was another request's answer.
 /// Sequence: the owner finds the mismatch only after the engine's last event.
 /// Cause: the last event was passed on before the answer was known to be whole.
@@ -146,6 +180,60 @@
     world.until(lost, 2).await;
 }
 
+/// Symptom: a saved file is short and nobody noticed.
+/// Sequence: the task that passes a service's answer on ends by a panic.
+/// Cause: the task's end was taken for the answer's.
+#[tokio::test]
+async fn outcome_service_panic() {
+    let world = world().await;
+    let parts = vec!["part".into()];
+    world
+        .script
+        .then(Step::Answer(200, vec![], parts, Ending::Panic));
+    let chunked = world.send("GET /services/lookup/file", &[], "").await;
+    assert!(!chunked.ends_with("0\r\n\r\n"), "{chunked}");
+}
+
+/// Symptom: a saved file is short and nobody noticed.
+/// Sequence: a proxy calls by HTTP/1.0; a service dies while it sends an answer without a length.
+/// Cause: without chunks the closed connection ends an answer, and so does a cut one.
+#[tokio::test]
+async fn outcome_service_cut_old_http() {
+    let world = world().await;
+    let line = "GET /services/lookup/file";
+    let old = entry_support::request(line, &["authorization: Bearer shop-key"], "")
+        .replace("HTTP/1.1", "HTTP/1.0");
+    let parts = || vec!["part".into(), "rest".into()];
+    let cut = Ending::Broken(Code::AnswerCut);
+    world
+        .script
+        .then(Step::Answer(200, vec![], parts(), cut.clone()));
+    world.script.then(Step::Answer(200, vec![], parts(), cut));
+    let answer = world.raw(&old).await;
+    assert!(!answer.starts_with("HTTP/1.0 200"), "{answer}");
+    world
+        .script
+        .then(Step::Answer(200, vec![], parts(), Ending::Whole));
+    let answer = world.raw(&old).await;
+    assert!(answer.contains("content-length: 8\r\n"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\npartrest"), "{answer}");
+}
+
+#[tokio::test]
+async fn outcome_service_head() {
+    let world = world().await;
+    let length = vec![("content-length", "9")];
+    world
+        .script
+        .then(Step::Answer(200, length, vec![], Ending::Whole));
+    let answer = world.send("HEAD /services/lookup/file", &[], "").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("content-length: 9\r\n"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\n"), "{answer}");
+    let whole = "requests_total{class=\"normal\",code=\"0\"}";
+    world.until(whole, 1).await;
+}
+
 #[tokio::test]
 async fn outcome_engine_says_no() {
     let world = world().await;
@@ -316,6 +404,59 @@
     served.await.unwrap();
 }
 
+/// Symptom: streams break off when a configuration takes effect, or when upstreams change.
+/// Sequence: the template, its pool and its upstreams go while an answer is under way.
+/// Cause: a later picture was used for a request that was decided on an earlier one.
+#[tokio::test]
+async fn outcome_changes_while_streaming() {
+    let world = world().await;
+    let said = Arc::new(Notify::new());
+    let rest = vec!["data: [DONE]\n\n".into()];
+    let slow = Ending::Later(Arc::clone(&said), rest);
+    world.script.then(events(&["1"], slow));
+    let call = world.chat("summary", ",\"stream\":true");
+    let change = async {
+        while world.script.count() == 0 {
+            tokio::task::yield_now().await;
+        }
+        let empty = View::new(4, vec![], vec![], vec![]);
+        world.view.send(Arc::new(empty)).unwrap();
+        world.fleet.send(Arc::default()).unwrap();
+        said.notify_one();
+    };
+    let (answer, ()) = tokio::join!(call, change);
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+    let refused = world.chat("summary", ",\"stream\":true").await;
+    assert!(refused.starts_with("HTTP/1.1 401"), "{refused}");
+}
+
+/// Symptom: a stream breaks off while its engine reads a long prompt or pauses.
+/// Sequence: nothing is sent for longer than every bound on a caller's own times.
+/// Cause: the engine's silence was counted against the caller, or as rest of its connection.
+#[tokio::test]
+async fn outcome_engine_silent() {
+    let mut limits = limits();
+    limits.head_timeout = Millis(250);
+    limits.body_timeout = Millis(250);
+    limits.idle_timeout = Millis(250);
+    limits.write_timeout = Millis(250);
+    let world = world_with(limits, Arc::default(), Arc::default()).await;
+    let said = Arc::new(Notify::new());
+    let rest = vec!["data: [DONE]\n\n".into()];
+    let slow = Ending::Later(Arc::clone(&said), rest);
+    world.script.then(events(&["1"], slow));
+    let call = world.chat("summary", ",\"stream\":true");
+    let pause = async {
+        while world.script.count() == 0 {
+            tokio::task::yield_now().await;
+        }
+        tokio::time::sleep(Millis(1_000).duration()).await;
+        said.notify_one();
+    };
+    let (answer, ()) = tokio::join!(call, pause);
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+}
+
 #[tokio::test]
 async fn outcome_retry_after_is_passed_on() {
     let world = world().await;
--- a/lib/tests/test_owner.rs
+++ b/lib/tests/test_owner.rs
@@ -9,7 +9,8 @@
 use chivevalve::config::prefetch::{Prefetch, Upcoming};
 use chivevalve::declaration::Kind;
 use chivevalve::error::{Code, Fate};
-use chivevalve::runner::Runner;
+use chivevalve::runner::{Runner, Work};
+use http::Method;
 use owner_fakes::{Bench, Fault, adapter, attempt, push, text};
 
 #[tokio::test(start_paused = true)]
@@ -118,6 +119,22 @@
     assert_eq!(whole.unwrap_err().code, Code::AnswerCut);
 }
 
+/// Symptom: a caller with every event of its answer is told that the deadline cut it.
+/// Sequence: the engine writes its last event and pauses before it closes the answer.
+/// Cause: only the end of the bytes was taken for the end of the answer.
+#[tokio::test(start_paused = true)]
+async fn run_engine_pauses_after_done() {
+    let bench = Bench::start().await;
+    bench.engine.set(|knobs| knobs.fault = Fault::Open);
+    let mut bounded = attempt("r1", "plans", true);
+    let deadline = bench.clock.now() + Millis::from_secs(60);
+    bounded.ticket.deadline = deadline;
+    let answer = bench.registry.run(bounded).await.unwrap();
+    let seen = text(answer).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+    assert!(bench.clock.now() < deadline);
+}
+
 /// Symptom: each change of a template's version stalls its first requests.
 /// Sequence: a popular adapter's template moves to the next version.
 /// Cause: the new version is loaded only when the first request names it.
@@ -182,6 +199,22 @@
     assert_eq!(failure.fate(), Fate::Unknown);
 }
 
+/// Symptom: asking a service for a file's length always fails as a cut answer.
+/// Sequence: the answer to a HEAD request gives the length that a GET would have.
+/// Cause: that length was awaited, though no body follows.
+#[tokio::test(start_paused = true)]
+async fn call_head() {
+    let bench = Bench::unowned();
+    bench.adopt_as(Kind::Service, 4, 1).await;
+    let mut head = push("r1", "{\"sum\":12}");
+    if let Work::Call { head, .. } = &mut head.work {
+        head.method = Method::HEAD;
+    }
+    let answer = bench.registry.run(head).await.unwrap();
+    assert_eq!(answer.head.headers["content-length"], "10");
+    assert_eq!(text(answer).await.unwrap(), "");
+}
+
 /// Symptom: a receipt is called unknown although it was never sent.
 /// Sequence: the service can't be reached; after three failures it gets no work.
 /// Cause: a failed connection was taken for a broken one.
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_trait::async_trait;
 use chivevalve::clock::{Millis, Monotonic};
 use chivevalve::declaration::Kind;
 use chivevalve::error::{Code, Fate};
@@ -17,11 +18,17 @@
 use chivevalve::peer::Clients;
 use chivevalve::ports::LeaseId;
 use chivevalve::runner::Reach;
-use chivevalve::schema::peer::Digest;
+use chivevalve::schema::peer::{
+    AliveReply, AliveRequest, AnswerHead, Delta, Digest, Down, End, PermitDown, PermitUp,
+    RenewReply, RenewRequest, SnapshotPart, SnapshotRequest, Up, down, peer_server,
+};
 use futures::StreamExt;
+use futures::stream::{self, BoxStream};
 use owner_fakes::{Bench, attempt, push, text};
-use peer_fakes::{Nobody, Node, clients, impatient};
-use tokio::net::TcpListener;
+use peer_fakes::{Nobody, Node, clients, impatient, patient_for};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -42,6 +49,87 @@
     assert_eq!(bench.engine.runs(), ["r1"]);
 }
 
+/// Symptom: a long answer is lost at every node but its engine's owner.
+/// Sequence: an answer that isn't streamed is longer than the largest message between nodes.
+/// Cause: each piece of an answer became one message, however long.
+#[tokio::test]
+async fn run_long_at_peer() {
+    const BYTES: usize = 7 << 20;
+    let (bench, node) = owning().await;
+    bench.engine.set(|knobs| knobs.piece_bytes = BYTES);
+    let runner = clients().runner(&node.owner);
+    let answer = runner.run(attempt("r1", "plans", false)).await.unwrap();
+    let seen = text(answer).await.map(|seen| seen.len());
+    assert!(seen.clone().unwrap() > BYTES, "{seen:?}");
+}
+
+/// Symptom: streams of many callers break off together while their engines still write.
+/// Sequence: an owner pauses for a moment; meanwhile another node's callers send requests and
+/// go away again, and all of it reaches the owner at once.
+/// Cause: many resets of requests that weren't taken yet count as an attack, and end the
+/// connection that all callers of that node share.
+#[tokio::test]
+async fn run_many_gone_while_peer_pauses() {
+    let (bench, node) = owning().await;
+    bench.engine.set(|knobs| knobs.pieces = 100);
+    let (address, hold) = held(node.owner.peer).await;
+    let owner = Owner {
+        peer: address,
+        ..node.owner.clone()
+    };
+    let runner = clients().runner(&owner);
+    let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    answer.body.next().await.unwrap().unwrap();
+    hold.send_replace(true);
+    let gone: Vec<_> = (0..200)
+        .map(|number| {
+            let runner = Arc::clone(&runner);
+            let attempt = attempt(&format!("gone-{number}"), "plans", true);
+            tokio::spawn(async move { runner.run(attempt).await.map(drop) })
+        })
+        .collect();
+    tokio::time::sleep(Millis(100).duration()).await;
+    for call in &gone {
+        call.abort();
+    }
+    tokio::time::sleep(Millis(100).duration()).await;
+    hold.send_replace(false);
+    let seen = text(answer).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+}
+
+/// Symptom: streams of many callers break off together while their engines still write.
+/// Sequence: again and again callers go away in the middle of their streams while pieces of
+/// them are on their way.
+/// Cause: each piece that came too late counted as an owner's mistake, for as long as the
+/// connection lived, and the count's bound ended the connection that all callers share.
+#[tokio::test]
+async fn run_many_gone_while_answering() {
+    let bench = Bench::with_batch(1_000).await;
+    let node = Node::start(bench.registry.clone()).await;
+    bench.engine.set(|knobs| knobs.pieces = 1_000_000);
+    let (address, hold) = held(node.owner.peer).await;
+    let owner = Owner {
+        peer: address,
+        ..node.owner.clone()
+    };
+    let runner = clients().runner(&owner);
+    let begun = (0..150).map(|number| {
+        let attempt = attempt(&format!("gone-{number}"), "plans", true);
+        runner.run(attempt)
+    });
+    let gone = futures::future::join_all(begun).await;
+    assert!(gone.iter().all(Result::is_ok));
+    bench.engine.set(|knobs| knobs.pieces = 100);
+    let answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    hold.send_replace(true);
+    drop(gone);
+    tokio::time::sleep(Millis(500).duration()).await;
+    hold.send_replace(false);
+    let seen = text(answer).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+}
+
 #[tokio::test]
 async fn call_at_peer() {
     let bench = Bench::unowned();
@@ -149,6 +237,153 @@
     drop(listener);
 }
 
+/// Symptom: streams break off although their engines still write.
+/// Sequence: the owner's VM is paused for longer than a silent peer is trusted with new
+/// requests, and goes on.
+/// Cause: a begun answer, which nobody can give again, was given up as soon as a request that
+/// can be tried elsewhere.
+#[tokio::test]
+async fn run_peer_pauses_while_answering() {
+    let (bench, node) = owning().await;
+    bench.engine.set(|knobs| knobs.pieces = 100);
+    let (address, hold) = held(node.owner.peer).await;
+    let owner = Owner {
+        peer: address,
+        ..node.owner.clone()
+    };
+    let clients = impatient();
+    let runner = clients.runner(&owner);
+    let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    answer.body.next().await.unwrap().unwrap();
+    hold.send_replace(true);
+    let waiting = runner.run(attempt("r2", "plans", true)).await;
+    assert_eq!(waiting.unwrap_err().code, Code::PeerLost);
+    tokio::time::sleep(Millis(500).duration()).await;
+    hold.send_replace(false);
+    let seen = text(answer).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+}
+
+/// Symptom: a caller waits for the rest of a stream until its deadline.
+/// Sequence: the owner's VM loses its power in the middle of an answer.
+/// Cause: a connection that nobody closes was taken for a peer that is only paused.
+#[tokio::test]
+async fn run_peer_gone_while_answering() {
+    let (bench, node) = owning().await;
+    bench.engine.set(|knobs| knobs.pieces = 1_000_000);
+    let (address, hold) = held(node.owner.peer).await;
+    let owner = Owner {
+        peer: address,
+        ..node.owner.clone()
+    };
+    let clients = patient_for(Millis::from_secs(1));
+    let runner = clients.runner(&owner);
+    let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    answer.body.next().await.unwrap().unwrap();
+    hold.send_replace(true);
+    let failure = text(answer).await.unwrap_err();
+    assert_eq!(failure.code, Code::PeerLost);
+    assert_eq!(failure.fate(), Fate::Unknown);
+}
+
+/// Symptom: a request that never left is called unknown, and isn't tried elsewhere.
+/// Sequence: the owner's VM loses its power; requests go on to it until another node owns
+/// the upstream.
+/// Cause: the silent connection was kept for answers that have begun, and took new requests too.
+#[tokio::test]
+async fn run_next_after_silence() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let owner = Owner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        peer: listener.local_addr().unwrap(),
+    };
+    let clients = impatient();
+    let runner = clients.runner(&owner);
+    let first = runner.run(attempt("r1", "plans", true));
+    let (first, accepted) = tokio::join!(first, listener.accept());
+    assert_eq!(first.unwrap_err().code, Code::PeerLost);
+    drop(listener);
+    let failure = runner.run(attempt("r2", "plans", true)).await.unwrap_err();
+    assert_eq!(failure.code, Code::PeerUnreachable);
+    assert_eq!(failure.fate(), Fate::NotRun);
+    drop(accepted);
+}
+
+/// A peer that says how its answer ended, and pauses before it closes the stream.
+struct Pausing;
+
+type Told<T> = Result<tonic::Response<T>, tonic::Status>;
+type Stream<T> = BoxStream<'static, Result<T, tonic::Status>>;
+
+#[async_trait]
+impl peer_server::Peer for Pausing {
+    type ForwardStream = Stream<Down>;
+    type PermitStream = Stream<PermitDown>;
+    type SnapshotStream = Stream<SnapshotPart>;
+
+    async fn forward(&self, _: tonic::Request<tonic::Streaming<Up>>) -> Told<Stream<Down>> {
+        let head = AnswerHead {
+            status: 200,
+            ..AnswerHead::default()
+        };
+        let parts = [
+            down::Part::Head(head),
+            down::Part::Data("whole".into()),
+            down::Part::End(End::default()),
+        ];
+        let said = parts.map(|part| Ok(Down { part: Some(part) }));
+        let pausing = stream::iter(said).chain(stream::pending());
+        Ok(tonic::Response::new(pausing.boxed()))
+    }
+
+    async fn exchange(&self, _: tonic::Request<Digest>) -> Told<Delta> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+
+    async fn permit(
+        &self,
+        _: tonic::Request<tonic::Streaming<PermitUp>>,
+    ) -> Told<Stream<PermitDown>> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+
+    async fn renew(&self, _: tonic::Request<RenewRequest>) -> Told<RenewReply> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+
+    async fn snapshot(&self, _: tonic::Request<SnapshotRequest>) -> Told<Stream<SnapshotPart>> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+
+    async fn alive(&self, _: tonic::Request<AliveRequest>) -> Told<AliveReply> {
+        Err(tonic::Status::unimplemented("it only answers"))
+    }
+}
+
+/// Symptom: a caller with every piece of its answer is told that the deadline cut it.
+/// Sequence: the owner says that the answer is whole and pauses before it closes the stream.
+/// Cause: the close was awaited, though the owner's word is what makes an answer whole.
+#[tokio::test]
+async fn run_peer_pauses_after_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let owner = Owner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        peer: listener.local_addr().unwrap(),
+    };
+    let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
+    let service = peer_server::PeerServer::new(Pausing);
+    let server = tonic::transport::Server::builder().add_service(service);
+    tokio::spawn(server.serve_with_incoming(incoming));
+    let runner = clients().runner(&owner);
+    let answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    let read = tokio::time::timeout(Millis::from_secs(60).duration(), text(answer));
+    assert_eq!(read.await.unwrap().unwrap(), "whole");
+}
+
 /// Passes bytes between a client and a node until it is cut.
 async fn relay(to: SocketAddr) -> (SocketAddr, CancellationToken) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -157,7 +392,7 @@
     let until = cut.clone();
     tokio::spawn(async move {
         while let Ok((mut down, _)) = listener.accept().await {
-            let mut up = tokio::net::TcpStream::connect(to).await.unwrap();
+            let mut up = TcpStream::connect(to).await.unwrap();
             let until = until.clone();
             tokio::spawn(async move {
                 let copied = tokio::io::copy_bidirectional(&mut down, &mut up);
@@ -168,6 +403,40 @@
     (address, cut)
 }
 
+/// Passes bytes between a client and a node; while it is held, all of them wait.
+async fn held(to: SocketAddr) -> (SocketAddr, watch::Sender<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let hold = watch::Sender::new(false);
+    let holds = hold.subscribe();
+    tokio::spawn(async move {
+        while let Ok((down, _)) = listener.accept().await {
+            let up = TcpStream::connect(to).await.unwrap();
+            let (from_node, to_node) = up.into_split();
+            let (from_client, to_client) = down.into_split();
+            tokio::spawn(pass(from_node, to_client, holds.clone()));
+            tokio::spawn(pass(from_client, to_node, holds.clone()));
+        }
+    });
+    (address, hold)
+}
+
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut holds: watch::Receiver<bool>) {
+    let mut waiting = Vec::new();
+    loop {
+        if holds.wait_for(|held| !held).await.is_err() {
+            return;
+        }
+        if to.write_all(&waiting).await.is_err() {
+            return;
+        }
+        waiting.clear();
+        if from.read_buf(&mut waiting).await.unwrap_or(0) == 0 {
+            return;
+        }
+    }
+}
+
 /// Symptom: a short answer that looks whole.
 /// Sequence: the connection to the owner breaks in the middle of an answer.
 /// Cause: the stream's end was taken for the answer's end.
@@ -242,6 +511,29 @@
     node.served.await.unwrap();
 }
 
+/// Symptom: a planned stop of an owner cuts the last pieces of an answer off.
+/// Sequence: the engine has written everything and the owner has let it go, while the last
+/// pieces wait for an entry node whose caller reads slowly; the owner stops.
+/// Cause: the end of what runs was taken for the end of what has arrived.
+#[tokio::test]
+async fn serve_stop_delivers_what_has_ended() {
+    let (bench, node) = owning().await;
+    // The answer is a little longer than what may wait for a slow reader.
+    bench.engine.set(|knobs| {
+        knobs.piece_bytes = 30 << 10;
+        knobs.piece_ms = Millis::ZERO;
+    });
+    let runner = clients().runner(&node.owner);
+    let answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    bench.registry.ended().await;
+    node.stop.cancel();
+    tokio::time::sleep(Millis(500).duration()).await;
+    assert!(!node.served.is_finished());
+    let seen = text(answer).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"));
+    node.served.await.unwrap();
+}
+
 #[tokio::test]
 async fn exchange_renew_and_snapshot() {
     let node = Node::start(Arc::new(Nobody)).await;
