membership: a node's registration is a session, and it joins

Cause: Tenure, Entrance and Entering made a reader stop; the field says session and join. Change: Tenure -> Session, Entrance -> Join, Entering -> Joining (Out -> Idle), with the fields and functions of the same words. Private to membership::machine; no log line, metric or message changes. `Registration` was ruled out: Keys::registration is the record that outlives the lease.

--- a/lib/src/membership/machine/claims.rs
+++ b/lib/src/membership/machine/claims.rs
@@ -55,14 +55,14 @@
     }
 
     fn may_claim(&self, now: Millis) -> bool {
-        let Some(tenure) = &self.tenure else {
+        let Some(session) = &self.session else {
             return false;
         };
         self.standing
             && self.stopping.is_none()
-            && tenure.checked
-            && !tenure.dead
-            && now < tenure.service_until
+            && session.checked
+            && !session.dead
+            && now < session.service_until
     }
 
     fn watch_nodes(&mut self, now: Millis) {
@@ -189,10 +189,10 @@
     // A claim written late, after this node's lease lapsed, would name an owner that
     // knows nothing of it.
     fn claimant_conditions(&self) -> Vec<Condition> {
-        match &self.tenure {
-            Some(tenure) => {
+        match &self.session {
+            Some(session) => {
                 let key = self.keys.node(&self.identity.name);
-                vec![Condition::Unchanged(key, tenure.record.revision)]
+                vec![Condition::Unchanged(key, session.record.revision)]
             }
             None => Vec::new(),
         }
@@ -369,7 +369,7 @@
     }
 
     fn may_adopt(&self) -> bool {
-        let checked = self.tenure.as_ref().is_some_and(|tenure| tenure.checked);
+        let checked = self.session.as_ref().is_some_and(|session| session.checked);
         self.standing && checked && self.stopping.is_none()
     }
 
@@ -546,9 +546,9 @@
             return;
         }
         let announced = self
-            .tenure
+            .session
             .as_ref()
-            .is_none_or(|tenure| tenure.record.draining || !tenure.checked);
+            .is_none_or(|session| session.record.draining || !session.checked);
         if announced {
             self.hand_all_over(now);
         }
@@ -600,8 +600,8 @@
         self.standing = false;
         self.until = now;
         self.round = None;
-        match self.tenure.take() {
-            Some(tenure) => self.call(now, Purpose::Revoke, Call::Revoke(tenure.lease)),
+        match self.session.take() {
+            Some(session) => self.call(now, Purpose::Revoke, Call::Revoke(session.lease)),
             None => self.revoked(),
         }
         // A second call would only wait for the first one's answer.
--- a/lib/src/membership/machine/lease.rs
+++ b/lib/src/membership/machine/lease.rs
@@ -18,7 +18,7 @@
 
 /// A registration at the service.
 #[derive(Debug)]
-pub(super) struct Tenure {
+pub(super) struct Session {
     pub lease: LeaseId,
     pub span: Millis,
     pub record: Record,
@@ -37,16 +37,16 @@
 
 /// How far a registration has come.
 #[derive(Debug)]
-pub(super) enum Entering {
-    Out,
+pub(super) enum Joining {
+    Idle,
     Granting,
-    Registering(Entrance),
-    Settling(Entrance),
+    Registering(Join),
+    Settling(Join),
 }
 
 /// A lease and the record that is being written under it.
 #[derive(Debug, Clone)]
-pub(super) struct Entrance {
+pub(super) struct Join {
     pub lease: LeaseId,
     pub span: Millis,
     pub granted: Millis,
@@ -58,41 +58,41 @@
         if self.ending() {
             return;
         }
-        if let Some(tenure) = &mut self.tenure
-            && !tenure.dead
-            && !tenure.renewing
-            && now >= tenure.next_renewal
+        if let Some(session) = &mut self.session
+            && !session.dead
+            && !session.renewing
+            && now >= session.next_renewal
         {
-            tenure.renewing = true;
-            let lease = tenure.lease;
+            session.renewing = true;
+            let lease = session.lease;
             self.call(now, Purpose::Renew(lease), Call::Renew(lease));
         }
-        if matches!(self.entering, Entering::Out) && now >= self.next_entry {
-            self.enter(now);
+        if matches!(self.joining, Joining::Idle) && now >= self.next_join {
+            self.join(now);
         }
     }
 
     // A registration is written anew when there is none, when the fleet has
     // outgrown the lease's span, when witnesses have gone, or when draining begins.
-    fn enter(&mut self, now: Millis) {
+    fn join(&mut self, now: Millis) {
         if !self.table.has_read() {
             return;
         }
         let span = self.limits.lease_span(self.fleet_size());
-        match &self.tenure {
-            Some(tenure) if !tenure.dead => {
-                let outgrown = span.0 >= tenure.span.0 * OUTGROWN;
-                let (lease, old) = (tenure.lease, tenure.span);
+        match &self.session {
+            Some(session) if !session.dead => {
+                let outgrown = span.0 >= session.span.0 * OUTGROWN;
+                let (lease, old) = (session.lease, session.span);
                 if outgrown {
-                    self.entering = Entering::Granting;
+                    self.joining = Joining::Granting;
                     self.call(now, Purpose::Grant, Call::Grant(span));
-                } else if tenure.checked && self.record_outdated(now) {
-                    let renewed = tenure.renewed;
+                } else if session.checked && self.record_outdated(now) {
+                    let renewed = session.renewed;
                     self.register(now, lease, old, renewed);
                 }
             }
             _ => {
-                self.entering = Entering::Granting;
+                self.joining = Joining::Granting;
                 self.call(now, Purpose::Grant, Call::Grant(span));
             }
         }
@@ -111,17 +111,17 @@
     }
 
     fn record_outdated(&self, now: Millis) -> bool {
-        let Some(tenure) = &self.tenure else {
+        let Some(session) = &self.session else {
             return false;
         };
-        if self.doubtful || self.stopping.is_some() != tenure.record.draining {
+        if self.doubtful || self.stopping.is_some() != session.record.draining {
             return true;
         }
         // A node that is replaced is back in a moment; chasing each change would
         // cost a write for every witness of every node.
         now.since(self.nodes_since) >= self.limits.lease
             && self.may_change_witnesses(now)
-            && self.witnesses_outdated(&tenure.record.witnesses)
+            && self.witnesses_outdated(&session.record.witnesses)
     }
 
     fn witnesses_outdated(&self, current: &Witnesses) -> bool {
@@ -158,14 +158,14 @@
     }
 
     fn register(&mut self, now: Millis, lease: LeaseId, span: Millis, granted: Millis) {
-        let witnesses = match &self.tenure {
-            Some(tenure) if !self.may_change_witnesses(now) => tenure.record.witnesses.clone(),
+        let witnesses = match &self.session {
+            Some(session) if !self.may_change_witnesses(now) => session.record.witnesses.clone(),
             _ => self.wanted_witnesses(),
         };
         let changed = self
-            .tenure
+            .session
             .as_ref()
-            .is_none_or(|tenure| tenure.record.witnesses != witnesses);
+            .is_none_or(|session| session.record.witnesses != witnesses);
         if changed && self.guards.on(Guard::WitnessesFixed) {
             self.round = None;
         }
@@ -174,11 +174,11 @@
         let registration = self
             .keys
             .registration(&self.identity.name, self.identity.incarnation);
-        let standing = self.tenure.as_ref().filter(|tenure| !tenure.dead);
+        let standing = self.session.as_ref().filter(|session| !session.dead);
         // The record of a former start of this node stands until its lease ends;
         // that start may still run, paused, and believe in its bound.
         let conditions = match standing {
-            Some(tenure) => vec![Condition::Unchanged(key.clone(), tenure.record.revision)],
+            Some(session) => vec![Condition::Unchanged(key.clone(), session.record.revision)],
             None if self.guards.on(Guard::FormerSelf) => vec![Condition::Absent(key.clone())],
             None => Vec::new(),
         };
@@ -186,7 +186,7 @@
             Write::Put(key, record.to_value(), Some(lease)),
             Write::Put(registration, record.to_value(), None),
         ];
-        self.entering = Entering::Registering(Entrance {
+        self.joining = Joining::Registering(Join {
             lease,
             span,
             granted,
@@ -202,31 +202,30 @@
     }
 
     fn witnesses_changing(&self) -> bool {
-        let (Entering::Registering(entrance) | Entering::Settling(entrance)) = &self.entering
-        else {
+        let (Joining::Registering(join) | Joining::Settling(join)) = &self.joining else {
             return false;
         };
-        self.tenure
+        self.session
             .as_ref()
-            .is_none_or(|tenure| tenure.record.witnesses != entrance.record.witnesses)
+            .is_none_or(|session| session.record.witnesses != join.record.witnesses)
     }
 
     pub(super) fn granted(&mut self, now: Millis, sent: Millis, result: &Result<LeaseId, Error>) {
-        self.entering = Entering::Out;
+        self.joining = Joining::Idle;
         match result {
             Ok(lease) => {
                 let lease = *lease;
                 let span = self.limits.lease_span(self.fleet_size());
                 self.register(now, lease, span, sent);
             }
-            Err(_) => self.retry_entry(now),
+            Err(_) => self.retry_join(now),
         }
     }
 
-    fn retry_entry(&mut self, now: Millis) {
-        self.entering = Entering::Out;
+    fn retry_join(&mut self, now: Millis) {
+        self.joining = Joining::Idle;
         let retry = self.retry_span();
-        self.next_entry = now + self.jitter(retry);
+        self.next_join = now + self.jitter(retry);
     }
 
     // All nodes try at the same time when the service comes back. At a third of
@@ -238,18 +237,17 @@
 
     pub(super) fn registered(&mut self, now: Millis, result: &Result<Commit, Error>) {
         let changed = self.witnesses_changing();
-        let Entering::Registering(entrance) = std::mem::replace(&mut self.entering, Entering::Out)
-        else {
+        let Joining::Registering(join) = std::mem::replace(&mut self.joining, Joining::Idle) else {
             return;
         };
         if matches!(result, Err(Error::NoAnswer(_) | Error::Malformed(_))) {
-            self.doubt(&entrance, changed);
+            self.doubt(&join, changed);
         }
         match result {
-            Ok(commit) if commit.done => self.entered(now, entrance, commit.revision, true),
+            Ok(commit) if commit.done => self.joined(now, join, commit.revision, true),
             // What stands under the key is this node's own late write, or its former self's.
-            Ok(_) | Err(Error::NoAnswer(_) | Error::Malformed(_)) => self.settle(now, entrance),
-            Err(Error::Unreachable(_) | Error::Refused(_)) => self.retry_entry(now),
+            Ok(_) | Err(Error::NoAnswer(_) | Error::Malformed(_)) => self.settle(now, join),
+            Err(Error::Unreachable(_) | Error::Refused(_)) => self.retry_join(now),
         }
     }
 
@@ -257,56 +255,55 @@
     // would ask those while this node counts on the old ones; under another lease, the
     // record would vanish while this node renews the old lease. Until a registration
     // of its own is certain again, neither the old witnesses nor the old lease count.
-    fn doubt(&mut self, entrance: &Entrance, changed: bool) {
+    fn doubt(&mut self, join: &Join, changed: bool) {
         self.doubtful |= changed;
-        if let Some(tenure) = &mut self.tenure
-            && tenure.lease != entrance.lease
+        if let Some(session) = &mut self.session
+            && session.lease != join.lease
         {
-            tenure.dead = true;
-            tenure.checked = false;
+            session.dead = true;
+            session.checked = false;
         }
     }
 
-    fn settle(&mut self, now: Millis, entrance: Entrance) {
-        self.entering = Entering::Settling(entrance);
+    fn settle(&mut self, now: Millis, join: Join) {
+        self.joining = Joining::Settling(join);
         let key = self.keys.node(&self.identity.name);
         self.call(now, Purpose::SettleRegister, Call::Read(key));
     }
 
     pub(super) fn settled(&mut self, now: Millis, result: Result<Option<Entry>, Error>) {
-        let Entering::Settling(entrance) = std::mem::replace(&mut self.entering, Entering::Out)
-        else {
+        let Joining::Settling(join) = std::mem::replace(&mut self.joining, Joining::Idle) else {
             return;
         };
         let Ok(entry) = result else {
             // Without the read nothing is known; asking again is all there is.
-            self.entering = Entering::Settling(entrance);
-            self.next_entry = now + RETRY;
+            self.joining = Joining::Settling(join);
+            self.next_join = now + RETRY;
             return;
         };
         let found = entry.and_then(|entry| Record::from_value(&entry.value, entry.revision));
         match found {
             Some(record) if record.identity == self.identity => {
                 let revision = record.revision;
-                let known = self.tenure.as_ref().map(|t| t.record.revision);
+                let known = self.session.as_ref().map(|t| t.record.revision);
                 if known == Some(revision) {
                     // Still the old one: writing over it makes the late write fail.
-                    self.retry_entry(now);
+                    self.retry_join(now);
                     return;
                 }
-                let own = record.lease == entrance.lease;
-                let entrance = Entrance {
+                let own = record.lease == join.lease;
+                let join = Join {
                     lease: record.lease,
                     record,
-                    ..entrance
+                    ..join
                 };
-                self.entered(now, entrance, revision, own);
+                self.joined(now, join, revision, own);
             }
             _ => {
-                if let Some(tenure) = &mut self.tenure {
-                    tenure.dead = true;
+                if let Some(session) = &mut self.session {
+                    session.dead = true;
                 }
-                self.retry_entry(now);
+                self.retry_join(now);
             }
         }
     }
@@ -317,46 +314,46 @@
             .pending
             .values()
             .any(|pending| matches!(pending.purpose, Purpose::SettleRegister));
-        if reading || now < self.next_entry {
+        if reading || now < self.next_join {
             return;
         }
-        if let Entering::Settling(entrance) = &self.entering {
-            let entrance = entrance.clone();
-            self.settle(now, entrance);
+        if let Joining::Settling(join) = &self.joining {
+            let join = join.clone();
+            self.settle(now, join);
         }
     }
 
-    fn entered(&mut self, now: Millis, entrance: Entrance, revision: u64, counted: bool) {
-        let Entrance {
+    fn joined(&mut self, now: Millis, join: Join, revision: u64, counted: bool) {
+        let Join {
             lease,
             span,
             granted,
             mut record,
-        } = entrance;
+        } = join;
         record.revision = revision;
         self.witness.registered(revision);
         self.doubtful = false;
-        let kept = self.tenure.take().filter(|tenure| tenure.lease == lease);
+        let kept = self.session.take().filter(|session| session.lease == lease);
         let service_until = match &kept {
-            Some(tenure) => tenure.service_until,
+            Some(session) => session.service_until,
             None if counted => granted + span - drift(span),
             None => Millis::ZERO,
         };
-        let checked = kept.as_ref().is_some_and(|tenure| tenure.checked);
-        self.tenure = Some(Tenure {
+        let checked = kept.as_ref().is_some_and(|session| session.checked);
+        self.session = Some(Session {
             lease,
             span,
             record: record.clone(),
             service_until,
-            renewed: kept.as_ref().map_or(granted, |tenure| tenure.renewed),
+            renewed: kept.as_ref().map_or(granted, |session| session.renewed),
             dead: false,
-            renewing: kept.as_ref().is_some_and(|tenure| tenure.renewing),
-            next_renewal: kept.map_or(now, |tenure| tenure.next_renewal),
+            renewing: kept.as_ref().is_some_and(|session| session.renewing),
+            next_renewal: kept.map_or(now, |session| session.next_renewal),
             checked_after: now,
             checked,
         });
-        self.entering = Entering::Out;
-        self.next_entry = now + RETRY;
+        self.joining = Joining::Idle;
+        self.next_join = now + RETRY;
         self.table.learn_record(record.clone());
         self.table.learn_registration(record);
         self.reading.wanted = true;
@@ -375,30 +372,34 @@
         } else {
             now
         };
-        let Some(tenure) = self.tenure.as_mut().filter(|tenure| tenure.lease == lease) else {
+        let Some(session) = self
+            .session
+            .as_mut()
+            .filter(|session| session.lease == lease)
+        else {
             return;
         };
-        tenure.renewing = false;
+        session.renewing = false;
         match result {
             Ok(span) if *span > Millis::ZERO => {
-                let third = Millis(tenure.span.0 / RENEWALS);
+                let third = Millis(session.span.0 / RENEWALS);
                 let wait = self.jitter(third);
                 self.renewal_counts(lease, from);
-                if let Some(tenure) = &mut self.tenure {
-                    tenure.next_renewal = sent + wait;
+                if let Some(session) = &mut self.session {
+                    session.next_renewal = sent + wait;
                 }
             }
             Ok(_) => {
-                tenure.dead = true;
-                tenure.checked = false;
-                self.next_entry = now;
+                session.dead = true;
+                session.checked = false;
+                self.next_join = now;
                 self.note("lease_lost");
             }
             Err(_) => {
-                let third = Millis(tenure.span.0 / RENEWALS);
+                let third = Millis(session.span.0 / RENEWALS);
                 let wait = self.jitter(Millis(third.0 / 2));
-                if let Some(tenure) = &mut self.tenure {
-                    tenure.next_renewal = now + wait;
+                if let Some(session) = &mut self.session {
+                    session.next_renewal = now + wait;
                 }
             }
         }
@@ -406,29 +407,33 @@
 
     /// Counts a renewal that was sent, by this node or through a witness, at `sent`.
     pub(super) fn renewal_counts(&mut self, lease: LeaseId, sent: Millis) {
-        let Some(tenure) = self.tenure.as_mut().filter(|tenure| tenure.lease == lease) else {
+        let Some(session) = self
+            .session
+            .as_mut()
+            .filter(|session| session.lease == lease)
+        else {
             return;
         };
-        tenure.renewed = tenure.renewed.max(sent);
-        let until = sent + tenure.span - drift(tenure.span);
-        tenure.service_until = tenure.service_until.max(until);
-        if tenure.checked {
+        session.renewed = session.renewed.max(sent);
+        let until = sent + session.span - drift(session.span);
+        session.service_until = session.service_until.max(until);
+        if session.checked {
             self.extend(until);
         }
     }
 
     /// Whether the lease was renewed too long ago to rely on the service.
     pub(super) fn renewal_late(&self, now: Millis) -> bool {
-        self.tenure.as_ref().is_some_and(|tenure| {
-            tenure.dead || now.since(tenure.renewed) >= Millis(tenure.span.0 / 2)
+        self.session.as_ref().is_some_and(|session| {
+            session.dead || now.since(session.renewed) >= Millis(session.span.0 / 2)
         })
     }
 
     /// Whether the outage has lasted longer than any owner may go on.
     pub(super) fn outage_over(&self, now: Millis) -> bool {
-        self.tenure
+        self.session
             .as_ref()
-            .is_none_or(|tenure| now.since(tenure.renewed) >= OUTAGE_LIMIT)
+            .is_none_or(|session| now.since(session.renewed) >= OUTAGE_LIMIT)
     }
 
     pub(super) fn tend_reading(&mut self, now: Millis) {
@@ -480,18 +485,18 @@
     // successor can write over them while the record stands.
     fn check_claims(&mut self, now: Millis, sent: Millis) {
         let read_up_to = self.table.read_up_to();
-        let Some(tenure) = &mut self.tenure else {
+        let Some(session) = &mut self.session else {
             return;
         };
-        if tenure.dead {
+        if session.dead {
             return;
         }
-        if sent < tenure.checked_after || read_up_to < tenure.record.revision {
+        if sent < session.checked_after || read_up_to < session.record.revision {
             self.reading.wanted = true;
             return;
         }
-        tenure.checked = true;
-        let until = tenure.service_until;
+        session.checked = true;
+        let until = session.service_until;
         if self.standing {
             self.extend(until);
         } else if now < until {
--- a/lib/src/membership/machine/mod.rs
+++ b/lib/src/membership/machine/mod.rs
@@ -29,7 +29,7 @@
 use crate::ports::{Commit, Entry, Error, LeaseId, Listing, Transaction};
 
 use claims::Busy;
-use lease::{Entering, Tenure};
+use lease::{Joining, Session};
 use support::Round;
 use takeover::Withdrawal;
 
@@ -167,11 +167,11 @@
     pending: BTreeMap<u64, Pending>,
     calls: u64,
 
-    tenure: Option<Tenure>,
-    entering: Entering,
+    session: Option<Session>,
+    joining: Joining,
     // A registration with other witnesses may yet take effect.
     doubtful: bool,
-    next_entry: Millis,
+    next_join: Millis,
     // Whether the node has the right to own, and until when.
     standing: bool,
     stood_since: Millis,
@@ -228,10 +228,10 @@
             actions: Vec::new(),
             pending: BTreeMap::new(),
             calls: 0,
-            tenure: None,
-            entering: Entering::Out,
+            session: None,
+            joining: Joining::Idle,
             doubtful: false,
-            next_entry: now,
+            next_join: now,
             standing: false,
             stood_since: now,
             until: Millis::ZERO,
@@ -401,14 +401,14 @@
     /// Whether the right rests on witnesses since the service can't be reached.
     #[must_use]
     pub fn outage(&self) -> bool {
-        let service = self.tenure.as_ref().map(|tenure| tenure.service_until);
+        let service = self.session.as_ref().map(|session| session.service_until);
         self.standing && service.is_none_or(|until| until < self.until)
     }
 
     /// Returns the lease's span, if the node has one.
     #[must_use]
     pub fn span(&self) -> Option<Millis> {
-        self.tenure.as_ref().map(|tenure| tenure.span)
+        self.session.as_ref().map(|session| session.span)
     }
 
     /// Lists the upstreams that this node serves, with their fencing tokens.
@@ -481,9 +481,9 @@
         }
         self.standing = false;
         self.round = None;
-        if let Some(tenure) = &mut self.tenure {
-            tenure.checked_after = now;
-            tenure.checked = false;
+        if let Some(session) = &mut self.session {
+            session.checked_after = now;
+            session.checked = false;
         }
         self.reading.wanted = true;
         self.note("lapsed");
--- a/lib/src/membership/machine/support.rs
+++ b/lib/src/membership/machine/support.rs
@@ -42,15 +42,15 @@
     }
 
     fn ask_support(&mut self, now: Millis) {
-        let Some(tenure) = &self.tenure else {
+        let Some(session) = &self.session else {
             return;
         };
-        let witnesses = tenure.record.witnesses.clone();
+        let witnesses = session.record.witnesses.clone();
         let ask = Ask {
             node: self.identity.name.clone(),
             incarnation: self.identity.incarnation,
-            lease: tenure.lease,
-            registration: tenure.record.revision,
+            lease: session.lease,
+            registration: session.record.revision,
             withdraw_before: None,
         };
         self.rounds += 1;
