operators: how far a configuration has come on a node is its rollout

Cause: Standing also named the state of an owned engine in direct::view; here it is the revision in force, the newest one held and why a newer one can't be taken over, which is a rollout. Change: wire::Standing -> wire::Rollout, Configuration::standing -> rollout. The JSON's keys stay (`configuration`), so scripts see no change.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use chivevalve::operators::wire::{Owned, Peer, Standing, Status, Upstream};
+use chivevalve::operators::wire::{Owned, Peer, Rollout, Status, Upstream};
 use serde::Serialize;
 
 use super::{Command, online};
@@ -160,8 +160,8 @@
     format!("not ready: {}", status.not_ready.join("; "))
 }
 
-fn confirmed(standing: &Standing) -> String {
-    standing
+fn confirmed(rollout: &Rollout) -> String {
+    rollout
         .confirmed_age_ms
         .map_or_else(|| "never".to_owned(), |age| format!("{} ago", span(age)))
 }
@@ -190,7 +190,7 @@
         status.configuration.revision,
         confirmed(&status.configuration)
     ));
-    let Standing {
+    let Rollout {
         revision, learned, ..
     } = status.configuration;
     if learned > revision {
--- a/lib/src/operators/configuration.rs
+++ b/lib/src/operators/configuration.rs
@@ -13,9 +13,9 @@
 
 #[async_trait]
 impl Configuration for Keeper {
-    fn standing(&self) -> wire::Standing {
+    fn rollout(&self) -> wire::Rollout {
         let status = self.status();
-        wire::Standing {
+        wire::Rollout {
             revision: status.revision,
             learned: status.learned,
             confirmed_age_ms: status.confirmed_age_ms,
--- a/lib/src/operators/port.rs
+++ b/lib/src/operators/port.rs
@@ -12,7 +12,7 @@
 #[async_trait]
 pub trait Configuration: fmt::Debug + Send + Sync {
     /// Says which revision is in force and how fresh that is.
-    fn standing(&self) -> wire::Standing;
+    fn rollout(&self) -> wire::Rollout;
 
     /// Returns all declarations in force.
     async fn export(&self) -> Result<wire::Export, Refusal>;
--- a/lib/src/operators/status.rs
+++ b/lib/src/operators/status.rs
@@ -30,7 +30,7 @@
         region: parts.node.region.to_string(),
         failure_domain: parts.node.failure_domain.to_string(),
         not_ready: not_ready(parts),
-        configuration: parts.configuration.standing(),
+        configuration: parts.configuration.rollout(),
         nodes: parts.membership.nodes(),
         upstreams: upstreams(parts),
         owned: parts.ownership.owned(),
--- a/lib/src/operators/wire.rs
+++ b/lib/src/operators/wire.rs
@@ -133,7 +133,7 @@
 
 /// The configuration that a node decides on.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Standing {
+pub struct Rollout {
     /// The revision in force; 0 is none yet.
     pub revision: u64,
     /// The newest revision that the node holds; it comes in force once its adapters are fetched.
@@ -158,7 +158,7 @@
     /// Why it isn't ready; empty when it is.
     pub not_ready: Vec<String>,
     /// The configuration in force.
-    pub configuration: Standing,
+    pub configuration: Rollout,
     /// Other nodes, as this one sees them.
     pub nodes: Vec<Peer>,
     /// Upstreams, as this node sees them.
--- a/lib/tests/test_operators.rs
+++ b/lib/tests/test_operators.rs
@@ -38,8 +38,8 @@
 
 #[async_trait]
 impl port::Configuration for Fake {
-    fn standing(&self) -> wire::Standing {
-        wire::Standing::default()
+    fn rollout(&self) -> wire::Rollout {
+        wire::Rollout::default()
     }
 
     async fn export(&self) -> Result<wire::Export, Refusal> {
