membership: a witness votes

Cause: witness::Word, Said and hear hid that a witness grants or ends an owner's lease extension in an outage, which the field calls a vote. Ruled out: another name for Witness. Change: Word -> Vote, Answer::Said -> Voted, hear -> vote, also in the lines of peer/, the harness and tests that use them. Assertions are as they were; no wire name changes.

--- a/bench/src/fuzz_outcomes/harness/world.rs
+++ b/bench/src/fuzz_outcomes/harness/world.rs
@@ -373,7 +373,7 @@
         Call::Commit(_) => Answer::Committed(Err(error)),
         Call::Read(_) => Answer::Read(Err(error)),
         Call::List => Answer::Listed(Err(error)),
-        Call::Ask(..) => Answer::Said(None),
+        Call::Ask(..) => Answer::Voted(None),
         Call::Release(..) => Answer::Released,
     }
 }
--- a/bench/src/fuzz_outcomes/harness/world/calls.rs
+++ b/bench/src/fuzz_outcomes/harness/world/calls.rs
@@ -71,7 +71,7 @@
             .nodes
             .iter()
             .position(|node| node.identity.peer == address);
-        self.time_out(from, start, number, Answer::Said(None));
+        self.time_out(from, start, number, Answer::Voted(None));
         let Some(to) = to else {
             return;
         };
--- a/bench/src/fuzz_outcomes/harness/world/events.rs
+++ b/bench/src/fuzz_outcomes/harness/world/events.rs
@@ -117,7 +117,7 @@
         match arrival {
             Arrival::Answer(
                 number,
-                answer @ (Answer::Said(_) | Answer::Committed(_) | Answer::Renewed(_)),
+                answer @ (Answer::Voted(_) | Answer::Committed(_) | Answer::Renewed(_)),
             ) => {
                 self.tell(|| format!("n{index} call {number}: {answer:?}"));
             }
@@ -148,14 +148,14 @@
         let Some(machine) = &mut self.nodes[index].machine else {
             return;
         };
-        let mut word = machine.hear(now, ask);
+        let mut vote = machine.vote(now, ask);
         if ask.withdraw_before.is_none() && reached {
             let span = self.service.renew(Millis(self.now), ask.lease);
-            word.renewed = span > Millis::ZERO;
+            vote.renewed = span > Millis::ZERO;
         }
         if self.connected(index, from) && !self.lost() {
             let delay = self.slow_delay();
-            let answer = Arrival::Answer(number, Answer::Said(Some(word)));
+            let answer = Arrival::Answer(number, Answer::Voted(Some(vote)));
             self.later(delay, Due::Node(from, start, answer));
         }
     }
--- a/bench/src/spread/loopback.rs
+++ b/bench/src/spread/loopback.rs
@@ -81,8 +81,8 @@
 
 #[async_trait]
 impl Renewal for Unused {
-    async fn renew(&self, _ask: witness::Ask) -> witness::Word {
-        witness::Word::default()
+    async fn renew(&self, _ask: witness::Ask) -> witness::Vote {
+        witness::Vote::default()
     }
 }
 
--- a/lib/src/membership/keeper.rs
+++ b/lib/src/membership/keeper.rs
@@ -25,7 +25,7 @@
 use crate::membership::machine::{Action, Answer, Call, Machine};
 use crate::membership::node::{Identity, Keys};
 use crate::membership::upstreams::{Upstreams, Verdict};
-use crate::membership::witness::{Ask, Word};
+use crate::membership::witness::{Ask, Vote};
 use crate::membership::{Adopter, Hold, Relay, Renewal, Sight};
 use crate::metrics::Metrics;
 use crate::name::Name;
@@ -308,8 +308,8 @@
                     .unwrap_or_else(|_| Err(lost())),
             ),
             Call::Ask(peer, ask) => {
-                let word = timeout(limit, relay.renew(peer, ask)).await;
-                Answer::Said(word.ok().flatten())
+                let vote = timeout(limit, relay.renew(peer, ask)).await;
+                Answer::Voted(vote.ok().flatten())
             }
             Call::Release(..) => Answer::Released,
         }
@@ -521,20 +521,20 @@
 
 #[async_trait::async_trait]
 impl Renewal for Keeper {
-    async fn renew(&self, ask: Ask) -> Word {
+    async fn renew(&self, ask: Ask) -> Vote {
         let now = self.parts.clock.now();
-        let (mut word, reached) = {
+        let (mut vote, reached) = {
             let mut core = self.lock();
             let age = core.machine.service_age(now);
             let reached = age.is_some_and(|age| age < REACHED);
-            (core.machine.hear(now, &ask), reached)
+            (core.machine.vote(now, &ask), reached)
         };
         if ask.withdraw_before.is_none() && reached {
             let half = Millis(self.parts.limits.call_timeout.0 / 2);
             let renewed = timeout(half.duration(), self.parts.lease.renew(ask.lease)).await;
-            word.renewed = matches!(renewed, Ok(Ok(span)) if span > Millis::ZERO);
+            vote.renewed = matches!(renewed, Ok(Ok(span)) if span > Millis::ZERO);
         }
-        word
+        vote
     }
 }
 
--- a/lib/src/membership/machine/mod.rs
+++ b/lib/src/membership/machine/mod.rs
@@ -24,7 +24,7 @@
 use crate::membership::node::{Identity, Keys};
 use crate::membership::placement;
 use crate::membership::table::Table;
-use crate::membership::witness::{Ask, Witness, Word};
+use crate::membership::witness::{Ask, Vote, Witness};
 use crate::name::Name;
 use crate::ports::{Commit, Entry, Error, LeaseId, Listing, Transaction};
 
@@ -73,7 +73,7 @@
     /// Of [`Call::List`].
     Listed(Result<Listing, Error>),
     /// Of [`Call::Ask`]; none when no answer came in time.
-    Said(Option<Word>),
+    Voted(Option<Vote>),
     /// Of [`Call::Release`].
     Released,
 }
@@ -298,8 +298,8 @@
                 self.claim_read(now, &upstream, result);
             }
             (Purpose::Release(upstream), Answer::Released) => self.released(now, &upstream),
-            (Purpose::Support { round, witness }, Answer::Said(word)) => {
-                self.supported(now, round, witness, word);
+            (Purpose::Support { round, witness }, Answer::Voted(vote)) => {
+                self.supported(now, round, witness, vote);
             }
             (
                 Purpose::Withdraw {
@@ -307,9 +307,9 @@
                     round,
                     witness,
                 },
-                Answer::Said(word),
+                Answer::Voted(vote),
             ) => {
-                self.withdrawn(now, &start, round, witness, word);
+                self.withdrawn(now, &start, round, witness, vote);
             }
             (Purpose::Revoke, _) => self.revoked(),
             _ => {}
@@ -337,8 +337,8 @@
     }
 
     /// Answers a peer that asks this node as a witness.
-    pub fn hear(&mut self, now: Millis, ask: &Ask) -> Word {
-        self.witness.hear(now, ask)
+    pub fn vote(&mut self, now: Millis, ask: &Ask) -> Vote {
+        self.witness.vote(now, ask)
     }
 
     /// Begins the node's planned stop: hands over everything within `limit`.
@@ -462,7 +462,7 @@
             Answer::Committed(result) => result.is_ok(),
             Answer::Read(result) => result.is_ok(),
             Answer::Listed(result) => result.is_ok(),
-            Answer::Revoked | Answer::Said(_) | Answer::Released => false,
+            Answer::Revoked | Answer::Voted(_) | Answer::Released => false,
         };
         if reached {
             self.last_service = Some(now);
--- a/lib/src/membership/machine/support.rs
+++ b/lib/src/membership/machine/support.rs
@@ -7,7 +7,7 @@
 use crate::membership::guard::Guard;
 use crate::membership::limits::{SUPPORT_SPAN, drift};
 use crate::membership::placement::majority;
-use crate::membership::witness::{Ask, Word};
+use crate::membership::witness::{Ask, Vote};
 use crate::name::Name;
 use crate::ports::LeaseId;
 
@@ -74,14 +74,14 @@
     /// Asks a witness, which may be this node itself.
     pub(super) fn ask(&mut self, now: Millis, witness: &Name, purpose: Purpose, ask: Ask) {
         if *witness == self.identity.name {
-            let word = Some(self.witness.hear(now, &ask));
+            let vote = Some(self.witness.vote(now, &ask));
             match purpose {
-                Purpose::Support { round, witness } => self.supported(now, round, witness, word),
+                Purpose::Support { round, witness } => self.supported(now, round, witness, vote),
                 Purpose::Withdraw {
                     start,
                     round,
                     witness,
-                } => self.withdrawn(now, &start, round, witness, word),
+                } => self.withdrawn(now, &start, round, witness, vote),
                 _ => {}
             }
             return;
@@ -101,9 +101,9 @@
         now: Millis,
         number: u64,
         witness: Name,
-        word: Option<Word>,
+        vote: Option<Vote>,
     ) {
-        let Some(word) = word else {
+        let Some(vote) = vote else {
             return;
         };
         let limit = self.limits.round();
@@ -119,12 +119,12 @@
         // A late answer is a promise that this node no longer needs; rounds stay short
         // so that a restarted witness is silent for longer than any of them.
         let in_time = now.since(round.sent) <= limit || !from_send;
-        if word.renewed {
+        if vote.renewed {
             let lease = round.lease;
             self.renewal_counts(lease, sent);
             return;
         }
-        if !in_time || !word.supported {
+        if !in_time || !vote.supported {
             return;
         }
         round.supported.insert(witness);
--- a/lib/src/membership/machine/takeover.rs
+++ b/lib/src/membership/machine/takeover.rs
@@ -8,7 +8,7 @@
 use crate::membership::limits::{OUTAGE_LIMIT, drift};
 use crate::membership::node::{Claim, Record};
 use crate::membership::placement::majority;
-use crate::membership::witness::{Ask, Word};
+use crate::membership::witness::{Ask, Vote};
 use crate::name::Name;
 
 /// Wait after a round in which too few witnesses withdrew.
@@ -93,14 +93,14 @@
         start: &(Name, u64),
         round: u64,
         witness: Name,
-        word: Option<Word>,
+        vote: Option<Vote>,
     ) {
         let limit = self.limits.round();
         let Some(withdrawal) = self.withdrawals.get_mut(start) else {
             return;
         };
         let in_time = now.since(withdrawal.sent) <= limit;
-        if withdrawal.round != round || !in_time || !word.is_some_and(|word| word.withdrawn) {
+        if withdrawal.round != round || !in_time || !vote.is_some_and(|vote| vote.withdrawn) {
             return;
         }
         withdrawal.withdrawn.insert(witness);
--- a/lib/src/membership/mod.rs
+++ b/lib/src/membership/mod.rs
@@ -42,18 +42,18 @@
     async fn release(&self, upstream: &str, limit: Millis);
 }
 
-/// Answers peers that ask this node as their witness.
+/// Votes for peers that ask this node as their witness.
 #[async_trait]
 pub trait Renewal: fmt::Debug + Send + Sync {
     /// Renews the asking node's lease if this node can, and supports it or withdraws.
-    async fn renew(&self, ask: witness::Ask) -> witness::Word;
+    async fn renew(&self, ask: witness::Ask) -> witness::Vote;
 }
 
 /// Asks a peer as a witness, over the peer's connection.
 #[async_trait]
 pub trait Relay: fmt::Debug + Send + Sync {
-    /// Returns the peer's word, or none when no answer came in time.
-    async fn renew(&self, peer: SocketAddr, ask: witness::Ask) -> Option<witness::Word>;
+    /// Returns the peer's vote, or none when no answer came in time.
+    async fn renew(&self, peer: SocketAddr, ask: witness::Ask) -> Option<witness::Vote>;
 }
 
 /// Tells membership how upstreams are, as their owners see them.
--- a/lib/src/membership/witness.rs
+++ b/lib/src/membership/witness.rs
@@ -34,9 +34,12 @@
     pub withdraw_before: Option<u64>,
 }
 
-/// What a witness says.
+/// How a witness votes: on a longer lease for an owner, or on its end.
+///
+/// A vote counts for one registration and one span only. Nothing is agreed on among the
+/// witnesses, so this is no consensus.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Word {
+pub struct Vote {
     /// It reached the service and renewed the lease.
     pub renewed: bool,
     /// It supports the node for one support span from when it was asked.
@@ -111,10 +114,10 @@
         }
     }
 
-    /// Answers an owner that asks for support, or a successor that asks to withdraw it.
-    pub fn hear(&mut self, now: Millis, ask: &Ask) -> Word {
+    /// Votes on an owner that asks for support, or on a successor that asks to withdraw it.
+    pub fn vote(&mut self, now: Millis, ask: &Ask) -> Vote {
         if now < self.speaks_from && !self.surely_new(ask) {
-            return Word::default();
+            return Vote::default();
         }
         self.forget(now);
         let memory = self
@@ -156,20 +159,20 @@
 }
 
 impl Memory {
-    fn support(&mut self, now: Millis, registration: u64, guards: Guards) -> Word {
+    fn support(&mut self, now: Millis, registration: u64, guards: Guards) -> Vote {
         // A withdrawn registration may have a successor already.
         let withdrawn = registration < self.withdrawn_before;
         let supported = !withdrawn || !guards.on(Guard::WitnessRemembers);
         if supported {
             self.supported_at = Some(now);
         }
-        Word {
+        Vote {
             supported,
-            ..Word::default()
+            ..Vote::default()
         }
     }
 
-    fn withdraw(&mut self, now: Millis, revision: u64, guards: Guards) -> Word {
+    fn withdraw(&mut self, now: Millis, revision: u64, guards: Guards) -> Vote {
         // The owner counts on support for a span from when it asked, which was before
         // this witness heard it. The drift allows for clocks of different rates.
         let counted_on = self
@@ -179,9 +182,9 @@
         if withdrawn {
             self.withdrawn_before = self.withdrawn_before.max(revision);
         }
-        Word {
+        Vote {
             withdrawn,
-            ..Word::default()
+            ..Vote::default()
         }
     }
 }
--- a/lib/src/peer/client.rs
+++ b/lib/src/peer/client.rs
@@ -19,7 +19,7 @@
 use crate::gossip::{Peer, Transport};
 use crate::membership::Relay;
 use crate::membership::fleet::Owner;
-use crate::membership::witness::{Ask, Word};
+use crate::membership::witness::{Ask, Vote};
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::runner::{Reach, Runner};
@@ -160,7 +160,7 @@
 
 #[async_trait]
 impl Relay for Clients {
-    async fn renew(&self, peer: SocketAddr, ask: Ask) -> Option<Word> {
+    async fn renew(&self, peer: SocketAddr, ask: Ask) -> Option<Vote> {
         let link = self.link(peer);
         let mut client = link.client().ok()?;
         let request = RenewRequest::from(ask);
--- a/lib/src/peer/witness.rs
+++ b/lib/src/peer/witness.rs
@@ -1,6 +1,6 @@
-//! The words of witnesses as the messages that carry them.
+//! The votes of witnesses as the messages that carry them.
 
-use crate::membership::witness::{Ask, Word};
+use crate::membership::witness::{Ask, Vote};
 use crate::ports::LeaseId;
 use crate::schema::peer::{RenewReply, RenewRequest};
 
@@ -28,17 +28,17 @@
     }
 }
 
-impl From<Word> for RenewReply {
-    fn from(word: Word) -> Self {
+impl From<Vote> for RenewReply {
+    fn from(vote: Vote) -> Self {
         Self {
-            renewed: word.renewed,
-            supported: word.supported,
-            withdrawn: word.withdrawn,
+            renewed: vote.renewed,
+            supported: vote.supported,
+            withdrawn: vote.withdrawn,
         }
     }
 }
 
-impl From<RenewReply> for Word {
+impl From<RenewReply> for Vote {
     fn from(reply: RenewReply) -> Self {
         Self {
             renewed: reply.renewed,
--- a/lib/tests/peer_fakes/mod.rs
+++ b/lib/tests/peer_fakes/mod.rs
@@ -11,7 +11,7 @@
 use chivevalve::loads;
 use chivevalve::membership::Renewal;
 use chivevalve::membership::fleet::Owner;
-use chivevalve::membership::witness::{Ask, Word};
+use chivevalve::membership::witness::{Ask, Vote};
 use chivevalve::metrics::Metrics;
 use chivevalve::peer::Limits;
 use chivevalve::peer::client::{self, Clients};
@@ -39,8 +39,8 @@
 
 #[async_trait]
 impl Renewal for Words {
-    async fn renew(&self, ask: Ask) -> Word {
-        Word {
+    async fn renew(&self, ask: Ask) -> Vote {
+        Vote {
             renewed: false,
             supported: &*ask.node == "b",
             withdrawn: ask.withdraw_before == Some(9),
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -118,15 +118,15 @@
 
 /// Symptom: two owners while the service is down for some and up for others.
 /// Sequence: an owner is supported, and a successor asks a second later.
-/// Cause: a witness gave its word to both.
+/// Cause: a witness gave its vote to both.
 #[test]
 fn hear_supported_of_late() {
     let (mut witness, now) = witness();
-    assert!(witness.hear(now, &ask(4, None)).supported);
+    assert!(witness.vote(now, &ask(4, None)).supported);
     let second = now + Millis(1000);
-    assert!(!witness.hear(second, &ask(4, Some(5))).withdrawn);
+    assert!(!witness.vote(second, &ask(4, Some(5))).withdrawn);
     let later = now + Millis(3500);
-    assert!(witness.hear(later, &ask(4, Some(5))).withdrawn);
+    assert!(witness.vote(later, &ask(4, Some(5))).withdrawn);
 }
 
 /// Symptom: as above, the other way round.
@@ -135,9 +135,9 @@
 #[test]
 fn hear_withdrawn() {
     let (mut witness, now) = witness();
-    assert!(witness.hear(now, &ask(4, Some(5))).withdrawn);
-    assert!(!witness.hear(now, &ask(4, None)).supported);
-    assert!(witness.hear(now, &ask(6, None)).supported);
+    assert!(witness.vote(now, &ask(4, Some(5))).withdrawn);
+    assert!(!witness.vote(now, &ask(4, None)).supported);
+    assert!(witness.vote(now, &ask(6, None)).supported);
 }
 
 /// Symptom: as above.
@@ -147,9 +147,9 @@
 fn hear_restarted() {
     let (mut witness, quiet) = witness();
     let before = Millis(quiet.0 - 1);
-    assert!(!witness.hear(before, &ask(4, None)).supported);
-    assert!(!witness.hear(before, &ask(4, Some(5))).withdrawn);
-    assert!(witness.hear(quiet, &ask(4, None)).supported);
+    assert!(!witness.vote(before, &ask(4, None)).supported);
+    assert!(!witness.vote(before, &ask(4, Some(5))).withdrawn);
+    assert!(witness.vote(quiet, &ask(4, None)).supported);
 }
 
 /// Symptom: nodes that started together give up their upstreams in an outage, 0.1 s
@@ -162,12 +162,12 @@
 fn hear_restarted_younger_registration() {
     let (mut witness, _) = witness();
     let soon = Millis(100);
-    assert!(!witness.hear(soon, &ask(8, None)).supported);
+    assert!(!witness.vote(soon, &ask(8, None)).supported);
     witness.registered(7);
     witness.registered(9);
-    assert!(!witness.hear(soon, &ask(7, None)).supported);
-    assert!(!witness.hear(soon, &ask(8, Some(10))).withdrawn);
-    assert!(witness.hear(soon, &ask(8, None)).supported);
+    assert!(!witness.vote(soon, &ask(7, None)).supported);
+    assert!(!witness.vote(soon, &ask(8, Some(10))).withdrawn);
+    assert!(witness.vote(soon, &ask(8, None)).supported);
 }
 
 /// Symptom: as of [`hear_restarted`].
@@ -179,19 +179,19 @@
 fn hear_forgot_younger_registration() {
     let (mut witness, quiet) = witness();
     witness.registered(7);
-    assert!(witness.hear(quiet, &ask(8, Some(10))).withdrawn);
+    assert!(witness.vote(quiet, &ask(8, Some(10))).withdrawn);
     for other in 0..4096 {
         let other = Ask {
             node: Name::from(format!("other-{other}")),
             ..ask(8, None)
         };
-        witness.hear(quiet + Millis(1), &other);
+        witness.vote(quiet + Millis(1), &other);
     }
     let later = quiet + Millis(2);
-    witness.hear(later, &ask(8, None));
-    assert!(!witness.hear(later, &ask(8, None)).supported);
+    witness.vote(later, &ask(8, None));
+    assert!(!witness.vote(later, &ask(8, None)).supported);
     witness.registered(20);
-    assert!(!witness.hear(later, &ask(21, None)).supported);
+    assert!(!witness.vote(later, &ask(21, None)).supported);
 }
 
 #[test]
@@ -333,15 +333,15 @@
     let quiet = Limits::default().quiet();
     let mut witness = Witness::with_guards(Millis::ZERO, quiet, Guards::without(guard));
     match guard {
-        Guard::WitnessQuiet => witness.hear(Millis(1), &ask(4, None)).supported,
+        Guard::WitnessQuiet => witness.vote(Millis(1), &ask(4, None)).supported,
         Guard::WitnessRemembers => {
-            witness.hear(quiet, &ask(4, Some(5)));
-            witness.hear(quiet, &ask(4, None)).supported
+            witness.vote(quiet, &ask(4, Some(5)));
+            witness.vote(quiet, &ask(4, None)).supported
         }
         _ => {
-            witness.hear(quiet, &ask(4, None));
+            witness.vote(quiet, &ask(4, None));
             witness
-                .hear(quiet + Millis(1000), &ask(4, Some(5)))
+                .vote(quiet + Millis(1000), &ask(4, Some(5)))
                 .withdrawn
         }
     }
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -264,8 +264,8 @@
         registration: 7,
         withdraw_before: Some(9),
     };
-    let word = clients.renew(peer.address, ask).await.unwrap();
-    assert!(word.supported && word.withdrawn && !word.renewed);
+    let vote = clients.renew(peer.address, ask).await.unwrap();
+    assert!(vote.supported && vote.withdrawn && !vote.renewed);
     let parts = clients.snapshot(&peer).await.unwrap();
     assert_eq!(parts.count().await, 3);
     let bytes = &node.metrics.control_bytes;
