membership: heartbeats and when a node was last seen

Cause: Hearing and hearing::Word didn't say that they are the heartbeats of gossip. Change: module hearing -> last_seen, Hearing -> LastSeen, Word -> Heartbeat, heard -> note. The message peer.Heard keeps its name: renaming it would touch generated code and the schema's fields for no reader's gain.

--- a/lib/src/membership/keeper.rs
+++ b/lib/src/membership/keeper.rs
@@ -20,7 +20,7 @@
 use crate::loads::WEIGHTS;
 use crate::membership::fleet::{self, Fleet, State};
 use crate::membership::guard::Guards;
-use crate::membership::hearing::Hearing;
+use crate::membership::last_seen::LastSeen;
 use crate::membership::limits::Limits;
 use crate::membership::machine::{Action, Answer, Call, Machine};
 use crate::membership::node::{Identity, Keys};
@@ -88,7 +88,7 @@
 pub(super) struct Core {
     pub machine: Machine,
     pub upstreams: Upstreams,
-    pub hearing: Hearing,
+    pub last_seen: LastSeen,
     pub gossip: super::share::Progress,
     published: (u64, u64),
     next_release: Option<Millis>,
@@ -116,7 +116,7 @@
                 now,
             ),
             upstreams: Upstreams::new(Guards::all()),
-            hearing: Hearing::default(),
+            last_seen: LastSeen::default(),
             gossip: super::share::Progress::default(),
             published: (0, 0),
             next_release: None,
--- a/lib/src/membership/hearing.rs
+++ b/lib/src/membership/last_seen.rs
@@ -14,12 +14,12 @@
 /// After this time a silent node is forgotten.
 const FORGOTTEN: Millis = Millis::from_secs(600);
 
-/// What was heard of one node.
+/// The latest heartbeat of a node, heard first-hand or through another node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Word {
+pub struct Heartbeat {
     /// Which start of the node.
     pub incarnation: u64,
-    /// When it was alive, at the latest news.
+    /// When the node was alive, on this node's clock.
     pub at: Millis,
     /// Whether it is stopping.
     pub draining: bool,
@@ -27,50 +27,51 @@
 
 /// When each node was last heard of, by this node or by one that told it.
 #[derive(Debug, Default)]
-pub struct Hearing {
-    words: BTreeMap<Name, Word>,
+pub struct LastSeen {
+    heartbeats: BTreeMap<Name, Heartbeat>,
     told_up_to: Option<Name>,
 }
 
-impl Hearing {
-    /// Takes news of a node.
-    pub fn heard(&mut self, node: &str, word: Word) {
+impl LastSeen {
+    /// Takes a heartbeat; one that is no newer than the last changes nothing.
+    pub fn note(&mut self, node: &str, heartbeat: Heartbeat) {
         if self
-            .words
+            .heartbeats
             .get(node)
-            .is_some_and(|known| known.at >= word.at)
+            .is_some_and(|known| known.at >= heartbeat.at)
         {
             return;
         }
-        self.words.insert(Name::from(node), word);
+        self.heartbeats.insert(Name::from(node), heartbeat);
     }
 
-    /// Returns the last news of a node.
+    /// Returns the last heartbeat of a node.
     #[must_use]
-    pub fn of(&self, node: &str) -> Option<Word> {
-        self.words.get(node).copied()
+    pub fn of(&self, node: &str) -> Option<Heartbeat> {
+        self.heartbeats.get(node).copied()
     }
 
     /// Picks the nodes to tell of, in turns.
     pub fn tell(&mut self, now: Millis) -> Vec<peer::Heard> {
-        self.words.retain(|_, word| now.since(word.at) < FORGOTTEN);
+        self.heartbeats
+            .retain(|_, heartbeat| now.since(heartbeat.at) < FORGOTTEN);
         let from = self.told_up_to.clone();
         let after = self
-            .words
+            .heartbeats
             .iter()
             .filter(|(name, _)| Some(*name) > from.as_ref());
-        let told: Vec<(&Name, &Word)> = after.take(TOLD).collect();
+        let told: Vec<(&Name, &Heartbeat)> = after.take(TOLD).collect();
         self.told_up_to = if told.len() < TOLD {
             None
         } else {
             told.last().map(|(name, _)| (*name).clone())
         };
         told.into_iter()
-            .map(|(name, word)| peer::Heard {
+            .map(|(name, heartbeat)| peer::Heard {
                 node: name.to_string(),
-                incarnation: word.incarnation,
-                age_ms: u32::try_from(now.since(word.at).0).unwrap_or(u32::MAX),
-                draining: word.draining,
+                incarnation: heartbeat.incarnation,
+                age_ms: u32::try_from(now.since(heartbeat.at).0).unwrap_or(u32::MAX),
+                draining: heartbeat.draining,
             })
             .collect()
     }
--- a/lib/src/membership/mod.rs
+++ b/lib/src/membership/mod.rs
@@ -2,9 +2,9 @@
 
 pub mod fleet;
 pub mod guard;
-pub mod hearing;
 pub mod hold;
 pub mod keeper;
+pub mod last_seen;
 pub mod limits;
 pub mod machine;
 pub mod node;
--- a/lib/src/membership/share.rs
+++ b/lib/src/membership/share.rs
@@ -7,8 +7,8 @@
 
 use crate::clock::Millis;
 use crate::gossip::{Peer, Peers, Share};
-use crate::membership::hearing;
 use crate::membership::keeper::{Core, Keeper};
+use crate::membership::last_seen;
 use crate::membership::node::{Claim, Record};
 use crate::name::Name;
 use crate::schema::peer::{self, Delta, Digest};
@@ -45,9 +45,9 @@
             .map(|record| Node {
                 record: record.clone(),
                 age: core
-                    .hearing
+                    .last_seen
                     .of(&record.identity.name)
-                    .map(|word| now.since(word.at)),
+                    .map(|heartbeat| now.since(heartbeat.at)),
             })
             .collect()
     }
@@ -59,8 +59,8 @@
         let own = &self.parts.identity;
         let core = self.lock();
         let heard = |record: &Record| {
-            let word = core.hearing.of(&record.identity.name);
-            word.is_some_and(|word| now.since(word.at) < HEARD)
+            let heartbeat = core.last_seen.of(&record.identity.name);
+            heartbeat.is_some_and(|heartbeat| now.since(heartbeat.at) < HEARD)
         };
         let peers: Vec<Peer> = core
             .machine
@@ -102,7 +102,7 @@
         let age = core.machine.service_age(now);
         digest.service_age_ms = age.map_or(u64::MAX, |age| age.0);
         digest.full_claims = core.gossip.unequal >= UNEQUAL;
-        digest.heard = core.hearing.tell(now);
+        digest.heard = core.last_seen.tell(now);
         digest.leaving = core
             .upstreams
             .signs(now)
@@ -167,18 +167,18 @@
     if core.gossip.unequal > UNEQUAL {
         core.gossip.unequal = 0;
     }
-    core.hearing.heard(
+    core.last_seen.note(
         &digest.node,
-        hearing::Word {
+        last_seen::Heartbeat {
             incarnation: digest.incarnation,
             at: now,
             draining: false,
         },
     );
     for heard in &digest.heard {
-        core.hearing.heard(
+        core.last_seen.note(
             &heard.node,
-            hearing::Word {
+            last_seen::Heartbeat {
                 incarnation: heard.incarnation,
                 at: now.since(Millis(u64::from(heard.age_ms))),
                 draining: heard.draining,
