membership: the failure detector

Cause: Sight (owners say whether their upstreams answer) is what the field calls a failure detector; 'outlier detection' was ruled out, as no upstream is compared with others. Change: membership::Sight -> Detector with the fields named after it, in the few lines of owner/ and its tests that use it too.

--- a/lib/src/membership/keeper.rs
+++ b/lib/src/membership/keeper.rs
@@ -26,7 +26,7 @@
 use crate::membership::node::{Identity, Keys};
 use crate::membership::upstreams::{Upstreams, Verdict};
 use crate::membership::witness::{Ask, Vote};
-use crate::membership::{Adopter, Hold, Relay, Renewal, Sight};
+use crate::membership::{Adopter, Detector, Hold, Relay, Renewal};
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::ports::{Directory, Error, Lease, Store, Vm, Watch};
@@ -538,7 +538,7 @@
     }
 }
 
-impl Sight for Keeper {
+impl Detector for Keeper {
     fn failed(&self, upstream: &str) {
         let now = self.parts.clock.now();
         let mut core = self.lock();
--- a/lib/src/membership/mod.rs
+++ b/lib/src/membership/mod.rs
@@ -56,8 +56,8 @@
     async fn renew(&self, peer: SocketAddr, ask: witness::Ask) -> Option<witness::Vote>;
 }
 
-/// Tells membership how upstreams are, as their owners see them.
-pub trait Sight: fmt::Debug + Send + Sync {
+/// Detects failed upstreams from what their owners meet, so that one which fails is held out.
+pub trait Detector: fmt::Debug + Send + Sync {
     /// An upstream couldn't be reached, or broke a connection.
     fn failed(&self, upstream: &str);
 
--- a/lib/src/node/assembly.rs
+++ b/lib/src/node/assembly.rs
@@ -51,7 +51,7 @@
 /// The slots that close the circles between parts.
 struct Circles {
     permits: Arc<Late<dyn loads::Permits>>,
-    sight: Arc<Late<dyn membership::Sight>>,
+    detector: Arc<Late<dyn membership::Detector>>,
     peers: Arc<Late<dyn gossip::Peers>>,
 }
 
@@ -85,7 +85,7 @@
         };
         let circles = Circles {
             permits: Late::new(),
-            sight: Late::new(),
+            detector: Late::new(),
             peers: Late::new(),
         };
         let registry = Registry::start(base.owner(&circles));
@@ -94,7 +94,7 @@
         let membership = base.membership(&config, &registry, &clients);
         let loads = loads::Shared::start(base.loads(&membership, &clients));
         circles.permits.fill(Arc::clone(&loads) as _);
-        circles.sight.fill(Arc::clone(&membership) as _);
+        circles.detector.fill(Arc::clone(&membership) as _);
         circles.peers.fill(Arc::clone(&membership) as _);
         let gossip = gossip::Keeper::start(base.gossip(&config, &membership, &clients));
         Self {
@@ -171,7 +171,7 @@
         owner::Parts {
             connector: Arc::new(upstream::Connector::new(upstream::Limits::default())),
             permits: Arc::clone(&circles.permits) as _,
-            sight: Some(Arc::clone(&circles.sight) as _),
+            detector: Some(Arc::clone(&circles.detector) as _),
             clock: Arc::clone(&self.clock),
             metrics: Arc::clone(&self.metrics),
             limits: limits::owner(&self.settings),
--- a/lib/src/node/late.rs
+++ b/lib/src/node/late.rs
@@ -14,7 +14,7 @@
 use crate::error::{Code, Failure};
 use crate::gossip::{Peer, Peers};
 use crate::loads::{Ask, Permit, Permits};
-use crate::membership::Sight;
+use crate::membership::Detector;
 
 /// A part that is filled in once.
 pub struct Late<T: ?Sized>(OnceLock<Arc<T>>);
@@ -50,16 +50,16 @@
     }
 }
 
-impl Sight for Late<dyn Sight> {
+impl Detector for Late<dyn Detector> {
     fn failed(&self, upstream: &str) {
-        if let Some(sight) = self.0.get() {
-            sight.failed(upstream);
+        if let Some(detector) = self.0.get() {
+            detector.failed(upstream);
         }
     }
 
     fn answered(&self, upstream: &str) {
-        if let Some(sight) = self.0.get() {
-            sight.answered(upstream);
+        if let Some(detector) = self.0.get() {
+            detector.answered(upstream);
         }
     }
 }
--- a/lib/src/owner/driver/mod.rs
+++ b/lib/src/owner/driver/mod.rs
@@ -286,8 +286,8 @@
             return;
         }
         log::info!("owner: {} answers again", self.name());
-        if let Some(sight) = &self.parts.sight {
-            sight.answered(self.name());
+        if let Some(detector) = &self.parts.detector {
+            detector.answered(self.name());
         }
     }
 
@@ -295,8 +295,8 @@
         if self.health.failed(now) {
             log::warn!("owner: {} can't be reached; it gets no work", self.name());
         }
-        if let Some(sight) = &self.parts.sight {
-            sight.failed(self.name());
+        if let Some(detector) = &self.parts.detector {
+            detector.failed(self.name());
         }
         if let Err(failure) = self.takes_work() {
             self.refuse_waiting(&failure);
--- a/lib/src/owner/registry.rs
+++ b/lib/src/owner/registry.rs
@@ -21,7 +21,7 @@
 use crate::declaration::Pool;
 use crate::error::{Code, Failure};
 use crate::loads::{Permits, WEIGHTS};
-use crate::membership::{Adopter, Hold, Sight, fleet};
+use crate::membership::{Adopter, Detector, Hold, fleet};
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::ports::{Answer, Connector};
@@ -38,8 +38,8 @@
     pub connector: Arc<dyn Connector>,
     /// Gives leave to load.
     pub permits: Arc<dyn Permits>,
-    /// Hears how owned upstreams are, so that membership can hold one out.
-    pub sight: Option<Arc<dyn Sight>>,
+    /// Learns how owned upstreams are, so that membership can hold one out.
+    pub detector: Option<Arc<dyn Detector>>,
     /// The node's clock.
     pub clock: Arc<dyn Clock>,
     /// The node's metrics.
--- a/lib/tests/owner_fakes/mod.rs
+++ b/lib/tests/owner_fakes/mod.rs
@@ -14,7 +14,7 @@
 use chivevalve::error::{Code, Failure};
 use chivevalve::loads::{Ask, Permit, Permits};
 use chivevalve::membership::fleet::{State, Upstream};
-use chivevalve::membership::{Adopter, Hold, Sight};
+use chivevalve::membership::{Adopter, Detector, Hold};
 use chivevalve::metrics::Metrics;
 use chivevalve::owner::{Limits, Parts, Registry};
 use chivevalve::ports::{Answer, Call, Connector, Engine, Fence, Report, Service, Vm};
@@ -336,7 +336,7 @@
     }
 }
 
-impl Sight for Counts {
+impl Detector for Counts {
     fn failed(&self, _: &str) {
         self.failed.fetch_add(1, Ordering::Relaxed);
     }
@@ -352,7 +352,7 @@
     pub engine: Arc<FakeEngine>,
     pub registry: Arc<Registry>,
     pub permits: Arc<Gate>,
-    pub sight: Arc<Counts>,
+    pub detector: Arc<Counts>,
     pub metrics: Arc<Metrics>,
     pub clock: Arc<dyn Clock>,
     pub until: Arc<AtomicU64>,
@@ -375,13 +375,13 @@
     pub fn unowned() -> Self {
         let engine = Arc::new(FakeEngine::new());
         let permits = Arc::new(Gate(watch::Sender::new(true)));
-        let sight = Arc::new(Counts::default());
+        let detector = Arc::new(Counts::default());
         let metrics = Arc::new(Metrics::new());
         let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
         let registry = Registry::start(Parts {
             connector: Arc::new(One(Arc::clone(&engine))),
             permits: permits.clone(),
-            sight: Some(sight.clone()),
+            detector: Some(detector.clone()),
             clock: Arc::clone(&clock),
             metrics: Arc::clone(&metrics),
             limits: Limits::default(),
@@ -390,7 +390,7 @@
             engine,
             registry,
             permits,
-            sight,
+            detector,
             metrics,
             clock,
             until: Arc::new(AtomicU64::new(FAR.0)),
--- a/lib/tests/test_owner.rs
+++ b/lib/tests/test_owner.rs
@@ -196,14 +196,14 @@
         assert_eq!(failure.code, Code::ConnectFailed);
         assert_eq!(failure.fate(), Fate::NotRun);
     }
-    assert_eq!(bench.sight.failures(), 3);
+    assert_eq!(bench.detector.failures(), 3);
     bench.engine.set(|knobs| knobs.fault = Fault::None);
     tokio::time::sleep(Millis::from_secs(2).duration()).await;
     let answer = bench.registry.run(push("r9", "{}")).await.unwrap();
     text(answer).await.unwrap();
     // The actor hears of the end after the caller has read it.
     tokio::time::sleep(Millis(1).duration()).await;
-    assert_eq!(bench.sight.answers(), 1);
+    assert_eq!(bench.detector.answers(), 1);
 }
 
 /// Symptom: a completion is sent to a plain service.
--- a/lib/tests/test_owner_failures.rs
+++ b/lib/tests/test_owner_failures.rs
@@ -161,14 +161,14 @@
     let failure = refused(waiting).await;
     assert_eq!(failure.code, Code::ConnectFailed);
     assert!(failure.retry_after.is_some());
-    assert!(bench.sight.failures() >= 3);
+    assert!(bench.detector.failures() >= 3);
     assert!(bench.registry.status()[0].failing);
     drop(running);
     bench.engine.set(|knobs| knobs.fault = Fault::None);
     pass(Millis::from_secs(2)).await;
     let next = begin(&bench, "r3", "plans").await;
     text(next.await.unwrap().unwrap()).await.unwrap();
-    assert!(bench.sight.answers() >= 1);
+    assert!(bench.detector.answers() >= 1);
 }
 
 /// Symptom: a request runs long after its caller has given up.
