node: parts that come last are cells, set before the node serves

Cause: Late<T> wrapped a OnceLock and Circles named no part. Ruled out: an order of construction. Owners need permits, the load queue needs membership's fleet, membership needs the owners; each pair is needed at once. Change: the ports' traits are implemented for OnceLock itself (node::deferred), Circles is gone, and each function takes the cells that it hands out.

--- a/lib/src/node/assembly.rs
+++ b/lib/src/node/assembly.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use tokio_util::sync::CancellationToken;
 
-use super::late::Late;
+use super::deferred::Deferred;
 use super::limits;
 use super::port::Port;
 use crate::clock::{Clock, Monotonic};
@@ -48,13 +48,6 @@
     stop: CancellationToken,
 }
 
-/// The slots that close the circles between parts.
-struct Circles {
-    permits: Arc<Late<dyn loads::Permits>>,
-    detector: Arc<Late<dyn membership::Detector>>,
-    peers: Arc<Late<dyn gossip::Peers>>,
-}
-
 /// All parts of a node.
 pub(super) struct Assembly {
     base: Base,
@@ -83,19 +76,17 @@
             metrics,
             stop,
         };
-        let circles = Circles {
-            permits: Late::new(),
-            detector: Late::new(),
-            peers: Late::new(),
-        };
-        let registry = Registry::start(base.owner(&circles));
+        let permits = Deferred::<dyn loads::Permits>::default();
+        let detector = Deferred::<dyn membership::Detector>::default();
+        let peers = Deferred::<dyn gossip::Peers>::default();
+        let registry = Registry::start(base.owner(&permits, &detector));
         let clients = Clients::new(base.clients(&registry, security));
-        let config = config::Keeper::start(base.config(&registry, &circles));
+        let config = config::Keeper::start(base.config(&registry, &peers));
         let membership = base.membership(&config, &registry, &clients);
         let loads = loads::Shared::start(base.loads(&membership, &clients));
-        circles.permits.fill(Arc::clone(&loads) as _);
-        circles.detector.fill(Arc::clone(&membership) as _);
-        circles.peers.fill(Arc::clone(&membership) as _);
+        permits.get_or_init(|| Arc::clone(&loads) as _);
+        detector.get_or_init(|| Arc::clone(&membership) as _);
+        peers.get_or_init(|| Arc::clone(&membership) as _);
         let gossip = gossip::Keeper::start(base.gossip(&config, &membership, &clients));
         Self {
             base,
@@ -167,11 +158,15 @@
 }
 
 impl Base {
-    fn owner(&self, circles: &Circles) -> owner::Parts {
+    fn owner(
+        &self,
+        permits: &Deferred<dyn loads::Permits>,
+        detector: &Deferred<dyn membership::Detector>,
+    ) -> owner::Parts {
         owner::Parts {
             connector: Arc::new(upstream::Connector::new(upstream::Limits::default())),
-            permits: Arc::clone(&circles.permits) as _,
-            detector: Some(Arc::clone(&circles.detector) as _),
+            permits: Arc::clone(permits) as _,
+            detector: Some(Arc::clone(detector) as _),
             clock: Arc::clone(&self.clock),
             metrics: Arc::clone(&self.metrics),
             limits: limits::owner(&self.settings),
@@ -189,14 +184,18 @@
         }
     }
 
-    fn config(&self, registry: &Arc<Registry>, circles: &Circles) -> config::Parts {
+    fn config(
+        &self,
+        registry: &Arc<Registry>,
+        peers: &Deferred<dyn gossip::Peers>,
+    ) -> config::Parts {
         config::Parts {
             node: Arc::clone(&self.identity.name),
             region: Arc::clone(&self.identity.region),
             store: Arc::clone(&self.platform.store) as _,
             watch: Arc::clone(&self.platform.store) as _,
             weights: Arc::clone(&self.platform.weights) as _,
-            peers: Arc::clone(&circles.peers) as _,
+            peers: Arc::clone(peers) as _,
             prefetch: Arc::clone(registry) as _,
             prefix: self.settings.platform.prefix.to_string(),
             clock: Arc::clone(&self.clock),
--- /dev/null
+++ b/lib/src/node/deferred.rs
@@ -0,0 +1,50 @@
+//! Parts that are set after the parts that use them were made.
+//!
+//! Owners need permits to load, the load queue needs to know who owns what, and
+//! membership needs the owners, so no order of construction has every part ready
+//! for the next. The part that comes last is handed out as a cell that is set
+//! before the node serves; until then the cell answers as the part would while it
+//! knows nothing.
+
+use std::sync::{Arc, OnceLock};
+
+use async_trait::async_trait;
+use tokio::sync::watch;
+
+use crate::error::{Code, Failure};
+use crate::gossip::{Peer, Peers};
+use crate::loads::{Ask, Permit, Permits};
+use crate::membership::Detector;
+
+/// A part that is set once, in the node's start.
+pub type Deferred<T> = Arc<OnceLock<Arc<T>>>;
+
+#[async_trait]
+impl Permits for OnceLock<Arc<dyn Permits>> {
+    async fn acquire(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
+        match self.get() {
+            Some(permits) => permits.acquire(ask).await,
+            None => Err(Failure::new(Code::NotReady, "the node is starting")),
+        }
+    }
+}
+
+impl Detector for OnceLock<Arc<dyn Detector>> {
+    fn failed(&self, upstream: &str) {
+        if let Some(detector) = self.get() {
+            detector.failed(upstream);
+        }
+    }
+
+    fn answered(&self, upstream: &str) {
+        if let Some(detector) = self.get() {
+            detector.answered(upstream);
+        }
+    }
+}
+
+impl Peers for OnceLock<Arc<dyn Peers>> {
+    fn peers(&self) -> Vec<Peer> {
+        self.get().map_or_else(Vec::new, |peers| peers.peers())
+    }
+}
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -3,7 +3,7 @@
 //! See docs/architecture.md for the picture.
 
 mod assembly;
-mod late;
+mod deferred;
 mod limits;
 mod port;
 
