fate: a retry is denied

Cause: Withheld read like something kept back; it is why a retry was denied. Moment read like a time; it is the context of a failed try.

--- a/bench/src/fuzz_outcomes/harness/traffic.rs
+++ b/bench/src/fuzz_outcomes/harness/traffic.rs
@@ -8,7 +8,7 @@
 use chivevalve::adapter::Adapter;
 use chivevalve::clock::Millis;
 use chivevalve::error::{Code, Failure, Fate};
-use chivevalve::fate::{self, Budget, Moment, Rules, Verdict};
+use chivevalve::fate::{self, Budget, Context, Rules, Verdict};
 use chivevalve::membership::fleet::State;
 use chivevalve::name::Name;
 use chivevalve::policy::upstream::{self, Action};
@@ -652,13 +652,13 @@
             Err(failure) => failure,
         };
         request.asked = None;
-        let moment = Moment {
+        let context = Context {
             now,
             untried,
             random,
         };
         let budget: &mut Budget = &mut self.nodes[node].budget;
-        match request.fate.fail(failure, moment, budget) {
+        match request.fate.fail(failure, context, budget) {
             Verdict::Retry(pause) => {
                 let start = request.start;
                 self.later(pause.0, Due::Node(node, start, Arrival::Retry(number)));
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::claim::Claim;
 use crate::clock::Millis;
 use crate::error::{Code, Failure, Fate};
-use crate::fate::{Moment, Verdict};
+use crate::fate::{Context, Verdict};
 use crate::membership::fleet::Owner;
 use crate::name::Name;
 use crate::policy::placement::Pool;
@@ -154,7 +154,7 @@
     if blames_upstream(failure.code) {
         gateway.refused(&target.pool, target.index, adapter, failure.code, now);
     }
-    let moment = Moment {
+    let context = Context {
         now,
         untried: target.others,
         random: gateway.random(),
@@ -169,16 +169,16 @@
     );
     let verdict = session
         .machine()
-        .fail(failure, moment, &mut lock(&gateway.budget));
+        .fail(failure, context, &mut lock(&gateway.budget));
     match verdict {
         Verdict::Retry(pause) => {
             metrics.retries.with_label_values(&[reason]).inc();
             Ok(pause)
         }
-        Verdict::End { failure, withheld } => {
-            if let Some(withheld) = withheld {
-                let labels = [withheld.name()];
-                metrics.retries_withheld.with_label_values(&labels).inc();
+        Verdict::End { failure, denial } => {
+            if let Some(denial) = denial {
+                let labels = [denial.name()];
+                metrics.retries_denied.with_label_values(&labels).inc();
             }
             Err(failure)
         }
--- a/lib/src/fate/mod.rs
+++ b/lib/src/fate/mod.rs
@@ -59,7 +59,7 @@
 
 /// What forbade a retry that the failure alone would have allowed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Withheld {
+pub enum Denial {
     /// It may have run, and running it twice would do harm.
     NotIdempotent,
     /// The caller has a part of the answer, and two runs are never spliced.
@@ -74,7 +74,7 @@
     Deadline,
 }
 
-impl Withheld {
+impl Denial {
     /// Returns the name that metrics use.
     #[must_use]
     pub const fn name(self) -> &'static str {
@@ -99,13 +99,13 @@
         /// What the caller is told.
         failure: Failure,
         /// What forbade a retry, if the failure alone would have allowed one.
-        withheld: Option<Withheld>,
+        denial: Option<Denial>,
     },
 }
 
 /// The circumstances of a failed try.
 #[derive(Debug, Clone, Copy)]
-pub struct Moment {
+pub struct Context {
     /// The time.
     pub now: Millis,
     /// Whether there is an upstream that the request hasn't been tried on.
@@ -213,7 +213,7 @@
     }
 
     /// Decides what follows a failed try.
-    pub fn fail(&mut self, failure: Failure, moment: Moment, budget: &mut Budget) -> Verdict {
+    pub fn fail(&mut self, failure: Failure, context: Context, budget: &mut Budget) -> Verdict {
         let failure = self.believe(failure);
         self.note(&failure);
         let reaction = reaction(failure.code);
@@ -221,12 +221,12 @@
             self.attempts -= 1;
             self.redirects += 1;
         }
-        let pause = self.pause(reaction, moment);
-        match self.forbids(reaction, failure.fate(), moment.now + pause, budget) {
+        let pause = self.pause(reaction, context);
+        match self.denial(reaction, failure.fate(), context.now + pause, budget) {
             None => Verdict::Retry(pause),
-            Some(withheld) => Verdict::End {
+            Some(denial) => Verdict::End {
                 failure: self.end(failure),
-                withheld: (reaction != Reaction::Never).then_some(withheld),
+                denial: (reaction != Reaction::Never).then_some(denial),
             },
         }
     }
@@ -265,46 +265,46 @@
         }
     }
 
-    fn pause(&self, reaction: Reaction, moment: Moment) -> Millis {
+    fn pause(&self, reaction: Reaction, context: Context) -> Millis {
         let settled = self.unsettled.is_none();
         let first = self.tries() <= 1;
         // A refusal costs its upstream nothing, so the first one is followed at
         // once by a try elsewhere; from then on callers must not move in step.
-        if settled && moment.untried && (first || reaction == Reaction::PassOn) {
+        if settled && context.untried && (first || reaction == Reaction::PassOn) {
             return Millis::ZERO;
         }
-        self.rules.backoff.pause(self.tries(), moment.random)
+        self.rules.backoff.pause(self.tries(), context.random)
     }
 
-    fn forbids(
+    fn denial(
         &self,
         reaction: Reaction,
         fate: Fate,
         resume: Millis,
         budget: &mut Budget,
-    ) -> Option<Withheld> {
+    ) -> Option<Denial> {
         if self.passed {
-            return Some(Withheld::AnswerBegun);
+            return Some(Denial::AnswerBegun);
         }
         if !self.idempotent && (fate != Fate::NotRun || self.unsettled.is_some()) {
-            return Some(Withheld::NotIdempotent);
+            return Some(Denial::NotIdempotent);
         }
         if reaction == Reaction::Never || self.attempts >= self.rules.attempts {
-            return Some(Withheld::Attempts);
+            return Some(Denial::Attempts);
         }
         if self.redirects >= self.rules.redirects {
-            return Some(Withheld::Attempts);
+            return Some(Denial::Attempts);
         }
         if self.unknowns >= self.rules.unknowns {
-            return Some(Withheld::Unknowns);
+            return Some(Denial::Unknowns);
         }
         if resume >= self.deadline {
-            return Some(Withheld::Deadline);
+            return Some(Denial::Deadline);
         }
         // All requests of a dead owner need a redirect at once; charging them
         // would refuse most of them for nothing.
         if !reaction.is_free() && !budget.spend() {
-            return Some(Withheld::Budget);
+            return Some(Denial::Budget);
         }
         None
     }
@@ -320,8 +320,8 @@
         Machine::new(Rules::default(), idempotent, DEADLINE)
     }
 
-    fn moment(now: u64) -> Moment {
-        Moment {
+    fn context(now: u64) -> Context {
+        Context {
             now: Millis(now),
             untried: true,
             random: 0,
@@ -330,12 +330,12 @@
 
     fn fail(machine: &mut Machine, code: Code) -> Verdict {
         let mut budget = Budget::new(100, Millis::ZERO);
-        machine.fail(Failure::new(code, ""), moment(0), &mut budget)
+        machine.fail(Failure::new(code, ""), context(0), &mut budget)
     }
 
-    fn ended(verdict: Verdict) -> (Code, Option<Withheld>) {
+    fn ended(verdict: Verdict) -> (Code, Option<Denial>) {
         match verdict {
-            Verdict::End { failure, withheld } => (failure.code, withheld),
+            Verdict::End { failure, denial } => (failure.code, denial),
             Verdict::Retry(_) => panic!("retried"),
         }
     }
@@ -360,7 +360,7 @@
         let mut machine = machine(false);
         machine.send();
         let end = ended(fail(&mut machine, Code::UpstreamLost));
-        assert_eq!(end, (Code::UpstreamLost, Some(Withheld::NotIdempotent)));
+        assert_eq!(end, (Code::UpstreamLost, Some(Denial::NotIdempotent)));
     }
 
     /// Symptom: a caller is told "not run", repeats a request, and it runs twice.
@@ -392,7 +392,7 @@
         fail(&mut machine, Code::UpstreamLost);
         machine.send();
         let end = ended(fail(&mut machine, Code::UpstreamLost));
-        assert_eq!(end, (Code::UpstreamLost, Some(Withheld::Unknowns)));
+        assert_eq!(end, (Code::UpstreamLost, Some(Denial::Unknowns)));
     }
 
     #[test]
@@ -402,7 +402,7 @@
         machine.begin();
         machine.pass();
         let end = ended(fail(&mut machine, Code::AnswerCut));
-        assert_eq!(end, (Code::AnswerCut, Some(Withheld::AnswerBegun)));
+        assert_eq!(end, (Code::AnswerCut, Some(Denial::AnswerBegun)));
     }
 
     #[test]
@@ -411,7 +411,7 @@
         machine.send();
         machine.begin();
         let end = ended(fail(&mut machine, Code::QueueFull));
-        assert_eq!(end, (Code::AnswerCut, Some(Withheld::NotIdempotent)));
+        assert_eq!(end, (Code::AnswerCut, Some(Denial::NotIdempotent)));
     }
 
     #[test]
@@ -421,12 +421,12 @@
         machine.send();
         let verdict = machine.fail(
             Failure::new(Code::ConnectFailed, ""),
-            moment(DEADLINE.0),
+            context(DEADLINE.0),
             &mut budget,
         );
         assert_eq!(
             ended(verdict),
-            (Code::ConnectFailed, Some(Withheld::Deadline))
+            (Code::ConnectFailed, Some(Denial::Deadline))
         );
     }
 
@@ -436,8 +436,8 @@
         let mut budget = Budget::new(0, Millis::ZERO);
         while budget.spend() {}
         machine.send();
-        let verdict = machine.fail(Failure::new(Code::QueueFull, ""), moment(0), &mut budget);
-        assert_eq!(ended(verdict), (Code::QueueFull, Some(Withheld::Budget)));
+        let verdict = machine.fail(Failure::new(Code::QueueFull, ""), context(0), &mut budget);
+        assert_eq!(ended(verdict), (Code::QueueFull, Some(Denial::Budget)));
     }
 
     #[test]
@@ -452,7 +452,7 @@
         }
         machine.send();
         let end = ended(fail(&mut machine, Code::NotOwner));
-        assert_eq!(end, (Code::NotOwner, Some(Withheld::Attempts)));
+        assert_eq!(end, (Code::NotOwner, Some(Denial::Attempts)));
     }
 
     #[test]
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -27,7 +27,7 @@
     /// Attempts after the first, by the code of the attempt before.
     pub retries: IntCounterVec,
     /// Retries that weren't made, by what forbade them.
-    pub retries_withheld: IntCounterVec,
+    pub retries_denied: IntCounterVec,
     /// Answers dropped because they matched no request, by reason.
     pub dropped_answers: IntCounterVec,
     /// Time in an upstream's queue, by class.
@@ -111,8 +111,8 @@
                 "Attempts after the first, by the failure before.",
                 &["reason"],
             ),
-            retries_withheld: maker.counters(
-                "retries_withheld_total",
+            retries_denied: maker.counters(
+                "retries_denied_total",
                 "Retries that were not made, by what forbade them.",
                 &["reason"],
             ),
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -27,7 +27,7 @@
     assert!(answer.contains("\"fate\":\"unknown\""));
     assert_eq!(world.script.count(), 1);
     assert_eq!(
-        world.metric("retries_withheld_total{reason=\"not_idempotent\"}"),
+        world.metric("retries_denied_total{reason=\"not_idempotent\"}"),
         1
     );
 }
@@ -65,10 +65,7 @@
     let answer = world.chat("summary", "").await;
     assert!(answer.contains("\"code\":\"upstream_lost\""));
     assert_eq!(world.script.count(), 2);
-    assert_eq!(
-        world.metric("retries_withheld_total{reason=\"unknowns\"}"),
-        1
-    );
+    assert_eq!(world.metric("retries_denied_total{reason=\"unknowns\"}"), 1);
 }
 
 /// Symptom: a caller is told "not run" and sends again what has run.
--- a/lib/tests/test_fate.rs
+++ b/lib/tests/test_fate.rs
@@ -7,7 +7,7 @@
 
 use chivevalve::clock::Millis;
 use chivevalve::error::{Code, Failure, Fate};
-use chivevalve::fate::{Budget, Machine, Moment, Rules, Verdict};
+use chivevalve::fate::{Budget, Context, Machine, Rules, Verdict};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 /// Fixed, so that CI tries the same stories each time.
@@ -149,13 +149,13 @@
         }
         truth.see(attempt);
         now += Millis(attempt.took);
-        let moment = Moment {
+        let context = Context {
             now,
             untried: attempt.untried,
             random: attempt.random,
         };
         let failure = Failure::new(attempt.code, "");
-        match machine.fail(failure, moment, &mut budget) {
+        match machine.fail(failure, context, &mut budget) {
             Verdict::Retry(pause) => {
                 retried(story, &truth)?;
                 now += pause;
@@ -247,12 +247,12 @@
     let mut retries = 0;
     for _ in 0..ENDLESS {
         machine.send();
-        let moment = Moment {
+        let context = Context {
             now: Millis::ZERO,
             untried: true,
             random: 0,
         };
-        match machine.fail(Failure::new(code, ""), moment, budget) {
+        match machine.fail(Failure::new(code, ""), context, budget) {
             Verdict::Retry(_) => retries += u64::from(!free.contains(&code)),
             Verdict::End { .. } => return retries,
         }
