--- a/lib/src/policy/slots.rs
+++ b/lib/src/policy/slots.rs
@@ -48,7 +48,7 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Setback {
+struct Backoff {
     failures: u32,
     until: Millis,
 }
@@ -58,7 +58,7 @@
 pub struct Table {
     capacity: usize,
     slots: BTreeMap<Adapter, Slot>,
-    setbacks: BTreeMap<Adapter, Setback>,
+    backoffs: BTreeMap<Adapter, Backoff>,
     evicted: BTreeMap<Adapter, Millis>,
     fillings: u64,
 }
@@ -70,7 +70,7 @@
         Self {
             capacity: capacity as usize,
             slots: BTreeMap::new(),
-            setbacks: BTreeMap::new(),
+            backoffs: BTreeMap::new(),
             evicted: BTreeMap::new(),
             fillings: 0,
         }
@@ -209,11 +209,11 @@
         if ok {
             slot.state = State::Resident;
             slot.changed = now;
-            self.setbacks.remove(adapter);
+            self.backoffs.remove(adapter);
             return true;
         }
         self.slots.remove(adapter);
-        self.set_back(adapter, now);
+        self.back_off(adapter, now);
         true
     }
 
@@ -249,15 +249,15 @@
     /// Returns when the adapter may be loaded again after failures.
     #[must_use]
     pub fn backoff(&self, adapter: &Adapter) -> Option<Millis> {
-        self.setbacks.get(adapter).map(|setback| setback.until)
+        self.backoffs.get(adapter).map(|backoff| backoff.until)
     }
 
     /// Returns how many loads of the adapter failed in a row.
     #[must_use]
     pub fn failures(&self, adapter: &Adapter) -> u32 {
-        self.setbacks
+        self.backoffs
             .get(adapter)
-            .map_or(0, |setback| setback.failures)
+            .map_or(0, |backoff| backoff.failures)
     }
 
     /// Corrects drift by what the engine said at `as_of`.
@@ -311,16 +311,16 @@
         self.evicted.insert(adapter.clone(), now);
     }
 
-    fn set_back(&mut self, adapter: &Adapter, now: Millis) {
-        if self.setbacks.len() >= REMEMBERED {
-            self.setbacks.retain(|_, setback| now < setback.until);
+    fn back_off(&mut self, adapter: &Adapter, now: Millis) {
+        if self.backoffs.len() >= REMEMBERED {
+            self.backoffs.retain(|_, backoff| now < backoff.until);
         }
         let failures = self.failures(adapter).saturating_add(1);
         let wait = Millis(BACKOFF.0 << failures.saturating_sub(1).min(16)).min(MAX_BACKOFF);
-        let setback = Setback {
+        let backoff = Backoff {
             failures,
             until: now + wait,
         };
-        self.setbacks.insert(adapter.clone(), setback);
+        self.backoffs.insert(adapter.clone(), backoff);
     }
 }
