policy: flows and a fair queue for each class

Cause: the module says start-time fair queueing, the types said Lane and Lanes. Change: Lane -> Flow, Lanes -> FairQueue. Private; nothing else changes.

--- a/lib/src/policy/queue.rs
+++ b/lib/src/policy/queue.rs
@@ -21,8 +21,8 @@
 const PROMPT_TOKENS_PER_COST: u64 = 8;
 /// Virtual time of one unit of cost for weight 1.
 const SCALE: u64 = 1 << 16;
-/// Lanes without requests that are kept for their tags before they are swept.
-const IDLE_LANES: usize = 128;
+/// Flows without requests that are kept for their tags before they are swept.
+const IDLE_FLOWS: usize = 128;
 
 /// A request that waits.
 #[derive(Debug, Clone)]
@@ -66,16 +66,17 @@
         + u64::from(ticket.prompt_tokens) / PROMPT_TOKENS_PER_COST
 }
 
-/// Ready requests of one account in one class.
+/// Ready requests of one account in one class, a flow of start-time fair queueing.
 #[derive(Debug, Default)]
-struct Lane {
+struct Flow {
     ready: BTreeSet<(Reverse<u32>, u64)>,
     tag: u64,
 }
 
+/// Ready requests of one class, shared out among accounts.
 #[derive(Debug, Default)]
-struct Lanes {
-    accounts: BTreeMap<Name, Lane>,
+struct FairQueue {
+    accounts: BTreeMap<Name, Flow>,
     now: u64,
     len: usize,
     cost: u64,
@@ -90,7 +91,7 @@
     blocked: HashMap<Adapter, BTreeSet<u64>>,
     /// How many ready requests each adapter has.
     ready_of: HashMap<Adapter, u32>,
-    classes: [Lanes; 3],
+    classes: [FairQueue; 3],
     accounts: HashMap<Name, u32>,
     by_class: [u32; 3],
     next: u64,
@@ -144,7 +145,7 @@
     pub fn ready_cost(&self, class: Class) -> u64 {
         self.classes[..=class as usize]
             .iter()
-            .map(|lanes| lanes.cost)
+            .map(|fair| fair.cost)
             .sum()
     }
 
@@ -249,7 +250,7 @@
         self.classes[class as usize]
             .accounts
             .values()
-            .flat_map(|lane| &lane.ready)
+            .flat_map(|flow| &flow.ready)
             .map(|(_, number)| *number)
             .min()
             .and_then(|number| self.entries.get(&number))
@@ -260,26 +261,26 @@
     ///
     /// `allowed` says whether an account may start one more.
     pub fn pop(&mut self, class: Class, allowed: impl Fn(&Name, &Share) -> bool) -> Option<Entry> {
-        let lanes = &self.classes[class as usize];
-        let (start, number) = lanes
+        let fair = &self.classes[class as usize];
+        let (start, number) = fair
             .accounts
             .iter()
-            .filter_map(|(account, lane)| {
-                let (Reverse(weight), number) = lane.ready.first()?;
+            .filter_map(|(account, flow)| {
+                let (Reverse(weight), number) = flow.ready.first()?;
                 let entry = self.entries.get(number)?;
                 allowed(account, &entry.share).then_some(())?;
-                Some((lane.tag.max(lanes.now), Reverse(*weight), *number))
+                Some((flow.tag.max(fair.now), Reverse(*weight), *number))
             })
             .min()
             .map(|(start, _, number)| (start, number))?;
         let entry = self.take(number)?;
-        let lanes = &mut self.classes[class as usize];
-        lanes.now = start;
+        let fair = &mut self.classes[class as usize];
+        fair.now = start;
         let weight = u64::from(entry.share.weight.max(1));
-        if let Some(lane) = lanes.accounts.get_mut(&entry.ticket.account) {
-            lane.tag = start + entry.cost() * SCALE / weight;
+        if let Some(flow) = fair.accounts.get_mut(&entry.ticket.account) {
+            flow.tag = start + entry.cost() * SCALE / weight;
         }
-        lanes.sweep();
+        fair.sweep();
         Some(entry)
     }
 
@@ -360,14 +361,14 @@
         if let Some(adapter) = &entry.ticket.adapter {
             *self.ready_of.entry(adapter.clone()).or_default() += 1;
         }
-        let lanes = &mut self.classes[entry.ticket.class as usize];
-        lanes.len += 1;
-        lanes.cost += cost(&entry.ticket);
-        let lane = lanes
+        let fair = &mut self.classes[entry.ticket.class as usize];
+        fair.len += 1;
+        fair.cost += cost(&entry.ticket);
+        let flow = fair
             .accounts
             .entry(entry.ticket.account.clone())
             .or_default();
-        lane.ready.insert((Reverse(entry.ticket.weight), number));
+        flow.ready.insert((Reverse(entry.ticket.weight), number));
     }
 
     fn make_unready(&mut self, number: u64) {
@@ -383,26 +384,26 @@
                 self.ready_of.remove(adapter);
             }
         }
-        let lanes = &mut self.classes[entry.ticket.class as usize];
-        lanes.len -= 1;
-        lanes.cost -= cost(&entry.ticket);
-        if let Some(lane) = lanes.accounts.get_mut(&entry.ticket.account) {
-            lane.ready.remove(&(Reverse(entry.ticket.weight), number));
+        let fair = &mut self.classes[entry.ticket.class as usize];
+        fair.len -= 1;
+        fair.cost -= cost(&entry.ticket);
+        if let Some(flow) = fair.accounts.get_mut(&entry.ticket.account) {
+            flow.ready.remove(&(Reverse(entry.ticket.weight), number));
         }
     }
 }
 
-impl Lanes {
+impl FairQueue {
     /// Forgets accounts that owe nothing, so that memory follows those that wait.
     fn sweep(&mut self) {
         if self.len == 0 {
             // Nobody waits: whatever an account was ahead of others is settled.
             self.accounts.clear();
             self.now = 0;
-        } else if self.accounts.len() > IDLE_LANES + self.len {
+        } else if self.accounts.len() > IDLE_FLOWS + self.len {
             let now = self.now;
             self.accounts
-                .retain(|_, lane| !lane.ready.is_empty() || lane.tag > now);
+                .retain(|_, flow| !flow.ready.is_empty() || flow.tag > now);
         }
     }
 }
