--- a/lib/src/policy/mod.rs
+++ b/lib/src/policy/mod.rs
@@ -15,6 +15,6 @@
 pub mod pace;
 pub mod placement;
 pub mod queue;
+pub mod replicas;
 pub mod slots;
-pub mod spread;
 pub mod upstream;
--- a/lib/src/policy/placement.rs
+++ b/lib/src/policy/placement.rs
@@ -15,7 +15,7 @@
 use crate::clock::Millis;
 use crate::error::Code;
 use crate::membership::fleet::{State, Upstream};
-use crate::policy::spread;
+use crate::policy::replicas;
 
 /// Most upstreams that are worth trying for one request.
 pub const CANDIDATES: usize = 16;
@@ -190,7 +190,7 @@
 
 /// Stands for all adapters in a hint on an upstream as a whole.
 const ANY: u64 = 0;
-/// From this width on requests are spread evenly. Below it the home goes first
+/// From this many replicas on requests are spread evenly. Below it the home goes first
 /// and a replica takes only what the home can't, which costs fewer loads.
 const EVEN: u32 = 32;
 
@@ -207,7 +207,7 @@
 pub struct Router {
     limits: Limits,
     hints: HashMap<(u64, u64), Hint>,
-    spread: spread::Table,
+    replicas: replicas::Table,
     draws: u64,
 }
 
@@ -215,11 +215,12 @@
     /// Starts with no memory. The seed spreads calls to plain services, so that nodes differ.
     #[must_use]
     pub fn new(limits: Limits, seed: u64) -> Self {
-        let spread = spread::Table::new(limits.max_replicas, limits.halve_after, limits.remembered);
+        let replicas =
+            replicas::Table::new(limits.max_replicas, limits.halve_after, limits.remembered);
         Self {
             limits,
             hints: HashMap::new(),
-            spread,
+            replicas,
             draws: mix(seed),
         }
     }
@@ -239,12 +240,12 @@
             let order = pool.rendezvous(self.draw(), CANDIDATES - 1);
             return self.ending_at_home(pool, ANY, order, now);
         };
-        let width = self.spread.width(key, now);
-        if width >= EVEN {
-            return self.evenly(pool, key, width as usize, now);
+        let replicas = self.replicas.replicas(key, now);
+        if replicas >= EVEN {
+            return self.evenly(pool, key, replicas as usize, now);
         }
-        let replicas = self.limits.max_replicas as usize;
-        let order = pool.rendezvous(key, replicas.clamp(1, CANDIDATES - 1));
+        let most = self.limits.max_replicas as usize;
+        let order = pool.rendezvous(key, most.clamp(1, CANDIDATES - 1));
         self.ending_at_home(pool, key, order, now)
     }
 
@@ -260,18 +261,18 @@
         order
     }
 
-    /// Draws an order of a busy adapter's first `width` upstreams, and then of as many more.
+    /// Draws an order of a busy adapter's first `replicas` upstreams, and then of as many more.
     ///
     /// A fixed order would fill its first upstreams, whose other adapters then
     /// suffer, and pass them all by before it finds a free one.
-    fn evenly(&mut self, pool: &Pool, key: u64, width: usize, now: Millis) -> Order {
-        let count = (2 * width).min(self.limits.max_replicas as usize);
+    fn evenly(&mut self, pool: &Pool, key: u64, replicas: usize, now: Millis) -> Order {
+        let count = (2 * replicas).min(self.limits.max_replicas as usize);
         let mut near = pool.nearest(key, count);
         let Some(home) = self.home(pool, &near, now) else {
             return Order::new();
         };
         let wait = self.holder(pool, key, &near, now).unwrap_or(home);
-        let mut far = near.split_off(width.min(near.len()));
+        let mut far = near.split_off(replicas.min(near.len()));
         self.shuffle(&mut near);
         self.shuffle(&mut far);
         let both = near.into_iter().chain(far);
@@ -334,22 +335,22 @@
         };
         let holds = code == Code::Busy;
         if holds && own != ANY {
-            self.spread.widen(own, pool.len(), now);
+            self.replicas.grow(own, pool.len(), now);
         }
         let until = now + span;
         self.remember((key, member.hash), Hint { until, holds }, now);
     }
 
-    /// Returns how many hints and widths are remembered.
+    /// Returns how many hints and replica counts are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.hints.len() + self.spread.len()
+        self.hints.len() + self.replicas.len()
     }
 
     /// Returns whether nothing is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.hints.is_empty() && self.spread.is_empty()
+        self.hints.is_empty() && self.replicas.is_empty()
     }
 
     fn is_hinted(&self, adapter: u64, upstream: u64, now: Millis) -> bool {
--- a/lib/tests/test_policy_parts.rs
+++ b/lib/tests/test_policy_parts.rs
@@ -11,8 +11,8 @@
 use chivevalve::policy::loads;
 use chivevalve::policy::placement::{self, CANDIDATES, Pool, Router};
 use chivevalve::policy::queue::{Entry, Queue};
+use chivevalve::policy::replicas;
 use chivevalve::policy::slots::Table;
-use chivevalve::policy::spread;
 use chivevalve::policy::upstream::{Action, Limits, Machine};
 use chivevalve::request::{Class, Id, Ticket};
 use chivevalve::runner::Share;
@@ -173,8 +173,8 @@
         let wanted = adapter(number);
         router.refused(&pool, 0, Some(&wanted), Code::Busy, Millis::ZERO);
     }
-    // A busy answer leaves a hint and a width; each table is bounded by itself.
-    assert!(router.len() <= 2 * most, "hints and widths");
+    // A busy answer leaves a hint and a replica count; each table is bounded by itself.
+    assert!(router.len() <= 2 * most, "hints and replica counts");
 }
 
 /// Tries one request until none of its first `busy` upstreams answers that it is busy.
@@ -237,7 +237,7 @@
 
 /// Symptom: replicas of a favourite that has died keep their slots.
 /// Sequence: an adapter is spread wide, then nobody is busy any more.
-/// Cause: a width was remembered for good.
+/// Cause: a replica count was remembered for good.
 #[test]
 fn order_spread_falls_back_to_the_home() {
     let (pool, mut router, wanted) = (pool(200, None), router(), adapter(1));
@@ -269,25 +269,25 @@
 }
 
 #[test]
-fn width_doubles_and_halves_within_bounds() {
-    let mut table = spread::Table::new(20, Millis(1_000), 2);
-    let widths: Vec<u32> = (0..6)
+fn replicas_double_and_halve_within_bounds() {
+    let mut table = replicas::Table::new(20, Millis(1_000), 2);
+    let counts: Vec<u32> = (0..6)
         .map(|_| {
-            table.widen(1, 600, Millis::ZERO);
-            table.width(1, Millis::ZERO)
+            table.grow(1, 600, Millis::ZERO);
+            table.replicas(1, Millis::ZERO)
         })
         .collect();
-    assert_eq!(widths, [2, 4, 8, 16, 20, 20]);
+    assert_eq!(counts, [2, 4, 8, 16, 20, 20]);
     let faded = [999, 1_000, 2_000, 5_000, u64::MAX];
-    let faded = faded.map(|now| table.width(1, Millis(now)));
+    let faded = faded.map(|now| table.replicas(1, Millis(now)));
     assert_eq!(faded, [20, 10, 5, 1, 1]);
-    table.widen(2, 3, Millis::ZERO);
-    table.widen(2, 3, Millis::ZERO);
-    assert_eq!(table.width(2, Millis::ZERO), 3, "no wider than the pool");
-    table.widen(3, 600, Millis::ZERO);
-    assert_eq!((table.width(3, Millis::ZERO), table.len()), (1, 2));
-    table.widen(3, 600, Millis(9_000));
-    assert_eq!((table.width(3, Millis(9_000)), table.len()), (2, 1));
+    table.grow(2, 3, Millis::ZERO);
+    table.grow(2, 3, Millis::ZERO);
+    assert_eq!(table.replicas(2, Millis::ZERO), 3, "no more than the pool");
+    table.grow(3, 600, Millis::ZERO);
+    assert_eq!((table.replicas(3, Millis::ZERO), table.len()), (1, 2));
+    table.grow(3, 600, Millis(9_000));
+    assert_eq!((table.replicas(3, Millis(9_000)), table.len()), (2, 1));
 }
 
 #[test]
