gossip: a peer that failed is in backoff

Cause: Rest also named what is left of a connection; here it is a backoff. Change: choice::Rest -> Backoff, FIRST_REST and MAX_REST -> FIRST_BACKOFF and MAX_BACKOFF; one unit test renamed, its assertions untouched.

--- a/lib/src/gossip/choice.rs
+++ b/lib/src/gossip/choice.rs
@@ -1,7 +1,7 @@
 //! Whom to exchange with next.
 //!
 //! Peers are drawn at random: any fixed order would leave a part of the nodes
-//! behind one that is paused. A peer that failed rests for a while that doubles,
+//! behind one that is paused. A peer that failed is left out for a backoff that doubles,
 //! so that dead and paused peers cost a round now and then and not each round.
 
 use std::collections::HashMap;
@@ -15,14 +15,14 @@
 use crate::clock::Millis;
 use crate::name::Name;
 
-/// First rest of a peer that failed, in milliseconds.
-const FIRST_REST: Millis = Millis(2_000);
-/// Longest rest, in milliseconds.
-const MAX_REST: Millis = Millis(30_000);
+/// First backoff of a peer that failed.
+const FIRST_BACKOFF: Millis = Millis(2_000);
+/// Longest backoff.
+const MAX_BACKOFF: Millis = Millis(30_000);
 
 /// A peer that failed of late.
 #[derive(Debug, Clone, Copy)]
-struct Rest {
+struct Backoff {
     failures: u32,
     until: Millis,
 }
@@ -33,7 +33,7 @@
     region: Name,
     /// How many of 100 draws go to another region.
     away_percent: u32,
-    rests: HashMap<SocketAddr, Rest>,
+    backoffs: HashMap<SocketAddr, Backoff>,
     rng: Pcg32,
 }
 
@@ -42,14 +42,14 @@
         Self {
             region,
             away_percent,
-            rests: HashMap::new(),
+            backoffs: HashMap::new(),
             rng: Pcg32::seed_from_u64(seed),
         }
     }
 
     /// Draws up to `count` different peers.
     pub(super) fn draw(&mut self, peers: &[Peer], count: usize, now: Millis) -> Vec<Peer> {
-        self.rests
+        self.backoffs
             .retain(|address, _| peers.iter().any(|peer| peer.address == *address));
         let mut drawn: Vec<Peer> = Vec::with_capacity(count);
         for _ in 0..count {
@@ -63,9 +63,9 @@
             }
         }
         if drawn.is_empty() {
-            // All rest: try the one whose rest ends first, or a node that was
+            // All are in backoff: try the one whose backoff ends first, or a node that was
             // cut off alone would stay alone for longer than it is cut off.
-            drawn.extend(self.first_rested(peers));
+            drawn.extend(self.first_out_of_backoff(peers));
         }
         drawn
     }
@@ -78,45 +78,45 @@
         now: Millis,
         away: Option<bool>,
     ) -> Option<Peer> {
-        let rests = &self.rests;
+        let backoffs = &self.backoffs;
         let region = &self.region;
         peers
             .iter()
             .filter(|peer| away.is_none_or(|away| (peer.region != *region) == away))
             .filter(|peer| {
-                rests
+                backoffs
                     .get(&peer.address)
-                    .is_none_or(|rest| rest.until <= now)
+                    .is_none_or(|backoff| backoff.until <= now)
             })
             .filter(|peer| drawn.iter().all(|other| other.address != peer.address))
             .choose(&mut self.rng)
             .cloned()
     }
 
-    fn first_rested(&self, peers: &[Peer]) -> Option<Peer> {
+    fn first_out_of_backoff(&self, peers: &[Peer]) -> Option<Peer> {
         peers
             .iter()
-            .min_by_key(|peer| self.rests.get(&peer.address).map(|rest| rest.until))
+            .min_by_key(|peer| self.backoffs.get(&peer.address).map(|backoff| backoff.until))
             .cloned()
     }
 
     /// Notes that a peer answered.
     pub(super) fn answered(&mut self, peer: &Peer) {
-        self.rests.remove(&peer.address);
+        self.backoffs.remove(&peer.address);
     }
 
     /// Notes that a peer didn't answer.
     pub(super) fn failed(&mut self, peer: &Peer, now: Millis) {
         let failures = self
-            .rests
+            .backoffs
             .get(&peer.address)
-            .map_or(0, |rest| rest.failures);
-        let doubled = FIRST_REST.0 << failures.min(8);
-        let span = doubled.min(MAX_REST.0);
+            .map_or(0, |backoff| backoff.failures);
+        let doubled = FIRST_BACKOFF.0 << failures.min(8);
+        let span = doubled.min(MAX_BACKOFF.0);
         let jittered = self.rng.random_range(span / 2..=span);
-        self.rests.insert(
+        self.backoffs.insert(
             peer.address,
-            Rest {
+            Backoff {
                 failures: failures + 1,
                 until: now + Millis(jittered),
             },
@@ -150,7 +150,7 @@
     /// Sequence: a peer doesn't answer, and is drawn again at the next round.
     /// Cause: nothing remembered that it failed.
     #[test]
-    fn choice_failed_peer_rests() {
+    fn choice_failed_peer_backs_off() {
         let mut choice = Choice::new(Arc::from("a"), 10, 1);
         let peers = peers(2);
         choice.failed(&peers[0], Millis(0));
@@ -160,7 +160,7 @@
         }
         choice.failed(&peers[1], Millis(20));
         let alone = choice.draw(&peers, 1, Millis(30));
-        assert_eq!(alone.len(), 1, "somebody is tried though all rest");
+        assert_eq!(alone.len(), 1, "somebody is tried though all are in backoff");
         choice.answered(&peers[0]);
         assert_eq!(choice.draw(&peers, 1, Millis(40)), [peers[0].clone()]);
     }
