membership: a list of VMs is accepted or rejected

Cause: Doubt, Doubted and Believed told of beliefs; a list is in force or it is not. The rule itself is as it was.

--- a/bench/src/fuzz_outcomes/harness/oracle.rs
+++ b/bench/src/fuzz_outcomes/harness/oracle.rs
@@ -38,7 +38,7 @@
     AtMostOnce,
     /// A leaving upstream gets no new work after three seconds.
     Leaving,
-    /// A list that lacks many at once isn't believed.
+    /// A list that lacks many at once is rejected.
     Panic,
     /// A planned stop cuts off no request.
     Graceful,
--- a/bench/src/fuzz_outcomes/harness/world/faults.rs
+++ b/bench/src/fuzz_outcomes/harness/world/faults.rs
@@ -172,17 +172,14 @@
         node.upstreams.list(now, vms);
         let left = usable(&node.upstreams);
         let after = node.upstreams.all(now);
-        let believed = bad.is_some() && cut_short && before > 2 && left * 3 < before;
+        let accepted = bad.is_some() && cut_short && before > 2 && left * 3 < before;
         let regions: BTreeMap<Name, Name> = after
             .into_iter()
             .map(|upstream| (upstream.vm.name, upstream.vm.region))
             .collect();
         self.on_machine(index, |machine, now| machine.upstreams(now, regions));
-        if believed {
-            self.broken(
-                Promise::Panic,
-                format!("n{index} believes a list cut short"),
-            );
+        if accepted {
+            self.broken(Promise::Panic, format!("n{index} accepts a list cut short"));
         }
     }
 
--- a/lib/src/gossip/choice.rs
+++ b/lib/src/gossip/choice.rs
@@ -96,7 +96,11 @@
     fn first_out_of_backoff(&self, peers: &[Peer]) -> Option<Peer> {
         peers
             .iter()
-            .min_by_key(|peer| self.backoffs.get(&peer.address).map(|backoff| backoff.until))
+            .min_by_key(|peer| {
+                self.backoffs
+                    .get(&peer.address)
+                    .map(|backoff| backoff.until)
+            })
             .cloned()
     }
 
@@ -160,7 +164,11 @@
         }
         choice.failed(&peers[1], Millis(20));
         let alone = choice.draw(&peers, 1, Millis(30));
-        assert_eq!(alone.len(), 1, "somebody is tried though all are in backoff");
+        assert_eq!(
+            alone.len(),
+            1,
+            "somebody is tried though all are in backoff"
+        );
         choice.answered(&peers[0]);
         assert_eq!(choice.draw(&peers, 1, Millis(40)), [peers[0].clone()]);
     }
--- a/lib/src/membership/guard.rs
+++ b/lib/src/membership/guard.rs
@@ -37,7 +37,7 @@
     WitnessesFixed,
     /// What was read at an older revision of the service changes nothing.
     StaleRead,
-    /// A list of VMs that lacks many at once isn't believed.
+    /// A list of VMs that lacks many at once is rejected.
     PanicThreshold,
     /// A leaving upstream gets no new work.
     LeavingStops,
--- a/lib/src/membership/keeper.rs
+++ b/lib/src/membership/keeper.rs
@@ -371,12 +371,10 @@
     fn list_read(self: &Arc<Self>, vms: Vec<Vm>) {
         let listed = vms.len();
         let verdict = self.step(|core, now| core.upstreams.list(now, vms));
-        if let Verdict::Doubted { missing } = verdict {
+        if let Verdict::Rejected { missing } = verdict {
             let events = &self.parts.metrics.events;
-            events.with_label_values(&["list_doubted"]).inc();
-            warn!(
-                "membership: the list of VMs ({listed}) lacks {missing} at once and isn't believed"
-            );
+            events.with_label_values(&["list_rejected"]).inc();
+            warn!("membership: the list of VMs ({listed}) lacks {missing} at once and is rejected");
         }
     }
 
--- a/lib/src/membership/upstreams.rs
+++ b/lib/src/membership/upstreams.rs
@@ -12,10 +12,10 @@
 use crate::name::Name;
 use crate::ports::Vm;
 
-/// A list that lacks more than one in this many at once isn't believed.
+/// A list that lacks more than one in this many at once is rejected.
 const PANIC_PART: usize = 3;
-/// How long a doubtful list must stay as it is before it is believed after all.
-const DOUBT: Millis = Millis::from_secs(60);
+/// How long a rejected list must stay as it is before it is accepted after all.
+const CONFIRMED_AFTER: Millis = Millis::from_secs(60);
 /// First time that an upstream is held out for; it doubles with each failure.
 const FIRST_HOLD: Millis = Millis(250);
 /// Longest time that an upstream is held out for.
@@ -31,9 +31,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
     /// It is in force.
-    Believed,
+    Accepted,
     /// It lacks so many that the one before stays in force.
-    Doubted {
+    Rejected {
         /// Upstreams that it lacks.
         missing: usize,
     },
@@ -46,9 +46,9 @@
     held_until: Millis,
 }
 
-/// A list that wasn't believed.
+/// A rejected list, and since when the platform has given the same.
 #[derive(Debug, Clone)]
-struct Doubt {
+struct Pending {
     since: Millis,
     names: Vec<(Name, bool)>,
 }
@@ -60,8 +60,8 @@
     vms: BTreeMap<Name, Vm>,
     health: BTreeMap<Name, Health>,
     signs: BTreeMap<Name, Millis>,
-    doubt: Option<Doubt>,
-    believed_at: Option<Millis>,
+    pending: Option<Pending>,
+    accepted_at: Option<Millis>,
     version: u64,
 }
 
@@ -74,19 +74,19 @@
             vms: BTreeMap::new(),
             health: BTreeMap::new(),
             signs: BTreeMap::new(),
-            doubt: None,
-            believed_at: None,
+            pending: None,
+            accepted_at: None,
             version: 0,
         }
     }
 
     /// Takes a list as the platform gave it.
     ///
-    /// A directory that restarts can give an empty or partial list. Believing it
+    /// A directory that restarts can give an empty or partial list. Accepting it
     /// would stop work at upstreams that are well, all at once, so a list that
-    /// lacks more than a third, or calls all leaving, is believed only when it has
+    /// lacks more than a third, or calls all leaving, is accepted only when it has
     /// stayed so for a minute; one that is empty never. Marks of leaving in a list
-    /// that isn't believed still count as signs.
+    /// that is rejected still count as signs.
     pub fn list(&mut self, now: Millis, vms: Vec<Vm>) -> Verdict {
         let listed: BTreeMap<Name, Vm> = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
         let leaving: Vec<Name> = self
@@ -101,11 +101,11 @@
             .usable()
             .filter(|vm| !listed.contains_key(&vm.name))
             .count();
-        if self.doubtful(now, &listed, missing) {
-            return Verdict::Doubted { missing };
+        if self.rejects(now, &listed, missing) {
+            return Verdict::Rejected { missing };
         }
-        self.doubt = None;
-        self.believed_at = Some(now);
+        self.pending = None;
+        self.accepted_at = Some(now);
         if listed != self.vms {
             self.version += 1;
         }
@@ -113,14 +113,14 @@
         let vms = &self.vms;
         self.health.retain(|name, _| vms.contains_key(name));
         self.signs.retain(|_, at| now.since(*at) < SIGN);
-        Verdict::Believed
+        Verdict::Accepted
     }
 
     fn usable(&self) -> impl Iterator<Item = &Vm> {
         self.vms.values().filter(|vm| !vm.leaving)
     }
 
-    fn doubtful(&mut self, now: Millis, listed: &BTreeMap<Name, Vm>, missing: usize) -> bool {
+    fn rejects(&mut self, now: Millis, listed: &BTreeMap<Name, Vm>, missing: usize) -> bool {
         let usable = self.usable().count();
         if usable == 0 || !self.guards.on(Guard::PanicThreshold) {
             return false;
@@ -137,10 +137,10 @@
             .values()
             .map(|vm| (vm.name.clone(), vm.leaving))
             .collect();
-        match &self.doubt {
-            Some(doubt) if doubt.names == names => now.since(doubt.since) < DOUBT,
+        match &self.pending {
+            Some(pending) if pending.names == names => now.since(pending.since) < CONFIRMED_AFTER,
             _ => {
-                self.doubt = Some(Doubt { since: now, names });
+                self.pending = Some(Pending { since: now, names });
                 true
             }
         }
@@ -268,7 +268,7 @@
     /// Returns the age of the list in force.
     #[must_use]
     pub fn age(&self, now: Millis) -> Option<Millis> {
-        self.believed_at.map(|at| now.since(at))
+        self.accepted_at.map(|at| now.since(at))
     }
 
     /// Returns a number that grows with every change but the end of a hold.
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -1,4 +1,4 @@
-//! Membership's parts: what is learned, who supports whom, which lists are believed.
+//! Membership's parts: what is learned, who supports whom, which lists are accepted.
 
 use std::net::SocketAddr;
 
@@ -261,17 +261,17 @@
 
 /// Symptom: all upstreams lose their work at once though none has failed.
 /// Sequence: the directory restarts and answers with an empty, then a short list.
-/// Cause: a list was believed whatever it lacked.
+/// Cause: a list was accepted whatever it lacked.
 #[test]
 fn list_lacks_many() {
     let mut upstreams = Upstreams::new(Guards::all());
-    assert_eq!(upstreams.list(Millis(0), vms(9)), Verdict::Believed);
+    assert_eq!(upstreams.list(Millis(0), vms(9)), Verdict::Accepted);
     let empty = upstreams.list(Millis(1000), Vec::new());
-    assert_eq!(empty, Verdict::Doubted { missing: 9 });
+    assert_eq!(empty, Verdict::Rejected { missing: 9 });
     let short = upstreams.list(Millis(2000), vms(4));
-    assert_eq!(short, Verdict::Doubted { missing: 5 });
+    assert_eq!(short, Verdict::Rejected { missing: 5 });
     assert_eq!(upstreams.all(Millis(2000)).len(), 9);
-    assert_eq!(upstreams.list(Millis(62_000), vms(4)), Verdict::Believed);
+    assert_eq!(upstreams.list(Millis(62_000), vms(4)), Verdict::Accepted);
     assert_eq!(upstreams.all(Millis(62_000)).len(), 4);
 }
 
@@ -279,7 +279,7 @@
 fn list_lacks_few() {
     let mut upstreams = Upstreams::new(Guards::all());
     upstreams.list(Millis(0), vms(9));
-    assert_eq!(upstreams.list(Millis(1000), vms(6)), Verdict::Believed);
+    assert_eq!(upstreams.list(Millis(1000), vms(6)), Verdict::Accepted);
 }
 
 /// Symptom: requests fail again and again at an upstream that answers in between.
@@ -366,7 +366,7 @@
         upstreams
     };
     let mut panicking = made(Guard::PanicThreshold);
-    assert_eq!(panicking.list(Millis(1), Vec::new()), Verdict::Believed);
+    assert_eq!(panicking.list(Millis(1), Vec::new()), Verdict::Accepted);
     let mut leaving = made(Guard::LeavingStops);
     leaving.sign(Millis(1), "u0");
     let state = leaving.get(Millis(2), "u0").map(|found| found.state);
