--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -13,7 +13,7 @@
 use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
-use crate::ports::poll::{Gap, Poll};
+use crate::ports::poll::{self, Poll};
 use crate::ports::{Entry, Error, Event, Store};
 
 /// Name of a node's record, with the node's name behind it.
@@ -124,11 +124,11 @@
                     wait = POLL_WAIT;
                     self.limits.get().poll_pause()
                 }
-                Err(Gap::Dropped) => {
-                    log::info!("follow: the history after revision {revision} is gone");
+                Err(poll::Error::Compacted) => {
+                    log::info!("follow: the history after revision {revision} is compacted");
                     return;
                 }
-                Err(Gap::Failed(error)) => {
+                Err(poll::Error::Failed(error)) => {
                     log::debug!("follow: no changes after revision {revision}: {error}");
                     self.view.touched(false);
                     // While the service is away a call that may wait long only
--- a/lib/src/ports/metered.rs
+++ b/lib/src/ports/metered.rs
@@ -9,7 +9,7 @@
 
 use async_trait::async_trait;
 
-use super::poll::{Changes, Gap, Poll};
+use super::poll::{self, Changes, Poll};
 use super::{Commit, Entry, Error, Lease, LeaseId, Listing, Store, Transaction};
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
@@ -127,7 +127,12 @@
 
 #[async_trait]
 impl Poll for Metered {
-    async fn changes(&self, prefix: &str, revision: u64, wait: Millis) -> Result<Changes, Gap> {
+    async fn changes(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait: Millis,
+    ) -> Result<Changes, poll::Error> {
         let mut started = self.start("changes");
         let result = self.poll.changes(prefix, revision, wait).await;
         started.outcome = match &result {
@@ -135,8 +140,8 @@
                 self.told.store(self.clock.now().0, Ordering::Relaxed);
                 "answered"
             }
-            Err(Gap::Dropped) => "history_gone",
-            Err(Gap::Failed(error)) => error.name(),
+            Err(poll::Error::Compacted) => "compacted",
+            Err(poll::Error::Failed(error)) => error.name(),
         };
         result
     }
--- a/lib/src/ports/poll.rs
+++ b/lib/src/ports/poll.rs
@@ -6,18 +6,18 @@
 
 use async_trait::async_trait;
 
-use super::{Error, Event};
+use super::Event;
 use crate::clock::Millis;
 
 /// Why a call for changes has no result.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum Gap {
-    /// The service has dropped the history after the revision that was asked for.
-    #[error("the history after the revision is gone")]
-    Dropped,
+pub enum Error {
+    /// The service has compacted the history after the revision that was asked for.
+    #[error("the history after the revision is compacted")]
+    Compacted,
     /// The call failed.
     #[error(transparent)]
-    Failed(#[from] Error),
+    Failed(#[from] super::Error),
 }
 
 /// Changes after a revision.
@@ -36,6 +36,6 @@
     ///
     /// # Errors
     ///
-    /// [`Gap::Dropped`] when only reading everything anew helps.
-    async fn changes(&self, prefix: &str, revision: u64, wait: Millis) -> Result<Changes, Gap>;
+    /// [`Error::Compacted`] when only reading everything anew helps.
+    async fn changes(&self, prefix: &str, revision: u64, wait: Millis) -> Result<Changes, Error>;
 }
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use chivevalve::clock::Millis;
-use chivevalve::ports::poll::{Changes, Gap, Poll};
+use chivevalve::ports::poll::{self, Changes, Poll};
 use chivevalve::ports::{
     Commit, Condition, Entry, Error, Event, Lease, LeaseId, Listing, Store, Transaction, Write,
 };
@@ -225,7 +225,12 @@
 
 #[async_trait]
 impl Poll for Memory {
-    async fn changes(&self, prefix: &str, revision: u64, wait: Millis) -> Result<Changes, Gap> {
+    async fn changes(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait: Millis,
+    ) -> Result<Changes, poll::Error> {
         let (away, compacted) = {
             let mut state = self.state();
             state.waits.push(wait);
@@ -237,12 +242,12 @@
             return Err(Error::NoAnswer("the test took it away".to_owned()).into());
         }
         if revision < compacted {
-            return Err(Gap::Dropped);
+            return Err(poll::Error::Compacted);
         }
         let events = self.wait(prefix, revision, wait).await;
         let state = self.state();
         if revision < state.compacted {
-            return Err(Gap::Dropped);
+            return Err(poll::Error::Compacted);
         }
         Ok(Changes {
             events,
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -18,7 +18,7 @@
 use chivevalve::direct::serve::serve;
 use chivevalve::direct::view::{Peer, View};
 use chivevalve::name::Name;
-use chivevalve::ports::poll::{Changes, Gap, Poll};
+use chivevalve::ports::poll::{self, Changes, Poll};
 use chivevalve::ports::{Entry, Error, Event};
 use chivevalve::schema::direct::Update as Sent;
 use chivevalve_platform::Speech;
@@ -112,7 +112,12 @@
 
 #[async_trait]
 impl Poll for Asked {
-    async fn changes(&self, prefix: &str, revision: u64, wait: Millis) -> Result<Changes, Gap> {
+    async fn changes(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait: Millis,
+    ) -> Result<Changes, poll::Error> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         if self.cut.load(Ordering::Relaxed) {
             return Err(Error::NoAnswer("the test cut it off".to_owned()).into());
