membership: files of one job each

Only visibility, imports and module comments differ; machine's public names are re-exported where they were.

--- a/lib/src/membership/machine/claims.rs
+++ b/lib/src/membership/machine/claims.rs
@@ -1,9 +1,9 @@
-//! Claiming, adopting and handing over upstreams.
+//! Claiming and adopting upstreams, and giving them up.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use super::{Action, Call, Held, Machine, Purpose, Stopping};
+use super::{Action, Call, Held, Machine, Purpose};
 use crate::clock::Millis;
 use crate::membership::guard::Guard;
 use crate::membership::node::{Claim, Record};
@@ -20,8 +20,6 @@
 const AT_ONCE: usize = 16;
 /// Wait after a handover that couldn't be written.
 const AGAIN: Millis = Millis(400);
-/// Time between looks for what ended nodes left behind.
-const TIDY: Millis = Millis::from_secs(60);
 
 /// What is under way for an upstream; meanwhile nothing else is begun for it.
 #[derive(Debug)]
@@ -77,7 +75,7 @@
         }
     }
 
-    fn load(&self) -> Load {
+    pub(super) fn load(&self) -> Load {
         let owners = self
             .table
             .claims()
@@ -198,7 +196,13 @@
         }
     }
 
-    fn write_claim(&mut self, now: Millis, claim: Claim, over: u64, conditions: Vec<Condition>) {
+    pub(super) fn write_claim(
+        &mut self,
+        now: Millis,
+        claim: Claim,
+        over: u64,
+        conditions: Vec<Condition>,
+    ) {
         let upstream = claim.upstream.clone();
         let put = Write::Put(self.keys.claim(&upstream), claim.to_value(), None);
         let transaction = Transaction {
@@ -357,7 +361,7 @@
 
     // The claim is written over instead of removed: a removed one could come back
     // from a peer that still has it, and a late removal could take a newer one.
-    fn free_claim(&mut self, now: Millis, upstream: &Name) {
+    pub(super) fn free_claim(&mut self, now: Millis, upstream: &Name) {
         let own = self.table.claim(upstream).cloned();
         let Some(own) = own.filter(|claim| claim.names(&self.identity)) else {
             return;
@@ -406,215 +410,4 @@
         let call = Call::Release(upstream.clone(), limit);
         self.call(now, Purpose::Release(upstream.clone()), call);
     }
-
-    // One upstream at a time goes from a node that holds two more than another, once
-    // the set of nodes has been still: a moved upstream takes no requests meanwhile.
-    fn balance(&mut self, now: Millis) {
-        let still = now.since(self.nodes_since) >= self.limits.settle;
-        if !still || now < self.next_rebalance || !self.busy.is_empty() {
-            return;
-        }
-        let span = self.limits.rebalance;
-        self.next_rebalance = now + self.jitter(span);
-        let load = self.load();
-        let own = load.of(&self.identity.name);
-        let live: Vec<&Record> = self.table.live().collect();
-        let moved = self.holds.keys().find(|upstream| {
-            let Some(region) = self.regions.get(*upstream) else {
-                return false;
-            };
-            let candidates = placement::candidates(&live, region);
-            placement::successor(upstream, &candidates, &load)
-                .is_some_and(|to| load.of(&to.identity.name) + 2 <= own)
-        });
-        if let Some(upstream) = moved.cloned() {
-            self.note("rebalanced");
-            self.hand_over(now, &upstream);
-        }
-    }
-
-    pub(super) fn hand_over(&mut self, now: Millis, upstream: &Name) {
-        self.busy.insert(upstream.clone(), Busy::Releasing);
-        let limit = self.limits.release;
-        let call = Call::Release(upstream.clone(), limit);
-        self.call(now, Purpose::Release(upstream.clone()), call);
-        if !self.guards.on(Guard::ReleaseFirst) {
-            self.write_handover(now, upstream);
-        }
-    }
-
-    pub(super) fn released(&mut self, now: Millis, upstream: &Name) {
-        if !matches!(self.busy.get(upstream), Some(Busy::Releasing)) {
-            return;
-        }
-        self.busy.remove(upstream);
-        if let Some(held) = self.holds.remove(upstream) {
-            held.until.store(0, Ordering::Release);
-        }
-        if !self.regions.contains_key(upstream) {
-            self.free_claim(now, upstream);
-            return;
-        }
-        self.write_handover(now, upstream);
-    }
-
-    pub(super) fn write_handover(&mut self, now: Millis, upstream: &Name) {
-        let own = self.table.claim(upstream).cloned();
-        let Some(own) = own.filter(|claim| claim.names(&self.identity)) else {
-            return;
-        };
-        let mut load = self.load();
-        for busy in self.busy.values() {
-            if let Busy::Claiming { claim, .. } = busy {
-                load.add(&claim.node);
-            }
-        }
-        let region = self.regions.get(upstream).cloned().unwrap_or_default();
-        let live: Vec<&Record> = self
-            .table
-            .live()
-            .filter(|record| record.identity.name != self.identity.name)
-            .collect();
-        let candidates = placement::candidates(&live, &region);
-        let Some(successor) = placement::successor(upstream, &candidates, &load) else {
-            self.reconcile(now);
-            return;
-        };
-        let claim = Claim {
-            upstream: upstream.clone(),
-            node: successor.identity.name.clone(),
-            incarnation: successor.identity.incarnation,
-            token: 0,
-            peer: successor.identity.peer,
-        };
-        let conditions = vec![
-            Condition::Unchanged(self.keys.claim(upstream), own.token),
-            Condition::Unchanged(self.keys.node(&successor.identity.name), successor.revision),
-        ];
-        self.write_claim(now, claim, own.token, conditions);
-    }
-
-    // Registrations of nodes that are gone and own nothing would pile up.
-    fn tidy(&mut self, now: Millis) {
-        if now < self.next_tidy || !self.watcher() {
-            return;
-        }
-        self.next_tidy = now + self.jitter(TIDY);
-        let leftover = self
-            .leftover_registration()
-            .or_else(|| self.leftover_claim());
-        if let Some(transaction) = leftover {
-            self.call(now, Purpose::Tidy, Call::Commit(transaction));
-        }
-    }
-
-    fn leftover_registration(&self) -> Option<Transaction> {
-        let left = self.table.registrations().find(|record| {
-            let start = &record.identity;
-            let stands = self.table.live_record(&start.name);
-            stands.is_none() && !self.table.claims().any(|claim| claim.names(start))
-        })?;
-        let start = &left.identity;
-        let key = self.keys.registration(&start.name, start.incarnation);
-        Some(Transaction {
-            conditions: vec![
-                Condition::Unchanged(key.clone(), left.revision),
-                Condition::Absent(self.keys.node(&start.name)),
-            ],
-            writes: vec![Write::Delete(key)],
-        })
-    }
-
-    fn leftover_claim(&self) -> Option<Transaction> {
-        let left = self
-            .table
-            .claims()
-            .find(|claim| claim.is_free() && !self.regions.contains_key(&claim.upstream))?;
-        let key = self.keys.claim(&left.upstream);
-        Some(Transaction {
-            conditions: vec![Condition::Unchanged(key.clone(), left.token)],
-            writes: vec![Write::Delete(key)],
-        })
-    }
-
-    /// Goes on with the node's planned stop.
-    pub(super) fn tend_stop(&mut self, now: Millis) {
-        let Some(stopping) = self.stopping else {
-            return;
-        };
-        if stopping.ending {
-            return;
-        }
-        let announced = self
-            .session
-            .as_ref()
-            .is_none_or(|session| session.record.draining || !session.checked);
-        if announced {
-            self.hand_all_over(now);
-        }
-        // A node that stops too takes nothing over: when all stop at once, each
-        // would wait for the others until its limit.
-        let successor = self
-            .table
-            .live()
-            .any(|record| record.identity.name != self.identity.name && !record.draining);
-        let rest = successor && self.table.claims().any(|claim| claim.names(&self.identity));
-        let clear = announced && self.holds.is_empty() && self.busy.is_empty() && !rest;
-        if clear || now >= stopping.until {
-            self.finish_stop(now, stopping);
-        }
-    }
-
-    fn hand_all_over(&mut self, now: Millis) {
-        if now < self.next_handover {
-            return;
-        }
-        let held: Vec<Name> = self
-            .holds
-            .keys()
-            .filter(|upstream| !self.busy.contains_key(*upstream))
-            .cloned()
-            .collect();
-        for upstream in held {
-            self.hand_over(now, &upstream);
-        }
-        let idle: Vec<Name> = self
-            .table
-            .claims()
-            .filter(|claim| claim.names(&self.identity))
-            .filter(|claim| !self.holds.contains_key(&claim.upstream))
-            .filter(|claim| !self.busy.contains_key(&claim.upstream))
-            .map(|claim| claim.upstream.clone())
-            .collect();
-        for upstream in idle {
-            self.write_handover(now, &upstream);
-        }
-    }
-
-    // Whatever could not be handed over goes to successors when the record is gone.
-    fn finish_stop(&mut self, now: Millis, stopping: Stopping) {
-        let left: Vec<Name> = self.holds.keys().cloned().collect();
-        for upstream in left {
-            self.give_up(now, &upstream);
-        }
-        self.standing = false;
-        self.until = now;
-        self.round = None;
-        match self.session.take() {
-            Some(session) => self.call(now, Purpose::Revoke, Call::Revoke(session.lease)),
-            None => self.revoked(),
-        }
-        // A second call would only wait for the first one's answer.
-        self.stopping = Some(Stopping {
-            ending: true,
-            done: self.drained(),
-            ..stopping
-        });
-    }
-
-    pub(super) fn revoked(&mut self) {
-        if let Some(stopping) = &mut self.stopping {
-            stopping.done = true;
-        }
-    }
 }
--- a/lib/src/membership/machine/lease.rs
+++ b/lib/src/membership/machine/lease.rs
@@ -1,4 +1,4 @@
-//! The node's lease and record, and the reading of all keys.
+//! The node's lease and record.
 
 use smallvec::SmallVec;
 
@@ -8,10 +8,10 @@
 use crate::membership::limits::{OUTAGE_LIMIT, RENEWALS, drift};
 use crate::membership::node::{Record, Witnesses};
 use crate::membership::placement;
-use crate::ports::{Commit, Condition, Entry, Error, LeaseId, Listing, Transaction, Write};
+use crate::ports::{Commit, Condition, Entry, Error, LeaseId, Transaction, Write};
 
 /// Shortest wait before the service is tried again after a failure.
-const RETRY: Millis = Millis(400);
+pub(super) const RETRY: Millis = Millis(400);
 
 /// A lease is exchanged for one whose span is this many times as long.
 const OUTGROWN: u64 = 2;
@@ -230,7 +230,7 @@
 
     // All nodes try at the same time when the service comes back. At a third of
     // the lease's span their calls stay as far apart as renewals do.
-    fn retry_span(&self) -> Millis {
+    pub(super) fn retry_span(&self) -> Millis {
         let span = self.limits.lease_span(self.fleet_size());
         RETRY.max(Millis(span.0 / RENEWALS))
     }
@@ -435,77 +435,4 @@
             .as_ref()
             .is_none_or(|session| now.since(session.renewed) >= OUTAGE_LIMIT)
     }
-
-    pub(super) fn tend_reading(&mut self, now: Millis) {
-        self.tend_settling(now);
-        let due = now >= self.reading.next || self.reading.wanted && now >= self.reading.after;
-        if self.reading.under_way || !due || self.ending() {
-            return;
-        }
-        self.reading.under_way = true;
-        self.reading.wanted = false;
-        self.call(now, Purpose::List, Call::List);
-    }
-
-    fn list_period(&self) -> Millis {
-        let by_bytes = self.reading.bytes * 1000 / self.limits.store_bytes_per_second.max(1);
-        self.limits.store_poll.max(Millis(by_bytes))
-    }
-
-    pub(super) fn listed(&mut self, now: Millis, sent: Millis, result: Result<Listing, Error>) {
-        self.reading.under_way = false;
-        let Ok(listing) = result else {
-            self.reading.wanted = true;
-            let retry = self.retry_span();
-            self.reading.after = now + self.jitter(retry);
-            self.reading.next = self.reading.after;
-            return;
-        };
-        self.reading.after = now + RETRY;
-        self.reading.bytes = listing
-            .entries
-            .iter()
-            .map(|entry| (entry.key.len() + entry.value.len()) as u64)
-            .sum();
-        let period = self.list_period();
-        self.reading.next = now + self.jitter(period);
-        if !self.table.read(&listing) {
-            self.note("stale_read");
-            self.reading.wanted = true;
-            return;
-        }
-        // What was lost must go before the bound of the rest moves.
-        self.reconcile(now);
-        self.check_claims(now, sent);
-        self.reconcile(now);
-        self.next_plan = now;
-    }
-
-    // Claims that were read after the registration are certainly this node's: no
-    // successor can write over them while the record stands.
-    fn check_claims(&mut self, now: Millis, sent: Millis) {
-        let read_up_to = self.table.read_up_to();
-        let Some(session) = &mut self.session else {
-            return;
-        };
-        if session.dead {
-            return;
-        }
-        if sent < session.checked_after || read_up_to < session.record.revision {
-            self.reading.wanted = true;
-            return;
-        }
-        session.checked = true;
-        let until = session.service_until;
-        if self.standing {
-            self.extend(until);
-        } else if now < until {
-            self.standing = true;
-            self.stood_since = now;
-            self.until = until;
-            self.note("standing");
-        } else {
-            self.reading.wanted = true;
-        }
-    }
 }
--- a/lib/src/membership/machine/mod.rs
+++ b/lib/src/membership/machine/mod.rs
@@ -4,13 +4,17 @@
 //! their answers come back with the time. The keeper drives it in a node, the
 //! fuzz harness under virtual time. See docs/design/0004-ownership.md.
 
+mod call;
 mod claims;
+mod handover;
 mod lease;
+mod reading;
+mod stop;
 mod support;
 mod takeover;
+mod tidy;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -26,107 +30,19 @@
 use crate::membership::table::Table;
 use crate::membership::witness::{Ask, Vote, Witness};
 use crate::name::Name;
-use crate::ports::{Commit, Entry, Error, LeaseId, Listing, Transaction};
 
+pub use call::{Action, Answer, Call};
+use call::{Pending, Purpose};
 use claims::Busy;
 use lease::{Joining, Session};
+use reading::Reading;
+use stop::Stopping;
 use support::Round;
 use takeover::Withdrawal;
 
 /// Wait after the start before leftovers of ended nodes are removed.
 const FIRST_TIDY: Millis = Millis::from_secs(30);
 
-/// A call that the machine wants made; its answer comes back under the same number.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Call {
-    /// Grants a lease.
-    Grant(Millis),
-    /// Renews a lease.
-    Renew(LeaseId),
-    /// Ends a lease.
-    Revoke(LeaseId),
-    /// Makes a write under conditions.
-    Commit(Transaction),
-    /// Reads one key.
-    Read(String),
-    /// Reads all keys of membership.
-    List,
-    /// Asks a peer as a witness.
-    Ask(SocketAddr, Ask),
-    /// Stops serving an upstream and waits for what runs.
-    Release(Name, Millis),
-}
-
-/// What a call brought.
-#[derive(Debug, Clone)]
-pub enum Answer {
-    /// Of [`Call::Grant`].
-    Granted(Result<LeaseId, Error>),
-    /// Of [`Call::Renew`].
-    Renewed(Result<Millis, Error>),
-    /// Of [`Call::Revoke`].
-    Revoked,
-    /// Of [`Call::Commit`].
-    Committed(Result<Commit, Error>),
-    /// Of [`Call::Read`].
-    Read(Result<Option<Entry>, Error>),
-    /// Of [`Call::List`].
-    Listed(Result<Listing, Error>),
-    /// Of [`Call::Ask`]; none when no answer came in time.
-    Voted(Option<Vote>),
-    /// Of [`Call::Release`].
-    Released,
-}
-
-/// What the machine wants done.
-#[derive(Debug, Clone)]
-pub enum Action {
-    /// Make a call and return its answer.
-    Call(u64, Call),
-    /// Serve an upstream under a claim; the bound moves while the right lasts.
-    Adopt {
-        /// The upstream.
-        upstream: Name,
-        /// The claim's fencing token.
-        token: u64,
-        /// When the right ends, on the node's clock.
-        until: Arc<AtomicU64>,
-    },
-    /// Something rare that operators should be able to count.
-    Note(&'static str),
-}
-
-/// What a call was made for.
-#[derive(Debug, Clone)]
-enum Purpose {
-    Grant,
-    Register,
-    SettleRegister,
-    Renew(LeaseId),
-    List,
-    Claim(Name),
-    SettleClaim(Name),
-    Release(Name),
-    Support {
-        round: u64,
-        witness: Name,
-    },
-    Withdraw {
-        start: (Name, u64),
-        round: u64,
-        witness: Name,
-    },
-    Revoke,
-    Tidy,
-}
-
-/// A call under way.
-#[derive(Debug, Clone)]
-struct Pending {
-    purpose: Purpose,
-    sent: Millis,
-}
-
 /// An upstream that this node owns and serves.
 #[derive(Debug)]
 struct Held {
@@ -134,25 +50,6 @@
     until: Arc<AtomicU64>,
 }
 
-/// How far a node's own stop has come.
-#[derive(Debug, Clone, Copy)]
-struct Stopping {
-    until: Millis,
-    /// The lease is being ended; nothing else is begun.
-    ending: bool,
-    done: bool,
-}
-
-/// When all keys are read, and how much that is.
-#[derive(Debug)]
-struct Reading {
-    under_way: bool,
-    wanted: bool,
-    next: Millis,
-    after: Millis,
-    bytes: u64,
-}
-
 /// Ownership as one node sees it.
 #[derive(Debug)]
 pub struct Machine {
