--- a/bench/src/faults/mod.rs
+++ b/bench/src/faults/mod.rs
@@ -4,6 +4,7 @@
 //! load goes through a balancer that checks `/readyz` as the platform's does.
 //! See docs/measurements.md for recorded runs.
 
+mod outcome;
 mod tally;
 
 use std::path::PathBuf;
@@ -20,12 +21,12 @@
 use chivevalve_standins::traffic::{Balancer, Traffic};
 use eyre::{Result, eyre};
 use lexopt::prelude::*;
-use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
 use crate::Verdict;
-use crate::report::{self, Format, Table};
+use crate::report::{self, Format};
 use crate::site::{Kind, Site};
+use outcome::{Outcome, table};
 use tally::Phase;
 
 const HELP: &str = "\
@@ -78,28 +79,6 @@
     logs: Option<PathBuf>,
 }
 
-/// What a campaign found.
-#[derive(Debug, Serialize)]
-struct Outcome {
-    nodes: usize,
-    workers: usize,
-    seed: u64,
-    promises: judge::Verdict,
-    phases: Vec<(&'static str, Phase)>,
-    kills: usize,
-    engine_restarts: usize,
-    /// Per kill: until every upstream of the dead node had another owner; none is "not in time".
-    takeover_ms: Vec<Option<u128>>,
-    /// Until the last new run at an engine that left; none is "never ran any".
-    leaving_last_work_ms: Option<u128>,
-    paused_owner_stale_checked: u64,
-    paused_owner_stale_ignored: u64,
-    paused_owner_refused: u64,
-    planned_stops: usize,
-    planned_stops_clean: usize,
-    planned_stop_lost: u64,
-}
-
 /// Runs the campaign.
 pub fn run(parser: &mut lexopt::Parser) -> Result<Verdict> {
     let Some(options) = options(parser)? else {
@@ -445,70 +424,3 @@
     }
     Ok(count)
 }
-
-fn table(outcome: &Outcome) -> String {
-    let mut table = Table::new(&[
-        "part",
-        "requests",
-        "whole",
-        "not run",
-        "unknown: own node",
-        "its owner",
-        "its engine",
-        "unexplained",
-        "unsent",
-    ]);
-    for (name, phase) in &outcome.phases {
-        table.row(vec![
-            (*name).to_owned(),
-            phase.requests.to_string(),
-            phase.whole.to_string(),
-            phase.not_run.values().sum::<u64>().to_string(),
-            phase.unknown_on_node.to_string(),
-            phase.unknown_through_owner.to_string(),
-            phase.unknown_through_engine.to_string(),
-            phase.unknown_unexplained.to_string(),
-            phase.unsent.to_string(),
-        ]);
-    }
-    let promises = &outcome.promises;
-    let takeovers: Vec<String> = outcome
-        .takeover_ms
-        .iter()
-        .map(|took| took.map_or("not in time".to_owned(), |took| took.to_string()))
-        .collect();
-    format!(
-        "{}\nnot run by code: {:?}\nunknown by code: {:?}, lost {:?}\n\n\
-         broken promises {}: doubled {}, wrong {}, cut but whole-looking {}, \"not run\" that ran {}, \
-         answered but not run {}, evicted in use {}, stale orders taken by checking engines {}\n\
-         stale orders taken by ignoring engines {}\n\
-         kills {}, engine restarts {}\n\
-         owner killed -> its upstreams owned again, ms: {}\n\
-         upstream leaving -> last new work, ms: {:?}\n\
-         owner paused: stale orders to checking engines {} (refused {}), to ignoring ones {}\n\
-         planned stops {}, ended with 0: {}, requests lost {}\n",
-        table.render(),
-        promises.not_run,
-        promises.unknown,
-        promises.lost,
-        promises.broken(),
-        promises.doubled,
-        promises.wrong,
-        promises.cut_looks_whole,
-        promises.not_run_ran,
-        promises.answered_not_run,
-        promises.evicted_in_use,
-        promises.stale_orders_checked,
-        promises.stale_orders_ignored,
-        outcome.kills,
-        outcome.engine_restarts,
-        takeovers.join(", "),
-        outcome.leaving_last_work_ms,
-        outcome.paused_owner_stale_checked,
-        outcome.paused_owner_refused,
-        outcome.paused_owner_stale_ignored,
-        outcome.planned_stops,
-        outcome.planned_stops_clean,
-        outcome.planned_stop_lost,
-    )
-}
--- a/bench/src/policy/world.rs
+++ b/bench/src/policy/world/mod.rs
@@ -4,18 +4,23 @@
 //! engine's slots or batch, or runs a request twice is a broken promise and is
 //! not carried out, so that a policy can't win by it.
 
+mod carry;
+mod decision;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
 use chivevalve::clock::Millis;
 use chivevalve::error::Code;
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 use super::engine::{Engine, Slot};
 use super::store::Store;
 use super::traffic::{Deployment, Request, Workload, micros};
 
+pub use decision::{Action, LoadDone, Policy};
+
 /// How often a policy is called without another cause.
 pub const TICK: Millis = Millis(100);
 /// How far past its deadline a request may be told that it expired.
@@ -25,84 +30,6 @@
 /// Most broken promises that are described; all are counted.
 const DESCRIBED: usize = 10;
 
-/// What a policy wants done.
-#[derive(Debug, Clone, Copy)]
-pub enum Action {
-    /// The request waits at this engine; again for another engine moves it.
-    Queue {
-        /// Number of the request.
-        id: u32,
-        /// The engine.
-        engine: usize,
-    },
-    /// The waiting request joins its engine's batch.
-    Start {
-        /// Number of the request.
-        id: u32,
-    },
-    /// The request isn't run.
-    Refuse {
-        /// Number of the request.
-        id: u32,
-        /// The reason that the caller sees.
-        code: Code,
-    },
-    /// The engine drops an adapter.
-    Evict {
-        /// The engine.
-        engine: usize,
-        /// What it drops.
-        adapter: u32,
-    },
-    /// The policy is to be woken for this engine.
-    Wake {
-        /// The engine.
-        engine: usize,
-        /// When.
-        at: Millis,
-    },
-    /// The engine loads an adapter, at once and along with other loads.
-    Load {
-        /// The engine.
-        engine: usize,
-        /// What it loads.
-        adapter: u32,
-    },
-}
-
-/// A way to decide. Calls get the world to look at and a list to fill.
-///
-/// Actions are carried out in order after each call.
-pub trait Policy {
-    /// A request has arrived, or lost its engine before it could have run.
-    fn on_arrival(&mut self, world: &World, id: u32, actions: &mut Vec<Action>);
-    /// A load has ended, or has broken off.
-    fn on_load_done(&mut self, world: &World, done: LoadDone, actions: &mut Vec<Action>);
-    /// A request has been answered.
-    fn on_finish(&mut self, world: &World, id: u32, engine: usize, actions: &mut Vec<Action>);
-    /// An engine has crashed; its waiting requests arrive again after this call.
-    fn on_down(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>);
-    /// An engine serves again, with nothing loaded.
-    fn on_up(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>);
-    /// A wake-up that the policy asked for.
-    fn on_wake(&mut self, world: &World, engine: usize, actions: &mut Vec<Action>);
-    /// Time has passed.
-    fn on_tick(&mut self, world: &World, actions: &mut Vec<Action>);
-}
-
-/// How a load ended.
-#[derive(Debug, Clone, Copy)]
-pub struct LoadDone {
-    /// The engine.
-    pub engine: usize,
-    /// The adapter.
-    pub adapter: u32,
-    /// Whether it is resident now.
-    pub loaded: bool,
-    /// How long it took.
-    pub took: Millis,
-}
-
 /// What became of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
@@ -418,129 +345,6 @@
             .collect()
     }
 
-    fn carry_out(&mut self, actions: &mut Vec<Action>) {
-        for action in actions.drain(..) {
-            match action {
-                Action::Queue { id, engine } => self.queue(id, engine),
-                Action::Start { id } => self.start(id),
-                Action::Refuse { id, code } => self.refuse(id, code),
-                Action::Evict { engine, adapter } => self.evict(engine, adapter),
-                Action::Load { engine, adapter } => self.load(engine, adapter),
-                Action::Wake { engine, at } => self.push(micros(at), Event::Wake { engine }),
-            }
-        }
-    }
-
-    fn queue(&mut self, id: u32, engine: usize) {
-        match self.courses[id as usize].ending {
-            Ending::Unplaced => {}
-            Ending::Waiting => self.stop_waiting(id),
-            ending => return self.breach(|| format!("request {id} queued while {ending:?}")),
-        }
-        let now = self.now();
-        let course = &mut self.courses[id as usize];
-        course.ending = Ending::Waiting;
-        course.engine = engine;
-        course.queued = now;
-    }
-
-    /// Ends a wait at an engine and books how much of it was for the adapter.
-    fn stop_waiting(&mut self, id: u32) {
-        let now = self.now();
-        let course = self.courses[id as usize];
-        let adapter = self.request(id).adapter;
-        let slot = self.engines[course.engine].slot(adapter);
-        let resident = slot.and_then(|slot| slot.since).unwrap_or(now);
-        self.courses[id as usize].stall += resident.since(course.queued);
-    }
-
-    fn start(&mut self, id: u32) {
-        let course = self.courses[id as usize];
-        let request = *self.request(id);
-        let engine = course.engine;
-        if course.ending != Ending::Waiting {
-            let ending = course.ending;
-            return self.breach(|| format!("request {id} started while {ending:?}"));
-        }
-        if self.now() > request.deadline() + SLACK {
-            self.breach(|| format!("request {id} waited past its bound"));
-        }
-        let up = self.engines[engine].up;
-        if !up || !self.engines[engine].resident(request.adapter) {
-            return self.breach(|| format!("request {id} started without its adapter"));
-        }
-        if self.engines[engine].batch() >= self.workload.deployment.batch {
-            return self.breach(|| format!("engine {engine} over its batch"));
-        }
-        self.stop_waiting(id);
-        let deployment = &self.workload.deployment;
-        let first = self.engines[engine].start(self.now_us, id, &request, deployment);
-        if let Some(slot) = self.engines[engine].slot_mut(request.adapter) {
-            slot.running += 1;
-            slot.used = true;
-        }
-        let course = &mut self.courses[id as usize];
-        course.ending = Ending::Running;
-        course.first_token = floor(first);
-        self.plan_engine(engine);
-    }
-
-    fn refuse(&mut self, id: u32, code: Code) {
-        let course = self.courses[id as usize];
-        match course.ending {
-            Ending::Unplaced => {}
-            Ending::Waiting => self.stop_waiting(id),
-            ending => return self.breach(|| format!("request {id} refused while {ending:?}")),
-        }
-        if self.now() > self.request(id).deadline() + SLACK {
-            self.breach(|| format!("request {id} waited past its bound"));
-        }
-        self.end(id, Ending::Refused(code));
-    }
-
-    fn evict(&mut self, engine: usize, adapter: u32) {
-        let slot = self.engines[engine].slot(adapter).copied();
-        let Some(Slot {
-            since: Some(_),
-            running,
-            used,
-            ..
-        }) = slot
-        else {
-            return self.breach(|| format!("engine {engine} dropped {adapter}, not resident"));
-        };
-        if running > 0 {
-            return self.breach(|| format!("engine {engine} dropped {adapter}, which is in use"));
-        }
-        self.loads.wasted += u64::from(!used);
-        let slots = &mut self.engines[engine].slots;
-        slots.retain(|slot| slot.adapter != adapter);
-    }
-
-    fn load(&mut self, engine: usize, adapter: u32) {
-        let slots = self.workload.deployment.slots;
-        let target = &mut self.engines[engine];
-        if !target.up || target.slot(adapter).is_some() {
-            return self.breach(|| format!("engine {engine} can't load {adapter} now"));
-        }
-        if target.slots.len() >= slots {
-            return self.breach(|| format!("engine {engine} over its slots"));
-        }
-        target.slots.push(Slot {
-            adapter,
-            since: None,
-            running: 0,
-            used: false,
-        });
-        let failures = self.workload.deployment.load_failures;
-        let fails = failures > 0.0 && self.rng.random_bool(failures);
-        let fails_at = fails.then(|| self.rng.random_range(0.1..0.9));
-        self.loads.started += 1;
-        self.load_began.push((engine, adapter, self.now_us));
-        self.store.start(self.now_us, engine, adapter, fails_at);
-        self.plan_store();
-    }
-
     fn end(&mut self, id: u32, ending: Ending) {
         let now = self.now();
         let course = &mut self.courses[id as usize];
@@ -609,107 +413,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::policy::source::{Shape, Source};
-    use crate::policy::workload::trgovski;
-
-    /// Two engines, two adapters, four requests.
-    fn small() -> Workload {
-        let deployment = Deployment {
-            engines: 2,
-            slots: 1,
-            batch: 1,
-            adapters: 2,
-            load_failures: 0.0,
-            ..trgovski()
-        };
-        let shape = Shape {
-            seconds: 10.0,
-            ..Shape::steady(0.4, 1.0)
-        };
-        let requests = Source::new(&deployment, &shape, 1).requests(&shape);
-        Workload {
-            name: "small".to_owned(),
-            deployment,
-            requests,
-            outages: Vec::new(),
-            warm_up: Millis::ZERO,
-        }
-    }
-
-    /// A policy that does what a test says at each arrival, and nothing else.
-    struct Script(Vec<Vec<Action>>);
-
-    impl Policy for Script {
-        fn on_arrival(&mut self, _: &World, _: u32, actions: &mut Vec<Action>) {
-            if !self.0.is_empty() {
-                actions.extend(self.0.remove(0));
-            }
-        }
-        fn on_load_done(&mut self, _: &World, _: LoadDone, _: &mut Vec<Action>) {}
-        fn on_finish(&mut self, _: &World, _: u32, _: usize, _: &mut Vec<Action>) {}
-        fn on_down(&mut self, _: &World, _: usize, _: &mut Vec<Action>) {}
-        fn on_up(&mut self, _: &World, _: usize, _: &mut Vec<Action>) {}
-        fn on_wake(&mut self, _: &World, _: usize, _: &mut Vec<Action>) {}
-        fn on_tick(&mut self, _: &World, _: &mut Vec<Action>) {}
-    }
-
-    fn breaches(script: Vec<Vec<Action>>) -> Vec<String> {
-        let workload = small();
-        let mut world = World::new(&workload, 1);
-        world.play(&mut Script(script));
-        world.described
-    }
-
-    fn breached(script: Vec<Vec<Action>>, what: &str) {
-        let described = breaches(script);
-        let found = described.iter().any(|text| text.contains(what));
-        assert!(found, "{what:?} in {described:?}");
-    }
-
-    const REFUSE: Action = Action::Refuse {
-        id: 0,
-        code: Code::QueueFull,
-    };
-    const QUEUE: Action = Action::Queue { id: 0, engine: 0 };
-
-    fn load(adapter: u32) -> Action {
-        Action::Load { engine: 0, adapter }
-    }
-
-    #[test]
-    fn play_unplaced_request() {
-        breached(vec![], "neither placed nor refused");
-    }
-
-    #[test]
-    fn play_lost_request() {
-        breached(vec![vec![QUEUE]], "never got an answer");
-    }
-
-    #[test]
-    fn play_doubled_answer() {
-        breached(vec![vec![REFUSE, REFUSE]], "refused while Refused");
-    }
-
-    #[test]
-    fn play_start_without_adapter() {
-        let start = Action::Start { id: 0 };
-        breached(vec![vec![QUEUE, start]], "started without its adapter");
-    }
-
-    #[test]
-    fn play_over_slots() {
-        breached(vec![vec![REFUSE, load(0), load(1)]], "over its slots");
-    }
-
-    #[test]
-    fn play_evict_while_loading() {
-        let evict = Action::Evict {
-            engine: 0,
-            adapter: 0,
-        };
-        breached(vec![vec![REFUSE, load(0), evict]], "not resident");
-    }
-}
+mod tests;
