loads: the actor is a limiter

Cause: Turns named no known thing; it grants permits one at a time, no faster than the weight store serves loads. Change: loads::queue::Turns -> Limiter. With it machine/lease.rs looks a session up by its lease in one place (session_under) for the two that did so alike.

--- a/lib/src/loads/queue.rs
+++ b/lib/src/loads/queue.rs
@@ -34,7 +34,7 @@
 /// The queue, as those see it that want to load.
 #[derive(Clone)]
 pub struct Queue {
-    actor: ActorRef<Turns>,
+    actor: ActorRef<Limiter>,
     ends: mpsc::UnboundedSender<Key>,
     serial: Arc<AtomicU64>,
 }
@@ -50,7 +50,7 @@
     #[must_use]
     pub fn start(limits: Limits, clock: Arc<dyn Clock>) -> Self {
         let (ends, ended) = mpsc::unbounded_channel();
-        let actor = Turns::spawn_with_mailbox((limits, clock, ended), mailbox::bounded(MAILBOX));
+        let actor = Limiter::spawn_with_mailbox((limits, clock, ended), mailbox::bounded(MAILBOX));
         Self {
             actor,
             ends,
@@ -133,9 +133,9 @@
 #[derive(Debug)]
 struct Space(Millis);
 
-/// The actor: it grants one leave at a time.
+/// The actor: it grants one permit at a time, no faster than the weight store serves loads.
 #[derive(Debug)]
-struct Turns {
+struct Limiter {
     order: policy::loads::Queue,
     spacing: Millis,
     next_start: Millis,
@@ -144,7 +144,7 @@
     ended: mpsc::UnboundedReceiver<Key>,
 }
 
-impl Turns {
+impl Limiter {
     fn grant(&mut self) {
         let now = self.clock.now();
         while now >= self.next_start {
@@ -181,7 +181,7 @@
     }
 }
 
-impl Actor for Turns {
+impl Actor for Limiter {
     type Args = (Limits, Arc<dyn Clock>, mpsc::UnboundedReceiver<Key>);
     type Error = Infallible;
 
@@ -221,7 +221,7 @@
     }
 }
 
-impl Message<Asked> for Turns {
+impl Message<Asked> for Limiter {
     type Reply = ();
 
     async fn handle(&mut self, asked: Asked, _: &mut Context<Self, ()>) {
@@ -237,7 +237,7 @@
     }
 }
 
-impl Message<Space> for Turns {
+impl Message<Space> for Limiter {
     type Reply = ();
 
     async fn handle(&mut self, space: Space, _: &mut Context<Self, ()>) {
--- a/lib/src/membership/machine/lease.rs
+++ b/lib/src/membership/machine/lease.rs
@@ -372,11 +372,7 @@
         } else {
             now
         };
-        let Some(session) = self
-            .session
-            .as_mut()
-            .filter(|session| session.lease == lease)
-        else {
+        let Some(session) = self.session_under(lease) else {
             return;
         };
         session.renewing = false;
@@ -405,13 +401,16 @@
         }
     }
 
-    /// Counts a renewal that was sent, by this node or through a witness, at `sent`.
-    pub(super) fn renewal_counts(&mut self, lease: LeaseId, sent: Millis) {
-        let Some(session) = self
-            .session
+    // A renewal that is answered after its lease was exchanged says nothing of the new one.
+    fn session_under(&mut self, lease: LeaseId) -> Option<&mut Session> {
+        self.session
             .as_mut()
             .filter(|session| session.lease == lease)
-        else {
+    }
+
+    /// Counts a renewal that was sent, by this node or through a witness, at `sent`.
+    pub(super) fn renewal_counts(&mut self, lease: LeaseId, sent: Millis) {
+        let Some(session) = self.session_under(lease) else {
             return;
         };
         session.renewed = session.renewed.max(sent);
