--- a/bench/src/fuzz_outcomes/harness/traffic/engine.rs
+++ b/bench/src/fuzz_outcomes/harness/traffic/engine.rs
@@ -7,8 +7,8 @@
 use chivevalve::request::Id;
 use rand::RngExt;
 
-use crate::fuzz_outcomes::harness::oracle::Promise;
-use crate::fuzz_outcomes::harness::world::{Arrival, Due, World};
+use super::super::oracle::Promise;
+use super::super::world::{Arrival, Due, World};
 
 /// Adapters that an engine holds at a time.
 pub(super) const SLOTS: usize = 2;
@@ -57,7 +57,7 @@
 
 impl World {
     /// An order reaches an engine.
-    pub(in crate::fuzz_outcomes::harness) fn engine(
+    pub(in super::super) fn engine(
         &mut self,
         node: usize,
         start: u64,
@@ -154,7 +154,7 @@
     }
 
     /// A run at an engine ends.
-    pub(in crate::fuzz_outcomes::harness) fn done(&mut self, upstream: Name, id: Id, boot: u64) {
+    pub(in super::super) fn done(&mut self, upstream: Name, id: Id, boot: u64) {
         let Some(engine) = self.engines.get_mut(&upstream) else {
             return;
         };
@@ -170,7 +170,7 @@
     }
 
     /// An engine starts anew: nothing is loaded, what ran is lost.
-    pub(in crate::fuzz_outcomes::harness) fn restart_engine(&mut self, upstream: &Name) {
+    pub(in super::super) fn restart_engine(&mut self, upstream: &Name) {
         let engine = self.engines.entry(upstream.clone()).or_default();
         engine.boot += 1;
         engine.resident.clear();
--- a/bench/src/fuzz_outcomes/harness/traffic/mod.rs
+++ b/bench/src/fuzz_outcomes/harness/traffic/mod.rs
@@ -52,7 +52,7 @@
 
 impl World {
     /// A caller sends a request to a node.
-    pub(in crate::fuzz_outcomes::harness) fn request(&mut self, node: usize, what: u8) {
+    pub(super) fn request(&mut self, node: usize, what: u8) {
         if self.nodes[node].machine.is_none() || self.nodes[node].paused {
             return;
         }
@@ -82,7 +82,7 @@
     }
 
     /// Tries a request at an owner, as its entry node sees owners.
-    pub(in crate::fuzz_outcomes::harness) fn try_at(&mut self, number: usize) {
+    pub(super) fn try_at(&mut self, number: usize) {
         let node = self.requests[number].entry;
         if self.requests[number].told.is_some() || self.requests[number].answered {
             return;
@@ -160,12 +160,7 @@
     }
 
     /// An entry node hears what became of an attempt.
-    pub(in crate::fuzz_outcomes::harness) fn result(
-        &mut self,
-        number: usize,
-        attempt: u32,
-        result: Result<usize, Failure>,
-    ) {
+    pub(super) fn result(&mut self, number: usize, attempt: u32, result: Result<usize, Failure>) {
         let node = self.requests[number].entry;
         let now = self.nodes[node].clock(self.now);
         let untried = self.regions.len() > self.requests[number].tried.len();
@@ -203,7 +198,7 @@
     }
 
     /// A caller's patience ends.
-    pub(in crate::fuzz_outcomes::harness) fn deadline(&mut self, number: usize) {
+    pub(super) fn deadline(&mut self, number: usize) {
         let request = &mut self.requests[number];
         if request.told.is_some() || request.answered {
             return;
@@ -228,7 +223,7 @@
     }
 
     /// The connections of a node that died break.
-    pub(in crate::fuzz_outcomes::harness) fn break_connections(&mut self, node: usize) {
+    pub(super) fn break_connections(&mut self, node: usize) {
         self.nodes[node].routes.clear();
         let asked: Vec<(usize, u32)> = self
             .requests
@@ -244,7 +239,7 @@
     }
 
     /// Whether a node still works for callers of its own.
-    pub(in crate::fuzz_outcomes::harness) fn serves_callers(&self, node: usize) -> bool {
+    pub(super) fn serves_callers(&self, node: usize) -> bool {
         let start = self.nodes[node].identity.incarnation;
         self.requests.iter().any(|request| {
             let open = request.told.is_none() && !request.answered;
@@ -253,7 +248,7 @@
     }
 
     /// Counts requests for the campaign's report.
-    pub(in crate::fuzz_outcomes::harness) fn count_requests(&mut self) {
+    pub(super) fn count_requests(&mut self) {
         let sent = self.requests.len() as u64;
         let answered = self.requests.iter().filter(|request| request.answered);
         let answered = answered.count() as u64;
--- a/bench/src/fuzz_outcomes/harness/traffic/owner.rs
+++ b/bench/src/fuzz_outcomes/harness/traffic/owner.rs
@@ -12,10 +12,10 @@
 use chivevalve::runner::Share;
 use rand::RngExt;
 
+use super::super::oracle::Promise;
+use super::super::world::{Arrival, Due, World};
 use super::engine::{Order, Outcome, Report, SLOTS};
 use super::{DEADLINE, Route, SILENCE};
-use crate::fuzz_outcomes::harness::oracle::Promise;
-use crate::fuzz_outcomes::harness::world::{Arrival, Due, World};
 
 /// The decisions of one owned upstream, and what they need.
 #[derive(Debug)]
@@ -66,12 +66,7 @@
 
 impl World {
     /// An attempt reaches the node that is said to own the upstream.
-    pub(in crate::fuzz_outcomes::harness) fn attempt(
-        &mut self,
-        node: usize,
-        route: Route,
-        upstream: &Name,
-    ) {
+    pub(in super::super) fn attempt(&mut self, node: usize, route: Route, upstream: &Name) {
         let now = self.nodes[node].clock(self.now);
         if let Err(code) = self.takes_work(node, upstream) {
             self.reply(node, &route, Err(Failure::new(code, "fuzz")));
@@ -124,7 +119,7 @@
     }
 
     /// Lets the decisions of an owned upstream take a step, and carries it out.
-    pub(in crate::fuzz_outcomes::harness) fn decide(
+    pub(in super::super) fn decide(
         &mut self,
         node: usize,
         upstream: &Name,
@@ -211,12 +206,7 @@
     }
 
     // The hold is checked just before each order.
-    pub(in crate::fuzz_outcomes::harness) fn order(
-        &mut self,
-        node: usize,
-        upstream: &Name,
-        order: Order,
-    ) -> bool {
+    pub(in super::super) fn order(&mut self, node: usize, upstream: &Name, order: Order) -> bool {
         let now = self.nodes[node].clock(self.now);
         let Some(served) = self.nodes[node].served.get(upstream) else {
             return false;
@@ -242,7 +232,7 @@
     }
 
     /// An owner hears how a run ended.
-    pub(in crate::fuzz_outcomes::harness) fn ran(
+    pub(in super::super) fn ran(
         &mut self,
         node: usize,
         upstream: &Name,
@@ -268,12 +258,7 @@
     }
 
     /// An owner hears what an engine says of itself.
-    pub(in crate::fuzz_outcomes::harness) fn reported(
-        &mut self,
-        node: usize,
-        upstream: &Name,
-        report: &Report,
-    ) {
+    pub(in super::super) fn reported(&mut self, node: usize, upstream: &Name, report: &Report) {
         let Some(served) = self.nodes[node].served.get_mut(upstream) else {
             return;
         };
@@ -316,25 +301,14 @@
     }
 
     /// Leave to load arrives.
-    pub(in crate::fuzz_outcomes::harness) fn granted(
-        &mut self,
-        node: usize,
-        upstream: &Name,
-        at: usize,
-    ) {
+    pub(in super::super) fn granted(&mut self, node: usize, upstream: &Name, at: usize) {
         self.decide(node, upstream, |machine, now| {
             machine.granted(&adapter(at), now)
         });
     }
 
     /// A load ended.
-    pub(in crate::fuzz_outcomes::harness) fn loaded(
-        &mut self,
-        node: usize,
-        upstream: &Name,
-        at: usize,
-        ok: bool,
-    ) {
+    pub(in super::super) fn loaded(&mut self, node: usize, upstream: &Name, at: usize, ok: bool) {
         self.decide(node, upstream, |machine, now| {
             machine.loaded(&adapter(at), ok, now)
         });
