--- a/bench/src/faults/mod.rs
+++ b/bench/src/faults/mod.rs
@@ -87,10 +87,7 @@
     };
     let runtime = tokio::runtime::Runtime::new()?;
     let outcome = runtime.block_on(campaign(&options))?;
-    match options.format {
-        Format::Json => print!("{}", report::json(&outcome)?),
-        Format::Table => print!("{}", table(&outcome)),
-    }
+    report::print(options.format, &outcome, table)?;
     let broken = outcome.promises.broken() + outcome.planned_stop_lost;
     Ok(if broken == 0 {
         Verdict::Kept
--- a/bench/src/fuzz_config/oracle.rs
+++ b/bench/src/fuzz_config/oracle.rs
@@ -36,6 +36,18 @@
     pub calls: u32,
 }
 
+impl Asked {
+    /// Makes a change that is to be asked for, on top of the revision that is expected.
+    pub fn new(expected: u64, set: Set) -> Self {
+        Self {
+            expected,
+            set,
+            told: Told::Open,
+            calls: 0,
+        }
+    }
+}
+
 /// What is known of all changes and nodes.
 #[derive(Debug, Default)]
 pub struct Oracle {
--- a/bench/src/fuzz_config/world.rs
+++ b/bench/src/fuzz_config/world.rs
@@ -197,12 +197,7 @@
         }
         self.asked += 1;
         change(&mut set, edit, self.asked);
-        let asked = Asked {
-            expected: learned.revision(),
-            set,
-            told: Told::Open,
-            calls: 0,
-        };
+        let asked = Asked::new(learned.revision(), set);
         self.ask(number, format!("c{}", self.asked), asked);
     }
 
@@ -242,12 +237,7 @@
         let mut set = learned.set();
         self.asked += 1;
         change(&mut set, edit, self.asked);
-        let asked = Asked {
-            expected: learned.revision(),
-            set,
-            told: Told::Open,
-            calls: 0,
-        };
+        let asked = Asked::new(learned.revision(), set);
         self.ask(number, id, asked);
     }
 
@@ -259,12 +249,7 @@
             return;
         };
         self.asked += 1;
-        let asked = Asked {
-            expected: learned.revision(),
-            set,
-            told: Told::Open,
-            calls: 0,
-        };
+        let asked = Asked::new(learned.revision(), set);
         self.ask(number, format!("c{}", self.asked), asked);
     }
 
--- a/bench/src/policy/mod.rs
+++ b/bench/src/policy/mod.rs
@@ -162,10 +162,7 @@
 
 fn print_cost(format: Format) -> Result<Verdict> {
     let costs = cost::measure()?;
-    match format {
-        Format::Json => print!("{}", report::json(&costs)?),
-        Format::Table => print!("{}", cost::table(&costs)),
-    }
+    report::print(format, &costs, |costs| cost::table(costs))?;
     Ok(Verdict::Kept)
 }
 
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -29,6 +29,19 @@
     }
 }
 
+/// Prints what a campaign found as a table of its own or as JSON.
+pub fn print<T: Serialize>(
+    format: Format,
+    found: &T,
+    table: impl FnOnce(&T) -> String,
+) -> Result<()> {
+    match format {
+        Format::Json => print!("{}", json(found)?),
+        Format::Table => print!("{}", table(found)),
+    }
+    Ok(())
+}
+
 /// Rows of text under a heading.
 #[derive(Debug, Default)]
 pub struct Table {
--- a/bench/src/spread/mod.rs
+++ b/bench/src/spread/mod.rs
@@ -135,10 +135,7 @@
             }
         }
     }
-    match options.format {
-        Format::Table => print!("{}", table(&rows)),
-        Format::Json => print!("{}", report::json(&rows)?),
-    }
+    report::print(options.format, &rows, |rows| table(rows))?;
     Ok(Verdict::Kept)
 }
 
@@ -147,10 +144,7 @@
         .into_iter()
         .map(|templates| sizes::measure(templates, options.seed))
         .collect();
-    match options.format {
-        Format::Table => print!("{}", sizes::table(&rows?)),
-        Format::Json => print!("{}", report::json(&rows?)?),
-    }
+    report::print(options.format, &rows?, |rows| sizes::table(rows))?;
     Ok(Verdict::Kept)
 }
 
--- a/lib/src/ports/directory.rs
+++ b/lib/src/ports/directory.rs
@@ -3,15 +3,13 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use bytes::Bytes;
-use http::Request;
+use http::Method;
 use http::uri::PathAndQuery;
-use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
 use crate::name::Name;
-use crate::ports::http::{Bounds, Client as Http, uri, whole};
+use crate::ports::http::{Endpoint, whole};
 use crate::ports::{Directory, Error, Vm};
 
 /// Path of the list.
@@ -77,31 +75,21 @@
 /// A client of one address.
 #[derive(Debug)]
 pub struct Client {
-    http: Http,
-    address: SocketAddr,
-    timeout: Millis,
+    endpoint: Endpoint,
 }
 
 impl Client {
     /// Makes a client; `timeout` bounds each read.
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Millis) -> Self {
-        let bounds = Bounds {
-            connect: timeout,
-            idle: IDLE,
-        };
         Self {
-            http: Http::new(bounds),
-            address,
-            timeout,
+            endpoint: Endpoint::new(address, timeout, IDLE),
         }
     }
 
     async fn read(&self) -> Result<Vec<Vm>, Error> {
-        let request = Request::get(uri(self.address, PathAndQuery::from_static(PATH)))
-            .body(Full::<Bytes>::default())
-            .map_err(|error| Error::Malformed(error.to_string()))?;
-        let response = self.http.send(request).await?;
+        let path = PathAndQuery::from_static(PATH);
+        let response = self.endpoint.send(Method::GET, path).await?;
         if !response.status().is_success() {
             return Err(Error::Refused(format!("status {}", response.status())));
         }
@@ -117,8 +105,6 @@
 #[async_trait]
 impl Directory for Client {
     async fn vms(&self) -> Result<Vec<Vm>, Error> {
-        tokio::time::timeout(self.timeout.duration(), self.read())
-            .await
-            .unwrap_or_else(|_| Err(Error::NoAnswer(format!("none within {}", self.timeout))))
+        self.endpoint.within(self.read()).await
     }
 }
--- a/lib/src/ports/http.rs
+++ b/lib/src/ports/http.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
 use http::uri::{Authority, PathAndQuery, Scheme};
-use http::{Request, Response, Uri};
+use http::{Method, Request, Response, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy;
@@ -94,6 +94,53 @@
     }
 }
 
+/// A service at one address, each of whose calls is bounded in time as a whole.
+#[derive(Debug)]
+pub(super) struct Endpoint {
+    client: Client,
+    address: SocketAddr,
+    timeout: Millis,
+}
+
+impl Endpoint {
+    /// Makes an endpoint; `idle` is how long an unused connection is kept.
+    pub(super) fn new(address: SocketAddr, timeout: Millis, idle: Millis) -> Self {
+        let bounds = Bounds {
+            connect: timeout,
+            idle,
+        };
+        Self {
+            client: Client::new(bounds),
+            address,
+            timeout,
+        }
+    }
+
+    /// Sends a request without a body.
+    pub(super) async fn send(
+        &self,
+        method: Method,
+        path: PathAndQuery,
+    ) -> Result<Response<Incoming>, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(uri(self.address, path))
+            .body(Full::default())
+            .map_err(|error| Error::Malformed(error.to_string()))?;
+        Ok(self.client.send(request).await?)
+    }
+
+    /// Waits for a call and all that is read of its answer, up to the timeout.
+    pub(super) async fn within<T>(
+        &self,
+        call: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
+        tokio::time::timeout(self.timeout.duration(), call)
+            .await
+            .unwrap_or_else(|_| Err(Error::NoAnswer(format!("none within {}", self.timeout))))
+    }
+}
+
 /// Whether the request was handed back because its connection had ended before.
 ///
 /// hyper marks a request as cancelled only when it gives the whole message back
--- a/lib/src/ports/weights.rs
+++ b/lib/src/ports/weights.rs
@@ -3,15 +3,13 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use http::uri::PathAndQuery;
-use http::{Request, StatusCode};
-use http_body_util::Full;
+use http::{Method, StatusCode};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 
 use crate::adapter::Adapter;
 use crate::clock::Millis;
-use crate::ports::http::{Bounds, Client as Http, uri};
+use crate::ports::http::Endpoint;
 use crate::ports::{Error, Weights};
 
 /// What the paths of versions begin with.
@@ -34,33 +32,22 @@
 /// A client of one address.
 #[derive(Debug)]
 pub struct Client {
-    http: Http,
-    address: SocketAddr,
-    timeout: Millis,
+    endpoint: Endpoint,
 }
 
 impl Client {
     /// Makes a client; `timeout` bounds each call.
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Millis) -> Self {
-        let bounds = Bounds {
-            connect: timeout,
-            idle: IDLE,
-        };
         Self {
-            http: Http::new(bounds),
-            address,
-            timeout,
+            endpoint: Endpoint::new(address, timeout, IDLE),
         }
     }
 
     async fn ask(&self, adapter: &Adapter) -> Result<bool, Error> {
         let path = PathAndQuery::try_from(format!("{ROOT}{}", path(adapter)))
             .map_err(|error| Error::Malformed(error.to_string()))?;
-        let request = Request::head(uri(self.address, path))
-            .body(Full::<Bytes>::default())
-            .map_err(|error| Error::Malformed(error.to_string()))?;
-        match self.http.send(request).await?.status() {
+        match self.endpoint.send(Method::HEAD, path).await?.status() {
             StatusCode::NOT_FOUND => Ok(false),
             status if status.is_success() => Ok(true),
             status => Err(Error::Refused(format!("status {status}"))),
@@ -71,8 +58,6 @@
 #[async_trait]
 impl Weights for Client {
     async fn has(&self, adapter: &Adapter) -> Result<bool, Error> {
-        tokio::time::timeout(self.timeout.duration(), self.ask(adapter))
-            .await
-            .unwrap_or_else(|_| Err(Error::NoAnswer(format!("none within {}", self.timeout))))
+        self.endpoint.within(self.ask(adapter)).await
     }
 }
