policy, loads, fate: comments say the reason in terms of callers

Cause: comments told history and figures (a witness' first vote), spoke in metaphors (favourites that die, worth, storms, patience) or called a permit a leave. Change: the reasons as callers and the product meet them; with the words go Leave -> Grant, WORTH_PREFETCH -> PREFETCH_DEMAND, believe -> corrected, the log line "the queue's owner gives no permit" and the detail of passed_on ("adapters in higher demand"). No behaviour changes.

--- a/bench/src/fuzz_outcomes/harness/traffic/mod.rs
+++ b/bench/src/fuzz_outcomes/harness/traffic/mod.rs
@@ -197,7 +197,7 @@
         }
     }
 
-    /// A caller's patience ends.
+    /// A request's deadline passes.
     pub(super) fn deadline(&mut self, number: usize) {
         let request = &mut self.requests[number];
         if request.told.is_some() || request.answered {
--- a/bench/src/latency/stream.rs
+++ b/bench/src/latency/stream.rs
@@ -152,7 +152,8 @@
     };
     if !whole {
         shared.note(stream, |seen| seen.failed += 1);
-        // A refusal at once must not become a storm.
+        // Callers that are refused at once would otherwise ask in a loop, and the processor
+        // time of the loop would be measured.
         sleep(Duration::from_millis(50)).await;
     }
 }
--- a/bench/src/spread/site.rs
+++ b/bench/src/spread/site.rs
@@ -26,7 +26,7 @@
 /// One way to the service.
 const TO_SERVICE: Duration = Duration::from_millis(1);
 
-/// A node's way to the service, on which the node's pauses bear too.
+/// A node's way to the service, which a pause of the node delays too.
 #[derive(Debug)]
 pub struct Access {
     store: Arc<Store>,
--- a/lib/src/fate/budget.rs
+++ b/lib/src/fate/budget.rs
@@ -16,7 +16,7 @@
 /// A token bucket that bounds retries to a percentage of first tries.
 ///
 /// Under an outage each retry adds load exactly when there is least room for
-/// it; bounding their share keeps an outage from growing into a storm.
+/// it; bounding their share keeps an outage from growing into a retry storm.
 #[derive(Debug)]
 pub struct Budget {
     percent: u64,
--- a/lib/src/fate/mod.rs
+++ b/lib/src/fate/mod.rs
@@ -214,7 +214,7 @@
 
     /// Decides what follows a failed try.
     pub fn fail(&mut self, failure: Failure, context: Context, budget: &mut Budget) -> Verdict {
-        let failure = self.believe(failure);
+        let failure = self.corrected(failure);
         self.note(&failure);
         let reaction = reaction(failure.code);
         if reaction.is_free() {
@@ -231,8 +231,8 @@
         }
     }
 
-    /// Returns the failure as it may be believed.
-    fn believe(&self, failure: Failure) -> Failure {
+    /// Returns the failure with a code that can be true in this state.
+    fn corrected(&self, failure: Failure) -> Failure {
         // A code that says "not run" after the upstream has begun to answer is a
         // fault of whoever made it. Passing it on would invite the caller to
         // repeat what ran, so it is read as a cut answer.
--- a/lib/src/loads/mod.rs
+++ b/lib/src/loads/mod.rs
@@ -1,4 +1,4 @@
-//! Leave to load an adapter from the weight store.
+//! Permits to load an adapter from the weight store.
 //!
 //! The store gives a few loads a second to the whole deployment, and two loads
 //! at once slow each other down. One node, the owner of the pseudo-upstream
@@ -45,7 +45,7 @@
     pub gain: Millis,
 }
 
-/// Leave for one load; the queue goes on when it is dropped or told of the outcome.
+/// A permit for one load; the queue goes on when it is dropped or told of the outcome.
 #[async_trait]
 pub trait Permit: fmt::Debug + Send {
     /// Tells how the load ended.
@@ -55,7 +55,7 @@
 /// The queue of the weight store, in this process or behind a peer connection.
 #[async_trait]
 pub trait Permits: fmt::Debug + Send + Sync {
-    /// Waits for leave to load; dropping the future takes the ask back.
+    /// Waits for a permit to load; dropping the future takes the ask back.
     ///
     /// The ask may change while it waits: more requests come, or the most
     /// urgent one goes away.
--- a/lib/src/loads/queue.rs
+++ b/lib/src/loads/queue.rs
@@ -78,7 +78,7 @@
 impl Permits for Queue {
     async fn acquire(&self, mut ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
         let key = (0, self.serial.fetch_add(1, Ordering::Relaxed));
-        let leave = Leave {
+        let grant = Grant {
             key,
             ends: self.ends.clone(),
         };
@@ -90,7 +90,7 @@
                 biased;
                 granted = &mut granted => {
                     let full = |_| Failure::new(Code::LoadFailed, "too many loads wait");
-                    return granted.map(|()| Box::new(leave) as _).map_err(full);
+                    return granted.map(|()| Box::new(grant) as _).map_err(full);
                 }
                 Ok(()) = ask.changed() => {
                     let changed = ask.borrow_and_update().clone();
@@ -101,23 +101,23 @@
     }
 }
 
-/// An ask, waiting or granted; dropping it takes the ask or the leave back.
+/// An ask, waiting or granted; dropping it takes the ask or the permit back.
 ///
-/// A holder that dies with its leave would block every load of the deployment.
+/// A holder that ends with its permit would block every load of the deployment.
 #[derive(Debug)]
-struct Leave {
+struct Grant {
     key: Key,
     ends: mpsc::UnboundedSender<Key>,
 }
 
-impl Drop for Leave {
+impl Drop for Grant {
     fn drop(&mut self) {
         let _ = self.ends.send(self.key);
     }
 }
 
 #[async_trait]
-impl Permit for Leave {
+impl Permit for Grant {
     async fn done(self: Box<Self>, _: bool, _: Millis) {}
 }
 
--- a/lib/src/loads/shared.rs
+++ b/lib/src/loads/shared.rs
@@ -1,4 +1,4 @@
-//! Leave to load from wherever it can be had: the queue's owner, this node or a
+//! Permits to load from wherever it can be had: the queue's owner, this node or a
 //! peer, and while it can't be reached a small share of the rate.
 //!
 //! The queue's owner can be dead or cut off for seconds. All loads would stop
@@ -22,10 +22,10 @@
 use crate::peer::{Clients, Remote};
 use crate::policy;
 
-/// Loads that a lost holder of leave may hold up, in loads at the store's rate.
+/// Loads that a lost holder of a permit may hold up, in loads at the store's rate.
 const PATIENCE_LOADS: u64 = 10;
 
-/// Time between two tries of an owner that gives no leave.
+/// Time between two tries of an owner that gives no permit.
 const OWNER_AGAIN: Millis = Millis::from_secs(2);
 
 /// What the shared queue works with.
@@ -43,7 +43,7 @@
     pub loads_per_kilosecond: u32,
 }
 
-/// Leave to load, wherever the queue is.
+/// Permits to load, wherever the queue is.
 #[derive(Debug)]
 pub struct Shared {
     parts: Parts,
@@ -85,8 +85,8 @@
             .is_some_and(|owner| owner.node == self.parts.node)
     }
 
-    /// Waits for leave at the queue's owner.
-    async fn owner_leave(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
+    /// Waits for a permit at the queue's owner.
+    async fn owner_permit(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
         match self.owner() {
             Some(owner) if owner.node == self.parts.node => self.queue.acquire(ask).await,
             Some(owner) => {
@@ -100,8 +100,8 @@
         }
     }
 
-    /// Waits for leave from this node's share.
-    async fn share_leave(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
+    /// Waits for a permit from this node's share.
+    async fn share_permit(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
         let nodes = nodes(&self.parts.fleet.borrow());
         let load = load_time(self.parts.loads_per_kilosecond);
         self.share.space(Millis(load.0.saturating_mul(nodes))).await;
@@ -112,7 +112,7 @@
     async fn owner_again(&self, ask: &watch::Receiver<Ask>) -> Box<dyn Permit> {
         loop {
             tokio::time::sleep(OWNER_AGAIN.duration()).await;
-            if let Ok(permit) = self.owner_leave(ask.clone()).await {
+            if let Ok(permit) = self.owner_permit(ask.clone()).await {
                 return permit;
             }
         }
@@ -134,15 +134,15 @@
     async fn acquire(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
         loop {
             let failure = tokio::select! {
-                leave = self.owner_leave(ask.clone()) => match leave {
+                permit = self.owner_permit(ask.clone()) => match permit {
                     Ok(permit) => return Ok(permit),
                     Err(failure) => failure,
                 },
                 () = self.moved() => continue,
             };
-            log::debug!("loads: the queue's owner gives no leave: {failure}");
+            log::debug!("loads: the queue's owner gives no permit: {failure}");
             tokio::select! {
-                leave = self.share_leave(ask.clone()) => return leave,
+                permit = self.share_permit(ask.clone()) => return permit,
                 permit = self.owner_again(&ask) => return Ok(permit),
                 () = self.moved() => {}
             }
@@ -161,7 +161,7 @@
             return Err(no_owner());
         }
         tokio::select! {
-            leave = self.0.queue.acquire(ask) => leave,
+            permit = self.0.queue.acquire(ask) => permit,
             () = self.0.moved() => Err(no_owner()),
         }
     }
--- a/lib/src/membership/witness.rs
+++ b/lib/src/membership/witness.rs
@@ -103,9 +103,9 @@
     /// Notes the revision of this node's own registration, which is a write of this start.
     ///
     /// A registration with a higher revision is younger than this witness, so no former
-    /// start of it can have withdrawn it. Without this, nodes that started together kept
-    /// nobody an owner through an outage that began within [`Limits::quiet`] (5 s) of the
-    /// start: their leases lapsed 0.1 s before the first of them spoke.
+    /// start of it can have withdrawn it. Without this, nodes that started together would
+    /// vote for nobody in an outage that begins within [`Limits::quiet`] of the start: their
+    /// leases would lapse before the first vote, and callers be refused at every upstream.
     ///
     /// [`Limits::quiet`]: crate::membership::limits::Limits::quiet
     pub fn registered(&mut self, revision: u64) {
--- a/lib/src/operators/wire.rs
+++ b/lib/src/operators/wire.rs
@@ -224,7 +224,7 @@
     pub resident: Vec<Slot>,
     /// Adapters being loaded.
     pub loading: Vec<String>,
-    /// Adapters that wait for leave to load.
+    /// Adapters that wait for a permit to load.
     pub asked: Vec<String>,
     /// Milliseconds since the upstream last said what it holds.
     pub report_age_ms: Option<u64>,
--- a/lib/src/policy/demand.rs
+++ b/lib/src/policy/demand.rs
@@ -1,8 +1,8 @@
-//! How often each adapter is asked for, and what keeping it is worth.
+//! Demand for each adapter: how often it is requested, of late and over a longer time.
 //!
 //! Popularity is skewed and shifts. A long window tells a steady adapter from a
-//! rare one; a short window notices a new favourite within seconds; the time
-//! since the last request ends a favourite that has died. Memory is bounded and
+//! rare one; a short window notices a newly popular one within seconds; the time
+//! since the last request lowers one whose requests have ended. Memory is bounded and
 //! an adapter that falls idle is forgotten. See docs/design/0002-decisions.md.
 
 use std::collections::HashMap;
@@ -13,7 +13,7 @@
 
 /// Half-life of the window that knows steady adapters.
 const LONG: Millis = Millis::from_secs(600);
-/// Half-life of the window that notices a new favourite.
+/// Half-life of the window that notices a newly popular adapter.
 const SHORT: Millis = Millis::from_secs(20);
 /// An adapter without a request for a span `t` has, with 95 % confidence, a rate below `3 / t`.
 const SILENCE: f64 = 3.0;
@@ -77,7 +77,7 @@
     /// Requests a millisecond, each times its class's factor.
     fn rate(&self, now: Millis) -> f64 {
         let long = self.long.value(LONG, now) / float(LONG);
-        // A single request says nothing about a new favourite, so it is left out:
+        // A single request says nothing about its popularity, so it is left out:
         // else each adapter of a scan would look hot for the length of the window.
         let repeated = (self.short.value(SHORT, now) - self.last_factor).max(0.0);
         let rate = long.max(repeated / float(SHORT)) * std::f64::consts::LN_2;
--- a/lib/src/policy/loads.rs
+++ b/lib/src/policy/loads.rs
@@ -53,8 +53,8 @@
 impl Waiting {
     /// Returns the stall that the load still saves if it begins now.
     ///
-    /// Each waiter's time runs out while it waits, so an ask that was told long
-    /// ago is worth less: of two alike, the fresh one saves more.
+    /// Each waiter's time runs out while it waits, so of two asks that are alike
+    /// the later one saves more.
     fn gain(&self, now: Millis) -> u64 {
         let factor = self.ask.class.map_or(0, factor);
         let spent = now.since(self.told).0;
@@ -146,7 +146,7 @@
             if now < until {
                 return None;
             }
-            // The node that was granted this load has died or hangs. Without
+            // The node that was granted this load has ended or hangs. Without
             // this bound no adapter would be loaded anywhere any more.
             self.lost += 1;
             self.current = None;
@@ -158,7 +158,7 @@
         Some((key, granted.ask))
     }
 
-    /// Tells that a granted load has ended, or that its leave came back unused.
+    /// Tells that a granted load has ended, or that its permit came back unused.
     pub fn done(&mut self, key: Key) {
         self.withdraw(key);
     }
--- a/lib/src/policy/placement.rs
+++ b/lib/src/policy/placement.rs
@@ -17,7 +17,8 @@
 use crate::membership::fleet::{State, Upstream};
 use crate::policy::replicas;
 
-/// Most upstreams that are worth trying for one request.
+/// Most upstreams that one request is tried at; further ones would cost its caller more time
+/// than a refusal and a later try.
 pub const CANDIDATES: usize = 16;
 /// Best upstreams among which replicas are spread over failure domains.
 const SHORTLIST: usize = 32;
--- a/lib/src/policy/replicas.rs
+++ b/lib/src/policy/replicas.rs
@@ -1,7 +1,7 @@
 //! How many replicas an entry node counts on for a busy adapter.
 //!
-//! The hottest adapters need tens of upstreams, and a walk from the home finds
-//! them too slowly. What owners answer doubles an adapter's replica count, so that the
+//! The hottest adapters need tens of upstreams, and trying one after the
+//! other from the home finds them too slowly. What owners answer doubles an adapter's replica count, so that the
 //! needed one is found in a few tries; quiet halves it, so that replicas are
 //! given back. Memory follows busy adapters only. See
 //! docs/design/0002-decisions.md.
--- a/lib/src/policy/slots.rs
+++ b/lib/src/policy/slots.rs
@@ -159,16 +159,16 @@
         slot.pins == 0
     }
 
-    /// Picks what to evict: of the adapters that nobody uses, the one worth least.
+    /// Picks what to evict: of the adapters that nobody uses, the one in least demand.
     ///
-    /// `worth` returns none for an adapter that must stay. A draining adapter goes first.
-    pub fn victim(&self, worth: impl Fn(&Adapter) -> Option<f64>) -> Option<(&Adapter, f64)> {
+    /// `demand` returns none for an adapter that must stay. A draining adapter goes first.
+    pub fn victim(&self, demand: impl Fn(&Adapter) -> Option<f64>) -> Option<(&Adapter, f64)> {
         self.slots
             .iter()
             .filter(|(_, slot)| slot.pins == 0 && slot.state != State::Loading)
             .filter_map(|(adapter, slot)| match slot.state {
                 State::Draining => Some((adapter, -1.0)),
-                _ => worth(adapter).map(|worth| (adapter, worth)),
+                _ => demand(adapter).map(|demand| (adapter, demand)),
             })
             .min_by(|a, b| a.1.total_cmp(&b.1))
     }
--- a/lib/src/policy/upstream/admit.rs
+++ b/lib/src/policy/upstream/admit.rs
@@ -12,9 +12,10 @@
 /// How long an adapter that was passed on stays passed on, so that all its
 /// requests meet at one upstream and share its load there.
 const PASS_FOR: Millis = Millis::from_secs(300);
-/// A slot's adapter must be worth this many times the newcomer for it to be passed on.
+/// A slot's adapter must be in this many times the newcomer's demand for the newcomer to be
+/// passed on: its own callers would stall for longer than the newcomer's go on waiting.
 const PASS_RATIO: f64 = 2.0;
-/// An adapter that was passed on is taken back when a slot's is worth less than this share of it.
+/// An adapter that was passed on is taken back when a slot's is in less than this share of its demand.
 ///
 /// Between the two ratios it stays where it is, or it would go to and fro, at a load each time.
 const BACK_RATIO: f64 = 0.25;
@@ -91,8 +92,9 @@
             _ => Millis::ZERO,
         };
         let wait = self.wait(ticket.class).max(load);
-        // The estimate of the service is a mean; half of it is what a lucky
-        // request may need. A request refused here has no chance worth a place.
+        // The estimate of the service is a mean; half of it is what a short
+        // request may need. One that is refused here would miss its deadline, and take a
+        // place from one that can keep its own.
         if wait + Millis(service.0 / 2) < left {
             return Ok(());
         }
@@ -132,11 +134,15 @@
         if !passed {
             self.forecast.pass(adapter, now + PASS_FOR);
         }
-        Err(self.refusal(Code::PassedOn, "the slots hold worthier adapters", ticket))
+        Err(self.refusal(
+            Code::PassedOn,
+            "the slots hold adapters in higher demand",
+            ticket,
+        ))
     }
 
     /// Returns whether loading the adapter here costs little: an empty slot, or
-    /// one whose adapter isn't worth much more, in a batch with room.
+    /// one whose adapter isn't in much higher demand, in a batch with room.
     fn has_cheap_slot(&self, adapter: &Adapter, ratio: f64, now: Millis) -> bool {
         if self.running.len() >= self.places(Class::Bulk) as usize {
             return false;
@@ -149,7 +155,7 @@
             return true;
         }
         let own = self.forecast.rate(adapter, now);
-        let price = self.victim(now).map(|(_, worth)| worth);
+        let price = self.victim(now).map(|(_, demand)| demand);
         price.is_some_and(|price| price <= own * ratio)
     }
 
--- a/lib/src/policy/upstream/load.rs
+++ b/lib/src/policy/upstream/load.rs
@@ -11,12 +11,12 @@
 
 /// How far ahead a load's future use counts for its place in the store's queue.
 const HORIZON: Millis = Millis::from_secs(60);
-/// A load's future requests are taken to be worth this stall each.
+/// Stall that a load is taken to save for each request that is expected within the horizon.
 const FUTURE_STALL: Millis = Millis::from_secs(1);
 /// After this many failures in a row the waiting requests are refused.
 const FAILURES: u32 = 2;
 /// An adapter with a lower demand (requests a millisecond) isn't loaded unless somebody waits.
-pub(super) const WORTH_PREFETCH: f64 = 1.0 / 300_000.0;
+pub(super) const PREFETCH_DEMAND: f64 = 1.0 / 300_000.0;
 /// A pinned slot is drained for a request that has waited this long for one.
 const DRAIN_AFTER: Millis = Millis::from_secs(2);
 
@@ -31,15 +31,15 @@
         }
     }
 
-    /// Returns what would be evicted next, and what it is worth.
+    /// Returns what would be evicted next, and the demand for it.
     pub(super) fn victim(&self, now: Millis) -> Option<(Adapter, f64)> {
-        let worth = |adapter: &Adapter| {
+        let demand = |adapter: &Adapter| {
             let kept = self.queue.has_ready(adapter);
             (!kept).then(|| self.forecast.rate(adapter, now))
         };
         self.slots
-            .victim(worth)
-            .map(|(adapter, worth)| (adapter.clone(), worth))
+            .victim(demand)
+            .map(|(adapter, demand)| (adapter.clone(), demand))
     }
 
     /// Asks for loads that can be had and that somebody waits for.
@@ -91,7 +91,7 @@
             return;
         };
         self.refill.remove(&adapter);
-        if rate < WORTH_PREFETCH {
+        if rate < PREFETCH_DEMAND {
             self.refill.clear();
             return;
         }
@@ -151,7 +151,7 @@
         Some(demand)
     }
 
-    /// Uses leave to load, or gives it back.
+    /// Uses a permit to load, or gives it back.
     pub(super) fn grant(&mut self, adapter: &Adapter, now: Millis, actions: &mut Vec<Action>) {
         let asked = self.asked.remove(adapter);
         self.give_up_hopeless(adapter, now, actions);
--- a/lib/src/policy/upstream/mod.rs
+++ b/lib/src/policy/upstream/mod.rs
@@ -95,19 +95,19 @@
         /// Why, with a code whose fate is not run.
         failure: Failure,
     },
-    /// Ask the weight store's queue for leave to load, or replace an earlier ask's demand.
+    /// Ask the weight store's queue for a permit to load, or replace an earlier ask's demand.
     Ask {
         /// What would be loaded.
         adapter: Adapter,
         /// How the queue should order it.
         demand: Demand,
     },
-    /// Take an ask back; if leave has been granted meanwhile, give it back unused.
+    /// Take an ask back; if a permit has been granted meanwhile, give it back unused.
     Withdraw {
         /// What is no longer needed.
         adapter: Adapter,
     },
-    /// Load an adapter under the leave just granted, after unloading another.
+    /// Load an adapter under the permit just granted, after unloading another.
     ///
     /// The owner answers with [`Machine::loaded`].
     Load {
@@ -416,7 +416,7 @@
         }
     }
 
-    /// Follows a waiting request's leave: a load that nobody waits for is not asked for.
+    /// Follows a waiting request that went away: a load that nobody waits for is not asked for.
     fn left(&mut self, entry: &Entry, now: Millis, actions: &mut Vec<Action>) {
         let Some(adapter) = &entry.ticket.adapter else {
             return;
--- a/lib/src/policy/upstream/replace.rs
+++ b/lib/src/policy/upstream/replace.rs
@@ -1,6 +1,6 @@
 //! Loads ahead of a change of templates, so that the switch brings no stall.
 
-use super::load::{WORTH_PREFETCH, future};
+use super::load::{PREFETCH_DEMAND, future};
 use super::{Action, Asked, Demand, Machine};
 use crate::adapter::Adapter;
 use crate::clock::Millis;
@@ -9,13 +9,13 @@
     /// Templates are about to move from one adapter to another.
     ///
     /// If the old one is resident and in demand here, the new one is asked for
-    /// with what the weight store has to spare. Its leave may evict only what is
-    /// worth less than the old one, which itself stays until the switch.
+    /// with what the weight store has to spare. Its permit may evict only what is
+    /// in less demand than the old one, which itself stays until the switch.
     #[must_use]
     pub fn replaced(&mut self, old: &Adapter, new: &Adapter, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
         let wanted = self.slots.is_resident(old) && self.slots.state(new).is_none();
-        if wanted && self.forecast.rate(old, now) >= WORTH_PREFETCH {
+        if wanted && self.forecast.rate(old, now) >= PREFETCH_DEMAND {
             self.forecast.inherit(old, new, now);
             self.upcoming.insert(new.clone());
         }
@@ -47,10 +47,10 @@
         }
     }
 
-    /// Returns what may be evicted for a prefetch: only for what comes soon, and only what is worth less.
+    /// Returns what may be evicted for a prefetch: only for what comes soon, and only what is in less demand.
     pub(super) fn spared_for(&self, adapter: &Adapter, now: Millis) -> Option<Adapter> {
-        let worth = self.forecast.rate(adapter, now);
-        let victim = self.victim(now).filter(|(_, price)| *price < worth);
+        let demand = self.forecast.rate(adapter, now);
+        let victim = self.victim(now).filter(|(_, price)| *price < demand);
         victim
             .filter(|_| self.upcoming.contains(adapter))
             .map(|(victim, _)| victim)
--- a/lib/tests/test_policy_parts.rs
+++ b/lib/tests/test_policy_parts.rs
@@ -250,7 +250,7 @@
 }
 
 /// Symptom: a cold adapter is loaded again at another upstream for each request.
-/// Sequence: owners pass its requests on because their slots hold worthier adapters.
+/// Sequence: owners pass its requests on because their slots hold adapters in higher demand.
 /// Cause: that answer spread the adapter like a busy upstream's.
 #[test]
 fn order_cold_walk_is_the_same_at_every_node() {
