--- a/lib/src/membership/machine/claims.rs
+++ b/lib/src/membership/machine/claims.rs
@@ -56,7 +56,7 @@
         let Some(session) = &self.session else {
             return false;
         };
-        self.standing
+        self.eligible
             && self.stopping.is_none()
             && session.checked
             && !session.dead
@@ -87,7 +87,7 @@
 
     // Upstreams that have no owner, or whose owner's record is gone.
     fn orphans(&self, now: Millis) -> Vec<(Name, Name, Option<Claim>)> {
-        let gathered = now.since(self.stood_since) >= GATHER;
+        let gathered = now.since(self.eligible_since) >= GATHER;
         self.regions
             .iter()
             .filter_map(|(upstream, region)| {
@@ -374,7 +374,7 @@
 
     fn may_adopt(&self) -> bool {
         let checked = self.session.as_ref().is_some_and(|session| session.checked);
-        self.standing && checked && self.stopping.is_none()
+        self.eligible && checked && self.stopping.is_none()
     }
 
     fn adopt(&mut self, upstream: Name, token: u64) {
--- a/lib/src/membership/machine/lease.rs
+++ b/lib/src/membership/machine/lease.rs
@@ -174,10 +174,10 @@
         let registration = self
             .keys
             .registration(&self.identity.name, self.identity.incarnation);
-        let standing = self.session.as_ref().filter(|session| !session.dead);
+        let living = self.session.as_ref().filter(|session| !session.dead);
         // The record of a former start of this node stands until its lease ends;
         // that start may still run, paused, and believe in its bound.
-        let conditions = match standing {
+        let conditions = match living {
             Some(session) => vec![Condition::Unchanged(key.clone(), session.record.revision)],
             None if self.guards.on(Guard::FormerSelf) => vec![Condition::Absent(key.clone())],
             None => Vec::new(),
--- a/lib/src/membership/machine/mod.rs
+++ b/lib/src/membership/machine/mod.rs
@@ -70,8 +70,8 @@
     doubtful: bool,
     next_join: Millis,
     // Whether the node has the right to own, and until when.
-    standing: bool,
-    stood_since: Millis,
+    eligible: bool,
+    eligible_since: Millis,
     until: Millis,
     last_service: Option<Millis>,
 
@@ -129,8 +129,8 @@
             joining: Joining::Idle,
             doubtful: false,
             next_join: now,
-            standing: false,
-            stood_since: now,
+            eligible: false,
+            eligible_since: now,
             until: Millis::ZERO,
             last_service: None,
             round: None,
@@ -285,8 +285,8 @@
 
     /// Whether this node has the right to own upstreams now.
     #[must_use]
-    pub fn standing(&self) -> bool {
-        self.standing
+    pub fn eligible(&self) -> bool {
+        self.eligible
     }
 
     /// Returns when the node's right ends.
@@ -299,7 +299,7 @@
     #[must_use]
     pub fn outage(&self) -> bool {
         let service = self.session.as_ref().map(|session| session.service_until);
-        self.standing && service.is_none_or(|until| until < self.until)
+        self.eligible && service.is_none_or(|until| until < self.until)
     }
 
     /// Returns the lease's span, if the node has one.
@@ -370,13 +370,13 @@
     // after the fact would make it an owner beside them, so the lapse is final
     // until the claims have been read again under a lease that lives.
     fn check_lapse(&mut self, now: Millis) {
-        if !self.standing || now < self.until {
+        if !self.eligible || now < self.until {
             return;
         }
         if !self.guards.on(Guard::LapseFinal) {
             return;
         }
-        self.standing = false;
+        self.eligible = false;
         self.round = None;
         if let Some(session) = &mut self.session {
             session.checked_after = now;
@@ -391,7 +391,7 @@
     }
 
     fn extend(&mut self, until: Millis) {
-        if !self.standing || until <= self.until {
+        if !self.eligible || until <= self.until {
             return;
         }
         self.until = until;
--- a/lib/src/membership/machine/reading.rs
+++ b/lib/src/membership/machine/reading.rs
@@ -77,13 +77,13 @@
         }
         session.checked = true;
         let until = session.service_until;
-        if self.standing {
+        if self.eligible {
             self.extend(until);
         } else if now < until {
-            self.standing = true;
-            self.stood_since = now;
+            self.eligible = true;
+            self.eligible_since = now;
             self.until = until;
-            self.note("standing");
+            self.note("eligible");
         } else {
             self.reading.wanted = true;
         }
--- a/lib/src/membership/machine/stop.rs
+++ b/lib/src/membership/machine/stop.rs
@@ -74,7 +74,7 @@
         for upstream in left {
             self.give_up(now, &upstream);
         }
-        self.standing = false;
+        self.eligible = false;
         self.until = now;
         self.round = None;
         match self.session.take() {
--- a/lib/src/membership/machine/support.rs
+++ b/lib/src/membership/machine/support.rs
@@ -26,7 +26,7 @@
 
 impl Machine {
     pub(super) fn tend_support(&mut self, now: Millis) {
-        let needed = self.standing && self.renewal_late(now);
+        let needed = self.eligible && self.renewal_late(now);
         if !needed || now < self.next_round || self.ending() {
             return;
         }
