--- a/bench/src/policy/mod.rs
+++ b/bench/src/policy/mod.rs
@@ -349,7 +349,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::policy::source::{Shape, Source};
+    use crate::policy::source::{Profile, Source};
     use crate::policy::traffic::Outage;
 
     /// A minute at a small deployment, with a crash and failing loads.
@@ -361,11 +361,11 @@
             load_failures: 0.05,
             ..workload::trgovski()
         };
-        let shape = Shape {
+        let profile = Profile {
             seconds: 60.0,
-            ..Shape::steady(8.0, 1.2)
+            ..Profile::steady(8.0, 1.2)
         };
-        let requests = Source::new(&deployment, &shape, 3).requests(&shape);
+        let requests = Source::new(&deployment, &profile, 3).requests(&profile);
         let outage = Outage {
             engine: 1,
             from: Millis::from_secs(20),
--- a/bench/src/policy/source.rs
+++ b/bench/src/policy/source.rs
@@ -22,7 +22,7 @@
 
 /// How an hour of traffic is made.
 #[derive(Debug, Clone, Copy)]
-pub struct Shape {
+pub struct Profile {
     /// Requests a second.
     pub rate: f64,
     /// Exponent of the popularity of adapters (Zipf).
@@ -43,7 +43,7 @@
     pub jump: usize,
 }
 
-impl Shape {
+impl Profile {
     /// An hour of mixed classes at this rate and exponent.
     pub fn steady(rate: f64, exponent: f64) -> Self {
         Self {
@@ -72,14 +72,14 @@
 
 impl Source {
     /// Makes a source for a deployment's adapters.
-    pub fn new(deployment: &Deployment, shape: &Shape, seed: u64) -> Self {
+    pub fn new(deployment: &Deployment, profile: &Profile, seed: u64) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut order: Vec<u32> = (0..deployment.adapters).collect();
         order.shuffle(&mut rng);
         let mut sum = 0.0;
-        let cumulative = (1..=order.len().min(shape.awake))
+        let cumulative = (1..=order.len().min(profile.awake))
             .map(|rank| {
-                sum += count(rank).powf(-shape.exponent);
+                sum += count(rank).powf(-profile.exponent);
                 sum
             })
             .collect();
@@ -130,17 +130,17 @@
     }
 
     /// Makes one request at this second.
-    fn request(&mut self, second: f64, shape: &Shape) -> Request {
+    fn request(&mut self, second: f64, profile: &Profile) -> Request {
         let adapter = self.adapter();
-        self.request_of(second, shape, adapter)
+        self.request_of(second, profile, adapter)
     }
 
     /// Makes one request for this adapter.
-    pub fn request_of(&mut self, second: f64, shape: &Shape, adapter: u32) -> Request {
+    pub fn request_of(&mut self, second: f64, profile: &Profile, adapter: u32) -> Request {
         let drawn = self.rng.random::<f64>();
-        let class = if drawn < shape.urgent {
+        let class = if drawn < profile.urgent {
             Class::Urgent
-        } else if drawn < shape.urgent + shape.bulk {
+        } else if drawn < profile.urgent + profile.bulk {
             Class::Bulk
         } else {
             Class::Normal
@@ -154,20 +154,20 @@
             weight: 1 + account % 4,
             idempotent: self.rng.random_bool(IDEMPOTENT),
             prompt_tokens: self.length(MEAN_PROMPT),
-            output_tokens: self.length(shape.output_tokens),
+            output_tokens: self.length(profile.output_tokens),
         }
     }
 
-    /// Makes the requests of a shape, by arrival.
-    pub fn requests(&mut self, shape: &Shape) -> Vec<Request> {
+    /// Makes the requests of a profile, by arrival.
+    pub fn requests(&mut self, profile: &Profile) -> Vec<Request> {
         let mut requests = Vec::new();
-        let mut second = self.gap(shape.rate);
+        let mut second = self.gap(profile.rate);
         // A change of places is one adapter that cools and one that warms up.
-        let drifts_per_second = shape.drift_per_hour / 2.0 / HOUR;
+        let drifts_per_second = profile.drift_per_hour / 2.0 / HOUR;
         let (mut due, mut jumps) = (0.0, 1.0);
-        while second < shape.seconds {
-            requests.push(self.request(second, shape));
-            let gap = self.gap(shape.rate);
+        while second < profile.seconds {
+            requests.push(self.request(second, profile));
+            let gap = self.gap(profile.rate);
             second += gap;
             due += gap * drifts_per_second;
             while due >= 1.0 {
@@ -176,7 +176,7 @@
             }
             if second > jumps * HOUR / JUMPS_PER_HOUR {
                 jumps += 1.0;
-                (0..shape.jump).for_each(|rank| self.displace(rank));
+                (0..profile.jump).for_each(|rank| self.displace(rank));
             }
         }
         requests
--- a/bench/src/policy/workload.rs
+++ b/bench/src/policy/workload.rs
@@ -7,7 +7,7 @@
 
 use chivevalve::clock::Millis;
 
-use super::source::{HOUR, Shape, Source};
+use super::source::{HOUR, Profile, Source};
 use super::traffic::{Deployment, Outage, Request, Workload, count, millis};
 
 /// Requests a second at which a `_full` workload runs, against the plain one.
@@ -104,17 +104,17 @@
 }
 
 recipes! {
-    "trgovski_skew_1.1" => |seed| plain(trgovski(), Shape::steady(5.7, 1.1), seed),
-    "trgovski_skew_1.3" => |seed| plain(trgovski(), Shape::steady(10.5, 1.3), seed),
-    "trgovski_skew_1.5" => |seed| plain(trgovski(), Shape::steady(19.2, 1.5), seed),
+    "trgovski_skew_1.1" => |seed| plain(trgovski(), Profile::steady(5.7, 1.1), seed),
+    "trgovski_skew_1.3" => |seed| plain(trgovski(), Profile::steady(10.5, 1.3), seed),
+    "trgovski_skew_1.5" => |seed| plain(trgovski(), Profile::steady(19.2, 1.5), seed),
     "trgovski_shift" => |seed| plain(trgovski(), shifting(10.0, 1.3), seed),
-    "trgovski_skew_full" => |seed| plain(trgovski(), Shape::steady(10.5 * FULL, 1.3), seed),
+    "trgovski_skew_full" => |seed| plain(trgovski(), Profile::steady(10.5 * FULL, 1.3), seed),
     "trgovski_shift_full" => |seed| plain(trgovski(), shifting(10.0 * FULL, 1.3), seed),
-    "addis_skew_1.1" => |seed| plain(addis(), Shape::steady(8.6, 1.1), seed),
-    "addis_skew_1.3" => |seed| plain(addis(), Shape::steady(15.8, 1.3), seed),
-    "addis_skew_1.5" => |seed| plain(addis(), Shape::steady(28.0, 1.5), seed),
+    "addis_skew_1.1" => |seed| plain(addis(), Profile::steady(8.6, 1.1), seed),
+    "addis_skew_1.3" => |seed| plain(addis(), Profile::steady(15.8, 1.3), seed),
+    "addis_skew_1.5" => |seed| plain(addis(), Profile::steady(28.0, 1.5), seed),
     "addis_shift" => |seed| plain(addis(), shifting(15.0, 1.3), seed),
-    "addis_skew_full" => |seed| plain(addis(), Shape::steady(15.8 * FULL, 1.3), seed),
+    "addis_skew_full" => |seed| plain(addis(), Profile::steady(15.8 * FULL, 1.3), seed),
     "addis_shift_full" => |seed| plain(addis(), shifting(15.0 * FULL, 1.3), seed),
     "addis_flash_crowd" => flash_crowd,
     "trgovski_night" => night,
@@ -126,59 +126,59 @@
     TARGET => |seed| plain(target(), target_shape(), seed),
 }
 
-fn plain(deployment: Deployment, shape: Shape, seed: u64) -> Parts {
-    let requests = Source::new(&deployment, &shape, seed).requests(&shape);
+fn plain(deployment: Deployment, profile: Profile, seed: u64) -> Parts {
+    let requests = Source::new(&deployment, &profile, seed).requests(&profile);
     (deployment, requests, Vec::new())
 }
 
 /// Popularity drifts all the time, and three times the hottest adapters change.
-fn shifting(rate: f64, exponent: f64) -> Shape {
-    Shape {
+fn shifting(rate: f64, exponent: f64) -> Profile {
+    Profile {
         drift_per_hour: 3_000.0,
         jump: 20,
-        ..Shape::steady(rate, exponent)
+        ..Profile::steady(rate, exponent)
     }
 }
 
 /// Ten minutes of the target's peak: 16 % of the adapters wake or fall idle within an hour.
-fn target_shape() -> Shape {
-    Shape {
+fn target_shape() -> Profile {
+    Profile {
         output_tokens: 423.0,
         awake: 3_000,
         seconds: 720.0,
         drift_per_hour: 0.16 * 19_000.0,
-        ..Shape::steady(970.0, 0.9)
+        ..Profile::steady(970.0, 0.9)
     }
 }
 
 /// Returns the requests a second that keep all engines' batches full.
-fn capacity(deployment: &Deployment, shape: &Shape) -> f64 {
+fn capacity(deployment: &Deployment, profile: &Profile) -> f64 {
     let prefill = deployment.prefill_us * super::source::MEAN_PROMPT;
     let step = deployment.step(deployment.batch) / count(deployment.batch);
-    count(deployment.engines) * 1e6 / (prefill + step * shape.output_tokens)
+    count(deployment.engines) * 1e6 / (prefill + step * profile.output_tokens)
 }
 
 /// Few enough adapters that batches, not loads, are short.
 fn loaded(factor: f64, seed: u64) -> Parts {
     let deployment = addis();
-    let mut shape = Shape {
+    let mut profile = Profile {
         awake: 60,
-        ..Shape::steady(1.0, 0.8)
+        ..Profile::steady(1.0, 0.8)
     };
-    shape.rate = factor * capacity(&deployment, &shape);
-    plain(deployment, shape, seed)
+    profile.rate = factor * capacity(&deployment, &profile);
+    plain(deployment, profile, seed)
 }
 
 /// For five minutes everyone asks for one adapter that nobody asked for before.
 fn flash_crowd(seed: u64) -> Parts {
-    let (deployment, mut requests, outages) = plain(addis(), Shape::steady(13.0, 1.3), seed);
-    let crowd = Shape {
+    let (deployment, mut requests, outages) = plain(addis(), Profile::steady(13.0, 1.3), seed);
+    let crowd = Profile {
         seconds: 300.0,
         awake: 1,
-        ..Shape::steady(25.0, 1.0)
+        ..Profile::steady(25.0, 1.0)
     };
     let mut source = Source::new(&deployment, &crowd, seed + 1);
-    let coldest = Source::new(&deployment, &Shape::steady(1.0, 1.0), seed).coldest();
+    let coldest = Source::new(&deployment, &Profile::steady(1.0, 1.0), seed).coldest();
     for mut request in source.requests(&crowd) {
         request.adapter = coldest;
         request.arrival += Millis::from_secs(1200);
@@ -191,21 +191,21 @@
 /// A night of bulk near what the engines can do, with a burst of urgent requests every five minutes.
 fn night(seed: u64) -> Parts {
     let deployment = trgovski();
-    let mut shape = Shape {
+    let mut profile = Profile {
         urgent: 0.0,
         bulk: 1.0,
         awake: 200,
-        ..Shape::steady(1.0, 1.1)
+        ..Profile::steady(1.0, 1.1)
     };
-    shape.rate = 0.9 * capacity(&deployment, &shape);
-    let mut source = Source::new(&deployment, &shape, seed);
-    let mut requests = source.requests(&shape);
-    let burst = Shape {
+    profile.rate = 0.9 * capacity(&deployment, &profile);
+    let mut source = Source::new(&deployment, &profile, seed);
+    let mut requests = source.requests(&profile);
+    let burst = Profile {
         seconds: 10.0,
         urgent: 1.0,
         bulk: 0.0,
         awake: 20,
-        ..Shape::steady(6.0, 0.5)
+        ..Profile::steady(6.0, 0.5)
     };
     for start in (150..3600).step_by(300) {
         let mut source = Source::new(&deployment, &burst, seed + start);
@@ -220,7 +220,7 @@
 
 /// One engine after the other crashes, and loads fail more often than usual.
 fn restarts(seed: u64) -> Parts {
-    let (mut deployment, requests, _) = plain(trgovski(), Shape::steady(9.0, 1.3), seed);
+    let (mut deployment, requests, _) = plain(trgovski(), Profile::steady(9.0, 1.3), seed);
     deployment.load_failures = 0.05;
     let every = HOUR / count(deployment.engines);
     let outage = |engine: usize| Outage {
@@ -234,7 +234,7 @@
 
 /// A failure domain goes for ten minutes and comes back cold.
 fn lost_domain(seed: u64) -> Parts {
-    let (deployment, requests, _) = plain(addis(), Shape::steady(13.0, 1.3), seed);
+    let (deployment, requests, _) = plain(addis(), Profile::steady(13.0, 1.3), seed);
     let lost = (0..deployment.engines).filter(|engine| deployment.domain_of(*engine) == 1);
     let outage = |engine: usize| Outage {
         engine,
--- a/bench/src/policy/world/tests.rs
+++ b/bench/src/policy/world/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::policy::source::{Shape, Source};
+use crate::policy::source::{Profile, Source};
 use crate::policy::workload::trgovski;
 
 /// Two engines, two adapters, four requests.
@@ -12,11 +12,11 @@
         load_failures: 0.0,
         ..trgovski()
     };
-    let shape = Shape {
+    let profile = Profile {
         seconds: 10.0,
-        ..Shape::steady(0.4, 1.0)
+        ..Profile::steady(0.4, 1.0)
     };
-    let requests = Source::new(&deployment, &shape, 1).requests(&shape);
+    let requests = Source::new(&deployment, &profile, 1).requests(&profile);
     Workload {
         name: "small".to_owned(),
         deployment,
