config, gossip, node: one jitter, and log lines in the field's words

Cause: duplicates: the follower of the configuration and the choice of gossip's peers drew the same jitter, each by itself; three log lines and a name (REFUSAL_REST) weren't in the field's words. Ruled out: membership's jitter too. It draws a number of milliseconds and not a percentage, so every seeded story of the ownership fuzz would play otherwise.

--- a/bench/src/policy/workload.rs
+++ b/bench/src/policy/workload.rs
@@ -123,7 +123,7 @@
     "addis_overload_2x" => |seed| loaded(2.0, seed),
     "trgovski_restarts" => restarts,
     "addis_lost_domain" => lost_domain,
-    TARGET => |seed| plain(target(), target_shape(), seed),
+    TARGET => |seed| plain(target(), target_profile(), seed),
 }
 
 fn plain(deployment: Deployment, profile: Profile, seed: u64) -> Parts {
@@ -141,7 +141,7 @@
 }
 
 /// Ten minutes of the target's peak: 16 % of the adapters wake or fall idle within an hour.
-fn target_shape() -> Profile {
+fn target_profile() -> Profile {
     Profile {
         output_tokens: 423.0,
         awake: 3_000,
@@ -172,14 +172,14 @@
 /// For five minutes everyone asks for one adapter that nobody asked for before.
 fn flash_crowd(seed: u64) -> Parts {
     let (deployment, mut requests, outages) = plain(addis(), Profile::steady(13.0, 1.3), seed);
-    let crowd = Profile {
+    let flash = Profile {
         seconds: 300.0,
         awake: 1,
         ..Profile::steady(25.0, 1.0)
     };
-    let mut source = Source::new(&deployment, &crowd, seed + 1);
+    let mut source = Source::new(&deployment, &flash, seed + 1);
     let coldest = Source::new(&deployment, &Profile::steady(1.0, 1.0), seed).coldest();
-    for mut request in source.requests(&crowd) {
+    for mut request in source.requests(&flash) {
         request.adapter = coldest;
         request.arrival += Millis::from_secs(1200);
         requests.push(request);
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
 /// A point in time since the clock's start, or a span, in milliseconds.
@@ -37,6 +38,14 @@
         Self(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns a span drawn from 75 to 125 of 100 of this one, so that what many nodes do
+    /// at this pace doesn't fall together.
+    #[must_use]
+    pub fn jittered(self, rng: &mut impl RngExt) -> Self {
+        let percent = rng.random_range(75..=125);
+        Self(self.0.saturating_mul(percent) / 100)
+    }
+
     /// Returns the span for use with timers.
     #[must_use]
     pub const fn duration(self) -> Duration {
--- a/lib/src/config/follower.rs
+++ b/lib/src/config/follower.rs
@@ -91,7 +91,12 @@
             .watch(&keeper.source.layout().watched(), head.read)
             .await?;
         let mut confirm = Box::pin(tokio::time::sleep(
-            self.jitter(keeper.parts.limits.confirm).duration(),
+            keeper
+                .parts
+                .limits
+                .confirm
+                .jittered(&mut self.rng)
+                .duration(),
         ));
         let mut role = tokio::time::interval(ROLE_CHECK.duration());
         loop {
@@ -102,7 +107,7 @@
                 },
                 () = &mut confirm => {
                     keeper.catch_up().await?;
-                    let next = self.jitter(keeper.parts.limits.confirm);
+                    let next = keeper.parts.limits.confirm.jittered(&mut self.rng);
                     confirm.set(tokio::time::sleep(next.duration()));
                 }
                 () = keeper.behind.notified() => {
@@ -140,11 +145,11 @@
     /// Leaves the service alone while peers keep this node fresh.
     async fn listen(&mut self) -> Result<(), Failure> {
         let keeper = Arc::clone(&self.keeper);
-        let nap = self.jitter(ROLE_CHECK);
+        let nap = ROLE_CHECK.jittered(&mut self.rng);
         tokio::select! {
             () = tokio::time::sleep(nap.duration()) => {}
             () = keeper.behind.notified() => {
-                let patience = self.jitter(PATIENCE);
+                let patience = PATIENCE.jittered(&mut self.rng);
                 tokio::time::sleep(patience.duration()).await;
             }
         }
@@ -156,7 +161,7 @@
 
     /// Whether peers don't keep this node fresh.
     fn needs_service(&mut self) -> bool {
-        let poll = self.jitter(self.keeper.parts.limits.poll);
+        let poll = self.keeper.parts.limits.poll.jittered(&mut self.rng);
         let now = self.keeper.now();
         let state = self.keeper.state();
         let (learned, heard) = (state.learned().revision(), state.heard());
@@ -167,15 +172,9 @@
         learned == 0 || heard > learned || !fresh
     }
 
-    /// Spreads a wait over 75 to 125 of 100, so that nodes don't call in step.
-    fn jitter(&mut self, span: Millis) -> Millis {
-        let percent = self.rng.random_range(75..=125);
-        Millis(span.0.saturating_mul(percent) / 100)
-    }
-
     fn succeeded(&mut self) {
         if self.failing {
-            info!("config: the service answers again");
+            info!("config: the key-value service is reachable again");
         }
         self.failing = false;
         self.wait = FIRST_WAIT;
--- a/lib/src/config/state.rs
+++ b/lib/src/config/state.rs
@@ -37,7 +37,7 @@
 ///
 /// During an upgrade all older nodes refuse the same revision; reading a whole
 /// snapshot at each sign of it would cost the service more than everything else.
-pub const REFUSAL_REST: Millis = Millis::from_secs(600);
+pub const REFUSAL_BACKOFF: Millis = Millis::from_secs(600);
 
 /// Where a whole revision came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -133,7 +133,7 @@
         self.refusals.iter().any(|refusal| {
             refusal.revision == revision
                 && refusal.origin == origin
-                && now.since(refusal.at) < REFUSAL_REST
+                && now.since(refusal.at) < REFUSAL_BACKOFF
         })
     }
 
--- a/lib/src/gossip/choice.rs
+++ b/lib/src/gossip/choice.rs
@@ -127,10 +127,9 @@
         );
     }
 
-    /// Spreads a span over 75 to 125 of 100, so that nodes don't move in step.
+    /// Spreads a span, so that nodes don't exchange in step.
     pub(super) fn jitter(&mut self, span: Millis) -> Millis {
-        let percent = self.rng.random_range(75..=125);
-        Millis(span.0.saturating_mul(percent) / 100)
+        span.jittered(&mut self.rng)
     }
 }
 
--- a/lib/src/membership/keeper/mod.rs
+++ b/lib/src/membership/keeper/mod.rs
@@ -234,7 +234,7 @@
     fn send(&self, adoption: Adoption) {
         // Bounded by the number of upstreams; the receiver ends only with the keeper.
         if self.adoptions.send(adoption).is_err() {
-            warn!("membership: the adopter is told nothing any more");
+            warn!("membership: the adopter's queue is closed");
         }
     }
 
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -184,7 +184,7 @@
     ///
     /// Returns whether everything ended by itself within the settings' limit.
     pub async fn drain(&self) -> bool {
-        log::info!("node: stops, not ready from now on");
+        log::info!("node: drains, not ready from now on");
         self.leaving.cancel();
         // The balancer sends work until it has noticed; that work is done too.
         tokio::time::sleep(self.limits.drain_grace.duration()).await;
