--- a/lib/src/loads/queue.rs
+++ b/lib/src/loads/queue.rs
@@ -34,7 +34,7 @@
 /// The queue, as those see it that want to load.
 #[derive(Clone)]
 pub struct Queue {
-    actor: ActorRef<Turns>,
+    actor: ActorRef<Limiter>,
     ends: mpsc::UnboundedSender<Key>,
     serial: Arc<AtomicU64>,
 }
@@ -50,7 +50,7 @@
     #[must_use]
     pub fn start(limits: Limits, clock: Arc<dyn Clock>) -> Self {
         let (ends, ended) = mpsc::unbounded_channel();
-        let actor = Turns::spawn_with_mailbox((limits, clock, ended), mailbox::bounded(MAILBOX));
+        let actor = Limiter::spawn_with_mailbox((limits, clock, ended), mailbox::bounded(MAILBOX));
         Self {
             actor,
             ends,
@@ -78,7 +78,7 @@
 impl Permits for Queue {
     async fn acquire(&self, mut ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
         let key = (0, self.serial.fetch_add(1, Ordering::Relaxed));
-        let leave = Leave {
+        let grant = Grant {
             key,
             ends: self.ends.clone(),
         };
@@ -90,7 +90,7 @@
                 biased;
                 granted = &mut granted => {
                     let full = |_| Failure::new(Code::LoadFailed, "too many loads wait");
-                    return granted.map(|()| Box::new(leave) as _).map_err(full);
+                    return granted.map(|()| Box::new(grant) as _).map_err(full);
                 }
                 Ok(()) = ask.changed() => {
                     let changed = ask.borrow_and_update().clone();
@@ -101,23 +101,23 @@
     }
 }
 
-/// An ask, waiting or granted; dropping it takes the ask or the leave back.
+/// An ask, waiting or granted; dropping it takes the ask or the permit back.
 ///
-/// A holder that dies with its leave would block every load of the deployment.
+/// A holder that ends with its permit would block every load of the deployment.
 #[derive(Debug)]
-struct Leave {
+struct Grant {
     key: Key,
     ends: mpsc::UnboundedSender<Key>,
 }
 
-impl Drop for Leave {
+impl Drop for Grant {
     fn drop(&mut self) {
         let _ = self.ends.send(self.key);
     }
 }
 
 #[async_trait]
-impl Permit for Leave {
+impl Permit for Grant {
     async fn done(self: Box<Self>, _: bool, _: Millis) {}
 }
 
@@ -133,9 +133,9 @@
 #[derive(Debug)]
 struct Space(Millis);
 
-/// The actor: it grants one leave at a time.
+/// The actor: it grants one permit at a time, no faster than the weight store serves loads.
 #[derive(Debug)]
-struct Turns {
+struct Limiter {
     order: policy::loads::Queue,
     spacing: Millis,
     next_start: Millis,
@@ -144,7 +144,7 @@
     ended: mpsc::UnboundedReceiver<Key>,
 }
 
-impl Turns {
+impl Limiter {
     fn grant(&mut self) {
         let now = self.clock.now();
         while now >= self.next_start {
@@ -181,7 +181,7 @@
     }
 }
 
-impl Actor for Turns {
+impl Actor for Limiter {
     type Args = (Limits, Arc<dyn Clock>, mpsc::UnboundedReceiver<Key>);
     type Error = Infallible;
 
@@ -221,7 +221,7 @@
     }
 }
 
-impl Message<Asked> for Turns {
+impl Message<Asked> for Limiter {
     type Reply = ();
 
     async fn handle(&mut self, asked: Asked, _: &mut Context<Self, ()>) {
@@ -237,7 +237,7 @@
     }
 }
 
-impl Message<Space> for Turns {
+impl Message<Space> for Limiter {
     type Reply = ();
 
     async fn handle(&mut self, space: Space, _: &mut Context<Self, ()>) {
--- a/lib/src/membership/keeper.rs
+++ b/lib/src/membership/keeper/mod.rs
@@ -4,6 +4,8 @@
 //! The state stands behind one lock that is held for a step of the machine and
 //! never over an await; the calls run as tasks of their own.
 
+mod publish;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,17 +18,16 @@
 
 use crate::clock::{Clock, Millis};
 use crate::config::view::View;
-use crate::declaration::{Kind, Pool};
-use crate::loads::WEIGHTS;
+use crate::declaration::Pool;
 use crate::membership::fleet::{self, Fleet, State};
 use crate::membership::guard::Guards;
-use crate::membership::hearing::Hearing;
+use crate::membership::last_seen::LastSeen;
 use crate::membership::limits::Limits;
 use crate::membership::machine::{Action, Answer, Call, Machine};
 use crate::membership::node::{Identity, Keys};
 use crate::membership::upstreams::{Upstreams, Verdict};
-use crate::membership::witness::{Ask, Word};
-use crate::membership::{Adopter, Hold, Relay, Renewal, Sight};
+use crate::membership::witness::{Ask, Vote};
+use crate::membership::{Adopter, Detector, Hold, Relay, Renewal};
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::ports::{Directory, Error, Lease, Store, Vm, Watch};
@@ -88,8 +89,8 @@
 pub(super) struct Core {
     pub machine: Machine,
     pub upstreams: Upstreams,
-    pub hearing: Hearing,
-    pub gossip: super::share::Progress,
+    pub last_seen: LastSeen,
+    pub gossip: crate::membership::share::Progress,
     published: (u64, u64),
     next_release: Option<Millis>,
     adopted: BTreeMap<Name, (State, u64)>,
@@ -116,8 +117,8 @@
                 now,
             ),
             upstreams: Upstreams::new(Guards::all()),
-            hearing: Hearing::default(),
-            gossip: super::share::Progress::default(),
+            last_seen: LastSeen::default(),
+            gossip: crate::membership::share::Progress::default(),
             published: (0, 0),
             next_release: None,
             adopted: BTreeMap::new(),
@@ -233,7 +234,7 @@
     fn send(&self, adoption: Adoption) {
         // Bounded by the number of upstreams; the receiver ends only with the keeper.
         if self.adoptions.send(adoption).is_err() {
-            warn!("membership: the adopter is told nothing any more");
+            warn!("membership: the adopter's queue is closed");
         }
     }
 
@@ -242,30 +243,6 @@
         info!("membership: {event}");
     }
 
-    fn adopt(&self, core: &mut Core, now: Millis, upstream: &Name, hold: Hold) {
-        let Some((found, pool)) = self.describe(core, now, upstream) else {
-            core.adopted.remove(upstream);
-            return;
-        };
-        let mark = (found.state, hold.token());
-        core.adopted.insert(upstream.clone(), mark);
-        self.send(Adoption::Adopt(found, pool, hold));
-    }
-
-    fn describe(
-        &self,
-        core: &Core,
-        now: Millis,
-        upstream: &Name,
-    ) -> Option<(fleet::Upstream, Arc<Pool>)> {
-        if **upstream == *WEIGHTS {
-            return Some(weights());
-        }
-        let found = core.upstreams.get(now, upstream)?;
-        let pool = self.parts.view.borrow().pool(&found.vm.pool).cloned()?;
-        Some((found, pool))
-    }
-
     async fn make(&self, call: Call) -> Answer {
         let limit = self.parts.limits.call_timeout.duration();
         let lost = || Error::NoAnswer("no answer in time".to_owned());
@@ -308,8 +285,8 @@
                     .unwrap_or_else(|_| Err(lost())),
             ),
             Call::Ask(peer, ask) => {
-                let word = timeout(limit, relay.renew(peer, ask)).await;
-                Answer::Said(word.ok().flatten())
+                let vote = timeout(limit, relay.renew(peer, ask)).await;
+                Answer::Voted(vote.ok().flatten())
             }
             Call::Release(..) => Answer::Released,
         }
@@ -371,12 +348,10 @@
     fn list_read(self: &Arc<Self>, vms: Vec<Vm>) {
         let listed = vms.len();
         let verdict = self.step(|core, now| core.upstreams.list(now, vms));
-        if let Verdict::Doubted { missing } = verdict {
+        if let Verdict::Rejected { missing } = verdict {
             let events = &self.parts.metrics.events;
-            events.with_label_values(&["list_doubted"]).inc();
-            warn!(
-                "membership: the list of VMs ({listed}) lacks {missing} at once and isn't believed"
-            );
+            events.with_label_values(&["list_rejected"]).inc();
+            warn!("membership: the list of VMs ({listed}) lacks {missing} at once and is rejected");
         }
     }
 
@@ -416,129 +391,28 @@
             });
         }
     }
-
-    // Publishes the picture when it changed, tells the machine what there is to own,
-    // and tells the adopter of upstreams whose state or pool changed.
-    pub(super) fn publish(&self, core: &mut Core, now: Millis) {
-        let version = (core.upstreams.version(), core.machine.table().version());
-        let released = core.next_release.is_some_and(|at| now >= at);
-        if core.published == version && !released {
-            return;
-        }
-        let renewed = core.published.0 != version.0 || released;
-        core.published = version;
-        core.next_release = core.upstreams.next_release(now);
-        if renewed {
-            let regions = self.regions(core, now);
-            core.machine.upstreams(now, regions);
-        }
-        let owners = core
-            .machine
-            .table()
-            .claims()
-            .filter(|claim| !claim.is_free())
-            .map(|claim| (claim.upstream.clone(), Arc::new(claim.owner())))
-            .collect();
-        let all = core.upstreams.all(now);
-        self.count(core, &all);
-        self.readopt(core, now);
-        self.fleet.send_replace(Arc::new(Fleet::new(all, owners)));
-    }
-
-    fn regions(&self, core: &Core, now: Millis) -> BTreeMap<Name, Name> {
-        let view = self.parts.view.borrow();
-        let mut regions: BTreeMap<Name, Name> = core
-            .upstreams
-            .all(now)
-            .into_iter()
-            .filter(|upstream| view.pool(&upstream.vm.pool).is_some())
-            .map(|upstream| (upstream.vm.name, upstream.vm.region))
-            .collect();
-        if !regions.is_empty() {
-            regions.insert(Name::from(WEIGHTS), Name::from(""));
-        }
-        regions
-    }
-
-    fn count(&self, core: &Core, all: &[fleet::Upstream]) {
-        let metrics = &self.parts.metrics;
-        for (state, name) in [
-            (State::Usable, "usable"),
-            (State::Held, "held"),
-            (State::Leaving, "leaving"),
-        ] {
-            let count = all
-                .iter()
-                .filter(|upstream| upstream.state == state)
-                .count();
-            let gauge = metrics.upstreams.with_label_values(&[name]);
-            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
-        }
-        let owned = core.machine.held().count();
-        metrics.owned.set(i64::try_from(owned).unwrap_or(i64::MAX));
-    }
-
-    fn readopt(&self, core: &mut Core, now: Millis) {
-        let held: Vec<(Name, Hold)> = core
-            .machine
-            .holds(&self.parts.clock)
-            .map(|(name, hold)| (name.clone(), hold))
-            .collect();
-        for (upstream, hold) in held {
-            let state = core.upstreams.get(now, &upstream).map(|found| found.state);
-            let told = core.adopted.get(&upstream).copied();
-            let changed = match told {
-                Some((told, token)) => token != hold.token() || state.is_some_and(|s| s != told),
-                None => true,
-            };
-            if changed {
-                self.adopt(core, now, &upstream, hold);
-            }
-        }
-    }
-}
-
-/// The weight store's queue is owned like an upstream, though it has no address.
-fn weights() -> (fleet::Upstream, Arc<Pool>) {
-    let name = Name::from(WEIGHTS);
-    let vm = Vm {
-        name: name.clone(),
-        address: SocketAddr::from(([0, 0, 0, 0], 0)),
-        pool: name.clone(),
-        region: Name::from(""),
-        failure_domain: Name::from(""),
-        leaving: false,
-    };
-    let pool = Pool {
-        name,
-        kind: Kind::Service,
-        batch: 1,
-        checks_fencing: false,
-    };
-    let state = State::Usable;
-    (fleet::Upstream { vm, state }, Arc::new(pool))
 }
 
 #[async_trait::async_trait]
 impl Renewal for Keeper {
-    async fn renew(&self, ask: Ask) -> Word {
+    async fn renew(&self, ask: Ask) -> Vote {
         let now = self.parts.clock.now();
-        let (mut word, reached) = {
+        let (mut vote, reached) = {
             let mut core = self.lock();
             let age = core.machine.service_age(now);
             let reached = age.is_some_and(|age| age < REACHED);
-            (core.machine.hear(now, &ask), reached)
+            (core.machine.vote(now, &ask), reached)
         };
         if ask.withdraw_before.is_none() && reached {
             let half = Millis(self.parts.limits.call_timeout.0 / 2);
             let renewed = timeout(half.duration(), self.parts.lease.renew(ask.lease)).await;
-            word.renewed = matches!(renewed, Ok(Ok(span)) if span > Millis::ZERO);
+            vote.renewed = matches!(renewed, Ok(Ok(span)) if span > Millis::ZERO);
         }
-        word
+        vote
     }
 }
 
-impl Sight for Keeper {
+impl Detector for Keeper {
     fn failed(&self, upstream: &str) {
         let now = self.parts.clock.now();
         let mut core = self.lock();
--- a/lib/src/membership/machine/mod.rs
+++ b/lib/src/membership/machine/mod.rs
@@ -4,13 +4,17 @@
 //! their answers come back with the time. The keeper drives it in a node, the
 //! fuzz harness under virtual time. See docs/design/0004-ownership.md.
 
+mod call;
 mod claims;
+mod handover;
 mod lease;
+mod reading;
+mod stop;
 mod support;
 mod takeover;
+mod tidy;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -24,109 +28,21 @@
 use crate::membership::node::{Identity, Keys};
 use crate::membership::placement;
 use crate::membership::table::Table;
-use crate::membership::witness::{Ask, Witness, Word};
+use crate::membership::witness::{Ask, Vote, Witness};
 use crate::name::Name;
-use crate::ports::{Commit, Entry, Error, LeaseId, Listing, Transaction};
 
+pub use call::{Action, Answer, Call};
+use call::{Pending, Purpose};
 use claims::Busy;
-use lease::{Entering, Tenure};
+use lease::{Joining, Session};
+use reading::Reading;
+use stop::Stopping;
 use support::Round;
 use takeover::Withdrawal;
 
 /// Wait after the start before leftovers of ended nodes are removed.
 const FIRST_TIDY: Millis = Millis::from_secs(30);
 
-/// A call that the machine wants made; its answer comes back under the same number.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Call {
-    /// Grants a lease.
-    Grant(Millis),
-    /// Renews a lease.
-    Renew(LeaseId),
-    /// Ends a lease.
-    Revoke(LeaseId),
-    /// Makes a write under conditions.
-    Commit(Transaction),
-    /// Reads one key.
-    Read(String),
-    /// Reads all keys of membership.
-    List,
-    /// Asks a peer as a witness.
-    Ask(SocketAddr, Ask),
-    /// Stops serving an upstream and waits for what runs.
-    Release(Name, Millis),
-}
-
-/// What a call brought.
-#[derive(Debug, Clone)]
-pub enum Answer {
-    /// Of [`Call::Grant`].
-    Granted(Result<LeaseId, Error>),
-    /// Of [`Call::Renew`].
-    Renewed(Result<Millis, Error>),
-    /// Of [`Call::Revoke`].
-    Revoked,
-    /// Of [`Call::Commit`].
-    Committed(Result<Commit, Error>),
-    /// Of [`Call::Read`].
-    Read(Result<Option<Entry>, Error>),
-    /// Of [`Call::List`].
-    Listed(Result<Listing, Error>),
-    /// Of [`Call::Ask`]; none when no answer came in time.
-    Said(Option<Word>),
-    /// Of [`Call::Release`].
-    Released,
-}
-
-/// What the machine wants done.
-#[derive(Debug, Clone)]
-pub enum Action {
-    /// Make a call and return its answer.
-    Call(u64, Call),
-    /// Serve an upstream under a claim; the bound moves while the right lasts.
-    Adopt {
-        /// The upstream.
-        upstream: Name,
-        /// The claim's fencing token.
-        token: u64,
-        /// When the right ends, on the node's clock.
-        until: Arc<AtomicU64>,
-    },
-    /// Something rare that operators should be able to count.
-    Note(&'static str),
-}
-
-/// What a call was made for.
-#[derive(Debug, Clone)]
-enum Purpose {
-    Grant,
-    Register,
-    SettleRegister,
-    Renew(LeaseId),
-    List,
-    Claim(Name),
-    SettleClaim(Name),
-    Release(Name),
-    Support {
-        round: u64,
-        witness: Name,
-    },
-    Withdraw {
-        start: (Name, u64),
-        round: u64,
-        witness: Name,
-    },
-    Revoke,
-    Tidy,
-}
-
-/// A call under way.
-#[derive(Debug, Clone)]
-struct Pending {
-    purpose: Purpose,
-    sent: Millis,
-}
-
 /// An upstream that this node owns and serves.
 #[derive(Debug)]
 struct Held {
@@ -134,25 +50,6 @@
     until: Arc<AtomicU64>,
 }
 
-/// How far a node's own stop has come.
-#[derive(Debug, Clone, Copy)]
-struct Stopping {
-    until: Millis,
-    /// The lease is being ended; nothing else is begun.
-    ending: bool,
-    done: bool,
-}
-
-/// When all keys are read, and how much that is.
-#[derive(Debug)]
-struct Reading {
-    under_way: bool,
-    wanted: bool,
-    next: Millis,
-    after: Millis,
-    bytes: u64,
-}
-
 /// Ownership as one node sees it.
 #[derive(Debug)]
 pub struct Machine {
@@ -167,14 +64,14 @@
     pending: BTreeMap<u64, Pending>,
     calls: u64,
 
-    tenure: Option<Tenure>,
-    entering: Entering,
+    session: Option<Session>,
+    joining: Joining,
     // A registration with other witnesses may yet take effect.
     doubtful: bool,
-    next_entry: Millis,
+    next_join: Millis,
     // Whether the node has the right to own, and until when.
-    standing: bool,
-    stood_since: Millis,
+    eligible: bool,
+    eligible_since: Millis,
     until: Millis,
     last_service: Option<Millis>,
 
@@ -228,12 +125,12 @@
             actions: Vec::new(),
             pending: BTreeMap::new(),
             calls: 0,
-            tenure: None,
-            entering: Entering::Out,
+            session: None,
+            joining: Joining::Idle,
             doubtful: false,
-            next_entry: now,
-            standing: false,
-            stood_since: now,
+            next_join: now,
+            eligible: false,
+            eligible_since: now,
             until: Millis::ZERO,
             last_service: None,
             round: None,
@@ -298,8 +195,8 @@
                 self.claim_read(now, &upstream, result);
             }
             (Purpose::Release(upstream), Answer::Released) => self.released(now, &upstream),
-            (Purpose::Support { round, witness }, Answer::Said(word)) => {
-                self.supported(now, round, witness, word);
+            (Purpose::Support { round, witness }, Answer::Voted(vote)) => {
+                self.supported(now, round, witness, vote);
             }
             (
                 Purpose::Withdraw {
@@ -307,9 +204,9 @@
                     round,
                     witness,
                 },
-                Answer::Said(word),
+                Answer::Voted(vote),
             ) => {
-                self.withdrawn(now, &start, round, witness, word);
+                self.withdrawn(now, &start, round, witness, vote);
             }
             (Purpose::Revoke, _) => self.revoked(),
             _ => {}
@@ -337,8 +234,8 @@
     }
 
     /// Answers a peer that asks this node as a witness.
-    pub fn hear(&mut self, now: Millis, ask: &Ask) -> Word {
-        self.witness.hear(now, ask)
+    pub fn vote(&mut self, now: Millis, ask: &Ask) -> Vote {
+        self.witness.vote(now, ask)
     }
 
     /// Begins the node's planned stop: hands over everything within `limit`.
@@ -388,8 +285,8 @@
 
     /// Whether this node has the right to own upstreams now.
     #[must_use]
-    pub fn standing(&self) -> bool {
-        self.standing
+    pub fn eligible(&self) -> bool {
+        self.eligible
     }
 
     /// Returns when the node's right ends.
@@ -401,14 +298,14 @@
     /// Whether the right rests on witnesses since the service can't be reached.
     #[must_use]
     pub fn outage(&self) -> bool {
-        let service = self.tenure.as_ref().map(|tenure| tenure.service_until);
-        self.standing && service.is_none_or(|until| until < self.until)
+        let service = self.session.as_ref().map(|session| session.service_until);
+        self.eligible && service.is_none_or(|until| until < self.until)
     }
 
     /// Returns the lease's span, if the node has one.
     #[must_use]
     pub fn span(&self) -> Option<Millis> {
-        self.tenure.as_ref().map(|tenure| tenure.span)
+        self.session.as_ref().map(|session| session.span)
     }
 
     /// Lists the upstreams that this node serves, with their fencing tokens.
@@ -462,7 +359,7 @@
             Answer::Committed(result) => result.is_ok(),
             Answer::Read(result) => result.is_ok(),
             Answer::Listed(result) => result.is_ok(),
-            Answer::Revoked | Answer::Said(_) | Answer::Released => false,
+            Answer::Revoked | Answer::Voted(_) | Answer::Released => false,
         };
         if reached {
             self.last_service = Some(now);
@@ -473,17 +370,17 @@
     // after the fact would make it an owner beside them, so the lapse is final
     // until the claims have been read again under a lease that lives.
     fn check_lapse(&mut self, now: Millis) {
-        if !self.standing || now < self.until {
+        if !self.eligible || now < self.until {
             return;
         }
         if !self.guards.on(Guard::LapseFinal) {
             return;
         }
-        self.standing = false;
+        self.eligible = false;
         self.round = None;
-        if let Some(tenure) = &mut self.tenure {
-            tenure.checked_after = now;
-            tenure.checked = false;
+        if let Some(session) = &mut self.session {
+            session.checked_after = now;
+            session.checked = false;
         }
         self.reading.wanted = true;
         self.note("lapsed");
@@ -494,7 +391,7 @@
     }
 
     fn extend(&mut self, until: Millis) {
-        if !self.standing || until <= self.until {
+        if !self.eligible || until <= self.until {
             return;
         }
         self.until = until;
