--- a/lib/tests/direct_support/mod.rs
+++ b/lib/tests/direct_support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod listen;
 pub mod memory;
 
 /// An engine's entry in the platform's list, in the platform's format.
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -4,7 +4,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
@@ -23,11 +22,11 @@
 use chivevalve::schema::direct::Update as Sent;
 use chivevalve_platform::Speech;
 use direct_support::SERVER;
+use direct_support::listen::Direct;
 use direct_support::memory::Memory;
 use futures::StreamExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tonic::Status;
 
 fn put(revision: u64) -> Event {
     let key = format!("servers/i-{revision}");
@@ -121,75 +120,6 @@
     }
 }
 
-type Stream = Pin<Box<dyn futures::Stream<Item = Result<Sent, Status>> + Send>>;
-
-/// Listens to another node without a socket, so that time can be virtual.
-struct Direct {
-    /// Whom to listen to; a node without is listened to.
-    hub: Option<Arc<Hub>>,
-    stream: Option<Stream>,
-    clock: Arc<dyn Clock>,
-    /// How much longer updates are on their way than they say.
-    older: Millis,
-}
-
-impl std::fmt::Debug for Direct {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.debug_struct("Direct").finish_non_exhaustive()
-    }
-}
-
-#[async_trait]
-impl Source for Direct {
-    fn is_shared(&self) -> bool {
-        true
-    }
-
-    async fn next(&mut self, after: u64, within: Millis) -> Heard {
-        let Some(hub) = &self.hub else {
-            return Heard::Nobody;
-        };
-        let stream = self
-            .stream
-            .get_or_insert_with(|| Box::pin(hub.listen(after)));
-        let Ok(sent) = tokio::time::timeout(within.duration(), stream.next()).await else {
-            return Heard::Nothing;
-        };
-        let Some(Ok(sent)) = sent else {
-            self.stream = None;
-            return Heard::Nobody;
-        };
-        Heard::Update(Update {
-            after: sent.after,
-            revision: sent.revision,
-            as_of: Millis(
-                self.clock
-                    .now()
-                    .0
-                    .saturating_sub(sent.age_ms + self.older.0),
-            ),
-            events: sent
-                .changes
-                .into_iter()
-                .map(|change| Event {
-                    key: change.key.clone(),
-                    entry: (!change.removed).then(|| Entry {
-                        key: change.key,
-                        value: change.value.into(),
-                        revision: change.revision,
-                        lease: None,
-                    }),
-                    revision: change.revision,
-                })
-                .collect(),
-        })
-    }
-
-    fn avoid(&mut self) {
-        self.stream = None;
-    }
-}
-
 /// A node's follower.
 struct Node {
     view: Arc<View>,
@@ -218,12 +148,8 @@
         calls: AtomicUsize::new(0),
         cut: AtomicBool::new(false),
     });
-    let source = Direct {
-        hub: listens_to.map(|node| Arc::clone(&node.hub)),
-        stream: None,
-        clock: Arc::clone(&clock),
-        older,
-    };
+    let hears = listens_to.map(|node| Arc::clone(&node.hub));
+    let source = Direct::new(hears, Arc::clone(&clock), older);
     let follower = Follower::new(
         Arc::<Memory>::clone(memory),
         Arc::<Asked>::clone(&asked),
