direct: an update of another node has to prove itself

Cause: a node took in whatever another one passed on, in the order in which it came, and believed the revision that the update named. Over a socket only the gap was refused before (Subscription::next). Ruled out: reading everything anew when the service is behind what is known (a listing of all for each lagging answer), and keeping apart what was told from what was seen (a lie of a few revisions still lost the changes between). Change: direct::vet. An update's changes must lead in order from what is known to the revision that it names and no further, so nodes count revisions by changes alone, and an answer of the service without changes moves nothing on. What is refused is counted (chivevalve_updates_refused_total), and after anything but an old update the service is asked. A node that is told of more than it knows says so instead of confirming it: else one absurd revision looked fresh for good. Not covered: an update that leaves changes out or tells false ones with revisions that fit.

--- a/lib/src/direct/fanout.rs
+++ b/lib/src/direct/fanout.rs
@@ -20,6 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::ask::Desks;
+use super::vet::Refusal;
 use super::view::State;
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
@@ -62,7 +63,7 @@
 pub struct Update {
     /// The revision behind which the changes begin.
     pub after: u64,
-    /// The revision that they lead to.
+    /// The revision that they lead to: that of the last one, or the first where there is none.
     pub revision: u64,
     /// When the service was known to be at that revision, by this node's clock.
     pub as_of: Millis,
@@ -96,6 +97,12 @@
         self.metrics.updates.with_label_values(&[source]).inc();
     }
 
+    /// Counts what was left aside.
+    pub fn refused(&self, refusal: Refusal) {
+        let refused = &self.metrics.updates_refused;
+        refused.with_label_values(&[refusal.name()]).inc();
+    }
+
     /// Passes an update on to whoever listens.
     pub fn publish(&self, update: Update) {
         let update = Arc::new(update);
@@ -166,8 +173,10 @@
 fn encode(update: &Update, after: u64, age: Millis) -> Sent {
     let newer = update.events.iter().filter(|event| event.revision > after);
     Sent {
-        after,
-        revision: update.revision.max(after),
+        // One that knows more is told so, and asks the service: this node is behind, or the
+        // other one believes in a revision that the service never had.
+        after: after.min(update.revision),
+        revision: update.revision,
         age_ms: age.0,
         changes: newer.map(encode_event).collect(),
     }
@@ -226,10 +235,10 @@
     /// Whether others may listen to this node, so that its own calls have to be quick.
     fn is_shared(&self) -> bool;
 
-    /// Waits up to `within` for changes behind a revision.
+    /// Waits up to `within` for changes behind a revision; what comes may be anything.
     async fn next(&mut self, after: u64, within: Millis) -> Heard;
 
-    /// Listens to somebody else for a while: what came was too old, or nothing came.
+    /// Listens to somebody else for a while: what came was too old or bad, or nothing came.
     fn avoid(&mut self);
 }
 
@@ -314,13 +323,7 @@
             return Heard::Nothing;
         };
         match message {
-            Ok(Some(sent)) if sent.after <= after => {
-                Heard::Update(decode(sent, self.desks.clock.now()))
-            }
-            Ok(Some(_)) => {
-                self.stream = None;
-                Heard::Nobody
-            }
+            Ok(Some(sent)) => Heard::Update(decode(sent, self.desks.clock.now())),
             other => {
                 let told = other
                     .err()
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -10,6 +10,7 @@
 use super::dialect::{Dialect, Key};
 use super::fanout::{Heard, Hub, Source, Update};
 use super::limits::{Current, POLL_WAIT, STORE_PAUSE};
+use super::vet::{Refusal, vet};
 use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
@@ -113,9 +114,12 @@
                     } else {
                         Millis::ZERO
                     };
+                    // The service may be further by revisions without changes. Only what
+                    // changes lead to can be proved to other nodes.
+                    let newest = changes.events.iter().map(|event| event.revision).max();
                     let update = Update {
                         after: revision,
-                        revision: revision.max(changes.revision),
+                        revision: revision.max(newest.unwrap_or_default()),
                         as_of: self.clock.now().min(sent + waited),
                         events: changes.events,
                     };
@@ -172,10 +176,21 @@
                 break;
             }
             match source.next(revision, left.min(LISTEN)).await {
-                Heard::Update(update) => {
-                    revision = revision.max(update.revision);
-                    self.hear(update, "node");
-                }
+                Heard::Update(update) => match vet(update, revision) {
+                    Ok(update) => {
+                        revision = update.revision;
+                        self.hear(update, "node");
+                    }
+                    Err(refusal) => {
+                        self.refuse(refusal);
+                        // Whoever is behind catches up, and its age shows if it doesn't.
+                        if refusal != Refusal::Old {
+                            log::warn!("follow: an update is left aside: {}", refusal.name());
+                            source.avoid();
+                            break;
+                        }
+                    }
+                },
                 Heard::Nothing => {}
                 Heard::Nobody => break,
             }
@@ -203,6 +218,12 @@
         }
     }
 
+    fn refuse(&self, refusal: Refusal) {
+        if let Some(hub) = &self.hub {
+            hub.refused(refusal);
+        }
+    }
+
     /// Notes that the service answers, and whether it was away.
     fn alive(&mut self) {
         self.view.touched(true);
@@ -300,12 +321,18 @@
                 note_version(state, name, version, self.fresh);
             }),
             Key::Own(name) => {
-                put_own(state, &name, entry, now);
+                if let Some(refusal) = put_own(state, &name, entry, now) {
+                    self.refuse(refusal);
+                }
+                Ok(())
+            }
+            Key::Other => {
+                self.refuse(Refusal::Unused);
                 Ok(())
             }
-            Key::Other => Ok(()),
         };
         if let Err(error) = told {
+            self.refuse(Refusal::Unreadable);
             log::error!("follow: {} is left as it was: {error}", entry.key);
         }
     }
@@ -378,13 +405,23 @@
     }
 }
 
-fn put_own(state: &mut State, name: &str, entry: &Entry, now: Millis) {
-    if let Some(node) = name.strip_prefix(NODES) {
+/// Takes in an entry of this system's own; returns why not if it is left aside.
+fn put_own(state: &mut State, name: &str, entry: &Entry, now: Millis) -> Option<Refusal> {
+    let is_readable = if let Some(node) = name.strip_prefix(NODES) {
         match serde_json::from_slice::<Peer>(&entry.value) {
-            Ok(peer) => state.join(node.into(), peer),
-            Err(error) => log::error!("follow: {} can't be read: {error}", entry.key),
+            Ok(peer) => {
+                state.join(node.into(), peer);
+                true
+            }
+            Err(error) => {
+                log::error!("follow: {} can't be read: {error}", entry.key);
+                false
+            }
         }
     } else if let Some(address) = claimed(name) {
-        state.put_claim(address, entry, now);
-    }
+        state.put_claim(address, entry, now)
+    } else {
+        return Some(Refusal::Unused);
+    };
+    (!is_readable).then_some(Refusal::Unreadable)
 }
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -38,4 +38,5 @@
 pub mod target;
 pub mod trip;
 pub mod upstream;
+pub mod vet;
 pub mod view;
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -252,8 +252,8 @@
         }
     }
 
-    /// Takes in a claim as the key-value service holds it.
-    pub fn put_claim(&mut self, address: SocketAddr, entry: &Entry, now: Millis) {
+    /// Takes in a claim as the key-value service holds it; returns whether it can be read.
+    pub fn put_claim(&mut self, address: SocketAddr, entry: &Entry, now: Millis) -> bool {
         match serde_json::from_slice::<Claim>(&entry.value) {
             Ok(claim) => {
                 let standing = Standing {
@@ -262,8 +262,12 @@
                     seen: now,
                 };
                 self.claim(address, standing);
+                true
+            }
+            Err(error) => {
+                log::error!("view: {} can't be read: {error}", entry.key);
+                false
             }
-            Err(error) => log::error!("view: {} can't be read: {error}", entry.key),
         }
     }
 
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -60,6 +60,8 @@
     pub admissions: IntCounterVec,
     /// Changes of the key-value service, by whom this node heard of them from.
     pub updates: IntCounterVec,
+    /// Changes of the key-value service that were left aside, by reason.
+    pub updates_refused: IntCounterVec,
     /// Orders to engines, by action and outcome.
     pub orders: IntCounterVec,
     /// Engines whose orders this node took over, by what became of the former owner.
@@ -183,6 +185,11 @@
                 "Answers that told of changes of the key-value service, by source.",
                 &["source"],
             ),
+            updates_refused: maker.counters(
+                "updates_refused_total",
+                "Updates and changes of the key-value service that were left aside, by reason.",
+                &["reason"],
+            ),
             orders: maker.counters(
                 "orders_total",
                 "Orders to engines, by action and outcome.",
