direct: a node passes on no more than it can

Cause: what a node passes on was bounded by number only. Updates as large as the service's answers (6 MB) were kept, 24 of them, which is more than a node may use; everybody who asked was listened to, though three listeners are what a link of 20 Mbit/s bears; a node that the service doesn't answer took listeners too, and only its silence told them; and a message that is too large to read was asked for again and again. Change: of an update over 1 MB only its end is passed on (whoever listens finds a gap and asks the service); six listeners at most; none while the service doesn't answer; a sender of what can't be read is avoided for five seconds. Each is counted (chivevalve_updates_withheld_total; updates_refused_total{reason="oversized"}). Ruled out: splitting large updates (three listeners of 6 MB are seven seconds of such a link); an age bound in the hub (it doesn't know the limits in force); ranks by what a node can do (docs/design/0009 says what that leaves).

--- a/lib/src/direct/fanout.rs
+++ b/lib/src/direct/fanout.rs
@@ -10,13 +10,14 @@
 
 use std::collections::VecDeque;
 use std::fmt;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_trait::async_trait;
 use futures::Stream;
 use futures::stream;
-use tokio::sync::broadcast;
-use tonic::{Status, Streaming};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, broadcast};
+use tonic::{Code, Status, Streaming};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::ask::Desks;
@@ -49,6 +50,19 @@
 /// Updates that are kept for nodes that begin to listen: some ten seconds of changes.
 const KEPT: usize = 8;
 
+/// Bytes of an update from which on it isn't passed on.
+///
+/// After an outage of the service all engines' entries come in one answer. Three listeners take
+/// 1.2 s to get this much over 20 Mbit/s, and then it is too old to rely on. It bounds what
+/// [`BEHIND`] and [`KEPT`] hold too: answers may have six times as much.
+const MOST_BYTES: usize = 1 << 20;
+
+/// Nodes that may listen at once: those of this node, and as many of one that is gone.
+///
+/// All of a failure domain turn to the first nodes when those between are gone. Whoever is
+/// refused asks the service, which costs less than callers' streams that are late here.
+const MOST_LISTENERS: usize = 2 * LISTENERS;
+
 /// Updates that a slow listener may be behind, before it is told to ask for itself.
 const BEHIND: usize = 16;
 
@@ -58,6 +72,9 @@
 /// How long a node that passed nothing on in time isn't listened to.
 const AVOIDED: Millis = Millis(5_000);
 
+/// What listening ends with where a message is larger than a node reads.
+const TOO_LARGE: Code = Code::OutOfRange;
+
 /// All changes between two revisions.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Update {
@@ -71,6 +88,48 @@
     pub events: Vec<Event>,
 }
 
+/// Why an update isn't passed on to a node that listens, or would.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Withheld {
+    /// This node hears of nothing itself.
+    Lost,
+    /// So many listen already.
+    Full,
+    /// It is too large.
+    Oversized,
+    /// The listener was too slow to get all before it.
+    Missed,
+    /// What is before it isn't to be had here.
+    Gap,
+}
+
+impl Withheld {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Lost => "lost",
+            Self::Full => "full",
+            Self::Oversized => "oversized",
+            Self::Missed => "missed",
+            Self::Gap => "gap",
+        }
+    }
+
+    fn status(self) -> Status {
+        match self {
+            Self::Lost => Status::unavailable("the service does not answer this node"),
+            Self::Full => Status::resource_exhausted("so many nodes listen already"),
+            Self::Oversized => Status::aborted("an update is too large"),
+            Self::Missed => Status::aborted("updates were missed"),
+            Self::Gap => Status::aborted("there is a gap behind the revision"),
+        }
+    }
+
+    fn count(self, metrics: &Metrics) {
+        let withheld = &metrics.updates_withheld;
+        withheld.with_label_values(&[self.name()]).inc();
+    }
+}
+
 /// Where this node's updates are to be had.
 #[derive(Debug)]
 pub struct Hub {
@@ -78,6 +137,10 @@
     metrics: Arc<Metrics>,
     recent: Mutex<VecDeque<Arc<Update>>>,
     sender: broadcast::Sender<Arc<Update>>,
+    /// Places of nodes that listen.
+    places: Arc<Semaphore>,
+    /// Whether this node asked and heard nothing.
+    lost: AtomicBool,
 }
 
 impl Hub {
@@ -89,6 +152,8 @@
             metrics,
             recent: Mutex::default(),
             sender: broadcast::Sender::new(BEHIND),
+            places: Arc::new(Semaphore::new(MOST_LISTENERS)),
+            lost: AtomicBool::new(false),
         }
     }
 
@@ -103,8 +168,22 @@
         refused.with_label_values(&[refusal.name()]).inc();
     }
 
+    /// Notes that this node asked and heard nothing: until it does, others have to ask too.
+    pub fn lose(&self) {
+        self.lost.store(true, Ordering::Relaxed);
+    }
+
     /// Passes an update on to whoever listens.
-    pub fn publish(&self, update: Update) {
+    ///
+    /// Of one that is too large only its end is passed on, which every listener finds to lie
+    /// behind a gap.
+    pub fn publish(&self, mut update: Update) {
+        self.lost.store(false, Ordering::Relaxed);
+        if size(&update) > MOST_BYTES {
+            Withheld::Oversized.count(&self.metrics);
+            update.after = update.revision;
+            update.events.clear();
+        }
         let update = Arc::new(update);
         let mut recent = self.recent();
         recent.push_back(Arc::clone(&update));
@@ -116,7 +195,18 @@
     }
 
     /// Returns all updates behind a revision as they come; it ends where one is missing.
-    pub fn listen(&self, after: u64) -> impl Stream<Item = Result<Sent, Status>> + Send + use<> {
+    ///
+    /// # Errors
+    ///
+    /// When this node can't pass anything on now: it hears of nothing itself, or so many listen.
+    pub fn listen(
+        &self,
+        after: u64,
+    ) -> Result<impl Stream<Item = Result<Sent, Status>> + Send + use<>, Status> {
+        let place = self.place().map_err(|withheld| {
+            withheld.count(&self.metrics);
+            withheld.status()
+        })?;
         let (backlog, receiver) = {
             let recent = self.recent();
             let newer = recent.iter().filter(|update| update.revision > after);
@@ -127,14 +217,27 @@
             backlog,
             receiver,
             after,
+            metrics: Arc::clone(&self.metrics),
+            _place: place,
         };
-        stream::unfold(Some(listener), |listener| async {
+        Ok(stream::unfold(Some(listener), |listener| async {
             let mut listener = listener?;
             match listener.next().await {
                 Ok(sent) => Some((Ok(sent), Some(listener))),
-                Err(status) => Some((Err(status), None)),
+                Err(withheld) => {
+                    withheld.count(&listener.metrics);
+                    Some((Err(withheld.status()), None))
+                }
             }
-        })
+        }))
+    }
+
+    fn place(&self) -> Result<OwnedSemaphorePermit, Withheld> {
+        if self.lost.load(Ordering::Relaxed) {
+            return Err(Withheld::Lost);
+        }
+        let place = Arc::clone(&self.places).try_acquire_owned();
+        place.map_err(|_| Withheld::Full)
     }
 
     fn recent(&self) -> MutexGuard<'_, VecDeque<Arc<Update>>> {
@@ -148,20 +251,18 @@
     backlog: VecDeque<Arc<Update>>,
     receiver: broadcast::Receiver<Arc<Update>>,
     after: u64,
+    metrics: Arc<Metrics>,
+    _place: OwnedSemaphorePermit,
 }
 
 impl Listener {
-    async fn next(&mut self) -> Result<Sent, Status> {
+    async fn next(&mut self) -> Result<Sent, Withheld> {
         let update = match self.backlog.pop_front() {
             Some(update) => update,
-            None => self
-                .receiver
-                .recv()
-                .await
-                .map_err(|_| Status::out_of_range("updates were missed"))?,
+            None => self.receiver.recv().await.map_err(|_| Withheld::Missed)?,
         };
         if update.after > self.after {
-            return Err(Status::out_of_range("there is a gap behind the revision"));
+            return Err(Withheld::Gap);
         }
         let age = self.clock.now().since(update.as_of);
         let sent = encode(&update, self.after, age);
@@ -182,6 +283,15 @@
     }
 }
 
+/// Bytes that an update takes on its way, about.
+fn size(update: &Update) -> usize {
+    let sizes = update.events.iter().map(|event| {
+        let value = event.entry.as_ref().map_or(0, |entry| entry.value.len());
+        event.key.len() + value
+    });
+    sizes.sum()
+}
+
 fn encode_event(event: &Event) -> Change {
     Change {
         key: event.key.clone(),
@@ -324,11 +434,17 @@
         };
         match message {
             Ok(Some(sent)) => Heard::Update(decode(sent, self.desks.clock.now())),
-            other => {
-                let told = other
-                    .err()
-                    .map_or_else(String::new, |status| status.to_string());
-                log::info!("follow: {leader} passes nothing on any more: {told}");
+            Ok(None) => {
+                log::info!("follow: {leader} passes nothing on any more");
+                self.stream = None;
+                Heard::Nobody
+            }
+            Err(status) => {
+                log::info!("follow: {leader} passes nothing on any more: {status}");
+                if status.code() == TOO_LARGE {
+                    self.desks.hub.refused(Refusal::Oversized);
+                    self.avoid();
+                }
                 self.stream = None;
                 Heard::Nobody
             }
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -135,6 +135,9 @@
                 Err(Gap::Failed(error)) => {
                     log::debug!("follow: no changes after revision {revision}: {error}");
                     self.view.touched(false);
+                    if let Some(hub) = &self.hub {
+                        hub.lose();
+                    }
                     // While the service is away a call that may wait long only
                     // delays the moment at which its return is noticed.
                     wait = RETURN_WAIT;
--- a/lib/src/direct/vet.rs
+++ b/lib/src/direct/vet.rs
@@ -32,6 +32,8 @@
     Outside,
     /// A change stands behind a newer one.
     Disordered,
+    /// It is larger than what a node reads at once.
+    Oversized,
     /// A change's value can't be read.
     Unreadable,
     /// A change is of a key that no node uses.
@@ -49,6 +51,7 @@
             Self::Ahead => "ahead",
             Self::Outside => "outside",
             Self::Disordered => "disordered",
+            Self::Oversized => "oversized",
             Self::Unreadable => "unreadable",
             Self::Unused => "unused key",
         }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -62,6 +62,8 @@
     pub updates: IntCounterVec,
     /// Changes of the key-value service that were left aside, by reason.
     pub updates_refused: IntCounterVec,
+    /// Updates that weren't passed on to nodes that listen, or would, by reason.
+    pub updates_withheld: IntCounterVec,
     /// Orders to engines, by action and outcome.
     pub orders: IntCounterVec,
     /// Engines whose orders this node took over, by what became of the former owner.
@@ -190,6 +192,11 @@
                 "Updates and changes of the key-value service that were left aside, by reason.",
                 &["reason"],
             ),
+            updates_withheld: maker.counters(
+                "updates_withheld_total",
+                "Updates that were not passed on to nodes that listen, or would, by reason.",
+                &["reason"],
+            ),
             orders: maker.counters(
                 "orders_total",
                 "Orders to engines, by action and outcome.",
--- a/lib/tests/direct_support/listen.rs
+++ b/lib/tests/direct_support/listen.rs
@@ -51,9 +51,13 @@
         let Some(hub) = &self.hub else {
             return Heard::Nobody;
         };
-        let stream = self
-            .stream
-            .get_or_insert_with(|| Box::pin(hub.listen(after)));
+        let stream = match &mut self.stream {
+            Some(stream) => stream,
+            None => match hub.listen(after) {
+                Ok(stream) => self.stream.insert(Box::pin(stream)),
+                Err(_) => return Heard::Nobody,
+            },
+        };
         let Ok(sent) = tokio::time::timeout(within.duration(), stream.next()).await else {
             return Heard::Nothing;
         };
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use chivevalve::clock::{Clock, Millis, Monotonic};
 use chivevalve::direct::ask::Desks;
 use chivevalve::direct::fanout::{Heard, Hub, Source, Subscription, Update};
@@ -19,14 +20,23 @@
 use chivevalve::name::Name;
 use chivevalve::ports::poll::{Changes, Gap, Poll};
 use chivevalve::ports::{Entry, Error, Event};
-use chivevalve::schema::direct::Update as Sent;
+use chivevalve::schema::direct::orders_client::OrdersClient;
+use chivevalve::schema::direct::orders_server::{Orders, OrdersServer};
+use chivevalve::schema::direct::{
+    AdmitReply, AdmitRequest, Change, ExchangeReply, ExchangeRequest, FollowRequest, LoadReply,
+    LoadRequest, SupportReply, SupportRequest, Update as Sent,
+};
 use chivevalve_platform::Speech;
 use direct_support::SERVER;
 use direct_support::listen::Direct;
 use direct_support::memory::Memory;
 use futures::StreamExt;
+use futures::stream::BoxStream;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status, Streaming};
 
 fn put(revision: u64) -> Event {
     let key = format!("servers/i-{revision}");
@@ -59,7 +69,7 @@
 async fn listen_gets_what_is_newer_only() {
     let hub = hub();
     hub.publish(update(3, 6));
-    let mut stream = Box::pin(hub.listen(5));
+    let mut stream = Box::pin(hub.listen(5).unwrap());
     hub.publish(update(6, 7));
     let first = stream.next().await.unwrap().unwrap();
     let second = stream.next().await.unwrap().unwrap();
@@ -77,7 +87,7 @@
 async fn listen_gap_ends_the_stream() {
     let hub = hub();
     hub.publish(update(7, 9));
-    let mut stream = Box::pin(hub.listen(5));
+    let mut stream = Box::pin(hub.listen(5).unwrap());
     assert!(stream.next().await.unwrap().is_err());
     assert!(stream.next().await.is_none());
 }
@@ -89,7 +99,7 @@
 async fn listen_slow_listener_is_cut_off() {
     let hub = hub();
     hub.publish(update(0, 1));
-    let mut stream = Box::pin(hub.listen(0));
+    let mut stream = Box::pin(hub.listen(0).unwrap());
     for revision in 1..100 {
         hub.publish(update(revision, revision + 1));
     }
@@ -100,6 +110,98 @@
     assert!(heard < 20, "{heard}");
 }
 
+/// A change whose value tells when nobody holds it any more.
+fn counted(revision: u64, bytes: usize, held: &Arc<()>) -> Update {
+    struct Value(
+        Vec<u8>,
+        #[allow(dead_code, reason = "counts while it lives")] Arc<()>,
+    );
+    impl AsRef<[u8]> for Value {
+        fn as_ref(&self) -> &[u8] {
+            &self.0
+        }
+    }
+    let value = Value(vec![b'x'; bytes], Arc::clone(held));
+    let mut update = update(revision - 1, revision);
+    let entry = update.events[0].entry.as_mut().unwrap();
+    entry.value = Bytes::from_owner(value);
+    update
+}
+
+/// Symptom: a node's memory grows by more than a hundred megabytes while others listen to it.
+/// Sequence: one after the other, updates as large as the service's answers may be; one listener
+/// takes nothing.
+/// Cause: updates kept by their number, however large they are.
+#[tokio::test]
+async fn listen_oversized_updates_are_not_kept() {
+    let hub = hub();
+    let held = Arc::new(());
+    let mut stream = Box::pin(hub.listen(0).unwrap());
+    for revision in 1..=40 {
+        hub.publish(counted(revision, 6 << 20, &held));
+        assert_eq!(Arc::strong_count(&held), 1);
+    }
+    // Whoever listens is told that there is something to ask the service for.
+    assert!(stream.next().await.unwrap().is_err());
+    assert!(stream.next().await.is_none());
+}
+
+/// Symptom: a node's memory grows while another one on a slow link reads nothing.
+/// Sequence: two nodes listen over sockets; one reads all, the other nothing.
+/// Cause: what waits for a listener kept without bound, in the hub or on its way to the socket.
+#[tokio::test]
+async fn listen_over_a_socket_that_takes_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (above, _) = subscription("node-0", view(12, address));
+    tokio::spawn(serve(listener, Arc::clone(&above)));
+    let follow = async || {
+        let client = OrdersClient::connect(format!("http://{address}")).await;
+        let request = FollowRequest { after: 0 };
+        client.unwrap().follow(request).await.unwrap().into_inner()
+    };
+    let (mut reads, _takes_nothing) = (follow().await, follow().await);
+    let held = Arc::new(());
+    let mut most = 0;
+    for revision in 1..=120 {
+        above.hub.publish(counted(revision, 256 << 10, &held));
+        let sent = reads.message().await.unwrap().unwrap();
+        assert_eq!(sent.revision, revision);
+        most = most.max(Arc::strong_count(&held) - 1);
+    }
+    assert!(most <= 24, "{most}");
+}
+
+/// Symptom: callers' streams at one node are late while others of its failure domain are gone.
+/// Sequence: the nodes between are gone, and all of a failure domain listen to the same one.
+/// Cause: everybody who asks is listened to.
+#[tokio::test]
+async fn listen_refuses_more_than_it_can_serve() {
+    let hub = hub();
+    let mut streams: Vec<_> = (0..20).map_while(|_| hub.listen(0).ok()).collect();
+    assert_eq!(streams.len(), 6);
+    assert_eq!(refused(&hub), tonic::Code::ResourceExhausted);
+    streams.pop();
+    assert!(hub.listen(0).is_ok());
+}
+
+/// Symptom: a node is told of a change at the last moment, again and again.
+/// Sequence: the node that passes changes on is cut off from the service; others begin to listen.
+/// Cause: only its silence shows it.
+#[tokio::test]
+async fn listen_refuses_while_it_hears_nothing_itself() {
+    let hub = hub();
+    hub.publish(update(0, 1));
+    hub.lose();
+    assert_eq!(refused(&hub), tonic::Code::Unavailable);
+    hub.publish(update(1, 2));
+    assert!(hub.listen(0).is_ok());
+}
+
+fn refused(hub: &Hub) -> tonic::Code {
+    hub.listen(0).err().expect("it is refused").code()
+}
+
 /// The service as one node asks it.
 #[derive(Debug)]
 struct Asked {
@@ -373,6 +475,109 @@
     );
 }
 
+/// A node of which only the passing on of changes is played.
+struct Other(Vec<Sent>);
+
+#[async_trait]
+impl Orders for Other {
+    type AdmitStream = BoxStream<'static, Result<AdmitReply, Status>>;
+    type FollowStream = BoxStream<'static, Result<Sent, Status>>;
+
+    async fn follow(
+        &self,
+        _: Request<FollowRequest>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let sent: Vec<_> = self.0.iter().cloned().map(Ok).collect();
+        let sent = futures::stream::iter(sent).chain(futures::stream::pending());
+        Ok(Response::new(sent.boxed()))
+    }
+
+    async fn admit(
+        &self,
+        _: Request<Streaming<AdmitRequest>>,
+    ) -> Result<Response<Self::AdmitStream>, Status> {
+        Err(Status::unimplemented("not played"))
+    }
+
+    async fn load(&self, _: Request<LoadRequest>) -> Result<Response<LoadReply>, Status> {
+        Err(Status::unimplemented("not played"))
+    }
+
+    async fn support(&self, _: Request<SupportRequest>) -> Result<Response<SupportReply>, Status> {
+        Err(Status::unimplemented("not played"))
+    }
+
+    async fn exchange(
+        &self,
+        _: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeReply>, Status> {
+        Err(Status::unimplemented("not played"))
+    }
+}
+
+/// Twelve nodes, all at the address of one that passes these on.
+async fn listeners(sent: Vec<Sent>) -> Vec<(Arc<Desks>, Subscription)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = Server::builder().add_service(OrdersServer::new(Other(sent)));
+    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    let node = |number| subscription(&format!("node-{number}"), view(12, address));
+    (0..12).map(node).collect()
+}
+
+/// Symptom: a node asks another one again and again for what it can't read.
+/// Sequence: the other node, of a release without a bound, passes on all that an outage held up.
+/// Cause: a message that is too large taken for an end like any other.
+#[tokio::test]
+async fn subscription_oversized_update() {
+    let change = Change {
+        key: "servers/i-1".to_owned(),
+        value: vec![b'x'; 5 << 20],
+        revision: 1,
+        ..Change::default()
+    };
+    let sent = Sent {
+        revision: 1,
+        changes: vec![change],
+        ..Sent::default()
+    };
+    let mut listen = 0;
+    for (desks, mut one) in listeners(vec![sent]).await {
+        for _ in 0..8 {
+            assert_eq!(one.next(0, Millis::from_secs(20)).await, Heard::Nobody);
+        }
+        let refused = &desks.metrics.updates_refused;
+        let refused = refused.with_label_values(&["oversized"]).get();
+        // Each that it may listen to is asked once: two above it and the other leader.
+        assert!(refused <= 3, "{refused}");
+        listen += usize::from(refused > 0);
+    }
+    assert_eq!(listen, 10);
+}
+
+/// Symptom: a node takes old changes for new ones, or ends.
+/// Sequence: another one tells of an age from before this node began, and the longest there is.
+/// Cause: an age taken off a time that is smaller.
+#[tokio::test]
+async fn subscription_absurd_ages() {
+    let ages = [0, 1 << 40, u64::MAX];
+    let sent = ages.map(|age_ms| Sent {
+        age_ms,
+        ..Sent::default()
+    });
+    let mut heard = 0;
+    for (desks, mut one) in listeners(sent.to_vec()).await {
+        for age in ages {
+            if let Heard::Update(update) = one.next(0, Millis::from_secs(20)).await {
+                assert!(update.as_of <= desks.clock.now());
+                assert!(age == 0 || update.as_of == Millis::ZERO);
+                heard += 1;
+            }
+        }
+    }
+    assert_eq!(heard, 30);
+}
+
 #[tokio::test]
 async fn subscription_few_nodes_ask_for_themselves() {
     let address = "127.0.0.1:9".parse().unwrap();
--- a/lib/tests/test_direct_fanout_fuzz.rs
+++ b/lib/tests/test_direct_fanout_fuzz.rs
@@ -448,7 +448,7 @@
                 update.events.push(foreign);
             }
             Spoilt::Oversized => {
-                let value = Bytes::from_static(b"{}");
+                let value = Bytes::from_static(&[b'x'; 100]);
                 let many = (0..20_000)
                     .map(|number| format!("other/{number}"))
                     .map(|key| foreign(update.revision, &key, value.clone()));
