direct: a request that waits for want of a load is counted

Cause: where an engine's queue lasts longer than a load and no other engine loads the adapter, the request went to the engine after all, with the target that was noted before any place was asked for. Its owner never heard of it, so the queue that others were told of stood still while it grew. The same held where an older version may still be begun on, and where the only engine left was one that had just failed. Change: Trip::counted asks the owner without a limit before each of these, as settle did for itself; where the owner says that the adapter isn't there, the next choice is made. Where no owner answers the request is sent by belief as before.

--- a/lib/src/direct/place.rs
+++ b/lib/src/direct/place.rs
@@ -127,16 +127,31 @@
             return Asked::Load(Some(Self::at(Arc::clone(upstream), adapter)));
         }
         let question = self.question(Some(adapter), wanted);
-        match self.gate.desks.admit(upstream, question).await {
+        let target = self.counted(Arc::clone(upstream), adapter, question).await;
+        target.map_or(Asked::Load(None), Asked::Place)
+    }
+
+    /// Has a request counted at the engine to which it goes whatever the load there.
+    ///
+    /// One that isn't counted shows to nobody until its node tells of it: others are told of a
+    /// queue that is shorter than it is, and its adapter could be evicted. Where nobody counts it
+    /// is sent by belief; none means that the owner says that the adapter isn't there.
+    pub(super) async fn counted(
+        &self,
+        upstream: Arc<Upstream>,
+        adapter: &Name,
+        question: Question<'_>,
+    ) -> Option<Target> {
+        match self.gate.desks.admit(&upstream, question).await {
             admit::Answer::Admitted(permit, _) => {
-                Asked::Place(Self::admitted(Arc::clone(upstream), adapter, Some(permit)))
+                Some(Self::admitted(upstream, adapter, Some(permit)))
             }
             admit::Answer::Absent(_) => {
                 upstream.lost(adapter);
-                Asked::Load(None)
+                None
             }
             admit::Answer::Busy(_) | admit::Answer::Unknown => {
-                Asked::Place(Self::admitted(Arc::clone(upstream), adapter, None))
+                Some(Self::admitted(upstream, adapter, None))
             }
         }
     }
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::admit::{self, Permit, Question};
+use super::admit::{Permit, Question};
 use super::attempt::Answer;
 use super::call::Call;
 use super::entry::{CLASS, seconds};
@@ -174,7 +174,10 @@
         {
             self.gate
                 .load_soon(self.homes(field, adapter), adapter, wanted);
-            return Ok(Some(Self::at(upstream, adapter)));
+            let question = self.question(Some(adapter), 0);
+            if let Some(target) = self.counted(upstream, adapter, question).await {
+                return Ok(Some(target));
+            }
         }
         let homes = self.homes(field, adapter);
         let homes = self
@@ -185,22 +188,22 @@
                 loaded: true,
                 ..self.question(Some(adapter), wanted)
             };
-            let mut target = Self::at(upstream, adapter);
-            if let admit::Answer::Admitted(permit, _) =
-                self.gate.desks.admit(&target.upstream, question).await
-            {
-                target.permit = Some(permit);
-            }
+            return Ok(self.counted(upstream, adapter, question).await);
+        }
+        let question = self.question(Some(adapter), wanted);
+        if let Some(waiting) = waiting
+            && let Some(target) = self.counted(waiting.upstream, adapter, question).await
+        {
             return Ok(Some(target));
         }
         // An engine that can't be reached holds the adapter for nobody: it was passed over
         // above, and is better than none now.
-        Ok(waiting.or_else(|| {
-            let holds =
-                |upstream: &Upstream| upstream.version(adapter).is_some_and(|held| held >= wanted);
-            let found = field.first(self.manner(), holds);
-            found.map(|upstream| Self::at(upstream, adapter))
-        }))
+        let holds =
+            |upstream: &Upstream| upstream.version(adapter).is_some_and(|held| held >= wanted);
+        match field.first(self.manner(), holds) {
+            Some(upstream) => Ok(self.counted(upstream, adapter, question).await),
+            None => Ok(None),
+        }
     }
 
     /// Returns an engine that holds an older version, while that may still be begun on.
