--- a/lib/tests/direct_support/mod.rs
+++ b/lib/tests/direct_support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod listen;
 pub mod memory;
+pub mod records;
 
 /// An engine's entry in the platform's list, in the platform's format.
 pub const SERVER: &str = include_str!("../../../platform/tests/samples/server.json");
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -1,5 +1,7 @@
 //! Requests counted by the owners of engines, and what callers get by it.
 
+mod direct_support;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, LazyLock};
 
@@ -8,16 +10,17 @@
 use chivevalve::direct::admit::{Answer, Question};
 use chivevalve::direct::ask::Desks;
 use chivevalve::direct::choice::{self, MOST_QUESTIONS};
-use chivevalve::direct::dialect::{Held, Listed};
+use chivevalve::direct::dialect::Listed;
 use chivevalve::direct::limits::exchange_pause;
 use chivevalve::direct::pick::{Field, usual_share};
 use chivevalve::direct::right::Right;
 use chivevalve::direct::roles::Roles;
 use chivevalve::direct::serve::serve;
 use chivevalve::direct::upstream::{Running, Upstream};
-use chivevalve::direct::view::{Claim, Peer, Standing, View};
+use chivevalve::direct::view::{Claim, Standing, View};
 use chivevalve::name::Name;
 use chivevalve_platform::Speech;
+use direct_support::records::{listed, peer};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tokio::net::TcpListener;
@@ -27,26 +30,11 @@
 /// Each engine reads and writes.
 static WHOLE: LazyLock<Roles> = LazyLock::new(Roles::default);
 
-fn listed(number: u16, slots: u32, adapters: &[(&str, u64)]) -> Listed {
+fn engine(number: u16, slots: u32, adapters: &[(&str, u64)]) -> Listed {
     Listed {
-        incarnation: format!("i-{number}").into(),
-        pool: "engines".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9 + number)),
-        failure_domain: "hall-a".into(),
         slots,
-        ready: true,
-        cold: Millis::ZERO,
-        remaining: None,
-        held: Held {
-            born: 0,
-            sequence: 3,
-            models: vec!["base".into()],
-            adapters: adapters
-                .iter()
-                .map(|(name, version)| (Name::from(*name), *version))
-                .collect(),
-            incoming: Vec::new(),
-        },
+        ..listed(&format!("i-{number}"), adapters)
     }
 }
 
@@ -207,7 +195,7 @@
     let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
     let upstream = {
         let mut state = view.state();
-        state.list(&listed(0, 4, adapters), Millis::ZERO);
+        state.list(&engine(0, 4, adapters), Millis::ZERO);
         let claim = Claim {
             node: owner.into(),
             start: 1,
@@ -220,12 +208,7 @@
             seen: Millis::ZERO,
         };
         state.claim(upstream.address, standing);
-        let peer = Peer {
-            address: at,
-            start: 1,
-            failure_domain: "hall-a".into(),
-        };
-        state.nodes.insert(owner.into(), peer);
+        state.nodes.insert(owner.into(), peer(at));
         upstream
     };
     if name == owner {
@@ -446,7 +429,7 @@
     let adapter = Name::from(ADAPTER);
     let nodes: Vec<Vec<Arc<Upstream>>> = (0..NODES)
         .map(|_| {
-            let entries = (0..ENGINES).map(|number| listed(number, SLOTS, &[(ADAPTER, 1)]));
+            let entries = (0..ENGINES).map(|number| engine(number, SLOTS, &[(ADAPTER, 1)]));
             entries
                 .map(|entry| Arc::new(Upstream::new(&entry, 8, Millis::ZERO)))
                 .collect()
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -16,7 +16,7 @@
 use chivevalve::direct::limits::Current;
 use chivevalve::direct::right::Right;
 use chivevalve::direct::serve::serve;
-use chivevalve::direct::view::{Peer, View};
+use chivevalve::direct::view::View;
 use chivevalve::name::Name;
 use chivevalve::ports::poll::{Changes, Gap, Poll};
 use chivevalve::ports::{Entry, Error, Event};
@@ -30,6 +30,7 @@
 use direct_support::SERVER;
 use direct_support::listen::Direct;
 use direct_support::memory::Memory;
+use direct_support::records::peer;
 use futures::StreamExt;
 use futures::stream::BoxStream;
 use tokio::net::TcpListener;
@@ -382,12 +383,8 @@
 fn view(nodes: usize, address: SocketAddr) -> Arc<View> {
     let view = Arc::new(View::default());
     for number in 0..nodes {
-        let peer = Peer {
-            address,
-            start: 1,
-            failure_domain: "hall-a".into(),
-        };
-        view.state().join(format!("node-{number}").into(), peer);
+        let name = format!("node-{number}").into();
+        view.state().join(name, peer(address));
     }
     view
 }
@@ -442,12 +439,8 @@
     let shared = Arc::new(View::default());
     for number in 0..40 {
         let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let peer = Peer {
-            address: socket.local_addr().unwrap(),
-            start: 1,
-            failure_domain: "hall-a".into(),
-        };
         let name: Name = format!("node-{number}").into();
+        let peer = peer(socket.local_addr().unwrap());
         shared.state().join(name, peer);
         sockets.push(socket);
     }
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -1,10 +1,12 @@
 //! The decisions of direct serving that need no I/O.
 
+mod direct_support;
+
 use std::sync::{Arc, LazyLock};
 
 use chivevalve::clock::Millis;
 use chivevalve::direct::budget::Budget;
-use chivevalve::direct::dialect::{Held, Listed};
+use chivevalve::direct::dialect::Held;
 use chivevalve::direct::limits::{Current, Limits, Retries, exchange_pause, in_use};
 use chivevalve::direct::pick::{Field, MOST_HOMES};
 use chivevalve::direct::roles::Roles;
@@ -13,6 +15,7 @@
 use chivevalve::direct::upstream::Upstream;
 use chivevalve::direct::view::{Newest, View};
 use chivevalve::name::Name;
+use direct_support::records::listed;
 use quickcheck::{Gen, QuickCheck};
 
 const RETRIES: Retries = Retries {
@@ -28,31 +31,9 @@
     }))
 }
 
-fn listed(incarnation: &str, failure_domain: &str, adapters: &[(&str, u64)]) -> Listed {
-    Listed {
-        incarnation: incarnation.into(),
-        pool: "engines".into(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        failure_domain: failure_domain.into(),
-        slots: 10,
-        ready: true,
-        cold: Millis::ZERO,
-        remaining: None,
-        held: Held {
-            born: 0,
-            sequence: 3,
-            models: vec!["base".into()],
-            adapters: adapters
-                .iter()
-                .map(|(name, version)| (Name::from(*name), *version))
-                .collect(),
-            incoming: Vec::new(),
-        },
-    }
-}
-
 fn upstream(incarnation: &str, failure_domain: &str) -> Arc<Upstream> {
-    let listed = listed(incarnation, failure_domain, &[("base/a1", 1)]);
+    let mut listed = listed(incarnation, &[("base/a1", 1)]);
+    listed.failure_domain = failure_domain.into();
     Arc::new(Upstream::new(&listed, 8, Millis::ZERO))
 }
 
@@ -207,9 +188,9 @@
 #[test]
 fn hold_older_news_left_aside() {
     let one = upstream("i-1", "hall-a");
-    one.hold(&listed("i-1", "hall-a", &[("base/a2", 5)]).held);
+    one.hold(&listed("i-1", &[("base/a2", 5)]).held);
     assert_eq!(one.version("base/a2"), Some(5));
-    let mut older = listed("i-1", "hall-a", &[]).held;
+    let mut older = listed("i-1", &[]).held;
     older.sequence = 2;
     one.hold(&older);
     assert_eq!(one.version("base/a2"), Some(5));
@@ -306,7 +287,7 @@
 fn pool_grouped_once_after_a_listing() {
     let view = View::default();
     for number in 0..500_u16 {
-        let mut entry = listed(&format!("i-{number}"), "hall-a", &[]);
+        let mut entry = listed(&format!("i-{number}"), &[]);
         entry.address = ([127, 0, 0, 1], 1_000 + number).into();
         view.state().list(&entry, Millis::ZERO);
     }
@@ -314,7 +295,7 @@
     assert_eq!(first.len(), 500);
     assert!(Arc::ptr_eq(&first, &view.pool("engines")));
     // A heartbeat of one that is known changes no group; one that leaves does.
-    let mut entry = listed("i-7", "hall-a", &[("base/a1", 1)]);
+    let mut entry = listed("i-7", &[("base/a1", 1)]);
     entry.address = ([127, 0, 0, 1], 1_007).into();
     view.state().list(&entry, Millis::ZERO);
     assert!(Arc::ptr_eq(&first, &view.pool("engines")));
@@ -326,7 +307,7 @@
 fn homes_are_the_first_that_fit() {
     let upstreams: Vec<Arc<Upstream>> = (0..300_u16)
         .map(|number| {
-            let mut entry = listed(&format!("i-{number}"), "hall-a", &[]);
+            let mut entry = listed(&format!("i-{number}"), &[]);
             entry.address = ([127, 0, 0, 1], 1_000 + number).into();
             Arc::new(Upstream::new(&entry, 8, Millis::ZERO))
         })
