--- /dev/null
+++ b/lib/src/direct/ask/exchange.rs
@@ -0,0 +1,156 @@
+//! News between nodes: what runs at engines, and what they hold.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError};
+
+use super::Desks;
+use crate::clock::Millis;
+use crate::direct::dialect::Held;
+use crate::direct::limits::in_use;
+use crate::direct::orders::Used;
+use crate::direct::upstream::Upstream;
+use crate::name::Name;
+use crate::schema::direct::{ExchangeReply, ExchangeRequest, Resident, Standing, Use};
+
+/// The longest that an exchange may take.
+const EXCHANGE: Millis = Millis(800);
+
+impl Desks {
+    /// Tells each owner what this node did at its engines.
+    pub(super) fn exchange_all(self: &Arc<Self>) {
+        let mut requests: HashMap<SocketAddr, ExchangeRequest> = HashMap::new();
+        let uses = std::mem::take(&mut *self.uses.lock().unwrap_or_else(PoisonError::into_inner));
+        let (upstreams, nodes) = {
+            let state = self.view.state();
+            let upstreams: Vec<Arc<Upstream>> = state.upstreams.values().cloned().collect();
+            (upstreams, state.most_nodes)
+        };
+        let mut concerned: HashSet<SocketAddr> = self.awaited().keys().copied().collect();
+        concerned.extend(self.silent().iter());
+        for upstream in upstreams {
+            let mut adapters = uses.get(&upstream.incarnation).cloned().unwrap_or_default();
+            // A long stream uses its adapter though it was asked for long ago.
+            for adapter in upstream.in_use() {
+                if !adapters.contains(&adapter) {
+                    adapters.push(adapter);
+                }
+            }
+            if self.right.owns(upstream.address) {
+                self.note_uses(&upstream.incarnation, adapters, in_use(nodes));
+                continue;
+            }
+            let Some((_, peer)) = self.view.owner(upstream.address) else {
+                continue;
+            };
+            // Nodes times owners would grow with the square of the fleet, and their news were
+            // nine tenths of the bytes between failure domains at 195 nodes.
+            if adapters.is_empty() && upstream.running() == 0 && !concerned.contains(&peer.address)
+            {
+                continue;
+            }
+            let request = requests
+                .entry(peer.address)
+                .or_insert_with(|| ExchangeRequest {
+                    node: self.node.to_string(),
+                    uses: Vec::new(),
+                });
+            request.uses.push(Use {
+                incarnation: upstream.incarnation.to_string(),
+                running: upstream.running(),
+                adapters: adapters.iter().map(ToString::to_string).collect(),
+            });
+        }
+        self.silent().retain(|peer| requests.contains_key(peer));
+        for (address, request) in requests {
+            let desks = Arc::clone(self);
+            tokio::spawn(async move { desks.exchange(address, request).await });
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, request: ExchangeRequest) {
+        let mut client = self.client(address);
+        match tokio::time::timeout(EXCHANGE.duration(), client.exchange(request)).await {
+            Ok(Ok(reply)) => {
+                self.silent().remove(&address);
+                self.hear(reply.into_inner());
+            }
+            Ok(Err(status)) => {
+                // Whoever refuses a connection answers questions as fast, so it isn't silent.
+                self.silent().remove(&address);
+                log::info!("ask: no exchange with {address}: {}", status.message());
+            }
+            Err(_) => {
+                log::info!("ask: no exchange with {address} within {EXCHANGE}");
+                self.silent().insert(address);
+                self.forget(address);
+            }
+        }
+    }
+
+    fn hear(&self, reply: ExchangeReply) {
+        let state = self.view.state();
+        for standing in reply.standings {
+            let Some(upstream) = state.upstreams.get(standing.incarnation.as_str()) else {
+                continue;
+            };
+            upstream.heard_load(standing.running, self.clock.now());
+            upstream.hold(&Held {
+                born: standing.born,
+                sequence: standing.sequence,
+                models: standing.models.into_iter().map(Name::from).collect(),
+                adapters: standing
+                    .adapters
+                    .into_iter()
+                    .map(|resident| (Name::from(resident.adapter), resident.version))
+                    .collect(),
+                incoming: Vec::new(),
+            });
+        }
+    }
+
+    /// Has an owner's order queue hear of adapters that are in use here, or at another node.
+    pub(in crate::direct) fn note_uses(
+        &self,
+        incarnation: &str,
+        adapters: Vec<Name>,
+        span: Millis,
+    ) {
+        if adapters.is_empty() {
+            return;
+        }
+        let until = self.clock.now() + span;
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, desk)) = open.get(incarnation)
+            && desk.tell(Used { adapters, until }).try_send().is_err()
+        {
+            log::debug!("ask: a desk is full and hears of no use");
+        }
+    }
+
+    /// Answers an exchange: what all others have running, and what is held.
+    pub(in crate::direct) fn standing(&self, one: &Use) -> Option<Standing> {
+        let upstream = {
+            let state = self.view.state();
+            Arc::clone(state.upstreams.get(one.incarnation.as_str())?)
+        };
+        let running = self.table.running(&one.incarnation);
+        let others = running.saturating_sub(one.running);
+        let held = upstream.held();
+        Some(Standing {
+            incarnation: one.incarnation.clone(),
+            running: others,
+            born: held.born,
+            sequence: held.sequence,
+            models: held.models.iter().map(ToString::to_string).collect(),
+            adapters: held
+                .adapters
+                .iter()
+                .map(|(adapter, version)| Resident {
+                    adapter: adapter.to_string(),
+                    version: *version,
+                })
+                .collect(),
+        })
+    }
+}
--- a/lib/src/direct/ask.rs
+++ b/lib/src/direct/ask/mod.rs
@@ -1,22 +1,22 @@
 //! Asking the node that gives an engine its orders.
 
+mod exchange;
+mod support;
+
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use async_trait::async_trait;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use tokio::sync::oneshot;
-use tonic::Status;
 use tonic::transport::{Channel, Endpoint};
 
 use super::admission::Table;
-use super::claim::{Doubter, Support};
-use super::dialect::{Dialect, Held};
+use super::dialect::Dialect;
 use super::fanout::Hub;
-use super::limits::{exchange_pause, in_use};
-use super::orders::{Desk, Load, Loaded, Parts, Tick, Used};
+use super::limits::exchange_pause;
+use super::orders::{Desk, Load, Loaded, Parts, Tick};
 use super::right::Right;
 use super::upstream::Upstream;
 use super::view::View;
@@ -24,20 +24,11 @@
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::schema::direct::orders_client::OrdersClient;
-use crate::schema::direct::{
-    ExchangeReply, ExchangeRequest, LoadReply, LoadRequest, Outcome, Owned, Resident, Standing,
-    SupportRequest, Use,
-};
+use crate::schema::direct::{LoadReply, LoadRequest, Outcome};
 
 /// How long connecting to another node may take.
 const CONNECT: Millis = Millis(400);
 
-/// The longest that an exchange may take.
-const EXCHANGE: Millis = Millis(800);
-
-/// The longest that other nodes may take to give support.
-const SUPPORT: Millis = Millis(300);
-
 /// The longest that another node may take to make an adapter present.
 const LOAD: Millis = Millis(4_500);
 
@@ -369,202 +360,6 @@
                 kept
             });
     }
-
-    /// Tells each owner what this node did at its engines.
-    fn exchange_all(self: &Arc<Self>) {
-        let mut requests: HashMap<SocketAddr, ExchangeRequest> = HashMap::new();
-        let uses = std::mem::take(&mut *self.uses.lock().unwrap_or_else(PoisonError::into_inner));
-        let (upstreams, nodes) = {
-            let state = self.view.state();
-            let upstreams: Vec<Arc<Upstream>> = state.upstreams.values().cloned().collect();
-            (upstreams, state.most_nodes)
-        };
-        let mut concerned: HashSet<SocketAddr> = self.awaited().keys().copied().collect();
-        concerned.extend(self.silent().iter());
-        for upstream in upstreams {
-            let mut adapters = uses.get(&upstream.incarnation).cloned().unwrap_or_default();
-            // A long stream uses its adapter though it was asked for long ago.
-            for adapter in upstream.in_use() {
-                if !adapters.contains(&adapter) {
-                    adapters.push(adapter);
-                }
-            }
-            if self.right.owns(upstream.address) {
-                self.note_uses(&upstream.incarnation, adapters, in_use(nodes));
-                continue;
-            }
-            let Some((_, peer)) = self.view.owner(upstream.address) else {
-                continue;
-            };
-            // Nodes times owners would grow with the square of the fleet, and their news were
-            // nine tenths of the bytes between failure domains at 195 nodes.
-            if adapters.is_empty() && upstream.running() == 0 && !concerned.contains(&peer.address)
-            {
-                continue;
-            }
-            let request = requests
-                .entry(peer.address)
-                .or_insert_with(|| ExchangeRequest {
-                    node: self.node.to_string(),
-                    uses: Vec::new(),
-                });
-            request.uses.push(Use {
-                incarnation: upstream.incarnation.to_string(),
-                running: upstream.running(),
-                adapters: adapters.iter().map(ToString::to_string).collect(),
-            });
-        }
-        self.silent().retain(|peer| requests.contains_key(peer));
-        for (address, request) in requests {
-            let desks = Arc::clone(self);
-            tokio::spawn(async move { desks.exchange(address, request).await });
-        }
-    }
-
-    async fn exchange(&self, address: SocketAddr, request: ExchangeRequest) {
-        let mut client = self.client(address);
-        match tokio::time::timeout(EXCHANGE.duration(), client.exchange(request)).await {
-            Ok(Ok(reply)) => {
-                self.silent().remove(&address);
-                self.hear(reply.into_inner());
-            }
-            Ok(Err(status)) => {
-                // Whoever refuses a connection answers questions as fast, so it isn't silent.
-                self.silent().remove(&address);
-                log::info!("ask: no exchange with {address}: {}", status.message());
-            }
-            Err(_) => {
-                log::info!("ask: no exchange with {address} within {EXCHANGE}");
-                self.silent().insert(address);
-                self.forget(address);
-            }
-        }
-    }
-
-    fn hear(&self, reply: ExchangeReply) {
-        let state = self.view.state();
-        for standing in reply.standings {
-            let Some(upstream) = state.upstreams.get(standing.incarnation.as_str()) else {
-                continue;
-            };
-            upstream.heard_load(standing.running, self.clock.now());
-            upstream.hold(&Held {
-                born: standing.born,
-                sequence: standing.sequence,
-                models: standing.models.into_iter().map(Name::from).collect(),
-                adapters: standing
-                    .adapters
-                    .into_iter()
-                    .map(|resident| (Name::from(resident.adapter), resident.version))
-                    .collect(),
-                incoming: Vec::new(),
-            });
-        }
-    }
-
-    /// Has an owner's order queue hear of adapters that are in use here, or at another node.
-    pub(super) fn note_uses(&self, incarnation: &str, adapters: Vec<Name>, span: Millis) {
-        if adapters.is_empty() {
-            return;
-        }
-        let until = self.clock.now() + span;
-        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((_, desk)) = open.get(incarnation)
-            && desk.tell(Used { adapters, until }).try_send().is_err()
-        {
-            log::debug!("ask: a desk is full and hears of no use");
-        }
-    }
-
-    /// Answers an exchange: what all others have running, and what is held.
-    pub(super) fn standing(&self, one: &Use) -> Option<Standing> {
-        let upstream = {
-            let state = self.view.state();
-            Arc::clone(state.upstreams.get(one.incarnation.as_str())?)
-        };
-        let running = self.table.running(&one.incarnation);
-        let others = running.saturating_sub(one.running);
-        let held = upstream.held();
-        Some(Standing {
-            incarnation: one.incarnation.clone(),
-            running: others,
-            born: held.born,
-            sequence: held.sequence,
-            models: held.models.iter().map(ToString::to_string).collect(),
-            adapters: held
-                .adapters
-                .iter()
-                .map(|(adapter, version)| Resident {
-                    adapter: adapter.to_string(),
-                    version: *version,
-                })
-                .collect(),
-        })
-    }
-}
-
-#[async_trait]
-impl Support for Desks {
-    fn others(&self) -> Option<Vec<SocketAddr>> {
-        let state = self.view.state();
-        let others = state.nodes.iter().filter(|(name, _)| **name != self.node);
-        let peers: Vec<SocketAddr> = others.map(|(_, peer)| peer.address).collect();
-        // Nobody to ask is no support where there were others: their records
-        // may have lapsed while they live.
-        (!peers.is_empty() || state.most_nodes <= 1).then_some(peers)
-    }
-
-    async fn doubters(&self, asked: &[SocketAddr], owned: &[(SocketAddr, u64)]) -> Vec<Doubter> {
-        let request = SupportRequest {
-            node: self.node.to_string(),
-            owned: owned
-                .iter()
-                .map(|(address, token)| Owned {
-                    address: address.to_string(),
-                    token: *token,
-                })
-                .collect(),
-        };
-        let answers = asked.iter().map(|&peer| {
-            let request = request.clone();
-            async move {
-                let why = self.refusal(peer, request).await.err()?;
-                Some(Doubter { peer, why })
-            }
-        });
-        let answers = futures::future::join_all(answers).await;
-        answers.into_iter().flatten().collect()
-    }
-}
-
-impl Desks {
-    /// Asks one node for support; the error says why it gave none.
-    async fn refusal(&self, peer: SocketAddr, request: SupportRequest) -> Result<(), String> {
-        let mut client = self.client(peer);
-        let reply = tokio::time::timeout(SUPPORT.duration(), client.support(request)).await;
-        match reply {
-            Ok(Ok(reply)) if reply.get_ref().supported => Ok(()),
-            Ok(Ok(_)) => Err("it sees other claims".to_owned()),
-            Ok(Err(status)) if nobody_listens(&status) => Ok(()),
-            Ok(Err(status)) => Err(status.message().to_owned()),
-            Err(_) => Err(format!("no answer within {SUPPORT}")),
-        }
-    }
-}
-
-/// Whether the VM answered that no process listens there: the node has ended.
-fn nobody_listens(status: &Status) -> bool {
-    let mut cause = std::error::Error::source(status);
-    while let Some(error) = cause {
-        let refused = error
-            .downcast_ref::<std::io::Error>()
-            .is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused);
-        if refused {
-            return true;
-        }
-        cause = error.source();
-    }
-    false
 }
 
 fn read(reply: &LoadReply) -> Loaded {
