--- /dev/null
+++ b/lib/src/direct/orders/change.rs
@@ -0,0 +1,135 @@
+//! Orders as they are given, and the count of those that the engine accepted.
+
+use super::Desk;
+use super::book::Book;
+use crate::clock::Millis;
+use crate::direct::dialect::{Action, Order, Ordered};
+use crate::name::Name;
+use crate::ports::link::Lost;
+
+/// How often an order is given while it has no answer.
+const TRIES: u32 = 3;
+
+/// How long an order without an answer may still be carried out.
+const LATE: Millis = Millis(12_500);
+
+impl Desk {
+    /// Counts places that orders without an answer may still take.
+    ///
+    /// All that wait under one count can only be carried out once.
+    pub(super) fn doubtful(&mut self, now: Millis) -> usize {
+        let sequence = self.book.as_ref().map_or(0, |book| book.sequence);
+        self.doubtful
+            .retain(|(expected, until)| *until > now && *expected >= sequence);
+        usize::from(!self.doubtful.is_empty())
+    }
+
+    /// Gives an order that changes something, and keeps count of what was accepted.
+    ///
+    /// One without an answer is given again under the same count: accepted, it
+    /// makes the first harmless; refused for its count, it tells that the first
+    /// was accepted.
+    pub(super) async fn change(
+        &mut self,
+        action: Action,
+        model: &Name,
+        version: Option<u64>,
+    ) -> Option<Ordered> {
+        let now = self.parts.clock.now();
+        let alone = self.doubtful(now) == 0;
+        let mut outcome = self.order(action, model, version).await;
+        for _ in 1..TRIES {
+            if outcome.is_some() || !self.unanswered {
+                break;
+            }
+            let sequence = self.book.as_ref()?.sequence;
+            self.doubtful.push((sequence, now + LATE));
+            outcome = match self.order(action, model, version).await {
+                Some(Ordered::Conflict) if alone => Some(Ordered::Started),
+                other => other,
+            };
+        }
+        self.record(action, model, version, outcome);
+        let accepted = outcome == Some(Ordered::Started)
+            || (outcome == Some(Ordered::Holds) && action == Action::Unload);
+        if accepted && let Some(book) = &mut self.book {
+            book.sequence += 1;
+        }
+        outcome
+    }
+
+    fn record(&self, action: Action, model: &Name, version: Option<u64>, outcome: Option<Ordered>) {
+        let outcome = outcome.map_or("none", Ordered::name);
+        let orders = &self.parts.metrics.orders;
+        orders.with_label_values(&[action.name(), outcome]).inc();
+        log::info!(
+            upstream = &*self.parts.upstream.incarnation,
+            adapter = &**model,
+            version = version.unwrap_or_default(),
+            outcome = outcome,
+            sequence = self.book.as_ref().map_or(0, |book| book.sequence);
+            "orders: {}", action.name()
+        );
+    }
+
+    /// Gives an order; none means that there was no answer or no right.
+    async fn order(
+        &mut self,
+        action: Action,
+        model: &Name,
+        version: Option<u64>,
+    ) -> Option<Ordered> {
+        let sequence = self.book.as_ref()?.sequence;
+        let order = Order {
+            action,
+            model: Name::clone(model),
+            version,
+            sequence,
+            holder: Name::clone(&self.parts.holder),
+            fence: 0,
+        };
+        let result = self.parts.give(order).await;
+        self.unanswered = matches!(result, Err(Lost::Sent(_)));
+        match result {
+            Ok(outcome) => Some(outcome),
+            Err(Lost::Unsent(told)) => {
+                log::debug!("orders: not sent: {told}");
+                None
+            }
+            Err(Lost::Sent(told)) => {
+                log::info!(
+                    "orders: no answer from {}: {told}",
+                    self.parts.upstream.incarnation
+                );
+                None
+            }
+        }
+    }
+
+    /// Asks the engine what it holds.
+    pub(super) async fn refresh(&mut self) -> bool {
+        let report = match self.parts.report().await {
+            Ok(report) => report,
+            Err(told) => {
+                log::info!(
+                    "orders: no report from {}: {told}",
+                    self.parts.upstream.incarnation
+                );
+                return false;
+            }
+        };
+        let former = self.book.take().unwrap_or_default();
+        let now = self.parts.clock.now();
+        self.book = Some(Book::renewed(former, &report, now));
+        self.stale = false;
+        self.publish();
+        true
+    }
+
+    /// Lets this node's requests and exchanges see what the engine holds.
+    pub(super) fn publish(&self) {
+        if let Some(book) = &self.book {
+            self.parts.upstream.hold(&book.held());
+        }
+    }
+}
