--- a/lib/tests/direct_support/mod.rs
+++ b/lib/tests/direct_support/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod listen;
 pub mod memory;
+pub mod records;
 
 /// An engine's entry in the platform's list, in the platform's format.
 pub const SERVER: &str = include_str!("../../../platform/tests/samples/server.json");
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -4,11 +4,11 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use chivevalve::clock::{Clock, Millis, Monotonic};
 use chivevalve::direct::ask::Desks;
 use chivevalve::direct::fanout::{Heard, Hub, Source, Subscription, Update};
@@ -16,18 +16,28 @@
 use chivevalve::direct::limits::Current;
 use chivevalve::direct::right::Right;
 use chivevalve::direct::serve::serve;
-use chivevalve::direct::view::{Peer, View};
+use chivevalve::direct::view::View;
 use chivevalve::name::Name;
 use chivevalve::ports::poll::{self, Changes, Poll};
 use chivevalve::ports::{Entry, Error, Event};
-use chivevalve::schema::direct::Update as Sent;
+use chivevalve::schema::direct::orders_client::OrdersClient;
+use chivevalve::schema::direct::orders_server::{Orders, OrdersServer};
+use chivevalve::schema::direct::{
+    AdmitReply, AdmitRequest, Change, ExchangeReply, ExchangeRequest, FollowRequest, LoadReply,
+    LoadRequest, SupportReply, SupportRequest, Update as Sent,
+};
 use chivevalve_platform::Speech;
 use direct_support::SERVER;
+use direct_support::listen::Direct;
 use direct_support::memory::Memory;
+use direct_support::records::peer;
 use futures::StreamExt;
+use futures::stream::BoxStream;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tonic::Status;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status, Streaming};
 
 fn put(revision: u64) -> Event {
     let key = format!("servers/i-{revision}");
@@ -60,7 +70,7 @@
 async fn listen_gets_what_is_newer_only() {
     let hub = hub();
     hub.publish(update(3, 6));
-    let mut stream = Box::pin(hub.listen(5));
+    let mut stream = Box::pin(hub.listen(5).unwrap());
     hub.publish(update(6, 7));
     let first = stream.next().await.unwrap().unwrap();
     let second = stream.next().await.unwrap().unwrap();
@@ -78,7 +88,7 @@
 async fn listen_gap_ends_the_stream() {
     let hub = hub();
     hub.publish(update(7, 9));
-    let mut stream = Box::pin(hub.listen(5));
+    let mut stream = Box::pin(hub.listen(5).unwrap());
     assert!(stream.next().await.unwrap().is_err());
     assert!(stream.next().await.is_none());
 }
@@ -90,7 +100,7 @@
 async fn listen_slow_listener_is_cut_off() {
     let hub = hub();
     hub.publish(update(0, 1));
-    let mut stream = Box::pin(hub.listen(0));
+    let mut stream = Box::pin(hub.listen(0).unwrap());
     for revision in 1..100 {
         hub.publish(update(revision, revision + 1));
     }
@@ -101,6 +111,98 @@
     assert!(heard < 20, "{heard}");
 }
 
+/// A change whose value tells when nobody holds it any more.
+fn counted(revision: u64, bytes: usize, held: &Arc<()>) -> Update {
+    struct Value(
+        Vec<u8>,
+        #[allow(dead_code, reason = "counts while it lives")] Arc<()>,
+    );
+    impl AsRef<[u8]> for Value {
+        fn as_ref(&self) -> &[u8] {
+            &self.0
+        }
+    }
+    let value = Value(vec![b'x'; bytes], Arc::clone(held));
+    let mut update = update(revision - 1, revision);
+    let entry = update.events[0].entry.as_mut().unwrap();
+    entry.value = Bytes::from_owner(value);
+    update
+}
+
+/// Symptom: a node's memory grows by more than a hundred megabytes while others listen to it.
+/// Sequence: one after the other, updates as large as the service's answers may be; one listener
+/// takes nothing.
+/// Cause: updates kept by their number, however large they are.
+#[tokio::test]
+async fn listen_oversized_updates_are_not_kept() {
+    let hub = hub();
+    let held = Arc::new(());
+    let mut stream = Box::pin(hub.listen(0).unwrap());
+    for revision in 1..=40 {
+        hub.publish(counted(revision, 6 << 20, &held));
+        assert_eq!(Arc::strong_count(&held), 1);
+    }
+    // Whoever listens is told that there is something to ask the service for.
+    assert!(stream.next().await.unwrap().is_err());
+    assert!(stream.next().await.is_none());
+}
+
+/// Symptom: a node's memory grows while another one on a slow link reads nothing.
+/// Sequence: two nodes listen over sockets; one reads all, the other nothing.
+/// Cause: what waits for a listener kept without bound, in the hub or on its way to the socket.
+#[tokio::test]
+async fn listen_over_a_socket_that_takes_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (above, _) = subscription("node-0", view(12, address));
+    tokio::spawn(serve(listener, Arc::clone(&above)));
+    let follow = async || {
+        let client = OrdersClient::connect(format!("http://{address}")).await;
+        let request = FollowRequest { after: 0 };
+        client.unwrap().follow(request).await.unwrap().into_inner()
+    };
+    let (mut reads, _takes_nothing) = (follow().await, follow().await);
+    let held = Arc::new(());
+    let mut most = 0;
+    for revision in 1..=120 {
+        above.hub.publish(counted(revision, 256 << 10, &held));
+        let sent = reads.message().await.unwrap().unwrap();
+        assert_eq!(sent.revision, revision);
+        most = most.max(Arc::strong_count(&held) - 1);
+    }
+    assert!(most <= 24, "{most}");
+}
+
+/// Symptom: callers' streams at one node are late while others of its failure domain are gone.
+/// Sequence: the nodes between are gone, and all of a failure domain listen to the same one.
+/// Cause: everybody who asks is listened to.
+#[tokio::test]
+async fn listen_refuses_more_than_it_can_serve() {
+    let hub = hub();
+    let mut streams: Vec<_> = (0..20).map_while(|_| hub.listen(0).ok()).collect();
+    assert_eq!(streams.len(), 6);
+    assert_eq!(refused(&hub), tonic::Code::ResourceExhausted);
+    streams.pop();
+    assert!(hub.listen(0).is_ok());
+}
+
+/// Symptom: a node is told of a change at the last moment, again and again.
+/// Sequence: the node that passes changes on is cut off from the service; others begin to listen.
+/// Cause: only its silence shows it.
+#[tokio::test]
+async fn listen_refuses_while_it_hears_nothing_itself() {
+    let hub = hub();
+    hub.publish(update(0, 1));
+    hub.lose();
+    assert_eq!(refused(&hub), tonic::Code::Unavailable);
+    hub.publish(update(1, 2));
+    assert!(hub.listen(0).is_ok());
+}
+
+fn refused(hub: &Hub) -> tonic::Code {
+    hub.listen(0).err().expect("it is refused").code()
+}
+
 /// The service as one node asks it.
 #[derive(Debug)]
 struct Asked {
@@ -126,75 +228,6 @@
     }
 }
 
-type Stream = Pin<Box<dyn futures::Stream<Item = Result<Sent, Status>> + Send>>;
-
-/// Listens to another node without a socket, so that time can be virtual.
-struct Direct {
-    /// Whom to listen to; a node without is listened to.
-    hub: Option<Arc<Hub>>,
-    stream: Option<Stream>,
-    clock: Arc<dyn Clock>,
-    /// How much longer updates are on their way than they say.
-    older: Millis,
-}
-
-impl std::fmt::Debug for Direct {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.debug_struct("Direct").finish_non_exhaustive()
-    }
-}
-
-#[async_trait]
-impl Source for Direct {
-    fn is_shared(&self) -> bool {
-        true
-    }
-
-    async fn next(&mut self, after: u64, within: Millis) -> Heard {
-        let Some(hub) = &self.hub else {
-            return Heard::Nobody;
-        };
-        let stream = self
-            .stream
-            .get_or_insert_with(|| Box::pin(hub.listen(after)));
-        let Ok(sent) = tokio::time::timeout(within.duration(), stream.next()).await else {
-            return Heard::Nothing;
-        };
-        let Some(Ok(sent)) = sent else {
-            self.stream = None;
-            return Heard::Nobody;
-        };
-        Heard::Update(Update {
-            after: sent.after,
-            revision: sent.revision,
-            as_of: Millis(
-                self.clock
-                    .now()
-                    .0
-                    .saturating_sub(sent.age_ms + self.older.0),
-            ),
-            events: sent
-                .changes
-                .into_iter()
-                .map(|change| Event {
-                    key: change.key.clone(),
-                    entry: (!change.removed).then(|| Entry {
-                        key: change.key,
-                        value: change.value.into(),
-                        revision: change.revision,
-                        lease: None,
-                    }),
-                    revision: change.revision,
-                })
-                .collect(),
-        })
-    }
-
-    fn avoid(&mut self) {
-        self.stream = None;
-    }
-}
-
 /// A node's follower.
 struct Node {
     view: Arc<View>,
@@ -223,12 +256,8 @@
         calls: AtomicUsize::new(0),
         cut: AtomicBool::new(false),
     });
-    let source = Direct {
-        hub: listens_to.map(|node| Arc::clone(&node.hub)),
-        stream: None,
-        clock: Arc::clone(&clock),
-        older,
-    };
+    let hears = listens_to.map(|node| Arc::clone(&node.hub));
+    let source = Direct::new(hears, Arc::clone(&clock), older);
     let follower = Follower::new(
         Arc::<Memory>::clone(memory),
         Arc::<Asked>::clone(&asked),
@@ -359,12 +388,8 @@
 fn view(nodes: usize, address: SocketAddr) -> Arc<View> {
     let view = Arc::new(View::default());
     for number in 0..nodes {
-        let peer = Peer {
-            address,
-            start: 1,
-            failure_domain: "hall-a".into(),
-        };
-        view.state().join(format!("node-{number}").into(), peer);
+        let name = format!("node-{number}").into();
+        view.state().join(name, peer(address));
     }
     view
 }
@@ -419,12 +444,8 @@
     let shared = Arc::new(View::default());
     for number in 0..40 {
         let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let peer = Peer {
-            address: socket.local_addr().unwrap(),
-            start: 1,
-            failure_domain: "hall-a".into(),
-        };
         let name: Name = format!("node-{number}").into();
+        let peer = peer(socket.local_addr().unwrap());
         shared.state().join(name, peer);
         sockets.push(socket);
     }
@@ -452,6 +473,109 @@
     );
 }
 
+/// A node of which only the passing on of changes is played.
+struct Other(Vec<Sent>);
+
+#[async_trait]
+impl Orders for Other {
+    type AdmitStream = BoxStream<'static, Result<AdmitReply, Status>>;
+    type FollowStream = BoxStream<'static, Result<Sent, Status>>;
+
+    async fn follow(
+        &self,
+        _: Request<FollowRequest>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let sent: Vec<_> = self.0.iter().cloned().map(Ok).collect();
+        let sent = futures::stream::iter(sent).chain(futures::stream::pending());
+        Ok(Response::new(sent.boxed()))
+    }
+
+    async fn admit(
+        &self,
+        _: Request<Streaming<AdmitRequest>>,
+    ) -> Result<Response<Self::AdmitStream>, Status> {
+        Err(Status::unimplemented("not played"))
+    }
+
+    async fn load(&self, _: Request<LoadRequest>) -> Result<Response<LoadReply>, Status> {
+        Err(Status::unimplemented("not played"))
+    }
+
+    async fn support(&self, _: Request<SupportRequest>) -> Result<Response<SupportReply>, Status> {
+        Err(Status::unimplemented("not played"))
+    }
+
+    async fn exchange(
+        &self,
+        _: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeReply>, Status> {
+        Err(Status::unimplemented("not played"))
+    }
+}
+
+/// Twelve nodes, all at the address of one that passes these on.
+async fn listeners(sent: Vec<Sent>) -> Vec<(Arc<Desks>, Subscription)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = Server::builder().add_service(OrdersServer::new(Other(sent)));
+    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    let node = |number| subscription(&format!("node-{number}"), view(12, address));
+    (0..12).map(node).collect()
+}
+
+/// Symptom: a node asks another one again and again for what it can't read.
+/// Sequence: the other node, of a release without a bound, passes on all that an outage held up.
+/// Cause: a message that is too large taken for an end like any other.
+#[tokio::test]
+async fn subscription_oversized_update() {
+    let change = Change {
+        key: "servers/i-1".to_owned(),
+        value: vec![b'x'; 5 << 20],
+        revision: 1,
+        ..Change::default()
+    };
+    let sent = Sent {
+        revision: 1,
+        changes: vec![change],
+        ..Sent::default()
+    };
+    let mut listen = 0;
+    for (desks, mut one) in listeners(vec![sent]).await {
+        for _ in 0..8 {
+            assert_eq!(one.next(0, Millis::from_secs(20)).await, Heard::Nobody);
+        }
+        let refused = &desks.metrics.updates_refused;
+        let refused = refused.with_label_values(&["oversized"]).get();
+        // Each that it may listen to is asked once: two above it and the other leader.
+        assert!(refused <= 3, "{refused}");
+        listen += usize::from(refused > 0);
+    }
+    assert_eq!(listen, 10);
+}
+
+/// Symptom: a node takes old changes for new ones, or ends.
+/// Sequence: another one tells of an age from before this node began, and the longest there is.
+/// Cause: an age taken off a time that is smaller.
+#[tokio::test]
+async fn subscription_absurd_ages() {
+    let ages = [0, 1 << 40, u64::MAX];
+    let sent = ages.map(|age_ms| Sent {
+        age_ms,
+        ..Sent::default()
+    });
+    let mut heard = 0;
+    for (desks, mut one) in listeners(sent.to_vec()).await {
+        for age in ages {
+            if let Heard::Update(update) = one.next(0, Millis::from_secs(20)).await {
+                assert!(update.as_of <= desks.clock.now());
+                assert!(age == 0 || update.as_of == Millis::ZERO);
+                heard += 1;
+            }
+        }
+    }
+    assert_eq!(heard, 30);
+}
+
 #[tokio::test]
 async fn subscription_few_nodes_ask_for_themselves() {
     let address = "127.0.0.1:9".parse().unwrap();
