direct: claims learn from a refused transaction, and begin with a node's own engines

Cause: a claiming transaction makes up to 16 claims or none, in the order of a hash map. Where all nodes start together each wants any engine, since it has heard of few others; one engine that is taken already refused the same transaction again each 0.65 s until the news came by the follower, 1.6 to 3 s later, and then the next one did.

Engines are claimed in the order of rank, and of this node's weight among those of equal rank, so that nodes which don't know each other yet begin with different ones.

Ruled out: the service's rates (no 429 in the logs), waiting out former owners (5.3 s at most), engines' answers (orders that left were answered).

--- a/bench/src/fuzz_config/service.rs
+++ b/bench/src/fuzz_config/service.rs
@@ -73,7 +73,7 @@
     }
 
     /// Notes what a commit wrote.
-    fn note(&self, writes: &[Write], commit: Commit) {
+    fn note(&self, writes: &[Write], commit: &Commit) {
         if !commit.done || writes.is_empty() {
             return;
         }
@@ -175,7 +175,7 @@
         let faults = Arc::clone(&self.faults);
         let done = tokio::spawn(async move {
             let commit = access.commit(transaction).await?;
-            faults.note(&writes, commit);
+            faults.note(&writes, &commit);
             Ok(commit)
         });
         let commit = done
--- a/bench/src/fuzz_outcomes/harness/service.rs
+++ b/bench/src/fuzz_outcomes/harness/service.rs
@@ -177,6 +177,7 @@
             return Ok(Commit {
                 done: false,
                 revision: self.revision,
+                found: Vec::new(),
             });
         }
         let dead = transaction.writes.iter().any(|write| match write {
@@ -194,6 +195,7 @@
         Ok(Commit {
             done: true,
             revision: self.revision,
+            found: Vec::new(),
         })
     }
 
--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -6,6 +6,7 @@
 //! successor waits until that right has surely ended and the length of a turn
 //! more. docs/design/0007-direct-serving.md has the figures.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -14,17 +15,17 @@
 use bytes::Bytes;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::dialect::Dialect;
+use super::dialect::{Dialect, Key};
 use super::follow::NODES;
 use super::limits::{
     CLAIM_RANK, Current, GATHER, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN,
 };
 use super::right::Right;
-use super::view::{CLAIMS, Claim, Peer, Standing, State, View};
+use super::view::{CLAIMS, Claim, Peer, Standing, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
 use crate::name::Name;
-use crate::ports::{Condition, Error, Lease, LeaseId, Store, Transaction, Write};
+use crate::ports::{Condition, Entry, Error, Lease, LeaseId, Store, Transaction, Write};
 
 /// Seed of the order of nodes for an engine. Changing it moves every claim, so it stays.
 const CLAIM_SEED: u64 = 0x636c_6169_6d73;
@@ -50,6 +51,11 @@
 /// Claims that one transaction makes; the service takes 32 rows.
 const CLAIMS_AT_ONCE: usize = 16;
 
+/// Tries of a round to claim what the service didn't say was taken the time before.
+///
+/// Each costs a call; what is left is tried in the next round.
+const CLAIM_TRIES: u32 = 3;
+
 /// What became of the node that gave an engine its orders before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Former {
@@ -88,6 +94,19 @@
     }
 }
 
+/// An engine that a node may claim.
+#[derive(Debug)]
+struct Wanted {
+    address: SocketAddr,
+    /// The mark that a former owner left.
+    left: Option<Standing>,
+    /// Nodes that come before this one, as far as they are known.
+    rank: u64,
+    /// This node's weight for the engine: of two engines, others come before it at this one less
+    /// probably that has the greater.
+    weight: u64,
+}
+
 /// A node that gave no support.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Doubter {
@@ -372,31 +391,61 @@
     }
 
     /// Takes over engines that nobody gives orders to, those first that fall to this node.
+    ///
+    /// A transaction makes all its claims or none, and news of others' claims comes seconds
+    /// late. Where hundreds of nodes claim at once, one engine that is taken already would fail
+    /// the same transaction each round; the service's refusal says which it is.
     async fn claim(&self, lease: LeaseId, began: Millis) -> Result<(), Error> {
-        let now = self.clock.now();
-        self.adopt(began, now);
-        let wanted = self.wanted(began, now);
-        if wanted.is_empty() {
-            return Ok(());
+        self.adopt(began, self.clock.now());
+        for _ in 0..CLAIM_TRIES {
+            let mut wanted = self.wanted(began, self.clock.now());
+            if wanted.is_empty() {
+                return Ok(());
+            }
+            wanted.truncate(CLAIMS_AT_ONCE);
+            let commit = self.store.commit(self.claims(&wanted, lease)).await?;
+            let now = self.clock.now();
+            if commit.done {
+                for Wanted { address, left, .. } in wanted {
+                    self.won(address, left.as_ref(), commit.revision, began, now);
+                }
+                return Ok(());
+            }
+            if !self.learn(&commit.found, now) {
+                return Ok(());
+            }
         }
+        Ok(())
+    }
+
+    /// Returns the transaction that makes claims.
+    fn claims(&self, wanted: &[Wanted], lease: LeaseId) -> Transaction {
         let mut transaction = Transaction::default();
-        for (address, standing) in wanted.iter().take(CLAIMS_AT_ONCE) {
+        for Wanted { address, left, .. } in wanted {
             let key = self.key(*address);
-            transaction.conditions.push(match standing {
+            transaction.conditions.push(match left {
                 Some(left) => Condition::Unchanged(key.clone(), left.revision),
                 None => Condition::Absent(key.clone()),
             });
             let claim = encoded(&self.own_claim(None));
             transaction.writes.push(Write::Put(key, claim, Some(lease)));
         }
-        let commit = self.store.commit(transaction).await?;
-        if commit.done {
-            let now = self.clock.now();
-            for (address, standing) in wanted.into_iter().take(CLAIMS_AT_ONCE) {
-                self.won(address, standing.as_ref(), commit.revision, began, now);
+        transaction
+    }
+
+    /// Takes in claims that a refused transaction met; returns whether there were any.
+    fn learn(&self, found: &[Entry], now: Millis) -> bool {
+        let mut state = self.view.state();
+        let mut learnt = false;
+        for entry in found {
+            if let Key::Own(name) = self.dialect.key(&entry.key)
+                && let Some(address) = claimed(&name)
+            {
+                state.put_claim(address, entry, now);
+                learnt = true;
             }
         }
-        Ok(())
+        learnt
     }
 
     /// Takes up claims of this start whose write had no answer.
@@ -477,8 +526,11 @@
         }
     }
 
-    /// Returns engines without an owner, with the mark that a former one left.
-    fn wanted(&self, began: Millis, now: Millis) -> Vec<(SocketAddr, Option<Standing>)> {
+    /// Returns engines without an owner, those first that fall to this node.
+    ///
+    /// Nodes that start together know few of each other yet. By rank alone each would take any
+    /// engine for its own; by weight too, they begin with different ones.
+    fn wanted(&self, began: Millis, now: Millis) -> Vec<Wanted> {
         let state = self.view.state();
         let Some(config) = state.config.clone() else {
             return Vec::new();
@@ -496,7 +548,12 @@
             let address = upstream.address;
             let standing = state.claims.get(&address);
             if let Some(standing) = standing.filter(|standing| self.is_former(standing)) {
-                wanted.push((address, Some(standing.clone())));
+                wanted.push(Wanted {
+                    address,
+                    left: Some(standing.clone()),
+                    rank: 0,
+                    weight: u64::MAX,
+                });
                 continue;
             }
             if now < gathered || standing.is_some_and(|standing| standing.claim.left.is_none()) {
@@ -519,9 +576,15 @@
                 None => {}
             }
             if passed >= patience {
-                wanted.push((address, standing.cloned()));
+                wanted.push(Wanted {
+                    address,
+                    left: standing.cloned(),
+                    rank,
+                    weight: weight(seed(address), &self.node),
+                });
             }
         }
+        wanted.sort_by_key(|one| (one.rank, Reverse(one.weight)));
         wanted
     }
 
--- a/lib/src/ports/etcd/mod.rs
+++ b/lib/src/ports/etcd/mod.rs
@@ -241,6 +241,7 @@
         Ok(Commit {
             done: answer.succeeded,
             revision: answer.header.revision.unsigned(),
+            found: Vec::new(),
         })
     }
 }
--- a/lib/src/ports/mod.rs
+++ b/lib/src/ports/mod.rs
@@ -110,12 +110,14 @@
 }
 
 /// How a commit that was answered ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Commit {
     /// Whether the conditions held and the writes were made.
     pub done: bool,
     /// The service's revision: of the writes if they were made, else as of the check.
     pub revision: u64,
+    /// What stands under the conditions' keys, if they failed and the service tells.
+    pub found: Vec<Entry>,
 }
 
 /// The platform's key-value service.
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -93,6 +93,16 @@
         }
     }
 
+    /// Returns what stands under the keys of conditions.
+    pub fn under(&self, conditions: &[Condition]) -> Vec<Entry> {
+        let keys = conditions.iter().map(|condition| match condition {
+            Condition::Absent(key) | Condition::Unchanged(key, _) => key,
+        });
+        keys.filter_map(|key| self.entries.get(key))
+            .cloned()
+            .collect()
+    }
+
     /// Makes a transaction; none means that a condition did not hold.
     pub fn commit(&mut self, transaction: &Transaction) -> Option<u64> {
         if !transaction.conditions.iter().all(|one| self.holds(one)) {
@@ -184,14 +194,20 @@
     }
 
     async fn commit(&self, transaction: Transaction) -> Result<Commit, Error> {
-        let revision = {
+        let (revision, found) = {
             let mut state = self.reach()?;
-            state.commit(&transaction)
+            let revision = state.commit(&transaction);
+            let found = match revision {
+                Some(_) => Vec::new(),
+                None => state.under(&transaction.conditions),
+            };
+            (revision, found)
         };
         self.changed.notify_waiters();
         Ok(Commit {
             done: revision.is_some(),
             revision: revision.unwrap_or_default(),
+            found,
         })
     }
 }
--- a/lib/tests/entry_support/store.rs
+++ b/lib/tests/entry_support/store.rs
@@ -99,6 +99,7 @@
         Commit {
             done,
             revision: self.revision,
+            found: Vec::new(),
         }
     }
 
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -566,3 +566,40 @@
     assert_eq!(owned.iter().sum::<usize>(), engines, "{owned:?}");
     assert!(owned[0] <= 4, "{owned:?}");
 }
+
+/// Lists so many engines, at ports of their own.
+fn list_engines(memory: &Memory, engines: u16) {
+    for number in 0..engines {
+        let entry = SERVER.replace("127.0.0.1:9", &format!("127.0.0.1:{}", 9 + number));
+        memory.change(|state| state.put(&format!("servers/i-{}", number + 1), entry, None));
+    }
+}
+
+/// Symptom: after a start of all nodes, half of the engines have no owner for twenty seconds, and
+/// requests whose adapter has to be loaded are refused.
+/// Sequence: many nodes claim engines at the same time, before any has heard of the others.
+/// Cause: a transaction makes many claims or none. One engine that another node has taken in the
+/// meantime fails it, and until the news of that arrives each further one fails alike.
+#[tokio::test(start_paused = true)]
+async fn claims_taken_though_news_is_late() {
+    let engines = 320;
+    let memory = Arc::new(Memory::default());
+    list_engines(&memory, engines);
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let nodes: Vec<Node> = names.iter().map(|name| node(name, &memory, true)).collect();
+    let all: Vec<&Node> = nodes.iter().collect();
+    for node in &all {
+        node.limits.set(Limits {
+            apply: Millis::from_secs(10),
+            leaving: Millis::from_secs(10),
+            ..Limits::default()
+        });
+    }
+    for _ in 0..120 {
+        // Heartbeats of engines keep followers in the pause between two calls.
+        memory.change(|state| state.put("servers/i-1", SERVER, None));
+        pass(&all, Millis(50)).await;
+    }
+    let owned: Vec<usize> = all.iter().map(|node| node.right.owned_engines()).collect();
+    assert_eq!(owned.iter().sum::<usize>(), usize::from(engines), "{owned:?}");
+}
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -76,6 +76,7 @@
         Ok(Commit {
             done,
             revision: self.revision,
+            found: Vec::new(),
         })
     }
 
