direct: former claims are taken back before engines are read, and a lease doesn't wait for reading

Cause: after a kill of all nodes of 300 before 3,000 engines each reads three megabytes or so from the service at once. Everything was taken in only when all had arrived, 4 s later. Two things ran out meanwhile: the lease, which was got before all claims were read a second time (300 of 300 logged "the lease has lapsed"), and the former starts' claims, three seconds after the kill, which nodes could have taken back by their name. All engines were then claimed anew and their former owners waited out.

Change: a node writes its record right after its first lease and reads no claims there, as it has none of its own yet; the follower reads what is ours first, then upstreams, then what operators write, and takes each in as it arrives; claims of an earlier start of the same node are taken back while engines aren't known yet. What vanished before all claims were known is as unknown as what did before the lease, so the wait for an unknown owner counts from the later of both. A line tells how long reading took. Also: claims read anew are looked up by hash (was a list, three thousand squared).

--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -100,6 +100,8 @@
     address: SocketAddr,
     /// The mark that a former owner left.
     left: Option<Standing>,
+    /// Whether it is a claim that an earlier start of the same node left.
+    former: bool,
     /// Nodes that come before this one, as far as they are known.
     rank: u64,
     /// This node's weight for the engine: of two engines, others come before it at this one less
@@ -107,6 +109,19 @@
     weight: u64,
 }
 
+impl Wanted {
+    /// A claim that an earlier start of the same node left.
+    fn former(address: SocketAddr, standing: &Standing) -> Self {
+        Self {
+            address,
+            left: Some(standing.clone()),
+            former: true,
+            rank: 0,
+            weight: 0,
+        }
+    }
+}
+
 /// A node that gave no support.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Doubter {
@@ -162,26 +177,36 @@
     /// Keeps the lease and claims until the task is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut lease = None;
-        self.wait_for_view().await;
         let mut began = None;
         // A node that has left must not claim anew what it gave up.
         while !self.right.left.load(Ordering::Relaxed) {
+            let knew_all = self.view.config().is_some();
             if let Err(error) = self.round(&mut lease, &mut began).await {
                 self.view.touched(false);
                 self.go_on_without(&error).await;
             }
-            tokio::time::sleep(RENEWAL.duration()).await;
+            if knew_all {
+                tokio::time::sleep(RENEWAL.duration()).await;
+            } else {
+                self.wait_for_view().await;
+            }
         }
     }
 
-    /// Waits until the follower has read everything, so that the first round can claim.
+    /// Waits until the follower has read what a round can claim by, a round's pause at most.
     async fn wait_for_view(&self) {
         let began = self.clock.now();
-        while self.view.config().is_none() && self.clock.now().since(began) < RENEWAL {
+        while !self.can_claim() && self.clock.now().since(began) < RENEWAL {
             tokio::time::sleep(FIRST_LOOK.duration()).await;
         }
     }
 
+    /// Whether the follower has read everything, or claims of an earlier start of this node.
+    fn can_claim(&self) -> bool {
+        let state = self.view.state();
+        state.config.is_some() || !self.former_claims(&state).is_empty()
+    }
+
     /// Returns when this node began to look at claims, which is when it got its first lease.
     ///
     /// What happened before that moment is unknown to it. Counted from the start of the
@@ -271,8 +296,12 @@
         match *lease {
             None => {
                 let granted = self.lease.grant(LEASE).await?;
+                // A first lease has no claims of this start yet, and the follower reads those
+                // of others. Read here as well, thousands of claims took longer than the lease.
+                if began.is_some() {
+                    self.read_claims().await?;
+                }
                 began.get_or_insert_with(|| self.begin());
-                self.read_claims().await?;
                 self.register(granted).await?;
                 *lease = Some(granted);
             }
@@ -402,16 +431,17 @@
             if wanted.is_empty() {
                 return Ok(());
             }
-            wanted.truncate(CLAIMS_AT_ONCE);
+            let rest = wanted.split_off(CLAIMS_AT_ONCE.min(wanted.len()));
             let commit = self.store.commit(self.claims(&wanted, lease)).await?;
             let now = self.clock.now();
             if commit.done {
                 for Wanted { address, left, .. } in wanted {
                     self.won(address, left.as_ref(), commit.revision, began, now);
                 }
-                return Ok(());
-            }
-            if !self.learn(&commit.found, now) {
+                if !rest.iter().any(|one| one.former) {
+                    return Ok(());
+                }
+            } else if !self.learn(&commit.found, now) {
                 return Ok(());
             }
         }
@@ -435,6 +465,7 @@
 
     /// Takes in claims that a refused transaction met; returns whether there were any.
     fn learn(&self, found: &[Entry], now: Millis) -> bool {
+        log::info!("right: {} engines were claimed by others", found.len());
         let mut state = self.view.state();
         let mut learnt = false;
         for entry in found {
@@ -481,8 +512,14 @@
         now: Millis,
     ) {
         let turn = self.limits.get().turns + TURN_MARGIN;
-        let former = self.former(&self.view.state(), address, left);
-        let from = former.waited_out(turn, began).max(now);
+        let (former, claims_read) = {
+            let state = self.view.state();
+            let former = self.former(&state, address, left);
+            (former, state.claims_read.unwrap_or(now))
+        };
+        // What vanished before this node knew all claims is as unknown to it as what did before
+        // its first lease.
+        let from = former.waited_out(turn, began.max(claims_read)).max(now);
         let name = former.name();
         self.metrics.takeovers.with_label_values(&[name]).inc();
         log::info!(
@@ -533,7 +570,7 @@
     fn wanted(&self, began: Millis, now: Millis) -> Vec<Wanted> {
         let state = self.view.state();
         let Some(config) = state.config.clone() else {
-            return Vec::new();
+            return self.former_claims(&state);
         };
         let gathered = began + GATHER;
         let mut wanted = Vec::new();
@@ -548,12 +585,7 @@
             let address = upstream.address;
             let standing = state.claims.get(&address);
             if let Some(standing) = standing.filter(|standing| self.is_former(standing)) {
-                wanted.push(Wanted {
-                    address,
-                    left: Some(standing.clone()),
-                    rank: 0,
-                    weight: u64::MAX,
-                });
+                wanted.push(Wanted::former(address, standing));
                 continue;
             }
             if now < gathered || standing.is_some_and(|standing| standing.claim.left.is_none()) {
@@ -579,15 +611,29 @@
                 wanted.push(Wanted {
                     address,
                     left: standing.cloned(),
+                    former: false,
                     rank,
                     weight: weight(seed(address), &self.node),
                 });
             }
         }
-        wanted.sort_by_key(|one| (one.rank, Reverse(one.weight)));
+        wanted.sort_by_key(|one| (!one.former, one.rank, Reverse(one.weight)));
         wanted
     }
 
+    /// Returns the claims of earlier starts of this node, while engines aren't known yet.
+    ///
+    /// They end with their lease within seconds. Whoever took them up only once all engines are
+    /// read would come too late where all nodes read at once.
+    fn former_claims(&self, state: &State) -> Vec<Wanted> {
+        let claims = state.claims.iter();
+        let former = claims
+            .filter(|(address, standing)| self.is_former(standing) && !self.right.owns(**address));
+        former
+            .map(|(address, standing)| Wanted::former(*address, standing))
+            .collect()
+    }
+
     /// Whether a claim is of an earlier start of this node.
     ///
     /// Its process has ended, and to an engine both are one VM: when many nodes
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -214,27 +214,43 @@
         self.heard = now;
     }
 
+    /// Reads everything, and takes each part in as it arrives.
+    ///
+    /// Where all nodes start at once, the service takes seconds to send thousands of entries to
+    /// each. Taken in only when all had arrived, a node's own former claims ended meanwhile.
     async fn read_all(&mut self) -> Result<u64, Error> {
         let began = self.clock.now();
-        let mut entries = Vec::new();
         let mut revision = u64::MAX;
         for prefix in self.dialect.prefixes() {
             let listing = self.store.list(prefix).await?;
             revision = revision.min(listing.revision);
-            entries.extend(listing.entries);
+            if self.holds_upstreams(prefix) {
+                self.alive();
+            }
+            self.replace(prefix, &listing.entries);
         }
-        self.alive();
-        self.replace(&entries);
         self.fresh = began;
+        let took = self.clock.now().since(began);
+        log::info!("follow: everything up to revision {revision} is read, which took {took}");
         Ok(revision)
     }
 
-    fn replace(&mut self, entries: &[Entry]) {
+    /// Whether upstreams stand under a prefix.
+    fn holds_upstreams(&self, prefix: &str) -> bool {
+        matches!(self.dialect.key(&format!("{prefix}any")), Key::Upstream(_))
+    }
+
+    fn replace(&mut self, prefix: &str, entries: &[Entry]) {
         let now = self.clock.now();
         let present: HashSet<String> = entries.iter().map(|entry| entry.key.clone()).collect();
         let view = Arc::clone(&self.view);
         let mut state = view.state();
-        self.drop_absent(&mut state, &present, now);
+        if self.holds_upstreams(prefix) {
+            self.drop_upstreams(&mut state, &present, now);
+        }
+        if self.dialect.own("").starts_with(prefix) {
+            self.drop_own(&mut state, &present, now);
+        }
         for entry in entries {
             self.put(&mut state, entry, now);
         }
@@ -242,7 +258,7 @@
         self.view.changed.notify_waiters();
     }
 
-    fn drop_absent(&self, state: &mut State, present: &HashSet<String>, now: Millis) {
+    fn drop_upstreams(&self, state: &mut State, present: &HashSet<String>, now: Millis) {
         let listed: HashSet<Name> = present
             .iter()
             .filter_map(|key| match self.dialect.key(key) {
@@ -259,6 +275,9 @@
         for incarnation in missing {
             self.vanish(state, &incarnation, now);
         }
+    }
+
+    fn drop_own(&self, state: &mut State, present: &HashSet<String>, now: Millis) {
         state
             .nodes
             .retain(|name, _| present.contains(&self.dialect.own(&format!("{NODES}{name}"))));
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -3,7 +3,7 @@
 //! The follower writes it, requests read it. Nothing here is agreed between
 //! nodes: the key-value service is the arbiter.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -83,6 +83,8 @@
     pub nodes: HashMap<Name, Peer>,
     /// Claims by the engine's address.
     pub claims: HashMap<SocketAddr, Standing>,
+    /// When this node first knew all claims.
+    pub claims_read: Option<Millis>,
     /// Who held a claim last, and when it vanished.
     pub vanished: HashMap<SocketAddr, (Name, Millis)>,
     /// Most nodes ever seen at once.
@@ -226,13 +228,13 @@
 
     /// Takes in all claims, and that those not among them are gone.
     pub fn replace_claims(&mut self, dialect: &dyn Dialect, entries: &[Entry], now: Millis) {
-        let mut present = Vec::new();
+        let mut present = HashSet::new();
         for entry in entries {
             let Key::Own(name) = dialect.key(&entry.key) else {
                 continue;
             };
             if let Some(address) = claimed(&name) {
-                present.push(address);
+                present.insert(address);
                 self.put_claim(address, entry, now);
             }
         }
@@ -241,6 +243,7 @@
 
     /// Takes in that all claims but some are gone.
     pub fn keep_claims(&mut self, now: Millis, kept: impl Fn(SocketAddr) -> bool) {
+        self.claims_read.get_or_insert(now);
         let gone: Vec<SocketAddr> = self
             .claims
             .keys()
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -24,6 +24,8 @@
     pub leases: Vec<LeaseId>,
     /// Calls fail while this is set.
     pub away: bool,
+    /// Listing what stands under this prefix takes so long.
+    pub slow: Option<(String, Millis)>,
     /// History up to here is gone.
     pub compacted: u64,
     /// Spans for which calls for changes offered to wait.
@@ -181,6 +183,10 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        let slow = self.state().slow.clone();
+        if let Some((_, span)) = slow.filter(|(slow, _)| prefix.starts_with(slow.as_str())) {
+            tokio::time::sleep(span.duration()).await;
+        }
         let state = self.reach()?;
         Ok(Listing {
             entries: state
