--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -6,6 +6,7 @@
 //! successor waits until that right has surely ended and the length of a turn
 //! more. docs/design/0007-direct-serving.md has the figures.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -14,17 +15,17 @@
 use bytes::Bytes;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::dialect::Dialect;
+use super::dialect::{Dialect, Key};
 use super::follow::NODES;
 use super::limits::{
     CLAIM_RANK, Current, GATHER, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN,
 };
 use super::right::Right;
-use super::view::{CLAIMS, Claim, Peer, Standing, State, View};
+use super::view::{CLAIMS, Claim, Peer, Standing, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
 use crate::name::Name;
-use crate::ports::{Condition, Error, Lease, LeaseId, Store, Transaction, Write};
+use crate::ports::{Condition, Entry, Error, Lease, LeaseId, Store, Transaction, Write};
 
 /// Seed of the order of nodes for an engine. Changing it moves every claim, so it stays.
 const CLAIM_SEED: u64 = 0x636c_6169_6d73;
@@ -50,6 +51,11 @@
 /// Claims that one transaction makes; the service takes 32 rows.
 const CLAIMS_AT_ONCE: usize = 16;
 
+/// Tries of a round to claim what the service didn't say was taken the time before.
+///
+/// Each costs a call; what is left is tried in the next round.
+const CLAIM_TRIES: u32 = 3;
+
 /// What became of the node that gave an engine its orders before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Former {
@@ -88,6 +94,34 @@
     }
 }
 
+/// An engine that a node may claim.
+#[derive(Debug)]
+struct Wanted {
+    address: SocketAddr,
+    /// The mark that a former owner left.
+    left: Option<Standing>,
+    /// Whether it is a claim that an earlier start of the same node left.
+    former: bool,
+    /// Nodes that come before this one, as far as they are known.
+    rank: u64,
+    /// This node's weight for the engine: of two engines, others come before it at this one less
+    /// probably that has the greater.
+    weight: u64,
+}
+
+impl Wanted {
+    /// A claim that an earlier start of the same node left.
+    fn former(address: SocketAddr, standing: &Standing) -> Self {
+        Self {
+            address,
+            left: Some(standing.clone()),
+            former: true,
+            rank: 0,
+            weight: 0,
+        }
+    }
+}
+
 /// A node that gave no support.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Doubter {
@@ -143,26 +177,36 @@
     /// Keeps the lease and claims until the task is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut lease = None;
-        self.wait_for_view().await;
         let mut began = None;
         // A node that has left must not claim anew what it gave up.
         while !self.right.left.load(Ordering::Relaxed) {
+            let knew_all = self.view.config().is_some();
             if let Err(error) = self.round(&mut lease, &mut began).await {
                 self.view.touched(false);
                 self.go_on_without(&error).await;
             }
-            tokio::time::sleep(RENEWAL.duration()).await;
+            if knew_all {
+                tokio::time::sleep(RENEWAL.duration()).await;
+            } else {
+                self.wait_for_view().await;
+            }
         }
     }
 
-    /// Waits until the follower has read everything, so that the first round can claim.
+    /// Waits until the follower has read what a round can claim by, a round's pause at most.
     async fn wait_for_view(&self) {
         let began = self.clock.now();
-        while self.view.config().is_none() && self.clock.now().since(began) < RENEWAL {
+        while !self.can_claim() && self.clock.now().since(began) < RENEWAL {
             tokio::time::sleep(FIRST_LOOK.duration()).await;
         }
     }
 
+    /// Whether the follower has read everything, or claims of an earlier start of this node.
+    fn can_claim(&self) -> bool {
+        let state = self.view.state();
+        state.config.is_some() || !self.former_claims(&state).is_empty()
+    }
+
     /// Returns when this node began to look at claims, which is when it got its first lease.
     ///
     /// What happened before that moment is unknown to it. Counted from the start of the
@@ -252,8 +296,12 @@
         match *lease {
             None => {
                 let granted = self.lease.grant(LEASE).await?;
+                // A first lease has no claims of this start yet, and the follower reads those
+                // of others. Read here as well, thousands of claims took longer than the lease.
+                if began.is_some() {
+                    self.read_claims().await?;
+                }
                 began.get_or_insert_with(|| self.begin());
-                self.read_claims().await?;
                 self.register(granted).await?;
                 *lease = Some(granted);
             }
@@ -372,31 +420,63 @@
     }
 
     /// Takes over engines that nobody gives orders to, those first that fall to this node.
+    ///
+    /// A transaction makes all its claims or none, and news of others' claims comes seconds
+    /// late. Where hundreds of nodes claim at once, one engine that is taken already would fail
+    /// the same transaction each round; the service's refusal says which it is.
     async fn claim(&self, lease: LeaseId, began: Millis) -> Result<(), Error> {
-        let now = self.clock.now();
-        self.adopt(began, now);
-        let wanted = self.wanted(began, now);
-        if wanted.is_empty() {
-            return Ok(());
+        self.adopt(began, self.clock.now());
+        for _ in 0..CLAIM_TRIES {
+            let mut wanted = self.wanted(began, self.clock.now());
+            if wanted.is_empty() {
+                return Ok(());
+            }
+            let rest = wanted.split_off(CLAIMS_AT_ONCE.min(wanted.len()));
+            let commit = self.store.commit(self.claims(&wanted, lease)).await?;
+            let now = self.clock.now();
+            if commit.done {
+                for Wanted { address, left, .. } in wanted {
+                    self.won(address, left.as_ref(), commit.revision, began, now);
+                }
+                if !rest.iter().any(|one| one.former) {
+                    return Ok(());
+                }
+            } else if !self.learn(&commit.found, now) {
+                return Ok(());
+            }
         }
+        Ok(())
+    }
+
+    /// Returns the transaction that makes claims.
+    fn claims(&self, wanted: &[Wanted], lease: LeaseId) -> Transaction {
         let mut transaction = Transaction::default();
-        for (address, standing) in wanted.iter().take(CLAIMS_AT_ONCE) {
+        for Wanted { address, left, .. } in wanted {
             let key = self.key(*address);
-            transaction.conditions.push(match standing {
+            transaction.conditions.push(match left {
                 Some(left) => Condition::Unchanged(key.clone(), left.revision),
                 None => Condition::Absent(key.clone()),
             });
             let claim = encoded(&self.own_claim(None));
             transaction.writes.push(Write::Put(key, claim, Some(lease)));
         }
-        let commit = self.store.commit(transaction).await?;
-        if commit.done {
-            let now = self.clock.now();
-            for (address, standing) in wanted.into_iter().take(CLAIMS_AT_ONCE) {
-                self.won(address, standing.as_ref(), commit.revision, began, now);
+        transaction
+    }
+
+    /// Takes in claims that a refused transaction met; returns whether there were any.
+    fn learn(&self, found: &[Entry], now: Millis) -> bool {
+        log::info!("right: {} engines were claimed by others", found.len());
+        let mut state = self.view.state();
+        let mut learnt = false;
+        for entry in found {
+            if let Key::Own(name) = self.dialect.key(&entry.key)
+                && let Some(address) = claimed(&name)
+            {
+                state.put_claim(address, entry, now);
+                learnt = true;
             }
         }
-        Ok(())
+        learnt
     }
 
     /// Takes up claims of this start whose write had no answer.
@@ -432,8 +512,14 @@
         now: Millis,
     ) {
         let turn = self.limits.get().turns + TURN_MARGIN;
-        let former = self.former(&self.view.state(), address, left);
-        let from = former.waited_out(turn, began).max(now);
+        let (former, claims_read) = {
+            let state = self.view.state();
+            let former = self.former(&state, address, left);
+            (former, state.claims_read.unwrap_or(now))
+        };
+        // What vanished before this node knew all claims is as unknown to it as what did before
+        // its first lease.
+        let from = former.waited_out(turn, began.max(claims_read)).max(now);
         let name = former.name();
         self.metrics.takeovers.with_label_values(&[name]).inc();
         log::info!(
@@ -477,11 +563,14 @@
         }
     }
 
-    /// Returns engines without an owner, with the mark that a former one left.
-    fn wanted(&self, began: Millis, now: Millis) -> Vec<(SocketAddr, Option<Standing>)> {
+    /// Returns engines without an owner, those first that fall to this node.
+    ///
+    /// Nodes that start together know few of each other yet. By rank alone each would take any
+    /// engine for its own; by weight too, they begin with different ones.
+    fn wanted(&self, began: Millis, now: Millis) -> Vec<Wanted> {
         let state = self.view.state();
         let Some(config) = state.config.clone() else {
-            return Vec::new();
+            return self.former_claims(&state);
         };
         let gathered = began + GATHER;
         let mut wanted = Vec::new();
@@ -496,7 +585,7 @@
             let address = upstream.address;
             let standing = state.claims.get(&address);
             if let Some(standing) = standing.filter(|standing| self.is_former(standing)) {
-                wanted.push((address, Some(standing.clone())));
+                wanted.push(Wanted::former(address, standing));
                 continue;
             }
             if now < gathered || standing.is_some_and(|standing| standing.claim.left.is_none()) {
@@ -519,12 +608,32 @@
                 None => {}
             }
             if passed >= patience {
-                wanted.push((address, standing.cloned()));
+                wanted.push(Wanted {
+                    address,
+                    left: standing.cloned(),
+                    former: false,
+                    rank,
+                    weight: weight(seed(address), &self.node),
+                });
             }
         }
+        wanted.sort_by_key(|one| (!one.former, one.rank, Reverse(one.weight)));
         wanted
     }
 
+    /// Returns the claims of earlier starts of this node, while engines aren't known yet.
+    ///
+    /// They end with their lease within seconds. Whoever took them up only once all engines are
+    /// read would come too late where all nodes read at once.
+    fn former_claims(&self, state: &State) -> Vec<Wanted> {
+        let claims = state.claims.iter();
+        let former = claims
+            .filter(|(address, standing)| self.is_former(standing) && !self.right.owns(**address));
+        former
+            .map(|(address, standing)| Wanted::former(*address, standing))
+            .collect()
+    }
+
     /// Whether a claim is of an earlier start of this node.
     ///
     /// Its process has ended, and to an engine both are one VM: when many nodes
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -26,6 +26,8 @@
     pub away: bool,
     /// Reads that begin while this is set never end.
     pub silent: bool,
+    /// Listing what stands under this prefix takes so long.
+    pub slow: Option<(String, Millis)>,
     /// History up to here is gone.
     pub compacted: u64,
     /// Spans for which calls for changes offered to wait.
@@ -95,6 +97,16 @@
         }
     }
 
+    /// Returns what stands under the keys of conditions.
+    pub fn under(&self, conditions: &[Condition]) -> Vec<Entry> {
+        let keys = conditions.iter().map(|condition| match condition {
+            Condition::Absent(key) | Condition::Unchanged(key, _) => key,
+        });
+        keys.filter_map(|key| self.entries.get(key))
+            .cloned()
+            .collect()
+    }
+
     /// Makes a transaction; none means that a condition did not hold.
     pub fn commit(&mut self, transaction: &Transaction) -> Option<u64> {
         if !transaction.conditions.iter().all(|one| self.holds(one)) {
@@ -181,6 +193,10 @@
 
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
         self.silence().await;
+        let slow = self.state().slow.clone();
+        if let Some((_, span)) = slow.filter(|(slow, _)| prefix.starts_with(slow.as_str())) {
+            tokio::time::sleep(span.duration()).await;
+        }
         let state = self.reach()?;
         Ok(Listing {
             entries: state
@@ -194,14 +210,20 @@
     }
 
     async fn commit(&self, transaction: Transaction) -> Result<Commit, Error> {
-        let revision = {
+        let (revision, found) = {
             let mut state = self.reach()?;
-            state.commit(&transaction)
+            let revision = state.commit(&transaction);
+            let found = match revision {
+                Some(_) => Vec::new(),
+                None => state.under(&transaction.conditions),
+            };
+            (revision, found)
         };
         self.changed.notify_waiters();
         Ok(Commit {
             done: revision.is_some(),
             revision: revision.unwrap_or_default(),
+            found,
         })
     }
 }
