--- a/lib/src/membership/fleet.rs
+++ b/lib/src/membership/fleet.rs
@@ -35,7 +35,7 @@
 pub struct Owner {
     /// The node's name.
     pub node: Name,
-    /// Which start of the node; a restarted node owns nothing of its former self.
+    /// Which start of the node; a restarted node owns nothing of its previous start.
     pub incarnation: u64,
     /// The claim's fencing token; the larger one is the newer.
     pub token: u64,
--- a/lib/src/membership/guard.rs
+++ b/lib/src/membership/guard.rs
@@ -31,8 +31,8 @@
     SettleClaim,
     /// An upstream is handed over only after it was released.
     ReleaseFirst,
-    /// A restarted node waits until its former self's record is gone.
-    FormerSelf,
+    /// A restarted node waits until its previous start's record is gone.
+    PreviousStart,
     /// Witnesses change only while no support is counted on.
     WitnessesFixed,
     /// What was read at an older revision of the service changes nothing.
@@ -60,7 +60,7 @@
         Self::LapseFinal,
         Self::SettleClaim,
         Self::ReleaseFirst,
-        Self::FormerSelf,
+        Self::PreviousStart,
         Self::WitnessesFixed,
         Self::StaleRead,
         Self::PanicThreshold,
--- a/lib/src/membership/machine/lease.rs
+++ b/lib/src/membership/machine/lease.rs
@@ -175,11 +175,11 @@
             .keys
             .registration(&self.identity.name, self.identity.incarnation);
         let living = self.session.as_ref().filter(|session| !session.dead);
-        // The record of a former start of this node stands until its lease ends;
+        // The record of a previous start of this node stands until its lease ends;
         // that start may still run, paused, and believe in its bound.
         let conditions = match living {
             Some(session) => vec![Condition::Unchanged(key.clone(), session.record.revision)],
-            None if self.guards.on(Guard::FormerSelf) => vec![Condition::Absent(key.clone())],
+            None if self.guards.on(Guard::PreviousStart) => vec![Condition::Absent(key.clone())],
             None => Vec::new(),
         };
         let writes = vec![
@@ -245,7 +245,7 @@
         }
         match result {
             Ok(commit) if commit.done => self.joined(now, join, commit.revision, true),
-            // What stands under the key is this node's own late write, or its former self's.
+            // What stands under the key is this node's own late write, or its previous start's.
             Ok(_) | Err(Error::NoAnswer(_) | Error::Malformed(_)) => self.settle(now, join),
             Err(Error::Unreachable(_) | Error::Refused(_)) => self.retry_join(now),
         }
--- a/lib/src/membership/witness.rs
+++ b/lib/src/membership/witness.rs
@@ -102,7 +102,7 @@
 
     /// Notes the revision of this node's own registration, which is a write of this start.
     ///
-    /// A registration with a higher revision is younger than this witness, so no former
+    /// A registration with a higher revision is younger than this witness, so no previous
     /// start of it can have withdrawn it. Without this, nodes that started together would
     /// vote for nobody in an outage that begins within [`Limits::quiet`] of the start: their
     /// leases would lapse before the first vote, and callers be refused at every upstream.
--- a/lib/tests/test_ownership_fuzz.rs
+++ b/lib/tests/test_ownership_fuzz.rs
@@ -152,7 +152,7 @@
         (Guard::WitnessWaits, 4),
         (Guard::SettleClaim, 8),
         (Guard::ReleaseFirst, 1),
-        (Guard::FormerSelf, 8794),
+        (Guard::PreviousStart, 8794),
         (Guard::WitnessesFixed, 570),
     ];
     for (guard, seed) in found {
