--- a/bench/src/policy/world/mod.rs
+++ b/bench/src/policy/world/mod.rs
@@ -208,7 +208,7 @@
         self.close();
     }
 
-    /// Whether every caller has given up, which ends a run in which a policy lost requests.
+    /// Whether every deadline has passed for long, which ends a run in which a policy lost requests.
     fn past_all_bounds(&self) -> bool {
         let longest = Millis::from_secs(2 * 600);
         let last = self.workload.requests.last();
--- a/lib/src/membership/hold.rs
+++ b/lib/src/membership/hold.rs
@@ -1,4 +1,4 @@
-//! The right to give orders to an upstream, bounded in time.
+//! Leased ownership of an upstream, bounded in time by this node's own clock.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -37,7 +37,7 @@
         self.token
     }
 
-    /// Returns when the right ends, on this node's monotonic clock.
+    /// Returns when the lease on the upstream ends, on this node's monotonic clock.
     #[must_use]
     pub fn until(&self) -> Millis {
         Millis(self.until.load(Ordering::Acquire))
--- a/lib/src/membership/limits.rs
+++ b/lib/src/membership/limits.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Returns the part of a span that is given up because clocks run at different rates.
+/// Returns the part of a span that is not counted on because clocks run at different rates.
 #[must_use]
 pub const fn drift(span: Millis) -> Millis {
     Millis(span.0.div_ceil(DRIFT_PART))
--- a/lib/src/membership/machine/call.rs
+++ b/lib/src/membership/machine/call.rs
@@ -56,13 +56,13 @@
 pub enum Action {
     /// Make a call and return its answer.
     Call(u64, Call),
-    /// Serve an upstream under a claim; the bound moves while the right lasts.
+    /// Serve an upstream under a claim; the bound moves while the lease lasts.
     Adopt {
         /// The upstream.
         upstream: Name,
         /// The claim's fencing token.
         token: u64,
-        /// When the right ends, on the node's clock.
+        /// When ownership ends, on the node's clock.
         until: Arc<AtomicU64>,
     },
     /// Something rare that operators should be able to count.
--- a/lib/src/membership/machine/claims.rs
+++ b/lib/src/membership/machine/claims.rs
@@ -1,4 +1,4 @@
-//! Claiming and adopting upstreams, and giving them up.
+//! Claiming, adopting and relinquishing upstreams.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -323,7 +323,7 @@
             .collect();
         for upstream in lost {
             self.note("claim_lost");
-            self.give_up(now, &upstream);
+            self.relinquish(now, &upstream);
         }
         self.retire(now);
         if !self.may_adopt() {
@@ -391,8 +391,8 @@
         });
     }
 
-    /// Gives the right to an upstream up at once; running requests go on to their end.
-    pub(super) fn give_up(&mut self, now: Millis, upstream: &Name) {
+    /// Relinquishes an upstream at once; running requests go on to their end.
+    pub(super) fn relinquish(&mut self, now: Millis, upstream: &Name) {
         let Some(held) = self.holds.remove(upstream) else {
             return;
         };
--- a/lib/src/membership/machine/lease.rs
+++ b/lib/src/membership/machine/lease.rs
@@ -22,7 +22,7 @@
     pub lease: LeaseId,
     pub span: Millis,
     pub record: Record,
-    /// When the lease's part of the right ends.
+    /// When ownership ends as far as the lease goes; witnesses may extend it.
     pub service_until: Millis,
     /// When the last renewal that succeeded was sent.
     pub renewed: Millis,
--- a/lib/src/membership/machine/mod.rs
+++ b/lib/src/membership/machine/mod.rs
@@ -69,7 +69,7 @@
     // A registration with other witnesses may yet take effect.
     doubtful: bool,
     next_join: Millis,
-    // Whether the node has the right to own, and until when.
+    // Whether the node may own upstreams, and until when.
     eligible: bool,
     eligible_since: Millis,
     until: Millis,
@@ -283,19 +283,19 @@
         self.last_service.map(|at| now.since(at))
     }
 
-    /// Whether this node has the right to own upstreams now.
+    /// Whether this node may own upstreams now.
     #[must_use]
     pub fn eligible(&self) -> bool {
         self.eligible
     }
 
-    /// Returns when the node's right ends.
+    /// Returns when the node's ownership ends unless it is extended.
     #[must_use]
     pub fn until(&self) -> Millis {
         self.until
     }
 
-    /// Whether the right rests on witnesses since the service can't be reached.
+    /// Whether ownership rests on witnesses since the service can't be reached.
     #[must_use]
     pub fn outage(&self) -> bool {
         let service = self.session.as_ref().map(|session| session.service_until);
@@ -386,7 +386,7 @@
         self.note("lapsed");
         let lost: Vec<Name> = self.holds.keys().cloned().collect();
         for upstream in lost {
-            self.give_up(now, &upstream);
+            self.relinquish(now, &upstream);
         }
     }
 
--- a/lib/src/membership/machine/stop.rs
+++ b/lib/src/membership/machine/stop.rs
@@ -72,7 +72,7 @@
     fn finish_stop(&mut self, now: Millis, stopping: Stopping) {
         let left: Vec<Name> = self.holds.keys().cloned().collect();
         for upstream in left {
-            self.give_up(now, &upstream);
+            self.relinquish(now, &upstream);
         }
         self.eligible = false;
         self.until = now;
--- a/lib/src/policy/upstream/load.rs
+++ b/lib/src/policy/upstream/load.rs
@@ -154,7 +154,7 @@
     /// Uses a permit to load, or gives it back.
     pub(super) fn grant(&mut self, adapter: &Adapter, now: Millis, actions: &mut Vec<Action>) {
         let asked = self.asked.remove(adapter);
-        self.give_up_hopeless(adapter, now, actions);
+        self.refuse_hopeless(adapter, now, actions);
         let prefetch = asked.is_some_and(|asked| asked.demand.class.is_none());
         let wanted = self.queue.is_blocked(adapter) || prefetch;
         let begun = wanted && !self.leaving && self.begin(adapter, prefetch, now, actions);
@@ -204,7 +204,7 @@
     /// Refuses waiting requests that a load begun now could no longer serve in time.
     ///
     /// A load for them would be wasted, and each load is one that others wait for.
-    fn give_up_hopeless(&mut self, adapter: &Adapter, now: Millis, actions: &mut Vec<Action>) {
+    fn refuse_hopeless(&mut self, adapter: &Adapter, now: Millis, actions: &mut Vec<Action>) {
         let loaded = now + self.limits.load_time;
         let hopeless: Vec<_> = self
             .queue
