policy, config, gossip: a timeout is a timeout

Cause: patience, nap and peers that vanish without a word were metaphors. Change: policy::loads::Limits.patience, config's PATIENCE and the bench's Request::patience are timeouts, naps are pauses, and the comments around them say what happens.

--- a/bench/src/policy/clairvoyant.rs
+++ b/bench/src/policy/clairvoyant.rs
@@ -46,7 +46,7 @@
 struct Use {
     id: u32,
     at: f64,
-    patience: f64,
+    timeout: f64,
 }
 
 /// Rent and price of each window, and what the plans used of it.
@@ -169,7 +169,7 @@
         for (id, request) in (0_u32..).zip(&workload.requests) {
             if workload.counts(request) {
                 let each = part(id, request);
-                end = end.max(each.at + each.patience);
+                end = end.max(each.at + each.timeout);
                 uses.entry(request.adapter).or_default().push(each);
             }
         }
@@ -290,7 +290,7 @@
         resident: &[f64],
     ) -> (f64, Choice) {
         let this = uses[index];
-        let mut best = (this.patience + absent[index + 1], Choice::Refuse);
+        let mut best = (this.timeout + absent[index + 1], Choice::Refuse);
         if self.foresight == Foresight::Prefetch {
             let cost = self.windows.prefetch(this.at) + resident[index];
             if cost < best.0 {
@@ -299,7 +299,7 @@
         }
         // With rents up to one, a load starts at once or where its price falls.
         let mut start = this.at;
-        while start - this.at < best.0.min(this.patience) {
+        while start - this.at < best.0.min(this.timeout) {
             let (cost, next) = self.load_at(uses, index, start, absent, resident);
             if cost < best.0 {
                 best = (cost, Choice::Load { start, next });
@@ -322,7 +322,7 @@
         let mut cost = self.windows.price_within(uses[index].at, done).0 + self.rent(start, done);
         let mut next = index;
         while next < uses.len() && uses[next].at <= done {
-            cost += (done - uses[next].at).min(uses[next].patience);
+            cost += (done - uses[next].at).min(uses[next].timeout);
             next += 1;
         }
         cost += self.onward(uses, done, next, absent, resident);
@@ -355,7 +355,7 @@
             }
             match choices[index] {
                 Choice::Refuse => {
-                    plans.stalls[this.id as usize] = this.patience;
+                    plans.stalls[this.id as usize] = this.timeout;
                     index += 1;
                 }
                 Choice::Prefetched => {
@@ -371,7 +371,7 @@
                     plans.loads[window] += 1.0;
                     self.book_rent(start, done, plans);
                     for each in &uses[index..next] {
-                        plans.stalls[each.id as usize] = (done - each.at).min(each.patience);
+                        plans.stalls[each.id as usize] = (done - each.at).min(each.timeout);
                     }
                     since = Some(done);
                     index = next;
@@ -402,6 +402,6 @@
     Use {
         id,
         at: micros(request.arrival) / 1000.0,
-        patience: micros(request.patience()) / 1000.0,
+        timeout: micros(request.timeout()) / 1000.0,
     }
 }
--- a/bench/src/policy/measure.rs
+++ b/bench/src/policy/measure.rs
@@ -107,18 +107,18 @@
             }
             Ending::Answered => {
                 row.late += 1;
-                request.patience()
+                request.timeout()
             }
             Ending::Refused(code) => {
                 row.refused += 1;
                 *row.refusals.entry(code.name()).or_default() += 1;
                 let figures = row.classes.entry(request.class.name()).or_default();
                 *figures.refusals.entry(code.name()).or_default() += 1;
-                request.patience()
+                request.timeout()
             }
             _ => {
                 row.lost += 1;
-                request.patience()
+                request.timeout()
             }
         };
         stalls[class].push(stall.0);
@@ -186,7 +186,7 @@
         let stall = millis(stall * 1000.0);
         row.requests += 1;
         stalls[class].push(stall.0);
-        if stall >= request.patience() {
+        if stall >= request.timeout() {
             row.refused += 1;
         } else {
             row.answered += 1;
--- a/bench/src/policy/traffic.rs
+++ b/bench/src/policy/traffic.rs
@@ -28,7 +28,7 @@
     /// Returns the span in which the caller needs the whole answer.
     ///
     /// Traces have no deadlines, so each class has one for every policy alike.
-    pub fn patience(&self) -> Millis {
+    pub fn timeout(&self) -> Millis {
         match self.class {
             Class::Urgent => Millis::from_secs(20),
             Class::Normal => Millis::from_secs(60),
@@ -38,7 +38,7 @@
 
     /// Returns when the caller has no more use for the answer.
     pub fn deadline(&self) -> Millis {
-        self.arrival + self.patience()
+        self.arrival + self.timeout()
     }
 }
 
--- a/lib/src/config/follower.rs
+++ b/lib/src/config/follower.rs
@@ -28,7 +28,7 @@
 /// How often a node looks whether it is to watch, in milliseconds.
 const ROLE_CHECK: Millis = Millis(2_000);
 /// How long peers may take to bring a revision that was heard of, in milliseconds.
-const PATIENCE: Millis = Millis(3_000);
+const PEER_TIMEOUT: Millis = Millis(3_000);
 
 /// Follows the service until the keeper stops.
 pub(super) async fn run(keeper: Arc<Keeper>) {
@@ -145,12 +145,12 @@
     /// Leaves the service alone while peers keep this node fresh.
     async fn listen(&mut self) -> Result<(), Failure> {
         let keeper = Arc::clone(&self.keeper);
-        let nap = ROLE_CHECK.jittered(&mut self.rng);
+        let pause = ROLE_CHECK.jittered(&mut self.rng);
         tokio::select! {
-            () = tokio::time::sleep(nap.duration()) => {}
+            () = tokio::time::sleep(pause.duration()) => {}
             () = keeper.behind.notified() => {
-                let patience = PATIENCE.jittered(&mut self.rng);
-                tokio::time::sleep(patience.duration()).await;
+                let pause = PEER_TIMEOUT.jittered(&mut self.rng);
+                tokio::time::sleep(pause.duration()).await;
             }
         }
         if self.needs_service() {
--- a/lib/src/config/state.rs
+++ b/lib/src/config/state.rs
@@ -55,7 +55,7 @@
     pub revision: u64,
     /// Why.
     pub why: view::Error,
-    /// Where it came from; one damaged peer mustn't keep the service's word away.
+    /// Where it came from; one damaged peer mustn't keep the service's revision away.
     pub origin: Origin,
     /// When it was refused.
     pub at: Millis,
--- a/lib/src/gossip/keeper.rs
+++ b/lib/src/gossip/keeper.rs
@@ -178,8 +178,8 @@
             } else {
                 self.parts.limits.first_period
             };
-            let nap = lock(&self.choice).jitter(period);
-            tokio::time::sleep(nap.duration()).await;
+            let pause = lock(&self.choice).jitter(period);
+            tokio::time::sleep(pause.duration()).await;
             if let Some(peer) = self.draw(1).pop() {
                 // A peer that takes long must not hold up the next round.
                 tokio::spawn(Arc::clone(&self).until_stop_with(peer));
@@ -213,8 +213,8 @@
             };
             for wave in 0..self.parts.limits.waves {
                 if wave > 0 {
-                    let nap = lock(&self.choice).jitter(self.parts.limits.wave_pause);
-                    tokio::time::sleep(nap.duration()).await;
+                    let pause = lock(&self.choice).jitter(self.parts.limits.wave_pause);
+                    tokio::time::sleep(pause.duration()).await;
                 }
                 let peers = self.draw(self.parts.limits.fan_out);
                 let count = peers.len();
@@ -392,7 +392,7 @@
             ..Delta::default()
         };
         // A node that was paused reads requests that are as old as its pause,
-        // and can't tell: only answers prove how fresh their words are.
+        // and can't tell: only answers prove how old what they tell is.
         let theirs = Digest {
             confirmed_age_ms: 0,
             ..digest
@@ -421,7 +421,7 @@
 /// Adds the time that an answer was under way to the ages that it tells.
 ///
 /// The peer stated them when it answered, at some time after the request left;
-/// taking them as of now could make a paused node's word look fresh.
+/// taking them as of now could make a paused node's state look new.
 fn grow_older(delta: &mut Delta, span: Millis) {
     let Some(digest) = &mut delta.digest else {
         return;
--- a/lib/src/gossip/rank.rs
+++ b/lib/src/gossip/rank.rs
@@ -10,7 +10,7 @@
 /// Whether a node is among the first `count` of its region.
 ///
 /// The order is a rendezvous hash of the names: nodes that see the same peers
-/// agree without a word, and a node that comes or goes moves one place. While
+/// agree without a message, and a node that comes or goes moves one place. While
 /// pictures differ, one too many or one too few do it, which must be harmless.
 #[must_use]
 pub fn is_among(node: &str, region: &str, peers: &[Peer], count: usize) -> bool {
--- a/lib/src/loads/shared.rs
+++ b/lib/src/loads/shared.rs
@@ -23,7 +23,7 @@
 use crate::policy;
 
 /// Loads that a lost holder of a permit may hold up, in loads at the store's rate.
-const PATIENCE_LOADS: u64 = 10;
+const TIMEOUT_LOADS: u64 = 10;
 
 /// Time between two tries of an owner that gives no permit.
 const OWNER_AGAIN: Millis = Millis::from_secs(2);
@@ -58,7 +58,7 @@
         let load = load_time(parts.loads_per_kilosecond);
         let limits = |spacing| Limits {
             order: policy::loads::Limits {
-                patience: Millis(load.0.saturating_mul(PATIENCE_LOADS)),
+                timeout: Millis(load.0.saturating_mul(TIMEOUT_LOADS)),
                 ..policy::loads::Limits::default()
             },
             spacing,
--- a/lib/src/membership/keeper/mod.rs
+++ b/lib/src/membership/keeper/mod.rs
@@ -170,9 +170,9 @@
     pub async fn drain(self: &Arc<Self>, limit: Millis) {
         let mut drained = self.drained.subscribe();
         self.step(|core, now| core.machine.drain(now, limit));
-        let patience = limit + self.parts.limits.call_timeout;
+        let longest = limit + self.parts.limits.call_timeout;
         let done = drained.wait_for(|done| *done);
-        if timeout(patience.duration(), done).await.is_err() {
+        if timeout(longest.duration(), done).await.is_err() {
             warn!("membership: the planned stop took longer than {limit}");
         }
     }
--- a/lib/src/membership/upstreams.rs
+++ b/lib/src/membership/upstreams.rs
@@ -22,7 +22,7 @@
 const LONGEST_HOLD: Millis = Millis::from_secs(60);
 /// Time without a failure after which an upstream's earlier ones are forgotten.
 const FORGIVEN: Millis = Millis::from_secs(90);
-/// How long a peer's sign that an upstream leaves stands without the list's word.
+/// How long a peer's sign that an upstream leaves counts while the list doesn't say so too.
 const SIGN: Millis = Millis::from_secs(60);
 /// Signs of leaving that are kept and passed on.
 const SIGNS: usize = 64;
--- a/lib/src/policy/loads.rs
+++ b/lib/src/policy/loads.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
     /// After this span a load that hasn't told its end is taken for lost, and the queue goes on.
-    pub patience: Millis,
+    pub timeout: Millis,
     /// Every so many grants the class that was served longest ago goes first, so
     /// that none waits for as long as others ask.
     pub turn_every: u32,
@@ -33,7 +33,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            patience: Millis::from_secs(10),
+            timeout: Millis::from_secs(10),
             turn_every: 16,
             congested: Millis(2_500),
             waiting: 16_384,
@@ -154,7 +154,7 @@
         let key = self.pick(now)?;
         let granted = self.waiting.remove(&key)?;
         self.count(&granted.ask, now);
-        self.current = Some((key, now + self.limits.patience));
+        self.current = Some((key, now + self.limits.timeout));
         Some((key, granted.ask))
     }
 
--- a/lib/src/ports/http.rs
+++ b/lib/src/ports/http.rs
@@ -22,7 +22,7 @@
 /// How long a connection may be silent before the system probes it.
 ///
 /// A watch waits in silence for hours; without probes a service that vanished
-/// without a word would leave it waiting for ever.
+/// without closing the connection would leave it waiting for ever.
 const KEEPALIVE: Millis = Millis::from_secs(10);
 
 /// Headers that concern one connection only, by RFC 9110, 7.6.1.
--- a/lib/src/ports/link.rs
+++ b/lib/src/ports/link.rs
@@ -237,7 +237,7 @@
     }
 }
 
-/// Makes the system notice a peer that has vanished without a word.
+/// Makes the system notice a peer that has vanished without closing the connection.
 ///
 /// # Errors
 ///
