direct: a gap between events is kept until those before it are passed on

Callers would see: a 200 that ends in order and lacks events. Cause: a gap behind events of the same piece was forgotten when those were passed on; an engine that ended in order then made the answer look whole. Change: direct::sequence keeps the order of a stream's events, whichever upstreams they come from, and the gap. Failed first: stream_with_events_missing_does_not_look_whole.

--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -35,6 +35,7 @@
 pub mod right;
 pub mod roles;
 pub mod sends;
+pub mod sequence;
 pub mod serve;
 pub mod sse;
 pub mod target;
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -1,6 +1,6 @@
 //! A stream on its way to the caller, continued elsewhere if its upstream breaks off.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::stream::{self, Stream};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
@@ -10,7 +10,7 @@
 use super::entry::{CLASS, seconds};
 use super::handover::{Handover, Moved, TRANSFER};
 use super::record::{self, End};
-use super::sse::Splitter;
+use super::sequence::{Sequence, Step};
 use super::trip::{LOOK, Trip};
 use crate::clock::Millis;
 
@@ -42,33 +42,20 @@
 struct Relay {
     trip: Trip,
     answer: Option<Answer>,
-    splitter: Splitter,
-    last: Option<u64>,
+    events: Sequence,
     passed_on: Option<Millis>,
     handover: Option<Handover>,
     /// Whether it was told how the stream went where it stayed.
     judged: bool,
 }
 
-/// What a body gives when it is read on; none at its end.
-type Received = Option<Result<Frame<Bytes>, hyper::Error>>;
-
-/// What reading on led to.
-enum Step {
-    Events(Bytes),
-    More,
-    End,
-    Broken(String),
-}
-
 /// Makes the body that the caller gets.
 pub fn body(trip: Trip, answer: Answer) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> + Send {
-    let last = trip.message.call.resume_after;
+    let events = Sequence::new(trip.message.call.resume_after);
     let relay = Relay {
         trip,
         answer: Some(answer),
-        splitter: Splitter::default(),
-        last,
+        events,
         passed_on: None,
         handover: None,
         judged: false,
@@ -253,7 +240,7 @@
         };
         former.upstream.succeeded();
         self.answer = None;
-        self.splitter.clear();
+        self.events.restart();
         self.continue_moved(&moved).await
     }
 
@@ -270,16 +257,16 @@
             for place in &moved.places {
                 let sent = self
                     .trip
-                    .continue_run(place, moved.memory.clone(), self.last);
+                    .continue_run(place, moved.memory.clone(), self.events.last());
                 match sent.await {
                     Ok(answer) => {
-                        record::moved(&self.trip, &place.upstream, self.last, "goes on");
+                        record::moved(&self.trip, &place.upstream, self.events.last(), "goes on");
                         self.trip.pace.moved += 1;
                         self.answer = Some(answer);
                         return true;
                     }
                     Err(miss) => {
-                        record::moved(&self.trip, &place.upstream, self.last, miss.name());
+                        record::moved(&self.trip, &place.upstream, self.events.last(), miss.name());
                         // It may run there: nobody else may go on with it.
                         if matches!(miss, Miss::Lost(..)) {
                             return false;
@@ -298,26 +285,16 @@
         if now >= self.trip.until {
             return Step::Broken("the time is up".to_owned());
         }
+        if let Some(step) = self.events.known() {
+            return step;
+        }
         let span = self.patience(now);
         let Some(answer) = &mut self.answer else {
             return Step::Broken("there is no answer".to_owned());
         };
         match tokio::time::timeout(span.duration(), answer.body.frame()).await {
             Err(_) => self.stalled(span).await,
-            Ok(received) => self.received(received),
-        }
-    }
-
-    /// Takes in what came from the upstream.
-    fn received(&mut self, received: Received) -> Step {
-        match received {
-            Some(Err(error)) => Step::Broken(error.to_string()),
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(data) => self.take(&data),
-                Err(_) => Step::More,
-            },
-            None if self.splitter.has_rest() => Step::Broken("it ended within an event".to_owned()),
-            None => Step::End,
+            Ok(received) => self.events.receive(received),
         }
     }
 
@@ -354,17 +331,17 @@
         self.trip.broke(&former.upstream);
         let found = tokio::select! {
             biased;
-            answer = self.trip.answer(self.last) => answer.ok(),
+            answer = self.trip.answer(self.events.last()) => answer.ok(),
             received = former.body.frame() => {
                 self.answer = Some(former);
-                return self.received(received);
+                return self.events.receive(received);
             }
         };
         let began = found.filter(|answer| answer.head.status.is_success());
         if began.is_some() {
             self.trip.gate.count_retry("resumed");
-            record::resumed(&self.trip, self.last, told);
-            self.splitter.clear();
+            record::resumed(&self.trip, self.events.last(), told);
+            self.events.restart();
         } else {
             record::stays(&self.trip, &former.upstream);
         }
@@ -379,7 +356,7 @@
         }
         let pause = self.trip.route.pause.unwrap_or(USUAL_PAUSE);
         let stall = Millis(pause.0 * STALL_PAUSES);
-        let first = if self.last == self.trip.message.call.resume_after {
+        let first = if self.events.last() == self.trip.message.call.resume_after {
             self.trip.route.objective
         } else {
             Millis::ZERO
@@ -387,34 +364,6 @@
         left.min(stall + first)
     }
 
-    /// Passes on the whole events among what came, if each follows the one before.
-    fn take(&mut self, data: &[u8]) -> Step {
-        self.splitter.push(data);
-        let mut whole = BytesMut::new();
-        while let Some(event) = self.splitter.event() {
-            if let (Some(id), Some(last)) = (event.id, self.last)
-                && id != last + 1
-            {
-                if whole.is_empty() {
-                    return Step::Broken(format!("event {id} follows event {last}"));
-                }
-                break;
-            }
-            if event.id.is_some() {
-                self.last = event.id;
-            }
-            whole.extend_from_slice(&event.bytes);
-        }
-        if self.splitter.overflows() {
-            return Step::Broken("an event is too long".to_owned());
-        }
-        if whole.is_empty() {
-            Step::More
-        } else {
-            Step::Events(whole.freeze())
-        }
-    }
-
     fn keep(&mut self) {
         if let Some(answer) = self.answer.take() {
             answer.upstream.succeeded();
@@ -432,7 +381,7 @@
         // Dropping the answer closes its connection, so that the former
         // upstream stops before another begins.
         let former = self.answer.take();
-        self.splitter.clear();
+        self.events.restart();
         if let Some(former) = former {
             let upstream = std::sync::Arc::clone(&former.upstream);
             drop(former);
@@ -442,10 +391,10 @@
             return Err(Cut(told.to_owned()));
         }
         self.trip.gate.count_retry("resumed");
-        record::resumed(&self.trip, self.last, told);
+        record::resumed(&self.trip, self.events.last(), told);
         let answer = self
             .trip
-            .answer(self.last)
+            .answer(self.events.last())
             .await
             .map_err(|failure| Cut(format!("{told}; then {failure}")))?;
         if !answer.head.status.is_success() {
