direct: nothing that can bring a stream's next event is given up before something else does

Callers would see: a stream cut though another engine was about to go on, or though its memory lay ready; a short answer that looks whole; one run twice at one engine. The end of a silent engine's answer ended the wait for the other one; the search for another engine could come back to the silent one; the memory of a stopped run was given up for a reading anew that could be rejected; an end in order was believed before the engine had said whether the run was stopped; a silence counted against its engine at each stall and for each stream; the question to move a run outlived its caller. Change: direct::resume holds how a stream goes on. The answer to the question to move a run is awaited beside the stream's events and never forgotten; memory, reading anew, and memory again are tried in this order; a silence counts once. Failed first: stream_waits_for_the_other_engine_when_its_own_breaks, stream_is_not_sent_again_to_its_silent_engine, stream_resumable_moved_waits_for_a_place, stream_resumable_waits_for_the_copy_of_its_memory, stream_stopped_in_order_does_not_look_whole, stream_resumable_stopped_in_order_does_not_look_whole. Ruled out as a proof: stream_is_read_while_a_question_to_move_it_is_unanswered passes on the former code too.

--- a/lib/src/direct/handover.rs
+++ b/lib/src/direct/handover.rs
@@ -8,8 +8,9 @@
 use std::sync::Arc;
 
 use smallvec::{SmallVec, smallvec};
-use tokio::task::JoinHandle;
+use tokio_util::task::AbortOnDropHandle;
 
+use super::attempt::Answer;
 use super::dialect::{Memory, Transferred};
 use super::entry::Gate;
 use super::question;
@@ -17,17 +18,27 @@
 use super::upstream::Upstream;
 use crate::clock::Millis;
 
-/// How long a stream that seems whole waits for an engine that doesn't say whether it moved it.
-///
-/// An answer takes 20 ms at the median and 119 ms at 99 in 100, most of it the end of a step.
-pub const TRANSFER: Millis = Millis(500);
-
 /// A run that is being moved.
+///
+/// Dropping it ends the question.
 #[derive(Debug)]
 pub struct Handover {
-    target: Target,
+    target: Option<Target>,
     source: Arc<Upstream>,
-    asked: JoinHandle<Transferred>,
+    /// Version of the adapter that the run began on.
+    version: Option<u64>,
+    asked: AbortOnDropHandle<Transferred>,
+}
+
+/// What an engine said to the question to move a run.
+#[derive(Debug)]
+pub enum Reply {
+    /// It was stopped, and can go on.
+    Stopped(Box<Moved>),
+    /// It was not stopped.
+    Unchanged,
+    /// Nothing so far.
+    Unanswered,
 }
 
 /// Where a run that was stopped can go on.
@@ -47,54 +58,59 @@
     pub fn begin(
         gate: &Arc<Gate>,
         id: &str,
-        source: &Arc<Upstream>,
+        answer: &Answer,
         target: Target,
         left: Millis,
     ) -> Self {
+        let source = Arc::clone(&answer.upstream);
         let asking = ask(
             Arc::clone(gate),
             id.to_owned(),
-            Arc::clone(source),
+            Arc::clone(&source),
             Arc::clone(&target.upstream),
             left,
         );
         Self {
-            target,
-            source: Arc::clone(source),
-            asked: tokio::spawn(asking),
+            target: Some(target),
+            source,
+            version: answer.version,
+            asked: AbortOnDropHandle::new(tokio::spawn(asking)),
         }
     }
 
-    /// Returns where the run can go on; none if it wasn't stopped.
+    /// Returns what the engine said, waiting for it up to `span`.
     ///
-    /// A run stops when the engine is asked, and the copy of its memory can queue behind others
+    /// A run stops when its engine is asked, and the copy of its memory can queue behind others
     /// on the engine's link. The answer alone names the memory: without it, a stream that may
-    /// not be repeated ends in the middle. So it is waited for, up to `span` from the stream's
-    /// end, and not for a time from the question.
-    pub async fn end(self, version: Option<u64>, span: Millis) -> Option<Moved> {
+    /// not be repeated ends in the middle. So nothing is lost when this returns
+    /// [`Reply::Unanswered`].
+    pub async fn reply(&mut self, span: Millis) -> Reply {
+        let Ok(asked) = tokio::time::timeout(span.duration(), &mut self.asked).await else {
+            return Reply::Unanswered;
+        };
         let source = Target {
             upstream: Arc::clone(&self.source),
-            version,
+            version: self.version,
             permit: None,
         };
-        let (handle, places) = match tokio::time::timeout(span.duration(), self.asked).await {
-            Ok(Ok(Transferred::Copied(handle))) => (handle, smallvec![self.target, source]),
-            Ok(Ok(Transferred::Kept(handle))) => (handle, smallvec![source]),
-            Ok(Ok(Transferred::Unchanged)) => return None,
-            Err(_) => {
-                log::info!("handover: no answer within {span} of the stream's end");
-                return None;
+        let (handle, places) = match asked {
+            Ok(Transferred::Copied(handle)) => {
+                let target = self.target.take();
+                (handle, target.into_iter().chain([source]).collect())
             }
-            Ok(Err(error)) => {
+            Ok(Transferred::Kept(handle)) => (handle, smallvec![source]),
+            Ok(Transferred::Unchanged) => return Reply::Unchanged,
+            Err(error) => {
                 log::error!("handover: the question ended early: {error}");
-                return None;
+                return Reply::Unchanged;
             }
         };
+        self.source.succeeded();
         let memory = Memory {
             source: self.source.address,
             handle,
         };
-        Some(Moved { memory, places })
+        Reply::Stopped(Box::new(Moved { memory, places }))
     }
 }
 
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -32,6 +32,7 @@
 pub mod record;
 pub mod relay;
 pub mod reload;
+mod resume;
 pub mod right;
 pub mod roles;
 pub mod sends;
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -6,12 +6,12 @@
 use hyper::body::Frame;
 use thiserror::Error;
 
-use super::attempt::{Answer, Miss};
+use super::attempt::Answer;
 use super::entry::{CLASS, seconds};
-use super::handover::{Handover, Moved, TRANSFER};
-use super::record::{self, End};
+use super::handover::{Handover, Moved, Reply};
+use super::record::End;
 use super::sequence::{Sequence, Step};
-use super::trip::{LOOK, Trip};
+use super::trip::Trip;
 use crate::clock::Millis;
 
 /// A pause in the stream, in the longest pauses of the route, at which it is continued elsewhere.
@@ -20,14 +20,14 @@
 /// hundred milliseconds to go on.
 const STALL_PAUSES: u64 = 5;
 
-/// Longest pauses after which callers give a stream up.
-const BORNE_PAUSES: u64 = 8;
+/// Time for the last events of a stopped run to arrive, which left before the engine said so.
+const REST: Millis = Millis(200);
 
 /// The longest pause, in those that the route allows, that reading can cause.
 const READING_PAUSES: u64 = 2;
 
 /// The pause to assume for routes that name none.
-const USUAL_PAUSE: Millis = Millis(500);
+pub(super) const USUAL_PAUSE: Millis = Millis(500);
 
 /// The answer ends without its end.
 ///
@@ -39,12 +39,19 @@
 
 /// A stream in progress.
 #[derive(Debug)]
-struct Relay {
-    trip: Trip,
-    answer: Option<Answer>,
-    events: Sequence,
+pub(super) struct Relay {
+    pub(super) trip: Trip,
+    pub(super) answer: Option<Answer>,
+    pub(super) events: Sequence,
     passed_on: Option<Millis>,
-    handover: Option<Handover>,
+    /// The question to move the run, as long as it has no answer.
+    pub(super) handover: Option<Handover>,
+    /// Where the run can go on, once it was stopped.
+    pub(super) stopped: Option<Box<Moved>>,
+    /// Whether the upstream was asked to move the run.
+    pub(super) asked_to_move: bool,
+    /// Whether the upstream was found silent already, which counts against it once.
+    pub(super) silent: bool,
     /// Whether it was told how the stream went where it stayed.
     judged: bool,
 }
@@ -58,6 +65,9 @@
         events,
         passed_on: None,
         handover: None,
+        stopped: None,
+        asked_to_move: false,
+        silent: false,
         judged: false,
     };
     stream::unfold(Some(relay), |relay| async {
@@ -87,26 +97,14 @@
                 }
                 Step::More => {}
                 Step::End => {
-                    if self.taken_over(TRANSFER).await {
-                        continue;
-                    }
-                    // A run that was stopped to be moved ends its stream early. Where it
-                    // can't go on, what was passed on must not look whole.
-                    if self.answer.is_none() {
-                        self.go_on("the run was stopped and can't go on").await?;
-                        continue;
-                    }
-                    self.judge_stay(false);
-                    self.observe_pauses();
-                    self.keep();
-                    return Ok(None);
-                }
-                Step::Broken(told) => {
-                    let span = self.patience(self.trip.now());
-                    if !self.taken_over(span).await {
-                        self.go_on(&told).await?;
+                    if self.is_whole().await? {
+                        self.judge_stay(false);
+                        self.observe_pauses();
+                        self.keep();
+                        return Ok(None);
                     }
                 }
+                Step::Broken(told) => self.go_on(&told).await?,
             }
         }
     }
@@ -183,7 +181,7 @@
         };
         let trip = &self.trip;
         let engine = answer.upstream.address;
-        let stayed = trip.pace.moved == 0 && self.handover.is_none();
+        let stayed = trip.pace.moved == 0 && !self.asked_to_move;
         if !stayed || self.judged || trip.gate.roles(&trip.pool).reads(engine) {
             return;
         }
@@ -213,70 +211,15 @@
         let Some(answer) = &self.answer else {
             return;
         };
-        if self.handover.is_some() || self.trip.pace.moved > 0 {
+        if self.asked_to_move || self.trip.pace.moved > 0 {
             return;
         }
-        let source = &answer.upstream;
         let first = self.trip.pace.pieces == 1;
         if let Some(target) = self.trip.writer(answer, first) {
             let left = self.trip.until.since(self.trip.now());
-            let handover = Handover::begin(&self.trip.gate, self.trip.id(), source, target, left);
+            let handover = Handover::begin(&self.trip.gate, self.trip.id(), answer, target, left);
             self.handover = Some(handover);
-        }
-    }
-
-    /// Goes on where the memory of a run that was moved lies; false if it wasn't moved.
-    ///
-    /// `span` is how long the engine may take to say so.
-    async fn taken_over(&mut self, span: Millis) -> bool {
-        let Some(handover) = self.handover.take() else {
-            return false;
-        };
-        let Some(former) = &self.answer else {
-            return false;
-        };
-        let Some(moved) = handover.end(former.version, span).await else {
-            return false;
-        };
-        former.upstream.succeeded();
-        self.answer = None;
-        self.events.restart();
-        self.continue_moved(&moved).await
-    }
-
-    /// Has an engine go on with a run whose memory lies there or is to be had from there.
-    ///
-    /// Both engines can be full at that moment, and the memory stays where it is for seconds. A
-    /// stream that may not be repeated has nowhere else to go: asked once only, it was cut. One
-    /// that may be repeated goes on by reading its prompt anew.
-    async fn continue_moved(&mut self, moved: &Moved) -> bool {
-        let pause = self.trip.route.pause.unwrap_or(USUAL_PAUSE).max(LOOK);
-        let given_up = self.trip.now() + Millis(pause.0 * BORNE_PAUSES);
-        let until = given_up.min(self.trip.until);
-        loop {
-            for place in &moved.places {
-                let sent = self
-                    .trip
-                    .continue_run(place, moved.memory.clone(), self.events.last());
-                match sent.await {
-                    Ok(answer) => {
-                        record::moved(&self.trip, &place.upstream, self.events.last(), "goes on");
-                        self.trip.pace.moved += 1;
-                        self.answer = Some(answer);
-                        return true;
-                    }
-                    Err(miss) => {
-                        record::moved(&self.trip, &place.upstream, self.events.last(), miss.name());
-                        // It may run there: nobody else may go on with it.
-                        if matches!(miss, Miss::Lost(..)) {
-                            return false;
-                        }
-                    }
-                }
-            }
-            if self.trip.may_go_on() || !self.trip.waits_for_leave(pause, until).await {
-                return false;
-            }
+            self.asked_to_move = true;
         }
     }
 
@@ -288,68 +231,30 @@
         if let Some(step) = self.events.known() {
             return step;
         }
-        let span = self.patience(now);
+        let mut span = self.patience(now);
+        if self.stopped.is_some() {
+            span = span.min(REST);
+        }
         let Some(answer) = &mut self.answer else {
             return Step::Broken("there is no answer".to_owned());
         };
-        match tokio::time::timeout(span.duration(), answer.body.frame()).await {
-            Err(_) => self.stalled(span).await,
-            Ok(received) => self.events.receive(received),
-        }
-    }
-
-    /// Decides what becomes of a stream whose engine is silent.
-    ///
-    /// An engine can pause for longer than callers bear and go on. It is left only for another
-    /// one that has begun to go on with the stream.
-    async fn stalled(&mut self, span: Millis) -> Step {
-        let told = format!("nothing for {span}");
-        if self.trip.now() >= self.trip.until {
-            return Step::Broken(told);
-        }
-        // A run that was stopped to be moved is silent until it goes on elsewhere.
-        if self.handover.is_some() && self.taken_over(span).await {
-            return Step::More;
-        }
-        let Some(former) = self.answer.take() else {
-            return Step::Broken(told);
-        };
-        if !self.trip.leaves_queue(&former.upstream) {
-            self.answer = Some(former);
-            return Step::More;
-        }
-        self.look_elsewhere(former, &told).await
-    }
-
-    /// Has another engine go on with a stream, unless the silent one does so first.
-    ///
-    /// A free place elsewhere is only believed, and the engine there can reject the request. A
-    /// stream that was dropped before then ended in the middle for its caller, though its engine
-    /// was still writing. Once another engine's head has come, dropping the former answer closes
-    /// its connection, so that both work on the request for no longer than that takes.
-    async fn look_elsewhere(&mut self, mut former: Answer, told: &str) -> Step {
-        self.trip.broke(&former.upstream);
-        let found = tokio::select! {
+        let reply = tokio::select! {
             biased;
-            answer = self.trip.answer(self.events.last()) => answer.ok(),
-            received = former.body.frame() => {
-                self.answer = Some(former);
-                return self.events.receive(received);
-            }
+            received = answer.body.frame() => return self.events.receive(received),
+            reply = reply_of(&mut self.handover, span) => reply,
+            () = tokio::time::sleep(span.duration()) => Reply::Unanswered,
         };
-        let began = found.filter(|answer| answer.head.status.is_success());
-        if began.is_some() {
-            self.trip.gate.count_retry("resumed");
-            record::resumed(&self.trip, self.events.last(), told);
-            self.events.restart();
-        } else {
-            record::stays(&self.trip, &former.upstream);
+        match reply {
+            Reply::Unanswered => return self.stalled(span).await,
+            Reply::Unchanged => {}
+            Reply::Stopped(moved) => self.stopped = Some(moved),
         }
-        self.answer = Some(began.unwrap_or(former));
+        self.handover = None;
         Step::More
     }
 
-    fn patience(&self, now: Millis) -> Millis {
+    /// How long to wait for the next event before another engine is looked for.
+    pub(super) fn patience(&self, now: Millis) -> Millis {
         let left = self.trip.until.since(now);
         if !self.trip.may_go_on() {
             return left;
@@ -375,32 +280,12 @@
             }
         }
     }
+}
 
-    /// Continues behind the last event at another upstream.
-    async fn go_on(&mut self, told: &str) -> Result<(), Cut> {
-        // Dropping the answer closes its connection, so that the former
-        // upstream stops before another begins.
-        let former = self.answer.take();
-        self.events.restart();
-        if let Some(former) = former {
-            let upstream = std::sync::Arc::clone(&former.upstream);
-            drop(former);
-            self.trip.broke(&upstream);
-        }
-        if !self.trip.may_go_on() {
-            return Err(Cut(told.to_owned()));
-        }
-        self.trip.gate.count_retry("resumed");
-        record::resumed(&self.trip, self.events.last(), told);
-        let answer = self
-            .trip
-            .answer(self.events.last())
-            .await
-            .map_err(|failure| Cut(format!("{told}; then {failure}")))?;
-        if !answer.head.status.is_success() {
-            return Err(Cut(format!("{told}; then status {}", answer.head.status)));
-        }
-        self.answer = Some(answer);
-        Ok(())
+/// Waits for what an engine says to the question to move a run, if there is one.
+async fn reply_of(handover: &mut Option<Handover>, span: Millis) -> Reply {
+    match handover {
+        Some(handover) => handover.reply(span).await,
+        None => std::future::pending().await,
     }
 }
--- /dev/null
+++ b/lib/src/direct/resume.rs
@@ -0,0 +1,257 @@
+//! How a stream goes on where its upstream is silent, has broken off, or stopped the run.
+//!
+//! Callers see one stream. Nothing that can still bring its next event is given up before
+//! something else does: not a silent engine, not a place in another one's queue, not the memory
+//! of a run that was stopped to be moved. See docs/design/0010-leaving-a-silent-engine.md.
+
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+
+use super::attempt::{Answer, Miss};
+use super::handover::{Moved, Reply};
+use super::record;
+use super::relay::{Cut, Relay, USUAL_PAUSE};
+use super::sequence::Step;
+use super::trip::LOOK;
+use crate::clock::Millis;
+use crate::error::Failure;
+
+/// Longest pauses after which callers give a stream up.
+const BORNE_PAUSES: u64 = 8;
+
+/// What came first.
+enum Found {
+    /// What the silent engine brought.
+    Here(Step),
+    /// The search's result, and how the silent engine's answer ended meanwhile, if it did.
+    Elsewhere(Result<Box<Answer>, Failure>, Option<Step>),
+}
+
+impl Relay {
+    /// Decides what becomes of a stream whose engine is silent.
+    ///
+    /// An engine can pause for longer than callers bear and go on. It is left only for another
+    /// one that has begun to go on with the stream.
+    pub(super) async fn stalled(&mut self, span: Millis) -> Step {
+        let told = format!("nothing for {span}");
+        if self.stopped.is_some() || self.trip.now() >= self.trip.until {
+            return Step::Broken(told);
+        }
+        let Some(former) = self.answer.take() else {
+            return Step::Broken(told);
+        };
+        if !self.trip.reserve_elsewhere(&former.upstream) {
+            self.answer = Some(former);
+            return Step::More;
+        }
+        self.look_elsewhere(former, told).await
+    }
+
+    /// Has another engine go on with a stream, unless the silent one does so first.
+    ///
+    /// A free place elsewhere is only believed, and the engine there can reject the request. So
+    /// the silent one is read meanwhile, and closed once another one's head has come. Where its
+    /// answer ends meanwhile, the other one's is waited for all the same.
+    async fn look_elsewhere(&mut self, mut former: Answer, told: String) -> Step {
+        if !std::mem::replace(&mut self.silent, true) {
+            self.trip.broke(&former.upstream);
+        }
+        self.trip.stands_at = Some(Arc::clone(&former.upstream.incarnation));
+        let found = self.first_of(&mut former).await;
+        self.trip.stands_at = None;
+        match found {
+            Found::Here(step) => {
+                self.answer = Some(former);
+                step
+            }
+            Found::Elsewhere(Ok(answer), _) if answer.head.status.is_success() => {
+                self.trip.gate.count_retry("resumed");
+                record::resumed(&self.trip, self.events.last(), &told);
+                drop(former);
+                // What was asked of the former engine is of no use any more.
+                self.handover = None;
+                self.begin(*answer);
+                Step::More
+            }
+            Found::Elsewhere(_, Some(ended)) => {
+                drop(former);
+                match ended {
+                    Step::Broken(told) => Step::Broken(told),
+                    _ => Step::Broken("the run may have been stopped".to_owned()),
+                }
+            }
+            Found::Elsewhere(_, None) => {
+                record::stays(&self.trip, &former.upstream);
+                self.answer = Some(former);
+                Step::More
+            }
+        }
+    }
+
+    /// Reads a silent engine's answer while another engine is looked for.
+    async fn first_of(&mut self, former: &mut Answer) -> Found {
+        // A run that may have been stopped to be moved ends its stream early.
+        let ends_whole = self.handover.is_none();
+        let Self { trip, events, .. } = self;
+        let mut ended = None;
+        let search = trip.answer(events.last());
+        let mut search = std::pin::pin!(search);
+        loop {
+            tokio::select! {
+                biased;
+                answer = &mut search => return Found::Elsewhere(answer.map(Box::new), ended),
+                received = former.body.frame(), if ended.is_none() => {
+                    match events.receive(received) {
+                        Step::More => {}
+                        Step::End if ends_whole => return Found::Here(Step::End),
+                        step @ Step::Events(_) => return Found::Here(step),
+                        step => ended = Some(step),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether a stream that ended in order is whole.
+    ///
+    /// Where its run was to be moved, the engine's answer tells whether it was stopped.
+    ///
+    /// # Errors
+    ///
+    /// [`Cut`] when it isn't and can't go on.
+    pub(super) async fn is_whole(&mut self) -> Result<bool, Cut> {
+        if self.handover.is_none() && self.stopped.is_none() {
+            return Ok(true);
+        }
+        let span = self.patience(self.trip.now());
+        match self.moved(span).await {
+            Reply::Unchanged => Ok(true),
+            Reply::Stopped(moved) => self.continue_moved(&moved).await.map(|()| false),
+            Reply::Unanswered => {
+                let told = "the run may have been stopped";
+                self.go_on_elsewhere(told).await.map(|()| false)
+            }
+        }
+    }
+
+    /// Goes on behind the last event: where the run's memory lies, or anew elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// [`Cut`] when it can't go on.
+    pub(super) async fn go_on(&mut self, told: &str) -> Result<(), Cut> {
+        let span = self.patience(self.trip.now());
+        if let Reply::Stopped(moved) = self.moved(span).await {
+            return self.continue_moved(&moved).await;
+        }
+        self.go_on_elsewhere(told).await
+    }
+
+    /// Goes on anew elsewhere, or where the run's memory lies if the engine tells that after all.
+    async fn go_on_elsewhere(&mut self, told: &str) -> Result<(), Cut> {
+        // Dropping the answer closes its connection, so that the former
+        // upstream stops before another begins.
+        if let Some(former) = self.answer.take() {
+            let upstream = Arc::clone(&former.upstream);
+            drop(former);
+            self.trip.broke(&upstream);
+        }
+        let Err(cut) = self.read_anew(told).await else {
+            self.handover = None;
+            return Ok(());
+        };
+        // The memory of a run that was stopped may still be named.
+        let left = self.trip.until.since(self.trip.now());
+        match self.moved(left).await {
+            Reply::Stopped(moved) => self.continue_moved(&moved).await,
+            Reply::Unchanged | Reply::Unanswered => Err(cut),
+        }
+    }
+
+    /// Returns what the engine said to the question to move the run.
+    async fn moved(&mut self, span: Millis) -> Reply {
+        if let Some(moved) = self.stopped.take() {
+            return Reply::Stopped(moved);
+        }
+        let Some(mut handover) = self.handover.take() else {
+            return Reply::Unchanged;
+        };
+        let reply = handover.reply(span).await;
+        if matches!(reply, Reply::Unanswered) {
+            self.handover = Some(handover);
+        }
+        reply
+    }
+
+    /// Has another upstream read the prompt and go on behind the last event.
+    async fn read_anew(&mut self, told: &str) -> Result<(), Cut> {
+        if !self.trip.may_go_on() {
+            return Err(Cut(told.to_owned()));
+        }
+        self.trip.gate.count_retry("resumed");
+        record::resumed(&self.trip, self.events.last(), told);
+        let answer = self
+            .trip
+            .answer(self.events.last())
+            .await
+            .map_err(|failure| Cut(format!("{told}; then {failure}")))?;
+        if !answer.head.status.is_success() {
+            return Err(Cut(format!("{told}; then status {}", answer.head.status)));
+        }
+        self.begin(answer);
+        Ok(())
+    }
+
+    /// Has an engine go on with a run whose memory lies there or is to be had from there.
+    ///
+    /// Both engines can be full at that moment, and the memory stays where it is for seconds.
+    /// Where the prompt can't be read anew either, they are asked again for as long as callers
+    /// bear a pause: the memory is all that is left of the answer.
+    async fn continue_moved(&mut self, moved: &Moved) -> Result<(), Cut> {
+        self.answer = None;
+        let pause = self.trip.route.pause.unwrap_or(USUAL_PAUSE).max(LOOK);
+        let given_up = self.trip.now() + Millis(pause.0 * BORNE_PAUSES);
+        let until = given_up.min(self.trip.until);
+        let mut asked = 0;
+        for place in moved.places.iter().cycle() {
+            let last = self.events.last();
+            let sent = self.trip.continue_run(place, moved.memory.clone(), last);
+            match sent.await {
+                Ok(answer) => {
+                    record::moved(&self.trip, &place.upstream, last, "goes on");
+                    self.trip.pace.moved += 1;
+                    self.begin(answer);
+                    return Ok(());
+                }
+                Err(miss) => {
+                    record::moved(&self.trip, &place.upstream, last, miss.name());
+                    // It may run there: nobody else may go on with the memory.
+                    if matches!(miss, Miss::Lost(..)) {
+                        return self.read_anew("the moved run was lost").await;
+                    }
+                }
+            }
+            asked += 1;
+            if asked < moved.places.len() {
+                continue;
+            }
+            let told = "no engine has a place for the moved run";
+            if asked == moved.places.len() && self.read_anew(told).await.is_ok() {
+                return Ok(());
+            }
+            if !self.trip.wait_for_repeat(pause, until).await {
+                return Err(Cut(told.to_owned()));
+            }
+        }
+        Err(Cut("the memory lies nowhere".to_owned()))
+    }
+
+    /// Goes on with another answer, behind the last event.
+    fn begin(&mut self, answer: Answer) {
+        self.events.restart();
+        self.silent = false;
+        self.asked_to_move = false;
+        self.answer = Some(answer);
+    }
+}
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -66,8 +66,10 @@
     pub(super) sent: u32,
     unsent: u32,
     pub(super) rejected: u32,
-    /// Whether leave for the next send was taken already.
-    repeat_taken: bool,
+    /// Whether the next send's part of the budget for repeats is taken already.
+    repeat_reserved: bool,
+    /// The upstream at which this request stands besides, while another one is looked for.
+    pub(super) stands_at: Option<Name>,
 }
 
 /// How the events of a stream came.
@@ -116,7 +118,8 @@
             sent: 0,
             unsent: 0,
             rejected: 0,
-            repeat_taken: false,
+            repeat_reserved: false,
+            stands_at: None,
         }
     }
 
@@ -150,13 +153,23 @@
     /// Finds where to send while nothing is on its way, with leave taken for a repeat.
     async fn next_target(&mut self) -> Result<Target, Failure> {
         let target = self.target().await?;
+        if self.stands_at(&target.upstream) {
+            return Err(self.refusal(Code::NoUpstream, "no other upstream can take it now"));
+        }
         let is_repeat = self.sent + self.rejected > 0;
-        if is_repeat && !self.take_leave() {
+        if is_repeat && !self.reserve_repeat() {
             return Err(self.refusal(Code::UpstreamRefused, "the budget for repeats is used up"));
         }
         Ok(target)
     }
 
+    /// Whether the request stands at an upstream while another one is looked for.
+    ///
+    /// Sent there once more, it would run there twice at once.
+    fn stands_at(&self, upstream: &Upstream) -> bool {
+        self.stands_at.as_ref() == Some(&upstream.incarnation)
+    }
+
     /// Decides what becomes of a request whose upstreams have been silent for long.
     ///
     /// # Errors
@@ -181,7 +194,7 @@
             self.broke(&silent);
         }
         // A request that may run once waits where it is, however long.
-        if !self.may_go_on() || !self.leaves_queue(&newest) {
+        if !self.may_go_on() || !self.reserve_elsewhere(&newest) {
             return Ok(None);
         }
         let target = tokio::select! {
@@ -190,7 +203,7 @@
             target = self.target() => target,
         };
         match target {
-            Ok(target) if !sends.reaches(&target.upstream) => {
+            Ok(target) if !self.stands_at(&target.upstream) && !sends.reaches(&target.upstream) => {
                 self.gate.count_retry("silent");
                 self.send(sends, target, resume_after);
             }
@@ -260,7 +273,7 @@
             resume_after: resume_after.or(self.message.call.resume_after),
             ..self.dispatch(&target)
         };
-        self.repeat_taken = false;
+        self.repeat_reserved = false;
         self.sent += 1;
         self.sent_at = self.now();
         record::sent(self, &target.upstream, target.version, dispatch.deadline);
@@ -281,14 +294,14 @@
     ///
     /// An engine that lives has the request in its queue, and begins it sooner than another one
     /// at which it would be the last again: it is sent only where a free place is believed.
-    pub(super) fn leaves_queue(&mut self, waits_at: &Upstream) -> bool {
+    pub(super) fn reserve_elsewhere(&mut self, waits_at: &Upstream) -> bool {
         let is_plain = self.message.call.model.is_none();
-        (is_plain || self.has_free_holder(waits_at)) && self.take_leave()
+        (is_plain || self.has_free_holder(waits_at)) && self.reserve_repeat()
     }
 
     /// Waits for `pause`, and on until there is leave for a further send; false if there is none
     /// before `until`.
-    pub(super) async fn waits_for_leave(&self, pause: Millis, until: Millis) -> bool {
+    pub(super) async fn wait_for_repeat(&self, pause: Millis, until: Millis) -> bool {
         while self.now() + pause < until {
             tokio::time::sleep(pause.duration()).await;
             if self.take_repeat() {
@@ -299,9 +312,9 @@
     }
 
     /// Takes leave for the next send, unless it was taken already.
-    fn take_leave(&mut self) -> bool {
-        self.repeat_taken = self.repeat_taken || self.take_repeat();
-        self.repeat_taken
+    fn reserve_repeat(&mut self) -> bool {
+        self.repeat_reserved = self.repeat_reserved || self.take_repeat();
+        self.repeat_reserved
     }
 
     /// Sends the request to where the memory of its stopped run lies, to go on behind `last`.
@@ -401,7 +414,7 @@
         if !is_last {
             return None;
         }
-        if self.may_go_on() && self.others() && self.take_leave() {
+        if self.may_go_on() && self.others() && self.reserve_repeat() {
             self.gate.count_retry("upstream_error");
             return None;
         }
