direct: exchanges look only at engines in use

Cause: each exchange asked each engine what runs there and who owns it, though a node uses a few of thousands: two locks and several copies an engine. Change: those with nothing running, nothing noted and no owner that is looked for are passed over under one lock.

--- a/lib/src/direct/ask/exchange.rs
+++ b/lib/src/direct/ask/exchange.rs
@@ -31,13 +31,9 @@
     pub fn exchanges(&self) -> HashMap<SocketAddr, ExchangeRequest> {
         let mut requests: HashMap<SocketAddr, ExchangeRequest> = HashMap::new();
         let uses = std::mem::take(&mut *self.uses.lock().unwrap_or_else(PoisonError::into_inner));
-        let (upstreams, nodes) = {
-            let state = self.view.state();
-            let upstreams: Vec<Arc<Upstream>> = state.upstreams.values().cloned().collect();
-            (upstreams, state.most_nodes)
-        };
         let mut concerned: HashSet<SocketAddr> = self.awaited().keys().copied().collect();
         concerned.extend(self.silent().iter());
+        let (upstreams, nodes) = self.to_tell_of(&uses, &concerned);
         for upstream in upstreams {
             let mut adapters = uses.get(&upstream.incarnation).cloned().unwrap_or_default();
             // A long stream uses its adapter though it was asked for long ago.
@@ -53,12 +49,6 @@
             let Some((_, peer)) = self.view.owner(upstream.address) else {
                 continue;
             };
-            // Nodes times owners would grow with the square of the fleet, and their news were
-            // nine tenths of the bytes between failure domains at 195 nodes.
-            if adapters.is_empty() && upstream.running() == 0 && !concerned.contains(&peer.address)
-            {
-                continue;
-            }
             let request = requests
                 .entry(peer.address)
                 .or_insert_with(|| ExchangeRequest {
@@ -75,6 +65,30 @@
         requests
     }
 
+    /// Returns engines that this node uses, or whose owners are looked for, and the nodes.
+    ///
+    /// Nodes times owners would grow with the square of the fleet, and their news were nine
+    /// tenths of the bytes between failure domains at 195 nodes. A node uses a few of thousands
+    /// of engines, so that all others are passed over before they are looked at more closely.
+    fn to_tell_of(
+        &self,
+        uses: &HashMap<Name, Vec<Name>>,
+        concerned: &HashSet<SocketAddr>,
+    ) -> (Vec<Arc<Upstream>>, usize) {
+        let state = self.view.state();
+        let is_concerned = |upstream: &Upstream| {
+            let owner = state.owner(upstream.address);
+            owner.is_some_and(|(_, peer)| concerned.contains(&peer.address))
+        };
+        // Whatever uses an adapter here also runs, or was noted.
+        let upstreams = state.upstreams.values().filter(|upstream| {
+            upstream.running() > 0
+                || uses.contains_key(&upstream.incarnation)
+                || (!concerned.is_empty() && is_concerned(upstream))
+        });
+        (upstreams.cloned().collect(), state.most_nodes)
+    }
+
     async fn exchange(&self, address: SocketAddr, request: ExchangeRequest) {
         let mut client = self.client(address);
         match tokio::time::timeout(EXCHANGE.duration(), client.exchange(request)).await {
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -155,16 +155,22 @@
     #[must_use]
     pub fn owner(&self, address: SocketAddr) -> Option<(Name, Peer)> {
         let state = self.state();
-        let claim = &state.claims.get(&address)?.claim;
+        let (node, peer) = state.owner(address)?;
+        Some((Name::clone(node), peer.clone()))
+    }
+}
+
+impl State {
+    /// Returns the node that gives orders to the engine at an address.
+    #[must_use]
+    pub fn owner(&self, address: SocketAddr) -> Option<(&Name, &Peer)> {
+        let claim = &self.claims.get(&address)?.claim;
         if claim.left.is_some() {
             return None;
         }
-        let peer = state.nodes.get(&claim.node)?;
-        Some((Name::clone(&claim.node), peer.clone()))
+        Some((&claim.node, self.nodes.get(&claim.node)?))
     }
-}
 
-impl State {
     /// Takes in a configuration; an older one than is in force is left aside.
     ///
     /// Returns whether it is in force now.
