direct: changes are passed on in the order of their revisions

Cause: nodes refuse updates whose changes aren't in order (direct::vet). Were a service to tell changes in an order of its own, by key perhaps, all listeners would refuse all updates and ask for themselves; and the node itself took in the older of two changes of a key last. Change: what the service tells is sorted by revision before it is taken in and passed on.

--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -107,7 +107,10 @@
             let sent = self.clock.now();
             let wait_now = self.wait(wait);
             let pause = match self.poll.changes("", revision, wait_now).await {
-                Ok(changes) => {
+                Ok(mut changes) => {
+                    // Other nodes take changes in the order of their revisions only. Told by key
+                    // or otherwise, they would all ask for themselves.
+                    changes.events.sort_by_key(|event| event.revision);
                     // A call that waited in vain knows of its whole wait.
                     let waited = if changes.events.is_empty() {
                         wait_now
@@ -116,7 +119,7 @@
                     };
                     // The service may be further by revisions without changes. Only what
                     // changes lead to can be proved to other nodes.
-                    let newest = changes.events.iter().map(|event| event.revision).max();
+                    let newest = changes.events.last().map(|event| event.revision);
                     let update = Update {
                         after: revision,
                         revision: revision.max(newest.unwrap_or_default()),
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -210,6 +210,8 @@
     calls: AtomicUsize,
     /// Whether the service turns this node away.
     cut: AtomicBool,
+    /// Whether the service tells changes in an order of its own.
+    disordered: AtomicBool,
 }
 
 #[async_trait]
@@ -219,7 +221,11 @@
         if self.cut.load(Ordering::Relaxed) {
             return Err(Error::NoAnswer("the test cut it off".to_owned()).into());
         }
-        self.memory.changes(prefix, revision, wait).await
+        let mut changes = self.memory.changes(prefix, revision, wait).await?;
+        if self.disordered.load(Ordering::Relaxed) {
+            changes.events.reverse();
+        }
+        Ok(changes)
     }
 }
 
@@ -250,6 +256,7 @@
         memory: Arc::clone(memory),
         calls: AtomicUsize::new(0),
         cut: AtomicBool::new(false),
+        disordered: AtomicBool::new(false),
     });
     let hears = listens_to.map(|node| Arc::clone(&node.hub));
     let source = Direct::new(hears, Arc::clone(&clock), older);
@@ -312,6 +319,28 @@
     assert!(node.calls() - listened <= 1);
 }
 
+/// Symptom: calls to the key-value service grow to those of a fleet that passes nothing on.
+/// Sequence: the service answers with changes sorted by their keys.
+/// Cause: an order that the service doesn't promise asked of what is passed on.
+#[tokio::test(start_paused = true)]
+async fn follow_service_tells_changes_in_an_order_of_its_own() {
+    let (memory, leader, node) = two_nodes(Millis::ZERO).await;
+    leader.asked.disordered.store(true, Ordering::Relaxed);
+    let listened = node.calls();
+    for version in 2..30 {
+        let draining = SERVER.replace("\"ready\"", "\"draining\"");
+        memory.change(|state| state.put("servers/i-1", SERVER, None));
+        memory.change(|state| state.put("servers/i-1", draining, None));
+        configure(&memory, version);
+        pass(IN_FORCE).await;
+        for one in [&leader, &node] {
+            assert_eq!(one.version(), version);
+            assert!(!one.view.state().upstreams["i-1"].is_ready());
+        }
+    }
+    assert!(node.calls() - listened <= 1);
+}
+
 /// Symptom: a node goes by an old configuration for longer than is allowed.
 /// Sequence: the node that passes changes on falls silent at a moment at which it was up to date.
 /// Cause: silence taken for nothing new.
