direct: an owner that is late isn't taken for gone

Cause: one late answer to a question for a place marked its owner as silent, which ends every load that waits there and keeps its engines from being asked for loads until an exchange has an answer. Change: a late owner isn't asked for places for a while, as before; its loads go on. Failed first: load_outlasts_a_late_admission.

--- a/lib/src/direct/admit.rs
+++ b/lib/src/direct/admit.rs
@@ -191,7 +191,7 @@
             }
             Err(_) => {
                 log::info!("admit: no answer from {node} within {ANSWER}");
-                self.fell_silent(peer.address);
+                self.is_late(peer.address);
                 Answer::Unknown
             }
         }
--- a/lib/src/direct/ask/exchange.rs
+++ b/lib/src/direct/ask/exchange.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 
-use super::Desks;
+use super::{Desks, Silence};
 use crate::clock::Millis;
 use crate::direct::dialect::Held;
 use crate::direct::limits::in_use;
@@ -32,7 +32,7 @@
         let mut requests: HashMap<SocketAddr, ExchangeRequest> = HashMap::new();
         let uses = std::mem::take(&mut *self.uses.lock().unwrap_or_else(PoisonError::into_inner));
         let mut concerned: HashSet<SocketAddr> = self.awaited().keys().copied().collect();
-        concerned.extend(self.silent().iter());
+        concerned.extend(self.silent().keys());
         let (upstreams, nodes) = self.to_tell_of(&uses, &concerned);
         for upstream in upstreams {
             let mut adapters = uses.get(&upstream.incarnation).cloned().unwrap_or_default();
@@ -61,7 +61,7 @@
                 adapters: adapters.iter().map(ToString::to_string).collect(),
             });
         }
-        self.silent().retain(|peer| requests.contains_key(peer));
+        self.silent().retain(|peer, _| requests.contains_key(peer));
         requests
     }
 
@@ -103,7 +103,7 @@
             }
             Err(_) => {
                 log::info!("ask: no exchange with {address} within {EXCHANGE}");
-                self.silent().insert(address);
+                self.silent().insert(address, Silence::Gone);
                 self.forget(address);
             }
         }
--- a/lib/src/direct/ask/mod.rs
+++ b/lib/src/direct/ask/mod.rs
@@ -3,7 +3,7 @@
 mod exchange;
 mod support;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -41,6 +41,19 @@
 /// Messages that may wait at a desk.
 const MAILBOX: usize = 256;
 
+/// What a node's silence says of it.
+///
+/// A busy owner answers a question for a place later than a request can wait, and goes on with
+/// its loads. Taken for gone, it had its loads given up by the hundred on heavy days, and begun
+/// anew at other engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Silence {
+    /// It answers questions for a place too late.
+    Late,
+    /// It gave no answer to an exchange, which waits for longer.
+    Gone,
+}
+
 /// The desks of the engines that this node gives orders to.
 #[derive(Debug)]
 pub struct Desks {
@@ -60,8 +73,8 @@
     open: Mutex<HashMap<Name, (u64, ActorRef<Desk>)>>,
     channels: Mutex<HashMap<SocketAddr, OrdersClient<Channel>>>,
     uses: Mutex<HashMap<Name, Vec<Name>>>,
-    /// Nodes whose last exchange had no answer.
-    silent: Mutex<HashSet<SocketAddr>>,
+    /// Nodes that gave no answer the last time.
+    silent: Mutex<HashMap<SocketAddr, Silence>>,
     /// Requests of all nodes at the engines that this node orders.
     pub(super) table: Arc<Table>,
     /// Changes of the key-value service, for nodes of this failure domain.
@@ -140,7 +153,7 @@
             return self.right.check(upstream.address).is_some();
         }
         let owner = self.view.owner(upstream.address);
-        owner.is_some_and(|(_, peer)| !self.silent().contains(&peer.address))
+        owner.is_some_and(|(_, peer)| !self.is_gone(peer.address))
     }
 
     /// Has an adapter made present at an engine, by whichever node may.
@@ -218,7 +231,7 @@
     /// would wait for its whole time there, which was 2.7 s at the median, while another
     /// engine could hold the adapter in a tenth of that; an exchange shows it within 1.3 s.
     async fn falls_silent(&self, address: SocketAddr) {
-        while !self.silent().contains(&address) {
+        while !self.is_gone(address) {
             tokio::time::sleep(SILENCE_LOOK.duration()).await;
         }
     }
@@ -229,15 +242,20 @@
 
     /// Whether a node gave no answer the last time, and has not answered an exchange since.
     pub(super) fn is_silent(&self, address: SocketAddr) -> bool {
-        self.silent().contains(&address)
+        self.silent().contains_key(&address)
+    }
+
+    /// Whether a node gave no answer to an exchange the last time.
+    fn is_gone(&self, address: SocketAddr) -> bool {
+        self.silent().get(&address) == Some(&Silence::Gone)
     }
 
-    /// Notes that a node gives no answer, until an exchange has one.
-    pub(super) fn fell_silent(&self, address: SocketAddr) {
-        self.silent().insert(address);
+    /// Notes that a node answers questions for a place too late, until an exchange has an answer.
+    pub(super) fn is_late(&self, address: SocketAddr) {
+        self.silent().entry(address).or_insert(Silence::Late);
     }
 
-    fn silent(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
+    fn silent(&self) -> MutexGuard<'_, HashMap<SocketAddr, Silence>> {
         self.silent.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -393,6 +393,30 @@
     assert_eq!(began.elapsed(), std::time::Duration::ZERO);
 }
 
+/// Symptom: at the heaviest moments loads are given up by the hundred and begun anew elsewhere.
+/// Sequence: a node waits for a load at an owner that is busy; another request's question for a
+/// place there has no answer in time.
+/// Cause: a late answer to a short question was taken for a node that has gone.
+#[tokio::test(start_paused = true)]
+async fn load_outlasts_a_late_admission() {
+    let busy = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let asking = node("two", "one", busy.local_addr().unwrap(), &[(ADAPTER, 1)]);
+    let wanted = Name::from("base/a2");
+    let load = asking.desks.load(&asking.upstream, &wanted, 0);
+    let late = async {
+        let adapter = Name::from(ADAPTER);
+        let question = question(&adapter, 0);
+        let answer = asking.desks.admit(&asking.upstream, question).await;
+        assert!(matches!(answer, Answer::Unknown), "{answer:?}");
+        tokio::time::sleep(Millis(300).duration()).await;
+    };
+    tokio::select! {
+        loaded = load => panic!("the load ended: {loaded:?}"),
+        () = late => {}
+    }
+    assert!(asking.desks.is_ordered(&asking.upstream));
+}
+
 /// The load of a fleet: a popular adapter on a part of the engines, many nodes before them.
 const NODES: usize = 195;
 const ENGINES: u16 = 24;
