direct: a server's own error outlasts a repeat that did not run

Callers saw: 502 of ours where a server had answered 500, once the repeat elsewhere was rejected. Cause: the first answer was dropped when the request was sent again. With it, smaller things of the same review: 'lost' no longer rises while another send waits; the rest of an answer that isn't passed on is read for 50 ms at most, since the caller whose request was rejected waits meanwhile. Failed first: safe_failure_outlasts_a_rejected_repeat (502 for 500). The two smaller ones have no test of their own.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -27,6 +27,12 @@
 /// How fresh a kept connection has to be otherwise.
 const USABLE: Millis = Millis(4_000);
 
+/// How long the rest of an answer that is not passed on may take.
+///
+/// A kept connection saves the next caller a millisecond or two; the one whose request was
+/// rejected waits meanwhile.
+const FINISH: Millis = Millis(50);
+
 /// A request as it is sent, the same for each attempt.
 #[derive(Debug)]
 pub struct Message {
@@ -185,7 +191,8 @@
 /// Reads the rest of an answer that is not passed on, so that its connection can be kept.
 async fn finish(body: Incoming, connection: Connection, upstream: &Upstream, reply: &Reply) {
     let rest = Limited::new(body, 64 * 1024).collect();
-    if rest.await.is_ok() && !reply.closes {
+    let rest = tokio::time::timeout(FINISH.duration(), rest).await;
+    if matches!(rest, Ok(Ok(_))) && !reply.closes {
         upstream.link.keep(connection, reply.keep);
     }
 }
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -68,6 +68,8 @@
     pub(super) rejected: u32,
     /// Whether the next send's part of the budget for repeats is taken already.
     repeat_reserved: bool,
+    /// An upstream's error that was set aside while another one is asked.
+    failed: Option<Box<Answer>>,
     /// The upstream at which this request stands besides, while another one is looked for.
     pub(super) stands_at: Option<Name>,
 }
@@ -119,6 +121,7 @@
             unsent: 0,
             rejected: 0,
             repeat_reserved: false,
+            failed: None,
             stands_at: None,
         }
     }
@@ -131,6 +134,13 @@
     ///
     /// The failure that the caller gets; its code's fate is true.
     pub async fn answer(&mut self, resume_after: Option<u64>) -> Result<Answer, Failure> {
+        let answer = self.next_answer(resume_after).await;
+        let failed = self.failed.take();
+        // An upstream's own error tells callers more than a failure of ours to ask another one.
+        answer.or_else(|failure| failed.map_or(Err(failure), |answer| Ok(*answer)))
+    }
+
+    async fn next_answer(&mut self, resume_after: Option<u64>) -> Result<Answer, Failure> {
         let mut sends = Sends::default();
         (self.unsent, self.rejected) = (0, 0);
         loop {
@@ -187,7 +197,7 @@
         if now >= self.until {
             let told = format!("no answer within {}", now.since(self.sent_at));
             let miss = Miss::Lost(Code::ExpiredRunning, told);
-            return self.missed(&newest, miss).map(|()| None);
+            return self.missed(&newest, miss, true).map(|()| None);
         }
         if let Some(silent) = sends.found_silent() {
             // Its queue is long or it has gone dark: others are better sent elsewhere meanwhile.
@@ -220,7 +230,7 @@
                 self.sent_at = sent.at;
                 Ok(self.judge(answer, is_last))
             }
-            Err(miss) => match self.missed(&sent.upstream, miss) {
+            Err(miss) => match self.missed(&sent.upstream, miss, is_last) {
                 Err(failure) if is_last => Err(failure),
                 // It still waits at another upstream.
                 _ => Ok(None),
@@ -411,14 +421,14 @@
             return Some(answer);
         }
         self.broke(&answer.upstream);
-        if !is_last {
-            return None;
-        }
-        if self.may_go_on() && self.others() && self.reserve_repeat() {
+        if is_last {
+            if !(self.may_go_on() && self.others() && self.reserve_repeat()) {
+                return Some(answer);
+            }
             self.gate.count_retry("upstream_error");
-            return None;
         }
-        Some(answer)
+        self.failed = Some(Box::new(answer));
+        None
     }
 
     /// Takes in that a send gave no answer.
@@ -426,7 +436,7 @@
     /// # Errors
     ///
     /// The failure that the caller gets where nothing else is on its way.
-    fn missed(&mut self, upstream: &Upstream, miss: Miss) -> Result<(), Failure> {
+    fn missed(&mut self, upstream: &Upstream, miss: Miss, is_last: bool) -> Result<(), Failure> {
         let now = self.now();
         record::missed(self, upstream, &miss);
         self.tried.push(Name::clone(&upstream.incarnation));
@@ -458,7 +468,9 @@
             Miss::Lost(code, told) => {
                 upstream.failed(now);
                 if self.may_go_on() {
-                    self.gate.count_retry("lost");
+                    if is_last {
+                        self.gate.count_retry("lost");
+                    }
                     return Ok(());
                 }
                 Err(Failure::new(code, told))
