direct: a follower asks again at once behind an answer that is as long as they get

Cause: the service answers a call for changes with about 500 at most, and the follower paused behind each answer as if it were all: 300 changes a second where 4 s are allowed. After a start or a kill of all nodes of 300 before 3,000 engines thousands of claims and records come at once, and what is written behind them, a configuration, was known 5 to 8 s late. News of claims was late by the same backlog, which kept nodes claiming what others had: refused claims of all nodes 450 a second until the backlog was gone.

Such a part doesn't say how new it is, so its age is that of what was known before (versions count from there).

Tests: `config_in_force_soon_behind_many_changes` (20 answers of 10 and a pause of 0.8 s behind each before), `version_in_a_part_counts_from_before_it_was_named`.

--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -13,7 +13,7 @@
 use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
-use crate::ports::poll::{Gap, Poll};
+use crate::ports::poll::{Changes, Gap, Poll};
 use crate::ports::{Entry, Error, Event, Store};
 
 /// Name of a node's record, with the node's name behind it.
@@ -107,22 +107,23 @@
             let wait_now = self.wait(wait);
             let pause = match self.poll.changes("", revision, wait_now).await {
                 Ok(changes) => {
-                    // A call that waited in vain knows of its whole wait.
-                    let waited = if changes.events.is_empty() {
-                        wait_now
-                    } else {
-                        Millis::ZERO
-                    };
+                    let more = changes.more;
                     let update = Update {
                         after: revision,
                         revision: revision.max(changes.revision),
-                        as_of: self.clock.now().min(sent + waited),
+                        as_of: self.as_of(sent, wait_now, &changes),
                         events: changes.events,
                     };
                     revision = update.revision;
                     self.hear(update, "service");
                     wait = POLL_WAIT;
-                    self.limits.get().poll_pause()
+                    // With a pause behind each part, the thousands of changes of a start of all
+                    // nodes kept every later one waiting, a configuration for ten seconds.
+                    if more {
+                        Millis::ZERO
+                    } else {
+                        self.limits.get().poll_pause()
+                    }
                 }
                 Err(Gap::Dropped) => {
                     log::info!("follow: the history after revision {revision} is gone");
@@ -142,6 +143,19 @@
         }
     }
 
+    /// Returns when the service was known to be where an answer leads.
+    ///
+    /// A part of the changes says nothing of how new it is. A call that waited in vain knows of
+    /// its whole wait.
+    fn as_of(&self, sent: Millis, wait: Millis, changes: &Changes) -> Millis {
+        if changes.more {
+            return self.fresh;
+        }
+        let in_vain = changes.events.is_empty();
+        let waited = if in_vain { wait } else { Millis::ZERO };
+        self.clock.now().min(sent + waited)
+    }
+
     /// Returns how long a call for changes waits.
     fn wait(&self, wait: Millis) -> Millis {
         let shared = self
--- a/lib/src/ports/poll.rs
+++ b/lib/src/ports/poll.rs
@@ -25,8 +25,10 @@
 pub struct Changes {
     /// In the order in which they were made.
     pub events: Vec<Event>,
-    /// The service's revision; the next call asks from here.
+    /// The revision that the changes lead to; the next call asks from here.
     pub revision: u64,
+    /// Whether the answer is as long as the service makes them, so that more may be there already.
+    pub more: bool,
 }
 
 /// Asks the key-value service what has changed.
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -26,6 +26,8 @@
     pub away: bool,
     /// Listing what stands under this prefix takes so long.
     pub slow: Option<(String, Millis)>,
+    /// Most changes in one answer.
+    pub longest: Option<usize>,
     /// History up to here is gone.
     pub compacted: u64,
     /// Spans for which calls for changes offered to wait.
@@ -261,14 +263,19 @@
         if revision < compacted {
             return Err(Gap::Dropped);
         }
-        let events = self.wait(prefix, revision, wait).await;
+        let mut events = self.wait(prefix, revision, wait).await;
         let state = self.state();
         if revision < state.compacted {
             return Err(Gap::Dropped);
         }
+        let longest = state.longest.unwrap_or(usize::MAX);
+        let more = events.len() >= longest;
+        events.truncate(longest);
+        let last = events.last().filter(|_| more);
         Ok(Changes {
+            revision: last.map_or(state.revision, |event| event.revision),
             events,
-            revision: state.revision,
+            more,
         })
     }
 }
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -222,3 +222,46 @@
         assert!(newest.named <= named, "{newest:?}, named at {named}");
     }
 }
+
+/// Symptom: a configuration is in force ten seconds late while all nodes start.
+/// Sequence: thousands of claims are made at once; the service answers with some hundred changes a
+/// call, and a configuration comes behind them.
+/// Cause: the follower pauses behind each part as if it were all.
+#[tokio::test(start_paused = true)]
+async fn config_in_force_soon_behind_many_changes() {
+    let followed = start();
+    followed.configure(1);
+    pass(Millis(2_000)).await;
+    followed.memory.change(|state| {
+        state.longest = Some(10);
+        for number in 0..200 {
+            state.put(&format!("chivevalve/any/{number}"), "", None);
+        }
+    });
+    followed.configure(2);
+    pass(Millis(1_000)).await;
+    assert_eq!(followed.version(), 2);
+}
+
+/// Symptom: requests begin on an old version of an adapter later than is allowed.
+/// Sequence: a version is named in the midst of more changes than one answer holds.
+/// Cause: a part of the changes taken for all of them, and its age for that of what is known.
+#[tokio::test(start_paused = true)]
+async fn version_in_a_part_counts_from_before_it_was_named() {
+    let followed = start();
+    let clock = Monotonic::start();
+    pass(Millis(2_000)).await;
+    let named = clock.now();
+    let entry = r#"{"model":"base","adapter":"a1","version":2}"#;
+    followed.memory.change(|state| {
+        state.longest = Some(10);
+        for number in 0..95 {
+            state.put(&format!("chivevalve/any/{number}"), "", None);
+        }
+        state.put("op/version/base.a1", entry, None);
+    });
+    pass(Millis(2_000)).await;
+    let newest = followed.view.newest("base/a1").unwrap();
+    assert_eq!(newest.version, 2);
+    assert!(newest.named <= named, "{newest:?}, named at {named}");
+}
