direct: the times to gather and between ranks follow the age of news

Cause: 1.2 s to gather and 0.5 s a rank were chosen where changes are known within a second. Where 4 s are allowed, calls for changes pause for 1.6 s: a node claimed before it could know of others' records or claims. Now both are parts of the bound, the same as before where it is 2 s.

--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -17,9 +17,7 @@
 
 use super::dialect::{Dialect, Key};
 use super::follow::NODES;
-use super::limits::{
-    CLAIM_RANK, Current, GATHER, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN,
-};
+use super::limits::{Current, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN};
 use super::right::Right;
 use super::view::{CLAIMS, Claim, Peer, Standing, State, View, claimed};
 use crate::clock::{Clock, Millis};
@@ -465,7 +463,7 @@
 
     /// Takes in claims that a refused transaction met; returns whether there were any.
     fn learn(&self, found: &[Entry], now: Millis) -> bool {
-        log::info!("right: {} engines were claimed by others", found.len());
+        log::debug!("right: {} engines were claimed by others", found.len());
         let mut state = self.view.state();
         let mut learnt = false;
         for entry in found {
@@ -572,7 +570,8 @@
         let Some(config) = state.config.clone() else {
             return self.former_claims(&state);
         };
-        let gathered = began + GATHER;
+        let limits = self.limits.get();
+        let gathered = began + limits.gather();
         let mut wanted = Vec::new();
         for upstream in state.upstreams.values() {
             let engine = config
@@ -597,8 +596,8 @@
                 .unwrap_or(gathered.max(upstream.seen));
             let passed = now.since(since);
             // Whoever comes later than that waits longer in any case.
-            let rank = self.rank(&state, address, passed.0 / CLAIM_RANK.0 + 1);
-            let mut patience = Millis(CLAIM_RANK.0 * rank);
+            let rank = self.rank(&state, address, passed.0 / limits.claim_rank().0 + 1);
+            let mut patience = Millis(limits.claim_rank().0 * rank);
             match state.vanished.get(&address) {
                 Some((former, _)) if *former == self.node => patience = Millis::ZERO,
                 // All claims can lapse in an outage; a former owner that lives
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -117,6 +117,17 @@
 /// for the call that a node makes itself then, also to a slow service.
 const OLDEST_SHARE: f64 = 0.75;
 
+/// Part of the same time that is left for other nodes to appear before engines are shared out.
+///
+/// Their records are known a pause between calls for changes later, and a call. Before that each
+/// node takes engines for its own that others come first for, and most claims fail.
+const GATHER_SHARE: f64 = 0.6;
+
+/// Part of the same time that a claim waits for each node that comes before this one.
+///
+/// Earlier, that node's claim would seldom be known, and the call would be in vain.
+const CLAIM_RANK_SHARE: f64 = 0.25;
+
 /// How long an adapter that was asked for isn't evicted though no request is counted with it.
 ///
 /// Between a load and the request's arrival lie some milliseconds, or a second where its node
@@ -164,6 +175,18 @@
         self.change_part(OLDEST_SHARE)
     }
 
+    /// Returns the time for other nodes to appear before engines are shared out.
+    #[must_use]
+    pub fn gather(&self) -> Millis {
+        self.change_part(GATHER_SHARE)
+    }
+
+    /// Returns how long a claim waits for each node that comes before the one that makes it.
+    #[must_use]
+    pub fn claim_rank(&self) -> Millis {
+        self.change_part(CLAIM_RANK_SHARE).max(Millis(1))
+    }
+
     /// Returns a part of the time within which changes have to be known.
     #[allow(
         clippy::cast_possible_truncation,
@@ -180,11 +203,5 @@
 /// Pause after a failed call to the key-value service.
 pub const STORE_PAUSE: Millis = Millis(200);
 
-/// Time for other nodes to appear before a first start's claims are shared out.
-pub const GATHER: Millis = Millis(1_200);
-
-/// How long a request for a claim waits for each node that comes before this one.
-pub const CLAIM_RANK: Millis = Millis(500);
-
 /// Margin for clocks' rates and for orders on their way, when waiting out another node's right.
 pub const TURN_MARGIN: Millis = Millis(300);
