--- a/bench/src/fuzz_config/service.rs
+++ b/bench/src/fuzz_config/service.rs
@@ -164,7 +164,7 @@
             tokio::spawn(async move {
                 tokio::time::sleep(late).await;
                 if let Ok(commit) = store.commit(transaction).await {
-                    faults.note(&writes, commit);
+                    faults.note(&writes, &commit);
                 }
             });
             tokio::time::sleep(SILENCE).await;
