--- a/bench/src/fuzz_outcomes/harness/service.rs
+++ b/bench/src/fuzz_outcomes/harness/service.rs
@@ -20,7 +20,7 @@
     next_lease: i64,
     changes: Vec<Event>,
     snapshots: Vec<Listing>,
-    /// Calls that were answered, for slopes.
+    /// Calls that were answered.
     pub calls: u64,
     /// Bytes of keys and values that were sent or received.
     pub bytes: u64,
