--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -15,7 +15,7 @@
 use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
-use crate::ports::poll::{self, Poll};
+use crate::ports::poll::{self, Changes, Poll};
 use crate::ports::{Entry, Error, Event, Store};
 
 /// Name of a node's record, with the node's name behind it.
@@ -112,25 +112,26 @@
                     // Other nodes take changes in the order of their revisions only. Told by key
                     // or otherwise, they would all ask for themselves.
                     changes.events.sort_by_key(|event| event.revision);
-                    // A call that waited in vain knows of its whole wait.
-                    let waited = if changes.events.is_empty() {
-                        wait_now
-                    } else {
-                        Millis::ZERO
-                    };
+                    let more = changes.more;
                     // The service may be further by revisions without changes. Only what
                     // changes lead to can be proved to other nodes.
                     let newest = changes.events.last().map(|event| event.revision);
                     let update = Update {
                         after: revision,
                         revision: revision.max(newest.unwrap_or_default()),
-                        as_of: self.clock.now().min(sent + waited),
+                        as_of: self.as_of(sent, wait_now, &changes),
                         events: changes.events,
                     };
                     revision = update.revision;
                     self.hear(update, "service");
                     wait = POLL_WAIT;
-                    self.limits.get().poll_pause()
+                    // With a pause behind each part, the thousands of changes of a start of all
+                    // nodes kept every later one waiting, a configuration for ten seconds.
+                    if more {
+                        Millis::ZERO
+                    } else {
+                        self.limits.get().poll_pause()
+                    }
                 }
                 Err(poll::Error::Compacted) => {
                     log::info!("follow: the history after revision {revision} is compacted");
@@ -153,6 +154,19 @@
         }
     }
 
+    /// Returns when the service was known to be where an answer leads.
+    ///
+    /// A part of the changes says nothing of how new it is. A call that waited in vain knows of
+    /// its whole wait.
+    fn as_of(&self, sent: Millis, wait: Millis, changes: &Changes) -> Millis {
+        if changes.more {
+            return self.fresh;
+        }
+        let in_vain = changes.events.is_empty();
+        let waited = if in_vain { wait } else { Millis::ZERO };
+        self.clock.now().min(sent + waited)
+    }
+
     /// Returns how long a call for changes waits.
     fn wait(&self, wait: Millis) -> Millis {
         let shared = self
