peer: what must not run twice outlasts its owner's pause as well

Read: a request that must not run twice was given up after 4 s of silence like one that can be tried elsewhere, and ended as unknown, though nobody else may run it and its answer would have come. Change: only requests that may run twice are given up for silence; the others wait until the connection is given up (17 s) or their deadline. New requests get a new connection as before.

--- a/lib/src/peer/forward.rs
+++ b/lib/src/peer/forward.rs
@@ -39,7 +39,8 @@
             let first = down.message().await.map_err(failed)?;
             Ok((first, down))
         };
-        let (first, mut down) = self.link.unless_silent(&way, begun).await?;
+        let again = attempt.ticket.idempotent;
+        let (first, mut down) = self.link.answer(&way, again, begun).await?;
         match first {
             Some(Down {
                 part: Some(down::Part::Head(head)),
--- a/lib/src/peer/link.rs
+++ b/lib/src/peer/link.rs
@@ -124,23 +124,28 @@
         }
     }
 
-    /// Returns what a request's call brings, unless the peer falls silent before.
+    /// Returns what a request's call brings; one that may run again is given up when
+    /// the peer falls silent before.
     ///
-    /// The request may be tried elsewhere then; what the peer makes of it when it
-    /// is only paused can't be known.
-    pub(super) async fn unless_silent<T>(
+    /// What a silent peer makes of a request can't be known. If it may run twice, it
+    /// is soon tried elsewhere; if not, it is tried nowhere else, and its caller is
+    /// better served by a peer that goes on.
+    pub(super) async fn answer<T>(
         &self,
         way: &Arc<Way>,
+        again: bool,
         call: impl Future<Output = Result<T, Failure>>,
     ) -> Result<T, Failure> {
+        tokio::pin!(call);
         tokio::select! {
             biased;
-            brought = call => brought,
-            () = way.probe.silent() => {
-                self.leave(way);
-                Err(Failure::new(Code::PeerLost, "the peer is silent"))
-            }
+            brought = &mut call => return brought,
+            () = way.probe.silent() => self.leave(way),
         }
+        if again {
+            return Err(Failure::new(Code::PeerLost, "the peer is silent"));
+        }
+        call.await
     }
 
     /// Returns when a call was last made.
--- a/lib/src/peer/mod.rs
+++ b/lib/src/peer/mod.rs
@@ -47,13 +47,12 @@
     /// A caller's node that dies without a word is noticed that much later; its
     /// requests end by their deadlines at the latest.
     pub idle_ping: Millis,
-    /// Time to that sign before requests whose answers haven't begun are given up.
-    ///
-    /// They can be tried elsewhere, and so are soon.
+    /// Time to that sign before requests are given up that can be tried elsewhere: their answers
+    /// haven't begun, and they may run twice.
     pub ping_timeout: Millis,
     /// Time to that sign before the connection is given up, and with it the answers that have begun.
     ///
-    /// Nobody can give those again. A VM that is moved or saved is away for seconds, and its
+    /// Nobody can give those again, nor run what must not run twice. A VM that is moved or saved is away for seconds, and its
     /// streams go on afterwards; the caller of one that is gone hears of it this much later.
     pub patience: Millis,
     /// First and shortest time without a new try after a failed connection; it doubles.
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -264,6 +264,44 @@
     assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
 }
 
+/// Symptom: a request that must not run twice ends as unknown, though its answer would have come.
+/// Sequence: its owner's VM is paused for longer than a silent peer is trusted, and goes on.
+/// Cause: the request was given up as soon as one that can be tried elsewhere.
+#[tokio::test]
+async fn run_once_while_peer_pauses() {
+    let (bench, node) = owning().await;
+    let (address, hold) = held(node.owner.peer).await;
+    let owner = Owner {
+        peer: address,
+        ..node.owner.clone()
+    };
+    let clients = impatient();
+    let runner = clients.runner(&owner);
+    let first = runner.run(attempt("r1", "plans", true)).await.unwrap();
+    text(first).await.unwrap();
+    hold.send_replace(true);
+    let mut once = attempt("r2", "plans", true);
+    once.ticket.idempotent = false;
+    let wakes = async {
+        let waiting = runner.run(attempt("r3", "plans", true)).await;
+        assert_eq!(waiting.unwrap_err().code, Code::PeerLost);
+        tokio::time::sleep(Millis(500).duration()).await;
+        hold.send_replace(false);
+    };
+    let (answer, ()) = tokio::join!(runner.run(once), wakes);
+    let seen = text(answer.unwrap()).await.unwrap();
+    assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
+    assert!(
+        bench
+            .engine
+            .runs()
+            .iter()
+            .filter(|run| *run == "r2")
+            .count()
+            == 1
+    );
+}
+
 /// Symptom: a caller waits for the rest of a stream until its deadline.
 /// Sequence: the owner's VM loses its power in the middle of an answer.
 /// Cause: a connection that nobody closes was taken for a peer that is only paused.
