peer: an ask for leave to load gives a silent owner up as soon as before

Read: an ask for leave to load waited on the silent connection as long as a begun answer, where it had fallen back to its share of the rate after 4 s. Change: an ask is given up for silence as a request that may run twice.

--- a/lib/src/peer/permit.rs
+++ b/lib/src/peer/permit.rs
@@ -123,7 +123,8 @@
 impl Permits for Remote {
     async fn acquire(&self, ask: watch::Receiver<Ask>) -> Result<Box<dyn Permit>, Failure> {
         let link = self.clients.link(self.address);
-        let mut client = link.way()?.client();
+        let way = link.way()?;
+        let mut client = way.client();
         let (ended, last) = mpsc::channel(1);
         let metrics = self.clients.metrics();
         let asks = WatchStream::new(ask).map(|ask| permit_up::Part::Ask(ask.into()));
@@ -132,10 +133,15 @@
             call::count(&metrics, "sent", &message);
             message
         });
-        let answer = client.permit(up).await;
-        let mut down = answer.map_err(|status| link.failed(&status))?.into_inner();
-        let leave = down.message().await;
-        match leave.map_err(|status| link.failed(&status))? {
+        let failed = |status| link.failed(&status);
+        let asked = async {
+            let mut down = client.permit(up).await.map_err(failed)?.into_inner();
+            let leave = down.message().await.map_err(failed)?;
+            Ok((leave, down))
+        };
+        // While the owner is silent a share of the rate is better than no load.
+        let (leave, down) = link.answer(&way, true, asked).await?;
+        match leave {
             Some(leave) if leave.granted => {
                 link.answered();
                 call::count(&self.clients.metrics(), "received", &leave);
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -671,3 +671,22 @@
         .unwrap();
     leave.done(true, Millis(300)).await;
 }
+
+/// Symptom: no adapter is loaded for many seconds while the queue's owner is paused.
+/// Sequence: the owner's process stops; its kernel still accepts connections.
+/// Cause: an ask waited for as long as answers that have begun are waited for.
+#[tokio::test]
+async fn permit_owner_silent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let owner = Owner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        peer: listener.local_addr().unwrap(),
+    };
+    let shared = shared(&impatient(), &owner);
+    let leave = loads::Permits::acquire(&*shared, wanted("plans"));
+    let leave = tokio::time::timeout(Millis::from_secs(30).duration(), leave).await;
+    leave.unwrap().unwrap().done(true, Millis(300)).await;
+    drop(listener);
+}
