bench: soak, a seeded story of faults against real daemons of the users' platform

Change: chivevalve-bench soak. The platform's side (servers that behave by the seed, the callers' wire, settings) is in platform/standins/src/soak, so that the border of the users' names holds; the rest is in bench/src/soak. Daemons are started by path and ended by id, also on SIGINT and SIGTERM. Daemon::spawn takes a whole command now.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -18,6 +18,7 @@
 mod site;
 mod slopes;
 mod slopes_membership;
+mod soak;
 mod spread;
 
 /// How a campaign ended.
@@ -68,6 +69,11 @@
         about: "how the cost of control grows with nodes and templates, on real nodes",
         run: slopes::run,
     },
+    Campaign {
+        name: "soak",
+        about: "a seeded story of faults against real daemons of the users' platform",
+        run: soak::run,
+    },
     Campaign {
         name: "spread",
         about: "how a change of configuration reaches all nodes, and what that costs",
--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -227,7 +227,7 @@
 }
 
 /// Finds the daemon beside this program.
-fn program() -> Result<PathBuf> {
+pub fn program() -> Result<PathBuf> {
     let path = std::env::current_exe()?.with_file_name("chivevalved");
     if path.exists() {
         return Ok(path);
--- /dev/null
+++ b/bench/src/soak/caller.rs
@@ -0,0 +1,190 @@
+//! Callers: each keeps its connection for some requests, until the node closes it or is gone.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use chivevalve::clock::Millis;
+use chivevalve_platform_standins::soak::wire::{self, Ask};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use super::site::Site;
+use super::story::ADAPTERS;
+use super::{Trick, lock};
+
+/// How long a caller waits, and how much longer it stays for a late answer.
+const DEADLINE: Millis = Millis(6_000);
+const PATIENCE: Duration = Duration::from_millis(6_500);
+/// Longest wait for a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Longest pause of a caller between two requests, in milliseconds.
+const PAUSE: u64 = 250;
+/// Part of the requests for which a caller takes a new connection.
+const RECONNECT: f64 = 0.08;
+
+/// A request as its caller saw it.
+#[derive(Debug, Clone)]
+pub struct Call {
+    pub ask: Ask,
+    pub node: usize,
+    /// The start of the node's process.
+    pub start: u32,
+    pub sent: Millis,
+    pub ended: Millis,
+    pub status: Option<u16>,
+    /// Whether the answer came to its end.
+    pub complete: bool,
+    /// What broke it off.
+    pub failure: Option<String>,
+    /// Whether a head was signed.
+    pub sealed: bool,
+    /// What an answer's bytes break; see [`super::answer`].
+    pub wrong: Vec<(&'static str, String)>,
+}
+
+/// All calls, and whether there are to be more.
+#[derive(Debug, Default)]
+pub struct Calls {
+    pub all: Mutex<Vec<Call>>,
+    pub over: AtomicBool,
+}
+
+pub struct Link {
+    node: usize,
+    start: u32,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+/// Calls until there are to be no more.
+pub async fn run(site: Arc<Site>, calls: Arc<Calls>, seed: u64, worker: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ (worker + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    let mut link = None;
+    let mut number = 0_u64;
+    while !calls.over.load(Ordering::SeqCst) {
+        sleep(Duration::from_millis(rng.random_range(5..PAUSE))).await;
+        let ask = ask(&mut rng, format!("{seed:x}-{worker:x}-{number:x}z"));
+        number += 1;
+        if rng.random_bool(RECONNECT) {
+            link = None;
+        }
+        let choice = rng.random_range(0..usize::MAX);
+        if let Some(call) = one(&site, &mut link, ask, choice).await {
+            lock(&calls.all).push(call);
+        }
+    }
+}
+
+fn ask(rng: &mut Pcg64Mcg, id: String) -> Ask {
+    let route = match rng.random_range(0..20) {
+        0..4 => "look",
+        4..8 => "push",
+        8..12 => "plan",
+        12..16 => "digest",
+        _ => wire::FLIP,
+    };
+    let engine = matches!(route, "plan" | "digest");
+    // Few adapters get most requests, and all get some.
+    let most = rng.random_range(1..=ADAPTERS);
+    let adapter = rng.random_range(1..=most);
+    Ask {
+        id,
+        route,
+        adapter: engine.then(|| format!("a{adapter}")),
+        deadline: DEADLINE,
+    }
+}
+
+/// Sends one request; none if no connection took it.
+pub async fn one(site: &Site, link: &mut Option<Link>, ask: Ask, choice: usize) -> Option<Call> {
+    let open = link.take();
+    let mut open = match open {
+        Some(open) if !open.sender.is_closed() => open,
+        _ => connect(site, chosen(site, choice)).await?,
+    };
+    open.sender.ready().await.ok()?;
+    let mut call = Call {
+        node: open.node,
+        start: open.start,
+        sent: site.ledger.now(),
+        ended: Millis::ZERO,
+        status: None,
+        complete: false,
+        failure: None,
+        sealed: false,
+        wrong: Vec::new(),
+        ask,
+    };
+    let mut body = BytesMut::new();
+    let heard = timeout(PATIENCE, hear(&mut open, &mut call, &mut body)).await;
+    call.ended = site.ledger.now();
+    match heard {
+        Ok(Ok(())) => *link = Some(open),
+        Ok(Err(error)) if error.is_canceled() => return None,
+        Ok(Err(error)) => call.failure = Some(format!("{error:?}")),
+        Err(_) => call.failure = Some("out of time".to_owned()),
+    }
+    if site.trick == Trick::Halved {
+        body.truncate(body.len() / 2);
+    }
+    super::answer::look(&mut call, &body);
+    Some(call)
+}
+
+async fn hear(link: &mut Link, call: &mut Call, body: &mut BytesMut) -> Result<(), hyper::Error> {
+    let answer = link.sender.send_request(wire::request(&call.ask)).await?;
+    let (head, mut rest) = answer.into_parts();
+    let said = wire::said(&head);
+    call.status = Some(head.status.as_u16());
+    call.sealed = said.sealed;
+    if said.id.is_some_and(|id| id != call.ask.id) {
+        call.wrong
+            .push(("OwnAnswer", "the head names another request".to_owned()));
+    }
+    while let Some(frame) = rest.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            body.extend_from_slice(&data);
+        }
+    }
+    call.complete = true;
+    Ok(())
+}
+
+/// Sends one request to a node, on a connection of its own.
+pub async fn at(site: &Site, node: usize, ask: Ask) -> Option<Call> {
+    let mut link = Some(connect(site, node).await?);
+    one(site, &mut link, ask, node).await
+}
+
+fn chosen(site: &Site, choice: usize) -> usize {
+    let ready = |node: &usize| site.nodes[*node].ready.load(Ordering::SeqCst);
+    let of: Vec<usize> = (0..site.nodes.len()).filter(ready).collect();
+    match of.len() {
+        0 => choice % site.nodes.len(),
+        ready => of[choice % ready],
+    }
+}
+
+async fn connect(site: &Site, node: usize) -> Option<Link> {
+    let start = site.nodes[node].starts.load(Ordering::SeqCst);
+    let address: SocketAddr = site.nodes[node].callers;
+    let stream = timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
+    let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = shaken.ok()?;
+    tokio::spawn(connection);
+    Some(Link {
+        node,
+        start,
+        sender,
+    })
+}
--- /dev/null
+++ b/bench/src/soak/mod.rs
@@ -0,0 +1,384 @@
+//! A seeded story against real daemons on the users' platform's stand-ins.
+//!
+//! docs/soak.md tells how to run it and how to read what it says.
+
+mod answer;
+mod caller;
+mod judge;
+mod proxy;
+mod site;
+mod story;
+mod trouble;
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use chivevalve::clock::Millis;
+use chivevalve_platform_standins::soak::server;
+use chivevalve_platform_standins::soak::wire::Ask;
+use eyre::{Result, eyre};
+use lexopt::prelude::*;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
+
+use crate::Verdict;
+use caller::{Call, Calls};
+use judge::{Evidence, Violation};
+use site::Site;
+use story::Act;
+use trouble::Scope;
+
+const HELP: &str = "\
+Usage: chivevalve-bench soak [OPTIONS]
+
+Plays the story of a seed against daemons of the users' platform, on loopback, and judges
+what callers and servers saw. Needs chivevalved beside it: cargo build --release -p chivevalve-cli
+
+  --seed N       the story [default: 1]
+  --seconds N    its length, without the return at the end [default: 60]
+  --nodes N      daemons, 8 at most [default: 4]
+  --workers N    requests at a time [default: 24]
+  --exact        judge only what a slow computer can't break by itself
+  --trick NAME   spoil the stand-ins or the callers, so that a check has to fail
+  --story        print the story and play nothing
+  --program P    the daemon's program
+  --dir DIR      where logs go [default: target/soak]
+
+Ends with 1 when a promise was broken.
+";
+
+/// Most daemons, for the computer's sake.
+const MOST_NODES: usize = 8;
+/// Violations that are printed in full.
+const SHOWN: usize = 12;
+/// Lines of logs that are printed for each.
+const LINES: usize = 12;
+/// Time within which everything has to be back after the last fault.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Requests of each node that have to be served in a row then.
+const SERVED: usize = 12;
+/// Longest wait for faults that still go on.
+const GOING: Duration = Duration::from_secs(30);
+/// Time for requests to run late that were refused.
+const AFTERWARDS: Duration = Duration::from_secs(2);
+
+/// What is spoilt so that a check has to fail.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Trick {
+    #[default]
+    None,
+    /// The servers do something.
+    Server(server::Trick),
+    /// Nodes that are asked to stop are killed soon after.
+    Impatient,
+    /// Callers hear half of each answer.
+    Halved,
+    /// Servers stay silent when all faults are over.
+    NoReturn,
+}
+
+/// Tricks by name.
+const TRICKS: [(&str, Trick); 16] = [
+    ("twice", Trick::Server(server::Trick::Twice)),
+    ("swapped", Trick::Server(server::Trick::Swapped)),
+    ("looks-whole", Trick::Server(server::Trick::LooksWhole)),
+    ("gap", Trick::Server(server::Trick::Gap)),
+    ("repeat", Trick::Server(server::Trick::Repeat)),
+    ("false-refusal", Trick::Server(server::Trick::FalseRefusal)),
+    ("other-adapter", Trick::Server(server::Trick::OtherAdapter)),
+    ("old-version", Trick::Server(server::Trick::OldVersion)),
+    ("stale", Trick::Server(server::Trick::Stale)),
+    ("two-holders", Trick::Server(server::Trick::TwoHolders)),
+    ("late-leaving", Trick::Server(server::Trick::LateLeaving)),
+    ("untold", Trick::Server(server::Trick::Untold)),
+    ("storm", Trick::Server(server::Trick::Storm)),
+    ("impatient", Trick::Impatient),
+    ("halved", Trick::Halved),
+    ("no-return", Trick::NoReturn),
+];
+
+/// How a soak is to be.
+#[derive(Debug)]
+struct Options {
+    seed: u64,
+    span: Millis,
+    nodes: usize,
+    workers: u64,
+    exact: bool,
+    story: bool,
+    trick: Trick,
+    program: Option<PathBuf>,
+    dir: PathBuf,
+}
+
+/// Runs the campaign.
+pub fn run(parser: &mut lexopt::Parser) -> Result<Verdict> {
+    let Some(options) = options(parser)? else {
+        print!("{HELP}");
+        return Ok(Verdict::Kept);
+    };
+    if options.story {
+        for step in story::draw(options.seed, options.nodes, options.span) {
+            println!("{} {:?}", step.at, step.act);
+        }
+        return Ok(Verdict::Kept);
+    }
+    tokio::runtime::Runtime::new()?.block_on(async {
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut terminate = signal(SignalKind::terminate())?;
+        // What is dropped here kills the daemons with it.
+        tokio::select! {
+            verdict = play(&options) => verdict,
+            _ = interrupt.recv() => Err(eyre!("interrupted")),
+            _ = terminate.recv() => Err(eyre!("asked to stop")),
+        }
+    })
+}
+
+fn options(parser: &mut lexopt::Parser) -> Result<Option<Options>> {
+    let mut options = Options {
+        seed: 1,
+        span: Millis::from_secs(60),
+        nodes: 4,
+        workers: 24,
+        exact: false,
+        story: false,
+        trick: Trick::None,
+        program: None,
+        dir: site::directory(),
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("help") | Short('h') => return Ok(None),
+            Long("seed") => options.seed = parser.value()?.parse()?,
+            Long("seconds") => options.span = Millis::from_secs(parser.value()?.parse()?),
+            Long("nodes") => options.nodes = parser.value()?.parse()?,
+            Long("workers") => options.workers = parser.value()?.parse()?,
+            Long("exact") => options.exact = true,
+            Long("story") => options.story = true,
+            Long("program") => options.program = Some(parser.value()?.into()),
+            Long("dir") => options.dir = parser.value()?.into(),
+            Long("trick") => {
+                let name = parser.value()?.string()?;
+                let known = TRICKS.iter().find(|(known, _)| *known == name);
+                options.trick = known.ok_or_else(|| eyre!("no trick is called {name}"))?.1;
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if options.nodes == 0 || options.nodes > MOST_NODES {
+        return Err(eyre!("--nodes must be 1 to {MOST_NODES}"));
+    }
+    Ok(Some(options))
+}
+
+async fn play(options: &Options) -> Result<Verdict> {
+    let steps = story::draw(options.seed, options.nodes, options.span);
+    let flips = steps.iter().filter(|step| step.act == Act::Config).count();
+    let site = Site::start(options, u64::try_from(flips)? + 1).await?;
+    let calls = Arc::new(Calls::default());
+    let workers: Vec<_> = (0..options.workers)
+        .map(|worker| {
+            let (site, calls) = (Arc::clone(&site), Arc::clone(&calls));
+            tokio::spawn(caller::run(site, calls, options.seed, worker))
+        })
+        .collect();
+    for step in &steps {
+        until(&site, step.at).await;
+        site.act(step.act);
+    }
+    until(&site, options.span).await;
+    let mut found = come_back(&site, options).await;
+    let last = site.nodes.len() - 1;
+    for node in 0..last {
+        last_stop(&site, node).await?;
+    }
+    calls.over.store(true, Ordering::SeqCst);
+    for worker in workers {
+        worker.await?;
+    }
+    last_stop(&site, last).await?;
+    sleep(AFTERWARDS).await;
+    let seen = evidence(&site, &calls);
+    found.extend(judge::judge(&seen, options.exact));
+    write(&site, &seen)?;
+    print!("{}", report(options, &site, &seen, &found));
+    site.end();
+    Ok(if found.is_empty() {
+        Verdict::Kept
+    } else {
+        Verdict::Broken
+    })
+}
+
+async fn until(site: &Site, at: Millis) {
+    sleep(at.since(site.ledger.now()).duration()).await;
+}
+
+/// Waits until each node serves a row of requests.
+async fn come_back(site: &Arc<Site>, options: &Options) -> Vec<Violation> {
+    let going = async {
+        while site.going.load(Ordering::SeqCst) > 0 {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let mut found = Vec::new();
+    let tell = |told: String| Violation {
+        promise: "Recovery",
+        at: site.ledger.now(),
+        id: String::new(),
+        told,
+    };
+    if tokio::time::timeout(GOING, going).await.is_err() {
+        found.push(tell("faults of the story did not end".to_owned()));
+    }
+    if options.trick == Trick::NoReturn {
+        site.hosts.iter().for_each(|host| {
+            host.server.feel(server::Mood {
+                silent: true,
+                ..server::Mood::default()
+            });
+        });
+    }
+    let limit = if options.exact { GOING } else { RECOVERY };
+    let rows = (0..site.nodes.len()).map(|node| tokio::time::timeout(limit, serve_row(site, node)));
+    for (node, row) in futures::future::join_all(rows)
+        .await
+        .into_iter()
+        .enumerate()
+    {
+        if row.is_err() {
+            found.push(tell(format!("node {node} does not serve within {limit:?}")));
+        }
+    }
+    found
+}
+
+async fn serve_row(site: &Site, node: usize) {
+    let mut row = 0;
+    let mut number = 0;
+    while row < SERVED {
+        number += 1;
+        let ask = Ask {
+            id: format!("back-{node}-{number}z"),
+            route: if number % 2 == 0 { "look" } else { "plan" },
+            adapter: (number % 2 == 1).then(|| "a1".to_owned()),
+            deadline: Millis::from_secs(6),
+        };
+        let call = caller::at(site, node, ask).await;
+        let served = call.is_some_and(|call| call.status == Some(200) && call.complete);
+        row = if served { row + 1 } else { 0 };
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Stops a node in order while the others go on.
+async fn last_stop(site: &Site, node: usize) -> Result<()> {
+    let told = "the last stop".to_owned();
+    let number = site
+        .troubles
+        .begin(Scope::Stop(node), site.ledger.now(), told);
+    site.stop(node).await?;
+    site.troubles.end(number, site.ledger.now());
+    Ok(())
+}
+
+fn evidence(site: &Site, calls: &Calls) -> Evidence {
+    Evidence {
+        calls: lock(&calls.all).clone(),
+        arrivals: site.ledger.arrivals(),
+        orders: site.ledger.orders(),
+        breaches: site.ledger.breaches(),
+        troubles: site.troubles.all(),
+        configs: lock(&site.configs).clone(),
+        versions: lock(&site.versions).clone(),
+        left: lock(&site.left).clone(),
+        stops: lock(&site.stops).clone(),
+    }
+}
+
+/// Leaves what was seen beside the logs.
+fn write(site: &Site, seen: &Evidence) -> Result<()> {
+    fn lines<T: std::fmt::Debug>(all: &[T]) -> String {
+        all.iter().fold(String::new(), |mut text, one| {
+            // Writing to a string can't fail.
+            let _ = writeln!(text, "{one:?}");
+            text
+        })
+    }
+    for (name, text) in [
+        ("calls", lines(&seen.calls)),
+        ("arrivals", lines(&seen.arrivals)),
+        ("orders", lines(&seen.orders)),
+        ("troubles", lines(&seen.troubles)),
+        ("configs", lines(&seen.configs)),
+        ("versions", lines(&seen.versions)),
+        ("left", lines(&seen.left)),
+        ("stops", lines(&seen.stops)),
+    ] {
+        std::fs::write(site.dir.join(format!("{name}.txt")), text)?;
+    }
+    Ok(())
+}
+
+fn outcome(call: &Call) -> String {
+    match (call.status, call.complete) {
+        (Some(200), true) => "served".to_owned(),
+        (Some(200), false) => "broken off".to_owned(),
+        (Some(status), _) => format!("status {status}"),
+        (None, _) => "no answer".to_owned(),
+    }
+}
+
+fn report(options: &Options, site: &Site, seen: &Evidence, found: &[Violation]) -> String {
+    let mut text = format!(
+        "soak seed {} of {} with {} nodes: {} requests, {} arrivals, {} orders, \
+         {} faults, {} configurations, {} violations\n",
+        options.seed,
+        options.span,
+        options.nodes,
+        seen.calls.len(),
+        seen.arrivals.len(),
+        seen.orders.len(),
+        seen.troubles.len(),
+        seen.configs.len(),
+        found.len(),
+    );
+    let mut counts: BTreeMap<(String, &str), usize> = BTreeMap::new();
+    for call in &seen.calls {
+        *counts.entry((outcome(call), call.ask.route)).or_default() += 1;
+    }
+    for ((outcome, route), count) in counts {
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "  {outcome:<12} {route:<8} {count}");
+    }
+    let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
+    for one in found {
+        *kinds.entry(one.promise).or_default() += 1;
+    }
+    for (promise, count) in kinds {
+        let _ = writeln!(text, "broken: {promise} {count}");
+    }
+    for one in found.iter().take(SHOWN) {
+        let _ = writeln!(
+            text,
+            "{} at {} {}: {}",
+            one.promise, one.at, one.id, one.told
+        );
+        if !one.id.is_empty() {
+            for line in site.lines(&one.id).iter().take(LINES) {
+                let _ = writeln!(text, "    {line}");
+            }
+        }
+    }
+    let _ = writeln!(text, "logs: {}", site.dir.display());
+    text
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -62,13 +62,19 @@
     pub fn start(program: &Path, directory: &Path, name: &str, settings: &str) -> io::Result<Self> {
         let file = directory.join(format!("{name}.yaml"));
         fs::write(&file, settings)?;
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(directory.join(format!("{name}.log")))?;
-        let child = Command::new(program)
-            .arg("--settings")
-            .arg(&file)
+        let mut command = Command::new(program);
+        command.arg("--settings").arg(&file);
+        Self::spawn(command, &directory.join(format!("{name}.log")))
+    }
+
+    /// Starts a command; what it prints goes behind what `log` holds.
+    ///
+    /// # Errors
+    ///
+    /// When the program can't be started.
+    pub fn spawn(mut command: Command, log: &Path) -> io::Result<Self> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = command
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
