soak: what explains a broken answer is narrower

Cause: any trouble of any engine excused every stream, and any fault anywhere an old version, so that both checks hardly ever looked at anything.

Change: a request that ran is excused only by trouble at the servers that it reached, a leaving server only where its node was out of touch, an old version only by links and the node itself.

--- a/bench/src/soak/judge.rs
+++ b/bench/src/soak/judge.rs
@@ -153,14 +153,32 @@
     if ends || spoilt || late || (crossed && call.status.is_none()) {
         return None;
     }
-    let mut scopes = vec![Scope::Node(call.node)];
-    let engine = call.ask.adapter.is_some();
-    let of_service = seen
-        .arrivals
-        .iter()
-        .filter(|other| (other.service == "engines") == engine && call.ask.route != wire::FLIP);
-    scopes.extend(of_service.map(|other| Scope::Server(other.host)));
-    scopes.dedup();
+    let reached: Vec<usize> = if arrivals.iter().any(|arrival| arrival.ran) {
+        arrivals.iter().map(|arrival| arrival.host).collect()
+    } else {
+        let service = if call.ask.adapter.is_some() {
+            "engines"
+        } else {
+            "records"
+        };
+        let of_it = seen.arrivals.iter().filter(|one| one.service == service);
+        of_it.map(|one| one.host).collect()
+    };
+    let mut scopes = vec![Scope::Process(call.node)];
+    scopes.extend(
+        reached
+            .iter()
+            .flat_map(|host| [Scope::Link(*host), Scope::Crash(*host)]),
+    );
+    if !calm(
+        &seen.troubles,
+        &Scope::of_node(call.node),
+        call.sent,
+        call.ended,
+    ) {
+        // A node that can't hear of it sends to a server that has left.
+        scopes.extend(reached.iter().map(|host| Scope::Leave(*host)));
+    }
     let mut planned = seen.stops.iter().filter(|stop| stop.node == call.node);
     let grace = |stop: &Stop| {
         let still = arrivals.iter().any(|arrival| {
@@ -189,10 +207,14 @@
 
 fn stops(seen: &Evidence) -> impl Iterator<Item = Violation> {
     let bad = seen.stops.iter().filter(|stop| {
-        let own = [Scope::Node(stop.node)];
-        // Who pauses or crashes meanwhile keeps requests from ending.
-        let mut scopes: Vec<Scope> = own.to_vec();
-        scopes.extend((0..super::story::ENGINES + super::story::PLAIN).map(Scope::Server));
+        // Who crashes or can't be reached meanwhile keeps requests from ending.
+        let mut scopes = vec![
+            Scope::Process(stop.node),
+            Scope::StoreLink(stop.node),
+            Scope::Store,
+        ];
+        let hosts = 0..super::story::ENGINES + super::story::PLAIN;
+        scopes.extend(hosts.flat_map(|host| [Scope::Link(host), Scope::Crash(host)]));
         stop.code != Some(0) && calm(&seen.troubles, &scopes, stop.at, stop.until)
     });
     bad.map(|stop| {
@@ -216,7 +238,7 @@
     }
     for (call, arrival, version) in flips {
         let own = &effects[&(call.node, call.start)];
-        let scopes = [Scope::Node(call.node), Scope::Store];
+        let scopes = Scope::of_node(call.node);
         let slack = if calm(&seen.troubles, &scopes, call.sent, arrival.at) {
             BACK
         } else {
@@ -253,7 +275,7 @@
     for (call, arrival, version) in flips(seen, by_id) {
         let next = seen.configs.iter().find(|(next, _)| *next > version);
         let Some((next, at)) = next else { continue };
-        let scopes = [Scope::Node(call.node), Scope::Stop(call.node), Scope::Store];
+        let scopes = Scope::of_node(call.node);
         let touch = calm(&seen.troubles, &scopes, *at, arrival.at);
         if touch && call.sent.0 > at.0 + APPLY.0 {
             let told = format!(
@@ -278,17 +300,9 @@
                 continue;
             };
             let node = call.node;
-            let scopes = [Scope::Node(node), Scope::Stop(node), Scope::Store];
-            // The place itself is in trouble by leaving; only harm to the way to it excuses.
-            let held_up = seen.troubles.iter().any(|trouble| {
-                trouble.scope == Scope::Server(*host)
-                    && !trouble.told.starts_with("Leave")
-                    && trouble.from <= arrival.at
-                    && trouble
-                        .until
-                        .is_none_or(|end| end.0 + 3_000 >= arrival.at.0)
-            });
-            if !held_up && calm(&seen.troubles, &scopes, *told, arrival.at) {
+            let [process, stop, link, store] = Scope::of_node(node);
+            let scopes = [process, stop, link, store, Scope::Link(*host)];
+            if calm(&seen.troubles, &scopes, *told, arrival.at) {
                 let told = format!("{start} said at {told} that it leaves; node {node} sent more");
                 found.push(new("Leaving", arrival.at, &arrival.id, told));
             }
@@ -315,16 +329,11 @@
         let (Some((_, newer, at)), Some(call)) = (newer, calls.get(arrival.id.as_str())) else {
             continue;
         };
-        let any = seen.troubles.iter().any(|trouble| {
-            let matters = match trouble.scope {
-                Scope::Server(_) => !trouble.told.starts_with("Leave"),
-                Scope::Node(_) | Scope::Stop(_) | Scope::Store => true,
-            };
-            matters
-                && trouble.from <= arrival.at
-                && trouble.until.is_none_or(|end| end.0 + 3_000 >= at.0)
-        });
-        if !any && arrival.at.0 > at.0 + VERSION.0 {
+        let links = seen.troubles.iter().map(|trouble| trouble.scope);
+        let links = links.filter(|scope| matches!(scope, Scope::Link(_) | Scope::StoreLink(_)));
+        let scopes: Vec<Scope> = links.chain(Scope::of_node(call.node)).collect();
+        let touch = calm(&seen.troubles, &scopes, *at, arrival.at);
+        if touch && arrival.at.0 > at.0 + VERSION.0 {
             let told = format!(
                 "{adapter}@{version} begins at node {}; {newer} was acknowledged at {at}",
                 call.node
@@ -343,9 +352,9 @@
         let node = node.and_then(|number| number.parse().ok());
         let healed = seen.troubles.iter().any(|trouble| {
             let own = match trouble.scope {
-                Scope::Node(number) => Some(number) == node,
-                Scope::Server(host) => host == order.host && !trouble.told.starts_with("Leave"),
-                Scope::Stop(_) | Scope::Store => false,
+                Scope::Process(number) => Some(number) == node,
+                Scope::Link(host) => host == order.host,
+                _ => false,
             };
             let until = trouble.until.map_or(Millis::MAX, |until| until);
             own && trouble.from <= order.at && order.at.0 <= until.0.saturating_add(THAW.0)
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use chivevalve::clock::Millis;
-use chivevalve_platform_standins::soak::server;
+use chivevalve_platform_standins::soak::mood;
 use chivevalve_platform_standins::soak::wire::Ask;
 use eyre::{Result, eyre};
 use lexopt::prelude::*;
@@ -57,6 +57,8 @@
 const SHOWN: usize = 12;
 /// Lines of logs that are printed for each.
 const LINES: usize = 12;
+/// Time before a violation of which the faults are printed.
+const AROUND: Millis = Millis(8_000);
 /// Time within which everything has to be back after the last fault.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Requests of each node that have to be served in a row then.
@@ -72,7 +74,7 @@
     #[default]
     None,
     /// The servers do something.
-    Server(server::Trick),
+    Server(mood::Trick),
     /// Nodes that are asked to stop are killed soon after.
     Impatient,
     /// Callers hear half of each answer.
@@ -83,19 +85,19 @@
 
 /// Tricks by name.
 const TRICKS: [(&str, Trick); 16] = [
-    ("twice", Trick::Server(server::Trick::Twice)),
-    ("swapped", Trick::Server(server::Trick::Swapped)),
-    ("looks-whole", Trick::Server(server::Trick::LooksWhole)),
-    ("gap", Trick::Server(server::Trick::Gap)),
-    ("repeat", Trick::Server(server::Trick::Repeat)),
-    ("false-refusal", Trick::Server(server::Trick::FalseRefusal)),
-    ("other-adapter", Trick::Server(server::Trick::OtherAdapter)),
-    ("old-version", Trick::Server(server::Trick::OldVersion)),
-    ("stale", Trick::Server(server::Trick::Stale)),
-    ("two-holders", Trick::Server(server::Trick::TwoHolders)),
-    ("late-leaving", Trick::Server(server::Trick::LateLeaving)),
-    ("untold", Trick::Server(server::Trick::Untold)),
-    ("storm", Trick::Server(server::Trick::Storm)),
+    ("twice", Trick::Server(mood::Trick::Twice)),
+    ("swapped", Trick::Server(mood::Trick::Swapped)),
+    ("looks-whole", Trick::Server(mood::Trick::LooksWhole)),
+    ("gap", Trick::Server(mood::Trick::Gap)),
+    ("repeat", Trick::Server(mood::Trick::Repeat)),
+    ("false-refusal", Trick::Server(mood::Trick::FalseRefusal)),
+    ("other-adapter", Trick::Server(mood::Trick::OtherAdapter)),
+    ("old-version", Trick::Server(mood::Trick::OldVersion)),
+    ("stale", Trick::Server(mood::Trick::Stale)),
+    ("two-holders", Trick::Server(mood::Trick::TwoHolders)),
+    ("late-leaving", Trick::Server(mood::Trick::LateLeaving)),
+    ("untold", Trick::Server(mood::Trick::Untold)),
+    ("storm", Trick::Server(mood::Trick::Storm)),
     ("impatient", Trick::Impatient),
     ("halved", Trick::Halved),
     ("no-return", Trick::NoReturn),
@@ -238,9 +240,9 @@
     }
     if options.trick == Trick::NoReturn {
         site.hosts.iter().for_each(|host| {
-            host.server.feel(server::Mood {
+            host.server.feel(mood::Mood {
                 silent: true,
-                ..server::Mood::default()
+                ..mood::Mood::default()
             });
         });
     }
@@ -369,6 +371,13 @@
             "{} at {} {}: {}",
             one.promise, one.at, one.id, one.told
         );
+        let before = Millis(one.at.0.saturating_sub(AROUND.0));
+        for trouble in &seen.troubles {
+            if trouble.from <= one.at && trouble.until.is_none_or(|until| until >= before) {
+                let until = trouble.until.unwrap_or(Millis::MAX);
+                let _ = writeln!(text, "  {} to {until}: {}", trouble.from, trouble.told);
+            }
+        }
         if !one.id.is_empty() {
             for line in site.lines(&one.id).iter().take(LINES) {
                 let _ = writeln!(text, "    {line}");
--- a/bench/src/soak/site.rs
+++ b/bench/src/soak/site.rs
@@ -11,7 +11,8 @@
 use chivevalve::clock::Millis;
 use chivevalve_platform::settings::VARIABLE;
 use chivevalve_platform_standins::soak::ledger::Ledger;
-use chivevalve_platform_standins::soak::server::{Mood, Server, Trick};
+use chivevalve_platform_standins::soak::mood::{Mood, Trick};
+use chivevalve_platform_standins::soak::server::Server;
 use chivevalve_platform_standins::soak::wire::{self, Place};
 use chivevalve_platform_standins::store::Store;
 use chivevalve_standins::process::Daemon;
@@ -233,13 +234,12 @@
         }
         let scope = match act {
             Act::Stop(node) => Scope::Stop(node),
-            Act::Kill(node, _) | Act::Pause(node, _) | Act::StoreLink(node, ..) => {
-                Scope::Node(node)
-            }
+            Act::Kill(node, _) | Act::Pause(node, _) => Scope::Process(node),
+            Act::StoreLink(node, ..) => Scope::StoreLink(node),
             Act::StoreAway(..) => Scope::Store,
-            Act::ServerLink(host, ..) | Act::Crash(host, _) | Act::Leave(host) => {
-                Scope::Server(host)
-            }
+            Act::ServerLink(host, ..) => Scope::Link(host),
+            Act::Crash(host, _) => Scope::Crash(host),
+            Act::Leave(host) => Scope::Leave(host),
             Act::Feel(..) | Act::Config | Act::Version(_) => {
                 self.harm(act).await?;
                 return Ok(());
--- a/bench/src/soak/story.rs
+++ b/bench/src/soak/story.rs
@@ -1,7 +1,7 @@
 //! What happens in a soak, drawn from the seed before it begins.
 
 use chivevalve::clock::Millis;
-use chivevalve_platform_standins::soak::server::Mood;
+use chivevalve_platform_standins::soak::mood::Mood;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- a/bench/src/soak/trouble.rs
+++ b/bench/src/soak/trouble.rs
@@ -12,14 +12,32 @@
 /// What is touched.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
-    /// A node, other than by a planned stop.
-    Node(usize),
+    /// A node's process, other than by a planned stop.
+    Process(usize),
     /// A node that is asked to stop.
     Stop(usize),
+    /// A node's way to the store.
+    StoreLink(usize),
     /// All nodes' ways to the store.
     Store,
-    /// A server or the way to it.
-    Server(usize),
+    /// The way to a server.
+    Link(usize),
+    /// A server that crashes.
+    Crash(usize),
+    /// A server that leaves in order.
+    Leave(usize),
+}
+
+impl Scope {
+    /// What keeps a node out of touch with the platform.
+    pub fn of_node(node: usize) -> [Self; 4] {
+        [
+            Self::Process(node),
+            Self::Stop(node),
+            Self::StoreLink(node),
+            Self::Store,
+        ]
+    }
 }
 
 /// Something that was done.
