standins: the events of one transaction have its one revision

Cause: the stand-in gave two keys of one transaction the revisions 400 and 401 in its events, and 401 for both in its answer and its entries; the users' page says one revision for a change. The node took the event as the newer knowledge of its claim. Ruled out: a fault of the node, which goes by what the store says.

Change: events take the transaction's revision, as entries did.

--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -98,6 +98,7 @@
         if !transaction.conditions.iter().all(|one| self.holds(one)) {
             return None;
         }
+        let before = self.events.len();
         for write in &transaction.writes {
             match write {
                 Write::Put(key, value, lease) => {
@@ -106,7 +107,13 @@
                 Write::Delete(key) => self.remove(key),
             }
         }
-        // One transaction has one revision.
+        // One transaction has one revision, in its events too.
+        for event in &mut self.events[before..] {
+            event.revision = self.revision;
+            if let Some(entry) = &mut event.entry {
+                entry.revision = self.revision;
+            }
+        }
         for write in &transaction.writes {
             if let Write::Put(key, ..) = write
                 && let Some(entry) = self.entries.get_mut(key)
