soak: denser stories, rows of stops and kills

Cause: two series of faults with pauses of up to 8 s seldom met; nodes were stopped and killed alone.

A trick that lets callers hear each answer twice, as a stream with an event twice never passes the node (trick repeat: it breaks the stream off).

--- a/bench/src/soak/caller.rs
+++ b/bench/src/soak/caller.rs
@@ -131,8 +131,13 @@
         Ok(Err(error)) => call.failure = Some(format!("{error:?}")),
         Err(_) => call.failure = Some("out of time".to_owned()),
     }
-    if site.trick == Trick::Halved {
-        body.truncate(body.len() / 2);
+    match site.trick {
+        Trick::Halved => body.truncate(body.len() / 2),
+        Trick::Doubled => {
+            let again = body.clone();
+            body.extend_from_slice(&again);
+        }
+        _ => {}
     }
     super::answer::look(&mut call, &body);
     Some(call)
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -79,12 +79,14 @@
     Impatient,
     /// Callers hear half of each answer.
     Halved,
+    /// Callers hear each answer two times, one behind the other.
+    Doubled,
     /// Servers stay silent when all faults are over.
     NoReturn,
 }
 
 /// Tricks by name.
-const TRICKS: [(&str, Trick); 16] = [
+const TRICKS: [(&str, Trick); 17] = [
     ("twice", Trick::Server(mood::Trick::Twice)),
     ("swapped", Trick::Server(mood::Trick::Swapped)),
     ("looks-whole", Trick::Server(mood::Trick::LooksWhole)),
@@ -100,6 +102,7 @@
     ("storm", Trick::Server(mood::Trick::Storm)),
     ("impatient", Trick::Impatient),
     ("halved", Trick::Halved),
+    ("doubled", Trick::Doubled),
     ("no-return", Trick::NoReturn),
 ];
 
--- a/bench/src/soak/story.rs
+++ b/bench/src/soak/story.rs
@@ -18,6 +18,9 @@
 /// Time without new faults at the end, in which everything has to come back.
 const CALM_LAST: u64 = 6_000;
 
+/// Series of faults and the longest pause in each, by the seed.
+const DENSITY: [(usize, u64); 3] = [(2, 8_000), (3, 5_000), (4, 3_000)];
+
 /// Something that happens.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Act {
@@ -57,39 +60,57 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let end = span.0.saturating_sub(CALM_LAST);
     let mut steps = Vec::new();
-    let mut every = |from: u64, to: u64, act: &mut dyn FnMut(&mut Pcg64Mcg) -> Act| {
+    let mut every = |from: u64, to: u64, acts: &mut dyn FnMut(&mut Pcg64Mcg) -> Vec<Step>| {
         let mut at = CALM_FIRST;
         loop {
             at += rng.random_range(from..to);
             if at >= end {
                 return;
             }
-            let act = act(&mut rng);
-            steps.push(Step {
-                at: Millis(at),
-                act,
-            });
+            let drawn = acts(&mut rng);
+            steps.extend(drawn.into_iter().map(|step| Step {
+                at: Millis(at + step.at.0),
+                act: step.act,
+            }));
         }
     };
-    every(1_500, 5_000, &mut |_| Act::Config);
+    every(1_500, 5_000, &mut |_| alone(Act::Config));
     every(1_500, 5_000, &mut |rng| {
-        Act::Version(rng.random_range(1..=ADAPTERS))
+        alone(Act::Version(rng.random_range(1..=ADAPTERS)))
     });
-    // Two series run beside each other, so that faults overlap; long ones do by themselves.
-    for _ in 0..2 {
-        every(1_000, 8_000, &mut |rng| fault(rng, nodes));
+    // Series run beside each other, so that faults overlap; some stories are denser than others.
+    let (series, longest) = DENSITY[usize::try_from(seed).unwrap_or_default() % DENSITY.len()];
+    for _ in 0..series {
+        every(500, longest, &mut |rng| fault(rng, nodes));
     }
+    steps.retain(|step| step.at.0 < end);
     steps.sort_by_key(|step| step.at);
     steps
 }
 
-fn fault(rng: &mut Pcg64Mcg, nodes: usize) -> Act {
+fn alone(act: Act) -> Vec<Step> {
+    vec![Step {
+        at: Millis::ZERO,
+        act,
+    }]
+}
+
+/// Acts on all nodes, one after the other.
+fn row(nodes: usize, apart: u64, act: impl Fn(usize) -> Act) -> Vec<Step> {
+    let step = |node| Step {
+        at: Millis(apart * u64::try_from(node).unwrap_or_default()),
+        act: act(node),
+    };
+    (0..nodes).map(step).collect()
+}
+
+fn fault(rng: &mut Pcg64Mcg, nodes: usize) -> Vec<Step> {
     let node = rng.random_range(0..nodes);
     let server = rng.random_range(0..ENGINES + PLAIN);
     let engine = rng.random_range(0..ENGINES);
     let short = Millis(rng.random_range(300..3_000));
     let long = Millis(rng.random_range(1_000..8_000));
-    match rng.random_range(0..16) {
+    alone(match rng.random_range(0..18) {
         0..3 => Act::Stop(node),
         3 | 4 => Act::Kill(node, short),
         5 => Act::Pause(node, Millis(rng.random_range(400..7_000))),
@@ -98,8 +119,14 @@
         8 | 9 => Act::ServerLink(server, way(rng), short),
         10..13 => Act::Feel(server, mood(rng), long),
         13 => Act::Crash(server, short),
-        _ => Act::Leave(engine),
-    }
+        14 | 15 => Act::Leave(engine),
+        16 => return row(nodes, rng.random_range(500..4_000), Act::Stop),
+        _ => {
+            return row(nodes, rng.random_range(0..500), |node| {
+                Act::Kill(node, short)
+            });
+        }
+    })
 }
 
 fn way(rng: &mut Pcg64Mcg) -> Way {
