--- a/bench/src/soak/caller.rs
+++ b/bench/src/soak/caller.rs
@@ -70,7 +70,10 @@
     let mut number = 0_u64;
     while !calls.over.load(Ordering::SeqCst) {
         sleep(Duration::from_millis(rng.random_range(5..PAUSE))).await;
-        let ask = ask(&mut rng, format!("{seed:x}-{worker:x}-{number:x}z"));
+        let mut ask = ask(&mut rng, format!("{seed:x}-{worker:x}-{number:x}z"));
+        if site.trick == Trick::Stray {
+            ask.route = "stray";
+        }
         number += 1;
         if rng.random_bool(RECONNECT) {
             link = None;
--- a/bench/src/soak/judge.rs
+++ b/bench/src/soak/judge.rs
@@ -27,7 +27,9 @@
 const CROSSED: Millis = Millis(200);
 /// Part of the deadline from which on an answer may be ended for it.
 const LATE_SHARE: f64 = 0.85;
-/// Time before a stop's end from which on what still runs may be cut off.
+/// Time behind a request to stop within which requests may still come.
+const TOLD: Millis = Millis(3_000);
+/// Time behind a request to stop from which on what still runs may be cut off.
 const LAST_SIXTH: Millis = Millis(6_600);
 
 /// A promise that was broken.
@@ -83,6 +85,15 @@
     found
 }
 
+/// Requests whose node was in touch with the platform all the while: checks with bounds look at these.
+pub fn in_touch(seen: &Evidence) -> usize {
+    let touch = |call: &&Call| {
+        let scopes = Scope::of_node(call.node);
+        calm(&seen.troubles, &scopes, call.sent, call.ended)
+    };
+    seen.calls.iter().filter(touch).count()
+}
+
 fn new(promise: &'static str, at: Millis, id: &str, told: String) -> Violation {
     Violation {
         promise,
@@ -186,7 +197,7 @@
                 .ended
                 .is_none_or(|ended| ended >= Millis(stop.at.0 + LAST_SIXTH.0))
         });
-        call.sent >= stop.at && still
+        call.sent >= stop.at && call.sent.0 <= stop.at.0 + TOLD.0 && still
     };
     if planned.any(grace) || !calm(&seen.troubles, &scopes, call.sent, call.ended) {
         return None;
@@ -276,7 +287,7 @@
         let next = seen.configs.iter().find(|(next, _)| *next > version);
         let Some((next, at)) = next else { continue };
         let scopes = Scope::of_node(call.node);
-        let touch = calm(&seen.troubles, &scopes, *at, arrival.at);
+        let touch = calm(&seen.troubles, &scopes, call.sent, arrival.at);
         if touch && call.sent.0 > at.0 + APPLY.0 {
             let told = format!(
                 "node {} goes by {version}; {next} was acknowledged at {at}",
@@ -302,7 +313,8 @@
             let node = call.node;
             let [process, stop, link, store] = Scope::of_node(node);
             let scopes = [process, stop, link, store, Scope::Link(*host)];
-            if calm(&seen.troubles, &scopes, *told, arrival.at) {
+            let told_in_calm = calm(&seen.troubles, &[Scope::Store], *told, *told);
+            if told_in_calm && calm(&seen.troubles, &scopes, call.sent, arrival.at) {
                 let told = format!("{start} said at {told} that it leaves; node {node} sent more");
                 found.push(new("Leaving", arrival.at, &arrival.id, told));
             }
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -81,12 +81,14 @@
     Halved,
     /// Callers hear each answer two times, one behind the other.
     Doubled,
+    /// Callers ask for a route that no configuration has.
+    Stray,
     /// Servers stay silent when all faults are over.
     NoReturn,
 }
 
 /// Tricks by name.
-const TRICKS: [(&str, Trick); 17] = [
+const TRICKS: [(&str, Trick); 19] = [
     ("twice", Trick::Server(mood::Trick::Twice)),
     ("swapped", Trick::Server(mood::Trick::Swapped)),
     ("looks-whole", Trick::Server(mood::Trick::LooksWhole)),
@@ -103,6 +105,8 @@
     ("impatient", Trick::Impatient),
     ("halved", Trick::Halved),
     ("doubled", Trick::Doubled),
+    ("changed", Trick::Server(mood::Trick::Changed)),
+    ("stray", Trick::Stray),
     ("no-return", Trick::NoReturn),
 ];
 
@@ -342,7 +346,7 @@
 fn report(options: &Options, site: &Site, seen: &Evidence, found: &[Violation]) -> String {
     let mut text = format!(
         "soak seed {} of {} with {} nodes: {} requests, {} arrivals, {} orders, \
-         {} faults, {} configurations, {} violations\n",
+         {} faults, {} configurations, {} stops, {} requests at nodes in touch, {} violations\n",
         options.seed,
         options.span,
         options.nodes,
@@ -351,6 +355,8 @@
         seen.orders.len(),
         seen.troubles.len(),
         seen.configs.len(),
+        seen.stops.len(),
+        judge::in_touch(seen),
         found.len(),
     );
     let mut counts: BTreeMap<(String, &str), usize> = BTreeMap::new();
