--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -16,6 +16,7 @@
 mod policy;
 mod report;
 mod site;
+mod soak;
 mod spread;
 
 /// How a campaign ended.
@@ -61,6 +62,11 @@
         about: "decisions under load, in virtual time, against baselines and a lower bound",
         run: policy::run,
     },
+    Campaign {
+        name: "soak",
+        about: "a seeded story of faults against real daemons of the users' platform",
+        run: soak::run,
+    },
     Campaign {
         name: "spread",
         about: "how a change of configuration reaches all nodes, and what that costs",
--- /dev/null
+++ b/bench/src/soak/story.rs
@@ -0,0 +1,159 @@
+//! What happens in a soak, drawn from the seed before it begins.
+
+use chivevalve::clock::Millis;
+use chivevalve_platform_standins::soak::mood::Mood;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::proxy::Way;
+
+/// Engines of the story.
+pub const ENGINES: usize = 4;
+/// Plain servers beside them.
+pub const PLAIN: usize = 2;
+/// Adapters whose versions change.
+pub const ADAPTERS: u64 = 9;
+/// Time without faults at the beginning, for the nodes to claim engines.
+const CALM_FIRST: u64 = 5_000;
+/// Time without new faults at the end, in which everything has to come back.
+const CALM_LAST: u64 = 6_000;
+
+/// Series of faults and the longest pause in each, by the seed.
+const DENSITY: [(usize, u64); 3] = [(2, 8_000), (3, 5_000), (4, 3_000)];
+
+/// Something that happens.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Act {
+    /// The operator writes the next configuration.
+    Config,
+    /// The operator declares the next version of an adapter.
+    Version(u64),
+    /// A node is asked to stop, and started again.
+    Stop(usize),
+    /// A node is killed, and started again after a while.
+    Kill(usize, Millis),
+    /// A node stands still for a while.
+    Pause(usize, Millis),
+    /// A node's way to the store is harmed for a while.
+    StoreLink(usize, Way, Millis),
+    /// All ways to the store are harmed for a while.
+    StoreAway(Way, Millis),
+    /// The way to a server is harmed for a while.
+    ServerLink(usize, Way, Millis),
+    /// A server behaves otherwise for a while.
+    Feel(usize, Mood, Millis),
+    /// A server crashes, and starts again after a while.
+    Crash(usize, Millis),
+    /// A server leaves in order, and starts again.
+    Leave(usize),
+}
+
+/// Something that happens, and when.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Step {
+    pub at: Millis,
+    pub act: Act,
+}
+
+/// Draws a story of a length for so many nodes.
+pub fn draw(seed: u64, nodes: usize, span: Millis) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let end = span.0.saturating_sub(CALM_LAST);
+    let mut steps = Vec::new();
+    let mut every = |from: u64, to: u64, acts: &mut dyn FnMut(&mut Pcg64Mcg) -> Vec<Step>| {
+        let mut at = CALM_FIRST;
+        loop {
+            at += rng.random_range(from..to);
+            if at >= end {
+                return;
+            }
+            let drawn = acts(&mut rng);
+            steps.extend(drawn.into_iter().map(|step| Step {
+                at: Millis(at + step.at.0),
+                act: step.act,
+            }));
+        }
+    };
+    every(1_500, 5_000, &mut |_| alone(Act::Config));
+    every(1_500, 5_000, &mut |rng| {
+        alone(Act::Version(rng.random_range(1..=ADAPTERS)))
+    });
+    // Series run beside each other, so that faults overlap; some stories are denser than others.
+    let (series, longest) = DENSITY[usize::try_from(seed).unwrap_or_default() % DENSITY.len()];
+    for _ in 0..series {
+        every(500, longest, &mut |rng| fault(rng, nodes));
+    }
+    steps.retain(|step| step.at.0 < end);
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+fn alone(act: Act) -> Vec<Step> {
+    vec![Step {
+        at: Millis::ZERO,
+        act,
+    }]
+}
+
+/// Acts on all nodes, one after the other.
+fn row(nodes: usize, apart: u64, act: impl Fn(usize) -> Act) -> Vec<Step> {
+    let step = |node| Step {
+        at: Millis(apart * u64::try_from(node).unwrap_or_default()),
+        act: act(node),
+    };
+    (0..nodes).map(step).collect()
+}
+
+fn fault(rng: &mut Pcg64Mcg, nodes: usize) -> Vec<Step> {
+    let node = rng.random_range(0..nodes);
+    let server = rng.random_range(0..ENGINES + PLAIN);
+    let engine = rng.random_range(0..ENGINES);
+    let short = Millis(rng.random_range(300..3_000));
+    let long = Millis(rng.random_range(1_000..8_000));
+    alone(match rng.random_range(0..18) {
+        0..3 => Act::Stop(node),
+        3 | 4 => Act::Kill(node, short),
+        5 => Act::Pause(node, Millis(rng.random_range(400..7_000))),
+        6 => Act::StoreLink(node, way(rng), long),
+        7 => Act::StoreAway(way(rng), long),
+        8 | 9 => Act::ServerLink(server, way(rng), short),
+        10..13 => Act::Feel(server, mood(rng), long),
+        13 => Act::Crash(server, short),
+        14 | 15 => Act::Leave(engine),
+        16 => return row(nodes, rng.random_range(500..4_000), Act::Stop),
+        _ => {
+            return row(nodes, rng.random_range(0..500), |node| {
+                Act::Kill(node, short)
+            });
+        }
+    })
+}
+
+fn way(rng: &mut Pcg64Mcg) -> Way {
+    match rng.random_range(0..5) {
+        0 => Way::Late(rng.random_range(20..150)),
+        1 => Way::Reset,
+        2 => Way::Silent,
+        3 => Way::NoAnswers,
+        _ => Way::Tail,
+    }
+}
+
+fn mood(rng: &mut Pcg64Mcg) -> Mood {
+    let mut part = |most: u64| {
+        if rng.random_bool(0.5) {
+            rng.random_range(0..most)
+        } else {
+            0
+        }
+    };
+    Mood {
+        shed: part(60),
+        lose: part(10),
+        cut: part(15),
+        wrong: part(8),
+        fail: part(8),
+        pause: part(30),
+        silent: part(100) > 80,
+    }
+}
