--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -250,7 +250,10 @@
 async fn version_in_a_part_counts_from_before_it_was_named() {
     let followed = start();
     let clock = Monotonic::start();
-    pass(Millis(2_000)).await;
+    pass(Millis(1_000)).await;
+    // The follower pauses behind this change.
+    followed.configure(1);
+    pass(Millis(100)).await;
     let named = clock.now();
     let entry = r#"{"model":"base","adapter":"a1","version":2}"#;
     followed.memory.change(|state| {
