direct: questions that are given up by the dozen don't end the connection between nodes

Callers would see: streams that wait for one another at engines that take more requests than they have places for, after their owner paused. Cause: the HTTP/2 library ends a connection on which more than twenty calls were cancelled before it saw them. Questions for a place are given up after 120 ms; an owner that pauses finds dozens at once. With the connection, the count of every request that the other node has at the owner's engines goes, and loads that wait there fail. Change: as many cancelled calls as a connection may have open. Failed first: admit_counts_outlast_many_late_questions.

--- a/lib/src/direct/serve.rs
+++ b/lib/src/direct/serve.rs
@@ -152,6 +152,11 @@
     Server::builder()
         .tcp_nodelay(true)
         .max_concurrent_streams(Some(MOST_CALLS))
+        // The library takes some tens of calls that end before it has seen them for an attack, and
+        // ends the connection. Between nodes they are questions for a place that were given up
+        // while this node paused for a moment; with the connection, all requests of that node
+        // would no longer be counted.
+        .http2_max_pending_accept_reset_streams(Some(MOST_CALLS as usize))
         .http2_keepalive_interval(Some(ALIVE.duration()))
         .http2_keepalive_timeout(Some(ALIVE_ANSWER.duration()))
         .add_service(OrdersServer::new(Service(desks)))
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -23,7 +23,9 @@
 use direct_support::records::{listed, peer};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 const ADAPTER: &str = "base/a1";
 
@@ -417,6 +419,61 @@
     assert!(asking.desks.is_ordered(&asking.upstream));
 }
 
+/// Passes bytes on from a node to another one, unless they are held back.
+async fn held(to: SocketAddr) -> (SocketAddr, watch::Sender<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let hold = watch::Sender::new(false);
+    let mut holds = hold.subscribe();
+    tokio::spawn(async move {
+        let (down, _) = listener.accept().await.unwrap();
+        let up = TcpStream::connect(to).await.unwrap();
+        let (mut from_owner, mut to_owner) = up.into_split();
+        let (mut from_node, mut to_node) = down.into_split();
+        tokio::spawn(async move { tokio::io::copy(&mut from_owner, &mut to_node).await });
+        let mut bytes = Vec::new();
+        loop {
+            holds.wait_for(|held| !held).await.unwrap();
+            to_owner.write_all(&bytes).await.unwrap();
+            bytes.clear();
+            if from_node.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
+                return;
+            }
+        }
+    });
+    (address, hold)
+}
+
+/// Symptom: after an owner's pause its engines get more requests than they have places for.
+/// Sequence: an owner pauses; dozens of questions for a place are given up meanwhile, and all
+/// of it reaches the owner at once.
+/// Cause: many calls that end before they are seen count as an attack and end the connection,
+/// and with it the count of every request that the other node has at the owner's engines.
+#[tokio::test]
+async fn admit_counts_outlast_many_late_questions() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    let owner = node("one", "one", at, &[(ADAPTER, 1)]);
+    tokio::spawn(serve(listener, Arc::clone(&owner.desks)));
+    let (address, hold) = held(at).await;
+    let other = node("two", "one", address, &[(ADAPTER, 1)]);
+    let adapter = Name::from(ADAPTER);
+    let answer = other.desks.admit(&other.upstream, question(&adapter, 0));
+    let Answer::Admitted(permit, _) = answer.await else {
+        panic!("there is no place");
+    };
+    hold.send_replace(true);
+    let late = (0..60).map(|_| other.desks.admit(&other.upstream, question(&adapter, 0)));
+    for answer in futures::future::join_all(late).await {
+        assert!(matches!(answer, Answer::Unknown), "{answer:?}");
+    }
+    hold.send_replace(false);
+    tokio::time::sleep(Millis(300).duration()).await;
+    until_counted(&owner, 1).await;
+    drop(permit);
+    until_counted(&owner, 0).await;
+}
+
 /// The load of a fleet: a popular adapter on a part of the engines, many nodes before them.
 const NODES: usize = 195;
 const ENGINES: u16 = 24;
