direct: names and comments that a newcomer stumbled over

Change: 'leave' meant permission and departure; what counts against an upstream is blame; renames and comments only.

--- a/lib/src/direct/ask/mod.rs
+++ b/lib/src/direct/ask/mod.rs
@@ -32,7 +32,7 @@
 /// The longest that another node may take to make an adapter present.
 const LOAD: Millis = Millis(4_500);
 
-/// Pause between looks whether a node that was asked has fallen silent.
+/// Pause between looks whether a node that was asked still answers exchanges.
 const SILENCE_LOOK: Millis = Millis(100);
 
 /// Pause between looks at engines that need something without being asked.
@@ -208,7 +208,7 @@
         let asked = tokio::select! {
             asked = asked => asked,
             () = self.falls_silent(peer.address) => {
-                log::info!("ask: {node} has fallen silent");
+                log::info!("ask: {node} no longer answers");
                 return Loaded::Failed;
             }
         };
--- a/lib/src/direct/budget.rs
+++ b/lib/src/direct/budget.rs
@@ -48,7 +48,7 @@
         self.step(pool, now).requests += 1;
     }
 
-    /// Takes leave to send a request a further time, if there is any.
+    /// Counts a further send of a request, if the bound allows it.
     pub fn repeat(&mut self, pool: &Name, now: Millis, nodes: usize) -> bool {
         let allowed = self.allowed(pool, now, nodes);
         let step = self.step(pool, now);
--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -209,7 +209,7 @@
         }
     }
 
-    /// Takes leave to send a request to a pool a further time.
+    /// Takes what sending a request to a pool once more costs from the budget; false if it's spent.
     pub fn take_repeat(&self, pool: &Name) -> bool {
         let nodes = self.view.state().most_nodes;
         self.budget
@@ -391,7 +391,7 @@
                 Ok(Err(miss)) => format!("{miss:?}"),
                 Err(_) => return Err(Failure::new(Code::ExpiredRunning, "the time is up")),
             };
-            trip.broke(&upstream);
+            trip.blame(&upstream);
             if !trip.may_go_on() {
                 return Err(Failure::new(Code::AnswerCut, told));
             }
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -55,7 +55,7 @@
     /// answer ends meanwhile, the other one's is waited for all the same.
     async fn look_elsewhere(&mut self, mut former: Answer, told: String) -> Step {
         if !std::mem::replace(&mut self.silent, true) {
-            self.trip.broke(&former.upstream);
+            self.trip.blame(&former.upstream);
         }
         self.trip.stands_at = Some(Arc::clone(&former.upstream.incarnation));
         let found = self.first_of(&mut former).await;
@@ -155,7 +155,7 @@
         if let Some(former) = self.answer.take() {
             let upstream = Arc::clone(&former.upstream);
             drop(former);
-            self.trip.broke(&upstream);
+            self.trip.blame(&upstream);
         }
         let Err(cut) = self.read_anew(told).await else {
             self.handover = None;
--- a/lib/src/direct/sends.rs
+++ b/lib/src/direct/sends.rs
@@ -32,7 +32,7 @@
 
 /// A send in progress, as it is known without waiting for it.
 #[derive(Debug)]
-struct Place {
+struct Waiting {
     upstream: Arc<Upstream>,
     /// Whether the upstream was found silent already.
     silent: bool,
@@ -41,8 +41,8 @@
 /// Sends in progress; dropping them closes their connections.
 #[derive(Debug, Default)]
 pub struct Sends {
-    waiting: FuturesUnordered<BoxFuture<'static, Sent>>,
-    places: SmallVec<[Place; 2]>,
+    answers: FuturesUnordered<BoxFuture<'static, Sent>>,
+    waiting: SmallVec<[Waiting; 2]>,
 }
 
 impl Sends {
@@ -56,12 +56,12 @@
         permit: Option<Permit>,
         now: Millis,
     ) {
-        self.places.push(Place {
+        self.waiting.push(Waiting {
             upstream: Arc::clone(&upstream),
             silent: false,
         });
         let (message, dialect) = (Arc::clone(message), Arc::clone(dialect));
-        self.waiting.push(Box::pin(async move {
+        self.answers.push(Box::pin(async move {
             let result = message.send(&upstream, &*dialect, &dispatch, permit).await;
             Sent {
                 upstream,
@@ -74,39 +74,39 @@
     /// Whether nothing is on its way.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.answers.is_empty()
     }
 
     /// Whether a send to an upstream is on its way.
     #[must_use]
     pub fn reaches(&self, upstream: &Upstream) -> bool {
-        let same = |place: &Place| place.upstream.incarnation == upstream.incarnation;
-        self.places.iter().any(same)
+        let same = |one: &Waiting| one.upstream.incarnation == upstream.incarnation;
+        self.waiting.iter().any(same)
     }
 
     /// Returns the upstream that was tried last.
     #[must_use]
     pub fn newest(&self) -> Option<&Arc<Upstream>> {
-        self.places.last().map(|place| &place.upstream)
+        self.waiting.last().map(|one| &one.upstream)
     }
 
     /// Marks the upstream that was tried last as silent; returns it the first time.
     ///
     /// A request that waits for long speaks against its upstream once, however often it looks
     /// elsewhere: two such marks suspend an upstream.
-    pub fn found_silent(&mut self) -> Option<Arc<Upstream>> {
-        let place = self.places.last_mut()?;
-        let first = !std::mem::replace(&mut place.silent, true);
-        first.then(|| Arc::clone(&place.upstream))
+    pub fn mark_silent(&mut self) -> Option<Arc<Upstream>> {
+        let newest = self.waiting.last_mut()?;
+        let first = !std::mem::replace(&mut newest.silent, true);
+        first.then(|| Arc::clone(&newest.upstream))
     }
 
     /// Waits for the next send to end; none if nothing is on its way.
     ///
     /// Nothing is lost when this is dropped before it returns.
     pub async fn next(&mut self) -> Option<Sent> {
-        let sent = self.waiting.next().await?;
-        self.places
-            .retain(|place| place.upstream.incarnation != sent.upstream.incarnation);
+        let sent = self.answers.next().await?;
+        self.waiting
+            .retain(|one| one.upstream.incarnation != sent.upstream.incarnation);
         Some(sent)
     }
 }
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/trip.rs
@@ -152,7 +152,7 @@
             let answer = match tokio::time::timeout(span.duration(), sends.next()).await {
                 Ok(Some(sent)) => self.conclude(&sends, sent)?,
                 Ok(None) => None,
-                Err(_) => self.waited(&mut sends, resume_after).await?,
+                Err(_) => self.look_further(&mut sends, resume_after).await?,
             };
             if let Some(answer) = answer {
                 return Ok(answer);
@@ -160,7 +160,7 @@
         }
     }
 
-    /// Finds where to send while nothing is on its way, with leave taken for a repeat.
+    /// Finds where to send while nothing is on its way, with its part of the budget taken if it is a repeat.
     async fn next_target(&mut self) -> Result<Target, Failure> {
         let target = self.target().await?;
         if self.stands_at(&target.upstream) {
@@ -185,7 +185,7 @@
     /// # Errors
     ///
     /// When its time is up.
-    async fn waited(
+    async fn look_further(
         &mut self,
         sends: &mut Sends,
         resume_after: Option<u64>,
@@ -199,9 +199,9 @@
             let miss = Miss::Lost(Code::ExpiredRunning, told);
             return self.missed(&newest, miss, true).map(|()| None);
         }
-        if let Some(silent) = sends.found_silent() {
-            // Its queue is long or it has gone dark: others are better sent elsewhere meanwhile.
-            self.broke(&silent);
+        if let Some(silent) = sends.mark_silent() {
+            // Its queue is long, or it no longer answers: others are better sent elsewhere.
+            self.blame(&silent);
         }
         // A request that may run once waits where it is, however long.
         if !self.may_go_on() || !self.reserve_elsewhere(&newest) {
@@ -266,8 +266,8 @@
             && self.now() + LOOK < self.until
     }
 
-    /// Notes that an upstream's answer broke off, or says that the upstream failed.
-    pub fn broke(&mut self, upstream: &Upstream) {
+    /// Notes that an upstream is silent, broke an answer off, or says that it failed.
+    pub fn blame(&mut self, upstream: &Upstream) {
         upstream.failed(self.now());
         self.tried.push(Name::clone(&upstream.incarnation));
     }
@@ -300,7 +300,7 @@
         );
     }
 
-    /// Takes leave to send a request elsewhere too that has waited long at an upstream.
+    /// Takes from the budget for repeats what sending a request elsewhere too costs, if that pays.
     ///
     /// An engine that lives has the request in its queue, and begins it sooner than another one
     /// at which it would be the last again: it is sent only where a free place is believed.
@@ -309,7 +309,7 @@
         (is_plain || self.has_free_holder(waits_at)) && self.reserve_repeat()
     }
 
-    /// Waits for `pause`, and on until there is leave for a further send; false if there is none
+    /// Waits for `pause`, and on until the budget allows a further send; false if it doesn't
     /// before `until`.
     pub(super) async fn wait_for_repeat(&self, pause: Millis, until: Millis) -> bool {
         while self.now() + pause < until {
@@ -321,7 +321,7 @@
         false
     }
 
-    /// Takes leave for the next send, unless it was taken already.
+    /// Takes what the next send costs from the budget, unless it was taken already.
     fn reserve_repeat(&mut self) -> bool {
         self.repeat_reserved = self.repeat_reserved || self.take_repeat();
         self.repeat_reserved
@@ -420,7 +420,7 @@
             answer.upstream.succeeded();
             return Some(answer);
         }
-        self.broke(&answer.upstream);
+        self.blame(&answer.upstream);
         if is_last {
             if !(self.may_go_on() && self.others() && self.reserve_repeat()) {
                 return Some(answer);
@@ -478,7 +478,7 @@
         }
     }
 
-    /// Takes leave to send once more from the budget of all nodes.
+    /// Takes what one more send costs from the budget of all nodes.
     fn take_repeat(&self) -> bool {
         self.gate.take_repeat(&self.pool)
     }
