--- a/cli/tests/test_explain_logs.rs
+++ b/cli/tests/test_explain_logs.rs
@@ -6,14 +6,14 @@
 
 /// Two nodes' lines, in the wrong order, one broken, one with a collector's prefix.
 const ONE: &str = r#"
-{"time":"2026-01-05T06:12:44.310Z","level":"info","part":"trip","says":"missed","request":"9c41","upstream":"i-7f3a","outcome":"lost","code":3001,"cause":"connection closed before message completed","passed_ms":210}
-{"time":"2026-01-05T06:12:44.100Z","level":"info","part":"trip","says":"sent","request":"9c41","upstream":"i-7f3a","adapter":"base/a3","version":2,"load":12,"load_age_ms":340,"passed_ms":0,"left_ms":15000}
-{"time":"2026-01-05T06:12:44.311Z","level":"info","part":"trip","says":"ended","request":"9c41","route":"r-1","pool":"engines","config":7,"code":3001,"cause":"connection closed before message completed","sent":1,"passed_ms":211,"allowed_ms":15000}
-{"time":"2026-01-05T06:12:44.200Z","level":"info","part":"trip","says":"sent","request":"other","upstream":"i-1"}
+{"time":"2026-01-05T06:12:44.310Z","level":"info","part":"request","says":"missed","request":"9c41","upstream":"i-7f3a","outcome":"lost","code":3001,"cause":"connection closed before message completed","passed_ms":210}
+{"time":"2026-01-05T06:12:44.100Z","level":"info","part":"request","says":"sent","request":"9c41","upstream":"i-7f3a","adapter":"base/a3","version":2,"load":12,"load_age_ms":340,"passed_ms":0,"left_ms":15000}
+{"time":"2026-01-05T06:12:44.311Z","level":"info","part":"request","says":"ended","request":"9c41","route":"r-1","pool":"engines","config":7,"code":3001,"cause":"connection closed before message completed","sent":1,"passed_ms":211,"allowed_ms":15000}
+{"time":"2026-01-05T06:12:44.200Z","level":"info","part":"request","says":"sent","request":"other","upstream":"i-1"}
 {"time":"2026-01-05T06:12:4
 "#;
 const TWO: &str = r#"
-12.4 node-b {"time":"2026-01-05T06:12:45.000Z","level":"info","part":"trip","says":"sent","request":"9c42","upstream":"i-9","adapter":"","version":0}
+12.4 node-b {"time":"2026-01-05T06:12:45.000Z","level":"info","part":"request","says":"sent","request":"9c42","upstream":"i-9","adapter":"","version":0}
 {"time":"2026-01-05T06:12:46.000Z","level":"warn","part":"logs","says":"lines were left out","of":"trip","count":3}
 "#;
 
--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -20,8 +20,8 @@
 use super::limits::Current;
 use super::record::{self, End};
 use super::relay::{self, Cut};
+use super::request::ActiveRequest;
 use super::roles::{Mix, Roles};
-use super::trip::Trip;
 use super::upstream::Upstream;
 use super::view::View;
 use crate::clock::{Clock, Millis};
@@ -345,7 +345,7 @@
             call,
             kind: route.kind,
         };
-        let trip = Trip::new(
+        let request = ActiveRequest::new(
             Arc::clone(self),
             message,
             route.clone(),
@@ -354,36 +354,40 @@
             until,
             config.version,
         );
-        self.deliver(trip).await
+        self.deliver(request).await
     }
 
-    async fn deliver(&self, mut trip: Trip) -> Result<Response<Body>, Failure> {
-        let answer = match trip.answer(None).await {
+    async fn deliver(&self, mut request: ActiveRequest) -> Result<Response<Body>, Failure> {
+        let answer = match request.answer(None).await {
             Ok(answer) => answer,
             Err(failure) => {
-                trip.end(&End::Failed(&failure));
+                request.end(&End::Failed(&failure));
                 return Err(failure);
             }
         };
-        if trip.message.kind.streamed() && answer.head.status.is_success() {
+        if request.message.kind.streamed() && answer.head.status.is_success() {
             let head = response_head(&answer);
-            let body = StreamBody::new(relay::body(trip, answer));
+            let body = StreamBody::new(relay::body(request, answer));
             return Ok(Response::from_parts(head, body.boxed_unsync()));
         }
-        let whole = self.whole(&mut trip, answer).await;
+        let whole = self.whole(&mut request, answer).await;
         match &whole {
-            Ok(response) => trip.end(&End::Answered(response.status().as_u16())),
-            Err(failure) => trip.end(&End::Failed(failure)),
+            Ok(response) => request.end(&End::Answered(response.status().as_u16())),
+            Err(failure) => request.end(&End::Failed(failure)),
         }
         whole
     }
 
     /// Reads an answer whole before it is passed on, so that one that breaks off can be repeated.
-    async fn whole(&self, trip: &mut Trip, mut answer: Answer) -> Result<Response<Body>, Failure> {
+    async fn whole(
+        &self,
+        request: &mut ActiveRequest,
+        mut answer: Answer,
+    ) -> Result<Response<Body>, Failure> {
         loop {
             let head = response_head(&answer);
             let upstream = Arc::clone(&answer.upstream);
-            let left = trip.until.since(trip.now());
+            let left = request.until.since(request.now());
             let told = match tokio::time::timeout(left.duration(), answer.whole()).await {
                 Ok(Ok((_, body))) => {
                     return Ok(whole_response(head, body));
@@ -391,12 +395,12 @@
                 Ok(Err(miss)) => format!("{miss:?}"),
                 Err(_) => return Err(Failure::new(Code::ExpiredRunning, "the time is up")),
             };
-            trip.blame(&upstream);
-            if !trip.may_go_on() {
+            request.blame(&upstream);
+            if !request.may_go_on() {
                 return Err(Failure::new(Code::AnswerCut, told));
             }
             self.count_retry("cut");
-            answer = trip.answer(None).await?;
+            answer = request.answer(None).await?;
         }
     }
 
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -32,6 +32,7 @@
 pub mod record;
 pub mod relay;
 pub mod reload;
+pub mod request;
 mod resume;
 pub mod right;
 pub mod roles;
@@ -40,7 +41,7 @@
 pub mod serve;
 pub mod sse;
 pub mod target;
-pub mod trip;
+
 pub mod upstream;
 pub mod vet;
 pub mod view;
--- a/lib/src/direct/place.rs
+++ b/lib/src/direct/place.rs
@@ -10,8 +10,8 @@
 use super::admit::{self, Permit, Question};
 use super::choice::{self, MOST_QUESTIONS};
 use super::pick::Field;
+use super::request::ActiveRequest;
 use super::target::{FIRST_HOMES, Target};
-use super::trip::Trip;
 use super::upstream::Upstream;
 use crate::clock::Millis;
 use crate::name::Name;
@@ -27,7 +27,7 @@
     TooLate(Millis),
 }
 
-impl Trip {
+impl ActiveRequest {
     /// Asks for a place at any load.
     pub(super) fn question<'a>(&self, adapter: Option<&'a Name>, version: u64) -> Question<'a> {
         Question {
--- a/lib/src/direct/record.rs
+++ b/lib/src/direct/record.rs
@@ -6,7 +6,7 @@
 
 use super::attempt::Miss;
 use super::orders::Loaded;
-use super::trip::Trip;
+use super::request::ActiveRequest;
 use super::upstream::Upstream;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
@@ -47,37 +47,37 @@
 }
 
 /// Records that a request is sent.
-pub fn sent(trip: &Trip, upstream: &Upstream, version: Option<u64>, left: Millis) {
+pub fn sent(request: &ActiveRequest, upstream: &Upstream, version: Option<u64>, left: Millis) {
     log::info!(
-        request = trip.id(),
+        request = request.id(),
         upstream = &*upstream.incarnation,
-        adapter = trip.message.call.adapter().map_or("", |adapter| adapter),
+        adapter = request.message.call.adapter().map_or("", |adapter| adapter),
         version = version.unwrap_or_default(),
         load = upstream.load(),
-        reader = trip.gate.roles(&trip.pool).reads(upstream.address),
-        tokens = trip.message.call.tokens.map_or(0, |(prompt, _)| prompt),
-        load_age_ms = trip.now().since(upstream.heard_at()).0,
-        passed_ms = trip.now().since(trip.began).0,
+        reader = request.gate.roles(&request.pool).reads(upstream.address),
+        tokens = request.message.call.tokens.map_or(0, |(prompt, _)| prompt),
+        load_age_ms = request.now().since(upstream.heard_at()).0,
+        passed_ms = request.now().since(request.began).0,
         left_ms = left.0;
-        "trip: sent"
+        "request: sent"
     );
 }
 
 /// Records that an attempt gave no answer.
-pub fn missed(trip: &Trip, upstream: &Upstream, miss: &Miss) {
+pub fn missed(request: &ActiveRequest, upstream: &Upstream, miss: &Miss) {
     let (code, told) = match miss {
         Miss::Unsent(told) => (Code::ConnectFailed, told.clone()),
         Miss::Rejected { status } => (Code::UpstreamRefused, format!("status {status}")),
         Miss::Lost(code, told) => (*code, told.clone()),
     };
     log::info!(
-        request = trip.id(),
+        request = request.id(),
         upstream = &*upstream.incarnation,
         outcome = miss.name(),
         code = code.number(),
         cause = told.as_str(),
-        passed_ms = trip.now().since(trip.began).0;
-        "trip: missed"
+        passed_ms = request.now().since(request.began).0;
+        "request: missed"
     );
 }
 
@@ -86,7 +86,7 @@
 /// A caller may leave while it waits; without a line then, nothing tells where it waited.
 #[derive(Debug)]
 pub struct Asking<'a> {
-    trip: &'a Trip,
+    request: &'a ActiveRequest,
     upstream: &'a Upstream,
     adapter: &'a str,
     began: Millis,
@@ -96,12 +96,12 @@
 impl<'a> Asking<'a> {
     /// Begins to ask.
     #[must_use]
-    pub fn new(trip: &'a Trip, upstream: &'a Upstream, adapter: &'a str) -> Self {
+    pub fn new(request: &'a ActiveRequest, upstream: &'a Upstream, adapter: &'a str) -> Self {
         Self {
-            trip,
+            request,
             upstream,
             adapter,
-            began: trip.now(),
+            began: request.now(),
             outcome: "given_up",
         }
     }
@@ -110,29 +110,29 @@
     #[must_use]
     pub fn answered(mut self, loaded: Loaded) -> Millis {
         self.outcome = loaded.name();
-        self.trip.now().since(self.began)
+        self.request.now().since(self.began)
     }
 }
 
 impl Drop for Asking<'_> {
     fn drop(&mut self) {
-        let loads = &self.trip.gate.metrics.loads;
+        let loads = &self.request.gate.metrics.loads;
         loads.with_label_values(&[self.outcome]).inc();
         log::info!(
-            request = self.trip.id(),
+            request = self.request.id(),
             upstream = &*self.upstream.incarnation,
             adapter = self.adapter,
             outcome = self.outcome,
-            took_ms = self.trip.now().since(self.began).0;
-            "trip: asked for the adapter"
+            took_ms = self.request.now().since(self.began).0;
+            "request: asked for the adapter"
         );
     }
 }
 
 /// Records that a run is moved to another engine, or that it could not go on there.
-pub fn moved(trip: &Trip, to: &Upstream, after: Option<u64>, outcome: &str) {
+pub fn moved(request: &ActiveRequest, to: &Upstream, after: Option<u64>, outcome: &str) {
     log::info!(
-        request = trip.id(),
+        request = request.id(),
         upstream = &*to.incarnation,
         after_event = after.unwrap_or_default(),
         outcome = outcome;
@@ -141,9 +141,9 @@
 }
 
 /// Records that a stream goes on at another upstream.
-pub fn resumed(trip: &Trip, after: Option<u64>, cause: &str) {
+pub fn resumed(request: &ActiveRequest, after: Option<u64>, cause: &str) {
     log::info!(
-        request = trip.id(),
+        request = request.id(),
         after_event = after.unwrap_or_default(),
         cause = cause;
         "relay: goes on elsewhere"
@@ -151,34 +151,34 @@
 }
 
 /// Records that nothing better than an upstream that is silent was found.
-pub fn stays(trip: &Trip, upstream: &Upstream) {
+pub fn stays(request: &ActiveRequest, upstream: &Upstream) {
     log::info!(
-        request = trip.id(),
+        request = request.id(),
         upstream = &*upstream.incarnation,
-        passed_ms = trip.now().since(trip.began).0;
-        "trip: stays"
+        passed_ms = request.now().since(request.began).0;
+        "request: stays"
     );
 }
 
 /// Records how a request ended.
-pub fn ended(trip: &Trip, end: &End<'_>) {
+pub fn ended(request: &ActiveRequest, end: &End<'_>) {
     let cause = end.told();
     log::info!(
-        request = trip.id(),
-        route = &*trip.route.name,
-        pool = &*trip.pool,
-        config = trip.config,
+        request = request.id(),
+        route = &*request.route.name,
+        pool = &*request.pool,
+        config = request.config,
         code = end.code(),
         cause = cause.as_str(),
-        sent = trip.sends(),
-        first_ms = trip.pace.first.map_or(0, |first| first.0),
-        pause_ms = trip.pace.longest.0,
-        pause_after = trip.pace.longest_after,
-        pieces = trip.pace.pieces,
-        moved = trip.pace.moved,
-        passed_ms = trip.now().since(trip.began).0,
-        allowed_ms = trip.until.since(trip.began).0;
-        "trip: ended"
+        sent = request.sends(),
+        first_ms = request.pace.first.map_or(0, |first| first.0),
+        pause_ms = request.pace.longest.0,
+        pause_after = request.pace.longest_after,
+        pieces = request.pace.pieces,
+        moved = request.pace.moved,
+        passed_ms = request.now().since(request.began).0,
+        allowed_ms = request.until.since(request.began).0;
+        "request: ended"
     );
 }
 
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -10,8 +10,8 @@
 use super::entry::{CLASS, seconds};
 use super::handover::{Handover, Moved, Reply};
 use super::record::End;
+use super::request::ActiveRequest;
 use super::sequence::{Sequence, Step};
-use super::trip::Trip;
 use crate::clock::Millis;
 
 /// A pause in the stream, in the longest pauses of the route, at which it is continued elsewhere.
@@ -40,7 +40,7 @@
 /// A stream in progress.
 #[derive(Debug)]
 pub(super) struct Relay {
-    pub(super) trip: Trip,
+    pub(super) request: ActiveRequest,
     pub(super) answer: Option<Answer>,
     pub(super) events: Sequence,
     passed_on: Option<Millis>,
@@ -57,10 +57,13 @@
 }
 
 /// Makes the body that the caller gets.
-pub fn body(trip: Trip, answer: Answer) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> + Send {
-    let events = Sequence::new(trip.message.call.resume_after);
+pub fn body(
+    request: ActiveRequest,
+    answer: Answer,
+) -> impl Stream<Item = Result<Frame<Bytes>, Cut>> + Send {
+    let events = Sequence::new(request.message.call.resume_after);
     let relay = Relay {
-        trip,
+        request,
         answer: Some(answer),
         events,
         passed_on: None,
@@ -75,11 +78,11 @@
         match relay.next().await {
             Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
             Ok(None) => {
-                relay.trip.end(&End::Answered(200));
+                relay.request.end(&End::Answered(200));
                 None
             }
             Err(cut) => {
-                relay.trip.end(&End::Cut(&cut.0));
+                relay.request.end(&End::Cut(&cut.0));
                 Some((Err(cut), None))
             }
         }
@@ -111,8 +114,8 @@
 
     /// Counts the time to the first event, and the pauses behind it.
     fn observe(&mut self) {
-        let now = self.trip.now();
-        self.trip.gate.metrics.tokens.inc();
+        let now = self.request.now();
+        self.request.gate.metrics.tokens.inc();
         if let Some(answer) = &mut self.answer {
             answer.running.read();
         }
@@ -120,13 +123,13 @@
             Some(last) => self.observe_pause(now.since(last), now),
             None => self.observe_first(now),
         }
-        self.trip.pace.pieces += 1;
+        self.request.pace.pieces += 1;
     }
 
     fn observe_first(&mut self, now: Millis) {
-        let first = now.since(self.trip.began);
-        self.trip.pace.first = Some(first);
-        let histogram = &self.trip.gate.metrics.first_token;
+        let first = now.since(self.request.began);
+        self.request.pace.first = Some(first);
+        let histogram = &self.request.gate.metrics.first_token;
         histogram
             .with_label_values(&[CLASS])
             .observe(seconds(first));
@@ -134,12 +137,12 @@
     }
 
     fn observe_pause(&mut self, pause: Millis, now: Millis) {
-        let metrics = &self.trip.gate.metrics;
+        let metrics = &self.request.gate.metrics;
         metrics.between_tokens.observe(seconds(pause));
         if let Some(answer) = &self.answer {
             answer.upstream.paused(pause, now);
         }
-        let pace = &mut self.trip.pace;
+        let pace = &mut self.request.pace;
         if pause > pace.longest {
             pace.longest = pause;
             pace.longest_after = pace.pieces;
@@ -152,7 +155,7 @@
     /// Reading stretches a pause by as much as an engine reads within one event. One that is
     /// far longer has another cause, such as an engine that was lost.
     fn judge_pause(&mut self, pause: Millis) {
-        let Some(most) = self.trip.route.pause else {
+        let Some(most) = self.request.route.pause else {
             return;
         };
         if pause > most {
@@ -162,13 +165,13 @@
 
     /// Counts the longest pause of a whole stream.
     fn observe_pauses(&self) {
-        let pace = &self.trip.pace;
+        let pace = &self.request.pace;
         let written = if pace.moved > 0 {
             "elsewhere"
         } else {
             "where read"
         };
-        let histogram = &self.trip.gate.metrics.longest_pause;
+        let histogram = &self.request.gate.metrics.longest_pause;
         histogram
             .with_label_values(&[written])
             .observe(seconds(pace.longest));
@@ -179,14 +182,15 @@
         let Some(answer) = &self.answer else {
             return;
         };
-        let trip = &self.trip;
+        let request = &self.request;
         let engine = answer.upstream.address;
-        let stayed = trip.pace.moved == 0 && !self.asked_to_move;
-        if !stayed || self.judged || trip.gate.roles(&trip.pool).reads(engine) {
+        let stayed = request.pace.moved == 0 && !self.asked_to_move;
+        if !stayed || self.judged || request.gate.roles(&request.pool).reads(engine) {
             return;
         }
-        trip.gate
-            .observe(&trip.pool, |mix| mix.stayed(engine, late));
+        request
+            .gate
+            .observe(&request.pool, |mix| mix.stayed(engine, late));
         self.judged = true;
     }
 
@@ -196,10 +200,15 @@
         let Some(answer) = &self.answer else {
             return;
         };
-        let trip = &self.trip;
-        if trip.gate.roles(&trip.pool).reads(answer.upstream.address) {
-            let part = now.since(trip.sent_at).0 as f64 / trip.route.objective.0.max(1) as f64;
-            trip.gate.observe(&trip.pool, |mix| mix.read(part));
+        let request = &self.request;
+        if request
+            .gate
+            .roles(&request.pool)
+            .reads(answer.upstream.address)
+        {
+            let part =
+                now.since(request.sent_at).0 as f64 / request.route.objective.0.max(1) as f64;
+            request.gate.observe(&request.pool, |mix| mix.read(part));
         }
     }
 
@@ -211,21 +220,22 @@
         let Some(answer) = &self.answer else {
             return;
         };
-        if self.asked_to_move || self.trip.pace.moved > 0 {
+        if self.asked_to_move || self.request.pace.moved > 0 {
             return;
         }
-        let first = self.trip.pace.pieces == 1;
-        if let Some(target) = self.trip.writer(answer, first) {
-            let left = self.trip.until.since(self.trip.now());
-            let handover = Handover::begin(&self.trip.gate, self.trip.id(), answer, target, left);
+        let first = self.request.pace.pieces == 1;
+        if let Some(target) = self.request.writer(answer, first) {
+            let left = self.request.until.since(self.request.now());
+            let handover =
+                Handover::begin(&self.request.gate, self.request.id(), answer, target, left);
             self.handover = Some(handover);
             self.asked_to_move = true;
         }
     }
 
     async fn step(&mut self) -> Step {
-        let now = self.trip.now();
-        if now >= self.trip.until {
+        let now = self.request.now();
+        if now >= self.request.until {
             return Step::Broken("the time is up".to_owned());
         }
         if let Some(step) = self.events.known() {
@@ -255,14 +265,14 @@
 
     /// How long to wait for the next event before another engine is looked for.
     pub(super) fn patience(&self, now: Millis) -> Millis {
-        let left = self.trip.until.since(now);
-        if !self.trip.may_go_on() {
+        let left = self.request.until.since(now);
+        if !self.request.may_go_on() {
             return left;
         }
-        let pause = self.trip.route.pause.unwrap_or(USUAL_PAUSE);
+        let pause = self.request.route.pause.unwrap_or(USUAL_PAUSE);
         let stall = Millis(pause.0 * STALL_PAUSES);
-        let first = if self.events.last() == self.trip.message.call.resume_after {
-            self.trip.route.objective
+        let first = if self.events.last() == self.request.message.call.resume_after {
+            self.request.route.objective
         } else {
             Millis::ZERO
         };
--- a/lib/src/direct/trip.rs
+++ b/lib/src/direct/request.rs
@@ -41,7 +41,7 @@
 
 /// A request on its way.
 #[derive(Debug)]
-pub struct Trip {
+pub struct ActiveRequest {
     /// The node's parts.
     pub gate: Arc<Gate>,
     /// What is sent.
@@ -93,8 +93,8 @@
     pub moved: u32,
 }
 
-impl Trip {
-    /// Begins a trip.
+impl ActiveRequest {
+    /// Begins to serve a request.
     #[must_use]
     pub fn new(
         gate: Arc<Gate>,
@@ -506,7 +506,7 @@
     newest.named + limit.since(VERSION_MARGIN)
 }
 
-impl Drop for Trip {
+impl Drop for ActiveRequest {
     /// A request whose caller goes away is dropped wherever it stands.
     fn drop(&mut self) {
         self.end(&End::Left);
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -12,8 +12,8 @@
 use super::handover::{Moved, Reply};
 use super::record;
 use super::relay::{Cut, Relay, USUAL_PAUSE};
+use super::request::LOOK;
 use super::sequence::Step;
-use super::trip::LOOK;
 use crate::clock::Millis;
 use crate::error::Failure;
 
@@ -35,13 +35,13 @@
     /// one that has begun to go on with the stream.
     pub(super) async fn stalled(&mut self, span: Millis) -> Step {
         let told = format!("nothing for {span}");
-        if self.stopped.is_some() || self.trip.now() >= self.trip.until {
+        if self.stopped.is_some() || self.request.now() >= self.request.until {
             return Step::Broken(told);
         }
         let Some(former) = self.answer.take() else {
             return Step::Broken(told);
         };
-        if !self.trip.reserve_elsewhere(&former.upstream) {
+        if !self.request.reserve_elsewhere(&former.upstream) {
             self.answer = Some(former);
             return Step::More;
         }
@@ -55,19 +55,19 @@
     /// answer ends meanwhile, the other one's is waited for all the same.
     async fn look_elsewhere(&mut self, mut former: Answer, told: String) -> Step {
         if !std::mem::replace(&mut self.silent, true) {
-            self.trip.blame(&former.upstream);
+            self.request.blame(&former.upstream);
         }
-        self.trip.stands_at = Some(Arc::clone(&former.upstream.incarnation));
+        self.request.stands_at = Some(Arc::clone(&former.upstream.incarnation));
         let found = self.first_of(&mut former).await;
-        self.trip.stands_at = None;
+        self.request.stands_at = None;
         match found {
             Found::Here(step) => {
                 self.answer = Some(former);
                 step
             }
             Found::Elsewhere(Ok(answer), _) if answer.head.status.is_success() => {
-                self.trip.gate.count_retry("resumed");
-                record::resumed(&self.trip, self.events.last(), &told);
+                self.request.gate.count_retry("resumed");
+                record::resumed(&self.request, self.events.last(), &told);
                 drop(former);
                 // What was asked of the former engine is of no use any more.
                 self.handover = None;
@@ -82,7 +82,7 @@
                 }
             }
             Found::Elsewhere(_, None) => {
-                record::stays(&self.trip, &former.upstream);
+                record::stays(&self.request, &former.upstream);
                 self.answer = Some(former);
                 Step::More
             }
@@ -93,9 +93,11 @@
     async fn first_of(&mut self, former: &mut Answer) -> Found {
         // A run that may have been stopped to be moved ends its stream early.
         let ends_whole = self.handover.is_none();
-        let Self { trip, events, .. } = self;
+        let Self {
+            request, events, ..
+        } = self;
         let mut ended = None;
-        let search = trip.answer(events.last());
+        let search = request.answer(events.last());
         let mut search = std::pin::pin!(search);
         loop {
             tokio::select! {
@@ -124,7 +126,7 @@
         if self.handover.is_none() && self.stopped.is_none() {
             return Ok(true);
         }
-        let span = self.patience(self.trip.now());
+        let span = self.patience(self.request.now());
         match self.moved(span).await {
             Reply::Unchanged => Ok(true),
             Reply::Stopped(moved) => self.continue_moved(&moved).await.map(|()| false),
@@ -141,7 +143,7 @@
     ///
     /// [`Cut`] when it can't go on.
     pub(super) async fn go_on(&mut self, told: &str) -> Result<(), Cut> {
-        let span = self.patience(self.trip.now());
+        let span = self.patience(self.request.now());
         if let Reply::Stopped(moved) = self.moved(span).await {
             return self.continue_moved(&moved).await;
         }
@@ -155,14 +157,14 @@
         if let Some(former) = self.answer.take() {
             let upstream = Arc::clone(&former.upstream);
             drop(former);
-            self.trip.blame(&upstream);
+            self.request.blame(&upstream);
         }
         let Err(cut) = self.read_anew(told).await else {
             self.handover = None;
             return Ok(());
         };
         // The memory of a run that was stopped may still be named.
-        let left = self.trip.until.since(self.trip.now());
+        let left = self.request.until.since(self.request.now());
         match self.moved(left).await {
             Reply::Stopped(moved) => self.continue_moved(&moved).await,
             Reply::Unchanged | Reply::Unanswered => Err(cut),
@@ -186,13 +188,13 @@
 
     /// Has another upstream read the prompt and go on behind the last event.
     async fn read_anew(&mut self, told: &str) -> Result<(), Cut> {
-        if !self.trip.may_go_on() {
+        if !self.request.may_go_on() {
             return Err(Cut(told.to_owned()));
         }
-        self.trip.gate.count_retry("resumed");
-        record::resumed(&self.trip, self.events.last(), told);
+        self.request.gate.count_retry("resumed");
+        record::resumed(&self.request, self.events.last(), told);
         let answer = self
-            .trip
+            .request
             .answer(self.events.last())
             .await
             .map_err(|failure| Cut(format!("{told}; then {failure}")))?;
@@ -210,22 +212,22 @@
     /// bear a pause: the memory is all that is left of the answer.
     async fn continue_moved(&mut self, moved: &Moved) -> Result<(), Cut> {
         self.answer = None;
-        let pause = self.trip.route.pause.unwrap_or(USUAL_PAUSE).max(LOOK);
-        let given_up = self.trip.now() + Millis(pause.0 * BORNE_PAUSES);
-        let until = given_up.min(self.trip.until);
+        let pause = self.request.route.pause.unwrap_or(USUAL_PAUSE).max(LOOK);
+        let given_up = self.request.now() + Millis(pause.0 * BORNE_PAUSES);
+        let until = given_up.min(self.request.until);
         let mut asked = 0;
         for place in moved.places.iter().cycle() {
             let last = self.events.last();
-            let sent = self.trip.continue_run(place, moved.memory.clone(), last);
+            let sent = self.request.continue_run(place, moved.memory.clone(), last);
             match sent.await {
                 Ok(answer) => {
-                    record::moved(&self.trip, &place.upstream, last, "goes on");
-                    self.trip.pace.moved += 1;
+                    record::moved(&self.request, &place.upstream, last, "goes on");
+                    self.request.pace.moved += 1;
                     self.begin(answer);
                     return Ok(());
                 }
                 Err(miss) => {
-                    record::moved(&self.trip, &place.upstream, last, miss.name());
+                    record::moved(&self.request, &place.upstream, last, miss.name());
                     // It may run there: nobody else may go on with the memory.
                     if matches!(miss, Miss::Lost(..)) {
                         return self.read_anew("the moved run was lost").await;
@@ -240,7 +242,7 @@
             if asked == moved.places.len() && self.read_anew(told).await.is_ok() {
                 return Ok(());
             }
-            if !self.trip.wait_for_repeat(pause, until).await {
+            if !self.request.wait_for_repeat(pause, until).await {
                 return Err(Cut(told.to_owned()));
             }
         }
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -12,8 +12,8 @@
 use super::pick::{Field, usual_share};
 use super::place::Asked;
 use super::record::Asking;
+use super::request::{ActiveRequest, LOOK, old_until};
 use super::roles::{Manner, Roles, may_move};
-use super::trip::{LOOK, Trip, old_until};
 use super::upstream::Upstream;
 use super::view::Newest;
 use crate::clock::Millis;
@@ -59,7 +59,7 @@
     pub permit: Option<Permit>,
 }
 
-impl Trip {
+impl ActiveRequest {
     /// Finds where to send, waiting a little if nothing fits.
     pub(super) async fn target(&self) -> Result<Target, Failure> {
         let patience = self.began + Millis(self.route.objective.0 / REFUSE_AFTER);
