direct: a large update is older when it comes than when it was sent

Cause: configurations came 80 ms apart, and an update with a dozen of them took 0.6 to 0.7 s from a node on a slow link to its three listeners. It tells its age when it is sent; the listeners took it for fresh when it came and asked the service themselves 0.6 s too late (configuration 37 known 3.2 to 3.4 s after it was accepted, bound 3.0 s). Change: a large update counts as older by what it takes over 10 Mbit/s shared by three listeners; more than 300 KB (1 MB before) isn't passed on. Failed first: listen_large_update_is_older_when_it_comes.

--- a/lib/src/direct/fanout.rs
+++ b/lib/src/direct/fanout.rs
@@ -53,9 +53,16 @@
 /// Bytes of an update from which on it isn't passed on.
 ///
 /// After an outage of the service all engines' entries come in one answer. Three listeners take
-/// 1.2 s to get this much over 20 Mbit/s, and then it is too old to rely on. It bounds what
-/// [`BEHIND`] and [`KEPT`] hold too: answers may have six times as much.
-const MOST_BYTES: usize = 1 << 20;
+/// 0.7 s to get this much over 10 Mbit/s; more is too old to rely on when it comes. It bounds what
+/// [`BEHIND`] and [`KEPT`] hold too: answers may have twenty times as much.
+const MOST_BYTES: usize = 300_000;
+
+/// Bytes of an update that a listener gets in a millisecond over the slowest link.
+///
+/// A third of 10 Mbit/s. An update tells its age when it is sent, and nothing tells how long it is
+/// on its way then. Counted as fresh when it came, one with a dozen configurations let listeners
+/// rely on it for 0.6 s too long, and the next configuration came into force too late there.
+const BYTES_A_MS: usize = 400;
 
 /// Nodes that may listen at once: those of this node, and as many of one that is gone.
 ///
@@ -264,7 +271,7 @@
         if update.after > self.after {
             return Err(Withheld::Gap);
         }
-        let age = self.clock.now().since(update.as_of);
+        let age = self.clock.now().since(update.as_of) + on_its_way(&update);
         let sent = encode(&update, self.after, age);
         self.after = self.after.max(update.revision);
         Ok(sent)
@@ -283,6 +290,11 @@
     }
 }
 
+/// The longest that an update is on its way to a listener.
+fn on_its_way(update: &Update) -> Millis {
+    Millis(u64::try_from(size(update) / BYTES_A_MS).unwrap_or(u64::MAX))
+}
+
 /// Bytes that an update takes on its way, about.
 fn size(update: &Update) -> usize {
     let sizes = update.events.iter().map(|event| {
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -9,7 +9,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use chivevalve::clock::{Clock, Millis, Monotonic};
+use chivevalve::clock::{Clock, Manual, Millis, Monotonic};
 use chivevalve::direct::ask::Desks;
 use chivevalve::direct::fanout::{Heard, Hub, Source, Subscription, Update};
 use chivevalve::direct::follow::Follower;
@@ -93,6 +93,33 @@
     assert!(stream.next().await.is_none());
 }
 
+/// Symptom: a route that operators added is unknown at some nodes later than is allowed.
+/// Sequence: configurations come in quick succession; an update with a dozen of them takes 0.6 s
+/// to a listener on a slow link; the next configuration is accepted meanwhile.
+/// Cause: the update told its age when it was sent, so that the listener took it for fresh when it
+/// came, and asked the service itself too late.
+#[tokio::test]
+async fn listen_large_update_is_older_when_it_comes() {
+    let hub = Hub::new(Arc::new(Manual::default()), Arc::default());
+    let large = |revision| {
+        let mut event = put(revision);
+        let value = vec![b'x'; 200_000].into();
+        event.entry.as_mut().unwrap().value = value;
+        Update {
+            events: vec![event],
+            ..update(revision - 1, revision)
+        }
+    };
+    let mut stream = Box::pin(hub.listen(0).unwrap());
+    hub.publish(update(0, 1));
+    hub.publish(large(2));
+    let small = stream.next().await.unwrap().unwrap();
+    let large = stream.next().await.unwrap().unwrap();
+    assert_eq!(small.age_ms, 0);
+    // What three listeners on a link of 10 Mbit/s take for it.
+    assert!(large.age_ms >= 450, "{}", large.age_ms);
+}
+
 /// Symptom: a node's memory grows while another one reads slowly.
 /// Sequence: a listener takes nothing while updates come.
 /// Cause: updates kept for each listener without bound.
