direct: a request under which three upstreams ended is sent no further

What callers saw: streams cut and requests failed for tens of seconds, as one request ended over thirty engines, each with all that ran there. Cause: nothing knew that two attempts are the same request, nor that an engine ended under one. An attempt went on at a second engine by itself, and its caller's next one began at zero at any node. Ruled out: orders that overload engines (ends follow the request's beginning by 20 to 50 ms, one engine at a time); a mass crash (one engine each 0.3 to 1 s). Change: a node that loses a connection under a request looks whether the engine has ended (a new connection is refused, or it vanishes from the list). Then it reports which of its requests stood there, by fingerprint and by how far they had come, in the key-value service; every node follows these records. A request to blame for three ends is rejected at once, and dropped where it waits. One request explains an end: what stood beside it goes free. What engines ran without harm is never reported. Why it holds: the count outlives attempts, nodes and restarts, and all that is sent passes one check right before it. Sight came with it: lines 'request: broke' and 'quarantine: an upstream ended' carry the fingerprint, the engine and the sign.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -1,9 +1,9 @@
 //! One send of a request to one upstream, and what became of it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Uri, response};
+use http::{HeaderMap, Method, Request, Uri, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
@@ -13,6 +13,7 @@
 use super::upstream::{Running, Upstream};
 use crate::clock::Millis;
 use crate::error::Code;
+use crate::poison::fingerprint::{Fingerprint, Identity};
 use crate::ports::link::{Connection, Lost};
 
 /// The longest whole answer that is held, in bytes.
@@ -48,6 +49,8 @@
     pub call: Call,
     /// What may be repeated.
     pub kind: Kind,
+    /// What identifies it over its attempts, once that was needed.
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 /// Why an attempt gave no answer.
@@ -96,6 +99,22 @@
 }
 
 impl Message {
+    /// Returns what identifies the request over its attempts.
+    pub fn fingerprint(&self) -> &Fingerprint {
+        self.fingerprint.get_or_init(|| {
+            let call = &self.call;
+            let host = self.headers.get(header::HOST);
+            Fingerprint::of(&Identity {
+                caller: call.caller.as_deref().unwrap_or_default(),
+                model: call.model.as_deref().unwrap_or_default(),
+                method: self.method.as_str(),
+                host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
+                path: self.uri.path_and_query().map_or("", |path| path.as_str()),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Sends the request and returns the answer's head once it has come.
     ///
     /// # Errors
--- a/lib/src/direct/call.rs
+++ b/lib/src/direct/call.rs
@@ -47,6 +47,8 @@
 pub struct Call {
     /// Identity of this attempt of the caller; an upstream's answer repeats it.
     pub id: Option<Name>,
+    /// The key that the caller sent, where callers have keys.
+    pub caller: Option<Name>,
     /// How long the caller waits, counted from the arrival of the request.
     pub deadline: Option<Millis>,
     /// Base model, and the adapter behind a slash if one is asked for.
--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -18,6 +18,8 @@
 use super::config::{Config, Route};
 use super::dialect::Dialect;
 use super::limits::Current;
+use super::outbox::Outbox;
+use super::quarantine::Quarantine;
 use super::record::{self, End};
 use super::relay::{self, Cut};
 use super::request::ActiveRequest;
@@ -28,6 +30,7 @@
 use crate::error::{Code, Failure};
 use crate::metrics::Metrics;
 use crate::name::Name;
+use crate::poison::ledger::Sign;
 use crate::ports::http::remove_hop_by_hop;
 use crate::ports::metered::Metered;
 
@@ -68,6 +71,8 @@
     pub failure_domain: Name,
     /// Bounds in force.
     pub limits: Arc<Current>,
+    /// What may not be sent any more.
+    pub quarantine: Arc<Quarantine>,
     /// The key-value service.
     service: Arc<Metered>,
     budget: Mutex<Budget>,
@@ -112,9 +117,23 @@
         limits: Arc<Current>,
         service: Arc<Metered>,
     ) -> Self {
+        let outbox = Arc::new(Outbox::new(
+            Arc::<Metered>::clone(&service),
+            Arc::<Metered>::clone(&service),
+            Arc::clone(&dialect),
+            Arc::clone(&clock),
+        ));
+        let quarantine = Arc::new(Quarantine::new(
+            Arc::clone(&view),
+            Arc::clone(&clock),
+            Arc::clone(&desks.metrics),
+            Name::clone(&desks.node),
+            outbox,
+        ));
         Self {
             view,
             metrics: Arc::clone(&desks.metrics),
+            quarantine,
             desks,
             dialect,
             clock,
@@ -150,6 +169,7 @@
         let state = self.view.state();
         let version = state.config.as_ref().map_or(0, |config| config.version);
         metrics.revision.set(count(version));
+        metrics.quarantined.set(count(state.ledger.blamed()));
         let ready = state.upstreams.values().filter(|one| one.is_ready());
         let ready = ready.count();
         let leaving = state.upstreams.len() - ready;
@@ -344,6 +364,7 @@
             body,
             call,
             kind: route.kind,
+            fingerprint: OnceLock::new(),
         };
         let request = ActiveRequest::new(
             Arc::clone(self),
@@ -390,12 +411,14 @@
             let left = request.until.since(request.now());
             let told = match tokio::time::timeout(left.duration(), answer.whole()).await {
                 Ok(Ok((_, body))) => {
+                    request.survived();
                     return Ok(whole_response(head, body));
                 }
                 Ok(Err(miss)) => format!("{miss:?}"),
                 Err(_) => return Err(Failure::new(Code::ExpiredRunning, "the time is up")),
             };
             request.blame(&upstream);
+            request.broke(&upstream, Sign::Begun);
             if !request.may_go_on() {
                 return Err(Failure::new(Code::AnswerCut, told));
             }
--- /dev/null
+++ b/lib/src/direct/outbox.rs
@@ -0,0 +1,157 @@
+//! Records that this node writes to the key-value service without waiting for them.
+//!
+//! They outlive the node: whoever starts later reads them. So they don't live with the node's
+//! own lease but with one of their own, at whose end they are gone.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use serde::Serialize;
+
+use super::dialect::Dialect;
+use crate::clock::{Clock, Millis};
+use crate::poison::ledger::LAPSE;
+use crate::ports::{Error, Lease, LeaseId, Store, Transaction, Write};
+
+/// Records that one transaction writes; the service takes 32 rows.
+const AT_ONCE: usize = 16;
+
+/// First pause after a call that failed; it doubles.
+const PAUSE: Millis = Millis(250);
+
+/// The longest pause: outages last for tens of seconds, and each call is priced.
+const LONGEST_PAUSE: Millis = Millis(4_000);
+
+/// Records that wait while the service is away; the oldest make room.
+const MOST_WAITING: usize = 1_024;
+
+/// A record that waits.
+#[derive(Debug, Clone)]
+struct Record {
+    key: String,
+    value: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    records: Vec<Record>,
+    /// Whether a task is at work on them.
+    is_sending: bool,
+}
+
+/// Writes records one transaction after the other.
+#[derive(Debug)]
+pub struct Outbox {
+    store: Arc<dyn Store>,
+    lease: Arc<dyn Lease>,
+    dialect: Arc<dyn Dialect>,
+    clock: Arc<dyn Clock>,
+    waiting: Mutex<Waiting>,
+    /// The lease of new records, and when it was granted.
+    granted: Mutex<Option<(LeaseId, Millis)>>,
+}
+
+impl Outbox {
+    /// Makes an outbox in which nothing waits.
+    #[must_use]
+    pub fn new(
+        store: Arc<dyn Store>,
+        lease: Arc<dyn Lease>,
+        dialect: Arc<dyn Dialect>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            store,
+            lease,
+            dialect,
+            clock,
+            waiting: Mutex::default(),
+            granted: Mutex::default(),
+        }
+    }
+
+    /// Writes a record soon, under its name among this system's own keys.
+    pub fn put(self: &Arc<Self>, name: &str, value: &impl Serialize) {
+        let value = match serde_json::to_vec(value) {
+            Ok(value) => value.into(),
+            Err(error) => {
+                log::error!("outbox: {name} can't be written: {error}");
+                return;
+            }
+        };
+        let key = self.dialect.own(name);
+        let is_idle = {
+            let mut waiting = self.waiting();
+            if waiting.records.len() >= MOST_WAITING {
+                log::warn!("outbox: the oldest record is dropped, as many wait");
+                waiting.records.remove(0);
+            }
+            waiting.records.push(Record { key, value });
+            !std::mem::replace(&mut waiting.is_sending, true)
+        };
+        if is_idle {
+            let outbox = Arc::clone(self);
+            tokio::spawn(async move { outbox.send_all().await });
+        }
+    }
+
+    async fn send_all(&self) {
+        let mut pause = PAUSE;
+        while let Some(records) = self.next() {
+            match self.send(&records).await {
+                Ok(()) => pause = PAUSE,
+                Err(error) => {
+                    log::info!("outbox: {} records wait on: {error}", records.len());
+                    *self.granted() = None;
+                    self.waiting().records.splice(0..0, records);
+                    tokio::time::sleep(pause.duration()).await;
+                    pause = Millis(pause.0 * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn next(&self) -> Option<Vec<Record>> {
+        let mut waiting = self.waiting();
+        if waiting.records.is_empty() {
+            waiting.is_sending = false;
+            return None;
+        }
+        let count = waiting.records.len().min(AT_ONCE);
+        Some(waiting.records.drain(..count).collect())
+    }
+
+    async fn send(&self, records: &[Record]) -> Result<(), Error> {
+        let lease = self.lease().await?;
+        let writes = records
+            .iter()
+            .map(|Record { key, value }| Write::Put(key.clone(), value.clone(), Some(lease)));
+        let transaction = Transaction {
+            conditions: Vec::new(),
+            writes: writes.collect(),
+        };
+        self.store.commit(transaction).await.map(|_| ())
+    }
+
+    /// Returns a lease that lasts for half of the records' time at least.
+    async fn lease(&self) -> Result<LeaseId, Error> {
+        let now = self.clock.now();
+        let granted = *self.granted();
+        if let Some((lease, since)) = granted
+            && now.since(since).0 < LAPSE.0 / 2
+        {
+            return Ok(lease);
+        }
+        let lease = self.lease.grant(LAPSE).await?;
+        *self.granted() = Some((lease, now));
+        Ok(lease)
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn granted(&self) -> MutexGuard<'_, Option<(LeaseId, Millis)>> {
+        self.granted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/lib/src/direct/quarantine.rs
@@ -0,0 +1,259 @@
+//! Whether a request may be sent to an upstream, and what speaks against it.
+//!
+//! A request that ends every upstream that begins to run it comes again, at any node. Each node
+//! reports which of its own requests stood at an upstream that ended; reports are records in the
+//! key-value service, which every node follows, also one that has just started. What they add up
+//! to is [`ledger`](crate::poison::ledger)'s. On a day on which no upstream ends, nothing is
+//! written. See docs/design/0011-poison-requests.md.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::Notify;
+
+use super::outbox::Outbox;
+use super::upstream::Upstream;
+use super::view::View;
+use crate::clock::{Clock, Millis};
+use crate::error::{Code, Failure};
+use crate::metrics::Metrics;
+use crate::name::Name;
+use crate::poison::fingerprint::Fingerprint;
+use crate::poison::ledger::{LAPSE, MOST_SUSPECTS, Report, Sign, Suspect};
+use crate::poison::survivors::Survivors;
+use crate::ports::link::Listening;
+
+/// Prefix of reports of upstreams that ended; the upstream's start and the node stand behind it.
+pub const ENDS: &str = "end/";
+
+/// Prefix of requests that survived, with the fingerprint behind it.
+pub const SURVIVED: &str = "survived/";
+
+/// Time in which all connections to an upstream that ended are seen to break.
+///
+/// They break within milliseconds of each other; on a slow VM it takes some more to read them.
+const GATHER: Millis = Millis(30);
+
+/// How long an upstream whose connections broke is watched for a sign that it ended.
+///
+/// One that accepts connections may be a new start at the same address. The list tells within
+/// three heartbeats.
+const WATCHED: Millis = Millis(5_000);
+
+/// Pause between looks at the list meanwhile.
+const LOOK: Millis = Millis(250);
+
+/// The longest that an attempt waits to learn whether its upstream ended.
+///
+/// A refused connection tells within milliseconds. An attempt that goes on sooner would reach one
+/// more upstream with a request that others report already.
+const EXAMINED: Millis = Millis(150);
+
+/// How long a run has to go on behind its first event until it counts as survived.
+///
+/// Engines that end under a request do so within some steps of its first token, and an event can
+/// hold just one token.
+pub const SETTLED: Millis = Millis(300);
+
+/// What is known of requests that end upstreams.
+#[derive(Debug)]
+pub struct Quarantine {
+    view: Arc<View>,
+    clock: Arc<dyn Clock>,
+    metrics: Arc<Metrics>,
+    node: Name,
+    outbox: Arc<Outbox>,
+    survivors: Mutex<Survivors>,
+    /// This node's requests at upstreams that may have ended, by the upstream's start.
+    examined: Mutex<HashMap<Name, Vec<Suspect>>>,
+    /// Wakes whoever waits for the end of an examination.
+    concluded: Notify,
+}
+
+impl Quarantine {
+    /// Makes a quarantine in which nothing is known.
+    #[must_use]
+    pub fn new(
+        view: Arc<View>,
+        clock: Arc<dyn Clock>,
+        metrics: Arc<Metrics>,
+        node: Name,
+        outbox: Arc<Outbox>,
+    ) -> Self {
+        Self {
+            view,
+            clock,
+            metrics,
+            node,
+            outbox,
+            survivors: Mutex::default(),
+            examined: Mutex::default(),
+            concluded: Notify::new(),
+        }
+    }
+
+    /// Whether anything is known against any request, so that fingerprints are worth making.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.view.state().ledger.is_empty()
+    }
+
+    /// Whether a request may be sent to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Quarantined`] when upstreams ended under it.
+    pub fn check(&self, request: &Fingerprint) -> Result<(), Failure> {
+        let now = self.clock.now();
+        let ends = self.view.state().ledger.blames(request, now);
+        let Some(ends) = ends else {
+            return Ok(());
+        };
+        if self.survivors().contains(request, now) {
+            self.clear(request);
+            return Ok(());
+        }
+        let detail = format!("{ends} upstreams ended as they began to run this request");
+        Err(Failure::new(Code::Quarantined, detail).retry_after(LAPSE))
+    }
+
+    /// Waits until it is known whether a request that others report ended one more upstream.
+    pub async fn examined(&self, request: &Fingerprint) {
+        let waiting = async {
+            loop {
+                let concluded = self.concluded.notified();
+                let mut concluded = std::pin::pin!(concluded);
+                concluded.as_mut().enable();
+                if !self.is_examined(request) || !self.view.state().ledger.suspects(request) {
+                    return;
+                }
+                concluded.await;
+            }
+        };
+        let _ = tokio::time::timeout(EXAMINED.duration(), waiting).await;
+    }
+
+    /// Takes in that a request's connection to an upstream broke while it stood there.
+    ///
+    /// A broken connection alone says little: it can be cut, or the answer lost. What counts is
+    /// the end of the upstream, which is looked for without keeping the request waiting.
+    pub fn broke(self: &Arc<Self>, upstream: &Arc<Upstream>, request: Fingerprint, sign: Sign) {
+        // One that leaves in order ends with whatever still runs there.
+        if !upstream.is_ready() || self.survivors().contains(&request, self.clock.now()) {
+            return;
+        }
+        let suspect = Suspect { request, sign };
+        let start = upstream.start();
+        let is_first = {
+            let mut examined = self.examining();
+            let suspects = examined.entry(start).or_default();
+            suspects.push(suspect);
+            suspects.len() == 1
+        };
+        if is_first {
+            let quarantine = Arc::clone(self);
+            let upstream = Arc::clone(upstream);
+            tokio::spawn(async move { quarantine.examine(&upstream).await });
+        }
+    }
+
+    /// Takes in that an upstream ran a request without harm.
+    pub fn survived(&self, request: &Fingerprint) {
+        self.survivors().remember(request.clone(), self.clock.now());
+        if self.view.state().ledger.suspects(request) {
+            self.clear(request);
+        }
+    }
+
+    /// Reports this node's requests at an upstream if it has ended.
+    async fn examine(&self, upstream: &Arc<Upstream>) {
+        tokio::time::sleep(GATHER.duration()).await;
+        let has_ended = self.has_ended(upstream).await;
+        let suspects = self.examining().remove(&upstream.start());
+        if let (true, Some(suspects)) = (has_ended, suspects) {
+            self.report(upstream, suspects);
+        }
+        self.concluded.notify_waiters();
+    }
+
+    /// Looks whether an upstream has ended: nobody listens there, or the list says so.
+    ///
+    /// A VM that lost power or is cut off refuses nothing, and where a new start listens at the
+    /// address already a connection is accepted. The list tells then.
+    async fn has_ended(&self, upstream: &Upstream) -> bool {
+        if upstream.link.probe().await == Listening::Refused {
+            return true;
+        }
+        let until = self.clock.now() + WATCHED;
+        while upstream.is_ready() && self.clock.now() < until {
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+        upstream.was_lost()
+    }
+
+    fn report(&self, upstream: &Upstream, mut suspects: Vec<Suspect>) {
+        // The stronger sign of each request, the strongest first.
+        suspects.sort_by(|one, other| (other.sign, &one.request).cmp(&(one.sign, &other.request)));
+        let mut seen = std::collections::HashSet::new();
+        suspects.retain(|suspect| seen.insert(suspect.request.clone()));
+        suspects.truncate(MOST_SUSPECTS);
+        self.metrics.upstream_ends.inc();
+        for Suspect { request, sign } in &suspects {
+            log::info!(
+                suspect = request.as_str(),
+                upstream = &*upstream.incarnation,
+                sign = sign.name();
+                "quarantine: an upstream ended"
+            );
+        }
+        let start = upstream.start();
+        let name = Name::from(format!("{ENDS}{start}/{}", self.node));
+        let report = Report {
+            upstream: start,
+            suspects,
+        };
+        self.outbox.put(&name, &report);
+        let now = self.clock.now();
+        let blamed = {
+            let mut state = self.view.state();
+            let requests: Vec<Fingerprint> = report
+                .suspects
+                .iter()
+                .map(|suspect| suspect.request.clone())
+                .collect();
+            state.ledger.report(name, report, None, now);
+            let ledger = &mut state.ledger;
+            let blamed = requests.into_iter().filter_map(|request| {
+                let ends = ledger.blames(&request, now)?;
+                Some((request, ends))
+            });
+            blamed.collect::<Vec<_>>()
+        };
+        for (request, ends) in blamed {
+            log::warn!(suspect = request.as_str(), ends = ends; "quarantine: no longer sent");
+        }
+        self.view.changed.notify_waiters();
+    }
+
+    fn clear(&self, request: &Fingerprint) {
+        log::info!(suspect = request.as_str(); "quarantine: survived");
+        self.view.state().ledger.clear(request, None);
+        self.outbox.put(&format!("{SURVIVED}{request}"), request);
+    }
+
+    fn is_examined(&self, request: &Fingerprint) -> bool {
+        let examined = self.examining();
+        let mut suspects = examined.values().flatten();
+        suspects.any(|suspect| suspect.request == *request)
+    }
+
+    fn examining(&self) -> MutexGuard<'_, HashMap<Name, Vec<Suspect>>> {
+        self.examined.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn survivors(&self) -> MutexGuard<'_, Survivors> {
+        self.survivors
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -1,5 +1,7 @@
 //! A stream on its way to the caller, continued elsewhere if its upstream breaks off.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use futures::stream::{self, Stream};
 use http_body_util::BodyExt;
@@ -9,10 +11,13 @@
 use super::attempt::Answer;
 use super::entry::{CLASS, seconds};
 use super::handover::{Handover, Moved, Reply};
+use super::quarantine::SETTLED;
 use super::record::End;
 use super::request::ActiveRequest;
 use super::sequence::{Sequence, Step};
+use super::upstream::Upstream;
 use crate::clock::Millis;
+use crate::poison::ledger::Sign;
 
 /// A pause in the stream, in the longest pauses of the route, at which it is continued elsewhere.
 ///
@@ -37,6 +42,17 @@
 #[error("the answer broke off: {0}")]
 pub struct Cut(pub String);
 
+/// How far the run that is read now has come, which tells whether it can have ended its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// It has brought no event.
+    Nothing,
+    /// It brought its first event at this time.
+    Brought(Millis),
+    /// An engine has run the request without harm.
+    Settled,
+}
+
 /// A stream in progress.
 #[derive(Debug)]
 pub(super) struct Relay {
@@ -44,6 +60,7 @@
     pub(super) answer: Option<Answer>,
     pub(super) events: Sequence,
     passed_on: Option<Millis>,
+    progress: Progress,
     /// The question to move the run, as long as it has no answer.
     pub(super) handover: Option<Handover>,
     /// Where the run can go on, once it was stopped.
@@ -67,6 +84,7 @@
         answer: Some(answer),
         events,
         passed_on: None,
+        progress: Progress::Nothing,
         handover: None,
         stopped: None,
         asked_to_move: false,
@@ -101,6 +119,7 @@
                 Step::More => {}
                 Step::End => {
                     if self.is_whole().await? {
+                        self.settle();
                         self.judge_stay(false);
                         self.observe_pauses();
                         self.keep();
@@ -119,6 +138,11 @@
         if let Some(answer) = &mut self.answer {
             answer.running.read();
         }
+        match self.progress {
+            Progress::Nothing => self.progress = Progress::Brought(now),
+            Progress::Brought(first) if now.since(first) >= SETTLED => self.settle(),
+            Progress::Brought(_) | Progress::Settled => {}
+        }
         match self.passed_on.replace(now) {
             Some(last) => self.observe_pause(now.since(last), now),
             None => self.observe_first(now),
@@ -126,6 +150,36 @@
         self.request.pace.pieces += 1;
     }
 
+    /// Notes once that the engine runs the request without harm.
+    fn settle(&mut self) {
+        if self.progress != Progress::Settled {
+            self.progress = Progress::Settled;
+            self.request.survived();
+        }
+    }
+
+    /// Begins with a run that has brought nothing yet.
+    pub(super) fn begin_run(&mut self) {
+        if self.progress != Progress::Settled {
+            self.progress = Progress::Nothing;
+        }
+    }
+
+    /// Takes in that the connection to an upstream broke while it ran the request.
+    pub(super) fn broke(&self, upstream: &Arc<Upstream>) {
+        let now = self.request.now();
+        // At the end of its time a request is dropped here, and says nothing of its upstream.
+        if now >= self.request.until {
+            return;
+        }
+        let sign = match self.progress {
+            Progress::Nothing => Sign::Begun,
+            Progress::Brought(_) => Sign::Possible,
+            Progress::Settled => return,
+        };
+        self.request.broke(upstream, sign);
+    }
+
     fn observe_first(&mut self, now: Millis) {
         let first = now.since(self.request.began);
         self.request.pace.first = Some(first);
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -17,6 +17,7 @@
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::name::Name;
+use crate::poison::ledger::Sign;
 
 /// Sends that reached no upstream, after which a request is given up.
 const MOST_UNSENT: u32 = 4;
@@ -149,10 +150,17 @@
                 self.send(&mut sends, target, resume_after);
             }
             let span = self.patience();
-            let answer = match tokio::time::timeout(span.duration(), sends.next()).await {
-                Ok(Some(sent)) => self.conclude(&sends, sent)?,
-                Ok(None) => None,
-                Err(_) => self.look_further(&mut sends, resume_after).await?,
+            let next = tokio::select! {
+                biased;
+                sent = sends.next() => Some(sent),
+                // Its engine may not have begun it: dropped now, it ends no further one.
+                failure = self.quarantined() => return Err(failure),
+                () = tokio::time::sleep(span.duration()) => None,
+            };
+            let answer = match next {
+                Some(Some(sent)) => self.conclude(&sends, sent)?,
+                Some(None) => None,
+                None => self.look_further(&mut sends, resume_after).await?,
             };
             if let Some(answer) = answer {
                 return Ok(answer);
@@ -272,6 +280,58 @@
         self.tried.push(Name::clone(&upstream.incarnation));
     }
 
+    /// Whether the request may be sent to an upstream, for the first time or again.
+    ///
+    /// A request that ends every engine that begins to run it goes on at the next one by itself,
+    /// and its caller's next attempt starts anew at any node: one request ended nearly all engines
+    /// of a fleet, again and again. All that is sent passes this check, right before it is.
+    ///
+    /// # Errors
+    ///
+    /// When upstreams ended under it; nothing more of it is sent.
+    pub(super) fn check(&self) -> Result<(), Failure> {
+        let quarantine = &self.gate.quarantine;
+        if quarantine.is_empty() {
+            return Ok(());
+        }
+        let checked = quarantine.check(self.message.fingerprint());
+        checked.map_err(|failure| match self.sent {
+            0 => failure,
+            _ => Failure::new(Code::UpstreamLost, failure.detail),
+        })
+    }
+
+    /// Waits until the request may no longer be sent.
+    async fn quarantined(&self) -> Failure {
+        loop {
+            let changed = self.gate.view.changed.notified();
+            let mut changed = std::pin::pin!(changed);
+            changed.as_mut().enable();
+            if let Err(failure) = self.check() {
+                return failure;
+            }
+            changed.await;
+        }
+    }
+
+    /// Takes in that the connection to an upstream broke while the request stood there.
+    pub(super) fn broke(&self, upstream: &Arc<Upstream>, sign: Sign) {
+        let fingerprint = self.message.fingerprint().clone();
+        log::info!(
+            request = self.id(),
+            suspect = fingerprint.as_str(),
+            upstream = &*upstream.incarnation,
+            sign = sign.name();
+            "request: broke"
+        );
+        self.gate.quarantine.broke(upstream, fingerprint, sign);
+    }
+
+    /// Takes in that an upstream ran the request without harm.
+    pub(super) fn survived(&self) {
+        self.gate.quarantine.survived(self.message.fingerprint());
+    }
+
     /// The time.
     #[must_use]
     pub fn now(&self) -> Millis {
@@ -336,6 +396,8 @@
         memory: Memory,
         last: Option<u64>,
     ) -> Result<Answer, Miss> {
+        self.check()
+            .map_err(|failure| Miss::Lost(failure.code, failure.detail))?;
         let dispatch = Dispatch {
             resume_after: last,
             memory: Some(memory),
@@ -436,7 +498,12 @@
     /// # Errors
     ///
     /// The failure that the caller gets where nothing else is on its way.
-    fn missed(&mut self, upstream: &Upstream, miss: Miss, is_last: bool) -> Result<(), Failure> {
+    fn missed(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        miss: Miss,
+        is_last: bool,
+    ) -> Result<(), Failure> {
         let now = self.now();
         record::missed(self, upstream, &miss);
         self.tried.push(Name::clone(&upstream.incarnation));
@@ -466,6 +533,9 @@
                 Ok(())
             }
             Miss::Lost(code, told) => {
+                if code == Code::UpstreamLost {
+                    self.broke(upstream, Sign::Possible);
+                }
                 upstream.failed(now);
                 if self.may_go_on() {
                     if is_last {
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -75,6 +75,7 @@
                 Step::More
             }
             Found::Elsewhere(_, Some(ended)) => {
+                self.broke(&former.upstream);
                 drop(former);
                 match ended {
                     Step::Broken(told) => Step::Broken(told),
@@ -158,6 +159,7 @@
             let upstream = Arc::clone(&former.upstream);
             drop(former);
             self.request.blame(&upstream);
+            self.broke(&upstream);
         }
         let Err(cut) = self.read_anew(told).await else {
             self.handover = None;
@@ -252,6 +254,7 @@
     /// Goes on with another answer, behind the last event.
     fn begin(&mut self, answer: Answer) {
         self.events.restart();
+        self.begin_run();
         self.silent = false;
         self.asked_to_move = false;
         self.answer = Some(answer);
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -63,7 +63,12 @@
     /// Finds where to send, waiting a little if nothing fits.
     pub(super) async fn target(&self) -> Result<Target, Failure> {
         let patience = self.began + Millis(self.route.objective.0 / REFUSE_AFTER);
+        let quarantine = &self.gate.quarantine;
+        if !quarantine.is_empty() {
+            quarantine.examined(self.message.fingerprint()).await;
+        }
         loop {
+            self.check()?;
             let upstreams = self.gate.view.pool(&self.pool);
             let roles = self.gate.roles(&self.pool);
             let field = self.field(&upstreams, &roles);
@@ -75,6 +80,8 @@
                 },
             };
             if let Some(target) = found {
+                // It can have waited for its adapter meanwhile.
+                self.check()?;
                 return Ok(target);
             }
             let now = self.now();
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -94,6 +94,8 @@
     elsewhere: AtomicU32,
     heard: AtomicU64,
     gone_at: AtomicU64,
+    /// Whether it vanished without saying that it leaves.
+    lost: AtomicBool,
     using: Mutex<HashMap<Name, u32>>,
     holdings: Mutex<Holdings>,
     health: Mutex<Health>,
@@ -152,6 +154,7 @@
             elsewhere: AtomicU32::new(0),
             heard: AtomicU64::new(now.0),
             gone_at: AtomicU64::new(u64::MAX),
+            lost: AtomicBool::new(false),
             using: Mutex::default(),
             holdings: Mutex::default(),
             health: Mutex::default(),
@@ -239,12 +242,25 @@
         self.ready.load(Ordering::Relaxed)
     }
 
-    /// Stops new work.
+    /// Stops new work, as the upstream is no longer listed.
     pub fn retire(&self) {
-        self.ready.store(false, Ordering::Relaxed);
+        let was_ready = self.ready.swap(false, Ordering::Relaxed);
+        self.lost.store(was_ready, Ordering::Relaxed);
         self.link.clear();
     }
 
+    /// Whether the upstream vanished from the list, or started again, without saying that it leaves.
+    #[must_use]
+    pub fn was_lost(&self) -> bool {
+        self.lost.load(Ordering::Relaxed)
+    }
+
+    /// Returns a name for this start, unlike that of any other start of the same upstream.
+    #[must_use]
+    pub fn start(&self) -> Name {
+        format!("{}@{}", self.incarnation, self.born).into()
+    }
+
     /// Marks the upstream as missing from the list since `now`, unless it already is.
     pub fn missing(&self, now: Millis) {
         let _ =
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -16,6 +16,7 @@
 use super::upstream::Upstream;
 use crate::clock::Millis;
 use crate::name::Name;
+use crate::poison::ledger::Ledger;
 use crate::ports::Entry;
 
 /// Another node, as its record in the key-value service has it.
@@ -89,6 +90,8 @@
     pub vanished: HashMap<SocketAddr, (Name, Millis)>,
     /// Most nodes ever seen at once.
     pub most_nodes: usize,
+    /// What speaks against requests under which upstreams ended.
+    pub ledger: Ledger,
     /// Nodes among which upstreams' connections were last shared out.
     shared_among: usize,
 }
--- a/lib/src/fate/reaction.rs
+++ b/lib/src/fate/reaction.rs
@@ -56,6 +56,7 @@
         | Code::UnknownAdapter
         | Code::ClaimUnavailable
         | Code::NoUpstream
+        | Code::Quarantined
         // Trying elsewhere would take what the limit keeps for others.
         | Code::AccountLimit
         | Code::Brownout
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod operators;
 pub mod owner;
 pub mod peer;
+pub mod poison;
 pub mod policy;
 pub mod ports;
 pub mod request;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -82,6 +82,10 @@
     pub upstreams: IntGaugeVec,
     /// Upstreams that this node owns.
     pub owned: IntGauge,
+    /// Upstreams that ended under requests of this node.
+    pub upstream_ends: IntCounter,
+    /// Requests that are no longer sent, as upstreams ended under them.
+    pub quarantined: IntGauge,
     /// Rare events of membership and ownership, by kind.
     pub events: IntCounterVec,
 }
@@ -221,6 +225,14 @@
             ),
             upstreams: maker.gauges("upstreams", "Upstreams by state.", &["state"]),
             owned: maker.gauge("upstreams_owned", "Upstreams that this node owns."),
+            upstream_ends: maker.counter(
+                "upstream_ends_total",
+                "Upstreams that ended under requests of this node.",
+            ),
+            quarantined: maker.gauge(
+                "quarantined_requests",
+                "Requests that are no longer sent, as upstreams ended under them.",
+            ),
             events: maker.counters(
                 "membership_events_total",
                 "Rare events of membership and ownership.",
--- /dev/null
+++ b/lib/src/poison/ledger.rs
@@ -0,0 +1,252 @@
+//! Which requests are to blame for upstreams that ended.
+//!
+//! An upstream that ends takes a whole batch with it, and all of it looks guilty. Nodes report
+//! which of their own requests stood there; the ledger puts the reports of one upstream together
+//! and looks for a request that explains several ends. What it explains then speaks against
+//! nobody else: requests that were cut beside a poison one go on to the next engine together
+//! with it, and would look as guilty after three of them.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use super::fingerprint::Fingerprint;
+use crate::clock::Millis;
+use crate::name::Name;
+
+/// How long a report counts.
+///
+/// A caller that comes back later than this costs as many engines again; an engine's release
+/// that mends the cause is noticed after as long.
+pub const LAPSE: Millis = Millis::from_secs(600);
+
+/// Ends of upstreams from which on a request is to blame.
+///
+/// Two can be chance where many engines end: a request that was cut goes on at another one.
+const ENDS: usize = 3;
+
+/// Weight from which on a request is to blame: with less than certain signs it takes more ends.
+const WEIGHT: u32 = 4;
+
+/// Reports that are kept: those of a hundred engines by forty nodes; the oldest make room.
+const MOST_REPORTS: usize = 4_096;
+
+/// Requests of one node in a report: more than an engine's batch holds of one node's.
+pub const MOST_SUSPECTS: usize = 32;
+
+/// How far a request that stood at an upstream is suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Sign {
+    /// It may have waited in the queue still, or has just brought its first event.
+    Possible,
+    /// The upstream had begun it and ended before it brought anything.
+    Begun,
+}
+
+impl Sign {
+    const fn weight(self) -> u32 {
+        match self {
+            Self::Possible => 1,
+            Self::Begun => 2,
+        }
+    }
+
+    /// Returns the name used in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Possible => "possible",
+            Self::Begun => "begun",
+        }
+    }
+}
+
+/// A request that stood at an upstream that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request.
+    pub request: Fingerprint,
+    /// How far it is suspect.
+    pub sign: Sign,
+}
+
+/// What one node says of one start of an upstream that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The start.
+    pub upstream: Name,
+    /// The node's own requests there.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A report as this node knows it.
+#[derive(Debug)]
+struct Known {
+    report: Report,
+    /// Revision of the key-value service; none while it isn't written there.
+    revision: Option<u64>,
+    since: Millis,
+}
+
+/// What nodes reported, and who is to blame by it.
+///
+/// The same reports give the same verdict at every node; nothing is agreed.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    reports: BTreeMap<Name, Known>,
+    /// Requests that survived, with the revision up to which reports of them don't count.
+    cleared: HashMap<Fingerprint, u64>,
+    blamed: HashMap<Fingerprint, usize>,
+    is_judged: bool,
+}
+
+impl Ledger {
+    /// Whether nothing speaks against anybody.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.reports.is_empty()
+    }
+
+    /// Takes a report in under its name in the key-value service.
+    pub fn report(&mut self, name: Name, mut report: Report, revision: Option<u64>, now: Millis) {
+        self.lapse(now);
+        let cleared = &self.cleared;
+        report.suspects.retain(|suspect| {
+            let until = cleared.get(&suspect.request);
+            until.is_none_or(|until| revision.is_none_or(|revision| revision > *until))
+        });
+        report.suspects.truncate(MOST_SUSPECTS);
+        let since = self.reports.get(&name).map_or(now, |known| known.since);
+        let known = Known {
+            report,
+            revision,
+            since,
+        };
+        self.reports.insert(name, known);
+        self.is_judged = false;
+    }
+
+    /// Takes in that a request survived: what was reported of it before counts no more.
+    ///
+    /// Without a `revision` it counts for all that this node knows.
+    pub fn clear(&mut self, request: &Fingerprint, revision: Option<u64>) {
+        if let Some(revision) = revision {
+            let until = self.cleared.entry(request.clone()).or_default();
+            *until = revision.max(*until);
+        }
+        for known in self.reports.values_mut() {
+            let counts = match (known.revision, revision) {
+                (Some(reported), Some(cleared)) => reported > cleared,
+                (None, Some(_)) => true,
+                (_, None) => false,
+            };
+            if !counts {
+                let suspects = &mut known.report.suspects;
+                suspects.retain(|suspect| suspect.request != *request);
+            }
+        }
+        self.is_judged = false;
+    }
+
+    /// Takes in that the key-value service holds a report no more.
+    pub fn forget(&mut self, name: &str) {
+        self.reports.remove(name);
+        self.is_judged = false;
+    }
+
+    /// Takes in that the key-value service holds no survivor's record any more.
+    pub fn forget_cleared(&mut self, request: &Fingerprint) {
+        self.cleared.remove(request);
+    }
+
+    /// Takes in a whole listing: what was written there and is missing has lapsed.
+    pub fn keep(&mut self, is_present: impl Fn(&str) -> bool) {
+        let lapsed = |name: &Name, known: &Known| known.revision.is_some() && !is_present(name);
+        self.reports.retain(|name, known| !lapsed(name, known));
+        self.is_judged = false;
+    }
+
+    /// Returns how many upstreams ended under a request that is to blame for it.
+    pub fn blames(&mut self, request: &Fingerprint, now: Millis) -> Option<usize> {
+        if self.reports.is_empty() {
+            return None;
+        }
+        self.lapse(now);
+        if !self.is_judged {
+            self.blamed = judge(self.reports.values().map(|known| &known.report));
+            self.is_judged = true;
+        }
+        self.blamed.get(request).copied()
+    }
+
+    /// Whether any report names a request.
+    #[must_use]
+    pub fn suspects(&self, request: &Fingerprint) -> bool {
+        let mut suspects = self
+            .reports
+            .values()
+            .flat_map(|known| &known.report.suspects);
+        suspects.any(|suspect| suspect.request == *request)
+    }
+
+    /// Returns how many requests are to blame, as last judged.
+    #[must_use]
+    pub fn blamed(&self) -> usize {
+        self.blamed.len()
+    }
+
+    fn lapse(&mut self, now: Millis) {
+        let before = self.reports.len();
+        self.reports
+            .retain(|_, known| now.since(known.since) < LAPSE);
+        while self.reports.len() >= MOST_REPORTS {
+            let oldest = self.reports.iter().min_by_key(|(_, known)| known.since);
+            let Some(name) = oldest.map(|(name, _)| Name::clone(name)) else {
+                break;
+            };
+            self.reports.remove(&name);
+        }
+        if self.reports.len() != before {
+            self.is_judged = false;
+        }
+    }
+}
+
+/// Returns the requests to blame, with the upstreams that ended under each.
+///
+/// Whoever explains most goes first, and takes the ends that it explains out of the count.
+fn judge<'a>(reports: impl Iterator<Item = &'a Report>) -> HashMap<Fingerprint, usize> {
+    let mut ends: HashMap<&Name, HashMap<&Fingerprint, Sign>> = HashMap::new();
+    for report in reports {
+        let end = ends.entry(&report.upstream).or_default();
+        for Suspect { request, sign } in &report.suspects {
+            let known = end.entry(request).or_insert(*sign);
+            *known = (*known).max(*sign);
+        }
+    }
+    let mut blamed = HashMap::new();
+    while let Some((request, count)) = heaviest(&ends) {
+        ends.retain(|_, suspects| !suspects.contains_key(request));
+        blamed.insert(request.clone(), count);
+    }
+    blamed
+}
+
+/// Returns the request against which most speaks, if it is enough.
+fn heaviest<'a>(
+    ends: &HashMap<&Name, HashMap<&'a Fingerprint, Sign>>,
+) -> Option<(&'a Fingerprint, usize)> {
+    let mut sums: HashMap<&Fingerprint, (u32, usize)> = HashMap::new();
+    for (request, sign) in ends.values().flatten() {
+        let (weight, count) = sums.entry(request).or_default();
+        *weight += sign.weight();
+        *count += 1;
+    }
+    let enough = |(weight, count): (u32, usize)| weight >= WEIGHT && count >= ENDS;
+    sums.into_iter()
+        .filter(|(_, sum)| enough(*sum))
+        .max_by_key(|(request, sum)| (*sum, Reverse(*request)))
+        .map(|(request, (_, count))| (request, count))
+}
--- a/lib/src/ports/link.rs
+++ b/lib/src/ports/link.rs
@@ -45,6 +45,17 @@
     Sent(String),
 }
 
+/// Whether somebody listens at an address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listening {
+    /// A connection could be made.
+    Accepted,
+    /// The VM lives, and no process listens there.
+    Refused,
+    /// Neither: the VM is gone, cut off, or short of connections.
+    Unknown,
+}
+
 /// Bounds of the connections to one address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -150,6 +161,19 @@
         None
     }
 
+    /// Looks whether somebody listens at the address.
+    pub async fn probe(&self) -> Listening {
+        let bounds = *self.bounds.lock().unwrap_or_else(PoisonError::into_inner);
+        let connecting = TcpStream::connect(self.address);
+        match tokio::time::timeout(bounds.connect.duration(), connecting).await {
+            Ok(Ok(_)) => Listening::Accepted,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                Listening::Refused
+            }
+            Ok(Err(_)) | Err(_) => Listening::Unknown,
+        }
+    }
+
     async fn connect(&self) -> Result<Connection, Lost> {
         let bounds = *self.bounds.lock().unwrap_or_else(PoisonError::into_inner);
         let open = Open(Arc::clone(&self.open));
