direct, cli: a quarantine can be seen and lifted

Cause: operators could learn of a rejected request from logs alone, and an engine whose fault was mended stayed barred to it for ten minutes. Change: 'chivevalve quarantine STORE' lists requests under which upstreams ended; with a fingerprint it writes the record of a survivor, which all nodes follow.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod get;
 mod history;
 mod plan;
+mod quarantine;
 mod rollback;
 mod status;
 mod story;
@@ -41,7 +42,7 @@
 }
 
 /// All commands, in the order of the help.
-const COMMANDS: [Command; 11] = [
+const COMMANDS: [Command; 12] = [
     check::COMMAND,
     plan::COMMAND,
     apply::COMMAND,
@@ -52,6 +53,7 @@
     status::COMMAND,
     explain::COMMAND,
     drain::COMMAND,
+    quarantine::COMMAND,
     digest::COMMAND,
 ];
 
--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -83,8 +83,18 @@
     session.run("--help").await;
     session.run("--version").await;
     for command in [
-        "check", "plan", "apply", "get", "history", "rollback", "export", "status", "explain",
-        "drain", "digest",
+        "check",
+        "plan",
+        "apply",
+        "get",
+        "history",
+        "rollback",
+        "export",
+        "status",
+        "explain",
+        "quarantine",
+        "drain",
+        "digest",
     ] {
         assert_eq!(session.run(&format!("{command} --help")).await, 0);
     }
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -10,14 +10,11 @@
 use super::dialect::{Dialect, Key};
 use super::fanout::{Heard, Hub, Source, Update};
 use super::limits::{Current, POLL_WAIT, STORE_PAUSE};
-use super::quarantine::{ENDS, SURVIVED};
 use super::reachable;
 use super::vet::{Refusal, vet};
-use super::view::{CLAIMS, Newest, Peer, State, View, claimed};
+use super::view::{CLAIMS, Evidence, Newest, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
-use crate::poison::fingerprint::Fingerprint;
-use crate::poison::ledger::Report;
 use crate::ports::poll::{self, Changes, Poll};
 use crate::ports::{Entry, Error, Event, Store};
 
@@ -391,10 +388,8 @@
                     state.nodes.remove(node);
                 } else if let Some(address) = claimed(&name) {
                     state.unclaim(address, now);
-                } else if let Some(request) = survivor(&name) {
-                    state.ledger.forget_cleared(&request);
                 } else {
-                    state.ledger.forget(&name);
+                    state.remove_evidence(&name);
                 }
             }
             Key::Config | Key::Version | Key::Other => {}
@@ -455,11 +450,6 @@
     }
 }
 
-/// Returns the request that a survivor's record is for.
-fn survivor(name: &str) -> Option<Fingerprint> {
-    Fingerprint::read(name.strip_prefix(SURVIVED)?)
-}
-
 /// Takes in an entry of this system's own; returns why not if it is left aside.
 fn put_own(state: &mut State, name: &str, entry: &Entry, now: Millis) -> Option<Refusal> {
     let is_readable = if let Some(node) = name.strip_prefix(NODES) {
@@ -475,23 +465,12 @@
         }
     } else if let Some(address) = claimed(name) {
         state.put_claim(address, entry, now)
-    } else if let Some(request) = survivor(name) {
-        state.ledger.clear(&request, Some(entry.revision));
-        true
-    } else if name.starts_with(ENDS) {
-        match serde_json::from_slice::<Report>(&entry.value) {
-            Ok(report) => {
-                let revision = Some(entry.revision);
-                state.ledger.report(name.into(), report, revision, now);
-                true
-            }
-            Err(error) => {
-                log::error!("follow: {} can't be read: {error}", entry.key);
-                false
-            }
-        }
     } else {
-        return Some(Refusal::Unused);
+        return match state.put_evidence(name, entry, now) {
+            Evidence::Taken => None,
+            Evidence::Unreadable => Some(Refusal::Unreadable),
+            Evidence::Other => Some(Refusal::Unused),
+        };
     };
     (!is_readable).then_some(Refusal::Unreadable)
 }
--- /dev/null
+++ b/lib/src/direct/lift.rs
@@ -0,0 +1,46 @@
+//! What operators see of quarantined requests, and how they lift a quarantine.
+
+use super::dialect::{Dialect, Key};
+use super::quarantine::SURVIVED;
+use super::view::State;
+use crate::clock::Millis;
+use crate::poison::fingerprint::Fingerprint;
+use crate::poison::ledger::{LAPSE, Standing};
+use crate::ports::{Error, Lease, Store, Transaction, Write};
+
+/// Returns the requests that upstreams ended under, by the records in the key-value service.
+///
+/// # Errors
+///
+/// When the service can't be read.
+pub async fn list(store: &dyn Store, dialect: &dyn Dialect) -> Result<Vec<Standing>, Error> {
+    let listing = store.list(&dialect.own("")).await?;
+    let mut state = State::default();
+    for entry in &listing.entries {
+        if let Key::Own(name) = dialect.key(&entry.key) {
+            state.put_evidence(&name, entry, Millis::ZERO);
+        }
+    }
+    Ok(state.ledger.standings(Millis::ZERO))
+}
+
+/// Has all nodes send a request again, by a record as of one that survived.
+///
+/// # Errors
+///
+/// When the service doesn't take it; after [`Error::NoAnswer`] it may have.
+pub async fn lift(
+    store: &dyn Store,
+    lease: &dyn Lease,
+    dialect: &dyn Dialect,
+    request: &Fingerprint,
+) -> Result<(), Error> {
+    let lease = lease.grant(LAPSE).await?;
+    let key = dialect.own(&format!("{SURVIVED}{request}"));
+    let value = serde_json::to_vec(request).map_err(|error| Error::Malformed(error.to_string()))?;
+    let transaction = Transaction {
+        conditions: Vec::new(),
+        writes: vec![Write::Put(key, value.into(), Some(lease))],
+    };
+    store.commit(transaction).await.map(|_| ())
+}
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -22,6 +22,7 @@
 pub mod fanout;
 pub mod follow;
 pub mod handover;
+pub mod lift;
 pub mod limits;
 pub mod node;
 pub mod orders;
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -49,6 +49,9 @@
 /// more upstream with a request that others report already.
 const EXAMINED: Millis = Millis(150);
 
+/// Ends that speak against a request from which on its survival is told to all nodes.
+const CLEARED_FROM: usize = 2;
+
 /// How long a run has to go on behind its first event until it counts as survived.
 ///
 /// Engines that end under a request do so within some steps of its first token, and an event can
@@ -124,7 +127,7 @@
                 let concluded = self.concluded.notified();
                 let mut concluded = std::pin::pin!(concluded);
                 concluded.as_mut().enable();
-                if !self.is_examined(request) || !self.view.state().ledger.suspects(request) {
+                if !self.is_examined(request) || self.view.state().ledger.ends(request) == 0 {
                     return;
                 }
                 concluded.await;
@@ -160,7 +163,8 @@
     /// Takes in that an upstream ran a request without harm.
     pub fn survived(&self, request: &Fingerprint) {
         self.survivors().remember(request.clone(), self.clock.now());
-        if self.view.state().ledger.suspects(request) {
+        // One more end alone blames nobody, and each record is a write.
+        if self.view.state().ledger.ends(request) >= CLEARED_FROM {
             self.clear(request);
         }
     }
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -13,10 +13,12 @@
 
 use super::config::Config;
 use super::dialect::{Dialect, Key, Listed};
+use super::quarantine::{ENDS, SURVIVED};
 use super::upstream::Upstream;
 use crate::clock::Millis;
 use crate::name::Name;
-use crate::poison::ledger::Ledger;
+use crate::poison::fingerprint::Fingerprint;
+use crate::poison::ledger::{Ledger, Report};
 use crate::ports::Entry;
 
 /// Another node, as its record in the key-value service has it.
@@ -105,6 +107,22 @@
     pub changed: Notify,
 }
 
+/// What became of a record that may be about requests under which upstreams ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// It was taken in.
+    Taken,
+    /// It is one, and can't be read.
+    Unreadable,
+    /// It is about something else.
+    Other,
+}
+
+/// Returns the request that a survivor's record is for.
+fn survivor(name: &str) -> Option<Fingerprint> {
+    Fingerprint::read(name.strip_prefix(SURVIVED)?)
+}
+
 /// Name of a claim, with the engine's address behind it.
 pub const CLAIMS: &str = "claim/";
 
@@ -318,6 +336,36 @@
         }
     }
 
+    /// Takes in a record about requests under which upstreams ended, if it is one.
+    pub fn put_evidence(&mut self, name: &str, entry: &Entry, now: Millis) -> Evidence {
+        if let Some(request) = survivor(name) {
+            self.ledger.clear(&request, Some(entry.revision));
+            return Evidence::Taken;
+        }
+        if !name.starts_with(ENDS) {
+            return Evidence::Other;
+        }
+        match serde_json::from_slice::<Report>(&entry.value) {
+            Ok(report) => {
+                let revision = Some(entry.revision);
+                self.ledger.report(name.into(), report, revision, now);
+                Evidence::Taken
+            }
+            Err(error) => {
+                log::error!("view: {} can't be read: {error}", entry.key);
+                Evidence::Unreadable
+            }
+        }
+    }
+
+    /// Takes in that such a record is gone.
+    pub fn remove_evidence(&mut self, name: &str) {
+        match survivor(name) {
+            Some(request) => self.ledger.forget_cleared(&request),
+            None => self.ledger.forget(name),
+        }
+    }
+
     fn pools(&mut self) -> &HashMap<Name, Arc<[Arc<Upstream>]>> {
         let upstreams = &self.upstreams;
         self.pools.get_or_insert_with(|| grouped(upstreams))
--- a/lib/src/poison/ledger.rs
+++ b/lib/src/poison/ledger.rs
@@ -7,7 +7,7 @@
 //! with it, and would look as guilty after three of them.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -81,6 +81,17 @@
     pub suspects: Vec<Suspect>,
 }
 
+/// How a request stands that upstreams ended under.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Standing {
+    /// The request.
+    pub request: Fingerprint,
+    /// Upstreams that ended while it stood there.
+    pub upstreams: Vec<Name>,
+    /// Whether it is to blame, so that it is no longer sent.
+    pub blamed: bool,
+}
+
 /// A report as this node knows it.
 #[derive(Debug)]
 struct Known {
@@ -181,14 +192,35 @@
         self.blamed.get(request).copied()
     }
 
-    /// Whether any report names a request.
+    /// Returns how many upstreams ended while a request stood there.
     #[must_use]
-    pub fn suspects(&self, request: &Fingerprint) -> bool {
-        let mut suspects = self
-            .reports
-            .values()
-            .flat_map(|known| &known.report.suspects);
-        suspects.any(|suspect| suspect.request == *request)
+    pub fn ends(&self, request: &Fingerprint) -> usize {
+        let names = |known: &&Known| {
+            let mut suspects = known.report.suspects.iter();
+            suspects.any(|suspect| suspect.request == *request)
+        };
+        let reports = self.reports.values().filter(names);
+        let upstreams: BTreeSet<&Name> = reports.map(|known| &known.report.upstream).collect();
+        upstreams.len()
+    }
+
+    /// Returns all requests that reports name, those to blame first.
+    pub fn standings(&mut self, now: Millis) -> Vec<Standing> {
+        let mut upstreams: BTreeMap<Fingerprint, BTreeSet<Name>> = BTreeMap::new();
+        for known in self.reports.values() {
+            for suspect in &known.report.suspects {
+                let ended = upstreams.entry(suspect.request.clone()).or_default();
+                ended.insert(Name::clone(&known.report.upstream));
+            }
+        }
+        let standings = upstreams.into_iter().map(|(request, upstreams)| Standing {
+            blamed: self.blames(&request, now).is_some(),
+            upstreams: upstreams.into_iter().collect(),
+            request,
+        });
+        let mut standings: Vec<Standing> = standings.collect();
+        standings.sort_by_key(|one| (!one.blamed, Reverse(one.upstreams.len())));
+        standings
     }
 
     /// Returns how many requests are to blame, as last judged.
--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -235,8 +235,8 @@
         let suspects: Vec<_> = (0..2).map(|at| (upstream * 2 + at, Sign::Begun)).collect();
         world.ended(upstream, 0, &suspects);
     }
-    assert!(!world.ledger.suspects(&fingerprint(0)));
-    assert!(world.ledger.suspects(&fingerprint(9_999)));
+    assert_eq!(world.ledger.ends(&fingerprint(0)), 0);
+    assert_eq!(world.ledger.ends(&fingerprint(9_999)), 1);
 }
 
 #[test]
