direct: in an outage nodes tell each other of engines that ended

What callers saw: while the key-value service is away, each node lost three engines to the same request. Cause: reports of engines' ends went through the service alone. Ruled out: exchanges with owners; a node that uses no engine of an owner hears nothing there, and at 195 nodes they come each 2.3 s. Change: a record that the service doesn't take is told once to all other nodes, and written when the service is back. Without an outage nothing is told so.

--- a/lib/src/direct/ask/mod.rs
+++ b/lib/src/direct/ask/mod.rs
@@ -2,6 +2,7 @@
 
 mod exchange;
 mod support;
+mod tell;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -122,6 +122,7 @@
             Arc::<Metered>::clone(&service),
             Arc::clone(&dialect),
             Arc::clone(&clock),
+            Arc::<Desks>::clone(&desks),
         ));
         let quarantine = Arc::new(Quarantine::new(
             Arc::clone(&view),
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -466,7 +466,7 @@
     } else if let Some(address) = claimed(name) {
         state.put_claim(address, entry, now)
     } else {
-        return match state.put_evidence(name, entry, now) {
+        return match state.put_evidence(name, &entry.value, Some(entry.revision), now) {
             Evidence::Taken => None,
             Evidence::Unreadable => Some(Refusal::Unreadable),
             Evidence::Other => Some(Refusal::Unused),
--- a/lib/src/direct/outbox.rs
+++ b/lib/src/direct/outbox.rs
@@ -3,13 +3,16 @@
 //! They outlive the node: whoever starts later reads them. So they don't live with the node's
 //! own lease but with one of their own, at whose end they are gone.
 
+use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use serde::Serialize;
 
 use super::dialect::Dialect;
 use crate::clock::{Clock, Millis};
+use crate::name::Name;
 use crate::poison::ledger::LAPSE;
 use crate::ports::{Error, Lease, LeaseId, Store, Transaction, Write};
 
@@ -25,11 +28,23 @@
 /// Records that wait while the service is away; the oldest make room.
 const MOST_WAITING: usize = 1_024;
 
+/// Tells other nodes of records while the key-value service is away.
+///
+/// Without it each node counts for itself then, and a request that ends three engines ends three
+/// for each node.
+#[async_trait]
+pub trait Others: fmt::Debug + Send + Sync {
+    /// Tells all other nodes that are known; none of them has to answer.
+    async fn tell(&self, name: &Name, value: &Bytes);
+}
+
 /// A record that waits.
 #[derive(Debug, Clone)]
 struct Record {
-    key: String,
+    name: Name,
     value: Bytes,
+    /// Whether other nodes were told, as the service didn't take it.
+    is_told: bool,
 }
 
 #[derive(Debug, Default)]
@@ -46,6 +61,7 @@
     lease: Arc<dyn Lease>,
     dialect: Arc<dyn Dialect>,
     clock: Arc<dyn Clock>,
+    others: Arc<dyn Others>,
     waiting: Mutex<Waiting>,
     /// The lease of new records, and when it was granted.
     granted: Mutex<Option<(LeaseId, Millis)>>,
@@ -59,12 +75,14 @@
         lease: Arc<dyn Lease>,
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
+        others: Arc<dyn Others>,
     ) -> Self {
         Self {
             store,
             lease,
             dialect,
             clock,
+            others,
             waiting: Mutex::default(),
             granted: Mutex::default(),
         }
@@ -79,14 +97,17 @@
                 return;
             }
         };
-        let key = self.dialect.own(name);
         let is_idle = {
             let mut waiting = self.waiting();
             if waiting.records.len() >= MOST_WAITING {
                 log::warn!("outbox: the oldest record is dropped, as many wait");
                 waiting.records.remove(0);
             }
-            waiting.records.push(Record { key, value });
+            waiting.records.push(Record {
+                name: name.into(),
+                value,
+                is_told: false,
+            });
             !std::mem::replace(&mut waiting.is_sending, true)
         };
         if is_idle {
@@ -97,12 +118,13 @@
 
     async fn send_all(&self) {
         let mut pause = PAUSE;
-        while let Some(records) = self.next() {
+        while let Some(mut records) = self.next() {
             match self.send(&records).await {
                 Ok(()) => pause = PAUSE,
                 Err(error) => {
                     log::info!("outbox: {} records wait on: {error}", records.len());
                     *self.granted() = None;
+                    self.tell_others(&mut records).await;
                     self.waiting().records.splice(0..0, records);
                     tokio::time::sleep(pause.duration()).await;
                     pause = Millis(pause.0 * 2).min(LONGEST_PAUSE);
@@ -111,6 +133,14 @@
         }
     }
 
+    /// Tells other nodes once of records that the service doesn't take.
+    async fn tell_others(&self, records: &mut [Record]) {
+        for record in records.iter_mut().filter(|record| !record.is_told) {
+            record.is_told = true;
+            self.others.tell(&record.name, &record.value).await;
+        }
+    }
+
     fn next(&self) -> Option<Vec<Record>> {
         let mut waiting = self.waiting();
         if waiting.records.is_empty() {
@@ -123,9 +153,10 @@
 
     async fn send(&self, records: &[Record]) -> Result<(), Error> {
         let lease = self.lease().await?;
-        let writes = records
-            .iter()
-            .map(|Record { key, value }| Write::Put(key.clone(), value.clone(), Some(lease)));
+        let writes = records.iter().map(|record| {
+            let key = self.dialect.own(&record.name);
+            Write::Put(key, record.value.clone(), Some(lease))
+        });
         let transaction = Transaction {
             conditions: Vec::new(),
             writes: writes.collect(),
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -49,6 +49,9 @@
 /// more upstream with a request that others report already.
 const EXAMINED: Millis = Millis(150);
 
+/// Requests at one upstream that are remembered while it is examined: several batches.
+const MOST_EXAMINED: usize = 256;
+
 /// Ends that speak against a request from which on its survival is told to all nodes.
 const CLEARED_FROM: usize = 2;
 
@@ -150,8 +153,11 @@
         let is_first = {
             let mut examined = self.examining();
             let suspects = examined.entry(start).or_default();
-            suspects.push(suspect);
-            suspects.len() == 1
+            let is_first = suspects.is_empty();
+            if suspects.len() < MOST_EXAMINED {
+                suspects.push(suspect);
+            }
+            is_first
         };
         if is_first {
             let quarantine = Arc::clone(self);
--- a/lib/src/direct/serve.rs
+++ b/lib/src/direct/serve.rs
@@ -15,12 +15,13 @@
 use super::limits::in_use;
 use super::orders::Loaded;
 use super::upstream::Upstream;
+use super::view::Evidence;
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::schema::direct::orders_server::{Orders, OrdersServer};
 use crate::schema::direct::{
     AdmitRequest, ExchangeReply, ExchangeRequest, FollowRequest, LoadReply, LoadRequest, Outcome,
-    SupportReply, SupportRequest, Update,
+    SupportReply, SupportRequest, TellReply, TellRequest, Update,
 };
 
 /// Answers other nodes.
@@ -121,6 +122,20 @@
         Ok(Response::new(SupportReply { supported }))
     }
 
+    async fn tell(&self, request: Request<TellRequest>) -> Result<Response<TellReply>, Status> {
+        let request = request.into_inner();
+        let now = self.0.clock.now();
+        let view = &self.0.view;
+        let taken = view
+            .state()
+            .put_evidence(&request.name, &request.value, None, now);
+        if taken != Evidence::Taken {
+            return Err(Status::invalid_argument("the record is none that is told"));
+        }
+        view.changed.notify_waiters();
+        Ok(Response::new(TellReply {}))
+    }
+
     async fn exchange(
         &self,
         request: Request<ExchangeRequest>,
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -337,22 +337,29 @@
     }
 
     /// Takes in a record about requests under which upstreams ended, if it is one.
-    pub fn put_evidence(&mut self, name: &str, entry: &Entry, now: Millis) -> Evidence {
+    ///
+    /// It has no `revision` where another node told of it, as the service doesn't take it now.
+    pub fn put_evidence(
+        &mut self,
+        name: &str,
+        value: &[u8],
+        revision: Option<u64>,
+        now: Millis,
+    ) -> Evidence {
         if let Some(request) = survivor(name) {
-            self.ledger.clear(&request, Some(entry.revision));
+            self.ledger.clear(&request, revision);
             return Evidence::Taken;
         }
         if !name.starts_with(ENDS) {
             return Evidence::Other;
         }
-        match serde_json::from_slice::<Report>(&entry.value) {
+        match serde_json::from_slice::<Report>(value) {
             Ok(report) => {
-                let revision = Some(entry.revision);
                 self.ledger.report(name.into(), report, revision, now);
                 Evidence::Taken
             }
             Err(error) => {
-                log::error!("view: {} can't be read: {error}", entry.key);
+                log::error!("view: {name} can't be read: {error}");
                 Evidence::Unreadable
             }
         }
--- a/lib/src/poison/ledger.rs
+++ b/lib/src/poison/ledger.rs
@@ -123,13 +123,16 @@
     /// Takes a report in under its name in the key-value service.
     pub fn report(&mut self, name: Name, mut report: Report, revision: Option<u64>, now: Millis) {
         self.lapse(now);
+        // Another node can tell of it after the key-value service has shown it.
+        let known = self.reports.get(&name);
+        let revision = revision.or_else(|| known.and_then(|known| known.revision));
+        let since = known.map_or(now, |known| known.since);
         let cleared = &self.cleared;
         report.suspects.retain(|suspect| {
             let until = cleared.get(&suspect.request);
             until.is_none_or(|until| revision.is_none_or(|revision| revision > *until))
         });
         report.suspects.truncate(MOST_SUSPECTS);
-        let since = self.reports.get(&name).map_or(now, |known| known.since);
         let known = Known {
             report,
             revision,
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -24,7 +24,7 @@
 use chivevalve::schema::direct::orders_server::{Orders, OrdersServer};
 use chivevalve::schema::direct::{
     AdmitReply, AdmitRequest, Change, ExchangeReply, ExchangeRequest, FollowRequest, LoadReply,
-    LoadRequest, SupportReply, SupportRequest, Update as Sent,
+    LoadRequest, SupportReply, SupportRequest, TellReply, TellRequest, Update as Sent,
 };
 use chivevalve_platform::Speech;
 use direct_support::SERVER;
@@ -557,6 +557,10 @@
         Err(Status::unimplemented("not played"))
     }
 
+    async fn tell(&self, _: Request<TellRequest>) -> Result<Response<TellReply>, Status> {
+        Err(Status::unimplemented("not played"))
+    }
+
     async fn support(&self, _: Request<SupportRequest>) -> Result<Response<SupportReply>, Status> {
         Err(Status::unimplemented("not played"))
     }
