poison: the ledger is judged once after a change, not at each request

Cause: how often a request stood at an upstream that ended was counted over all reports each time that any request was served; with thousands of reports, after a mass crash, that was more work than serving. Change: counts are part of the judgement, which is made anew only after a change; the gauge no longer shows an old number when all reports have lapsed. Ruled out: nothing else changed. Tests of the ledger and of poison requests pass.

--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -167,10 +167,12 @@
         metrics.revision_age_ms.set(age);
         metrics.in_flight.set(count(self.active()));
         metrics.owned.set(count(self.desks.right.owned_engines()));
-        let state = self.view.state();
+        let mut state = self.view.state();
         let version = state.config.as_ref().map_or(0, |config| config.version);
         metrics.revision.set(count(version));
-        metrics.quarantined.set(count(state.ledger.blamed()));
+        metrics
+            .quarantined
+            .set(count(state.ledger.blamed(self.clock.now())));
         let ready = state.upstreams.values().filter(|one| one.is_ready());
         let ready = ready.count();
         let leaving = state.upstreams.len() - ready;
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -130,7 +130,7 @@
                 let concluded = self.concluded.notified();
                 let mut concluded = std::pin::pin!(concluded);
                 concluded.as_mut().enable();
-                if !self.is_examined(request) || self.view.state().ledger.ends(request) == 0 {
+                if !self.is_examined(request) || self.ends(request) == 0 {
                     return;
                 }
                 concluded.await;
@@ -170,7 +170,7 @@
     pub fn survived(&self, request: &Fingerprint) {
         self.survivors().remember(request.clone(), self.clock.now());
         // One more end alone blames nobody, and each record is a write.
-        if self.view.state().ledger.ends(request) >= CLEARED_FROM {
+        if self.ends(request) >= CLEARED_FROM {
             self.clear(request);
         }
     }
@@ -251,6 +251,11 @@
         self.outbox.put(&format!("{SURVIVED}{request}"), request);
     }
 
+    fn ends(&self, request: &Fingerprint) -> usize {
+        let now = self.clock.now();
+        self.view.state().ledger.ends(request, now)
+    }
+
     fn is_examined(&self, request: &Fingerprint) -> bool {
         let examined = self.examining();
         let mut suspects = examined.values().flatten();
--- a/lib/src/poison/ledger.rs
+++ b/lib/src/poison/ledger.rs
@@ -109,8 +109,17 @@
     reports: BTreeMap<Name, Known>,
     /// Requests that survived, with the revision up to which reports of them don't count.
     cleared: HashMap<Fingerprint, u64>,
+    /// What the reports add up to; none after a change.
+    judgement: Option<Judgement>,
+}
+
+/// What the reports add up to.
+#[derive(Debug, Default)]
+struct Judgement {
+    /// Requests to blame, with the upstreams that ended under each.
     blamed: HashMap<Fingerprint, usize>,
-    is_judged: bool,
+    /// All requests that reports name, with the upstreams that ended while each stood there.
+    ends: HashMap<Fingerprint, usize>,
 }
 
 impl Ledger {
@@ -139,7 +148,7 @@
             since,
         };
         self.reports.insert(name, known);
-        self.is_judged = false;
+        self.judgement = None;
     }
 
     /// Takes in that a request survived: what was reported of it before counts no more.
@@ -161,13 +170,13 @@
                 suspects.retain(|suspect| suspect.request != *request);
             }
         }
-        self.is_judged = false;
+        self.judgement = None;
     }
 
     /// Takes in that the key-value service holds a report no more.
     pub fn forget(&mut self, name: &str) {
         self.reports.remove(name);
-        self.is_judged = false;
+        self.judgement = None;
     }
 
     /// Takes in that the key-value service holds no survivor's record any more.
@@ -179,32 +188,18 @@
     pub fn keep(&mut self, is_present: impl Fn(&str) -> bool) {
         let lapsed = |name: &Name, known: &Known| known.revision.is_some() && !is_present(name);
         self.reports.retain(|name, known| !lapsed(name, known));
-        self.is_judged = false;
+        self.judgement = None;
     }
 
     /// Returns how many upstreams ended under a request that is to blame for it.
     pub fn blames(&mut self, request: &Fingerprint, now: Millis) -> Option<usize> {
-        if self.reports.is_empty() {
-            return None;
-        }
-        self.lapse(now);
-        if !self.is_judged {
-            self.blamed = judge(self.reports.values().map(|known| &known.report));
-            self.is_judged = true;
-        }
-        self.blamed.get(request).copied()
+        self.judgement(now).blamed.get(request).copied()
     }
 
     /// Returns how many upstreams ended while a request stood there.
-    #[must_use]
-    pub fn ends(&self, request: &Fingerprint) -> usize {
-        let names = |known: &&Known| {
-            let mut suspects = known.report.suspects.iter();
-            suspects.any(|suspect| suspect.request == *request)
-        };
-        let reports = self.reports.values().filter(names);
-        let upstreams: BTreeSet<&Name> = reports.map(|known| &known.report.upstream).collect();
-        upstreams.len()
+    pub fn ends(&mut self, request: &Fingerprint, now: Millis) -> usize {
+        let ends = self.judgement(now).ends.get(request);
+        ends.copied().unwrap_or_default()
     }
 
     /// Returns all requests that reports name, those to blame first.
@@ -226,10 +221,17 @@
         standings
     }
 
-    /// Returns how many requests are to blame, as last judged.
-    #[must_use]
-    pub fn blamed(&self) -> usize {
-        self.blamed.len()
+    /// Returns how many requests are to blame.
+    pub fn blamed(&mut self, now: Millis) -> usize {
+        self.judgement(now).blamed.len()
+    }
+
+    /// Judges anew only after a change: it is asked about each request that is sent.
+    fn judgement(&mut self, now: Millis) -> &Judgement {
+        self.lapse(now);
+        let reports = &self.reports;
+        self.judgement
+            .get_or_insert_with(|| judge(reports.values().map(|known| &known.report)))
     }
 
     fn lapse(&mut self, now: Millis) {
@@ -244,15 +246,15 @@
             self.reports.remove(&name);
         }
         if self.reports.len() != before {
-            self.is_judged = false;
+            self.judgement = None;
         }
     }
 }
 
-/// Returns the requests to blame, with the upstreams that ended under each.
+/// Returns who is to blame by these reports.
 ///
 /// Whoever explains most goes first, and takes the ends that it explains out of the count.
-fn judge<'a>(reports: impl Iterator<Item = &'a Report>) -> HashMap<Fingerprint, usize> {
+fn judge<'a>(reports: impl Iterator<Item = &'a Report>) -> Judgement {
     let mut ends: HashMap<&Name, HashMap<&Fingerprint, Sign>> = HashMap::new();
     for report in reports {
         let end = ends.entry(&report.upstream).or_default();
@@ -261,27 +263,47 @@
             *known = (*known).max(*sign);
         }
     }
-    let mut blamed = HashMap::new();
+    let counts = sums(&ends).into_iter();
+    let mut judgement = Judgement {
+        blamed: HashMap::new(),
+        ends: counts
+            .map(|(request, sum)| (request.clone(), sum.count))
+            .collect(),
+    };
     while let Some((request, count)) = heaviest(&ends) {
         ends.retain(|_, suspects| !suspects.contains_key(request));
-        blamed.insert(request.clone(), count);
+        judgement.blamed.insert(request.clone(), count);
+    }
+    judgement
+}
+
+/// What speaks against one request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Sum {
+    weight: u32,
+    /// Upstreams that ended.
+    count: usize,
+}
+
+fn sums<'a>(
+    ends: &HashMap<&Name, HashMap<&'a Fingerprint, Sign>>,
+) -> HashMap<&'a Fingerprint, Sum> {
+    let mut sums: HashMap<&Fingerprint, Sum> = HashMap::new();
+    for (request, sign) in ends.values().flatten() {
+        let sum = sums.entry(request).or_default();
+        sum.weight += sign.weight();
+        sum.count += 1;
     }
-    blamed
+    sums
 }
 
 /// Returns the request against which most speaks, if it is enough.
 fn heaviest<'a>(
     ends: &HashMap<&Name, HashMap<&'a Fingerprint, Sign>>,
 ) -> Option<(&'a Fingerprint, usize)> {
-    let mut sums: HashMap<&Fingerprint, (u32, usize)> = HashMap::new();
-    for (request, sign) in ends.values().flatten() {
-        let (weight, count) = sums.entry(request).or_default();
-        *weight += sign.weight();
-        *count += 1;
-    }
-    let enough = |(weight, count): (u32, usize)| weight >= WEIGHT && count >= ENDS;
-    sums.into_iter()
-        .filter(|(_, sum)| enough(*sum))
+    sums(ends)
+        .into_iter()
+        .filter(|(_, sum)| sum.weight >= WEIGHT && sum.count >= ENDS)
         .max_by_key(|(request, sum)| (*sum, Reverse(*request)))
-        .map(|(request, (_, count))| (request, count))
+        .map(|(request, sum)| (request, sum.count))
 }
--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -235,8 +235,8 @@
         let suspects: Vec<_> = (0..2).map(|at| (upstream * 2 + at, Sign::Begun)).collect();
         world.ended(upstream, 0, &suspects);
     }
-    assert_eq!(world.ledger.ends(&fingerprint(0)), 0);
-    assert_eq!(world.ledger.ends(&fingerprint(9_999)), 1);
+    assert_eq!(world.ledger.ends(&fingerprint(0), Millis::ZERO), 0);
+    assert_eq!(world.ledger.ends(&fingerprint(9_999), Millis::ZERO), 1);
 }
 
 #[test]
