tests: on the product's own path a poison request has no end either

Symptom: one caller's request ends engine after engine there too. Cause: the same as in direct serving; the entry counts tries within a request (two unknown ones at most), and the next one begins at zero.

--- a/lib/tests/entry_support/mod.rs
+++ b/lib/tests/entry_support/mod.rs
@@ -308,13 +308,22 @@
 
 /// Three upstreams in each pool, all owned.
 pub fn three() -> Fleet {
+    fleet(State::Usable)
+}
+
+/// The same, all of which failed of late.
+pub fn three_held() -> Fleet {
+    fleet(State::Held)
+}
+
+fn fleet(state: State) -> Fleet {
     let mut upstreams = Vec::new();
     let mut owners = HashMap::new();
     for (pool, letter) in [("gpu", 'e'), ("stock", 's')] {
         for number in 1..=3 {
             let name = format!("{letter}{number}");
             owners.insert(name.as_str().into(), Arc::new(owner()));
-            upstreams.push(upstream(&name, pool));
+            upstreams.push(upstream(&name, pool, state));
         }
     }
     Fleet::new(upstreams, owners)
@@ -329,7 +338,7 @@
     }
 }
 
-fn upstream(name: &str, pool: &str) -> Upstream {
+fn upstream(name: &str, pool: &str, state: State) -> Upstream {
     Upstream {
         vm: Vm {
             name: name.into(),
@@ -339,7 +348,7 @@
             failure_domain: "d".into(),
             leaving: false,
         },
-        state: State::Usable,
+        state,
     }
 }
 
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -8,7 +8,9 @@
 use chivevalve::clock::Millis;
 use chivevalve::config::View;
 use chivevalve::error::{Code, Failure};
-use entry_support::{Ending, Step, declared, events, fail, json, limits, three, world, world_with};
+use entry_support::{
+    Ending, Step, declared, events, fail, json, limits, three, three_held, world, world_with,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -69,6 +71,27 @@
     assert_eq!(world.metric("retries_denied_total{reason=\"unknowns\"}"), 1);
 }
 
+/// Symptom: one caller's request ends engine after engine, each with all its other streams.
+/// Sequence: two engines end under each request, as the fleet shows, and come back; the caller
+/// sends the same request again and again.
+/// Cause: nothing tells that two requests are the same, nor that engines ended under one.
+#[tokio::test]
+async fn outcome_poisoned_request_comes_again() {
+    const ALLOWED: usize = 6;
+    let world = world().await;
+    for _ in 0..8 {
+        for _ in 0..2 {
+            world.script.then(fail(Code::UpstreamLost));
+        }
+        world.chat("summary", "").await;
+        world.fleet.send_replace(Arc::new(three_held()));
+        tokio::time::sleep(Millis(50).duration()).await;
+        world.fleet.send_replace(Arc::new(three()));
+    }
+    let sent = world.script.count();
+    assert!(sent <= ALLOWED, "it was sent {sent} times");
+}
+
 /// Symptom: a caller is told "not run" and sends again what has run.
 /// Sequence: the first try is lost after it was sent, the second is refused.
 /// Cause: the last failure spoke for all tries.
