tests: what is seen later of an engine's end replaces what was reported

Symptom: a request that ended an engine goes free. Seen on the code as it is: after a second break at the same engine the first request has no end against it any more.

--- /dev/null
+++ b/lib/tests/test_direct_quarantine.rs
@@ -0,0 +1,128 @@
+//! What a node reports of upstreams that ended, without a node around it.
+
+mod direct_support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use chivevalve::clock::{Clock, Millis, Monotonic};
+use chivevalve::direct::outbox::{Others, Outbox};
+use chivevalve::direct::quarantine::{ENDS, Quarantine};
+use chivevalve::direct::upstream::Upstream;
+use chivevalve::direct::view::View;
+use chivevalve::name::Name;
+use chivevalve::poison::fingerprint::{Fingerprint, Identity};
+use chivevalve::poison::ledger::{Report, Sign};
+use chivevalve_platform::Speech;
+use direct_support::memory::Memory;
+use direct_support::records::listed;
+
+/// There are no other nodes.
+#[derive(Debug)]
+struct Nobody;
+
+#[async_trait]
+impl Others for Nobody {
+    async fn tell(&self, _: &Name, _: &Bytes) {}
+}
+
+struct World {
+    view: Arc<View>,
+    store: Arc<Memory>,
+    quarantine: Arc<Quarantine>,
+}
+
+fn world() -> World {
+    let view = Arc::new(View::default());
+    let store = Arc::new(Memory::default());
+    let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+    let outbox = Arc::new(Outbox::new(
+        Arc::<Memory>::clone(&store),
+        Arc::<Memory>::clone(&store),
+        Arc::new(Speech),
+        Arc::clone(&clock),
+        Arc::new(Nobody),
+    ));
+    let quarantine = Arc::new(Quarantine::new(
+        Arc::clone(&view),
+        clock,
+        Arc::default(),
+        "node-1".into(),
+        outbox,
+    ));
+    World {
+        view,
+        store,
+        quarantine,
+    }
+}
+
+impl World {
+    fn ends(&self, request: &Fingerprint) -> usize {
+        self.view.state().ledger.ends(request, Millis::ZERO)
+    }
+
+    /// The only report in the key-value service.
+    fn written(&self) -> Option<Report> {
+        let state = self.store.state();
+        let mut entries = state.entries.values();
+        let entry = entries.find(|entry| entry.key.contains(ENDS))?;
+        Some(serde_json::from_slice(&entry.value).unwrap())
+    }
+}
+
+fn request(path: &str) -> Fingerprint {
+    Fingerprint::of(&Identity {
+        caller: "",
+        model: "base/a1",
+        method: "POST",
+        host: "host.example",
+        path,
+        body: b"",
+    })
+}
+
+/// An upstream at whose address nobody listens.
+fn ended() -> Arc<Upstream> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address: SocketAddr = listener.local_addr().unwrap();
+    drop(listener);
+    let mut listed = listed("i-1", &[("base/a1", 1)]);
+    listed.address = address;
+    Arc::new(Upstream::new(&listed, 8, Millis::ZERO))
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..1_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} never came");
+}
+
+/// Symptom: a request that ended an engine goes free, and ends the next ones.
+/// Sequence: on a slow VM the connections to an engine that ended are seen to break over more
+/// time than they are gathered in; what is seen later is reported by itself.
+/// Cause: a node's second report of an upstream in the place of its first.
+#[tokio::test]
+async fn broke_later_adds_to_what_was_reported() {
+    let world = world();
+    let upstream = ended();
+    let (first, later) = (request("/first"), request("/later"));
+    let quarantine = &world.quarantine;
+    quarantine.broke(&upstream, first.clone(), Sign::Begun);
+    until("the first report", || world.ends(&first) == 1).await;
+    quarantine.broke(&upstream, later.clone(), Sign::Possible);
+    until("the second report", || world.ends(&later) == 1).await;
+    assert_eq!(world.ends(&first), 1);
+    let both = || {
+        let suspects = world.written().map(|report| report.suspects.len());
+        suspects == Some(2)
+    };
+    until("both in the key-value service", both).await;
+}
