direct: what is seen later of an engine's end adds to what was reported

What callers would see: a request that ended an engine goes free and ends more. Cause: a report is kept under the engine's start and the node. A node that saw some connections break only after it had reported wrote its second report in the place of the first, without those that the first one named. Change: a report holds what was known under its name too, each request with its strongest sign; a record that waits is replaced by a newer one of its name.

--- a/lib/src/direct/outbox.rs
+++ b/lib/src/direct/outbox.rs
@@ -103,6 +103,8 @@
                 log::warn!("outbox: the oldest record is dropped, as many wait");
                 waiting.records.remove(0);
             }
+            // A newer value of the same record: a transaction may hold a key once.
+            waiting.records.retain(|record| &*record.name != name);
             waiting.records.push(Record {
                 name: name.into(),
                 value,
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -19,7 +19,7 @@
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
-use crate::poison::ledger::{LAPSE, MOST_SUSPECTS, Report, Sign, Suspect};
+use crate::poison::ledger::{LAPSE, Report, Sign, Suspect};
 use crate::poison::survivors::Survivors;
 use crate::ports::link::Listening;
 
@@ -201,12 +201,7 @@
         upstream.was_lost()
     }
 
-    fn report(&self, upstream: &Upstream, mut suspects: Vec<Suspect>) {
-        // The stronger sign of each request, the strongest first.
-        suspects.sort_by(|one, other| (other.sign, &one.request).cmp(&(one.sign, &other.request)));
-        let mut seen = std::collections::HashSet::new();
-        suspects.retain(|suspect| seen.insert(suspect.request.clone()));
-        suspects.truncate(MOST_SUSPECTS);
+    fn report(&self, upstream: &Upstream, suspects: Vec<Suspect>) {
         self.metrics.upstream_ends.inc();
         for Suspect { request, sign } in &suspects {
             log::info!(
@@ -218,30 +213,21 @@
         }
         let start = upstream.start();
         let name = Name::from(format!("{ENDS}{start}/{}", self.node));
-        let report = Report {
-            upstream: start,
-            suspects,
-        };
-        self.outbox.put(&name, &report);
         let now = self.clock.now();
-        let blamed = {
-            let mut state = self.view.state();
-            let requests: Vec<Fingerprint> = report
-                .suspects
-                .iter()
-                .map(|suspect| suspect.request.clone())
-                .collect();
-            state.ledger.report(name, report, None, now);
-            let ledger = &mut state.ledger;
-            let blamed = requests.into_iter().filter_map(|request| {
-                let ends = ledger.blames(&request, now)?;
-                Some((request, ends))
-            });
-            blamed.collect::<Vec<_>>()
-        };
-        for (request, ends) in blamed {
-            log::warn!(suspect = request.as_str(), ends = ends; "quarantine: no longer sent");
+        let mut state = self.view.state();
+        let ledger = &mut state.ledger;
+        // Some connections are seen to break only after others were reported. In the place of the
+        // first report, a second one would clear whom that one names.
+        let known: Vec<Suspect> = ledger.reported(&name).cloned().collect();
+        let report = Report::new(start, known.into_iter().chain(suspects));
+        self.outbox.put(&name, &report);
+        ledger.report(name, report.clone(), None, now);
+        for Suspect { request, .. } in &report.suspects {
+            if let Some(ends) = ledger.blames(request, now) {
+                log::warn!(suspect = request.as_str(), ends = ends; "quarantine: no longer sent");
+            }
         }
+        drop(state);
         self.view.changed.notify_waiters();
     }
 
--- a/lib/src/poison/ledger.rs
+++ b/lib/src/poison/ledger.rs
@@ -33,7 +33,7 @@
 const MOST_REPORTS: usize = 4_096;
 
 /// Requests of one node in a report: more than an engine's batch holds of one node's.
-pub const MOST_SUSPECTS: usize = 32;
+const MOST_SUSPECTS: usize = 32;
 
 /// How far a request that stood at an upstream is suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -92,6 +92,25 @@
     pub blamed: bool,
 }
 
+impl Report {
+    /// Makes a report of requests, each with its strongest sign, the most suspect first.
+    #[must_use]
+    pub fn new(upstream: Name, suspects: impl IntoIterator<Item = Suspect>) -> Self {
+        let mut signs: BTreeMap<Fingerprint, Sign> = BTreeMap::new();
+        for Suspect { request, sign } in suspects {
+            let known = signs.entry(request).or_insert(sign);
+            *known = sign.max(*known);
+        }
+        let suspects = signs.into_iter();
+        let mut suspects: Vec<Suspect> = suspects
+            .map(|(request, sign)| Suspect { request, sign })
+            .collect();
+        suspects.sort_by_key(|suspect| Reverse(suspect.sign));
+        suspects.truncate(MOST_SUSPECTS);
+        Self { upstream, suspects }
+    }
+}
+
 /// A report as this node knows it.
 #[derive(Debug)]
 struct Known {
@@ -151,6 +170,12 @@
         self.judgement = None;
     }
 
+    /// Returns the requests that a report names.
+    pub fn reported(&self, name: &str) -> impl Iterator<Item = &Suspect> + use<'_> {
+        let known = self.reports.get(name);
+        known.into_iter().flat_map(|known| &known.report.suspects)
+    }
+
     /// Takes in that a request survived: what was reported of it before counts no more.
     ///
     /// Without a `revision` it counts for all that this node knows.
