outbox: a record that is put back gives way to a newer one of its name

Cause: a call that failed puts its records back in front; a newer value of one of them that waits meanwhile made two rows of one key in the next transaction. Found by reading, without a test of its own. Nothing else changed.

--- a/lib/src/direct/outbox.rs
+++ b/lib/src/direct/outbox.rs
@@ -127,7 +127,7 @@
                     log::info!("outbox: {} records wait on: {error}", records.len());
                     *self.granted() = None;
                     self.tell_others(&mut records).await;
-                    self.waiting().records.splice(0..0, records);
+                    self.put_back(records);
                     tokio::time::sleep(pause.duration()).await;
                     pause = Millis(pause.0 * 2).min(LONGEST_PAUSE);
                 }
@@ -135,6 +135,14 @@
         }
     }
 
+    /// Has records wait on, but those of which a newer value waits.
+    fn put_back(&self, mut records: Vec<Record>) {
+        let mut waiting = self.waiting();
+        let is_newer = |record: &Record| waiting.records.iter().any(|one| one.name == record.name);
+        records.retain(|record| !is_newer(record));
+        waiting.records.splice(0..0, records);
+    }
+
     /// Tells other nodes once of records that the service doesn't take.
     async fn tell_others(&self, records: &mut [Record]) {
         for record in records.iter_mut().filter(|record| !record.is_told) {
