--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -34,7 +34,7 @@
 use crate::ports::link::guard;
 use crate::ports::metered::Metered;
 use crate::ports::poll::Poll;
-use crate::ports::{Lease, Store};
+use crate::ports::{Error, Lease, Store};
 
 /// Time for the balancer to notice that the node takes no more callers.
 ///
@@ -265,10 +265,7 @@
         let clock = Arc::clone(&self.gate.clock);
         let end = clock.now() + self.limits.get().stop - END_MARGIN;
         self.gate.stop();
-        if let Err(error) = self.claimer.leave().await {
-            log::warn!("node: claims end with the lease: {error}");
-        }
-        tokio::time::sleep(NOTICE.duration()).await;
+        give_notice(self.claimer.leave()).await;
         self.closing.cancel();
         // Nothing in progress is not enough: the head of a request can have come in half, and the
         // last bytes of an answer can wait for a slow caller. Ended then, the process would cut
@@ -291,6 +288,14 @@
     }
 }
 
+/// Gives claims up, and waits until the balancer has noticed that the node stops.
+pub async fn give_notice(leave: impl Future<Output = Result<(), Error>>) {
+    if let Err(error) = leave.await {
+        log::warn!("node: claims end with the lease: {error}");
+    }
+    tokio::time::sleep(NOTICE.duration()).await;
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()
