direct: a silent key-value service doesn't keep a stopping node's port open

What callers saw: on a planned stop a request that was sent 3.9 s after it began was cut off at its end, in the middle of the answer. Cause: the notice for the balancer counted from the end of the call that gives up claims; with its answer lost that call lasts 1.5 s. The port closed at 3.9 s. Ruled out: idle and fresh connections (closed in time, tests). Change: claims are given up while the balancer notices; what has no answer by then ends with the lease.

--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -288,12 +288,18 @@
     }
 }
 
-/// Gives claims up, and waits until the balancer has noticed that the node stops.
+/// Gives claims up while the balancer notices that the node stops.
+///
+/// The key-value service can be silent. Were it waited for first, the callers' port would be open
+/// for as much longer, and requests that come late would be cut off at the end of the stop.
 pub async fn give_notice(leave: impl Future<Output = Result<(), Error>>) {
-    if let Err(error) = leave.await {
-        log::warn!("node: claims end with the lease: {error}");
+    let noticed = tokio::time::sleep(NOTICE.duration());
+    let (left, ()) = tokio::join!(tokio::time::timeout(NOTICE.duration(), leave), noticed);
+    match left {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::warn!("node: claims end with the lease: {error}"),
+        Err(_) => log::warn!("node: claims end with the lease: no answer within {NOTICE}"),
     }
-    tokio::time::sleep(NOTICE.duration()).await;
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener> {
