--- a/bench/src/soak/caller.rs
+++ b/bench/src/soak/caller.rs
@@ -27,6 +27,8 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// Longest pause of a caller between two requests, in milliseconds.
 const PAUSE: u64 = 250;
+/// Pause of the caller that sends a poison request.
+const COMES_AGAIN: Duration = Duration::from_millis(700);
 /// Part of the requests for which a caller takes a new connection.
 const RECONNECT: f64 = 0.08;
 
@@ -85,6 +87,23 @@
     }
 }
 
+/// Sends one poison request again and again, to a node after the other.
+pub async fn poison(site: Arc<Site>, calls: Arc<Calls>) {
+    let mut number = 0;
+    while !calls.over.load(Ordering::SeqCst) {
+        sleep(COMES_AGAIN).await;
+        let ask = Ask {
+            id: format!("{}~{number}z", wire::POISON),
+            route: "plan",
+            adapter: Some("a1".to_owned()),
+            deadline: DEADLINE,
+        };
+        let call = at(&site, number % site.nodes.len(), ask).await;
+        lock(&calls.all).extend(call);
+        number += 1;
+    }
+}
+
 fn ask(rng: &mut Pcg64Mcg, id: String) -> Ask {
     let route = match rng.random_range(0..20) {
         0..4 => "look",
--- a/bench/src/soak/judge.rs
+++ b/bench/src/soak/judge.rs
@@ -23,6 +23,13 @@
 const BACK: Millis = Millis(250);
 /// The same at a node that was disturbed.
 const BACK_DISTURBED: Millis = Millis(2_000);
+/// Engines that a poison request may end.
+const POISONED: usize = 3;
+/// Sends of it that are allowed once all nodes can know.
+const ALLOWED: usize = 3;
+/// Time until all nodes know: the bound, and as long as the entry of a server stays that ended
+/// behind a proxy, which goes on accepting connections.
+const KNOWN: Millis = Millis(7_000);
 /// Connections that are closed within this crossed the request on its way.
 const CROSSED: Millis = Millis(200);
 /// Part of the deadline from which on an answer may be ended for it.
@@ -81,6 +88,7 @@
         found.extend(leaving(seen, &by_id));
         found.extend(old_versions(seen, &by_id));
         found.extend(budget(seen));
+        found.extend(poison(seen));
     }
     found
 }
@@ -414,6 +422,33 @@
     found
 }
 
+/// A poison request that reaches engines after the third has ended under it and all nodes can know.
+fn poison(seen: &Evidence) -> Option<Violation> {
+    let is_poison = |arrival: &&Arrival| wire::subject(&arrival.id) == wire::POISON;
+    let arrivals: Vec<&Arrival> = seen.arrivals.iter().filter(is_poison).collect();
+    let mut ended = Vec::new();
+    for arrival in arrivals.iter().filter(|arrival| arrival.ran) {
+        if !ended.contains(&&arrival.server) {
+            ended.push(&arrival.server);
+        }
+        if ended.len() == POISONED {
+            let known = arrival.at + KNOWN;
+            let calls = calls_by_id(seen);
+            let in_touch = |one: &&&Arrival| {
+                calls.get(one.id.as_str()).is_some_and(|call| {
+                    let scopes = Scope::of_node(call.node);
+                    calm(&seen.troubles, &scopes, call.sent, call.ended)
+                })
+            };
+            let later = arrivals.iter().filter(|one| one.at > known);
+            let later = later.filter(in_touch).count();
+            let told = format!("{later} sends later than {KNOWN} after the third end");
+            return (later > ALLOWED).then(|| new("Poison", known, wire::POISON, told));
+        }
+    }
+    None
+}
+
 fn budget(seen: &Evidence) -> Vec<Violation> {
     let mut found = Vec::new();
     for (service, engine) in [("engines", true), ("records", false)] {
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -43,6 +43,7 @@
   --nodes N      daemons, 8 at most [default: 4]
   --workers N    requests at a time [default: 24]
   --exact        judge only what a slow computer can't break by itself
+  --poison       one caller sends a request that ends each engine that runs it
   --trick NAME   spoil the stand-ins or the callers, so that a check has to fail
   --story        print the story and play nothing
   --program P    the daemon's program
@@ -119,6 +120,8 @@
     workers: u64,
     exact: bool,
     story: bool,
+    /// Whether one caller sends a poison request.
+    poison: bool,
     trick: Trick,
     program: Option<PathBuf>,
     dir: PathBuf,
@@ -156,6 +159,7 @@
         workers: 24,
         exact: false,
         story: false,
+        poison: false,
         trick: Trick::None,
         program: None,
         dir: site::directory(),
@@ -169,6 +173,7 @@
             Long("workers") => options.workers = parser.value()?.parse()?,
             Long("exact") => options.exact = true,
             Long("story") => options.story = true,
+            Long("poison") => options.poison = true,
             Long("program") => options.program = Some(parser.value()?.into()),
             Long("dir") => options.dir = parser.value()?.into(),
             Long("trick") => {
@@ -196,6 +201,9 @@
             tokio::spawn(caller::run(site, calls, options.seed, worker))
         })
         .collect();
+    if options.poison {
+        tokio::spawn(caller::poison(Arc::clone(&site), Arc::clone(&calls)));
+    }
     for step in &steps {
         until(&site, step.at).await;
         site.act(step.act);
--- a/bench/src/soak/site.rs
+++ b/bench/src/soak/site.rs
@@ -30,6 +30,8 @@
 
 /// Time from the request to stop until the process is killed.
 const GRACE: Duration = Duration::from_secs(8);
+/// How long a server stays down that a request has ended.
+const FALLEN: Millis = Millis(2_500);
 /// Pause before a process that ended is started again.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Pause between two questions whether a node is ready, and the longest wait for an answer.
@@ -160,6 +162,7 @@
         for node in 0..site.nodes.len() {
             tokio::spawn(check(Arc::clone(&site), node));
         }
+        tokio::spawn(raise(Arc::clone(&site)));
         Ok(site)
     }
 
@@ -410,6 +413,27 @@
     Err(eyre!("no free ports at {ip}"))
 }
 
+/// Starts servers again that a request has ended.
+async fn raise(site: Arc<Site>) {
+    loop {
+        sleep(AGAIN).await;
+        for (number, host) in site.hosts.iter().enumerate() {
+            if !host.server.has_fallen() || host.taken.swap(true, Ordering::SeqCst) {
+                continue;
+            }
+            let site = Arc::clone(&site);
+            tokio::spawn(async move {
+                let host = &site.hosts[number];
+                let (scope, told) = (Scope::Crash(number), "a poison request".to_owned());
+                let trouble = site.troubles.begin(scope, site.ledger.now(), told);
+                host.crash(FALLEN).await;
+                site.troubles.end(trouble, site.ledger.now());
+                host.taken.store(false, Ordering::SeqCst);
+            });
+        }
+    }
+}
+
 /// Asks a node whether it is ready, as the platform's balancer does.
 async fn check(site: Arc<Site>, number: usize) {
     let node = &site.nodes[number];
