record: a send tells the newest version that its node knew

A request began too late on an older version of its adapter, and its node's log could not have told whether the node knew of the newer one (chosen, then waited), did not know of it (news late), or named no version. 'request: sent' now has the newest version known and for how long.

No logic changes.

--- a/lib/src/direct/record.rs
+++ b/lib/src/direct/record.rs
@@ -47,12 +47,19 @@
 }
 
 /// Records that a request is sent.
+///
+/// The newest version that this node knows of, and for how long, tell whether an older one was
+/// chosen knowingly.
 pub fn sent(request: &ActiveRequest, upstream: &Upstream, version: Option<u64>, left: Millis) {
+    let adapter = request.message.call.adapter();
+    let newest = adapter.and_then(|adapter| request.gate.view.newest(adapter));
     log::info!(
         request = request.id(),
         upstream = &*upstream.incarnation,
-        adapter = request.message.call.adapter().map_or("", |adapter| adapter),
+        adapter = adapter.map_or("", |adapter| adapter),
         version = version.unwrap_or_default(),
+        newest = newest.map_or(0, |newest| newest.version),
+        newest_age_ms = newest.map_or(0, |newest| request.now().since(newest.named).0),
         load = upstream.load(),
         reader = request.gate.roles(&request.pool).reads(upstream.address),
         tokens = request.message.call.tokens.map_or(0, |(prompt, _)| prompt),
