versions: each declaration counts from its own acknowledgement

Cause: a node kept one declaration an adapter, the newest, with its time. Each further declaration gave all versions before it their time anew. Ruled out: news that came late ('request: sent' tells newest_age_ms within the second), queues (begun 20 to 30 ms after the send). Change: versions::Declarations keeps all that still count. A version may be begun on until the limit after the earliest declaration above it. The margin for the queue stays for now, with its test restated on the new function. Why it works: a declaration adds a bound and removes none; those before the last one whose time is over forbid nothing that it doesn't forbid itself.

--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -267,6 +267,13 @@
         self.shares.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns until when a request may begin on a version of an adapter; none is without end.
+    #[must_use]
+    pub fn begin_by(&self, adapter: &str, version: u64) -> Option<Millis> {
+        let limit = self.limits.get().version;
+        self.view.begin_by(adapter, version, limit)
+    }
+
     /// Has an adapter made present at the first of some engines, without waiting.
     pub fn load_soon(self: &Arc<Self>, homes: Vec<Arc<Upstream>>, adapter: &Name, version: u64) {
         let now = self.clock.now();
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -11,8 +11,9 @@
 use super::fanout::{Heard, Hub, Source, Update};
 use super::limits::{Current, POLL_WAIT, STORE_PAUSE};
 use super::reachable;
+use super::versions::Declaration;
 use super::vet::{Refusal, vet};
-use super::view::{CLAIMS, Evidence, Newest, Peer, State, View, claimed};
+use super::view::{CLAIMS, Evidence, Peer, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::name::Name;
 use crate::ports::poll::{self, Changes, Poll};
@@ -361,7 +362,8 @@
                 .upstream(&incarnation, &entry.value)
                 .map(|listed| state.list(&listed, now)),
             Key::Version => self.dialect.version(&entry.value).map(|(name, version)| {
-                note_version(state, name, version, self.fresh);
+                let since = self.fresh;
+                self.declare(state, name, Declaration { version, since });
             }),
             Key::Own(name) => {
                 if let Some(refusal) = put_own(state, &name, entry, now) {
@@ -396,6 +398,16 @@
         }
     }
 
+    /// Takes in a version that operators declared.
+    fn declare(&self, state: &mut State, adapter: Name, declaration: Declaration) {
+        let limit = self.limits.get().version;
+        let told = format!("version {} of {adapter}", declaration.version);
+        let declarations = state.versions.entry(adapter).or_default();
+        if declarations.declare(declaration, limit) {
+            log::info!("follow: {told} is the newest");
+        }
+    }
+
     /// An entry that vanished while the service was away isn't proof that its
     /// upstream is gone; one that vanished before everybody's eyes is.
     fn vanish(&self, state: &mut State, incarnation: &str, now: Millis) {
@@ -435,21 +447,6 @@
     }
 }
 
-/// Takes in a version that was named at `named` or later.
-///
-/// Counted from when this node sees it, an old version would be begun on for as much longer as
-/// changes take to arrive: requests began 5.1 s after a newer one was named where five are allowed.
-fn note_version(state: &mut State, name: Name, version: u64, named: Millis) {
-    let newer = state
-        .versions
-        .get(&name)
-        .is_none_or(|newest| newest.version < version);
-    if newer {
-        log::info!("follow: version {version} of {name} is the newest");
-        state.versions.insert(name, Newest { version, named });
-    }
-}
-
 /// Takes in an entry of this system's own; returns why not if it is left aside.
 fn put_own(state: &mut State, name: &str, entry: &Entry, now: Millis) -> Option<Refusal> {
     let is_readable = if let Some(node) = name.strip_prefix(NODES) {
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -46,5 +46,6 @@
 pub mod target;
 
 pub mod upstream;
+pub mod versions;
 pub mod vet;
 pub mod view;
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -13,7 +13,6 @@
 use super::sends::{Sends, Sent};
 use super::target::Target;
 use super::upstream::Upstream;
-use super::view::Newest;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::name::Name;
@@ -570,10 +569,12 @@
     }
 }
 
-/// Until when an older version than the newest may still be begun on.
+/// Until when a request may be sent that may begin until `begin_by`.
+///
+/// `limit` is the time within which a new version has to be the only one.
 #[must_use]
-pub fn old_until(newest: Newest, limit: Millis) -> Millis {
-    newest.named + limit.since(VERSION_MARGIN)
+pub fn old_until(begin_by: Millis, limit: Millis) -> Millis {
+    begin_by.since(VERSION_MARGIN.min(limit))
 }
 
 impl Drop for ActiveRequest {
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -15,7 +15,6 @@
 use super::request::{ActiveRequest, LOOK, old_until};
 use super::roles::{Manner, Roles, may_move};
 use super::upstream::Upstream;
-use super::view::Newest;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::name::Name;
@@ -177,7 +176,7 @@
             Asked::Load(waiting) => waiting,
         };
         if waiting.is_none()
-            && let Some(upstream) = self.older(field, adapter, newest)
+            && let Some(upstream) = self.older(field, adapter)
         {
             self.gate
                 .load_soon(self.homes(field, adapter), adapter, wanted);
@@ -214,19 +213,14 @@
     }
 
     /// Returns an engine that holds an older version, while that may still be begun on.
-    fn older(
-        &self,
-        field: &Field<'_>,
-        adapter: &Name,
-        newest: Option<Newest>,
-    ) -> Option<Arc<Upstream>> {
+    fn older(&self, field: &Field<'_>, adapter: &Name) -> Option<Arc<Upstream>> {
         let limit = self.gate.limits.get().version;
-        let old_until = newest.map_or(Millis::ZERO, |newest| old_until(newest, limit));
-        if field.now >= old_until {
-            return None;
-        }
         field.first(self.manner(), |upstream| {
-            upstream.version(adapter).is_some()
+            let Some(version) = upstream.version(adapter) else {
+                return false;
+            };
+            let begin_by = self.gate.begin_by(adapter, version);
+            begin_by.is_none_or(|begin_by| field.now < old_until(begin_by, limit))
         })
     }
 
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -15,6 +15,7 @@
 use super::dialect::{Dialect, Key, Listed};
 use super::quarantine::{ENDS, SURVIVED};
 use super::upstream::Upstream;
+use super::versions::{Declaration, Declarations};
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
@@ -59,15 +60,6 @@
     pub seen: Millis,
 }
 
-/// The newest version of an adapter.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Newest {
-    /// The version.
-    pub version: u64,
-    /// When it may have been named at the earliest: until then this node knew of no newer one.
-    pub named: Millis,
-}
-
 /// State behind the view's lock.
 #[derive(Debug, Default)]
 pub struct State {
@@ -80,8 +72,8 @@
     /// A node that starts hears of all upstreams in one listing. Grouped and sorted at each, three
     /// thousand took a small VM ten seconds in which it knew of no configuration.
     pools: Option<HashMap<Name, Arc<[Arc<Upstream>]>>>,
-    /// Newest versions by adapter.
-    pub versions: HashMap<Name, Newest>,
+    /// Declared versions by adapter.
+    pub versions: HashMap<Name, Declarations>,
     /// Nodes by name.
     pub nodes: HashMap<Name, Peer>,
     /// Claims by the engine's address.
@@ -168,10 +160,16 @@
         self.state().pools().get(pool).cloned().unwrap_or_default()
     }
 
-    /// Returns the newest version of an adapter.
+    /// Returns the newest version of an adapter that operators declared.
+    #[must_use]
+    pub fn newest(&self, adapter: &str) -> Option<Declaration> {
+        self.state().versions.get(adapter)?.newest()
+    }
+
+    /// Returns until when a request may begin on a version of an adapter; none is without end.
     #[must_use]
-    pub fn newest(&self, adapter: &str) -> Option<Newest> {
-        self.state().versions.get(adapter).copied()
+    pub fn begin_by(&self, adapter: &str, version: u64, limit: Millis) -> Option<Millis> {
+        self.state().versions.get(adapter)?.begin_by(version, limit)
     }
 
     /// Returns the node that gives orders to the engine at an address.
--- a/lib/tests/test_direct_fanout_fuzz.rs
+++ b/lib/tests/test_direct_fanout_fuzz.rs
@@ -222,8 +222,9 @@
         let sequence = upstream.held().sequence;
         known.insert(format!("upstream {name}"), sequence.to_string());
     }
-    for (name, newest) in &state.versions {
-        known.insert(format!("version {name}"), newest.version.to_string());
+    for (name, declared) in &state.versions {
+        let version = declared.newest().map_or(0, |newest| newest.version);
+        known.insert(format!("version {name}"), version.to_string());
     }
     for (name, peer) in &state.nodes {
         known.insert(format!("{NODES}{name}"), peer.start.to_string());
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -236,7 +236,7 @@
         pass(Millis(2_000)).await;
         let newest = followed.view.newest("base/a1").unwrap();
         assert_eq!(newest.version, version);
-        assert!(newest.named <= named, "{newest:?}, named at {named}");
+        assert!(newest.since <= named, "{newest:?}, named at {named}");
     }
 }
 
@@ -283,5 +283,5 @@
     pass(Millis(2_000)).await;
     let newest = followed.view.newest("base/a1").unwrap();
     assert_eq!(newest.version, 2);
-    assert!(newest.named <= named, "{newest:?}, named at {named}");
+    assert!(newest.since <= named, "{newest:?}, named at {named}");
 }
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -13,7 +13,7 @@
 use chivevalve::direct::roles::Roles;
 use chivevalve::direct::sse::Splitter;
 use chivevalve::direct::upstream::Upstream;
-use chivevalve::direct::view::{Newest, View};
+use chivevalve::direct::view::View;
 use chivevalve::name::Name;
 use direct_support::records::listed;
 use quickcheck::{Gen, QuickCheck};
@@ -170,16 +170,15 @@
 /// Cause: the bound was held for the send and not for the beginning.
 #[test]
 fn old_until_leaves_time_for_the_queue() {
-    let newest = Newest {
-        version: 2,
-        named: Millis(10_000),
-    };
-    let until = old_until(newest, Millis(5_000));
+    let named = Millis(10_000);
+    let limit = Millis(5_000);
+    let until = old_until(named + limit, limit);
     let queue = Millis(2_000);
-    assert!(until + queue <= Millis(10_000 + 5_000));
-    assert!(until > newest.named);
+    assert!(until + queue <= named + limit);
+    assert!(until > named);
     // Where the bound is shorter than a queue, the old version is given up at once.
-    assert_eq!(old_until(newest, Millis(1_000)), newest.named);
+    let short = Millis(1_000);
+    assert_eq!(old_until(named + short, short), named);
 }
 
 /// Symptom: requests go to an engine that dropped their adapter.
