versions: a send is watched until it has begun

What callers saw: a stream that waited for 3.7 s in its engine's queue was answered by a version of its adapter that had been replaced 5.5 s before (the incident, docs/incidents/older-version-begun-late.md). Cause: time of check to time of use. Whether a version may be begun on was checked where a request is sent, less a margin of 2.3 s for the engine's queue; the promise holds where it begins. Nothing bounded the queue, nothing ended the wait, and a version that was replaced behind the send was never looked at again. Ruled out for the record: a node that didn't know of the newer version can't be told from its record, and is covered too: late news count from the last moment without them. A send without a version: the engine ran it, so not a wrong belief about the newest. Change (docs/design/0012-versions.md): versions::Watch goes with each send. 1 s before the limit it asks the engine's owner for the newest version there, which has the engine reject what waits (truly not run: what may run once goes on elsewhere); 0.15 s before it a stream without an event is withdrawn. Why it works: the watch is the last thing before the engine's beginning that this side can act on, and any declaration wakes it.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -11,6 +11,7 @@
 use super::call::{Call, Kind};
 use super::dialect::{Dialect, Dispatch, Reply};
 use super::upstream::{Running, Upstream};
+use super::versions::{self, Watch};
 use crate::clock::Millis;
 use crate::error::Code;
 use crate::poison::fingerprint::{Fingerprint, Identity};
@@ -63,17 +64,29 @@
         /// The answer's status.
         status: u16,
     },
+    /// It was withdrawn, as it could no longer begin on the version of its adapter there.
+    Withdrawn {
+        /// Whether it was sent, so that it may have begun nevertheless.
+        sent: bool,
+    },
     /// It may have run.
     Lost(Code, String),
 }
 
 impl Miss {
+    /// Whether the request may run, or have run, where it was sent.
+    #[must_use]
+    pub const fn may_run(&self) -> bool {
+        matches!(self, Self::Lost(..) | Self::Withdrawn { sent: true })
+    }
+
     /// Returns the name used in logs.
     #[must_use]
     pub const fn name(&self) -> &'static str {
         match self {
             Self::Unsent(_) => "unsent",
             Self::Rejected { .. } => "rejected",
+            Self::Withdrawn { .. } => "withdrawn",
             Self::Lost(..) => "lost",
         }
     }
@@ -92,6 +105,8 @@
     pub upstream: Arc<Upstream>,
     /// The version of the adapter that was expected there.
     pub version: Option<u64>,
+    /// Watches until when the run may begin, if it hasn't.
+    pub watch: Option<Watch>,
     /// The connection that it comes over.
     pub connection: Connection,
     /// Holds the place in the upstream's count.
@@ -126,6 +141,7 @@
         dialect: &dyn Dialect,
         dispatch: &Dispatch,
         permit: Option<Permit>,
+        watch: Option<Watch>,
     ) -> Result<Answer, Miss> {
         let running = upstream.enter(self.call.adapter(), permit);
         let freshness = if self.kind.repeatable() {
@@ -144,8 +160,17 @@
             upstream.link.keep(connection, None);
             return Err(Miss::Unsent("the upstream leaves".to_owned()));
         }
+        if watch.as_ref().is_some_and(Watch::has_expired) {
+            upstream.link.keep(connection, None);
+            return Err(Miss::Withdrawn { sent: false });
+        }
         let request = self.request(dialect, dispatch);
-        let response = connection.send(request).await.map_err(|lost| miss(&lost))?;
+        let response = tokio::select! {
+            biased;
+            response = connection.send(request) => response.map_err(|lost| miss(&lost))?,
+            // Dropping the connection has the engine drop the request.
+            () = versions::expired(watch.as_ref()) => return Err(Miss::Withdrawn { sent: true }),
+        };
         let (head, body) = response.into_parts();
         let reply = dialect.reply(&head);
         if reply.id != self.call.id {
@@ -173,6 +198,7 @@
             body,
             upstream: Arc::clone(upstream),
             version: dispatch.version,
+            watch,
             connection,
             running,
         })
--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -25,6 +25,7 @@
 use super::request::ActiveRequest;
 use super::roles::{Mix, Roles};
 use super::upstream::Upstream;
+use super::versions::Replacements;
 use super::view::View;
 use crate::clock::{Clock, Millis};
 use crate::error::{Code, Failure};
@@ -73,6 +74,8 @@
     pub limits: Arc<Current>,
     /// What may not be sent any more.
     pub quarantine: Arc<Quarantine>,
+    /// Versions that engines were asked to replace lately.
+    pub(super) replacements: Replacements,
     /// The key-value service.
     service: Arc<Metered>,
     budget: Mutex<Budget>,
@@ -141,6 +144,7 @@
             failure_domain,
             budget: Mutex::new(Budget::new(Arc::clone(&limits))),
             limits,
+            replacements: Replacements::default(),
             service,
             spreading: Mutex::default(),
             shares: Mutex::default(),
--- a/lib/src/direct/place.rs
+++ b/lib/src/direct/place.rs
@@ -156,7 +156,11 @@
         }
     }
 
-    fn admitted(upstream: Arc<Upstream>, adapter: &Name, permit: Option<Permit>) -> Target {
+    pub(super) fn admitted(
+        upstream: Arc<Upstream>,
+        adapter: &Name,
+        permit: Option<Permit>,
+    ) -> Target {
         Target {
             permit,
             ..Self::at(upstream, adapter)
@@ -173,7 +177,7 @@
         let pool = self.gate.view.pool(&self.pool);
         pool.iter().any(|upstream| {
             let holds = match adapter {
-                Some(adapter) => upstream.version(adapter).is_some(),
+                Some(adapter) => self.time_to_begin(upstream, adapter) > Millis::ZERO,
                 None => upstream.has_base(model),
             };
             holds
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -16,6 +16,7 @@
 use super::request::ActiveRequest;
 use super::sequence::{Sequence, Step};
 use super::upstream::Upstream;
+use super::versions;
 use crate::clock::Millis;
 use crate::poison::ledger::Sign;
 
@@ -127,6 +128,7 @@
                     }
                 }
                 Step::Broken(told) => self.go_on(&told).await?,
+                Step::Withdrawn => self.withdraw().await?,
             }
         }
     }
@@ -137,6 +139,7 @@
         self.request.gate.metrics.tokens.inc();
         if let Some(answer) = &mut self.answer {
             answer.running.read();
+            answer.watch = None;
         }
         match self.progress {
             Progress::Nothing => self.progress = Progress::Brought(now),
@@ -306,6 +309,7 @@
             biased;
             received = answer.body.frame() => return self.events.receive(received),
             reply = reply_of(&mut self.handover, span) => reply,
+            () = versions::expired(answer.watch.as_ref()) => return Step::Withdrawn,
             () = tokio::time::sleep(span.duration()) => Reply::Unanswered,
         };
         match reply {
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -13,6 +13,7 @@
 use super::sends::{Sends, Sent};
 use super::target::Target;
 use super::upstream::Upstream;
+use super::versions::Watch;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::name::Name;
@@ -30,12 +31,6 @@
 /// When a refused caller should come back at the earliest.
 const COME_BACK: Millis = Millis(250);
 
-/// Time before a new version has to be the only one, at which the old one is given up.
-///
-/// A request counts from when its engine begins it: up to two seconds in the engine's queue,
-/// and the way there, are taken off.
-const VERSION_MARGIN: Millis = Millis(2_300);
-
 /// Objectives after which another upstream is looked for beside one that is silent.
 const PATIENCE: u64 = 3;
 
@@ -337,7 +332,7 @@
         self.gate.clock.now()
     }
 
-    fn send(&mut self, sends: &mut Sends, mut target: Target, resume_after: Option<u64>) {
+    fn send(&mut self, sends: &mut Sends, target: Target, resume_after: Option<u64>) {
         let dispatch = Dispatch {
             resume_after: resume_after.or(self.message.call.resume_after),
             ..self.dispatch(&target)
@@ -346,17 +341,10 @@
         self.sent += 1;
         self.sent_at = self.now();
         record::sent(self, &target.upstream, target.version, dispatch.deadline);
-        let permit = target.permit.take();
-        self.note_uncounted(&target, permit.as_ref());
+        self.note_uncounted(&target, target.permit.as_ref());
+        let watch = self.watch(&target);
         let (message, dialect) = (&self.message, &self.gate.dialect);
-        sends.begin(
-            message,
-            dialect,
-            target.upstream,
-            dispatch,
-            permit,
-            self.sent_at,
-        );
+        sends.begin(message, dialect, target, dispatch, watch, self.sent_at);
     }
 
     /// Takes from the budget for repeats what sending a request elsewhere too costs, if that pays.
@@ -404,9 +392,11 @@
         };
         record::sent(self, &place.upstream, place.version, dispatch.deadline);
         let permit = self.permit(place).await;
+        let (upstream, dialect) = (&place.upstream, &*self.gate.dialect);
+        let watch = self.watch(place);
         let send = self
             .message
-            .send(&place.upstream, &*self.gate.dialect, &dispatch, permit);
+            .send(upstream, dialect, &dispatch, permit, watch);
         // With nowhere else to go, an engine that is slow to begin is better than none: given up
         // after an objective, the caller's stream was cut.
         let span = if self.may_go_on() {
@@ -446,6 +436,18 @@
         permit
     }
 
+    /// Watches until when the request may begin at a target.
+    fn watch(&self, target: &Target) -> Option<Watch> {
+        let adapter = self.message.call.adapter()?;
+        Some(Watch::new(
+            Arc::clone(&self.gate),
+            Arc::clone(&target.upstream),
+            Name::clone(adapter),
+            target.version.unwrap_or_default(),
+            self.message.kind.streamed(),
+        ))
+    }
+
     /// Lets the owner hear of a request that it doesn't count, by the next exchange.
     fn note_uncounted(&self, target: &Target, permit: Option<&Permit>) {
         if let (Some(adapter), None) = (self.message.call.adapter(), permit) {
@@ -497,7 +499,7 @@
     /// # Errors
     ///
     /// The failure that the caller gets where nothing else is on its way.
-    fn missed(
+    pub(super) fn missed(
         &mut self,
         upstream: &Arc<Upstream>,
         miss: Miss,
@@ -531,6 +533,18 @@
                 }
                 Ok(())
             }
+            Miss::Withdrawn { sent } => {
+                self.gate.count_retry("replaced");
+                if !sent {
+                    self.sent -= 1;
+                    return Ok(());
+                }
+                if self.may_go_on() {
+                    return Ok(());
+                }
+                let told = "a newer version of the adapter was declared while it waited";
+                Err(Failure::new(Code::VersionReplaced, told))
+            }
             Miss::Lost(code, told) => {
                 if code == Code::UpstreamLost {
                     self.broke(upstream, Sign::Possible);
@@ -569,14 +583,6 @@
     }
 }
 
-/// Until when a request may be sent that may begin until `begin_by`.
-///
-/// `limit` is the time within which a new version has to be the only one.
-#[must_use]
-pub fn old_until(begin_by: Millis, limit: Millis) -> Millis {
-    begin_by.since(VERSION_MARGIN.min(limit))
-}
-
 impl Drop for ActiveRequest {
     /// A request whose caller goes away is dropped wherever it stands.
     fn drop(&mut self) {
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -13,13 +13,17 @@
 use super::record;
 use super::relay::{Cut, Relay, USUAL_PAUSE};
 use super::request::LOOK;
-use super::sequence::Step;
+use super::sequence::{Sequence, Step};
+use super::versions;
 use crate::clock::Millis;
 use crate::error::Failure;
 
 /// Longest pauses after which callers give a stream up.
 const BORNE_PAUSES: u64 = 8;
 
+/// Why a run was given up that could no longer begin.
+const REPLACED: &str = "a newer version of the adapter was declared before it began";
+
 /// What came first.
 enum Found {
     /// What the silent engine brought.
@@ -53,16 +57,18 @@
     /// A free place elsewhere is only believed, and the engine there can reject the request. So
     /// the silent one is read meanwhile, and closed once another one's head has come. Where its
     /// answer ends meanwhile, the other one's is waited for all the same.
-    async fn look_elsewhere(&mut self, mut former: Answer, told: String) -> Step {
+    async fn look_elsewhere(&mut self, former: Answer, told: String) -> Step {
+        let upstream = Arc::clone(&former.upstream);
         if !std::mem::replace(&mut self.silent, true) {
-            self.request.blame(&former.upstream);
+            self.request.blame(&upstream);
         }
-        self.request.stands_at = Some(Arc::clone(&former.upstream.incarnation));
+        self.request.stands_at = Some(Arc::clone(&upstream.incarnation));
+        let mut former = Some(former);
         let found = self.first_of(&mut former).await;
         self.request.stands_at = None;
         match found {
             Found::Here(step) => {
-                self.answer = Some(former);
+                self.answer = former;
                 step
             }
             Found::Elsewhere(Ok(answer), _) if answer.head.status.is_success() => {
@@ -74,24 +80,26 @@
                 self.begin(*answer);
                 Step::More
             }
+            Found::Elsewhere(_, Some(Step::Withdrawn)) => Step::Broken(REPLACED.to_owned()),
             Found::Elsewhere(_, Some(ended)) => {
-                self.broke(&former.upstream);
-                drop(former);
+                self.broke(&upstream);
                 match ended {
                     Step::Broken(told) => Step::Broken(told),
                     _ => Step::Broken("the run may have been stopped".to_owned()),
                 }
             }
             Found::Elsewhere(_, None) => {
-                record::stays(&self.request, &former.upstream);
-                self.answer = Some(former);
+                record::stays(&self.request, &upstream);
+                self.answer = former;
                 Step::More
             }
         }
     }
 
     /// Reads a silent engine's answer while another engine is looked for.
-    async fn first_of(&mut self, former: &mut Answer) -> Found {
+    ///
+    /// The answer is dropped when it ends, or when its run may no longer begin.
+    async fn first_of(&mut self, former: &mut Option<Answer>) -> Found {
         // A run that may have been stopped to be moved ends its stream early.
         let ends_whole = self.handover.is_none();
         let Self {
@@ -104,18 +112,31 @@
             tokio::select! {
                 biased;
                 answer = &mut search => return Found::Elsewhere(answer.map(Box::new), ended),
-                received = former.body.frame(), if ended.is_none() => {
-                    match events.receive(received) {
-                        Step::More => {}
-                        Step::End if ends_whole => return Found::Here(Step::End),
-                        step @ Step::Events(_) => return Found::Here(step),
-                        step => ended = Some(step),
+                step = next_step(former, events) => match step {
+                    Step::More => {}
+                    Step::End if ends_whole => return Found::Here(Step::End),
+                    step @ Step::Events(_) => return Found::Here(step),
+                    step => {
+                        *former = None;
+                        ended = Some(step);
                     }
-                }
+                },
             }
         }
     }
 
+    /// Goes on elsewhere with a stream whose run may no longer begin where it is.
+    pub(super) async fn withdraw(&mut self) -> Result<(), Cut> {
+        if let Some(former) = self.answer.take() {
+            let upstream = Arc::clone(&former.upstream);
+            drop(former);
+            let miss = Miss::Withdrawn { sent: true };
+            let missed = self.request.missed(&upstream, miss, true);
+            missed.map_err(|failure| Cut(failure.to_string()))?;
+        }
+        self.read_anew(REPLACED).await
+    }
+
     /// Whether a stream that ended in order is whole.
     ///
     /// Where its run was to be moved, the engine's answer tells whether it was stopped.
@@ -231,7 +252,7 @@
                 Err(miss) => {
                     record::moved(&self.request, &place.upstream, last, miss.name());
                     // It may run there: nobody else may go on with the memory.
-                    if matches!(miss, Miss::Lost(..)) {
+                    if miss.may_run() {
                         return self.read_anew("the moved run was lost").await;
                     }
                 }
@@ -260,3 +281,15 @@
         self.answer = Some(answer);
     }
 }
+
+/// Reads what an answer brings next; for ever if it was dropped.
+async fn next_step(answer: &mut Option<Answer>, events: &mut Sequence) -> Step {
+    let Some(answer) = answer else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        biased;
+        received = answer.body.frame() => events.receive(received),
+        () = versions::expired(answer.watch.as_ref()) => Step::Withdrawn,
+    }
+}
--- a/lib/src/direct/sends.rs
+++ b/lib/src/direct/sends.rs
@@ -13,10 +13,11 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use smallvec::SmallVec;
 
-use super::admit::Permit;
 use super::attempt::{Answer, Message, Miss};
 use super::dialect::{Dialect, Dispatch};
+use super::target::Target;
 use super::upstream::Upstream;
+use super::versions::Watch;
 use crate::clock::Millis;
 
 /// A send that has ended.
@@ -51,18 +52,22 @@
         &mut self,
         message: &Arc<Message>,
         dialect: &Arc<dyn Dialect>,
-        upstream: Arc<Upstream>,
+        target: Target,
         dispatch: Dispatch,
-        permit: Option<Permit>,
+        watch: Option<Watch>,
         now: Millis,
     ) {
+        let Target {
+            upstream, permit, ..
+        } = target;
         self.waiting.push(Waiting {
             upstream: Arc::clone(&upstream),
             silent: false,
         });
         let (message, dialect) = (Arc::clone(message), Arc::clone(dialect));
         self.answers.push(Box::pin(async move {
-            let result = message.send(&upstream, &*dialect, &dispatch, permit).await;
+            let sending = message.send(&upstream, &*dialect, &dispatch, permit, watch);
+            let result = sending.await;
             Sent {
                 upstream,
                 at: now,
--- a/lib/src/direct/sequence.rs
+++ b/lib/src/direct/sequence.rs
@@ -19,6 +19,8 @@
     End,
     /// The stream can't go on where it is.
     Broken(String),
+    /// Its run hasn't begun, and may not begin any more where it is.
+    Withdrawn,
 }
 
 /// Passes on whole events, each of which follows the one before.
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -2,19 +2,22 @@
 
 use std::sync::Arc;
 
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::admit::{Permit, Question};
+use super::admit::{self, Permit, Question};
 use super::attempt::Answer;
 use super::call::Call;
+use super::choice::{self, MOST_QUESTIONS};
 use super::entry::{CLASS, seconds};
 use super::orders::Loaded;
 use super::pick::{Field, usual_share};
 use super::place::Asked;
 use super::record::Asking;
-use super::request::{ActiveRequest, LOOK, old_until};
+use super::request::{ActiveRequest, LOOK};
 use super::roles::{Manner, Roles, may_move};
 use super::upstream::Upstream;
+use super::versions::{REPLACEMENT, WITHDRAWAL};
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::name::Name;
@@ -176,14 +179,11 @@
             Asked::Load(waiting) => waiting,
         };
         if waiting.is_none()
-            && let Some(upstream) = self.older(field, adapter)
+            && let Some(target) = self.older(field, adapter).await
         {
             self.gate
                 .load_soon(self.homes(field, adapter), adapter, wanted);
-            let question = self.question(Some(adapter), 0);
-            if let Some(target) = self.counted(upstream, adapter, question).await {
-                return Ok(Some(target));
-            }
+            return Ok(Some(target));
         }
         let homes = self.homes(field, adapter);
         let homes = self
@@ -212,16 +212,53 @@
         }
     }
 
-    /// Returns an engine that holds an older version, while that may still be begun on.
-    fn older(&self, field: &Field<'_>, adapter: &Name) -> Option<Arc<Upstream>> {
-        let limit = self.gate.limits.get().version;
-        field.first(self.manner(), |upstream| {
-            let Some(version) = upstream.version(adapter) else {
-                return false;
+    /// Finds a place at an engine that holds an older version, if the request begins there in time.
+    ///
+    /// Only an engine with a free place will do. In a queue the request could outlast its version,
+    /// while the newest one is loaded elsewhere in less time than most queues take. A request
+    /// that doesn't show when it begins waits for the newest.
+    async fn older(&self, field: &Field<'_>, adapter: &Name) -> Option<Target> {
+        if !self.message.kind.streamed() {
+            return None;
+        }
+        let mut asked: SmallVec<[Name; MOST_QUESTIONS]> = SmallVec::new();
+        while asked.len() < MOST_QUESTIONS {
+            let fits = |upstream: &Upstream| {
+                !asked.contains(&upstream.incarnation)
+                    && !upstream.is_unreachable(field.now)
+                    && self.time_to_begin(upstream, adapter) > Millis::ZERO
+            };
+            let upstream = field.first(self.manner(), fits)?;
+            asked.push(Name::clone(&upstream.incarnation));
+            let question = Question {
+                limit: upstream.slots,
+                patience: choice::calm_wait(self.route.objective)
+                    .min(self.time_to_begin(&upstream, adapter)),
+                ..self.question(Some(adapter), 0)
             };
-            let begin_by = self.gate.begin_by(adapter, version);
-            begin_by.is_none_or(|begin_by| field.now < old_until(begin_by, limit))
-        })
+            match self.gate.desks.admit(&upstream, question).await {
+                admit::Answer::Admitted(permit, _) => {
+                    return Some(Self::admitted(upstream, adapter, Some(permit)));
+                }
+                admit::Answer::Absent(_) => upstream.lost(adapter),
+                admit::Answer::Unknown if upstream.load() < choice::calm_limit(upstream.slots) => {
+                    return Some(Self::admitted(upstream, adapter, None));
+                }
+                admit::Answer::Busy(_) | admit::Answer::Unknown => {}
+            }
+        }
+        None
+    }
+
+    /// Returns how long a request may wait at an engine before its version there is replaced.
+    pub(super) fn time_to_begin(&self, upstream: &Upstream, adapter: &Name) -> Millis {
+        let Some(version) = upstream.version(adapter) else {
+            return Millis::ZERO;
+        };
+        match self.gate.begin_by(adapter, version) {
+            Some(begin_by) => begin_by.since(self.now() + REPLACEMENT + WITHDRAWAL),
+            None => Millis::MAX,
+        }
     }
 
     /// Has an engine load the adapter, asking one after the other.
--- a/lib/src/direct/versions.rs
+++ b/lib/src/direct/versions.rs
@@ -1,13 +1,37 @@
 //! Versions of adapters as operators declare them, and until when each may be begun on.
 //!
 //! A declaration forbids all versions below it once [`Limits::version`] has passed since it was
-//! acknowledged, whatever is declared behind it.
+//! acknowledged, whatever is declared behind it. The promise holds where a request begins, with
+//! its first event at the engine, and not where it is sent: in between lies the engine's queue,
+//! whose length no margin bounds. So each send is watched until it has begun. See
+//! docs/design/0012-versions.md.
 //!
 //! [`Limits::version`]: super::limits::Limits::version
 
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
 use smallvec::SmallVec;
 
+use super::entry::Gate;
+use super::upstream::Upstream;
 use crate::clock::Millis;
+use crate::name::Name;
+
+/// Time that a withdrawal takes at most, from the closing of its connection until the engine
+/// no longer begins the request.
+///
+/// The way to the engine, a step of its batch, and a late timer on a small VM.
+pub const WITHDRAWAL: Millis = Millis(150);
+
+/// Time before a withdrawal at which the engine is to load the newest version.
+///
+/// The order has the engine reject what waits on an older one. It takes a question to the owner
+/// and an order, either of which may have to be repeated.
+pub const REPLACEMENT: Millis = Millis(850);
+
+/// Pause after which an engine is asked once more to replace a version.
+const REPLACEMENT_PAUSE: Millis = Millis(500);
 
 /// A version that operators declared as the newest of its adapter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,3 +82,135 @@
         newer.map(|one| one.since + limit).min()
     }
 }
+
+/// Watches whether a request that was sent, and hasn't begun, may still begin where it is.
+///
+/// A version that was the newest when the request was sent can be replaced while it waits.
+#[derive(Debug, Clone)]
+pub struct Watch {
+    gate: Arc<Gate>,
+    upstream: Arc<Upstream>,
+    adapter: Name,
+    /// The version that its engine is believed to hold; 0 is whatever was the newest at its load.
+    version: u64,
+    /// Whether the request can be seen to begin.
+    shows_beginning: bool,
+}
+
+impl Watch {
+    /// Watches a request for an adapter at an upstream.
+    ///
+    /// An answer that isn't a stream shows nothing until it is whole: withdrawn, it could be one
+    /// that began long before. There only the engine can tell, by rejecting what hasn't begun.
+    #[must_use]
+    pub fn new(
+        gate: Arc<Gate>,
+        upstream: Arc<Upstream>,
+        adapter: Name,
+        version: u64,
+        shows_beginning: bool,
+    ) -> Self {
+        Self {
+            gate,
+            upstream,
+            adapter,
+            version,
+            shows_beginning,
+        }
+    }
+
+    /// Whether the request may no longer begin there.
+    #[must_use]
+    pub fn has_expired(&self) -> bool {
+        self.left(WITHDRAWAL) == Some(Millis::ZERO)
+    }
+
+    /// Waits until the request has to be withdrawn.
+    pub async fn expired(&self) {
+        self.until(REPLACEMENT + WITHDRAWAL).await;
+        self.replace();
+        self.until(WITHDRAWAL).await;
+        if !self.shows_beginning {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Returns the time until `lead` before the last moment to begin, if there is one.
+    fn left(&self, lead: Millis) -> Option<Millis> {
+        let begin_by = self.gate.begin_by(&self.adapter, self.version)?;
+        Some(begin_by.since(self.gate.clock.now() + lead))
+    }
+
+    async fn until(&self, lead: Millis) {
+        loop {
+            let changed = self.gate.view.changed.notified();
+            let mut changed = std::pin::pin!(changed);
+            changed.as_mut().enable();
+            match self.left(lead) {
+                Some(Millis::ZERO) => return,
+                Some(left) => {
+                    let _ = tokio::time::timeout(left.duration(), changed).await;
+                }
+                None => changed.await,
+            }
+        }
+    }
+
+    /// Has the engine load the newest version, which rejects what waits there on an older one.
+    ///
+    /// A rejected request has not run, and goes on elsewhere even if it may run once only.
+    fn replace(&self) {
+        let Some(newest) = self.gate.view.newest(&self.adapter) else {
+            return;
+        };
+        let now = self.gate.clock.now();
+        if !self
+            .gate
+            .replacements
+            .begin(&self.upstream, &self.adapter, now)
+        {
+            return;
+        }
+        let watch = self.clone();
+        tokio::spawn(async move {
+            let load = watch
+                .gate
+                .desks
+                .load(&watch.upstream, &watch.adapter, newest.version);
+            let loaded = load.await;
+            log::info!(
+                upstream = &*watch.upstream.incarnation,
+                adapter = &*watch.adapter,
+                version = newest.version,
+                outcome = loaded.name();
+                "versions: replaced where requests wait"
+            );
+        });
+    }
+}
+
+/// Waits until a watched request has to be withdrawn; for ever if nothing watches it.
+pub async fn expired(watch: Option<&Watch>) {
+    match watch {
+        Some(watch) => watch.expired().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Replacements asked for lately, so that the many requests of one queue ask once.
+#[derive(Debug, Default)]
+pub struct Replacements(Mutex<HashMap<(Name, Name), Millis>>);
+
+impl Replacements {
+    /// Whether to ask an upstream to replace an adapter's version now.
+    fn begin(&self, upstream: &Upstream, adapter: &Name, now: Millis) -> bool {
+        let mut asked = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        asked.retain(|_, at| now.since(*at) < REPLACEMENT_PAUSE);
+        let key = (Name::clone(&upstream.incarnation), Name::clone(adapter));
+        if asked.contains_key(&key) {
+            return false;
+        }
+        asked.insert(key, now);
+        true
+    }
+}
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -189,6 +189,8 @@
     Internal = 3007, "internal", 500, Unknown, "Tell the operators; repeat it only if it is idempotent.";
     /// The caller took the answer too slowly.
     ReaderTooSlow = 3008, "reader_too_slow", 499, Unknown, "Read faster.";
+    /// A newer version of the adapter was declared while the request waited at an upstream, and it was withdrawn.
+    VersionReplaced = 3009, "version_replaced", 502, Unknown, "Repeat it only if it is idempotent.";
 
     /// The upstream took the request and answered with an error of its own.
     UpstreamError = 4001, "upstream_error", 502, Ran, "See the upstream's message; tell the operators if it lasts.";
--- a/lib/src/fate/reaction.rs
+++ b/lib/src/fate/reaction.rs
@@ -40,7 +40,8 @@
         | Code::PeerLost
         | Code::AnswerCut
         | Code::WrongAnswer
-        | Code::Internal => Reaction::Elsewhere,
+        | Code::Internal
+        | Code::VersionReplaced => Reaction::Elsewhere,
         // The request itself is at fault, or every upstream would say the same.
         Code::BadRequest
         | Code::UnknownKey
