orders: a load that replaces a version isn't ready by an older report

Cause: what a node believes of an engine against what it holds. An engine's owner that asks the engine what it holds gets a report some hundred milliseconds old, which still lists the former version. It told whoever waited for the newer one 'ready', with the older number, and nobody compared. Change: a load on its way to a newer version than the report lists stays on its way; what was loaded counts only in the version that was wanted. Before: version_replaced_is_not_ready_by_an_older_report failed (the request ran on version 1, five seconds after version 2). Why it works: a load leaves the book by being complete in its version, by failing (4 s) or with the engine's start, and by nothing else.

--- a/lib/src/direct/orders/book.rs
+++ b/lib/src/direct/orders/book.rs
@@ -22,6 +22,29 @@
     },
 }
 
+impl Seat {
+    fn version(&self) -> u64 {
+        match self {
+            Self::Present { version } | Self::Coming { version, .. } => *version,
+        }
+    }
+
+    /// Returns who waits for the adapter.
+    fn into_waiting(self) -> Vec<oneshot::Sender<Loaded>> {
+        match self {
+            Self::Present { .. } => Vec::new(),
+            Self::Coming { waiting, .. } => waiting,
+        }
+    }
+
+    /// Tells whoever waits what became of the load.
+    fn answer(self, loaded: Loaded) {
+        for reply in self.into_waiting() {
+            answer(reply, loaded);
+        }
+    }
+}
+
 /// What is known of an engine.
 #[derive(Debug, Default)]
 pub(super) struct Book {
@@ -36,14 +59,6 @@
 impl Book {
     /// Makes a book from a report; loads that wait are told what became of them.
     pub(super) fn renewed(former: Self, report: &Report, now: Millis) -> Self {
-        let mut waiting: HashMap<Name, Vec<oneshot::Sender<Loaded>>> = former
-            .seats
-            .into_iter()
-            .filter_map(|(name, seat)| match seat {
-                Seat::Coming { waiting, .. } => Some((name, waiting)),
-                Seat::Present { .. } => None,
-            })
-            .collect();
         let mut book = Self {
             born: report.held.born,
             sequence: report.held.sequence,
@@ -51,23 +66,36 @@
             seats: HashMap::new(),
             used: former.used,
         };
-        for (name, version) in &report.held.incoming {
-            let seat = Seat::Coming {
-                version: *version,
-                since: now,
-                waiting: waiting.remove(name).unwrap_or_default(),
+        let mut coming = former.seats;
+        coming.retain(|_, seat| matches!(seat, Seat::Coming { .. }));
+        for (name, version) in &report.held.adapters {
+            let present = Seat::Present { version: *version };
+            let seat = match coming.remove(name) {
+                // The load that is to replace the version isn't complete, or the report is older
+                // than its order.
+                Some(seat) if seat.version() > *version => seat,
+                Some(seat) => {
+                    seat.answer(Loaded::Ready(*version));
+                    present
+                }
+                None => present,
             };
             book.seats.insert(Name::clone(name), seat);
         }
-        for (name, version) in &report.held.adapters {
-            for reply in waiting.remove(name).unwrap_or_default() {
-                answer(reply, Loaded::Ready(*version));
-            }
-            book.seats
-                .insert(Name::clone(name), Seat::Present { version: *version });
+        for (name, version) in &report.held.incoming {
+            let former = book.seats.remove(name).or_else(|| coming.remove(name));
+            let seat = match former {
+                Some(seat) if seat.version() >= *version => seat,
+                former => Seat::Coming {
+                    version: *version,
+                    since: now,
+                    waiting: former.map(Seat::into_waiting).unwrap_or_default(),
+                },
+            };
+            book.seats.insert(Name::clone(name), seat);
         }
-        for reply in waiting.into_values().flatten() {
-            answer(reply, Loaded::Failed);
+        for seat in coming.into_values() {
+            seat.answer(Loaded::Failed);
         }
         book
     }
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -286,7 +286,9 @@
                 .with_label_values(&[CLASS])
                 .observe(seconds(took));
             match loaded {
-                Loaded::Ready(_) if upstream.is_ready() => return Some(upstream),
+                Loaded::Ready(held) if held >= wanted && upstream.is_ready() => {
+                    return Some(upstream);
+                }
                 Loaded::NotOwner => unowned += 1,
                 _ => asked += 1,
             }
