claim: one module a job

Change: the functions move unchanged into claim::{candidate, takeover, previous, release, extension}; claim keeps the lease and its rounds. Behaviour stays.

--- /dev/null
+++ b/lib/src/direct/claim/release.rs
@@ -0,0 +1,90 @@
+//! Giving claims up: all of them on a planned stop, one at a time where a node owns too many.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+use super::{CLAIMS_AT_ONCE, Claimer, encoded};
+use crate::clock::Millis;
+use crate::direct::limits::RENEWAL;
+use crate::ports::{Condition, Error, Transaction, Write};
+
+/// Shares of the engines that a node keeps before it gives some up.
+///
+/// Below, uneven claims do no harm, and each handover keeps an engine without orders for up
+/// to a turn.
+const MOST_SHARES: usize = 2;
+
+/// Pause between handovers: two rounds.
+const HANDOVER: Millis = Millis(RENEWAL.0 * 2);
+
+impl Claimer {
+    /// Gives claims up, with the time since the last order, so that successors wait less.
+    ///
+    /// # Errors
+    ///
+    /// When the service doesn't take it; then the lease's end does the same later.
+    pub async fn leave(&self) -> Result<(), Error> {
+        self.right.left.store(true, Ordering::Relaxed);
+        self.right.until.store(0, Ordering::Relaxed);
+        let owned: Vec<SocketAddr> = self.right.owned().drain().map(|(at, _)| at).collect();
+        for addresses in owned.chunks(CLAIMS_AT_ONCE) {
+            let mut transaction = Transaction::default();
+            for &address in addresses {
+                transaction.writes.push(self.mark_left(address));
+            }
+            self.store.commit(transaction).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the write that gives up a claim under which no order leaves any more.
+    fn mark_left(&self, address: SocketAddr) -> Write {
+        let idle = self.right.since_order(address);
+        let claim = self.own_claim(Some(idle.unwrap_or(self.limits.get().turns)));
+        Write::Put(self.key(address), encoded(&claim), None)
+    }
+
+    /// Gives one engine up if this node owns far more than its share.
+    ///
+    /// Planned stops one after the other leave all engines with the node that was the first
+    /// to be back: twelve of twelve among seven nodes, seen on a day with rolling stops. When
+    /// that one falls silent, no adapter can be loaded anywhere for eight seconds. One engine
+    /// at a time keeps all others in service, and the one whose last order is the oldest
+    /// keeps its successor waiting least.
+    pub(super) async fn hand_over(&self, began: Millis) -> Result<(), Error> {
+        let now = self.clock.now();
+        if now.since(began.max(self.right.handed_over())) < HANDOVER {
+            return Ok(());
+        }
+        let Some((address, token)) = self.surplus() else {
+            return Ok(());
+        };
+        self.right.hand_over(address, now);
+        log::info!("right: orders to {address} are handed over, as this node has many");
+        let transaction = Transaction {
+            conditions: vec![Condition::Unchanged(self.key(address), token)],
+            writes: vec![self.mark_left(address)],
+        };
+        // The view hears of the write up to a second later. Until then it would show a claim
+        // of this start that this node doesn't hold, and the next round would take it up
+        // again while its successor gives orders.
+        self.view.state().give_up(address, now);
+        self.store.commit(transaction).await?;
+        Ok(())
+    }
+
+    /// Returns an engine beyond this node's share that another node comes first for.
+    fn surplus(&self) -> Option<(SocketAddr, u64)> {
+        let state = self.view.state();
+        let owned = self.right.owned();
+        let share = state.claims.len().div_ceil(state.nodes.len().max(1));
+        if owned.len() <= share * MOST_SHARES {
+            return None;
+        }
+        owned
+            .iter()
+            .filter(|(address, _)| self.rank(&state, **address, 1) > 0)
+            .max_by_key(|(address, _)| self.right.since_order(**address).unwrap_or(Millis::MAX))
+            .map(|(address, owned)| (*address, owned.token))
+    }
+}
