claim: a candidate engine, the previous owner

Cause: `Wanted` and `Former` had to be explained; choosing them was one function of 55 lines. Change: `candidate::Candidate`, `previous::Previous`; the choice is split into which engines, whether one may be claimed now, and how long that waits. The log line says 'previous owner'; the metric's label `former` and its values stay, as platform/tests/test_node.rs names them. Behaviour stays.

--- a/lib/src/direct/claim/candidate.rs
+++ b/lib/src/direct/claim/candidate.rs
@@ -7,22 +7,25 @@
 
 use super::Claimer;
 use crate::clock::Millis;
+use crate::direct::config::Config;
+use crate::direct::limits::Limits;
+use crate::direct::upstream::Upstream;
 use crate::direct::view::{Standing, State};
 
 /// Seed of the order of nodes for an engine. Changing it moves every claim, so it stays.
 const CLAIM_SEED: u64 = 0x636c_6169_6d73;
 
-/// How long a living former owner has to take its claim back.
+/// How long a living previous owner has to take its claim back.
 const HEAD_START: Millis = Millis(1_500);
 
 /// An engine that a node may claim.
 #[derive(Debug)]
-pub(super) struct Wanted {
+pub(super) struct Candidate {
     pub(super) address: SocketAddr,
-    /// The mark that a former owner left.
+    /// The mark that a previous owner left.
     pub(super) left: Option<Standing>,
     /// Whether it is a claim that an earlier start of the same node left.
-    pub(super) former: bool,
+    pub(super) is_own: bool,
     /// Nodes that come before this one, as far as they are known.
     rank: u64,
     /// This node's weight for the engine: of two engines, others come before it at this one less
@@ -30,13 +33,13 @@
     weight: u64,
 }
 
-impl Wanted {
+impl Candidate {
     /// A claim that an earlier start of the same node left.
-    fn former(address: SocketAddr, standing: &Standing) -> Self {
+    fn own(address: SocketAddr, standing: &Standing) -> Self {
         Self {
             address,
             left: Some(standing.clone()),
-            former: true,
+            is_own: true,
             rank: 0,
             weight: 0,
         }
@@ -48,71 +51,82 @@
     ///
     /// Nodes that start together know few of each other yet. By rank alone each would take any
     /// engine for its own; by weight too, they begin with different ones.
-    pub(super) fn wanted(&self, began: Millis, now: Millis) -> Vec<Wanted> {
+    pub(super) fn candidates(&self, began: Millis, now: Millis) -> Vec<Candidate> {
         let state = self.view.state();
         let Some(config) = state.config.clone() else {
-            return self.former_claims(&state);
+            return self.own_claims(&state);
         };
         let limits = self.limits.get();
         let gathered = began + limits.gather();
-        let mut wanted = Vec::new();
-        for upstream in state.upstreams.values() {
-            let engine = config
-                .pools
-                .get(&upstream.pool)
-                .is_some_and(|pool| pool.engine.is_some());
-            if !engine || !upstream.is_ready() || self.right.owns(upstream.address) {
-                continue;
-            }
-            let address = upstream.address;
-            let standing = state.claims.get(&address);
-            if let Some(standing) = standing.filter(|standing| self.is_former(standing)) {
-                wanted.push(Wanted::former(address, standing));
-                continue;
-            }
-            if now < gathered || standing.is_some_and(|standing| standing.claim.left.is_none()) {
-                continue;
-            }
-            let since = standing
-                .map(|standing| standing.seen)
-                .or_else(|| state.vanished.get(&address).map(|(_, at)| *at))
-                .unwrap_or(gathered.max(upstream.seen));
-            let passed = now.since(since);
-            // Whoever comes later than that waits longer in any case.
-            let rank = self.rank(&state, address, passed.0 / limits.claim_rank().0 + 1);
-            let mut patience = Millis(limits.claim_rank().0 * rank);
-            match state.vanished.get(&address) {
-                Some((former, _)) if *former == self.node => patience = Millis::ZERO,
-                // All claims can lapse in an outage; a former owner that lives
-                // needs no waiting out and goes first. A dead one has to be
-                // waited out for longer than this anyway.
-                Some(_) => patience += HEAD_START,
-                None => {}
-            }
-            if passed >= patience {
-                wanted.push(Wanted {
-                    address,
-                    left: standing.cloned(),
-                    former: false,
-                    rank,
-                    weight: weight(seed(address), &self.node),
-                });
-            }
+        let mut candidates: Vec<Candidate> = state
+            .upstreams
+            .values()
+            .filter(|upstream| is_engine(&config, upstream) && upstream.is_ready())
+            .filter(|upstream| !self.right.owns(upstream.address))
+            .filter_map(|upstream| self.candidate(&state, upstream, &limits, gathered, now))
+            .collect();
+        candidates.sort_by_key(|one| (!one.is_own, one.rank, Reverse(one.weight)));
+        candidates
+    }
+
+    /// Returns an engine as a candidate if this node may claim it now.
+    fn candidate(
+        &self,
+        state: &State,
+        upstream: &Upstream,
+        limits: &Limits,
+        gathered: Millis,
+        now: Millis,
+    ) -> Option<Candidate> {
+        let address = upstream.address;
+        let standing = state.claims.get(&address);
+        if let Some(standing) = standing.filter(|standing| self.is_previous_start(standing)) {
+            return Some(Candidate::own(address, standing));
+        }
+        if now < gathered || standing.is_some_and(|standing| standing.claim.left.is_none()) {
+            return None;
+        }
+        let since = standing
+            .map(|standing| standing.seen)
+            .or_else(|| state.vanished.get(&address).map(|(_, at)| *at))
+            .unwrap_or(gathered.max(upstream.seen));
+        let passed = now.since(since);
+        // Whoever comes later than that waits longer in any case.
+        let rank = self.rank(state, address, passed.0 / limits.claim_rank().0 + 1);
+        if passed < self.patience(state, address, rank, limits) {
+            return None;
+        }
+        Some(Candidate {
+            address,
+            left: standing.cloned(),
+            is_own: false,
+            rank,
+            weight: weight(seed(address), &self.node),
+        })
+    }
+
+    /// Returns how long an engine must have had no owner before this node claims it.
+    fn patience(&self, state: &State, address: SocketAddr, rank: u64, limits: &Limits) -> Millis {
+        let wait = Millis(limits.claim_rank().0 * rank);
+        match state.vanished.get(&address) {
+            Some((previous, _)) if *previous == self.node => Millis::ZERO,
+            // All claims can lapse in an outage; a previous owner that lives needs no waiting
+            // out and goes first. A dead one has to be waited out for longer than this anyway.
+            Some(_) => wait + HEAD_START,
+            None => wait,
         }
-        wanted.sort_by_key(|one| (!one.former, one.rank, Reverse(one.weight)));
-        wanted
     }
 
     /// Returns the claims of earlier starts of this node, while engines aren't known yet.
     ///
     /// They end with their lease within seconds. Whoever took them up only once all engines are
     /// read would come too late where all nodes read at once.
-    pub(super) fn former_claims(&self, state: &State) -> Vec<Wanted> {
+    pub(super) fn own_claims(&self, state: &State) -> Vec<Candidate> {
         let claims = state.claims.iter();
-        let former = claims
-            .filter(|(address, standing)| self.is_former(standing) && !self.right.owns(**address));
-        former
-            .map(|(address, standing)| Wanted::former(*address, standing))
+        let own = claims.filter(|(address, standing)| {
+            self.is_previous_start(standing) && !self.right.owns(**address)
+        });
+        own.map(|(address, standing)| Candidate::own(*address, standing))
             .collect()
     }
 
@@ -121,7 +135,7 @@
     /// Its process has ended, and to an engine both are one VM: when many nodes
     /// are restarted at once, engines would otherwise get no orders until all
     /// leases have lapsed and all rights have run out.
-    fn is_former(&self, standing: &Standing) -> bool {
+    fn is_previous_start(&self, standing: &Standing) -> bool {
         standing.claim.node == self.node && standing.claim.start != self.peer.start
     }
 
@@ -142,6 +156,12 @@
     }
 }
 
+/// Whether an upstream takes orders.
+fn is_engine(config: &Config, upstream: &Upstream) -> bool {
+    let pool = config.pools.get(&upstream.pool);
+    pool.is_some_and(|pool| pool.engine.is_some())
+}
+
 fn seed(address: SocketAddr) -> u64 {
     xxh3_64_with_seed(address.to_string().as_bytes(), CLAIM_SEED)
 }
--- a/lib/src/direct/claim/mod.rs
+++ b/lib/src/direct/claim/mod.rs
@@ -96,7 +96,7 @@
     /// Whether the follower has read everything, or claims of an earlier start of this node.
     fn can_claim(&self) -> bool {
         let state = self.view.state();
-        state.config.is_some() || !self.former_claims(&state).is_empty()
+        state.config.is_some() || !self.own_claims(&state).is_empty()
     }
 
     /// Returns when this node began to look at claims, which is when it got its first lease.
--- a/lib/src/direct/claim/previous.rs
+++ b/lib/src/direct/claim/previous.rs
@@ -5,7 +5,7 @@
 
 /// What became of the node that gave an engine its orders before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Former {
+pub(super) enum Previous {
     /// There was none.
     Nobody,
     /// It is this node, or an earlier start of it.
@@ -18,7 +18,7 @@
     Unknown,
 }
 
-impl Former {
+impl Previous {
     /// Returns the name used in logs and metrics.
     pub(super) const fn name(self) -> &'static str {
         match self {
--- a/lib/src/direct/claim/takeover.rs
+++ b/lib/src/direct/claim/takeover.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::candidate::Wanted;
-use super::previous::Former;
+use super::candidate::Candidate;
+use super::previous::Previous;
 use super::{CLAIMS_AT_ONCE, Claimer, encoded};
 use crate::clock::Millis;
 use crate::direct::dialect::Key;
@@ -25,18 +25,18 @@
     pub(super) async fn claim(&self, lease: LeaseId, began: Millis) -> Result<(), Error> {
         self.adopt(began, self.clock.now());
         for _ in 0..CLAIM_TRIES {
-            let mut wanted = self.wanted(began, self.clock.now());
-            if wanted.is_empty() {
+            let mut candidates = self.candidates(began, self.clock.now());
+            if candidates.is_empty() {
                 return Ok(());
             }
-            let rest = wanted.split_off(CLAIMS_AT_ONCE.min(wanted.len()));
-            let commit = self.store.commit(self.claims(&wanted, lease)).await?;
+            let rest = candidates.split_off(CLAIMS_AT_ONCE.min(candidates.len()));
+            let commit = self.store.commit(self.claims(&candidates, lease)).await?;
             let now = self.clock.now();
             if commit.done {
-                for Wanted { address, left, .. } in wanted {
+                for Candidate { address, left, .. } in candidates {
                     self.won(address, left.as_ref(), commit.revision, began, now);
                 }
-                if !rest.iter().any(|one| one.former) {
+                if !rest.iter().any(|one| one.is_own) {
                     return Ok(());
                 }
             } else if !self.learn(&commit.found, now) {
@@ -47,9 +47,9 @@
     }
 
     /// Returns the transaction that makes claims.
-    fn claims(&self, wanted: &[Wanted], lease: LeaseId) -> Transaction {
+    fn claims(&self, candidates: &[Candidate], lease: LeaseId) -> Transaction {
         let mut transaction = Transaction::default();
-        for Wanted { address, left, .. } in wanted {
+        for Candidate { address, left, .. } in candidates {
             let key = self.key(*address);
             transaction.conditions.push(match left {
                 Some(left) => Condition::Unchanged(key.clone(), left.revision),
@@ -110,18 +110,18 @@
         now: Millis,
     ) {
         let turn = self.limits.get().turns + TURN_MARGIN;
-        let (former, claims_read) = {
+        let (previous, claims_read) = {
             let state = self.view.state();
-            let former = self.former(&state, address, left);
-            (former, state.claims_read.unwrap_or(now))
+            let previous = self.previous(&state, address, left);
+            (previous, state.claims_read.unwrap_or(now))
         };
         // What vanished before this node knew all claims is as unknown to it as what did before
         // its first lease.
-        let from = former.waited_out(turn, began.max(claims_read)).max(now);
-        let name = former.name();
+        let from = previous.waited_out(turn, began.max(claims_read)).max(now);
+        let name = previous.name();
         self.metrics.takeovers.with_label_values(&[name]).inc();
         log::info!(
-            "right: orders to {address} are this node's, token {token}, from {from}, former owner: {name}"
+            "right: orders to {address} are this node's, token {token}, from {from}, previous owner: {name}"
         );
         self.view.state().claim(
             address,
@@ -134,22 +134,22 @@
         self.right.take(address, token, from);
     }
 
-    /// Returns what is known of an engine's former owner.
-    fn former(&self, state: &State, address: SocketAddr, left: Option<&Standing>) -> Former {
+    /// Returns what is known of an engine's previous owner.
+    fn previous(&self, state: &State, address: SocketAddr, left: Option<&Standing>) -> Previous {
         if let Some(left) = left {
             if left.claim.node == self.node {
-                return Former::Itself;
+                return Previous::Itself;
             }
-            return Former::Left {
+            return Previous::Left {
                 at: left.seen,
                 idle: left.claim.left.unwrap_or_default(),
             };
         }
         match state.vanished.get(&address) {
-            Some((node, _)) if *node == self.node => Former::Itself,
-            Some((_, at)) => Former::Vanished { at: *at },
-            None if self.first_start => Former::Nobody,
-            None => Former::Unknown,
+            Some((node, _)) if *node == self.node => Previous::Itself,
+            Some((_, at)) => Previous::Vanished { at: *at },
+            None if self.first_start => Previous::Nobody,
+            None => Previous::Unknown,
         }
     }
 }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -66,7 +66,7 @@
     pub updates_withheld: IntCounterVec,
     /// Orders to engines, by action and outcome.
     pub orders: IntCounterVec,
-    /// Engines whose orders this node took over, by what became of the former owner.
+    /// Engines whose orders this node took over, by what became of the previous owner.
     pub takeovers: IntCounterVec,
     /// Rounds of asking other nodes for support, by outcome.
     pub support: IntCounterVec,
@@ -208,7 +208,7 @@
             ),
             takeovers: maker.counters(
                 "takeovers_total",
-                "Engines taken over, by what became of the former owner.",
+                "Engines taken over, by what became of the previous owner.",
                 &["former"],
             ),
             support: maker.counters(
