claim: an extension of the lease by the votes of all other nodes

Cause: `Support`, `Doubter` and 'go on without' were words of our own for a lease extension that every other node has to vote for. The metric `chivevalve_support_rounds_total` is `chivevalve_lease_extensions_total`. The RPC `Support` keeps its name, so that nodes of both releases understand each other. Behaviour stays.

--- a/lib/src/direct/ask/mod.rs
+++ b/lib/src/direct/ask/mod.rs
@@ -1,8 +1,8 @@
 //! Asking the node that gives an engine its orders.
 
 mod exchange;
-mod support;
 mod tell;
+mod vote;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/lib/src/direct/ask/support.rs
+++ b/lib/src/direct/ask/vote.rs
@@ -1,4 +1,4 @@
-//! Support of other nodes while the key-value service is away.
+//! Asking other nodes for their votes while the key-value service is unavailable.
 
 use std::net::SocketAddr;
 
@@ -7,24 +7,24 @@
 
 use super::Desks;
 use crate::clock::Millis;
-use crate::direct::claim::{Doubter, Support};
+use crate::direct::claim::{Refusal, Voters};
 use crate::schema::direct::{Owned, SupportRequest};
 
-/// The longest that other nodes may take to give support.
-const SUPPORT: Millis = Millis(300);
+/// The longest that other nodes may take to vote.
+const VOTE: Millis = Millis(300);
 
 #[async_trait]
-impl Support for Desks {
+impl Voters for Desks {
     fn others(&self) -> Option<Vec<SocketAddr>> {
         let state = self.view.state();
         let others = state.nodes.iter().filter(|(name, _)| **name != self.node);
         let peers: Vec<SocketAddr> = others.map(|(_, peer)| peer.address).collect();
-        // Nobody to ask is no support where there were others: their records
+        // Nobody to ask is no vote where there were others: their records
         // may have lapsed while they live.
         (!peers.is_empty() || state.most_nodes <= 1).then_some(peers)
     }
 
-    async fn doubters(&self, asked: &[SocketAddr], owned: &[(SocketAddr, u64)]) -> Vec<Doubter> {
+    async fn refusals(&self, asked: &[SocketAddr], owned: &[(SocketAddr, u64)]) -> Vec<Refusal> {
         let request = SupportRequest {
             node: self.node.to_string(),
             owned: owned
@@ -38,8 +38,8 @@
         let answers = asked.iter().map(|&peer| {
             let request = request.clone();
             async move {
-                let why = self.refusal(peer, request).await.err()?;
-                Some(Doubter { peer, why })
+                let why = self.vote(peer, request).await.err()?;
+                Some(Refusal { peer, why })
             }
         });
         let answers = futures::future::join_all(answers).await;
@@ -48,16 +48,16 @@
 }
 
 impl Desks {
-    /// Asks one node for support; the error says why it gave none.
-    async fn refusal(&self, peer: SocketAddr, request: SupportRequest) -> Result<(), String> {
+    /// Asks one node for its vote; the error says why it gave none.
+    async fn vote(&self, peer: SocketAddr, request: SupportRequest) -> Result<(), String> {
         let mut client = self.client(peer);
-        let reply = tokio::time::timeout(SUPPORT.duration(), client.support(request)).await;
+        let reply = tokio::time::timeout(VOTE.duration(), client.support(request)).await;
         match reply {
             Ok(Ok(reply)) if reply.get_ref().supported => Ok(()),
             Ok(Ok(_)) => Err("it sees other claims".to_owned()),
             Ok(Err(status)) if nobody_listens(&status) => Ok(()),
             Ok(Err(status)) => Err(status.message().to_owned()),
-            Err(_) => Err(format!("no answer within {SUPPORT}")),
+            Err(_) => Err(format!("no answer within {VOTE}")),
         }
     }
 }
--- a/lib/src/direct/claim/extension.rs
+++ b/lib/src/direct/claim/extension.rs
@@ -1,4 +1,6 @@
-//! Going on without the key-value service while all other nodes agree.
+//! Extending leases in an outage of the key-value service, by the votes of all other nodes.
+//!
+//! It is no consensus: nothing is decided or kept by it, and the service stays the arbiter.
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -10,33 +12,35 @@
 use crate::direct::limits::RIGHT;
 use crate::ports::Error;
 
-/// Pause before nodes that gave no support are asked again; twice what connecting takes.
-const SUPPORT_PAUSE: Millis = Millis(100);
+/// Pause before nodes that refused are asked again; twice what connecting takes.
+const ROUND_PAUSE: Millis = Millis(100);
 
-/// A node that gave no support.
+/// A node that gave no vote for an extension.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Doubter {
+pub struct Refusal {
     /// Where it was asked.
     pub peer: SocketAddr,
     /// What it said, or why it said nothing.
     pub why: String,
 }
 
-/// Asks all other nodes for support while the key-value service is away.
+/// All other nodes, asked for their votes while the key-value service is unavailable.
 #[async_trait]
-pub trait Support: std::fmt::Debug + Send + Sync {
-    /// Returns the nodes that have to agree, or none if they aren't known.
+pub trait Voters: std::fmt::Debug + Send + Sync {
+    /// Returns the nodes that have to vote for an extension, or none if they aren't known.
     fn others(&self) -> Option<Vec<SocketAddr>>;
 
-    /// Asks nodes whether they agree, and returns those that didn't.
+    /// Asks nodes for their votes, and returns those that gave none.
     ///
-    /// A node agrees as [`Right::supports`] says, or by not running: its next start begins
+    /// A node votes as [`Right::votes_for`] says, or by not running: its next start begins
     /// later than the question.
-    async fn doubters(&self, asked: &[SocketAddr], owned: &[(SocketAddr, u64)]) -> Vec<Doubter>;
+    ///
+    /// [`Right::votes_for`]: crate::direct::right::Right::votes_for
+    async fn refusals(&self, asked: &[SocketAddr], owned: &[(SocketAddr, u64)]) -> Vec<Refusal>;
 }
 
 impl Claimer {
-    /// Goes on giving orders through an outage of the service that all nodes have.
+    /// Extends the lease through an outage of the service that all nodes have.
     ///
     /// Without this no adapter is loaded for as long as an outage lasts and eight
     /// seconds more. It takes every other node, and a right that has not ended
@@ -44,7 +48,7 @@
     /// renewal takes so long to fail that one right has time for one round only,
     /// and a node restarted in that second ended the orders of all others for the
     /// rest of an outage.
-    pub(super) async fn go_on_without(&self, error: &Error) {
+    pub(super) async fn extend(&self, error: &Error) {
         let sent = self.clock.now();
         let owned: Vec<(SocketAddr, u64)> = self
             .right
@@ -56,40 +60,40 @@
             log::warn!("right: no renewal: {error}");
             return;
         }
-        let doubters = self.doubters(&owned).await;
-        let supported = doubters.is_empty() && self.right.lasts();
-        let outcome = if supported { "supported" } else { "refused" };
-        self.metrics.support.with_label_values(&[outcome]).inc();
-        if supported {
+        let refusals = self.refusals(&owned).await;
+        let extended = refusals.is_empty() && self.right.lasts();
+        let outcome = if extended { "granted" } else { "refused" };
+        self.metrics.extensions.with_label_values(&[outcome]).inc();
+        if extended {
             self.right.until.store((sent + RIGHT).0, Ordering::Relaxed);
-            log::info!("right: supported by all others without a renewal: {error}");
+            log::info!("right: extended by the votes of all others, without a renewal: {error}");
             return;
         }
         let owned = owned.len();
-        log::warn!("right: no renewal and no support for {owned} engines: {error}");
-        for Doubter { peer, why } in doubters {
-            log::info!("right: {peer} gives no support: {why}");
+        log::warn!("right: no renewal and no extension for {owned} engines: {error}");
+        for Refusal { peer, why } in refusals {
+            log::info!("right: {peer} does not vote for it: {why}");
         }
     }
 
-    /// Asks others until all agree or the right has ended, and returns who didn't agree.
-    async fn doubters(&self, owned: &[(SocketAddr, u64)]) -> Vec<Doubter> {
+    /// Asks others until all vote for it or the right has ended, and returns who didn't.
+    async fn refusals(&self, owned: &[(SocketAddr, u64)]) -> Vec<Refusal> {
         if !self.right.lasts() {
             return Vec::new();
         }
-        let Some(mut asked) = self.support.others() else {
-            return vec![Doubter {
+        let Some(mut asked) = self.voters.others() else {
+            return vec![Refusal {
                 peer: self.peer.address,
                 why: "no other node is known, and there were some".to_owned(),
             }];
         };
         loop {
-            let doubters = self.support.doubters(&asked, owned).await;
-            if doubters.is_empty() || !self.right.lasts() {
-                return doubters;
+            let refusals = self.voters.refusals(&asked, owned).await;
+            if refusals.is_empty() || !self.right.lasts() {
+                return refusals;
             }
-            tokio::time::sleep(SUPPORT_PAUSE.duration()).await;
-            asked = doubters.iter().map(|doubter| doubter.peer).collect();
+            tokio::time::sleep(ROUND_PAUSE.duration()).await;
+            asked = refusals.iter().map(|refusal| refusal.peer).collect();
         }
     }
 }
--- a/lib/src/direct/claim/mod.rs
+++ b/lib/src/direct/claim/mod.rs
@@ -12,7 +12,7 @@
 mod release;
 mod takeover;
 
-pub use extension::{Doubter, Support};
+pub use extension::{Refusal, Voters};
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,7 +48,7 @@
     /// Runs while the VM is suspended.
     pub clock: Arc<dyn Clock>,
     /// Other nodes.
-    pub support: Arc<dyn Support>,
+    pub voters: Arc<dyn Voters>,
     /// What the follower sees.
     pub view: Arc<View>,
     /// What this node may do.
@@ -75,7 +75,7 @@
             let knew_all = self.view.config().is_some();
             if let Err(error) = self.round(&mut lease, &mut began).await {
                 self.view.touched(false);
-                self.go_on_without(&error).await;
+                self.extend(&error).await;
             }
             if knew_all {
                 tokio::time::sleep(RENEWAL.duration()).await;
@@ -103,7 +103,7 @@
     ///
     /// What happened before that moment is unknown to it. Counted from the start of the
     /// process, a node that starts in an outage would have waited long enough when the
-    /// service returns, while an owner that the others supported still gives orders.
+    /// service returns, while an owner whose lease the others extended still gives orders.
     fn begin(&self) -> Millis {
         self.right.begun.store(true, Ordering::SeqCst);
         self.clock.now()
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -164,7 +164,7 @@
         let claimer = Arc::new(Claimer {
             store: Arc::<Metered>::clone(&service),
             lease: Arc::<Metered>::clone(&service),
-            support: Arc::<Desks>::clone(&desks),
+            voters: Arc::<Desks>::clone(&desks),
             dialect: Arc::clone(&reach.dialect),
             clock: Arc::clone(&clock),
             view: Arc::clone(&view),
--- a/lib/src/direct/right.rs
+++ b/lib/src/direct/right.rs
@@ -117,7 +117,7 @@
         self.owned().contains_key(&address)
     }
 
-    /// Whether another node may go on giving orders under its claims for [`RIGHT`] from now.
+    /// Whether this node votes for another one to give orders under its claims for [`RIGHT`] from now.
     ///
     /// [`RIGHT`]: super::limits::RIGHT
     ///
@@ -125,7 +125,7 @@
     /// for that long and a turn. So does one that has yet to begin, from when it begins. One
     /// that has left claims nothing any more.
     #[must_use]
-    pub fn supports(&self, node: &str, owned: &[(SocketAddr, u64)]) -> bool {
+    pub fn votes_for(&self, node: &str, owned: &[(SocketAddr, u64)]) -> bool {
         if self.left.load(Ordering::SeqCst) || !self.begun.load(Ordering::SeqCst) {
             return true;
         }
--- a/lib/src/direct/serve.rs
+++ b/lib/src/direct/serve.rs
@@ -1,4 +1,4 @@
-//! Answering other nodes: loads at engines that this node orders, news, and support.
+//! Answering other nodes: loads at engines that this node orders, news, and votes for extensions.
 
 use std::sync::Arc;
 
@@ -118,7 +118,7 @@
                 .map_err(|_| Status::invalid_argument("an owned engine has no address"))?;
             owned.push((address, one.token));
         }
-        let supported = self.0.right.supports(&request.node, &owned);
+        let supported = self.0.right.votes_for(&request.node, &owned);
         Ok(Response::new(SupportReply { supported }))
     }
 
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -68,8 +68,8 @@
     pub orders: IntCounterVec,
     /// Engines whose orders this node took over, by what became of the previous owner.
     pub takeovers: IntCounterVec,
-    /// Rounds of asking other nodes for support, by outcome.
-    pub support: IntCounterVec,
+    /// Rounds of asking other nodes to extend the lease, by outcome.
+    pub extensions: IntCounterVec,
     /// Requests in progress at this node.
     pub in_flight: IntGauge,
     /// Callers' connections.
@@ -211,9 +211,9 @@
                 "Engines taken over, by what became of the previous owner.",
                 &["former"],
             ),
-            support: maker.counters(
-                "support_rounds_total",
-                "Rounds of asking other nodes for support, by outcome.",
+            extensions: maker.counters(
+                "lease_extensions_total",
+                "Rounds of asking other nodes to extend the lease, by outcome.",
                 &["outcome"],
             ),
             in_flight: maker.gauge("requests_in_flight", "Requests in progress at this node."),
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -9,7 +9,7 @@
 use async_trait::async_trait;
 use chivevalve::clock::{Clock, Manual, Millis, Monotonic};
 use chivevalve::direct::ask::Desks;
-use chivevalve::direct::claim::{Claimer, Doubter, Support};
+use chivevalve::direct::claim::{Claimer, Refusal, Voters};
 use chivevalve::direct::config::{Config, Engine, Limits as Sent, Pool};
 use chivevalve::direct::dialect::{Dialect, Held, Listed};
 use chivevalve::direct::follow::Follower;
@@ -27,29 +27,29 @@
 /// All other nodes, which say yes or no as the test wants.
 #[derive(Debug, Default)]
 struct Others {
-    support: AtomicBool,
+    vote: AtomicBool,
     /// Rounds that still go wrong before that.
     unheard: AtomicU32,
 }
 
 #[async_trait]
-impl Support for Others {
+impl Voters for Others {
     fn others(&self) -> Option<Vec<SocketAddr>> {
         Some(vec![address()])
     }
 
-    async fn doubters(&self, asked: &[SocketAddr], _: &[(SocketAddr, u64)]) -> Vec<Doubter> {
+    async fn refusals(&self, asked: &[SocketAddr], _: &[(SocketAddr, u64)]) -> Vec<Refusal> {
         let unheard = self.unheard.load(Ordering::SeqCst);
         self.unheard
             .store(unheard.saturating_sub(1), Ordering::SeqCst);
-        if unheard == 0 && self.support.load(Ordering::SeqCst) {
+        if unheard == 0 && self.vote.load(Ordering::SeqCst) {
             return Vec::new();
         }
-        let doubter = |&peer| Doubter {
+        let refusal = |&peer| Refusal {
             peer,
             why: "as the test wants".to_owned(),
         };
-        asked.iter().map(doubter).collect()
+        asked.iter().map(refusal).collect()
     }
 }
 
@@ -110,7 +110,7 @@
     let claimer = Arc::new(Claimer {
         store: Arc::<Memory>::clone(memory) as Arc<dyn Store>,
         lease: Arc::<Memory>::clone(memory) as Arc<dyn Lease>,
-        support: Arc::<Others>::clone(&others),
+        voters: Arc::<Others>::clone(&others),
         dialect,
         clock: shared,
         view,
@@ -347,18 +347,18 @@
 #[tokio::test(start_paused = true)]
 async fn right_lasts_through_an_outage_that_all_have() {
     let (memory, one) = owner().await;
-    one.others.support.store(true, Ordering::SeqCst);
+    one.others.vote.store(true, Ordering::SeqCst);
     memory.change(|state| state.away = true);
     for _ in 0..20 {
         pass(&[&one], Millis(500)).await;
         assert!(one.right.check(address()).is_some());
     }
     // One that is not out of touch may see the claim vanish, and succeed.
-    one.others.support.store(false, Ordering::SeqCst);
+    one.others.vote.store(false, Ordering::SeqCst);
     pass(&[&one], RIGHT).await;
     assert_eq!(one.right.check(address()), None);
-    // Support comes too late for a right that has ended.
-    one.others.support.store(true, Ordering::SeqCst);
+    // A vote comes too late for a right that has ended.
+    one.others.vote.store(true, Ordering::SeqCst);
     pass(&[&one], RIGHT).await;
     assert_eq!(one.right.check(address()), None);
 }
@@ -398,7 +398,7 @@
 #[tokio::test(start_paused = true)]
 async fn right_lasts_when_a_first_question_is_lost() {
     let (memory, one) = owner().await;
-    one.others.support.store(true, Ordering::SeqCst);
+    one.others.vote.store(true, Ordering::SeqCst);
     one.others.unheard.store(2, Ordering::SeqCst);
     memory.change(|state| state.away = true);
     for _ in 0..20 {
@@ -430,19 +430,19 @@
 /// Sequence: the owner asks a node that has started in the outage, and one that stops.
 /// Cause: neither has seen the claims, so neither supports them, though neither can succeed.
 #[tokio::test(start_paused = true)]
-async fn supports_before_it_begins_and_after_it_left() {
+async fn votes_for_before_it_begins_and_after_it_left() {
     let memory = Arc::new(Memory::default());
     list_engine(&memory);
     memory.change(|state| state.away = true);
     let one = node("one", &memory, false);
     let owned = [(address(), 7)];
     pass(&[&one], Millis(3_000)).await;
-    assert!(one.right.supports("two", &owned));
+    assert!(one.right.votes_for("two", &owned));
     memory.change(|state| state.away = false);
     pass(&[&one], Millis(1_500)).await;
-    assert!(!one.right.supports("two", &owned));
+    assert!(!one.right.votes_for("two", &owned));
     one.claimer.leave().await.unwrap();
-    assert!(one.right.supports("two", &owned));
+    assert!(one.right.votes_for("two", &owned));
 }
 
 /// Symptom: an owner stops giving orders when it alone can't reach the service for a moment.
@@ -450,19 +450,19 @@
 /// Cause: reaching the service taken for a reason to refuse, though the successor waits from
 /// when the claims vanish.
 #[tokio::test(start_paused = true)]
-async fn supports_claims_that_stand() {
+async fn votes_for_claims_that_stand() {
     let (_memory, one) = owner().await;
     let token = one.right.check(address()).unwrap();
-    assert!(one.right.supports("one", &[(address(), token)]));
-    assert!(!one.right.supports("one", &[(address(), token + 1)]));
-    assert!(!one.right.supports("two", &[(address(), token)]));
+    assert!(one.right.votes_for("one", &[(address(), token)]));
+    assert!(!one.right.votes_for("one", &[(address(), token + 1)]));
+    assert!(!one.right.votes_for("two", &[(address(), token)]));
 }
 
 /// Symptom: no adapter is loaded for the rest of an outage in which a node is killed.
 /// Sequence: the owner asks a node whose process has ended.
 /// Cause: an address where nobody listens taken for a node that may succeed.
 #[tokio::test]
-async fn doubters_nobody_listens() {
+async fn refusals_nobody_listens() {
     let clock: Arc<dyn Clock> = Arc::new(Manual::default());
     let view = Arc::new(View::default());
     let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
@@ -479,8 +479,8 @@
     let ended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let dead = ended.local_addr().unwrap();
     drop(ended);
-    let doubters = desks.doubters(&[dead, silent], &[(address(), 7)]).await;
-    let peers: Vec<SocketAddr> = doubters.iter().map(|doubter| doubter.peer).collect();
+    let refusals = desks.refusals(&[dead, silent], &[(address(), 7)]).await;
+    let peers: Vec<SocketAddr> = refusals.iter().map(|refusal| refusal.peer).collect();
     assert_eq!(peers, [silent]);
 }
 
