fanout: hub, subscription, tree and wire format apart

Cause: fanout.rs (511 lines) held passing on, listening, who listens to whom and how updates travel. Change: the functions move unchanged into fanout::{hub, subscription, tree, wire}. Behaviour stays.

--- /dev/null
+++ b/lib/src/direct/fanout/subscription.rs
@@ -0,0 +1,132 @@
+//! Listening to a node of the own failure domain.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use tonic::{Code, Streaming};
+
+use super::tree::{choose, ranked};
+use super::wire::decode;
+use super::{Heard, Source};
+use crate::clock::Millis;
+use crate::direct::ask::Desks;
+use crate::direct::vet::Refusal;
+use crate::name::Name;
+use crate::schema::direct::{FollowRequest, Update as Sent};
+
+/// The longest that beginning to listen may take.
+const CONNECT: Millis = Millis(400);
+
+/// How long a node that passed nothing on in time isn't listened to.
+const AVOIDED: Millis = Millis(5_000);
+
+/// What listening ends with where a message is larger than a node reads.
+const TOO_LARGE: Code = Code::OutOfRange;
+
+/// Listens to a node of this node's failure domain.
+#[derive(Debug)]
+pub struct Subscription {
+    desks: Arc<Desks>,
+    failure_domain: Name,
+    stream: Option<(Name, Streaming<Sent>)>,
+    avoided: Vec<(Name, Millis)>,
+}
+
+impl Subscription {
+    /// Makes a subscription to nobody yet.
+    #[must_use]
+    pub fn new(desks: Arc<Desks>, failure_domain: Name) -> Self {
+        Self {
+            desks,
+            failure_domain,
+            stream: None,
+            avoided: Vec::new(),
+        }
+    }
+
+    /// Returns whom this node listens to at this moment.
+    #[must_use]
+    pub fn listens_to(&self) -> Option<Name> {
+        let (name, _) = self.stream.as_ref()?;
+        Some(Name::clone(name))
+    }
+
+    async fn begin(&mut self, after: u64) -> Option<()> {
+        let now = self.desks.clock.now();
+        self.avoided.retain(|(_, until)| *until > now);
+        let (leader, address) = {
+            let state = self.desks.view.state();
+            let nodes = ranked(&state, &self.failure_domain);
+            let at = nodes.iter().position(|name| *name == self.desks.node)?;
+            let leader = choose(&nodes, at, |name| {
+                self.avoided.iter().any(|(avoided, _)| avoided == name)
+            })?;
+            (Name::clone(leader), state.nodes.get(leader)?.address)
+        };
+        let mut client = self.desks.client(address);
+        let asked = client.follow(FollowRequest { after });
+        match tokio::time::timeout(CONNECT.duration(), asked).await {
+            Ok(Ok(stream)) => {
+                log::debug!("follow: listens to {leader}");
+                self.stream = Some((leader, stream.into_inner()));
+                Some(())
+            }
+            Ok(Err(status)) => {
+                log::info!("follow: {leader} passes nothing on: {}", status.message());
+                self.avoided.push((leader, now + AVOIDED));
+                None
+            }
+            Err(_) => {
+                log::info!("follow: {leader} does not answer within {CONNECT}");
+                self.avoided.push((leader, now + AVOIDED));
+                None
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl Source for Subscription {
+    fn is_shared(&self) -> bool {
+        let state = self.desks.view.state();
+        !ranked(&state, &self.failure_domain).is_empty()
+    }
+
+    async fn next(&mut self, after: u64, within: Millis) -> Heard {
+        if self.stream.is_none() && self.begin(after).await.is_none() {
+            return Heard::Nobody;
+        }
+        let Some((leader, stream)) = &mut self.stream else {
+            return Heard::Nobody;
+        };
+        let message = tokio::time::timeout(within.duration(), stream.message()).await;
+        let Ok(message) = message else {
+            return Heard::Nothing;
+        };
+        match message {
+            Ok(Some(sent)) => Heard::Update(decode(sent, self.desks.clock.now())),
+            Ok(None) => {
+                log::info!("follow: {leader} passes nothing on any more");
+                self.stream = None;
+                Heard::Nobody
+            }
+            Err(status) => {
+                log::info!("follow: {leader} passes nothing on any more: {status}");
+                if status.code() == TOO_LARGE {
+                    self.desks.hub.refused(Refusal::Oversized);
+                    self.avoid();
+                }
+                self.stream = None;
+                Heard::Nobody
+            }
+        }
+    }
+
+    fn avoid(&mut self) {
+        if let Some((leader, _)) = self.stream.take() {
+            log::info!("follow: nothing new enough from {leader}");
+            let until = self.desks.clock.now() + AVOIDED;
+            self.avoided.push((leader, until));
+        }
+    }
+}
