fanout: what is not sent is called unsent

Cause: `Withheld` was a word of our own. Change: `hub::Unsent`; the metric `chivevalve_updates_withheld_total` is `chivevalve_updates_unsent_total`, its reasons stay. Behaviour stays.

--- a/lib/src/direct/fanout/hub.rs
+++ b/lib/src/direct/fanout/hub.rs
@@ -46,7 +46,7 @@
 
 /// Why an update isn't passed on to a node that listens, or would.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Withheld {
+enum Unsent {
     /// This node hears of nothing itself.
     Lost,
     /// So many listen already.
@@ -59,7 +59,7 @@
     Gap,
 }
 
-impl Withheld {
+impl Unsent {
     const fn name(self) -> &'static str {
         match self {
             Self::Lost => "lost",
@@ -81,8 +81,8 @@
     }
 
     fn count(self, metrics: &Metrics) {
-        let withheld = &metrics.updates_withheld;
-        withheld.with_label_values(&[self.name()]).inc();
+        let unsent = &metrics.updates_unsent;
+        unsent.with_label_values(&[self.name()]).inc();
     }
 }
 
@@ -136,7 +136,7 @@
     pub fn publish(&self, mut update: Update) {
         self.lost.store(false, Ordering::Relaxed);
         if size(&update) > MOST_BYTES {
-            Withheld::Oversized.count(&self.metrics);
+            Unsent::Oversized.count(&self.metrics);
             update.after = update.revision;
             update.events.clear();
         }
@@ -159,9 +159,9 @@
         &self,
         after: u64,
     ) -> Result<impl Stream<Item = Result<Sent, Status>> + Send + use<>, Status> {
-        let place = self.place().map_err(|withheld| {
-            withheld.count(&self.metrics);
-            withheld.status()
+        let place = self.place().map_err(|unsent| {
+            unsent.count(&self.metrics);
+            unsent.status()
         })?;
         let (backlog, receiver) = {
             let recent = self.recent();
@@ -180,20 +180,20 @@
             let mut listener = listener?;
             match listener.next().await {
                 Ok(sent) => Some((Ok(sent), Some(listener))),
-                Err(withheld) => {
-                    withheld.count(&listener.metrics);
-                    Some((Err(withheld.status()), None))
+                Err(unsent) => {
+                    unsent.count(&listener.metrics);
+                    Some((Err(unsent.status()), None))
                 }
             }
         }))
     }
 
-    fn place(&self) -> Result<OwnedSemaphorePermit, Withheld> {
+    fn place(&self) -> Result<OwnedSemaphorePermit, Unsent> {
         if self.lost.load(Ordering::Relaxed) {
-            return Err(Withheld::Lost);
+            return Err(Unsent::Lost);
         }
         let place = Arc::clone(&self.places).try_acquire_owned();
-        place.map_err(|_| Withheld::Full)
+        place.map_err(|_| Unsent::Full)
     }
 
     fn recent(&self) -> MutexGuard<'_, VecDeque<Arc<Update>>> {
@@ -212,13 +212,13 @@
 }
 
 impl Listener {
-    async fn next(&mut self) -> Result<Sent, Withheld> {
+    async fn next(&mut self) -> Result<Sent, Unsent> {
         let update = match self.backlog.pop_front() {
             Some(update) => update,
-            None => self.receiver.recv().await.map_err(|_| Withheld::Missed)?,
+            None => self.receiver.recv().await.map_err(|_| Unsent::Missed)?,
         };
         if update.after > self.after {
-            return Err(Withheld::Gap);
+            return Err(Unsent::Gap);
         }
         let age = self.clock.now().since(update.as_of) + on_its_way(&update);
         let sent = encode(&update, self.after, age);
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -63,7 +63,7 @@
     /// Changes of the key-value service that were left aside, by reason.
     pub updates_refused: IntCounterVec,
     /// Updates that weren't passed on to nodes that listen, or would, by reason.
-    pub updates_withheld: IntCounterVec,
+    pub updates_unsent: IntCounterVec,
     /// Orders to engines, by action and outcome.
     pub orders: IntCounterVec,
     /// Engines whose orders this node took over, by what became of the previous owner.
@@ -196,8 +196,8 @@
                 "Updates and changes of the key-value service that were left aside, by reason.",
                 &["reason"],
             ),
-            updates_withheld: maker.counters(
-                "updates_withheld_total",
+            updates_unsent: maker.counters(
+                "updates_unsent_total",
                 "Updates that were not passed on to nodes that listen, or would, by reason.",
                 &["reason"],
             ),
