--- a/lib/src/direct/fanout/hub.rs
+++ b/lib/src/direct/fanout/hub.rs
@@ -22,17 +22,17 @@
 
 /// Bytes of an update from which on it isn't passed on.
 ///
-/// After an outage of the service all engines' entries come in one answer. Three listeners take
-/// 0.7 s to get this much over 10 Mbit/s; more is too old to rely on when it comes. It bounds what
-/// [`BEHIND`] and [`KEPT`] hold too: answers may have twenty times as much.
+/// After an outage of the service all engines' entries come in one answer, which is too old to
+/// rely on by the time that listeners have it over a slow link. It bounds what [`BEHIND`] and
+/// [`KEPT`] hold too: answers may have twenty times as much.
 const MOST_BYTES: usize = 300_000;
 
 /// Bytes of an update that a listener gets in a millisecond over the slowest link.
 ///
 /// Half of 10 Mbit/s is callers' answers, and three listeners share the rest. An update tells its
 /// age when it is sent, and nothing tells how long it is on its way then. Counted as fresh when it
-/// came, one with a dozen configurations let listeners rely on it for 0.9 s too long, and the next
-/// configuration came into force too late there.
+/// comes, a large one is relied on for too long, and the next configuration comes into force too
+/// late.
 const BYTES_A_MS: usize = 200;
 
 /// Nodes that may listen at once: those of this node, and as many of one that is gone.
--- a/lib/src/direct/fanout/mod.rs
+++ b/lib/src/direct/fanout/mod.rs
@@ -1,11 +1,10 @@
 //! Changes of the key-value service, passed on within a failure domain.
 //!
 //! Each call for changes is priced and counted against the service's rates, which grow more
-//! slowly than the fleet: 195 nodes that ask for themselves made 120 calls a second. So a few
-//! nodes of each failure domain ask, and the others hear from them. Nobody is elected: every
-//! node ranks the listed nodes of its domain by the same hash, and one that hears nothing for
-//! too long asks the service itself. An update says how old it is, so that a node which passes
-//! on old news, or is itself cut off, is noticed as well as a silent one.
+//! slowly than the fleet. So a few nodes of each failure domain ask, and the others hear from
+//! them. Nobody is elected: every node ranks the listed nodes of its domain by the same hash, and
+//! one that hears nothing for too long asks the service itself. An update says how old it is, so
+//! that a node which passes on old news, or is itself cut off, is noticed as well as a silent one.
 //! See docs/design/0009-changes-within-a-domain.md.
 
 mod hub;
--- a/lib/src/direct/fanout/tree.rs
+++ b/lib/src/direct/fanout/tree.rs
@@ -13,9 +13,8 @@
 
 /// Nodes that listen to one node.
 ///
-/// Updates come in bursts of some ten kilobytes. With nineteen listeners a node on a slow link
-/// held up its own callers' streams by more than the 200 ms that they bear; three are 30 ms at
-/// 20 Mbit/s, and forty nodes are three steps deep.
+/// Updates come in bursts, and a node on a slow link that sends them to many holds up its own
+/// callers' streams. With three, forty nodes are three steps deep.
 pub(super) const LISTENERS: usize = 3;
 
 /// Nodes of a failure domain from which on changes are passed on.
