--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -211,9 +211,7 @@
     assert!(one.right.check(address()).is_some());
 }
 
-/// Symptom: no node asks another for an adapter, and requests are refused.
-/// Sequence: a node starts, gets a lease and claims engines.
-/// Cause: it claims without its record, so that nobody knows where to ask it.
+/// A node claims no engine before its record tells others where to ask it.
 #[tokio::test(start_paused = true)]
 async fn claim_only_with_a_record() {
     let (memory, one) = owner().await;
@@ -232,9 +230,7 @@
     assert!(rights[0] != rights[1], "{rights:?}");
 }
 
-/// Symptom: two nodes give an engine orders by turns.
-/// Sequence: a node starts while another's right may still run, and claims the engine.
-/// Cause: a missing claim taken for an engine that nobody gave orders to.
+/// A node that finds no claim waits out an owner that may still give orders.
 #[tokio::test(start_paused = true)]
 async fn claim_later_start_waits_first() {
     let memory = Arc::new(Memory::default());
@@ -247,10 +243,7 @@
     assert!(one.right.check(address()).is_some());
 }
 
-/// Symptom: a call with a lower fencing token after one with a higher.
-/// Sequence: the platform takes a node's keys away while its lease lives on, and the node is cut
-/// off; another claims the engine; the first is back and renews with success.
-/// Cause: the renewal taken as proof that the claim stands.
+/// A node whose claim was taken away gives no further orders, though its lease is renewed.
 #[tokio::test(start_paused = true)]
 async fn right_ends_with_a_claim_taken_away() {
     let (memory, one) = owner().await;
@@ -271,9 +264,7 @@
     }
 }
 
-/// Symptom: a node that was suspended gives orders under a right that ended meanwhile.
-/// Sequence: it is suspended between two renewals for longer than its right lasts.
-/// Cause: the right counted on a clock that stood still.
+/// A node that was suspended gives no orders under a right that ended meanwhile.
 #[tokio::test(start_paused = true)]
 async fn right_ends_while_suspended() {
     let (_memory, one) = owner().await;
@@ -282,9 +273,7 @@
     assert_eq!(one.right.check(address()), None);
 }
 
-/// Symptom: an engine gets no orders for good.
-/// Sequence: its owner dies; its keys end with its lease.
-/// Cause: nobody takes the claim over, or somebody before the old right and a turn have passed.
+/// A dead node's engine gets a new owner, though not before the old right and a turn have passed.
 #[tokio::test(start_paused = true)]
 async fn claim_taken_over_after_a_death() {
     let (memory, one) = owner().await;
@@ -301,9 +290,7 @@
     assert!(two.right.check(address()).unwrap() > former);
 }
 
-/// Symptom: after a planned stop an engine gets no orders for seconds.
-/// Sequence: the owner leaves in order, long after its last order.
-/// Cause: the successor waits as after a death.
+/// After a planned stop a successor gives orders sooner than it may after a death.
 #[tokio::test(start_paused = true)]
 async fn claim_handed_over_in_order() {
     let (memory, one) = owner().await;
@@ -316,9 +303,7 @@
     assert!(two.right.check(address()).is_some());
 }
 
-/// Symptom: after all nodes were killed at once no adapter is loaded for eight seconds.
-/// Sequence: each starts again on its VM while its former lease still runs.
-/// Cause: its former claims are waited out as if another VM held them.
+/// A node that starts again takes its claims back at once, instead of waiting itself out.
 #[tokio::test(start_paused = true)]
 async fn claim_of_former_start_is_taken_back() {
     let (memory, one) = owner().await;
@@ -329,9 +314,7 @@
     assert!(again.right.check(address()).unwrap() > former);
 }
 
-/// Symptom: a node that stops gives an engine orders until it ends.
-/// Sequence: it gives its claims up and renews its lease a moment later.
-/// Cause: the round after a renewal claims what has no owner.
+/// A node that has given its claims up doesn't claim them again with its next renewal.
 #[tokio::test(start_paused = true)]
 async fn claim_not_made_after_leaving() {
     let (_memory, one) = owner().await;
@@ -341,9 +324,7 @@
     assert_eq!(one.right.check(address()), None);
 }
 
-/// Symptom: no adapter is loaded through an outage of the service and eight seconds more.
-/// Sequence: the service is away for all nodes.
-/// Cause: an owner gives up though nobody can succeed it.
+/// In an outage an owner goes on by the votes of all others, and for no longer than they vote.
 #[tokio::test(start_paused = true)]
 async fn right_lasts_through_an_outage_that_all_have() {
     let (memory, one) = owner().await;
@@ -363,9 +344,7 @@
     assert_eq!(one.right.check(address()), None);
 }
 
-/// Symptom: after an outage in which leases ran out, engines get no orders for seconds.
-/// Sequence: the service returns, all claims are gone; another node comes first in order.
-/// Cause: it takes the claim and has to wait the former owner out, who lives.
+/// A claim that lapsed in an outage goes back to its living owner, whom nobody has to wait out.
 #[tokio::test(start_paused = true)]
 async fn claim_lapsed_in_an_outage_goes_back_to_its_owner() {
     let memory = Arc::new(Memory::default());
@@ -391,10 +370,7 @@
     assert_eq!(owner(&all), before);
 }
 
-/// Symptom: no adapter is loaded for the rest of an outage.
-/// Sequence: the service goes away while another node is restarted; the first question to
-/// it meets a kept connection that is dead.
-/// Cause: a renewal fails so late that the next round of questions comes after the right.
+/// A vote lost on a dead connection is asked for again before the right ends.
 #[tokio::test(start_paused = true)]
 async fn right_lasts_when_a_first_question_is_lost() {
     let (memory, one) = owner().await;
@@ -407,10 +383,7 @@
     }
 }
 
-/// Symptom: two nodes give an engine orders at a time.
-/// Sequence: the service goes away; an owner goes on with the support of all others; a node
-/// that nobody knows starts; the service returns without the owner's claim.
-/// Cause: the new node counts its wait from its start, and claims and orders at once.
+/// A node that starts in an outage waits for previous owners from the outage's end, not its start.
 #[tokio::test(start_paused = true)]
 async fn claim_after_a_start_in_an_outage_waits_from_its_end() {
     let memory = Arc::new(Memory::default());
@@ -426,9 +399,7 @@
     assert!(one.right.check(address()).is_some());
 }
 
-/// Symptom: no adapter is loaded for the rest of an outage in which a node is restarted.
-/// Sequence: the owner asks a node that has started in the outage, and one that stops.
-/// Cause: neither has seen the claims, so neither supports them, though neither can succeed.
+/// A node that has not begun, or has left, can't succeed an owner and votes for it.
 #[tokio::test(start_paused = true)]
 async fn votes_for_before_it_begins_and_after_it_left() {
     let memory = Arc::new(Memory::default());
@@ -445,10 +416,7 @@
     assert!(one.right.votes_for("two", &owned));
 }
 
-/// Symptom: an owner stops giving orders when it alone can't reach the service for a moment.
-/// Sequence: another node that does reach it is asked, and has seen the claims stand.
-/// Cause: reaching the service taken for a reason to refuse, though the successor waits from
-/// when the claims vanish.
+/// A node that reaches the service votes for an owner whose claims it sees stand, and no other.
 #[tokio::test(start_paused = true)]
 async fn votes_for_claims_that_stand() {
     let (_memory, one) = owner().await;
@@ -458,9 +426,7 @@
     assert!(!one.right.votes_for("two", &[(address(), token)]));
 }
 
-/// Symptom: no adapter is loaded for the rest of an outage in which a node is killed.
-/// Sequence: the owner asks a node whose process has ended.
-/// Cause: an address where nobody listens taken for a node that may succeed.
+/// A node whose process has ended counts as a vote, one that doesn't answer as a refusal.
 #[tokio::test]
 async fn refusals_nobody_listens() {
     let clock: Arc<dyn Clock> = Arc::new(Manual::default());
@@ -484,10 +450,7 @@
     assert_eq!(peers, [silent]);
 }
 
-/// Symptom: callers wait seconds for an adapter that other engines could hold.
-/// Sequence: the node that gives an engine its orders is suspended; its port still takes
-/// connections; another node asks it for a load.
-/// Cause: nobody answers and nothing is closed, so the question waits for its whole time.
+/// A load at an owner that is suspended is given up soon, for another engine to be tried.
 #[tokio::test(start_paused = true)]
 async fn load_at_a_silent_owner() {
     let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
@@ -535,11 +498,7 @@
     Arc::clone(&state.upstreams["i-1"])
 }
 
-/// Symptom: no adapter can be loaded anywhere for eight seconds after one node fell silent.
-/// Sequence: nodes are stopped and started again one after the other; the first to be back
-/// takes every engine; the others come back and own none; then the owner is suspended.
-/// Cause: claims stay where they are for as long as their owner lives. Handed over, they
-/// must not be taken up again by an owner whose view is older than its own write.
+/// A node hands over engines beyond its share, and two nodes never give orders to one.
 #[tokio::test(start_paused = true)]
 async fn claims_beyond_a_share_are_handed_over() {
     let memory = Arc::new(Memory::default());
@@ -585,11 +544,7 @@
     }
 }
 
-/// Symptom: after a start of all nodes, half of the engines have no owner for twenty seconds, and
-/// requests whose adapter has to be loaded are refused.
-/// Sequence: many nodes claim engines at the same time, before any has heard of the others.
-/// Cause: a transaction makes many claims or none. One engine that another node has taken in the
-/// meantime fails it, and until the news of that arrives each further one fails alike.
+/// Engines claimed by others meanwhile don't fail a node's other claims round after round.
 #[tokio::test(start_paused = true)]
 async fn claims_taken_though_news_is_late() {
     let engines = 320;
@@ -632,10 +587,7 @@
     memory.change(|state| state.slow = Some((prefix.to_owned(), span)));
 }
 
-/// Symptom: after all nodes were killed at once no adapter is loaded for ten seconds, though each
-/// node was back before its former lease ended.
-/// Sequence: all read the list of thousands of engines at once, which takes longer than a lease.
-/// Cause: former claims are taken back only once engines are known, and have ended by then.
+/// A node takes its previous start's claims back before they end, though engines are still read.
 #[tokio::test(start_paused = true)]
 async fn claim_of_former_start_is_kept_while_engines_are_read() {
     let (memory, one) = owner().await;
@@ -650,9 +602,7 @@
     assert!(again.right.check(address()).is_some());
 }
 
-/// Symptom: after a start of all nodes their leases lapse at once, and all claims with them.
-/// Sequence: a node gets its lease and reads thousands of claims before it writes its record.
-/// Cause: reading takes longer than the lease lasts.
+/// A node's record is written before its lease ends, though reading the claims takes longer.
 #[tokio::test(start_paused = true)]
 async fn record_does_not_wait_for_claims() {
     let memory = Arc::new(Memory::default());
@@ -664,10 +614,7 @@
     assert!(memory.state().entries.contains_key(&key));
 }
 
-/// Symptom: two nodes give an engine orders by turns.
-/// Sequence: a node gets its lease; an owner's claim vanishes; the node reads all claims.
-/// Cause: the wait for whoever owned the engine before counts from the lease, though the claim
-/// stood then.
+/// A claim that vanished while claims were read is waited out from when they were read.
 #[tokio::test(start_paused = true)]
 async fn claim_unknown_waits_from_when_claims_were_read() {
     let memory = Arc::new(Memory::default());
