--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -81,9 +81,7 @@
     assert_eq!((first.after, second.revision), (5, 7));
 }
 
-/// Symptom: a server that drains gets new work again, and nothing corrects it.
-/// Sequence: a node listens from a revision that the other's kept updates don't reach back to.
-/// Cause: the changes between left out without a word.
+/// A listener whose revision kept updates don't reach back to is told so, not left with a gap.
 #[tokio::test]
 async fn listen_gap_ends_the_stream() {
     let hub = hub();
@@ -93,11 +91,7 @@
     assert!(stream.next().await.is_none());
 }
 
-/// Symptom: a route that operators added is unknown at some nodes later than is allowed.
-/// Sequence: configurations come in quick succession; an update with a dozen of them takes 0.6 s
-/// to a listener on a slow link; the next configuration is accepted meanwhile.
-/// Cause: the update told its age when it was sent, so that the listener took it for fresh when it
-/// came, and asked the service itself too late.
+/// An update counts its time on a slow link, so that it isn't relied on for too long.
 #[tokio::test]
 async fn listen_large_update_is_older_when_it_comes() {
     let hub = Hub::new(Arc::new(Manual::default()), Arc::default());
@@ -120,9 +114,7 @@
     assert!(large.age_ms >= 950, "{}", large.age_ms);
 }
 
-/// Symptom: a node's memory grows while another one reads slowly.
-/// Sequence: a listener takes nothing while updates come.
-/// Cause: updates kept for each listener without bound.
+/// A listener that reads nothing is cut off, instead of having updates kept without bound.
 #[tokio::test]
 async fn listen_slow_listener_is_cut_off() {
     let hub = hub();
@@ -156,10 +148,7 @@
     update
 }
 
-/// Symptom: a node's memory grows by more than a hundred megabytes while others listen to it.
-/// Sequence: one after the other, updates as large as the service's answers may be; one listener
-/// takes nothing.
-/// Cause: updates kept by their number, however large they are.
+/// Updates are kept by their size: large ones don't fill memory, and listeners ask the service.
 #[tokio::test]
 async fn listen_oversized_updates_are_not_kept() {
     let hub = hub();
@@ -174,9 +163,7 @@
     assert!(stream.next().await.is_none());
 }
 
-/// Symptom: a node's memory grows while another one on a slow link reads nothing.
-/// Sequence: two nodes listen over sockets; one reads all, the other nothing.
-/// Cause: what waits for a listener kept without bound, in the hub or on its way to the socket.
+/// Updates held for a listener whose socket takes nothing are bounded.
 #[tokio::test]
 async fn listen_over_a_socket_that_takes_nothing() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -200,9 +187,7 @@
     assert!(most <= 24, "{most}");
 }
 
-/// Symptom: callers' streams at one node are late while others of its failure domain are gone.
-/// Sequence: the nodes between are gone, and all of a failure domain listen to the same one.
-/// Cause: everybody who asks is listened to.
+/// A node passes updates on to a bounded number of listeners, and refuses all others.
 #[tokio::test]
 async fn listen_refuses_more_than_it_can_serve() {
     let hub = hub();
@@ -213,9 +198,7 @@
     assert!(hub.listen(0).is_ok());
 }
 
-/// Symptom: a node is told of a change at the last moment, again and again.
-/// Sequence: the node that passes changes on is cut off from the service; others begin to listen.
-/// Cause: only its silence shows it.
+/// A node that the service doesn't answer refuses listeners, which would hear of changes late.
 #[tokio::test]
 async fn listen_refuses_while_it_hears_nothing_itself() {
     let hub = hub();
@@ -332,12 +315,7 @@
     (memory, leader, node)
 }
 
-/// Symptom: calls to the key-value service grow with the fleet.
-/// Sequence: each node asks for itself, about once a second.
-/// Cause: one call a node for what all of a failure domain want to know.
-///
-/// In a minute with a change a second: 60 calls by a node that asks for itself, one at most by
-/// one that listens.
+/// A node that listens to another one makes no calls of its own to the key-value service.
 #[tokio::test(start_paused = true)]
 async fn follow_listens_instead_of_asking() {
     let (memory, leader, node) = two_nodes(Millis::ZERO).await;
@@ -351,9 +329,7 @@
     assert!(node.calls() - listened <= 1);
 }
 
-/// Symptom: calls to the key-value service grow to those of a fleet that passes nothing on.
-/// Sequence: the service answers with changes sorted by their keys.
-/// Cause: an order that the service doesn't promise asked of what is passed on.
+/// Changes that the service sorts by key are passed on, and listeners needn't ask for themselves.
 #[tokio::test(start_paused = true)]
 async fn follow_service_tells_changes_in_an_order_of_its_own() {
     let (memory, leader, node) = two_nodes(Millis::ZERO).await;
@@ -373,9 +349,7 @@
     assert!(node.calls() - listened <= 1);
 }
 
-/// Symptom: a node goes by an old configuration for longer than is allowed.
-/// Sequence: the node that passes changes on falls silent at a moment at which it was up to date.
-/// Cause: silence taken for nothing new.
+/// A change is in force in time though the node that passes changes on falls silent.
 #[tokio::test(start_paused = true)]
 async fn follow_leader_falls_silent() {
     let (memory, leader, node) = two_nodes(Millis::ZERO).await;
@@ -387,9 +361,7 @@
     }
 }
 
-/// Symptom: as above, at nodes whose leader goes on answering.
-/// Sequence: the service turns the leader away and serves the others.
-/// Cause: a living leader taken for one that knows what is new.
+/// A change is in force in time though the leader, still connected, is cut off from the service.
 #[tokio::test(start_paused = true)]
 async fn follow_leader_cut_off_from_the_service() {
     let (memory, leader, node) = two_nodes(Millis::ZERO).await;
@@ -404,9 +376,7 @@
     assert_eq!(leader.version(), 7);
 }
 
-/// Symptom: as above, where the leader passes changes on late.
-/// Sequence: the leader is suspended between a call's answer and passing it on.
-/// Cause: freshness counted from when an update arrives.
+/// A change is in force in time though the leader passes it on late.
 #[tokio::test(start_paused = true)]
 async fn follow_old_updates_are_not_relied_on() {
     let (memory, _leader, node) = two_nodes(Millis(5_000)).await;
@@ -419,9 +389,7 @@
     assert!(node.calls() - before >= 6);
 }
 
-/// Symptom: a server that drains is sent new work by one node, and nothing corrects it.
-/// Sequence: a node asks the service itself and then hears older changes from another.
-/// Cause: changes taken in the order in which they arrive.
+/// An update that is older than what a node knows doesn't make a draining server ready again.
 #[tokio::test(start_paused = true)]
 async fn follow_older_updates_change_nothing() {
     let memory = Arc::new(Memory::default());
@@ -490,9 +458,7 @@
     assert_eq!(asking, 2);
 }
 
-/// Symptom: streams at one node come late, those at its neighbours don't.
-/// Sequence: all nodes of a failure domain listen to the same one, which has a slow link.
-/// Cause: updates that leave one node as often as there are nodes.
+/// No node of a failure domain has to send updates to more than three others.
 #[tokio::test]
 async fn subscription_few_listen_to_one_node() {
     let mut listeners: HashMap<u16, usize> = HashMap::new();
@@ -583,9 +549,7 @@
     (0..12).map(node).collect()
 }
 
-/// Symptom: a node asks another one again and again for what it can't read.
-/// Sequence: the other node, of a release without a bound, passes on all that an outage held up.
-/// Cause: a message that is too large taken for an end like any other.
+/// A node whose update is too large to be read isn't asked for it again and again.
 #[tokio::test]
 async fn subscription_oversized_update() {
     let change = Change {
@@ -613,9 +577,7 @@
     assert_eq!(listen, 10);
 }
 
-/// Symptom: a node takes old changes for new ones, or ends.
-/// Sequence: another one tells of an age from before this node began, and the longest there is.
-/// Cause: an age taken off a time that is smaller.
+/// An age longer than this node has run neither panics nor makes an update look new.
 #[tokio::test]
 async fn subscription_absurd_ages() {
     let ages = [0, 1 << 40, u64::MAX];
@@ -644,9 +606,7 @@
     assert_eq!(one.next(0, Millis::from_secs(20)).await, Heard::Nobody);
 }
 
-/// Symptom: a node asks a dead leader again and again, and the service late.
-/// Sequence: all leaders of the failure domain end at once.
-/// Cause: a leader that refuses connections chosen again at once.
+/// Leaders that refuse connections aren't asked again at once; the service is asked instead.
 #[tokio::test]
 async fn subscription_dead_leaders_are_left_alone() {
     let ended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
