--- a/lib/tests/test_direct_fanout_fuzz.rs
+++ b/lib/tests/test_direct_fanout_fuzz.rs
@@ -629,9 +629,7 @@
     assert_eq!(refused(Refusal::Unused), 1);
 }
 
-/// Symptom: a node holds entries of a later time, and lacks those of an earlier one.
-/// Sequence: three changes of the service; the node hears of the last two only.
-/// Cause: an update that begins behind what is known, taken in nevertheless.
+/// An update that begins behind what is known is refused, as changes between are missing.
 #[test]
 fn replay_gap() {
     let steps = [
@@ -643,9 +641,7 @@
     drop(play(&steps).unwrap());
 }
 
-/// Symptom: an engine that left is there again.
-/// Sequence: an engine is listed and leaves; an update of what is newer holds its entry once more.
-/// Cause: changes outside of an update's revisions taken in.
+/// A change outside of its update's revisions doesn't bring back an engine that left.
 #[test]
 fn replay_older_change() {
     let steps = [
@@ -658,9 +654,7 @@
     drop(play(&steps).unwrap());
 }
 
-/// Symptom: a node's record is that of its former start.
-/// Sequence: a node starts twice; the update has the second start first.
-/// Cause: changes taken in as they are listed.
+/// Changes out of order don't put a node's earlier record in place of the later one.
 #[test]
 fn replay_disordered() {
     let steps = [
@@ -671,9 +665,7 @@
     drop(play(&steps).unwrap());
 }
 
-/// Symptom: streams at an engine are counted no longer, and its connections are made anew.
-/// Sequence: an engine is listed again under its name; the node hears all of it a second time.
-/// Cause: the repeated end of an engine's entry taken for another one.
+/// An update heard twice doesn't make an engine that is still listed anew.
 #[test]
 fn replay_repeated() {
     let runtime = runtime();
@@ -695,18 +687,14 @@
     });
 }
 
-/// Symptom: a node hears of no change any more, until its process is started again.
-/// Sequence: it is told that the service is at the last revision that there can be.
-/// Cause: the service asked for changes behind a revision that it never had.
+/// A node told of the highest possible revision still hears of later changes.
 #[test]
 fn replay_endless() {
     let steps = [Step::Spoilt(Spoilt::Endless, 0, 0), Step::Write(5, 0)];
     drop(play(&steps).unwrap());
 }
 
-/// Symptom: a node lacks changes for good that all others have.
-/// Sequence: it is told of a revision that the service reaches a moment later.
-/// Cause: as above, where a few changes lie between.
+/// A node told of a revision that the service hasn't reached yet misses no change before it.
 #[test]
 fn replay_ahead() {
     let steps = [
@@ -717,9 +705,7 @@
     drop(play(&steps).unwrap());
 }
 
-/// Symptom: an engine's owner is never known again.
-/// Sequence: its claim is told with the last revision that there can be.
-/// Cause: a claim that no later one can be newer than.
+/// A claim with the highest possible revision doesn't hide all later ones.
 #[test]
 fn replay_claim_of_the_end() {
     let steps = [
