--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -77,9 +77,7 @@
     assert_eq!(occupancy.wait(0), Millis(7_500));
 }
 
-/// Symptom: first events come late at an engine with half of its places free.
-/// Sequence: six prompts arrive together, and the engine reads one after the other.
-/// Cause: a queue that only begins when all places are taken.
+/// Prompts that are still unread count as waiting time, though places are free.
 #[test]
 fn occupancy_wait_counts_unread_prompts() {
     let mut occupancy = Occupancy::default();
@@ -117,9 +115,7 @@
     assert_eq!(table.running("i-1"), 0);
 }
 
-/// Symptom: a node keeps counting requests at engines that are gone.
-/// Sequence: an engine leaves while requests are counted there; then they end.
-/// Cause: counts kept by the engine's name for ever.
+/// A request that ends after its engine has left leaves no count behind.
 #[test]
 fn place_outlives_its_engine() {
     let clock: Arc<dyn Clock> = Arc::new(Manual::default());
@@ -143,9 +139,7 @@
     assert!(choice::is_crowded(load(1), 12, true));
 }
 
-/// Symptom: engines bring adapters from the weight store that another one keeps.
-/// Sequence: an adapter's first engine is busier than its second for a moment.
-/// Cause: a home that changes for less than the caller would notice.
+/// An adapter's first engine is left only where it makes the caller wait noticeably longer.
 #[test]
 fn is_better_home_only_where_the_first_is_late() {
     let load = |wait| Load {
@@ -295,9 +289,7 @@
     until_counted(&owner, 1).await;
 }
 
-/// Symptom: an engine looks full for good and gets no requests.
-/// Sequence: a node has requests counted at the engine's owner and is lost.
-/// Cause: a place that only its node can give back.
+/// Requests counted for a node that is lost are given back at the engine's owner.
 #[tokio::test]
 async fn admit_lost_node_gives_its_places_back() {
     let (owner, other) = two_nodes().await;
@@ -365,9 +357,7 @@
     assert!(matches!(answer, Answer::Admitted(..)), "{answer:?}");
 }
 
-/// Symptom: each request loses a tenth of a second while an owner is suspended.
-/// Sequence: the owner's port takes connections, but nobody answers.
-/// Cause: a node that was silent asked again by each request.
+/// An owner that doesn't answer is asked once, and costs later requests no time.
 #[tokio::test(start_paused = true)]
 async fn admit_silent_owner_asked_once() {
     let suspended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -395,10 +385,7 @@
     assert_eq!(began.elapsed(), std::time::Duration::ZERO);
 }
 
-/// Symptom: at the heaviest moments loads are given up by the hundred and begun anew elsewhere.
-/// Sequence: a node waits for a load at an owner that is busy; another request's question for a
-/// place there has no answer in time.
-/// Cause: a late answer to a short question was taken for a node that has gone.
+/// A late answer to an admission doesn't end a load that waits at the same owner.
 #[tokio::test(start_paused = true)]
 async fn load_outlasts_a_late_admission() {
     let busy = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -444,11 +431,7 @@
     (address, hold)
 }
 
-/// Symptom: after an owner's pause its engines get more requests than they have places for.
-/// Sequence: an owner pauses; dozens of questions for a place are given up meanwhile, and all
-/// of it reaches the owner at once.
-/// Cause: many calls that end before they are seen count as an attack and end the connection,
-/// and with it the count of every request that the other node has at the owner's engines.
+/// Many admissions given up at once don't reset the connection that carries a node's counts.
 #[tokio::test]
 async fn admit_counts_outlast_many_late_questions() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -600,12 +583,7 @@
     asked.remove(0).2
 }
 
-/// Symptom: a fifth of a popular adapter's first events come late while places are free.
-/// Sequence: 195 nodes choose among 24 engines by news that is up to 2.3 s old; streams take 1.5 s.
-/// Cause: nodes that heard the same news choose the same engine until they hear of its queue.
-///
-/// Share of requests that begin later than 600 ms at two thirds of the places in use: by news
-/// alone 0.31, with up to three questions to owners none.
+/// Nodes that chose by old news alone would queue a popular adapter's requests at one engine.
 #[test]
 fn ask_popular_adapter_begins_in_time() {
     let before = late_share(false);
