--- a/lib/tests/test_direct_roles.rs
+++ b/lib/tests/test_direct_roles.rs
@@ -49,9 +49,7 @@
     assert_eq!(readers.count(), 4);
 }
 
-/// Symptom: adapters are loaded anew on many engines when one engine leaves.
-/// Sequence: an engine ends, and the others are divided again into readers and writers.
-/// Cause: an order that depends on the place in a list, and not on the engine alone.
+/// An engine that leaves changes the role of one other at most, so that few adapters are reloaded.
 #[test]
 fn split_changes_little_when_an_engine_leaves() {
     let engines: Vec<SocketAddr> = (1..=12).map(address).collect();
@@ -99,9 +97,7 @@
     assert_eq!(mix.readers(2, Millis(9_000)), 1);
 }
 
-/// Symptom: first events come late, for prompts queue at the few engines that read.
-/// Sequence: the mix turns to longer prompts.
-/// Cause: the number of readers is fixed.
+/// The number of reading engines follows the wait for the first event, both up and down.
 #[test]
 fn readers_follow_the_wait_for_the_first_event() {
     let mut mix = late_mix();
@@ -138,9 +134,7 @@
     assert_eq!(mix.readers(12, Millis(9_000)), 0);
 }
 
-/// Symptom: adapters are loaded twice and streams moved though reading delays nobody.
-/// Sequence: two of eighteen engines turn slow, and each of their streams pauses too long.
-/// Cause: late streams counted without where they ran.
+/// Late streams of a few slow engines aren't taken for prompts that delay everyone.
 #[test]
 fn readers_none_for_a_few_slow_engines() {
     let mut mix = Mix::default();
@@ -151,9 +145,7 @@
     }
 }
 
-/// Symptom: as above, right after a start.
-/// Sequence: the first streams of a node happen to be late.
-/// Cause: a share of very few streams.
+/// A few late streams right after a start set no engine apart for reading.
 #[test]
 fn readers_none_before_enough_is_seen() {
     let mut mix = Mix::default();
@@ -253,10 +245,7 @@
     }
 }
 
-/// Symptom: a request begins on a version of its adapter that was replaced 9.5 s before.
-/// Sequence: a stream begins on the old version while that is allowed; behind its first event
-/// it is to move, another engine is asked to load the same version, and a later one moves there.
-/// Cause: the version of the run taken as the one that is wanted.
+/// A stream that began on a replaced version doesn't have that version loaded elsewhere.
 #[test]
 fn may_move_only_on_the_newest_version() {
     assert!(may_move(Some(2), 2, Some(2)));
