--- a/lib/tests/test_direct_reload.rs
+++ b/lib/tests/test_direct_reload.rs
@@ -28,9 +28,7 @@
     (Reload::new(settings(), Arc::clone(&limits)), limits)
 }
 
-/// Symptom: a bound that operators changed has no effect until nodes are restarted.
-/// Sequence: the settings change while the node runs.
-/// Cause: each part kept the bounds that it was made with.
+/// Bounds that operators change are in force at once, without a restart.
 #[test]
 fn take_bounds_at_once() {
     let (reload, limits) = reload();
@@ -50,9 +48,7 @@
     assert_eq!(reload.take(Ok(changed)), Taken::Same);
 }
 
-/// Symptom: a node dies or serves by half of its settings after a mistake in the file.
-/// Sequence: the file is read while it is being written, and again when it is whole.
-/// Cause: what can't be read taken for what is wanted.
+/// Settings that can't be read leave the last good ones in force.
 #[test]
 fn take_mistake_keeps_the_last_good_ones() {
     let (reload, limits) = reload();
