--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -49,9 +49,7 @@
     assert_eq!(bench.engine.runs(), ["r1"]);
 }
 
-/// Symptom: a long answer is lost at every node but its engine's owner.
-/// Sequence: an answer that isn't streamed is longer than the largest message between nodes.
-/// Cause: each piece of an answer became one message, however long.
+/// An answer longer than the largest message between nodes arrives whole.
 #[tokio::test]
 async fn run_long_at_peer() {
     const BYTES: usize = 7 << 20;
@@ -63,11 +61,7 @@
     assert!(seen.clone().unwrap() > BYTES, "{seen:?}");
 }
 
-/// Symptom: streams of many callers break off together while their engines still write.
-/// Sequence: an owner pauses for a moment; meanwhile another node's callers send requests and
-/// go away again, and all of it reaches the owner at once.
-/// Cause: many resets of requests that weren't taken yet count as an attack, and end the
-/// connection that all callers of that node share.
+/// Callers that leave while a peer pauses don't reset the connection that all callers share.
 #[tokio::test]
 async fn run_many_gone_while_peer_pauses() {
     let (bench, node) = owning().await;
@@ -98,11 +92,7 @@
     assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
 }
 
-/// Symptom: streams of many callers break off together while their engines still write.
-/// Sequence: again and again callers go away in the middle of their streams while pieces of
-/// them are on their way.
-/// Cause: each piece that came too late counted as an owner's mistake, for as long as the
-/// connection lived, and the count's bound ended the connection that all callers share.
+/// Pieces that arrive after their callers left don't reset the connection that all callers share.
 #[tokio::test]
 async fn run_many_gone_while_answering() {
     let bench = Bench::with_batch(1_000).await;
@@ -161,9 +151,7 @@
     assert_eq!(failure.await.unwrap_err().detail, "nothing is owned here");
 }
 
-/// Symptom: a request that never left is called unknown, and isn't tried elsewhere.
-/// Sequence: the owner's process is gone, its port refuses connections.
-/// Cause: every error of a call was taken for a broken connection.
+/// A request whose owner refuses the connection was not run, and can be tried elsewhere.
 #[tokio::test]
 async fn run_peer_refuses_connection() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -183,10 +171,7 @@
     }
 }
 
-/// Symptom: a request runs twice.
-/// Sequence: the owner reads the request, the connection is reset before the
-/// answer's head, the entry node tries the next upstream.
-/// Cause: a reset was taken for "never sent".
+/// A request whose connection is reset before the answer's head has an unknown fate.
 #[tokio::test]
 async fn run_reset_before_head() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -210,9 +195,7 @@
     assert_eq!(failure.fate(), Fate::Unknown);
 }
 
-/// Symptom: requests hang until their deadlines while a node is paused.
-/// Sequence: the owner's process stops; its kernel still accepts connections.
-/// Cause: a connection that is open was taken for a peer that lives.
+/// A request at a paused peer ends soon as unknown, since the peer may run it when it wakes.
 #[tokio::test]
 async fn run_at_paused_peer() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -237,11 +220,7 @@
     drop(listener);
 }
 
-/// Symptom: streams break off although their engines still write.
-/// Sequence: the owner's VM is paused for longer than a silent peer is trusted with new
-/// requests, and goes on.
-/// Cause: a begun answer, which nobody can give again, was given up as soon as a request that
-/// can be tried elsewhere.
+/// An answer that has begun outlasts an owner's pause that ends other requests there.
 #[tokio::test]
 async fn run_peer_pauses_while_answering() {
     let (bench, node) = owning().await;
@@ -264,9 +243,7 @@
     assert!(seen.ends_with("data: [DONE]\n\n"), "{seen}");
 }
 
-/// Symptom: a request that must not run twice ends as unknown, though its answer would have come.
-/// Sequence: its owner's VM is paused for longer than a silent peer is trusted, and goes on.
-/// Cause: the request was given up as soon as one that can be tried elsewhere.
+/// A request that is not idempotent outlasts an owner's pause, instead of ending as unknown.
 #[tokio::test]
 async fn run_once_while_peer_pauses() {
     let (bench, node) = owning().await;
@@ -302,9 +279,7 @@
     );
 }
 
-/// Symptom: a caller waits for the rest of a stream until its deadline.
-/// Sequence: the owner's VM loses its power in the middle of an answer.
-/// Cause: a connection that nobody closes was taken for a peer that is only paused.
+/// A stream whose owner lost its power ends as lost, without waiting for the caller's deadline.
 #[tokio::test]
 async fn run_peer_gone_while_answering() {
     let (bench, node) = owning().await;
@@ -324,10 +299,7 @@
     assert_eq!(failure.fate(), Fate::Unknown);
 }
 
-/// Symptom: a request that never left is called unknown, and isn't tried elsewhere.
-/// Sequence: the owner's VM loses its power; requests go on to it until another node owns
-/// the upstream.
-/// Cause: the silent connection was kept for answers that have begun, and took new requests too.
+/// A connection that fell silent takes no new requests, which would have an unknown fate.
 #[tokio::test]
 async fn run_next_after_silence() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -400,9 +372,7 @@
     }
 }
 
-/// Symptom: a caller with every piece of its answer is told that the deadline cut it.
-/// Sequence: the owner says that the answer is whole and pauses before it closes the stream.
-/// Cause: the close was awaited, though the owner's word is what makes an answer whole.
+/// An answer that its owner called whole is whole, though the owner never closes the stream.
 #[tokio::test]
 async fn run_peer_pauses_after_end() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -475,9 +445,7 @@
     }
 }
 
-/// Symptom: a short answer that looks whole.
-/// Sequence: the connection to the owner breaks in the middle of an answer.
-/// Cause: the stream's end was taken for the answer's end.
+/// An answer whose connection breaks midway ends as lost, and doesn't look whole.
 #[tokio::test]
 async fn run_reset_after_head() {
     let (bench, node) = owning().await;
@@ -496,9 +464,7 @@
     assert_eq!(failure.fate(), Fate::Unknown);
 }
 
-/// Symptom: a place stays taken after the caller went away at another node.
-/// Sequence: the caller's node drops the answer half read.
-/// Cause: the reset of the stream didn't reach the attempt.
+/// A caller who leaves at another node gives the place in the engine's batch back.
 #[tokio::test]
 async fn run_dropped_at_other_node() {
     let bench = Bench::with_batch(1).await;
@@ -513,9 +479,7 @@
     text(next).await.unwrap();
 }
 
-/// Symptom: one caller that reads nothing stops the answers of all others.
-/// Sequence: many answers at one peer aren't read, another one is.
-/// Cause: unread bytes use up the window of the connection that all share.
+/// Answers that nobody reads don't use up the connection's window for all others.
 #[tokio::test]
 async fn run_slow_readers_hold_up_nobody() {
     let bench = Bench::with_batch(64).await;
@@ -549,10 +513,7 @@
     node.served.await.unwrap();
 }
 
-/// Symptom: a planned stop of an owner cuts the last pieces of an answer off.
-/// Sequence: the engine has written everything and the owner has let it go, while the last
-/// pieces wait for an entry node whose caller reads slowly; the owner stops.
-/// Cause: the end of what runs was taken for the end of what has arrived.
+/// A planned stop waits for answers that have ended at the engine but not yet arrived.
 #[tokio::test]
 async fn serve_stop_delivers_what_has_ended() {
     let (bench, node) = owning().await;
@@ -628,9 +589,7 @@
     })
 }
 
-/// Symptom: no adapter is loaded any more, anywhere.
-/// Sequence: a node gets leave to load and dies.
-/// Cause: the queue waits for the outcome of a load that nobody makes.
+/// A permit whose holder dies is given back, so that others may load.
 #[tokio::test]
 async fn permit_holder_dies() {
     let node = Node::start(Arc::new(Nobody)).await;
@@ -652,9 +611,7 @@
     drop(leave);
 }
 
-/// Symptom: no adapter is loaded while the queue's owner is away.
-/// Sequence: the owner's port refuses connections.
-/// Cause: leave can only come from the owner.
+/// Adapters are loaded without a permit while the queue's owner refuses connections.
 #[tokio::test]
 async fn permit_owner_away() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -672,9 +629,7 @@
     leave.done(true, Millis(300)).await;
 }
 
-/// Symptom: no adapter is loaded for many seconds while the queue's owner is paused.
-/// Sequence: the owner's process stops; its kernel still accepts connections.
-/// Cause: an ask waited for as long as answers that have begun are waited for.
+/// A request for a permit is given up soon while the queue's owner is paused.
 #[tokio::test]
 async fn permit_owner_silent() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
