--- a/lib/tests/test_peer_tls.rs
+++ b/lib/tests/test_peer_tls.rs
@@ -93,10 +93,7 @@
     text(answer).await.unwrap();
 }
 
-/// Symptom: a stranger gives orders to engines through a node.
-/// Sequence: it connects without a certificate, with another authority's, or
-/// with one that the authority signed for something else than a node.
-/// Cause: the server doesn't ask for a certificate, or doesn't check whose it is.
+/// A client without a node's certificate from the own authority can't run anything at a node.
 #[tokio::test]
 async fn run_stranger() {
     let authority = Authority::new();
@@ -121,9 +118,7 @@
     assert!(bench.engine.runs().is_empty());
 }
 
-/// Symptom: requests go to a machine that isn't a node.
-/// Sequence: something with a certificate of the authority listens at an old address.
-/// Cause: the client checks only the authority.
+/// No request is sent to a peer whose certificate isn't a node's, though the authority signed it.
 #[tokio::test]
 async fn run_at_stranger() {
     let authority = Authority::new();
@@ -151,9 +146,7 @@
     assert_eq!(failure.code, Code::NotOwner, "{failure}");
 }
 
-/// Symptom: a node drops out while its certificates are being replaced.
-/// Sequence: the files are read while only half of them is written.
-/// Cause: what can't be read takes the place of what works.
+/// Certificates that can't be read leave those in use in force.
 #[tokio::test]
 async fn reload_half_written() {
     let authority = Authority::new();
