--- a/lib/tests/test_policy_parts.rs
+++ b/lib/tests/test_policy_parts.rs
@@ -109,9 +109,7 @@
     }
 }
 
-/// Symptom: the loss of a failure domain takes a hot adapter off line.
-/// Sequence: home and first replica lie in one domain, the domain goes.
-/// Cause: replicas were taken by hash alone.
+/// An adapter's first replicas lie in different failure domains, so that no loss takes them all.
 #[test]
 fn rendezvous_replicas_spread_over_domains() {
     let pool = pool(60, None);
@@ -122,9 +120,7 @@
     }
 }
 
-/// Symptom: requests meet a busy or broken upstream again and again.
-/// Sequence: the home passes on, the next request of the adapter arrives.
-/// Cause: the refusal wasn't remembered, or was remembered for good.
+/// An upstream that refused is avoided for a while, and not for good.
 #[test]
 fn order_hint_expires() {
     let (pool, mut router, wanted) = (pool(12, None), router(), adapter(1));
@@ -193,9 +189,7 @@
     tried
 }
 
-/// Symptom: a very hot adapter's requests are refused at its full home while most engines are idle.
-/// Sequence: the adapter needs more upstreams than a request makes tries.
-/// Cause: each request walked the same upstreams from the home on.
+/// A request for a very hot adapter finds an upstream with room within its tries.
 #[test]
 fn order_busy_adapter_finds_wide_spread_within_its_tries() {
     let pool = pool(200, None);
@@ -208,9 +202,7 @@
     }
 }
 
-/// Symptom: one upstream of a spread adapter is full, the others are idle.
-/// Sequence: an adapter is spread; its requests follow one another.
-/// Cause: a fixed order sends all of them to the first upstream.
+/// Requests for a spread adapter begin evenly at its replicas, and not all at the first.
 #[test]
 fn order_spread_adapter_begins_evenly() {
     let (pool, mut router, wanted) = (pool(200, None), router(), adapter(1));
@@ -235,9 +227,7 @@
     );
 }
 
-/// Symptom: replicas of a favourite that has died keep their slots.
-/// Sequence: an adapter is spread wide, then nobody is busy any more.
-/// Cause: a replica count was remembered for good.
+/// An adapter that is no longer busy loses its replicas again.
 #[test]
 fn order_spread_falls_back_to_the_home() {
     let (pool, mut router, wanted) = (pool(200, None), router(), adapter(1));
@@ -249,9 +239,7 @@
     assert_eq!(before, after);
 }
 
-/// Symptom: a cold adapter is loaded again at another upstream for each request.
-/// Sequence: owners pass its requests on because their slots hold adapters in higher demand.
-/// Cause: that answer spread the adapter like a busy upstream's.
+/// A cold adapter that is passed on isn't spread: all nodes try the same upstreams in order.
 #[test]
 fn order_cold_walk_is_the_same_at_every_node() {
     let (pool, wanted) = (pool(200, None), adapter(1));
@@ -303,9 +291,7 @@
     assert!(forecast.rate(&adapter(0), now) > forecast.rate(&adapter(ADAPTERS - 1), now));
 }
 
-/// Symptom: hot adapters stall after a scan of cold ones.
-/// Sequence: one adapter is asked for each 30 s, then a hundred others once each.
-/// Cause: eviction by recency alone, or a single request taken for a new favourite.
+/// A scan of adapters asked for once doesn't displace one that is asked for steadily.
 #[test]
 fn forecast_scan_is_worth_less_than_the_steady() {
     let mut forecast = Forecast::new(1_000);
@@ -319,9 +305,7 @@
     }
 }
 
-/// Symptom: after a shift of popularity yesterday's favourite keeps its slot.
-/// Sequence: an hour of steady requests, then none; another adapter becomes hot.
-/// Cause: a long memory without an end by silence.
+/// An adapter that is no longer asked for loses its rank to the one that is hot now.
 #[test]
 fn forecast_silence_ends_a_favourite() {
     let mut forecast = Forecast::new(1_000);
@@ -335,9 +319,7 @@
     assert!(forecast.rate(&adapter(1), now) > forecast.rate(&adapter(0), now));
 }
 
-/// Symptom: one account's burst delays another's single request.
-/// Sequence: a hundred requests of one account wait, one of another arrives.
-/// Cause: one queue for all accounts.
+/// A burst of one client account doesn't delay another account's request.
 #[test]
 fn queue_burst_delays_only_its_own_account() {
     let mut queue = Queue::new();
@@ -384,9 +366,7 @@
     }
 }
 
-/// Symptom: an urgent request is refused while bulk waits.
-/// Sequence: bulk fills the queue, an urgent request arrives.
-/// Cause: a bound without an order of who gives way.
+/// A full queue refuses its newest bulk request, not the urgent one that arrives.
 #[test]
 fn machine_bulk_gives_way_first() {
     let limits = Limits {
@@ -410,9 +390,7 @@
     assert_eq!(machine.status().waiting, [1, 1, 2]);
 }
 
-/// Symptom: bulk never runs while urgent work lasts.
-/// Sequence: one bulk request waits, urgent ones keep coming.
-/// Cause: strict precedence.
+/// A bulk request runs though urgent ones keep coming.
 #[test]
 fn machine_bulk_is_not_starved() {
     let limits = Limits {
@@ -442,9 +420,7 @@
     panic!("bulk didn't run among 38 urgent requests");
 }
 
-/// Symptom: a request that can't be answered in time takes a load from one that can.
-/// Sequence: its time is shorter than a load.
-/// Cause: admission without a look at the deadline.
+/// A request whose deadline is shorter than a load is refused at once, without a load.
 #[test]
 fn machine_hopeless_deadline_refused_at_once() {
     let mut machine = Machine::new(Limits::default());
@@ -458,9 +434,7 @@
     assert!(failure.retry_after.is_some());
 }
 
-/// Symptom: a load that nobody waits for any more delays all others.
-/// Sequence: a request waits, its caller goes, leave is granted.
-/// Cause: leave used without a look at who waits.
+/// A permit for a load that nobody waits for any more is given back.
 #[test]
 fn machine_unwanted_leave_is_given_back() {
     let mut machine = Machine::new(Limits::default());
@@ -476,9 +450,7 @@
     assert_eq!(machine.granted(&wanted, Millis(2)), [back]);
 }
 
-/// Symptom: a request runs twice.
-/// Sequence: the same attempt reaches the owner twice, the second time while the first waits or runs.
-/// Cause: an id taken for new.
+/// An attempt that arrives twice is queued or run once.
 #[test]
 fn machine_same_id_is_taken_once() {
     let limits = Limits {
@@ -512,9 +484,7 @@
     assert_eq!(starts(&actions).len(), 3);
 }
 
-/// Symptom: a request waits to its deadline though its engine works.
-/// Sequence: the one slot's adapter always has a request running, another adapter is asked for.
-/// Cause: an adapter in use isn't evicted, and this one is never out of use.
+/// A slot whose adapter is never idle is drained for a request that waits for another adapter.
 #[test]
 fn machine_busy_slot_drains_for_who_waits() {
     let limits = Limits {
@@ -546,9 +516,7 @@
     panic!("the slot was never given up");
 }
 
-/// Symptom: a failing adapter holds the queue of the weight store.
-/// Sequence: its load fails, it is asked for again at once, and fails again.
-/// Cause: no backoff.
+/// A failed load is tried again only after a backoff, and its waiters aren't kept for ever.
 #[test]
 fn machine_failed_load_backs_off() {
     let mut machine = Machine::new(Limits::default());
@@ -571,10 +539,7 @@
     assert_eq!(failure.code, Code::LoadFailed);
 }
 
-/// Symptom: an adapter in use is evicted after an engine's restart.
-/// Sequence: a request runs, the engine restarts, the adapter is loaded anew
-/// and used; only now the first request's end is told.
-/// Cause: its pin was taken off the new filling of the slot.
+/// A pin from before a restart doesn't unpin the adapter that was loaded anew and is in use.
 #[test]
 fn slots_old_pin_frees_no_new_filling() {
     let mut table = Table::new(1);
@@ -588,9 +553,7 @@
     assert!(!table.begin(&other, Some(&used), Millis(4)), "it is in use");
 }
 
-/// Symptom: an adapter counts as resident that was evicted, and a request runs on another.
-/// Sequence: a report is taken, an eviction follows, the report arrives.
-/// Cause: a lagging report taken for the truth.
+/// A report from before an eviction or a load doesn't override what happened since.
 #[test]
 fn slots_stale_report_brings_nothing_back() {
     let mut table = Table::new(2);
@@ -635,9 +598,7 @@
     assert_eq!(order, [4, 3, 2, 1]);
 }
 
-/// Symptom: bulk's loads never come while urgent ones do.
-/// Sequence: one bulk ask waits, an urgent one is put in before each grant.
-/// Cause: strict precedence in the store's queue.
+/// A bulk load gets its turn though urgent loads keep coming.
 #[test]
 fn loads_each_class_has_its_turn() {
     let mut queue = loads::Queue::new(loads::Limits::default());
@@ -654,9 +615,7 @@
     panic!("bulk wasn't served in 39 grants");
 }
 
-/// Symptom: no adapter is loaded anywhere any more.
-/// Sequence: leave is granted to a node, the node dies.
-/// Cause: the queue waits for the load's end without a bound.
+/// A permit whose holder never reports ends by itself, so that others may load.
 #[test]
 fn loads_lost_leave_ends() {
     let mut queue = loads::Queue::new(loads::Limits::default());
@@ -668,9 +627,7 @@
     assert_eq!(queue.lost(), 1);
 }
 
-/// Symptom: once some asks can't be met, all wait to their end and few gain.
-/// Sequence: many wait; old ones have little time left, a new one has all.
-/// Cause: first come, first served under overload.
+/// Under congestion the load that still gains most goes first, not the oldest.
 #[test]
 fn loads_congested_serves_what_still_gains() {
     let limits = loads::Limits {
@@ -695,9 +652,7 @@
     assert_eq!(queue.next(now).unwrap().0, (1, 0));
 }
 
-/// Symptom: urgent requests for long answers end late while other engines are nearly idle.
-/// Sequence: a hot adapter's engine runs a large batch, in which each step is slow.
-/// Cause: only a queue counted as busy, not a batch too slow for the deadline.
+/// A batch too slow for a request's deadline counts as busy, so that another upstream is tried.
 #[test]
 fn arrive_passes_on_what_a_large_batch_would_answer_late() {
     let wanted = adapter(1);
