--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -59,10 +59,7 @@
     }
 }
 
-/// Symptom: a node serves an upstream under a token that it has replaced itself.
-/// Sequence: it asks for all keys, writes its claim anew, and gets the answer of
-/// the read after that of the write.
-/// Cause: the read's older claim was put over the newer one.
+/// A read that arrives late doesn't put an older claim in place of the node's own newer one.
 #[test]
 fn read_late_answer() {
     let keys = Keys::new("/p/");
@@ -73,9 +70,7 @@
     assert_eq!(table.claim("u").map(|claim| claim.token), Some(7));
 }
 
-/// Symptom: an owner that has lost its claim comes back for a moment.
-/// Sequence: one replica of the service answers newly, the next one from before.
-/// Cause: an answer was believed though its revision was older.
+/// A read from a replica that is behind doesn't bring an old claim back.
 #[test]
 fn read_stale_replica() {
     let keys = Keys::new("/p/");
@@ -85,9 +80,7 @@
     assert_eq!(table.claim("u").map(|claim| claim.token), Some(6));
 }
 
-/// Symptom: an upstream that operators freed has its old owner again.
-/// Sequence: the claim is removed, this node reads that, a peer still tells of it.
-/// Cause: what a peer knows was taken for news although the read was complete.
+/// A claim that a complete read no longer has isn't taken from a peer again.
 #[test]
 fn learn_claim_removed() {
     let keys = Keys::new("/p/");
@@ -116,9 +109,7 @@
     (Witness::new(Millis::ZERO, quiet), quiet)
 }
 
-/// Symptom: two owners while the service is down for some and up for others.
-/// Sequence: an owner is supported, and a successor asks a second later.
-/// Cause: a witness gave its vote to both.
+/// A witness that voted for an owner doesn't withdraw while its vote may be counted on.
 #[test]
 fn hear_supported_of_late() {
     let (mut witness, now) = witness();
@@ -129,9 +120,7 @@
     assert!(witness.vote(later, &ask(4, Some(5))).withdrawn);
 }
 
-/// Symptom: as above, the other way round.
-/// Sequence: a witness withdraws, then the owner, paused until now, asks.
-/// Cause: the witness forgot that it had withdrawn.
+/// A witness that withdrew never votes for that registration again.
 #[test]
 fn hear_withdrawn() {
     let (mut witness, now) = witness();
@@ -140,9 +129,7 @@
     assert!(witness.vote(now, &ask(6, None)).supported);
 }
 
-/// Symptom: as above.
-/// Sequence: a witness withdraws, is restarted, and is asked by the owner.
-/// Cause: a restart forgets, and the witness spoke at once.
+/// A witness that restarted is silent until every vote that it may have forgotten has ended.
 #[test]
 fn hear_restarted() {
     let (mut witness, quiet) = witness();
@@ -152,12 +139,7 @@
     assert!(witness.vote(quiet, &ask(4, None)).supported);
 }
 
-/// Symptom: nodes that started together give up their upstreams in an outage, 0.1 s
-/// before the first of them supports another.
-/// Sequence: a witness starts and registers; an owner registers after it; the service
-/// goes down, and the owner asks.
-/// Cause: the witness kept silent about a registration that is younger than itself, of
-/// which a former start of it can have promised nothing.
+/// A restarted witness votes at once for a registration that is younger than its own.
 #[test]
 fn hear_restarted_younger_registration() {
     let (mut witness, _) = witness();
@@ -170,11 +152,7 @@
     assert!(witness.vote(soon, &ask(8, None)).supported);
 }
 
-/// Symptom: as of [`hear_restarted`].
-/// Sequence: a witness withdraws, is asked by thousands of other nodes, and is asked by
-/// the owner.
-/// Cause: what the bounded memory forgets may be younger than the witness, which then
-/// speaks as if it had forgotten nothing.
+/// A witness whose memory overflowed doesn't vote as if it had never withdrawn.
 #[test]
 fn hear_forgot_younger_registration() {
     let (mut witness, quiet) = witness();
@@ -208,10 +186,7 @@
     assert_eq!(&chosen[..], &[Name::from("b")]);
 }
 
-/// Symptom: a failure domain is lost while the service is down, and owners in the
-/// other one stop.
-/// Sequence: a region of two failure domains, nine witnesses, five in the lost one.
-/// Cause: all witnesses were of the region.
+/// Witnesses are chosen so that no failure domain has a majority of them.
 #[test]
 fn witnesses_two_domains() {
     let mut nodes: Vec<Record> = (0..20)
@@ -259,9 +234,7 @@
         .collect()
 }
 
-/// Symptom: all upstreams lose their work at once though none has failed.
-/// Sequence: the directory restarts and answers with an empty, then a short list.
-/// Cause: a list was accepted whatever it lacked.
+/// A list that lacks most upstreams is rejected at first, as its source may have restarted.
 #[test]
 fn list_lacks_many() {
     let mut upstreams = Upstreams::new(Guards::all());
@@ -282,9 +255,7 @@
     assert_eq!(upstreams.list(Millis(1000), vms(6)), Verdict::Accepted);
 }
 
-/// Symptom: requests fail again and again at an upstream that answers in between.
-/// Sequence: it fails, is let in, answers, fails again.
-/// Cause: one answer forgave all failures.
+/// An upstream that fails again soon after it answered is held out for longer.
 #[test]
 fn failed_flapping() {
     let mut upstreams = Upstreams::new(Guards::all());
@@ -302,9 +273,7 @@
     assert_eq!(state(&upstreams, 1900), Some(State::Usable));
 }
 
-/// Symptom: a whole pool refuses work though its upstreams are well.
-/// Sequence: a node loses its network for a moment; all its connections fail.
-/// Cause: each upstream was held out by itself, however many were.
+/// Where most of a pool fails at once the node itself may be at fault, and no upstream is held out.
 #[test]
 fn failed_most_of_pool() {
     let mut upstreams = Upstreams::new(Guards::all());
