--- a/lib/tests/test_gossip.rs
+++ b/lib/tests/test_gossip.rs
@@ -109,9 +109,7 @@
     });
 }
 
-/// Symptom: a VM that is replaced during an outage refuses every request.
-/// Sequence: the service is down, a node starts, peers have the configuration.
-/// Cause: only the service was asked.
+/// A node that starts while the key-value service is down gets the configuration from peers.
 #[tokio::test(start_paused = true)]
 async fn fresh_node_while_the_service_is_down() {
     let (net, store) = (Arc::new(Net::default()), store());
@@ -126,9 +124,7 @@
     assert_eq!(theirs.digest, ours.digest);
 }
 
-/// Symptom: a node that started while service and peers were down never serves.
-/// Sequence: nothing answers for minutes, then one peer comes back.
-/// Cause: the start tried once.
+/// A node that starts while nobody answers keeps trying until a peer does.
 #[tokio::test(start_paused = true)]
 async fn fresh_node_alone_keeps_trying() {
     let (net, store) = (Arc::new(Net::default()), store());
@@ -144,9 +140,7 @@
     b.node.in_force(1).await;
 }
 
-/// Symptom: a change takes seconds to nodes that don't watch the service.
-/// Sequence: a watcher sees the change and waits for its next regular exchange.
-/// Cause: only what came from a peer was passed on at once.
+/// A change seen by a watcher goes on to peers at once, without waiting for the next exchange.
 #[tokio::test(start_paused = true)]
 async fn news_goes_on_at_once() {
     let (net, store) = (Arc::new(Net::default()), store());
@@ -167,9 +161,7 @@
     assert!(clock.now().0 < 2_000, "{}", clock.now());
 }
 
-/// Symptom: one stopped process slows down every change.
-/// Sequence: a peer takes connections and never answers; it is drawn again and again.
-/// Cause: exchanges had no bound in time, and nobody remembered the failure.
+/// A peer that takes connections and never answers is asked ever less often.
 #[tokio::test(start_paused = true)]
 async fn silent_peer_costs_little() {
     let (net, store) = (Arc::new(Net::default()), store());
@@ -184,9 +176,7 @@
     assert!(silent < 100, "{silent} of {} calls", calls.len());
 }
 
-/// Symptom: `status` calls a revision fresh that was confirmed half a minute ago.
-/// Sequence: a node is paused with a peer's digest in its buffers, wakes and reads it.
-/// Cause: the age in a request was taken as of now; only an answer proves how old it can be.
+/// A digest that was read late doesn't make an old revision look confirmed just now.
 #[tokio::test(start_paused = true)]
 async fn ages_of_requests_arent_believed() {
     let (net, store) = (Arc::new(Net::default()), store());
@@ -202,9 +192,7 @@
     assert!(a.node.keeper.status().confirmed_age_ms.unwrap() >= before);
 }
 
-/// Symptom: a template comes back that operators had replaced.
-/// Sequence: a node that was cut off for a day is back and tells of its old revision.
-/// Cause: the last to speak was believed.
+/// A peer that was cut off for long is told what is new, and its old revision changes nothing.
 #[tokio::test(start_paused = true)]
 async fn old_peer_changes_nothing() {
     let (net, store) = (Arc::new(Net::default()), store());
@@ -221,9 +209,7 @@
     assert_eq!((a.node.revision(), b.node.revision()), (2, 2));
 }
 
-/// Symptom: during an upgrade the logs of all older nodes are full of one line.
-/// Sequence: newer peers tell of a revision that this node can't read, at each exchange.
-/// Cause: it was tried again each time.
+/// An operation that can't be read is tried and logged once, not at each exchange.
 #[tokio::test(start_paused = true)]
 async fn refused_operation_is_tried_once() {
     let (net, store) = (Arc::new(Net::default()), store());
