--- a/lib/tests/test_config.rs
+++ b/lib/tests/test_config.rs
@@ -54,9 +54,7 @@
     assert_eq!(a.keeper.status().digest, b.keeper.status().digest);
 }
 
-/// Symptom: an operator is told that a change failed, applies it again, and finds it twice.
-/// Sequence: the service makes the write and its answer is lost.
-/// Cause: no answer was taken for no effect.
+/// A change whose write had no answer is found to be accepted, and isn't applied twice.
 #[tokio::test(start_paused = true)]
 async fn apply_answer_lost() {
     let store = store();
@@ -76,10 +74,7 @@
     assert_eq!(history.len(), 4);
 }
 
-/// Symptom: a pipeline that ran its step again applied an old change over a newer one.
-/// Sequence: a change is accepted, its caller loses the answer, another change follows,
-/// the caller asks again with the same identity at another node.
-/// Cause: the identity wasn't remembered.
+/// A change asked for again with its identity isn't applied over a newer one.
 #[tokio::test(start_paused = true)]
 async fn apply_same_identity_again() {
     let store = store();
@@ -95,9 +90,7 @@
     assert_eq!(version(&b, "faults"), "2");
 }
 
-/// Symptom: the change of one of two operators is gone, and nobody was told.
-/// Sequence: both plan on one revision, both apply.
-/// Cause: the later write replaced the earlier one.
+/// Of two changes planned on one revision one is refused, and learns of the other.
 #[tokio::test(start_paused = true)]
 async fn apply_two_operators_at_once() {
     let store = store();
@@ -144,9 +137,7 @@
     assert_eq!((now, &*newest.unwrap().author), (1, "ana"));
 }
 
-/// Symptom: after an outage operators don't know whether their change is in force.
-/// Sequence: the service goes down while a change is written.
-/// Cause: the answer of a call that nobody can know was given as a yes or a no.
+/// A change during an outage is surely not accepted, and can be applied again afterwards.
 #[tokio::test(start_paused = true)]
 async fn apply_service_down() {
     let store = store();
@@ -209,9 +200,7 @@
     assert_eq!(version(&fresh, "faults"), "100");
 }
 
-/// Symptom: templates that operators had replaced are back after an outage.
-/// Sequence: the service restarts with data from before the last changes.
-/// Cause: whatever the service holds was taken for the newest.
+/// A key-value service restored to older data doesn't take nodes back to an older revision.
 #[tokio::test(start_paused = true)]
 async fn node_never_goes_back() {
     let store = store();
@@ -232,9 +221,7 @@
     assert_eq!(version(&fresh, "faults"), "3");
 }
 
-/// Symptom: during an upgrade the older nodes serve half of a change.
-/// Sequence: a newer version writes a template with a field that this one doesn't know.
-/// Cause: the field was dropped in silence and the rest put in force.
+/// A revision that this release can't read is refused whole, and the old one stays in force.
 #[tokio::test(start_paused = true)]
 async fn unreadable_revision_leaves_the_old() {
     let store = store();
@@ -265,9 +252,7 @@
     assert_eq!(Head::decode(head.value).unwrap(), newer);
 }
 
-/// Symptom: the first requests after a version change stall while it loads.
-/// Sequence: a template names another version, and the revision is in force at once.
-/// Cause: nobody fetched the version before requests named it.
+/// A changed version is fetched before it is in force, so that first requests don't stall.
 #[tokio::test(start_paused = true)]
 async fn version_change_is_fetched_ahead() {
     let store = store();
@@ -340,9 +325,7 @@
     assert!(node.keeper.status().confirmed_age_ms.unwrap() < 10_000);
 }
 
-/// Symptom: the service fills up over months.
-/// Sequence: each block of changes makes a snapshot.
-/// Cause: nothing removed the buckets that only old snapshots have.
+/// Buckets that only old snapshots have are removed, so that the service doesn't fill up.
 #[tokio::test(start_paused = true)]
 async fn old_snapshots_are_cleared_away() {
     let store = store();
@@ -362,11 +345,7 @@
     assert_eq!(fresh.keeper.status().digest, node.keeper.status().digest);
 }
 
-/// Symptom: an operator is told that another change won, and that change is their own.
-/// Sequence: a first change is slow, the operator asks again with the same identity at
-/// other nodes; their buckets break each other's guards, and one call is accepted between
-/// another one's two looks.
-/// Cause: whose operation holds the revision wasn't compared again (fuzz-config, seed 1190).
+/// One change asked for at several nodes at once is accepted for all, and loses no race to itself.
 #[tokio::test(start_paused = true)]
 async fn apply_same_identity_at_once() {
     for round in 1..40_u64 {
@@ -430,10 +409,7 @@
     }
 }
 
-/// Symptom: a change is in the history twice.
-/// Sequence: a change is accepted, another follows, the first one's identity is used again
-/// on top of both, and the replica that is asked for the identity is behind.
-/// Cause: the service itself wasn't asked, by a condition, whether the identity is used.
+/// A change isn't applied again where the replica asked for its identity is behind.
 #[tokio::test(start_paused = true)]
 async fn apply_same_identity_behind_a_replica() {
     let lagging = Arc::new(Lagging {
