--- a/lib/tests/test_ports_store.rs
+++ b/lib/tests/test_ports_store.rs
@@ -104,10 +104,7 @@
     assert_eq!((removed.entry, removed.revision), (None, commit.revision));
 }
 
-/// Symptom: a node serves a configuration that was replaced long ago.
-/// Sequence: a watch breaks, the service forgets old changes, the watch starts
-/// again from the old revision.
-/// Cause: a watch that can't begin where it was asked to went on in silence.
+/// A watch from a revision that was compacted away ends with an error, not in silence.
 #[tokio::test]
 async fn watch_compacted() {
     let setup = setup().await;
@@ -119,9 +116,7 @@
     assert!(events.next().await.is_none());
 }
 
-/// Symptom: changes are missed after an outage.
-/// Sequence: the service goes away while a watch waits.
-/// Cause: the end of the stream was taken for "nothing changed".
+/// A watch that is cut by an outage ends with an error, and isn't taken for no change.
 #[tokio::test]
 async fn watch_service_stops() {
     let setup = setup().await;
@@ -131,9 +126,7 @@
     assert!(matches!(ended, Err(Error::NoAnswer(_))), "{ended:?}");
 }
 
-/// Symptom: an operator's change is applied twice, or reported as failed though it holds.
-/// Sequence: the service makes the write, and its answer is lost.
-/// Cause: a broken connection was taken for "nothing happened".
+/// A write whose answer was lost ends as unknown, and the client doesn't repeat it.
 #[tokio::test]
 async fn commit_answer_lost() {
     let setup = setup().await;
@@ -211,9 +204,7 @@
     assert_eq!(setup.standin.counts().limited, refused);
 }
 
-/// Symptom: a write that works in tests is refused in service.
-/// Sequence: one transaction sets a key twice, or has more writes than the service takes.
-/// Cause: the stand-in took what the service doesn't.
+/// The stand-in refuses the transactions that the real service refuses.
 #[tokio::test]
 async fn commit_refused_as_in_service() {
     let setup = setup().await;
--- a/lib/tests/test_ports_upstream.rs
+++ b/lib/tests/test_ports_upstream.rs
@@ -155,11 +155,7 @@
     assert_eq!(report.resident, ["b@2".into()]);
 }
 
-/// Symptom: two nodes give orders to one engine.
-/// Sequence: an owner pauses, another node takes over with a larger token, the
-/// first wakes up and goes on.
-/// Cause: an engine that checks tokens refuses the old one, and the refusal was
-/// not told from other errors.
+/// An order that an engine refuses for its stale fencing token ends as not owner.
 #[tokio::test]
 async fn engine_stale_token() {
     let setup = setup().await;
@@ -185,9 +181,7 @@
     assert_eq!(standin.counts().refused_stale, 2);
 }
 
-/// Symptom: a caller takes half an answer for the whole.
-/// Sequence: the engine stops in the middle of a stream.
-/// Cause: the end of the connection was taken for the end of the answer.
+/// A stream that an engine ends early is reported as cut, and isn't taken for a whole answer.
 #[tokio::test]
 async fn engine_answer_cut() {
     let setup = setup().await;
@@ -295,10 +289,7 @@
     assert_eq!((receipt.runs, receipt.body.as_str()), (1, "total 3"));
 }
 
-/// Symptom: a receipt is booked twice.
-/// Sequence: the service runs the call on a kept connection, and the connection
-/// breaks before the answer.
-/// Cause: the client's pool repeated the request, or the reset was called "not run".
+/// A call reset on a kept connection ends as lost, and the client's pool doesn't repeat it.
 #[tokio::test]
 async fn upstream_reset_after_head() {
     let (standin, _server, service) = service_setup().await;
@@ -317,9 +308,7 @@
     assert_eq!(standin.runs()["second"], 1);
 }
 
-/// Symptom: a call that ran is reported as not run.
-/// Sequence: the service reads the whole call on a new connection and closes it.
-/// Cause: an end without an answer was taken for a failed connect.
+/// A call that was read before the connection closed ends as lost, not as a failed connect.
 #[tokio::test]
 async fn upstream_closed_after_read() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -335,10 +324,7 @@
     server.await.unwrap();
 }
 
-/// Symptom: calls end as unknown whenever a service restarts, though they never left.
-/// Sequence: a kept connection is closed by the service and the client has seen it;
-/// the service listens again.
-/// Cause: the pool handed out the ended connection and its refusal was taken for a loss.
+/// A kept connection that the service closed while idle is replaced, and the call isn't lost.
 #[tokio::test]
 async fn upstream_closed_while_idle() {
     let (standin, server, service) = service_setup().await;
@@ -354,9 +340,7 @@
     assert_eq!(standin.runs()["second"], 1);
 }
 
-/// Symptom: a caller takes the beginning of an answer for the whole.
-/// Sequence: a service declares a length and closes early.
-/// Cause: the end of the body was not held against its length.
+/// An answer shorter than its declared length is reported as cut.
 #[tokio::test]
 async fn upstream_short_body() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
