--- a/lib/tests/test_operators.rs
+++ b/lib/tests/test_operators.rs
@@ -332,9 +332,7 @@
     }
 }
 
-/// Symptom: a node's memory grows until it is killed.
-/// Sequence: an operator's script posts an endless body.
-/// Cause: bodies were collected whole before anything bounded them.
+/// A body beyond the bound is refused, instead of being collected whole in memory.
 #[tokio::test]
 async fn apply_body_too_large() {
     let limits = Limits {
@@ -347,9 +345,7 @@
     assert_eq!(status, 413, "{text}");
 }
 
-/// Symptom: operators can't reach a node, though it answers callers.
-/// Sequence: connections are opened that never send a head, up to the bound.
-/// Cause: a connection without a request was kept for ever.
+/// Connections that never send a head are closed, so that operators can reach the node.
 #[tokio::test]
 async fn stalled_connections_make_room() {
     let limits = Limits {
