--- a/lib/tests/test_ownership_fuzz.rs
+++ b/lib/tests/test_ownership_fuzz.rs
@@ -47,10 +47,7 @@
     }
 }
 
-/// Symptom: an engine unloads an adapter that a request uses.
-/// Sequence: the engine starts anew; its owner, which hasn't heard, loads and starts
-/// on it; the next report tells of the start.
-/// Cause: the owner forgot the pins of what runs in the new slots with the old ones.
+/// Pins of running requests outlast an engine's restart that its owner hears of late.
 #[test]
 fn replay_cold_start_unheard() {
     let steps = vec![
@@ -67,11 +64,7 @@
     replay(362_555_237_418_935_727, (6, 2, 1), steps);
 }
 
-/// Symptom: a successor takes an upstream over while its owner goes on.
-/// Sequence: an owner registers with other witnesses, the answer is lost, a read shows
-/// the old record, and the write takes effect seconds later. The owner asks its old
-/// witnesses for support, the successor asks the new ones to withdraw.
-/// Cause: a write without an answer was taken for one that hadn't happened.
+/// A registration without an answer may take effect later, so a successor can't take over by it.
 #[test]
 fn replay_late_registration() {
     let steps = vec![
@@ -100,10 +93,7 @@
     replay(13_934_760_967_470_069_082, (4, 2, 2), steps);
 }
 
-/// Symptom: a planned stop cuts off requests that the node runs for others.
-/// Sequence: the node drains while it can't reach the service, its right lapses, and
-/// the service is back before its requests have finished.
-/// Cause: upstreams that were given up by a lapse weren't waited for.
+/// A planned stop waits for requests of upstreams that were given up by a lapsed lease.
 #[test]
 fn replay_lapse_while_draining() {
     let steps = vec![
@@ -115,9 +105,7 @@
     replay(2_683_497_640_439_070_046, (3, 1, 2), steps);
 }
 
-/// Symptom: the service's rate is used up by a fleet at rest.
-/// Sequence: sixteen nodes, no faults, two minutes.
-/// Cause: calls that grow with upstreams, or that follow one another without a pause.
+/// Calls to the key-value service by a fleet at rest don't grow with its upstreams.
 #[test]
 fn rest_calls_bounded() {
     let story = Story {
