--- a/lib/src/fate/mod.rs
+++ b/lib/src/fate/mod.rs
@@ -351,10 +351,7 @@
         assert!(machine.certainly_not_run());
     }
 
-    /// Symptom: two work orders for one call.
-    /// Sequence: the upstream runs the call, the connection breaks before the
-    /// answer, the dispatcher sees a reset and tries the next upstream.
-    /// Cause: a reset after the head was sent was taken for "not run".
+    /// A request that is not idempotent isn't retried after a connection was lost behind its head.
     #[test]
     fn fail_lost_not_idempotent() {
         let mut machine = machine(false);
@@ -363,9 +360,7 @@
         assert_eq!(end, (Code::UpstreamLost, Some(Denial::NotIdempotent)));
     }
 
-    /// Symptom: a caller is told "not run", repeats a request, and it runs twice.
-    /// Sequence: the first try is lost on the way back, the second is refused.
-    /// Cause: the last failure's code was reported for the whole request.
+    /// A request whose first try was lost isn't reported as not run because the second was refused.
     #[test]
     fn fail_refused_after_lost() {
         let mut machine = machine(true);
@@ -382,9 +377,7 @@
         assert!(!machine.certainly_not_run());
     }
 
-    /// Symptom: engines crash one after another within seconds.
-    /// Sequence: a request crashes the engine that runs it and is tried again.
-    /// Cause: nothing counted how often one request's fate was unknown.
+    /// A request that keeps ending engines isn't retried further after two unknown fates.
     #[test]
     fn fail_poisoned_request() {
         let mut machine = machine(true);
--- a/lib/tests/test_fate.rs
+++ b/lib/tests/test_fate.rs
@@ -209,9 +209,7 @@
         .quickcheck(holds as fn(Story) -> Result<(), String>);
 }
 
-/// Symptom: an outage of upstreams becomes a storm of retries.
-/// Sequence: requests arrive and all of them fail, each in its own way.
-/// Cause: the bound on tries was each request's own.
+/// Retries of all requests together are bounded, however many fail and in whatever way.
 #[test]
 fn budget_bounds_all_requests() {
     fn holds(codes: Vec<u16>, percent: u32) -> bool {
