--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -411,9 +411,7 @@
         assert_eq!((text.adapter.as_str(), text.tokens), ("a@1", 3));
     }
 
-    /// Symptom: the campaigns count half an answer as whole.
-    /// Sequence: a stream ends in order, but without its last event.
-    /// Cause: the end of the body was taken for the end of the answer.
+    /// A stream that ends in order but without its last event counts as lost, not as whole.
     #[tokio::test]
     async fn read_events_cut() {
         let ending = read("data: {\"choices\":[{\"text\":\"a@1\"}]}\n\n").await;
