--- a/cli/tests/test_daemons.rs
+++ b/cli/tests/test_daemons.rs
@@ -192,9 +192,7 @@
     }
 }
 
-/// Symptom: callers see errors whenever a node is replaced.
-/// Sequence: SIGTERM while requests run; the node closes before it has answered.
-/// Cause: the stop didn't wait for requests in progress, nor for the balancer.
+/// A planned stop, by signal or drain, cuts off no request and loses none of the callers' answers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn daemons_planned_stops() {
     let mut scene = scene("stops").await;
@@ -241,9 +239,7 @@
     scene.truth(&logs.join("\n"));
 }
 
-/// Symptom: callers are refused while the key-value service is down.
-/// Sequence: the service goes down for longer than a lease lasts.
-/// Cause: owners gave their upstreams up although every node still heard them.
+/// Nodes go on serving through an outage of the key-value service that outlasts their leases.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn daemons_store_outage() {
     let mut scene = scene("outage_daemons").await;
@@ -277,9 +273,7 @@
     scene.truth(&logs.join("\n"));
 }
 
-/// Symptom: a node can't be stopped while a caller reads slowly.
-/// Sequence: SIGTERM, then SIGTERM again before everything is answered.
-/// Cause: the second signal was ignored.
+/// A second signal ends a node that drains at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn daemon_second_signal_ends_at_once() {
     let platform = Platform::start(&Plan::default()).await.unwrap();
--- a/cli/tests/test_sessions.rs
+++ b/cli/tests/test_sessions.rs
@@ -151,9 +151,7 @@
     golden!("plan_apply_history_rollback", session.done());
 }
 
-/// Symptom: a colleague's change is gone, and nobody was told.
-/// Sequence: two operators plan on one revision; one applies, then the other.
-/// Cause: an apply that doesn't say on which revision it was planned overwrites.
+/// A change planned on a revision that was replaced meanwhile is refused, not put over the newer one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_lost_race() {
     let scene = scene(2).await;
@@ -185,9 +183,7 @@
     golden!("apply_lost_race", session.done());
 }
 
-/// Symptom: a change is made twice, or reported as failed though it is in force.
-/// Sequence: the key-value service makes the write and its answer is lost.
-/// Cause: a lost answer was taken for a failed write.
+/// A change whose answer was lost isn't made twice, nor reported as failed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_lost_answer() {
     let scene = scene(1).await;
@@ -255,9 +251,7 @@
     golden!("access_roles_and_tokens", record);
 }
 
-/// Symptom: one node is down, and with it all that operators can do.
-/// Sequence: the first node named can't be reached.
-/// Cause: only the first node was asked.
+/// Where the first node can't be reached, the next one is asked.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn nodes_next_one_answers() {
     let scene = scene(1).await;
@@ -281,9 +275,7 @@
     golden!("nodes_next_one_answers", session.done() + &alone.done());
 }
 
-/// Symptom: a change that a node made is reported as failed, and made again by hand.
-/// Sequence: the node takes the call and dies before it answers.
-/// Cause: a broken connection was taken for a refusal.
+/// A change whose node died before its answer is reported as unknown, and can be settled by its id.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_node_dies() {
     let scene = scene(1).await;
