--- a/cli/tests/test_sessions.rs
+++ b/cli/tests/test_sessions.rs
@@ -151,7 +151,7 @@
     golden!("plan_apply_history_rollback", session.done());
 }
 
-/// A change planned on a revision that was replaced meanwhile is refused, not put over the newer one.
+/// A change planned on a revision that was replaced meanwhile is refused, not put over it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_lost_race() {
     let scene = scene(2).await;
