ports: a condition says itself whether it holds

Change: `Condition::{key, holds}` beside the type; the stores ask it. Behaviour stays, no assertion changes.

--- a/lib/src/ports/mod.rs
+++ b/lib/src/ports/mod.rs
@@ -91,6 +91,25 @@
     Unchanged(String, u64),
 }
 
+impl Condition {
+    /// Returns the key that it is about.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Absent(key) | Self::Unchanged(key, _) => key,
+        }
+    }
+
+    /// Whether it holds where this stands under its key.
+    #[must_use]
+    pub fn holds(&self, found: Option<&Entry>) -> bool {
+        match self {
+            Self::Absent(_) => found.is_none(),
+            Self::Unchanged(_, revision) => found.is_some_and(|entry| entry.revision == *revision),
+        }
+    }
+}
+
 /// A write that a commit makes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Write {
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -90,20 +90,12 @@
     }
 
     fn holds(&self, condition: &Condition) -> bool {
-        match condition {
-            Condition::Absent(key) => !self.entries.contains_key(key),
-            Condition::Unchanged(key, revision) => self
-                .entries
-                .get(key)
-                .is_some_and(|entry| entry.revision == *revision),
-        }
+        condition.holds(self.entries.get(condition.key()))
     }
 
     /// Returns what stands under the keys of conditions.
     pub fn under(&self, conditions: &[Condition]) -> Vec<Entry> {
-        let keys = conditions.iter().map(|condition| match condition {
-            Condition::Absent(key) | Condition::Unchanged(key, _) => key,
-        });
+        let keys = conditions.iter().map(Condition::key);
         keys.filter_map(|key| self.entries.get(key))
             .cloned()
             .collect()
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -81,13 +81,7 @@
     }
 
     fn holds(&self, condition: &Condition) -> bool {
-        match condition {
-            Condition::Absent(key) => !self.entries.contains_key(key),
-            Condition::Unchanged(key, revision) => self
-                .entries
-                .get(key)
-                .is_some_and(|entry| entry.revision == *revision),
-        }
+        condition.holds(self.entries.get(condition.key()))
     }
 
     fn check(&self, writes: &[Write]) -> Result<(), Error> {
