--- a/cli/tests/test_sessions.rs
+++ b/cli/tests/test_sessions.rs
@@ -83,6 +83,13 @@
         let nodes: Vec<_> = self.sites.iter().map(|site| site.address).collect();
         Session::new(name).at(&nodes, token)
     }
+
+    /// Applies the first declarations and waits until they are in force.
+    async fn apply_first(&self, session: &mut Session) {
+        let apply = "apply declarations --reason 'first templates'";
+        assert_eq!(session.run(apply).await, 0);
+        in_force(&self.sites[0], 1).await;
+    }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -91,13 +98,7 @@
     let mut session = scene.session("plan_apply", WRITE);
     declare(&session, TEMPLATES);
     assert_eq!(session.run("plan declarations --exit-code").await, 1);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     assert_eq!(session.run("plan declarations --exit-code").await, 0);
     session.note("version 8 of bakery-sales isn't in the weight store yet");
     let adapter = Adapter {
@@ -157,13 +158,7 @@
     let scene = scene(2).await;
     let mut session = scene.session("lost_race", WRITE);
     declare(&session, TEMPLATES);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     session.note("a colleague changes a weight");
     declare(&session, &TEMPLATES.replace("weight: 5", "weight: 9"));
     assert_eq!(
@@ -207,13 +202,7 @@
     let scene = scene(1).await;
     let mut session = scene.session("outage", WRITE);
     declare(&session, TEMPLATES);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     assert_eq!(session.run("status").await, 0);
     session.note("the key-value service goes down");
     scene.store.set(Knobs {
@@ -262,13 +251,7 @@
     let nodes = [dead, scene.sites[0].address];
     let mut session = Session::new("next_node").at(&nodes, WRITE);
     declare(&session, TEMPLATES);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     assert_eq!(session.run("status --all").await, 0);
     let mut alone = Session::new("no_node").at(&[dead], WRITE);
     assert_eq!(alone.run("status").await, 3);
@@ -299,13 +282,7 @@
     let scene = scene(1).await;
     let mut session = scene.session("drain", WRITE);
     declare(&session, TEMPLATES);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     assert_eq!(session.run("drain upstream engine-1").await, 0);
     let unknown = session.run("drain upstream engine-9").await;
     assert_ne!(unknown, 0, "an upstream that nobody has can't be drained");
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -426,20 +426,25 @@
     assert!(!one.right.votes_for("two", &[(address(), token)]));
 }
 
-/// A node whose process has ended counts as a vote, one that doesn't answer as a refusal.
-#[tokio::test]
-async fn refusals_nobody_listens() {
-    let clock: Arc<dyn Clock> = Arc::new(Manual::default());
-    let view = Arc::new(View::default());
+/// A node's orders, without the rest of it.
+fn desks(clock: Arc<dyn Clock>, view: Arc<View>) -> Desks {
     let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
-    let desks = Desks::new(
+    Desks::new(
         view,
         right,
         Arc::new(Speech),
         clock,
         "one".into(),
         Arc::default(),
-    );
+    )
+}
+
+/// A node whose process has ended counts as a vote, one that doesn't answer as a refusal.
+#[tokio::test]
+async fn refusals_nobody_listens() {
+    let clock: Arc<dyn Clock> = Arc::new(Manual::default());
+    let view = Arc::new(View::default());
+    let desks = desks(clock, view);
     let open = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let silent = open.local_addr().unwrap();
     let ended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -456,17 +461,9 @@
     let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
     let view = Arc::new(View::default());
     know_engine(&view);
-    let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
     let suspended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let upstream = own_by(&view, "two", suspended.local_addr().unwrap());
-    let desks = Arc::new(Desks::new(
-        view,
-        right,
-        Arc::new(Speech),
-        clock,
-        "one".into(),
-        Arc::default(),
-    ));
+    let desks = Arc::new(desks(clock, view));
     let running = tokio::spawn(Arc::clone(&desks).run());
     let began = tokio::time::Instant::now();
     let loaded = desks.load(&upstream, &"base/a1".into(), 0).await;
@@ -503,10 +500,7 @@
 async fn claims_beyond_a_share_are_handed_over() {
     let memory = Arc::new(Memory::default());
     let engines = 8;
-    for number in 0..engines {
-        let entry = SERVER.replace("127.0.0.1:9", &format!("127.0.0.1:{}", 9 + number));
-        memory.change(|state| state.put(&format!("servers/i-{}", number + 1), entry, None));
-    }
+    list_engines(&memory, engines);
     let one = node("one", &memory, true);
     pass(&[&one], Millis(4_000)).await;
     assert_eq!(one.right.owned_engines(), engines);
@@ -537,7 +531,7 @@
 }
 
 /// Lists so many engines, at ports of their own.
-fn list_engines(memory: &Memory, engines: u16) {
+fn list_engines(memory: &Memory, engines: usize) {
     for number in 0..engines {
         let entry = SERVER.replace("127.0.0.1:9", &format!("127.0.0.1:{}", 9 + number));
         memory.change(|state| state.put(&format!("servers/i-{}", number + 1), entry, None));
@@ -547,9 +541,9 @@
 /// Engines claimed by others meanwhile don't fail a node's other claims round after round.
 #[tokio::test(start_paused = true)]
 async fn claims_taken_though_news_is_late() {
-    let engines = 320;
+    let engines: u16 = 320;
     let memory = Arc::new(Memory::default());
-    list_engines(&memory, engines);
+    list_engines(&memory, engines.into());
     let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
     let nodes: Vec<Node> = names.iter().map(|name| node(name, &memory, true)).collect();
     let all: Vec<&Node> = nodes.iter().collect();
--- a/lib/tests/test_peer.rs
+++ b/lib/tests/test_peer.rs
@@ -38,6 +38,31 @@
     (bench, node)
 }
 
+/// An owner that is asked at an address.
+fn owner_at(peer: SocketAddr) -> Owner {
+    Owner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        peer,
+    }
+}
+
+/// An owner that the test plays itself.
+async fn listening() -> (TcpListener, Owner) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let owner = owner_at(listener.local_addr().unwrap());
+    (listener, owner)
+}
+
+/// A node's owner, asked at the address of something in between.
+fn through(node: &Node, address: SocketAddr) -> Owner {
+    Owner {
+        peer: address,
+        ..node.owner.clone()
+    }
+}
+
 #[tokio::test]
 async fn run_at_peer() {
     let (bench, node) = owning().await;
@@ -67,10 +92,7 @@
     let (bench, node) = owning().await;
     bench.engine.set(|knobs| knobs.pieces = 100);
     let (address, hold) = held(node.owner.peer).await;
-    let owner = Owner {
-        peer: address,
-        ..node.owner.clone()
-    };
+    let owner = through(&node, address);
     let runner = clients().runner(&owner);
     let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
     answer.body.next().await.unwrap().unwrap();
@@ -99,10 +121,7 @@
     let node = Node::start(bench.registry.clone()).await;
     bench.engine.set(|knobs| knobs.pieces = 1_000_000);
     let (address, hold) = held(node.owner.peer).await;
-    let owner = Owner {
-        peer: address,
-        ..node.owner.clone()
-    };
+    let owner = through(&node, address);
     let runner = clients().runner(&owner);
     let begun = (0..150).map(|number| {
         let attempt = attempt(&format!("gone-{number}"), "plans", true);
@@ -154,13 +173,7 @@
 /// A request whose owner refuses the connection was not run, and can be tried elsewhere.
 #[tokio::test]
 async fn run_peer_refuses_connection() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let owner = Owner {
-        node: "b".into(),
-        incarnation: 1,
-        token: 1,
-        peer: listener.local_addr().unwrap(),
-    };
+    let (listener, owner) = listening().await;
     drop(listener);
     let runner = clients().runner(&owner);
     for _ in 0..2 {
@@ -182,12 +195,7 @@
         stream.readable().await.unwrap();
         let _ = stream.try_read(&mut read);
     });
-    let owner = Owner {
-        node: "b".into(),
-        incarnation: 1,
-        token: 1,
-        peer,
-    };
+    let owner = owner_at(peer);
     let runner = clients().runner(&owner);
     let failure = runner.run(attempt("r1", "plans", true));
     let failure = failure.await.unwrap_err();
@@ -198,13 +206,7 @@
 /// A request at a paused peer ends soon as unknown, since the peer may run it when it wakes.
 #[tokio::test]
 async fn run_at_paused_peer() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let owner = Owner {
-        node: "b".into(),
-        incarnation: 1,
-        token: 1,
-        peer: listener.local_addr().unwrap(),
-    };
+    let (listener, owner) = listening().await;
     let clients = impatient();
     let runner = clients.runner(&owner);
     let failure = runner.run(attempt("r1", "plans", true)).await.unwrap_err();
@@ -226,10 +228,7 @@
     let (bench, node) = owning().await;
     bench.engine.set(|knobs| knobs.pieces = 100);
     let (address, hold) = held(node.owner.peer).await;
-    let owner = Owner {
-        peer: address,
-        ..node.owner.clone()
-    };
+    let owner = through(&node, address);
     let clients = impatient();
     let runner = clients.runner(&owner);
     let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
@@ -248,10 +247,7 @@
 async fn run_once_while_peer_pauses() {
     let (bench, node) = owning().await;
     let (address, hold) = held(node.owner.peer).await;
-    let owner = Owner {
-        peer: address,
-        ..node.owner.clone()
-    };
+    let owner = through(&node, address);
     let clients = impatient();
     let runner = clients.runner(&owner);
     let first = runner.run(attempt("r1", "plans", true)).await.unwrap();
@@ -285,10 +281,7 @@
     let (bench, node) = owning().await;
     bench.engine.set(|knobs| knobs.pieces = 1_000_000);
     let (address, hold) = held(node.owner.peer).await;
-    let owner = Owner {
-        peer: address,
-        ..node.owner.clone()
-    };
+    let owner = through(&node, address);
     let clients = patient_for(Millis::from_secs(1));
     let runner = clients.runner(&owner);
     let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
@@ -302,13 +295,7 @@
 /// A connection that fell silent takes no new requests, which would have an unknown fate.
 #[tokio::test]
 async fn run_next_after_silence() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let owner = Owner {
-        node: "b".into(),
-        incarnation: 1,
-        token: 1,
-        peer: listener.local_addr().unwrap(),
-    };
+    let (listener, owner) = listening().await;
     let clients = impatient();
     let runner = clients.runner(&owner);
     let first = runner.run(attempt("r1", "plans", true));
@@ -375,13 +362,7 @@
 /// An answer that its owner called whole is whole, though the owner never closes the stream.
 #[tokio::test]
 async fn run_peer_pauses_after_end() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let owner = Owner {
-        node: "b".into(),
-        incarnation: 1,
-        token: 1,
-        peer: listener.local_addr().unwrap(),
-    };
+    let (listener, owner) = listening().await;
     let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
     let service = peer_server::PeerServer::new(Pausing);
     let server = tonic::transport::Server::builder().add_service(service);
@@ -451,10 +432,7 @@
     let (bench, node) = owning().await;
     bench.engine.set(|knobs| knobs.pieces = 1_000_000);
     let (address, cut) = relay(node.owner.peer).await;
-    let owner = Owner {
-        peer: address,
-        ..node.owner.clone()
-    };
+    let owner = through(&node, address);
     let runner = clients().runner(&owner);
     let mut answer = runner.run(attempt("r1", "plans", true)).await.unwrap();
     answer.body.next().await.unwrap().unwrap();
@@ -594,11 +572,7 @@
 async fn permit_holder_dies() {
     let node = Node::start(Arc::new(Nobody)).await;
     let (address, cut) = relay(node.owner.peer).await;
-    let through = Owner {
-        peer: address,
-        ..node.owner.clone()
-    };
-    let dying = shared(&clients(), &through);
+    let dying = shared(&clients(), &through(&node, address));
     let leave = loads::Permits::acquire(&*dying, wanted("plans"))
         .await
         .unwrap();
@@ -614,13 +588,7 @@
 /// Adapters are loaded without a permit while the queue's owner refuses connections.
 #[tokio::test]
 async fn permit_owner_away() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let owner = Owner {
-        node: "b".into(),
-        incarnation: 1,
-        token: 1,
-        peer: listener.local_addr().unwrap(),
-    };
+    let (listener, owner) = listening().await;
     drop(listener);
     let shared = shared(&clients(), &owner);
     let leave = loads::Permits::acquire(&*shared, wanted("plans"))
@@ -632,13 +600,7 @@
 /// A request for a permit is given up soon while the queue's owner is paused.
 #[tokio::test]
 async fn permit_owner_silent() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let owner = Owner {
-        node: "b".into(),
-        incarnation: 1,
-        token: 1,
-        peer: listener.local_addr().unwrap(),
-    };
+    let (listener, owner) = listening().await;
     let shared = shared(&impatient(), &owner);
     let leave = loads::Permits::acquire(&*shared, wanted("plans"));
     let leave = tokio::time::timeout(Millis::from_secs(30).duration(), leave).await;
