--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -583,7 +583,7 @@
     asked.remove(0).2
 }
 
-/// Nodes that chose by old news alone would queue a popular adapter's requests at one engine.
+/// Requests for a popular adapter begin in time, which nodes that go by old news alone miss.
 #[test]
 fn ask_popular_adapter_begins_in_time() {
     let before = late_share(false);
--- a/lib/tests/test_direct_roles.rs
+++ b/lib/tests/test_direct_roles.rs
@@ -245,7 +245,7 @@
     }
 }
 
-/// A stream that began on a replaced version doesn't have that version loaded elsewhere.
+/// A stream on a replaced version isn't moved, which would begin that version anew elsewhere.
 #[test]
 fn may_move_only_on_the_newest_version() {
     assert!(may_move(Some(2), 2, Some(2)));
--- a/lib/tests/test_ownership_fuzz.rs
+++ b/lib/tests/test_ownership_fuzz.rs
@@ -64,7 +64,7 @@
     replay(362_555_237_418_935_727, (6, 2, 1), steps);
 }
 
-/// A registration without an answer may take effect later, so a successor can't take over by it.
+/// A registration that takes effect late doesn't let a successor take over from a living owner.
 #[test]
 fn replay_late_registration() {
     let steps = vec![
