--- a/cli/tests/test_sessions.rs
+++ b/cli/tests/test_sessions.rs
@@ -83,6 +83,13 @@
         let nodes: Vec<_> = self.sites.iter().map(|site| site.address).collect();
         Session::new(name).at(&nodes, token)
     }
+
+    /// Applies the first declarations and waits until they are in force.
+    async fn apply_first(&self, session: &mut Session) {
+        let apply = "apply declarations --reason 'first templates'";
+        assert_eq!(session.run(apply).await, 0);
+        in_force(&self.sites[0], 1).await;
+    }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -91,13 +98,7 @@
     let mut session = scene.session("plan_apply", WRITE);
     declare(&session, TEMPLATES);
     assert_eq!(session.run("plan declarations --exit-code").await, 1);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     assert_eq!(session.run("plan declarations --exit-code").await, 0);
     session.note("version 8 of bakery-sales isn't in the weight store yet");
     let adapter = Adapter {
@@ -151,21 +152,13 @@
     golden!("plan_apply_history_rollback", session.done());
 }
 
-/// Symptom: a colleague's change is gone, and nobody was told.
-/// Sequence: two operators plan on one revision; one applies, then the other.
-/// Cause: an apply that doesn't say on which revision it was planned overwrites.
+/// A change planned on a revision that was replaced meanwhile is refused, not put over it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_lost_race() {
     let scene = scene(2).await;
     let mut session = scene.session("lost_race", WRITE);
     declare(&session, TEMPLATES);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     session.note("a colleague changes a weight");
     declare(&session, &TEMPLATES.replace("weight: 5", "weight: 9"));
     assert_eq!(
@@ -185,9 +178,7 @@
     golden!("apply_lost_race", session.done());
 }
 
-/// Symptom: a change is made twice, or reported as failed though it is in force.
-/// Sequence: the key-value service makes the write and its answer is lost.
-/// Cause: a lost answer was taken for a failed write.
+/// A change whose answer was lost isn't made twice, nor reported as failed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_lost_answer() {
     let scene = scene(1).await;
@@ -211,13 +202,7 @@
     let scene = scene(1).await;
     let mut session = scene.session("outage", WRITE);
     declare(&session, TEMPLATES);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     assert_eq!(session.run("status").await, 0);
     session.note("the key-value service goes down");
     scene.store.set(Knobs {
@@ -255,9 +240,7 @@
     golden!("access_roles_and_tokens", record);
 }
 
-/// Symptom: one node is down, and with it all that operators can do.
-/// Sequence: the first node named can't be reached.
-/// Cause: only the first node was asked.
+/// Where the first node can't be reached, the next one is asked.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn nodes_next_one_answers() {
     let scene = scene(1).await;
@@ -268,22 +251,14 @@
     let nodes = [dead, scene.sites[0].address];
     let mut session = Session::new("next_node").at(&nodes, WRITE);
     declare(&session, TEMPLATES);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     assert_eq!(session.run("status --all").await, 0);
     let mut alone = Session::new("no_node").at(&[dead], WRITE);
     assert_eq!(alone.run("status").await, 3);
     golden!("nodes_next_one_answers", session.done() + &alone.done());
 }
 
-/// Symptom: a change that a node made is reported as failed, and made again by hand.
-/// Sequence: the node takes the call and dies before it answers.
-/// Cause: a broken connection was taken for a refusal.
+/// A change whose node died before its answer is reported as unknown, and can be settled by its id.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_node_dies() {
     let scene = scene(1).await;
@@ -307,13 +282,7 @@
     let scene = scene(1).await;
     let mut session = scene.session("drain", WRITE);
     declare(&session, TEMPLATES);
-    assert_eq!(
-        session
-            .run("apply declarations --reason 'first templates'")
-            .await,
-        0
-    );
-    in_force(&scene.sites[0], 1).await;
+    scene.apply_first(&mut session).await;
     assert_eq!(session.run("drain upstream engine-1").await, 0);
     let unknown = session.run("drain upstream engine-9").await;
     assert_ne!(unknown, 0, "an upstream that nobody has can't be drained");
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -63,13 +63,13 @@
     /// Changes of the key-value service that were left aside, by reason.
     pub updates_refused: IntCounterVec,
     /// Updates that weren't passed on to nodes that listen, or would, by reason.
-    pub updates_withheld: IntCounterVec,
+    pub updates_unsent: IntCounterVec,
     /// Orders to engines, by action and outcome.
     pub orders: IntCounterVec,
-    /// Engines whose orders this node took over, by what became of the former owner.
+    /// Engines whose orders this node took over, by what became of the previous owner.
     pub takeovers: IntCounterVec,
-    /// Rounds of asking other nodes for support, by outcome.
-    pub support: IntCounterVec,
+    /// Rounds of asking other nodes to extend the lease, by outcome.
+    pub extensions: IntCounterVec,
     /// Requests in progress at this node.
     pub in_flight: IntGauge,
     /// Callers' connections.
@@ -196,8 +196,8 @@
                 "Updates and changes of the key-value service that were left aside, by reason.",
                 &["reason"],
             ),
-            updates_withheld: maker.counters(
-                "updates_withheld_total",
+            updates_unsent: maker.counters(
+                "updates_unsent_total",
                 "Updates that were not passed on to nodes that listen, or would, by reason.",
                 &["reason"],
             ),
@@ -208,12 +208,12 @@
             ),
             takeovers: maker.counters(
                 "takeovers_total",
-                "Engines taken over, by what became of the former owner.",
+                "Engines taken over, by what became of the previous owner.",
                 &["former"],
             ),
-            support: maker.counters(
-                "support_rounds_total",
-                "Rounds of asking other nodes for support, by outcome.",
+            extensions: maker.counters(
+                "lease_extensions_total",
+                "Rounds of asking other nodes to extend the lease, by outcome.",
                 &["outcome"],
             ),
             in_flight: maker.gauge("requests_in_flight", "Requests in progress at this node."),
