target: an engine with the newest version isn't taken for one with an older

What callers would see: an engine that holds the newest version and turned a request away gets it again at once, instead of another engine that loads the adapter; where it is full, the request uses up its repeats there. 'older' looked at until when a version may be begun on, which has no end for the newest one, nor where nothing is declared. Change: only a version below the declared one is older. Before: version_newest_turned_away_goes_elsewhere failed (begun at the engine that had turned it away).

--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -179,7 +179,7 @@
             Asked::Load(waiting) => waiting,
         };
         if waiting.is_none()
-            && let Some(target) = self.older(field, adapter).await
+            && let Some(target) = self.older(field, adapter, wanted).await
         {
             self.gate
                 .load_soon(self.homes(field, adapter), adapter, wanted);
@@ -217,14 +217,15 @@
     /// Only an engine with a free place will do. In a queue the request could outlast its version,
     /// while the newest one is loaded elsewhere in less time than most queues take. A request
     /// that doesn't show when it begins waits for the newest.
-    async fn older(&self, field: &Field<'_>, adapter: &Name) -> Option<Target> {
+    async fn older(&self, field: &Field<'_>, adapter: &Name, newest: u64) -> Option<Target> {
         if !self.message.kind.streamed() {
             return None;
         }
         let mut asked: SmallVec<[Name; MOST_QUESTIONS]> = SmallVec::new();
         while asked.len() < MOST_QUESTIONS {
             let fits = |upstream: &Upstream| {
-                !asked.contains(&upstream.incarnation)
+                upstream.version(adapter).is_some_and(|held| held < newest)
+                    && !asked.contains(&upstream.incarnation)
                     && !upstream.is_unreachable(field.now)
                     && self.time_to_begin(upstream, adapter) > Millis::ZERO
             };
