target: a free place at an older version goes before a queue at the newest

What callers see: while a newer version of a popular adapter spreads from its first engine, requests wait in the queue there though engines with the older version have free places and may begin on it for seconds more. Change: an older version with a free place is also taken where the newest one's engines expect a queue longer than a load. Hypothesis: a place that is free now begins a request sooner.

--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -178,9 +178,7 @@
             }
             Asked::Load(waiting) => waiting,
         };
-        if waiting.is_none()
-            && let Some(target) = self.older(field, adapter, wanted).await
-        {
+        if let Some(target) = self.older(field, adapter, wanted).await {
             self.gate
                 .load_soon(self.homes(field, adapter), adapter, wanted);
             return Ok(Some(target));
@@ -216,7 +214,8 @@
     ///
     /// Only an engine with a free place will do. In a queue the request could outlast its version,
     /// while the newest one is loaded elsewhere in less time than most queues take. A request
-    /// that doesn't show when it begins waits for the newest.
+    /// that doesn't show when it begins waits for the newest. Where the newest one's engines have
+    /// queues, a free place begins a request sooner than they or a further load would.
     async fn older(&self, field: &Field<'_>, adapter: &Name, newest: u64) -> Option<Target> {
         if !self.message.kind.streamed() {
             return None;
