soak: versions in series, queues before first events, and a strict check of them

The promise: five seconds after a newer version of an adapter was acknowledged, no request begins (its first event) on an older one at any engine. The soak declared versions 1.5 to 5 s apart, spread over nine adapters; engines began what they admitted within 0.12 s; the check looked at arrivals, and only at the first version newer than the run's, so that a fault near that one's acknowledgement excused the run for all later ones.

Change: stories draw, behind all that they drew before, series of two to four versions of one adapter 0.3 to 3 s apart, with slower loads and queues at engines beside them. A request in a queue waits up to 4 s, for its turn (it has not begun, and is turned away unrun when an order replaces its adapter) or behind the head of its answer. The ledger has when a first event was written. `Version` judges each run by each newer version's own acknowledgement; the condition is that the node was in touch since that one and the way to the engine unharmed (a withdrawal can't pass a silent one). Links of other servers and other nodes' ways to the store no longer excuse a run. A run without an event counts from its arrival as before.

`ClosedInCalm` takes a newer version for an explanation only where the request waited without an event at an engine with a queue, 2.5 s or more after a newer version was acknowledged: with the check above such a request has to be taken back, and one that may run once has no other place to go. `Poison` counts from a start's end instead of the request's arrival there, since it may wait now.

--- a/bench/src/soak/judge.rs
+++ b/bench/src/soak/judge.rs
@@ -16,6 +16,8 @@
 const LEAVING: Millis = Millis(2_000);
 const APPLY: Millis = Millis(2_000);
 const VERSION: Millis = Millis(5_000);
+/// Time from a newer version on after which an older one may be left.
+const HAS_TO_GO: Millis = Millis(2_500);
 const WINDOW: Millis = Millis(10_000);
 const EXTRA: f64 = 54.0;
 const RATIO: f64 = 0.2;
@@ -168,8 +170,11 @@
     let spoilt = arrivals.iter().any(|arrival| arrival.spoilt);
     #[allow(clippy::cast_precision_loss, reason = "milliseconds of seconds")]
     let late = call.ended.since(call.sent).0 as f64 > call.ask.deadline.0 as f64 * LATE_SHARE;
+    let replaced = arrivals
+        .iter()
+        .any(|arrival| is_replaced(seen, call, arrival));
     let crossed = arrivals.is_empty() && call.ended.since(call.sent) <= CROSSED;
-    if ends || spoilt || late || (crossed && call.status.is_none()) {
+    if ends || spoilt || late || replaced || (crossed && call.status.is_none()) {
         return None;
     }
     let reached: Vec<usize> = if arrivals.iter().any(|arrival| arrival.ran) {
@@ -224,6 +229,23 @@
     Some(new("ClosedInCalm", call.ended, &call.ask.id, told))
 }
 
+/// Whether a request was taken back that waited at an engine when its version had to go.
+fn is_replaced(seen: &Evidence, call: &Call, arrival: &Arrival) -> bool {
+    let Some((adapter, version)) = &arrival.adapter else {
+        return false;
+    };
+    let waited = !calm(
+        &seen.troubles,
+        &[Scope::Queue(arrival.host)],
+        call.sent,
+        call.ended,
+    );
+    let had_to_go = seen.versions.iter().any(|(name, newer, at)| {
+        name == adapter && newer > version && call.ended.0 >= at.0 + HAS_TO_GO.0
+    });
+    arrival.first.is_none() && waited && had_to_go
+}
+
 fn stops(seen: &Evidence) -> impl Iterator<Item = Violation> {
     let bad = seen.stops.iter().filter(|stop| {
         // Who crashes or can't be reached meanwhile keeps requests from ending.
@@ -331,39 +353,46 @@
     found
 }
 
+/// Runs that begin on a version though a newer one was acknowledged too long before.
+///
+/// Each newer version counts from its own acknowledgement, and a run begins with its first event.
 fn old_versions(seen: &Evidence, by_id: &ById<'_>) -> Vec<Violation> {
     let calls = calls_by_id(seen);
-    let mut found = Vec::new();
     let first_runs = by_id
         .values()
         .flatten()
         .filter(|run| run.ran && run.after == 0);
+    let mut found = Vec::new();
     for arrival in first_runs {
-        let Some((adapter, version)) = &arrival.adapter else {
-            continue;
-        };
-        let newer = seen
-            .versions
-            .iter()
-            .find(|(name, newer, _)| name == adapter && newer > version);
-        let (Some((_, newer, at)), Some(call)) = (newer, calls.get(arrival.id.as_str())) else {
+        let Some(call) = calls.get(arrival.id.as_str()) else {
             continue;
         };
-        let links = seen.troubles.iter().map(|trouble| trouble.scope);
-        let links = links.filter(|scope| matches!(scope, Scope::Link(_) | Scope::StoreLink(_)));
-        let scopes: Vec<Scope> = links.chain(Scope::of_node(call.node)).collect();
-        let touch = calm(&seen.troubles, &scopes, *at, arrival.at);
-        if touch && arrival.at.0 > at.0 + VERSION.0 {
-            let told = format!(
-                "{adapter}@{version} begins at node {}; {newer} was acknowledged at {at}",
-                call.node
-            );
-            found.push(new("Version", arrival.at, &arrival.id, told));
-        }
+        found.extend(old_version(seen, call, arrival));
     }
     found
 }
 
+fn old_version(seen: &Evidence, call: &Call, arrival: &Arrival) -> Option<Violation> {
+    let (adapter, version) = arrival.adapter.as_ref()?;
+    let begun = arrival.first.unwrap_or(arrival.at);
+    let [process, stop, store_link, store] = Scope::of_node(call.node);
+    // A node's withdrawal doesn't reach an engine over a way that is silent.
+    let scopes = [process, stop, store_link, store, Scope::Link(arrival.host)];
+    let broken = |(name, newer, at): &&(String, u64, Millis)| {
+        name == adapter
+            && newer > version
+            && begun.0 > at.0 + VERSION.0
+            && calm(&seen.troubles, &scopes, *at, begun)
+    };
+    let (_, newer, at) = seen.versions.iter().find(broken)?;
+    let told = format!(
+        "{adapter}@{version} begins at node {}, {} after {newer} was acknowledged at {at}",
+        call.node,
+        begun.since(*at),
+    );
+    Some(new("Version", begun, &arrival.id, told))
+}
+
 /// Orders that count: those just behind a thaw or the healing of a link don't.
 fn counted(seen: &Evidence) -> HashMap<&str, Vec<&Order>> {
     let mut by_start: HashMap<&str, Vec<&Order>> = HashMap::new();
@@ -432,7 +461,7 @@
             ended.push(&arrival.server);
         }
         if ended.len() == POISONED {
-            let known = arrival.at + KNOWN;
+            let known = arrival.ended.unwrap_or(arrival.at) + KNOWN;
             let calls = calls_by_id(seen);
             let in_touch = |one: &&&Arrival| {
                 calls.get(one.id.as_str()).is_some_and(|call| {
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -89,7 +89,7 @@
 }
 
 /// Tricks by name.
-const TRICKS: [(&str, Trick); 19] = [
+const TRICKS: [(&str, Trick); 20] = [
     ("twice", Trick::Server(mood::Trick::Twice)),
     ("swapped", Trick::Server(mood::Trick::Swapped)),
     ("looks-whole", Trick::Server(mood::Trick::LooksWhole)),
@@ -98,6 +98,7 @@
     ("false-refusal", Trick::Server(mood::Trick::FalseRefusal)),
     ("other-adapter", Trick::Server(mood::Trick::OtherAdapter)),
     ("old-version", Trick::Server(mood::Trick::OldVersion)),
+    ("late-first", Trick::Server(mood::Trick::LateFirst)),
     ("stale", Trick::Server(mood::Trick::Stale)),
     ("two-holders", Trick::Server(mood::Trick::TwoHolders)),
     ("late-leaving", Trick::Server(mood::Trick::LateLeaving)),
--- a/bench/src/soak/site.rs
+++ b/bench/src/soak/site.rs
@@ -243,7 +243,8 @@
             Act::ServerLink(host, ..) => Scope::Link(host),
             Act::Crash(host, _) => Scope::Crash(host),
             Act::Leave(host) => Scope::Leave(host),
-            Act::Feel(..) | Act::Config | Act::Version(_) => {
+            Act::Queue(host, ..) => Scope::Queue(host),
+            Act::Feel(..) | Act::Loads(..) | Act::Config | Act::Version(_) => {
                 self.harm(act).await?;
                 return Ok(());
             }
@@ -294,12 +295,20 @@
                 sleep(span.duration()).await;
                 self.hosts[host].server.feel(Mood::default());
             }
+            Act::Queue(host, wait, span) => {
+                self.hosts[host].server.queue(wait, span);
+                sleep(span.duration()).await;
+            }
+            Act::Loads(wait, span) => {
+                let engines = self.hosts[..ENGINES].iter();
+                engines.for_each(|host| host.server.slow_loads(wait, span));
+            }
             Act::Crash(host, span) => self.hosts[host].crash(span).await,
             Act::Leave(host) => {
                 let host = &self.hosts[host];
                 let (told, start) = host.server.leave(host.proxy.address).await;
                 lock(&self.left).push((host.server.host, start, told));
-                while host.server.running() > 0 {
+                while host.server.held() > 0 {
                     sleep(AGAIN).await;
                 }
                 host.crash(Millis(300)).await;
--- a/bench/src/soak/story.rs
+++ b/bench/src/soak/story.rs
@@ -21,6 +21,11 @@
 /// Series of faults and the longest pause in each, by the seed.
 const DENSITY: [(usize, u64); 3] = [(2, 8_000), (3, 5_000), (4, 3_000)];
 
+/// Time between two versions of a series, in milliseconds.
+const SERIES: std::ops::Range<u64> = 300..3_000;
+/// The longest wait for a first event while an engine has a queue, in milliseconds.
+const QUEUE: std::ops::Range<u64> = 1_000..4_000;
+
 /// Something that happens.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Act {
@@ -46,6 +51,10 @@
     Crash(usize, Millis),
     /// A server leaves in order, and starts again.
     Leave(usize),
+    /// Requests wait up to so long at an engine for their first event, for a while.
+    Queue(usize, Millis, Millis),
+    /// Loads take so much longer at all engines, for a while.
+    Loads(Millis, Millis),
 }
 
 /// Something that happens, and when.
@@ -83,6 +92,8 @@
     for _ in 0..series {
         every(500, longest, &mut |rng| fault(rng, nodes));
     }
+    // Drawn last, so that the rest of a story stays as it is without them.
+    every(4_000, 12_000, &mut versions);
     steps.retain(|step| step.at.0 < end);
     steps.sort_by_key(|step| step.at);
     steps
@@ -104,6 +115,29 @@
     (0..nodes).map(step).collect()
 }
 
+/// Versions of one adapter within seconds, while requests wait at engines and loads take long.
+fn versions(rng: &mut Pcg64Mcg) -> Vec<Step> {
+    // One of those that are asked for most.
+    let adapter = rng.random_range(1..=ADAPTERS / 3);
+    let span = Millis(rng.random_range(4_000..10_000));
+    let mut acts = vec![(0, Act::Loads(Millis(rng.random_range(0..4_000)), span))];
+    for engine in 0..ENGINES {
+        if rng.random_bool(0.5) {
+            acts.push((0, Act::Queue(engine, Millis(rng.random_range(QUEUE)), span)));
+        }
+    }
+    let mut at = 0;
+    for _ in 0..rng.random_range(2..5) {
+        at += rng.random_range(SERIES);
+        acts.push((at, Act::Version(adapter)));
+    }
+    let step = |(at, act)| Step {
+        at: Millis(at),
+        act,
+    };
+    acts.into_iter().map(step).collect()
+}
+
 fn fault(rng: &mut Pcg64Mcg, nodes: usize) -> Vec<Step> {
     let node = rng.random_range(0..nodes);
     let server = rng.random_range(0..ENGINES + PLAIN);
--- a/bench/src/soak/trouble.rs
+++ b/bench/src/soak/trouble.rs
@@ -26,6 +26,8 @@
     Crash(usize),
     /// A server that leaves in order.
     Leave(usize),
+    /// An engine at which requests wait long for their first event.
+    Queue(usize),
 }
 
 impl Scope {
