stop: requests that outlast a planned stop are answered, and repeated in time where they may be

Cause: the end of a stop was the end of the process. What was in progress then was dropped with its connection, whatever it waited for: a request that had no byte of an answer yet could have been told so. And nothing that waits knows that it has less time at a node that stops. The class is work whose bound ends behind the one of who does it.

Change: the stop's state is a module of its own. At the end of its time, 0.4 s before the process would be killed, what is in progress is cut short: 504 with 3003 where something was sent, 503 with 2004 (not run) where nothing was, a stream without its end as before; each has its `request: ended` line with the true cause, and 0.1 s more for these answers to leave. The exit code is still 3 then: nothing that was cut short counts as whole. While the node stops, a request that may be repeated looks for another upstream at half of the time that the node has left, if that is sooner.

Same cause elsewhere, looked at: a stream's pause before it is continued elsewhere (2.5 s, 4.5 s before its first event) ends before a stop does. Read only: the product's own path stops after drain_limit and tells its callers nothing either.

Tests: the three of platform/tests/test_stop.rs failed before (200 from an answer that came behind the end of the node; a stream that went on behind it; exit code 3 with a free engine beside the silent one) and pass. cargo test of test_node, test_streams, test_moved_streams, test_poison, test_stop: pass.

--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use bytes::Bytes;
@@ -24,6 +24,7 @@
 use super::relay::{self, Cut};
 use super::request::ActiveRequest;
 use super::roles::{Mix, Roles};
+use super::stop::Stop;
 use super::upstream::Upstream;
 use super::view::View;
 use crate::clock::{Clock, Millis};
@@ -78,10 +79,19 @@
     budget: Mutex<Budget>,
     spreading: Mutex<HashMap<Name, Millis>>,
     shares: Mutex<HashMap<Name, Share>>,
-    stopping: AtomicBool,
+    /// The node's planned stop.
+    pub stop: Stop,
     active: AtomicUsize,
 }
 
+/// An answer as it begins.
+enum Begun {
+    /// Its head has come, and the rest is passed on as it comes.
+    Stream(Box<Answer>),
+    /// All of it is there.
+    Whole(Response<Body>),
+}
+
 /// How the engines of a pool share their work at this moment.
 #[derive(Debug, Default)]
 struct Share {
@@ -144,7 +154,7 @@
             service,
             spreading: Mutex::default(),
             shares: Mutex::default(),
-            stopping: AtomicBool::new(false),
+            stop: Stop::default(),
             active: AtomicUsize::new(0),
         }
     }
@@ -152,7 +162,7 @@
     /// Whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        if self.is_stopping() {
+        if self.stop.is_begun() {
             return false;
         }
         let state = self.view.state();
@@ -195,17 +205,6 @@
         metrics.render()
     }
 
-    /// Stops taking callers; what is in progress goes on.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether the node stops.
-    #[must_use]
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
     /// Requests in progress.
     #[must_use]
     pub fn active(&self) -> usize {
@@ -310,7 +309,7 @@
             Ok(response) => response,
             Err(failure) => Self::refuse(&failure),
         };
-        if self.is_stopping() {
+        if self.stop.is_begun() {
             response
                 .headers_mut()
                 .insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -382,24 +381,44 @@
     }
 
     async fn deliver(&self, mut request: ActiveRequest) -> Result<Response<Body>, Failure> {
-        let answer = match request.answer(None).await {
-            Ok(answer) => answer,
+        let begun = tokio::select! {
+            biased;
+            begun = self.begin(&mut request) => begun,
+            () = self.stop.over() => Err(self.cut_short(&request)),
+        };
+        match begun {
+            Ok(Begun::Whole(response)) => {
+                request.end(&End::Answered(response.status().as_u16()));
+                Ok(response)
+            }
+            Ok(Begun::Stream(answer)) => {
+                let head = response_head(&answer);
+                let body = StreamBody::new(relay::body(request, *answer));
+                Ok(Response::from_parts(head, body.boxed_unsync()))
+            }
             Err(failure) => {
                 request.end(&End::Failed(&failure));
-                return Err(failure);
+                Err(failure)
             }
-        };
+        }
+    }
+
+    /// Has a request answered, as far as that goes before its caller gets a byte.
+    async fn begin(&self, request: &mut ActiveRequest) -> Result<Begun, Failure> {
+        let answer = request.answer(None).await?;
         if request.message.kind.streamed() && answer.head.status.is_success() {
-            let head = response_head(&answer);
-            let body = StreamBody::new(relay::body(request, answer));
-            return Ok(Response::from_parts(head, body.boxed_unsync()));
+            return Ok(Begun::Stream(Box::new(answer)));
         }
-        let whole = self.whole(&mut request, answer).await;
-        match &whole {
-            Ok(response) => request.end(&End::Answered(response.status().as_u16())),
-            Err(failure) => request.end(&End::Failed(failure)),
+        self.whole(request, answer).await.map(Begun::Whole)
+    }
+
+    /// Returns what the caller gets whose request outlasts the node.
+    fn cut_short(&self, request: &ActiveRequest) -> Failure {
+        if request.sends() == 0 {
+            return Failure::new(Code::Draining, "the node stops");
         }
-        whole
+        self.stop.note_cut();
+        Failure::new(Code::ExpiredRunning, "no answer before the node stops")
     }
 
     /// Reads an answer whole before it is passed on, so that one that breaks off can be repeated.
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -43,6 +43,7 @@
 pub mod sequence;
 pub mod serve;
 pub mod sse;
+pub mod stop;
 pub mod target;
 
 pub mod upstream;
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -44,6 +44,9 @@
 /// Time before the node would be killed, at which it ends by itself.
 const END_MARGIN: Millis = Millis(400);
 
+/// Time for callers to get the failures of what was cut short.
+const ANSWERS: Millis = Millis(100);
+
 /// Time for the system to send what it has taken in.
 const FLUSH: Millis = Millis(50);
 
@@ -260,11 +263,11 @@
 
     /// Stops: no more callers, orders handed over, what is in progress ended.
     ///
-    /// Returns whether every request was answered.
+    /// Returns whether every request was answered in its own time.
     pub async fn drain(mut self) -> bool {
         let clock = Arc::clone(&self.gate.clock);
         let end = clock.now() + self.limits.get().stop - END_MARGIN;
-        self.gate.stop();
+        self.gate.stop.begin(end);
         give_notice(self.claimer.leave()).await;
         self.closing.cancel();
         // Nothing in progress is not enough: the head of a request can have come in half, and the
@@ -275,13 +278,20 @@
             .await
             .is_err()
         {
-            log::info!("node: callers' connections are left at the end of its time");
+            log::info!("node: what is in progress is cut short at the end of its time");
+            self.gate.stop.end();
+            if tokio::time::timeout(ANSWERS.duration(), &mut self.serving)
+                .await
+                .is_err()
+            {
+                log::info!("node: callers' connections are left");
+            }
         }
         // The last bytes of an answer may still lie in the system's buffers.
         tokio::time::sleep(FLUSH.duration()).await;
-        let left = self.gate.active();
-        log::info!("node: stops with {left} requests in progress");
-        let whole = left == 0;
+        let (left, cut) = (self.gate.active(), self.gate.stop.cut());
+        log::info!("node: stops with {left} requests in progress, {cut} were cut short");
+        let whole = left + cut == 0;
         self.serving.abort();
         self.tasks.abort_all();
         whole
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -93,7 +93,16 @@
     };
     stream::unfold(Some(relay), |relay| async {
         let mut relay = relay?;
-        match relay.next().await {
+        let gate = Arc::clone(&relay.request.gate);
+        let next = tokio::select! {
+            biased;
+            next = relay.next() => next,
+            () = gate.stop.over() => {
+                gate.stop.note_cut();
+                Err(Cut("the node stops".to_owned()))
+            }
+        };
+        match next {
             Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
             Ok(None) => {
                 relay.request.end(&End::Answered(200));
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -150,9 +150,11 @@
                 self.send(&mut sends, target, resume_after);
             }
             let span = self.patience();
+            let stops = self.gate.stop.is_begun();
             let next = tokio::select! {
                 biased;
                 sent = sends.next() => Some(sent),
+                () = self.gate.stop.begun(), if !stops => continue,
                 // Its engine may not have begun it: dropped now, it ends no further one.
                 failure = self.quarantined() => return Err(failure),
                 () = tokio::time::sleep(span.duration()) => None,
@@ -468,11 +470,16 @@
     /// How long to wait for an answer's head before another upstream is looked for.
     fn patience(&self) -> Millis {
         let left = self.until.since(self.now());
-        if self.message.kind.repeatable() && self.sent < self.route.attempts {
-            left.min(Millis(self.route.objective.0 * PATIENCE))
-        } else {
-            left
+        if !self.message.kind.repeatable() || self.sent >= self.route.attempts {
+            return left;
         }
+        let span = left.min(Millis(self.route.objective.0 * PATIENCE));
+        let Some(end) = self.gate.stop.until() else {
+            return span;
+        };
+        // What stands at a silent upstream for as long as the node lives is cut short.
+        let half = Millis(end.since(self.now()).0 / 2);
+        span.min(half.max(LOOK))
     }
 
     /// Takes an answer, or sets a failed one aside if the request may be repeated or still waits
