--- a/lib/src/direct/entry.rs
+++ b/lib/src/direct/entry.rs
@@ -26,6 +26,7 @@
 use super::roles::{Mix, Roles};
 use super::stop::Stop;
 use super::upstream::Upstream;
+use super::versions::Replacements;
 use super::view::View;
 use crate::clock::{Clock, Millis};
 use crate::error::{Code, Failure};
@@ -74,6 +75,8 @@
     pub limits: Arc<Current>,
     /// What may not be sent any more.
     pub quarantine: Arc<Quarantine>,
+    /// Versions that engines were asked to replace lately.
+    pub(super) replacements: Replacements,
     /// The key-value service.
     service: Arc<Metered>,
     budget: Mutex<Budget>,
@@ -151,6 +154,7 @@
             failure_domain,
             budget: Mutex::new(Budget::new(Arc::clone(&limits))),
             limits,
+            replacements: Replacements::default(),
             service,
             spreading: Mutex::default(),
             shares: Mutex::default(),
@@ -266,6 +270,13 @@
         self.shares.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns until when a request may begin on a version of an adapter; none is without end.
+    #[must_use]
+    pub fn begin_by(&self, adapter: &str, version: u64) -> Option<Millis> {
+        let limit = self.limits.get().version;
+        self.view.begin_by(adapter, version, limit)
+    }
+
     /// Has an adapter made present at the first of some engines, without waiting.
     pub fn load_soon(self: &Arc<Self>, homes: Vec<Arc<Upstream>>, adapter: &Name, version: u64) {
         let now = self.clock.now();
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -47,5 +47,6 @@
 pub mod target;
 
 pub mod upstream;
+pub mod versions;
 pub mod vet;
 pub mod view;
