quarantine: an end is looked for in the list for as long as the list is known

The node was suspended from 19.8 to 26.7 s and the service silent from 16.1 to 24.1 s. The end was never reported; with it the request would have been to blame at 30.9 s, two sends earlier.

Cause: behind a proxy, or where a VM lost power, the list alone tells an end. It was looked for during five seconds of the clock, whether or not the list told anything in them. A suspended node wakes up behind them; a silent service tells nothing in them; and for 2.2 s after an outage an entry that vanished meanwhile is only doubted, which counted as alive.

Change: the follower notes up to when all changes are known (View::as_of), and five seconds of that count; an entry that is missing is looked at until it is back or gone. What a node looks for behind the five seconds of the clock it stops to look for when the upstream serves a request (it had not ended, and a later end has another cause), or with the ten minutes after which reports lapse. In follow.rs this is one line beside each of the two places that set `fresh`.

Tests: broke_is_looked_for_while_the_list_is_silent and .._while_the_entry_is_doubted failed before; broke_is_forgotten_once_the_upstream_serves passed before (five seconds) and guards the longer look, broke_is_forgotten_once_the_list_is_known bounds it in touch. The story of the file's first test is a line now.

--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -229,6 +229,7 @@
         // What changed did so behind what was known before.
         self.take(&update.events);
         self.fresh = self.fresh.max(update.as_of);
+        self.view.renew(self.fresh);
         if let Some(hub) = &self.hub {
             hub.publish(update);
         }
@@ -274,6 +275,7 @@
             self.replace(prefix, &listing.entries);
         }
         self.fresh = began;
+        self.view.renew(began);
         let took = self.clock.now().since(began);
         log::info!("follow: everything up to revision {revision} is read, which took {took}");
         Ok(revision)
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -189,14 +189,26 @@
     /// Looks whether an upstream has ended: nobody listens there, or the list says so.
     ///
     /// A VM that lost power or is cut off refuses nothing, and where a new start listens at the
-    /// address already a connection is accepted. The list tells then.
+    /// address already a connection is accepted. The list tells then. While the key-value service
+    /// is silent, or this node suspended, it tells nothing: only time of which it is known counts.
     async fn has_ended(&self, upstream: &Upstream) -> bool {
         if upstream.link.probe().await == Listening::Refused {
             return true;
         }
-        let until = self.clock.now() + WATCHED;
-        while upstream.is_ready() && self.clock.now() < until {
+        let began = self.clock.now();
+        let until = began + WATCHED;
+        let mut served = None;
+        while upstream.is_ready() && (self.view.as_of() < until || upstream.is_missing()) {
             tokio::time::sleep(LOOK.duration()).await;
+            let now = self.clock.now();
+            if now < until {
+                continue;
+            }
+            // What answers so much later had not ended, and what ends it then is something else.
+            let is_alive = upstream.served() != *served.get_or_insert_with(|| upstream.served());
+            if is_alive || now.since(began) >= LAPSE {
+                return false;
+            }
         }
         upstream.was_lost()
     }
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -92,6 +92,7 @@
     ready: AtomicBool,
     running: AtomicU32,
     elsewhere: AtomicU32,
+    served: AtomicU32,
     heard: AtomicU64,
     gone_at: AtomicU64,
     /// Whether it vanished without saying that it leaves.
@@ -152,6 +153,7 @@
             ready: AtomicBool::new(listed.ready),
             running: AtomicU32::new(0),
             elsewhere: AtomicU32::new(0),
+            served: AtomicU32::new(0),
             heard: AtomicU64::new(now.0),
             gone_at: AtomicU64::new(u64::MAX),
             lost: AtomicBool::new(false),
@@ -268,6 +270,12 @@
                 .compare_exchange(u64::MAX, now.0, Ordering::Relaxed, Ordering::Relaxed);
     }
 
+    /// Whether the upstream is missing from the list.
+    #[must_use]
+    pub fn is_missing(&self) -> bool {
+        self.missing_since().is_some()
+    }
+
     /// Returns since when the upstream has been missing from the list.
     #[must_use]
     pub fn missing_since(&self) -> Option<Millis> {
@@ -390,11 +398,18 @@
 
     /// Takes in that a request went well.
     pub fn succeeded(&self) {
+        self.served.fetch_add(1, Ordering::Relaxed);
         let mut health = self.health();
         health.failures = health.failures.saturating_sub(1);
         health.unreachable = false;
     }
 
+    /// Returns how many requests went well.
+    #[must_use]
+    pub fn served(&self) -> u32 {
+        self.served.load(Ordering::Relaxed)
+    }
+
     /// Whether nothing listened there a moment ago.
     #[must_use]
     pub fn is_unreachable(&self, now: Millis) -> bool {
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::{Deserialize, Serialize};
@@ -95,6 +95,7 @@
 pub struct View {
     state: Mutex<State>,
     out_of_touch: AtomicBool,
+    as_of: AtomicU64,
     /// Wakes whoever waits for a change.
     pub changed: Notify,
 }
@@ -135,6 +136,17 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes up to when all changes are known.
+    pub fn renew(&self, as_of: Millis) {
+        self.as_of.fetch_max(as_of.0, Ordering::Relaxed);
+    }
+
+    /// Returns up to when all changes are known.
+    #[must_use]
+    pub fn as_of(&self) -> Millis {
+        Millis(self.as_of.load(Ordering::Relaxed))
+    }
+
     /// Notes whether the key-value service answered the last call.
     pub fn touched(&self, answered: bool) {
         let lost = self.out_of_touch.swap(!answered, Ordering::Relaxed);
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -285,3 +285,21 @@
     assert_eq!(newest.version, 2);
     assert!(newest.since <= named, "{newest:?}, named at {named}");
 }
+
+/// What the list showed before an outage is taken for what it shows now.
+#[tokio::test(start_paused = true)]
+async fn view_as_of_stands_still_in_an_outage() {
+    let followed = start();
+    followed.configure(1);
+    pass(Millis(3_000)).await;
+    let before = followed.view.as_of();
+    assert!(before > Millis::ZERO);
+    followed.memory.change(|state| state.away = true);
+    pass(Millis(3_000)).await;
+    let lost = followed.view.as_of();
+    pass(Millis(20_000)).await;
+    assert_eq!(followed.view.as_of(), lost);
+    followed.memory.change(|state| state.away = false);
+    pass(Millis(4_000)).await;
+    assert!(followed.view.as_of() > lost + Millis(20_000));
+}
--- a/lib/tests/test_direct_quarantine.rs
+++ b/lib/tests/test_direct_quarantine.rs
@@ -105,10 +105,85 @@
     panic!("{what} never came");
 }
 
-/// Symptom: a request that ended an engine goes free, and ends the next ones.
-/// Sequence: on a slow VM the connections to an engine that ended are seen to break over more
-/// time than they are gathered in; what is seen later is reported by itself.
-/// Cause: a node's second report of an upstream in the place of its first.
+/// An upstream at whose address somebody accepts connections, as a proxy does.
+fn behind_a_proxy() -> (TcpListener, Arc<Upstream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut listed = listed("i-1", &[]);
+    listed.address = listener.local_addr().unwrap();
+    let upstream = Arc::new(Upstream::new(&listed, 8, Millis::ZERO));
+    (listener, upstream)
+}
+
+async fn pass(span: Millis) {
+    tokio::time::sleep(span.duration()).await;
+}
+
+/// An end that only the list shows is missed where the key-value service is silent meanwhile.
+#[tokio::test(start_paused = true)]
+async fn broke_is_looked_for_while_the_list_is_silent() {
+    let world = world();
+    let (_listener, upstream) = behind_a_proxy();
+    let suspect = request("/x");
+    world
+        .quarantine
+        .broke(&upstream, suspect.clone(), Sign::Begun);
+    pass(Millis(30_000)).await;
+    assert_eq!(world.ends(&suspect), 0);
+    upstream.retire();
+    until("the report", || world.ends(&suspect) == 1).await;
+}
+
+/// An entry that is missing after an outage, and not yet taken for gone, is taken for alive.
+#[tokio::test(start_paused = true)]
+async fn broke_is_looked_for_while_the_entry_is_doubted() {
+    let world = world();
+    let (_listener, upstream) = behind_a_proxy();
+    let suspect = request("/x");
+    world
+        .quarantine
+        .broke(&upstream, suspect.clone(), Sign::Begun);
+    upstream.missing(Millis(1));
+    world.view.renew(Millis(60_000));
+    pass(Millis(7_000)).await;
+    upstream.retire();
+    until("the report", || world.ends(&suspect) == 1).await;
+}
+
+/// A request is blamed for an end that came long after its connection broke.
+#[tokio::test(start_paused = true)]
+async fn broke_is_forgotten_once_the_upstream_serves() {
+    let world = world();
+    let (_listener, upstream) = behind_a_proxy();
+    let suspect = request("/x");
+    world
+        .quarantine
+        .broke(&upstream, suspect.clone(), Sign::Begun);
+    pass(Millis(10_000)).await;
+    upstream.succeeded();
+    pass(Millis(1_000)).await;
+    upstream.retire();
+    pass(Millis(1_000)).await;
+    assert_eq!(world.ends(&suspect), 0);
+}
+
+/// A request is blamed for an end that came after the list had shown its upstream alive.
+#[tokio::test(start_paused = true)]
+async fn broke_is_forgotten_once_the_list_is_known() {
+    let world = world();
+    let (_listener, upstream) = behind_a_proxy();
+    let suspect = request("/x");
+    world
+        .quarantine
+        .broke(&upstream, suspect.clone(), Sign::Begun);
+    pass(Millis(2_000)).await;
+    world.view.renew(Millis(60_000));
+    pass(Millis(1_000)).await;
+    upstream.retire();
+    pass(Millis(1_000)).await;
+    assert_eq!(world.ends(&suspect), 0);
+}
+
+/// What a node sees later of an upstream's end takes the place of what it reported before.
 #[tokio::test]
 async fn broke_later_adds_to_what_was_reported() {
     let world = world();
