stop: a node reports what it saw of upstreams' ends before it ends

Nobody else had seen these ends.

Cause: a stop ended as soon as no request was in progress, also while an end was looked for (some three to five seconds) or a report waited to be written. The class is work without a caller that a planned stop cuts off.

Nothing waits where no connection to an upstream broke lately.

--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -270,23 +270,8 @@
         self.gate.stop.begin(end);
         give_notice(self.claimer.leave()).await;
         self.closing.cancel();
-        // Nothing in progress is not enough: the head of a request can have come in half, and the
-        // last bytes of an answer can wait for a slow caller. Ended then, the process would cut
-        // both off. Connections without either are closed at once.
-        let left = end.since(clock.now());
-        if tokio::time::timeout(left.duration(), &mut self.serving)
-            .await
-            .is_err()
-        {
-            log::info!("node: what is in progress is cut short at the end of its time");
-            self.gate.stop.end();
-            if tokio::time::timeout(ANSWERS.duration(), &mut self.serving)
-                .await
-                .is_err()
-            {
-                log::info!("node: callers' connections are left");
-            }
-        }
+        self.finish(end).await;
+        self.report(end).await;
         // The last bytes of an answer may still lie in the system's buffers.
         tokio::time::sleep(FLUSH.duration()).await;
         let (left, cut) = (self.gate.active(), self.gate.stop.cut());
@@ -296,6 +281,42 @@
         self.tasks.abort_all();
         whole
     }
+
+    /// Waits until what is in progress has ended, and cuts it short at `end`.
+    ///
+    /// Nothing in progress is not enough: the head of a request can have come in half, and the
+    /// last bytes of an answer can wait for a slow caller. Ended then, the process would cut
+    /// both off. Connections without either are closed at once.
+    async fn finish(&mut self, end: Millis) {
+        let left = end.since(self.gate.clock.now());
+        let serving = &mut self.serving;
+        if tokio::time::timeout(left.duration(), &mut *serving)
+            .await
+            .is_ok()
+        {
+            return;
+        }
+        log::info!("node: what is in progress is cut short at the end of its time");
+        self.gate.stop.end();
+        if tokio::time::timeout(ANSWERS.duration(), serving)
+            .await
+            .is_err()
+        {
+            log::info!("node: callers' connections are left");
+        }
+    }
+
+    /// Waits until all that this node saw of upstreams' ends is reported, until `end` at most.
+    async fn report(&self, end: Millis) {
+        let left = end.since(self.gate.clock.now());
+        let reported = self.gate.quarantine.reported();
+        if tokio::time::timeout(left.duration(), reported)
+            .await
+            .is_err()
+        {
+            log::info!("node: what it saw of upstreams' ends isn't all reported");
+        }
+    }
 }
 
 /// Gives claims up while the balancer notices that the node stops.
--- a/lib/src/direct/outbox.rs
+++ b/lib/src/direct/outbox.rs
@@ -9,6 +9,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use serde::Serialize;
+use tokio::sync::Notify;
 
 use super::dialect::Dialect;
 use crate::clock::{Clock, Millis};
@@ -63,6 +64,8 @@
     clock: Arc<dyn Clock>,
     others: Arc<dyn Others>,
     waiting: Mutex<Waiting>,
+    /// Wakes whoever waits until nothing waits.
+    emptied: Notify,
     /// The lease of new records, and when it was granted.
     granted: Mutex<Option<(LeaseId, Millis)>>,
 }
@@ -84,6 +87,7 @@
             clock,
             others,
             waiting: Mutex::default(),
+            emptied: Notify::new(),
             granted: Mutex::default(),
         }
     }
@@ -118,6 +122,19 @@
         }
     }
 
+    /// Waits until all records are written.
+    pub async fn written(&self) {
+        loop {
+            let emptied = self.emptied.notified();
+            let mut emptied = std::pin::pin!(emptied);
+            emptied.as_mut().enable();
+            if !self.waiting().is_sending {
+                return;
+            }
+            emptied.await;
+        }
+    }
+
     async fn send_all(&self) {
         let mut pause = PAUSE;
         while let Some(mut records) = self.next() {
@@ -155,6 +172,7 @@
         let mut waiting = self.waiting();
         if waiting.records.is_empty() {
             waiting.is_sending = false;
+            self.emptied.notify_waiters();
             return None;
         }
         let count = waiting.records.len().min(AT_ONCE);
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -166,6 +166,22 @@
         }
     }
 
+    /// Waits until nothing is examined any more and all reports are written.
+    ///
+    /// A node that ends before takes what it saw of an upstream's end with it.
+    pub async fn reported(&self) {
+        loop {
+            let concluded = self.concluded.notified();
+            let mut concluded = std::pin::pin!(concluded);
+            concluded.as_mut().enable();
+            if self.examining().is_empty() {
+                break;
+            }
+            concluded.await;
+        }
+        self.outbox.written().await;
+    }
+
     /// Takes in that an upstream ran a request without harm.
     pub fn survived(&self, request: &Fingerprint) {
         self.survivors().remember(request.clone(), self.clock.now());
