claims: whoever ends or leaves before its turn leaves the wait behind

Cause: a claim that an earlier start of the same node made was taken for leave to order at once, whatever that start still waited for. The class is a wait that is known to one process only. The same stands where a node gives a claim up before it could order: it said that its last order was a whole turn ago, as it had given none, and its successor ordered at once (two planned stops within three seconds).

Change: a claim tells from when on its start may order, by the clock that counts from the VM's boot, and the boot. The next start on the VM waits until then; in another boot, or behind a claim of an older release, as for an unknown owner. Who leaves before that tells the rest of the wait as the age of the last order. A claim is 30 to 50 bytes longer; no further call.

Tests: claim_of_former_start_waits_as_that_one_did and claim_handed_over_before_its_turn_waits_on failed before. Later starts in these tests count from the same boot as the first, as processes on one VM do; before, each began at the same time of its own.

--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -10,6 +10,7 @@
 
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A point in time since the clock's start, or a span, in milliseconds.
 ///
@@ -115,6 +116,9 @@
     }
 }
 
+/// Where the system tells which boot this is.
+const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
+
 /// The system's clock that also runs while the VM is suspended.
 ///
 /// A process that was suspended wakes up with its monotonic clock where it
@@ -132,6 +136,16 @@
     }
 }
 
+impl Boot {
+    /// Returns what distinguishes the boot that the clock counts from.
+    ///
+    /// Where the system doesn't tell, each call returns another one.
+    #[must_use]
+    pub fn id() -> u64 {
+        std::fs::read(BOOT_ID).map_or_else(|_| rand::random(), |id| xxh3_64(&id))
+    }
+}
+
 /// A clock that a test sets.
 #[derive(Debug, Default)]
 pub struct Manual {
--- a/lib/src/direct/claim.rs
+++ b/lib/src/direct/claim.rs
@@ -17,8 +17,9 @@
 
 use super::dialect::{Dialect, Key};
 use super::follow::NODES;
+use super::former::Former;
 use super::limits::{Current, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN};
-use super::right::Right;
+use super::right::{Owned, Right};
 use super::view::{CLAIMS, Claim, Peer, Standing, State, View, claimed};
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
@@ -54,44 +55,6 @@
 /// Each costs a call; what is left is tried in the next round.
 const CLAIM_TRIES: u32 = 3;
 
-/// What became of the node that gave an engine its orders before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Former {
-    /// There was none.
-    Nobody,
-    /// It is this node, or an earlier start of it.
-    Itself,
-    /// It gave the claim up, this long after its last order.
-    Left { at: Millis, idle: Millis },
-    /// Its claim vanished with its lease.
-    Vanished { at: Millis },
-    /// Whoever it was before this node began to look may believe in its claim still.
-    Unknown,
-}
-
-impl Former {
-    /// Returns the name used in logs and metrics.
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Nobody => "nobody",
-            Self::Itself => "itself",
-            Self::Left { .. } => "left",
-            Self::Vanished { .. } => "vanished",
-            Self::Unknown => "unknown",
-        }
-    }
-
-    /// Returns when its right has surely ended and a turn has passed.
-    fn waited_out(self, turn: Millis, began: Millis) -> Millis {
-        match self {
-            Self::Nobody | Self::Itself => Millis::ZERO,
-            Self::Left { at, idle } => at + (turn - idle.min(turn)),
-            Self::Vanished { at } => at + RIGHT + turn,
-            Self::Unknown => began + RIGHT + turn,
-        }
-    }
-}
-
 /// An engine that a node may claim.
 #[derive(Debug)]
 struct Wanted {
@@ -100,6 +63,10 @@
     left: Option<Standing>,
     /// Whether it is a claim that an earlier start of the same node left.
     former: bool,
+    /// Who gave the orders before.
+    before: Former,
+    /// From when on this node may give them.
+    from: Millis,
     /// Nodes that come before this one, as far as they are known.
     rank: u64,
     /// This node's weight for the engine: of two engines, others come before it at this one less
@@ -107,19 +74,6 @@
     weight: u64,
 }
 
-impl Wanted {
-    /// A claim that an earlier start of the same node left.
-    fn former(address: SocketAddr, standing: &Standing) -> Self {
-        Self {
-            address,
-            left: Some(standing.clone()),
-            former: true,
-            rank: 0,
-            weight: 0,
-        }
-    }
-}
-
 /// A node that gave no support.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Doubter {
@@ -167,6 +121,8 @@
     pub node: Name,
     /// This node's record.
     pub peer: Peer,
+    /// The boot that the clock counts from.
+    pub boot: u64,
     /// Whether no node has run before.
     pub first_start: bool,
 }
@@ -202,7 +158,13 @@
     /// Whether the follower has read everything, or claims of an earlier start of this node.
     fn can_claim(&self) -> bool {
         let state = self.view.state();
-        state.config.is_some() || !self.former_claims(&state).is_empty()
+        let has_former = || {
+            state
+                .claims
+                .values()
+                .any(|standing| self.is_former(standing))
+        };
+        state.config.is_some() || has_former()
     }
 
     /// Returns when this node began to look at claims, which is when it got its first lease.
@@ -223,11 +185,11 @@
     pub async fn leave(&self) -> Result<(), Error> {
         self.right.left.store(true, Ordering::Relaxed);
         self.right.until.store(0, Ordering::Relaxed);
-        let owned: Vec<SocketAddr> = self.right.owned().drain().map(|(at, _)| at).collect();
+        let owned: Vec<(SocketAddr, Owned)> = self.right.owned().drain().collect();
         for addresses in owned.chunks(CLAIMS_AT_ONCE) {
             let mut transaction = Transaction::default();
-            for &address in addresses {
-                transaction.writes.push(self.mark_left(address));
+            for (address, owned) in addresses {
+                transaction.writes.push(self.mark_left(*address, *owned));
             }
             self.store.commit(transaction).await?;
         }
@@ -235,9 +197,13 @@
     }
 
     /// Returns the write that gives up a claim under which no order leaves any more.
-    fn mark_left(&self, address: SocketAddr) -> Write {
-        let idle = self.right.since_order(address);
-        let claim = self.own_claim(Some(idle.unwrap_or(self.limits.get().turns)));
+    ///
+    /// A node that gives a claim up before it could order leaves the wait for the owner before it.
+    fn mark_left(&self, address: SocketAddr, owned: Owned) -> Write {
+        let turn = self.turn();
+        let before = (self.clock.now() + turn).since(owned.from);
+        let idle = self.right.since_order(address).unwrap_or(Millis::MAX);
+        let claim = self.own_claim(Some(idle.min(before).min(turn)), owned.from);
         Write::Put(self.key(address), encoded(&claim), None)
     }
 
@@ -253,14 +219,14 @@
         if now.since(began.max(self.right.handed_over())) < HANDOVER {
             return Ok(());
         }
-        let Some((address, token)) = self.surplus() else {
+        let Some((address, owned)) = self.surplus() else {
             return Ok(());
         };
         self.right.hand_over(address, now);
         log::info!("right: orders to {address} are handed over, as this node has many");
         let transaction = Transaction {
-            conditions: vec![Condition::Unchanged(self.key(address), token)],
-            writes: vec![self.mark_left(address)],
+            conditions: vec![Condition::Unchanged(self.key(address), owned.token)],
+            writes: vec![self.mark_left(address, owned)],
         };
         // The view hears of the write up to a second later. Until then it would show a claim
         // of this start that this node doesn't hold, and the next round would take it up
@@ -271,7 +237,7 @@
     }
 
     /// Returns an engine beyond this node's share that another node comes first for.
-    fn surplus(&self) -> Option<(SocketAddr, u64)> {
+    fn surplus(&self) -> Option<(SocketAddr, Owned)> {
         let state = self.view.state();
         let owned = self.right.owned();
         let share = state.claims.len().div_ceil(state.nodes.len().max(1));
@@ -282,7 +248,7 @@
             .iter()
             .filter(|(address, _)| self.rank(&state, **address, 1) > 0)
             .max_by_key(|(address, _)| self.right.since_order(**address).unwrap_or(Millis::MAX))
-            .map(|(address, owned)| (*address, owned.token))
+            .map(|(address, owned)| (*address, *owned))
     }
 
     async fn round(
@@ -423,7 +389,7 @@
     /// late. Where hundreds of nodes claim at once, one engine that is taken already would fail
     /// the same transaction each round; the service's refusal says which it is.
     async fn claim(&self, lease: LeaseId, began: Millis) -> Result<(), Error> {
-        self.adopt(began, self.clock.now());
+        self.adopt(self.clock.now());
         for _ in 0..CLAIM_TRIES {
             let mut wanted = self.wanted(began, self.clock.now());
             if wanted.is_empty() {
@@ -433,8 +399,8 @@
             let commit = self.store.commit(self.claims(&wanted, lease)).await?;
             let now = self.clock.now();
             if commit.done {
-                for Wanted { address, left, .. } in wanted {
-                    self.won(address, left.as_ref(), commit.revision, began, now);
+                for one in wanted {
+                    self.won(one.address, commit.revision, one.before, one.from, now);
                 }
                 if !rest.iter().any(|one| one.former) {
                     return Ok(());
@@ -449,13 +415,19 @@
     /// Returns the transaction that makes claims.
     fn claims(&self, wanted: &[Wanted], lease: LeaseId) -> Transaction {
         let mut transaction = Transaction::default();
-        for Wanted { address, left, .. } in wanted {
+        for Wanted {
+            address,
+            left,
+            from,
+            ..
+        } in wanted
+        {
             let key = self.key(*address);
             transaction.conditions.push(match left {
                 Some(left) => Condition::Unchanged(key.clone(), left.revision),
                 None => Condition::Absent(key.clone()),
             });
-            let claim = encoded(&self.own_claim(None));
+            let claim = encoded(&self.own_claim(None, *from));
             transaction.writes.push(Write::Put(key, claim, Some(lease)));
         }
         transaction
@@ -481,8 +453,8 @@
     ///
     /// Without this nobody would give those engines orders: to all others they
     /// are taken.
-    fn adopt(&self, began: Millis, now: Millis) {
-        let unanswered: Vec<(SocketAddr, u64)> = {
+    fn adopt(&self, now: Millis) {
+        let unanswered: Vec<(SocketAddr, u64, Millis)> = {
             let state = self.view.state();
             state
                 .claims
@@ -493,72 +465,46 @@
                         && standing.claim.left.is_none()
                         && !self.right.owns(**address)
                 })
-                .map(|(address, standing)| (*address, standing.revision))
+                .map(|(address, standing)| (*address, standing.revision, standing.claim.from))
                 .collect()
         };
-        for (address, token) in unanswered {
-            self.won(address, None, token, began, now);
+        for (address, token, from) in unanswered {
+            let before = Former::Itself { from: Some(from) };
+            self.won(address, token, before, from, now);
         }
     }
 
-    fn won(
-        &self,
-        address: SocketAddr,
-        left: Option<&Standing>,
-        token: u64,
-        began: Millis,
-        now: Millis,
-    ) {
-        let turn = self.limits.get().turns + TURN_MARGIN;
-        let (former, claims_read) = {
-            let state = self.view.state();
-            let former = self.former(&state, address, left);
-            (former, state.claims_read.unwrap_or(now))
-        };
-        // What vanished before this node knew all claims is as unknown to it as what did before
-        // its first lease.
-        let from = former.waited_out(turn, began.max(claims_read)).max(now);
-        let name = former.name();
+    fn won(&self, address: SocketAddr, token: u64, before: Former, from: Millis, now: Millis) {
+        let name = before.name();
         self.metrics.takeovers.with_label_values(&[name]).inc();
+        let start = from.max(now);
         log::info!(
-            "right: orders to {address} are this node's, token {token}, from {from}, former owner: {name}"
+            "right: orders to {address} are this node's, token {token}, from {start}, former owner: {name}"
         );
         self.view.state().claim(
             address,
             Standing {
-                claim: self.own_claim(None),
+                claim: self.own_claim(None, from),
                 revision: token,
                 seen: now,
             },
         );
-        self.right.take(address, token, from);
+        self.right.take(address, token, start);
     }
 
-    fn own_claim(&self, left: Option<Millis>) -> Claim {
+    fn own_claim(&self, left: Option<Millis>, from: Millis) -> Claim {
         Claim {
             node: Name::clone(&self.node),
             start: self.peer.start,
             left,
+            from,
+            boot: self.boot,
         }
     }
 
-    /// Returns what is known of an engine's former owner.
-    fn former(&self, state: &State, address: SocketAddr, left: Option<&Standing>) -> Former {
-        if let Some(left) = left {
-            if left.claim.node == self.node {
-                return Former::Itself;
-            }
-            return Former::Left {
-                at: left.seen,
-                idle: left.claim.left.unwrap_or_default(),
-            };
-        }
-        match state.vanished.get(&address) {
-            Some((node, _)) if *node == self.node => Former::Itself,
-            Some((_, at)) => Former::Vanished { at: *at },
-            None if self.first_start => Former::Nobody,
-            None => Former::Unknown,
-        }
+    /// Returns the least time between the last order of one node and the first one of another.
+    pub(super) fn turn(&self) -> Millis {
+        self.limits.get().turns + TURN_MARGIN
     }
 
     /// Returns engines without an owner, those first that fall to this node.
@@ -568,7 +514,7 @@
     fn wanted(&self, began: Millis, now: Millis) -> Vec<Wanted> {
         let state = self.view.state();
         let Some(config) = state.config.clone() else {
-            return self.former_claims(&state);
+            return self.former_claims(&state, began);
         };
         let limits = self.limits.get();
         let gathered = began + limits.gather();
@@ -584,7 +530,7 @@
             let address = upstream.address;
             let standing = state.claims.get(&address);
             if let Some(standing) = standing.filter(|standing| self.is_former(standing)) {
-                wanted.push(Wanted::former(address, standing));
+                wanted.push(self.former_claim(&state, address, standing, began));
                 continue;
             }
             if now < gathered || standing.is_some_and(|standing| standing.claim.left.is_none()) {
@@ -599,7 +545,7 @@
             let rank = self.rank(&state, address, passed.0 / limits.claim_rank().0 + 1);
             let mut patience = Millis(limits.claim_rank().0 * rank);
             match state.vanished.get(&address) {
-                Some((former, _)) if *former == self.node => patience = Millis::ZERO,
+                Some((former, _)) if former.node == self.node => patience = Millis::ZERO,
                 // All claims can lapse in an outage; a former owner that lives
                 // needs no waiting out and goes first. A dead one has to be
                 // waited out for longer than this anyway.
@@ -607,10 +553,13 @@
                 None => {}
             }
             if passed >= patience {
+                let (before, from) = self.follows(&state, address, standing, began);
                 wanted.push(Wanted {
                     address,
                     left: standing.cloned(),
                     former: false,
+                    before,
+                    from,
                     rank,
                     weight: weight(seed(address), &self.node),
                 });
@@ -624,15 +573,35 @@
     ///
     /// They end with their lease within seconds. Whoever took them up only once all engines are
     /// read would come too late where all nodes read at once.
-    fn former_claims(&self, state: &State) -> Vec<Wanted> {
+    fn former_claims(&self, state: &State, began: Millis) -> Vec<Wanted> {
         let claims = state.claims.iter();
         let former = claims
             .filter(|(address, standing)| self.is_former(standing) && !self.right.owns(**address));
         former
-            .map(|(address, standing)| Wanted::former(*address, standing))
+            .map(|(address, standing)| self.former_claim(state, *address, standing, began))
             .collect()
     }
 
+    /// A claim that an earlier start of the same node left.
+    fn former_claim(
+        &self,
+        state: &State,
+        address: SocketAddr,
+        standing: &Standing,
+        began: Millis,
+    ) -> Wanted {
+        let (before, from) = self.follows(state, address, Some(standing), began);
+        Wanted {
+            address,
+            left: Some(standing.clone()),
+            former: true,
+            before,
+            from,
+            rank: 0,
+            weight: 0,
+        }
+    }
+
     /// Whether a claim is of an earlier start of this node.
     ///
     /// Its process has ended, and to an engine both are one VM: when many nodes
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -21,6 +21,7 @@
 pub mod entry;
 pub mod fanout;
 pub mod follow;
+mod former;
 pub mod handover;
 pub mod lift;
 pub mod limits;
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -180,6 +180,7 @@
                 start: rand::random(),
                 failure_domain: Name::clone(&settings.failure_domain),
             },
+            boot: Boot::id(),
             first_start: settings.first_start,
         });
         let subscription =
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -45,8 +45,14 @@
     pub node: Name,
     /// The start of its process.
     pub start: u64,
-    /// Set when the node has given the claim up: time from its last order to the write.
+    /// Set when the node has given the claim up: time from the last order to the write.
     pub left: Option<Millis>,
+    /// From when on this start may give orders, by the clock that counts from the VM's boot.
+    #[serde(default)]
+    pub from: Millis,
+    /// The boot that `from` counts from; 0 in the claim of an older release.
+    #[serde(default)]
+    pub boot: u64,
 }
 
 /// A claim with where it stands in the key-value service.
@@ -80,8 +86,8 @@
     pub claims: HashMap<SocketAddr, Standing>,
     /// When this node first knew all claims.
     pub claims_read: Option<Millis>,
-    /// Who held a claim last, and when it vanished.
-    pub vanished: HashMap<SocketAddr, (Name, Millis)>,
+    /// The claim that stood last, and when it vanished.
+    pub vanished: HashMap<SocketAddr, (Claim, Millis)>,
     /// Most nodes ever seen at once.
     pub most_nodes: usize,
     /// What speaks against requests under which upstreams ended.
@@ -333,7 +339,7 @@
         if let Some(former) = self.claims.get(&address)
             && former.claim.node != standing.claim.node
         {
-            let former = Name::clone(&former.claim.node);
+            let former = former.claim.clone();
             self.vanished.insert(address, (former, standing.seen));
         }
         self.claims.insert(address, standing);
@@ -342,7 +348,7 @@
     /// Takes in that a claim is gone.
     pub fn unclaim(&mut self, address: SocketAddr, now: Millis) {
         if let Some(former) = self.claims.remove(&address) {
-            self.vanished.insert(address, (former.claim.node, now));
+            self.vanished.insert(address, (former.claim, now));
         }
     }
 
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -202,6 +202,8 @@
             node: owner.into(),
             start: 1,
             left: None,
+            from: Millis::ZERO,
+            boot: 0,
         };
         let upstream = Arc::clone(&state.upstreams["i-0"]);
         let standing = Standing {
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -91,9 +91,22 @@
     start: u64,
     memory: &Arc<Memory>,
     first_start: bool,
+) -> Node {
+    // All starts on one VM count from its boot.
+    let now = Millis(100_000 * start);
+    start_at(now, view, name, start, memory, first_start)
+}
+
+fn start_at(
+    now: Millis,
+    view: Arc<View>,
+    name: &str,
+    start: u64,
+    memory: &Arc<Memory>,
+    first_start: bool,
 ) -> Node {
     let clock = Arc::new(Manual::default());
-    clock.advance(Millis(100_000));
+    clock.advance(now);
     let shared: Arc<dyn Clock> = Arc::<Manual>::clone(&clock);
     let right = Arc::new(Right::new(Arc::clone(&shared), Arc::clone(&view)));
     let dialect: Arc<dyn Dialect> = Arc::new(Speech);
@@ -123,6 +136,7 @@
             start,
             failure_domain: "hall-a".into(),
         },
+        boot: 1,
         first_start,
     });
     let tasks = vec![
@@ -329,9 +343,64 @@
     assert!(again.right.check(address()).unwrap() > former);
 }
 
-/// Symptom: a node that stops gives an engine orders until it ends.
-/// Sequence: it gives its claims up and renews its lease a moment later.
-/// Cause: the round after a renewal claims what has no owner.
+/// An owner that has given an order leaves, and another node claims its engine.
+async fn claimed_behind_an_order() -> (Arc<Memory>, Node) {
+    let (memory, one) = owner().await;
+    let two = node("two", &memory, false);
+    pass(&[&one, &two], Millis(1_500)).await;
+    one.right.ordered(address());
+    one.claimer.leave().await.unwrap();
+    drop(one);
+    pass(&[&two], Millis(1_500)).await;
+    assert!(two.right.owns(address()));
+    assert_eq!(two.right.check(address()), None);
+    (memory, two)
+}
+
+/// A node that ends while it waits for its turn gives orders at once in its next start.
+#[tokio::test(start_paused = true)]
+async fn claim_of_former_start_waits_as_that_one_did() {
+    let (memory, two) = claimed_behind_an_order().await;
+    let now = two.clock.now();
+    drop(two);
+    let view = Arc::new(View::default());
+    know_engine(&view);
+    let again = start_at(now, view, "two", 2, &memory, false);
+    pass(&[&again], Millis(500)).await;
+    assert!(again.right.owns(address()));
+    assert_eq!(again.right.check(address()), None);
+    pass(&[&again], Millis(2_000)).await;
+    assert!(again.right.check(address()).is_some());
+}
+
+/// A node that leaves while it waits for its turn has its successor give orders at once.
+#[tokio::test(start_paused = true)]
+async fn claim_handed_over_before_its_turn_waits_on() {
+    let (memory, one) = owner().await;
+    let (two, three) = (node("two", &memory, false), node("three", &memory, false));
+    pass(&[&one, &two, &three], Millis(2_500)).await;
+    one.right.ordered(address());
+    one.claimer.leave().await.unwrap();
+    drop(one);
+    while !two.right.owns(address()) && !three.right.owns(address()) {
+        pass(&[&two, &three], Millis(50)).await;
+    }
+    let (first, second) = if two.right.owns(address()) {
+        (two, three)
+    } else {
+        (three, two)
+    };
+    first.claimer.leave().await.unwrap();
+    drop(first);
+    while !second.right.owns(address()) {
+        pass(&[&second], Millis(50)).await;
+    }
+    assert_eq!(second.right.check(address()), None);
+    pass(&[&second], Millis(3_500)).await;
+    assert!(second.right.check(address()).is_some());
+}
+
+/// A node that stops gives its engines orders until it ends.
 #[tokio::test(start_paused = true)]
 async fn claim_not_made_after_leaving() {
     let (_memory, one) = owner().await;
@@ -519,6 +588,8 @@
         node: node.into(),
         start: 1,
         left: None,
+        from: Millis::ZERO,
+        boot: 0,
     };
     let standing = Standing {
         claim,
--- a/lib/tests/test_direct_exchange.rs
+++ b/lib/tests/test_direct_exchange.rs
@@ -51,6 +51,8 @@
                 node: format!("node-{owner}").into(),
                 start: 1,
                 left: random.random_bool(0.1).then_some(Millis::ZERO),
+                from: Millis::ZERO,
+                boot: 0,
             };
             let standing = Standing {
                 claim,
