soak: a stop may not leave callers without a word, and an engine falls when it falls

PlannedStop took any end but 0 in calm for a fault, and nothing else: a caller whose request stood at a server that had spoilt it could get a closed connection from its own node's planned end and no check saw it. Now each call that a node had taken, and that ends with its process without a status, breaks PlannedStop, whatever its server did: a node can always answer that it has no answer.

In turn a node may end with 3 where everything that it cut short came behind the request to stop, had time left beyond the node's, and stood at a server that was silent or at an engine with a queue. No node can end these. A stop that cuts nothing of that kind short still has to end with 0, and one that is killed is broken as before.

It is noted from when it fell.

--- a/bench/src/soak/caller.rs
+++ b/bench/src/soak/caller.rs
@@ -23,6 +23,8 @@
 /// How long a caller waits, and how much longer it stays for a late answer.
 const DEADLINE: Millis = Millis(6_000);
 const PATIENCE: Duration = Duration::from_millis(6_500);
+/// What a call failed by that its caller gave up.
+pub const OUT_OF_TIME: &str = "out of time";
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Longest pause of a caller between two requests, in milliseconds.
@@ -151,7 +153,7 @@
         Ok(Ok(())) => *link = Some(open),
         Ok(Err(error)) if error.is_canceled() => return None,
         Ok(Err(error)) => call.failure = Some(format!("{error:?}")),
-        Err(_) => call.failure = Some("out of time".to_owned()),
+        Err(_) => call.failure = Some(OUT_OF_TIME.to_owned()),
     }
     match site.trick {
         Trick::Halved => body.truncate(body.len() / 2),
--- a/bench/src/soak/judge/mod.rs
+++ b/bench/src/soak/judge/mod.rs
@@ -1,5 +1,8 @@
 //! What callers and servers saw against what was promised.
 
+mod ends;
+mod versions;
+
 use std::collections::{HashMap, HashSet};
 
 use chivevalve::clock::Millis;
@@ -9,22 +12,16 @@
 use super::caller::Call;
 use super::site::Stop;
 use super::trouble::{Scope, Trouble, calm};
+use ends::{closed, stops};
+use versions::{back, in_force, old_versions};
 
 /// Bounds of the deployment, as `wire::BOUNDS` tells the nodes.
 const TURNS: Millis = Millis(3_000);
 const THAW: Millis = Millis(300);
 const LEAVING: Millis = Millis(2_000);
-const APPLY: Millis = Millis(2_000);
-const VERSION: Millis = Millis(5_000);
-/// Time from a newer version on after which an older one may be left.
-const HAS_TO_GO: Millis = Millis(2_500);
 const WINDOW: Millis = Millis(10_000);
 const EXTRA: f64 = 54.0;
 const RATIO: f64 = 0.2;
-/// A request that is sent so much later than an effect of a version goes by that one.
-const BACK: Millis = Millis(250);
-/// The same at a node that was disturbed.
-const BACK_DISTURBED: Millis = Millis(2_000);
 /// Engines that a poison request may end.
 const POISONED: usize = 3;
 /// Sends of it that are allowed once all nodes can know.
@@ -32,14 +29,6 @@
 /// Time until all nodes know: the bound, and as long as the entry of a server stays that ended
 /// behind a proxy, which goes on accepting connections.
 const KNOWN: Millis = Millis(7_000);
-/// Connections that are closed within this crossed the request on its way.
-const CROSSED: Millis = Millis(200);
-/// Part of the deadline from which on an answer may be ended for it.
-const LATE_SHARE: f64 = 0.85;
-/// Time behind a request to stop within which requests may still come.
-const TOLD: Millis = Millis(3_000);
-/// Time behind a request to stop from which on what still runs may be cut off.
-const LAST_SIXTH: Millis = Millis(6_600);
 
 /// A promise that was broken.
 #[derive(Debug, Clone)]
@@ -84,7 +73,7 @@
     found.extend(back(seen, &by_id));
     found.extend(fences(seen));
     if !exact {
-        found.extend(stops(seen));
+        found.extend(stops(seen, &by_id));
         found.extend(turns(seen));
         found.extend(in_force(seen, &by_id));
         found.extend(leaving(seen, &by_id));
@@ -164,171 +153,6 @@
     found
 }
 
-/// A request that ends with neither an answer nor a refusal, though nothing explains it.
-fn closed(seen: &Evidence, call: &Call, arrivals: &[&Arrival]) -> Option<Violation> {
-    let ends = call.complete && !matches!(call.status, Some(502 | 504));
-    let spoilt = arrivals.iter().any(|arrival| arrival.spoilt);
-    #[allow(clippy::cast_precision_loss, reason = "milliseconds of seconds")]
-    let late = call.ended.since(call.sent).0 as f64 > call.ask.deadline.0 as f64 * LATE_SHARE;
-    let replaced = arrivals
-        .iter()
-        .any(|arrival| is_replaced(seen, call, arrival));
-    let crossed = arrivals.is_empty() && call.ended.since(call.sent) <= CROSSED;
-    if ends || spoilt || late || replaced || (crossed && call.status.is_none()) {
-        return None;
-    }
-    let reached: Vec<usize> = if arrivals.iter().any(|arrival| arrival.ran) {
-        arrivals.iter().map(|arrival| arrival.host).collect()
-    } else {
-        let service = if call.ask.adapter.is_some() {
-            "engines"
-        } else {
-            "records"
-        };
-        let of_it = seen.arrivals.iter().filter(|one| one.service == service);
-        of_it.map(|one| one.host).collect()
-    };
-    let mut scopes = vec![Scope::Process(call.node)];
-    scopes.extend(
-        reached
-            .iter()
-            .flat_map(|host| [Scope::Link(*host), Scope::Crash(*host)]),
-    );
-    if !calm(
-        &seen.troubles,
-        &Scope::of_node(call.node),
-        call.sent,
-        call.ended,
-    ) {
-        // A node that can't hear of it sends to a server that has left.
-        scopes.extend(reached.iter().map(|host| Scope::Leave(*host)));
-    }
-    let mut planned = seen.stops.iter().filter(|stop| stop.node == call.node);
-    let grace = |stop: &Stop| {
-        let still = arrivals.iter().any(|arrival| {
-            arrival
-                .ended
-                .is_none_or(|ended| ended >= Millis(stop.at.0 + LAST_SIXTH.0))
-        });
-        call.sent >= stop.at && call.sent.0 <= stop.at.0 + TOLD.0 && still
-    };
-    if planned.any(grace) || !calm(&seen.troubles, &scopes, call.sent, call.ended) {
-        return None;
-    }
-    let told = format!(
-        "status {:?}, {} after {} at node {}; reached {:?}",
-        call.status,
-        call.failure.as_deref().unwrap_or("ended"),
-        call.ended.since(call.sent),
-        call.node,
-        arrivals
-            .iter()
-            .map(|arrival| (&arrival.server, arrival.at.0, arrival.ran, arrival.whole))
-            .collect::<Vec<_>>(),
-    );
-    Some(new("ClosedInCalm", call.ended, &call.ask.id, told))
-}
-
-/// Whether a request was taken back that waited at an engine when its version had to go.
-fn is_replaced(seen: &Evidence, call: &Call, arrival: &Arrival) -> bool {
-    let Some((adapter, version)) = &arrival.adapter else {
-        return false;
-    };
-    let waited = !calm(
-        &seen.troubles,
-        &[Scope::Queue(arrival.host)],
-        call.sent,
-        call.ended,
-    );
-    let had_to_go = seen.versions.iter().any(|(name, newer, at)| {
-        name == adapter && newer > version && call.ended.0 >= at.0 + HAS_TO_GO.0
-    });
-    arrival.first.is_none() && waited && had_to_go
-}
-
-fn stops(seen: &Evidence) -> impl Iterator<Item = Violation> {
-    let bad = seen.stops.iter().filter(|stop| {
-        // Who crashes or can't be reached meanwhile keeps requests from ending.
-        let mut scopes = vec![
-            Scope::Process(stop.node),
-            Scope::StoreLink(stop.node),
-            Scope::Store,
-        ];
-        let hosts = 0..super::story::ENGINES + super::story::PLAIN;
-        scopes.extend(hosts.flat_map(|host| [Scope::Link(host), Scope::Crash(host)]));
-        stop.code != Some(0) && calm(&seen.troubles, &scopes, stop.at, stop.until)
-    });
-    bad.map(|stop| {
-        let told = format!(
-            "node {} was asked to stop at {} and ended with {:?}",
-            stop.node, stop.at, stop.code
-        );
-        new("PlannedStop", stop.until, "", told)
-    })
-}
-
-/// Configurations that a node went by, in each run of its process.
-fn back(seen: &Evidence, by_id: &ById<'_>) -> Vec<Violation> {
-    let mut found = Vec::new();
-    let mut effects: HashMap<(usize, u32), Vec<(Millis, u64)>> = HashMap::new();
-    let mut flips: Vec<(&Call, &Arrival, u64)> = flips(seen, by_id);
-    flips.sort_by_key(|(call, ..)| call.sent);
-    for (call, arrival, version) in &flips {
-        let own = effects.entry((call.node, call.start)).or_default();
-        own.push((arrival.at, *version));
-    }
-    for (call, arrival, version) in flips {
-        let own = &effects[&(call.node, call.start)];
-        let scopes = Scope::of_node(call.node);
-        let slack = if calm(&seen.troubles, &scopes, call.sent, arrival.at) {
-            BACK
-        } else {
-            BACK_DISTURBED
-        };
-        let newer = own
-            .iter()
-            .find(|(at, newer)| *newer > version && call.sent.0 > at.0 + slack.0);
-        if let Some((at, newer)) = newer {
-            let told = format!(
-                "node {} went by {newer} at {at}, then by {version}",
-                call.node
-            );
-            found.push(new("NeverBack", arrival.at, &call.ask.id, told));
-        }
-    }
-    found
-}
-
-fn flips<'a>(seen: &'a Evidence, by_id: &ById<'a>) -> Vec<(&'a Call, &'a Arrival, u64)> {
-    let mut flips = Vec::new();
-    for call in &seen.calls {
-        for arrival in by_id.get(call.ask.id.as_str()).into_iter().flatten() {
-            if let Some(version) = wire::flip_version(&arrival.service) {
-                flips.push((call, *arrival, version));
-            }
-        }
-    }
-    flips
-}
-
-fn in_force(seen: &Evidence, by_id: &ById<'_>) -> Vec<Violation> {
-    let mut found = Vec::new();
-    for (call, arrival, version) in flips(seen, by_id) {
-        let next = seen.configs.iter().find(|(next, _)| *next > version);
-        let Some((next, at)) = next else { continue };
-        let scopes = Scope::of_node(call.node);
-        let touch = calm(&seen.troubles, &scopes, call.sent, arrival.at);
-        if touch && call.sent.0 > at.0 + APPLY.0 {
-            let told = format!(
-                "node {} goes by {version}; {next} was acknowledged at {at}",
-                call.node
-            );
-            found.push(new("InForce", arrival.at, &call.ask.id, told));
-        }
-    }
-    found
-}
-
 fn leaving(seen: &Evidence, by_id: &ById<'_>) -> Vec<Violation> {
     let calls = calls_by_id(seen);
     let mut found = Vec::new();
@@ -353,46 +177,6 @@
     found
 }
 
-/// Runs that begin on a version though a newer one was acknowledged too long before.
-///
-/// Each newer version counts from its own acknowledgement, and a run begins with its first event.
-fn old_versions(seen: &Evidence, by_id: &ById<'_>) -> Vec<Violation> {
-    let calls = calls_by_id(seen);
-    let first_runs = by_id
-        .values()
-        .flatten()
-        .filter(|run| run.ran && run.after == 0);
-    let mut found = Vec::new();
-    for arrival in first_runs {
-        let Some(call) = calls.get(arrival.id.as_str()) else {
-            continue;
-        };
-        found.extend(old_version(seen, call, arrival));
-    }
-    found
-}
-
-fn old_version(seen: &Evidence, call: &Call, arrival: &Arrival) -> Option<Violation> {
-    let (adapter, version) = arrival.adapter.as_ref()?;
-    let begun = arrival.first.unwrap_or(arrival.at);
-    let [process, stop, store_link, store] = Scope::of_node(call.node);
-    // A node's withdrawal doesn't reach an engine over a way that is silent.
-    let scopes = [process, stop, store_link, store, Scope::Link(arrival.host)];
-    let broken = |(name, newer, at): &&(String, u64, Millis)| {
-        name == adapter
-            && newer > version
-            && begun.0 > at.0 + VERSION.0
-            && calm(&seen.troubles, &scopes, *at, begun)
-    };
-    let (_, newer, at) = seen.versions.iter().find(broken)?;
-    let told = format!(
-        "{adapter}@{version} begins at node {}, {} after {newer} was acknowledged at {at}",
-        call.node,
-        begun.since(*at),
-    );
-    Some(new("Version", begun, &arrival.id, told))
-}
-
 /// Orders that count: those just behind a thaw or the healing of a link don't.
 fn counted(seen: &Evidence) -> HashMap<&str, Vec<&Order>> {
     let mut by_start: HashMap<&str, Vec<&Order>> = HashMap::new();
--- a/bench/src/soak/site.rs
+++ b/bench/src/soak/site.rs
@@ -427,14 +427,17 @@
     loop {
         sleep(AGAIN).await;
         for (number, host) in site.hosts.iter().enumerate() {
-            if !host.server.has_fallen() || host.taken.swap(true, Ordering::SeqCst) {
+            let Some(fallen) = host.server.fallen() else {
+                continue;
+            };
+            if host.taken.swap(true, Ordering::SeqCst) {
                 continue;
             }
             let site = Arc::clone(&site);
             tokio::spawn(async move {
                 let host = &site.hosts[number];
                 let (scope, told) = (Scope::Crash(number), "a poison request".to_owned());
-                let trouble = site.troubles.begin(scope, site.ledger.now(), told);
+                let trouble = site.troubles.begin(scope, fallen, told);
                 host.crash(FALLEN).await;
                 site.troubles.end(trouble, site.ledger.now());
                 host.taken.store(false, Ordering::SeqCst);
