--- a/lib/src/direct/former.rs
+++ b/lib/src/direct/claim/previous.rs
@@ -1,18 +1,15 @@
-//! Who gave an engine its orders before, and until when that has to be waited out.
-//!
-//! Engines here don't check fencing tokens, so the least time between orders of two nodes is kept
-//! by waiting; see docs/design/0007-direct-serving.md.
+//! What is known of the node that owned an engine before, and how long its orders may go on.
 
 use std::net::SocketAddr;
 
-use super::claim::Claimer;
-use super::limits::RIGHT;
-use super::view::{Claim, Standing, State};
+use super::Claimer;
 use crate::clock::Millis;
+use crate::direct::limits::RIGHT;
+use crate::direct::view::{Claim, Standing, State};
 
 /// What became of the node that gave an engine its orders before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Former {
+pub(super) enum Previous {
     /// There was none.
     Nobody,
     /// It is this node, or an earlier start of it, which could order from then on; none if that
@@ -26,7 +23,7 @@
     Unknown,
 }
 
-impl Former {
+impl Previous {
     /// Returns the name used in logs and metrics.
     pub(super) const fn name(self) -> &'static str {
         match self {
@@ -59,37 +56,37 @@
         address: SocketAddr,
         left: Option<&Standing>,
         began: Millis,
-    ) -> (Former, Millis) {
-        let former = self.former(state, address, left);
+    ) -> (Previous, Millis) {
+        let previous = self.previous(state, address, left);
         // What vanished before this node knew all claims is as unknown to it as what did before
         // its first lease.
         let claims_read = state.claims_read.unwrap_or_else(|| self.clock.now());
-        let from = former.waited_out(self.turn(), began.max(claims_read));
-        (former, from)
+        let from = previous.waited_out(self.turn(), began.max(claims_read));
+        (previous, from)
     }
 
     /// Returns what is known of a claim that this node made, maybe in an earlier start.
-    fn itself(&self, claim: &Claim) -> Former {
+    fn itself(&self, claim: &Claim) -> Previous {
         let from = (claim.boot == self.boot).then_some(claim.from);
-        Former::Itself { from }
+        Previous::Itself { from }
     }
 
-    /// Returns what is known of an engine's former owner.
-    fn former(&self, state: &State, address: SocketAddr, left: Option<&Standing>) -> Former {
+    /// Returns what is known of an engine's previous owner.
+    fn previous(&self, state: &State, address: SocketAddr, left: Option<&Standing>) -> Previous {
         if let Some(left) = left {
             if left.claim.node == self.node {
                 return self.itself(&left.claim);
             }
-            return Former::Left {
+            return Previous::Left {
                 at: left.seen,
                 idle: left.claim.left.unwrap_or_default(),
             };
         }
         match state.vanished.get(&address) {
             Some((claim, _)) if claim.node == self.node => self.itself(claim),
-            Some((_, at)) => Former::Vanished { at: *at },
-            None if self.first_start => Former::Nobody,
-            None => Former::Unknown,
+            Some((_, at)) => Previous::Vanished { at: *at },
+            None if self.first_start => Previous::Nobody,
+            None => Previous::Unknown,
         }
     }
 }
