--- a/bench/src/soak/site.rs
+++ b/bench/src/soak/site.rs
@@ -243,7 +243,8 @@
             Act::ServerLink(host, ..) => Scope::Link(host),
             Act::Crash(host, _) => Scope::Crash(host),
             Act::Leave(host) => Scope::Leave(host),
-            Act::Feel(..) | Act::Config | Act::Version(_) => {
+            Act::Queue(host, ..) => Scope::Queue(host),
+            Act::Feel(..) | Act::Loads(..) | Act::Config | Act::Version(_) => {
                 self.harm(act).await?;
                 return Ok(());
             }
@@ -294,12 +295,20 @@
                 sleep(span.duration()).await;
                 self.hosts[host].server.feel(Mood::default());
             }
+            Act::Queue(host, wait, span) => {
+                self.hosts[host].server.queue(wait, span);
+                sleep(span.duration()).await;
+            }
+            Act::Loads(wait, span) => {
+                let engines = self.hosts[..ENGINES].iter();
+                engines.for_each(|host| host.server.slow_loads(wait, span));
+            }
             Act::Crash(host, span) => self.hosts[host].crash(span).await,
             Act::Leave(host) => {
                 let host = &self.hosts[host];
                 let (told, start) = host.server.leave(host.proxy.address).await;
                 lock(&self.left).push((host.server.host, start, told));
-                while host.server.running() > 0 {
+                while host.server.held() > 0 {
                     sleep(AGAIN).await;
                 }
                 host.crash(Millis(300)).await;
@@ -418,14 +427,17 @@
     loop {
         sleep(AGAIN).await;
         for (number, host) in site.hosts.iter().enumerate() {
-            if !host.server.has_fallen() || host.taken.swap(true, Ordering::SeqCst) {
+            let Some(fallen) = host.server.fallen() else {
+                continue;
+            };
+            if host.taken.swap(true, Ordering::SeqCst) {
                 continue;
             }
             let site = Arc::clone(&site);
             tokio::spawn(async move {
                 let host = &site.hosts[number];
                 let (scope, told) = (Scope::Crash(number), "a poison request".to_owned());
-                let trouble = site.troubles.begin(scope, site.ledger.now(), told);
+                let trouble = site.troubles.begin(scope, fallen, told);
                 host.crash(FALLEN).await;
                 site.troubles.end(trouble, site.ledger.now());
                 host.taken.store(false, Ordering::SeqCst);
--- a/lib/src/direct/claim/candidate.rs
+++ b/lib/src/direct/claim/candidate.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Claimer;
+use super::previous::Previous;
 use crate::clock::Millis;
 use crate::direct::config::Config;
 use crate::direct::limits::Limits;
@@ -26,6 +27,10 @@
     pub(super) left: Option<Standing>,
     /// Whether it is a claim that an earlier start of the same node left.
     pub(super) is_own: bool,
+    /// Who gave the orders before.
+    pub(super) previous: Previous,
+    /// From when on this node may give them.
+    pub(super) from: Millis,
     /// Nodes that come before this one, as far as they are known.
     rank: u64,
     /// This node's weight for the engine: of two engines, others come before it at this one less
@@ -33,19 +38,6 @@
     weight: u64,
 }
 
-impl Candidate {
-    /// A claim that an earlier start of the same node left.
-    fn own(address: SocketAddr, standing: &Standing) -> Self {
-        Self {
-            address,
-            left: Some(standing.clone()),
-            is_own: true,
-            rank: 0,
-            weight: 0,
-        }
-    }
-}
-
 impl Claimer {
     /// Returns engines without an owner, those first that fall to this node.
     ///
@@ -54,16 +46,15 @@
     pub(super) fn candidates(&self, began: Millis, now: Millis) -> Vec<Candidate> {
         let state = self.view.state();
         let Some(config) = state.config.clone() else {
-            return self.own_claims(&state);
+            return self.own_claims(&state, began);
         };
         let limits = self.limits.get();
-        let gathered = began + limits.gather();
         let mut candidates: Vec<Candidate> = state
             .upstreams
             .values()
             .filter(|upstream| is_engine(&config, upstream) && upstream.is_ready())
             .filter(|upstream| !self.right.owns(upstream.address))
-            .filter_map(|upstream| self.candidate(&state, upstream, &limits, gathered, now))
+            .filter_map(|upstream| self.candidate(&state, upstream, &limits, (began, now)))
             .collect();
         candidates.sort_by_key(|one| (!one.is_own, one.rank, Reverse(one.weight)));
         candidates
@@ -75,13 +66,13 @@
         state: &State,
         upstream: &Upstream,
         limits: &Limits,
-        gathered: Millis,
-        now: Millis,
+        (began, now): (Millis, Millis),
     ) -> Option<Candidate> {
+        let gathered = began + limits.gather();
         let address = upstream.address;
         let standing = state.claims.get(&address);
         if let Some(standing) = standing.filter(|standing| self.is_previous_start(standing)) {
-            return Some(Candidate::own(address, standing));
+            return Some(self.own_candidate(state, address, standing, began));
         }
         if now < gathered || standing.is_some_and(|standing| standing.claim.left.is_none()) {
             return None;
@@ -96,10 +87,13 @@
         if passed < self.patience(state, address, rank, limits) {
             return None;
         }
+        let (previous, from) = self.follows(state, address, standing, began);
         Some(Candidate {
             address,
             left: standing.cloned(),
             is_own: false,
+            previous,
+            from,
             rank,
             weight: weight(seed(address), &self.node),
         })
@@ -109,7 +103,7 @@
     fn patience(&self, state: &State, address: SocketAddr, rank: u64, limits: &Limits) -> Millis {
         let wait = Millis(limits.claim_rank().0 * rank);
         match state.vanished.get(&address) {
-            Some((previous, _)) if *previous == self.node => Millis::ZERO,
+            Some((previous, _)) if previous.node == self.node => Millis::ZERO,
             // All claims can lapse in an outage; a previous owner that lives needs no waiting
             // out and goes first. A dead one has to be waited out for longer than this anyway.
             Some(_) => wait + HEAD_START,
@@ -121,15 +115,43 @@
     ///
     /// They end with their lease within seconds. Whoever took them up only once all engines are
     /// read would come too late where all nodes read at once.
-    pub(super) fn own_claims(&self, state: &State) -> Vec<Candidate> {
+    fn own_claims(&self, state: &State, began: Millis) -> Vec<Candidate> {
         let claims = state.claims.iter();
-        let own = claims.filter(|(address, standing)| {
-            self.is_previous_start(standing) && !self.right.owns(**address)
-        });
-        own.map(|(address, standing)| Candidate::own(*address, standing))
+        let own = claims.filter(|(address, standing)| self.is_to_take_back(**address, standing));
+        own.map(|(address, standing)| self.own_candidate(state, *address, standing, began))
             .collect()
     }
 
+    /// Whether there are claims of earlier starts of this node.
+    pub(super) fn has_own_claims(&self, state: &State) -> bool {
+        let mut claims = state.claims.iter();
+        claims.any(|(address, standing)| self.is_to_take_back(*address, standing))
+    }
+
+    fn is_to_take_back(&self, address: SocketAddr, standing: &Standing) -> bool {
+        self.is_previous_start(standing) && !self.right.owns(address)
+    }
+
+    /// A claim that an earlier start of the same node left.
+    fn own_candidate(
+        &self,
+        state: &State,
+        address: SocketAddr,
+        standing: &Standing,
+        began: Millis,
+    ) -> Candidate {
+        let (previous, from) = self.follows(state, address, Some(standing), began);
+        Candidate {
+            address,
+            left: Some(standing.clone()),
+            is_own: true,
+            previous,
+            from,
+            rank: 0,
+            weight: 0,
+        }
+    }
+
     /// Whether a claim is of an earlier start of this node.
     ///
     /// Its process has ended, and to an engine both are one VM: when many nodes
--- a/lib/src/direct/claim/mod.rs
+++ b/lib/src/direct/claim/mod.rs
@@ -22,7 +22,7 @@
 
 use super::dialect::Dialect;
 use super::follow::NODES;
-use super::limits::{Current, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT};
+use super::limits::{Current, LEASE, RENEWAL, RENEWAL_ANSWER, RIGHT, TURN_MARGIN};
 use super::right::Right;
 use super::view::{CLAIMS, Claim, Peer, View};
 use crate::clock::{Clock, Millis};
@@ -61,6 +61,8 @@
     pub node: Name,
     /// This node's record.
     pub peer: Peer,
+    /// The boot that the clock counts from.
+    pub boot: u64,
     /// Whether no node has run before.
     pub first_start: bool,
 }
@@ -96,7 +98,7 @@
     /// Whether the follower has read everything, or claims of an earlier start of this node.
     fn can_claim(&self) -> bool {
         let state = self.view.state();
-        state.config.is_some() || !self.own_claims(&state).is_empty()
+        state.config.is_some() || self.has_own_claims(&state)
     }
 
     /// Returns when this node began to look at claims, which is when it got its first lease.
@@ -184,14 +186,21 @@
         Ok(())
     }
 
-    fn own_claim(&self, left: Option<Millis>) -> Claim {
+    fn own_claim(&self, left: Option<Millis>, from: Millis) -> Claim {
         Claim {
             node: Name::clone(&self.node),
             start: self.peer.start,
             left,
+            from,
+            boot: self.boot,
         }
     }
 
+    /// Returns the least time between the last order of one node and the first one of another.
+    fn turn(&self) -> Millis {
+        self.limits.get().turns + TURN_MARGIN
+    }
+
     fn key(&self, address: SocketAddr) -> String {
         self.dialect.own(&format!("{CLAIMS}{address}"))
     }
--- a/lib/src/direct/claim/release.rs
+++ b/lib/src/direct/claim/release.rs
@@ -6,6 +6,7 @@
 use super::{CLAIMS_AT_ONCE, Claimer, encoded};
 use crate::clock::Millis;
 use crate::direct::limits::RENEWAL;
+use crate::direct::right::Owned;
 use crate::ports::{Condition, Error, Transaction, Write};
 
 /// Shares of the engines that a node keeps before it gives some up.
@@ -26,11 +27,11 @@
     pub async fn leave(&self) -> Result<(), Error> {
         self.right.left.store(true, Ordering::Relaxed);
         self.right.until.store(0, Ordering::Relaxed);
-        let owned: Vec<SocketAddr> = self.right.owned().drain().map(|(at, _)| at).collect();
+        let owned: Vec<(SocketAddr, Owned)> = self.right.owned().drain().collect();
         for addresses in owned.chunks(CLAIMS_AT_ONCE) {
             let mut transaction = Transaction::default();
-            for &address in addresses {
-                transaction.writes.push(self.mark_left(address));
+            for (address, owned) in addresses {
+                transaction.writes.push(self.mark_left(*address, *owned));
             }
             self.store.commit(transaction).await?;
         }
@@ -38,9 +39,13 @@
     }
 
     /// Returns the write that gives up a claim under which no order leaves any more.
-    fn mark_left(&self, address: SocketAddr) -> Write {
-        let idle = self.right.since_order(address);
-        let claim = self.own_claim(Some(idle.unwrap_or(self.limits.get().turns)));
+    ///
+    /// A node that gives a claim up before it could order leaves the wait for the owner before it.
+    fn mark_left(&self, address: SocketAddr, owned: Owned) -> Write {
+        let turn = self.turn();
+        let before = (self.clock.now() + turn).since(owned.from);
+        let idle = self.right.since_order(address).unwrap_or(Millis::MAX);
+        let claim = self.own_claim(Some(idle.min(before).min(turn)), owned.from);
         Write::Put(self.key(address), encoded(&claim), None)
     }
 
@@ -56,14 +61,14 @@
         if now.since(began.max(self.right.handed_over())) < HANDOVER {
             return Ok(());
         }
-        let Some((address, token)) = self.surplus() else {
+        let Some((address, owned)) = self.surplus() else {
             return Ok(());
         };
         self.right.hand_over(address, now);
         log::info!("right: orders to {address} are handed over, as this node has many");
         let transaction = Transaction {
-            conditions: vec![Condition::Unchanged(self.key(address), token)],
-            writes: vec![self.mark_left(address)],
+            conditions: vec![Condition::Unchanged(self.key(address), owned.token)],
+            writes: vec![self.mark_left(address, owned)],
         };
         // The view hears of the write up to a second later. Until then it would show a claim
         // of this start that this node doesn't hold, and the next round would take it up
@@ -74,7 +79,7 @@
     }
 
     /// Returns an engine beyond this node's share that another node comes first for.
-    fn surplus(&self) -> Option<(SocketAddr, u64)> {
+    fn surplus(&self) -> Option<(SocketAddr, Owned)> {
         let state = self.view.state();
         let owned = self.right.owned();
         let share = state.claims.len().div_ceil(state.nodes.len().max(1));
@@ -85,6 +90,6 @@
             .iter()
             .filter(|(address, _)| self.rank(&state, **address, 1) > 0)
             .max_by_key(|(address, _)| self.right.since_order(**address).unwrap_or(Millis::MAX))
-            .map(|(address, owned)| (*address, owned.token))
+            .map(|(address, owned)| (*address, *owned))
     }
 }
--- a/lib/src/direct/claim/takeover.rs
+++ b/lib/src/direct/claim/takeover.rs
@@ -7,8 +7,7 @@
 use super::{CLAIMS_AT_ONCE, Claimer, encoded};
 use crate::clock::Millis;
 use crate::direct::dialect::Key;
-use crate::direct::limits::TURN_MARGIN;
-use crate::direct::view::{Standing, State, claimed};
+use crate::direct::view::{Standing, claimed};
 use crate::ports::{Condition, Entry, Error, LeaseId, Transaction, Write};
 
 /// Tries of a round to claim what the service didn't say was taken the time before.
@@ -23,7 +22,7 @@
     /// late. Where hundreds of nodes claim at once, one engine that is taken already would fail
     /// the same transaction each round; the service's refusal says which it is.
     pub(super) async fn claim(&self, lease: LeaseId, began: Millis) -> Result<(), Error> {
-        self.adopt(began, self.clock.now());
+        self.adopt(self.clock.now());
         for _ in 0..CLAIM_TRIES {
             let mut candidates = self.candidates(began, self.clock.now());
             if candidates.is_empty() {
@@ -33,8 +32,8 @@
             let commit = self.store.commit(self.claims(&candidates, lease)).await?;
             let now = self.clock.now();
             if commit.done {
-                for Candidate { address, left, .. } in candidates {
-                    self.won(address, left.as_ref(), commit.revision, began, now);
+                for one in candidates {
+                    self.won(one.address, commit.revision, one.previous, one.from, now);
                 }
                 if !rest.iter().any(|one| one.is_own) {
                     return Ok(());
@@ -49,13 +48,14 @@
     /// Returns the transaction that makes claims.
     fn claims(&self, candidates: &[Candidate], lease: LeaseId) -> Transaction {
         let mut transaction = Transaction::default();
-        for Candidate { address, left, .. } in candidates {
+        for one in candidates {
+            let Candidate { address, left, .. } = one;
             let key = self.key(*address);
             transaction.conditions.push(match left {
                 Some(left) => Condition::Unchanged(key.clone(), left.revision),
                 None => Condition::Absent(key.clone()),
             });
-            let claim = encoded(&self.own_claim(None));
+            let claim = encoded(&self.own_claim(None, one.from));
             transaction.writes.push(Write::Put(key, claim, Some(lease)));
         }
         transaction
@@ -81,8 +81,8 @@
     ///
     /// Without this nobody would give those engines orders: to all others they
     /// are taken.
-    fn adopt(&self, began: Millis, now: Millis) {
-        let unanswered: Vec<(SocketAddr, u64)> = {
+    fn adopt(&self, now: Millis) {
+        let unanswered: Vec<(SocketAddr, u64, Millis)> = {
             let state = self.view.state();
             state
                 .claims
@@ -93,63 +93,30 @@
                         && standing.claim.left.is_none()
                         && !self.right.owns(**address)
                 })
-                .map(|(address, standing)| (*address, standing.revision))
+                .map(|(address, standing)| (*address, standing.revision, standing.claim.from))
                 .collect()
         };
-        for (address, token) in unanswered {
-            self.won(address, None, token, began, now);
+        for (address, token, from) in unanswered {
+            let previous = Previous::Itself { from: Some(from) };
+            self.won(address, token, previous, from, now);
         }
     }
 
-    fn won(
-        &self,
-        address: SocketAddr,
-        left: Option<&Standing>,
-        token: u64,
-        began: Millis,
-        now: Millis,
-    ) {
-        let turn = self.limits.get().turns + TURN_MARGIN;
-        let (previous, claims_read) = {
-            let state = self.view.state();
-            let previous = self.previous(&state, address, left);
-            (previous, state.claims_read.unwrap_or(now))
-        };
-        // What vanished before this node knew all claims is as unknown to it as what did before
-        // its first lease.
-        let from = previous.waited_out(turn, began.max(claims_read)).max(now);
+    fn won(&self, address: SocketAddr, token: u64, previous: Previous, from: Millis, now: Millis) {
         let name = previous.name();
         self.metrics.takeovers.with_label_values(&[name]).inc();
+        let start = from.max(now);
         log::info!(
-            "right: orders to {address} are this node's, token {token}, from {from}, previous owner: {name}"
+            "right: orders to {address} are this node's, token {token}, from {start}, previous owner: {name}"
         );
         self.view.state().claim(
             address,
             Standing {
-                claim: self.own_claim(None),
+                claim: self.own_claim(None, from),
                 revision: token,
                 seen: now,
             },
         );
-        self.right.take(address, token, from);
-    }
-
-    /// Returns what is known of an engine's previous owner.
-    fn previous(&self, state: &State, address: SocketAddr, left: Option<&Standing>) -> Previous {
-        if let Some(left) = left {
-            if left.claim.node == self.node {
-                return Previous::Itself;
-            }
-            return Previous::Left {
-                at: left.seen,
-                idle: left.claim.left.unwrap_or_default(),
-            };
-        }
-        match state.vanished.get(&address) {
-            Some((node, _)) if *node == self.node => Previous::Itself,
-            Some((_, at)) => Previous::Vanished { at: *at },
-            None if self.first_start => Previous::Nobody,
-            None => Previous::Unknown,
-        }
+        self.right.take(address, token, start);
     }
 }
--- a/lib/src/direct/entry/answer.rs
+++ b/lib/src/direct/entry/answer.rs
@@ -35,6 +35,14 @@
     }
 }
 
+/// An answer as it begins.
+enum Begun {
+    /// Its head has come, and the rest is passed on as it comes.
+    Stream(Box<Answer>),
+    /// All of it is there.
+    Whole(Response<Body>),
+}
+
 impl Gate {
     /// Answers a caller's request.
     ///
@@ -51,7 +59,7 @@
             Ok(response) => response,
             Err(failure) => refusal(&failure),
         };
-        if self.is_stopping() {
+        if self.stop.is_begun() {
             response
                 .headers_mut()
                 .insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -123,24 +131,44 @@
     }
 
     async fn deliver(&self, mut request: ActiveRequest) -> Result<Response<Body>, Failure> {
-        let answer = match request.answer(None).await {
-            Ok(answer) => answer,
+        let begun = tokio::select! {
+            biased;
+            begun = self.begin(&mut request) => begun,
+            () = self.stop.over() => Err(self.cut_short(&request)),
+        };
+        match begun {
+            Ok(Begun::Whole(response)) => {
+                request.end(&End::Answered(response.status().as_u16()));
+                Ok(response)
+            }
+            Ok(Begun::Stream(answer)) => {
+                let head = response_head(&answer);
+                let body = StreamBody::new(relay::body(request, *answer));
+                Ok(Response::from_parts(head, body.boxed_unsync()))
+            }
             Err(failure) => {
                 request.end(&End::Failed(&failure));
-                return Err(failure);
+                Err(failure)
             }
-        };
+        }
+    }
+
+    /// Has a request answered, as far as that goes before its caller gets a byte.
+    async fn begin(&self, request: &mut ActiveRequest) -> Result<Begun, Failure> {
+        let answer = request.answer(None).await?;
         if request.message.kind.streamed() && answer.head.status.is_success() {
-            let head = response_head(&answer);
-            let body = StreamBody::new(relay::body(request, answer));
-            return Ok(Response::from_parts(head, body.boxed_unsync()));
+            return Ok(Begun::Stream(Box::new(answer)));
         }
-        let whole = self.whole(&mut request, answer).await;
-        match &whole {
-            Ok(response) => request.end(&End::Answered(response.status().as_u16())),
-            Err(failure) => request.end(&End::Failed(failure)),
+        self.whole(request, answer).await.map(Begun::Whole)
+    }
+
+    /// Returns what the caller gets whose request outlasts the node.
+    fn cut_short(&self, request: &ActiveRequest) -> Failure {
+        if request.sends() == 0 {
+            return Failure::new(Code::Draining, "the node stops");
         }
-        whole
+        self.stop.note_cut();
+        Failure::new(Code::ExpiredRunning, "no answer before the node stops")
     }
 
     /// Reads an answer whole before it is passed on, so that one that breaks off can be repeated.
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
@@ -21,6 +21,7 @@
 use super::quarantine::Quarantine;
 use super::relay::Cut;
 use super::roles::{Mix, Roles};
+use super::stop::Stop;
 use super::upstream::Upstream;
 use super::versions::Replacements;
 use super::view::View;
@@ -70,7 +71,8 @@
     budget: Mutex<Budget>,
     spreading: Mutex<HashMap<Name, Millis>>,
     shares: Mutex<HashMap<Name, Share>>,
-    stopping: AtomicBool,
+    /// The node's planned stop.
+    pub stop: Stop,
     active: AtomicUsize,
 }
 
@@ -122,7 +124,7 @@
             service,
             spreading: Mutex::default(),
             shares: Mutex::default(),
-            stopping: AtomicBool::new(false),
+            stop: Stop::default(),
             active: AtomicUsize::new(0),
         }
     }
@@ -130,24 +132,13 @@
     /// Whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        if self.is_stopping() {
+        if self.stop.is_begun() {
             return false;
         }
         let state = self.view.state();
         state.config.is_some() && !state.upstreams.is_empty()
     }
 
-    /// Stops taking callers; what is in progress goes on.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether the node stops.
-    #[must_use]
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
     /// Requests in progress.
     #[must_use]
     pub fn active(&self) -> usize {
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -44,6 +44,9 @@
 /// Time before the node would be killed, at which it ends by itself.
 const END_MARGIN: Millis = Millis(400);
 
+/// Time for callers to get the failures of what was cut short.
+const ANSWERS: Millis = Millis(100);
+
 /// Time for the system to send what it has taken in.
 const FLUSH: Millis = Millis(50);
 
@@ -177,6 +180,7 @@
                 start: rand::random(),
                 failure_domain: Name::clone(&settings.failure_domain),
             },
+            boot: Boot::id(),
             first_start: settings.first_start,
         });
         let subscription =
@@ -260,32 +264,60 @@
 
     /// Stops: no more callers, orders handed over, what is in progress ended.
     ///
-    /// Returns whether every request was answered.
+    /// Returns whether every request was answered in its own time.
     pub async fn drain(mut self) -> bool {
         let clock = Arc::clone(&self.gate.clock);
         let end = clock.now() + self.limits.get().stop - END_MARGIN;
-        self.gate.stop();
+        self.gate.stop.begin(end);
         give_notice(self.claimer.leave()).await;
         self.closing.cancel();
-        // Nothing in progress is not enough: the head of a request can have come in half, and the
-        // last bytes of an answer can wait for a slow caller. Ended then, the process would cut
-        // both off. Connections without either are closed at once.
-        let left = end.since(clock.now());
-        if tokio::time::timeout(left.duration(), &mut self.serving)
-            .await
-            .is_err()
-        {
-            log::info!("node: callers' connections are left at the end of its time");
-        }
+        self.finish(end).await;
+        self.report(end).await;
         // The last bytes of an answer may still lie in the system's buffers.
         tokio::time::sleep(FLUSH.duration()).await;
-        let left = self.gate.active();
-        log::info!("node: stops with {left} requests in progress");
-        let whole = left == 0;
+        let (left, cut) = (self.gate.active(), self.gate.stop.cut());
+        log::info!("node: stops with {left} requests in progress, {cut} were cut short");
+        let whole = left + cut == 0;
         self.serving.abort();
         self.tasks.abort_all();
         whole
     }
+
+    /// Waits until what is in progress has ended, and cuts it short at `end`.
+    ///
+    /// Nothing in progress is not enough: the head of a request can have come in half, and the
+    /// last bytes of an answer can wait for a slow caller. Ended then, the process would cut
+    /// both off. Connections without either are closed at once.
+    async fn finish(&mut self, end: Millis) {
+        let left = end.since(self.gate.clock.now());
+        let serving = &mut self.serving;
+        if tokio::time::timeout(left.duration(), &mut *serving)
+            .await
+            .is_ok()
+        {
+            return;
+        }
+        log::info!("node: what is in progress is cut short at the end of its time");
+        self.gate.stop.end();
+        if tokio::time::timeout(ANSWERS.duration(), serving)
+            .await
+            .is_err()
+        {
+            log::info!("node: callers' connections are left");
+        }
+    }
+
+    /// Waits until all that this node saw of upstreams' ends is reported, until `end` at most.
+    async fn report(&self, end: Millis) {
+        let left = end.since(self.gate.clock.now());
+        let reported = self.gate.quarantine.reported();
+        if tokio::time::timeout(left.duration(), reported)
+            .await
+            .is_err()
+        {
+            log::info!("node: what it saw of upstreams' ends isn't all reported");
+        }
+    }
 }
 
 /// Gives claims up while the balancer notices that the node stops.
