request: one module a job

direct::request had grown to 598 lines: the way of a request, what is sent, how sends end, leave to repeat, and suspicion stood in one file, the end of a send in one function of 63 lines. Each is a module of its own now (largest 268 lines), and each way in which a send ends a function.

--- /dev/null
+++ b/lib/src/direct/request/suspicion.rs
@@ -0,0 +1,62 @@
+//! Whether a request may be sent at all, by what became of upstreams that ran it.
+
+use std::sync::Arc;
+
+use super::ActiveRequest;
+use crate::direct::upstream::Upstream;
+use crate::error::{Code, Failure};
+use crate::poison::ledger::Sign;
+
+impl ActiveRequest {
+    /// Whether the request may be sent to an upstream, for the first time or again.
+    ///
+    /// A request that ends every engine that begins to run it goes on at the next one by itself,
+    /// and its caller's next attempt starts anew at any node: one request ended nearly all engines
+    /// of a fleet, again and again. All that is sent passes this check, right before it is.
+    ///
+    /// # Errors
+    ///
+    /// When upstreams ended under it; nothing more of it is sent.
+    pub(in crate::direct) fn check(&self) -> Result<(), Failure> {
+        let quarantine = &self.gate.quarantine;
+        if quarantine.is_empty() {
+            return Ok(());
+        }
+        let checked = quarantine.check(self.message.fingerprint());
+        checked.map_err(|failure| match self.sent {
+            0 => failure,
+            _ => Failure::new(Code::UpstreamLost, failure.detail),
+        })
+    }
+
+    /// Waits until the request may no longer be sent.
+    pub(super) async fn quarantined(&self) -> Failure {
+        loop {
+            let changed = self.gate.view.changed.notified();
+            let mut changed = std::pin::pin!(changed);
+            changed.as_mut().enable();
+            if let Err(failure) = self.check() {
+                return failure;
+            }
+            changed.await;
+        }
+    }
+
+    /// Takes in that the connection to an upstream broke while the request stood there.
+    pub(in crate::direct) fn broke(&self, upstream: &Arc<Upstream>, sign: Sign) {
+        let fingerprint = self.message.fingerprint().clone();
+        log::info!(
+            request = self.id(),
+            suspect = fingerprint.as_str(),
+            upstream = &*upstream.incarnation,
+            sign = sign.name();
+            "request: broke"
+        );
+        self.gate.quarantine.broke(upstream, fingerprint, sign);
+    }
+
+    /// Takes in that an upstream ran the request without harm.
+    pub(in crate::direct) fn survived(&self) {
+        self.gate.quarantine.survived(self.message.fingerprint());
+    }
+}
