--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -1,8 +1,28 @@
 //! Until when a version of an adapter may be begun on, by what operators declared.
 
-use chivevalve::clock::Millis;
-use chivevalve::direct::versions::{Declaration, Declarations};
+mod direct_support;
+
+use std::sync::Arc;
+
+use chivevalve::clock::{Clock, Manual, Millis};
+use chivevalve::direct::ask::Desks;
+use chivevalve::direct::attempt::{Message, Miss};
+use chivevalve::direct::call::{Call, Kind};
+use chivevalve::direct::dialect::{Dialect, Dispatch, Listed};
+use chivevalve::direct::entry::Gate;
+use chivevalve::direct::limits::Current;
+use chivevalve::direct::right::Right;
+use chivevalve::direct::upstream::Upstream;
+use chivevalve::direct::versions::{Declaration, Declarations, Watch};
+use chivevalve::direct::view::View;
+use chivevalve::metrics::Metrics;
+use chivevalve::ports::metered::Metered;
+use chivevalve_platform::Speech;
+use direct_support::memory::Memory;
+use direct_support::records::listed;
+use http::{HeaderMap, Method, Uri};
 use quickcheck::{Gen, QuickCheck};
+use tokio::net::TcpListener;
 
 const LIMIT: Millis = Millis(5_000);
 
@@ -86,3 +106,84 @@
         .tests(400)
         .quickcheck(holds as fn(Vec<(u8, u16)>) -> bool);
 }
+
+/// A send on version 1 that is watched, with the clock that it goes by and the bounds in force.
+fn watched() -> (Watch, Arc<Manual>, Arc<Gate>) {
+    let manual = Arc::new(Manual::default());
+    let clock: Arc<dyn Clock> = Arc::<Manual>::clone(&manual);
+    let view = Arc::new(View::default());
+    let dialect: Arc<dyn Dialect> = Arc::new(Speech);
+    let metrics = Arc::new(Metrics::new());
+    let memory = Arc::new(Memory::default());
+    let service = Arc::new(Metered::new(
+        Arc::<Memory>::clone(&memory),
+        Arc::<Memory>::clone(&memory),
+        memory,
+        Arc::clone(&metrics),
+        Arc::clone(&clock),
+    ));
+    let desks = Arc::new(Desks::new(
+        Arc::clone(&view),
+        Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view))),
+        Arc::clone(&dialect),
+        Arc::clone(&clock),
+        "node-1".into(),
+        metrics,
+    ));
+    let gate = Arc::new(Gate::new(
+        view,
+        desks,
+        dialect,
+        clock,
+        "hall-a".into(),
+        Arc::new(Current::default()),
+        service,
+    ));
+    let engine = Upstream::new(&listed("i-1", &[("base/a1", 1)]), 1, Millis::ZERO);
+    let adapter = "base/a1".into();
+    let watch = Watch::new(Arc::clone(&gate), Arc::new(engine), adapter, 1, true);
+    (watch, manual, gate)
+}
+
+fn declare(gate: &Gate, version: u64, since: Millis) {
+    let declaration = Declaration { version, since };
+    let mut state = gate.view.state();
+    let declarations = state.versions.entry("base/a1".into()).or_default();
+    declarations.declare(declaration, LIMIT);
+    drop(state);
+    gate.view.changed.notify_waiters();
+}
+
+/// A request that may no longer begin on a version isn't sent, and so is known not to have run.
+#[tokio::test]
+async fn send_past_the_limit() {
+    let (watch, manual, gate) = watched();
+    declare(&gate, 2, Millis(1));
+    manual.advance(LIMIT + LIMIT);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let engine = Listed {
+        address: listener.local_addr().unwrap(),
+        ..listed("i-1", &[("base/a1", 1)])
+    };
+    let engine = Arc::new(Upstream::new(&engine, 1, Millis::ZERO));
+    let message = Message {
+        method: Method::POST,
+        uri: Uri::from_static("/digest/x"),
+        headers: HeaderMap::new(),
+        body: "the request".into(),
+        call: Call::default(),
+        kind: Kind::Stream { resumable: false },
+        fingerprint: std::sync::OnceLock::new(),
+    };
+    let dispatch = Dispatch {
+        incarnation: "i-1".into(),
+        deadline: LIMIT,
+        urgency: None,
+        version: Some(1),
+        resume_after: None,
+        memory: None,
+    };
+    let sent = message.send(&engine, &Speech, &dispatch, None, Some(watch));
+    let miss = sent.await.unwrap_err();
+    assert_eq!(miss, Miss::Withdrawn { sent: false });
+}
