tests: updates and timers across a suspension (known red)

What callers see: requests begin on an older version later than allowed, also through nodes that have been in touch for seconds or were never suspended themselves. Order of events: (1) a node listens to another one and its VM is suspended; a version is declared; the updates lie in its socket. Awake, it takes their ages from the moment at which it reads them, holds all that it knew before for new, and counts the version from its own awakening. It passes the wrong ages on to three more nodes. (2) a send waits, and the timer of its watch stands while the VM is suspended: it fires as much later. Cause: (1) fanout::wire::decode has the age count from the reading, and not from the sending; (2) Watch::until waits by the steady clock for a limit that counts by one that runs on.

--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -419,7 +419,14 @@
 }
 
 fn subscription(node: &str, view: Arc<View>) -> (Arc<Desks>, Subscription) {
-    let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+    subscription_by(node, view, Arc::new(Monotonic::start()))
+}
+
+fn subscription_by(
+    node: &str,
+    view: Arc<View>,
+    clock: Arc<dyn Clock>,
+) -> (Arc<Desks>, Subscription) {
     let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
     let desks = Arc::new(Desks::new(
         view,
@@ -620,3 +627,31 @@
         }
     }
 }
+
+/// An update that waited while this node's VM was suspended isn't taken for new.
+#[tokio::test]
+async fn subscription_update_behind_a_suspension() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (above, _) = subscription("node-0", view(12, address));
+    tokio::spawn(serve(listener, Arc::clone(&above)));
+    above.hub.publish(update(0, 1));
+    let span = Millis::from_secs(2);
+    for number in 0..12 {
+        let clock = Arc::new(Manual::default());
+        let name = format!("node-{number}");
+        let (_desks, mut one) = subscription_by(&name, view(12, address), Arc::clone(&clock) as _);
+        if one.next(0, span).await == Heard::Nobody {
+            continue;
+        }
+        let waiting = tokio::spawn(async move { one.next(1, span).await });
+        tokio::task::yield_now().await;
+        clock.advance(Millis::from_secs(5));
+        above.hub.publish(update(1, 2));
+        if let Heard::Update(update) = waiting.await.unwrap() {
+            assert_eq!(update.as_of, Millis::ZERO);
+        }
+        return;
+    }
+    panic!("no node listens");
+}
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -154,6 +154,26 @@
     gate.view.changed.notify_waiters();
 }
 
+/// Lets as much time pass by the timers, which stand while the VM is suspended, and by the clock.
+async fn pass(manual: &Manual, span: Millis) {
+    for _ in 0..span.0 / 10 {
+        manual.advance(Millis(10));
+        tokio::time::sleep(Millis(10).duration()).await;
+    }
+}
+
+/// A send is withdrawn at the limit also where the VM was suspended for part of the time before.
+#[tokio::test(start_paused = true)]
+async fn expired_after_a_suspension() {
+    let (watch, manual, gate) = watched();
+    declare(&gate, 2, Millis(1));
+    let expired = tokio::spawn(async move { watch.expired().await });
+    pass(&manual, Millis(1_000)).await;
+    manual.advance(Millis(3_000));
+    pass(&manual, Millis(950)).await;
+    assert!(expired.is_finished());
+}
+
 /// A request that may no longer begin on a version isn't sent, and so is known not to have run.
 #[tokio::test]
 async fn send_past_the_limit() {
