tests: versions at a start, and a limit made shorter (known red)

What callers see: older versions are begun on. (1) through a node that starts within five seconds of its VM, also where the version was declared long ago; (2) for up to a second where a reload makes the limit shorter. Cause: (1) what is read first counts from the clock's zero, which is the VM's start; (2) limits::Current::set wakes nobody.

--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -285,3 +285,18 @@
     assert_eq!(newest.version, 2);
     assert!(newest.since <= named, "{newest:?}, named at {named}");
 }
+
+/// A node that starts soon after its VM doesn't take a version for one that was just declared.
+#[tokio::test(start_paused = true)]
+async fn version_read_at_a_start_has_no_more_time() {
+    let followed = start();
+    let clock = Monotonic::start();
+    let entry = r#"{"model":"base","adapter":"a1","version":2}"#;
+    followed
+        .memory
+        .change(|state| state.put("op/version/base.a1", entry, None));
+    pass(Millis(1_000)).await;
+    let limit = Current::default().get().version;
+    let begin_by = followed.view.begin_by("base/a1", 1, limit).unwrap();
+    assert!(begin_by <= clock.now(), "{begin_by}");
+}
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -10,7 +10,7 @@
 use chivevalve::direct::call::{Call, Kind};
 use chivevalve::direct::dialect::{Dialect, Dispatch, Listed};
 use chivevalve::direct::entry::Gate;
-use chivevalve::direct::limits::Current;
+use chivevalve::direct::limits::{Current, Limits};
 use chivevalve::direct::right::Right;
 use chivevalve::direct::upstream::Upstream;
 use chivevalve::direct::versions::{Declaration, Declarations, Watch};
@@ -174,6 +174,21 @@
     assert!(expired.is_finished());
 }
 
+/// A send is withdrawn by the limit in force, also one that a reload made shorter meanwhile.
+#[tokio::test(start_paused = true)]
+async fn expired_by_a_limit_made_shorter() {
+    let (watch, manual, gate) = watched();
+    declare(&gate, 2, Millis(1));
+    let expired = tokio::spawn(async move { watch.expired().await });
+    pass(&manual, Millis(1_000)).await;
+    gate.limits.set(Limits {
+        version: Millis(3_000),
+        ..Limits::default()
+    });
+    pass(&manual, Millis(2_000)).await;
+    assert!(expired.is_finished());
+}
+
 /// A request that may no longer begin on a version isn't sent, and so is known not to have run.
 #[tokio::test]
 async fn send_past_the_limit() {
