--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -303,3 +303,18 @@
     pass(Millis(4_000)).await;
     assert!(followed.view.as_of() > lost + Millis(20_000));
 }
+
+/// A node that starts soon after its VM doesn't take a version for one that was just declared.
+#[tokio::test(start_paused = true)]
+async fn version_read_at_a_start_has_no_more_time() {
+    let followed = start();
+    let clock = Monotonic::start();
+    let entry = r#"{"model":"base","adapter":"a1","version":2}"#;
+    followed
+        .memory
+        .change(|state| state.put("op/version/base.a1", entry, None));
+    pass(Millis(1_000)).await;
+    let limit = Current::default().get().version;
+    let begin_by = followed.view.begin_by("base/a1", 1, limit).unwrap();
+    assert!(begin_by <= clock.now(), "{begin_by}");
+}
