fanout: an update that lay in its socket isn't taken for new

What callers see: requests begin on an older version of their adapter later than allowed, through nodes that are in touch or were never suspended themselves. Order of events: a node listens to another one; its VM is suspended; a version is declared, the updates lie in its socket. Awake, it takes their ages from the moment of reading, holds all that it knew before for new, counts the version from its own awakening, and passes the wrong ages on. Cause: an update tells how old it was when it was sent, and the listener counted that from when it read it. Ruled out: the node's own calls to the service count from when they were sent. Change: an update also tells how long the listener's call had been open when it was sent. It was sent no earlier than the call and as long behind it, by clocks that each run through suspensions and are never compared. It is as old as the earlier of both counts says.

--- a/lib/src/direct/fanout/hub.rs
+++ b/lib/src/direct/fanout/hub.rs
@@ -173,6 +173,7 @@
             backlog,
             receiver,
             after,
+            since: self.clock.now(),
             metrics: Arc::clone(&self.metrics),
             _place: place,
         };
@@ -207,6 +208,8 @@
     backlog: VecDeque<Arc<Update>>,
     receiver: broadcast::Receiver<Arc<Update>>,
     after: u64,
+    /// When it began to listen.
+    since: Millis,
     metrics: Arc<Metrics>,
     _place: OwnedSemaphorePermit,
 }
@@ -220,8 +223,9 @@
         if update.after > self.after {
             return Err(Unsent::Gap);
         }
-        let age = self.clock.now().since(update.as_of) + on_its_way(&update);
-        let sent = encode(&update, self.after, age);
+        let now = self.clock.now();
+        let age = now.since(update.as_of) + on_its_way(&update);
+        let sent = encode(&update, self.after, age, now.since(self.since));
         self.after = self.after.max(update.revision);
         Ok(sent)
     }
--- a/lib/src/direct/fanout/subscription.rs
+++ b/lib/src/direct/fanout/subscription.rs
@@ -23,12 +23,21 @@
 /// What listening ends with where a message is larger than a node reads.
 const TOO_LARGE: Code = Code::OutOfRange;
 
+/// A call over which updates come.
+#[derive(Debug)]
+struct Listening {
+    leader: Name,
+    /// When the call was made.
+    asked: Millis,
+    updates: Streaming<Sent>,
+}
+
 /// Listens to a node of this node's failure domain.
 #[derive(Debug)]
 pub struct Subscription {
     desks: Arc<Desks>,
     failure_domain: Name,
-    stream: Option<(Name, Streaming<Sent>)>,
+    stream: Option<Listening>,
     avoided: Vec<(Name, Millis)>,
 }
 
@@ -47,8 +56,8 @@
     /// Returns whom this node listens to at this moment.
     #[must_use]
     pub fn listens_to(&self) -> Option<Name> {
-        let (name, _) = self.stream.as_ref()?;
-        Some(Name::clone(name))
+        let listening = self.stream.as_ref()?;
+        Some(Name::clone(&listening.leader))
     }
 
     async fn begin(&mut self, after: u64) -> Option<()> {
@@ -68,7 +77,11 @@
         match tokio::time::timeout(CONNECT.duration(), asked).await {
             Ok(Ok(stream)) => {
                 log::debug!("follow: listens to {leader}");
-                self.stream = Some((leader, stream.into_inner()));
+                self.stream = Some(Listening {
+                    leader,
+                    asked: now,
+                    updates: stream.into_inner(),
+                });
                 Some(())
             }
             Ok(Err(status)) => {
@@ -96,15 +109,19 @@
         if self.stream.is_none() && self.begin(after).await.is_none() {
             return Heard::Nobody;
         }
-        let Some((leader, stream)) = &mut self.stream else {
+        let Some(listening) = &mut self.stream else {
             return Heard::Nobody;
         };
-        let message = tokio::time::timeout(within.duration(), stream.message()).await;
+        let message = tokio::time::timeout(within.duration(), listening.updates.message()).await;
         let Ok(message) = message else {
             return Heard::Nothing;
         };
+        let leader = &listening.leader;
         match message {
-            Ok(Some(sent)) => Heard::Update(decode(sent, self.desks.clock.now())),
+            Ok(Some(sent)) => {
+                let now = self.desks.clock.now();
+                Heard::Update(decode(sent, listening.asked, now))
+            }
             Ok(None) => {
                 log::info!("follow: {leader} passes nothing on any more");
                 self.stream = None;
@@ -123,7 +140,7 @@
     }
 
     fn avoid(&mut self) {
-        if let Some((leader, _)) = self.stream.take() {
+        if let Some(Listening { leader, .. }) = self.stream.take() {
             log::info!("follow: nothing new enough from {leader}");
             let until = self.desks.clock.now() + AVOIDED;
             self.avoided.push((leader, until));
--- a/lib/src/direct/fanout/wire.rs
+++ b/lib/src/direct/fanout/wire.rs
@@ -5,7 +5,7 @@
 use crate::ports::{Entry, Event};
 use crate::schema::direct::{Change, Update as Sent};
 
-pub(super) fn encode(update: &Update, after: u64, age: Millis) -> Sent {
+pub(super) fn encode(update: &Update, after: u64, age: Millis, listening: Millis) -> Sent {
     let newer = update.events.iter().filter(|event| event.revision > after);
     Sent {
         // One that knows more is told so, and asks the service: this node is behind, or the
@@ -14,6 +14,7 @@
         revision: update.revision,
         age_ms: age.0,
         changes: newer.map(encode_event).collect(),
+        listening_ms: listening.0,
     }
 }
 
@@ -39,11 +40,17 @@
     }
 }
 
-pub(super) fn decode(sent: Sent, now: Millis) -> Update {
+/// Reads an update that came over a call made at `asked`.
+///
+/// An update can lie in its socket while this node's VM is suspended: read at `now`, it would
+/// count as new. It was sent no earlier than the call, and as long behind that as its sender
+/// says, which holds whatever happens on the way.
+pub(super) fn decode(sent: Sent, asked: Millis, now: Millis) -> Update {
+    let sent_at = now.min(asked + Millis(sent.listening_ms));
     Update {
         after: sent.after,
         revision: sent.revision,
-        as_of: Millis(now.0.saturating_sub(sent.age_ms)),
+        as_of: Millis(sent_at.0.saturating_sub(sent.age_ms)),
         events: sent.changes.into_iter().map(decode_event).collect(),
     }
 }
--- a/lib/src/protos/chivevalve.direct.rs
+++ b/lib/src/protos/chivevalve.direct.rs
@@ -46,6 +46,9 @@
     pub age_ms: u64,
     #[prost(message, repeated, tag = "4")]
     pub changes: ::prost::alloc::vec::Vec<Change>,
+    /// How long the listener's call had been open when this was sent, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub listening_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Change {
