versions: what is read at a start may have been declared at any time

What callers see: through a node that starts within five seconds of its VM, requests begin on a version that was replaced long ago. Cause: a declaration counts from the last moment at which the node knew of none. A node that knew nothing has no such moment; the clock's zero stood for it, which is the VM's start. Change: a declaration without such a moment forbids what is below it at once. Tests of declarations name the moment as Some(..); what they assert is the same.

--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -50,8 +50,8 @@
     returned: Option<Millis>,
     hub: Option<Arc<Hub>>,
     source: Option<Box<dyn Source>>,
-    /// When all that this node knows was known to be the newest.
-    fresh: Millis,
+    /// When all that this node knows was known to be the newest, once it knows anything.
+    fresh: Option<Millis>,
 }
 
 impl Follower {
@@ -77,7 +77,7 @@
             returned: None,
             hub: None,
             source: None,
-            fresh: Millis::ZERO,
+            fresh: None,
         }
     }
 
@@ -161,7 +161,7 @@
     /// its whole wait.
     fn as_of(&self, sent: Millis, wait: Millis, changes: &Changes) -> Millis {
         if changes.more {
-            return self.fresh;
+            return self.fresh.unwrap_or_default();
         }
         let in_vain = changes.events.is_empty();
         let waited = if in_vain { wait } else { Millis::ZERO };
@@ -190,7 +190,7 @@
             return revision;
         };
         loop {
-            let oldest = self.fresh + self.limits.get().oldest_update();
+            let oldest = self.fresh.unwrap_or_default() + self.limits.get().oldest_update();
             let left = oldest.since(self.clock.now());
             if left == Millis::ZERO {
                 self.count("nobody");
@@ -228,8 +228,8 @@
         self.alive();
         // What changed did so behind what was known before.
         self.take(&update.events);
-        self.fresh = self.fresh.max(update.as_of);
-        self.view.renew(self.fresh);
+        self.fresh = self.fresh.max(Some(update.as_of));
+        self.view.renew(self.fresh.unwrap_or_default());
         if let Some(hub) = &self.hub {
             hub.publish(update);
         }
@@ -274,7 +274,7 @@
             }
             self.replace(prefix, &listing.entries);
         }
-        self.fresh = began;
+        self.fresh = Some(began);
         self.view.renew(began);
         let took = self.clock.now().since(began);
         log::info!("follow: everything up to revision {revision} is read, which took {took}");
--- a/lib/src/direct/record.rs
+++ b/lib/src/direct/record.rs
@@ -59,7 +59,10 @@
         adapter = adapter.map_or("", |adapter| adapter),
         version = version.unwrap_or_default(),
         newest = newest.map_or(0, |newest| newest.version),
-        newest_age_ms = newest.map_or(0, |newest| request.now().since(newest.since).0),
+        newest_age_ms = newest.map_or(0, |newest| {
+            let since = newest.since.unwrap_or_default();
+            request.now().since(since).0
+        }),
         load = upstream.load(),
         reader = request.gate.roles(&request.pool).reads(upstream.address),
         tokens = request.message.call.tokens.map_or(0, |(prompt, _)| prompt),
--- a/lib/src/direct/versions.rs
+++ b/lib/src/direct/versions.rs
@@ -38,11 +38,19 @@
 pub struct Declaration {
     /// The version.
     pub version: u64,
-    /// When it may have been declared at the earliest: until then this node knew of none.
+    /// When it may have been declared at the earliest: until then this node knew of none. None
+    /// where the node knew nothing before: it may have been declared at any time.
     ///
     /// Counted from when the node hears of it, an old version would be begun on for as much
     /// longer as changes take to arrive.
-    pub since: Millis,
+    pub since: Option<Millis>,
+}
+
+impl Declaration {
+    /// Returns until when a request may begin on a version below this one.
+    fn forbids_from(&self, limit: Millis) -> Millis {
+        self.since.map_or(Millis::ZERO, |since| since + limit)
+    }
 }
 
 /// The declarations of one adapter that still count, in order.
@@ -61,7 +69,8 @@
         {
             return false;
         }
-        let passed = |one: &Declaration| one.since + limit <= declaration.since;
+        let since = declaration.since.unwrap_or_default();
+        let passed = |one: &Declaration| one.forbids_from(limit) <= since;
         if let Some(last) = self.0.iter().rposition(passed) {
             self.0.drain(..last);
         }
@@ -79,7 +88,7 @@
     #[must_use]
     pub fn begin_by(&self, version: u64, limit: Millis) -> Option<Millis> {
         let newer = self.0.iter().filter(|one| one.version > version);
-        newer.map(|one| one.since + limit).min()
+        newer.map(|one| one.forbids_from(limit)).min()
     }
 }
 
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -236,7 +236,10 @@
         pass(Millis(2_000)).await;
         let newest = followed.view.newest("base/a1").unwrap();
         assert_eq!(newest.version, version);
-        assert!(newest.since <= named, "{newest:?}, named at {named}");
+        assert!(
+            newest.since.unwrap() <= named,
+            "{newest:?}, named at {named}"
+        );
     }
 }
 
@@ -283,7 +286,10 @@
     pass(Millis(2_000)).await;
     let newest = followed.view.newest("base/a1").unwrap();
     assert_eq!(newest.version, 2);
-    assert!(newest.since <= named, "{newest:?}, named at {named}");
+    assert!(
+        newest.since.unwrap() <= named,
+        "{newest:?}, named at {named}"
+    );
 }
 
 /// What the list showed before an outage is taken for what it shows now.
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -29,7 +29,7 @@
 fn declared(all: &[(u64, u64)]) -> Declarations {
     let mut declarations = Declarations::default();
     for (version, since) in all {
-        let since = Millis(*since);
+        let since = Some(Millis(*since));
         let version = *version;
         declarations.declare(Declaration { version, since }, LIMIT);
     }
@@ -74,21 +74,21 @@
 fn begin_by_is_the_earliest_of_all_newer() {
     fn holds(steps: Vec<(u8, u16)>) -> bool {
         let (mut version, mut now) = (1, Millis::ZERO);
-        let mut all: Vec<Declaration> = Vec::new();
+        let mut all: Vec<(u64, Millis)> = Vec::new();
         let mut declarations = Declarations::default();
         for (step, pause) in steps {
             version += u64::from(step % 3);
             now += Millis(u64::from(pause % 9_000));
             let declaration = Declaration {
                 version,
-                since: now,
+                since: Some(now),
             };
             if declarations.declare(declaration, LIMIT) {
-                all.push(declaration);
+                all.push((version, now));
             }
             for held in 0..=version {
-                let newer = all.iter().filter(|one| one.version > held);
-                let expected = newer.map(|one| one.since + LIMIT).min();
+                let newer = all.iter().filter(|(version, _)| *version > held);
+                let expected = newer.map(|(_, since)| *since + LIMIT).min();
                 let found = declarations.begin_by(held, LIMIT);
                 // What is past for good may count from any moment that is past.
                 let both_past = [expected, found]
@@ -146,6 +146,7 @@
 }
 
 fn declare(gate: &Gate, version: u64, since: Millis) {
+    let since = Some(since);
     let declaration = Declaration { version, since };
     let mut state = gate.view.state();
     let declarations = state.versions.entry("base/a1".into()).or_default();
