versions: the time to begin is looked at each quarter of a second

What callers see: a request begins on an older version up to as much later than allowed as its node's VM was suspended, or, where a reload makes the limit shorter, up to the former limit. Cause: the watch slept until the limit by a timer, which stands while the VM is suspended, though the limit counts by a clock that runs on; and a reload wakes nobody. Change: what waits behind a declaration looks again after 0.25 s at the latest; what no declaration bounds sleeps until one comes.

--- a/lib/src/direct/versions.rs
+++ b/lib/src/direct/versions.rs
@@ -33,6 +33,11 @@
 /// Pause after which an engine is asked once more to replace a version.
 const REPLACEMENT_PAUSE: Millis = Millis(500);
 
+/// The longest sleep before the time that is left is looked at again.
+///
+/// Timers stand while the VM is suspended, and the limits in force may change.
+const LOOK: Millis = Millis(250);
+
 /// A version that operators declared as the newest of its adapter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Declaration {
@@ -158,7 +163,7 @@
             match self.left(lead) {
                 Some(Millis::ZERO) => return,
                 Some(left) => {
-                    let _ = tokio::time::timeout(left.duration(), changed).await;
+                    let _ = tokio::time::timeout(left.min(LOOK).duration(), changed).await;
                 }
                 None => changed.await,
             }
