versions: a stream has begun with the first byte of its body

What callers see: a stream that had begun in time is cut off behind a declaration; one that may run once is lost. Order of events: the first part of the first event arrives, a newer version is declared, the rest isn't there 0.15 s before the limit. Cause: the watch of a send ended with its first whole event. A request begins with its first token, and an event can arrive in parts. Ruled out: a stall of the stream; the route's timeout is a minute in the test. Change: whatever comes of the body ends the watch, also while another engine is looked for.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -215,6 +215,11 @@
 }
 
 impl Answer {
+    /// Takes in that a part of the body has come, so that the run has begun.
+    pub fn has_begun(&mut self) {
+        self.watch = None;
+    }
+
     /// Reads the whole body.
     ///
     /// # Errors
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -148,7 +148,6 @@
         self.request.gate.metrics.tokens.inc();
         if let Some(answer) = &mut self.answer {
             answer.running.read();
-            answer.watch = None;
         }
         match self.progress {
             Progress::Nothing => self.progress = Progress::Brought(now),
@@ -316,7 +315,10 @@
         };
         let reply = tokio::select! {
             biased;
-            received = answer.body.frame() => return self.events.receive(received),
+            received = answer.body.frame() => {
+                answer.has_begun();
+                return self.events.receive(received);
+            }
             reply = reply_of(&mut self.handover, span) => reply,
             () = versions::expired(answer.watch.as_ref()) => return Step::Withdrawn,
             () = tokio::time::sleep(span.duration()) => Reply::Unanswered,
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -289,7 +289,10 @@
     };
     tokio::select! {
         biased;
-        received = answer.body.frame() => events.receive(received),
+        received = answer.body.frame() => {
+            answer.has_begun();
+            events.receive(received)
+        }
         () = versions::expired(answer.watch.as_ref()) => Step::Withdrawn,
     }
 }
