orders: one table folds all evidence of loads, in its order

What callers see: 503 after four seconds of waiting for an adapter that the engine holds meanwhile; two such loads close an engine to all further loads for as long as its owner lives. Cause: evidence out of order. An order's answer, a report, a look and time each wrote what is believed of a load, each with its own idea of which is newer. A report of an incoming load began no looks; one from before an order failed its load, or took the count back, so that every look was refused; the load of a further version dropped who waited for the one before. Ruled out: the engine, which answers the same order with "holds" at once in each of the five tests. Change: orders::slots::Slots, a table without a task or a network. Evidence is ordered by the engine's start, its count of orders, and age; older evidence never undoes newer. Waiters wait for a version or a newer one, each for its own time. A load on its way has its next look in its entry, whoever began it. A load that outlasts its time keeps its slot but not others from the engine. An order without a version is asked after before another one is given there. Before, on: five tests of test_versions failed each time (503 for 200): load_of_a_former_owner_completes, version_replaced_behind_long_runs, load_is_not_failed_by_an_older_report, version_replaced_completes_behind_an_older_report and load_of_a_further_version_keeps_who_waits.

--- a/lib/src/direct/orders/change.rs
+++ b/lib/src/direct/orders/change.rs
@@ -1,7 +1,7 @@
 //! Orders as they are given, and the count of those that the engine accepted.
 
 use super::Desk;
-use super::book::Book;
+use super::slots::Slots;
 use crate::clock::Millis;
 use crate::direct::dialect::{Action, Order, Ordered};
 use crate::name::Name;
@@ -18,7 +18,7 @@
     ///
     /// All that wait under one count can only be carried out once.
     pub(super) fn doubtful(&mut self, now: Millis) -> usize {
-        let sequence = self.book.as_ref().map_or(0, |book| book.sequence);
+        let sequence = self.sequence();
         self.doubtful
             .retain(|(expected, until)| *until > now && *expected >= sequence);
         usize::from(!self.doubtful.is_empty())
@@ -42,7 +42,7 @@
             if outcome.is_some() || !self.unanswered {
                 break;
             }
-            let sequence = self.book.as_ref()?.sequence;
+            let sequence = self.slots.as_ref()?.sequence();
             self.doubtful.push((sequence, now + LATE));
             outcome = match self.order(action, model, version).await {
                 Some(Ordered::Conflict) if alone => Some(Ordered::Started),
@@ -52,8 +52,8 @@
         self.record(action, model, version, outcome);
         let accepted = outcome == Some(Ordered::Started)
             || (outcome == Some(Ordered::Holds) && action == Action::Unload);
-        if accepted && let Some(book) = &mut self.book {
-            book.sequence += 1;
+        if accepted && let Some(slots) = &mut self.slots {
+            slots.accepted(self.parts.clock.now());
         }
         outcome
     }
@@ -67,7 +67,7 @@
             adapter = &**model,
             version = version.unwrap_or_default(),
             outcome = outcome,
-            sequence = self.book.as_ref().map_or(0, |book| book.sequence);
+            sequence = self.sequence();
             "orders: {}", action.name()
         );
     }
@@ -79,7 +79,7 @@
         model: &Name,
         version: Option<u64>,
     ) -> Option<Ordered> {
-        let sequence = self.book.as_ref()?.sequence;
+        let sequence = self.slots.as_ref()?.sequence();
         let order = Order {
             action,
             model: Name::clone(model),
@@ -108,6 +108,7 @@
 
     /// Asks the engine what it holds.
     pub(super) async fn refresh(&mut self) -> bool {
+        let asked = self.parts.clock.now();
         let report = match self.parts.report().await {
             Ok(report) => report,
             Err(told) => {
@@ -118,18 +119,28 @@
                 return false;
             }
         };
-        let former = self.book.take().unwrap_or_default();
-        let now = self.parts.clock.now();
-        self.book = Some(Book::renewed(former, &report, now));
+        match &mut self.slots {
+            Some(slots) => {
+                if !slots.report(&report, asked) {
+                    log::debug!("orders: the report is older than the last order");
+                }
+            }
+            None => self.slots = Some(Slots::new(&report, asked)),
+        }
         self.stale = false;
         self.publish();
         true
     }
 
+    /// Returns the count of orders that the engine has accepted, as far as is known.
+    fn sequence(&self) -> u64 {
+        self.slots.as_ref().map_or(0, Slots::sequence)
+    }
+
     /// Lets this node's requests and exchanges see what the engine holds.
     pub(super) fn publish(&self) {
-        if let Some(book) = &self.book {
-            self.parts.upstream.hold(&book.held());
+        if let Some(slots) = &self.slots {
+            self.parts.upstream.hold(&slots.held());
         }
     }
 }
--- a/lib/src/direct/orders/load.rs
+++ b/lib/src/direct/orders/load.rs
@@ -1,12 +1,10 @@
 //! Loads: room for one, its order, and looks whether it is complete.
 
-use std::time::Duration;
-
 use kameo::actor::ActorRef;
 
-use super::book::{Seat, answer};
-use super::message::{Load, Loaded, Look, Looked};
-use super::{Desk, LONGEST_LOAD, MOST_INCOMING};
+use super::message::{Load, Loaded, LookDue, Looked};
+use super::slots::{Look, Slots, answer};
+use super::{Desk, MOST_IN_TRANSIT, MOST_INCOMING};
 use crate::clock::Millis;
 use crate::direct::dialect::{Action, Order, Ordered};
 use crate::name::Name;
@@ -18,18 +16,22 @@
 /// to four seconds at engines whose orders went unanswered while others were free.
 const MOST_WAITING: usize = 2;
 
-/// First look whether a load is complete; one from the engine's own memory takes a tenth.
-const FIRST_LOOK: Millis = Millis(45);
-
-/// How long a load from the weight store takes at least: no look before is of use.
-const FULL_LOAD: Millis = Millis(240);
+/// The next look that a timer waits for.
+#[derive(Debug)]
+pub(super) struct Wake {
+    at: Millis,
+    timer: tokio::task::AbortHandle,
+}
 
-/// Pause between looks.
-const LOOK: Millis = Millis(30);
+impl Drop for Wake {
+    fn drop(&mut self) {
+        self.timer.abort();
+    }
+}
 
 impl Desk {
-    pub(super) async fn start(&mut self, load: Load, actor: &ActorRef<Self>) {
-        if self.incoming() >= MOST_INCOMING {
+    pub(super) async fn start(&mut self, load: Load) {
+        if !self.takes_load() {
             if self.queue.len() < MOST_WAITING {
                 self.queue.push_back(load);
             } else {
@@ -43,33 +45,34 @@
         }
         let version = (load.version > 0).then_some(load.version);
         let outcome = self.change(Action::Load, &load.adapter, version).await;
-        self.started(load, outcome, actor);
+        self.started(load, outcome);
     }
 
-    fn started(&mut self, load: Load, outcome: Option<Ordered>, actor: &ActorRef<Self>) {
+    /// Whether one more load may be on its way.
+    ///
+    /// A load that outlasts its time waits for runs of the adapter and takes nothing from the
+    /// weight store; two of them would keep all other loads from the engine.
+    pub(super) fn takes_load(&self) -> bool {
         let now = self.parts.clock.now();
-        let Some(book) = &mut self.book else {
+        self.slots.as_ref().is_none_or(|slots| {
+            slots.loading_in_time(now) < MOST_INCOMING && slots.loading() < MOST_IN_TRANSIT
+        })
+    }
+
+    fn started(&mut self, load: Load, outcome: Option<Ordered>) {
+        let now = self.parts.clock.now();
+        let Some(slots) = &mut self.slots else {
             answer(load.reply, Loaded::Failed);
             return;
         };
         match outcome {
             Some(Ordered::Holds) => {
-                let seat = Seat::Present {
-                    version: load.version,
-                };
-                book.seats.insert(Name::clone(&load.adapter), seat);
+                slots.holds(load, now);
                 self.publish();
-                answer(load.reply, Loaded::Ready(load.version));
             }
             Some(Ordered::Started) => {
-                let seat = Seat::Coming {
-                    version: load.version,
-                    since: now,
-                    waiting: vec![load.reply],
-                };
-                book.seats.insert(Name::clone(&load.adapter), seat);
+                slots.began(load, now);
                 self.publish();
-                look_later(actor, load.adapter, FIRST_LOOK);
             }
             Some(Ordered::Fenced) => answer(load.reply, Loaded::NotOwner),
             Some(Ordered::Conflict | Ordered::Elsewhere | Ordered::Refused) => {
@@ -80,44 +83,32 @@
         }
     }
 
-    /// Frees a place if there is none.
+    /// Frees a slot if there is none.
     async fn make_room(&mut self, adapter: &Name) -> bool {
         let now = self.parts.clock.now();
-        let doubtful = self.doubtful(now);
-        let places = self.parts.engine.adapter_slots;
-        let Some(book) = &self.book else {
-            return false;
-        };
-        if book.seats.contains_key(adapter) || book.seats.len() + doubtful < places {
+        if self.has_room(adapter, now) {
             return true;
         }
-        let engine = &self.parts.upstream.incarnation;
-        let victim = book
-            .seats
-            .iter()
-            .filter(|(name, seat)| {
-                matches!(seat, Seat::Present { .. }) && !self.parts.table.uses(engine, name)
-            })
-            .map(|(name, _)| (book.used.get(name).copied().unwrap_or_default(), name))
-            .min();
-        let Some((used_until, victim)) = victim else {
+        let (table, engine) = (&self.parts.table, &self.parts.upstream.incarnation);
+        let in_use = |name: &Name| table.uses(engine, name);
+        let victim = self
+            .slots
+            .as_ref()
+            .and_then(|slots| slots.least_used(now, in_use));
+        let Some(victim) = victim else {
             return false;
         };
-        if now < used_until {
-            return false;
-        }
-        let victim = Name::clone(victim);
         let outcome = self.change(Action::Unload, &victim, None).await;
-        let Some(book) = &mut self.book else {
+        let Some(slots) = &mut self.slots else {
             return false;
         };
         match outcome {
             Some(Ordered::Holds) => {
-                book.seats.remove(&victim);
+                slots.dropped(&victim);
                 self.publish();
-                self.fits(now)
+                self.has_room(adapter, now)
             }
-            // It waits for runs: its place isn't free yet.
+            // It waits for runs: its slot isn't free yet.
             Some(_) => {
                 self.pause();
                 false
@@ -126,33 +117,54 @@
         }
     }
 
-    fn fits(&mut self, now: Millis) -> bool {
+    fn has_room(&mut self, adapter: &str, now: Millis) -> bool {
         let doubtful = self.doubtful(now);
-        let places = self.parts.engine.adapter_slots;
-        self.book
-            .as_ref()
-            .is_some_and(|book| book.seats.len() + doubtful < places)
+        let most = self.parts.engine.adapter_slots;
+        let has_room = |slots: &Slots| slots.has_slot(adapter) || slots.taken() + doubtful < most;
+        self.slots.as_ref().is_some_and(has_room)
     }
 
-    /// Has a task of its own look, so that one without an answer keeps no other load waiting.
-    pub(super) fn look(&mut self, adapter: Name, actor: &ActorRef<Self>) {
+    /// Sees to it that the next look comes when it is due.
+    pub(super) fn schedule(&mut self, actor: &ActorRef<Self>) {
         let now = self.parts.clock.now();
-        let Some(book) = &self.book else {
+        let next = self.slots.as_ref().and_then(|slots| slots.next_look(now));
+        let Some(at) = next else {
+            self.wake = None;
             return;
         };
-        let Some(Seat::Coming { version, since, .. }) = book.seats.get(&adapter) else {
+        if self.wake.as_ref().is_some_and(|wake| wake.at == at) {
             return;
-        };
-        if now.since(*since) > LONGEST_LOAD {
-            self.landed(&adapter, Loaded::Failed);
-            self.stale = true;
+        }
+        let actor = actor.clone();
+        let timer = tokio::spawn(async move {
+            tokio::time::sleep(at.since(now).duration()).await;
+            if actor.tell(LookDue).await.is_err() {
+                log::debug!("orders: the desk closed before a load was complete");
+            }
+        });
+        let timer = timer.abort_handle();
+        self.wake = Some(Wake { at, timer });
+    }
+
+    /// Has tasks of their own look, so that one without an answer keeps no other load waiting.
+    pub(super) fn look(&mut self, actor: &ActorRef<Self>) {
+        self.wake = None;
+        let now = self.parts.clock.now();
+        let Some(slots) = &mut self.slots else {
             return;
+        };
+        slots.expire(now);
+        for look in slots.due(now) {
+            self.ask(look, actor);
         }
+    }
+
+    fn ask(&self, look: Look, actor: &ActorRef<Self>) {
         let order = Order {
             action: Action::Load,
-            model: Name::clone(&adapter),
-            version: (*version > 0).then_some(*version),
-            sequence: book.sequence,
+            model: Name::clone(&look.adapter),
+            version: (look.version > 0).then_some(look.version),
+            sequence: look.sequence,
             holder: Name::clone(&self.parts.holder),
             fence: 0,
         };
@@ -160,69 +172,23 @@
         let actor = actor.clone();
         tokio::spawn(async move {
             let outcome = parts.give(order).await.ok();
-            if actor.tell(Looked { adapter, outcome }).await.is_err() {
+            if actor.tell(Looked { look, outcome }).await.is_err() {
                 log::debug!("orders: the desk closed before a load was complete");
             }
         });
     }
 
-    pub(super) async fn looked(&mut self, looked: Looked, actor: &ActorRef<Self>) {
-        let Looked { adapter, outcome } = looked;
-        let Some(Seat::Coming { version, since, .. }) =
-            self.book.as_ref().and_then(|book| book.seats.get(&adapter))
-        else {
-            return;
-        };
-        let (version, since) = (*version, *since);
-        match outcome {
-            Some(Ordered::Holds) => {
-                self.landed(&adapter, Loaded::Ready(version));
-                self.next(actor).await;
-            }
-            Some(Ordered::Fenced | Ordered::Elsewhere) => {
-                self.landed(&adapter, Loaded::Failed);
-                self.stale = true;
-            }
-            // Another order was accepted since the look left.
-            Some(Ordered::Conflict | Ordered::Started | Ordered::Refused) | None => {
-                let passed = self.parts.clock.now().since(since);
-                let rest = FULL_LOAD.since(passed);
-                look_later(actor, adapter, rest.max(LOOK));
-            }
-        }
-    }
-
-    fn landed(&mut self, adapter: &Name, loaded: Loaded) {
-        let Some(book) = &mut self.book else {
-            return;
-        };
-        let Some(Seat::Coming {
-            version,
-            waiting,
-            since,
-        }) = book.seats.remove(adapter)
-        else {
+    pub(super) async fn looked(&mut self, looked: Looked) {
+        let Looked { look, outcome } = looked;
+        let now = self.parts.clock.now();
+        let Some(slots) = &mut self.slots else {
             return;
         };
-        let took = self.parts.clock.now().since(since);
-        log::debug!("orders: {adapter} is {loaded:?} after {took}");
-        if matches!(loaded, Loaded::Ready(_)) {
-            book.seats
-                .insert(Name::clone(adapter), Seat::Present { version });
+        let is_known = slots.looked(&look, outcome, now);
+        self.stale |= !is_known;
+        if outcome == Some(Ordered::Holds) {
             self.publish();
-        }
-        for reply in waiting {
-            answer(reply, loaded);
+            self.next().await;
         }
     }
 }
-
-fn look_later(actor: &ActorRef<Desk>, adapter: Name, span: Millis) {
-    let actor = actor.clone();
-    tokio::spawn(async move {
-        tokio::time::sleep(Duration::from_millis(span.0)).await;
-        if actor.tell(Look(adapter)).await.is_err() {
-            log::debug!("orders: the desk closed before a load was complete");
-        }
-    });
-}
--- a/lib/src/direct/orders/message.rs
+++ b/lib/src/direct/orders/message.rs
@@ -4,6 +4,7 @@
 use tokio::sync::oneshot;
 
 use super::Desk;
+use super::slots::Look;
 use crate::clock::Millis;
 use crate::direct::dialect::Ordered;
 use crate::name::Name;
@@ -58,14 +59,14 @@
 #[derive(Debug)]
 pub struct Tick;
 
-/// Looks whether a load is complete.
+/// Looks whether loads are complete.
 #[derive(Debug)]
-pub(super) struct Look(pub(super) Name);
+pub(super) struct LookDue;
 
 /// Tells what a look found.
 #[derive(Debug)]
 pub(super) struct Looked {
-    pub(super) adapter: Name,
+    pub(super) look: Look,
     pub(super) outcome: Option<Ordered>,
 }
 
@@ -73,8 +74,8 @@
     type Reply = ();
 
     async fn handle(&mut self, load: Load, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        self.load(load, &actor).await;
+        self.load(load).await;
+        self.schedule(context.actor_ref());
     }
 }
 
@@ -82,21 +83,20 @@
     type Reply = ();
 
     async fn handle(&mut self, used: Used, _: &mut Context<Self, ()>) {
-        if let Some(book) = &mut self.book {
+        if let Some(slots) = &mut self.slots {
             for adapter in used.adapters {
-                let until = book.used.entry(adapter).or_default();
-                *until = used.until.max(*until);
+                slots.uses(adapter, used.until);
             }
         }
     }
 }
 
-impl Message<Look> for Desk {
+impl Message<LookDue> for Desk {
     type Reply = ();
 
-    async fn handle(&mut self, look: Look, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        self.look(look.0, &actor);
+    async fn handle(&mut self, _: LookDue, context: &mut Context<Self, ()>) {
+        self.look(context.actor_ref());
+        self.schedule(context.actor_ref());
     }
 }
 
@@ -104,8 +104,8 @@
     type Reply = ();
 
     async fn handle(&mut self, looked: Looked, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        self.looked(looked, &actor).await;
+        self.looked(looked).await;
+        self.schedule(context.actor_ref());
     }
 }
 
@@ -113,7 +113,7 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        self.tick(&actor).await;
+        self.tick().await;
+        self.schedule(context.actor_ref());
     }
 }
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -1,14 +1,14 @@
 //! Orders to one engine: which adapters it holds.
 //!
-//! One actor an engine keeps the book of its places. Every order carries the
+//! One actor an engine keeps the table of its slots. Every order carries the
 //! number of orders that the engine has accepted, so that one that was lost and
 //! is carried out late does nothing once another was accepted.
 
-mod book;
 mod change;
 mod engine;
 mod load;
 mod message;
+pub mod slots;
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -20,7 +20,8 @@
 use super::limits::IN_USE;
 use crate::clock::Millis;
 use crate::name::Name;
-use book::{Book, Seat, answer};
+use load::Wake;
+use slots::{LONGEST_LOAD, Slots, answer};
 
 pub use engine::Parts;
 pub use message::{Load, Loaded, Tick, Used};
@@ -31,8 +32,8 @@
 /// that has begun ends sooner, and later ones wait here in order.
 const MOST_INCOMING: usize = 2;
 
-/// The longest that a load may take before whoever waits is told that it failed.
-const LONGEST_LOAD: Millis = Millis(4_000);
+/// Adapters that engines take on their way at once.
+const MOST_IN_TRANSIT: usize = 4;
 
 /// How long an engine is left alone that refused an order for another that is under way.
 const PAUSE: Millis = Millis(250);
@@ -41,8 +42,8 @@
 #[derive(Debug)]
 pub struct Desk {
     parts: Parts,
-    book: Option<Book>,
-    /// The book may be wrong; the engine is asked before the next order.
+    slots: Option<Slots>,
+    /// The slots may be wrong; the engine is asked before the next order.
     stale: bool,
     /// Until when the engine is left alone.
     blocked: Millis,
@@ -52,6 +53,7 @@
     base_ordered: Option<Millis>,
     /// Whether the last order was sent and had no answer.
     unanswered: bool,
+    wake: Option<Wake>,
 }
 
 impl Actor for Desk {
@@ -61,59 +63,63 @@
     async fn on_start(parts: Parts, _: ActorRef<Self>) -> Result<Self, Infallible> {
         Ok(Self {
             parts,
-            book: None,
+            slots: None,
             stale: false,
             blocked: Millis::ZERO,
             queue: VecDeque::new(),
             doubtful: Vec::new(),
             base_ordered: None,
             unanswered: false,
+            wake: None,
         })
     }
 }
 
 impl Desk {
-    async fn load(&mut self, load: Load, actor: &ActorRef<Self>) {
-        if self
-            .parts
-            .right
-            .check(self.parts.upstream.address)
-            .is_none()
-        {
+    async fn load(&mut self, load: Load) {
+        if !self.has_right() {
             answer(load.reply, Loaded::NotOwner);
             return;
         }
         let now = self.parts.clock.now();
-        if now < self.blocked && !self.holds(&load) {
-            answer(load.reply, Loaded::Full);
+        if now < self.blocked {
+            if let Some(load) = self.wait(load, now) {
+                answer(load.reply, Loaded::Full);
+            }
             return;
         }
-        if (self.book.is_none() || self.stale) && !self.refresh().await {
+        if self.needs_report(&load) && !self.refresh().await {
             answer(load.reply, Loaded::Failed);
             return;
         }
-        let Some(book) = &mut self.book else {
-            return;
-        };
-        book.used.insert(Name::clone(&load.adapter), now + IN_USE);
-        match book.seats.get_mut(&load.adapter) {
-            Some(Seat::Present { version }) if *version >= load.version => {
-                answer(load.reply, Loaded::Ready(*version));
-            }
-            Some(Seat::Coming {
-                version, waiting, ..
-            }) if *version >= load.version => waiting.push(load.reply),
-            _ => self.start(load, actor).await,
+        if let Some(load) = self.wait(load, now) {
+            self.start(load).await;
         }
     }
 
-    /// Whether the engine holds what is asked for.
-    fn holds(&self, load: &Load) -> bool {
-        let seat = self
-            .book
-            .as_ref()
-            .and_then(|book| book.seats.get(&load.adapter));
-        matches!(seat, Some(Seat::Present { version }) if *version >= load.version)
+    /// Whether the engine has to tell what it holds before a question can be answered.
+    ///
+    /// An order for a version that it already loads isn't counted, and one for an older version
+    /// would take the newer away.
+    fn needs_report(&self, load: &Load) -> bool {
+        let Some(slots) = &self.slots else {
+            return true;
+        };
+        self.stale || (load.version > 0 && slots.is_unversioned(&load.adapter))
+    }
+
+    /// Answers a question by what is held or on its way; returns it if an order is needed.
+    fn wait(&mut self, load: Load, now: Millis) -> Option<Load> {
+        let Some(slots) = &mut self.slots else {
+            return Some(load);
+        };
+        slots.uses(Name::clone(&load.adapter), now + IN_USE);
+        slots.wait(load, now)
+    }
+
+    fn has_right(&self) -> bool {
+        let address = self.parts.upstream.address;
+        self.parts.right.check(address).is_some()
     }
 
     /// Leaves the engine alone for a while and asks it what it holds before the next order.
@@ -125,42 +131,43 @@
         self.blocked = self.parts.clock.now() + PAUSE;
     }
 
-    async fn next(&mut self, actor: &ActorRef<Self>) {
-        while self.incoming() < MOST_INCOMING {
+    async fn next(&mut self) {
+        while self.takes_load() {
             let Some(load) = self.queue.pop_front() else {
                 return;
             };
             if !load.reply.is_closed() {
-                Box::pin(self.load(load, actor)).await;
+                Box::pin(self.load(load)).await;
             }
         }
     }
 
-    async fn tick(&mut self, actor: &ActorRef<Self>) {
-        if self
-            .parts
-            .right
-            .check(self.parts.upstream.address)
-            .is_none()
-        {
+    async fn tick(&mut self) {
+        if !self.has_right() {
             self.give_up(Loaded::NotOwner);
             return;
         }
-        let rested = self.parts.clock.now() >= self.blocked;
-        if self.book.is_none() || (self.stale && rested) {
+        let now = self.parts.clock.now();
+        if let Some(slots) = &mut self.slots {
+            slots.expire(now);
+            self.stale |= slots.wants_report(now);
+        }
+        let rested = now >= self.blocked;
+        if self.slots.is_none() || (self.stale && rested) {
             self.refresh().await;
         }
         self.load_base().await;
-        self.next(actor).await;
+        self.next().await;
     }
 
     /// An engine that restarted is empty: its base model comes first.
     async fn load_base(&mut self) {
         let now = self.parts.clock.now();
-        let Some(book) = &self.book else {
-            return;
-        };
-        if !book.models.is_empty() {
+        if self
+            .slots
+            .as_ref()
+            .is_none_or(|slots| !slots.models().is_empty())
+        {
             return;
         }
         let Some((model, span)) = self.parts.engine.models.first().cloned() else {
@@ -184,21 +191,11 @@
     }
 
     fn give_up(&mut self, loaded: Loaded) {
-        if let Some(book) = self.book.take() {
-            for (_, seat) in book.seats {
-                if let Seat::Coming { waiting, .. } = seat {
-                    for reply in waiting {
-                        answer(reply, loaded);
-                    }
-                }
-            }
+        if let Some(slots) = self.slots.take() {
+            slots.give_up(loaded);
         }
         for load in self.queue.drain(..) {
             answer(load.reply, loaded);
         }
     }
-
-    fn incoming(&self) -> usize {
-        self.book.as_ref().map_or(0, Book::incoming)
-    }
 }
