versions: an engine that refuses a replacement is asked again

What callers see: 502 for a stream that another engine could serve; a request that isn't a stream begins on an older version behind the limit. Order of events: requests wait in an engine's queue, a newer version is declared, the engine refuses the order to replace the version, and nobody asks again. Cause: one try for all requests of a queue. The first one asked, others were kept from it for 0.5 s of the 0.85 s that are left. Ruled out: that time is too short: the order is accepted 0.3 s later. Change: one of those that wait asks again until the engine holds the version. Who asks is a guard now, given back when its request goes, in place of a time. Before, on: version_replaced_order_refused_once (502 for 200) and version_replaced_unary_order_refused_once (begun on version 1) failed each time.

--- a/lib/src/direct/versions.rs
+++ b/lib/src/direct/versions.rs
@@ -8,12 +8,14 @@
 //!
 //! [`Limits::version`]: super::limits::Limits::version
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::HashSet;
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use smallvec::SmallVec;
 
 use super::entry::Gate;
+use super::orders::Loaded;
 use super::upstream::Upstream;
 use crate::clock::Millis;
 use crate::name::Name;
@@ -30,8 +32,8 @@
 /// and an order, either of which may have to be repeated.
 pub const REPLACEMENT: Millis = Millis(850);
 
-/// Pause after which an engine is asked once more to replace a version.
-const REPLACEMENT_PAUSE: Millis = Millis(500);
+/// Pause after which an engine that refused is asked once more to replace a version.
+const REPLACEMENT_PAUSE: Millis = Millis(50);
 
 /// The longest sleep before the time that is left is looked at again.
 ///
@@ -142,10 +144,16 @@
     /// Waits until the request has to be withdrawn.
     pub async fn expired(&self) {
         self.until(REPLACEMENT + WITHDRAWAL).await;
-        self.replace();
-        self.until(WITHDRAWAL).await;
-        if !self.shows_beginning {
-            std::future::pending::<()>().await;
+        let withdrawal = async {
+            self.until(WITHDRAWAL).await;
+            if !self.shows_beginning {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            biased;
+            () = withdrawal => {}
+            never = self.replace() => match never {},
         }
     }
 
@@ -172,34 +180,35 @@
 
     /// Has the engine load the newest version, which rejects what waits there on an older one.
     ///
-    /// A rejected request has not run, and goes on elsewhere even if it may run once only.
-    fn replace(&self) {
+    /// A rejected request has not run, and goes on elsewhere even if it may run once only. An
+    /// engine refuses orders for moments, so it is asked for as long as the request waits.
+    async fn replace(&self) -> Infallible {
+        while !self.has_replaced().await {
+            tokio::time::sleep(REPLACEMENT_PAUSE.duration()).await;
+        }
+        std::future::pending().await
+    }
+
+    /// Asks once, unless another request of this queue does; true if the newest one is there.
+    async fn has_replaced(&self) -> bool {
         let Some(newest) = self.gate.view.newest(&self.adapter) else {
-            return;
+            return true;
         };
-        let now = self.gate.clock.now();
-        if !self
-            .gate
-            .replacements
-            .begin(&self.upstream, &self.adapter, now)
-        {
-            return;
-        }
-        let watch = self.clone();
-        tokio::spawn(async move {
-            let load = watch
-                .gate
-                .desks
-                .load(&watch.upstream, &watch.adapter, newest.version);
-            let loaded = load.await;
-            log::info!(
-                upstream = &*watch.upstream.incarnation,
-                adapter = &*watch.adapter,
-                version = newest.version,
-                outcome = loaded.name();
-                "versions: replaced where requests wait"
-            );
-        });
+        let replacements = &self.gate.replacements;
+        let Some(_asking) = replacements.begin(&self.upstream, &self.adapter) else {
+            return false;
+        };
+        let desks = &self.gate.desks;
+        let load = desks.load(&self.upstream, &self.adapter, newest.version);
+        let loaded = load.await;
+        log::info!(
+            upstream = &*self.upstream.incarnation,
+            adapter = &*self.adapter,
+            version = newest.version,
+            outcome = loaded.name();
+            "versions: replaced where requests wait"
+        );
+        matches!(loaded, Loaded::Ready(held) if held >= newest.version)
     }
 }
 
@@ -211,20 +220,35 @@
     }
 }
 
-/// Replacements asked for lately, so that the many requests of one queue ask once.
+/// Replacements that are asked for, so that the many requests of one queue ask once.
 #[derive(Debug, Default)]
-pub struct Replacements(Mutex<HashMap<(Name, Name), Millis>>);
+pub struct Replacements(Mutex<HashSet<(Name, Name)>>);
+
+/// Keeps others from asking for the same replacement until it is dropped.
+#[derive(Debug)]
+struct Asking<'a> {
+    replacements: &'a Replacements,
+    key: (Name, Name),
+}
 
 impl Replacements {
-    /// Whether to ask an upstream to replace an adapter's version now.
-    fn begin(&self, upstream: &Upstream, adapter: &Name, now: Millis) -> bool {
-        let mut asked = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        asked.retain(|_, at| now.since(*at) < REPLACEMENT_PAUSE);
+    /// Returns leave to ask an upstream to replace an adapter's version; none if others ask.
+    fn begin(&self, upstream: &Upstream, adapter: &Name) -> Option<Asking<'_>> {
         let key = (Name::clone(&upstream.incarnation), Name::clone(adapter));
-        if asked.contains_key(&key) {
-            return false;
-        }
-        asked.insert(key, now);
-        true
+        let is_first = self.asked().insert(key.clone());
+        is_first.then_some(Asking {
+            replacements: self,
+            key,
+        })
+    }
+
+    fn asked(&self) -> MutexGuard<'_, HashSet<(Name, Name)>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.replacements.asked().remove(&self.key);
     }
 }
