request: an engine that rejected it for a newer version can have it again

What callers see: 503 some hundred milliseconds before the only engine that can serve them holds the newest version. Order of events: a request waits, a newer version is declared and ordered, the engine rejects what waits as not run; no other engine can load the adapter. Cause: an engine that rejected a request counts as tried, so that nobody waits for the load that is on its way there. Ruled out: the request's time, a minute in the test. Change: a rejection of a send whose version was replaced since is told apart. Other engines go first, as the queue there was long; then the request waits for the load at the engine that rejected it. The same for 421. Tried first: not to count the engine as tried at all. The request was sent back into the queue that it had waited in: version_replaced_order_refused_once ended with 504. Before, on: version_replaced_at_the_only_engine failed each time (503 for 200).

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -63,6 +63,9 @@
     Rejected {
         /// The answer's status.
         status: u16,
+        /// Whether a newer version of its adapter has been declared than it was sent for, so
+        /// that an order to load that one may be why.
+        replaced: bool,
     },
     /// It was withdrawn, as it could no longer begin on the version of its adapter there.
     Withdrawn {
@@ -184,7 +187,8 @@
         if reply.not_run {
             let status = head.status.as_u16();
             finish(body, connection, upstream, &reply).await;
-            return Err(Miss::Rejected { status });
+            let replaced = watch.as_ref().is_some_and(Watch::is_replaced);
+            return Err(Miss::Rejected { status, replaced });
         }
         if head.status.is_success() && !reply.signed {
             return Err(Miss::Lost(
--- a/lib/src/direct/record.rs
+++ b/lib/src/direct/record.rs
@@ -77,7 +77,7 @@
 pub fn missed(request: &ActiveRequest, upstream: &Upstream, miss: &Miss) {
     let (code, told) = match miss {
         Miss::Unsent(told) => (Code::ConnectFailed, told.clone()),
-        Miss::Rejected { status } => (Code::UpstreamRefused, format!("status {status}")),
+        Miss::Rejected { status, .. } => (Code::UpstreamRefused, format!("status {status}")),
         Miss::Withdrawn { sent } => {
             let told = format!("a newer version was declared, sent={sent}");
             (Code::VersionReplaced, told)
--- a/lib/src/direct/request/mod.rs
+++ b/lib/src/direct/request/mod.rs
@@ -48,6 +48,8 @@
     /// When it was last sent.
     pub(in crate::direct) sent_at: Millis,
     pub(in crate::direct) tried: SmallVec<[Name; 4]>,
+    /// Upstreams that rejected it on an older version and are about to hold the newest.
+    pub(in crate::direct) replaced_at: SmallVec<[Name; 1]>,
     ended: bool,
     /// Sends that may have run, those on their way among them.
     pub(in crate::direct) sent: u32,
@@ -103,6 +105,7 @@
             pace: Pace::default(),
             sent_at: began,
             tried: SmallVec::new(),
+            replaced_at: SmallVec::new(),
             ended: false,
             sent: 0,
             unsent: 0,
--- a/lib/src/direct/request/outcome.rs
+++ b/lib/src/direct/request/outcome.rs
@@ -73,9 +73,12 @@
     ) -> Result<(), Failure> {
         record::missed(self, upstream, &miss);
         self.tried.push(Name::clone(&upstream.incarnation));
+        if matches!(miss, Miss::Rejected { replaced: true, .. }) {
+            self.replaced_at.push(Name::clone(&upstream.incarnation));
+        }
         match miss {
             Miss::Unsent(told) => self.was_not_sent(upstream, &told),
-            Miss::Rejected { status } => self.was_rejected(upstream, status),
+            Miss::Rejected { status, .. } => self.was_rejected(upstream, status),
             Miss::Withdrawn { sent } => self.was_withdrawn(sent),
             Miss::Lost(code, told) => self.was_lost(upstream, code, told, is_last),
         }
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -184,9 +184,10 @@
             return Ok(Some(target));
         }
         let homes = self.homes(field, adapter);
-        let homes = self
+        let mut homes = self
             .by_load(adapter, wanted, homes, waiting.is_some())
             .await;
+        homes.extend(self.replacing(field, adapter));
         if let Some(upstream) = self.loaded(homes, adapter, wanted).await {
             let question = Question {
                 loaded: true,
@@ -317,6 +318,20 @@
         homes
     }
 
+    /// Engines that rejected the request for the load of a newer version, which they go on with.
+    fn replacing<'a>(
+        &'a self,
+        field: &Field<'a>,
+        adapter: &'a Name,
+    ) -> impl Iterator<Item = Arc<Upstream>> + use<'a> {
+        let rejected = |upstream: &&Arc<Upstream>| {
+            self.replaced_at.contains(&upstream.incarnation)
+                && upstream.is_ready()
+                && self.can_load(upstream, adapter)
+        };
+        field.upstreams.iter().filter(rejected).cloned()
+    }
+
     /// Has a further engine hold an adapter whose requests crowd those that hold it.
     ///
     /// All nodes know the same order of engines; chance keeps those that notice the crowd
--- a/lib/src/direct/versions.rs
+++ b/lib/src/direct/versions.rs
@@ -141,6 +141,12 @@
         self.left(WITHDRAWAL) == Some(Millis::ZERO)
     }
 
+    /// Whether a newer version than the request was sent for has been declared.
+    #[must_use]
+    pub fn is_replaced(&self) -> bool {
+        self.gate.begin_by(&self.adapter, self.version).is_some()
+    }
+
     /// Waits until the request has to be withdrawn.
     pub async fn expired(&self) {
         self.until(REPLACEMENT + WITHDRAWAL).await;
