soak: an engine that a request ends while it leaves is started again

Cause: an engine that leaves was waited for until nothing ran there. The poison request ended it meanwhile, and its counts stay until it starts again, which waits for the leave to be over. No daemon had a part in it. Change: the wait ends with the engine.

--- a/bench/src/soak/site.rs
+++ b/bench/src/soak/site.rs
@@ -308,7 +308,8 @@
                 let host = &self.hosts[host];
                 let (told, start) = host.server.leave(host.proxy.address).await;
                 lock(&self.left).push((host.server.host, start, told));
-                while host.server.held() > 0 {
+                // One that a request ended meanwhile keeps its counts until it starts again.
+                while host.server.held() > 0 && host.server.fallen().is_none() {
                     sleep(AGAIN).await;
                 }
                 host.crash(Millis(300)).await;
