entry: nodes tell each other under which requests upstreams ended

What callers see: one caller's request ends engine after engine on the product's own path, each with all its streams, as often as it is repeated. Cause: what an attempt learnt (an engine ended under it) was thrown away with it. Nothing told that two attempts are the same request, nor that engines ended under one; budgets bound one attempt. Ruled out: the bound on tries with an unknown fate, which ends each attempt after two sends and starts anew with the next. Change: entry::Quarantine. An entry node notes which request stood where a connection broke; an upstream that is held out or gone behind that has ended. Reports and survivals spread with the exchanges between nodes, told apart by hashes; whoever sees an end first names it, so that one request still explains an end. From three ends on the request is rejected at once (2021). Weighed: records under the key-value service and the owner as the one who refuses; docs/design/0011-poison-requests.md.

--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -16,9 +16,11 @@
 use crate::claim::Claim;
 use crate::clock::Millis;
 use crate::error::{Code, Failure, Fate};
-use crate::fate::{Context, Verdict};
+use crate::fate::{Context, State, Verdict};
 use crate::membership::fleet::Owner;
 use crate::name::Name;
+use crate::poison::fingerprint::Fingerprint;
+use crate::poison::ledger::Sign;
 use crate::policy::placement::Pool;
 use crate::ports::Answer;
 use crate::request::Ticket;
@@ -69,6 +71,17 @@
     pub form: Form,
     /// When the answer must be whole.
     pub deadline: Millis,
+    /// What identifies the request over its attempts.
+    pub fingerprint: Fingerprint,
+}
+
+/// A run of a request at an upstream, whose connection can break.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Where it runs.
+    pub upstream: Name,
+    /// The request.
+    pub request: Fingerprint,
 }
 
 /// An upstream's answer.
@@ -91,6 +104,8 @@
     pub rest: BoxStream<'static, Result<Bytes, Failure>>,
     /// Whether the pieces are events.
     pub form: Form,
+    /// The run that the pieces come from.
+    pub run: Run,
 }
 
 /// Upstreams that this request was tried on, and how often.
@@ -123,6 +138,10 @@
     lock(&gateway.budget).earn(now);
     let mut tried = Tried::new();
     loop {
+        gateway
+            .quarantine()
+            .check(&order.fingerprint)
+            .map_err(|failure| session.machine().end(failure))?;
         let target = match choose(gateway, order, &tried).await {
             Ok(target) => target,
             Err(failure) => return Err(session.machine().end(failure)),
@@ -130,8 +149,14 @@
         *tried.entry(Name::clone(&target.upstream)).or_default() += 1;
         spend(claim, true);
         match attempt(gateway, session, order, &target).await {
-            Ok(outcome) => return Ok(outcome),
+            Ok(outcome) => {
+                if !matches!(outcome, Outcome::Flow(_)) {
+                    gateway.quarantine().survived(&order.fingerprint);
+                }
+                return Ok(outcome);
+            }
             Err(failure) => {
+                note_lost(gateway, session, &order.run_at(&target), &failure);
                 let settled = settle(gateway, session, order, &target, failure);
                 spend(claim, maybe_run(session, &settled));
                 let pause = settled?;
@@ -141,6 +166,24 @@
     }
 }
 
+impl Order {
+    fn run_at(&self, target: &Target) -> Run {
+        Run {
+            upstream: Name::clone(&target.upstream),
+            request: self.fingerprint.clone(),
+        }
+    }
+}
+
+/// Notes that an upstream may have ended under a request that has brought nothing yet.
+fn note_lost(gateway: &Gateway, session: &mut Session, run: &Run, failure: &Failure) {
+    let sign = match session.machine().state() {
+        State::Running => Sign::Begun,
+        _ => Sign::Possible,
+    };
+    gateway.note_lost(run, failure.code, sign);
+}
+
 fn spend(claim: &mut Option<Claim>, spent: bool) {
     if let Some(claim) = claim {
         claim.set_spent(spent);
@@ -289,7 +332,8 @@
     let begin = async {
         let answer = runner.run(attempt).await?;
         session.machine().begin();
-        receive(gateway, &mut session.reserve, order.form, answer).await
+        let run = order.run_at(target);
+        receive(gateway, &mut session.reserve, order.form, answer, run).await
     };
     tokio::time::timeout(left.duration(), begin)
         .await
@@ -308,6 +352,7 @@
     reserve: &mut Reserve,
     form: Form,
     answer: Answer,
+    run: Run,
 ) -> Result<Outcome, Failure> {
     let Answer { mut head, mut body } = answer;
     let limit = gateway.parts.limits.answer_bytes;
@@ -338,6 +383,7 @@
         first,
         rest: body,
         form,
+        run,
     }))
 }
 
--- a/lib/src/entry/gateway.rs
+++ b/lib/src/entry/gateway.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, Request, Response, Version, request};
 use http_body::Body as HttpBody;
 use rand::{RngExt, SeedableRng};
@@ -11,8 +12,9 @@
 
 use super::answer::{self, Body, Problem};
 use super::completion::Asked;
-use super::dispatch::{self, Form, Order};
+use super::dispatch::{self, Form, Order, Run};
 use super::gate::{Buffer, Gate};
+use super::quarantine::Quarantine;
 use super::relay;
 use super::route::{self, Completion, Route};
 use super::session::Session;
@@ -27,6 +29,8 @@
 use crate::membership::Fleet;
 use crate::membership::fleet::State;
 use crate::name::Name;
+use crate::poison::fingerprint::{Fingerprint, Identity};
+use crate::poison::ledger::Sign;
 use crate::policy::placement::{self, Pool, Router};
 use crate::request::Ticket;
 use crate::runner::Work;
@@ -69,6 +73,8 @@
     #[must_use]
     pub fn new(parts: Arc<Parts>) -> Arc<Self> {
         let limits = &parts.limits;
+        let quarantine = Arc::clone(&parts.quarantine);
+        tokio::spawn(quarantine.follow(parts.fleet.clone()));
         Arc::new(Self {
             gate: Gate::new(limits.in_flight),
             buffer: Buffer::new(limits.buffered_bytes),
@@ -81,6 +87,21 @@
         })
     }
 
+    /// Returns what is known of requests that end upstreams.
+    #[must_use]
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.parts.quarantine
+    }
+
+    /// Notes that the connection to an upstream broke under a request, if that is what failed.
+    pub fn note_lost(&self, run: &Run, code: Code, sign: Sign) {
+        if matches!(code, Code::UpstreamLost | Code::AnswerCut) {
+            let fleet = Arc::clone(&self.parts.fleet.borrow());
+            let quarantine = self.quarantine();
+            quarantine.lost(&fleet, &run.upstream, &run.request, sign);
+        }
+    }
+
     /// Returns a random number for a pause.
     #[must_use]
     pub fn random(&self) -> u64 {
@@ -261,6 +282,7 @@
         session.decide(&ticket);
         let mut claim = self.claim(session, &ticket, &work, key).await?;
         let order = Order {
+            fingerprint: fingerprint(&ticket, &work),
             deadline: ticket.deadline,
             share: caller.account.share,
             ticket,
@@ -380,6 +402,29 @@
     }
 }
 
+/// Returns what callers repeat of a request: its template, and what they send.
+fn fingerprint(ticket: &Ticket, work: &Work) -> Fingerprint {
+    let (method, path, body) = match work {
+        Work::Completion { path, body, .. } => ("POST", &**path, body),
+        Work::Call { head, body } => {
+            let path = head.uri.path_and_query();
+            (
+                head.method.as_str(),
+                path.map_or("", PathAndQuery::as_str),
+                body,
+            )
+        }
+    };
+    Fingerprint::of(&Identity {
+        caller: &ticket.account,
+        model: &ticket.template,
+        method,
+        host: "",
+        path,
+        body,
+    })
+}
+
 fn prepare(fleet: &Fleet, name: &str) -> Pool {
     Pool::of(fleet.pool(name).iter().map(|upstream| {
         let vm = &upstream.vm;
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod key;
 mod limits;
 mod models;
+pub mod quarantine;
 mod relay;
 mod route;
 mod server;
@@ -23,6 +24,7 @@
 mod sse;
 
 pub use limits::Limits;
+pub use quarantine::Quarantine;
 pub use server::serve;
 
 use std::sync::Arc;
@@ -52,6 +54,8 @@
     pub lease: Arc<dyn Lease>,
     /// Prefix of all keys of this deployment.
     pub prefix: Name,
+    /// What is known of requests that end upstreams.
+    pub quarantine: Arc<Quarantine>,
     /// This node's name, for the marks of its claims.
     pub node: Name,
     /// The node's clock.
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -11,11 +11,13 @@
 
 use super::answer::{self, Body, Problem};
 use super::dispatch::{Flow, Form, Outcome};
+use super::quarantine::SETTLED;
 use super::service;
 use super::session::Session;
 use super::sse::Splitter;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
+use crate::poison::ledger::Sign;
 
 /// Frames that wait for a caller before its upstream is slowed down.
 const PIECES: usize = 4;
@@ -130,7 +132,10 @@
     deadline: Millis,
     splitter: Option<Splitter>,
     sender: mpsc::Sender<Bytes>,
+    first: Option<Millis>,
     last: Option<Millis>,
+    /// Whether the run is known to harm its upstream no more.
+    settled: bool,
     /// Whether the caller has got a part of a piece; an event after it would be
     /// read as that piece's rest.
     within: bool,
@@ -145,7 +150,9 @@
             flow,
             deadline,
             sender,
+            first: None,
             last: None,
+            settled: false,
             within: false,
         }
     }
@@ -163,11 +170,15 @@
         });
         let last = match passed {
             Ok(()) => {
+                self.settle();
                 self.session.finish();
                 End::Whole
             }
             Err(Stop::Gone) => return self.session.abandon(),
-            Err(Stop::Broken(failure)) => self.cut(failure),
+            Err(Stop::Broken(failure)) => {
+                self.note_lost(failure.code);
+                self.cut(failure)
+            }
         };
         // A caller that has gone meanwhile needs no end.
         let _ = end.send(last);
@@ -254,6 +265,26 @@
                 .observe(seconds(now.since(self.session.arrived()))),
         }
         self.last = Some(now);
+        let first = *self.first.get_or_insert(now);
+        if now.since(first) >= SETTLED {
+            self.settle();
+        }
+    }
+
+    /// Notes once that the upstream runs the request without harm.
+    fn settle(&mut self) {
+        if !std::mem::replace(&mut self.settled, true) {
+            let quarantine = self.session.gateway().quarantine();
+            quarantine.survived(&self.flow.run.request);
+        }
+    }
+
+    /// Notes that the upstream may have ended under a run that had just begun.
+    fn note_lost(&self, code: Code) {
+        if !self.settled {
+            let gateway = self.session.gateway();
+            gateway.note_lost(&self.flow.run, code, Sign::Possible);
+        }
     }
 
     /// Ends an answer that can't become whole.
--- a/lib/src/gossip/keeper.rs
+++ b/lib/src/gossip/keeper.rs
@@ -251,6 +251,7 @@
             operations: lacking.operations,
             claims: lacking.claims,
             nodes: lacking.nodes,
+            ends: lacking.ends,
             ..Digest::default()
         })
     }
@@ -303,6 +304,7 @@
         digest.operations.extend(news.operations);
         digest.claims.extend(news.claims);
         digest.nodes.extend(news.nodes);
+        digest.ends.extend(news.ends);
         let sent = self.parts.clock.now();
         let limit = self.parts.limits.timeout.duration();
         let call = self.parts.transport.exchange(peer, digest);
@@ -389,6 +391,7 @@
             operations: std::mem::take(&mut digest.operations),
             claims: std::mem::take(&mut digest.claims),
             nodes: std::mem::take(&mut digest.nodes),
+            ends: std::mem::take(&mut digest.ends),
             ..Delta::default()
         };
         // A node that was paused reads requests that are as old as its pause,
@@ -423,10 +426,13 @@
 /// The peer stated them when it answered, at some time after the request left;
 /// taking them as of now could make a paused node's state look new.
 fn grow_older(delta: &mut Delta, span: Millis) {
+    let small = u32::try_from(span.0).unwrap_or(u32::MAX);
+    for end in &mut delta.ends {
+        end.age_ms = end.age_ms.saturating_add(small);
+    }
     let Some(digest) = &mut delta.digest else {
         return;
     };
-    let small = u32::try_from(span.0).unwrap_or(u32::MAX);
     digest.service_age_ms = digest.service_age_ms.saturating_add(span.0);
     if digest.confirmed_age_ms > 0 {
         digest.confirmed_age_ms = digest.confirmed_age_ms.saturating_add(span.0);
@@ -437,19 +443,27 @@
     for leaving in &mut digest.leaving {
         leaving.age_ms = leaving.age_ms.saturating_add(small);
     }
+    for survivor in &mut digest.survivors {
+        survivor.age_ms = survivor.age_ms.saturating_add(small);
+    }
 }
 
 /// Whether two digests of this node tell of the same state, ages aside.
 fn is_alike(before: &Digest, now: &Digest) -> bool {
     let names = |digest: &Digest| -> Vec<String> {
         let leaving = digest.leaving.iter();
-        leaving.map(|leaving| leaving.upstream.clone()).collect()
+        let survivors = digest.survivors.iter();
+        leaving
+            .map(|leaving| leaving.upstream.clone())
+            .chain(survivors.map(|survivor| survivor.request.clone()))
+            .collect()
     };
     before.revision == now.revision
         && before.view_digest == now.view_digest
         && before.claims_digest == now.claims_digest
         && before.claims_token == now.claims_token
         && before.nodes_digest == now.nodes_digest
+        && before.known_ends == now.known_ends
         && names(before) == names(now)
 }
 
--- a/lib/src/node/assembly.rs
+++ b/lib/src/node/assembly.rs
@@ -38,6 +38,13 @@
     }
 }
 
+/// Parts whose state is spread between nodes.
+struct Shares<'a> {
+    config: &'a Arc<config::Keeper>,
+    membership: &'a Arc<membership::Keeper>,
+    quarantine: &'a Arc<entry::Quarantine>,
+}
+
 /// What every part needs.
 struct Base {
     settings: Settings,
@@ -57,6 +64,7 @@
     gossip: Arc<gossip::Keeper>,
     pub(super) config: Arc<config::Keeper>,
     pub(super) membership: Arc<membership::Keeper>,
+    quarantine: Arc<entry::Quarantine>,
 }
 
 impl Assembly {
@@ -87,7 +95,13 @@
         permits.get_or_init(|| Arc::clone(&loads) as _);
         detector.get_or_init(|| Arc::clone(&membership) as _);
         peers.get_or_init(|| Arc::clone(&membership) as _);
-        let gossip = gossip::Keeper::start(base.gossip(&config, &membership, &clients));
+        let quarantine = Arc::new(base.quarantine());
+        let shares = Shares {
+            config: &config,
+            membership: &membership,
+            quarantine: &quarantine,
+        };
+        let gossip = gossip::Keeper::start(base.gossip(&shares, &clients));
         Self {
             base,
             registry,
@@ -96,6 +110,7 @@
             gossip,
             config,
             membership,
+            quarantine,
         }
     }
 
@@ -113,6 +128,7 @@
             store: Arc::clone(&base.platform.store) as _,
             lease: Arc::clone(&base.platform.store) as _,
             prefix: Arc::clone(&base.settings.platform.prefix),
+            quarantine: Arc::clone(&self.quarantine),
             node: Arc::clone(&base.identity.name),
             clock: Arc::clone(&base.clock),
             metrics: Arc::clone(&base.metrics),
@@ -241,18 +257,29 @@
         }
     }
 
-    fn gossip(
-        &self,
-        config: &Arc<config::Keeper>,
-        membership: &Arc<membership::Keeper>,
-        clients: &Arc<Clients>,
-    ) -> gossip::Parts {
+    /// The name of this start: ends that a former start of the node named are others.
+    fn quarantine(&self) -> entry::Quarantine {
+        let start = format!("{}@{}", self.identity.name, self.identity.incarnation);
+        let clock = Arc::clone(&self.clock);
+        entry::Quarantine::new(start.into(), clock, Arc::clone(&self.metrics))
+    }
+
+    fn gossip(&self, shares: &Shares<'_>, clients: &Arc<Clients>) -> gossip::Parts {
+        let Shares {
+            config,
+            membership,
+            quarantine,
+        } = shares;
         gossip::Parts {
             node: Arc::clone(&self.identity.name),
             incarnation: self.identity.incarnation,
             region: Arc::clone(&self.identity.region),
-            shares: vec![Arc::clone(config) as _, Arc::clone(membership) as _],
-            news: vec![config.news()],
+            shares: vec![
+                Arc::clone(config) as _,
+                Arc::clone(membership) as _,
+                Arc::clone(quarantine) as _,
+            ],
+            news: vec![config.news(), quarantine.news()],
             install: Arc::clone(config) as _,
             peers: Arc::clone(membership) as _,
             transport: Arc::clone(clients) as _,
--- a/lib/src/protos/chivevalve.peer.rs
+++ b/lib/src/protos/chivevalve.peer.rs
@@ -170,6 +170,50 @@
     /// in milliseconds plus one; 0 is never.
     #[prost(uint64, tag = "15")]
     pub confirmed_age_ms: u64,
+    /// Hashes of the newest reports of upstreams' ends that the sender knows.
+    #[prost(fixed64, repeated, tag = "16")]
+    pub known_ends: ::prost::alloc::vec::Vec<u64>,
+    /// Reports that the receiver may lack.
+    #[prost(message, repeated, tag = "17")]
+    pub ends: ::prost::alloc::vec::Vec<EndReport>,
+    /// Requests that upstreams ran without harm though reports named them.
+    #[prost(message, repeated, tag = "18")]
+    pub survivors: ::prost::alloc::vec::Vec<Survivor>,
+}
+/// What one node says of one end of an upstream.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EndReport {
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Names this end, unlike all others of the upstream.
+    #[prost(string, tag = "2")]
+    pub end: ::prost::alloc::string::String,
+    /// The node that says it.
+    #[prost(string, tag = "3")]
+    pub node: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+    /// The node's own requests there; none where it only saw that the upstream ended.
+    #[prost(message, repeated, tag = "5")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+}
+/// A request that stood at an upstream that ended.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Suspect {
+    /// Its fingerprint.
+    #[prost(string, tag = "1")]
+    pub request: ::prost::alloc::string::String,
+    /// The head of its answer had come.
+    #[prost(bool, tag = "2")]
+    pub begun: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Survivor {
+    /// Its fingerprint.
+    #[prost(string, tag = "1")]
+    pub request: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 /// A sign that an upstream leaves.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -238,6 +282,9 @@
     /// Whether the digest and what came with it was news.
     #[prost(bool, tag = "6")]
     pub was_news: bool,
+    /// Reports of upstreams' ends that the asker lacks.
+    #[prost(message, repeated, tag = "7")]
+    pub ends: ::prost::alloc::vec::Vec<EndReport>,
 }
 /// Who owns an upstream. The larger token wins.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/entry_support/mod.rs
+++ b/lib/tests/entry_support/mod.rs
@@ -10,10 +10,10 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use chivevalve::adapter::Adapter;
-use chivevalve::clock::{Millis, Monotonic};
+use chivevalve::clock::{Clock, Millis, Monotonic};
 use chivevalve::config::View;
 use chivevalve::declaration::{Account, Kind, Pool, Template};
-use chivevalve::entry::{self, Limits, Parts};
+use chivevalve::entry::{self, Limits, Parts, Quarantine};
 use chivevalve::error::{Code, Failure};
 use chivevalve::membership::Fleet;
 use chivevalve::membership::fleet::{Owner, State, Upstream};
@@ -218,7 +218,10 @@
     let (view, view_seen) = watch::channel(Arc::new(declared()));
     let (fleet, fleet_seen) = watch::channel(Arc::new(three()));
     let stop = CancellationToken::new();
+    let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+    let quarantine = Quarantine::new("n1".into(), Arc::clone(&clock), Arc::clone(&metrics));
     let parts = Parts {
+        quarantine: Arc::new(quarantine),
         view: view_seen,
         fleet: fleet_seen,
         reach: Arc::new(Scripted(Arc::clone(&script))),
@@ -226,7 +229,7 @@
         lease: store.clone(),
         prefix: "/test/".into(),
         node: "n1".into(),
-        clock: Arc::new(Monotonic::start()),
+        clock,
         metrics: Arc::clone(&metrics),
         limits,
         seed: 7,
--- a/lib/tests/test_gossip.rs
+++ b/lib/tests/test_gossip.rs
@@ -2,15 +2,21 @@
 
 mod config_setup;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use chivevalve::clock::{Clock, Monotonic};
+use chivevalve::entry::Quarantine;
 use chivevalve::error::{Code, Failure};
 use chivevalve::gossip::{Exchange, Keeper, Limits, Parts, Peer, Peers, Snapshot, Transport};
+use chivevalve::membership::Fleet;
+use chivevalve::membership::fleet::{State, Upstream};
+use chivevalve::poison::fingerprint::{Fingerprint, Identity};
+use chivevalve::poison::ledger::Sign;
+use chivevalve::ports::Vm;
 use chivevalve::schema::declaration::Operation;
 use chivevalve::schema::peer::{Delta, Digest, SnapshotPart};
 use chivevalve_standins::store::{Knobs, Store};
@@ -76,6 +82,7 @@
 struct Joined {
     node: Node,
     gossip: Arc<Keeper>,
+    quarantine: Arc<Quarantine>,
 }
 
 fn join(net: &Arc<Net>, store: &Arc<Store>, number: u16, peers: &[u16]) -> Joined {
@@ -83,12 +90,15 @@
     let node = Node::start(&own.name, store);
     let others = peers.iter().filter(|other| **other != number);
     *node.peers.0.lock().unwrap() = others.map(|other| peer(*other)).collect();
+    let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+    let quarantine = Quarantine::new(own.name.clone(), clock, Arc::default());
+    let quarantine = Arc::new(quarantine);
     let gossip = Keeper::start(Parts {
         node: own.name,
         incarnation: 1,
         region: own.region,
-        shares: vec![Arc::clone(&node.keeper) as _],
-        news: vec![node.keeper.news()],
+        shares: vec![Arc::clone(&node.keeper) as _, Arc::clone(&quarantine) as _],
+        news: vec![node.keeper.news(), quarantine.news()],
         install: Arc::clone(&node.keeper) as _,
         peers: Arc::clone(&node.peers) as Arc<dyn Peers>,
         transport: Arc::clone(net) as _,
@@ -99,7 +109,11 @@
     });
     let served = (Arc::downgrade(&gossip), Arc::clone(&node.keeper));
     net.nodes.lock().unwrap().insert(own.address, served);
-    Joined { node, gossip }
+    Joined {
+        node,
+        gossip,
+        quarantine,
+    }
 }
 
 fn down(store: &Store) {
@@ -235,3 +249,48 @@
     assert_eq!(a.node.revision(), 1);
     assert!(a.node.keeper.status().refused.is_some());
 }
+
+/// A picture of the fleet with one upstream.
+fn fleet(state: State) -> Arc<Fleet> {
+    let vm = Vm {
+        name: "e1".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        pool: "gpu".into(),
+        region: "north".into(),
+        failure_domain: "d".into(),
+        leaving: false,
+    };
+    Arc::new(Fleet::new(vec![Upstream { vm, state }], HashMap::new()))
+}
+
+/// What one node saw of upstreams' ends is known to all within a second.
+#[tokio::test(start_paused = true)]
+async fn ends_reach_all_nodes() {
+    let (net, store) = (Arc::new(Net::default()), store());
+    let numbers: Vec<u16> = (1..=8).collect();
+    let nodes: Vec<Joined> = numbers
+        .iter()
+        .map(|number| join(&net, &store, *number, &numbers))
+        .collect();
+    let poison = Fingerprint::of(&Identity {
+        caller: "shop",
+        model: "summary",
+        method: "POST",
+        host: "",
+        path: "/v1/chat/completions",
+        body: b"poison",
+    });
+    let seen = &nodes[0].quarantine;
+    let (sender, followed) = tokio::sync::watch::channel(fleet(State::Usable));
+    tokio::spawn(Arc::clone(seen).follow(followed));
+    for _ in 0..3 {
+        seen.lost(&fleet(State::Usable), &"e1".into(), &poison, Sign::Begun);
+        for state in [State::Held, State::Usable] {
+            sender.send_replace(fleet(state));
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let knows = |node: &Joined| node.quarantine.check(&poison).is_err();
+    assert!(nodes.iter().all(knows));
+}
