quarantine: a broken connection counts until somebody knows more

What callers see: a request that ends engines is sent on to further ones, each with its streams, while nobody knows yet that the engines before have ended; what a node saw is lost with it if it is killed meanwhile. Cause: an end counted only once it was certain. Where something accepts connections in front of an engine, or its VM lost power, that takes up to four seconds, longer while the key-value service is silent, and until then it is in one node's memory. Ruled out: reports that the service didn't take (told to others, written later); a request that waits (it is dropped once others are to blame). Change: a request that had begun where a connection broke is an open case at all nodes from that moment on, told by a call each where a new connection isn't refused. Open cases count as ends for ten seconds at most: the request isn't sent on, but stays where it was sent. Other nodes look into a case, and report the end in the place of a node that doesn't.

--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -217,6 +217,7 @@
         node.tasks.spawn(follower.run());
         node.tasks.spawn(Arc::clone(&node.claimer).run());
         node.tasks.spawn(desks.run());
+        node.tasks.spawn(Arc::clone(&node.gate.quarantine).run());
         Ok(node)
     }
 
--- a/lib/src/direct/outbox.rs
+++ b/lib/src/direct/outbox.rs
@@ -122,6 +122,14 @@
         }
     }
 
+    /// Tells all other nodes of a record that isn't written.
+    pub async fn tell(&self, name: &Name, value: &impl Serialize) {
+        match serde_json::to_vec(value) {
+            Ok(value) => self.others.tell(name, &value.into()).await,
+            Err(error) => log::error!("outbox: {name} can't be written: {error}"),
+        }
+    }
+
     /// Waits until all records are written.
     pub async fn written(&self) {
         loop {
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -6,6 +6,8 @@
 //! to is [`ledger`](crate::poison::ledger)'s. On a day on which no upstream ends, nothing is
 //! written. See docs/design/0011-poison-requests.md.
 
+mod cases;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -26,6 +28,9 @@
 /// Prefix of reports of upstreams that ended; the upstream's start and the node stand behind it.
 pub const ENDS: &str = "end/";
 
+/// Prefix of open cases, which nodes tell each other; start and node stand behind it.
+pub const BROKE: &str = "broke/";
+
 /// Prefix of requests that survived, with the fingerprint behind it.
 pub const SURVIVED: &str = "survived/";
 
@@ -101,10 +106,11 @@
     /// Whether anything is known against any request, so that fingerprints are worth making.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.view.state().ledger.is_empty()
+        let state = self.view.state();
+        state.ledger.is_empty() && state.open.is_empty()
     }
 
-    /// Whether a request may be sent to an upstream.
+    /// Whether a request may stay where it was sent.
     ///
     /// # Errors
     ///
@@ -150,6 +156,9 @@
         }
         let suspect = Suspect { request, sign };
         let start = upstream.start();
+        if sign == Sign::Begun {
+            self.open_case(&start, suspect.clone());
+        }
         let is_first = {
             let mut examined = self.examining();
             let suspects = examined.entry(start).or_default();
@@ -192,13 +201,14 @@
     }
 
     /// Reports this node's requests at an upstream if it has ended.
-    async fn examine(&self, upstream: &Arc<Upstream>) {
+    async fn examine(self: &Arc<Self>, upstream: &Arc<Upstream>) {
         tokio::time::sleep(GATHER.duration()).await;
         let has_ended = self.has_ended(upstream).await;
         let suspects = self.examining().remove(&upstream.start());
         if let (true, Some(suspects)) = (has_ended, suspects) {
-            self.report(upstream, suspects);
+            self.report(upstream, &self.node, suspects);
         }
+        self.close_case(&upstream.start(), &self.node);
         self.concluded.notify_waiters();
     }
 
@@ -207,10 +217,15 @@
     /// A VM that lost power or is cut off refuses nothing, and where a new start listens at the
     /// address already a connection is accepted. The list tells then. While the key-value service
     /// is silent, or this node suspended, it tells nothing: only time of which it is known counts.
-    async fn has_ended(&self, upstream: &Upstream) -> bool {
+    async fn has_ended(self: &Arc<Self>, upstream: &Upstream) -> bool {
         if upstream.link.probe().await == Listening::Refused {
             return true;
         }
+        self.tell_case(&upstream.start());
+        self.list_shows_end(upstream).await
+    }
+
+    async fn list_shows_end(&self, upstream: &Upstream) -> bool {
         let began = self.clock.now();
         let until = began + WATCHED;
         let mut served = None;
@@ -229,7 +244,8 @@
         upstream.was_lost()
     }
 
-    fn report(&self, upstream: &Upstream, suspects: Vec<Suspect>) {
+    /// Reports requests of a node at an upstream that ended, whoever saw that.
+    fn report(&self, upstream: &Upstream, node: &str, suspects: Vec<Suspect>) {
         self.metrics.upstream_ends.inc();
         for Suspect { request, sign } in &suspects {
             log::info!(
@@ -240,7 +256,7 @@
             );
         }
         let start = upstream.start();
-        let name = Name::from(format!("{ENDS}{start}/{}", self.node));
+        let name = Name::from(format!("{ENDS}{start}/{node}"));
         let now = self.clock.now();
         let mut state = self.view.state();
         let ledger = &mut state.ledger;
--- a/lib/src/direct/request/suspicion.rs
+++ b/lib/src/direct/request/suspicion.rs
@@ -22,21 +22,28 @@
         if quarantine.is_empty() {
             return Ok(());
         }
-        let checked = quarantine.check(self.message.fingerprint());
-        checked.map_err(|failure| match self.sent {
+        let checked = quarantine.check_send(self.message.fingerprint());
+        checked.map_err(|failure| self.suspected(failure))
+    }
+
+    fn suspected(&self, failure: Failure) -> Failure {
+        match self.sent {
             0 => failure,
             _ => Failure::new(Code::UpstreamLost, failure.detail),
-        })
+        }
     }
 
-    /// Waits until the request may no longer be sent.
+    /// Waits until the request may no longer stay where it was sent.
     pub(super) async fn quarantined(&self) -> Failure {
         loop {
             let changed = self.gate.view.changed.notified();
             let mut changed = std::pin::pin!(changed);
             changed.as_mut().enable();
-            if let Err(failure) = self.check() {
-                return failure;
+            let quarantine = &self.gate.quarantine;
+            if !quarantine.is_empty()
+                && let Err(failure) = quarantine.check(self.message.fingerprint())
+            {
+                return self.suspected(failure);
             }
             changed.await;
         }
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -13,13 +13,14 @@
 
 use super::config::Config;
 use super::dialect::{Dialect, Key, Listed};
-use super::quarantine::{ENDS, SURVIVED};
+use super::quarantine::{BROKE, ENDS, SURVIVED};
 use super::upstream::Upstream;
 use super::versions::{Declaration, Declarations};
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
 use crate::poison::ledger::{Ledger, Report};
+use crate::poison::open::Open;
 use crate::ports::Entry;
 
 /// Another node, as its record in the key-value service has it.
@@ -92,6 +93,8 @@
     pub most_nodes: usize,
     /// What speaks against requests under which upstreams ended.
     pub ledger: Ledger,
+    /// Requests that stood where a connection broke, while nobody knows whether the upstream ended.
+    pub open: Open,
     /// Nodes among which upstreams' connections were last shared out.
     shared_among: usize,
 }
@@ -366,14 +369,19 @@
             self.ledger.clear(&request, revision);
             return Evidence::Taken;
         }
-        if !name.starts_with(ENDS) {
+        let is_end = name.starts_with(ENDS);
+        if !is_end && !name.starts_with(BROKE) {
             return Evidence::Other;
         }
         match serde_json::from_slice::<Report>(value) {
-            Ok(report) => {
+            Ok(report) if is_end => {
                 self.ledger.report(name.into(), report, revision, now);
                 Evidence::Taken
             }
+            Ok(report) => {
+                self.open.tell(name.into(), report, now);
+                Evidence::Taken
+            }
             Err(error) => {
                 log::error!("view: {name} can't be read: {error}");
                 Evidence::Unreadable
--- a/lib/src/poison/ledger.rs
+++ b/lib/src/poison/ledger.rs
@@ -221,6 +221,14 @@
         self.judgement(now).blamed.get(request).copied()
     }
 
+    /// Whether a request would be to blame if the upstreams of some more reports had ended.
+    #[must_use]
+    pub fn would_blame(&self, request: &Fingerprint, more: &[&Report]) -> bool {
+        let known = self.reports.values().map(|known| &known.report);
+        let judgement = judge(known.chain(more.iter().copied()));
+        judgement.blamed.contains_key(request)
+    }
+
     /// Returns how many upstreams ended while a request stood there.
     pub fn ends(&mut self, request: &Fingerprint, now: Millis) -> usize {
         let ends = self.judgement(now).ends.get(request);
--- a/lib/src/poison/mod.rs
+++ b/lib/src/poison/mod.rs
@@ -9,4 +9,5 @@
 
 pub mod fingerprint;
 pub mod ledger;
+pub mod open;
 pub mod survivors;
--- a/lib/tests/test_direct_quarantine.rs
+++ b/lib/tests/test_direct_quarantine.rs
@@ -2,6 +2,7 @@
 
 mod direct_support;
 
+use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use chivevalve::direct::outbox::{Others, Outbox};
 use chivevalve::direct::quarantine::{ENDS, Quarantine};
 use chivevalve::direct::upstream::Upstream;
-use chivevalve::direct::view::View;
+use chivevalve::direct::view::{Evidence, View};
 use chivevalve::name::Name;
 use chivevalve::poison::fingerprint::{Fingerprint, Identity};
 use chivevalve::poison::ledger::{Report, Sign};
@@ -29,6 +30,22 @@
     async fn tell(&self, _: &Name, _: &Bytes) {}
 }
 
+/// One other node.
+#[derive(Debug)]
+struct Other(Arc<View>);
+
+#[async_trait]
+impl Others for Other {
+    async fn tell(&self, name: &Name, value: &Bytes) {
+        let taken = self.0.state().put_evidence(name, value, None, NOW);
+        assert_eq!(taken, Evidence::Taken);
+        self.0.changed.notify_waiters();
+    }
+}
+
+/// When nodes hear of one another's cases.
+const NOW: Millis = Millis(1);
+
 struct World {
     view: Arc<View>,
     store: Arc<Memory>,
@@ -36,6 +53,10 @@
 }
 
 fn world() -> World {
+    node("node-1", Arc::new(Nobody))
+}
+
+fn node(name: &str, others: Arc<dyn Others>) -> World {
     let view = Arc::new(View::default());
     let store = Arc::new(Memory::default());
     let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
@@ -44,13 +65,13 @@
         Arc::<Memory>::clone(&store),
         Arc::new(Speech),
         Arc::clone(&clock),
-        Arc::new(Nobody),
+        others,
     ));
     let quarantine = Arc::new(Quarantine::new(
         Arc::clone(&view),
         clock,
         Arc::default(),
-        "node-1".into(),
+        name.into(),
         outbox,
     ));
     World {
@@ -107,8 +128,12 @@
 
 /// An upstream at whose address somebody accepts connections, as a proxy does.
 fn behind_a_proxy() -> (TcpListener, Arc<Upstream>) {
+    named_behind_a_proxy("i-1")
+}
+
+fn named_behind_a_proxy(name: &str) -> (TcpListener, Arc<Upstream>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut listed = listed("i-1", &[]);
+    let mut listed = listed(name, &[]);
     listed.address = listener.local_addr().unwrap();
     let upstream = Arc::new(Upstream::new(&listed, 8, Millis::ZERO));
     (listener, upstream)
@@ -201,3 +226,78 @@
     };
     until("both in the key-value service", both).await;
 }
+
+/// What a node saw of an upstream's end is lost where it is killed before the list shows the end.
+#[tokio::test(start_paused = true)]
+async fn broke_at_a_node_that_is_killed() {
+    let other = node("node-2", Arc::new(Nobody));
+    let killed = node("node-1", Arc::new(Other(Arc::clone(&other.view))));
+    tokio::spawn(Arc::clone(&other.quarantine).run());
+    let (_listener, upstream) = behind_a_proxy();
+    let broken = Arc::clone(&upstream);
+    let listed_upstream = Arc::new(Upstream::new(&listed("i-1", &[]), 8, Millis::ZERO));
+    let name = Name::clone(&listed_upstream.incarnation);
+    let upstreams = [(name, Arc::clone(&listed_upstream))];
+    other.view.state().upstreams = HashMap::from(upstreams);
+    let suspect = request("/x");
+    killed
+        .quarantine
+        .broke(&broken, suspect.clone(), Sign::Begun);
+    pass(Millis(3_000)).await;
+    // The list is never read there again.
+    listed_upstream.retire();
+    until("the report", || other.ends(&suspect) == 1).await;
+    until("the record", || other.written().is_some()).await;
+    assert!(killed.written().is_none());
+}
+
+/// A request is sent on, to one upstream after the other, while nobody knows of the ones before.
+#[tokio::test(start_paused = true)]
+async fn check_send_while_cases_are_open() {
+    let world = world();
+    let suspect = request("/x");
+    let upstreams = ["i-1", "i-2", "i-3"].map(named_behind_a_proxy);
+    for (number, (_, upstream)) in upstreams.iter().enumerate() {
+        assert!(world.quarantine.check_send(&suspect).is_ok(), "{number}");
+        world
+            .quarantine
+            .broke(upstream, suspect.clone(), Sign::Begun);
+    }
+    assert!(world.quarantine.check_send(&suspect).is_err());
+    // What was sent already stays: nothing is known against it.
+    assert!(world.quarantine.check(&suspect).is_ok());
+    assert!(world.quarantine.check_send(&request("/other")).is_ok());
+    // The list shows all of them alive.
+    world.view.renew(Millis(60_000));
+    pass(Millis(7_000)).await;
+    assert!(world.quarantine.check_send(&suspect).is_ok());
+    assert_eq!(world.ends(&suspect), 0);
+}
+
+/// Requests that may not have begun where connections broke are sent on.
+#[tokio::test(start_paused = true)]
+async fn check_send_of_a_request_that_waited() {
+    let world = world();
+    let proper = request("/x");
+    for name in ["i-1", "i-2", "i-3", "i-4"] {
+        let (_listener, upstream) = named_behind_a_proxy(name);
+        world
+            .quarantine
+            .broke(&upstream, proper.clone(), Sign::Possible);
+    }
+    assert!(world.quarantine.check_send(&proper).is_ok());
+}
+
+/// Other nodes count a case from when it is told.
+#[tokio::test(start_paused = true)]
+async fn check_send_counts_cases_of_others() {
+    let other = node("node-2", Arc::new(Nobody));
+    let one = node("node-1", Arc::new(Other(Arc::clone(&other.view))));
+    let suspect = request("/x");
+    let upstreams = ["i-1", "i-2", "i-3"].map(named_behind_a_proxy);
+    for (_, upstream) in &upstreams {
+        one.quarantine.broke(upstream, suspect.clone(), Sign::Begun);
+    }
+    let is_held = || other.quarantine.check_send(&suspect).is_err();
+    until("the cases", is_held).await;
+}
