tests: a version that is replaced while a request waits (known red)

What callers see: on the product's own path a request begins on a version of its adapter that its template left long ago: whatever time it waits at its upstream's owner. Cause: adapter and version are fixed in the ticket on arrival, and the owner that starts it knows the ticket only. Fails: outcome_version_replaced_while_it_waits (v1 for v2, 16 s behind the change).

--- a/lib/tests/entry_support/mod.rs
+++ b/lib/tests/entry_support/mod.rs
@@ -18,6 +18,7 @@
 use chivevalve::membership::Fleet;
 use chivevalve::membership::fleet::{Owner, State, Upstream};
 use chivevalve::metrics::Metrics;
+use chivevalve::name::Name;
 use chivevalve::ports::{Answer, Vm};
 use chivevalve::request::Class;
 use chivevalve::runner::{Attempt, Reach, Runner, Share, Work};
@@ -249,6 +250,15 @@
 
 /// Two accounts; `shop` has an engine's template, a push and a lookup, `works` has its own.
 pub fn declared() -> View {
+    declared_with(3, "v1")
+}
+
+/// The next revision, in which all adapters have another version.
+pub fn declared_again(version: &str) -> View {
+    declared_with(4, version)
+}
+
+fn declared_with(revision: u64, version: &str) -> View {
     let accounts = vec![account("shop", "shop-key"), account("works", "works-key")];
     let pools = vec![
         Pool {
@@ -274,7 +284,13 @@
         template("shop", "lookup", "stock", true),
         template("works", "fault", "gpu", true),
     ];
-    View::new(3, accounts, pools, templates)
+    let templates = templates.into_iter().map(|mut template| {
+        if let Some(adapter) = &mut template.adapter {
+            adapter.version = version.into();
+        }
+        template
+    });
+    View::new(revision, accounts, pools, templates.collect())
 }
 
 fn account(name: &str, key: &str) -> Account {
@@ -379,6 +395,13 @@
         self.send("POST /v1/chat/completions", &[], &body).await
     }
 
+    /// Returns the version of its adapter that the last try named.
+    pub fn last_version(&self) -> Option<Name> {
+        let runs = self.script.runs.lock().unwrap();
+        let adapter = runs.last()?.ticket.adapter.clone()?;
+        Some(adapter.version)
+    }
+
     /// Returns the value of a metric's line, such as `refusals_total{...}`, or 0.
     pub fn metric(&self, line: &str) -> u64 {
         let text = self.metrics.render();
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -9,7 +9,8 @@
 use chivevalve::config::View;
 use chivevalve::error::{Code, Failure};
 use entry_support::{
-    Ending, Step, declared, events, fail, json, limits, three, three_held, world, world_with,
+    Ending, Step, declared, declared_again, events, eventually, fail, json, limits, three,
+    three_held, world, world_with,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -503,3 +504,23 @@
     let upstreams: BTreeSet<&str> = runs.iter().map(|run| &*run.upstream).collect();
     assert_eq!((runs.len(), upstreams.len()), (4, 1));
 }
+
+/// A request that waits for its turn doesn't begin on a version that its template left long ago.
+#[tokio::test]
+async fn outcome_version_replaced_while_it_waits() {
+    let world = world().await;
+    world.script.then(Step::Hang);
+    let asked = world.chat("summary", "");
+    let replaced = async {
+        eventually(|| world.script.count() == 1).await;
+        world.view.send_replace(Arc::new(declared_again("v2")));
+        // Twice the time within which a change is in force.
+        tokio::time::sleep(Millis(16_000).duration()).await;
+    };
+    // Where a further try answers it, that is soon enough.
+    tokio::select! {
+        _ = asked => {}
+        () = replaced => {}
+    }
+    assert_eq!(world.last_version().as_deref(), Some("v2"));
+}
