--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -18,10 +18,7 @@
 
 const PUSH: &str = "POST /services/push/orders";
 
-/// Symptom: two work orders for one call.
-/// Sequence: the service runs the call, the connection breaks before the
-/// answer, the node sends the call to the next upstream.
-/// Cause: a reset after the head was sent was taken for "not run".
+/// A call that may run once isn't sent again where its connection broke after the head was sent.
 #[tokio::test]
 async fn outcome_reset_after_head() {
     let world = world().await;
@@ -57,9 +54,7 @@
     assert_eq!(world.script.count(), 2);
 }
 
-/// Symptom: engines crash one after another, each a moment after the last.
-/// Sequence: one request crashes whatever runs it.
-/// Cause: the request was tried on every upstream.
+/// A request that ends whatever runs it isn't tried at every upstream.
 #[tokio::test]
 async fn outcome_poisoned_request() {
     let world = world().await;
@@ -72,10 +67,7 @@
     assert_eq!(world.metric("retries_denied_total{reason=\"unknowns\"}"), 1);
 }
 
-/// Symptom: one caller's request ends engine after engine, each with all its other streams.
-/// Sequence: two engines end under each request, as the fleet shows, and come back; the caller
-/// sends the same request again and again.
-/// Cause: nothing tells that two requests are the same, nor that engines ended under one.
+/// A request that ends whatever runs it isn't sent again and again as its caller repeats it.
 #[tokio::test]
 async fn outcome_poisoned_request_comes_again() {
     const ALLOWED: usize = 6;
@@ -93,9 +85,7 @@
     assert!(sent <= ALLOWED, "it was sent {sent} times");
 }
 
-/// Symptom: a caller is told "not run" and sends again what has run.
-/// Sequence: the first try is lost after it was sent, the second is refused.
-/// Cause: the last failure spoke for all tries.
+/// A caller isn't told "not run" by a last try that was refused, behind one that may have run.
 #[tokio::test]
 async fn outcome_lost_then_refused() {
     let world = world().await;
@@ -106,9 +96,7 @@
     assert!(answer.contains("\"fate\":\"unknown\""));
 }
 
-/// Symptom: half an answer with status 200.
-/// Sequence: the engine dies while it sends an answer that isn't streamed.
-/// Cause: the head was passed on before the body was whole.
+/// An answer that isn't streamed and breaks off isn't passed on in half, with status 200.
 #[tokio::test]
 async fn outcome_whole_cut() {
     let world = world().await;
@@ -121,9 +109,7 @@
     assert!(!answer.contains("{\"id\""));
 }
 
-/// Symptom: a short answer that looks whole.
-/// Sequence: the engine is stopped in the middle and closes its answer in order.
-/// Cause: the end of the body was taken for the end of the answer.
+/// A stream that its engine closes in the middle, in order, doesn't look whole.
 #[tokio::test]
 async fn outcome_stream_without_done() {
     let world = world().await;
@@ -133,9 +119,7 @@
     assert!(!answer.contains("[DONE]"));
 }
 
-/// Symptom: every stream of an engine ends as cut, after all its events.
-/// Sequence: the engine writes its events without the space after the colon, as it may.
-/// Cause: the last event was looked for in one of its forms.
+/// A stream is whole whichever form its engine writes the last event in.
 #[tokio::test]
 async fn outcome_stream_done_without_space() {
     let world = world().await;
@@ -150,9 +134,7 @@
     }
 }
 
-/// Symptom: a client reads an error as the event that ends a stream.
-/// Sequence: the engine names the type of its last event; the owner then finds the answer wrong.
-/// Cause: only the data of the last event were held back, its other fields went out before.
+/// No field of a stream's last event goes out before the answer is known to be whole.
 #[tokio::test]
 async fn outcome_stream_done_named() {
     let world = world().await;
@@ -166,9 +148,7 @@
     assert!(answer.contains("\"code\":\"wrong_answer\""), "{answer}");
 }
 
-/// Symptom: a stream says `[DONE]` and was another request's answer.
-/// Sequence: the owner finds the mismatch only after the engine's last event.
-/// Cause: the last event was passed on before the answer was known to be whole.
+/// A stream doesn't say `[DONE]` where its owner finds it to be another request's answer.
 #[tokio::test]
 async fn outcome_stream_wrong_at_the_end() {
     let world = world().await;
@@ -179,9 +159,7 @@
     assert!(!answer.contains("[DONE]"));
 }
 
-/// Symptom: a saved file is short and nobody noticed.
-/// Sequence: a service dies while it sends a long answer.
-/// Cause: the layer ended the body in order.
+/// A service's answer that breaks off isn't ended in order.
 #[tokio::test]
 async fn outcome_service_cut() {
     let world = world().await;
@@ -201,9 +179,7 @@
     world.until(lost, 2).await;
 }
 
-/// Symptom: a saved file is short and nobody noticed.
-/// Sequence: the task that passes a service's answer on ends by a panic.
-/// Cause: the task's end was taken for the answer's.
+/// An answer whose task ends by a panic isn't ended in order.
 #[tokio::test]
 async fn outcome_service_panic() {
     let world = world().await;
@@ -215,9 +191,7 @@
     assert!(!chunked.ends_with("0\r\n\r\n"), "{chunked}");
 }
 
-/// Symptom: a saved file is short and nobody noticed.
-/// Sequence: a proxy calls by HTTP/1.0; a service dies while it sends an answer without a length.
-/// Cause: without chunks the closed connection ends an answer, and so does a cut one.
+/// An answer without a length that breaks off doesn't look whole to a caller of HTTP/1.0.
 #[tokio::test]
 async fn outcome_service_cut_old_http() {
     let world = world().await;
@@ -288,9 +262,7 @@
     panic!("no deadline was long enough");
 }
 
-/// Symptom: a caller waits for ever.
-/// Sequence: the upstream takes the request and says nothing.
-/// Cause: nothing but the upstream could end the wait.
+/// A caller whose upstream says nothing doesn't wait for ever.
 #[tokio::test]
 async fn outcome_deadline_running() {
     expire(Step::Hang, PUSH, "1").await;
@@ -314,9 +286,7 @@
     assert_eq!(world.script.count(), 0);
 }
 
-/// Symptom: an engine goes on for a caller that is gone.
-/// Sequence: the caller's connection breaks in the middle of a stream.
-/// Cause: the break wasn't passed on.
+/// An engine doesn't go on for a caller that is gone.
 #[tokio::test]
 async fn outcome_caller_gone_streaming() {
     let world = world().await;
@@ -343,9 +313,7 @@
     assert!(answer.contains("retry-after: 1"));
 }
 
-/// Symptom: requests are refused while an upstream moves to its next owner.
-/// Sequence: the owner dies; for a moment nobody owns the upstream.
-/// Cause: the picture of that moment was taken as final.
+/// Requests aren't refused while an upstream moves to its next owner.
 #[tokio::test]
 async fn outcome_upstream_comes_back() {
     let mut limits = limits();
@@ -361,9 +329,7 @@
     assert!(answer.starts_with("HTTP/1.1 200"));
 }
 
-/// Symptom: a request runs partly on one revision and partly on the next.
-/// Sequence: a template's version changes between two tries of a request.
-/// Cause: each try read the configuration anew.
+/// All tries of a request are decided on one revision.
 #[tokio::test]
 async fn outcome_one_revision() {
     let world = world().await;
@@ -402,9 +368,7 @@
     assert_eq!(runs[0].upstream, runs[3].upstream, "it waits at home");
 }
 
-/// Symptom: a planned stop cuts off a stream.
-/// Sequence: the node is stopped while an answer is under way.
-/// Cause: the listener's end took its connections with it.
+/// A planned stop cuts no stream off.
 #[tokio::test]
 async fn outcome_stop_lets_streams_finish() {
     let world = world().await;
@@ -425,9 +389,7 @@
     served.await.unwrap();
 }
 
-/// Symptom: streams break off when a configuration takes effect, or when upstreams change.
-/// Sequence: the template, its pool and its upstreams go while an answer is under way.
-/// Cause: a later picture was used for a request that was decided on an earlier one.
+/// Streams go on when a configuration takes effect, or when upstreams change.
 #[tokio::test]
 async fn outcome_changes_while_streaming() {
     let world = world().await;
@@ -451,9 +413,7 @@
     assert!(refused.starts_with("HTTP/1.1 401"), "{refused}");
 }
 
-/// Symptom: a stream breaks off while its engine reads a long prompt or pauses.
-/// Sequence: nothing is sent for longer than every bound on a caller's own times.
-/// Cause: the engine's silence was counted against the caller, or as rest of its connection.
+/// A stream isn't cut off while its engine reads a long prompt or pauses.
 #[tokio::test]
 async fn outcome_engine_silent() {
     let mut limits = limits();
@@ -488,10 +448,7 @@
     assert!(answer.contains("\"retry_after_ms\":2500"));
 }
 
-/// Symptom: one caller's short deadlines drive everybody off their home upstreams.
-/// Sequence: its requests expire while they run; the next request of the same
-/// adapter goes elsewhere and waits for a load.
-/// Cause: an expired deadline was remembered as a fault of the upstream.
+/// One caller's short deadlines don't drive everybody off their upstreams.
 #[tokio::test]
 async fn outcome_expiry_blames_no_upstream() {
     let world = world().await;
