--- a/lib/src/direct/admit.rs
+++ b/lib/src/direct/admit.rs
@@ -11,7 +11,7 @@
 use tonic::{Status, Streaming};
 
 use super::admission::{Load, Part, Place};
-use super::ask::Desks;
+use super::ask::Controllers;
 use super::limits::IN_USE;
 use super::upstream::Upstream;
 use crate::clock::Millis;
@@ -102,7 +102,7 @@
     pub patience: Millis,
 }
 
-impl Desks {
+impl Controllers {
     /// Has a request counted in at an engine by whoever gives it orders.
     pub async fn admit(&self, upstream: &Arc<Upstream>, question: Question<'_>) -> Answer {
         let answer = if self.right.owns(upstream.address) {
--- a/lib/src/direct/ask/exchange.rs
+++ b/lib/src/direct/ask/exchange.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 
-use super::{Desks, Silence};
+use super::{Controllers, Silence};
 use crate::clock::Millis;
 use crate::direct::dialect::Held;
 use crate::direct::limits::in_use;
@@ -16,12 +16,12 @@
 /// The longest that an exchange may take.
 const EXCHANGE: Millis = Millis(800);
 
-impl Desks {
+impl Controllers {
     /// Tells each owner what this node did at its engines.
     pub(super) fn exchange_all(self: &Arc<Self>) {
         for (address, request) in self.exchanges() {
-            let desks = Arc::clone(self);
-            tokio::spawn(async move { desks.exchange(address, request).await });
+            let controllers = Arc::clone(self);
+            tokio::spawn(async move { controllers.exchange(address, request).await });
         }
     }
 
@@ -142,10 +142,13 @@
         }
         let until = self.clock.now() + span;
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((_, desk)) = open.get(incarnation)
-            && desk.tell(Used { adapters, until }).try_send().is_err()
+        if let Some((_, controller)) = open.get(incarnation)
+            && controller
+                .tell(Used { adapters, until })
+                .try_send()
+                .is_err()
         {
-            log::debug!("ask: a desk is full and hears of no use");
+            log::debug!("ask: a controller is full and hears of no use");
         }
     }
 
--- a/lib/src/direct/ask/mod.rs
+++ b/lib/src/direct/ask/mod.rs
@@ -17,7 +17,7 @@
 use super::dialect::Dialect;
 use super::fanout::Hub;
 use super::limits::exchange_pause;
-use super::orders::{Desk, Load, Loaded, Parts, Tick};
+use super::orders::{Controller, Load, Loaded, Parts, Tick};
 use super::right::Right;
 use super::upstream::Upstream;
 use super::view::View;
@@ -39,7 +39,7 @@
 /// Pause between looks at engines that need something without being asked.
 const TICK: Millis = Millis(250);
 
-/// Messages that may wait at a desk.
+/// Messages that may wait at a controller.
 const MAILBOX: usize = 256;
 
 /// What a node's silence says of it.
@@ -55,9 +55,9 @@
     Gone,
 }
 
-/// The desks of the engines that this node gives orders to.
+/// The controllers of the engines that this node gives orders to.
 #[derive(Debug)]
-pub struct Desks {
+pub struct Controllers {
     /// What this node believes.
     pub view: Arc<View>,
     /// What it may do.
@@ -71,7 +71,7 @@
     /// Its metrics.
     pub metrics: Arc<Metrics>,
     /// By the engine's name, with the start that each is for.
-    open: Mutex<HashMap<Name, (u64, ActorRef<Desk>)>>,
+    open: Mutex<HashMap<Name, (u64, ActorRef<Controller>)>>,
     channels: Mutex<HashMap<SocketAddr, OrdersClient<Channel>>>,
     uses: Mutex<HashMap<Name, Vec<Name>>>,
     /// Nodes that gave no answer the last time.
@@ -87,20 +87,20 @@
 /// Counts a load that is waited for until it is dropped.
 #[derive(Debug)]
 struct Awaited<'a> {
-    desks: &'a Desks,
+    controllers: &'a Controllers,
     owner: SocketAddr,
 }
 
 impl<'a> Awaited<'a> {
-    fn new(desks: &'a Desks, owner: SocketAddr) -> Self {
-        *desks.awaited().entry(owner).or_default() += 1;
-        Self { desks, owner }
+    fn new(controllers: &'a Controllers, owner: SocketAddr) -> Self {
+        *controllers.awaited().entry(owner).or_default() += 1;
+        Self { controllers, owner }
     }
 }
 
 impl Drop for Awaited<'_> {
     fn drop(&mut self) {
-        let mut awaited = self.desks.awaited();
+        let mut awaited = self.controllers.awaited();
         if let Some(count) = awaited.get_mut(&self.owner) {
             *count -= 1;
             if *count == 0 {
@@ -110,8 +110,8 @@
     }
 }
 
-impl Desks {
-    /// Makes a registry without desks.
+impl Controllers {
+    /// Makes a registry without controllers.
     #[must_use]
     pub fn new(
         view: Arc<View>,
@@ -175,7 +175,7 @@
         adapter: &Name,
         version: u64,
     ) -> Loaded {
-        let Some(desk) = self.desk(upstream) else {
+        let Some(controller) = self.controller(upstream) else {
             return Loaded::Failed;
         };
         let (reply, loaded) = oneshot::channel();
@@ -184,7 +184,7 @@
             version,
             reply,
         };
-        if desk.tell(load).try_send().is_err() {
+        if controller.tell(load).try_send().is_err() {
             return Loaded::Full;
         }
         let loaded = loaded.await.unwrap_or(Loaded::Failed);
@@ -260,19 +260,19 @@
         self.silent.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the desk of an engine, opened if this is the first call for it.
-    fn desk(&self, upstream: &Arc<Upstream>) -> Option<ActorRef<Desk>> {
+    /// Returns the controller of an engine, opened if this is the first call for it.
+    fn controller(&self, upstream: &Arc<Upstream>) -> Option<ActorRef<Controller>> {
         let config = self.view.config()?;
         let engine = config.pools.get(&upstream.pool)?.engine.clone()?;
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((born, desk)) = open.get(&upstream.incarnation)
-            && desk.is_alive()
+        if let Some((born, controller)) = open.get(&upstream.incarnation)
+            && controller.is_alive()
         {
             if *born == upstream.born {
-                return Some(desk.clone());
+                return Some(controller.clone());
             }
             // Its book is of a start that has ended: the count in its orders would be wrong.
-            desk.kill();
+            controller.kill();
         }
         let parts = Parts {
             upstream: Arc::clone(upstream),
@@ -285,12 +285,12 @@
             metrics: Arc::clone(&self.metrics),
             table: Arc::clone(&self.table),
         };
-        let desk = Desk::spawn_with_mailbox(parts, mailbox::bounded(MAILBOX));
+        let controller = Controller::spawn_with_mailbox(parts, mailbox::bounded(MAILBOX));
         open.insert(
             Name::clone(&upstream.incarnation),
-            (upstream.born, desk.clone()),
+            (upstream.born, controller.clone()),
         );
-        Some(desk)
+        Some(controller)
     }
 
     pub(super) fn client(&self, address: SocketAddr) -> OrdersClient<Channel> {
@@ -345,25 +345,25 @@
                 let running = self.table.running(&upstream.incarnation);
                 upstream.heard_load(running.saturating_sub(upstream.running()), now);
             }
-            if let Some(desk) = self.desk_to_tick(&upstream)
-                && desk.tell(Tick).try_send().is_err()
+            if let Some(controller) = self.controller_to_tick(&upstream)
+                && controller.tell(Tick).try_send().is_err()
             {
-                log::warn!("ask: the desk of {} is full", upstream.incarnation);
+                log::warn!("ask: the controller of {} is full", upstream.incarnation);
             }
         }
     }
 
-    /// Returns the desk of an engine that this node orders, or ordered.
+    /// Returns the controller of an engine that this node orders, or ordered.
     ///
     /// One whose right has gone must hear of time too, or those who wait at it would wait
     /// for as long as a load may take: four seconds on each planned stop.
-    fn desk_to_tick(&self, upstream: &Arc<Upstream>) -> Option<ActorRef<Desk>> {
+    fn controller_to_tick(&self, upstream: &Arc<Upstream>) -> Option<ActorRef<Controller>> {
         if self.right.check(upstream.address).is_some() {
-            return self.desk(upstream);
+            return self.controller(upstream);
         }
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        let (_, desk) = open.get(&upstream.incarnation)?;
-        Some(desk.clone())
+        let (_, controller) = open.get(&upstream.incarnation)?;
+        Some(controller.clone())
     }
 
     fn close_gone(&self, upstreams: &HashMap<Name, Arc<Upstream>>) {
@@ -371,10 +371,10 @@
         self.open
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .retain(|incarnation, (_, desk)| {
+            .retain(|incarnation, (_, controller)| {
                 let kept = upstreams.contains_key(incarnation);
                 if !kept {
-                    desk.kill();
+                    controller.kill();
                 }
                 kept
             });
--- a/lib/src/direct/ask/tell.rs
+++ b/lib/src/direct/ask/tell.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 
-use super::Desks;
+use super::Controllers;
 use crate::clock::Millis;
 use crate::direct::outbox::Others;
 use crate::name::Name;
@@ -15,7 +15,7 @@
 const TELL: Millis = Millis(300);
 
 #[async_trait]
-impl Others for Desks {
+impl Others for Controllers {
     async fn tell(&self, name: &Name, value: &Bytes) {
         let others: Vec<SocketAddr> = {
             let state = self.view.state();
--- a/lib/src/direct/ask/vote.rs
+++ b/lib/src/direct/ask/vote.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use tonic::Status;
 
-use super::Desks;
+use super::Controllers;
 use crate::clock::Millis;
 use crate::direct::claim::{Refusal, Voters};
 use crate::schema::direct::{Owned, SupportRequest};
@@ -14,7 +14,7 @@
 const VOTE: Millis = Millis(300);
 
 #[async_trait]
-impl Voters for Desks {
+impl Voters for Controllers {
     fn others(&self) -> Option<Vec<SocketAddr>> {
         let state = self.view.state();
         let others = state.nodes.iter().filter(|(name, _)| **name != self.node);
@@ -47,7 +47,7 @@
     }
 }
 
-impl Desks {
+impl Controllers {
     /// Asks one node for its vote; the error says why it gave none.
     async fn vote(&self, peer: SocketAddr, request: SupportRequest) -> Result<(), String> {
         let mut client = self.client(peer);
--- a/lib/src/direct/entry/gauges.rs
+++ b/lib/src/direct/entry/gauges.rs
@@ -18,7 +18,9 @@
         let age = self.service.age().map_or(-1, |age| count(age.0));
         metrics.revision_age_ms.set(age);
         metrics.in_flight.set(count(self.active()));
-        metrics.owned.set(count(self.desks.right.owned_engines()));
+        metrics
+            .owned
+            .set(count(self.controllers.right.owned_engines()));
         let mut state = self.view.state();
         let version = state.config.as_ref().map_or(0, |config| config.version);
         metrics.revision.set(count(version));
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 
-use super::ask::Desks;
+use super::ask::Controllers;
 use super::budget::Budget;
 use super::dialect::Dialect;
 use super::limits::Current;
@@ -51,7 +51,7 @@
     /// What this node believes.
     pub view: Arc<View>,
     /// Orders to engines.
-    pub desks: Arc<Desks>,
+    pub controllers: Arc<Controllers>,
     /// Formats.
     pub dialect: Arc<dyn Dialect>,
     /// The node's clock.
@@ -89,7 +89,7 @@
     #[must_use]
     pub fn new(
         view: Arc<View>,
-        desks: Arc<Desks>,
+        controllers: Arc<Controllers>,
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         failure_domain: Name,
@@ -101,20 +101,20 @@
             Arc::<Metered>::clone(&service),
             Arc::clone(&dialect),
             Arc::clone(&clock),
-            Arc::<Desks>::clone(&desks),
+            Arc::<Controllers>::clone(&controllers),
         ));
         let quarantine = Arc::new(Quarantine::new(
             Arc::clone(&view),
             Arc::clone(&clock),
-            Arc::clone(&desks.metrics),
-            Name::clone(&desks.node),
+            Arc::clone(&controllers.metrics),
+            Name::clone(&controllers.node),
             outbox,
         ));
         Self {
             view,
-            metrics: Arc::clone(&desks.metrics),
+            metrics: Arc::clone(&controllers.metrics),
             quarantine,
-            desks,
+            controllers,
             dialect,
             clock,
             failure_domain,
@@ -227,7 +227,7 @@
         let gate = Arc::clone(self);
         let adapter = Name::clone(adapter);
         tokio::spawn(async move {
-            let loaded = gate.desks.load(&upstream, &adapter, version).await;
+            let loaded = gate.controllers.load(&upstream, &adapter, version).await;
             log::debug!(
                 "entry: {adapter} at {} too: {loaded:?}",
                 upstream.incarnation
--- a/lib/src/direct/fanout/subscription.rs
+++ b/lib/src/direct/fanout/subscription.rs
@@ -9,7 +9,7 @@
 use super::wire::decode;
 use super::{Heard, Source};
 use crate::clock::Millis;
-use crate::direct::ask::Desks;
+use crate::direct::ask::Controllers;
 use crate::direct::vet::Refusal;
 use crate::name::Name;
 use crate::schema::direct::{FollowRequest, Update as Sent};
@@ -35,7 +35,7 @@
 /// Listens to a node of this node's failure domain.
 #[derive(Debug)]
 pub struct Subscription {
-    desks: Arc<Desks>,
+    controllers: Arc<Controllers>,
     failure_domain: Name,
     stream: Option<Listening>,
     avoided: Vec<(Name, Millis)>,
@@ -44,9 +44,9 @@
 impl Subscription {
     /// Makes a subscription to nobody yet.
     #[must_use]
-    pub fn new(desks: Arc<Desks>, failure_domain: Name) -> Self {
+    pub fn new(controllers: Arc<Controllers>, failure_domain: Name) -> Self {
         Self {
-            desks,
+            controllers,
             failure_domain,
             stream: None,
             avoided: Vec::new(),
@@ -61,18 +61,20 @@
     }
 
     async fn begin(&mut self, after: u64) -> Option<()> {
-        let now = self.desks.clock.now();
+        let now = self.controllers.clock.now();
         self.avoided.retain(|(_, until)| *until > now);
         let (leader, address) = {
-            let state = self.desks.view.state();
+            let state = self.controllers.view.state();
             let nodes = ranked(&state, &self.failure_domain);
-            let at = nodes.iter().position(|name| *name == self.desks.node)?;
+            let at = nodes
+                .iter()
+                .position(|name| *name == self.controllers.node)?;
             let leader = choose(&nodes, at, |name| {
                 self.avoided.iter().any(|(avoided, _)| avoided == name)
             })?;
             (Name::clone(leader), state.nodes.get(leader)?.address)
         };
-        let mut client = self.desks.client(address);
+        let mut client = self.controllers.client(address);
         let asked = client.follow(FollowRequest { after });
         match tokio::time::timeout(CONNECT.duration(), asked).await {
             Ok(Ok(stream)) => {
@@ -101,7 +103,7 @@
 #[async_trait]
 impl Source for Subscription {
     fn is_shared(&self) -> bool {
-        let state = self.desks.view.state();
+        let state = self.controllers.view.state();
         !ranked(&state, &self.failure_domain).is_empty()
     }
 
@@ -119,7 +121,7 @@
         let leader = &listening.leader;
         match message {
             Ok(Some(sent)) => {
-                let now = self.desks.clock.now();
+                let now = self.controllers.clock.now();
                 Heard::Update(decode(sent, listening.asked, now))
             }
             Ok(None) => {
@@ -130,7 +132,7 @@
             Err(status) => {
                 log::info!("follow: {leader} passes nothing on any more: {status}");
                 if status.code() == TOO_LARGE {
-                    self.desks.hub.refused(Refusal::Oversized);
+                    self.controllers.hub.refused(Refusal::Oversized);
                     self.avoid();
                 }
                 self.stream = None;
@@ -142,7 +144,7 @@
     fn avoid(&mut self) {
         if let Some(Listening { leader, .. }) = self.stream.take() {
             log::info!("follow: nothing new enough from {leader}");
-            let until = self.desks.clock.now() + AVOIDED;
+            let until = self.controllers.clock.now() + AVOIDED;
             self.avoided.push((leader, until));
         }
     }
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -18,7 +18,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
 
-use super::ask::Desks;
+use super::ask::Controllers;
 use super::claim::Claimer;
 use super::dialect::Dialect;
 use super::entry::Gate;
@@ -147,7 +147,7 @@
             Arc::clone(&clock),
         ));
         let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
-        let desks = Arc::new(Desks::new(
+        let controllers = Arc::new(Controllers::new(
             Arc::clone(&view),
             Arc::clone(&right),
             Arc::clone(&reach.dialect),
@@ -157,7 +157,7 @@
         ));
         let gate = Arc::new(Gate::new(
             Arc::clone(&view),
-            Arc::clone(&desks),
+            Arc::clone(&controllers),
             Arc::clone(&reach.dialect),
             Arc::clone(&clock),
             Name::clone(&settings.failure_domain),
@@ -167,7 +167,7 @@
         let claimer = Arc::new(Claimer {
             store: Arc::<Metered>::clone(&service),
             lease: Arc::<Metered>::clone(&service),
-            voters: Arc::<Desks>::clone(&desks),
+            voters: Arc::<Controllers>::clone(&controllers),
             dialect: Arc::clone(&reach.dialect),
             clock: Arc::clone(&clock),
             view: Arc::clone(&view),
@@ -183,8 +183,10 @@
             boot: Boot::id(),
             first_start: settings.first_start,
         });
-        let subscription =
-            Subscription::new(Arc::clone(&desks), Name::clone(&settings.failure_domain));
+        let subscription = Subscription::new(
+            Arc::clone(&controllers),
+            Name::clone(&settings.failure_domain),
+        );
         let follower = Follower::new(
             Arc::<Metered>::clone(&service),
             service,
@@ -193,7 +195,7 @@
             view,
             Arc::clone(&limits),
         )
-        .within_domain(Arc::clone(&desks.hub), Box::new(subscription));
+        .within_domain(Arc::clone(&controllers.hub), Box::new(subscription));
         let closing = CancellationToken::new();
         let callers = listeners.callers.local_addr()?;
         let serving = serve_callers(listeners.callers, Arc::clone(&gate), closing.clone());
@@ -212,11 +214,11 @@
             listeners.peers,
             listeners.readiness,
             listeners.metrics,
-            Arc::clone(&desks),
+            Arc::clone(&controllers),
         );
         node.tasks.spawn(follower.run());
         node.tasks.spawn(Arc::clone(&node.claimer).run());
-        node.tasks.spawn(desks.run());
+        node.tasks.spawn(controllers.run());
         node.tasks.spawn(Arc::clone(&node.gate.quarantine).run());
         Ok(node)
     }
@@ -250,10 +252,10 @@
         peers: TcpListener,
         readiness: TcpListener,
         metrics: TcpListener,
-        desks: Arc<Desks>,
+        controllers: Arc<Controllers>,
     ) {
         self.tasks.spawn(async move {
-            if let Err(error) = serve::serve(peers, desks).await {
+            if let Err(error) = serve::serve(peers, controllers).await {
                 log::error!("node: other nodes aren't served: {error}");
             }
         });
--- a/lib/src/direct/orders/engine.rs
+++ b/lib/src/direct/orders/engine.rs
@@ -18,7 +18,7 @@
 
 /// The longest that an order or report may take to answer.
 ///
-/// Engines answer within milliseconds; a desk that waits keeps all other loads
+/// Engines answer within milliseconds; a controller that waits keeps all other loads
 /// of its engine waiting.
 const ANSWER: Millis = Millis(100);
 
@@ -28,7 +28,7 @@
 /// Longest answer to an order that is read, in bytes.
 const ORDER_BYTES: usize = 16 * 1024;
 
-/// What a desk is made of.
+/// What a controller is made of.
 #[derive(Debug, Clone)]
 pub struct Parts {
     /// The engine.
--- a/lib/src/direct/orders/load.rs
+++ b/lib/src/direct/orders/load.rs
@@ -4,7 +4,7 @@
 
 use super::message::{Load, Loaded, LookDue, Looked};
 use super::slots::{Look, Slots, answer};
-use super::{Desk, MOST_IN_TRANSIT, MOST_INCOMING};
+use super::{Controller, MOST_IN_TRANSIT, MOST_INCOMING};
 use crate::clock::Millis;
 use crate::direct::dialect::{Action, Order, Ordered};
 use crate::name::Name;
@@ -29,7 +29,7 @@
     }
 }
 
-impl Desk {
+impl Controller {
     pub(super) async fn start(&mut self, load: Load) {
         if !self.takes_load() {
             if self.queue.len() < MOST_WAITING {
@@ -139,7 +139,7 @@
         let timer = tokio::spawn(async move {
             tokio::time::sleep(at.since(now).duration()).await;
             if actor.tell(LookDue).await.is_err() {
-                log::debug!("orders: the desk closed before a load was complete");
+                log::debug!("orders: the controller closed before a load was complete");
             }
         });
         let timer = timer.abort_handle();
@@ -173,7 +173,7 @@
         tokio::spawn(async move {
             let outcome = parts.give(order).await.ok();
             if actor.tell(Looked { look, outcome }).await.is_err() {
-                log::debug!("orders: the desk closed before a load was complete");
+                log::debug!("orders: the controller closed before a load was complete");
             }
         });
     }
--- a/lib/src/direct/orders/message.rs
+++ b/lib/src/direct/orders/message.rs
@@ -1,9 +1,9 @@
-//! What a desk is told, and what it answers.
+//! What a controller is told, and what it answers.
 
 use kameo::message::{Context, Message};
 use tokio::sync::oneshot;
 
-use super::Desk;
+use super::Controller;
 use super::slots::Look;
 use crate::clock::Millis;
 use crate::direct::dialect::Ordered;
@@ -70,7 +70,7 @@
     pub(super) outcome: Option<Ordered>,
 }
 
-impl Message<Load> for Desk {
+impl Message<Load> for Controller {
     type Reply = ();
 
     async fn handle(&mut self, load: Load, context: &mut Context<Self, ()>) {
@@ -79,7 +79,7 @@
     }
 }
 
-impl Message<Used> for Desk {
+impl Message<Used> for Controller {
     type Reply = ();
 
     async fn handle(&mut self, used: Used, _: &mut Context<Self, ()>) {
@@ -91,7 +91,7 @@
     }
 }
 
-impl Message<LookDue> for Desk {
+impl Message<LookDue> for Controller {
     type Reply = ();
 
     async fn handle(&mut self, _: LookDue, context: &mut Context<Self, ()>) {
@@ -100,7 +100,7 @@
     }
 }
 
-impl Message<Looked> for Desk {
+impl Message<Looked> for Controller {
     type Reply = ();
 
     async fn handle(&mut self, looked: Looked, context: &mut Context<Self, ()>) {
@@ -109,7 +109,7 @@
     }
 }
 
-impl Message<Tick> for Desk {
+impl Message<Tick> for Controller {
     type Reply = ();
 
     async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -40,7 +40,7 @@
 
 /// Gives one engine its orders.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Controller {
     parts: Parts,
     slots: Option<Slots>,
     /// The slots may be wrong; the engine is asked before the next order.
@@ -56,7 +56,7 @@
     wake: Option<Wake>,
 }
 
-impl Actor for Desk {
+impl Actor for Controller {
     type Args = Parts;
     type Error = Infallible;
 
@@ -75,7 +75,7 @@
     }
 }
 
-impl Desk {
+impl Controller {
     async fn load(&mut self, load: Load) {
         if !self.has_right() {
             answer(load.reply, Loaded::NotOwner);
@@ -125,7 +125,7 @@
     /// Leaves the engine alone for a while and asks it what it holds before the next order.
     ///
     /// While an adapter that was ordered away waits for its runs, the engine
-    /// refuses every other order; more of them would only keep the desk busy.
+    /// refuses every other order; more of them would only keep the controller busy.
     fn pause(&mut self) {
         self.stale = true;
         self.blocked = self.parts.clock.now() + PAUSE;
--- a/lib/src/direct/place.rs
+++ b/lib/src/direct/place.rs
@@ -44,7 +44,7 @@
     pub(super) async fn with_base(&self, field: &Field<'_>, model: &Name) -> Option<Target> {
         let upstream = field.first(self.manner(), |upstream| upstream.has_base(model))?;
         let question = self.question(None, 0);
-        let permit = match self.gate.desks.admit(&upstream, question).await {
+        let permit = match self.gate.controllers.admit(&upstream, question).await {
             admit::Answer::Admitted(permit, _) => Some(permit),
             _ => None,
         };
@@ -85,7 +85,7 @@
                 limit: choice::calm_limit(upstream.slots),
                 ..self.question(Some(adapter), wanted)
             };
-            match self.gate.desks.admit(&upstream, question).await {
+            match self.gate.controllers.admit(&upstream, question).await {
                 admit::Answer::Admitted(permit, _) => {
                     return Asked::Place(Self::admitted(upstream, adapter, Some(permit)));
                 }
@@ -142,7 +142,7 @@
         adapter: &Name,
         question: Question<'_>,
     ) -> Option<Target> {
-        match self.gate.desks.admit(&upstream, question).await {
+        match self.gate.controllers.admit(&upstream, question).await {
             admit::Answer::Admitted(permit, _) => {
                 Some(Self::admitted(upstream, adapter, Some(permit)))
             }
@@ -211,7 +211,7 @@
                 patience: Millis::ZERO,
                 ..self.question(Some(adapter), wanted)
             };
-            self.gate.desks.admit(upstream, question)
+            self.gate.controllers.admit(upstream, question)
         });
         let answers = futures::future::join_all(asking).await;
         let loads: Vec<Option<Load>> = answers.iter().map(admit::Answer::load).collect();
--- a/lib/src/direct/request/send.rs
+++ b/lib/src/direct/request/send.rs
@@ -83,7 +83,7 @@
                 place.version.unwrap_or_default(),
             )
         };
-        let permit = match self.gate.desks.admit(&place.upstream, question).await {
+        let permit = match self.gate.controllers.admit(&place.upstream, question).await {
             admit::Answer::Admitted(permit, _) => Some(permit),
             _ => None,
         };
@@ -106,7 +106,7 @@
     /// Lets the owner hear of a request that it doesn't count, by the next exchange.
     fn note_uncounted(&self, target: &Target, permit: Option<&Permit>) {
         if let (Some(adapter), None) = (self.message.call.adapter(), permit) {
-            self.gate.desks.note_use(&target.upstream, adapter);
+            self.gate.controllers.note_use(&target.upstream, adapter);
         }
     }
 
--- a/lib/src/direct/serve.rs
+++ b/lib/src/direct/serve.rs
@@ -11,7 +11,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use super::admit::{Answer, Question, Replies};
-use super::ask::Desks;
+use super::ask::Controllers;
 use super::limits::in_use;
 use super::orders::Loaded;
 use super::upstream::Upstream;
@@ -26,7 +26,7 @@
 
 /// Answers other nodes.
 #[derive(Debug)]
-struct Service(Arc<Desks>);
+struct Service(Arc<Controllers>);
 
 impl Service {
     fn upstream(&self, incarnation: &str) -> Option<Arc<Upstream>> {
@@ -85,11 +85,13 @@
 
     async fn load(&self, request: Request<LoadRequest>) -> Result<Response<LoadReply>, Status> {
         let request = request.into_inner();
-        let desks = &self.0;
+        let controllers = &self.0;
         let loaded = match self.upstream(&request.incarnation) {
-            Some(upstream) if desks.right.owns(upstream.address) => {
+            Some(upstream) if controllers.right.owns(upstream.address) => {
                 let adapter = Name::from(request.adapter);
-                desks.load_here(&upstream, &adapter, request.version).await
+                controllers
+                    .load_here(&upstream, &adapter, request.version)
+                    .await
             }
             _ => Loaded::NotOwner,
         };
@@ -162,7 +164,7 @@
 /// When the listener can't be served.
 pub async fn serve(
     listener: TcpListener,
-    desks: Arc<Desks>,
+    controllers: Arc<Controllers>,
 ) -> Result<(), tonic::transport::Error> {
     Server::builder()
         .tcp_nodelay(true)
@@ -174,7 +176,7 @@
         .http2_max_pending_accept_reset_streams(Some(MOST_CALLS as usize))
         .http2_keepalive_interval(Some(ALIVE.duration()))
         .http2_keepalive_timeout(Some(ALIVE_ANSWER.duration()))
-        .add_service(OrdersServer::new(Service(desks)))
+        .add_service(OrdersServer::new(Service(controllers)))
         .serve_with_incoming(TcpListenerStream::new(listener))
         .await
 }
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -237,7 +237,7 @@
                     .min(self.time_to_begin(&upstream, adapter)),
                 ..self.question(Some(adapter), 0)
             };
-            match self.gate.desks.admit(&upstream, question).await {
+            match self.gate.controllers.admit(&upstream, question).await {
                 admit::Answer::Admitted(permit, _) => {
                     return Some(Self::admitted(upstream, adapter, Some(permit)));
                 }
@@ -276,7 +276,7 @@
             }
             let left = self.until.since(self.now());
             let asking = Asking::new(self, &upstream, adapter);
-            let load = self.gate.desks.load(&upstream, adapter, wanted);
+            let load = self.gate.controllers.load(&upstream, adapter, wanted);
             let Ok(loaded) = tokio::time::timeout(left.duration(), load).await else {
                 break;
             };
@@ -303,7 +303,7 @@
     /// service is away there are many of them; asked one after the other, they used up the
     /// questions of a request that an engine further down could have served.
     fn can_load(&self, upstream: &Upstream, adapter: &Name) -> bool {
-        upstream.has_base(adapter) && self.gate.desks.is_ordered(upstream)
+        upstream.has_base(adapter) && self.gate.controllers.is_ordered(upstream)
     }
 
     /// Engines that could load the adapter, those with no older version of it first.
--- a/lib/src/direct/versions.rs
+++ b/lib/src/direct/versions.rs
@@ -204,8 +204,8 @@
         let Some(_asking) = replacements.begin(&self.upstream, &self.adapter) else {
             return false;
         };
-        let desks = &self.gate.desks;
-        let load = desks.load(&self.upstream, &self.adapter, newest.version);
+        let controllers = &self.gate.controllers;
+        let load = controllers.load(&self.upstream, &self.adapter, newest.version);
         let loaded = load.await;
         log::info!(
             upstream = &*self.upstream.incarnation,
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -8,7 +8,7 @@
 use chivevalve::clock::{Clock, Manual, Millis, Monotonic};
 use chivevalve::direct::admission::{Load, Occupancy, Part, Place, Table};
 use chivevalve::direct::admit::{Answer, Question};
-use chivevalve::direct::ask::Desks;
+use chivevalve::direct::ask::Controllers;
 use chivevalve::direct::choice::{self, MOST_QUESTIONS};
 use chivevalve::direct::dialect::Listed;
 use chivevalve::direct::limits::exchange_pause;
@@ -180,7 +180,7 @@
 
 /// A node's part that talks to other nodes, with what it believes.
 struct Node {
-    desks: Arc<Desks>,
+    controllers: Arc<Controllers>,
     upstream: Arc<Upstream>,
 }
 
@@ -212,7 +212,7 @@
     if name == owner {
         right.take(upstream.address, 7, Millis::ZERO);
     }
-    let desks = Arc::new(Desks::new(
+    let controllers = Arc::new(Controllers::new(
         view,
         right,
         Arc::new(Speech),
@@ -220,7 +220,10 @@
         name.into(),
         Arc::default(),
     ));
-    Node { desks, upstream }
+    Node {
+        controllers,
+        upstream,
+    }
 }
 
 fn question(adapter: &Name, limit: u32) -> Question<'_> {
@@ -239,7 +242,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap();
     let owner = node("one", "one", at, &[(ADAPTER, 1)]);
-    tokio::spawn(serve(listener, Arc::clone(&owner.desks)));
+    tokio::spawn(serve(listener, Arc::clone(&owner.controllers)));
     (owner, node("two", "one", at, &[(ADAPTER, 1)]))
 }
 
@@ -249,7 +252,7 @@
     let counted = async {
         loop {
             let answer = owner
-                .desks
+                .controllers
                 .admit(&owner.upstream, question(&adapter, 1))
                 .await;
             let running = match answer {
@@ -272,17 +275,17 @@
     let (owner, other) = two_nodes().await;
     let adapter = Name::from(ADAPTER);
     let first = other
-        .desks
+        .controllers
         .admit(&other.upstream, question(&adapter, 2))
         .await;
     let second = owner
-        .desks
+        .controllers
         .admit(&owner.upstream, question(&adapter, 2))
         .await;
     assert!(matches!(&first, Answer::Admitted(_, load) if load.running == 0));
     assert!(matches!(&second, Answer::Admitted(_, load) if load.alike == 1));
     let third = other
-        .desks
+        .controllers
         .admit(&other.upstream, question(&adapter, 2))
         .await;
     assert!(matches!(third, Answer::Busy(load) if load.running == 2));
@@ -300,7 +303,7 @@
     for _ in 0..3 {
         permits.push(
             other
-                .desks
+                .controllers
                 .admit(&other.upstream, question(&adapter, 0))
                 .await,
         );
@@ -320,18 +323,18 @@
         tokens: 20_000,
         ..question(&adapter, 4)
     };
-    let first = other.desks.admit(&other.upstream, long).await;
+    let first = other.controllers.admit(&other.upstream, long).await;
     let Answer::Admitted(mut permit, _) = first else {
         panic!("{first:?}");
     };
-    let second = other.desks.admit(&other.upstream, long).await;
+    let second = other.controllers.admit(&other.upstream, long).await;
     assert!(
         matches!(second, Answer::Busy(load) if load.wait == Millis(800)),
         "{second:?}"
     );
     permit.read();
     let read = async {
-        while let Answer::Busy(_) = owner.desks.admit(&owner.upstream, long).await {
+        while let Answer::Busy(_) = owner.controllers.admit(&owner.upstream, long).await {
             tokio::time::sleep(Millis(5).duration()).await;
         }
     };
@@ -347,7 +350,7 @@
     let (_owner, other) = two_nodes().await;
     let adapter = Name::from("base/a2");
     let answer = other
-        .desks
+        .controllers
         .admit(&other.upstream, question(&adapter, 0))
         .await;
     assert!(matches!(answer, Answer::Absent(_)), "{answer:?}");
@@ -355,7 +358,7 @@
         loaded: true,
         ..question(&adapter, 0)
     };
-    let answer = other.desks.admit(&other.upstream, loaded).await;
+    let answer = other.controllers.admit(&other.upstream, loaded).await;
     assert!(matches!(answer, Answer::Admitted(..)), "{answer:?}");
 }
 
@@ -373,7 +376,7 @@
     for _ in 0..5 {
         let began = tokio::time::Instant::now();
         let answer = asking
-            .desks
+            .controllers
             .admit(&asking.upstream, question(&adapter, 0))
             .await;
         assert!(matches!(answer, Answer::Unknown), "{answer:?}");
@@ -381,7 +384,7 @@
     }
     let began = tokio::time::Instant::now();
     let _ = asking
-        .desks
+        .controllers
         .admit(&asking.upstream, question(&adapter, 0))
         .await;
     assert_eq!(began.elapsed(), std::time::Duration::ZERO);
@@ -393,11 +396,11 @@
     let busy = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let asking = node("two", "one", busy.local_addr().unwrap(), &[(ADAPTER, 1)]);
     let wanted = Name::from("base/a2");
-    let load = asking.desks.load(&asking.upstream, &wanted, 0);
+    let load = asking.controllers.load(&asking.upstream, &wanted, 0);
     let late = async {
         let adapter = Name::from(ADAPTER);
         let question = question(&adapter, 0);
-        let answer = asking.desks.admit(&asking.upstream, question).await;
+        let answer = asking.controllers.admit(&asking.upstream, question).await;
         assert!(matches!(answer, Answer::Unknown), "{answer:?}");
         tokio::time::sleep(Millis(300).duration()).await;
     };
@@ -405,7 +408,7 @@
         loaded = load => panic!("the load ended: {loaded:?}"),
         () = late => {}
     }
-    assert!(asking.desks.is_ordered(&asking.upstream));
+    assert!(asking.controllers.is_ordered(&asking.upstream));
 }
 
 /// Passes bytes on from a node to another one, unless they are held back.
@@ -439,16 +442,22 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap();
     let owner = node("one", "one", at, &[(ADAPTER, 1)]);
-    tokio::spawn(serve(listener, Arc::clone(&owner.desks)));
+    tokio::spawn(serve(listener, Arc::clone(&owner.controllers)));
     let (address, hold) = held(at).await;
     let other = node("two", "one", address, &[(ADAPTER, 1)]);
     let adapter = Name::from(ADAPTER);
-    let answer = other.desks.admit(&other.upstream, question(&adapter, 0));
+    let answer = other
+        .controllers
+        .admit(&other.upstream, question(&adapter, 0));
     let Answer::Admitted(permit, _) = answer.await else {
         panic!("there is no place");
     };
     hold.send_replace(true);
-    let late = (0..60).map(|_| other.desks.admit(&other.upstream, question(&adapter, 0)));
+    let late = (0..60).map(|_| {
+        other
+            .controllers
+            .admit(&other.upstream, question(&adapter, 0))
+    });
     for answer in futures::future::join_all(late).await {
         assert!(matches!(answer, Answer::Unknown), "{answer:?}");
     }
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use chivevalve::clock::{Clock, Manual, Millis, Monotonic};
-use chivevalve::direct::ask::Desks;
+use chivevalve::direct::ask::Controllers;
 use chivevalve::direct::claim::{Claimer, Refusal, Voters};
 use chivevalve::direct::config::{Config, Engine, Limits as Sent, Pool};
 use chivevalve::direct::dialect::{Dialect, Held, Listed};
@@ -498,9 +498,9 @@
 }
 
 /// A node's orders, without the rest of it.
-fn desks(clock: Arc<dyn Clock>, view: Arc<View>) -> Desks {
+fn controllers(clock: Arc<dyn Clock>, view: Arc<View>) -> Controllers {
     let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
-    Desks::new(
+    Controllers::new(
         view,
         right,
         Arc::new(Speech),
@@ -515,13 +515,15 @@
 async fn refusals_nobody_listens() {
     let clock: Arc<dyn Clock> = Arc::new(Manual::default());
     let view = Arc::new(View::default());
-    let desks = desks(clock, view);
+    let controllers = controllers(clock, view);
     let open = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let silent = open.local_addr().unwrap();
     let ended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let dead = ended.local_addr().unwrap();
     drop(ended);
-    let refusals = desks.refusals(&[dead, silent], &[(address(), 7)]).await;
+    let refusals = controllers
+        .refusals(&[dead, silent], &[(address(), 7)])
+        .await;
     let peers: Vec<SocketAddr> = refusals.iter().map(|refusal| refusal.peer).collect();
     assert_eq!(peers, [silent]);
 }
@@ -534,10 +536,10 @@
     know_engine(&view);
     let suspended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let upstream = own_by(&view, "two", suspended.local_addr().unwrap());
-    let desks = Arc::new(desks(clock, view));
-    let running = tokio::spawn(Arc::clone(&desks).run());
+    let controllers = Arc::new(controllers(clock, view));
+    let running = tokio::spawn(Arc::clone(&controllers).run());
     let began = tokio::time::Instant::now();
-    let loaded = desks.load(&upstream, &"base/a1".into(), 0).await;
+    let loaded = controllers.load(&upstream, &"base/a1".into(), 0).await;
     assert_eq!(loaded, Loaded::Failed);
     assert!(began.elapsed() < Millis(2_000).duration());
     running.abort();
--- a/lib/tests/test_direct_exchange.rs
+++ b/lib/tests/test_direct_exchange.rs
@@ -8,7 +8,7 @@
 
 use chivevalve::clock::{Clock, Millis, Monotonic};
 use chivevalve::direct::admit::Question;
-use chivevalve::direct::ask::Desks;
+use chivevalve::direct::ask::Controllers;
 use chivevalve::direct::dialect::Listed;
 use chivevalve::direct::right::Right;
 use chivevalve::direct::upstream::{Running, Upstream};
@@ -26,7 +26,7 @@
 type Told = BTreeMap<SocketAddr, BTreeSet<(String, u32, Vec<String>)>>;
 
 /// A node before engines of many owners; the last one is the node itself.
-fn node(random: &mut Pcg64, silent: SocketAddr) -> Arc<Desks> {
+fn node(random: &mut Pcg64, silent: SocketAddr) -> Arc<Controllers> {
     let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
     let view = Arc::new(View::default());
     let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
@@ -69,28 +69,35 @@
     }
     let me = format!("node-{}", OWNERS - 1).into();
     let speech = Arc::new(Speech);
-    Arc::new(Desks::new(view, right, speech, clock, me, Arc::default()))
+    Arc::new(Controllers::new(
+        view,
+        right,
+        speech,
+        clock,
+        me,
+        Arc::default(),
+    ))
 }
 
-fn engines(desks: &Desks) -> Vec<Arc<Upstream>> {
-    let state = desks.view.state();
+fn engines(controllers: &Controllers) -> Vec<Arc<Upstream>> {
+    let state = controllers.view.state();
     let mut engines: Vec<_> = state.upstreams.values().cloned().collect();
     engines.sort_by(|one, other| one.incarnation.cmp(&other.incarnation));
     engines
 }
 
 /// Looks at all engines one by one.
-fn expected(desks: &Desks, noted: &BTreeMap<Name, Name>, silent: SocketAddr) -> Told {
+fn expected(controllers: &Controllers, noted: &BTreeMap<Name, Name>, silent: SocketAddr) -> Told {
     let mut told = Told::new();
-    for engine in engines(desks) {
-        let Some((_, owner)) = desks.view.owner(engine.address) else {
+    for engine in engines(controllers) {
+        let Some((_, owner)) = controllers.view.owner(engine.address) else {
             continue;
         };
         let mut adapters = engine.in_use();
         let noted = noted.get(&engine.incarnation).cloned();
         adapters.extend(noted.filter(|noted| !engine.in_use().contains(noted)));
         let is_idle = adapters.is_empty() && engine.running() == 0;
-        if desks.right.owns(engine.address) || (is_idle && owner.address != silent) {
+        if controllers.right.owns(engine.address) || (is_idle && owner.address != silent) {
             continue;
         }
         let mut adapters: Vec<String> = adapters.iter().map(ToString::to_string).collect();
@@ -101,9 +108,9 @@
     told
 }
 
-fn told(desks: &Desks) -> Told {
+fn told(controllers: &Controllers) -> Told {
     let mut told = Told::new();
-    for (address, request) in desks.exchanges() {
+    for (address, request) in controllers.exchanges() {
         for mut one in request.uses {
             one.adapters.sort();
             let engine = (one.incarnation, one.running, one.adapters);
@@ -133,10 +140,10 @@
     let silent = suspended.local_addr().unwrap();
     for seed in 0..20 {
         let mut random = Pcg64::seed_from_u64(seed);
-        let desks = node(&mut random, silent);
-        let engines = engines(&desks);
+        let controllers = node(&mut random, silent);
+        let engines = engines(&controllers);
         let owned_by = |engine: &&Arc<Upstream>| {
-            let owner = desks.view.owner(engine.address);
+            let owner = controllers.view.owner(engine.address);
             owner.is_some_and(|(_, owner)| owner.address == silent)
         };
         let mut concerned = SocketAddr::from(([127, 0, 0, 9], 9));
@@ -145,7 +152,7 @@
             let mut noted = BTreeMap::new();
             for engine in engines.iter().filter(|_| random.random_bool(0.05)) {
                 let adapter = Name::from("base/a2");
-                desks.note_use(engine, &adapter);
+                controllers.note_use(engine, &adapter);
                 noted.insert(Name::clone(&engine.incarnation), adapter);
             }
             if round == 3 {
@@ -159,12 +166,12 @@
                     patience: Millis::ZERO,
                 };
                 let engine = engines.iter().find(owned_by).unwrap();
-                drop(desks.admit(engine, question).await);
+                drop(controllers.admit(engine, question).await);
                 concerned = silent;
             }
-            let expected = expected(&desks, &noted, concerned);
+            let expected = expected(&controllers, &noted, concerned);
             assert!(!expected.is_empty());
-            assert_eq!(told(&desks), expected, "seed {seed}, round {round}");
+            assert_eq!(told(&controllers), expected, "seed {seed}, round {round}");
             drop(running);
         }
     }
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -10,7 +10,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use chivevalve::clock::{Clock, Manual, Millis, Monotonic};
-use chivevalve::direct::ask::Desks;
+use chivevalve::direct::ask::Controllers;
 use chivevalve::direct::fanout::{Heard, Hub, Source, Subscription, Update};
 use chivevalve::direct::follow::Follower;
 use chivevalve::direct::limits::Current;
@@ -418,7 +418,7 @@
     view
 }
 
-fn subscription(node: &str, view: Arc<View>) -> (Arc<Desks>, Subscription) {
+fn subscription(node: &str, view: Arc<View>) -> (Arc<Controllers>, Subscription) {
     subscription_by(node, view, Arc::new(Monotonic::start()))
 }
 
@@ -426,9 +426,9 @@
     node: &str,
     view: Arc<View>,
     clock: Arc<dyn Clock>,
-) -> (Arc<Desks>, Subscription) {
+) -> (Arc<Controllers>, Subscription) {
     let right = Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view)));
-    let desks = Arc::new(Desks::new(
+    let controllers = Arc::new(Controllers::new(
         view,
         right,
         Arc::new(Speech),
@@ -436,8 +436,8 @@
         node.into(),
         Arc::default(),
     ));
-    let subscription = Subscription::new(Arc::clone(&desks), "hall-a".into());
-    (desks, subscription)
+    let subscription = Subscription::new(Arc::clone(&controllers), "hall-a".into());
+    (controllers, subscription)
 }
 
 #[tokio::test]
@@ -450,7 +450,7 @@
     let mut asking = 0;
     for number in 0..12 {
         let name = format!("node-{number}");
-        let (_desks, mut one) = subscription(&name, view(12, address));
+        let (_controllers, mut one) = subscription(&name, view(12, address));
         assert!(one.is_shared());
         match one.next(5, Millis::from_secs(20)).await {
             Heard::Update(update) => {
@@ -480,8 +480,8 @@
     }
     let mut kept = Vec::new();
     for (number, socket) in sockets.into_iter().enumerate() {
-        let (desks, mut one) = subscription(&format!("node-{number}"), Arc::clone(&shared));
-        tokio::spawn(serve(socket, Arc::clone(&desks)));
+        let (controllers, mut one) = subscription(&format!("node-{number}"), Arc::clone(&shared));
+        tokio::spawn(serve(socket, Arc::clone(&controllers)));
         kept.push(tokio::spawn(async move {
             let heard = one.next(0, Millis(1)).await;
             (one, heard)
@@ -547,7 +547,7 @@
 }
 
 /// Twelve nodes, all at the address of one that passes these on.
-async fn listeners(sent: Vec<Sent>) -> Vec<(Arc<Desks>, Subscription)> {
+async fn listeners(sent: Vec<Sent>) -> Vec<(Arc<Controllers>, Subscription)> {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let server = Server::builder().add_service(OrdersServer::new(Other(sent)));
@@ -571,11 +571,11 @@
         ..Sent::default()
     };
     let mut listen = 0;
-    for (desks, mut one) in listeners(vec![sent]).await {
+    for (controllers, mut one) in listeners(vec![sent]).await {
         for _ in 0..8 {
             assert_eq!(one.next(0, Millis::from_secs(20)).await, Heard::Nobody);
         }
-        let refused = &desks.metrics.updates_refused;
+        let refused = &controllers.metrics.updates_refused;
         let refused = refused.with_label_values(&["oversized"]).get();
         // Each that it may listen to is asked once: two above it and the other leader.
         assert!(refused <= 3, "{refused}");
@@ -593,10 +593,10 @@
         ..Sent::default()
     });
     let mut heard = 0;
-    for (desks, mut one) in listeners(sent.to_vec()).await {
+    for (controllers, mut one) in listeners(sent.to_vec()).await {
         for age in ages {
             if let Heard::Update(update) = one.next(0, Millis::from_secs(20)).await {
-                assert!(update.as_of <= desks.clock.now());
+                assert!(update.as_of <= controllers.clock.now());
                 assert!(age == 0 || update.as_of == Millis::ZERO);
                 heard += 1;
             }
@@ -621,7 +621,7 @@
     drop(ended);
     let view = view(12, address);
     for number in 0..12 {
-        let (_desks, mut node) = subscription(&format!("node-{number}"), Arc::clone(&view));
+        let (_controllers, mut node) = subscription(&format!("node-{number}"), Arc::clone(&view));
         for _ in 0..4 {
             assert_eq!(node.next(0, Millis::from_secs(20)).await, Heard::Nobody);
         }
@@ -640,7 +640,8 @@
     for number in 0..12 {
         let clock = Arc::new(Manual::default());
         let name = format!("node-{number}");
-        let (_desks, mut one) = subscription_by(&name, view(12, address), Arc::clone(&clock) as _);
+        let (_controllers, mut one) =
+            subscription_by(&name, view(12, address), Arc::clone(&clock) as _);
         if one.next(0, span).await == Heard::Nobody {
             continue;
         }
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use chivevalve::clock::{Clock, Manual, Millis};
-use chivevalve::direct::ask::Desks;
+use chivevalve::direct::ask::Controllers;
 use chivevalve::direct::attempt::{Message, Miss};
 use chivevalve::direct::call::{Call, Kind};
 use chivevalve::direct::dialect::{Dialect, Dispatch, Listed};
@@ -122,7 +122,7 @@
         Arc::clone(&metrics),
         Arc::clone(&clock),
     ));
-    let desks = Arc::new(Desks::new(
+    let controllers = Arc::new(Controllers::new(
         Arc::clone(&view),
         Arc::new(Right::new(Arc::clone(&clock), Arc::clone(&view))),
         Arc::clone(&dialect),
@@ -132,7 +132,7 @@
     ));
     let gate = Arc::new(Gate::new(
         view,
-        desks,
+        controllers,
         dialect,
         clock,
         "hall-a".into(),
