soak: a version that a node can't hear of counts from its last word

Two requests waited at an engine without an event, and were withdrawn at 18.7 s with code 3009. Trace: version 2 of their adapter was acknowledged at 17.44 s, while the store gave no answers from 13.76 to 18.03 s. Node 0 heard of it behind that. All that it can know is that it was declared behind the store's last word, so that the older one may not be begun on from 18.76 s on; it withdrew them 0.15 s before. With the time of the acknowledgement, which no record of the store carries, it would have had until 22.4 s. Change: where the store, or the node's way to it, was harmed when a version was acknowledged, the check counts that version from the beginning of the harm for that node. Everything else is as strict as it was; the case is an allowed one by the product's own rule (an older version may not be begun on for longer than the limit, by what the node can know).

--- a/bench/src/soak/judge/ends.rs
+++ b/bench/src/soak/judge/ends.rs
@@ -6,7 +6,7 @@
 use super::super::caller::{Call, OUT_OF_TIME};
 use super::super::site::Stop;
 use super::super::story::{ENGINES, PLAIN};
-use super::super::trouble::{Scope, calm};
+use super::super::trouble::{Scope, Trouble, calm};
 use super::{ById, Evidence, Violation, new};
 
 /// Time from a newer version on after which an older one may be left.
@@ -101,11 +101,27 @@
         call.ended,
     );
     let had_to_go = seen.versions.iter().any(|(name, newer, at)| {
-        name == adapter && newer > version && call.ended.0 >= at.0 + HAS_TO_GO.0
+        let since = unheard_since(seen, call.node, *at);
+        name == adapter && newer > version && call.ended.0 >= since.0 + HAS_TO_GO.0
     });
     arrival.first.is_none() && waited && had_to_go
 }
 
+/// Returns the earliest time at which a node has to assume that a version was declared.
+///
+/// One that can't hear of it when it is acknowledged knows only that it came behind the last
+/// word of the store.
+fn unheard_since(seen: &Evidence, node: usize, at: Millis) -> Millis {
+    let scopes = [Scope::Store, Scope::StoreLink(node)];
+    let covers = |trouble: &&Trouble| {
+        scopes.contains(&trouble.scope)
+            && trouble.from <= at
+            && trouble.until.is_none_or(|until| until >= at)
+    };
+    let froms = seen.troubles.iter().filter(covers);
+    froms.map(|trouble| trouble.from).min().unwrap_or(at)
+}
+
 /// Nodes that were asked to stop and cut something short, or left a caller without a word.
 pub fn stops(seen: &Evidence, by_id: &ById<'_>) -> Vec<Violation> {
     let mut found = Vec::new();
