owner: what its template no longer names is refused before it begins

What callers see: on the product's own path a request begins on a version of its adapter that its template left long ago. Cause: adapter and version are fixed in the ticket on arrival; the owner that starts it, perhaps a minute later, knew the ticket only. Ruled out: dropping the try at the entry node: it can't tell whether what may run once had begun. Change: the owner compares what waits with the configuration in force, at its turn and each tick, and refuses as not run (code 2022) what a newer one decides otherwise. The entry node decides the request anew, on a configuration newer than the ticket's, out of no budget, as no upstream was asked.

--- a/lib/src/config/keeper.rs
+++ b/lib/src/config/keeper.rs
@@ -23,7 +23,9 @@
 use crate::gossip::Peers;
 use crate::metrics::Metrics;
 use crate::name::Name;
+use crate::owner::Decisions;
 use crate::ports::{Store, Watch, Weights};
+use crate::request::Ticket;
 use crate::schema::declaration::{Difference, Operation};
 
 /// Longest time between two looks at what is due and at the age, in milliseconds.
@@ -424,3 +426,16 @@
     let _ = metrics.registry().register(Box::new(events.clone()));
     events
 }
+
+impl Decisions for Keeper {
+    fn holds(&self, ticket: &Ticket) -> bool {
+        let view = self.in_force.borrow();
+        if view.revision() <= ticket.revision {
+            return true;
+        }
+        let template = view.template(&ticket.account, &ticket.template);
+        template.is_some_and(|template| {
+            template.adapter == ticket.adapter && template.pool == ticket.pool
+        })
+    }
+}
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -131,7 +131,7 @@
 pub async fn run(
     gateway: &Gateway,
     session: &mut Session,
-    order: &Order,
+    order: &mut Order,
     claim: &mut Option<Claim>,
 ) -> Result<Outcome, Failure> {
     let now = gateway.parts.clock.now();
@@ -157,9 +157,14 @@
             }
             Err(failure) => {
                 note_lost(gateway, session, &order.run_at(&target), &failure);
+                let is_outdated = failure.code == Code::Outdated;
                 let settled = settle(gateway, session, order, &target, failure);
                 spend(claim, maybe_run(session, &settled));
                 let pause = settled?;
+                if is_outdated {
+                    let decided = gateway.decide_again(&mut order.ticket).await;
+                    decided.map_err(|failure| session.machine().end(failure))?;
+                }
                 tokio::time::sleep(pause.duration()).await;
             }
         }
@@ -247,7 +252,11 @@
 /// would let one caller turn everybody's requests away from healthy upstreams.
 fn blames_upstream(code: Code) -> bool {
     let requests_own = code.status() < 500;
-    !requests_own && !matches!(code, Code::ExpiredRunning | Code::UpstreamError)
+    let says_nothing = matches!(
+        code,
+        Code::ExpiredRunning | Code::UpstreamError | Code::Outdated
+    );
+    !requests_own && !says_nothing
 }
 
 /// Chooses the upstream of the next try, waiting a while for one to become usable.
--- a/lib/src/entry/gateway.rs
+++ b/lib/src/entry/gateway.rs
@@ -35,6 +35,9 @@
 use crate::request::Ticket;
 use crate::runner::Work;
 
+/// When a request may be decided on the configuration that its owner knows.
+const RETRY_AFTER: Millis = Millis::from_secs(1);
+
 /// Lets the caller shorten the request's deadline.
 const DEADLINE: &str = "x-deadline-ms";
 
@@ -102,6 +105,34 @@
         }
     }
 
+    /// Decides a request anew whose template was changed while it waited at an owner.
+    ///
+    /// The owner can know of the change before this node does.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Outdated`] when this node doesn't hear of it in time, or the template is gone or of
+    /// another kind; the request has not run.
+    pub async fn decide_again(&self, ticket: &mut Ticket) -> Result<(), Failure> {
+        let revision = ticket.revision;
+        let mut views = self.parts.view.clone();
+        let newer = views.wait_for(|view| view.revision() > revision);
+        let patience = self.parts.limits.patience.duration();
+        let view = match tokio::time::timeout(patience, newer).await {
+            Ok(Ok(view)) => Arc::clone(&view),
+            _ => return Err(outdated("this node doesn't know the change yet")),
+        };
+        let template = view.template(&ticket.account, &ticket.template);
+        let template = template.ok_or_else(|| outdated("its template is gone"))?;
+        if template.adapter.is_some() != ticket.adapter.is_some() {
+            return Err(outdated("its template is of another kind now"));
+        }
+        ticket.adapter.clone_from(&template.adapter);
+        ticket.pool = Name::clone(&template.pool);
+        ticket.revision = view.revision();
+        Ok(())
+    }
+
     /// Returns a random number for a pause.
     #[must_use]
     pub fn random(&self) -> u64 {
@@ -281,7 +312,7 @@
     ) -> Result<Reply, Problem> {
         session.decide(&ticket);
         let mut claim = self.claim(session, &ticket, &work, key).await?;
-        let order = Order {
+        let mut order = Order {
             fingerprint: fingerprint(&ticket, &work),
             deadline: ticket.deadline,
             share: caller.account.share,
@@ -289,7 +320,7 @@
             work,
             form,
         };
-        let failure = match dispatch::run(self, session, &order, &mut claim).await {
+        let failure = match dispatch::run(self, session, &mut order, &mut claim).await {
             Ok(outcome) => return Ok(Reply::Outcome(outcome, order.deadline)),
             Err(failure) => failure,
         };
@@ -440,6 +471,10 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn outdated(detail: &str) -> Failure {
+    Failure::new(Code::Outdated, detail).retry_after(RETRY_AFTER)
+}
+
 fn wrong_kind(detail: &str) -> Problem {
     Problem {
         failure: Failure::new(
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -172,6 +172,8 @@
     Busy = 2020, "busy", 503, NotRun, "Try again after Retry-After.";
     /// Upstreams ended as they began to run this request, one after the other.
     Quarantined = 2021, "quarantined", 503, NotRun, "Don't repeat it soon; tell the operators, who can see why.";
+    /// The template was changed while the request waited, and names something else now.
+    Outdated = 2022, "outdated", 503, NotRun, "Try again after Retry-After.";
 
     /// The connection to the upstream broke after the request was sent.
     UpstreamLost = 3001, "upstream_lost", 502, Unknown, "Repeat it only if it is idempotent.";
--- a/lib/src/fate/reaction.rs
+++ b/lib/src/fate/reaction.rs
@@ -25,9 +25,11 @@
 /// Returns what a code says; every new code has to be sorted in here.
 pub const fn reaction(code: Code) -> Reaction {
     match code {
-        Code::NotOwner | Code::PeerUnreachable | Code::Draining | Code::UpstreamLeaving => {
-            Reaction::Redirect
-        }
+        Code::NotOwner
+        | Code::PeerUnreachable
+        | Code::Draining
+        | Code::UpstreamLeaving
+        | Code::Outdated => Reaction::Redirect,
         Code::PassedOn | Code::Busy => Reaction::PassOn,
         Code::QueueFull
         | Code::DeadlineTooShort
--- a/lib/src/node/deferred.rs
+++ b/lib/src/node/deferred.rs
@@ -15,6 +15,8 @@
 use crate::gossip::{Peer, Peers};
 use crate::loads::{Ask, Permit, Permits};
 use crate::membership::Detector;
+use crate::owner::Decisions;
+use crate::request::Ticket;
 
 /// A part that is set once, in the node's start.
 pub type Deferred<T> = Arc<OnceLock<Arc<T>>>;
@@ -43,6 +45,12 @@
     }
 }
 
+impl Decisions for OnceLock<Arc<dyn Decisions>> {
+    fn holds(&self, ticket: &Ticket) -> bool {
+        self.get().is_none_or(|decisions| decisions.holds(ticket))
+    }
+}
+
 impl Peers for OnceLock<Arc<dyn Peers>> {
     fn peers(&self) -> Vec<Peer> {
         self.get().map_or_else(Vec::new, |peers| peers.peers())
--- a/lib/src/owner/driver/mod.rs
+++ b/lib/src/owner/driver/mod.rs
@@ -4,6 +4,7 @@
 mod load;
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot, watch};
@@ -26,14 +27,14 @@
 use crate::membership::fleet::State;
 use crate::name::Name;
 use crate::policy::upstream::{Action, Limits, Machine};
-use crate::request::{Class, Id, Ticket};
+use crate::request::{Id, Ticket};
 use crate::runner::Share;
 
 /// A request that has a place, waiting or running.
 #[derive(Debug)]
 struct Entry {
     request: Id,
-    class: Class,
+    ticket: Ticket,
     /// Where the grant goes; none once it has gone.
     reply: Option<oneshot::Sender<Result<Grant, Failure>>>,
 }
@@ -126,7 +127,7 @@
         }
         let entry = Entry {
             request: submit.request,
-            class: submit.ticket.class,
+            ticket: submit.ticket.clone(),
             reply: Some(submit.reply),
         };
         self.entries.insert(submit.ticket.id.clone(), entry);
@@ -193,10 +194,17 @@
             let failure = failure(Code::ExpiredWaiting, "the deadline passed in the queue");
             self.refuse(&id, failure);
         }
+        self.refuse_outdated();
         let actions = self.machine.tick(now);
         self.carry(actions);
     }
 
+    /// Refuses what waits for something that its template no longer names.
+    fn refuse_outdated(&mut self) {
+        let decisions = Arc::clone(&self.parts.decisions);
+        self.refuse_waiting_if(&outdated(), |ticket| !decisions.holds(ticket));
+    }
+
     /// Takes news from a task.
     pub(super) fn heard(&mut self, event: Event) {
         match event {
@@ -336,7 +344,13 @@
             self.entries.remove(id);
             return self.machine.finished(id, self.parts.clock.now());
         }
-        self.parts.metrics.waited(entry.class, queued, load);
+        // It may have waited for longer than changes take to be in force.
+        if !self.parts.decisions.holds(&entry.ticket) {
+            let _ = reply.send(Err(outdated()));
+            self.entries.remove(id);
+            return self.machine.finished(id, self.parts.clock.now());
+        }
+        self.parts.metrics.waited(entry.ticket.class, queued, load);
         let grant = Grant {
             target: self.target.clone(),
             hold: self.args.hold.clone(),
@@ -362,12 +376,16 @@
 
     /// Refuses all that wait; none of them has run.
     fn refuse_waiting(&mut self, failure: &Failure) {
+        self.refuse_waiting_if(failure, |_| true);
+    }
+
+    fn refuse_waiting_if(&mut self, failure: &Failure, refused: impl Fn(&Ticket) -> bool) {
         let now = self.now();
-        self.early.clear();
+        self.early.retain(|early| !refused(&early.ticket));
         let waiting: Vec<Id> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.reply.is_some())
+            .filter(|(_, entry)| entry.reply.is_some() && refused(&entry.ticket))
             .map(|(id, _)| id.clone())
             .collect();
         for id in waiting {
@@ -424,6 +442,10 @@
     }
 }
 
+fn outdated() -> Failure {
+    failure(Code::Outdated, "its template names something else now")
+}
+
 fn failure(code: Code, detail: &str) -> Failure {
     Failure::new(code, detail)
 }
--- a/lib/src/owner/mod.rs
+++ b/lib/src/owner/mod.rs
@@ -20,7 +20,7 @@
 mod run;
 mod status;
 
-pub use registry::{Parts, Registry};
+pub use registry::{Decisions, Parts, Registry};
 pub use run::Waits;
 pub use status::{Slot, Status};
 
--- a/lib/src/owner/registry.rs
+++ b/lib/src/owner/registry.rs
@@ -26,7 +26,7 @@
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::ports::{Answer, Connector};
-use crate::request::Id;
+use crate::request::{Id, Ticket};
 use crate::runner::{Attempt, Runner};
 
 /// When an attempt that met a full mailbox may succeed.
@@ -41,6 +41,8 @@
     pub permits: Arc<dyn Permits>,
     /// Learns how owned upstreams are, so that membership can hold one out.
     pub detector: Option<Arc<dyn Detector>>,
+    /// Tells whether what waits is still wanted as it was decided.
+    pub decisions: Arc<dyn Decisions>,
     /// The node's clock.
     pub clock: Arc<dyn Clock>,
     /// The node's metrics.
@@ -49,6 +51,14 @@
     pub limits: Limits,
 }
 
+/// The configuration, as far as it decides about requests that wait.
+pub trait Decisions: fmt::Debug + Send + Sync {
+    /// Whether the configuration in force decides a request as its ticket says.
+    ///
+    /// An entry node that knows a newer one than this node decided on that.
+    fn holds(&self, ticket: &Ticket) -> bool;
+}
+
 /// One upstream's actor and the ways to it.
 struct Handle {
     actor: ActorRef<Upstream>,
--- a/lib/tests/owner_fakes/mod.rs
+++ b/lib/tests/owner_fakes/mod.rs
@@ -16,7 +16,7 @@
 use chivevalve::membership::fleet::{State, Upstream};
 use chivevalve::membership::{Adopter, Detector, Hold};
 use chivevalve::metrics::Metrics;
-use chivevalve::owner::{Limits, Parts, Registry};
+use chivevalve::owner::{Decisions, Limits, Parts, Registry};
 use chivevalve::ports::{Answer, Call, Connector, Engine, Fence, Report, Service, Vm};
 use chivevalve::request::{Class, Id, Ticket};
 use chivevalve::runner::{Attempt, Share, Work};
@@ -352,6 +352,24 @@
     }
 }
 
+/// A configuration whose templates name one adapter, if the test says so.
+#[derive(Debug, Default)]
+pub struct Decided(Mutex<Option<Adapter>>);
+
+impl Decided {
+    /// Has all templates name this adapter.
+    pub fn change(&self, adapter: Adapter) {
+        *self.0.lock().unwrap() = Some(adapter);
+    }
+}
+
+impl Decisions for Decided {
+    fn holds(&self, ticket: &Ticket) -> bool {
+        let named = self.0.lock().unwrap();
+        named.is_none() || ticket.adapter == *named
+    }
+}
+
 /// A registry that owns one engine.
 #[derive(Debug)]
 pub struct Bench {
@@ -359,6 +377,7 @@
     pub registry: Arc<Registry>,
     pub permits: Arc<Gate>,
     pub detector: Arc<Counts>,
+    pub decisions: Arc<Decided>,
     pub metrics: Arc<Metrics>,
     pub clock: Arc<dyn Clock>,
     pub until: Arc<AtomicU64>,
@@ -382,12 +401,14 @@
         let engine = Arc::new(FakeEngine::new());
         let permits = Arc::new(Gate(watch::Sender::new(true)));
         let detector = Arc::new(Counts::default());
+        let decisions = Arc::new(Decided::default());
         let metrics = Arc::new(Metrics::new());
         let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
         let registry = Registry::start(Parts {
             connector: Arc::new(One(Arc::clone(&engine))),
             permits: permits.clone(),
             detector: Some(detector.clone()),
+            decisions: decisions.clone(),
             clock: Arc::clone(&clock),
             metrics: Arc::clone(&metrics),
             limits: Limits::default(),
@@ -397,6 +418,7 @@
             registry,
             permits,
             detector,
+            decisions,
             metrics,
             clock,
             until: Arc::new(AtomicU64::new(FAR.0)),
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -462,22 +462,31 @@
     assert_eq!((runs.len(), upstreams.len()), (4, 1));
 }
 
-/// A request that waits for its turn doesn't begin on a version that its template left long ago.
+/// A request whose template was changed while it waited is decided anew, and not refused.
 #[tokio::test]
 async fn outcome_version_replaced_while_it_waits() {
-    let world = world().await;
-    world.script.then(Step::Hang);
-    let asked = world.chat("summary", "");
+    let mut patient = limits();
+    patient.patience = Millis(5_000);
+    let world = world_with(patient, Arc::default(), Arc::default()).await;
+    world.script.then(fail(Code::Outdated));
     let replaced = async {
         eventually(|| world.script.count() == 1).await;
         world.view.send_replace(Arc::new(declared_again("v2")));
-        // Twice the time within which a change is in force.
-        tokio::time::sleep(Millis(16_000).duration()).await;
     };
-    // Where a further try answers it, that is soon enough.
-    tokio::select! {
-        _ = asked => {}
-        () = replaced => {}
-    }
+    let (answer, ()) = tokio::join!(world.chat("once", ""), replaced);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert_eq!(world.last_version().as_deref(), Some("v2"));
+    assert_eq!(world.script.count(), 2);
+}
+
+/// A request isn't run on the version that its owner says is replaced, where its entry node
+/// doesn't know the change.
+#[tokio::test]
+async fn outcome_version_replaced_unknown_here() {
+    let world = world().await;
+    world.script.then(fail(Code::Outdated));
+    let answer = world.chat("once", "").await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("\"fate\":\"not_run\""));
+    assert_eq!(world.script.count(), 1);
 }
--- a/lib/tests/test_fate.rs
+++ b/lib/tests/test_fate.rs
@@ -238,6 +238,7 @@
         Code::PeerUnreachable,
         Code::Draining,
         Code::UpstreamLeaving,
+        Code::Outdated,
         Code::PassedOn,
         Code::Busy,
     ];
--- a/lib/tests/test_owner.rs
+++ b/lib/tests/test_owner.rs
@@ -44,6 +44,45 @@
     assert_eq!(failure.fate(), Fate::NotRun);
 }
 
+/// A request that waits doesn't begin on a version that its template left meanwhile.
+#[tokio::test(start_paused = true)]
+async fn run_outdated_while_it_waits() {
+    let bench = Bench::with_batch(1).await;
+    bench.engine.set(|knobs| knobs.pieces = 1_000_000);
+    let running = bench.registry.run(attempt("r1", "plans", true)).await;
+    let registry = Arc::clone(&bench.registry);
+    let waiting = tokio::spawn(async move { registry.run(attempt("r2", "plans", true)).await });
+    tokio::time::sleep(Millis(100).duration()).await;
+    assert!(!waiting.is_finished());
+    bench.decisions.change(adapter("faults"));
+    let failure = waiting.await.unwrap().unwrap_err();
+    assert_eq!(failure.code, Code::Outdated);
+    assert_eq!(failure.fate(), Fate::NotRun);
+    // What runs goes on, and what is decided anew waits for its place.
+    drop(running.unwrap());
+    bench.engine.set(|knobs| knobs.pieces = 2);
+    let next = bench.registry.run(attempt("r3", "faults", true)).await;
+    text(next.unwrap()).await.unwrap();
+    assert_eq!(bench.engine.runs(), ["r1", "r3"]);
+}
+
+/// A request whose turn comes at the moment of a change doesn't begin on the former version.
+#[tokio::test(start_paused = true)]
+async fn run_outdated_at_its_turn() {
+    let bench = Bench::with_batch(1).await;
+    bench.engine.set(|knobs| knobs.pieces = 1_000_000);
+    let running = bench.registry.run(attempt("r1", "plans", true)).await;
+    let registry = Arc::clone(&bench.registry);
+    let waiting = tokio::spawn(async move { registry.run(attempt("r2", "plans", true)).await });
+    tokio::time::sleep(Millis(100).duration()).await;
+    // No time passes between the change and the end that makes room.
+    bench.decisions.change(adapter("faults"));
+    drop(running.unwrap());
+    let failure = waiting.await.unwrap().unwrap_err();
+    assert_eq!(failure.code, Code::Outdated);
+    assert_eq!(bench.engine.runs(), ["r1"]);
+}
+
 /// Symptom: an upstream loses a place for good each time that a caller goes away.
 /// Sequence: a caller drops the answer half read, others wait for the place.
 /// Cause: the place was given back only at the answer's end.
