handover: a moved run that is rejected counts as a further send

Cause: a moved run is the same run and takes nothing from the budget; rejected, it is a further arrival, and nobody counted it. Change: the rejection is counted after the fact, and no run is moved where the budget has no room. Before: moved_runs_rejected_count_as_repeats fails without the count.

--- a/lib/src/direct/budget.rs
+++ b/lib/src/direct/budget.rs
@@ -48,6 +48,16 @@
         self.step(pool, now).requests += 1;
     }
 
+    /// Counts a further send that no leave was taken for.
+    pub fn spend(&mut self, pool: &Name, now: Millis) {
+        self.step(pool, now).repeats += 1;
+    }
+
+    /// Whether the bound allows a further send.
+    pub fn has_room(&mut self, pool: &Name, now: Millis, nodes: usize) -> bool {
+        self.allowed(pool, now, nodes)
+    }
+
     /// Counts a further send of a request, if the bound allows it.
     pub fn repeat(&mut self, pool: &Name, now: Millis, nodes: usize) -> bool {
         let allowed = self.allowed(pool, now, nodes);
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -168,10 +168,23 @@
     /// Takes what sending a request to a pool once more costs from the budget; false if it's spent.
     pub fn take_repeat(&self, pool: &Name) -> bool {
         let nodes = self.view.state().most_nodes;
-        self.budget
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .repeat(pool, self.clock.now(), nodes)
+        self.budget().repeat(pool, self.clock.now(), nodes)
+    }
+
+    /// Counts a send to a pool that turned out to be a further one.
+    pub fn spend_repeat(&self, pool: &Name) {
+        let now = self.clock.now();
+        self.budget().spend(pool, now);
+    }
+
+    /// Whether the budget of a pool has room for a further send.
+    pub fn has_repeat(&self, pool: &Name) -> bool {
+        let nodes = self.view.state().most_nodes;
+        self.budget().has_room(pool, self.clock.now(), nodes)
+    }
+
+    fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns which engines of a pool read for the others.
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -288,6 +288,10 @@
         if self.asked_to_move || self.request.pace.moved > 0 {
             return;
         }
+        // A moved run that is rejected counts as a further send, and can't be taken back then.
+        if !self.request.gate.has_repeat(&self.request.pool) {
+            return;
+        }
         let first = self.request.pace.pieces == 1;
         if let Some(target) = self.request.writer(answer, first) {
             let left = self.request.until.since(self.request.now());
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -251,6 +251,9 @@
                 }
                 Err(miss) => {
                     record::moved(&self.request, &place.upstream, last, miss.name());
+                    if matches!(miss, Miss::Rejected { .. }) {
+                        self.request.gate.spend_repeat(&self.request.pool);
+                    }
                     // It may run there: nobody else may go on with the memory.
                     if miss.may_run() {
                         return self.read_anew("the moved run was lost").await;
