orders: a load that a newer report names counts from that report

What callers see: a load that another owner's late order began counts as one that outlasted its time, where its adapter was held before, and is looked at only once somebody asks for it. Cause: the slot took the time since when the former version was held. Before: report_of_a_newer_count_with_a_load failed.

--- a/lib/src/direct/orders/slots.rs
+++ b/lib/src/direct/orders/slots.rs
@@ -407,7 +407,7 @@
             Self::Present { version, since } => {
                 let is_settled = asked >= since + REPORT_AGE;
                 if is_newer || is_settled {
-                    return told.is_known().then(|| told.into_slot(since));
+                    return told.is_known().then(|| told.into_slot(asked));
                 }
                 // By the same count, what was on its way is what is held now.
                 let told = told.present.or(told.incoming.filter(|_| version == 0));
--- a/lib/tests/test_direct_slots.rs
+++ b/lib/tests/test_direct_slots.rs
@@ -92,6 +92,16 @@
     assert_eq!(slots.held().adapters, []);
 }
 
+/// Another owner's load of a newer version is looked at, however long the former was held.
+#[test]
+fn report_of_a_newer_count_with_a_load() {
+    let mut slots = Slots::new(&report(3, &[("base/a1", 1)], &[]), NOW);
+    let late = NOW + LONGEST_LOAD + LONGEST_LOAD;
+    slots.report(&report(4, &[("base/a1", 1)], &[("base/a1", 2)]), late);
+    assert_eq!(slots.loading_in_time(late), 1);
+    assert_eq!(look_of(&mut slots, late).version, 2);
+}
+
 /// Whoever waits for a load is served by the load of a further version too.
 #[test]
 fn began_further_version_keeps_waiters() {
