--- a/lib/src/direct/orders/slots.rs
+++ b/lib/src/direct/orders/slots/mod.rs
@@ -7,15 +7,21 @@
 //! the same by age; older evidence never undoes newer. See
 //! docs/design/0013-evidence-of-loads.md.
 
+mod slot;
+mod told;
+
 use std::collections::BTreeMap;
 
 use smallvec::SmallVec;
-use tokio::sync::oneshot;
 
 use super::message::{Load, Loaded};
 use crate::clock::Millis;
 use crate::direct::dialect::{Held, Ordered, Report};
 use crate::name::Name;
+use slot::{Loading, SLOW_LOOK, Slot, Waiter};
+use told::Told;
+
+pub(super) use slot::answer;
 
 /// The longest that a load may take before whoever waits is told that it failed.
 pub const LONGEST_LOAD: Millis = Millis(4_000);
@@ -26,46 +32,12 @@
 /// First look whether a load is complete; one from the engine's own memory takes a tenth.
 const FIRST_LOOK: Millis = Millis(45);
 
-/// How long a load from the weight store takes at least: no look before is of use.
-const FULL_LOAD: Millis = Millis(240);
-
-/// Pause between looks.
-const LOOK: Millis = Millis(30);
-
-/// Pause between looks at a load that outlasts [`LONGEST_LOAD`].
-const SLOW_LOOK: Millis = Millis(250);
-
 /// Time after which a look that nothing was heard of is repeated: a connection and an answer.
 const LOST_LOOK: Millis = Millis(600);
 
 /// Pause between reports while a load outlasts [`LONGEST_LOAD`].
 const SLOW_REPORT: Millis = Millis(1_000);
 
-/// Somebody who waits for an adapter.
-#[derive(Debug)]
-struct Waiter {
-    since: Millis,
-    reply: oneshot::Sender<Loaded>,
-}
-
-/// A load on its way.
-#[derive(Debug)]
-struct Loading {
-    version: u64,
-    /// When it was ordered, or first heard of.
-    since: Millis,
-    next_look: Millis,
-    /// Each waits for this version or an older one.
-    waiters: Vec<Waiter>,
-}
-
-/// A slot of the engine.
-#[derive(Debug)]
-enum Slot {
-    Present { version: u64, since: Millis },
-    Loading(Loading),
-}
-
 /// A question whether a load is complete: the same order again.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Look {
@@ -397,140 +369,3 @@
         }
     }
 }
-
-impl Slot {
-    /// Takes in what a report tells of the adapter; none if it is gone.
-    ///
-    /// `is_newer` tells whether the report counts other orders than were known.
-    fn merge(self, told: Told, is_newer: bool, asked: Millis) -> Option<Self> {
-        match self {
-            Self::Present { version, since } => {
-                let is_settled = asked >= since + REPORT_AGE;
-                if is_newer || is_settled {
-                    return told.is_known().then(|| told.into_slot(asked));
-                }
-                // By the same count, what was on its way is what is held now.
-                let told = told.present.or(told.incoming.filter(|_| version == 0));
-                let version = told.map_or(version, |told| told.max(version));
-                Some(Self::Present { version, since })
-            }
-            Self::Loading(loading) => loading.merge(told, asked),
-        }
-    }
-}
-
-impl Loading {
-    /// Takes in what a report tells of the adapter.
-    ///
-    /// A report that counts the load's order was made behind it: the load is lost if it isn't
-    /// listed. Where an older version is held, the next look tells, or begins the load anew; that
-    /// takes no further slot.
-    fn merge(mut self, told: Told, asked: Millis) -> Option<Slot> {
-        let Told { present, incoming } = told;
-        let is_overtaken = incoming.is_some_and(|version| version < self.version);
-        if is_overtaken || !told.is_known() {
-            self.answer(Loaded::Failed);
-            return told.is_known().then(|| told.into_slot(asked));
-        }
-        if let Some(version) = incoming {
-            self.version = version;
-            return Some(Slot::Loading(self));
-        }
-        if let Some(version) = present.filter(|version| *version >= self.version) {
-            self.answer(Loaded::Ready(version));
-            return Some(told.into_slot(asked));
-        }
-        if self.is_overdue(asked) && self.waiters.is_empty() {
-            return Some(told.into_slot(asked));
-        }
-        Some(Slot::Loading(self))
-    }
-
-    fn is_overdue(&self, now: Millis) -> bool {
-        now.since(self.since) > LONGEST_LOAD
-    }
-
-    /// Whether looks tell of the load; reports alone tell of one that nobody waits for any more.
-    fn is_looked_at(&self, now: Millis) -> bool {
-        !self.is_overdue(now) || !self.waiters.is_empty()
-    }
-
-    /// Returns the pause before the next look.
-    fn pause(&self, now: Millis) -> Millis {
-        if self.is_overdue(now) {
-            return SLOW_LOOK;
-        }
-        FULL_LOAD.since(now.since(self.since)).max(LOOK)
-    }
-
-    fn expire(&mut self, now: Millis) {
-        let waiters = std::mem::take(&mut self.waiters);
-        for waiter in waiters {
-            if now.since(waiter.since) > LONGEST_LOAD {
-                answer(waiter.reply, Loaded::Failed);
-            } else if !waiter.reply.is_closed() {
-                self.waiters.push(waiter);
-            }
-        }
-    }
-
-    /// Tells all that wait what became of the load.
-    fn answer(self, loaded: Loaded) {
-        for waiter in self.waiters {
-            answer(waiter.reply, loaded);
-        }
-    }
-}
-
-impl Waiter {
-    fn new(reply: oneshot::Sender<Loaded>, since: Millis) -> Self {
-        Self { since, reply }
-    }
-}
-
-/// What a report tells of one adapter.
-#[derive(Debug, Clone, Copy, Default)]
-struct Told {
-    /// The version that is held.
-    present: Option<u64>,
-    /// The version that is on its way.
-    incoming: Option<u64>,
-}
-
-impl Told {
-    fn by_name(held: &Held) -> BTreeMap<Name, Self> {
-        let mut all: BTreeMap<Name, Self> = BTreeMap::new();
-        for (name, version) in &held.adapters {
-            all.entry(Name::clone(name)).or_default().present = Some(*version);
-        }
-        for (name, version) in &held.incoming {
-            all.entry(Name::clone(name)).or_default().incoming = Some(*version);
-        }
-        all
-    }
-
-    fn is_known(self) -> bool {
-        self.present.is_some() || self.incoming.is_some()
-    }
-
-    fn into_slot(self, since: Millis) -> Slot {
-        match self.incoming {
-            Some(version) => Slot::Loading(Loading {
-                version,
-                since,
-                next_look: since,
-                waiters: Vec::new(),
-            }),
-            None => Slot::Present {
-                version: self.present.unwrap_or_default(),
-                since,
-            },
-        }
-    }
-}
-
-/// Tells whoever asked for an adapter.
-pub(super) fn answer(reply: oneshot::Sender<Loaded>, loaded: Loaded) {
-    // Whoever asked may have gone; the adapter stays for the next.
-    let _ = reply.send(loaded);
-}
--- /dev/null
+++ b/lib/src/direct/orders/slots/told.rs
@@ -0,0 +1,49 @@
+//! What reports tell of adapters.
+
+use std::collections::BTreeMap;
+
+use super::slot::{Loading, Slot};
+use crate::clock::Millis;
+use crate::direct::dialect::Held;
+use crate::name::Name;
+
+/// What a report tells of one adapter.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Told {
+    /// The version that is held.
+    pub(super) present: Option<u64>,
+    /// The version that is on its way.
+    pub(super) incoming: Option<u64>,
+}
+
+impl Told {
+    pub(super) fn by_name(held: &Held) -> BTreeMap<Name, Self> {
+        let mut all: BTreeMap<Name, Self> = BTreeMap::new();
+        for (name, version) in &held.adapters {
+            all.entry(Name::clone(name)).or_default().present = Some(*version);
+        }
+        for (name, version) in &held.incoming {
+            all.entry(Name::clone(name)).or_default().incoming = Some(*version);
+        }
+        all
+    }
+
+    pub(super) fn is_known(self) -> bool {
+        self.present.is_some() || self.incoming.is_some()
+    }
+
+    pub(super) fn into_slot(self, since: Millis) -> Slot {
+        match self.incoming {
+            Some(version) => Slot::Loading(Loading {
+                version,
+                since,
+                next_look: since,
+                waiters: Vec::new(),
+            }),
+            None => Slot::Present {
+                version: self.present.unwrap_or_default(),
+                since,
+            },
+        }
+    }
+}
