--- a/lib/src/direct/quarantine/cases.rs
+++ b/lib/src/direct/quarantine/cases.rs
@@ -7,6 +7,8 @@
 
 use std::sync::Arc;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{BROKE, ENDS, Quarantine, WATCHED};
 use crate::clock::Millis;
 use crate::direct::upstream::Upstream;
@@ -109,7 +111,7 @@
     /// Returns when this node reports in the place of another one.
     fn turn(&self, name: &str) -> Millis {
         let state = self.view.state();
-        let rank = |node: &str| xxhash_rust::xxh3::xxh3_64(format!("{name}/{node}").as_bytes());
+        let rank = |node: &str| xxh3_64(format!("{name}/{node}").as_bytes());
         let own = rank(&self.node);
         let before = state.nodes.keys().filter(|node| rank(node) < own).count();
         Millis(TURN.0 * u64::try_from(before).unwrap_or(u64::MAX))
