view: logs and metrics tell when an upstream leaves, is doubted, or comes back

A node logged when an upstream was gone, not when it began to leave, was missing and doubted, or when an entry made it ready again, so the hypotheses of docs/incidents/leaving-upstream-got-requests.md could not be told apart from a node's log. No decision changes.

--- a/lib/src/direct/entry/gauges.rs
+++ b/lib/src/direct/entry/gauges.rs
@@ -29,6 +29,8 @@
             .set(count(state.ledger.blamed(self.clock.now())));
         let ready = state.upstreams.values().filter(|one| one.is_ready());
         let ready = ready.count();
+        let doubted = state.upstreams.values().filter(|one| one.is_missing());
+        let doubted = doubted.count();
         let leaving = state.upstreams.len() - ready;
         let upstreams: Vec<Arc<Upstream>> = state.upstreams.values().cloned().collect();
         // Roles are made from the view: with its lock held here the node would stand still.
@@ -38,6 +40,7 @@
         let counts = [
             ("usable", ready),
             ("leaving", leaving),
+            ("doubted", doubted),
             ("reading", reading),
         ];
         for (name, number) in counts {
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -252,7 +252,8 @@
         self.view.touched(true);
         let now = self.clock.now();
         if now.since(self.heard) > POLL_WAIT + OUTAGE {
-            log::info!("follow: the key-value service is back");
+            let silent_ms = now.since(self.heard).0;
+            log::info!(silent_ms; "follow: the key-value service is back");
             self.returned = Some(now);
         }
         self.heard = now;
@@ -362,7 +363,7 @@
             Key::Upstream(incarnation) => self
                 .dialect
                 .upstream(&incarnation, &entry.value)
-                .map(|listed| state.list(&listed, now)),
+                .map(|listed| state.list(&listed, entry.revision, now)),
             Key::Version => self.dialect.version(&entry.value).map(|(name, version)| {
                 let since = self.fresh;
                 self.declare(state, name, Declaration { version, since });
@@ -416,6 +417,13 @@
         if self.doubting(now)
             && let Some(upstream) = state.upstreams.get(incarnation)
         {
+            if !upstream.is_missing() {
+                log::info!(
+                    upstream = incarnation,
+                    before = upstream.stage();
+                    "follow: an upstream is missing and doubted"
+                );
+            }
             upstream.missing(now);
             return;
         }
--- a/lib/src/direct/record.rs
+++ b/lib/src/direct/record.rs
@@ -49,10 +49,14 @@
 /// Records that a request is sent.
 ///
 /// The newest version that this node knows of, and for how long, tell whether an older one was
-/// chosen knowingly.
+/// chosen knowingly; the age of the list and whether the upstream is missing from it, whether one
+/// that had left was.
 pub fn sent(request: &ActiveRequest, upstream: &Upstream, version: Option<u64>, left: Millis) {
     let adapter = request.message.call.adapter();
     let newest = adapter.and_then(|adapter| request.gate.view.newest(adapter));
+    if upstream.is_missing() {
+        request.gate.metrics.doubted_sends.inc();
+    }
     log::info!(
         request = request.id(),
         upstream = &*upstream.incarnation,
@@ -67,6 +71,8 @@
         reader = request.gate.roles(&request.pool).reads(upstream.address),
         tokens = request.message.call.tokens.map_or(0, |(prompt, _)| prompt),
         load_age_ms = request.now().since(upstream.heard_at()).0,
+        list_age_ms = request.now().since(request.gate.view.as_of()).0,
+        stage = upstream.stage(),
         passed_ms = request.now().since(request.began).0,
         left_ms = left.0;
         "request: sent"
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -276,6 +276,16 @@
         self.missing_since().is_some()
     }
 
+    /// Returns how the upstream stands in the list, as logs name it.
+    #[must_use]
+    pub fn stage(&self) -> &'static str {
+        match (self.is_missing(), self.is_ready()) {
+            (true, _) => "doubted",
+            (false, true) => "ready",
+            (false, false) => "leaving",
+        }
+    }
+
     /// Returns since when the upstream has been missing from the list.
     #[must_use]
     pub fn missing_since(&self) -> Option<Millis> {
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -62,6 +62,8 @@
     pub updates: IntCounterVec,
     /// Changes of the key-value service that were left aside, by reason.
     pub updates_refused: IntCounterVec,
+    /// Requests sent to upstreams that were missing from the list.
+    pub doubted_sends: IntCounter,
     /// Updates that weren't passed on to nodes that listen, or would, by reason.
     pub updates_unsent: IntCounterVec,
     /// Orders to engines, by action and outcome.
@@ -196,6 +198,10 @@
                 "Updates and changes of the key-value service that were left aside, by reason.",
                 &["reason"],
             ),
+            doubted_sends: maker.counter(
+                "doubted_sends_total",
+                "Requests sent to upstreams that were missing from the list.",
+            ),
             updates_unsent: maker.counters(
                 "updates_unsent_total",
                 "Updates that were not passed on to nodes that listen, or would, by reason.",
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -167,7 +167,7 @@
     let pools = [("engines".into(), pool)].into_iter().collect();
     let mut state = view.state();
     state.configure(Config::new(1, Vec::new(), pools, Sent::default()));
-    state.list(&listed(), Millis(100_000));
+    state.list(&listed(), 1, Millis(100_000));
 }
 
 fn listed() -> Listed {
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -271,7 +271,7 @@
     for number in 0..500_u16 {
         let mut entry = listed(&format!("i-{number}"), &[]);
         entry.address = ([127, 0, 0, 1], 1_000 + number).into();
-        view.state().list(&entry, Millis::ZERO);
+        view.state().list(&entry, 1, Millis::ZERO);
     }
     let first = view.pool("engines");
     assert_eq!(first.len(), 500);
@@ -279,7 +279,7 @@
     // A heartbeat of one that is known changes no group; one that leaves does.
     let mut entry = listed("i-7", &[("base/a1", 1)]);
     entry.address = ([127, 0, 0, 1], 1_007).into();
-    view.state().list(&entry, Millis::ZERO);
+    view.state().list(&entry, 1, Millis::ZERO);
     assert!(Arc::ptr_eq(&first, &view.pool("engines")));
     view.state().unlist("i-7");
     assert_eq!(view.pool("engines").len(), 499);
