follow: tests of an upstream that left while a node was away (known red)

What callers saw: requests sent to a server twelve seconds after it said that it leaves. Two of the three fail on this code: 3 s after its return from an absence of 3.3 s and more, or from a suspension, with the history dropped meanwhile or not, the node still takes the upstream that left for one that takes work.

--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -75,6 +75,12 @@
         });
     }
 
+    /// Drops all history, so that who asks for changes has to read everything anew.
+    pub fn drop_history(&mut self) {
+        self.compacted = self.revision;
+        self.events.clear();
+    }
+
     /// Ends a lease with its keys.
     pub fn end(&mut self, lease: LeaseId) {
         self.leases.retain(|held| *held != lease);
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -50,6 +50,12 @@
         self.view.state().upstreams.contains_key(incarnation)
     }
 
+    fn takes_work(&self, incarnation: &str) -> bool {
+        let state = self.view.state();
+        let upstream = state.upstreams.get(incarnation);
+        upstream.is_some_and(|upstream| upstream.is_ready())
+    }
+
     fn version(&self) -> u64 {
         self.view.config().map_or(0, |config| config.version)
     }
@@ -154,9 +160,7 @@
     pass(Millis(2_000)).await;
     followed.memory.change(|state| {
         state.remove("servers/i-1");
-        let revision = state.revision;
-        state.events.clear();
-        state.compacted = revision;
+        state.drop_history();
     });
     pass(Millis(5_000)).await;
     assert!(!followed.knows("i-1"));
@@ -324,3 +328,79 @@
     let begin_by = followed.view.begin_by("base/a1", 1, limit).unwrap();
     assert!(begin_by <= clock.now(), "{begin_by}");
 }
+
+/// A node that was away counts as in touch again so long after its return.
+const IN_TOUCH: Millis = Millis(3_000);
+
+/// An absence of this node in which an upstream left, as it ends.
+async fn away_while_one_leaves(span: Millis, is_history_dropped: bool) -> Followed {
+    let followed = start();
+    for incarnation in ["i-1", "i-2", "i-3"] {
+        followed.list(incarnation);
+    }
+    pass(Millis(2_000)).await;
+    followed.memory.change(|state| state.away = true);
+    pass(span).await;
+    followed.memory.change(|state| {
+        state.remove("servers/i-1");
+        if is_history_dropped {
+            state.drop_history();
+        }
+        state.away = false;
+    });
+    followed
+}
+
+/// An upstream that left while this node was away gets requests after the node is in touch again.
+#[tokio::test(start_paused = true)]
+async fn upstream_left_while_away_is_gone_in_time() {
+    for (span, is_history_dropped) in spans() {
+        let followed = away_while_one_leaves(span, is_history_dropped).await;
+        pass(IN_TOUCH).await;
+        assert!(!followed.takes_work("i-1"), "{span} {is_history_dropped}");
+        assert!(followed.takes_work("i-2") && followed.takes_work("i-3"));
+    }
+}
+
+/// An upstream that left while this node was away several times is doubted anew after each.
+#[tokio::test(start_paused = true)]
+async fn upstream_left_while_away_in_series_is_gone_in_time() {
+    for (span, is_history_dropped) in spans() {
+        let followed = away_while_one_leaves(span, is_history_dropped).await;
+        for _ in 0..3 {
+            pass(Millis(1_300)).await;
+            followed.memory.change(|state| state.away = true);
+            pass(Millis(3_300)).await;
+            followed.memory.change(|state| state.away = false);
+        }
+        pass(IN_TOUCH).await;
+        assert!(!followed.takes_work("i-1"), "{span} {is_history_dropped}");
+        assert!(followed.takes_work("i-2") && followed.takes_work("i-3"));
+    }
+}
+
+/// A node that stood still goes on with an upstream that left meanwhile.
+#[tokio::test(start_paused = true)]
+async fn upstream_left_while_suspended_is_gone_in_time() {
+    for (span, is_history_dropped) in spans() {
+        let followed = start();
+        followed.list("i-1");
+        followed.list("i-2");
+        pass(Millis(2_000)).await;
+        tokio::time::advance(span.duration()).await;
+        followed.memory.change(|state| {
+            state.remove("servers/i-1");
+            if is_history_dropped {
+                state.drop_history();
+            }
+        });
+        pass(IN_TOUCH).await;
+        assert!(!followed.takes_work("i-1"), "{span} {is_history_dropped}");
+        assert!(followed.takes_work("i-2"));
+    }
+}
+
+/// Absences of different lengths, with and without a history that was dropped meanwhile.
+fn spans() -> impl Iterator<Item = (Millis, bool)> {
+    (0..12).flat_map(|step| [true, false].map(|dropped| (Millis(3_300 + step * 573), dropped)))
+}
