ports: an entry tells at which revision its key came into being

Needed to tell an entry that stood through an outage from one that lapsed and was written anew. The stand-in of the service in memory now keeps it, and like the real one answers no call while it is away that waited since before, and keeps the caller waiting for the client's slack of 700 ms.

--- a/bench/src/fuzz_config/service.rs
+++ b/bench/src/fuzz_config/service.rs
@@ -86,6 +86,7 @@
                         key: key.clone(),
                         value: value.clone(),
                         revision: commit.revision,
+                        created: 0,
                         lease: *lease,
                     };
                     (key, Some(entry))
--- a/bench/src/fuzz_outcomes/harness/service.rs
+++ b/bench/src/fuzz_outcomes/harness/service.rs
@@ -206,6 +206,7 @@
                     key: key.clone(),
                     value: Bytes::clone(value),
                     revision: self.revision,
+                    created: 0,
                     lease: *lease,
                 };
                 self.bytes += weigh(&entry);
--- a/lib/src/direct/fanout/wire.rs
+++ b/lib/src/direct/fanout/wire.rs
@@ -37,6 +37,7 @@
             .map(|entry| entry.value.to_vec())
             .unwrap_or_default(),
         revision: event.revision,
+        created: event.entry.as_ref().map_or(0, |entry| entry.created),
     }
 }
 
@@ -60,6 +61,7 @@
         key: change.key.clone(),
         value: change.value.into(),
         revision: change.revision,
+        created: change.created,
         lease: None,
     });
     Event {
--- a/lib/src/ports/etcd/mod.rs
+++ b/lib/src/ports/etcd/mod.rs
@@ -334,6 +334,7 @@
         key,
         value: kv.value.0,
         revision: kv.mod_revision.unsigned(),
+        created: kv.create_revision.unsigned(),
         lease: (kv.lease != Number::default()).then_some(LeaseId(kv.lease.0)),
     })
 }
--- a/lib/src/ports/mod.rs
+++ b/lib/src/ports/mod.rs
@@ -69,6 +69,8 @@
     pub value: Bytes,
     /// The service's revision of the last write to this key; it only rises.
     pub revision: u64,
+    /// The service's revision at which the key came into being; 0 where nobody tells.
+    pub created: u64,
     /// The lease that the key lives with.
     pub lease: Option<LeaseId>,
 }
--- a/lib/src/protos/chivevalve.direct.rs
+++ b/lib/src/protos/chivevalve.direct.rs
@@ -60,6 +60,9 @@
     pub value: ::prost::alloc::vec::Vec<u8>,
     #[prost(uint64, tag = "4")]
     pub revision: u64,
+    /// The revision at which the key came into being; 0 where nobody tells.
+    #[prost(uint64, tag = "5")]
+    pub created: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AdmitRequest {
--- a/lib/tests/direct_support/listen.rs
+++ b/lib/tests/direct_support/listen.rs
@@ -83,6 +83,7 @@
                         key: change.key,
                         value: change.value.into(),
                         revision: change.revision,
+                        created: change.created,
                         lease: None,
                     }),
                     revision: change.revision,
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -15,6 +15,9 @@
 /// Longer than any caller waits.
 const PATIENCE: Millis = Millis::from_secs(10);
 
+/// How long a caller waits for changes beyond the time that it offers to wait.
+const SLACK: Millis = Millis(700);
+
 /// What the service holds.
 #[derive(Debug, Default)]
 pub struct State {
@@ -47,10 +50,12 @@
     /// Writes a key.
     pub fn put(&mut self, key: &str, value: impl Into<Bytes>, lease: Option<LeaseId>) -> u64 {
         self.revision += 1;
+        let before = self.entries.get(key);
         let entry = Entry {
             key: key.to_owned(),
             value: value.into(),
             revision: self.revision,
+            created: before.map_or(self.revision, |entry| entry.created),
             lease,
         };
         self.entries.insert(key.to_owned(), entry.clone());
@@ -125,14 +130,14 @@
         for event in &mut self.events[before..] {
             event.revision = self.revision;
             if let Some(entry) = &mut event.entry {
-                entry.revision = self.revision;
+                stamp(entry, self.revision);
             }
         }
         for write in &transaction.writes {
             if let Write::Put(key, ..) = write
                 && let Some(entry) = self.entries.get_mut(key)
             {
-                entry.revision = self.revision;
+                stamp(entry, self.revision);
             }
         }
         Some(self.revision)
@@ -148,6 +153,14 @@
     }
 }
 
+/// Gives an entry the revision of the transaction that wrote it.
+fn stamp(entry: &mut Entry, revision: u64) {
+    if entry.created == entry.revision {
+        entry.created = revision;
+    }
+    entry.revision = revision;
+}
+
 impl Memory {
     /// Locks what the service holds.
     pub fn state(&self) -> MutexGuard<'_, State> {
@@ -277,13 +290,18 @@
         };
         if away {
             // A service that is away takes the caller's whole patience.
-            tokio::time::sleep(wait.duration()).await;
+            tokio::time::sleep((wait + SLACK).duration()).await;
             return Err(Error::NoAnswer("the test took it away".to_owned()).into());
         }
         if revision < compacted {
             return Err(poll::Error::Compacted);
         }
         let mut events = self.wait(prefix, revision, wait).await;
+        if self.state().away {
+            // Nor does it answer what has waited since before.
+            tokio::time::sleep(SLACK.duration()).await;
+            return Err(Error::NoAnswer("the test took it away".to_owned()).into());
+        }
         let state = self.state();
         if revision < state.compacted {
             return Err(poll::Error::Compacted);
--- a/lib/tests/entry_support/store.rs
+++ b/lib/tests/entry_support/store.rs
@@ -107,6 +107,7 @@
                     key: key.clone(),
                     value,
                     revision: self.revision,
+                    created: 0,
                     lease,
                 };
                 self.entries.insert(key, entry);
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -47,6 +47,7 @@
             key,
             value: "{}".into(),
             revision,
+            created: 0,
             lease: None,
         }),
         revision,
--- a/lib/tests/test_direct_fanout_fuzz.rs
+++ b/lib/tests/test_direct_fanout_fuzz.rs
@@ -513,6 +513,7 @@
         key: key.to_owned(),
         value,
         revision,
+        created: 0,
         lease: None,
     };
     Event {
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -51,6 +51,7 @@
         key: keys.claim("u"),
         value: claim(token).to_value(),
         revision: token,
+        created: 0,
         lease: None,
     };
     Listing {
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -111,10 +111,12 @@
         for write in writes {
             match write {
                 Write::Put(key, value, lease) => {
+                    let before = self.entries.get(&key);
                     let entry = Entry {
                         key: key.clone(),
                         value,
                         revision: self.revision,
+                        created: before.map_or(self.revision, |entry| entry.created),
                         lease,
                     };
                     self.entries.insert(key.clone(), entry.clone());
