follow: a leave that this node missed is told from a lapse in an outage

What callers saw: requests sent to a server twelve seconds after the service had acknowledged that it leaves. Cause: a node that was cut off, turned away or suspended while an upstream left found the entry missing, took its own absence for an outage of the service, and doubted the leave as if the entry had lapsed: 2.2 s from the first answer, ended by the loop's next pass. The first answer comes up to 0.95 s after the return, so that the three seconds after which the node has to know were over. Ruled out by the new log lines: an older entry that makes a leaving upstream ready again, a change that was skipped. Change: the list shows who was away. When calls failed for as long as an upstream's silence may last, an entry of the pool that stood all the time shows that the service kept its entries, and what is missing is gone at once. Else the doubt ends 2.2 s behind the latest moment of the return or 2.8 s behind the earliest, by the answer to a call made then; while calls fail one is made each 400 ms, so that the two moments lie close. Evidence of an upstream's life counts by its revision (direct::presence).

--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -17,6 +17,10 @@
     pub leaving: Millis,
     /// Time within which a configuration has to be in force.
     pub apply: Millis,
+    /// Time from a node's return within which it has to know what changed while it was away.
+    pub rejoin: Millis,
+    /// Silence of an upstream after which its entry vanishes.
+    pub lapse: Millis,
     /// The budget for sending requests again, of all nodes together.
     pub retries: Retries,
 }
@@ -40,6 +44,8 @@
             version: Millis(5_000),
             leaving: Millis(2_000),
             apply: Millis(2_000),
+            rejoin: Millis(3_000),
+            lapse: Millis(3_600),
             retries: Retries {
                 ratio: 0.2,
                 window: Millis::from_secs(10),
--- a/lib/src/direct/record.rs
+++ b/lib/src/direct/record.rs
@@ -72,7 +72,7 @@
         tokens = request.message.call.tokens.map_or(0, |(prompt, _)| prompt),
         load_age_ms = request.now().since(upstream.heard_at()).0,
         list_age_ms = request.now().since(request.gate.view.as_of()).0,
-        stage = upstream.stage(),
+        stage = upstream.stage().name(),
         passed_ms = request.now().since(request.began).0,
         left_ms = left.0;
         "request: sent"
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -8,6 +8,7 @@
 use super::admit::Permit;
 use super::call::base_of;
 use super::dialect::{Held, Listed};
+use super::presence::{Presence, Stage, Written};
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::ports::link::{Bounds, Link};
@@ -89,14 +90,13 @@
     pub seen: Millis,
     /// Connections to it.
     pub link: Link,
-    ready: AtomicBool,
+    /// Whether it takes new work, which each choice asks of all upstreams.
+    takes_work: AtomicBool,
+    presence: Mutex<Presence>,
     running: AtomicU32,
     elsewhere: AtomicU32,
     served: AtomicU32,
     heard: AtomicU64,
-    gone_at: AtomicU64,
-    /// Whether it vanished without saying that it leaves.
-    lost: AtomicBool,
     using: Mutex<HashMap<Name, u32>>,
     holdings: Mutex<Holdings>,
     health: Mutex<Health>,
@@ -134,7 +134,7 @@
 impl Upstream {
     /// Makes an upstream from its entry in the list.
     #[must_use]
-    pub fn new(listed: &Listed, connections: usize, now: Millis) -> Self {
+    pub fn new(listed: &Listed, written: Written, connections: usize, now: Millis) -> Self {
         let bounds = Bounds {
             connect: CONNECT,
             idle: IDLE,
@@ -150,13 +150,12 @@
             born: listed.held.born,
             seen: now,
             link: Link::new(listed.address, bounds),
-            ready: AtomicBool::new(listed.ready),
+            takes_work: AtomicBool::new(listed.ready),
+            presence: Mutex::new(Presence::new(written, listed.ready)),
             running: AtomicU32::new(0),
             elsewhere: AtomicU32::new(0),
             served: AtomicU32::new(0),
             heard: AtomicU64::new(now.0),
-            gone_at: AtomicU64::new(u64::MAX),
-            lost: AtomicBool::new(false),
             using: Mutex::default(),
             holdings: Mutex::default(),
             health: Mutex::default(),
@@ -166,11 +165,34 @@
         upstream
     }
 
-    /// Takes in a newer entry of the list.
-    pub fn update(&self, listed: &Listed) {
-        self.ready.store(listed.ready, Ordering::Relaxed);
-        self.gone_at.store(u64::MAX, Ordering::Relaxed);
-        self.hold(&listed.held);
+    /// Takes in an entry of the list, unless a newer one is known.
+    pub fn update(&self, listed: &Listed, written: Written) {
+        if self.note(|presence| presence.entry(written, listed.ready)) {
+            self.hold(&listed.held);
+        }
+    }
+
+    /// Changes what is known of its presence.
+    fn note<T>(&self, change: impl FnOnce(&mut Presence) -> T) -> T {
+        let mut presence = self.presence();
+        let before = presence.stage();
+        let result = change(&mut presence);
+        let stage = presence.stage();
+        self.takes_work.store(stage.takes_work(), Ordering::Relaxed);
+        // Whoever removes it says why.
+        if stage != before && stage != Stage::Gone {
+            log::info!(
+                upstream = &*self.incarnation,
+                before = before.name(),
+                revision = presence.written().revision;
+                "view: an upstream is {}", stage.name()
+            );
+        }
+        result
+    }
+
+    fn presence(&self) -> std::sync::MutexGuard<'_, Presence> {
+        self.presence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes in what the upstream holds after its `sequence`th order.
@@ -241,20 +263,31 @@
     /// Whether the upstream takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed)
+        self.takes_work.load(Ordering::Relaxed)
+    }
+
+    /// Returns how it stands.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        self.presence().stage()
+    }
+
+    /// Returns where its newest entry stands in the service's history.
+    #[must_use]
+    pub fn written(&self) -> Written {
+        self.presence().written()
     }
 
     /// Stops new work, as the upstream is no longer listed.
     pub fn retire(&self) {
-        let was_ready = self.ready.swap(false, Ordering::Relaxed);
-        self.lost.store(was_ready, Ordering::Relaxed);
+        self.note(Presence::gone);
         self.link.clear();
     }
 
     /// Whether the upstream vanished from the list, or started again, without saying that it leaves.
     #[must_use]
     pub fn was_lost(&self) -> bool {
-        self.lost.load(Ordering::Relaxed)
+        self.presence().is_lost()
     }
 
     /// Returns a name for this start, unlike that of any other start of the same upstream.
@@ -263,34 +296,15 @@
         format!("{}@{}", self.incarnation, self.born).into()
     }
 
-    /// Marks the upstream as missing from the list since `now`, unless it already is.
-    pub fn missing(&self, now: Millis) {
-        let _ =
-            self.gone_at
-                .compare_exchange(u64::MAX, now.0, Ordering::Relaxed, Ordering::Relaxed);
+    /// Takes in that the upstream is missing from the list, and may not have left.
+    pub fn missing(&self) {
+        self.note(Presence::missing);
     }
 
-    /// Whether the upstream is missing from the list.
+    /// Whether the upstream is missing from the list, and may not have left.
     #[must_use]
     pub fn is_missing(&self) -> bool {
-        self.missing_since().is_some()
-    }
-
-    /// Returns how the upstream stands in the list, as logs name it.
-    #[must_use]
-    pub fn stage(&self) -> &'static str {
-        match (self.is_missing(), self.is_ready()) {
-            (true, _) => "doubted",
-            (false, true) => "ready",
-            (false, false) => "leaving",
-        }
-    }
-
-    /// Returns since when the upstream has been missing from the list.
-    #[must_use]
-    pub fn missing_since(&self) -> Option<Millis> {
-        let at = self.gone_at.load(Ordering::Relaxed);
-        (at != u64::MAX).then_some(Millis(at))
+        self.presence().is_missing()
     }
 
     /// Counts a request that this node sends.
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -13,6 +13,7 @@
 
 use super::config::Config;
 use super::dialect::{Dialect, Key, Listed};
+use super::presence::Written;
 use super::quarantine::{BROKE, ENDS, SURVIVED};
 use super::upstream::Upstream;
 use super::versions::{Declaration, Declarations};
@@ -232,7 +233,7 @@
     ///
     /// An entry of an earlier start than is known is left aside: it was written late, or by
     /// somebody else. One of a later start is another upstream, which knows nothing of before.
-    pub fn list(&mut self, listed: &Listed, revision: u64, now: Millis) {
+    pub fn list(&mut self, listed: &Listed, written: Written, now: Millis) {
         let known = self.upstreams.get(&listed.incarnation);
         if known.is_some_and(|upstream| listed.held.born > upstream.born) {
             log::info!("view: {} has started again", listed.incarnation);
@@ -240,12 +241,11 @@
         }
         if let Some(upstream) = self.upstreams.get(&listed.incarnation) {
             if listed.held.born == upstream.born {
-                let before = upstream.stage();
-                upstream.update(listed);
-                record_stage(upstream, before, revision);
+                upstream.update(listed, written);
             }
         } else {
-            let upstream = Arc::new(Upstream::new(listed, self.connections(&listed.pool), now));
+            let connections = self.connections(&listed.pool);
+            let upstream = Arc::new(Upstream::new(listed, written, connections, now));
             self.upstreams
                 .insert(Name::clone(&listed.incarnation), upstream);
             // Only now: a heartbeat of an upstream that is known moves it to no other pool.
@@ -432,19 +432,6 @@
     }
 }
 
-/// Records that an entry changed whether an upstream takes new work.
-fn record_stage(upstream: &Upstream, before: &str, revision: u64) {
-    let stage = upstream.stage();
-    if stage != before {
-        log::info!(
-            upstream = &*upstream.incarnation,
-            before,
-            revision;
-            "view: an upstream is {stage}"
-        );
-    }
-}
-
 /// Groups upstreams by pool, in an order that doesn't change.
 fn grouped(upstreams: &HashMap<Name, Arc<Upstream>>) -> HashMap<Name, Arc<[Arc<Upstream>]>> {
     let mut pools: HashMap<Name, Vec<Arc<Upstream>>> = HashMap::new();
--- a/lib/tests/direct_support/records.rs
+++ b/lib/tests/direct_support/records.rs
@@ -4,6 +4,7 @@
 
 use chivevalve::clock::Millis;
 use chivevalve::direct::dialect::{Held, Listed};
+use chivevalve::direct::presence::Written;
 use chivevalve::direct::view::Peer;
 use chivevalve::name::Name;
 
@@ -31,6 +32,14 @@
     }
 }
 
+/// Where an entry stands that was written once.
+pub fn written(revision: u64) -> Written {
+    Written {
+        revision,
+        created: revision,
+    }
+}
+
 /// A node of failure domain `hall-a` that answers others at an address.
 pub fn peer(address: SocketAddr) -> Peer {
     Peer {
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -22,6 +22,7 @@
 use chivevalve_platform::Speech;
 use direct_support::SERVER;
 use direct_support::memory::Memory;
+use direct_support::records::written;
 use tokio::task::JoinHandle;
 
 /// All other nodes, which say yes or no as the test wants.
@@ -167,7 +168,7 @@
     let pools = [("engines".into(), pool)].into_iter().collect();
     let mut state = view.state();
     state.configure(Config::new(1, Vec::new(), pools, Sent::default()));
-    state.list(&listed(), 1, Millis(100_000));
+    state.list(&listed(), written(1), Millis(100_000));
 }
 
 fn listed() -> Listed {
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -362,6 +362,85 @@
     }
 }
 
+/// An upstream that left while only this node was away is doubted though others show that it left.
+#[tokio::test(start_paused = true)]
+async fn upstream_left_while_only_this_node_was_away_is_gone_at_once() {
+    for (span, is_history_dropped) in spans().filter(|(span, _)| *span > Millis(7_000)) {
+        let followed = away_while_one_leaves(span, is_history_dropped).await;
+        pass(Millis(1_000)).await;
+        assert!(!followed.takes_work("i-1"), "{span} {is_history_dropped}");
+        assert!(followed.takes_work("i-2") && followed.takes_work("i-3"));
+    }
+}
+
+/// All upstreams of a pool are given up, as those of another pool didn't lapse.
+#[tokio::test(start_paused = true)]
+async fn upstreams_of_a_whole_pool_are_doubted() {
+    let followed = start();
+    followed.list("i-1");
+    let other = SERVER.replace("engines", "plain");
+    followed
+        .memory
+        .change(|state| state.put("servers/i-2", other, None));
+    pass(Millis(2_000)).await;
+    followed.memory.change(|state| state.away = true);
+    pass(Millis(9_000)).await;
+    followed.memory.change(|state| {
+        state.remove("servers/i-1");
+        state.away = false;
+    });
+    pass(Millis(1_500)).await;
+    assert!(followed.takes_work("i-1") && followed.takes_work("i-2"));
+    pass(Millis(1_500)).await;
+    assert!(!followed.takes_work("i-1"));
+}
+
+/// Upstreams are given up as they don't come back while the service is unavailable once more.
+#[tokio::test(start_paused = true)]
+async fn upstreams_lapsed_are_doubted_through_the_next_outage() {
+    for moment in (0..2_100).step_by(150).map(Millis) {
+        let followed = start();
+        followed.list("i-1");
+        pass(Millis(2_000)).await;
+        followed.memory.change(|state| state.away = true);
+        pass(Millis(6_000)).await;
+        followed.memory.change(|state| {
+            state.remove("servers/i-1");
+            state.away = false;
+        });
+        pass(moment).await;
+        followed.memory.change(|state| state.away = true);
+        pass(Millis(6_000)).await;
+        assert!(followed.takes_work("i-1"), "{moment}");
+        followed.memory.change(|state| state.away = false);
+        pass(Millis(1_900)).await;
+        followed.list("i-1");
+        pass(IN_TOUCH).await;
+        assert!(followed.takes_work("i-1"), "{moment}");
+    }
+}
+
+/// An entry that was read is taken for gone by a removal from before it was written.
+#[tokio::test(start_paused = true)]
+async fn upstream_back_while_all_is_read_stays() {
+    let followed = start();
+    followed.list("i-1");
+    pass(Millis(2_000)).await;
+    let known = || Arc::clone(&followed.view.state().upstreams["i-1"]);
+    let before = known();
+    followed.memory.change(|state| {
+        state.slow = Some(("servers/".to_owned(), Millis(500)));
+        state.put("chivevalve/any", "", None);
+        state.drop_history();
+        state.put("chivevalve/any", "", None);
+    });
+    pass(Millis(200)).await;
+    followed.memory.change(|state| state.remove("servers/i-1"));
+    followed.list("i-1");
+    pass(Millis(2_000)).await;
+    assert!(Arc::ptr_eq(&before, &known()));
+}
+
 /// An upstream that left while this node was away several times is doubted anew after each.
 #[tokio::test(start_paused = true)]
 async fn upstream_left_while_away_in_series_is_gone_in_time() {
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -19,7 +19,7 @@
 use chivevalve::ports::metered::Metered;
 use chivevalve_platform::Speech;
 use direct_support::memory::Memory;
-use direct_support::records::listed;
+use direct_support::records::{listed, written};
 use http::{HeaderMap, Method, Uri};
 use quickcheck::{Gen, QuickCheck};
 use tokio::net::TcpListener;
@@ -139,7 +139,12 @@
         Arc::new(Current::default()),
         service,
     ));
-    let engine = Upstream::new(&listed("i-1", &[("base/a1", 1)]), 1, Millis::ZERO);
+    let engine = Upstream::new(
+        &listed("i-1", &[("base/a1", 1)]),
+        written(1),
+        1,
+        Millis::ZERO,
+    );
     let adapter = "base/a1".into();
     let watch = Watch::new(Arc::clone(&gate), Arc::new(engine), adapter, 1, true);
     (watch, manual, gate)
@@ -201,7 +206,7 @@
         address: listener.local_addr().unwrap(),
         ..listed("i-1", &[("base/a1", 1)])
     };
-    let engine = Arc::new(Upstream::new(&engine, 1, Millis::ZERO));
+    let engine = Arc::new(Upstream::new(&engine, written(1), 1, Millis::ZERO));
     let message = Message {
         method: Method::POST,
         uri: Uri::from_static("/digest/x"),
