pick: an upstream that may have left is chosen where listed ones are crowded

What callers saw: a connect timeout of 400 ms for a request sent to an upstream that was missing from the list, beside listed ones with room. Cause: choice did not see the doubt. Change: half of its places more; the last in an adapter's order of placement. Not excluded: where all lapsed with the service, the few that are back first would get everything.

--- a/lib/src/direct/pick.rs
+++ b/lib/src/direct/pick.rs
@@ -1,5 +1,6 @@
 //! Which upstream takes a request.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -18,6 +19,12 @@
 /// dozens cost less than carrying an answer across.
 const REMOTE: f64 = 0.08;
 
+/// What an upstream costs that is missing from the list and may have left, in places' shares.
+///
+/// Where most are listed they have room for what the missing ones would get. Where all lapsed
+/// with the service it is the same for all; the few that are back first must not get everything.
+const DOUBTED: f64 = 0.5;
+
 /// What the decision between upstreams that are alike weighs, in places' shares.
 const TIE: f64 = 0.03;
 
@@ -134,22 +141,26 @@
         self.roles.reads(upstream.address)
     }
 
-    /// Returns upstreams that take new work and fit in an adapter's order of placement.
+    /// Returns upstreams that take new work and fit in an adapter's order of placement, those that
+    /// may have left last.
     ///
     /// Of many the first [`MOST_HOMES`] are returned: a request asks some dozen at most, and
     /// looking at thousands for each load cost a small VM milliseconds.
     #[must_use]
     pub fn homes(&self, adapter: &str, fits: impl Fn(&Upstream) -> bool) -> Vec<Arc<Upstream>> {
-        let mut homes: Vec<(u64, &Arc<Upstream>)> = self
+        let mut homes: Vec<(Reverse<bool>, u64, &Arc<Upstream>)> = self
             .upstreams
             .iter()
             .filter(|upstream| upstream.is_ready() && !self.avoided(upstream))
-            .map(|upstream| (rank(adapter, upstream), upstream))
+            .map(|upstream| {
+                let is_doubted = Reverse(upstream.is_missing());
+                (is_doubted, rank(adapter, upstream), upstream)
+            })
             .collect();
-        homes.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+        homes.sort_unstable_by_key(|(is_doubted, rank, _)| Reverse((*is_doubted, *rank)));
         homes
             .into_iter()
-            .map(|(_, upstream)| upstream)
+            .map(|(_, _, upstream)| upstream)
             .filter(|upstream| fits(upstream))
             .take(MOST_HOMES)
             .cloned()
@@ -191,6 +202,9 @@
         if &*upstream.failure_domain != self.home {
             cost += REMOTE;
         }
+        if upstream.is_missing() {
+            cost += DOUBTED;
+        }
         if let Some(most) = self.pause {
             cost += PAUSES * upstream.mean_pause(self.now) / (most.0.max(1) as f64);
         }
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -126,6 +126,34 @@
     assert_eq!(&*chosen.incarnation, "i-1");
 }
 
+/// A request goes to an upstream that may have left though others have room.
+#[test]
+fn least_doubted_only_if_others_are_crowded() {
+    let upstreams = [upstream("i-1", "hall-a"), upstream("i-2", "hall-b")];
+    upstreams[0].missing();
+    let chosen = field(&upstreams, &[], 1).least(|_| true).unwrap();
+    assert_eq!(&*chosen.incarnation, "i-2");
+    let _busy: Vec<_> = (0..7).map(|_| upstreams[1].enter(None, None)).collect();
+    let chosen = field(&upstreams, &[], 1).least(|_| true).unwrap();
+    assert_eq!(&*chosen.incarnation, "i-1");
+    upstreams[1].retire();
+    assert!(field(&upstreams, &[], 1).least(|_| true).is_some());
+}
+
+/// An adapter is loaded at an engine that may have left though others take it.
+#[test]
+fn homes_doubted_come_last() {
+    let upstreams: Vec<_> = (0..6)
+        .map(|number| upstream(&format!("i-{number}"), "hall-a"))
+        .collect();
+    let order = || field(&upstreams, &[], 1).homes("base/a1", |_| true);
+    let first = Arc::clone(&order()[0]);
+    first.missing();
+    let homes = order();
+    assert_eq!(homes.len(), 6);
+    assert_eq!(homes[5].incarnation, first.incarnation);
+}
+
 #[test]
 fn least_tried_only_if_none_else() {
     let upstreams = [upstream("i-1", "hall-a"), upstream("i-2", "hall-b")];
