--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
+use async_trait::async_trait;
 use chivevalve::clock::{Clock, Millis, Monotonic};
+use chivevalve::direct::fanout::{Heard, Hub, Source, Update};
 use chivevalve::direct::follow::Follower;
 use chivevalve::direct::limits::Current;
 use chivevalve::direct::view::View;
@@ -18,9 +20,15 @@
 }
 
 fn start() -> Followed {
+    start_with(Arc::new(Monotonic::start()), |follower, _| follower)
+}
+
+fn start_with(
+    clock: Arc<dyn Clock>,
+    extend: impl FnOnce(Follower, &Arc<Memory>) -> Follower,
+) -> Followed {
     let memory = Arc::new(Memory::default());
     let view = Arc::new(View::default());
-    let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
     let follower = Follower::new(
         Arc::<Memory>::clone(&memory),
         Arc::<Memory>::clone(&memory),
@@ -29,7 +37,7 @@
         Arc::clone(&view),
         Arc::new(Current::default()),
     );
-    tokio::spawn(follower.run());
+    tokio::spawn(extend(follower, &memory).run());
     Followed { memory, view }
 }
 
@@ -479,6 +487,72 @@
     }
 }
 
+/// Another node that passes changes on each second, and nothing while the service is away.
+#[derive(Debug)]
+struct Passing {
+    memory: Arc<Memory>,
+    clock: Arc<dyn Clock>,
+    due: Millis,
+}
+
+#[async_trait]
+impl Source for Passing {
+    fn is_shared(&self) -> bool {
+        false
+    }
+
+    async fn next(&mut self, after: u64, within: Millis) -> Heard {
+        let left = self.due.since(self.clock.now());
+        pass(left.min(within)).await;
+        let now = self.clock.now();
+        if now < self.due {
+            return Heard::Nothing;
+        }
+        self.due = now + Millis(1_000);
+        let state = self.memory.state();
+        if state.away {
+            return Heard::Nothing;
+        }
+        Heard::Update(Update {
+            after,
+            revision: after.max(state.revision),
+            as_of: now,
+            events: state.since("", after),
+        })
+    }
+
+    fn avoid(&mut self) {}
+}
+
+/// A node that hears of changes from another one waits for its next word to end a doubt.
+#[tokio::test(start_paused = true)]
+async fn upstream_left_while_away_is_gone_in_time_for_a_listener() {
+    for moment in (0..1_000).step_by(100).map(Millis) {
+        let clock: Arc<dyn Clock> = Arc::new(Monotonic::start());
+        let passing = |memory: &Arc<Memory>| Passing {
+            memory: Arc::clone(memory),
+            clock: Arc::clone(&clock),
+            due: moment,
+        };
+        let followed = start_with(Arc::clone(&clock), |follower, memory| {
+            let hub = Arc::new(Hub::new(Arc::clone(&clock), Arc::default()));
+            follower.within_domain(hub, Box::new(passing(memory)))
+        });
+        followed.list("i-1");
+        followed.list("i-2");
+        pass(Millis(2_000)).await;
+        followed.memory.change(|state| state.away = true);
+        pass(Millis(4_000)).await;
+        followed.memory.change(|state| {
+            state.remove("servers/i-1");
+            state.away = false;
+        });
+        pass(IN_TOUCH).await;
+        assert!(!followed.takes_work("i-1"), "{moment}");
+        assert!(followed.takes_work("i-2"));
+    }
+}
+
 /// Absences of different lengths, with and without a history that was dropped meanwhile.
 fn spans() -> impl Iterator<Item = (Millis, bool)> {
     (0..12).flat_map(|step| [true, false].map(|dropped| (Millis(3_300 + step * 573), dropped)))
--- a/lib/tests/test_direct_presence.rs
+++ b/lib/tests/test_direct_presence.rs
@@ -134,6 +134,18 @@
     assert!(!doubt.is_disproved_by(7, Millis(9_000), &limits));
 }
 
+/// A call that was answered in the midst of an outage hides it.
+#[test]
+fn doubt_begins_though_a_call_was_answered_midway() {
+    let mut outage = Outage::new(Millis(1_000));
+    assert!(outage.answered(Millis(3_000), false).is_none());
+    outage.failed(Millis(3_800), Millis(4_500));
+    assert!(outage.answered(Millis(5_000), false).is_some());
+    // One call that failed at once is none.
+    outage.failed(Millis(5_800), Millis(5_805));
+    assert!(outage.answered(Millis(6_010), false).is_none());
+}
+
 /// A short outage within a doubt keeps entries from coming back, and ends the doubt all the same.
 #[test]
 fn doubt_begins_anew_after_a_short_outage() {
