membership: what a rejected list lacks gets no new work

What callers would see: requests sent for up to a minute to upstreams that left while their node was away, on the product's own path. A list that lacks more than a third is rejected for a minute, since it may be wrong about many at once, and all that it lacked stayed usable: evidence that can't tell a leave from a fault of the list was read as the harmless one. Change: what a rejected list lacks is held out, unless it is most of its pool, as refusing all would be worse. Failed before: list_lacks_many_gets_no_new_work_there (usable instead of held). The tests of membership, ownership and its fuzzer pass.

--- a/lib/src/membership/upstreams.rs
+++ b/lib/src/membership/upstreams.rs
@@ -85,8 +85,9 @@
     /// A directory that restarts can give an empty or partial list. Accepting it
     /// would stop work at upstreams that are well, all at once, so a list that
     /// lacks more than a third, or calls all leaving, is accepted only when it has
-    /// stayed so for a minute; one that is empty never. Marks of leaving in a list
-    /// that is rejected still count as signs.
+    /// stayed so for a minute; one that is empty never. Until then what it lacks gets no new
+    /// work, unless that is most of a pool. Marks of leaving in a list that is rejected still
+    /// count as signs.
     pub fn list(&mut self, now: Millis, vms: Vec<Vm>) -> Verdict {
         let listed: BTreeMap<Name, Vm> = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
         let leaving: Vec<Name> = self
@@ -104,9 +105,9 @@
         if self.rejects(now, &listed, missing) {
             return Verdict::Rejected { missing };
         }
-        self.pending = None;
+        let was_doubted = self.pending.take().is_some();
         self.accepted_at = Some(now);
-        if listed != self.vms {
+        if listed != self.vms || was_doubted {
             self.version += 1;
         }
         self.vms = listed;
@@ -141,6 +142,7 @@
             Some(pending) if pending.names == names => now.since(pending.since) < CONFIRMED_AFTER,
             _ => {
                 self.pending = Some(Pending { since: now, names });
+                self.version += 1;
                 true
             }
         }
@@ -215,6 +217,9 @@
         if self.held(now, &vm.name) && !self.most_held(now, &vm.pool) {
             return State::Held;
         }
+        if self.lacked(&vm.name) && !self.most_lacked(&vm.pool) {
+            return State::Held;
+        }
         State::Usable
     }
 
@@ -236,6 +241,27 @@
         held > 1 && held * 2 > all
     }
 
+    /// Whether the list that was rejected last doesn't hold an upstream.
+    fn lacked(&self, upstream: &str) -> bool {
+        self.pending.as_ref().is_some_and(|pending| {
+            let names = &pending.names;
+            let found = names.binary_search_by(|(name, _)| (**name).cmp(upstream));
+            found.is_err()
+        })
+    }
+
+    // What a list lacks may have left while this node was away, and others of its pool can do its
+    // work. Where it lacks most of a pool, the fault is more likely in the list.
+    fn most_lacked(&self, pool: &str) -> bool {
+        let members = self.vms.values().filter(|vm| *vm.pool == *pool);
+        let (mut all, mut lacked) = (0, 0);
+        for vm in members {
+            all += 1;
+            lacked += usize::from(self.lacked(&vm.name));
+        }
+        lacked * 2 > all
+    }
+
     /// Lists all upstreams with their states.
     #[must_use]
     pub fn all(&self, now: Millis) -> Vec<Upstream> {
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -249,6 +249,28 @@
     assert_eq!(upstreams.all(Millis(62_000)).len(), 4);
 }
 
+/// Upstreams that left while this node was away get new work for as long as the list is doubted.
+#[test]
+fn list_lacks_many_gets_no_new_work_there() {
+    let mut upstreams = Upstreams::new(Guards::all());
+    upstreams.list(Millis(0), vms(5));
+    let states = |upstreams: &Upstreams, now: Millis| -> Vec<State> {
+        let all = vms(5);
+        all.iter().map(|vm| upstreams.state(now, vm)).collect()
+    };
+    let short = upstreams.list(Millis(1_000), vms(3));
+    assert_eq!(short, Verdict::Rejected { missing: 2 });
+    let (usable, held) = (State::Usable, State::Held);
+    let expected = [usable, usable, usable, held, held];
+    assert_eq!(states(&upstreams, Millis(1_000)), expected);
+    // Most of a pool at once is more likely a fault of the list: refusing all would be worse.
+    upstreams.list(Millis(2_000), vms(2));
+    assert_eq!(states(&upstreams, Millis(2_000)), [usable; 5]);
+    // They are back.
+    assert_eq!(upstreams.list(Millis(3_000), vms(5)), Verdict::Accepted);
+    assert_eq!(states(&upstreams, Millis(3_000)), [usable; 5]);
+}
+
 #[test]
 fn list_lacks_few() {
     let mut upstreams = Upstreams::new(Guards::all());
