--- a/lib/src/direct/outage.rs
+++ b/lib/src/direct/outage.rs
@@ -67,6 +67,8 @@
 
     /// Takes in that a call made at `made` has failed.
     pub fn failed(&mut self, made: Millis, now: Millis) {
+        // A reading of many parts can fail behind some that were answered.
+        let made = made.max(self.answered);
         let failures = self.failures.get_or_insert(Failures {
             since: made,
             first: now,
--- a/lib/tests/test_direct_presence.rs
+++ b/lib/tests/test_direct_presence.rs
@@ -146,6 +146,15 @@
     assert!(outage.answered(Millis(6_010), false).is_none());
 }
 
+/// A reading that fails behind its first parts is taken for an outage since its beginning.
+#[test]
+fn outage_begins_behind_the_last_answer() {
+    let mut outage = Outage::new(Millis(1_000));
+    assert!(outage.answered(Millis(3_900), false).is_none());
+    outage.failed(Millis(1_000), Millis(4_000));
+    assert!(outage.answered(Millis(4_300), false).is_none());
+}
+
 /// A short outage within a doubt keeps entries from coming back, and ends the doubt all the same.
 #[test]
 fn doubt_begins_anew_after_a_short_outage() {
