--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -87,9 +87,7 @@
     assert_eq!(followed.version(), 9);
 }
 
-/// Symptom: a configuration isn't in force though the service has been back for seconds.
-/// Sequence: the service is away; the call that waits for changes outlasts its return.
-/// Cause: after a failure the next call offers to wait as long as ever.
+/// A call that waits for changes outlasts the service's return, and a configuration comes late.
 #[tokio::test(start_paused = true)]
 async fn config_in_force_soon_after_an_outage() {
     let followed = start();
@@ -105,11 +103,7 @@
     assert_eq!(followed.version(), 2);
 }
 
-/// Symptom: after all nodes were replaced in an outage, callers are refused for more than a second
-/// after the service's return, as no node knows a configuration.
-/// Sequence: a node starts while the service is silent, its first reading has no answer, the
-/// service returns.
-/// Cause: the reading was waited for until it failed, and only then begun anew.
+/// A first reading without an answer is waited for though the service has returned.
 #[tokio::test(start_paused = true)]
 async fn config_known_soon_after_a_silent_start() {
     let followed = start();
@@ -133,9 +127,7 @@
     assert!(!followed.knows("i-1"));
 }
 
-/// Symptom: all upstreams are gone at once though all live.
-/// Sequence: the service is away, entries lapse meanwhile; it returns, they are written anew.
-/// Cause: a lapse during an outage taken for a death.
+/// A lapse of living upstreams in an outage is taken for their death.
 #[tokio::test(start_paused = true)]
 async fn upstream_lapsed_in_an_outage_is_doubted() {
     let followed = start();
@@ -157,9 +149,7 @@
     assert!(!followed.knows("i-2"));
 }
 
-/// Symptom: a node goes on with an upstream that left long ago.
-/// Sequence: the service drops its history while an upstream leaves.
-/// Cause: what is missing from the list that is read anew is kept.
+/// An upstream that left while the history was dropped is kept.
 #[tokio::test(start_paused = true)]
 async fn history_dropped_missing_is_gone() {
     let followed = start();
@@ -175,9 +165,7 @@
     assert!(followed.knows("i-2"));
 }
 
-/// Symptom: work is sent to what an engine held before it ended.
-/// Sequence: an engine starts again under its name; a late entry of its former start follows.
-/// Cause: a start known by its name alone.
+/// An engine that started again under its name is taken for what it was before.
 #[tokio::test(start_paused = true)]
 async fn upstream_started_again_is_another() {
     let followed = start();
@@ -201,9 +189,7 @@
     assert_eq!(known().born, 2_000);
 }
 
-/// Symptom: a node hears nothing of any upstream, or sends work to one that is none.
-/// Sequence: somebody else writes entries beside those of the upstreams, or over one of them.
-/// Cause: one entry that can't be read taken for all, or taken for an upstream.
+/// An entry of another writer that can't be read is taken for all, or for an upstream.
 #[tokio::test(start_paused = true)]
 async fn upstream_entries_of_other_writers() {
     let followed = start();
@@ -231,9 +217,7 @@
     assert!(state.upstreams["i-1"].is_ready());
 }
 
-/// Symptom: requests begin on an old version of an adapter later than is allowed.
-/// Sequence: a version is named in the pause between two calls for changes.
-/// Cause: the time counted from when the node saw the version, not from when it was named.
+/// A version that was declared between two calls counts from when it was seen.
 #[tokio::test(start_paused = true)]
 async fn version_counts_from_before_it_was_named() {
     let followed = start();
@@ -255,10 +239,7 @@
     }
 }
 
-/// Symptom: a configuration is in force ten seconds late while all nodes start.
-/// Sequence: thousands of claims are made at once; the service answers with some hundred changes a
-/// call, and a configuration comes behind them.
-/// Cause: the follower pauses behind each part as if it were all.
+/// A configuration behind thousands of changes waits for a pause after each part of them.
 #[tokio::test(start_paused = true)]
 async fn config_in_force_soon_behind_many_changes() {
     let followed = start();
@@ -275,9 +256,7 @@
     assert_eq!(followed.version(), 2);
 }
 
-/// Symptom: requests begin on an old version of an adapter later than is allowed.
-/// Sequence: a version is named in the midst of more changes than one answer holds.
-/// Cause: a part of the changes taken for all of them, and its age for that of what is known.
+/// A part of the changes is taken for all of them, and its age for that of what is known.
 #[tokio::test(start_paused = true)]
 async fn version_in_a_part_counts_from_before_it_was_named() {
     let followed = start();
