--- a/lib/src/direct/follow/missing.rs
+++ b/lib/src/direct/follow/missing.rs
@@ -28,7 +28,7 @@
     /// Takes in that an upstream isn't listed any more.
     ///
     /// An entry that vanished while the service was away isn't proof that its
-    /// upstream is gone; one that vanished before everybody's eyes is.
+    /// upstream is gone; one that vanished while the service answered is.
     pub(super) fn vanish(&self, state: &mut State, incarnation: &str) {
         if self.doubt.is_some()
             && let Some(upstream) = state.upstreams.get(incarnation)
--- a/lib/src/direct/follow/mod.rs
+++ b/lib/src/direct/follow/mod.rs
@@ -1,7 +1,8 @@
 //! Keeps the view up to date from the key-value service.
 //!
 //! One call at a time waits for changes; between calls a pause lets changes
-//! gather, since each call is priced. A history that was dropped is answered by
+//! gather, since each call is priced. While the service doesn't answer, calls are
+//! made beside those without an answer. A history that was dropped is answered by
 //! reading everything anew.
 
 mod entries;
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -364,7 +364,7 @@
     pub fn disown(&mut self, node: &str) {
         let claims = self.vanished.values_mut().map(|(claim, _)| claim);
         for claim in claims.filter(|claim| &*claim.node == node) {
-            claim.node = nowhere();
+            claim.node = Name::from("");
         }
     }
 
