direct: log what decides retries and the count of an engine's orders

Each retry that is taken from or charged to the budget is logged with the requests, retries and limit that decided it and the number of nodes that divides it; denials are counted. An order's line tells its attempts, whether its acceptance was inferred, the used slots and the unanswered orders; a count that is learned or differs from what was known is logged. No decision changes.

--- a/lib/src/direct/budget.rs
+++ b/lib/src/direct/budget.rs
@@ -26,6 +26,25 @@
     retries: u32,
 }
 
+/// What a pool's budget holds at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Usage {
+    /// Requests in the window.
+    pub requests: u32,
+    /// Retries in the window.
+    pub retries: u32,
+    /// Retries that this node may make in the window.
+    pub limit: f64,
+}
+
+impl Usage {
+    /// Whether there is room for one more retry.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        f64::from(self.retries) + 1.0 <= self.limit
+    }
+}
+
 /// Counts requests and retries per pool in a sliding window.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -53,22 +72,17 @@
         self.current_bucket(pool, now).retries += 1;
     }
 
-    /// Whether the budget allows a retry.
-    pub fn has_room(&mut self, pool: &Name, now: Millis, nodes: usize) -> bool {
-        self.allowed(pool, now, nodes)
-    }
-
     /// Counts a retry if the budget allows it, and returns whether it does.
     pub fn try_retry(&mut self, pool: &Name, now: Millis, nodes: usize) -> bool {
-        let allowed = self.allowed(pool, now, nodes);
-        let bucket = self.current_bucket(pool, now);
+        let allowed = self.usage(pool, now, nodes).has_room();
         if allowed {
-            bucket.retries += 1;
+            self.record_retry(pool, now);
         }
         allowed
     }
 
-    fn allowed(&mut self, pool: &Name, now: Millis, nodes: usize) -> bool {
+    /// Returns what the pool's budget holds now.
+    pub fn usage(&mut self, pool: &Name, now: Millis, nodes: usize) -> Usage {
         let RetryLimits { ratio, extra, .. } = self.limits.get().retries;
         self.current_bucket(pool, now);
         let buckets = &self.buckets[pool];
@@ -77,7 +91,11 @@
         #[allow(clippy::cast_precision_loss, reason = "a few hundred nodes")]
         let share = f64::from(extra) / nodes.max(1) as f64;
         let limit = USED_FRACTION * (ratio * f64::from(requests) + share);
-        f64::from(retries) + 1.0 <= limit.max(1.0)
+        Usage {
+            requests,
+            retries,
+            limit: limit.max(1.0),
+        }
     }
 
     fn current_bucket(&mut self, pool: &Name, now: Millis) -> &mut Bucket {
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 
-use super::budget::RetryBudget;
+use super::budget::{RetryBudget, Usage};
 use super::controllers::Controllers;
 use super::dialect::Dialect;
 use super::drain::Drain;
@@ -166,22 +166,54 @@
         }
     }
 
-    /// Takes a retry from the pool's budget; false if the budget is used up.
-    pub fn take_retry(&self, pool: &Name) -> bool {
-        let nodes = self.view.state().max_nodes_seen;
-        self.budget().try_retry(pool, self.clock.now(), nodes)
+    /// Takes a retry from the pool's budget for a request; false if the budget is used up.
+    pub fn take_retry(&self, pool: &Name, request: &str) -> bool {
+        let usage = self.retry_usage(pool);
+        if usage.has_room() {
+            self.charge_retry(pool);
+            self.log_retry(pool, request, usage, "taken");
+        } else {
+            self.metrics
+                .retries_denied
+                .with_label_values(&["budget"])
+                .inc();
+        }
+        usage.has_room()
     }
 
     /// Charges the pool's budget for a send that turned out to be a retry.
-    pub fn charge_retry(&self, pool: &Name) {
-        let now = self.clock.now();
-        self.budget().record_retry(pool, now);
+    pub fn charge_rejected_run(&self, pool: &Name, request: &str) {
+        let usage = self.retry_usage(pool);
+        self.charge_retry(pool);
+        self.log_retry(pool, request, usage, "charged");
     }
 
     /// Whether the pool's budget allows another retry.
     pub fn has_retry_budget(&self, pool: &Name) -> bool {
+        self.retry_usage(pool).has_room()
+    }
+
+    fn charge_retry(&self, pool: &Name) {
+        self.budget().record_retry(pool, self.clock.now());
+    }
+
+    fn retry_usage(&self, pool: &Name) -> Usage {
         let nodes = self.view.state().max_nodes_seen;
-        self.budget().has_room(pool, self.clock.now(), nodes)
+        self.budget().usage(pool, self.clock.now(), nodes)
+    }
+
+    /// Logs a retry with what the budget held before it.
+    fn log_retry(&self, pool: &Name, request: &str, usage: Usage, outcome: &str) {
+        log::info!(
+            request = request,
+            pool = &**pool,
+            outcome = outcome,
+            requests = usage.requests,
+            retries = usage.retries,
+            limit = usage.limit,
+            nodes = self.view.state().max_nodes_seen;
+            "request: retry"
+        );
     }
 
     fn budget(&self) -> MutexGuard<'_, RetryBudget> {
--- a/lib/src/direct/orders/send.rs
+++ b/lib/src/direct/orders/send.rs
@@ -37,19 +37,23 @@
         let now = self.client.clock.now();
         let has_no_unconfirmed = self.unconfirmed_slots(now) == 0;
         let mut outcome = self.send_order(action, model, version).await;
-        for _ in 1..ORDER_ATTEMPTS {
+        let mut attempts = 1;
+        let mut is_inferred = false;
+        while attempts < ORDER_ATTEMPTS {
             if outcome.is_some() || !self.is_last_order_unanswered {
                 break;
             }
+            attempts += 1;
             let sequence = self.slots.as_ref()?.sequence();
             self.unconfirmed_orders
                 .push((sequence, now + LATE_ORDER_WINDOW));
-            outcome = match self.send_order(action, model, version).await {
-                Some(OrderOutcome::Conflict) if has_no_unconfirmed => Some(OrderOutcome::Started),
-                other => other,
-            };
+            outcome = self.send_order(action, model, version).await;
+            if outcome == Some(OrderOutcome::Conflict) && has_no_unconfirmed {
+                is_inferred = true;
+                outcome = Some(OrderOutcome::Started);
+            }
         }
-        self.record_outcome(action, model, version, outcome);
+        self.record_outcome(action, model, version, outcome, attempts, is_inferred);
         let is_accepted = outcome == Some(OrderOutcome::Started)
             || (outcome == Some(OrderOutcome::Holds) && action == Action::Unload);
         if is_accepted && let Some(slots) = &mut self.slots {
@@ -64,6 +68,8 @@
         model: &Name,
         version: Option<u64>,
         outcome: Option<OrderOutcome>,
+        attempts: u32,
+        is_inferred: bool,
     ) {
         let outcome = outcome.map_or("none", OrderOutcome::name);
         let orders = &self.client.metrics.orders;
@@ -73,7 +79,11 @@
             adapter = &**model,
             version = version.unwrap_or_default(),
             outcome = outcome,
-            sequence = self.sequence();
+            sequence = self.sequence(),
+            attempts = attempts,
+            inferred = is_inferred,
+            used = self.slots.as_ref().map_or(0, Slots::count_used_slots),
+            unanswered = self.unconfirmed_orders.len();
             "orders: {}", action.name()
         );
     }
@@ -125,6 +135,7 @@
                 return false;
             }
         };
+        let before = self.slots.as_ref().map(Slots::sequence);
         match &mut self.slots {
             Some(slots) => {
                 if !slots.apply_status(&status, requested_at) {
@@ -133,11 +144,27 @@
             }
             None => self.slots = Some(Slots::new(&status, requested_at)),
         }
+        self.log_corrected_sequence(before);
         self.stale = false;
         self.publish_held();
         true
     }
 
+    /// Logs that the number of accepted orders was first learned, or differed from what was known.
+    fn log_corrected_sequence(&self, before: Option<u64>) {
+        if before == Some(self.sequence()) {
+            return;
+        }
+        log::info!(
+            upstream = &*self.client.upstream.incarnation,
+            before = before.map_or(-1, |sequence| i64::try_from(sequence).unwrap_or(i64::MAX)),
+            sequence = self.sequence(),
+            used = self.slots.as_ref().map_or(0, Slots::count_used_slots),
+            unanswered = self.unconfirmed_orders.len();
+            "orders: count learned"
+        );
+    }
+
     /// Returns the number of orders that the engine is known to have accepted.
     fn sequence(&self) -> u64 {
         self.slots.as_ref().map_or(0, Slots::sequence)
--- a/lib/src/direct/request/retry.rs
+++ b/lib/src/direct/request/retry.rs
@@ -35,6 +35,6 @@
 
     /// Takes one retry from the budget of all nodes.
     fn take_retry(&self) -> bool {
-        self.frontend.take_retry(&self.pool)
+        self.frontend.take_retry(&self.pool, self.id())
     }
 }
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -272,7 +272,10 @@
                 Err(error) => {
                     request_log::run_moved(&self.request, &target.upstream, last, error.name());
                     if matches!(error, SendError::Rejected { .. }) {
-                        self.request.frontend.charge_retry(&self.request.pool);
+                        let request = &self.request;
+                        request
+                            .frontend
+                            .charge_rejected_run(&request.pool, request.id());
                     }
                     // The run may have resumed there, so no other engine may use the KV cache.
                     if error.may_run() {
