orders: number orders only by what the engine has certainly accepted

Cause: an engine executes an order whose number equals its count of accepted orders, up to 12 s after the order was sent. The owner counted orders that the engine doesn't count: a retry that was refused was taken as proof that the first attempt was accepted, though the refusal may be due to a previous owner's late order or to an unload that waits; the same unload ordered again is answered 202 or 200 without being counted; so is a load of an unknown version that is in progress. Orders and probes were then numbered ahead of the engine, and those without a response were executed when the engine got there, beside the adapters that it held by then. Unanswered orders were forgotten by the assumed count, unanswered probes were never recorded.

Change: the count is confirmed by a status or by the response to an order that the engine must have counted. A refused retry leaves the load unclear until a status tells; such a load is not probed. An unload in progress is recorded and counted once. Unanswered loads and probes take a slot each, by number, until the confirmed count has passed them.

The model of an engine (slots_any_evidence) now loses and delays orders, changes owners and checks the slots at each step; it found the load of an unknown version.

--- a/lib/src/direct/orders/load.rs
+++ b/lib/src/direct/orders/load.rs
@@ -3,11 +3,13 @@
 use kameo::actor::ActorRef;
 
 use super::message::{LoadCommand, LoadOutcome, ProbeDone, ProbeDue};
-use super::slots::{LoadProbe, Slots, send_outcome};
+use super::send::OrderResult;
+use super::slots::{LoadProbe, send_outcome};
 use super::{ENGINE_LOAD_LIMIT, EngineController, MAX_CONCURRENT_LOADS};
 use crate::clock::Millis;
 use crate::direct::dialect::{Action, Order, OrderOutcome};
 use crate::name::Name;
+use crate::ports::connection_pool::TransportError;
 
 /// Loads that may wait until another one completes.
 ///
@@ -44,10 +46,10 @@
             return;
         }
         let version = (load.version > 0).then_some(load.version);
-        let outcome = self
+        let result = self
             .order_with_retry(Action::Load, &load.adapter, version)
             .await;
-        self.handle_order_outcome(load, outcome);
+        self.handle_load_result(load, result);
     }
 
     /// Whether one more load may be started.
@@ -63,27 +65,44 @@
         })
     }
 
-    fn handle_order_outcome(&mut self, load: LoadCommand, outcome: Option<OrderOutcome>) {
+    fn handle_load_result(&mut self, load: LoadCommand, result: OrderResult) {
         let now = self.client.clock.now();
         let Some(slots) = &mut self.slots else {
             send_outcome(load.reply, LoadOutcome::Failed);
             return;
         };
+        let outcome = match result {
+            OrderResult::Answered(outcome) => outcome,
+            OrderResult::Unclear => {
+                slots.record_load_unclear(load, now);
+                self.back_off();
+                return;
+            }
+            OrderResult::Unanswered => {
+                send_outcome(load.reply, LoadOutcome::Failed);
+                return;
+            }
+        };
         match outcome {
-            Some(OrderOutcome::Holds) => {
+            OrderOutcome::Holds => {
                 slots.record_present(load, now);
                 self.publish_held();
             }
-            Some(OrderOutcome::Started) => {
+            OrderOutcome::Started => {
+                // The engine doesn't count an order for the version that it already loads.
+                if slots.has_unknown_version(&load.adapter) {
+                    self.stale = true;
+                } else {
+                    slots.record_accepted_order(now);
+                }
                 slots.record_load_started(load, now);
                 self.publish_held();
             }
-            Some(OrderOutcome::Fenced) => send_outcome(load.reply, LoadOutcome::NotOwner),
-            Some(OrderOutcome::Conflict | OrderOutcome::Elsewhere | OrderOutcome::Refused) => {
+            OrderOutcome::Fenced => send_outcome(load.reply, LoadOutcome::NotOwner),
+            OrderOutcome::Conflict | OrderOutcome::Elsewhere | OrderOutcome::Refused => {
                 self.back_off();
                 send_outcome(load.reply, LoadOutcome::Full);
             }
-            None => send_outcome(load.reply, LoadOutcome::Failed),
         }
     }
 
@@ -95,39 +114,45 @@
         }
         let (table, engine) = (&self.client.table, &self.client.upstream.incarnation);
         let in_use = |name: &Name| table.uses(engine, name);
-        let victim = self
-            .slots
-            .as_ref()
-            .and_then(|slots| slots.least_recently_used(now, in_use));
+        let victim = self.slots.as_ref().and_then(|slots| {
+            // An engine that waits for an unload accepts no other order.
+            slots
+                .leaving()
+                .or_else(|| slots.least_recently_used(now, in_use))
+        });
         let Some(victim) = victim else {
             return false;
         };
-        let outcome = self.order_with_retry(Action::Unload, &victim, None).await;
+        let result = self.order_with_retry(Action::Unload, &victim, None).await;
         let Some(slots) = &mut self.slots else {
             return false;
         };
-        match outcome {
-            Some(OrderOutcome::Holds) => {
-                slots.record_unloaded(&victim);
+        match result {
+            OrderResult::Answered(OrderOutcome::Holds) => {
+                slots.record_unloaded(&victim, self.client.clock.now());
                 self.publish_held();
                 self.has_free_slot(adapter, now)
             }
-            // The unload waits for running requests: the slot isn't free yet.
-            Some(_) => {
+            OrderResult::Answered(OrderOutcome::Started) => {
+                slots.record_unload_started(&victim);
+                self.back_off();
+                false
+            }
+            OrderResult::Answered(_) | OrderResult::Unclear => {
                 self.back_off();
                 false
             }
-            None => false,
+            OrderResult::Unanswered => false,
         }
     }
 
     fn has_free_slot(&mut self, adapter: &str, now: Millis) -> bool {
-        let unconfirmed = self.unconfirmed_slots(now);
-        let capacity = self.client.engine.adapter_slots;
-        let has_free_slot = |slots: &Slots| {
-            slots.has_slot(adapter) || slots.count_used_slots() + unconfirmed < capacity
+        let Some(slots) = &self.slots else {
+            return false;
         };
-        self.slots.as_ref().is_some_and(has_free_slot)
+        let unanswered = &mut self.unanswered_loads;
+        unanswered.retain_executable(slots.confirmed_sequence(), now);
+        slots.has_free_slot(adapter, self.client.engine.adapter_slots, unanswered)
     }
 
     /// Sets the timer to the time of the next probe.
@@ -181,16 +206,31 @@
         let client = self.client.clone();
         let actor = actor.clone();
         tokio::spawn(async move {
-            let outcome = client.send_order(order).await.ok();
-            if actor.tell(ProbeDone { probe, outcome }).await.is_err() {
+            let result = client.send_order(order).await;
+            let may_be_executed = matches!(result, Err(TransportError::Sent(_)));
+            let outcome = result.ok();
+            let done = ProbeDone {
+                probe,
+                outcome,
+                may_be_executed,
+            };
+            if actor.tell(done).await.is_err() {
                 log::debug!("orders: the controller stopped before a load was complete");
             }
         });
     }
 
     pub(super) async fn handle_probe_done(&mut self, done: ProbeDone) {
-        let ProbeDone { probe, outcome } = done;
+        let ProbeDone {
+            probe,
+            outcome,
+            may_be_executed,
+        } = done;
         let now = self.client.clock.now();
+        if may_be_executed {
+            self.unanswered_loads
+                .record(probe.sequence, Name::clone(&probe.adapter), now);
+        }
         let Some(slots) = &mut self.slots else {
             return;
         };
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -9,6 +9,7 @@
 mod message;
 mod send;
 pub mod slots;
+pub mod unanswered;
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -21,7 +22,9 @@
 use crate::clock::Millis;
 use crate::name::Name;
 use load::ProbeTimer;
+use send::OrderResult;
 use slots::{MAX_LOAD_TIME, Slots, send_outcome};
+use unanswered::UnansweredLoads;
 
 pub use client::EngineClient;
 pub use message::{LoadCommand, LoadOutcome, MarkInUse, Tick};
@@ -49,8 +52,7 @@
     /// Until when the engine gets no orders.
     paused_until: Millis,
     waiting_loads: VecDeque<LoadCommand>,
-    /// Sequence numbers of unanswered orders, and until when the engine may still execute each.
-    unconfirmed_orders: Vec<(u64, Millis)>,
+    unanswered_loads: UnansweredLoads,
     base_load_ordered_at: Option<Millis>,
     /// Whether the last order was sent and got no response.
     is_last_order_unanswered: bool,
@@ -68,7 +70,7 @@
             stale: false,
             paused_until: Millis::ZERO,
             waiting_loads: VecDeque::new(),
-            unconfirmed_orders: Vec::new(),
+            unanswered_loads: UnansweredLoads::default(),
             base_load_ordered_at: None,
             is_last_order_unanswered: false,
             probe_timer: None,
@@ -182,13 +184,21 @@
             self.refresh_status().await;
             return;
         }
-        let outcome = self.order_with_retry(Action::Load, &model, None).await;
+        let result = self.order_with_retry(Action::Load, &model, None).await;
         log::info!(
-            "orders: {} is to load {model}: {outcome:?}",
-            self.client.upstream.incarnation
+            "orders: {} is to load {model}: {}",
+            self.client.upstream.incarnation,
+            result.name()
         );
-        if matches!(outcome, Some(OrderOutcome::Started)) {
-            self.base_load_ordered_at = Some(now);
+        match result {
+            OrderResult::Answered(OrderOutcome::Started) => {
+                self.base_load_ordered_at = Some(now);
+                if let Some(slots) = &mut self.slots {
+                    slots.record_accepted_order(self.client.clock.now());
+                }
+            }
+            OrderResult::Unclear => self.base_load_ordered_at = Some(now),
+            OrderResult::Answered(_) | OrderResult::Unanswered => {}
         }
     }
 
--- a/lib/src/direct/orders/send.rs
+++ b/lib/src/direct/orders/send.rs
@@ -2,7 +2,6 @@
 
 use super::EngineController;
 use super::slots::Slots;
-use crate::clock::Millis;
 use crate::direct::dialect::{Action, Order, OrderOutcome};
 use crate::name::Name;
 use crate::ports::connection_pool::TransportError;
@@ -10,68 +9,65 @@
 /// Attempts to send an order that gets no response.
 const ORDER_ATTEMPTS: u32 = 3;
 
-/// How long an engine may still execute an order that got no response.
-const LATE_ORDER_WINDOW: Millis = Millis(12_500);
-
-impl EngineController {
-    /// Returns the number of slots that unanswered orders may still take.
+/// Result of an order after all its attempts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OrderResult {
+    /// The engine's response.
+    Answered(OrderOutcome),
+    /// An attempt got no response, and the next one conflicts with what the engine does or did.
     ///
-    /// At most one of the orders with the same sequence number can be executed.
-    pub(super) fn unconfirmed_slots(&mut self, now: Millis) -> usize {
-        let sequence = self.sequence();
-        self.unconfirmed_orders
-            .retain(|(expected, until)| *until > now && *expected >= sequence);
-        usize::from(!self.unconfirmed_orders.is_empty())
+    /// The first attempt may have been accepted. But the conflict can as well be with an order of a
+    /// previous owner, with an unload that waits for running requests, or come from a wrong number.
+    Unclear,
+    /// No attempt got a response, or it wasn't sent.
+    Unanswered,
+}
+
+impl OrderResult {
+    /// Returns the name used in logs and metrics.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Answered(outcome) => outcome.name(),
+            Self::Unclear => "unclear",
+            Self::Unanswered => "none",
+        }
     }
+}
 
-    /// Sends an order, retries it while it gets no response, and counts it once accepted.
+impl EngineController {
+    /// Sends an order, and retries it while it gets no response.
     ///
-    /// Retries carry the same sequence number. An accepted retry makes the first attempt
-    /// harmless; a retry rejected for its number shows that the first attempt was accepted.
+    /// Retries carry the same number, so that at most one attempt is executed.
     pub(super) async fn order_with_retry(
         &mut self,
         action: Action,
         model: &Name,
         version: Option<u64>,
-    ) -> Option<OrderOutcome> {
-        let now = self.client.clock.now();
-        let has_no_unconfirmed = self.unconfirmed_slots(now) == 0;
-        let mut outcome = self.send_order(action, model, version).await;
+    ) -> OrderResult {
         let mut attempts = 1;
-        let mut is_inferred = false;
-        while attempts < ORDER_ATTEMPTS {
-            if outcome.is_some() || !self.is_last_order_unanswered {
-                break;
-            }
+        let mut outcome = self.send_order(action, model, version).await;
+        while outcome.is_none() && self.is_last_order_unanswered && attempts < ORDER_ATTEMPTS {
             attempts += 1;
-            let sequence = self.slots.as_ref()?.sequence();
-            self.unconfirmed_orders
-                .push((sequence, now + LATE_ORDER_WINDOW));
             outcome = self.send_order(action, model, version).await;
-            if outcome == Some(OrderOutcome::Conflict) && has_no_unconfirmed {
-                is_inferred = true;
-                outcome = Some(OrderOutcome::Started);
-            }
         }
-        self.record_outcome(action, model, version, outcome, attempts, is_inferred);
-        let is_accepted = outcome == Some(OrderOutcome::Started)
-            || (outcome == Some(OrderOutcome::Holds) && action == Action::Unload);
-        if is_accepted && let Some(slots) = &mut self.slots {
-            slots.record_accepted_order(self.client.clock.now());
-        }
-        outcome
+        let result = match outcome {
+            Some(OrderOutcome::Conflict) if attempts > 1 => OrderResult::Unclear,
+            Some(outcome) => OrderResult::Answered(outcome),
+            None => OrderResult::Unanswered,
+        };
+        self.record_result(action, model, version, result, attempts);
+        result
     }
 
-    fn record_outcome(
+    fn record_result(
         &self,
         action: Action,
         model: &Name,
         version: Option<u64>,
-        outcome: Option<OrderOutcome>,
+        result: OrderResult,
         attempts: u32,
-        is_inferred: bool,
     ) {
-        let outcome = outcome.map_or("none", OrderOutcome::name);
+        let outcome = result.name();
         let orders = &self.client.metrics.orders;
         orders.with_label_values(&[action.name(), outcome]).inc();
         log::info!(
@@ -81,9 +77,9 @@
             outcome = outcome,
             sequence = self.sequence(),
             attempts = attempts,
-            inferred = is_inferred,
+            confirmed = self.slots.as_ref().map_or(0, Slots::confirmed_sequence),
             used = self.slots.as_ref().map_or(0, Slots::count_used_slots),
-            unanswered = self.unconfirmed_orders.len();
+            unanswered = self.unanswered_loads.len();
             "orders: {}", action.name()
         );
     }
@@ -96,6 +92,7 @@
         version: Option<u64>,
     ) -> Option<OrderOutcome> {
         let sequence = self.slots.as_ref()?.sequence();
+        let sent_at = self.client.clock.now();
         let order = Order {
             action,
             model: Name::clone(model),
@@ -113,6 +110,10 @@
                 None
             }
             Err(TransportError::Sent(reason)) => {
+                if action == Action::Load {
+                    self.unanswered_loads
+                        .record(sequence, Name::clone(model), sent_at);
+                }
                 log::info!(
                     "orders: no answer from {}: {reason}",
                     self.client.upstream.incarnation
@@ -160,7 +161,7 @@
             before = before.map_or(-1, |sequence| i64::try_from(sequence).unwrap_or(i64::MAX)),
             sequence = self.sequence(),
             used = self.slots.as_ref().map_or(0, Slots::count_used_slots),
-            unanswered = self.unconfirmed_orders.len();
+            unanswered = self.unanswered_loads.len();
             "orders: count learned"
         );
     }
--- a/lib/src/direct/orders/slots/mod.rs
+++ b/lib/src/direct/orders/slots/mod.rs
@@ -15,6 +15,7 @@
 use smallvec::SmallVec;
 
 use super::message::{LoadCommand, LoadOutcome};
+use super::unanswered::UnansweredLoads;
 use crate::clock::Millis;
 use crate::direct::dialect::{EngineStatus, LoadedModels, OrderOutcome};
 use crate::name::Name;
@@ -55,7 +56,10 @@
 #[derive(Debug, Default)]
 pub struct Slots {
     started_at_ms: u64,
+    /// The number of the next order: how many orders the engine has probably accepted.
     sequence: u64,
+    /// How many orders the engine has certainly accepted.
+    confirmed_sequence: u64,
     /// When the engine was last known to accept an order.
     last_accepted_at: Millis,
     /// When the last applied status was requested.
@@ -118,6 +122,7 @@
             self.last_accepted_at = requested_at;
         }
         self.sequence = held.sequence;
+        self.confirmed_sequence = held.sequence;
         self.last_status_at = requested_at;
         self.models.clone_from(&held.models);
     }
@@ -152,9 +157,10 @@
         }
     }
 
-    /// Records that the engine accepted an order.
+    /// Records that the engine accepted an order with the next number.
     pub fn record_accepted_order(&mut self, now: Millis) {
         self.sequence += 1;
+        self.confirmed_sequence = self.sequence;
         self.last_accepted_at = now;
     }
 
@@ -171,20 +177,73 @@
             version: load.version,
             since: now,
             next_probe: now + FIRST_PROBE_DELAY,
+            is_confirmed: true,
             waiters,
         };
         self.by_adapter.insert(load.adapter, Slot::Loading(loading));
     }
 
+    /// Records that the engine may have started the load that was ordered, until a status tells.
+    ///
+    /// The load takes a slot, but isn't probed: a probe would start it if the engine hasn't, maybe
+    /// beside the order that it conflicted with.
+    pub fn record_load_unclear(&mut self, load: LoadCommand, now: Millis) {
+        let adapter = Name::clone(&load.adapter);
+        self.record_load_started(load, now);
+        if let Some(Slot::Loading(loading)) = self.by_adapter.get_mut(&adapter) {
+            loading.is_confirmed = false;
+        }
+    }
+
     /// Records that the engine already held the adapter that was ordered.
     pub fn record_present(&mut self, load: LoadCommand, now: Millis) {
         self.complete_load(&load.adapter, load.version, now);
         send_outcome(load.reply, LoadOutcome::Ready(load.version));
     }
 
-    /// Records that an adapter was unloaded.
-    pub fn record_unloaded(&mut self, adapter: &str) {
-        self.by_adapter.remove(adapter);
+    /// Records that an unload waits for the adapter's running requests.
+    ///
+    /// The engine gives the same response again without counting the order again, also to the
+    /// order of a previous owner. So the count is left to the next status.
+    pub fn record_unload_started(&mut self, adapter: &str) {
+        if let Some(Slot::Present { is_leaving, .. }) = self.by_adapter.get_mut(adapter) {
+            *is_leaving = true;
+        }
+    }
+
+    /// Records that an adapter that was ordered to be unloaded is gone.
+    ///
+    /// The engine doesn't count an unload of an adapter that is gone already, which is certain
+    /// only for one that was leaving. So the new count isn't confirmed.
+    pub fn record_unloaded(&mut self, adapter: &str, now: Millis) {
+        let removed = self.by_adapter.remove(adapter);
+        let was_leaving = matches!(
+            removed,
+            Some(Slot::Present {
+                is_leaving: true,
+                ..
+            })
+        );
+        if !was_leaving {
+            self.sequence += 1;
+        }
+        self.last_accepted_at = now;
+    }
+
+    /// Returns an adapter whose unload waits for running requests.
+    #[must_use]
+    pub fn leaving(&self) -> Option<Name> {
+        let is_leaving = |slot: &Slot| {
+            matches!(
+                slot,
+                Slot::Present {
+                    is_leaving: true,
+                    ..
+                }
+            )
+        };
+        let mut leaving = self.by_adapter.iter().filter(|(_, slot)| is_leaving(slot));
+        leaving.next().map(|(name, _)| Name::clone(name))
     }
 
     /// Returns the probes that are due, and schedules a repeat of each in case it gets no response.
@@ -261,11 +320,12 @@
         }
     }
 
-    /// Whether the engine's status is needed to learn what became of an overdue load.
+    /// Whether the engine's status is needed to learn what became of a load.
     #[must_use]
     pub fn needs_status(&self, now: Millis) -> bool {
         let is_overdue = self.loads().any(|loading| loading.is_overdue(now));
-        is_overdue && now.since(self.last_status_at) >= OVERDUE_STATUS_INTERVAL
+        let is_unclear = self.loads().any(|loading| !loading.is_confirmed);
+        is_unclear || (is_overdue && now.since(self.last_status_at) >= OVERDUE_STATUS_INTERVAL)
     }
 
     /// Gives all waiters an outcome, as loads are no longer probed.
@@ -273,12 +333,18 @@
         self.fail_loads(outcome);
     }
 
-    /// Returns the number of orders that the engine is known to have accepted.
+    /// Returns the number of the next order: how many the engine has probably accepted.
     #[must_use]
     pub fn sequence(&self) -> u64 {
         self.sequence
     }
 
+    /// Returns the number of orders that the engine has certainly accepted.
+    #[must_use]
+    pub fn confirmed_sequence(&self) -> u64 {
+        self.confirmed_sequence
+    }
+
     /// Returns the base models that the engine holds.
     #[must_use]
     pub fn models(&self) -> &[Name] {
@@ -291,6 +357,20 @@
         self.by_adapter.len()
     }
 
+    /// Whether an adapter can be loaded into one of `capacity` slots without another unload.
+    ///
+    /// Whatever unanswered loads the engine still executes, it then has enough slots.
+    #[must_use]
+    pub fn has_free_slot(
+        &self,
+        adapter: &str,
+        capacity: usize,
+        unanswered: &UnansweredLoads,
+    ) -> bool {
+        let taken = unanswered.count_slots(|other| other == adapter || self.has_slot(other));
+        self.has_slot(adapter) || self.count_used_slots() + taken < capacity
+    }
+
     /// Whether a slot holds or loads an adapter.
     #[must_use]
     pub fn has_slot(&self, adapter: &str) -> bool {
@@ -366,7 +446,11 @@
 
     fn complete_load(&mut self, adapter: &Name, version: u64, now: Millis) {
         let since = now;
-        let present = Slot::Present { version, since };
+        let present = Slot::Present {
+            version,
+            since,
+            is_leaving: false,
+        };
         let previous = self.by_adapter.insert(Name::clone(adapter), present);
         if let Some(Slot::Loading(loading)) = previous {
             let took = now.since(loading.since);
--- a/lib/src/direct/orders/slots/slot.rs
+++ b/lib/src/direct/orders/slots/slot.rs
@@ -30,6 +30,8 @@
     /// When the load was ordered, or first seen in a status.
     pub(super) since: Millis,
     pub(super) next_probe: Millis,
+    /// Whether the engine is known to have accepted the load.
+    pub(super) is_confirmed: bool,
     /// Each accepts this version or an older one.
     pub(super) waiters: Vec<Waiter>,
 }
@@ -37,7 +39,12 @@
 /// A slot of the engine.
 #[derive(Debug)]
 pub(super) enum Slot {
-    Present { version: u64, since: Millis },
+    Present {
+        version: u64,
+        since: Millis,
+        /// Whether an unload waits for the adapter's running requests.
+        is_leaving: bool,
+    },
     Loading(Loading),
 }
 
@@ -52,18 +59,39 @@
         requested_at: Millis,
     ) -> Option<Self> {
         match self {
-            Self::Present { version, since } => {
+            Self::Present {
+                version,
+                since,
+                is_leaving,
+            } => {
                 let is_settled = requested_at >= since + MAX_STATUS_AGE;
                 if is_newer || is_settled {
-                    return status.is_listed().then(|| status.into_slot(requested_at));
+                    let slot = status.is_listed().then(|| status.into_slot(requested_at));
+                    return slot.map(|slot| slot.with_leaving(is_leaving));
                 }
                 // With the same count, a load that the status lists as in progress is what is
                 // present now.
                 let listed = status.present.or(status.incoming.filter(|_| version == 0));
                 let version = listed.map_or(version, |listed| listed.max(version));
-                Some(Self::Present { version, since })
+                Some(Self::Present {
+                    version,
+                    since,
+                    is_leaving,
+                })
             }
-            Self::Loading(loading) => loading.merge(status, requested_at),
+            Self::Loading(loading) => loading.merge(status, is_newer, requested_at),
+        }
+    }
+
+    /// Sets whether an adapter that is present is leaving.
+    fn with_leaving(self, is_leaving: bool) -> Self {
+        match self {
+            Self::Present { version, since, .. } => Self::Present {
+                version,
+                since,
+                is_leaving,
+            },
+            Self::Loading(loading) => Self::Loading(loading),
         }
     }
 }
@@ -74,8 +102,19 @@
     /// A status that counts the order of the load was made after it, so the load is lost if the
     /// status doesn't list it. Where an older version is present, the next probe tells, or starts
     /// the load again, which takes no further slot.
-    fn merge(mut self, status: AdapterStatus, requested_at: Millis) -> Option<Slot> {
+    fn merge(
+        mut self,
+        status: AdapterStatus,
+        is_newer: bool,
+        requested_at: Millis,
+    ) -> Option<Slot> {
         let AdapterStatus { present, incoming } = status;
+        let is_settled = requested_at >= self.since + MAX_STATUS_AGE;
+        let is_served = present.is_some_and(|version| version >= self.version);
+        let may_be_early = !is_newer && !is_settled && incoming.is_none() && !is_served;
+        if !self.is_confirmed && may_be_early {
+            return Some(Slot::Loading(self));
+        }
         let is_overtaken = incoming.is_some_and(|version| version < self.version);
         if is_overtaken || !status.is_listed() {
             self.finish(LoadOutcome::Failed);
@@ -83,12 +122,17 @@
         }
         if let Some(version) = incoming {
             self.version = version;
+            self.is_confirmed = true;
             return Some(Slot::Loading(self));
         }
         if let Some(version) = present.filter(|version| *version >= self.version) {
             self.finish(LoadOutcome::Ready(version));
             return Some(status.into_slot(requested_at));
         }
+        if !self.is_confirmed {
+            self.finish(LoadOutcome::Failed);
+            return Some(status.into_slot(requested_at));
+        }
         if self.is_overdue(requested_at) && self.waiters.is_empty() {
             return Some(status.into_slot(requested_at));
         }
@@ -99,9 +143,10 @@
         now.since(self.since) > MAX_LOAD_TIME
     }
 
-    /// Whether the load is probed; an overdue one without waiters is followed by status alone.
+    /// Whether the load is probed; an unconfirmed one, and an overdue one without waiters, are
+    /// followed by status alone.
     pub(super) fn is_probed(&self, now: Millis) -> bool {
-        !self.is_overdue(now) || !self.waiters.is_empty()
+        self.is_confirmed && (!self.is_overdue(now) || !self.waiters.is_empty())
     }
 
     /// Returns the delay before the next probe.
--- a/lib/src/direct/orders/slots/status.rs
+++ b/lib/src/direct/orders/slots/status.rs
@@ -38,11 +38,13 @@
                 version,
                 since,
                 next_probe: since,
+                is_confirmed: true,
                 waiters: Vec::new(),
             }),
             None => Slot::Present {
                 version: self.present.unwrap_or_default(),
                 since,
+                is_leaving: false,
             },
         }
     }
--- a/lib/tests/slots_model/engine.rs
+++ b/lib/tests/slots_model/engine.rs
@@ -30,6 +30,10 @@
     loads: BTreeMap<Name, LoadInProgress>,
     /// What it held, with the time from which on it did.
     history: Vec<(Millis, LoadedModels)>,
+    /// The adapter whose unload waits for running requests; other orders are refused meanwhile.
+    leaving: Option<Name>,
+    /// Whether unloads wait for running requests.
+    are_unloads_delayed: bool,
     /// Number of orders that it still refuses.
     pending_refusals: u64,
     /// Whether loads of adapters that are present in another version wait for running requests.
@@ -47,6 +51,8 @@
             held,
             adapters: BTreeMap::new(),
             loads: BTreeMap::new(),
+            leaving: None,
+            are_unloads_delayed: false,
             pending_refusals: 0,
             are_replacements_delayed: false,
         }
@@ -60,8 +66,17 @@
         self.are_replacements_delayed = are_replacements_delayed;
     }
 
-    /// Completes the loads that are due.
+    pub fn delay_unloads(&mut self, are_unloads_delayed: bool) {
+        self.are_unloads_delayed = are_unloads_delayed;
+    }
+
+    /// Completes the loads that are due, and an unload that waits no longer.
     pub fn pass(&mut self, now: Millis) {
+        if !self.are_unloads_delayed
+            && let Some(adapter) = self.leaving.take()
+        {
+            self.adapters.remove(&adapter);
+        }
         let complete = |engine: &Self, name: &Name, load: &LoadInProgress| {
             load.until <= now
                 && !(engine.are_replacements_delayed && engine.adapters.contains_key(name))
@@ -137,19 +152,23 @@
         expected: u64,
         now: Millis,
     ) -> OrderOutcome {
-        if self.refuses(expected) {
-            return OrderOutcome::Conflict;
-        }
         let version = if version == 0 {
             NEWEST_VERSION
         } else {
             version
         };
+        if self.refuses_next() {
+            return OrderOutcome::Conflict;
+        }
+        // What is done already, or being done, isn't accepted again, whatever its number.
         match self.loads.get(adapter) {
             Some(load) if load.version == version => return OrderOutcome::Started,
             None if self.adapters.get(adapter) == Some(&version) => return OrderOutcome::Holds,
             _ => {}
         }
+        if self.leaving.is_some() || expected != self.held.sequence {
+            return OrderOutcome::Conflict;
+        }
         self.held.sequence += 1;
         let until = now + LOAD_TIME;
         self.loads
@@ -159,22 +178,34 @@
     }
 
     pub fn unload(&mut self, adapter: &Name, expected: u64, now: Millis) -> OrderOutcome {
-        if self.refuses(expected) {
+        if self.refuses_next() {
+            return OrderOutcome::Conflict;
+        }
+        if self.leaving.as_ref() == Some(adapter) {
+            return OrderOutcome::Started;
+        }
+        if !self.adapters.contains_key(adapter) && !self.loads.contains_key(adapter) {
+            return OrderOutcome::Holds;
+        }
+        if self.leaving.is_some() || expected != self.held.sequence {
             return OrderOutcome::Conflict;
         }
         self.held.sequence += 1;
+        if self.are_unloads_delayed && self.adapters.contains_key(adapter) {
+            self.leaving = Some(Name::clone(adapter));
+            self.record_history(now);
+            return OrderOutcome::Started;
+        }
         self.adapters.remove(adapter);
         self.loads.remove(adapter);
         self.record_history(now);
         OrderOutcome::Holds
     }
 
-    fn refuses(&mut self, expected: u64) -> bool {
-        if self.pending_refusals > 0 {
-            self.pending_refusals -= 1;
-            return true;
-        }
-        expected != self.held.sequence
+    fn refuses_next(&mut self) -> bool {
+        let is_refused = self.pending_refusals > 0;
+        self.pending_refusals = self.pending_refusals.saturating_sub(1);
+        is_refused
     }
 
     /// Executes another owner's late load order.
@@ -186,6 +217,7 @@
     /// Executes another owner's late unload order.
     pub fn unload_for_another(&mut self, adapter: &Name) {
         self.held.sequence += 1;
+        self.leaving = self.leaving.take().filter(|leaving| leaving != adapter);
         self.adapters.remove(adapter);
         self.loads.remove(adapter);
     }
@@ -198,6 +230,7 @@
     pub fn restart(&mut self) {
         self.held.started_at_ms += 1;
         self.held.sequence = 0;
+        self.leaving = None;
         self.adapters.clear();
         self.loads.clear();
     }
--- a/lib/tests/slots_model/mod.rs
+++ b/lib/tests/slots_model/mod.rs
@@ -3,8 +3,9 @@
 mod engine;
 
 use chivevalve::clock::Millis;
-use chivevalve::direct::dialect::OrderOutcome;
+use chivevalve::direct::dialect::{Action, OrderOutcome};
 use chivevalve::direct::orders::slots::{LoadProbe, MAX_LOAD_TIME, MAX_STATUS_AGE, Slots};
+use chivevalve::direct::orders::unanswered::{LATE_ORDER_WINDOW, UnansweredLoads};
 use chivevalve::direct::orders::{LoadCommand, LoadOutcome};
 use chivevalve::name::Name;
 use engine::Engine;
@@ -41,6 +42,28 @@
     probe_responses: Vec<(LoadProbe, Option<OrderOutcome>)>,
     /// When the engine last changed without an order of this owner.
     disturbed_at: Option<Millis>,
+    /// What becomes of the next attempts to send an order, two bits each; 0 is a response.
+    fates: u64,
+    unanswered: UnansweredLoads,
+    /// Orders without a response that the engine may still execute.
+    late_orders: Vec<LateOrder>,
+}
+
+/// An order that is still on its way.
+#[derive(Debug)]
+struct LateOrder {
+    action: Action,
+    adapter: Name,
+    version: u64,
+    sequence: u64,
+    sent_at: Millis,
+}
+
+/// Result of an order after all its attempts.
+enum OrderResult {
+    Answered(OrderOutcome),
+    Unclear,
+    Unanswered,
 }
 
 impl Default for World {
@@ -57,6 +80,9 @@
             callers: Vec::new(),
             probe_responses: Vec::new(),
             disturbed_at: None,
+            fates: 0,
+            unanswered: UnansweredLoads::default(),
+            late_orders: Vec::new(),
         }
     }
 }
@@ -64,7 +90,7 @@
 impl World {
     /// Executes one event.
     pub fn step(&mut self, event: u32) -> Result<(), String> {
-        let (kind, value) = (event % 16, u64::from(event / 16));
+        let (kind, value) = (event % 20, u64::from(event / 20));
         match kind {
             0..=3 => self.request_load(value),
             4..=6 => self.pass(Millis(1 + value % 120)),
@@ -75,6 +101,10 @@
             12 => self.engine.refuse_next(value % 3),
             13 => self.change_engine(value),
             14 => self.engine.delay_replacements(value % 2 == 0),
+            15 => self.fates = value,
+            16 | 17 => self.execute_late_order(value),
+            18 => self.engine.delay_unloads(value % 2 == 0),
+            19 if value.is_multiple_of(4) => self.change_owner(Millis(value % 400)),
             _ => self.send_probes(false),
         }
         self.check()
@@ -83,7 +113,10 @@
     /// Waits until all loads are complete, and checks the final state.
     pub fn settle(&mut self) -> Result<(), String> {
         self.engine.delay_replacements(false);
+        self.engine.delay_unloads(false);
         self.engine.refuse_next(0);
+        self.fates = 0;
+        self.late_orders.clear();
         let end = self.now + MAX_LOAD_TIME + MAX_LOAD_TIME;
         while self.now < end {
             self.pass(Millis(10));
@@ -134,36 +167,131 @@
 
     fn start_load(&mut self, load: LoadCommand) {
         if !self.has_free_slot(&load.adapter) {
-            let Some(victim) = self.slots.least_recently_used(self.now, |_| false) else {
+            let leaving = self.slots.leaving();
+            let victim = leaving.or_else(|| self.slots.least_recently_used(self.now, |_| false));
+            let Some(victim) = victim else {
                 return refuse(load);
             };
-            if self.engine.unload(&victim, self.slots.sequence(), self.now) != OrderOutcome::Holds {
-                self.stale = true;
-                return refuse(load);
+            match self.order(Action::Unload, &victim, 0) {
+                OrderResult::Answered(OrderOutcome::Holds) => {
+                    self.slots.record_unloaded(&victim, self.now);
+                }
+                OrderResult::Answered(OrderOutcome::Started) => {
+                    self.slots.record_unload_started(&victim);
+                    self.stale = true;
+                }
+                _ => self.stale = true,
             }
-            self.slots.record_accepted_order(self.now);
-            self.slots.record_unloaded(&victim);
-            if !self.has_free_slot(&load.adapter) {
+            if self.stale || !self.has_free_slot(&load.adapter) {
                 return refuse(load);
             }
         }
-        let sequence = self.slots.sequence();
-        let engine = &mut self.engine;
-        match engine.load(&load.adapter, load.version, sequence, self.now) {
-            OrderOutcome::Started => {
-                self.slots.record_accepted_order(self.now);
+        match self.order(Action::Load, &load.adapter, load.version) {
+            OrderResult::Answered(OrderOutcome::Started) => {
+                if self.slots.has_unknown_version(&load.adapter) {
+                    self.stale = true;
+                } else {
+                    self.slots.record_accepted_order(self.now);
+                }
                 self.slots.record_load_started(load, self.now);
             }
-            OrderOutcome::Holds => self.slots.record_present(load, self.now),
-            _ => {
+            OrderResult::Answered(OrderOutcome::Holds) => {
+                self.slots.record_present(load, self.now);
+            }
+            OrderResult::Answered(_) => {
                 self.stale = true;
                 refuse(load);
             }
+            OrderResult::Unclear => {
+                self.slots.record_load_unclear(load, self.now);
+                self.stale = true;
+            }
+            OrderResult::Unanswered => refuse(load),
+        }
+    }
+
+    fn has_free_slot(&mut self, adapter: &str) -> bool {
+        self.unanswered
+            .retain_executable(self.slots.confirmed_sequence(), self.now);
+        self.slots.has_free_slot(adapter, SLOTS, &self.unanswered)
+    }
+
+    /// Sends an order up to three times, while it gets no response.
+    fn order(&mut self, action: Action, adapter: &Name, version: u64) -> OrderResult {
+        for attempt in 0..3 {
+            let outcome = self.attempt(action, adapter, version);
+            match outcome {
+                Some(OrderOutcome::Conflict) if attempt > 0 => return OrderResult::Unclear,
+                Some(outcome) => return OrderResult::Answered(outcome),
+                None => {}
+            }
         }
+        OrderResult::Unanswered
     }
 
-    fn has_free_slot(&self, adapter: &str) -> bool {
-        self.slots.has_slot(adapter) || self.slots.count_used_slots() < SLOTS
+    /// Sends an order once; it may be lost, executed without a response, or executed late.
+    fn attempt(&mut self, action: Action, adapter: &Name, version: u64) -> Option<OrderOutcome> {
+        let order = LateOrder {
+            action,
+            adapter: Name::clone(adapter),
+            version,
+            sequence: self.slots.sequence(),
+            sent_at: self.now,
+        };
+        let fate = self.fates % 4;
+        self.fates /= 4;
+        if fate > 0 && action == Action::Load {
+            self.unanswered
+                .record(order.sequence, Name::clone(adapter), self.now);
+        }
+        match fate {
+            0 => return Some(self.execute(&order)),
+            1 => {
+                self.execute(&order);
+            }
+            2 => self.late_orders.push(order),
+            _ => {}
+        }
+        None
+    }
+
+    fn execute(&mut self, order: &LateOrder) -> OrderOutcome {
+        let LateOrder {
+            action,
+            adapter,
+            version,
+            sequence,
+            ..
+        } = order;
+        match action {
+            Action::Load => self.engine.load(adapter, *version, *sequence, self.now),
+            Action::Unload => self.engine.unload(adapter, *sequence, self.now),
+        }
+    }
+
+    /// Has the engine execute one of the orders that are still on their way.
+    fn execute_late_order(&mut self, value: u64) {
+        let now = self.now;
+        self.late_orders
+            .retain(|order| now.since(order.sent_at) < LATE_ORDER_WINDOW);
+        if self.late_orders.is_empty() {
+            return;
+        }
+        let at = usize::try_from(value).unwrap_or_default() % self.late_orders.len();
+        let order = self.late_orders.swap_remove(at);
+        if self.execute(&order) != OrderOutcome::Conflict {
+            self.disturbed_at = Some(now);
+        }
+    }
+
+    /// Lets another owner take over, which knows only a status of the engine.
+    fn change_owner(&mut self, age: Millis) {
+        let at = Millis(self.now.0 - age.0);
+        self.slots = Slots::new(&self.engine.status(at), self.now);
+        self.unanswered = UnansweredLoads::default();
+        self.probe_responses.clear();
+        self.callers.clear();
+        self.stale = false;
     }
 
     fn pass(&mut self, span: Millis) {
@@ -204,6 +332,15 @@
     fn send_probes(&mut self, lost: bool) {
         for probe in self.slots.due_probes(self.now) {
             if lost {
+                self.unanswered
+                    .record(probe.sequence, Name::clone(&probe.adapter), self.now);
+                self.late_orders.push(LateOrder {
+                    action: Action::Load,
+                    adapter: Name::clone(&probe.adapter),
+                    version: probe.version,
+                    sequence: probe.sequence,
+                    sent_at: self.now,
+                });
                 self.probe_responses.push((probe, None));
                 continue;
             }
@@ -261,7 +398,7 @@
         if let Some(caller) = self.callers.iter().find(too_long) {
             return Err(format!("waits for too long: {caller:?}"));
         }
-        if self.disturbed_at.is_none() && self.engine.count_used_slots() > SLOTS {
+        if self.engine.count_used_slots() > SLOTS {
             return Err("more adapters than the engine has slots".to_owned());
         }
         Ok(())
