--- a/lib/tests/test_direct_slots.rs
+++ b/lib/tests/test_direct_slots.rs
@@ -5,6 +5,7 @@
 use chivevalve::clock::Millis;
 use chivevalve::direct::dialect::{EngineStatus, LoadedModels, OrderOutcome};
 use chivevalve::direct::orders::slots::{LoadProbe, MAX_LOAD_TIME, MAX_STATUS_AGE, Slots};
+use chivevalve::direct::orders::unanswered::{LATE_ORDER_WINDOW, UnansweredLoads};
 use chivevalve::direct::orders::{LoadCommand, LoadOutcome};
 use quickcheck::{Gen, QuickCheck};
 use slots_model::World;
@@ -215,6 +216,82 @@
     assert!(!slots.has_unknown_version("base/a1"));
 }
 
+/// An unload that is complete only when it is ordered again is counted once, by the status that
+/// counts it.
+#[test]
+fn record_unloaded_of_a_leaving_adapter() {
+    let mut slots = Slots::new(&status(3, &[("base/a1", 1)], &[]), NOW);
+    slots.record_unload_started("base/a1");
+    slots.apply_status(&status(4, &[("base/a1", 1)], &[]), NOW + Millis(300));
+    assert_eq!(slots.leaving(), Some("base/a1".into()));
+    slots.record_unloaded("base/a1", NOW + Millis(310));
+    assert_eq!((slots.sequence(), slots.confirmed_sequence()), (4, 4));
+    assert_eq!(slots.count_used_slots(), 0);
+}
+
+/// The engine may not have counted an unload of an adapter that was gone, so its count is confirmed
+/// only by the next order that it accepts.
+#[test]
+fn record_unloaded_is_confirmed_by_the_next_order() {
+    let mut slots = Slots::new(&status(3, &[("base/a1", 1)], &[]), NOW);
+    slots.record_unloaded("base/a1", NOW);
+    assert_eq!((slots.sequence(), slots.confirmed_sequence()), (4, 3));
+    slots.record_accepted_order(NOW);
+    assert_eq!((slots.sequence(), slots.confirmed_sequence()), (5, 5));
+}
+
+/// An engine executes unanswered loads when it reaches their numbers, one for each number, and
+/// crashes without a slot for them.
+#[test]
+fn has_free_slot_beside_unanswered_loads() {
+    const SLOTS: usize = 4;
+    let slots = Slots::new(&status(3, &[("base/a1", 1)], &[]), NOW);
+    let mut unanswered = UnansweredLoads::default();
+    let has_free_slot =
+        |unanswered: &UnansweredLoads| slots.has_free_slot("base/new", SLOTS, unanswered);
+    for (sequence, adapter) in [(4, "base/a2"), (4, "base/a3"), (5, "base/a4")] {
+        unanswered.record(sequence, adapter.into(), NOW);
+    }
+    for (sequence, adapter) in [(6, "base/a1"), (7, "base/new")] {
+        unanswered.record(sequence, adapter.into(), NOW);
+    }
+    assert!(has_free_slot(&unanswered));
+    unanswered.record(8, "base/a5".into(), NOW);
+    assert!(!has_free_slot(&unanswered));
+    unanswered.retain_executable(5, NOW);
+    assert!(has_free_slot(&unanswered));
+    unanswered.record(9, "base/a6".into(), NOW);
+    assert!(!has_free_slot(&unanswered));
+    unanswered.retain_executable(5, NOW + LATE_ORDER_WINDOW);
+    assert!(unanswered.is_empty());
+}
+
+/// A load that the engine may not have accepted is not probed, since a probe would start it.
+#[test]
+fn record_load_unclear_until_a_status_lists_it() {
+    let mut slots = Slots::new(&status(3, &[], &[]), NOW);
+    let (load, mut outcome) = load_command(2);
+    slots.record_load_unclear(load, NOW);
+    assert_eq!(slots.count_used_slots(), 1);
+    assert_eq!(slots.next_probe(NOW + Millis(300)), None);
+    assert!(slots.needs_status(NOW + Millis(300)));
+    slots.apply_status(&status(3, &[], &[]), NOW + Millis(300));
+    assert!(outcome.try_recv().is_err());
+    slots.apply_status(&status(4, &[], &[("base/a1", 2)]), NOW + Millis(600));
+    assert_eq!(due_probe(&mut slots, NOW + Millis(600)).sequence, 4);
+}
+
+/// A load that the engine doesn't list within the age of its status was not accepted.
+#[test]
+fn record_load_unclear_that_no_status_lists() {
+    let mut slots = Slots::new(&status(3, &[], &[]), NOW);
+    let (load, mut outcome) = load_command(2);
+    slots.record_load_unclear(load, NOW);
+    slots.apply_status(&status(3, &[], &[]), NOW + MAX_STATUS_AGE);
+    assert_eq!(outcome.try_recv(), Ok(LoadOutcome::Failed));
+    assert_eq!(slots.count_used_slots(), 0);
+}
+
 /// A restart of the engine fails its loads in progress.
 #[test]
 fn apply_status_of_a_restart() {
