direct: take a retry before a run is moved, and less of the budget after a restart

Cause: three kinds of sends escaped the budget of all nodes. A moved run that an engine loses or fails was not counted, one that it rejects only afterwards: all runs that are on their way when engines start to fail went on together. A process that starts has used nothing by its own count, whatever the node's previous process used within the window. It also divides the fixed part by the nodes that it has seen so far.

Change: a run is moved once a retry for each engine that can resume it is taken; what isn't used, or continues the run, is returned. A process younger than a window uses the rest that the one before it can have left, in proportion to its age.

The times of two older tests of the budget are shifted by a window, as they play a process that has run for long.

--- a/lib/src/direct/budget.rs
+++ b/lib/src/direct/budget.rs
@@ -2,6 +2,11 @@
 //!
 //! The budget limits the retries of all nodes together in any window. The part that is
 //! proportional to requests adds up over the nodes; the fixed part is divided among them.
+//!
+//! A process that starts doesn't know what the node's previous process used in the window, nor
+//! yet how many nodes there are. So until it has run for a window, it uses only the fraction of the
+//! fixed part that the previous process has left, in proportion to its age. However often nodes
+//! restart, all processes together stay within the budget. See docs/design/0015-retry-budget.md.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -38,10 +43,10 @@
 }
 
 impl Usage {
-    /// Whether there is room for one more retry.
+    /// Whether there is room for as many more retries.
     #[must_use]
-    pub fn has_room(&self) -> bool {
-        f64::from(self.retries) + 1.0 <= self.limit
+    pub fn has_room(&self, retries: u32) -> bool {
+        f64::from(self.retries) + f64::from(retries) <= self.limit
     }
 }
 
@@ -49,15 +54,21 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: Arc<SharedLimits>,
+    /// When this process started, if another one of the same node may have run before.
+    restarted_at: Option<Millis>,
     buckets: HashMap<Name, VecDeque<Bucket>>,
 }
 
 impl RetryBudget {
     /// Creates a budget with nothing counted.
+    ///
+    /// `restarted_at` is when this process started, if another one of the same node may have run
+    /// before.
     #[must_use]
-    pub fn new(limits: Arc<SharedLimits>) -> Self {
+    pub fn new(limits: Arc<SharedLimits>, restarted_at: Option<Millis>) -> Self {
         Self {
             limits,
+            restarted_at,
             buckets: HashMap::new(),
         }
     }
@@ -72,9 +83,19 @@
         self.current_bucket(pool, now).retries += 1;
     }
 
+    /// Takes back a retry that was counted at `counted_at`.
+    pub fn return_retry(&mut self, pool: &Name, counted_at: Millis) {
+        let number = counted_at.0 / BUCKET_LENGTH.0;
+        let buckets = self.buckets.get_mut(pool);
+        let mut buckets = buckets.into_iter().flatten();
+        if let Some(bucket) = buckets.find(|bucket| bucket.number == number) {
+            bucket.retries = bucket.retries.saturating_sub(1);
+        }
+    }
+
     /// Counts a retry if the budget allows it, and returns whether it does.
     pub fn try_retry(&mut self, pool: &Name, now: Millis, nodes: usize) -> bool {
-        let allowed = self.usage(pool, now, nodes).has_room();
+        let allowed = self.usage(pool, now, nodes).has_room(1);
         if allowed {
             self.record_retry(pool, now);
         }
@@ -83,14 +104,19 @@
 
     /// Returns what the pool's budget holds now.
     pub fn usage(&mut self, pool: &Name, now: Millis, nodes: usize) -> Usage {
-        let RetryLimits { ratio, extra, .. } = self.limits.get().retries;
+        let RetryLimits {
+            ratio,
+            extra,
+            window,
+        } = self.limits.get().retries;
         self.current_bucket(pool, now);
         let buckets = &self.buckets[pool];
         let requests: u32 = buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = buckets.iter().map(|bucket| bucket.retries).sum();
         #[allow(clippy::cast_precision_loss, reason = "a few hundred nodes")]
         let share = f64::from(extra) / nodes.max(1) as f64;
-        let limit = USED_FRACTION * (ratio * f64::from(requests) + share);
+        let fixed = self.fixed_fraction(window, now) * share;
+        let limit = USED_FRACTION * ratio * f64::from(requests) + fixed;
         Usage {
             requests,
             retries,
@@ -98,6 +124,17 @@
         }
     }
 
+    /// Returns the fraction of the node's share of the fixed part that this process may use.
+    fn fixed_fraction(&self, window: Millis, now: Millis) -> f64 {
+        let age = self.restarted_at.map_or(window, |at| now.since(at));
+        if age >= window {
+            return USED_FRACTION;
+        }
+        #[allow(clippy::cast_precision_loss, reason = "a few seconds")]
+        let elapsed = age.0 as f64 / window.0 as f64;
+        (1.0 - USED_FRACTION) * elapsed
+    }
+
     fn current_bucket(&mut self, pool: &Name, now: Millis) -> &mut Bucket {
         let number = now.0 / BUCKET_LENGTH.0;
         let kept = self.limits.get().retries.window.0 / BUCKET_LENGTH.0;
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -87,7 +87,14 @@
 
 impl Frontend {
     /// Creates the shared state of a node's requests.
+    ///
+    /// `restarted_at` is when this process started, if another one of the same node may have run
+    /// before.
     #[must_use]
+    #[allow(
+        clippy::too_many_arguments,
+        reason = "each is shared with another part of the node"
+    )]
     pub fn new(
         view: Arc<View>,
         controllers: Arc<Controllers>,
@@ -96,6 +103,7 @@
         failure_domain: Name,
         limits: Arc<SharedLimits>,
         service: Arc<Metered>,
+        restarted_at: Option<Millis>,
     ) -> Self {
         let outbox = Arc::new(Outbox::new(
             Arc::<Metered>::clone(&service),
@@ -117,9 +125,9 @@
             quarantine,
             controllers,
             dialect,
+            budget: Mutex::new(RetryBudget::new(Arc::clone(&limits), restarted_at)),
             clock,
             failure_domain,
-            budget: Mutex::new(RetryBudget::new(Arc::clone(&limits))),
             limits,
             replacements: PendingReplacements::default(),
             service,
@@ -169,32 +177,26 @@
     /// Takes a retry from the pool's budget for a request; false if the budget is used up.
     pub fn take_retry(&self, pool: &Name, request: &str) -> bool {
         let usage = self.retry_usage(pool);
-        if usage.has_room() {
-            self.charge_retry(pool);
-            self.log_retry(pool, request, usage, "taken");
-        } else {
+        if !usage.has_room(1) {
             self.metrics
                 .retries_denied
                 .with_label_values(&["budget"])
                 .inc();
+            return false;
         }
-        usage.has_room()
-    }
-
-    /// Charges the pool's budget for a send that turned out to be a retry.
-    pub fn charge_rejected_run(&self, pool: &Name, request: &str) {
-        let usage = self.retry_usage(pool);
-        self.charge_retry(pool);
-        self.log_retry(pool, request, usage, "charged");
+        self.budget().record_retry(pool, self.clock.now());
+        self.log_retry(pool, request, usage);
+        true
     }
 
-    /// Whether the pool's budget allows another retry.
-    pub fn has_retry_budget(&self, pool: &Name) -> bool {
-        self.retry_usage(pool).has_room()
+    /// Returns a retry to the pool's budget that was taken at `taken_at` and not made.
+    pub fn return_retry(&self, pool: &Name, taken_at: Millis) {
+        self.budget().return_retry(pool, taken_at);
     }
 
-    fn charge_retry(&self, pool: &Name) {
-        self.budget().record_retry(pool, self.clock.now());
+    /// Whether the pool's budget allows as many more retries.
+    pub fn has_retry_budget(&self, pool: &Name, retries: u32) -> bool {
+        self.retry_usage(pool).has_room(retries)
     }
 
     fn retry_usage(&self, pool: &Name) -> Usage {
@@ -203,11 +205,10 @@
     }
 
     /// Logs a retry with what the budget held before it.
-    fn log_retry(&self, pool: &Name, request: &str, usage: Usage, outcome: &str) {
+    fn log_retry(&self, pool: &Name, request: &str, usage: Usage) {
         log::info!(
             request = request,
             pool = &**pool,
-            outcome = outcome,
             requests = usage.requests,
             retries = usage.retries,
             limit = usage.limit,
--- a/lib/src/direct/handover.rs
+++ b/lib/src/direct/handover.rs
@@ -15,6 +15,7 @@
 use super::control_call;
 use super::dialect::{KvCacheHandle, TransferOutcome};
 use super::entry::Frontend;
+use super::retry_permit::RetryPermits;
 use super::target::Target;
 use super::upstream::Upstream;
 use crate::clock::Millis;
@@ -28,6 +29,8 @@
     source: Arc<Upstream>,
     /// Version of the adapter that the run uses.
     version: Option<u64>,
+    /// Pay for one send of the run to each engine that can resume it.
+    permits: RetryPermits,
     transfer: AbortOnDropHandle<TransferOutcome>,
 }
 
@@ -49,12 +52,15 @@
     pub kv_cache: KvCacheHandle,
     /// Engines that hold the KV cache, the preferred one first.
     pub targets: SmallVec<[Target; 2]>,
+    /// Pay for one send to each of them.
+    pub permits: RetryPermits,
 }
 
 impl Handover {
     /// Asks the engine that runs a request to stop it and to copy its KV cache to `target`.
     ///
-    /// `left` is the time until the request's deadline.
+    /// `left` is the time until the request's deadline; `permits` pay for the sends
+    /// that resume it.
     #[must_use]
     pub fn begin(
         frontend: &Arc<Frontend>,
@@ -62,6 +68,7 @@
         response: &UpstreamResponse,
         target: Target,
         left: Millis,
+        permits: RetryPermits,
     ) -> Self {
         let source = Arc::clone(&response.upstream);
         let transfer = transfer(
@@ -75,6 +82,7 @@
             target: Some(target),
             source,
             version: response.version,
+            permits,
             transfer: AbortOnDropHandle::new(tokio::spawn(transfer)),
         }
     }
@@ -112,7 +120,11 @@
             source: self.source.address,
             handle,
         };
-        HandoverReply::Stopped(Box::new(StoppedRun { kv_cache, targets }))
+        HandoverReply::Stopped(Box::new(StoppedRun {
+            kv_cache,
+            targets,
+            permits: std::mem::take(&mut self.permits),
+        }))
     }
 }
 
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -42,6 +42,7 @@
 pub mod request;
 pub mod request_log;
 mod resume;
+mod retry_permit;
 pub mod roles;
 pub mod selection;
 pub mod sends;
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -163,6 +163,7 @@
             Name::clone(&settings.failure_domain),
             Arc::clone(&limits),
             Arc::clone(&service),
+            (!settings.first_start).then(|| clock.now()),
         ));
         let claimer = Arc::new(Claimer {
             store: Arc::<Metered>::clone(&service),
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -34,7 +34,7 @@
 const MAX_PREFILL_GAPS: u64 = 2;
 
 /// Maximum gap between events of routes that set none.
-pub(super) const DEFAULT_MAX_EVENT_GAP: Millis = Millis(500);
+const DEFAULT_MAX_EVENT_GAP: Millis = Millis(500);
 
 /// A response body that ends before its end.
 ///
@@ -295,13 +295,13 @@
         if self.handover_started || self.request.timing.handovers > 0 {
             return;
         }
-        // If the target rejects the moved run, the send counts as a retry, which then can't be
-        // undone.
-        if !self.request.frontend.has_retry_budget(&self.request.pool) {
+        if !self.request.has_budget_to_move() {
             return;
         }
         let is_first = self.request.timing.chunks == 1;
-        if let Some(target) = self.request.decode_target(response, is_first) {
+        if let Some(target) = self.request.decode_target(response, is_first)
+            && let Some(permits) = self.request.take_permits_to_move()
+        {
             let left = self.request.deadline.since(self.request.now());
             let handover = Handover::begin(
                 &self.request.frontend,
@@ -309,6 +309,7 @@
                 response,
                 target,
                 left,
+                permits,
             );
             self.handover = Some(handover);
             self.handover_started = true;
@@ -355,12 +356,7 @@
         if !self.request.may_retry() {
             return left;
         }
-        let max_gap = self
-            .request
-            .route
-            .max_event_gap
-            .unwrap_or(DEFAULT_MAX_EVENT_GAP);
-        let stall = Millis(max_gap.0 * STALL_GAPS);
+        let stall = Millis(self.max_event_gap().0 * STALL_GAPS);
         let first_event = if self.events.last() == self.request.message.metadata.resume_after {
             self.request.route.latency_objective
         } else {
@@ -369,6 +365,12 @@
         left.min(stall + first_event)
     }
 
+    /// Returns the route's maximum gap between events.
+    pub(super) fn max_event_gap(&self) -> Millis {
+        let max_gap = self.request.route.max_event_gap;
+        max_gap.unwrap_or(DEFAULT_MAX_EVENT_GAP)
+    }
+
     /// Returns the connection of a complete response for reuse.
     fn keep_connection(&mut self) {
         if let Some(response) = self.response.take() {
--- a/lib/src/direct/request/retry.rs
+++ b/lib/src/direct/request/retry.rs
@@ -2,8 +2,12 @@
 
 use super::ActiveRequest;
 use crate::clock::Millis;
+use crate::direct::retry_permit::{RetryPermit, RetryPermits};
 use crate::direct::upstream::Upstream;
 
+/// Engines that can resume a moved run: its target and its source.
+const ENGINES_OF_A_MOVED_RUN: u32 = 2;
+
 impl ActiveRequest {
     /// Reserves a send to a second upstream while the first one is silent, if it is worthwhile.
     ///
@@ -15,16 +19,43 @@
         (uses_no_model || self.has_free_holder(waits_at)) && self.reserve_retry()
     }
 
-    /// Waits for `pause` at a time until the budget allows a retry; false if it doesn't before
+    /// Whether the budget allows one send to each engine that could resume a moved run.
+    pub(in crate::direct) fn has_budget_to_move(&self) -> bool {
+        let frontend = &self.frontend;
+        frontend.has_retry_budget(&self.pool, ENGINES_OF_A_MOVED_RUN)
+    }
+
+    /// Takes one retry for each engine that could resume a moved run; `None` if the budget doesn't
+    /// allow them.
+    ///
+    /// A run that has been stopped, and that may not be repeated, is lost if none of them may be
+    /// asked.
+    pub(in crate::direct) fn take_permits_to_move(&self) -> Option<RetryPermits> {
+        (0..ENGINES_OF_A_MOVED_RUN)
+            .map(|_| self.take_permit())
+            .collect()
+    }
+
+    /// Takes a retry for a moved run; `None` if the budget is used up.
+    pub(in crate::direct) fn take_permit(&self) -> Option<RetryPermit> {
+        RetryPermit::take(&self.frontend, &self.pool, self.id())
+    }
+
+    /// Waits for `pause` at a time until the budget allows a retry; `None` if it doesn't before
     /// `until`.
-    pub(in crate::direct) async fn wait_for_retry(&self, pause: Millis, until: Millis) -> bool {
+    pub(in crate::direct) async fn wait_for_permit(
+        &self,
+        pause: Millis,
+        until: Millis,
+    ) -> Option<RetryPermit> {
         while self.now() + pause < until {
             tokio::time::sleep(pause.duration()).await;
-            if self.take_retry() {
-                return true;
+            let permit = self.take_permit();
+            if permit.is_some() {
+                return permit;
             }
         }
-        false
+        None
     }
 
     /// Takes the next send from the retry budget unless that was done already.
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -12,9 +12,11 @@
 use super::attempt::{SendError, UpstreamResponse};
 use super::event_sequence::{EventSequence, StreamStep};
 use super::handover::{HandoverReply, StoppedRun};
-use super::relay::{DEFAULT_MAX_EVENT_GAP, Relay, ResponseAborted};
+use super::relay::{Relay, ResponseAborted};
 use super::request::SELECTION_RETRY_PAUSE;
 use super::request_log;
+use super::retry_permit::RetryPermit;
+use super::target::Target;
 use super::versions;
 use crate::clock::Millis;
 use crate::error::Failure;
@@ -25,6 +27,9 @@
 /// Cause logged for a run that could no longer start on its version of the adapter.
 const REPLACED: &str = "a newer version of the adapter was declared before it began";
 
+/// Cause logged for a moved run that no engine has room for.
+const NO_FREE_SLOT: &str = "no engine has a free slot for the moved run";
+
 /// What happened first while another engine was tried for a silent one.
 enum FirstResult {
     /// The silent engine's stream continued or ended.
@@ -158,7 +163,7 @@
         let timeout = self.event_timeout(self.request.now());
         match self.take_handover_reply(timeout).await {
             HandoverReply::NotStopped => Ok(true),
-            HandoverReply::Stopped(run) => self.resume_stopped_run(&run).await.map(|()| false),
+            HandoverReply::Stopped(run) => self.resume_stopped_run(run).await.map(|()| false),
             HandoverReply::Unanswered => {
                 let cause = "the run may have been stopped";
                 self.resume_elsewhere(cause).await.map(|()| false)
@@ -174,7 +179,7 @@
     pub(super) async fn resume(&mut self, cause: &str) -> Result<(), ResponseAborted> {
         let timeout = self.event_timeout(self.request.now());
         if let HandoverReply::Stopped(run) = self.take_handover_reply(timeout).await {
-            return self.resume_stopped_run(&run).await;
+            return self.resume_stopped_run(run).await;
         }
         self.resume_elsewhere(cause).await
     }
@@ -197,7 +202,7 @@
         // The handover reply may still arrive and contain the handle of the KV cache.
         let left = self.request.deadline.since(self.request.now());
         match self.take_handover_reply(left).await {
-            HandoverReply::Stopped(run) => self.resume_stopped_run(&run).await,
+            HandoverReply::Stopped(run) => self.resume_stopped_run(run).await,
             HandoverReply::NotStopped | HandoverReply::Unanswered => Err(aborted),
         }
     }
@@ -246,58 +251,74 @@
     /// Both engines can be full at the moment, and the KV cache is kept for seconds. If a new
     /// prefill isn't possible either, they are asked again for as long as callers wait for an
     /// event, because only the KV cache can still complete the stream.
-    async fn resume_stopped_run(&mut self, run: &StoppedRun) -> Result<(), ResponseAborted> {
+    async fn resume_stopped_run(
+        &mut self,
+        mut run: Box<StoppedRun>,
+    ) -> Result<(), ResponseAborted> {
         self.response = None;
-        let max_gap = self
-            .request
-            .route
-            .max_event_gap
-            .unwrap_or(DEFAULT_MAX_EVENT_GAP)
-            .max(SELECTION_RETRY_PAUSE);
-        let caller_timeout = self.request.now() + Millis(max_gap.0 * CALLER_TIMEOUT_GAPS);
+        let pause = self.max_event_gap().max(SELECTION_RETRY_PAUSE);
+        let caller_timeout = self.request.now() + Millis(pause.0 * CALLER_TIMEOUT_GAPS);
         let until = caller_timeout.min(self.request.deadline);
-        let mut asked = 0;
-        for target in run.targets.iter().cycle() {
-            let last = self.events.last();
-            let sending = self
-                .request
-                .resume_moved_run(target, run.kv_cache.clone(), last);
-            match sending.await {
-                Ok(response) => {
-                    request_log::run_moved(&self.request, &target.upstream, last, "goes on");
-                    self.request.timing.handovers += 1;
-                    self.switch_to(response);
-                    return Ok(());
-                }
-                Err(error) => {
-                    request_log::run_moved(&self.request, &target.upstream, last, error.name());
-                    if matches!(error, SendError::Rejected { .. }) {
-                        let request = &self.request;
-                        request
-                            .frontend
-                            .charge_rejected_run(&request.pool, request.id());
-                    }
-                    // The run may have resumed there, so no other engine may use the KV cache.
-                    if error.may_run() {
-                        return self.resume_with_prefill("the moved run was lost").await;
-                    }
-                }
-            }
-            asked += 1;
-            if asked < run.targets.len() {
-                continue;
-            }
-            let cause = "no engine has a free slot for the moved run";
-            if asked == run.targets.len() && self.resume_with_prefill(cause).await.is_ok() {
+        let mut permits = std::mem::take(&mut run.permits).into_iter();
+        for (asked, target) in run.targets.iter().cycle().enumerate() {
+            if asked == run.targets.len() && self.resume_with_prefill(NO_FREE_SLOT).await.is_ok() {
                 return Ok(());
             }
-            if !self.request.wait_for_retry(max_gap, until).await {
-                return Err(ResponseAborted(cause.to_owned()));
+            let permit = match permits.next().filter(|_| asked < run.targets.len()) {
+                Some(permit) => Some(permit),
+                None => self.request.wait_for_permit(pause, until).await,
+            };
+            let Some(permit) = permit else {
+                return Err(ResponseAborted(NO_FREE_SLOT.to_owned()));
+            };
+            match self.resume_moved_run(&run, target, permit).await {
+                Ok(()) => return Ok(()),
+                // The run may have resumed there, so no other engine may use the KV cache.
+                Err(error) if error.may_run() => {
+                    return self.resume_with_prefill("the moved run was lost").await;
+                }
+                Err(_) => {}
             }
         }
         Err(ResponseAborted("no engine holds the KV cache".to_owned()))
     }
 
+    /// Sends a stopped run to an engine, and continues the stream with its response.
+    ///
+    /// The retry that pays for the send is made unless the run continues, or nothing was sent.
+    async fn resume_moved_run(
+        &mut self,
+        run: &StoppedRun,
+        target: &Target,
+        mut permit: RetryPermit,
+    ) -> Result<(), SendError> {
+        let last = self.events.last();
+        let sending = self
+            .request
+            .resume_moved_run(target, run.kv_cache.clone(), last);
+        permit.mark_made();
+        let result = sending.await;
+        let outcome = result.as_ref().map_or_else(SendError::name, |_| "goes on");
+        request_log::run_moved(&self.request, &target.upstream, last, outcome);
+        match result {
+            Ok(response) => {
+                permit.give_back();
+                self.request.timing.handovers += 1;
+                self.switch_to(response);
+                Ok(())
+            }
+            Err(error) => {
+                let is_sent = matches!(error, SendError::Rejected { .. }) || error.may_run();
+                if is_sent {
+                    self.request.frontend.count_retry("moved");
+                } else {
+                    permit.give_back();
+                }
+                Err(error)
+            }
+        }
+    }
+
     /// Continues the stream with another response, after the last event.
     fn switch_to(&mut self, response: UpstreamResponse) {
         self.events.restart();
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -98,9 +98,9 @@
     let pool = Name::from("engines");
     let mut total = 0;
     for _ in 0..7 {
-        let mut budget = RetryBudget::new(retries());
+        let mut budget = RetryBudget::new(retries(), Some(Millis::ZERO));
         for step in 0..200 {
-            let now = Millis(step * 50);
+            let now = RETRIES.window + Millis(step * 50);
             budget.record_request(&pool, now);
             for _ in 0..5 {
                 total += u32::from(budget.try_retry(&pool, now, 7));
@@ -115,10 +115,61 @@
 #[test]
 fn budget_window_slides() {
     let pool = Name::from("engines");
-    let mut budget = RetryBudget::new(retries());
-    while budget.try_retry(&pool, Millis(100), 1) {}
-    assert!(!budget.try_retry(&pool, Millis(9_000), 1));
-    assert!(budget.try_retry(&pool, Millis(11_000), 1));
+    let mut budget = RetryBudget::new(retries(), Some(Millis::ZERO));
+    let start = RETRIES.window;
+    while budget.try_retry(&pool, start + Millis(100), 1) {}
+    assert!(!budget.try_retry(&pool, start + Millis(9_000), 1));
+    assert!(budget.try_retry(&pool, start + Millis(11_000), 1));
+}
+
+/// Nodes that restart again and again within a window, and know only themselves at first, don't
+/// use the fixed part of the budget anew with each process.
+#[test]
+fn budget_holds_over_restarts() {
+    const NODES: usize = 9;
+    for restarts in [1, 2, 4, 8] {
+        let pool = Name::from("engines");
+        let mut total = 0;
+        for _ in 0..NODES {
+            let mut budget = RetryBudget::new(retries(), Some(Millis::ZERO));
+            let mut known = NODES;
+            for step in 0..200 {
+                let now = RETRIES.window + Millis(step * 50);
+                let age = step % (200 / (restarts + 1));
+                if step > 0 && age == 0 {
+                    budget = RetryBudget::new(retries(), Some(now));
+                    known = 1;
+                } else if age == 10 {
+                    known = NODES;
+                }
+                if step % 4 == 0 {
+                    budget.record_request(&pool, now);
+                }
+                while budget.try_retry(&pool, now, known) {
+                    total += 1;
+                }
+            }
+        }
+        let allowed = 0.2 * 9.0 * 50.0 + 54.0;
+        assert!(
+            f64::from(total) <= allowed,
+            "{total} of {allowed}, {restarts} restarts"
+        );
+    }
+}
+
+/// A retry that is returned can be taken again, within its own window only.
+#[test]
+fn budget_retry_returned() {
+    let pool = Name::from("engines");
+    let mut budget = RetryBudget::new(retries(), Some(Millis::ZERO));
+    let start = RETRIES.window;
+    while budget.try_retry(&pool, start, 1) {}
+    budget.return_retry(&pool, start);
+    assert!(budget.try_retry(&pool, start, 1));
+    assert!(!budget.try_retry(&pool, start, 1));
+    budget.return_retry(&pool, start + Millis(5_000));
+    assert!(!budget.try_retry(&pool, start, 1));
 }
 
 #[test]
--- a/lib/tests/test_direct_reload.rs
+++ b/lib/tests/test_direct_reload.rs
@@ -32,7 +32,7 @@
 #[test]
 fn apply_limits_at_once() {
     let (reload, limits) = reload();
-    let mut budget = RetryBudget::new(Arc::clone(&limits));
+    let mut budget = RetryBudget::new(Arc::clone(&limits), None);
     let pool = "engines".into();
     assert!(budget.try_retry(&pool, Millis(0), 1));
     let mut changed = settings();
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -138,6 +138,7 @@
         "hall-a".into(),
         Arc::new(SharedLimits::default()),
         service,
+        None,
     ));
     let engine = Upstream::new(
         &listed("i-1", &[("base/a1", 1)]),
