--- a/lib/tests/test_direct_slots.rs
+++ b/lib/tests/test_direct_slots.rs
@@ -303,6 +303,26 @@
     assert_eq!((slots.count_used_slots(), slots.sequence()), (0, 0));
 }
 
+/// An engine that starts again under its name executes late orders for its former start, and those
+/// of an owner that hasn't noticed, if their numbers fit its new count.
+#[test]
+fn slots_restart_under_the_same_name() {
+    let mut world = World::default();
+    let events = [
+        2_058_560_895,
+        0,
+        2_649_860,
+        1_786_968_180,
+        1_046_707_513,
+        4_271_129_153,
+        427_859_856,
+        947_069_320,
+        275_766_840,
+    ];
+    let steps = events.into_iter().try_for_each(|event| world.step(event));
+    assert_eq!(steps.and_then(|()| world.settle()), Ok(()));
+}
+
 /// Orders, late and repeated statuses, rejections, lost probes, other owners' orders and restarts
 /// arrive in any order. Every caller must get an outcome, no outcome may be wrong, and the slots
 /// must finally match the engine.
