tests: a model's series of an unload that got no answer, known to fail

Found by the model with orders that are lost or late: the owner takes an adapter for present that an unanswered unload removed, as a status from before the unload ends its doubt. Callers get a 421 at that engine and go elsewhere. Asking for one status behind each unanswered order was tried (the same series failed) and is not kept.

--- a/lib/tests/test_direct_slots.rs
+++ b/lib/tests/test_direct_slots.rs
@@ -303,11 +303,38 @@
     assert_eq!((slots.count_used_slots(), slots.sequence()), (0, 0));
 }
 
+/// Plays one series of events.
+fn play(events: &[u32]) -> Result<(), String> {
+    let mut world = World::default();
+    for event in events {
+        world.step(*event)?;
+    }
+    world.settle()
+}
+
+/// An adapter whose unload got no answer, and was executed, is not taken for present for long.
+#[test]
+fn slots_unload_without_an_answer() {
+    let events = [
+        0,
+        2_820_139_840,
+        2_671_748_120,
+        4_280_193_760,
+        2_365_457_195,
+        2_997_117_207,
+        207_575_619,
+        588_116_480,
+        2_642_146_507,
+        1_660_836_287,
+        0,
+    ];
+    assert_eq!(play(&events), Ok(()));
+}
+
 /// An engine that starts again under its name executes late orders for its former start, and those
 /// of an owner that hasn't noticed, if their numbers fit its new count.
 #[test]
 fn slots_restart_under_the_same_name() {
-    let mut world = World::default();
     let events = [
         2_058_560_895,
         0,
@@ -319,8 +346,7 @@
         947_069_320,
         275_766_840,
     ];
-    let steps = events.into_iter().try_for_each(|event| world.step(event));
-    assert_eq!(steps.and_then(|()| world.settle()), Ok(()));
+    assert_eq!(play(&events), Ok(()));
 }
 
 /// Orders, late and repeated statuses, rejections, lost probes, other owners' orders and restarts
@@ -329,11 +355,7 @@
 #[test]
 fn slots_any_evidence() {
     fn holds(events: Vec<u32>) -> Result<(), String> {
-        let mut world = World::default();
-        for event in events {
-            world.step(event)?;
-        }
-        world.settle()
+        play(&events)
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(120, 36))
