--- a/lib/tests/test_direct_slots.rs
+++ b/lib/tests/test_direct_slots.rs
@@ -304,10 +304,10 @@
 }
 
 /// Plays one series of events.
-fn play(events: &[u32]) -> Result<(), String> {
+fn play(events: impl IntoIterator<Item = u32>) -> Result<(), String> {
     let mut world = World::default();
     for event in events {
-        world.step(*event)?;
+        world.step(event)?;
     }
     world.settle()
 }
@@ -328,7 +328,7 @@
         1_660_836_287,
         0,
     ];
-    assert_eq!(play(&events), Ok(()));
+    assert_eq!(play(events), Ok(()));
 }
 
 /// An engine that starts again under its name executes late orders for its former start, and those
@@ -346,7 +346,7 @@
         947_069_320,
         275_766_840,
     ];
-    assert_eq!(play(&events), Ok(()));
+    assert_eq!(play(events), Ok(()));
 }
 
 /// Orders, late and repeated statuses, rejections, lost probes, other owners' orders and restarts
@@ -355,7 +355,7 @@
 #[test]
 fn slots_any_evidence() {
     fn holds(events: Vec<u32>) -> Result<(), String> {
-        play(&events)
+        play(events)
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(120, 36))
