direct: log retries where a request makes them, not where a moved run holds them

Each moved run takes two retries and mostly returns them, so that a line for each would have doubled the lines of moved runs. A permit also keeps the time at which its retry was counted, instead of one read just before: it is returned to its own bucket. The mark of a leaving adapter is asked of its slot.

--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -174,19 +174,16 @@
         }
     }
 
-    /// Takes a retry from the pool's budget for a request; false if the budget is used up.
-    pub fn take_retry(&self, pool: &Name, request: &str) -> bool {
-        let usage = self.retry_usage(pool);
-        if !usage.has_room(1) {
-            self.metrics
-                .retries_denied
-                .with_label_values(&["budget"])
-                .inc();
-            return false;
+    /// Takes a retry from the pool's budget and returns when; `None` if the budget is used up.
+    pub fn take_retry(&self, pool: &Name) -> Option<Millis> {
+        if !self.has_retry_budget(pool, 1) {
+            let denied = &self.metrics.retries_denied;
+            denied.with_label_values(&["budget"]).inc();
+            return None;
         }
-        self.budget().record_retry(pool, self.clock.now());
-        self.log_retry(pool, request, usage);
-        true
+        let now = self.clock.now();
+        self.budget().record_retry(pool, now);
+        Some(now)
     }
 
     /// Returns a retry to the pool's budget that was taken at `taken_at` and not made.
@@ -199,24 +196,12 @@
         self.retry_usage(pool).has_room(retries)
     }
 
-    fn retry_usage(&self, pool: &Name) -> Usage {
+    /// Returns what the pool's budget holds now.
+    pub fn retry_usage(&self, pool: &Name) -> Usage {
         let nodes = self.view.state().max_nodes_seen;
         self.budget().usage(pool, self.clock.now(), nodes)
     }
 
-    /// Logs a retry with what the budget held before it.
-    fn log_retry(&self, pool: &Name, request: &str, usage: Usage) {
-        log::info!(
-            request = request,
-            pool = &**pool,
-            requests = usage.requests,
-            retries = usage.retries,
-            limit = usage.limit,
-            nodes = self.view.state().max_nodes_seen;
-            "request: retry"
-        );
-    }
-
     fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/lib/src/direct/orders/slots/mod.rs
+++ b/lib/src/direct/orders/slots/mod.rs
@@ -217,13 +217,7 @@
     /// only for one that was leaving. So the new count isn't confirmed.
     pub fn record_unloaded(&mut self, adapter: &str, now: Millis) {
         let removed = self.by_adapter.remove(adapter);
-        let was_leaving = matches!(
-            removed,
-            Some(Slot::Present {
-                is_leaving: true,
-                ..
-            })
-        );
+        let was_leaving = removed.as_ref().is_some_and(Slot::is_leaving);
         if !was_leaving {
             self.sequence += 1;
         }
@@ -233,16 +227,7 @@
     /// Returns an adapter whose unload waits for running requests.
     #[must_use]
     pub fn leaving(&self) -> Option<Name> {
-        let is_leaving = |slot: &Slot| {
-            matches!(
-                slot,
-                Slot::Present {
-                    is_leaving: true,
-                    ..
-                }
-            )
-        };
-        let mut leaving = self.by_adapter.iter().filter(|(_, slot)| is_leaving(slot));
+        let mut leaving = self.by_adapter.iter().filter(|(_, slot)| slot.is_leaving());
         leaving.next().map(|(name, _)| Name::clone(name))
     }
 
--- a/lib/src/direct/orders/slots/slot.rs
+++ b/lib/src/direct/orders/slots/slot.rs
@@ -83,6 +83,17 @@
         }
     }
 
+    /// Whether an unload waits for the adapter's running requests.
+    pub(super) const fn is_leaving(&self) -> bool {
+        matches!(
+            self,
+            Self::Present {
+                is_leaving: true,
+                ..
+            }
+        )
+    }
+
     /// Sets whether an adapter that is present is leaving.
     fn with_leaving(self, is_leaving: bool) -> Self {
         match self {
--- a/lib/src/direct/request/retry.rs
+++ b/lib/src/direct/request/retry.rs
@@ -2,6 +2,7 @@
 
 use super::ActiveRequest;
 use crate::clock::Millis;
+use crate::direct::request_log;
 use crate::direct::retry_permit::{RetryPermit, RetryPermits};
 use crate::direct::upstream::Upstream;
 
@@ -38,7 +39,7 @@
 
     /// Takes a retry for a moved run; `None` if the budget is used up.
     pub(in crate::direct) fn take_permit(&self) -> Option<RetryPermit> {
-        RetryPermit::take(&self.frontend, &self.pool, self.id())
+        RetryPermit::take(&self.frontend, &self.pool)
     }
 
     /// Waits for `pause` at a time until the budget allows a retry; `None` if it doesn't before
@@ -66,6 +67,11 @@
 
     /// Takes one retry from the budget of all nodes.
     fn take_retry(&self) -> bool {
-        self.frontend.take_retry(&self.pool, self.id())
+        let usage = self.frontend.retry_usage(&self.pool);
+        let is_taken = self.frontend.take_retry(&self.pool).is_some();
+        if is_taken {
+            request_log::retry_taken(self, usage);
+        }
+        is_taken
     }
 }
--- a/lib/src/direct/request_log.rs
+++ b/lib/src/direct/request_log.rs
@@ -5,6 +5,7 @@
 //! prompt, a body or a header of the caller.
 
 use super::attempt::SendError;
+use super::budget::Usage;
 use super::orders::LoadOutcome;
 use super::request::ActiveRequest;
 use super::upstream::Upstream;
@@ -79,6 +80,19 @@
     );
 }
 
+/// Logs that a retry is taken from the budget, with what the budget held before it.
+pub fn retry_taken(request: &ActiveRequest, before: Usage) {
+    log::info!(
+        request = request.id(),
+        pool = &*request.pool,
+        requests = before.requests,
+        retries = before.retries,
+        limit = before.limit,
+        nodes = request.frontend.view.state().max_nodes_seen;
+        "request: retry"
+    );
+}
+
 /// Logs that a send got no response.
 pub fn send_failed(request: &ActiveRequest, upstream: &Upstream, error: &SendError) {
     let (code, cause) = match error {
--- a/lib/src/direct/retry_permit.rs
+++ b/lib/src/direct/retry_permit.rs
@@ -25,12 +25,11 @@
 }
 
 impl RetryPermit {
-    /// Takes a retry for a request from a pool's budget; `None` if the budget is used up.
+    /// Takes a retry from a pool's budget; `None` if the budget is used up.
     #[must_use]
-    pub fn take(frontend: &Arc<Frontend>, pool: &Name, request: &str) -> Option<Self> {
-        let taken_at = frontend.clock.now();
-        let is_taken = frontend.take_retry(pool, request);
-        is_taken.then(|| Self {
+    pub fn take(frontend: &Arc<Frontend>, pool: &Name) -> Option<Self> {
+        let taken_at = frontend.take_retry(pool)?;
+        Some(Self {
             frontend: Arc::clone(frontend),
             pool: Name::clone(pool),
             taken_at,
