--- a/lib/src/direct/budget.rs
+++ b/lib/src/direct/budget.rs
@@ -5,8 +5,8 @@
 //!
 //! A process that starts doesn't know what the node's previous process used in the window, nor
 //! yet how many nodes there are. So until it has run for a window, it uses only the fraction of the
-//! fixed part that the previous process has left, in proportion to its age. However often nodes
-//! restart, all processes together stay within the budget. See docs/design/0015-retry-budget.md.
+//! fixed part that the previous process has left, in proportion to its age. Besides, each process
+//! may make one retry in a window, whatever its share. See docs/design/0015-retry-budget.md.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -43,7 +43,7 @@
 }
 
 impl Usage {
-    /// Whether there is room for as many more retries.
+    /// Whether there is room for this number of further retries.
     #[must_use]
     pub fn has_room(&self, retries: u32) -> bool {
         f64::from(self.retries) + f64::from(retries) <= self.limit
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -191,7 +191,7 @@
         self.budget().return_retry(pool, taken_at);
     }
 
-    /// Whether the pool's budget allows as many more retries.
+    /// Whether the pool's budget allows this number of further retries.
     pub fn has_retry_budget(&self, pool: &Name, retries: u32) -> bool {
         self.retry_usage(pool).has_room(retries)
     }
--- a/lib/src/direct/orders/slots/mod.rs
+++ b/lib/src/direct/orders/slots/mod.rs
@@ -213,8 +213,9 @@
 
     /// Records that an adapter that was ordered to be unloaded is gone.
     ///
-    /// The engine doesn't count an unload of an adapter that is gone already, which is certain
-    /// only for one that was leaving. So the new count isn't confirmed.
+    /// The engine doesn't count an unload of an adapter that is already gone. An adapter that was
+    /// leaving has gone, so its unload isn't counted here; any other one is, but as the engine may
+    /// have dropped it before, that count isn't confirmed.
     pub fn record_unloaded(&mut self, adapter: &str, now: Millis) {
         let removed = self.by_adapter.remove(adapter);
         let was_leaving = removed.as_ref().is_some_and(Slot::is_leaving);
