orders: say why an engine gets no orders, once

In the record of nodes without a path to upstreams the lines of failed load orders don't tell why they failed, and some 100 lines a second of status requests without an answer pushed the beginning of the cut out of the logs. An engine that doesn't answer is logged when it stops and when it answers again; load orders carry the cause. A gauge tells how many nodes a node knows.

--- a/lib/src/direct/entry/gauges.rs
+++ b/lib/src/direct/entry/gauges.rs
@@ -30,6 +30,7 @@
         metrics
             .quarantined
             .set(gauge_value(state.ledger.blamed_count(self.clock.now())));
+        metrics.nodes.set(gauge_value(state.nodes.len()));
         let ready = state.upstreams.values().filter(|one| one.is_ready());
         let ready = ready.count();
         let unconfirmed = state.upstreams.values().filter(|one| one.is_missing());
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -5,6 +5,7 @@
 //! order that is delayed on its way therefore has no effect once another one was accepted.
 
 mod client;
+mod contact;
 mod load;
 mod message;
 mod send;
@@ -21,6 +22,7 @@
 use super::limits::IN_USE_GRACE;
 use crate::clock::Millis;
 use crate::name::Name;
+use contact::Contact;
 use load::ProbeTimer;
 use send::OrderResult;
 use slots::{MAX_LOAD_TIME, Slots, send_outcome};
@@ -57,6 +59,7 @@
     /// Whether the last order was sent and got no response.
     is_last_order_unanswered: bool,
     probe_timer: Option<ProbeTimer>,
+    contact: Contact,
 }
 
 impl Actor for EngineController {
@@ -74,6 +77,7 @@
             base_load_ordered_at: None,
             is_last_order_unanswered: false,
             probe_timer: None,
+            contact: Contact::default(),
         })
     }
 }
--- a/lib/src/direct/orders/send.rs
+++ b/lib/src/direct/orders/send.rs
@@ -75,6 +75,7 @@
             adapter = &**model,
             version = version.unwrap_or_default(),
             outcome = outcome,
+            cause = self.contact.last_failure(),
             sequence = self.sequence(),
             attempts = attempts,
             confirmed = self.slots.as_ref().map_or(0, Slots::confirmed_sequence),
@@ -104,9 +105,14 @@
         let result = self.client.send_order(order).await;
         self.is_last_order_unanswered = matches!(result, Err(TransportError::Sent(_)));
         match result {
-            Ok(outcome) => Some(outcome),
+            Ok(outcome) => {
+                self.record_contact();
+                Some(outcome)
+            }
             Err(TransportError::Unsent(reason)) => {
-                log::debug!("orders: not sent: {reason}");
+                if self.may_order() {
+                    self.record_no_contact(reason);
+                }
                 None
             }
             Err(TransportError::Sent(reason)) => {
@@ -114,10 +120,7 @@
                     self.unanswered_loads
                         .record(sequence, Name::clone(model), sent_at);
                 }
-                log::info!(
-                    "orders: no answer from {}: {reason}",
-                    self.client.upstream.incarnation
-                );
+                self.record_no_contact(reason);
                 None
             }
         }
@@ -129,13 +132,11 @@
         let status = match self.client.status().await {
             Ok(status) => status,
             Err(reason) => {
-                log::info!(
-                    "orders: no status from {}: {reason}",
-                    self.client.upstream.incarnation
-                );
+                self.record_no_contact(reason);
                 return false;
             }
         };
+        self.record_contact();
         let before = self.slots.as_ref().map(Slots::sequence);
         match &mut self.slots {
             Some(slots) => {
@@ -151,6 +152,28 @@
         true
     }
 
+    /// Records that the engine answered, and logs the end of a time in which it didn't.
+    fn record_contact(&mut self) {
+        if let Some(since) = self.contact.regain() {
+            log::info!(
+                upstream = &*self.client.upstream.incarnation,
+                silent_ms = self.client.clock.now().since(since).0;
+                "orders: an engine answers again"
+            );
+        }
+    }
+
+    /// Records that an order or a status request got no answer, and logs the first one.
+    fn record_no_contact(&mut self, cause: String) {
+        if self.contact.lose(cause, self.client.clock.now()) {
+            log::info!(
+                upstream = &*self.client.upstream.incarnation,
+                cause = self.contact.last_failure();
+                "orders: an engine doesn't answer"
+            );
+        }
+    }
+
     /// Logs that the number of accepted orders was first learned, or differed from what was known.
     fn log_corrected_sequence(&self, before: Option<u64>) {
         if before == Some(self.sequence()) {
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -84,6 +84,8 @@
     pub upstreams: IntGaugeVec,
     /// Upstreams that this node owns.
     pub owned: IntGauge,
+    /// Nodes that this node knows of, itself included.
+    pub nodes: IntGauge,
     /// Upstreams that ended under requests of this node.
     pub upstream_ends: IntCounter,
     /// Requests that are no longer sent, as upstreams ended under them.
@@ -231,6 +233,7 @@
             ),
             upstreams: maker.gauges("upstreams", "Upstreams by state.", &["state"]),
             owned: maker.gauge("upstreams_owned", "Upstreams that this node owns."),
+            nodes: maker.gauge("nodes", "Nodes that this node knows of, itself included."),
             upstream_ends: maker.counter(
                 "upstream_ends_total",
                 "Upstreams that ended under requests of this node.",
