ports: connection pools open their connections through a network

No change of behaviour: the network is TCP. Tests can give a node a network whose paths to servers they take away; nothing else in the repository can part a node from servers that another node reaches.

--- a/cli/src/daemon/platform.rs
+++ b/cli/src/daemon/platform.rs
@@ -6,6 +6,7 @@
 use chivevalve::clock::Millis;
 use chivevalve::direct::node::{Node, PlatformClients, Settings};
 use chivevalve::direct::reload::Reload;
+use chivevalve::ports::network;
 use chivevalve_platform::settings::{self, Mistake};
 use chivevalve_platform::{PlatformDialect, store};
 use eyre::{Result, WrapErr};
@@ -45,6 +46,7 @@
         store: Arc::<store::Client>::clone(&store),
         lease: Arc::<store::Client>::clone(&store),
         poll: store,
+        network: network::Handle::default(),
     };
     log::info!(
         "node: {} serves callers at {}",
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -34,7 +34,7 @@
 use crate::ports::connection_pool::enable_dead_peer_detection;
 use crate::ports::metered::Metered;
 use crate::ports::poll::Poll;
-use crate::ports::{Error, Lease, Store};
+use crate::ports::{Error, Lease, Store, network};
 
 /// Time for the load balancer to notice that the node no longer accepts callers.
 ///
@@ -90,6 +90,8 @@
     pub lease: Arc<dyn Lease>,
     /// Long polls for changes in the key-value service.
     pub poll: Arc<dyn Poll>,
+    /// The network over which upstreams are reached.
+    pub network: network::Handle,
 }
 
 /// A node's listening sockets; for port 0 in the settings the system chooses one.
@@ -136,7 +138,7 @@
     pub fn start(settings: &Settings, reach: PlatformClients) -> Result<Self> {
         let listeners = Listeners::bind(settings)?;
         let clock: Arc<dyn Clock> = Arc::new(Boot);
-        let view = Arc::new(View::default());
+        let view = Arc::new(View::over(reach.network));
         let limits = Arc::new(SharedLimits::new(settings.limits));
         let metrics = Arc::new(Metrics::new());
         let service = Arc::new(Metered::new(
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -12,6 +12,7 @@
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::ports::connection_pool::{ConnectionPool, PoolLimits};
+use crate::ports::network;
 
 /// Timeout for connecting to an upstream.
 ///
@@ -136,13 +137,31 @@
 }
 
 impl Upstream {
-    /// Creates an upstream from its entry in the list.
+    /// Creates an upstream from its entry in the list; it is reached over TCP.
     #[must_use]
     pub fn new(
         entry: &UpstreamEntry,
         entry_revision: EntryRevision,
         connections: usize,
         now: Millis,
+    ) -> Self {
+        Self::over(
+            network::Handle::default(),
+            entry,
+            entry_revision,
+            connections,
+            now,
+        )
+    }
+
+    /// Creates an upstream that is reached over a network.
+    #[must_use]
+    pub fn over(
+        network: network::Handle,
+        entry: &UpstreamEntry,
+        entry_revision: EntryRevision,
+        connections: usize,
+        now: Millis,
     ) -> Self {
         let bounds = PoolLimits {
             connect_timeout: CONNECT_TIMEOUT,
@@ -158,7 +177,7 @@
             slots: entry.slots.max(1),
             started_at_ms: entry.held.started_at_ms,
             first_seen: now,
-            connection_pool: ConnectionPool::new(entry.address, bounds),
+            connection_pool: ConnectionPool::over(network, entry.address, bounds),
             takes_work: AtomicBool::new(entry.ready),
             presence: Mutex::new(Presence::new(entry_revision, entry.ready)),
             running: AtomicU32::new(0),
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -22,7 +22,7 @@
 use crate::poison::fingerprint::Fingerprint;
 use crate::poison::ledger::{CrashLedger, CrashReport};
 use crate::poison::unconfirmed::UnconfirmedCrashes;
-use crate::ports::Entry;
+use crate::ports::{Entry, network};
 
 /// A node's record in the key-value service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -98,6 +98,8 @@
     pub unconfirmed_crashes: UnconfirmedCrashes,
     /// The number of nodes by which connection limits were last divided.
     share_node_count: usize,
+    /// The network over which upstreams are reached.
+    network: network::Handle,
 }
 
 /// This node's view of the deployment.
@@ -144,6 +146,19 @@
 const DEFAULT_MAX_CONNECTIONS: usize = 64;
 
 impl View {
+    /// Creates an empty view whose upstreams are reached over a network.
+    #[must_use]
+    pub fn over(network: network::Handle) -> Self {
+        let state = State {
+            network,
+            ..State::default()
+        };
+        Self {
+            state: Mutex::new(state),
+            ..Self::default()
+        }
+    }
+
     /// Locks the state. The lock must not be held across an await.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -251,7 +266,9 @@
             }
         } else {
             let connection_share = self.connection_share(&listed.pool);
-            let upstream = Arc::new(Upstream::new(listed, revision, connection_share, now));
+            let network = network::Handle::clone(&self.network);
+            let upstream = Upstream::over(network, listed, revision, connection_share, now);
+            let upstream = Arc::new(upstream);
             self.upstreams
                 .insert(Name::clone(&listed.incarnation), upstream);
             // Heartbeats of known upstreams don't change their pools, so only new ones regroup.
--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use super::http::error_chain;
+use super::network::{self, Stream};
 use crate::clock::Millis;
 
 /// How long sent data may stay unacknowledged before the kernel closes a connection.
@@ -96,17 +97,25 @@
 #[derive(Debug)]
 pub struct ConnectionPool {
     address: SocketAddr,
+    network: network::Handle,
     limits: Mutex<PoolLimits>,
     idle: Mutex<Vec<IdleConnection>>,
     open: Arc<AtomicUsize>,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool.
+    /// Creates an empty pool of TCP connections.
     #[must_use]
     pub fn new(address: SocketAddr, limits: PoolLimits) -> Self {
+        Self::over(network::Handle::default(), address, limits)
+    }
+
+    /// Creates an empty pool of connections over a network.
+    #[must_use]
+    pub fn over(network: network::Handle, address: SocketAddr, limits: PoolLimits) -> Self {
         Self {
             address,
+            network,
             limits: Mutex::new(limits),
             idle: Mutex::default(),
             open: Arc::default(),
@@ -165,7 +174,7 @@
     /// Probes whether a process listens on the address.
     pub async fn probe(&self) -> ProbeResult {
         let limits = *self.limits.lock().unwrap_or_else(PoisonError::into_inner);
-        let connecting = TcpStream::connect(self.address);
+        let connecting = self.network.connect(self.address);
         match tokio::time::timeout(limits.connect_timeout.duration(), connecting).await {
             Ok(Ok(_)) => ProbeResult::Accepted,
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
@@ -186,17 +195,7 @@
                 limits.max_open
             )));
         }
-        let stream = tokio::time::timeout(
-            limits.connect_timeout.duration(),
-            TcpStream::connect(self.address),
-        )
-        .await
-        .map_err(|_| {
-            TransportError::Unsent(format!("no connection within {}", limits.connect_timeout))
-        })?
-        .map_err(|error| TransportError::Unsent(error.to_string()))?;
-        enable_dead_peer_detection(&stream)
-            .map_err(|error| TransportError::Unsent(error.to_string()))?;
+        let stream = self.dial(limits.connect_timeout).await?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -210,6 +209,14 @@
         Ok(Connection { sender, open })
     }
 
+    async fn dial(&self, timeout: Millis) -> Result<Box<dyn Stream>, TransportError> {
+        let connecting = self.network.connect(self.address);
+        tokio::time::timeout(timeout.duration(), connecting)
+            .await
+            .map_err(|_| TransportError::Unsent(format!("no connection within {timeout}")))?
+            .map_err(|error| TransportError::Unsent(error.to_string()))
+    }
+
     /// Returns a connection to the pool.
     ///
     /// Its last response must have been read completely and belong to the request.
--- a/lib/src/ports/mod.rs
+++ b/lib/src/ports/mod.rs
@@ -10,6 +10,7 @@
 pub mod etcd;
 pub(crate) mod http;
 pub mod metered;
+pub mod network;
 pub mod poll;
 pub mod upstream;
 pub mod weights;
