direct: reach upstreams through another node where this one has no path

A request's only way was the entry node's own connection.

A node that can't connect to an upstream now asks another node for a connection there and uses it as its own; the other node copies bytes. So what has run, the caller's leave, deadlines and flow control are what they are on a direct connection, and retries, the budget and hedges don't know which way a request went. Orders never go through another node.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -10,6 +10,7 @@
 use super::admit::Permit;
 use super::dialect::{Dialect, DispatchHeaders, ResponseMetadata};
 use super::metadata::{RequestKind, RequestMetadata};
+use super::path::Paths;
 use super::upstream::{InFlightRequest, Upstream};
 use super::versions::{self, VersionWatch};
 use crate::clock::Millis;
@@ -144,6 +145,7 @@
     pub async fn send(
         &self,
         upstream: &Arc<Upstream>,
+        paths: &Paths,
         dialect: &dyn Dialect,
         dispatch: &DispatchHeaders,
         permit: Option<Permit>,
@@ -155,9 +157,8 @@
         } else {
             MAX_IDLE_NOT_RETRYABLE
         };
-        let mut connection = upstream
-            .connection_pool
-            .acquire(max_idle)
+        let mut connection = paths
+            .acquire(upstream, max_idle)
             .await
             .map_err(|lost| send_error(&lost))?;
         // The request may have waited seconds for its adapter or a connection since this upstream
@@ -179,6 +180,7 @@
                 return Err(SendError::Withdrawn { sent: true });
             }
         };
+        paths.record_response(upstream, &connection);
         let (head, body) = response.into_parts();
         let reply = dialect.response_metadata(&head);
         if reply.id != self.metadata.id {
--- a/lib/src/direct/entry/gauges.rs
+++ b/lib/src/direct/entry/gauges.rs
@@ -30,6 +30,8 @@
         metrics
             .quarantined
             .set(gauge_value(state.ledger.blamed_count(self.clock.now())));
+        let cut_off = self.view.reachability.cut_off_pools(self.clock.now());
+        metrics.pools_cut_off.set(gauge_value(cut_off));
         metrics.nodes.set(gauge_value(state.nodes.len()));
         let ready = state.upstreams.values().filter(|one| one.is_ready());
         let ready = ready.count();
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -19,6 +19,7 @@
 use super::drain::Drain;
 use super::limits::SharedLimits;
 use super::outbox::Outbox;
+use super::path::Paths;
 use super::quarantine::Quarantine;
 use super::relay::ResponseAborted;
 use super::roles::{PrefillScaler, Roles};
@@ -52,6 +53,8 @@
     pub view: Arc<View>,
     /// Sends orders to engines, directly or through their owners.
     pub controllers: Arc<Controllers>,
+    /// Opens the connections of requests.
+    pub paths: Paths,
     /// Formats and header names of the platform.
     pub dialect: Arc<dyn Dialect>,
     /// The node's clock.
@@ -123,6 +126,7 @@
             view,
             metrics: Arc::clone(&controllers.metrics),
             quarantine,
+            paths: Paths::new(Arc::clone(&controllers)),
             controllers,
             dialect,
             budget: Mutex::new(RetryBudget::new(Arc::clone(&limits), restarted_at)),
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -27,6 +27,7 @@
 use super::limits::{Limits, SharedLimits};
 use super::ownership::Ownership;
 use super::peer_server;
+use super::tunnel;
 use super::view::{Peer, View};
 use crate::clock::{Boot, Clock, Millis};
 use crate::metrics::Metrics;
@@ -123,6 +124,8 @@
     frontend: Arc<Frontend>,
     claimer: Arc<Claimer>,
     limits: Arc<SharedLimits>,
+    /// Connections that this node opened for other nodes.
+    tunnels: tunnel::Server,
     closing: CancellationToken,
     /// Completes once the listener is closed and all callers' connections are too.
     serving: JoinHandle<()>,
@@ -209,6 +212,7 @@
             frontend,
             claimer,
             limits,
+            tunnels: tunnel::Server::new(Arc::clone(&controllers)),
             closing,
             serving: tokio::spawn(serving),
             tasks: JoinSet::new(),
@@ -258,8 +262,9 @@
         metrics: TcpListener,
         controllers: Arc<Controllers>,
     ) {
+        let tunnels = self.tunnels.clone();
         self.tasks.spawn(async move {
-            if let Err(error) = peer_server::serve(peers, controllers).await {
+            if let Err(error) = peer_server::serve(peers, controllers, tunnels).await {
                 log::error!("node: the listener for other nodes failed: {error}");
             }
         });
@@ -281,7 +286,13 @@
         self.frontend.drain.begin(deadline);
         release_claims_before_close(self.claimer.leave()).await;
         self.closing.cancel();
-        self.finish_requests(deadline).await;
+        let tunnels = self.tunnels.clone();
+        let left = deadline.since(clock.now());
+        let drained = tokio::time::timeout(left.duration(), tunnels.drain());
+        let (drained, ()) = tokio::join!(drained, self.finish_requests(deadline));
+        if drained.is_err() {
+            log::info!("node: other nodes still use connections through this one");
+        }
         self.flush_crash_reports(deadline).await;
         // The end of a response may still be in the operating system's socket buffers.
         tokio::time::sleep(SOCKET_FLUSH.duration()).await;
--- /dev/null
+++ b/lib/src/direct/path.rs
@@ -0,0 +1,169 @@
+//! Chooses how a request's connection reaches its upstream: directly, or through another node.
+
+use std::sync::Arc;
+
+use super::controllers::Controllers;
+use super::reachability::{Advice, Loss};
+use super::tunnel::{self, OpenError};
+use super::upstream::Upstream;
+use super::view::View;
+use crate::clock::{Clock, Millis};
+use crate::ports::connection_pool::{Connection, DialError, Route, TransportError};
+use crate::ports::network::Stream;
+
+/// Time for a direct connection before another node is asked as well.
+const HEAD_START: Millis = Millis(40);
+
+type Opened = Result<(Box<dyn Stream>, Route), TransportError>;
+
+/// Opens connections of requests.
+#[derive(Debug)]
+pub struct Paths {
+    controllers: Arc<Controllers>,
+    tunnels: tunnel::Client,
+}
+
+/// Opens a direct byte stream to an upstream, and records what that tells of this node's paths.
+///
+/// # Errors
+///
+/// If none can be established; the upstream has received nothing.
+pub(super) async fn dial(
+    view: &View,
+    clock: &dyn Clock,
+    upstream: &Upstream,
+) -> Result<Box<dyn Stream>, DialError> {
+    let dialed = upstream.connection_pool.dial().await;
+    let (reachability, now) = (&view.reachability, clock.now());
+    match &dialed {
+        Ok(_) => reachability.record_success(upstream, now),
+        Err(DialError::TimedOut(_)) => reachability.record_failure(upstream, Loss::Silent, now),
+        Err(DialError::Failed(_)) => reachability.record_failure(upstream, Loss::Refused, now),
+    }
+    dialed
+}
+
+impl Paths {
+    /// Creates the paths of a node.
+    #[must_use]
+    pub fn new(controllers: Arc<Controllers>) -> Self {
+        Self {
+            tunnels: tunnel::Client::new(Arc::clone(&controllers)),
+            controllers,
+        }
+    }
+
+    /// Takes a connection that has been idle for at most `max_idle`, or opens a new one.
+    ///
+    /// # Errors
+    ///
+    /// [`TransportError::Unsent`] if the connection limit is reached, or neither this node nor
+    /// another one that was asked can connect.
+    pub async fn acquire(
+        &self,
+        upstream: &Arc<Upstream>,
+        max_idle: Millis,
+    ) -> Result<Connection, TransportError> {
+        let pool = &upstream.connection_pool;
+        let reachability = &self.controllers.view.reachability;
+        let distrusts = reachability.distrusts_open_connections(&upstream.pool, self.now());
+        let fits = |connection: &Connection| connection.is_tunnel() || !distrusts;
+        if let Some(connection) = pool.take_idle(max_idle, fits) {
+            return Ok(connection);
+        }
+        let permit = pool.permit()?;
+        let (stream, route) = self.open(upstream).await?;
+        pool.adopt(permit, stream, route).await
+    }
+
+    /// Records a response on a connection.
+    pub fn record_response(&self, upstream: &Upstream, connection: &Connection) {
+        if !connection.is_tunnel() {
+            let reachability = &self.controllers.view.reachability;
+            reachability.record_success(upstream, self.now());
+        }
+    }
+
+    async fn open(&self, upstream: &Arc<Upstream>) -> Opened {
+        let reachability = &self.controllers.view.reachability;
+        match reachability.advise(upstream, self.now()) {
+            Advice::Direct => self.open_directly(upstream).await,
+            Advice::Both => self.race(upstream, self.start_dial(upstream)).await,
+            Advice::Bypass => match self.open_tunnel(upstream).await {
+                Err(OpenError::NoNodes) => Ok((self.dial(upstream).await?, Route::Direct)),
+                opened => opened.map_err(|error| unsent(&error)),
+            },
+        }
+    }
+
+    /// Connects directly, and through another node if that fails or takes long.
+    async fn open_directly(&self, upstream: &Arc<Upstream>) -> Opened {
+        let mut dialing = self.start_dial(upstream);
+        match tokio::time::timeout(HEAD_START.duration(), &mut dialing).await {
+            Ok(Ok(stream)) => Ok((stream, Route::Direct)),
+            Ok(Err(error)) => match self.open_tunnel(upstream).await {
+                Err(OpenError::NoNodes) => Err(error.into()),
+                opened => opened.map_err(|error| unsent(&error)),
+            },
+            Err(_) => self.race(upstream, dialing).await,
+        }
+    }
+
+    /// Connects through another node while a direct attempt goes on; the first success counts.
+    ///
+    /// The direct attempt runs to its end in any case: its outcome tells of this node's paths.
+    async fn race(
+        &self,
+        upstream: &Arc<Upstream>,
+        dialing: impl Future<Output = Result<Box<dyn Stream>, DialError>> + Send + 'static,
+    ) -> Opened {
+        let mut dialing = tokio::spawn(dialing);
+        tokio::select! {
+            dialed = &mut dialing => match dialed {
+                Ok(Ok(stream)) => Ok((stream, Route::Direct)),
+                _ => self.open_tunnel(upstream).await.map_err(|error| unsent(&error)),
+            },
+            opened = self.open_tunnel(upstream) => match opened {
+                Ok(opened) => Ok(opened),
+                Err(error) => match dialing.await {
+                    Ok(Ok(stream)) => Ok((stream, Route::Direct)),
+                    Ok(Err(error)) => Err(error.into()),
+                    Err(_) => Err(unsent(&error)),
+                },
+            },
+        }
+    }
+
+    async fn open_tunnel(
+        &self,
+        upstream: &Upstream,
+    ) -> Result<(Box<dyn Stream>, Route), OpenError> {
+        let (stream, leaving) = self.tunnels.open(upstream).await?;
+        let reachability = &self.controllers.view.reachability;
+        reachability.record_bypass(upstream, self.now());
+        Ok((stream, Route::Tunnel(leaving)))
+    }
+
+    /// Returns a direct attempt that can go on without this request.
+    fn start_dial(
+        &self,
+        upstream: &Arc<Upstream>,
+    ) -> futures::future::BoxFuture<'static, Result<Box<dyn Stream>, DialError>> {
+        let controllers = Arc::clone(&self.controllers);
+        let upstream = Arc::clone(upstream);
+        Box::pin(async move { dial(&controllers.view, &*controllers.clock, &upstream).await })
+    }
+
+    async fn dial(&self, upstream: &Upstream) -> Result<Box<dyn Stream>, TransportError> {
+        let dialed = dial(&self.controllers.view, &*self.controllers.clock, upstream);
+        Ok(dialed.await?)
+    }
+
+    fn now(&self) -> Millis {
+        self.controllers.clock.now()
+    }
+}
+
+fn unsent(error: &OpenError) -> TransportError {
+    TransportError::Unsent(error.to_string())
+}
--- a/lib/src/direct/peer_server.rs
+++ b/lib/src/direct/peer_server.rs
@@ -1,5 +1,5 @@
 //! gRPC service for the other nodes: admissions and loads at the engines that this node owns, store
-//! updates, records, and votes for lease extensions.
+//! updates, records, votes for lease extensions, and tunnels to upstreams.
 
 use std::sync::Arc;
 
@@ -15,11 +15,13 @@
 use super::controllers::Controllers;
 use super::limits::in_use_grace;
 use super::orders::LoadOutcome;
+use super::tunnel;
 use super::upstream::Upstream;
 use super::view::PutOutcome;
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::schema::direct::orders_server::{Orders, OrdersServer};
+use crate::schema::direct::tunnels_server::TunnelsServer;
 use crate::schema::direct::{
     AdmitRequest, ExchangeReply, ExchangeRequest, FollowRequest, LoadReply, LoadRequest, Outcome,
     SupportReply, SupportRequest, TellReply, TellRequest, Update,
@@ -173,6 +175,7 @@
 pub async fn serve(
     listener: TcpListener,
     controllers: Arc<Controllers>,
+    tunnels: tunnel::Server,
 ) -> Result<(), tonic::transport::Error> {
     Server::builder()
         .tcp_nodelay(true)
@@ -185,6 +188,7 @@
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL.duration()))
         .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT.duration()))
         .add_service(OrdersServer::new(Service(controllers)))
+        .add_service(TunnelsServer::new(tunnels))
         .serve_with_incoming(TcpListenerStream::new(listener))
         .await
 }
--- a/lib/src/direct/request/send.rs
+++ b/lib/src/direct/request/send.rs
@@ -31,8 +31,8 @@
         request_log::sent(self, &target.upstream, target.version, dispatch.deadline);
         self.report_uncounted(&target, target.permit.as_ref());
         let watch = self.watch(&target);
-        let (message, dialect) = (&self.message, &self.frontend.dialect);
-        sends.begin(message, dialect, target, dispatch, watch, self.sent_at);
+        let (message, frontend) = (&self.message, &self.frontend);
+        sends.begin(message, frontend, target, dispatch, watch, self.sent_at);
     }
 
     /// Resumes a stopped run after event `last`, at an engine that can obtain its KV cache.
@@ -54,10 +54,11 @@
         request_log::sent(self, &target.upstream, target.version, dispatch.deadline);
         let permit = self.moved_run_permit(target).await;
         let (upstream, dialect) = (&target.upstream, &*self.frontend.dialect);
+        let paths = &self.frontend.paths;
         let watch = self.watch(target);
         let send = self
             .message
-            .send(upstream, dialect, &dispatch, permit, watch);
+            .send(upstream, paths, dialect, &dispatch, permit, watch);
         // Without another way to continue, wait for a slow engine until the deadline: giving up
         // after the route's latency objective aborted streams that could have continued.
         let timeout = if self.may_retry() {
--- a/lib/src/direct/sends.rs
+++ b/lib/src/direct/sends.rs
@@ -14,7 +14,8 @@
 use smallvec::SmallVec;
 
 use super::attempt::{RequestMessage, SendError, UpstreamResponse};
-use super::dialect::{Dialect, DispatchHeaders};
+use super::dialect::DispatchHeaders;
+use super::entry::Frontend;
 use super::target::Target;
 use super::upstream::Upstream;
 use super::versions::VersionWatch;
@@ -51,7 +52,7 @@
     pub fn begin(
         &mut self,
         message: &Arc<RequestMessage>,
-        dialect: &Arc<dyn Dialect>,
+        frontend: &Arc<Frontend>,
         target: Target,
         dispatch: DispatchHeaders,
         watch: Option<VersionWatch>,
@@ -64,9 +65,10 @@
             upstream: Arc::clone(&upstream),
             is_silent: false,
         });
-        let (message, dialect) = (Arc::clone(message), Arc::clone(dialect));
+        let (message, frontend) = (Arc::clone(message), Arc::clone(frontend));
         self.responses.push(Box::pin(async move {
-            let send = message.send(&upstream, &*dialect, &dispatch, permit, watch);
+            let (paths, dialect) = (&frontend.paths, &*frontend.dialect);
+            let send = message.send(&upstream, paths, dialect, &dispatch, permit, watch);
             let result = send.await;
             FinishedSend {
                 upstream,
--- /dev/null
+++ b/lib/src/direct/tunnel/client.rs
@@ -0,0 +1,236 @@
+//! Opens connections through other nodes.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt, future};
+use rand::RngExt;
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
+use tokio_util::sync::PollSender;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Status, Streaming};
+
+use crate::clock::{Clock, Millis};
+use crate::direct::controllers::Controllers;
+use crate::direct::upstream::Upstream;
+use crate::metrics::Metrics;
+use crate::name::Name;
+use crate::ports::network::Stream;
+use crate::schema::direct::TunnelChunk;
+use crate::schema::direct::tunnels_client::TunnelsClient;
+
+/// Nodes that are asked in turn for one connection.
+const MAX_ATTEMPTS: usize = 4;
+
+/// Time for a node to connect to an upstream and to answer.
+const OPEN_TIMEOUT: Millis = Millis(250);
+
+/// Timeout of connecting to another node.
+const CONNECT_TIMEOUT: Millis = Millis(200);
+
+/// How long a node that couldn't open a connection isn't asked for the same pool.
+const REFUSAL_MEMORY: Millis = Millis(700);
+
+/// Chunks that wait to be sent, for each tunnel.
+const CHUNKS_IN_FLIGHT: usize = 4;
+
+/// Bytes that may be in flight to this node on one tunnel.
+const TUNNEL_WINDOW_BYTES: u32 = 64 * 1024;
+
+/// Bytes that may be in flight to this node on all tunnels through one node.
+///
+/// A caller that doesn't read holds its tunnel's share back; the others must not wait for it.
+const NODE_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
+
+/// Why no connection through another node could be opened.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum OpenError {
+    /// No other node is known.
+    #[error("no other node is known")]
+    NoNodes,
+    /// No node that was asked could connect to the upstream.
+    #[error("no other node reaches it either: {0}")]
+    Unreachable(String),
+}
+
+/// Opens connections through other nodes.
+#[derive(Debug)]
+pub struct Client {
+    controllers: Arc<Controllers>,
+    clients: Mutex<HashMap<SocketAddr, TunnelsClient<Channel>>>,
+    /// Until when a node isn't asked for connections to a pool.
+    refusals: Mutex<HashMap<(SocketAddr, Name), Millis>>,
+}
+
+impl Client {
+    /// Creates a client that asks the nodes of the view.
+    #[must_use]
+    pub fn new(controllers: Arc<Controllers>) -> Self {
+        Self {
+            controllers,
+            clients: Mutex::default(),
+            refusals: Mutex::default(),
+        }
+    }
+
+    /// Opens a byte stream to an upstream, and the flag that tells that its node stops.
+    ///
+    /// # Errors
+    ///
+    /// When no node that was asked could; the upstream has received nothing.
+    pub async fn open(
+        &self,
+        upstream: &Upstream,
+    ) -> Result<(Box<dyn Stream>, Arc<AtomicBool>), OpenError> {
+        let candidates = self.candidates(upstream)?;
+        let mut last = "all have refused a moment ago".to_owned();
+        for (node, address) in candidates.into_iter().take(MAX_ATTEMPTS) {
+            let open = self.open_through(address, upstream);
+            let opened = tokio::time::timeout(OPEN_TIMEOUT.duration(), open).await;
+            let status = match opened {
+                Ok(Ok(tunnel)) => {
+                    self.count("opened");
+                    log::debug!("path: {} is reached through {node}", upstream.incarnation);
+                    return Ok(tunnel);
+                }
+                Ok(Err(status)) => status,
+                Err(_) => Status::deadline_exceeded(format!("no answer within {OPEN_TIMEOUT}")),
+            };
+            self.count(outcome_name(status.code()));
+            last = format!("{node}: {}", status.message());
+            let until = self.clock().now() + REFUSAL_MEMORY;
+            self.refusals()
+                .insert((address, Name::clone(&upstream.pool)), until);
+        }
+        Err(OpenError::Unreachable(last))
+    }
+
+    /// Returns the nodes to ask, in this order.
+    ///
+    /// Nodes of the upstream's failure domain come first, as bytes then cross from one domain to
+    /// another at most once; within both groups the order is random, to spread the load.
+    fn candidates(&self, upstream: &Upstream) -> Result<Vec<(Name, SocketAddr)>, OpenError> {
+        let now = self.clock().now();
+        let mut refusals = self.refusals();
+        refusals.retain(|_, until| *until > now);
+        let state = self.controllers.view.state();
+        let own = &self.controllers.node;
+        let others = state.nodes.iter().filter(|(node, _)| *node != own);
+        let mut candidates: Vec<_> = others
+            .map(|(node, peer)| {
+                let is_remote = peer.failure_domain != upstream.failure_domain;
+                let order: u32 = rand::rng().random();
+                (is_remote, order, Name::clone(node), peer.address)
+            })
+            .collect();
+        drop(state);
+        if candidates.is_empty() {
+            return Err(OpenError::NoNodes);
+        }
+        candidates.retain(|(_, _, _, address)| {
+            !self.controllers.is_unresponsive(*address)
+                && !refusals.contains_key(&(*address, Name::clone(&upstream.pool)))
+        });
+        candidates.sort_unstable_by_key(|(is_remote, order, _, _)| (*is_remote, *order));
+        let candidates = candidates.into_iter();
+        Ok(candidates
+            .map(|(_, _, node, address)| (node, address))
+            .collect())
+    }
+
+    async fn open_through(
+        &self,
+        address: SocketAddr,
+        upstream: &Upstream,
+    ) -> Result<(Box<dyn Stream>, Arc<AtomicBool>), Status> {
+        let (sender, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT);
+        let first = TunnelChunk {
+            incarnation: upstream.incarnation.to_string(),
+            ..TunnelChunk::default()
+        };
+        sender
+            .try_send(first)
+            .map_err(|_| Status::internal("a new channel is full"))?;
+        let mut client = self.client(address);
+        let chunks = client.open(ReceiverStream::new(receiver)).await?;
+        let leaving = Arc::new(AtomicBool::new(false));
+        let stream = byte_stream(sender, chunks.into_inner(), Arc::clone(&leaving));
+        Ok((stream, leaving))
+    }
+
+    fn client(&self, address: SocketAddr) -> TunnelsClient<Channel> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        clients
+            .entry(address)
+            .or_insert_with(|| {
+                let endpoint = Endpoint::from_shared(format!("http://{address}"))
+                    .expect("a socket address is a valid URI authority")
+                    .connect_timeout(CONNECT_TIMEOUT.duration())
+                    .tcp_nodelay(true)
+                    .initial_stream_window_size(TUNNEL_WINDOW_BYTES)
+                    .initial_connection_window_size(NODE_WINDOW_BYTES)
+                    .http2_keep_alive_interval(Millis::from_secs(1).duration())
+                    .keep_alive_timeout(Millis::from_secs(1).duration());
+                TunnelsClient::new(endpoint.connect_lazy())
+            })
+            .clone()
+    }
+
+    fn count(&self, outcome: &str) {
+        let metrics: &Metrics = &self.controllers.metrics;
+        metrics.tunnels.with_label_values(&[outcome]).inc();
+    }
+
+    fn clock(&self) -> &dyn Clock {
+        &*self.controllers.clock
+    }
+
+    fn refusals(&self) -> MutexGuard<'_, HashMap<(SocketAddr, Name), Millis>> {
+        self.refusals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the label of a failed attempt in metrics.
+const fn outcome_name(code: Code) -> &'static str {
+    match code {
+        Code::FailedPrecondition => "no_path",
+        Code::ResourceExhausted => "full",
+        Code::NotFound => "unknown",
+        Code::Aborted => "stopping",
+        _ => "no_answer",
+    }
+}
+
+/// Joins both directions of a tunnel to a byte stream.
+fn byte_stream(
+    sender: mpsc::Sender<TunnelChunk>,
+    chunks: Streaming<TunnelChunk>,
+    leaving: Arc<AtomicBool>,
+) -> Box<dyn Stream> {
+    let reader = StreamReader::new(chunks.map(move |chunk| {
+        let chunk = chunk.map_err(|status| {
+            io::Error::new(io::ErrorKind::ConnectionReset, status.message().to_owned())
+        })?;
+        if chunk.leaving {
+            leaving.store(true, Ordering::Relaxed);
+        }
+        Ok::<_, io::Error>(Bytes::from(chunk.data))
+    }));
+    let sink = PollSender::new(sender)
+        .sink_map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))
+        .with(|data: Bytes| {
+            future::ready(Ok::<_, io::Error>(TunnelChunk {
+                data: data.into(),
+                ..TunnelChunk::default()
+            }))
+        });
+    let writer = SinkWriter::new(CopyToBytes::new(sink));
+    Box::new(tokio::io::join(reader, writer))
+}
--- /dev/null
+++ b/lib/src/direct/tunnel/server.rs
@@ -0,0 +1,227 @@
+//! Opens connections for other nodes.
+
+use std::io;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::BytesMut;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use tokio_util::task::task_tracker::TaskTrackerToken;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::direct::controllers::Controllers;
+use crate::direct::path::dial;
+use crate::direct::upstream::Upstream;
+use crate::metrics::Metrics;
+use crate::ports::network::Stream;
+use crate::schema::direct::TunnelChunk;
+use crate::schema::direct::tunnels_server::Tunnels;
+
+/// Maximum number of open tunnels, which bounds descriptors and memory.
+const MAX_OPEN: usize = 1_024;
+
+/// Chunks that wait to be sent, for each tunnel.
+const CHUNKS_IN_FLIGHT: usize = 4;
+
+/// Maximum length of a chunk in bytes.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+type Replies = mpsc::Sender<Result<TunnelChunk, Status>>;
+
+/// Opens connections to upstreams for other nodes.
+#[derive(Debug, Clone)]
+pub struct Server {
+    controllers: Arc<Controllers>,
+    open: TaskTracker,
+    leaving: CancellationToken,
+}
+
+impl Server {
+    /// Creates a server without open tunnels.
+    #[must_use]
+    pub fn new(controllers: Arc<Controllers>) -> Self {
+        Self {
+            controllers,
+            open: TaskTracker::new(),
+            leaving: CancellationToken::new(),
+        }
+    }
+
+    /// Refuses new tunnels and asks for the open ones to be closed, then waits until they are.
+    pub async fn drain(&self) {
+        self.leaving.cancel();
+        self.open.close();
+        self.open.wait().await;
+    }
+
+    fn upstream(&self, incarnation: &str) -> Result<Arc<Upstream>, Status> {
+        let state = self.controllers.view.state();
+        let upstream = state.upstreams.get(incarnation);
+        upstream
+            .filter(|upstream| upstream.is_ready())
+            .cloned()
+            .ok_or_else(|| Status::not_found("no such upstream takes work"))
+    }
+
+    async fn connect(&self, upstream: &Arc<Upstream>) -> Result<Box<dyn Stream>, Status> {
+        let controllers = &self.controllers;
+        let now = controllers.clock.now();
+        if controllers.view.reachability.lacks_path(upstream, now) {
+            return Err(Status::failed_precondition("this node lacks a path too"));
+        }
+        dial(&controllers.view, &*controllers.clock, upstream)
+            .await
+            .map_err(|error| Status::failed_precondition(error.to_string()))
+    }
+}
+
+#[async_trait]
+impl Tunnels for Server {
+    type OpenStream = ReceiverStream<Result<TunnelChunk, Status>>;
+
+    async fn open(
+        &self,
+        request: Request<Streaming<TunnelChunk>>,
+    ) -> Result<Response<Self::OpenStream>, Status> {
+        if self.leaving.is_cancelled() {
+            return Err(Status::aborted("this node stops"));
+        }
+        if self.open.len() >= MAX_OPEN {
+            return Err(Status::resource_exhausted("too many tunnels are open"));
+        }
+        let open = OpenGuard::new(self);
+        let mut requests = request.into_inner();
+        let Some(first) = requests.message().await? else {
+            return Err(Status::invalid_argument("no upstream is named"));
+        };
+        let upstream = self.upstream(&first.incarnation)?;
+        let stream = self.connect(&upstream).await?;
+        let (replies, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT);
+        let tunnel = Tunnel {
+            requests,
+            replies,
+            leaving: self.leaving.clone(),
+            _open: open,
+        };
+        tokio::spawn(tunnel.run(stream));
+        Ok(Response::new(ReceiverStream::new(receiver)))
+    }
+}
+
+/// One open tunnel.
+#[derive(Debug)]
+struct Tunnel {
+    requests: Streaming<TunnelChunk>,
+    replies: Replies,
+    leaving: CancellationToken,
+    _open: OpenGuard,
+}
+
+/// Counts a tunnel as open until this is dropped.
+#[derive(Debug)]
+struct OpenGuard {
+    metrics: Arc<Metrics>,
+    _token: TaskTrackerToken,
+}
+
+impl OpenGuard {
+    fn new(server: &Server) -> Self {
+        let metrics = Arc::clone(&server.controllers.metrics);
+        metrics.tunnels_served.inc();
+        Self {
+            metrics,
+            _token: server.open.token(),
+        }
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.metrics.tunnels_served.dec();
+    }
+}
+
+impl Tunnel {
+    /// Copies bytes in both directions until the upstream's side ends or the other node leaves.
+    async fn run(self, stream: Box<dyn Stream>) {
+        let (reader, writer) = tokio::io::split(stream);
+        let to_upstream = copy_to_upstream(self.requests, writer);
+        let to_node = copy_to_node(reader, &self.replies, &self.leaving);
+        tokio::select! {
+            () = to_node => {}
+            () = to_upstream => {}
+            // The other node has dropped the call, as its caller has gone.
+            () = self.replies.closed() => {}
+        }
+    }
+}
+
+/// Copies what the other node sends; returns once that node breaks the tunnel off.
+async fn copy_to_upstream(
+    mut requests: Streaming<TunnelChunk>,
+    mut writer: WriteHalf<Box<dyn Stream>>,
+) {
+    let copied = async {
+        while let Some(chunk) = requests.message().await? {
+            writer.write_all(&chunk.data).await?;
+        }
+        // The other node sends no more, but still reads.
+        writer.shutdown().await?;
+        Ok::<_, CopyError>(())
+    };
+    if let Err(CopyError::Node(_)) = copied.await {
+        return;
+    }
+    // The other direction ends the tunnel; it also reports a reset by the upstream.
+    std::future::pending().await
+}
+
+/// Why bytes could not be copied to the upstream.
+#[derive(Debug, Error)]
+enum CopyError {
+    #[error("the other node broke the tunnel off: {0}")]
+    Node(#[from] Status),
+    #[error("the upstream's connection broke: {0}")]
+    Upstream(#[from] io::Error),
+}
+
+/// Copies what the upstream sends, and tells the other node when this one stops.
+async fn copy_to_node(
+    mut reader: ReadHalf<Box<dyn Stream>>,
+    replies: &Replies,
+    leaving: &CancellationToken,
+) {
+    let mut has_told = false;
+    loop {
+        let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
+        let read = tokio::select! {
+            biased;
+            read = reader.read_buf(&mut buffer) => read,
+            () = leaving.cancelled(), if !has_told => {
+                has_told = true;
+                let chunk = TunnelChunk { leaving: true, ..TunnelChunk::default() };
+                if replies.send(Ok(chunk)).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
+        let reply = match read {
+            Ok(0) => return,
+            Ok(_) => Ok(TunnelChunk {
+                data: buffer.to_vec(),
+                ..TunnelChunk::default()
+            }),
+            Err(error) => Err(Status::aborted(error.to_string())),
+        };
+        let is_end = reply.is_err();
+        if replies.send(reply).await.is_err() || is_end {
+            return;
+        }
+    }
+}
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -15,6 +15,7 @@
 use super::dialect::{Dialect, Key, UpstreamEntry};
 use super::presence::EntryRevision;
 use super::quarantine::{CRASH_REPORT_PREFIX, HARMLESS_PREFIX, UNCONFIRMED_CRASH_PREFIX};
+use super::reachability::Reachability;
 use super::upstream::Upstream;
 use super::versions::{Declaration, Declarations};
 use crate::clock::Millis;
@@ -108,6 +109,8 @@
     state: Mutex<State>,
     store_unreachable: AtomicBool,
     as_of: AtomicU64,
+    /// Which upstreams this node reaches itself.
+    pub reachability: Reachability,
     /// Notified after every change.
     pub changed: Notify,
 }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -82,6 +82,12 @@
     pub revision_age_ms: IntGauge,
     /// Upstreams by state, as this node sees them.
     pub upstreams: IntGaugeVec,
+    /// Connections through other nodes that this node asked for, by outcome.
+    pub tunnels: IntCounterVec,
+    /// Connections that this node holds open for other nodes.
+    pub tunnels_served: IntGauge,
+    /// Pools of which this node reaches no upstream.
+    pub pools_cut_off: IntGauge,
     /// Upstreams that this node owns.
     pub owned: IntGauge,
     /// Nodes that this node knows of, itself included.
@@ -232,6 +238,19 @@
                 "Milliseconds since the revision was confirmed.",
             ),
             upstreams: maker.gauges("upstreams", "Upstreams by state.", &["state"]),
+            tunnels: maker.counters(
+                "tunnels_total",
+                "Connections to upstreams through other nodes, by outcome.",
+                &["outcome"],
+            ),
+            tunnels_served: maker.gauge(
+                "tunnels_served",
+                "Connections that this node holds open for other nodes.",
+            ),
+            pools_cut_off: maker.gauge(
+                "pools_cut_off",
+                "Pools of which this node reaches no upstream.",
+            ),
             owned: maker.gauge("upstreams_owned", "Upstreams that this node owns."),
             nodes: maker.gauge("nodes", "Nodes that this node knows of, itself included."),
             upstream_ends: maker.counter(
--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -6,8 +6,9 @@
 //! limit, and a request that must not be retried needs a connection that is very
 //! likely alive. See docs/design/0007-direct-serving.md.
 
+use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -46,6 +48,23 @@
     Sent(String),
 }
 
+/// Why no byte stream to a server could be opened.
+#[derive(Debug, Error)]
+pub enum DialError {
+    /// Nothing was heard from the server.
+    #[error("no connection within {0}")]
+    TimedOut(Millis),
+    /// The connection was refused, or can't be opened for another reason.
+    #[error("{0}")]
+    Failed(#[from] io::Error),
+}
+
+impl From<DialError> for TransportError {
+    fn from(error: DialError) -> Self {
+        Self::Unsent(error.to_string())
+    }
+}
+
 /// Result of probing whether a process listens on an address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeResult {
@@ -78,13 +97,44 @@
     }
 }
 
+/// Leave to open one connection, counted until the connection is closed.
+#[derive(Debug)]
+pub struct OpenPermit(OpenGuard);
+
+/// How a connection reaches its server.
+#[derive(Debug, Clone)]
+pub enum Route {
+    /// Directly.
+    Direct,
+    /// Through another node, which sets the flag once it stops and takes no further request.
+    Tunnel(Arc<AtomicBool>),
+}
+
 /// A connection taken from the pool by one request.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    route: Route,
     open: OpenGuard,
 }
 
+impl Connection {
+    /// Whether the connection leads through another node.
+    #[must_use]
+    pub const fn is_tunnel(&self) -> bool {
+        matches!(self.route, Route::Tunnel(_))
+    }
+
+    /// Whether the connection may carry a further request.
+    fn is_reusable(&self) -> bool {
+        let is_leaving = match &self.route {
+            Route::Direct => false,
+            Route::Tunnel(leaving) => leaving.load(Ordering::Relaxed),
+        };
+        !is_leaving && !self.sender.is_closed()
+    }
+}
+
 /// An idle connection.
 #[derive(Debug)]
 struct IdleConnection {
@@ -139,41 +189,44 @@
     pub fn close_expired(&self) {
         let now = Instant::now();
         self.idle_connections()
-            .retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+            .retain(|idle| idle.expires_at > now && idle.connection.is_reusable());
     }
 
-    /// Takes a connection that has been idle for at most `max_idle`, or opens a new one.
+    /// Takes a direct connection that has been idle for at most `max_idle`, or opens a new one.
     ///
     /// # Errors
     ///
     /// [`TransportError::Unsent`] if the connection limit is reached or connecting fails.
     pub async fn acquire(&self, max_idle: Millis) -> Result<Connection, TransportError> {
-        match self.take_idle(max_idle) {
-            Some(connection) => Ok(connection),
-            None => self.connect().await,
+        if let Some(connection) = self.take_idle(max_idle, |one| !one.is_tunnel()) {
+            return Ok(connection);
         }
+        let permit = self.permit()?;
+        let stream = self.dial().await?;
+        self.adopt(permit, stream, Route::Direct).await
     }
 
-    fn take_idle(&self, max_idle: Millis) -> Option<Connection> {
+    /// Takes the connection that was used last among those that `fits` accepts, if it has been idle
+    /// for at most `max_idle`.
+    pub fn take_idle(
+        &self,
+        max_idle: Millis,
+        fits: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         let now = Instant::now();
         let mut idle_connections = self.idle_connections();
-        while let Some(idle) = idle_connections.pop() {
-            let is_fresh = now.duration_since(idle.released_at) <= max_idle.duration();
-            if !is_fresh {
-                // The stack is ordered by release time, so all others have been idle for longer.
-                idle_connections.push(idle);
-                return None;
-            }
-            if idle.expires_at > now && !idle.connection.sender.is_closed() {
-                return Some(idle.connection);
-            }
-        }
-        None
+        idle_connections.retain(|idle| idle.expires_at > now && idle.connection.is_reusable());
+        // Connections are ordered by release time, so all others have been idle for longer.
+        let newest = idle_connections
+            .iter()
+            .rposition(|idle| fits(&idle.connection))?;
+        let idle_time = now.duration_since(idle_connections[newest].released_at);
+        (idle_time <= max_idle.duration()).then(|| idle_connections.remove(newest).connection)
     }
 
     /// Probes whether a process listens on the address.
     pub async fn probe(&self) -> ProbeResult {
-        let limits = *self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let limits = self.limits();
         let connecting = self.network.connect(self.address);
         match tokio::time::timeout(limits.connect_timeout.duration(), connecting).await {
             Ok(Ok(_)) => ProbeResult::Accepted,
@@ -184,8 +237,13 @@
         }
     }
 
-    async fn connect(&self) -> Result<Connection, TransportError> {
-        let limits = *self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+    /// Counts a connection that is to be opened.
+    ///
+    /// # Errors
+    ///
+    /// [`TransportError::Unsent`] if the connection limit is reached.
+    pub fn permit(&self) -> Result<OpenPermit, TransportError> {
+        let limits = self.limits();
         let open = OpenGuard(Arc::clone(&self.open));
         let before = self.open.fetch_add(1, Ordering::Relaxed);
         // At the limit, an idle connection that is too old for this request is closed to make room.
@@ -195,7 +253,20 @@
                 limits.max_open
             )));
         }
-        let stream = self.dial(limits.connect_timeout).await?;
+        Ok(OpenPermit(open))
+    }
+
+    /// Starts to speak HTTP on a byte stream to the server.
+    ///
+    /// # Errors
+    ///
+    /// [`TransportError::Unsent`] if the stream breaks.
+    pub async fn adopt(
+        &self,
+        permit: OpenPermit,
+        stream: Box<dyn Stream>,
+        route: Route,
+    ) -> Result<Connection, TransportError> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -206,15 +277,29 @@
                 log::debug!("link: connection failed: {}", error_chain(&error));
             }
         });
-        Ok(Connection { sender, open })
+        Ok(Connection {
+            sender,
+            route,
+            open: permit.0,
+        })
     }
 
-    async fn dial(&self, timeout: Millis) -> Result<Box<dyn Stream>, TransportError> {
+    /// Opens a byte stream to the server directly.
+    ///
+    /// # Errors
+    ///
+    /// If none can be established in time; the server has received nothing.
+    pub async fn dial(&self) -> Result<Box<dyn Stream>, DialError> {
+        let timeout = self.limits().connect_timeout;
         let connecting = self.network.connect(self.address);
-        tokio::time::timeout(timeout.duration(), connecting)
-            .await
-            .map_err(|_| TransportError::Unsent(format!("no connection within {timeout}")))?
-            .map_err(|error| TransportError::Unsent(error.to_string()))
+        match tokio::time::timeout(timeout.duration(), connecting).await {
+            Ok(stream) => Ok(stream?),
+            Err(_) => Err(DialError::TimedOut(timeout)),
+        }
+    }
+
+    fn limits(&self) -> PoolLimits {
+        *self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns a connection to the pool.
@@ -225,10 +310,10 @@
     /// is closed one second earlier, so that no request is sent while the server
     /// closes it.
     pub fn release(&self, connection: Connection, server_timeout: Option<Millis>) {
-        if connection.sender.is_closed() {
+        if !connection.is_reusable() {
             return;
         }
-        let limits = *self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let limits = self.limits();
         let lifetime = server_timeout.map_or(limits.idle_timeout, |timeout| {
             limits.idle_timeout.min(timeout - Millis::from_secs(1))
         });
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -18,6 +18,7 @@
 use chivevalve::direct::peer_server::serve;
 use chivevalve::direct::roles::Roles;
 use chivevalve::direct::selection::{Selector, mean_remote_utilization};
+use chivevalve::direct::tunnel::Server;
 use chivevalve::direct::upstream::{InFlightRequest, Upstream};
 use chivevalve::direct::view::{Claim, ClaimEntry, View};
 use chivevalve::name::Name;
@@ -251,7 +252,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap();
     let owner = node("one", "one", at, &[(ADAPTER, 1)]);
-    tokio::spawn(serve(listener, Arc::clone(&owner.controllers)));
+    tokio::spawn(serve(
+        listener,
+        Arc::clone(&owner.controllers),
+        Server::new(Arc::clone(&owner.controllers)),
+    ));
     (owner, node("two", "one", at, &[(ADAPTER, 1)]))
 }
 
@@ -452,7 +457,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap();
     let owner = node("one", "one", at, &[(ADAPTER, 1)]);
-    tokio::spawn(serve(listener, Arc::clone(&owner.controllers)));
+    tokio::spawn(serve(
+        listener,
+        Arc::clone(&owner.controllers),
+        Server::new(Arc::clone(&owner.controllers)),
+    ));
     let (address, hold) = holding_proxy(at).await;
     let other = node("two", "one", address, &[(ADAPTER, 1)]);
     let adapter = Name::from(ADAPTER);
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -16,6 +16,7 @@
 use chivevalve::direct::limits::SharedLimits;
 use chivevalve::direct::ownership::Ownership;
 use chivevalve::direct::peer_server::serve;
+use chivevalve::direct::tunnel::Server;
 use chivevalve::direct::view::View;
 use chivevalve::name::Name;
 use chivevalve::ports::poll::{self, Changes, Poll};
@@ -175,7 +176,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (publisher, _) = subscription("node-0", view(12, address));
-    tokio::spawn(serve(listener, Arc::clone(&publisher)));
+    tokio::spawn(serve(
+        listener,
+        Arc::clone(&publisher),
+        Server::new(Arc::clone(&publisher)),
+    ));
     let follow = async || {
         let client = OrdersClient::connect(format!("http://{address}")).await;
         let request = FollowRequest { after: 0 };
@@ -454,7 +459,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (publisher, _) = subscription("node-0", view(12, address));
-    tokio::spawn(serve(listener, Arc::clone(&publisher)));
+    tokio::spawn(serve(
+        listener,
+        Arc::clone(&publisher),
+        Server::new(Arc::clone(&publisher)),
+    ));
     publisher.hub.publish(update(4, 6));
     let mut polling = 0;
     for number in 0..12 {
@@ -490,7 +499,11 @@
     let mut kept = Vec::new();
     for (number, socket) in sockets.into_iter().enumerate() {
         let (controllers, mut one) = subscription(&format!("node-{number}"), Arc::clone(&shared));
-        tokio::spawn(serve(socket, Arc::clone(&controllers)));
+        tokio::spawn(serve(
+            socket,
+            Arc::clone(&controllers),
+            Server::new(Arc::clone(&controllers)),
+        ));
         kept.push(tokio::spawn(async move {
             let received = one.next(0, Millis(1)).await;
             (one, received)
@@ -646,7 +659,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (publisher, _) = subscription("node-0", view(12, address));
-    tokio::spawn(serve(listener, Arc::clone(&publisher)));
+    tokio::spawn(serve(
+        listener,
+        Arc::clone(&publisher),
+        Server::new(Arc::clone(&publisher)),
+    ));
     publisher.hub.publish(update(0, 1));
     let span = Millis::from_secs(2);
     for number in 0..12 {
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -225,7 +225,15 @@
         resume_after: None,
         kv_cache: None,
     };
-    let sent = message.send(&engine, &PlatformDialect, &dispatch, None, Some(watch));
+    let paths = &frontend.paths;
+    let sent = message.send(
+        &engine,
+        paths,
+        &PlatformDialect,
+        &dispatch,
+        None,
+        Some(watch),
+    );
     let miss = sent.await.unwrap_err();
     assert_eq!(miss, SendError::Withdrawn { sent: false });
 }
