claim: hand engines over that only other nodes reach

An owner that for a second has reached an engine through other nodes only gives its claim up, and a node doesn't claim an engine that it doesn't reach. Where no other node reaches the engine either the owner stays.

cut_owner_of_an_engine failed before and passes.

--- a/lib/src/direct/claim/candidate.rs
+++ b/lib/src/direct/claim/candidate.rs
@@ -53,6 +53,8 @@
             .values()
             .filter(|upstream| is_engine(&config, upstream) && upstream.is_ready())
             .filter(|upstream| !self.ownership.owns(upstream.address))
+            // An owner without a path to its engine can't give it orders.
+            .filter(|upstream| !self.view.reachability.lacks_path(upstream, now))
             .filter_map(|upstream| self.candidate(&state, upstream, &limits, (first_lease_at, now)))
             .collect();
         candidates.sort_by_key(|one| (!one.is_reclaim, one.rank, Reverse(one.weight)));
--- a/lib/src/direct/claim/mod.rs
+++ b/lib/src/direct/claim/mod.rs
@@ -160,6 +160,7 @@
             .valid_until
             .store((sent + OWNERSHIP_TERM).0, Ordering::Relaxed);
         if let (Some(held), Some(first_lease_at)) = (*lease, *first_lease_at) {
+            self.hand_over_unreachable().await?;
             self.claim_engines(held, first_lease_at).await?;
             self.hand_over_surplus(first_lease_at).await?;
         }
--- a/lib/src/direct/claim/release.rs
+++ b/lib/src/direct/claim/release.rs
@@ -86,6 +86,46 @@
         Ok(())
     }
 
+    /// Releases the engines that other nodes reach and this one doesn't.
+    ///
+    /// Nobody can load adapters at an engine whose owner has no path to it. Where no other node
+    /// reaches it either, the engine is what fails, and its owner stays.
+    pub(super) async fn hand_over_unreachable(&self) -> Result<(), Error> {
+        let now = self.clock.now();
+        let engines = self.unreachable_engines(now);
+        if engines.is_empty() {
+            return Ok(());
+        }
+        let mut transaction = Transaction::default();
+        for (address, owned) in &engines {
+            self.ownership.hand_over(*address, now);
+            log::info!("right: handing over {address}, as only other nodes reach it");
+            let condition = Condition::Unchanged(self.claim_key(*address), owned.token);
+            transaction.conditions.push(condition);
+            let release = self.release_write(*address, *owned);
+            transaction.writes.push(release);
+            self.view.state().release_claim(*address, now);
+        }
+        self.store.commit(transaction).await?;
+        Ok(())
+    }
+
+    fn unreachable_engines(&self, now: Millis) -> Vec<(SocketAddr, OwnedEngine)> {
+        let state = self.view.state();
+        let owned = self.ownership.owned();
+        let reachability = &self.view.reachability;
+        state
+            .upstreams
+            .values()
+            .filter_map(|upstream| {
+                let engine = owned.get(&upstream.address)?;
+                let is_lost = reachability.is_reached_by_others(upstream, now);
+                is_lost.then_some((upstream.address, *engine))
+            })
+            .take(MAX_CLAIMS_PER_TRANSACTION)
+            .collect()
+    }
+
     /// Returns an engine to hand over: beyond this node's share, and another node ranks first.
     fn surplus_engine(&self) -> Option<(SocketAddr, OwnedEngine)> {
         let state = self.view.state();
