reachability: only failures in a row make a pool count as cut off

A model test over failures, successes and attempts at four upstreams found that a success in between didn't end the row: one upstream that had crashed and one that failed a second later cut a pool off that the node reached.

--- a/lib/src/direct/reachability.rs
+++ b/lib/src/direct/reachability.rs
@@ -52,6 +52,8 @@
     since: Millis,
     last: Millis,
     last_attempt: Millis,
+    /// Whether no upstream of the pool has been reached since.
+    is_in_a_row: bool,
     /// When another node last connected to it for this one.
     last_bypass: Option<Millis>,
 }
@@ -126,6 +128,9 @@
             paths.failing.clear();
         }
         paths.failing.remove(&upstream.incarnation);
+        for failure in paths.failing.values_mut() {
+            failure.is_in_a_row = false;
+        }
         if paths.failing.is_empty() {
             pools.remove(&upstream.pool);
         }
@@ -143,14 +148,16 @@
                 since: now,
                 last: now,
                 last_attempt: now,
+                is_in_a_row: true,
                 last_bypass: None,
             });
         failure.last = now;
+        failure.is_in_a_row = true;
         paths.last_failure = now;
         paths.is_silent |= loss == Loss::Silent;
-        if paths.cut_since.is_none() && paths.failing.len() >= MIN_FAILING {
-            let since = paths.failing.values().map(|failure| failure.since).min();
-            paths.cut_since = since;
+        let in_a_row = paths.failing.values().filter(|failure| failure.is_in_a_row);
+        if paths.cut_since.is_none() && in_a_row.clone().count() >= MIN_FAILING {
+            paths.cut_since = in_a_row.map(|failure| failure.since).min();
             paths.last_attempt = now;
             log::info!(
                 pool = &*upstream.pool,
