path: find a node's own path again while its requests find open connections

Under steady traffic a node whose path was back went on through the other node: requests took open connections and nothing tried the path (cut_heals failed after 217 s). A direct attempt is now made beside such requests when one is due, and connections through other nodes carry requests only where the own path is missing. A node that doesn't know an upstream yet isn't avoided for it.

--- a/lib/src/direct/path.rs
+++ b/lib/src/direct/path.rs
@@ -66,13 +66,22 @@
     ) -> Result<Connection, TransportError> {
         let pool = &upstream.connection_pool;
         let reachability = &self.controllers.view.reachability;
-        let distrusts = reachability.distrusts_open_connections(&upstream.pool, self.now());
-        let fits = |connection: &Connection| connection.is_tunnel() || !distrusts;
+        let now = self.now();
+        let advice = reachability.advise(upstream, now);
+        let distrusts = reachability.distrusts_open_connections(&upstream.pool, now);
+        let fits = |connection: &Connection| match advice {
+            Advice::Direct => !connection.is_tunnel(),
+            Advice::Both | Advice::Bypass => connection.is_tunnel() || !distrusts,
+        };
         if let Some(connection) = pool.take_idle(max_idle, fits) {
+            if advice == Advice::Both {
+                // Requests that find open connections would never show that the path is back.
+                tokio::spawn(self.start_dial(upstream));
+            }
             return Ok(connection);
         }
         let permit = pool.permit()?;
-        let (stream, route) = self.open(upstream).await?;
+        let (stream, route) = self.open(upstream, advice).await?;
         pool.adopt(permit, stream, route).await
     }
 
@@ -84,9 +93,8 @@
         }
     }
 
-    async fn open(&self, upstream: &Arc<Upstream>) -> Opened {
-        let reachability = &self.controllers.view.reachability;
-        match reachability.advise(upstream, self.now()) {
+    async fn open(&self, upstream: &Arc<Upstream>, advice: Advice) -> Opened {
+        match advice {
             Advice::Direct => self.open_directly(upstream).await,
             Advice::Both => self.race(upstream, self.start_dial(upstream)).await,
             Advice::Bypass => match self.open_tunnel(upstream).await {
--- a/lib/src/direct/tunnel/client.rs
+++ b/lib/src/direct/tunnel/client.rs
@@ -105,6 +105,10 @@
             };
             self.count(outcome_name(status.code()));
             last = format!("{node}: {}", status.message());
+            if status.code() == Code::NotFound {
+                // The other node learns of the upstream in a moment.
+                continue;
+            }
             let until = self.clock().now() + REFUSAL_MEMORY;
             self.refusals()
                 .insert((address, Name::clone(&upstream.pool)), until);
