quarantine: connections refused to one node are no crash of the upstream

When a node loses its paths by resets, its streams break and its probes of their engines are refused: it reported a crash of each engine under the requests that ran there (chivevalve_upstream_ends_total 1 where the engine went on), and three such reports quarantine a request. A refused probe now counts only if no other node connects to the upstream either; otherwise the list of upstreams decides, as for a VM that doesn't answer.

A counter of finished checks shows that one was made.

--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -54,7 +54,7 @@
     /// Sends orders to engines, directly or through their owners.
     pub controllers: Arc<Controllers>,
     /// Opens the connections of requests.
-    pub paths: Paths,
+    pub paths: Arc<Paths>,
     /// Formats and header names of the platform.
     pub dialect: Arc<dyn Dialect>,
     /// The node's clock.
@@ -115,18 +115,20 @@
             Arc::clone(&clock),
             Arc::<Controllers>::clone(&controllers),
         ));
+        let paths = Arc::new(Paths::new(Arc::clone(&controllers)));
         let quarantine = Arc::new(Quarantine::new(
             Arc::clone(&view),
             Arc::clone(&clock),
             Arc::clone(&controllers.metrics),
             Name::clone(&controllers.node),
             outbox,
+            Arc::<Paths>::clone(&paths),
         ));
         Self {
             view,
             metrics: Arc::clone(&controllers.metrics),
             quarantine,
-            paths: Paths::new(Arc::clone(&controllers)),
+            paths,
             controllers,
             dialect,
             budget: Mutex::new(RetryBudget::new(Arc::clone(&limits), restarted_at)),
--- a/lib/src/direct/path.rs
+++ b/lib/src/direct/path.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
+use async_trait::async_trait;
+
 use super::controllers::Controllers;
+use super::quarantine::OtherNodes;
 use super::reachability::{Advice, Loss};
 use super::tunnel::{self, OpenError};
 use super::upstream::Upstream;
@@ -172,6 +175,13 @@
     }
 }
 
+#[async_trait]
+impl OtherNodes for Paths {
+    async fn reach(&self, upstream: &Upstream) -> bool {
+        self.tunnels.open(upstream).await.is_ok()
+    }
+}
+
 fn unsent(error: &OpenError) -> TransportError {
     TransportError::Unsent(error.to_string())
 }
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -9,8 +9,10 @@
 mod unconfirmed;
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use async_trait::async_trait;
 use tokio::sync::Notify;
 
 use super::outbox::Outbox;
@@ -66,6 +68,13 @@
 /// hold a single token.
 pub const HARMLESS_AFTER: Millis = Millis(300);
 
+/// The other nodes, as witnesses of an upstream's crash.
+#[async_trait]
+pub trait OtherNodes: fmt::Debug + Send + Sync {
+    /// Whether another node can connect to an upstream now.
+    async fn reach(&self, upstream: &Upstream) -> bool;
+}
+
 /// Decides which requests may be sent, and reports this node's requests at crashed upstreams.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -74,6 +83,7 @@
     metrics: Arc<Metrics>,
     node: Name,
     outbox: Arc<Outbox>,
+    others: Arc<dyn OtherNodes>,
     harmless: Mutex<HarmlessRequests>,
     /// This node's requests at upstreams that may have crashed, by the upstream's start.
     under_check: Mutex<HashMap<Name, Vec<Suspect>>>,
@@ -90,6 +100,7 @@
         metrics: Arc<Metrics>,
         node: Name,
         outbox: Arc<Outbox>,
+        others: Arc<dyn OtherNodes>,
     ) -> Self {
         Self {
             view,
@@ -97,6 +108,7 @@
             metrics,
             node,
             outbox,
+            others,
             harmless: Mutex::default(),
             under_check: Mutex::default(),
             check_finished: Notify::new(),
@@ -216,6 +228,7 @@
             self.report_crash(upstream, &self.node, suspects);
         }
         self.remove_unconfirmed(&upstream.start_id(), &self.node);
+        self.metrics.upstream_checks.inc();
         self.check_finished.notify_waiters();
     }
 
@@ -226,7 +239,9 @@
     /// key-value service is silent or this node is suspended doesn't count, since the list can't
     /// show a crash in it.
     async fn has_crashed(self: &Arc<Self>, upstream: &Upstream) -> bool {
-        if upstream.connection_pool.probe().await == ProbeResult::Refused {
+        let is_refused = upstream.connection_pool.probe().await == ProbeResult::Refused;
+        // The network may refuse connections in the upstream's place, but hardly for all nodes.
+        if is_refused && !self.others.reach(upstream).await {
             return true;
         }
         self.broadcast_unconfirmed(&upstream.start_id());
--- a/lib/src/direct/sends.rs
+++ b/lib/src/direct/sends.rs
@@ -67,7 +67,7 @@
         });
         let (message, frontend) = (Arc::clone(message), Arc::clone(frontend));
         self.responses.push(Box::pin(async move {
-            let (paths, dialect) = (&frontend.paths, &*frontend.dialect);
+            let (paths, dialect) = (&*frontend.paths, &*frontend.dialect);
             let send = message.send(&upstream, paths, dialect, &dispatch, permit, watch);
             let result = send.await;
             FinishedSend {
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -94,6 +94,8 @@
     pub nodes: IntGauge,
     /// Upstreams that ended under requests of this node.
     pub upstream_ends: IntCounter,
+    /// Checks whether an upstream ended under requests of this node.
+    pub upstream_checks: IntCounter,
     /// Requests that are no longer sent, as upstreams ended under them.
     pub quarantined: IntGauge,
     /// Rare events of membership and ownership, by kind.
@@ -253,6 +255,10 @@
             ),
             owned: maker.gauge("upstreams_owned", "Upstreams that this node owns."),
             nodes: maker.gauge("nodes", "Nodes that this node knows of, itself included."),
+            upstream_checks: maker.counter(
+                "upstream_checks_total",
+                "Finished checks whether an upstream ended under requests of this node.",
+            ),
             upstream_ends: maker.counter(
                 "upstream_ends_total",
                 "Upstreams that ended under requests of this node.",
--- a/lib/tests/test_direct_quarantine.rs
+++ b/lib/tests/test_direct_quarantine.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use chivevalve::clock::{Clock, Millis, Monotonic};
 use chivevalve::direct::outbox::{Outbox, PeerBroadcast};
-use chivevalve::direct::quarantine::{CRASH_REPORT_PREFIX, Quarantine};
+use chivevalve::direct::quarantine::{CRASH_REPORT_PREFIX, OtherNodes, Quarantine};
 use chivevalve::direct::upstream::Upstream;
 use chivevalve::direct::view::{PutOutcome, View};
 use chivevalve::name::Name;
@@ -55,6 +55,17 @@
     quarantine: Arc<Quarantine>,
 }
 
+/// No other node reaches any upstream.
+#[derive(Debug)]
+struct NoOtherNodes;
+
+#[async_trait]
+impl OtherNodes for NoOtherNodes {
+    async fn reach(&self, _: &Upstream) -> bool {
+        false
+    }
+}
+
 fn single_node() -> TestNode {
     test_node("node-1", Arc::new(NoPeers))
 }
@@ -76,6 +87,7 @@
         Arc::default(),
         name.into(),
         outbox,
+        Arc::new(NoOtherNodes),
     ));
     TestNode {
         view,
