path: tell which node a request went through

One id explains a request that was passed on: its line names the node, and that node's line names the caller and the upstream. Counters of requests sent through others, and of connections asked for, opened and refused by reason on both sides. All attempts at other nodes together take 400 ms at most, so that what nobody can serve is rejected soon.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -171,6 +171,10 @@
             upstream.connection_pool.release(connection, None);
             return Err(SendError::Withdrawn { sent: false });
         }
+        if let Some(node) = connection.tunnel_node() {
+            let id = self.metadata.id.as_deref().unwrap_or_default();
+            paths.record_send(id, upstream, node);
+        }
         let request = self.request(dialect, dispatch);
         let response = tokio::select! {
             biased;
--- a/lib/src/direct/path.rs
+++ b/lib/src/direct/path.rs
@@ -11,6 +11,7 @@
 use super::upstream::Upstream;
 use super::view::View;
 use crate::clock::{Clock, Millis};
+use crate::name::Name;
 use crate::ports::connection_pool::{Connection, DialError, Route, TransportError};
 use crate::ports::network::Stream;
 
@@ -88,6 +89,17 @@
         pool.adopt(permit, stream, route).await
     }
 
+    /// Records that a request is sent through another node.
+    pub fn record_send(&self, request: &str, upstream: &Upstream, node: &Name) {
+        self.controllers.metrics.tunneled_sends.inc();
+        log::info!(
+            request = request,
+            upstream = &*upstream.incarnation,
+            through = &**node;
+            "request: sent through another node"
+        );
+    }
+
     /// Records a response on a connection.
     pub fn record_response(&self, upstream: &Upstream, connection: &Connection) {
         if !connection.is_tunnel() {
@@ -149,10 +161,10 @@
         &self,
         upstream: &Upstream,
     ) -> Result<(Box<dyn Stream>, Route), OpenError> {
-        let (stream, leaving) = self.tunnels.open(upstream).await?;
+        let (stream, tunnel) = self.tunnels.open(upstream).await?;
         let reachability = &self.controllers.view.reachability;
         reachability.record_bypass(upstream, self.now());
-        Ok((stream, Route::Tunnel(leaving)))
+        Ok((stream, Route::Tunnel(tunnel)))
     }
 
     /// Returns a direct attempt that can go on without this request.
--- a/lib/src/direct/tunnel/client.rs
+++ b/lib/src/direct/tunnel/client.rs
@@ -17,11 +17,12 @@
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Status, Streaming};
 
+use super::outcome_name;
 use crate::clock::{Clock, Millis};
 use crate::direct::controllers::Controllers;
 use crate::direct::upstream::Upstream;
-use crate::metrics::Metrics;
 use crate::name::Name;
+use crate::ports::connection_pool::Tunnel;
 use crate::ports::network::Stream;
 use crate::schema::direct::TunnelChunk;
 use crate::schema::direct::tunnels_client::TunnelsClient;
@@ -29,8 +30,11 @@
 /// Nodes that are asked in turn for one connection.
 const MAX_ATTEMPTS: usize = 4;
 
-/// Time for a node to connect to an upstream and to answer.
-const OPEN_TIMEOUT: Millis = Millis(250);
+/// Time for one node to connect to an upstream and to answer.
+const ATTEMPT_TIMEOUT: Millis = Millis(200);
+
+/// Time for all attempts.
+const OPEN_TIMEOUT: Millis = Millis(400);
 
 /// Timeout of connecting to another node.
 const CONNECT_TIMEOUT: Millis = Millis(200);
@@ -80,30 +84,28 @@
         }
     }
 
-    /// Opens a byte stream to an upstream, and the flag that tells that its node stops.
+    /// Opens a byte stream to an upstream, and tells which node it leads through.
     ///
     /// # Errors
     ///
     /// When no node that was asked could; the upstream has received nothing.
-    pub async fn open(
-        &self,
-        upstream: &Upstream,
-    ) -> Result<(Box<dyn Stream>, Arc<AtomicBool>), OpenError> {
+    pub async fn open(&self, upstream: &Upstream) -> Result<(Box<dyn Stream>, Tunnel), OpenError> {
         let candidates = self.candidates(upstream)?;
+        let until = self.clock().now() + OPEN_TIMEOUT;
         let mut last = "all have refused a moment ago".to_owned();
         for (node, address) in candidates.into_iter().take(MAX_ATTEMPTS) {
+            let left = until.since(self.clock().now()).min(ATTEMPT_TIMEOUT);
             let open = self.open_through(address, upstream);
-            let opened = tokio::time::timeout(OPEN_TIMEOUT.duration(), open).await;
+            let opened = tokio::time::timeout(left.duration(), open).await;
             let status = match opened {
-                Ok(Ok(tunnel)) => {
-                    self.count("opened");
-                    log::debug!("path: {} is reached through {node}", upstream.incarnation);
-                    return Ok(tunnel);
+                Ok(Ok((stream, leaving))) => {
+                    self.count(Code::Ok);
+                    return Ok((stream, Tunnel { node, leaving }));
                 }
                 Ok(Err(status)) => status,
-                Err(_) => Status::deadline_exceeded(format!("no answer within {OPEN_TIMEOUT}")),
+                Err(_) => Status::deadline_exceeded(format!("no answer within {left}")),
             };
-            self.count(outcome_name(status.code()));
+            self.count(status.code());
             last = format!("{node}: {}", status.message());
             if status.code() == Code::NotFound {
                 // The other node learns of the upstream in a moment.
@@ -157,6 +159,7 @@
         let (sender, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT);
         let first = TunnelChunk {
             incarnation: upstream.incarnation.to_string(),
+            node: self.controllers.node.to_string(),
             ..TunnelChunk::default()
         };
         sender
@@ -187,9 +190,9 @@
             .clone()
     }
 
-    fn count(&self, outcome: &str) {
-        let metrics: &Metrics = &self.controllers.metrics;
-        metrics.tunnels.with_label_values(&[outcome]).inc();
+    fn count(&self, code: Code) {
+        let tunnels = &self.controllers.metrics.tunnels;
+        tunnels.with_label_values(&[outcome_name(code)]).inc();
     }
 
     fn clock(&self) -> &dyn Clock {
@@ -201,17 +204,6 @@
     }
 }
 
-/// Returns the label of a failed attempt in metrics.
-const fn outcome_name(code: Code) -> &'static str {
-    match code {
-        Code::FailedPrecondition => "no_path",
-        Code::ResourceExhausted => "full",
-        Code::NotFound => "unknown",
-        Code::Aborted => "stopping",
-        _ => "no_answer",
-    }
-}
-
 /// Joins both directions of a tunnel to a byte stream.
 fn byte_stream(
     sender: mpsc::Sender<TunnelChunk>,
--- a/lib/src/direct/tunnel/mod.rs
+++ b/lib/src/direct/tunnel/mod.rs
@@ -12,3 +12,17 @@
 
 pub use client::{Client, OpenError};
 pub use server::Server;
+
+use tonic::Code;
+
+/// Returns the label of an attempt's outcome in metrics.
+const fn outcome_name(code: Code) -> &'static str {
+    match code {
+        Code::Ok => "opened",
+        Code::FailedPrecondition => "no_path",
+        Code::ResourceExhausted => "full",
+        Code::NotFound => "unknown",
+        Code::Aborted => "stopping",
+        _ => "no_answer",
+    }
+}
--- a/lib/src/direct/tunnel/server.rs
+++ b/lib/src/direct/tunnel/server.rs
@@ -12,8 +12,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tokio_util::task::task_tracker::TaskTrackerToken;
-use tonic::{Request, Response, Status, Streaming};
+use tonic::{Code, Request, Response, Status, Streaming};
 
+use super::outcome_name;
 use crate::direct::controllers::Controllers;
 use crate::direct::path::dial;
 use crate::direct::upstream::Upstream;
@@ -88,6 +89,19 @@
         &self,
         request: Request<Streaming<TunnelChunk>>,
     ) -> Result<Response<Self::OpenStream>, Status> {
+        let opened = self.start(request.into_inner()).await;
+        let code = opened.as_ref().err().map_or(Code::Ok, Status::code);
+        let served = &self.controllers.metrics.tunnels_requested;
+        served.with_label_values(&[outcome_name(code)]).inc();
+        opened.map(Response::new)
+    }
+}
+
+impl Server {
+    async fn start(
+        &self,
+        mut requests: Streaming<TunnelChunk>,
+    ) -> Result<ReceiverStream<Result<TunnelChunk, Status>>, Status> {
         if self.leaving.is_cancelled() {
             return Err(Status::aborted("this node stops"));
         }
@@ -95,12 +109,17 @@
             return Err(Status::resource_exhausted("too many tunnels are open"));
         }
         let open = OpenGuard::new(self);
-        let mut requests = request.into_inner();
         let Some(first) = requests.message().await? else {
             return Err(Status::invalid_argument("no upstream is named"));
         };
         let upstream = self.upstream(&first.incarnation)?;
         let stream = self.connect(&upstream).await?;
+        log::info!(
+            upstream = &*upstream.incarnation,
+            node = first.node.as_str(),
+            open = self.open.len();
+            "path: connected for another node"
+        );
         let (replies, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT);
         let tunnel = Tunnel {
             requests,
@@ -109,7 +128,7 @@
             _open: open,
         };
         tokio::spawn(tunnel.run(stream));
-        Ok(Response::new(ReceiverStream::new(receiver)))
+        Ok(ReceiverStream::new(receiver))
     }
 }
 
@@ -178,7 +197,7 @@
         return;
     }
     // The other direction ends the tunnel; it also reports a reset by the upstream.
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 /// Why bytes could not be copied to the upstream.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -84,6 +84,10 @@
     pub upstreams: IntGaugeVec,
     /// Connections through other nodes that this node asked for, by outcome.
     pub tunnels: IntCounterVec,
+    /// Requests sent through other nodes.
+    pub tunneled_sends: IntCounter,
+    /// Connections that other nodes asked this one for, by outcome.
+    pub tunnels_requested: IntCounterVec,
     /// Connections that this node holds open for other nodes.
     pub tunnels_served: IntGauge,
     /// Pools of which this node reaches no upstream.
@@ -245,6 +249,15 @@
                 "Connections to upstreams through other nodes, by outcome.",
                 &["outcome"],
             ),
+            tunneled_sends: maker.counter(
+                "tunneled_sends_total",
+                "Requests sent to upstreams on connections through other nodes.",
+            ),
+            tunnels_requested: maker.counters(
+                "tunnels_requested_total",
+                "Connections that other nodes asked this one for, by outcome.",
+                &["outcome"],
+            ),
             tunnels_served: maker.gauge(
                 "tunnels_served",
                 "Connections that this node holds open for other nodes.",
--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -26,6 +26,7 @@
 use super::http::error_chain;
 use super::network::{self, Stream};
 use crate::clock::Millis;
+use crate::name::Name;
 
 /// How long sent data may stay unacknowledged before the kernel closes a connection.
 ///
@@ -106,8 +107,17 @@
 pub enum Route {
     /// Directly.
     Direct,
-    /// Through another node, which sets the flag once it stops and takes no further request.
-    Tunnel(Arc<AtomicBool>),
+    /// Through another node.
+    Tunnel(Tunnel),
+}
+
+/// The other node of a connection.
+#[derive(Debug, Clone)]
+pub struct Tunnel {
+    /// The node's name.
+    pub node: Name,
+    /// Whether the node stops and takes no further request.
+    pub leaving: Arc<AtomicBool>,
 }
 
 /// A connection taken from the pool by one request.
@@ -125,11 +135,20 @@
         matches!(self.route, Route::Tunnel(_))
     }
 
+    /// Returns the node that the connection leads through.
+    #[must_use]
+    pub const fn tunnel_node(&self) -> Option<&Name> {
+        match &self.route {
+            Route::Direct => None,
+            Route::Tunnel(tunnel) => Some(&tunnel.node),
+        }
+    }
+
     /// Whether the connection may carry a further request.
     fn is_reusable(&self) -> bool {
         let is_leaving = match &self.route {
             Route::Direct => false,
-            Route::Tunnel(leaving) => leaving.load(Ordering::Relaxed),
+            Route::Tunnel(tunnel) => tunnel.leaving.load(Ordering::Relaxed),
         };
         !is_leaving && !self.sender.is_closed()
     }
--- a/lib/src/protos/chivevalve.direct.rs
+++ b/lib/src/protos/chivevalve.direct.rs
@@ -9,6 +9,9 @@
     /// The callee stops: the caller sends no further request through this tunnel.
     #[prost(bool, tag = "3")]
     pub leaving: bool,
+    /// The caller's name; in its first message only.
+    #[prost(string, tag = "4")]
+    pub node: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TellRequest {
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -18,7 +18,7 @@
 use chivevalve::direct::peer_server::serve;
 use chivevalve::direct::roles::Roles;
 use chivevalve::direct::selection::{Selector, mean_remote_utilization};
-use chivevalve::direct::tunnel::Server;
+use chivevalve::direct::tunnel;
 use chivevalve::direct::upstream::{InFlightRequest, Upstream};
 use chivevalve::direct::view::{Claim, ClaimEntry, View};
 use chivevalve::name::Name;
@@ -255,7 +255,7 @@
     tokio::spawn(serve(
         listener,
         Arc::clone(&owner.controllers),
-        Server::new(Arc::clone(&owner.controllers)),
+        tunnel::Server::new(Arc::clone(&owner.controllers)),
     ));
     (owner, node("two", "one", at, &[(ADAPTER, 1)]))
 }
@@ -460,7 +460,7 @@
     tokio::spawn(serve(
         listener,
         Arc::clone(&owner.controllers),
-        Server::new(Arc::clone(&owner.controllers)),
+        tunnel::Server::new(Arc::clone(&owner.controllers)),
     ));
     let (address, hold) = holding_proxy(at).await;
     let other = node("two", "one", address, &[(ADAPTER, 1)]);
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -16,7 +16,7 @@
 use chivevalve::direct::limits::SharedLimits;
 use chivevalve::direct::ownership::Ownership;
 use chivevalve::direct::peer_server::serve;
-use chivevalve::direct::tunnel::Server;
+use chivevalve::direct::tunnel;
 use chivevalve::direct::view::View;
 use chivevalve::name::Name;
 use chivevalve::ports::poll::{self, Changes, Poll};
@@ -179,7 +179,7 @@
     tokio::spawn(serve(
         listener,
         Arc::clone(&publisher),
-        Server::new(Arc::clone(&publisher)),
+        tunnel::Server::new(Arc::clone(&publisher)),
     ));
     let follow = async || {
         let client = OrdersClient::connect(format!("http://{address}")).await;
@@ -462,7 +462,7 @@
     tokio::spawn(serve(
         listener,
         Arc::clone(&publisher),
-        Server::new(Arc::clone(&publisher)),
+        tunnel::Server::new(Arc::clone(&publisher)),
     ));
     publisher.hub.publish(update(4, 6));
     let mut polling = 0;
@@ -502,7 +502,7 @@
         tokio::spawn(serve(
             socket,
             Arc::clone(&controllers),
-            Server::new(Arc::clone(&controllers)),
+            tunnel::Server::new(Arc::clone(&controllers)),
         ));
         kept.push(tokio::spawn(async move {
             let received = one.next(0, Millis(1)).await;
@@ -662,7 +662,7 @@
     tokio::spawn(serve(
         listener,
         Arc::clone(&publisher),
-        Server::new(Arc::clone(&publisher)),
+        tunnel::Server::new(Arc::clone(&publisher)),
     ));
     publisher.hub.publish(update(0, 1));
     let span = Millis::from_secs(2);
--- a/lib/tests/test_direct_reachability.rs
+++ b/lib/tests/test_direct_reachability.rs
@@ -134,7 +134,7 @@
         let mut last_direct: Option<Millis> = None;
         let mut failed: Vec<usize> = Vec::new();
         for (choice, which, passed) in series {
-            now = now + Millis(u64::from(passed % 700));
+            now += Millis(u64::from(passed % 700));
             let which = usize::from(which % 4);
             let upstream = &all[which];
             match event(choice) {
