tunnel, claim: dials that outlive their caller, smaller buffers, one way to hand an engine over

From the read-through: a node that itself lost its paths silently never learned of it from others' tunnels, as the asking node gives up before its attempt ends; a tunnel allocated a buffer for each read; and one stale claim would have kept the release of all engines of an owner from taking effect.

--- a/lib/src/direct/claim/release.rs
+++ b/lib/src/direct/claim/release.rs
@@ -72,8 +72,14 @@
         let Some((address, owned)) = self.surplus_engine() else {
             return Ok(());
         };
-        self.ownership.hand_over(address, now);
         log::info!("right: handing over {address}, as this node owns more than its share");
+        self.hand_over(address, owned).await
+    }
+
+    /// Releases one engine.
+    async fn hand_over(&self, address: SocketAddr, owned: OwnedEngine) -> Result<(), Error> {
+        let now = self.clock.now();
+        self.ownership.hand_over(address, now);
         let transaction = Transaction {
             conditions: vec![Condition::Unchanged(self.claim_key(address), owned.token)],
             writes: vec![self.release_write(address, owned)],
@@ -91,22 +97,10 @@
     /// Nobody can load adapters at an engine whose owner has no path to it. Where no other node
     /// reaches it either, the engine is what fails, and its owner stays.
     pub(super) async fn hand_over_unreachable(&self) -> Result<(), Error> {
-        let now = self.clock.now();
-        let engines = self.unreachable_engines(now);
-        if engines.is_empty() {
-            return Ok(());
-        }
-        let mut transaction = Transaction::default();
-        for (address, owned) in &engines {
-            self.ownership.hand_over(*address, now);
+        for (address, owned) in self.unreachable_engines(self.clock.now()) {
             log::info!("right: handing over {address}, as only other nodes reach it");
-            let condition = Condition::Unchanged(self.claim_key(*address), owned.token);
-            transaction.conditions.push(condition);
-            let release = self.release_write(*address, *owned);
-            transaction.writes.push(release);
-            self.view.state().release_claim(*address, now);
+            self.hand_over(address, owned).await?;
         }
-        self.store.commit(transaction).await?;
         Ok(())
     }
 
--- a/lib/src/direct/tunnel/server.rs
+++ b/lib/src/direct/tunnel/server.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use bytes::BytesMut;
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::sync::mpsc;
@@ -30,7 +29,7 @@
 const CHUNKS_IN_FLIGHT: usize = 4;
 
 /// Maximum length of a chunk in bytes.
-const CHUNK_BYTES: usize = 16 * 1024;
+const CHUNK_BYTES: usize = 8 * 1024;
 
 type Replies = mpsc::Sender<Result<TunnelChunk, Status>>;
 
@@ -75,9 +74,16 @@
         if controllers.view.reachability.lacks_path(upstream, now) {
             return Err(Status::failed_precondition("this node lacks a path too"));
         }
-        dial(&controllers.view, &*controllers.clock, upstream)
+        // The other node may give up sooner; this one is to learn the outcome all the same.
+        let (controllers, upstream) = (Arc::clone(controllers), Arc::clone(upstream));
+        let dialing =
+            tokio::spawn(
+                async move { dial(&controllers.view, &*controllers.clock, &upstream).await },
+            );
+        let dialed = dialing
             .await
-            .map_err(|error| Status::failed_precondition(error.to_string()))
+            .map_err(|error| Status::internal(error.to_string()))?;
+        dialed.map_err(|error| Status::failed_precondition(error.to_string()))
     }
 }
 
@@ -216,11 +222,11 @@
     leaving: &CancellationToken,
 ) {
     let mut has_told = false;
+    let mut buffer = vec![0; CHUNK_BYTES];
     loop {
-        let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
         let read = tokio::select! {
             biased;
-            read = reader.read_buf(&mut buffer) => read,
+            read = reader.read(&mut buffer) => read,
             () = leaving.cancelled(), if !has_told => {
                 has_told = true;
                 let chunk = TunnelChunk { leaving: true, ..TunnelChunk::default() };
@@ -232,8 +238,8 @@
         };
         let reply = match read {
             Ok(0) => return,
-            Ok(_) => Ok(TunnelChunk {
-                data: buffer.to_vec(),
+            Ok(length) => Ok(TunnelChunk {
+                data: buffer[..length].to_vec(),
                 ..TunnelChunk::default()
             }),
             Err(error) => Err(Status::aborted(error.to_string())),
