reachability: try a sound upstream beside several that have crashed

The crashes were failures in a row, so the node took itself for cut off and tried the pool directly once in 500 ms, mostly at a dead engine; the other node, cut off by the same dead engines, refused for 700 ms to connect to any of the pool.

--- a/lib/src/direct/reachability.rs
+++ b/lib/src/direct/reachability.rs
@@ -102,11 +102,12 @@
             return Advice::Direct;
         };
         paths.expire(now);
-        if paths.is_cut_off(now) {
-            return due(&mut paths.last_attempt, now);
-        }
+        let is_cut_off = paths.is_cut_off(now);
         match paths.failing.get_mut(&upstream.incarnation) {
+            Some(_) if is_cut_off => due(&mut paths.last_attempt, now),
             Some(failure) => due(&mut failure.last_attempt, now),
+            // Several upstreams can fail at once without any fault of this node's paths.
+            None if is_cut_off => Advice::Both,
             None => Advice::Direct,
         }
     }
@@ -180,14 +181,26 @@
         }
     }
 
-    /// Whether this node doesn't reach an upstream, or any of its pool.
+    /// Whether the last attempt to connect to an upstream failed a moment ago.
     #[must_use]
-    pub fn lacks_path(&self, upstream: &Upstream, now: Millis) -> bool {
+    pub fn has_failed(&self, upstream: &Upstream, now: Millis) -> bool {
         let pools = self.pools();
         pools.get(&upstream.pool).is_some_and(|paths| {
             let failure = paths.failing.get(&upstream.incarnation);
-            paths.is_cut_off(now)
-                || failure.is_some_and(|failure| now.since(failure.last) < FAILURE_MEMORY)
+            failure.is_some_and(|failure| now.since(failure.last) < FAILURE_MEMORY)
+        })
+    }
+
+    /// Whether this node doesn't reach an upstream, or none of a pool that other nodes reach.
+    #[must_use]
+    pub fn lacks_path(&self, upstream: &Upstream, now: Millis) -> bool {
+        if self.has_failed(upstream, now) {
+            return true;
+        }
+        let pools = self.pools();
+        pools.get(&upstream.pool).is_some_and(|paths| {
+            let bypass = paths.last_bypass;
+            paths.is_cut_off(now) && bypass.is_some_and(|at| now.since(at) < FAILURE_MEMORY)
         })
     }
 
--- a/lib/src/direct/tunnel/client.rs
+++ b/lib/src/direct/tunnel/client.rs
@@ -107,8 +107,8 @@
             };
             self.count(status.code());
             last = format!("{node}: {}", status.message());
-            if status.code() == Code::NotFound {
-                // The other node learns of the upstream in a moment.
+            if matches!(status.code(), Code::NotFound | Code::Unavailable) {
+                // The node learns of the upstream in a moment, or reaches others of the pool.
                 continue;
             }
             let until = self.clock().now() + REFUSAL_MEMORY;
--- a/lib/src/direct/tunnel/mod.rs
+++ b/lib/src/direct/tunnel/mod.rs
@@ -20,6 +20,7 @@
     match code {
         Code::Ok => "opened",
         Code::FailedPrecondition => "no_path",
+        Code::Unavailable => "unreachable",
         Code::ResourceExhausted => "full",
         Code::NotFound => "unknown",
         Code::Aborted => "stopping",
--- a/lib/src/direct/tunnel/server.rs
+++ b/lib/src/direct/tunnel/server.rs
@@ -71,19 +71,32 @@
     async fn connect(&self, upstream: &Arc<Upstream>) -> Result<Box<dyn Stream>, Status> {
         let controllers = &self.controllers;
         let now = controllers.clock.now();
-        if controllers.view.reachability.lacks_path(upstream, now) {
-            return Err(Status::failed_precondition("this node lacks a path too"));
+        let reachability = &controllers.view.reachability;
+        if reachability.has_failed(upstream, now) {
+            return Err(self.unreachable(upstream, "it failed a moment ago"));
         }
         // The other node may give up sooner; this one is to learn the outcome all the same.
-        let (controllers, upstream) = (Arc::clone(controllers), Arc::clone(upstream));
-        let dialing =
-            tokio::spawn(
-                async move { dial(&controllers.view, &*controllers.clock, &upstream).await },
-            );
-        let dialed = dialing
+        let (owned, dialed) = (Arc::clone(controllers), Arc::clone(upstream));
+        let dialing = tokio::spawn(async move { dial(&owned.view, &*owned.clock, &dialed).await });
+        dialing
             .await
-            .map_err(|error| Status::internal(error.to_string()))?;
-        dialed.map_err(|error| Status::failed_precondition(error.to_string()))
+            .map_err(|error| Status::internal(error.to_string()))?
+            .map_err(|error| self.unreachable(upstream, &error.to_string()))
+    }
+
+    /// Returns the refusal for an upstream that this node doesn't reach, which tells whether the
+    /// node reaches others of its pool.
+    fn unreachable(&self, upstream: &Upstream, cause: &str) -> Status {
+        let controllers = &self.controllers;
+        let now = controllers.clock.now();
+        if controllers
+            .view
+            .reachability
+            .is_cut_off(&upstream.pool, now)
+        {
+            return Status::failed_precondition("this node lacks a path to the pool too");
+        }
+        Status::unavailable(cause)
     }
 }
 
