tunnel: a node that can't be reached isn't asked by each request

Cause: the code with which a node refuses just one upstream is also the client's own for a node that it can't reach. A node that hangs would have cost each request its timeouts. Change: the refusal of one upstream has a code of its own; a node that stops, has ended or gives no answer isn't asked for the pool for 700 ms. The label unavailable takes the place of stopping.

Along with it, from reading the change again: a direct attempt that failed while another node was being asked had that question dropped and put anew; the endpoint of a node is built in one place for orders and tunnels; direct attempts are a module of their own, so that path and tunnel no longer import each other in a circle.

--- a/lib/src/direct/controllers/mod.rs
+++ b/lib/src/direct/controllers/mod.rs
@@ -32,6 +32,12 @@
 /// Timeout of connecting to another node.
 const CONNECT_TIMEOUT: Millis = Millis(400);
 
+/// Interval of HTTP/2 keepalive pings while calls to a node are open.
+const KEEPALIVE_INTERVAL: Millis = Millis(2_000);
+
+/// Timeout of a keepalive ping, after which the connection is closed.
+const KEEPALIVE_TIMEOUT: Millis = Millis(1_000);
+
 /// Timeout of a load that another node orders.
 const REMOTE_LOAD_TIMEOUT: Millis = Millis(4_500);
 
@@ -324,12 +330,7 @@
         clients
             .entry(address)
             .or_insert_with(|| {
-                let endpoint = Endpoint::from_shared(format!("http://{address}"))
-                    .expect("a socket address is a valid URI authority")
-                    .connect_timeout(CONNECT_TIMEOUT.duration())
-                    .tcp_nodelay(true)
-                    .http2_keep_alive_interval(Millis::from_secs(2).duration())
-                    .keep_alive_timeout(Millis::from_secs(1).duration());
+                let endpoint = peer_endpoint(address, CONNECT_TIMEOUT, KEEPALIVE_INTERVAL);
                 OrdersClient::new(endpoint.connect_lazy())
             })
             .clone()
@@ -414,6 +415,24 @@
     }
 }
 
+/// Returns the endpoint of another node.
+///
+/// # Panics
+///
+/// Never: a socket address is a valid URI authority.
+pub(super) fn peer_endpoint(
+    address: SocketAddr,
+    connect_timeout: Millis,
+    keepalive_interval: Millis,
+) -> Endpoint {
+    Endpoint::from_shared(format!("http://{address}"))
+        .expect("a socket address is a valid URI authority")
+        .connect_timeout(connect_timeout.duration())
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(keepalive_interval.duration())
+        .keep_alive_timeout(KEEPALIVE_TIMEOUT.duration())
+}
+
 fn load_outcome(reply: &LoadReply) -> LoadOutcome {
     match reply.outcome() {
         Outcome::Ready => LoadOutcome::Ready(reply.version),
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -17,6 +17,7 @@
 pub mod config;
 pub mod control_call;
 pub mod controllers;
+mod dial;
 pub mod dialect;
 pub mod drain;
 pub mod entry;
--- a/lib/src/direct/path.rs
+++ b/lib/src/direct/path.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use futures::future::BoxFuture;
 
 use super::controllers::Controllers;
+use super::dial::{Dialed, dial};
 use super::quarantine::OtherNodes;
-use super::reachability::{Advice, Loss};
+use super::reachability::Advice;
 use super::tunnel::{self, OpenError};
 use super::upstream::Upstream;
-use super::view::View;
-use crate::clock::{Clock, Millis};
+use crate::clock::Millis;
 use crate::name::Name;
-use crate::ports::connection_pool::{Connection, DialError, Route, TransportError};
+use crate::ports::connection_pool::{Connection, Route, TransportError};
 use crate::ports::network::Stream;
 
 /// Time for a direct connection before another node is asked as well.
@@ -27,26 +28,6 @@
     tunnels: tunnel::Client,
 }
 
-/// Opens a direct byte stream to an upstream, and records what that tells of this node's paths.
-///
-/// # Errors
-///
-/// If none can be established; the upstream has received nothing.
-pub(super) async fn dial(
-    view: &View,
-    clock: &dyn Clock,
-    upstream: &Upstream,
-) -> Result<Box<dyn Stream>, DialError> {
-    let dialed = upstream.connection_pool.dial().await;
-    let (reachability, now) = (&view.reachability, clock.now());
-    match &dialed {
-        Ok(_) => reachability.record_success(upstream, now),
-        Err(DialError::TimedOut(_)) => reachability.record_failure(upstream, Loss::Silent, now),
-        Err(DialError::Failed(_)) => reachability.record_failure(upstream, Loss::Refused, now),
-    }
-    dialed
-}
-
 impl Paths {
     /// Creates the paths of a node.
     #[must_use]
@@ -135,18 +116,15 @@
     /// Connects through another node while a direct attempt goes on; the first success counts.
     ///
     /// The direct attempt runs to its end in any case: its outcome tells of this node's paths.
-    async fn race(
-        &self,
-        upstream: &Arc<Upstream>,
-        dialing: impl Future<Output = Result<Box<dyn Stream>, DialError>> + Send + 'static,
-    ) -> Opened {
+    async fn race(&self, upstream: &Arc<Upstream>, dialing: BoxFuture<'static, Dialed>) -> Opened {
         let mut dialing = tokio::spawn(dialing);
+        let mut opening = std::pin::pin!(self.open_tunnel(upstream));
         tokio::select! {
             dialed = &mut dialing => match dialed {
                 Ok(Ok(stream)) => Ok((stream, Route::Direct)),
-                _ => self.open_tunnel(upstream).await.map_err(|error| unsent(&error)),
+                _ => opening.await.map_err(|error| unsent(&error)),
             },
-            opened = self.open_tunnel(upstream) => match opened {
+            opened = &mut opening => match opened {
                 Ok(opened) => Ok(opened),
                 Err(error) => match dialing.await {
                     Ok(Ok(stream)) => Ok((stream, Route::Direct)),
@@ -168,10 +146,7 @@
     }
 
     /// Returns a direct attempt that can go on without this request.
-    fn start_dial(
-        &self,
-        upstream: &Arc<Upstream>,
-    ) -> futures::future::BoxFuture<'static, Result<Box<dyn Stream>, DialError>> {
+    fn start_dial(&self, upstream: &Arc<Upstream>) -> BoxFuture<'static, Dialed> {
         let controllers = Arc::clone(&self.controllers);
         let upstream = Arc::clone(upstream);
         Box::pin(async move { dial(&controllers.view, &*controllers.clock, &upstream).await })
--- a/lib/src/direct/tunnel/client.rs
+++ b/lib/src/direct/tunnel/client.rs
@@ -14,12 +14,12 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
 use tokio_util::sync::PollSender;
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
 use tonic::{Code, Status, Streaming};
 
 use super::outcome_name;
 use crate::clock::{Clock, Millis};
-use crate::direct::controllers::Controllers;
+use crate::direct::controllers::{Controllers, peer_endpoint};
 use crate::direct::upstream::Upstream;
 use crate::name::Name;
 use crate::ports::connection_pool::Tunnel;
@@ -39,6 +39,9 @@
 /// Timeout of connecting to another node.
 const CONNECT_TIMEOUT: Millis = Millis(200);
 
+/// Interval of HTTP/2 keepalive pings while tunnels through a node are open.
+const KEEPALIVE_INTERVAL: Millis = Millis(1_000);
+
 /// How long a node that couldn't open a connection isn't asked for the same pool.
 const REFUSAL_MEMORY: Millis = Millis(700);
 
@@ -107,7 +110,7 @@
             };
             self.count(status.code());
             last = format!("{node}: {}", status.message());
-            if matches!(status.code(), Code::NotFound | Code::Unavailable) {
+            if matches!(status.code(), Code::NotFound | Code::Aborted) {
                 // The node learns of the upstream in a moment, or reaches others of the pool.
                 continue;
             }
@@ -177,14 +180,9 @@
         clients
             .entry(address)
             .or_insert_with(|| {
-                let endpoint = Endpoint::from_shared(format!("http://{address}"))
-                    .expect("a socket address is a valid URI authority")
-                    .connect_timeout(CONNECT_TIMEOUT.duration())
-                    .tcp_nodelay(true)
+                let endpoint = peer_endpoint(address, CONNECT_TIMEOUT, KEEPALIVE_INTERVAL)
                     .initial_stream_window_size(TUNNEL_WINDOW_BYTES)
-                    .initial_connection_window_size(NODE_WINDOW_BYTES)
-                    .http2_keep_alive_interval(Millis::from_secs(1).duration())
-                    .keep_alive_timeout(Millis::from_secs(1).duration());
+                    .initial_connection_window_size(NODE_WINDOW_BYTES);
                 TunnelsClient::new(endpoint.connect_lazy())
             })
             .clone()
--- a/lib/src/direct/tunnel/mod.rs
+++ b/lib/src/direct/tunnel/mod.rs
@@ -20,10 +20,11 @@
     match code {
         Code::Ok => "opened",
         Code::FailedPrecondition => "no_path",
-        Code::Unavailable => "unreachable",
+        Code::Aborted => "unreachable",
         Code::ResourceExhausted => "full",
         Code::NotFound => "unknown",
-        Code::Aborted => "stopping",
+        // Also the code of the client itself for a node that can't be reached.
+        Code::Unavailable => "unavailable",
         _ => "no_answer",
     }
 }
--- a/lib/src/direct/tunnel/server.rs
+++ b/lib/src/direct/tunnel/server.rs
@@ -15,7 +15,7 @@
 
 use super::outcome_name;
 use crate::direct::controllers::Controllers;
-use crate::direct::path::dial;
+use crate::direct::dial::dial;
 use crate::direct::upstream::Upstream;
 use crate::metrics::Metrics;
 use crate::ports::network::Stream;
@@ -73,7 +73,7 @@
         let now = controllers.clock.now();
         let reachability = &controllers.view.reachability;
         if reachability.has_failed(upstream, now) {
-            return Err(self.unreachable(upstream, "it failed a moment ago"));
+            return Err(self.refusal(upstream, "it failed a moment ago"));
         }
         // The other node may give up sooner; this one is to learn the outcome all the same.
         let (owned, dialed) = (Arc::clone(controllers), Arc::clone(upstream));
@@ -81,22 +81,18 @@
         dialing
             .await
             .map_err(|error| Status::internal(error.to_string()))?
-            .map_err(|error| self.unreachable(upstream, &error.to_string()))
+            .map_err(|error| self.refusal(upstream, &error.to_string()))
     }
 
     /// Returns the refusal for an upstream that this node doesn't reach, which tells whether the
     /// node reaches others of its pool.
-    fn unreachable(&self, upstream: &Upstream, cause: &str) -> Status {
-        let controllers = &self.controllers;
-        let now = controllers.clock.now();
-        if controllers
-            .view
-            .reachability
-            .is_cut_off(&upstream.pool, now)
-        {
+    fn refusal(&self, upstream: &Upstream, cause: &str) -> Status {
+        let now = self.controllers.clock.now();
+        let reachability = &self.controllers.view.reachability;
+        if reachability.is_cut_off(&upstream.pool, now) {
             return Status::failed_precondition("this node lacks a path to the pool too");
         }
-        Status::unavailable(cause)
+        Status::aborted(cause)
     }
 }
 
@@ -122,7 +118,7 @@
         mut requests: Streaming<TunnelChunk>,
     ) -> Result<ReceiverStream<Result<TunnelChunk, Status>>, Status> {
         if self.leaving.is_cancelled() {
-            return Err(Status::aborted("this node stops"));
+            return Err(Status::unavailable("this node stops"));
         }
         if self.open.len() >= MAX_OPEN {
             return Err(Status::resource_exhausted("too many tunnels are open"));
