--- a/lib/src/direct/orders/contact.rs
+++ b/lib/src/direct/orders/contact.rs
@@ -1,6 +1,6 @@
 //! Whether an engine answers its owner.
 //!
-//! An owner without a path to its engine would log each of ten failed calls a second.
+//! Only changes are logged: an owner without a path to its engine fails ten calls a second.
 
 use crate::clock::Millis;
 
--- a/lib/src/direct/reachability.rs
+++ b/lib/src/direct/reachability.rs
@@ -13,7 +13,7 @@
 use crate::clock::Millis;
 use crate::name::Name;
 
-/// Upstreams of a pool to which connections fail in a row before the node takes itself for cut off.
+/// Number of upstreams of a pool that must fail in a row before the node counts as cut off from it.
 const MIN_FAILING: usize = 2;
 
 /// Interval of direct connection attempts to an upstream, or a pool, that this node doesn't reach.
--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -98,7 +98,7 @@
     }
 }
 
-/// Leave to open one connection, counted until the connection is closed.
+/// Permission to open one connection, which is counted until the connection is closed.
 #[derive(Debug)]
 pub struct OpenPermit(OpenGuard);
 
--- a/lib/src/ports/network.rs
+++ b/lib/src/ports/network.rs
@@ -1,7 +1,7 @@
 //! Byte streams to servers.
 //!
-//! Connection pools open their connections through a [`Network`], so that one that is opened
-//! through another node can take the place of a TCP connection, and tests can take paths away.
+//! Connection pools connect through a [`Network`], which is TCP in production. Tests replace it by
+//! one that fails or hangs as a partition does.
 
 use std::fmt;
 use std::io;
