orders: an adapter whose unload got no answer is neither present nor gone

Callers of an adapter were told that an engine holds it seconds after the engine had dropped it. The engine answers 421; the send counts against the retry budget, and the owner's next report brought the same belief back at all nodes.

Cause: an unload without an answer left no trace in the slots. All that the owner knew of it was that its belief may be wrong, and the first status ended that. A status is up to a second old and its count of orders is that from before the unload, so it was merged as the newest and the doubt was gone. In the product not even that status was asked for. An unload that is answered 202 and waits for running requests had the same end: one status from before its completion, and none after it.

Evidence: the series' events, traced on: unload of a0 at 11,860 (three attempts, one executed), status of 11,800 applied at 12,000, "present" at 14,999 while the engine had counted the unload since 11,860.

Change: choosing an adapter for eviction records the order before it is sent. Until an answer, a count that passed its number, or a status from a second after it was sent tells what became of it, the adapter takes its slot, is not published and not served; who asks for it has the engine asked by an order for the known version. For as long as the unload may be executed late, or waits, the engine's status is requested once a second. An attempt that was refused or not sent leaves no doubt.

Ruled out before and not tried again: one status behind the order.

--- a/lib/src/direct/orders/load.rs
+++ b/lib/src/direct/orders/load.rs
@@ -78,7 +78,7 @@
                 self.back_off();
                 return;
             }
-            OrderResult::Unanswered => {
+            OrderResult::Unanswered | OrderResult::Unsent => {
                 send_outcome(load.reply, LoadOutcome::Failed);
                 return;
             }
@@ -114,7 +114,7 @@
         }
         let (table, engine) = (&self.client.table, &self.client.upstream.incarnation);
         let in_use = |name: &Name| table.uses(engine, name);
-        let victim = self.slots.as_ref().and_then(|slots| {
+        let victim = self.slots.as_mut().and_then(|slots| {
             // An engine that waits for an unload accepts no other order.
             slots
                 .leaving()
@@ -138,11 +138,24 @@
                 self.back_off();
                 false
             }
-            OrderResult::Answered(_) | OrderResult::Unclear => {
+            OrderResult::Answered(_) => {
+                slots.record_unload_canceled(&victim);
+                self.back_off();
+                false
+            }
+            OrderResult::Unsent => {
+                slots.record_unload_canceled(&victim);
+                false
+            }
+            OrderResult::Unclear => {
+                self.publish_held();
                 self.back_off();
                 false
             }
-            OrderResult::Unanswered => false,
+            OrderResult::Unanswered => {
+                self.publish_held();
+                false
+            }
         }
     }
 
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -202,7 +202,7 @@
                 }
             }
             OrderResult::Unclear => self.base_load_ordered_at = Some(now),
-            OrderResult::Answered(_) | OrderResult::Unanswered => {}
+            OrderResult::Answered(_) | OrderResult::Unanswered | OrderResult::Unsent => {}
         }
     }
 
--- a/lib/src/direct/orders/send.rs
+++ b/lib/src/direct/orders/send.rs
@@ -19,8 +19,10 @@
     /// The first attempt may have been accepted. But the conflict can as well be with an order of a
     /// previous owner, with an unload that waits for running requests, or come from a wrong number.
     Unclear,
-    /// No attempt got a response, or it wasn't sent.
+    /// No attempt got a response, and at least one was sent.
     Unanswered,
+    /// No attempt was sent.
+    Unsent,
 }
 
 impl OrderResult {
@@ -30,6 +32,7 @@
             Self::Answered(outcome) => outcome.name(),
             Self::Unclear => "unclear",
             Self::Unanswered => "none",
+            Self::Unsent => "unsent",
         }
     }
 }
@@ -53,7 +56,8 @@
         let result = match outcome {
             Some(OrderOutcome::Conflict) if attempts > 1 => OrderResult::Unclear,
             Some(outcome) => OrderResult::Answered(outcome),
-            None => OrderResult::Unanswered,
+            None if attempts > 1 || self.is_last_order_unanswered => OrderResult::Unanswered,
+            None => OrderResult::Unsent,
         };
         self.record_result(action, model, version, result, attempts);
         result
--- a/lib/src/direct/orders/slots/mod.rs
+++ b/lib/src/direct/orders/slots/mod.rs
@@ -7,6 +7,7 @@
 //! accepted orders, and by age where both are equal; older evidence never overrides newer. See
 //! docs/design/0013-evidence-of-loads.md.
 
+mod eviction;
 mod slot;
 mod status;
 
@@ -19,6 +20,7 @@
 use crate::clock::Millis;
 use crate::direct::dialect::{EngineStatus, LoadedModels, OrderOutcome};
 use crate::name::Name;
+use eviction::Evictions;
 use slot::{Loading, OVERDUE_PROBE_INTERVAL, Slot, Waiter};
 use status::AdapterStatus;
 
@@ -38,8 +40,8 @@
 /// Time after which an unanswered probe is repeated: that of a connection and a response.
 const PROBE_RETRY_DELAY: Millis = Millis(600);
 
-/// Interval between status requests while a load is overdue.
-const OVERDUE_STATUS_INTERVAL: Millis = Millis(1_000);
+/// Interval between status requests while only they tell of a load or an unload.
+const STATUS_INTERVAL: Millis = Millis(1_000);
 
 /// Asks whether a load is complete, by sending the same order again.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -68,6 +70,7 @@
     by_adapter: BTreeMap<Name, Slot>,
     /// Until when adapters count as in use though no request is counted with them.
     in_use_until: BTreeMap<Name, Millis>,
+    evictions: Evictions,
 }
 
 impl Slots {
@@ -89,6 +92,7 @@
             self.fail_loads(LoadOutcome::Failed);
             *self = Self {
                 in_use_until: std::mem::take(&mut self.in_use_until),
+                evictions: std::mem::take(&mut self.evictions),
                 ..Self::new(status, requested_at)
             };
             return true;
@@ -111,7 +115,7 @@
         let known = std::mem::take(&mut self.by_adapter);
         for (name, slot) in known {
             let status = statuses.remove(&name).unwrap_or_default();
-            if let Some(slot) = slot.merge(status, is_newer, requested_at) {
+            if let Some(slot) = slot.merge(status, held.sequence, is_newer, requested_at) {
                 self.by_adapter.insert(name, slot);
             }
         }
@@ -125,13 +129,24 @@
         self.confirmed_sequence = held.sequence;
         self.last_status_at = requested_at;
         self.models.clone_from(&held.models);
+        let has_slot = |adapter: &str| self.by_adapter.contains_key(adapter);
+        self.evictions
+            .apply_status(held.sequence, requested_at, has_slot);
     }
 
     /// Answers a load if the adapter is present, or adds it to the waiters of a load in progress.
     ///
-    /// Returns the command if an order is needed.
-    pub fn serve_or_enqueue(&mut self, load: LoadCommand, now: Millis) -> Option<LoadCommand> {
+    /// Returns the command if an order is needed. That is also so if the engine may have dropped the
+    /// adapter: the order then asks for the version that was present.
+    pub fn serve_or_enqueue(&mut self, mut load: LoadCommand, now: Millis) -> Option<LoadCommand> {
+        let is_uncertain = self.evictions.is_uncertain(&load.adapter);
         match self.by_adapter.get_mut(&load.adapter) {
+            Some(Slot::Present {
+                version, unload, ..
+            }) if is_uncertain || unload.is_some() => {
+                load.version = load.version.max(*version);
+                Some(load)
+            }
             Some(Slot::Present { version, .. }) if *version >= load.version => {
                 send_outcome(load.reply, LoadOutcome::Ready(*version));
                 None
@@ -163,6 +178,7 @@
         self.sequence += 1;
         self.confirmed_sequence = self.sequence;
         self.last_accepted_at = now;
+        self.evictions.apply_count(self.confirmed_sequence);
     }
 
     /// Records that the engine started the load that was ordered.
@@ -207,8 +223,9 @@
     /// The engine gives the same response again without counting the order again, also to the
     /// order of a previous owner. So the count is left to the next status.
     pub fn record_unload_started(&mut self, adapter: &str) {
-        if let Some(Slot::Present { is_leaving, .. }) = self.by_adapter.get_mut(adapter) {
-            *is_leaving = true;
+        self.evictions.end(adapter);
+        if let Some(Slot::Present { unload, .. }) = self.by_adapter.get_mut(adapter) {
+            *unload = Some(self.sequence + 1);
         }
     }
 
@@ -218,18 +235,27 @@
     /// leaving has gone, so its unload isn't counted here; any other one is, but as the engine may
     /// have dropped it before, that count isn't confirmed.
     pub fn record_unloaded(&mut self, adapter: &str, now: Millis) {
+        self.evictions.end(adapter);
         let removed = self.by_adapter.remove(adapter);
-        let was_leaving = removed.as_ref().is_some_and(Slot::is_leaving);
+        let was_leaving = removed.as_ref().and_then(Slot::unload).is_some();
         if !was_leaving {
             self.sequence += 1;
         }
         self.last_accepted_at = now;
     }
 
+    /// Records that the unload of an adapter was refused, or could not be sent.
+    pub fn record_unload_canceled(&mut self, adapter: &str) {
+        self.evictions.cancel(adapter);
+    }
+
     /// Returns an adapter whose unload waits for running requests.
     #[must_use]
     pub fn leaving(&self) -> Option<Name> {
-        let mut leaving = self.by_adapter.iter().filter(|(_, slot)| slot.is_leaving());
+        let mut leaving = self
+            .by_adapter
+            .iter()
+            .filter(|(_, slot)| slot.unload().is_some());
         leaving.next().map(|(name, _)| Name::clone(name))
     }
 
@@ -307,12 +333,15 @@
         }
     }
 
-    /// Whether the engine's status is needed to learn what became of a load.
+    /// Whether the engine's status is needed to learn what became of a load or an unload.
     #[must_use]
     pub fn needs_status(&self, now: Millis) -> bool {
         let is_overdue = self.loads().any(|loading| loading.is_overdue(now));
         let is_unclear = self.loads().any(|loading| !loading.is_confirmed);
-        is_unclear || (is_overdue && now.since(self.last_status_at) >= OVERDUE_STATUS_INTERVAL)
+        let is_polled = is_overdue || self.leaving().is_some();
+        is_unclear
+            || (is_polled && now.since(self.last_status_at) >= STATUS_INTERVAL)
+            || self.evictions.needs_status(now, self.last_status_at)
     }
 
     /// Gives all waiters an outcome, as loads are no longer probed.
@@ -383,26 +412,31 @@
         *known = until.max(*known);
     }
 
-    /// Returns the least recently used of the adapters that are present and not in use.
-    #[must_use]
-    pub fn least_recently_used(&self, now: Millis, in_use: impl Fn(&Name) -> bool) -> Option<Name> {
-        let present = self
+    /// Returns the least recently used of the adapters that are present and not in use, and records
+    /// that its unload is about to be ordered.
+    ///
+    /// Until the engine's response or status tells what became of the unload, the adapter takes its
+    /// slot but isn't known to be present.
+    pub fn least_recently_used(
+        &mut self,
+        now: Millis,
+        in_use: impl Fn(&Name) -> bool,
+    ) -> Option<Name> {
+        let (until, name) = self
             .by_adapter
             .iter()
-            .filter_map(|(name, slot)| match slot {
-                Slot::Present { .. } => Some(name),
-                Slot::Loading(_) => None,
-            });
-        let (until, name) = present
-            .filter(|name| !in_use(name))
-            .map(|name| {
-                (
-                    self.in_use_until.get(name).copied().unwrap_or_default(),
-                    name,
-                )
+            .filter(|(name, slot)| matches!(slot, Slot::Present { .. }) && !in_use(name))
+            .map(|(name, _)| {
+                let until = self.in_use_until.get(name).copied();
+                (until.unwrap_or_default(), name)
             })
             .min()?;
-        (now >= until).then(|| Name::clone(name))
+        if now < until {
+            return None;
+        }
+        let name = Name::clone(name);
+        self.evictions.begin(Name::clone(&name), self.sequence, now);
+        Some(name)
     }
 
     /// Returns the base models and the adapters that requests can use now.
@@ -414,7 +448,8 @@
             .filter_map(|(name, slot)| match slot {
                 Slot::Present { version, .. } => Some((Name::clone(name), *version)),
                 Slot::Loading(_) => None,
-            });
+            })
+            .filter(|(name, _)| !self.evictions.is_uncertain(name));
         LoadedModels {
             started_at_ms: self.started_at_ms,
             sequence: self.sequence,
@@ -432,11 +467,14 @@
     }
 
     fn complete_load(&mut self, adapter: &Name, version: u64, now: Millis) {
+        self.evictions.record_present(adapter);
+        // An adapter that is leaving is present until its running requests have finished.
+        let unload = self.by_adapter.get(adapter).and_then(Slot::unload);
         let since = now;
         let present = Slot::Present {
             version,
             since,
-            is_leaving: false,
+            unload,
         };
         let previous = self.by_adapter.insert(Name::clone(adapter), present);
         if let Some(Slot::Loading(loading)) = previous {
--- a/lib/src/direct/orders/slots/slot.rs
+++ b/lib/src/direct/orders/slots/slot.rs
@@ -42,8 +42,9 @@
     Present {
         version: u64,
         since: Millis,
-        /// Whether an unload waits for the adapter's running requests.
-        is_leaving: bool,
+        /// The count of accepted orders behind an unload that waits for the adapter's running
+        /// requests; the engine accepts no other order meanwhile.
+        unload: Option<u64>,
     },
     Loading(Loading),
 }
@@ -51,10 +52,12 @@
 impl Slot {
     /// Applies what a status says of the adapter; returns none if the adapter is gone.
     ///
-    /// `is_newer` tells whether the status counts other orders than were known.
+    /// `sequence` is the status's count of accepted orders, and `is_newer` tells whether another
+    /// one was known.
     pub(super) fn merge(
         self,
         status: AdapterStatus,
+        sequence: u64,
         is_newer: bool,
         requested_at: Millis,
     ) -> Option<Self> {
@@ -62,12 +65,14 @@
             Self::Present {
                 version,
                 since,
-                is_leaving,
+                unload,
             } => {
+                // An adapter that is listed behind a later order was loaded again.
+                let unload = unload.filter(|count| sequence <= *count);
                 let is_settled = requested_at >= since + MAX_STATUS_AGE;
                 if is_newer || is_settled {
                     let slot = status.is_listed().then(|| status.into_slot(requested_at));
-                    return slot.map(|slot| slot.with_leaving(is_leaving));
+                    return slot.map(|slot| slot.with_unload(unload));
                 }
                 // With the same count, a load that the status lists as in progress is what is
                 // present now.
@@ -76,31 +81,28 @@
                 Some(Self::Present {
                     version,
                     since,
-                    is_leaving,
+                    unload,
                 })
             }
             Self::Loading(loading) => loading.merge(status, is_newer, requested_at),
         }
     }
 
-    /// Whether an unload waits for the adapter's running requests.
-    pub(super) const fn is_leaving(&self) -> bool {
-        matches!(
-            self,
-            Self::Present {
-                is_leaving: true,
-                ..
-            }
-        )
+    /// Returns the count of accepted orders behind an unload that waits for running requests.
+    pub(super) const fn unload(&self) -> Option<u64> {
+        match self {
+            Self::Present { unload, .. } => *unload,
+            Self::Loading(_) => None,
+        }
     }
 
-    /// Sets whether an adapter that is present is leaving.
-    fn with_leaving(self, is_leaving: bool) -> Self {
+    /// Sets the unload that an adapter that is present waits for.
+    fn with_unload(self, unload: Option<u64>) -> Self {
         match self {
             Self::Present { version, since, .. } => Self::Present {
                 version,
                 since,
-                is_leaving,
+                unload,
             },
             Self::Loading(loading) => Self::Loading(loading),
         }
--- a/lib/src/direct/orders/slots/status.rs
+++ b/lib/src/direct/orders/slots/status.rs
@@ -44,7 +44,7 @@
             None => Slot::Present {
                 version: self.present.unwrap_or_default(),
                 since,
-                is_leaving: false,
+                unload: None,
             },
         }
     }
