orders: what was sent to a former start of an engine isn't forgotten, and probes wait for its start

An engine that starts again under its name was made to load a fifth adapter into four slots; it then ends with all streams.

Cause: an order names the engine, not the start that it is for, and its number protects only within one start, as the count begins anew. Three places took the count of the former start for proof: - a probe is a load order. The load of a0 was lost with the former start; the new one had come, by another owner's order, a late one and two of this owner, to just the count that the owner knew, and the probe began a0 anew. - unanswered loads were dropped once the count had passed their numbers. - the controller of the former start was ended with its list of unanswered loads, and with an order that was being sent.

Evidence: the series' events, traced on: at 10,045 the probe of a0 bears 4, the engine's new start counts 4 and holds four; after it, five.

Change: unanswered loads are kept for the whole time in which they may be executed, are recorded before they are sent, and outlive the controller of a start; those that the count has passed are left aside until a count is lower. A load behind which other orders were accepted is probed only if a status since then, at most a second old, has shown the same start.

--- a/lib/src/direct/controllers/mod.rs
+++ b/lib/src/direct/controllers/mod.rs
@@ -19,6 +19,7 @@
 use super::fanout::Hub;
 use super::limits::exchange_interval;
 use super::occupancy::OccupancyTable;
+use super::orders::unanswered::SharedLoads;
 use super::orders::{EngineClient, EngineController, LoadCommand, LoadOutcome, Tick};
 use super::ownership::Ownership;
 use super::upstream::Upstream;
@@ -80,6 +81,8 @@
     pub metrics: Arc<Metrics>,
     /// Controllers by the engine's incarnation, with the start time that each is for.
     by_engine: Mutex<HashMap<Name, (u64, ActorRef<EngineController>)>>,
+    /// Loads without an answer by the engine's incarnation, whichever start they were sent to.
+    unanswered_loads: Mutex<HashMap<Name, SharedLoads>>,
     clients: Mutex<HashMap<SocketAddr, OrdersClient<Channel>>>,
     /// Adapters used by uncounted requests since the last exchange, by engine.
     recorded_uses: Mutex<HashMap<Name, Vec<Name>>>,
@@ -140,6 +143,7 @@
             node,
             metrics,
             by_engine: Mutex::default(),
+            unanswered_loads: Mutex::default(),
             clients: Mutex::default(),
             recorded_uses: Mutex::default(),
             unresponsive: Mutex::default(),
@@ -288,6 +292,28 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the loads without an answer that were sent to an engine or its former starts.
+    fn unanswered_loads(&self, incarnation: &Name) -> SharedLoads {
+        let mut all = self
+            .unanswered_loads
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(all.entry(Name::clone(incarnation)).or_default())
+    }
+
+    /// Drops the unanswered loads of engines that are no longer listed, once their time is over.
+    fn expire_unanswered_loads(&self, upstreams: &HashMap<Name, Arc<Upstream>>) {
+        let now = self.clock.now();
+        self.unanswered_loads
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .retain(|incarnation, loads| {
+                let mut loads = loads.lock().unwrap_or_else(PoisonError::into_inner);
+                loads.expire(now);
+                !loads.is_empty() || upstreams.contains_key(incarnation)
+            });
+    }
+
     /// Returns the controller of an engine, spawning it if there is none for this start.
     fn controller(&self, upstream: &Arc<Upstream>) -> Option<ActorRef<EngineController>> {
         let config = self.view.config()?;
@@ -315,6 +341,7 @@
             view: Arc::clone(&self.view),
             metrics: Arc::clone(&self.metrics),
             table: Arc::clone(&self.table),
+            unanswered_loads: self.unanswered_loads(&upstream.incarnation),
         };
         let controller =
             EngineController::spawn_with_mailbox(client, mailbox::bounded(MAILBOX_CAPACITY));
@@ -402,6 +429,7 @@
     /// Stops the controllers of engines that are no longer listed, and drops their counts.
     fn stop_removed(&self, upstreams: &HashMap<Name, Arc<Upstream>>) {
         self.table.retain(|engine| upstreams.contains_key(engine));
+        self.expire_unanswered_loads(upstreams);
         self.by_engine
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/lib/src/direct/orders/client.rs
+++ b/lib/src/direct/orders/client.rs
@@ -1,14 +1,15 @@
 //! Calls to one engine: orders and status requests.
 
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard, PoisonError};
 
 use http_body_util::{BodyExt, Limited};
 
 use crate::clock::{Clock, Millis};
 use crate::direct::config::Engine;
 use crate::direct::control_call;
-use crate::direct::dialect::{Dialect, EngineStatus, Order, OrderOutcome};
+use crate::direct::dialect::{Action, Dialect, EngineStatus, Order, OrderOutcome};
 use crate::direct::occupancy::OccupancyTable;
+use crate::direct::orders::unanswered::{SharedLoads, UnansweredLoads};
 use crate::direct::ownership::Ownership;
 use crate::direct::upstream::Upstream;
 use crate::direct::view::View;
@@ -49,14 +50,38 @@
     pub metrics: Arc<Metrics>,
     /// Requests of all nodes at the engines that this node owns.
     pub table: Arc<OccupancyTable>,
+    /// The loads that the engine, or a further start of it, may still execute.
+    pub unanswered_loads: SharedLoads,
 }
 
 impl EngineClient {
     /// Sends an order if this node may do so at this moment.
-    pub(super) async fn send_order(
-        &self,
-        mut order: Order,
-    ) -> Result<OrderOutcome, TransportError> {
+    ///
+    /// A load is recorded as unanswered before it is sent, as its controller may be stopped before
+    /// the engine answers.
+    pub(super) async fn send_order(&self, order: Order) -> Result<OrderOutcome, TransportError> {
+        if order.action != Action::Load {
+            return self.exchange_order(order).await;
+        }
+        let (sequence, adapter) = (order.sequence, Name::clone(&order.model));
+        let now = self.clock.now();
+        self.unanswered_loads()
+            .record(sequence, Name::clone(&adapter), now);
+        let result = self.exchange_order(order).await;
+        if !matches!(result, Err(TransportError::Sent(_))) {
+            self.unanswered_loads().forget(sequence, &adapter);
+        }
+        result
+    }
+
+    /// Returns the loads that the engine may still execute.
+    pub(super) fn unanswered_loads(&self) -> MutexGuard<'_, UnansweredLoads> {
+        self.unanswered_loads
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn exchange_order(&self, mut order: Order) -> Result<OrderOutcome, TransportError> {
         let upstream = &self.upstream;
         let mut connection = upstream
             .connection_pool
--- a/lib/src/direct/orders/load.rs
+++ b/lib/src/direct/orders/load.rs
@@ -9,7 +9,6 @@
 use crate::clock::Millis;
 use crate::direct::dialect::{Action, Order, OrderOutcome};
 use crate::name::Name;
-use crate::ports::connection_pool::TransportError;
 
 /// Loads that may wait until another one completes.
 ///
@@ -50,6 +49,7 @@
             .order_with_retry(Action::Load, &load.adapter, version)
             .await;
         self.handle_load_result(load, result);
+        self.confirm_start().await;
     }
 
     /// Whether one more load may be started.
@@ -159,13 +159,13 @@
         }
     }
 
-    fn has_free_slot(&mut self, adapter: &str, now: Millis) -> bool {
+    fn has_free_slot(&self, adapter: &str, now: Millis) -> bool {
         let Some(slots) = &self.slots else {
             return false;
         };
-        let unanswered = &mut self.unanswered_loads;
+        let mut unanswered = self.client.unanswered_loads();
         unanswered.retain_executable(slots.confirmed_sequence(), now);
-        slots.has_free_slot(adapter, self.client.engine.adapter_slots, unanswered)
+        slots.has_free_slot(adapter, self.client.engine.adapter_slots, &unanswered)
     }
 
     /// Sets the timer to the time of the next probe.
@@ -219,14 +219,8 @@
         let client = self.client.clone();
         let actor = actor.clone();
         tokio::spawn(async move {
-            let result = client.send_order(order).await;
-            let may_be_executed = matches!(result, Err(TransportError::Sent(_)));
-            let outcome = result.ok();
-            let done = ProbeDone {
-                probe,
-                outcome,
-                may_be_executed,
-            };
+            let outcome = client.send_order(order).await.ok();
+            let done = ProbeDone { probe, outcome };
             if actor.tell(done).await.is_err() {
                 log::debug!("orders: the controller stopped before a load was complete");
             }
@@ -234,16 +228,8 @@
     }
 
     pub(super) async fn handle_probe_done(&mut self, done: ProbeDone) {
-        let ProbeDone {
-            probe,
-            outcome,
-            may_be_executed,
-        } = done;
+        let ProbeDone { probe, outcome } = done;
         let now = self.client.clock.now();
-        if may_be_executed {
-            self.unanswered_loads
-                .record(probe.sequence, Name::clone(&probe.adapter), now);
-        }
         let Some(slots) = &mut self.slots else {
             return;
         };
--- a/lib/src/direct/orders/message.rs
+++ b/lib/src/direct/orders/message.rs
@@ -69,8 +69,6 @@
     pub(super) probe: LoadProbe,
     /// None if the engine didn't respond.
     pub(super) outcome: Option<OrderOutcome>,
-    /// Whether the engine didn't respond and may still execute the order.
-    pub(super) may_be_executed: bool,
 }
 
 impl Message<LoadCommand> for EngineController {
--- a/lib/src/direct/orders/mod.rs
+++ b/lib/src/direct/orders/mod.rs
@@ -26,7 +26,6 @@
 use load::ProbeTimer;
 use send::OrderResult;
 use slots::{MAX_LOAD_TIME, Slots, send_outcome};
-use unanswered::UnansweredLoads;
 
 pub use client::EngineClient;
 pub use message::{LoadCommand, LoadOutcome, MarkInUse, Tick};
@@ -54,7 +53,6 @@
     /// Until when the engine gets no orders.
     paused_until: Millis,
     waiting_loads: VecDeque<LoadCommand>,
-    unanswered_loads: UnansweredLoads,
     base_load_ordered_at: Option<Millis>,
     /// Whether the last order was sent and got no response.
     is_last_order_unanswered: bool,
@@ -73,7 +71,6 @@
             stale: false,
             paused_until: Millis::ZERO,
             waiting_loads: VecDeque::new(),
-            unanswered_loads: UnansweredLoads::default(),
             base_load_ordered_at: None,
             is_last_order_unanswered: false,
             probe_timer: None,
@@ -155,6 +152,7 @@
             self.fail_all(LoadOutcome::NotOwner);
             return;
         }
+        self.confirm_start().await;
         let now = self.client.clock.now();
         if let Some(slots) = &mut self.slots {
             slots.expire_waiters(now);
--- a/lib/src/direct/orders/send.rs
+++ b/lib/src/direct/orders/send.rs
@@ -2,7 +2,8 @@
 
 use super::EngineController;
 use super::slots::Slots;
-use crate::direct::dialect::{Action, Order, OrderOutcome};
+use crate::clock::Millis;
+use crate::direct::dialect::{Action, EngineStatus, Order, OrderOutcome};
 use crate::name::Name;
 use crate::ports::connection_pool::TransportError;
 
@@ -84,7 +85,7 @@
             attempts = attempts,
             confirmed = self.slots.as_ref().map_or(0, Slots::confirmed_sequence),
             used = self.slots.as_ref().map_or(0, Slots::count_used_slots),
-            unanswered = self.unanswered_loads.len();
+            unanswered = self.client.unanswered_loads().len();
             "orders: {}", action.name()
         );
     }
@@ -97,7 +98,6 @@
         version: Option<u64>,
     ) -> Option<OrderOutcome> {
         let sequence = self.slots.as_ref()?.sequence();
-        let sent_at = self.client.clock.now();
         let order = Order {
             action,
             model: Name::clone(model),
@@ -120,10 +120,6 @@
                 None
             }
             Err(TransportError::Sent(reason)) => {
-                if action == Action::Load {
-                    self.unanswered_loads
-                        .record(sequence, Name::clone(model), sent_at);
-                }
                 self.record_no_contact(reason);
                 None
             }
@@ -133,27 +129,56 @@
     /// Gets the engine's status and applies it to the slots; returns false if there is none.
     pub(super) async fn refresh_status(&mut self) -> bool {
         let requested_at = self.client.clock.now();
-        let status = match self.client.status().await {
-            Ok(status) => status,
+        let Some(status) = self.request_status().await else {
+            return false;
+        };
+        self.apply_status(&status, requested_at);
+        true
+    }
+
+    /// Gets the engine's status if probes need to know that the engine hasn't started again.
+    pub(super) async fn confirm_start(&mut self) {
+        let requested_at = self.client.clock.now();
+        let needs_start = |slots: &Slots| slots.needs_start(requested_at);
+        if !self.slots.as_ref().is_some_and(needs_start) {
+            return;
+        }
+        let Some(status) = self.request_status().await else {
+            return;
+        };
+        let started_at_ms = status.held.started_at_ms;
+        let slots = self.slots.as_mut();
+        if !slots.is_some_and(|slots| slots.record_start(started_at_ms, requested_at)) {
+            self.apply_status(&status, requested_at);
+        }
+    }
+
+    async fn request_status(&mut self) -> Option<EngineStatus> {
+        match self.client.status().await {
+            Ok(status) => {
+                self.record_contact();
+                Some(status)
+            }
             Err(reason) => {
                 self.record_no_contact(reason);
-                return false;
+                None
             }
-        };
-        self.record_contact();
+        }
+    }
+
+    fn apply_status(&mut self, status: &EngineStatus, requested_at: Millis) {
         let before = self.slots.as_ref().map(Slots::sequence);
-        match &mut self.slots {
-            Some(slots) => {
-                if !slots.apply_status(&status, requested_at) {
-                    log::debug!("orders: the status is older than the last order");
-                }
+        if let Some(slots) = &mut self.slots {
+            if !slots.apply_status(status, requested_at) {
+                log::debug!("orders: the status is older than the last order");
             }
-            None => self.slots = Some(Slots::new(&status, requested_at)),
+        } else {
+            let slots = Slots::new(status, requested_at);
+            self.slots = Some(slots.with_capacity(self.client.engine.adapter_slots));
         }
         self.log_corrected_sequence(before);
         self.stale = false;
         self.publish_held();
-        true
     }
 
     /// Records that the engine answered, and logs the end of a time in which it didn't.
@@ -188,7 +213,7 @@
             before = before.map_or(-1, |sequence| i64::try_from(sequence).unwrap_or(i64::MAX)),
             sequence = self.sequence(),
             used = self.slots.as_ref().map_or(0, Slots::count_used_slots),
-            unanswered = self.unanswered_loads.len();
+            unanswered = self.client.unanswered_loads().len();
             "orders: count learned"
         );
     }
--- a/lib/src/direct/orders/slots/mod.rs
+++ b/lib/src/direct/orders/slots/mod.rs
@@ -8,22 +8,23 @@
 //! docs/design/0013-evidence-of-loads.md.
 
 mod eviction;
+mod probe;
 mod slot;
 mod status;
 
 use std::collections::BTreeMap;
 
-use smallvec::SmallVec;
-
 use super::message::{LoadCommand, LoadOutcome};
 use super::unanswered::UnansweredLoads;
 use crate::clock::Millis;
-use crate::direct::dialect::{EngineStatus, LoadedModels, OrderOutcome};
+use crate::direct::dialect::{EngineStatus, LoadedModels};
 use crate::name::Name;
 use eviction::Evictions;
-use slot::{Loading, OVERDUE_PROBE_INTERVAL, Slot, Waiter};
+use probe::FIRST_PROBE_DELAY;
+use slot::{Loading, Slot, Waiter};
 use status::AdapterStatus;
 
+pub use probe::LoadProbe;
 pub(super) use slot::send_outcome;
 
 /// How long a load may take before its waiters are told that it failed.
@@ -32,28 +33,9 @@
 /// How old the information in an engine's status may be.
 pub const MAX_STATUS_AGE: Millis = Millis(1_000);
 
-/// Delay of the first probe after the order.
-///
-/// A load from the engine's own memory takes a tenth of one from the weight store.
-const FIRST_PROBE_DELAY: Millis = Millis(45);
-
-/// Time after which an unanswered probe is repeated: that of a connection and a response.
-const PROBE_RETRY_DELAY: Millis = Millis(600);
-
 /// Interval between status requests while only they tell of a load or an unload.
 const STATUS_INTERVAL: Millis = Millis(1_000);
 
-/// Asks whether a load is complete, by sending the same order again.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LoadProbe {
-    /// `BASE/NAME`.
-    pub adapter: Name,
-    /// The version that was ordered; 0 stands for the newest at that time.
-    pub version: u64,
-    /// The count of accepted orders when the probe is sent.
-    pub sequence: u64,
-}
-
 /// What is known of an engine's slots.
 #[derive(Debug, Default)]
 pub struct Slots {
@@ -66,8 +48,12 @@
     last_accepted_at: Millis,
     /// When the last applied status was requested.
     last_status_at: Millis,
+    /// When the last status of this start, applied or outdated, was requested.
+    start_seen_at: Millis,
     models: Vec<Name>,
     by_adapter: BTreeMap<Name, Slot>,
+    /// How many adapters the engine has room for; 0 if that isn't known.
+    capacity: usize,
     /// Until when adapters count as in use though no request is counted with them.
     in_use_until: BTreeMap<Name, Millis>,
     evictions: Evictions,
@@ -79,18 +65,27 @@
     pub fn new(status: &EngineStatus, requested_at: Millis) -> Self {
         let mut slots = Self {
             started_at_ms: status.held.started_at_ms,
+            start_seen_at: requested_at,
             ..Self::default()
         };
         slots.merge(&status.held, requested_at);
         slots
     }
 
+    /// Sets how many adapters the engine has room for.
+    #[must_use]
+    pub fn with_capacity(mut self, capacity: usize) -> Self {
+        self.capacity = capacity;
+        self
+    }
+
     /// Applies a status that was requested at `requested_at`; returns false if it is outdated.
     pub fn apply_status(&mut self, status: &EngineStatus, requested_at: Millis) -> bool {
         let held = &status.held;
         if held.started_at_ms > self.started_at_ms {
             self.fail_loads(LoadOutcome::Failed);
             *self = Self {
+                capacity: self.capacity,
                 in_use_until: std::mem::take(&mut self.in_use_until),
                 evictions: std::mem::take(&mut self.evictions),
                 ..Self::new(status, requested_at)
@@ -102,6 +97,7 @@
         // counted wrongly.
         let is_settled = held.started_at_ms == self.started_at_ms
             && requested_at >= self.last_accepted_at + MAX_STATUS_AGE;
+        self.record_start(held.started_at_ms, requested_at);
         if is_older && !is_settled {
             return false;
         }
@@ -109,6 +105,16 @@
         true
     }
 
+    /// Records that a status requested at `requested_at` shows a start of the engine; returns
+    /// whether it is the known one.
+    pub fn record_start(&mut self, started_at_ms: u64, requested_at: Millis) -> bool {
+        let is_known = started_at_ms == self.started_at_ms;
+        if is_known {
+            self.start_seen_at = requested_at;
+        }
+        is_known
+    }
+
     fn merge(&mut self, held: &LoadedModels, requested_at: Millis) {
         let is_newer = held.sequence != self.sequence;
         let mut statuses = AdapterStatus::by_name(held);
@@ -120,7 +126,8 @@
             }
         }
         for (name, status) in statuses {
-            self.by_adapter.insert(name, status.into_slot(requested_at));
+            self.by_adapter
+                .insert(name, status.into_slot(held.sequence, requested_at));
         }
         if is_newer {
             self.last_accepted_at = requested_at;
@@ -194,6 +201,7 @@
             version: load.version,
             since: now,
             next_probe: now + FIRST_PROBE_DELAY,
+            sequence: self.sequence,
             is_confirmed: true,
             waiters,
         };
@@ -259,71 +267,6 @@
         leaving.next().map(|(name, _)| Name::clone(name))
     }
 
-    /// Returns the probes that are due, and schedules a repeat of each in case it gets no response.
-    pub fn due_probes(&mut self, now: Millis) -> SmallVec<[LoadProbe; 4]> {
-        let sequence = self.sequence;
-        let mut probes = SmallVec::new();
-        for (adapter, slot) in &mut self.by_adapter {
-            let Slot::Loading(loading) = slot else {
-                continue;
-            };
-            if !loading.is_probed(now) || loading.next_probe > now {
-                continue;
-            }
-            loading.next_probe = now + PROBE_RETRY_DELAY;
-            probes.push(LoadProbe {
-                adapter: Name::clone(adapter),
-                version: loading.version,
-                sequence,
-            });
-        }
-        probes
-    }
-
-    /// Returns when the next probe is due.
-    #[must_use]
-    pub fn next_probe(&self, now: Millis) -> Option<Millis> {
-        let probed = self.loads().filter(|loading| loading.is_probed(now));
-        probed.map(|loading| loading.next_probe).min()
-    }
-
-    /// Applies the response to a probe; returns false if the engine's status is needed to explain it.
-    pub fn apply_probe(
-        &mut self,
-        probe: &LoadProbe,
-        outcome: Option<OrderOutcome>,
-        now: Millis,
-    ) -> bool {
-        let is_current = probe.sequence == self.sequence;
-        let Some(Slot::Loading(loading)) = self.by_adapter.get_mut(&probe.adapter) else {
-            return true;
-        };
-        // Another version was ordered since, and is probed separately.
-        if loading.version != probe.version {
-            return true;
-        }
-        match outcome {
-            Some(OrderOutcome::Holds) => {
-                self.complete_load(&probe.adapter, probe.version, now);
-                true
-            }
-            Some(OrderOutcome::Fenced | OrderOutcome::Elsewhere) => {
-                if let Some(Slot::Loading(loading)) = self.by_adapter.remove(&probe.adapter) {
-                    loading.finish(LoadOutcome::Failed);
-                }
-                false
-            }
-            Some(OrderOutcome::Conflict) if is_current => {
-                loading.next_probe = now + OVERDUE_PROBE_INTERVAL;
-                false
-            }
-            Some(OrderOutcome::Conflict | OrderOutcome::Started | OrderOutcome::Refused) | None => {
-                loading.next_probe = now + loading.probe_delay(now);
-                true
-            }
-        }
-    }
-
     /// Fails the waiters that have waited longer than [`MAX_LOAD_TIME`].
     pub fn expire_waiters(&mut self, now: Millis) {
         for slot in self.by_adapter.values_mut() {
@@ -340,6 +283,7 @@
         let is_unclear = self.loads().any(|loading| !loading.is_confirmed);
         let is_polled = is_overdue || self.leaving().is_some();
         is_unclear
+            || self.needs_start(now)
             || (is_polled && now.since(self.last_status_at) >= STATUS_INTERVAL)
             || self.evictions.needs_status(now, self.last_status_at)
     }
--- a/lib/src/direct/orders/slots/slot.rs
+++ b/lib/src/direct/orders/slots/slot.rs
@@ -3,7 +3,7 @@
 use tokio::sync::oneshot;
 
 use super::status::AdapterStatus;
-use super::{MAX_LOAD_TIME, MAX_STATUS_AGE};
+use super::{MAX_LOAD_TIME, MAX_STATUS_AGE, STATUS_INTERVAL};
 use crate::clock::Millis;
 use crate::direct::orders::message::LoadOutcome;
 
@@ -30,6 +30,8 @@
     /// When the load was ordered, or first seen in a status.
     pub(super) since: Millis,
     pub(super) next_probe: Millis,
+    /// The count of accepted orders with which the load was last known to be in progress.
+    pub(super) sequence: u64,
     /// Whether the engine is known to have accepted the load.
     pub(super) is_confirmed: bool,
     /// Each accepts this version or an older one.
@@ -71,7 +73,9 @@
                 let unload = unload.filter(|count| sequence <= *count);
                 let is_settled = requested_at >= since + MAX_STATUS_AGE;
                 if is_newer || is_settled {
-                    let slot = status.is_listed().then(|| status.into_slot(requested_at));
+                    let slot = status
+                        .is_listed()
+                        .then(|| status.into_slot(sequence, requested_at));
                     return slot.map(|slot| slot.with_unload(unload));
                 }
                 // With the same count, a load that the status lists as in progress is what is
@@ -84,7 +88,7 @@
                     unload,
                 })
             }
-            Self::Loading(loading) => loading.merge(status, is_newer, requested_at),
+            Self::Loading(loading) => loading.merge(status, sequence, is_newer, requested_at),
         }
     }
 
@@ -118,6 +122,7 @@
     fn merge(
         mut self,
         status: AdapterStatus,
+        sequence: u64,
         is_newer: bool,
         requested_at: Millis,
     ) -> Option<Slot> {
@@ -131,23 +136,26 @@
         let is_overtaken = incoming.is_some_and(|version| version < self.version);
         if is_overtaken || !status.is_listed() {
             self.finish(LoadOutcome::Failed);
-            return status.is_listed().then(|| status.into_slot(requested_at));
+            return status
+                .is_listed()
+                .then(|| status.into_slot(sequence, requested_at));
         }
         if let Some(version) = incoming {
             self.version = version;
+            self.sequence = sequence;
             self.is_confirmed = true;
             return Some(Slot::Loading(self));
         }
         if let Some(version) = present.filter(|version| *version >= self.version) {
             self.finish(LoadOutcome::Ready(version));
-            return Some(status.into_slot(requested_at));
+            return Some(status.into_slot(sequence, requested_at));
         }
         if !self.is_confirmed {
             self.finish(LoadOutcome::Failed);
-            return Some(status.into_slot(requested_at));
+            return Some(status.into_slot(sequence, requested_at));
         }
         if self.is_overdue(requested_at) && self.waiters.is_empty() {
-            return Some(status.into_slot(requested_at));
+            return Some(status.into_slot(sequence, requested_at));
         }
         Some(Slot::Loading(self))
     }
@@ -162,6 +170,20 @@
         self.is_confirmed && (!self.is_overdue(now) || !self.waiters.is_empty())
     }
 
+    /// Whether the count of orders, or a recent status, shows that the engine is still in the start
+    /// in which the load was ordered.
+    ///
+    /// The load itself vouches for the count behind it, until the next order.
+    pub(super) fn is_of_this_start(
+        &self,
+        sequence: u64,
+        start_seen_at: Millis,
+        now: Millis,
+    ) -> bool {
+        let is_seen = start_seen_at > self.since && now.since(start_seen_at) < STATUS_INTERVAL;
+        sequence == self.sequence || is_seen
+    }
+
     /// Returns the delay before the next probe.
     pub(super) fn probe_delay(&self, now: Millis) -> Millis {
         if self.is_overdue(now) {
--- a/lib/src/direct/orders/slots/status.rs
+++ b/lib/src/direct/orders/slots/status.rs
@@ -32,12 +32,13 @@
         self.present.is_some() || self.incoming.is_some()
     }
 
-    pub(super) fn into_slot(self, since: Millis) -> Slot {
+    pub(super) fn into_slot(self, sequence: u64, since: Millis) -> Slot {
         match self.incoming {
             Some(version) => Slot::Loading(Loading {
                 version,
                 since,
                 next_probe: since,
+                sequence,
                 is_confirmed: true,
                 waiters: Vec::new(),
             }),
--- a/lib/src/direct/orders/unanswered.rs
+++ b/lib/src/direct/orders/unanswered.rs
@@ -6,6 +6,7 @@
 //! load takes a slot that nothing else may use. See docs/design/0013-evidence-of-loads.md.
 
 use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
 
 use crate::clock::Millis;
 use crate::name::Name;
@@ -13,6 +14,9 @@
 /// How long an engine may still execute an order that got no response.
 pub const LATE_ORDER_WINDOW: Millis = Millis(12_500);
 
+/// The unanswered loads of one engine name, which outlive the controller of each of its starts.
+pub type SharedLoads = Arc<Mutex<UnansweredLoads>>;
+
 /// A load order without a response.
 #[derive(Debug)]
 struct UnansweredLoad {
@@ -22,9 +26,15 @@
 }
 
 /// The load orders that an engine may still execute.
+///
+/// They are kept until their time is over, also once the engine's count has passed their numbers:
+/// an engine that starts again under its name counts from zero, and executes orders that were sent
+/// to its former start.
 #[derive(Debug, Default)]
 pub struct UnansweredLoads {
     loads: Vec<UnansweredLoad>,
+    /// How many orders the engine has certainly accepted since its last known start.
+    confirmed_sequence: u64,
 }
 
 impl UnansweredLoads {
@@ -37,20 +47,37 @@
         });
     }
 
-    /// Drops the loads that the engine can no longer execute.
+    /// Removes a load that the engine answered, or that wasn't sent.
+    pub fn forget(&mut self, sequence: u64, adapter: &str) {
+        let is_same =
+            |load: &UnansweredLoad| load.sequence == sequence && *load.adapter == *adapter;
+        if let Some(last) = self.loads.iter().rposition(is_same) {
+            self.loads.remove(last);
+        }
+    }
+
+    /// Drops the loads whose time is over.
+    pub fn expire(&mut self, now: Millis) {
+        self.loads.retain(|load| load.until > now);
+    }
+
+    /// Drops the loads that the engine can no longer execute, and leaves those aside that it can
+    /// execute only after another start.
     ///
     /// `confirmed_sequence` is the number of orders that the engine has certainly accepted. With
-    /// a number that is only assumed, loads would be dropped that the engine still executes.
+    /// a number that is only assumed, loads would be left aside that the engine still executes.
     pub fn retain_executable(&mut self, confirmed_sequence: u64, now: Millis) {
-        self.loads
-            .retain(|load| load.until > now && load.sequence >= confirmed_sequence);
+        self.confirmed_sequence = confirmed_sequence;
+        self.expire(now);
     }
 
     /// Returns how many slots the loads may take, apart from adapters that `has_slot` names.
     ///
     /// Of the loads with the same number, the engine executes at most one.
     pub fn count_slots(&self, has_slot: impl Fn(&str) -> bool) -> usize {
-        let others = self.loads.iter().filter(|load| !has_slot(&load.adapter));
+        let executable = self.loads.iter();
+        let executable = executable.filter(|load| load.sequence >= self.confirmed_sequence);
+        let others = executable.filter(|load| !has_slot(&load.adapter));
         let numbers: BTreeSet<u64> = others.map(|load| load.sequence).collect();
         numbers.len()
     }
