tests: three series of engines that start again under their name, known to fail

Each needs an order that none of the owner's evidence could hold back: its own, sent before it can know of the start; a predecessor's, that it was never told of; another owner's, that takes the slot it keeps free. Only an order that names its start can be refused there; the platform's orders name an engine. Not seen in a play: an engine there loads its base model for seconds before it takes an adapter. The checks and the model are as they were.

--- a/lib/tests/test_direct_slots_series.rs
+++ b/lib/tests/test_direct_slots_series.rs
@@ -29,3 +29,59 @@
     ];
     assert_eq!(play(&events), Ok(()));
 }
+
+/// An owner that hasn't noticed a further start of its engine orders a load that fits its count.
+#[test]
+fn slots_restart_unnoticed_by_the_owner() {
+    let events = [
+        1_060_276_900,
+        1_974_386_713,
+        3_002_313_313,
+        2_045_738_140,
+        3_528_540_360,
+        1_439_959_380,
+        1_020_381_800,
+    ];
+    assert_eq!(play(&events), Ok(()));
+}
+
+/// Another owner takes the slot that is kept free for a late order for a former start.
+#[test]
+fn slots_restart_beside_another_owner() {
+    let events = [
+        485_022_020,
+        4_248_941_020,
+        1_331_143_393,
+        0,
+        2_579_832_295,
+        2_845_862_640,
+        4_177_320_633,
+        34_868_900,
+        4_280_193_880,
+        3_012_574_720,
+        127_852_673,
+        48_637_076,
+    ];
+    assert_eq!(play(&events), Ok(()));
+}
+
+/// A new owner doesn't know the late orders of its predecessor for a former start of the engine.
+#[test]
+fn slots_restart_after_a_change_of_owner() {
+    let events = [
+        924_904_820,
+        4_277_791_215,
+        789_396_480,
+        2_663_025_260,
+        0,
+        2_842_748_280,
+        2_908_121_353,
+        4_293_918_720,
+        1_326_238_820,
+        0,
+        1_218_093_660,
+        3_526_152_593,
+        1_161_063_176,
+    ];
+    assert_eq!(play(&events), Ok(()));
+}
