tests: a series of a new owner with an old first status, known to fail

A predecessor's last order was answered; the successor's first status is from before it and none follows, so that it tells a caller of the version that was replaced. In a play a successor waits out the predecessor's right before its first order, which the model doesn't.

--- a/lib/tests/test_direct_slots_series.rs
+++ b/lib/tests/test_direct_slots_series.rs
@@ -85,3 +85,18 @@
     ];
     assert_eq!(play(&events), Ok(()));
 }
+
+/// A new owner whose first status is from before its predecessor's last order learns of that order.
+#[test]
+fn slots_first_status_before_the_last_order() {
+    let events = [
+        1_368_845_420,
+        2_001_395_627,
+        782_205_120,
+        405_560_179,
+        2_555_119_847,
+        1_341_986_267,
+        665_095_020,
+    ];
+    assert_eq!(play(&events), Ok(()));
+}
