--- a/lib/tests/test_direct_slots_series.rs
+++ b/lib/tests/test_direct_slots_series.rs
@@ -65,9 +65,9 @@
     assert_eq!(play(&events), Ok(()));
 }
 
-/// A new owner doesn't know the late orders of its predecessor for a former start of the engine.
+/// A further start of an engine executes a late order beside another owner's load.
 #[test]
-fn slots_restart_after_a_change_of_owner() {
+fn slots_restart_with_a_late_order() {
     let events = [
         924_904_820,
         4_277_791_215,
