logs, metrics: tell the software version of upstreams and what a request resumes

The three hypotheses of streams of two software versions differ in who resumes a stream and in what is known then, and no line told it: `request: sent` had neither the upstream's software version nor the event after which a stream resumes nor the caller's attempt that it names in Resumes. An upstream without a version is of one of its own. Nothing is decided by them yet.

--- a/lib/src/direct/dialect.rs
+++ b/lib/src/direct/dialect.rs
@@ -36,6 +36,8 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub failure_domain: Name,
+    /// Version of its software; `None` if it reports none.
+    pub software: Option<Name>,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it accepts new work.
--- a/lib/src/direct/metadata.rs
+++ b/lib/src/direct/metadata.rs
@@ -60,6 +60,8 @@
     pub prompt_segments: SmallVec<[PromptSegment; 4]>,
     /// Number of the last event that the caller already has.
     pub resume_after: Option<u64>,
+    /// ID of the caller's attempt that received the first event of the stream it resumes.
+    pub resumes: Option<Name>,
 }
 
 impl RequestMetadata {
--- a/lib/src/direct/request/send.rs
+++ b/lib/src/direct/request/send.rs
@@ -28,7 +28,13 @@
         self.retry_reserved = false;
         self.possible_runs += 1;
         self.sent_at = self.now();
-        request_log::sent(self, &target.upstream, target.version, dispatch.deadline);
+        request_log::sent(
+            self,
+            &target.upstream,
+            target.version,
+            dispatch.resume_after,
+            dispatch.deadline,
+        );
         self.report_uncounted(&target, target.permit.as_ref());
         let watch = self.watch(&target);
         let (message, frontend) = (&self.message, &self.frontend);
@@ -51,7 +57,13 @@
             kv_cache: Some(kv_cache),
             ..self.dispatch(target)
         };
-        request_log::sent(self, &target.upstream, target.version, dispatch.deadline);
+        request_log::sent(
+            self,
+            &target.upstream,
+            target.version,
+            dispatch.resume_after,
+            dispatch.deadline,
+        );
         let permit = self.moved_run_permit(target).await;
         let (upstream, dialect) = (&target.upstream, &*self.frontend.dialect);
         let paths = &self.frontend.paths;
--- a/lib/src/direct/request_log.rs
+++ b/lib/src/direct/request_log.rs
@@ -51,8 +51,15 @@
 ///
 /// The newest version known and its age show whether an older version was chosen although the node
 /// knew of a newer one. The age of the list and the upstream's stage show the same for an upstream
-/// that had left.
-pub fn sent(request: &ActiveRequest, upstream: &Upstream, version: Option<u64>, left: Millis) {
+/// that had left. The event after which a stream resumes, the caller's attempt that it resumes and
+/// the upstream's software version show whether it stays with the software that began it.
+pub fn sent(
+    request: &ActiveRequest,
+    upstream: &Upstream,
+    version: Option<u64>,
+    resume_after: Option<u64>,
+    left: Millis,
+) {
     let adapter = request.message.metadata.adapter();
     let newest = adapter.and_then(|adapter| request.frontend.view.newest(adapter));
     if upstream.is_missing() {
@@ -61,6 +68,9 @@
     log::info!(
         request = request.id(),
         upstream = &*upstream.incarnation,
+        software = &*upstream.software,
+        after_event = resume_after.unwrap_or_default(),
+        resumes = request.message.metadata.resumes.as_deref().unwrap_or_default(),
         adapter = adapter.map_or("", |adapter| adapter),
         version = version.unwrap_or_default(),
         newest = newest.map_or(0, |newest| newest.version),
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -84,6 +84,8 @@
     pub address_text: Name,
     /// Its failure domain.
     pub failure_domain: Name,
+    /// Version of its software; unique to this start if it reports none.
+    pub software: Name,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Start time in milliseconds, as reported by the upstream; 0 if it reports none.
@@ -174,6 +176,7 @@
             address: entry.address,
             address_text: entry.address.to_string().into(),
             failure_domain: Name::clone(&entry.failure_domain),
+            software: software_version(entry),
             slots: entry.slots.max(1),
             started_at_ms: entry.held.started_at_ms,
             first_seen: now,
@@ -494,3 +497,13 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns the version of an upstream's software.
+///
+/// One that reports none may differ from all others, so its version is named after its start.
+fn software_version(entry: &UpstreamEntry) -> Name {
+    match &entry.software {
+        Some(version) => Name::clone(version),
+        None => format!("unknown:{}@{}", entry.incarnation, entry.held.started_at_ms).into(),
+    }
+}
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -92,6 +92,8 @@
     pub tunnels_served: IntGauge,
     /// Pools of which this node reaches no upstream.
     pub pools_cut_off: IntGauge,
+    /// Pools whose upstreams run several software versions.
+    pub mixed_pools: IntGauge,
     /// Upstreams that this node owns.
     pub owned: IntGauge,
     /// Nodes that this node knows of, itself included.
@@ -266,6 +268,10 @@
                 "pools_cut_off",
                 "Pools of which this node reaches no upstream.",
             ),
+            mixed_pools: maker.gauge(
+                "mixed_pools",
+                "Pools whose upstreams run several software versions.",
+            ),
             owned: maker.gauge("upstreams_owned", "Upstreams that this node owns."),
             nodes: maker.gauge("nodes", "Nodes that this node knows of, itself included."),
             upstream_checks: maker.counter(
--- a/lib/tests/direct_support/records.rs
+++ b/lib/tests/direct_support/records.rs
@@ -16,6 +16,7 @@
         pool: "engines".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         failure_domain: "hall-a".into(),
+        software: Some("v1".into()),
         slots: 10,
         ready: true,
         cold: Millis::ZERO,
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -178,6 +178,7 @@
         pool: "engines".into(),
         address: address(),
         failure_domain: "hall-a".into(),
+        software: Some("v1".into()),
         slots: 8,
         ready: true,
         cold: Millis::ZERO,
--- a/lib/tests/test_direct_roles.rs
+++ b/lib/tests/test_direct_roles.rs
@@ -25,6 +25,7 @@
         pool: "engines".into(),
         address: address(number),
         failure_domain: "hall-a".into(),
+        software: Some("v1".into()),
         slots: 10,
         ready: true,
         cold: Millis::ZERO,
