origin: a stream stays at the software version that began it

Servers of several versions may serve side by side and don't check it. Cause: upstreams of a pool were taken for interchangeable. No type had a place for the software version, and nothing a node knew of a stream outlived it, so a caller's attempt at another node was placed like a new request. The same held within an answer (resume, hedge) and for moves from prefill to decode engines. Change: the first event that reaches the caller binds a stream to pool and version (origin::Origin), compared in one place, ActiveRequest::candidates. Three nodes by a hash of the attempt are told at that event while a pool has several versions, and a node that doesn't remember a resumed stream asks them. A pool with one version needs neither. What nobody remembers is rejected at once (2023), as is a stream whose version nobody runs (2024). Prefill and decode roles are divided within each version.

--- a/lib/src/direct/acquire.rs
+++ b/lib/src/direct/acquire.rs
@@ -199,8 +199,7 @@
         };
         let adapter = self.message.metadata.adapter();
         let now = self.now();
-        let pool = self.frontend.view.pool(&self.pool);
-        pool.iter().any(|upstream| {
+        self.candidates().iter().any(|upstream| {
             let holds = match adapter {
                 Some(adapter) => self.time_to_begin(upstream, adapter) > Millis::ZERO,
                 None => upstream.has_base_model(model),
--- a/lib/src/direct/config.rs
+++ b/lib/src/direct/config.rs
@@ -2,7 +2,7 @@
 //!
 //! It is immutable, and each request keeps the configuration that it began with.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use smallvec::SmallVec;
 
@@ -22,6 +22,7 @@
     /// Limits on what callers send.
     pub limits: RequestLimits,
     routes_by_host: HashMap<Name, Vec<usize>>,
+    shared_pools: HashSet<Name>,
 }
 
 /// How requests for one host and path prefix are handled.
@@ -49,7 +50,17 @@
     pub max_event_gap: Option<Millis>,
 }
 
-/// A group of interchangeable upstreams.
+impl Route {
+    /// Returns the pools that serve new requests of the route.
+    pub fn pools(&self) -> impl Iterator<Item = &Name> {
+        let pools = self.pool_weights.iter();
+        pools
+            .filter(|(_, weight)| *weight > 0)
+            .map(|(pool, _)| pool)
+    }
+}
+
+/// A group of upstreams that run the same models.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Pool {
     /// Maximum number of connections that one upstream accepts from all its clients together.
@@ -117,15 +128,26 @@
         for indices in routes_by_host.values_mut() {
             indices.sort_by_key(|&index| std::cmp::Reverse(routes[index].prefix.len()));
         }
+        let shared_routes = routes
+            .iter()
+            .filter(|route| route.kind.is_streaming() && route.pools().nth(1).is_some());
+        let shared_pools = shared_routes.flat_map(Route::pools).cloned().collect();
         Self {
             version,
             routes,
             pools,
             limits,
             routes_by_host,
+            shared_pools,
         }
     }
 
+    /// Returns the pools among which a route of streams divides its requests.
+    #[must_use]
+    pub fn shared_pools(&self) -> &HashSet<Name> {
+        &self.shared_pools
+    }
+
     /// Returns the route of `host` with the longest prefix that matches `path`.
     ///
     /// The host's port and case are ignored, as in RFC 9110.
--- a/lib/src/direct/controllers/mod.rs
+++ b/lib/src/direct/controllers/mod.rs
@@ -4,6 +4,7 @@
 
 mod broadcast;
 mod exchange;
+mod origins;
 mod vote;
 
 use std::collections::HashMap;
@@ -15,6 +16,8 @@
 use tokio::sync::oneshot;
 use tonic::transport::{Channel, Endpoint};
 
+pub use self::origins::OriginSearch;
+use self::origins::Origins;
 use super::dialect::Dialect;
 use super::fanout::Hub;
 use super::limits::exchange_interval;
@@ -92,6 +95,8 @@
     pub(super) table: Arc<OccupancyTable>,
     /// Passes changes of the key-value service on to nodes of this failure domain.
     pub hub: Arc<Hub>,
+    /// Where streams began.
+    origins: Origins,
     /// Number of loads that this node waits for, by the owner's address.
     pending_loads: Mutex<HashMap<SocketAddr, u32>>,
 }
@@ -147,6 +152,7 @@
             clients: Mutex::default(),
             recorded_uses: Mutex::default(),
             unresponsive: Mutex::default(),
+            origins: Origins::default(),
             pending_loads: Mutex::default(),
         }
     }
--- a/lib/src/direct/entry/gauges.rs
+++ b/lib/src/direct/entry/gauges.rs
@@ -38,16 +38,10 @@
         let unconfirmed = state.upstreams.values().filter(|one| one.is_missing());
         let unconfirmed = unconfirmed.count();
         let leaving = state.upstreams.len() - ready;
+        let pools = state.pool_names().into_iter();
+        let mixed = pools.filter(|pool| state.listed_software(pool).len() > 1);
+        metrics.mixed_pools.set(gauge_value(mixed.count()));
         let upstreams: Vec<Arc<Upstream>> = state.upstreams.values().cloned().collect();
-        let mut versions: Vec<_> = upstreams
-            .iter()
-            .map(|one| (&one.pool, &one.software))
-            .collect();
-        versions.sort_unstable();
-        versions.dedup();
-        let mixed = versions.chunk_by(|(one, _), (other, _)| one == other);
-        let mixed = mixed.filter(|versions| versions.len() > 1).count();
-        metrics.mixed_pools.set(gauge_value(mixed));
         // `roles` locks the view too; calling it with the lock held would deadlock.
         drop(state);
         let is_prefill = |one: &&Arc<Upstream>| self.roles(&one.pool).is_prefill(one.address);
--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -159,6 +159,7 @@
 
     /// Obtains the head of a stream, or a complete response.
     async fn ready_response(&self, request: &mut ActiveRequest) -> Result<ReadyResponse, Failure> {
+        request.bind_resumed().await?;
         let response = request.next_response(None).await?;
         if request.message.kind.is_streaming() && response.head.status.is_success() {
             return Ok(ReadyResponse::Stream(Box::new(response)));
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -67,6 +67,8 @@
     pub limits: Arc<SharedLimits>,
     /// Tracks requests that crash upstreams.
     pub quarantine: Arc<Quarantine>,
+    /// Writes records to the key-value service.
+    pub(super) outbox: Arc<Outbox>,
     /// Replacements of adapter versions that are in progress at engines.
     pub(super) replacements: PendingReplacements,
     /// The key-value service.
@@ -121,13 +123,14 @@
             Arc::clone(&clock),
             Arc::clone(&controllers.metrics),
             Name::clone(&controllers.node),
-            outbox,
+            Arc::clone(&outbox),
             Arc::<Paths>::clone(&paths),
         ));
         Self {
             view,
             metrics: Arc::clone(&controllers.metrics),
             quarantine,
+            outbox,
             paths,
             controllers,
             dialect,
@@ -222,9 +225,11 @@
             cached.updated_at = now;
             let upstreams = self.view.pool(pool);
             let ready = upstreams.iter().filter(|upstream| upstream.is_ready());
-            let engines: Vec<SocketAddr> = ready.map(|upstream| upstream.address).collect();
+            let engines: Vec<(&Name, SocketAddr)> = ready
+                .map(|upstream| (&upstream.software, upstream.address))
+                .collect();
             let prefill = cached.scaler.prefill_count(engines.len(), now);
-            cached.roles = Arc::new(Roles::split(engines, prefill));
+            cached.roles = Arc::new(Roles::split_by_software(engines, prefill));
         }
         Arc::clone(&cached.roles)
     }
--- a/lib/src/direct/follow/entries.rs
+++ b/lib/src/direct/follow/entries.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 use crate::direct::dialect::Key;
 use crate::direct::presence::EntryRevision;
+use crate::direct::software::SOFTWARE_PREFIX;
 use crate::direct::validate::RejectReason;
 use crate::direct::versions::Declaration;
 use crate::direct::view::{CLAIM_PREFIX, Peer, PutOutcome, State, claim_address};
@@ -64,6 +65,8 @@
         });
         let is_present = |name: &str| present.contains(&self.dialect.own_key(name));
         state.ledger.retain_reports(is_present);
+        let is_present = |pool: &str| is_present(&format!("{SOFTWARE_PREFIX}{pool}"));
+        state.software.retain_records(is_present);
     }
 
     /// Applies changes, after which the view is as of a time.
@@ -136,6 +139,8 @@
                     state.nodes.remove(node);
                 } else if let Some(address) = claim_address(&name) {
                     state.remove_claim(address, now);
+                } else if let Some(pool) = name.strip_prefix(SOFTWARE_PREFIX) {
+                    state.software.remove_record(pool);
                 } else {
                     state.remove_quarantine_record(&name);
                 }
@@ -176,7 +181,7 @@
     } else if let Some(address) = claim_address(name) {
         state.put_claim(address, entry, now)
     } else {
-        return match state.put_quarantine_record(name, &entry.value, Some(entry.revision), now) {
+        return match state.put_record(name, &entry.value, Some(entry.revision), now) {
             PutOutcome::Applied => None,
             PutOutcome::Unreadable => Some(RejectReason::Unreadable),
             PutOutcome::Unrelated => Some(RejectReason::UnusedKey),
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -225,6 +225,9 @@
         );
         node.tasks.spawn(follower.run());
         node.tasks.spawn(Arc::clone(&node.claimer).run());
+        let outbox = Arc::clone(&node.frontend.outbox);
+        node.tasks
+            .spawn(Arc::clone(&controllers).run_origins(outbox));
         node.tasks.spawn(controllers.run());
         node.tasks
             .spawn(Arc::clone(&node.frontend.quarantine).run());
--- a/lib/src/direct/peer_server.rs
+++ b/lib/src/direct/peer_server.rs
@@ -23,7 +23,8 @@
 use crate::schema::direct::orders_server::{Orders, OrdersServer};
 use crate::schema::direct::tunnels_server::TunnelsServer;
 use crate::schema::direct::{
-    AdmitRequest, ExchangeReply, ExchangeRequest, FollowRequest, LoadReply, LoadRequest, Outcome,
+    AdmitRequest, ExchangeReply, ExchangeRequest, FindOriginReply, FindOriginRequest,
+    FollowRequest, LoadReply, LoadRequest, Outcome, RecordOriginsReply, RecordOriginsRequest,
     SupportReply, SupportRequest, TellReply, TellRequest, Update,
 };
 
@@ -134,7 +135,7 @@
         let view = &self.0.view;
         let put = view
             .state()
-            .put_quarantine_record(&request.name, &request.value, None, now);
+            .put_record(&request.name, &request.value, None, now);
         if put != PutOutcome::Applied {
             return Err(Status::invalid_argument("the record is none that is told"));
         }
@@ -142,6 +143,22 @@
         Ok(Response::new(TellReply {}))
     }
 
+    async fn record_origins(
+        &self,
+        request: Request<RecordOriginsRequest>,
+    ) -> Result<Response<RecordOriginsReply>, Status> {
+        self.0.insert_origins(request.into_inner().origins);
+        Ok(Response::new(RecordOriginsReply {}))
+    }
+
+    async fn find_origin(
+        &self,
+        request: Request<FindOriginRequest>,
+    ) -> Result<Response<FindOriginReply>, Status> {
+        let reply = self.0.answer_origin(request.get_ref());
+        Ok(Response::new(reply))
+    }
+
     async fn exchange(
         &self,
         request: Request<ExchangeRequest>,
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -158,9 +158,11 @@
             }
             RunProgress::FirstEventAt(_) | RunProgress::Harmless => {}
         }
-        match self.last_chunk_at.replace(now) {
-            Some(last) => self.record_gap(now.since(last), now),
-            None => self.record_first_event(now),
+        if let Some(last) = self.last_chunk_at.replace(now) {
+            self.record_gap(now.since(last), now);
+        } else {
+            self.bind_to_origin();
+            self.record_first_event(now);
         }
         self.request.timing.chunks += 1;
     }
@@ -195,6 +197,13 @@
         self.request.record_broken_connection(upstream, suspicion);
     }
 
+    /// Binds the stream to the origin of its first event.
+    fn bind_to_origin(&mut self) {
+        if let Some(response) = &self.response {
+            self.request.bind_to_origin(&response.upstream);
+        }
+    }
+
     fn record_first_event(&mut self, now: Millis) {
         let first = now.since(self.request.arrived_at);
         self.request.timing.first_event = Some(first);
--- a/lib/src/direct/request/mod.rs
+++ b/lib/src/direct/request/mod.rs
@@ -1,5 +1,6 @@
 //! The life of one request: which upstreams it is sent to, and when it fails.
 
+mod origin;
 mod outcome;
 mod quarantine;
 mod retry;
@@ -12,6 +13,7 @@
 use super::attempt::{RequestMessage, SendError, UpstreamResponse};
 use super::config::Route;
 use super::entry::Frontend;
+use super::origin::Origin;
 use super::request_log::{self, RequestOutcome};
 use super::sends::PendingSends;
 use super::target::Target;
@@ -62,6 +64,8 @@
     failed_response: Option<Box<UpstreamResponse>>,
     /// The upstream where this request is still in flight while another one is tried.
     pub(in crate::direct) in_flight_at: Option<Name>,
+    /// Where its stream began, once an event of it has reached the caller.
+    origin: Option<Origin>,
 }
 
 /// When the events of a stream arrived.
@@ -114,6 +118,7 @@
             retry_reserved: false,
             failed_response: None,
             in_flight_at: None,
+            origin: None,
         }
     }
 
--- /dev/null
+++ b/lib/src/direct/request/origin.rs
@@ -0,0 +1,95 @@
+//! Keeps a stream at the software version that began it.
+
+use std::sync::Arc;
+
+use super::ActiveRequest;
+use crate::direct::controllers::OriginSearch;
+use crate::direct::origin::{Origin, StreamKey};
+use crate::direct::request_log;
+use crate::direct::upstream::Upstream;
+use crate::error::{Code, Failure};
+use crate::name::Name;
+
+impl ActiveRequest {
+    /// Binds a request that resumes a caller's stream to where that stream began.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::StreamOriginUnknown`] if nobody remembers where it began and that matters, and
+    /// [`Code::StreamVersionGone`] if its pool no longer serves the route.
+    pub(in crate::direct) async fn bind_resumed(&mut self) -> Result<(), Failure> {
+        let metadata = &self.message.metadata;
+        if !self.message.kind.is_streaming() || metadata.resume_after.is_none() {
+            return Ok(());
+        }
+        let stream = StreamKey::of(metadata);
+        let pools: Vec<Name> = self.route.pools().cloned().collect();
+        let controllers = &self.frontend.controllers;
+        let search = controllers.find_origin(stream, &pools).await;
+        let resumed = &self.frontend.metrics.resumed_streams;
+        resumed.with_label_values(&[search.name()]).inc();
+        request_log::origin_found(self, &search);
+        if search == OriginSearch::Unknown {
+            let cause = "no node knows the software version that began the stream";
+            return Err(Failure::new(Code::StreamOriginUnknown, cause));
+        }
+        let Some(origin) = search.origin().cloned() else {
+            return Ok(());
+        };
+        if !pools.contains(&origin.pool) {
+            let cause = format!("pool {} no longer serves the route", origin.pool);
+            return Err(Failure::new(Code::StreamVersionGone, cause));
+        }
+        self.pool = Name::clone(&origin.pool);
+        self.origin = Some(origin);
+        Ok(())
+    }
+
+    /// Binds the stream to where it began, unless it is bound, and has that remembered.
+    ///
+    /// Called with the upstream of the first event that reaches the caller in this response.
+    pub(in crate::direct) fn bind_to_origin(&mut self, upstream: &Upstream) {
+        let origin = self.origin.get_or_insert_with(|| Origin::at(upstream));
+        if self.message.kind.is_retryable()
+            && let Some(stream) = StreamKey::of(&self.message.metadata)
+        {
+            let controllers = &self.frontend.controllers;
+            controllers.record_origin(stream, origin.clone());
+        }
+    }
+
+    /// Returns the upstreams of the pool at which the request may run.
+    pub(in crate::direct) fn candidates(&self) -> Arc<[Arc<Upstream>]> {
+        let upstreams = self.frontend.view.pool(&self.pool);
+        let Some(origin) = &self.origin else {
+            return upstreams;
+        };
+        if upstreams.iter().all(|upstream| origin.allows(upstream)) {
+            return upstreams;
+        }
+        let allowed = upstreams.iter().filter(|upstream| origin.allows(upstream));
+        allowed.cloned().collect()
+    }
+
+    /// Fails a stream whose software version no upstream runs any more.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::StreamVersionGone`], or the failure of a request that may have run.
+    pub(in crate::direct) fn check_origin(
+        &self,
+        candidates: &[Arc<Upstream>],
+    ) -> Result<(), Failure> {
+        let Some(origin) = &self.origin else {
+            return Ok(());
+        };
+        if candidates.iter().any(|upstream| upstream.is_ready()) {
+            return Ok(());
+        }
+        let cause = format!("no upstream serves software version {}", origin.software);
+        if self.possible_runs > 0 {
+            return Err(Failure::new(Code::UpstreamLost, cause));
+        }
+        Err(Failure::new(Code::StreamVersionGone, cause))
+    }
+}
--- a/lib/src/direct/request/outcome.rs
+++ b/lib/src/direct/request/outcome.rs
@@ -149,9 +149,7 @@
     }
 
     fn has_untried_upstream(&self) -> bool {
-        self.frontend
-            .view
-            .pool(&self.pool)
+        self.candidates()
             .iter()
             .any(|upstream| upstream.is_ready() && !self.tried.contains(&upstream.incarnation))
     }
--- a/lib/src/direct/request_log.rs
+++ b/lib/src/direct/request_log.rs
@@ -6,6 +6,7 @@
 
 use super::attempt::SendError;
 use super::budget::Usage;
+use super::controllers::OriginSearch;
 use super::orders::LoadOutcome;
 use super::request::ActiveRequest;
 use super::upstream::Upstream;
@@ -185,6 +186,21 @@
     );
 }
 
+/// Logs how the origin of a stream that its caller resumes was found, and where it began.
+pub fn origin_found(request: &ActiveRequest, search: &OriginSearch) {
+    let metadata = &request.message.metadata;
+    let origin = search.origin();
+    log::info!(
+        request = request.id(),
+        resumes = metadata.resumes.as_deref().unwrap_or_default(),
+        after_event = metadata.resume_after.unwrap_or_default(),
+        origin = search.name(),
+        pool = origin.map_or("", |origin| &origin.pool),
+        software = origin.map_or("", |origin| &origin.software);
+        "request: resumes a stream"
+    );
+}
+
 /// Logs that a stream resumes at another upstream.
 pub fn resumed(request: &ActiveRequest, after: Option<u64>, cause: &str) {
     log::info!(
--- a/lib/src/direct/roles.rs
+++ b/lib/src/direct/roles.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
+use crate::name::Name;
 
 /// Seed of the order in which engines become prefill engines. All nodes must use the same.
 const ORDER_SEED: u64 = 0x7265_6164_6572;
@@ -98,6 +99,29 @@
         Self { prefill_engines }
     }
 
+    /// Assigns the prefill role to about `prefill_count` of the engines, the same fraction of each
+    /// software version.
+    ///
+    /// A run moves only within a version, so each one needs engines that decode.
+    #[must_use]
+    pub fn split_by_software(mut engines: Vec<(&Name, SocketAddr)>, prefill_count: usize) -> Self {
+        engines.sort_unstable();
+        let total = engines.len();
+        let mut prefill_engines = Vec::new();
+        for group in engines.chunk_by(|(one, _), (other, _)| one == other) {
+            let share = (prefill_count * group.len() + total / 2) / total;
+            let prefill = if group.len() == total {
+                share
+            } else {
+                share.min(group.len() - 1)
+            };
+            let addresses = group.iter().map(|(_, address)| *address);
+            prefill_engines.extend(Self::split(addresses, prefill).prefill_engines);
+        }
+        prefill_engines.sort_unstable();
+        Self { prefill_engines }
+    }
+
     /// Whether some engines only prefill.
     #[must_use]
     pub fn is_disaggregated(&self) -> bool {
--- a/lib/src/direct/selection.rs
+++ b/lib/src/direct/selection.rs
@@ -107,13 +107,16 @@
         workload: Workload,
         fits: impl Fn(&Upstream) -> bool,
     ) -> Option<Arc<Upstream>> {
-        let [prefill, decode] = self.least_loaded_by_role(fits);
+        let [prefill, decode] = self.least_loaded_by_role(&fits);
         let is_usable = |found: &Option<Arc<Upstream>>| {
             found.as_ref().is_some_and(|found| !self.is_avoided(found))
         };
         let starts_at_prefill = match workload {
             Workload::PrefillHeavy => is_usable(&prefill),
-            Workload::DecodeHeavy => is_usable(&prefill) && is_usable(&decode),
+            Workload::DecodeHeavy => {
+                is_usable(&prefill)
+                    && is_usable(&self.move_target(prefill.as_ref(), decode.as_ref(), &fits))
+            }
         };
         if starts_at_prefill {
             return prefill;
@@ -124,6 +127,24 @@
         prefill
     }
 
+    /// Returns the decode engine to which a run could move from a prefill engine.
+    ///
+    /// That is the least loaded one unless it runs another software version.
+    fn move_target(
+        &self,
+        prefill: Option<&Arc<Upstream>>,
+        decode: Option<&Arc<Upstream>>,
+        fits: impl Fn(&Upstream) -> bool,
+    ) -> Option<Arc<Upstream>> {
+        let software = &prefill?.software;
+        if decode?.software == *software {
+            return decode.cloned();
+        }
+        self.least_loaded(|upstream| {
+            upstream.software == *software && !self.is_prefill(upstream) && fits(upstream)
+        })
+    }
+
     /// Returns the least loaded prefill engine and the least loaded decode engine, as defined by
     /// [`Self::least_loaded`].
     ///
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -77,7 +77,8 @@
         }
         loop {
             self.check_quarantine()?;
-            let upstreams = self.frontend.view.pool(&self.pool);
+            let upstreams = self.candidates();
+            self.check_origin(&upstreams)?;
             let roles = self.frontend.roles(&self.pool);
             let selector = self.selector(&upstreams, &roles);
             let found = match &self.message.metadata.model {
@@ -115,7 +116,7 @@
         if !roles.is_prefill(source.address) {
             return None;
         }
-        let upstreams = self.frontend.view.pool(&self.pool);
+        let upstreams = self.candidates();
         let selector = self.selector(&upstreams, &roles);
         let has_free_slot = |upstream: &Upstream| {
             !selector.is_prefill(upstream)
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -196,6 +196,18 @@
         upstream
     }
 
+    /// Whether an entry is of a later start of the upstream.
+    ///
+    /// Another software version takes a restart, even if the upstream reports no start times.
+    #[must_use]
+    pub fn has_restarted(&self, entry: &UpstreamEntry, entry_revision: EntryRevision) -> bool {
+        if entry.held.started_at_ms != self.started_at_ms {
+            return entry.held.started_at_ms > self.started_at_ms;
+        }
+        software_version(entry) != self.software
+            && entry_revision.revision > self.entry_revision().revision
+    }
+
     /// Applies an entry of the list, unless a newer one is known.
     pub fn update(&self, entry: &UpstreamEntry, entry_revision: EntryRevision) {
         if self.update_presence(|presence| presence.apply_entry(entry_revision, entry.ready)) {
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -16,6 +16,7 @@
 use super::presence::EntryRevision;
 use super::quarantine::{CRASH_REPORT_PREFIX, HARMLESS_PREFIX, UNCONFIRMED_CRASH_PREFIX};
 use super::reachability::Reachability;
+use super::software;
 use super::upstream::Upstream;
 use super::versions::{Declaration, Declarations};
 use crate::clock::Millis;
@@ -69,6 +70,13 @@
     pub seen: Millis,
 }
 
+/// The upstreams of a pool.
+#[derive(Debug, Clone, Default)]
+struct PoolUpstreams {
+    upstreams: Arc<[Arc<Upstream>]>,
+    software: software::Versions,
+}
+
 /// The state behind the view's lock.
 #[derive(Debug, Default)]
 pub struct State {
@@ -80,7 +88,9 @@
     ///
     /// A starting node reads all upstreams in one listing. Regrouping at each of three thousand
     /// entries took ten seconds on a small VM, during which the node knew no configuration.
-    pools: Option<HashMap<Name, Arc<[Arc<Upstream>]>>>,
+    pools: Option<HashMap<Name, PoolUpstreams>>,
+    /// Software versions of upstreams that have left.
+    pub software: software::History,
     /// Declared versions by adapter.
     pub versions: HashMap<Name, Declarations>,
     /// Nodes by name.
@@ -115,14 +125,14 @@
     pub changed: Notify,
 }
 
-/// The result of putting a record that may belong to the quarantine.
+/// The result of putting a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PutOutcome {
     /// The record was applied.
     Applied,
-    /// It belongs to the quarantine, but can't be decoded.
+    /// It can't be decoded.
     Unreadable,
-    /// It doesn't belong to the quarantine.
+    /// It is of no known kind.
     Unrelated,
 }
 
@@ -200,7 +210,24 @@
     /// Returns the upstreams of a pool, without retired ones.
     #[must_use]
     pub fn pool(&self, pool: &str) -> Arc<[Arc<Upstream>]> {
-        self.state().pools().get(pool).cloned().unwrap_or_default()
+        let mut state = self.state();
+        let pool = state.pools().get(pool);
+        pool.map(|pool| Arc::clone(&pool.upstreams))
+            .unwrap_or_default()
+    }
+
+    /// Returns the software versions by which streams of a pool may have begun.
+    #[must_use]
+    pub fn software_versions(&self, pool: &str, now: Millis) -> software::Versions {
+        let mut state = self.state();
+        let listed = state.listed_software(pool);
+        state.software.possible(pool, &listed, now)
+    }
+
+    /// Whether the last call to the key-value service was answered.
+    #[must_use]
+    pub fn is_store_reachable(&self) -> bool {
+        !self.store_unreachable.load(Ordering::Relaxed)
     }
 
     /// Returns the newest version that operators declared for an adapter.
@@ -258,10 +285,11 @@
     /// An entry of an earlier start than the known one is ignored: it was written late or by
     /// another writer. An entry of a later start replaces the upstream by a new one.
     pub fn put_upstream(&mut self, listed: &UpstreamEntry, revision: EntryRevision, now: Millis) {
+        self.software.begin(now);
         let known = self.upstreams.get(&listed.incarnation);
-        if known.is_some_and(|upstream| listed.held.started_at_ms > upstream.started_at_ms) {
+        if known.is_some_and(|upstream| upstream.has_restarted(listed, revision)) {
             log::info!("view: {} has restarted", listed.incarnation);
-            self.remove_upstream(&listed.incarnation);
+            self.remove_upstream(&listed.incarnation, now);
         }
         if let Some(upstream) = self.upstreams.get(&listed.incarnation) {
             if listed.held.started_at_ms == upstream.started_at_ms {
@@ -280,9 +308,11 @@
     }
 
     /// Removes an upstream that has left.
-    pub fn remove_upstream(&mut self, incarnation: &str) {
+    pub fn remove_upstream(&mut self, incarnation: &str, now: Millis) {
         if let Some(upstream) = self.upstreams.remove(incarnation) {
             upstream.retire();
+            self.software
+                .record_left(&upstream.pool, &upstream.software, now);
             self.pools = None;
         }
     }
@@ -394,6 +424,30 @@
         }
     }
 
+    /// Applies a record that a node keeps in the key-value service or sends to others: of a pool's
+    /// software versions or of the quarantine.
+    pub fn put_record(
+        &mut self,
+        name: &str,
+        value: &[u8],
+        revision: Option<u64>,
+        now: Millis,
+    ) -> PutOutcome {
+        let Some(pool) = name.strip_prefix(software::SOFTWARE_PREFIX) else {
+            return self.put_quarantine_record(name, value, revision, now);
+        };
+        match serde_json::from_slice::<Vec<Name>>(value) {
+            Ok(versions) => {
+                self.software.put_record(pool, versions.into());
+                PutOutcome::Applied
+            }
+            Err(error) => {
+                log::error!("view: can't decode {name}: {error}");
+                PutOutcome::Unreadable
+            }
+        }
+    }
+
     /// Applies a record if it belongs to the quarantine.
     ///
     /// It has no `revision` if another node sent it while the service was unavailable.
@@ -437,7 +491,18 @@
         }
     }
 
-    fn pools(&mut self) -> &HashMap<Name, Arc<[Arc<Upstream>]>> {
+    /// Returns the software versions of a pool's upstreams in the list.
+    pub fn listed_software(&mut self, pool: &str) -> software::Versions {
+        let pool = self.pools().get(pool);
+        pool.map(|pool| pool.software.clone()).unwrap_or_default()
+    }
+
+    /// Returns the names of the pools that have upstreams.
+    pub fn pool_names(&mut self) -> Vec<Name> {
+        self.pools().keys().cloned().collect()
+    }
+
+    fn pools(&mut self) -> &HashMap<Name, PoolUpstreams> {
         let upstreams = &self.upstreams;
         self.pools.get_or_insert_with(|| group_by_pool(upstreams))
     }
@@ -473,7 +538,7 @@
 }
 
 /// Groups upstreams by pool, sorted by incarnation so that the order is stable.
-fn group_by_pool(upstreams: &HashMap<Name, Arc<Upstream>>) -> HashMap<Name, Arc<[Arc<Upstream>]>> {
+fn group_by_pool(upstreams: &HashMap<Name, Arc<Upstream>>) -> HashMap<Name, PoolUpstreams> {
     let mut pools: HashMap<Name, Vec<Arc<Upstream>>> = HashMap::new();
     for upstream in upstreams.values() {
         pools
@@ -485,7 +550,20 @@
         .into_iter()
         .map(|(pool, mut upstreams)| {
             upstreams.sort_by(|one, other| one.incarnation.cmp(&other.incarnation));
-            (pool, upstreams.into())
+            let mut software: software::Versions = upstreams
+                .iter()
+                .map(|one| Name::clone(&one.software))
+                .collect();
+            software.sort_unstable();
+            software.dedup();
+            let upstreams = upstreams.into();
+            (
+                pool,
+                PoolUpstreams {
+                    upstreams,
+                    software,
+                },
+            )
         })
         .collect()
 }
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -174,6 +174,10 @@
     Quarantined = 2021, "quarantined", 503, NotRun, "Don't repeat it soon; tell the operators, who can see why.";
     /// The template was changed while the request waited, and names something else now.
     Outdated = 2022, "outdated", 503, NotRun, "Try again after Retry-After.";
+    /// The request resumes a stream of which no node knows the software version that began it.
+    StreamOriginUnknown = 2023, "stream_origin_unknown", 503, NotRun, "Begin the stream anew.";
+    /// The request resumes a stream that began at a software version which no upstream runs any more.
+    StreamVersionGone = 2024, "stream_version_gone", 503, NotRun, "Begin the stream anew.";
 
     /// The connection to the upstream broke after the request was sent.
     UpstreamLost = 3001, "upstream_lost", 502, Unknown, "Repeat it only if it is idempotent.";
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -94,6 +94,10 @@
     pub pools_cut_off: IntGauge,
     /// Pools whose upstreams run several software versions.
     pub mixed_pools: IntGauge,
+    /// Streams that callers resume, by how this node learned where they began.
+    pub resumed_streams: IntCounterVec,
+    /// Origins of streams that were sent to other nodes, by outcome.
+    pub origins_sent: IntCounterVec,
     /// Upstreams that this node owns.
     pub owned: IntGauge,
     /// Nodes that this node knows of, itself included.
@@ -272,6 +276,16 @@
                 "mixed_pools",
                 "Pools whose upstreams run several software versions.",
             ),
+            resumed_streams: maker.counters(
+                "resumed_streams_total",
+                "Streams that callers resume, by how their origin was found.",
+                &["origin"],
+            ),
+            origins_sent: maker.counters(
+                "origins_sent_total",
+                "Origins of streams that were sent to other nodes.",
+                &["outcome"],
+            ),
             owned: maker.gauge("upstreams_owned", "Upstreams that this node owns."),
             nodes: maker.gauge("nodes", "Nodes that this node knows of, itself included."),
             upstream_checks: maker.counter(
--- a/lib/src/protos/chivevalve.direct.rs
+++ b/lib/src/protos/chivevalve.direct.rs
@@ -23,6 +23,45 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TellReply {}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RecordOriginsRequest {
+    #[prost(message, repeated, tag = "1")]
+    pub origins: ::prost::alloc::vec::Vec<StreamOrigin>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RecordOriginsReply {}
+/// Where a stream began.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOrigin {
+    /// Identifies the stream over all attempts of its caller.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    #[prost(string, tag = "2")]
+    pub pool: ::prost::alloc::string::String,
+    /// The software version that wrote its first event.
+    #[prost(string, tag = "3")]
+    pub software: ::prost::alloc::string::String,
+    /// How long ago its first event reached the caller, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FindOriginRequest {
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// The pools that may have begun it.
+    #[prost(string, repeated, tag = "2")]
+    pub pools: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FindOriginReply {
+    /// Absent if the callee doesn't remember the stream.
+    #[prost(message, optional, tag = "1")]
+    pub origin: ::core::option::Option<StreamOrigin>,
+    /// Whether these pools may have begun streams by several software versions, as the callee sees it.
+    #[prost(bool, tag = "2")]
+    pub ambiguous: bool,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LoadRequest {
     #[prost(string, tag = "1")]
@@ -497,6 +536,56 @@
                 .insert(GrpcMethod::new("chivevalve.direct.Orders", "Tell"));
             self.inner.unary(req, path, codec).await
         }
+        /// Tells where streams began, which the callee remembers beyond the loss of the caller.
+        pub async fn record_origins(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RecordOriginsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::RecordOriginsReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/chivevalve.direct.Orders/RecordOrigins",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("chivevalve.direct.Orders", "RecordOrigins"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Asks where a stream began.
+        pub async fn find_origin(
+            &mut self,
+            request: impl tonic::IntoRequest<super::FindOriginRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::FindOriginReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/chivevalve.direct.Orders/FindOrigin",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("chivevalve.direct.Orders", "FindOrigin"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -557,6 +646,19 @@
             &self,
             request: tonic::Request<super::TellRequest>,
         ) -> std::result::Result<tonic::Response<super::TellReply>, tonic::Status>;
+        /// Tells where streams began, which the callee remembers beyond the loss of the caller.
+        async fn record_origins(
+            &self,
+            request: tonic::Request<super::RecordOriginsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::RecordOriginsReply>,
+            tonic::Status,
+        >;
+        /// Asks where a stream began.
+        async fn find_origin(
+            &self,
+            request: tonic::Request<super::FindOriginRequest>,
+        ) -> std::result::Result<tonic::Response<super::FindOriginReply>, tonic::Status>;
     }
     /// What nodes ask of the one that gives an engine its orders.
     #[derive(Debug)]
@@ -899,6 +1001,94 @@
                     };
                     Box::pin(fut)
                 }
+                "/chivevalve.direct.Orders/RecordOrigins" => {
+                    #[allow(non_camel_case_types)]
+                    struct RecordOriginsSvc<T: Orders>(pub Arc<T>);
+                    impl<
+                        T: Orders,
+                    > tonic::server::UnaryService<super::RecordOriginsRequest>
+                    for RecordOriginsSvc<T> {
+                        type Response = super::RecordOriginsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RecordOriginsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Orders>::record_origins(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RecordOriginsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/chivevalve.direct.Orders/FindOrigin" => {
+                    #[allow(non_camel_case_types)]
+                    struct FindOriginSvc<T: Orders>(pub Arc<T>);
+                    impl<T: Orders> tonic::server::UnaryService<super::FindOriginRequest>
+                    for FindOriginSvc<T> {
+                        type Response = super::FindOriginReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::FindOriginRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Orders>::find_origin(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FindOriginSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/lib/src/retry/reaction.rs
+++ b/lib/src/retry/reaction.rs
@@ -60,6 +60,8 @@
         | Code::ClaimUnavailable
         | Code::NoUpstream
         | Code::Quarantined
+        | Code::StreamOriginUnknown
+        | Code::StreamVersionGone
         // A retry elsewhere would use capacity that the limit reserves for others.
         | Code::AccountLimit
         | Code::Brownout
--- a/lib/tests/test_direct_fanout.rs
+++ b/lib/tests/test_direct_fanout.rs
@@ -24,8 +24,10 @@
 use chivevalve::schema::direct::orders_client::OrdersClient;
 use chivevalve::schema::direct::orders_server::{Orders, OrdersServer};
 use chivevalve::schema::direct::{
-    AdmitReply, AdmitRequest, Change, ExchangeReply, ExchangeRequest, FollowRequest, LoadReply,
-    LoadRequest, SupportReply, SupportRequest, TellReply, TellRequest, Update as ProtoUpdate,
+    AdmitReply, AdmitRequest, Change, ExchangeReply, ExchangeRequest, FindOriginReply,
+    FindOriginRequest, FollowRequest, LoadReply, LoadRequest, RecordOriginsReply,
+    RecordOriginsRequest, SupportReply, SupportRequest, TellReply, TellRequest,
+    Update as ProtoUpdate,
 };
 use chivevalve_platform::PlatformDialect;
 use direct_support::SERVER;
@@ -560,6 +562,20 @@
         Err(Status::unimplemented("not part of the test"))
     }
 
+    async fn record_origins(
+        &self,
+        _: Request<RecordOriginsRequest>,
+    ) -> Result<Response<RecordOriginsReply>, Status> {
+        Err(Status::unimplemented("not part of the test"))
+    }
+
+    async fn find_origin(
+        &self,
+        _: Request<FindOriginRequest>,
+    ) -> Result<Response<FindOriginReply>, Status> {
+        Err(Status::unimplemented("not part of the test"))
+    }
+
     async fn exchange(
         &self,
         _: Request<ExchangeRequest>,
