origin: a sparse copy of streams' origins in the key-value service

Change: while a pool runs several versions, each node copies the origins of its newest streams, one transaction of 32 rows at most each half second, so seldom with more nodes that all of them make 20 a second.

--- a/lib/src/direct/controllers/origins.rs
+++ b/lib/src/direct/controllers/origins.rs
@@ -18,6 +18,7 @@
 use super::Controllers;
 use crate::clock::Millis;
 use crate::direct::origin::{KEEPERS, Ledger, Origin, Record, StreamKey};
+use crate::direct::origin_store::{BATCH_SIZE, OriginStore};
 use crate::direct::outbox::Outbox;
 use crate::direct::software::SOFTWARE_PREFIX;
 use crate::name::Name;
@@ -57,6 +58,8 @@
     Here(Origin),
     /// Another node remembers it.
     Elsewhere(Origin),
+    /// The key-value service has a copy.
+    Copied(Origin),
     /// Nobody remembers it, but only one origin is possible.
     Only(Origin),
     /// Nobody remembers it, and it may have begun at one of several software versions or pools.
@@ -70,7 +73,10 @@
     #[must_use]
     pub const fn origin(&self) -> Option<&Origin> {
         match self {
-            Self::Here(origin) | Self::Elsewhere(origin) | Self::Only(origin) => Some(origin),
+            Self::Here(origin)
+            | Self::Elsewhere(origin)
+            | Self::Copied(origin)
+            | Self::Only(origin) => Some(origin),
             Self::Unknown | Self::NoUpstream => None,
         }
     }
@@ -81,6 +87,7 @@
         match self {
             Self::Here(_) => "here",
             Self::Elsewhere(_) => "elsewhere",
+            Self::Copied(_) => "copied",
             Self::Only(_) => "only",
             Self::Unknown => "unknown",
             Self::NoUpstream => "no_upstream",
@@ -232,7 +239,8 @@
 
     /// Sends origins to other nodes and keeps the records of software versions up to date, until
     /// the task is dropped.
-    pub async fn run_origins(self: Arc<Self>, outbox: Arc<Outbox>) {
+    pub async fn run_origins(self: Arc<Self>, outbox: Arc<Outbox>, copies: Arc<OriginStore>) {
+        let mut copied_at = Millis::ZERO;
         loop {
             tokio::select! {
                 () = self.origins.begun.notified() => {
@@ -242,18 +250,38 @@
                     self.update_software_records(&outbox);
                 }
             }
-            self.send_origins();
+            let needed = self.pools_with_several_origins();
+            let is_sending = !needed.is_empty();
+            self.origins.is_sending.store(is_sending, Ordering::Relaxed);
+            if !is_sending {
+                continue;
+            }
+            self.send_origins(&needed);
+            let now = self.clock.now();
+            let nodes = self.view.state().max_nodes_seen;
+            if now.since(copied_at) >= OriginStore::interval(nodes) {
+                copied_at = now;
+                self.copy_origins(&needed, &copies);
+            }
         }
     }
 
-    /// Starts to send the origins that other nodes need to know.
-    fn send_origins(self: &Arc<Self>) {
-        let needed = self.pools_with_several_origins();
-        let is_sending = !needed.is_empty();
-        self.origins.is_sending.store(is_sending, Ordering::Relaxed);
-        if !is_sending {
-            return;
+    /// Starts to write copies of origins to the key-value service.
+    fn copy_origins(&self, needed: &[Name], copies: &Arc<OriginStore>) {
+        let now = self.clock.now();
+        let is_needed = |pool: &Name| needed.contains(pool);
+        let records = self
+            .origins
+            .ledger()
+            .take_uncopied(now, BATCH_SIZE, is_needed);
+        if !records.is_empty() {
+            let copies = Arc::clone(copies);
+            tokio::spawn(async move { copies.write(&records).await });
         }
+    }
+
+    /// Starts to send the origins that other nodes need to know.
+    fn send_origins(self: &Arc<Self>, needed: &[Name]) {
         let now = self.clock.now();
         let records = self
             .origins
--- a/lib/src/direct/dialect.rs
+++ b/lib/src/direct/dialect.rs
@@ -250,6 +250,9 @@
     /// Returns the key of a record of this system.
     fn own_key(&self, name: &str) -> String;
 
+    /// Returns the key of a record of this system that no node follows.
+    fn unfollowed_key(&self, name: &str) -> String;
+
     /// Decodes the configuration.
     ///
     /// # Errors
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -18,6 +18,7 @@
 use super::dialect::Dialect;
 use super::drain::Drain;
 use super::limits::SharedLimits;
+use super::origin_store::OriginStore;
 use super::outbox::Outbox;
 use super::path::Paths;
 use super::quarantine::Quarantine;
@@ -69,6 +70,8 @@
     pub quarantine: Arc<Quarantine>,
     /// Writes records to the key-value service.
     pub(super) outbox: Arc<Outbox>,
+    /// Copies of streams' origins in the key-value service.
+    pub(super) origin_copies: Arc<OriginStore>,
     /// Replacements of adapter versions that are in progress at engines.
     pub(super) replacements: PendingReplacements,
     /// The key-value service.
@@ -117,6 +120,12 @@
             Arc::clone(&clock),
             Arc::<Controllers>::clone(&controllers),
         ));
+        let origin_copies = Arc::new(OriginStore::new(
+            Arc::<Metered>::clone(&service),
+            Arc::<Metered>::clone(&service),
+            Arc::clone(&dialect),
+            Arc::clone(&clock),
+        ));
         let paths = Arc::new(Paths::new(Arc::clone(&controllers)));
         let quarantine = Arc::new(Quarantine::new(
             Arc::clone(&view),
@@ -131,6 +140,7 @@
             metrics: Arc::clone(&controllers.metrics),
             quarantine,
             outbox,
+            origin_copies,
             paths,
             controllers,
             dialect,
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -32,6 +32,7 @@
 pub mod occupancy;
 pub mod orders;
 pub mod origin;
+pub mod origin_store;
 pub mod outage;
 pub mod outbox;
 pub mod ownership;
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -226,8 +226,9 @@
         node.tasks.spawn(follower.run());
         node.tasks.spawn(Arc::clone(&node.claimer).run());
         let outbox = Arc::clone(&node.frontend.outbox);
+        let copies = Arc::clone(&node.frontend.origin_copies);
         node.tasks
-            .spawn(Arc::clone(&controllers).run_origins(outbox));
+            .spawn(Arc::clone(&controllers).run_origins(outbox, copies));
         node.tasks.spawn(controllers.run());
         node.tasks
             .spawn(Arc::clone(&node.frontend.quarantine).run());
--- a/lib/src/direct/origin.rs
+++ b/lib/src/direct/origin.rs
@@ -139,16 +139,20 @@
     by_age: VecDeque<(Millis, StreamKey)>,
     /// Streams of this node whose origins other nodes haven't been told.
     untold: VecDeque<StreamKey>,
+    /// Streams of this node whose origins aren't copied to the key-value service.
+    uncopied: VecDeque<StreamKey>,
 }
 
 impl Ledger {
     /// Records the origin of a stream that began at this node.
     pub fn begin(&mut self, record: Record, now: Millis) {
-        self.untold.push_back(record.stream);
-        self.insert(record, now);
-        if self.untold.len() > MAX_RECORDS {
-            self.untold.pop_front();
+        for queue in [&mut self.untold, &mut self.uncopied] {
+            queue.push_back(record.stream);
+            if queue.len() > MAX_RECORDS {
+                queue.pop_front();
+            }
         }
+        self.insert(record, now);
     }
 
     /// Records the origin of a stream that another node told.
@@ -188,23 +192,45 @@
     ///
     /// Those of other pools are kept: they are needed once a second version appears there.
     pub fn take_untold(&mut self, now: Millis, is_needed: impl Fn(&Name) -> bool) -> Vec<Record> {
-        let mut taken = Vec::new();
-        let untold = std::mem::take(&mut self.untold);
-        for stream in untold {
-            let Some(Remembered { origin, at, .. }) = self.origins.get(&stream) else {
-                continue;
-            };
-            if now.since(*at) >= STREAM_LIFETIME {
-                continue;
-            }
-            if is_needed(&origin.pool) {
-                let (origin, at) = (origin.clone(), *at);
-                taken.push(Record { stream, origin, at });
-            } else {
-                self.untold.push_back(stream);
+        let queue = std::mem::take(&mut self.untold);
+        let (taken, left) = self.split(queue, now, is_needed);
+        self.untold = left;
+        taken
+    }
+
+    /// Takes the newest records that aren't copied, at most `count`; older ones are given up.
+    ///
+    /// Those of pools for which copies aren't needed are kept, as by [`Self::take_untold`].
+    pub fn take_uncopied(
+        &mut self,
+        now: Millis,
+        count: usize,
+        is_needed: impl Fn(&Name) -> bool,
+    ) -> Vec<Record> {
+        let queue = std::mem::take(&mut self.uncopied);
+        let (mut taken, left) = self.split(queue, now, is_needed);
+        self.uncopied = left;
+        taken.drain(..taken.len().saturating_sub(count));
+        taken
+    }
+
+    /// Splits streams into the records of pools for which they are needed and the other streams,
+    /// without those that are forgotten.
+    fn split(
+        &self,
+        queue: VecDeque<StreamKey>,
+        now: Millis,
+        is_needed: impl Fn(&Name) -> bool,
+    ) -> (Vec<Record>, VecDeque<StreamKey>) {
+        let (mut needed, mut others) = (Vec::new(), VecDeque::new());
+        for stream in queue {
+            match self.record(stream, now) {
+                Some(record) if is_needed(&record.origin.pool) => needed.push(record),
+                Some(_) => others.push_back(stream),
+                None => {}
             }
         }
-        taken
+        (needed, others)
     }
 
     /// Returns how many origins are remembered.
--- a/lib/src/direct/request/origin.rs
+++ b/lib/src/direct/request/origin.rs
@@ -25,7 +25,13 @@
         let stream = StreamKey::of(metadata);
         let pools: Vec<Name> = self.route.pools().cloned().collect();
         let controllers = &self.frontend.controllers;
-        let search = controllers.find_origin(stream, &pools).await;
+        let mut search = controllers.find_origin(stream, &pools).await;
+        if search == OriginSearch::Unknown
+            && let Some(stream) = stream
+            && let Some(origin) = self.frontend.origin_copies.read(stream).await
+        {
+            search = OriginSearch::Copied(origin);
+        }
         let resumed = &self.frontend.metrics.resumed_streams;
         resumed.with_label_values(&[search.name()]).inc();
         request_log::origin_found(self, &search);
--- a/lib/tests/test_direct_origin.rs
+++ b/lib/tests/test_direct_origin.rs
@@ -9,6 +9,7 @@
 use chivevalve::direct::dialect::UpstreamEntry;
 use chivevalve::direct::metadata::RequestMetadata;
 use chivevalve::direct::origin::{KEEPERS, Ledger, Origin, Record, STREAM_LIFETIME, StreamKey};
+use chivevalve::direct::origin_store::OriginStore;
 use chivevalve::direct::roles::Roles;
 use chivevalve::direct::software::History;
 use chivevalve::direct::view::View;
@@ -134,6 +135,29 @@
     assert!(ledger.take_untold(Millis(4), |_| true).is_empty());
 }
 
+/// Copies are for the newest streams: what doesn't fit into a transaction is given up.
+#[test]
+fn ledger_uncopied_newest() {
+    let mut ledger = Ledger::default();
+    for stream in 0..10 {
+        ledger.begin(record(stream, "v1", Millis(1)), Millis(1));
+    }
+    assert!(ledger.take_uncopied(Millis(2), 4, |_| false).is_empty());
+    let copied = ledger.take_uncopied(Millis(2), 4, |_| true);
+    let streams: Vec<u64> = copied.iter().map(|record| record.stream.0).collect();
+    assert_eq!(streams, [6, 7, 8, 9]);
+    assert!(ledger.take_uncopied(Millis(3), 4, |_| true).is_empty());
+    assert_eq!(ledger.take_untold(Millis(3), |_| true).len(), 10);
+}
+
+/// All nodes together write as many transactions, however many there are.
+#[test]
+fn copies_interval_by_nodes() {
+    assert_eq!(OriginStore::interval(1), Millis(500));
+    assert_eq!(OriginStore::interval(9), Millis(500));
+    assert_eq!(OriginStore::interval(320), Millis(16_000));
+}
+
 #[test]
 fn ledger_is_bounded() {
     let mut ledger = Ledger::default();
