soak: engines of two software versions, and callers that take streams up

Engines of the soak run two versions now, some starts change theirs, events name the version, and callers take up streams that broke off. Checked: no stream holds two versions, in one answer or over attempts (OneSoftware); with engines that change it the check fails (other-software).

--- a/bench/src/soak/answer.rs
+++ b/bench/src/soak/answer.rs
@@ -41,11 +41,16 @@
     })
 }
 
-fn stream(call: &Call, body: &[u8]) -> Option<(&'static str, String)> {
+fn stream(call: &mut Call, body: &[u8]) -> Option<(&'static str, String)> {
     let text = String::from_utf8_lossy(body);
     let last = wire::events(&call.ask.id);
-    let wanted = call.ask.adapter.as_deref().unwrap_or_default();
+    let wanted = call.ask.adapter.clone().unwrap_or_default();
     let mut next = 1;
+    if let Some(resumed) = &call.ask.resumed {
+        next += resumed.after;
+        call.software = Some(resumed.software.clone());
+    }
+    call.last_event = next - 1;
     let (events, rest) = text.rsplit_once("\n\n").unwrap_or(("", &text));
     for event in events.split("\n\n").filter(|event| !event.is_empty()) {
         let Some((id, data)) = event.split_once('\n') else {
@@ -60,9 +65,16 @@
             return Some(("OwnAnswer", format!("event {next} is {data:?}")));
         }
         let name = adapter.and_then(|adapter| adapter.split('@').next());
-        if name != Some(wanted) {
+        if name != Some(&wanted) {
             return Some(("RightAdapter", format!("{data:?} instead of {wanted}")));
         }
+        let software = words.next().unwrap_or_default();
+        let began = call.software.get_or_insert_with(|| software.to_owned());
+        if began != software {
+            let told = format!("event {next} is of {software}, those before it of {began}");
+            return Some(("OneSoftware", told));
+        }
+        call.last_event = next;
         next += 1;
     }
     if call.complete && (next != last + 1 || !rest.is_empty()) {
--- a/bench/src/soak/caller.rs
+++ b/bench/src/soak/caller.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use chivevalve::clock::Millis;
-use chivevalve_platform_standins::soak::wire::{self, Ask};
+use chivevalve_platform_standins::soak::wire::{self, Ask, Resumed};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -29,6 +29,8 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// Longest pause of a caller between two requests, in milliseconds.
 const PAUSE: u64 = 250;
+/// How often a caller takes one stream up, and what stays of it then is lost.
+const MOST_AGAIN: u64 = 3;
 /// Pause of the caller that sends a poison request.
 const COMES_AGAIN: Duration = Duration::from_millis(700);
 /// Part of the requests for which a caller takes a new connection.
@@ -50,6 +52,10 @@
     pub failure: Option<String>,
     /// Whether a head was signed.
     pub sealed: bool,
+    /// The last event of a stream that its caller has.
+    pub last_event: u64,
+    /// The software version that wrote the stream.
+    pub software: Option<String>,
     /// What an answer's bytes break; see [`super::answer`].
     pub wrong: Vec<(&'static str, String)>,
 }
@@ -83,12 +89,41 @@
             link = None;
         }
         let choice = rng.random_range(0..usize::MAX);
-        if let Some(call) = one(&site, &mut link, ask, choice).await {
-            lock(&calls.all).push(call);
+        let mut call = one(&site, &mut link, ask, choice).await;
+        for again in 1..=MOST_AGAIN {
+            let next = call.as_ref().and_then(|call| taken_up(call, again));
+            lock(&calls.all).extend(call);
+            let Some(ask) = next else {
+                break;
+            };
+            let choice = rng.random_range(0..usize::MAX);
+            call = one(&site, &mut None, ask, choice).await;
         }
     }
 }
 
+/// A request that takes up a stream which broke off and may be resumed.
+fn taken_up(call: &Call, again: u64) -> Option<Ask> {
+    let is_cut = call.status == Some(200) && !call.complete && call.wrong.is_empty();
+    if call.ask.route != "plan" || !is_cut || call.last_event == 0 {
+        return None;
+    }
+    let attempt = match &call.ask.resumed {
+        Some(resumed) => &resumed.attempt,
+        None => &call.ask.id,
+    };
+    let resumed = Resumed {
+        attempt: attempt.clone(),
+        after: call.last_event,
+        software: call.software.clone()?,
+    };
+    Some(Ask {
+        id: format!("{attempt}~{again}"),
+        resumed: Some(resumed),
+        ..call.ask.clone()
+    })
+}
+
 /// Sends one poison request again and again, to a node after the other.
 pub async fn poison(site: Arc<Site>, calls: Arc<Calls>) {
     let mut number = 0;
@@ -99,6 +134,7 @@
             route: "plan",
             adapter: Some("a1".to_owned()),
             deadline: DEADLINE,
+            resumed: None,
         };
         let call = at(&site, number % site.nodes.len(), ask).await;
         lock(&calls.all).extend(call);
@@ -123,6 +159,7 @@
         route,
         adapter: engine.then(|| format!("a{adapter}")),
         deadline: DEADLINE,
+        resumed: None,
     }
 }
 
@@ -143,6 +180,8 @@
         complete: false,
         failure: None,
         sealed: false,
+        last_event: 0,
+        software: None,
         wrong: Vec::new(),
         ask,
     };
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -89,7 +89,7 @@
 }
 
 /// Tricks by name.
-const TRICKS: [(&str, Trick); 20] = [
+const TRICKS: [(&str, Trick); 21] = [
     ("twice", Trick::Server(mood::Trick::Twice)),
     ("swapped", Trick::Server(mood::Trick::Swapped)),
     ("looks-whole", Trick::Server(mood::Trick::LooksWhole)),
@@ -97,6 +97,7 @@
     ("repeat", Trick::Server(mood::Trick::Repeat)),
     ("false-refusal", Trick::Server(mood::Trick::FalseRefusal)),
     ("other-adapter", Trick::Server(mood::Trick::OtherAdapter)),
+    ("other-software", Trick::Server(mood::Trick::OtherSoftware)),
     ("old-version", Trick::Server(mood::Trick::OldVersion)),
     ("late-first", Trick::Server(mood::Trick::LateFirst)),
     ("stale", Trick::Server(mood::Trick::Stale)),
@@ -286,6 +287,7 @@
             route: if number % 2 == 0 { "look" } else { "plan" },
             adapter: (number % 2 == 1).then(|| "a1".to_owned()),
             deadline: Millis::from_secs(6),
+            resumed: None,
         };
         let call = caller::at(site, node, ask).await;
         let served = call.is_some_and(|call| call.status == Some(200) && call.complete);
@@ -376,6 +378,15 @@
         // Writing to a string can't fail.
         let _ = writeln!(text, "  {outcome:<12} {route:<8} {count}");
     }
+    let taken_up = |call: &&Call| call.ask.resumed.is_some();
+    let taken_up: Vec<&Call> = seen.calls.iter().filter(taken_up).collect();
+    let went_on = taken_up.iter().filter(|call| call.status == Some(200));
+    let _ = writeln!(
+        text,
+        "  {} streams taken up, {} went on",
+        taken_up.len(),
+        went_on.count()
+    );
     let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
     for one in found {
         *kinds.entry(one.promise).or_default() += 1;
--- a/bench/tests/test_soak.rs
+++ b/bench/tests/test_soak.rs
@@ -138,6 +138,12 @@
     caught("halved", "LooksWhole");
 }
 
+/// A soak that doesn't see streams of two software versions can't fail.
+#[test]
+fn soak_sees_another_software_version() {
+    caught("other-software", "OneSoftware");
+}
+
 /// Symptom: daemons go on after a soak that was interrupted.
 /// Sequence: the soak is asked to stop while its daemons serve.
 /// Cause: a process that ends by a signal drops nothing.
