--- a/lib/src/direct/controllers/origins.rs
+++ b/lib/src/direct/controllers/origins.rs
@@ -14,6 +14,7 @@
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 use tonic::Status;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Controllers;
 use crate::clock::Millis;
@@ -344,7 +345,7 @@
             let Some(versions) = state.software.outdated_record(&pool, &listed, now) else {
                 continue;
             };
-            let key = StreamKey(xxhash_rust::xxh3::xxh3_64(pool.as_bytes()));
+            let key = StreamKey(xxh3_64(pool.as_bytes()));
             let nodes = state.nodes.iter();
             let writers = key.keepers(nodes.map(|(node, peer)| (node, &peer.failure_domain)));
             if writers
