logs, metrics: tell the prompt parts of requests whose connection broke

The lines of broken connections name a request's fingerprint only, so they can't show whether requests at crashed engines have a prompt part in common. They have the shared parts' ids now; chivevalve_crash_suspects_total counts suspects by sign. No change of what is decided.

--- a/lib/src/direct/metadata.rs
+++ b/lib/src/direct/metadata.rs
@@ -33,11 +33,10 @@
     }
 }
 
-/// A segment of a prompt that other requests may share.
+/// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptSegment {
-    /// Identifies the prompt from its start to the end of this segment; equal for all requests
-    /// that share this prefix.
+    /// Identifies the part by itself, whatever other parts the prompt has.
     pub id: u64,
     /// Length in tokens.
     pub tokens: u32,
@@ -70,6 +69,22 @@
     pub fn adapter(&self) -> Option<&Name> {
         self.model.as_ref().filter(|model| model.contains('/'))
     }
+
+    /// Returns the parts of the prompt that other requests may share.
+    #[must_use]
+    pub fn shared_segments(&self) -> &[PromptSegment] {
+        self.prompt_segments
+            .split_last()
+            .map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the ids of the shared parts in hexadecimal, for logs.
+    #[must_use]
+    pub fn shared_parts(&self) -> String {
+        let ids = self.shared_segments().iter();
+        let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
 }
 
 /// Returns the base model of `BASE` or `BASE/ADAPTER`.
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -280,6 +280,8 @@
                 sign = suspicion.name();
                 "quarantine: an upstream ended"
             );
+            let sign = suspicion.name();
+            self.metrics.crash_suspects.with_label_values(&[sign]).inc();
         }
         let start = upstream.start_id();
         let name = Name::from(format!("{CRASH_REPORT_PREFIX}{start}/{node}"));
--- a/lib/src/direct/request/quarantine.rs
+++ b/lib/src/direct/request/quarantine.rs
@@ -60,6 +60,7 @@
         log::info!(
             request = self.id(),
             suspect = fingerprint.as_str(),
+            parts = self.message.metadata.shared_parts().as_str(),
             upstream = &*upstream.incarnation,
             sign = suspicion.name();
             "request: broke"
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -442,11 +442,7 @@
 /// Returns the id of the last prompt segment that other requests may share, or a hash of the
 /// request's id.
 fn affinity_seed(metadata: &RequestMetadata) -> u64 {
-    let shared = metadata.prompt_segments.len().checked_sub(2);
-    match (
-        shared.and_then(|at| metadata.prompt_segments.get(at)),
-        &metadata.id,
-    ) {
+    match (metadata.shared_segments().last(), &metadata.id) {
         (Some(part), _) => part.id,
         (None, Some(id)) => xxh3_64(id.as_bytes()),
         (None, None) => 0,
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -104,6 +104,8 @@
     pub nodes: IntGauge,
     /// Upstreams that ended under requests of this node.
     pub upstream_ends: IntCounter,
+    /// Requests of this node at upstreams that ended, by how strongly they are suspected.
+    pub crash_suspects: IntCounterVec,
     /// Checks whether an upstream ended under requests of this node.
     pub upstream_checks: IntCounter,
     /// Requests that are no longer sent, as upstreams ended under them.
@@ -296,6 +298,11 @@
                 "upstream_ends_total",
                 "Upstreams that ended under requests of this node.",
             ),
+            crash_suspects: maker.counters(
+                "crash_suspects_total",
+                "Requests of this node at upstreams that ended.",
+                &["sign"],
+            ),
             quarantined: maker.gauge(
                 "quarantined_requests",
                 "Requests that are no longer sent, as upstreams ended under them.",
