--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -16,6 +16,7 @@
 use crate::clock::Millis;
 use crate::error::Code;
 use crate::poison::fingerprint::{Fingerprint, Identity};
+use crate::poison::subjects::Subjects;
 use crate::ports::connection_pool::{Connection, TransportError};
 
 /// Maximum length in bytes of a response that is buffered completely.
@@ -54,8 +55,8 @@
     pub metadata: RequestMetadata,
     /// Whether it can be retried, and the form of its response.
     pub kind: RequestKind,
-    /// Identifies it across attempts and nodes; computed on first use.
-    pub fingerprint: OnceLock<Fingerprint>,
+    /// What it can be blamed for a crash by; computed on first use.
+    pub subjects: OnceLock<Subjects>,
 }
 
 /// Why a send got no response.
@@ -121,19 +122,26 @@
 }
 
 impl RequestMessage {
+    /// Returns what the request can be blamed for a crash by, the same at all attempts and nodes.
+    pub fn subjects(&self) -> &Subjects {
+        self.subjects.get_or_init(|| {
+            let parts = self.metadata.shared_segments().iter();
+            let parts = parts.map(|part| Fingerprint::of_part(part.id));
+            Subjects::new(self.fingerprint(), parts)
+        })
+    }
+
     /// Returns the fingerprint that identifies the request across attempts and nodes.
-    pub fn fingerprint(&self) -> &Fingerprint {
-        self.fingerprint.get_or_init(|| {
-            let metadata = &self.metadata;
-            let host = self.headers.get(header::HOST);
-            Fingerprint::of(&Identity {
-                caller: metadata.caller.as_deref().unwrap_or_default(),
-                model: metadata.model.as_deref().unwrap_or_default(),
-                method: self.method.as_str(),
-                host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
-                path: self.uri.path_and_query().map_or("", |path| path.as_str()),
-                body: &self.body,
-            })
+    fn fingerprint(&self) -> Fingerprint {
+        let metadata = &self.metadata;
+        let host = self.headers.get(header::HOST);
+        Fingerprint::of(&Identity {
+            caller: metadata.caller.as_deref().unwrap_or_default(),
+            model: metadata.model.as_deref().unwrap_or_default(),
+            method: self.method.as_str(),
+            host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
+            path: self.uri.path_and_query().map_or("", |path| path.as_str()),
+            body: &self.body,
         })
     }
 
--- a/lib/src/direct/entry/gauges.rs
+++ b/lib/src/direct/entry/gauges.rs
@@ -4,6 +4,7 @@
 
 use super::Frontend;
 use crate::direct::upstream::Upstream;
+use crate::poison::verdict::Blame;
 
 /// Converts a count to a gauge's type.
 fn gauge_value<T: TryInto<i64>>(number: T) -> i64 {
@@ -27,9 +28,11 @@
         let mut state = self.view.state();
         let version = state.config.as_ref().map_or(0, |config| config.version);
         metrics.revision.set(gauge_value(version));
-        metrics
-            .quarantined
-            .set(gauge_value(state.ledger.blamed_count(self.clock.now())));
+        let blames = state.ledger.blames(self.clock.now()).iter();
+        let (parts, requests): (Vec<&Blame>, Vec<&Blame>) =
+            blames.partition(|blame| blame.is_of_parts());
+        metrics.quarantined.set(gauge_value(requests.len()));
+        metrics.quarantined_parts.set(gauge_value(parts.len()));
         let cut_off = self.view.reachability.cut_off_pools(self.clock.now());
         metrics.pools_cut_off.set(gauge_value(cut_off));
         metrics.nodes.set(gauge_value(state.nodes.len()));
--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -120,7 +120,7 @@
             body,
             metadata,
             kind: route.kind,
-            fingerprint: OnceLock::new(),
+            subjects: OnceLock::new(),
         };
         let request = ActiveRequest::new(
             Arc::clone(self),
@@ -192,7 +192,7 @@
             let left = request.deadline.since(request.now());
             let cause = match tokio::time::timeout(left.duration(), response.read_body()).await {
                 Ok(Ok((_, body))) => {
-                    request.record_harmless_run();
+                    request.record_harmless_run(request.sent_at);
                     return Ok(full_response(head, body));
                 }
                 Ok(Err(error)) => format!("{error:?}"),
--- a/lib/src/direct/metadata.rs
+++ b/lib/src/direct/metadata.rs
@@ -77,14 +77,6 @@
             .split_last()
             .map_or(&[], |(_, shared)| shared)
     }
-
-    /// Returns the ids of the shared parts in hexadecimal, for logs.
-    #[must_use]
-    pub fn shared_parts(&self) -> String {
-        let ids = self.shared_segments().iter();
-        let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
-        ids.join(",")
-    }
 }
 
 /// Returns the base model of `BASE` or `BASE/ADAPTER`.
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -1,19 +1,24 @@
 //! Quarantine of requests that crash upstreams.
 //!
-//! A request that crashes every upstream that starts to run it is repeated by its caller, at any
-//! node. When an upstream crashes, each node reports which of its own requests were there. Reports
-//! are records in the key-value service, which every node follows, including one that has just
-//! started; [`ledger`](crate::poison::ledger) determines from them which requests are blamed. As
-//! long as no upstream crashes, nothing is written. See docs/design/0011-poison-requests.md.
-
+//! A request that crashes every upstream that starts to run it is repeated by its caller, or comes
+//! again as another request with the same prompt part, at any node. When an upstream crashes, each
+//! node reports which of its own requests were there. Reports are records in the key-value service,
+//! which every node follows, including one that has just started;
+//! [`ledger`](crate::poison::ledger) determines from them what is blamed. As long as no upstream
+//! crashes, nothing is written. See docs/design/0011-poison-requests.md and
+//! docs/design/0018-subjects-of-suspicion.md.
+
+mod refute;
+mod trial;
 mod unconfirmed;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_trait::async_trait;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::outbox::Outbox;
 use super::upstream::Upstream;
@@ -24,7 +29,10 @@
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
 use crate::poison::harmless::HarmlessRequests;
-use crate::poison::ledger::{CrashReport, REPORT_TTL, Suspect, Suspicion};
+use crate::poison::ledger::{REPORT_TTL, Suspect, Suspicion};
+use crate::poison::subjects::Subjects;
+use crate::poison::trial::{TRIAL_AFTER, TURN};
+use crate::poison::verdict::Blame;
 use crate::ports::connection_pool::ProbeResult;
 
 /// Key prefix of crash reports; the upstream's start and the reporting node follow it.
@@ -85,6 +93,10 @@
     outbox: Arc<Outbox>,
     others: Arc<dyn OtherNodes>,
     harmless: Mutex<HarmlessRequests>,
+    /// Prompt parts that this node is about to clear at all nodes.
+    refuting: Mutex<HashSet<Fingerprint>>,
+    /// The last turn in which this node sent a request on trial, by what is blamed.
+    trials: Mutex<HashMap<Fingerprint, u64>>,
     /// This node's requests at upstreams that may have crashed, by the upstream's start.
     under_check: Mutex<HashMap<Name, Vec<Suspect>>>,
     /// Notified when the check of an upstream has finished.
@@ -110,6 +122,8 @@
             outbox,
             others,
             harmless: Mutex::default(),
+            refuting: Mutex::default(),
+            trials: Mutex::default(),
             under_check: Mutex::default(),
             check_finished: Notify::new(),
         }
@@ -126,30 +140,36 @@
     ///
     /// # Errors
     ///
-    /// [`Code::Quarantined`] if the request is blamed for crashes of upstreams.
-    pub fn check(&self, request: &Fingerprint) -> Result<(), Failure> {
+    /// [`Code::Quarantined`] if the request is blamed for crashes of upstreams, and
+    /// [`Code::PartQuarantined`] if parts of its prompt are.
+    pub fn check(&self, subjects: &Subjects) -> Result<(), Failure> {
         let now = self.clock.now();
-        let crash_count = self.view.state().ledger.blamed_crashes(request, now);
-        let Some(crash_count) = crash_count else {
+        let blame = self.view.state().ledger.blame_of(subjects, now).cloned();
+        let Some(blame) = blame else {
             return Ok(());
         };
-        if self.harmless().contains(request, now) {
+        let request = &subjects.request;
+        if blame.involves(request) && self.harmless().contains(request, now) {
             self.clear(request);
             return Ok(());
         }
-        let detail = format!("{crash_count} upstreams ended as they began to run this request");
-        Err(Failure::new(Code::Quarantined, detail).retry_after(REPORT_TTL))
+        let retry_after = if blame.is_of_parts() && !blame.trial_failed {
+            TRIAL_AFTER + TURN
+        } else {
+            REPORT_TTL
+        };
+        Err(blame_failure(&blame, subjects).retry_after(retry_after))
     }
 
     /// Waits until it is known whether a request that is already reported crashed one more
     /// upstream.
-    pub async fn wait_for_crash_check(&self, request: &Fingerprint) {
+    pub async fn wait_for_crash_check(&self, subjects: &Subjects) {
         let waiting = async {
             loop {
                 let check_finished = self.check_finished.notified();
                 let mut check_finished = std::pin::pin!(check_finished);
                 check_finished.as_mut().enable();
-                if !self.is_under_check(request) || self.crash_count(request) == 0 {
+                if !self.has_reported_subject_under_check(subjects) {
                     return;
                 }
                 check_finished.await;
@@ -163,19 +183,17 @@
     /// A broken connection alone proves little: the network can cut it, or the response can get
     /// lost. Only a crash of the upstream counts, which a background task checks, so that the
     /// request doesn't wait for it.
-    pub fn record_broken_connection(
-        self: &Arc<Self>,
-        upstream: &Arc<Upstream>,
-        request: Fingerprint,
-        suspicion: Suspicion,
-    ) {
+    pub fn record_broken_connection(self: &Arc<Self>, upstream: &Arc<Upstream>, suspect: Suspect) {
+        let is_harmless = || {
+            let now = self.clock.now();
+            self.harmless().contains(&suspect.request, now)
+        };
         // An upstream that shuts down as planned cuts off whatever still runs there.
-        if !upstream.is_ready() || self.harmless().contains(&request, self.clock.now()) {
+        if !upstream.is_ready() || is_harmless() {
             return;
         }
-        let suspect = Suspect { request, suspicion };
         let start = upstream.start_id();
-        if suspicion == Suspicion::Begun {
+        if suspect.suspicion == Suspicion::Begun {
             self.add_unconfirmed(&start, suspect.clone());
         }
         let is_first = {
@@ -210,13 +228,24 @@
         self.outbox.flush().await;
     }
 
-    /// Records that an upstream ran a request without crashing.
-    pub fn record_harmless_run(&self, request: &Fingerprint) {
-        self.harmless().insert(request.clone(), self.clock.now());
+    /// Records that an upstream ran a request without crashing, from `began_at` on.
+    pub fn record_harmless_run(self: &Arc<Self>, subjects: &Subjects, began_at: Millis) {
+        let now = self.clock.now();
+        let request = &subjects.request;
+        self.harmless().insert(request.clone(), now);
+        let (crash_count, is_refuting) = {
+            let ledger = &mut self.view.state().ledger;
+            ledger.record_sound_run(&subjects.parts, began_at, now);
+            let crash_count = ledger.crash_count(request, now);
+            (crash_count, ledger.has_refutations())
+        };
         // With fewer crashes, one more wouldn't blame the request, and each record is a write.
-        if self.crash_count(request) >= MIN_CRASHES_TO_CLEAR {
+        if crash_count >= MIN_CRASHES_TO_CLEAR {
             self.clear(request);
         }
+        if is_refuting {
+            self.tell_refutations();
+        }
     }
 
     /// Checks whether an upstream crashed, and reports this node's requests there if it did.
@@ -273,32 +302,24 @@
     /// Reports a node's requests at a crashed upstream, in place of that node if it isn't this one.
     fn report_crash(&self, upstream: &Upstream, node: &str, suspects: Vec<Suspect>) {
         self.metrics.upstream_ends.inc();
-        for Suspect { request, suspicion } in &suspects {
-            log::info!(
-                suspect = request.as_str(),
-                upstream = &*upstream.incarnation,
-                sign = suspicion.name();
-                "quarantine: an upstream ended"
-            );
-            let sign = suspicion.name();
-            self.metrics.crash_suspects.with_label_values(&[sign]).inc();
+        for suspect in &suspects {
+            self.log_suspect(upstream, suspect);
         }
         let start = upstream.start_id();
         let name = Name::from(format!("{CRASH_REPORT_PREFIX}{start}/{node}"));
         let now = self.clock.now();
         let mut state = self.view.state();
         let ledger = &mut state.ledger;
-        // Some connections break only after others were reported. Replacing the first report would
-        // drop the suspects that it names, so the new one includes them.
-        let known: Vec<Suspect> = ledger.suspects_in(&name).cloned().collect();
-        let report = CrashReport::new(start, known.into_iter().chain(suspects));
+        // Some connections break only after others were reported, so the new report includes them.
+        let report = ledger.add_own_suspects(&name, start, suspects, now);
         self.outbox.enqueue(&name, &report);
-        ledger.add_report(name, report.clone(), None, now);
-        for Suspect { request, .. } in &report.suspects {
-            if let Some(crash_count) = ledger.blamed_crashes(request, now) {
+        for blame in ledger.blames(now) {
+            let mut suspects = report.suspects.iter();
+            if suspects.any(|suspect| suspect.has(&blame.subject)) {
                 log::warn!(
-                    suspect = request.as_str(),
-                    ends = crash_count;
+                    suspect = blame.subject.as_str(),
+                    ends = blame.crashes,
+                    together = blame.description().as_str();
                     "quarantine: no longer sent"
                 );
             }
@@ -307,6 +328,18 @@
         self.view.changed.notify_waiters();
     }
 
+    fn log_suspect(&self, upstream: &Upstream, suspect: &Suspect) {
+        let sign = suspect.suspicion.name();
+        log::info!(
+            suspect = suspect.request.as_str(),
+            parts = suspect.part_ids().as_str(),
+            upstream = &*upstream.incarnation,
+            sign = sign;
+            "quarantine: an upstream ended"
+        );
+        self.metrics.crash_suspects.with_label_values(&[sign]).inc();
+    }
+
     /// Clears a request and tells all other nodes.
     fn clear(&self, request: &Fingerprint) {
         log::info!(suspect = request.as_str(); "quarantine: request ran without a crash");
@@ -315,15 +348,30 @@
             .enqueue(&format!("{HARMLESS_PREFIX}{request}"), request);
     }
 
-    fn crash_count(&self, request: &Fingerprint) -> usize {
+    /// Whether an upstream under check had a request with a subject that is reported already.
+    fn has_reported_subject_under_check(&self, subjects: &Subjects) -> bool {
         let now = self.clock.now();
-        self.view.state().ledger.crash_count(request, now)
+        let mut common = {
+            let under_check = self.under_check();
+            let is_under_check = |subject: &&Fingerprint| {
+                let mut suspects = under_check.values().flatten();
+                suspects.any(|suspect| suspect.has(subject))
+            };
+            let common: Vec<&Fingerprint> = subjects.iter().filter(is_under_check).collect();
+            common.into_iter()
+        };
+        let ledger = &mut self.view.state().ledger;
+        common.any(|subject| ledger.crash_count(subject, now) > 0)
     }
 
-    fn is_under_check(&self, request: &Fingerprint) -> bool {
-        let under_check = self.under_check();
-        let mut suspects = under_check.values().flatten();
-        suspects.any(|suspect| suspect.request == *request)
+    /// Returns this node's place among all nodes in an order that depends on `text`.
+    ///
+    /// What one node has to do is shared out by it without an agreement.
+    fn rank(&self, text: &str) -> usize {
+        let state = self.view.state();
+        let hash = |node: &str| xxh3_64(format!("{text}/{node}").as_bytes());
+        let own = hash(&self.node);
+        state.nodes.keys().filter(|node| hash(node) < own).count()
     }
 
     fn under_check(&self) -> MutexGuard<'_, HashMap<Name, Vec<Suspect>>> {
@@ -336,3 +384,14 @@
         self.harmless.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns the failure of a request that is blamed, which names what it is blamed for.
+fn blame_failure(blame: &Blame, subjects: &Subjects) -> Failure {
+    let ended = format!("{} upstreams ended as they began to run", blame.crashes);
+    if blame.involves(&subjects.request) {
+        return Failure::new(Code::Quarantined, format!("{ended} this request"));
+    }
+    let parts = blame.description();
+    let detail = format!("{ended} requests with prompt part {parts}");
+    Failure::new(Code::PartQuarantined, detail)
+}
--- a/lib/src/direct/quarantine/unconfirmed.rs
+++ b/lib/src/direct/quarantine/unconfirmed.rs
@@ -8,15 +8,14 @@
 
 use std::sync::Arc;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::{CRASH_REPORT_PREFIX, LIST_WATCH_TIME, Quarantine, UNCONFIRMED_CRASH_PREFIX};
 use crate::clock::Millis;
 use crate::direct::upstream::Upstream;
+use crate::direct::view::State;
 use crate::error::{Code, Failure};
 use crate::name::Name;
-use crate::poison::fingerprint::Fingerprint;
 use crate::poison::ledger::{CrashReport, Suspect};
+use crate::poison::subjects::Subjects;
 
 /// Time that a node has to report a crash that it told others of, before the first of them
 /// reports it instead.
@@ -32,21 +31,27 @@
     ///
     /// # Errors
     ///
-    /// [`Code::Quarantined`] if the request is blamed for crashes of upstreams, or would be if all
-    /// unconfirmed crashes were confirmed.
-    pub fn check_send(&self, request: &Fingerprint) -> Result<(), Failure> {
-        self.check(request)?;
+    /// As [`check`](Self::check), also if the request would be blamed if all unconfirmed crashes
+    /// were confirmed.
+    pub fn check_send(&self, subjects: &Subjects) -> Result<(), Failure> {
+        self.check(subjects)?;
         let now = self.clock.now();
-        let state = self.view.state();
-        let unconfirmed = state.unconfirmed_crashes.involving(request, now);
-        if unconfirmed.is_empty() || !state.ledger.would_blame(request, &unconfirmed) {
+        let mut state = self.view.state();
+        let State {
+            ledger,
+            unconfirmed_crashes,
+            ..
+        } = &mut *state;
+        if unconfirmed_crashes.is_empty() || !ledger.would_blame(subjects, unconfirmed_crashes, now)
+        {
             return Ok(());
         }
         let detail = "connections to upstreams broke under it, which may have ended";
         Err(Failure::new(Code::Quarantined, detail).retry_after(LIST_WATCH_TIME))
     }
 
-    /// Checks the unconfirmed crashes that other nodes report, until the task is dropped.
+    /// Checks the unconfirmed crashes that other nodes report, and clears what this node refutes,
+    /// until the task is dropped.
     pub async fn run(self: Arc<Self>) {
         loop {
             let changed = self.view.changed.notified();
@@ -57,6 +62,7 @@
                 let quarantine = Arc::clone(&self);
                 tokio::spawn(async move { quarantine.check_for_peer(&name, report).await });
             }
+            self.tell_refutations();
             changed.await;
         }
     }
@@ -119,11 +125,8 @@
 
     /// Returns how long this node waits for others that report in the place of the same node.
     fn report_delay(&self, name: &str) -> Millis {
-        let state = self.view.state();
-        let rank = |node: &str| xxh3_64(format!("{name}/{node}").as_bytes());
-        let own = rank(&self.node);
-        let before = state.nodes.keys().filter(|node| rank(node) < own).count();
-        Millis(REPORT_STAGGER.0 * u64::try_from(before).unwrap_or(u64::MAX))
+        let before = u64::try_from(self.rank(name)).unwrap_or(u64::MAX);
+        Millis(REPORT_STAGGER.0.saturating_mul(before))
     }
 }
 
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -131,7 +131,7 @@
                 StreamStep::More => {}
                 StreamStep::End => {
                     if self.is_complete().await? {
-                        self.record_harmless_run();
+                        self.record_complete_run();
                         self.record_stay(false);
                         self.record_longest_gap();
                         self.keep_connection();
@@ -154,7 +154,7 @@
         match self.progress {
             RunProgress::NoEvent => self.progress = RunProgress::FirstEventAt(now),
             RunProgress::FirstEventAt(first) if now.since(first) >= HARMLESS_AFTER => {
-                self.record_harmless_run();
+                self.record_harmless_run(first);
             }
             RunProgress::FirstEventAt(_) | RunProgress::Harmless => {}
         }
@@ -167,11 +167,16 @@
         self.request.timing.chunks += 1;
     }
 
-    /// Records once that the engine runs the request without crashing.
-    fn record_harmless_run(&mut self) {
-        if self.progress != RunProgress::Harmless {
-            self.progress = RunProgress::Harmless;
-            self.request.record_harmless_run();
+    /// Records that the engine runs the request without crashing.
+    fn record_harmless_run(&mut self, began_at: Millis) {
+        self.progress = RunProgress::Harmless;
+        self.request.record_harmless_run(began_at);
+    }
+
+    /// Records that the engine ran the request to its end, unless it was recorded before.
+    fn record_complete_run(&mut self) {
+        if let RunProgress::FirstEventAt(first) = self.progress {
+            self.record_harmless_run(first);
         }
     }
 
--- a/lib/src/direct/request/mod.rs
+++ b/lib/src/direct/request/mod.rs
@@ -7,6 +7,7 @@
 mod send;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use smallvec::SmallVec;
 
@@ -66,6 +67,8 @@
     pub(in crate::direct) in_flight_at: Option<Name>,
     /// Where its stream began, once an event of it has reached the caller.
     origin: Option<Origin>,
+    /// Whether it is sent to find out whether blamed prompt parts still crash upstreams.
+    on_trial: AtomicBool,
 }
 
 /// When the events of a stream arrived.
@@ -119,6 +122,7 @@
             failed_response: None,
             in_flight_at: None,
             origin: None,
+            on_trial: AtomicBool::new(false),
         }
     }
 
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -72,7 +72,7 @@
         let quarantine = &self.frontend.quarantine;
         if !quarantine.is_empty() {
             quarantine
-                .wait_for_crash_check(self.message.fingerprint())
+                .wait_for_crash_check(self.message.subjects())
                 .await;
         }
         loop {
@@ -90,7 +90,7 @@
             };
             if let Some(target) = found {
                 // The request may have waited for its adapter in the meantime.
-                self.check_quarantine()?;
+                self.pass_quarantine()?;
                 return Ok(target);
             }
             let now = self.now();
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -136,11 +136,22 @@
     Unrelated,
 }
 
-/// Returns the request that a record clears of blame, if the key is that of such a record.
-fn harmless_request(name: &str) -> Option<Fingerprint> {
+/// Returns the subject that a record clears of blame, if the key is that of such a record.
+fn harmless_subject(name: &str) -> Option<Fingerprint> {
     Fingerprint::read(name.strip_prefix(HARMLESS_PREFIX)?)
 }
 
+/// Returns the revision up to which reports of a subject don't count, if its record has one.
+///
+/// A record of a prompt part names the newest report that it refutes. A part can begin to crash
+/// upstreams before the record is written.
+fn covered_revision(subject: &Fingerprint, value: &[u8], revision: Option<u64>) -> Option<u64> {
+    let written_at = revision?;
+    let named = || serde_json::from_slice::<Option<u64>>(value).ok().flatten();
+    let covered = subject.is_part().then(named).flatten();
+    Some(covered.map_or(written_at, |covered| covered.min(written_at)))
+}
+
 /// Prefix of a claim's key, followed by the engine's address.
 pub const CLAIM_PREFIX: &str = "claim/";
 
@@ -458,8 +469,9 @@
         revision: Option<u64>,
         now: Millis,
     ) -> PutOutcome {
-        if let Some(request) = harmless_request(name) {
-            self.ledger.clear(&request, revision);
+        if let Some(subject) = harmless_subject(name) {
+            let covered = covered_revision(&subject, value, revision);
+            self.ledger.clear(&subject, covered);
             return PutOutcome::Applied;
         }
         let is_crash_report = name.starts_with(CRASH_REPORT_PREFIX);
@@ -485,8 +497,8 @@
 
     /// Removes a record of the quarantine.
     pub fn remove_quarantine_record(&mut self, name: &str) {
-        match harmless_request(name) {
-            Some(request) => self.ledger.remove_clearance(&request),
+        match harmless_subject(name) {
+            Some(subject) => self.ledger.remove_clearance(&subject),
             None => self.ledger.remove_report(name),
         }
     }
--- a/lib/src/entry/quarantine.rs
+++ b/lib/src/entry/quarantine.rs
@@ -22,6 +22,7 @@
 use crate::poison::fingerprint::Fingerprint;
 use crate::poison::harmless::HarmlessRequests;
 use crate::poison::ledger::{CrashLedger, CrashReport, REPORT_TTL, Suspect, Suspicion};
+use crate::poison::subjects::Subjects;
 
 /// Maximum time between a broken connection and a crash that explains it.
 ///
@@ -146,7 +147,9 @@
     pub fn check(&self, request: &Fingerprint) -> Result<(), Failure> {
         let now = self.clock.now();
         let mut state = self.state();
-        let Some(crash_count) = state.ledger.blamed_crashes(request, now) else {
+        let subjects = Subjects::from(request.clone());
+        let blame = state.ledger.blame_of(&subjects, now);
+        let Some(crash_count) = blame.map(|blame| blame.crashes) else {
             return Ok(());
         };
         if state.harmless.contains(request, now) {
@@ -185,10 +188,7 @@
         if is_leaving || state.harmless.contains(request, now) {
             return;
         }
-        let suspect = Suspect {
-            request: request.clone(),
-            suspicion,
-        };
+        let suspect = Suspect::new(&Subjects::from(request.clone()), suspicion);
         log::info!(
             suspect = request.as_str(),
             upstream = &**upstream,
@@ -301,9 +301,14 @@
         state
             .ledger
             .add_report(Name::clone(&name), merged, None, now);
-        for Suspect { request, .. } in &report.suspects {
-            if let Some(crash_count) = state.ledger.blamed_crashes(request, now) {
-                log::warn!(suspect = request.as_str(), ends = crash_count; "entry: request is no longer sent");
+        for blame in state.ledger.blames(now) {
+            let mut suspects = report.suspects.iter();
+            if suspects.any(|suspect| suspect.has(&blame.subject)) {
+                log::warn!(
+                    suspect = blame.subject.as_str(),
+                    ends = blame.crashes;
+                    "entry: request is no longer sent"
+                );
             }
         }
         state
--- a/lib/src/entry/quarantine/gossip_state.rs
+++ b/lib/src/entry/quarantine/gossip_state.rs
@@ -10,6 +10,7 @@
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
 use crate::poison::ledger::{Suspect, Suspicion};
+use crate::poison::subjects::Subjects;
 use crate::schema::peer::{self, Delta, Digest};
 
 /// Number of crash reports that are spread, newest first: 2 KiB of hashes in an exchange.
@@ -162,7 +163,7 @@
         Suspicion::Possible
     };
     let request = Fingerprint::read(&message.request)?;
-    Some(Suspect { request, suspicion })
+    Some(Suspect::new(&Subjects::from(request), suspicion))
 }
 
 fn age_ms(now: Millis, at: Millis) -> u32 {
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -178,6 +178,8 @@
     StreamOriginUnknown = 2023, "stream_origin_unknown", 503, NotRun, "Begin the stream anew.";
     /// The request resumes a stream that began at a software version which no upstream runs any more.
     StreamVersionGone = 2024, "stream_version_gone", 503, NotRun, "Begin the stream anew.";
+    /// Upstreams ended as they began to run requests with a part of this prompt, one after the other.
+    PartQuarantined = 2025, "prompt_part_quarantined", 503, NotRun, "Send it without the prompt part that the message names, or tell the operators.";
 
     /// The connection to the upstream broke after the request was sent.
     UpstreamLost = 3001, "upstream_lost", 502, Unknown, "Repeat it only if it is idempotent.";
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -110,6 +110,10 @@
     pub upstream_checks: IntCounter,
     /// Requests that are no longer sent, as upstreams ended under them.
     pub quarantined: IntGauge,
+    /// Prompt parts that are no longer sent, as upstreams ended under requests with them.
+    pub quarantined_parts: IntGauge,
+    /// Requests that were sent to find out whether blamed prompt parts still end upstreams.
+    pub quarantine_trials: IntCounter,
     /// Rare events of membership and ownership, by kind.
     pub events: IntCounterVec,
 }
@@ -307,6 +311,14 @@
                 "quarantined_requests",
                 "Requests that are no longer sent, as upstreams ended under them.",
             ),
+            quarantined_parts: maker.gauge(
+                "quarantined_prompt_parts",
+                "Prompt parts that are no longer sent, as upstreams ended under requests with them.",
+            ),
+            quarantine_trials: maker.counter(
+                "quarantine_trials_total",
+                "Requests sent to find out whether blamed prompt parts still end upstreams.",
+            ),
             events: maker.counters(
                 "membership_events_total",
                 "Rare events of membership and ownership.",
--- a/lib/src/poison/fingerprint.rs
+++ b/lib/src/poison/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Fingerprints that identify a request across its attempts.
+//! Fingerprints that identify a request across its attempts, and a prompt part across requests.
 
 use std::fmt;
 
@@ -13,7 +13,13 @@
 /// gets it quarantined.
 const LENGTH: usize = 22;
 
-/// Digest that is the same for all attempts of a request.
+/// Prefix of the fingerprints of prompt parts; the part's id follows it.
+const PART_PREFIX: &str = "part-";
+
+/// Length of a part's id in hexadecimal digits.
+const PART_ID_LENGTH: usize = 16;
+
+/// Digest that is the same for all attempts of a request, or the id of a prompt part.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fingerprint(Name);
 
@@ -53,10 +59,30 @@
         Self(digest.into())
     }
 
+    /// Returns the fingerprint of a prompt part, which is the same in every request that has it.
+    #[must_use]
+    pub fn of_part(id: u64) -> Self {
+        Self(format!("{PART_PREFIX}{id:0PART_ID_LENGTH$x}").into())
+    }
+
+    /// Whether this is the fingerprint of a prompt part.
+    #[must_use]
+    pub fn is_part(&self) -> bool {
+        self.part_id().is_some()
+    }
+
+    /// Returns the id of the prompt part in hexadecimal, if this is the fingerprint of one.
+    #[must_use]
+    pub fn part_id(&self) -> Option<&str> {
+        let id = self.0.strip_prefix(PART_PREFIX)?;
+        (id.len() == PART_ID_LENGTH).then_some(id)
+    }
+
     /// Parses a fingerprint from its [`Display`](fmt::Display) form.
     #[must_use]
     pub fn read(text: &str) -> Option<Self> {
-        (text.len() == LENGTH).then(|| Self(text.into()))
+        let parsed = Self(text.into());
+        (text.len() == LENGTH || parsed.is_part()).then_some(parsed)
     }
 
     /// Returns the fingerprint as text.
--- a/lib/src/poison/ledger.rs
+++ b/lib/src/poison/ledger.rs
@@ -1,10 +1,9 @@
-//! Attributes upstream crashes to the requests that caused them.
+//! Crash reports of all nodes, and what clears a subject of them.
 //!
 //! A crash interrupts a whole batch, so every request in it is a suspect. Each node reports which
-//! of its own requests were at the upstream; the ledger merges the reports of one crash and looks
-//! for a request that explains several crashes. Crashes that a blamed request explains don't count
-//! against any other request: requests that were interrupted together with a poison request are
-//! retried on the next engine together with it, and after three crashes would look just as guilty.
+//! of its own requests were at the upstream, with the prompt parts that others may share. The
+//! ledger merges the reports of one crash, and the [verdict](super::verdict) finds what explains
+//! several of them: a request, or a prompt part that different requests have.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -12,6 +11,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::fingerprint::Fingerprint;
+use super::sound_parts::{Observer, SoundParts};
+use super::subjects::Subjects;
+use super::unconfirmed::UnconfirmedCrashes;
+use super::verdict::{Blame, Verdict};
 use crate::clock::Millis;
 use crate::name::Name;
 
@@ -21,16 +24,10 @@
 /// release fixes the cause, the request is sent again after this time.
 pub const REPORT_TTL: Millis = Millis::from_secs(600);
 
-/// Number of crashes from which on a request is blamed.
+/// Number of crashes that this node can refute from which on it tells all nodes.
 ///
-/// Two can be chance where many engines crash, since an interrupted request is retried on another
-/// engine.
-const MIN_CRASHES: usize = 3;
-
-/// Total weight of suspicion from which on a request is blamed.
-///
-/// A request that may not have begun at any of the upstreams needs more than [`MIN_CRASHES`].
-const MIN_WEIGHT: u32 = 4;
+/// With fewer, one more wouldn't blame the part, and each record is a write.
+const MIN_CRASHES_TO_REFUTE: usize = 2;
 
 /// Number of reports that are kept: a hundred engines, each reported by forty nodes. The oldest
 /// are dropped first.
@@ -51,7 +48,9 @@
 }
 
 impl Suspicion {
-    const fn weight(self) -> u32 {
+    /// Returns how much a suspicion counts.
+    #[must_use]
+    pub const fn weight(self) -> u32 {
         match self {
             Self::Possible => 1,
             Self::Begun => 2,
@@ -76,6 +75,49 @@
     /// How strongly it is suspected.
     #[serde(rename = "sign")]
     pub suspicion: Suspicion,
+    /// The prompt parts that other requests may share; none in a report of an older release.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<Fingerprint>,
+    /// Whether it was sent to find out whether blamed prompt parts still crash upstreams.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub trial: bool,
+}
+
+impl Suspect {
+    /// Creates a suspect that was sent as any other request.
+    #[must_use]
+    pub fn new(subjects: &Subjects, suspicion: Suspicion) -> Self {
+        Self {
+            request: subjects.request.clone(),
+            suspicion,
+            parts: subjects.parts.to_vec(),
+            trial: false,
+        }
+    }
+
+    /// Adds what another report says of the same request.
+    fn merge(&mut self, other: Self) {
+        self.suspicion = self.suspicion.max(other.suspicion);
+        self.trial |= other.trial;
+        for part in other.parts {
+            if !self.parts.contains(&part) {
+                self.parts.push(part);
+            }
+        }
+    }
+
+    /// Returns the ids of the parts in hexadecimal, for logs.
+    #[must_use]
+    pub fn part_ids(&self) -> String {
+        let ids: Vec<&str> = self.parts.iter().filter_map(Fingerprint::part_id).collect();
+        ids.join(",")
+    }
+
+    /// Whether a subject is the request or one of its parts.
+    #[must_use]
+    pub fn has(&self, subject: &Fingerprint) -> bool {
+        self.request == *subject || self.parts.contains(subject)
+    }
 }
 
 /// One node's report of an upstream that crashed.
@@ -87,14 +129,14 @@
     pub suspects: Vec<Suspect>,
 }
 
-/// What is known about a suspect request.
+/// What is known about a suspect request or prompt part.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct SuspectStatus {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or the part.
     pub request: Fingerprint,
-    /// Upstreams that crashed while the request was there.
+    /// Upstreams that crashed while it was there.
     pub upstreams: Vec<Name>,
-    /// Whether the request is blamed and therefore no longer sent.
+    /// Whether requests are no longer sent because of it.
     pub blamed: bool,
 }
 
@@ -103,19 +145,28 @@
     /// suspect requests first.
     #[must_use]
     pub fn new(upstream: Name, suspects: impl IntoIterator<Item = Suspect>) -> Self {
-        let mut suspicions: BTreeMap<Fingerprint, Suspicion> = BTreeMap::new();
-        for Suspect { request, suspicion } in suspects {
-            let known = suspicions.entry(request).or_insert(suspicion);
-            *known = suspicion.max(*known);
+        let mut merged: BTreeMap<Fingerprint, Suspect> = BTreeMap::new();
+        for suspect in suspects {
+            match merged.get_mut(&suspect.request) {
+                Some(known) => known.merge(suspect),
+                None => {
+                    merged.insert(suspect.request.clone(), suspect);
+                }
+            }
         }
-        let suspects = suspicions.into_iter();
-        let mut suspects: Vec<Suspect> = suspects
-            .map(|(request, suspicion)| Suspect { request, suspicion })
-            .collect();
+        let mut suspects: Vec<Suspect> = merged.into_values().collect();
         suspects.sort_by_key(|suspect| Reverse(suspect.suspicion));
         suspects.truncate(MAX_SUSPECTS);
         Self { upstream, suspects }
     }
+
+    /// Removes a subject: the request with its parts, or the part from all requests.
+    fn remove(&mut self, subject: &Fingerprint) {
+        self.suspects.retain(|suspect| suspect.request != *subject);
+        for suspect in &mut self.suspects {
+            suspect.parts.retain(|part| part != subject);
+        }
+    }
 }
 
 /// A report together with where and when this node learned of it.
@@ -125,28 +176,33 @@
     /// Revision in the key-value service; `None` until the report is written there.
     revision: Option<u64>,
     received_at: Millis,
+    observer: Observer,
+}
+
+/// What this node's sound runs refute of the reports on a prompt part.
+#[derive(Debug, Default)]
+struct Refutation {
+    crashes: BTreeSet<Name>,
+    /// The newest refuted report in the key-value service.
+    revision: Option<u64>,
 }
 
-/// Crash reports of all nodes, and the requests that they blame.
+/// Crash reports of all nodes, and what they blame.
 ///
-/// Nodes reach the same verdict from the same reports, so they don't need to agree on it.
+/// Nodes reach the same verdict from the same reports, but for prompt parts that a node has just
+/// seen run: it tells the others, so they don't need to agree.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     /// Reports by their name in the key-value service.
     reports: BTreeMap<Name, StoredReport>,
-    /// Requests shown to be harmless, with the revision up to which reports of them don't count.
+    /// Subjects shown to be harmless, with the revision up to which reports of them don't count.
     cleared: HashMap<Fingerprint, u64>,
+    sound_parts: SoundParts,
+    refutations: BTreeMap<Fingerprint, Refutation>,
     /// Result of the last evaluation; `None` after a change.
     verdict: Option<Verdict>,
-}
-
-/// Result of evaluating all reports.
-#[derive(Debug, Default)]
-struct Verdict {
-    /// Blamed requests, with the number of crashes that each explains.
-    blamed: HashMap<Fingerprint, usize>,
-    /// All reported requests, with the number of upstreams that crashed while each was there.
-    crashes: HashMap<Fingerprint, usize>,
+    /// The same with unconfirmed crashes, whose version it is kept for.
+    provisional: Option<(u64, Verdict)>,
 }
 
 impl CrashLedger {
@@ -169,20 +225,53 @@
         let known = self.reports.get(&name);
         let revision = revision.or_else(|| known.and_then(|known| known.revision));
         let received_at = known.map_or(now, |known| known.received_at);
-        let cleared = &self.cleared;
-        report.suspects.retain(|suspect| {
-            let cleared_at = cleared.get(&suspect.request);
-            cleared_at
-                .is_none_or(|cleared_at| revision.is_none_or(|revision| revision > *cleared_at))
-        });
+        let observer = known.map_or(Observer::Other, |known| known.observer);
+        for subject in self.cleared_in(&report, revision) {
+            report.remove(&subject);
+        }
         report.suspects.truncate(MAX_SUSPECTS);
+        if observer == Observer::Other {
+            for part in self.remove_refuted(&mut report, received_at, observer) {
+                self.note_refutation(&part, &report.upstream, revision);
+            }
+        }
         let stored = StoredReport {
             report,
             revision,
             received_at,
+            observer,
         };
         self.reports.insert(name, stored);
-        self.verdict = None;
+        self.reset_verdict();
+    }
+
+    /// Adds suspects to this node's report of a crash, and returns the whole report.
+    ///
+    /// Prompt parts that this node has just seen run aren't part of it.
+    pub fn add_own_suspects(
+        &mut self,
+        name: &Name,
+        upstream: Name,
+        suspects: Vec<Suspect>,
+        now: Millis,
+    ) -> CrashReport {
+        self.expire(now);
+        let mut added = CrashReport::new(upstream, suspects);
+        self.remove_refuted(&mut added, now, Observer::Own);
+        let known = self.reports.get(name);
+        let revision = known.and_then(|known| known.revision);
+        let known = known.map_or(&[][..], |known| &known.report.suspects);
+        let all = known.iter().cloned().chain(added.suspects);
+        let report = CrashReport::new(added.upstream, all);
+        let stored = StoredReport {
+            report: report.clone(),
+            revision,
+            received_at: now,
+            observer: Observer::Own,
+        };
+        self.reports.insert(Name::clone(name), stored);
+        self.reset_verdict();
+        report
     }
 
     /// Returns the suspects of a report.
@@ -193,12 +282,12 @@
             .flat_map(|stored| &stored.report.suspects)
     }
 
-    /// Clears a request that ran without a crash: reports of it up to `revision` no longer count.
+    /// Clears a subject that ran without a crash: reports of it up to `revision` no longer count.
     ///
     /// Without a `revision`, none of the reports that this node has count any longer.
-    pub fn clear(&mut self, request: &Fingerprint, revision: Option<u64>) {
+    pub fn clear(&mut self, subject: &Fingerprint, revision: Option<u64>) {
         if let Some(revision) = revision {
-            let cleared_at = self.cleared.entry(request.clone()).or_default();
+            let cleared_at = self.cleared.entry(subject.clone()).or_default();
             *cleared_at = revision.max(*cleared_at);
         }
         for stored in self.reports.values_mut() {
@@ -208,22 +297,64 @@
                 (_, None) => false,
             };
             if !counts {
-                let suspects = &mut stored.report.suspects;
-                suspects.retain(|suspect| suspect.request != *request);
+                stored.report.remove(subject);
             }
         }
-        self.verdict = None;
+        self.refutations.remove(subject);
+        self.reset_verdict();
+    }
+
+    /// Records that an engine ran prompt parts, from `began_at` on, without crashing.
+    ///
+    /// Reports of them that the run refutes no longer count.
+    pub fn record_sound_run(&mut self, parts: &[Fingerprint], began_at: Millis, now: Millis) {
+        for part in parts {
+            self.sound_parts.insert(part, began_at, now);
+        }
+        if self.reports.is_empty() {
+            return;
+        }
+        for part in parts {
+            if self.crash_count(part, now) > 0 {
+                self.refute(part);
+            }
+        }
+    }
+
+    /// Returns the prompt parts of which this node refutes so many crashes that others may blame
+    /// them.
+    #[must_use]
+    pub fn refuted_parts(&self) -> Vec<Fingerprint> {
+        let told = |refutation: &Refutation| refutation.crashes.len() >= MIN_CRASHES_TO_REFUTE;
+        let refuted = self.refutations.iter();
+        refuted
+            .filter(|(_, refutation)| told(refutation))
+            .map(|(part, _)| part.clone())
+            .collect()
+    }
+
+    /// Whether there is anything that this node refutes.
+    #[must_use]
+    pub fn has_refutations(&self) -> bool {
+        !self.refutations.is_empty()
+    }
+
+    /// Takes a refutation to tell all nodes: the newest report that it covers, if that has a
+    /// revision. `None` if another node has cleared the part in the meantime.
+    pub fn take_refutation(&mut self, part: &Fingerprint) -> Option<Option<u64>> {
+        let refutation = self.refutations.remove(part)?;
+        Some(refutation.revision)
     }
 
     /// Removes a report that is gone from the key-value service.
     pub fn remove_report(&mut self, name: &str) {
         self.reports.remove(name);
-        self.verdict = None;
+        self.reset_verdict();
     }
 
-    /// Removes the clearance of a request whose record is gone from the key-value service.
-    pub fn remove_clearance(&mut self, request: &Fingerprint) {
-        self.cleared.remove(request);
+    /// Removes the clearance of a subject whose record is gone from the key-value service.
+    pub fn remove_clearance(&mut self, subject: &Fingerprint) {
+        self.cleared.remove(subject);
     }
 
     /// Removes written reports that are missing from a full listing of the key-value service;
@@ -233,41 +364,67 @@
             |name: &Name, stored: &StoredReport| stored.revision.is_some() && !is_present(name);
         self.reports
             .retain(|name, stored| !has_expired(name, stored));
-        self.verdict = None;
+        self.reset_verdict();
     }
 
-    /// Returns the number of crashes that a request is blamed for, if it is blamed.
-    pub fn blamed_crashes(&mut self, request: &Fingerprint, now: Millis) -> Option<usize> {
-        self.verdict(now).blamed.get(request).copied()
+    /// Returns what blames a request, if anything does.
+    pub fn blame_of(&mut self, subjects: &Subjects, now: Millis) -> Option<&Blame> {
+        self.verdict(now).blame_of(subjects)
     }
 
-    /// Whether a request would be blamed if the upstreams of some more reports had crashed.
-    #[must_use]
-    pub fn would_blame(&self, request: &Fingerprint, more: &[&CrashReport]) -> bool {
-        let stored = self.reports.values().map(|stored| &stored.report);
-        let verdict = evaluate(stored.chain(more.iter().copied()));
-        verdict.blamed.contains_key(request)
+    /// Whether a request would be blamed if the upstreams of unconfirmed crashes had crashed.
+    pub fn would_blame(
+        &mut self,
+        subjects: &Subjects,
+        unconfirmed: &mut UnconfirmedCrashes,
+        now: Millis,
+    ) -> bool {
+        let version = unconfirmed.version(now);
+        if !unconfirmed.involves(subjects) {
+            return false;
+        }
+        let known = self.provisional.as_ref().map(|(version, _)| *version);
+        if known != Some(version) {
+            let verdict = self.evaluate_with(unconfirmed, now);
+            self.provisional = Some((version, verdict));
+        }
+        let provisional = self.provisional.as_ref();
+        provisional.is_some_and(|(_, verdict)| verdict.blame_of(subjects).is_some())
     }
 
-    /// Returns the number of upstreams that crashed while a request was there.
-    pub fn crash_count(&mut self, request: &Fingerprint, now: Millis) -> usize {
-        let crashes = self.verdict(now).crashes.get(request);
+    /// Returns the number of upstreams that crashed while a subject was there.
+    pub fn crash_count(&mut self, subject: &Fingerprint, now: Millis) -> usize {
+        let crashes = self.verdict(now).crashes.get(subject);
         crashes.copied().unwrap_or_default()
     }
 
-    /// Returns all reported requests, the blamed ones first.
+    /// Returns when the last report of a subject arrived.
+    #[must_use]
+    pub fn last_reported_at(&self, subject: &Fingerprint) -> Option<Millis> {
+        let reports = self.reports.values();
+        reports
+            .filter(|stored| stored.report.suspects.iter().any(|one| one.has(subject)))
+            .map(|stored| stored.received_at)
+            .max()
+    }
+
+    /// Returns all reported subjects, the blamed ones first.
     pub fn suspect_statuses(&mut self, now: Millis) -> Vec<SuspectStatus> {
         let mut upstreams: BTreeMap<Fingerprint, BTreeSet<Name>> = BTreeMap::new();
         for stored in self.reports.values() {
             for suspect in &stored.report.suspects {
-                let crashed = upstreams.entry(suspect.request.clone()).or_default();
-                crashed.insert(Name::clone(&stored.report.upstream));
+                for subject in std::iter::once(&suspect.request).chain(&suspect.parts) {
+                    let crashed = upstreams.entry(subject.clone()).or_default();
+                    crashed.insert(Name::clone(&stored.report.upstream));
+                }
             }
         }
+        let blames = &self.verdict(now).blames;
+        let is_blamed = |subject: &Fingerprint| blames.iter().any(|blame| blame.involves(subject));
         let statuses = upstreams
             .into_iter()
             .map(|(request, upstreams)| SuspectStatus {
-                blamed: self.blamed_crashes(&request, now).is_some(),
+                blamed: is_blamed(&request),
                 upstreams: upstreams.into_iter().collect(),
                 request,
             });
@@ -276,9 +433,9 @@
         statuses
     }
 
-    /// Returns the number of blamed requests.
-    pub fn blamed_count(&mut self, now: Millis) -> usize {
-        self.verdict(now).blamed.len()
+    /// Returns what is blamed, the strongest first.
+    pub fn blames(&mut self, now: Millis) -> &[Blame] {
+        &self.verdict(now).blames
     }
 
     /// Returns the current verdict, which is evaluated again only after a change, since every
@@ -287,7 +444,87 @@
         self.expire(now);
         let reports = &self.reports;
         self.verdict
-            .get_or_insert_with(|| evaluate(reports.values().map(|stored| &stored.report)))
+            .get_or_insert_with(|| Verdict::of(reports.values().map(|stored| &stored.report)))
+    }
+
+    /// Evaluates all reports together with unconfirmed crashes.
+    ///
+    /// Many connections can break while their upstreams live, with a part in common that most
+    /// requests have. So unconfirmed crashes count only against parts that a crash is known of.
+    fn evaluate_with(&mut self, unconfirmed: &UnconfirmedCrashes, now: Millis) -> Verdict {
+        let known = &self.verdict(now).crashes;
+        let without_new_parts = |report: &CrashReport| {
+            let mut report = report.clone();
+            for suspect in &mut report.suspects {
+                suspect.parts.retain(|part| known.contains_key(part));
+            }
+            report
+        };
+        let more: Vec<CrashReport> = unconfirmed.reports().map(without_new_parts).collect();
+        let stored = self.reports.values().map(|stored| &stored.report);
+        Verdict::of(stored.chain(&more))
+    }
+
+    fn reset_verdict(&mut self) {
+        self.verdict = None;
+        self.provisional = None;
+    }
+
+    /// Returns the subjects of a report that were cleared behind it.
+    fn cleared_in(&self, report: &CrashReport, revision: Option<u64>) -> Vec<Fingerprint> {
+        let is_cleared = |subject: &&Fingerprint| {
+            let cleared_at = self.cleared.get(subject);
+            cleared_at
+                .is_some_and(|cleared_at| revision.is_some_and(|revision| revision <= *cleared_at))
+        };
+        let subjects = report.suspects.iter();
+        let subjects = subjects.flat_map(|one| std::iter::once(&one.request).chain(&one.parts));
+        subjects.filter(is_cleared).cloned().collect()
+    }
+
+    /// Removes the parts from a report that this node's sound runs refute, and returns them.
+    fn remove_refuted(
+        &mut self,
+        report: &mut CrashReport,
+        crashed_at: Millis,
+        observer: Observer,
+    ) -> Vec<Fingerprint> {
+        let parts = report.suspects.iter().flat_map(|suspect| &suspect.parts);
+        let parts: BTreeSet<Fingerprint> = parts.cloned().collect();
+        let is_refuted = |part: &Fingerprint| self.sound_parts.refutes(part, crashed_at, observer);
+        let refuted: Vec<Fingerprint> = parts.into_iter().filter(is_refuted).collect();
+        for part in &refuted {
+            report.remove(part);
+        }
+        refuted
+    }
+
+    /// Removes a part from the reports that this node's last run of it refutes.
+    fn refute(&mut self, part: &Fingerprint) {
+        let mut named: Vec<&mut StoredReport> = self
+            .reports
+            .values_mut()
+            .filter(|stored| stored.report.suspects.iter().any(|one| one.has(part)))
+            .collect();
+        named.sort_by_key(|stored| stored.received_at);
+        let mut refuted: Vec<(Name, Option<u64>)> = Vec::new();
+        for stored in named {
+            let (at, observer) = (stored.received_at, stored.observer);
+            if self.sound_parts.refutes(part, at, observer) {
+                stored.report.remove(part);
+                refuted.push((Name::clone(&stored.report.upstream), stored.revision));
+            }
+        }
+        for (upstream, revision) in refuted {
+            self.note_refutation(part, &upstream, revision);
+        }
+        self.reset_verdict();
+    }
+
+    fn note_refutation(&mut self, part: &Fingerprint, upstream: &Name, revision: Option<u64>) {
+        let refutation = self.refutations.entry(part.clone()).or_default();
+        refutation.crashes.insert(Name::clone(upstream));
+        refutation.revision = refutation.revision.max(revision);
     }
 
     /// Drops expired reports, and the oldest ones where there are too many.
@@ -305,67 +542,11 @@
             };
             self.reports.remove(&name);
         }
-        if self.reports.len() != before {
-            self.verdict = None;
+        if self.reports.is_empty() {
+            self.refutations.clear();
         }
-    }
-}
-
-/// Determines which requests the reports blame.
-///
-/// The strongest suspect is blamed first, and the crashes that it explains are removed before the
-/// next one is determined.
-fn evaluate<'a>(reports: impl Iterator<Item = &'a CrashReport>) -> Verdict {
-    let mut crashes: HashMap<&Name, HashMap<&Fingerprint, Suspicion>> = HashMap::new();
-    for report in reports {
-        let suspects = crashes.entry(&report.upstream).or_default();
-        for Suspect { request, suspicion } in &report.suspects {
-            let known = suspects.entry(request).or_insert(*suspicion);
-            *known = (*known).max(*suspicion);
+        if self.reports.len() != before {
+            self.reset_verdict();
         }
     }
-    let counts = scores(&crashes).into_iter();
-    let mut verdict = Verdict {
-        blamed: HashMap::new(),
-        crashes: counts
-            .map(|(request, score)| (request.clone(), score.crashes))
-            .collect(),
-    };
-    while let Some((request, count)) = strongest_suspect(&crashes) {
-        crashes.retain(|_, suspects| !suspects.contains_key(request));
-        verdict.blamed.insert(request.clone(), count);
-    }
-    verdict
-}
-
-/// Total suspicion against one request.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-struct Score {
-    weight: u32,
-    /// Number of upstreams that crashed.
-    crashes: usize,
-}
-
-fn scores<'a>(
-    crashes: &HashMap<&Name, HashMap<&'a Fingerprint, Suspicion>>,
-) -> HashMap<&'a Fingerprint, Score> {
-    let mut scores: HashMap<&Fingerprint, Score> = HashMap::new();
-    for (request, suspicion) in crashes.values().flatten() {
-        let score = scores.entry(request).or_default();
-        score.weight += suspicion.weight();
-        score.crashes += 1;
-    }
-    scores
-}
-
-/// Returns the request with the highest score and its number of crashes, if that is enough to
-/// blame it.
-fn strongest_suspect<'a>(
-    crashes: &HashMap<&Name, HashMap<&'a Fingerprint, Suspicion>>,
-) -> Option<(&'a Fingerprint, usize)> {
-    scores(crashes)
-        .into_iter()
-        .filter(|(_, score)| score.weight >= MIN_WEIGHT && score.crashes >= MIN_CRASHES)
-        .max_by_key(|(request, score)| (*score, Reverse(*request)))
-        .map(|(request, score)| (request, score.crashes))
 }
--- a/lib/src/poison/mod.rs
+++ b/lib/src/poison/mod.rs
@@ -11,4 +11,8 @@
 pub mod fingerprint;
 pub mod harmless;
 pub mod ledger;
+pub mod sound_parts;
+pub mod subjects;
+pub mod trial;
 pub mod unconfirmed;
+pub mod verdict;
--- a/lib/src/poison/unconfirmed.rs
+++ b/lib/src/poison/unconfirmed.rs
@@ -5,8 +5,8 @@
 
 use std::collections::BTreeMap;
 
-use super::fingerprint::Fingerprint;
 use super::ledger::CrashReport;
+use super::subjects::Subjects;
 use crate::clock::Millis;
 use crate::name::Name;
 
@@ -32,6 +32,8 @@
     entries: BTreeMap<Name, Unconfirmed>,
     /// Entries from other nodes that this node hasn't begun to check.
     from_peers: Vec<(Name, CrashReport)>,
+    /// Changes with every change of the entries.
+    version: u64,
 }
 
 impl UnconfirmedCrashes {
@@ -44,8 +46,8 @@
     /// Adds requests that were running where a connection broke, to an existing entry if there is
     /// one.
     pub fn add(&mut self, name: &Name, report: &CrashReport, now: Millis) {
-        self.entries
-            .retain(|_, entry| now.since(entry.since) < MAX_AGE);
+        self.expire(now);
+        self.version += 1;
         let known = self.entries.get(name).map(|entry| &entry.report.suspects);
         let all = known.into_iter().flatten().chain(&report.suspects).cloned();
         let report = CrashReport::new(Name::clone(&report.upstream), all);
@@ -84,26 +86,35 @@
     /// Removes an entry once it is known whether its upstream crashed.
     pub fn remove(&mut self, name: &str) {
         self.entries.remove(name);
+        self.version += 1;
     }
 
-    /// Returns all unconfirmed crashes if any of them involves the request, otherwise none.
+    /// Returns a number that is the same as long as the entries are.
+    pub fn version(&mut self, now: Millis) -> u64 {
+        self.expire(now);
+        self.version
+    }
+
+    /// Returns the unconfirmed crashes.
     ///
-    /// The other crashes matter too: they may be explained by other requests.
+    /// Those without a certain request matter for it too: other requests may explain them.
+    pub fn reports(&self) -> impl Iterator<Item = &CrashReport> {
+        self.entries.values().map(|entry| &entry.report)
+    }
+
+    /// Whether any unconfirmed crash involves a subject of a request.
     #[must_use]
-    pub fn involving(&self, request: &Fingerprint, now: Millis) -> Vec<&CrashReport> {
-        let entries = self.entries.values();
-        let reports: Vec<&CrashReport> = entries
-            .filter(|entry| now.since(entry.since) < MAX_AGE)
-            .map(|entry| &entry.report)
-            .collect();
-        let involves_request = |report: &&CrashReport| {
-            let mut suspects = report.suspects.iter();
-            suspects.any(|suspect| suspect.request == *request)
-        };
-        if reports.iter().any(involves_request) {
-            reports
-        } else {
-            Vec::new()
+    pub fn involves(&self, subjects: &Subjects) -> bool {
+        let mut suspects = self.reports().flat_map(|report| &report.suspects);
+        suspects.any(|suspect| subjects.iter().any(|subject| suspect.has(subject)))
+    }
+
+    fn expire(&mut self, now: Millis) {
+        let before = self.entries.len();
+        self.entries
+            .retain(|_, entry| now.since(entry.since) < MAX_AGE);
+        if self.entries.len() != before {
+            self.version += 1;
         }
     }
 }
--- a/lib/src/retry/reaction.rs
+++ b/lib/src/retry/reaction.rs
@@ -60,6 +60,7 @@
         | Code::ClaimUnavailable
         | Code::NoUpstream
         | Code::Quarantined
+        | Code::PartQuarantined
         | Code::StreamOriginUnknown
         | Code::StreamVersionGone
         // A retry elsewhere would use capacity that the limit reserves for others.
--- a/lib/tests/test_direct_quarantine.rs
+++ b/lib/tests/test_direct_quarantine.rs
@@ -16,7 +16,8 @@
 use chivevalve::direct::view::{PutOutcome, View};
 use chivevalve::name::Name;
 use chivevalve::poison::fingerprint::{Fingerprint, Identity};
-use chivevalve::poison::ledger::{CrashReport, Suspicion};
+use chivevalve::poison::ledger::{CrashReport, Suspect, Suspicion};
+use chivevalve::poison::subjects::Subjects;
 use chivevalve_platform::PlatformDialect;
 use direct_support::memory::MemoryStore;
 use direct_support::records::{entry_revision, listed};
@@ -97,8 +98,9 @@
 }
 
 impl TestNode {
-    fn crash_count(&self, request: &Fingerprint) -> usize {
-        self.view.state().ledger.crash_count(request, Millis::ZERO)
+    fn crash_count(&self, request: &Subjects) -> usize {
+        let ledger = &mut self.view.state().ledger;
+        ledger.crash_count(&request.request, Millis::ZERO)
     }
 
     /// Returns the only crash report in the key-value service.
@@ -110,15 +112,16 @@
     }
 }
 
-fn request(path: &str) -> Fingerprint {
-    Fingerprint::of(&Identity {
+fn request(path: &str) -> Subjects {
+    let fingerprint = Fingerprint::of(&Identity {
         caller: "",
         model: "base/a1",
         method: "POST",
         host: "host.example",
         path,
         body: b"",
-    })
+    });
+    fingerprint.into()
 }
 
 /// An upstream at whose address nothing listens.
@@ -166,7 +169,7 @@
     let (_listener, upstream) = proxied_upstream();
     let suspect = request("/x");
     node.quarantine
-        .record_broken_connection(&upstream, suspect.clone(), Suspicion::Begun);
+        .record_broken_connection(&upstream, Suspect::new(&suspect, Suspicion::Begun));
     sleep(Millis(30_000)).await;
     assert_eq!(node.crash_count(&suspect), 0);
     upstream.retire();
@@ -181,7 +184,7 @@
     let (_listener, upstream) = proxied_upstream();
     let suspect = request("/x");
     node.quarantine
-        .record_broken_connection(&upstream, suspect.clone(), Suspicion::Begun);
+        .record_broken_connection(&upstream, Suspect::new(&suspect, Suspicion::Begun));
     upstream.mark_missing();
     node.view.advance_as_of(Millis(60_000));
     sleep(Millis(7_000)).await;
@@ -196,7 +199,7 @@
     let (_listener, upstream) = proxied_upstream();
     let suspect = request("/x");
     node.quarantine
-        .record_broken_connection(&upstream, suspect.clone(), Suspicion::Begun);
+        .record_broken_connection(&upstream, Suspect::new(&suspect, Suspicion::Begun));
     sleep(Millis(10_000)).await;
     upstream.record_success();
     sleep(Millis(1_000)).await;
@@ -212,7 +215,7 @@
     let (_listener, upstream) = proxied_upstream();
     let suspect = request("/x");
     node.quarantine
-        .record_broken_connection(&upstream, suspect.clone(), Suspicion::Begun);
+        .record_broken_connection(&upstream, Suspect::new(&suspect, Suspicion::Begun));
     sleep(Millis(2_000)).await;
     node.view.advance_as_of(Millis(60_000));
     sleep(Millis(1_000)).await;
@@ -228,9 +231,9 @@
     let upstream = crashed_upstream();
     let (first, later) = (request("/first"), request("/later"));
     let quarantine = &node.quarantine;
-    quarantine.record_broken_connection(&upstream, first.clone(), Suspicion::Begun);
+    quarantine.record_broken_connection(&upstream, Suspect::new(&first, Suspicion::Begun));
     until("the first report", || node.crash_count(&first) == 1).await;
-    quarantine.record_broken_connection(&upstream, later.clone(), Suspicion::Possible);
+    quarantine.record_broken_connection(&upstream, Suspect::new(&later, Suspicion::Possible));
     until("the second report", || node.crash_count(&later) == 1).await;
     assert_eq!(node.crash_count(&first), 1);
     let both = || {
@@ -261,7 +264,7 @@
     let suspect = request("/x");
     killed
         .quarantine
-        .record_broken_connection(&broken, suspect.clone(), Suspicion::Begun);
+        .record_broken_connection(&broken, Suspect::new(&suspect, Suspicion::Begun));
     sleep(Millis(3_000)).await;
     // The killed node never reads the list again.
     listed_upstream.retire();
@@ -280,7 +283,7 @@
     for (number, (_, upstream)) in upstreams.iter().enumerate() {
         assert!(node.quarantine.check_send(&suspect).is_ok(), "{number}");
         node.quarantine
-            .record_broken_connection(upstream, suspect.clone(), Suspicion::Begun);
+            .record_broken_connection(upstream, Suspect::new(&suspect, Suspicion::Begun));
     }
     assert!(node.quarantine.check_send(&suspect).is_err());
     // An attempt that is already sent stays, since no crash is confirmed.
@@ -301,7 +304,7 @@
     for name in ["i-1", "i-2", "i-3", "i-4"] {
         let (_listener, upstream) = named_proxied_upstream(name);
         node.quarantine
-            .record_broken_connection(&upstream, queued.clone(), Suspicion::Possible);
+            .record_broken_connection(&upstream, Suspect::new(&queued, Suspicion::Possible));
     }
     assert!(node.quarantine.check_send(&queued).is_ok());
 }
@@ -315,7 +318,7 @@
     let upstreams = ["i-1", "i-2", "i-3"].map(named_proxied_upstream);
     for (_, upstream) in &upstreams {
         one.quarantine
-            .record_broken_connection(upstream, suspect.clone(), Suspicion::Begun);
+            .record_broken_connection(upstream, Suspect::new(&suspect, Suspicion::Begun));
     }
     let is_quarantined = || other.quarantine.check_send(&suspect).is_err();
     until("the unconfirmed crashes", is_quarantined).await;
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -215,7 +215,7 @@
         body: "the request".into(),
         metadata: RequestMetadata::default(),
         kind: RequestKind::Stream { resumable: false },
-        fingerprint: std::sync::OnceLock::new(),
+        subjects: std::sync::OnceLock::new(),
     };
     let dispatch = DispatchHeaders {
         incarnation: "i-1".into(),
--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -37,10 +37,9 @@
     /// Adds a node's report of its requests that were at a crashed upstream.
     fn report_crash(&mut self, upstream: u64, node: u64, suspects: &[(u64, Suspicion)]) -> Name {
         let name: Name = format!("end/u-{upstream}/n-{node}").into();
-        let suspects = suspects.iter().map(|(request, suspicion)| Suspect {
-            request: fingerprint(*request),
-            suspicion: *suspicion,
-        });
+        let suspects = suspects
+            .iter()
+            .map(|(request, suspicion)| Suspect::new(&fingerprint(*request).into(), *suspicion));
         let report = CrashReport {
             upstream: format!("u-{upstream}").into(),
             suspects: suspects.collect(),
@@ -53,8 +52,12 @@
     }
 
     fn blamed_crashes(&mut self, request: u64) -> Option<usize> {
-        self.ledger
-            .blamed_crashes(&fingerprint(request), Millis::ZERO)
+        self.blamed_crashes_at(request, Millis::ZERO)
+    }
+
+    fn blamed_crashes_at(&mut self, request: u64, now: Millis) -> Option<usize> {
+        let blame = self.ledger.blame_of(&fingerprint(request).into(), now);
+        blame.map(|blame| blame.crashes)
     }
 }
 
@@ -227,10 +230,7 @@
     assert_eq!(reports.blamed_crashes(1), None);
     reports.report_crash(2, 0, &[(1, Suspicion::Begun)]);
     assert!(reports.blamed_crashes(1).is_some());
-    assert_eq!(
-        reports.ledger.blamed_crashes(&fingerprint(1), REPORT_TTL),
-        None
-    );
+    assert_eq!(reports.blamed_crashes_at(1, REPORT_TTL), None);
     assert!(reports.ledger.is_empty());
 }
 
