--- a/bench/src/soak/caller.rs
+++ b/bench/src/soak/caller.rs
@@ -33,6 +33,8 @@
 const MOST_AGAIN: u64 = 3;
 /// Pause of the caller that sends a poison request.
 const COMES_AGAIN: Duration = Duration::from_millis(700);
+/// Pause between different requests with a poison prompt part.
+const PART_COMES_AGAIN: Duration = Duration::from_millis(350);
 /// Part of the requests for which a caller takes a new connection.
 const RECONNECT: f64 = 0.08;
 
@@ -142,6 +144,25 @@
     }
 }
 
+/// Sends different requests that have a poison prompt part in common, to a node after the other.
+pub async fn poison_part(site: Arc<Site>, calls: Arc<Calls>) {
+    let mut number = 0;
+    while !calls.over.load(Ordering::SeqCst) {
+        sleep(PART_COMES_AGAIN).await;
+        let ask = Ask {
+            id: format!("{}{number}z", wire::PART),
+            route: "plan",
+            adapter: Some(format!("a{}", 1 + number % ADAPTERS)),
+            deadline: DEADLINE,
+            resumed: None,
+        };
+        let node = usize::try_from(number).unwrap_or_default() % site.nodes.len();
+        let call = at(&site, node, ask).await;
+        lock(&calls.all).extend(call);
+        number += 1;
+    }
+}
+
 fn ask(rng: &mut Pcg64Mcg, id: String) -> Ask {
     let route = match rng.random_range(0..20) {
         0..4 => "look",
--- a/bench/src/soak/judge/mod.rs
+++ b/bench/src/soak/judge/mod.rs
@@ -22,8 +22,9 @@
 const WINDOW: Millis = Millis(10_000);
 const EXTRA: f64 = 54.0;
 const RATIO: f64 = 0.2;
-/// Engines that a poison request may end.
+/// Engines that a poison request may end, and those that a prompt part may.
 const POISONED: usize = 3;
+const POISONED_BY_PART: usize = 5;
 /// Sends of it that are allowed once all nodes can know.
 const ALLOWED: usize = 3;
 /// Time until all nodes know: the bound, and as long as the entry of a server stays that ended
@@ -79,7 +80,10 @@
         found.extend(leaving(seen, &by_id));
         found.extend(old_versions(seen, &by_id));
         found.extend(budget(seen));
-        found.extend(poison(seen));
+        let by_request = |id: &str| wire::subject(id) == wire::POISON;
+        found.extend(poison(seen, wire::POISON, POISONED, by_request));
+        let by_part = |id: &str| id.starts_with(wire::PART);
+        found.extend(poison(seen, wire::PART, POISONED_BY_PART, by_part));
     }
     found
 }
@@ -235,16 +239,21 @@
     found
 }
 
-/// A poison request that reaches engines after the third has ended under it and all nodes can know.
-fn poison(seen: &Evidence) -> Option<Violation> {
-    let is_poison = |arrival: &&Arrival| wire::subject(&arrival.id) == wire::POISON;
-    let arrivals: Vec<&Arrival> = seen.arrivals.iter().filter(is_poison).collect();
+/// Requests that reach engines after so many have ended under them and all nodes can know.
+fn poison(
+    seen: &Evidence,
+    name: &str,
+    most: usize,
+    is_poison: impl Fn(&str) -> bool,
+) -> Option<Violation> {
+    let arrivals = seen.arrivals.iter().filter(|one| is_poison(&one.id));
+    let arrivals: Vec<&Arrival> = arrivals.collect();
     let mut ended = Vec::new();
     for arrival in arrivals.iter().filter(|arrival| arrival.ran) {
         if !ended.contains(&&arrival.server) {
             ended.push(&arrival.server);
         }
-        if ended.len() == POISONED {
+        if ended.len() == most {
             let known = arrival.ended.unwrap_or(arrival.at) + KNOWN;
             let calls = calls_by_id(seen);
             let in_touch = |one: &&&Arrival| {
@@ -255,8 +264,8 @@
             };
             let later = arrivals.iter().filter(|one| one.at > known);
             let later = later.filter(in_touch).count();
-            let told = format!("{later} sends later than {KNOWN} after the third end");
-            return (later > ALLOWED).then(|| new("Poison", known, wire::POISON, told));
+            let told = format!("{later} sends later than {KNOWN} after {most} ends");
+            return (later > ALLOWED).then(|| new("Poison", known, name, told));
         }
     }
     None
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -44,6 +44,7 @@
   --workers N    requests at a time [default: 24]
   --exact        judge only what a slow computer can't break by itself
   --poison       one caller sends a request that ends each engine that runs it
+  --poison-part  different requests have a prompt part in common that does
   --trick NAME   spoil the stand-ins or the callers, so that a check has to fail
   --story        print the story and play nothing
   --program P    the daemon's program
@@ -124,6 +125,8 @@
     story: bool,
     /// Whether one caller sends a poison request.
     poison: bool,
+    /// Whether different requests have a poison prompt part.
+    poison_part: bool,
     trick: Trick,
     program: Option<PathBuf>,
     dir: PathBuf,
@@ -162,6 +165,7 @@
         exact: false,
         story: false,
         poison: false,
+        poison_part: false,
         trick: Trick::None,
         program: None,
         dir: site::directory(),
@@ -176,6 +180,7 @@
             Long("exact") => options.exact = true,
             Long("story") => options.story = true,
             Long("poison") => options.poison = true,
+            Long("poison-part") => options.poison_part = true,
             Long("program") => options.program = Some(parser.value()?.into()),
             Long("dir") => options.dir = parser.value()?.into(),
             Long("trick") => {
@@ -206,6 +211,9 @@
     if options.poison {
         tokio::spawn(caller::poison(Arc::clone(&site), Arc::clone(&calls)));
     }
+    if options.poison_part {
+        tokio::spawn(caller::poison_part(Arc::clone(&site), Arc::clone(&calls)));
+    }
     for step in &steps {
         until(&site, step.at).await;
         site.act(step.act);
