--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -238,6 +238,15 @@
 }
 
 impl UpstreamResponse {
+    /// Whether the body ends with its connection, so that the end of the upstream's process can look
+    /// like the end of the body.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Records that part of the body has arrived, so the run has started.
     pub fn mark_started(&mut self) {
         self.watch = None;
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -129,6 +129,10 @@
                     return Ok(Some(bytes));
                 }
                 StreamStep::More => {}
+                StreamStep::End if self.ended_without_event() => {
+                    self.resume("the stream ended before its first event")
+                        .await?;
+                }
                 StreamStep::End => {
                     if self.is_complete().await? {
                         self.record_complete_run();
@@ -144,6 +148,15 @@
         }
     }
 
+    /// Whether a stream that begins anew ended with its connection and without any event.
+    fn ended_without_event(&self) -> bool {
+        let begins_anew = self.request.message.metadata.resume_after.is_none();
+        let response = self.response.as_ref();
+        begins_anew
+            && self.request.timing.chunks == 0
+            && response.is_some_and(UpstreamResponse::ends_with_connection)
+    }
+
     /// Records the arrival of a chunk: the time to the first event, or the gap since the last one.
     fn record_chunk(&mut self) {
         let now = self.request.now();
@@ -174,7 +187,13 @@
     }
 
     /// Records that the engine ran the request to its end, unless it was recorded before.
+    ///
+    /// An end that a crash could have caused proves nothing.
     fn record_complete_run(&mut self) {
+        let response = self.response.as_ref();
+        if response.is_some_and(UpstreamResponse::ends_with_connection) {
+            return;
+        }
         if let RunProgress::FirstEventAt(first) = self.progress {
             self.record_harmless_run(first);
         }
