entry: crashes are attributed to messages of chats on the product's own path

All messages but the last are parts of the prompt; reports and clearances carry them by gossip, older nodes skip them. Trials are shared by both paths (poison::trial); turns go by the nodes that own upstreams.

--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -24,15 +24,14 @@
 use super::upstream::Upstream;
 use super::view::View;
 use crate::clock::{Clock, Millis};
-use crate::error::{Code, Failure};
+use crate::error::Failure;
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
 use crate::poison::harmless::HarmlessRequests;
 use crate::poison::ledger::{REPORT_TTL, Suspect, Suspicion};
 use crate::poison::subjects::Subjects;
-use crate::poison::trial::{TRIAL_AFTER, TURN};
-use crate::poison::verdict::Blame;
+use crate::poison::trial::Trials;
 use crate::ports::connection_pool::ProbeResult;
 
 /// Key prefix of crash reports; the upstream's start and the reporting node follow it.
@@ -95,8 +94,7 @@
     harmless: Mutex<HarmlessRequests>,
     /// Prompt parts that this node is about to clear at all nodes.
     refuting: Mutex<HashSet<Fingerprint>>,
-    /// The last turn in which this node sent a request on trial, by what is blamed.
-    trials: Mutex<HashMap<Fingerprint, u64>>,
+    trials: Mutex<Trials>,
     /// This node's requests at upstreams that may have crashed, by the upstream's start.
     under_check: Mutex<HashMap<Name, Vec<Suspect>>>,
     /// Notified when the check of an upstream has finished.
@@ -140,8 +138,8 @@
     ///
     /// # Errors
     ///
-    /// [`Code::Quarantined`] if the request is blamed for crashes of upstreams, and
-    /// [`Code::PartQuarantined`] if parts of its prompt are.
+    /// [`Code::Quarantined`](crate::error::Code::Quarantined) if the request is blamed for crashes of upstreams, and
+    /// [`Code::PartQuarantined`](crate::error::Code::PartQuarantined) if parts of its prompt are.
     pub fn check(&self, subjects: &Subjects) -> Result<(), Failure> {
         let now = self.clock.now();
         let blame = self.view.state().ledger.blame_of(subjects, now).cloned();
@@ -153,12 +151,7 @@
             self.clear(request);
             return Ok(());
         }
-        let retry_after = if blame.is_of_parts() && !blame.trial_failed {
-            TRIAL_AFTER + TURN
-        } else {
-            REPORT_TTL
-        };
-        Err(blame_failure(&blame, subjects).retry_after(retry_after))
+        Err(blame.failure(subjects))
     }
 
     /// Waits until it is known whether a request that is already reported crashed one more
@@ -384,14 +377,3 @@
         self.harmless.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Returns the failure of a request that is blamed, which names what it is blamed for.
-fn blame_failure(blame: &Blame, subjects: &Subjects) -> Failure {
-    let ended = format!("{} upstreams ended as they began to run", blame.crashes);
-    if blame.involves(&subjects.request) {
-        return Failure::new(Code::Quarantined, format!("{ended} this request"));
-    }
-    let parts = blame.description();
-    let detail = format!("{ended} requests with prompt part {parts}");
-    Failure::new(Code::PartQuarantined, detail)
-}
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -18,8 +18,8 @@
 use crate::error::{Code, Failure, Fate};
 use crate::membership::fleet::Owner;
 use crate::name::Name;
-use crate::poison::fingerprint::Fingerprint;
 use crate::poison::ledger::Suspicion;
+use crate::poison::subjects::Subjects;
 use crate::policy::placement::Pool;
 use crate::ports::UpstreamResponse;
 use crate::request::Ticket;
@@ -71,8 +71,10 @@
     pub mode: ResponseMode,
     /// When the response must be complete.
     pub deadline: Millis,
-    /// Identifies the request when its caller repeats it.
-    pub fingerprint: Fingerprint,
+    /// What it can be blamed for a crash by.
+    pub subjects: Arc<Subjects>,
+    /// Whether it is sent to find out whether blamed prompt parts still crash upstreams.
+    pub on_trial: bool,
 }
 
 /// A request at the upstream that it was sent to.
@@ -80,8 +82,10 @@
 pub struct UpstreamRun {
     /// The upstream.
     pub upstream: Name,
-    /// The request's fingerprint.
-    pub request: Fingerprint,
+    /// What the request can be blamed for a crash by.
+    pub subjects: Arc<Subjects>,
+    /// Whether it was sent on trial.
+    pub on_trial: bool,
 }
 
 /// An upstream's response.
@@ -138,9 +142,7 @@
     lock(&gateway.budget).record_first_try(now);
     let mut tried = TryCounts::new();
     loop {
-        gateway
-            .quarantine()
-            .check(&request.fingerprint)
+        pass_quarantine(gateway, request, tried.is_empty())
             .map_err(|failure| session.machine().end(failure))?;
         let target = match select_target(gateway, request, &tried).await {
             Ok(target) => target,
@@ -153,7 +155,7 @@
                 if !matches!(outcome, DispatchOutcome::Streaming(_)) {
                     gateway
                         .quarantine()
-                        .record_harmless_run(&request.fingerprint);
+                        .record_harmless_run(&request.subjects, now);
                 }
                 return Ok(outcome);
             }
@@ -173,11 +175,27 @@
     }
 }
 
+/// Fails if the request is quarantined, unless this is its first try and it can be sent on trial.
+fn pass_quarantine(
+    gateway: &Gateway,
+    request: &mut DispatchRequest,
+    is_first_try: bool,
+) -> Result<(), Failure> {
+    let quarantine = gateway.quarantine();
+    let checked = quarantine.check(&request.subjects);
+    if checked.is_err() && is_first_try && quarantine.take_trial(&request.subjects) {
+        request.on_trial = true;
+        return Ok(());
+    }
+    checked
+}
+
 impl DispatchRequest {
     fn run_on(&self, target: &Target) -> UpstreamRun {
         UpstreamRun {
             upstream: Name::clone(&target.upstream),
-            request: self.fingerprint.clone(),
+            subjects: Arc::clone(&self.subjects),
+            on_trial: self.on_trial,
         }
     }
 }
--- a/lib/src/entry/gateway.rs
+++ b/lib/src/entry/gateway.rs
@@ -17,7 +17,7 @@
 use super::quarantine::Quarantine;
 use super::route::{self, Completion, Route};
 use super::session::Session;
-use super::{Dependencies, body, idempotency, key, models, relay, service};
+use super::{Dependencies, body, idempotency, key, messages, models, relay, service};
 use crate::adapter::Adapter;
 use crate::claim::{self, Claim, ClaimManager};
 use crate::clock::Millis;
@@ -28,7 +28,8 @@
 use crate::membership::fleet::State;
 use crate::name::Name;
 use crate::poison::fingerprint::{Fingerprint, Identity};
-use crate::poison::ledger::Suspicion;
+use crate::poison::ledger::{Suspect, Suspicion};
+use crate::poison::subjects::Subjects;
 use crate::policy::placement::{self, Pool, Router};
 use crate::request::Ticket;
 use crate::retry::RetryBudget;
@@ -100,7 +101,11 @@
         if matches!(code, Code::UpstreamLost | Code::AnswerCut) {
             let fleet = Arc::clone(&self.parts.fleet.borrow());
             let quarantine = self.quarantine();
-            quarantine.record_broken_connection(&fleet, &run.upstream, &run.request, suspicion);
+            let suspect = Suspect {
+                trial: run.on_trial,
+                ..Suspect::new(&run.subjects, suspicion)
+            };
+            quarantine.record_broken_connection(&fleet, &run.upstream, suspect);
         }
     }
 
@@ -322,7 +327,11 @@
         session.set_ticket(&ticket);
         let mut claim = self.acquire_claim(session, &ticket, &work, key).await?;
         let mut request = DispatchRequest {
-            fingerprint: fingerprint(&ticket, &work),
+            subjects: Arc::new(Subjects::new(
+                fingerprint(&ticket, &work),
+                prompt_parts(&work),
+            )),
+            on_trial: false,
             deadline: ticket.deadline,
             share: caller.account.share,
             ticket,
@@ -466,6 +475,14 @@
     })
 }
 
+/// Returns the parts of a prompt that other requests may share: all messages of a chat but the last.
+fn prompt_parts(work: &Work) -> Vec<Fingerprint> {
+    match work {
+        Work::Completion { body, .. } => messages::shared(body),
+        Work::Call { .. } => Vec::new(),
+    }
+}
+
 fn prepare_pool(fleet: &Fleet, name: &str) -> Pool {
     Pool::from_entries(fleet.pool(name).iter().map(|upstream| {
         let vm = &upstream.vm;
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod json;
 mod key;
 mod limits;
+mod messages;
 mod models;
 pub mod quarantine;
 mod relay;
--- a/lib/src/entry/quarantine.rs
+++ b/lib/src/entry/quarantine.rs
@@ -8,21 +8,22 @@
 
 mod gossip_state;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::watch;
 
 use crate::clock::{Clock, Millis};
-use crate::error::{Code, Failure};
+use crate::error::Failure;
 use crate::membership::Fleet;
 use crate::membership::fleet::State as Usability;
 use crate::metrics::Metrics;
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
 use crate::poison::harmless::HarmlessRequests;
-use crate::poison::ledger::{CrashLedger, CrashReport, REPORT_TTL, Suspect, Suspicion};
+use crate::poison::ledger::{CrashLedger, CrashReport, REPORT_TTL, Suspect};
 use crate::poison::subjects::Subjects;
+use crate::poison::trial::{self, Trials};
 
 /// Maximum time between a broken connection and a crash that explains it.
 ///
@@ -93,8 +94,12 @@
     pending: HashMap<Name, Vec<PendingSuspect>>,
     crashes: HashMap<Name, Crash>,
     reports: BTreeMap<Name, GossipReport>,
-    /// Requests that were cleared because they ran without a crash, with the time of that run.
+    /// Requests and prompt parts that were cleared because they ran without a crash, with the time
+    /// of that run.
     cleared: HashMap<Fingerprint, Millis>,
+    /// Starts of nodes that own upstreams.
+    nodes: BTreeSet<Name>,
+    trials: Trials,
     /// Number of crashes that this node named.
     named_crashes: u64,
 }
@@ -143,56 +148,74 @@
     ///
     /// # Errors
     ///
-    /// [`Code::Quarantined`] if the request is blamed for crashes of upstreams.
-    pub fn check(&self, request: &Fingerprint) -> Result<(), Failure> {
+    /// [`Code::Quarantined`](crate::error::Code::Quarantined) if the request is blamed for crashes of upstreams, and
+    /// [`Code::PartQuarantined`](crate::error::Code::PartQuarantined) if parts of its prompt are.
+    pub fn check(&self, subjects: &Subjects) -> Result<(), Failure> {
         let now = self.clock.now();
         let mut state = self.state();
-        let subjects = Subjects::from(request.clone());
-        let blame = state.ledger.blame_of(&subjects, now);
-        let Some(crash_count) = blame.map(|blame| blame.crashes) else {
+        let Some(blame) = state.ledger.blame_of(subjects, now).cloned() else {
             return Ok(());
         };
-        if state.harmless.contains(request, now) {
+        let request = &subjects.request;
+        if blame.involves(request) && state.harmless.contains(request, now) {
             self.clear(&mut state, request, now);
             return Ok(());
         }
-        let detail = format!("{crash_count} upstreams ended as they began to run this request");
-        Err(Failure::new(Code::Quarantined, detail).retry_after(REPORT_TTL))
+        Err(blame.failure(subjects))
     }
 
-    /// Records that an upstream ran a request without crashing.
-    pub fn record_harmless_run(&self, request: &Fingerprint) {
+    /// Takes this node's trial of blamed prompt parts in the current turn; false if there is none.
+    pub fn take_trial(&self, subjects: &Subjects) -> bool {
         let now = self.clock.now();
         let mut state = self.state();
+        let Some(blame) = state.ledger.blame_of(subjects, now).cloned() else {
+            return false;
+        };
+        let nodes = state.nodes.clone();
+        let place = trial::Place::among(&self.node, nodes.iter().map(|node| &**node), &blame);
+        let State { ledger, trials, .. } = &mut *state;
+        trials.take(ledger, &blame, place, now)
+    }
+
+    /// Records that an upstream ran a request without crashing, from `began_at` on.
+    pub fn record_harmless_run(&self, subjects: &Subjects, began_at: Millis) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let request = &subjects.request;
         state.harmless.insert(request.clone(), now);
+        state
+            .ledger
+            .record_sound_run(&subjects.parts, began_at, now);
         // With fewer crashes, one more wouldn't blame the request, and each record that is sent
         // costs traffic at all nodes.
         if state.ledger.crash_count(request, now) >= MIN_CRASHES_TO_CLEAR {
             self.clear(&mut state, request, now);
         }
+        self.clear_refuted(&mut state, now);
+    }
+
+    /// Clears prompt parts at all nodes of which this node's runs refute several crashes.
+    fn clear_refuted(&self, state: &mut State, now: Millis) {
+        for part in state.ledger.refuted_parts() {
+            self.clear(state, &part, now);
+        }
     }
 
     /// Records that a request's connection to an upstream broke.
-    pub fn record_broken_connection(
-        &self,
-        fleet: &Fleet,
-        upstream: &Name,
-        request: &Fingerprint,
-        suspicion: Suspicion,
-    ) {
+    pub fn record_broken_connection(&self, fleet: &Fleet, upstream: &Name, suspect: Suspect) {
         let now = self.clock.now();
         let mut state = self.state();
         // An upstream that shuts down as planned cuts off whatever still runs there.
         let is_leaving =
             usability(fleet, upstream).is_none_or(|usable| usable == Usability::Leaving);
-        if is_leaving || state.harmless.contains(request, now) {
+        if is_leaving || state.harmless.contains(&suspect.request, now) {
             return;
         }
-        let suspect = Suspect::new(&Subjects::from(request.clone()), suspicion);
         log::info!(
-            suspect = request.as_str(),
+            suspect = suspect.request.as_str(),
+            parts = suspect.part_ids().as_str(),
             upstream = &**upstream,
-            sign = suspicion.name();
+            sign = suspect.suspicion.name();
             "entry: connection to the upstream broke"
         );
         let pending_suspects = state.pending.entry(Name::clone(upstream)).or_default();
@@ -213,6 +236,7 @@
     fn observe(&self, fleet: &Fleet) {
         let now = self.clock.now();
         let mut state = self.state();
+        state.nodes = owners(fleet);
         for upstream in fleet.upstreams() {
             let name = &upstream.vm.name;
             match upstream.state {
@@ -315,12 +339,13 @@
             .reports
             .retain(|_, one| now.since(one.since) < REPORT_TTL);
         state.reports.insert(name, report);
+        self.clear_refuted(state, now);
         self.changes.send_modify(|version| *version += 1);
         true
     }
 
     fn clear(&self, state: &mut State, request: &Fingerprint, now: Millis) {
-        log::info!(suspect = request.as_str(); "entry: suspect request ran without a crash");
+        log::info!(suspect = request.as_str(); "entry: suspect ran without a crash");
         state.clear(request, now);
         self.changes.send_modify(|version| *version += 1);
     }
@@ -341,6 +366,9 @@
             report
                 .suspects
                 .retain(|suspect| suspect.request != *request);
+            for suspect in &mut report.suspects {
+                suspect.parts.retain(|part| part != request);
+            }
         }
     }
 }
@@ -350,3 +378,11 @@
     let found = upstreams.find(|upstream| *upstream.vm.name == *name);
     found.map(|upstream| upstream.state)
 }
+
+/// Returns the starts of the nodes that own upstreams.
+fn owners(fleet: &Fleet) -> BTreeSet<Name> {
+    let upstreams = fleet.upstreams();
+    let owners = upstreams.filter_map(|upstream| fleet.owner(&upstream.vm.name));
+    let names = owners.map(|owner| format!("{}@{}", owner.node, owner.incarnation));
+    names.map(Name::from).collect()
+}
--- a/lib/src/entry/quarantine/gossip_state.rs
+++ b/lib/src/entry/quarantine/gossip_state.rs
@@ -19,6 +19,9 @@
 /// Number of cleared requests that are spread, newest first.
 const MAX_SPREAD_CLEARED: usize = 64;
 
+/// Difference of two times of one clearance, as nodes tell each other its age.
+const SAME_CLEARANCE: Millis = Millis(1_000);
+
 impl GossipState for Quarantine {
     fn fill_digest(&self, digest: &mut Digest) {
         let now = self.clock.now();
@@ -76,10 +79,14 @@
         }
         let upstream = Name::from(message.upstream.as_str());
         let cleared = &state.cleared;
-        let is_not_cleared = |suspect: &Suspect| {
-            let cleared = cleared.get(&suspect.request);
+        let is_not_cleared = |subject: &Fingerprint| {
+            let cleared = cleared.get(subject);
             cleared.is_none_or(|cleared| since > *cleared)
         };
+        let without_cleared_parts = |mut suspect: Suspect| {
+            suspect.parts.retain(is_not_cleared);
+            suspect
+        };
         let report = GossipReport {
             upstream: Name::clone(&upstream),
             crash: message.end.as_str().into(),
@@ -89,7 +96,8 @@
                 .suspects
                 .iter()
                 .filter_map(suspect_from_wire)
-                .filter(is_not_cleared)
+                .filter(|suspect| is_not_cleared(&suspect.request))
+                .map(without_cleared_parts)
                 .collect(),
         };
         let name = Name::clone(&report.crash);
@@ -117,7 +125,10 @@
         return false;
     };
     let at = now.since(Millis(u64::from(survivor.age_ms)));
-    if now.since(at) >= REPORT_TTL || state.cleared.contains_key(&request) {
+    let known = state.cleared.get(&request);
+    // Ages are rounded on their way, so a record may seem a little newer than it was.
+    let is_known = known.is_some_and(|known| at < *known + SAME_CLEARANCE);
+    if now.since(at) >= REPORT_TTL || is_known {
         return false;
     }
     state.clear(&request, at);
@@ -136,6 +147,9 @@
     for suspect in &report.suspects {
         text.push_str(suspect.request.as_str());
         text.push_str(suspect.suspicion.name());
+        for part in &suspect.parts {
+            text.push_str(part.as_str());
+        }
     }
     xxh3_64(text.as_bytes())
 }
@@ -151,6 +165,8 @@
             .map(|suspect| peer::Suspect {
                 request: suspect.request.to_string(),
                 begun: suspect.suspicion == Suspicion::Begun,
+                parts: suspect.parts.iter().map(ToString::to_string).collect(),
+                trial: suspect.trial,
             })
             .collect(),
     }
@@ -163,7 +179,15 @@
         Suspicion::Possible
     };
     let request = Fingerprint::read(&message.request)?;
-    Some(Suspect::new(&Subjects::from(request), suspicion))
+    let parts = message
+        .parts
+        .iter()
+        .filter_map(|part| Fingerprint::read(part));
+    let subjects = Subjects::new(request, parts.filter(Fingerprint::is_part));
+    Some(Suspect {
+        trial: message.trial,
+        ..Suspect::new(&subjects, suspicion)
+    })
 }
 
 fn age_ms(now: Millis, at: Millis) -> u32 {
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -295,9 +295,12 @@
 
     /// Records, once, that the upstream runs the request without crashing.
     fn record_harmless(&mut self) {
+        let Some(began_at) = self.first_chunk_at else {
+            return;
+        };
         if !std::mem::replace(&mut self.recorded_harmless, true) {
             let quarantine = self.session.gateway().quarantine();
-            quarantine.record_harmless_run(&self.flow.run.request);
+            quarantine.record_harmless_run(&self.flow.run.subjects, began_at);
         }
     }
 
--- a/lib/src/poison/verdict.rs
+++ b/lib/src/poison/verdict.rs
@@ -10,8 +10,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::fingerprint::Fingerprint;
-use super::ledger::{CrashReport, Suspect, Suspicion};
+use super::ledger::{CrashReport, REPORT_TTL, Suspect, Suspicion};
 use super::subjects::Subjects;
+use super::trial;
+use crate::error::{Code, Failure};
 use crate::name::Name;
 
 /// Number of crashes from which on a subject is blamed.
@@ -68,6 +70,30 @@
         patterns.join(", or ")
     }
 
+    /// Whether a request may be sent to find out whether it still crashes an upstream.
+    #[must_use]
+    pub fn may_be_tried(&self) -> bool {
+        self.is_of_parts() && !self.trial_failed
+    }
+
+    /// Returns the failure of a request that is blamed, which names what it is blamed for.
+    #[must_use]
+    pub fn failure(&self, subjects: &Subjects) -> Failure {
+        let ended = format!("{} upstreams ended as they began to run", self.crashes);
+        let failure = if self.involves(&subjects.request) {
+            Failure::new(Code::Quarantined, format!("{ended} this request"))
+        } else {
+            let parts = self.description();
+            let detail = format!("{ended} requests with prompt part {parts}");
+            Failure::new(Code::PartQuarantined, detail)
+        };
+        failure.retry_after(if self.may_be_tried() {
+            trial::RETRY_AFTER
+        } else {
+            REPORT_TTL
+        })
+    }
+
     /// Whether a subject is among those that can't be told apart.
     #[must_use]
     pub fn involves(&self, subject: &Fingerprint) -> bool {
--- a/lib/src/protos/chivevalve.peer.rs
+++ b/lib/src/protos/chivevalve.peer.rs
@@ -206,6 +206,12 @@
     /// The head of its answer had come.
     #[prost(bool, tag = "2")]
     pub begun: bool,
+    /// Fingerprints of the parts of its prompt that other requests may share.
+    #[prost(string, repeated, tag = "3")]
+    pub parts: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// It was sent to find out whether blamed parts still crash upstreams.
+    #[prost(bool, tag = "4")]
+    pub trial: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Survivor {
--- a/lib/tests/poison_model/mod.rs
+++ b/lib/tests/poison_model/mod.rs
@@ -10,7 +10,7 @@
 use chivevalve::poison::fingerprint::{Fingerprint, Identity};
 use chivevalve::poison::ledger::{CrashLedger, CrashReport, Suspect, Suspicion};
 use chivevalve::poison::subjects::Subjects;
-use chivevalve::poison::trial;
+use chivevalve::poison::trial::{Place, Trials};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -121,7 +121,7 @@
     deliveries: BTreeMap<(Millis, usize), Delivery>,
     sent: usize,
     written: Vec<(u64, News)>,
-    trials: BTreeMap<(usize, Fingerprint), u64>,
+    trials: Vec<Trials>,
     requests: u64,
     fifth_crash_at: Option<Millis>,
     /// Since when and until when requests of a first part are rejected.
@@ -145,7 +145,7 @@
             deliveries: BTreeMap::new(),
             sent: 0,
             written: Vec::new(),
-            trials: BTreeMap::new(),
+            trials: (0..scenario.nodes).map(|_| Trials::default()).collect(),
             requests: 0,
             fifth_crash_at: None,
             rejections: BTreeMap::new(),
@@ -189,7 +189,9 @@
         self.checks.clear();
         self.clearing.clear();
         self.deliveries.clear();
-        self.trials.clear();
+        for trials in &mut self.trials {
+            *trials = Trials::default();
+        }
         for ledger in &mut self.ledgers {
             *ledger = CrashLedger::default();
             for (revision, news) in &self.written {
@@ -273,27 +275,15 @@
     }
 
     fn take_trial(&mut self, request: &mut Request) -> bool {
-        let now = self.now;
         let ledger = &mut self.ledgers[request.node];
-        let Some(blame) = ledger.blame_of(&request.subjects, now).cloned() else {
-            return false;
-        };
-        if blame.trial_failed || !blame.is_of_parts() {
-            return false;
-        }
-        let Some(reported_at) = ledger.last_reported_at(&blame.subject) else {
-            return false;
-        };
-        let Some(turn) = trial::current_turn(reported_at, now) else {
-            return false;
+        let blame = ledger.blame_of(&request.subjects, self.now).cloned();
+        let place = Place {
+            rank: request.node,
+            nodes: self.scenario.nodes,
         };
-        let key = (request.node, blame.subject);
-        let is_own = trial::is_turn_of(turn, request.node, self.scenario.nodes);
-        if !is_own || self.trials.insert(key, turn) == Some(turn) {
-            return false;
-        }
-        request.is_trial = true;
-        true
+        let trials = &mut self.trials[request.node];
+        request.is_trial = blame.is_some_and(|blame| trials.take(ledger, &blame, place, self.now));
+        request.is_trial
     }
 
     /// Records a rejection of a sound request that an engine could have run.
--- a/lib/tests/test_entry_outcomes.rs
+++ b/lib/tests/test_entry_outcomes.rs
@@ -85,6 +85,27 @@
     assert!(sent <= ALLOWED, "it was sent {sent} times");
 }
 
+/// Different chats with a message that crashes every upstream are quarantined by that message.
+#[tokio::test]
+async fn outcome_poisoned_message_in_different_requests() {
+    const ALLOWED: usize = 8;
+    let world = world().await;
+    for number in 0..10 {
+        for _ in 0..2 {
+            world.script.then(fail(Code::UpstreamLost));
+        }
+        let body = format!(
+            r#"{{"model":"summary","messages":[{{"role":"system","content":"poison"}},{{"role":"user","content":"{number}"}}]}}"#
+        );
+        world.send("POST /v1/chat/completions", &[], &body).await;
+        world.fleet.send_replace(Arc::new(three_suspended()));
+        tokio::time::sleep(Millis(50).duration()).await;
+        world.fleet.send_replace(Arc::new(three()));
+    }
+    let sent = world.script.count();
+    assert!(sent <= ALLOWED, "it was sent {sent} times");
+}
+
 /// A last try that is refused isn't reported as "not run" if an earlier try may have run.
 #[tokio::test]
 async fn outcome_lost_then_refused() {
--- a/lib/tests/test_entry_quarantine.rs
+++ b/lib/tests/test_entry_quarantine.rs
@@ -9,7 +9,8 @@
 use chivevalve::membership::Fleet;
 use chivevalve::membership::fleet::{State, Upstream};
 use chivevalve::poison::fingerprint::{Fingerprint, Identity};
-use chivevalve::poison::ledger::Suspicion;
+use chivevalve::poison::ledger::{Suspect, Suspicion};
+use chivevalve::poison::subjects::Subjects;
 use chivevalve::ports::Vm;
 use chivevalve::schema::peer::{Delta, Digest};
 use tokio::sync::watch;
@@ -32,15 +33,16 @@
     Arc::new(Fleet::new(upstreams.collect(), HashMap::new()))
 }
 
-fn request(body: &str) -> Fingerprint {
-    Fingerprint::of(&Identity {
+fn request(body: &str) -> Subjects {
+    let fingerprint = Fingerprint::of(&Identity {
         caller: "shop",
         model: "summary",
         method: "POST",
         host: "",
         path: "/v1/chat/completions",
         body: body.as_bytes(),
-    })
+    });
+    fingerprint.into()
 }
 
 /// A node with its own view of the fleet.
@@ -70,14 +72,17 @@
         tokio::time::sleep(SETTLE_TIME.duration()).await;
     }
 
-    fn break_connection(&self, request: &Fingerprint, suspicion: Suspicion) {
+    fn break_connection(&self, request: &Subjects, suspicion: Suspicion) {
         let fleet = Arc::clone(&self.fleet.borrow());
-        self.quarantine
-            .record_broken_connection(&fleet, &"e1".into(), request, suspicion);
+        self.quarantine.record_broken_connection(
+            &fleet,
+            &"e1".into(),
+            Suspect::new(request, suspicion),
+        );
     }
 
     /// Makes the upstream crash while it runs requests of this node, and return.
-    async fn crash_under(&self, requests: &[&Fingerprint]) {
+    async fn crash_under(&self, requests: &[&Subjects]) {
         for request in requests {
             self.break_connection(request, Suspicion::Begun);
         }
@@ -85,7 +90,7 @@
         self.set_state(State::Usable).await;
     }
 
-    fn is_allowed(&self, request: &Fingerprint) -> bool {
+    fn is_allowed(&self, request: &Subjects) -> bool {
         self.quarantine.check(request).is_ok()
     }
 
@@ -201,7 +206,7 @@
     assert!(!other.is_allowed(&harmless));
     one.clock.advance(Millis(100));
     other.clock.advance(Millis(100));
-    one.quarantine.record_harmless_run(&harmless);
+    one.quarantine.record_harmless_run(&harmless, Millis::ZERO);
     one.gossip_to(&other);
     assert!(one.is_allowed(&harmless));
     assert!(other.is_allowed(&harmless));
@@ -222,7 +227,7 @@
     for node in [&one, &late] {
         node.clock.advance(Millis::from_secs(70));
     }
-    one.quarantine.record_harmless_run(&harmless);
+    one.quarantine.record_harmless_run(&harmless, Millis::ZERO);
     // Long enough that the node remembers the harmless run only by its gossip record.
     for node in [&one, &late] {
         node.clock.advance(Millis::from_secs(70));
@@ -236,7 +241,7 @@
 async fn harmless_run_before_reports() {
     let (one, other) = (Node::start("n1"), Node::start("n2"));
     let harmless = request("proper");
-    one.quarantine.record_harmless_run(&harmless);
+    one.quarantine.record_harmless_run(&harmless, Millis::ZERO);
     for _ in 0..3 {
         other.crash_under(&[&harmless]).await;
     }
@@ -296,3 +301,69 @@
     assert!(node.is_allowed(&poison));
     assert!(other.is_allowed(&poison));
 }
+
+fn with_parts(body: &str, parts: &[u64]) -> Subjects {
+    let parts = parts.iter().copied().map(Fingerprint::of_part);
+    Subjects::new(request(body).request, parts)
+}
+
+/// Different requests with a part in common are blocked at all nodes, and others with its
+/// companions aren't.
+#[tokio::test(start_paused = true)]
+async fn check_part_in_different_requests() {
+    let (one, other) = (Node::start("n1"), Node::start("n2"));
+    for number in 0..3 {
+        let poison = with_parts(&format!("poison {number}"), &[1, 9]);
+        assert!(one.is_allowed(&poison));
+        one.crash_under(&[&poison]).await;
+    }
+    one.gossip_to(&other);
+    for node in [&one, &other] {
+        assert!(!node.is_allowed(&with_parts("another", &[1, 9])));
+        assert!(node.is_allowed(&with_parts("another", &[1, 8])));
+    }
+}
+
+/// A part that a node has just seen run is cleared at the nodes that blame it.
+#[tokio::test(start_paused = true)]
+async fn harmless_part_is_spread() {
+    let (one, other) = (Node::start("n1"), Node::start("n2"));
+    for number in 0..3 {
+        let suspect = with_parts(&format!("suspect {number}"), &[1]);
+        one.crash_under(&[&suspect]).await;
+    }
+    let beside = with_parts("beside", &[1]);
+    assert!(!one.is_allowed(&beside));
+    one.gossip_to(&other);
+    other
+        .quarantine
+        .record_harmless_run(&beside, other.clock.now());
+    other.gossip_to(&one);
+    assert!(one.is_allowed(&beside));
+    assert!(other.is_allowed(&beside));
+}
+
+/// A blamed part is tried once, and no more after the trial crashed an upstream.
+#[tokio::test(start_paused = true)]
+async fn trial_of_a_blamed_part() {
+    let node = Node::start("n1");
+    for number in 0..3 {
+        let suspect = with_parts(&format!("suspect {number}"), &[1]);
+        node.crash_under(&[&suspect]).await;
+    }
+    let next = with_parts("next", &[1]);
+    assert!(!node.quarantine.take_trial(&next));
+    node.clock.advance(Millis(1_500));
+    assert!(node.quarantine.take_trial(&next));
+    assert!(!node.quarantine.take_trial(&with_parts("other", &[1])));
+    let fleet = Arc::clone(&node.fleet.borrow());
+    let suspect = Suspect {
+        trial: true,
+        ..Suspect::new(&next, Suspicion::Begun)
+    };
+    node.quarantine
+        .record_broken_connection(&fleet, &"e1".into(), suspect);
+    node.crash_under(&[]).await;
+    node.clock.advance(Millis(20_000));
+    assert!(!node.quarantine.take_trial(&with_parts("other", &[1])));
+}
--- a/lib/tests/test_gossip.rs
+++ b/lib/tests/test_gossip.rs
@@ -17,7 +17,8 @@
 use chivevalve::membership::Fleet;
 use chivevalve::membership::fleet::{State, Upstream};
 use chivevalve::poison::fingerprint::{Fingerprint, Identity};
-use chivevalve::poison::ledger::Suspicion;
+use chivevalve::poison::ledger::{Suspect, Suspicion};
+use chivevalve::poison::subjects::Subjects;
 use chivevalve::ports::Vm;
 use chivevalve::schema::declaration::Operation;
 use chivevalve::schema::peer::{Delta, Digest, SnapshotPart};
@@ -274,14 +275,14 @@
         .iter()
         .map(|number| join(&net, &store, *number, &numbers))
         .collect();
-    let poison = Fingerprint::of(&Identity {
+    let poison = Subjects::from(Fingerprint::of(&Identity {
         caller: "shop",
         model: "summary",
         method: "POST",
         host: "",
         path: "/v1/chat/completions",
         body: b"poison",
-    });
+    }));
     let observer = &nodes[0].quarantine;
     let (sender, fleets) = tokio::sync::watch::channel(fleet(State::Usable));
     tokio::spawn(Arc::clone(observer).follow(fleets));
@@ -289,8 +290,7 @@
         observer.record_broken_connection(
             &fleet(State::Usable),
             &"e1".into(),
-            &poison,
-            Suspicion::Begun,
+            Suspect::new(&poison, Suspicion::Begun),
         );
         for state in [State::Suspended, State::Usable] {
             sender.send_replace(fleet(state));
