--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -114,6 +114,15 @@
     ("no-return", Trick::NoReturn),
 ];
 
+/// What crashes each engine that runs it.
+#[derive(Debug, Default)]
+struct Poison {
+    /// One request, which comes again.
+    request: bool,
+    /// A prompt part of different requests.
+    part: bool,
+}
+
 /// How a soak is to be.
 #[derive(Debug)]
 struct Options {
@@ -123,10 +132,7 @@
     workers: u64,
     exact: bool,
     story: bool,
-    /// Whether one caller sends a poison request.
-    poison: bool,
-    /// Whether different requests have a poison prompt part.
-    poison_part: bool,
+    poison: Poison,
     trick: Trick,
     program: Option<PathBuf>,
     dir: PathBuf,
@@ -164,8 +170,7 @@
         workers: 24,
         exact: false,
         story: false,
-        poison: false,
-        poison_part: false,
+        poison: Poison::default(),
         trick: Trick::None,
         program: None,
         dir: site::directory(),
@@ -179,8 +184,8 @@
             Long("workers") => options.workers = parser.value()?.parse()?,
             Long("exact") => options.exact = true,
             Long("story") => options.story = true,
-            Long("poison") => options.poison = true,
-            Long("poison-part") => options.poison_part = true,
+            Long("poison") => options.poison.request = true,
+            Long("poison-part") => options.poison.part = true,
             Long("program") => options.program = Some(parser.value()?.into()),
             Long("dir") => options.dir = parser.value()?.into(),
             Long("trick") => {
@@ -208,10 +213,10 @@
             tokio::spawn(caller::run(site, calls, options.seed, worker))
         })
         .collect();
-    if options.poison {
+    if options.poison.request {
         tokio::spawn(caller::poison(Arc::clone(&site), Arc::clone(&calls)));
     }
-    if options.poison_part {
+    if options.poison.part {
         tokio::spawn(caller::poison_part(Arc::clone(&site), Arc::clone(&calls)));
     }
     for step in &steps {
