poison: reports in a module of their own

Types of reports move to poison::report; the module's page names all parts. Reports and messages are as they were.

--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -16,7 +16,7 @@
 use crate::direct::request::ActiveRequest;
 use crate::direct::request_log::{self, RequestOutcome};
 use crate::error::{Code, Failure};
-use crate::poison::ledger::Suspicion;
+use crate::poison::report::Suspicion;
 use crate::ports::http::remove_hop_by_hop;
 
 /// Timeout of a request whose caller names none.
--- a/lib/src/direct/quarantine/unconfirmed.rs
+++ b/lib/src/direct/quarantine/unconfirmed.rs
@@ -14,7 +14,7 @@
 use crate::direct::view::State;
 use crate::error::{Code, Failure};
 use crate::name::Name;
-use crate::poison::ledger::{CrashReport, Suspect};
+use crate::poison::report::{CrashReport, Suspect};
 use crate::poison::subjects::Subjects;
 
 /// Time that a node has to report a crash that it told others of, before the first of them
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -18,7 +18,7 @@
 use super::upstream::Upstream;
 use super::versions;
 use crate::clock::Millis;
-use crate::poison::ledger::Suspicion;
+use crate::poison::report::Suspicion;
 
 /// Wait for an event, in multiples of the route's maximum gap, before the stream is resumed
 /// elsewhere.
--- a/lib/src/direct/request/outcome.rs
+++ b/lib/src/direct/request/outcome.rs
@@ -10,7 +10,7 @@
 use crate::direct::upstream::Upstream;
 use crate::error::{Code, Failure};
 use crate::name::Name;
-use crate::poison::ledger::Suspicion;
+use crate::poison::report::Suspicion;
 
 /// Undelivered sends after which a request fails.
 const MAX_UNDELIVERED: u32 = 4;
--- a/lib/src/direct/request/quarantine.rs
+++ b/lib/src/direct/request/quarantine.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 use crate::direct::upstream::Upstream;
 use crate::error::{Code, Failure};
-use crate::poison::ledger::{Suspect, Suspicion};
+use crate::poison::report::{Suspect, Suspicion};
 
 impl ActiveRequest {
     /// Fails if the request is quarantined and can't be sent on trial either.
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -22,7 +22,8 @@
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
-use crate::poison::ledger::{CrashLedger, CrashReport};
+use crate::poison::ledger::CrashLedger;
+use crate::poison::report::CrashReport;
 use crate::poison::unconfirmed::UnconfirmedCrashes;
 use crate::ports::{Entry, network};
 
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -18,7 +18,7 @@
 use crate::error::{Code, Failure, Fate};
 use crate::membership::fleet::Owner;
 use crate::name::Name;
-use crate::poison::ledger::Suspicion;
+use crate::poison::report::Suspicion;
 use crate::poison::subjects::Subjects;
 use crate::policy::placement::Pool;
 use crate::ports::UpstreamResponse;
--- a/lib/src/entry/gateway.rs
+++ b/lib/src/entry/gateway.rs
@@ -28,7 +28,7 @@
 use crate::membership::fleet::State;
 use crate::name::Name;
 use crate::poison::fingerprint::{Fingerprint, Identity};
-use crate::poison::ledger::{Suspect, Suspicion};
+use crate::poison::report::{Suspect, Suspicion};
 use crate::poison::subjects::Subjects;
 use crate::policy::placement::{self, Pool, Router};
 use crate::request::Ticket;
--- a/lib/src/entry/quarantine.rs
+++ b/lib/src/entry/quarantine.rs
@@ -21,7 +21,8 @@
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
 use crate::poison::harmless::HarmlessRequests;
-use crate::poison::ledger::{CrashLedger, CrashReport, REPORT_TTL, Suspect};
+use crate::poison::ledger::{CrashLedger, REPORT_TTL};
+use crate::poison::report::{CrashReport, Suspect};
 use crate::poison::subjects::Subjects;
 use crate::poison::trial::{self, Trials};
 
--- a/lib/src/entry/quarantine/gossip_state.rs
+++ b/lib/src/entry/quarantine/gossip_state.rs
@@ -9,7 +9,7 @@
 use crate::gossip::GossipState;
 use crate::name::Name;
 use crate::poison::fingerprint::Fingerprint;
-use crate::poison::ledger::{Suspect, Suspicion};
+use crate::poison::report::{Suspect, Suspicion};
 use crate::poison::subjects::Subjects;
 use crate::schema::peer::{self, Delta, Digest};
 
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -18,7 +18,7 @@
 use super::sse::EventSplitter;
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
-use crate::poison::ledger::Suspicion;
+use crate::poison::report::Suspicion;
 
 /// Frames queued for a caller before reading from its upstream stops (backpressure).
 const QUEUED_FRAMES: usize = 4;
--- a/lib/src/poison/unconfirmed.rs
+++ b/lib/src/poison/unconfirmed.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use super::ledger::CrashReport;
+use super::report::CrashReport;
 use super::subjects::Subjects;
 use crate::clock::Millis;
 use crate::name::Name;
--- a/lib/src/poison/verdict.rs
+++ b/lib/src/poison/verdict.rs
@@ -10,7 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::fingerprint::Fingerprint;
-use super::ledger::{CrashReport, REPORT_TTL, Suspect, Suspicion};
+use super::ledger::REPORT_TTL;
+use super::report::{CrashReport, Suspect, Suspicion};
 use super::subjects::Subjects;
 use super::trial;
 use crate::error::{Code, Failure};
--- a/lib/tests/test_direct_quarantine.rs
+++ b/lib/tests/test_direct_quarantine.rs
@@ -16,7 +16,7 @@
 use chivevalve::direct::view::{PutOutcome, View};
 use chivevalve::name::Name;
 use chivevalve::poison::fingerprint::{Fingerprint, Identity};
-use chivevalve::poison::ledger::{CrashReport, Suspect, Suspicion};
+use chivevalve::poison::report::{CrashReport, Suspect, Suspicion};
 use chivevalve::poison::subjects::Subjects;
 use chivevalve_platform::PlatformDialect;
 use direct_support::memory::MemoryStore;
--- a/lib/tests/test_entry_quarantine.rs
+++ b/lib/tests/test_entry_quarantine.rs
@@ -9,7 +9,7 @@
 use chivevalve::membership::Fleet;
 use chivevalve::membership::fleet::{State, Upstream};
 use chivevalve::poison::fingerprint::{Fingerprint, Identity};
-use chivevalve::poison::ledger::{Suspect, Suspicion};
+use chivevalve::poison::report::{Suspect, Suspicion};
 use chivevalve::poison::subjects::Subjects;
 use chivevalve::ports::Vm;
 use chivevalve::schema::peer::{Delta, Digest};
--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -6,7 +6,8 @@
 use chivevalve::name::Name;
 use chivevalve::poison::fingerprint::{Fingerprint, Identity};
 use chivevalve::poison::harmless::HarmlessRequests;
-use chivevalve::poison::ledger::{CrashLedger, CrashReport, REPORT_TTL, Suspect, Suspicion};
+use chivevalve::poison::ledger::{CrashLedger, REPORT_TTL};
+use chivevalve::poison::report::{CrashReport, Suspect, Suspicion};
 use chivevalve::poison::subjects::Subjects;
 use quickcheck::{Gen, QuickCheck};
 
