--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -139,8 +139,9 @@
     ///
     /// # Errors
     ///
-    /// [`Code::Quarantined`](crate::error::Code::Quarantined) if the request is blamed for crashes of upstreams, and
-    /// [`Code::PartQuarantined`](crate::error::Code::PartQuarantined) if parts of its prompt are.
+    /// [`Quarantined`](crate::error::Code::Quarantined) if the request is blamed for crashes of
+    /// upstreams, and [`PartQuarantined`](crate::error::Code::PartQuarantined) if parts of its
+    /// prompt are.
     pub fn check(&self, subjects: &Subjects) -> Result<(), Failure> {
         let now = self.clock.now();
         let blame = self.view.state().ledger.blame_of(subjects, now).cloned();
--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -373,6 +373,23 @@
     assert!(!reports.is_blamed(203, &[7, 20]));
 }
 
+/// A part that most requests had must not be blamed for one crash more than the part that few had.
+#[test]
+fn blame_prefers_what_few_requests_had() {
+    let mut reports = TestLedger::default();
+    let beside = |upstream: u64| {
+        [1, 2].map(|number| with_parts(100 * number + upstream, &[7, 20 + 2 * upstream + number]))
+    };
+    for upstream in 0..4 {
+        let [one, two] = beside(upstream);
+        let requests = [with_parts(upstream, &[7, 9]), one, two];
+        reports.report_parts(upstream, &requests, Millis(10_000));
+    }
+    reports.report_parts(4, &beside(4), Millis(10_000));
+    assert!(reports.is_blamed(50, &[7, 9]));
+    assert!(!reports.is_blamed(51, &[7, 8]));
+}
+
 /// A run before a series of crashes must not protect a part for longer than a burst.
 #[test]
 fn sound_run_refutes_one_burst() {
