logs, metrics: tell how late a node is with everything

A node that is late because of its processor, its link, or its share of an upstream's connections couldn't be told from one before slow upstreams: all three ended in `unsent`, `no answer` and deadlines. Now gauges tell how long a ready task waits (measured once a connection) and by how much the fastest recent round trip exceeds the fastest one of the process; retries for want of a connection of one's own are counted as `at_limit`, not `unsent`, and aren't mixed with refused connections. What a request does is as before. The accept loop moves to a file of its own.

--- a/lib/src/direct/admit.rs
+++ b/lib/src/direct/admit.rs
@@ -289,6 +289,9 @@
         let timeout = limit.map_or(ADMIT_TIMEOUT, |_| LIMITED_ADMIT_TIMEOUT);
         match tokio::time::timeout(timeout.duration(), call).await {
             Ok(Ok((replies, Some(reply)))) => {
+                let answered_at = self.clock.now();
+                let took = answered_at.since(now);
+                self.view.delays.record_round_trip(took, answered_at);
                 let limit = reply.rejection_limit;
                 self.record_told(upstream, limit, reply.notice_age_ms);
                 decision_from_reply(replies, &reply, prefill_pending)
--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -64,6 +64,8 @@
 pub enum SendError {
     /// Nothing was sent.
     Unsent(String),
+    /// Nothing was sent, as this node may open no further connection to the upstream.
+    AtLimit(String),
     /// The upstream responded that it did not run the request.
     Rejected {
         /// The response's status.
@@ -95,6 +97,7 @@
     pub const fn name(&self) -> &'static str {
         match self {
             Self::Unsent(_) => "unsent",
+            Self::AtLimit(_) => "at_limit",
             Self::Rejected { .. } => "rejected",
             Self::Withdrawn { .. } => "withdrawn",
             Self::Lost(..) => "lost",
@@ -304,6 +307,7 @@
 fn send_error(lost: &TransportError) -> SendError {
     match lost {
         TransportError::Unsent(cause) => SendError::Unsent(cause.clone()),
+        TransportError::AtLimit(cause) => SendError::AtLimit(cause.clone()),
         TransportError::Sent(cause) => SendError::Lost(Code::UpstreamLost, cause.clone()),
     }
 }
--- a/lib/src/direct/dial.rs
+++ b/lib/src/direct/dial.rs
@@ -16,10 +16,14 @@
 ///
 /// If none can be established; the upstream has received nothing.
 pub(super) async fn dial(view: &View, clock: &dyn Clock, upstream: &Upstream) -> Dialed {
+    let started_at = clock.now();
     let dialed = upstream.connection_pool.dial().await;
     let (reachability, now) = (&view.reachability, clock.now());
     match &dialed {
-        Ok(_) => reachability.record_success(upstream, now),
+        Ok(_) => {
+            reachability.record_success(upstream, now);
+            view.delays.record_round_trip(now.since(started_at), now);
+        }
         Err(DialError::TimedOut(_)) => reachability.record_failure(upstream, Loss::Silent, now),
         Err(DialError::Failed(_)) => reachability.record_failure(upstream, Loss::Refused, now),
     }
--- a/lib/src/direct/entry/gauges.rs
+++ b/lib/src/direct/entry/gauges.rs
@@ -33,6 +33,14 @@
             blames.partition(|blame| blame.is_of_parts());
         metrics.quarantined.set(gauge_value(requests.len()));
         metrics.quarantined_parts.set(gauge_value(parts.len()));
+        let (now, delays) = (self.clock.now(), &self.view.delays);
+        for (name, delay) in [
+            ("tasks", delays.scheduling(now)),
+            ("round_trips", delays.link(now)),
+        ] {
+            let gauge = metrics.delay_ms.with_label_values(&[name]);
+            gauge.set(gauge_value(delay.0));
+        }
         let cut_off = self.view.reachability.cut_off_pools(self.clock.now());
         metrics.pools_cut_off.set(gauge_value(cut_off));
         metrics.nodes.set(gauge_value(state.nodes.len()));
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -6,15 +6,13 @@
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
-use futures::FutureExt;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
 
@@ -25,6 +23,7 @@
 use super::fanout::Subscription;
 use super::follow::Follower;
 use super::limits::{Limits, SharedLimits};
+use super::listener::{accept, serve_callers};
 use super::ownership::Ownership;
 use super::peer_server;
 use super::tunnel;
@@ -32,7 +31,6 @@
 use crate::clock::{Boot, Clock, Millis};
 use crate::metrics::Metrics;
 use crate::name::Name;
-use crate::ports::connection_pool::enable_dead_peer_detection;
 use crate::ports::metered::Metered;
 use crate::ports::poll::Poll;
 use crate::ports::{Error, Lease, Store, network};
@@ -51,9 +49,6 @@
 /// Time for the operating system to send what is in its socket buffers.
 const SOCKET_FLUSH: Millis = Millis(50);
 
-/// Pause after a failed accept, so that the loop doesn't spin while file descriptors are exhausted.
-const ACCEPT_RETRY_PAUSE: Millis = Millis(20);
-
 /// Connections that may wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
@@ -424,60 +419,3 @@
 fn metrics_response(frontend: &Frontend, _: &Request<Incoming>) -> Response<Full<Bytes>> {
     Response::new(Full::from(frontend.render_metrics()))
 }
-
-async fn serve_callers(listener: TcpListener, frontend: Arc<Frontend>, closing: CancellationToken) {
-    let graceful = GracefulShutdown::new();
-    loop {
-        let stream = tokio::select! {
-            stream = accept(&listener) => stream,
-            () = closing.cancelled() => break,
-        };
-        let Some(stream) = stream else {
-            continue;
-        };
-        serve_caller(stream, &frontend, &graceful);
-    }
-    // Connections in the listen queue are still served. The port must then be closed: if it were
-    // open without anything accepting, a new caller would wait for as long as responses in
-    // progress keep the process alive, instead of connecting to another node.
-    while let Some(Some(stream)) = accept(&listener).now_or_never() {
-        serve_caller(stream, &frontend, &graceful);
-    }
-    drop(listener);
-    graceful.shutdown().await;
-}
-
-fn serve_caller(stream: TcpStream, frontend: &Arc<Frontend>, graceful: &GracefulShutdown) {
-    let limits = frontend
-        .view
-        .config()
-        .map(|config| config.limits)
-        .unwrap_or_default();
-    let frontend = Arc::clone(frontend);
-    let service = service_fn(move |request| Arc::clone(&frontend).handle(request));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.duration())
-        .max_buf_size(limits.head_bytes.max(8 * 1024))
-        .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("node: a caller's connection failed: {error}");
-        }
-    });
-}
-
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
-    let accepted = listener.accept().await;
-    let error = match accepted {
-        Ok((stream, _)) => match enable_dead_peer_detection(&stream) {
-            Ok(()) => return Some(stream),
-            Err(error) => error,
-        },
-        Err(error) => error,
-    };
-    log::warn!("node: cannot accept a connection: {error}");
-    tokio::time::sleep(ACCEPT_RETRY_PAUSE.duration()).await;
-    None
-}
--- a/lib/src/direct/orders/send.rs
+++ b/lib/src/direct/orders/send.rs
@@ -113,7 +113,7 @@
                 self.record_contact();
                 Some(outcome)
             }
-            Err(TransportError::Unsent(reason)) => {
+            Err(TransportError::Unsent(reason) | TransportError::AtLimit(reason)) => {
                 if self.may_order() {
                     self.record_no_contact(reason);
                 }
--- a/lib/src/direct/request/outcome.rs
+++ b/lib/src/direct/request/outcome.rs
@@ -82,7 +82,8 @@
                 .push(Name::clone(&upstream.incarnation));
         }
         match error {
-            SendError::Unsent(cause) => self.handle_unsent(upstream, &cause),
+            SendError::Unsent(cause) => self.handle_unsent(upstream, &cause, "unsent"),
+            SendError::AtLimit(cause) => self.handle_unsent(upstream, &cause, "at_limit"),
             SendError::Rejected {
                 status, counted, ..
             } => self.handle_rejection(upstream, status, counted),
@@ -91,11 +92,16 @@
         }
     }
 
-    fn handle_unsent(&mut self, upstream: &Upstream, cause: &str) -> Result<(), Failure> {
+    fn handle_unsent(
+        &mut self,
+        upstream: &Upstream,
+        cause: &str,
+        reason: &str,
+    ) -> Result<(), Failure> {
         self.possible_runs -= 1;
         upstream.record_unreachable(self.now());
         self.undelivered += 1;
-        self.frontend.count_retry("unsent");
+        self.frontend.count_retry(reason);
         if self.undelivered >= MAX_UNDELIVERED {
             return Err(self.refusal(Code::ConnectFailed, cause));
         }
--- a/lib/src/direct/request_log.rs
+++ b/lib/src/direct/request_log.rs
@@ -110,7 +110,9 @@
 /// Logs that a send got no response.
 pub fn send_failed(request: &ActiveRequest, upstream: &Upstream, error: &SendError) {
     let (code, cause) = match error {
-        SendError::Unsent(cause) => (Code::ConnectFailed, cause.clone()),
+        SendError::Unsent(cause) | SendError::AtLimit(cause) => {
+            (Code::ConnectFailed, cause.clone())
+        }
         SendError::Rejected { status, .. } => (Code::UpstreamRefused, format!("status {status}")),
         SendError::Withdrawn { sent } => {
             let cause = format!("a newer version was declared, sent={sent}");
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use super::config::Config;
+use super::delays::Delays;
 use super::dialect::{Dialect, Key, UpstreamEntry};
 use super::presence::EntryRevision;
 use super::quarantine::{CRASH_REPORT_PREFIX, HARMLESS_PREFIX, UNCONFIRMED_CRASH_PREFIX};
@@ -125,6 +126,8 @@
     as_of: AtomicU64,
     /// Which upstreams this node reaches itself.
     pub reachability: Reachability,
+    /// How late this node is with everything.
+    pub delays: Delays,
     /// Notified after every change.
     pub changed: Notify,
 }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -97,6 +97,8 @@
     pub tunnels_served: IntGauge,
     /// Pools of which this node reaches no upstream.
     pub pools_cut_off: IntGauge,
+    /// Milliseconds by which this node is late with everything, by what is late.
+    pub delay_ms: IntGaugeVec,
     /// Pools whose upstreams run several software versions.
     pub mixed_pools: IntGauge,
     /// Streams that callers resume, by how this node learned where they began.
@@ -292,6 +294,11 @@
                 "pools_cut_off",
                 "Pools of which this node reaches no upstream.",
             ),
+            delay_ms: maker.gauges(
+                "delay_ms",
+                "Milliseconds by which this node is late with everything.",
+                &["of"],
+            ),
             mixed_pools: maker.gauge(
                 "mixed_pools",
                 "Pools whose upstreams run several software versions.",
--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -45,6 +45,9 @@
 pub enum TransportError {
     /// No byte of the request was sent, so the server can't have seen it.
     Unsent(String),
+    /// No byte of the request was sent, as this node has all the connections to the server that it
+    /// may open. That tells nothing of the server.
+    AtLimit(String),
     /// The server may have received the request or part of it.
     Sent(String),
 }
@@ -215,7 +218,8 @@
     ///
     /// # Errors
     ///
-    /// [`TransportError::Unsent`] if the connection limit is reached or connecting fails.
+    /// [`TransportError::AtLimit`] if the connection limit is reached, [`TransportError::Unsent`] if
+    /// connecting fails.
     pub async fn acquire(&self, max_idle: Millis) -> Result<Connection, TransportError> {
         if let Some(connection) = self.take_idle(max_idle, |one| !one.is_tunnel()) {
             return Ok(connection);
@@ -260,14 +264,14 @@
     ///
     /// # Errors
     ///
-    /// [`TransportError::Unsent`] if the connection limit is reached.
+    /// [`TransportError::AtLimit`] if the connection limit is reached.
     pub fn permit(&self) -> Result<OpenPermit, TransportError> {
         let limits = self.limits();
         let open = OpenGuard(Arc::clone(&self.open));
         let before = self.open.fetch_add(1, Ordering::Relaxed);
         // At the limit, an idle connection that is too old for this request is closed to make room.
         if before >= limits.max_open && self.idle_connections().pop().is_none() {
-            return Err(TransportError::Unsent(format!(
+            return Err(TransportError::AtLimit(format!(
                 "{before} connections are open, the limit is {}",
                 limits.max_open
             )));
