connections: a node uses what other nodes don't use of an upstream's connections

Change: at its limit, a node asks another one to open the connection, as it does without a path. Who opens a connection counts it, so that all nodes together stay within the upstream's limit as before; until now the asking node counted it, and the opening one didn't. A borrowed connection is kept idle for a second. A send at the limit doesn't count against the upstream, and waits 100 ms for a connection of this node if no other node has one.

--- a/lib/src/direct/path.rs
+++ b/lib/src/direct/path.rs
@@ -20,6 +20,12 @@
 /// Time for a direct connection before another node is asked as well.
 const HEAD_START: Millis = Millis(40);
 
+/// How long a request waits for a connection of this node if no other node may open one.
+const OWN_CONNECTION_TIMEOUT: Millis = Millis(100);
+
+/// Pause between two looks for it.
+const OWN_CONNECTION_PAUSE: Millis = Millis(10);
+
 type Opened = Result<(Box<dyn Stream>, Route), TransportError>;
 
 /// Opens connections of requests.
@@ -43,8 +49,8 @@
     ///
     /// # Errors
     ///
-    /// [`TransportError::Unsent`] if the connection limit is reached, or neither this node nor
-    /// another one that was asked can connect.
+    /// [`TransportError::AtLimit`] if neither this node nor another one that was asked may open a
+    /// further connection, [`TransportError::Unsent`] if neither can connect.
     pub async fn acquire(
         &self,
         upstream: &Arc<Upstream>,
@@ -66,11 +72,46 @@
             }
             return Ok(connection);
         }
-        let permit = pool.permit()?;
+        let permit = match pool.permit() {
+            Ok(permit) => permit,
+            Err(at_limit) => return self.borrow(upstream, max_idle, at_limit).await,
+        };
         let (stream, route) = self.open(upstream, advice).await?;
+        // The other node counts what it opened.
+        let permit = matches!(route, Route::Direct).then_some(permit);
         pool.adopt(permit, stream, route).await
     }
 
+    /// Uses a connection that another node may still open, as this node has all that it may open.
+    ///
+    /// If there is none either, waits a moment for one of its own.
+    ///
+    /// # Errors
+    ///
+    /// `at_limit` if there is none.
+    async fn borrow(
+        &self,
+        upstream: &Arc<Upstream>,
+        max_idle: Millis,
+        at_limit: TransportError,
+    ) -> Result<Connection, TransportError> {
+        let pool = &upstream.connection_pool;
+        if let Some(connection) = pool.take_idle(max_idle, Connection::is_tunnel) {
+            return Ok(connection);
+        }
+        if let Ok((stream, route)) = self.open_tunnel(upstream).await {
+            return pool.adopt(None, stream, route).await;
+        }
+        let until = self.now() + OWN_CONNECTION_TIMEOUT;
+        while self.now() < until {
+            tokio::time::sleep(OWN_CONNECTION_PAUSE.duration()).await;
+            if let Some(connection) = pool.take_idle(max_idle, |_| true) {
+                return Ok(connection);
+            }
+        }
+        Err(at_limit)
+    }
+
     /// Records that a request is sent through another node.
     pub fn record_send(&self, request: &str, upstream: &Upstream, node: &Name) {
         self.controllers.metrics.tunneled_sends.inc();
--- a/lib/src/direct/request/outcome.rs
+++ b/lib/src/direct/request/outcome.rs
@@ -82,8 +82,11 @@
                 .push(Name::clone(&upstream.incarnation));
         }
         match error {
-            SendError::Unsent(cause) => self.handle_unsent(upstream, &cause, "unsent"),
-            SendError::AtLimit(cause) => self.handle_unsent(upstream, &cause, "at_limit"),
+            SendError::Unsent(cause) => {
+                upstream.record_unreachable(self.now());
+                self.handle_unsent(&cause, "unsent")
+            }
+            SendError::AtLimit(cause) => self.handle_unsent(&cause, "at_limit"),
             SendError::Rejected {
                 status, counted, ..
             } => self.handle_rejection(upstream, status, counted),
@@ -92,14 +95,8 @@
         }
     }
 
-    fn handle_unsent(
-        &mut self,
-        upstream: &Upstream,
-        cause: &str,
-        reason: &str,
-    ) -> Result<(), Failure> {
+    fn handle_unsent(&mut self, cause: &str, reason: &str) -> Result<(), Failure> {
         self.possible_runs -= 1;
-        upstream.record_unreachable(self.now());
         self.undelivered += 1;
         self.frontend.count_retry(reason);
         if self.undelivered >= MAX_UNDELIVERED {
--- a/lib/src/direct/tunnel/server.rs
+++ b/lib/src/direct/tunnel/server.rs
@@ -18,6 +18,7 @@
 use crate::direct::dial::dial;
 use crate::direct::upstream::Upstream;
 use crate::metrics::Metrics;
+use crate::ports::connection_pool::OpenPermit;
 use crate::ports::network::Stream;
 use crate::schema::direct::TunnelChunk;
 use crate::schema::direct::tunnels_server::Tunnels;
@@ -128,6 +129,9 @@
             return Err(Status::invalid_argument("no upstream is named"));
         };
         let upstream = self.upstream(&first.incarnation)?;
+        let permit = upstream.connection_pool.permit().map_err(|_| {
+            Status::aborted("this node has all the connections to it that it may open")
+        })?;
         let stream = self.connect(&upstream).await?;
         log::info!(
             upstream = &*upstream.incarnation,
@@ -141,6 +145,7 @@
             replies,
             leaving: self.leaving.clone(),
             _open: open,
+            _permit: permit,
         };
         tokio::spawn(tunnel.run(stream));
         Ok(ReceiverStream::new(receiver))
@@ -154,6 +159,8 @@
     replies: Replies,
     leaving: CancellationToken,
     _open: OpenGuard,
+    /// Counts the connection at this node, which opened it.
+    _permit: OpenPermit,
 }
 
 /// Counts a tunnel as open until this is dropped.
--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -37,6 +37,9 @@
 /// Idle time before TCP keepalive probes start, and the interval between them.
 const KEEPALIVE_INTERVAL: Millis = Millis(1_000);
 
+/// How long an idle connection through another node is kept, which may need it itself.
+const TUNNEL_IDLE_TIMEOUT: Millis = Millis(1_000);
+
 /// Size of the read buffer, which limits the length of a response head.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 
@@ -128,7 +131,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     route: Route,
-    open: OpenGuard,
+    /// Counts it here, unless another node opened it and counts it.
+    _open: Option<OpenGuard>,
 }
 
 impl Connection {
@@ -226,7 +230,7 @@
         }
         let permit = self.permit()?;
         let stream = self.dial().await?;
-        self.adopt(permit, stream, Route::Direct).await
+        self.adopt(Some(permit), stream, Route::Direct).await
     }
 
     /// Takes the connection that was used last among those that `fits` accepts, if it has been idle
@@ -281,12 +285,14 @@
 
     /// Starts to speak HTTP on a byte stream to the server.
     ///
+    /// Without a permit, the connection isn't counted here.
+    ///
     /// # Errors
     ///
     /// [`TransportError::Unsent`] if the stream breaks.
     pub async fn adopt(
         &self,
-        permit: OpenPermit,
+        permit: Option<OpenPermit>,
         stream: Box<dyn Stream>,
         route: Route,
     ) -> Result<Connection, TransportError> {
@@ -303,7 +309,7 @@
         Ok(Connection {
             sender,
             route,
-            open: permit.0,
+            _open: permit.map(|permit| permit.0),
         })
     }
 
@@ -337,9 +343,12 @@
             return;
         }
         let limits = self.limits();
-        let lifetime = server_timeout.map_or(limits.idle_timeout, |timeout| {
+        let mut lifetime = server_timeout.map_or(limits.idle_timeout, |timeout| {
             limits.idle_timeout.min(timeout - Millis::from_secs(1))
         });
+        if connection.is_tunnel() {
+            lifetime = lifetime.min(TUNNEL_IDLE_TIMEOUT);
+        }
         if lifetime == Millis::ZERO {
             return;
         }
@@ -366,7 +375,6 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TransportError> {
-        debug_assert!(self.open.0.load(Ordering::Relaxed) > 0);
         if let Err(error) = self.sender.ready().await {
             return Err(TransportError::Unsent(error_chain(&error)));
         }
