overload: a node refuses new connections that it can't serve

Callers saw deadlines and 503 at a node that got most new connections: it read everything, at any load, and was late with all of it. Change: a node measures how long a ready task waits (with each round of new connections) and by how much the fastest of four round trips exceeds the fastest of the process. While it is late its port for callers is closed; it opens it for a round of connections each 50 ms once it isn't, one more from time to time, and for one in 250 ms in any case (docs/design/0020-overload.md). Answers on open connections close them meanwhile. Callers hold half of the descriptors at most. The product's own interface has the same cause and the same decision, for the processor.

--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -16,6 +16,7 @@
 use crate::direct::request::ActiveRequest;
 use crate::direct::request_log::{self, RequestOutcome};
 use crate::error::{Code, Failure};
+use crate::overload::Overload;
 use crate::poison::report::Suspicion;
 use crate::ports::http::remove_hop_by_hop;
 
@@ -62,7 +63,9 @@
             Ok(response) => response,
             Err(failure) => error_response(&failure),
         };
-        if self.drain.is_draining() {
+        // New connections can be closed unread, but requests on open ones are read.
+        let is_overloaded = Overload::of(&self.view.delays, self.clock.now()).is_some();
+        if self.drain.is_draining() || is_overloaded {
             response
                 .headers_mut()
                 .insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -24,6 +24,8 @@
     pub entry_expiry: Millis,
     /// Time for which upstreams announce a limit on rejections before it takes effect.
     pub rejection_lead: Millis,
+    /// Maximum number of connections that callers hold at a node.
+    pub caller_connections: usize,
     /// The retry budget that all nodes share.
     pub retries: RetryLimits,
 }
@@ -50,6 +52,7 @@
             rejoin: Millis(3_000),
             entry_expiry: Millis(3_600),
             rejection_lead: Millis(3_000),
+            caller_connections: 2_000,
             retries: RetryLimits {
                 ratio: 0.2,
                 window: Millis::from_secs(10),
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -17,7 +17,6 @@
 pub mod config;
 pub mod control_call;
 pub mod controllers;
-pub mod delays;
 mod dial;
 pub mod dialect;
 pub mod drain;
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
 
@@ -23,7 +23,7 @@
 use super::fanout::Subscription;
 use super::follow::Follower;
 use super::limits::{Limits, SharedLimits};
-use super::listener::{accept, serve_callers};
+use super::listener::{accept, bind, serve_callers, set_up};
 use super::ownership::Ownership;
 use super::peer_server;
 use super::tunnel;
@@ -49,9 +49,6 @@
 /// Time for the operating system to send what is in its socket buffers.
 const SOCKET_FLUSH: Millis = Millis(50);
 
-/// Connections that may wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1_024;
-
 /// A node's settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -364,30 +361,12 @@
     }
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()
-    } else {
-        TcpSocket::new_v6()
-    }
-    .wrap_err("cannot create a socket")?;
-    socket
-        .set_reuseaddr(true)
-        .wrap_err("cannot set SO_REUSEADDR")?;
-    socket
-        .bind(address)
-        .wrap_err_with(|| format!("cannot bind {address}"))?;
-    socket
-        .listen(LISTEN_BACKLOG)
-        .wrap_err_with(|| format!("cannot listen on {address}"))
-}
-
 type SyncHandler = fn(&Frontend, &Request<Incoming>) -> Response<Full<Bytes>>;
 
 /// Serves requests with a handler that responds at once.
 async fn serve_sync(listener: TcpListener, frontend: Arc<Frontend>, handler: SyncHandler) {
     loop {
-        let Some(stream) = accept(&listener).await else {
+        let Some(stream) = accept(&listener).await.filter(set_up) else {
             continue;
         };
         let frontend = Arc::clone(&frontend);
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -12,7 +12,6 @@
 use tokio::sync::Notify;
 
 use super::config::Config;
-use super::delays::Delays;
 use super::dialect::{Dialect, Key, UpstreamEntry};
 use super::presence::EntryRevision;
 use super::quarantine::{CRASH_REPORT_PREFIX, HARMLESS_PREFIX, UNCONFIRMED_CRASH_PREFIX};
@@ -23,6 +22,7 @@
 use super::versions::{Declaration, Declarations};
 use crate::clock::Millis;
 use crate::name::Name;
+use crate::overload::delays::Delays;
 use crate::poison::fingerprint::Fingerprint;
 use crate::poison::ledger::CrashLedger;
 use crate::poison::report::CrashReport;
--- a/lib/src/entry/server.rs
+++ b/lib/src/entry/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -11,6 +12,8 @@
 use super::Dependencies;
 use super::connection::{self, IdleTimeouts};
 use super::gateway::Gateway;
+use crate::overload::delays::Delays;
+use crate::overload::{Intake, MAX_CONNECTIONS_IN_A_ROUND, Overload};
 
 /// Pause after a failed accept, for example when the process has no free file descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -40,25 +43,44 @@
 
 impl Server {
     async fn accept(&self, listener: TcpListener) {
+        let (mut intake, delays) = (Intake::default(), Delays::default());
+        let clock = &*self.gateway.parts.clock;
         loop {
             let accepted = tokio::select! {
                 () = self.stop.cancelled() => return,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => self.admit(stream),
+                Ok((stream, _)) => self.admit(stream, &mut intake),
                 Err(error) => {
                     log::warn!("entry: can't accept a connection: {error}");
                     tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
                 }
             }
+            // Those that came in the meantime have waited for the same tasks.
+            for _ in 1..MAX_CONNECTIONS_IN_A_ROUND {
+                let Some(Ok((stream, _))) = listener.accept().now_or_never() else {
+                    break;
+                };
+                self.admit(stream, &mut intake);
+            }
+            intake.next_round(&delays, clock).await;
         }
     }
 
-    /// Serves a connection, or closes it at once when the connection limit is reached.
-    fn admit(&self, stream: TcpStream) {
-        let Ok(permit) = Arc::clone(&self.connection_permits).try_acquire_owned() else {
-            log::debug!("entry: closed a new connection: the connection limit is reached");
+    /// Serves a connection, or closes it at once when the connection limit is reached or the node
+    /// has too much to do.
+    fn admit(&self, stream: TcpStream, intake: &mut Intake) {
+        let max_open = self.gateway.parts.limits.connections;
+        let open = max_open - self.connection_permits.available_permits();
+        let now = self.gateway.parts.clock.now();
+        let overload = intake.decide((open, max_open), now);
+        let permit = Arc::clone(&self.connection_permits).try_acquire_owned();
+        let (None, Ok(permit)) = (overload, permit) else {
+            let reason = overload.unwrap_or(Overload::Connections).name();
+            let closed = &self.gateway.parts.metrics.connections_closed_unread;
+            closed.with_label_values(&[reason]).inc();
+            log::debug!("entry: closed a new connection unread: too much of {reason}");
             return;
         };
         // Nagle's algorithm would delay the small frames of streamed responses.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod name;
 pub mod node;
 pub mod operators;
+pub mod overload;
 pub mod owner;
 pub mod peer;
 pub mod poison;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -97,6 +97,10 @@
     pub tunnels_served: IntGauge,
     /// Pools of which this node reaches no upstream.
     pub pools_cut_off: IntGauge,
+    /// Connections of callers that were closed unread, by what the node has too much of.
+    pub connections_closed_unread: IntCounterVec,
+    /// Times that the port for callers was closed, by what the node has too much of.
+    pub port_closed: IntCounterVec,
     /// Milliseconds by which this node is late with everything, by what is late.
     pub delay_ms: IntGaugeVec,
     /// Pools whose upstreams run several software versions.
@@ -294,6 +298,16 @@
                 "pools_cut_off",
                 "Pools of which this node reaches no upstream.",
             ),
+            connections_closed_unread: maker.counters(
+                "connections_closed_unread_total",
+                "Connections of callers that were closed unread.",
+                &["reason"],
+            ),
+            port_closed: maker.counters(
+                "port_closed_total",
+                "Times that the port for callers was closed for a moment.",
+                &["reason"],
+            ),
             delay_ms: maker.gauges(
                 "delay_ms",
                 "Milliseconds by which this node is late with everything.",
--- a/lib/src/direct/delays.rs
+++ b/lib/src/overload/delays.rs
@@ -67,6 +67,14 @@
         samples.round_trips.push(took, now);
     }
 
+    /// Returns how long a ready task waited that was measured last.
+    #[must_use]
+    pub fn last_scheduling(&self) -> Millis {
+        let samples = self.samples();
+        let last = samples.scheduling.0.last();
+        last.map_or(Millis::ZERO, |(waited, _)| *waited)
+    }
+
     /// Returns by how much tasks that are ready wait.
     #[must_use]
     pub fn scheduling(&self, now: Millis) -> Millis {
