connections: orders reach an engine whose connections are all in use

An owner couldn't send its engine orders while requests used all connections of its share, its own or, since connections are borrowed, other nodes'; requests for adapters that the engine lacks then waited in vain. Control calls open a connection beyond the share, which the tenth of an upstream's connections covers that no share includes; one node gives an engine orders.

--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -220,15 +220,17 @@
 
     /// Takes a direct connection that has been idle for at most `max_idle`, or opens a new one.
     ///
+    /// It is for control calls, which one node makes to a server: the connection limit doesn't bind
+    /// them, as requests, of other nodes too, may use all that it allows.
+    ///
     /// # Errors
     ///
-    /// [`TransportError::AtLimit`] if the connection limit is reached, [`TransportError::Unsent`] if
-    /// connecting fails.
+    /// [`TransportError::Unsent`] if connecting fails.
     pub async fn acquire(&self, max_idle: Millis) -> Result<Connection, TransportError> {
         if let Some(connection) = self.take_idle(max_idle, |one| !one.is_tunnel()) {
             return Ok(connection);
         }
-        let permit = self.permit()?;
+        let permit = self.permit().unwrap_or_else(|_| self.permit_beyond_limit());
         let stream = self.dial().await?;
         self.adopt(Some(permit), stream, Route::Direct).await
     }
@@ -283,6 +285,11 @@
         Ok(OpenPermit(open))
     }
 
+    fn permit_beyond_limit(&self) -> OpenPermit {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenPermit(OpenGuard(Arc::clone(&self.open)))
+    }
+
     /// Starts to speak HTTP on a byte stream to the server.
     ///
     /// Without a permit, the connection isn't counted here.
