--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -63,7 +63,7 @@
             Ok(response) => response,
             Err(failure) => error_response(&failure),
         };
-        // New connections can be closed unread, but requests on open ones are read.
+        // Requests on open connections can't be refused unread.
         let is_overloaded = Overload::of(&self.view.delays, self.clock.now()).is_some();
         if self.drain.is_draining() || is_overloaded {
             response
--- a/lib/src/direct/listener.rs
+++ b/lib/src/direct/listener.rs
@@ -34,7 +34,7 @@
 /// How long an overloaded node waits for a new connection before it measures its delays again.
 const OPEN_TIME: Millis = Millis(50);
 
-/// Interval between two log lines about connections that are closed unread.
+/// Interval between two log lines about connections that are refused.
 const LOG_INTERVAL: Millis = Millis(1_000);
 
 /// Serves callers until the node stops, and then until their connections are closed.
