--- a/lib/src/overload/mod.rs
+++ b/lib/src/overload/mod.rs
@@ -10,7 +10,7 @@
 use crate::clock::{Clock, Millis};
 
 /// Connections that are taken in a row before other tasks run.
-pub const MAX_CONNECTIONS_IN_A_ROUND: usize = 64;
+pub const MAX_CONNECTIONS_IN_A_ROUND: usize = 16;
 
 /// Longest wait of tasks that are ready with which new connections are served.
 const MAX_SCHEDULING_DELAY: Millis = Millis(20);
@@ -27,7 +27,8 @@
 /// late again; later it grows by one in this time.
 const GROWTH_INTERVAL: Millis = Millis(100);
 
-/// How long after an overload the connections of a round are limited.
+/// How long the connections of a round are limited after an overload, or after a round that served
+/// as many as it might.
 const LIMIT_TIME: Millis = Millis(1_000);
 
 /// What a node has too much of.
@@ -79,7 +80,8 @@
     per_round: u32,
     is_doubling: bool,
     grown_at: Millis,
-    overloaded_at: Millis,
+    /// When the node was late, or a round served as many as it might, for the last time.
+    binding_at: Millis,
 }
 
 impl Intake {
@@ -99,9 +101,14 @@
 
     /// Begins a round; other tasks have run since the last one.
     pub fn begin_round(&mut self, delays: &Delays, now: Millis) {
-        self.served = 0;
+        let served = std::mem::take(&mut self.served);
         let overload = Overload::of(delays, now);
         let is_late = delays.last_scheduling() > MAX_SCHEDULING_DELAY;
+        if let Some(limit) = &mut self.limit
+            && served >= limit.per_round
+        {
+            limit.binding_at = now;
+        }
         match (&mut self.limit, overload) {
             (None, None) => {}
             (None, Some(overload)) => {
@@ -111,18 +118,18 @@
                     per_round: 1,
                     is_doubling: true,
                     grown_at: now,
-                    overloaded_at: now,
+                    binding_at: now,
                 });
             }
             (Some(limit), overload) if overload.is_some() || is_late => {
                 limit.overload = overload.unwrap_or(limit.overload);
-                limit.overloaded_at = now;
+                limit.binding_at = now;
                 if !std::mem::replace(&mut limit.is_late, true) {
                     limit.per_round = (limit.per_round / 2).max(1);
                     limit.is_doubling = false;
                 }
             }
-            (Some(limit), _) if now.since(limit.overloaded_at) < LIMIT_TIME => {
+            (Some(limit), _) if now.since(limit.binding_at) < LIMIT_TIME => {
                 let was_late = std::mem::replace(&mut limit.is_late, false);
                 if was_late {
                     limit.grown_at = now;
--- a/lib/tests/test_overload_intake.rs
+++ b/lib/tests/test_overload_intake.rs
@@ -62,9 +62,17 @@
     assert_eq!(round(&mut intake, 20, Millis(650)), 4);
     record_scheduling(&mut intake, &delays, 1, 750);
     assert_eq!(round(&mut intake, 20, Millis(750)), 5);
-    record_scheduling(&mut intake, &delays, 1, 1_600);
+    // The limit stays while callers use it up.
+    for now in (800..4_000).step_by(50) {
+        record_scheduling(&mut intake, &delays, 1, now);
+        assert_eq!(intake.overload(), Some(Overload::Processor));
+        round(&mut intake, 100, Millis(now));
+    }
+    for now in [4_000, 4_500, 5_000] {
+        record_scheduling(&mut intake, &delays, 1, now);
+    }
     assert_eq!(intake.overload(), None);
-    assert_eq!(round(&mut intake, 20, Millis(1_600)), 20);
+    assert_eq!(round(&mut intake, 20, Millis(5_000)), 20);
 }
 
 /// One slow upstream beside fast ones isn't taken for a slow link.
