--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -132,7 +132,7 @@
     sender: SendRequest<Full<Bytes>>,
     route: Route,
     /// Counts it here, unless another node opened it and counts it.
-    _open: Option<OpenGuard>,
+    open: Option<OpenGuard>,
 }
 
 impl Connection {
@@ -316,7 +316,7 @@
         Ok(Connection {
             sender,
             route,
-            _open: permit.map(|permit| permit.0),
+            open: permit.map(|permit| permit.0),
         })
     }
 
@@ -382,6 +382,8 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TransportError> {
+        let is_counted = |open: &OpenGuard| open.0.load(Ordering::Relaxed) > 0;
+        debug_assert!(self.open.as_ref().is_none_or(is_counted));
         if let Err(error) = self.sender.ready().await {
             return Err(TransportError::Unsent(error_chain(&error)));
         }
