review: a late release overwrites the claim of the next start

A node that is stopped puts its releases without a condition. Where the store does that write late, it replaces the claim that the next start of the node has made, and another node claims and orders at once.

--- a/review/standins/owners.rs
+++ b/review/standins/owners.rs
@@ -1,17 +1,18 @@
 //! Cases about which node gives a model server its orders.
 
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use crate::engine::{Engine, Order};
 use crate::http;
 use crate::json::Json;
 use crate::node::Node;
 use crate::record::{Draw, Record};
-use crate::store::{Deed, Store};
+use crate::store::{Deed, Lateness, Store};
 
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 
@@ -40,7 +41,7 @@
     store: Arc<Store>,
     nodes: Vec<Arc<Node>>,
     engines: Vec<Arc<Engine>>,
-    outcomes: Arc<Mutex<std::collections::BTreeMap<u16, usize>>>,
+    outcomes: Arc<Mutex<BTreeMap<u16, usize>>>,
     /// Whether clients ask for rare adapters, which have to be loaded.
     is_burst: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
@@ -51,30 +52,33 @@
 const RARE: u64 = 2_000;
 
 impl World {
-    fn start(record: Arc<Record>, store: Arc<Store>, nodes: usize, engines: usize) -> Self {
+    fn start(record: Arc<Record>, store: Arc<Store>, number: usize) -> Self {
+        let (first_node, first_engine) = (number * NODES, number * ENGINES);
         let start = record.start;
         store.put("op/config", CONFIG);
-        let engines: Vec<Arc<Engine>> = (0..engines)
-            .map(|number| Engine::start(&format!("i-engine{number}"), start))
+        let engines: Vec<Arc<Engine>> = (0..ENGINES)
+            .map(|number| Engine::start(&format!("i-engine{}", first_engine + number), start))
             .collect();
         for (number, engine) in engines.iter().enumerate() {
             let entry = engine.entry("engines", ZONES[number % ZONES.len()]);
             store.put(&format!("servers/{}", engine.id), &entry);
         }
-        let nodes: Vec<Arc<Node>> = (0..nodes)
+        let nodes: Vec<Arc<Node>> = (0..NODES)
             .map(|number| {
-                let name = format!("front-{number}");
+                let name = format!("front-{}", first_node + number);
                 let address = store.listen(&name);
                 Arc::new(Node::new(
                     &name,
                     ZONES[number % ZONES.len()],
-                    number as u8 + 1,
+                    (first_node + number) as u8 + 1,
                     address,
                 ))
             })
             .collect();
+        // They start within 0.3 s of each other.
         for node in &nodes {
             node.start();
+            thread::sleep(Duration::from_millis(140));
         }
         Self {
             record,
@@ -251,6 +255,12 @@
     }
 }
 
+/// Returns a seed that differs from play to play.
+fn seed() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(1, |since| since.as_nanos() as u64)
+}
+
 /// Returns whether a transaction releases a claim: it sets one without a lease.
 fn is_release(body: &Json) -> bool {
     body.get("setKeys").list().iter().any(|row| {
@@ -260,25 +270,91 @@
 
 /// When a write is done whose answer is lost: 1 to 6 s after it was sent. Here it comes when the
 /// stopped node runs again.
-const LATE: (Duration, Duration) = (Duration::from_millis(3_200), Duration::from_millis(5_800));
+const LATE: (Duration, Duration) = (Duration::from_millis(3_100), Duration::from_millis(5_900));
+
+/// Deployments that are played side by side, each with a store of its own, and how often.
+const DEPLOYMENTS: usize = 6;
+const ROUNDS: usize = 4;
+
+/// Nodes and model servers of a deployment.
+const NODES: usize = 3;
+const ENGINES: usize = 12;
+
+/// Time for nodes to claim the model servers.
+const SETTLING: Duration = Duration::from_millis(4_000);
 
 /// How long clients ask for rare adapters behind each stop, and how long they don't before it.
-const BURST: Duration = Duration::from_millis(6_000);
-const CALM: Duration = Duration::from_millis(4_500);
+const BURST: Duration = Duration::from_millis(5_200);
+const CALM: Duration = Duration::from_millis(3_700);
 
-/// When a node is stopped, counted from a renewal of its lease; it renews every 650 ms.
-const BEHIND_RENEWAL: Duration = Duration::from_millis(200);
+/// When a node is stopped, counted from a renewal of its lease, in milliseconds; it renews every
+/// 650 ms.
+const BEHIND_RENEWAL_MS: (u64, u64) = (50, 350);
 
 /// Nodes are stopped and started again in turn; the store does the last write of a stopping node
 /// late, and doesn't answer it.
 pub fn late_release(has_trouble: bool) -> i32 {
     let record = Arc::new(Record::new());
+    let mut found = Vec::new();
+    for round in 0..ROUNDS {
+        let deployments: Vec<_> = (0..DEPLOYMENTS)
+            .map(|number| {
+                let record = Arc::clone(&record);
+                let number = round * DEPLOYMENTS + number;
+                thread::spawn(move || play_deployment(number, &record, has_trouble))
+            })
+            .collect();
+        for deployment in deployments {
+            match deployment.join() {
+                Ok(Some(one)) => found.extend(one),
+                _ => {
+                    record.write("the nodes of a deployment don't get ready");
+                    return 2;
+                }
+            }
+        }
+    }
+    if found.is_empty() {
+        record.write("ONE held");
+        return 0;
+    }
+    record.write(&format!(
+        "ONE broken {} times:\n{}",
+        found.len(),
+        found.join("\n")
+    ));
+    1
+}
+
+fn node_name(deployment: usize, node: usize) -> String {
+    format!("front-{}", deployment * NODES + node)
+}
+
+/// Stops a node in order and starts it again; its last write is late if `is_late`.
+fn restart(record: &Record, node: &Node, stopping: &Mutex<HashSet<String>>, is_late: bool) {
+    record.add(format!("SIGTERM to {}", node.name));
+    if is_late {
+        stopping.lock().unwrap().insert(node.name.clone());
+    }
+    node.signal("TERM");
+    node.wait_end(Duration::from_secs(8));
+    stopping.lock().unwrap().remove(&node.name);
+    record.add(format!("{} has ended", node.name));
+    node.start();
+    node.wait_ready();
+    record.add(format!("{} is ready again", node.name));
+}
+
+/// Plays one deployment; none if its nodes don't get ready.
+fn play_deployment(number: usize, record: &Arc<Record>, has_trouble: bool) -> Option<Vec<String>> {
     let writes = Arc::new(AtomicUsize::new(0));
     let late = Arc::new(AtomicUsize::new(0));
-    let renewed: Arc<Mutex<std::collections::HashMap<String, Instant>>> = Arc::default();
-    let stopping: Arc<Mutex<std::collections::HashSet<String>>> = Arc::default();
+    let renewed: Arc<Mutex<HashMap<String, Instant>>> = Arc::default();
+    // The node that claimed before what the stopped one has.
+    let ahead = node_name(number, 0);
+    let stopping: Arc<Mutex<HashSet<String>>> = Arc::default();
     let choose = {
-        let (writes, late, record) = (Arc::clone(&writes), Arc::clone(&late), Arc::clone(&record));
+        let (writes, late, record) = (Arc::clone(&writes), Arc::clone(&late), Arc::clone(record));
         let stopping = Arc::clone(&stopping);
         move |node: &str, body: &Json| {
             let all = writes.fetch_add(1, Ordering::SeqCst) + 1;
@@ -302,7 +378,11 @@
                 "store: {node} releases {}: done later, not answered",
                 keys.join(", ")
             ));
-            Deed::Late(LATE.0, LATE.1)
+            Deed::Late(Lateness {
+                from: LATE.0,
+                until: LATE.1,
+                ahead: ahead.clone(),
+            })
         }
     };
     let hook = {
@@ -316,7 +396,7 @@
             }
         }
     };
-    let told = Arc::clone(&record);
+    let told = Arc::clone(record);
     let done_late = move |node: &str, after: Duration, status: u16| {
         let after = after.as_millis();
         told.add(format!(
@@ -324,61 +404,39 @@
         ));
     };
     let store = Store::new(Box::new(choose), Box::new(hook), Box::new(done_late));
-    let world = World::start(Arc::clone(&record), store, 3, 9);
+    let world = World::start(Arc::clone(record), store, number);
     if !world.wait_ready() {
-        record.write("the nodes don't get ready");
-        return 2;
+        return None;
     }
     world.beat();
-    world.traffic(8, Duration::from_millis(30));
-    thread::sleep(Duration::from_secs(9));
-    let end = Duration::from_secs(95);
-    let mut turn = 0;
-    while record.start.elapsed() < end {
-        let node = &world.nodes[turn % world.nodes.len()];
-        turn += 1;
-        let before = Instant::now();
-        while renewed
-            .lock()
-            .unwrap()
-            .get(&node.name)
-            .is_none_or(|at| *at < before)
-        {
-            if before.elapsed() > Duration::from_secs(3) {
-                break;
-            }
-            thread::sleep(Duration::from_millis(5));
-        }
-        thread::sleep(BEHIND_RENEWAL);
-        record.add(format!("SIGTERM to {}", node.name));
-        stopping.lock().unwrap().insert(node.name.clone());
-        node.signal("TERM");
-        node.wait_end(Duration::from_secs(8));
-        stopping.lock().unwrap().remove(&node.name);
-        record.add(format!("{} has ended", node.name));
-        node.start();
-        node.wait_ready();
-        record.add(format!("{} is ready again", node.name));
-        world.is_burst.store(true, Ordering::SeqCst);
-        thread::sleep(BURST);
-        world.is_burst.store(false, Ordering::SeqCst);
-        thread::sleep(CALM);
+    world.traffic(6, Duration::from_millis(30));
+    thread::sleep(SETTLING);
+    let mut draw = Draw::new(seed() + number as u64);
+    let [first, second, ..] = &world.nodes[..] else {
+        return None;
+    };
+    // What the first node claimed goes to the others; it isn't given back when it runs again.
+    restart(record, first, &stopping, false);
+    thread::sleep(CALM);
+    let before = Instant::now();
+    let has_renewed = || {
+        let renewed = renewed.lock().unwrap();
+        renewed.get(&second.name).is_some_and(|at| *at >= before)
+    };
+    while !has_renewed() && before.elapsed() < Duration::from_secs(3) {
+        thread::sleep(Duration::from_millis(5));
     }
+    let (least, most) = BEHIND_RENEWAL_MS;
+    thread::sleep(Duration::from_millis(least + draw.next() % (most - least)));
+    restart(record, second, &stopping, true);
+    world.is_burst.store(true, Ordering::SeqCst);
+    thread::sleep(BURST);
     world.stop.store(true, Ordering::SeqCst);
     thread::sleep(Duration::from_millis(300));
     let found = world.judge();
     let (writes, late) = (writes.load(Ordering::SeqCst), late.load(Ordering::SeqCst));
     record.add(format!(
-        "{late} of {writes} writes were done late, {turn} nodes were stopped"
+        "deployment {number}: {late} of {writes} writes were done late"
     ));
-    if found.is_empty() {
-        record.write("ONE held");
-        return 0;
-    }
-    record.write(&format!(
-        "ONE broken {} times:\n{}",
-        found.len(),
-        found.join("\n")
-    ));
-    1
+    Some(found)
 }
--- a/review/standins/refusals.rs
+++ b/review/standins/refusals.rs
@@ -62,7 +62,7 @@
 const AFTER_REFUSAL_MS: (u64, u64) = (250, 100);
 
 /// How long clients send requests.
-const LENGTH: Duration = Duration::from_secs(40);
+const LENGTH: Duration = Duration::from_secs(70);
 
 /// The faulty servers misbehave for five seconds in seven.
 const FAULTY: Duration = Duration::from_secs(5);
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -36,13 +36,21 @@
 }
 
 /// What becomes of a write.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub enum Deed {
     Done,
-    /// It gets no answer and is executed later, if its condition still holds: at the first moment
-    /// between these two at which its node has just polled for changes and another one waits for
-    /// them or polls again sooner.
-    Late(Duration, Duration),
+    Late(Lateness),
+}
+
+/// A write that gets no answer and is executed later, if its condition still holds.
+///
+/// It is done at the first moment in the span at which its node has just polled for changes, so that it
+/// polls again only later, while `ahead` polls sooner and renews its lease in between.
+#[derive(Debug, Clone)]
+pub struct Lateness {
+    pub from: Duration,
+    pub until: Duration,
+    pub ahead: String,
 }
 
 type Chooser = Box<dyn Fn(&str, &Json) -> Deed + Send + Sync>;
@@ -54,13 +62,18 @@
 struct Polls {
     waiting: usize,
     answered: Option<Instant>,
+    /// When the node last renewed its lease.
+    renewed: Option<Instant>,
 }
 
-/// How long ago a node that has just polled was answered at most.
-const JUST: Duration = Duration::from_millis(40);
+/// How long ago a node that has just polled was answered at most; it pauses for 800 ms then.
+const JUST: Duration = Duration::from_millis(150);
 
 /// How long ago a node was answered at least that polls again sooner than one that has just polled.
-const SOONER: Duration = Duration::from_millis(300);
+const SOONER: Duration = Duration::from_millis(500);
+
+/// How long ago a node renewed its lease that renews it again soon; it does so every 650 ms.
+const RENEWED: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(420));
 
 /// Silence of connections that a node opened before a moment.
 #[derive(Debug, Default)]
@@ -217,17 +230,9 @@
                 let body = parse(&request.text());
                 match (self.choose)(node, &body) {
                     Deed::Done => self.transact(&body),
-                    Deed::Late(from, until) => {
+                    Deed::Late(lateness) => {
                         let (store, node) = (Arc::clone(self), node.to_owned());
-                        thread::spawn(move || {
-                            let sent = Instant::now();
-                            thread::sleep(from);
-                            while sent.elapsed() < until && !store.has_just_polled(&node) {
-                                thread::sleep(Duration::from_millis(2));
-                            }
-                            let (status, _) = store.transact(&body);
-                            (store.late)(&node, sent.elapsed(), status);
-                        });
+                        thread::spawn(move || store.transact_late(&node, &body, &lateness));
                         return None;
                     }
                 }
@@ -245,6 +250,9 @@
                 (200, format!("{{\"lease\":{id},\"ttlMs\":{span}}}"))
             }
             _ if path.starts_with("/v1/kv-keep/") => {
+                let mut polls = self.polls.lock().unwrap();
+                polls.entry(node.to_owned()).or_default().renewed = Some(Instant::now());
+                drop(polls);
                 let mut state = self.state();
                 match state.leases.get_mut(&last()) {
                     Some(lease) => {
@@ -284,18 +292,28 @@
         answer
     }
 
-    /// Whether a node got changes a moment ago, while another one waits for them or asks again sooner.
-    fn has_just_polled(&self, node: &str) -> bool {
+    fn transact_late(&self, node: &str, body: &Json, lateness: &Lateness) {
+        let sent = Instant::now();
+        thread::sleep(lateness.from);
+        while sent.elapsed() < lateness.until && !self.is_behind(node, &lateness.ahead) {
+            thread::sleep(Duration::from_millis(2));
+        }
+        let (status, _) = self.transact(body);
+        (self.late)(node, sent.elapsed(), status);
+    }
+
+    /// Whether a node got changes a moment ago, while another one asks for them sooner and renews its
+    /// lease in between.
+    fn is_behind(&self, node: &str, ahead: &str) -> bool {
         let polls = self.polls.lock().unwrap();
-        let is_sooner = |polls: &Polls| {
-            let answered = polls.answered;
-            polls.waiting > 0 || answered.is_some_and(|answered| answered.elapsed() > SOONER)
+        let (Some(own), Some(ahead)) = (polls.get(node), polls.get(ahead)) else {
+            return false;
         };
-        let mut others = polls.iter().filter(|(other, _)| *other != node);
-        let is_any_sooner = others.any(|(_, polls)| is_sooner(polls));
-        let own = polls.get(node).filter(|own| own.waiting == 0);
-        let answered = own.and_then(|own| own.answered);
-        is_any_sooner && answered.is_some_and(|answered| answered.elapsed() < JUST)
+        let ago = |moment: Option<Instant>| moment.map(|moment| moment.elapsed());
+        let has_just_polled = own.waiting == 0 && ago(own.answered).is_some_and(|ago| ago < JUST);
+        let polls_sooner = ahead.waiting > 0 || ago(ahead.answered) > Some(SOONER);
+        let is_due = |ago: Duration| (RENEWED.0..RENEWED.1).contains(&ago);
+        has_just_polled && polls_sooner && ago(ahead.renewed).is_some_and(is_due)
     }
 
     fn watch(&self, request: &Message) -> (u16, String) {
