--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -20,10 +20,6 @@
         found.map_or("", |(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.line.split(' ').next().unwrap_or("")
-    }
-
     /// Path without the query.
     pub fn path(&self) -> &str {
         let target = self.line.split(' ').nth(1).unwrap_or("");
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -185,19 +185,3 @@
     }
     text
 }
-
-pub fn decode64(text: &str) -> String {
-    let mut bytes = Vec::new();
-    let mut word = 0u32;
-    let mut bits = 0;
-    for digit in text.bytes().filter(|digit| *digit != b'=') {
-        let value = DIGITS.iter().position(|known| *known == digit).unwrap_or(0);
-        word = word << 6 | value as u32;
-        bits += 6;
-        if bits >= 8 {
-            bits -= 8;
-            bytes.push((word >> bits) as u8);
-        }
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -32,7 +32,6 @@
     pub name: String,
     pub front: SocketAddr,
     pub readiness: SocketAddr,
-    pub metrics: SocketAddr,
     settings: PathBuf,
     /// Settings for the next start.
     later_settings: Mutex<Option<String>>,
@@ -90,7 +89,6 @@
             name: name.to_owned(),
             front: (ip, front).into(),
             readiness: (ip, ready).into(),
-            metrics: (ip, inner + 1).into(),
             log: folder().join(format!("{name}.log")),
             settings,
             later_settings: Mutex::new(None),
@@ -172,22 +170,6 @@
         }
         false
     }
-
-    /// Returns the page of metrics.
-    pub fn page(&self) -> String {
-        let request = "GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n";
-        match http::call(self.metrics, request, Duration::from_millis(500)) {
-            Ok(Some(answer)) => answer.text(),
-            _ => String::new(),
-        }
-    }
-
-    /// Returns the lines of the node's log that hold a text.
-    pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        let lines = log.lines().filter(|line| line.contains(text));
-        lines.map(str::to_owned).collect()
-    }
 }
 
 impl Drop for Node {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -75,14 +75,9 @@
 /// How long ago a node renewed its lease that renews it again soon; it does so every 650 ms.
 const RENEWED: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(420));
 
-/// Silence of connections that a node opened before a moment.
-#[derive(Debug, Default)]
-struct Silences(HashMap<String, Instant>);
-
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
-    silences: Mutex<Silences>,
     polls: Mutex<HashMap<String, Polls>>,
     /// Decides about each transaction, by the node that sends it.
     choose: Chooser,
@@ -100,7 +95,6 @@
         let store = Arc::new(Self {
             state: Mutex::default(),
             changed: Condvar::new(),
-            silences: Mutex::default(),
             polls: Mutex::default(),
             choose,
             hook,
@@ -130,17 +124,6 @@
         address
     }
 
-    /// Silences all connections that a node has opened up to now; new ones work.
-    pub fn silence(&self, node: &str) {
-        let mut silences = self.silences.lock().unwrap();
-        silences.0.insert(node.to_owned(), Instant::now());
-    }
-
-    fn is_silent(&self, node: &str, opened: Instant) -> bool {
-        let silences = self.silences.lock().unwrap();
-        silences.0.get(node).is_some_and(|since| opened <= *since)
-    }
-
     /// Writes JSON as the operator or a server does.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.state.lock().unwrap();
@@ -149,36 +132,6 @@
         self.changed.notify_all();
     }
 
-    /// Removes all keys for which `fits` holds, given the key and its value in base64.
-    pub fn remove(&self, fits: impl Fn(&str, &str) -> bool) -> usize {
-        let mut state = self.state.lock().unwrap();
-        let items = state.items.iter();
-        let gone: Vec<String> = items
-            .filter(|(key, item)| fits(key, &item.value))
-            .map(|(key, _)| key.clone())
-            .collect();
-        if !gone.is_empty() {
-            state.revision += 1;
-            for key in &gone {
-                state.unset(key);
-            }
-        }
-        self.changed.notify_all();
-        gone.len()
-    }
-
-    /// Returns keys with a prefix, with their values in base64.
-    pub fn list(&self, prefix: &str) -> Vec<(String, String)> {
-        let state = self.state.lock().unwrap();
-        let items = state
-            .items
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix));
-        items
-            .map(|(key, item)| (key.clone(), item.value.clone()))
-            .collect()
-    }
-
     fn expire(&self) {
         let mut state = self.state.lock().unwrap();
         let leases = state.leases.iter();
@@ -193,22 +146,15 @@
     }
 
     fn serve(self: Arc<Self>, node: &str, mut stream: TcpStream) {
-        let opened = Instant::now();
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(&stream);
         while let Ok(Some(request)) = reader.message(false) {
-            if self.is_silent(node, opened) {
-                continue;
-            }
             (self.hook)(node, &request);
             let Some((status, body)) = self.respond(node, &request) else {
                 // A connection on which an answer is lost returns nothing further.
                 while let Ok(Some(_)) = reader.message(false) {}
                 return;
             };
-            if self.is_silent(node, opened) {
-                continue;
-            }
             let headers = [("Content-Type", "application/json")];
             let text = answer(status, &headers, &body);
             if stream.write_all(text.as_bytes()).is_err() {
