claims: a release depends on the revision of its claim

What was seen: two nodes gave orders to one engine in turn, the former one with the lower token. A node that stops writes that its claims are released; the service gave no response, the node ended and started again, took its claims back and gave orders; then the service carried the release out. Another node saw the claims released and idle for seconds, claimed them and gave orders at once, beside the node's new start.

Cause: Claimer::leave put its releases without a condition, so a late one replaced the claims of the next start.

Ruled out: orders of the new start without a claim (its token is the one the service gave it), and a wait of the successor that is counted wrongly (the release tells the truth of the start that wrote it).

Change: the release of a stop and of a handover is one function, whose transaction depends on each claim's revision. As a transaction is all or nothing, claims that have changed are left out of a second one, which releases the others. Transactions of a stop no longer wait for one another. Counter chivevalve_claim_releases_total.

Why it works: whoever takes a claim writes it, which changes its revision; a late release then fails.

Tests, failed before: leave_carried_out_after_the_next_start (the late release was applied), leave_with_a_changed_claim (another node's claim was overwritten).

--- a/lib/src/direct/claim/release.rs
+++ b/lib/src/direct/claim/release.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 use crate::direct::limits::RENEWAL_INTERVAL;
 use crate::direct::ownership::OwnedEngine;
-use crate::ports::{Condition, Error, Transaction, Write};
+use crate::ports::{Condition, Entry, Error, Transaction, Write};
 
 /// Multiple of its fair share of the engines that a node keeps.
 ///
@@ -21,25 +21,73 @@
 impl Claimer {
     /// Releases all claims, with the time since the last order, so that successors wait less.
     ///
+    /// A planned stop has little time, so no transaction waits for another one's response.
+    ///
     /// # Errors
     ///
-    /// When the service doesn't accept it; the claims then expire with the lease.
+    /// When the service doesn't accept one of the transactions; its claims then expire with the
+    /// lease.
     pub async fn leave(&self) -> Result<(), Error> {
         self.ownership.has_left.store(true, Ordering::Relaxed);
         self.ownership.valid_until.store(0, Ordering::Relaxed);
         let owned: Vec<(SocketAddr, OwnedEngine)> = self.ownership.owned().drain().collect();
-        for addresses in owned.chunks(MAX_CLAIMS_PER_TRANSACTION) {
-            let mut transaction = Transaction::default();
-            for (address, owned) in addresses {
-                transaction
-                    .writes
-                    .push(self.release_write(*address, *owned));
+        let batches = owned.chunks(MAX_CLAIMS_PER_TRANSACTION);
+        let releases = batches.map(|batch| self.release(batch.to_vec()));
+        let results = futures::future::join_all(releases).await;
+        results.into_iter().collect()
+    }
+
+    /// Releases those of some claims that this start still holds.
+    ///
+    /// The service may carry the write out seconds after the process has ended. By then, the next
+    /// start of this node or another node can hold the engine, and a release of its claim would
+    /// let a third one order beside it. The write therefore depends on the claims' revisions, and
+    /// claims that have changed are left out of the next attempt.
+    async fn release(&self, mut owned: Vec<(SocketAddr, OwnedEngine)>) -> Result<(), Error> {
+        while !owned.is_empty() {
+            let before = owned.len();
+            let committed = self.store.commit(self.release_transaction(&owned)).await;
+            let commit = committed.inspect_err(|_| self.count_releases("failed", before))?;
+            if commit.done {
+                self.count_releases("released", before);
+                return Ok(());
             }
-            self.store.commit(transaction).await?;
+            owned.retain(|(address, owned)| self.is_current(*address, *owned, &commit.found));
+            let changed = before - owned.len();
+            if changed == 0 {
+                self.count_releases("failed", before);
+                let reason = "a release failed though no claim has changed";
+                return Err(Error::Refused(reason.to_owned()));
+            }
+            self.count_releases("changed", changed);
+            log::info!("right: {changed} of {before} claims had changed before their release");
         }
         Ok(())
     }
 
+    fn count_releases(&self, outcome: &str, count: usize) {
+        let releases = self.metrics.releases.with_label_values(&[outcome]);
+        releases.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+    }
+
+    fn release_transaction(&self, owned: &[(SocketAddr, OwnedEngine)]) -> Transaction {
+        let mut transaction = Transaction::default();
+        for (address, owned) in owned {
+            let unchanged = Condition::Unchanged(self.claim_key(*address), owned.token);
+            transaction.conditions.push(unchanged);
+            let write = self.release_write(*address, *owned);
+            transaction.writes.push(write);
+        }
+        transaction
+    }
+
+    /// Whether a claim is among the entries that the service found, with this start's revision.
+    fn is_current(&self, address: SocketAddr, owned: OwnedEngine, found: &[Entry]) -> bool {
+        let key = self.claim_key(address);
+        let mut found = found.iter();
+        found.any(|entry| entry.key == key && entry.revision == owned.token)
+    }
+
     /// Returns the write that releases a claim under which no more orders are sent.
     ///
     /// If this node was still waiting for the owner before it, the successor waits for the rest.
@@ -80,16 +128,11 @@
     async fn hand_over(&self, address: SocketAddr, owned: OwnedEngine) -> Result<(), Error> {
         let now = self.clock.now();
         self.ownership.hand_over(address, now);
-        let transaction = Transaction {
-            conditions: vec![Condition::Unchanged(self.claim_key(address), owned.token)],
-            writes: vec![self.release_write(address, owned)],
-        };
         // The view learns of the write up to a second later. Until then it would show a claim of
         // this start that this node doesn't hold, and the next round would adopt it again while
         // the successor sends orders.
         self.view.state().release_claim(address, now);
-        self.store.commit(transaction).await?;
-        Ok(())
+        self.release(vec![(address, owned)]).await
     }
 
     /// Releases the engines that other nodes reach and this one doesn't.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -75,6 +75,8 @@
     pub orders: IntCounterVec,
     /// Engines whose orders this node took over, by what became of the previous owner.
     pub takeovers: IntCounterVec,
+    /// Claims that this node released, by outcome.
+    pub releases: IntCounterVec,
     /// Rounds of asking other nodes to extend the lease, by outcome.
     pub extensions: IntCounterVec,
     /// Requests in progress at this node.
@@ -263,6 +265,11 @@
                 "Engines taken over, by what became of the previous owner.",
                 &["former"],
             ),
+            releases: maker.counters(
+                "claim_releases_total",
+                "Claims that this node released, by outcome.",
+                &["outcome"],
+            ),
             extensions: maker.counters(
                 "lease_extensions_total",
                 "Rounds of asking other nodes to extend the lease, by outcome.",
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -29,6 +29,10 @@
     pub is_unavailable: bool,
     /// While set, reads that start never return.
     pub reads_hang: bool,
+    /// While set, transactions get no response and wait in `late` to be carried out.
+    pub delays_commits: bool,
+    /// Transactions without a response, which [`MemoryStore::commit_late`] carries out.
+    pub late: Vec<Transaction>,
     /// Makes listings under this prefix take this long.
     pub slow_listing: Option<(String, Millis)>,
     /// Maximum number of changes in one response.
@@ -167,6 +171,17 @@
         self.state.lock().unwrap()
     }
 
+    /// Carries out the transactions that got no response, as far as their conditions still hold.
+    ///
+    /// Returns how many were applied.
+    pub fn commit_late(&self) -> usize {
+        self.change(|state| {
+            let late = std::mem::take(&mut state.late);
+            let committed = late.iter().filter_map(|one| state.commit(one));
+            committed.count()
+        })
+    }
+
     async fn hang_if_set(&self) {
         if self.state().reads_hang {
             std::future::pending::<()>().await;
@@ -232,6 +247,10 @@
     async fn commit(&self, transaction: Transaction) -> Result<Commit, Error> {
         let (revision, found) = {
             let mut state = self.available_state()?;
+            if state.delays_commits {
+                state.late.push(transaction);
+                return Err(Error::NoAnswer("delayed by this test".to_owned()));
+            }
             let revision = state.commit(&transaction);
             let found = match revision {
                 Some(_) => Vec::new(),
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -400,6 +400,61 @@
     assert_eq!(one.ownership.fencing_token(address()), None);
 }
 
+/// A release that the service carries out late doesn't end the claim of the node's next start.
+#[tokio::test(start_paused = true)]
+async fn leave_carried_out_after_the_next_start() {
+    let (memory, one) = owner().await;
+    let two = node("two", &memory, true);
+    pass(&[&one, &two], Millis(1_500)).await;
+    memory.change(|state| state.delays_commits = true);
+    one.claimer.leave().await.unwrap_err();
+    drop(one);
+    memory.change(|state| state.delays_commits = false);
+    let again = start("one", 2, &memory, false);
+    pass(&[&again, &two], Millis(1_500)).await;
+    let token = again.ownership.fencing_token(address());
+    assert!(token.is_some());
+    assert_eq!(memory.commit_late(), 0);
+    for _ in 0..100 {
+        pass(&[&again, &two], Millis(50)).await;
+        assert_eq!(again.ownership.fencing_token(address()), token);
+        assert_eq!(two.ownership.fencing_token(address()), None);
+    }
+}
+
+/// A stop releases all claims that are still the node's own, though others have changed.
+#[tokio::test(start_paused = true)]
+async fn leave_with_a_changed_claim() {
+    let engines = 20;
+    let memory = Arc::new(MemoryStore::default());
+    store_engines(&memory, engines);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(4_000)).await;
+    assert_eq!(one.ownership.owned_count(), engines);
+    let changed = [claim_key_of(9), claim_key_of(17)];
+    let other = r#"{"node":"two","start":1,"left":null}"#;
+    memory.change(|state| {
+        state.put(&changed[0], other, None);
+        state.remove(&changed[1]);
+    });
+    one.claimer.leave().await.unwrap();
+    let state = memory.state();
+    assert_eq!(state.entries[&changed[0]].value, other);
+    assert!(!state.entries.contains_key(&changed[1]));
+    for port in 9..29 {
+        let key = claim_key_of(port);
+        if !changed.contains(&key) {
+            let claim: Claim = serde_json::from_slice(&state.entries[&key].value).unwrap();
+            assert!(claim.left.is_some(), "{key} is not released");
+        }
+    }
+}
+
+/// Returns the key of the claim on the engine at a port.
+fn claim_key_of(port: u16) -> String {
+    PlatformDialect.own_key(&format!("claim/127.0.0.1:{port}"))
+}
+
 /// In an outage an owner's term is extended by the votes of all others, as long as they vote.
 #[tokio::test(start_paused = true)]
 async fn ownership_extended_through_an_outage() {
