requests: each send of a request gets a connection of its own

What callers saw: 503, which says that a request did not run and never will, for requests that run; other requests that may run once at most ran twice. An upstream rejects a request and later sends the rejection a second time, where the next response on that connection is expected.

Cause: responses were matched by the id of the request that they name. That tells requests apart, not the sends of one request, and the next send of a rejected request took the connection of the rejection from the pool. Ruled out: an upstream that runs what it rejects (no case without second copies), and an answer to the caller with a send in flight (the log has a result for each send).

Change: UsedConnections keeps the connections on which a request has been sent, for retries, hedges, resumed and moved runs and connections through other nodes; none of them is taken for it again. Other requests go on using them, as a copy names another request for these.

Why it works: request and connection together name one send.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -12,6 +12,7 @@
 use super::metadata::{RequestKind, RequestMetadata};
 use super::path::Paths;
 use super::upstream::{InFlightRequest, Upstream};
+use super::used_connections::UsedConnections;
 use super::versions::{self, VersionWatch};
 use crate::clock::Millis;
 use crate::error::Code;
@@ -57,6 +58,8 @@
     pub kind: RequestKind,
     /// What it can be blamed for a crash by; computed on first use.
     pub subjects: OnceLock<Subjects>,
+    /// The connections on which it has been sent.
+    pub used_connections: UsedConnections,
 }
 
 /// Why a send got no response.
@@ -172,7 +175,7 @@
             MAX_IDLE_NOT_RETRYABLE
         };
         let mut connection = paths
-            .acquire(upstream, max_idle)
+            .acquire(upstream, max_idle, &self.used_connections)
             .await
             .map_err(|lost| send_error(&lost))?;
         // The request may have waited seconds for its adapter or a connection since this upstream
@@ -189,6 +192,7 @@
             let id = self.metadata.id.as_deref().unwrap_or_default();
             paths.record_send(id, upstream, node);
         }
+        self.used_connections.record(&connection);
         let request = self.request(dialect, dispatch);
         let response = tokio::select! {
             biased;
--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -15,6 +15,7 @@
 use crate::direct::relay::{self, ResponseAborted};
 use crate::direct::request::ActiveRequest;
 use crate::direct::request_log::{self, RequestOutcome};
+use crate::direct::used_connections::UsedConnections;
 use crate::error::{Code, Failure};
 use crate::overload::Overload;
 use crate::poison::report::Suspicion;
@@ -124,6 +125,7 @@
             metadata,
             kind: route.kind,
             subjects: OnceLock::new(),
+            used_connections: UsedConnections::default(),
         };
         let request = ActiveRequest::new(
             Arc::clone(self),
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -58,6 +58,7 @@
 pub mod target;
 pub mod tunnel;
 pub mod upstream;
+pub mod used_connections;
 pub mod validate;
 pub mod versions;
 pub mod view;
--- a/lib/src/direct/path.rs
+++ b/lib/src/direct/path.rs
@@ -12,6 +12,7 @@
 use super::reachability::Advice;
 use super::tunnel::{self, OpenError};
 use super::upstream::Upstream;
+use super::used_connections::UsedConnections;
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::ports::connection_pool::{Connection, Route, TransportError};
@@ -45,7 +46,8 @@
         }
     }
 
-    /// Takes a connection that has been idle for at most `max_idle`, or opens a new one.
+    /// Takes a connection that has been idle for at most `max_idle` and isn't among the used ones, or
+    /// opens a new one.
     ///
     /// # Errors
     ///
@@ -55,16 +57,18 @@
         &self,
         upstream: &Arc<Upstream>,
         max_idle: Millis,
+        used: &UsedConnections,
     ) -> Result<Connection, TransportError> {
         let pool = &upstream.connection_pool;
         let reachability = &self.controllers.view.reachability;
         let now = self.now();
         let advice = reachability.advise(upstream, now);
         let distrusts = reachability.distrusts_open_connections(&upstream.pool, now);
-        let fits = |connection: &Connection| match advice {
+        let fits_advice = |connection: &Connection| match advice {
             Advice::Direct => !connection.is_tunnel(),
             Advice::Both | Advice::Bypass => connection.is_tunnel() || !distrusts,
         };
+        let fits = |connection: &Connection| fits_advice(connection) && !used.contains(connection);
         if let Some(connection) = pool.take_idle(max_idle, fits) {
             if advice == Advice::Both {
                 // Requests that find open connections would never show that the path is back.
@@ -74,7 +78,7 @@
         }
         let permit = match pool.permit() {
             Ok(permit) => permit,
-            Err(at_limit) => return self.borrow(upstream, max_idle, at_limit).await,
+            Err(at_limit) => return self.borrow(upstream, max_idle, used, at_limit).await,
         };
         let (stream, route) = self.open(upstream, advice).await?;
         // The other node counts what it opened.
@@ -93,10 +97,12 @@
         &self,
         upstream: &Arc<Upstream>,
         max_idle: Millis,
+        used: &UsedConnections,
         at_limit: TransportError,
     ) -> Result<Connection, TransportError> {
         let pool = &upstream.connection_pool;
-        if let Some(connection) = pool.take_idle(max_idle, Connection::is_tunnel) {
+        let is_unused_tunnel = |one: &Connection| one.is_tunnel() && !used.contains(one);
+        if let Some(connection) = pool.take_idle(max_idle, is_unused_tunnel) {
             return Ok(connection);
         }
         if let Ok((stream, route)) = self.open_tunnel(upstream).await {
@@ -105,7 +111,7 @@
         let until = self.now() + OWN_CONNECTION_TIMEOUT;
         while self.now() < until {
             tokio::time::sleep(OWN_CONNECTION_PAUSE.duration()).await;
-            if let Some(connection) = pool.take_idle(max_idle, |_| true) {
+            if let Some(connection) = pool.take_idle(max_idle, |one| !used.contains(one)) {
                 return Ok(connection);
             }
         }
--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -8,7 +8,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -126,9 +126,21 @@
     pub leaving: Arc<AtomicBool>,
 }
 
+/// Identifies a connection among all that this process has opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(u64);
+
+impl ConnectionId {
+    fn next() -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        Self(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// A connection taken from the pool by one request.
 #[derive(Debug)]
 pub struct Connection {
+    id: ConnectionId,
     sender: SendRequest<Full<Bytes>>,
     route: Route,
     /// Counts it here, unless another node opened it and counts it.
@@ -136,6 +148,12 @@
 }
 
 impl Connection {
+    /// Returns what tells it from all other connections.
+    #[must_use]
+    pub const fn id(&self) -> ConnectionId {
+        self.id
+    }
+
     /// Whether the connection leads through another node.
     #[must_use]
     pub const fn is_tunnel(&self) -> bool {
@@ -314,6 +332,7 @@
             }
         });
         Ok(Connection {
+            id: ConnectionId::next(),
             sender,
             route,
             open: permit.map(|permit| permit.0),
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -13,6 +13,7 @@
 use chivevalve::direct::metadata::{RequestKind, RequestMetadata};
 use chivevalve::direct::ownership::Ownership;
 use chivevalve::direct::upstream::Upstream;
+use chivevalve::direct::used_connections::UsedConnections;
 use chivevalve::direct::versions::{Declaration, Declarations, VersionWatch};
 use chivevalve::direct::view::View;
 use chivevalve::metrics::Metrics;
@@ -216,6 +217,7 @@
         metadata: RequestMetadata::default(),
         kind: RequestKind::Stream { resumable: false },
         subjects: std::sync::OnceLock::new(),
+        used_connections: UsedConnections::default(),
     };
     let dispatch = DispatchHeaders {
         incarnation: "i-1".into(),
