claims: a node's record depends on what the service has

Carried out late, a record under a lease that was given up replaced the newer one and vanished with its own lease, though the node lives. Others then know no address of the owner and ask it for no loads until its next lease.

Change: the write depends on the key's absence, or on the revision that the service found. A first start makes as many calls as before; a start while its previous record stands makes one more.

Tests: record_carried_out_late failed before (the late write was applied); record_of_a_previous_start_is_replaced held before and holds.

--- a/lib/src/direct/claim/mod.rs
+++ b/lib/src/direct/claim/mod.rs
@@ -31,7 +31,7 @@
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
 use crate::name::Name;
-use crate::ports::{Error, Lease, LeaseId, Store, Transaction, Write};
+use crate::ports::{Condition, Error, Lease, LeaseId, Store, Transaction, Write};
 
 /// Interval at which a starting node checks whether the follower has read enough to claim.
 const VIEW_POLL_INTERVAL: Millis = Millis(20);
@@ -39,6 +39,9 @@
 /// Claims that one transaction makes; the service accepts 32 rows.
 const MAX_CLAIMS_PER_TRANSACTION: usize = 16;
 
+/// Attempts to write this node's record; the first fails if the record of an earlier start stands.
+const MAX_RECORD_ATTEMPTS: usize = 4;
+
 /// Maintains this node's lease, record and claims.
 #[derive(Debug)]
 pub struct Claimer {
@@ -188,14 +191,31 @@
         Ok(())
     }
 
+    /// Writes this node's record under a lease.
+    ///
+    /// The write depends on what the service has, as it may be carried out seconds later: under an
+    /// older lease it would replace the record of the newer one, and vanish while the node lives.
     async fn put_node_record(&self, lease: LeaseId) -> Result<(), Error> {
         let key = self.dialect.own_key(&format!("{NODE_PREFIX}{}", self.node));
-        let transaction = Transaction {
-            conditions: Vec::new(),
-            writes: vec![Write::Put(key, to_json(&self.peer), Some(lease))],
-        };
-        self.store.commit(transaction).await?;
-        Ok(())
+        let mut condition = Condition::Absent(key.clone());
+        for _ in 0..MAX_RECORD_ATTEMPTS {
+            let put = Write::Put(key.clone(), to_json(&self.peer), Some(lease));
+            let transaction = Transaction {
+                conditions: vec![condition],
+                writes: vec![put],
+            };
+            let commit = self.store.commit(transaction).await?;
+            if commit.done {
+                return Ok(());
+            }
+            let found = commit.found.first();
+            condition = found.map_or_else(
+                || Condition::Absent(key.clone()),
+                |entry| Condition::Unchanged(key.clone(), entry.revision),
+            );
+        }
+        let reason = format!("the node's record changed {MAX_RECORD_ATTEMPTS} times");
+        Err(Error::Refused(reason))
     }
 
     fn new_claim(&self, left: Option<Millis>, orders_from: Millis) -> Claim {
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -450,6 +450,36 @@
     }
 }
 
+/// A record that the service writes late doesn't replace the one that the node has written since.
+#[tokio::test(start_paused = true)]
+async fn record_carried_out_late() {
+    let memory = Arc::new(MemoryStore::default());
+    store_engine(&memory);
+    memory.change(|state| state.delays_commits = true);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(500)).await;
+    memory.change(|state| state.delays_commits = false);
+    pass(&[&one], Millis(3_000)).await;
+    let key = PlatformDialect.own_key("node/one");
+    let lease = memory.state().entries[&key].lease;
+    assert_eq!(memory.commit_late(), 0);
+    assert_eq!(memory.state().entries[&key].lease, lease);
+}
+
+/// The record of an earlier start is replaced, though its lease still lives.
+#[tokio::test(start_paused = true)]
+async fn record_of_a_previous_start_is_replaced() {
+    let (memory, one) = owner().await;
+    drop(one);
+    let key = PlatformDialect.own_key("node/one");
+    let before = memory.state().entries[&key].clone();
+    let again = start("one", 2, &memory, false);
+    pass(&[&again], Millis(500)).await;
+    let after = memory.state().entries[&key].clone();
+    assert_ne!(after.lease, before.lease);
+    assert_ne!(after.value, before.value);
+}
+
 /// Returns the key of the claim on the engine at a port.
 fn claim_key_of(port: u16) -> String {
     PlatformDialect.own_key(&format!("claim/127.0.0.1:{port}"))
