engine client: a rejection counts only for the send that it answers

Found by reading, on the related paths of the second copy of a rejection, at the product's own path. The client looked at the status before the id: a rejection that names another request was taken for this one's, which may run. And the connection of a rejection went back to the pool, so that a second copy of it could be taken for the response to the next send of the same request, which says "not run" of a request that runs.

Change: the id is looked at first, and the connection of a rejection or of another request's response carries no further request. hyper-util's pool doesn't say which connection a request takes, so the rule of direct serving (a request uses each connection once) can't be kept there; a rejection costs a connection instead, and the own path has few.

Tests, failed before: engine_rejection_of_another_request, engine_rejection_sent_twice.

--- a/lib/src/ports/http.rs
+++ b/lib/src/ports/http.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use crate::clock::Millis;
@@ -91,6 +91,28 @@
             }
         })
     }
+
+    /// Sends a request, and returns the connection that the response arrives on as well.
+    pub(super) async fn send_on_carrier(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Carrier), TransportError> {
+        let carrier = Carrier(capture_connection(&mut request));
+        Ok((self.send(request).await?, carrier))
+    }
+}
+
+/// The connection on which a request was sent.
+#[derive(Debug)]
+pub(super) struct Carrier(CaptureConnection);
+
+impl Carrier {
+    /// Keeps the connection from carrying further requests.
+    pub(super) fn retire(&self) {
+        if let Some(connection) = &*self.0.connection_metadata() {
+            connection.poison();
+        }
+    }
 }
 
 /// A service at one address, with a timeout for each whole call.
--- a/lib/src/ports/upstream/engine.rs
+++ b/lib/src/ports/upstream/engine.rs
@@ -16,7 +16,7 @@
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::name::Name;
-use crate::ports::http::{Client as HttpClient, read_body, uri};
+use crate::ports::http::{Carrier, Client as HttpClient, read_body, uri};
 use crate::ports::upstream::to_upstream_response;
 use crate::ports::weights;
 use crate::ports::{CompletionCall, Engine, EngineStatus, Fence, UpstreamResponse};
@@ -102,7 +102,7 @@
         fence: Fence,
         id: Option<HeaderValue>,
         body: Bytes,
-    ) -> Result<Response<Incoming>, Failure> {
+    ) -> Result<(Response<Incoming>, Carrier), Failure> {
         let mut request = Request::post(uri(self.address, path))
             .header(header::CONTENT_TYPE, "application/json")
             .header(FENCING_TOKEN, fence.token)
@@ -111,7 +111,7 @@
         if let Some(id) = id {
             request.headers_mut().insert(REQUEST_ID, id);
         }
-        Ok(self.http.send(request).await?)
+        Ok(self.http.send_on_carrier(request).await?)
     }
 
     async fn send_command(
@@ -123,7 +123,7 @@
         let body = serde_json::to_vec(command)
             .map_err(|error| Failure::new(Code::Internal, error.to_string()))?;
         let path = PathAndQuery::from_static(path);
-        let response = self.post(path, fence, None, body.into()).await?;
+        let (response, _) = self.post(path, fence, None, body.into()).await?;
         let status = response.status();
         let text = read_error_text(response).await;
         if status == StatusCode::PRECONDITION_FAILED {
@@ -141,19 +141,23 @@
         let id = HeaderValue::from_str(&call.id.0)
             .map_err(|error| Failure::new(Code::BadRequest, error.to_string()))?;
         let body = with_priority(&call.body, call.priority)?;
-        let response = self.post(path, fence, Some(id.clone()), body).await?;
-        if let Some(code) = rejection_code(response.status()) {
-            return Err(Failure::new(code, read_error_text(response).await));
-        }
-        // A response to another request would expose one caller's text to another.
+        let (response, carrier) = self.post(path, fence, Some(id.clone()), body).await?;
+        // A response to another request would expose one caller's text to another, and its
+        // rejection says nothing of this request.
         if let Some(response_id) = response.headers().get(REQUEST_ID)
             && *response_id != id
         {
+            carrier.retire();
             return Err(Failure::new(
                 Code::WrongAnswer,
                 "the engine answered another request",
             ));
         }
+        if let Some(code) = rejection_code(response.status()) {
+            // A second copy of this rejection would be taken for the response to the next send.
+            carrier.retire();
+            return Err(Failure::new(code, read_error_text(response).await));
+        }
         Ok(to_upstream_response(response))
     }
 
--- a/lib/tests/test_ports_upstream.rs
+++ b/lib/tests/test_ports_upstream.rs
@@ -326,6 +326,53 @@
     server.await.unwrap();
 }
 
+/// Serves an engine's connections: the first response is a rejection that names `rejected`, which
+/// is sent again where that connection's next response is expected. All others are complete.
+async fn rejecting_twice(rejected: &'static str) -> Arc<dyn Engine> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for is_first in std::iter::once(true).chain(std::iter::repeat(false)) {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                let head = |status: &str, id: &str| {
+                    format!("HTTP/1.1 {status}\r\nx-request-id: {id}\r\ncontent-length: 0\r\n\r\n")
+                };
+                let rejection = head("429 Too Many Requests", rejected);
+                let mut buffer = [0; 4096];
+                while stream.read(&mut buffer).await.is_ok_and(|read| read > 0) {
+                    let answer = if is_first {
+                        rejection.clone()
+                    } else {
+                        head("200 OK", "id-1")
+                    };
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    Connector::new(Limits::default()).engine(&vm(address))
+}
+
+/// A second copy of a rejection isn't taken for the response to the next send.
+#[tokio::test]
+async fn engine_rejection_sent_twice() {
+    let engine = rejecting_twice("id-1").await;
+    let run = || engine.run(call("id-1", &adapter("sales"), 4, false), FENCE);
+    assert_eq!(run().await.unwrap_err().code, Code::UpstreamRefused);
+    // Lets the client's connection return to its pool.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert_eq!(run().await.unwrap().head.status, 200);
+}
+
+/// A rejection that names another request doesn't show that this one wasn't run.
+#[tokio::test]
+async fn engine_rejection_of_another_request() {
+    let engine = rejecting_twice("id-0").await;
+    let lost = engine.run(call("id-1", &adapter("sales"), 4, false), FENCE);
+    assert_eq!(lost.await.unwrap_err().code, Code::WrongAnswer);
+}
+
 /// If the service closed an idle connection, the next call must succeed on a new connection.
 #[tokio::test]
 async fn upstream_closed_while_idle() {
