control calls: a response that names a request isn't theirs

Found on the related paths of the second copy of a rejection: orders, status requests and moves share the pool of connections with requests and took any response for theirs. A second copy of a request's 200 was read as "the engine holds the adapter already", and the next request was sent to an engine that rejects it.

Change: a response that names a request ends the call without a response, and its connection. An order without a response is given again under its number, as before.

--- a/lib/src/direct/control_call.rs
+++ b/lib/src/direct/control_call.rs
@@ -4,9 +4,10 @@
 use http::{Request, response};
 use http_body_util::{BodyExt, Full, Limited};
 
-use super::dialect::Dialect;
+use super::dialect::{Dialect, ResponseMetadata};
 use super::upstream::Upstream;
 use crate::clock::{Clock, Millis};
+use crate::ports::connection_pool::{Connection, TransportError};
 
 /// Maximum idle time of a kept connection that a control request reuses.
 const MAX_CONNECTION_IDLE: Millis = Millis(1_000);
@@ -26,22 +27,30 @@
     upstream: &Upstream,
     request: Request<Full<Bytes>>,
 ) -> Result<(response::Parts, Bytes), String> {
-    let mut connection = upstream
-        .connection_pool
-        .acquire(MAX_CONNECTION_IDLE)
-        .await
-        .map_err(|lost| format!("{lost:?}"))?;
+    let acquired = upstream.connection_pool.acquire(MAX_CONNECTION_IDLE).await;
+    exchange(dialect, clock, upstream, request, acquired).await
+}
+
+async fn exchange(
+    dialect: &dyn Dialect,
+    clock: &dyn Clock,
+    upstream: &Upstream,
+    request: Request<Full<Bytes>>,
+    acquired: Result<Connection, TransportError>,
+) -> Result<(response::Parts, Bytes), String> {
+    let mut connection = acquired.map_err(|lost| format!("{lost:?}"))?;
     let response = connection
         .send(request)
         .await
         .map_err(|lost| format!("{lost:?}"))?;
     let (head, body) = response.into_parts();
+    let reply = dialect.response_metadata(&head);
+    check_response(&reply)?;
     let body = Limited::new(body, MAX_RESPONSE_BYTES)
         .collect()
         .await
         .map_err(|error| error.to_string())?
         .to_bytes();
-    let reply = dialect.response_metadata(&head);
     if head.status.is_success() {
         upstream.record_notice(reply.rejections, clock.now());
     }
@@ -50,3 +59,15 @@
     }
     Ok((head, body))
 }
+
+/// Checks that a response can be one to a control request.
+///
+/// # Errors
+///
+/// If it names a caller's request, and so belongs to an earlier use of the connection.
+pub fn check_response(reply: &ResponseMetadata) -> Result<(), String> {
+    match &reply.id {
+        Some(id) => Err(format!("the answer names the request {id}")),
+        None => Ok(()),
+    }
+}
--- a/lib/src/direct/orders/client.rs
+++ b/lib/src/direct/orders/client.rs
@@ -103,9 +103,10 @@
         let (head, body) = sent
             .map_err(|_| TransportError::Sent(format!("no response within {RESPONSE_TIMEOUT}")))??
             .into_parts();
+        let reply = self.dialect.response_metadata(&head);
+        control_call::check_response(&reply).map_err(TransportError::Sent)?;
         let rest = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         if let Ok(Ok(_)) = tokio::time::timeout(RESPONSE_TIMEOUT.duration(), rest).await {
-            let reply = self.dialect.response_metadata(&head);
             if head.status.is_success() {
                 upstream.record_notice(reply.rejections, self.clock.now());
             }
