moves: the question goes out on a connection without earlier control calls

Found on the related paths of the second copy of a rejection: the answer to a move names no run. A second copy of an earlier answer, on the connection that the next move takes from the pool, was believed, and its handle is that of another run: the stream would go on from another request's memory.

Change: a move takes a connection that has carried no control call. A copy of a request's response that arrives there names the request, and is told apart by that.

--- a/lib/src/direct/control_call.rs
+++ b/lib/src/direct/control_call.rs
@@ -31,6 +31,25 @@
     exchange(dialect, clock, upstream, request, acquired).await
 }
 
+/// Sends a control request on a connection that has carried none before.
+///
+/// It is for requests whose response would be believed if it were a second copy of the response to
+/// another one.
+///
+/// # Errors
+///
+/// The same as those of [`send`].
+pub async fn send_unshared(
+    dialect: &dyn Dialect,
+    clock: &dyn Clock,
+    upstream: &Upstream,
+    request: Request<Full<Bytes>>,
+) -> Result<(response::Parts, Bytes), String> {
+    let pool = &upstream.connection_pool;
+    let acquired = pool.acquire_unshared(MAX_CONNECTION_IDLE).await;
+    exchange(dialect, clock, upstream, request, acquired).await
+}
+
 async fn exchange(
     dialect: &dyn Dialect,
     clock: &dyn Clock,
--- a/lib/src/direct/handover.rs
+++ b/lib/src/direct/handover.rs
@@ -139,7 +139,8 @@
     let request = frontend
         .dialect
         .transfer_request(&source.incarnation, &id, target.address);
-    let sending = control_call::send(&*frontend.dialect, &*frontend.clock, &source, request);
+    let sending =
+        control_call::send_unshared(&*frontend.dialect, &*frontend.clock, &source, request);
     let transferred = match tokio::time::timeout(left.duration(), sending).await {
         Ok(Ok((head, body))) => frontend.dialect.transfer_outcome(&head, &body),
         Ok(Err(cause)) => {
--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -141,6 +141,8 @@
 #[derive(Debug)]
 pub struct Connection {
     id: ConnectionId,
+    /// Whether it has carried a control call.
+    is_control: bool,
     sender: SendRequest<Full<Bytes>>,
     route: Route,
     /// Counts it here, unless another node opened it and counts it.
@@ -245,12 +247,36 @@
     ///
     /// [`TransportError::Unsent`] if connecting fails.
     pub async fn acquire(&self, max_idle: Millis) -> Result<Connection, TransportError> {
-        if let Some(connection) = self.take_idle(max_idle, |one| !one.is_tunnel()) {
-            return Ok(connection);
-        }
-        let permit = self.permit().unwrap_or_else(|_| self.permit_beyond_limit());
-        let stream = self.dial().await?;
-        self.adopt(Some(permit), stream, Route::Direct).await
+        self.acquire_control(max_idle, |_| true).await
+    }
+
+    /// Does the same with connections that have carried no control call.
+    ///
+    /// Responses to control calls don't name their call, so a second copy of an earlier one looks
+    /// like the response to this one.
+    ///
+    /// # Errors
+    ///
+    /// [`TransportError::Unsent`] if connecting fails.
+    pub async fn acquire_unshared(&self, max_idle: Millis) -> Result<Connection, TransportError> {
+        self.acquire_control(max_idle, |one| !one.is_control).await
+    }
+
+    async fn acquire_control(
+        &self,
+        max_idle: Millis,
+        fits: impl Fn(&Connection) -> bool,
+    ) -> Result<Connection, TransportError> {
+        let idle = self.take_idle(max_idle, |one| !one.is_tunnel() && fits(one));
+        let mut connection = if let Some(connection) = idle {
+            connection
+        } else {
+            let permit = self.permit().unwrap_or_else(|_| self.permit_beyond_limit());
+            let stream = self.dial().await?;
+            self.adopt(Some(permit), stream, Route::Direct).await?
+        };
+        connection.is_control = true;
+        Ok(connection)
     }
 
     /// Takes the connection that was used last among those that `fits` accepts, if it has been idle
@@ -333,6 +359,7 @@
         });
         Ok(Connection {
             id: ConnectionId::next(),
+            is_control: false,
             sender,
             route,
             open: permit.map(|permit| permit.0),
