moves: no answer doesn't show that the run went on

Cause: handover::transfer turned a question without an answer into "unchanged", which says that the run goes on. Ruled out: a broken connection that is taken for an end in order (the tests of answers without a length hold).

A stream that ends while nobody knows is resumed behind its last event, or broken off if it can't be. A question that wasn't sent leaves the run as it is. Control calls return TransportError, which tells these apart.

--- a/lib/src/direct/control_call.rs
+++ b/lib/src/direct/control_call.rs
@@ -19,14 +19,14 @@
 ///
 /// # Errors
 ///
-/// A description of the failure when there is no complete response. The upstream may have
-/// received the request nevertheless.
+/// A [`TransportError`] when there is no complete response, which tells whether the upstream may
+/// have received the request.
 pub async fn send(
     dialect: &dyn Dialect,
     clock: &dyn Clock,
     upstream: &Upstream,
     request: Request<Full<Bytes>>,
-) -> Result<(response::Parts, Bytes), String> {
+) -> Result<(response::Parts, Bytes), TransportError> {
     let acquired = upstream.connection_pool.acquire(MAX_CONNECTION_IDLE).await;
     exchange(dialect, clock, upstream, request, acquired).await
 }
@@ -44,7 +44,7 @@
     clock: &dyn Clock,
     upstream: &Upstream,
     request: Request<Full<Bytes>>,
-) -> Result<(response::Parts, Bytes), String> {
+) -> Result<(response::Parts, Bytes), TransportError> {
     let pool = &upstream.connection_pool;
     let acquired = pool.acquire_unshared(MAX_CONNECTION_IDLE).await;
     exchange(dialect, clock, upstream, request, acquired).await
@@ -56,19 +56,15 @@
     upstream: &Upstream,
     request: Request<Full<Bytes>>,
     acquired: Result<Connection, TransportError>,
-) -> Result<(response::Parts, Bytes), String> {
-    let mut connection = acquired.map_err(|lost| format!("{lost:?}"))?;
-    let response = connection
-        .send(request)
-        .await
-        .map_err(|lost| format!("{lost:?}"))?;
-    let (head, body) = response.into_parts();
+) -> Result<(response::Parts, Bytes), TransportError> {
+    let mut connection = acquired?;
+    let (head, body) = connection.send(request).await?.into_parts();
     let reply = dialect.response_metadata(&head);
     check_response(&reply)?;
     let body = Limited::new(body, MAX_RESPONSE_BYTES)
         .collect()
         .await
-        .map_err(|error| error.to_string())?
+        .map_err(|error| TransportError::Sent(error.to_string()))?
         .to_bytes();
     if head.status.is_success() {
         upstream.record_notice(reply.rejections, clock.now());
@@ -83,10 +79,12 @@
 ///
 /// # Errors
 ///
-/// If it names a caller's request, and so belongs to an earlier use of the connection.
-pub fn check_response(reply: &ResponseMetadata) -> Result<(), String> {
+/// [`TransportError::Sent`] if it names a caller's request, and so belongs to an earlier use of the connection.
+pub fn check_response(reply: &ResponseMetadata) -> Result<(), TransportError> {
     match &reply.id {
-        Some(id) => Err(format!("the answer names the request {id}")),
+        Some(id) => Err(TransportError::Sent(format!(
+            "the answer names the request {id}"
+        ))),
         None => Ok(()),
     }
 }
--- a/lib/src/direct/dialect.rs
+++ b/lib/src/direct/dialect.rs
@@ -184,6 +184,8 @@
     Kept(Name),
     /// There is no such run, or it continues.
     Unchanged,
+    /// No response tells whether the run has stopped.
+    Unknown,
 }
 
 impl TransferOutcome {
@@ -194,6 +196,7 @@
             Self::Copied(_) => "copied",
             Self::Kept(_) => "kept",
             Self::Unchanged => "unchanged",
+            Self::Unknown => "unknown",
         }
     }
 }
--- a/lib/src/direct/handover.rs
+++ b/lib/src/direct/handover.rs
@@ -19,6 +19,7 @@
 use super::target::Target;
 use super::upstream::Upstream;
 use crate::clock::Millis;
+use crate::ports::connection_pool::TransportError;
 
 /// A transfer of a run's KV cache in progress.
 ///
@@ -41,6 +42,8 @@
     Stopped(Box<StoppedRun>),
     /// The run was not stopped.
     NotStopped,
+    /// The source won't respond; it may have stopped the run.
+    Unknown,
     /// The source hasn't responded yet.
     Unanswered,
 }
@@ -110,9 +113,10 @@
             }
             Ok(TransferOutcome::Kept(handle)) => (handle, smallvec![source]),
             Ok(TransferOutcome::Unchanged) => return HandoverReply::NotStopped,
+            Ok(TransferOutcome::Unknown) => return HandoverReply::Unknown,
             Err(error) => {
                 log::error!("handover: the transfer task failed: {error}");
-                return HandoverReply::NotStopped;
+                return HandoverReply::Unknown;
             }
         };
         self.source.record_success();
@@ -128,7 +132,9 @@
     }
 }
 
-/// Requests a transfer from the source; a failure counts as a run that wasn't stopped.
+/// Requests a transfer from the source.
+///
+/// A request that was sent may have stopped the run, whatever became of its response.
 async fn transfer(
     frontend: Arc<Frontend>,
     id: String,
@@ -143,13 +149,17 @@
         control_call::send_unshared(&*frontend.dialect, &*frontend.clock, &source, request);
     let transferred = match tokio::time::timeout(left.duration(), sending).await {
         Ok(Ok((head, body))) => frontend.dialect.transfer_outcome(&head, &body),
-        Ok(Err(cause)) => {
+        Ok(Err(TransportError::Sent(cause))) => {
             log::info!(request = id.as_str(), cause = cause.as_str(); "handover: no answer");
+            TransferOutcome::Unknown
+        }
+        Ok(Err(TransportError::Unsent(cause) | TransportError::AtLimit(cause))) => {
+            log::info!(request = id.as_str(), cause = cause.as_str(); "handover: not asked");
             TransferOutcome::Unchanged
         }
         Err(_) => {
             log::info!(request = id.as_str(); "handover: no answer within {left}");
-            TransferOutcome::Unchanged
+            TransferOutcome::Unknown
         }
     };
     frontend
--- a/lib/src/direct/orders/client.rs
+++ b/lib/src/direct/orders/client.rs
@@ -104,7 +104,7 @@
             .map_err(|_| TransportError::Sent(format!("no response within {RESPONSE_TIMEOUT}")))??
             .into_parts();
         let reply = self.dialect.response_metadata(&head);
-        control_call::check_response(&reply).map_err(TransportError::Sent)?;
+        control_call::check_response(&reply)?;
         let rest = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         if let Ok(Ok(_)) = tokio::time::timeout(RESPONSE_TIMEOUT.duration(), rest).await {
             if head.status.is_success() {
@@ -126,8 +126,8 @@
 
     async fn request_status(&self) -> Result<EngineStatus, String> {
         let request = self.dialect.status_request(&self.upstream.incarnation);
-        let (head, body) =
-            control_call::send(&*self.dialect, &*self.clock, &self.upstream, request).await?;
+        let sending = control_call::send(&*self.dialect, &*self.clock, &self.upstream, request);
+        let (head, body) = sending.await.map_err(|lost| format!("{lost:?}"))?;
         if !head.status.is_success() {
             return Err(format!("status {}", head.status));
         }
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -55,6 +55,17 @@
     Harmless,
 }
 
+/// How far a handover of a run has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HandoverState {
+    /// None was started.
+    NotStarted,
+    /// The engine was asked to stop the run.
+    Started,
+    /// The engine was asked, and no reply will tell whether it stopped the run.
+    MaybeStopped,
+}
+
 /// A stream in progress.
 #[derive(Debug)]
 pub(super) struct Relay {
@@ -67,8 +78,8 @@
     pub(super) handover: Option<Handover>,
     /// The run once it was stopped, until it is resumed.
     pub(super) stopped: Option<Box<StoppedRun>>,
-    /// Whether a handover of the current run was started.
-    pub(super) handover_started: bool,
+    /// How far a handover of the current run has come.
+    pub(super) handover_state: HandoverState,
     /// Whether the upstream was already penalized for being silent.
     pub(super) penalized: bool,
     /// Whether the gaps of a stream that stayed at its engine were already recorded.
@@ -89,7 +100,7 @@
         progress: RunProgress::NoEvent,
         handover: None,
         stopped: None,
-        handover_started: false,
+        handover_state: HandoverState::NotStarted,
         penalized: false,
         stay_recorded: false,
     };
@@ -286,7 +297,8 @@
         };
         let request = &self.request;
         let engine = response.upstream.address;
-        let stayed = request.timing.handovers == 0 && !self.handover_started;
+        let stayed =
+            request.timing.handovers == 0 && self.handover_state == HandoverState::NotStarted;
         if !stayed || self.stay_recorded || request.frontend.roles(&request.pool).is_prefill(engine)
         {
             return;
@@ -325,7 +337,7 @@
         let Some(response) = &self.response else {
             return;
         };
-        if self.handover_started || self.request.timing.handovers > 0 {
+        if self.handover_state != HandoverState::NotStarted || self.request.timing.handovers > 0 {
             return;
         }
         if !self.request.has_budget_to_move() {
@@ -345,7 +357,7 @@
                 permits,
             );
             self.handover = Some(handover);
-            self.handover_started = true;
+            self.handover_state = HandoverState::Started;
         }
     }
 
@@ -377,6 +389,7 @@
         match reply {
             HandoverReply::Unanswered => return self.handle_stall(timeout).await,
             HandoverReply::NotStopped => {}
+            HandoverReply::Unknown => self.handover_state = HandoverState::MaybeStopped,
             HandoverReply::Stopped(run) => self.stopped = Some(run),
         }
         self.handover = None;
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -12,7 +12,7 @@
 use super::attempt::{SendError, UpstreamResponse};
 use super::event_sequence::{EventSequence, StreamStep};
 use super::handover::{HandoverReply, StoppedRun};
-use super::relay::{Relay, ResponseAborted};
+use super::relay::{HandoverState, Relay, ResponseAborted};
 use super::request::SELECTION_RETRY_PAUSE;
 use super::request_log;
 use super::retry_permit::RetryPermit;
@@ -157,14 +157,12 @@
     ///
     /// [`ResponseAborted`] when the stream is incomplete and can't be resumed.
     pub(super) async fn is_complete(&mut self) -> Result<bool, ResponseAborted> {
-        if self.handover.is_none() && self.stopped.is_none() {
-            return Ok(true);
-        }
+        let may_be_stopped = self.handover_state == HandoverState::MaybeStopped;
         let timeout = self.event_timeout(self.request.now());
         match self.take_handover_reply(timeout).await {
-            HandoverReply::NotStopped => Ok(true),
+            HandoverReply::NotStopped if !may_be_stopped => Ok(true),
             HandoverReply::Stopped(run) => self.resume_stopped_run(run).await.map(|()| false),
-            HandoverReply::Unanswered => {
+            HandoverReply::NotStopped | HandoverReply::Unknown | HandoverReply::Unanswered => {
                 let cause = "the run may have been stopped";
                 self.resume_elsewhere(cause).await.map(|()| false)
             }
@@ -203,7 +201,9 @@
         let left = self.request.deadline.since(self.request.now());
         match self.take_handover_reply(left).await {
             HandoverReply::Stopped(run) => self.resume_stopped_run(run).await,
-            HandoverReply::NotStopped | HandoverReply::Unanswered => Err(aborted),
+            HandoverReply::NotStopped | HandoverReply::Unknown | HandoverReply::Unanswered => {
+                Err(aborted)
+            }
         }
     }
 
@@ -324,7 +324,7 @@
         self.events.restart();
         self.reset_progress();
         self.penalized = false;
-        self.handover_started = false;
+        self.handover_state = HandoverState::NotStarted;
         self.response = Some(response);
     }
 }
