handover: logs say why a moved run was lost, and after how long

`handover: moved` with `outcome=lost` couldn't tell an engine that was silent from a connection that broke. Both are in the line now, as `cause` and `took_ms`.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -106,6 +106,16 @@
             Self::Lost(..) => "lost",
         }
     }
+
+    /// Returns the cause as it is logged.
+    #[must_use]
+    pub fn cause(&self) -> String {
+        match self {
+            Self::Unsent(cause) | Self::AtLimit(cause) | Self::Lost(_, cause) => cause.clone(),
+            Self::Rejected { status, .. } => format!("status {status}"),
+            Self::Withdrawn { sent } => format!("a newer version was declared, sent={sent}"),
+        }
+    }
 }
 
 /// A response whose head has arrived.
--- a/lib/src/direct/request_log.rs
+++ b/lib/src/direct/request_log.rs
@@ -109,17 +109,13 @@
 
 /// Logs that a send got no response.
 pub fn send_failed(request: &ActiveRequest, upstream: &Upstream, error: &SendError) {
-    let (code, cause) = match error {
-        SendError::Unsent(cause) | SendError::AtLimit(cause) => {
-            (Code::ConnectFailed, cause.clone())
-        }
-        SendError::Rejected { status, .. } => (Code::UpstreamRefused, format!("status {status}")),
-        SendError::Withdrawn { sent } => {
-            let cause = format!("a newer version was declared, sent={sent}");
-            (Code::VersionReplaced, cause)
-        }
-        SendError::Lost(code, cause) => (*code, cause.clone()),
+    let code = match error {
+        SendError::Unsent(_) | SendError::AtLimit(_) => Code::ConnectFailed,
+        SendError::Rejected { .. } => Code::UpstreamRefused,
+        SendError::Withdrawn { .. } => Code::VersionReplaced,
+        SendError::Lost(code, _) => *code,
     };
+    let cause = error.cause();
     let counted = matches!(error, SendError::Rejected { counted: true, .. });
     log::info!(
         request = request.id(),
@@ -182,13 +178,22 @@
     }
 }
 
-/// Logs that a moved run resumed at another engine, or why it could not.
-pub fn run_moved(request: &ActiveRequest, to: &Upstream, after: Option<u64>, outcome: &str) {
+/// Logs that a moved run resumed at another engine, or why it could not, and how long that took.
+pub fn run_moved(
+    request: &ActiveRequest,
+    to: &Upstream,
+    after: Option<u64>,
+    error: Option<&SendError>,
+    took: Millis,
+) {
+    let cause = error.map(SendError::cause).unwrap_or_default();
     log::info!(
         request = request.id(),
         upstream = &*to.incarnation,
         after_event = after.unwrap_or_default(),
-        outcome = outcome;
+        outcome = error.map_or("goes on", SendError::name),
+        cause = cause.as_str(),
+        took_ms = took.0;
         "handover: moved"
     );
 }
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -297,9 +297,11 @@
             .request
             .resume_moved_run(target, run.kv_cache.clone(), last);
         permit.mark_made();
+        let sent_at = self.request.now();
         let result = sending.await;
-        let outcome = result.as_ref().map_or_else(SendError::name, |_| "goes on");
-        request_log::run_moved(&self.request, &target.upstream, last, outcome);
+        let took = self.request.now().since(sent_at);
+        let error = result.as_ref().err();
+        request_log::run_moved(&self.request, &target.upstream, last, error, took);
         match result {
             Ok(response) => {
                 permit.give_back();
