moved runs: an engine that is silent keeps the run until another one has begun

Callers saw: streams cut in the middle of their answer while engines were sound but silent for a second, each with seconds left.

Cause: a stopped run was sent to its new engine and given up if no head came within the route's latency objective. A new prefill was asked for only then, and could be refused: no retry in the budget, no engine with a place, a rejection. The KV cache was used up, so nothing was left. It was given up for something that might not be had, as silent engines' streams once were (docs/design/0010-leaving-a-silent-engine.md).

Fix: the send stays until another engine's head has come, or the deadline. A new prefill is tried beside it after the same silence as in any stream, paid by a retry that the run took before it was stopped, if one is left. It isn't sent to the silent engine, which the former code preferred, and doesn't move there again.

Tests, which failed before (callers got "error reading a body from connection"): stream_resumable_moved_waits_for_a_silent_engine, stream_resumable_moved_waits_without_a_budget, stream_resumable_moved_leaves_an_engine_that_stays_silent.

--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -29,6 +29,7 @@
 pub mod limits;
 mod listener;
 pub mod metadata;
+mod moved_run;
 pub mod node;
 pub mod occupancy;
 pub mod orders;
--- a/lib/src/direct/request/retry.rs
+++ b/lib/src/direct/request/retry.rs
@@ -16,8 +16,35 @@
     /// engine would that puts it at the end of its queue. So a request for a model is hedged only
     /// where an engine is believed to have a free slot.
     pub(in crate::direct) fn reserve_hedge(&mut self, waits_at: &Upstream) -> bool {
+        self.can_hedge(waits_at) && self.reserve_retry()
+    }
+
+    /// Does the same for a moved run, with one of the retries that were taken for it if any is left.
+    pub(in crate::direct) fn reserve_moved_hedge(
+        &mut self,
+        waits_at: &Upstream,
+        permits: &mut RetryPermits,
+    ) -> bool {
+        if !self.can_hedge(waits_at) {
+            return false;
+        }
+        self.reserve_permit(permits);
+        self.reserve_retry()
+    }
+
+    fn can_hedge(&self, waits_at: &Upstream) -> bool {
         let uses_no_model = self.message.metadata.model.is_none();
-        (uses_no_model || self.has_free_holder(waits_at)) && self.reserve_retry()
+        uses_no_model || self.has_free_holder(waits_at)
+    }
+
+    /// Uses a retry that was taken before for the next send, if there is one.
+    pub(in crate::direct) fn reserve_permit(&mut self, permits: &mut RetryPermits) {
+        if !self.retry_reserved
+            && let Some(mut permit) = permits.pop()
+        {
+            permit.mark_made();
+            self.retry_reserved = true;
+        }
     }
 
     /// Whether the budget allows one send to each engine that could resume a moved run.
--- a/lib/src/direct/request/send.rs
+++ b/lib/src/direct/request/send.rs
@@ -4,8 +4,9 @@
 
 use super::ActiveRequest;
 use crate::direct::admit::{self, AdmitQuery, Permit};
-use crate::direct::attempt::{SendError, UpstreamResponse};
+use crate::direct::attempt::SendError;
 use crate::direct::dialect::{DispatchHeaders, KvCacheHandle};
+use crate::direct::moved_run::PendingResponse;
 use crate::direct::request_log;
 use crate::direct::sends::PendingSends;
 use crate::direct::target::Target;
@@ -42,15 +43,19 @@
         sends.begin(message, frontend, target, dispatch, watch, self.sent_at);
     }
 
-    /// Resumes a stopped run after event `last`, at an engine that can obtain its KV cache.
+    /// Sends a stopped run to an engine that can obtain its KV cache, to resume after event `last`.
     ///
     /// It is still the same run, so it takes nothing from the retry budget.
-    pub(in crate::direct) async fn resume_moved_run(
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::Lost`] if the request is quarantined.
+    pub(in crate::direct) async fn send_moved_run(
         &self,
         target: &Target,
         kv_cache: KvCacheHandle,
         last: Option<u64>,
-    ) -> Result<UpstreamResponse, SendError> {
+    ) -> Result<PendingResponse, SendError> {
         self.check_quarantine()
             .map_err(|failure| SendError::Lost(failure.code, failure.detail))?;
         let dispatch = DispatchHeaders {
@@ -67,30 +72,19 @@
             dispatch.deadline,
             permit.is_some(),
         );
-        let (upstream, dialect) = (&target.upstream, &*self.frontend.dialect);
-        let paths = &self.frontend.paths;
+        let (message, frontend) = (Arc::clone(&self.message), Arc::clone(&self.frontend));
+        let upstream = Arc::clone(&target.upstream);
         let watch = self.watch(target);
-        let send = self
-            .message
-            .send(upstream, paths, dialect, &dispatch, permit, watch);
-        // Without another way to continue, wait for a slow engine until the deadline: giving up
-        // after the route's latency objective aborted streams that could have continued.
-        let timeout = if self.may_retry() {
-            dispatch.deadline.min(self.route.latency_objective)
-        } else {
-            dispatch.deadline
-        };
-        let response = tokio::time::timeout(timeout.duration(), send)
-            .await
-            .unwrap_or_else(|_| {
-                let cause = format!("no answer within {timeout}");
-                Err(SendError::Lost(Code::ExpiredRunning, cause))
-            })?;
-        if response.head.status.is_success() {
-            return Ok(response);
-        }
-        let cause = format!("status {}", response.head.status);
-        Err(SendError::Lost(Code::UpstreamLost, cause))
+        Ok(Box::pin(async move {
+            let (paths, dialect) = (&*frontend.paths, &*frontend.dialect);
+            let send = message.send(&upstream, paths, dialect, &dispatch, permit, watch);
+            let response = send.await?;
+            if response.head.status.is_success() {
+                return Ok(response);
+            }
+            let cause = format!("status {}", response.head.status);
+            Err(SendError::Lost(Code::UpstreamLost, cause))
+        }))
     }
 
     /// Asks the owner of the engine where a moved run resumes to count it.
--- a/lib/src/direct/resume.rs
+++ b/lib/src/direct/resume.rs
@@ -11,25 +11,16 @@
 
 use super::attempt::{SendError, UpstreamResponse};
 use super::event_sequence::{EventSequence, StreamStep};
-use super::handover::{HandoverReply, StoppedRun};
+use super::handover::HandoverReply;
 use super::relay::{HandoverState, Relay, ResponseAborted};
-use super::request::SELECTION_RETRY_PAUSE;
 use super::request_log;
-use super::retry_permit::RetryPermit;
-use super::target::Target;
 use super::versions;
 use crate::clock::Millis;
 use crate::error::Failure;
 
-/// Wait for an event, in multiples of the route's maximum gap, after which callers give up.
-const CALLER_TIMEOUT_GAPS: u64 = 8;
-
 /// Cause logged for a run that could no longer start on its version of the adapter.
 const REPLACED: &str = "a newer version of the adapter was declared before it began";
 
-/// Cause logged for a moved run that no engine has room for.
-const NO_FREE_SLOT: &str = "no engine has a free slot for the moved run";
-
 /// What happened first while another engine was tried for a silent one.
 enum FirstResult {
     /// The silent engine's stream continued or ended.
@@ -225,7 +216,7 @@
     }
 
     /// Resumes the stream after the last event at another upstream, which prefills the prompt.
-    async fn resume_with_prefill(&mut self, cause: &str) -> Result<(), ResponseAborted> {
+    pub(super) async fn resume_with_prefill(&mut self, cause: &str) -> Result<(), ResponseAborted> {
         if !self.request.may_retry() {
             return Err(ResponseAborted(cause.to_owned()));
         }
@@ -246,83 +237,8 @@
         Ok(())
     }
 
-    /// Resumes a stopped run at an engine that holds its KV cache or can fetch it.
-    ///
-    /// Both engines can be full at the moment, and the KV cache is kept for seconds. If a new
-    /// prefill isn't possible either, they are asked again for as long as callers wait for an
-    /// event, because only the KV cache can still complete the stream.
-    async fn resume_stopped_run(
-        &mut self,
-        mut run: Box<StoppedRun>,
-    ) -> Result<(), ResponseAborted> {
-        self.response = None;
-        let pause = self.max_event_gap().max(SELECTION_RETRY_PAUSE);
-        let caller_timeout = self.request.now() + Millis(pause.0 * CALLER_TIMEOUT_GAPS);
-        let until = caller_timeout.min(self.request.deadline);
-        let mut permits = std::mem::take(&mut run.permits).into_iter();
-        for (asked, target) in run.targets.iter().cycle().enumerate() {
-            if asked == run.targets.len() && self.resume_with_prefill(NO_FREE_SLOT).await.is_ok() {
-                return Ok(());
-            }
-            let permit = match permits.next().filter(|_| asked < run.targets.len()) {
-                Some(permit) => Some(permit),
-                None => self.request.wait_for_permit(pause, until).await,
-            };
-            let Some(permit) = permit else {
-                return Err(ResponseAborted(NO_FREE_SLOT.to_owned()));
-            };
-            match self.resume_moved_run(&run, target, permit).await {
-                Ok(()) => return Ok(()),
-                // The run may have resumed there, so no other engine may use the KV cache.
-                Err(error) if error.may_run() => {
-                    return self.resume_with_prefill("the moved run was lost").await;
-                }
-                Err(_) => {}
-            }
-        }
-        Err(ResponseAborted("no engine holds the KV cache".to_owned()))
-    }
-
-    /// Sends a stopped run to an engine, and continues the stream with its response.
-    ///
-    /// The retry that pays for the send is made unless the run continues, or nothing was sent.
-    async fn resume_moved_run(
-        &mut self,
-        run: &StoppedRun,
-        target: &Target,
-        mut permit: RetryPermit,
-    ) -> Result<(), SendError> {
-        let last = self.events.last();
-        let sending = self
-            .request
-            .resume_moved_run(target, run.kv_cache.clone(), last);
-        permit.mark_made();
-        let sent_at = self.request.now();
-        let result = sending.await;
-        let took = self.request.now().since(sent_at);
-        let error = result.as_ref().err();
-        request_log::run_moved(&self.request, &target.upstream, last, error, took);
-        match result {
-            Ok(response) => {
-                permit.give_back();
-                self.request.timing.handovers += 1;
-                self.switch_to(response);
-                Ok(())
-            }
-            Err(error) => {
-                let is_sent = matches!(error, SendError::Rejected { .. }) || error.may_run();
-                if is_sent {
-                    self.request.frontend.count_retry("moved");
-                } else {
-                    permit.give_back();
-                }
-                Err(error)
-            }
-        }
-    }
-
     /// Continues the stream with another response, after the last event.
-    fn switch_to(&mut self, response: UpstreamResponse) {
+    pub(super) fn switch_to(&mut self, response: UpstreamResponse) {
         self.events.restart();
         self.reset_progress();
         self.penalized = false;
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -118,6 +118,7 @@
         let selector = self.selector(&upstreams, &roles);
         let has_free_slot = |upstream: &Upstream| {
             !selector.is_prefill(upstream)
+                && !self.tried.contains(&upstream.incarnation)
                 && !upstream.is_suspended(selector.now)
                 && upstream.total_running() < upstream.slots
         };
