moved runs: a lost one is resumed with a retry that it took before it moved

Callers saw: streams cut, "the moved run was lost; then 3001 upstream_lost: the budget for repeats is used up", also where the connection to the new engine broke.

Cause: a run takes a retry for each engine that could resume it before it is stopped. Lost at the first one, it returned the other and asked the budget anew, which the other moves in progress had used up.

Fix: the retry that is left pays for the new prefill. No more retries are taken than before.

Test: stream_resumable_moved_and_lost_has_a_retry_left failed before ("error reading a body from connection").

--- a/lib/src/direct/moved_run.rs
+++ b/lib/src/direct/moved_run.rs
@@ -76,6 +76,7 @@
                 Ok(()) => return Ok(()),
                 // The run may have resumed there, so no other engine may use the KV cache.
                 Err(error) if error.may_run() => {
+                    self.request.reserve_permit(&mut permits);
                     return self.resume_with_prefill("the moved run was lost").await;
                 }
                 Err(_) => {}
