moved runs: engines are asked for a place until the deadline

Callers saw: a stream cut two seconds (eight gaps) after its engines had no place for its moved run, with seconds left.

Cause: the node ended it when it supposed that its caller had given up. A caller that gives up closes the connection, which ends the wait anyway, and some wait for longer: four times their objective.

Fix: the engines are asked until the deadline. The pause doubles up to a second, as each time takes a retry.

Test: stream_moved_waits_for_a_place_until_its_deadline failed before ("error reading a body from connection").

--- a/lib/src/direct/moved_run.rs
+++ b/lib/src/direct/moved_run.rs
@@ -19,8 +19,8 @@
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 
-/// Wait for an event, in multiples of the route's maximum gap, after which callers give up.
-const CALLER_TIMEOUT_GAPS: u64 = 8;
+/// Longest pause before an engine that rejected a moved run is asked again; each time takes a retry.
+const MAX_REJECTED_PAUSE: Millis = Millis(1_000);
 
 /// Cause logged for a moved run that no engine has room for.
 const NO_FREE_SLOT: &str = "no engine has a free slot for the moved run";
@@ -40,8 +40,8 @@
     /// Resumes a stopped run at an engine that holds its KV cache or can fetch it.
     ///
     /// Both engines can be full at the moment, and the KV cache is kept for seconds. If a new
-    /// prefill isn't possible either, they are asked again for as long as callers wait for an
-    /// event, because only the KV cache can still complete the stream.
+    /// prefill isn't possible either, they are asked again until the deadline, because only the KV
+    /// cache can still complete the stream.
     ///
     /// # Errors
     ///
@@ -51,9 +51,7 @@
         mut run: Box<StoppedRun>,
     ) -> Result<(), ResponseAborted> {
         self.response = None;
-        let pause = self.max_event_gap().max(SELECTION_RETRY_PAUSE);
-        let caller_timeout = self.request.now() + Millis(pause.0 * CALLER_TIMEOUT_GAPS);
-        let until = caller_timeout.min(self.request.deadline);
+        let mut pause = self.max_event_gap().max(SELECTION_RETRY_PAUSE);
         let mut permits = std::mem::take(&mut run.permits);
         for (asked, target) in run.targets.iter().cycle().enumerate() {
             if asked == run.targets.len() {
@@ -62,10 +60,11 @@
                     return Ok(());
                 }
             }
-            let permit = match permits.pop() {
-                Some(permit) => Some(permit),
-                None => self.request.wait_for_permit(pause, until).await,
-            };
+            let mut permit = permits.pop();
+            if permit.is_none() {
+                permit = self.request.wait_for_permit(pause).await;
+                pause = Millis(pause.0 * 2).min(MAX_REJECTED_PAUSE);
+            }
             let Some(permit) = permit else {
                 return Err(ResponseAborted(NO_FREE_SLOT.to_owned()));
             };
--- a/lib/src/direct/request/retry.rs
+++ b/lib/src/direct/request/retry.rs
@@ -69,14 +69,10 @@
         RetryPermit::take(&self.frontend, &self.pool)
     }
 
-    /// Waits for `pause` at a time until the budget allows a retry; `None` if it doesn't before
-    /// `until`.
-    pub(in crate::direct) async fn wait_for_permit(
-        &self,
-        pause: Millis,
-        until: Millis,
-    ) -> Option<RetryPermit> {
-        while self.now() + pause < until {
+    /// Waits for `pause` at a time until the budget allows a retry; `None` if it doesn't before the
+    /// deadline.
+    pub(in crate::direct) async fn wait_for_permit(&self, pause: Millis) -> Option<RetryPermit> {
+        while self.now() + pause < self.deadline {
             tokio::time::sleep(pause.duration()).await;
             let permit = self.take_permit();
             if permit.is_some() {
