moved runs: a KV cache isn't used under other base weights

Cause: the version of the weights was left out when an engine's entry was translated; what may continue a run was decided by the adapter's version and the software's alone.

Fix: an upstream knows the versions of its weights, a run moves only to one with the same version, and prefill engines are chosen within each version.

--- a/lib/src/direct/dialect.rs
+++ b/lib/src/direct/dialect.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, request, response};
 use http_body_util::Full;
+use smallvec::SmallVec;
 use thiserror::Error;
 
 use super::config::Config;
@@ -48,8 +49,13 @@
     pub remaining: Option<Millis>,
     /// Base models and adapters that it has loaded.
     pub held: LoadedModels,
+    /// Versions of the base models' weights, as far as it reports them.
+    pub weights: Weights,
 }
 
+/// Versions of base models' weights by model, sorted.
+pub type Weights = SmallVec<[(Name, u64); 1]>;
+
 /// Base models and adapters that an engine has loaded.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct LoadedModels {
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -6,7 +6,6 @@
 mod response;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -242,11 +241,14 @@
             cached.updated_at = now;
             let upstreams = self.view.pool(pool);
             let ready = upstreams.iter().filter(|upstream| upstream.is_ready());
-            let engines: Vec<(&Name, SocketAddr)> = ready
-                .map(|upstream| (&upstream.software, upstream.address))
+            let engines: Vec<_> = ready
+                .map(|upstream| {
+                    let version = (&upstream.software, upstream.weights().clone());
+                    (version, upstream.address)
+                })
                 .collect();
             let prefill = cached.scaler.prefill_count(engines.len(), now);
-            cached.roles = Arc::new(Roles::split_by_software(engines, prefill));
+            cached.roles = Arc::new(Roles::split_by_version(engines, prefill));
         }
         Arc::clone(&cached.roles)
     }
--- a/lib/src/direct/roles.rs
+++ b/lib/src/direct/roles.rs
@@ -13,7 +13,6 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
-use crate::name::Name;
 
 /// Seed of the order in which engines become prefill engines. All nodes must use the same.
 const ORDER_SEED: u64 = 0x7265_6164_6572;
@@ -100,11 +99,14 @@
     }
 
     /// Assigns the prefill role to about `prefill_count` of the engines, the same fraction of each
-    /// software version.
+    /// version of software and weights.
     ///
     /// A run moves only within a version, so each one needs engines that decode.
     #[must_use]
-    pub fn split_by_software(mut engines: Vec<(&Name, SocketAddr)>, prefill_count: usize) -> Self {
+    pub fn split_by_version<V: Ord>(
+        mut engines: Vec<(V, SocketAddr)>,
+        prefill_count: usize,
+    ) -> Self {
         engines.sort_unstable();
         let total = engines.len();
         let mut prefill_engines = Vec::new();
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -10,7 +10,7 @@
 use super::admit::{self, AdmitQuery, Permit};
 use super::attempt::UpstreamResponse;
 use super::entry::{CLASS_LABEL, seconds};
-use super::metadata::RequestMetadata;
+use super::metadata::{RequestMetadata, base_model_of};
 use super::orders::LoadOutcome;
 use super::request::ActiveRequest;
 use super::request_log::LoadAttempt;
@@ -116,16 +116,17 @@
         }
         let upstreams = self.candidates();
         let selector = self.selector(&upstreams, &roles);
-        let has_free_slot = |upstream: &Upstream| {
+        let model = base_model_of(self.message.metadata.model.as_ref()?);
+        let can_take = |upstream: &Upstream| {
             !selector.is_prefill(upstream)
+                && source.has_same_weights(upstream, model)
                 && !self.tried.contains(&upstream.incarnation)
                 && !upstream.is_suspended(selector.now)
                 && upstream.total_running() < upstream.slots
         };
         let Some(adapter) = self.message.metadata.adapter() else {
-            let model = self.message.metadata.model.as_ref()?;
             return selector
-                .least_loaded(|upstream| has_free_slot(upstream) && upstream.has_base_model(model))
+                .least_loaded(|upstream| can_take(upstream) && upstream.has_base_model(model))
                 .map(any_version_target);
         };
         let newest = self
@@ -137,10 +138,12 @@
             let held = upstream.version(adapter);
             held.is_some_and(|held| may_move(answer.version, held, newest))
         };
-        let found = selector.least_loaded(|upstream| has_free_slot(upstream) && fits(upstream));
+        let found = selector.least_loaded(|upstream| can_take(upstream) && fits(upstream));
         if found.is_none() && request_load {
             let mut candidates = self.load_candidates(&selector, adapter);
-            candidates.retain(|upstream| !selector.is_prefill(upstream));
+            candidates.retain(|upstream| {
+                !selector.is_prefill(upstream) && source.has_same_weights(upstream, model)
+            });
             self.frontend
                 .load_in_background(candidates, adapter, newest.unwrap_or_default());
         }
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use super::admit::Permit;
-use super::dialect::{LoadedModels, RejectionNotice, UpstreamEntry};
+use super::dialect::{LoadedModels, RejectionNotice, UpstreamEntry, Weights};
 use super::metadata::base_model_of;
 use super::presence::{EntryRevision, Presence, Stage};
 use super::rejections::notice::{Notice, Said};
@@ -107,6 +107,7 @@
     /// Requests of this node that the owner may not count, by adapter.
     uncounted: Mutex<HashMap<Name, u32>>,
     holdings: Mutex<Holdings>,
+    weights: Mutex<Weights>,
     health: Mutex<Health>,
     mean_pause: Mutex<MeanPause>,
     /// What the pool's upstreams say about the rejections that they bear.
@@ -201,6 +202,7 @@
             remote_load_at: AtomicU64::new(now.0),
             uncounted: Mutex::default(),
             holdings: Mutex::default(),
+            weights: Mutex::new(entry.weights.clone()),
             health: Mutex::default(),
             mean_pause: Mutex::default(),
             notice: Arc::default(),
@@ -278,9 +280,30 @@
     pub fn update(&self, entry: &UpstreamEntry, entry_revision: EntryRevision) {
         if self.update_presence(|presence| presence.apply_entry(entry_revision, entry.ready)) {
             self.update_held(&entry.held);
+            self.weights().clone_from(&entry.weights);
         }
     }
 
+    /// Returns the versions of the base models' weights that it holds.
+    pub fn weights(&self) -> MutexGuard<'_, Weights> {
+        self.weights.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this and another upstream hold the same version of a base model's weights.
+    ///
+    /// What one computed with its weights means nothing to others. An upstream that reports no
+    /// version matches none but itself.
+    #[must_use]
+    pub fn has_same_weights(&self, other: &Self, model: &str) -> bool {
+        let version = |upstream: &Self| {
+            let weights = upstream.weights();
+            let version = weights.iter().find(|(name, _)| **name == *model);
+            version.map(|(_, version)| *version)
+        };
+        self.incarnation == other.incarnation
+            || version(self).is_some_and(|one| version(other) == Some(one))
+    }
+
     /// Updates the presence of the upstream and logs a change of its stage.
     fn update_presence<T>(&self, change: impl FnOnce(&mut Presence) -> T) -> T {
         let mut presence = self.presence();
--- a/lib/tests/direct_support/records.rs
+++ b/lib/tests/direct_support/records.rs
@@ -21,6 +21,7 @@
         ready: true,
         cold: Millis::ZERO,
         remaining: None,
+        weights: smallvec::smallvec![("base".into(), 1)],
         held: LoadedModels {
             started_at_ms: 0,
             sequence: 3,
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -184,6 +184,7 @@
         cold: Millis::ZERO,
         remaining: None,
         held: LoadedModels::default(),
+        weights: smallvec::SmallVec::new(),
     }
 }
 
--- a/lib/tests/test_direct_origin.rs
+++ b/lib/tests/test_direct_origin.rs
@@ -415,7 +415,7 @@
         .chain(engines(&two, 20, 5))
         .chain(engines(&three, 30, 1))
         .collect();
-    let roles = Roles::split_by_software(all.clone(), 6);
+    let roles = Roles::split_by_version(all.clone(), 6);
     let prefill = |version: &Name| {
         let engines = all.iter().filter(|(one, _)| *one == version);
         engines
@@ -434,7 +434,7 @@
     let versioned: Vec<_> = engines.iter().map(|engine| (&version, *engine)).collect();
     for prefill in 0..=18 {
         assert_eq!(
-            Roles::split_by_software(versioned.clone(), prefill),
+            Roles::split_by_version(versioned.clone(), prefill),
             Roles::split(engines.clone(), prefill)
         );
     }
--- a/lib/tests/test_direct_roles.rs
+++ b/lib/tests/test_direct_roles.rs
@@ -31,6 +31,7 @@
         cold: Millis::ZERO,
         remaining: None,
         held: LoadedModels::default(),
+        weights: smallvec::SmallVec::new(),
     };
     Arc::new(Upstream::new(&listed, entry_revision(1), 8, Millis::ZERO))
 }
