moved runs: a retry taken for a run is used by it or returned

- A run that only its source keeps, rejected once, was cut at its deadline: its second retry was marked as made for a new prefill that was never sent.
- Runs that engines reject for long were offered to others once only, however long they waited.
They are offered in each round now. stream_resumable_moved_and_rejected_for_long_is_resumed_elsewhere failed (in the reviewer's form cut after 8.2 s).
- An engine that is gone without a word kept its run where another engine had rejected it a moment before, as no free place was believed anywhere.
A retry taken beforehand needs none, since the former engine is kept.
- A silence at the source kept the new engine from being counted as silent.
- The KV cache of a run whose version may no longer start isn't offered again.
- Up to a second before the deadline no engine was asked any more.

In one commit, as they all are about who may use a retry and when.

--- a/lib/src/direct/moved_run.rs
+++ b/lib/src/direct/moved_run.rs
@@ -32,16 +32,15 @@
 enum Outcome {
     /// The engine's response, or why there is none.
     Response(Result<Box<UpstreamResponse>, SendError>),
-    /// The engine was silent for this long, and another one resumed the stream.
-    Elsewhere(Box<UpstreamResponse>, Millis),
+    /// Another engine's response, and why the engine itself has lost the run.
+    Elsewhere(Box<UpstreamResponse>, SendError),
 }
 
 impl Relay {
     /// Resumes a stopped run at an engine that holds its KV cache or can fetch it.
     ///
-    /// Both engines can be full at the moment, and the KV cache is kept for seconds. If a new
-    /// prefill isn't possible either, they are asked again until the deadline, because only the KV
-    /// cache can still complete the stream.
+    /// Both engines can be full at the moment, and the KV cache is kept for seconds. So they are asked
+    /// again until the deadline, unless a new prefill is possible.
     ///
     /// # Errors
     ///
@@ -54,13 +53,17 @@
         let mut pause = self.max_event_gap().max(SELECTION_RETRY_PAUSE);
         let mut permits = std::mem::take(&mut run.permits);
         for (asked, target) in run.targets.iter().cycle().enumerate() {
-            if asked == run.targets.len() {
+            let is_first_round = asked < run.targets.len();
+            if !is_first_round && asked.is_multiple_of(run.targets.len()) {
                 self.request.reserve_permit(&mut permits);
                 if self.resume_with_prefill(NO_FREE_SLOT).await.is_ok() {
                     return Ok(());
                 }
             }
-            let mut permit = permits.pop();
+            let mut permit = None;
+            if is_first_round {
+                permit = permits.pop().or_else(|| self.request.take_reserved());
+            }
             if permit.is_none() {
                 permit = self.request.wait_for_permit(pause).await;
                 pause = Millis(pause.0 * 2).min(MAX_REJECTED_PAUSE);
@@ -68,13 +71,12 @@
             let Some(permit) = permit else {
                 return Err(ResponseAborted(NO_FREE_SLOT.to_owned()));
             };
-            match self
-                .resume_moved_run(&run, target, permit, &mut permits)
-                .await
-            {
+            let resumed = self.resume_moved_run(&run, target, permit, &mut permits);
+            match resumed.await {
                 Ok(()) => return Ok(()),
-                // The run may have resumed there, so no other engine may use the KV cache.
-                Err(error) if error.may_run() => {
+                // No engine may use the KV cache any more: the run may have resumed there, or its
+                // version of the adapter may no longer start.
+                Err(error) if error.may_run() || matches!(error, SendError::Withdrawn { .. }) => {
                     self.request.reserve_permit(&mut permits);
                     return self.resume_with_prefill("the moved run was lost").await;
                 }
@@ -102,38 +104,35 @@
             .send_moved_run(target, run.kv_cache.clone(), last)
             .await?;
         permit.mark_made();
+        self.penalized = false;
         let sent_at = self.request.now();
         let outcome = self.moved_response(pending, target, unused).await;
         let took = self.request.now().since(sent_at);
-        match outcome {
-            Outcome::Response(Ok(response)) => {
+        let (response, elsewhere) = match outcome {
+            Outcome::Response(response) => (response, None),
+            Outcome::Elsewhere(response, error) => (Err(error), Some(response)),
+        };
+        let error = match response {
+            Ok(response) => {
                 request_log::run_moved(&self.request, &target.upstream, last, None, took);
                 permit.give_back();
                 self.request.timing.handovers += 1;
                 self.switch_to(*response);
-                Ok(())
-            }
-            Outcome::Response(Err(error)) => {
-                request_log::run_moved(&self.request, &target.upstream, last, Some(&error), took);
-                let is_sent = matches!(error, SendError::Rejected { .. }) || error.may_run();
-                if is_sent {
-                    self.request.frontend.count_retry("moved");
-                } else {
-                    permit.give_back();
-                }
-                Err(error)
-            }
-            Outcome::Elsewhere(response, silence) => {
-                let cause = format!("nothing for {silence}");
-                let error = SendError::Lost(Code::ExpiredRunning, cause.clone());
-                request_log::run_moved(&self.request, &target.upstream, last, Some(&error), took);
-                self.request.frontend.count_retry("moved");
-                self.request.frontend.count_retry("resumed");
-                request_log::resumed(&self.request, last, &cause);
-                self.switch_to(*response);
-                Ok(())
+                return Ok(());
             }
+            Err(error) => error,
+        };
+        request_log::run_moved(&self.request, &target.upstream, last, Some(&error), took);
+        if matches!(error, SendError::Rejected { .. }) || error.may_run() {
+            self.request.frontend.count_retry("moved");
+        } else {
+            permit.give_back();
         }
+        let response = elsewhere.ok_or_else(|| error.clone())?;
+        self.request.frontend.count_retry("resumed");
+        request_log::resumed(&self.request, last, &error.cause());
+        self.switch_to(*response);
+        Ok(())
     }
 
     /// Waits for the response to a moved run; while the engine is silent, tries others.
@@ -167,8 +166,11 @@
             self.request.in_flight_at = None;
             match (moved, elsewhere) {
                 (Some(Ok(response)), _) => return Outcome::Response(Ok(Box::new(response))),
-                (_, Some(Ok(response))) if response.head.status.is_success() => {
-                    return Outcome::Elsewhere(Box::new(response), silence);
+                (moved, Some(Ok(response))) if response.head.status.is_success() => {
+                    let cause = format!("nothing for {silence}");
+                    let error = moved.and_then(Result::err);
+                    let error = error.unwrap_or(SendError::Lost(Code::ExpiredRunning, cause));
+                    return Outcome::Elsewhere(Box::new(response), error);
                 }
                 (Some(Err(error)), _) => return Outcome::Response(Err(error)),
                 (None, _) => request_log::stays(&self.request, upstream),
--- a/lib/src/direct/request/mod.rs
+++ b/lib/src/direct/request/mod.rs
@@ -16,6 +16,7 @@
 use super::entry::Frontend;
 use super::origin::Origin;
 use super::request_log::{self, RequestOutcome};
+use super::retry_permit::RetryPermit;
 use super::sends::PendingSends;
 use super::target::Target;
 use super::upstream::Upstream;
@@ -59,8 +60,8 @@
     pub(in crate::direct) possible_runs: u32,
     undelivered: u32,
     pub(in crate::direct) rejections: u32,
-    /// Whether the next send was already taken from the retry budget.
-    retry_reserved: bool,
+    /// The retry that pays for the next send, if it was already taken from the budget.
+    reserved_retry: Option<RetryPermit>,
     /// A server error of an upstream, returned to the caller if no other upstream responds.
     failed_response: Option<Box<UpstreamResponse>>,
     /// The upstream where this request is still in flight while another one is tried.
@@ -118,7 +119,7 @@
             possible_runs: 0,
             undelivered: 0,
             rejections: 0,
-            retry_reserved: false,
+            reserved_retry: None,
             failed_response: None,
             in_flight_at: None,
             origin: None,
--- a/lib/src/direct/request/retry.rs
+++ b/lib/src/direct/request/retry.rs
@@ -20,16 +20,15 @@
     }
 
     /// Does the same for a moved run, with one of the retries that were taken for it if any is left.
+    ///
+    /// Such a retry needs no free slot elsewhere: the engine that was sent the run keeps it.
     pub(in crate::direct) fn reserve_moved_hedge(
         &mut self,
         waits_at: &Upstream,
         permits: &mut RetryPermits,
     ) -> bool {
-        if !self.can_hedge(waits_at) {
-            return false;
-        }
         self.reserve_permit(permits);
-        self.reserve_retry()
+        self.reserved_retry.is_some() || self.reserve_hedge(waits_at)
     }
 
     fn can_hedge(&self, waits_at: &Upstream) -> bool {
@@ -37,16 +36,18 @@
         uses_no_model || self.has_free_holder(waits_at)
     }
 
-    /// Uses a retry that was taken before for the next send, if there is one.
+    /// Reserves a retry that was taken before for the next send, if there is one.
     pub(in crate::direct) fn reserve_permit(&mut self, permits: &mut RetryPermits) {
-        if !self.retry_reserved
-            && let Some(mut permit) = permits.pop()
-        {
-            permit.mark_made();
-            self.retry_reserved = true;
+        if self.reserved_retry.is_none() {
+            self.reserved_retry = permits.pop();
         }
     }
 
+    /// Takes the retry that is reserved for the next send.
+    pub(in crate::direct) fn take_reserved(&mut self) -> Option<RetryPermit> {
+        self.reserved_retry.take()
+    }
+
     /// Whether the budget allows one send to each engine that could resume a moved run.
     pub(in crate::direct) fn has_budget_to_move(&self) -> bool {
         let frontend = &self.frontend;
@@ -69,32 +70,34 @@
         RetryPermit::take(&self.frontend, &self.pool)
     }
 
-    /// Waits for `pause` at a time until the budget allows a retry; `None` if it doesn't before the
-    /// deadline.
-    pub(in crate::direct) async fn wait_for_permit(&self, pause: Millis) -> Option<RetryPermit> {
-        while self.now() + pause < self.deadline {
-            tokio::time::sleep(pause.duration()).await;
-            let permit = self.take_permit();
+    /// Waits for `pause` at a time until a retry is reserved or the budget allows one; `None` if there
+    /// is none before the deadline.
+    pub(in crate::direct) async fn wait_for_permit(
+        &mut self,
+        pause: Millis,
+    ) -> Option<RetryPermit> {
+        loop {
+            let left = self.deadline.since(self.now());
+            tokio::time::sleep(pause.min(left).duration()).await;
+            if self.now() >= self.deadline {
+                return None;
+            }
+            let permit = self.take_reserved().or_else(|| self.take_permit());
             if permit.is_some() {
                 return permit;
             }
         }
-        None
     }
 
     /// Takes the next send from the retry budget unless that was done already.
     pub(super) fn reserve_retry(&mut self) -> bool {
-        self.retry_reserved = self.retry_reserved || self.take_retry();
-        self.retry_reserved
-    }
-
-    /// Takes one retry from the budget of all nodes.
-    fn take_retry(&self) -> bool {
-        let usage = self.frontend.retry_usage(&self.pool);
-        let is_taken = self.frontend.take_retry(&self.pool).is_some();
-        if is_taken {
-            request_log::retry_taken(self, usage);
+        if self.reserved_retry.is_none() {
+            let usage = self.frontend.retry_usage(&self.pool);
+            self.reserved_retry = self.take_permit();
+            if self.reserved_retry.is_some() {
+                request_log::retry_taken(self, usage);
+            }
         }
-        is_taken
+        self.reserved_retry.is_some()
     }
 }
--- a/lib/src/direct/request/send.rs
+++ b/lib/src/direct/request/send.rs
@@ -26,7 +26,9 @@
             resume_after: resume_after.or(self.message.metadata.resume_after),
             ..self.dispatch(&target)
         };
-        self.retry_reserved = false;
+        if let Some(mut permit) = self.reserved_retry.take() {
+            permit.mark_made();
+        }
         self.possible_runs += 1;
         self.sent_at = self.now();
         request_log::sent(
