--- a/lib/tests/direct_support/mod.rs
+++ b/lib/tests/direct_support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod claimer;
 pub mod listen;
 pub mod memory;
 pub mod records;
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -4,205 +4,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-
-use async_trait::async_trait;
-use chivevalve::clock::{Clock, Manual, Millis, Monotonic};
-use chivevalve::direct::claim::{Claimer, Refusal, Voters};
-use chivevalve::direct::config::{Config, Engine, Pool, RequestLimits};
-use chivevalve::direct::controllers::Controllers;
-use chivevalve::direct::dialect::{Dialect, LoadedModels, UpstreamEntry};
-use chivevalve::direct::follow::Follower;
-use chivevalve::direct::limits::{LEASE_TTL, Limits, OWNERSHIP_TERM, SharedLimits};
+use std::sync::atomic::Ordering;
+
+use chivevalve::clock::{Clock, Millis, Monotonic};
+use chivevalve::direct::dialect::Dialect;
+use chivevalve::direct::limits::{LEASE_TTL, Limits, OWNERSHIP_TERM};
 use chivevalve::direct::orders::LoadOutcome;
 use chivevalve::direct::ownership::Ownership;
 use chivevalve::direct::upstream::Upstream;
 use chivevalve::direct::view::{Claim, ClaimEntry, Peer, View};
-use chivevalve::ports::{Lease, Store};
 use chivevalve_platform::PlatformDialect;
 use direct_support::SERVER;
+use direct_support::claimer::{
+    Node, add_engine, address, controllers, node, pass, start, start_at, start_with, store_engine,
+};
 use direct_support::memory::MemoryStore;
-use direct_support::records::entry_revision;
-use tokio::task::JoinHandle;
-
-/// The other nodes, which vote as the test sets.
-#[derive(Debug, Default)]
-struct Others {
-    vote: AtomicBool,
-    /// Rounds of questions that are lost before `vote` applies.
-    lost_rounds: AtomicU32,
-}
-
-#[async_trait]
-impl Voters for Others {
-    fn others(&self) -> Option<Vec<SocketAddr>> {
-        Some(vec![address()])
-    }
-
-    async fn refusals(&self, asked: &[SocketAddr], _: &[(SocketAddr, u64)]) -> Vec<Refusal> {
-        let lost_rounds = self.lost_rounds.load(Ordering::SeqCst);
-        self.lost_rounds
-            .store(lost_rounds.saturating_sub(1), Ordering::SeqCst);
-        if lost_rounds == 0 && self.vote.load(Ordering::SeqCst) {
-            return Vec::new();
-        }
-        let refusal = |&peer| Refusal {
-            peer,
-            reason: "set by the test".to_owned(),
-        };
-        asked.iter().map(refusal).collect()
-    }
-}
-
-/// The part of a node that makes claims.
-struct Node {
-    clock: Arc<Manual>,
-    ownership: Arc<Ownership>,
-    claimer: Arc<Claimer>,
-    others: Arc<Others>,
-    limits: Arc<SharedLimits>,
-    tasks: Vec<JoinHandle<()>>,
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
-        }
-    }
-}
-
-fn address() -> SocketAddr {
-    "127.0.0.1:9".parse().unwrap()
-}
-
-fn node(name: &str, memory: &Arc<MemoryStore>, first_start: bool) -> Node {
-    start(name, 1, memory, first_start)
-}
-
-fn start(name: &str, start: u64, memory: &Arc<MemoryStore>, first_start: bool) -> Node {
-    let view = Arc::new(View::default());
-    add_engine(&view);
-    start_with(view, name, start, memory, first_start)
-}
-
-fn start_with(
-    view: Arc<View>,
-    name: &str,
-    start: u64,
-    memory: &Arc<MemoryStore>,
-    first_start: bool,
-) -> Node {
-    // The clocks of all starts on one VM count from its boot.
-    let now = Millis(100_000 * start);
-    start_at(now, view, name, start, memory, first_start)
-}
-
-fn start_at(
-    now: Millis,
-    view: Arc<View>,
-    name: &str,
-    start: u64,
-    memory: &Arc<MemoryStore>,
-    first_start: bool,
-) -> Node {
-    let clock = Arc::new(Manual::default());
-    clock.advance(now);
-    let shared: Arc<dyn Clock> = Arc::<Manual>::clone(&clock);
-    let ownership = Arc::new(Ownership::new(Arc::clone(&shared), Arc::clone(&view)));
-    let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect);
-    let limits = Arc::new(SharedLimits::default());
-    let follower = Follower::new(
-        Arc::<MemoryStore>::clone(memory),
-        Arc::<MemoryStore>::clone(memory),
-        Arc::clone(&dialect),
-        Arc::clone(&shared),
-        Arc::clone(&view),
-        Arc::clone(&limits),
-    );
-    let others = Arc::new(Others::default());
-    let claimer = Arc::new(Claimer {
-        store: Arc::<MemoryStore>::clone(memory) as Arc<dyn Store>,
-        lease: Arc::<MemoryStore>::clone(memory) as Arc<dyn Lease>,
-        voters: Arc::<Others>::clone(&others),
-        dialect,
-        clock: shared,
-        view,
-        ownership: Arc::clone(&ownership),
-        metrics: Arc::default(),
-        limits: Arc::clone(&limits),
-        node: name.into(),
-        peer: Peer {
-            address: address(),
-            start,
-            failure_domain: "hall-a".into(),
-        },
-        boot: 1,
-        first_start,
-    });
-    let tasks = vec![
-        tokio::spawn(follower.run()),
-        tokio::spawn(Arc::clone(&claimer).run()),
-    ];
-    Node {
-        clock,
-        ownership,
-        claimer,
-        others,
-        limits,
-        tasks,
-    }
-}
-
-/// Puts a configuration and the engine into a view.
-fn add_engine(view: &View) {
-    let engine = Engine {
-        max_batch: 8,
-        adapter_slots: 4,
-        kv_capacity_tokens: 100,
-        model_load_times: Vec::new(),
-    };
-    let pool = Pool {
-        max_connections: 10,
-        engine: Some(engine),
-    };
-    let pools = [("engines".into(), pool)].into_iter().collect();
-    let mut state = view.state();
-    state.apply_config(Config::new(1, Vec::new(), pools, RequestLimits::default()));
-    state.put_upstream(&listed(), entry_revision(1), Millis(100_000));
-}
-
-fn listed() -> UpstreamEntry {
-    UpstreamEntry {
-        incarnation: "i-1".into(),
-        pool: "engines".into(),
-        address: address(),
-        failure_domain: "hall-a".into(),
-        software: Some("v1".into()),
-        slots: 8,
-        ready: true,
-        cold: Millis::ZERO,
-        remaining: None,
-        held: LoadedModels::default(),
-    }
-}
-
-/// Stores the engine's entry, so that a full read doesn't drop the engine.
-fn store_engine(memory: &MemoryStore) {
-    let entry = SERVER;
-    memory.change(|state| state.put("servers/i-1", entry, None));
-}
-
-/// Advances the clocks of all nodes by `span`.
-async fn pass(nodes: &[&Node], span: Millis) {
-    let step = Millis(50);
-    for _ in 0..span.0 / step.0 {
-        for node in nodes {
-            node.clock.advance(step);
-        }
-        tokio::time::sleep(step.duration()).await;
-    }
-}
 
 /// Returns a service with the engine's entry, and the node that owns the engine.
 async fn owner() -> (Arc<MemoryStore>, Node) {
@@ -613,37 +429,6 @@
     assert!(!one.ownership.votes_for("two", &[(address(), token)]));
 }
 
-/// Returns the controllers of a node that owns no engine.
-fn controllers(clock: Arc<dyn Clock>, view: Arc<View>) -> Controllers {
-    let ownership = Arc::new(Ownership::new(Arc::clone(&clock), Arc::clone(&view)));
-    Controllers::new(
-        view,
-        ownership,
-        Arc::new(PlatformDialect),
-        clock,
-        "one".into(),
-        Arc::default(),
-    )
-}
-
-/// A node whose process has ended counts as a vote, one that doesn't respond as a refusal.
-#[tokio::test]
-async fn refusals_connection_refused() {
-    let clock: Arc<dyn Clock> = Arc::new(Manual::default());
-    let view = Arc::new(View::default());
-    let controllers = controllers(clock, view);
-    let open = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let silent = open.local_addr().unwrap();
-    let ended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let dead = ended.local_addr().unwrap();
-    drop(ended);
-    let refusals = controllers
-        .refusals(&[dead, silent], &[(address(), 7)])
-        .await;
-    let peers: Vec<SocketAddr> = refusals.iter().map(|refusal| refusal.peer).collect();
-    assert_eq!(peers, [silent]);
-}
-
 /// A load at a suspended owner fails soon, so that another engine can be tried.
 #[tokio::test(start_paused = true)]
 async fn load_at_an_unresponsive_owner() {
@@ -652,7 +437,8 @@
     add_engine(&view);
     let suspended = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let upstream = set_owner(&view, "two", suspended.local_addr().unwrap());
-    let controllers = Arc::new(controllers(clock, view));
+    let ownership = Arc::new(Ownership::new(Arc::clone(&clock), Arc::clone(&view)));
+    let controllers = Arc::new(controllers("one", view, ownership, clock));
     let running = tokio::spawn(Arc::clone(&controllers).run());
     let began = tokio::time::Instant::now();
     let loaded = controllers.load(&upstream, &"base/a1".into(), 0).await;
