claims: a refused connection is no vote for an extension

Cause: an owner that can't renew its lease needs the votes of all other nodes, and a refused connection counted as the vote of a node that has ended. A cut by resets looks the same. The node behind it extended its term each 0.65 s with nobody's consent.

Ruled out: a successor that comes too early (it waits for 5.3 s), votes of nodes that saw the claim vanish, orders that arrive late.

Change: only an answer is a vote. The node that can't be asked may be the one that reaches the service; it takes over once the records of the others have expired, as they may be dead, so it can't need their votes and they must need its own.

Cost: a node that stays away in an outage of the service ends the orders of all others until its end.

--- a/lib/src/direct/claim/extension.rs
+++ b/lib/src/direct/claim/extension.rs
@@ -1,7 +1,9 @@
 //! Extending ownership in an outage of the key-value service, by the votes of all other nodes.
 //!
 //! This is no consensus protocol: votes decide and store nothing, and the service stays the
-//! arbiter.
+//! arbiter. A node that alone reaches the service may take everything over once the records of
+//! the others have expired, since they may all be dead. So none of them may count it as dead:
+//! each other node has to vote itself, whatever the network says of it.
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -33,8 +35,8 @@
 
     /// Asks nodes for their votes, and returns the refusals.
     ///
-    /// A node votes according to [`Ownership::votes_for`]. A node that isn't running counts as a
-    /// vote, since its next start gets its first lease later than this question.
+    /// A node votes according to [`Ownership::votes_for`]. A node that gives no answer gives no
+    /// vote.
     ///
     /// [`Ownership::votes_for`]: crate::direct::ownership::Ownership::votes_for
     async fn refusals(&self, asked: &[SocketAddr], owned: &[(SocketAddr, u64)]) -> Vec<Refusal>;
@@ -44,10 +46,10 @@
     /// Extends ownership through an outage of the service that all nodes see.
     ///
     /// Without this no adapter is loaded during an outage and for eight seconds after it. It
-    /// takes the votes of all other nodes, before the current term ends. Nodes that couldn't be
-    /// reached over a pooled connection are asked again: a renewal takes so long to fail that a
-    /// term has time for only one extension, and a node that restarted in that second stopped the
-    /// orders of all others for the rest of an outage.
+    /// takes the votes of all other nodes, before the current term ends. Nodes that gave no answer
+    /// are asked again: a renewal takes so long to fail that a term has time for only one
+    /// extension, and a node that restarted in that second stopped the orders of all others for
+    /// the rest of an outage.
     pub(super) async fn extend_ownership(&self, error: &Error) {
         let sent = self.clock.now();
         let owned: Vec<(SocketAddr, u64)> = self
--- a/lib/src/direct/controllers/vote.rs
+++ b/lib/src/direct/controllers/vote.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use tonic::Status;
 
 use super::Controllers;
 use crate::clock::Millis;
@@ -49,30 +48,17 @@
 
 impl Controllers {
     /// Requests the vote of one node; the error says why it gave none.
+    ///
+    /// A refused connection is no vote. It shows that the VM runs without the node's process, or
+    /// that something on the way resets connections while the node is alive.
     async fn request_vote(&self, peer: SocketAddr, request: SupportRequest) -> Result<(), String> {
         let mut client = self.client(peer);
         let reply = tokio::time::timeout(VOTE_TIMEOUT.duration(), client.support(request)).await;
         match reply {
             Ok(Ok(reply)) if reply.get_ref().supported => Ok(()),
             Ok(Ok(_)) => Err("it sees other claims".to_owned()),
-            Ok(Err(status)) if is_connection_refused(&status) => Ok(()),
             Ok(Err(status)) => Err(status.message().to_owned()),
             Err(_) => Err(format!("no answer within {VOTE_TIMEOUT}")),
         }
     }
 }
-
-/// Whether the VM refused the connection: no process listens there, so the node has ended.
-fn is_connection_refused(status: &Status) -> bool {
-    let mut cause = std::error::Error::source(status);
-    while let Some(error) = cause {
-        let refused = error
-            .downcast_ref::<std::io::Error>()
-            .is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused);
-        if refused {
-            return true;
-        }
-        cause = error.source();
-    }
-    false
-}
