claims: the round after late votes comes before the term ends

Cause: an extension counts from when the votes were asked for, and the next renewal came a whole interval after the last vote. Where a node was away for over 0.85 s of the term less the time that a renewal takes to fail, the next questions came after the term's end, and the orders ended for the rest of the outage.

Change: the time that votes took is taken off the pause before the next renewal. The rest of a term in which a node that restarts can vote is 0.65 s at least: 2 s, less the interval or the 0.85 s that votes can have taken, less 0.5 s until a renewal fails.

Test, failed before: extension_with_late_votes (votes come after six lost rounds of 100 ms in each term; the second extension came too late).

--- a/lib/src/direct/claim/mod.rs
+++ b/lib/src/direct/claim/mod.rs
@@ -83,12 +83,18 @@
             let has_config = self.view.config().is_some();
             let is_valid = self.ownership.is_term_running();
             self.ownership.was_valid.store(is_valid, Ordering::Relaxed);
+            let mut pause = RENEWAL_INTERVAL;
             if let Err(error) = self.renew_and_claim(&mut lease, &mut first_lease_at).await {
                 self.view.record_store_call(false);
+                let asked_at = self.clock.now();
                 self.extend_ownership(&error).await;
+                // An extension counts from the questions. After late votes, its term would end
+                // before the next round.
+                let elapsed = self.clock.now().since(asked_at);
+                pause = pause - elapsed.min(pause);
             }
             if has_config {
-                tokio::time::sleep(RENEWAL_INTERVAL.duration()).await;
+                tokio::time::sleep(pause.duration()).await;
             } else {
                 self.wait_for_view().await;
             }
--- a/lib/tests/direct_support/claimer.rs
+++ b/lib/tests/direct_support/claimer.rs
@@ -29,6 +29,8 @@
     pub vote: AtomicBool,
     /// Rounds of questions that are lost before `vote` applies.
     pub lost_rounds: AtomicU32,
+    /// `lost_rounds` after each vote.
+    pub lost_before_each_vote: AtomicU32,
 }
 
 #[async_trait]
@@ -42,6 +44,8 @@
         self.lost_rounds
             .store(lost_rounds.saturating_sub(1), Ordering::SeqCst);
         if lost_rounds == 0 && self.vote.load(Ordering::SeqCst) {
+            let lost = self.lost_before_each_vote.load(Ordering::SeqCst);
+            self.lost_rounds.store(lost, Ordering::SeqCst);
             return Vec::new();
         }
         let refusal = |&peer| Refusal {
--- a/lib/tests/test_direct_extension.rs
+++ b/lib/tests/test_direct_extension.rs
@@ -20,7 +20,7 @@
 use chivevalve::ports::poll::{self, Changes, Poll};
 use chivevalve::ports::{Commit, Entry, Error, Lease, LeaseId, Listing, Store, Transaction};
 use chivevalve_platform::PlatformDialect;
-use direct_support::claimer::{Node, address, controllers, pass, start_asking, store_engine};
+use direct_support::claimer::{Node, address, controllers, node, pass, start_asking, store_engine};
 use direct_support::memory::MemoryStore;
 use direct_support::records::peer;
 use tokio::net::TcpListener;
@@ -211,3 +211,20 @@
     pass(&[&one], OWNERSHIP_TERM).await;
     assert!(!may_order(&one));
 }
+
+/// Votes that come late in one round, as of a node that restarts, leave time for the next round.
+#[tokio::test(start_paused = true)]
+async fn extension_with_late_votes() {
+    let memory = Arc::new(MemoryStore::default());
+    store_engine(&memory);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(3_000)).await;
+    one.others.vote.store(true, Ordering::SeqCst);
+    one.others.lost_rounds.store(6, Ordering::SeqCst);
+    one.others.lost_before_each_vote.store(6, Ordering::SeqCst);
+    memory.change(|state| state.is_unavailable = true);
+    for _ in 0..200 {
+        pass(&[&one], Millis(50)).await;
+        assert!(one.ownership.fencing_token(address()).is_some());
+    }
+}
