quarantine: no answer of other nodes isn't evidence of a crash

Cause: where a new connection to an upstream is refused, a node asks others whether they can connect, and took "nobody answered" for "nobody can". A node whose connections are reset in all directions saw each upstream crash at which its requests broke. It reports them once the service is back, and all nodes count these reports for ten minutes. That a proper request was rejected for it was not seen.

Change: what other nodes say has a third value, unknown, and then the list shows a crash or none, as for an upstream that accepts connections. A node that has never seen another one decides alone, as before. Cost: where no other node answers, a crash is known when the entry vanishes, within five seconds instead of milliseconds.

--- a/lib/src/direct/path.rs
+++ b/lib/src/direct/path.rs
@@ -8,7 +8,7 @@
 use super::controllers::Controllers;
 use super::dial::{Dialed, dial};
 use super::dialect::RejectionNotice;
-use super::quarantine::OtherNodes;
+use super::quarantine::{OtherNodes, Reach};
 use super::reachability::Advice;
 use super::tunnel::{self, OpenError};
 use super::upstream::Upstream;
@@ -217,8 +217,15 @@
 
 #[async_trait]
 impl OtherNodes for Paths {
-    async fn reach(&self, upstream: &Upstream) -> bool {
-        self.tunnels.open(upstream).await.is_ok()
+    async fn reach(&self, upstream: &Upstream) -> Reach {
+        match self.tunnels.open(upstream).await {
+            Ok(_) => Reach::Reached,
+            Err(OpenError::Unreachable(_)) => Reach::Unreached,
+            Err(OpenError::NoNodes) if self.controllers.view.state().max_nodes_seen <= 1 => {
+                Reach::Unreached
+            }
+            Err(OpenError::NoNodes | OpenError::NoAnswer(_)) => Reach::Unknown,
+        }
     }
 }
 
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -80,7 +80,18 @@
 #[async_trait]
 pub trait OtherNodes: fmt::Debug + Send + Sync {
     /// Whether another node can connect to an upstream now.
-    async fn reach(&self, upstream: &Upstream) -> bool;
+    async fn reach(&self, upstream: &Upstream) -> Reach;
+}
+
+/// What other nodes say of their connections to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// One of them can connect.
+    Reached,
+    /// Those that answered can't, or there have never been any.
+    Unreached,
+    /// None of them answered.
+    Unknown,
 }
 
 /// Decides which requests may be sent, and reports this node's requests at crashed upstreams.
@@ -264,8 +275,9 @@
     /// show a crash in it.
     async fn has_crashed(self: &Arc<Self>, upstream: &Upstream) -> bool {
         let is_refused = upstream.connection_pool.probe().await == ProbeResult::Refused;
-        // The network may refuse connections in the upstream's place, but hardly for all nodes.
-        if is_refused && !self.others.reach(upstream).await {
+        // The network may refuse connections in the upstream's place, but hardly for all nodes. One
+        // that refuses this node everything hides what the others see, too.
+        if is_refused && self.others.reach(upstream).await == Reach::Unreached {
             return true;
         }
         self.broadcast_unconfirmed(&upstream.start_id());
--- a/lib/src/direct/tunnel/client.rs
+++ b/lib/src/direct/tunnel/client.rs
@@ -65,6 +65,18 @@
     /// No node that was asked could connect to the upstream.
     #[error("no other node reaches it either: {0}")]
     Unreachable(String),
+    /// No node that was asked said whether it could.
+    #[error("no other node answered: {0}")]
+    NoAnswer(String),
+}
+
+/// A node that couldn't open a connection to a pool.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    /// Until when the node isn't asked again.
+    until: Millis,
+    /// Whether the node said that it lacks a path.
+    is_answer: bool,
 }
 
 /// Opens connections through other nodes.
@@ -72,8 +84,8 @@
 pub struct Client {
     controllers: Arc<Controllers>,
     clients: Mutex<HashMap<SocketAddr, TunnelsClient<Channel>>>,
-    /// Until when a node isn't asked for connections to a pool.
-    refusals: Mutex<HashMap<(SocketAddr, Name), Millis>>,
+    /// Nodes that aren't asked for connections to a pool.
+    refusals: Mutex<HashMap<(SocketAddr, Name), Refusal>>,
 }
 
 impl Client {
@@ -93,7 +105,7 @@
     ///
     /// When no node that was asked could; the upstream has received nothing.
     pub async fn open(&self, upstream: &Upstream) -> Result<(Box<dyn Stream>, Tunnel), OpenError> {
-        let candidates = self.candidates(upstream)?;
+        let (candidates, mut is_answered) = self.candidates(upstream)?;
         let until = self.clock().now() + OPEN_TIMEOUT;
         let mut last = "all have refused a moment ago".to_owned();
         for (node, address) in candidates.into_iter().take(MAX_ATTEMPTS) {
@@ -110,25 +122,38 @@
             };
             self.count(status.code());
             last = format!("{node}: {}", status.message());
+            let is_answer = tells_of_no_path(status.code());
+            is_answered |= is_answer;
             if matches!(status.code(), Code::NotFound | Code::Aborted) {
                 // The node learns of the upstream in a moment, or reaches others of the pool.
                 continue;
             }
-            let until = self.clock().now() + REFUSAL_MEMORY;
+            let refusal = Refusal {
+                until: self.clock().now() + REFUSAL_MEMORY,
+                is_answer,
+            };
             self.refusals()
-                .insert((address, Name::clone(&upstream.pool)), until);
+                .insert((address, Name::clone(&upstream.pool)), refusal);
         }
-        Err(OpenError::Unreachable(last))
+        Err(if is_answered {
+            OpenError::Unreachable(last)
+        } else {
+            OpenError::NoAnswer(last)
+        })
     }
 
-    /// Returns the nodes to ask, in this order.
+    /// Returns the nodes to ask, in this order, and whether another one said a moment ago that it
+    /// lacks a path.
     ///
     /// Nodes of the upstream's failure domain come first, as bytes then cross from one domain to
     /// another at most once; within both groups the order is random, to spread the load.
-    fn candidates(&self, upstream: &Upstream) -> Result<Vec<(Name, SocketAddr)>, OpenError> {
+    fn candidates(
+        &self,
+        upstream: &Upstream,
+    ) -> Result<(Vec<(Name, SocketAddr)>, bool), OpenError> {
         let now = self.clock().now();
         let mut refusals = self.refusals();
-        refusals.retain(|_, until| *until > now);
+        refusals.retain(|_, refusal| refusal.until > now);
         let state = self.controllers.view.state();
         let own = &self.controllers.node;
         let others = state.nodes.iter().filter(|(node, _)| *node != own);
@@ -143,15 +168,16 @@
         if candidates.is_empty() {
             return Err(OpenError::NoNodes);
         }
+        let mut is_answered = false;
         candidates.retain(|(_, _, _, address)| {
-            !self.controllers.is_unresponsive(*address)
-                && !refusals.contains_key(&(*address, Name::clone(&upstream.pool)))
+            let refusal = refusals.get(&(*address, Name::clone(&upstream.pool)));
+            is_answered |= refusal.is_some_and(|refusal| refusal.is_answer);
+            refusal.is_none() && !self.controllers.is_unresponsive(*address)
         });
         candidates.sort_unstable_by_key(|(is_remote, order, _, _)| (*is_remote, *order));
         let candidates = candidates.into_iter();
-        Ok(candidates
-            .map(|(_, _, node, address)| (node, address))
-            .collect())
+        let candidates = candidates.map(|(_, _, node, address)| (node, address));
+        Ok((candidates.collect(), is_answered))
     }
 
     async fn open_through(
@@ -197,11 +223,16 @@
         &*self.controllers.clock
     }
 
-    fn refusals(&self) -> MutexGuard<'_, HashMap<(SocketAddr, Name), Millis>> {
+    fn refusals(&self) -> MutexGuard<'_, HashMap<(SocketAddr, Name), Refusal>> {
         self.refusals.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Whether a node that was asked said that it doesn't reach the upstream.
+const fn tells_of_no_path(code: Code) -> bool {
+    matches!(code, Code::FailedPrecondition | Code::Aborted)
+}
+
 /// Joins both directions of a tunnel to a byte stream.
 fn byte_stream(
     sender: mpsc::Sender<TunnelChunk>,
--- a/lib/tests/test_direct_quarantine.rs
+++ b/lib/tests/test_direct_quarantine.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use chivevalve::clock::{Clock, Millis, Monotonic};
 use chivevalve::direct::outbox::{Outbox, PeerBroadcast};
-use chivevalve::direct::quarantine::{CRASH_REPORT_PREFIX, OtherNodes, Quarantine};
+use chivevalve::direct::quarantine::{CRASH_REPORT_PREFIX, OtherNodes, Quarantine, Reach};
 use chivevalve::direct::upstream::Upstream;
 use chivevalve::direct::view::{PutOutcome, View};
 use chivevalve::name::Name;
@@ -62,8 +62,8 @@
 
 #[async_trait]
 impl OtherNodes for NoOtherNodes {
-    async fn reach(&self, _: &Upstream) -> bool {
-        false
+    async fn reach(&self, _: &Upstream) -> Reach {
+        Reach::Unreached
     }
 }
 
