direct: apply the idle limit in force to open connections

Callers saw: behind a configuration that raises the idle limit, a connection that was opened before is closed by the former limit, so that it can meet a request: callers reuse a connection for up to four fifths of the newest limit. A lowered limit never applied to connections that were open. A head that arrived while the limit ended was cut off in the middle.

Cause: the limit was given to the HTTP library when the connection was opened, as the time from the end of one request to the end of the next one's head.

Change: direct::connection measures itself. A connection lasts for the longer of the limits at the beginning and at the end of its rest, and a head that has begun has the time for heads.

--- /dev/null
+++ b/lib/src/direct/connection.rs
@@ -0,0 +1,250 @@
+//! Serves one caller's connection, and closes it once it has been idle for too long.
+//!
+//! Callers reuse a connection by the limit on idle time that they know, so the close must not meet
+//! a request that relies on another limit: one that was in force when the caller went idle, or one
+//! that has been raised since then. A connection isn't idle while its caller still takes a response,
+//! or while the head of a request arrives.
+
+use std::io::{self, IoSlice};
+use std::pin::{Pin, pin};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+
+use http_body_util::BodyExt;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use super::config::RequestLimits;
+use super::entry::Frontend;
+use crate::clock::{Clock, Millis};
+
+/// Smallest buffer size, in bytes, that the HTTP library accepts.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
+
+/// Serves a connection until it ends, has been idle for too long, or the node stops.
+pub(super) async fn serve(
+    frontend: Arc<Frontend>,
+    stream: TcpStream,
+    closing: CancellationToken,
+) -> Result<(), hyper::Error> {
+    let activity = Arc::new(Activity::new(Arc::clone(&frontend.clock)));
+    let service = service_fn(|request| {
+        let guard = RequestGuard::begin(&activity);
+        let handling = Arc::clone(&frontend).handle(request);
+        async move {
+            // The guard lives in the body, so the request counts until the body is sent or dropped.
+            Ok::<_, super::relay::ResponseAborted>(handling.await?.map(|body| {
+                body.map_frame(move |frame| {
+                    let _ = &guard;
+                    frame
+                })
+                .boxed_unsync()
+            }))
+        }
+    });
+    let stream = ObservedStream {
+        stream,
+        activity: Arc::clone(&activity),
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(limits(&frontend).head_bytes.max(MIN_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut expired = pin!(activity.expired(|| limits(&frontend)));
+    tokio::select! {
+        biased;
+        ended = connection.as_mut() => return ended,
+        () = closing.cancelled() => {}
+        () = expired.as_mut() => return Ok(()),
+    }
+    connection.as_mut().graceful_shutdown();
+    tokio::select! {
+        biased;
+        ended = connection => ended,
+        () = expired => Ok(()),
+    }
+}
+
+/// Returns the limits in force.
+fn limits(frontend: &Frontend) -> RequestLimits {
+    let config = frontend.view.config();
+    config.map(|config| config.limits).unwrap_or_default()
+}
+
+/// What happens on a connection.
+#[derive(Debug)]
+struct Activity {
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+    /// Notified when a request begins or ends, and when its response has been sent.
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    is_in_progress: bool,
+    /// Whether a part of a response waits until the caller takes more.
+    has_unsent: bool,
+    /// When the last response was sent.
+    idle_since: Millis,
+    /// When the head of the next request began to arrive.
+    head_since: Option<Millis>,
+}
+
+impl Activity {
+    fn new(clock: Arc<dyn Clock>) -> Self {
+        let state = State {
+            idle_since: clock.now(),
+            ..State::default()
+        };
+        Self {
+            clock,
+            state: Mutex::new(state),
+            changed: Notify::new(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until no request has been in progress for as long as the limits allow.
+    async fn expired(&self, limits: impl Fn() -> RequestLimits) {
+        loop {
+            let mut longest = Millis::ZERO;
+            while let Some((idle_since, head_since)) = self.idle() {
+                let limits = limits();
+                longest = longest.max(limits.idle_timeout);
+                let until_head = head_since.map_or(Millis::ZERO, |at| at + limits.head_timeout);
+                let until = until_head.max(idle_since + longest);
+                let left = until.since(self.clock.now());
+                if left == Millis::ZERO {
+                    return;
+                }
+                let changed = self.changed.notified();
+                if tokio::time::timeout(left.duration(), changed).await.is_ok() {
+                    break;
+                }
+            }
+            if self.idle().is_none() {
+                self.changed.notified().await;
+            }
+        }
+    }
+
+    /// Returns since when no request has been in progress, and since when the head of the next one
+    /// has been arriving; `None` while one is in progress or its response is being sent.
+    fn idle(&self) -> Option<(Millis, Option<Millis>)> {
+        let state = self.state();
+        let is_idle = !state.is_in_progress && !state.has_unsent;
+        is_idle.then_some((state.idle_since, state.head_since))
+    }
+
+    fn record_read(&self) {
+        let mut state = self.state();
+        if !state.is_in_progress {
+            state.head_since.get_or_insert_with(|| self.clock.now());
+        }
+    }
+
+    fn record_write(&self) {
+        self.state().has_unsent = true;
+    }
+
+    fn record_sent(&self) {
+        let mut state = self.state();
+        if std::mem::take(&mut state.has_unsent) {
+            state.idle_since = self.clock.now();
+            drop(state);
+            self.changed.notify_waiters();
+        }
+    }
+}
+
+/// Marks a request as in progress until dropped.
+#[derive(Debug)]
+struct RequestGuard(Arc<Activity>);
+
+impl RequestGuard {
+    fn begin(activity: &Arc<Activity>) -> Self {
+        let mut state = activity.state();
+        state.is_in_progress = true;
+        state.head_since = None;
+        drop(state);
+        activity.changed.notify_waiters();
+        Self(Arc::clone(activity))
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        let mut state = self.0.state();
+        state.is_in_progress = false;
+        state.idle_since = self.0.clock.now();
+        drop(state);
+        self.0.changed.notify_waiters();
+    }
+}
+
+/// A caller's stream that records when bytes arrive and whether all have been sent.
+#[derive(Debug)]
+struct ObservedStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl AsyncRead for ObservedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.filled().len() > before {
+            self.activity.record_read();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ObservedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.activity.record_write();
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.activity.record_write();
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The library flushes once it has written all that it holds.
+        self.activity.record_sent();
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/lib/src/direct/listener.rs
+++ b/lib/src/direct/listener.rs
@@ -1,4 +1,4 @@
-//! Accepts connections, and serves those of callers.
+//! Accepts connections.
 //!
 //! While a node has too much to do, its port for callers is open for moments only. What callers send
 //! on a connection that waits to be accepted takes the link, and closing it takes the processor; a
@@ -10,13 +10,11 @@
 
 use eyre::{Result, WrapErr};
 use futures::FutureExt;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
+use super::connection;
 use super::entry::Frontend;
 use crate::clock::Millis;
 use crate::overload::{Intake, MAX_CONNECTIONS_IN_A_ROUND, Overload};
@@ -43,7 +41,7 @@
     frontend: Arc<Frontend>,
     closing: CancellationToken,
 ) {
-    let mut callers = Callers::new(frontend);
+    let mut callers = Callers::new(frontend, closing.clone());
     let Ok(mut port) = Port::new(listener) else {
         log::error!("node: the address of the listener for callers is unknown");
         return;
@@ -66,7 +64,8 @@
             callers.serve(stream);
         }
     }
-    callers.graceful.shutdown().await;
+    callers.connections.close();
+    callers.connections.wait().await;
 }
 
 /// The port for callers.
@@ -112,7 +111,9 @@
 /// The connections of callers.
 struct Callers {
     frontend: Arc<Frontend>,
-    graceful: GracefulShutdown,
+    connections: TaskTracker,
+    /// Cancelled when the node stops.
+    closing: CancellationToken,
     intake: Intake,
     open: Arc<AtomicUsize>,
     refused: Refused,
@@ -127,10 +128,11 @@
 }
 
 impl Callers {
-    fn new(frontend: Arc<Frontend>) -> Self {
+    fn new(frontend: Arc<Frontend>, closing: CancellationToken) -> Self {
         Self {
             frontend,
-            graceful: GracefulShutdown::new(),
+            connections: TaskTracker::new(),
+            closing,
             intake: Intake::default(),
             open: Arc::default(),
             refused: Refused::default(),
@@ -244,24 +246,11 @@
         if !set_up(&stream) {
             return;
         }
-        let limits = self
-            .frontend
-            .view
-            .config()
-            .map(|config| config.limits)
-            .unwrap_or_default();
-        let frontend = Arc::clone(&self.frontend);
-        let service = service_fn(move |request| Arc::clone(&frontend).handle(request));
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.idle_timeout.duration())
-            .max_buf_size(limits.head_bytes.max(8 * 1024))
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = self.graceful.watch(connection);
         self.open.fetch_add(1, Ordering::Relaxed);
         let open = OpenGuard(Arc::clone(&self.open));
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
+        let (frontend, closing) = (Arc::clone(&self.frontend), self.closing.clone());
+        self.connections.spawn(async move {
+            if let Err(error) = connection::serve(frontend, stream, closing).await {
                 log::debug!("node: a caller's connection failed: {error}");
             }
             drop(open);
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -15,6 +15,7 @@
 pub mod budget;
 pub mod claim;
 pub mod config;
+mod connection;
 pub mod control_call;
 pub mod controllers;
 mod dial;
