direct: let a head arrive on a kept connection while the node stops

Callers saw: a connection that had carried a request, and on which half of the next one's head had come when the port was closed, was reset.

Cause: the HTTP library's orderly close ends each connection without a request in progress at once; for it a head that arrives is none, except the first one on a connection.

Change: the close waits for a head that has begun, for the time for heads or the rest of the idle limit at most; what came in the same moment is read first.

--- a/lib/src/direct/connection.rs
+++ b/lib/src/direct/connection.rs
@@ -58,10 +58,16 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut expired = pin!(activity.expired(|| limits(&frontend)));
+    let may_close = async {
+        closing.cancelled().await;
+        // What has arrived by now is read first.
+        tokio::task::yield_now().await;
+        activity.head_complete().await;
+    };
     tokio::select! {
         biased;
         ended = connection.as_mut() => return ended,
-        () = closing.cancelled() => {}
+        () = may_close => {}
         () = expired.as_mut() => return Ok(()),
     }
     connection.as_mut().graceful_shutdown();
@@ -147,6 +153,13 @@
         is_idle.then_some((state.idle_since, state.head_since))
     }
 
+    /// Waits until no head is arriving.
+    async fn head_complete(&self) {
+        while self.state().head_since.is_some() {
+            self.changed.notified().await;
+        }
+    }
+
     fn record_read(&self) {
         let mut state = self.state();
         if !state.is_in_progress {
