tunnel: keep responses through a node that pauses

Callers saw: streams were cut midway, all that went through one other node, after that node or their own had paused for more than a second, although the engine and its connection were sound.

Cause: both ends of a connection between nodes closed it when an HTTP/2 ping went unanswered for a second. Silence was taken for loss, and with the connection all tunnels on it ended.

Change: the operating system tells whether the other VM is there, as for connections to engines: three keepalive probes, or two seconds without an acknowledgement. It does so for a VM that is gone as fast as the pings did, and a process that pauses leaves its connections open. An owner's connections go by the same, so that the permits of a lost node still end with its connection; those of a node that pauses now count on, as its requests do at the engines. Channels for admissions keep their pings: they carry no response.

--- a/lib/src/direct/controllers/mod.rs
+++ b/lib/src/direct/controllers/mod.rs
@@ -366,7 +366,9 @@
         clients
             .entry(address)
             .or_insert_with(|| {
-                let endpoint = peer_endpoint(address, CONNECT_TIMEOUT, KEEPALIVE_INTERVAL);
+                let endpoint = peer_endpoint(address, CONNECT_TIMEOUT)
+                    .http2_keep_alive_interval(KEEPALIVE_INTERVAL.duration())
+                    .keep_alive_timeout(KEEPALIVE_TIMEOUT.duration());
                 OrdersClient::new(endpoint.connect_lazy())
             })
             .clone()
@@ -457,17 +459,11 @@
 /// # Panics
 ///
 /// Never: a socket address is a valid URI authority.
-pub(super) fn peer_endpoint(
-    address: SocketAddr,
-    connect_timeout: Millis,
-    keepalive_interval: Millis,
-) -> Endpoint {
+pub(super) fn peer_endpoint(address: SocketAddr, connect_timeout: Millis) -> Endpoint {
     Endpoint::from_shared(format!("http://{address}"))
         .expect("a socket address is a valid URI authority")
         .connect_timeout(connect_timeout.duration())
         .tcp_nodelay(true)
-        .http2_keep_alive_interval(keepalive_interval.duration())
-        .keep_alive_timeout(KEEPALIVE_TIMEOUT.duration())
 }
 
 fn load_outcome(reply: &LoadReply) -> LoadOutcome {
--- a/lib/src/direct/peer_server.rs
+++ b/lib/src/direct/peer_server.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use futures::StreamExt;
 use futures::stream::BoxStream;
+use futures::{StreamExt, future};
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
@@ -14,6 +14,7 @@
 use super::admit::{AdmitDecision, AdmitQuery, AdmitReplies};
 use super::controllers::Controllers;
 use super::limits::in_use_grace;
+use super::listener::set_up;
 use super::orders::LoadOutcome;
 use super::tunnel;
 use super::upstream::Upstream;
@@ -43,14 +44,6 @@
 /// open while it runs.
 const MAX_OPEN_CALLS: u32 = 8_192;
 
-/// Interval of HTTP/2 keepalive pings on a connection.
-///
-/// Without them, the permits of a lost node would count forever.
-const KEEPALIVE_INTERVAL: Millis = Millis(2_000);
-
-/// Timeout of a keepalive ping, after which the connection is closed.
-const KEEPALIVE_TIMEOUT: Millis = Millis(1_000);
-
 #[async_trait]
 impl Orders for Service {
     type AdmitStream = AdmitReplies;
@@ -204,6 +197,11 @@
     controllers: Arc<Controllers>,
     tunnels: tunnel::Server,
 ) -> Result<(), tonic::transport::Error> {
+    // The operating system closes the connections of a node whose VM is gone, so that its permits
+    // don't count forever. Pings would also close those of a node that only pauses, and break off
+    // the responses that it gets on tunnels.
+    let incoming = TcpListenerStream::new(listener)
+        .filter(|accepted| future::ready(accepted.as_ref().map_or(true, set_up)));
     Server::builder()
         .tcp_nodelay(true)
         .max_concurrent_streams(Some(MAX_OPEN_CALLS))
@@ -212,10 +210,8 @@
         // the other node cancelled while this node paused for a moment. With the connection closed,
         // none of that node's requests would be counted any more.
         .http2_max_pending_accept_reset_streams(Some(MAX_OPEN_CALLS as usize))
-        .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL.duration()))
-        .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT.duration()))
         .add_service(OrdersServer::new(Service(controllers)))
         .add_service(TunnelsServer::new(tunnels))
-        .serve_with_incoming(TcpListenerStream::new(listener))
+        .serve_with_incoming(incoming)
         .await
 }
--- a/lib/src/direct/tunnel/client.rs
+++ b/lib/src/direct/tunnel/client.rs
@@ -5,15 +5,20 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use futures::{SinkExt, StreamExt, future};
+use http::Uri;
+use hyper_util::rt::TokioIo;
 use rand::RngExt;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
 use tokio_util::sync::PollSender;
+use tonic::codegen::Service;
 use tonic::transport::Channel;
 use tonic::{Code, Status, Streaming};
 
@@ -23,7 +28,7 @@
 use crate::direct::upstream::Upstream;
 use crate::name::Name;
 use crate::ports::connection_pool::Tunnel;
-use crate::ports::network::Stream;
+use crate::ports::network::{Network, Stream, Tcp};
 use crate::schema::direct::TunnelChunk;
 use crate::schema::direct::tunnels_client::TunnelsClient;
 
@@ -39,9 +44,6 @@
 /// Timeout of connecting to another node.
 const CONNECT_TIMEOUT: Millis = Millis(200);
 
-/// Interval of HTTP/2 keepalive pings while tunnels through a node are open.
-const KEEPALIVE_INTERVAL: Millis = Millis(1_000);
-
 /// How long a node that couldn't open a connection isn't asked for the same pool.
 const REFUSAL_MEMORY: Millis = Millis(700);
 
@@ -180,10 +182,10 @@
         clients
             .entry(address)
             .or_insert_with(|| {
-                let endpoint = peer_endpoint(address, CONNECT_TIMEOUT, KEEPALIVE_INTERVAL)
+                let endpoint = peer_endpoint(address, CONNECT_TIMEOUT)
                     .initial_stream_window_size(TUNNEL_WINDOW_BYTES)
                     .initial_connection_window_size(NODE_WINDOW_BYTES);
-                TunnelsClient::new(endpoint.connect_lazy())
+                TunnelsClient::new(endpoint.connect_with_connector_lazy(Connector(address)))
             })
             .clone()
     }
@@ -202,6 +204,28 @@
     }
 }
 
+/// Opens connections to another node.
+///
+/// The operating system tells when the node's VM is gone. Pings would also close the connection to a
+/// node that only pauses, and break off all responses on it.
+#[derive(Debug, Clone)]
+struct Connector(SocketAddr);
+
+impl Service<Uri> for Connector {
+    type Response = TokioIo<Box<dyn Stream>>;
+    type Error = io::Error;
+    type Future = BoxFuture<'static, io::Result<Self::Response>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, _: Uri) -> Self::Future {
+        let address = self.0;
+        Box::pin(async move { Tcp.connect(address).await.map(TokioIo::new) })
+    }
+}
+
 /// Joins both directions of a tunnel to a byte stream.
 fn byte_stream(
     sender: mpsc::Sender<TunnelChunk>,
