direct: send to an engine whose entry expired and came back

Callers saw: a stream was cut whose run was being moved while the entries of both engines expired, for want of heartbeats, and came back.

Cause: a removed entry makes its upstream gone for good, and the entry that comes back stands for a new upstream of the same start. Who was bound to the former one found it not ready, so the stopped run was offered to neither engine.

Change: a send goes by the list as it is then. An engine that isn't listed, that leaves or that started again still gets nothing.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -167,6 +167,7 @@
         permit: Option<Permit>,
         watch: Option<VersionWatch>,
     ) -> Result<UpstreamResponse, SendError> {
+        let upstream = &paths.listed(upstream);
         let counted = permit.is_some();
         let mut running = upstream.start_request(self.metadata.adapter(), permit);
         let max_idle = if self.kind.is_retryable() {
--- a/lib/src/direct/path.rs
+++ b/lib/src/direct/path.rs
@@ -46,6 +46,23 @@
         }
     }
 
+    /// Returns an upstream as the list has it now.
+    ///
+    /// The entry of an upstream that was silent for a while expires and comes back, for the same
+    /// start. Requests that have been bound to the upstream before need not be given up.
+    #[must_use]
+    pub fn listed(&self, upstream: &Arc<Upstream>) -> Arc<Upstream> {
+        if upstream.is_ready() {
+            return Arc::clone(upstream);
+        }
+        let state = self.controllers.view.state();
+        let listed = state.upstreams.get(&upstream.incarnation);
+        let is_same_start = |listed: &&Arc<Upstream>| {
+            listed.started_at_ms == upstream.started_at_ms && listed.software == upstream.software
+        };
+        Arc::clone(listed.filter(is_same_start).unwrap_or(upstream))
+    }
+
     /// Takes a connection that has been idle for at most `max_idle` and isn't among the used ones, or
     /// opens a new one.
     ///
