origins: reject a resumed stream while no upstream is listed

Callers saw, after all nodes were lost while no upstream was listed: a stream that they took up was answered 200 and held events of two software versions. Cause: "no pool has an upstream" bound the request to nothing, so that it waited and went on at the first upstream that appeared, whose version was even recorded as the stream's origin. That no upstream is listed says nothing of where a stream began.

--- a/lib/src/direct/controllers/origins.rs
+++ b/lib/src/direct/controllers/origins.rs
@@ -63,10 +63,9 @@
     Copied(Origin),
     /// Nobody remembers it, but only one origin is possible.
     Only(Origin),
-    /// Nobody remembers it, and it may have begun at one of several software versions or pools.
+    /// Nobody remembers it, and it may have begun at one of several software versions or pools, or
+    /// at one that isn't listed any more.
     Unknown,
-    /// Nobody remembers it, and no pool has an upstream.
-    NoUpstream,
 }
 
 impl OriginSearch {
@@ -78,7 +77,7 @@
             | Self::Elsewhere(origin)
             | Self::Copied(origin)
             | Self::Only(origin) => Some(origin),
-            Self::Unknown | Self::NoUpstream => None,
+            Self::Unknown => None,
         }
     }
 
@@ -91,7 +90,6 @@
             Self::Copied(_) => "copied",
             Self::Only(_) => "only",
             Self::Unknown => "unknown",
-            Self::NoUpstream => "no_upstream",
         }
     }
 }
@@ -362,8 +360,7 @@
 fn only_origin(mut possible: Vec<Origin>) -> OriginSearch {
     match (possible.pop(), possible.is_empty()) {
         (Some(origin), true) => OriginSearch::Only(origin),
-        (Some(_), false) => OriginSearch::Unknown,
-        (None, _) => OriginSearch::NoUpstream,
+        _ => OriginSearch::Unknown,
     }
 }
 
--- a/lib/src/direct/request/origin.rs
+++ b/lib/src/direct/request/origin.rs
@@ -15,7 +15,7 @@
     ///
     /// # Errors
     ///
-    /// [`Code::StreamOriginUnknown`] if nobody remembers where it began and that matters, and
+    /// [`Code::StreamOriginUnknown`] if nobody knows where it began, and
     /// [`Code::StreamVersionGone`] if its pool no longer serves the route.
     pub(in crate::direct) async fn bind_resumed(&mut self) -> Result<(), Failure> {
         let metadata = &self.message.metadata;
@@ -35,12 +35,9 @@
         let resumed = &self.frontend.metrics.resumed_streams;
         resumed.with_label_values(&[search.name()]).inc();
         request_log::origin_found(self, &search);
-        if search == OriginSearch::Unknown {
+        let Some(origin) = search.origin().cloned() else {
             let cause = "no node knows the software version that began the stream";
             return Err(Failure::new(Code::StreamOriginUnknown, cause));
-        }
-        let Some(origin) = search.origin().cloned() else {
-            return Ok(());
         };
         if !pools.contains(&origin.pool) {
             let cause = format!("pool {} no longer serves the route", origin.pool);
