origins: streams begin at recorded software versions only

Callers saw, after all nodes were lost at once around a release: a stream that they took up was answered 200 and held the text of two software versions. Cause: a node that had just started took the version that it saw for the only one. The record of a pool's versions was written only for pools with several, up to 250 ms and a call behind the second one, without a condition, and with a lease from its write; its absence meant one version, not yet written, expired or lost. A node that had started could also overwrite the versions that others had seen. Change: each pool has a record without a lease. Streams begin only at versions that serve by the record. One that leaves the list is recorded as having left, and removed once that record has stood for a stream's lifetime in which the list was followed. Each write depends on the revision that it replaces. So the record names the version of each stream that callers may resume; without a record nothing is known. A keeper without a record no longer denies that there are several versions.

--- a/lib/src/direct/controllers/origins.rs
+++ b/lib/src/direct/controllers/origins.rs
@@ -14,14 +14,11 @@
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 use tonic::Status;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::Controllers;
 use crate::clock::Millis;
 use crate::direct::origin::{KEEPERS, Ledger, Origin, Record, StreamKey};
 use crate::direct::origin_store::{BATCH_SIZE, OriginStore};
-use crate::direct::outbox::Outbox;
-use crate::direct::software::SOFTWARE_PREFIX;
 use crate::name::Name;
 use crate::schema::direct::{
     FindOriginReply, FindOriginRequest, RecordOriginsRequest, StreamOrigin,
@@ -39,9 +36,6 @@
 /// Timeout of asking other nodes for an origin.
 const FIND_TIMEOUT: Millis = Millis(250);
 
-/// Nodes that write a pool's record of software versions, in case one of them is cut off.
-const RECORD_WRITERS: usize = 2;
-
 /// Origins of streams that this node began or that others have told it.
 #[derive(Debug, Default)]
 pub struct Origins {
@@ -126,16 +120,20 @@
     }
 
     /// Finds where a stream began, in one of the pools.
+    ///
+    /// While the service doesn't answer, that there is only one origin counts if a node that would
+    /// have been told of another one hasn't been.
     pub async fn find_origin(&self, stream: Option<StreamKey>, pools: &[Name]) -> OriginSearch {
         if let Some(origin) = stream.and_then(|stream| self.remembered_origin(stream)) {
             return OriginSearch::Here(origin);
         }
-        let possible = self.possible_origins(pools);
-        // While the key-value service doesn't answer, others may know of versions that this node
-        // doesn't.
-        let is_certain = possible.len() <= 1 && self.view.is_store_reachable();
-        let (Some(stream), false) = (stream, is_certain) else {
-            return only_origin(possible);
+        let is_confirmed = self.view.is_store_reachable();
+        let only = self.only_origin(pools);
+        if is_confirmed && let Some(origin) = only {
+            return OriginSearch::Only(origin);
+        }
+        let Some(stream) = stream else {
+            return OriginSearch::Unknown;
         };
         let mut is_ambiguous = false;
         let mut answers = 0;
@@ -164,10 +162,11 @@
                 Err(status) => log::info!("origins: no answer: {}", status.message()),
             }
         }
-        if is_ambiguous || (answers == 0 && !keepers.is_empty()) {
-            return OriginSearch::Unknown;
+        let is_denied = is_ambiguous || (answers == 0 && !keepers.is_empty());
+        match only {
+            Some(origin) if !is_confirmed && !is_denied => OriginSearch::Only(origin),
+            _ => OriginSearch::Unknown,
         }
-        only_origin(possible)
     }
 
     /// Answers another node that looks for an origin.
@@ -178,7 +177,7 @@
             .iter()
             .map(|pool| pool.as_str().into())
             .collect();
-        let ambiguous = self.possible_origins(&pools).len() > 1;
+        let ambiguous = self.only_origin(&pools).is_none();
         let ledger = self.origins.ledger();
         let stream = StreamKey(request.stream);
         let origin = ledger.record(stream, now);
@@ -193,18 +192,19 @@
         record.map(|record| record.origin)
     }
 
-    /// Returns all origins that streams of these pools may have.
-    fn possible_origins(&self, pools: &[Name]) -> Vec<Origin> {
-        let now = self.clock.now();
-        let mut possible = Vec::new();
+    /// Returns the only origin that streams of these pools may have; `None` if there are several or
+    /// a record of their software versions isn't known.
+    fn only_origin(&self, pools: &[Name]) -> Option<Origin> {
+        let mut only = None;
         for pool in pools {
-            let versions = self.view.software_versions(pool, now);
-            possible.extend(versions.into_iter().map(|software| Origin {
-                pool: Name::clone(pool),
-                software,
-            }));
+            for software in self.view.software_versions(pool)? {
+                let pool = Name::clone(pool);
+                if only.replace(Origin { pool, software }).is_some() {
+                    return None;
+                }
+            }
         }
-        possible
+        only
     }
 
     async fn ask_origin(
@@ -236,18 +236,15 @@
         others.map(|node| state.nodes[node].address).collect()
     }
 
-    /// Sends origins to other nodes and keeps the records of software versions up to date, until
-    /// the task is dropped.
-    pub async fn run_origins(self: Arc<Self>, outbox: Arc<Outbox>, copies: Arc<OriginStore>) {
+    /// Sends origins to other nodes and to the key-value service, until the task is dropped.
+    pub async fn run_origins(self: Arc<Self>, copies: Arc<OriginStore>) {
         let mut copied_at = Millis::ZERO;
         loop {
             tokio::select! {
                 () = self.origins.begun.notified() => {
                     tokio::time::sleep(SEND_DELAY.duration()).await;
                 }
-                () = tokio::time::sleep(CHECK_INTERVAL.duration()) => {
-                    self.update_software_records(&outbox);
-                }
+                () = tokio::time::sleep(CHECK_INTERVAL.duration()) => {}
             }
             let needed = self.pools_with_several_origins();
             let is_sending = !needed.is_empty();
@@ -321,7 +318,6 @@
     /// Returns the pools whose streams may have several origins: by software versions, or as a
     /// route has several pools.
     fn pools_with_several_origins(&self) -> Vec<Name> {
-        let now = self.clock.now();
         let mut state = self.view.state();
         let mut pools = state.pool_names();
         let config = state.config.clone();
@@ -329,39 +325,11 @@
         pools.retain(|pool| {
             let listed = state.listed_software(pool);
             let is_shared = shared.as_ref().is_some_and(|shared| shared.contains(pool));
-            is_shared || state.software.possible(pool, &listed, now).len() > 1
+            let possible = state.software.possible(pool, &listed);
+            is_shared || possible.is_none_or(|versions| versions.len() > 1)
         });
         pools
     }
-
-    /// Writes the records of pools whose software versions have changed.
-    fn update_software_records(&self, outbox: &Arc<Outbox>) {
-        let now = self.clock.now();
-        let mut state = self.view.state();
-        for pool in state.pool_names() {
-            let listed = state.listed_software(&pool);
-            let Some(versions) = state.software.outdated_record(&pool, &listed, now) else {
-                continue;
-            };
-            let key = StreamKey(xxh3_64(pool.as_bytes()));
-            let nodes = state.nodes.iter();
-            let writers = key.keepers(nodes.map(|(node, peer)| (node, &peer.failure_domain)));
-            if writers
-                .iter()
-                .take(RECORD_WRITERS)
-                .any(|node| **node == self.node)
-            {
-                outbox.enqueue(&format!("{SOFTWARE_PREFIX}{pool}"), &versions.as_slice());
-            }
-        }
-    }
-}
-
-fn only_origin(mut possible: Vec<Origin>) -> OriginSearch {
-    match (possible.pop(), possible.is_empty()) {
-        (Some(origin), true) => OriginSearch::Only(origin),
-        _ => OriginSearch::Unknown,
-    }
 }
 
 fn origin_message(record: &Record, now: Millis) -> StreamOrigin {
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -24,6 +24,7 @@
 use super::quarantine::Quarantine;
 use super::relay::ResponseAborted;
 use super::roles::{PrefillScaler, Roles};
+use super::software_store::SoftwareStore;
 use super::upstream::Upstream;
 use super::versions::PendingReplacements;
 use super::view::View;
@@ -68,10 +69,10 @@
     pub limits: Arc<SharedLimits>,
     /// Tracks requests that crash upstreams.
     pub quarantine: Arc<Quarantine>,
-    /// Writes records to the key-value service.
-    pub(super) outbox: Arc<Outbox>,
     /// Copies of streams' origins in the key-value service.
     pub(super) origin_copies: Arc<OriginStore>,
+    /// Records of software versions in the key-value service.
+    pub(super) software_records: Arc<SoftwareStore>,
     /// Replacements of adapter versions that are in progress at engines.
     pub(super) replacements: PendingReplacements,
     /// The key-value service.
@@ -126,21 +127,28 @@
             Arc::clone(&dialect),
             Arc::clone(&clock),
         ));
+        let software_records = Arc::new(SoftwareStore::new(
+            Arc::<Metered>::clone(&service),
+            Arc::clone(&dialect),
+            Arc::clone(&clock),
+            Arc::clone(&view),
+            Name::clone(&controllers.node),
+        ));
         let paths = Arc::new(Paths::new(Arc::clone(&controllers)));
         let quarantine = Arc::new(Quarantine::new(
             Arc::clone(&view),
             Arc::clone(&clock),
             Arc::clone(&controllers.metrics),
             Name::clone(&controllers.node),
-            Arc::clone(&outbox),
+            outbox,
             Arc::<Paths>::clone(&paths),
         ));
         Self {
             view,
             metrics: Arc::clone(&controllers.metrics),
             quarantine,
-            outbox,
             origin_copies,
+            software_records,
             paths,
             controllers,
             dialect,
--- a/lib/src/direct/follow/entries.rs
+++ b/lib/src/direct/follow/entries.rs
@@ -66,7 +66,7 @@
         let is_present = |name: &str| present.contains(&self.dialect.own_key(name));
         state.ledger.retain_reports(is_present);
         let is_present = |pool: &str| is_present(&format!("{SOFTWARE_PREFIX}{pool}"));
-        state.software.retain_records(is_present);
+        state.software.retain(is_present);
     }
 
     /// Applies changes, after which the view is as of a time.
@@ -140,7 +140,7 @@
                 } else if let Some(address) = claim_address(&name) {
                     state.remove_claim(address, now);
                 } else if let Some(pool) = name.strip_prefix(SOFTWARE_PREFIX) {
-                    state.software.remove_record(pool);
+                    state.software.remove(pool, event.revision);
                 } else {
                     state.remove_quarantine_record(&name);
                 }
--- a/lib/src/direct/follow/missing.rs
+++ b/lib/src/direct/follow/missing.rs
@@ -37,7 +37,7 @@
             return;
         }
         log::info!("follow: upstream {incarnation} is gone");
-        state.remove_upstream(incarnation, self.clock.now());
+        state.remove_upstream(incarnation);
     }
 
     /// Removes missing upstreams if the view as of a time shows that they have left.
@@ -62,7 +62,7 @@
                     "has left meanwhile"
                 };
                 log::info!("follow: upstream {} {why}", upstream.incarnation);
-                state.remove_upstream(&upstream.incarnation, self.clock.now());
+                state.remove_upstream(&upstream.incarnation);
             }
         }
     }
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -54,6 +54,7 @@
 pub mod selection;
 pub mod sends;
 pub mod software;
+pub mod software_store;
 pub mod sse;
 pub mod target;
 pub mod tunnel;
--- a/lib/src/direct/node.rs
+++ b/lib/src/direct/node.rs
@@ -217,10 +217,11 @@
         );
         node.tasks.spawn(follower.run());
         node.tasks.spawn(Arc::clone(&node.claimer).run());
-        let outbox = Arc::clone(&node.frontend.outbox);
         let copies = Arc::clone(&node.frontend.origin_copies);
         node.tasks
-            .spawn(Arc::clone(&controllers).run_origins(outbox, copies));
+            .spawn(Arc::clone(&controllers).run_origins(copies));
+        let software_records = Arc::clone(&node.frontend.software_records);
+        node.tasks.spawn(software_records.run());
         node.tasks.spawn(controllers.run());
         node.tasks
             .spawn(Arc::clone(&node.frontend.quarantine).run());
--- a/lib/src/direct/origin.rs
+++ b/lib/src/direct/origin.rs
@@ -110,6 +110,17 @@
         }
         keepers.into_iter().map(|(node, _)| node).collect()
     }
+
+    /// Returns how many of some nodes come before one in the order of this key.
+    ///
+    /// The node doesn't have to be among them.
+    #[must_use]
+    pub fn nodes_before<'a>(self, node: &Name, nodes: impl Iterator<Item = &'a Name>) -> u64 {
+        let rank = |node: &Name| xxh3_64_with_seed(node.as_bytes(), self.0);
+        let own = (rank(node), node);
+        let before = nodes.filter(|other| (rank(other), *other) > own);
+        u64::try_from(before.count()).unwrap_or(u64::MAX)
+    }
 }
 
 /// A stream's origin and when it began.
--- a/lib/src/direct/request/origin.rs
+++ b/lib/src/direct/request/origin.rs
@@ -63,10 +63,16 @@
 
     /// Returns the upstreams of the pool at which the request may run.
     pub(in crate::direct) fn candidates(&self) -> Arc<[Arc<Upstream>]> {
-        let upstreams = self.frontend.view.pool(&self.pool);
+        let view = &self.frontend.view;
         let Some(origin) = &self.origin else {
-            return upstreams;
+            let begins_stream = self.message.kind.is_streaming();
+            return if begins_stream {
+                view.stream_pool(&self.pool)
+            } else {
+                view.pool(&self.pool)
+            };
         };
+        let upstreams = view.pool(&self.pool);
         if upstreams.iter().all(|upstream| origin.allows(upstream)) {
             return upstreams;
         }
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -10,6 +10,7 @@
 use super::metadata::base_model_of;
 use super::presence::{EntryRevision, Presence, Stage};
 use super::rejections::notice::{Notice, Said};
+use super::software::UNREPORTED;
 use crate::clock::Millis;
 use crate::name::Name;
 use crate::ports::connection_pool::{ConnectionPool, PoolLimits};
@@ -582,6 +583,10 @@
 fn software_version(entry: &UpstreamEntry) -> Name {
     match &entry.software {
         Some(version) => Name::clone(version),
-        None => format!("unknown:{}@{}", entry.incarnation, entry.held.started_at_ms).into(),
+        None => format!(
+            "{UNREPORTED}{}@{}",
+            entry.incarnation, entry.held.started_at_ms
+        )
+        .into(),
     }
 }
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -94,8 +94,8 @@
     pools: Option<HashMap<Name, PoolUpstreams>>,
     /// What upstreams say about the rejections that they bear, by pool.
     notices: HashMap<Name, Arc<Notice>>,
-    /// Software versions of upstreams that have left.
-    pub software: software::History,
+    /// Records of pools' software versions.
+    pub software: software::Records,
     /// Declared versions by adapter.
     pub versions: HashMap<Name, Declarations>,
     /// Nodes by name.
@@ -234,12 +234,32 @@
             .unwrap_or_default()
     }
 
-    /// Returns the software versions by which streams of a pool may have begun.
+    /// Returns the upstreams of a pool at which streams may begin.
     #[must_use]
-    pub fn software_versions(&self, pool: &str, now: Millis) -> software::Versions {
+    pub fn stream_pool(&self, pool: &str) -> Arc<[Arc<Upstream>]> {
+        let mut state = self.state();
+        let Some(PoolUpstreams {
+            upstreams,
+            software,
+        }) = state.pools().get(pool).cloned()
+        else {
+            return Arc::default();
+        };
+        let is_serving = |version: &Name| state.software.is_serving(pool, version);
+        if software.iter().all(is_serving) {
+            return upstreams;
+        }
+        let serving = upstreams.iter().filter(|one| is_serving(&one.software));
+        serving.cloned().collect()
+    }
+
+    /// Returns the software versions by which streams of a pool may have begun; `None` if its
+    /// record isn't known.
+    #[must_use]
+    pub fn software_versions(&self, pool: &str) -> Option<software::Versions> {
         let mut state = self.state();
         let listed = state.listed_software(pool);
-        state.software.possible(pool, &listed, now)
+        state.software.possible(pool, &listed)
     }
 
     /// Whether the last call to the key-value service was answered.
@@ -303,11 +323,10 @@
     /// An entry of an earlier start than the known one is ignored: it was written late or by
     /// another writer. An entry of a later start replaces the upstream by a new one.
     pub fn put_upstream(&mut self, listed: &UpstreamEntry, revision: EntryRevision, now: Millis) {
-        self.software.begin(now);
         let known = self.upstreams.get(&listed.incarnation);
         if known.is_some_and(|upstream| upstream.has_restarted(listed, revision)) {
             log::info!("view: {} has restarted", listed.incarnation);
-            self.remove_upstream(&listed.incarnation, now);
+            self.remove_upstream(&listed.incarnation);
         }
         if let Some(upstream) = self.upstreams.get(&listed.incarnation) {
             if listed.held.started_at_ms == upstream.started_at_ms {
@@ -328,11 +347,9 @@
     }
 
     /// Removes an upstream that has left.
-    pub fn remove_upstream(&mut self, incarnation: &str, now: Millis) {
+    pub fn remove_upstream(&mut self, incarnation: &str) {
         if let Some(upstream) = self.upstreams.remove(incarnation) {
             upstream.retire();
-            self.software
-                .record_left(&upstream.pool, &upstream.software, now);
             self.pools = None;
         }
     }
@@ -444,8 +461,8 @@
         }
     }
 
-    /// Applies a record that a node keeps in the key-value service or sends to others: of a pool's
-    /// software versions or of the quarantine.
+    /// Applies a record that a node keeps in the key-value service, of a pool's software versions or
+    /// of the quarantine, or one of the quarantine that a node sends to others.
     pub fn put_record(
         &mut self,
         name: &str,
@@ -456,9 +473,13 @@
         let Some(pool) = name.strip_prefix(software::SOFTWARE_PREFIX) else {
             return self.put_quarantine_record(name, value, revision, now);
         };
-        match serde_json::from_slice::<Vec<Name>>(value) {
-            Ok(versions) => {
-                self.software.put_record(pool, versions.into());
+        // Streams may begin only at versions that the service has accepted.
+        let Some(revision) = revision else {
+            return PutOutcome::Unrelated;
+        };
+        match serde_json::from_slice::<software::Record>(value) {
+            Ok(record) => {
+                self.software.put(pool, record, revision, now);
                 PutOutcome::Applied
             }
             Err(error) => {
--- a/lib/tests/test_direct_origin.rs
+++ b/lib/tests/test_direct_origin.rs
@@ -11,7 +11,7 @@
 use chivevalve::direct::origin::{KEEPERS, Ledger, Origin, Record, STREAM_LIFETIME, StreamKey};
 use chivevalve::direct::origin_store::OriginStore;
 use chivevalve::direct::roles::Roles;
-use chivevalve::direct::software::History;
+use chivevalve::direct::software::{Record as SoftwareRecord, Records, UNREPORTED, Update};
 use chivevalve::direct::view::View;
 use chivevalve::name::Name;
 use direct_support::records::{entry_revision, listed};
@@ -257,6 +257,20 @@
     }
 }
 
+/// Nodes take turns in one order, whether or not they see each other.
+#[test]
+fn nodes_before_in_one_order() {
+    let nodes = nodes(9, 3);
+    let mut turns: Vec<u64> = nodes
+        .keys()
+        .map(|node| StreamKey(7).nodes_before(node, nodes.keys()))
+        .collect();
+    turns.sort_unstable();
+    assert_eq!(turns, (0..9).collect::<Vec<_>>());
+    let alone = StreamKey(7).nodes_before(&"node-0".into(), std::iter::empty());
+    assert_eq!(alone, 0);
+}
+
 #[test]
 fn keepers_share_the_streams() {
     let nodes = nodes(40, 5);
@@ -315,59 +329,195 @@
     names.iter().map(|name| Name::from(*name)).collect()
 }
 
-/// A version still counts for as long as callers may resume the streams that it began.
+fn software_record(serving: &[&str], left: &[&str]) -> SoftwareRecord {
+    SoftwareRecord {
+        serving: versions(serving),
+        left: versions(left),
+    }
+}
+
+fn update(serving: &[&str], left: &[&str], replaces: u64) -> Update {
+    Update {
+        record: software_record(serving, left),
+        replaces: Some(replaces),
+    }
+}
+
+/// A version that has left counts for as long as callers may resume the streams that it began.
 #[test]
-fn history_version_that_left() {
-    let mut history = History::default();
-    history.begin(Millis(0));
-    history.record_left(&"engines".into(), &"v1".into(), Millis(1_000));
+fn records_version_that_left() {
+    let mut records = Records::default();
+    records.put("engines", software_record(&["v1", "v2"], &[]), 5, Millis(0));
     let listed = versions(&["v2"]);
-    let last = Millis(1_000) + STREAM_LIFETIME - Millis(1);
+    let left = records.outdated("engines", &listed, Millis(1));
+    assert_eq!(left, Some(update(&["v2"], &["v1"], 5)));
+    records.put("engines", left.unwrap().record, 6, Millis(1_000));
+    assert!(!records.is_serving("engines", &"v1".into()));
     assert_eq!(
-        history.possible("engines", &listed, last).to_vec(),
+        records.possible("engines", &listed).unwrap().to_vec(),
         versions(&["v1", "v2"])
     );
+    let last = Millis(1_000) + STREAM_LIFETIME - Millis(1);
+    assert_eq!(records.outdated("engines", &listed, last), None);
     assert_eq!(
-        history
-            .possible("engines", &listed, last + Millis(1))
-            .to_vec(),
-        listed
+        records.outdated("engines", &listed, last + Millis(1)),
+        Some(update(&["v2"], &[], 6))
     );
 }
 
-/// A node that has just started learns from the record of versions that it hasn't seen.
+/// A version that serves again before it is forgotten is kept.
 #[test]
-fn history_record_counts_for_a_new_node() {
-    let mut history = History::default();
-    history.begin(Millis(0));
-    history.put_record("engines", versions(&["v2", "v1"]).into());
-    let listed = versions(&["v2"]);
-    assert_eq!(history.possible("engines", &listed, Millis(10)).len(), 2);
+fn records_version_that_is_back() {
+    let mut records = Records::default();
+    records.put("engines", software_record(&["v2"], &["v1"]), 5, Millis(0));
+    let listed = versions(&["v1", "v2"]);
     assert_eq!(
-        history.outdated_record("engines", &listed, Millis(10)),
-        None
+        records.outdated("engines", &listed, STREAM_LIFETIME),
+        Some(update(&["v1", "v2"], &[], 5))
     );
+}
+
+/// Without a record nothing is known, though the list shows one version only.
+#[test]
+fn records_without_a_record() {
+    let records = Records::default();
+    let listed = versions(&["v2"]);
+    assert_eq!(records.possible("engines", &listed), None);
+    assert!(!records.is_serving("engines", &"v2".into()));
+    let first = Update {
+        record: software_record(&["v2"], &[]),
+        replaces: None,
+    };
+    let outdated = records.outdated("engines", &listed, Millis(0));
+    assert_eq!(outdated, Some(first));
+}
+
+/// A node that has just started adds what it sees and forgets nothing that others have seen.
+#[test]
+fn records_after_a_restart() {
+    let mut records = Records::default();
+    let record = software_record(&["v2"], &["v1"]);
+    records.put("engines", record, 5, Millis(70_000));
+    let listed = versions(&["v3"]);
+    let as_of = Millis(70_000) + STREAM_LIFETIME;
     assert_eq!(
-        history
-            .possible("engines", &listed, STREAM_LIFETIME)
-            .to_vec(),
-        listed
+        records.outdated("engines", &listed, as_of),
+        Some(update(&["v3"], &["v1", "v2"], 5))
     );
-    let emptied = history.outdated_record("engines", &listed, STREAM_LIFETIME);
-    assert_eq!(emptied.map(|versions| versions.len()), Some(0));
 }
 
+/// A list that is older than the record doesn't show that a version has left.
 #[test]
-fn history_record_follows_the_versions() {
-    let mut history = History::default();
-    history.begin(Millis(0));
-    let one = versions(&["v1"]);
-    let two = versions(&["v1", "v2"]);
-    assert_eq!(history.outdated_record("engines", &one, Millis(1)), None);
-    let record = history.outdated_record("engines", &two, Millis(1)).unwrap();
-    assert_eq!(record.to_vec(), two);
-    history.put_record("engines", record);
-    assert_eq!(history.outdated_record("engines", &two, Millis(1)), None);
+fn records_ahead_of_the_list() {
+    let mut records = Records::default();
+    let record = software_record(&["v1", "v2"], &[]);
+    records.put("engines", record, 5, Millis(100));
+    let listed = versions(&["v1"]);
+    assert_eq!(records.outdated("engines", &listed, Millis(100)), None);
+}
+
+/// Time for which a node read nothing of the list doesn't show that a version stayed away.
+#[test]
+fn records_of_a_node_that_was_cut_off() {
+    let mut records = Records::default();
+    let record = software_record(&["v2"], &["v1"]);
+    records.put("engines", record.clone(), 5, Millis(0));
+    // Read once more when the node is back.
+    records.put("engines", record, 5, Millis(90_000));
+    let listed = versions(&["v2"]);
+    let as_of = STREAM_LIFETIME - Millis(1);
+    assert_eq!(records.outdated("engines", &listed, as_of), None);
+}
+
+/// Changes that are read after this node's own write don't undo it.
+#[test]
+fn records_read_late() {
+    let mut records = Records::default();
+    records.put("engines", software_record(&["v1", "v2"], &[]), 6, Millis(0));
+    records.put("engines", software_record(&["v1"], &[]), 5, Millis(0));
+    records.remove("engines", 4);
+    assert!(records.is_serving("engines", &"v2".into()));
+    records.remove("engines", 7);
+    assert!(!records.is_serving("engines", &"v2".into()));
+}
+
+/// A record doesn't grow with the number of upstreams that report no version.
+#[test]
+fn records_without_versions() {
+    let mut records = Records::default();
+    let listed = versions(&["unknown:i-1@1", "unknown:i-2@1"]);
+    let updated = records.outdated("engines", &listed, Millis(1)).unwrap();
+    assert_eq!(updated.record, software_record(&[UNREPORTED], &[]));
+    records.put("engines", updated.record, 5, Millis(1));
+    assert!(records.is_serving("engines", &listed[0]));
+    let one = records.possible("engines", &listed[..1]).unwrap();
+    assert_eq!(one.len(), 2);
+}
+
+/// In any order of lists, writes, late writes and lost nodes, the record names the version of each
+/// stream that callers may still resume.
+#[test]
+fn records_any_order() {
+    fn holds(steps: Vec<u8>) -> bool {
+        let names = versions(&["v1", "v2", "v3"]);
+        let mut now = Millis(1_000);
+        let (mut listed, mut revision) = (vec![names[0].clone()], 0);
+        let mut stored: Option<(SoftwareRecord, u64)> = None;
+        let mut late: Vec<Update> = Vec::new();
+        let mut nodes = [Records::default(), Records::default()];
+        let mut streams: Vec<(Name, Millis)> = Vec::new();
+        for step in steps {
+            let (number, one) = (usize::from(step / 16) % 2, usize::from(step / 32) % 3);
+            let node = &mut nodes[number];
+            match step % 8 {
+                0 => listed = vec![names[one].clone()],
+                1 if !listed.contains(&names[one]) => listed.push(names[one].clone()),
+                2 => now += Millis(u64::from(step) * 150),
+                3 => *node = Records::default(),
+                4 => late.extend(node.outdated("engines", &listed, now)),
+                5 => {
+                    for version in &listed {
+                        if node.is_serving("engines", version) {
+                            streams.push((version.clone(), now));
+                        }
+                    }
+                }
+                _ => {
+                    let write = if step % 8 == 6 {
+                        late.pop()
+                    } else {
+                        node.outdated("engines", &listed, now)
+                    };
+                    let current = stored.as_ref().map(|(_, revision)| *revision);
+                    if let Some(write) = write.filter(|write| write.replaces == current) {
+                        revision += 1;
+                        stored = Some((write.record, revision));
+                    }
+                }
+            }
+            now += Millis(1);
+            if let Some((record, revision)) = &stored {
+                for node in &mut nodes {
+                    node.put("engines", record.clone(), *revision, now);
+                }
+            }
+            streams.retain(|(_, at)| now.since(*at) < STREAM_LIFETIME);
+            let is_named = |version: &Name| {
+                let record = stored.as_ref().map(|(record, _)| record);
+                record.is_some_and(|record| {
+                    record.serving.contains(version) || record.left.contains(version)
+                })
+            };
+            if !streams.iter().all(|(version, _)| is_named(version)) {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 74))
+        .tests(3_000)
+        .quickcheck(holds as fn(Vec<u8>) -> bool);
 }
 
 /// An engine that starts again with another version under its name and start time is another one.
@@ -379,13 +529,15 @@
         software: Some(version.into()),
         ..listed("i-1", &[])
     };
+    let record = software_record(&["v1"], &[]);
+    state.software.put("engines", record, 1, Millis(0));
     state.put_upstream(&entry("v1"), entry_revision(5), Millis(0));
     state.put_upstream(&entry("v2"), entry_revision(4), Millis(1));
     assert_eq!(&*state.upstreams["i-1"].software, "v1");
     state.put_upstream(&entry("v2"), entry_revision(6), Millis(2));
     assert_eq!(&*state.upstreams["i-1"].software, "v2");
     drop(state);
-    assert_eq!(view.software_versions("engines", Millis(3)).len(), 2);
+    assert_eq!(view.software_versions("engines").unwrap().len(), 2);
 }
 
 /// Upstreams that report no version may differ: each is of a version of its own.
@@ -400,7 +552,10 @@
         let mut state = view.state();
         state.put_upstream(&entry, entry_revision(5), Millis(0));
     }
-    assert_eq!(view.software_versions("engines", Millis(1)).len(), 2);
+    assert_eq!(view.state().listed_software("engines").len(), 2);
+    let record = software_record(&[UNREPORTED], &[]);
+    view.state().software.put("engines", record, 1, Millis(0));
+    assert!(view.software_versions("engines").unwrap().len() >= 2);
 }
 
 /// Each version has decode engines, since runs move only within a version.
--- a/lib/tests/test_direct_parts.rs
+++ b/lib/tests/test_direct_parts.rs
@@ -379,7 +379,7 @@
     view.state()
         .put_upstream(&entry, entry_revision(1), Millis::ZERO);
     assert!(Arc::ptr_eq(&first, &view.pool("engines")));
-    view.state().remove_upstream("i-7", Millis::ZERO);
+    view.state().remove_upstream("i-7");
     assert_eq!(view.pool("engines").len(), 499);
 }
 
