origins: read the recorded versions before one counts as the only one

Callers could see, without any kill of all nodes: a stream that they took up at a node that lags in the list was answered 200 and held the text of two software versions. Cause: a node that knew one version concluded that it is the only one without asking anybody, as long as its last call to the key-value service had been answered. Another node may have learned of a second version, begun a stream at it and ended before this node read that. Change: the node reads the record once more. The stream began before that read, and only at a version that the record named by then. Requests share reads, so that a node has one in progress. If the record can't be read within 500 ms, the keepers are asked as in an outage.

--- a/lib/src/direct/controllers/origins.rs
+++ b/lib/src/direct/controllers/origins.rs
@@ -19,6 +19,7 @@
 use crate::clock::Millis;
 use crate::direct::origin::{KEEPERS, Ledger, Origin, Record, StreamKey};
 use crate::direct::origin_store::{BATCH_SIZE, OriginStore};
+use crate::direct::software_store::SoftwareStore;
 use crate::name::Name;
 use crate::schema::direct::{
     FindOriginReply, FindOriginRequest, RecordOriginsRequest, StreamOrigin,
@@ -121,13 +122,18 @@
 
     /// Finds where a stream began, in one of the pools.
     ///
-    /// While the service doesn't answer, that there is only one origin counts if a node that would
-    /// have been told of another one hasn't been.
-    pub async fn find_origin(&self, stream: Option<StreamKey>, pools: &[Name]) -> OriginSearch {
+    /// That there is only one origin counts if the key-value service says so now, or if the service
+    /// doesn't answer and a node that would have been told of another origin hasn't been.
+    pub async fn find_origin(
+        &self,
+        stream: Option<StreamKey>,
+        pools: &[Name],
+        software: &SoftwareStore,
+    ) -> OriginSearch {
         if let Some(origin) = stream.and_then(|stream| self.remembered_origin(stream)) {
             return OriginSearch::Here(origin);
         }
-        let is_confirmed = self.view.is_store_reachable();
+        let is_confirmed = self.only_origin(pools).is_some() && software.refresh(pools).await;
         let only = self.only_origin(pools);
         if is_confirmed && let Some(origin) = only {
             return OriginSearch::Only(origin);
--- a/lib/src/direct/request/origin.rs
+++ b/lib/src/direct/request/origin.rs
@@ -25,7 +25,8 @@
         let stream = StreamKey::of(metadata);
         let pools: Vec<Name> = self.route.pools().cloned().collect();
         let controllers = &self.frontend.controllers;
-        let mut search = controllers.find_origin(stream, &pools).await;
+        let software = &self.frontend.software_records;
+        let mut search = controllers.find_origin(stream, &pools, software).await;
         if search == OriginSearch::Unknown
             && let Some(stream) = stream
             && let Some(origin) = self.frontend.origin_copies.read(stream).await
--- a/lib/src/direct/software_store.rs
+++ b/lib/src/direct/software_store.rs
@@ -1,6 +1,7 @@
-//! Writes the records of pools' software versions to the key-value service.
+//! Writes and reads the records of pools' software versions in the key-value service.
 //!
-//! Streams begin only at versions that a record names. Every write depends on the
+//! Streams begin only at versions that a record names, so a record that is read after a caller has
+//! resumed a stream names the version by which that stream began. Every write depends on the
 //! revision that it replaces: one that is carried out late changes no newer record. See
 //! docs/design/0017-streams-and-software-versions.md.
 
@@ -31,6 +32,9 @@
 /// Timeout of a write, which is then tried again.
 const WRITE_TIMEOUT: Millis = Millis(2_000);
 
+/// Timeout of reading records, after which they count as unknown.
+const READ_TIMEOUT: Millis = Millis(500);
+
 /// Keeps the records up to date.
 #[derive(Debug)]
 pub struct SoftwareStore {
@@ -39,6 +43,10 @@
     clock: Arc<dyn Clock>,
     view: Arc<View>,
     node: Name,
+    /// When the last successful read of each pool's record began.
+    ///
+    /// It is locked during a read, so that requests that wait for it share the next one.
+    read_at: tokio::sync::Mutex<HashMap<Name, Millis>>,
     /// The pools whose records are outdated, and since when.
     outdated: Mutex<HashMap<Name, Millis>>,
 }
@@ -59,6 +67,7 @@
             clock,
             view,
             node,
+            read_at: tokio::sync::Mutex::default(),
             outdated: Mutex::default(),
         }
     }
@@ -89,6 +98,41 @@
         join_all(writes).await.into_iter().all(|answered| answered)
     }
 
+    /// Reads the records of some pools again; returns whether all of them are known as of now.
+    pub async fn refresh(&self, pools: &[Name]) -> bool {
+        if !self.view.is_store_reachable() {
+            return false;
+        }
+        let reading = tokio::time::timeout(READ_TIMEOUT.duration(), self.read_all(pools));
+        if let Ok(are_known) = reading.await {
+            return are_known;
+        }
+        log::info!("origins: software versions can't be read within {READ_TIMEOUT}");
+        false
+    }
+
+    async fn read_all(&self, pools: &[Name]) -> bool {
+        let asked_at = self.clock.now();
+        for pool in pools {
+            let mut read_at = self.read_at.lock().await;
+            if read_at.get(pool).is_some_and(|began| *began > asked_at) {
+                continue;
+            }
+            let began = self.clock.now();
+            match self.store.get(&self.key(pool)).await {
+                Ok(Some(entry)) if self.apply(pool, &entry) => {
+                    read_at.insert(Name::clone(pool), began);
+                }
+                Ok(_) => return false,
+                Err(error) => {
+                    log::info!("origins: software versions of {pool} can't be read: {error}");
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
     /// Returns the changes that records need and that are this node's to write.
     fn due_updates(&self) -> Vec<(Name, Update)> {
         let (now, as_of) = (self.clock.now(), self.view.as_of());
--- a/lib/tests/test_direct_software.rs
+++ b/lib/tests/test_direct_software.rs
@@ -101,6 +101,10 @@
     Some(String::from_utf8_lossy(&entry.value).into_owned())
 }
 
+fn pools() -> [Name; 1] {
+    ["engines".into()]
+}
+
 /// Streams begin at a version once the service has accepted the record that names it.
 #[tokio::test]
 async fn stream_begins_behind_the_record() {
@@ -233,3 +237,36 @@
     let all = r#"{"serving":["v3"],"left":["v1","v2"]}"#;
     assert_eq!(recorded(&memory).unwrap(), all);
 }
+
+/// What is read again is as of the question: a node learns what it hasn't followed yet.
+#[tokio::test]
+async fn refresh_reads_newer_versions() {
+    let memory = Arc::new(MemoryStore::default());
+    let node = Node::start(&memory, "one");
+    node.list("i-1", "v1");
+    assert!(node.records.update().await);
+    assert!(node.records.refresh(&pools()).await);
+    let versions = || node.view.software_versions("engines").unwrap().len();
+    assert_eq!(versions(), 1);
+    memory.change(|state| state.put(&key(), r#"{"serving":["v1","v2"],"left":[]}"#, None));
+    assert!(node.records.refresh(&pools()).await);
+    assert_eq!(versions(), 2);
+}
+
+/// Without an answer, or without a record, nothing is known as of now.
+#[tokio::test(start_paused = true)]
+async fn refresh_without_evidence() {
+    let memory = Arc::new(MemoryStore::default());
+    let node = Node::start(&memory, "one");
+    assert!(!node.records.refresh(&pools()).await);
+    node.list("i-1", "v1");
+    assert!(node.records.update().await);
+    memory.state().is_unavailable = true;
+    assert!(!node.records.refresh(&pools()).await);
+    memory.state().is_unavailable = false;
+    memory.state().reads_hang = true;
+    assert!(!node.records.refresh(&pools()).await);
+    memory.state().reads_hang = false;
+    memory.change(|state| state.put(&key(), "no list", None));
+    assert!(!node.records.refresh(&pools()).await);
+}
