origins: pools count from which a route has moved

Callers saw, after a configuration had moved their route to another pool: a stream that they took up at a node that hadn't begun it was answered 200 by the new pool, and held the text of two pools. Cause: only the pools of the route as it is now were asked about. If these had run one version, it counted as the origin without a question. Change: for a stream's lifetime, the pools that served a path's streams before a change of the configuration are among those at which a resumed stream may have begun. This covers routes that move, splits that end, and prefixes that come or go. Only what changed is kept.

A node that has started since the move doesn't know of it; that remains.

--- a/lib/src/direct/follow/entries.rs
+++ b/lib/src/direct/follow/entries.rs
@@ -92,7 +92,7 @@
         let result = match self.dialect.parse_key(&entry.key) {
             Key::Config => self.dialect.decode_config(&entry.value).map(|config| {
                 let version = config.version;
-                if state.apply_config(config) {
+                if state.apply_config(config, now) {
                     log::info!("follow: configuration {version} is in force");
                 }
             }),
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -24,6 +24,7 @@
 pub mod event_sequence;
 pub mod fanout;
 pub mod follow;
+pub mod former_pools;
 pub mod handover;
 mod hedging;
 pub mod limits;
--- a/lib/src/direct/request/origin.rs
+++ b/lib/src/direct/request/origin.rs
@@ -26,7 +26,8 @@
         let pools: Vec<Name> = self.route.pools().cloned().collect();
         let controllers = &self.frontend.controllers;
         let software = &self.frontend.software_records;
-        let mut search = controllers.find_origin(stream, &pools, software).await;
+        let possible = self.possible_pools(&pools);
+        let mut search = controllers.find_origin(stream, &possible, software).await;
         if search == OriginSearch::Unknown
             && let Some(stream) = stream
             && let Some(origin) = self.frontend.origin_copies.read(stream).await
@@ -49,6 +50,21 @@
         Ok(())
     }
 
+    /// Returns the pools at which the stream that a caller resumes may have begun.
+    fn possible_pools(&self, pools: &[Name]) -> Vec<Name> {
+        let now = self.now();
+        let state = self.frontend.view.state();
+        let path = self.message.uri.path();
+        let former = state.former_pools.at(&self.route.host, path, now);
+        let mut possible = pools.to_vec();
+        for pool in former {
+            if !possible.contains(pool) {
+                possible.push(Name::clone(pool));
+            }
+        }
+        possible
+    }
+
     /// Binds the stream to where it began, unless it is bound, and has that remembered.
     ///
     /// Called with the upstream of the first event that reaches the caller in this response.
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -13,6 +13,7 @@
 
 use super::config::Config;
 use super::dialect::{Dialect, Key, UpstreamEntry};
+use super::former_pools::FormerPools;
 use super::presence::EntryRevision;
 use super::quarantine::{CRASH_REPORT_PREFIX, HARMLESS_PREFIX, UNCONFIRMED_CRASH_PREFIX};
 use super::reachability::Reachability;
@@ -85,6 +86,8 @@
 pub struct State {
     /// The configuration in force.
     pub config: Option<Arc<Config>>,
+    /// Pools that served streams until the configuration moved their routes.
+    pub former_pools: FormerPools,
     /// Upstreams by incarnation.
     pub upstreams: HashMap<Name, Arc<Upstream>>,
     /// Upstreams by pool, regrouped on the first access after a change.
@@ -306,12 +309,15 @@
     /// Applies a configuration unless it is older than, or the same as, the current one.
     ///
     /// Returns whether it was applied.
-    pub fn apply_config(&mut self, config: Config) -> bool {
+    pub fn apply_config(&mut self, config: Config, now: Millis) -> bool {
         let is_newer = self
             .config
             .as_ref()
             .is_none_or(|current| current.version < config.version);
         if is_newer {
+            if let Some(current) = &self.config {
+                self.former_pools.replace(current, &config, now);
+            }
             self.config = Some(Arc::new(config));
             self.update_connection_shares();
         }
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -168,7 +168,8 @@
     };
     let pools = [("engines".into(), pool)].into_iter().collect();
     let mut state = view.state();
-    state.apply_config(Config::new(1, Vec::new(), pools, RequestLimits::default()));
+    let config = Config::new(1, Vec::new(), pools, RequestLimits::default());
+    state.apply_config(config, Millis::ZERO);
     state.put_upstream(&listed(), entry_revision(1), Millis(100_000));
 }
 
