--- a/lib/src/direct/request/origin.rs
+++ b/lib/src/direct/request/origin.rs
@@ -15,7 +15,7 @@
     ///
     /// # Errors
     ///
-    /// [`Code::StreamOriginUnknown`] if nobody remembers where it began and that matters, and
+    /// [`Code::StreamOriginUnknown`] if nobody knows where it began, and
     /// [`Code::StreamVersionGone`] if its pool no longer serves the route.
     pub(in crate::direct) async fn bind_resumed(&mut self) -> Result<(), Failure> {
         let metadata = &self.message.metadata;
@@ -25,7 +25,9 @@
         let stream = StreamKey::of(metadata);
         let pools: Vec<Name> = self.route.pools().cloned().collect();
         let controllers = &self.frontend.controllers;
-        let mut search = controllers.find_origin(stream, &pools).await;
+        let software = &self.frontend.software_records;
+        let possible = self.possible_pools(&pools);
+        let mut search = controllers.find_origin(stream, &possible, software).await;
         if search == OriginSearch::Unknown
             && let Some(stream) = stream
             && let Some(origin) = self.frontend.origin_copies.read(stream).await
@@ -35,12 +37,9 @@
         let resumed = &self.frontend.metrics.resumed_streams;
         resumed.with_label_values(&[search.name()]).inc();
         request_log::origin_found(self, &search);
-        if search == OriginSearch::Unknown {
+        let Some(origin) = search.origin().cloned() else {
             let cause = "no node knows the software version that began the stream";
             return Err(Failure::new(Code::StreamOriginUnknown, cause));
-        }
-        let Some(origin) = search.origin().cloned() else {
-            return Ok(());
         };
         if !pools.contains(&origin.pool) {
             let cause = format!("pool {} no longer serves the route", origin.pool);
@@ -51,6 +50,21 @@
         Ok(())
     }
 
+    /// Returns the pools at which the stream that a caller resumes may have begun.
+    fn possible_pools(&self, pools: &[Name]) -> Vec<Name> {
+        let now = self.now();
+        let state = self.frontend.view.state();
+        let path = self.message.uri.path();
+        let former = state.former_pools.at(&self.route.host, path, now);
+        let mut possible = pools.to_vec();
+        for pool in former {
+            if !possible.contains(pool) {
+                possible.push(Name::clone(pool));
+            }
+        }
+        possible
+    }
+
     /// Binds the stream to where it began, unless it is bound, and has that remembered.
     ///
     /// Called with the upstream of the first event that reaches the caller in this response.
@@ -66,10 +80,16 @@
 
     /// Returns the upstreams of the pool at which the request may run.
     pub(in crate::direct) fn candidates(&self) -> Arc<[Arc<Upstream>]> {
-        let upstreams = self.frontend.view.pool(&self.pool);
+        let view = &self.frontend.view;
         let Some(origin) = &self.origin else {
-            return upstreams;
+            let begins_stream = self.message.kind.is_streaming();
+            return if begins_stream {
+                view.stream_pool(&self.pool)
+            } else {
+                view.pool(&self.pool)
+            };
         };
+        let upstreams = view.pool(&self.pool);
         if upstreams.iter().all(|upstream| origin.allows(upstream)) {
             return upstreams;
         }
