soak: silences of sound engines with moved runs, and releases with mass kills

The soak played neither: its engines answered 404 to kv-move, no engine was silent and sound, and a caller gave a broken stream up when no node took its connection.

CutInSilence says when a node ends an answer that has begun, in time, while an engine that it reached was only silent. A run that goes on elsewhere with its memory counts neither as a second run nor as a repeat. Other faults are few with either flag. Callers try for six seconds to take a stream up, also after a 503.

--- a/bench/src/soak/caller.rs
+++ b/bench/src/soak/caller.rs
@@ -31,6 +31,9 @@
 const PAUSE: u64 = 250;
 /// How often a caller takes one stream up, and what stays of it then is lost.
 const MOST_AGAIN: u64 = 3;
+/// Pause before another node is tried for a stream that is taken up, and how often one is.
+const NEXT_TRY: Duration = Duration::from_millis(500);
+const TRIES: usize = 12;
 /// Pause of the caller that sends a poison request.
 const COMES_AGAIN: Duration = Duration::from_millis(700);
 /// Pause between different requests with a poison prompt part.
@@ -82,7 +85,8 @@
     let mut number = 0_u64;
     while !calls.over.load(Ordering::SeqCst) {
         sleep(Duration::from_millis(rng.random_range(5..PAUSE))).await;
-        let mut ask = ask(&mut rng, format!("{seed:x}-{worker:x}-{number:x}z"));
+        let id = format!("{seed:x}-{worker:x}-{number:x}z");
+        let mut ask = ask(&mut rng, id, site.adapters());
         if site.trick == Trick::Stray {
             ask.route = "stray";
         }
@@ -99,28 +103,41 @@
                 break;
             };
             let choice = rng.random_range(0..usize::MAX);
-            call = one(&site, &mut None, ask, choice).await;
+            call = take_up(&site, &ask, choice).await;
         }
     }
 }
 
-/// A request that takes up a stream which broke off and may be resumed.
+/// Sends a request that takes up a stream, once a node is there to take it.
+async fn take_up(site: &Site, ask: &Ask, choice: usize) -> Option<Call> {
+    for number in 0..TRIES {
+        let choice = choice.wrapping_add(number);
+        let call = one(site, &mut None, ask.clone(), choice).await;
+        if call.is_some() {
+            return call;
+        }
+        sleep(NEXT_TRY).await;
+    }
+    None
+}
+
+/// A request that takes up a stream which broke off and may be resumed, also one that was refused.
 fn taken_up(call: &Call, again: u64) -> Option<Ask> {
     let is_cut = call.status == Some(200) && !call.complete && call.wrong.is_empty();
-    if call.ask.route != "plan" || !is_cut || call.last_event == 0 {
-        return None;
-    }
-    let attempt = match &call.ask.resumed {
-        Some(resumed) => &resumed.attempt,
-        None => &call.ask.id,
-    };
-    let resumed = Resumed {
-        attempt: attempt.clone(),
-        after: call.last_event,
-        software: call.software.clone()?,
+    let resumed = match &call.ask.resumed {
+        Some(resumed) if call.status == Some(503) => resumed.clone(),
+        _ if call.ask.route != "plan" || !is_cut || call.last_event == 0 => return None,
+        resumed => Resumed {
+            attempt: match resumed {
+                Some(resumed) => resumed.attempt.clone(),
+                None => call.ask.id.clone(),
+            },
+            after: call.last_event,
+            software: call.software.clone()?,
+        },
     };
     Some(Ask {
-        id: format!("{attempt}~{again}"),
+        id: format!("{}~{again}", resumed.attempt),
         resumed: Some(resumed),
         ..call.ask.clone()
     })
@@ -163,7 +180,7 @@
     }
 }
 
-fn ask(rng: &mut Pcg64Mcg, id: String) -> Ask {
+fn ask(rng: &mut Pcg64Mcg, id: String, adapters: u64) -> Ask {
     let route = match rng.random_range(0..20) {
         0..4 => "look",
         4..8 => "push",
@@ -174,7 +191,7 @@
     let engine = matches!(route, "plan" | "digest");
     // Few adapters get most requests, and all get some.
     let most = rng.random_range(1..=ADAPTERS);
-    let adapter = rng.random_range(1..=most);
+    let adapter = 1 + (rng.random_range(1..=most) - 1) % adapters;
     Ask {
         id,
         route,
--- a/bench/src/soak/judge/ends.rs
+++ b/bench/src/soak/judge/ends.rs
@@ -1,7 +1,7 @@
 //! Requests that end with neither an answer nor a refusal, and planned stops.
 
 use chivevalve::clock::Millis;
-use chivevalve_platform_standins::soak::ledger::Arrival;
+use chivevalve_platform_standins::soak::ledger::{Arrival, Start};
 
 use super::super::caller::{Call, OUT_OF_TIME};
 use super::super::site::Stop;
@@ -24,6 +24,39 @@
 /// The exit code of a node that cut something short.
 const CUT_OFF: i32 = 3;
 
+/// An answer that its node ends in its middle though an engine was only silent meanwhile.
+pub fn cut_in_silence(seen: &Evidence, call: &Call, arrivals: &[&Arrival]) -> Option<Violation> {
+    let is_cut = call.status == Some(200) && call.failure.is_some() && call.last_event > 0;
+    let has_time = call.ended < call.sent + call.ask.deadline;
+    if !is_cut || !has_time || call.failure.as_deref() == Some(OUT_OF_TIME) {
+        return None;
+    }
+    let silent = seen.troubles.iter().find(|trouble| {
+        let mut reached = arrivals.iter();
+        reached.any(|arrival| trouble.scope == Scope::Silence(arrival.host))
+            && trouble.from <= call.ended
+            && trouble.until.is_none_or(|until| until >= call.sent)
+    })?;
+    let excuse =
+        |arrival: &&Arrival| arrival.spoilt || (arrival.start == Start::Moved && !arrival.ran);
+    let mut scopes = vec![Scope::Process(call.node), Scope::Stop(call.node)];
+    for arrival in arrivals {
+        scopes.extend([Scope::Link, Scope::Crash, Scope::Leave].map(|scope| scope(arrival.host)));
+    }
+    if arrivals.iter().any(excuse) || !calm(&seen.troubles, &scopes, call.sent, call.ended) {
+        return None;
+    }
+    let told = format!(
+        "event {}, {} after {} at node {}; {}",
+        call.last_event,
+        call.failure.as_deref().unwrap_or_default(),
+        call.ended.since(call.sent),
+        call.node,
+        silent.told,
+    );
+    Some(new("CutInSilence", call.ended, &call.ask.id, told))
+}
+
 /// A request that ends with neither an answer nor a refusal, though nothing explains it.
 pub fn closed(seen: &Evidence, call: &Call, arrivals: &[&Arrival]) -> Option<Violation> {
     let ends = call.complete && !matches!(call.status, Some(502 | 504));
--- a/bench/src/soak/judge/mod.rs
+++ b/bench/src/soak/judge/mod.rs
@@ -6,13 +6,13 @@
 use std::collections::{HashMap, HashSet};
 
 use chivevalve::clock::Millis;
-use chivevalve_platform_standins::soak::ledger::{Arrival, Breach, Order};
+use chivevalve_platform_standins::soak::ledger::{Arrival, Breach, Order, Start};
 use chivevalve_platform_standins::soak::wire;
 
 use super::caller::Call;
 use super::site::Stop;
 use super::trouble::{Scope, Trouble, calm};
-use ends::{closed, stops};
+use ends::{closed, cut_in_silence, stops};
 use versions::{back, in_force, old_versions};
 
 /// Bounds of the deployment, as `wire::BOUNDS` tells the nodes.
@@ -20,8 +20,6 @@
 const THAW: Millis = Millis(300);
 const LEAVING: Millis = Millis(2_000);
 const WINDOW: Millis = Millis(10_000);
-const EXTRA: f64 = 54.0;
-const RATIO: f64 = 0.2;
 /// Engines that a poison request may end, and those that a prompt part may.
 const POISONED: usize = 3;
 const POISONED_BY_PART: usize = 5;
@@ -57,6 +55,8 @@
     pub stops: Vec<Stop>,
     /// Servers that fell over under what they rejected, and when.
     pub falls: Vec<(usize, Millis)>,
+    /// Further sends that a service bears, as [`wire::Profile::budget`] says.
+    pub budget: (f64, u32),
 }
 
 /// Looks at everything; `exact` leaves out what a slow computer alone could break.
@@ -71,9 +71,13 @@
         let none = Vec::new();
         let arrivals = by_id.get(call.ask.id.as_str()).unwrap_or(&none);
         found.extend(of_call(call, arrivals));
-        if !exact {
-            found.extend(closed(seen, call, arrivals));
-        }
+        let cut = cut_in_silence(seen, call, arrivals);
+        let more = if exact {
+            None
+        } else {
+            closed(seen, call, arrivals)
+        };
+        found.extend(cut.or(more));
     }
     found.extend(falls(seen));
     found.extend(back(seen, &by_id));
@@ -144,7 +148,10 @@
         .map(|(promise, told)| new(promise, call.ended, id, told.clone()))
         .collect();
     let once = matches!(call.ask.route, "push" | "digest");
-    let runs: Vec<&&Arrival> = arrivals.iter().filter(|arrival| arrival.ran).collect();
+    let runs: Vec<&&Arrival> = arrivals
+        .iter()
+        .filter(|arrival| arrival.ran && arrival.start == Start::Prompt)
+        .collect();
     let servers = || -> Vec<String> {
         let told = |run: &&&Arrival| format!("{} at {}", run.server, run.at);
         runs.iter().map(told).collect()
@@ -284,12 +291,14 @@
 }
 
 fn budget(seen: &Evidence) -> Vec<Violation> {
+    let (ratio, extra) = seen.budget;
     let mut found = Vec::new();
     for (service, engine) in [("engines", true), ("records", false)] {
         let mut repeats = Vec::new();
         let mut known = HashSet::new();
         for arrival in seen.arrivals.iter().filter(|one| one.service == service) {
-            if !known.insert(&arrival.id) {
+            let goes_on = arrival.ran && arrival.start == Start::Moved;
+            if !known.insert(&arrival.id) && !goes_on {
                 repeats.push(arrival.at);
             }
         }
@@ -310,7 +319,10 @@
             ];
             let asked = windows.into_iter().map(asked).max().unwrap_or_default();
             #[allow(clippy::cast_precision_loss, reason = "some thousand requests")]
-            let (count, bound) = (count.count() as f64, asked as f64 * RATIO + EXTRA);
+            let (count, bound) = (
+                count.count() as f64,
+                asked as f64 * ratio + f64::from(extra),
+            );
             if count > bound {
                 let told = format!("{service}: {count} further sends, {bound:.0} allowed");
                 found.push(new("Budget", *at, "", told));
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod judge;
 mod proxy;
+mod readiness;
 mod site;
 mod story;
 mod trouble;
@@ -19,6 +20,7 @@
 
 use chivevalve::clock::Millis;
 use chivevalve_platform_standins::soak::brittle::Brittle;
+use chivevalve_platform_standins::soak::ledger::Start;
 use chivevalve_platform_standins::soak::mood;
 use chivevalve_platform_standins::soak::wire::Ask;
 use eyre::{Result, eyre};
@@ -30,7 +32,7 @@
 use caller::{Call, Calls};
 use judge::{Evidence, Violation};
 use site::Site;
-use story::Act;
+use story::{Act, Extras, Step};
 use trouble::Scope;
 
 const HELP: &str = "\
@@ -49,6 +51,8 @@
   --rejection-limit N
                  from 8 s to 8 s before the end servers say that they bear N rejections in a
                  second, and fall over beyond that
+  --silences     engines fall silent for a second while configurations change, and runs move
+  --releases     engines get new software, and all nodes are killed at once meanwhile
   --trick NAME   spoil the stand-ins or the callers, so that a check has to fail
   --story        print the story and play nothing
   --program P    the daemon's program
@@ -96,7 +100,7 @@
 }
 
 /// Tricks by name.
-const TRICKS: [(&str, Trick); 21] = [
+const TRICKS: [(&str, Trick); 22] = [
     ("twice", Trick::Server(mood::Trick::Twice)),
     ("swapped", Trick::Server(mood::Trick::Swapped)),
     ("looks-whole", Trick::Server(mood::Trick::LooksWhole)),
@@ -111,6 +115,7 @@
     ("two-holders", Trick::Server(mood::Trick::TwoHolders)),
     ("late-leaving", Trick::Server(mood::Trick::LateLeaving)),
     ("untold", Trick::Server(mood::Trick::Untold)),
+    ("broken-silence", Trick::Server(mood::Trick::BrokenSilence)),
     ("storm", Trick::Server(mood::Trick::Storm)),
     ("impatient", Trick::Impatient),
     ("halved", Trick::Halved),
@@ -140,6 +145,7 @@
     story: bool,
     poison: Poison,
     rejection_limit: Option<u32>,
+    extras: Extras,
     trick: Trick,
     program: Option<PathBuf>,
     dir: PathBuf,
@@ -152,7 +158,7 @@
         return Ok(Verdict::Kept);
     };
     if options.story {
-        for step in story::draw(options.seed, options.nodes, options.span) {
+        for step in options.draw() {
             println!("{} {:?}", step.at, step.act);
         }
         return Ok(Verdict::Kept);
@@ -179,6 +185,7 @@
         story: false,
         poison: Poison::default(),
         rejection_limit: None,
+        extras: Extras::default(),
         trick: Trick::None,
         program: None,
         dir: site::directory(),
@@ -194,6 +201,8 @@
             Long("story") => options.story = true,
             Long("poison") => options.poison.request = true,
             Long("poison-part") => options.poison.part = true,
+            Long("silences") => options.extras.silences = true,
+            Long("releases") => options.extras.releases = true,
             Long("rejection-limit") => {
                 options.rejection_limit = Some(parser.value()?.parse()?);
             }
@@ -214,6 +223,10 @@
 }
 
 impl Options {
+    fn draw(&self) -> Vec<Step> {
+        story::draw(self.seed, self.nodes, self.span, self.extras)
+    }
+
     /// When servers bear few rejections.
     fn brittle(&self) -> Option<Brittle> {
         self.rejection_limit.map(|limit| Brittle {
@@ -225,7 +238,7 @@
 }
 
 async fn play(options: &Options) -> Result<Verdict> {
-    let steps = story::draw(options.seed, options.nodes, options.span);
+    let steps = options.draw();
     let flips = steps.iter().filter(|step| step.act == Act::Config).count();
     let site = Site::start(options, u64::try_from(flips)? + 1).await?;
     let calls = Arc::new(Calls::default());
@@ -354,6 +367,7 @@
         left: lock(&site.left).clone(),
         stops: lock(&site.stops).clone(),
         falls: site.ledger.falls(),
+        budget: site.profile.budget(),
     }
 }
 
@@ -423,6 +437,9 @@
         taken_up.len(),
         went_on.count()
     );
+    let arrivals = seen.arrivals.iter();
+    let moved = arrivals.filter(|arrival| arrival.start == Start::Moved);
+    let _ = writeln!(text, "  {} sends of moved runs", moved.count());
     let rejected = seen.arrivals.iter().filter(|arrival| !arrival.ran);
     let _ = writeln!(
         text,
--- a/bench/src/soak/site.rs
+++ b/bench/src/soak/site.rs
@@ -7,44 +7,40 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
 use chivevalve::clock::Millis;
 use chivevalve_platform::settings::VARIABLE;
 use chivevalve_platform_standins::soak::ledger::Ledger;
 use chivevalve_platform_standins::soak::mood::{Mood, Trick};
 use chivevalve_platform_standins::soak::server::Server;
-use chivevalve_platform_standins::soak::wire::{self, Place};
+use chivevalve_platform_standins::soak::wire::{self, Place, Profile};
 use chivevalve_platform_standins::store::Store;
 use chivevalve_standins::process::Daemon;
 use eyre::{Result, WrapErr, eyre};
-use http_body_util::Empty;
-use hyper_util::rt::TokioIo;
 use rustix::process::Signal;
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::lock;
 use super::proxy::{Proxy, Way};
-use super::story::{ADAPTERS, Act, ENGINES, PLAIN};
+use super::readiness;
+use super::story::{ADAPTERS, Act, ENGINES, Extras, PLAIN};
 use super::trouble::{Scope, Troubles};
 
 /// Time from the request to stop until the process is killed.
 const GRACE: Duration = Duration::from_secs(8);
+/// How many times the places servers have beside what a story has by its seed alone: silent engines
+/// aren't full at once then, and many streams run when all nodes are killed.
+const WIDER: u32 = 3;
 /// How long a server stays down that a request has ended.
 const FALLEN: Millis = Millis(2_500);
 /// Pause before a process that ended is started again.
 const AGAIN: Duration = Duration::from_millis(300);
-/// Pause between two questions whether a node is ready, and the longest wait for an answer.
-const CHECK: Duration = Duration::from_secs(1);
-/// Questions without a good answer until a node is left out.
-const MISSES: u32 = 2;
 /// Tries for two free ports beside each other.
 const PORTS: usize = 50;
 
 /// A node's place.
 #[derive(Debug)]
 pub struct Node {
-    place: Place,
+    pub place: Place,
     pub callers: SocketAddr,
     store: Proxy,
     daemon: Mutex<Option<Daemon>>,
@@ -93,6 +89,7 @@
     program: PathBuf,
     pub dir: PathBuf,
     pub trick: super::Trick,
+    pub profile: Profile,
 }
 
 impl Site {
@@ -113,6 +110,17 @@
                 let host = ENGINES + PLAIN + usize::try_from(flip).unwrap_or_default();
                 (host, wire::flip_service(flip), false)
             }));
+        let extras = options.extras;
+        let profile = if extras.silences {
+            Profile::Moves
+        } else {
+            Profile::Flips
+        };
+        let wider = if extras == Extras::default() {
+            1
+        } else {
+            WIDER
+        };
         let mut hosts = Vec::new();
         for (host, service, engine) in servers {
             let what = (host, service.as_str(), engine);
@@ -121,7 +129,7 @@
                 _ => Trick::None,
             };
             let how = (options.seed, server_trick, options.brittle());
-            let server = Server::new(what, how, &ledger, &store.memory);
+            let server = Server::new(what, how, &ledger, &store.memory).wider(wider);
             let proxy = Proxy::start(None).await?;
             proxy.lead(Some(server.launch(proxy.address).await));
             hosts.push(Host {
@@ -151,6 +159,7 @@
             },
             dir,
             trick: options.trick,
+            profile,
         });
         site.configure();
         for adapter in 1..=ADAPTERS {
@@ -160,7 +169,7 @@
             site.launch(node, true)?;
         }
         for node in 0..site.nodes.len() {
-            tokio::spawn(check(Arc::clone(&site), node));
+            tokio::spawn(readiness::check(Arc::clone(&site), node));
         }
         tokio::spawn(raise(Arc::clone(&site)));
         Ok(site)
@@ -169,7 +178,7 @@
     fn launch(&self, node: &Node, first: bool) -> Result<()> {
         let name = &node.place.name;
         let file = self.dir.join(format!("{name}.conf"));
-        std::fs::write(&file, wire::settings(&node.place, first))?;
+        std::fs::write(&file, wire::settings(&node.place, first, self.profile))?;
         let mut command = Command::new(&self.program);
         command
             .arg("--platform")
@@ -195,7 +204,7 @@
     fn configure(&self) {
         let mut configs = lock(&self.configs);
         let version = configs.last().map_or(1, |(version, _)| version + 1);
-        wire::configure(&self.store, version);
+        wire::configure(&self.store, version, self.profile);
         configs.push((version, self.ledger.now()));
     }
 
@@ -208,6 +217,14 @@
         versions.push((adapter, version, self.ledger.now()));
     }
 
+    /// Adapters that callers ask for: where runs move, as many as an engine holds.
+    pub fn adapters(&self) -> u64 {
+        match self.profile {
+            Profile::Moves => wire::SLOTS as u64,
+            Profile::Flips => ADAPTERS,
+        }
+    }
+
     /// Does one thing; what lasts goes on by itself.
     pub fn act(self: &Arc<Self>, act: Act) {
         log::info!("{} {act:?}", self.ledger.now());
@@ -229,7 +246,7 @@
     async fn lasting(&self, act: Act) -> Result<()> {
         let taken = match act {
             Act::Stop(node) | Act::Kill(node, _) | Act::Pause(node, _) => &self.nodes[node].taken,
-            Act::Crash(host, _) | Act::Leave(host) => &self.hosts[host].taken,
+            Act::Crash(host, _) | Act::Leave(host) | Act::Upgrade(host) => &self.hosts[host].taken,
             _ => &AtomicBool::new(false),
         };
         if taken.swap(true, Ordering::SeqCst) {
@@ -242,7 +259,8 @@
             Act::StoreAway(..) => Scope::Store,
             Act::ServerLink(host, ..) => Scope::Link(host),
             Act::Crash(host, _) => Scope::Crash(host),
-            Act::Leave(host) => Scope::Leave(host),
+            Act::Leave(host) | Act::Upgrade(host) => Scope::Leave(host),
+            Act::Silence(host, _) => Scope::Silence(host),
             Act::Queue(host, ..) => Scope::Queue(host),
             Act::Feel(..) | Act::Loads(..) | Act::Config | Act::Version(_) => {
                 self.harm(act).await?;
@@ -304,8 +322,15 @@
                 engines.for_each(|host| host.server.slow_loads(wait, span));
             }
             Act::Crash(host, span) => self.hosts[host].crash(span).await,
-            Act::Leave(host) => {
+            Act::Silence(host, span) => {
+                self.hosts[host].server.hush(span);
+                sleep(span.duration()).await;
+            }
+            Act::Leave(host) | Act::Upgrade(host) => {
                 let host = &self.hosts[host];
+                if matches!(act, Act::Upgrade(_)) {
+                    host.server.upgrade();
+                }
                 let (told, start) = host.server.leave(host.proxy.address).await;
                 lock(&self.left).push((host.server.host, start, told));
                 // One that a request ended meanwhile keeps its counts until it starts again.
@@ -447,39 +472,6 @@
     }
 }
 
-/// Asks a node whether it is ready, as the platform's balancer does.
-async fn check(site: Arc<Site>, number: usize) {
-    let node = &site.nodes[number];
-    let address = SocketAddr::new(node.place.ip, node.place.readiness);
-    let mut misses = 0;
-    loop {
-        let ready = timeout(CHECK, ready(address)).await;
-        if matches!(ready, Ok(Ok(true))) {
-            misses = 0;
-            node.ready.store(true, Ordering::SeqCst);
-        } else {
-            misses += 1;
-        }
-        if misses >= MISSES {
-            node.ready.store(false, Ordering::SeqCst);
-        }
-        sleep(CHECK).await;
-    }
-}
-
-async fn ready(address: SocketAddr) -> Result<bool> {
-    let stream = TcpStream::connect(address).await?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    let request = http::Request::get("/v1/ready")
-        .header("host", "node")
-        .body(Empty::<Bytes>::new())?;
-    tokio::select! {
-        _ = connection => Ok(false),
-        answer = sender.send_request(request) => Ok(answer?.status().is_success()),
-    }
-}
-
 /// Where logs go: beside what the build makes.
 pub fn directory() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../target/soak")
--- a/bench/src/soak/story.rs
+++ b/bench/src/soak/story.rs
@@ -20,6 +20,22 @@
 
 /// Series of faults and the longest pause in each, by the seed.
 const DENSITY: [(usize, u64); 3] = [(2, 8_000), (3, 5_000), (4, 3_000)];
+/// The same beside silences and releases, so that most of these have no other fault beside them.
+const FEW: (usize, u64) = (1, 12_000);
+
+/// How long a sound engine falls silent, in milliseconds.
+const SILENCE: std::ops::Range<u64> = 1_000..1_300;
+/// Time between a configuration and the silences beside it, in milliseconds.
+const BESIDE: u64 = 700;
+/// Time between two engines of a release, in milliseconds.
+const APART: std::ops::Range<u64> = 1_500..3_000;
+/// How long all nodes are down while two releases serve, in milliseconds.
+const DOWN: std::ops::Range<u64> = 200..1_500;
+/// Time from when the last engine begins to leave until all nodes are killed, in milliseconds: its
+/// streams still run then.
+const LEAVING: std::ops::Range<u64> = 0..400;
+/// How long all nodes are down then, in milliseconds: until it has left.
+const GONE: std::ops::Range<u64> = 2_900..4_500;
 
 /// Time between two versions of a series, in milliseconds.
 const SERIES: std::ops::Range<u64> = 300..3_000;
@@ -55,6 +71,10 @@
     Queue(usize, Millis, Millis),
     /// Loads take so much longer at all engines, for a while.
     Loads(Millis, Millis),
+    /// A sound engine writes nothing for a while.
+    Silence(usize, Millis),
+    /// An engine leaves in order, and starts again with the next release of its software.
+    Upgrade(usize),
 }
 
 /// Something that happens, and when.
@@ -64,8 +84,17 @@
     pub act: Act,
 }
 
+/// What a story has beside the usual, which is thin then.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Extras {
+    /// Engines fall silent in series while configurations change.
+    pub silences: bool,
+    /// Releases of the engines' software, with all nodes killed at once meanwhile or right behind.
+    pub releases: bool,
+}
+
 /// Draws a story of a length for so many nodes.
-pub fn draw(seed: u64, nodes: usize, span: Millis) -> Vec<Step> {
+pub fn draw(seed: u64, nodes: usize, span: Millis, extras: Extras) -> Vec<Step> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let end = span.0.saturating_sub(CALM_LAST);
     let mut steps = Vec::new();
@@ -88,12 +117,22 @@
         alone(Act::Version(rng.random_range(1..=ADAPTERS)))
     });
     // Series run beside each other, so that faults overlap; some stories are denser than others.
-    let (series, longest) = DENSITY[usize::try_from(seed).unwrap_or_default() % DENSITY.len()];
+    let (series, longest) = if extras == Extras::default() {
+        DENSITY[usize::try_from(seed).unwrap_or_default() % DENSITY.len()]
+    } else {
+        FEW
+    };
     for _ in 0..series {
         every(500, longest, &mut |rng| fault(rng, nodes));
     }
     // Drawn last, so that the rest of a story stays as it is without them.
     every(4_000, 12_000, &mut versions);
+    if extras.silences {
+        every(2_000, 3_500, &mut silences);
+    }
+    if extras.releases {
+        every(6_000, 15_000, &mut |rng| release(rng, nodes));
+    }
     steps.retain(|step| step.at.0 < end);
     steps.sort_by_key(|step| step.at);
     steps
@@ -138,6 +177,42 @@
     acts.into_iter().map(step).collect()
 }
 
+/// All engines, or about half of them, fall silent beside a change of the configuration.
+fn silences(rng: &mut Pcg64Mcg) -> Vec<Step> {
+    let mut steps = alone(Act::Config);
+    // Runs move to a silent engine only from one that isn't.
+    let all = rng.random_bool(0.25);
+    let span = Millis(rng.random_range(SILENCE));
+    let at = Millis(rng.random_range(0..BESIDE));
+    for engine in 0..ENGINES {
+        if all || rng.random_bool(0.5) {
+            let act = Act::Silence(engine, span);
+            steps.push(Step { at, act });
+        }
+    }
+    steps
+}
+
+/// Engines start again with the next release, one after the other. All nodes are killed at once
+/// while two versions serve, or come back when the last engine of the old one has just left.
+fn release(rng: &mut Pcg64Mcg, nodes: usize) -> Vec<Step> {
+    let apart = rng.random_range(APART);
+    let mut steps = row(ENGINES, apart, Act::Upgrade);
+    let last = steps.last().map_or(0, |step| step.at.0);
+    let (at, down) = if rng.random_bool(0.5) {
+        (rng.random_range(apart..last), rng.random_range(DOWN))
+    } else {
+        (last + rng.random_range(LEAVING), rng.random_range(GONE))
+    };
+    let down = Millis(down);
+    let kills = (0..nodes).map(|node| Act::Kill(node, down));
+    steps.extend(kills.map(|act| Step {
+        at: Millis(at),
+        act,
+    }));
+    steps
+}
+
 fn fault(rng: &mut Pcg64Mcg, nodes: usize) -> Vec<Step> {
     let node = rng.random_range(0..nodes);
     let server = rng.random_range(0..ENGINES + PLAIN);
--- a/bench/src/soak/trouble.rs
+++ b/bench/src/soak/trouble.rs
@@ -28,6 +28,8 @@
     Leave(usize),
     /// An engine at which requests wait long for their first event.
     Queue(usize),
+    /// A sound engine that writes nothing for a while.
+    Silence(usize),
 }
 
 impl Scope {
--- a/bench/tests/test_soak.rs
+++ b/bench/tests/test_soak.rs
@@ -127,21 +127,54 @@
     );
 }
 
-/// Plays a trick, and expects the promise to be told broken.
-fn caught(trick: &str, promise: &str) {
+/// Answers go on over a silence of sound engines, also those of runs that move meanwhile.
+#[test]
+fn soak_silence_cuts_no_answer() {
     let (code, said) = play(&[
         "--seed",
-        "4",
+        "821",
+        "--seconds",
+        "20",
+        "--nodes",
+        "2",
+        "--workers",
+        "60",
+        "--exact",
+        "--silences",
+    ]);
+    assert_eq!(code, Some(0), "{said}");
+    assert!(!said.contains(" 0 sends of moved runs"), "{said}");
+}
+
+/// Streams stay of one software version when all nodes start again around a release.
+#[test]
+fn soak_release_joins_no_versions() {
+    let (code, said) = play(&[
+        "--seed",
+        "811",
         "--seconds",
-        "8",
+        "24",
         "--nodes",
-        "1",
+        "3",
         "--workers",
-        "6",
+        "60",
         "--exact",
-        "--trick",
-        trick,
+        "--releases",
     ]);
+    assert_eq!(code, Some(0), "{said}");
+    assert!(!said.contains(" 0 streams taken up"), "{said}");
+}
+
+/// Plays a trick, and expects the promise to be told broken.
+fn caught(trick: &str, promise: &str) {
+    let options = ["--seconds", "8", "--workers", "6", "--trick", trick];
+    caught_with(&options, promise);
+}
+
+/// Plays with more options, and expects the promise to be told broken.
+fn caught_with(more: &[&str], promise: &str) {
+    let usual = ["--seed", "4", "--nodes", "1", "--exact"];
+    let (code, said) = play(&[&usual, more].concat());
     assert_eq!(code, Some(1), "{said}");
     assert!(said.contains(&format!("broken: {promise}")), "{said}");
 }
@@ -168,6 +201,13 @@
     caught("other-software", "OneSoftware");
 }
 
+/// A soak that doesn't see answers cut in a silence can't fail.
+#[test]
+fn soak_sees_an_answer_cut_in_a_silence() {
+    let options = ["--seconds", "16", "--silences", "--trick", "broken-silence"];
+    caught_with(&options, "CutInSilence");
+}
+
 /// Symptom: daemons go on after a soak that was interrupted.
 /// Sequence: the soak is asked to stop while its daemons serve.
 /// Cause: a process that ends by a signal drops nothing.
