--- a/bench/src/soak/story.rs
+++ b/bench/src/soak/story.rs
@@ -20,7 +20,7 @@
 
 /// Series of faults and the longest pause in each, by the seed.
 const DENSITY: [(usize, u64); 3] = [(2, 8_000), (3, 5_000), (4, 3_000)];
-/// The same beside silences, so that most of these have no other fault beside them.
+/// The same beside silences and releases, so that most of these have no other fault beside them.
 const FEW: (usize, u64) = (1, 12_000);
 
 /// How long a sound engine falls silent, in milliseconds.
@@ -84,10 +84,10 @@
     pub act: Act,
 }
 
-/// What a story has beside the usual.
+/// What a story has beside the usual, which is thin then.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Extras {
-    /// Engines fall silent in series while configurations change; other faults are few.
+    /// Engines fall silent in series while configurations change.
     pub silences: bool,
     /// Releases of the engines' software, with all nodes killed at once meanwhile or right behind.
     pub releases: bool,
@@ -117,10 +117,10 @@
         alone(Act::Version(rng.random_range(1..=ADAPTERS)))
     });
     // Series run beside each other, so that faults overlap; some stories are denser than others.
-    let (series, longest) = if extras.silences {
-        FEW
-    } else {
+    let (series, longest) = if extras == Extras::default() {
         DENSITY[usize::try_from(seed).unwrap_or_default() % DENSITY.len()]
+    } else {
+        FEW
     };
     for _ in 0..series {
         every(500, longest, &mut |rng| fault(rng, nodes));
