claims: write a node's record again if it was deleted

Callers saw: nothing known. An owner that loses the key-value service asks the nodes whose records it knows before it extends its term. A live node whose record was deleted isn't asked, takes the engine over and orders beside it.

Cause: the record was written once for each lease, and a renewal doesn't show that a key is gone. Change: each renewal looks for the record in the view, if that is newer than the last write, and writes it again.

--- a/lib/src/direct/claim/mod.rs
+++ b/lib/src/direct/claim/mod.rs
@@ -42,6 +42,13 @@
 /// Attempts to write this node's record; the first fails if the record of an earlier start stands.
 const MAX_RECORD_ATTEMPTS: usize = 4;
 
+/// This node's lease, and when its record was written under it.
+#[derive(Debug, Clone, Copy)]
+struct Session {
+    lease: LeaseId,
+    recorded_at: Millis,
+}
+
 /// Maintains this node's lease, record and claims.
 #[derive(Debug)]
 pub struct Claimer {
@@ -76,7 +83,7 @@
 impl Claimer {
     /// Renews the lease and claims engines until the task is dropped.
     pub async fn run(self: Arc<Self>) {
-        let mut lease = None;
+        let mut session = None;
         let mut first_lease_at = None;
         // A node that has left must not claim again what it released.
         while !self.ownership.has_left.load(Ordering::Relaxed) {
@@ -84,7 +91,10 @@
             let is_valid = self.ownership.is_term_running();
             self.ownership.was_valid.store(is_valid, Ordering::Relaxed);
             let mut pause = RENEWAL_INTERVAL;
-            if let Err(error) = self.renew_and_claim(&mut lease, &mut first_lease_at).await {
+            if let Err(error) = self
+                .renew_and_claim(&mut session, &mut first_lease_at)
+                .await
+            {
                 self.view.record_store_call(false);
                 let asked_at = self.clock.now();
                 self.extend_ownership(&error).await;
@@ -127,11 +137,11 @@
 
     async fn renew_and_claim(
         &self,
-        lease: &mut Option<LeaseId>,
+        session: &mut Option<Session>,
         first_lease_at: &mut Option<Millis>,
     ) -> Result<(), Error> {
         let sent = self.clock.now();
-        match *lease {
+        match *session {
             None => {
                 let granted = self.lease.grant(LEASE_TTL).await?;
                 // With the first lease there are no claims of this start, and the follower reads
@@ -143,23 +153,26 @@
                     }
                 }
                 first_lease_at.get_or_insert_with(|| self.record_first_lease());
-                self.put_node_record(granted).await?;
-                *lease = Some(granted);
+                *session = Some(self.put_node_record(granted).await?);
             }
             Some(held) => {
                 let was_valid = self.ownership.is_term_running();
-                if self.renew(held).await? == Millis::ZERO {
+                if self.renew(held.lease).await? == Millis::ZERO {
                     log::warn!("right: the lease has lapsed");
-                    *lease = None;
+                    *session = None;
                     self.ownership.valid_until.store(0, Ordering::Relaxed);
                     self.ownership.owned().clear();
-                    return Box::pin(self.renew_and_claim(lease, first_lease_at)).await;
+                    return Box::pin(self.renew_and_claim(session, first_lease_at)).await;
                 }
                 self.view.record_store_call(true);
                 if !was_valid {
                     self.read_claims().await?;
                     self.view.state().anonymize_previous_claims(&self.node);
                 }
+                if self.has_lost_record(held) {
+                    log::warn!("right: this node's record is gone, it is written again");
+                    *session = Some(self.put_node_record(held.lease).await?);
+                }
             }
         }
         if self.ownership.has_left.load(Ordering::Relaxed) {
@@ -169,9 +182,9 @@
         self.ownership
             .valid_until
             .store((sent + OWNERSHIP_TERM).0, Ordering::Relaxed);
-        if let (Some(held), Some(first_lease_at)) = (*lease, *first_lease_at) {
+        if let (Some(held), Some(first_lease_at)) = (*session, *first_lease_at) {
             self.hand_over_unreachable().await?;
-            self.claim_engines(held, first_lease_at).await?;
+            self.claim_engines(held.lease, first_lease_at).await?;
             self.hand_over_surplus(first_lease_at).await?;
         }
         Ok(())
@@ -201,7 +214,7 @@
     ///
     /// The write depends on what the service has, as it may be carried out seconds later: under an
     /// older lease it would replace the record of the newer one, and vanish while the node lives.
-    async fn put_node_record(&self, lease: LeaseId) -> Result<(), Error> {
+    async fn put_node_record(&self, lease: LeaseId) -> Result<Session, Error> {
         let key = self.dialect.own_key(&format!("{NODE_PREFIX}{}", self.node));
         let mut condition = Condition::Absent(key.clone());
         for _ in 0..MAX_RECORD_ATTEMPTS {
@@ -212,7 +225,8 @@
             };
             let commit = self.store.commit(transaction).await?;
             if commit.done {
-                return Ok(());
+                let recorded_at = self.clock.now();
+                return Ok(Session { lease, recorded_at });
             }
             let found = commit.found.first();
             condition = found.map_or_else(
@@ -224,6 +238,14 @@
         Err(Error::Refused(reason))
     }
 
+    /// Whether this node's record was deleted while its lease goes on.
+    ///
+    /// Owners ask only the nodes whose records they know before they extend their terms.
+    fn has_lost_record(&self, session: Session) -> bool {
+        let is_known = self.view.state().nodes.contains_key(&self.node);
+        !is_known && self.view.as_of() > session.recorded_at
+    }
+
     fn new_claim(&self, left: Option<Millis>, orders_from: Millis) -> Claim {
         Claim {
             node: Name::clone(&self.node),
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -296,6 +296,17 @@
     assert_ne!(after.value, before.value);
 }
 
+/// Owners don't ask a node for its vote whose record was deleted while its lease goes on.
+#[tokio::test(start_paused = true)]
+async fn record_deleted_is_written_again() {
+    let (memory, one) = owner().await;
+    let key = PlatformDialect.own_key("node/one");
+    memory.change(|state| state.remove(&key));
+    pass(&[&one], Millis(3_000)).await;
+    assert!(memory.state().entries.contains_key(&key));
+    assert!(one.ownership.fencing_token(address()).is_some());
+}
+
 /// Returns the key of the claim on the engine at a port.
 fn claim_key_of(port: u16) -> String {
     PlatformDialect.own_key(&format!("claim/127.0.0.1:{port}"))
