claims: no known node is no vote

Callers saw: nothing known. Before the change a node that had never heard of another one extended its term for as long as it couldn't reach the key-value service, while a node that joined meanwhile took its engine over.

Cause: having nobody to ask counted as consent as long as no other node had ever been seen. That is the absence of news. Change: without known nodes there is no extension. A deployment of a single node gives no orders in an outage of the service; requests for loaded adapters go on.

--- a/lib/src/direct/controllers/vote.rs
+++ b/lib/src/direct/controllers/vote.rs
@@ -15,12 +15,7 @@
 #[async_trait]
 impl Voters for Controllers {
     fn others(&self) -> Option<Vec<SocketAddr>> {
-        let state = self.view.state();
-        let others = state.nodes.iter().filter(|(name, _)| **name != self.node);
-        let peers: Vec<SocketAddr> = others.map(|(_, peer)| peer.address).collect();
-        // If there were other nodes, having none to ask is no vote: their records may have
-        // expired while they are alive.
-        (!peers.is_empty() || state.max_nodes_seen <= 1).then_some(peers)
+        self.view.state().voters(&self.node)
     }
 
     async fn refusals(&self, asked: &[SocketAddr], owned: &[(SocketAddr, u64)]) -> Vec<Refusal> {
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -306,6 +306,17 @@
         Some((&claim.node, self.nodes.get(&claim.node)?))
     }
 
+    /// Returns the addresses of the nodes that must vote for an extension of a node's ownership, or
+    /// none if no other node is known.
+    ///
+    /// That this node has heard of no other one doesn't show that it is alone.
+    #[must_use]
+    pub fn voters(&self, node: &str) -> Option<Vec<SocketAddr>> {
+        let others = self.nodes.iter().filter(|(name, _)| ***name != *node);
+        let peers: Vec<SocketAddr> = others.map(|(_, peer)| peer.address).collect();
+        (!peers.is_empty()).then_some(peers)
+    }
+
     /// Applies a configuration unless it is older than, or the same as, the current one.
     ///
     /// Returns whether it was applied.
--- a/lib/tests/direct_support/claimer.rs
+++ b/lib/tests/direct_support/claimer.rs
@@ -111,7 +111,12 @@
     first_start: bool,
 ) -> Node {
     let others = |_: Arc<View>, _: Arc<Ownership>, _: Arc<dyn Clock>| Arc::default();
-    let identity = (name, start, first_start);
+    let identity = Identity {
+        name,
+        start,
+        address: address(),
+        first_start,
+    };
     start_among(others, now, view, identity, memory)
 }
 
@@ -122,7 +127,12 @@
 {
     let view = Arc::new(View::default());
     add_engine(&view);
-    let identity = (name, 1, true);
+    let identity = Identity {
+        name,
+        start: 1,
+        address: address(),
+        first_start: true,
+    };
     let asking = |view, ownership, clock| Arc::new(controllers(name, view, ownership, clock));
     start_among(asking, Millis(100_000), view, identity, store)
 }
@@ -138,17 +148,34 @@
     Controllers::new(view, ownership, dialect, clock, name.into(), Arc::default())
 }
 
-fn start_among<S, V>(
+/// Which node starts.
+#[derive(Debug, Clone, Copy)]
+pub struct Identity<'a> {
+    pub name: &'a str,
+    pub start: u64,
+    /// Where it listens for other nodes.
+    pub address: SocketAddr,
+    pub first_start: bool,
+}
+
+/// Starts a node whose clock shows `now`, with the given voters.
+pub fn start_among<S, V>(
     voters: impl FnOnce(Arc<View>, Arc<Ownership>, Arc<dyn Clock>) -> Arc<V>,
     now: Millis,
     view: Arc<View>,
-    (name, start, first_start): (&str, u64, bool),
+    identity: Identity<'_>,
     store: &Arc<S>,
 ) -> Node<V>
 where
     S: Store + Lease + Poll + 'static,
     V: Voters + 'static,
 {
+    let Identity {
+        name,
+        start,
+        address,
+        first_start,
+    } = identity;
     let clock = Arc::new(Manual::default());
     clock.advance(now);
     let shared: Arc<dyn Clock> = Arc::<Manual>::clone(&clock);
@@ -180,7 +207,7 @@
         limits: Arc::clone(&limits),
         node: name.into(),
         peer: Peer {
-            address: address(),
+            address,
             start,
             failure_domain: "hall-a".into(),
         },
--- a/lib/tests/test_direct_extension.rs
+++ b/lib/tests/test_direct_extension.rs
@@ -183,6 +183,20 @@
     assert!(gap >= Limits::default().order_gap, "{gap}");
 }
 
+/// A node that has heard of no other one extends its term without any vote.
+#[tokio::test(start_paused = true)]
+async fn extension_without_known_nodes() {
+    let path = Arc::new(Path::default());
+    let memory = Arc::clone(&path.memory);
+    store_engine(&memory);
+    let one = start_asking("one", &path);
+    pass(&[&one], Millis(3_000)).await;
+    assert!(may_order(&one));
+    path.is_cut.store(true, Ordering::SeqCst);
+    pass(&[&one], OWNERSHIP_TERM).await;
+    assert!(!may_order(&one));
+}
+
 /// In an outage a node that restarts votes in time, and orders end with a node that stays away.
 #[tokio::test]
 async fn extension_with_a_node_that_restarts() {
