claims: the first start of a deployment assumes no owner only while none can have vanished

Callers saw: nothing known. A node whose first lease came late, on the first start of all nodes, took an engine whose claim had expired for one that never had an owner, and ordered beside an owner whose term was extended by votes. Suspected in refused-connections-as-votes, without a test.

Cause: 'nobody' was concluded from having seen no claim, whenever the claims had been read. Change: 'nobody' holds only if the claims were read before a lease granted since the start can have ended, less the spread of the nodes' starts. Otherwise the owner is unknown, and the node waits for its term and the gap.

--- a/lib/src/direct/claim/previous.rs
+++ b/lib/src/direct/claim/previous.rs
@@ -4,9 +4,12 @@
 
 use super::Claimer;
 use crate::clock::Millis;
-use crate::direct::limits::OWNERSHIP_TERM;
+use crate::direct::limits::{LEASE_TTL, OWNERSHIP_TERM};
 use crate::direct::view::{Claim, ClaimEntry, State};
 
+/// How far apart the nodes of a deployment start for the first time.
+const START_SPREAD: Millis = Millis(1_000);
+
 /// What is known of the node that owned an engine before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PreviousOwner {
@@ -65,7 +68,7 @@
         stored: Option<&ClaimEntry>,
         first_lease_at: Millis,
     ) -> (PreviousOwner, Millis) {
-        let previous = self.previous_owner(state, address, stored);
+        let previous = self.previous_owner(state, address, stored, first_lease_at);
         // Claims that expired before this node had read all claims are as unknown to it as those
         // that expired before its first lease.
         let claims_read = state.claims_read_at.unwrap_or_else(|| self.clock.now());
@@ -86,6 +89,7 @@
         state: &State,
         address: SocketAddr,
         stored: Option<&ClaimEntry>,
+        first_lease_at: Millis,
     ) -> PreviousOwner {
         if let Some(stored) = stored {
             if stored.claim.node == self.node {
@@ -99,8 +103,21 @@
         match state.previous_claims.get(&address) {
             Some((claim, _)) if claim.node == self.node => self.own_previous_claim(claim),
             Some((_, at)) => PreviousOwner::Vanished { at: *at },
-            None if self.first_start => PreviousOwner::Nobody,
+            None if self.knows_all_owners(first_lease_at, state.claims_read_at) => {
+                PreviousOwner::Nobody
+            }
             None => PreviousOwner::Unknown,
         }
     }
+
+    /// Whether no claim can have been made and expired before this node read all claims.
+    ///
+    /// That takes a deployment whose nodes start for the first time, and a node that has read the
+    /// claims before a lease granted since then can end. One that gets its lease later may find no
+    /// claim while another node still sends orders by the votes of the others.
+    fn knows_all_owners(&self, first_lease_at: Millis, claims_read_at: Option<Millis>) -> bool {
+        let known_at = claims_read_at.map(|read| read.max(first_lease_at));
+        let known_after = known_at.map(|at| at.since(self.ownership.started_at));
+        self.first_start && known_after.is_some_and(|after| after + START_SPREAD < LEASE_TTL)
+    }
 }
--- a/lib/src/direct/ownership.rs
+++ b/lib/src/direct/ownership.rs
@@ -28,6 +28,8 @@
 pub struct Ownership {
     clock: Arc<dyn Clock>,
     view: Arc<View>,
+    /// When this start of the node began, in milliseconds of `clock`.
+    pub(super) started_at: Millis,
     /// When the current ownership term ends, in milliseconds of `clock`.
     pub(super) valid_until: AtomicU64,
     /// Whether this node has had a lease since its start.
@@ -50,6 +52,7 @@
     #[must_use]
     pub fn new(clock: Arc<dyn Clock>, view: Arc<View>) -> Self {
         Self {
+            started_at: clock.now(),
             clock,
             view,
             valid_until: AtomicU64::new(0),
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -307,6 +307,23 @@
     assert!(one.ownership.fencing_token(address()).is_some());
 }
 
+/// On the first start of a deployment a node with a late lease takes an engine for one without an
+/// earlier owner, whose claim has expired while it still orders.
+#[tokio::test(start_paused = true)]
+async fn claim_first_start_with_a_late_lease_waits() {
+    let memory = Arc::new(MemoryStore::default());
+    store_engine(&memory);
+    memory.change(|state| state.is_unavailable = true);
+    let one = node("one", &memory, true);
+    pass(&[&one], Millis(4_000)).await;
+    memory.change(|state| state.is_unavailable = false);
+    pass(&[&one], Millis(3_500)).await;
+    assert!(one.ownership.owns(address()));
+    assert_eq!(one.ownership.fencing_token(address()), None);
+    pass(&[&one], OWNERSHIP_TERM + Limits::default().order_gap).await;
+    assert!(one.ownership.fencing_token(address()).is_some());
+}
+
 /// Returns the key of the claim on the engine at a port.
 fn claim_key_of(port: u16) -> String {
     PlatformDialect.own_key(&format!("claim/127.0.0.1:{port}"))
