claims: a release counts the orders of the node's previous start

Callers saw: nothing known. A node that is killed after an order takes its claim back when it restarts. If it then leaves, or hands the engine over as one too many, its release said that it hadn't ordered for long, and the successor ordered at once: two nodes order one engine less than three seconds apart.

Cause: the time since the last order is kept by the process; without an order of its own it counted as infinite. Change: a claim that is taken back counts as if the earlier start had ordered until this one began, which is the latest that it can have.

--- a/lib/src/direct/claim/takeover.rs
+++ b/lib/src/direct/claim/takeover.rs
@@ -142,6 +142,9 @@
                 seen: now,
             },
         );
+        if matches!(previous, PreviousOwner::Itself { .. }) {
+            self.ownership.record_earlier_orders(address);
+        }
         self.ownership.acquire(address, token, start);
     }
 }
--- a/lib/src/direct/ownership.rs
+++ b/lib/src/direct/ownership.rs
@@ -102,21 +102,27 @@
     /// Records that an order is sent to an engine now.
     pub fn record_order(&self, address: SocketAddr) {
         let now = self.clock.now();
+        self.last_orders().insert(address, now);
+    }
+
+    /// Records that an earlier start of this node may have sent an order until this one began.
+    pub(super) fn record_earlier_orders(&self, address: SocketAddr) {
+        self.last_orders().entry(address).or_insert(self.started_at);
+    }
+
+    fn last_orders(&self) -> MutexGuard<'_, HashMap<SocketAddr, Millis>> {
         self.last_order
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .insert(address, now);
     }
 
     /// Returns the time since the last order to an engine, or none if there was none.
+    ///
+    /// Orders of an earlier start of this node count where this start has taken its claim back.
     #[must_use]
     pub fn time_since_order(&self, address: SocketAddr) -> Option<Millis> {
         let now = self.clock.now();
-        self.last_order
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(&address)
-            .map(|&at| now.since(at))
+        self.last_orders().get(&address).map(|&at| now.since(at))
     }
 
     /// Records that this node owns an engine, and may send it orders from `orders_from` on.
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -307,6 +307,30 @@
     assert!(one.ownership.fencing_token(address()).is_some());
 }
 
+/// Starts a node again at once, with the clock of its VM.
+fn start_at_once(previous: Node, name: &str, memory: &Arc<MemoryStore>) -> Node {
+    let now = previous.clock.now();
+    drop(previous);
+    let view = Arc::new(View::default());
+    add_engine(&view);
+    start_at(now, view, name, 2, memory, false)
+}
+
+/// A node that was killed after an order, and leaves after its restart, lets its successor order
+/// too soon.
+#[tokio::test(start_paused = true)]
+async fn leave_counts_orders_of_the_previous_start() {
+    let (memory, one) = owner().await;
+    one.ownership.record_order(address());
+    let again = start_at_once(one, "one", &memory);
+    pass(&[&again], Millis(500)).await;
+    assert!(again.ownership.fencing_token(address()).is_some());
+    again.claimer.leave().await.unwrap();
+    let key = claim_key(&memory).unwrap();
+    let claim: Claim = serde_json::from_slice(&memory.state().entries[&key].value).unwrap();
+    assert!(claim.left.unwrap() <= Millis(500), "{claim:?}");
+}
+
 /// On the first start of a deployment a node with a late lease takes an engine for one without an
 /// earlier owner, whose claim has expired while it still orders.
 #[tokio::test(start_paused = true)]
