claims: a claim taken back waits for the node's own vote

Callers saw: nothing known. A node that votes for an owner before its first lease, and then takes the claim of its earlier start on the same engine back, waited as that start had to, and could order while the owner's term ran.

Cause: a vote promises to send no orders for a term; only claims that follow vanished or unknown ones kept that promise. Change: votes before the first lease are kept by engine, and orders there wait for the term and the gap from the vote.

--- a/lib/src/direct/claim/previous.rs
+++ b/lib/src/direct/claim/previous.rs
@@ -72,9 +72,11 @@
         // Claims that expired before this node had read all claims are as unknown to it as those
         // that expired before its first lease.
         let claims_read = state.claims_read_at.unwrap_or_else(|| self.clock.now());
-        let orders_from =
-            previous.successor_orders_from(self.order_gap(), first_lease_at.max(claims_read));
-        (previous, orders_from)
+        let gap = self.order_gap();
+        let orders_from = previous.successor_orders_from(gap, first_lease_at.max(claims_read));
+        let voted_at = self.ownership.last_vote(address);
+        let vote_over_at = voted_at.map(|at| at + OWNERSHIP_TERM + gap);
+        (previous, orders_from.max(vote_over_at.unwrap_or_default()))
     }
 
     /// Returns the previous owner from a claim that this node made, maybe in an earlier start.
--- a/lib/src/direct/ownership.rs
+++ b/lib/src/direct/ownership.rs
@@ -42,6 +42,8 @@
     pub(super) has_left: AtomicBool,
     owned: Mutex<HashMap<SocketAddr, OwnedEngine>>,
     last_order: Mutex<HashMap<SocketAddr, Millis>>,
+    /// When this start, before its first lease, last voted for the owner of an engine.
+    last_vote: Mutex<HashMap<SocketAddr, Millis>>,
 }
 
 impl Ownership {
@@ -62,6 +64,7 @@
             has_left: AtomicBool::new(false),
             owned: Mutex::default(),
             last_order: Mutex::default(),
+            last_vote: Mutex::default(),
         }
     }
 
@@ -142,12 +145,19 @@
     /// A vote promises that this node sends no orders to these engines for that term. Where its
     /// view has the claims, it can see them vanish only later than now, and then waits for the
     /// term and the minimum gap between the orders of two nodes. A node that had no lease yet
-    /// waits as long from its first one, and a node that has left makes no claims.
+    /// waits as long from its first one, or from its vote if it takes a claim of its earlier start
+    /// back, and a node that has left makes no claims.
     ///
     /// [`OWNERSHIP_TERM`]: super::limits::OWNERSHIP_TERM
     #[must_use]
     pub fn votes_for(&self, node: &str, owned: &[(SocketAddr, u64)]) -> bool {
-        if self.has_left.load(Ordering::SeqCst) || !self.has_had_lease.load(Ordering::SeqCst) {
+        if self.has_left.load(Ordering::SeqCst) {
+            return true;
+        }
+        if !self.has_had_lease.load(Ordering::SeqCst) {
+            let now = self.clock.now();
+            self.last_votes()
+                .extend(owned.iter().map(|(address, _)| (*address, now)));
             return true;
         }
         let state = self.view.state();
@@ -159,6 +169,17 @@
         })
     }
 
+    /// Returns when this start, before its first lease, last voted for the owner of an engine.
+    pub(super) fn last_vote(&self, address: SocketAddr) -> Option<Millis> {
+        self.last_votes().get(&address).copied()
+    }
+
+    fn last_votes(&self) -> MutexGuard<'_, HashMap<SocketAddr, Millis>> {
+        self.last_vote
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Drops an engine so that another node can claim it.
     pub(super) fn hand_over(&self, address: SocketAddr, now: Millis) {
         self.owned().remove(&address);
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -331,6 +331,22 @@
     assert!(claim.left.unwrap() <= Millis(500), "{claim:?}");
 }
 
+/// A node that voted for an owner before its first lease takes its claim back and orders beside it.
+#[tokio::test(start_paused = true)]
+async fn claim_taken_back_after_a_vote_waits() {
+    let (memory, one) = owner().await;
+    memory.change(|state| state.is_unavailable = true);
+    let again = start_at_once(one, "one", &memory);
+    pass(&[&again], Millis(300)).await;
+    assert!(again.ownership.votes_for("two", &[(address(), 1)]));
+    memory.change(|state| state.is_unavailable = false);
+    pass(&[&again], OWNERSHIP_TERM + Millis(2_000)).await;
+    assert!(again.ownership.owns(address()));
+    assert_eq!(again.ownership.fencing_token(address()), None);
+    pass(&[&again], Millis(2_000)).await;
+    assert!(again.ownership.fencing_token(address()).is_some());
+}
+
 /// On the first start of a deployment a node with a late lease takes an engine for one without an
 /// earlier owner, whose claim has expired while it still orders.
 #[tokio::test(start_paused = true)]
