tests: the claims' model tells its two open cases apart

Cause: two series of 8,000 have another cause than the listed one, and a broken series hid behind the check that something was ordered. Change: claims_deleted_during_a_hanging_poll gets its own entry; the seeds of claims_unknown_node are those that fail on this code.

--- a/lib/tests/claims_model/mod.rs
+++ b/lib/tests/claims_model/mod.rs
@@ -159,7 +159,7 @@
     }
 
     async fn step(&mut self, story_end: Millis) {
-        self.now = self.now + STEP;
+        self.now += STEP;
         for process in self.processes.values() {
             process.node.clock.advance(STEP);
         }
@@ -184,7 +184,7 @@
             }
             Change::Disturb => {}
             Change::ReachStore(name) => {
-                self.note(format!("{name} reaches the service again"));
+                self.note(&format!("{name} reaches the service again"));
                 self.links.change(|links| links.without_store.remove(&name));
             }
             Change::ReachPeer(one, other) => {
@@ -192,7 +192,7 @@
                     .change(|links| links.parted.remove(&(one, other)));
             }
             Change::EndOutage => {
-                self.note("the service is back".to_owned());
+                self.note("the service is back");
                 self.links.end_outage(self.now);
             }
             Change::AnswerWrites(name) => {
@@ -206,7 +206,7 @@
         let Some(name) = self.any_node() else {
             return;
         };
-        self.note(format!("{kind:?} {name}"));
+        self.note(&format!("{kind:?} {name}"));
         match kind {
             Disturbance::StoreCut => self.cut_store(&name),
             Disturbance::PeerCut => {
@@ -299,7 +299,7 @@
     }
 
     fn start(&mut self, name: &str, address: SocketAddr, first_start: bool) {
-        self.note(format!("{name} starts at {address}"));
+        self.note(&format!("{name} starts at {address}"));
         self.starts += 1;
         let view = Arc::new(View::default());
         add_engine(&view);
@@ -365,7 +365,7 @@
         names.into_iter().nth(index)
     }
 
-    fn note(&mut self, what: String) {
+    fn note(&mut self, what: &str) {
         self.log.push(format!("{} {what}", self.now));
     }
 }
--- a/lib/tests/test_direct_claims_model.rs
+++ b/lib/tests/test_direct_claims_model.rs
@@ -34,13 +34,13 @@
             Err(error) => broken.push(error),
         }
     }
-    assert!(orders > 0);
     assert!(
         broken.is_empty(),
         "{} series: {}",
         broken.len(),
         broken.join("\n\n")
     );
+    assert!(orders > 0);
 }
 
 /// A claim that was made and lost since a node's view was complete leaves an owner unseen.
@@ -53,7 +53,15 @@
 /// knows.
 #[tokio::test(start_paused = true)]
 async fn claims_unknown_node() {
-    for seed in [569, 858, 1417, 1932] {
+    for seed in [569, 697, 858, 1827, 2981] {
+        assert_eq!(play(seed).await.err(), None);
+    }
+}
+
+/// An owner's poll hangs while its claim is deleted and its lease is renewed.
+#[tokio::test(start_paused = true)]
+async fn claims_deleted_during_a_hanging_poll() {
+    for seed in [3633, 5657] {
         assert_eq!(play(seed).await.err(), None);
     }
 }
