moved runs: believe the weights that a response names, not an older entry

Callers would see: text computed from the states of two models, with a success, where an engine has restarted under its name with newer base weights and its entry hasn't been read yet.

Cause: the version of an engine's weights came from its entry alone. Responses name the version that runs (Weight-Versions), and nothing read it. Change: a run isn't moved while its response and its engine's entry disagree, and a moved run whose response names other weights than those of its KV cache is lost: its connection is closed, and the stream goes on by a new prefill or ends for its caller to resume.

--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -280,6 +280,24 @@
             && !headers.contains_key(header::TRANSFER_ENCODING)
     }
 
+    /// Whether another upstream can go on from what this response's run has computed.
+    ///
+    /// The response shows the version of the base model's weights; the list may be of another start
+    /// of the upstream, and then tells nothing.
+    #[must_use]
+    pub fn can_move_to(&self, other: &Upstream, model: &str) -> bool {
+        let listed = self.upstream.weights_version(model);
+        let is_listed = self.reply.weights.is_none() || self.reply.weights == listed;
+        is_listed && self.upstream.has_same_weights(other, model)
+    }
+
+    /// Returns the version of a base model's weights that computes the response, if it is known.
+    #[must_use]
+    pub fn weights_version(&self, model: &str) -> Option<u64> {
+        let listed = || self.upstream.weights_version(model);
+        self.reply.weights.or_else(listed)
+    }
+
     /// Records that part of the body has arrived, so the run has started.
     pub fn mark_started(&mut self) {
         self.watch = None;
--- a/lib/src/direct/dialect.rs
+++ b/lib/src/direct/dialect.rs
@@ -222,6 +222,8 @@
     pub closes: bool,
     /// How many rejections in a second the upstream says that it bears.
     pub rejections: RejectionNotice,
+    /// The version of the base model's weights under which the upstream runs the request.
+    pub weights: Option<u64>,
 }
 
 /// What a response says about the rejections that its upstream bears.
--- a/lib/src/direct/handover.rs
+++ b/lib/src/direct/handover.rs
@@ -30,6 +30,8 @@
     source: Arc<Upstream>,
     /// Version of the adapter that the run uses.
     version: Option<u64>,
+    /// Version of the base model's weights that computed its KV cache.
+    weights: Option<u64>,
     /// Pay for one send of the run to each engine that can resume it.
     permits: RetryPermits,
     transfer: AbortOnDropHandle<TransferOutcome>,
@@ -57,23 +59,26 @@
     pub targets: SmallVec<[Target; 2]>,
     /// Pay for one send to each of them.
     pub permits: RetryPermits,
+    /// Version of the base model's weights that computed the KV cache, if it is known.
+    pub weights: Option<u64>,
 }
 
 impl Handover {
     /// Asks the engine that runs a request to stop it and to copy its KV cache to `target`.
     ///
-    /// `left` is the time until the request's deadline; `permits` pay for the sends
-    /// that resume it.
+    /// `model` is its base model and `left` the time until the request's deadline; `permits` pay for
+    /// the sends that resume it.
     #[must_use]
     pub fn begin(
         frontend: &Arc<Frontend>,
-        id: &str,
+        (id, model): (&str, &str),
         response: &UpstreamResponse,
         target: Target,
         left: Millis,
         permits: RetryPermits,
     ) -> Self {
         let source = Arc::clone(&response.upstream);
+        let weights = response.weights_version(model);
         let transfer = transfer(
             Arc::clone(frontend),
             id.to_owned(),
@@ -85,6 +90,7 @@
             target: Some(target),
             source,
             version: response.version,
+            weights,
             permits,
             transfer: AbortOnDropHandle::new(tokio::spawn(transfer)),
         }
@@ -128,6 +134,7 @@
             kv_cache,
             targets,
             permits: std::mem::take(&mut self.permits),
+            weights: self.weights,
         }))
     }
 }
--- a/lib/src/direct/moved_run.rs
+++ b/lib/src/direct/moved_run.rs
@@ -99,10 +99,7 @@
         unused: &mut RetryPermits,
     ) -> Result<(), SendError> {
         let last = self.events.last();
-        let pending = self
-            .request
-            .send_moved_run(target, run.kv_cache.clone(), last)
-            .await?;
+        let pending = self.request.send_moved_run(target, run, last).await?;
         permit.mark_made();
         self.penalized = false;
         let sent_at = self.request.now();
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -350,7 +350,7 @@
             let left = self.request.deadline.since(self.request.now());
             let handover = Handover::begin(
                 &self.request.frontend,
-                self.request.id(),
+                (self.request.id(), self.request.base_model()),
                 response,
                 target,
                 left,
--- a/lib/src/direct/request/send.rs
+++ b/lib/src/direct/request/send.rs
@@ -4,8 +4,9 @@
 
 use super::ActiveRequest;
 use crate::direct::admit::{self, AdmitQuery, Permit};
-use crate::direct::attempt::SendError;
-use crate::direct::dialect::{DispatchHeaders, KvCacheHandle};
+use crate::direct::attempt::{SendError, UpstreamResponse};
+use crate::direct::dialect::DispatchHeaders;
+use crate::direct::handover::StoppedRun;
 use crate::direct::moved_run::PendingResponse;
 use crate::direct::request_log;
 use crate::direct::sends::PendingSends;
@@ -55,14 +56,14 @@
     pub(in crate::direct) async fn send_moved_run(
         &self,
         target: &Target,
-        kv_cache: KvCacheHandle,
+        run: &StoppedRun,
         last: Option<u64>,
     ) -> Result<PendingResponse, SendError> {
         self.check_quarantine()
             .map_err(|failure| SendError::Lost(failure.code, failure.detail))?;
         let dispatch = DispatchHeaders {
             resume_after: last,
-            kv_cache: Some(kv_cache),
+            kv_cache: Some(run.kv_cache.clone()),
             ..self.dispatch(target)
         };
         let permit = self.moved_run_permit(target).await;
@@ -77,12 +78,13 @@
         let (message, frontend) = (Arc::clone(&self.message), Arc::clone(&self.frontend));
         let upstream = Arc::clone(&target.upstream);
         let watch = self.watch(target);
+        let weights = run.weights;
         Ok(Box::pin(async move {
             let (paths, dialect) = (&*frontend.paths, &*frontend.dialect);
             let send = message.send(&upstream, paths, dialect, &dispatch, permit, watch);
             let response = send.await?;
             if response.head.status.is_success() {
-                return Ok(response);
+                return check_weights(response, weights);
             }
             let cause = format!("status {}", response.head.status);
             Err(SendError::Lost(Code::UpstreamLost, cause))
@@ -152,3 +154,23 @@
         }
     }
 }
+
+/// Returns the response to a moved run, unless the engine runs it under other weights than those that
+/// computed its KV cache.
+///
+/// An engine that has restarted is believed to hold its former weights until its entry is read.
+fn check_weights(
+    response: UpstreamResponse,
+    weights: Option<u64>,
+) -> Result<UpstreamResponse, SendError> {
+    let at_target = response.reply.weights;
+    if weights.is_none() || at_target.is_none() || at_target == weights {
+        return Ok(response);
+    }
+    let cause = format!(
+        "it runs under weights {}, not {}",
+        at_target.unwrap_or_default(),
+        weights.unwrap_or_default()
+    );
+    Err(SendError::Lost(Code::UpstreamLost, cause))
+}
--- a/lib/src/direct/target.rs
+++ b/lib/src/direct/target.rs
@@ -119,7 +119,7 @@
         let model = base_model_of(self.message.metadata.model.as_ref()?);
         let can_take = |upstream: &Upstream| {
             !selector.is_prefill(upstream)
-                && source.has_same_weights(upstream, model)
+                && answer.can_move_to(upstream, model)
                 && !self.tried.contains(&upstream.incarnation)
                 && !upstream.is_suspended(selector.now)
                 && upstream.total_running() < upstream.slots
@@ -142,7 +142,7 @@
         if found.is_none() && request_load {
             let mut candidates = self.load_candidates(&selector, adapter);
             candidates.retain(|upstream| {
-                !selector.is_prefill(upstream) && source.has_same_weights(upstream, model)
+                !selector.is_prefill(upstream) && answer.can_move_to(upstream, model)
             });
             self.frontend
                 .load_in_background(candidates, adapter, newest.unwrap_or_default());
@@ -150,6 +150,12 @@
         found.map(|upstream| Self::uncounted_target(upstream, adapter))
     }
 
+    /// Returns the base model that runs the request; empty if it names none.
+    pub(super) fn base_model(&self) -> &str {
+        let model = self.message.metadata.model.as_deref();
+        model.map_or("", base_model_of)
+    }
+
     pub(super) fn workload(&self) -> Workload {
         Workload::of(self.message.metadata.tokens)
     }
--- a/lib/src/direct/upstream.rs
+++ b/lib/src/direct/upstream.rs
@@ -290,19 +290,23 @@
         self.weights.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the version of a base model's weights that it holds, if it reports one.
+    #[must_use]
+    pub fn weights_version(&self, model: &str) -> Option<u64> {
+        let weights = self.weights();
+        let version = weights.iter().find(|(name, _)| **name == *model);
+        version.map(|(_, version)| *version)
+    }
+
     /// Whether this and another upstream hold the same version of a base model's weights.
     ///
     /// What one computed with its weights means nothing to others. An upstream that reports no
     /// version matches none but itself.
     #[must_use]
     pub fn has_same_weights(&self, other: &Self, model: &str) -> bool {
-        let version = |upstream: &Self| {
-            let weights = upstream.weights();
-            let version = weights.iter().find(|(name, _)| **name == *model);
-            version.map(|(_, version)| *version)
-        };
+        let version = self.weights_version(model);
         self.incarnation == other.incarnation
-            || version(self).is_some_and(|one| version(other) == Some(one))
+            || (version.is_some() && version == other.weights_version(model))
     }
 
     /// Updates the presence of the upstream and logs a change of its stage.
