direct: tell callers how long a connection may rest

Cause: callers limit how long they rest by the Keep-Alive of responses, which wasn't sent. They reuse connections for as long as these are open, so each close at the limit could meet a request on its way. Change: responses announce four fifths of the limit, and a connection rests for the limit that was announced even if a lower one comes into force.

--- a/lib/src/direct/connection.rs
+++ b/lib/src/direct/connection.rs
@@ -1,15 +1,16 @@
 //! Serves one caller's connection, and closes it once it has been idle for too long.
 //!
-//! Callers reuse a connection by the limit on idle time that they know, so the close must not meet
-//! a request that relies on another limit: one that was in force when the caller went idle, or one
-//! that has been raised since then. A connection isn't idle while its caller still takes a response,
-//! or while the head of a request arrives.
+//! A request that crosses the close gets no answer. So each response announces how long the caller
+//! may leave the connection idle and still reuse it, and the close comes later than that by a margin for
+//! what is on its way. A connection isn't idle while its caller still takes a response, or while the
+//! head of a request arrives.
 
 use std::io::{self, IoSlice};
 use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
+use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 use http_body_util::BodyExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,6 +27,11 @@
 /// Smallest buffer size, in bytes, that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Fraction of the idle limit that is announced to callers; the rest is the margin of the close.
+const ANNOUNCED_FRACTION: (u64, u64) = (4, 5);
+
 /// Serves a connection until it ends, has been idle for too long, or the node stops.
 pub(super) async fn serve(
     frontend: Arc<Frontend>,
@@ -35,10 +41,12 @@
     let activity = Arc::new(Activity::new(Arc::clone(&frontend.clock)));
     let service = service_fn(|request| {
         let guard = RequestGuard::begin(&activity);
-        let handling = Arc::clone(&frontend).handle(request);
+        let frontend = Arc::clone(&frontend);
         async move {
+            let mut response = Arc::clone(&frontend).handle(request).await?;
+            guard.announce(response.headers_mut(), limits(&frontend));
             // The guard lives in the body, so the request counts until the body is sent or dropped.
-            Ok::<_, super::relay::ResponseAborted>(handling.await?.map(|body| {
+            Ok::<_, super::relay::ResponseAborted>(response.map(|body| {
                 body.map_frame(move |frame| {
                     let _ = &guard;
                     frame
@@ -102,6 +110,8 @@
     idle_since: Millis,
     /// When the head of the next request began to arrive.
     head_since: Option<Millis>,
+    /// The idle limit by which the last response said how long the caller may rest.
+    announced: Millis,
 }
 
 impl Activity {
@@ -124,7 +134,7 @@
     /// Waits until no request has been in progress for as long as the limits allow.
     async fn expired(&self, limits: impl Fn() -> RequestLimits) {
         loop {
-            let mut longest = Millis::ZERO;
+            let mut longest = self.state().announced;
             while let Some((idle_since, head_since)) = self.idle() {
                 let limits = limits();
                 longest = longest.max(limits.idle_timeout);
@@ -194,6 +204,21 @@
         activity.changed.notify_waiters();
         Self(Arc::clone(activity))
     }
+
+    /// Tells the caller for how long it may leave the connection idle, in whole seconds.
+    ///
+    /// The limit is kept, as another one may be in force once the response has been sent.
+    fn announce(&self, headers: &mut HeaderMap, limits: RequestLimits) {
+        self.0.state().announced = limits.idle_timeout;
+        let (part, of) = ANNOUNCED_FRACTION;
+        let seconds = limits.idle_timeout.0 * part / of / 1_000;
+        if seconds > 0
+            && !headers.contains_key(CONNECTION)
+            && let Ok(value) = HeaderValue::from_str(&format!("timeout={seconds}"))
+        {
+            headers.insert(KEEP_ALIVE, value);
+        }
+    }
 }
 
 impl Drop for RequestGuard {
