--- a/bench/src/soak/judge/mod.rs
+++ b/bench/src/soak/judge/mod.rs
@@ -65,7 +65,7 @@
     let mut found: Vec<Violation> = seen
         .breaches
         .iter()
-        .map(|breach| new("Unchanged", breach.at, &breach.id, breach.told.clone()))
+        .map(|breach| new(breach.rule, breach.at, &breach.id, breach.told.clone()))
         .collect();
     for call in &seen.calls {
         let none = Vec::new();
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -100,7 +100,7 @@
 }
 
 /// Tricks by name.
-const TRICKS: [(&str, Trick); 22] = [
+const TRICKS: [(&str, Trick); 23] = [
     ("twice", Trick::Server(mood::Trick::Twice)),
     ("swapped", Trick::Server(mood::Trick::Swapped)),
     ("looks-whole", Trick::Server(mood::Trick::LooksWhole)),
@@ -110,6 +110,7 @@
     ("other-adapter", Trick::Server(mood::Trick::OtherAdapter)),
     ("other-software", Trick::Server(mood::Trick::OtherSoftware)),
     ("old-version", Trick::Server(mood::Trick::OldVersion)),
+    ("old-weights", Trick::Server(mood::Trick::OldWeights)),
     ("late-first", Trick::Server(mood::Trick::LateFirst)),
     ("stale", Trick::Server(mood::Trick::Stale)),
     ("two-holders", Trick::Server(mood::Trick::TwoHolders)),
--- a/bench/tests/test_soak.rs
+++ b/bench/tests/test_soak.rs
@@ -201,6 +201,13 @@
     caught("other-software", "OneSoftware");
 }
 
+/// A soak that doesn't see moved runs that go on under other weights can't fail.
+#[test]
+fn soak_sees_other_weights() {
+    let options = ["--seconds", "16", "--silences", "--trick", "old-weights"];
+    caught_with(&options, "OneWeights");
+}
+
 /// A soak that doesn't see answers cut in a silence can't fail.
 #[test]
 fn soak_sees_an_answer_cut_in_a_silence() {
