follow: tell why changes of the key-value service don't arrive

A failed poll was a debug line without its duration, and a response that was still arriving looked like none.

--- a/lib/src/direct/entry/gauges.rs
+++ b/lib/src/direct/entry/gauges.rs
@@ -21,6 +21,8 @@
             .changes_age()
             .map_or(-1, |age| gauge_value(age.0));
         metrics.revision_age_ms.set(age);
+        let view_age = self.clock.now().since(self.view.as_of());
+        metrics.view_age_ms.set(gauge_value(view_age.0));
         metrics.in_flight.set(gauge_value(self.active_requests()));
         metrics
             .owned
--- a/lib/src/direct/fanout/hub.rs
+++ b/lib/src/direct/fanout/hub.rs
@@ -137,7 +137,10 @@
     /// before it.
     pub fn publish(&self, mut update: Update) {
         self.disconnected.store(false, Ordering::Relaxed);
-        if payload_bytes(&update) > MAX_UPDATE_BYTES {
+        let bytes = payload_bytes(&update);
+        if bytes > MAX_UPDATE_BYTES {
+            let revision = update.revision;
+            log::info!(bytes, revision; "follow: an update is too large to be passed on");
             DeliveryError::Oversized.count(&self.metrics);
             update.after = update.revision;
             update.events.clear();
--- a/lib/src/direct/follow/entries.rs
+++ b/lib/src/direct/follow/entries.rs
@@ -93,7 +93,8 @@
             Key::Config => self.dialect.decode_config(&entry.value).map(|config| {
                 let version = config.version;
                 if state.apply_config(config, now) {
-                    log::info!("follow: configuration {version} is in force");
+                    let (bytes, view_age_ms) = (entry.value.len(), self.view_age(now).0);
+                    log::info!(bytes, view_age_ms; "follow: configuration {version} is in force");
                 }
             }),
             Key::Upstream(incarnation) => self
@@ -124,6 +125,11 @@
         }
     }
 
+    /// Returns how old the view is before the changes at hand are applied.
+    fn view_age(&self, now: Millis) -> Millis {
+        now.since(self.confirmed_at.unwrap_or(now))
+    }
+
     fn remove(&self, state: &mut State, event: &Event, now: Millis) {
         match self.dialect.parse_key(&event.key) {
             Key::Upstream(incarnation) => {
--- a/lib/src/direct/follow/mod.rs
+++ b/lib/src/direct/follow/mod.rs
@@ -125,7 +125,8 @@
                     return;
                 }
                 Err(poll::Error::Failed(error)) => {
-                    log::debug!("follow: no changes after revision {revision}: {error}");
+                    let took_ms = self.clock.now().since(polled.asked).0;
+                    log::info!(took_ms; "follow: no changes after revision {revision}: {error}");
                     self.view.record_store_call(false);
                     self.outage.record_failure(polled.asked, self.clock.now());
                     if let Some(hub) = &self.hub {
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -87,6 +87,8 @@
     pub revision: IntGauge,
     /// Milliseconds since the revision was last confirmed to be the newest.
     pub revision_age_ms: IntGauge,
+    /// Milliseconds since all changes were last known, from the service or another node.
+    pub view_age_ms: IntGauge,
     /// Upstreams by state, as this node sees them.
     pub upstreams: IntGaugeVec,
     /// Connections through other nodes that this node asked for, by outcome.
@@ -282,6 +284,10 @@
                 "config_confirmed_age_ms",
                 "Milliseconds since the revision was confirmed.",
             ),
+            view_age_ms: maker.gauge(
+                "view_age_ms",
+                "Milliseconds since all changes were last known.",
+            ),
             upstreams: maker.gauges("upstreams", "Upstreams by state.", &["state"]),
             tunnels: maker.counters(
                 "tunnels_total",
