fanout: tell of a large configuration before it is read

Callers saw: the same as before, at nodes that hear changes from another one. Cause: a node read a large configuration to its end, for as long as its link takes, before those that subscribe to it learned of a gap; only then they began to read it themselves. Change: the publisher ends its subscribers' streams as soon as it knows that the configuration is too large to be passed on (Hub::publish_gap). config_large_is_announced_before_it_is_read failed before and passes.

--- a/lib/src/direct/fanout/hub.rs
+++ b/lib/src/direct/fanout/hub.rs
@@ -155,6 +155,19 @@
         let _ = self.sender.send(update);
     }
 
+    /// Ends the streams of subscribers that don't know all changes up to a revision.
+    ///
+    /// They poll the service for changes that are too large to be passed on, at the same time as
+    /// this node and not after it. `as_of` is when all changes were last known here.
+    pub fn publish_gap(&self, revision: u64, as_of: Millis) {
+        self.publish(Update {
+            after: revision,
+            revision,
+            as_of,
+            events: Vec::new(),
+        });
+    }
+
     /// Returns a stream of all updates after a revision, which ends where one is missing.
     ///
     /// # Errors
--- a/lib/src/direct/follow/parts.rs
+++ b/lib/src/direct/follow/parts.rs
@@ -40,7 +40,7 @@
             read_since
         };
         self.apply_events(&others.events, as_of);
-        let config = self.poll_config(after).await?;
+        let config = self.poll_config(after, others.until).await?;
         self.count_update("service");
         self.apply_events(&config.events, as_of);
         if config.events.is_empty() && payload_bytes(&others.events) > self.max_poll_bytes / 2 {
@@ -79,7 +79,9 @@
     }
 
     /// Polls for changes of the configuration, or reads its newest version if they are large.
-    async fn poll_config(&mut self, after: u64) -> Result<Part, poll::Error> {
+    ///
+    /// All other changes are known up to `others_until`.
+    async fn poll_config(&mut self, after: u64, others_until: u64) -> Result<Part, poll::Error> {
         let key = self.dialect.config_key();
         let query = Query::new(key, after, OUTAGE_POLL_WAIT).within_bytes(MAX_POLL_BYTES);
         match self.poll.changes(query).await {
@@ -89,6 +91,9 @@
                 events: changes.events,
             }),
             Err(poll::Error::Oversized(_)) => {
+                if let Some(hub) = &self.hub {
+                    hub.publish_gap(others_until, self.confirmed_at.unwrap_or_default());
+                }
                 let entry = self.store.get(key).await?;
                 let event = entry.map(|entry| Event {
                     key: entry.key.clone(),
