follow: list everything when changes are larger than any response that is read

Change: changes of other keys than the configuration's that are over 4 MB count as a compacted history, and everything is listed, page by page. Responses with the changes of all keys grow no further than that either. config_in_force_behind_changes_larger_than_any_response failed before and passes.

--- a/lib/src/direct/follow/mod.rs
+++ b/lib/src/direct/follow/mod.rs
@@ -145,8 +145,8 @@
                         self.poll_pause(applied.read_since)
                     }
                 }
-                Err(poll::Error::Compacted) => {
-                    log::info!("follow: the history after revision {revision} is compacted");
+                Err(error @ (poll::Error::Compacted | poll::Error::Oversized(_))) => {
+                    log::info!("follow: reading everything instead of changes: {error}");
                     self.record_answer();
                     return;
                 }
--- a/lib/src/direct/follow/parts.rs
+++ b/lib/src/direct/follow/parts.rs
@@ -12,6 +12,12 @@
 use crate::ports::Event;
 use crate::ports::poll::{self, Changes, Query};
 
+/// Size of a response with changes of other keys than the configuration's above which everything
+/// is read instead, in bytes.
+///
+/// A listing comes in pages, and has no changes that later ones replace.
+const MAX_PART_BYTES: usize = 4 << 20;
+
 /// Changes under some prefixes.
 #[derive(Debug)]
 struct Part {
@@ -28,8 +34,8 @@
     ///
     /// # Errors
     ///
-    /// Those of the polls. Changes that were applied before an error are read again by the next
-    /// poll.
+    /// Those of the polls, [`poll::Error::Oversized`] if everything has to be read instead. Changes
+    /// that were applied before an error are read again.
     pub(super) async fn read_parts(&mut self, after: u64) -> Result<Applied, poll::Error> {
         let read_since = self.clock.now();
         let others = self.poll_others(after).await?;
@@ -45,7 +51,7 @@
         self.apply_events(&config.events, as_of);
         if config.events.is_empty() && payload_bytes(&others.events) > self.max_poll_bytes / 2 {
             // Responses without a configuration are as large, so reading in parts gains nothing.
-            self.max_poll_bytes = self.max_poll_bytes.saturating_mul(2);
+            self.max_poll_bytes = MAX_PART_BYTES.min(self.max_poll_bytes * 2);
         }
         let more = others.more;
         let update = merge(after, as_of, [others, config]);
@@ -62,8 +68,8 @@
     async fn poll_others(&mut self, after: u64) -> Result<Part, poll::Error> {
         let prefixes = self.dialect.small_prefixes().iter();
         let polls = prefixes.map(|prefix| {
-            self.poll
-                .changes(Query::new(prefix, after, OUTAGE_POLL_WAIT))
+            let query = Query::new(prefix, after, OUTAGE_POLL_WAIT);
+            self.poll.changes(query.within_bytes(MAX_PART_BYTES))
         });
         let responses = future::try_join_all(polls).await?;
         let more = responses.iter().any(|changes| changes.more);
--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -35,6 +35,8 @@
     pub late: Vec<Transaction>,
     /// Makes listings under this prefix take this long.
     pub slow_listing: Option<(String, Millis)>,
+    /// Size above which the client can't read a response with changes.
+    pub max_response_bytes: Option<usize>,
     /// Maximum number of changes in one response.
     pub max_changes: Option<usize>,
     /// Revision up to which the history is compacted.
@@ -329,9 +331,13 @@
         let max_changes = state.max_changes.unwrap_or(usize::MAX);
         let more = events.len() >= max_changes;
         events.truncate(max_changes);
-        if size(&events) > max_bytes {
+        let size = size(&events);
+        if size > max_bytes {
             return Err(poll::Error::Oversized(max_bytes));
         }
+        if state.max_response_bytes.is_some_and(|max| size > max) {
+            return Err(Error::Malformed("too large in this test".to_owned()).into());
+        }
         let last = events.last().filter(|_| more);
         Ok(Changes {
             revision: last.map_or(state.revision, |event| event.revision),
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -257,6 +257,24 @@
     assert_eq!(node.version(), 2);
 }
 
+/// Guards against changes that are never read, since a client reads no response that is as large.
+#[tokio::test(start_paused = true)]
+async fn config_in_force_behind_changes_larger_than_any_response() {
+    let node = start();
+    node.configure(1);
+    sleep(Millis(2_000)).await;
+    node.memory.change(|state| {
+        state.max_response_bytes = Some(8 << 20);
+        for number in 0..9 {
+            let value = vec![b'x'; 1 << 20];
+            state.put(&format!("chivevalve/any/{number}"), value, None);
+        }
+    });
+    node.configure(2);
+    sleep(Millis(2_000)).await;
+    assert_eq!(node.version(), 2);
+}
+
 /// Guards against treating a partial response as complete, which makes the view look too recent.
 #[tokio::test(start_paused = true)]
 async fn version_in_a_partial_response_counts_from_before_its_declaration() {
