--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -35,6 +35,10 @@
     pub late: Vec<Transaction>,
     /// Makes listings under this prefix take this long.
     pub slow_listing: Option<(String, Millis)>,
+    /// How long the value of a single key is on its way.
+    pub transfer_time: Millis,
+    /// How long changes are on their way.
+    pub changes_latency: Millis,
     /// Size above which the client can't read a response with changes.
     pub max_response_bytes: Option<usize>,
     /// Maximum number of changes in one response.
@@ -225,7 +229,14 @@
 impl Store for MemoryStore {
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         self.hang_if_set().await;
-        Ok(self.available_state()?.entries.get(key).cloned())
+        let (entry, transfer_time) = {
+            let state = self.available_state()?;
+            (state.entries.get(key).cloned(), state.transfer_time)
+        };
+        if transfer_time > Millis::ZERO {
+            tokio::time::sleep(transfer_time.duration()).await;
+        }
+        Ok(entry)
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
@@ -318,33 +329,52 @@
         if revision < compacted_revision {
             return Err(poll::Error::Compacted);
         }
-        let mut events = self.wait(prefix, revision, wait).await;
+        let events = self.wait(prefix, revision, wait).await;
         if self.state().is_unavailable {
             // Polls that started before the outage get no response either.
             tokio::time::sleep(POLL_SLACK.duration()).await;
             return Err(Error::NoAnswer("unavailable in this test".to_owned()).into());
         }
-        let state = self.state();
-        if revision < state.compacted_revision {
-            return Err(poll::Error::Compacted);
-        }
-        let max_changes = state.max_changes.unwrap_or(usize::MAX);
-        let more = events.len() >= max_changes;
-        events.truncate(max_changes);
-        let size = size(&events);
-        if size > max_bytes {
-            return Err(poll::Error::Oversized(max_bytes));
-        }
-        if state.max_response_bytes.is_some_and(|max| size > max) {
-            return Err(Error::Malformed("too large in this test".to_owned()).into());
+        let (result, latency) = {
+            let state = self.state();
+            (
+                respond(&state, revision, events, max_bytes),
+                state.changes_latency,
+            )
+        };
+        if latency > Millis::ZERO {
+            tokio::time::sleep(latency.duration()).await;
         }
-        let last = events.last().filter(|_| more);
-        Ok(Changes {
-            revision: last.map_or(state.revision, |event| event.revision),
-            events,
-            more,
-        })
+        result
+    }
+}
+
+/// Makes the response with changes after a revision.
+fn respond(
+    state: &State,
+    after: u64,
+    mut events: Vec<Event>,
+    max_bytes: usize,
+) -> Result<Changes, poll::Error> {
+    if after < state.compacted_revision {
+        return Err(poll::Error::Compacted);
+    }
+    let max_changes = state.max_changes.unwrap_or(usize::MAX);
+    let more = events.len() >= max_changes;
+    events.truncate(max_changes);
+    let size = size(&events);
+    if size > max_bytes {
+        return Err(poll::Error::Oversized(max_bytes));
+    }
+    if state.max_response_bytes.is_some_and(|max| size > max) {
+        return Err(Error::Malformed("too large in this test".to_owned()).into());
     }
+    let last = events.last().filter(|_| more);
+    Ok(Changes {
+        revision: last.map_or(state.revision, |event| event.revision),
+        events,
+        more,
+    })
 }
 
 /// Returns the size of changes in a response, without their encoding.
