--- a/lib/tests/direct_support/memory.rs
+++ b/lib/tests/direct_support/memory.rs
@@ -35,6 +35,8 @@
     pub late: Vec<Transaction>,
     /// Makes listings under this prefix take this long.
     pub slow_listing: Option<(String, Millis)>,
+    /// Number of reads of single keys.
+    pub reads: usize,
     /// How long the value of a single key is on its way.
     pub transfer_time: Millis,
     /// How long changes are on their way.
@@ -230,7 +232,8 @@
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         self.hang_if_set().await;
         let (entry, transfer_time) = {
-            let state = self.available_state()?;
+            let mut state = self.available_state()?;
+            state.reads += 1;
             (state.entries.get(key).cloned(), state.transfer_time)
         };
         if transfer_time > Millis::ZERO {
--- a/lib/tests/test_direct_follow_parts.rs
+++ b/lib/tests/test_direct_follow_parts.rs
@@ -140,3 +140,23 @@
         }
     }
 }
+
+/// Guards against reading the same large configuration again for each part of many other changes.
+#[tokio::test(start_paused = true)]
+async fn follow_many_changes_read_a_configuration_once() {
+    let memory = Arc::new(MemoryStore::default());
+    configure(&memory, 1, 0);
+    let node = Node::start(&memory, None);
+    sleep(CONFIG_APPLY_TIME).await;
+    let before = memory.state().reads;
+    configure(&memory, 2, LARGE);
+    memory.change(|state| {
+        state.max_changes = Some(10);
+        for number in 0..35 {
+            state.put(&format!("chivevalve/any/{number}"), "", None);
+        }
+    });
+    sleep(CONFIG_APPLY_TIME).await;
+    assert_eq!(node.version(), 2);
+    assert_eq!(memory.state().reads - before, 1);
+}
