--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -88,6 +88,28 @@
         self.child.id()
     }
 
+    /// Returns the most memory, in bytes, that was resident at any moment so far.
+    ///
+    /// # Errors
+    ///
+    /// When the process has ended, or on systems without `/proc`.
+    pub fn peak_memory(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|peak| peak.split_whitespace().next()?.parse::<u64>().ok());
+        let kilobytes = kilobytes.ok_or_else(|| io::Error::other("no peak is reported"))?;
+        Ok(kilobytes * 1_024)
+    }
+
+    /// Returns the number of open descriptors.
+    ///
+    /// # Errors
+    ///
+    /// The same.
+    pub fn descriptors(&self) -> io::Result<usize> {
+        Ok(fs::read_dir(format!("/proc/{}/fd", self.id()))?.count())
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
