connection: close unfinished heads by the head's own limit

What callers saw: 450 callers that send 12 kB of a head and no more hold all of a node's connections, and nobody else is served until the idle limit is over.

Cause: Activity::expired waited for the later of the head's limit and the idle limit, so that a head which never ends had as long as a connection at rest (15 s on all deployments, where the limit on a head is 3 s).

Change: while a head arrives only its own limit counts, from its first byte. A head that drips doesn't renew it.

The product's own interface already closes heads by their own limit (header_read_timeout, entry/connection.rs).

--- a/lib/src/direct/connection.rs
+++ b/lib/src/direct/connection.rs
@@ -132,14 +132,16 @@
     }
 
     /// Waits until no request has been in progress for as long as the limits allow.
+    ///
+    /// While a head arrives, its own limit applies, whose time runs from its first byte: callers that
+    /// never finish one would hold the node's connections for as long as idle ones may stay open.
     async fn expired(&self, limits: impl Fn() -> RequestLimits) {
         loop {
             let mut longest = self.state().announced;
             while let Some((idle_since, head_since)) = self.idle() {
                 let limits = limits();
                 longest = longest.max(limits.idle_timeout);
-                let until_head = head_since.map_or(Millis::ZERO, |at| at + limits.head_timeout);
-                let until = until_head.max(idle_since + longest);
+                let until = head_since.map_or(idle_since + longest, |at| at + limits.head_timeout);
                 let left = until.since(self.clock.now());
                 if left == Millis::ZERO {
                     return;
