buffer: bound the memory of request bodies over all callers, on both paths

What callers saw: the users' process ran out of memory under many legal bodies at once, most of which stopped short of their end.

Cause: direct serving collected up to maxBodyBytes for each of up to maxFds / 2 connections and counted nothing over all of them; limits.memoryMb was read by nothing. An announced length was looked at only after that many bytes had come. The HTTP library's collect() keeps an entry and a share of the read buffer for each chunk (17 to 27 bytes for a chunk of one). The product's own interface had a sum, but it counted lengths where buffers may take twice that, and a crowd that stopped short kept all of it until its bodies timed out.

Change: both interfaces read bodies into one buffer::Pool for each node, counted by capacity before memory is taken. When it is full, the incomplete body that has cost most (bytes times how long it has been coming) gives way, or the one that wants to grow if that is it; a complete body never. Bodies above 64 KiB have three quarters at most. Bodies are copied into segments of one size. The pool has a quarter of limits.memoryMb, 64 MiB where none is named, and always fits one largest body. Counter bodies_refused_total, gauge body_bytes, one log line a second at most.

--- a/cli/tests/common/daemons.rs
+++ b/cli/tests/common/daemons.rs
@@ -66,6 +66,17 @@
             .code()
     }
 
+    /// Returns the most memory in bytes that was resident at any moment so far.
+    pub fn peak_memory(&self) -> u64 {
+        let peak = self.daemon.peak_memory();
+        peak.unwrap_or_else(|error| panic!("it ended: {error}\n{}", self.log()))
+    }
+
+    /// Returns the number of open descriptors.
+    pub fn descriptors(&self) -> usize {
+        self.daemon.descriptors().unwrap()
+    }
+
     /// Returns what the node has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -14,6 +14,7 @@
 use super::upstream::{InFlightRequest, Upstream};
 use super::used_connections::UsedConnections;
 use super::versions::{self, VersionWatch};
+use crate::buffer::Reservation;
 use crate::clock::Millis;
 use crate::error::Code;
 use crate::poison::fingerprint::{Fingerprint, Identity};
@@ -52,6 +53,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// The body's share of the node's memory.
+    pub memory: Reservation,
     /// What the caller's headers say about the request.
     pub metadata: RequestMetadata,
     /// Whether it can be retried, and the form of its response.
--- a/lib/src/direct/entry/accept.rs
+++ b/lib/src/direct/entry/accept.rs
@@ -2,10 +2,10 @@
 
 use bytes::Bytes;
 use http::header;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 
+use crate::buffer::{self, Reservation};
 use crate::direct::config::{Config, Route};
 use crate::error::{Code, Failure};
 use crate::name::Name;
@@ -26,30 +26,18 @@
 ///
 /// # Errors
 ///
-/// When no route matches, or when the body is too large, arrives too slowly or can't be read.
+/// When no route matches, or when the body is too large, arrives too slowly, finds no room or can't
+/// be read.
 pub(super) async fn accept<'a>(
     config: &'a Config,
     head: &http::request::Parts,
     body: Incoming,
+    memory: &mut Reservation,
 ) -> Result<(&'a Route, Bytes), Failure> {
     let route = find_route(config, head)?;
-    Ok((route, read_body(body, config).await?))
-}
-
-async fn read_body(body: Incoming, config: &Config) -> Result<Bytes, Failure> {
-    let collecting = Limited::new(body, config.limits.body_bytes).collect();
-    let timeout = config.limits.idle_timeout;
-    match tokio::time::timeout(timeout.duration(), collecting).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Failure::new(Code::BodyTooLarge, "the body is too large"))
-        }
-        Ok(Err(error)) => Err(Failure::new(Code::BadRequest, error.to_string())),
-        Err(_) => Err(Failure::new(
-            Code::SenderTooSlow,
-            "the body came too slowly",
-        )),
-    }
+    let limits = config.limits;
+    let body = buffer::read(body, limits.body_bytes, limits.idle_timeout, memory).await?;
+    Ok((route, body))
 }
 
 /// Selects a pool of a route at random by weight; `None` if the weights add up to zero.
--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -10,6 +10,7 @@
 use super::accept::{accept, select_pool};
 use super::response::{error_response, full_response, response_head};
 use super::{Body, Frontend};
+use crate::buffer;
 use crate::clock::Millis;
 use crate::direct::attempt::{RequestMessage, UpstreamResponse};
 use crate::direct::relay::{self, ResponseAborted};
@@ -95,7 +96,10 @@
             failure
         })?;
         let metadata = self.dialect.request_metadata(&head);
-        let (route, body) = match accept(&config, &head, body).await {
+        let limit = buffer::Limit::new(self.limits.get().body_memory);
+        let limit = limit.fitting(config.limits.body_bytes);
+        let mut memory = self.bodies.reserve(limit);
+        let (route, body) = match accept(&config, &head, body, &mut memory).await {
             Ok(accepted) => accepted,
             Err(failure) => {
                 request_log::refused(metadata.id.as_deref().unwrap_or_default(), &failure);
@@ -122,6 +126,7 @@
             uri: head.uri,
             headers,
             body,
+            memory,
             metadata,
             kind: route.kind,
             subjects: OnceLock::new(),
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -27,6 +27,7 @@
 use super::upstream::Upstream;
 use super::versions::PendingReplacements;
 use super::view::View;
+use crate::buffer;
 use crate::clock::{Clock, Millis};
 use crate::error::Code;
 use crate::metrics::Metrics;
@@ -66,6 +67,8 @@
     pub failure_domain: Name,
     /// Limits in force.
     pub limits: Arc<SharedLimits>,
+    /// Memory of callers' request bodies.
+    pub bodies: Arc<buffer::Pool>,
     /// Tracks requests that crash upstreams.
     pub quarantine: Arc<Quarantine>,
     /// Copies of streams' origins in the key-value service.
@@ -145,6 +148,7 @@
         Self {
             view,
             metrics: Arc::clone(&controllers.metrics),
+            bodies: buffer::Pool::new(Arc::clone(&clock), Arc::clone(&controllers.metrics)),
             quarantine,
             origin_copies,
             software_records,
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -26,6 +26,8 @@
     pub rejection_lead: Millis,
     /// Maximum number of connections that callers hold at a node.
     pub caller_connections: usize,
+    /// Maximum number of bytes that all callers' request bodies hold at a node.
+    pub body_memory: usize,
     /// The retry budget that all nodes share.
     pub retries: RetryLimits,
 }
@@ -53,6 +55,7 @@
             entry_expiry: Millis(3_600),
             rejection_lead: Millis(3_000),
             caller_connections: 2_000,
+            body_memory: 64 << 20,
             retries: RetryLimits {
                 ratio: 0.2,
                 window: Millis::from_secs(10),
--- a/lib/src/entry/admission.rs
+++ b/lib/src/entry/admission.rs
@@ -1,17 +1,12 @@
-//! Admission of callers' requests: limits on requests in progress and on buffered bytes.
+//! Admission of callers' requests: a limit on requests in progress.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-
 use crate::clock::Millis;
 use crate::error::{Code, Failure};
 use crate::name::Name;
 
-/// Number of bytes per permit of the semaphore.
-const BLOCK_BYTES: usize = 4 << 10;
-
 /// `Retry-After` of requests that a full node rejects.
 const RETRY_AFTER: Millis = Millis::from_secs(1);
 
@@ -96,69 +91,6 @@
     }
 }
 
-/// Limits the bytes of buffered request and response bodies.
-#[derive(Debug, Clone)]
-pub struct BufferLimiter {
-    blocks: Arc<Semaphore>,
-}
-
-impl BufferLimiter {
-    /// Creates a limiter for this many bytes.
-    #[must_use]
-    pub fn new(bytes: usize) -> Self {
-        Self {
-            blocks: Arc::new(Semaphore::new(bytes / BLOCK_BYTES)),
-        }
-    }
-
-    /// Returns a reservation of zero bytes.
-    #[must_use]
-    pub fn reserve(&self) -> BufferReservation {
-        BufferReservation {
-            limiter: self.clone(),
-            permit: None,
-        }
-    }
-}
-
-/// Bytes reserved for one request; dropping it releases them.
-#[derive(Debug)]
-pub struct BufferReservation {
-    limiter: BufferLimiter,
-    permit: Option<OwnedSemaphorePermit>,
-}
-
-impl BufferReservation {
-    /// Returns the number of reserved bytes, a multiple of the block size.
-    #[must_use]
-    pub fn bytes(&self) -> usize {
-        self.permit
-            .as_ref()
-            .map_or(0, |permit| permit.num_permits() * BLOCK_BYTES)
-    }
-
-    /// Grows the reservation to at least this many bytes in total.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::NodeFull`] if too few bytes are free.
-    pub fn grow_to(&mut self, bytes: usize) -> Result<(), Failure> {
-        let missing_blocks = bytes.saturating_sub(self.bytes()).div_ceil(BLOCK_BYTES);
-        if missing_blocks == 0 {
-            return Ok(());
-        }
-        let count = u32::try_from(missing_blocks).unwrap_or(u32::MAX);
-        let acquired = Arc::clone(&self.limiter.blocks)
-            .try_acquire_many_owned(count)
-            .map_err(|_| node_full("the node buffers all the bytes that it can"))?;
-        match &mut self.permit {
-            Some(permit) => permit.merge(acquired),
-            None => self.permit = Some(acquired),
-        }
-        Ok(())
-    }
-}
-
 fn node_full(detail: &str) -> Failure {
     Failure::new(Code::NodeFull, detail).retry_after(RETRY_AFTER)
 }
@@ -188,19 +120,4 @@
         drop(admitted);
         assert!(limiter.admit(&name).is_ok());
     }
-
-    #[test]
-    fn grow_to_gives_back() {
-        let buffer = BufferLimiter::new(4 * BLOCK_BYTES);
-        let mut first = buffer.reserve();
-        first.grow_to(1).unwrap();
-        first.grow_to(3 * BLOCK_BYTES).unwrap();
-        let mut second = buffer.reserve();
-        assert_eq!(
-            second.grow_to(2 * BLOCK_BYTES).unwrap_err().code,
-            Code::NodeFull
-        );
-        drop(first);
-        assert!(second.grow_to(4 * BLOCK_BYTES).is_ok());
-    }
 }
--- a/lib/src/entry/dispatch.rs
+++ b/lib/src/entry/dispatch.rs
@@ -9,10 +9,9 @@
 use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::{StatusCode, response};
 
-use super::admission::BufferReservation;
-use super::body::BodyBuffer;
 use super::gateway::{Gateway, lock};
 use super::session::Session;
+use crate::buffer::{self, Reservation};
 use crate::claim::Claim;
 use crate::clock::Millis;
 use crate::error::{Code, Failure, Fate};
@@ -392,7 +391,7 @@
 /// be retried if the upstream fails before that.
 async fn receive(
     gateway: &Gateway,
-    buffered: &mut BufferReservation,
+    buffered: &mut Reservation,
     mode: ResponseMode,
     response: UpstreamResponse,
     run: UpstreamRun,
@@ -433,22 +432,22 @@
 async fn collect(
     mut body: BoxStream<'static, Result<Bytes, Failure>>,
     limit: usize,
-    buffered: &mut BufferReservation,
+    buffered: &mut Reservation,
 ) -> Result<Bytes, Failure> {
-    let mut whole = BodyBuffer::default();
+    let mut whole = buffer::Body::new(None);
     let reserved = buffered.bytes();
     while let Some(chunk) = body.next().await.transpose()? {
-        let bytes = whole.len() + chunk.len();
-        if bytes > limit {
+        if whole.len() + chunk.len() > limit {
             let detail = format!("the answer is larger than {limit} bytes");
             return Err(Failure::new(Code::AnswerCut, detail));
         }
         // The upstream has already run the request, so this mustn't be a `NodeFull`, which means
         // that it wasn't run.
         buffered
-            .grow_to(reserved + bytes)
+            .grow_to(reserved + whole.capacity_with(chunk.len()))
+            .await
             .map_err(|failure| Failure::new(Code::AnswerCut, failure.detail))?;
-        whole.push(chunk);
+        whole.push(&chunk);
     }
     Ok(whole.freeze())
 }
--- a/lib/src/entry/gateway.rs
+++ b/lib/src/entry/gateway.rs
@@ -10,15 +10,16 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::admission::{BufferLimiter, InFlightLimiter};
+use super::admission::InFlightLimiter;
 use super::answer::{self, Body, Problem};
 use super::completion::CompletionRequest;
 use super::dispatch::{self, DispatchRequest, ResponseMode, UpstreamRun};
 use super::quarantine::Quarantine;
 use super::route::{self, Completion, Route};
 use super::session::Session;
-use super::{Dependencies, body, idempotency, key, messages, models, relay, service};
+use super::{Dependencies, idempotency, key, messages, models, relay, service};
 use crate::adapter::Adapter;
+use crate::buffer;
 use crate::claim::{self, Claim, ClaimManager};
 use crate::clock::Millis;
 use crate::config::View;
@@ -49,7 +50,9 @@
     /// Limits the requests in progress.
     pub in_flight: Arc<InFlightLimiter>,
     /// Limits the buffered bytes of bodies and responses.
-    pub buffer: BufferLimiter,
+    pub buffer: Arc<buffer::Pool>,
+    /// Bytes that they may take.
+    pub buffer_limit: buffer::Limit,
     /// Budget of retries.
     pub budget: Mutex<RetryBudget>,
     claims: ClaimManager,
@@ -80,7 +83,8 @@
         tokio::spawn(quarantine.follow(parts.fleet.clone()));
         Arc::new(Self {
             in_flight: InFlightLimiter::new(limits.in_flight),
-            buffer: BufferLimiter::new(limits.max_buffered_bytes),
+            buffer: buffer::Pool::new(Arc::clone(&parts.clock), Arc::clone(&parts.metrics)),
+            buffer_limit: buffer::Limit::new(limits.max_buffered_bytes),
             budget: Mutex::new(RetryBudget::new(limits.retry_percent, parts.clock.now())),
             claims: ClaimManager::start(claim_dependencies(&parts)),
             jitter: Mutex::new(Pcg64Mcg::seed_from_u64(parts.seed)),
@@ -244,7 +248,7 @@
         B: HttpBody<Data = Bytes> + Unpin + Send,
     {
         let limits = &self.parts.limits;
-        let body = body::read(
+        let body = buffer::read(
             body,
             limits.max_body_bytes,
             limits.body_timeout,
@@ -258,7 +262,7 @@
         }
         let limit = self.body_limit(&template);
         if body.len() > limit {
-            return Err(body::too_large(limit).into());
+            return Err(buffer::too_large(limit).into());
         }
         let allowed = asked.allowed_tokens(completion, &template, limits)?;
         let time_limit = self.time_limit(&template, &head.headers)?;
@@ -305,7 +309,7 @@
         let head = service::upstream_request_head(head, path, session.id())?;
         let timeout = self.parts.limits.body_timeout;
         let limit = self.body_limit(template);
-        let body = body::read(body, limit, timeout, &mut session.buffered).await?;
+        let body = buffer::read(body, limit, timeout, &mut session.buffered).await?;
         let ticket = caller.ticket(session, template, time_limit);
         let work = Work::Call {
             head: Box::new(head),
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -5,7 +5,6 @@
 
 mod admission;
 mod answer;
-mod body;
 mod completion;
 mod connection;
 mod dispatch;
--- a/lib/src/entry/session.rs
+++ b/lib/src/entry/session.rs
@@ -8,10 +8,11 @@
 use crate::request::{Class, Id, Ticket};
 use crate::retry::{RequestState, RetryStateMachine};
 
-use super::admission::{BufferReservation, InFlightGuard};
+use super::admission::InFlightGuard;
 use super::answer::{self, Body, Problem};
 use super::gateway::Gateway;
 use super::key;
+use crate::buffer::Reservation;
 
 /// Class label of requests that ended before their template was known.
 const NO_CLASS_LABEL: &str = "none";
@@ -34,7 +35,7 @@
     machine: Option<RetryStateMachine>,
     in_flight_guard: Option<InFlightGuard>,
     /// Bytes reserved for the request's body and, if it is buffered, the response.
-    pub buffered: BufferReservation,
+    pub buffered: Reservation,
     is_open: bool,
 }
 
@@ -51,7 +52,7 @@
             class: None,
             machine: None,
             in_flight_guard: None,
-            buffered: gateway.buffer.reserve(),
+            buffered: gateway.buffer.reserve(gateway.buffer_limit),
             is_open: true,
             gateway: Arc::clone(gateway),
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 //! The library prints nothing; the programs in `cli/` are thin over it.
 
 pub mod adapter;
+pub mod buffer;
 pub mod claim;
 pub mod clock;
 pub mod config;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -101,6 +101,10 @@
     pub tunnels_served: IntGauge,
     /// Pools of which this node reaches no upstream.
     pub pools_cut_off: IntGauge,
+    /// Requests whose body found no room, by whether it was incomplete already.
+    pub bodies_refused: IntCounterVec,
+    /// Bytes that request bodies take.
+    pub body_bytes: IntGauge,
     /// Connections of callers that were closed unread, by what the node has too much of.
     pub connections_closed_unread: IntCounterVec,
     /// Times that the port for callers was closed, by what the node has too much of.
@@ -311,6 +315,12 @@
                 "pools_cut_off",
                 "Pools of which this node reaches no upstream.",
             ),
+            bodies_refused: maker.counters(
+                "bodies_refused_total",
+                "Requests rejected for want of memory for their bodies.",
+                &["reason"],
+            ),
+            body_bytes: maker.gauge("body_bytes", "Bytes that request bodies take."),
             connections_closed_unread: maker.counters(
                 "connections_closed_unread_total",
                 "Connections of callers that were closed unread.",
--- a/lib/tests/test_direct_versions.rs
+++ b/lib/tests/test_direct_versions.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use chivevalve::buffer;
 use chivevalve::clock::{Clock, Manual, Millis};
 use chivevalve::direct::attempt::{RequestMessage, SendError};
 use chivevalve::direct::controllers::Controllers;
@@ -214,6 +215,7 @@
         uri: Uri::from_static("/digest/x"),
         headers: HeaderMap::new(),
         body: "the request".into(),
+        memory: frontend.bodies.reserve(buffer::Limit::new(1_000)),
         metadata: RequestMetadata::default(),
         kind: RequestKind::Stream { resumable: false },
         subjects: std::sync::OnceLock::new(),
