unread: refused callers get their response instead of a reset

Cause: the connection was closed while bytes of the request lay unread in the socket. The system resets such a connection, and the reset can overtake the response.

Change: both interfaces close the sending side first, and read and throw away what a refused caller still sends, for 3 s and two largest bodies at most (one at the product's own interface). Such responses say Connection: close. A request that was read to its end closes as before; over HTTP/2 a stream is refused by itself.

--- a/lib/src/direct/connection.rs
+++ b/lib/src/direct/connection.rs
@@ -10,8 +10,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
+use http::Request;
 use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -23,6 +25,7 @@
 use super::config::RequestLimits;
 use super::entry::Frontend;
 use crate::clock::{Clock, Millis};
+use crate::unread;
 
 /// Smallest buffer size, in bytes, that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
@@ -32,6 +35,9 @@
 /// Fraction of the idle limit that is announced to callers; the rest is the margin of the close.
 const ANNOUNCED_FRACTION: (u64, u64) = (4, 5);
 
+/// Rest of a refused request that is read before the connection is closed, in largest legal bodies.
+const UNREAD_BODIES: usize = 2;
+
 /// Serves a connection until it ends, has been idle for too long, or the node stops.
 pub(super) async fn serve(
     frontend: Arc<Frontend>,
@@ -39,11 +45,18 @@
     closing: CancellationToken,
 ) -> Result<(), hyper::Error> {
     let activity = Arc::new(Activity::new(Arc::clone(&frontend.clock)));
-    let service = service_fn(|request| {
+    let unread = unread::Mark::default();
+    let service = service_fn(|request: Request<Incoming>| {
+        let unread = unread.clone();
+        let request = request.map(|body| unread.watch(body));
         let guard = RequestGuard::begin(&activity);
         let frontend = Arc::clone(&frontend);
         async move {
             let mut response = Arc::clone(&frontend).handle(request).await?;
+            if unread.is_set() {
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             guard.announce(response.headers_mut(), limits(&frontend));
             // The guard lives in the body, so the request counts until the body is sent or dropped.
             Ok::<_, super::relay::ResponseAborted>(response.map(|body| {
@@ -58,6 +71,7 @@
     let stream = ObservedStream {
         stream,
         activity: Arc::clone(&activity),
+        close: unread::Close::new(unread.clone(), limits(&frontend).body_bytes * UNREAD_BODIES),
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -238,6 +252,7 @@
 struct ObservedStream {
     stream: TcpStream,
     activity: Arc<Activity>,
+    close: unread::Close,
 }
 
 impl AsyncRead for ObservedStream {
@@ -285,6 +300,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let Self { stream, close, .. } = &mut *self;
+        close.poll(stream, cx)
     }
 }
--- a/lib/src/direct/entry/accept.rs
+++ b/lib/src/direct/entry/accept.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use http::header;
-use hyper::body::Incoming;
 use rand::RngExt;
 
 use crate::buffer::{self, Reservation};
@@ -28,12 +27,15 @@
 ///
 /// When no route matches, or when the body is too large, arrives too slowly, finds no room or can't
 /// be read.
-pub(super) async fn accept<'a>(
+pub(super) async fn accept<'a, B>(
     config: &'a Config,
     head: &http::request::Parts,
-    body: Incoming,
+    body: B,
     memory: &mut Reservation,
-) -> Result<(&'a Route, Bytes), Failure> {
+) -> Result<(&'a Route, Bytes), Failure>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
     let route = find_route(config, head)?;
     let limits = config.limits;
     let body = buffer::read(body, limits.body_bytes, limits.idle_timeout, memory).await?;
--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -3,9 +3,9 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock, PoisonError};
 
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
 
 use super::accept::{accept, select_pool};
 use super::response::{error_response, full_response, response_head};
@@ -55,10 +55,13 @@
     /// # Errors
     ///
     /// Never before the head is sent; the body can end with [`ResponseAborted`].
-    pub async fn handle(
+    pub async fn handle<B>(
         self: Arc<Self>,
-        request: Request<Incoming>,
-    ) -> Result<Response<Body>, ResponseAborted> {
+        request: Request<B>,
+    ) -> Result<Response<Body>, ResponseAborted>
+    where
+        B: http_body::Body<Data = Bytes> + Unpin,
+    {
         self.active.fetch_add(1, Ordering::Relaxed);
         let active = ActiveGuard(Arc::clone(&self));
         let mut response = match self.serve(request).await {
@@ -82,10 +85,10 @@
         }))
     }
 
-    async fn serve(
-        self: &Arc<Self>,
-        request: Request<Incoming>,
-    ) -> Result<Response<Body>, Failure> {
+    async fn serve<B>(self: &Arc<Self>, request: Request<B>) -> Result<Response<Body>, Failure>
+    where
+        B: http_body::Body<Data = Bytes> + Unpin,
+    {
         let arrived_at = self.clock.now();
         let (head, body) = request.into_parts();
         let config = self.view.config().ok_or_else(|| {
--- a/lib/src/entry/connection.rs
+++ b/lib/src/entry/connection.rs
@@ -9,6 +9,8 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use http::Version;
+use http::header::{CONNECTION, HeaderValue};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -21,6 +23,7 @@
 
 use super::gateway::Gateway;
 use super::limits::Limits;
+use crate::unread;
 
 /// Smallest buffer size, in bytes, that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
@@ -62,13 +65,27 @@
     stop: CancellationToken,
 ) {
     let limits = &gateway.parts.limits;
-    let stream = WriteTimeoutStream::new(stream, limits.write_timeout.duration());
+    let unread = unread::Mark::default();
+    let close = unread::Close::new(unread.clone(), limits.max_body_bytes);
+    let stream = WriteTimeoutStream::new(stream, limits.write_timeout.duration(), close);
     let active = Arc::new(ActiveRequests::default());
     let service = service_fn(|request: http::Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
         let guard = ActiveRequests::begin(&active);
+        // Over HTTP/2 a stream is refused by itself, whatever of it is unread.
+        let is_http1 = request.version() <= Version::HTTP_11;
+        let mark = if is_http1 {
+            unread.clone()
+        } else {
+            unread::Mark::default()
+        };
+        let request = request.map(|body| mark.watch(body));
         async move {
-            let response = gateway.handle(request).await;
+            let mut response = gateway.handle(request).await;
+            if is_http1 && mark.is_set() {
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             // The guard is dropped with the body, so the connection counts as active while a
             // response is streamed.
             Ok::<_, std::convert::Infallible>(response.map(|body| ActiveBody::new(body, guard)))
@@ -224,15 +241,17 @@
 struct WriteTimeoutStream {
     stream: TcpStream,
     timeout: Duration,
+    close: unread::Close,
     /// Runs while a write is pending.
     stall_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl WriteTimeoutStream {
-    fn new(stream: TcpStream, timeout: Duration) -> Self {
+    fn new(stream: TcpStream, timeout: Duration, close: unread::Close) -> Self {
         Self {
             stream,
             timeout,
+            close,
             stall_timer: None,
         }
     }
@@ -294,6 +313,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let Self { stream, close, .. } = &mut *self;
+        close.poll(stream, cx)
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -35,4 +35,5 @@
 pub mod schema;
 pub mod secret;
 pub mod settings;
+pub mod unread;
 pub mod yaml;
