--- a/lib/tests/test_buffer.rs
+++ b/lib/tests/test_buffer.rs
@@ -159,6 +159,7 @@
 /// A body comes out as its pieces went in, and its capacity is what was foretold.
 #[test]
 fn body_any_pieces() {
+    #[allow(clippy::needless_pass_by_value, reason = "the property's form")]
     fn whole(announced: Option<u32>, pieces: Vec<Vec<u8>>, repeat: u8) -> bool {
         let announced = announced.map(|length| length as usize % (256 * KB));
         let mut body = Body::new(announced);
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -12,6 +12,9 @@
 /// Time between two looks at a process that is to end.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// State of a listening socket in the system's table.
+const LISTENING: &str = "0A";
+
 /// A directory for settings and logs that vanishes with its value.
 #[derive(Debug)]
 pub struct Scratch {
@@ -158,3 +161,30 @@
         let _ = self.kill();
     }
 }
+
+/// Returns the bytes that were sent to a port of this host and not read yet.
+///
+/// # Errors
+///
+/// On systems without `/proc`.
+pub fn unread_bytes(port: u16) -> io::Result<u64> {
+    let table = fs::read_to_string("/proc/net/tcp")?;
+    let port = format!(":{port:04X}");
+    let rows = table
+        .lines()
+        .map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let queues = rows.filter_map(|row| {
+        let [_, local, remote, state, queues, ..] = row[..] else {
+            return None;
+        };
+        let (sending, receiving) = queues.split_once(':')?;
+        let queue = match () {
+            () if state == LISTENING => return None,
+            () if local.ends_with(&port) => receiving,
+            () if remote.ends_with(&port) => sending,
+            () => return None,
+        };
+        u64::from_str_radix(queue, 16).ok()
+    });
+    Ok(queues.sum())
+}
