buffer: a body that completed in time isn't held to give way

What callers saw: nothing known; found by reading the change.

Cause: a body can be chosen to give way in the moment in which its last byte is read. It completed and its request ran, but its reservation still counted as given up, so that the own interface could refuse to buffer its response.

Change: only an incomplete body is refused for having been given up.

Evidence: grow_to_forgets_what_came_too_late failed before and passes now, with the other tests of test_buffer.

--- a/lib/src/buffer/mod.rs
+++ b/lib/src/buffer/mod.rs
@@ -251,7 +251,9 @@
             }
             tokio::select! {
                 () = released => {}
-                () = self.given_up.cancelled() => return Err(self.refuse_given_up()),
+                () = self.given_up.cancelled(), if !self.is_complete => {
+                    return Err(self.refuse_given_up());
+                }
             }
         }
     }
--- a/lib/tests/test_buffer.rs
+++ b/lib/tests/test_buffer.rs
@@ -78,6 +78,25 @@
     assert!(!is_given_up(&complete));
 }
 
+/// A body that completed as it was to give way, and whose request ran, loses its response.
+#[test]
+fn grow_to_forgets_what_came_too_late() {
+    let (clock, pool) = pool();
+    let limit = Limit::new(16 * KB);
+    let (mut complete, mut stalled) = (pool.reserve(limit), pool.reserve(limit));
+    grow(&mut complete, 8 * KB).unwrap();
+    grow(&mut stalled, 6 * KB).unwrap();
+    clock.advance(Millis(1_000));
+    let mut fresh = pool.reserve(limit);
+    assert!(fresh.grow_to(4 * KB).now_or_never().is_none());
+    assert!(is_given_up(&complete));
+    complete.complete(8 * KB);
+    assert!(complete.grow_to(11 * KB).now_or_never().is_none());
+    assert!(is_given_up(&stalled));
+    stalled.release();
+    assert_eq!(grow(&mut complete, 11 * KB), Ok(()));
+}
+
 /// A large body that has come for longest takes the room of those that arrive.
 #[test]
 fn grow_to_refuses_the_costliest() {
