entry: unfinished bodies leave their connections when callers hold all

What callers saw: 450 callers that send 1 kB of a body and stop hold all of a node's connections; everybody else is closed unread until the idle limit, which is also the time for a body, is over.

Cause: the time for a body is five times that for a head, and nothing of it depends on whether others wait for the connection.

Change: when a connection is closed unread because callers hold all, requests that have been arriving for longer than a head may take are refused with 503 (node_full, Retry-After 1 s), and their connections close. Nothing was sent to a server, so "not run" is true. A client inside the limits is met by it only at a node whose connections are all taken.

--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -28,6 +28,9 @@
 /// `Retry-After` of a node that has no configuration yet.
 const NOT_READY_RETRY_AFTER: Millis = Millis(300);
 
+/// `Retry-After` of a request that left its connection to others while its body arrived.
+const NO_CONNECTION_RETRY_AFTER: Millis = Millis(1_000);
+
 /// `Retry-After` of a route whose pools all have weight zero.
 const NO_POOL_RETRY_AFTER: Millis = Millis(1_000);
 
@@ -102,7 +105,12 @@
         let limit = buffer::Limit::new(self.limits.get().body_memory);
         let limit = limit.fitting(config.limits.body_bytes);
         let mut memory = self.bodies.reserve(limit);
-        let (route, body) = match accept(&config, &head, body, &mut memory).await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = accept(&config, &head, body, &mut memory) => accepted,
+            failure = self.make_way(arrived_at, config.limits.head_timeout) => Err(failure),
+        };
+        let (route, body) = match accepted {
             Ok(accepted) => accepted,
             Err(failure) => {
                 request_log::refused(metadata.id.as_deref().unwrap_or_default(), &failure);
@@ -147,6 +155,23 @@
         self.respond(request).await
     }
 
+    /// Waits until a request that is still arriving has to leave its connection to others.
+    ///
+    /// Bodies have more time than heads, and a crowd that sends them slowly would hold all
+    /// connections for that long.
+    async fn make_way(&self, arrived_at: Millis, spared: Millis) -> Failure {
+        loop {
+            self.connections_full.notified().await;
+            if self.clock.now().since(arrived_at) >= spared {
+                return Failure::new(
+                    Code::NodeFull,
+                    "callers hold all connections, and the body isn't whole",
+                )
+                .retry_after(NO_CONNECTION_RETRY_AFTER);
+            }
+        }
+    }
+
     async fn respond(&self, mut request: ActiveRequest) -> Result<Response<Body>, Failure> {
         let ready = tokio::select! {
             biased;
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
+use tokio::sync::Notify;
 
 use super::budget::{RetryBudget, Usage};
 use super::controllers::Controllers;
@@ -67,6 +68,8 @@
     pub failure_domain: Name,
     /// Limits in force.
     pub limits: Arc<SharedLimits>,
+    /// Notified when a caller's connection is closed unread because callers hold as many as they may.
+    pub connections_full: Notify,
     /// Memory of callers' request bodies.
     pub bodies: Arc<buffer::Pool>,
     /// Tracks requests that crash upstreams.
@@ -148,6 +151,7 @@
         Self {
             view,
             metrics: Arc::clone(&controllers.metrics),
+            connections_full: Notify::new(),
             bodies: buffer::Pool::new(Arc::clone(&clock), Arc::clone(&controllers.metrics)),
             quarantine,
             origin_copies,
--- a/lib/src/direct/listener.rs
+++ b/lib/src/direct/listener.rs
@@ -147,6 +147,9 @@
         let now = frontend.clock.now();
         if let Some(overload) = self.intake.decide((open, max_open), now) {
             drop(stream);
+            if overload == Overload::Connections {
+                frontend.connections_full.notify_waiters();
+            }
             self.record_closed(overload);
             return;
         }
