--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -146,7 +146,7 @@
     LoadFailed = 2007, "load_failed", 503, NotRun, "Try again after Retry-After; tell the operators if it lasts.";
     /// The upstream takes no new work.
     UpstreamLeaving = 2008, "upstream_leaving", 503, NotRun, "Try again at once.";
-    /// The node has all the requests that it can hold.
+    /// The node has all the requests, or all the bytes of bodies, that it can hold.
     NodeFull = 2009, "node_full", 503, NotRun, "Try again after Retry-After.";
     /// Under overload this class gives way.
     Brownout = 2010, "brownout", 503, NotRun, "Try again after Retry-After.";
