unread: a rejection with a small unread body keeps its connection

A request without a route and with a body of some bytes got Connection: close, where it had got Keep-Alive.

The HTTP library reads a rest that has arrived already and goes on with the connection.

Change: the announcement is gone; the library decides as before, and the rest is read only if it closes. The golden file is as it was.

Evidence: session_of_every_kind failed before and passes now, with all 13 tests of test_crowds.rs and the same results of test_connections.rs as before.

--- a/lib/src/direct/connection.rs
+++ b/lib/src/direct/connection.rs
@@ -47,16 +47,11 @@
     let activity = Arc::new(Activity::new(Arc::clone(&frontend.clock)));
     let unread = unread::Mark::default();
     let service = service_fn(|request: Request<Incoming>| {
-        let unread = unread.clone();
         let request = request.map(|body| unread.watch(body));
         let guard = RequestGuard::begin(&activity);
         let frontend = Arc::clone(&frontend);
         async move {
             let mut response = Arc::clone(&frontend).handle(request).await?;
-            if unread.is_set() {
-                let headers = response.headers_mut();
-                headers.insert(CONNECTION, HeaderValue::from_static("close"));
-            }
             guard.announce(response.headers_mut(), limits(&frontend));
             // The guard lives in the body, so the request counts until the body is sent or dropped.
             Ok::<_, super::relay::ResponseAborted>(response.map(|body| {
--- a/lib/src/entry/connection.rs
+++ b/lib/src/entry/connection.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use http::Version;
-use http::header::{CONNECTION, HeaderValue};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -81,11 +80,7 @@
         };
         let request = request.map(|body| mark.watch(body));
         async move {
-            let mut response = gateway.handle(request).await;
-            if is_http1 && mark.is_set() {
-                let headers = response.headers_mut();
-                headers.insert(CONNECTION, HeaderValue::from_static("close"));
-            }
+            let response = gateway.handle(request).await;
             // The guard is dropped with the body, so the connection counts as active while a
             // response is streamed.
             Ok::<_, std::convert::Infallible>(response.map(|body| ActiveBody::new(body, guard)))
--- a/lib/src/unread.rs
+++ b/lib/src/unread.rs
@@ -29,9 +29,7 @@
 pub struct Mark(Arc<AtomicBool>);
 
 impl Mark {
-    /// Returns whether a part is unread.
-    #[must_use]
-    pub fn is_set(&self) -> bool {
+    fn is_set(&self) -> bool {
         self.0.load(Ordering::Relaxed)
     }
 
