--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -680,6 +680,8 @@
     pub revision: u64,
     pub items: BTreeMap<String, Item>,
     log: Vec<Change>,
+    /// Before this revision the history is forgotten.
+    forgotten: u64,
     leases: HashMap<u64, (Instant, Duration)>,
     next_lease: u64,
 }
@@ -698,6 +700,8 @@
     Serve,
     /// Turned away with 503.
     Busy,
+    /// Turned away with 429.
+    TooMany,
     /// Not done, and not answered.
     Silent,
     /// Done so many milliseconds later, if its condition still holds, and not answered.
@@ -794,6 +798,15 @@
         lock(&self.state).items.get(key).cloned()
     }
 
+    /// Forgets the history so far.
+    pub fn forget_history(&self) {
+        let mut state = lock(&self.state);
+        state.forgotten = state.revision;
+        state.log.clear();
+        drop(state);
+        self.changed.notify_all();
+    }
+
     fn expire(&self) {
         let now = Instant::now();
         let mut state = lock(&self.state);
@@ -819,6 +832,7 @@
         match verdict {
             Verdict::Serve => self.carry_out(machine, request, txn.as_ref()),
             Verdict::Busy => json_reply(503, "{}"),
+            Verdict::TooMany => json_reply(429, "{}"),
             Verdict::Silent => Reply::Silence,
             Verdict::Lost => {
                 self.carry_out(machine, request, txn.as_ref());
@@ -923,6 +937,9 @@
             if lock(&self.cut)[machine] {
                 return Reply::Close;
             }
+            if after < state.forgotten {
+                return json_reply(410, "{}");
+            }
             let events: Vec<String> = state
                 .log
                 .iter()
@@ -1336,11 +1353,12 @@
         });
         drop(state);
         let engine = Arc::clone(self);
+        let (events, pause) = stream_of(&request.path);
         headers.push(("Server-Seal".to_owned(), "seal".to_owned()));
         headers.push(("Content-Type".to_owned(), "text/event-stream".to_owned()));
         headers.push(("Transfer-Encoding".to_owned(), "chunked".to_owned()));
         Reply::Raw(Box::new(move |stream| {
-            let written = write_events(stream, &headers);
+            let written = write_events(stream, &headers, (events, pause));
             if let Some(adapter) = &adapter {
                 if let Some(uses) = lock(&engine.state).uses.get_mut(adapter) {
                     *uses -= 1;
@@ -1351,10 +1369,23 @@
     }
 }
 
-fn write_events(stream: &mut TcpStream, headers: &[(String, String)]) -> io::Result<()> {
+/// Events of a stream and the pause before each, in ms: 57 of them where the path ends in `/long`.
+fn stream_of(path: &str) -> (u64, u64) {
+    if path.ends_with("/long") {
+        (57, 122)
+    } else {
+        (4, 10)
+    }
+}
+
+fn write_events(
+    stream: &mut TcpStream,
+    headers: &[(String, String)],
+    (events, pause): (u64, u64),
+) -> io::Result<()> {
     stream.write_all(format!("{}\r\n", head_of(200, headers)).as_bytes())?;
-    for event in 1..=4 {
-        thread::sleep(ms(10));
+    for event in 1..=events {
+        thread::sleep(ms(pause));
         let event = format!("id: {event}\ndata: piece {event}\n\n");
         stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
     }
