review 6, 7, 8: count only turns and falling tokens as breaches of ONE

Cause: the scripts counted one holder behind another within leaseMs as a breach, also if the first never came back. Change: one judge for all scripts, which counts a lower token after a higher one, a token of two holders, and a holder's return within leaseMs with another one between.

--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -1633,3 +1633,40 @@
 pub fn is_set(flag: &AtomicBool) -> bool {
     flag.load(Ordering::Relaxed)
 }
+
+/// `leaseMs` of the pages.
+const LEASE_MS: u64 = 3_000;
+
+/// Rule ONE: no two holders with one token, no lower token after a higher one, and no two holders
+/// that take turns within `leaseMs`.
+///
+/// A holder that follows another one for good is no breach, however soon.
+pub fn judge_one(engine: &Engine) -> Vec<String> {
+    let mut breaches = Vec::new();
+    let orders = lock(&engine.state).orders.clone();
+    for (at, order) in orders.iter().enumerate() {
+        let before = &orders[..at];
+        let told = format!("ONE: at {} ms {} takes an order of {}", order.at, engine.id, order.holder);
+        if let Some(higher) = before.iter().find(|earlier| earlier.token > order.token) {
+            breaches.push(format!(
+                "{told} with token {} after one of {} with {}",
+                order.token, higher.holder, higher.token
+            ));
+        }
+        let is_same_token = |earlier: &&Order| {
+            earlier.token == order.token && earlier.holder != order.holder
+        };
+        if let Some(other) = before.iter().find(is_same_token) {
+            breaches.push(format!("{told} with the token {} of {}", order.token, other.holder));
+        }
+        let last_own = before.iter().rposition(|earlier| earlier.holder == order.holder);
+        if let Some(last_own) = last_own {
+            let behind = order.at - before[last_own].at;
+            if last_own + 1 < at && behind < LEASE_MS {
+                let between = &before[at - 1].holder;
+                breaches.push(format!("{told} {behind} ms behind its last one, with {between} between"));
+            }
+        }
+    }
+    breaches
+}
