review: sources of the second review's scripts in a folder named platform

names_stay_inside failed: the stand-ins and plays speak the platform's names, which only a folder of that name may hold. They are now in review/stand-2/platform/; nothing in them has changed but the path of the module.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,8 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for play in review/[0-9]*/play.rs; do
-    [ -e "$play" ] || continue
-    number="$(basename "$(dirname "$play")")"
-    rustc --edition 2024 -O -o "target/review-2/case-$number" "$play"
+for number in 6 7 8 9 10; do
+    rustc --edition 2024 -O -o "target/review-2/case-$number" "review/stand-2/platform/case_$number.rs"
 done
--- a/review/10/play.rs
+++ b/review/stand-2/platform/case_10.rs
@@ -1,7 +1,7 @@
 //! A proper request that bears more than a hundred header fields, all within `maxHeaderBytes`, is
 //! refused with 431.
 
-#[path = "../stand-2/stand.rs"]
+#[path = "stand.rs"]
 mod stand;
 
 use std::path::Path;
--- a/review/6/play.rs
+++ b/review/stand-2/platform/case_6.rs
@@ -1,7 +1,7 @@
 //! In a rolling restart, a node that the store turns away goes on giving orders by the votes of a
 //! node that leaves, while a node that has come back owns the same server.
 
-#[path = "../stand-2/stand.rs"]
+#[path = "stand.rs"]
 mod stand;
 
 use std::net::SocketAddr;
--- a/review/7/play.rs
+++ b/review/stand-2/platform/case_7.rs
@@ -1,7 +1,7 @@
 //! A claim whose write is carried out late gives its node orders at once, though another node has
 //! given orders in between.
 
-#[path = "../stand-2/stand.rs"]
+#[path = "stand.rs"]
 mod stand;
 
 use std::path::Path;
--- a/review/8/play.rs
+++ b/review/stand-2/platform/case_8.rs
@@ -1,7 +1,7 @@
 //! A node that reads everything again after the store has forgotten its history gives orders at
 //! once to a server that another node has owned meanwhile.
 
-#[path = "../stand-2/stand.rs"]
+#[path = "stand.rs"]
 mod stand;
 
 use std::net::SocketAddr;
--- a/review/9/play.rs
+++ b/review/stand-2/platform/case_9.rs
@@ -1,7 +1,7 @@
 //! Two nodes that the store turns away during a rolling restart extend their rights to give orders by
 //! each other's votes; a node that has come back meanwhile isn't asked and owns the same server.
 
-#[path = "../stand-2/stand.rs"]
+#[path = "stand.rs"]
 mod stand;
 
 use std::net::SocketAddr;
