--- a/review/stand-2/platform/case_8.rs
+++ b/review/stand-2/platform/case_8.rs
@@ -18,8 +18,6 @@
 const FIRST_AWAY_MS: u64 = 8_000;
 /// From then until a new server registers.
 const REGISTERS_AFTER_MS: u64 = 2_000;
-/// How long before it serves the first machine again it forgets its history and turns the owner away.
-const OVERLAP_MS: u64 = 100;
 /// Clients of each node.
 const CLIENTS: usize = 4;
 /// How long the store turns the owner away.
@@ -110,7 +108,7 @@
             thread::spawn(move || ask_for_adapters(client, front, &is_over, &log))
         })
         .collect();
-    thread::sleep(away_until.saturating_duration_since(Instant::now()) - ms(OVERLAP_MS));
+    thread::sleep(away_until.saturating_duration_since(Instant::now()));
     let Some(owner) = owner_of(engine.address) else {
         record.say("nobody owns the new server");
         return Ok(2);
@@ -120,11 +118,11 @@
         if owner == unaware {
             return Ok(2);
         }
+        // At no time are two machines turned away.
+        serve_again(unaware);
         turn_away(owner, true);
         store.forget_history();
         record.say("store: forgets its history");
-        thread::sleep(ms(OVERLAP_MS));
-        serve_again(unaware);
     }
     thread::sleep(ms(OWNER_AWAY_MS));
     if has_trouble {
