connection_pool: a status of no final response is a loss

Cause: the HTTP library accepts statuses up to 999, and 101 as a switch to another protocol; nothing looked at them behind it.

Change: the one place that all connections to servers and to the key-value service go through takes only 200 to 599; any other status counts as sent without a response.

A rejection and a resumed stream with such a line weren't believed before either.

--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -8,6 +8,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -94,6 +95,10 @@
     pub max_open: usize,
 }
 
+/// Statuses of final responses. The HTTP library also accepts those up to 999, and 101 as a switch
+/// to another protocol, which no request asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Counts a connection as open until dropped.
 #[derive(Debug)]
 struct OpenGuard(Arc<AtomicUsize>);
@@ -421,6 +426,9 @@
 impl Connection {
     /// Sends a request and returns once the response head has arrived.
     ///
+    /// A response whose status isn't one of a final response is bytes of a faulty server, and
+    /// none to the request.
+    ///
     /// # Errors
     ///
     /// [`TransportError::Unsent`] only if no byte of the request was written.
@@ -433,7 +441,8 @@
         if let Err(error) = self.sender.ready().await {
             return Err(TransportError::Unsent(error_chain(&error)));
         }
-        self.sender
+        let response = self
+            .sender
             .try_send_request(request)
             .await
             .map_err(|mut error| {
@@ -444,7 +453,13 @@
                 } else {
                     TransportError::Sent(cause)
                 }
-            })
+            })?;
+        let status = response.status();
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            let cause = format!("status {} is none of a final response", status.as_str());
+            return Err(TransportError::Sent(cause));
+        }
+        Ok(response)
     }
 }
 
