buffer: bound the memory of responses that are read whole

Cause: each response of a plain service is read whole, up to 16 MiB, and nothing counted what all of them hold.

Change: responses have a pool like that of callers' bodies, in which incomplete ones give way; their request is sent elsewhere where that is allowed, and else ends with 502, as it may have run. A length beyond the limit is refused with the head. A complete response holds its memory until it was sent. Bodies of rejections and of responses to orders aren't kept at all.

--- a/lib/src/buffer/mod.rs
+++ b/lib/src/buffer/mod.rs
@@ -1,19 +1,22 @@
-//! Memory of request bodies, bounded over all callers of a node.
+//! Memory of bodies, bounded over all callers of a node, and over all upstreams.
 //!
 //! A limit on one body doesn't bound what all callers send together, and a body that stops just
 //! short of its end holds its memory until it times out. So all bodies share a [`Pool`]: when it is
 //! full, incomplete bodies that hold much for long give way to those that arrive, and a body that is
-//! complete is never given up. See docs/design/0021-memory-of-bodies.md.
+//! complete is never given up. Responses that are read whole have a pool of their own, so that a
+//! faulty upstream takes no memory from requests. See docs/design/0021-memory-of-bodies.md.
 
 mod body;
 mod read;
 
 pub use body::Body;
-pub use read::{read, too_large};
+pub use read::{Incomplete, collect, discard, read, too_large};
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bytes::Bytes;
+use prometheus::{IntCounterVec, IntGauge};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -63,9 +66,42 @@
     }
 }
 
-/// The memory of all bodies at a node.
+/// Whose bodies a pool holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// Callers' requests.
+    Callers,
+    /// Responses of upstreams.
+    Upstreams,
+}
+
+impl Source {
+    const fn bodies(self) -> &'static str {
+        match self {
+            Self::Callers => "request bodies",
+            Self::Upstreams => "responses",
+        }
+    }
+
+    fn bytes(self, metrics: &Metrics) -> &IntGauge {
+        match self {
+            Self::Callers => &metrics.body_bytes,
+            Self::Upstreams => &metrics.response_bytes,
+        }
+    }
+
+    fn refused(self, metrics: &Metrics) -> &IntCounterVec {
+        match self {
+            Self::Callers => &metrics.bodies_refused,
+            Self::Upstreams => &metrics.responses_refused,
+        }
+    }
+}
+
+/// The memory of all bodies of a source at a node.
 #[derive(Debug)]
 pub struct Pool {
+    source: Source,
     clock: Arc<dyn Clock>,
     metrics: Arc<Metrics>,
     state: Mutex<State>,
@@ -153,8 +189,9 @@
 impl Pool {
     /// Creates an empty pool.
     #[must_use]
-    pub fn new(clock: Arc<dyn Clock>, metrics: Arc<Metrics>) -> Arc<Self> {
+    pub fn new(source: Source, clock: Arc<dyn Clock>, metrics: Arc<Metrics>) -> Arc<Self> {
         Arc::new(Self {
+            source,
             clock,
             metrics,
             state: Mutex::default(),
@@ -180,19 +217,17 @@
 
     fn show(&self, state: &State) {
         let bytes = i64::try_from(state.used).unwrap_or(i64::MAX);
-        self.metrics.body_bytes.set(bytes);
+        self.source.bytes(&self.metrics).set(bytes);
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Counts a request whose body found no room, and logs unless that was done a moment ago.
+    /// Counts a body that found no room, and logs unless that was done a moment ago.
     fn record_refused(&self, reason: &str) -> Failure {
-        self.metrics
-            .bodies_refused
-            .with_label_values(&[reason])
-            .inc();
+        let refused = self.source.refused(&self.metrics);
+        refused.with_label_values(&[reason]).inc();
         let now = self.clock.now();
         let mut state = self.state();
         state.refused += 1;
@@ -203,7 +238,7 @@
                 given_up = state.given_up,
                 used = state.used,
                 incomplete = state.incoming.len();
-                "buffer: request bodies find no room"
+                "buffer: {} find no room", self.source.bodies()
             );
             (state.refused, state.given_up) = (0, 0);
             state.logged_at = Some(now);
@@ -213,6 +248,33 @@
     }
 }
 
+/// A complete body that holds its memory for as long as any part of it is in use.
+#[derive(Debug)]
+struct Held {
+    body: Bytes,
+    _memory: Reservation,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+/// Returns a complete body that holds its memory until the last part of it is dropped.
+///
+/// The HTTP library drops a response before its last bytes are sent.
+#[must_use]
+pub fn hold(body: Bytes, memory: Reservation) -> Bytes {
+    if body.is_empty() {
+        return body;
+    }
+    Bytes::from_owner(Held {
+        body,
+        _memory: memory,
+    })
+}
+
 /// Bytes reserved for one request; dropping it releases them.
 #[derive(Debug)]
 pub struct Reservation {
--- a/lib/src/buffer/read.rs
+++ b/lib/src/buffer/read.rs
@@ -1,4 +1,4 @@
-//! Reads request bodies completely, within limits on size, time and memory.
+//! Reads bodies completely, within limits on size, time and memory.
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -25,16 +25,18 @@
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
-    // Rejects by the declared length, before the caller has sent the whole body.
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large(limit));
-    }
-    let collected =
-        tokio::time::timeout(timeout.duration(), collect(body, limit, reservation)).await;
-    let collected = collected.unwrap_or_else(|_| {
-        let detail = format!("the body wasn't whole after {timeout}");
-        Err(Failure::new(Code::SenderTooSlow, detail))
-    });
+    let collecting = collect(body, limit, reservation);
+    let collected = match tokio::time::timeout(timeout.duration(), collecting).await {
+        Ok(collected) => collected.map_err(|incomplete| match incomplete {
+            Incomplete::TooLarge => too_large(limit),
+            Incomplete::NoRoom(failure) => failure,
+            Incomplete::Broken(_) => Failure::new(Code::BadRequest, "the body broke off"),
+        }),
+        Err(_) => {
+            let detail = format!("the body wasn't whole after {timeout}");
+            Err(Failure::new(Code::SenderTooSlow, detail))
+        }
+    };
     if collected.is_err() {
         // The response may wait for its caller; what the body took is free by then.
         reservation.release();
@@ -42,41 +44,80 @@
     collected
 }
 
-async fn collect<B>(
+/// Why a body wasn't read to its end.
+#[derive(Debug)]
+pub enum Incomplete<E> {
+    /// It is larger than the limit, or announces to be.
+    TooLarge,
+    /// There is no memory for it, or others have a better claim to what it takes.
+    NoRoom(Failure),
+    /// Its connection broke.
+    Broken(E),
+}
+
+/// Reads a body of at most `limit` bytes into reserved memory.
+///
+/// # Errors
+///
+/// [`Incomplete`]; what the body took stays reserved.
+pub async fn collect<B>(
     mut body: B,
     limit: usize,
     reservation: &mut Reservation,
-) -> Result<Bytes, Failure>
+) -> Result<Bytes, Incomplete<B::Error>>
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
+    // The declared length is enough to reject a body that hasn't been sent yet.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Incomplete::TooLarge);
+    }
     let announced = body.size_hint().exact();
     let mut received = Body::new(announced.and_then(|length| length.try_into().ok()));
     loop {
         let frame = tokio::select! {
             biased;
-            failure = reservation.given_up() => return Err(failure),
+            failure = reservation.given_up() => return Err(Incomplete::NoRoom(failure)),
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else {
             break;
         };
-        let frame = frame.map_err(|_| Failure::new(Code::BadRequest, "the body broke off"))?;
+        let frame = frame.map_err(Incomplete::Broken)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
         if received.len() + data.len() > limit {
-            return Err(too_large(limit));
+            return Err(Incomplete::TooLarge);
         }
         reservation
             .grow_to(received.capacity_with(data.len()))
-            .await?;
+            .await
+            .map_err(Incomplete::NoRoom)?;
         received.push(&data);
     }
     reservation.complete(received.len());
     Ok(received.freeze())
 }
 
+/// Reads a body and keeps nothing of it; returns whether it ended within `limit` bytes.
+pub async fn discard<B>(mut body: B, limit: usize) -> bool
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return false;
+        };
+        length += frame.data_ref().map_or(0, Bytes::len);
+        if length > limit {
+            return false;
+        }
+    }
+    true
+}
+
 /// Returns the failure for a body larger than `limit` bytes.
 #[must_use]
 pub fn too_large(limit: usize) -> Failure {
--- a/lib/src/direct/attempt.rs
+++ b/lib/src/direct/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::admit::Permit;
@@ -14,7 +14,7 @@
 use super::upstream::{InFlightRequest, Upstream};
 use super::used_connections::UsedConnections;
 use super::versions::{self, VersionWatch};
-use crate::buffer::Reservation;
+use crate::buffer::{self, Incomplete, Reservation};
 use crate::clock::Millis;
 use crate::error::Code;
 use crate::poison::fingerprint::{Fingerprint, Identity};
@@ -22,7 +22,7 @@
 use crate::ports::connection_pool::{Connection, TransportError};
 
 /// Maximum length in bytes of a response that is buffered completely.
-const MAX_BUFFERED_BODY_BYTES: usize = 16 << 20;
+pub const MAX_BUFFERED_BODY_BYTES: usize = 16 << 20;
 
 /// Maximum idle time of a reused connection for a request that may not be retried.
 ///
@@ -306,17 +306,16 @@
         self.watch = None;
     }
 
-    /// Reads the complete body and returns the connection for reuse.
+    /// Reads the complete body into reserved memory and returns the connection for reuse.
     ///
     /// # Errors
     ///
-    /// [`SendError::Lost`] when the body ends early or is too long.
-    pub async fn read_body(self) -> Result<(response::Parts, Bytes), SendError> {
-        let body = Limited::new(self.body, MAX_BUFFERED_BODY_BYTES)
-            .collect()
-            .await
-            .map_err(|error| SendError::Lost(Code::AnswerCut, error.to_string()))?
-            .to_bytes();
+    /// When the body ends early, is too long or finds no memory.
+    pub async fn read_body(
+        self,
+        memory: &mut Reservation,
+    ) -> Result<(response::Parts, Bytes), Incomplete<hyper::Error>> {
+        let body = buffer::collect(self.body, MAX_BUFFERED_BODY_BYTES, memory).await?;
         if !self.reply.closes {
             self.upstream
                 .connection_pool
@@ -333,9 +332,9 @@
     upstream: &Upstream,
     reply: &ResponseMetadata,
 ) {
-    let rest = Limited::new(body, MAX_REJECTION_BODY_BYTES).collect();
+    let rest = buffer::discard(body, MAX_REJECTION_BODY_BYTES);
     let rest = tokio::time::timeout(REJECTION_BODY_TIMEOUT.duration(), rest).await;
-    if matches!(rest, Ok(Ok(_))) && !reply.closes {
+    if rest == Ok(true) && !reply.closes {
         upstream.connection_pool.release(connection, reply.keep);
     }
 }
--- a/lib/src/direct/entry/handle.rs
+++ b/lib/src/direct/entry/handle.rs
@@ -10,9 +10,9 @@
 use super::accept::{accept, select_pool};
 use super::response::{error_response, full_response, response_head};
 use super::{Body, Frontend};
-use crate::buffer;
+use crate::buffer::{self, Incomplete, Reservation};
 use crate::clock::Millis;
-use crate::direct::attempt::{RequestMessage, UpstreamResponse};
+use crate::direct::attempt::{MAX_BUFFERED_BODY_BYTES, RequestMessage, UpstreamResponse};
 use crate::direct::relay::{self, ResponseAborted};
 use crate::direct::request::ActiveRequest;
 use crate::direct::request_log::{self, RequestOutcome};
@@ -216,6 +216,13 @@
         Failure::new(Code::ExpiredRunning, "no answer before the node stops")
     }
 
+    /// Returns memory for a response that is read whole, of zero bytes so far.
+    fn response_memory(&self) -> Reservation {
+        let limit = buffer::Limit::new(self.limits.get().response_memory);
+        self.responses
+            .reserve(limit.fitting(MAX_BUFFERED_BODY_BYTES))
+    }
+
     /// Reads a response to its end before any of it is forwarded.
     ///
     /// A response that breaks off can so be requested again.
@@ -228,12 +235,14 @@
             let head = response_head(&response);
             let upstream = Arc::clone(&response.upstream);
             let left = request.deadline.since(request.now());
-            let cause = match tokio::time::timeout(left.duration(), response.read_body()).await {
+            let mut memory = self.response_memory();
+            let body = response.read_body(&mut memory);
+            let incomplete = match tokio::time::timeout(left.duration(), body).await {
                 Ok(Ok((_, body))) => {
                     request.record_harmless_run(request.sent_at);
-                    return Ok(full_response(head, body));
+                    return Ok(full_response(head, buffer::hold(body, memory)));
                 }
-                Ok(Err(error)) => format!("{error:?}"),
+                Ok(Err(incomplete)) => incomplete,
                 Err(_) => {
                     return Err(Failure::new(
                         Code::ExpiredRunning,
@@ -241,8 +250,19 @@
                     ));
                 }
             };
+            drop(memory);
             request.penalize(&upstream);
-            request.record_broken_connection(&upstream, Suspicion::Begun);
+            let cause = match incomplete {
+                Incomplete::Broken(error) => {
+                    request.record_broken_connection(&upstream, Suspicion::Begun);
+                    error.to_string()
+                }
+                Incomplete::TooLarge => {
+                    format!("it is larger than {MAX_BUFFERED_BODY_BYTES} bytes")
+                }
+                // The request may have run, so this isn't a rejection with that code.
+                Incomplete::NoRoom(failure) => failure.detail,
+            };
             if !request.may_retry() {
                 return Err(Failure::new(Code::AnswerCut, cause));
             }
--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -72,6 +72,8 @@
     pub connections_full: Notify,
     /// Memory of callers' request bodies.
     pub bodies: Arc<buffer::Pool>,
+    /// Memory of responses that are read whole.
+    pub responses: Arc<buffer::Pool>,
     /// Tracks requests that crash upstreams.
     pub quarantine: Arc<Quarantine>,
     /// Copies of streams' origins in the key-value service.
@@ -148,11 +150,16 @@
             outbox,
             Arc::<Paths>::clone(&paths),
         ));
+        let memory_of = |source| {
+            let metrics = Arc::clone(&controllers.metrics);
+            buffer::Pool::new(source, Arc::clone(&clock), metrics)
+        };
         Self {
             view,
             metrics: Arc::clone(&controllers.metrics),
             connections_full: Notify::new(),
-            bodies: buffer::Pool::new(Arc::clone(&clock), Arc::clone(&controllers.metrics)),
+            bodies: memory_of(buffer::Source::Callers),
+            responses: memory_of(buffer::Source::Upstreams),
             quarantine,
             origin_copies,
             software_records,
--- a/lib/src/direct/limits.rs
+++ b/lib/src/direct/limits.rs
@@ -28,6 +28,8 @@
     pub caller_connections: usize,
     /// Maximum number of bytes that all callers' request bodies hold at a node.
     pub body_memory: usize,
+    /// Maximum number of bytes that all responses which are read whole hold at a node.
+    pub response_memory: usize,
     /// The retry budget that all nodes share.
     pub retries: RetryLimits,
 }
@@ -56,6 +58,7 @@
             rejection_lead: Millis(3_000),
             caller_connections: 2_000,
             body_memory: 64 << 20,
+            response_memory: 64 << 20,
             retries: RetryLimits {
                 ratio: 0.2,
                 window: Millis::from_secs(10),
--- a/lib/src/direct/orders/client.rs
+++ b/lib/src/direct/orders/client.rs
@@ -2,8 +2,7 @@
 
 use std::sync::{Arc, MutexGuard, PoisonError};
 
-use http_body_util::{BodyExt, Limited};
-
+use crate::buffer;
 use crate::clock::{Clock, Millis};
 use crate::direct::config::Engine;
 use crate::direct::control_call;
@@ -105,8 +104,8 @@
             .into_parts();
         let reply = self.dialect.response_metadata(&head);
         control_call::check_response(&reply)?;
-        let rest = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        if let Ok(Ok(_)) = tokio::time::timeout(RESPONSE_TIMEOUT.duration(), rest).await {
+        let rest = buffer::discard(body, MAX_RESPONSE_BYTES);
+        if tokio::time::timeout(RESPONSE_TIMEOUT.duration(), rest).await == Ok(true) {
             if head.status.is_success() {
                 upstream.record_notice(reply.rejections, self.clock.now());
             }
--- a/lib/src/entry/gateway.rs
+++ b/lib/src/entry/gateway.rs
@@ -83,7 +83,11 @@
         tokio::spawn(quarantine.follow(parts.fleet.clone()));
         Arc::new(Self {
             in_flight: InFlightLimiter::new(limits.in_flight),
-            buffer: buffer::Pool::new(Arc::clone(&parts.clock), Arc::clone(&parts.metrics)),
+            buffer: buffer::Pool::new(
+                buffer::Source::Callers,
+                Arc::clone(&parts.clock),
+                Arc::clone(&parts.metrics),
+            ),
             buffer_limit: buffer::Limit::new(limits.max_buffered_bytes),
             budget: Mutex::new(RetryBudget::new(limits.retry_percent, parts.clock.now())),
             claims: ClaimManager::start(claim_dependencies(&parts)),
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -105,6 +105,10 @@
     pub bodies_refused: IntCounterVec,
     /// Bytes that request bodies take.
     pub body_bytes: IntGauge,
+    /// Responses that found no room, by whether they were incomplete already.
+    pub responses_refused: IntCounterVec,
+    /// Bytes that responses take which are read whole.
+    pub response_bytes: IntGauge,
     /// Connections of callers that were closed unread, by what the node has too much of.
     pub connections_closed_unread: IntCounterVec,
     /// Times that the port for callers was closed, by what the node has too much of.
@@ -321,6 +325,15 @@
                 &["reason"],
             ),
             body_bytes: maker.gauge("body_bytes", "Bytes that request bodies take."),
+            responses_refused: maker.counters(
+                "responses_refused_total",
+                "Responses of upstreams given up for want of memory.",
+                &["reason"],
+            ),
+            response_bytes: maker.gauge(
+                "response_bytes",
+                "Bytes that responses of upstreams take which are read whole.",
+            ),
             connections_closed_unread: maker.counters(
                 "connections_closed_unread_total",
                 "Connections of callers that were closed unread.",
--- a/lib/tests/test_buffer.rs
+++ b/lib/tests/test_buffer.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use chivevalve::buffer::{self, Body, Limit, Pool, Reservation};
+use chivevalve::buffer::{self, Body, Limit, Pool, Reservation, Source};
 use chivevalve::clock::{Clock, Manual, Millis};
 use chivevalve::error::Code;
 use chivevalve::metrics::Metrics;
@@ -18,7 +18,8 @@
 fn pool() -> (Arc<Manual>, Arc<Pool>) {
     let clock = Arc::new(Manual::default());
     let shared: Arc<dyn Clock> = Arc::<Manual>::clone(&clock);
-    (clock, Pool::new(shared, Arc::new(Metrics::new())))
+    let metrics = Arc::new(Metrics::new());
+    (clock, Pool::new(Source::Callers, shared, metrics))
 }
 
 /// Grows a reservation that must not have to wait.
