drain: refuse what may not be complete before the node ends

Cause: the time at which a node ends limited only how long a head may take. What had been read, or had waited for its adapter, was sent whatever was left.

--- a/lib/src/direct/entry/mod.rs
+++ b/lib/src/direct/entry/mod.rs
@@ -20,6 +20,7 @@
 use super::limits::SharedLimits;
 use super::origin_store::OriginStore;
 use super::outbox::Outbox;
+use super::pace::Paces;
 use super::path::Paths;
 use super::quarantine::Quarantine;
 use super::relay::ResponseAborted;
@@ -88,6 +89,8 @@
     /// When each adapter was last loaded in the background.
     background_loads: Mutex<HashMap<Name, Millis>>,
     pool_roles: Mutex<HashMap<Name, PoolRoles>>,
+    /// How long responses take.
+    pub paces: Paces,
     /// State of the node's drain.
     pub drain: Drain,
     active: AtomicUsize,
@@ -174,6 +177,7 @@
             service,
             background_loads: Mutex::default(),
             pool_roles: Mutex::default(),
+            paces: Paces::default(),
             drain: Drain::default(),
             active: AtomicUsize::new(0),
         }
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -40,6 +40,7 @@
 pub mod outage;
 pub mod outbox;
 pub mod ownership;
+pub mod pace;
 pub mod path;
 pub mod peer_server;
 pub mod presence;
--- a/lib/src/direct/request/mod.rs
+++ b/lib/src/direct/request/mod.rs
@@ -152,7 +152,10 @@
         (self.undelivered, self.rejections) = (0, 0);
         loop {
             if sends.is_empty() {
+                self.check_drain()?;
                 let target = self.next_target().await?;
+                // It may have waited for its adapter.
+                self.check_drain()?;
                 self.send(&mut sends, target, resume_after);
             }
             let timeout = self.head_timeout();
@@ -177,6 +180,30 @@
         }
     }
 
+    /// Refuses a request that no upstream has got, and whose response may not be complete before
+    /// this node ends.
+    ///
+    /// Otherwise it would be cut off then, though another node could serve it.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Draining`].
+    fn check_drain(&self) -> Result<(), Failure> {
+        let Some(node_ends_at) = self.frontend.drain.deadline() else {
+            return Ok(());
+        };
+        let now = self.now();
+        let own = self.deadline.since(now);
+        let usual = self.frontend.paces.longest(&self.route.name);
+        let needed = usual.map_or(own, |usual| usual.min(own));
+        let left = node_ends_at.since(now);
+        if self.possible_runs > 0 || needed <= left {
+            return Ok(());
+        }
+        let cause = format!("the node ends in {left}, and a response may take {needed}");
+        Err(Failure::new(Code::Draining, cause))
+    }
+
     /// Selects an upstream while no send is in flight, and reserves a retry if this is one.
     async fn next_target(&mut self) -> Result<Target, Failure> {
         let target = self.find_target().await?;
@@ -258,6 +285,10 @@
     /// Logs and counts the outcome of the request; only the first call has an effect.
     pub fn finish(&mut self, outcome: &RequestOutcome<'_>) {
         if !std::mem::replace(&mut self.finished, true) {
+            if let RequestOutcome::Answered(_) = outcome {
+                let took = self.now().since(self.arrived_at);
+                self.frontend.paces.record(&self.route.name, took);
+            }
             request_log::ended(self, outcome);
             self.frontend.count_outcome(outcome.code());
         }
