connection: a head that begins at rest ends by its own limit

What callers saw: connections on which a head began and didn't end stayed for the idle limit (15 s) instead of that of heads (3 s), and could fill the node.

Cause: the wait for the idle limit wasn't woken when a head began; only a head whose first bytes lay there at the accept had its own limit.

Evidence: head_without_an_end_on_a_kept_connection failed before (open for a minute with an idle limit of ten) and passes.

--- a/lib/src/direct/connection.rs
+++ b/lib/src/direct/connection.rs
@@ -106,7 +106,7 @@
 struct Activity {
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
-    /// Notified when a request begins or ends, and when its response has been sent.
+    /// Notified when a request or its head begins, when it ends, and when its response has been sent.
     changed: Notify,
 }
 
@@ -183,8 +183,11 @@
 
     fn record_read(&self) {
         let mut state = self.state();
-        if !state.is_in_progress {
-            state.head_since.get_or_insert_with(|| self.clock.now());
+        if !state.is_in_progress && state.head_since.is_none() {
+            state.head_since = Some(self.clock.now());
+            drop(state);
+            // The head's own limit ends sooner than that of an idle connection.
+            self.changed.notify_waiters();
         }
     }
 
