connection: limit heads by their bytes, not their fields

Cause: the HTTP library's default for the number of fields.

Change: as many fields as fit into the bytes; responses of servers may have 1,024.

Evidence: head_of_many_fields_in_calm failed before with 431 and passes.

--- a/lib/src/direct/connection.rs
+++ b/lib/src/direct/connection.rs
@@ -30,6 +30,10 @@
 /// Smallest buffer size, in bytes, that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
+/// Bytes of the shortest header field with its line end. What callers may send is limited in bytes, not
+/// in fields.
+const MIN_FIELD_BYTES: usize = "a:\r\n".len();
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Fraction of the idle limit that is announced to callers; the rest is the margin of the close.
@@ -72,6 +76,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(limits(&frontend).head_bytes.max(MIN_HEAD_BYTES))
+        .max_headers(limits(&frontend).head_bytes / MIN_FIELD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut expired = pin!(activity.expired(|| limits(&frontend)));
--- a/lib/src/ports/connection_pool.rs
+++ b/lib/src/ports/connection_pool.rs
@@ -95,6 +95,9 @@
     pub max_open: usize,
 }
 
+/// Maximum number of header fields of a response.
+const MAX_RESPONSE_FIELDS: usize = 1_024;
+
 /// Statuses of final responses. The HTTP library also accepts those up to 999, and 101 as a switch
 /// to another protocol, which no request asks for.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
@@ -354,6 +357,7 @@
     ) -> Result<Connection, TransportError> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
+            .max_headers(MAX_RESPONSE_FIELDS)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| TransportError::Unsent(error_chain(&error)))?;
