claim: wait for unknown owners from each reading of everything

Cause: a node waits for owners that it can't know from when it first read all claims. That time was set once, though behind a gap in the history it knows as little of the owners in the gap.

Change: each reading of everything sets it, and a claim that was seen to vanish before counts from it as well. Stored claims, and own ones while the right went on, don't wait.

--- a/lib/src/direct/claim/previous.rs
+++ b/lib/src/direct/claim/previous.rs
@@ -22,8 +22,8 @@
     Left { at: Millis, idle: Millis },
     /// A node whose claim vanished at `at`: its lease expired, or its keys were deleted.
     Vanished { at: Millis },
-    /// Any node that may have owned the engine before this node first read all claims, and may
-    /// still send orders.
+    /// Any node that may have owned the engine before this node read all claims, and may still send
+    /// orders.
     Unknown,
 }
 
@@ -42,7 +42,7 @@
     /// Returns when a successor may send its first order.
     ///
     /// That is `gap` after the last order that the previous owner can have sent.
-    /// `claims_known_since` is when this node first knew all claims.
+    /// `claims_known_since` is since when this node knows all claims.
     pub(super) fn successor_orders_from(self, gap: Millis, claims_known_since: Millis) -> Millis {
         match self {
             Self::Nobody => Millis::ZERO,
@@ -51,7 +51,8 @@
                 orders_from: Some(orders_from),
             } => orders_from,
             Self::Left { at, idle } => at + (gap - idle.min(gap)),
-            Self::Vanished { at } => at + OWNERSHIP_TERM + gap,
+            // Another node may have owned the engine between that claim and the reading.
+            Self::Vanished { at } => at.max(claims_known_since) + OWNERSHIP_TERM + gap,
             Self::Unknown | Self::Itself { orders_from: None } => {
                 claims_known_since + OWNERSHIP_TERM + gap
             }
--- a/lib/src/direct/follow/entries.rs
+++ b/lib/src/direct/follow/entries.rs
@@ -60,6 +60,8 @@
         state.nodes.retain(|name, _| {
             present.contains(&self.dialect.own_key(&format!("{NODE_PREFIX}{name}")))
         });
+        // Changes since the last ones that were seen are unknown, and other nodes' claims among them.
+        state.claims_read_at = Some(now);
         state.retain_claims(now, |address| {
             present.contains(&self.dialect.own_key(&format!("{CLAIM_PREFIX}{address}")))
         });
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -124,7 +124,7 @@
     pub claims: HashMap<SocketAddr, ClaimEntry>,
     /// The changes that were seen one by one.
     pub seen: SeenChanges,
-    /// When this node had first read all claims.
+    /// When this node had read all claims, since when it has seen all changes.
     pub claims_read_at: Option<Millis>,
     /// The previous claim for each address, and when it was removed or replaced.
     pub previous_claims: HashMap<SocketAddr, (Claim, Millis)>,
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -450,6 +450,46 @@
     assert!(one.ownership.fencing_token(address()).is_some());
 }
 
+/// The second engine's address in [`store_engines`].
+fn second() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10))
+}
+
+/// Passes until a node may send an engine orders; returns how long that took.
+async fn time_to_orders(one: &Node, engine: SocketAddr) -> Millis {
+    let began = one.clock.now();
+    while one.ownership.fencing_token(engine).is_none() {
+        pass(&[one], Millis(50)).await;
+    }
+    one.clock.now().since(began)
+}
+
+/// A node that reads everything again takes an engine over beside an owner that came and lost its
+/// claim meanwhile.
+#[tokio::test(start_paused = true)]
+async fn claim_behind_a_gap_in_the_history_waits() {
+    let memory = Arc::new(MemoryStore::default());
+    store_engines(&memory, 1);
+    let one = node("one", &memory, false);
+    pass(&[&one], Millis(12_000)).await;
+    memory.change(|state| state.is_unavailable = true);
+    pass(&[&one], Millis(1_000)).await;
+    memory.change(|state| {
+        let entry = SERVER.replace("127.0.0.1:9", "127.0.0.1:10");
+        state.put("servers/i-2", entry, None);
+        let claim = r#"{"node":"two","start":1,"left":null}"#;
+        state.put(&claim_key_of(10), claim, None);
+        state.remove(&claim_key_of(10));
+        state.drop_history();
+        state.is_unavailable = false;
+    });
+    let waited = time_to_orders(&one, second()).await;
+    assert!(
+        waited >= OWNERSHIP_TERM + Limits::default().order_gap,
+        "{waited}"
+    );
+}
+
 /// A vote lost on a dead connection is requested again before the term ends.
 #[tokio::test(start_paused = true)]
 async fn ownership_extended_though_first_votes_are_lost() {
