claim: an adopted claim waits for owners before its write

Cause: a claim without a response that turned up in the view was adopted with the time in it as the beginning of orders. It had been worked out before the question, and the service may carry the write out seconds later, behind another owner.

Change: the first attempt is remembered. The adopted claim gives orders at once only if all changes since were seen and no other node's claim ended since, and otherwise a term and the gap behind its adoption.

--- a/lib/src/direct/claim/takeover.rs
+++ b/lib/src/direct/claim/takeover.rs
@@ -8,7 +8,7 @@
 use crate::clock::Millis;
 use crate::direct::dialect::Key;
 use crate::direct::limits::OWNERSHIP_TERM;
-use crate::direct::ownership::{OwnedEngine, UnseenClaims};
+use crate::direct::ownership::{OwnedEngine, UnconfirmedClaim, UnseenClaims};
 use crate::direct::view::{ClaimEntry, claim_address};
 use crate::ports::{Condition, Entry, Error, LeaseId, Transaction, Write};
 
@@ -36,10 +36,16 @@
                 return Ok(());
             }
             let rest = candidates.split_off(MAX_CLAIMS_PER_TRANSACTION.min(candidates.len()));
-            let commit = self
-                .store
-                .commit(self.claim_transaction(&candidates, lease))
-                .await?;
+            let sent_at = self.clock.now();
+            let transaction = self.claim_transaction(&candidates, lease);
+            let commit = self.store.commit(transaction).await.inspect_err(|_| {
+                let claim = UnconfirmedClaim {
+                    known_revision,
+                    sent_at,
+                };
+                let addresses = candidates.iter().map(|one| one.address);
+                self.ownership.record_unconfirmed(addresses, claim);
+            })?;
             let now = self.clock.now();
             let unseen = UnseenClaims {
                 after: known_revision,
@@ -48,6 +54,7 @@
             };
             if commit.done {
                 for one in candidates {
+                    self.ownership.take_unconfirmed(one.address);
                     let engine = OwnedEngine {
                         token: commit.revision,
                         orders_from: one.orders_from,
@@ -101,8 +108,9 @@
 
     /// Takes over engines with claims of this start that this node doesn't know to have made.
     ///
-    /// Their write got no response but took effect. Other nodes see the engines as owned, so
-    /// otherwise nobody would send them orders.
+    /// Their write got no response but took effect, maybe seconds later. Other nodes see the engines as
+    /// owned, so otherwise nobody would send them orders. Another node may have owned one until the
+    /// write, and go on until its term ends.
     fn adopt_unconfirmed_claims(&self, now: Millis) {
         let unconfirmed: Vec<(SocketAddr, u64, Millis)> = {
             let state = self.view.state();
@@ -122,10 +130,15 @@
             let previous = PreviousOwner::Itself {
                 orders_from: Some(orders_from),
             };
+            let sent = self.ownership.take_unconfirmed(address).unwrap_or_default();
             let engine = OwnedEngine {
                 token,
                 orders_from,
-                unseen: None,
+                unseen: Some(UnseenClaims {
+                    after: sent.known_revision,
+                    before: sent.sent_at,
+                    over_at: now + OWNERSHIP_TERM + self.order_gap(),
+                }),
             };
             self.take_over(address, engine, previous, now);
         }
--- a/lib/src/direct/ownership.rs
+++ b/lib/src/direct/ownership.rs
@@ -34,6 +34,17 @@
     pub(super) over_at: Millis,
 }
 
+/// A claim whose write got no response, from the first attempt on.
+///
+/// The default is that of a claim of which nothing is known.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct UnconfirmedClaim {
+    /// The revision up to which this node had seen all changes before.
+    pub(super) known_revision: u64,
+    /// When it was sent.
+    pub(super) sent_at: Millis,
+}
+
 /// The engines that this node owns; checked immediately before each order is sent.
 ///
 /// Apart from a running term, an order needs a claim that is still in the view: the platform can
@@ -55,6 +66,8 @@
     /// Whether this node stops as planned: it releases its claims and makes no new ones.
     pub(super) has_left: AtomicBool,
     owned: Mutex<HashMap<SocketAddr, OwnedEngine>>,
+    /// Claims whose write got no response, and may be carried out late.
+    unconfirmed: Mutex<HashMap<SocketAddr, UnconfirmedClaim>>,
     last_order: Mutex<HashMap<SocketAddr, Millis>>,
     /// When this start, before its first lease, last voted for the owner of an engine.
     last_vote: Mutex<HashMap<SocketAddr, Millis>>,
@@ -77,6 +90,7 @@
             last_handover: AtomicU64::new(0),
             has_left: AtomicBool::new(false),
             owned: Mutex::default(),
+            unconfirmed: Mutex::default(),
             last_order: Mutex::default(),
             last_vote: Mutex::default(),
         }
@@ -232,6 +246,29 @@
         Millis(self.last_handover.load(Ordering::Relaxed))
     }
 
+    /// Records that the write of claims got no response.
+    pub(super) fn record_unconfirmed(
+        &self,
+        addresses: impl Iterator<Item = SocketAddr>,
+        claim: UnconfirmedClaim,
+    ) {
+        let mut unconfirmed = self.unconfirmed();
+        for address in addresses {
+            unconfirmed.entry(address).or_insert(claim);
+        }
+    }
+
+    /// Takes what is known of a claim whose write got no response.
+    pub(super) fn take_unconfirmed(&self, address: SocketAddr) -> Option<UnconfirmedClaim> {
+        self.unconfirmed().remove(&address)
+    }
+
+    fn unconfirmed(&self) -> MutexGuard<'_, HashMap<SocketAddr, UnconfirmedClaim>> {
+        self.unconfirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns how many engines this node owns.
     #[must_use]
     pub fn owned_count(&self) -> usize {
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -490,6 +490,37 @@
     );
 }
 
+/// A claim that the service carries out late is adopted beside an owner that came and lost its claim
+/// meanwhile.
+#[tokio::test(start_paused = true)]
+async fn claim_carried_out_late_waits() {
+    let memory = Arc::new(MemoryStore::default());
+    store_engines(&memory, 1);
+    let one = node("one", &memory, false);
+    pass(&[&one], Millis(12_000)).await;
+    let entry = SERVER.replace("127.0.0.1:9", "127.0.0.1:10");
+    memory.change(|state| {
+        state.delays_commits = true;
+        state.put("servers/i-2", entry, None);
+    });
+    pass(&[&one], Millis(2_500)).await;
+    assert!(!memory.state().late.is_empty());
+    memory.change(|state| {
+        state.delays_commits = false;
+        let claim = r#"{"node":"two","start":1,"left":null}"#;
+        state.put(&claim_key_of(10), claim, None);
+    });
+    pass(&[&one], Millis(2_000)).await;
+    assert!(!one.ownership.owns(second()));
+    memory.change(|state| state.remove(&claim_key_of(10)));
+    assert_eq!(memory.commit_late(), 1);
+    let waited = time_to_orders(&one, second()).await;
+    assert!(
+        waited >= OWNERSHIP_TERM + Limits::default().order_gap,
+        "{waited}"
+    );
+}
+
 /// A vote lost on a dead connection is requested again before the term ends.
 #[tokio::test(start_paused = true)]
 async fn ownership_extended_though_first_votes_are_lost() {
--- a/lib/tests/test_direct_claims_model.rs
+++ b/lib/tests/test_direct_claims_model.rs
@@ -81,6 +81,22 @@
     }
 }
 
+/// The same, in a rolling restart.
+#[tokio::test(start_paused = true)]
+async fn claims_unknown_node_beside_stops() {
+    for seed in [710, 1065, 1074] {
+        assert_eq!(play_in(World::with_stops, seed).await.err(), None);
+    }
+}
+
+/// A node orders beside an owner that it doesn't know, behind a gap in the history or a late write.
+#[tokio::test(start_paused = true)]
+async fn claims_unseen_owners() {
+    for seed in [357, 418, 790, 1008, 1031] {
+        assert_eq!(play_in(World::with_stops, seed).await.err(), None);
+    }
+}
+
 /// An owner's poll hangs while its claim is deleted and its lease is renewed.
 #[tokio::test(start_paused = true)]
 async fn claims_deleted_during_a_hanging_poll() {
