buffer, tests: as the linter asks

Cause: a match for one pattern, and a closure around a method. Change: the failure of a request's body in a function of its own; the method itself. Result: clippy passes with warnings as errors.

--- a/lib/src/buffer/read.rs
+++ b/lib/src/buffer/read.rs
@@ -26,17 +26,14 @@
     B: http_body::Body<Data = Bytes> + Unpin,
 {
     let collecting = collect(body, limit, reservation);
-    let collected = match tokio::time::timeout(timeout.duration(), collecting).await {
-        Ok(collected) => collected.map_err(|incomplete| match incomplete {
-            Incomplete::TooLarge => too_large(limit),
-            Incomplete::NoRoom(failure) => failure,
-            Incomplete::Broken(_) => Failure::new(Code::BadRequest, "the body broke off"),
-        }),
-        Err(_) => {
+    let collected = tokio::time::timeout(timeout.duration(), collecting).await;
+    let collected = collected.map_or_else(
+        |_| {
             let detail = format!("the body wasn't whole after {timeout}");
             Err(Failure::new(Code::SenderTooSlow, detail))
-        }
-    };
+        },
+        |collected| collected.map_err(|incomplete| refusal(incomplete, limit)),
+    );
     if collected.is_err() {
         // The response may wait for its caller; what the body took is free by then.
         reservation.release();
@@ -44,6 +41,15 @@
     collected
 }
 
+/// Returns the failure of a request whose body wasn't read to its end.
+fn refusal<E>(incomplete: Incomplete<E>, limit: usize) -> Failure {
+    match incomplete {
+        Incomplete::TooLarge => too_large(limit),
+        Incomplete::NoRoom(failure) => failure,
+        Incomplete::Broken(_) => Failure::new(Code::BadRequest, "the body broke off"),
+    }
+}
+
 /// Why a body wasn't read to its end.
 #[derive(Debug)]
 pub enum Incomplete<E> {
--- a/lib/tests/claims_model/links.rs
+++ b/lib/tests/claims_model/links.rs
@@ -15,7 +15,7 @@
 use chivevalve::ports::{Commit, Entry, Error, Lease, LeaseId, Listing, Store, Transaction, Write};
 use chivevalve_platform::PlatformDialect;
 
-use crate::direct_support::memory::MemoryStore;
+use crate::direct_support::memory::{self, MemoryStore};
 
 /// Time after which a write without a response is carried out, where no other one is set.
 const LATE: Millis = Millis(2_500);
@@ -145,7 +145,7 @@
 
     /// Drops the history of changes, so that followers have to read everything again.
     pub fn drop_history(&self) {
-        self.memory.change(|store| store.drop_history());
+        self.memory.change(memory::State::drop_history);
     }
 
     pub fn delete_record_of(&self, name: &str) {
