origins: all keepers have to know of one version only

What callers may see: a stream that began at one software version and goes on at another (rule ORDER; reported from another system, here shown by a test only).

Cause: a node that can't read the record of versions asks a stream's three keepers, and one answer was enough to take the only version that it knows for the one by which the stream began. A keeper that is cut off together with the node knows as little: its answer is the absence of news.

Change: unless all keepers answer, the stream is rejected as not run, and its caller begins it anew. A node that knows no other node rejects it as well.

--- a/lib/src/direct/controllers/origins.rs
+++ b/lib/src/direct/controllers/origins.rs
@@ -123,7 +123,8 @@
     /// Finds where a stream began, in one of the pools.
     ///
     /// That there is only one origin counts if the key-value service says so now, or if the service
-    /// doesn't answer and a node that would have been told of another origin hasn't been.
+    /// doesn't answer and none of the nodes that would have been told of another origin has been. All
+    /// of them have to say so: those that this node reaches may be cut off together with it.
     pub async fn find_origin(
         &self,
         stream: Option<StreamKey>,
@@ -168,7 +169,7 @@
                 Err(status) => log::info!("origins: no answer: {}", status.message()),
             }
         }
-        let is_denied = is_ambiguous || (answers == 0 && !keepers.is_empty());
+        let is_denied = is_ambiguous || keepers.is_empty() || answers < keepers.len();
         match only {
             Some(origin) if !is_confirmed && !is_denied => OriginSearch::Only(origin),
             _ => OriginSearch::Unknown,
