drain: an idle route's requests go by its objective

What callers saw: in a planned stop, a request to a plain service was refused though it would have been complete long before the node's end, if the node had not served its route before.

Change: for all but streams the route's objective counts then. Of streams it says nothing, as it covers their first event only.

--- a/lib/src/direct/request/mod.rs
+++ b/lib/src/direct/request/mod.rs
@@ -193,9 +193,7 @@
             return Ok(());
         };
         let now = self.now();
-        let own = self.deadline.since(now);
-        let usual = self.frontend.paces.longest(&self.route.name);
-        let needed = usual.map_or(own, |usual| usual.min(own));
+        let needed = self.expected_time().min(self.deadline.since(now));
         let left = node_ends_at.since(now);
         if self.possible_runs > 0 || needed <= left {
             return Ok(());
@@ -204,6 +202,20 @@
         Err(Failure::new(Code::Draining, cause))
     }
 
+    /// Returns how long a response of the route may take.
+    ///
+    /// A stream's objective covers its first event only, so nothing is known of a route whose
+    /// streams this node hasn't seen.
+    fn expected_time(&self) -> Millis {
+        let seen = self.frontend.paces.longest(&self.route.name);
+        let unseen = if self.message.kind.is_streaming() {
+            Millis::MAX
+        } else {
+            self.route.latency_objective
+        };
+        seen.unwrap_or(unseen)
+    }
+
     /// Selects an upstream while no send is in flight, and reserves a retry if this is one.
     async fn next_target(&mut self) -> Result<Target, Failure> {
         let target = self.find_target().await?;
