claim: log how many nodes voted for an extension

The owner's log says that it goes on "by the votes of all others", which doesn't show whether it asked one node or all. Change: the line has the number of known nodes that voted.

--- a/lib/src/direct/claim/extension.rs
+++ b/lib/src/direct/claim/extension.rs
@@ -62,6 +62,7 @@
             log::warn!("right: no renewal: {error}");
             return;
         }
+        let asked = self.voters.others().map_or(0, |others| others.len());
         let refusals = self.collect_refusals(&owned).await;
         let is_extended = refusals.is_empty() && self.ownership.is_term_running();
         let outcome = if is_extended { "granted" } else { "refused" };
@@ -70,7 +71,9 @@
             self.ownership
                 .valid_until
                 .store((sent + OWNERSHIP_TERM).0, Ordering::Relaxed);
-            log::info!("right: extended by the votes of all others, without a renewal: {error}");
+            log::info!(
+                "right: extended by the votes of {asked} known nodes, without a renewal: {error}"
+            );
             return;
         }
         let owned = owned.len();
