claim: an owner that knows a minority of the registered nodes doesn't extend its term

Cause: an owner that can't renew its lease asks all nodes that it knows for their votes. It knows them by their records, which end with the leases, three seconds into a restart. Behind a rolling restart of the others, the nodes that are turned away together know only one another, vote for one another, and go on beside a node that has come back.

Change: each node has a registration without a lease ("registration/NAME"). - An owner extends its term only if it knows most registered nodes, by a view that is at most a minute old, and not in the first seconds of a deployment. - A node that an owner may not know, because its record is younger than that, orders an engine whose claim has vanished only once no majority can vote for the owner any more: all registered nodes have records, or those which have seen that the claim is gone are as many as the rest. - A claim that is made meanwhile says until when a later start has to heed this, and is deleted instead of released. - A registration counts for a successor only once all owners know it, and is deleted when its node has had no record for two minutes.

--- a/lib/src/direct/claim/candidate.rs
+++ b/lib/src/direct/claim/candidate.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Claimer;
-use super::previous::PreviousOwner;
+use super::previous::Succession;
 use crate::clock::Millis;
 use crate::direct::config::Config;
 use crate::direct::limits::Limits;
@@ -27,9 +27,7 @@
     pub(super) stored: Option<ClaimEntry>,
     /// Whether `stored` was made by an earlier start of this node.
     pub(super) is_reclaim: bool,
-    pub(super) previous: PreviousOwner,
-    /// From when on this node may send orders.
-    pub(super) orders_from: Millis,
+    pub(super) succession: Succession,
     /// Number of known nodes that rank before this one.
     rank: u64,
     /// This node's weight for the engine: the greater it is, the less likely are unknown nodes
@@ -92,13 +90,12 @@
         if elapsed < self.claim_delay(state, address, rank, limits) {
             return None;
         }
-        let (previous, orders_from) = self.succession(state, address, stored, first_lease_at);
+        let succession = self.succession(state, address, stored, first_lease_at);
         Some(Candidate {
             address,
             stored: stored.cloned(),
             is_reclaim: false,
-            previous,
-            orders_from,
+            succession,
             rank,
             weight: weight(seed(address), &self.node),
         })
@@ -152,13 +149,12 @@
         stored: &ClaimEntry,
         first_lease_at: Millis,
     ) -> Candidate {
-        let (previous, orders_from) = self.succession(state, address, Some(stored), first_lease_at);
+        let succession = self.succession(state, address, Some(stored), first_lease_at);
         Candidate {
             address,
             stored: Some(stored.clone()),
             is_reclaim: true,
-            previous,
-            orders_from,
+            succession,
             rank: 0,
             weight: 0,
         }
--- a/lib/src/direct/claim/extension.rs
+++ b/lib/src/direct/claim/extension.rs
@@ -3,7 +3,8 @@
 //! This is no consensus protocol: votes decide and store nothing, and the service stays the
 //! arbiter. A node that alone reaches the service may take everything over once the records of
 //! the others have expired, since they may all be dead. So none of them may count it as dead:
-//! each other node has to vote itself, whatever the network says of it.
+//! each other node has to vote itself, whatever the network says of it. And most registered nodes
+//! have to be among those that it knows, as a node that starts may be served by the service alone.
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -13,6 +14,7 @@
 use super::Claimer;
 use crate::clock::Millis;
 use crate::direct::limits::OWNERSHIP_TERM;
+use crate::direct::registration::EXTENSION_LIMIT;
 use crate::ports::Error;
 
 /// Pause before nodes that refused are asked again; connecting takes half of it.
@@ -27,6 +29,34 @@
     pub reason: String,
 }
 
+/// Why an owner asks no votes for an extension.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Obstacle {
+    /// Its view is too old for others to rely on its knowing them.
+    OldView,
+    /// It knows too few of the registered nodes.
+    Minority,
+}
+
+impl Obstacle {
+    /// Returns the name used in metrics.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::OldView => "old_view",
+            Self::Minority => "minority",
+        }
+    }
+}
+
+impl std::fmt::Display for Obstacle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::OldView => "the view is too old, or not complete yet",
+            Self::Minority => "most registered nodes have no record",
+        })
+    }
+}
+
 /// The other nodes, which vote while the key-value service is unavailable.
 #[async_trait]
 pub trait Voters: std::fmt::Debug + Send + Sync {
@@ -62,6 +92,15 @@
             log::warn!("right: no renewal: {error}");
             return;
         }
+        if let Some(obstacle) = self.obstacle(sent) {
+            let extensions = &self.metrics.extensions;
+            extensions.with_label_values(&[obstacle.name()]).inc();
+            let owned = owned.len();
+            log::warn!(
+                "right: no renewal and no extension for {owned} engines: {obstacle}; {error}"
+            );
+            return;
+        }
         let asked = self.voters.others().map_or(0, |others| others.len());
         let refusals = self.collect_refusals(&owned).await;
         let is_extended = refusals.is_empty() && self.ownership.is_term_running();
@@ -83,6 +122,18 @@
         }
     }
 
+    /// Returns what keeps this node from extending its ownership, whatever the nodes that it knows
+    /// say.
+    fn obstacle(&self, now: Millis) -> Option<Obstacle> {
+        let as_of = self.view.as_of();
+        if now.since(as_of) > EXTENSION_LIMIT || !self.knows_first_nodes(as_of) {
+            return Some(Obstacle::OldView);
+        }
+        let state = self.view.state();
+        let has_majority = state.register.has_majority(&self.node, &state.nodes);
+        (!has_majority).then_some(Obstacle::Minority)
+    }
+
     /// Asks other nodes until all vote or the term has ended; returns the last refusals.
     async fn collect_refusals(&self, owned: &[(SocketAddr, u64)]) -> Vec<Refusal> {
         if !self.ownership.is_term_running() {
--- a/lib/src/direct/claim/mod.rs
+++ b/lib/src/direct/claim/mod.rs
@@ -9,6 +9,7 @@
 mod candidate;
 mod extension;
 mod previous;
+mod register;
 mod release;
 mod takeover;
 
@@ -22,7 +23,6 @@
 use bytes::Bytes;
 
 use super::dialect::Dialect;
-use super::follow::NODE_PREFIX;
 use super::limits::{
     LEASE_TTL, ORDER_GAP_MARGIN, OWNERSHIP_TERM, RENEWAL_INTERVAL, RENEWAL_TIMEOUT, SharedLimits,
 };
@@ -96,6 +96,7 @@
                 .await
             {
                 self.view.record_store_call(false);
+                self.ownership.record_service_call(false);
                 let asked_at = self.clock.now();
                 self.extend_ownership(&error).await;
                 // An extension counts from the questions. After late votes, its term would end
@@ -161,6 +162,9 @@
                     log::warn!("right: the lease has lapsed");
                     *session = None;
                     self.ownership.valid_until.store(0, Ordering::Relaxed);
+                    self.ownership
+                        .recorded_since
+                        .store(u64::MAX, Ordering::Relaxed);
                     self.ownership.owned().clear();
                     return Box::pin(self.renew_and_claim(session, first_lease_at)).await;
                 }
@@ -182,6 +186,8 @@
         self.ownership
             .valid_until
             .store((sent + OWNERSHIP_TERM).0, Ordering::Relaxed);
+        self.ownership.record_service_call(true);
+        self.update_register().await?;
         if let (Some(held), Some(first_lease_at)) = (*session, *first_lease_at) {
             self.hand_over_unreachable().await?;
             self.claim_engines(held.lease, first_lease_at).await?;
@@ -215,18 +221,20 @@
     /// The write depends on what the service has, as it may be carried out seconds later: under an
     /// older lease it would replace the record of the newer one, and vanish while the node lives.
     async fn put_node_record(&self, lease: LeaseId) -> Result<Session, Error> {
-        let key = self.dialect.own_key(&format!("{NODE_PREFIX}{}", self.node));
+        let key = self.node_key(&self.node);
         let mut condition = Condition::Absent(key.clone());
         for _ in 0..MAX_RECORD_ATTEMPTS {
-            let put = Write::Put(key.clone(), to_json(&self.peer), Some(lease));
+            let mut writes = vec![Write::Put(key.clone(), to_json(&self.peer), Some(lease))];
+            if self.is_first_moment() {
+                writes.push(self.registration_write(true));
+            }
             let transaction = Transaction {
                 conditions: vec![condition],
-                writes: vec![put],
+                writes,
             };
             let commit = self.store.commit(transaction).await?;
             if commit.done {
-                let recorded_at = self.clock.now();
-                return Ok(Session { lease, recorded_at });
+                return Ok(self.record_session(lease));
             }
             let found = commit.found.first();
             condition = found.map_or_else(
@@ -238,6 +246,21 @@
         Err(Error::Refused(reason))
     }
 
+    /// Records that this node's record is written.
+    fn record_session(&self, lease: LeaseId) -> Session {
+        let recorded_at = self.clock.now();
+        // In a deployment's first moments no owner extends its term, so all know this record.
+        let recorded_since = if self.is_first_moment() {
+            Millis::ZERO
+        } else {
+            recorded_at
+        };
+        self.ownership
+            .recorded_since
+            .store(recorded_since.0, Ordering::Relaxed);
+        Session { lease, recorded_at }
+    }
+
     /// Whether this node's record was deleted while its lease goes on.
     ///
     /// Owners ask only the nodes whose records they know before they extend their terms.
@@ -253,6 +276,7 @@
             left,
             from: orders_from,
             boot: self.boot,
+            exclusive_from: None,
         }
     }
 
--- a/lib/src/direct/claim/release.rs
+++ b/lib/src/direct/claim/release.rs
@@ -90,8 +90,13 @@
 
     /// Returns the write that releases a claim under which no more orders are sent.
     ///
-    /// If this node was still waiting for the owner before it, the successor waits for the rest.
+    /// If this node was still waiting for the owner before it, the successor waits for the rest. If
+    /// that owner may still extend its term, the claim is deleted: a successor then waits for it
+    /// anew.
     fn release_write(&self, address: SocketAddr, owned: OwnedEngine) -> Write {
+        if self.ownership.has_predecessor(owned) {
+            return Write::Delete(self.claim_key(address));
+        }
         let gap = self.order_gap();
         let since_previous_owner = (self.clock.now() + gap).since(owned.orders_from);
         let idle = self
--- a/lib/src/direct/claim/takeover.rs
+++ b/lib/src/direct/claim/takeover.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 
 use super::candidate::Candidate;
-use super::previous::PreviousOwner;
+use super::previous::{PreviousOwner, Succession};
 use super::{Claimer, MAX_CLAIMS_PER_TRANSACTION, to_json};
 use crate::clock::Millis;
 use crate::direct::dialect::Key;
 use crate::direct::limits::OWNERSHIP_TERM;
 use crate::direct::ownership::{OwnedEngine, UnconfirmedClaim, UnseenClaims};
-use crate::direct::view::{ClaimEntry, claim_address};
+use crate::direct::view::{Claim, ClaimEntry, claim_address};
 use crate::ports::{Condition, Entry, Error, LeaseId, Transaction, Write};
 
 /// Transactions of a round that try to claim engines, after some turned out to be claimed.
@@ -29,6 +29,7 @@
         first_lease_at: Millis,
     ) -> Result<(), Error> {
         self.adopt_unconfirmed_claims(self.clock.now());
+        self.ownership.check_predecessors(&self.node);
         for _ in 0..MAX_CLAIM_ATTEMPTS {
             let known_revision = self.view.state().seen.until;
             let mut candidates = self.candidates(first_lease_at, self.clock.now());
@@ -57,10 +58,12 @@
                     self.ownership.take_unconfirmed(one.address);
                     let engine = OwnedEngine {
                         token: commit.revision,
-                        orders_from: one.orders_from,
+                        orders_from: one.succession.orders_from,
                         unseen: one.stored.is_none().then_some(unseen),
+                        predecessor: one.succession.predecessor,
                     };
-                    self.take_over(one.address, engine, one.previous, now);
+                    let claim = self.succeeding_claim(&one.succession);
+                    self.take_over(one.address, claim, engine, one.succession.previous, now);
                 }
                 if !rest.iter().any(|one| one.is_reclaim) {
                     return Ok(());
@@ -77,19 +80,34 @@
         let mut transaction = Transaction::default();
         for one in candidates {
             let Candidate {
-                address, stored, ..
+                address,
+                stored,
+                succession,
+                ..
             } = one;
             let key = self.claim_key(*address);
             transaction.conditions.push(match stored {
                 Some(stored) => Condition::Unchanged(key.clone(), stored.revision),
                 None => Condition::Absent(key.clone()),
             });
-            let claim = to_json(&self.new_claim(None, one.orders_from));
+            let claim = to_json(&self.succeeding_claim(succession));
             transaction.writes.push(Write::Put(key, claim, Some(lease)));
         }
         transaction
     }
 
+    /// Returns the claim of a successor, with what a later start of this node has to wait for.
+    fn succeeding_claim(&self, succession: &Succession) -> Claim {
+        let orders_from = succession.orders_from;
+        let gone_at = succession
+            .predecessor
+            .map(|one| self.ownership.gone_at(one));
+        Claim {
+            exclusive_from: gone_at.filter(|at| orders_from < *at),
+            ..self.new_claim(None, orders_from)
+        }
+    }
+
     /// Applies the claims that made a transaction fail; returns whether there were any.
     fn apply_found_claims(&self, found: &[Entry], now: Millis) -> bool {
         log::debug!("right: {} engines were claimed by others", found.len());
@@ -112,7 +130,7 @@
     /// owned, so otherwise nobody would send them orders. Another node may have owned one until the
     /// write, and go on until its term ends.
     fn adopt_unconfirmed_claims(&self, now: Millis) {
-        let unconfirmed: Vec<(SocketAddr, u64, Millis)> = {
+        let unconfirmed: Vec<(SocketAddr, ClaimEntry)> = {
             let state = self.view.state();
             state
                 .claims
@@ -123,24 +141,33 @@
                         && stored.claim.left.is_none()
                         && !self.ownership.owns(**address)
                 })
-                .map(|(address, stored)| (*address, stored.revision, stored.claim.from))
+                .map(|(address, stored)| (*address, stored.clone()))
                 .collect()
         };
-        for (address, token, orders_from) in unconfirmed {
+        for (
+            address,
+            ClaimEntry {
+                claim, revision, ..
+            },
+        ) in unconfirmed
+        {
+            let orders_from = claim.from;
             let previous = PreviousOwner::Itself {
                 orders_from: Some(orders_from),
+                exclusive_from: claim.exclusive_from,
             };
             let sent = self.ownership.take_unconfirmed(address).unwrap_or_default();
             let engine = OwnedEngine {
-                token,
+                token: revision,
                 orders_from,
+                predecessor: self.predecessor(previous, now),
                 unseen: Some(UnseenClaims {
                     after: sent.known_revision,
                     before: sent.sent_at,
                     over_at: now + OWNERSHIP_TERM + self.order_gap(),
                 }),
             };
-            self.take_over(address, engine, previous, now);
+            self.take_over(address, claim, engine, previous, now);
         }
     }
 
@@ -148,6 +175,7 @@
     fn take_over(
         &self,
         address: SocketAddr,
+        claim: Claim,
         engine: OwnedEngine,
         previous: PreviousOwner,
         now: Millis,
@@ -159,12 +187,17 @@
         self.metrics.takeovers.with_label_values(&[name]).inc();
         let start = orders_from.max(now);
         log::info!(
-            "right: took over {address} with token {token}, orders from {start}, previous owner: {name}"
+            "right: took over {address} with token {token}, orders from {start}, previous owner: {name}{}",
+            if engine.predecessor.is_some() {
+                ", which may still extend its term"
+            } else {
+                ""
+            }
         );
         self.view.state().insert_claim(
             address,
             ClaimEntry {
-                claim: self.new_claim(None, orders_from),
+                claim,
                 revision: token,
                 seen: now,
             },
--- a/lib/src/direct/follow/entries.rs
+++ b/lib/src/direct/follow/entries.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 use crate::direct::dialect::Key;
 use crate::direct::presence::EntryRevision;
+use crate::direct::registration::REGISTRATION_PREFIX;
 use crate::direct::software::SOFTWARE_PREFIX;
 use crate::direct::validate::RejectReason;
 use crate::direct::versions::Declaration;
@@ -60,6 +61,17 @@
         state.nodes.retain(|name, _| {
             present.contains(&self.dialect.own_key(&format!("{NODE_PREFIX}{name}")))
         });
+        state.register.retain(
+            |name| {
+                present.contains(
+                    &self
+                        .dialect
+                        .own_key(&format!("{REGISTRATION_PREFIX}{name}")),
+                )
+            },
+            |name| present.contains(&self.dialect.own_key(&format!("{NODE_PREFIX}{name}"))),
+            now,
+        );
         // Changes since the last ones that were seen are unknown, and other nodes' claims among them.
         state.claims_read_at = Some(now);
         state.retain_claims(now, |address| {
@@ -145,6 +157,9 @@
             Key::Own(name) => {
                 if let Some(node) = name.strip_prefix(NODE_PREFIX) {
                     state.nodes.remove(node);
+                    state.register.remove_record(node, now);
+                } else if let Some(node) = name.strip_prefix(REGISTRATION_PREFIX) {
+                    state.register.remove(node, event.revision);
                 } else if let Some(address) = claim_address(&name) {
                     state.remove_claim(address, event.revision, now);
                 } else if let Some(pool) = name.strip_prefix(SOFTWARE_PREFIX) {
@@ -176,16 +191,18 @@
     now: Millis,
 ) -> Option<RejectReason> {
     let is_readable = if let Some(node) = name.strip_prefix(NODE_PREFIX) {
-        match serde_json::from_slice::<Peer>(&entry.value) {
-            Ok(peer) => {
-                state.put_node(node.into(), peer);
-                true
-            }
-            Err(error) => {
-                log::error!("follow: can't decode {}: {error}", entry.key);
-                false
-            }
-        }
+        decode(entry).is_some_and(|peer: Peer| {
+            let node = Name::from(node);
+            state.register.add_record(&node, peer.start, now);
+            state.put_node(node, peer);
+            true
+        })
+    } else if let Some(node) = name.strip_prefix(REGISTRATION_PREFIX) {
+        decode(entry).is_some_and(|registration| {
+            let register = &mut state.register;
+            register.put(node.into(), registration, entry.revision, now);
+            true
+        })
     } else if let Some(address) = claim_address(name) {
         state.put_claim(address, entry, now)
     } else {
@@ -198,6 +215,12 @@
     (!is_readable).then_some(RejectReason::Unreadable)
 }
 
+fn decode<T: serde::de::DeserializeOwned>(entry: &Entry) -> Option<T> {
+    serde_json::from_slice(&entry.value)
+        .inspect_err(|error| log::error!("follow: can't decode {}: {error}", entry.key))
+        .ok()
+}
+
 fn entry_revision(entry: &Entry) -> EntryRevision {
     EntryRevision {
         revision: entry.revision,
--- a/lib/src/direct/mod.rs
+++ b/lib/src/direct/mod.rs
@@ -47,6 +47,7 @@
 pub mod quarantine;
 pub mod quarantine_admin;
 pub mod reachability;
+pub mod registration;
 pub mod rejections;
 pub mod relay;
 pub mod reload;
--- a/lib/src/direct/ownership.rs
+++ b/lib/src/direct/ownership.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use super::registration::{EXTENSION_LIMIT, Served};
 use super::view::{State, View};
 use crate::clock::{Clock, Millis};
 
@@ -20,6 +21,24 @@
     pub(super) orders_from: Millis,
     /// Set if the claim may follow one of another node that this node hasn't seen.
     pub(super) unseen: Option<UnseenClaims>,
+    /// Set if the previous owner may go on by the votes of nodes that don't know this one.
+    pub(super) predecessor: Option<Predecessor>,
+}
+
+/// A previous owner that may still extend its term, though its claim is gone.
+///
+/// It asks all nodes that it knows for their votes, and may not know this one. See
+/// docs/design/0022-evidence-for-orders.md.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Predecessor {
+    /// When this node saw that the claim was gone.
+    pub(super) claim_gone_at: Millis,
+    /// From when on it can't have extended its term, once that is known.
+    pub(super) outvoted_at: Option<Millis>,
+    /// Time from its last extension until this node may send orders.
+    pub(super) wait: Millis,
+    /// When it can't send orders any more by what an earlier start of this node knew.
+    pub(super) gone_at: Millis,
 }
 
 /// Claims of other nodes that may have been made and lost between what a node knew when it made its
@@ -59,6 +78,14 @@
     pub(super) valid_until: AtomicU64,
     /// Whether this node has had a lease since its start.
     pub(super) has_had_lease: AtomicBool,
+    /// Since when the service has this node's record without a break, in milliseconds of `clock`;
+    /// zero if any other node has known it from the beginning.
+    pub(super) recorded_since: AtomicU64,
+    /// Since when no call of the claimer has failed, in milliseconds of `clock`; the greatest number
+    /// after a failure.
+    pub(super) served_since: AtomicU64,
+    /// When this node last changed the register, in milliseconds of `clock`.
+    pub(super) register_written_at: AtomicU64,
     /// Whether the ownership term was still running when the claimer last checked.
     pub(super) was_valid: AtomicBool,
     /// When this node last handed an engine over, in milliseconds of `clock`.
@@ -86,6 +113,9 @@
             view,
             valid_until: AtomicU64::new(0),
             has_had_lease: AtomicBool::new(false),
+            recorded_since: AtomicU64::new(u64::MAX),
+            served_since: AtomicU64::new(u64::MAX),
+            register_written_at: AtomicU64::new(0),
             was_valid: AtomicBool::new(false),
             last_handover: AtomicU64::new(0),
             has_left: AtomicBool::new(false),
@@ -109,7 +139,70 @@
         let is_claim_current = claim.is_some_and(|entry| entry.revision == owned.token);
         let excludes = |unseen| self.excludes(unseen, owned.token, address, &state);
         let is_due = owned.orders_from <= now && owned.unseen.is_none_or(excludes);
-        (is_claim_current && is_due).then_some(owned.token)
+        let is_alone = owned
+            .predecessor
+            .is_none_or(|predecessor| self.is_over(predecessor, now));
+        (is_claim_current && is_due && is_alone).then_some(owned.token)
+    }
+
+    /// Whether a previous owner can't send orders any more, and its last one is long enough ago.
+    fn is_over(&self, predecessor: Predecessor, now: Millis) -> bool {
+        let outvoted_at = predecessor.outvoted_at.unwrap_or(Millis::MAX);
+        now >= self
+            .gone_at(predecessor)
+            .min(outvoted_at + predecessor.wait)
+    }
+
+    /// Returns when a previous owner can't send orders any more, whatever this node finds out.
+    pub(super) fn gone_at(&self, predecessor: Predecessor) -> Millis {
+        // An owner with a view that is recent enough to extend its term knows this node by then.
+        let recorded_since = Millis(self.recorded_since.load(Ordering::Relaxed));
+        let known_at = recorded_since + EXTENSION_LIMIT;
+        predecessor.gone_at.min(known_at + predecessor.wait)
+    }
+
+    /// Records whether the service has carried a call of the claimer out.
+    pub(super) fn record_service_call(&self, is_done: bool) {
+        let since = &self.served_since;
+        if !is_done {
+            since.store(u64::MAX, Ordering::Relaxed);
+        } else if since.load(Ordering::Relaxed) == u64::MAX {
+            since.store(self.clock.now().0, Ordering::Relaxed);
+        }
+    }
+
+    /// Looks for evidence that previous owners have ended, and drops those that have.
+    pub(super) fn check_predecessors(&self, node: &str) {
+        let now = self.clock.now();
+        let served = Served {
+            since: Millis(self.served_since.load(Ordering::Relaxed)),
+            until: self.view.as_of(),
+        };
+        let state = self.view.state();
+        for (address, engine) in self.owned().iter_mut() {
+            let Some(predecessor) = &mut engine.predecessor else {
+                continue;
+            };
+            let mut gone_at = predecessor.claim_gone_at;
+            if let Some(unseen) = engine.unseen
+                && !has_seen_all(unseen, engine.token, *address, &state)
+            {
+                gone_at = gone_at.max(unseen.before);
+            }
+            let outvoted_at = state.register.exclusive_since(node, gone_at, served);
+            predecessor.outvoted_at = predecessor.outvoted_at.or(outvoted_at);
+            if self.is_over(*predecessor, now) {
+                engine.predecessor = None;
+            }
+        }
+    }
+
+    /// Whether a previous owner of an engine that this node owns may still send orders.
+    pub(super) fn has_predecessor(&self, owned: OwnedEngine) -> bool {
+        let now = self.clock.now();
+        owned
+            .predecessor
+            .is_some_and(|predecessor| !self.is_over(predecessor, now))
     }
 
     /// Whether no node can still send orders by a claim that this node hadn't seen when it made its
@@ -121,12 +214,7 @@
         address: SocketAddr,
         state: &State,
     ) -> bool {
-        if self.clock.now() >= unseen.over_at {
-            return true;
-        }
-        let previous = state.previous_claims.get(&address);
-        let has_seen_all = state.seen.covers(unseen.after, token);
-        has_seen_all && previous.is_none_or(|(_, seen)| *seen < unseen.before)
+        self.clock.now() >= unseen.over_at || has_seen_all(unseen, token, address, state)
     }
 
     /// Whether the ownership term is still running, by this node's clock.
@@ -180,6 +268,7 @@
                 token,
                 orders_from,
                 unseen: None,
+                predecessor: None,
             },
         );
     }
@@ -279,3 +368,10 @@
         self.owned.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Whether this node has seen that no other node's claim ended between what it knew before and its own
+/// claim, with `token`.
+fn has_seen_all(unseen: UnseenClaims, token: u64, address: SocketAddr, state: &State) -> bool {
+    let previous = state.previous_claims.get(&address);
+    state.seen.covers(unseen.after, token) && previous.is_none_or(|(_, seen)| *seen < unseen.before)
+}
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -17,6 +17,7 @@
 use super::presence::EntryRevision;
 use super::quarantine::{CRASH_REPORT_PREFIX, HARMLESS_PREFIX, UNCONFIRMED_CRASH_PREFIX};
 use super::reachability::Reachability;
+use super::registration::Register;
 use super::rejections::notice::Notice;
 use super::software;
 use super::upstream::Upstream;
@@ -61,6 +62,10 @@
     /// The boot that `from` counts from; 0 in a claim of an older release.
     #[serde(default)]
     pub boot: u64,
+    /// When no previous owner can send orders any more, by the clock of `from`; none if that was
+    /// certain when the claim was made.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub exclusive_from: Option<Millis>,
 }
 
 /// A claim with its revision in the key-value service.
@@ -120,6 +125,8 @@
     pub versions: HashMap<Name, Declarations>,
     /// Nodes by name.
     pub nodes: HashMap<Name, Peer>,
+    /// The nodes of the deployment, with or without a record.
+    pub register: Register,
     /// Claims by the engine's address.
     pub claims: HashMap<SocketAddr, ClaimEntry>,
     /// The changes that were seen one by one.
--- a/lib/tests/claims_model/mod.rs
+++ b/lib/tests/claims_model/mod.rs
@@ -42,6 +42,18 @@
 /// The nodes of a deployment in its first moments.
 const NAMES: [&str; 3] = ["one", "two", "three"];
 
+/// The nodes of a deployment in three failure domains, which their names begin with.
+const NAMES_IN_DOMAINS: [&str; 6] = ["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"];
+
+/// Failure domains of [`NAMES_IN_DOMAINS`].
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// Pause between the stops of a rolling restart.
+const STOP_GAP: Millis = Millis(1_000);
+
+/// Longest time from the last stop of a rolling restart until a failure domain is turned away.
+const MAX_DELAY_BEHIND_STOPS: u64 = 8_000;
+
 /// A node's process.
 struct Process {
     node: Node<Peers>,
@@ -81,6 +93,10 @@
     TurnedAway,
     Compaction,
     LateWritesOfAnyAge,
+    /// All nodes of a failure domain lose the service, their keys, other nodes, or several of them.
+    Domain,
+    /// All nodes of the other failure domains restart in turn, and the same happens behind it.
+    DomainBehindRestarts,
 }
 
 const DISTURBANCES: [Disturbance; 12] = [
@@ -110,10 +126,24 @@
     Disturbance::KeysDeleted,
 ];
 
+/// Whole failure domains, beside what happens to single nodes.
+const DOMAINS_AND_RESTARTS: [Disturbance; 8] = [
+    Disturbance::DomainBehindRestarts,
+    Disturbance::DomainBehindRestarts,
+    Disturbance::DomainBehindRestarts,
+    Disturbance::Domain,
+    Disturbance::Kill,
+    Disturbance::Stop,
+    Disturbance::TurnedAway,
+    Disturbance::Compaction,
+];
+
 /// A change that is due at a time.
 #[derive(Debug, Clone)]
 enum Change {
     Disturb,
+    Stop(String),
+    DisturbDomain(&'static str),
     ReachStore(String),
     ReachPeer(String, String),
     EndOutage,
@@ -142,15 +172,20 @@
 impl World {
     /// Starts the nodes of a deployment for the first time.
     pub fn new(seed: u64) -> Self {
-        Self::disturbed_by(&DISTURBANCES, seed)
+        Self::disturbed_by(&DISTURBANCES, &NAMES, seed)
     }
 
     /// Starts a deployment whose nodes are stopped, turned away and started again.
     pub fn with_stops(seed: u64) -> Self {
-        Self::disturbed_by(&STOPS_AND_REFUSALS, seed)
+        Self::disturbed_by(&STOPS_AND_REFUSALS, &NAMES, seed)
     }
 
-    fn disturbed_by(kinds: &'static [Disturbance], seed: u64) -> Self {
+    /// Starts a deployment whose failure domains are turned away and cut off, behind restarts too.
+    pub fn with_domains(seed: u64) -> Self {
+        Self::disturbed_by(&DOMAINS_AND_RESTARTS, &NAMES_IN_DOMAINS, seed)
+    }
+
+    fn disturbed_by(kinds: &'static [Disturbance], names: &[&str], seed: u64) -> Self {
         let memory = Arc::new(MemoryStore::default());
         store_engine(&memory);
         let mut world = Self {
@@ -166,7 +201,7 @@
             log: Vec::new(),
             orders: 0,
         };
-        for (index, name) in NAMES.into_iter().enumerate() {
+        for (index, name) in names.iter().enumerate() {
             let port = u16::try_from(index).unwrap() + 1;
             world.start(name, SocketAddr::from(([127, 0, 0, 2], port)), true);
             if world.rng.random_bool(0.2) {
@@ -215,7 +250,9 @@
                 self.disturb(kind).await;
                 self.after(MAX_PAUSE, Change::Disturb);
             }
-            Change::Disturb => {}
+            Change::Stop(name) if self.processes.contains_key(&name) => self.stop(name).await,
+            Change::Disturb | Change::Stop(_) => {}
+            Change::DisturbDomain(domain) => self.disturb_domain(domain),
             Change::ReachStore(name) => {
                 self.note(&format!("{name} reaches the service again"));
                 self.links.change(|links| links.without_store.remove(&name));
@@ -298,6 +335,14 @@
                 self.links.revoke_leases_of(&name);
             }
             Disturbance::Compaction => self.links.drop_history(),
+            Disturbance::Domain => {
+                let domain = self.any_domain();
+                self.disturb_domain(domain);
+            }
+            Disturbance::DomainBehindRestarts => {
+                let domain = self.any_domain();
+                self.restart_around(domain);
+            }
             Disturbance::LateWritesOfAnyAge => {
                 let late_by = Millis(self.rng.random_range(1_000..=6_000));
                 let writer = name.clone();
@@ -310,6 +355,53 @@
         }
     }
 
+    /// Restarts the nodes of all other failure domains in turn, and disturbs one behind it.
+    fn restart_around(&mut self, domain: &'static str) {
+        let others: Vec<&str> = NAMES_IN_DOMAINS
+            .into_iter()
+            .filter(|name| !name.starts_with(domain))
+            .collect();
+        let mut at = self.now;
+        for name in others {
+            at += STOP_GAP;
+            self.due.push((at, Change::Stop(name.to_owned())));
+        }
+        let delay = Millis(self.rng.random_range(0..=MAX_DELAY_BEHIND_STOPS));
+        self.due.push((at + delay, Change::DisturbDomain(domain)));
+    }
+
+    /// Turns the nodes of a failure domain away, with or without their keys, or parts them from all
+    /// others, or both.
+    fn disturb_domain(&mut self, domain: &'static str) {
+        let kind = self.rng.random_range(0..4);
+        let (is_turned_away, is_parted) = (kind != 0, kind != 1);
+        let keys_are_deleted = kind > 1 || self.rng.random_bool(0.5);
+        let span = self.rng.random_range(2_000..=12_000);
+        self.note(&format!(
+            "{domain} for {span} ms: turned away {is_turned_away}, parted {is_parted}"
+        ));
+        let (inside, outside): (Vec<String>, Vec<String>) = self
+            .names()
+            .into_iter()
+            .partition(|name| name.starts_with(domain));
+        for name in inside {
+            if is_turned_away {
+                let cut = name.clone();
+                self.links.change(|links| links.without_store.insert(cut));
+                let change = Change::ReachStore(name.clone());
+                self.due.push((self.now + Millis(span), change));
+                if keys_are_deleted {
+                    self.links.revoke_leases_of(&name);
+                }
+            }
+            if is_parted {
+                for other in &outside {
+                    self.part(&name, other, span);
+                }
+            }
+        }
+    }
+
     /// Lets a node leave; its process ends within the longest time of a planned stop.
     async fn stop(&mut self, name: String) {
         let process = self.processes.get_mut(&name).unwrap();
@@ -441,6 +533,10 @@
         names.into_iter().nth(index)
     }
 
+    fn any_domain(&mut self) -> &'static str {
+        DOMAINS[self.rng.random_range(0..DOMAINS.len())]
+    }
+
     fn note(&mut self, what: &str) {
         self.log.push(format!("{} {what}", self.now));
     }
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -208,6 +208,7 @@
             left: None,
             from: Millis::ZERO,
             boot: 0,
+            exclusive_from: None,
         };
         let upstream = Arc::clone(&state.upstreams["i-0"]);
         let standing = ClaimEntry {
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -20,6 +20,9 @@
 };
 use direct_support::memory::MemoryStore;
 
+/// Longer than the first moments of a deployment, in which owners don't extend their terms.
+const FIRST_MOMENTS: Millis = Millis::from_secs(5);
+
 /// Returns a service with the engine's entry, and the node that owns the engine.
 async fn owner() -> (Arc<MemoryStore>, Node) {
     let memory = Arc::new(MemoryStore::default());
@@ -383,6 +386,7 @@
 #[tokio::test(start_paused = true)]
 async fn ownership_extended_through_an_outage() {
     let (memory, one) = owner().await;
+    pass(&[&one], FIRST_MOMENTS).await;
     one.others.vote.store(true, Ordering::SeqCst);
     memory.change(|state| state.is_unavailable = true);
     for _ in 0..20 {
@@ -525,6 +529,7 @@
 #[tokio::test(start_paused = true)]
 async fn ownership_extended_though_first_votes_are_lost() {
     let (memory, one) = owner().await;
+    pass(&[&one], FIRST_MOMENTS).await;
     one.others.vote.store(true, Ordering::SeqCst);
     one.others.lost_rounds.store(2, Ordering::SeqCst);
     memory.change(|state| state.is_unavailable = true);
@@ -618,6 +623,7 @@
         left: None,
         from: Millis::ZERO,
         boot: 0,
+        exclusive_from: None,
     };
     let entry = ClaimEntry {
         claim,
--- a/lib/tests/test_direct_claims_model.rs
+++ b/lib/tests/test_direct_claims_model.rs
@@ -58,6 +58,13 @@
     play_all(World::with_stops).await;
 }
 
+/// An owner goes on by the votes of its failure domain, which is turned away or cut off behind a
+/// rolling restart of the others.
+#[tokio::test(start_paused = true)]
+async fn claims_domains_and_restarts() {
+    play_all(World::with_domains).await;
+}
+
 /// An owner that is turned away goes on by the votes of nodes that leave, which saw its claim vanish.
 #[tokio::test(start_paused = true)]
 async fn claims_votes_of_nodes_that_leave() {
--- a/lib/tests/test_direct_exchange.rs
+++ b/lib/tests/test_direct_exchange.rs
@@ -54,6 +54,7 @@
                 left: random.random_bool(0.1).then_some(Millis::ZERO),
                 from: Millis::ZERO,
                 boot: 0,
+                exclusive_from: None,
             };
             let entry = ClaimEntry {
                 claim,
--- a/lib/tests/test_direct_extension.rs
+++ b/lib/tests/test_direct_extension.rs
@@ -26,6 +26,9 @@
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 
+/// Longer than the first moments of a deployment, in which owners don't extend their terms.
+const FIRST_MOMENTS: Millis = Millis::from_secs(6);
+
 /// A node's path to the key-value service.
 #[derive(Debug, Default)]
 struct Path {
@@ -202,7 +205,7 @@
     let key = PlatformDialect.own_key("node/two");
     memory.change(|state| state.put(&key, record, None));
     let one = start_asking("one", &memory);
-    pass(&[&one], Millis(4_000)).await;
+    pass(&[&one], FIRST_MOMENTS).await;
     assert_eq!(one.others.others(), Some(vec![voter.address]));
     memory.change(|state| state.is_unavailable = true);
     let pass_with_orders = async |span: Millis| {
@@ -227,7 +230,7 @@
     let memory = Arc::new(MemoryStore::default());
     store_engine(&memory);
     let one = node("one", &memory, true);
-    pass(&[&one], Millis(3_000)).await;
+    pass(&[&one], FIRST_MOMENTS).await;
     one.others.vote.store(true, Ordering::SeqCst);
     one.others.lost_rounds.store(6, Ordering::SeqCst);
     one.others.lost_before_each_vote.store(6, Ordering::SeqCst);
