view: count nodes that restart when budgets and connections are divided

Cause: the same list that owners asked for votes divides the retry budget and the connections to an upstream: a node divides by the most nodes that it has seen at once since its start. One that starts while six others restart sees itself alone, and takes the whole budget and all connections. What callers see: more retries than the deployment's budget, and connections beyond an upstream's limit, which it resets for all clients. Change: registered nodes count, with a record or not. Why it works: a registration outlives the restart. Nodes that are gone for good count for two minutes, so shares are smaller than they could be for as long, as is the case for nodes that left before. Measured (shares_count_nodes_that_restart): 1 node before, 7 after; the test failed before.

--- a/lib/src/direct/follow/entries.rs
+++ b/lib/src/direct/follow/entries.rs
@@ -199,8 +199,7 @@
         })
     } else if let Some(node) = name.strip_prefix(REGISTRATION_PREFIX) {
         decode(entry).is_some_and(|registration| {
-            let register = &mut state.register;
-            register.put(node.into(), registration, entry.revision, now);
+            state.put_registration(node.into(), registration, entry.revision, now);
             true
         })
     } else if let Some(address) = claim_address(name) {
--- a/lib/src/direct/view.rs
+++ b/lib/src/direct/view.rs
@@ -17,7 +17,7 @@
 use super::presence::EntryRevision;
 use super::quarantine::{CRASH_REPORT_PREFIX, HARMLESS_PREFIX, UNCONFIRMED_CRASH_PREFIX};
 use super::reachability::Reachability;
-use super::registration::Register;
+use super::registration::{Register, Registration};
 use super::rejections::notice::Notice;
 use super::software;
 use super::upstream::Upstream;
@@ -135,7 +135,7 @@
     pub claims_read_at: Option<Millis>,
     /// The previous claim for each address, and when it was removed or replaced.
     pub previous_claims: HashMap<SocketAddr, (Claim, Millis)>,
-    /// The maximum number of nodes seen at once.
+    /// The maximum number of nodes seen at once, with or without a record.
     pub max_nodes_seen: usize,
     /// Crash reports, by which requests are blamed for crashes of upstreams.
     pub ledger: CrashLedger,
@@ -400,8 +400,28 @@
     /// Adds or updates a node from its record.
     pub fn put_node(&mut self, name: Name, peer: Peer) {
         self.nodes.insert(name, peer);
-        if self.nodes.len() > self.max_nodes_seen {
-            self.max_nodes_seen = self.nodes.len();
+        self.count_nodes();
+    }
+
+    /// Adds or updates a node's registration.
+    pub fn put_registration(
+        &mut self,
+        name: Name,
+        registration: Registration,
+        revision: u64,
+        now: Millis,
+    ) {
+        self.register.put(name, registration, revision, now);
+        self.count_nodes();
+    }
+
+    /// Updates the number of nodes among which budgets and connections are divided.
+    ///
+    /// Nodes that restart have no record. A node that starts among them would take their shares.
+    fn count_nodes(&mut self) {
+        let count = self.nodes.len().max(self.register.len());
+        if count > self.max_nodes_seen {
+            self.max_nodes_seen = count;
             // Updating the shares for each of hundreds of nodes that appear at a start took a
             // second on a small VM. The reserved connections cover growth by a twentieth.
             if self.max_nodes_seen >= self.share_node_count + (self.share_node_count / 20).max(1) {
--- a/lib/tests/test_direct_registration.rs
+++ b/lib/tests/test_direct_registration.rs
@@ -305,3 +305,18 @@
         assert!(span.contains(&waited), "{gone} gone, {kept} kept: {waited}");
     }
 }
+
+/// A node that starts while the others restart takes the whole retry budget of the deployment.
+#[tokio::test(start_paused = true)]
+async fn shares_count_nodes_that_restart() {
+    let memory = Arc::new(MemoryStore::default());
+    store_engine(&memory);
+    for index in 0..6 {
+        let key = format!("chivevalve/registration/{}", name(index));
+        memory.change(|state| state.put(&key, r#"{"is_settled":true}"#, None));
+    }
+    let one = start("one", 2, &memory, false);
+    pass(&[&one], Millis::from_secs(3)).await;
+    assert_eq!(one.view.state().nodes.len(), 1);
+    assert_eq!(one.view.state().max_nodes_seen, 7);
+}
