claim: keep engines whose previous owner may go on instead of handing them over

Cause: a node that takes many engines over behind a failure domain that is turned away owns more than its share, and hands one over each 1.3 s. While the previous owner may extend its term, a release deletes the claim, so the next owner waits from the beginning; as the node's own claim had vanished, it was the first to claim it again. What callers see: those engines load no adapters meanwhile. Change: only engines that may get orders are handed over.

--- a/lib/src/direct/claim/release.rs
+++ b/lib/src/direct/claim/release.rs
@@ -179,6 +179,8 @@
         owned
             .iter()
             .filter(|(address, _)| self.rank(&state, **address, 1) > 0)
+            // A successor would have to wait from the beginning.
+            .filter(|(_, owned)| !self.ownership.has_predecessor(**owned))
             .max_by_key(|(address, _)| {
                 self.ownership
                     .time_since_order(**address)
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -675,6 +675,25 @@
     assert!(owned[0] <= 4, "{owned:?}");
 }
 
+/// A node hands over engines whose previous owner may go on, so that nobody ever orders them.
+#[tokio::test(start_paused = true)]
+async fn claims_beyond_a_share_are_kept_while_waiting() {
+    let memory = Arc::new(MemoryStore::default());
+    store_engines(&memory, 8);
+    for gone in ["gone-1", "gone-2", "gone-3"] {
+        let key = format!("chivevalve/registration/{gone}");
+        memory.change(|state| state.put(&key, r#"{"is_settled":true}"#, None));
+    }
+    let one = start("one", 2, &memory, false);
+    pass(&[&one], Millis(4_000)).await;
+    assert_eq!(one.ownership.owned_count(), 8);
+    let others = ["two", "three", "four"].map(|name| node(name, &memory, false));
+    let all = [&one, &others[0], &others[1], &others[2]];
+    pass(&all, Millis::from_secs(15)).await;
+    assert_eq!(one.ownership.owned_count(), 8);
+    assert_eq!(one.ownership.fencing_token(address()), None);
+}
+
 /// Stores entries of engines, each at its own port.
 fn store_engines(memory: &MemoryStore, engines: usize) {
     for number in 0..engines {
