claim: an owner that has waited doesn't wait again for the one before it

Cause: a claim that is made while its previous owner may go on says until when that matters. Once the owner knew that it doesn't any more, the claim still said so. If all leases expire in an outage through which its right goes on, it takes the claim back as its own, and waited for the predecessor of its former claim anew. Change: the claim in the node's view is updated when the wait is over. Measured (claim_expired_after_waiting_goes_back_to_its_owner): no order 1.5 s behind the expiry before, which failed, orders after.

--- a/lib/src/direct/ownership.rs
+++ b/lib/src/direct/ownership.rs
@@ -178,7 +178,7 @@
             since: Millis(self.served_since.load(Ordering::Relaxed)),
             until: self.view.as_of(),
         };
-        let state = self.view.state();
+        let mut state = self.view.state();
         for (address, engine) in self.owned().iter_mut() {
             let Some(predecessor) = &mut engine.predecessor else {
                 continue;
@@ -193,6 +193,11 @@
             predecessor.outvoted_at = predecessor.outvoted_at.or(outvoted_at);
             if self.is_over(*predecessor, now) {
                 engine.predecessor = None;
+                // If the claim vanishes while this node's right goes on, it is taken back at once.
+                let claim = state.claims.get_mut(address);
+                if let Some(entry) = claim.filter(|entry| entry.revision == engine.token) {
+                    entry.claim.exclusive_from = None;
+                }
             }
         }
     }
--- a/lib/tests/test_direct_claims.rs
+++ b/lib/tests/test_direct_claims.rs
@@ -429,6 +429,20 @@
     assert_eq!(owner(&all), before);
 }
 
+/// An owner that has waited for the one before it waits for it again once its own claim expires.
+#[tokio::test(start_paused = true)]
+async fn claim_expired_after_waiting_goes_back_to_its_owner() {
+    let memory = Arc::new(MemoryStore::default());
+    store_engine(&memory);
+    let one = start("one", 2, &memory, false);
+    pass(&[&one], Millis::from_secs(9)).await;
+    assert!(one.ownership.fencing_token(address()).is_some());
+    let lease = memory.state().leases[0];
+    memory.change(|state| state.end_lease(lease));
+    pass(&[&one], Millis(1_500)).await;
+    assert!(one.ownership.fencing_token(address()).is_some());
+}
+
 /// A node that was suspended claims its engine again, but waits before it sends orders: another
 /// owner may have come and expired in the meantime, and may be extended by votes.
 #[tokio::test(start_paused = true)]
