claim: one name for the end of a previous owner

Cause: three functions, a field and a variable were called gone_at, for the end of a claim, of an owner as an earlier start knew it, and of an owner for sure. Change: names only, and the reason why unsettled registrations don't count. Measured: the tests of claims and registrations pass as before; nothing of the behaviour changes.

--- a/lib/src/direct/claim/previous.rs
+++ b/lib/src/direct/claim/previous.rs
@@ -68,7 +68,7 @@
 
     /// Returns when a previous owner that may still extend its term has ended, whatever this node
     /// finds out; none if nobody can: the owner has released its claim, or is this node.
-    fn gone_at(self) -> Option<Millis> {
+    fn ends_at(self) -> Option<Millis> {
         match self {
             Self::Nobody | Self::Left { .. } => None,
             Self::Itself {
@@ -128,12 +128,12 @@
         previous: PreviousOwner,
         claim_gone_at: Millis,
     ) -> Option<Predecessor> {
-        let gone_at = previous.gone_at()?;
-        (self.clock.now() < gone_at).then(|| Predecessor {
+        let ends_at = previous.ends_at()?;
+        (self.clock.now() < ends_at).then(|| Predecessor {
             claim_gone_at,
             outvoted_at: None,
             wait: OWNERSHIP_TERM + self.order_gap(),
-            gone_at,
+            ends_at,
         })
     }
 
--- a/lib/src/direct/claim/takeover.rs
+++ b/lib/src/direct/claim/takeover.rs
@@ -99,11 +99,11 @@
     /// Returns the claim of a successor, with what a later start of this node has to wait for.
     fn succeeding_claim(&self, succession: &Succession) -> Claim {
         let orders_from = succession.orders_from;
-        let gone_at = succession
+        let predecessor_ends_at = succession
             .predecessor
-            .map(|one| self.ownership.gone_at(one));
+            .map(|predecessor| self.ownership.end_of(predecessor));
         Claim {
-            exclusive_from: gone_at.filter(|at| orders_from < *at),
+            exclusive_from: predecessor_ends_at.filter(|at| orders_from < *at),
             ..self.new_claim(None, orders_from)
         }
     }
--- a/lib/src/direct/ownership.rs
+++ b/lib/src/direct/ownership.rs
@@ -38,7 +38,7 @@
     /// Time from its last extension until this node may send orders.
     pub(super) wait: Millis,
     /// When it can't send orders any more by what an earlier start of this node knew.
-    pub(super) gone_at: Millis,
+    pub(super) ends_at: Millis,
 }
 
 /// Claims of other nodes that may have been made and lost between what a node knew when it made its
@@ -148,17 +148,15 @@
     /// Whether a previous owner can't send orders any more, and its last one is long enough ago.
     fn is_over(&self, predecessor: Predecessor, now: Millis) -> bool {
         let outvoted_at = predecessor.outvoted_at.unwrap_or(Millis::MAX);
-        now >= self
-            .gone_at(predecessor)
-            .min(outvoted_at + predecessor.wait)
+        now >= self.end_of(predecessor).min(outvoted_at + predecessor.wait)
     }
 
     /// Returns when a previous owner can't send orders any more, whatever this node finds out.
-    pub(super) fn gone_at(&self, predecessor: Predecessor) -> Millis {
+    pub(super) fn end_of(&self, predecessor: Predecessor) -> Millis {
         // An owner with a view that is recent enough to extend its term knows this node by then.
         let recorded_since = Millis(self.recorded_since.load(Ordering::Relaxed));
         let known_at = recorded_since + EXTENSION_LIMIT;
-        predecessor.gone_at.min(known_at + predecessor.wait)
+        predecessor.ends_at.min(known_at + predecessor.wait)
     }
 
     /// Records whether the service has carried a call of the claimer out.
@@ -183,13 +181,13 @@
             let Some(predecessor) = &mut engine.predecessor else {
                 continue;
             };
-            let mut gone_at = predecessor.claim_gone_at;
+            let mut claim_gone_at = predecessor.claim_gone_at;
             if let Some(unseen) = engine.unseen
                 && !has_seen_all(unseen, engine.token, *address, &state)
             {
-                gone_at = gone_at.max(unseen.before);
+                claim_gone_at = claim_gone_at.max(unseen.before);
             }
-            let outvoted_at = state.register.exclusive_since(node, gone_at, served);
+            let outvoted_at = state.register.exclusive_since(node, claim_gone_at, served);
             predecessor.outvoted_at = predecessor.outvoted_at.or(outvoted_at);
             if self.is_over(*predecessor, now) {
                 engine.predecessor = None;
--- a/lib/src/direct/registration.rs
+++ b/lib/src/direct/registration.rs
@@ -208,10 +208,11 @@
         };
         let (objecting, others): (Vec<_>, Vec<_>) =
             self.entries.iter().partition(|(name, _)| objects(name));
-        let known_to_owners = objecting
+        // An owner may not know the others, so they don't raise the majority that it needs.
+        let settled = objecting
             .iter()
             .filter(|(_, entry)| entry.registration.is_settled);
-        (known_to_owners.count() >= others.len()).then(|| as_of - window)
+        (settled.count() >= others.len()).then(|| as_of - window)
     }
 
     /// Returns a registration whose node has had no record for [`RETIREMENT`], with its revision.
